Lay out the workspace and the shared types

Cause: the request path, the control side and the decisions are to be built side by side, so the types that they share must stand first. Change: eleven crates; units, names, verdict, resources, orders, reports, a first route table; the traits and wire forms of the platform and of the engines; the HTTP server and client shells. Conclusion: a base to build on; each trait has one binding still to come.

--- /dev/null
+++ b/crates/anvilhook-authority/src/lib.rs
@@ -0,0 +1,2 @@
+//! Authority over engines, carried out: leases kept, orders given, drains awaited.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -0,0 +1,2 @@
+//! The local demonstration and the bench.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/anvilhook-core/src/lib.rs
@@ -0,0 +1,18 @@
+//! Pure decisions and aggregates of anvilhook.
+//!
+//! Nothing in this crate opens a socket, starts a thread or reads the time by itself: a clock and a
+//! seeded generator are passed in, so that every decision can be replayed in a test.
+#![forbid(unsafe_code)]
+
+pub mod attempts;
+pub mod errors;
+pub mod names;
+pub mod orders;
+pub mod reports;
+pub mod resources;
+pub mod routing;
+pub mod units;
+pub mod verdict;
+
+pub use errors::{Error, Result};
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/anvilhook-core/src/resources/configurations.rs
@@ -0,0 +1,67 @@
+//! The configuration: all resources as they stood after one change.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Kind, Resource, ResourceKey};
+use crate::units::Revision;
+
+/// `Configuration` is an immutable state of all resources. It is handed to the request path as a
+/// whole, so that no request sees half of a change.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    revision: Revision,
+    resources: BTreeMap<ResourceKey, Arc<Resource>>,
+}
+
+impl Configuration {
+    /// Makes the configuration of the given revision.
+    pub fn new(revision: Revision, resources: impl IntoIterator<Item = Resource>) -> Self {
+        let keyed = resources.into_iter().map(|resource| (resource.key(), Arc::new(resource)));
+        Self { revision, resources: keyed.collect() }
+    }
+
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns a resource, if it is declared.
+    pub fn get(&self, key: &ResourceKey) -> Option<&Arc<Resource>> {
+        self.resources.get(key)
+    }
+
+    /// Returns all resources in the order of kind and name.
+    pub fn resources(&self) -> impl Iterator<Item = &Arc<Resource>> {
+        self.resources.values()
+    }
+
+    /// Returns all resources of one kind in the order of their names.
+    pub fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Arc<Resource>> {
+        self.resources.values().filter(move |resource| resource.spec.kind() == kind)
+    }
+}
+
+/// `PlainConfiguration` is the form in which a configuration crosses the peer link.
+#[derive(Deserialize, Serialize)]
+struct PlainConfiguration {
+    revision: Revision,
+    resources: Vec<Arc<Resource>>,
+}
+
+impl Serialize for Configuration {
+    fn serialize<S: serde::Serializer>(&self, ser: S) -> Result<S::Ok, S::Error> {
+        let resources = self.resources.values().cloned().collect();
+        PlainConfiguration { revision: self.revision, resources }.serialize(ser)
+    }
+}
+
+impl<'de> Deserialize<'de> for Configuration {
+    fn deserialize<D: serde::Deserializer<'de>>(de: D) -> Result<Self, D::Error> {
+        let plain = PlainConfiguration::deserialize(de)?;
+        let keyed = plain.resources.into_iter().map(|resource| (resource.key(), resource));
+        Ok(Self { revision: plain.revision, resources: keyed.collect() })
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-core/src/resources/mod.rs
@@ -0,0 +1,23 @@
+//! What operators declare: the kinds of resources, and the configuration they add up to.
+
+mod accounts;
+mod conditions;
+mod configurations;
+mod drain_plans;
+mod engine_pools;
+mod engines;
+mod kinds;
+mod model_versions;
+mod roles;
+mod services;
+
+pub use accounts::AccountSpec;
+pub use conditions::{Condition, ConditionState};
+pub use configurations::Configuration;
+pub use drain_plans::{DrainPlanSpec, DrainTarget};
+pub use engine_pools::{EnginePoolSpec, RolePolicy};
+pub use engines::{EngineSpec, Fencing};
+pub use kinds::{Kind, Resource, ResourceKey, Spec};
+pub use model_versions::ModelVersionSpec;
+pub use roles::RoleSpec;
+pub use services::{CallSpec, PlainUpstream, ServiceBackend, ServiceSpec};
--- /dev/null
+++ b/crates/anvilhook-core/src/routing/mod.rs
@@ -0,0 +1,11 @@
+//! Choosing the upstream of a request.
+//!
+//! A `RouteTable` is an immutable snapshot that is replaced as a whole (read-copy-update). What
+//! changes with every request, such as the work in flight, lies in atomics of `UpstreamState`,
+//! which outlives the tables that name it.
+
+mod tables;
+mod upstreams;
+
+pub use tables::{RouteRequest, RouteTable};
+pub use upstreams::{UpstreamState, Work};
--- /dev/null
+++ b/crates/anvilhook-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/anvilhook-daemon/src/lib.rs
@@ -0,0 +1,2 @@
+//! The daemon's parts, so that a test or the local demonstration can start an instance in-process.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/anvilhook-engine/src/lib.rs
@@ -0,0 +1,11 @@
+//! Upstreams as the system sees them: model engines and plain services.
+//!
+//! `wire` is the form in which the one HTTP binding and the stand-ins speak.
+#![forbid(unsafe_code)]
+
+pub mod control;
+pub mod errors;
+pub mod wire;
+
+pub use control::EngineControl;
+pub use errors::{Error, Result};
--- /dev/null
+++ b/crates/anvilhook-http/src/clients.rs
@@ -0,0 +1,127 @@
+//! The client that bindings send their calls by.
+
+use anvilhook_core::units::Millis;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::client::Client;
+use volo_http::response::Response;
+
+use crate::errors::{CallError, Stage};
+
+/// `ClientOptions` bounds the connections of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientOptions {
+    /// The longest time that making a connection may take.
+    pub connect_timeout: Millis,
+    /// How long a connection may lie idle before it is closed. A connection that something between
+    /// the two ends has forgotten goes silent; the younger the idle ones are, the fewer are silent.
+    pub idle_timeout: Millis,
+    /// The most idle connections kept to one address.
+    pub max_idle_per_address: usize,
+}
+
+impl Default for ClientOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Millis(1_000),
+            idle_timeout: Millis(10_000),
+            max_idle_per_address: 64,
+        }
+    }
+}
+
+/// `Connection` says which connection a call may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Connection {
+    /// An idle one if there is one.
+    Pooled,
+    /// Only a new one, because an idle one may have gone silent.
+    New,
+}
+
+/// `HttpClient` sends calls and never repeats one by itself.
+#[derive(Clone)]
+pub struct HttpClient {
+    pooled: Client,
+    unpooled: Client,
+}
+
+impl HttpClient {
+    /// Makes a client.
+    ///
+    /// # Errors
+    ///
+    /// A `CallError` of stage `Build` if the library does not accept the options.
+    pub fn try_new(options: &ClientOptions) -> Result<Self, CallError> {
+        Ok(Self {
+            pooled: build(options, options.max_idle_per_address)?,
+            unpooled: build(options, 0)?,
+        })
+    }
+
+    /// Sends a call and waits for the head of its answer, at most `timeout` long.
+    ///
+    /// The request's URI is the path and query only. Dropping the answer's body before its end
+    /// closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// A `CallError` of any stage but `Body`.
+    pub async fn send(
+        &self,
+        address: std::net::SocketAddr,
+        req: Request<Body>,
+        connection: Connection,
+        timeout: Millis,
+    ) -> Result<Response, CallError> {
+        let client = match connection {
+            Connection::Pooled => &self.pooled,
+            Connection::New => &self.unpooled,
+        };
+        let (parts, body) = req.into_parts();
+        let mut builder = client
+            .request_builder()
+            .method(parts.method)
+            .uri(parts.uri)
+            .address(Address::from(address));
+        *builder.headers_mut() = parts.headers;
+        let sending = builder.body(body).send();
+        match tokio::time::timeout(timeout.as_duration(), sending).await {
+            Ok(answer) => Ok(answer?),
+            Err(_elapsed) => Err(CallError::timed_out(Stage::FirstByte)),
+        }
+    }
+}
+
+/// Collects an answer's body, at most `timeout` long and `max_bytes` large.
+///
+/// # Errors
+///
+/// A `CallError` of stage `Body` if the body is cut short, too large or late.
+pub async fn collect_body(
+    body: Body,
+    max_bytes: usize,
+    timeout: Millis,
+) -> Result<Bytes, CallError> {
+    let collecting = Limited::new(body, max_bytes).collect();
+    match tokio::time::timeout(timeout.as_duration(), collecting).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => {
+            Err(CallError::broken(Stage::Body, format!("answer larger than {max_bytes} bytes")))
+        }
+        Ok(Err(err)) => Err(CallError::broken(Stage::Body, err)),
+        Err(_elapsed) => Err(CallError::timed_out(Stage::Body)),
+    }
+}
+
+fn build(options: &ClientOptions, max_idle: usize) -> Result<Client, CallError> {
+    let mut builder = Client::builder();
+    builder
+        .set_connect_timeout(options.connect_timeout.as_duration())
+        .set_pool_idle_timeout(options.idle_timeout.as_duration())
+        .set_max_idle_per_host(max_idle);
+    Ok(builder.build()?)
+}
--- /dev/null
+++ b/crates/anvilhook-peer/src/lib.rs
@@ -0,0 +1,2 @@
+//! The link between instances: hints and acknowledgements. It decides nothing.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/anvilhook-store/src/lib.rs
@@ -0,0 +1,2 @@
+//! What the system keeps in the platform's table: the configuration, its audit trail and claims.
+#![forbid(unsafe_code)]
