Keep the configuration, its audit trail and its followers in the table

Cause: operators' changes need one authority that survives lost answers and races. Change: rules of each kind with defaults and references checked as pure functions; a store that commits a change, its revision and its audit entry at once; a follower that adopts only higher revisions; archive, status and instance records.

--- a/crates/anvilhook-core/src/errors.rs
+++ b/crates/anvilhook-core/src/errors.rs
@@ -22,6 +22,13 @@
         /// What was expected there.
         expected: String,
     },
+    /// Returned when a change would leave something else without what it needs.
+    WouldStrand {
+        /// The resource that was to be changed, as `Kind/name`.
+        key: String,
+        /// What would be stranded, and by which field.
+        by: Vec<String>,
+    },
 }
 
 impl Error {
@@ -34,6 +41,11 @@
     pub fn bad_field(field: impl Into<String>, expected: impl Into<String>) -> Self {
         Error::BadField { field: field.into(), expected: expected.into() }
     }
+
+    /// Returns an error for a change that would strand something.
+    pub fn would_strand(key: impl fmt::Display, by: Vec<String>) -> Self {
+        Error::WouldStrand { key: key.to_string(), by }
+    }
 }
 
 impl fmt::Display for Error {
@@ -45,6 +57,9 @@
                  '.', beginning and ending with a letter or digit"
             ),
             Error::BadField { field, expected } => write!(f, "{field}: expected {expected}"),
+            Error::WouldStrand { key, by } => {
+                write!(f, "{key} is still needed by {}; change that first", by.join(", "))
+            }
         }
     }
 }
--- a/crates/anvilhook-core/src/resources/configurations.rs
+++ b/crates/anvilhook-core/src/resources/configurations.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Kind, Resource, ResourceKey};
+use super::{Action, Change, Kind, Resource, ResourceKey};
 use crate::units::Revision;
 
 /// `Configuration` is an immutable state of all resources. It is handed to the request path as a
@@ -28,6 +28,29 @@
         self.revision
     }
 
+    /// Returns the configuration after one more change, which is not checked here.
+    ///
+    /// Applying changes that the configuration already contains, in order, changes nothing but the
+    /// revision. A scan that raced with changes is mended by applying those changes again.
+    pub fn with_change(&self, revision: Revision, change: &Change) -> Self {
+        let mut resources = self.resources.clone();
+        match &change.action {
+            Action::Put(spec) => {
+                let resource = Resource {
+                    name: change.key.name.clone(),
+                    version: revision,
+                    spec: spec.clone(),
+                    status: Vec::new(),
+                };
+                resources.insert(change.key.clone(), Arc::new(resource));
+            }
+            Action::Delete => {
+                resources.remove(&change.key);
+            }
+        }
+        Self { revision, resources }
+    }
+
     /// Returns a resource, if it is declared.
     pub fn get(&self, key: &ResourceKey) -> Option<&Arc<Resource>> {
         self.resources.get(key)
--- a/crates/anvilhook-core/src/resources/engine_pools.rs
+++ b/crates/anvilhook-core/src/resources/engine_pools.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::checks::require;
+use crate::errors::Result;
 use crate::orders::ModelRef;
 use crate::units::Millis;
 
@@ -12,14 +14,33 @@
     /// The version of the model that the engines should serve.
     pub model: ModelRef,
     /// How roles are planned.
+    #[serde(default)]
     pub roles: RolePolicy,
-    /// The fewest engines that must go on serving during planned changes.
+    /// The fewest engines that must go on serving during planned changes, by default 1.
+    #[serde(default = "default_min_serving")]
     pub min_serving: u32,
 }
 
+impl EnginePoolSpec {
+    /// Checks the pool's own rules.
+    pub(super) fn check(&self) -> Result<()> {
+        require(self.model.version > 0, "model.version", "a version from 1")?;
+        let weight = self.roles.change_weight;
+        let is_weight = weight.is_finite() && weight >= 0.0;
+        require(is_weight, "roles.change_weight", "a finite number from 0")?;
+        let share = self.roles.max_changing_share;
+        let is_share = (0.0..=1.0).contains(&share);
+        require(is_share, "roles.max_changing_share", "a share from 0 to 1")
+    }
+}
+
+fn default_min_serving() -> u32 {
+    1
+}
+
 /// `RolePolicy` says how the roles of a pool are planned.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct RolePolicy {
     /// Whether the planner may change roles. If not, roles stay as declared.
     pub automatic: bool,
@@ -31,3 +52,15 @@
     /// The least time between two changes of one engine.
     pub min_dwell_ms: Millis,
 }
+
+impl Default for RolePolicy {
+    /// Returns a policy that changes no role until an operator asks for it.
+    fn default() -> Self {
+        Self {
+            automatic: false,
+            change_weight: 1.0,
+            max_changing_share: 0.25,
+            min_dwell_ms: Millis::from_secs(300),
+        }
+    }
+}
--- a/crates/anvilhook-core/src/resources/engines.rs
+++ b/crates/anvilhook-core/src/resources/engines.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::checks::require;
+use crate::errors::Result;
 use crate::names::{PoolName, ZoneName};
 use crate::orders::Role;
 
@@ -18,18 +20,33 @@
     /// Its availability zone.
     pub zone: ZoneName,
     /// Whether it is said to refuse orders with an old fencing number. The engine says so itself
-    /// when it is met; if the two disagree, `Ignores` holds.
+    /// when it is met; if the two disagree, `Ignores` holds. The default is the safer `Ignores`.
+    #[serde(default)]
     pub fencing: Fencing,
-    /// The role that it should have where the planner does not decide.
+    /// The role that it should have where the planner does not decide, by default `Mixed`.
+    #[serde(default = "default_role")]
     pub role: Role,
 }
 
+impl EngineSpec {
+    /// Checks the engine's own rules.
+    pub(super) fn check(&self) -> Result<()> {
+        let can_be_reached = self.address.port() != 0 && !self.address.ip().is_unspecified();
+        require(can_be_reached, "address", "an IP address and port that can be connected to")
+    }
+}
+
+fn default_role() -> Role {
+    Role::Mixed
+}
+
 /// `Fencing` says what an engine does with an order whose fencing number is old.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Fencing {
     /// It refuses the order.
     Checks,
     /// It carries the order out.
+    #[default]
     Ignores,
 }
--- a/crates/anvilhook-core/src/resources/kinds.rs
+++ b/crates/anvilhook-core/src/resources/kinds.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use super::{
     AccountSpec, Condition, DrainPlanSpec, EnginePoolSpec, EngineSpec, ModelVersionSpec, RoleSpec,
@@ -109,6 +109,57 @@
             Spec::DrainPlan(_) => Kind::DrainPlan,
         }
     }
+
+    /// Reads the spec of a kind from any self-describing format.
+    ///
+    /// # Errors
+    ///
+    /// `Error::BadField` with the path of the first field that does not fit, such as
+    /// `spec.address`.
+    ///
+    /// ```
+    /// use anvilhook_core::resources::{Kind, Spec};
+    ///
+    /// let json = serde_json::json!({"pool": "main", "address": "here", "zone": "piraeus"});
+    /// let err = Spec::decode(Kind::Engine, json).unwrap_err();
+    /// assert!(err.to_string().starts_with("spec.address: expected "));
+    /// ```
+    pub fn decode<'de, D: Deserializer<'de>>(kind: Kind, de: D) -> Result<Self> {
+        Ok(match kind {
+            Kind::Account => Spec::Account(decode_fields(de)?),
+            Kind::Service => Spec::Service(decode_fields(de)?),
+            Kind::EnginePool => Spec::EnginePool(decode_fields(de)?),
+            Kind::Engine => Spec::Engine(decode_fields(de)?),
+            Kind::Role => Spec::Role(decode_fields(de)?),
+            Kind::ModelVersion => Spec::ModelVersion(decode_fields(de)?),
+            Kind::DrainPlan => Spec::DrainPlan(decode_fields(de)?),
+        })
+    }
+
+    /// Checks the rules that the spec must keep by itself, whatever else is declared.
+    ///
+    /// # Errors
+    ///
+    /// `Error::BadField` for the first field that breaks its rule.
+    pub fn check(&self) -> Result<()> {
+        match self {
+            Spec::Account(spec) => spec.check(),
+            Spec::Service(spec) => spec.check(),
+            Spec::EnginePool(spec) => spec.check(),
+            Spec::Engine(spec) => spec.check(),
+            Spec::Role(spec) => spec.check(),
+            Spec::ModelVersion(spec) => spec.check(),
+            Spec::DrainPlan(spec) => spec.check(),
+        }
+    }
+}
+
+fn decode_fields<'de, T: Deserialize<'de>, D: Deserializer<'de>>(de: D) -> Result<T> {
+    serde_path_to_error::deserialize(de).map_err(|err| {
+        let path = err.path().to_string();
+        let field = if path == "." { "spec".to_owned() } else { format!("spec.{path}") };
+        Error::bad_field(field, format!("another value: {}", err.inner()))
+    })
 }
 
 /// `ResourceKey` identifies a resource.
--- a/crates/anvilhook-core/src/resources/mod.rs
+++ b/crates/anvilhook-core/src/resources/mod.rs
@@ -1,6 +1,8 @@
 //! What operators declare: the kinds of resources, and the configuration they add up to.
 
 mod accounts;
+mod changes;
+mod checks;
 mod conditions;
 mod configurations;
 mod drain_plans;
@@ -8,10 +10,12 @@
 mod engines;
 mod kinds;
 mod model_versions;
+mod references;
 mod roles;
 mod services;
 
 pub use accounts::AccountSpec;
+pub use changes::{Action, Change, Expected};
 pub use conditions::{Condition, ConditionState};
 pub use configurations::Configuration;
 pub use drain_plans::{DrainPlanSpec, DrainTarget};
--- a/crates/anvilhook-core/src/resources/model_versions.rs
+++ b/crates/anvilhook-core/src/resources/model_versions.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::checks::require;
+use crate::errors::Result;
 use crate::orders::ModelRef;
 
 /// `ModelVersionSpec` declares one version of a model.
@@ -17,3 +19,13 @@
     /// The size of its KV cache for one token, in bytes.
     pub kv_bytes_per_token: u64,
 }
+
+impl ModelVersionSpec {
+    /// Checks the model version's own rules.
+    pub(super) fn check(&self) -> Result<()> {
+        require(self.model.version > 0, "model.version", "a version from 1")?;
+        require(!self.weights.is_empty(), "weights", "the key of the weights in the weight store")?;
+        require(self.weight_bytes > 0, "weight_bytes", "at least 1 byte")?;
+        require(self.kv_bytes_per_token > 0, "kv_bytes_per_token", "at least 1 byte")
+    }
+}
--- a/crates/anvilhook-core/src/resources/roles.rs
+++ b/crates/anvilhook-core/src/resources/roles.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::checks::require;
+use crate::errors::Result;
 use crate::names::PoolName;
 use crate::orders::Role;
 
@@ -18,3 +20,11 @@
     /// The most engines that hold it.
     pub max_engines: u32,
 }
+
+impl RoleSpec {
+    /// Checks the rules of the bounds among themselves.
+    pub(super) fn check(&self) -> Result<()> {
+        let in_order = self.min_engines <= self.max_engines;
+        require(in_order, "max_engines", "at least spec.min_engines")
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-store/src/changes.rs
@@ -0,0 +1,279 @@
+//! Changing the configuration, and the truth about a change whose answer was lost.
+
+use std::sync::Arc;
+
+use anvilhook_core::attempts::ChangeId;
+use anvilhook_core::names::SubjectName;
+use anvilhook_core::resources::{Action, Change, Configuration, Expected, Resource, Spec};
+use anvilhook_core::units::{Revision, WallTime};
+use anvilhook_platform::{Commit, Condition, RowKey, Table, Transaction, Write};
+use serde::{Deserialize, Serialize};
+
+use crate::audits::AuditEntry;
+use crate::configurations::{CatchUp, ConfigurationStore, Head};
+use crate::errors::{Error, Result};
+use crate::rows;
+
+/// `ChangeRequest` asks for one change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChangeRequest {
+    /// The id of the change. Asking again with the same id never makes the change twice.
+    pub id: ChangeId,
+    /// Who asks.
+    pub subject: SubjectName,
+    /// When, for the audit trail.
+    pub at: WallTime,
+    /// What is to be done.
+    pub change: Change,
+    /// What the change expects to find.
+    pub expected: Expected,
+}
+
+/// `Accepted` is a change that is part of the configuration for good.
+#[derive(Clone, Debug)]
+pub struct Accepted {
+    /// The revision that it made.
+    pub revision: Revision,
+    /// The configuration at that revision or a later one.
+    pub configuration: Arc<Configuration>,
+    /// The changes from the base that the caller gave to that configuration, as far as they are
+    /// known without a gap.
+    pub entries: Vec<AuditEntry>,
+}
+
+/// `ChangeState` is what is known of a change by its id.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "state")]
+pub enum ChangeState {
+    /// It was accepted.
+    Accepted {
+        /// The revision that it made.
+        revision: Revision,
+    },
+    /// It was not accepted and never will be.
+    NotAccepted,
+    /// It is not recorded, but a commit that is still under way might be.
+    Unknown,
+}
+
+/// `Attempt` is how one try to commit a change ended, if it did not fail for good.
+enum Attempt {
+    Done(Accepted),
+    /// The head moved between reading and committing; nothing was done.
+    HeadMoved,
+    /// The commit on this revision may have taken effect.
+    InDoubt(Revision),
+}
+
+impl<T: Table> ConfigurationStore<T> {
+    /// Makes a change, its revision and its audit entry in one transaction.
+    ///
+    /// A commit whose answer is lost is tried again with the same id. The transaction demands that
+    /// the id is not recorded yet, so it cannot take effect twice, and the second try finds out
+    /// what became of the first.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Unknown` if the change may have been accepted. After every other error it was not
+    /// accepted and never will be.
+    pub async fn change(&self, base: &Arc<Configuration>, req: &ChangeRequest) -> Result<Accepted> {
+        let mut known = Known { configuration: Arc::clone(base), entries: Vec::new() };
+        let mut in_doubt: Option<Revision> = None;
+        for _ in 0..self.options.attempts {
+            match self.try_change(&mut known, req).await {
+                Ok(Attempt::Done(accepted)) => return Ok(accepted),
+                Ok(Attempt::HeadMoved) => {}
+                Ok(Attempt::InDoubt(base)) => in_doubt = Some(base),
+                Err(err) => return Err(truth(err, in_doubt, req.id)),
+            }
+        }
+        let message = "others changed the configuration at the same time; try again".to_owned();
+        Err(truth(Error::NotAccepted { message }, in_doubt, req.id))
+    }
+
+    async fn try_change(&self, known: &mut Known, req: &ChangeRequest) -> Result<Attempt> {
+        // The head is read before the id. Once the head has moved past an earlier try, that try can
+        // no longer take effect, so an id that is absent then stays absent.
+        let caught_up = self.catch_up(&known.configuration).await?;
+        let head_version = caught_up.head_version;
+        known.advance(caught_up);
+        if let Some(revision) = self.recorded(req).await? {
+            // The id was recorded by a change after the head that was read; read on to contain it.
+            if known.configuration.revision() < revision {
+                return Ok(Attempt::HeadMoved);
+            }
+            return Ok(Attempt::Done(known.accepted(revision)));
+        }
+
+        let base = &known.configuration;
+        let standing = base.get(&req.change.key);
+        if !req.expected.matches(standing.map(|found| found.version)) {
+            let standing = standing.map(|found| Box::new(Resource::clone(found)));
+            return Err(Error::Conflict { key: req.change.key.clone(), standing });
+        }
+        req.change.check(base)?;
+
+        let entry = self.entry(base, req, standing.map(|found| found.spec.clone()));
+        let txn = self.transaction(&entry, head_version).await?;
+        match self.table.commit(&txn).await {
+            Ok(Commit::Done) => {
+                let revision = entry.revision;
+                known.push(entry);
+                Ok(Attempt::Done(known.accepted(revision)))
+            }
+            Ok(Commit::Conflict { .. }) => Ok(Attempt::HeadMoved),
+            Err(anvilhook_platform::Error::Unavailable { message }) => {
+                Err(Error::NotAccepted { message })
+            }
+            Err(err) => {
+                log::warn!("change {}: {err}", req.id);
+                Ok(Attempt::InDoubt(base.revision()))
+            }
+        }
+    }
+
+    /// Returns the revision that an earlier try of the same request made, if there was one.
+    async fn recorded(&self, req: &ChangeRequest) -> Result<Option<Revision>> {
+        let Some(revision) = self.revision_of(req.id).await? else { return Ok(None) };
+        let row = self.table.read(&rows::change_key(revision)).await?;
+        let entry: Option<AuditEntry> = row.as_ref().map(rows::decode).transpose()?;
+        let is_other = entry.is_some_and(|entry| entry.change != req.change);
+        if is_other {
+            return Err(Error::ChangeIdReused { id: req.id, revision });
+        }
+        Ok(Some(revision))
+    }
+
+    async fn revision_of(&self, id: ChangeId) -> Result<Option<Revision>> {
+        let row = self.table.read(&rows::change_id_key(id)).await?;
+        row.as_ref().map(rows::decode).transpose()
+    }
+
+    fn entry(&self, base: &Configuration, req: &ChangeRequest, before: Option<Spec>) -> AuditEntry {
+        AuditEntry {
+            revision: Revision(base.revision().0 + 1),
+            change_id: req.id,
+            subject: req.subject.clone(),
+            at: req.at,
+            instance: self.options.instance.clone(),
+            change: req.change.clone(),
+            before,
+        }
+    }
+
+    /// Makes the transaction of a change, conditioned on the head, the resource and the id.
+    async fn transaction(
+        &self,
+        entry: &AuditEntry,
+        head_version: Option<u64>,
+    ) -> Result<Transaction> {
+        let resource_key = rows::resource_key(&entry.change.key);
+        let resource_version = self.table.read(&resource_key).await?.map(|row| row.version);
+        let id_key = rows::change_id_key(entry.change_id);
+        let head = Head { revision: entry.revision, change_id: entry.change_id };
+        let resource_write = match &entry.change.action {
+            Action::Put(spec) => {
+                let name = entry.change.key.name.clone();
+                let version = entry.revision;
+                let resource = Resource { name, version, spec: spec.clone(), status: Vec::new() };
+                rows::put(resource_key.clone(), &resource)?
+            }
+            Action::Delete => Write::Delete { key: resource_key.clone() },
+        };
+        Ok(Transaction {
+            conditions: vec![
+                as_read(rows::head_key(), head_version),
+                as_read(resource_key, resource_version),
+                Condition::Absent { key: id_key.clone() },
+            ],
+            writes: vec![
+                rows::put(rows::head_key(), &head)?,
+                resource_write,
+                rows::put(rows::change_key(entry.revision), entry)?,
+                rows::put(id_key, &entry.revision)?,
+            ],
+        })
+    }
+
+    /// Says what became of a change.
+    ///
+    /// `base` is the revision that `Error::Unknown` named. Without it a change that is not recorded
+    /// may still be under way. Ids are kept as long as their changes are not archived.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Platform` if the table cannot be read.
+    pub async fn change_state(&self, id: ChangeId, base: Option<Revision>) -> Result<ChangeState> {
+        // As in a try, the head is read before the id.
+        let head = self.head().await?.map_or(Revision::default(), |head| head.revision);
+        if let Some(revision) = self.revision_of(id).await? {
+            return Ok(ChangeState::Accepted { revision });
+        }
+        let Some(base) = base.filter(|base| head > *base) else { return Ok(ChangeState::Unknown) };
+
+        // Ids are removed together with archived changes. The change on `base` would have made the
+        // next revision: while that revision's change is a row, its id is one as well.
+        let next = rows::change_key(Revision(base.0 + 1));
+        match self.table.read(&next).await? {
+            Some(_) => Ok(ChangeState::NotAccepted),
+            None => Ok(ChangeState::Unknown),
+        }
+    }
+}
+
+/// `Known` is the configuration as a request has come to know it, try by try.
+struct Known {
+    configuration: Arc<Configuration>,
+    entries: Vec<AuditEntry>,
+}
+
+impl Known {
+    fn advance(&mut self, caught_up: CatchUp) {
+        let goes_on = caught_up
+            .entries
+            .first()
+            .is_some_and(|first| first.revision.0 == self.configuration.revision().0 + 1);
+        if caught_up.configuration.revision() > self.configuration.revision() && !goes_on {
+            self.entries.clear();
+        }
+        self.entries.extend(caught_up.entries);
+        self.configuration = caught_up.configuration;
+    }
+
+    fn push(&mut self, entry: AuditEntry) {
+        let next = self.configuration.with_change(entry.revision, &entry.change);
+        self.configuration = Arc::new(next);
+        self.entries.push(entry);
+    }
+
+    fn accepted(&self, revision: Revision) -> Accepted {
+        let configuration = Arc::clone(&self.configuration);
+        Accepted { revision, configuration, entries: self.entries.clone() }
+    }
+}
+
+/// Makes the condition that a row is still as it was read.
+fn as_read(key: RowKey, version: Option<u64>) -> Condition {
+    match version {
+        Some(version) => Condition::AtVersion { key, version },
+        None => Condition::Absent { key },
+    }
+}
+
+/// Says what a failure means for the change.
+///
+/// A try in doubt was made on a state that passed every check. A definite refusal can therefore
+/// only come from a later head, on which that try cannot take effect any more. Only a failure to
+/// read leaves the doubt.
+fn truth(err: Error, in_doubt: Option<Revision>, id: ChangeId) -> Error {
+    let is_refusal =
+        matches!(err, Error::Invalid(_) | Error::Conflict { .. } | Error::ChangeIdReused { .. });
+    match in_doubt {
+        _ if is_refusal => err,
+        Some(base) => Error::Unknown { id, base },
+        None => match err {
+            Error::NotAccepted { .. } => err,
+            other => Error::NotAccepted { message: other.to_string() },
+        },
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-store/src/configurations.rs
@@ -0,0 +1,200 @@
+//! Reading the configuration: whole, or only what has changed.
+
+use std::sync::Arc;
+
+use anvilhook_core::attempts::ChangeId;
+use anvilhook_core::names::InstanceName;
+use anvilhook_core::resources::{Configuration, Resource};
+use anvilhook_core::units::Revision;
+use anvilhook_platform::Table;
+use serde::{Deserialize, Serialize};
+
+use crate::audits::AuditEntry;
+use crate::errors::{Error, Result};
+use crate::rows::{self, CHANGE_PREFIX, RESOURCE_PREFIX};
+
+/// `Head` is the last accepted change.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Head {
+    /// The revision that it made.
+    pub revision: Revision,
+    /// Its id.
+    pub change_id: ChangeId,
+}
+
+/// `StoreOptions` bounds the store's work on the table.
+#[derive(Clone, Debug)]
+pub struct StoreOptions {
+    /// The instance that the store works for; it stands in the audit trail.
+    pub instance: InstanceName,
+    /// The most rows that one scan asks for.
+    pub page_rows: usize,
+    /// The most changes that are read one by one. An instance further behind reads all resources.
+    pub max_deltas: u64,
+    /// How often a change is tried while others move the head or answers are lost.
+    pub attempts: u32,
+}
+
+impl StoreOptions {
+    /// Returns the customary bounds for an instance.
+    pub fn new(instance: InstanceName) -> Self {
+        Self { instance, page_rows: 500, max_deltas: 500, attempts: 8 }
+    }
+}
+
+/// `ConfigurationStore` reads and changes the configuration that the table holds.
+#[derive(Clone, Debug)]
+pub struct ConfigurationStore<T> {
+    pub(crate) table: T,
+    pub(crate) options: Arc<StoreOptions>,
+}
+
+/// `CatchUp` is what was read to come to the head.
+#[derive(Clone, Debug)]
+pub struct CatchUp {
+    /// The configuration at the head, or at a later revision.
+    pub configuration: Arc<Configuration>,
+    /// The changes that led there, in order. There are none if all resources were read instead.
+    pub entries: Vec<AuditEntry>,
+    /// The version of the head's row, or nothing if no change was ever accepted.
+    pub(crate) head_version: Option<u64>,
+}
+
+impl<T: Table> ConfigurationStore<T> {
+    /// Makes a store on a table.
+    pub fn new(table: T, options: StoreOptions) -> Self {
+        Self { table, options: Arc::new(options) }
+    }
+
+    /// Returns the table.
+    pub fn table(&self) -> &T {
+        &self.table
+    }
+
+    /// Returns the instance that the store works for.
+    pub fn instance(&self) -> &InstanceName {
+        &self.options.instance
+    }
+
+    /// Reads the last accepted change, or nothing if there never was one.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Platform` if the table cannot be read.
+    pub async fn head(&self) -> Result<Option<Head>> {
+        Ok(self.versioned_head().await?.map(|(head, _)| head))
+    }
+
+    async fn versioned_head(&self) -> Result<Option<(Head, u64)>> {
+        match self.table.read(&rows::head_key()).await? {
+            Some(row) => Ok(Some((rows::decode(&row)?, row.version))),
+            None => Ok(None),
+        }
+    }
+
+    /// Reads up to `limit` changes after a revision, in order and without a gap.
+    ///
+    /// # Errors
+    ///
+    /// `Error::TooOld` if some of them are only in the archive, `Error::Platform` if the table
+    /// cannot be read.
+    pub async fn changes_since(&self, after: Revision, limit: usize) -> Result<Vec<AuditEntry>> {
+        let from = rows::change_key(after);
+        let found = self.table.scan(CHANGE_PREFIX, Some(&from), limit).await?;
+        let entries: Vec<AuditEntry> = found.iter().map(rows::decode).collect::<Result<_>>()?;
+        let mut expected = after;
+        for entry in &entries {
+            expected = Revision(expected.0 + 1);
+            if entry.revision != expected {
+                return Err(Error::TooOld { after, oldest: entry.revision });
+            }
+        }
+        Ok(entries)
+    }
+
+    /// Reads the whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Platform` if the table cannot be read.
+    pub async fn load_all(&self) -> Result<Configuration> {
+        for _ in 1..self.options.attempts {
+            match self.try_load_all().await {
+                // The archive overtook the scan; what is there now is newer, so read it anew.
+                Err(Error::TooOld { .. }) => {}
+                loaded => return loaded,
+            }
+        }
+        self.try_load_all().await
+    }
+
+    async fn try_load_all(&self) -> Result<Configuration> {
+        let Some(before) = self.head().await? else { return Ok(Configuration::default()) };
+        let scanned = rows::scan_all(&self.table, RESOURCE_PREFIX, self.options.page_rows).await?;
+        let resources: Vec<Resource> = scanned.iter().map(rows::decode).collect::<Result<_>>()?;
+        let mixed = Configuration::new(before.revision, resources);
+
+        // Changes that were accepted during the scan are in some of its pages and not in others: a
+        // service could point to a pool that an earlier page did not have yet. Applying them again
+        // gives the state after the last of them, whichever the scan has seen.
+        let after = self.head().await?.map_or(before.revision, |head| head.revision);
+        let (whole, _) = self.replay(mixed, after).await?;
+        Ok(whole)
+    }
+
+    /// Applies the changes after `base` until at least the revision `to`.
+    async fn replay(
+        &self,
+        base: Configuration,
+        to: Revision,
+    ) -> Result<(Configuration, Vec<AuditEntry>)> {
+        let mut cfg = base;
+        let mut entries = Vec::new();
+        while cfg.revision() < to {
+            let page = self.changes_since(cfg.revision(), self.options.page_rows).await?;
+            if page.is_empty() {
+                let message = format!("there is no change after {}", cfg.revision());
+                return Err(Error::bad_row(rows::change_key(to), message));
+            }
+            for entry in &page {
+                cfg = cfg.with_change(entry.revision, &entry.change);
+            }
+            entries.extend(page);
+        }
+        Ok((cfg, entries))
+    }
+
+    /// Brings a configuration to the head. While nothing changes this reads one row.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Reverted` if the head is behind `base`, `Error::Platform` if the table cannot be
+    /// read.
+    pub async fn catch_up(&self, base: &Arc<Configuration>) -> Result<CatchUp> {
+        let held = base.revision();
+        let head = self.versioned_head().await?;
+        let head_version = head.as_ref().map(|(_, version)| *version);
+        let revision = head.map_or(Revision::default(), |(head, _)| head.revision);
+        if revision < held {
+            return Err(Error::Reverted { held, head: revision });
+        }
+        if revision == held {
+            let configuration = Arc::clone(base);
+            return Ok(CatchUp { configuration, entries: Vec::new(), head_version });
+        }
+
+        let is_near = held > Revision::default() && revision.0 - held.0 <= self.options.max_deltas;
+        if is_near {
+            match self.replay(Configuration::clone(base), revision).await {
+                Ok((cfg, entries)) => {
+                    return Ok(CatchUp { configuration: Arc::new(cfg), entries, head_version });
+                }
+                // The changes that are lacking have been archived meanwhile.
+                Err(Error::TooOld { .. }) => {}
+                Err(err) => return Err(err),
+            }
+        }
+        let configuration = Arc::new(self.load_all().await?);
+        Ok(CatchUp { configuration, entries: Vec::new(), head_version })
+    }
+}
--- a/crates/anvilhook-store/src/lib.rs
+++ b/crates/anvilhook-store/src/lib.rs
@@ -1,2 +1,26 @@
 //! What the system keeps in the platform's table: the configuration, its audit trail and claims.
+//!
+//! Each change of the configuration is one transaction with its revision and its audit entry. The
+//! changes are kept as rows of their own, so that an instance that follows the configuration reads
+//! one small row while nothing changes, and only the changes that it lacks when something does.
 #![forbid(unsafe_code)]
+
+pub mod archives;
+pub mod audits;
+pub mod changes;
+pub mod configurations;
+pub mod errors;
+pub mod followers;
+pub mod histories;
+pub mod instances;
+pub mod rows;
+pub mod statuses;
+
+pub use archives::{ArchiveOptions, ArchiveStep, AuditArchive};
+pub use audits::AuditEntry;
+pub use changes::{Accepted, ChangeRequest, ChangeState};
+pub use configurations::{CatchUp, ConfigurationStore, Head, StoreOptions};
+pub use errors::{Error, Result};
+pub use followers::{Adoption, ConfigurationFollower};
+pub use instances::{InstanceDirectory, InstanceRecord, ReportSchedule};
+pub use statuses::{StatusRecord, StatusStore};
