Prove the verdict on each stage that a call can fail at

Cause: the library reports a refused connection and a failure after the hand-over by one kind of error; taking the one for the other makes a false 'not run'. The reset comes after one byte was read: before that it may overtake the request, and 'not run' would be true.

--- /dev/null
+++ b/crates/anvilhook-http/tests/clients.rs
@@ -0,0 +1,106 @@
+//! The verdict on a failed call is true at every stage that a call can fail at.
+
+use std::net::SocketAddr;
+
+use anvilhook_core::Verdict;
+use anvilhook_core::units::Millis;
+use anvilhook_http::clients::{Connection, collect_body};
+use anvilhook_http::{ClientOptions, HttpClient, Stage};
+use http::Request;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use volo_http::body::Body;
+
+/// `Fault` is what the other side does to a call.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// Nobody listens.
+    Refuse,
+    /// The connection is closed once the request has been read.
+    CloseAfterRead,
+    /// The connection is reset with most of the request unread.
+    ResetHalfRead,
+    /// Nothing ever comes.
+    Hang,
+    /// The body ends before its announced length.
+    CutBody,
+}
+
+const TIMEOUT: Millis = Millis(300);
+
+async fn faulty_server(fault: Fault) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    if matches!(fault, Fault::Refuse) {
+        return address;
+    }
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(misbehave(stream, fault));
+        }
+    });
+    address
+}
+
+async fn misbehave(mut stream: TcpStream, fault: Fault) {
+    if matches!(fault, Fault::ResetHalfRead) {
+        // One byte must have come, or the reset may overtake the request and rightly be "not run".
+        let _ = stream.read(&mut [0_u8; 1]).await;
+        let _ = socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+        return;
+    }
+    let mut buf = [0_u8; 4096];
+    let _ = stream.read(&mut buf).await;
+    match fault {
+        Fault::Hang => std::future::pending().await,
+        Fault::CutBody => {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf").await;
+        }
+        Fault::Refuse | Fault::CloseAfterRead | Fault::ResetHalfRead => {}
+    }
+}
+
+fn request() -> Request<Body> {
+    let builder = Request::builder().method("POST").uri("/call");
+    builder.body(Body::from("request")).expect("a request")
+}
+
+/// Symptom: a caller hears "not run" of a request that ran, and sends it again.
+/// Sequence: the connection breaks after the request was handed to it.
+/// Cause: a failure after the first byte taken for a failed connect.
+#[tokio::test]
+async fn verify_verdicts_of_failed_calls() {
+    let cases = [
+        (Fault::Refuse, Stage::Connect, false, Verdict::NotRun),
+        (Fault::CloseAfterRead, Stage::FirstByte, false, Verdict::MayHaveRun),
+        (Fault::ResetHalfRead, Stage::FirstByte, false, Verdict::MayHaveRun),
+        (Fault::Hang, Stage::FirstByte, true, Verdict::MayHaveRun),
+        (Fault::CutBody, Stage::Body, false, Verdict::MayHaveRun),
+    ];
+    let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
+    for (fault, stage, timed_out, verdict) in cases {
+        for connection in [Connection::Pooled, Connection::New] {
+            let address = faulty_server(fault).await;
+
+            let err = match client.send(address, request(), connection, TIMEOUT).await {
+                Ok(answer) => collect_body(answer.into_body(), 64, TIMEOUT).await.map(drop),
+                Err(err) => Err(err),
+            }
+            .expect_err("a failed call");
+
+            assert_eq!(err.stage, stage, "{fault:?} {connection:?}: {err}");
+            assert_eq!(err.timed_out, timed_out, "{fault:?} {connection:?}: {err}");
+            assert_eq!(err.verdict(), verdict, "{fault:?} {connection:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn verify_an_answer_larger_than_allowed_is_no_answer() {
+    let body = Body::from("0123456789");
+
+    let err = collect_body(body, 4, TIMEOUT).await.expect_err("a body too large");
+
+    assert_eq!(err.stage, Stage::Body);
+    assert!(err.message.contains("larger than 4 bytes"), "{err}");
+}
