Add the in-process stand-in of the platform

Cause: the store, authority and peer crates need a platform to test against, with the faults that the real one shows, under a manual clock. Change: the table, object store and instance list as state machines that are told the time; LocalPlatform implements the platform's traits over them; PlatformFaults sets refusals, delays, hangs, partitions, lost answers (before, after and with a late effect) and rate limits for the platform or for one caller's view.

--- /dev/null
+++ b/crates/anvilhook-standin/src/platform/mod.rs
@@ -0,0 +1,41 @@
+//! The platform's stand-in: a transactional table, an object store and a lagging instance list.
+//!
+//! The services are state machines that are told the time. `LocalPlatform` reaches them within the
+//! process, `PlatformServer` over HTTP; both pass every call through the same faults.
+//!
+//! ```
+//! use anvilhook_core::units::ManualClock;
+//! use anvilhook_platform::{Condition, RowKey, Table, Transaction, Write};
+//! use anvilhook_standin::platform::{LocalPlatform, Loss, PlatformOptions};
+//!
+//! # let rt = tokio::runtime::Builder::new_current_thread().build().unwrap();
+//! # rt.block_on(async {
+//! let platform = LocalPlatform::new(ManualClock::new(), PlatformOptions::default());
+//! let key = RowKey::new("leases/pool-a");
+//! let txn = Transaction {
+//!     conditions: vec![Condition::Absent { key: key.clone() }],
+//!     writes: vec![Write::Put { key: key.clone(), value: "1".into() }],
+//! };
+//!
+//! // The next answer is lost after the write took effect; a read back shows it.
+//! platform.faults().lose_next_writes(1, Loss::AfterEffect);
+//! assert!(platform.commit(&txn).await.is_err());
+//! assert_eq!(platform.read(&key).await.unwrap().unwrap().value, "1");
+//! # });
+//! ```
+
+mod counts;
+mod faults;
+mod instance_lists;
+mod local;
+mod objects;
+mod rate_limits;
+mod tables;
+
+pub use counts::Counts;
+pub use faults::{Loss, PlatformFaults, Reach, Service};
+pub use instance_lists::InstanceListState;
+pub use local::{LocalPlatform, Pacing, PlatformOptions};
+pub use objects::ObjectStoreState;
+pub use rate_limits::RateLimits;
+pub use tables::TableState;
