Give the bench its subcommands

Cause: several measurements are to live in one binary. Conclusion: a further measurement adds a module and a line.

--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -1,2 +1,6 @@
 //! The local demonstration and the bench.
+//!
+//! Each subcommand of `anvilhook-bench` is one module with an `Args` struct and a `run` function.
 #![forbid(unsafe_code)]
+
+pub mod proxy;
