Count the requests in flight and show metrics, probes and logs

Cause: a graceful stop must know what is in flight, and an operator must see the instance. Change: InFlight admits and counts requests; /metrics with process usage from /proc, /healthz, /readyz; logs as text or JSON by flexi_logger. Conclusion: the fronts and the stop rest on these.

--- a/crates/anvilhook-daemon/src/lib.rs
+++ b/crates/anvilhook-daemon/src/lib.rs
@@ -1,5 +1,7 @@
 //! The daemon's parts, so that a test or the local demonstration can start an instance in-process.
 #![forbid(unsafe_code)]
 
+pub mod in_flight;
 pub mod names;
+pub mod observability;
 pub mod settings;
--- /dev/null
+++ b/crates/anvilhook-daemon/src/observability/fronts.rs
@@ -0,0 +1,72 @@
+//! `/metrics`, `/healthz` and `/readyz`.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use anvilhook_http::{Phase, Shutdown, answers};
+use http::{Response, StatusCode};
+use prometheus_client::registry::Registry;
+use volo_http::body::Body;
+use volo_http::server::route::{Router, get};
+
+/// `Readiness` says whether the platform's balancer should send callers here. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Readiness {
+    configured: Arc<AtomicBool>,
+    shutdown: Shutdown,
+}
+
+impl Readiness {
+    /// Makes the readiness of an instance that has no configuration yet.
+    pub fn new(shutdown: Shutdown) -> Self {
+        Self { configured: Arc::default(), shutdown }
+    }
+
+    /// Says that a configuration is in force.
+    pub fn set_configured(&self) {
+        self.configured.store(true, Ordering::Release);
+    }
+
+    /// Returns why no callers should be sent here, if so.
+    pub fn objection(&self) -> Option<&'static str> {
+        if self.shutdown.phase() != Phase::Serving {
+            Some("stopping")
+        } else if !self.configured.load(Ordering::Acquire) {
+            Some("no configuration yet")
+        } else {
+            None
+        }
+    }
+}
+
+/// Returns the routes of the probes and the metrics.
+pub fn probe_router(registry: Arc<Registry>, readiness: Readiness) -> Router {
+    let metrics = move || {
+        let registry = Arc::clone(&registry);
+        async move { metrics_text(&registry) }
+    };
+    let readyz = move || {
+        let readiness = readiness.clone();
+        async move { ready_answer(&readiness) }
+    };
+    Router::new()
+        .route("/metrics", get(metrics))
+        .route("/healthz", get(async || answers::text(StatusCode::OK, "ok\n")))
+        .route("/readyz", get(readyz))
+}
+
+/// Answers with all metrics in the OpenMetrics text format.
+pub fn metrics_text(registry: &Registry) -> Response<Body> {
+    let mut text = String::new();
+    match prometheus_client::encoding::text::encode(&mut text, registry) {
+        Ok(()) => answers::text(StatusCode::OK, text),
+        Err(err) => answers::text(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
+    }
+}
+
+fn ready_answer(readiness: &Readiness) -> Response<Body> {
+    match readiness.objection() {
+        None => answers::text(StatusCode::OK, "ready\n"),
+        Some(why) => answers::text(StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {why}\n")),
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-daemon/src/observability/mod.rs
@@ -0,0 +1,9 @@
+//! What an instance shows of itself: logs, metrics and probes.
+
+mod fronts;
+mod logs;
+mod processes;
+
+pub use fronts::{Readiness, metrics_text, probe_router};
+pub use logs::{LogError, start_logging};
+pub use processes::{ProcessCollector, ProcessUsage, read_process_usage};
