Prove what the store says of changes under faults

Cause: the store's promises rest on lost answers, races and interruptions. Change: tables of failures over the in-process platform; the head's condition alone guards a change, as breaking the other two conditions changed nothing; an unknown change is settled by the change that made its revision.

--- a/crates/anvilhook-core/src/resources/changes.rs
+++ b/crates/anvilhook-core/src/resources/changes.rs
@@ -76,8 +76,9 @@
         let mut stranded = Vec::new();
         for resource in others {
             let lost = references::of(&resource.spec).into_iter().filter(Reference::is_lasting);
-            let lost = lost.filter(|wanted| wanted.holds(base) && !wanted.holds(after));
-            stranded.extend(lost.map(|wanted| format!("{} ({})", resource.key(), wanted.field)));
+            let mut lost = lost.filter(|wanted| wanted.holds(base) && !wanted.holds(after));
+            let first = lost.next();
+            stranded.extend(first.map(|wanted| format!("{} ({})", resource.key(), wanted.field)));
         }
         stranded.extend(short_pools(base, after));
         stranded
--- a/crates/anvilhook-store/src/changes.rs
+++ b/crates/anvilhook-store/src/changes.rs
@@ -6,7 +6,7 @@
 use anvilhook_core::names::SubjectName;
 use anvilhook_core::resources::{Action, Change, Configuration, Expected, Resource, Spec};
 use anvilhook_core::units::{Revision, WallTime};
-use anvilhook_platform::{Commit, Condition, RowKey, Table, Transaction, Write};
+use anvilhook_platform::{Commit, Condition, Table, Transaction, Write};
 use serde::{Deserialize, Serialize};
 
 use crate::audits::AuditEntry;
@@ -68,9 +68,10 @@
 impl<T: Table> ConfigurationStore<T> {
     /// Makes a change, its revision and its audit entry in one transaction.
     ///
-    /// A commit whose answer is lost is tried again with the same id. The transaction demands that
-    /// the id is not recorded yet, so it cannot take effect twice, and the second try finds out
-    /// what became of the first.
+    /// Every change moves the head and is conditioned on it, so the checks made before a commit
+    /// hold for it, that of the resource's version among them. A commit whose answer is lost is
+    /// tried again with the same id: of two tries on one head only one can take effect, and on a
+    /// later head the id shows what became of the earlier try.
     ///
     /// # Errors
     ///
@@ -114,7 +115,7 @@
         req.change.check(base)?;
 
         let entry = self.entry(base, req, standing.map(|found| found.spec.clone()));
-        let txn = self.transaction(&entry, head_version).await?;
+        let txn = transaction(&entry, head_version)?;
         match self.table.commit(&txn).await {
             Ok(Commit::Done) => {
                 let revision = entry.revision;
@@ -161,40 +162,6 @@
         }
     }
 
-    /// Makes the transaction of a change, conditioned on the head, the resource and the id.
-    async fn transaction(
-        &self,
-        entry: &AuditEntry,
-        head_version: Option<u64>,
-    ) -> Result<Transaction> {
-        let resource_key = rows::resource_key(&entry.change.key);
-        let resource_version = self.table.read(&resource_key).await?.map(|row| row.version);
-        let id_key = rows::change_id_key(entry.change_id);
-        let head = Head { revision: entry.revision, change_id: entry.change_id };
-        let resource_write = match &entry.change.action {
-            Action::Put(spec) => {
-                let name = entry.change.key.name.clone();
-                let version = entry.revision;
-                let resource = Resource { name, version, spec: spec.clone(), status: Vec::new() };
-                rows::put(resource_key.clone(), &resource)?
-            }
-            Action::Delete => Write::Delete { key: resource_key.clone() },
-        };
-        Ok(Transaction {
-            conditions: vec![
-                as_read(rows::head_key(), head_version),
-                as_read(resource_key, resource_version),
-                Condition::Absent { key: id_key.clone() },
-            ],
-            writes: vec![
-                rows::put(rows::head_key(), &head)?,
-                resource_write,
-                rows::put(rows::change_key(entry.revision), entry)?,
-                rows::put(id_key, &entry.revision)?,
-            ],
-        })
-    }
-
     /// Says what became of a change.
     ///
     /// `base` is the revision that `Error::Unknown` named. Without it a change that is not recorded
@@ -204,20 +171,21 @@
     ///
     /// `Error::Platform` if the table cannot be read.
     pub async fn change_state(&self, id: ChangeId, base: Option<Revision>) -> Result<ChangeState> {
-        // As in a try, the head is read before the id.
-        let head = self.head().await?.map_or(Revision::default(), |head| head.revision);
-        if let Some(revision) = self.revision_of(id).await? {
-            return Ok(ChangeState::Accepted { revision });
-        }
-        let Some(base) = base.filter(|base| head > *base) else { return Ok(ChangeState::Unknown) };
-
-        // Ids are removed together with archived changes. The change on `base` would have made the
-        // next revision: while that revision's change is a row, its id is one as well.
-        let next = rows::change_key(Revision(base.0 + 1));
-        match self.table.read(&next).await? {
-            Some(_) => Ok(ChangeState::NotAccepted),
-            None => Ok(ChangeState::Unknown),
-        }
+        // Once another change has made the revision that the commit was to make, it can no longer
+        // take effect. This is read before the id, so that an id absent then stays absent. Ids are
+        // removed together with archived changes, so without that row an absent id proves nothing.
+        let is_settled = match base {
+            Some(base) => {
+                let next = rows::change_key(Revision(base.0 + 1));
+                self.table.read(&next).await?.is_some()
+            }
+            None => false,
+        };
+        Ok(match self.revision_of(id).await? {
+            Some(revision) => ChangeState::Accepted { revision },
+            None if is_settled => ChangeState::NotAccepted,
+            None => ChangeState::Unknown,
+        })
     }
 }
 
@@ -252,12 +220,33 @@
     }
 }
 
-/// Makes the condition that a row is still as it was read.
-fn as_read(key: RowKey, version: Option<u64>) -> Condition {
-    match version {
-        Some(version) => Condition::AtVersion { key, version },
-        None => Condition::Absent { key },
-    }
+/// Makes the transaction of a change on the head as it was read.
+fn transaction(entry: &AuditEntry, head_version: Option<u64>) -> Result<Transaction> {
+    let head_key = rows::head_key();
+    let unmoved = match head_version {
+        Some(version) => Condition::AtVersion { key: head_key.clone(), version },
+        None => Condition::Absent { key: head_key.clone() },
+    };
+    let head = Head { revision: entry.revision, change_id: entry.change_id };
+    let resource_key = rows::resource_key(&entry.change.key);
+    let resource_write = match &entry.change.action {
+        Action::Put(spec) => {
+            let name = entry.change.key.name.clone();
+            let version = entry.revision;
+            let resource = Resource { name, version, spec: spec.clone(), status: Vec::new() };
+            rows::put(resource_key, &resource)?
+        }
+        Action::Delete => Write::Delete { key: resource_key },
+    };
+    Ok(Transaction {
+        conditions: vec![unmoved],
+        writes: vec![
+            rows::put(head_key, &head)?,
+            resource_write,
+            rows::put(rows::change_key(entry.revision), entry)?,
+            rows::put(rows::change_id_key(entry.change_id), &entry.revision)?,
+        ],
+    })
 }
 
 /// Says what a failure means for the change.
--- /dev/null
+++ b/crates/anvilhook-store/tests/followers.rs
@@ -0,0 +1,186 @@
+//! Following the configuration: it is whole, it never reverts, and it costs few reads.
+
+mod fixtures;
+
+use std::sync::Arc;
+
+use anvilhook_core::resources::{Configuration, Expected};
+use anvilhook_core::units::Revision;
+use anvilhook_platform::{Commit, Result, Row, RowKey, Table, Transaction};
+use anvilhook_standin::platform::Reach;
+use anvilhook_store::{Adoption, ConfigurationFollower, ConfigurationStore, Error, StoreOptions};
+use fixtures::{Platform, declare, delete, empty, key, platform, put, request, store};
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
+/// Returns the configurations after each of the first `count` changes.
+async fn states(platform: &Platform, count: u64) -> Vec<Configuration> {
+    let entries = store(platform).changes_since(Revision(0), 1_000).await.unwrap();
+    let mut cfg = Configuration::default();
+    let states = entries.iter().take(count as usize).map(|entry| {
+        cfg = cfg.with_change(entry.revision, &entry.change);
+        cfg.clone()
+    });
+    states.collect()
+}
+
+/// Symptom: an accepted configuration is undone on one instance for a while.
+/// Sequence: polls and hand-overs of peers arrive late, twice and in any order.
+/// Cause: the last to arrive was adopted instead of the newest.
+#[tokio::test]
+async fn verify_offers_in_any_order_never_revert() {
+    let platform = platform();
+    declare(&platform, 6).await;
+    let states = states(&platform, 6).await;
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..50 {
+        let follower = ConfigurationFollower::new(store(&platform));
+        let mut offers: Vec<&Configuration> = states.iter().chain(&states).collect();
+        offers.shuffle(&mut rng);
+        let mut highest = Revision(0);
+        let mut revisions = follower.subscribe();
+
+        for offer in offers {
+            let adoption = follower.offer(offer.clone());
+
+            let is_newer = offer.revision() > highest;
+            highest = highest.max(offer.revision());
+            assert_eq!(matches!(adoption, Adoption::Adopted(_)), is_newer);
+            assert_eq!(*follower.current(), states[highest.0 as usize - 1]);
+            assert_eq!(*revisions.borrow_and_update(), highest);
+        }
+    }
+}
+
+#[tokio::test]
+async fn verify_a_poll_reads_one_row_while_nothing_changes_and_then_only_what_is_new() {
+    let platform = platform();
+    declare(&platform, 40).await;
+    let view = platform.for_caller("entry-1");
+    let follower = ConfigurationFollower::new(store(&view));
+    follower.poll_once().await.unwrap();
+    let start = view.counts();
+
+    follower.poll_once().await.unwrap();
+    let idle = view.counts();
+    let req = request(99, put("new", 1), Expected::Absent);
+    store(&platform).change(&empty(), &req).await.unwrap();
+    let adoption = follower.poll_once().await.unwrap();
+    let changed = view.counts();
+
+    assert_eq!((idle.reads - start.reads, idle.scans - start.scans), (1, 0));
+    assert_eq!(adoption, Adoption::Adopted(Revision(41)));
+    assert_eq!((changed.reads - idle.reads, changed.scans - idle.scans), (1, 1));
+    assert_eq!(*follower.current(), store(&platform).load_all().await.unwrap());
+}
+
+#[tokio::test]
+async fn verify_outages_and_a_table_that_went_back_leave_what_is_in_force() {
+    let platform = platform();
+    declare(&platform, 2).await;
+    let follower = ConfigurationFollower::new(store(&platform));
+    follower.poll_once().await.unwrap();
+
+    for reach in [Reach::Refusing, Reach::Cut] {
+        platform.faults().set_reach(reach);
+        assert!(follower.poll_once().await.unwrap_err().is_outage());
+        assert_eq!(follower.revision(), Revision(2));
+    }
+
+    // The table was restored from an older copy.
+    let restored = fixtures::platform();
+    declare(&restored, 1).await;
+    let follower_of_restored = ConfigurationFollower::new(store(&restored));
+    follower_of_restored.offer(Configuration::clone(&follower.current()));
+    let err = follower_of_restored.poll_once().await.unwrap_err();
+    assert_eq!(err, Error::Reverted { held: Revision(2), head: Revision(1) });
+    assert_eq!(follower_of_restored.revision(), Revision(2));
+}
+
+#[tokio::test]
+async fn verify_a_start_with_the_table_down_takes_the_highest_of_the_peers() {
+    let platform = platform();
+    declare(&platform, 4).await;
+    let states = states(&platform, 4).await;
+    platform.faults().set_reach(Reach::Refusing);
+    let follower = ConfigurationFollower::new(store(&platform));
+    assert!(follower.poll_once().await.is_err());
+
+    for held in [1, 3, 0] {
+        // A configuration crosses the peer link as JSON.
+        let buf = serde_json::to_vec(&states[held]).unwrap();
+        follower.offer(serde_json::from_slice(&buf).unwrap());
+    }
+
+    assert_eq!(*follower.current(), states[3]);
+    platform.faults().heal();
+    assert_eq!(follower.poll_once().await.unwrap(), Adoption::Kept(Revision(4)));
+}
+
+#[tokio::test]
+async fn verify_a_change_is_in_force_here_at_once_and_its_history_is_held() {
+    let platform = platform();
+    declare(&platform, 3).await;
+    let view = platform.for_caller("entry-1");
+    let follower = ConfigurationFollower::new(store(&view));
+    follower.poll_once().await.unwrap();
+
+    let req = request(9, delete("a2"), Expected::Present);
+    follower.change(&req).await.unwrap();
+    let start = view.counts();
+    let held = follower.changes_since(Revision(3), 10).await.unwrap();
+    let after_held = view.counts();
+    let older = follower.changes_since(Revision(1), 10).await.unwrap();
+
+    assert!(follower.current().get(&key("a2")).is_none());
+    assert_eq!(held.iter().map(|entry| entry.revision.0).collect::<Vec<_>>(), [4]);
+    assert_eq!(start, after_held);
+    assert_eq!(older.iter().map(|entry| entry.revision.0).collect::<Vec<_>>(), [2, 3, 4]);
+}
+
+/// `Interloper` makes a change before each of the scans that pass it.
+#[derive(Clone, Debug)]
+struct Interloper(Platform, Arc<std::sync::atomic::AtomicU64>);
+
+impl Table for Interloper {
+    async fn read(&self, key: &RowKey) -> Result<Option<Row>> {
+        self.0.read(key).await
+    }
+
+    async fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> Result<Vec<Row>> {
+        let n = self.1.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        if prefix == "resource/" {
+            // One account behind the scan's place goes, and one before it comes.
+            let gone =
+                request(u128::from(100 + 2 * n), delete(&format!("a{}", n + 1)), Expected::Present);
+            let come =
+                request(u128::from(101 + 2 * n), put(&format!("a0{n}"), 1), Expected::Absent);
+            store(&self.0).change(&empty(), &gone).await.unwrap();
+            store(&self.0).change(&empty(), &come).await.unwrap();
+        }
+        self.0.scan(prefix, after, limit).await
+    }
+
+    async fn commit(&self, txn: &Transaction) -> Result<Commit> {
+        self.0.commit(txn).await
+    }
+}
+
+/// Symptom: an instance starts with a configuration that never was: half of a change is missing.
+/// Sequence: it scans all resources in pages while operators change them.
+/// Cause: the pages are of different revisions.
+#[tokio::test]
+async fn verify_a_scan_that_races_with_changes_is_whole() {
+    let platform = platform();
+    declare(&platform, 9).await;
+    let mut options = StoreOptions::new("entry-1".parse().unwrap());
+    options.page_rows = 2;
+    let racing = ConfigurationStore::new(Interloper(platform.clone(), Arc::default()), options);
+
+    let loaded = racing.load_all().await.unwrap();
+
+    let count = loaded.revision().0;
+    assert!(count > 9, "changes came in between");
+    assert_eq!(loaded, states(&platform, count).await[count as usize - 1]);
+}
