Flush the connections before a signalled server ends

Cause: after a signal the process ends as soon as nothing is in flight, and the last bytes of an answer to a slow caller could still lie in the process. Change: serve drives the library to its own end after a signal, once the phase is Closed. Conclusion: an instance that stops on a signal writes out what it has.

--- a/crates/anvilhook-http/src/servers.rs
+++ b/crates/anvilhook-http/src/servers.rs
@@ -2,6 +2,9 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use anvilhook_core::units::Millis;
 use socket2::{SockRef, TcpKeepalive};
@@ -18,6 +21,9 @@
 /// How long a connection lies idle before the kernel probes it.
 const KEEPALIVE_AFTER: Millis = Millis::from_secs(15);
 
+/// How long the end is put off when nothing is in flight, for what still has to be written.
+const FLUSH_TIME: Millis = Millis(200);
+
 /// `Phase` is where a server is between its start and its end.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -108,12 +114,42 @@
 {
     let incoming = StoppableIncoming { listener: Some(listener), shutdown: shutdown.clone() };
     let hook_shutdown = shutdown.clone();
+    let signalled = Arc::new(AtomicBool::new(false));
+    let hook_signalled = Arc::clone(&signalled);
     let server = Server::new(router).register_shutdown_hook(move || {
+        hook_signalled.store(true, Ordering::Release);
         Box::pin(async move { hook_shutdown.reached(Phase::Closed).await })
     });
+    let running = pin!(server.run(incoming));
+    run_until_closed(running, &shutdown, &signalled).await
+}
+
+/// Drives the library's server until the phase is `Closed`, and on to its own end after a signal.
+///
+/// The last bytes of an answer may still lie in the process when nothing is in flight any more. The
+/// process ends after a signal, and a slow caller's answer would be cut. The library then waits
+/// until its connections have been flushed, at most some 30 s. Without a signal it would wait for
+/// ever, and the connections' own tasks flush them.
+async fn run_until_closed<R, E>(
+    mut running: Pin<&mut R>,
+    shutdown: &Shutdown,
+    signalled: &AtomicBool,
+) -> io::Result<()>
+where
+    R: Future<Output = Result<(), E>>,
+    E: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     tokio::select! {
-        ended = server.run(incoming) => ended.map_err(io::Error::other),
-        () = shutdown.reached(Phase::Closed) => Ok(()),
+        ended = running.as_mut() => return ended.map_err(io::Error::other),
+        () = shutdown.reached(Phase::Closed) => {}
+    }
+    let flushed = tokio::time::timeout(FLUSH_TIME.as_duration(), running.as_mut()).await;
+    match flushed {
+        Ok(ended) => ended.map_err(io::Error::other),
+        Err(_elapsed) if signalled.load(Ordering::Acquire) => {
+            running.await.map_err(io::Error::other)
+        }
+        Err(_elapsed) => Ok(()),
     }
 }
 
