--- /dev/null
+++ b/crates/anvilhook-daemon/src/instances/handles.rs
@@ -0,0 +1,78 @@
+//! A running instance, and its graceful stop.
+
+use std::net::SocketAddr;
+
+use anvilhook_core::names::{InstanceName, ZoneName};
+use anvilhook_http::{Phase, Shutdown};
+use serde::{Deserialize, Serialize};
+
+use super::tasks::Tasks;
+use crate::in_flight::InFlight;
+
+/// `Addresses` holds where an instance listens, with the ports that the kernel chose.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators, metrics and probes.
+    pub operators: SocketAddr,
+    /// For other instances.
+    pub peers: SocketAddr,
+}
+
+/// `Announcement` is the line that the daemon prints on its standard output when it listens.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Announcement {
+    /// The running name.
+    pub instance: InstanceName,
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// Where it listens.
+    #[serde(flatten)]
+    pub addresses: Addresses,
+}
+
+/// `InstanceHandle` is a running instance. Dropping it ends the instance at once and cuts what is in
+/// flight; `stop` cuts nothing.
+#[derive(Debug)]
+pub struct InstanceHandle {
+    pub(super) announcement: Announcement,
+    pub(super) shutdown: Shutdown,
+    pub(super) in_flight: InFlight,
+    pub(super) tasks: Tasks,
+}
+
+impl InstanceHandle {
+    /// Returns what the daemon prints when it listens.
+    pub fn announcement(&self) -> &Announcement {
+        &self.announcement
+    }
+
+    /// Returns where the instance listens.
+    pub fn addresses(&self) -> Addresses {
+        self.announcement.addresses
+    }
+
+    /// Returns how many callers' requests are in flight.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.open()
+    }
+
+    /// Turns readiness off and refuses new requests as not run, and returns at once. What is in
+    /// flight goes on.
+    pub fn begin_stop(&self) {
+        self.shutdown.advance(Phase::Draining);
+    }
+
+    /// Stops gracefully: refuses new requests as not run, waits for every request in flight however
+    /// long that takes, then closes.
+    pub async fn stop(self) {
+        self.begin_stop();
+        log::info!("waiting for {} requests in flight", self.in_flight.open());
+        self.in_flight.idle().await;
+
+        log::info!("nothing is in flight; closing");
+        self.shutdown.advance(Phase::Closed);
+        self.tasks.join().await;
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -0,0 +1,157 @@
+//! Starting an instance.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anvilhook_core::units::{Clock, SystemClock};
+use anvilhook_http::{Shutdown, serve};
+use prometheus_client::registry::Registry;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpListener;
+use volo_http::server::route::Router;
+
+use super::handles::{Addresses, Announcement, InstanceHandle};
+use super::tasks::Tasks;
+use crate::in_flight::InFlight;
+use crate::names::running_name;
+use crate::observability::{ProcessCollector, Readiness, probe_router};
+use crate::settings::Settings;
+
+/// `Parts` holds what an instance takes from its surroundings.
+#[derive(Clone, Debug)]
+pub struct Parts<C> {
+    /// The clock that its decisions read.
+    pub clock: C,
+    /// The generator that its random choices come from.
+    pub rng: ChaCha8Rng,
+}
+
+impl Parts<SystemClock> {
+    /// Returns the machine's clock and a generator that is seeded by the system.
+    pub fn of_this_process() -> Self {
+        Self { clock: SystemClock::new(), rng: rand::make_rng() }
+    }
+
+    /// Returns the machine's clock and a generator that can be repeated.
+    pub fn seeded(seed: u64) -> Self {
+        Self { clock: SystemClock::new(), rng: ChaCha8Rng::seed_from_u64(seed) }
+    }
+}
+
+/// `StartError` says why an instance could not start. Nothing of it is left running.
+#[derive(Debug)]
+pub enum StartError {
+    /// Returned when an address cannot be listened on.
+    Listen {
+        /// The setting, such as `listen.callers`.
+        field: &'static str,
+        /// Its address.
+        address: SocketAddr,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// Returned when the running name cannot be made.
+    Name(anvilhook_core::Error),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Listen { field, address, source } => {
+                write!(f, "{field}: cannot listen on {address}: {source}")
+            }
+            StartError::Name(err) => write!(f, "instance.name_prefix: {err}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// `Listeners` holds the open listeners of an instance.
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    async fn open(settings: &Settings) -> Result<Self, StartError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind("listen.callers", listen.callers).await?,
+            operators: bind("listen.operators", listen.operators).await?,
+            peers: bind("listen.peers", listen.peers).await?,
+        })
+    }
+
+    fn addresses(&self) -> io::Result<Addresses> {
+        Ok(Addresses {
+            callers: self.callers.local_addr()?,
+            operators: self.operators.local_addr()?,
+            peers: self.peers.local_addr()?,
+        })
+    }
+}
+
+async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let opened = TcpListener::bind(address).await;
+    opened.map_err(|source| StartError::Listen { field, address, source })
+}
+
+/// `Instance` starts instances.
+#[derive(Debug)]
+pub struct Instance;
+
+impl Instance {
+    /// Opens the listeners and starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// A `StartError`; nothing is left running then.
+    pub async fn start<C: Clock>(
+        settings: Settings,
+        mut parts: Parts<C>,
+    ) -> Result<InstanceHandle, StartError> {
+        let prefix = &settings.instance.name_prefix;
+        let name = running_name(prefix, &mut parts.rng).map_err(StartError::Name)?;
+        let listeners = Listeners::open(&settings).await?;
+        let addresses = listeners.addresses().map_err(|source| StartError::Listen {
+            field: "listen.callers",
+            address: settings.listen.callers,
+            source,
+        })?;
+
+        let shutdown = Shutdown::new();
+        let in_flight = InFlight::new(shutdown.clone(), settings.limits.open_requests);
+        let readiness = Readiness::new(shutdown.clone());
+        let mut registry = Registry::default();
+        registry.register_collector(Box::new(ProcessCollector));
+
+        let mut tasks = Tasks::new(shutdown.clone());
+        let router = probe_router(Arc::new(registry), readiness);
+        spawn_front(&mut tasks, "operators", listeners.operators, router, &shutdown);
+
+        log::info!(instance:% = name; "listening at {addresses:?}");
+        let zone = settings.instance.zone.clone();
+        let announcement = Announcement { instance: name, zone, addresses };
+        Ok(InstanceHandle { announcement, shutdown, in_flight, tasks })
+    }
+}
+
+fn spawn_front(
+    tasks: &mut Tasks,
+    name: &'static str,
+    listener: TcpListener,
+    router: Router,
+    shutdown: &Shutdown,
+) {
+    let shutdown = shutdown.clone();
+    tasks.spawn(name, async move {
+        if let Err(err) = serve(listener, router, shutdown).await {
+            log::error!("the front for {name} failed: {err}");
+        }
+    });
+}
--- a/crates/anvilhook-daemon/src/lib.rs
+++ b/crates/anvilhook-daemon/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 pub mod in_flight;
+pub mod instances;
 pub mod names;
 pub mod observability;
 pub mod settings;
