Bind the platform over HTTP and check both ways against one contract

Cause: instances reach the platform over HTTP, and a wrong verdict on a commit breaks leases, claims and configuration alike. Change: HttpPlatform implements the platform's traits; only a 503 with x-platform-refused and a failed connect are 'no effect', all else on a commit is a lost answer. A lost read is sent once more over a new connection. After a timeout the pool is avoided until its connections are aged out. PlatformServer serves the stand-in, one caller's view per address. One contract table runs in-process and over HTTP, with each fault.

--- a/crates/anvilhook-platform/src/lib.rs
+++ b/crates/anvilhook-platform/src/lib.rs
@@ -6,12 +6,14 @@
 #![forbid(unsafe_code)]
 
 pub mod errors;
+pub mod http_platform;
 pub mod instance_lists;
 pub mod objects;
 pub mod tables;
 pub mod wire;
 
 pub use errors::{Error, Result};
+pub use http_platform::{HttpPlatform, HttpPlatformOptions};
 pub use instance_lists::{InstanceList, ListedInstance, ListedState};
 pub use objects::ObjectStore;
 pub use tables::{Commit, Condition, Row, RowKey, Table, Transaction, Write};
--- a/crates/anvilhook-standin/src/platform/faults.rs
+++ b/crates/anvilhook-standin/src/platform/faults.rs
@@ -31,8 +31,8 @@
     Refusing,
     /// Calls wait until the reach changes, then go on, as when a service stalls.
     Hanging,
-    /// Calls have no effect and their callers hear nothing, as in a network partition. In-process
-    /// callers hear at once that the answer is lost, so that a test needs no timeout.
+    /// Calls have no effect and their callers hear nothing, as in a network partition. With stepped
+    /// pacing callers hear at once that the answer is lost, so that a test needs no timeout.
     Cut,
 }
 
@@ -133,6 +133,12 @@
         self.change(|_| ());
     }
 
+    /// Returns how many calls are held back by these faults, so that a test knows that a call has
+    /// arrived before it goes on.
+    pub fn waiting_calls(&self) -> usize {
+        self.changes.receiver_count()
+    }
+
     /// Watches for changes from now on.
     pub(super) fn subscribe(&self) -> watch::Receiver<()> {
         self.changes.subscribe()
--- a/crates/anvilhook-standin/src/platform/local.rs
+++ b/crates/anvilhook-standin/src/platform/local.rs
@@ -185,7 +185,12 @@
             match faults.decide(now, access, &mut due) {
                 Decision::Serve(loss) => return Ok(loss),
                 Decision::Refuse(why) => return Err(self.refused(why)),
-                Decision::Cut => return Err(self.lost("by a partition")),
+                Decision::Cut => {
+                    if self.pacing == Pacing::Timed {
+                        wait_for_change(&mut changes).await;
+                    }
+                    return Err(self.lost("by a partition"));
+                }
                 Decision::Wait => wait_for_change(&mut changes).await,
                 Decision::WaitUntil(due) => self.wait_until(due - now, &mut changes).await,
             }
--- a/crates/anvilhook-standin/src/platform/mod.rs
+++ b/crates/anvilhook-standin/src/platform/mod.rs
@@ -30,6 +30,7 @@
 mod local;
 mod objects;
 mod rate_limits;
+mod servers;
 mod tables;
 
 pub use counts::Counts;
@@ -38,4 +39,5 @@
 pub use local::{LocalPlatform, Pacing, PlatformOptions};
 pub use objects::ObjectStoreState;
 pub use rate_limits::RateLimits;
+pub use servers::{PlatformServer, serve_at};
 pub use tables::TableState;
