Add a model engine as a state machine driven by the clock passed in

Change: EngineModel with continuous batching, prefix cache, lagged reports, late and gapped cache events, orders with and without fencing, crash and restart, and a log of orders.

--- /dev/null
+++ b/crates/anvilhook-standin/src/engines/mod.rs
@@ -0,0 +1,17 @@
+//! A model engine: a state machine without I/O, and the server that puts it behind HTTP.
+//!
+//! `EngineModel` takes the time as an argument, so one and the same engine serves over HTTP and
+//! runs under a manual clock.
+
+mod batches;
+mod caches;
+mod events;
+mod models;
+mod options;
+mod orders;
+mod snapshots;
+
+pub use events::{CutCause, EngineEvent, ModelRequest, Refused, WorkKind};
+pub use models::EngineModel;
+pub use options::{EngineOptions, OrderOutcome};
+pub use orders::{OrderEnd, OrderRecord};
--- /dev/null
+++ b/crates/anvilhook-standin/src/engines/models.rs
@@ -0,0 +1,439 @@
+//! The engine as a state machine.
+
+use anvilhook_core::attempts::AttemptId;
+use anvilhook_core::names::ModelName;
+use anvilhook_core::orders::{EngineState, ModelRef, Order, OrderReply, Role, Stamp, StampedOrder};
+use anvilhook_core::reports::{CacheEventPage, LoadReport};
+use anvilhook_core::units::{Millis, Tokens};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::batches::{Batch, MICROS_PER_MILLI, Micros, millis_after};
+use super::caches::{CacheLog, PrefixCache};
+use super::events::{CutCause, EngineEvent, ModelRequest, Refused, WorkKind};
+use super::options::{EngineOptions, OrderOutcome};
+use super::orders::{OrderEnd, OrderRecord};
+use super::snapshots::Snapshots;
+
+/// `RunningOrder` is an order that is being carried out.
+#[derive(Clone, Debug)]
+struct RunningOrder {
+    order: StampedOrder,
+    done_at: Millis,
+    /// Its place in the log.
+    record: usize,
+}
+
+/// `EngineModel` is a model engine that only moves when it is told the time.
+///
+/// Every method that takes `now` first does what was due until then; what came of it is returned
+/// by the next `advance`. The time must not go back.
+///
+/// ```
+/// use anvilhook_core::attempts::AttemptId;
+/// use anvilhook_core::units::{Millis, Tokens};
+/// use anvilhook_standin::engines::{
+///     EngineEvent, EngineModel, EngineOptions, ModelRequest, WorkKind,
+/// };
+///
+/// let mut engine = EngineModel::new(EngineOptions::default(), Millis::ZERO);
+/// let attempt = AttemptId(1);
+/// let req = ModelRequest {
+///     attempt,
+///     kind: WorkKind::Full,
+///     prompt: Tokens(80),
+///     blocks: [].into(),
+///     output: Tokens(1),
+///     priority: 1,
+/// };
+/// engine.submit(Millis::ZERO, req)?;
+///
+/// // 80 tokens take 10 ms at 8,000 tokens a second.
+/// assert_eq!(engine.next_event_at(), Some(Millis(10)));
+/// let events = engine.advance(Millis(10));
+/// let first = EngineEvent::FirstToken { attempt, at: Millis(10), cached: Tokens(0) };
+/// assert_eq!(events[0], first);
+/// # Ok::<(), anvilhook_standin::engines::Refused>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct EngineModel {
+    opts: EngineOptions,
+    now: Micros,
+    up: bool,
+    boot: u64,
+    role: Role,
+    model: Option<ModelRef>,
+    adapters: Vec<ModelName>,
+    leaving: bool,
+    last_stamp: Stamp,
+    running_order: Option<RunningOrder>,
+    orders: Vec<OrderRecord>,
+    batch: Batch,
+    cache: PrefixCache,
+    cache_log: CacheLog,
+    snapshots: Snapshots,
+    rng: ChaCha8Rng,
+    events: Vec<EngineEvent>,
+}
+
+impl EngineModel {
+    /// Starts an engine.
+    pub fn new(opts: EngineOptions, now: Millis) -> Self {
+        let batch = Batch::default();
+        let first = describe(&opts, opts.first_boot, opts.role, &opts.model, false, &batch);
+        Self {
+            now: now.0 * MICROS_PER_MILLI,
+            up: true,
+            boot: opts.first_boot,
+            role: opts.role,
+            model: opts.model.clone(),
+            adapters: Vec::new(),
+            leaving: false,
+            last_stamp: Stamp::default(),
+            running_order: None,
+            orders: Vec::new(),
+            batch,
+            cache: PrefixCache::new(opts.cache_blocks),
+            cache_log: CacheLog::new(opts.cache_event_lag, opts.cache_event_loss),
+            snapshots: Snapshots::new(opts.report_interval, opts.report_lag, now, first),
+            rng: ChaCha8Rng::seed_from_u64(opts.seed),
+            events: Vec::new(),
+            opts,
+        }
+    }
+
+    /// Takes a request.
+    ///
+    /// # Errors
+    ///
+    /// The reason for which the request was refused; nothing of it has been done.
+    pub fn submit(&mut self, now: Millis, req: ModelRequest) -> Result<(), Refused> {
+        self.run_until(now);
+        self.check(&req)?;
+        self.batch.push(req);
+        self.batch.begin_step(self.now, &self.opts, &mut self.cache);
+        Ok(())
+    }
+
+    /// Does what was due until `now`, and returns all that happened since the last call.
+    pub fn advance(&mut self, now: Millis) -> Vec<EngineEvent> {
+        self.run_until(now);
+        std::mem::take(&mut self.events)
+    }
+
+    /// Returns when the engine next has something to do, if it has.
+    pub fn next_event_at(&self) -> Option<Millis> {
+        let step = self.batch.step_ends_at().map(millis_after);
+        let order = self.running_order.as_ref().map(|running| running.done_at);
+        step.into_iter().chain(order).min()
+    }
+
+    /// Drops an attempt's work and returns whether it was open.
+    pub fn cancel(&mut self, now: Millis, attempt: AttemptId) -> bool {
+        self.run_until(now);
+        let was_open = self.batch.remove(attempt);
+        if was_open {
+            self.events.push(EngineEvent::Cancelled { attempt, at: now });
+        }
+        was_open
+    }
+
+    /// Takes an order. One that changes the role or the model cuts every open request, which is
+    /// why an engine is drained before it.
+    pub fn order(&mut self, now: Millis, order: &StampedOrder) -> OrderReply {
+        self.run_until(now);
+        let open = self.batch.attempts();
+        let reply = self.reply_to(order);
+        let mut record = OrderRecord {
+            at: now,
+            boot: self.boot,
+            order: order.clone(),
+            reply: reply.clone(),
+            open,
+            cut: Vec::new(),
+            end: None,
+        };
+        if reply == OrderReply::Accepted {
+            self.begin_order(now, order, &mut record);
+        }
+        self.orders.push(record);
+        reply
+    }
+
+    /// Ends the process at once: what was open, queued and cached is lost.
+    pub fn crash(&mut self, now: Millis) {
+        self.run_until(now);
+        if !self.up {
+            return;
+        }
+        self.up = false;
+        self.cut_all(now, CutCause::Crash);
+        if let Some(running) = self.running_order.take() {
+            self.orders[running.record].end = Some(OrderEnd::Interrupted { at: now });
+            if self.opts.interrupted_order == OrderOutcome::After {
+                self.apply(&running.order.order);
+            }
+        }
+    }
+
+    /// Starts the process again after a crash, with a new boot number and an empty cache. The role
+    /// and the model are as before; the last accepted stamp and the adapters are forgotten.
+    pub fn restart(&mut self, now: Millis) {
+        self.run_until(now);
+        if self.up {
+            return;
+        }
+        self.up = true;
+        self.boot += 1;
+        self.adapters.clear();
+        self.last_stamp = Stamp::default();
+        self.cache = PrefixCache::new(self.opts.cache_blocks);
+        self.cache_log = CacheLog::new(self.opts.cache_event_lag, self.opts.cache_event_loss);
+        let (interval, lag) = (self.opts.report_interval, self.opts.report_lag);
+        self.snapshots = Snapshots::new(interval, lag, now, self.describe());
+    }
+
+    /// Sets whether the engine says that it is leaving. It still takes requests.
+    pub fn set_leaving(&mut self, now: Millis, leaving: bool) {
+        self.run_until(now);
+        self.leaving = leaving;
+    }
+
+    /// Returns the load as it was a while ago, or nothing from an engine that is down.
+    pub fn report(&mut self, now: Millis) -> Option<LoadReport> {
+        self.run_until(now);
+        if !self.up {
+            return None;
+        }
+        self.snapshots.answer(now)
+    }
+
+    /// Returns the published cache events after number `after`, or nothing from an engine that is
+    /// down.
+    pub fn cache_events(&mut self, now: Millis, after: u64) -> Option<CacheEventPage> {
+        self.run_until(now);
+        self.up
+            .then(|| CacheEventPage { boot: self.boot, events: self.cache_log.after(after, now) })
+    }
+
+    /// Returns the state as it is, or nothing from an engine that is down.
+    pub fn state(&mut self, now: Millis) -> Option<EngineState> {
+        self.run_until(now);
+        self.up.then(|| EngineState {
+            checks_fencing: self.opts.checks_fencing,
+            boot: self.boot,
+            role: self.role,
+            model: self.served_model(),
+            adapters: self.adapters.clone(),
+            last_stamp: self.last_stamp,
+            running_order: self.running_order.as_ref().map(|running| running.order.clone()),
+            open_requests: self.batch.len() as u64,
+        })
+    }
+
+    /// Returns the log of all orders received since the first start.
+    pub fn orders(&self) -> &[OrderRecord] {
+        &self.orders
+    }
+
+    /// Returns the open attempts, sorted.
+    pub fn open_attempts(&self) -> Vec<AttemptId> {
+        self.batch.attempts()
+    }
+
+    /// Returns the options.
+    pub fn options(&self) -> &EngineOptions {
+        &self.opts
+    }
+
+    fn check(&self, req: &ModelRequest) -> Result<(), Refused> {
+        let in_role = matches!(
+            (self.role, req.kind),
+            (Role::Mixed, _)
+                | (Role::Prefill, WorkKind::Prefill)
+                | (Role::Decode, WorkKind::Decode)
+        );
+        if !self.up {
+            return Err(Refused::Down);
+        }
+        if self.running_order.as_ref().is_some_and(|running| takes_engine(&running.order.order)) {
+            return Err(Refused::Changing);
+        }
+        if self.model.is_none() {
+            return Err(Refused::NoModel);
+        }
+        if !in_role {
+            return Err(Refused::WrongRole);
+        }
+        if self.batch.contains(req.attempt) {
+            return Err(Refused::Duplicate);
+        }
+        if self.batch.waiting() >= self.opts.max_queue {
+            return Err(Refused::QueueFull);
+        }
+        Ok(())
+    }
+
+    /// Handles everything due until `now` in the order of its times.
+    fn run_until(&mut self, now: Millis) {
+        let until = now.0 * MICROS_PER_MILLI;
+        loop {
+            let step_ends_at = self.batch.step_ends_at().unwrap_or(Micros::MAX);
+            let order_done_at = self
+                .running_order
+                .as_ref()
+                .map_or(Micros::MAX, |running| running.done_at.0 * MICROS_PER_MILLI);
+            let next = step_ends_at.min(order_done_at);
+            if next > until {
+                break;
+            }
+            self.record_until(next);
+            self.now = next;
+            if order_done_at == next {
+                self.finish_order();
+            } else {
+                self.finish_step();
+            }
+        }
+        self.record_until(until);
+        self.now = self.now.max(until);
+    }
+
+    fn finish_step(&mut self) {
+        let (cache, log, rng) = (&mut self.cache, &mut self.cache_log, &mut self.rng);
+        let now = millis_after(self.now);
+        self.batch.end_step(self.opts.token_events, &mut self.events, |req| {
+            if req.kind != WorkKind::Decode {
+                cache.store(&req.blocks, |change, block| log.push(now, change, block, rng));
+            }
+        });
+        self.batch.begin_step(self.now, &self.opts, &mut self.cache);
+    }
+
+    fn reply_to(&self, order: &StampedOrder) -> OrderReply {
+        if !self.up {
+            return OrderReply::Refused { reason: Refused::Down.to_string() };
+        }
+        if self.opts.checks_fencing && order.stamp <= self.last_stamp {
+            return OrderReply::Fenced { last: self.last_stamp };
+        }
+        if self.running_order.is_some() {
+            return OrderReply::Refused { reason: Refused::Changing.to_string() };
+        }
+        OrderReply::Accepted
+    }
+
+    fn begin_order(&mut self, now: Millis, order: &StampedOrder, record: &mut OrderRecord) {
+        self.last_stamp = self.last_stamp.max(order.stamp);
+        let stamp = order.stamp;
+        if self.is_as_asked(&order.order) {
+            record.end = Some(OrderEnd::Done { at: now });
+            self.events.push(EngineEvent::OrderDone { stamp, at: now });
+            return;
+        }
+        if takes_engine(&order.order) {
+            record.cut = self.cut_all(now, CutCause::Order);
+        }
+        let takes = match &order.order {
+            Order::SetRole { .. } => self.opts.role_change,
+            Order::LoadModel { .. } => self.opts.model_load,
+            Order::LoadAdapter { .. } => self.opts.adapter_load,
+        };
+        let record = self.orders.len();
+        self.running_order =
+            Some(RunningOrder { order: order.clone(), done_at: now + takes, record });
+    }
+
+    fn finish_order(&mut self) {
+        let Some(running) = self.running_order.take() else { return };
+        let at = running.done_at;
+        self.apply(&running.order.order);
+        self.orders[running.record].end = Some(OrderEnd::Done { at });
+        self.events.push(EngineEvent::OrderDone { stamp: running.order.stamp, at });
+    }
+
+    fn is_as_asked(&self, order: &Order) -> bool {
+        match order {
+            Order::SetRole { role } => self.role == *role,
+            Order::LoadModel { model } => self.model.as_ref() == Some(model),
+            Order::LoadAdapter { adapter } => self.adapters.contains(adapter),
+        }
+    }
+
+    fn apply(&mut self, order: &Order) {
+        match order {
+            Order::SetRole { role } => self.role = *role,
+            Order::LoadModel { model } => {
+                self.model = Some(model.clone());
+                self.adapters.clear();
+            }
+            Order::LoadAdapter { adapter } => self.adapters.push(adapter.clone()),
+        }
+    }
+
+    fn cut_all(&mut self, at: Millis, cause: CutCause) -> Vec<AttemptId> {
+        let cut = self.batch.attempts();
+        let events = cut.iter().map(|attempt| EngineEvent::Cut { attempt: *attempt, at, cause });
+        self.events.extend(events);
+        self.batch = Batch::default();
+        cut
+    }
+
+    /// Returns the model, which is not served while another is being loaded in its place.
+    fn served_model(&self) -> Option<ModelRef> {
+        let running = self.running_order.as_ref().map(|running| &running.order.order);
+        match running {
+            Some(Order::LoadModel { .. }) => None,
+            _ => self.model.clone(),
+        }
+    }
+
+    fn record_until(&mut self, until: Micros) {
+        let until = Millis(until / MICROS_PER_MILLI);
+        if !self.up || self.snapshots.next_at() > until {
+            return;
+        }
+        let report = self.describe();
+        self.snapshots.record_until(until, || report.clone());
+    }
+
+    fn describe(&self) -> LoadReport {
+        let model = self.served_model();
+        describe(&self.opts, self.boot, self.role, &model, self.leaving, &self.batch)
+    }
+}
+
+/// Returns whether the engine serves nothing while it carries the order out.
+fn takes_engine(order: &Order) -> bool {
+    match order {
+        Order::SetRole { .. } | Order::LoadModel { .. } => true,
+        Order::LoadAdapter { .. } => false,
+    }
+}
+
+fn describe(
+    opts: &EngineOptions,
+    boot: u64,
+    role: Role,
+    model: &Option<ModelRef>,
+    leaving: bool,
+    batch: &Batch,
+) -> LoadReport {
+    let load = batch.load();
+    LoadReport {
+        boot,
+        seq: 0,
+        age: Millis::ZERO,
+        role,
+        model: model.clone(),
+        leaving,
+        queued_requests: load.queued_requests,
+        queued_prefill: Tokens(load.queued_prefill),
+        running_requests: load.running_requests,
+        running_decode: Tokens(load.running_decode),
+        prefill_tokens_per_s: opts.prefill_tokens_per_s,
+        decode_step_ms: opts.decode_step_ms,
+        decode_step_per_request_ms: opts.decode_step_per_request_ms,
+        max_batch: opts.max_batch,
+    }
+}
