Estimate a prompt's length and prefix blocks on both sides of the binding

Cause: cache events name blocks that a request must be matched with. Change: prompt_tokens and prefix_blocks, used by the binding and stand-in. Conclusion: two prompts share as many leading hashes as whole blocks.

--- a/crates/anvilhook-engine/src/lib.rs
+++ b/crates/anvilhook-engine/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod errors;
+pub mod prompts;
 pub mod wire;
 
 pub use control::EngineControl;
--- /dev/null
+++ b/crates/anvilhook-engine/src/prompts.rs
@@ -0,0 +1,86 @@
+//! What can be told of a prompt without the engine's tokenizer: its length and its prefix blocks.
+//!
+//! Both sides of the binding use this module, so that a block in an engine's cache events is found
+//! again in a request.
+
+use anvilhook_core::reports::{PREFIX_BLOCK_TOKENS, PrefixHash};
+use anvilhook_core::units::Tokens;
+use sha2::{Digest, Sha256};
+
+use crate::wire::ChatMessage;
+
+/// How many bytes of text count as one token.
+pub const BYTES_PER_TOKEN: u64 = 4;
+
+/// The bytes of text in one prefix block.
+const BLOCK_BYTES: usize = (PREFIX_BLOCK_TOKENS * BYTES_PER_TOKEN) as usize;
+
+/// Ends a message's role and its text, neither of which contains it in practice.
+const SEPARATOR: u8 = 0;
+
+/// Estimates the length of a prompt, at least one token.
+///
+/// ```
+/// use anvilhook_core::units::Tokens;
+/// use anvilhook_engine::prompts::prompt_tokens;
+/// use anvilhook_engine::wire::ChatMessage;
+///
+/// let message = ChatMessage { role: "user".to_owned(), content: "Is it warm?".to_owned() };
+/// assert_eq!(prompt_tokens(&[message]), Tokens(3));
+/// ```
+pub fn prompt_tokens(messages: &[ChatMessage]) -> Tokens {
+    let bytes: u64 = messages.iter().map(|message| message.content.len() as u64).sum();
+    Tokens(bytes.div_ceil(BYTES_PER_TOKEN).max(1))
+}
+
+/// Returns the hashes of a prompt's whole blocks. Two prompts share as many leading hashes as they
+/// share whole leading blocks.
+///
+/// ```
+/// use anvilhook_engine::prompts::prefix_blocks;
+/// use anvilhook_engine::wire::ChatMessage;
+///
+/// let manual = ChatMessage { role: "system".to_owned(), content: "Wash hands. ".repeat(200) };
+/// let ask = |text: &str| ChatMessage { role: "user".to_owned(), content: text.to_owned() };
+/// let one = prefix_blocks(&[manual.clone(), ask("Is the fridge cold enough?")]);
+/// let other = prefix_blocks(&[manual, ask("Which sink is for fish?")]);
+/// assert_eq!(one.len(), 2);
+/// assert_eq!(one, other);
+/// ```
+pub fn prefix_blocks(messages: &[ChatMessage]) -> Vec<PrefixHash> {
+    let mut blocks = Vec::new();
+    let mut chain = BlockChain { hasher: Sha256::new(), filled: 0 };
+    for message in messages {
+        chain.push(message.role.as_bytes(), &mut blocks);
+        chain.push(&[SEPARATOR], &mut blocks);
+        chain.push(message.content.as_bytes(), &mut blocks);
+        chain.push(&[SEPARATOR], &mut blocks);
+    }
+    blocks
+}
+
+/// `BlockChain` hashes blocks so that each hash stands for all the text before its end.
+struct BlockChain {
+    hasher: Sha256,
+    filled: usize,
+}
+
+impl BlockChain {
+    fn push(&mut self, mut text: &[u8], blocks: &mut Vec<PrefixHash>) {
+        while !text.is_empty() {
+            let piece = text.len().min(BLOCK_BYTES - self.filled);
+            self.hasher.update(&text[..piece]);
+            self.filled += piece;
+            text = &text[piece..];
+            if self.filled == BLOCK_BYTES {
+                // The digest of this block is the start of the next one's text.
+                let digest = self.hasher.finalize_reset();
+                self.hasher.update(digest);
+                self.filled = 0;
+                let mut first = [0; size_of::<u64>()];
+                first.copy_from_slice(&digest[..size_of::<u64>()]);
+                blocks.push(PrefixHash(u64::from_be_bytes(first)));
+            }
+        }
+    }
+}
