--- /dev/null
+++ b/crates/anvilhook-daemon/src/proxy/attempts.rs
@@ -0,0 +1,325 @@
+//! The attempt loop.
+
+use std::sync::Arc;
+
+use anvilhook_core::Verdict;
+use anvilhook_core::attempts::{AttemptId, RequestId};
+use anvilhook_core::names::UpstreamName;
+use anvilhook_core::reports::PrefixHash;
+use anvilhook_core::routing::{RouteRequest, Work};
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_engine::{Attempt, Bounds, Error, Upstreams};
+use anvilhook_engine::wire::{PRIORITY_HEADER, TIME_LEFT_HEADER};
+use anvilhook_http::clients::Connection;
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderValue};
+use http::{Method, StatusCode};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::cancels::{Held, Running};
+use super::failures::{Code, Failure};
+use crate::front::Service;
+
+/// `ProxyOptions` bounds what is done for one request.
+#[derive(Clone, Copy, Debug)]
+pub struct ProxyOptions {
+    /// The most attempts to have one request answered.
+    pub max_attempts: usize,
+    /// The most attempts in a row to resume a stream, without an event between them.
+    pub max_resumes: u32,
+    /// The pause before a request goes to an upstream that has failed it before.
+    pub backoff: Millis,
+    /// When a caller whose request found no upstream is told to come back.
+    pub retry_after: Millis,
+}
+
+impl Default for ProxyOptions {
+    fn default() -> Self {
+        Self { max_attempts: 3, max_resumes: 3, backoff: Millis(50), retry_after: Millis(1_000) }
+    }
+}
+
+/// `RequestKind` tells requests apart by what an answer to them looks like.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestKind {
+    /// A chat completion that is answered whole.
+    ChatWhole,
+    /// A chat completion that is answered by a stream of events.
+    ChatStreamed,
+    /// A call of a plain service.
+    Plain,
+}
+
+/// `ProxyRequest` is a caller's request, checked and ready to be sent.
+#[derive(Clone, Debug)]
+pub struct ProxyRequest {
+    /// Its id.
+    pub id: RequestId,
+    /// The service that answers it.
+    pub service: Arc<Service>,
+    /// What kind of answer it asks for.
+    pub kind: RequestKind,
+    /// Whether it may be repeated without harm.
+    pub idempotent: bool,
+    /// The method at the upstream.
+    pub method: Method,
+    /// The path and query at the upstream.
+    pub path: String,
+    /// The headers for the upstream.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When it arrived.
+    pub arrived_at: Millis,
+    /// When its answer must be whole.
+    pub deadline: Millis,
+    /// Its priority; the smaller goes first.
+    pub priority: u8,
+    /// What it asks of an engine.
+    pub work: Work,
+    /// The blocks of its prompt.
+    pub prefix: Vec<PrefixHash>,
+}
+
+impl ProxyRequest {
+    /// Returns whether a model engine answers, which can cancel and resume.
+    pub fn is_chat(&self) -> bool {
+        self.kind != RequestKind::Plain
+    }
+}
+
+/// `Sending` is one way to send an attempt and to receive its answer.
+pub(super) trait Sending {
+    /// What an upstream answers.
+    type Answer: Send;
+
+    /// Sends the attempt.
+    fn send(
+        &self,
+        attempt: &Attempt,
+    ) -> impl Future<Output = Result<Self::Answer, Error>> + Send;
+
+    /// Returns the status of an answer.
+    fn status(answer: &Self::Answer) -> StatusCode;
+}
+
+/// `Answered` is an upstream's answer with the attempt that got it.
+pub(super) struct Answered<A, U: Upstreams> {
+    /// The answer.
+    pub answer: A,
+    /// The attempt.
+    pub running: Running<U>,
+}
+
+/// `Proxy` has requests answered.
+#[derive(Debug)]
+pub struct Proxy<C, U> {
+    pub(super) clock: C,
+    pub(super) upstreams: U,
+    pub(super) options: ProxyOptions,
+}
+
+/// `Progress` is what the attempts so far have come to.
+struct Progress {
+    tried: Vec<UpstreamName>,
+    attempts: usize,
+    verdict: Verdict,
+}
+
+impl<C: Clock, U: Upstreams> Proxy<C, U> {
+    /// Makes a proxy over the given upstreams.
+    pub fn new(clock: C, upstreams: U, options: ProxyOptions) -> Self {
+        Self { clock, upstreams, options }
+    }
+
+    /// Returns the time left to a request.
+    pub(super) fn time_left(&self, req: &ProxyRequest) -> Millis {
+        req.deadline - self.clock.now()
+    }
+
+    /// Sends attempts until one is answered, or until the verdict, the deadline or the budget
+    /// forbids another.
+    pub(super) async fn run<S: Sending>(
+        &self,
+        req: &ProxyRequest,
+        sending: &S,
+        rng: &mut ChaCha8Rng,
+    ) -> Result<Answered<S::Answer, U>, Failure> {
+        let mut progress =
+            Progress { tried: Vec::new(), attempts: 0, verdict: Verdict::NotRun };
+        loop {
+            if self.time_left(req) == Millis::ZERO {
+                return Err(deadline_exceeded(progress.verdict));
+            }
+            let Some(held) = self.hold(req, &mut progress, rng).await else {
+                return Err(self.no_upstream(progress.verdict));
+            };
+
+            // Every attempt has an id of its own, so that answers can't be mixed up.
+            let attempt = self.attempt(req, &held, progress.attempts, rng);
+            let mut running =
+                Running::new(self.upstreams.clone(), attempt.id, held, req.is_chat());
+            progress.attempts += 1;
+            progress.tried.push(running.upstream().name().clone());
+
+            let failure = match sending.send(&attempt).await {
+                Ok(answer) => {
+                    let is_failure = S::status(&answer).is_server_error();
+                    if !is_failure {
+                        req.service.budget.succeeded();
+                    }
+                    // An upstream's own error may be repeated elsewhere, but is an answer too.
+                    let verdict = progress.verdict.max(Verdict::MayHaveRun);
+                    if !is_failure || !self.may_retry(req, verdict, progress.attempts) {
+                        return Ok(Answered { answer, running });
+                    }
+                    running.ended();
+                    progress.verdict = verdict;
+                    None
+                }
+                Err(err) => {
+                    if err.verdict() == Verdict::NotRun {
+                        running.ended();
+                    }
+                    progress.verdict = progress.verdict.max(err.verdict());
+                    Some(err)
+                }
+            };
+
+            // A failed status has passed the check for a retry already, which takes from the budget.
+            if let Some(err) = failure {
+                log_failed(req, &running, &err);
+                if !self.may_retry(req, progress.verdict, progress.attempts) {
+                    return Err(self.give_up(req, &err, progress.verdict));
+                }
+            }
+            req.service.metrics.retries.inc();
+        }
+    }
+
+    /// Chooses an upstream and counts the request in there: one that has not been tried if there is
+    /// one, else any, after a pause.
+    async fn hold(
+        &self,
+        req: &ProxyRequest,
+        progress: &mut Progress,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<Held> {
+        if let Some(held) = self.hold_untried(req, &progress.tried, rng) {
+            return Some(held);
+        }
+        if progress.tried.is_empty() {
+            return None;
+        }
+        progress.tried.clear();
+        let pause = self.options.backoff.min(self.time_left(req));
+        tokio::time::sleep(pause.as_duration()).await;
+        self.hold_untried(req, &progress.tried, rng)
+    }
+
+    fn hold_untried(
+        &self,
+        req: &ProxyRequest,
+        tried: &[UpstreamName],
+        rng: &mut ChaCha8Rng,
+    ) -> Option<Held> {
+        let route = RouteRequest {
+            work: req.work,
+            prefix: &req.prefix,
+            deadline: req.deadline,
+            priority: req.priority,
+        };
+        let mut closed = Vec::new();
+        loop {
+            let shut_out = if closed.is_empty() { tried } else { &closed };
+            let upstream = req.service.table.choose(&route, shut_out, self.clock.now(), rng)?;
+            if let Some(held) = Held::try_new(upstream, req.work) {
+                return Some(held);
+            }
+            // The upstream began to drain between the choice and the count.
+            if closed.is_empty() {
+                closed.extend_from_slice(tried);
+            }
+            closed.push(upstream.name().clone());
+        }
+    }
+
+    fn attempt(
+        &self,
+        req: &ProxyRequest,
+        held: &Held,
+        earlier: usize,
+        rng: &mut impl Rng,
+    ) -> Attempt {
+        let time_left = self.time_left(req);
+        let mut headers = req.headers.clone();
+        headers.insert(PRIORITY_HEADER, HeaderValue::from(u16::from(req.priority)));
+        headers.insert(TIME_LEFT_HEADER, HeaderValue::from(time_left.0));
+
+        // A first attempt may find an idle connection that has gone silent. A retry must not: it
+        // would wait as long again and be as lost.
+        let connection = if earlier == 0 { Connection::Pooled } else { Connection::New };
+        Attempt {
+            id: AttemptId::random(rng),
+            address: held.upstream().address(),
+            method: req.method.clone(),
+            path: req.path.clone(),
+            headers,
+            body: req.body.clone(),
+            connection,
+            bounds: self.bounds(req, time_left),
+        }
+    }
+
+    /// Returns the bounds of an attempt that has `time_left`.
+    pub(super) fn bounds(&self, req: &ProxyRequest, time_left: Millis) -> Bounds {
+        let spec = &req.service.spec;
+        // The head of a whole completion comes only when all of its output has been generated,
+        // which the declared time to the first byte can't cover. Half of the time left finds a
+        // silent connection early enough for another attempt.
+        let first_byte = match req.kind {
+            RequestKind::ChatWhole => spec.first_byte_ms.max(Millis(time_left.0 / 2)),
+            RequestKind::ChatStreamed | RequestKind::Plain => spec.first_byte_ms,
+        };
+        Bounds {
+            first_byte: first_byte.min(time_left),
+            whole: time_left,
+            max_answer_bytes: usize::try_from(spec.max_answer_bytes).unwrap_or(usize::MAX),
+        }
+    }
+
+    /// Returns whether the request may be sent once more, and takes the retry from the budget.
+    fn may_retry(&self, req: &ProxyRequest, verdict: Verdict, attempts: usize) -> bool {
+        verdict.allows_retry(req.idempotent)
+            && attempts < self.options.max_attempts
+            && self.time_left(req) > Millis::ZERO
+            && req.service.budget.try_take()
+    }
+
+    fn give_up(&self, req: &ProxyRequest, err: &Error, verdict: Verdict) -> Failure {
+        if self.time_left(req) == Millis::ZERO {
+            return deadline_exceeded(verdict);
+        }
+        Failure::of_attempt(err, verdict).retry_after(self.options.retry_after)
+    }
+
+    fn no_upstream(&self, verdict: Verdict) -> Failure {
+        let failure = Failure::not_run(Code::NoUpstream, "no upstream of the service takes work");
+        Failure { verdict, ..failure }.retry_after(self.options.retry_after)
+    }
+}
+
+/// Returns the failure of a request whose deadline has passed.
+pub(super) fn deadline_exceeded(verdict: Verdict) -> Failure {
+    let failure = Failure::not_run(Code::DeadlineExceeded, "the deadline has passed");
+    Failure { verdict, ..failure }
+}
+
+fn log_failed<U: Upstreams>(req: &ProxyRequest, running: &Running<U>, err: &Error) {
+    log::info!(
+        request:% = req.id, attempt:% = running.attempt(), upstream:% = running.upstream().name(),
+        verdict:% = err.verdict();
+        "attempt failed: {err}"
+    );
+}
--- /dev/null
+++ b/crates/anvilhook-daemon/src/proxy/failures.rs
@@ -0,0 +1,125 @@
+//! Why a request was not answered: what its caller is told.
+
+use std::fmt;
+
+use anvilhook_core::Verdict;
+use anvilhook_core::units::Millis;
+use anvilhook_engine::Error;
+use anvilhook_http::{CallError, Stage};
+use http::StatusCode;
+
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $text:literal, $status:ident;)*) => {
+        /// `Code` says why a request was not answered. The texts are part of the callers' interface.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum Code {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Code {
+            /// Returns the text used in bodies, logs and metrics.
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(Code::$name => $text,)*
+                }
+            }
+
+            /// Returns the HTTP status of the answer.
+            pub fn status(self) -> StatusCode {
+                match self {
+                    $(Code::$name => StatusCode::$status,)*
+                }
+            }
+        }
+    };
+}
+
+codes! {
+    /// A header or the body can't be understood.
+    BadRequest = "bad-request", BAD_REQUEST;
+    /// The credential is missing or unknown.
+    UnknownCredential = "unknown-credential", UNAUTHORIZED;
+    /// No service has the name, or answers for the model.
+    UnknownService = "unknown-service", NOT_FOUND;
+    /// The service offers no such call.
+    UnknownCall = "unknown-call", NOT_FOUND;
+    /// The headers are larger than the instance takes.
+    HeadersTooLarge = "headers-too-large", REQUEST_HEADER_FIELDS_TOO_LARGE;
+    /// The body is larger than the service takes.
+    BodyTooLarge = "body-too-large", PAYLOAD_TOO_LARGE;
+    /// The instance has as many open requests as it takes.
+    TooManyOpen = "too-many-open-requests", SERVICE_UNAVAILABLE;
+    /// The account has reached its limit.
+    AccountLimit = "account-limit", TOO_MANY_REQUESTS;
+    /// The deadline can't be met, so the request was not begun.
+    DeadlineUnreachable = "deadline-unreachable", SERVICE_UNAVAILABLE;
+    /// The instance is stopping.
+    Draining = "draining", SERVICE_UNAVAILABLE;
+    /// No upstream of the service takes work.
+    NoUpstream = "no-upstream", SERVICE_UNAVAILABLE;
+    /// The upstreams that were asked refused.
+    UpstreamRefused = "upstream-refused", SERVICE_UNAVAILABLE;
+    /// No connection to an upstream could be made.
+    UpstreamUnreachable = "upstream-unreachable", BAD_GATEWAY;
+    /// An upstream failed after it was handed the request.
+    UpstreamFailed = "upstream-failed", BAD_GATEWAY;
+    /// An upstream took longer than the service declares.
+    UpstreamTimeout = "upstream-timeout", GATEWAY_TIMEOUT;
+    /// The deadline passed.
+    DeadlineExceeded = "deadline-exceeded", GATEWAY_TIMEOUT;
+    /// The answer is larger than the service allows.
+    AnswerTooLarge = "answer-too-large", BAD_GATEWAY;
+    /// The idempotency key was used before with another request.
+    KeyReused = "key-reused", UNPROCESSABLE_ENTITY;
+    /// A request with the idempotency key is being answered, or its outcome is not known.
+    KeyInFlight = "key-in-flight", CONFLICT;
+    /// The idempotency key can't be claimed now.
+    ClaimsUnavailable = "claims-unavailable", SERVICE_UNAVAILABLE;
+}
+
+/// `Failure` is the final word on a request that was not answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Failure {
+    /// Why.
+    pub code: Code,
+    /// Whether the request may have run, over all of its attempts.
+    pub verdict: Verdict,
+    /// Details for people.
+    pub message: String,
+    /// When it is worth asking again.
+    pub retry_after: Option<Millis>,
+}
+
+impl Failure {
+    /// Returns the failure of a request that was not begun.
+    pub fn not_run(code: Code, message: impl fmt::Display) -> Self {
+        Self { code, verdict: Verdict::NotRun, message: message.to_string(), retry_after: None }
+    }
+
+    /// Adds when it is worth asking again.
+    pub fn retry_after(mut self, after: Millis) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Returns the failure of a request whose last attempt failed so.
+    pub fn of_attempt(err: &Error, verdict: Verdict) -> Self {
+        let code = match err {
+            Error::Refused { .. } => Code::UpstreamRefused,
+            Error::Call(CallError { stage: Stage::Build | Stage::Connect, .. }) => {
+                Code::UpstreamUnreachable
+            }
+            Error::Call(CallError { timed_out: true, .. }) => Code::UpstreamTimeout,
+            Error::Call(_) | Error::NotAnAnswer { .. } => Code::UpstreamFailed,
+        };
+        Self { code, verdict, message: err.to_string(), retry_after: None }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({}): {}", self.code.as_str(), self.verdict, self.message)
+    }
+}
+
+impl std::error::Error for Failure {}
--- /dev/null
+++ b/crates/anvilhook-daemon/src/proxy/mod.rs
@@ -0,0 +1,19 @@
+//! Having a request answered by upstreams: attempts, retries, streams and their resumption.
+//!
+//! The verdict on a request is the greatest of its attempts' verdicts, and each retry is allowed by
+//! the verdict so far, the deadline and the service's retry budget.
+
+mod attempts;
+mod budgets;
+mod cancels;
+mod claims;
+mod failures;
+mod rngs;
+mod streams;
+mod whole;
+
+pub use attempts::{Proxy, ProxyOptions, ProxyRequest, RequestKind};
+pub use budgets::RetryBudget;
+pub use failures::{Code, Failure};
+pub use rngs::RequestRngs;
+pub use streams::CallerStream;
--- a/crates/anvilhook-engine/src/errors.rs
+++ b/crates/anvilhook-engine/src/errors.rs
@@ -29,6 +29,11 @@
 }
 
 impl Error {
+    /// Returns an error for what is not an answer to the attempt.
+    pub fn not_an_answer(message: impl fmt::Display) -> Self {
+        Error::NotAnAnswer { message: message.to_string() }
+    }
+
     /// Returns whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
--- a/crates/anvilhook-engine/src/lib.rs
+++ b/crates/anvilhook-engine/src/lib.rs
@@ -5,7 +5,11 @@
 
 pub mod control;
 pub mod errors;
+pub mod requests;
+pub mod streams;
 pub mod wire;
 
 pub use control::EngineControl;
 pub use errors::{Error, Result};
+pub use requests::{Attempt, Bounds, HttpUpstreams, Opened, Upstreams, WholeAnswer};
+pub use streams::{EventSource, EventStream, StreamItem};
