Add the retry budget, outlier ejection, account limits and admission

Cause: the request path needs these decisions before routing is complete. Change: pure, lock-free RetryBudget, Ejection and AccountLimiter; ShareKeeper moves account shares by the demand of digests; AdmissionQueue orders by priority, fair part and deadline.

--- /dev/null
+++ b/crates/anvilhook-core/src/admission/mod.rs
@@ -0,0 +1,64 @@
+//! Admission: what is started, what waits, and what is refused at once as not run.
+//!
+//! A request that cannot be answered in time is refused when it arrives, not after it has taken an
+//! engine's time from those that could. What waits is ordered by priority, then by deadline, with
+//! accounts above their fair part behind the others.
+
+mod queues;
+
+pub use queues::{AdmissionQueue, Waiting};
+
+use crate::units::Millis;
+
+/// `AdmissionOptions` says how sure admission has to be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionOptions {
+    /// The time that an answer takes on its way back, and the error of the estimate.
+    pub margin: Millis,
+    /// The most requests that wait at this instance. Beyond it the last in order are refused.
+    pub max_waiting: usize,
+}
+
+impl Default for AdmissionOptions {
+    fn default() -> Self {
+        Self { margin: Millis(20), max_waiting: 512 }
+    }
+}
+
+/// `Admission` is the decision on one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It can be answered in time by the chosen upstream.
+    Run,
+    /// It cannot be answered in time. It has not run.
+    Refuse {
+        /// When a request like it could be answered in time, if load stays as it is.
+        retry_after: Millis,
+    },
+}
+
+/// Decides whether a request can be answered by its deadline at an upstream that is estimated to
+/// take `estimate` for it.
+///
+/// ```
+/// use anvilhook_core::admission::{Admission, AdmissionOptions, decide};
+/// use anvilhook_core::units::Millis;
+///
+/// let options = AdmissionOptions { margin: Millis(20), ..Default::default() };
+/// let deadline = Millis(1_000);
+/// assert_eq!(decide(&options, Millis(980), deadline, Millis(0)), Admission::Run);
+/// let late = decide(&options, Millis(1_500), deadline, Millis(0));
+/// assert_eq!(late, Admission::Refuse { retry_after: Millis(520) });
+/// ```
+pub fn decide(
+    options: &AdmissionOptions,
+    estimate: Millis,
+    deadline: Millis,
+    now: Millis,
+) -> Admission {
+    let ready_at = now + estimate + options.margin;
+    if ready_at <= deadline {
+        return Admission::Run;
+    }
+    Admission::Refuse { retry_after: ready_at - deadline }
+}
--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -4,12 +4,16 @@
 //! seeded generator are passed in, so that every decision can be replayed in a test.
 #![forbid(unsafe_code)]
 
+pub mod admission;
 pub mod attempts;
+pub mod ejections;
 pub mod errors;
+pub mod limits;
 pub mod names;
 pub mod orders;
 pub mod reports;
 pub mod resources;
+pub mod retries;
 pub mod routing;
 pub mod units;
 pub mod verdict;
--- /dev/null
+++ b/crates/anvilhook-core/src/limits/accounts.rs
@@ -0,0 +1,153 @@
+//! One account's limits at one instance.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use super::LimitOptions;
+use super::shares::{AccountDemand, AccountShare};
+use crate::resources::AccountSpec;
+use crate::units::Millis;
+
+/// The limiter's resolution: microseconds of the clock.
+const MICROS_PER_MILLI: u64 = 1_000;
+const MICROS_PER_SEC: f64 = 1_000_000.0;
+
+/// `LimitedBy` says which limit refused a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LimitedBy {
+    /// Requests in a second.
+    Rate,
+    /// Open requests.
+    Open,
+}
+
+/// `LimitRefusal` refuses a request, which has not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LimitRefusal {
+    /// The limit that was reached.
+    pub limited_by: LimitedBy,
+    /// When to come back.
+    pub retry_after: Millis,
+}
+
+/// `AccountLimiter` admits an account's requests within this instance's share of its limits.
+///
+/// The rate is kept by the generic cell rate algorithm: one atomic holds the time at which the
+/// next request would arrive if all came evenly spaced.
+///
+/// ```
+/// use anvilhook_core::limits::{AccountLimiter, LimitOptions};
+/// use anvilhook_core::resources::AccountSpec;
+/// use anvilhook_core::units::Millis;
+///
+/// let spec = AccountSpec { token_sha256: vec![], requests_per_s: 1, open_requests: 5 };
+/// let limiter = AccountLimiter::new(&spec, 1, &LimitOptions::default());
+/// assert!(limiter.try_admit(Millis(0)).is_ok());
+/// let refusal = limiter.try_admit(Millis(0)).unwrap_err();
+/// assert_eq!(refusal.retry_after, Millis(1_000));
+/// ```
+#[derive(Debug)]
+pub struct AccountLimiter {
+    options: LimitOptions,
+    // This instance's share while peers cannot be heard.
+    equal: AccountShare,
+    // The present share: bits of the rate as `f64`, open requests, and when it was set.
+    rate_bits: AtomicU64,
+    max_open: AtomicU64,
+    set_at: AtomicU64,
+    // The next even arrival, in microseconds.
+    next_arrival: AtomicU64,
+    open: AtomicU64,
+    asked: AtomicU64,
+}
+
+impl AccountLimiter {
+    /// Makes a limiter that holds an equal share of the limits, as one of `instances`.
+    pub fn new(spec: &AccountSpec, instances: usize, options: &LimitOptions) -> Self {
+        let equal = AccountShare::equal(spec, instances);
+        Self {
+            options: *options,
+            equal,
+            rate_bits: AtomicU64::new(equal.requests_per_s.to_bits()),
+            max_open: AtomicU64::new(equal.open_requests),
+            set_at: AtomicU64::new(0),
+            next_arrival: AtomicU64::new(0),
+            open: AtomicU64::new(0),
+            asked: AtomicU64::new(0),
+        }
+    }
+
+    /// Admits a request, which must be counted out by `release`.
+    ///
+    /// # Errors
+    ///
+    /// `LimitRefusal` if the share is used up. The request has not run.
+    pub fn try_admit(&self, now: Millis) -> Result<(), LimitRefusal> {
+        self.asked.fetch_add(1, Ordering::AcqRel);
+        let share = self.share(now);
+        let enter = |open: u64| (open < share.open_requests).then_some(open + 1);
+        if self.open.fetch_update(Ordering::AcqRel, Ordering::Acquire, enter).is_err() {
+            let retry_after = Millis(1_000);
+            return Err(LimitRefusal { limited_by: LimitedBy::Open, retry_after });
+        }
+        let paid = self.pay(share.requests_per_s, now);
+        if paid.is_err() {
+            self.release();
+        }
+        paid
+    }
+
+    /// Counts an admitted request out.
+    pub fn release(&self) {
+        self.open.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Returns the present share. It is at most an equal one if it has not been renewed in time.
+    ///
+    /// A process that was paused or cut off would otherwise go on with a large share that the
+    /// others have meanwhile taken back. One would notice an account above its limit.
+    pub fn share(&self, now: Millis) -> AccountShare {
+        let share = AccountShare {
+            requests_per_s: f64::from_bits(self.rate_bits.load(Ordering::Acquire)),
+            open_requests: self.max_open.load(Ordering::Acquire),
+        };
+        let set_at = Millis(self.set_at.load(Ordering::Acquire));
+        if now - set_at > self.options.stale_after { share.min(self.equal) } else { share }
+    }
+
+    /// Sets the share that `ShareKeeper` has worked out.
+    pub fn set_share(&self, share: AccountShare, now: Millis) {
+        self.rate_bits.store(share.requests_per_s.to_bits(), Ordering::Release);
+        self.max_open.store(share.open_requests, Ordering::Release);
+        self.set_at.store(now.0, Ordering::Release);
+    }
+
+    /// Returns the demand since the last call, `span` ago, for the digest.
+    pub fn take_demand(&self, span: Millis) -> AccountDemand {
+        let asked = self.asked.swap(0, Ordering::AcqRel);
+        let requests_per_s = asked as f64 / span.as_secs_f64().max(0.001);
+        AccountDemand { requests_per_s, open_requests: self.open.load(Ordering::Acquire) }
+    }
+
+    fn pay(&self, requests_per_s: f64, now: Millis) -> Result<(), LimitRefusal> {
+        let limited_by = LimitedBy::Rate;
+        if requests_per_s <= 0.0 {
+            return Err(LimitRefusal { limited_by, retry_after: self.options.settle });
+        }
+        let gap = (MICROS_PER_SEC / requests_per_s) as u64;
+        let now_us = now.0 * MICROS_PER_MILLI;
+        // At least one request is let through at once, however low the rate.
+        let burst = (self.options.burst.0 * MICROS_PER_MILLI).max(gap);
+        let advance = |next: u64| {
+            let next = next.max(now_us) + gap;
+            (next <= now_us + burst).then_some(next)
+        };
+        match self.next_arrival.fetch_update(Ordering::AcqRel, Ordering::Acquire, advance) {
+            Ok(_) => Ok(()),
+            Err(next) => {
+                let wait_us = (next.max(now_us) + gap).saturating_sub(now_us + burst);
+                let retry_after = Millis(wait_us.div_ceil(MICROS_PER_MILLI));
+                Err(LimitRefusal { limited_by, retry_after })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-core/tests/budgets.rs
@@ -0,0 +1,165 @@
+//! The retry budget, outlier ejection, account limits and admission.
+
+use anvilhook_core::admission::{AdmissionOptions, AdmissionQueue, Waiting};
+use anvilhook_core::ejections::{Ejection, EjectionOptions};
+use anvilhook_core::limits::{
+    AccountDemand, AccountLimiter, AccountShare, LimitOptions, PeerDemand, ShareKeeper,
+};
+use anvilhook_core::names::{AccountName, InstanceName};
+use anvilhook_core::resources::AccountSpec;
+use anvilhook_core::retries::{RetryBudget, RetryBudgetOptions};
+use anvilhook_core::units::Millis;
+
+fn account(requests_per_s: u32, open_requests: u32) -> AccountSpec {
+    AccountSpec { token_sha256: Vec::new(), requests_per_s, open_requests }
+}
+
+fn waiting(account: &str, priority: u8, deadline: u64, item: u32) -> Waiting<u32> {
+    let account = AccountName::try_new(account).expect("a name");
+    Waiting { priority, deadline: Millis(deadline), estimate: Millis(100), account, item }
+}
+
+fn peer(index: usize, requests_per_s: f64, heard_at: Option<Millis>) -> PeerDemand {
+    let instance = InstanceName::try_new(&format!("entry-{index}")).expect("a name");
+    let demand = AccountDemand { requests_per_s, open_requests: requests_per_s as u64 };
+    PeerDemand { instance, demand, heard_at, hears_all: true }
+}
+
+#[test]
+fn verify_retries_stay_a_share_of_successes() {
+    // Symptom: attempts multiply while an upstream fails.
+    // Sequence: 1,000 successes, then 1,000 failures that all ask for a retry.
+    // Cause: retries that are bounded for one request only, and not for the instance.
+    let budget = RetryBudget::new(&RetryBudgetOptions { share: 0.1, max_saved: 20 });
+
+    (0..1_000).for_each(|_| budget.record_success());
+    let retries = (0..1_000).filter(|_| budget.try_take()).count();
+
+    assert_eq!(retries, 20);
+}
+
+#[test]
+fn verify_ejection_and_slow_return() {
+    let ejection = Ejection::new(&EjectionOptions::default());
+    // Each step: the time, whether the attempt failed, the share just after it.
+    let steps = [
+        (0, true, 1.0),
+        (1, false, 1.0),
+        (2, true, 1.0),
+        (3, true, 1.0),
+        (4, true, 0.0),
+        (2_003, false, 0.0),
+        (2_004, false, 0.1),
+        (7_004, false, 0.55),
+        // A single failure while it returns ejects it again, for twice as long.
+        (7_005, true, 0.0),
+        (11_004, false, 0.0),
+        (11_005, false, 0.1),
+        (21_005, false, 1.0),
+    ];
+
+    for (now, failed, share) in steps {
+        let now = Millis(now);
+        if failed {
+            ejection.record_failure(now)
+        } else {
+            ejection.record_success(now)
+        }
+        assert_eq!(ejection.share(now), share, "at {now}");
+    }
+}
+
+#[test]
+fn verify_limiter_holds_rate_and_open_requests() {
+    let options = LimitOptions::default();
+    let limiter = AccountLimiter::new(&account(90, 27), 9, &options);
+
+    // Ten requests a second are this instance's share, and a burst of one second.
+    let admitted = |now: u64| limiter.try_admit(Millis(now)).map(|()| limiter.release()).is_ok();
+    let burst = (0..100).filter(|_| admitted(5_000)).count();
+    let next_second = (0..1_000).filter(|ms| admitted(5_001 + ms)).count();
+    let held = (0..10).filter(|_| limiter.try_admit(Millis(60_000)).is_ok()).count();
+
+    assert_eq!((burst, next_second, held), (10, 10, 3));
+}
+
+#[test]
+fn verify_shares_follow_demand_and_never_exceed_the_limit_for_long() {
+    // Symptom: an account runs above its limit although each instance keeps its share.
+    // Sequence: demand moves from instance 0 to instance 1 while digests are late or lost.
+    // Cause: one instance grows before the other has shrunk, or one side hears nothing any more.
+    let options = LimitOptions::default();
+    let step = Millis(500);
+    for (lost_to, moves_at) in [(None, 20_000), (Some(0), 20_000), (Some(1), 20_000)] {
+        let mut keepers: Vec<_> =
+            (0..3).map(|_| ShareKeeper::new(account(300, 30), &options)).collect();
+        let mut heard = vec![vec![(0.0, None, true); 3]; 3];
+        let mut over_since = None;
+        let mut last = vec![AccountShare::default(); 3];
+
+        for tick in 0..120 {
+            let now = Millis(tick * step.0);
+            let moved = now.0 >= moves_at;
+            let demands = if moved { [5.0, 290.0, 5.0] } else { [290.0, 5.0, 5.0] };
+            let cut = |to: usize| lost_to == Some(to) && now.0 >= moves_at - 1_000;
+            let mut hears_all = [true; 3];
+            for to in 0..3 {
+                let peers: Vec<_> = (0..3).filter(|from| *from != to).collect();
+                let demand = |from: &usize| {
+                    let (rate, at, hears_all) = heard[to][*from];
+                    PeerDemand { hears_all, ..peer(*from, rate, at) }
+                };
+                let peers: Vec<_> = peers.iter().map(demand).collect();
+                let own = peer(to, demands[to], None).demand;
+                hears_all[to] = keepers[to].hears_all(&peers, now);
+                last[to] = keepers[to].update(&own, &peers, now);
+            }
+            for to in (0..3).filter(|to| !cut(*to)) {
+                (0..3)
+                    .for_each(|from| heard[to][from] = (demands[from], Some(now), hears_all[from]));
+            }
+
+            let sum: f64 = last.iter().map(|share| share.requests_per_s).sum();
+            let since = over_since.get_or_insert(now);
+            if sum <= 300.0 + 1e-6 {
+                over_since = None;
+            } else {
+                assert!(now - *since <= options.max_overshoot(), "{sum} for long at {now}");
+            }
+        }
+
+        let followed = last[1].requests_per_s > 200.0;
+        assert_eq!(followed, lost_to.is_none(), "lost to {lost_to:?}: {last:?}");
+    }
+}
+
+#[test]
+fn verify_queue_order() {
+    let mut queue = AdmissionQueue::new(&AdmissionOptions::default());
+    let requests = [
+        waiting("flood", 1, 1_000, 0),
+        waiting("flood", 1, 1_001, 1),
+        waiting("flood", 1, 1_002, 2),
+        waiting("quiet", 1, 9_000, 3),
+        waiting("quiet", 0, 9_500, 4),
+        waiting("flood", 2, 300, 5),
+    ];
+
+    requests.into_iter().for_each(|request| assert!(queue.push(request).is_none()));
+    let order: Vec<_> = std::iter::from_fn(|| queue.pop()).map(|request| request.item).collect();
+
+    // The alert, then by deadline while both run one; then the flooding account has its part.
+    assert_eq!(order, [4, 0, 1, 3, 2, 5]);
+}
+
+#[test]
+fn verify_full_queue_refuses_the_flood() {
+    let options = AdmissionOptions { max_waiting: 4, ..Default::default() };
+    let mut queue = AdmissionQueue::new(&options);
+    (0..4).for_each(|item| drop(queue.push(waiting("flood", 1, 1_000, item))));
+
+    let refused = queue.push(waiting("quiet", 1, 90_000, 9)).expect("the queue is full");
+    let hopeless = queue.pop_hopeless(Millis(900)).expect("too late for the flood's deadline");
+
+    assert_eq!((refused.item, hopeless.item), (3, 0));
+}
