Add the path of a request from the caller front to an upstream

Cause: callers need one door to engines and plain services. Change: anvilhook-engine sends attempts and reads whole and streamed answers over HTTP, checking the echo, the length and the closing event; the daemon's front and proxy modules check callers, run the attempt loop, resume streams and carry claimed requests through. Conclusion: Front::new(parts), router(), apply(), in_flight(), in_flight_at() are ready to be wired.

--- /dev/null
+++ b/crates/anvilhook-daemon/src/front/answers.rs
@@ -0,0 +1,83 @@
+//! Answers to callers.
+
+use anvilhook_core::Verdict;
+use anvilhook_core::attempts::RequestId;
+use anvilhook_core::units::Millis;
+use anvilhook_engine::WholeAnswer;
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
+use serde::Serialize;
+use volo_http::body::Body;
+
+use super::headers::{REQUEST_HEADER, VERDICT_HEADER, end_to_end};
+use crate::proxy::Failure;
+
+/// `FailureBody` is the JSON document that a caller gets instead of an answer.
+#[derive(Clone, Debug, Serialize)]
+struct FailureBody<'a> {
+    error: FailureDetails<'a>,
+}
+
+/// `FailureDetails` is what it says.
+#[derive(Clone, Debug, Serialize)]
+struct FailureDetails<'a> {
+    code: &'static str,
+    message: &'a str,
+    verdict: Verdict,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<Millis>,
+    request: RequestId,
+}
+
+/// Returns the JSON document that tells a caller of a failure.
+pub fn failure_body(failure: &Failure, request: RequestId) -> String {
+    let error = FailureDetails {
+        code: failure.code.as_str(),
+        message: &failure.message,
+        verdict: failure.verdict,
+        retry_after_ms: failure.retry_after,
+        request,
+    };
+    serde_json::to_string(&FailureBody { error }).unwrap_or_default()
+}
+
+/// Answers a request that failed.
+pub fn failed(failure: &Failure, request: RequestId) -> Response<Body> {
+    let mut answer = Response::new(Body::from(failure_body(failure, request)));
+    *answer.status_mut() = failure.code.status();
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(VERDICT_HEADER, HeaderValue::from_static(failure.verdict.as_str()));
+    if let Some(after) = failure.retry_after {
+        // The header counts whole seconds; rounding down could call the caller back too early.
+        headers.insert(RETRY_AFTER, HeaderValue::from(after.0.div_ceil(1_000)));
+    }
+    name_request(headers, request);
+    answer
+}
+
+/// Answers with what an upstream answered.
+pub fn answered(answer: WholeAnswer, request: RequestId) -> Response<Body> {
+    let mut headers = end_to_end(&answer.headers);
+    // What an upstream answers to a request that it could not serve tells nothing of what it did.
+    if is_error(answer.status) {
+        let verdict = Verdict::MayHaveRun.as_str();
+        headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict));
+    }
+    name_request(&mut headers, request);
+    let mut response = Response::new(Body::from(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Names the request in an answer.
+pub fn name_request(headers: &mut HeaderMap, request: RequestId) {
+    if let Ok(value) = HeaderValue::from_str(&request.to_string()) {
+        headers.insert(REQUEST_HEADER, value);
+    }
+}
+
+fn is_error(status: StatusCode) -> bool {
+    status.is_client_error() || status.is_server_error()
+}
--- /dev/null
+++ b/crates/anvilhook-daemon/src/front/bodies.rs
@@ -0,0 +1,119 @@
+//! Bodies of callers' requests.
+
+use std::borrow::Cow;
+
+use anvilhook_core::routing::Work;
+use anvilhook_core::units::{Millis, Tokens};
+use anvilhook_engine::wire::ChatRequest;
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, HeaderMap};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde::Deserialize;
+use volo_http::body::Body;
+
+use crate::proxy::{Code, Failure};
+
+/// Bytes of text that make a token on average, for the estimate of a request's work.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Tokens of output that are expected of a request that doesn't bound them.
+const EXPECTED_OUTPUT: Tokens = Tokens(256);
+
+/// Reads the body of a request, at most `max_bytes` large and `timeout` long.
+///
+/// # Errors
+///
+/// A `Failure` if it is larger, slower or cut short. The request has not run.
+pub async fn read(
+    headers: &HeaderMap,
+    body: Body,
+    max_bytes: u64,
+    timeout: Millis,
+) -> Result<Bytes, Failure> {
+    let announced = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let announced = announced.and_then(|text| text.parse::<u64>().ok());
+    check_size(announced.unwrap_or(0), max_bytes)?;
+
+    let limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+    let collecting = Limited::new(body, limit).collect();
+    match tokio::time::timeout(timeout.as_duration(), collecting).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(too_large(max_bytes)),
+        Ok(Err(err)) => {
+            Err(Failure::not_run(Code::BadRequest, format!("the body did not come whole: {err}")))
+        }
+        Err(_elapsed) => {
+            let message = "the body did not come before the deadline";
+            Err(Failure::not_run(Code::DeadlineExceeded, message))
+        }
+    }
+}
+
+/// Checks the size of a body.
+///
+/// # Errors
+///
+/// A `Failure` if it is larger than `max_bytes`.
+pub fn check_size(bytes: u64, max_bytes: u64) -> Result<(), Failure> {
+    if bytes > max_bytes { Err(too_large(max_bytes)) } else { Ok(()) }
+}
+
+fn too_large(max_bytes: u64) -> Failure {
+    Failure::not_run(Code::BodyTooLarge, format!("the body is larger than {max_bytes} bytes"))
+}
+
+/// `ChatHead` is what the system reads of a chat request, without copying its text.
+#[derive(Debug, Deserialize)]
+pub struct ChatHead<'a> {
+    /// The model or service asked for.
+    #[serde(borrow)]
+    pub model: Cow<'a, str>,
+    /// Whether the answer is streamed.
+    #[serde(default)]
+    pub stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(borrow)]
+    messages: Vec<MessageHead<'a>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct MessageHead<'a> {
+    #[serde(borrow)]
+    content: Cow<'a, str>,
+}
+
+impl<'a> ChatHead<'a> {
+    /// Reads a body.
+    ///
+    /// # Errors
+    ///
+    /// A `Failure` that says where the body breaks the form.
+    pub fn try_parse(body: &'a [u8]) -> Result<Self, Failure> {
+        serde_json::from_slice(body).map_err(|err| {
+            Failure::not_run(Code::BadRequest, format!("the body is no chat request: {err}"))
+        })
+    }
+
+    /// Returns the estimate of what the request asks of an engine.
+    pub fn work(&self) -> Work {
+        let bytes: usize = self.messages.iter().map(|message| message.content.len()).sum();
+        Work {
+            prompt: Tokens((bytes as u64).div_ceil(BYTES_PER_TOKEN)),
+            output: self.max_tokens.map_or(EXPECTED_OUTPUT, Tokens),
+        }
+    }
+}
+
+/// Returns the body with another model in it.
+///
+/// # Errors
+///
+/// A `Failure` if the body is no chat request.
+pub fn with_model(body: &[u8], model: &str) -> Result<Bytes, Failure> {
+    let bad =
+        |err| Failure::not_run(Code::BadRequest, format!("the body is no chat request: {err}"));
+    let mut req: ChatRequest = serde_json::from_slice(body).map_err(bad)?;
+    req.model = model.to_owned();
+    serde_json::to_vec(&req).map(Bytes::from).map_err(bad)
+}
--- /dev/null
+++ b/crates/anvilhook-daemon/src/front/mod.rs
@@ -0,0 +1,169 @@
+//! The front that callers speak to.
+
+mod answers;
+mod bodies;
+mod credentials;
+mod headers;
+mod limits;
+mod metrics;
+mod routes;
+mod states;
+
+use std::sync::Arc;
+use std::sync::atomic::{Ordering, fence};
+
+use anvilhook_core::limits::LimitOptions;
+use anvilhook_core::names::UpstreamName;
+use anvilhook_core::resources::Configuration;
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_engine::Upstreams;
+use anvilhook_http::Shutdown;
+use arc_swap::ArcSwap;
+use volo_http::server::route::{Router, any, post};
+
+pub use answers::failure_body;
+pub use headers::{
+    DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, PRIORITY_HEADER, REQUEST_HEADER, VERDICT_HEADER,
+};
+pub use metrics::{FrontMetrics, Latencies, ServiceMetrics};
+pub use states::{Account, FrontState, Service};
+
+use crate::proxy::{Claims, Proxy, ProxyOptions, RequestRngs};
+
+/// `FrontOptions` bounds what the front takes from callers.
+#[derive(Clone, Copy, Debug)]
+pub struct FrontOptions {
+    /// The largest headers of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// The largest body of a request whose service is not known yet, in bytes.
+    pub max_body_bytes: u64,
+    /// The most requests that are open at this instance.
+    pub max_open_requests: u64,
+    /// The longest time that a caller may give its request.
+    pub max_deadline: Millis,
+    /// What is done for one request.
+    pub proxy: ProxyOptions,
+    /// How account limits are shared over instances.
+    pub limits: LimitOptions,
+}
+
+impl Default for FrontOptions {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 * 1024,
+            max_body_bytes: 32 * 1024 * 1024,
+            max_open_requests: 16_384,
+            max_deadline: Millis::from_secs(3_600),
+            proxy: ProxyOptions::default(),
+            limits: LimitOptions::default(),
+        }
+    }
+}
+
+/// `FrontParts` is what a front is made of.
+#[derive(Debug)]
+pub struct FrontParts<C, U, K> {
+    /// The instance's clock.
+    pub clock: C,
+    /// Sends attempts.
+    pub upstreams: U,
+    /// Makes claims.
+    pub claims: K,
+    /// Says when new requests are refused.
+    pub shutdown: Shutdown,
+    /// Bounds.
+    pub options: FrontOptions,
+    /// Counts.
+    pub metrics: FrontMetrics,
+    /// The seed of all ids. It must come from the operating system but in tests.
+    pub seed: [u8; 32],
+}
+
+/// `Front` takes callers' requests. Clones are the same front.
+#[derive(Debug)]
+pub struct Front<C, U, K> {
+    inner: Arc<FrontInner<C, U, K>>,
+}
+
+/// `FrontInner` is what all requests share.
+#[derive(Debug)]
+struct FrontInner<C, U, K> {
+    clock: C,
+    proxy: Arc<Proxy<C, U>>,
+    claims: K,
+    shutdown: Shutdown,
+    options: FrontOptions,
+    metrics: FrontMetrics,
+    rngs: RequestRngs,
+    state: ArcSwap<FrontState>,
+    flights: Arc<limits::Flights>,
+}
+
+impl<C, U, K> Clone for Front<C, U, K> {
+    fn clone(&self) -> Self {
+        Self { inner: Arc::clone(&self.inner) }
+    }
+}
+
+impl<C: Clock, U: Upstreams, K: Claims> Front<C, U, K> {
+    /// Makes a front without a configuration: it knows no service and no account yet.
+    pub fn new(parts: FrontParts<C, U, K>) -> Self {
+        let proxy = Proxy::new(parts.clock.clone(), parts.upstreams, parts.options.proxy);
+        Self {
+            inner: Arc::new(FrontInner {
+                clock: parts.clock,
+                proxy: Arc::new(proxy),
+                claims: parts.claims,
+                shutdown: parts.shutdown,
+                options: parts.options,
+                metrics: parts.metrics,
+                rngs: RequestRngs::new(parts.seed),
+                state: ArcSwap::default(),
+                flights: Arc::default(),
+            }),
+        }
+    }
+
+    /// Returns the routes of the callers' front.
+    pub fn router(&self) -> Router {
+        let chat = self.clone();
+        let plain = self.clone();
+        let other = self.clone();
+        Router::new()
+            .route(
+                anvilhook_engine::wire::COMPLETIONS_PATH,
+                post(move |req| async move { chat.chat(req).await }),
+            )
+            .route("/services/{*path}", any(move |req| async move { plain.plain(req).await }))
+            .fallback(move |req| async move { other.unknown(req).await })
+    }
+
+    /// Puts a configuration in force for the requests that arrive from now on. `instances` is the
+    /// number of running instances, for the shares of account limits until peers are heard.
+    pub fn apply(&self, cfg: &Configuration, instances: usize) {
+        let earlier = self.inner.state.load();
+        let limits = &self.inner.options.limits;
+        let state = FrontState::build(cfg, &earlier, instances, limits, &self.inner.metrics);
+        self.inner.state.store(Arc::new(state));
+    }
+
+    /// Returns what requests are now checked against and routed by.
+    pub fn state(&self) -> Arc<FrontState> {
+        self.inner.state.load_full()
+    }
+
+    /// Returns how many requests are in flight, up to the last byte of their answers handed over.
+    pub fn in_flight(&self) -> u64 {
+        self.inner.flights.open()
+    }
+
+    /// Returns how many requests of this instance are in flight at an upstream.
+    ///
+    /// A drain marks the upstream first and asks then: a request that is counted in later sees the
+    /// mark and goes elsewhere. The fence is the other half of the one in `Held`.
+    pub fn in_flight_at(&self, upstream: &UpstreamName) -> u64 {
+        fence(Ordering::SeqCst);
+        let state = self.inner.state.load();
+        state.upstreams().get(upstream).map_or(0, |upstream| upstream.open_requests())
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-daemon/src/front/states.rs
@@ -0,0 +1,206 @@
+//! What the caller front knows of the configuration, replaced as a whole when that changes.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use anvilhook_core::limits::{AccountLimiter, LimitOptions};
+use anvilhook_core::names::{AccountName, PoolName, ServiceName, UpstreamName, ZoneName};
+use anvilhook_core::resources::{
+    AccountSpec, CallSpec, Configuration, Kind, Resource, ServiceBackend, ServiceSpec, Spec,
+};
+use anvilhook_core::retries::{RetryBudget, RetryBudgetOptions};
+use anvilhook_core::routing::{RouteTable, UpstreamState};
+
+use super::credentials::{Credentials, TokenDigest};
+use super::metrics::{FrontMetrics, ServiceMetrics};
+
+/// `Account` is a caller's account.
+#[derive(Debug)]
+pub struct Account {
+    /// Its name.
+    pub name: AccountName,
+    /// What is declared of it.
+    pub spec: AccountSpec,
+    /// This instance's share of its limits.
+    pub limiter: AccountLimiter,
+}
+
+/// `Service` is what callers ask for, with what this instance keeps of it.
+#[derive(Debug)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+    /// What is declared of it.
+    pub spec: ServiceSpec,
+    /// Its upstreams.
+    pub table: RouteTable,
+    /// Its retry budget.
+    pub budget: Arc<RetryBudget>,
+    /// Its metrics.
+    pub metrics: Arc<ServiceMetrics>,
+}
+
+impl Service {
+    /// Returns the declared call that a request makes, if there is one. The longest beginning of
+    /// the path decides.
+    pub fn call(&self, method: &str, path: &str) -> Option<&CallSpec> {
+        let ServiceBackend::Plain { calls, .. } = &self.spec.backend else { return None };
+        let matches = |call: &&CallSpec| {
+            call.method.eq_ignore_ascii_case(method) && is_below(path, &call.path_prefix)
+        };
+        calls.iter().filter(matches).max_by_key(|call| call.path_prefix.len())
+    }
+}
+
+/// Returns whether a path begins with whole segments of a prefix: `/alerts` covers `/alerts/7`, but
+/// not `/alertsx`.
+fn is_below(path: &str, prefix: &str) -> bool {
+    let prefix = prefix.trim_end_matches('/');
+    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// `FrontState` is what requests are checked against and routed by.
+#[derive(Debug, Default)]
+pub struct FrontState {
+    services: HashMap<ServiceName, Arc<Service>>,
+    models: HashMap<String, Arc<Service>>,
+    credentials: Credentials,
+    accounts: BTreeMap<AccountName, Arc<Account>>,
+    upstreams: BTreeMap<UpstreamName, Arc<UpstreamState>>,
+}
+
+impl FrontState {
+    /// Builds the state of a configuration. What `earlier` kept of upstreams, accounts and retry
+    /// budgets goes on where their declarations stay the same.
+    pub fn build(
+        cfg: &Configuration,
+        earlier: &FrontState,
+        instances: usize,
+        limits: &LimitOptions,
+        metrics: &FrontMetrics,
+    ) -> Self {
+        let mut state = FrontState::default();
+        for resource in cfg.of_kind(Kind::Account) {
+            state.add_account(resource, earlier, instances, limits);
+        }
+        let mut pools: HashMap<PoolName, Vec<Arc<UpstreamState>>> = HashMap::new();
+        for resource in cfg.of_kind(Kind::Engine) {
+            let Spec::Engine(engine) = &resource.spec else { continue };
+            // Names of resources and of upstreams follow one rule.
+            let Ok(name) = UpstreamName::try_new(resource.name.as_str()) else { continue };
+            let upstream = state.upstream(earlier, name, engine.address, &engine.zone);
+            pools.entry(engine.pool.clone()).or_default().push(upstream);
+        }
+        for resource in cfg.of_kind(Kind::Service) {
+            state.add_service(resource, earlier, &pools, metrics);
+        }
+        state
+    }
+
+    /// Returns the service of a name.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(&ServiceName::try_new(name).ok()?)
+    }
+
+    /// Returns the service that chat completions of a model go to: the service with that name, or
+    /// else the first, by name, that serves the model.
+    pub fn chat_service(&self, model: &str) -> Option<&Arc<Service>> {
+        let named = self.service(model);
+        let is_model =
+            |service: &&Arc<Service>| matches!(service.spec.backend, ServiceBackend::Model { .. });
+        named.filter(is_model).or_else(|| self.models.get(model))
+    }
+
+    /// Returns the account of a token.
+    pub fn account(&self, token: &str) -> Option<&Arc<Account>> {
+        self.credentials.find(token)
+    }
+
+    /// Returns all accounts.
+    pub fn accounts(&self) -> &BTreeMap<AccountName, Arc<Account>> {
+        &self.accounts
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> &HashMap<ServiceName, Arc<Service>> {
+        &self.services
+    }
+
+    /// Returns all upstreams.
+    pub fn upstreams(&self) -> &BTreeMap<UpstreamName, Arc<UpstreamState>> {
+        &self.upstreams
+    }
+
+    fn add_account(
+        &mut self,
+        resource: &Resource,
+        earlier: &FrontState,
+        instances: usize,
+        limits: &LimitOptions,
+    ) {
+        let Spec::Account(spec) = &resource.spec else { return };
+        let Ok(name) = AccountName::try_new(resource.name.as_str()) else { return };
+        let kept = earlier.accounts.get(&name).filter(|account| account.spec == *spec);
+        let account = kept.cloned().unwrap_or_else(|| {
+            let limiter = AccountLimiter::new(spec, instances, limits);
+            Arc::new(Account { name: name.clone(), spec: spec.clone(), limiter })
+        });
+        for text in &spec.token_sha256 {
+            match TokenDigest::from_hex(text) {
+                Some(digest) => self.credentials.insert(digest, Arc::clone(&account)),
+                None => log::warn!("account {name}: a token's digest is not 64 hexadecimal digits"),
+            }
+        }
+        self.accounts.insert(name, account);
+    }
+
+    fn add_service(
+        &mut self,
+        resource: &Resource,
+        earlier: &FrontState,
+        pools: &HashMap<PoolName, Vec<Arc<UpstreamState>>>,
+        metrics: &FrontMetrics,
+    ) {
+        let Spec::Service(spec) = &resource.spec else { return };
+        let Ok(name) = ServiceName::try_new(resource.name.as_str()) else { return };
+        let upstreams: Vec<Arc<UpstreamState>> = match &spec.backend {
+            ServiceBackend::Model { pool, .. } => pools.get(pool).cloned().unwrap_or_default(),
+            ServiceBackend::Plain { upstreams, .. } => upstreams
+                .iter()
+                .map(|plain| self.upstream(earlier, plain.name.clone(), plain.address, &plain.zone))
+                .collect(),
+        };
+        let budget = earlier.services.get(&name).map(|service| Arc::clone(&service.budget));
+        let new_budget = || Arc::new(RetryBudget::new(&RetryBudgetOptions::default()));
+        let service = Arc::new(Service {
+            name: name.clone(),
+            spec: spec.clone(),
+            table: RouteTable::new(upstreams),
+            budget: budget.unwrap_or_else(new_budget),
+            metrics: metrics.service(&name),
+        });
+        if let ServiceBackend::Model { model, .. } = &spec.backend {
+            let model = model.as_str().to_owned();
+            self.models.entry(model).or_insert_with(|| Arc::clone(&service));
+        }
+        self.services.insert(name, service);
+    }
+
+    /// Returns what is known of an upstream, or begins anew if it is another one by its address.
+    fn upstream(
+        &mut self,
+        earlier: &FrontState,
+        name: UpstreamName,
+        address: std::net::SocketAddr,
+        zone: &ZoneName,
+    ) -> Arc<UpstreamState> {
+        let same = |state: &&Arc<UpstreamState>| state.address() == address && state.zone() == zone;
+        let known = self.upstreams.get(&name).filter(same);
+        let known = known.or_else(|| earlier.upstreams.get(&name).filter(same));
+        let state = known
+            .cloned()
+            .unwrap_or_else(|| Arc::new(UpstreamState::new(name.clone(), address, zone.clone())));
+        self.upstreams.insert(name, Arc::clone(&state));
+        state
+    }
+}
--- a/crates/anvilhook-daemon/src/lib.rs
+++ b/crates/anvilhook-daemon/src/lib.rs
@@ -1,2 +1,5 @@
 //! The daemon's parts, so that a test or the local demonstration can start an instance in-process.
 #![forbid(unsafe_code)]
+
+pub mod front;
+pub mod proxy;
--- a/crates/anvilhook-daemon/src/proxy/attempts.rs
+++ b/crates/anvilhook-daemon/src/proxy/attempts.rs
@@ -8,8 +8,8 @@
 use anvilhook_core::reports::PrefixHash;
 use anvilhook_core::routing::{RouteRequest, Work};
 use anvilhook_core::units::{Clock, Millis};
-use anvilhook_engine::{Attempt, Bounds, Error, Upstreams};
 use anvilhook_engine::wire::{PRIORITY_HEADER, TIME_LEFT_HEADER};
+use anvilhook_engine::{Attempt, Bounds, Error, Upstreams};
 use anvilhook_http::clients::Connection;
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
@@ -95,10 +95,7 @@
     type Answer: Send;
 
     /// Sends the attempt.
-    fn send(
-        &self,
-        attempt: &Attempt,
-    ) -> impl Future<Output = Result<Self::Answer, Error>> + Send;
+    fn send(&self, attempt: &Attempt) -> impl Future<Output = Result<Self::Answer, Error>> + Send;
 
     /// Returns the status of an answer.
     fn status(answer: &Self::Answer) -> StatusCode;
@@ -146,8 +143,7 @@
         sending: &S,
         rng: &mut ChaCha8Rng,
     ) -> Result<Answered<S::Answer, U>, Failure> {
-        let mut progress =
-            Progress { tried: Vec::new(), attempts: 0, verdict: Verdict::NotRun };
+        let mut progress = Progress { tried: Vec::new(), attempts: 0, verdict: Verdict::NotRun };
         loop {
             if self.time_left(req) == Millis::ZERO {
                 return Err(deadline_exceeded(progress.verdict));
@@ -158,8 +154,7 @@
 
             // Every attempt has an id of its own, so that answers can't be mixed up.
             let attempt = self.attempt(req, &held, progress.attempts, rng);
-            let mut running =
-                Running::new(self.upstreams.clone(), attempt.id, held, req.is_chat());
+            let mut running = Running::new(self.upstreams.clone(), attempt.id, held, req.is_chat());
             progress.attempts += 1;
             progress.tried.push(running.upstream().name().clone());
 
@@ -167,7 +162,7 @@
                 Ok(answer) => {
                     let is_failure = S::status(&answer).is_server_error();
                     if !is_failure {
-                        req.service.budget.succeeded();
+                        req.service.budget.record_success();
                     }
                     // An upstream's own error may be repeated elsewhere, but is an answer too.
                     let verdict = progress.verdict.max(Verdict::MayHaveRun);
@@ -190,7 +185,9 @@
             // A failed status has passed the check for a retry already, which takes from the budget.
             if let Some(err) = failure {
                 log_failed(req, &running, &err);
-                if !self.may_retry(req, progress.verdict, progress.attempts) {
+                // What is too large once is too large from any upstream.
+                let is_final = matches!(err, Error::TooLarge { .. });
+                if is_final || !self.may_retry(req, progress.verdict, progress.attempts) {
                     return Err(self.give_up(req, &err, progress.verdict));
                 }
             }
--- a/crates/anvilhook-daemon/src/proxy/failures.rs
+++ b/crates/anvilhook-daemon/src/proxy/failures.rs
@@ -17,6 +17,9 @@
         }
 
         impl Code {
+            /// All codes, in the order of their declaration.
+            pub const ALL: &[Code] = &[$(Code::$name),*];
+
             /// Returns the text used in bodies, logs and metrics.
             pub fn as_str(self) -> &'static str {
                 match self {
@@ -110,6 +113,7 @@
                 Code::UpstreamUnreachable
             }
             Error::Call(CallError { timed_out: true, .. }) => Code::UpstreamTimeout,
+            Error::TooLarge { .. } => Code::AnswerTooLarge,
             Error::Call(_) | Error::NotAnAnswer { .. } => Code::UpstreamFailed,
         };
         Self { code, verdict, message: err.to_string(), retry_after: None }
--- a/crates/anvilhook-daemon/src/proxy/mod.rs
+++ b/crates/anvilhook-daemon/src/proxy/mod.rs
@@ -4,7 +4,6 @@
 //! the verdict so far, the deadline and the service's retry budget.
 
 mod attempts;
-mod budgets;
 mod cancels;
 mod claims;
 mod failures;
@@ -13,7 +12,7 @@
 mod whole;
 
 pub use attempts::{Proxy, ProxyOptions, ProxyRequest, RequestKind};
-pub use budgets::RetryBudget;
+pub use claims::{ClaimRequest, Claimed, Claims, NoClaims};
 pub use failures::{Code, Failure};
 pub use rngs::RequestRngs;
-pub use streams::CallerStream;
+pub use streams::{CallerStream, StreamEnd, StreamStart};
--- a/crates/anvilhook-engine/src/errors.rs
+++ b/crates/anvilhook-engine/src/errors.rs
@@ -26,6 +26,11 @@
         /// What was wrong with it.
         message: String,
     },
+    /// Returned when the answer is larger than it may be.
+    TooLarge {
+        /// The largest that it may be, in bytes.
+        max_bytes: usize,
+    },
 }
 
 impl Error {
@@ -39,7 +44,7 @@
         match self {
             Error::Call(err) => err.verdict(),
             Error::Refused { .. } => Verdict::NotRun,
-            Error::NotAnAnswer { .. } => Verdict::MayHaveRun,
+            Error::NotAnAnswer { .. } | Error::TooLarge { .. } => Verdict::MayHaveRun,
         }
     }
 }
@@ -52,6 +57,7 @@
                 write!(f, "refused with status {status}: {message}")
             }
             Error::NotAnAnswer { message } => write!(f, "not an answer to this attempt: {message}"),
+            Error::TooLarge { max_bytes } => write!(f, "answer larger than {max_bytes} bytes"),
         }
     }
 }
--- a/crates/anvilhook-engine/src/requests.rs
+++ b/crates/anvilhook-engine/src/requests.rs
@@ -203,8 +203,7 @@
     ) -> Result<EventStream> {
         let path = format!("{STREAMS_PATH}/{attempt}?after={after}");
         let req = stream_call(Method::GET, &path)?;
-        let answer =
-            self.send(engine, attempt, req, Connection::New, bounds.first_byte).await?;
+        let answer = self.send(engine, attempt, req, Connection::New, bounds.first_byte).await?;
         if answer.status() == StatusCode::NOT_FOUND {
             return Err(Error::Refused {
                 status: StatusCode::NOT_FOUND.as_u16(),
@@ -266,9 +265,15 @@
 /// without an announced length a cut could not be told from an end.
 async fn collect_whole(answer: Response, bounds: &Bounds) -> Result<WholeAnswer> {
     let (parts, body) = answer.into_parts();
-    let has_no_body = parts.status == StatusCode::NO_CONTENT;
-    if !has_no_body && !parts.headers.contains_key(CONTENT_LENGTH) {
-        return Err(Error::not_an_answer("it announces no length"));
+    let announced = parts.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let announced = announced.and_then(|text| text.parse::<usize>().ok());
+    match announced {
+        Some(len) if len > bounds.max_answer_bytes => {
+            return Err(Error::TooLarge { max_bytes: bounds.max_answer_bytes });
+        }
+        Some(_) => {}
+        None if parts.status == StatusCode::NO_CONTENT => {}
+        None => return Err(Error::not_an_answer("it announces no length")),
     }
     let body = collect_body(body, bounds.max_answer_bytes, bounds.whole).await?;
     Ok(WholeAnswer { status: parts.status, headers: parts.headers, body })
--- a/crates/anvilhook-engine/src/streams.rs
+++ b/crates/anvilhook-engine/src/streams.rs
@@ -6,7 +6,7 @@
 use anvilhook_core::units::Millis;
 use anvilhook_http::{CallError, Stage};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http_body_util::Limited;
+use http_body_util::{LengthLimitError, Limited};
 use volo_http::body::Body;
 use volo_http::client::sse::{SseEvent, SseReader};
 use volo_http::response::Response;
@@ -50,6 +50,7 @@
     reader: SseReader<Limited<Body>>,
     attempt: String,
     last: u64,
+    max_bytes: usize,
 }
 
 impl EventStream {
@@ -73,13 +74,16 @@
         }
         let limited = answer.map(|body| Limited::new(body, max_bytes));
         let reader = SseReader::into_sse(limited).map_err(Error::not_an_answer)?;
-        Ok(Self { reader, attempt: attempt.to_string(), last: after })
+        Ok(Self { reader, attempt: attempt.to_string(), last: after, max_bytes })
     }
 
     async fn read(&mut self, timeout: Millis) -> Result<SseEvent> {
         match tokio::time::timeout(timeout.as_duration(), self.reader.read()).await {
             Ok(Ok(Some(event))) => Ok(event),
             Ok(Ok(None)) => Err(Error::not_an_answer("its stream ends without a closing event")),
+            Ok(Err(err)) if err.is::<LengthLimitError>() => {
+                Err(Error::TooLarge { max_bytes: self.max_bytes })
+            }
             Ok(Err(err)) => Err(CallError::broken(Stage::Body, err).into()),
             Err(_elapsed) => Err(CallError::timed_out(Stage::Body).into()),
         }
