--- a/crates/anvilhook-daemon/src/lib.rs
+++ b/crates/anvilhook-daemon/src/lib.rs
@@ -1,8 +1,10 @@
 //! The daemon's parts, so that a test or the local demonstration can start an instance in-process.
 #![forbid(unsafe_code)]
 
+pub mod front;
 pub mod in_flight;
 pub mod instances;
 pub mod names;
 pub mod observability;
+pub mod proxy;
 pub mod settings;
