Choose engines by estimated cost and believed prefixes

Cause: the first table chose by this instance's own open requests only. Change: load reports and the work sent since lie in atomics; the cost is wait, uncached prefill, decode and the delay to others; a few sampled engines and the believed prefix holders compete; cache events feed a lock-free prefix index that a gap or a new boot voids.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod caches;
 pub mod ejections;
 pub mod errors;
 pub mod limits;
--- a/crates/anvilhook-core/src/routing/mod.rs
+++ b/crates/anvilhook-core/src/routing/mod.rs
@@ -4,8 +4,12 @@
 //! changes with every request, such as the work in flight, lies in atomics of `UpstreamState`,
 //! which outlives the tables that name it.
 
+mod costs;
+mod loads;
 mod tables;
 mod upstreams;
 
-pub use tables::{RouteRequest, RouteTable};
+pub use costs::{CostOptions, Estimate, Phase, estimate};
+pub use loads::{Load, Speeds};
+pub use tables::{Candidate, Placement, RouteRequest, RouteTable};
 pub use upstreams::{UpstreamState, Work};
--- a/crates/anvilhook-core/src/routing/upstreams.rs
+++ b/crates/anvilhook-core/src/routing/upstreams.rs
@@ -1,10 +1,18 @@
 //! What one instance knows of one upstream.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
+use super::loads::{Load, LoadView};
+use crate::caches::CacheSlot;
+use crate::ejections::{Ejection, EjectionOptions};
 use crate::names::{UpstreamName, ZoneName};
-use crate::units::Tokens;
+use crate::orders::Role;
+use crate::reports::LoadReport;
+use crate::units::{Millis, Tokens};
+
+/// No slot of the prefix index.
+const NO_SLOT: u32 = u32::MAX;
 
 /// `Work` is what a request asks of an engine.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -24,7 +32,11 @@
     zone: ZoneName,
     leaving: AtomicBool,
     open_requests: AtomicU64,
-    open_prompt_tokens: AtomicU64,
+    load: LoadView,
+    ejection: Ejection,
+    cache_slot: AtomicU32,
+    // The time of the last choice, for callers that count work in without saying when.
+    chosen_at: AtomicU64,
 }
 
 impl UpstreamState {
@@ -36,7 +48,10 @@
             zone,
             leaving: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
-            open_prompt_tokens: AtomicU64::new(0),
+            load: LoadView::new(),
+            ejection: Ejection::new(&EjectionOptions::default()),
+            cache_slot: AtomicU32::new(NO_SLOT),
+            chosen_at: AtomicU64::new(0),
         }
     }
 
@@ -65,20 +80,82 @@
         !self.leaving.load(Ordering::Acquire)
     }
 
-    /// Counts a request of this instance in, before it is sent.
+    /// Counts a request of this instance in, before it is sent. It counts as sent when the upstream
+    /// was last chosen; `begin_at` is more exact.
     pub fn begin(&self, work: Work) {
+        self.begin_at(work, Millis(self.chosen_at.load(Ordering::Relaxed)));
+    }
+
+    /// Counts a request of this instance in, before it is sent. The work's prompt should be what
+    /// the engine has to read, without what its cache is believed to hold.
+    pub fn begin_at(&self, work: Work, now: Millis) {
         self.open_requests.fetch_add(1, Ordering::AcqRel);
-        self.open_prompt_tokens.fetch_add(work.prompt.0, Ordering::AcqRel);
+        self.load.record(work, now);
     }
 
     /// Counts a request of this instance out, when it has ended one way or the other.
-    pub fn end(&self, work: Work) {
+    pub fn end(&self, _work: Work) {
         self.open_requests.fetch_sub(1, Ordering::AcqRel);
-        self.open_prompt_tokens.fetch_sub(work.prompt.0, Ordering::AcqRel);
     }
 
     /// Returns how many requests of this instance are in flight at the upstream.
     pub fn open_requests(&self) -> u64 {
         self.open_requests.load(Ordering::Acquire)
     }
+
+    /// Applies a load report, which is `report.age` old. A report older than the last one changes
+    /// nothing.
+    ///
+    /// A report that says that the engine is leaving is obeyed; that it is no longer leaving is for
+    /// whoever called `set_leaving` to say.
+    pub fn apply_report(&self, report: &LoadReport, now: Millis) {
+        if self.load.apply(report, now) && report.leaving {
+            self.set_leaving(true);
+        }
+    }
+
+    /// Returns whether any load report has been applied.
+    pub fn has_report(&self) -> bool {
+        self.load.has_report()
+    }
+
+    /// Records work that a peer says it sent at about `at`.
+    pub fn record_peer_work(&self, work: Work, at: Millis) {
+        self.load.record(work, at);
+    }
+
+    /// Returns the load that the upstream is believed to have now.
+    pub fn load(&self, now: Millis) -> Load {
+        self.load.estimate(now)
+    }
+
+    /// Returns the role that the engine is believed to have.
+    pub fn role(&self) -> Role {
+        self.load.role()
+    }
+
+    /// Sets the role that the engine is known to have, before a report says so.
+    pub fn set_role(&self, role: Role) {
+        self.load.set_role(role);
+    }
+
+    /// Returns the record of the upstream's failures.
+    pub fn ejection(&self) -> &Ejection {
+        &self.ejection
+    }
+
+    /// Says under which slot of the prefix index the engine's cache is known.
+    pub fn set_cache_slot(&self, slot: CacheSlot) {
+        self.cache_slot.store(u32::from(slot.0), Ordering::Release);
+    }
+
+    /// Returns the slot of the prefix index, if one is set.
+    pub fn cache_slot(&self) -> Option<CacheSlot> {
+        let slot = self.cache_slot.load(Ordering::Acquire);
+        u16::try_from(slot).ok().map(CacheSlot)
+    }
+
+    pub(super) fn note_chosen(&self, now: Millis) {
+        self.chosen_at.store(now.0, Ordering::Relaxed);
+    }
 }
