Bind the control of engines over HTTP

Cause: load reports and orders need a client of the engines' control calls. Conclusion: the report reader and the authority can rest on it.

--- a/crates/anvilhook-engine/src/lib.rs
+++ b/crates/anvilhook-engine/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod errors;
+pub mod http_control;
 pub mod prompts;
 pub mod requests;
 pub mod streams;
@@ -12,5 +13,6 @@
 
 pub use control::EngineControl;
 pub use errors::{Error, Result};
+pub use http_control::{ControlOptions, HttpEngineControl};
 pub use requests::{Attempt, Bounds, HttpUpstreams, Opened, Upstreams, WholeAnswer};
 pub use streams::{EventSource, EventStream, StreamItem};
