--- /dev/null
+++ b/crates/anvilhook-core/src/authority/decisions.rs
@@ -0,0 +1,170 @@
+//! The next step for one engine.
+
+use std::collections::BTreeSet;
+
+use super::rows::PoolRow;
+use super::settling::{Fate, GivenOrder, SettleOptions, settle};
+use crate::drains::{DrainCause, DrainProgress};
+use crate::names::{InstanceName, UpstreamName};
+use crate::orders::{EngineState, Order, StampedOrder, Term};
+use crate::resources::Fencing;
+use crate::units::Millis;
+
+/// `EngineFacts` is what the holder of a pool knows of one engine when it decides.
+#[derive(Clone, Debug)]
+pub struct EngineFacts<'a> {
+    /// The engine.
+    pub engine: &'a UpstreamName,
+    /// The kind that holds for it, see `effective_fencing`.
+    pub fencing: Fencing,
+    /// Its state, read after the pool's row and after the acknowledgements in `drain`.
+    pub state: &'a EngineState,
+    /// When the reading of the state was sent.
+    pub read_at: Millis,
+    /// Since when this process has seen the former holders as they are in the row.
+    pub uncleared_since: Millis,
+    /// The last order that this process gave to the engine.
+    pub given: Option<GivenOrder>,
+    /// What the engine should be, as orders; those that its state meets already cost nothing.
+    pub desired: &'a [Order],
+    /// How far its drain is.
+    pub drain: DrainProgress,
+    /// Whether the lease holds for long enough to give an order now.
+    pub may_order: bool,
+    /// Whether one more engine of the pool may be taken out of service.
+    pub may_drain: bool,
+    /// Whether the weight store has room for one more load.
+    pub may_load: bool,
+    /// Whether the engine refused an order a short while ago, so that the next must wait.
+    pub refused_lately: bool,
+}
+
+/// `Wait` says what an engine's change waits for.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Wait {
+    /// The order runs.
+    OrderRunning,
+    /// An order whose answer was lost may still arrive, until this time.
+    OrderInDoubt(Millis),
+    /// Former holders that may still give an order that the engine would take.
+    Predecessor(BTreeSet<InstanceName>),
+    /// The instances that have not acknowledged the drain.
+    Instances(BTreeSet<InstanceName>),
+    /// The requests that the engine still reports.
+    OpenRequests(u64),
+    /// The lease ends too soon for an order, until it is renewed.
+    LeaseEnding,
+    /// Too many engines of the pool are out of service.
+    Pool,
+    /// The weight store serves as many loads as it may.
+    WeightStore,
+    /// The engine refused the order and is asked again later.
+    Refusal,
+}
+
+/// `Decision` is the next step for one engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// The engine is as it should be.
+    Idle,
+    /// Nothing can be done now.
+    Wait(Wait),
+    /// Take a term above the one that the engine has seen.
+    RaiseTerm(Term),
+    /// Mark the engine as draining for a change.
+    Mark,
+    /// Let the engine serve again.
+    Unmark,
+    /// Record the order in the table. It is given only once the record is known to stand.
+    Record(Order),
+    /// Give the recorded order.
+    Give(StampedOrder),
+    /// Take the ended order from the table.
+    Close,
+}
+
+/// Returns whether an engine's state meets what an order asks for.
+pub fn is_met(order: &Order, state: &EngineState) -> bool {
+    match order {
+        Order::SetRole { role } => state.role == *role,
+        Order::LoadModel { model } => state.model.as_ref() == Some(model),
+        Order::LoadAdapter { adapter } => state.adapters.contains(adapter),
+    }
+}
+
+/// Returns whether an order takes the engine out of service while it runs.
+fn needs_drain(order: &Order) -> bool {
+    match order {
+        Order::SetRole { .. } | Order::LoadModel { .. } => true,
+        Order::LoadAdapter { .. } => false,
+    }
+}
+
+/// Returns the next step for an engine of a pool that the caller holds by `row`.
+pub fn decide(row: &PoolRow, facts: &EngineFacts<'_>, options: &SettleOptions) -> Decision {
+    // A table that lost its rows counts terms anew; the engine has seen later ones. If instead a
+    // successor has taken the pool, the row has changed and the raise fails.
+    let seen = facts.state.last_stamp.term;
+    if seen > row.term {
+        return Decision::RaiseTerm(seen);
+    }
+
+    match row.open.get(facts.engine) {
+        Some(open) => match settle(row, open, facts, options) {
+            Fate::Running => Decision::Wait(Wait::OrderRunning),
+            Fate::InDoubt(until) => Decision::Wait(Wait::OrderInDoubt(until)),
+            Fate::AwaitingSenders(names) => Decision::Wait(Wait::Predecessor(names)),
+            Fate::Ended => Decision::Close,
+            _ if !facts.may_order => Decision::Wait(Wait::LeaseEnding),
+            Fate::Unfenced => Decision::Record(open.order.clone()),
+            Fate::NotGiven => Decision::Give(open.stamped()),
+        },
+        None => decide_next(row, facts),
+    }
+}
+
+/// Returns the next step where no order is open.
+fn decide_next(row: &PoolRow, facts: &EngineFacts<'_>) -> Decision {
+    if facts.state.running_order.is_some() {
+        return Decision::Wait(Wait::OrderRunning);
+    }
+    let marked = row.drains.is_marked_for(facts.engine, &DrainCause::Change);
+    let wanted = facts.desired.iter().find(|order| !is_met(order, facts.state));
+    let Some(wanted) = wanted else {
+        return if marked { Decision::Unmark } else { Decision::Idle };
+    };
+
+    // With no order open the engine may serve while its change waits for something that can take
+    // long.
+    let unmark_or = |wait| if marked { Decision::Unmark } else { Decision::Wait(wait) };
+    if facts.fencing == Fencing::Ignores && !row.uncleared.is_empty() {
+        return unmark_or(Wait::Predecessor(row.uncleared.clone()));
+    }
+    if facts.refused_lately {
+        return unmark_or(Wait::Refusal);
+    }
+    if matches!(wanted, Order::LoadModel { .. }) && !facts.may_load {
+        return unmark_or(Wait::WeightStore);
+    }
+
+    if needs_drain(wanted) {
+        if !marked {
+            return if facts.may_drain { Decision::Mark } else { Decision::Wait(Wait::Pool) };
+        }
+        match &facts.drain {
+            DrainProgress::NotMarked => return Decision::Mark,
+            DrainProgress::AwaitingInstances(names) => {
+                return Decision::Wait(Wait::Instances(names.clone()));
+            }
+            DrainProgress::Acknowledged => {}
+        }
+        if facts.state.open_requests > 0 {
+            return Decision::Wait(Wait::OpenRequests(facts.state.open_requests));
+        }
+    }
+    if facts.may_order {
+        Decision::Record(wanted.clone())
+    } else {
+        Decision::Wait(Wait::LeaseEnding)
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-core/src/drains/followers.rs
@@ -0,0 +1,64 @@
+//! What every instance does about the drains that others order.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::acknowledgements::{DrainAck, PoolAck};
+use super::marks::DrainMarks;
+use crate::names::{InstanceName, PoolName, UpstreamName};
+
+/// `FollowedPool` is the newest generation of a pool's marks that an instance goes by.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FollowedPool {
+    /// The generation.
+    pub generation: u64,
+    /// The engines that drain.
+    pub draining: BTreeSet<UpstreamName>,
+}
+
+/// `DrainFollower` keeps which engines an instance must not route to, and what it may acknowledge.
+#[derive(Clone, Debug, Default)]
+pub struct DrainFollower {
+    pools: BTreeMap<PoolName, FollowedPool>,
+}
+
+impl DrainFollower {
+    /// Adopts marks as they were read, and returns whether they are newer. Older marks change
+    /// nothing: an answer of the table may be overtaken by another, and going back would route to
+    /// an engine whose drain has been acknowledged.
+    pub fn adopt(&mut self, pool: &PoolName, marks: &DrainMarks) -> bool {
+        let known = self.pools.entry(pool.clone()).or_default();
+        if marks.generation <= known.generation {
+            return false;
+        }
+        known.generation = marks.generation;
+        known.draining = marks.engines.keys().cloned().collect();
+        true
+    }
+
+    /// Returns whether an engine drains, so that it gets no new work.
+    pub fn is_draining(&self, engine: &UpstreamName) -> bool {
+        self.pools.values().any(|pool| pool.draining.contains(engine))
+    }
+
+    /// Returns all engines that drain.
+    pub fn draining(&self) -> impl Iterator<Item = &UpstreamName> {
+        self.pools.values().flat_map(|pool| &pool.draining)
+    }
+
+    /// Returns what the instance may acknowledge. The caller must have made its routing go by the
+    /// adopted marks before `open_requests` reads the counts; else a request that was routed by
+    /// older marks begins after the count was read as zero, and the change cuts it.
+    pub fn ack(
+        &self,
+        instance: &InstanceName,
+        open_requests: impl Fn(&UpstreamName) -> u64,
+    ) -> DrainAck {
+        let ack_of = |pool: &FollowedPool| PoolAck {
+            generation: pool.generation,
+            clear: pool.draining.iter().filter(|name| open_requests(name) == 0).cloned().collect(),
+        };
+        let pools = self.pools.iter().filter(|(_, pool)| !pool.draining.is_empty());
+        let pools = pools.map(|(name, pool)| (name.clone(), ack_of(pool))).collect();
+        DrainAck { instance: instance.clone(), pools }
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-core/src/leases/options.rs
@@ -0,0 +1,79 @@
+//! The lengths that leases rest on.
+
+use serde::{Deserialize, Serialize};
+
+use crate::errors::{Error, Result};
+use crate::units::Millis;
+
+/// Parts in a million, the unit of clock rate differences.
+const MILLION: u64 = 1_000_000;
+
+/// `LeaseOptions` sets the lengths that leases rest on. All instances must be given the same.
+///
+/// ```
+/// use anvilhook_core::leases::LeaseOptions;
+/// use anvilhook_core::units::Millis;
+///
+/// let options = LeaseOptions::default();
+/// assert!(options.check().is_ok());
+/// assert!(options.challenge_after(Millis(9_000)) > Millis(9_000));
+/// ```
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LeaseOptions {
+    /// How long a renewal is good for.
+    pub length_ms: Millis,
+    /// The time between two renewals.
+    pub renew_every_ms: Millis,
+    /// How long before the end of its lease a holder stops giving orders. It must be longer than
+    /// the time-out of a call to an engine, so that an order arrives while the lease holds.
+    pub guard_ms: Millis,
+    /// By how many parts in a million the rates of any two instances' clocks may differ.
+    pub clock_rate_bound_ppm: u64,
+    /// What a challenger waits beyond the length and the clock rate bound.
+    pub margin_ms: Millis,
+}
+
+impl LeaseOptions {
+    /// Checks that the lengths fit each other.
+    ///
+    /// # Errors
+    ///
+    /// `Error::BadField` naming the first field that breaks its rule.
+    pub fn check(&self) -> Result<()> {
+        if self.length_ms == Millis::ZERO {
+            return Err(Error::bad_field("lease.length_ms", "more than 0"));
+        }
+        if self.guard_ms >= self.length_ms {
+            return Err(Error::bad_field("lease.guard_ms", "less than length_ms"));
+        }
+        if self.renew_every_ms + self.guard_ms >= self.length_ms {
+            let expected = "less than length_ms - guard_ms, so that renewals come in time";
+            return Err(Error::bad_field("lease.renew_every_ms", expected));
+        }
+        if self.clock_rate_bound_ppm >= MILLION {
+            return Err(Error::bad_field("lease.clock_rate_bound_ppm", "less than 1000000"));
+        }
+        Ok(())
+    }
+
+    /// Returns how long a challenger must see a row of the given length unchanged before it may
+    /// end it.
+    pub fn challenge_after(&self, length: Millis) -> Millis {
+        // Rounded up, because a millisecond too few would be one in which both may act.
+        let drift = length.0.saturating_mul(self.clock_rate_bound_ppm).div_ceil(MILLION);
+        length + Millis(drift) + self.margin_ms
+    }
+}
+
+impl Default for LeaseOptions {
+    fn default() -> Self {
+        Self {
+            length_ms: Millis(9_000),
+            renew_every_ms: Millis(3_000),
+            guard_ms: Millis(2_500),
+            clock_rate_bound_ppm: 1_000,
+            margin_ms: Millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-core/src/leases/sessions.rs
@@ -0,0 +1,166 @@
+//! Sessions: the one row that an instance renews for all that it holds.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::LeaseOptions;
+use crate::names::InstanceName;
+use crate::units::Millis;
+
+/// `SessionRef` names one session of one instance.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct SessionRef {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Which of its sessions, from 1. An instance whose session was ended opens the next.
+    pub epoch: u64,
+}
+
+impl fmt::Display for SessionRef {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.instance, self.epoch)
+    }
+}
+
+/// `SessionRow` is a session as it is stored.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct SessionRow {
+    /// Whose session it is.
+    pub session: SessionRef,
+    /// The number of the last renewal. It makes each renewal a change that a challenger sees.
+    pub renewal: u64,
+    /// How long a renewal is good for.
+    pub length: Millis,
+    /// Whether the session has ended, by its instance or by a challenger. It never goes on.
+    pub ended: bool,
+}
+
+impl SessionRow {
+    /// Returns whether this row says that a session goes on.
+    pub fn keeps(&self, session: &SessionRef) -> bool {
+        self.session == *session && !self.ended
+    }
+
+    /// Returns the row by which a challenger, or the instance itself, ends the session.
+    pub fn end(&self) -> SessionRow {
+        SessionRow { ended: true, ..self.clone() }
+    }
+}
+
+/// `SessionFate` is what an instance learns of its session by reading it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SessionFate {
+    /// It goes on.
+    Goes,
+    /// It has ended, and with it all that the instance held.
+    Ended,
+}
+
+/// A renewal, or the opening, whose effect is not known yet.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Pending {
+    row: SessionRow,
+    sent_at: Millis,
+}
+
+/// `OwnSession` is what an instance knows of its own session.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct OwnSession {
+    row: SessionRow,
+    version: Option<u64>,
+    good_from: Option<Millis>,
+    pending: Option<Pending>,
+}
+
+impl OwnSession {
+    /// Makes the next session of an instance. `stored` is the row of an earlier one, if there is
+    /// any, with its version. The session is good for nothing until its opening is confirmed.
+    pub fn new(
+        instance: InstanceName,
+        length: Millis,
+        stored: Option<(&SessionRow, u64)>,
+    ) -> OwnSession {
+        let epoch = stored.map_or(1, |(row, _)| row.session.epoch + 1);
+        let session = SessionRef { instance, epoch };
+        let row = SessionRow { session, renewal: 0, length, ended: false };
+        let version = stored.map(|(_, version)| version);
+        OwnSession { row, version, good_from: None, pending: None }
+    }
+
+    /// Returns the session's name.
+    pub fn session(&self) -> &SessionRef {
+        &self.row.session
+    }
+
+    /// Returns the version at which the next renewal must find the row, `None` if it must be absent.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Returns the row as it was last known to stand.
+    pub fn row(&self) -> &SessionRow {
+        &self.row
+    }
+
+    /// Returns whether it is time to open or renew the session.
+    pub fn is_due(&self, now: Millis, options: &LeaseOptions) -> bool {
+        let unsettled = self.pending.is_some();
+        unsettled || self.good_from.is_none_or(|from| now >= from + options.renew_every_ms)
+    }
+
+    /// Begins the opening or a renewal and returns the row to write. It must be called before the
+    /// write is sent.
+    ///
+    /// A renewal that is sent again keeps the time of its first sending: of two sendings that
+    /// carry one row, nobody can tell which took effect, and a challenger may have counted from
+    /// the first.
+    pub fn begin(&mut self, now: Millis) -> SessionRow {
+        if let Some(pending) = &self.pending {
+            return pending.row.clone();
+        }
+        let row = SessionRow { renewal: self.row.renewal + 1, ..self.row.clone() };
+        self.pending = Some(Pending { row: row.clone(), sent_at: now });
+        row
+    }
+
+    /// Notes that the write took effect.
+    pub fn confirm(&mut self) {
+        let Some(pending) = self.pending.take() else { return };
+        self.row = pending.row;
+        self.version = Some(self.version.unwrap_or(0) + 1);
+        self.good_from = Some(pending.sent_at);
+    }
+
+    /// Notes the row as it was read after a lost answer or a conflict.
+    pub fn read_back(&mut self, standing: Option<(&SessionRow, u64)>) -> SessionFate {
+        let Some((row, version)) = standing else {
+            // The opening has not taken effect, and may still be sent again. A row that was there
+            // and is gone was ended and cleared away.
+            return if self.good_from.is_none() { SessionFate::Goes } else { SessionFate::Ended };
+        };
+        if self.pending.as_ref().is_some_and(|pending| pending.row == *row) {
+            self.confirm();
+            self.version = Some(version);
+            return SessionFate::Goes;
+        }
+        if Some(version) == self.version && (row.keeps(self.session()) || self.good_from.is_none())
+        {
+            return SessionFate::Goes;
+        }
+        SessionFate::Ended
+    }
+
+    /// Returns until when the session holds, on this instance's clock.
+    pub fn good_until(&self) -> Option<Millis> {
+        self.good_from.map(|from| from + self.row.length)
+    }
+
+    /// Returns whether an order may be given now.
+    ///
+    /// Without the guard interval an order that is checked just before the lease ends would arrive
+    /// after a successor has begun; one would see orders of two terms interleave at an engine.
+    pub fn may_order(&self, now: Millis, options: &LeaseOptions) -> bool {
+        self.good_until().is_some_and(|until| now + options.guard_ms < until)
+    }
+}
--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -5,7 +5,11 @@
 #![forbid(unsafe_code)]
 
 pub mod attempts;
+pub mod authority;
+pub mod drains;
 pub mod errors;
+pub mod leases;
+pub mod membership;
 pub mod names;
 pub mod orders;
 pub mod reports;
--- /dev/null
+++ b/crates/anvilhook-core/src/membership/mod.rs
@@ -0,0 +1,8 @@
+//! Which instances there are: those that announced themselves in the table, seen beside what the
+//! platform says of them.
+
+mod candidates;
+mod members;
+
+pub use candidates::{CandidateOptions, rank, watch_interval};
+pub use members::{Listed, Member, Roster};
