Let a configuration be changed without copying its resources

Cause: a partner that lags by one change should not need the whole configuration. Change: Configuration::changed puts and deletes resources and shares the rest.

--- a/crates/anvilhook-core/src/resources/configurations.rs
+++ b/crates/anvilhook-core/src/resources/configurations.rs
@@ -23,6 +23,21 @@
         Self { revision, resources: keyed.collect() }
     }
 
+    /// Returns the configuration that a change of this one leads to. Unchanged resources are shared.
+    pub fn changed(
+        &self,
+        revision: Revision,
+        put: impl IntoIterator<Item = Arc<Resource>>,
+        deleted: &[ResourceKey],
+    ) -> Self {
+        let mut resources = self.resources.clone();
+        for key in deleted {
+            resources.remove(key);
+        }
+        resources.extend(put.into_iter().map(|resource| (resource.key(), resource)));
+        Self { revision, resources }
+    }
+
     /// Returns the revision of the last change.
     pub fn revision(&self) -> Revision {
         self.revision
