Link the instances over capnp-rpc

Cause: what one instance knows (configuration, drain and term acknowledgements, load, demand) has to reach the others without the table and without a message per pair. Change: crates/anvilhook-peer: a pure gossip node (numbered sections by origin, pulled configurations, partners on hashed rings) and a capnp-rpc transport on a thread of its own with HMAC proofs in both directions, bounded sizes and rates. PeerLink::start and PeerHandle are the API. Conclusion: cargo test -p anvilhook-peer passes (6 tests of the link on the loopback).

--- /dev/null
+++ b/crates/anvilhook-peer/src/gossip/boards.rs
@@ -0,0 +1,160 @@
+//! The newest section of one kind by each instance, and how news is merged into it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use anvilhook_core::names::InstanceName;
+use anvilhook_core::units::Millis;
+
+use super::messages::Item;
+use super::sections::Section;
+
+/// `BoardRules` bounds what a board takes and keeps.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BoardRules {
+    /// The age from which a section no longer counts.
+    pub max_age: Millis,
+    /// The most links that a section crosses.
+    pub max_hops: u8,
+    /// The most origins that are kept.
+    pub max_origins: usize,
+    /// How long anything is kept of an origin that is not announced.
+    pub retention: Millis,
+}
+
+/// `Heard` is a section as it was heard.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Heard<T> {
+    /// Its number among the origin's sections of this kind.
+    pub version: u64,
+    /// When it was heard, on the own clock.
+    pub heard_at: Millis,
+    /// How old it was then.
+    pub age: Millis,
+    /// The section.
+    pub body: Arc<T>,
+}
+
+impl<T> Heard<T> {
+    /// Returns how long ago the section was written.
+    pub fn age_at(&self, now: Millis) -> Millis {
+        self.age + (now - self.heard_at)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry<T> {
+    heard: Heard<T>,
+    hops: u8,
+    // An aged section stays as a mark: without it, an older one that arrives late would be taken
+    // for news, because its age on the wire leaves out the time that it was under way.
+    aged: bool,
+}
+
+/// `Board` holds the newest section of one kind by each instance.
+#[derive(Debug)]
+pub struct Board<T> {
+    rules: BoardRules,
+    entries: BTreeMap<InstanceName, Entry<T>>,
+}
+
+impl<T: Section> Board<T> {
+    /// Makes an empty board.
+    pub fn new(rules: BoardRules) -> Self {
+        Self { rules, entries: BTreeMap::new() }
+    }
+
+    /// Changes the most links that a section crosses.
+    pub fn set_max_hops(&mut self, max_hops: u8) {
+        self.rules.max_hops = max_hops;
+    }
+
+    /// Writes an instance's own section under the next number.
+    pub fn write(&mut self, origin: &InstanceName, body: T, now: Millis) {
+        let version = self.version(origin) + 1;
+        let heard = Heard { version, heard_at: now, age: Millis::ZERO, body: Arc::new(body) };
+        self.entries.insert(origin.clone(), Entry { heard, hops: 0, aged: false });
+    }
+
+    /// Returns the highest number seen from an origin, or zero.
+    pub fn version(&self, origin: &InstanceName) -> u64 {
+        self.entries.get(origin).map_or(0, |entry| entry.heard.version)
+    }
+
+    /// Merges a section and returns whether it was news.
+    pub fn merge(
+        &mut self,
+        item: &Item<T>,
+        announced: &BTreeSet<InstanceName>,
+        now: Millis,
+    ) -> bool {
+        let is_stray = !announced.contains(&item.origin) && item.age > self.rules.retention;
+        if item.age > self.rules.max_age || item.hops > self.rules.max_hops || is_stray {
+            return false;
+        }
+        if let Some(entry) = self.entries.get_mut(&item.origin) {
+            // A shorter way of the same section lets it go further on.
+            if entry.heard.version == item.version {
+                entry.hops = entry.hops.min(item.hops);
+            }
+            if entry.heard.version >= item.version {
+                return false;
+            }
+        } else if self.entries.len() >= self.rules.max_origins {
+            return false;
+        }
+        let heard = Heard {
+            version: item.version,
+            heard_at: now,
+            age: item.age,
+            body: Arc::clone(&item.body),
+        };
+        self.entries.insert(item.origin.clone(), Entry { heard, hops: item.hops, aged: false });
+        true
+    }
+
+    /// Ages sections out, forgets origins long gone, and returns whether that changed anything that
+    /// counts.
+    pub fn expire(&mut self, announced: &BTreeSet<InstanceName>, now: Millis) -> bool {
+        let rules = self.rules;
+        let mut changed = false;
+        for entry in self.entries.values_mut() {
+            if !entry.aged && entry.heard.age_at(now) > rules.max_age {
+                entry.aged = true;
+                changed = true;
+            }
+        }
+        self.entries.retain(|origin, entry| {
+            let keep = announced.contains(origin) || entry.heard.age_at(now) <= rules.retention;
+            changed |= !keep && !entry.aged;
+            keep
+        });
+        changed
+    }
+
+    /// Returns the sections to tell a partner who knows the given numbers.
+    pub fn news_for<'a>(
+        &'a self,
+        known: &'a BTreeMap<InstanceName, u64>,
+        now: Millis,
+    ) -> impl Iterator<Item = Item<T>> + 'a {
+        let max_hops = self.rules.max_hops;
+        let fresh = self.entries.iter().filter(move |(origin, entry)| {
+            let is_known = known.get(*origin).is_some_and(|v| *v >= entry.heard.version);
+            !entry.aged && entry.hops < max_hops && !is_known
+        });
+        fresh.map(move |(origin, entry)| Item {
+            origin: origin.clone(),
+            version: entry.heard.version,
+            age: entry.heard.age_at(now),
+            hops: entry.hops + 1,
+            body: Arc::clone(&entry.heard.body),
+        })
+    }
+
+    /// Returns the sections of all instances but one that have not aged.
+    pub fn heard_from_others(&self, me: &InstanceName) -> BTreeMap<InstanceName, Heard<T>> {
+        let others = self.entries.iter().filter(|(origin, entry)| *origin != me && !entry.aged);
+        others.map(|(origin, entry)| (origin.clone(), entry.heard.clone())).collect()
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-peer/src/gossip/budgets.rs
@@ -0,0 +1,51 @@
+//! How often and how far sections may travel, so that a node's traffic stays within a budget
+//! whatever the number of instances.
+
+use anvilhook_core::units::Millis;
+
+/// Returns about how many instances' sections arrive at one instance that has `degree` partners, if
+/// a section crosses at most `hops` links.
+///
+/// ```
+/// use anvilhook_peer::gossip::reach;
+///
+/// assert_eq!(reach(390, 4, 1), 5);
+/// assert_eq!(reach(390, 4, 2), 17);
+/// assert_eq!(reach(9, 4, 3), 9);
+/// ```
+pub fn reach(instances: usize, degree: usize, hops: u8) -> usize {
+    let mut total: usize = 1;
+    let mut ring = degree;
+    for _ in 0..hops {
+        total = total.saturating_add(ring);
+        ring = ring.saturating_mul(degree.saturating_sub(1));
+        if total >= instances {
+            return instances.max(1);
+        }
+    }
+    total
+}
+
+/// Returns the least time between two sections of one instance, if each of `origins` instances
+/// writes sections of `section_bytes` and every link carries each once.
+pub fn spacing(origins: usize, degree: usize, section_bytes: usize, bytes_per_s: u32) -> Millis {
+    let bytes = (origins * degree * section_bytes) as u64;
+    Millis(bytes * 1_000 / u64::from(bytes_per_s.max(1)))
+}
+
+/// Returns the most links that a section may cross so that one written every `interval` stays
+/// within the budget; at least one.
+pub fn hops_within(
+    instances: usize,
+    degree: usize,
+    section_bytes: usize,
+    bytes_per_s: u32,
+    interval: Millis,
+) -> u8 {
+    const MOST: u8 = 8;
+    let fits = |hops: &u8| {
+        let origins = reach(instances, degree, *hops);
+        spacing(origins, degree, section_bytes, bytes_per_s) <= interval
+    };
+    (1..=MOST).rev().find(fits).unwrap_or(1)
+}
--- /dev/null
+++ b/crates/anvilhook-peer/src/gossip/configurations.rs
@@ -0,0 +1,115 @@
+//! The newest configuration and the few before it, and how a partner is brought up to date.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use anvilhook_core::resources::{Configuration, Resource, ResourceKey};
+use anvilhook_core::units::Revision;
+use serde::{Deserialize, Serialize};
+
+use super::messages::Transfer;
+use crate::errors::{Error, Result};
+
+/// How many earlier configurations are kept to answer with a change. They share their resources.
+const KEPT: usize = 16;
+
+/// `ConfigurationShelf` holds the newest configuration known. It never goes back to a lower
+/// revision.
+#[derive(Debug, Default)]
+pub struct ConfigurationShelf {
+    // The newest last.
+    kept: VecDeque<Arc<Configuration>>,
+    whole: Option<Transfer>,
+}
+
+/// `Change` leads from one configuration to another.
+#[derive(Deserialize, Serialize)]
+struct Change {
+    put: Vec<Arc<Resource>>,
+    deleted: Vec<ResourceKey>,
+}
+
+impl ConfigurationShelf {
+    /// Returns the newest revision, or zero.
+    pub fn revision(&self) -> Revision {
+        self.newest().map_or(Revision(0), |newest| newest.revision())
+    }
+
+    /// Returns the newest configuration.
+    pub fn newest(&self) -> Option<&Arc<Configuration>> {
+        self.kept.back()
+    }
+
+    /// Takes a configuration if it is newer, and returns whether it was.
+    pub fn offer(&mut self, offered: Arc<Configuration>) -> bool {
+        if offered.revision() <= self.revision() {
+            return false;
+        }
+        self.kept.push_back(offered);
+        if self.kept.len() > KEPT {
+            self.kept.pop_front();
+        }
+        self.whole = None;
+        true
+    }
+
+    /// Answers a partner who holds revision `have`; nothing if it holds as much.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Codec` if the configuration cannot be encoded.
+    pub fn answer(&mut self, have: Revision) -> Result<Option<Transfer>> {
+        let Some(newest) = self.newest().cloned().filter(|newest| newest.revision() > have) else {
+            return Ok(None);
+        };
+        let base = self.kept.iter().find(|kept| kept.revision() == have);
+        if let Some(base) = base {
+            let json = encode(&change_between(base, &newest))?;
+            return Ok(Some(Transfer { base: have, revision: newest.revision(), json }));
+        }
+        if self.whole.is_none() {
+            let json = encode(newest.as_ref())?;
+            self.whole = Some(Transfer { base: Revision(0), revision: newest.revision(), json });
+        }
+        Ok(self.whole.clone())
+    }
+
+    /// Takes a transfer if it is newer, and returns whether it was.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Codec` if it cannot be decoded; `Error::WrongBase` if it is a change of a revision
+    /// that is not held, so that the whole must be asked for.
+    pub fn take(&mut self, transfer: &Transfer) -> Result<bool> {
+        if transfer.revision <= self.revision() {
+            return Ok(false);
+        }
+        let next = if transfer.base == Revision(0) {
+            serde_json::from_slice(&transfer.json).map_err(Error::codec)?
+        } else {
+            let base = self.kept.iter().find(|kept| kept.revision() == transfer.base);
+            let base = base.ok_or(Error::WrongBase { base: transfer.base })?;
+            let change: Change = serde_json::from_slice(&transfer.json).map_err(Error::codec)?;
+            base.changed(transfer.revision, change.put, &change.deleted)
+        };
+        if next.revision() != transfer.revision {
+            return Err(Error::codec("the configuration's revision is not the transfer's"));
+        }
+        Ok(self.offer(Arc::new(next)))
+    }
+}
+
+fn change_between(base: &Configuration, newest: &Configuration) -> Change {
+    let is_new = |resource: &&Arc<Resource>| {
+        let old = base.get(&resource.key());
+        old.is_none_or(|old| !Arc::ptr_eq(old, resource) && old != *resource)
+    };
+    let put = newest.resources().filter(is_new).cloned().collect();
+    let keys = base.resources().map(|resource| resource.key());
+    let deleted = keys.filter(|key| newest.get(key).is_none()).collect();
+    Change { put, deleted }
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Arc<[u8]>> {
+    serde_json::to_vec(value).map(Arc::from).map_err(Error::codec)
+}
--- /dev/null
+++ b/crates/anvilhook-peer/src/gossip/mod.rs
@@ -0,0 +1,24 @@
+//! The pure part of the link: no I/O, no time of its own.
+//!
+//! Each instance writes three sections about itself: acknowledgements, load and account demand. A
+//! section is replaced as a whole and numbered, so merging keeps the highest number of each origin
+//! and can be repeated, reordered or left out without harm. The configuration's revision travels
+//! with every update; the bytes are pulled by the one that lacks them.
+
+mod boards;
+mod budgets;
+mod configurations;
+mod messages;
+mod nodes;
+mod partners;
+mod sections;
+
+pub use boards::{Board, BoardRules, Heard};
+pub use budgets::{hops_within, reach, spacing};
+pub use configurations::ConfigurationShelf;
+pub use messages::{Item, LinkId, Message, Transfer, Transport, Update};
+pub use nodes::{GossipNode, GossipOptions, News};
+pub use partners::{PartnerOptions, choose_partners};
+pub use sections::{
+    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, LoadSection, Section, TermAck,
+};
--- /dev/null
+++ b/crates/anvilhook-peer/src/gossip/partners.rs
@@ -0,0 +1,91 @@
+//! Which instances an instance connects to.
+//!
+//! All instances are put on a few rings, each in the order of another hash of their names, and each
+//! connects to its successor on every ring. So all have the same number of partners, a join or leave
+//! moves only its neighbours' connections, the graph is connected by each ring alone, and together
+//! the rings form a random regular graph, whose diameter grows with the logarithm of its size.
+
+use std::collections::BTreeSet;
+
+use anvilhook_core::names::InstanceName;
+use sha2::{Digest, Sha256};
+
+use crate::options::PeerAddress;
+
+/// `PartnerOptions` says how many partners an instance has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PartnerOptions {
+    /// The number of rings: as many partners are connected to, and about as many connect.
+    pub rings: u8,
+}
+
+impl Default for PartnerOptions {
+    fn default() -> Self {
+        Self { rings: 2 }
+    }
+}
+
+impl PartnerOptions {
+    /// Returns the number of partners in both directions.
+    pub fn degree(&self) -> usize {
+        usize::from(self.rings) * 2
+    }
+}
+
+/// Chooses the instances that `me` connects to among the announced ones. An instance out of reach
+/// is passed over, and the next on the ring takes its place.
+pub fn choose_partners(
+    me: &PeerAddress,
+    announced: &[PeerAddress],
+    out_of_reach: &BTreeSet<InstanceName>,
+    options: &PartnerOptions,
+) -> Vec<PeerAddress> {
+    let others: Vec<&PeerAddress> = announced
+        .iter()
+        .filter(|other| other.name != me.name && !out_of_reach.contains(&other.name))
+        .collect();
+    let mut chosen: Vec<&PeerAddress> = Vec::new();
+    for ring in 0..options.rings {
+        let candidates = others.iter().filter(|other| !chosen.contains(other)).copied();
+        chosen.extend(successor(me, candidates, ring));
+    }
+    if let Some(stranger) = missing_zone(me, &others, &chosen, options) {
+        // Partners of the own zone only would leave the zone alone with its news when the last
+        // accepted link from another zone breaks.
+        chosen.pop();
+        chosen.push(stranger);
+    }
+    chosen.into_iter().cloned().collect()
+}
+
+/// Returns a partner in another zone if there is one and none has been chosen.
+fn missing_zone<'a>(
+    me: &PeerAddress,
+    others: &[&'a PeerAddress],
+    chosen: &[&PeerAddress],
+    options: &PartnerOptions,
+) -> Option<&'a PeerAddress> {
+    if chosen.iter().any(|partner| partner.zone != me.zone) {
+        return None;
+    }
+    let strangers = others.iter().filter(|other| other.zone != me.zone).copied();
+    successor(me, strangers, options.rings.saturating_sub(1))
+}
+
+/// Returns the first instance after `me` on a ring.
+fn successor<'a>(
+    me: &PeerAddress,
+    candidates: impl Iterator<Item = &'a PeerAddress>,
+    ring: u8,
+) -> Option<&'a PeerAddress> {
+    let own = place(&me.name, ring);
+    candidates.min_by_key(|other| place(&other.name, ring).wrapping_sub(own))
+}
+
+/// Returns an instance's place on a ring.
+fn place(name: &InstanceName, ring: u8) -> u64 {
+    let digest = Sha256::new().chain_update([ring]).chain_update(name.as_str()).finalize();
+    let mut buf = [0; 8];
+    buf.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(buf)
+}
--- /dev/null
+++ b/crates/anvilhook-peer/src/links/connections.rs
@@ -0,0 +1,158 @@
+//! One connection, from its first byte to its end.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use anvilhook_core::names::InstanceName;
+use anvilhook_core::units::{Clock, Millis};
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use futures_util::io::{BufReader, BufWriter};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use super::hubs::Hub;
+use super::meters::{Meter, Metered};
+use crate::authentication::{Admitted, Gate, call_gate};
+use crate::codecs;
+use crate::errors::{Error, Result};
+use crate::gossip::{LinkId, Message};
+use crate::peer_capnp::{gate, peer};
+
+/// The bytes of a word in a message.
+const WORD_BYTES: usize = 8;
+
+/// Connects to an instance and opens a link to it. The link's own task goes on by itself.
+///
+/// # Errors
+///
+/// Why no link came to stand.
+pub(crate) async fn dial<C: Clock>(
+    hub: Rc<Hub<C>>,
+    address: SocketAddr,
+    expected: InstanceName,
+) -> Result<JoinHandle<Error>> {
+    let limit = hub.options.connect_timeout.as_duration();
+    let connecting = async {
+        let stream = TcpStream::connect(address).await.map_err(Error::broken)?;
+        let meter = Meter::new(&hub.options, hub.received.clone());
+        let network = network(&hub, stream, &meter, Side::Client)?;
+        let mut rpc_system = RpcSystem::new(Box::new(network), None);
+        let gate: gate::Client = rpc_system.bootstrap(Side::Server);
+        let driver = Driver::spawn(rpc_system);
+        let admitted = call_gate(&hub, &gate, &expected, &meter).await?;
+        Ok::<_, Error>((driver, admitted))
+    };
+    let (driver, admitted) = timeout(limit, connecting).await.map_err(|_| Error::Silent)??;
+    Ok(tokio::task::spawn_local(run(hub, driver, admitted)))
+}
+
+/// Serves an accepted connection until its end.
+///
+/// # Errors
+///
+/// Why it ended.
+pub(crate) async fn accept<C: Clock>(
+    hub: Rc<Hub<C>>,
+    stream: TcpStream,
+) -> Result<(Driver, Admitted<C>)> {
+    let meter = Meter::new(&hub.options, hub.received.clone());
+    let network = network(&hub, stream, &meter, Side::Server)?;
+    let (tx, admitted) = oneshot::channel();
+    let gate: gate::Client = capnp_rpc::new_client(Gate::new(Rc::clone(&hub), meter, tx));
+    let driver = Driver::spawn(RpcSystem::new(Box::new(network), Some(gate.client)));
+    let limit = hub.options.connect_timeout.as_duration();
+    let admitted = timeout(limit, admitted).await.map_err(|_| Error::Silent)?;
+    Ok((driver, admitted.map_err(|_| Error::NotAuthentic)?))
+}
+
+/// Carries a link's messages until it ends, and returns why it ended.
+pub(crate) async fn run<C: Clock>(hub: Rc<Hub<C>>, driver: Driver, admitted: Admitted<C>) -> Error {
+    let Admitted { mut opened, partner } = admitted;
+    let link = opened.link;
+    let limit = hub.options.gossip.answer_timeout;
+    let ended = loop {
+        tokio::select! {
+            _ = &mut opened.closed => break Error::Unwanted,
+            message = opened.outgoing.recv() => {
+                let Some(message) = message else {
+                    break Error::Unwanted;
+                };
+                // A heartbeat is due every second, so a link that has gone silent is noticed by
+                // the one that is not answered.
+                if let Err(err) = carry(&hub, &partner, link, message, limit).await {
+                    break err;
+                }
+            }
+        }
+    };
+    drop(driver);
+    ended
+}
+
+/// Carries one message to the partner, and its answer back to the node.
+async fn carry<C: Clock>(
+    hub: &Hub<C>,
+    partner: &peer::Client,
+    link: LinkId,
+    message: Message,
+    limit: Millis,
+) -> Result<()> {
+    let limit = limit.as_duration();
+    match message {
+        Message::Update { seq, update } => {
+            let mut req = partner.push_request();
+            codecs::write_update(&update, req.get().init_update());
+            timeout(limit, req.send().promise).await.map_err(|_| Error::Silent)??;
+            hub.receive(link, Message::Confirm { seq })
+        }
+        Message::Pull { have } => {
+            let mut req = partner.configuration_request();
+            req.get().set_have(have.0);
+            let answer = timeout(limit, req.send().promise).await.map_err(|_| Error::Silent)??;
+            let transfer = codecs::read_transfer(answer.get()?.get_transfer()?)?;
+            hub.receive(link, Message::Transfer(transfer))
+        }
+        // The answers of calls stand for these.
+        Message::Confirm { .. } | Message::Transfer(_) => Ok(()),
+    }
+}
+
+/// `Driver` keeps a connection going. Dropping it closes the connection.
+pub(crate) struct Driver(JoinHandle<()>);
+
+impl Driver {
+    fn spawn(rpc_system: RpcSystem<Side>) -> Self {
+        Self(tokio::task::spawn_local(async move {
+            // The calls under way report the connection's end themselves.
+            let _ = rpc_system.await;
+        }))
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn network<C: Clock>(
+    hub: &Hub<C>,
+    stream: TcpStream,
+    meter: &Rc<Meter>,
+    side: Side,
+) -> Result<VatNetwork<impl futures_util::AsyncRead + Unpin + use<C>>> {
+    stream.set_nodelay(true).map_err(Error::broken)?;
+    let (reader, writer) = stream.into_split();
+    let reader = Metered::new(reader.compat(), Rc::clone(meter));
+    let writer = Metered::new(writer.compat_write(), Rc::clone(meter));
+    let mut options = ReaderOptions::new();
+    // The library refuses a longer message before it makes room for it.
+    options.traversal_limit_in_words(Some(hub.options.max_message_bytes / WORD_BYTES));
+    Ok(VatNetwork::new(BufReader::new(reader), BufWriter::new(writer), side, options))
+}
--- /dev/null
+++ b/crates/anvilhook-peer/src/links/dialers.rs
@@ -0,0 +1,149 @@
+//! Keeps connections to the chosen partners.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use anvilhook_core::names::InstanceName;
+use anvilhook_core::units::{Clock, Millis};
+use rand::{Rng, RngExt};
+use tokio::task::{JoinError, JoinSet};
+
+use super::connections;
+use super::hubs::{Direction, Hub};
+use crate::errors::Error;
+use crate::gossip::choose_partners;
+use crate::options::PeerAddress;
+
+/// `Failure` is what is kept of an instance out of reach.
+#[derive(Debug)]
+struct Failure {
+    count: u32,
+    until: Millis,
+}
+
+/// `Dialer` connects to the chosen partners, and to others while those are out of reach.
+pub(crate) struct Dialer<C, R> {
+    hub: Rc<Hub<C>>,
+    clock: C,
+    rng: R,
+    announced: Vec<PeerAddress>,
+    failures: BTreeMap<InstanceName, Failure>,
+    dialing: JoinSet<Attempt>,
+    in_progress: BTreeSet<InstanceName>,
+}
+
+/// `Attempt` is how a link came to its end, or that it never stood.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    name: InstanceName,
+    stood_for: Millis,
+    ended: Error,
+}
+
+impl<C: Clock, R: Rng> Dialer<C, R> {
+    /// Makes a dialer without partners.
+    pub(crate) fn new(hub: Rc<Hub<C>>, clock: C, rng: R) -> Self {
+        Self {
+            hub,
+            clock,
+            rng,
+            announced: Vec::new(),
+            failures: BTreeMap::new(),
+            dialing: JoinSet::new(),
+            in_progress: BTreeSet::new(),
+        }
+    }
+
+    /// Sets the announced instances.
+    pub(crate) fn set_announced(&mut self, announced: Vec<PeerAddress>) {
+        self.failures.retain(|name, _| announced.iter().any(|peer| peer.name == *name));
+        self.announced = announced;
+        self.dial_missing();
+    }
+
+    /// Waits for the end of an attempt; forever if there is none.
+    pub(crate) async fn next_ended(&mut self) -> Result<Attempt, JoinError> {
+        match self.dialing.join_next().await {
+            Some(ended) => ended,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Takes the end of an attempt.
+    pub(crate) fn take_ended(&mut self, ended: Result<Attempt, JoinError>) {
+        let Ok(attempt) = ended else {
+            return;
+        };
+        self.in_progress.remove(&attempt.name);
+        log::debug!(peer = attempt.name.as_str(); "peer link ended: {}", attempt.ended);
+        if self.hub.linked().contains_key(&attempt.name) {
+            return;
+        }
+        let options = &self.hub.options;
+        let failure =
+            self.failures.entry(attempt.name).or_insert(Failure { count: 0, until: Millis::ZERO });
+        // A link that stood for a while says that the instance can be reached.
+        failure.count = if attempt.stood_for > options.max_backoff { 1 } else { failure.count + 1 };
+        let doubled = options.backoff.0 << (failure.count - 1).min(16);
+        let longest = doubled.min(options.max_backoff.0).max(1);
+        // Instances that lost one partner at the same moment must not all come back at once.
+        let wait = self.rng.random_range(longest / 2..=longest);
+        failure.until = self.clock.now() + Millis(wait);
+    }
+
+    /// Connects to the chosen partners that no link stands to, and closes what is no longer needed.
+    pub(crate) fn dial_missing(&mut self) {
+        let now = self.clock.now();
+        let out_of_reach: BTreeSet<InstanceName> = self
+            .failures
+            .iter()
+            .filter(|(_, failure)| failure.until > now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let wanted = self.choose(&out_of_reach);
+        let linked = self.hub.linked();
+        let missing: Vec<&PeerAddress> =
+            wanted.iter().filter(|peer| !linked.contains_key(&peer.name)).collect();
+        if missing.is_empty() {
+            self.close_unwanted(&wanted);
+        }
+        for peer in missing {
+            if self.in_progress.insert(peer.name.clone()) {
+                let hub = Rc::clone(&self.hub);
+                self.dialing.spawn_local(attempt(hub, peer.clone(), self.clock.clone()));
+            }
+        }
+    }
+
+    fn choose(&self, out_of_reach: &BTreeSet<InstanceName>) -> Vec<PeerAddress> {
+        let options = &self.hub.options;
+        let me = PeerAddress {
+            name: options.name.clone(),
+            zone: options.zone.clone(),
+            address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
+        };
+        choose_partners(&me, &self.announced, out_of_reach, &options.gossip.partners)
+    }
+
+    /// Closes the links that this instance made to others than the wanted. They are kept until all
+    /// wanted ones stand, so that a partner's replacement serves until the partner is back.
+    fn close_unwanted(&self, wanted: &[PeerAddress]) {
+        for (name, (link, direction)) in self.hub.linked() {
+            let is_wanted = wanted.iter().any(|peer| peer.name == name);
+            if direction == Direction::Dialed && !is_wanted {
+                self.hub.close(link);
+            }
+        }
+    }
+}
+
+/// Makes one link and stays with it to its end.
+async fn attempt<C: Clock>(hub: Rc<Hub<C>>, peer: PeerAddress, clock: C) -> Attempt {
+    let PeerAddress { name, address, .. } = peer;
+    let started_at = clock.now();
+    let ended = match connections::dial(hub, address, name.clone()).await {
+        Ok(running) => running.await.unwrap_or_else(Error::broken),
+        Err(err) => err,
+    };
+    Attempt { name, stood_for: clock.now() - started_at, ended }
+}
--- /dev/null
+++ b/crates/anvilhook-peer/tests/links.rs
@@ -0,0 +1,310 @@
+//! The link over real connections on the loopback.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_core::names::{InstanceName, ZoneName};
+use anvilhook_core::resources::{AccountSpec, Configuration, Resource, Spec};
+use anvilhook_core::units::{Millis, Revision, SystemClock, Tokens};
+use anvilhook_peer::gossip::{
+    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, LoadSection,
+};
+use anvilhook_peer::{PeerAddress, PeerHandle, PeerKey, PeerLink, PeerNews, PeerOptions};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const KEY: &[u8] = b"an example key of thirty-two bytes";
+const OTHER_KEY: &[u8] = b"another example key of many bytes!";
+
+/// A guard against a test that hangs; no test's outcome depends on it.
+const GUARD: Duration = Duration::from_secs(30);
+
+struct Fixture {
+    peers: Vec<PeerAddress>,
+    handles: Vec<PeerHandle>,
+}
+
+/// Starts `count` instances that have been announced to each other.
+fn start(count: usize, change: impl Fn(usize, &mut PeerOptions)) -> Fixture {
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let peers: Vec<PeerAddress> = (0..)
+        .zip(&listeners)
+        .map(|(at, listener)| peer(at, listener.local_addr().unwrap()))
+        .collect();
+    let handles = (0..).zip(listeners).map(|(at, listener)| {
+        let mut options = options(&peers[at], KEY);
+        change(at, &mut options);
+        PeerLink::start(options, listener, peers.clone(), SystemClock::new()).unwrap()
+    });
+    Fixture { handles: handles.collect(), peers }
+}
+
+fn peer(at: usize, address: SocketAddr) -> PeerAddress {
+    let name = InstanceName::try_new(&format!("entry-{at}")).unwrap();
+    let zone = ZoneName::try_new(["piraeus", "marousi", "glyfada"][at % 3]).unwrap();
+    PeerAddress { name, zone, address }
+}
+
+fn options(peer: &PeerAddress, key: &[u8]) -> PeerOptions {
+    PeerOptions::new(peer.name.clone(), peer.zone.clone(), PeerKey::try_new(key).unwrap())
+}
+
+fn configuration(revision: u64, accounts: usize) -> Arc<Configuration> {
+    let account = |at: usize| Resource {
+        name: format!("account-{at}").parse().unwrap(),
+        version: Revision(revision),
+        spec: Spec::Account(AccountSpec {
+            token_sha256: vec!["00".repeat(32)],
+            requests_per_s: 10,
+            open_requests: 10,
+        }),
+        status: Vec::new(),
+    };
+    Arc::new(Configuration::new(Revision(revision), (0..accounts).map(account)))
+}
+
+fn ack(generation: u64) -> AckSection {
+    let drain = DrainAck {
+        pool: "pool-a".parse().unwrap(),
+        engine: "engine-1".parse().unwrap(),
+        generation,
+    };
+    AckSection { drains: vec![drain], terms: Vec::new() }
+}
+
+async fn wait_for(handle: &PeerHandle, met: impl Fn(&PeerNews) -> bool) {
+    let mut changes = handle.changes();
+    let waiting = async {
+        while !met(&handle.news()) {
+            changes.changed().await.unwrap();
+        }
+    };
+    tokio::time::timeout(GUARD, waiting).await.expect("the news never came");
+}
+
+async fn wait_for_revision(handle: &PeerHandle, revision: u64) -> Arc<Configuration> {
+    let mut newest = handle.configurations();
+    let reached = |newest: &Option<Arc<Configuration>>| {
+        newest.as_ref().is_some_and(|newest| newest.revision() >= Revision(revision))
+    };
+    let waiting = newest.wait_for(reached);
+    let reached = tokio::time::timeout(GUARD, waiting).await.expect("the revision never came");
+    reached.unwrap().clone().unwrap()
+}
+
+#[tokio::test]
+async fn verify_everything_reaches_every_instance() {
+    // Arrange.
+    let fixture = start(9, |_, _| ());
+    let handles = &fixture.handles;
+
+    // Act.
+    handles[0].publish_configuration(configuration(7, 40));
+    for handle in &handles[1..] {
+        assert_eq!(*wait_for_revision(handle, 7).await, *configuration(7, 40));
+    }
+    // The second goes as a change of the first, with resources put and deleted.
+    handles[3].publish_configuration(configuration(8, 39));
+    handles[1].publish_acks(ack(5));
+    handles[1].publish_load(LoadSection {
+        engines: vec![EngineDigest {
+            engine: "engine-1".parse().unwrap(),
+            boot: 1,
+            seq: 2,
+            requests: 3,
+            prefill: Tokens(4_000),
+            decode: Tokens(500),
+        }],
+    });
+    handles[1].publish_demand(DemandSection {
+        hears_all: true,
+        accounts: vec![AccountDigest {
+            account: "acme".parse().unwrap(),
+            requests_per_s: 2.5,
+            open_requests: 4,
+        }],
+    });
+
+    // Assert.
+    let writer = &fixture.peers[1].name;
+    for (at, handle) in handles.iter().enumerate() {
+        if at != 3 {
+            assert_eq!(*wait_for_revision(handle, 8).await, *configuration(8, 39));
+        }
+        if at == 1 {
+            continue;
+        }
+        wait_for(handle, |news| {
+            let engine = "engine-1".parse().unwrap();
+            let acks = news.acks.get(writer);
+            let demand = news.demand.get(writer);
+            acks.is_some_and(|acks| acks.body.has_drained(&engine, 5))
+                && news.load.get(writer).is_some_and(|load| load.body.engines[0].requests == 3)
+                && demand.is_some_and(|demand| demand.body.accounts[0].requests_per_s == 2.5)
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn verify_an_instance_that_starts_late_gets_the_newest() {
+    // Arrange.
+    let mut fixture = start(3, |_, _| ());
+    fixture.handles[0].publish_configuration(configuration(3, 5));
+    fixture.handles[2].publish_acks(ack(9));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let late = peer(3, listener.local_addr().unwrap());
+
+    // Act: the others have not heard of the late one.
+    let options = options(&late, KEY);
+    let peers = fixture.peers.clone();
+    let handle = PeerLink::start(options, listener, peers, SystemClock::new()).unwrap();
+    fixture.handles.push(handle);
+
+    // Assert.
+    wait_for_revision(&fixture.handles[3], 3).await;
+    wait_for(&fixture.handles[3], |news| news.acks.contains_key(&fixture.peers[2].name)).await;
+}
+
+#[tokio::test]
+async fn verify_a_peer_without_the_key_gets_nowhere() {
+    // Symptom: a process that does not hold the key hears or says something.
+    // Sequence: it connects and is connected to, with its own key, beside two that hold the key.
+    // Cause: a proof that is not checked in one of the two directions.
+
+    // Arrange.
+    let stranger = 2;
+    let fixture = start(3, |at, options| {
+        if at == stranger {
+            options.key = PeerKey::try_new(OTHER_KEY).unwrap();
+        }
+    });
+    let handles = &fixture.handles;
+
+    // Act.
+    handles[stranger].publish_configuration(configuration(99, 1));
+    handles[stranger].publish_acks(ack(1));
+    handles[0].publish_configuration(configuration(1, 1));
+    handles[0].publish_acks(ack(2));
+    wait_for_revision(&handles[1], 1).await;
+    wait_for(&handles[1], |news| news.acks.contains_key(&fixture.peers[0].name)).await;
+    let refusing = async {
+        while !handles.iter().all(|handle| handle.counts().refused > 0) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(GUARD, refusing).await.expect("nobody was refused");
+
+    // Assert.
+    let name = &fixture.peers[stranger].name;
+    for handle in &handles[..2] {
+        assert!(!handle.news().linked.contains(name));
+        assert!(!handle.news().acks.contains_key(name));
+    }
+    assert_eq!(handles[1].configurations().borrow().as_ref().unwrap().revision(), Revision(1));
+    assert!(handles[stranger].news().linked.is_empty());
+    assert!(handles[stranger].configurations().borrow().is_none());
+    assert_eq!(handles[stranger].counts().links_opened, 0);
+}
+
+#[tokio::test]
+async fn verify_unproved_connections_are_bounded_and_ended() {
+    // Symptom: strangers fill the memory or the connections of an instance.
+    // Sequence: they send garbage, a huge length, too many bytes, or nothing.
+    // Cause: a connection that may go on without having proved itself.
+
+    // A segment table that announces 2 GiB.
+    let huge: Vec<u8> = [0_u32.to_le_bytes(), 0x1000_0000_u32.to_le_bytes()].concat();
+    let cases: [(&str, Vec<u8>); 4] = [
+        ("garbage", vec![0xff; 64]),
+        ("huge", huge),
+        ("many", vec![0; 1024 * 1024]),
+        ("nothing", Vec::new()),
+    ];
+    let fixture = start(1, |_, options| {
+        options.connect_timeout = Millis(100);
+        options.max_unproved = 2;
+    });
+    for (case, bytes) in cases {
+        // Arrange: more at once than may be unproved.
+        let mut streams = Vec::new();
+        for _ in 0..8 {
+            streams.push(TcpStream::connect(fixture.peers[0].address).await.unwrap());
+        }
+
+        // Act. A connection that has been closed may refuse the bytes.
+        for stream in &mut streams {
+            let _ = stream.write_all(&bytes).await;
+        }
+
+        // Assert: each comes to its end.
+        for mut stream in streams {
+            let mut buf = Vec::new();
+            let ended = tokio::time::timeout(GUARD, stream.read_to_end(&mut buf)).await;
+            assert!(ended.is_ok(), "{case}: a connection goes on");
+        }
+    }
+    assert_eq!(fixture.handles[0].counts().links_opened, 0);
+    // What was sent beyond the limit was not read: the counter holds far less than 8 MiB.
+    assert!(fixture.handles[0].counts().bytes_in < 1024 * 1024);
+}
+
+#[tokio::test]
+async fn verify_a_partner_that_says_too_much_is_cut_off() {
+    // Symptom: one instance fills its partners' time and memory.
+    // Sequence: a whole configuration larger than what a partner may send at once.
+    // Cause: sizes that are not bounded on the receiving side.
+
+    // Arrange: only the receiver has a low bound.
+    let fixture = start(2, |at, options| {
+        if at == 1 {
+            options.burst_bytes = 64 * 1024;
+            options.max_bytes_per_s = 1024;
+        }
+    });
+    let handles = &fixture.handles;
+    wait_for(&handles[1], |news| !news.linked.is_empty()).await;
+
+    // Act.
+    handles[0].publish_configuration(configuration(1, 2_000));
+
+    // Assert.
+    wait_for(&handles[1], |_| handles[1].counts().links_closed > 0).await;
+    assert!(handles[1].configurations().borrow().is_none());
+}
+
+#[tokio::test]
+async fn verify_a_silent_link_is_closed_and_replaced() {
+    // Symptom: an instance hears nothing for ever over a connection that looks open.
+    // Sequence: the one partner accepts and proves nothing; then a real one takes its address.
+    // Cause: a connection without a bound on silence.
+
+    // Arrange: the announced address accepts connections but nobody answers.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = silent.local_addr().unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let me = peer(0, listener.local_addr().unwrap());
+    let partner = peer(1, address);
+    let mut own = options(&me, KEY);
+    own.connect_timeout = Millis(100);
+    own.max_backoff = Millis(200);
+    let peers = vec![me.clone(), partner.clone()];
+    let handle = PeerLink::start(own, listener, peers, SystemClock::new()).unwrap();
+    silent.set_nonblocking(true).unwrap();
+    let silent = tokio::net::TcpListener::from_std(silent).unwrap();
+    let (mut first, _) = tokio::time::timeout(GUARD, silent.accept()).await.unwrap().unwrap();
+    let ended = tokio::time::timeout(GUARD, first.read_to_end(&mut Vec::new())).await;
+    assert!(ended.is_ok(), "the silent connection goes on");
+
+    // Act.
+    let listener = silent.into_std().unwrap();
+    let nobody = Vec::new();
+    let other =
+        PeerLink::start(options(&partner, KEY), listener, nobody, SystemClock::new()).unwrap();
+
+    // Assert.
+    wait_for(&handle, |news| news.linked.contains(&partner.name)).await;
+    wait_for(&other, |news| news.linked.contains(&me.name)).await;
+}
