--- a/crates/anvilhook-store/src/audits.rs
+++ b/crates/anvilhook-core/src/resources/audits.rs
@@ -1,11 +1,12 @@
 //! The audit trail: one entry for each accepted change.
 
-use anvilhook_core::attempts::ChangeId;
-use anvilhook_core::names::{InstanceName, SubjectName};
-use anvilhook_core::resources::{Change, Spec};
-use anvilhook_core::units::{Revision, WallTime};
 use serde::{Deserialize, Serialize};
 
+use super::{Change, Spec};
+use crate::attempts::ChangeId;
+use crate::names::{InstanceName, SubjectName};
+use crate::units::{Revision, WallTime};
+
 /// `AuditEntry` says who changed what, when and through which instance. It is the change's row as
 /// well, so that no change is without an entry and no entry without a change.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/anvilhook-core/src/resources/mod.rs
+++ b/crates/anvilhook-core/src/resources/mod.rs
@@ -1,6 +1,7 @@
 //! What operators declare: the kinds of resources, and the configuration they add up to.
 
 mod accounts;
+mod audits;
 mod changes;
 mod checks;
 mod conditions;
@@ -15,6 +16,7 @@
 mod services;
 
 pub use accounts::AccountSpec;
+pub use audits::AuditEntry;
 pub use changes::{Action, Change, Expected};
 pub use conditions::{Condition, ConditionState};
 pub use configurations::Configuration;
--- a/crates/anvilhook-daemon/src/lib.rs
+++ b/crates/anvilhook-daemon/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod instances;
 pub mod names;
 pub mod observability;
+pub mod operators;
 pub mod proxy;
 pub mod settings;
--- /dev/null
+++ b/crates/anvilhook-daemon/src/operators/watches.rs
@@ -0,0 +1,167 @@
+//! Watching changes as they are accepted.
+//!
+//! A watcher reads the instance's shared history at its own pace; only a small buffer is its own. A
+//! watcher that leaves the buffer full is dropped, and one that lags behind what the history and the
+//! table keep is told to start anew.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_api::{Code, Refusal, WatchEvent};
+use anvilhook_core::resources::{Action, AuditEntry, Resource};
+use anvilhook_core::units::Revision;
+use anvilhook_http::Phase;
+use anvilhook_platform::{ObjectStore, Table};
+use anvilhook_store::Error;
+use futures_util::stream;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use volo_http::server::IntoResponse;
+use volo_http::server::response::sse::{Event, KeepAlive, Sse};
+
+use super::endpoints::{Answer, Call};
+use super::leases::LeaseSource;
+use super::{OperatorApi, refusals};
+
+/// The most changes that are taken from the history at once.
+const BATCH: usize = 256;
+
+/// The header by which a watcher that reconnects says which event it saw last.
+const LAST_EVENT_ID: &str = "last-event-id";
+
+/// Answers with the changes after a revision, and with those to come.
+pub(super) async fn watch<T: Table, O: ObjectStore, L: LeaseSource>(
+    api: Arc<OperatorApi<T, O, L>>,
+    call: Call,
+) -> Answer {
+    let from = first_revision(&api, &call)?;
+    let Ok(permit) = Arc::clone(&api.watchers).try_acquire_owned() else {
+        let message = "the instance has as many watchers as it takes; watch at another one";
+        return Err(Box::new(Refusal::new(Code::TooManyWatchers, message)));
+    };
+    // A watcher that is too far behind is told so by the status, before any event.
+    api.follower.changes_since(from, 1).await.map_err(refusals::of_read)?;
+
+    let (tx, rx) = mpsc::channel(api.options.watch_buffer);
+    let keep_alive = KeepAlive::new().interval(api.options.watch_keep_alive.as_duration());
+    tokio::spawn(Watcher { api, sent: from, tx, _permit: permit }.run());
+    let events = stream::unfold(rx, |mut rx| async move {
+        let event: WatchEvent = rx.recv().await?;
+        Some((Ok::<_, Infallible>(encode(&event)), rx))
+    });
+    Ok(Sse::new(events).keep_alive(keep_alive).into_response())
+}
+
+fn first_revision<T: Table, O: ObjectStore, L: LeaseSource>(
+    api: &OperatorApi<T, O, L>,
+    call: &Call,
+) -> Answer<Revision> {
+    if let Some(seen) = call.header(LAST_EVENT_ID)? {
+        let revision = seen.parse().map(Revision);
+        return revision.map_err(|_| Box::new(Refusal::bad_field(LAST_EVENT_ID, "a revision")));
+    }
+    Ok(call.parameters.from.map_or_else(|| api.follower.revision(), Revision))
+}
+
+/// `Ended` says that a watcher is to be left alone.
+struct Ended;
+
+/// `Watcher` sends one watcher its events.
+struct Watcher<T, O, L> {
+    api: Arc<OperatorApi<T, O, L>>,
+    sent: Revision,
+    tx: mpsc::Sender<WatchEvent>,
+    /// Held as long as the watcher counts.
+    _permit: OwnedSemaphorePermit,
+}
+
+impl<T: Table, O: ObjectStore, L: LeaseSource> Watcher<T, O, L> {
+    async fn run(mut self) {
+        let api = Arc::clone(&self.api);
+        let closed = self.tx.clone();
+        tokio::select! {
+            Ended = self.feed() => {}
+            () = closed.closed() => {}
+            // A watch never ends by itself and would hold up the instance's stop.
+            () = api.shutdown.reached(Phase::Draining) => {}
+        }
+    }
+
+    async fn feed(&mut self) -> Ended {
+        let mut revisions = self.api.follower.subscribe();
+        // The first bookmark tells the watcher that it has everything up to now.
+        if let Err(ended) = self.catch_up().await {
+            return ended;
+        }
+        if let Err(ended) = self.send(WatchEvent::Bookmark { revision: self.sent }).await {
+            return ended;
+        }
+        loop {
+            let sent = self.sent;
+            if revisions.wait_for(|revision| *revision > sent).await.is_err() {
+                return Ended;
+            }
+            if let Err(ended) = self.catch_up().await {
+                return ended;
+            }
+            if let Err(ended) = self.send(WatchEvent::Bookmark { revision: self.sent }).await {
+                return ended;
+            }
+        }
+    }
+
+    /// Sends all changes up to the revision in force.
+    async fn catch_up(&mut self) -> Result<(), Ended> {
+        while self.sent < self.api.follower.revision() {
+            match self.api.follower.changes_since(self.sent, BATCH).await {
+                Ok(entries) => {
+                    for entry in entries {
+                        self.sent = entry.revision;
+                        self.send(to_event(entry)).await?;
+                    }
+                }
+                Err(Error::TooOld { .. }) => {
+                    self.send(WatchEvent::TooOld { revision: self.sent }).await?;
+                    return Err(Ended);
+                }
+                // What the history lacks is in the table, which cannot be read now. The watcher
+                // waits: leaving the changes out would leave it wrong for good.
+                Err(err) => {
+                    log::warn!("a watcher waits for the table: {err}");
+                    tokio::time::sleep(self.api.options.watch_retry.as_duration()).await;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn send(&self, event: WatchEvent) -> Result<(), Ended> {
+        let patience: Duration = self.api.options.watch_patience.as_duration();
+        match tokio::time::timeout(patience, self.tx.send(event)).await {
+            Ok(sent) => sent.map_err(|_| Ended),
+            Err(_elapsed) => {
+                log::warn!("a watcher at {} reads too slowly and is dropped", self.sent);
+                Err(Ended)
+            }
+        }
+    }
+}
+
+fn to_event(entry: AuditEntry) -> WatchEvent {
+    let revision = entry.revision;
+    match entry.change.action {
+        Action::Put(spec) => {
+            let name = entry.change.key.name;
+            let resource = Resource { name, version: revision, spec, status: Vec::new() };
+            WatchEvent::Put { revision, resource: Box::new(resource) }
+        }
+        Action::Delete => WatchEvent::Delete { revision, key: entry.change.key },
+    }
+}
+
+fn encode(event: &WatchEvent) -> Event {
+    let id = event.revision().0.to_string();
+    // Names and specs always encode; an event without data would be skipped by its reader.
+    let data = serde_json::to_string(event).unwrap_or_default();
+    Event::new().event(event.name()).id(id).data(data)
+}
--- a/crates/anvilhook-store/src/archives.rs
+++ b/crates/anvilhook-store/src/archives.rs
@@ -9,13 +9,13 @@
 
 use std::sync::Arc;
 
+use anvilhook_core::resources::AuditEntry;
 use anvilhook_core::units::{Millis, Revision, WallTime};
 use anvilhook_platform::{Commit, Condition, ObjectStore, Table, Transaction, Write};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::audits::AuditEntry;
 use crate::configurations::ConfigurationStore;
 use crate::errors::{Error, Result};
 use crate::rows::{self, SEGMENT_PREFIX};
--- a/crates/anvilhook-store/src/changes.rs
+++ b/crates/anvilhook-store/src/changes.rs
@@ -4,12 +4,13 @@
 
 use anvilhook_core::attempts::ChangeId;
 use anvilhook_core::names::SubjectName;
-use anvilhook_core::resources::{Action, Change, Configuration, Expected, Resource, Spec};
+use anvilhook_core::resources::{
+    Action, AuditEntry, Change, Configuration, Expected, Resource, Spec,
+};
 use anvilhook_core::units::{Revision, WallTime};
 use anvilhook_platform::{Commit, Condition, Table, Transaction, Write};
 use serde::{Deserialize, Serialize};
 
-use crate::audits::AuditEntry;
 use crate::configurations::{CatchUp, ConfigurationStore, Head};
 use crate::errors::{Error, Result};
 use crate::rows;
--- a/crates/anvilhook-store/src/configurations.rs
+++ b/crates/anvilhook-store/src/configurations.rs
@@ -4,12 +4,11 @@
 
 use anvilhook_core::attempts::ChangeId;
 use anvilhook_core::names::InstanceName;
-use anvilhook_core::resources::{Configuration, Resource};
+use anvilhook_core::resources::{AuditEntry, Configuration, Resource};
 use anvilhook_core::units::Revision;
 use anvilhook_platform::Table;
 use serde::{Deserialize, Serialize};
 
-use crate::audits::AuditEntry;
 use crate::errors::{Error, Result};
 use crate::rows::{self, CHANGE_PREFIX, RESOURCE_PREFIX};
 
--- a/crates/anvilhook-store/src/followers.rs
+++ b/crates/anvilhook-store/src/followers.rs
@@ -2,13 +2,12 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use anvilhook_core::resources::Configuration;
+use anvilhook_core::resources::{AuditEntry, Configuration};
 use anvilhook_core::units::Revision;
 use anvilhook_platform::Table;
 use arc_swap::{ArcSwap, Guard};
 use tokio::sync::watch;
 
-use crate::audits::AuditEntry;
 use crate::changes::{Accepted, ChangeRequest};
 use crate::configurations::ConfigurationStore;
 use crate::errors::{Error, Result};
--- a/crates/anvilhook-store/src/histories.rs
+++ b/crates/anvilhook-store/src/histories.rs
@@ -2,10 +2,9 @@
 
 use std::collections::VecDeque;
 
+use anvilhook_core::resources::AuditEntry;
 use anvilhook_core::units::Revision;
 
-use crate::audits::AuditEntry;
-
 /// `History` holds the latest changes without a gap, up to a bound.
 #[derive(Clone, Debug)]
 pub struct History {
--- a/crates/anvilhook-store/src/lib.rs
+++ b/crates/anvilhook-store/src/lib.rs
@@ -6,7 +6,6 @@
 #![forbid(unsafe_code)]
 
 pub mod archives;
-pub mod audits;
 pub mod changes;
 pub mod configurations;
 pub mod errors;
@@ -17,7 +16,6 @@
 pub mod statuses;
 
 pub use archives::{ArchiveOptions, ArchiveStep, AuditArchive};
-pub use audits::AuditEntry;
 pub use changes::{Accepted, ChangeRequest, ChangeState};
 pub use configurations::{CatchUp, ConfigurationStore, Head, StoreOptions};
 pub use errors::{Error, Result};
--- a/crates/anvilhook-store/src/rows.rs
+++ b/crates/anvilhook-store/src/rows.rs
@@ -15,7 +15,7 @@
 
 use anvilhook_core::attempts::ChangeId;
 use anvilhook_core::names::InstanceName;
-use anvilhook_core::resources::ResourceKey;
+use anvilhook_core::resources::{Kind, ResourceKey};
 use anvilhook_core::units::Revision;
 use anvilhook_platform::{Row, RowKey, Table, Write};
 use serde::Serialize;
@@ -64,6 +64,11 @@
     RowKey::new(format!("{SEGMENT_PREFIX}{:020}", last.0))
 }
 
+/// Returns the prefix of the conditions of a kind's resources.
+pub fn kind_status_prefix(kind: Kind) -> String {
+    format!("{STATUS_PREFIX}{kind}/")
+}
+
 /// Returns the prefix of a resource's conditions.
 pub fn status_prefix(key: &ResourceKey) -> String {
     format!("{STATUS_PREFIX}{}/{}/", key.kind, key.name)
--- a/crates/anvilhook-store/src/statuses.rs
+++ b/crates/anvilhook-store/src/statuses.rs
@@ -5,7 +5,7 @@
 //! other.
 
 use anvilhook_core::names::InstanceName;
-use anvilhook_core::resources::{Condition, ResourceKey};
+use anvilhook_core::resources::{Condition, Kind, ResourceKey};
 use anvilhook_platform::{RowKey, Table, Transaction, Write};
 use serde::{Deserialize, Serialize};
 
@@ -80,6 +80,15 @@
         self.scan(rows::STATUS_PREFIX).await
     }
 
+    /// Returns the conditions of all resources of a kind, in the order of their names.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Platform` if the table cannot be read.
+    pub async fn of_kind(&self, kind: Kind) -> Result<Vec<StatusRecord>> {
+        self.scan(&rows::kind_status_prefix(kind)).await
+    }
+
     /// Removes the conditions of a resource that was deleted.
     ///
     /// # Errors
