Let a watcher wait for a table that lags behind

Cause: a table behind what peers hold answers with no change, and the watcher asked again at once. Change: an empty answer waits as an outage does; one place sends bookmarks.

--- a/crates/anvilhook-daemon/src/operators/mod.rs
+++ b/crates/anvilhook-daemon/src/operators/mod.rs
@@ -25,9 +25,7 @@
 use anvilhook_store::{AuditArchive, ConfigurationFollower, InstanceDirectory, StatusStore};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Semaphore;
-use volo_http::server::route::{
-    MethodRouter, Router, delete_service, get_service, post_service, put_service,
-};
+use volo_http::server::route::{MethodRouter, Router, get_service};
 
 pub use credentials::{Credentials, Operator};
 pub use leases::{LeaseRows, LeaseSource, NoLeases};
--- a/crates/anvilhook-daemon/src/operators/watches.rs
+++ b/crates/anvilhook-daemon/src/operators/watches.rs
@@ -89,49 +89,42 @@
 
     async fn feed(&mut self) -> Ended {
         let mut revisions = self.api.follower.subscribe();
-        // The first bookmark tells the watcher that it has everything up to now.
-        if let Err(ended) = self.catch_up().await {
-            return ended;
-        }
-        if let Err(ended) = self.send(WatchEvent::Bookmark { revision: self.sent }).await {
-            return ended;
-        }
         loop {
-            let sent = self.sent;
-            if revisions.wait_for(|revision| *revision > sent).await.is_err() {
-                return Ended;
-            }
             if let Err(ended) = self.catch_up().await {
                 return ended;
             }
-            if let Err(ended) = self.send(WatchEvent::Bookmark { revision: self.sent }).await {
-                return ended;
+            let sent = self.sent;
+            if revisions.wait_for(|revision| *revision > sent).await.is_err() {
+                return Ended;
             }
         }
     }
 
-    /// Sends all changes up to the revision in force.
+    /// Sends all changes up to the revision in force, and that nothing is missing up to there.
     async fn catch_up(&mut self) -> Result<(), Ended> {
         while self.sent < self.api.follower.revision() {
             match self.api.follower.changes_since(self.sent, BATCH).await {
-                Ok(entries) => {
-                    for entry in entries {
-                        self.sent = entry.revision;
-                        self.send(to_event(entry)).await?;
-                    }
-                }
+                Ok(entries) if !entries.is_empty() => self.send_all(entries).await?,
                 Err(Error::TooOld { .. }) => {
                     self.send(WatchEvent::TooOld { revision: self.sent }).await?;
                     return Err(Ended);
                 }
-                // What the history lacks is in the table, which cannot be read now. The watcher
-                // waits: leaving the changes out would leave it wrong for good.
-                Err(err) => {
-                    log::warn!("a watcher waits for the table: {err}");
+                // What the history lacks is in the table, which cannot be read now or is itself behind.
+                // The watcher waits: leaving the changes out would leave it wrong for good.
+                waiting => {
+                    log::warn!("a watcher at {} waits for the table: {waiting:?}", self.sent);
                     tokio::time::sleep(self.api.options.watch_retry.as_duration()).await;
                 }
             }
         }
+        self.send(WatchEvent::Bookmark { revision: self.sent }).await
+    }
+
+    async fn send_all(&mut self, entries: Vec<AuditEntry>) -> Result<(), Ended> {
+        for entry in entries {
+            self.sent = entry.revision;
+            self.send(to_event(entry)).await?;
+        }
         Ok(())
     }
 
