--- a/crates/anvilhook-store/tests/followers.rs
+++ b/crates/anvilhook-store/tests/followers.rs
@@ -8,6 +8,7 @@
 use anvilhook_core::units::Revision;
 use anvilhook_platform::{Commit, Result, Row, RowKey, Table, Transaction};
 use anvilhook_standin::platform::Reach;
+use anvilhook_store::histories::History;
 use anvilhook_store::{Adoption, ConfigurationFollower, ConfigurationStore, Error, StoreOptions};
 use fixtures::{Platform, declare, delete, empty, key, platform, put, request, store};
 use rand::SeedableRng;
@@ -139,6 +140,35 @@
     assert_eq!(older.iter().map(|entry| entry.revision.0).collect::<Vec<_>>(), [2, 3, 4]);
 }
 
+/// Symptom: a watcher misses a deletion.
+/// Sequence: an instance takes a later revision from a peer, then polls again.
+/// Cause: its history goes on after the gap as if there were none.
+#[tokio::test]
+async fn verify_a_history_forgets_what_lies_before_a_gap() {
+    let platform = platform();
+    declare(&platform, 8).await;
+    let entries = store(&platform).changes_since(Revision(0), 8).await.unwrap();
+    // entries known, revision in force; then what is held after some revisions
+    let steps: [(std::ops::Range<usize>, u64, &[(u64, Option<usize>)]); 4] = [
+        (0..2, 2, &[(0, Some(2)), (1, Some(1)), (2, Some(0))]),
+        (0..0, 5, &[(0, None), (2, None), (4, None), (5, Some(0))]),
+        (5..7, 7, &[(4, None), (5, Some(2)), (6, Some(1))]),
+        // One known already comes again, and the oldest makes room.
+        (6..8, 8, &[(4, None), (5, None), (6, Some(2)), (8, Some(0))]),
+    ];
+    let mut history = History::new(2);
+    for (known, now, held) in steps {
+        history.record(&entries[known], Revision(now));
+
+        for (after, count) in held {
+            let found = history.since(Revision(*after), 10);
+            assert_eq!(found.as_ref().map(Vec::len), *count, "after {after} at {now}");
+            let first = found.as_deref().and_then(<[_]>::first);
+            assert!(first.is_none_or(|entry| entry.revision.0 == after + 1));
+        }
+    }
+}
+
 /// `Interloper` makes a change before each of the scans that pass it.
 #[derive(Clone, Debug)]
 struct Interloper(Platform, Arc<std::sync::atomic::AtomicU64>);
