Serve the model engine over HTTP with switches for faults

Cause: the path of a request needs an upstream on a real socket that can fail in every way of the fault table. Change: EngineServer speaks the wire format: completions whole and streamed, resume, cancel, control calls, KV export and import. Its front resets, closes, silences, pauses and refuses connections; answers are cut, doubled or crossed by switches.

--- a/crates/anvilhook-standin/src/engines/mod.rs
+++ b/crates/anvilhook-standin/src/engines/mod.rs
@@ -9,9 +9,14 @@
 mod models;
 mod options;
 mod orders;
+mod serving;
 mod snapshots;
 
 pub use events::{CutCause, EngineEvent, ModelRequest, Refused, WorkKind};
 pub use models::EngineModel;
 pub use options::{EngineOptions, OrderOutcome};
 pub use orders::{OrderEnd, OrderRecord};
+pub use serving::{
+    AttemptEnd, AttemptRecord, EngineServer, EngineServerOptions, OrderFault, expected_output,
+    prompt_digest,
+};
--- /dev/null
+++ b/crates/anvilhook-standin/src/engines/serving/controls.rs
@@ -0,0 +1,126 @@
+//! The engine's control calls: state, load, cache events, orders and KV caches.
+
+use std::sync::Arc;
+
+use anvilhook_core::attempts::AttemptId;
+use anvilhook_core::orders::{OrderReply, StampedOrder};
+use anvilhook_http::answers;
+use http::{HeaderMap, Response, StatusCode};
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::server::extract::Query;
+use volo_http::server::param::PathParams;
+use volo_http::utils::Extension;
+
+use super::handlers::{After, attempt_in, echo, no_content, not_found, read_json};
+use super::hubs::KvCache;
+use super::servers::{Engine, OrderFault};
+use crate::faults::peer_of;
+
+pub(super) async fn state(
+    Extension(engine): Extension<Arc<Engine>>,
+    req: Request,
+) -> Response<Body> {
+    let state = engine.hub.with_model(|model, now| model.state(now));
+    control_answer(req.headers(), state).await
+}
+
+pub(super) async fn report(
+    Extension(engine): Extension<Arc<Engine>>,
+    req: Request,
+) -> Response<Body> {
+    let report = engine.hub.with_model(|model, now| model.report(now));
+    control_answer(req.headers(), report).await
+}
+
+pub(super) async fn cache_events(
+    Extension(engine): Extension<Arc<Engine>>,
+    Query(query): Query<After>,
+    req: Request,
+) -> Response<Body> {
+    let page = engine.hub.with_model(|model, now| model.cache_events(now, query.after));
+    control_answer(req.headers(), page).await
+}
+
+pub(super) async fn order(
+    Extension(engine): Extension<Arc<Engine>>,
+    peer: Address,
+    req: Request,
+) -> Response<Body> {
+    let connection = engine.front.connections().get(peer_of(&peer));
+    let (parts, body) = req.into_parts();
+    let order: StampedOrder = match read_json(body).await {
+        Ok(order) => order,
+        Err(message) => return answers::text(StatusCode::BAD_REQUEST, message),
+    };
+    let fault = engine.take_order_fault();
+    let reply = deliver(engine, order, fault).await;
+    match fault {
+        Some(OrderFault::AnsweredLate(late)) => tokio::time::sleep(late.as_duration()).await,
+        Some(OrderFault::AnswerLost) => {
+            connection.close();
+            return std::future::pending().await;
+        }
+        Some(OrderFault::DeliveredLate(_)) | None => {}
+    }
+    control_answer(&parts.headers, Some(reply)).await
+}
+
+/// Has the engine take an order, on a task of its own: what the network holds back still arrives
+/// after the sender has given up.
+async fn deliver(
+    engine: Arc<Engine>,
+    order: StampedOrder,
+    fault: Option<OrderFault>,
+) -> OrderReply {
+    let delivery = tokio::spawn(async move {
+        if let Some(OrderFault::DeliveredLate(late)) = fault {
+            tokio::time::sleep(late.as_duration()).await;
+        }
+        engine.hub.with_model(|model, now| model.order(now, &order))
+    });
+    match delivery.await {
+        Ok(reply) => reply,
+        Err(err) => OrderReply::Refused { reason: err.to_string() },
+    }
+}
+
+pub(super) async fn export_kv(
+    Extension(engine): Extension<Arc<Engine>>,
+    PathParams(attempt): PathParams<String>,
+) -> Response<Body> {
+    let Ok(attempt) = attempt.parse::<AttemptId>() else { return not_found() };
+    match engine.hub.export_kv(attempt) {
+        Some(cache) => echo(attempt, answers::json(StatusCode::OK, &cache)),
+        None => echo(attempt, not_found()),
+    }
+}
+
+pub(super) async fn import_kv(
+    Extension(engine): Extension<Arc<Engine>>,
+    PathParams(attempt): PathParams<String>,
+    req: Request,
+) -> Response<Body> {
+    let Ok(attempt) = attempt.parse::<AttemptId>() else { return not_found() };
+    match read_json::<KvCache>(req.into_body()).await {
+        Ok(cache) => {
+            engine.hub.import_kv(attempt, cache);
+            echo(attempt, no_content())
+        }
+        Err(message) => echo(attempt, answers::text(StatusCode::BAD_REQUEST, message)),
+    }
+}
+
+/// Answers a control call. An engine that is down never answers.
+async fn control_answer<T: serde::Serialize>(
+    headers: &HeaderMap,
+    value: Option<T>,
+) -> Response<Body> {
+    let Some(value) = value else { return std::future::pending().await };
+    let answer = answers::json(StatusCode::OK, &value);
+    match attempt_in(headers) {
+        Some(call) => echo(call, answer),
+        None => answer,
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-standin/src/engines/serving/mod.rs
@@ -0,0 +1,13 @@
+//! The engine behind HTTP, as `anvilhook_engine::wire` says.
+
+mod controls;
+mod feeds;
+mod handlers;
+mod hubs;
+mod ledgers;
+mod servers;
+mod texts;
+
+pub use ledgers::{AttemptEnd, AttemptRecord};
+pub use servers::{EngineServer, EngineServerOptions, OrderFault};
+pub use texts::{expected_output, prompt_digest};
--- /dev/null
+++ b/crates/anvilhook-standin/src/engines/serving/servers.rs
@@ -0,0 +1,169 @@
+//! Starting and steering an engine's server.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use anvilhook_core::attempts::AttemptId;
+use anvilhook_core::units::{Clock, Millis, SystemClock};
+use anvilhook_engine::wire::RESUME_WINDOW;
+
+use super::handlers::router;
+use super::hubs::Hub;
+use super::ledgers::{AttemptEnd, AttemptRecord};
+use crate::engines::{EngineModel, EngineOptions, OrderRecord};
+use crate::faults::{Front, FrontOptions, Switches};
+
+/// `OrderFault` is what can go wrong with one order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderFault {
+    /// The order reaches the engine late, also if its sender has given up by then.
+    DeliveredLate(Millis),
+    /// The order takes effect, and its answer comes late.
+    AnsweredLate(Millis),
+    /// The order takes effect, and its answer never comes.
+    AnswerLost,
+}
+
+/// `EngineServerOptions` describes an engine behind HTTP.
+#[derive(Clone, Debug)]
+pub struct EngineServerOptions {
+    /// Where and how it listens.
+    pub front: FrontOptions,
+    /// The engine.
+    pub engine: EngineOptions,
+    /// The clock of its logs. Stand-ins that share it can be compared.
+    pub clock: SystemClock,
+    /// How long a stream is kept that nobody reads.
+    pub resume_window: Millis,
+}
+
+impl Default for EngineServerOptions {
+    fn default() -> Self {
+        Self {
+            front: FrontOptions::default(),
+            engine: EngineOptions::default(),
+            clock: SystemClock::new(),
+            resume_window: RESUME_WINDOW,
+        }
+    }
+}
+
+/// `Engine` is what the server's calls share.
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) hub: Arc<Hub>,
+    pub(super) front: Front,
+    pub(super) resumes: Switches,
+    order_faults: Mutex<VecDeque<OrderFault>>,
+}
+
+/// `EngineServer` is a handle on a running engine. Clones steer the same one.
+#[derive(Clone, Debug)]
+pub struct EngineServer {
+    engine: Arc<Engine>,
+}
+
+impl EngineServer {
+    /// Starts an engine on tasks of the present runtime.
+    ///
+    /// # Errors
+    ///
+    /// The socket's error if the address cannot be bound.
+    pub async fn start(opts: EngineServerOptions) -> io::Result<Self> {
+        let binding = Front::bind(&opts.front).await?;
+        let front = binding.front().clone();
+        let model = EngineModel::new(opts.engine, opts.clock.now());
+        let engine = Arc::new(Engine {
+            hub: Arc::new(Hub::new(model, opts.clock, opts.resume_window)),
+            front: front.clone(),
+            resumes: Switches::default(),
+            order_faults: Mutex::default(),
+        });
+        binding.serve(router(&engine));
+
+        let hub = engine.hub.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = hub.drive() => {}
+                () = front.stopped() => {}
+            }
+        });
+        Ok(Self { engine })
+    }
+
+    /// Returns the address listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.engine.front.address()
+    }
+
+    /// Returns the server's port, its connections and the faults of completions.
+    pub fn front(&self) -> &Front {
+        &self.engine.front
+    }
+
+    /// Returns the faults of resumed streams.
+    pub fn resumes(&self) -> &Switches {
+        &self.engine.resumes
+    }
+
+    /// Has the fault meet the next order that no other is planned for.
+    pub fn next_order(&self, fault: OrderFault) {
+        let mut faults = self.engine.order_faults.lock().unwrap_or_else(PoisonError::into_inner);
+        faults.push_back(fault);
+    }
+
+    /// Ends the engine's process: connections are reset, new ones refused, and what it held in
+    /// memory is lost.
+    pub async fn crash(&self) {
+        self.engine.crash().await;
+    }
+
+    /// Starts the process again after a crash.
+    pub async fn restart(&self) {
+        self.engine.hub.with_model(|model, now| model.restart(now));
+        self.engine.front.refuse_connections(false).await;
+    }
+
+    /// Sets whether the engine says that it is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.engine.hub.with_model(|model, now| model.set_leaving(now, leaving));
+    }
+
+    /// Returns all attempts that reached the engine, in order, over all its starts.
+    pub fn attempts(&self) -> Vec<AttemptRecord> {
+        self.engine.hub.state().ledger.clone()
+    }
+
+    /// Waits until an attempt has reached the engine and has ended, and says how.
+    pub async fn ended(&self, attempt: AttemptId) -> AttemptEnd {
+        self.engine.hub.ended(attempt).await
+    }
+
+    /// Returns the attempts that are open.
+    pub fn open_attempts(&self) -> Vec<AttemptId> {
+        self.engine.hub.state().model.open_attempts()
+    }
+
+    /// Returns all orders that reached the engine, in order, over all its starts.
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        self.engine.hub.state().model.orders().to_vec()
+    }
+
+    /// Stops the server, closes its connections and frees its port.
+    pub async fn stop(&self) {
+        self.engine.front.stop().await;
+    }
+}
+
+impl Engine {
+    pub(super) async fn crash(&self) {
+        self.hub.crash();
+        self.front.crash().await;
+    }
+
+    pub(super) fn take_order_fault(&self) -> Option<OrderFault> {
+        self.order_faults.lock().unwrap_or_else(PoisonError::into_inner).pop_front()
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-standin/src/faults/mod.rs
@@ -0,0 +1,15 @@
+//! Faults of an upstream's connections and answers, shared by all stand-ins of upstreams.
+//!
+//! A fault is set while the stand-in runs, for the next requests or for all of them.
+
+mod answers;
+mod connections;
+mod servers;
+mod switches;
+
+pub(crate) use answers::break_off;
+pub use answers::{FaultyAnswers, WholeAnswer};
+pub(crate) use connections::peer_of;
+pub use connections::{Connection, Connections};
+pub use servers::{Front, FrontOptions};
+pub use switches::{Fault, FaultPlan, Switches, When};
--- a/crates/anvilhook-standin/src/lib.rs
+++ b/crates/anvilhook-standin/src/lib.rs
@@ -2,3 +2,4 @@
 #![forbid(unsafe_code)]
 
 pub mod engines;
+pub mod faults;
--- /dev/null
+++ b/crates/anvilhook-standin/tests/engine_servers.rs
@@ -0,0 +1,133 @@
+//! Contract of the engine's server: what `anvilhook_engine::wire` promises.
+
+mod fixtures;
+
+use anvilhook_core::attempts::{ATTEMPT_HEADER, AttemptId};
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Millis, Tokens};
+use anvilhook_engine::wire::{ChatAnswer, ChatChunk, KV_PATH, REFUSED_HEADER, STREAMS_PATH};
+use anvilhook_standin::engines::{AttemptEnd, EngineOptions, expected_output};
+use anvilhook_standin::faults::{Fault, FaultPlan};
+use fixtures::{PATIENCE, call, chat, completion, fast_engine, fetch, open, read_events, start};
+use http::{Method, StatusCode};
+
+const A: AttemptId = AttemptId(0xa);
+
+#[tokio::test]
+async fn verify_whole_answer_follows_from_the_prompt_and_echoes_its_attempt() {
+    let engine = start(fast_engine()).await;
+    let req = chat("Is the fridge cold enough?", false, 5);
+
+    let seen = fetch(engine.address(), completion(A, &req), PATIENCE).await.unwrap();
+
+    let answer: ChatAnswer = serde_json::from_slice(&seen.body).unwrap();
+    assert_eq!(seen.status, StatusCode::OK);
+    assert_eq!(seen.headers[ATTEMPT_HEADER], A.to_string().as_str());
+    assert_eq!(answer.choices[0].message.content, expected_output(&req.messages, Tokens(5)));
+    assert_eq!(answer.usage.completion_tokens, 5);
+    assert_eq!(engine.attempts()[0].end.map(|(end, _)| end), Some(AttemptEnd::Finished));
+}
+
+#[tokio::test]
+async fn verify_stream_numbers_its_events_and_closes() {
+    let engine = start(fast_engine()).await;
+    let req = chat("Which sink is for fish?", true, 6);
+
+    let answer = open(engine.address(), completion(A, &req)).await;
+    let events = read_events(answer).await;
+
+    let text: String = events
+        .data
+        .iter()
+        .map(|data| serde_json::from_str::<ChatChunk>(data).unwrap())
+        .map(|chunk| chunk.choices[0].delta.content.clone())
+        .collect();
+    assert_eq!(events.numbers, [1, 2, 3, 4, 5, 6]);
+    assert_eq!(text, expected_output(&req.messages, Tokens(6)));
+    assert!(events.closed && !events.failed);
+}
+
+#[tokio::test]
+async fn verify_broken_stream_resumes_after_any_event() {
+    let engine = start(fast_engine()).await;
+    let req = chat("Which sink is for fish?", true, 6);
+    engine.front().switches().next(1, FaultPlan::from(Fault::ResetAfterFirstByte).after_events(3));
+
+    let broken = read_events(open(engine.address(), completion(A, &req)).await).await;
+    let path = format!("{STREAMS_PATH}/{A}?after=2");
+    let resumed = open(engine.address(), call(Method::GET, &path, A, Vec::new())).await;
+    let echo = resumed.headers()[ATTEMPT_HEADER].clone();
+    let resumed = read_events(resumed).await;
+
+    assert_eq!(broken.numbers, [1, 2, 3]);
+    assert!(broken.failed && !broken.closed);
+    assert_eq!(resumed.numbers, [3, 4, 5, 6]);
+    assert_eq!(resumed.data[0], broken.data[2]);
+    assert_eq!(echo, A.to_string().as_str());
+    assert!(resumed.closed);
+}
+
+#[tokio::test]
+async fn verify_unknown_stream_is_not_found_and_its_cancel_changes_nothing() {
+    let engine = start(fast_engine()).await;
+    let path = format!("{STREAMS_PATH}/{A}");
+
+    let get = fetch(engine.address(), call(Method::GET, &path, A, Vec::new()), PATIENCE).await;
+    let delete =
+        fetch(engine.address(), call(Method::DELETE, &path, A, Vec::new()), PATIENCE).await;
+
+    assert_eq!(get.unwrap().status, StatusCode::NOT_FOUND);
+    assert_eq!(delete.unwrap().status, StatusCode::NO_CONTENT);
+}
+
+#[tokio::test]
+async fn verify_cancel_ends_the_work() {
+    let engine = start(EngineOptions::default()).await;
+    let answer = open(engine.address(), completion(A, &chat("Go on.", true, 100_000))).await;
+    let open_before = engine.open_attempts();
+
+    let path = format!("{STREAMS_PATH}/{A}");
+    fetch(engine.address(), call(Method::DELETE, &path, A, Vec::new()), PATIENCE).await.unwrap();
+    let events = read_events(answer).await;
+
+    assert_eq!(open_before, [A]);
+    assert_eq!(engine.open_attempts(), []);
+    assert_eq!(engine.attempts()[0].end.map(|(end, _)| end), Some(AttemptEnd::Cancelled));
+    assert!(events.failed && !events.closed);
+}
+
+#[tokio::test]
+async fn verify_kv_cache_moves_from_prefill_to_decode() {
+    let reader = start(EngineOptions { role: Role::Prefill, ..fast_engine() }).await;
+    let writer = start(EngineOptions { role: Role::Decode, ..fast_engine() }).await;
+    let kv_path = format!("{KV_PATH}/{A}");
+    let dossier = "Lot 7, a walnut bureau. ".repeat(200);
+
+    let early = fetch(writer.address(), completion(A, &chat(&dossier, false, 4)), PATIENCE).await;
+    let read = fetch(reader.address(), completion(A, &chat(&dossier, false, 0)), PATIENCE).await;
+    let kv = fetch(reader.address(), call(Method::GET, &kv_path, A, Vec::new()), PATIENCE).await;
+    let kv = kv.unwrap().body.to_vec();
+    let put = fetch(writer.address(), call(Method::POST, &kv_path, A, kv), PATIENCE).await;
+    let written = fetch(writer.address(), completion(A, &chat(&dossier, false, 4)), PATIENCE).await;
+
+    let early = early.unwrap();
+    assert_eq!(early.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(early.headers[REFUSED_HEADER], "true");
+    assert_eq!(read.unwrap().status, StatusCode::OK);
+    assert_eq!(put.unwrap().status, StatusCode::NO_CONTENT);
+    let answer: ChatAnswer = serde_json::from_slice(&written.unwrap().body).unwrap();
+    let expected = expected_output(&chat(&dossier, false, 4).messages, Tokens(4));
+    assert_eq!(answer.choices[0].message.content, expected);
+}
+
+#[tokio::test]
+async fn verify_caller_that_goes_away_from_a_whole_answer_frees_the_engine() {
+    let engine = start(EngineOptions::default()).await;
+
+    let left =
+        fetch(engine.address(), completion(A, &chat("Go on.", false, 100_000)), Millis(50)).await;
+    let end = engine.ended(A).await;
+
+    assert!(left.unwrap_err().timed_out);
+    assert_eq!(end, AttemptEnd::Abandoned);
+}
