Say in the wire format what control calls and prefill-only calls carry

Cause: control calls belong to no attempt, and nothing said how only the prompt is asked for. Change: documentation of the wire format only.

--- a/crates/anvilhook-engine/src/wire.rs
+++ b/crates/anvilhook-engine/src/wire.rs
@@ -26,6 +26,10 @@
 //! stream ends with an event whose data is `[DONE]`; a stream without it is cut short. A stream can
 //! be resumed at the same engine until it has been closed for `RESUME_WINDOW`. The priority and the
 //! time left go in the headers below.
+//!
+//! Control calls belong to no attempt; each carries an id of its own in the attempt's header, which
+//! its answer echoes. With `max_tokens` 0 an engine only reads the prompt and keeps its KV cache
+//! for export; a completion under an id whose KV cache it holds only generates.
 
 use anvilhook_core::units::Millis;
 use serde::{Deserialize, Serialize};
