Bind the control of engines to HTTP

Cause: authority, drains and load reports need a typed way to an engine. Change: HttpEngineControl with an id per call that the answer must echo; what changes something goes over a new connection. The stand-in holds orders back until they are released, so that the test needs no time. Conclusion: a lost or late answer to an order is in doubt, never not run.

--- /dev/null
+++ b/crates/anvilhook-engine/src/http_control.rs
@@ -0,0 +1,206 @@
+//! The HTTP binding of `EngineControl`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use anvilhook_core::attempts::{ATTEMPT_HEADER, AttemptId};
+use anvilhook_core::orders::{EngineState, OrderReply, StampedOrder};
+use anvilhook_core::reports::{CacheEventPage, LoadReport};
+use anvilhook_core::units::Millis;
+use anvilhook_http::clients::{Connection, collect_body};
+use anvilhook_http::{CallError, HttpClient, Stage};
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_TYPE};
+use http::{HeaderMap, Method, Request, StatusCode};
+use rand::Rng;
+use serde::de::DeserializeOwned;
+use volo_http::body::Body;
+
+use crate::control::EngineControl;
+use crate::errors::{Error, Result};
+use crate::wire::{
+    CACHE_EVENTS_PATH, ORDERS_PATH, REFUSED_HEADER, REPORT_PATH, STATE_PATH, STREAMS_PATH,
+};
+
+/// `ControlOptions` bounds control calls.
+#[derive(Clone, Copy, Debug)]
+pub struct ControlOptions {
+    /// The longest time to the head of an answer, and again to its end.
+    pub timeout: Millis,
+    /// The largest answer, in bytes.
+    pub max_answer_bytes: usize,
+}
+
+impl Default for ControlOptions {
+    fn default() -> Self {
+        Self { timeout: Millis::from_secs(2), max_answer_bytes: 1 << 20 }
+    }
+}
+
+/// `CallIds` gives each call an id that no other process gives.
+#[derive(Debug)]
+struct CallIds {
+    base: AttemptId,
+    next: AtomicU64,
+}
+
+impl CallIds {
+    fn next(&self) -> AttemptId {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        AttemptId(self.base.0.wrapping_add(u128::from(number)))
+    }
+}
+
+/// `HttpEngineControl` controls engines over HTTP. Clones share their connections.
+#[derive(Clone)]
+pub struct HttpEngineControl {
+    client: HttpClient,
+    opts: ControlOptions,
+    ids: Arc<CallIds>,
+}
+
+/// `ControlCall` is one call to one engine.
+struct ControlCall {
+    /// The id that the answer must echo.
+    id: AttemptId,
+    method: Method,
+    path: String,
+    body: Bytes,
+    connection: Connection,
+}
+
+impl ControlCall {
+    /// Makes a call that reads and may be repeated.
+    fn reading(id: AttemptId, path: String) -> Self {
+        let connection = Connection::Pooled;
+        Self { id, method: Method::GET, path, body: Bytes::new(), connection }
+    }
+
+    /// Makes a call that changes something.
+    ///
+    /// It goes over a new connection: on one that has gone silent it would be in doubt, and the
+    /// engine could be given no further order until its state has been read.
+    fn changing(id: AttemptId, method: Method, path: String, body: Bytes) -> Self {
+        Self { id, method, path, body, connection: Connection::New }
+    }
+}
+
+impl HttpEngineControl {
+    /// Makes the binding over a client. The generator draws the base of the calls' ids.
+    pub fn new(client: HttpClient, opts: ControlOptions, rng: &mut impl Rng) -> Self {
+        let base = AttemptId::random(rng);
+        Self { client, opts, ids: Arc::new(CallIds { base, next: AtomicU64::new(0) }) }
+    }
+
+    async fn read<T: DeserializeOwned>(&self, engine: SocketAddr, path: String) -> Result<T> {
+        let call = ControlCall::reading(self.ids.next(), path);
+        decode(&self.send(engine, call, StatusCode::OK).await?)
+    }
+
+    /// Sends a call and returns the body of its answer if the answer belongs to the call.
+    async fn send(
+        &self,
+        engine: SocketAddr,
+        call: ControlCall,
+        expected: StatusCode,
+    ) -> Result<Bytes> {
+        let (id, connection) = (call.id, call.connection);
+        let req = build(call)?;
+        let answer = self.client.send(engine, req, connection, self.opts.timeout).await?;
+
+        // The echo comes first: whatever else an answer to another call says, it is not about
+        // this one.
+        check_echo(answer.headers(), id)?;
+        let (parts, body) = answer.into_parts();
+        let body = collect_body(body, self.opts.max_answer_bytes, self.opts.timeout).await;
+        if is_refusal(parts.status, &parts.headers) {
+            // The head alone says that nothing ran; the reason is for logs.
+            let reason = body.unwrap_or_default();
+            let message = String::from_utf8_lossy(&reason).into_owned();
+            return Err(Error::Refused { status: parts.status.as_u16(), message });
+        }
+        if parts.status != expected {
+            return Err(unexpected(format!("status {}", parts.status)));
+        }
+        Ok(body?)
+    }
+}
+
+impl EngineControl for HttpEngineControl {
+    async fn state(&self, engine: SocketAddr) -> Result<EngineState> {
+        self.read(engine, STATE_PATH.to_owned()).await
+    }
+
+    async fn report(&self, engine: SocketAddr) -> Result<LoadReport> {
+        self.read(engine, REPORT_PATH.to_owned()).await
+    }
+
+    async fn cache_events(&self, engine: SocketAddr, after: u64) -> Result<CacheEventPage> {
+        self.read(engine, format!("{CACHE_EVENTS_PATH}?after={after}")).await
+    }
+
+    async fn order(&self, engine: SocketAddr, order: &StampedOrder) -> Result<OrderReply> {
+        let body = serde_json::to_vec(order).map_err(not_built)?;
+        let call = ControlCall::changing(
+            self.ids.next(),
+            Method::POST,
+            ORDERS_PATH.to_owned(),
+            Bytes::from(body),
+        );
+        decode(&self.send(engine, call, StatusCode::OK).await?)
+    }
+
+    async fn cancel(&self, engine: SocketAddr, attempt: AttemptId) -> Result<()> {
+        let path = format!("{STREAMS_PATH}/{attempt}");
+        let call = ControlCall::changing(attempt, Method::DELETE, path, Bytes::new());
+        self.send(engine, call, StatusCode::NO_CONTENT).await?;
+        Ok(())
+    }
+}
+
+impl std::fmt::Debug for HttpEngineControl {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpEngineControl").field("opts", &self.opts).finish_non_exhaustive()
+    }
+}
+
+fn build(call: ControlCall) -> Result<Request<Body>> {
+    let mut req = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(ATTEMPT_HEADER, call.id.to_string())
+        .header(CONTENT_TYPE, "application/json");
+    if call.connection == Connection::New {
+        // Without this the library hands the connection to the next call that wants a new one.
+        req = req.header(CONNECTION, "close");
+    }
+    req.body(Body::from(call.body)).map_err(not_built)
+}
+
+fn check_echo(headers: &HeaderMap, id: AttemptId) -> Result<()> {
+    let echo = headers.get(ATTEMPT_HEADER).and_then(|echo| echo.to_str().ok());
+    match echo {
+        Some(echo) if echo.parse() == Ok(id) => Ok(()),
+        Some(_) => Err(unexpected("it echoes another call")),
+        None => Err(unexpected("it echoes no call")),
+    }
+}
+
+fn is_refusal(status: StatusCode, headers: &HeaderMap) -> bool {
+    let refuses =
+        status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE;
+    refuses && headers.get(REFUSED_HEADER).is_some_and(|value| value == "true")
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|err| unexpected(format!("it cannot be read: {err}")))
+}
+
+fn not_built(err: impl std::fmt::Display) -> Error {
+    Error::Call(CallError::broken(Stage::Build, err))
+}
+
+fn unexpected(message: impl Into<String>) -> Error {
+    Error::NotAnAnswer { message: message.into() }
+}
--- a/crates/anvilhook-engine/src/lib.rs
+++ b/crates/anvilhook-engine/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod control;
 pub mod errors;
+pub mod http_control;
 pub mod prompts;
 pub mod wire;
 
 pub use control::EngineControl;
 pub use errors::{Error, Result};
+pub use http_control::{ControlOptions, HttpEngineControl};
--- /dev/null
+++ b/crates/anvilhook-engine/tests/http_control.rs
@@ -0,0 +1,130 @@
+//! Contract of `HttpEngineControl` against the stand-in engine.
+
+use anvilhook_core::Verdict;
+use anvilhook_core::attempts::AttemptId;
+use anvilhook_core::orders::{Order, OrderReply, Role, Stamp, StampedOrder, Term};
+use anvilhook_core::units::Millis;
+use anvilhook_engine::{ControlOptions, EngineControl, Error, HttpEngineControl};
+use anvilhook_http::{ClientOptions, HttpClient, Stage};
+use anvilhook_standin::engines::{EngineOptions, EngineServer, EngineServerOptions, OrderFault};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+fn control(timeout: Millis) -> HttpEngineControl {
+    let client = HttpClient::try_new(&ClientOptions::default()).expect("the defaults are good");
+    let opts = ControlOptions { timeout, ..ControlOptions::default() };
+    HttpEngineControl::new(client, opts, &mut ChaCha8Rng::seed_from_u64(1))
+}
+
+async fn start(engine: EngineOptions) -> EngineServer {
+    let opts = EngineServerOptions { engine, ..EngineServerOptions::default() };
+    EngineServer::start(opts).await.expect("the kernel has a free port")
+}
+
+fn become_decode(term: u64, seq: u64) -> StampedOrder {
+    let stamp = Stamp { term: Term(term), seq };
+    StampedOrder { stamp, order: Order::SetRole { role: Role::Decode } }
+}
+
+/// Long enough for any answer that comes at all.
+const PATIENCE: Millis = Millis::from_secs(10);
+
+/// How long an answer is waited for that does not come.
+const SHORT: Millis = Millis(100);
+
+#[tokio::test]
+async fn verify_reads_and_orders_reach_the_engine() {
+    let engine = start(EngineOptions { first_boot: 7, ..EngineOptions::default() }).await;
+    let (control, address) = (control(PATIENCE), engine.address());
+
+    let report = control.report(address).await.unwrap();
+    let page = control.cache_events(address, 0).await.unwrap();
+    let first = control.order(address, &become_decode(3, 1)).await.unwrap();
+    let stale = control.order(address, &become_decode(2, 9)).await.unwrap();
+    let state = control.state(address).await.unwrap();
+    let cancelled = control.cancel(address, AttemptId(5)).await;
+
+    assert_eq!((report.boot, report.role), (7, Role::Mixed));
+    assert_eq!((page.boot, page.events.len()), (7, 0));
+    assert_eq!(first, OrderReply::Accepted);
+    assert_eq!(stale, OrderReply::Fenced { last: Stamp { term: Term(3), seq: 1 } });
+    assert_eq!(state.running_order, Some(become_decode(3, 1)));
+    assert_eq!(cancelled, Ok(()));
+}
+
+#[tokio::test]
+async fn verify_order_without_an_answer_is_in_doubt_and_its_effect_is_read_back() {
+    // Symptom: an order is given twice, or a different one while the first is still under way.
+    // Sequence: the engine takes the order, the answer is lost or late, the sender concludes that
+    // nothing happened. Cause: a lost answer taken for a lost order.
+    let cases = [
+        (OrderFault::AnswerLost, PATIENCE, false),
+        (OrderFault::AnsweredLate(PATIENCE), SHORT, true),
+    ];
+    for (fault, timeout, timed_out) in cases {
+        let engine = start(EngineOptions::default()).await;
+        engine.next_order(fault);
+        let control = control(timeout);
+
+        let lost = control.order(engine.address(), &become_decode(1, 1)).await.unwrap_err();
+        let state = control.state(engine.address()).await.unwrap();
+
+        assert_eq!(lost.verdict(), Verdict::MayHaveRun, "{fault:?}");
+        let Error::Call(call) = lost else { panic!("{fault:?}: {lost:?}") };
+        assert_eq!((call.stage, call.timed_out), (Stage::FirstByte, timed_out), "{fault:?}");
+        assert_eq!(state.last_stamp, become_decode(1, 1).stamp, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn verify_order_held_back_takes_effect_after_its_sender_gave_up() {
+    // Symptom: an engine that checks no fencing number changes its role long after the lease of
+    // the order's sender has lapsed. Sequence: the order is held back in the network, its sender
+    // gives up, a read of the state shows nothing, the order arrives. Cause: a state read after a
+    // timeout taken for proof that the order is dead.
+    let engine = start(EngineOptions { checks_fencing: false, ..EngineOptions::default() }).await;
+    engine.next_order(OrderFault::HeldBack);
+    let control = control(SHORT);
+
+    let lost = control.order(engine.address(), &become_decode(1, 1)).await.unwrap_err();
+    let before = control.state(engine.address()).await.unwrap();
+    engine.release_orders();
+    let mut after = before.clone();
+    while after.running_order.is_none() {
+        after = control.state(engine.address()).await.unwrap();
+    }
+
+    assert_eq!(lost.verdict(), Verdict::MayHaveRun);
+    assert_eq!(before.running_order, None);
+    assert_eq!(after.running_order, Some(become_decode(1, 1)));
+}
+
+#[tokio::test]
+async fn verify_engine_that_is_down_has_not_taken_an_order() {
+    let engine = start(EngineOptions::default()).await;
+    let control = control(PATIENCE);
+    engine.crash().await;
+
+    let refused = control.order(engine.address(), &become_decode(1, 1)).await.unwrap_err();
+    engine.restart().await;
+    let state = control.state(engine.address()).await.unwrap();
+
+    assert_eq!(refused.verdict(), Verdict::NotRun);
+    assert_eq!((state.boot, state.last_stamp), (2, Stamp::default()));
+    assert_eq!(engine.orders(), []);
+}
+
+#[tokio::test]
+async fn verify_order_gets_through_while_open_connections_are_silent() {
+    // Symptom: an engine that works takes no orders. Sequence: a read leaves its connection open,
+    // something between the two ends forgets it, the order is sent on it. Cause: an order sent on a
+    // pooled connection.
+    let engine = start(EngineOptions::default()).await;
+    let control = control(PATIENCE);
+    control.state(engine.address()).await.unwrap();
+    engine.front().connections().silence_all();
+
+    let reply = control.order(engine.address(), &become_decode(1, 1)).await;
+
+    assert_eq!(reply, Ok(OrderReply::Accepted));
+}
--- a/crates/anvilhook-standin/src/engines/serving/controls.rs
+++ b/crates/anvilhook-standin/src/engines/serving/controls.rs
@@ -13,7 +13,7 @@
 use volo_http::server::param::PathParams;
 use volo_http::utils::Extension;
 
-use super::handlers::{After, attempt_in, echo, no_content, not_found, read_json};
+use super::handlers::{After, echo, no_content, not_found, read_json};
 use super::hubs::KvCache;
 use super::servers::{Engine, OrderFault};
 use crate::faults::peer_of;
@@ -62,7 +62,7 @@
             connection.close();
             return std::future::pending().await;
         }
-        Some(OrderFault::DeliveredLate(_)) | None => {}
+        Some(OrderFault::HeldBack) | None => {}
     }
     control_answer(&parts.headers, Some(reply)).await
 }
@@ -75,8 +75,8 @@
     fault: Option<OrderFault>,
 ) -> OrderReply {
     let delivery = tokio::spawn(async move {
-        if let Some(OrderFault::DeliveredLate(late)) = fault {
-            tokio::time::sleep(late.as_duration()).await;
+        if fault == Some(OrderFault::HeldBack) {
+            engine.released().await;
         }
         engine.hub.with_model(|model, now| model.order(now, &order))
     });
@@ -89,12 +89,14 @@
 pub(super) async fn export_kv(
     Extension(engine): Extension<Arc<Engine>>,
     PathParams(attempt): PathParams<String>,
+    req: Request,
 ) -> Response<Body> {
     let Ok(attempt) = attempt.parse::<AttemptId>() else { return not_found() };
-    match engine.hub.export_kv(attempt) {
-        Some(cache) => echo(attempt, answers::json(StatusCode::OK, &cache)),
-        None => echo(attempt, not_found()),
-    }
+    let answer = match engine.hub.export_kv(attempt) {
+        Some(cache) => answers::json(StatusCode::OK, &cache),
+        None => not_found(),
+    };
+    echo(req.headers(), answer)
 }
 
 pub(super) async fn import_kv(
@@ -103,13 +105,15 @@
     req: Request,
 ) -> Response<Body> {
     let Ok(attempt) = attempt.parse::<AttemptId>() else { return not_found() };
-    match read_json::<KvCache>(req.into_body()).await {
+    let (parts, body) = req.into_parts();
+    let answer = match read_json::<KvCache>(body).await {
         Ok(cache) => {
             engine.hub.import_kv(attempt, cache);
-            echo(attempt, no_content())
+            no_content()
         }
-        Err(message) => echo(attempt, answers::text(StatusCode::BAD_REQUEST, message)),
-    }
+        Err(message) => answers::text(StatusCode::BAD_REQUEST, message),
+    };
+    echo(&parts.headers, answer)
 }
 
 /// Answers a control call. An engine that is down never answers.
@@ -118,9 +122,5 @@
     value: Option<T>,
 ) -> Response<Body> {
     let Some(value) = value else { return std::future::pending().await };
-    let answer = answers::json(StatusCode::OK, &value);
-    match attempt_in(headers) {
-        Some(call) => echo(call, answer),
-        None => answer,
-    }
+    echo(headers, answers::json(StatusCode::OK, &value))
 }
--- a/crates/anvilhook-standin/src/engines/serving/handlers.rs
+++ b/crates/anvilhook-standin/src/engines/serving/handlers.rs
@@ -149,10 +149,11 @@
 async fn cancel(
     Extension(engine): Extension<Arc<Engine>>,
     PathParams(attempt): PathParams<String>,
+    req: Request,
 ) -> Response<Body> {
     let Ok(attempt) = attempt.parse::<AttemptId>() else { return not_found() };
     engine.hub.cancel(attempt, AttemptEnd::Cancelled);
-    echo(attempt, no_content())
+    echo(req.headers(), no_content())
 }
 
 impl Engine {
@@ -162,7 +163,9 @@
     }
 }
 
-pub(super) fn echo(attempt: AttemptId, answer: Response<Body>) -> Response<Body> {
+/// Echoes the id of a call that no fault meets, if it carries one.
+pub(super) fn echo(headers: &HeaderMap, answer: Response<Body>) -> Response<Body> {
+    let Some(attempt) = attempt_in(headers) else { return answer };
     FaultyAnswers { attempt, plan: None, connection: Arc::default() }.echo(answer)
 }
 
--- a/crates/anvilhook-standin/src/engines/serving/servers.rs
+++ b/crates/anvilhook-standin/src/engines/serving/servers.rs
@@ -8,6 +8,7 @@
 use anvilhook_core::attempts::AttemptId;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_engine::wire::RESUME_WINDOW;
+use tokio::sync::watch;
 
 use super::handlers::router;
 use super::hubs::Hub;
@@ -18,8 +19,9 @@
 /// `OrderFault` is what can go wrong with one order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderFault {
-    /// The order reaches the engine late, also if its sender has given up by then.
-    DeliveredLate(Millis),
+    /// The order reaches the engine only at `EngineServer::release_orders`, also if its sender has
+    /// given up by then.
+    HeldBack,
     /// The order takes effect, and its answer comes late.
     AnsweredLate(Millis),
     /// The order takes effect, and its answer never comes.
@@ -57,6 +59,8 @@
     pub(super) front: Front,
     pub(super) resumes: Switches,
     order_faults: Mutex<VecDeque<OrderFault>>,
+    /// Changes when orders that are held back are let go.
+    releases: watch::Sender<()>,
 }
 
 /// `EngineServer` is a handle on a running engine. Clones steer the same one.
@@ -80,6 +84,7 @@
             front: front.clone(),
             resumes: Switches::default(),
             order_faults: Mutex::default(),
+            releases: watch::Sender::new(()),
         });
         binding.serve(router(&engine));
 
@@ -114,6 +119,11 @@
         faults.push_back(fault);
     }
 
+    /// Lets all orders go that are held back.
+    pub fn release_orders(&self) {
+        self.engine.releases.send_replace(());
+    }
+
     /// Ends the engine's process: connections are reset, new ones refused, and what it held in
     /// memory is lost.
     pub async fn crash(&self) {
@@ -163,6 +173,12 @@
         self.front.crash().await;
     }
 
+    /// Waits until orders that are held back are let go.
+    pub(super) async fn released(&self) {
+        // The sender lives in `self`, so the channel cannot close during the wait.
+        let _ = self.releases.subscribe().changed().await;
+    }
+
     pub(super) fn take_order_fault(&self) -> Option<OrderFault> {
         self.order_faults.lock().unwrap_or_else(PoisonError::into_inner).pop_front()
     }
