--- a/crates/anvilhook-standin/src/engines/serving/controls.rs
+++ b/crates/anvilhook-standin/src/engines/serving/controls.rs
@@ -13,10 +13,10 @@
 use volo_http::server::param::PathParams;
 use volo_http::utils::Extension;
 
-use super::handlers::{After, echo, no_content, not_found, read_json};
+use super::handlers::{After, no_content, not_found, read_json};
 use super::hubs::KvCache;
 use super::servers::{Engine, OrderFault};
-use crate::faults::peer_of;
+use crate::faults::{echo, peer_of};
 
 pub(super) async fn state(
     Extension(engine): Extension<Arc<Engine>>,
--- a/crates/anvilhook-standin/src/engines/serving/handlers.rs
+++ b/crates/anvilhook-standin/src/engines/serving/handlers.rs
@@ -29,7 +29,7 @@
 use super::ledgers::AttemptEnd;
 use super::servers::Engine;
 use super::texts::whole_text;
-use crate::faults::{Fault, FaultPlan, FaultyAnswers, WholeAnswer, peer_of};
+use crate::faults::{Fault, FaultPlan, FaultyAnswers, WholeAnswer, attempt_in, echo, peer_of};
 
 /// The largest body of a request.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -163,16 +163,6 @@
     }
 }
 
-/// Echoes the id of a call that no fault meets, if it carries one.
-pub(super) fn echo(headers: &HeaderMap, answer: Response<Body>) -> Response<Body> {
-    let Some(attempt) = attempt_in(headers) else { return answer };
-    FaultyAnswers { attempt, plan: None, connection: Arc::default() }.echo(answer)
-}
-
-pub(super) fn attempt_in(headers: &HeaderMap) -> Option<AttemptId> {
-    headers.get(ATTEMPT_HEADER)?.to_str().ok()?.parse().ok()
-}
-
 fn priority_in(headers: &HeaderMap) -> u8 {
     let named = headers.get(PRIORITY_HEADER).and_then(|value| value.to_str().ok());
     named.and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_PRIORITY)
--- a/crates/anvilhook-standin/src/faults/answers.rs
+++ b/crates/anvilhook-standin/src/faults/answers.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
-use http::{Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode};
 use http_body::Frame;
 use volo_http::body::Body;
 use volo_http::error::BoxError;
@@ -168,6 +168,16 @@
     }
 }
 
+/// Echoes the id of a call that no fault meets, if it carries one.
+pub(crate) fn echo(headers: &HeaderMap, answer: Response<Body>) -> Response<Body> {
+    let Some(attempt) = attempt_in(headers) else { return answer };
+    FaultyAnswers { attempt, plan: None, connection: Arc::default() }.echo(answer)
+}
+
+pub(crate) fn attempt_in(headers: &HeaderMap) -> Option<AttemptId> {
+    headers.get(ATTEMPT_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 /// Has a connection fail amid an answer. Returns the error that ends the answer's body.
 pub(crate) async fn break_off(connection: &Connection, fault: Fault) -> BoxError {
     if fault == Fault::SilentMidAnswer {
--- a/crates/anvilhook-standin/src/faults/mod.rs
+++ b/crates/anvilhook-standin/src/faults/mod.rs
@@ -7,8 +7,8 @@
 mod servers;
 mod switches;
 
-pub(crate) use answers::break_off;
 pub use answers::{FaultyAnswers, WholeAnswer};
+pub(crate) use answers::{attempt_in, break_off, echo};
 pub(crate) use connections::peer_of;
 pub use connections::{Connection, Connections};
 pub use servers::{Front, FrontOptions};
--- a/crates/anvilhook-standin/src/lib.rs
+++ b/crates/anvilhook-standin/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod engines;
 pub mod faults;
+pub mod plain;
--- /dev/null
+++ b/crates/anvilhook-standin/src/plain/ledgers.rs
@@ -0,0 +1,96 @@
+//! The count of what a plain service ran.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use anvilhook_core::attempts::AttemptId;
+use anvilhook_core::units::Millis;
+use sha2::{Digest, Sha256};
+
+/// Returns a number that stands for a call's body.
+pub fn body_digest(body: &[u8]) -> u64 {
+    let digest = Sha256::digest(body);
+    let mut first = [0; size_of::<u64>()];
+    first.copy_from_slice(&digest[..size_of::<u64>()]);
+    u64::from_be_bytes(first)
+}
+
+/// `Run` is one call that was run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Run {
+    /// The attempt that brought it.
+    pub attempt: AttemptId,
+    /// The caller's idempotency key, if it came along.
+    pub key: Option<String>,
+    /// The method and the path.
+    pub call: String,
+    /// A number that stands for the body; see `body_digest`.
+    pub body: u64,
+    /// When it ran.
+    pub at: Millis,
+}
+
+/// `RunLedger` counts runs. Clones share the counts, so that all upstreams of one service can
+/// count together.
+///
+/// ```
+/// use anvilhook_core::attempts::AttemptId;
+/// use anvilhook_core::units::Millis;
+/// use anvilhook_standin::plain::{Run, RunLedger, body_digest};
+///
+/// let ledger = RunLedger::default();
+/// let run = Run {
+///     attempt: AttemptId(1),
+///     key: Some("paddle-12".to_owned()),
+///     call: "POST /records".to_owned(),
+///     body: body_digest(b"sold"),
+///     at: Millis::ZERO,
+/// };
+/// ledger.push(run.clone());
+/// ledger.push(Run { attempt: AttemptId(2), ..run });
+/// assert_eq!(ledger.runs_of_key("paddle-12"), 2);
+/// assert_eq!(ledger.runs_of_body(b"sold"), 2);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct RunLedger {
+    runs: Arc<Mutex<Runs>>,
+}
+
+#[derive(Debug, Default)]
+struct Runs {
+    all: Vec<Run>,
+    by_key: HashMap<String, usize>,
+    by_body: HashMap<u64, usize>,
+}
+
+impl RunLedger {
+    /// Counts a run and returns how many there have been.
+    pub fn push(&self, run: Run) -> usize {
+        let mut runs = self.runs();
+        if let Some(key) = &run.key {
+            *runs.by_key.entry(key.clone()).or_default() += 1;
+        }
+        *runs.by_body.entry(run.body).or_default() += 1;
+        runs.all.push(run);
+        runs.all.len()
+    }
+
+    /// Returns all runs in order.
+    pub fn all(&self) -> Vec<Run> {
+        self.runs().all.clone()
+    }
+
+    /// Returns how often calls with this idempotency key ran.
+    pub fn runs_of_key(&self, key: &str) -> usize {
+        self.runs().by_key.get(key).copied().unwrap_or_default()
+    }
+
+    /// Returns how often calls with this body ran.
+    pub fn runs_of_body(&self, body: &[u8]) -> usize {
+        self.runs().by_body.get(&body_digest(body)).copied().unwrap_or_default()
+    }
+
+    fn runs(&self) -> MutexGuard<'_, Runs> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/anvilhook-standin/tests/engine_servers.rs
+++ b/crates/anvilhook-standin/tests/engine_servers.rs
@@ -34,7 +34,7 @@
     let req = chat("Which sink is for fish?", true, 6);
 
     let answer = open(engine.address(), completion(A, &req)).await;
-    let events = read_events(answer).await;
+    let events = read_events(answer, PATIENCE).await;
 
     let text: String = events
         .data
@@ -53,11 +53,11 @@
     let req = chat("Which sink is for fish?", true, 6);
     engine.front().switches().next(1, FaultPlan::from(Fault::ResetAfterFirstByte).after_events(3));
 
-    let broken = read_events(open(engine.address(), completion(A, &req)).await).await;
+    let broken = read_events(open(engine.address(), completion(A, &req)).await, PATIENCE).await;
     let path = format!("{STREAMS_PATH}/{A}?after=2");
     let resumed = open(engine.address(), call(Method::GET, &path, A, Vec::new())).await;
     let echo = resumed.headers()[ATTEMPT_HEADER].clone();
-    let resumed = read_events(resumed).await;
+    let resumed = read_events(resumed, PATIENCE).await;
 
     assert_eq!(broken.numbers, [1, 2, 3]);
     assert!(broken.failed && !broken.closed);
@@ -88,7 +88,7 @@
 
     let path = format!("{STREAMS_PATH}/{A}");
     fetch(engine.address(), call(Method::DELETE, &path, A, Vec::new()), PATIENCE).await.unwrap();
-    let events = read_events(answer).await;
+    let events = read_events(answer, PATIENCE).await;
 
     assert_eq!(open_before, [A]);
     assert_eq!(engine.open_attempts(), []);
