--- a/crates/anvilhook-standin/src/lib.rs
+++ b/crates/anvilhook-standin/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod platform;
 pub mod engines;
+pub mod faults;
