--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -6,10 +6,14 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod authority;
 pub mod caches;
+pub mod drains;
 pub mod ejections;
 pub mod errors;
+pub mod leases;
 pub mod limits;
+pub mod membership;
 pub mod names;
 pub mod orders;
 pub mod reports;
