Prove the thin path with a real daemon process

Cause: the path of a chat completion must work end to end before its promises are built on it. Change: a site of stand-ins and callers in the bench crate; tests that start anvilhookd, ask whole and streamed, and stop it by SIGTERM amid a stream. Conclusion: the stream is whole, the late request is refused as not run and never reaches the engine.

--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -3,4 +3,6 @@
 //! Each subcommand of `anvilhook-bench` is one module with an `Args` struct and a `run` function.
 #![forbid(unsafe_code)]
 
+pub mod callers;
 pub mod proxy;
+pub mod sites;
--- /dev/null
+++ b/crates/anvilhook-bench/src/sites/mod.rs
@@ -0,0 +1,142 @@
+//! A small site on loopback: the platform, engines and plain services, all stand-ins, and the
+//! resources that declare them.
+
+mod declarations;
+mod resources;
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use anvilhook_core::units::{Millis, SystemClock};
+use anvilhook_daemon::instances::{Instance, InstanceHandle, Parts};
+use anvilhook_daemon::settings::{self, Settings};
+use anvilhook_standin::engines::{EngineOptions, EngineServer, EngineServerOptions};
+use anvilhook_standin::faults::FrontOptions;
+use anvilhook_standin::platform::{LocalPlatform, Pacing, PlatformOptions, PlatformServer};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+pub use declarations::declare;
+pub use resources::{
+    ALERT_SERVICE, Bounds, CALL_PATH, CHAT_SERVICE, Declared, LEDGER_SERVICE, MODEL, TOKEN,
+    engine_name, name, plain_name, resources, zone,
+};
+
+/// An address on loopback whose port the kernel chooses.
+pub const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// `SiteOptions` describes a site.
+#[derive(Clone, Debug)]
+pub struct SiteOptions {
+    /// The number of engines.
+    pub engines: usize,
+    /// What each engine is like.
+    pub engine: EngineOptions,
+    /// How late the platform's list shows an event.
+    pub list_lag: Millis,
+    /// What the services promise.
+    pub bounds: Bounds,
+    /// Whether the stand-ins hold their connections, so that those can be made to fail.
+    pub holds_connections: bool,
+    /// The seed of all that is left to chance.
+    pub seed: u64,
+}
+
+impl Default for SiteOptions {
+    fn default() -> Self {
+        Self {
+            engines: 2,
+            engine: EngineOptions::default().faster(10.0),
+            list_lag: Millis(200),
+            bounds: Bounds::default(),
+            holds_connections: true,
+            seed: 1,
+        }
+    }
+}
+
+/// `Site` is a running site without instances.
+#[derive(Debug)]
+pub struct Site {
+    /// The platform's services, reached within the process.
+    pub platform: LocalPlatform<SystemClock>,
+    /// The engines, in the order of their names.
+    pub engines: Vec<EngineServer>,
+    platform_server: PlatformServer,
+}
+
+impl Site {
+    /// Starts the stand-ins and declares them.
+    ///
+    /// # Errors
+    ///
+    /// Any failure to listen, or to declare a resource.
+    pub async fn start(options: &SiteOptions) -> eyre::Result<Self> {
+        let clock = SystemClock::new();
+        let platform_options =
+            PlatformOptions { list_lag: options.list_lag, pacing: Pacing::Timed };
+        let platform = LocalPlatform::new(clock, platform_options);
+        let platform_server = PlatformServer::start(ANY_PORT, platform.clone()).await?;
+        let front = FrontOptions {
+            holds_connections: options.holds_connections,
+            ..FrontOptions::default()
+        };
+
+        let mut engines = Vec::new();
+        for index in 0..options.engines {
+            let engine = EngineOptions { seed: index as u64, ..options.engine.clone() };
+            let opts = EngineServerOptions { front, engine, clock, ..Default::default() };
+            engines.push(EngineServer::start(opts).await?);
+        }
+
+        let addresses: Vec<SocketAddr> = engines.iter().map(EngineServer::address).collect();
+        let declared = resources(&addresses, &[], &options.bounds);
+        let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+        declare(platform.clone(), declared, &mut rng).await?;
+        Ok(Self { platform, engines, platform_server })
+    }
+
+    /// Returns where the platform listens.
+    pub fn platform_address(&self) -> SocketAddr {
+        self.platform_server.address()
+    }
+
+    /// Returns the text of a settings file for the instance with the given number.
+    pub fn settings_text(&self, index: usize) -> String {
+        let platform = self.platform_address();
+        let zone = zone(index);
+        format!(
+            "instance: {{name_prefix: entry-{index}, zone: {zone}}}\n\
+             listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}\n\
+             platform: {{address: '{platform}'}}\n\
+             logging: {{level: error}}\n\
+             polling: {{configuration_ms: 100, reports_ms: 100, instance_list_ms: 100}}\n\
+             peers: {{key: key-of-the-demonstration}}\n"
+        )
+    }
+
+    /// Returns the settings of the instance with the given number.
+    ///
+    /// # Errors
+    ///
+    /// A `SettingsError` if the text above breaks a rule.
+    pub fn settings(&self, index: usize) -> Result<Settings, settings::SettingsError> {
+        settings::parse(Path::new("site.yaml"), &self.settings_text(index))
+    }
+
+    /// Starts an instance within the process and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Any failure to start.
+    pub async fn start_instance(
+        &self,
+        index: usize,
+        seed: u64,
+    ) -> eyre::Result<InstanceHandle<SystemClock>> {
+        let instance = Instance::start(self.settings(index)?, Parts::seeded(seed)).await?;
+        instance.ready().await;
+        Ok(instance)
+    }
+}
--- a/crates/anvilhook-daemon/src/instances/handles.rs
+++ b/crates/anvilhook-daemon/src/instances/handles.rs
@@ -9,6 +9,7 @@
 
 use super::starts::HttpFront;
 use super::tasks::Tasks;
+use crate::observability::Readiness;
 
 /// `Addresses` holds where an instance listens, with the ports that the kernel chose.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -40,6 +41,7 @@
     pub(super) announcement: Announcement,
     pub(super) shutdown: Shutdown,
     pub(super) front: HttpFront<C>,
+    pub(super) readiness: Readiness,
     pub(super) tasks: Tasks,
 }
 
@@ -54,6 +56,11 @@
         self.announcement.addresses
     }
 
+    /// Waits until a configuration is in force.
+    pub async fn ready(&self) {
+        self.readiness.configured().await;
+    }
+
     /// Returns how many callers' requests are in flight.
     pub fn in_flight(&self) -> u64 {
         self.front.in_flight()
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -160,13 +160,13 @@
         let mut tasks = Tasks::new(shutdown.clone());
         spawn_pollers(&mut tasks, &pollers, clients, &settings.polling);
         spawn_front(&mut tasks, "callers", listeners.callers, front.router(), &shutdown);
-        let probes = probe_router(Arc::new(registry), readiness);
+        let probes = probe_router(Arc::new(registry), readiness.clone());
         spawn_front(&mut tasks, "operators", listeners.operators, probes, &shutdown);
 
         log::info!(instance:% = name; "listening at {addresses:?}");
         let zone = settings.instance.zone.clone();
         let announcement = Announcement { instance: name, zone, addresses };
-        Ok(InstanceHandle { announcement, shutdown, front, tasks })
+        Ok(InstanceHandle { announcement, shutdown, front, readiness, tasks })
     }
 }
 
--- a/crates/anvilhook-daemon/src/observability/fronts.rs
+++ b/crates/anvilhook-daemon/src/observability/fronts.rs
@@ -1,37 +1,43 @@
 //! `/metrics`, `/healthz` and `/readyz`.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use anvilhook_http::{Phase, Shutdown, answers};
 use http::{Response, StatusCode};
 use prometheus_client::registry::Registry;
+use tokio::sync::watch;
 use volo_http::body::Body;
 use volo_http::server::route::{Router, get};
 
 /// `Readiness` says whether the platform's balancer should send callers here. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Readiness {
-    configured: Arc<AtomicBool>,
+    configured: watch::Sender<bool>,
     shutdown: Shutdown,
 }
 
 impl Readiness {
     /// Makes the readiness of an instance that has no configuration yet.
     pub fn new(shutdown: Shutdown) -> Self {
-        Self { configured: Arc::default(), shutdown }
+        Self { configured: watch::Sender::new(false), shutdown }
     }
 
     /// Says that a configuration is in force.
     pub fn set_configured(&self) {
-        self.configured.store(true, Ordering::Release);
+        self.configured.send_replace(true);
+    }
+
+    /// Waits until a configuration is in force.
+    pub async fn configured(&self) {
+        // The sender lives in `self`, so the channel cannot close during the wait.
+        let _ = self.configured.subscribe().wait_for(|configured| *configured).await;
     }
 
     /// Returns why no callers should be sent here, if so.
     pub fn objection(&self) -> Option<&'static str> {
         if self.shutdown.phase() != Phase::Serving {
             Some("stopping")
-        } else if !self.configured.load(Ordering::Acquire) {
+        } else if !*self.configured.borrow() {
             Some("no configuration yet")
         } else {
             None
--- /dev/null
+++ b/crates/anvilhook-daemon/tests/end_to_end.rs
@@ -0,0 +1,74 @@
+//! The whole path with a real daemon process: callers, one instance, stand-ins, on real sockets.
+
+mod support;
+
+use anvilhook_bench::callers::{Caller, ChatCall, Outcome};
+use anvilhook_bench::sites::{Site, SiteOptions};
+use anvilhook_core::Verdict;
+use anvilhook_core::units::{Millis, Tokens};
+use anvilhook_standin::engines::{EngineOptions, expected_output};
+use http::StatusCode;
+use support::{DaemonProcess, LOOK_AGAIN};
+
+fn chat(prompt: &str, max_tokens: u64, stream: bool) -> ChatCall {
+    let deadline = Millis::from_secs(20);
+    ChatCall { prompt: prompt.to_owned(), max_tokens, stream, deadline }
+}
+
+fn text(outcome: &Outcome) -> &str {
+    match outcome.answer() {
+        Some(answer) => &answer.text,
+        None => panic!("not answered: {outcome:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_chat_whole_and_streamed() {
+    let site = Site::start(&SiteOptions::default()).await.expect("the site starts");
+    let daemon = DaemonProcess::start(&site, "chat").await;
+    let caller = Caller::try_new().expect("a caller");
+
+    for stream in [false, true] {
+        let call = chat("Is the fridge log complete?", 12, stream);
+        let outcome = caller.chat(daemon.callers(), &call).await;
+
+        let expected = expected_output(&call.messages(), Tokens(call.max_tokens));
+        assert!(text(&outcome).contains(&expected), "{outcome:?}");
+    }
+    let (status, metrics) = daemon.probe("/metrics").await;
+    assert_eq!(status, StatusCode::OK);
+    assert!(metrics.contains("process_resident_memory_bytes"), "{metrics}");
+    assert!(metrics.contains("requests_total{"), "{metrics}");
+}
+
+/// Symptom: an answer ends in its middle whenever an instance is replaced.
+/// Sequence: a long stream is open, the process gets SIGTERM, the stream goes on.
+/// Cause: the HTTP library gives open connections some 30 s after a signal, and closes the listener.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_sigterm_cuts_no_stream() {
+    let slow = EngineOptions { decode_step_ms: 20.0, ..EngineOptions::default() };
+    let options = SiteOptions { engines: 1, engine: slow, ..SiteOptions::default() };
+    let site = Site::start(&options).await.expect("the site starts");
+    let mut daemon = DaemonProcess::start(&site, "sigterm").await;
+    let caller = Caller::try_new().expect("a caller");
+    let callers = daemon.callers();
+    let long = chat("Read the whole manual.", 150, true);
+    let open = {
+        let (caller, long) = (caller.clone(), long.clone());
+        tokio::spawn(async move { caller.chat(callers, &long).await })
+    };
+    while site.engines[0].open_attempts().is_empty() {
+        tokio::time::sleep(LOOK_AGAIN.as_duration()).await;
+    }
+
+    daemon.terminate();
+    daemon.wait_for_readiness(StatusCode::SERVICE_UNAVAILABLE).await;
+    let late = caller.chat(callers, &chat("Too late?", 1, false)).await;
+
+    let draining = Outcome::Failed { verdict: Verdict::NotRun, code: "draining".to_owned() };
+    assert_eq!(late, draining);
+    let outcome = open.await.expect("the caller's task ends");
+    assert_eq!(text(&outcome), expected_output(&long.messages(), Tokens(long.max_tokens)));
+    assert_eq!(daemon.ended().await.code(), Some(0));
+    assert_eq!(site.engines[0].attempts().len(), 1, "the refused request did not run");
+}
--- a/crates/anvilhook-standin/src/lib.rs
+++ b/crates/anvilhook-standin/src/lib.rs
@@ -1,6 +1,6 @@
 //! Small stand-ins for the platform and the upstreams, the local demonstration and the bench.
 #![forbid(unsafe_code)]
 
-pub mod platform;
 pub mod engines;
 pub mod faults;
+pub mod platform;
