--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -11,7 +11,7 @@
 use anvilhook_platform::{HttpPlatform, HttpPlatformOptions};
 use anvilhook_store::{ConfigurationFollower, ConfigurationStore, StoreOptions};
 use prometheus_client::registry::Registry;
-use rand::{RngExt, SeedableRng};
+use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
 use volo_http::server::route::Router;
@@ -132,7 +132,7 @@
             address: settings.listen.callers,
             source,
         })?;
-        let clients = Clients::try_new(&settings).map_err(StartError::Client)?;
+        let clients = Clients::try_new(&settings, &mut parts.rng).map_err(StartError::Client)?;
 
         let shutdown = Shutdown::new();
         let readiness = Readiness::new(shutdown.clone());
@@ -181,7 +181,7 @@
 }
 
 impl Clients {
-    fn try_new(settings: &Settings) -> Result<Self, CallError> {
+    fn try_new(settings: &Settings, rng: &mut impl Rng) -> Result<Self, CallError> {
         let options = HttpPlatformOptions {
             timeout: settings.platform.timeout_ms,
             ..HttpPlatformOptions::default()
@@ -190,7 +190,7 @@
         Ok(Self {
             platform: HttpPlatform::try_new(settings.platform.address, &options)?,
             upstreams: HttpUpstreams::new(client.clone()),
-            control: HttpEngineControl::new(client, ControlOptions::default()),
+            control: HttpEngineControl::new(client, ControlOptions::default(), rng),
         })
     }
 }
--- a/crates/anvilhook-standin/src/lib.rs
+++ b/crates/anvilhook-standin/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod engines;
 pub mod faults;
+pub mod plain;
 pub mod platform;
