--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -7,13 +7,13 @@
 pub mod admission;
 pub mod attempts;
 pub mod authority;
+pub mod caches;
 pub mod drains;
+pub mod ejections;
 pub mod errors;
 pub mod leases;
-pub mod membership;
-pub mod caches;
-pub mod ejections;
 pub mod limits;
+pub mod membership;
 pub mod names;
 pub mod orders;
 pub mod reports;
