--- a/crates/anvilhook-daemon/src/lib.rs
+++ b/crates/anvilhook-daemon/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod instances;
 pub mod names;
 pub mod observability;
+pub mod operators;
 pub mod proxy;
 pub mod settings;
