--- a/crates/anvilhook-daemon/src/proxy/attempts.rs
+++ b/crates/anvilhook-daemon/src/proxy/attempts.rs
@@ -272,16 +272,19 @@
     /// Returns the bounds of an attempt that has `time_left`.
     pub(super) fn bounds(&self, req: &ProxyRequest, time_left: Millis) -> Bounds {
         let spec = &req.service.spec;
+        // An answer that stops half-way must be given up early enough for another attempt, if there
+        // can be one.
+        let patient = spec.first_byte_ms.max(Millis(time_left.0 / 2));
+        let whole = if req.idempotent { patient } else { time_left };
         // The head of a whole completion comes only when all of its output has been generated,
-        // which the declared time to the first byte can't cover. Half of the time left finds a
-        // silent connection early enough for another attempt.
+        // which the declared time to the first byte can't cover.
         let first_byte = match req.kind {
-            RequestKind::ChatWhole => spec.first_byte_ms.max(Millis(time_left.0 / 2)),
+            RequestKind::ChatWhole => patient,
             RequestKind::ChatStreamed | RequestKind::Plain => spec.first_byte_ms,
         };
         Bounds {
             first_byte: first_byte.min(time_left),
-            whole: time_left,
+            whole: whole.min(time_left),
             max_answer_bytes: usize::try_from(spec.max_answer_bytes).unwrap_or(usize::MAX),
         }
     }
--- /dev/null
+++ b/crates/anvilhook-daemon/tests/proxy_faults.rs
@@ -0,0 +1,205 @@
+//! The verdict that a caller hears is true under every fault of an upstream, and nothing that may
+//! not be repeated runs twice.
+
+mod support;
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+
+use anvilhook_core::resources::Configuration;
+use anvilhook_daemon::front::FrontOptions;
+use anvilhook_daemon::proxy::NoClaims;
+use support::fakes::{self, EVENTS, Fault, Ledger, SharedLedger};
+use support::fronts::{self, FrontUnderTest, chat_body, configuration};
+
+const RECORD: &str = "{\"lot\":7}";
+const UNBOUNDED: (u32, u32) = (100_000, 100_000);
+
+/// `Ask` is one way to ask for an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ask {
+    /// A plain call that may be repeated.
+    Idempotent,
+    /// A plain call that may not.
+    NonIdempotent,
+    /// A chat completion, answered whole.
+    Chat,
+    /// A chat completion, answered by a stream.
+    Streamed,
+}
+
+const ASKS: [Ask; 4] = [Ask::Idempotent, Ask::NonIdempotent, Ask::Chat, Ask::Streamed];
+
+fn ledger(faults: &[Fault], repeats: bool) -> SharedLedger {
+    let faults = VecDeque::from(faults.to_vec());
+    Arc::new(Mutex::new(Ledger { faults, repeats, ..Default::default() }))
+}
+
+async fn configured(ledger: &SharedLedger, fault: Fault, repeats: bool) -> Configuration {
+    let mut addresses = Vec::new();
+    for i in 0..2 {
+        let is_dead = fault == Fault::ConnectRefused && (repeats || i == 0);
+        let address = if is_dead { fakes::dead_address() } else { fakes::start(ledger).await };
+        addresses.push(address);
+    }
+    configuration(&addresses, |_| {}, UNBOUNDED)
+}
+
+/// Asks once, and returns what the caller was told and how often the request ran.
+async fn ask(front: &FrontUnderTest<NoClaims>, ledger: &SharedLedger, ask: Ask) -> (String, u32) {
+    let (outcome, body) = match ask {
+        Ask::Idempotent => {
+            let told = front.ask("PUT", "/services/ledger/records/7", &[], RECORD).await;
+            (told.outcome(), RECORD.to_owned())
+        }
+        Ask::NonIdempotent => {
+            let told = front.ask("POST", "/services/ledger/records", &[], RECORD).await;
+            (told.outcome(), RECORD.to_owned())
+        }
+        Ask::Chat => {
+            let body = chat_body("which lot?", false);
+            (front.ask("POST", "/v1/chat/completions", &[], &body).await.outcome(), body)
+        }
+        Ask::Streamed => {
+            let body = chat_body("which lot?", true);
+            let (numbers, outcome) = front.ask_streamed(&body).await;
+            let in_order: Vec<u64> = (1..=numbers.len() as u64).collect();
+            assert_eq!(numbers, in_order, "each event once and in order");
+            if outcome == "answered" {
+                assert_eq!(numbers.len() as u64, EVENTS, "a whole stream");
+            }
+            (outcome, body)
+        }
+    };
+    let runs = ledger.lock().expect("a ledger").runs.get(&body).copied().unwrap_or(0);
+    (outcome, runs)
+}
+
+/// Uses a connection to each upstream once, so that the next request finds an idle one.
+async fn warm(front: &FrontUnderTest<NoClaims>, ledger: &SharedLedger) {
+    let faults = std::mem::take(&mut ledger.lock().expect("a ledger").faults);
+    for i in 0..8 {
+        let told = front.ask("PUT", "/services/ledger/records/0", &[], &format!("{i}")).await;
+        assert_eq!(told.outcome(), "answered");
+    }
+    ledger.lock().expect("a ledger").faults = faults;
+}
+
+/// Symptom: a record is entered twice, or a caller is told "not run" of one that was entered.
+/// Sequence: an upstream fails at some byte of a request or its answer; the caller or the system
+/// sends the request again.
+/// Cause: a verdict that claims more than can be known, or a retry that the verdict forbids.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn verify_verdicts_under_every_fault() {
+    const A: &str = "answered";
+    const M: &str = "may-have-run";
+    const N: &str = "not-run";
+    // For each fault, the outcomes of the four ways to ask: under one such fault with a second
+    // upstream well, and under a fault that never ends.
+    let table = [
+        (Fault::None, [A, A, A, A], [A, A, A, A]),
+        (Fault::ConnectRefused, [A, A, A, A], [N, N, N, N]),
+        (Fault::ResetBeforeFirstByte, [A, M, A, A], [M, M, M, M]),
+        (Fault::ResetAfterFirstByte, [A, M, A, A], [M, M, M, M]),
+        (Fault::PooledClosed, [A, M, A, A], [A, M, A, A]),
+        (Fault::SilentBeforeHead, [A, M, A, A], [M, M, M, M]),
+        (Fault::SilentWithinBody, [A, M, A, A], [M, M, M, M]),
+        (Fault::OwnRefusal, [A, A, A, A], [N, N, N, N]),
+        (Fault::CutShort, [A, M, A, A], [M, M, M, M]),
+        (Fault::NoClosingEvent, [A, A, A, A], [A, A, A, M]),
+        (Fault::OtherAttempt, [A, M, A, A], [M, M, M, M]),
+        (Fault::NoEcho, [A, M, A, A], [M, M, M, M]),
+        (Fault::OtherBody, [A, A, A, A], [A, A, M, M]),
+        (Fault::Duplicate, [A, A, A, A], [A, A, A, A]),
+        (Fault::SilentConnection, [A, M, A, A], [A, M, A, A]),
+    ];
+    let mut checks = Vec::new();
+    for (fault, once, always) in table {
+        for (i, way) in ASKS.into_iter().enumerate() {
+            checks.push(tokio::spawn(check(fault, way, false, once[i])));
+            checks.push(tokio::spawn(check(fault, way, true, always[i])));
+        }
+    }
+    let mut failures = Vec::new();
+    for check in checks {
+        failures.extend(check.await.expect("a check that ends").err());
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Returns what does not hold of one case.
+async fn check(fault: Fault, way: Ask, repeats: bool, expected: &str) -> Result<(), String> {
+    let ledger = ledger(&[fault], repeats);
+    let cfg = configured(&ledger, fault, repeats).await;
+    let front = fronts::start(&cfg, FrontOptions::default(), NoClaims).await;
+    if matches!(fault, Fault::PooledClosed | Fault::SilentConnection) {
+        warm(&front, &ledger).await;
+    }
+
+    let (outcome, runs) = ask(&front, &ledger, way).await;
+
+    let may_repeat = way != Ask::NonIdempotent;
+    let rules = [
+        (outcome == expected, "another outcome"),
+        (outcome != "not-run" || runs == 0, "a false \"not run\""),
+        (runs <= 1 || may_repeat, "doubled"),
+        (runs >= 1 || outcome != "answered", "an answer to nothing"),
+    ];
+    let broken = rules.iter().find(|(holds, _)| !holds).map(|(_, rule)| rule);
+    match broken {
+        None => Ok(()),
+        Some(rule) => Err(format!(
+            "{rule}: {fault:?}, {way:?}, repeats: {repeats}: {outcome} after {runs} runs, \
+             expected {expected}"
+        )),
+    }
+}
+
+/// Symptom: a caller gets the answer to an earlier request.
+/// Sequence: an upstream answers twice on one connection, which is then used for the next request.
+/// Cause: the late answer taken for the answer to the next request, without looking at the echo.
+#[tokio::test]
+async fn verify_a_second_answer_meets_no_other_request() {
+    let ledger = ledger(&[Fault::Duplicate], true);
+    let address = fakes::start(&ledger).await;
+    let cfg = configuration(&[address], |_| {}, UNBOUNDED);
+    let front = fronts::start(&cfg, FrontOptions::default(), NoClaims).await;
+
+    for i in 0..20 {
+        let body = format!("{{\"record\":{i}}}");
+        let told = front.ask("POST", "/services/ledger/records", &[], &body).await;
+
+        let runs = ledger.lock().expect("a ledger").runs.get(&body).copied().unwrap_or(0);
+        match told.outcome().as_str() {
+            "answered" => assert!(told.body.contains(&format!("record\\\":{i}")), "{told:?}"),
+            "may-have-run" => assert!(runs <= 1),
+            "not-run" => assert_eq!(runs, 0),
+            other => panic!("unknown outcome {other}"),
+        }
+    }
+}
+
+/// Symptom: an engine generates answers that nobody reads.
+/// Sequence: a caller closes its connection while its stream is open.
+/// Cause: the stream's task not told of it.
+#[tokio::test]
+async fn verify_a_caller_that_goes_away_cancels_its_engine() {
+    let ledger = ledger(&[], false);
+    ledger.lock().expect("a ledger").endless = true;
+    let address = fakes::start(&ledger).await;
+    let cfg = configuration(&[address], |spec| spec.between_events_ms.0 = 60_000, UNBOUNDED);
+    let front = fronts::start(&cfg, FrontOptions::default(), NoClaims).await;
+
+    let answer = front.send("POST", "/v1/chat/completions", &[], &chat_body("x", true)).await;
+    assert_eq!(front.front.in_flight(), 1);
+    drop(answer);
+
+    let engine = "e0".parse().expect("a name");
+    while ledger.lock().expect("a ledger").cancels == 0
+        || front.front.in_flight() > 0
+        || front.front.in_flight_at(&engine) > 0
+    {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(ledger.lock().expect("a ledger").cancels, 1);
+}
