--- a/crates/anvilhook-daemon/tests/end_to_end.rs
+++ b/crates/anvilhook-daemon/tests/end_to_end.rs
@@ -1,6 +1,6 @@
 //! The whole path with a real daemon process: callers, one instance, stand-ins, on real sockets.
 
-mod support;
+mod processes;
 
 use anvilhook_bench::callers::{Caller, ChatCall, Outcome};
 use anvilhook_bench::sites::{Site, SiteOptions};
@@ -8,7 +8,7 @@
 use anvilhook_core::units::{Millis, Tokens};
 use anvilhook_standin::engines::{EngineOptions, expected_output};
 use http::StatusCode;
-use support::{DaemonProcess, LOOK_AGAIN};
+use processes::{DaemonProcess, LOOK_AGAIN};
 
 fn chat(prompt: &str, max_tokens: u64, stream: bool) -> ChatCall {
     let deadline = Millis::from_secs(20);
