--- a/crates/anvilhook-daemon/tests/end_to_end.rs
+++ b/crates/anvilhook-daemon/tests/end_to_end.rs
@@ -2,11 +2,12 @@
 
 mod processes;
 
-use anvilhook_bench::callers::{Caller, ChatCall, Outcome};
-use anvilhook_bench::sites::{Site, SiteOptions};
+use anvilhook_bench::callers::{Caller, ChatCall, Outcome, PlainCall};
+use anvilhook_bench::sites::{ALERT_SERVICE, Site, SiteOptions};
 use anvilhook_core::Verdict;
 use anvilhook_core::units::{Millis, Tokens};
 use anvilhook_standin::engines::{EngineOptions, expected_output};
+use anvilhook_standin::plain::{PlainAnswer, body_digest};
 use http::StatusCode;
 use processes::{DaemonProcess, LOOK_AGAIN};
 
@@ -41,6 +42,25 @@
     assert!(metrics.contains("requests_total{"), "{metrics}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_alert_runs_once() {
+    let site = Site::start(&SiteOptions::default()).await.expect("the site starts");
+    let daemon = DaemonProcess::start(&site, "alert").await;
+    let caller = Caller::try_new().expect("a caller");
+    let call = PlainCall {
+        service: ALERT_SERVICE,
+        key: None,
+        body: r#"{"fridge":3,"celsius":9}"#.to_owned(),
+        deadline: Millis::from_secs(5),
+    };
+
+    let outcome = caller.plain(daemon.callers(), &call).await;
+
+    let answer: PlainAnswer = serde_json::from_str(text(&outcome)).expect("the service's answer");
+    assert_eq!(answer.body, body_digest(call.body.as_bytes()));
+    assert_eq!(site.ledger.runs_of_body(call.body.as_bytes()), 1);
+}
+
 /// Symptom: an answer ends in its middle whenever an instance is replaced.
 /// Sequence: a long stream is open, the process gets SIGTERM, the stream goes on.
 /// Cause: the HTTP library gives open connections some 30 s after a signal, and closes the listener.
