Give operators the command line

Cause: operators declare, watch and ask why from a shell and from scripts. Change: get, apply with a dry run, delete, drain, change, watch, why, audit and status over the operator API; documented exit codes.

--- /dev/null
+++ b/crates/anvilhook-ctl/src/drains.rs
@@ -0,0 +1,49 @@
+//! Taking engines out of service.
+
+use std::io::Write;
+
+use anvilhook_core::names::ResourceName;
+use anvilhook_core::resources::{DrainPlanSpec, DrainTarget, Kind, ResourceKey, Spec};
+use anvilhook_core::units::{Millis, Revision};
+use rand::Rng;
+
+use crate::Shell;
+use crate::arguments::{DrainArgs, Output};
+use crate::changes::{Wish, send};
+use crate::exits::{Failure, Result};
+
+/// Declares a drain plan.
+pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>, args: &DrainArgs) -> Result<()> {
+    let target = match (&args.engine[..], &args.zone[..]) {
+        ([], []) => return Err(Failure::bad_input("give --engine or --zone at least once")),
+        (engines, []) => DrainTarget::Engines(engines.to_vec()),
+        ([], zones) => DrainTarget::Zones(zones.to_vec()),
+        _ => return Err(Failure::bad_input("give either --engine or --zone, not both")),
+    };
+    let spec = Spec::DrainPlan(DrainPlanSpec {
+        pool: args.pool.clone(),
+        target,
+        max_at_once: args.max_at_once,
+        pace_ms: Millis(args.pace_ms),
+        min_serving: args.min_serving,
+    });
+    let name = match &args.name {
+        Some(name) => name.clone(),
+        None => made_up_name(shell)?,
+    };
+    let key = ResourceKey { kind: Kind::DrainPlan, name };
+    let answer = send(shell, &key, Wish::Put(&spec), Revision::default()).await?;
+    match shell.output {
+        Output::Json => shell.json(&answer),
+        Output::Table => {
+            shell.line(format!("{key} created at {}", answer.revision))?;
+            shell.line(format!("see how it goes with: anvilhook why {key}"))?;
+            shell.line(format!("put the engines back with: anvilhook delete {key}"))
+        }
+    }
+}
+
+fn made_up_name<W: Write>(shell: &mut Shell<'_, W>) -> Result<ResourceName> {
+    let name = ResourceName::try_new(&format!("drain-{:08x}", shell.rng.next_u32()));
+    name.map_err(|err| Failure::bad_input(err.to_string()))
+}
--- /dev/null
+++ b/crates/anvilhook-ctl/src/gets.rs
@@ -0,0 +1,67 @@
+//! Showing resources.
+
+use std::io::Write;
+
+use anvilhook_core::resources::{ConditionState, Resource, ResourceKey};
+
+use crate::Shell;
+use crate::arguments::{GetArgs, Output, Target};
+use crate::exits::{Failure, Result};
+use crate::tables::{render, row};
+
+/// Shows all resources, those of a kind, or one.
+pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>, args: &GetArgs) -> Result<()> {
+    match &args.target {
+        None => {
+            let all = shell.client.configuration().await?;
+            if shell.output == Output::Json {
+                return shell.json(&all);
+            }
+            list(shell, &all.items)
+        }
+        Some(Target::Kind(kind)) => {
+            let listed = shell.client.list(*kind).await?;
+            if shell.output == Output::Json {
+                return shell.json(&listed);
+            }
+            list(shell, &listed.items)?;
+            match listed.status_missing {
+                Some(reason) => shell.line(format!("status is missing: {reason}")),
+                None => Ok(()),
+            }
+        }
+        Some(Target::Key(key)) => one(shell, key).await,
+    }
+}
+
+fn list<W: Write>(shell: &mut Shell<'_, W>, resources: &[Resource]) -> Result<()> {
+    if resources.is_empty() {
+        return shell.line("there are none");
+    }
+    let mut rows = vec![row(["RESOURCE", "VERSION", "CONDITIONS"])];
+    for resource in resources {
+        let key = resource.key().to_string();
+        rows.push([key, resource.version.0.to_string(), conditions(resource)]);
+    }
+    shell.line(render(&rows))
+}
+
+/// Shows the conditions that hold, and the reasons of those that do not.
+fn conditions(resource: &Resource) -> String {
+    let shown = resource.status.iter().map(|condition| match condition.state {
+        ConditionState::True => condition.kind.clone(),
+        ConditionState::False => format!("not {}: {}", condition.kind, condition.reason),
+        ConditionState::Unknown => format!("{}?: {}", condition.kind, condition.reason),
+    });
+    shown.collect::<Vec<_>>().join(", ")
+}
+
+/// Shows one resource in the form in which it can be applied again.
+async fn one<W: Write>(shell: &mut Shell<'_, W>, key: &ResourceKey) -> Result<()> {
+    let resource = shell.client.get(key).await?;
+    if shell.output == Output::Json {
+        return shell.json(&resource);
+    }
+    let text = serde_saphyr::to_string(&resource).map_err(Failure::output)?;
+    shell.line(text.trim_end())
+}
--- /dev/null
+++ b/crates/anvilhook-ctl/src/lib.rs
@@ -0,0 +1,116 @@
+//! The operators' command line, as a library that its tests run in-process.
+//!
+//! Each subcommand is a module. All of them write to a given output, so that what an operator sees
+//! can be tested, and all failures end in one of the documented exit codes.
+#![forbid(unsafe_code)]
+
+mod applies;
+mod arguments;
+mod audits;
+mod changes;
+mod connections;
+mod deletes;
+mod diffs;
+mod documents;
+mod drains;
+mod exits;
+mod gets;
+mod statuses;
+mod tables;
+mod times;
+mod watches;
+mod whys;
+
+use std::io::Write;
+
+use anvilhook_api::ApiClient;
+use rand_chacha::ChaCha8Rng;
+
+pub use arguments::{Command, Options, Output};
+pub use connections::Environment;
+pub use exits::{Exit, Failure};
+
+use exits::Result;
+
+/// Runs one command line and returns how it ended.
+///
+/// `args` are the arguments without the program's name. What was asked for goes to `out`, what went
+/// wrong to `err`.
+pub async fn run(
+    args: &[&str],
+    environment: &Environment,
+    rng: &mut ChaCha8Rng,
+    out: &mut (impl Write + Send),
+    err: &mut (impl Write + Send),
+) -> Exit {
+    let options = match arguments::parse(args) {
+        Ok(options) => options,
+        Err(early) if early.is_help => {
+            return end(out.write_all(early.text.as_bytes()));
+        }
+        Err(early) => {
+            // Nothing more can be done about an output that is gone.
+            let _ = err.write_all(early.text.as_bytes());
+            return Exit::BadInput;
+        }
+    };
+    match run_command(options, environment, rng, out).await {
+        Ok(()) => Exit::Done,
+        Err(failure) => {
+            let _ = writeln!(err, "anvilhook: {failure}");
+            failure.exit
+        }
+    }
+}
+
+fn end(written: std::io::Result<()>) -> Exit {
+    if written.is_ok() { Exit::Done } else { Exit::Failed }
+}
+
+async fn run_command(
+    options: Options,
+    environment: &Environment,
+    rng: &mut ChaCha8Rng,
+    out: &mut (impl Write + Send),
+) -> Result<()> {
+    let client: ApiClient = connections::connect(&options, environment)?;
+    let mut shell = Shell { client, output: options.output, rng, out };
+    match options.command {
+        Command::Get(args) => gets::run(&mut shell, &args).await,
+        Command::Apply(args) => applies::run(&mut shell, &args).await,
+        Command::Delete(args) => deletes::run(&mut shell, &args).await,
+        Command::Drain(args) => drains::run(&mut shell, &args).await,
+        Command::Change(args) => changes::run(&mut shell, &args).await,
+        Command::Watch(args) => watches::run(&mut shell, &args).await,
+        Command::Why(args) => whys::run(&mut shell, &args).await,
+        Command::Audit(args) => audits::run(&mut shell, &args).await,
+        Command::Status(_) => statuses::run(&mut shell).await,
+    }
+}
+
+/// `Shell` is what every subcommand works with.
+struct Shell<'a, W> {
+    client: ApiClient,
+    output: Output,
+    rng: &'a mut ChaCha8Rng,
+    out: &'a mut W,
+}
+
+impl<W: Write> Shell<'_, W> {
+    /// Writes a line.
+    fn line(&mut self, text: impl std::fmt::Display) -> Result<()> {
+        writeln!(self.out, "{text}").map_err(Failure::output)
+    }
+
+    /// Writes an answer as JSON.
+    fn json<T: serde::Serialize>(&mut self, value: &T) -> Result<()> {
+        let text = serde_json::to_string_pretty(value).map_err(Failure::output)?;
+        self.line(text)
+    }
+
+    /// Writes an answer as one line of JSON, for answers without an end.
+    fn json_line<T: serde::Serialize>(&mut self, value: &T) -> Result<()> {
+        let text = serde_json::to_string(value).map_err(Failure::output)?;
+        self.line(text)
+    }
+}
--- a/crates/anvilhook-store/tests/followers.rs
+++ b/crates/anvilhook-store/tests/followers.rs
@@ -2,6 +2,7 @@
 
 mod fixtures;
 
+use std::ops::Range;
 use std::sync::Arc;
 
 use anvilhook_core::resources::{Configuration, Expected};
@@ -140,6 +141,9 @@
     assert_eq!(older.iter().map(|entry| entry.revision.0).collect::<Vec<_>>(), [2, 3, 4]);
 }
 
+/// After which revision how many changes are held, if the history can say.
+type Held<'a> = &'a [(u64, Option<usize>)];
+
 /// Symptom: a watcher misses a deletion.
 /// Sequence: an instance takes a later revision from a peer, then polls again.
 /// Cause: its history goes on after the gap as if there were none.
@@ -149,7 +153,7 @@
     declare(&platform, 8).await;
     let entries = store(&platform).changes_since(Revision(0), 8).await.unwrap();
     // entries known, revision in force; then what is held after some revisions
-    let steps: [(std::ops::Range<usize>, u64, &[(u64, Option<usize>)]); 4] = [
+    let steps: [(Range<usize>, u64, Held<'_>); 4] = [
         (0..2, 2, &[(0, Some(2)), (1, Some(1)), (2, Some(0))]),
         (0..0, 5, &[(0, None), (2, None), (4, None), (5, Some(0))]),
         (5..7, 7, &[(4, None), (5, Some(2)), (6, Some(1))]),
