--- a/crates/anvilhook-standin/src/lib.rs
+++ b/crates/anvilhook-standin/src/lib.rs
@@ -1,4 +1,5 @@
-//! Small stand-ins for the platform and the upstreams, the local demonstration and the bench.
+//! Small stand-ins for the platform, model engines and plain services, each with switches for the
+//! faults that the real ones show.
 #![forbid(unsafe_code)]
 
 pub mod engines;
