Add the local demonstration

Cause: a whole site under load and faults has to be seen at work with one command. Change: anvilhook-local starts stand-ins and three instances, carries a seeded plan of requests and faults out, and checks every answer against what the stand-ins counted.

--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -4,5 +4,6 @@
 #![forbid(unsafe_code)]
 
 pub mod callers;
+pub mod local;
 pub mod proxy;
 pub mod sites;
--- a/crates/anvilhook-bench/src/sites/mod.rs
+++ b/crates/anvilhook-bench/src/sites/mod.rs
@@ -71,6 +71,8 @@
     pub plain: Vec<PlainServer>,
     /// What all of them ran.
     pub ledger: RunLedger,
+    /// The clock of all stand-ins.
+    pub clock: SystemClock,
     platform_server: PlatformServer,
 }
 
@@ -111,7 +113,7 @@
         let declared = resources(&engine_addresses, &plain_addresses, &options.bounds);
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
         declare(platform.clone(), declared, &mut rng).await?;
-        Ok(Self { platform, engines, plain, ledger, platform_server })
+        Ok(Self { platform, engines, plain, ledger, clock, platform_server })
     }
 
     /// Returns where the platform listens.
