Measure the way through an instance against direct calls

Cause: the cost of the proxy has bounds to reach. Change: anvilhook-bench proxy calls a stand-in directly and through an instance that is a process of its own, with 1, 16 and 256 callers; counts streamed events; takes memory from a slope.

--- a/crates/anvilhook-bench/src/callers/clients.rs
+++ b/crates/anvilhook-bench/src/callers/clients.rs
@@ -108,7 +108,12 @@
 
     /// Calls a plain service through an instance.
     pub async fn plain(&self, instance: SocketAddr, call: &PlainCall) -> Outcome {
-        let path = format!("/services/{}{CALL_PATH}", call.service);
+        self.plain_at(instance, CALL_PATH, call).await
+    }
+
+    /// Calls a path of a plain service through an instance.
+    pub async fn plain_at(&self, instance: SocketAddr, path: &str, call: &PlainCall) -> Outcome {
+        let path = format!("/services/{}{path}", call.service);
         let mut req = request(&path, Bytes::from(call.body.clone()), call.deadline);
         if let Some(key) = &call.key {
             insert(&mut req, IDEMPOTENCY_KEY_HEADER, key);
@@ -116,6 +121,19 @@
         self.exchange(instance, req, false, call.deadline).await
     }
 
+    /// Calls a path of a plain upstream straight, under an attempt id of the caller's own.
+    pub async fn plain_direct(
+        &self,
+        upstream: SocketAddr,
+        path: &str,
+        call: &PlainCall,
+        attempt: AttemptId,
+    ) -> Outcome {
+        let mut req = request(path, Bytes::from(call.body.clone()), call.deadline);
+        insert(&mut req, ATTEMPT_HEADER, &attempt.to_string());
+        self.exchange(upstream, req, false, call.deadline).await
+    }
+
     async fn exchange(
         &self,
         address: SocketAddr,
--- /dev/null
+++ b/crates/anvilhook-bench/src/proxy/latencies.rs
@@ -0,0 +1,121 @@
+//! Latency and throughput of small whole answers.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anvilhook_core::attempts::AttemptId;
+use eyre::bail;
+use hdrhistogram::Histogram;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+
+use super::LONGEST;
+use super::instances::InstanceProcess;
+use super::reports::LatencyRow;
+use crate::callers::{Caller, Outcome, PlainCall, micros};
+use crate::local::micros_histogram;
+use crate::sites::{ECHO_PATH, LEDGER_SERVICE, Site};
+
+/// How long each side is called before it is measured, and then measured.
+const WARM_UP: Duration = Duration::from_millis(500);
+const MEASURED: Duration = Duration::from_secs(3);
+
+/// `Side` is what was measured of one side.
+struct Side {
+    histogram: Histogram<u64>,
+    elapsed: Duration,
+}
+
+impl Side {
+    fn rps(&self) -> f64 {
+        self.histogram.len() as f64 / self.elapsed.as_secs_f64()
+    }
+
+    fn at(&self, quantile: f64) -> u64 {
+        self.histogram.value_at_quantile(quantile)
+    }
+}
+
+/// `Target` is who is called.
+#[derive(Clone, Copy)]
+enum Target {
+    /// The plain upstream.
+    Upstream(SocketAddr),
+    /// The instance before it.
+    Instance(SocketAddr),
+}
+
+/// Measures both sides with the given number of callers, each of which waits for its answer before
+/// it calls again.
+pub async fn measure(
+    site: &Site,
+    instance: &InstanceProcess,
+    caller: &Caller,
+    callers: usize,
+) -> eyre::Result<LatencyRow> {
+    let direct = call_for(caller, callers, Target::Upstream(site.plain[0].address())).await?;
+
+    let before = instance.usage()?;
+    let proxied = call_for(caller, callers, Target::Instance(instance.callers())).await?;
+    let cpu_seconds = instance.usage()?.cpu_seconds - before.cpu_seconds;
+
+    // The instance's processor time covers the warm-up too, so the calls of both are set against it.
+    let calls = (WARM_UP + proxied.elapsed).as_secs_f64() * proxied.rps();
+    Ok(LatencyRow {
+        callers,
+        direct_rps: direct.rps(),
+        proxied_rps: proxied.rps(),
+        proxied_rps_per_core: calls / cpu_seconds,
+        direct_p50_us: direct.at(0.50),
+        proxied_p50_us: proxied.at(0.50),
+        direct_p99_us: direct.at(0.99),
+        proxied_p99_us: proxied.at(0.99),
+    })
+}
+
+/// Has callers call again and again, and returns the times of the calls that were measured.
+async fn call_for(caller: &Caller, callers: usize, target: Target) -> eyre::Result<Side> {
+    let mut tasks = JoinSet::new();
+    for number in 0..callers {
+        tasks.spawn(call_again(caller.clone(), target, number as u64));
+    }
+    let mut histogram = micros_histogram();
+    while let Some(ended) = tasks.join_next().await {
+        histogram.add(ended??)?;
+    }
+    Ok(Side { histogram, elapsed: MEASURED })
+}
+
+async fn call_again(caller: Caller, target: Target, seed: u64) -> eyre::Result<Histogram<u64>> {
+    let call = echo();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut histogram = micros_histogram();
+    let started_at = Instant::now();
+    loop {
+        let elapsed = started_at.elapsed();
+        if elapsed >= WARM_UP + MEASURED {
+            return Ok(histogram);
+        }
+        let outcome = match target {
+            Target::Upstream(upstream) => {
+                let attempt = AttemptId::random(&mut rng);
+                caller.plain_direct(upstream, ECHO_PATH, &call, attempt).await
+            }
+            Target::Instance(instance) => caller.plain_at(instance, ECHO_PATH, &call).await,
+        };
+        let Outcome::Answered(answer) = outcome else { bail!("not answered: {outcome:?}") };
+        if elapsed >= WARM_UP {
+            histogram.saturating_record(micros(answer.whole));
+        }
+    }
+}
+
+fn echo() -> PlainCall {
+    PlainCall {
+        service: LEDGER_SERVICE,
+        key: None,
+        body: r#"{"sale":17}"#.to_owned(),
+        deadline: LONGEST,
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-bench/src/proxy/memories.rs
@@ -0,0 +1,67 @@
+//! Memory of open streams, from the slope over their number.
+
+use std::time::Duration;
+
+use eyre::bail;
+use tokio::task::JoinSet;
+
+use super::LONGEST;
+use super::instances::InstanceProcess;
+use super::reports::{MemoryPoint, MemoryRow};
+use crate::callers::{Caller, ChatCall, Outcome};
+use crate::sites::Site;
+
+/// The pause between two looks at the number of open streams.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// How long streams are left open before the memory is read.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// How many streams are opened at once, so that the listener's queue is not overrun.
+const OPENED_AT_ONCE: usize = 200;
+
+/// Opens more and more streams and reads the instance's memory at each step.
+pub async fn measure(
+    site: &Site,
+    instance: &InstanceProcess,
+    caller: &Caller,
+    steps: &[usize],
+) -> eyre::Result<MemoryRow> {
+    let mut tasks = JoinSet::new();
+    let mut points = Vec::new();
+    for step in steps {
+        while tasks.len() < *step {
+            let more = OPENED_AT_ONCE.min(*step - tasks.len());
+            for _ in 0..more {
+                let (caller, address) = (caller.clone(), instance.callers());
+                let call = call(tasks.len());
+                tasks.spawn(async move { caller.chat(address, &call).await });
+            }
+            wait_for_open(site, &mut tasks).await?;
+        }
+        tokio::time::sleep(SETTLE).await;
+        points
+            .push(MemoryPoint { streams: *step, resident_bytes: instance.usage()?.resident_bytes });
+    }
+    tasks.shutdown().await;
+    Ok(MemoryRow::new(points))
+}
+
+/// Waits until all streams have reached the engines.
+async fn wait_for_open(site: &Site, tasks: &mut JoinSet<Outcome>) -> eyre::Result<()> {
+    loop {
+        if let Some(ended) = tasks.try_join_next() {
+            bail!("a stream ended: {:?}", ended?);
+        }
+        let open: usize = site.engines.iter().map(|engine| engine.open_attempts().len()).sum();
+        if open >= tasks.len() {
+            return Ok(());
+        }
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+}
+
+fn call(number: usize) -> ChatCall {
+    let prompt = format!("open stream {number}");
+    ChatCall { prompt, max_tokens: 1_000_000, stream: true, deadline: LONGEST }
+}
--- a/crates/anvilhook-bench/src/proxy/mod.rs
+++ b/crates/anvilhook-bench/src/proxy/mod.rs
@@ -1,14 +1,54 @@
-//! The cost of the way through an instance, against a direct call in the same run.
+//! The cost of the way through an instance, against direct calls in the same run.
+//!
+//! The instance runs as a process of its own, so that its processor time and memory are its own;
+//! callers and stand-ins share the bench's process.
 
+mod instances;
+mod latencies;
+mod memories;
+mod reports;
+mod streams;
+
+use std::path::PathBuf;
+
+use anvilhook_core::units::Millis;
+use anvilhook_standin::engines::EngineOptions;
 use argh::FromArgs;
 
-/// Measure the added latency and the throughput of one instance against direct calls.
+pub use reports::{LatencyRow, MemoryPoint, MemoryRow, Report, StreamRow};
+
+use crate::callers::Caller;
+use crate::sites::{Bounds, Site, SiteOptions};
+use instances::InstanceProcess;
+
+/// The numbers of callers that are tried.
+const CALLERS: [usize; 3] = [1, 16, 256];
+
+/// How many streams are read at once for the count of events.
+const STREAMS: usize = 64;
+
+/// The numbers of open streams between which the slope of the memory is taken. Each takes two file
+/// descriptors in the instance and two in the bench, and a process here may hold 20,000.
+const OPEN_STREAMS: [usize; 4] = [1_000, 3_000, 6_000, 9_000];
+
+/// The time between two events of a stream: where events are counted, and where streams are only
+/// held open.
+const FAST_STEP_MS: f64 = 1.0;
+const SLOW_STEP_MS: f64 = 10_000.0;
+
+/// The longest time that anything in this bench may take.
+const LONGEST: Millis = Millis::from_secs(900);
+
+/// Measure the added latency, the throughput and the memory of one instance against direct calls.
 #[derive(Clone, Debug, FromArgs)]
 #[argh(subcommand, name = "proxy")]
 pub struct Args {
     /// print the rows as JSON
     #[argh(switch)]
     pub json: bool,
+    /// run an instance with these settings; the bench starts itself with it
+    #[argh(option)]
+    pub instance: Option<PathBuf>,
 }
 
 /// Runs the measurement and prints it.
@@ -16,6 +56,63 @@
 /// # Errors
 ///
 /// Any failure to start the parts or to have a request answered.
-pub fn run(_args: &Args) -> eyre::Result<()> {
-    eyre::bail!("the proxy bench is not built yet")
+pub fn run(args: &Args) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    if let Some(settings) = &args.instance {
+        return runtime.block_on(instances::serve(settings));
+    }
+    let report = runtime.block_on(measure())?;
+    if args.json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        print!("{report}");
+    }
+    Ok(())
+}
+
+async fn measure() -> eyre::Result<Report> {
+    let site = Site::start(&site_options(FAST_STEP_MS)).await?;
+    let instance = InstanceProcess::start(&site).await?;
+    let caller = Caller::try_new()?;
+
+    let mut latencies = Vec::new();
+    for callers in CALLERS {
+        eprintln!("{callers} callers");
+        latencies.push(latencies::measure(&site, &instance, &caller, callers).await?);
+    }
+    eprintln!("{STREAMS} streams");
+    let streams = streams::measure(&site, &instance, &caller, STREAMS).await?;
+    drop(instance);
+
+    eprintln!("open streams");
+    let site = Site::start(&site_options(SLOW_STEP_MS)).await?;
+    let instance = InstanceProcess::start(&site).await?;
+    let memory = memories::measure(&site, &instance, &caller, &OPEN_STREAMS).await?;
+    Ok(Report { latencies, streams, memory })
+}
+
+/// Returns a site whose engines cost next to nothing, with room for thousands of streams.
+fn site_options(decode_step_ms: f64) -> SiteOptions {
+    let engine = EngineOptions {
+        prefill_tokens_per_s: 100_000_000,
+        decode_step_ms,
+        decode_step_per_request_ms: 0.0,
+        max_batch: 20_000,
+        max_queue: 20_000,
+        ..EngineOptions::default()
+    };
+    let bounds = Bounds {
+        chat_deadline: LONGEST,
+        chat_first_byte: Millis::from_secs(60),
+        between_events: LONGEST,
+        ..Bounds::default()
+    };
+    SiteOptions {
+        engines: 4,
+        engine,
+        plain: 1,
+        bounds,
+        holds_connections: false,
+        ..SiteOptions::default()
+    }
 }
--- a/crates/anvilhook-bench/src/sites/mod.rs
+++ b/crates/anvilhook-bench/src/sites/mod.rs
@@ -19,8 +19,8 @@
 
 pub use declarations::declare;
 pub use resources::{
-    ALERT_SERVICE, Bounds, CALL_PATH, CHAT_SERVICE, Declared, LEDGER_SERVICE, MODEL, TOKEN,
-    engine_name, name, plain_name, resources, zone,
+    ALERT_SERVICE, Bounds, CALL_PATH, CHAT_SERVICE, Declared, ECHO_PATH, LEDGER_SERVICE, MODEL,
+    TOKEN, engine_name, name, plain_name, resources, zone,
 };
 
 /// An address on loopback whose port the kernel chooses.
--- a/crates/anvilhook-bench/src/sites/resources.rs
+++ b/crates/anvilhook-bench/src/sites/resources.rs
@@ -21,8 +21,10 @@
 pub const ALERT_SERVICE: &str = "alerts";
 /// The plain service that keeps records.
 pub const LEDGER_SERVICE: &str = "ledger";
-/// The path of the one call of each plain service, below the service.
+/// The path of each plain service's call that may not be repeated, below the service.
 pub const CALL_PATH: &str = "/records";
+/// The path of the call that may be repeated.
+pub const ECHO_PATH: &str = "/echo";
 /// The account of all callers.
 pub const ACCOUNT: &str = "kitchens";
 /// The bearer token of that account.
@@ -169,13 +171,14 @@
         zone: zone(i),
     };
     let upstreams = addresses.iter().enumerate().map(upstream).collect();
-    let call = CallSpec {
+    let call = |path: &str, idempotent| CallSpec {
         method: "POST".to_owned(),
-        path_prefix: CALL_PATH.to_owned(),
-        idempotent: false,
+        path_prefix: path.to_owned(),
+        idempotent,
     };
+    let calls = vec![call(CALL_PATH, false), call(ECHO_PATH, true)];
     let spec = ServiceSpec {
-        backend: ServiceBackend::Plain { upstreams, calls: vec![call] },
+        backend: ServiceBackend::Plain { upstreams, calls },
         deadline_ms: bounds.plain_deadline,
         first_byte_ms: bounds.plain_first_byte,
         between_events_ms: bounds.between_events,
--- a/crates/anvilhook-daemon/src/observability/processes.rs
+++ b/crates/anvilhook-daemon/src/observability/processes.rs
@@ -1,4 +1,4 @@
-//! The processor time and memory of this process, read from `/proc`.
+//! The processor time and memory of a process, read from `/proc`.
 
 use std::fmt;
 
@@ -8,10 +8,10 @@
 use prometheus_client::metrics::gauge::ConstGauge;
 use prometheus_client::registry::Unit;
 
-/// The ticks of a second in `/proc/self/stat`; the kernel's interface fixes it at 100.
+/// The ticks of a second in `/proc/PID/stat`; the kernel's interface fixes it at 100.
 const TICKS_PER_S: f64 = 100.0;
 
-/// The places of user and system time in `/proc/self/stat`, counted after the command's name.
+/// The places of user and system time in `/proc/PID/stat`, counted after the command's name.
 const UTIME_FIELD: usize = 11;
 const STIME_FIELD: usize = 12;
 
@@ -31,8 +31,13 @@
 /// assert!(usage.resident_bytes > 0);
 /// ```
 pub fn read_process_usage() -> Option<ProcessUsage> {
-    let stat = std::fs::read_to_string("/proc/self/stat").ok()?;
-    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    read_usage_of(std::process::id())
+}
+
+/// Reads the usage of the process with the given id. Returns nothing where the kernel does not tell.
+pub fn read_usage_of(pid: u32) -> Option<ProcessUsage> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     Some(ProcessUsage {
         cpu_seconds: parse_cpu_seconds(&stat)?,
         resident_bytes: parse_resident_bytes(&status)?,
