Archive the audit trail in the daemon and pace polls by the fleet's size

Cause: nobody ran the archive; each instance read the head at a fixed pace, so that reads grew with the fleet. Change: a background task archives at random moments; the pause between polls grows with the announced instances up to 2.5 s, 200 reads a second in all. Conclusion: cargo test -p anvilhook-daemon passes.

--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -1,5 +1,6 @@
 //! One instance: its parts, wired together, from start to graceful stop.
 
+mod archives;
 mod clients;
 mod errors;
 mod handles;
--- a/crates/anvilhook-daemon/src/instances/pollers.rs
+++ b/crates/anvilhook-daemon/src/instances/pollers.rs
@@ -10,6 +10,7 @@
 use anvilhook_engine::{EngineControl, Upstreams};
 use anvilhook_platform::{InstanceList, ListedState, Table};
 use anvilhook_store::ConfigurationFollower;
+use anvilhook_store::instances::poll_interval;
 use futures_util::StreamExt;
 use futures_util::stream;
 use tokio::sync::watch;
@@ -20,6 +21,14 @@
 use crate::observability::Readiness;
 use crate::proxy::Claims;
 
+/// How often the whole fleet reads the configuration's revision in a second. With more instances
+/// each one reads less often.
+const FLEET_READS_PER_S: u64 = 200;
+
+/// The longest pause between two readings of the revision, unless the settings name a longer one. A
+/// change must be in force everywhere within 4 s even without peers.
+const MAX_PAUSE: Millis = Millis(2_500);
+
 /// How many load reports are read at once.
 const REPORTS_AT_ONCE: usize = 32;
 
@@ -57,7 +66,8 @@
                 // What is in force stays in force; the next reading may succeed.
                 log::warn!("the configuration cannot be read: {err}");
             }
-            rest(pause).await;
+            let announced = *self.instances.borrow();
+            rest(poll_interval(announced, FLEET_READS_PER_S, pause..=pause.max(MAX_PAUSE))).await;
         }
     }
 
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 use volo_http::server::route::Router;
 
+use super::archives::keep_archiving;
 use super::clients::Clients;
 use super::errors::StartError;
 use super::handles::{Announcement, InstanceHandle};
@@ -43,6 +44,9 @@
 /// The stream of the generator that the ids of operators' changes come from.
 const OPERATOR_STREAM: u64 = 1;
 
+/// The stream of the generator that the archive's pauses come from.
+const ARCHIVE_STREAM: u64 = 2;
+
 /// `Parts` holds what an instance takes from its surroundings.
 #[derive(Clone, Debug)]
 pub struct Parts<C> {
@@ -69,6 +73,8 @@
 
 type HttpFollower = ConfigurationFollower<HttpPlatform>;
 
+type HttpArchive = AuditArchive<HttpPlatform, HttpPlatform>;
+
 /// `Instance` starts instances.
 #[derive(Debug)]
 pub struct Instance;
@@ -156,7 +162,10 @@
         self.spawn_front(&mut tasks, "callers", listeners.callers, self.front.router());
         let probes =
             probe_router(Arc::new(std::mem::take(&mut self.registry)), self.readiness.clone());
-        let router = probes.merge(self.operator_router());
+        let archive = self.archive();
+        let keeping = keep_archiving(archive.clone(), self.stream(ARCHIVE_STREAM));
+        tasks.spawn_until("audit archive", Phase::Draining, keeping);
+        let router = probes.merge(self.operator_router(archive));
         self.spawn_front(&mut tasks, "operators", listeners.operators, router);
 
         log::info!(instance:% = self.name; "listening at {addresses:?}");
@@ -238,22 +247,26 @@
         tasks.spawn_until("gone instances", until, forgetting);
     }
 
-    fn operator_router(&self) -> Router {
-        let store = self.follower.store();
-        let store = ConfigurationStore::new(
-            store.table().clone(),
-            StoreOptions::new(store.instance().clone()),
-        );
-        let objects = self.clients.platform.clone();
+    fn archive(&self) -> HttpArchive {
+        let store = self.follower.store().clone();
+        AuditArchive::new(store, self.clients.platform.clone(), ArchiveOptions::default())
+    }
+
+    /// Returns a generator whose draws no other part of the instance repeats.
+    fn stream(&self, stream: u64) -> ChaCha8Rng {
         let mut rng = self.rng.clone();
-        rng.set_stream(OPERATOR_STREAM);
+        rng.set_stream(stream);
+        rng
+    }
+
+    fn operator_router(&self, archive: HttpArchive) -> Router {
         let api = OperatorApi::new(OperatorParts {
             follower: self.follower.clone(),
-            archive: AuditArchive::new(store, objects, ArchiveOptions::default()),
+            archive,
             leases: NoLeases,
             credentials: self.credentials.clone(),
             shutdown: self.shutdown.clone(),
-            rng,
+            rng: self.stream(OPERATOR_STREAM),
             wall_clock: system_wall_time,
             options: OperatorOptions::default(),
         });
--- a/crates/anvilhook-daemon/tests/operators.rs
+++ b/crates/anvilhook-daemon/tests/operators.rs
@@ -59,7 +59,7 @@
     let new = "/api/v1/Account/new";
     let (get, put, post, delete) = (Method::GET, Method::PUT, Method::POST, Method::DELETE);
     let auth = ("authorization", operator);
-    let cases: Vec<RefusalCase> = vec![
+    let cases: Vec<RefusalCase<'_>> = vec![
         (
             get.clone(),
             cook,
