Name an operator in the demonstration and show specs in their own order

Cause: a new user of the demonstration had no token; specs were shown in the order of the alphabet. Conclusion: cargo test -p anvilhook-ctl passes.

--- a/crates/anvilhook-bench/src/sites/mod.rs
+++ b/crates/anvilhook-bench/src/sites/mod.rs
@@ -20,7 +20,7 @@
 pub use declarations::declare;
 pub use resources::{
     ALERT_SERVICE, Bounds, CALL_PATH, CHAT_SERVICE, Declared, ECHO_PATH, LEDGER_SERVICE, MODEL,
-    TOKEN, engine_name, name, plain_name, resources, zone,
+    OPERATOR_TOKEN, TOKEN, engine_name, name, plain_name, resources, token_digest, zone,
 };
 
 /// An address on loopback whose port the kernel chooses.
@@ -125,10 +125,12 @@
     pub fn settings_text(&self, index: usize) -> String {
         let platform = self.platform_address();
         let zone = zone(index);
+        let digest = token_digest(OPERATOR_TOKEN);
         format!(
             "instance: {{name_prefix: entry-{index}, zone: {zone}}}\n\
              listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}\n\
              platform: {{address: '{platform}'}}\n\
+             operators: [{{subject: operator, token_sha256: {digest}, rights: operator}}]\n\
              logging: {{level: error}}\n\
              polling: {{configuration_ms: 100, reports_ms: 100, instance_list_ms: 100}}\n\
              peers: {{key: key-of-the-demonstration-on-loopback}}\n"
--- a/crates/anvilhook-bench/src/sites/resources.rs
+++ b/crates/anvilhook-bench/src/sites/resources.rs
@@ -29,6 +29,9 @@
 pub const ACCOUNT: &str = "kitchens";
 /// The bearer token of that account.
 pub const TOKEN: &str = "example-caller-token";
+
+/// The token of the operator that the instances' settings name.
+pub const OPERATOR_TOKEN: &str = "example-operator-token";
 /// The availability zones, in the order in which upstreams and instances are spread over them.
 pub const ZONES: [&str; 3] = ["piraeus", "marousi", "glyfada"];
 
@@ -104,11 +107,15 @@
     declared
 }
 
+/// Returns a token's digest as settings and accounts hold it.
+pub fn token_digest(token: &str) -> String {
+    let digest = Sha256::digest(token.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 fn account() -> Declared {
-    let digest = Sha256::digest(TOKEN.as_bytes());
-    let hex = digest.iter().map(|byte| format!("{byte:02x}")).collect();
     let spec = AccountSpec {
-        token_sha256: vec![hex],
+        token_sha256: vec![token_digest(TOKEN)],
         requests_per_s: ACCOUNT_LIMIT,
         open_requests: ACCOUNT_LIMIT,
     };
--- a/crates/anvilhook-ctl/src/diffs.rs
+++ b/crates/anvilhook-ctl/src/diffs.rs
@@ -15,8 +15,7 @@
     Ok(diff.unified_diff().header(&side(old), &side(new)).to_string())
 }
 
-fn to_yaml(spec: &Spec) -> Result<String> {
-    // The spec alone, without the kind that stands in the head already.
-    let value = serde_json::to_value(spec).map_err(Failure::output)?;
-    serde_saphyr::to_string(&value["spec"]).map_err(Failure::output)
+/// Writes a spec as it stands in a file.
+pub(crate) fn to_yaml(spec: &Spec) -> Result<String> {
+    serde_saphyr::to_string(spec).map_err(Failure::output)
 }
--- a/crates/anvilhook-ctl/src/whys.rs
+++ b/crates/anvilhook-ctl/src/whys.rs
@@ -3,10 +3,11 @@
 use std::io::Write;
 
 use anvilhook_api::{Observation, WhyAnswer};
-use anvilhook_core::resources::{ConditionState, Resource};
+use anvilhook_core::resources::ConditionState;
 
 use crate::arguments::{Output, WhyArgs};
-use crate::exits::{Failure, Result};
+use crate::diffs::to_yaml;
+use crate::exits::Result;
 use crate::{Shell, times};
 
 /// Shows what is wanted of a resource, what is, and what it waits for and since when.
@@ -26,7 +27,7 @@
         None => shell.line("wanted: nothing; it was deleted")?,
         Some(wanted) => {
             shell.line(format!("wanted, version {}:", wanted.version.0))?;
-            shell.line(indent(&spec_yaml(wanted)?))?;
+            shell.line(indent(&to_yaml(&wanted.spec)?))?;
         }
     }
     if let Some(change) = &why.last_change {
@@ -73,11 +74,6 @@
     Ok(())
 }
 
-fn spec_yaml(resource: &Resource) -> Result<String> {
-    let value = serde_json::to_value(&resource.spec).map_err(Failure::output)?;
-    serde_saphyr::to_string(&value["spec"]).map_err(Failure::output)
-}
-
 fn indent(text: &str) -> String {
     text.trim_end().lines().map(|line| format!("  {line}")).collect::<Vec<_>>().join("\n")
 }
--- a/crates/anvilhook-ctl/tests/commands.rs
+++ b/crates/anvilhook-ctl/tests/commands.rs
@@ -86,7 +86,7 @@
 
     let dry = done(&api, &["apply", "-f", &site, "--dry-run"]).await;
     assert!(dry.contains("ModelVersion/checklist-1 would be created"), "{dry}");
-    assert!(dry.contains("+weight_bytes: 1000") && dry.ends_with("dry run\n"), "{dry}");
+    assert!(dry.contains("+  weight_bytes: 1000") && dry.ends_with("dry run\n"), "{dry}");
     assert_eq!(api.follower.revision(), Revision(0));
 
     let applied = done(&api, &["apply", "-f", &site]).await;
@@ -97,7 +97,7 @@
     assert_eq!(again.matches("unchanged").count(), 3, "{again}");
 
     let dry = done(&api, &["apply", "-f", &more, "--dry-run"]).await;
-    assert!(dry.contains("-weight_bytes: 1000\n+weight_bytes: 2000"), "{dry}");
+    assert!(dry.contains("-  weight_bytes: 1000\n+  weight_bytes: 2000"), "{dry}");
     let replaced = done(&api, &["apply", "-f", &more]).await;
     assert!(replaced.contains("ModelVersion/checklist-1 replaced at r4"), "{replaced}");
 
@@ -325,7 +325,7 @@
     );
     assert!(listed.contains("not Ready: AwaitingPredecessor"), "{listed}");
     for part in [
-        "  pool: main",
+        "    pool: main",
         "Ready does not hold since 1970-01-01T00:01:00Z",
         "  AwaitingPredecessor: entry-0 may still give orders",
         "  instance entry-2, on which this version is not in force yet",
