Name missing fields and keep the tables of refusals to a row a line

Cause: a missing field was named only in the text of the message; the formatter had spread the tables over hundreds of lines.

--- a/crates/anvilhook-core/src/resources/kinds.rs
+++ b/crates/anvilhook-core/src/resources/kinds.rs
@@ -157,11 +157,22 @@
 fn decode_fields<'de, T: Deserialize<'de>, D: Deserializer<'de>>(de: D) -> Result<T> {
     serde_path_to_error::deserialize(de).map_err(|err| {
         let path = err.path().to_string();
-        let field = if path == "." { "spec".to_owned() } else { format!("spec.{path}") };
-        Error::bad_field(field, format!("another value: {}", err.inner()))
+        let place = if path == "." { "spec".to_owned() } else { format!("spec.{path}") };
+        let message = err.inner().to_string();
+        match missing_field(&message) {
+            Some(field) => Error::bad_field(format!("{place}.{field}"), "a value"),
+            None => Error::bad_field(place, format!("another value: {message}")),
+        }
     })
 }
 
+/// Returns the name of the field that is missing. Its path ends where the field should be, so only
+/// the message of `serde::de::Error::missing_field` has the name.
+fn missing_field(message: &str) -> Option<&str> {
+    let rest = message.strip_prefix("missing field `")?;
+    rest.split('`').next()
+}
+
 /// `ResourceKey` identifies a resource.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ResourceKey {
--- a/crates/anvilhook-core/tests/resources.rs
+++ b/crates/anvilhook-core/tests/resources.rs
@@ -67,132 +67,107 @@
     cfg
 }
 
+/// Declares a plain service with one upstream and one call.
+fn plain_service() -> Value {
+    let upstream = json!({"name": "a", "address": "127.0.0.1:1", "zone": "z"});
+    let call = json!({"method": "POST", "path_prefix": "/alerts"});
+    json!({"backend": {"type": "plain", "upstreams": [upstream], "calls": [call]}})
+}
+
+/// Returns a spec that keeps all rules.
+fn good(kind: Kind) -> Value {
+    match kind {
+        Kind::Account => json!({"token_sha256": [], "requests_per_s": 1, "open_requests": 1}),
+        Kind::ModelVersion => version(1),
+        Kind::EnginePool => json!({"model": {"model": "m", "version": 1}, "roles": {}}),
+        Kind::Engine => engine("main"),
+        Kind::Role => json!({"pool": "main", "role": "decode", "min_engines": 3, "max_engines": 4}),
+        Kind::DrainPlan => drain("e1"),
+        Kind::Service => plain_service(),
+    }
+}
+
 #[test]
 fn verify_bad_fields_are_named() {
-    let plain = |upstreams: Value, calls: Value| json!({"backend": {"type": "plain", "upstreams": upstreams, "calls": calls}});
-    let upstream = json!([{"name": "a", "address": "127.0.0.1:1", "zone": "z"}]);
-    let call = json!([{"method": "POST", "path_prefix": "/alerts"}]);
-    let model = |extra: Value| {
-        let mut spec = service("main", "checklist");
-        spec.as_object_mut().unwrap().extend(extra.as_object().unwrap().clone());
-        spec
-    };
+    use Kind::*;
+    // Kind, field, bad value, what is expected of it.
     let cases = [
-        (
-            Kind::Account,
-            json!({"token_sha256": ["ab"], "requests_per_s": 1, "open_requests": 1}),
-            "spec.token_sha256[0]: expected 64",
-        ),
-        (
-            Kind::Account,
-            json!({"token_sha256": [], "requests_per_s": 0, "open_requests": 1}),
-            "spec.requests_per_s: expected at least 1",
-        ),
-        (
-            Kind::Account,
-            json!({"token_sha256": [], "requests_per_s": 1, "open_requests": 0}),
-            "spec.open_requests: expected at least 1",
-        ),
-        (
-            Kind::Account,
-            json!({"token_sha256": [], "requests_per_s": 1}),
-            "spec: expected another value: missing field `open_requests`",
-        ),
-        (Kind::ModelVersion, version(0), "spec.model.version: expected a version from 1"),
-        (
-            Kind::EnginePool,
-            json!({"model": {"model": "m", "version": 1}, "roles": {"change_weight": -1.0}}),
-            "spec.roles.change_weight: expected",
-        ),
-        (
-            Kind::EnginePool,
-            json!({"model": {"model": "m", "version": 1}, "roles": {"max_changing_share": 1.5}}),
-            "spec.roles.max_changing_share: expected",
-        ),
-        (
-            Kind::EnginePool,
-            json!({"model": {"model": "M", "version": 1}}),
-            "spec.model.model: expected another value",
-        ),
-        (
-            Kind::Engine,
-            json!({"pool": "main", "address": "here", "zone": "z"}),
-            "spec.address: expected another value",
-        ),
-        (
-            Kind::Engine,
-            json!({"pool": "main", "address": "0.0.0.0:7000", "zone": "z"}),
-            "spec.address: expected an IP address",
-        ),
-        (
-            Kind::Engine,
-            json!({"pool": "main", "address": "127.0.0.1:7000", "zone": "z", "colour": 1}),
-            "spec.colour: expected another value: unknown field",
-        ),
-        (
-            Kind::Role,
-            json!({"pool": "main", "role": "decode", "min_engines": 3, "max_engines": 2}),
-            "spec.max_engines: expected at least",
-        ),
-        (
-            Kind::DrainPlan,
-            json!({"pool": "main", "target": {"engines": []}}),
-            "spec.target.engines: expected at least one",
-        ),
-        (
-            Kind::DrainPlan,
-            json!({"pool": "main", "target": {"zones": ["a", "a"]}}),
-            "spec.target.zones[1]: expected an entry",
-        ),
-        (
-            Kind::DrainPlan,
-            json!({"pool": "main", "target": {"zones": ["a"]}, "max_at_once": 0}),
-            "spec.max_at_once: expected at least 1",
-        ),
-        (
-            Kind::Service,
-            model(json!({"first_byte_ms": 0})),
-            "spec.first_byte_ms: expected at least 1 ms",
-        ),
-        (
-            Kind::Service,
-            model(json!({"first_byte_ms": 70_000})),
-            "spec.first_byte_ms: expected at most spec.deadline_ms",
-        ),
-        (
-            Kind::Service,
-            model(json!({"first_byte_ms": "soon"})),
-            "spec.first_byte_ms: expected another value",
-        ),
-        (
-            Kind::Service,
-            plain(json!([]), call.clone()),
-            "spec.backend.upstreams: expected at least one",
-        ),
-        (
-            Kind::Service,
-            plain(upstream.clone(), json!([])),
-            "spec.backend.calls: expected at least one",
-        ),
-        (
-            Kind::Service,
-            plain(upstream.clone(), json!([{"method": "post", "path_prefix": "/"}])),
-            "spec.backend.calls[0].method: expected",
-        ),
-        (
-            Kind::Service,
-            plain(upstream.clone(), json!([{"method": "POST", "path_prefix": "a"}])),
-            "spec.backend.calls[0].path_prefix: expected",
-        ),
+        (Account, "token_sha256[0]", json!("ab"), "64 hexadecimal digits"),
+        (Account, "requests_per_s", json!(0), "at least 1"),
+        (Account, "requests_per_s", json!("1"), "another value: invalid type: string"),
+        (Account, "colour", json!(1), "another value: unknown field `colour`"),
+        (ModelVersion, "model.version", json!(0), "a version from 1"),
+        (ModelVersion, "weights", json!(""), "the key of the weights"),
+        (ModelVersion, "weight_bytes", json!(0), "at least 1 byte"),
+        (EnginePool, "model.version", json!(0), "a version from 1"),
+        (EnginePool, "model.model", json!("M"), "another value: \"M\" cannot name"),
+        (EnginePool, "roles.change_weight", json!(-1.0), "a finite number from 0"),
+        (EnginePool, "roles.max_changing_share", json!(1.5), "a share from 0 to 1"),
+        (Engine, "address", json!("here"), "another value: invalid socket address"),
+        (Engine, "address", json!("0.0.0.0:7000"), "an IP address and port"),
+        (Engine, "address", json!("10.0.0.1:0"), "an IP address and port"),
+        (Role, "max_engines", json!(2), "at least spec.min_engines"),
+        (DrainPlan, "target.engines", json!([]), "at least one engine"),
+        (DrainPlan, "target.engines[1]", json!("e1"), "an entry that is not listed before"),
+        (DrainPlan, "max_at_once", json!(0), "at least 1"),
+        (Service, "first_byte_ms", json!(0), "at least 1 ms"),
+        (Service, "first_byte_ms", json!(70_000), "at most spec.deadline_ms"),
+        (Service, "between_events_ms", json!(0), "at least 1 ms"),
+        (Service, "max_body_bytes", json!(0), "at least 1 byte"),
+        (Service, "backend.upstreams", json!([]), "at least one upstream"),
+        (Service, "backend.upstreams[0].address", json!("0.0.0.0:1"), "an IP address and port"),
+        (Service, "backend.calls", json!([]), "at least one call"),
+        (Service, "backend.calls[0].method", json!("post"), "an HTTP method in capitals"),
+        (Service, "backend.calls[0].path_prefix", json!("a"), "a path that begins with '/'"),
     ];
-    for (kind, spec, expected) in cases {
+    for (kind, field, value, expected) in cases {
+        let mut spec = good(kind);
+        set(&mut spec, field, value);
+
         let err = Spec::decode(kind, spec.clone()).and_then(|spec| spec.check()).unwrap_err();
 
-        let text = err.to_string();
-        assert!(text.starts_with(expected), "{kind} {spec}: {text}");
+        let expected = format!("spec.{field}: expected {expected}");
+        assert!(err.to_string().starts_with(&expected), "{kind} {field}: {err}");
     }
 }
 
+/// Sets the field with a path such as `a.b[0].c`, which may be one past the end of a list.
+fn set(spec: &mut Value, path: &str, value: Value) {
+    let mut at = spec;
+    for part in path.replace('[', ".").replace(']', "").split('.') {
+        at = match part.parse::<usize>() {
+            Ok(index) => {
+                let list = at.as_array_mut().unwrap();
+                list.resize(list.len().max(index + 1), Value::Null);
+                &mut list[index]
+            }
+            Err(_) => &mut at[part],
+        };
+    }
+    *at = value;
+}
+
+#[test]
+fn verify_missing_fields_are_named() {
+    let cases = [
+        (Kind::Account, "open_requests", "spec.open_requests: expected a value"),
+        (Kind::Engine, "zone", "spec.zone: expected a value"),
+        (Kind::ModelVersion, "model", "spec.model: expected a value"),
+        (Kind::Service, "backend", "spec.backend: expected a value"),
+    ];
+    for (kind, field, expected) in cases {
+        let mut spec = good(kind);
+        spec.as_object_mut().unwrap().remove(field);
+
+        let err = Spec::decode(kind, spec).unwrap_err();
+
+        assert_eq!(err.to_string(), expected);
+    }
+    let nested = json!({"model": {"model": "m"}});
+    let err = Spec::decode(Kind::EnginePool, nested).unwrap_err();
+    assert_eq!(err.to_string(), "spec.model.version: expected a value");
+}
+
 #[test]
 fn verify_defaults_are_the_careful_ones() {
     let Spec::Engine(engine) = Spec::decode(Kind::Engine, engine("main")).unwrap() else {
@@ -210,61 +185,43 @@
 
 #[test]
 fn verify_changes_keep_references() {
-    let strands = |text: &str| Some(text.to_owned());
-    let cases = [
-        (
-            put("Engine/e4", engine("other")),
-            strands("spec.pool: expected a declared EnginePool, but there is no other"),
-        ),
-        (
-            put("EnginePool/new", pool(3)),
-            strands(
-                "spec.model: expected a declared ModelVersion, but there is none of checklist version 3",
-            ),
-        ),
-        (
-            put("Service/quick", service("none", "checklist")),
-            strands("spec.backend.pool: expected a declared EnginePool"),
-        ),
-        (
-            put("Service/quick", service("main", "dossier")),
-            strands(
-                "spec.backend.model: expected the model of EnginePool/main, which is not dossier",
-            ),
-        ),
-        (
-            put("DrainPlan/second", drain("e9")),
-            strands("spec.target.engines[0]: expected engines of EnginePool/main, which has no e9"),
-        ),
-        (
-            delete("ModelVersion/checklist-1"),
-            strands(
-                "ModelVersion/checklist-1 is still needed by EnginePool/main (spec.model), EnginePool/spare (spec.model); change that first",
-            ),
-        ),
-        (delete("ModelVersion/checklist-2"), None),
-        (
-            delete("EnginePool/main"),
-            strands(
-                "EnginePool/main is still needed by Service/verdicts (spec.backend.pool), Engine/e1 (spec.pool), Engine/e2 (spec.pool), Engine/e3 (spec.pool), DrainPlan/first (spec.pool); change that first",
-            ),
-        ),
-        (delete("EnginePool/spare"), None),
-        (delete("Service/verdicts"), None),
-        // A plan may outlive the engine that it drained.
-        (delete("Engine/e1"), None),
-        (put("EnginePool/main", pool(2)), None),
+    let refused = [
+        put("Engine/e4", engine("other")),
+        put("EnginePool/new", pool(3)),
+        put("Service/quick", service("none", "checklist")),
+        put("Service/quick", service("main", "dossier")),
+        put("DrainPlan/second", drain("e9")),
+        delete("ModelVersion/checklist-1"),
+        delete("EnginePool/main"),
     ];
-    for (change, expected) in cases {
-        let result = change.check(&site()).map_err(|err| err.to_string());
+    let reasons = "\
+spec.pool: expected a declared EnginePool, but there is no other
+spec.model: expected a declared ModelVersion, but there is none of checklist version 3
+spec.backend.pool: expected a declared EnginePool, but there is no none
+spec.backend.model: expected the model of EnginePool/main, which is not dossier
+spec.target.engines[0]: expected engines of EnginePool/main, which has no e9
+ModelVersion/checklist-1 is still needed by EnginePool/main (spec.model), \
+EnginePool/spare (spec.model); change that first
+EnginePool/main is still needed by Service/verdicts (spec.backend.pool), Engine/e1 (spec.pool), \
+Engine/e2 (spec.pool), Engine/e3 (spec.pool), DrainPlan/first (spec.pool); change that first";
 
-        match expected {
-            None => assert_eq!(result, Ok(()), "{}", change.key),
-            Some(expected) => {
-                let text = result.unwrap_err();
-                assert!(text.starts_with(&expected), "{}: {text}", change.key);
-            }
-        }
+    let told = refused.map(|change| change.check(&site()).unwrap_err().to_string());
+
+    assert_eq!(told.join("\n"), reasons);
+}
+
+#[test]
+fn verify_what_nothing_needs_may_change() {
+    let allowed = [
+        delete("ModelVersion/checklist-2"),
+        delete("EnginePool/spare"),
+        delete("Service/verdicts"),
+        // A plan may outlive the engine that it drained.
+        delete("Engine/e1"),
+        put("EnginePool/main", pool(2)),
+    ];
+    for change in allowed {
+        assert_eq!(change.check(&site()), Ok(()), "{}", change.key);
     }
 }
 
--- a/crates/anvilhook-ctl/tests/commands.rs
+++ b/crates/anvilhook-ctl/tests/commands.rs
@@ -14,7 +14,7 @@
 use anvilhook_ctl::{Environment, Exit, run};
 use anvilhook_standin::platform::{Loss, RateLimits, Reach};
 use anvilhook_store::{ArchiveStep, InstanceDirectory, InstanceRecord, StatusRecord, StatusStore};
-use operators_fixture::{Api, OPERATOR, READER, key};
+use operators_fixture::{Api, OPERATOR, key};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -133,112 +133,64 @@
     );
 }
 
+/// Token | command line | exit | a part of what is said. `@name` stands for a file of that name.
+const FAILURES: &str = "
+operator-token | fetch | BadInput | fetch
+operator-token | get Colour | BadInput | kind: expected one of Account
+operator-token | get -o xml | BadInput | expected table or json
+operator-token | delete e1 | BadInput | expected KIND/NAME, such as Engine/e1
+operator-token | apply | BadInput | no file: give -f FILE
+operator-token | apply -f no-such.yaml | BadInput | no-such.yaml: cannot be read
+operator-token | apply -f @field | BadInput | document 1, Account/cook: spec.requests_per_s: expected at least 1
+operator-token | apply -f @yaml | BadInput | yaml:
+operator-token | apply -f @kind | BadInput | kind:2:
+operator-token | apply -f @twice | BadInput | document 4: Engine/e1 stands in
+operator-token | apply -f @strands | BadInput | needed by EnginePool/main (spec.model); change that first. Nothing was sent
+operator-token | apply -f @old | Conflict | Engine/e1 stands at version 3
+operator-token | drain main | BadInput | give --engine or --zone
+operator-token | drain main --engine e9 | BadInput | spec.target.engines[0]: expected engines of EnginePool/main
+operator-token | delete EnginePool/main | Conflict | EnginePool/main is still needed by Engine/e1 (spec.pool)
+operator-token | delete Engine/e1 --version 2 | Conflict | Engine/e1 stands at version 3
+operator-token | get Engine/e9 | NotFound | Engine/e9 does not exist
+operator-token | why Engine/e9 | NotFound | Engine/e9 does not exist
+operator-token | change 7 | BadInput | change id: expected 32 hexadecimal digits
+operator-token | change 00000000000000000000000000000007 | Unknown | may still be under way
+operator-token | get --token-file no-such | BadInput | token file no-such
+operator-token | get --server here | BadInput | --server here: expected IP:PORT
+operator-token | get --server 127.0.0.1:1 | Unavailable | Check --server, or ask another instance
+reader-token | delete Engine/e1 | NotAllowed | kostas may read only
+wrong | status | NotAllowed | bearer token
+ | get | NotAllowed | Set ANVILHOOK_TOKEN, or give --token-file
+";
+
+/// Writes the files that the table names.
+fn write_bad_files() {
+    let account = "token_sha256: [], requests_per_s: 0, open_requests: 1";
+    file("field", &format!("kind: Account\nname: cook\nspec: {{{account}}}\n"));
+    file("yaml", "kind: Account\nname: [\n");
+    file("kind", "---\nkind: Colour\nname: red\nspec: {}\n");
+    file("twice", &format!("{SITE}---\n{SITE}"));
+    file("strands", &SITE.replace("version: 1}\n  weights", "version: 2}\n  weights"));
+    let engine = "pool: main, address: \"127.0.0.1:7002\", zone: z";
+    file("old", &format!("kind: Engine\nname: e1\nversion: 1\nspec: {{{engine}}}\n"));
+}
+
 #[tokio::test]
 async fn verify_failures_say_what_to_do() {
     let api = Api::start().await;
     done(&api, &["apply", "-f", &file("base.yaml", SITE)]).await;
-    let bad_field = file(
-        "bad-field.yaml",
-        "kind: Account\nname: cook\nspec:\n  token_sha256: []\n  requests_per_s: 0\n  open_requests: 1\n",
-    );
-    let bad_yaml = file("bad-yaml.yaml", "kind: Account\nname: [\n");
-    let bad_kind = file("bad-kind.yaml", "---\nkind: Colour\nname: red\nspec: {}\n");
-    let twice = file("twice.yaml", &format!("{SITE}---\n{SITE}"));
-    let strands = file(
-        "strands.yaml",
-        &SITE.replace(
-            "{model: checklist, version: 1}\n  weights",
-            "{model: checklist, version: 2}\n  weights",
-        ),
-    );
-    let old = file(
-        "old.yaml",
-        "kind: Engine\nname: e1\nversion: 1\nspec: {pool: main, address: \"127.0.0.1:7002\", zone: z}\n",
-    );
-    let operator = Some(OPERATOR);
-    let cases: Vec<(Option<&str>, Vec<&str>, Exit, &str)> = vec![
-        (operator, vec!["fetch"], Exit::BadInput, "fetch"),
-        (operator, vec!["get", "Colour"], Exit::BadInput, "kind: expected one of Account"),
-        (operator, vec!["delete", "e1"], Exit::BadInput, "expected KIND/NAME, such as Engine/e1"),
-        (operator, vec!["get", "-o", "xml"], Exit::BadInput, "expected table or json"),
-        (operator, vec!["apply"], Exit::BadInput, "no file: give -f FILE"),
-        (
-            operator,
-            vec!["apply", "-f", "no-such.yaml"],
-            Exit::BadInput,
-            "no-such.yaml: cannot be read",
-        ),
-        (
-            operator,
-            vec!["apply", "-f", &bad_field],
-            Exit::BadInput,
-            "bad-field.yaml, document 1, Account/cook: spec.requests_per_s: expected at least 1",
-        ),
-        (operator, vec!["apply", "-f", &bad_yaml], Exit::BadInput, "bad-yaml.yaml:"),
-        (operator, vec!["apply", "-f", &bad_kind], Exit::BadInput, "bad-kind.yaml:2: "),
-        (operator, vec!["apply", "-f", &twice], Exit::BadInput, "document 4: Engine/e1 stands in"),
-        (
-            operator,
-            vec!["apply", "-f", &strands],
-            Exit::BadInput,
-            "still needed by EnginePool/main (spec.model); change that first. Nothing was sent",
-        ),
-        (operator, vec!["apply", "-f", &old], Exit::Conflict, "Engine/e1 stands at version 3"),
-        (operator, vec!["drain", "main"], Exit::BadInput, "give --engine or --zone"),
-        (
-            operator,
-            vec!["drain", "main", "--engine", "e9"],
-            Exit::BadInput,
-            "spec.target.engines[0]: expected engines of EnginePool/main",
-        ),
-        (
-            operator,
-            vec!["delete", "EnginePool/main"],
-            Exit::Conflict,
-            "EnginePool/main is still needed by Engine/e1 (spec.pool)",
-        ),
-        (
-            operator,
-            vec!["delete", "Engine/e1", "--version", "2"],
-            Exit::Conflict,
-            "stands at version 3",
-        ),
-        (operator, vec!["get", "Engine/e9"], Exit::NotFound, "Engine/e9 does not exist"),
-        (operator, vec!["why", "Engine/e9"], Exit::NotFound, "does not exist"),
-        (
-            operator,
-            vec!["change", "7"],
-            Exit::BadInput,
-            "change id: expected 32 hexadecimal digits",
-        ),
-        (
-            operator,
-            vec!["change", "00000000000000000000000000000007"],
-            Exit::Unknown,
-            "may still be under way",
-        ),
-        (None, vec!["get"], Exit::NotAllowed, "Set ANVILHOOK_TOKEN, or give --token-file"),
-        (Some("wrong"), vec!["status"], Exit::NotAllowed, "bearer token"),
-        (Some(READER), vec!["delete", "Engine/e1"], Exit::NotAllowed, "kostas may read only"),
-        (operator, vec!["get", "--token-file", "no-such"], Exit::BadInput, "token file no-such"),
-        (
-            operator,
-            vec!["get", "--server", "here"],
-            Exit::BadInput,
-            "--server here: expected IP:PORT",
-        ),
-        (
-            operator,
-            vec!["get", "--server", "127.0.0.1:1"],
-            Exit::Unavailable,
-            "Check --server, or ask another instance",
-        ),
-    ];
-    for (token, line, exit, message) in cases {
+    write_bad_files();
+    for case in FAILURES.trim_matches('\n').lines() {
+        let columns: Vec<&str> = case.split('|').map(str::trim).collect();
+        let [token, line, exit, message] = columns[..] else { panic!("{case}") };
+        let token = (!token.is_empty()).then_some(token);
+        let line = line.replace('@', concat!(env!("CARGO_TARGET_TMPDIR"), "/"));
+        let line: Vec<&str> = line.split(' ').collect();
+
         let (ended, out, err) = ctl_as(&api, token, &line).await;
 
-        assert_eq!(ended, exit, "{line:?}: {out}{err}");
-        assert!(err.contains(message), "{line:?}: {err}");
+        assert_eq!(format!("{ended:?}"), exit, "{case}: {out}{err}");
+        assert!(err.contains(message), "{case}: {err}");
     }
     assert_eq!(api.follower.revision(), Revision(3), "nothing was changed");
 }
--- a/crates/anvilhook-daemon/tests/operators.rs
+++ b/crates/anvilhook-daemon/tests/operators.rs
@@ -40,290 +40,76 @@
     (status, serde_json::from_slice(&buf).unwrap_or(Value::Null))
 }
 
-/// Method, path, headers and body of a request; status, code and a part of the message.
-type RefusalCase<'a> =
-    (Method, &'a str, Vec<(&'a str, &'a str)>, Option<Value>, u16, &'a str, &'a str);
+/// Method and path | who asks and other headers | body | status and code | a part of the message.
+///
+/// `S` stands for a good spec.
+const REFUSALS: &str = r#"
+GET    /Account/cook   |                                   |    | 401 unauthenticated | needs an operator's bearer token
+GET    /Account/cook   | authorization: Bearer wrong       |    | 401 unauthenticated | bearer token
+GET    /Account/cook   | authorization: Basic operator-token | | 401 unauthenticated | bearer token
+GET    /Account/cook   | authorization: Bearer             |    | 401 unauthenticated | bearer token
+GET    /watch          |                                   |    | 401 unauthenticated | bearer token
+PUT    /Account/cook   | reader   | {"version": 1, "spec": S}   | 403 forbidden       | kostas may read only
+DELETE /Account/cook   | reader, if-match: 1               |    | 403 forbidden       | kostas may read only
+GET    /Account/new    | operator |                             | 404 not-found       | Account/new does not exist at r1
+GET    /Colour         | operator |                             | 404 not-found       | kind: expected one of Account, ModelVersion
+GET    /why/Account/new | operator |                            | 404 not-found       | does not exist
+PUT    /Account/new    | operator | {"version": 7, "spec": S}   | 404 not-found       | Account/new does not exist
+DELETE /Account/new    | operator, if-match: *             |    | 404 not-found       | does not exist
+GET    /Account/Cook!  | operator |                             | 400 bad-request     | cannot name
+PUT    /Account/cook   | operator, if-match: "2" | {"version": 1, "spec": S} | 400 bad-request | the same in the body
+GET    /audit?limit=many | operator |                           | 400 bad-request     | query: expected from, limit or base
+GET    /audit?page=2   | operator |                             | 400 bad-request     | query: expected from, limit or base
+GET    /changes/7      | operator |                             | 400 bad-field       | change id: expected 32 hexadecimal
+PUT    /Account/new    | operator, x-anvilhook-change-id: 7 | {"version": 0, "spec": S} | 400 bad-field | change id: expected 32
+PUT    /Account/cook   | operator, if-match: old | {"spec": S}  | 400 bad-field       | if-match: expected a version or *
+PUT    /Account/new    | operator | {"version": 0, "spec": {"token_sha256": [], "requests_per_s": 0, "open_requests": 1}} | 400 bad-field | spec.requests_per_s: expected at least 1
+PUT    /Account/new    | operator | {"version": 0, "spec": {"requests_per_s": "many"}} | 400 bad-field | spec.requests_per_s: expected another value
+PUT    /Account/new    | operator | {"version": 0, "spec": {"colour": 1}} | 400 bad-field | spec.colour: expected another value: unknown field
+PUT    /Account/new    | operator | {"version": 0, "kind": "Engine", "spec": S} | 400 bad-field | kind: expected Account as in the path
+PUT    /Account/new    | operator | {"version": 0, "name": "old", "spec": S} | 400 bad-field | name: expected new as in the path
+PUT    /Account/new    | operator | {"version": "x", "spec": S} | 400 bad-field       | version: expected a resource as JSON
+PUT    /Account/new    | operator | []                          | 400 bad-field       | body: expected a resource as JSON
+POST   /Account        | operator | {"spec": S}                 | 400 bad-field       | name: expected the resource's name
+PUT    /Account/cook   | operator | {"spec": S}                 | 428 version-missing | version: expected the version
+DELETE /Account/cook   | operator |                             | 428 version-missing | version: expected the version
+PUT    /Account/cook   | operator | {"version": 0, "spec": S}   | 409 conflict        | Account/cook stands at version 1
+PUT    /Account/cook   | operator | {"version": 7, "spec": S}   | 409 conflict        | Account/cook stands at version 1
+POST   /Account        | operator | {"name": "cook", "spec": S} | 409 conflict        | Account/cook stands at version 1
+DELETE /Account/cook   | operator, if-match: 3             |    | 409 conflict        | Account/cook stands at version 1
+"#;
+
+/// Reads the headers of a row. `reader` and `operator` stand for their tokens.
+fn headers(text: &str) -> Vec<(&str, &str)> {
+    let named = text.split(',').map(str::trim).filter(|header| !header.is_empty());
+    let headers = named.map(|header| match header {
+        "reader" => ("authorization", "Bearer reader-token"),
+        "operator" => ("authorization", "Bearer operator-token"),
+        other => other.split_once(": ").unwrap(),
+    });
+    headers.collect()
+}
 
 #[tokio::test]
 async fn verify_refusals() {
     let api = Api::start().await;
     api.declare("cook", 5, 0).await;
-    let operator = "Bearer operator-token";
-    let spec = |version: u64| Some(json!({"version": version, "spec": account(1)}));
-    let bad = |field: &str, value: Value| {
-        let mut spec = account(1);
-        spec[field] = value;
-        Some(json!({"version": 0, "spec": spec}))
-    };
-    let cook = "/api/v1/Account/cook";
-    let new = "/api/v1/Account/new";
-    let (get, put, post, delete) = (Method::GET, Method::PUT, Method::POST, Method::DELETE);
-    let auth = ("authorization", operator);
-    let cases: Vec<RefusalCase<'_>> = vec![
-        (
-            get.clone(),
-            cook,
-            vec![],
-            None,
-            401,
-            "unauthenticated",
-            "needs an operator's bearer token",
-        ),
-        (
-            get.clone(),
-            cook,
-            vec![("authorization", "Bearer wrong")],
-            None,
-            401,
-            "unauthenticated",
-            "bearer",
-        ),
-        (
-            get.clone(),
-            cook,
-            vec![("authorization", "Basic operator-token")],
-            None,
-            401,
-            "unauthenticated",
-            "bearer",
-        ),
-        (
-            get.clone(),
-            cook,
-            vec![("authorization", "Bearer ")],
-            None,
-            401,
-            "unauthenticated",
-            "bearer",
-        ),
-        (get.clone(), "/api/v1/watch", vec![], None, 401, "unauthenticated", "bearer"),
-        (
-            put.clone(),
-            cook,
-            vec![("authorization", "Bearer reader-token")],
-            spec(1),
-            403,
-            "forbidden",
-            "kostas may read only",
-        ),
-        (
-            delete.clone(),
-            cook,
-            vec![("authorization", "Bearer reader-token")],
-            None,
-            403,
-            "forbidden",
-            "kostas",
-        ),
-        (get.clone(), new, vec![auth], None, 404, "not-found", "Account/new does not exist at r1"),
-        (
-            get.clone(),
-            "/api/v1/Colour",
-            vec![auth],
-            None,
-            404,
-            "not-found",
-            "kind: expected one of Account, ModelVersion",
-        ),
-        (get.clone(), "/api/v1/Account/Cook!", vec![auth], None, 400, "bad-request", "cannot name"),
-        (
-            put.clone(),
-            cook,
-            vec![auth],
-            Some(json!({"spec": account(1)})),
-            428,
-            "version-missing",
-            "version: expected the version",
-        ),
-        (
-            put.clone(),
-            cook,
-            vec![auth],
-            spec(0),
-            409,
-            "conflict",
-            "Account/cook stands at version 1",
-        ),
-        (put.clone(), cook, vec![auth], spec(7), 409, "conflict", "stands at version 1"),
-        (put.clone(), new, vec![auth], spec(7), 404, "not-found", "Account/new does not exist"),
-        (
-            put.clone(),
-            cook,
-            vec![auth, ("if-match", "\"2\"")],
-            spec(1),
-            400,
-            "bad-request",
-            "the same in the body",
-        ),
-        (
-            put.clone(),
-            cook,
-            vec![auth, ("if-match", "old")],
-            spec(1),
-            400,
-            "bad-field",
-            "if-match: expected a version or *",
-        ),
-        (
-            put.clone(),
-            new,
-            vec![auth, ("x-anvilhook-change-id", "7")],
-            spec(0),
-            400,
-            "bad-field",
-            "change id: expected 32 hexadecimal",
-        ),
-        (
-            put.clone(),
-            new,
-            vec![auth],
-            bad("requests_per_s", json!(0)),
-            400,
-            "bad-field",
-            "spec.requests_per_s: expected at least 1",
-        ),
-        (
-            put.clone(),
-            new,
-            vec![auth],
-            bad("requests_per_s", json!("many")),
-            400,
-            "bad-field",
-            "spec.requests_per_s: expected another value",
-        ),
-        (
-            put.clone(),
-            new,
-            vec![auth],
-            bad("colour", json!(1)),
-            400,
-            "bad-field",
-            "spec.colour: expected another value: unknown field",
-        ),
-        (
-            put.clone(),
-            new,
-            vec![auth],
-            Some(json!({"version": 0, "kind": "Engine", "spec": account(1)})),
-            400,
-            "bad-field",
-            "kind: expected Account as in the path",
-        ),
-        (
-            put.clone(),
-            new,
-            vec![auth],
-            Some(json!({"version": 0, "name": "old", "spec": account(1)})),
-            400,
-            "bad-field",
-            "name: expected new as in the path",
-        ),
-        (
-            put.clone(),
-            new,
-            vec![auth],
-            Some(json!({"version": "x", "spec": account(1)})),
-            400,
-            "bad-field",
-            "version: expected",
-        ),
-        (
-            put.clone(),
-            new,
-            vec![auth],
-            Some(json!([])),
-            400,
-            "bad-field",
-            "body: expected a resource as JSON",
-        ),
-        (
-            post.clone(),
-            "/api/v1/Account",
-            vec![auth],
-            Some(json!({"spec": account(1)})),
-            400,
-            "bad-field",
-            "name: expected the resource's name",
-        ),
-        (
-            post.clone(),
-            "/api/v1/Account",
-            vec![auth],
-            Some(json!({"name": "cook", "spec": account(1)})),
-            409,
-            "conflict",
-            "stands at version 1",
-        ),
-        (delete.clone(), cook, vec![auth], None, 428, "version-missing", "version: expected"),
-        (
-            delete.clone(),
-            cook,
-            vec![auth, ("if-match", "3")],
-            None,
-            409,
-            "conflict",
-            "stands at version 1",
-        ),
-        (
-            delete.clone(),
-            new,
-            vec![auth, ("if-match", "*")],
-            None,
-            404,
-            "not-found",
-            "does not exist",
-        ),
-        (
-            get.clone(),
-            "/api/v1/audit?limit=many",
-            vec![auth],
-            None,
-            400,
-            "bad-request",
-            "query: expected from, limit or base",
-        ),
-        (
-            get.clone(),
-            "/api/v1/audit?page=2",
-            vec![auth],
-            None,
-            400,
-            "bad-request",
-            "query: expected",
-        ),
-        (
-            get.clone(),
-            "/api/v1/changes/7",
-            vec![auth],
-            None,
-            400,
-            "bad-field",
-            "change id: expected 32",
-        ),
-        (
-            get.clone(),
-            "/api/v1/why/Account/new",
-            vec![auth],
-            None,
-            404,
-            "not-found",
-            "does not exist",
-        ),
-    ];
-    for (method, path, headers, body, status, code, message) in cases {
-        let case = format!("{method} {path} {headers:?} {body:?}");
+    for case in REFUSALS.trim().lines() {
+        let columns: Vec<&str> = case.split('|').map(str::trim).collect();
+        let [call, asking, body, outcome, message] = columns[..] else { panic!("{case}") };
+        let (method, path) = call.split_once(' ').unwrap();
+        let path = format!("/api/v1{}", path.trim());
+        let body = body.replace(": S", &format!(": {}", account(1)));
+        let body = (!body.is_empty()).then(|| serde_json::from_str(&body).unwrap());
 
-        let (answered, answer) = send(&api, method, path, &headers, body.as_ref()).await;
+        let method = method.parse().unwrap();
+        let (status, answer) = send(&api, method, &path, &headers(asking), body.as_ref()).await;
 
-        let refusal: RefusalBody = serde_json::from_value(answer.clone()).expect(&case);
-        let text = &refusal.error.message;
-        assert_eq!(
-            (answered.as_u16(), answer["error"]["code"].as_str()),
-            (status, Some(code)),
-            "{case}: {text}"
-        );
-        assert!(text.contains(message), "{case}: {text}");
-        assert_eq!(refusal.error.field.is_some(), code == "bad-field", "{case}");
+        let told: RefusalBody = serde_json::from_value(answer.clone()).expect(case);
+        let code = answer["error"]["code"].as_str().unwrap();
+        assert_eq!(format!("{} {code}", status.as_u16()), outcome, "{case}: {told:?}");
+        assert!(told.error.message.contains(message), "{case}: {told:?}");
+        assert_eq!(told.error.field.is_some(), code == "bad-field", "{case}");
     }
     assert_eq!(api.follower.revision(), Revision(1), "nothing was changed");
 }
