Count listed instances among those that a drain awaits

Cause: an instance that is cut off from the table alone cannot announce itself and may route. Change: an instance that the platform lists is awaited too, unless it took back its announcement or is gone. Acknowledgements name the generation since which an engine drains, as on the peer link. Conclusion: whoever may have a request in flight is asked.

--- a/crates/anvilhook-core/src/drains/acknowledgements.rs
+++ b/crates/anvilhook-core/src/drains/acknowledgements.rs
@@ -7,26 +7,13 @@
 use super::marks::DrainMark;
 use crate::names::{InstanceName, PoolName, UpstreamName};
 
-/// `PoolAck` is what one instance says of the draining engines of one pool.
-#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub struct PoolAck {
-    /// The generation of the marks that the instance goes by.
-    pub generation: u64,
-    /// The engines, draining at that generation, at which the instance has nothing in flight. It
-    /// sends nothing there until it goes by a later generation.
-    pub clear: BTreeSet<UpstreamName>,
-}
-
-impl PoolAck {
-    /// Returns whether this says that the instance has nothing in flight at an engine that drains
-    /// by the given mark, and will send nothing there.
-    pub fn clears(&self, engine: &UpstreamName, mark: &DrainMark) -> bool {
-        self.generation >= mark.since && self.clear.contains(engine)
-    }
-}
+/// `PoolAck` is what one instance says of the draining engines of one pool: for each at which it has
+/// nothing in flight, the generation since which that engine drains. The instance sends nothing
+/// there until it goes by a later generation in which the engine serves again.
+pub type PoolAck = BTreeMap<UpstreamName, u64>;
 
 /// `DrainAck` is all that one instance acknowledges. It crosses the peer link or is stored in the
-/// table; of two, the one with the higher generation of a pool holds, and both are true.
+/// table.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct DrainAck {
     /// Who acknowledges.
@@ -35,6 +22,14 @@
     pub pools: BTreeMap<PoolName, PoolAck>,
 }
 
+impl DrainAck {
+    /// Returns whether this acknowledges the drain of an engine by the given mark. An
+    /// acknowledgement of an earlier drain of the engine does not: it has served in between.
+    pub fn clears(&self, pool: &PoolName, engine: &UpstreamName, mark: &DrainMark) -> bool {
+        self.pools.get(pool).and_then(|ack| ack.get(engine)) == Some(&mark.since)
+    }
+}
+
 /// `DrainProgress` says how far the drain of one engine is.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum DrainProgress {
@@ -46,20 +41,18 @@
     Acknowledged,
 }
 
-/// Returns how far the drain of an engine is. `required` are the announced instances that the
-/// platform has not said to be gone.
+/// Returns how far the drain of an engine is. `required` are the instances that must acknowledge, and
+/// `acknowledges` says whether one of them has acknowledged the mark.
 pub fn progress<'a>(
-    engine: &UpstreamName,
     mark: Option<&DrainMark>,
     required: impl IntoIterator<Item = &'a InstanceName>,
-    ack_of: impl Fn(&InstanceName) -> Option<&'a PoolAck>,
+    acknowledges: impl Fn(&InstanceName, &DrainMark) -> bool,
 ) -> DrainProgress {
     let Some(mark) = mark else { return DrainProgress::NotMarked };
 
     // An instance that has said nothing is a veto, not a yes.
-    let clears = |name: &InstanceName| ack_of(name).is_some_and(|ack| ack.clears(engine, mark));
-    let missing: BTreeSet<InstanceName> =
-        required.into_iter().filter(|name| !clears(name)).cloned().collect();
+    let silent = |name: &&InstanceName| !acknowledges(name, mark);
+    let missing: BTreeSet<InstanceName> = required.into_iter().filter(silent).cloned().collect();
     if missing.is_empty() {
         DrainProgress::Acknowledged
     } else {
--- a/crates/anvilhook-core/src/drains/followers.rs
+++ b/crates/anvilhook-core/src/drains/followers.rs
@@ -1,9 +1,9 @@
 //! What every instance does about the drains that others order.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::acknowledgements::{DrainAck, PoolAck};
-use super::marks::DrainMarks;
+use super::marks::{DrainMark, DrainMarks};
 use crate::names::{InstanceName, PoolName, UpstreamName};
 
 /// `FollowedPool` is the newest generation of a pool's marks that an instance goes by.
@@ -11,8 +11,8 @@
 pub struct FollowedPool {
     /// The generation.
     pub generation: u64,
-    /// The engines that drain.
-    pub draining: BTreeSet<UpstreamName>,
+    /// The engines that drain, each with the generation since which it does.
+    pub draining: BTreeMap<UpstreamName, u64>,
 }
 
 /// `DrainFollower` keeps which engines an instance must not route to, and what it may acknowledge.
@@ -31,18 +31,19 @@
             return false;
         }
         known.generation = marks.generation;
-        known.draining = marks.engines.keys().cloned().collect();
+        let since = |(name, mark): (&UpstreamName, &DrainMark)| (name.clone(), mark.since);
+        known.draining = marks.engines.iter().map(since).collect();
         true
     }
 
     /// Returns whether an engine drains, so that it gets no new work.
     pub fn is_draining(&self, engine: &UpstreamName) -> bool {
-        self.pools.values().any(|pool| pool.draining.contains(engine))
+        self.pools.values().any(|pool| pool.draining.contains_key(engine))
     }
 
     /// Returns all engines that drain.
     pub fn draining(&self) -> impl Iterator<Item = &UpstreamName> {
-        self.pools.values().flat_map(|pool| &pool.draining)
+        self.pools.values().flat_map(|pool| pool.draining.keys())
     }
 
     /// Returns what the instance may acknowledge. The caller must have made its routing go by the
@@ -53,9 +54,9 @@
         instance: &InstanceName,
         open_requests: impl Fn(&UpstreamName) -> u64,
     ) -> DrainAck {
-        let ack_of = |pool: &FollowedPool| PoolAck {
-            generation: pool.generation,
-            clear: pool.draining.iter().filter(|name| open_requests(name) == 0).cloned().collect(),
+        let ack_of = |pool: &FollowedPool| -> PoolAck {
+            let idle = pool.draining.iter().filter(|(name, _)| open_requests(name) == 0);
+            idle.map(|(name, since)| (name.clone(), *since)).collect()
         };
         let pools = self.pools.iter().filter(|(_, pool)| !pool.draining.is_empty());
         let pools = pools.map(|(name, pool)| (name.clone(), ack_of(pool))).collect();
--- a/crates/anvilhook-core/src/membership/members.rs
+++ b/crates/anvilhook-core/src/membership/members.rs
@@ -1,27 +1,13 @@
-//! Announced instances.
+//! Announced and listed instances.
+//!
+//! An instance announces itself, then reads the drains, then routes. A holder marks an engine, then
+//! reads the announcements. Whichever comes first in the table, either the holder sees the instance
+//! and waits for it, or the instance sees the mark and routes nothing there. An instance that is cut
+//! off from the table alone is still seen in the platform's list, and is waited for as well.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
-
-use crate::names::{InstanceName, ZoneName};
-
-/// `Member` is the row by which an instance announces itself before it routes its first request.
-///
-/// The order matters: an instance announces itself, then reads the drains, then routes. A holder
-/// marks an engine, then reads the announcements. Whichever comes first in the table, either the
-/// holder sees the instance and waits for it, or the instance sees the mark and routes nothing
-/// there.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub struct Member {
-    /// The instance.
-    pub instance: InstanceName,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Where its peers reach it.
-    pub peer_address: SocketAddr,
-}
+use crate::names::InstanceName;
 
 /// `Listed` is what the platform's list says of an instance.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -40,36 +26,38 @@
 ///
 /// let (one, two) = (InstanceName::try_new("entry-1")?, InstanceName::try_new("entry-2")?);
 /// let mut roster = Roster::default();
-/// roster.announce(one.clone());
-/// roster.announce(two.clone());
-/// roster.list(two.clone(), Listed::Gone);
+/// roster.replace_announced([one.clone(), two.clone()]);
+/// roster.replace_listed([(two.clone(), Listed::Gone)]);
 /// assert_eq!(roster.required().collect::<Vec<_>>(), [&one]);
 /// # Ok::<(), anvilhook_core::Error>(())
 /// ```
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Roster {
     announced: BTreeSet<InstanceName>,
+    /// Those that took back their announcement, as an instance does at the end of a planned stop.
+    departed: BTreeSet<InstanceName>,
     listed: BTreeMap<InstanceName, Listed>,
 }
 
 impl Roster {
-    /// Notes an announcement.
-    pub fn announce(&mut self, instance: InstanceName) {
-        self.announced.insert(instance);
-    }
-
-    /// Notes what the platform says of an instance. That one is gone is final, and a list that lags
-    /// more than the one before does not bring it back.
-    pub fn list(&mut self, instance: InstanceName, listed: Listed) {
-        let known = self.listed.entry(instance).or_insert(listed);
-        if *known != Listed::Gone {
-            *known = listed;
-        }
-    }
-
     /// Replaces the announcements by a newer reading of all of them.
     pub fn replace_announced(&mut self, instances: impl IntoIterator<Item = InstanceName>) {
+        let before = std::mem::take(&mut self.announced);
         self.announced = instances.into_iter().collect();
+        self.departed.extend(before);
+        self.departed.retain(|name| !self.announced.contains(name));
+    }
+
+    /// Replaces the lines of the platform's list by a newer reading. That an instance is gone is
+    /// final: a list that lags more than the one before does not bring it back.
+    pub fn replace_listed(&mut self, lines: impl IntoIterator<Item = (InstanceName, Listed)>) {
+        self.listed.retain(|_, listed| *listed == Listed::Gone);
+        for (name, listed) in lines {
+            let known = self.listed.entry(name).or_insert(listed);
+            if listed == Listed::Gone {
+                *known = Listed::Gone;
+            }
+        }
     }
 
     /// Returns whether the platform says that an instance is gone for good. One that is missing
@@ -78,13 +66,18 @@
         self.listed.get(instance) == Some(&Listed::Gone)
     }
 
-    /// Returns the instances whose acknowledgement a drain needs.
+    /// Returns the instances whose acknowledgement a drain needs: all that are announced or listed,
+    /// but for those that are gone or took back their announcement.
     pub fn required(&self) -> impl Iterator<Item = &InstanceName> {
-        self.announced.iter().filter(|name| !self.is_gone(name))
+        let present = self.listed.iter().filter(|(_, listed)| **listed == Listed::Present);
+        let only_listed = present
+            .map(|(name, _)| name)
+            .filter(|name| !self.announced.contains(*name) && !self.departed.contains(*name));
+        self.announced().chain(only_listed)
     }
 
-    /// Returns the announced instances that are gone, whose rows can be cleared away.
-    pub fn gone(&self) -> impl Iterator<Item = &InstanceName> {
-        self.announced.iter().filter(|name| self.is_gone(name))
+    /// Returns the announced instances that are not gone.
+    pub fn announced(&self) -> impl Iterator<Item = &InstanceName> {
+        self.announced.iter().filter(|name| !self.is_gone(name))
     }
 }
--- a/crates/anvilhook-core/src/membership/mod.rs
+++ b/crates/anvilhook-core/src/membership/mod.rs
@@ -5,4 +5,4 @@
 mod members;
 
 pub use candidates::{CandidateOptions, rank, watch_interval};
-pub use members::{Listed, Member, Roster};
+pub use members::{Listed, Roster};
