Test take-overs under faults of the holder

Cause: a holder can fail before its check, after it, between check and write, or be cut off. Change: a fleet under a manual clock with keepers, followers and traffic, the platform's stand-in and engines with per-caller faults; sixteen faults of the holder at both kinds of engines, with the invariants read from the engines' own logs. Conclusion: none of these faults breaks an invariant.

--- /dev/null
+++ b/crates/anvilhook-authority/tests/takeovers.rs
@@ -0,0 +1,157 @@
+//! Take-overs under faults of the holder, at engines that check terms and at engines that do not.
+
+mod fixtures;
+
+use anvilhook_core::units::Millis;
+use anvilhook_standin::platform::Reach;
+use fixtures::{EngineFault, Fleet, FleetOptions, adapter, check_logs};
+
+const CHECKS: usize = 0;
+const IGNORES: usize = 1;
+
+/// Long enough for a lease to lapse, a candidate to notice and an order to be carried out.
+const TAKE_OVER: Millis = Millis::from_secs(30);
+
+/// When the fault strikes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Moment {
+    /// The holder has nothing to do.
+    Idle,
+    /// An order runs at both engines.
+    Running,
+    /// The holder has recorded an order for the given engine, has checked its lease, and is paused
+    /// before it sends.
+    Sending(usize),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    /// The process ends; the platform says later that it is gone.
+    Killed,
+    /// The keeper stands still at its next call of the table, which is before its check.
+    PausedAtTable,
+    /// The whole process stands still there.
+    PausedWhole,
+    /// Only what the moment says.
+    None,
+    CutFromTable,
+    CutFromTableAndPeers,
+    CutFromTableAndEngines,
+    CutFromEverything,
+}
+
+fn strike(fleet: &mut Fleet, holder: usize, fault: Fault) {
+    let name = fleet.instances[holder].name.to_string();
+    match fault {
+        Fault::Killed => fleet.kill(holder),
+        Fault::None => {}
+        Fault::PausedAtTable => fleet.reach(holder, Reach::Hanging, false),
+        Fault::PausedWhole => {
+            fleet.reach(holder, Reach::Hanging, false);
+            fleet.instances[holder].paused = true;
+        }
+        Fault::CutFromTable => fleet.reach(holder, Reach::Cut, true),
+        Fault::CutFromTableAndPeers => {
+            fleet.reach(holder, Reach::Cut, true);
+            fleet.instances[holder].peers_cut = true;
+        }
+        Fault::CutFromTableAndEngines => {
+            fleet.reach(holder, Reach::Cut, true);
+            fleet.engines.cut(&name, true);
+        }
+        Fault::CutFromEverything => {
+            fleet.reach(holder, Reach::Cut, true);
+            fleet.engines.cut(&name, true);
+            fleet.instances[holder].peers_cut = true;
+        }
+    }
+}
+
+fn heal(fleet: &mut Fleet, holder: usize) {
+    let name = fleet.instances[holder].name.to_string();
+    if !fleet.instances[holder].alive {
+        fleet.declare_gone(holder);
+    }
+    fleet.reach(holder, Reach::Up, true);
+    fleet.engines.cut(&name, false);
+    fleet.engines.resume(&name);
+    fleet.instances[holder].peers_cut = false;
+    fleet.instances[holder].paused = false;
+}
+
+/// Brings the fleet to the moment at which the fault strikes, and returns the holder.
+async fn reach_moment(fleet: &mut Fleet, moment: Moment) -> usize {
+    fleet.run_until(TAKE_OVER, "first holder", |fleet| fleet.holder().is_some()).await;
+    let holder = fleet.holder().unwrap();
+    let name = fleet.instances[holder].name.to_string();
+    match moment {
+        Moment::Idle => fleet.run_for(Millis(1_000)).await,
+        Moment::Running => {
+            fleet.want(CHECKS, adapter("first"));
+            fleet.want(IGNORES, adapter("first"));
+            let runs = |fleet: &Fleet| fleet.row().is_some_and(|row| row.open.len() == 2);
+            fleet.run_until(TAKE_OVER, "orders", runs).await;
+        }
+        Moment::Sending(engine) => {
+            fleet.engines.fail_next_order(&name, EngineFault::PauseBeforeSending);
+            fleet.want(engine, adapter("first"));
+            let paused = |fleet: &Fleet| fleet.engines.is_paused(&name);
+            fleet.run_until(TAKE_OVER, "sending", paused).await;
+        }
+    }
+    holder
+}
+
+/// Symptom: after a fault of the holder an engine obeys two authorities, or none ever again.
+/// Sequence: the holder fails at a bad moment, another order is wanted, a successor takes over, the
+/// former holder comes back with what it was about to do.
+/// Cause: a successor that trusts time where only evidence will do, or waits for evidence that the
+/// fence makes needless.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_one_authority_over_faults_of_the_holder() {
+    // The last field says whether the engine that ignores terms may obey the successor before the
+    // former holder is healed: only if it could say that it gives up.
+    let cases = [
+        (Moment::Idle, Fault::Killed, false),
+        (Moment::Running, Fault::Killed, false),
+        (Moment::Sending(CHECKS), Fault::Killed, false),
+        (Moment::Sending(IGNORES), Fault::Killed, false),
+        (Moment::Idle, Fault::PausedAtTable, false),
+        (Moment::Running, Fault::PausedAtTable, false),
+        (Moment::Idle, Fault::PausedWhole, false),
+        (Moment::Sending(CHECKS), Fault::None, false),
+        (Moment::Sending(IGNORES), Fault::None, false),
+        (Moment::Sending(IGNORES), Fault::CutFromEverything, false),
+        (Moment::Idle, Fault::CutFromTable, true),
+        (Moment::Running, Fault::CutFromTable, true),
+        (Moment::Idle, Fault::CutFromTableAndPeers, false),
+        (Moment::Running, Fault::CutFromTableAndPeers, false),
+        (Moment::Idle, Fault::CutFromTableAndEngines, true),
+        (Moment::Running, Fault::CutFromEverything, false),
+    ];
+    for (moment, fault, clears_itself) in cases {
+        let case = format!("{moment:?}, {fault:?}");
+        let mut fleet = Fleet::new(FleetOptions::default());
+        let holder = reach_moment(&mut fleet, moment).await;
+
+        strike(&mut fleet, holder, fault);
+        fleet.want(CHECKS, adapter("second"));
+        fleet.want(IGNORES, adapter("second"));
+
+        let met = |engine| move |fleet: &Fleet| fleet.meets(engine, &adapter("second"));
+        fleet.run_until(TAKE_OVER, &case, met(CHECKS)).await;
+        assert_ne!(fleet.holder(), Some(holder), "{case}");
+        if clears_itself {
+            fleet.run_until(TAKE_OVER, &case, met(IGNORES)).await;
+        } else {
+            fleet.run_for(TAKE_OVER).await;
+            assert!(!fleet.meets(IGNORES, &adapter("second")), "{case}");
+            let reason = fleet.reason(IGNORES);
+            assert_eq!(reason.as_deref(), Some("AwaitingPredecessor"), "{case}");
+        }
+        heal(&mut fleet, holder);
+        fleet.run_until(TAKE_OVER, &case, met(IGNORES)).await;
+        fleet.run_for(Millis(5_000)).await;
+        check_logs(&fleet, &case);
+    }
+}
