Test orders in doubt, drains, plans and the weight store's limit

Cause: drains and orders fail in ways that a take-over does not show. Change: tables of lost orders and answers, engines that crash amid an order, silent instances, new instances at every moment of a drain, a drain plan over zones, two holders that share the load slots. Candidates other than the first wait before their first look, so that pools are spread.

--- a/crates/anvilhook-authority/src/fleets.rs
+++ b/crates/anvilhook-authority/src/fleets.rs
@@ -96,9 +96,9 @@
         self.roster.is_gone(instance)
     }
 
-    /// Returns the announced instances that are not gone.
-    pub fn announced(&self) -> impl Iterator<Item = &InstanceName> {
-        self.roster.announced()
+    /// Returns all instances that are announced or listed, and not gone.
+    pub fn present(&self) -> impl Iterator<Item = &InstanceName> {
+        self.roster.required()
     }
 
     /// Returns whether an instance has acknowledged a term over the peer link.
--- a/crates/anvilhook-authority/src/takeovers.rs
+++ b/crates/anvilhook-authority/src/takeovers.rs
@@ -45,7 +45,7 @@
         let lowest = self.lowest.entry(pool.clone()).or_default();
         *lowest = term.max(*lowest);
         // Its successor may be waiting for what this instance writes next.
-        self.next_look.remove(pool);
+        self.next_look.insert(pool.clone(), Millis::ZERO);
     }
 
     /// Returns the terms below which this instance gives no order.
@@ -63,10 +63,13 @@
         fleet: &Fleet,
     ) -> Result<Option<HeldPool>> {
         let now = services.clock.now();
-        if self.next_look.get(pool).is_some_and(|at| now < *at) {
+        let interval = watch_interval(rank(pool, &self.me, fleet.present()), &options.candidates);
+        // The first candidate looks at once, and the others so much later that pools are spread
+        // over the instances when all start together.
+        let first_look = now + interval - options.candidates.first_interval_ms;
+        if now < *self.next_look.entry(pool.clone()).or_insert(first_look) {
             return Ok(None);
         }
-        let interval = watch_interval(rank(pool, &self.me, fleet.announced()), &options.candidates);
         self.next_look.insert(pool.clone(), now + interval);
 
         let key = rows::pool_key(pool);
@@ -162,7 +165,7 @@
             writes.push(rows::put(key, &stored.value.end())?);
         }
         // After a lost answer the next look finds out whether the pool is held.
-        self.next_look.remove(pool);
+        self.next_look.insert(pool.clone(), Millis::ZERO);
         match services.table.commit(&Transaction { conditions, writes }).await? {
             Commit::Done => {
                 log::info!("pool {pool}: taken at {}", taken.term);
--- /dev/null
+++ b/crates/anvilhook-authority/tests/drains.rs
@@ -0,0 +1,177 @@
+//! Drains: who is awaited, who is a veto, at which pace.
+
+mod fixtures;
+
+use std::collections::BTreeSet;
+
+use anvilhook_authority::DeclaredDrain;
+use anvilhook_core::names::ResourceName;
+use anvilhook_core::resources::{DrainPlanSpec, DrainTarget, Fencing};
+use anvilhook_core::units::Millis;
+use anvilhook_standin::platform::Reach;
+use fixtures::{Fleet, FleetOptions, check_logs, engine_name, load, zone};
+
+const LIMIT: Millis = Millis::from_secs(60);
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Silence {
+    /// The process stands still.
+    Paused,
+    /// The process ended, with a request under way as far as anybody knows.
+    Killed,
+    /// It is cut off from the table and from its peers, and goes on routing.
+    CutOff,
+    /// It started while it was cut off from the table, so it has not announced itself.
+    NeverAnnounced,
+}
+
+/// Symptom: a change cuts the requests of an instance that nobody could ask.
+/// Sequence: one instance falls silent, then an engine is to be changed; later the instance comes
+/// back, or the platform says that it is gone.
+/// Cause: silence taken for a yes.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_a_silent_instance_is_a_veto_that_status_names() {
+    for peers in [true, false] {
+        for silence in [Silence::Paused, Silence::Killed, Silence::CutOff, Silence::NeverAnnounced]
+        {
+            let case = format!("{silence:?}, peers: {peers}");
+            let mut fleet = Fleet::new(FleetOptions { peers, ..FleetOptions::default() });
+            fleet.run_for(Millis(4_000)).await;
+            let holder = fleet.holder().unwrap();
+            let mut silent = (holder + 1) % 3;
+            match silence {
+                Silence::Paused => fleet.instances[silent].paused = true,
+                Silence::Killed => fleet.kill(silent),
+                Silence::CutOff => fleet.reach(silent, Reach::Cut, true),
+                Silence::NeverAnnounced => {
+                    silent = fleet.start_instance();
+                    fleet.reach(silent, Reach::Cut, true);
+                }
+            }
+            fleet.instances[silent].peers_cut = true;
+
+            fleet.want(0, load(2));
+            fleet.run_for(LIMIT).await;
+
+            assert!(!fleet.meets(0, &load(2)), "{case}");
+            assert_eq!(fleet.reason(0).as_deref(), Some("AwaitingInstances"), "{case}");
+            let name = fleet.instances[silent].name.to_string();
+            let observed = &fleet.instances[fleet.holder().unwrap()].observed;
+            let named = observed.iter().any(|seen| seen.condition.message.contains(&name));
+            assert!(named, "{case}: {observed:?}");
+
+            if silence == Silence::Killed {
+                fleet.declare_gone(silent);
+            }
+            fleet.reach(silent, Reach::Up, true);
+            fleet.instances[silent].paused = false;
+            fleet.instances[silent].peers_cut = false;
+            fleet.run_until(LIMIT, &case, |fleet| fleet.meets(0, &load(2))).await;
+            check_logs(&fleet, &case);
+        }
+    }
+}
+
+/// Symptom: a change cuts the first requests of a new instance.
+/// Sequence: an instance starts at every moment of a drain.
+/// Cause: instances read before the mark was written, so the new one was not asked.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_an_instance_that_starts_amid_a_drain_is_asked() {
+    for steps in 0..12 {
+        let case = format!("started after {steps} steps");
+        let mut fleet = Fleet::new(FleetOptions::default());
+        fleet.run_for(Millis(4_000)).await;
+        fleet.want(0, load(2));
+        for _ in 0..steps {
+            fleet.step().await;
+        }
+
+        fleet.start_instance();
+
+        fleet.run_until(LIMIT, &case, |fleet| fleet.meets(0, &load(2))).await;
+        check_logs(&fleet, &case);
+    }
+}
+
+/// Symptom: too many engines, or engines of two zones, are out of service at once.
+/// Sequence: a plan drains two zones of a pool while the pool also changes its model.
+/// Cause: a plan that does not count what else is out of service.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_a_drain_plan_keeps_its_pace_and_zones() {
+    let engines = vec![Fencing::Checks; 9];
+    let options = FleetOptions { engines, min_serving: 3, ..FleetOptions::default() };
+    let mut fleet = Fleet::new(options);
+    fleet.run_for(Millis(4_000)).await;
+    let name = ResourceName::try_new("move").unwrap();
+    let spec = DrainPlanSpec {
+        pool: fleet.plans[0].pool.clone(),
+        target: DrainTarget::Zones(vec![zone(1), zone(0)]),
+        max_at_once: 2,
+        pace_ms: Millis(1_000),
+        min_serving: 3,
+    };
+
+    fleet.plans[0].drains = vec![DeclaredDrain { name: name.clone(), spec }];
+    let mut last_marked = 0;
+    let mut first_zone_done_at = None;
+    for _ in 0..120 {
+        fleet.step().await;
+        let marked: BTreeSet<_> = fleet.row().unwrap().drains.engines.into_keys().collect();
+        assert!(marked.len() <= last_marked + 1, "one at a time, by the pace");
+        last_marked = marked.len();
+        let in_zone =
+            |at: usize| (at..9).step_by(3).filter(|at| marked.contains(&engine_name(*at)));
+        if in_zone(0).count() > 0 {
+            assert_eq!(in_zone(1).count(), 3, "the first zone of the plan goes first");
+            first_zone_done_at.get_or_insert(fleet.now());
+        }
+        assert_eq!(in_zone(2).count(), 0, "the plan does not name this zone");
+    }
+
+    assert_eq!(last_marked, 6);
+    assert!(first_zone_done_at.unwrap() >= Millis(4_000) + Millis(3_000), "three at the pace");
+    let observed = &fleet.instances[fleet.holder().unwrap()].observed;
+    let drained =
+        observed.iter().any(|seen| seen.key.name == name && seen.condition.reason == "Drained");
+    assert!(drained, "{observed:?}");
+    fleet.plans[0].drains.clear();
+    fleet.run_for(Millis(2_000)).await;
+    assert!(fleet.row().unwrap().drains.engines.is_empty(), "a deleted plan lets them serve");
+    check_logs(&fleet, "plan");
+}
+
+/// Symptom: the weight store is asked for more than it bears.
+/// Sequence: two pools with different holders change the model of all engines at once.
+/// Cause: a limit that each holder counts for itself.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_the_weight_store_bears_the_loads_of_all_holders() {
+    let options = FleetOptions {
+        engines: vec![Fencing::Checks; 8],
+        pools: 2,
+        max_changing: 4,
+        ..FleetOptions::default()
+    };
+    let mut fleet = Fleet::new(options);
+    fleet.run_for(Millis(4_000)).await;
+
+    let holders: BTreeSet<_> = fleet.rows().into_iter().map(|row| row.holder).collect();
+    assert_eq!(holders.len(), 2, "each pool has a holder of its own");
+
+    for engine in 0..8 {
+        fleet.want(engine, load(2));
+    }
+    let mut most = 0;
+    let all = |fleet: &Fleet| (0..8).all(|engine| fleet.meets(engine, &load(2)));
+    while !all(&fleet) {
+        assert!(fleet.now() < Millis::from_secs(180), "{:?}", fleet.reason(0));
+        fleet.step().await;
+        let now = fleet.now();
+        let loads = fleet
+            .engines
+            .each(|model| model.state(now).is_some_and(|state| state.running_order.is_some()));
+        most = most.max(loads.into_iter().filter(|loads| *loads).count());
+    }
+
+    assert_eq!(most, 2, "as many as the weight store bears, and no more");
+    check_logs(&fleet, "loads");
+}
--- a/crates/anvilhook-authority/tests/takeovers.rs
+++ b/crates/anvilhook-authority/tests/takeovers.rs
@@ -155,3 +155,71 @@
         check_logs(&fleet, &case);
     }
 }
+
+/// Symptom: the engine that ignores terms obeys a third holder while the first still holds an order.
+/// Sequence: the first holder is paused before it sends an order; the second takes the pool and is
+/// killed; the third takes it; the platform says that the second is gone; the first wakes up.
+/// Cause: evidence about the last holder taken for evidence about all before it.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_evidence_is_asked_of_every_former_holder() {
+    let mut fleet = Fleet::new(FleetOptions::default());
+    let first = reach_moment(&mut fleet, Moment::Sending(IGNORES)).await;
+    fleet.want(CHECKS, adapter("second"));
+    fleet.want(IGNORES, adapter("second"));
+    let met = |engine| move |fleet: &Fleet| fleet.meets(engine, &adapter("second"));
+
+    fleet.run_until(TAKE_OVER, "second holder", met(CHECKS)).await;
+    let second = fleet.holder().unwrap();
+    fleet.kill(second);
+    fleet.want(CHECKS, adapter("third"));
+    let third = |fleet: &Fleet| fleet.meets(CHECKS, &adapter("third"));
+    fleet.run_until(TAKE_OVER, "third holder", third).await;
+    fleet.declare_gone(second);
+    fleet.run_for(TAKE_OVER).await;
+
+    let uncleared = fleet.row().unwrap().uncleared;
+    assert_eq!(uncleared.into_iter().collect::<Vec<_>>(), [fleet.instances[first].name.clone()]);
+    assert!(!fleet.meets(IGNORES, &adapter("second")));
+    heal(&mut fleet, first);
+    fleet.run_until(TAKE_OVER, "after all", met(IGNORES)).await;
+    check_logs(&fleet, "twice in a row");
+}
+
+/// Symptom: a planned stop delays changes like a crash.
+/// Sequence: the holder stops as planned, with an order running.
+/// Cause: a lease that is left to lapse, and a predecessor that is awaited though it has released.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_a_planned_stop_hands_over_at_once() {
+    let mut fleet = Fleet::new(FleetOptions::default());
+    let holder = reach_moment(&mut fleet, Moment::Running).await;
+
+    fleet.stop(holder).await;
+    fleet.kill(holder);
+    fleet.want(CHECKS, adapter("second"));
+    fleet.want(IGNORES, adapter("second"));
+
+    let met = |fleet: &Fleet| (0..2).all(|engine| fleet.meets(engine, &adapter("second")));
+    fleet.run_until(Millis(9_000), "within less than a lease", met).await;
+    check_logs(&fleet, "planned stop");
+}
+
+/// Symptom: two instances give orders at the same time.
+/// Sequence: the holder's clock is slow and a challenger's is fast, by the stated bound together.
+/// Cause: a wait that does not count for the difference.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_clocks_that_differ_by_the_bound() {
+    for ppm in [vec![-500, 500, 500], vec![500, -500, -500], vec![-500, 500, -500]] {
+        let case = format!("{ppm:?}");
+        let mut fleet = Fleet::new(FleetOptions { ppm, ..FleetOptions::default() });
+        let holder = reach_moment(&mut fleet, Moment::Running).await;
+        fleet.run_for(Millis::from_secs(600)).await;
+        assert_eq!(fleet.holder(), Some(holder), "{case}: a healthy holder keeps the pool");
+
+        strike(&mut fleet, holder, Fault::CutFromTable);
+        fleet.want(CHECKS, adapter("second"));
+
+        let met = |fleet: &Fleet| fleet.meets(CHECKS, &adapter("second"));
+        fleet.run_until(TAKE_OVER, &case, met).await;
+        check_logs(&fleet, &case);
+    }
+}
--- a/crates/anvilhook-core/src/membership/members.rs
+++ b/crates/anvilhook-core/src/membership/members.rs
@@ -73,11 +73,6 @@
         let only_listed = present
             .map(|(name, _)| name)
             .filter(|name| !self.announced.contains(*name) && !self.departed.contains(*name));
-        self.announced().chain(only_listed)
-    }
-
-    /// Returns the announced instances that are not gone.
-    pub fn announced(&self) -> impl Iterator<Item = &InstanceName> {
-        self.announced.iter().filter(|name| !self.is_gone(name))
+        self.announced.iter().filter(|name| !self.is_gone(name)).chain(only_listed)
     }
 }
