Bound what a refusal repeats, and tell a cut body from a large one

Cause: a refusal repeated a bad value whole, up to a megabyte; every failure to read a body was called too large. Change: messages end after 1000 characters; a cut or late body is a bad request; changes are applied in place when an instance catches up.

--- a/crates/anvilhook-core/src/resources/configurations.rs
+++ b/crates/anvilhook-core/src/resources/configurations.rs
@@ -44,11 +44,18 @@
     }
 
     /// Returns the configuration after one more change, which is not checked here.
+    pub fn with_change(&self, revision: Revision, change: &Change) -> Self {
+        let mut next = self.clone();
+        next.apply(revision, change);
+        next
+    }
+
+    /// Applies one more change, which is not checked here.
     ///
     /// Applying changes that the configuration already contains, in order, changes nothing but the
     /// revision. A scan that raced with changes is mended by applying those changes again.
-    pub fn with_change(&self, revision: Revision, change: &Change) -> Self {
-        let mut resources = self.resources.clone();
+    pub fn apply(&mut self, revision: Revision, change: &Change) {
+        self.revision = revision;
         match &change.action {
             Action::Put(spec) => {
                 let resource = Resource {
@@ -57,13 +64,12 @@
                     spec: spec.clone(),
                     status: Vec::new(),
                 };
-                resources.insert(change.key.clone(), Arc::new(resource));
+                self.resources.insert(change.key.clone(), Arc::new(resource));
             }
             Action::Delete => {
-                resources.remove(&change.key);
+                self.resources.remove(&change.key);
             }
         }
-        Self { revision, resources }
     }
 
     /// Returns a resource, if it is declared.
--- a/crates/anvilhook-daemon/src/operators/endpoints.rs
+++ b/crates/anvilhook-daemon/src/operators/endpoints.rs
@@ -8,11 +8,11 @@
 use anvilhook_api::{Code, Refusal, RefusalBody};
 use anvilhook_core::units::Millis;
 use anvilhook_http::answers;
-use anvilhook_http::clients::collect_body;
 use bytes::Bytes;
 use http::header::{HeaderValue, WWW_AUTHENTICATE};
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use motore::service::Service;
 use serde::{Deserialize, Serialize};
 use volo_http::body::Body;
@@ -31,6 +31,9 @@
 /// The longest wait for a request's body.
 const BODY_TIMEOUT: Millis = Millis::from_secs(10);
 
+/// The longest message of a refusal, in characters.
+const MAX_MESSAGE_CHARS: usize = 1_000;
+
 /// What a handler returns. The refusal is boxed because it is large and rare.
 pub(super) type Answer<T = Response> = Result<T, Box<Refusal>>;
 
@@ -124,10 +127,16 @@
 }
 
 async fn read_body(body: Body) -> Answer<Bytes> {
-    collect_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await.map_err(|err| {
-        let message = format!("body: expected at most {MAX_BODY_BYTES} bytes, whole: {err}");
-        Box::new(Refusal::new(Code::TooLarge, message))
-    })
+    let collecting = Limited::new(body, MAX_BODY_BYTES).collect();
+    match tokio::time::timeout(BODY_TIMEOUT.as_duration(), collecting).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => {
+            let message = format!("body: expected at most {MAX_BODY_BYTES} bytes");
+            Err(Box::new(Refusal::new(Code::TooLarge, message)))
+        }
+        Ok(Err(err)) => Err(bad_request(format!("body: expected it whole: {err}"))),
+        Err(_elapsed) => Err(bad_request(format!("body: expected it within {BODY_TIMEOUT}"))),
+    }
 }
 
 /// Makes the refusal of a request that cannot be understood.
@@ -146,8 +155,12 @@
 }
 
 /// Answers with a refusal.
-pub(super) fn refuse(refusal: Refusal) -> Response {
+pub(super) fn refuse(mut refusal: Refusal) -> Response {
     let code = refusal.code;
+    // A message about a bad value repeats the value, which can be as large as the body.
+    if let Some((end, _)) = refusal.message.char_indices().nth(MAX_MESSAGE_CHARS) {
+        refusal.message.truncate(end);
+    }
     let mut answer = answers::json(code.status(), &RefusalBody { error: refusal });
     if code == Code::Unauthenticated {
         answer.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
--- a/crates/anvilhook-daemon/tests/operators.rs
+++ b/crates/anvilhook-daemon/tests/operators.rs
@@ -114,6 +114,19 @@
     assert_eq!(api.follower.revision(), Revision(1), "nothing was changed");
 }
 
+#[tokio::test]
+async fn verify_a_body_may_not_be_too_large() {
+    let api = Api::start().await;
+    for (bytes, code) in [(1 << 20, "bad-field"), ((1 << 20) + 1, "too-large")] {
+        let body = Value::from("x".repeat(bytes - 2));
+        let headers = headers("operator");
+
+        let (_, answer) = send(&api, Method::POST, "/api/v1/Account", &headers, Some(&body)).await;
+
+        assert_eq!(answer["error"]["code"].as_str(), Some(code), "{bytes} bytes");
+    }
+}
+
 #[tokio::test]
 async fn verify_a_resource_from_creation_to_deletion() {
     let api = Api::start().await;
--- a/crates/anvilhook-store/src/configurations.rs
+++ b/crates/anvilhook-store/src/configurations.rs
@@ -156,7 +156,7 @@
                 return Err(Error::bad_row(rows::change_key(to), message));
             }
             for entry in &page {
-                cfg = cfg.with_change(entry.revision, &entry.change);
+                cfg.apply(entry.revision, &entry.change);
             }
             entries.extend(page);
         }
