Refuse to declare one engine, model version, role or token twice

Cause: one engine under two names in two pools would have two authorities, each with a valid lease, and be given conflicting orders. Eight tries of a change were too few for more operators at once. Change: identities are unique within a kind, and the refusal names the one that stands; 32 tries while the head moves, 3 lost answers. Figures: without the check verify_nothing_is_declared_twice fails; with 8 tries verify_many_operators_at_once_all_succeed fails; both pass as committed.

--- a/crates/anvilhook-core/src/resources/changes.rs
+++ b/crates/anvilhook-core/src/resources/changes.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::references::{self, Reference};
-use super::{Configuration, Kind, ResourceKey, Spec};
+use super::{Configuration, Kind, ResourceKey, Spec, identities};
 use crate::errors::{Error, Result};
 use crate::names::PoolName;
 use crate::units::Revision;
@@ -56,12 +56,13 @@
     /// # Errors
     ///
     /// `Error::BadField` for a field of the change's own spec that breaks a rule or names something
-    /// that is not declared, and `Error::WouldStrand` if something else would lose what it needs.
+    /// that is not declared or that something else claims already, and `Error::WouldStrand` if something else would lose what it needs.
     pub fn check(&self, base: &Configuration) -> Result<()> {
         let after = base.with_change(base.revision(), self);
         if let Action::Put(spec) = &self.action {
             spec.check()?;
             check_own_references(spec, &after)?;
+            identities::check(&self.key, spec, &after)?;
         }
         let stranded = self.stranded(base, &after);
         if stranded.is_empty() {
--- a/crates/anvilhook-core/src/resources/mod.rs
+++ b/crates/anvilhook-core/src/resources/mod.rs
@@ -9,6 +9,7 @@
 mod drain_plans;
 mod engine_pools;
 mod engines;
+mod identities;
 mod kinds;
 mod model_versions;
 mod references;
--- a/crates/anvilhook-core/tests/resources.rs
+++ b/crates/anvilhook-core/tests/resources.rs
@@ -35,7 +35,11 @@
 }
 
 fn engine(pool: &str) -> Value {
-    json!({"pool": pool, "address": "127.0.0.1:7000", "zone": "piraeus"})
+    engine_at(pool, 7000)
+}
+
+fn engine_at(pool: &str, port: u16) -> Value {
+    json!({"pool": pool, "address": format!("127.0.0.1:{port}"), "zone": "piraeus"})
 }
 
 fn service(pool: &str, model: &str) -> Value {
@@ -53,9 +57,9 @@
         put("ModelVersion/checklist-2", version(2)),
         put("EnginePool/main", pool(1)),
         put("EnginePool/spare", pool(1)),
-        put("Engine/e1", engine("main")),
-        put("Engine/e2", engine("main")),
-        put("Engine/e3", engine("main")),
+        put("Engine/e1", engine_at("main", 7001)),
+        put("Engine/e2", engine_at("main", 7002)),
+        put("Engine/e3", engine_at("main", 7003)),
         put("Service/verdicts", service("main", "checklist")),
         put("DrainPlan/first", drain("e1")),
     ];
@@ -210,6 +214,38 @@
     assert_eq!(told.join("\n"), reasons);
 }
 
+/// Symptom: an engine is given conflicting orders, each under a valid lease.
+/// Sequence: its address is declared again under another name, in another pool.
+/// Cause: authority goes by pools, and nothing said that the two are one engine.
+#[test]
+fn verify_nothing_is_declared_twice() {
+    let bounds = json!({"pool": "main", "role": "decode", "min_engines": 1, "max_engines": 4});
+    let account =
+        json!({"token_sha256": ["ab".repeat(32)], "requests_per_s": 1, "open_requests": 1});
+    let cfg = site()
+        .with_change(Revision(10), &put("Role/decode", bounds.clone()))
+        .with_change(Revision(11), &put("Account/cook", account.clone()));
+    let refused = [
+        put("Engine/e4", engine_at("spare", 7002)),
+        put("ModelVersion/again", version(2)),
+        put("Role/again", bounds.clone()),
+        put("Account/again", account.clone()),
+    ];
+    let reasons = "\
+spec.address: expected an address that no other engine has, but Engine/e2 has it
+spec.model: expected a model and version that are not declared yet, but ModelVersion/checklist-2 has it
+spec.role: expected a role that has no bounds in the pool yet, but Role/decode has it
+spec.token_sha256[0]: expected a token that no other account has, but Account/cook has it";
+
+    let told = refused.map(|change| change.check(&cfg).unwrap_err().to_string());
+
+    assert_eq!(told.join("\n"), reasons);
+    // What is there may be put again.
+    for change in [put("Role/decode", bounds), put("Account/cook", account)] {
+        assert_eq!(change.check(&cfg), Ok(()));
+    }
+}
+
 #[test]
 fn verify_what_nothing_needs_may_change() {
     let allowed = [
@@ -236,7 +272,10 @@
             delete("Engine/e2"),
             "Engine/e2 is still needed by EnginePool/main (spec.min_serving is 2, left 1)",
         ),
-        (put("Engine/e2", engine("spare")), "Engine/e2 is still needed by EnginePool/main"),
+        (
+            put("Engine/e2", engine_at("spare", 7002)),
+            "Engine/e2 is still needed by EnginePool/main",
+        ),
     ];
     for (change, expected) in cases {
         let text = change.check(&one_left).unwrap_err().to_string();
--- a/crates/anvilhook-store/src/changes.rs
+++ b/crates/anvilhook-store/src/changes.rs
@@ -81,11 +81,18 @@
     pub async fn change(&self, base: &Arc<Configuration>, req: &ChangeRequest) -> Result<Accepted> {
         let mut known = Known { configuration: Arc::clone(base), entries: Vec::new() };
         let mut in_doubt: Option<Revision> = None;
+        let mut lost_answers = 0;
         for _ in 0..self.options.attempts {
             match self.try_change(&mut known, req).await {
                 Ok(Attempt::Done(accepted)) => return Ok(accepted),
                 Ok(Attempt::HeadMoved) => {}
-                Ok(Attempt::InDoubt(base)) => in_doubt = Some(base),
+                Ok(Attempt::InDoubt(base)) => {
+                    in_doubt = Some(base);
+                    lost_answers += 1;
+                    if lost_answers == self.options.lost_answers {
+                        break;
+                    }
+                }
                 Err(err) => return Err(truth(err, in_doubt, req.id)),
             }
         }
--- a/crates/anvilhook-store/src/configurations.rs
+++ b/crates/anvilhook-store/src/configurations.rs
@@ -30,14 +30,17 @@
     pub page_rows: usize,
     /// The most changes that are read one by one. An instance further behind reads all resources.
     pub max_deltas: u64,
-    /// How often a change is tried while others move the head or answers are lost.
+    /// How often a change is tried while others move the head. Of those who try at the same moment
+    /// one succeeds, so this many operators can change something at once.
     pub attempts: u32,
+    /// How often a change is tried whose answers are lost. Each may take as long as a timeout.
+    pub lost_answers: u32,
 }
 
 impl StoreOptions {
     /// Returns the customary bounds for an instance.
     pub fn new(instance: InstanceName) -> Self {
-        Self { instance, page_rows: 500, max_deltas: 500, attempts: 8 }
+        Self { instance, page_rows: 500, max_deltas: 500, attempts: 32, lost_answers: 3 }
     }
 }
 
--- a/crates/anvilhook-store/tests/changes.rs
+++ b/crates/anvilhook-store/tests/changes.rs
@@ -178,6 +178,27 @@
     assert!(conflicts > 0, "the head moved under one of them");
 }
 
+/// Symptom: operators are told to try again although nothing is wrong.
+/// Sequence: many change different resources at the same moment.
+/// Cause: each change moves the head under all others.
+#[tokio::test]
+async fn verify_many_operators_at_once_all_succeed() {
+    let platform = platform();
+    let wire = Tripwire::taking_turns(&platform, 0).await;
+    let store = store(&wire);
+    let requests: Vec<ChangeRequest> =
+        (1..=20).map(|n| request(n, put(&format!("a{n}"), 1), Expected::Absent)).collect();
+    let base = empty();
+
+    let changes = requests.iter().map(|req| store.change(&base, req));
+    let answers = futures_util::future::join_all(changes).await;
+
+    let mut revisions: Vec<u64> =
+        answers.into_iter().map(|done| done.unwrap().revision.0).collect();
+    revisions.sort();
+    assert_eq!(revisions, (1..=20).collect::<Vec<_>>());
+}
+
 /// Makes two changes that take turns at the table, the second some calls later.
 async fn race(
     platform: &Platform,
