Measure control: time in force, table and peer traffic, CPU and memory

Cause: the bounds on control have to be measured, with and without peers and with the table down. Change: anvilhook-bench control runs 3 to 81 instances' control parts in one process over the HTTP stand-in. The gossip's budgets count what really crosses a node's links, load digests go further where that costs at most 2.5 s between two of them, and sizes on the wire are counted by kind.

--- /dev/null
+++ b/crates/anvilhook-bench/src/control/fleets.rs
@@ -0,0 +1,204 @@
+//! A fleet of instances' control parts, and the platform's stand-in that they share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvilhook_core::attempts::ChangeId;
+use anvilhook_core::resources::{AccountSpec, Action, Change, Expected, Kind, ResourceKey, Spec};
+use anvilhook_core::units::{Revision, SystemClock, WallTime};
+use anvilhook_peer::PeerAddress;
+use anvilhook_platform::HttpPlatform;
+use anvilhook_standin::platform::{
+    LocalPlatform, Pacing, PlatformOptions, PlatformServer, RateLimits,
+};
+use anvilhook_store::{ChangeRequest, ConfigurationFollower};
+use eyre::WrapErr;
+use rand::SeedableRng;
+use rand::rngs::SysRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::runtime::{Builder, Runtime};
+
+use super::instances::{ControlInstance, listen};
+use super::processes::{CONTROL_THREAD, PLATFORM_THREAD};
+
+/// The threads that the instances share, beside one for each peer link.
+const CONTROL_THREADS: usize = 4;
+/// The stand-in's threads.
+const PLATFORM_THREADS: usize = 2;
+
+/// A guard against a fleet that never gets ready.
+const READY_GUARD: Duration = Duration::from_secs(60);
+
+/// How often something that is waited for is looked at.
+pub(super) const LOOK: Duration = Duration::from_millis(5);
+
+/// `Fleet` is the instances under measurement.
+pub(super) struct Fleet {
+    pub(super) instances: Vec<ControlInstance>,
+    pub(super) platform: LocalPlatform<SystemClock>,
+    pub(super) control: Runtime,
+    platform_address: SocketAddr,
+    // The stand-in ends with its runtime.
+    _platform_runtime: Runtime,
+    _server: PlatformServer,
+}
+
+impl Fleet {
+    /// Starts the platform's stand-in and the instances, and declares the resources.
+    ///
+    /// # Errors
+    ///
+    /// Any failure to start a part or to make a change.
+    pub(super) fn start(size: usize, resources: usize) -> eyre::Result<Self> {
+        let platform_runtime = runtime(PLATFORM_THREAD, PLATFORM_THREADS)?;
+        let control = runtime(CONTROL_THREAD, CONTROL_THREADS)?;
+        let options = PlatformOptions { pacing: Pacing::Timed, ..PlatformOptions::default() };
+        let platform = LocalPlatform::new(SystemClock::new(), options);
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server =
+            platform_runtime.block_on(PlatformServer::start(any_port, platform.clone()))?;
+        let mut fleet = Self {
+            instances: Vec::new(),
+            platform,
+            control,
+            platform_address: server.address(),
+            _platform_runtime: platform_runtime,
+            _server: server,
+        };
+        fleet.start_instances(size)?;
+        fleet.declare(resources)?;
+        // The limits of the users' table hold for what is measured, not for the preparation.
+        fleet.platform.faults().set_rate_limits(Some(RateLimits::default()));
+        fleet.wait_until_linked()?;
+        Ok(fleet)
+    }
+
+    fn start_instances(&mut self, size: usize) -> eyre::Result<()> {
+        let places = (0..size).map(listen).collect::<eyre::Result<Vec<_>>>()?;
+        let announced: Vec<PeerAddress> =
+            places.iter().map(|(address, _)| address.clone()).collect();
+        for (address, listener) in places {
+            self.start_instance(address, listener, announced.clone())?;
+        }
+        Ok(())
+    }
+
+    fn start_instance(
+        &mut self,
+        address: PeerAddress,
+        listener: std::net::TcpListener,
+        announced: Vec<PeerAddress>,
+    ) -> eyre::Result<()> {
+        let entered = self.control.enter();
+        let instance = ControlInstance::start(
+            address,
+            listener,
+            self.platform_address,
+            announced,
+            self.instances.len(),
+        )?;
+        drop(entered);
+        self.instances.push(instance);
+        Ok(())
+    }
+
+    /// Starts one more instance and announces it to all.
+    ///
+    /// # Errors
+    ///
+    /// Any failure to start a part.
+    pub(super) fn start_late_instance(&mut self) -> eyre::Result<()> {
+        let (address, listener) = listen(self.instances.len())?;
+        let mut announced = self.addresses();
+        announced.push(address.clone());
+        self.start_instance(address, listener, announced.clone())?;
+        for instance in &self.instances {
+            instance.peers.set_announced(announced.clone());
+        }
+        Ok(())
+    }
+
+    /// Makes the peer links stand, or takes them down.
+    ///
+    /// # Errors
+    ///
+    /// If the links do not follow.
+    pub(super) fn set_linked(&self, linked: bool) -> eyre::Result<()> {
+        let announced = if linked { self.addresses() } else { Vec::new() };
+        for instance in &self.instances {
+            instance.peers.set_announced(announced.clone());
+        }
+        if linked { self.wait_until_linked() } else { self.wait_until(|i| links(i) == 0) }
+    }
+
+    /// Makes one change on an instance and returns its revision.
+    ///
+    /// # Errors
+    ///
+    /// If the change is not accepted.
+    pub(super) fn change(&self, at: usize, number: usize) -> eyre::Result<Revision> {
+        self.control.block_on(change(&self.instances[at].follower, number))
+    }
+
+    fn addresses(&self) -> Vec<PeerAddress> {
+        self.instances.iter().map(|instance| instance.address.clone()).collect()
+    }
+
+    fn declare(&self, resources: usize) -> eyre::Result<()> {
+        let mut last = Revision::default();
+        for number in 0..resources {
+            last = self.change(0, number)?;
+        }
+        self.wait_until(|instance| instance.in_force_at(last).is_some())
+    }
+
+    fn wait_until_linked(&self) -> eyre::Result<()> {
+        let fewest = 2.min(self.instances.len() - 1);
+        self.wait_until(|instance| links(instance) >= fewest)
+    }
+
+    fn wait_until(&self, met: impl Fn(&ControlInstance) -> bool) -> eyre::Result<()> {
+        let waiting = async {
+            while !self.instances.iter().all(&met) {
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        self.control
+            .block_on(async { tokio::time::timeout(READY_GUARD, waiting).await })
+            .wrap_err("the fleet did not get ready")
+    }
+}
+
+fn links(instance: &ControlInstance) -> usize {
+    instance.peers.news().linked.len()
+}
+
+fn runtime(name: &str, threads: usize) -> eyre::Result<Runtime> {
+    Ok(Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all()
+        .build()?)
+}
+
+/// Declares an account, or changes its limit.
+async fn change(
+    follower: &ConfigurationFollower<HttpPlatform>,
+    number: usize,
+) -> eyre::Result<Revision> {
+    let key = ResourceKey { kind: Kind::Account, name: format!("account-{number}").parse()? };
+    let standing = follower.current().get(&key).map(|resource| resource.version);
+    let spec = AccountSpec {
+        token_sha256: vec![format!("{number:064x}")],
+        requests_per_s: 10 + follower.revision().0 as u32,
+        open_requests: 10,
+    };
+    let req = ChangeRequest {
+        id: ChangeId::random(&mut ChaCha8Rng::try_from_rng(&mut SysRng)?),
+        subject: "bench".parse()?,
+        at: WallTime::default(),
+        change: Change { key, action: Action::Put(Spec::Account(spec)) },
+        expected: standing.map_or(Expected::Absent, Expected::Version),
+    };
+    Ok(follower.change(&req).await?.revision)
+}
--- /dev/null
+++ b/crates/anvilhook-bench/src/control/mod.rs
@@ -0,0 +1,62 @@
+//! The cost and the speed of control: many instances' control parts in one process.
+//!
+//! Each instance follows the configuration over HTTP against the platform's stand-in, reports its
+//! revision, and runs its peer link over the loopback, as the daemon does. Time in force counts from
+//! the moment at which the change was accepted.
+
+mod fleets;
+mod instances;
+mod processes;
+mod rows;
+mod scenarios;
+
+use argh::FromArgs;
+
+use rows::{Row, print_rows, print_slopes};
+use scenarios::{Plan, run_size};
+
+/// The numbers of instances that are measured if none are given.
+const SIZES: [usize; 4] = [3, 9, 27, 81];
+
+/// Measure how long a change takes to be in force everywhere, and what control costs an instance.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "control")]
+pub struct Args {
+    /// print the rows as JSON, one a line
+    #[argh(switch)]
+    pub json: bool,
+
+    /// numbers of instances, each measured by itself; may be repeated; 3, 9, 27 and 81 if none
+    #[argh(option)]
+    pub instances: Vec<usize>,
+
+    /// seconds of each scenario
+    #[argh(option, default = "10")]
+    pub seconds: u64,
+
+    /// changes made in each scenario
+    #[argh(option, default = "8")]
+    pub changes: u32,
+
+    /// resources of the configuration
+    #[argh(option, default = "200")]
+    pub resources: usize,
+}
+
+/// Runs the measurement and prints it.
+///
+/// # Errors
+///
+/// Any failure to start the parts, or a change that is not in force everywhere within its guard
+/// time.
+pub fn run(args: &Args) -> eyre::Result<()> {
+    let sizes = if args.instances.is_empty() { SIZES.to_vec() } else { args.instances.clone() };
+    let plan = Plan { seconds: args.seconds, changes: args.changes, resources: args.resources };
+    let memory_before = processes::resident_bytes()?;
+    let mut rows: Vec<Row> = Vec::new();
+    for size in sizes {
+        rows.extend(run_size(size, &plan, memory_before)?);
+    }
+    print_rows(&rows, args.json)?;
+    print_slopes(&rows, args.json)
+}
--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -4,5 +4,6 @@
 #![forbid(unsafe_code)]
 
 pub mod callers;
+pub mod control;
 pub mod proxy;
 pub mod sites;
--- a/crates/anvilhook-peer/src/gossip/budgets.rs
+++ b/crates/anvilhook-peer/src/gossip/budgets.rs
@@ -26,10 +26,27 @@
     total
 }
 
-/// Returns the least time between two sections of one instance, if each of `origins` instances
-/// writes sections of `section_bytes` and every link carries each once.
-pub fn spacing(origins: usize, degree: usize, section_bytes: usize, bytes_per_s: u32) -> Millis {
-    let bytes = (origins * degree * section_bytes) as u64;
+/// Returns about how many sections one instance sends and receives when each instance writes one and
+/// it crosses at most `hops` links.
+///
+/// Each section that an instance may pass on crosses each of its links once, in one direction or the
+/// other; those at the end of their way only come in.
+///
+/// ```
+/// use anvilhook_peer::gossip::traffic;
+///
+/// assert_eq!(traffic(390, 4, 1), 8);
+/// assert_eq!(traffic(9, 4, 8), 36);
+/// ```
+pub fn traffic(instances: usize, degree: usize, hops: u8) -> usize {
+    let inner = reach(instances, degree, hops.saturating_sub(1));
+    inner * degree + (reach(instances, degree, hops) - inner)
+}
+
+/// Returns the least time between two sections of one instance, if it sends and receives `sections`
+/// for each that it writes.
+pub fn spacing(sections: usize, section_bytes: usize, bytes_per_s: u32) -> Millis {
+    let bytes = (sections * section_bytes) as u64;
     Millis(bytes * 1_000 / u64::from(bytes_per_s.max(1)))
 }
 
@@ -44,8 +61,7 @@
 ) -> u8 {
     const MOST: u8 = 8;
     let fits = |hops: &u8| {
-        let origins = reach(instances, degree, *hops);
-        spacing(origins, degree, section_bytes, bytes_per_s) <= interval
+        spacing(traffic(instances, degree, *hops), section_bytes, bytes_per_s) <= interval
     };
     (1..=MOST).rev().find(fits).unwrap_or(1)
 }
--- a/crates/anvilhook-peer/src/gossip/knowledge.rs
+++ b/crates/anvilhook-peer/src/gossip/knowledge.rs
@@ -13,7 +13,7 @@
 
 /// The most links that acknowledgements and demand cross. It exceeds the diameter of any fleet that
 /// the rings connect, and stops what might travel in circles.
-const MAX_HOPS: u8 = 32;
+pub(super) const MAX_HOPS: u8 = 32;
 
 /// `News` says which parts of a node's knowledge have changed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/anvilhook-peer/src/gossip/mod.rs
+++ b/crates/anvilhook-peer/src/gossip/mod.rs
@@ -17,7 +17,7 @@
 mod sections;
 
 pub use boards::{Board, BoardRules, Heard};
-pub use budgets::{hops_within, reach, spacing};
+pub use budgets::{hops_within, reach, spacing, traffic};
 pub use configurations::ConfigurationShelf;
 pub use knowledge::News;
 pub use messages::{Item, LinkId, Message, Transfer, Transport, Update};
--- a/crates/anvilhook-peer/src/gossip/nodes.rs
+++ b/crates/anvilhook-peer/src/gossip/nodes.rs
@@ -8,9 +8,9 @@
 use anvilhook_core::units::{Millis, Revision};
 
 use super::boards::Heard;
-use super::budgets::{hops_within, reach, spacing};
+use super::budgets::{hops_within, spacing, traffic};
 use super::configurations::ConfigurationShelf;
-use super::knowledge::{Knowledge, News};
+use super::knowledge::{Knowledge, MAX_HOPS, News};
 use super::messages::{LinkId, Message, Transfer, Transport, Update};
 use super::options::GossipOptions;
 use super::partner_states::Partner;
@@ -284,8 +284,8 @@
         let options = &self.options;
         let (count, degree) = (self.knowledge.announced.len().max(1), options.partners.degree());
         let (bytes, budget) = (section.wire_bytes(), options.load_bytes_per_s);
-        let hops = hops_within(count, degree, bytes, budget, options.load_interval);
-        let gap = spacing(reach(count, degree, hops), degree, bytes, budget);
+        let hops = hops_within(count, degree, bytes, budget, options.load_slowest);
+        let gap = spacing(traffic(count, degree, hops), bytes, budget);
         if !is_due(self.load_written_at, gap.max(options.load_interval), now) {
             return;
         }
@@ -302,8 +302,8 @@
         };
         let options = &self.options;
         let count = self.knowledge.announced.len().max(1);
-        let bytes = section.wire_bytes();
-        let gap = spacing(count, options.partners.degree(), bytes, options.demand_bytes_per_s);
+        let sections = traffic(count, options.partners.degree(), MAX_HOPS);
+        let gap = spacing(sections, section.wire_bytes(), options.demand_bytes_per_s);
         if !is_due(self.demand_written_at, gap.max(options.demand_interval), now) {
             return;
         }
--- a/crates/anvilhook-peer/src/gossip/options.rs
+++ b/crates/anvilhook-peer/src/gossip/options.rs
@@ -17,6 +17,8 @@
     pub answer_timeout: Millis,
     /// The least time between two own load sections.
     pub load_interval: Millis,
+    /// The greatest time between two own load sections for which they cross more than one link.
+    pub load_slowest: Millis,
     /// The age from which a load section no longer counts.
     pub load_max_age: Millis,
     /// The traffic that load sections may cause at one instance, in bytes a second.
@@ -51,11 +53,12 @@
             heartbeat: Millis(1_000),
             answer_timeout: Millis(3_000),
             load_interval: Millis(1_000),
+            load_slowest: Millis(2_500),
             load_max_age: Millis(5_000),
-            load_bytes_per_s: 6_000,
+            load_bytes_per_s: 8_000,
             demand_interval: Millis(1_000),
             demand_max_age: Millis(10_000),
-            demand_bytes_per_s: 6_000,
+            demand_bytes_per_s: 8_000,
             max_acks: 1_024,
             max_engines: 64,
             max_accounts: 32,
--- a/crates/anvilhook-peer/src/gossip/sections.rs
+++ b/crates/anvilhook-peer/src/gossip/sections.rs
@@ -7,21 +7,18 @@
 /// The bytes of a section's header and list on the wire, about.
 const SECTION_BYTES: usize = 96;
 
-/// The bytes of one entry beside its names on the wire, about.
-const ENTRY_BYTES: usize = 56;
+/// The bytes of an acknowledgement, an engine's digest and an account's on the wire, about.
+const ACK_BYTES: usize = 64;
+const ENGINE_BYTES: usize = 56;
+const ACCOUNT_BYTES: usize = 32;
 
 /// `Section` is one kind of news that an instance writes about itself.
 pub trait Section: Clone + PartialEq {
-    /// Returns the number of entries.
-    fn entries(&self) -> usize;
-
     /// Leaves out all but the first `max` entries.
     fn truncate(&mut self, max: usize);
 
     /// Returns about how many bytes the section takes on the wire.
-    fn wire_bytes(&self) -> usize {
-        SECTION_BYTES + self.entries() * ENTRY_BYTES
-    }
+    fn wire_bytes(&self) -> usize;
 }
 
 /// `DrainAck` says: of the drain of this generation I know, I send the engine no new work, and no
@@ -69,8 +66,8 @@
 }
 
 impl Section for AckSection {
-    fn entries(&self) -> usize {
-        self.drains.len() + self.terms.len()
+    fn wire_bytes(&self) -> usize {
+        SECTION_BYTES + (self.drains.len() + self.terms.len()) * ACK_BYTES
     }
 
     fn truncate(&mut self, max: usize) {
@@ -105,8 +102,8 @@
 }
 
 impl Section for LoadSection {
-    fn entries(&self) -> usize {
-        self.engines.len()
+    fn wire_bytes(&self) -> usize {
+        SECTION_BYTES + self.engines.len() * ENGINE_BYTES
     }
 
     fn truncate(&mut self, max: usize) {
@@ -135,8 +132,8 @@
 }
 
 impl Section for DemandSection {
-    fn entries(&self) -> usize {
-        self.accounts.len()
+    fn wire_bytes(&self) -> usize {
+        SECTION_BYTES + self.accounts.len() * ACCOUNT_BYTES
     }
 
     fn truncate(&mut self, max: usize) {
