--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod callers;
 pub mod control;
+pub mod local;
 pub mod proxy;
 pub mod sites;
--- a/crates/anvilhook-bench/src/sites/mod.rs
+++ b/crates/anvilhook-bench/src/sites/mod.rs
@@ -12,6 +12,7 @@
 use anvilhook_daemon::settings::{self, Settings};
 use anvilhook_standin::engines::{EngineOptions, EngineServer, EngineServerOptions};
 use anvilhook_standin::faults::FrontOptions;
+use anvilhook_standin::plain::{PlainServer, PlainServerOptions, RunLedger};
 use anvilhook_standin::platform::{LocalPlatform, Pacing, PlatformOptions, PlatformServer};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -33,6 +34,8 @@
     pub engines: usize,
     /// What each engine is like.
     pub engine: EngineOptions,
+    /// The number of upstreams of the plain services.
+    pub plain: usize,
     /// How late the platform's list shows an event.
     pub list_lag: Millis,
     /// What the services promise.
@@ -48,6 +51,7 @@
         Self {
             engines: 2,
             engine: EngineOptions::default().faster(10.0),
+            plain: 3,
             list_lag: Millis(200),
             bounds: Bounds::default(),
             holds_connections: true,
@@ -63,6 +67,12 @@
     pub platform: LocalPlatform<SystemClock>,
     /// The engines, in the order of their names.
     pub engines: Vec<EngineServer>,
+    /// The upstreams of the plain services, in the order of their names.
+    pub plain: Vec<PlainServer>,
+    /// What all of them ran.
+    pub ledger: RunLedger,
+    /// The clock of all stand-ins.
+    pub clock: SystemClock,
     platform_server: PlatformServer,
 }
 
@@ -90,11 +100,20 @@
             engines.push(EngineServer::start(opts).await?);
         }
 
-        let addresses: Vec<SocketAddr> = engines.iter().map(EngineServer::address).collect();
-        let declared = resources(&addresses, &[], &options.bounds);
+        let ledger = RunLedger::default();
+        let mut plain = Vec::new();
+        for _ in 0..options.plain {
+            let ledger = ledger.clone();
+            let opts = PlainServerOptions { front, ledger, clock, ..Default::default() };
+            plain.push(PlainServer::start(opts).await?);
+        }
+
+        let engine_addresses: Vec<SocketAddr> = engines.iter().map(EngineServer::address).collect();
+        let plain_addresses: Vec<SocketAddr> = plain.iter().map(PlainServer::address).collect();
+        let declared = resources(&engine_addresses, &plain_addresses, &options.bounds);
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
         declare(platform.clone(), declared, &mut rng).await?;
-        Ok(Self { platform, engines, platform_server })
+        Ok(Self { platform, engines, plain, ledger, clock, platform_server })
     }
 
     /// Returns where the platform listens.
@@ -112,7 +131,7 @@
              platform: {{address: '{platform}'}}\n\
              logging: {{level: error}}\n\
              polling: {{configuration_ms: 100, reports_ms: 100, instance_list_ms: 100}}\n\
-             peers: {{key: key-of-the-demonstration}}\n"
+             peers: {{key: key-of-the-demonstration-on-loopback}}\n"
         )
     }
 
