--- a/crates/anvilhook-bench/src/control/fleets.rs
+++ b/crates/anvilhook-bench/src/control/fleets.rs
@@ -5,9 +5,9 @@
 
 use anvilhook_core::attempts::ChangeId;
 use anvilhook_core::resources::{AccountSpec, Action, Change, Expected, Kind, ResourceKey, Spec};
-use anvilhook_core::units::{Revision, SystemClock, WallTime};
+use anvilhook_core::units::{Millis, Revision, SystemClock, WallTime};
 use anvilhook_peer::PeerAddress;
-use anvilhook_platform::HttpPlatform;
+use anvilhook_platform::{HttpPlatform, ListedInstance, ListedState};
 use anvilhook_standin::platform::{
     LocalPlatform, Pacing, PlatformOptions, PlatformServer, RateLimits,
 };
@@ -18,7 +18,8 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::runtime::{Builder, Runtime};
 
-use super::instances::{ControlInstance, listen};
+use super::engines::Engines;
+use super::instances::{ControlInstance, Surroundings, listen};
 use super::processes::{CONTROL_THREAD, PLATFORM_THREAD};
 
 /// The threads that the instances share, beside one for each peer link.
@@ -26,6 +27,9 @@
 /// The stand-in's threads.
 const PLATFORM_THREADS: usize = 2;
 
+/// How late the platform's list shows that an instance is gone.
+const LIST_LAG: Millis = Millis(5_000);
+
 /// A guard against a fleet that never gets ready.
 const READY_GUARD: Duration = Duration::from_secs(60);
 
@@ -37,10 +41,12 @@
     pub(super) instances: Vec<ControlInstance>,
     pub(super) platform: LocalPlatform<SystemClock>,
     pub(super) control: Runtime,
-    platform_address: SocketAddr,
-    // The stand-in ends with its runtime.
-    _platform_runtime: Runtime,
-    _server: PlatformServer,
+    pub(super) engines: Engines,
+    // The instances' views of the platform, each with faults of its own.
+    pub(super) views: Vec<LocalPlatform<SystemClock>>,
+    servers: Vec<PlatformServer>,
+    // The stand-ins end with their runtime.
+    platform_runtime: Runtime,
 }
 
 impl Fleet {
@@ -52,18 +58,17 @@
     pub(super) fn start(size: usize, resources: usize) -> eyre::Result<Self> {
         let platform_runtime = runtime(PLATFORM_THREAD, PLATFORM_THREADS)?;
         let control = runtime(CONTROL_THREAD, CONTROL_THREADS)?;
-        let options = PlatformOptions { pacing: Pacing::Timed, ..PlatformOptions::default() };
+        let options = PlatformOptions { pacing: Pacing::Timed, list_lag: LIST_LAG };
         let platform = LocalPlatform::new(SystemClock::new(), options);
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server =
-            platform_runtime.block_on(PlatformServer::start(any_port, platform.clone()))?;
+        let engines = platform_runtime.block_on(Engines::start())?;
         let mut fleet = Self {
             instances: Vec::new(),
             platform,
             control,
-            platform_address: server.address(),
-            _platform_runtime: platform_runtime,
-            _server: server,
+            engines,
+            views: Vec::new(),
+            servers: Vec::new(),
+            platform_runtime,
         };
         fleet.start_instances(size)?;
         fleet.declare(resources)?;
@@ -89,17 +94,24 @@
         listener: std::net::TcpListener,
         announced: Vec<PeerAddress>,
     ) -> eyre::Result<()> {
-        let entered = self.control.enter();
-        let instance = ControlInstance::start(
-            address,
-            listener,
-            self.platform_address,
+        let place = self.instances.len();
+        let view = self.platform.for_caller(address.name.as_str());
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let serving = PlatformServer::start(any_port, view.clone());
+        let server = self.platform_runtime.block_on(serving)?;
+        let surroundings = Surroundings {
+            platform: server.address(),
             announced,
-            self.instances.len(),
-        )?;
+            plans: self.engines.plans(),
+            place,
+        };
+        let entered = self.control.enter();
+        let instance = ControlInstance::start(address, listener, surroundings)?;
         drop(entered);
+        self.views.push(view);
+        self.servers.push(server);
         self.instances.push(instance);
-        Ok(())
+        self.list(place, ListedState::Live)
     }
 
     /// Starts one more instance and announces it to all.
@@ -118,6 +130,18 @@
         Ok(())
     }
 
+    /// Has the platform list an instance in a state. The list shows it after its lag.
+    ///
+    /// # Errors
+    ///
+    /// If the instance's name cannot be listed.
+    pub(super) fn list(&self, at: usize, state: ListedState) -> eyre::Result<()> {
+        let PeerAddress { name, zone, address } = self.instances[at].address.clone();
+        let name = name.as_str().parse()?;
+        self.platform.enter_instance(ListedInstance { name, address, zone, state });
+        Ok(())
+    }
+
     /// Makes the peer links stand, or takes them down.
     ///
     /// # Errors
--- a/crates/anvilhook-bench/src/control/instances.rs
+++ b/crates/anvilhook-bench/src/control/instances.rs
@@ -4,11 +4,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use anvilhook_authority::PoolPlan;
 use anvilhook_core::resources::Configuration;
 use anvilhook_core::units::{Clock, Millis, Revision, SystemClock, Tokens, WallTime};
-use anvilhook_peer::gossip::{
-    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, LoadSection,
-};
+use anvilhook_peer::gossip::{AccountDigest, AckSection, DemandSection, EngineDigest, LoadSection};
 use anvilhook_peer::{PeerAddress, PeerHandle, PeerKey, PeerLink, PeerOptions};
 use anvilhook_platform::{HttpPlatform, HttpPlatformOptions};
 use anvilhook_store::instances::poll_interval;
@@ -16,8 +15,11 @@
     ConfigurationFollower, ConfigurationStore, InstanceDirectory, InstanceRecord, ReportSchedule,
     StoreOptions,
 };
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::keepers::{AckBoard, KeeperTask};
+
 /// The key of the measured links.
 const KEY: &[u8] = b"the key of the control bench, 32+";
 
@@ -46,8 +48,19 @@
     pub(super) address: PeerAddress,
     clock: SystemClock,
     arrivals: Arrivals,
+    acks: Arc<AckBoard>,
+    stopping: watch::Sender<bool>,
     // Dropping it ends the instance's tasks.
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
+}
+
+/// `Surroundings` is what an instance finds when it starts.
+pub(super) struct Surroundings {
+    pub(super) platform: SocketAddr,
+    pub(super) announced: Vec<PeerAddress>,
+    pub(super) plans: watch::Receiver<Arc<Vec<PoolPlan>>>,
+    /// The instance's place among the others, by which polls are spread.
+    pub(super) place: usize,
 }
 
 /// Returns where an instance of a fleet listens, and the listener.
@@ -67,10 +80,9 @@
     pub(super) fn start(
         address: PeerAddress,
         listener: TcpListener,
-        platform: SocketAddr,
-        announced: Vec<PeerAddress>,
-        place: usize,
+        surroundings: Surroundings,
     ) -> eyre::Result<Self> {
+        let Surroundings { platform, announced, plans, place } = surroundings;
         let table = HttpPlatform::try_new(platform, &HttpPlatformOptions::default())?;
         let store = ConfigurationStore::new(table.clone(), StoreOptions::new(address.name.clone()));
         let follower = ConfigurationFollower::new(store);
@@ -80,6 +92,7 @@
         let clock = SystemClock::new();
         let peers = PeerLink::start(options, listener, announced, clock)?;
         let arrivals = Arrivals::default();
+        let keeper_table = table.clone();
 
         let mut tasks = JoinSet::new();
         let interval = poll_interval(count, FLEET_READS_PER_S, MIN_POLL..=MAX_POLL);
@@ -89,7 +102,23 @@
         tasks.spawn(watch(follower.clone(), peers.clone(), Arc::clone(&arrivals)));
         tasks.spawn(report(follower.clone(), InstanceDirectory::new(table), address.clone()));
         tasks.spawn(tell_digests(peers.clone()));
-        Ok(Self { follower, peers, address, clock, arrivals, _tasks: tasks })
+        let acks = Arc::new(AckBoard::new(peers.clone()));
+        let stopping = watch::Sender::new(false);
+        let keeper = KeeperTask {
+            me: address.name.clone(),
+            platform: keeper_table,
+            clock,
+            peers: peers.clone(),
+            acks: Arc::clone(&acks),
+            plans,
+            stopping: stopping.subscribe(),
+        };
+        tasks.spawn(async move {
+            if let Err(err) = keeper.run().await {
+                log::warn!("a keeper ended: {err}");
+            }
+        });
+        Ok(Self { follower, peers, address, clock, arrivals, acks, stopping, tasks })
     }
 
     /// Returns when a revision or a later one came into force here, if it has.
@@ -99,10 +128,19 @@
     }
 
     /// Acknowledges one drain.
-    pub(super) fn acknowledge(&self, generation: u64) -> eyre::Result<()> {
-        let drain = DrainAck { pool: "pool-a".parse()?, engine: "engine-1".parse()?, generation };
-        self.peers.publish_acks(AckSection { drains: vec![drain], terms: Vec::new() });
-        Ok(())
+    pub(super) fn acknowledge(&self, generation: u64) {
+        self.acks.drill(generation);
+    }
+
+    /// Asks the keeper to give up what it holds.
+    pub(super) fn stop_keeping(&self) {
+        self.stopping.send_replace(true);
+    }
+
+    /// Ends all tasks at once, as when the process is killed.
+    pub(super) fn kill(&mut self) {
+        self.tasks.abort_all();
+        self.peers.stop();
     }
 
     /// Returns how many others' account demand is known here that is no older than `max_age`.
--- a/crates/anvilhook-bench/src/control/mod.rs
+++ b/crates/anvilhook-bench/src/control/mod.rs
@@ -4,16 +4,20 @@
 //! revision, and runs its peer link over the loopback, as the daemon does. Time in force counts from
 //! the moment at which the change was accepted.
 
+mod engines;
 mod fleets;
 mod instances;
+mod keepers;
 mod processes;
 mod rows;
 mod scenarios;
+mod takeovers;
 
 use argh::FromArgs;
 
 use rows::{Row, print_rows, print_slopes};
 use scenarios::{Plan, run_size};
+use takeovers::run_takeovers;
 
 /// The numbers of instances that are measured if none are given.
 const SIZES: [usize; 4] = [3, 9, 27, 81];
@@ -38,6 +42,10 @@
     #[argh(option, default = "8")]
     pub changes: u32,
 
+    /// leave the take-overs out
+    #[argh(switch)]
+    pub no_takeovers: bool,
+
     /// resources of the configuration
     #[argh(option, default = "200")]
     pub resources: usize,
@@ -57,6 +65,9 @@
     for size in sizes {
         rows.extend(run_size(size, &plan, memory_before)?);
     }
+    if !args.no_takeovers {
+        rows.extend(run_takeovers(memory_before)?);
+    }
     print_rows(&rows, args.json)?;
     print_slopes(&rows, args.json)
 }
--- a/crates/anvilhook-bench/src/control/rows.rs
+++ b/crates/anvilhook-bench/src/control/rows.rs
@@ -16,6 +16,9 @@
     /// The longest time until an instance held all others' acknowledgements of a drain.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) acks_max_ms: Option<f64>,
+    /// The time from the end of a holder to its successor's first order to the last of its engines.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) take_over_ms: Option<f64>,
     /// Reads and scans of the table by all instances.
     pub(super) table_reads_per_s: f64,
     /// Rows written by all instances.
@@ -54,12 +57,13 @@
         return Ok(());
     }
     println!(
-        "{:<22} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>9} {:>8} {:>8} {:>6} {:>6}",
+        "{:<26} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>9} {:>8} {:>8} {:>6} {:>6}",
         "scenario",
         "instances",
         "p50 ms",
         "max ms",
         "acks ms",
+        "take ms",
         "reads/s",
         "writes/s",
         "peer B/s",
@@ -71,12 +75,13 @@
     let ms = |value: Option<f64>| value.map_or("-".to_owned(), |value| format!("{value:.0}"));
     for row in rows {
         println!(
-            "{:<22} {:>9} {:>9} {:>9} {:>9} {:>8.1} {:>8.1} {:>9.0} {:>8.3} {:>8.2} {:>6.2} {:>6.2}",
+            "{:<26} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8.1} {:>8.1} {:>9.0} {:>8.3} {:>8.2} {:>6.2} {:>6.2}",
             row.scenario,
             row.instances,
             ms(row.in_force_p50_ms),
             ms(row.in_force_max_ms),
             ms(row.acks_max_ms),
+            ms(row.take_over_ms),
             row.table_reads_per_s,
             row.table_writes_per_s,
             row.peer_bytes_per_s,
--- a/crates/anvilhook-bench/src/control/scenarios.rs
+++ b/crates/anvilhook-bench/src/control/scenarios.rs
@@ -51,13 +51,14 @@
 
 /// `Findings` is what a scenario finds out by itself.
 #[derive(Debug, Default)]
-struct Findings {
-    in_force: Vec<Duration>,
-    acks: Option<Duration>,
+pub(super) struct Findings {
+    pub(super) in_force: Vec<Duration>,
+    pub(super) acks: Option<Duration>,
+    pub(super) take_over: Option<Duration>,
 }
 
 /// `Usage` is what the fleet has used up to a moment.
-struct Usage {
+pub(super) struct Usage {
     at: Instant,
     counts: Counts,
     peer_bytes: u64,
@@ -65,7 +66,12 @@
 }
 
 impl Usage {
-    fn now(fleet: &Fleet) -> eyre::Result<Self> {
+    /// Reads what the fleet has used.
+    ///
+    /// # Errors
+    ///
+    /// If the kernel does not tell.
+    pub(super) fn now(fleet: &Fleet) -> eyre::Result<Self> {
         let peer_bytes = fleet.instances.iter().map(|instance| {
             let counts = instance.peers.counts();
             counts.bytes_in + counts.bytes_out
@@ -90,7 +96,12 @@
     row(scenario, fleet, memory_before, &before, findings)
 }
 
-fn row(
+/// Makes the row of a scenario that has just ended.
+///
+/// # Errors
+///
+/// If the kernel does not tell what was used.
+pub(super) fn row(
     scenario: &'static str,
     fleet: &Fleet,
     memory_before: u64,
@@ -111,6 +122,7 @@
         in_force_p50_ms: in_force.get(in_force.len() / 2).map(to_ms),
         in_force_max_ms: in_force.last().map(to_ms),
         acks_max_ms: findings.acks.as_ref().map(to_ms),
+        take_over_ms: findings.take_over.as_ref().map(to_ms),
         table_reads_per_s: (reads(&after.counts) - reads(&before.counts)) as f64 / secs,
         table_writes_per_s: (after.counts.rows_written - before.counts.rows_written) as f64 / secs,
         peer_bytes_per_s: (after.peer_bytes - before.peer_bytes) as f64 / each,
@@ -170,7 +182,7 @@
     });
     let in_force = wait_in_force(fleet, revision, accepted_at);
     waker.join().map_err(|_| eyre::eyre!("the outage did not end"))?;
-    Ok(Findings { in_force: in_force?, acks: None })
+    Ok(Findings { in_force: in_force?, ..Findings::default() })
 }
 
 /// Starts one more instance while the table is down.
@@ -186,7 +198,13 @@
     fleet.platform.faults().set_reach_of(Service::Table, Reach::Up);
     // Those that held the revision before have taken no time.
     let late = in_force?.pop().into_iter().collect();
-    row("start-table-down", fleet, memory_before, &before, Findings { in_force: late, acks: None })
+    row(
+        "start-table-down",
+        fleet,
+        memory_before,
+        &before,
+        Findings { in_force: late, ..Findings::default() },
+    )
 }
 
 /// Has all instances acknowledge a drain at once, and waits until one of them has heard all.
@@ -194,7 +212,7 @@
     const GENERATION: u64 = 1;
     let started_at = Instant::now();
     for instance in &fleet.instances {
-        instance.acknowledge(GENERATION)?;
+        instance.acknowledge(GENERATION);
     }
     let others = fleet.instances.len() - 1;
     while fleet.instances[0].acknowledged(GENERATION) < others {
@@ -203,7 +221,7 @@
     }
     let acks = started_at.elapsed();
     std::thread::sleep(Duration::from_secs(plan.seconds).saturating_sub(acks));
-    Ok(Findings { in_force: Vec::new(), acks: Some(acks) })
+    Ok(Findings { acks: Some(acks), ..Findings::default() })
 }
 
 /// Waits until a revision is in force on all instances, and returns how long each took.
