--- a/crates/anvilhook-bench/src/control/fleets.rs
+++ b/crates/anvilhook-bench/src/control/fleets.rs
@@ -7,7 +7,7 @@
 use anvilhook_core::resources::{AccountSpec, Action, Change, Expected, Kind, ResourceKey, Spec};
 use anvilhook_core::units::{Millis, Revision, SystemClock, WallTime};
 use anvilhook_peer::PeerAddress;
-use anvilhook_platform::{HttpPlatform, ListedInstance, ListedState};
+use anvilhook_platform::{HttpPlatform, InstanceList, ListedInstance, ListedState};
 use anvilhook_standin::platform::{
     LocalPlatform, Pacing, PlatformOptions, PlatformServer, RateLimits,
 };
@@ -130,6 +130,15 @@
         Ok(())
     }
 
+    /// Returns the lines of the platform's list as the instances see it.
+    ///
+    /// # Errors
+    ///
+    /// If the list cannot be read.
+    pub(super) fn listed(&self) -> eyre::Result<Vec<ListedInstance>> {
+        Ok(self.control.block_on(self.platform.list())?)
+    }
+
     /// Has the platform list an instance in a state. The list shows it after its lag.
     ///
     /// # Errors
--- a/crates/anvilhook-bench/src/control/mod.rs
+++ b/crates/anvilhook-bench/src/control/mod.rs
@@ -11,12 +11,14 @@
 mod processes;
 mod rows;
 mod scenarios;
+mod sizes;
 mod takeovers;
 
 use argh::FromArgs;
 
 use rows::{Row, print_rows, print_slopes};
 use scenarios::{Plan, run_size};
+use sizes::print_sizes;
 use takeovers::run_takeovers;
 
 /// The numbers of instances that are measured if none are given.
@@ -62,12 +64,17 @@
     let plan = Plan { seconds: args.seconds, changes: args.changes, resources: args.resources };
     let memory_before = processes::resident_bytes()?;
     let mut rows: Vec<Row> = Vec::new();
+    let mut sizes_of = Vec::new();
     for size in sizes {
-        rows.extend(run_size(size, &plan, memory_before)?);
+        let (found, sizes) = run_size(size, &plan, memory_before)?;
+        rows.extend(found);
+        // Those of the largest fleet are printed.
+        sizes_of = sizes;
     }
     if !args.no_takeovers {
         rows.extend(run_takeovers(memory_before)?);
     }
     print_rows(&rows, args.json)?;
-    print_slopes(&rows, args.json)
+    print_slopes(&rows, args.json)?;
+    print_sizes(&sizes_of, args.json)
 }
--- a/crates/anvilhook-bench/src/control/scenarios.rs
+++ b/crates/anvilhook-bench/src/control/scenarios.rs
@@ -9,6 +9,7 @@
 use super::fleets::{Fleet, LOOK};
 use super::processes::{control_cpu_secs, resident_bytes};
 use super::rows::Row;
+use super::sizes::{Size, measure_sizes};
 
 /// A guard against a change that never comes into force.
 const IN_FORCE_GUARD: Duration = Duration::from_secs(60);
@@ -32,7 +33,11 @@
 /// # Errors
 ///
 /// Any failure of a part, or a change that is not in force everywhere within the guard time.
-pub(super) fn run_size(size: usize, plan: &Plan, memory_before: u64) -> eyre::Result<Vec<Row>> {
+pub(super) fn run_size(
+    size: usize,
+    plan: &Plan,
+    memory_before: u64,
+) -> eyre::Result<(Vec<Row>, Vec<Size>)> {
     let mut fleet = Fleet::start(size, plan.resources)
         .wrap_err_with(|| format!("a fleet of {size} instances"))?;
     let mut rows = vec![
@@ -46,7 +51,8 @@
     rows.push(measure("table-down-no-peers", &fleet, memory_before, || outage(&fleet))?);
     fleet.set_linked(true)?;
     rows.push(start_while_table_down(&mut fleet, plan, memory_before)?);
-    Ok(rows)
+    let sizes = measure_sizes(&fleet)?;
+    Ok((rows, sizes))
 }
 
 /// `Findings` is what a scenario finds out by itself.
