Claim keyed requests so that they run at most once across instances

Cause: a caller's repeat lands on another instance, and answers of the table are lost or writes land late; a doubled alert or ledger record must not follow from either. Change: claims as rows of the table: claim before dispatch, outcome or release after it, one write each. The stand-in's faults can let writes pass before a loss. An instance's first claim costs 1 read and at most 1 write more; then 20 commits and no read for 10 claims. A dispatch without a known claim is caught by the check itself, in a test that stays.

--- a/crates/anvilhook-standin/src/platform/faults.rs
+++ b/crates/anvilhook-standin/src/platform/faults.rs
@@ -1,5 +1,7 @@
 //! Faults of the platform, set while it runs.
 
+use std::collections::VecDeque;
+use std::iter::repeat_n;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use anvilhook_core::units::Millis;
@@ -61,7 +63,8 @@
 struct FaultState {
     reach: [Reach; SERVICES],
     delay: Millis,
-    write_losses: Vec<Loss>,
+    /// What becomes of the answers of the next writes; none lets one pass.
+    write_losses: VecDeque<Option<Loss>>,
     read_losses: usize,
     limits: Option<RateLimits>,
     writes: RateWindow,
@@ -110,7 +113,13 @@
 
     /// Loses the answers of the next `count` writes that come through, after those lost already.
     pub fn lose_next_writes(&self, count: usize, loss: Loss) {
-        self.change(|state| state.write_losses.extend(std::iter::repeat_n(loss, count)));
+        self.change(|state| state.write_losses.extend(repeat_n(Some(loss), count)));
+    }
+
+    /// Lets the answers of the next `count` writes pass, after those set already and before those
+    /// set next.
+    pub fn pass_next_writes(&self, count: usize) {
+        self.change(|state| state.write_losses.extend(repeat_n(None, count)));
     }
 
     /// Loses the answers of the next `count` reads that come through.
@@ -190,7 +199,7 @@
 
     fn take_loss(&mut self, access: Access) -> Option<Loss> {
         if access.writes > 0 {
-            return (!self.write_losses.is_empty()).then(|| self.write_losses.remove(0));
+            return self.write_losses.pop_front().flatten();
         }
         let lost = self.read_losses > 0;
         self.read_losses -= usize::from(lost);
--- /dev/null
+++ b/crates/anvilhook-store/src/claims/rows.rs
@@ -0,0 +1,136 @@
+//! The rows of claims.
+
+use anvilhook_core::Verdict;
+use anvilhook_core::attempts::AttemptId;
+use anvilhook_core::names::InstanceName;
+use anvilhook_core::units::WallTime;
+use anvilhook_platform::{Error, Result, Row};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::keys::BodyDigest;
+
+/// `Claim` is a claim as it stands in the table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Claim {
+    /// The attempt that may run the request.
+    pub attempt: AttemptId,
+    /// What was sent under the key.
+    pub body: BodyDigest,
+    /// The instance that made the claim.
+    pub instance: InstanceName,
+    /// When the claim was made, for people.
+    pub claimed_at: WallTime,
+    /// The epoch in which the row was last written.
+    pub epoch: u64,
+    /// How far the request has come.
+    pub state: ClaimState,
+}
+
+/// `ClaimState` is how far a claimed request has come.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "is")]
+pub enum ClaimState {
+    /// It may be about to run, be running or have run.
+    Claimed,
+    /// It was not run and never will be; the key is free.
+    Released,
+    /// It has ended.
+    Recorded {
+        /// How.
+        outcome: StoredOutcome,
+    },
+}
+
+/// `StoredOutcome` is what a caller's repeat is answered with.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct StoredOutcome {
+    /// Whether the request ran.
+    pub verdict: Verdict,
+    /// The HTTP status that the caller was sent.
+    pub status: u16,
+    /// The type of the body, if it had one.
+    pub content_type: Option<String>,
+    /// The body that the caller was sent.
+    pub body: StoredBody,
+}
+
+/// `StoredBody` is a kept body, or the word that it is not kept.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "form")]
+pub enum StoredBody {
+    /// A body that is text.
+    Text {
+        /// The text.
+        text: String,
+    },
+    /// A body that is not text.
+    Binary {
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
+    /// A body too large to keep. The request ran, and its answer cannot be given again.
+    TooLarge {
+        /// Its length, in bytes.
+        len: usize,
+    },
+}
+
+impl StoredBody {
+    /// Returns the bytes, unless they were not kept.
+    pub fn bytes(&self) -> Option<Bytes> {
+        match self {
+            StoredBody::Text { text } => Some(Bytes::copy_from_slice(text.as_bytes())),
+            StoredBody::Binary { bytes } => Some(Bytes::copy_from_slice(bytes)),
+            StoredBody::TooLarge { .. } => None,
+        }
+    }
+
+    /// Returns the body's length, in bytes.
+    pub fn len(&self) -> usize {
+        match self {
+            StoredBody::Text { text } => text.len(),
+            StoredBody::Binary { bytes } => bytes.len(),
+            StoredBody::TooLarge { len } => *len,
+        }
+    }
+
+    /// Returns whether the body has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl From<&[u8]> for StoredBody {
+    fn from(bytes: &[u8]) -> Self {
+        match std::str::from_utf8(bytes) {
+            Ok(text) => StoredBody::Text { text: text.to_owned() },
+            Err(_) => StoredBody::Binary { bytes: bytes.to_vec() },
+        }
+    }
+}
+
+impl StoredOutcome {
+    /// Leaves out a body of more than `max_bytes`.
+    pub(super) fn bounded(mut self, max_bytes: usize) -> Self {
+        let len = self.body.len();
+        if len > max_bytes {
+            self.body = StoredBody::TooLarge { len };
+        }
+        self
+    }
+}
+
+impl Claim {
+    pub(super) fn decode(row: &Row) -> Result<Self> {
+        serde_json::from_str(&row.value)
+            .map_err(|err| Error::BadAnswer { message: format!("row {}: {err}", row.key) })
+    }
+
+    pub(super) fn encode(&self) -> Result<String> {
+        serde_json::to_string(self)
+            .map_err(|err| Error::Unavailable { message: format!("cannot encode a claim: {err}") })
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-store/tests/claims.rs
@@ -0,0 +1,468 @@
+//! Claims under faults: what callers hear, how often requests run, what it costs.
+
+mod claims_fixtures;
+
+use anvilhook_core::Verdict;
+use anvilhook_core::units::{ManualClock, Millis};
+use anvilhook_platform::{RowKey, Table, Transaction, Write};
+use anvilhook_standin::platform::{LocalPlatform, Loss, PlatformFaults, PlatformOptions, Reach};
+use anvilhook_store::claims::{ClaimOptions, ClaimOutcome, Claims, HeldClaim, StoredBody, Sweeper};
+
+use claims_fixtures::{Heard, Upstream, claims, heard, outcome, request};
+
+type LocalClaims = Claims<LocalPlatform<ManualClock>, ManualClock>;
+
+/// A platform and the number of instances that came to it.
+struct Site {
+    clock: ManualClock,
+    platform: LocalPlatform<ManualClock>,
+    instances: usize,
+}
+
+impl Site {
+    fn new() -> Self {
+        let clock = ManualClock::new();
+        let platform = LocalPlatform::new(clock.clone(), PlatformOptions::default());
+        Self { clock, platform, instances: 0 }
+    }
+
+    /// Starts an instance, which has its own view of the platform.
+    fn instance(&mut self) -> (LocalClaims, LocalPlatform<ManualClock>) {
+        self.instances += 1;
+        let view = self.platform.for_caller(&format!("entry-{}", self.instances));
+        (claims(view.clone(), &self.clock, self.instances, ClaimOptions::default()), view)
+    }
+
+    /// Begins epochs as instances do once the time has passed.
+    async fn begin_epochs(&self, count: usize) {
+        let write = Write::Put { key: RowKey::new("claim-epoch"), value: "{}".to_owned() };
+        let txn = Transaction { conditions: vec![], writes: vec![write] };
+        for _ in 0..count {
+            self.platform.commit(&txn).await.unwrap();
+        }
+    }
+}
+
+fn won(outcome: ClaimOutcome) -> HeldClaim {
+    match outcome {
+        ClaimOutcome::Won(held) => held,
+        other => panic!("not won: {other:?}"),
+    }
+}
+
+fn doubtful(outcome: ClaimOutcome) -> HeldClaim {
+    match outcome {
+        ClaimOutcome::Refused { doubtful: Some(held), .. } => held,
+        other => panic!("not doubtful: {other:?}"),
+    }
+}
+
+/// Where the first instance is killed.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Killed {
+    Never,
+    BeforeDispatch,
+    AfterDispatch,
+}
+
+/// One fault, and what follows from it.
+struct FaultCase {
+    name: &'static str,
+    /// Set before the first instance claims.
+    at_claim: fn(&PlatformFaults),
+    /// Set before the first instance records the outcome or releases the claim.
+    at_settling: fn(&PlatformFaults),
+    refuses: bool,
+    killed: Killed,
+    /// What the first caller hears, and its repeat at another instance after the fault.
+    heard: [Heard; 2],
+    /// How often the request runs in all.
+    runs: usize,
+}
+
+fn case(name: &'static str, heard: [Heard; 2], runs: usize) -> FaultCase {
+    let (at_claim, at_settling) = (|_: &_| (), |_: &_| ());
+    FaultCase { name, at_claim, at_settling, refuses: false, killed: Killed::Never, heard, runs }
+}
+
+fn fault_cases() -> Vec<FaultCase> {
+    use Heard::{Answer, MayHaveRun, NotRun, Replay};
+    vec![
+        case("no fault", [Answer, Replay], 1),
+        FaultCase {
+            at_claim: |faults| faults.set_reach(Reach::Refusing),
+            ..case("table down at the claim", [NotRun, Answer], 1)
+        },
+        FaultCase {
+            at_claim: |faults| faults.set_reach(Reach::Cut),
+            ..case("instance cut off at the claim", [NotRun, Answer], 1)
+        },
+        FaultCase {
+            at_claim: |faults| faults.lose_next_writes(2, Loss::AfterEffect),
+            ..case("claim's answer lost after its effect", [Answer, Replay], 1)
+        },
+        FaultCase {
+            at_claim: |faults| faults.lose_next_writes(2, Loss::BeforeEffect),
+            ..case("claim's answer lost before its effect", [Answer, Replay], 1)
+        },
+        FaultCase {
+            at_claim: |faults| faults.lose_next_writes(2, Loss::LateEffect),
+            ..case("claim lands late, after it was sent again", [Answer, Replay], 1)
+        },
+        FaultCase {
+            at_claim: |faults| faults.lose_next_writes(3, Loss::AfterEffect),
+            ..case("claim given up, though it stands", [NotRun, MayHaveRun], 0)
+        },
+        FaultCase {
+            at_claim: |faults| faults.lose_next_writes(3, Loss::BeforeEffect),
+            ..case("claim given up, and it does not stand", [NotRun, Answer], 1)
+        },
+        FaultCase {
+            at_claim: |faults| faults.lose_next_writes(3, Loss::LateEffect),
+            ..case("claim given up, and it lands late", [NotRun, MayHaveRun], 0)
+        },
+        FaultCase {
+            killed: Killed::BeforeDispatch,
+            ..case("killed between claim and dispatch", [MayHaveRun, MayHaveRun], 0)
+        },
+        FaultCase {
+            killed: Killed::AfterDispatch,
+            ..case("killed between dispatch and record", [MayHaveRun, MayHaveRun], 1)
+        },
+        FaultCase {
+            at_settling: |faults| faults.set_reach(Reach::Refusing),
+            ..case("table down at the record", [Answer, MayHaveRun], 1)
+        },
+        FaultCase {
+            at_settling: |faults| faults.lose_next_writes(1, Loss::AfterEffect),
+            ..case("record's answer lost after its effect", [Answer, Replay], 1)
+        },
+        FaultCase {
+            at_settling: |faults| faults.lose_next_writes(2, Loss::LateEffect),
+            ..case("record lands late, after it was sent again", [Answer, Replay], 1)
+        },
+        FaultCase { refuses: true, ..case("upstream refuses", [NotRun, Answer], 1) },
+        FaultCase {
+            refuses: true,
+            at_settling: |faults| faults.lose_next_writes(2, Loss::AfterEffect),
+            ..case("release's answer lost after its effect", [NotRun, Answer], 1)
+        },
+        FaultCase {
+            refuses: true,
+            at_settling: |faults| faults.lose_next_writes(1, Loss::LateEffect),
+            ..case("release lands late, after it was sent again", [NotRun, Answer], 1)
+        },
+        FaultCase {
+            refuses: true,
+            at_settling: |faults| faults.set_reach(Reach::Refusing),
+            ..case("table down at the release", [NotRun, MayHaveRun], 0)
+        },
+    ]
+}
+
+/// Takes one request through its claim, its run and its settling.
+async fn serve(
+    claims: &LocalClaims,
+    attempt: u128,
+    upstream: &Upstream,
+    killed: Killed,
+    before_settling: impl FnOnce(),
+) -> Heard {
+    let held = match claims.claim(&request("k", "body", attempt)).await {
+        ClaimOutcome::Won(held) => held,
+        other => return heard(&other),
+    };
+    if killed == Killed::BeforeDispatch {
+        return Heard::MayHaveRun;
+    }
+    let verdict = upstream.run();
+    if killed == Killed::AfterDispatch {
+        return Heard::MayHaveRun;
+    }
+
+    // The table's failure changes nothing for this caller.
+    before_settling();
+    if verdict == Verdict::NotRun {
+        let _ = claims.release(&held).await;
+        return Heard::NotRun;
+    }
+    let _ = claims.record(&held, outcome(b"{}")).await;
+    Heard::Answer
+}
+
+#[tokio::test]
+async fn verify_each_fault_leaves_the_truth_to_a_repeat() {
+    // Symptom: a chef gets one alert twice, or is told that it was not sent though it was.
+    // Sequence: the table fails around the claim, or the instance is killed; the caller repeats
+    // the request, which reaches another instance.
+    // Cause: what the first instance did not know, it took for done or for not done.
+    for case in fault_cases() {
+        let mut site = Site::new();
+        let (first, view) = site.instance();
+        let mut upstream = Upstream::default();
+        upstream.refuses = case.refuses;
+        // The epoch is known, so that each case's losses meet the claim itself.
+        won(first.claim(&request("other", "", 9)).await);
+
+        (case.at_claim)(&view.faults());
+        let settling = || (case.at_settling)(&view.faults());
+        let first_heard = serve(&first, 1, &upstream, case.killed, settling).await;
+        site.platform.land_late_writes();
+        upstream.refuses = false;
+        let (second, _) = site.instance();
+        let second_heard = serve(&second, 2, &upstream, Killed::Never, || ()).await;
+
+        assert_eq!([first_heard, second_heard], case.heard, "{}", case.name);
+        assert_eq!(upstream.runs(), case.runs, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn verify_a_doubtful_claim_is_freed_later() {
+    for loss in [Loss::BeforeEffect, Loss::AfterEffect, Loss::LateEffect] {
+        let mut site = Site::new();
+        let (first, view) = site.instance();
+        won(first.claim(&request("other", "", 9)).await);
+        view.faults().lose_next_writes(3, loss);
+        let held = doubtful(first.claim(&request("k", "body", 1)).await);
+
+        first.release(&held).await.unwrap();
+        site.platform.land_late_writes();
+
+        let (second, _) = site.instance();
+        let repeat = second.claim(&request("k", "body", 2)).await;
+        assert_eq!(heard(&repeat), Heard::Answer, "{loss:?}");
+    }
+}
+
+#[tokio::test]
+async fn verify_releasing_a_doubtful_claim_leaves_another_alone() {
+    // Symptom: a request runs twice after an instance regained the table.
+    // Sequence: A's claim is lost without effect and given up; B claims and dispatches; A releases
+    // what it takes for its own claim; C claims the freed key and dispatches.
+    // Cause: the release went by the row's version alone, and B's row has the version that A's
+    // would have had.
+    let mut site = Site::new();
+    let (first, view) = site.instance();
+    won(first.claim(&request("other", "", 9)).await);
+    view.faults().lose_next_writes(3, Loss::BeforeEffect);
+    let doubt = doubtful(first.claim(&request("k", "body", 1)).await);
+    let (second, _) = site.instance();
+    won(second.claim(&request("k", "body", 2)).await);
+
+    first.release(&doubt).await.unwrap();
+
+    let (third, _) = site.instance();
+    let repeat = third.claim(&request("k", "body", 3)).await;
+    assert_eq!(heard(&repeat), Heard::MayHaveRun);
+}
+
+#[tokio::test]
+async fn verify_a_key_belongs_to_its_body() {
+    let mut site = Site::new();
+    let (first, _) = site.instance();
+    let held = won(first.claim(&request("k", "body", 1)).await);
+    let other_body = request("k", "another body", 2);
+
+    let while_claimed = first.claim(&other_body).await;
+    first.release(&held).await.unwrap();
+    let while_released = first.claim(&other_body).await;
+    let held = won(first.claim(&request("k", "body", 3)).await);
+    first.record(&held, outcome(b"{}")).await.unwrap();
+    let once_recorded = first.claim(&other_body).await;
+
+    let all = [while_claimed, while_released, once_recorded].map(|outcome| heard(&outcome));
+    assert_eq!(all, [Heard::KeyReused; 3]);
+}
+
+#[tokio::test]
+async fn verify_a_repeat_hears_the_same_answer() {
+    let large = vec![b'x'; ClaimOptions::default().max_body_bytes + 1];
+    let cases: [(&[u8], StoredBody); 3] = [
+        (b"{\"sent\":1}", StoredBody::Text { text: "{\"sent\":1}".to_owned() }),
+        (&[0xff, 0], StoredBody::Binary { bytes: vec![0xff, 0] }),
+        (&large, StoredBody::TooLarge { len: large.len() }),
+    ];
+
+    for (body, kept) in cases {
+        let mut site = Site::new();
+        let (first, _) = site.instance();
+        let held = won(first.claim(&request("k", "body", 1)).await);
+        first.record(&held, outcome(body)).await.unwrap();
+
+        let (second, _) = site.instance();
+        let ClaimOutcome::Recorded(replay) = second.claim(&request("k", "body", 2)).await else {
+            panic!("no replay");
+        };
+
+        let kept_bytes = kept.bytes();
+        assert_eq!((replay.status, &replay.body), (200, &kept));
+        assert!(kept_bytes.is_none_or(|bytes| bytes == body));
+    }
+}
+
+#[tokio::test]
+async fn verify_a_claim_costs_one_write_before_and_one_after() {
+    let mut site = Site::new();
+    let (claims, view) = site.instance();
+    won(claims.claim(&request("first", "", 1)).await);
+    let start = view.counts();
+
+    for attempt in 0..10 {
+        let held = won(claims.claim(&request(&format!("k{attempt}"), "", attempt + 10)).await);
+        claims.record(&held, outcome(b"{}")).await.unwrap();
+    }
+    let end = view.counts();
+    claims.claim(&request("k0", "", 99)).await;
+    let repeat = view.counts();
+
+    assert_eq!((start.reads, start.commits), (1, 2), "an instance's first claim learns the epoch");
+    assert_eq!(end.commits - start.commits, 20);
+    assert_eq!(end.rows_written - start.rows_written, 20);
+    assert_eq!((end.reads, end.scans), (start.reads, start.scans));
+    assert_eq!(repeat.commits - end.commits, 1);
+    assert_eq!(repeat.rows_written - end.rows_written, 0);
+}
+
+#[tokio::test]
+async fn verify_nothing_is_tried_past_the_deadline() {
+    let mut site = Site::new();
+    let (claims, view) = site.instance();
+    site.clock.advance(Millis(10));
+    let mut late = request("k", "body", 1);
+    late.deadline = Millis(10);
+
+    let outcome = claims.claim(&late).await;
+
+    assert!(matches!(outcome, ClaimOutcome::Refused { doubtful: None, .. }), "{outcome:?}");
+    assert_eq!(view.counts(), Default::default());
+}
+
+#[tokio::test]
+async fn verify_claims_outlive_an_epoch_that_moves() {
+    let mut site = Site::new();
+    let (first, view) = site.instance();
+    let held = won(first.claim(&request("k", "body", 1)).await);
+    site.begin_epochs(1).await;
+    let start = view.counts();
+
+    first.record(&held, outcome(b"{}")).await.unwrap();
+    won(first.claim(&request("k2", "body", 2)).await);
+
+    // The record meets the new epoch and is sent once more; the claim knows it.
+    assert_eq!(view.counts().commits - start.commits, 3);
+    assert_eq!(view.counts().reads, start.reads);
+}
+
+#[tokio::test]
+async fn verify_epochs_begin_only_after_their_whole_length() {
+    let mut site = Site::new();
+    let (claims, _) = site.instance();
+    let epoch = Millis(ClaimOptions::default().retention.0 / 4);
+    let mut sweeper = Sweeper::default();
+    let present = || site.platform.rows("claim-epoch").first().map(|row| row.version);
+
+    // The sweeper has seen each epoch since the sweep in which it began.
+    for (wait, expected) in [(Millis(9), 1), (epoch - Millis(1), 1), (Millis(1), 2), (epoch, 2)] {
+        site.clock.advance(wait);
+        claims.sweep(&mut sweeper, |_| false).await.unwrap();
+        assert_eq!(present(), Some(expected));
+    }
+}
+
+#[tokio::test]
+async fn verify_sweeps_delete_only_what_is_settled_and_old() {
+    let mut site = Site::new();
+    let (claims, _) = site.instance();
+    let mut sweeper = Sweeper::default();
+    let recorded = won(claims.claim(&request("recorded", "", 1)).await);
+    claims.record(&recorded, outcome(b"{}")).await.unwrap();
+    let released = won(claims.claim(&request("released", "", 2)).await);
+    claims.release(&released).await.unwrap();
+    won(claims.claim(&request("in flight", "", 3)).await);
+
+    // Four epochs stand whole after the one in which the rows were written.
+    site.begin_epochs(4).await;
+    let early = claims.sweep(&mut sweeper, |_| true).await.unwrap();
+    site.begin_epochs(1).await;
+    let in_time = claims.sweep(&mut sweeper, |_| false).await.unwrap();
+    let gone = claims.sweep(&mut sweeper, |name| name.as_str() == "entry-1").await.unwrap();
+
+    assert_eq!((early.seen, early.deleted), (3, 0));
+    assert_eq!((in_time.deleted, in_time.kept_in_flight), (2, 1));
+    assert_eq!((gone.seen, gone.deleted, gone.kept_in_flight), (1, 1, 0));
+    assert!(site.platform.rows("claims/").is_empty());
+}
+
+#[tokio::test]
+async fn verify_sweeps_go_on_where_the_last_ended() {
+    let mut site = Site::new();
+    let (claims, view) = site.instance();
+    let rows = ClaimOptions::default().sweep_rows + 5;
+    for attempt in 0..rows as u128 {
+        let held = won(claims.claim(&request(&format!("k{attempt}"), "", attempt)).await);
+        claims.release(&held).await.unwrap();
+    }
+    site.begin_epochs(5).await;
+    let start = view.counts();
+
+    let mut sweeper = Sweeper::default();
+    let first = claims.sweep(&mut sweeper, |_| false).await.unwrap();
+    let second = claims.sweep(&mut sweeper, |_| false).await.unwrap();
+
+    assert_eq!([first.seen, second.seen], [rows - 5, 5]);
+    assert_eq!([first.round_done, second.round_done], [false, true]);
+    assert!(site.platform.rows("claims/").is_empty());
+    let end = view.counts();
+    let cost = (end.commits - start.commits, end.scans - start.scans, end.reads - start.reads);
+    assert_eq!(cost, (2, 2, 4));
+}
+
+#[tokio::test]
+async fn verify_late_writes_leave_a_new_claim_alone() {
+    // Symptom: a request whose outcome was recorded runs again on a repeat.
+    // Sequence: a write of an old claim is held back; the row is deleted in a sweep, and a new
+    // claim of the key is recorded, which brings its row to the version that the old write
+    // requires; the old write lands.
+    // Cause: the old write went by the row's version alone.
+    for late in ["deletion", "takeover", "record"] {
+        let mut site = Site::new();
+        let (first, view) = site.instance();
+        let held = won(first.claim(&request("k", "body", 1)).await);
+        let faults = view.faults();
+        match late {
+            "deletion" => {
+                first.record(&held, outcome(b"{}")).await.unwrap();
+                site.begin_epochs(5).await;
+                faults.lose_next_writes(1, Loss::LateEffect);
+                first.sweep(&mut Sweeper::default(), |_| false).await.unwrap_err();
+            }
+            "takeover" => {
+                first.release(&held).await.unwrap();
+                // The first write meets the released row, the second is the takeover.
+                faults.pass_next_writes(1);
+                faults.lose_next_writes(3, Loss::LateEffect);
+                doubtful(first.claim(&request("k", "body", 4)).await);
+            }
+            _ => {
+                faults.lose_next_writes(3, Loss::LateEffect);
+                first.record(&held, outcome(b"old")).await.unwrap_err();
+            }
+        }
+        site.begin_epochs(5).await;
+        let (second, _) = site.instance();
+        second.sweep(&mut Sweeper::default(), |_| true).await.unwrap();
+        let new = won(second.claim(&request("k", "body", 2)).await);
+        if late != "record" {
+            second.record(&new, outcome(b"new")).await.unwrap();
+        }
+
+        assert!(site.platform.land_late_writes() > 0, "late {late}");
+
+        let repeat = second.claim(&request("k", "body", 3)).await;
+        match repeat {
+            ClaimOutcome::Recorded(replay) => assert_eq!(replay, outcome(b"new"), "late {late}"),
+            repeat => assert_eq!(heard(&repeat), Heard::MayHaveRun, "late {late}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-store/tests/claims_interleavings.rs
@@ -0,0 +1,426 @@
+//! Every order of the steps of instances that race for one key, with every place for a lost answer
+//! or a kill. In each order the request runs at most once, and callers hear the truth.
+//!
+//! A run is replayed from its start for each order: the steps are the calls of the table and the
+//! dispatch, and a choice is which instance goes on and with what fault.
+
+mod claims_fixtures;
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Waker};
+
+use anvilhook_core::Verdict;
+use anvilhook_core::attempts::AttemptId;
+use anvilhook_core::units::ManualClock;
+use anvilhook_platform::{Commit, Condition, Result, Row, RowKey, Table, Transaction, Write};
+use anvilhook_standin::platform::{LocalPlatform, Loss, PlatformOptions};
+use anvilhook_store::claims::{ClaimOptions, ClaimOutcome, ClaimRequest, Claims, Sweeper};
+
+use claims_fixtures::{Heard, Upstream, claims, heard, outcome, request};
+
+/// When an instance dispatches.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Rule {
+    /// Only after its claim is known to stand.
+    ClaimKnown,
+    /// Also when its claim's answer was lost: the broken rule that the check must catch.
+    ClaimSent,
+}
+
+/// What is checked over all orders.
+#[derive(Clone, Copy)]
+struct Scenario {
+    rule: Rule,
+    /// A first attempt has been made and released before the race.
+    released_before: bool,
+    /// The upstream refuses the first instance's request as not run.
+    first_refused: bool,
+    /// The released row expires during the race, and a third instance sweeps.
+    sweeps: bool,
+    max_faults: usize,
+    max_switches: usize,
+}
+
+const PLAIN: Scenario = Scenario {
+    rule: Rule::ClaimKnown,
+    released_before: false,
+    first_refused: false,
+    sweeps: false,
+    max_faults: 2,
+    max_switches: usize::MAX,
+};
+
+/// `Step` is what a waiting instance is about to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Step {
+    Read,
+    Commit,
+    Dispatch,
+}
+
+/// `Gate` holds one instance at each of its steps.
+#[derive(Debug, Default)]
+struct Gate {
+    open: bool,
+    waiting: Option<Step>,
+    permit: Option<Option<Loss>>,
+}
+
+#[derive(Clone, Debug)]
+struct Gated {
+    inner: LocalPlatform<ManualClock>,
+    gate: Arc<Mutex<Gate>>,
+}
+
+impl Gated {
+    fn new(platform: &LocalPlatform<ManualClock>) -> Self {
+        let gate = Gate { open: true, ..Gate::default() };
+        Self { inner: platform.for_caller("racer"), gate: Arc::new(Mutex::new(gate)) }
+    }
+
+    async fn pass(&self, step: Step) {
+        let loss = poll_fn(|_| {
+            let mut gate = self.gate.lock().unwrap();
+            gate.waiting = Some(step);
+            match gate.permit.take() {
+                None if !gate.open => Poll::Pending,
+                permit => Poll::Ready(permit.flatten()),
+            }
+        })
+        .await;
+        if let Some(loss) = loss {
+            self.inner.faults().lose_next_writes(1, loss);
+        }
+    }
+}
+
+impl Table for Gated {
+    async fn read(&self, key: &RowKey) -> Result<Option<Row>> {
+        self.pass(Step::Read).await;
+        self.inner.read(key).await
+    }
+
+    async fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> Result<Vec<Row>> {
+        self.pass(Step::Read).await;
+        self.inner.scan(prefix, after, limit).await
+    }
+
+    async fn commit(&self, txn: &Transaction) -> Result<Commit> {
+        self.pass(Step::Commit).await;
+        self.inner.commit(txn).await
+    }
+}
+
+/// What an instance's caller hears, and how often that instance dispatched.
+type Served = (Heard, usize);
+
+async fn serve(
+    claims: Claims<Gated, ManualClock>,
+    table: Gated,
+    req: ClaimRequest,
+    upstream: Upstream,
+    rule: Rule,
+) -> Served {
+    let held = match claims.claim(&req).await {
+        ClaimOutcome::Won(held) => held,
+        ClaimOutcome::Refused { doubtful: Some(held), .. } if rule == Rule::ClaimSent => held,
+        ClaimOutcome::Refused { doubtful: Some(held), .. } => {
+            let _ = claims.release(&held).await;
+            return (Heard::NotRun, 0);
+        }
+        other => return (heard(&other), 0),
+    };
+    table.pass(Step::Dispatch).await;
+    if upstream.run() == Verdict::NotRun {
+        let _ = claims.release(&held).await;
+        return (Heard::NotRun, 0);
+    }
+    let _ = claims.record(&held, outcome(b"{}")).await;
+    (Heard::Answer, 1)
+}
+
+/// Begins an epoch and sweeps.
+async fn sweep(claims: Claims<Gated, ManualClock>, table: Gated, epoch: u64) -> Served {
+    begin_epoch(&table, Some(epoch)).await;
+    let _ = claims.sweep(&mut Sweeper::default(), |_| false).await;
+    (Heard::Replay, 0)
+}
+
+async fn begin_epoch(table: &impl Table, at: Option<u64>) {
+    let key = RowKey::new("claim-epoch");
+    let conditions =
+        Vec::from_iter(at.map(|version| Condition::AtVersion { key: key.clone(), version }));
+    let writes = vec![Write::Put { key, value: "{}".to_owned() }];
+    let _ = table.commit(&Transaction { conditions, writes }).await;
+}
+
+/// Runs a future that waits for nothing.
+fn now_or_never<F: Future>(future: F) -> F::Output {
+    match std::pin::pin!(future).poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(output) => output,
+        Poll::Pending => panic!("the future waits"),
+    }
+}
+
+/// `Choices` goes through all sequences of choices, depth first.
+#[derive(Default)]
+struct Choices {
+    taken: Vec<(usize, usize)>,
+    next: usize,
+}
+
+impl Choices {
+    fn choose(&mut self, count: usize) -> usize {
+        if self.next == self.taken.len() {
+            self.taken.push((0, count));
+        }
+        let (chosen, of) = self.taken[self.next];
+        assert_eq!(of, count, "a replayed run must offer the same choices");
+        self.next += 1;
+        chosen
+    }
+
+    /// Goes on to the next sequence, if there is one.
+    fn advance(&mut self) -> bool {
+        self.next = 0;
+        while let Some((chosen, count)) = self.taken.pop() {
+            if chosen + 1 < count {
+                self.taken.push((chosen + 1, count));
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// `Move` is one choice.
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    Go { racer: usize, loss: Option<Loss> },
+    Kill { racer: usize },
+    LandLateWrites,
+}
+
+struct Racer {
+    gate: Arc<Mutex<Gate>>,
+    /// None once it is killed.
+    future: Option<Pin<Box<dyn Future<Output = Served>>>>,
+    served: Option<Served>,
+}
+
+impl Racer {
+    fn new(table: &Gated, future: impl Future<Output = Served> + 'static) -> Self {
+        table.gate.lock().unwrap().open = false;
+        let mut racer =
+            Self { gate: table.gate.clone(), future: Some(Box::pin(future)), served: None };
+        racer.poll();
+        racer
+    }
+
+    /// Lets it run up to its next step.
+    fn poll(&mut self) {
+        let mut cx = Context::from_waker(Waker::noop());
+        let Some(future) = &mut self.future else { return };
+        if let Poll::Ready(served) = future.as_mut().poll(&mut cx) {
+            self.served = Some(served);
+            self.future = None;
+        }
+    }
+
+    fn go(&mut self, loss: Option<Loss>) {
+        self.gate.lock().unwrap().permit = Some(loss);
+        self.poll();
+    }
+
+    fn moves(&self, racer: usize, may_fail: bool, moves: &mut Vec<Move>) {
+        if self.future.is_none() {
+            return;
+        }
+        moves.push(Move::Go { racer, loss: None });
+        if !may_fail {
+            return;
+        }
+        moves.push(Move::Kill { racer });
+        if self.gate.lock().unwrap().waiting == Some(Step::Commit) {
+            let losses = [Loss::BeforeEffect, Loss::AfterEffect, Loss::LateEffect];
+            moves.extend(losses.map(|loss| Move::Go { racer, loss: Some(loss) }));
+        }
+    }
+}
+
+/// `Requests` are digested once for all orders.
+struct Requests {
+    raced: ClaimRequest,
+    other: ClaimRequest,
+}
+
+impl Requests {
+    fn raced(&self, attempt: usize) -> ClaimRequest {
+        ClaimRequest { attempt: AttemptId(attempt as u128), ..self.raced.clone() }
+    }
+}
+
+/// Carries out one order, and returns what went wrong in it.
+fn run(scenario: &Scenario, choices: &mut Choices, reqs: &Requests) -> Option<String> {
+    let clock = ManualClock::new();
+    let platform = LocalPlatform::new(clock.clone(), PlatformOptions::default());
+    let upstream = Upstream::default();
+    // Two lost answers already leave a claim in doubt.
+    let options = ClaimOptions { max_tries: 2, ..ClaimOptions::default() };
+    let instance = |number: usize| {
+        let table = Gated::new(&platform);
+        let claims = claims(table.clone(), &clock, number, options);
+        // The instance knows the epoch before the race, as it does after its first claim.
+        now_or_never(claims.claim(&reqs.other));
+        (claims, table)
+    };
+    if scenario.released_before {
+        let (claims, _) = instance(0);
+        let ClaimOutcome::Won(held) = now_or_never(claims.claim(&reqs.raced(9))) else {
+            return Some("the first claim must be won".to_owned());
+        };
+        now_or_never(claims.release(&held)).unwrap();
+    }
+    if scenario.sweeps {
+        (0..4).for_each(|_| now_or_never(begin_epoch(&platform, None)));
+    }
+
+    let mut racers = Vec::new();
+    for number in 1..=2 {
+        let (claims, table) = instance(number);
+        let mut upstream = upstream.clone();
+        upstream.refuses = scenario.first_refused && number == 1;
+        let serving = serve(claims, table.clone(), reqs.raced(number), upstream, scenario.rule);
+        racers.push(Racer::new(&table, serving));
+    }
+    if scenario.sweeps {
+        let (claims, table) = instance(3);
+        racers.push(Racer::new(&table, sweep(claims, table.clone(), 5)));
+    }
+    let faults = race(scenario, &platform, &mut racers, choices);
+
+    // The callers repeat at a healthy instance.
+    platform.land_late_writes();
+    let (claims, table) = instance(4);
+    let (last, _) =
+        now_or_never(serve(claims, table, reqs.raced(4), upstream.clone(), Rule::ClaimKnown));
+    let runs = upstream.runs();
+    judge(&racers, faults, last, runs)
+}
+
+/// Makes moves until all racers have ended, and returns the number of faults among them.
+fn race(
+    scenario: &Scenario,
+    platform: &LocalPlatform<ManualClock>,
+    racers: &mut [Racer],
+    choices: &mut Choices,
+) -> usize {
+    let (mut faults, mut switches, mut last) = (0, 0, None);
+    let mut late = false;
+    loop {
+        let mut moves = Vec::new();
+        for (number, racer) in racers.iter().enumerate() {
+            let is_last = last.is_none_or(|last: usize| last == number);
+            let last_goes_on = last.is_some_and(|last| racers[last].future.is_some());
+            if is_last || !last_goes_on || switches < scenario.max_switches {
+                racer.moves(number, faults < scenario.max_faults, &mut moves);
+            }
+        }
+        if moves.is_empty() {
+            return faults;
+        }
+        if late {
+            moves.push(Move::LandLateWrites);
+        }
+        match moves[choices.choose(moves.len())] {
+            Move::Go { racer, loss } => {
+                switches += usize::from(last.is_some_and(|last| last != racer));
+                last = Some(racer);
+                faults += usize::from(loss.is_some());
+                late |= loss == Some(Loss::LateEffect);
+                racers[racer].go(loss);
+            }
+            Move::Kill { racer } => {
+                faults += 1;
+                racers[racer].future = None;
+            }
+            Move::LandLateWrites => {
+                late = false;
+                platform.land_late_writes();
+            }
+        }
+    }
+}
+
+/// Returns what is wrong with an order's end.
+fn judge(racers: &[Racer], faults: usize, last: Heard, runs: usize) -> Option<String> {
+    let served: Vec<Served> = racers.iter().filter_map(|racer| racer.served).collect();
+    if runs > 1 {
+        return Some(format!("ran {runs} times; heard {served:?}, then {last:?}"));
+    }
+    if served.iter().any(|(heard, runs)| *heard == Heard::NotRun && *runs > 0) {
+        return Some(format!("a false not-run; heard {served:?}"));
+    }
+    let truth = match last {
+        Heard::Answer | Heard::Replay => runs == 1,
+        // Without a fault, a repeat after both have ended hears the outcome.
+        Heard::MayHaveRun => faults > 0,
+        Heard::NotRun | Heard::KeyReused => false,
+    };
+    (!truth).then(|| format!("after {faults} faults and {runs} runs a repeat hears {last:?}"))
+}
+
+/// Goes through all orders, and returns their number and the first fault found.
+fn check(scenario: &Scenario) -> (usize, Option<String>) {
+    let mut choices = Choices::default();
+    let reqs = Requests { raced: request("k", "", 0), other: request("other", "", 90) };
+    let mut orders = 0;
+    loop {
+        orders += 1;
+        if let Some(wrong) = run(scenario, &mut choices, &reqs) {
+            return (orders, Some(wrong));
+        }
+        if !choices.advance() {
+            return (orders, None);
+        }
+    }
+}
+
+fn assert_sound(scenario: &Scenario) {
+    let (orders, wrong) = check(scenario);
+
+    assert_eq!(wrong, None, "after {orders} orders");
+    assert!(orders > 1_000, "only {orders} orders");
+}
+
+#[test]
+fn verify_two_instances_that_race_run_a_request_once() {
+    assert_sound(&PLAIN);
+}
+
+#[test]
+fn verify_a_refused_request_runs_once_at_the_other() {
+    assert_sound(&Scenario { first_refused: true, ..PLAIN });
+}
+
+#[test]
+fn verify_a_released_key_is_taken_over_once() {
+    assert_sound(&Scenario { released_before: true, max_switches: 2, ..PLAIN });
+}
+
+#[test]
+fn verify_a_released_key_is_taken_over_once_during_a_sweep() {
+    let scenario = Scenario { released_before: true, sweeps: true, ..PLAIN };
+    assert_sound(&Scenario { max_faults: 0, max_switches: 4, ..scenario });
+}
+
+#[test]
+fn verify_the_check_catches_a_dispatch_without_a_known_claim() {
+    let broken = Scenario { rule: Rule::ClaimSent, ..PLAIN };
+
+    let (_, wrong) = check(&broken);
+
+    assert!(wrong.is_some_and(|wrong| wrong.starts_with("ran 2 times")));
+}
