--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -1,2 +1,9 @@
 //! The local demonstration and the bench.
+//!
+//! Each subcommand of `anvilhook-bench` is one module with an `Args` struct and a `run` function.
 #![forbid(unsafe_code)]
+
+pub mod callers;
+pub mod local;
+pub mod proxy;
+pub mod sites;
