Split the claims' tests by what they attack

A digest made elsewhere can be taken over, and claim has an example. Conclusion: each file can be read alone.

--- a/crates/anvilhook-store/src/claims/keys.rs
+++ b/crates/anvilhook-store/src/claims/keys.rs
@@ -65,6 +65,13 @@
     }
 }
 
+impl From<[u8; 32]> for BodyDigest {
+    /// Takes over a SHA-256 digest that was made elsewhere.
+    fn from(digest: [u8; 32]) -> Self {
+        Self(Arc::from(hex(digest)))
+    }
+}
+
 impl fmt::Display for BodyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/crates/anvilhook-store/src/claims/mod.rs
+++ b/crates/anvilhook-store/src/claims/mod.rs
@@ -128,6 +128,38 @@
     }
 
     /// Claims a key before its request is dispatched.
+    ///
+    /// ```
+    /// use anvilhook_core::attempts::AttemptId;
+    /// use anvilhook_core::names::{AccountName, InstanceName, ServiceName};
+    /// use anvilhook_core::units::{ManualClock, Millis, WallTime};
+    /// use anvilhook_standin::platform::{LocalPlatform, PlatformOptions};
+    /// use anvilhook_store::claims::{
+    ///     BodyDigest, ClaimKey, ClaimOptions, ClaimOutcome, ClaimRequest, Claims,
+    /// };
+    ///
+    /// # let rt = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    /// # rt.block_on(async {
+    /// let clock = ManualClock::new();
+    /// let table = LocalPlatform::new(clock.clone(), PlatformOptions::default());
+    /// let instance = InstanceName::try_new("entry-1").unwrap();
+    /// let claims = Claims::new(table, clock, instance, ClaimOptions::default());
+    /// let account = AccountName::try_new("papadakis").unwrap();
+    /// let service = ServiceName::try_new("chef-alerts").unwrap();
+    /// let mut req = ClaimRequest {
+    ///     key: ClaimKey::new(&account, &service, "fridge 7, 06:40"),
+    ///     body: BodyDigest::of(&[b"POST", b"/alerts", b"{}"]),
+    ///     attempt: AttemptId(1),
+    ///     claimed_at: WallTime(0),
+    ///     deadline: Millis::MAX,
+    /// };
+    ///
+    /// assert!(matches!(claims.claim(&req).await, ClaimOutcome::Won(_)));
+    /// // A repeat has an attempt of its own.
+    /// req.attempt = AttemptId(2);
+    /// assert!(matches!(claims.claim(&req).await, ClaimOutcome::MayHaveRun(_)));
+    /// # });
+    /// ```
     pub async fn claim(&self, req: &ClaimRequest) -> ClaimOutcome {
         let mut before = Expected::Absent;
         // Each round but the last ends because another instance changed the row meanwhile.
--- a/crates/anvilhook-store/tests/claims_fixtures/mod.rs
+++ b/crates/anvilhook-store/tests/claims/fixtures.rs
@@ -7,9 +7,10 @@
 use anvilhook_core::attempts::AttemptId;
 use anvilhook_core::names::{AccountName, InstanceName, ServiceName};
 use anvilhook_core::units::{ManualClock, Millis, WallTime};
-use anvilhook_platform::Table;
+use anvilhook_platform::{RowKey, Table, Transaction, Write};
+use anvilhook_standin::platform::{LocalPlatform, PlatformOptions};
 use anvilhook_store::claims::{
-    BodyDigest, ClaimKey, ClaimOptions, ClaimOutcome, ClaimRequest, Claims, StoredBody,
+    BodyDigest, ClaimKey, ClaimOptions, ClaimOutcome, ClaimRequest, Claims, HeldClaim, StoredBody,
     StoredOutcome,
 };
 
@@ -91,3 +92,53 @@
         ClaimOutcome::Refused { .. } => Heard::NotRun,
     }
 }
+
+/// The claims of an instance that reaches the platform within the process.
+pub type LocalClaims = Claims<LocalPlatform<ManualClock>, ManualClock>;
+
+/// A platform and the number of instances that came to it.
+pub struct Site {
+    pub clock: ManualClock,
+    pub platform: LocalPlatform<ManualClock>,
+    instances: usize,
+}
+
+impl Site {
+    pub fn new() -> Self {
+        let clock = ManualClock::new();
+        let platform = LocalPlatform::new(clock.clone(), PlatformOptions::default());
+        Self { clock, platform, instances: 0 }
+    }
+
+    /// Starts an instance, which has its own view of the platform.
+    pub fn instance(&mut self) -> (LocalClaims, LocalPlatform<ManualClock>) {
+        self.instances += 1;
+        let view = self.platform.for_caller(&format!("entry-{}", self.instances));
+        (claims(view.clone(), &self.clock, self.instances, ClaimOptions::default()), view)
+    }
+
+    /// Begins epochs as instances do once the time has passed.
+    pub async fn begin_epochs(&self, count: usize) {
+        let write = Write::Put { key: RowKey::new("claim-epoch"), value: "{}".to_owned() };
+        let txn = Transaction { conditions: vec![], writes: vec![write] };
+        for _ in 0..count {
+            self.platform.commit(&txn).await.unwrap();
+        }
+    }
+}
+
+/// Returns a claim that must have been won.
+pub fn won(outcome: ClaimOutcome) -> HeldClaim {
+    match outcome {
+        ClaimOutcome::Won(held) => held,
+        other => panic!("not won: {other:?}"),
+    }
+}
+
+/// Returns a claim that must have been left in doubt.
+pub fn doubtful(outcome: ClaimOutcome) -> HeldClaim {
+    match outcome {
+        ClaimOutcome::Refused { doubtful: Some(held), .. } => held,
+        other => panic!("not doubtful: {other:?}"),
+    }
+}
--- a/crates/anvilhook-store/tests/claims_interleavings.rs
+++ b/crates/anvilhook-store/tests/claims/interleavings.rs
@@ -4,21 +4,15 @@
 //! A run is replayed from its start for each order: the steps are the calls of the table and the
 //! dispatch, and a choice is which instance goes on and with what fault.
 
-mod claims_fixtures;
-
-use std::future::poll_fn;
-use std::pin::Pin;
-use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll, Waker};
-
 use anvilhook_core::Verdict;
 use anvilhook_core::attempts::AttemptId;
 use anvilhook_core::units::ManualClock;
-use anvilhook_platform::{Commit, Condition, Result, Row, RowKey, Table, Transaction, Write};
+use anvilhook_platform::{Condition, RowKey, Table, Transaction, Write};
 use anvilhook_standin::platform::{LocalPlatform, Loss, PlatformOptions};
 use anvilhook_store::claims::{ClaimOptions, ClaimOutcome, ClaimRequest, Claims, Sweeper};
 
-use claims_fixtures::{Heard, Upstream, claims, heard, outcome, request};
+use crate::fixtures::{Heard, Upstream, claims, heard, outcome, request};
+use crate::gates::{Choices, Gated, Move, Racer, Served, Step, now_or_never};
 
 /// When an instance dispatches.
 #[derive(Clone, Copy, Eq, PartialEq)]
@@ -52,70 +46,6 @@
     max_switches: usize::MAX,
 };
 
-/// `Step` is what a waiting instance is about to do.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Step {
-    Read,
-    Commit,
-    Dispatch,
-}
-
-/// `Gate` holds one instance at each of its steps.
-#[derive(Debug, Default)]
-struct Gate {
-    open: bool,
-    waiting: Option<Step>,
-    permit: Option<Option<Loss>>,
-}
-
-#[derive(Clone, Debug)]
-struct Gated {
-    inner: LocalPlatform<ManualClock>,
-    gate: Arc<Mutex<Gate>>,
-}
-
-impl Gated {
-    fn new(platform: &LocalPlatform<ManualClock>) -> Self {
-        let gate = Gate { open: true, ..Gate::default() };
-        Self { inner: platform.for_caller("racer"), gate: Arc::new(Mutex::new(gate)) }
-    }
-
-    async fn pass(&self, step: Step) {
-        let loss = poll_fn(|_| {
-            let mut gate = self.gate.lock().unwrap();
-            gate.waiting = Some(step);
-            match gate.permit.take() {
-                None if !gate.open => Poll::Pending,
-                permit => Poll::Ready(permit.flatten()),
-            }
-        })
-        .await;
-        if let Some(loss) = loss {
-            self.inner.faults().lose_next_writes(1, loss);
-        }
-    }
-}
-
-impl Table for Gated {
-    async fn read(&self, key: &RowKey) -> Result<Option<Row>> {
-        self.pass(Step::Read).await;
-        self.inner.read(key).await
-    }
-
-    async fn scan(&self, prefix: &str, after: Option<&RowKey>, limit: usize) -> Result<Vec<Row>> {
-        self.pass(Step::Read).await;
-        self.inner.scan(prefix, after, limit).await
-    }
-
-    async fn commit(&self, txn: &Transaction) -> Result<Commit> {
-        self.pass(Step::Commit).await;
-        self.inner.commit(txn).await
-    }
-}
-
-/// What an instance's caller hears, and how often that instance dispatched.
-type Served = (Heard, usize);
-
 async fn serve(
     claims: Claims<Gated, ManualClock>,
     table: Gated,
@@ -156,100 +86,6 @@
     let _ = table.commit(&Transaction { conditions, writes }).await;
 }
 
-/// Runs a future that waits for nothing.
-fn now_or_never<F: Future>(future: F) -> F::Output {
-    match std::pin::pin!(future).poll(&mut Context::from_waker(Waker::noop())) {
-        Poll::Ready(output) => output,
-        Poll::Pending => panic!("the future waits"),
-    }
-}
-
-/// `Choices` goes through all sequences of choices, depth first.
-#[derive(Default)]
-struct Choices {
-    taken: Vec<(usize, usize)>,
-    next: usize,
-}
-
-impl Choices {
-    fn choose(&mut self, count: usize) -> usize {
-        if self.next == self.taken.len() {
-            self.taken.push((0, count));
-        }
-        let (chosen, of) = self.taken[self.next];
-        assert_eq!(of, count, "a replayed run must offer the same choices");
-        self.next += 1;
-        chosen
-    }
-
-    /// Goes on to the next sequence, if there is one.
-    fn advance(&mut self) -> bool {
-        self.next = 0;
-        while let Some((chosen, count)) = self.taken.pop() {
-            if chosen + 1 < count {
-                self.taken.push((chosen + 1, count));
-                return true;
-            }
-        }
-        false
-    }
-}
-
-/// `Move` is one choice.
-#[derive(Clone, Copy, Debug)]
-enum Move {
-    Go { racer: usize, loss: Option<Loss> },
-    Kill { racer: usize },
-    LandLateWrites,
-}
-
-struct Racer {
-    gate: Arc<Mutex<Gate>>,
-    /// None once it is killed.
-    future: Option<Pin<Box<dyn Future<Output = Served>>>>,
-    served: Option<Served>,
-}
-
-impl Racer {
-    fn new(table: &Gated, future: impl Future<Output = Served> + 'static) -> Self {
-        table.gate.lock().unwrap().open = false;
-        let mut racer =
-            Self { gate: table.gate.clone(), future: Some(Box::pin(future)), served: None };
-        racer.poll();
-        racer
-    }
-
-    /// Lets it run up to its next step.
-    fn poll(&mut self) {
-        let mut cx = Context::from_waker(Waker::noop());
-        let Some(future) = &mut self.future else { return };
-        if let Poll::Ready(served) = future.as_mut().poll(&mut cx) {
-            self.served = Some(served);
-            self.future = None;
-        }
-    }
-
-    fn go(&mut self, loss: Option<Loss>) {
-        self.gate.lock().unwrap().permit = Some(loss);
-        self.poll();
-    }
-
-    fn moves(&self, racer: usize, may_fail: bool, moves: &mut Vec<Move>) {
-        if self.future.is_none() {
-            return;
-        }
-        moves.push(Move::Go { racer, loss: None });
-        if !may_fail {
-            return;
-        }
-        moves.push(Move::Kill { racer });
-        if self.gate.lock().unwrap().waiting == Some(Step::Commit) {
-            let losses = [Loss::BeforeEffect, Loss::AfterEffect, Loss::LateEffect];
-            moves.extend(losses.map(|loss| Move::Go { racer, loss: Some(loss) }));
-        }
-    }
-}
-
 /// `Requests` are digested once for all orders.
 struct Requests {
     raced: ClaimRequest,
--- /dev/null
+++ b/crates/anvilhook-store/tests/claims/main.rs
@@ -0,0 +1,7 @@
+//! Claims: at most once across instances, under faults, in every order of steps and over time.
+
+mod faults;
+mod fixtures;
+mod gates;
+mod interleavings;
+mod sweeps;
