Share one way through the claims among all sweeping instances

Cause: a cursor of each instance's own makes each of them scan the whole table, and a restart begins anew; a body of 64 KiB in each of 200 rows made a batch of tens of megabytes.

--- a/crates/anvilhook-store/src/claims/keys.rs
+++ b/crates/anvilhook-store/src/claims/keys.rs
@@ -78,6 +78,7 @@
     }
 }
 
-fn hex(bytes: impl AsRef<[u8]>) -> String {
+/// Writes bytes as hexadecimal digits.
+pub(super) fn hex(bytes: impl AsRef<[u8]>) -> String {
     bytes.as_ref().iter().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/anvilhook-store/src/claims/rows.rs
+++ b/crates/anvilhook-store/src/claims/rows.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::keys::BodyDigest;
+use super::keys::{BodyDigest, hex};
 
 /// `Claim` is a claim as it stands in the table.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -68,8 +68,8 @@
     },
     /// A body that is not text.
     Binary {
-        /// Its bytes.
-        bytes: Vec<u8>,
+        /// Its bytes, in hexadecimal digits.
+        digits: String,
     },
     /// A body too large to keep. The request ran, and its answer cannot be given again.
     TooLarge {
@@ -80,10 +80,18 @@
 
 impl StoredBody {
     /// Returns the bytes, unless they were not kept.
+    ///
+    /// ```
+    /// use anvilhook_store::claims::StoredBody;
+    ///
+    /// let bytes = [0xff, 0x00, 0x7f].as_slice();
+    /// assert_eq!(StoredBody::from(bytes).bytes().unwrap(), bytes);
+    /// assert_eq!(StoredBody::TooLarge { len: 3 }.bytes(), None);
+    /// ```
     pub fn bytes(&self) -> Option<Bytes> {
         match self {
             StoredBody::Text { text } => Some(Bytes::copy_from_slice(text.as_bytes())),
-            StoredBody::Binary { bytes } => Some(Bytes::copy_from_slice(bytes)),
+            StoredBody::Binary { digits } => unhex(digits),
             StoredBody::TooLarge { .. } => None,
         }
     }
@@ -92,7 +100,7 @@
     pub fn len(&self) -> usize {
         match self {
             StoredBody::Text { text } => text.len(),
-            StoredBody::Binary { bytes } => bytes.len(),
+            StoredBody::Binary { digits } => digits.len() / 2,
             StoredBody::TooLarge { len } => *len,
         }
     }
@@ -107,7 +115,7 @@
     fn from(bytes: &[u8]) -> Self {
         match std::str::from_utf8(bytes) {
             Ok(text) => StoredBody::Text { text: text.to_owned() },
-            Err(_) => StoredBody::Binary { bytes: bytes.to_vec() },
+            Err(_) => StoredBody::Binary { digits: hex(bytes) },
         }
     }
 }
@@ -134,3 +142,10 @@
             .map_err(|err| Error::Unavailable { message: format!("cannot encode a claim: {err}") })
     }
 }
+
+/// Returns the bytes of hexadecimal digits, if they are such.
+fn unhex(digits: &str) -> Option<Bytes> {
+    let pairs = digits.as_bytes().chunks(2);
+    let bytes = pairs.map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok());
+    bytes.collect::<Option<Vec<u8>>>().map(Bytes::from)
+}
--- a/crates/anvilhook-store/src/claims/sweeps.rs
+++ b/crates/anvilhook-store/src/claims/sweeps.rs
@@ -1,8 +1,15 @@
 //! Sweeps: the deletion of expired claims in bounded batches.
+//!
+//! All instances share one way through the claims: how far it has come is a row of the table, which
+//! every batch moves on. So any instance can sweep at any time, and what the fleet spends on it is
+//! what its instances' pauses add up to, not a round of the table for each of them.
 
 use anvilhook_core::names::InstanceName;
 use anvilhook_core::units::Clock;
-use anvilhook_platform::{Commit, Condition, Result, Row, RowKey, Table, Transaction, Write};
+use anvilhook_platform::{
+    Commit, Condition, Error, Result, Row, RowKey, Table, Transaction, Write,
+};
+use serde::{Deserialize, Serialize};
 
 use super::Claims;
 use super::epochs::EpochWatch;
@@ -12,15 +19,27 @@
 /// The row that every deletion of claims writes, so that no two deletions overlap.
 const SWEEP_ROW: &str = "claim-sweep";
 
-/// `Sweeper` is one instance's way through the claims. One sweeping instance is enough; several do
-/// no harm and cost reads.
+/// `Sweeper` is what one instance remembers between its sweeps.
 #[derive(Debug, Default)]
 pub struct Sweeper {
     watch: EpochWatch,
+}
+
+/// `SweepState` is the sweep's row.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct SweepState {
     /// The last row of the last batch; none at the start of a round.
     cursor: Option<RowKey>,
 }
 
+/// `SweepGuard` is the sweep's row as it was read.
+struct SweepGuard {
+    /// That no claim has been deleted since the row was read.
+    condition: Condition,
+    state: SweepState,
+}
+
 /// `SweepReport` is what one sweep did.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct SweepReport {
@@ -31,7 +50,7 @@
     /// The rows that would have expired, but whose request may still be in flight: they have no
     /// outcome, and their instance is not known to be gone for good.
     pub kept_in_flight: usize,
-    /// Whether it came to the end of the claims, so that the next begins anew.
+    /// Whether it came to the end of the claims, so that the next sweep begins anew.
     pub round_done: bool,
 }
 
@@ -44,7 +63,7 @@
     ///
     /// # Errors
     ///
-    /// The table's error. The next call looks at the same batch again.
+    /// The table's error. If the batch was not deleted, the next sweep looks at it again.
     pub async fn sweep(
         &self,
         sweeper: &mut Sweeper,
@@ -56,15 +75,37 @@
         // The sweep's row is read before the claims, so that a deletion between the two is noticed.
         let guard = self.sweep_guard().await?;
         let limit = self.options.sweep_rows;
-        let rows = self.table.scan(CLAIMS_PREFIX, sweeper.cursor.as_ref(), limit).await?;
+        let cursor = guard.state.cursor.clone();
+        let rows = self.table.scan(CLAIMS_PREFIX, cursor.as_ref(), limit).await?;
         let mut report = SweepReport {
             seen: rows.len(),
             round_done: rows.len() < limit,
             ..SweepReport::default()
         };
+        let expired = self.choose_expired(&rows, is_gone, &mut report);
 
+        let next = rows.last().filter(|_| !report.round_done).map(|row| row.key.clone());
+        if expired.is_empty() && next == cursor {
+            // All claims fit into one batch and none has expired: there is nothing to write.
+            return Ok(report);
+        }
+        match self.delete(guard.condition, SweepState { cursor: next }, &expired).await? {
+            Commit::Done => report.deleted = expired.len(),
+            // Another instance swept meanwhile, or a row has changed; the next sweep sees it.
+            Commit::Conflict { .. } => (),
+        }
+        Ok(report)
+    }
+
+    /// Chooses the rows that may be deleted, and counts those that may still be in flight.
+    fn choose_expired<'a>(
+        &self,
+        rows: &'a [Row],
+        is_gone: impl Fn(&InstanceName) -> bool,
+        report: &mut SweepReport,
+    ) -> Vec<&'a Row> {
         let mut expired = Vec::new();
-        for row in &rows {
+        for row in rows {
             // A row that cannot be read is kept: it may stand for a request in flight.
             let Ok(claim) = Claim::decode(row) else { continue };
             if !self.epochs.is_expired(claim.epoch) {
@@ -76,12 +117,7 @@
             }
             expired.push(row);
         }
-        if !expired.is_empty() && self.delete(guard, &expired).await? == Commit::Done {
-            report.deleted = expired.len();
-        }
-
-        sweeper.cursor = rows.last().filter(|_| !report.round_done).map(|row| row.key.clone());
-        Ok(report)
+        expired
     }
 
     /// Deletes one expired row whose key is free.
@@ -89,26 +125,30 @@
         // The row is read again after the guard, because the guard only covers what is read later.
         let guard = self.sweep_guard().await?;
         if self.table.read(&row.key).await?.as_ref() == Some(row) {
-            self.delete(guard, &[row]).await?;
+            self.delete(guard.condition, guard.state, &[row]).await?;
         }
         Ok(())
     }
 
-    /// Returns the condition that no claim has been deleted since now.
-    async fn sweep_guard(&self) -> Result<Condition> {
+    async fn sweep_guard(&self) -> Result<SweepGuard> {
         let key = RowKey::new(SWEEP_ROW);
-        Ok(match self.table.read(&key).await? {
-            None => Condition::Absent { key },
-            Some(row) => Condition::AtVersion { key, version: row.version },
-        })
+        let Some(row) = self.table.read(&key).await? else {
+            let state = SweepState::default();
+            return Ok(SweepGuard { condition: Condition::Absent { key }, state });
+        };
+        let state = serde_json::from_str(&row.value)
+            .map_err(|err| Error::BadAnswer { message: format!("row {key}: {err}") })?;
+        Ok(SweepGuard { condition: Condition::AtVersion { key, version: row.version }, state })
     }
 
-    /// Deletes rows as they were read, if none was deleted since `guard` was taken.
+    /// Deletes rows as they were read, if none was deleted since the guard was taken.
     ///
     /// Without the guard a deletion that lands late could meet a new claim whose row has come to
     /// the same version, and a repeat of that claim's request would run twice.
-    async fn delete(&self, guard: Condition, rows: &[&Row]) -> Result<Commit> {
-        let sweep = Write::Put { key: RowKey::new(SWEEP_ROW), value: "{}".to_owned() };
+    async fn delete(&self, guard: Condition, state: SweepState, rows: &[&Row]) -> Result<Commit> {
+        let value = serde_json::to_string(&state)
+            .map_err(|err| Error::Unavailable { message: format!("cannot encode: {err}") })?;
+        let sweep = Write::Put { key: RowKey::new(SWEEP_ROW), value };
         let mut txn = Transaction { conditions: vec![guard], writes: vec![sweep] };
         for row in rows {
             let (key, version) = (row.key.clone(), row.version);
