Race instances for claims over HTTP while answers are lost

Cause: the orders of steps were checked within the process only; the binding and real concurrency were not. Change: three instances race for 40 keys over their own servers, each with a pattern of lost and late answers.

--- a/crates/anvilhook-store/tests/claims/main.rs
+++ b/crates/anvilhook-store/tests/claims/main.rs
@@ -4,4 +4,5 @@
 mod fixtures;
 mod gates;
 mod interleavings;
+mod over_http;
 mod sweeps;
