Take the platform's list for who is gone when claims are swept

Cause: a claim without an outcome may only go when its instance can never run again. Change: sweep_listed reads the platform's list; without it nobody counts as gone.

--- a/crates/anvilhook-store/src/claims/sweeps.rs
+++ b/crates/anvilhook-store/src/claims/sweeps.rs
@@ -4,10 +4,13 @@
 //! every batch moves on. So any instance can sweep at any time, and what the fleet spends on it is
 //! what its instances' pauses add up to, not a round of the table for each of them.
 
+use std::collections::HashSet;
+
 use anvilhook_core::names::InstanceName;
 use anvilhook_core::units::Clock;
 use anvilhook_platform::{
-    Commit, Condition, Error, Result, Row, RowKey, Table, Transaction, Write,
+    Commit, Condition, Error, InstanceList, ListedState, Result, Row, RowKey, Table, Transaction,
+    Write,
 };
 use serde::{Deserialize, Serialize};
 
@@ -97,6 +100,25 @@
         Ok(report)
     }
 
+    /// Sweeps, and takes the platform's list for its word on who is gone for good.
+    ///
+    /// Without the list nobody is known to be gone, and claims without an outcome are kept.
+    ///
+    /// # Errors
+    ///
+    /// Those of `sweep`.
+    pub async fn sweep_listed<L: InstanceList>(
+        &self,
+        sweeper: &mut Sweeper,
+        list: &L,
+    ) -> Result<SweepReport> {
+        let lines = list.list().await.unwrap_or_default();
+        let gone = lines.into_iter().filter(|line| line.state == ListedState::Gone);
+        // Instances and upstreams share one space of names in the list.
+        let gone: HashSet<String> = gone.map(|line| line.name.to_string()).collect();
+        self.sweep(sweeper, |name| gone.contains(name.as_str())).await
+    }
+
     /// Chooses the rows that may be deleted, and counts those that may still be in flight.
     fn choose_expired<'a>(
         &self,
--- a/crates/anvilhook-store/tests/claims/sweeps.rs
+++ b/crates/anvilhook-store/tests/claims/sweeps.rs
@@ -1,7 +1,9 @@
 //! Epochs and sweeps: how long claims are kept, and that late writes meet no newer claim.
 
+use anvilhook_core::names::{UpstreamName, ZoneName};
 use anvilhook_core::units::Millis;
-use anvilhook_standin::platform::Loss;
+use anvilhook_platform::{ListedInstance, ListedState};
+use anvilhook_standin::platform::{Loss, Reach, Service};
 use anvilhook_store::claims::{ClaimOptions, ClaimOutcome, Sweeper};
 
 use crate::fixtures::{Heard, Site, doubtful, heard, outcome, request, won};
@@ -41,7 +43,7 @@
 #[tokio::test]
 async fn verify_sweeps_delete_only_what_is_settled_and_old() {
     let mut site = Site::new();
-    let (claims, _) = site.instance();
+    let (claims, view) = site.instance();
     let mut sweeper = Sweeper::default();
     let recorded = won(claims.claim(&request("recorded", "", 1)).await);
     claims.record(&recorded, outcome(b"{}")).await.unwrap();
@@ -54,10 +56,23 @@
     let early = claims.sweep(&mut sweeper, |_| true).await.unwrap();
     site.begin_epochs(1).await;
     let in_time = claims.sweep(&mut sweeper, |_| false).await.unwrap();
-    let gone = claims.sweep(&mut sweeper, |name| name.as_str() == "entry-1").await.unwrap();
+    let listed = |state| ListedInstance {
+        name: UpstreamName::try_new("entry-1").unwrap(),
+        address: "127.0.0.1:7000".parse().unwrap(),
+        zone: ZoneName::try_new("piraeus").unwrap(),
+        state,
+    };
+    site.platform.enter_instance(listed(ListedState::Leaving));
+    let leaving = claims.sweep_listed(&mut sweeper, &view).await.unwrap();
+    site.platform.enter_instance(listed(ListedState::Gone));
+    view.faults().set_reach_of(Service::Instances, Reach::Refusing);
+    let unlisted = claims.sweep_listed(&mut sweeper, &view).await.unwrap();
+    view.faults().heal();
+    let gone = claims.sweep_listed(&mut sweeper, &view).await.unwrap();
 
     assert_eq!((early.seen, early.deleted), (3, 0));
     assert_eq!((in_time.deleted, in_time.kept_in_flight), (2, 1));
+    assert_eq!((leaving.kept_in_flight, unlisted.kept_in_flight), (1, 1));
     assert_eq!((gone.seen, gone.deleted, gone.kept_in_flight), (1, 1, 0));
     assert!(site.platform.rows("claims/").is_empty());
 }
