--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -9,6 +9,7 @@
 mod pollers;
 mod signals;
 mod starts;
+mod sweeps;
 mod tasks;
 
 pub use errors::StartError;
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -8,6 +8,7 @@
 use anvilhook_http::{Phase, Shutdown, serve};
 use anvilhook_peer::{PeerHandle, PeerKey, PeerLink, PeerOptions};
 use anvilhook_platform::HttpPlatform;
+use anvilhook_store::claims::{ClaimOptions, Claims};
 use anvilhook_store::{
     ArchiveOptions, AuditArchive, ConfigurationFollower, ConfigurationStore, InstanceDirectory,
     StoreOptions,
@@ -26,6 +27,7 @@
 use super::marks::Marks;
 use super::peers::Presence;
 use super::pollers::Pollers;
+use super::sweeps::sweep_claims;
 use super::tasks::Tasks;
 use crate::front::{Front, FrontMetrics, FrontOptions, FrontParts};
 use crate::names::running_name;
@@ -234,8 +236,12 @@
         tasks.spawn_until("peers", until, finding);
         let exchanging = presence.clone().exchange_configurations();
         tasks.spawn_until("peers' configurations", until, exchanging);
-        let forgetting = presence.clone().forget_gone(platform, pause);
+        let forgetting = presence.clone().forget_gone(platform.clone(), pause);
         tasks.spawn_until("gone instances", until, forgetting);
+        let (clock, name) = (self.clock.clone(), self.name.clone());
+        let claims = Claims::new(platform.clone(), clock, name, ClaimOptions::default());
+        let sweeping = sweep_claims(claims, platform, self.instances.subscribe());
+        tasks.spawn_until("sweep of claims", until, sweeping);
     }
 
     fn operator_router(&self) -> Router {
