Close the connection of a dropped stream, and bound a test's wait

Cause: the stand-in's second handle kept the connection of a cancelled stream open, so its reader saw silence; a test waited without a bound. Change: the feed closes the connection; the test's read has a timeout. Scratch edits of before-run faults, of the reset and of silence each turn the tests red. Conclusion: a dropped attempt ends its connection at once.

--- a/crates/anvilhook-standin/src/engines/serving/feeds.rs
+++ b/crates/anvilhook-standin/src/engines/serving/feeds.rs
@@ -107,7 +107,11 @@
                 let without = self.plan.is_some_and(|plan| plan.fault == Fault::NoClosingEvent);
                 (!without).then(|| Ok(Event::new().data(DONE)))
             }
-            _ => Some(Err(BoxError::from("the attempt was dropped"))),
+            _ => {
+                // The server drops its handle on the connection; the second one must go as well.
+                self.connection.close();
+                Some(Err(BoxError::from("the attempt was dropped")))
+            }
         }
     }
 
--- a/crates/anvilhook-standin/src/faults/answers.rs
+++ b/crates/anvilhook-standin/src/faults/answers.rs
@@ -67,7 +67,6 @@
 
     /// Lets a request pass that is to run, and returns the answer of one that is not.
     pub async fn before_run(&self) -> Option<Response<Body>> {
-        self.connection.pass().await;
         let plan = self.plan.filter(|plan| plan.when == When::BeforeRun)?;
         self.before_first_byte(plan.fault).await
     }
--- a/crates/anvilhook-standin/tests/faults.rs
+++ b/crates/anvilhook-standin/tests/faults.rs
@@ -160,7 +160,9 @@
     let head = format!("POST /alerts HTTP/1.1\r\nhost: standin\r\n{ATTEMPT_HEADER}: {A}\r\n");
     let req = format!("{head}content-length: 0\r\n\r\n");
     socket.write_all(req.as_bytes()).await.expect("the socket takes it");
-    socket.read_to_end(&mut Vec::new()).await.map_err(|err| err.kind())
+    let mut buf = Vec::new();
+    let reading = tokio::time::timeout(PATIENCE.as_duration(), socket.read_to_end(&mut buf)).await;
+    reading.map_err(|_elapsed| ErrorKind::TimedOut)?.map_err(|err| err.kind())
 }
 
 #[tokio::test]
