--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -4,12 +4,21 @@
 //! seeded generator are passed in, so that every decision can be replayed in a test.
 #![forbid(unsafe_code)]
 
+pub mod admission;
 pub mod attempts;
+pub mod authority;
+pub mod caches;
+pub mod drains;
+pub mod ejections;
 pub mod errors;
+pub mod leases;
+pub mod limits;
+pub mod membership;
 pub mod names;
 pub mod orders;
 pub mod reports;
 pub mod resources;
+pub mod retries;
 pub mod routing;
 pub mod units;
 pub mod verdict;
--- a/crates/anvilhook-core/src/resources/mod.rs
+++ b/crates/anvilhook-core/src/resources/mod.rs
@@ -1,6 +1,9 @@
 //! What operators declare: the kinds of resources, and the configuration they add up to.
 
 mod accounts;
+mod audits;
+mod changes;
+mod checks;
 mod conditions;
 mod configurations;
 mod drain_plans;
@@ -8,10 +11,13 @@
 mod engines;
 mod kinds;
 mod model_versions;
+mod references;
 mod roles;
 mod services;
 
 pub use accounts::AccountSpec;
+pub use audits::AuditEntry;
+pub use changes::{Action, Change, Expected};
 pub use conditions::{Condition, ConditionState};
 pub use configurations::Configuration;
 pub use drain_plans::{DrainPlanSpec, DrainTarget};
--- /dev/null
+++ b/crates/anvilhook-peer/src/gossip/nodes.rs
@@ -0,0 +1,319 @@
+//! What one instance tells its partners, and when.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use anvilhook_core::names::InstanceName;
+use anvilhook_core::resources::Configuration;
+use anvilhook_core::units::{Millis, Revision};
+
+use super::boards::Heard;
+use super::budgets::{hops_within, reach, spacing};
+use super::configurations::ConfigurationShelf;
+use super::knowledge::{Knowledge, News};
+use super::messages::{LinkId, Message, Transfer, Transport, Update};
+use super::options::GossipOptions;
+use super::partner_states::Partner;
+use super::sections::{AckSection, DemandSection, LoadSection, Section};
+use crate::errors::{Error, Result};
+
+/// `GossipNode` is one instance's part in the gossip.
+#[derive(Debug)]
+pub struct GossipNode {
+    me: InstanceName,
+    options: GossipOptions,
+    knowledge: Knowledge,
+    shelf: ConfigurationShelf,
+    partners: BTreeMap<LinkId, Partner>,
+    // Own sections that wait for their time, and when the last ones were written.
+    next_load: Option<LoadSection>,
+    load_written_at: Option<Millis>,
+    next_demand: Option<DemandSection>,
+    demand_written_at: Option<Millis>,
+    // The pull under way.
+    pull: Option<(LinkId, Millis)>,
+    last_seq: u64,
+    news: News,
+}
+
+impl GossipNode {
+    /// Makes a node that knows nothing.
+    pub fn new(me: InstanceName, options: GossipOptions) -> Self {
+        Self {
+            me,
+            options,
+            knowledge: Knowledge::new(&options),
+            shelf: ConfigurationShelf::default(),
+            partners: BTreeMap::new(),
+            next_load: None,
+            load_written_at: None,
+            next_demand: None,
+            demand_written_at: None,
+            pull: None,
+            last_seq: 0,
+            news: News::default(),
+        }
+    }
+
+    /// Sets the announced instances.
+    pub fn set_announced(&mut self, announced: BTreeSet<InstanceName>) {
+        self.knowledge.announced = announced;
+    }
+
+    /// Takes a configuration of the instance's own, if it is newer.
+    pub fn offer_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
+        let newer = self.shelf.offer(configuration);
+        if newer {
+            self.mark_urgent();
+        }
+        newer
+    }
+
+    /// Replaces the own acknowledgements.
+    pub fn write_acks(&mut self, mut section: AckSection, now: Millis) {
+        section.truncate(self.options.max_acks);
+        self.knowledge.acks.write(&self.me, section, now);
+        self.mark_urgent();
+    }
+
+    /// Replaces the own load section as soon as the budget allows.
+    pub fn write_load(&mut self, mut section: LoadSection) {
+        section.truncate(self.options.max_engines);
+        self.next_load = Some(section);
+    }
+
+    /// Replaces the own demand section as soon as the budget allows.
+    pub fn write_demand(&mut self, mut section: DemandSection) {
+        section.truncate(self.options.max_accounts);
+        self.next_demand = Some(section);
+    }
+
+    /// Takes up a link.
+    pub fn connect(&mut self, link: LinkId) {
+        self.partners.insert(link, Partner::new());
+    }
+
+    /// Gives up a link.
+    pub fn disconnect(&mut self, link: LinkId) {
+        self.partners.remove(&link);
+        if self.pull.is_some_and(|(pulled, _)| pulled == link) {
+            self.pull = None;
+        }
+    }
+
+    /// Answers a partner who holds revision `have`; nothing if it holds as much.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Codec` if the configuration cannot be encoded.
+    pub fn answer_pull(&mut self, have: Revision) -> Result<Option<Transfer>> {
+        self.shelf.answer(have)
+    }
+
+    /// Takes a message from a partner.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Codec` if a transfer makes no sense: the link should be closed.
+    pub fn receive(
+        &mut self,
+        link: LinkId,
+        message: Message,
+        now: Millis,
+        transport: &mut impl Transport,
+    ) -> Result<()> {
+        match message {
+            Message::Update { seq, update } => {
+                self.merge(link, &update, now);
+                transport.send(link, Message::Confirm { seq });
+            }
+            Message::Confirm { seq } => self.confirm(link, seq),
+            Message::Pull { have } => {
+                if let Some(transfer) = self.answer_pull(have)? {
+                    transport.send(link, Message::Transfer(transfer));
+                }
+            }
+            Message::Transfer(transfer) => self.take_transfer(link, &transfer, now, transport)?,
+        }
+        self.tick(now, transport);
+        Ok(())
+    }
+
+    /// Sends what is due.
+    pub fn tick(&mut self, now: Millis, transport: &mut impl Transport) {
+        self.knowledge.expire(now, &mut self.news);
+        self.write_due_load(now);
+        self.write_due_demand(now);
+        self.pull_newest(now, transport);
+        let links: Vec<LinkId> = self.partners.keys().copied().collect();
+        for link in links {
+            self.push_due(link, now, transport);
+        }
+    }
+
+    /// Returns what has changed since the last call.
+    pub fn take_news(&mut self) -> News {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Returns the newest configuration known.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.shelf.newest()
+    }
+
+    /// Returns the others' acknowledgements.
+    pub fn acks(&self) -> BTreeMap<InstanceName, Heard<AckSection>> {
+        self.knowledge.acks.heard_from_others(&self.me)
+    }
+
+    /// Returns the others' load sections.
+    pub fn load(&self) -> BTreeMap<InstanceName, Heard<LoadSection>> {
+        self.knowledge.load.heard_from_others(&self.me)
+    }
+
+    /// Returns the others' demand sections.
+    pub fn demand(&self) -> BTreeMap<InstanceName, Heard<DemandSection>> {
+        self.knowledge.demand.heard_from_others(&self.me)
+    }
+
+    fn mark_urgent(&mut self) {
+        for partner in self.partners.values_mut() {
+            partner.urgent = true;
+        }
+    }
+
+    fn merge(&mut self, link: LinkId, update: &Update, now: Millis) {
+        let news = self.knowledge.merge(&self.me, update, now);
+        self.news.acks |= news.acks;
+        self.news.load |= news.load;
+        self.news.demand |= news.demand;
+        if news.acks {
+            self.mark_urgent();
+        }
+        if let Some(partner) = self.partners.get_mut(&link) {
+            partner.hear(update);
+        }
+    }
+
+    fn confirm(&mut self, link: LinkId, seq: u64) {
+        if let Some(partner) = self.partners.get_mut(&link) {
+            partner.confirm(seq, &self.knowledge);
+        }
+    }
+
+    fn take_transfer(
+        &mut self,
+        link: LinkId,
+        transfer: &Transfer,
+        now: Millis,
+        transport: &mut impl Transport,
+    ) -> Result<()> {
+        self.pull = None;
+        match self.shelf.take(transfer) {
+            Ok(true) => {
+                self.news.configuration = true;
+                self.mark_urgent();
+                Ok(())
+            }
+            Ok(false) => Ok(()),
+            Err(Error::WrongBase { .. }) => {
+                self.send_pull(link, Revision(0), now, transport);
+                Ok(())
+            }
+            Err(err) => Err(err),
+        }
+    }
+
+    /// Pulls the newest configuration that a partner is known to hold, one pull at a time.
+    fn pull_newest(&mut self, now: Millis, transport: &mut impl Transport) {
+        let is_late = |(_, sent_at): (LinkId, Millis)| now - sent_at > self.options.answer_timeout;
+        if self.pull.is_some_and(|pull| !is_late(pull)) {
+            return;
+        }
+        let failed = self.pull.take().map(|(link, _)| link);
+        let have = self.shelf.revision();
+        let ahead = self.partners.iter().filter(|(_, partner)| partner.revision > have);
+        // A partner that has just failed to answer is asked again only if no other is ahead.
+        let best = ahead.max_by_key(|(link, partner)| (Some(**link) != failed, partner.revision));
+        if let Some((&link, _)) = best {
+            self.send_pull(link, have, now, transport);
+        }
+    }
+
+    fn send_pull(
+        &mut self,
+        link: LinkId,
+        have: Revision,
+        now: Millis,
+        transport: &mut impl Transport,
+    ) {
+        self.pull = Some((link, now));
+        transport.send(link, Message::Pull { have });
+    }
+
+    fn push_due(&mut self, link: LinkId, now: Millis, transport: &mut impl Transport) {
+        let options = self.options;
+        let Some(partner) = self.partners.get_mut(&link) else {
+            return;
+        };
+        let silent_for = partner.silent_for(now);
+        if partner.is_waiting() && silent_for <= options.answer_timeout {
+            return;
+        }
+        let is_urgent = partner.urgent && silent_for >= options.urgent_gap;
+        if !is_urgent && silent_for < options.round {
+            return;
+        }
+        let revision = self.shelf.revision();
+        let update = self.knowledge.update_for(&partner.known, revision, now);
+        let is_empty = !update.has_sections() && !partner.lacks(revision);
+        if is_empty && silent_for < options.heartbeat {
+            partner.urgent = false;
+            return;
+        }
+        self.last_seq += 1;
+        let update = Arc::new(update);
+        partner.sent(self.last_seq, Arc::clone(&update), now);
+        transport.send(link, Message::Update { seq: self.last_seq, update });
+    }
+
+    fn write_due_load(&mut self, now: Millis) {
+        let Some(section) = &self.next_load else {
+            return;
+        };
+        let options = &self.options;
+        let (count, degree) = (self.knowledge.announced.len().max(1), options.partners.degree());
+        let (bytes, budget) = (section.wire_bytes(), options.load_bytes_per_s);
+        let hops = hops_within(count, degree, bytes, budget, options.load_interval);
+        let gap = spacing(reach(count, degree, hops), degree, bytes, budget);
+        if !is_due(self.load_written_at, gap.max(options.load_interval), now) {
+            return;
+        }
+        self.knowledge.load.set_max_hops(hops);
+        self.load_written_at = Some(now);
+        if let Some(section) = self.next_load.take() {
+            self.knowledge.load.write(&self.me, section, now);
+        }
+    }
+
+    fn write_due_demand(&mut self, now: Millis) {
+        let Some(section) = &self.next_demand else {
+            return;
+        };
+        let options = &self.options;
+        let count = self.knowledge.announced.len().max(1);
+        let bytes = section.wire_bytes();
+        let gap = spacing(count, options.partners.degree(), bytes, options.demand_bytes_per_s);
+        if !is_due(self.demand_written_at, gap.max(options.demand_interval), now) {
+            return;
+        }
+        self.demand_written_at = Some(now);
+        if let Some(section) = self.next_demand.take() {
+            self.knowledge.demand.write(&self.me, section, now);
+        }
+    }
+}
+
+fn is_due(written_at: Option<Millis>, gap: Millis, now: Millis) -> bool {
+    written_at.is_none_or(|written_at| now - written_at >= gap)
+}
--- a/crates/anvilhook-standin/src/lib.rs
+++ b/crates/anvilhook-standin/src/lib.rs
@@ -1,6 +1,8 @@
-//! Small stand-ins for the platform and the upstreams, the local demonstration and the bench.
+//! Small stand-ins for the platform, model engines and plain services, each with switches for the
+//! faults that the real ones show.
 #![forbid(unsafe_code)]
 
 pub mod engines;
 pub mod faults;
 pub mod plain;
+pub mod platform;
