Check that a silent connection delivers nothing

Cause: with the silence of the server's layer taken out the test stayed green. Change: the test counts the runs as well. Figures: red with the layer's wait taken out (scratch edit), green with it. Conclusion: silence is checked on the upstream's side.

--- a/crates/anvilhook-standin/tests/faults.rs
+++ b/crates/anvilhook-standin/tests/faults.rs
@@ -208,6 +208,7 @@
     let new = fetch(plain.address(), alert(B), PATIENCE).await;
 
     assert!(silent.timed_out);
+    assert_eq!(plain.ledger().runs_of_body(BODY), 2, "a silent connection delivers nothing");
     assert_eq!(new.unwrap().status, StatusCode::OK);
 }
 
