Keep tight requests in a lane of their own and prefixes at home

Cause: with the first cost a cold engine won whenever the holder of a prefix was busy, so that all engines read all prefixes again and again; prompts that were read stretched the time between tokens of questions; what could not end in time was admitted. Change: Lanes part the table by the mix, by routing alone; a shared prefix has two home engines by jump hashing; the cost weighs engine time above latency while there is time; a place in a full batch is counted at the rate at which whole requests end; admission allows for the estimate's error. Adds the role planner and the bench of the policy with its baselines and bound.

--- a/crates/anvilhook-bench/src/bin/anvilhook-bench.rs
+++ b/crates/anvilhook-bench/src/bin/anvilhook-bench.rs
@@ -1,6 +1,6 @@
 //! `anvilhook-bench`: measurements, one subcommand each.
 
-use anvilhook_bench::proxy;
+use anvilhook_bench::{policy, proxy};
 use argh::FromArgs;
 
 /// Measure parts of anvilhook on this machine.
@@ -14,12 +14,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Bench {
+    Policy(policy::Args),
     Proxy(proxy::Args),
 }
 
 fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
     match args.bench {
+        Bench::Policy(args) => policy::run(&args),
         Bench::Proxy(args) => proxy::run(&args),
     }
 }
--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -3,4 +3,5 @@
 //! Each subcommand of `anvilhook-bench` is one module with an `Args` struct and a `run` function.
 #![forbid(unsafe_code)]
 
+pub mod policy;
 pub mod proxy;
--- /dev/null
+++ b/crates/anvilhook-bench/src/policy/role_control.rs
@@ -0,0 +1,158 @@
+//! Role changes of a run: what is asked for, and the drain before each order.
+
+use anvilhook_core::orders::{Order, Role, Stamp, StampedOrder, Term};
+use anvilhook_core::resources::RolePolicy;
+use anvilhook_core::roles::{
+    EngineRole, PlanOptions, PoolShape, RoleCounts, RolePlanner, WorkSeen,
+};
+use anvilhook_core::units::Millis;
+
+use super::deployments::Deployment;
+use super::policies::{Planning, Policy, Split};
+
+/// The time in which all instances acknowledge a drain.
+pub const ACKNOWLEDGED_AFTER: Millis = Millis(400);
+
+/// The time between two plans.
+pub const PLAN_INTERVAL: Millis = Millis::from_secs(5);
+
+/// `Change` is a role change under way.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Change {
+    /// The new role.
+    pub role: Role,
+    /// When the drain was marked.
+    pub drained_at: Millis,
+    /// Whether the order has been given.
+    pub ordered: bool,
+}
+
+/// `RoleControl` holds the roles that are meant to be.
+pub struct RoleControl {
+    planning: Planning,
+    planner: RolePlanner,
+    shape: PoolShape,
+    roles: Vec<Role>,
+    changed_at: Vec<Option<Millis>>,
+    /// The change of each engine.
+    pub changes: Vec<Option<Change>>,
+    seen: WorkSeen,
+    seq: u64,
+}
+
+/// Returns the roles of a fixed split over the engines.
+pub fn roles_of(split: Split) -> Vec<Role> {
+    let role = |index: usize| match index {
+        index if index < split.prefill => Role::Prefill,
+        index if index < split.prefill + split.decode => Role::Decode,
+        _ => Role::Mixed,
+    };
+    (0..Deployment::ENGINES).map(role).collect()
+}
+
+impl RoleControl {
+    /// Starts with the policy's first roles.
+    pub fn new(deployment: Deployment, policy: &Policy) -> Self {
+        let first = match policy.planning {
+            Planning::Fixed(split) => split,
+            _ => Split::default(),
+        };
+        let options = PlanOptions::new(RolePolicy {
+            automatic: true,
+            change_weight: deployment.change_weight(),
+            max_changing_share: 0.25,
+            min_dwell_ms: Millis::from_secs(60),
+        });
+        Self {
+            planning: policy.planning,
+            shape: options.shape,
+            planner: RolePlanner::new(options),
+            roles: roles_of(first),
+            changed_at: vec![None; Deployment::ENGINES],
+            changes: vec![None; Deployment::ENGINES],
+            seen: WorkSeen::default(),
+            seq: 0,
+        }
+    }
+
+    /// Returns the present roles.
+    pub fn roles(&self) -> &[Role] {
+        &self.roles
+    }
+
+    /// Returns the engines that should begin to change, given the work seen since the last plan.
+    pub fn plan(&mut self, seen: &WorkSeen, serving: &[bool], now: Millis) -> Vec<(usize, Role)> {
+        match self.planning {
+            Planning::Fixed(_) => Vec::new(),
+            Planning::Greedy => self.plan_greedily(seen, serving),
+            Planning::Weighed => {
+                self.planner.observe(seen, now);
+                let engines = self.engines(serving);
+                let changes = self.planner.plan(&engines, now);
+                let place = |name| engines.iter().position(|engine| engine.name == name);
+                let pairs = changes.into_iter().map(|c| place(c.engine).map(|p| (p, c.role)));
+                pairs.flatten().collect()
+            }
+        }
+    }
+
+    /// Returns the next order, under the one authority of the run.
+    pub fn order(&mut self, engine: usize, role: Role, now: Millis) -> StampedOrder {
+        self.seq += 1;
+        self.roles[engine] = role;
+        self.changed_at[engine] = Some(now);
+        let stamp = Stamp { term: Term(1), seq: self.seq };
+        StampedOrder { stamp, order: Order::SetRole { role } }
+    }
+
+    fn engines(&self, serving: &[bool]) -> Vec<EngineRole> {
+        let engine = |index: usize| EngineRole {
+            name: format!("engine-{index}").parse().expect("a valid name"),
+            role: self.changes[index].map_or(self.roles[index], |change| change.role),
+            changing: self.changes[index].is_some(),
+            serving: serving[index],
+            changed_at: self.changed_at[index],
+        };
+        (0..Deployment::ENGINES).map(engine).collect()
+    }
+
+    /// Moves at once to as many engines that only read as there is reading in the work, the rest
+    /// only generating. It smooths the mix over some ten seconds, or it would follow every uneven
+    /// arrival.
+    fn plan_greedily(&mut self, seen: &WorkSeen, serving: &[bool]) -> Vec<(usize, Role)> {
+        self.seen = if self.seen == WorkSeen::default() {
+            *seen
+        } else {
+            self.seen.times(0.5).plus(seen.times(0.5))
+        };
+        let engines = self.engines(serving);
+        let mut counts = RoleCounts::default();
+        engines.iter().filter(|e| e.serving).for_each(|engine| counts.add(engine.role));
+        let total = counts.total();
+        let all = self.seen.patient.plus(self.seen.tight);
+        let reading = all.prefill / self.shape.speeds.prefill_tokens_per_ms;
+        let share = reading / (reading + self.shape.decode_ms(&all)).max(1e-9);
+        let prefill = ((share * total as f64).round() as usize).clamp(1, total - 1);
+        let best = RoleCounts { prefill, decode: total - prefill, mixed: 0 };
+        let mut changes = Vec::new();
+        for (index, engine) in engines.iter().enumerate() {
+            let roles = [Role::Prefill, Role::Decode, Role::Mixed];
+            let wanted = roles.into_iter().find(|role| counts.of(*role) < best.of(*role));
+            let spare = counts.of(engine.role) > best.of(engine.role);
+            if let Some(role) = wanted
+                && engine.serving
+                && !engine.changing
+                && spare
+            {
+                match engine.role {
+                    Role::Prefill => counts.prefill -= 1,
+                    Role::Decode => counts.decode -= 1,
+                    Role::Mixed => counts.mixed -= 1,
+                }
+                counts.add(role);
+                changes.push((index, role));
+            }
+        }
+        changes
+    }
+}
--- a/crates/anvilhook-core/src/admission/mod.rs
+++ b/crates/anvilhook-core/src/admission/mod.rs
@@ -13,15 +13,18 @@
 /// `AdmissionOptions` says how sure admission has to be.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmissionOptions {
-    /// The time that an answer takes on its way back, and the error of the estimate.
+    /// The time that an answer takes on its way back.
     pub margin: Millis,
+    /// The error of the estimate, as a share of it. Work that ends late takes engine time from work
+    /// that would not, so doubt is better resolved against it.
+    pub estimate_error: f64,
     /// The most requests that wait at this instance. Beyond it the last in order are refused.
     pub max_waiting: usize,
 }
 
 impl Default for AdmissionOptions {
     fn default() -> Self {
-        Self { margin: Millis(20), max_waiting: 512 }
+        Self { margin: Millis(20), estimate_error: 0.2, max_waiting: 512 }
     }
 }
 
@@ -44,7 +47,8 @@
 /// use anvilhook_core::admission::{Admission, AdmissionOptions, decide};
 /// use anvilhook_core::units::Millis;
 ///
-/// let options = AdmissionOptions { margin: Millis(20), ..Default::default() };
+/// let options =
+///     AdmissionOptions { margin: Millis(20), estimate_error: 0.0, ..Default::default() };
 /// let deadline = Millis(1_000);
 /// assert_eq!(decide(&options, Millis(980), deadline, Millis(0)), Admission::Run);
 /// let late = decide(&options, Millis(1_500), deadline, Millis(0));
@@ -56,7 +60,8 @@
     deadline: Millis,
     now: Millis,
 ) -> Admission {
-    let ready_at = now + estimate + options.margin;
+    let doubtful = Millis((estimate.0 as f64 * options.estimate_error) as u64);
+    let ready_at = now + estimate + doubtful + options.margin;
     if ready_at <= deadline {
         return Admission::Run;
     }
--- a/crates/anvilhook-core/src/caches/indices.rs
+++ b/crates/anvilhook-core/src/caches/indices.rs
@@ -13,6 +13,10 @@
 /// The most blocks of a prompt that one look-up visits. Longer prompts are visited in strides.
 const MAX_VISITS: usize = 64;
 
+/// The blocks in a row that the index may not know although the engine holds them, because their
+/// bucket was full.
+const MISSED: u32 = 1;
+
 /// `CacheSlot` is an engine's number in a prefix index.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct CacheSlot(pub u16);
@@ -114,6 +118,7 @@
     /// Returns which engines are believed to hold the prompt's beginning, and how much of it.
     pub fn holders(&self, blocks: &[PrefixHash]) -> Holders {
         let mut holders = Holders::NONE;
+        let mut missed = 0;
         let stride = blocks.len().div_ceil(MAX_VISITS).max(1);
         for (visit, block) in blocks.iter().enumerate().step_by(stride) {
             let mut reached = false;
@@ -123,8 +128,9 @@
                     reached |= holders.extend(slot_of(entry), visit as u32, stride as u32);
                 }
             }
-            // Later blocks are of no use without this one.
-            if !reached {
+            // Later blocks are of no use without this one, if it is really not there.
+            missed = if reached { 0 } else { missed + 1 };
+            if missed > MISSED {
                 break;
             }
         }
@@ -161,8 +167,8 @@
     fn extend(&mut self, slot: CacheSlot, visit: u32, stride: u32) -> bool {
         let known = self.list[..self.len].iter_mut().find(|holder| holder.slot == slot);
         match known {
-            Some(holder) if holder.blocks == visit => {
-                holder.blocks += stride;
+            Some(holder) if holder.blocks + MISSED * stride >= visit => {
+                holder.blocks = visit + stride;
                 true
             }
             Some(_) => false,
--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod reports;
 pub mod resources;
 pub mod retries;
+pub mod roles;
 pub mod routing;
 pub mod units;
 pub mod verdict;
--- a/crates/anvilhook-core/src/limits/accounts.rs
+++ b/crates/anvilhook-core/src/limits/accounts.rs
@@ -40,7 +40,8 @@
 /// use anvilhook_core::units::Millis;
 ///
 /// let spec = AccountSpec { token_sha256: vec![], requests_per_s: 1, open_requests: 5 };
-/// let limiter = AccountLimiter::new(&spec, 1, &LimitOptions::default());
+/// let options = LimitOptions { burst: Millis(1_000), ..Default::default() };
+/// let limiter = AccountLimiter::new(&spec, 1, &options);
 /// assert!(limiter.try_admit(Millis(0)).is_ok());
 /// let refusal = limiter.try_admit(Millis(0)).unwrap_err();
 /// assert_eq!(refusal.retry_after, Millis(1_000));
--- a/crates/anvilhook-core/src/limits/mod.rs
+++ b/crates/anvilhook-core/src/limits/mod.rs
@@ -37,6 +37,6 @@
 
 impl Default for LimitOptions {
     fn default() -> Self {
-        Self { settle: Millis(2_000), stale_after: Millis(3_000), burst: Millis(1_000) }
+        Self { settle: Millis(2_000), stale_after: Millis(3_000), burst: Millis(5_000) }
     }
 }
--- /dev/null
+++ b/crates/anvilhook-core/src/roles/capacities.rs
@@ -0,0 +1,172 @@
+//! How much of some work a pool can carry with given roles.
+
+use super::meters::{Flow, WorkSeen};
+use crate::orders::Role;
+use crate::routing::Speeds;
+
+/// The steps in which the share of requests that are split over two engines is searched.
+const SPLIT_STEPS: u32 = 4;
+
+/// The utilization above which some requests end late, since arrivals are uneven.
+const FULL: f64 = 0.92;
+
+/// `RoleCounts` is how many engines of a pool hold each role.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RoleCounts {
+    /// Engines that read prompts.
+    pub prefill: usize,
+    /// Engines that generate.
+    pub decode: usize,
+    /// Engines that do both.
+    pub mixed: usize,
+}
+
+impl RoleCounts {
+    /// Returns the number of engines.
+    pub fn total(&self) -> usize {
+        self.prefill + self.decode + self.mixed
+    }
+
+    /// Returns the engines of a role.
+    pub fn of(&self, role: Role) -> usize {
+        match role {
+            Role::Prefill => self.prefill,
+            Role::Decode => self.decode,
+            Role::Mixed => self.mixed,
+        }
+    }
+
+    /// Counts one more engine of a role.
+    pub fn add(&mut self, role: Role) {
+        match role {
+            Role::Prefill => self.prefill += 1,
+            Role::Decode => self.decode += 1,
+            Role::Mixed => self.mixed += 1,
+        }
+    }
+
+    /// Returns how many engines change their role on the way to other counts.
+    pub fn changes_to(&self, to: &RoleCounts) -> usize {
+        let gained = |role: Role| to.of(role).saturating_sub(self.of(role));
+        gained(Role::Prefill) + gained(Role::Decode) + gained(Role::Mixed)
+    }
+}
+
+/// `PoolShape` is what the engines of a pool can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PoolShape {
+    /// The speeds of one engine.
+    pub speeds: Speeds,
+    /// Prompt tokens read in one step of the batch.
+    pub prefill_chunk: f64,
+    /// Tokens of an imported KV cache that one step of the batch takes.
+    pub import_chunk: f64,
+    /// The time between two tokens that tight requests can bear, in milliseconds.
+    pub tight_gap_ms: f64,
+}
+
+impl Default for PoolShape {
+    fn default() -> Self {
+        let speeds = Speeds {
+            prefill_tokens_per_ms: 8.0,
+            decode_step_ms: 25.0,
+            decode_step_per_request_ms: 0.2,
+            max_batch: 32.0,
+        };
+        Self { speeds, prefill_chunk: 512.0, import_chunk: 512.0, tight_gap_ms: 40.0 }
+    }
+}
+
+impl PoolShape {
+    /// Returns the time between two tokens on an engine that reads prompts beside a full batch.
+    pub fn mixed_step_ms(&self) -> f64 {
+        let speeds = &self.speeds;
+        speeds.step_ms(speeds.max_batch) + self.prefill_chunk / speeds.prefill_tokens_per_ms
+    }
+
+    /// Returns the greatest utilization of any role, where requests are split over two engines as
+    /// suits best. At 1 every engine of that role is busy all the time.
+    pub fn utilization(&self, counts: &RoleCounts, seen: &WorkSeen) -> f64 {
+        let steps = || (0..=SPLIT_STEPS).map(|step| f64::from(step) / f64::from(SPLIT_STEPS));
+        let mut least = f64::INFINITY;
+        for patient in steps() {
+            for tight in steps() {
+                least = least.min(self.utilization_of(counts, seen, patient, tight));
+            }
+        }
+        least
+    }
+
+    /// Returns the share, from 0 to 1, of the work that the pool carries in time.
+    ///
+    /// ```
+    /// use anvilhook_core::roles::{Flow, PoolShape, RoleCounts, WorkSeen};
+    ///
+    /// let shape = PoolShape::default();
+    /// let tight = Flow { requests: 6.0, prefill: 12_000.0, prompt: 12_000.0, output: 1_800.0 };
+    /// let seen = WorkSeen { tight, patient: Flow::default() };
+    /// let mixed = RoleCounts { mixed: 4, ..Default::default() };
+    /// let apart = RoleCounts { prefill: 2, decode: 2, ..Default::default() };
+    /// assert!(shape.served_share(&mixed, &seen) < shape.served_share(&apart, &seen));
+    /// ```
+    pub fn served_share(&self, counts: &RoleCounts, seen: &WorkSeen) -> f64 {
+        let utilization = self.utilization(counts, seen);
+        if utilization <= FULL { 1.0 } else { FULL / utilization }
+    }
+
+    /// Returns the greatest utilization if the given shares of the patient and the tight requests
+    /// are split over two engines.
+    fn utilization_of(
+        &self,
+        counts: &RoleCounts,
+        seen: &WorkSeen,
+        patient: f64,
+        tight: f64,
+    ) -> f64 {
+        let apart = seen.patient.times(patient).plus(seen.tight.times(tight));
+        let mixed_ms = self.mixed_ms(&seen.patient.times(1.0 - patient))
+            + self.tight_mixed_ms(&seen.tight.times(1.0 - tight));
+        let of = |busy_ms: f64, engines: usize| match (busy_ms > 0.0, engines) {
+            (false, _) => 0.0,
+            (true, 0) => f64::INFINITY,
+            (true, engines) => busy_ms / 1_000.0 / engines as f64,
+        };
+        of(apart.prefill / self.speeds.prefill_tokens_per_ms, counts.prefill)
+            .max(of(self.decode_ms(&apart), counts.decode))
+            .max(of(mixed_ms, counts.mixed))
+    }
+
+    /// Returns the engine time in a second that generating takes where nothing is read. Each step
+    /// imports one piece of a KV cache at most, so that long prompts take steps of their own.
+    pub fn decode_ms(&self, flow: &Flow) -> f64 {
+        let speeds = &self.speeds;
+        let steps = (flow.prompt / self.import_chunk).max(flow.output / speeds.max_batch);
+        steps * speeds.decode_step_ms + flow.output * speeds.decode_step_per_request_ms
+    }
+
+    /// Returns the engine time in a second that a flow takes on mixed engines of its own. Every
+    /// step pays the base of a decode step; there are as many as the prompts' pieces or the
+    /// outputs' full batches ask for.
+    pub fn mixed_ms(&self, flow: &Flow) -> f64 {
+        let speeds = &self.speeds;
+        let steps = (flow.prefill / self.prefill_chunk).max(flow.output / speeds.max_batch);
+        flow.prefill / speeds.prefill_tokens_per_ms
+            + steps * speeds.decode_step_ms
+            + flow.output * speeds.decode_step_per_request_ms
+    }
+
+    /// Returns the engine time in a second that a tight flow takes on mixed engines of its own. On
+    /// top of `mixed_ms` it takes enough engines that reading prompts does not stretch the time
+    /// between two tokens beyond what can be borne.
+    pub fn tight_mixed_ms(&self, flow: &Flow) -> f64 {
+        let speeds = &self.speeds;
+        // With n engines each reads for reading / n of the time and runs output * gap / n requests:
+        // step + per_request * output * gap / n <= gap * (1 - reading / n), solved for n.
+        let gap = self.tight_gap_ms;
+        let reading = flow.prefill / speeds.prefill_tokens_per_ms / 1_000.0;
+        let running = flow.output / 1_000.0 * gap;
+        let spare = (gap - speeds.decode_step_ms).max(1.0);
+        let engines = (gap * reading + speeds.decode_step_per_request_ms * running) / spare;
+        self.mixed_ms(flow).max(engines * 1_000.0)
+    }
+}
--- a/crates/anvilhook-core/src/routing/costs.rs
+++ b/crates/anvilhook-core/src/routing/costs.rs
@@ -17,10 +17,11 @@
 }
 
 impl Phase {
-    /// Returns whether an engine of the role takes this part.
+    /// Returns whether an engine of the role is given this part. A mixed engine could take any, but
+    /// is given whole requests only: to move a KV cache between two of them gains nothing.
     pub fn fits(self, role: Role) -> bool {
         match role {
-            Role::Mixed => true,
+            Role::Mixed => self == Phase::Whole,
             Role::Prefill => self == Phase::Prefill,
             Role::Decode => self == Phase::Decode,
         }
@@ -32,12 +33,22 @@
 pub struct CostOptions {
     /// Prompt tokens that an engine reads in one step of its batch.
     pub prefill_chunk: f64,
-    /// The weight of the delay that a request causes to the others on the engine, against its own.
+    /// The weight of the engine time that a request uses up, against the time that it takes.
+    pub work_weight: f64,
+    /// The weight of the delay that a request causes to tight ones on the engine.
     pub others_weight: f64,
+    /// The cost of ending late, in milliseconds.
+    pub late_ms: f64,
     /// The most engines whose cost is worked out for one choice, besides the believed holders of
     /// the prompt's prefix.
     pub sampled: usize,
-    /// The time that a KV cache takes from one engine to another, for each prompt token.
+    /// The number of engines at which each shared prefix is at home.
+    pub homes: u64,
+    /// The cost of a home other than the first, in milliseconds: keeping a prefix at one more engine
+    /// pushes others out of its cache.
+    pub further_home_ms: f64,
+    /// The time that a KV cache takes from one engine to another, for each prompt token, with its
+    /// import there.
     pub transfer_ms_per_token: f64,
     /// The least gain, in milliseconds, for which a request is split over two engines.
     pub split_gain_ms: f64,
@@ -47,9 +58,13 @@
     fn default() -> Self {
         Self {
             prefill_chunk: 512.0,
-            others_weight: 1.0,
+            work_weight: 5.0,
+            others_weight: 0.0,
+            late_ms: 10_000.0,
             sampled: 6,
-            transfer_ms_per_token: 0.06,
+            homes: 2,
+            further_home_ms: 8_000.0,
+            transfer_ms_per_token: 0.08,
             split_gain_ms: 100.0,
         }
     }
@@ -64,7 +79,9 @@
     pub prefill_ms: f64,
     /// Generating the output at the engine's batch.
     pub decode_ms: f64,
-    /// The delay that it causes to the other requests there, all together.
+    /// The engine time that it uses up.
+    pub work_ms: f64,
+    /// The delay that it causes to the tight requests there, all together.
     pub others_ms: f64,
 }
 
@@ -79,9 +96,27 @@
         Millis((self.wait_ms + self.prefill_ms) as u64)
     }
 
+    /// Returns the sum of two parts of a request, of which one follows the other.
+    pub fn then(&self, next: &Self) -> Self {
+        Self {
+            wait_ms: self.wait_ms + next.wait_ms,
+            prefill_ms: self.prefill_ms + next.prefill_ms,
+            decode_ms: self.decode_ms + next.decode_ms,
+            work_ms: self.work_ms + next.work_ms,
+            others_ms: self.others_ms + next.others_ms,
+        }
+    }
+
     /// Returns the cost that choices compare.
-    pub fn cost(&self, options: &CostOptions) -> f64 {
-        self.wait_ms + self.prefill_ms + self.decode_ms + options.others_weight * self.others_ms
+    ///
+    /// The time that an answer takes counts by the share of the time left that it uses up: a
+    /// request with much time can wait for the engine that does its work with the least effort,
+    /// and so leaves more engine time to all others.
+    pub fn cost(&self, options: &CostOptions, time_left: Millis) -> f64 {
+        let takes_ms = self.wait_ms + self.prefill_ms + self.decode_ms;
+        let used = takes_ms / (time_left.0 as f64).max(1.0);
+        let time_cost = if used <= 1.0 { takes_ms * used } else { takes_ms + options.late_ms };
+        time_cost + options.work_weight * self.work_ms + options.others_weight * self.others_ms
     }
 }
 
@@ -104,25 +139,24 @@
     let step_per_token = if running >= 0.5 { step_ms / options.prefill_chunk } else { 0.0 };
     let read_ms = 1.0 / speeds.prefill_tokens_per_ms + step_per_token;
 
-    // With the batch full, a place is free after as many ends as there are requests too many.
-    let too_many = (load.requests + 1.0 - speeds.max_batch).max(0.0);
-    let place_ms = too_many / speeds.max_batch * load.output_each * step_ms;
-
     // While it generates, prompts of later requests are read at about the rate of late.
     let free_share = (1.0 - load.prefill_share).max(0.1);
-    let decode_ms = output * step_ms / free_share;
+    let gap_ms = step_ms / free_share;
+    let decode_ms = output * gap_ms;
+
+    // With the batch full, a place is free after as many ends as there are requests too many.
+    let too_many = (load.requests + 1.0 - speeds.max_batch).max(0.0);
+    let place_ms = too_many / speeds.max_batch * load.whole_output_each * gap_ms;
 
-    // Others wait for its prompt, and each of its tokens makes their steps longer.
-    let read_delay_ms = reads / speeds.prefill_tokens_per_ms * running;
-    let token_delay_ms = output * speeds.decode_step_per_request_ms * running;
-    // Generating beside the prompts that wait here makes each of their pieces longer.
-    let newly_running = if running < 0.5 && output > 0.0 { speeds.decode_step_ms } else { 0.0 };
-    let piece_delay_ms = newly_running * load.prefill / options.prefill_chunk;
+    // A step is shared by all that generate in it.
+    let share_of_step = step_ms / (running + 1.0).max(speeds.max_batch / 2.0);
+    let work_ms = reads / speeds.prefill_tokens_per_ms + output * share_of_step;
 
     Estimate {
         wait_ms: place_ms + load.prefill * read_ms,
         prefill_ms: reads * read_ms,
         decode_ms,
-        others_ms: read_delay_ms + token_delay_ms + piece_delay_ms,
+        work_ms,
+        others_ms: reads / speeds.prefill_tokens_per_ms * load.tight_requests,
     }
 }
--- a/crates/anvilhook-core/src/routing/loads.rs
+++ b/crates/anvilhook-core/src/routing/loads.rs
@@ -8,10 +8,16 @@
 use crate::units::{Millis, Tokens};
 
 /// The span of one slot of the record of sent work.
-const SLOT: Millis = Millis(128);
+const SLOT: Millis = Millis(256);
 
 /// The number of slots. The record reaches back for about eight seconds, longer than reports lag.
-const SLOTS: usize = 64;
+const SLOTS: usize = 32;
+
+/// The span of the whole record, in milliseconds.
+const RECORD_MS: f64 = (SLOTS as u64 * SLOT.0) as f64;
+
+/// The requests whose prompts an engine reads at once, beside those that it reports as queued.
+const STARTED: f64 = 2.0;
 
 /// Speeds that are assumed until the first report has come.
 const ASSUMED: Speeds = Speeds {
@@ -45,17 +51,41 @@
     pub requests: f64,
     /// Output tokens still to come, on average for each of them.
     pub output_each: f64,
+    /// Output tokens of a whole request, on average of those sent lately.
+    pub whole_output_each: f64,
+    /// Of the requests, those whose deadlines are tight.
+    pub tight_requests: f64,
     /// The share of the engine's time, from 0 to 1, that went into reading prompts lately.
     pub prefill_share: f64,
 }
 
-/// One slot of the record of sent work. The sums belong to the slot's present turn.
+/// One slot of the record of sent work. The sums belong to the slot's present turn. Two of them
+/// share one atomic, so that a choice reads little.
 #[derive(Debug, Default)]
 struct Slot {
     turn: AtomicU64,
-    prompt: AtomicU64,
-    output: AtomicU64,
-    requests: AtomicU32,
+    // Prompt tokens in the upper half, output tokens of tight requests in the lower.
+    tokens: AtomicU64,
+    // 16 bits of requests, 16 of tight ones, 32 of output tokens.
+    requests: AtomicU64,
+}
+
+/// `Sums` are the sums of one slot.
+#[derive(Clone, Copy, Debug)]
+struct Sums {
+    prompt: f64,
+    output: f64,
+    requests: f64,
+    tight_output: f64,
+    tight_requests: f64,
+}
+
+/// `Sent` sums up the record.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    prompt: f64,
+    output: f64,
+    requests: f64,
 }
 
 impl Slot {
@@ -65,11 +95,30 @@
     /// then short of one request until the next report; nothing else depends on it.
     fn turn_to(&self, turn: u64) {
         if self.turn.swap(turn, Ordering::AcqRel) != turn {
-            self.prompt.store(0, Ordering::Release);
-            self.output.store(0, Ordering::Release);
+            self.tokens.store(0, Ordering::Release);
             self.requests.store(0, Ordering::Release);
         }
     }
+
+    fn add(&self, work: Work) {
+        let half = |tokens: Tokens| tokens.0.min(u64::from(u32::MAX) >> 8);
+        let (prompt, output) = (half(work.prompt), half(work.output));
+        let tight = u64::from(work.tight);
+        self.tokens.fetch_add(prompt << 32 | (output * tight), Ordering::AcqRel);
+        self.requests.fetch_add(1 << 48 | tight << 32 | output, Ordering::AcqRel);
+    }
+
+    fn sums(&self) -> Sums {
+        let tokens = self.tokens.load(Ordering::Acquire);
+        let requests = self.requests.load(Ordering::Acquire);
+        Sums {
+            prompt: (tokens >> 32) as f64,
+            output: f64::from(requests as u32),
+            requests: (requests >> 48) as f64,
+            tight_output: f64::from(tokens as u32),
+            tight_requests: f64::from((requests >> 32) as u16),
+        }
+    }
 }
 
 /// `LoadView` holds the last report of an engine and the work that this instance and its peers have
@@ -82,7 +131,7 @@
     seq: AtomicU64,
     taken_at: AtomicU64,
     queued_prefill: AtomicU64,
-    requests: AtomicU32,
+    queued: AtomicU32,
     running: AtomicU32,
     running_decode: AtomicU64,
     speeds: [AtomicU64; 4],
@@ -99,7 +148,7 @@
             seq: AtomicU64::new(0),
             taken_at: AtomicU64::new(0),
             queued_prefill: AtomicU64::new(0),
-            requests: AtomicU32::new(0),
+            queued: AtomicU32::new(0),
             running: AtomicU32::new(0),
             running_decode: AtomicU64::new(0),
             speeds,
@@ -122,11 +171,10 @@
         for (cell, bits) in self.speeds.iter().zip(speeds_to_bits(&speeds)) {
             cell.store(bits, Ordering::Release);
         }
-        let requests = report.running_requests + report.queued_requests;
         self.seq.store(report.seq, Ordering::Release);
         self.role.store(role_to_byte(report.role), Ordering::Release);
         self.queued_prefill.store(report.queued_prefill.0, Ordering::Release);
-        self.requests.store(requests, Ordering::Release);
+        self.queued.store(report.queued_requests, Ordering::Release);
         self.running.store(report.running_requests, Ordering::Release);
         self.running_decode.store(report.running_decode.0, Ordering::Release);
         self.taken_at.store((now - report.age).0, Ordering::Release);
@@ -157,9 +205,7 @@
             return;
         }
         slot.turn_to(turn);
-        slot.prompt.fetch_add(work.prompt.0, Ordering::AcqRel);
-        slot.output.fetch_add(work.output.0, Ordering::AcqRel);
-        slot.requests.fetch_add(1, Ordering::AcqRel);
+        slot.add(work);
     }
 
     /// Estimates the load now.
@@ -168,8 +214,8 @@
         let taken_at = Millis(self.taken_at.load(Ordering::Acquire));
         let running = f64::from(self.running.load(Ordering::Acquire));
         let running_decode = self.running_decode.load(Ordering::Acquire) as f64;
-        let mut prefill = self.queued_prefill.load(Ordering::Acquire) as f64;
-        let mut requests = f64::from(self.requests.load(Ordering::Acquire));
+        let queued = f64::from(self.queued.load(Ordering::Acquire));
+        let mut requests = running + queued;
         let mut output_each = if running > 0.0 { running_decode / running } else { 0.0 };
 
         // The engine has gone on since the report was taken, while work was sent to it. Of what it
@@ -181,42 +227,65 @@
             requests *= (1.0 - age / longest).max(0.0);
         }
 
-        // Walk the record from the report, or from its beginning, to now.
+        // What was sent before the report was taken is in the report.
         let last_turn = now.0 / SLOT.0 + 1;
-        let first_turn =
-            (taken_at.0 / SLOT.0 + 1).max((last_turn + 1).saturating_sub(SLOTS as u64));
+        let taken_turn = taken_at.0 / SLOT.0 + 1;
+        let first_turn = (last_turn + 1).saturating_sub(SLOTS as u64);
+        let mut reported = self.queued_prefill.load(Ordering::Acquire) as f64;
         let drained_in_slot = SLOT.0 as f64 * speeds.prefill_tokens_per_ms;
+        let mut since_report = 0.0;
+        let mut tight_requests = 0.0;
+        let mut read = Sent::default();
         for turn in first_turn..=last_turn {
             let slot = &self.slots[turn as usize % SLOTS];
+            let is_later = turn >= taken_turn;
             if slot.turn.load(Ordering::Acquire) == turn {
-                let sent = f64::from(slot.requests.load(Ordering::Acquire));
-                let output = slot.output.load(Ordering::Acquire) as f64;
-                prefill += slot.prompt.load(Ordering::Acquire) as f64;
-                let all = requests + sent;
-                if all > 0.0 {
-                    output_each = (output_each * requests + output) / all;
+                let sums = slot.sums();
+                read.prompt += sums.prompt;
+                read.requests += sums.requests;
+                read.output += sums.output;
+                // Tight requests are counted here only, since reports don't tell them apart.
+                let age_ms = ((last_turn - turn) * SLOT.0) as f64;
+                if sums.tight_output * step_ms > age_ms * sums.tight_requests {
+                    tight_requests += sums.tight_requests;
+                }
+                if is_later {
+                    since_report += sums.prompt;
+                    let all = requests + sums.requests;
+                    if all > 0.0 {
+                        output_each = (output_each * requests + sums.output) / all;
+                    }
+                    requests = all;
                 }
-                requests = all;
             }
-            if turn != last_turn {
-                prefill = (prefill - drained_in_slot).max(0.0);
+            if is_later && turn != last_turn {
+                // What the engine reported goes first.
+                let drained = drained_in_slot.min(reported);
+                reported -= drained;
+                since_report = (since_report + drained - drained_in_slot).max(0.0);
             }
         }
-        let prefill_share = self.prefill_share(now, &speeds, prefill);
-        Load { speeds, prefill, requests, output_each, prefill_share }
-    }
 
-    fn prefill_share(&self, now: Millis, speeds: &Speeds, prefill: f64) -> f64 {
-        let last_turn = now.0 / SLOT.0 + 1;
-        let slots = self.slots.iter();
-        let recent = slots.filter(|slot| {
-            let turn = slot.turn.load(Ordering::Acquire);
-            turn <= last_turn && turn + SLOTS as u64 > last_turn
-        });
-        let sent: u64 = recent.map(|slot| slot.prompt.load(Ordering::Acquire)).sum();
-        let span_ms = (SLOTS as u64 * SLOT.0) as f64;
-        let busy_ms = (sent as f64).max(prefill) / speeds.prefill_tokens_per_ms;
-        (busy_ms / span_ms).min(1.0)
+        // An engine counts the whole prompts of those that wait, since it looks for their prefixes
+        // only when they start. Those sent lately tell how much there was to read of each.
+        if read.requests > 0.0 {
+            let each = read.prompt / read.requests;
+            reported = reported.min((queued + STARTED) * each);
+        }
+        let prefill = reported + since_report;
+        // Of a running request, half is still to come on average.
+        let whole_output_each =
+            if read.requests > 0.0 { read.output / read.requests } else { 2.0 * output_each };
+        let prefill_share = read.prompt.max(prefill) / speeds.prefill_tokens_per_ms / RECORD_MS;
+        Load {
+            speeds,
+            prefill,
+            requests,
+            output_each,
+            whole_output_each,
+            tight_requests,
+            prefill_share: prefill_share.min(1.0),
+        }
     }
 
     fn speeds(&self) -> Speeds {
--- a/crates/anvilhook-core/src/routing/mod.rs
+++ b/crates/anvilhook-core/src/routing/mod.rs
@@ -5,11 +5,13 @@
 //! which outlives the tables that name it.
 
 mod costs;
+mod lanes;
 mod loads;
 mod tables;
 mod upstreams;
 
 pub use costs::{CostOptions, Estimate, Phase, estimate};
+pub use lanes::{LaneKeeper, Lanes};
 pub use loads::{Load, Speeds};
 pub use tables::{Candidate, Placement, RouteRequest, RouteTable};
 pub use upstreams::{UpstreamState, Work};
--- a/crates/anvilhook-core/src/routing/tables.rs
+++ b/crates/anvilhook-core/src/routing/tables.rs
@@ -1,10 +1,12 @@
 //! The route table: which upstreams may answer, and which of them should.
 
+use std::ops::Range;
 use std::sync::Arc;
 
 use rand::{Rng, RngExt};
 
 use super::costs::{CostOptions, Estimate, Phase, estimate};
+use super::lanes::{Lanes, home};
 use super::upstreams::{UpstreamState, Work};
 use crate::caches::{CacheSlot, Holders, PrefixIndex};
 use crate::names::UpstreamName;
@@ -18,6 +20,10 @@
 /// The time that one open request takes at an upstream that publishes no load.
 const ASSUMED_REQUEST_MS: f64 = 5.0;
 
+/// The block that stands for the prefix which a prompt shares with others. The first ones are often
+/// the same for all requests of a service; a prompt that ends before it has little to save.
+const HOME_BLOCK: usize = 4;
+
 /// No place in the table.
 const NOWHERE: u32 = u32::MAX;
 
@@ -50,7 +56,7 @@
     pub fn work(&self, phase: Phase, work: Work) -> Work {
         match phase {
             Phase::Whole => Work { prompt: self.uncached, ..work },
-            Phase::Prefill => Work { prompt: self.uncached, output: Tokens(0) },
+            Phase::Prefill => Work { prompt: self.uncached, output: Tokens(0), tight: false },
             Phase::Decode => Work { prompt: Tokens(0), ..work },
         }
     }
@@ -88,6 +94,7 @@
     prefixes: Option<Arc<PrefixIndex>>,
     // The place of each upstream by its slot of the prefix index.
     by_slot: Arc<[u32]>,
+    lanes: Arc<Lanes>,
 }
 
 impl RouteTable {
@@ -118,6 +125,12 @@
         self
     }
 
+    /// Returns the table with the border between its lanes, which others move.
+    pub fn with_lanes(mut self, lanes: Arc<Lanes>) -> Self {
+        self.lanes = lanes;
+        self
+    }
+
     /// Returns all upstreams.
     pub fn upstreams(&self) -> &[Arc<UpstreamState>] {
         &self.upstreams
@@ -141,7 +154,7 @@
     ///     Arc::new(UpstreamState::new(name, "127.0.0.1:1".parse().unwrap(), zone.clone()))
     /// });
     /// let table = RouteTable::new(engines.clone());
-    /// let work = Work { prompt: Tokens(300), output: Tokens(20) };
+    /// let work = Work::new(Tokens(300), Tokens(20), Millis(5_000));
     /// let req = RouteRequest { work, prefix: &[], deadline: Millis(5_000), priority: 1 };
     /// let mut rng = ChaCha8Rng::seed_from_u64(7);
     ///
@@ -192,8 +205,10 @@
         let Some(Placement::Split { prefill, decode }) = split else {
             return Some(Placement::Whole(whole));
         };
-        let split_cost = prefill.estimate.cost(&self.options) + decode.cost(&self.options);
-        if split_cost + self.options.split_gain_ms < whole.estimate.cost(&self.options) {
+        let time_left = req.deadline - now;
+        let split_cost = prefill.estimate.then(&decode).cost(&self.options, time_left);
+        let whole_cost = whole.estimate.cost(&self.options, time_left);
+        if split_cost + self.options.split_gain_ms < whole_cost {
             Some(Placement::Split { prefill, decode })
         } else {
             Some(Placement::Whole(whole))
@@ -234,11 +249,22 @@
     now: Millis,
 }
 
+/// The cheapest candidate so far, with its cost.
+type Best<'a> = Option<(f64, Candidate<'a>)>;
+
 impl<'a> Search<'a, '_> {
     fn run(&self, holders: &Option<Holders>, rng: &mut impl Rng) -> Option<Candidate<'a>> {
+        let count = self.table.upstreams.len();
+        let lane = match self.phase {
+            Phase::Whole => self.table.lanes.range(self.req.work.tight, count),
+            Phase::Prefill | Phase::Decode => 0..count,
+        };
         let mut best = None;
-        self.add_sample(&mut best, holders, rng);
-        self.add_holders(&mut best, holders, rng);
+        let at_home = self.add_homes(&mut best, &lane, holders, rng);
+        self.add_holders(&mut best, &lane, holders, rng);
+        if !at_home {
+            self.add_sample(&mut best, lane, holders, rng);
+        }
         // Where hardly any upstream fits, a sample may miss them all; and if all are ejected, one
         // that may fail is better than none.
         best.or_else(|| self.first_that_fits(holders, rng)).map(|(_, candidate)| candidate)
@@ -246,25 +272,23 @@
 
     fn add_sample(
         &self,
-        best: &mut Option<(f64, Candidate<'a>)>,
+        best: &mut Best<'a>,
+        lane: Range<usize>,
         holders: &Option<Holders>,
         rng: &mut impl Rng,
     ) {
-        let upstreams = &self.table.upstreams;
-        let count = upstreams.len();
+        let count = lane.len();
         if count == 0 {
             return;
         }
         let sampled = self.table.options.sampled.max(1);
         let mut left = sampled;
-        // A run through the table from a random place, in strides of a random odd length, looks
-        // at different upstreams each time and at none twice for many lengths of table.
+        // A run through the lane from a random place, in strides of a random length, looks at
+        // different upstreams each time, so that instances with the same reports don't herd.
         let mut place = rng.random_range(0..count);
         let stride = if sampled < count { rng.random_range(1..count) } else { 1 };
         for _ in 0..(sampled * LOOKS_PER_SAMPLE).min(count) {
-            let upstream = &upstreams[place];
-            if self.fits(upstream) && self.is_well(upstream, rng) {
-                self.consider(best, upstream, holders);
+            if self.try_place(best, lane.start + place, 0.0, holders, rng) {
                 left -= 1;
                 if left == 0 {
                     return;
@@ -274,43 +298,80 @@
         }
     }
 
+    /// Considers the places at which the prompt's prefix is at home. Returns whether there are any.
+    ///
+    /// All instances send one prefix to the same few engines, before any of them is known to hold
+    /// it. Spread over more, each prefix would push others out of the caches, and every engine
+    /// would read all of them again and again.
+    fn add_homes(
+        &self,
+        best: &mut Best<'a>,
+        lane: &Range<usize>,
+        holders: &Option<Holders>,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let Some(block) = self.req.prefix.get(HOME_BLOCK).filter(|_| holders.is_some()) else {
+            return false;
+        };
+        let mut any = false;
+        for turn in 0..self.table.options.homes {
+            let place = lane.start + home(*block, turn, lane.len());
+            // A further home is for when the first has too much to do.
+            let extra = if any { self.table.options.further_home_ms } else { 0.0 };
+            any |= self.try_place(best, place, extra, holders, rng);
+        }
+        any
+    }
+
     fn add_holders(
         &self,
-        best: &mut Option<(f64, Candidate<'a>)>,
+        best: &mut Best<'a>,
+        lane: &Range<usize>,
         holders: &Option<Holders>,
         rng: &mut impl Rng,
     ) {
-        let Some(holders) = holders else { return };
-        for holder in holders.as_slice() {
+        let Some(known) = holders else { return };
+        for holder in known.as_slice() {
             let place = self.table.by_slot.get(usize::from(holder.slot.0));
-            let upstream = place.and_then(|place| self.table.upstreams.get(*place as usize));
-            if let Some(upstream) = upstream
-                && self.fits(upstream)
-                && self.is_well(upstream, rng)
-            {
-                self.consider(best, upstream, &Some(*holders));
+            let place = place.map(|place| *place as usize);
+            if let Some(place) = place.filter(|place| lane.contains(place)) {
+                self.try_place(best, place, 0.0, holders, rng);
             }
         }
     }
 
-    fn first_that_fits(
+    /// Considers a place if its upstream fits. Returns whether it does.
+    fn try_place(
         &self,
+        best: &mut Best<'a>,
+        place: usize,
+        extra_ms: f64,
         holders: &Option<Holders>,
         rng: &mut impl Rng,
-    ) -> Option<(f64, Candidate<'a>)> {
+    ) -> bool {
+        let Some(upstream) = self.table.upstreams.get(place) else { return false };
+        let fits = self.fits(upstream) && self.is_well(upstream, rng);
+        if fits {
+            self.consider(best, upstream, extra_ms, holders);
+        }
+        fits
+    }
+
+    fn first_that_fits(&self, holders: &Option<Holders>, rng: &mut impl Rng) -> Best<'a> {
         let upstreams = &self.table.upstreams;
         let start = rng.random_range(0..upstreams.len().max(1));
         let (later, earlier) = (upstreams.get(start..)?.iter(), upstreams[..start].iter());
         let upstream = later.chain(earlier).find(|upstream| self.fits(upstream))?;
         let mut best = None;
-        self.consider(&mut best, upstream, holders);
+        self.consider(&mut best, upstream, 0.0, holders);
         best
     }
 
     fn consider(
         &self,
-        best: &mut Option<(f64, Candidate<'a>)>,
+        best: &mut Best<'a>,
         upstream: &'a Arc<UpstreamState>,
+        extra_ms: f64,
         holders: &Option<Holders>,
     ) {
         let slot = upstream.cache_slot();
@@ -324,7 +385,7 @@
         if !upstream.has_report() {
             estimate.wait_ms += upstream.open_requests() as f64 * ASSUMED_REQUEST_MS;
         }
-        let cost = estimate.cost(options);
+        let cost = estimate.cost(options, self.req.deadline - self.now) + extra_ms;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             *best = Some((cost, Candidate { upstream, estimate, uncached }));
         }
--- a/crates/anvilhook-core/src/routing/upstreams.rs
+++ b/crates/anvilhook-core/src/routing/upstreams.rs
@@ -9,6 +9,7 @@
 use crate::names::{UpstreamName, ZoneName};
 use crate::orders::Role;
 use crate::reports::LoadReport;
+use crate::roles::PoolShape;
 use crate::units::{Millis, Tokens};
 
 /// No slot of the prefix index.
@@ -21,6 +22,27 @@
     pub prompt: Tokens,
     /// Tokens of output that are expected.
     pub output: Tokens,
+    /// Whether its deadline is tight: it would end late on an engine that reads prompts all the
+    /// while.
+    pub tight: bool,
+}
+
+impl Work {
+    /// Makes the work of a request, whose deadline is tight if the time left is too short for its
+    /// output beside prompts that are being read.
+    ///
+    /// ```
+    /// use anvilhook_core::routing::Work;
+    /// use anvilhook_core::units::{Millis, Tokens};
+    ///
+    /// let (prompt, output) = (Tokens(300), Tokens(200));
+    /// assert!(Work::new(prompt, output, Millis::from_secs(9)).tight);
+    /// assert!(!Work::new(prompt, output, Millis::from_secs(60)).tight);
+    /// ```
+    pub fn new(prompt: Tokens, output: Tokens, time_left: Millis) -> Self {
+        let busy_ms = PoolShape::default().mixed_step_ms() * output.0 as f64;
+        Self { prompt, output, tight: busy_ms >= time_left.0 as f64 }
+    }
 }
 
 /// `UpstreamState` is what this instance knows of an upstream. It is shared by all route tables that
