--- a/crates/anvilhook-bench/src/bin/anvilhook-bench.rs
+++ b/crates/anvilhook-bench/src/bin/anvilhook-bench.rs
@@ -1,6 +1,6 @@
 //! `anvilhook-bench`: measurements, one subcommand each.
 
-use anvilhook_bench::{control, proxy};
+use anvilhook_bench::{control, policy, proxy};
 use argh::FromArgs;
 
 /// Measure parts of anvilhook on this machine.
@@ -15,6 +15,7 @@
 #[argh(subcommand)]
 enum Bench {
     Control(control::Args),
+    Policy(policy::Args),
     Proxy(proxy::Args),
 }
 
@@ -22,6 +23,7 @@
     let args: Args = argh::from_env();
     match args.bench {
         Bench::Control(args) => control::run(&args),
+        Bench::Policy(args) => policy::run(&args),
         Bench::Proxy(args) => proxy::run(&args),
     }
 }
--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod callers;
 pub mod control;
 pub mod local;
+pub mod policy;
 pub mod proxy;
 pub mod sites;
