--- /dev/null
+++ b/crates/anvilhook-core/src/membership/members.rs
@@ -0,0 +1,83 @@
+//! Announced and listed instances.
+//!
+//! An instance announces itself, then reads the drains, then routes. A holder marks an engine, then
+//! reads the announcements. Whichever comes first in the table, either the holder sees the instance
+//! and waits for it, or the instance sees the mark and routes nothing there. An instance that is cut
+//! off from the table alone is still seen in the platform's list, and is waited for as well.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::names::InstanceName;
+
+/// `Listed` is what the platform's list says of an instance.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Listed {
+    /// It runs, or is about to leave.
+    Present,
+    /// Its process can never run again.
+    Gone,
+}
+
+/// `Roster` is what is known of all instances.
+///
+/// ```
+/// use anvilhook_core::membership::{Listed, Roster};
+/// use anvilhook_core::names::InstanceName;
+///
+/// let (one, two) = (InstanceName::try_new("entry-1")?, InstanceName::try_new("entry-2")?);
+/// let mut roster = Roster::default();
+/// roster.replace_announced([one.clone(), two.clone()]);
+/// roster.replace_listed([(two.clone(), Listed::Gone)]);
+/// assert_eq!(roster.required().collect::<Vec<_>>(), [&one]);
+/// # Ok::<(), anvilhook_core::Error>(())
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Roster {
+    announced: BTreeSet<InstanceName>,
+    /// Those that took back their announcement, as an instance does at the end of a planned stop.
+    departed: BTreeSet<InstanceName>,
+    listed: BTreeMap<InstanceName, Listed>,
+}
+
+impl Roster {
+    /// Replaces the announcements by a newer reading of all of them.
+    pub fn replace_announced(&mut self, instances: impl IntoIterator<Item = InstanceName>) {
+        let before = std::mem::take(&mut self.announced);
+        self.announced = instances.into_iter().collect();
+        self.departed.extend(before);
+        self.departed.retain(|name| !self.announced.contains(name));
+    }
+
+    /// Replaces the lines of the platform's list by a newer reading. That an instance is gone is
+    /// final: a list that lags more than the one before does not bring it back.
+    pub fn replace_listed(&mut self, lines: impl IntoIterator<Item = (InstanceName, Listed)>) {
+        self.listed.retain(|_, listed| *listed == Listed::Gone);
+        for (name, listed) in lines {
+            let known = self.listed.entry(name).or_insert(listed);
+            if listed == Listed::Gone {
+                *known = Listed::Gone;
+            }
+        }
+    }
+
+    /// Returns whether the platform says that an instance is gone for good. One that is missing
+    /// from the list is not known to be gone.
+    pub fn is_gone(&self, instance: &InstanceName) -> bool {
+        self.listed.get(instance) == Some(&Listed::Gone)
+    }
+
+    /// Returns the instances whose acknowledgement a drain needs: all that are announced or listed,
+    /// but for those that are gone or took back their announcement.
+    pub fn required(&self) -> impl Iterator<Item = &InstanceName> {
+        let present = self.listed.iter().filter(|(_, listed)| **listed == Listed::Present);
+        let only_listed = present
+            .map(|(name, _)| name)
+            .filter(|name| !self.announced.contains(*name) && !self.departed.contains(*name));
+        self.announced().chain(only_listed)
+    }
+
+    /// Returns the announced instances that are not gone.
+    pub fn announced(&self) -> impl Iterator<Item = &InstanceName> {
+        self.announced.iter().filter(|name| !self.is_gone(name))
+    }
+}
--- a/crates/anvilhook-daemon/src/lib.rs
+++ b/crates/anvilhook-daemon/src/lib.rs
@@ -2,4 +2,9 @@
 #![forbid(unsafe_code)]
 
 pub mod front;
+pub mod instances;
+pub mod names;
+pub mod observability;
+pub mod operators;
 pub mod proxy;
+pub mod settings;
