--- a/crates/anvilhook-daemon/tests/front_limits.rs
+++ b/crates/anvilhook-daemon/tests/front_limits.rs
@@ -15,6 +15,9 @@
 const CHAT: &str = "/v1/chat/completions";
 const RECORDS: &str = "/services/ledger/records";
 
+/// A method, a path, headers, a body, and the status and code of the refusal.
+type Case<'a> = (&'a str, &'a str, &'a [(&'a str, &'a str)], &'a str, u16, &'a str);
+
 async fn front(
     options: FrontOptions,
     account: (u32, u32),
@@ -37,7 +40,7 @@
     let large_chat = chat_body(&large, false);
     let long_header = "h".repeat(20_000);
     let other_model = chat_body("x", false).replace("\"m\"", "\"other\"");
-    let cases: &[(&str, &str, &[(&str, &str)], &str, u16, &str)] = &[
+    let cases: &[Case<'_>] = &[
         ("POST", RECORDS, &[("authorization", "Bearer other")], "", 401, "unknown-credential"),
         ("POST", RECORDS, &[("authorization", "Basic x")], "", 401, "unknown-credential"),
         ("POST", "/nothing", &[("authorization", "Bearer other")], "", 401, "unknown-credential"),
