--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod callers;
 pub mod local;
+pub mod policy;
 pub mod proxy;
 pub mod sites;
--- a/crates/anvilhook-daemon/src/front/bodies.rs
+++ b/crates/anvilhook-daemon/src/front/bodies.rs
@@ -87,10 +87,10 @@
         })
     }
 
-    /// Returns the estimate of what the request asks of an engine.
-    pub fn work(&self) -> Work {
+    /// Returns the estimate of what the request asks of an engine, to be done in `time_left`.
+    pub fn work(&self, time_left: Millis) -> Work {
         let output = self.max_tokens.map_or(EXPECTED_OUTPUT, Tokens);
-        Work { prompt: prompt_tokens(&self.messages), output }
+        Work::new(prompt_tokens(&self.messages), output, time_left)
     }
 
     /// Returns whether the request bounds its output.
--- a/crates/anvilhook-daemon/src/front/routes.rs
+++ b/crates/anvilhook-daemon/src/front/routes.rs
@@ -185,7 +185,9 @@
         let service = self.chat_service(&head.model)?;
         let by_service = Refused::by(&service);
         let kind = if head.stream { RequestKind::ChatStreamed } else { RequestKind::ChatWhole };
-        let (work, bounds_output, prefix) = (head.work(), head.bounds_output(), head.prefix());
+        let time_left = arrival.caller.deadline.unwrap_or(service.spec.deadline_ms);
+        let work = head.work(time_left);
+        let (bounds_output, prefix) = (head.bounds_output(), head.prefix());
         let checked = bodies::check_size(body.len() as u64, service.spec.max_body_bytes)
             .and_then(|()| for_engine(&body, &head, &service));
         drop(head);
