--- a/crates/anvilhook-daemon/src/front/states.rs
+++ b/crates/anvilhook-daemon/src/front/states.rs
@@ -1,8 +1,9 @@
 //! What the caller front knows of the configuration, replaced as a whole when that changes.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
+use anvilhook_core::caches::{CacheSlot, PrefixIndex};
 use anvilhook_core::limits::{AccountLimiter, LimitOptions};
 use anvilhook_core::names::{AccountName, PoolName, ServiceName, UpstreamName, ZoneName};
 use anvilhook_core::resources::{
@@ -59,6 +60,30 @@
     path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
+/// The most engines whose prefix caches are followed.
+const MAX_CACHES: u16 = 4_096;
+
+/// How many pairs of an engine and a block of a prompt can be remembered, in 2 MB.
+const REMEMBERED_BLOCKS: usize = 1 << 18;
+
+/// `BuildOptions` is what a state is built by, besides the configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct BuildOptions<'a> {
+    /// The number of running instances, for the shares of account limits.
+    pub instances: usize,
+    /// How the shares move.
+    pub limits: &'a LimitOptions,
+    /// The metrics that services are counted in.
+    pub metrics: &'a FrontMetrics,
+    /// What is believed of the engines' prefix caches.
+    pub prefixes: &'a Arc<PrefixIndex>,
+}
+
+/// Returns an index in which no prefix is known yet.
+pub fn new_prefix_index() -> Arc<PrefixIndex> {
+    Arc::new(PrefixIndex::new(usize::from(MAX_CACHES), REMEMBERED_BLOCKS))
+}
+
 /// `FrontState` is what requests are checked against and routed by.
 #[derive(Debug, Default)]
 pub struct FrontState {
@@ -72,16 +97,10 @@
 impl FrontState {
     /// Builds the state of a configuration. What `earlier` kept of upstreams, accounts and retry
     /// budgets goes on where their declarations stay the same.
-    pub fn build(
-        cfg: &Configuration,
-        earlier: &FrontState,
-        instances: usize,
-        limits: &LimitOptions,
-        metrics: &FrontMetrics,
-    ) -> Self {
+    pub fn build(cfg: &Configuration, earlier: &FrontState, options: &BuildOptions<'_>) -> Self {
         let mut state = FrontState::default();
         for resource in cfg.of_kind(Kind::Account) {
-            state.add_account(resource, earlier, instances, limits);
+            state.add_account(resource, earlier, options);
         }
         let mut pools: HashMap<PoolName, Vec<Arc<UpstreamState>>> = HashMap::new();
         for resource in cfg.of_kind(Kind::Engine) {
@@ -91,8 +110,9 @@
             let upstream = state.upstream(earlier, name, engine.address, &engine.zone);
             pools.entry(engine.pool.clone()).or_default().push(upstream);
         }
+        state.number_caches(&pools, options.prefixes);
         for resource in cfg.of_kind(Kind::Service) {
-            state.add_service(resource, earlier, &pools, metrics);
+            state.add_service(resource, earlier, &pools, options);
         }
         state
     }
@@ -135,14 +155,13 @@
         &mut self,
         resource: &Resource,
         earlier: &FrontState,
-        instances: usize,
-        limits: &LimitOptions,
+        options: &BuildOptions<'_>,
     ) {
         let Spec::Account(spec) = &resource.spec else { return };
         let Ok(name) = AccountName::try_new(resource.name.as_str()) else { return };
         let kept = earlier.accounts.get(&name).filter(|account| account.spec == *spec);
         let account = kept.cloned().unwrap_or_else(|| {
-            let limiter = AccountLimiter::new(spec, instances, limits);
+            let limiter = AccountLimiter::new(spec, options.instances, options.limits);
             Arc::new(Account { name: name.clone(), spec: spec.clone(), limiter })
         });
         for text in &spec.token_sha256 {
@@ -154,12 +173,32 @@
         self.accounts.insert(name, account);
     }
 
+    /// Gives each new engine a free slot of the prefix index.
+    fn number_caches(
+        &self,
+        pools: &HashMap<PoolName, Vec<Arc<UpstreamState>>>,
+        prefixes: &PrefixIndex,
+    ) {
+        let engines = || pools.values().flatten();
+        let mut taken: HashSet<u16> =
+            engines().filter_map(|engine| engine.cache_slot()).map(|slot| slot.0).collect();
+        let mut free = 0..MAX_CACHES;
+        for engine in engines().filter(|engine| engine.cache_slot().is_none()) {
+            // An engine beyond the last slot is served without knowledge of its cache.
+            let Some(slot) = free.find(|slot| !taken.contains(slot)) else { return };
+            taken.insert(slot);
+            // What is believed of the engine that had the slot before is not true of this one.
+            prefixes.void(CacheSlot(slot));
+            engine.set_cache_slot(CacheSlot(slot));
+        }
+    }
+
     fn add_service(
         &mut self,
         resource: &Resource,
         earlier: &FrontState,
         pools: &HashMap<PoolName, Vec<Arc<UpstreamState>>>,
-        metrics: &FrontMetrics,
+        options: &BuildOptions<'_>,
     ) {
         let Spec::Service(spec) = &resource.spec else { return };
         let Ok(name) = ServiceName::try_new(resource.name.as_str()) else { return };
@@ -175,9 +214,9 @@
         let service = Arc::new(Service {
             name: name.clone(),
             spec: spec.clone(),
-            table: RouteTable::new(upstreams),
+            table: RouteTable::new(upstreams).with_prefixes(Arc::clone(options.prefixes)),
             budget: budget.unwrap_or_else(new_budget),
-            metrics: metrics.service(&name),
+            metrics: options.metrics.service(&name),
         });
         if let ServiceBackend::Model { model, .. } = &spec.backend {
             let model = model.as_str().to_owned();
