Measure against an upstream in a process of its own

Cause: an upstream in the callers' process is woken by the same thread, which no real direct call is. Change: the bench starts the plain upstream as a process of its own. Conclusion: direct and proxied calls differ by the instance alone.

--- a/crates/anvilhook-bench/src/proxy/latencies.rs
+++ b/crates/anvilhook-bench/src/proxy/latencies.rs
@@ -11,11 +11,11 @@
 use tokio::task::JoinSet;
 
 use super::LONGEST;
-use super::instances::InstanceProcess;
+use super::processes::InstanceProcess;
 use super::reports::LatencyRow;
 use crate::callers::{Caller, Outcome, PlainCall, micros};
 use crate::local::micros_histogram;
-use crate::sites::{ECHO_PATH, LEDGER_SERVICE, Site};
+use crate::sites::{ECHO_PATH, LEDGER_SERVICE};
 
 /// How long each side is called before it is measured, and then measured.
 const WARM_UP: Duration = Duration::from_millis(500);
@@ -49,12 +49,12 @@
 /// Measures both sides with the given number of callers, each of which waits for its answer before
 /// it calls again.
 pub async fn measure(
-    site: &Site,
+    upstream: SocketAddr,
     instance: &InstanceProcess,
     caller: &Caller,
     callers: usize,
 ) -> eyre::Result<LatencyRow> {
-    let direct = call_for(caller, callers, Target::Upstream(site.plain[0].address())).await?;
+    let direct = call_for(caller, callers, Target::Upstream(upstream)).await?;
 
     let before = instance.usage()?;
     let proxied = call_for(caller, callers, Target::Instance(instance.callers())).await?;
--- a/crates/anvilhook-bench/src/proxy/memories.rs
+++ b/crates/anvilhook-bench/src/proxy/memories.rs
@@ -6,7 +6,7 @@
 use tokio::task::JoinSet;
 
 use super::LONGEST;
-use super::instances::InstanceProcess;
+use super::processes::InstanceProcess;
 use super::reports::{MemoryPoint, MemoryRow};
 use crate::callers::{Caller, ChatCall, Outcome};
 use crate::sites::Site;
--- a/crates/anvilhook-bench/src/proxy/mod.rs
+++ b/crates/anvilhook-bench/src/proxy/mod.rs
@@ -1,14 +1,15 @@
 //! The cost of the way through an instance, against direct calls in the same run.
 //!
-//! The instance runs as a process of its own, so that its processor time and memory are its own;
-//! callers and stand-ins share the bench's process.
+//! The instance and the upstream of small calls run as processes of their own; callers and all
+//! other stand-ins share the bench's process.
 
-mod instances;
 mod latencies;
 mod memories;
+mod processes;
 mod reports;
 mod streams;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use anvilhook_core::units::Millis;
@@ -19,7 +20,7 @@
 
 use crate::callers::Caller;
 use crate::sites::{Bounds, Site, SiteOptions};
-use instances::InstanceProcess;
+use processes::{InstanceProcess, UpstreamProcess};
 
 /// The numbers of callers that are tried.
 const CALLERS: [usize; 3] = [1, 16, 256];
@@ -49,6 +50,9 @@
     /// run an instance with these settings; the bench starts itself with it
     #[argh(option)]
     pub instance: Option<PathBuf>,
+    /// run a plain upstream; the bench starts itself with it
+    #[argh(switch)]
+    pub upstream: bool,
 }
 
 /// Runs the measurement and prints it.
@@ -59,7 +63,10 @@
 pub fn run(args: &Args) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     if let Some(settings) = &args.instance {
-        return runtime.block_on(instances::serve(settings));
+        return runtime.block_on(processes::serve_instance(settings));
+    }
+    if args.upstream {
+        return runtime.block_on(processes::serve_upstream());
     }
     let report = runtime.block_on(measure())?;
     if args.json {
@@ -71,28 +78,29 @@
 }
 
 async fn measure() -> eyre::Result<Report> {
-    let site = Site::start(&site_options(FAST_STEP_MS)).await?;
-    let instance = InstanceProcess::start(&site).await?;
+    let upstream = UpstreamProcess::start()?;
+    let site = Site::start(&site_options(FAST_STEP_MS, upstream.address())).await?;
+    let instance = InstanceProcess::start(&site)?;
     let caller = Caller::try_new()?;
 
     let mut latencies = Vec::new();
     for callers in CALLERS {
         eprintln!("{callers} callers");
-        latencies.push(latencies::measure(&site, &instance, &caller, callers).await?);
+        latencies.push(latencies::measure(upstream.address(), &instance, &caller, callers).await?);
     }
     eprintln!("{STREAMS} streams");
     let streams = streams::measure(&site, &instance, &caller, STREAMS).await?;
     drop(instance);
 
     eprintln!("open streams");
-    let site = Site::start(&site_options(SLOW_STEP_MS)).await?;
-    let instance = InstanceProcess::start(&site).await?;
+    let site = Site::start(&site_options(SLOW_STEP_MS, upstream.address())).await?;
+    let instance = InstanceProcess::start(&site)?;
     let memory = memories::measure(&site, &instance, &caller, &OPEN_STREAMS).await?;
     Ok(Report { latencies, streams, memory })
 }
 
 /// Returns a site whose engines cost next to nothing, with room for thousands of streams.
-fn site_options(decode_step_ms: f64) -> SiteOptions {
+fn site_options(decode_step_ms: f64, upstream: SocketAddr) -> SiteOptions {
     let engine = EngineOptions {
         prefill_tokens_per_s: 100_000_000,
         decode_step_ms,
@@ -110,7 +118,8 @@
     SiteOptions {
         engines: 4,
         engine,
-        plain: 1,
+        plain: 0,
+        other_plain: vec![upstream],
         bounds,
         holds_connections: false,
         ..SiteOptions::default()
--- a/crates/anvilhook-bench/src/proxy/streams.rs
+++ b/crates/anvilhook-bench/src/proxy/streams.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 
 use super::LONGEST;
-use super::instances::InstanceProcess;
+use super::processes::InstanceProcess;
 use super::reports::StreamRow;
 use crate::callers::{Caller, ChatCall, Outcome};
 use crate::sites::Site;
--- a/crates/anvilhook-bench/src/sites/mod.rs
+++ b/crates/anvilhook-bench/src/sites/mod.rs
@@ -36,6 +36,8 @@
     pub engine: EngineOptions,
     /// The number of upstreams of the plain services.
     pub plain: usize,
+    /// Further upstreams of the plain services, which run elsewhere.
+    pub other_plain: Vec<SocketAddr>,
     /// How late the platform's list shows an event.
     pub list_lag: Millis,
     /// What the services promise.
@@ -52,6 +54,7 @@
             engines: 2,
             engine: EngineOptions::default().faster(10.0),
             plain: 3,
+            other_plain: Vec::new(),
             list_lag: Millis(200),
             bounds: Bounds::default(),
             holds_connections: true,
@@ -109,7 +112,8 @@
         }
 
         let engine_addresses: Vec<SocketAddr> = engines.iter().map(EngineServer::address).collect();
-        let plain_addresses: Vec<SocketAddr> = plain.iter().map(PlainServer::address).collect();
+        let mut plain_addresses: Vec<SocketAddr> = plain.iter().map(PlainServer::address).collect();
+        plain_addresses.extend(&options.other_plain);
         let declared = resources(&engine_addresses, &plain_addresses, &options.bounds);
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
         declare(platform.clone(), declared, &mut rng).await?;
