--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod callers;
+pub mod control;
 pub mod local;
 pub mod proxy;
 pub mod sites;
