Carry authority and drains in every instance

Cause: nobody held the pools, and no instance acknowledged a drain. Change: each instance follows the marks of drains and acknowledges them over the peer link and in the table; a keeper holds pools by leases, gives orders by the configuration, writes status, and gives its pools up at a graceful stop. Requests are routed only after the announcement and the first reading of the marks. Calls to engines end within the guard interval of a lease.

--- a/crates/anvilhook-daemon/src/front/mod.rs
+++ b/crates/anvilhook-daemon/src/front/mod.rs
@@ -9,12 +9,14 @@
 mod routes;
 mod states;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{Ordering, fence};
 
 use anvilhook_core::limits::LimitOptions;
 use anvilhook_core::names::UpstreamName;
 use anvilhook_core::resources::Configuration;
+use anvilhook_core::routing::UpstreamState;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_engine::Upstreams;
 use anvilhook_http::Shutdown;
@@ -141,9 +143,21 @@
     /// Puts a configuration in force for the requests that arrive from now on. `instances` is the
     /// number of running instances, for the shares of account limits until peers are heard.
     pub fn apply(&self, cfg: &Configuration, instances: usize) {
+        self.apply_with(cfg, instances, |_upstreams| {});
+    }
+
+    /// As `apply`, but has `prepare` mark the upstreams before any request can meet them. Marked
+    /// afterwards, one that is new to this instance could get a request amid a change of it.
+    pub fn apply_with(
+        &self,
+        cfg: &Configuration,
+        instances: usize,
+        prepare: impl FnOnce(&BTreeMap<UpstreamName, Arc<UpstreamState>>),
+    ) {
         let earlier = self.inner.state.load();
         let limits = &self.inner.options.limits;
         let state = FrontState::build(cfg, &earlier, instances, limits, &self.inner.metrics);
+        prepare(state.upstreams());
         self.inner.state.store(Arc::new(state));
     }
 
--- a/crates/anvilhook-daemon/src/instances/clients.rs
+++ b/crates/anvilhook-daemon/src/instances/clients.rs
@@ -1,5 +1,6 @@
 //! The bindings to everything that an instance calls.
 
+use anvilhook_core::units::Millis;
 use anvilhook_engine::{ControlOptions, HttpEngineControl, HttpUpstreams};
 use anvilhook_http::{CallError, ClientOptions, HttpClient};
 use anvilhook_platform::{HttpPlatform, HttpPlatformOptions};
@@ -26,7 +27,15 @@
         Ok(Self {
             platform: HttpPlatform::try_new(settings.platform.address, &options)?,
             upstreams: HttpUpstreams::new(client.clone()),
-            control: HttpEngineControl::new(client, ControlOptions::default(), rng),
+            control: HttpEngineControl::new(client, control_options(settings), rng),
         })
     }
 }
+
+/// Returns bounds under which a call ends within the guard interval of a lease: the timeout counts
+/// once for the head of an answer and once for its body. An order under way when the lease ends
+/// would be one by a process without authority.
+fn control_options(settings: &Settings) -> ControlOptions {
+    let timeout = Millis(settings.leases.guard_ms.0 * 2 / 5);
+    ControlOptions { timeout, ..ControlOptions::default() }
+}
--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -1,12 +1,14 @@
 //! One instance: its parts, wired together, from start to graceful stop.
 
 mod archives;
+mod authorities;
 mod clients;
 mod errors;
 mod handles;
 mod listeners;
 mod marks;
 mod peers;
+mod plans;
 mod pollers;
 mod signals;
 mod starts;
--- a/crates/anvilhook-daemon/src/instances/peers.rs
+++ b/crates/anvilhook-daemon/src/instances/peers.rs
@@ -30,9 +30,10 @@
     pub link: PeerHandle,
     /// The number of announced instances, this one among them.
     pub instances: watch::Sender<usize>,
-    /// Whether requests may be routed: the record stands, or no authority can be left over that
-    /// does not know of it.
+    /// Whether the record stands.
     pub announced: watch::Sender<bool>,
+    /// Whether requests may be routed.
+    pub routable: watch::Sender<bool>,
 }
 
 impl<C: Clock, T: Table> Presence<C, T> {
@@ -40,7 +41,8 @@
     ///
     /// A drain asks every announced instance. One that routed before it was announced would not be
     /// asked, and its requests would be cut by the change. With the table down nobody can renew
-    /// authority, so after `patience` none is left and routing may begin all the same.
+    /// authority, so after `patience` none is left and routing may begin all the same; and whoever
+    /// takes authority later asks every instance that the platform lists too.
     pub async fn keep_announced(self, patience: Millis) {
         let started_at = self.clock.now();
         let mut schedule = ReportSchedule::new(REPORT_INTERVAL);
@@ -50,9 +52,9 @@
                 schedule.reported(now, revision);
                 self.announced.send_replace(true);
             }
-            if !*self.announced.borrow() && now - started_at > patience {
+            if !*self.routable.borrow() && now - started_at > patience {
                 log::warn!("routing begins without an announcement; the table has been down");
-                self.announced.send_replace(true);
+                self.routable.send_replace(true);
             }
             rest(ANNOUNCE_AGAIN).await;
         }
--- a/crates/anvilhook-daemon/src/instances/pollers.rs
+++ b/crates/anvilhook-daemon/src/instances/pollers.rs
@@ -41,7 +41,8 @@
     pub marks: Marks,
     pub readiness: Readiness,
     pub instances: watch::Sender<usize>,
-    pub announced: watch::Sender<bool>,
+    /// Whether requests may be routed.
+    pub routable: watch::Sender<bool>,
 }
 
 impl<C: Clone, U, K, T> Clone for Pollers<C, U, K, T> {
@@ -53,7 +54,7 @@
             marks: self.marks.clone(),
             readiness: self.readiness.clone(),
             instances: self.instances.clone(),
-            announced: self.announced.clone(),
+            routable: self.routable.clone(),
         }
     }
 }
@@ -73,8 +74,8 @@
 
     /// Puts each newer configuration in force at the front, once this instance may route.
     pub async fn apply_configurations(self) {
-        let mut announced = self.announced.subscribe();
-        if announced.wait_for(|announced| *announced).await.is_err() {
+        let mut routable = self.routable.subscribe();
+        if routable.wait_for(|routable| *routable).await.is_err() {
             return;
         }
         let mut revisions = self.follower.subscribe();
@@ -93,7 +94,9 @@
             if revision.0 == 0 {
                 continue;
             }
-            self.front.apply(&self.follower.current(), count);
+            let cfg = self.follower.current();
+            self.front.apply_with(&cfg, count, |upstreams| self.marks.carry_over(upstreams));
+            // A mark that came in between has been carried over to the earlier state only.
             self.marks.carry_over(self.front.state().upstreams());
             self.readiness.set_configured();
         }
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use anvilhook_authority::{AckSchedule, Follower, Keeper, KeeperOptions, POOL_PREFIX, Services};
+use anvilhook_core::leases::LeaseOptions;
 use anvilhook_core::names::InstanceName;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_engine::HttpUpstreams;
@@ -10,7 +12,7 @@
 use anvilhook_platform::HttpPlatform;
 use anvilhook_store::{
     ArchiveOptions, AuditArchive, ConfigurationFollower, ConfigurationStore, InstanceDirectory,
-    StoreOptions,
+    StatusStore, StoreOptions,
 };
 use prometheus_client::registry::Registry;
 use rand::{RngExt, SeedableRng};
@@ -20,6 +22,7 @@
 use volo_http::server::route::Router;
 
 use super::archives::keep_archiving;
+use super::authorities::{Acknowledged, DrainTask, KeeperTask};
 use super::clients::Clients;
 use super::errors::StartError;
 use super::handles::{Announcement, InstanceHandle};
@@ -32,10 +35,10 @@
 use crate::names::running_name;
 use crate::observability::{ProcessCollector, Readiness, probe_router};
 use crate::operators::{
-    self, Credentials, NoLeases, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
+    self, Credentials, LeaseRows, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
 };
 use crate::proxy::NoClaims;
-use crate::settings::{PollingSettings, Settings};
+use crate::settings::{LeaseSettings, PollingSettings, Settings};
 
 /// How many pauses of the instance list lie between two readings of the instances' records. Records
 /// change far less often, and each reading scans all of them.
@@ -47,6 +50,9 @@
 /// The stream of the generator that the archive's pauses come from.
 const ARCHIVE_STREAM: u64 = 2;
 
+/// How many renewals fall into the length of a lease.
+const RENEWALS_PER_LEASE: u64 = 3;
+
 /// `Parts` holds what an instance takes from its surroundings.
 #[derive(Clone, Debug)]
 pub struct Parts<C> {
@@ -110,6 +116,8 @@
     follower: HttpFollower,
     instances: watch::Sender<usize>,
     announced: watch::Sender<bool>,
+    routable: watch::Sender<bool>,
+    marks: Marks,
 }
 
 impl<C: Clock> Wiring<C> {
@@ -146,6 +154,8 @@
             follower: ConfigurationFollower::new(store),
             instances: watch::Sender::new(1),
             announced: watch::Sender::new(false),
+            routable: watch::Sender::new(false),
+            marks: Marks::default(),
         })
     }
 
@@ -159,6 +169,7 @@
         let mut tasks = Tasks::new(self.shutdown.clone());
         self.spawn_pollers(&mut tasks);
         self.spawn_presence(&mut tasks, &presence);
+        self.spawn_authority(&mut tasks, &link)?;
         self.spawn_front(&mut tasks, "callers", listeners.callers, self.front.router());
         let probes =
             probe_router(Arc::new(std::mem::take(&mut self.registry)), self.readiness.clone());
@@ -202,6 +213,7 @@
             link: link.clone(),
             instances: self.instances.clone(),
             announced: self.announced.clone(),
+            routable: self.routable.clone(),
         }
     }
 
@@ -212,10 +224,10 @@
             clock: self.clock.clone(),
             front: self.front.clone(),
             follower: self.follower.clone(),
-            marks: Marks::default(),
+            marks: self.marks.clone(),
             readiness: self.readiness.clone(),
             instances: self.instances.clone(),
-            announced: self.announced.clone(),
+            routable: self.routable.clone(),
         };
         let PollingSettings { configuration_ms, reports_ms, instance_list_ms } =
             self.settings.polling;
@@ -247,6 +259,43 @@
         tasks.spawn_until("gone instances", until, forgetting);
     }
 
+    /// Starts what follows drains, and what keeps the pools that this instance holds.
+    fn spawn_authority(&self, tasks: &mut Tasks, link: &PeerHandle) -> Result<(), StartError> {
+        let table = self.clients.platform.clone();
+        let acknowledged = Acknowledged::new(link.clone());
+        let drains = DrainTask {
+            clock: self.clock.clone(),
+            front: self.front.clone(),
+            follower: Follower::new(self.name.clone(), table.clone(), AckSchedule::default()),
+            marks: self.marks.clone(),
+            acknowledged: acknowledged.clone(),
+            instances: self.instances.clone(),
+            announced: self.announced.clone(),
+            routable: self.routable.clone(),
+        };
+        tasks.spawn_until("drains", Phase::Closed, drains.follow());
+
+        let services = Services {
+            table: table.clone(),
+            engines: self.clients.control.clone(),
+            instances: table.clone(),
+            clock: self.clock.clone(),
+        };
+        let options = keeper_options(&self.settings.leases);
+        options.check()?;
+        let keeper = KeeperTask {
+            name: self.name.clone(),
+            keeper: Keeper::new(self.name.clone(), services, options),
+            follower: self.follower.clone(),
+            statuses: StatusStore::new(table),
+            link: link.clone(),
+            acknowledged,
+            shutdown: self.shutdown.clone(),
+        };
+        tasks.spawn("authority", keeper.keep());
+        Ok(())
+    }
+
     fn archive(&self) -> HttpArchive {
         let store = self.follower.store().clone();
         AuditArchive::new(store, self.clients.platform.clone(), ArchiveOptions::default())
@@ -263,7 +312,7 @@
         let api = OperatorApi::new(OperatorParts {
             follower: self.follower.clone(),
             archive,
-            leases: NoLeases,
+            leases: LeaseRows::new(self.clients.platform.clone(), POOL_PREFIX),
             credentials: self.credentials.clone(),
             shutdown: self.shutdown.clone(),
             rng: self.stream(OPERATOR_STREAM),
@@ -289,6 +338,16 @@
     }
 }
 
+fn keeper_options(leases: &LeaseSettings) -> KeeperOptions {
+    let lease = LeaseOptions {
+        length_ms: leases.length_ms,
+        renew_every_ms: Millis(leases.length_ms.0 / RENEWALS_PER_LEASE),
+        guard_ms: leases.guard_ms,
+        ..LeaseOptions::default()
+    };
+    KeeperOptions { lease, ..KeeperOptions::default() }
+}
+
 fn front_options(settings: &Settings) -> FrontOptions {
     FrontOptions {
         max_header_bytes: settings.limits.header_bytes as usize,
--- a/crates/anvilhook-daemon/src/settings/mod.rs
+++ b/crates/anvilhook-daemon/src/settings/mod.rs
@@ -201,7 +201,7 @@
 
 impl Default for LeaseSettings {
     fn default() -> Self {
-        Self { length_ms: Millis::from_secs(10), guard_ms: Millis::from_secs(3) }
+        Self { length_ms: Millis(9_000), guard_ms: Millis(2_500) }
     }
 }
 
