--- a/crates/anvilhook-bench/src/local/plans.rs
+++ b/crates/anvilhook-bench/src/local/plans.rs
@@ -29,6 +29,13 @@
     Plain(PlainCall),
 }
 
+impl Body {
+    /// Returns whether the request has an idempotency key.
+    pub fn has_key(&self) -> bool {
+        matches!(self, Body::Plain(PlainCall { key: Some(_), .. }))
+    }
+}
+
 /// `Planned` is one request.
 #[derive(Clone, Debug)]
 pub struct Planned {
--- a/crates/anvilhook-bench/src/local/runs.rs
+++ b/crates/anvilhook-bench/src/local/runs.rs
@@ -124,16 +124,23 @@
     }
 
     async fn send(&self, number: usize, planned: Planned) -> Ended {
-        let outcome = match self.choose(number) {
-            None => Outcome::Unreachable,
-            Some(instance) => match &planned.body {
-                Body::Chat(call) => self.caller.chat(instance, call).await,
-                Body::Plain(call) => self.caller.plain(instance, call).await,
-            },
-        };
+        let mut outcome = self.send_once(number, &planned.body).await;
+        // A caller that named a key may ask again, at another instance: the key keeps the call from
+        // running twice, and brings back the answer that was lost.
+        if planned.body.has_key() && outcome.answer().is_none() && !outcome.is_not_run() {
+            outcome = self.send_once(number + 1, &planned.body).await;
+        }
         Ended { planned, outcome }
     }
 
+    async fn send_once(&self, number: usize, body: &Body) -> Outcome {
+        let Some(instance) = self.choose(number) else { return Outcome::Unreachable };
+        match body {
+            Body::Chat(call) => self.caller.chat(instance, call).await,
+            Body::Plain(call) => self.caller.plain(instance, call).await,
+        }
+    }
+
     /// Chooses an instance as the platform's balancer does: one after the other, of those that have
     /// not been taken out.
     fn choose(&self, number: usize) -> Option<SocketAddr> {
