Say why a condition holds, and date the demonstration's declarations

Cause: why showed the reason only of what does not hold; the demonstration's audit entries stood at 1970. Change: the message stands beside each condition; declarations carry the time of day. Conclusion: cargo test -p anvilhook-ctl passes.

--- a/crates/anvilhook-bench/src/sites/declarations.rs
+++ b/crates/anvilhook-bench/src/sites/declarations.rs
@@ -5,7 +5,7 @@
 use anvilhook_core::attempts::ChangeId;
 use anvilhook_core::names::InstanceName;
 use anvilhook_core::resources::{Action, Change, Configuration, Expected, ResourceKey};
-use anvilhook_core::units::WallTime;
+use anvilhook_daemon::operators::system_wall_time;
 use anvilhook_platform::Table;
 use anvilhook_store::{ChangeRequest, ConfigurationStore, StoreOptions};
 use eyre::WrapErr;
@@ -30,7 +30,7 @@
         let req = ChangeRequest {
             id: ChangeId::random(rng),
             subject: name("operator"),
-            at: WallTime(0),
+            at: system_wall_time(),
             change: Change { key: key.clone(), action: Action::Put(spec) },
             expected: Expected::Absent,
         };
--- a/crates/anvilhook-ctl/src/whys.rs
+++ b/crates/anvilhook-ctl/src/whys.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 
 use anvilhook_api::{Observation, WhyAnswer};
-use anvilhook_core::resources::ConditionState;
+use anvilhook_core::resources::{Condition, ConditionState};
 
 use crate::arguments::{Output, WhyArgs};
 use crate::diffs::to_yaml;
@@ -49,8 +49,8 @@
             ConditionState::False => "does not hold",
             ConditionState::Unknown => "is not known",
         };
-        let since = times::show(seen.condition.since);
-        shell.line(format!("  {} {state} since {since}", seen.condition.kind))?;
+        let Condition { kind, since, message, .. } = &seen.condition;
+        shell.line(format!("  {kind} {state} since {}: {message}", times::show(*since)))?;
     }
     Ok(())
 }
