Show that a drain reads the instances after its mark, and keep status still between readings

Change: orders that arrive late, instances that route seldom, requests counted that meet an engine amid a change; the reason stands until there is something new to say.

--- a/crates/anvilhook-authority/src/engines.rs
+++ b/crates/anvilhook-authority/src/engines.rs
@@ -132,8 +132,8 @@
         }
     }
 
-    /// Takes one engine as far as it goes now, and returns what it waits for. Nothing is returned
-    /// for an engine whose state was not read in this step.
+    /// Takes one engine as far as it goes now, and returns what it waits for, if there is anything
+    /// new to say.
     async fn work_engine(
         &mut self,
         pool: &mut HeldPool,
@@ -152,7 +152,7 @@
                 Decision::Idle => {
                     return Some(Finding::new(true, reasons::AS_DESIRED, "as desired"));
                 }
-                Decision::Wait(wait) => return Some(self.finding_of(&wait, pool, engine)),
+                Decision::Wait(wait) => return finding_of(&wait, pool, engine),
                 Decision::Give(order) => {
                     self.give(pool, engine, &order).await;
                     self.read_again(pool, engine).await?;
@@ -287,21 +287,20 @@
         };
         memory.given = Some(GivenOrder { stamp: order.stamp, call });
     }
+}
 
-    fn finding_of(&self, wait: &Wait, pool: &HeldPool, engine: &EnginePlan) -> Finding {
-        match wait {
-            Wait::Instances(names) if names.is_empty() => {
-                changing_finding("the instances are being read")
-            }
-            Wait::Instances(names) => {
-                let listed = list(names);
-                let mark = pool.row.drains.engines.get(&engine.name);
-                let since = mark.map_or(0, |mark| mark.since);
-                let message = format!("drain of generation {since} awaits {listed}");
-                Finding::new(false, reasons::AWAITING_INSTANCES, message)
-            }
-            _ => Finding::of_wait(wait),
+/// Returns the finding for an engine whose change waits. Where the instances were not read in this
+/// step there is nothing new to say, and what was found before stands.
+fn finding_of(wait: &Wait, pool: &HeldPool, engine: &EnginePlan) -> Option<Finding> {
+    match wait {
+        Wait::Instances(names) if names.is_empty() => None,
+        Wait::Instances(names) => {
+            let mark = pool.row.drains.engines.get(&engine.name);
+            let since = mark.map_or(0, |mark| mark.since);
+            let message = format!("drain of generation {since} awaits {}", list(names));
+            Some(Finding::new(false, reasons::AWAITING_INSTANCES, message))
         }
+        _ => Some(Finding::of_wait(wait)),
     }
 }
 
--- a/crates/anvilhook-authority/tests/drains.rs
+++ b/crates/anvilhook-authority/tests/drains.rs
@@ -111,6 +111,41 @@
     }
 }
 
+/// Symptom: a new instance's requests meet an engine amid a change.
+/// Sequence: an instance announces itself after the holder read the instances, and before it marks
+/// the engine; then it is cut off, so that it does not see the mark.
+/// Cause: a reading of the instances from before the mark.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_the_instances_are_read_after_the_mark() {
+    for wait in 0..8 {
+        let case = format!("wanted {wait} steps after the start");
+        let keeper = KeeperOptions { awaited_read_ms: Millis(4_000), ..KeeperOptions::default() };
+        let options = FleetOptions { keeper, max_changing: 2, ..FleetOptions::default() };
+        let mut fleet = Fleet::new(options);
+        fleet.run_for(Millis(4_000)).await;
+        // A drain that awaits a long request makes the holder read the instances now and then.
+        fleet.submit_long(1);
+        fleet.want(1, load(2));
+        fleet.run_for(Millis(1_000)).await;
+        let new = fleet.start_instance();
+        fleet.instances[new].peers_cut = true;
+        fleet.instances[new].route_every = 8;
+        fleet.step().await;
+        fleet.reach(new, Reach::Cut, true);
+        for _ in 0..wait {
+            fleet.step().await;
+        }
+
+        fleet.want(0, load(2));
+        fleet.run_for(LIMIT).await;
+
+        assert_eq!(fleet.reason(0).as_deref(), Some("AwaitingInstances"), "{case}");
+        fleet.reach(new, Reach::Up, true);
+        fleet.run_until(LIMIT, &case, |fleet| fleet.meets(0, &load(2))).await;
+        check_logs(&fleet, &case);
+    }
+}
+
 /// Symptom: too many engines, or engines of two zones, are out of service at once.
 /// Sequence: a plan drains two zones of a pool while the pool also changes its model.
 /// Cause: a plan that does not count what else is out of service.
--- a/crates/anvilhook-authority/tests/orders.rs
+++ b/crates/anvilhook-authority/tests/orders.rs
@@ -16,7 +16,7 @@
 #[tokio::test(flavor = "current_thread")]
 async fn verify_an_order_in_doubt_is_settled_before_the_next() {
     for engine in 0..2 {
-        for fault in [EngineFault::LoseAnswer, EngineFault::LoseOrder] {
+        for fault in [EngineFault::LoseAnswer, EngineFault::LoseOrder, EngineFault::DeliverLate] {
             let case = format!("{fault:?} at engine {engine}");
             let mut fleet = Fleet::new(FleetOptions::default());
             fleet.run_for(Millis(3_000)).await;
--- a/crates/anvilhook-authority/tests/takeovers.rs
+++ b/crates/anvilhook-authority/tests/takeovers.rs
@@ -143,6 +143,7 @@
         let met = |engine| move |fleet: &Fleet| fleet.meets(engine, &adapter("second"));
         fleet.run_until(TAKE_OVER, &case, met(CHECKS)).await;
         assert_ne!(fleet.holder(), Some(holder), "{case}");
+        assert!(fleet.session_ended(holder), "{case}: it cannot go on renewing");
         if clears_itself {
             fleet.run_until(TAKE_OVER, &case, met(IGNORES)).await;
         } else {
@@ -246,6 +247,7 @@
         fleet.run_for(TAKE_OVER).await;
         assert_ne!(fleet.holder(), Some(holder), "{case}");
         heal(&mut fleet, holder);
+        fleet.run_for(Millis(2_000)).await;
 
         let serves = |fleet: &Fleet| fleet.row().unwrap().drains.engines.is_empty();
         fleet.run_until(TAKE_OVER, &case, serves).await;
