Count the rounding of clock readings into a challenger's wait

Cause: a table of clock rates showed one millisecond in which a holder still trusted its lease and a challenger could end it: each reads its clock in whole milliseconds. Figures: before, with no margin and a holder slower by the bound: taken at 9009 ms, trusted until 9009 ms. Conclusion: no overlap within the bound, and the test sees one beyond it.

--- a/crates/anvilhook-core/src/leases/options.rs
+++ b/crates/anvilhook-core/src/leases/options.rs
@@ -5,6 +5,10 @@
 use crate::errors::{Error, Result};
 use crate::units::Millis;
 
+/// How much longer a span can look to a challenger than to the holder only because each reads its
+/// clock in whole milliseconds: up to one at either of them.
+const ROUNDING: Millis = Millis(2);
+
 /// Parts in a million, the unit of clock rate differences.
 const MILLION: u64 = 1_000_000;
 
@@ -62,7 +66,7 @@
     pub fn challenge_after(&self, length: Millis) -> Millis {
         // Rounded up, because a millisecond too few would be one in which both may act.
         let drift = length.0.saturating_mul(self.clock_rate_bound_ppm).div_ceil(MILLION);
-        length + Millis(drift) + self.margin_ms
+        length + Millis(drift) + ROUNDING + self.margin_ms
     }
 }
 
--- a/crates/anvilhook-core/src/leases/watches.rs
+++ b/crates/anvilhook-core/src/leases/watches.rs
@@ -16,7 +16,7 @@
 /// let mut watch = Watch::default();
 /// assert!(!watch.observe(&row, 1, Millis(100), &options));
 /// assert!(!watch.observe(&row, 1, Millis(9_100), &options));
-/// assert!(watch.observe(&row, 1, Millis(9_609), &options));
+/// assert!(watch.observe(&row, 1, Millis(9_611), &options));
 /// # Ok::<(), anvilhook_core::Error>(())
 /// ```
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
--- a/crates/anvilhook-core/tests/authority_search/main.rs
+++ b/crates/anvilhook-core/tests/authority_search/main.rs
@@ -9,6 +9,7 @@
 use std::hash::{Hash, Hasher};
 
 use anvilhook_core::resources::Fencing;
+use anvilhook_core::units::Millis;
 
 use steps::{Label, steps};
 use world::{Broken, Case, Violation, World};
@@ -97,8 +98,8 @@
 const PAUSED: Case = Case {
     name: "a paused holder, one lost answer, both kinds of engines",
     engines: BOTH,
-    lengths: &[3, 100],
-    end: 4,
+    lengths: &[28, 1_000],
+    end: Millis(40),
     renewals: 0,
     lost_answers: 1,
     kills: 0,
@@ -135,8 +136,8 @@
     Case {
         name: "two holders in a row paused or killed, engine ignores",
         engines: ONE_IGNORES,
-        lengths: &[3, 6, 100],
-        end: 7,
+        lengths: &[28, 58, 1_000],
+        end: Millis(70),
         kills: 1,
         terms: 3,
         ..PAUSED
--- a/crates/anvilhook-core/tests/authority_search/steps.rs
+++ b/crates/anvilhook-core/tests/authority_search/steps.rs
@@ -13,12 +13,12 @@
 use anvilhook_core::units::Millis;
 
 use crate::world::{
-    Broken, Case, Held, Message, Next, ROLES, Violation, World, engine_name, instance_index,
+    Broken, Case, Held, Message, Next, ROLES, TICK, Violation, World, engine_name, instance_index,
     instance_name, lease_options,
 };
 
 /// How long an order can be on its way after its sender closed the connection.
-const DELIVERY_BOUND: Millis = Millis(1);
+const DELIVERY_BOUND: Millis = TICK;
 
 /// What happened in a step, for the report of a violation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,9 +62,9 @@
 }
 
 fn push_time(world: &World, case: &Case, steps: &mut Steps) {
-    let next = world.now + Millis(1);
+    let next = world.now + TICK;
     let in_time = |gone_at: Option<Millis>| gone_at.is_none_or(|gone_at| gone_at > next);
-    if world.now.0 < case.end && world.messages.iter().all(|message| in_time(message.gone_at)) {
+    if world.now < case.end && world.messages.iter().all(|message| in_time(message.gone_at)) {
         steps.push((Label::Tick, Ok(World { now: next, ..world.clone() })));
     }
 }
@@ -311,7 +311,7 @@
     name: "",
     engines: &[Fencing::Checks],
     lengths: &[1],
-    end: 0,
+    end: Millis::ZERO,
     renewals: 0,
     lost_answers: 0,
     kills: 0,
--- a/crates/anvilhook-core/tests/authority_search/world.rs
+++ b/crates/anvilhook-core/tests/authority_search/world.rs
@@ -20,7 +20,8 @@
     pub engines: &'static [Fencing],
     /// The length of each instance's session; the first holds the pool at the start.
     pub lengths: &'static [u64],
-    pub end: u64,
+    /// The time at which the search ends.
+    pub end: Millis,
     pub renewals: u8,
     pub lost_answers: u8,
     pub kills: u8,
@@ -110,6 +111,9 @@
     pub crashes: u8,
 }
 
+/// How far the time moves at once.
+pub const TICK: Millis = Millis(10);
+
 /// A rule that a run broke.
 pub type Violation = &'static str;
 
@@ -118,9 +122,9 @@
 
 pub fn lease_options() -> LeaseOptions {
     LeaseOptions {
-        length_ms: Millis(3),
-        renew_every_ms: Millis(1),
-        guard_ms: Millis(1),
+        length_ms: Millis(28),
+        renew_every_ms: TICK,
+        guard_ms: TICK,
         clock_rate_bound_ppm: 0,
         margin_ms: Millis(0),
     }
--- /dev/null
+++ b/crates/anvilhook-core/tests/leases.rs
@@ -0,0 +1,137 @@
+//! Leases: no two instances trust the same one, whatever their clocks and lost answers.
+
+use anvilhook_core::leases::{LeaseOptions, OwnSession, SessionFate, SessionRow, Watch};
+use anvilhook_core::membership::{CandidateOptions, rank, watch_interval};
+use anvilhook_core::names::{InstanceName, PoolName};
+use anvilhook_core::units::Millis;
+
+fn name(index: usize) -> InstanceName {
+    InstanceName::try_new(&format!("entry-{index}")).unwrap()
+}
+
+fn opened(options: &LeaseOptions, now: Millis) -> (OwnSession, SessionRow) {
+    let mut own = OwnSession::new(name(1), options.length_ms, None);
+    let row = own.begin(now);
+    own.confirm();
+    (own, row)
+}
+
+/// Returns the first moment in real time at which a challenger may end the session that was
+/// renewed and first seen at zero, and the last one at which its holder still gives orders.
+fn take_over_and_trust(options: &LeaseOptions, holder_ppm: i64, watcher_ppm: i64) -> (u64, u64) {
+    let reading = |real: u64, ppm: i64| {
+        Millis((real as i128 * (1_000_000 + i128::from(ppm)) / 1_000_000) as u64)
+    };
+    let (own, row) = opened(options, Millis::ZERO);
+    let mut watch = Watch::default();
+    watch.observe(&row, 1, Millis::ZERO, options);
+    let limit = 3 * options.length_ms.0;
+    let taken = (0..limit)
+        .find(|real| watch.observe(&row, 1, reading(*real, watcher_ppm), options))
+        .unwrap();
+    let trusted =
+        (0..limit).rev().find(|real| own.may_order(reading(*real, holder_ppm), options)).unwrap();
+    (taken, trusted)
+}
+
+/// Symptom: two instances trust their leases at the same time.
+/// Sequence: the holder's clock is slow, the challenger's is fast.
+/// Cause: a wait of the lease's length on a clock that runs faster than the holder's.
+#[test]
+fn verify_no_clocks_within_the_bound_overlap() {
+    for (bound, holder_ppm, watcher_ppm, safe) in [
+        (1_000, 0, 0, true),
+        (1_000, -500, 500, true),
+        (1_000, 500, -500, true),
+        (1_000, -1_000, 0, true),
+        (1_000, 0, 1_000, true),
+        (200_000, -90_000, 90_000, true),
+        // Beyond the bound there is no promise, and this test sees it broken.
+        (0, -90_000, 90_000, false),
+        (1_000, -200_000, 200_000, false),
+    ] {
+        let case = format!("bound {bound}, holder {holder_ppm}, watcher {watcher_ppm} ppm");
+        let options = LeaseOptions {
+            length_ms: Millis(9_000),
+            guard_ms: Millis::ZERO,
+            margin_ms: Millis::ZERO,
+            clock_rate_bound_ppm: bound,
+            ..LeaseOptions::default()
+        };
+
+        let (taken, trusted) = take_over_and_trust(&options, holder_ppm, watcher_ppm);
+
+        assert_eq!(trusted < taken, safe, "{case}: taken at {taken}, trusted until {trusted}");
+    }
+}
+
+/// Symptom: a holder trusts a renewal that never took effect, or drops a session that goes on.
+/// Sequence: the answer to a renewal is lost, and the row is read back.
+/// Cause: a renewal judged by anything but the row.
+#[test]
+fn verify_a_lost_renewal_is_judged_by_the_row() {
+    let options = LeaseOptions::default();
+    let (_, first) = opened(&options, Millis::ZERO);
+    let renewed = SessionRow { renewal: 2, ..first.clone() };
+    let ended = first.end();
+    let later = first.session.epoch + 1;
+    let other = SessionRow {
+        session: anvilhook_core::leases::SessionRef { epoch: later, ..first.session.clone() },
+        ..first.clone()
+    };
+    // The row read back with its version, what is learnt, and until when the lease then holds.
+    let cases = [
+        (Some((&renewed, 2)), SessionFate::Goes, 3_000 + 9_000),
+        (Some((&first, 1)), SessionFate::Goes, 9_000),
+        (Some((&ended, 2)), SessionFate::Ended, 9_000),
+        (Some((&other, 2)), SessionFate::Ended, 9_000),
+        (None, SessionFate::Ended, 9_000),
+    ];
+    for (standing, fate, good_until) in cases {
+        let (mut own, _) = opened(&options, Millis::ZERO);
+        assert!(own.is_due(Millis(3_000), &options));
+        own.begin(Millis(3_000));
+        // Sent again: the time of the first sending counts.
+        own.begin(Millis(5_000));
+
+        let learnt = own.read_back(standing);
+
+        assert_eq!(learnt, fate, "{standing:?}");
+        assert_eq!(own.good_until(), Some(Millis(good_until)), "{standing:?}");
+        assert!(!own.may_order(Millis(good_until - options.guard_ms.0), &options));
+        assert!(own.may_order(Millis(good_until - options.guard_ms.0 - 1), &options));
+    }
+}
+
+#[test]
+fn verify_options_that_do_not_fit_are_named() {
+    let good = LeaseOptions::default();
+    for (options, field) in [
+        (LeaseOptions { length_ms: Millis::ZERO, ..good }, "lease.length_ms"),
+        (LeaseOptions { guard_ms: Millis(9_000), ..good }, "lease.guard_ms"),
+        (LeaseOptions { renew_every_ms: Millis(7_000), ..good }, "lease.renew_every_ms"),
+        (LeaseOptions { clock_rate_bound_ppm: 1_000_000, ..good }, "lease.clock_rate_bound_ppm"),
+    ] {
+        let err = options.check().unwrap_err();
+
+        assert!(err.to_string().starts_with(field), "{err}");
+    }
+}
+
+/// The reads of those who hold nothing must not grow with the fleet.
+#[test]
+fn verify_the_reads_of_candidates_are_bounded() {
+    let options = CandidateOptions::default();
+    let pool = PoolName::try_new("verdicts").unwrap();
+    for instances in [3, 9, 390] {
+        let names: Vec<InstanceName> = (0..instances).map(name).collect();
+        let mut ranks: Vec<u32> = names.iter().map(|me| rank(&pool, me, &names)).collect();
+        let reads_per_s: f64 =
+            ranks.iter().map(|rank| 1.0 / watch_interval(*rank, &options).as_secs_f64()).sum();
+
+        ranks.sort_unstable();
+        assert_eq!(ranks, (0..instances as u32).collect::<Vec<_>>());
+        let slowest = instances as f64 / options.last_interval_ms.as_secs_f64();
+        assert!(reads_per_s < 2.0 + slowest, "{instances}: {reads_per_s}");
+    }
+}
