Make the tests of proofs and of stopped instances able to fail

Change: one byte moves from a nonce to the name beside it; the instances stand on a single ring that the stops cut.

--- a/crates/anvilhook-peer/tests/keys.rs
+++ b/crates/anvilhook-peer/tests/keys.rs
@@ -46,12 +46,11 @@
             Handshake { callee: "entry-3".parse().unwrap(), ..good.clone() },
         ),
         (
-            "bytes moved from one field to the next",
+            "a byte moved from one field to the next",
             Side::Caller,
             Handshake {
-                caller_nonce: vec![1; 31],
-                caller: "entry-1".parse().unwrap(),
-                callee_nonce: vec![2; 33],
+                caller_nonce: [&good.caller_nonce[..], b"e"].concat(),
+                caller: "ntry-1".parse().unwrap(),
                 ..good.clone()
             },
         ),
--- a/crates/anvilhook-peer/tests/links.rs
+++ b/crates/anvilhook-peer/tests/links.rs
@@ -1,5 +1,6 @@
 //! The link over real connections on the loopback.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +9,8 @@
 use anvilhook_core::resources::{AccountSpec, Configuration, Resource, Spec};
 use anvilhook_core::units::{Millis, Revision, SystemClock, Tokens};
 use anvilhook_peer::gossip::{
-    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, LoadSection,
+    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, LoadSection, PartnerOptions,
+    choose_partners,
 };
 use anvilhook_peer::{PeerAddress, PeerHandle, PeerKey, PeerLink, PeerNews, PeerOptions};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -25,13 +27,18 @@
     handles: Vec<PeerHandle>,
 }
 
-/// Starts `count` instances that have been announced to each other.
+/// Starts `count` instances in three zones that have been announced to each other.
 fn start(count: usize, change: impl Fn(usize, &mut PeerOptions)) -> Fixture {
+    start_in(3, count, change)
+}
+
+/// Starts `count` instances that have been announced to each other.
+fn start_in(zones: usize, count: usize, change: impl Fn(usize, &mut PeerOptions)) -> Fixture {
     let listeners: Vec<TcpListener> =
         (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
     let peers: Vec<PeerAddress> = (0..)
         .zip(&listeners)
-        .map(|(at, listener)| peer(at, listener.local_addr().unwrap()))
+        .map(|(at, listener)| peer(at % zones, at, listener.local_addr().unwrap()))
         .collect();
     let handles = (0..).zip(listeners).map(|(at, listener)| {
         let mut options = options(&peers[at], KEY);
@@ -41,9 +48,9 @@
     Fixture { handles: handles.collect(), peers }
 }
 
-fn peer(at: usize, address: SocketAddr) -> PeerAddress {
+fn peer(zone: usize, at: usize, address: SocketAddr) -> PeerAddress {
     let name = InstanceName::try_new(&format!("entry-{at}")).unwrap();
-    let zone = ZoneName::try_new(["piraeus", "marousi", "glyfada"][at % 3]).unwrap();
+    let zone = ZoneName::try_new(["piraeus", "marousi", "glyfada"][zone]).unwrap();
     PeerAddress { name, zone, address }
 }
 
@@ -155,7 +162,7 @@
     fixture.handles[0].publish_configuration(configuration(3, 5));
     fixture.handles[2].publish_acks(ack(9));
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let late = peer(3, listener.local_addr().unwrap());
+    let late = peer(0, 3, listener.local_addr().unwrap());
 
     // Act: the others have not heard of the late one.
     let options = options(&late, KEY);
@@ -287,8 +294,8 @@
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = silent.local_addr().unwrap();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let me = peer(0, listener.local_addr().unwrap());
-    let partner = peer(1, address);
+    let me = peer(0, 0, listener.local_addr().unwrap());
+    let partner = peer(1, 1, address);
     let mut own = options(&me, KEY);
     own.connect_timeout = Millis(100);
     own.max_backoff = Millis(200);
@@ -314,32 +321,46 @@
 #[tokio::test]
 async fn verify_the_others_go_on_when_instances_stop() {
     // Symptom: part of the instances hears no news after some others have gone.
-    // Sequence: two of six stop without a word, one after the other has made all its links.
+    // Sequence: six instances stand on one ring; two stop that cut it in two.
     // Cause: partners out of reach that nobody takes the place of.
 
     // Arrange.
-    let fixture = start(6, |_, options| options.connect_timeout = Millis(200));
+    let fixture = start_in(1, 6, |_, options| {
+        options.connect_timeout = Millis(200);
+        options.gossip.partners.rings = 1;
+    });
     let handles = &fixture.handles;
     handles[0].publish_configuration(configuration(1, 3));
     for handle in &handles[1..] {
         wait_for_revision(handle, 1).await;
     }
-
-    // Act.
-    handles[2].stop();
-    handles[4].stop();
-    let left = [&handles[0], &handles[1], &handles[3], &handles[5]];
-    for handle in left {
-        wait_for(handle, |news| {
-            let gone = [&fixture.peers[2].name, &fixture.peers[4].name];
-            !news.linked.is_empty() && !gone.iter().any(|name| news.linked.contains(name))
-        })
-        .await;
-    }
+    let ring = ring_from_first(&fixture.peers);
+
+    // Act: the fourth on the ring stands alone between the two.
+    handles[ring[2]].stop();
+    handles[ring[4]].stop();
+    let alone = &handles[ring[3]];
+    wait_for(alone, |news| {
+        let gone = [&fixture.peers[ring[2]].name, &fixture.peers[ring[4]].name];
+        !news.linked.iter().any(|name| gone.contains(&name))
+    })
+    .await;
     handles[0].publish_configuration(configuration(2, 4));
 
     // Assert.
-    for handle in &left[1..] {
-        wait_for_revision(handle, 2).await;
+    for at in [ring[1], ring[3], ring[5]] {
+        wait_for_revision(&handles[at], 2).await;
+    }
+}
+
+/// Returns the places of all instances in the order of a single ring.
+fn ring_from_first(peers: &[PeerAddress]) -> Vec<usize> {
+    let mut ring = vec![0];
+    while ring.len() < peers.len() {
+        let me = &peers[ring[ring.len() - 1]];
+        let options = PartnerOptions { rings: 1 };
+        let next = choose_partners(&me.name, &me.zone, peers, &BTreeSet::new(), &options).remove(0);
+        ring.push(peers.iter().position(|peer| peer.name == next.name).unwrap());
     }
+    ring
 }
