--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -2,15 +2,18 @@
 
 use std::sync::Arc;
 
+use anvilhook_authority::{AckSchedule, Follower, Keeper, KeeperOptions, POOL_PREFIX, Services};
+use anvilhook_core::leases::LeaseOptions;
 use anvilhook_core::names::InstanceName;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_engine::HttpUpstreams;
 use anvilhook_http::{Phase, Shutdown, serve};
 use anvilhook_peer::{PeerHandle, PeerKey, PeerLink, PeerOptions};
 use anvilhook_platform::HttpPlatform;
+use anvilhook_store::claims::{ClaimOptions, Claims};
 use anvilhook_store::{
     ArchiveOptions, AuditArchive, ConfigurationFollower, ConfigurationStore, InstanceDirectory,
-    StoreOptions,
+    StatusStore, StoreOptions,
 };
 use prometheus_client::registry::Registry;
 use rand::{RngExt, SeedableRng};
@@ -19,6 +22,8 @@
 use tokio::sync::watch;
 use volo_http::server::route::Router;
 
+use super::archives::keep_archiving;
+use super::authorities::{Acknowledged, DrainTask, KeeperTask};
 use super::clients::Clients;
 use super::errors::StartError;
 use super::handles::{Announcement, InstanceHandle};
@@ -26,15 +31,16 @@
 use super::marks::Marks;
 use super::peers::Presence;
 use super::pollers::Pollers;
+use super::sweeps::sweep_claims;
 use super::tasks::Tasks;
 use crate::front::{Front, FrontMetrics, FrontOptions, FrontParts};
 use crate::names::running_name;
 use crate::observability::{ProcessCollector, Readiness, probe_router};
 use crate::operators::{
-    self, Credentials, NoLeases, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
+    self, Credentials, LeaseRows, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
 };
-use crate::proxy::NoClaims;
-use crate::settings::{PollingSettings, Settings};
+use crate::proxy::TableClaims;
+use crate::settings::{LeaseSettings, PollingSettings, Settings};
 
 /// How many pauses of the instance list lie between two readings of the instances' records. Records
 /// change far less often, and each reading scans all of them.
@@ -43,6 +49,12 @@
 /// The stream of the generator that the ids of operators' changes come from.
 const OPERATOR_STREAM: u64 = 1;
 
+/// The stream of the generator that the archive's pauses come from.
+const ARCHIVE_STREAM: u64 = 2;
+
+/// How many renewals fall into the length of a lease.
+const RENEWALS_PER_LEASE: u64 = 3;
+
 /// `Parts` holds what an instance takes from its surroundings.
 #[derive(Clone, Debug)]
 pub struct Parts<C> {
@@ -65,10 +77,12 @@
 }
 
 /// `HttpFront` is the caller front over HTTP bindings.
-pub(super) type HttpFront<C> = Front<C, HttpUpstreams, NoClaims>;
+pub(super) type HttpFront<C> = Front<C, HttpUpstreams, TableClaims<HttpPlatform, C>>;
 
 type HttpFollower = ConfigurationFollower<HttpPlatform>;
 
+type HttpArchive = AuditArchive<HttpPlatform, HttpPlatform>;
+
 /// `Instance` starts instances.
 #[derive(Debug)]
 pub struct Instance;
@@ -104,6 +118,8 @@
     follower: HttpFollower,
     instances: watch::Sender<usize>,
     announced: watch::Sender<bool>,
+    routable: watch::Sender<bool>,
+    marks: Marks,
 }
 
 impl<C: Clock> Wiring<C> {
@@ -115,10 +131,16 @@
         let shutdown = Shutdown::new();
         let mut registry = Registry::default();
         registry.register_collector(Box::new(ProcessCollector));
+        let claims = Claims::new(
+            clients.platform.clone(),
+            clock.clone(),
+            name.clone(),
+            ClaimOptions::default(),
+        );
         let front = Front::new(FrontParts {
             clock: clock.clone(),
             upstreams: clients.upstreams.clone(),
-            claims: NoClaims,
+            claims: TableClaims::new(claims, system_wall_time),
             shutdown: shutdown.clone(),
             options: front_options(&settings),
             metrics: FrontMetrics::new(&mut registry),
@@ -140,6 +162,8 @@
             follower: ConfigurationFollower::new(store),
             instances: watch::Sender::new(1),
             announced: watch::Sender::new(false),
+            routable: watch::Sender::new(false),
+            marks: Marks::default(),
         })
     }
 
@@ -153,10 +177,14 @@
         let mut tasks = Tasks::new(self.shutdown.clone());
         self.spawn_pollers(&mut tasks);
         self.spawn_presence(&mut tasks, &presence);
+        self.spawn_authority(&mut tasks, &link)?;
         self.spawn_front(&mut tasks, "callers", listeners.callers, self.front.router());
         let probes =
             probe_router(Arc::new(std::mem::take(&mut self.registry)), self.readiness.clone());
-        let router = probes.merge(self.operator_router());
+        let archive = self.archive();
+        let keeping = keep_archiving(archive.clone(), self.stream(ARCHIVE_STREAM));
+        tasks.spawn_until("audit archive", Phase::Draining, keeping);
+        let router = probes.merge(self.operator_router(archive));
         self.spawn_front(&mut tasks, "operators", listeners.operators, router);
 
         log::info!(instance:% = self.name; "listening at {addresses:?}");
@@ -193,6 +221,7 @@
             link: link.clone(),
             instances: self.instances.clone(),
             announced: self.announced.clone(),
+            routable: self.routable.clone(),
         }
     }
 
@@ -203,10 +232,10 @@
             clock: self.clock.clone(),
             front: self.front.clone(),
             follower: self.follower.clone(),
-            marks: Marks::default(),
+            marks: self.marks.clone(),
             readiness: self.readiness.clone(),
             instances: self.instances.clone(),
-            announced: self.announced.clone(),
+            routable: self.routable.clone(),
         };
         let PollingSettings { configuration_ms, reports_ms, instance_list_ms } =
             self.settings.polling;
@@ -234,26 +263,71 @@
         tasks.spawn_until("peers", until, finding);
         let exchanging = presence.clone().exchange_configurations();
         tasks.spawn_until("peers' configurations", until, exchanging);
-        let forgetting = presence.clone().forget_gone(platform, pause);
+        let forgetting = presence.clone().forget_gone(platform.clone(), pause);
         tasks.spawn_until("gone instances", until, forgetting);
+        let (clock, name) = (self.clock.clone(), self.name.clone());
+        let claims = Claims::new(platform.clone(), clock, name, ClaimOptions::default());
+        let sweeping = sweep_claims(claims, platform, self.instances.subscribe());
+        tasks.spawn_until("sweep of claims", until, sweeping);
     }
 
-    fn operator_router(&self) -> Router {
-        let store = self.follower.store();
-        let store = ConfigurationStore::new(
-            store.table().clone(),
-            StoreOptions::new(store.instance().clone()),
-        );
-        let objects = self.clients.platform.clone();
+    /// Starts what follows drains, and what keeps the pools that this instance holds.
+    fn spawn_authority(&self, tasks: &mut Tasks, link: &PeerHandle) -> Result<(), StartError> {
+        let table = self.clients.platform.clone();
+        let acknowledged = Acknowledged::new(link.clone());
+        let drains = DrainTask {
+            clock: self.clock.clone(),
+            front: self.front.clone(),
+            follower: Follower::new(self.name.clone(), table.clone(), AckSchedule::default()),
+            marks: self.marks.clone(),
+            acknowledged: acknowledged.clone(),
+            instances: self.instances.clone(),
+            announced: self.announced.clone(),
+            routable: self.routable.clone(),
+        };
+        tasks.spawn_until("drains", Phase::Closed, drains.follow());
+
+        let services = Services {
+            table: table.clone(),
+            engines: self.clients.control.clone(),
+            instances: table.clone(),
+            clock: self.clock.clone(),
+        };
+        let options = keeper_options(&self.settings.leases);
+        options.check()?;
+        let keeper = KeeperTask {
+            name: self.name.clone(),
+            keeper: Keeper::new(self.name.clone(), services, options),
+            follower: self.follower.clone(),
+            statuses: StatusStore::new(table),
+            link: link.clone(),
+            acknowledged,
+            shutdown: self.shutdown.clone(),
+        };
+        tasks.spawn("authority", keeper.keep());
+        Ok(())
+    }
+
+    fn archive(&self) -> HttpArchive {
+        let store = self.follower.store().clone();
+        AuditArchive::new(store, self.clients.platform.clone(), ArchiveOptions::default())
+    }
+
+    /// Returns a generator whose draws no other part of the instance repeats.
+    fn stream(&self, stream: u64) -> ChaCha8Rng {
         let mut rng = self.rng.clone();
-        rng.set_stream(OPERATOR_STREAM);
+        rng.set_stream(stream);
+        rng
+    }
+
+    fn operator_router(&self, archive: HttpArchive) -> Router {
         let api = OperatorApi::new(OperatorParts {
             follower: self.follower.clone(),
-            archive: AuditArchive::new(store, objects, ArchiveOptions::default()),
-            leases: NoLeases,
+            archive,
+            leases: LeaseRows::new(self.clients.platform.clone(), POOL_PREFIX),
             credentials: self.credentials.clone(),
             shutdown: self.shutdown.clone(),
-            rng,
+            rng: self.stream(OPERATOR_STREAM),
             wall_clock: system_wall_time,
             options: OperatorOptions::default(),
         });
@@ -276,6 +350,16 @@
     }
 }
 
+fn keeper_options(leases: &LeaseSettings) -> KeeperOptions {
+    let lease = LeaseOptions {
+        length_ms: leases.length_ms,
+        renew_every_ms: Millis(leases.length_ms.0 / RENEWALS_PER_LEASE),
+        guard_ms: leases.guard_ms,
+        ..LeaseOptions::default()
+    };
+    KeeperOptions { lease, ..KeeperOptions::default() }
+}
+
 fn front_options(settings: &Settings) -> FrontOptions {
     FrontOptions {
         max_header_bytes: settings.limits.header_bytes as usize,
--- a/crates/anvilhook-store/src/lib.rs
+++ b/crates/anvilhook-store/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod archives;
 pub mod changes;
+pub mod claims;
 pub mod configurations;
 pub mod errors;
 pub mod followers;
