--- a/crates/anvilhook-bench/src/control/mod.rs
+++ b/crates/anvilhook-bench/src/control/mod.rs
@@ -11,12 +11,14 @@
 mod processes;
 mod rows;
 mod scenarios;
+mod sizes;
 mod takeovers;
 
 use argh::FromArgs;
 
-use rows::{Row, print_rows, print_slopes};
+use rows::{Row, check_bounds, print_rows, print_slopes};
 use scenarios::{Plan, run_size};
+use sizes::print_sizes;
 use takeovers::run_takeovers;
 
 /// The numbers of instances that are measured if none are given.
@@ -55,19 +57,24 @@
 ///
 /// # Errors
 ///
-/// Any failure to start the parts, or a change that is not in force everywhere within its guard
-/// time.
+/// Any failure to start the parts, or a change that is not in force everywhere in time.
 pub fn run(args: &Args) -> eyre::Result<()> {
     let sizes = if args.instances.is_empty() { SIZES.to_vec() } else { args.instances.clone() };
     let plan = Plan { seconds: args.seconds, changes: args.changes, resources: args.resources };
     let memory_before = processes::resident_bytes()?;
     let mut rows: Vec<Row> = Vec::new();
+    let mut sizes_of = Vec::new();
     for size in sizes {
-        rows.extend(run_size(size, &plan, memory_before)?);
+        let (found, sizes) = run_size(size, &plan, memory_before)?;
+        rows.extend(found);
+        // Those of the largest fleet are printed.
+        sizes_of = sizes;
     }
     if !args.no_takeovers {
         rows.extend(run_takeovers(memory_before)?);
     }
     print_rows(&rows, args.json)?;
-    print_slopes(&rows, args.json)
+    print_slopes(&rows, args.json)?;
+    print_sizes(&sizes_of, args.json)?;
+    check_bounds(&rows)
 }
--- a/crates/anvilhook-daemon/src/front/mod.rs
+++ b/crates/anvilhook-daemon/src/front/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{Ordering, fence};
 
+use anvilhook_core::caches::PrefixIndex;
 use anvilhook_core::limits::LimitOptions;
 use anvilhook_core::names::UpstreamName;
 use anvilhook_core::resources::Configuration;
@@ -28,7 +29,7 @@
     DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, PRIORITY_HEADER, REQUEST_HEADER, VERDICT_HEADER,
 };
 pub use metrics::{FrontMetrics, Latencies, ServiceMetrics};
-pub use states::{Account, FrontState, Service};
+pub use states::{Account, BuildOptions, FrontState, Service};
 
 use crate::proxy::{Claims, Proxy, ProxyOptions, RequestRngs};
 
@@ -99,6 +100,7 @@
     rngs: RequestRngs,
     state: ArcSwap<FrontState>,
     flights: Arc<limits::Flights>,
+    prefixes: Arc<PrefixIndex>,
 }
 
 impl<C, U, K> Clone for Front<C, U, K> {
@@ -122,6 +124,7 @@
                 rngs: RequestRngs::new(parts.seed),
                 state: ArcSwap::default(),
                 flights: Arc::default(),
+                prefixes: states::new_prefix_index(),
             }),
         }
     }
@@ -155,8 +158,13 @@
         prepare: impl FnOnce(&BTreeMap<UpstreamName, Arc<UpstreamState>>),
     ) {
         let earlier = self.inner.state.load();
-        let limits = &self.inner.options.limits;
-        let state = FrontState::build(cfg, &earlier, instances, limits, &self.inner.metrics);
+        let options = BuildOptions {
+            instances,
+            limits: &self.inner.options.limits,
+            metrics: &self.inner.metrics,
+            prefixes: &self.inner.prefixes,
+        };
+        let state = FrontState::build(cfg, &earlier, &options);
         prepare(state.upstreams());
         self.inner.state.store(Arc::new(state));
     }
@@ -166,6 +174,11 @@
         self.inner.state.load_full()
     }
 
+    /// Returns what is believed of the engines' prefix caches, to be kept up with their events.
+    pub fn prefixes(&self) -> &Arc<PrefixIndex> {
+        &self.inner.prefixes
+    }
+
     /// Returns how many requests are in flight, up to the last byte of their answers handed over.
     pub fn in_flight(&self) -> u64 {
         self.inner.flights.open()
--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -12,6 +12,7 @@
 mod pollers;
 mod signals;
 mod starts;
+mod sweeps;
 mod tasks;
 
 pub use errors::StartError;
