--- a/crates/anvilhook-bench/src/sites/mod.rs
+++ b/crates/anvilhook-bench/src/sites/mod.rs
@@ -19,8 +19,8 @@
 
 pub use declarations::declare;
 pub use resources::{
-    ALERT_SERVICE, Bounds, CALL_PATH, CHAT_SERVICE, Declared, LEDGER_SERVICE, MODEL, TOKEN,
-    engine_name, name, plain_name, resources, zone,
+    ALERT_SERVICE, Bounds, CALL_PATH, CHAT_SERVICE, Declared, ECHO_PATH, LEDGER_SERVICE, MODEL,
+    OPERATOR_TOKEN, TOKEN, engine_name, name, plain_name, resources, token_digest, zone,
 };
 
 /// An address on loopback whose port the kernel chooses.
@@ -36,6 +36,8 @@
     pub engine: EngineOptions,
     /// The number of upstreams of the plain services.
     pub plain: usize,
+    /// Further upstreams of the plain services, which run elsewhere.
+    pub other_plain: Vec<SocketAddr>,
     /// How late the platform's list shows an event.
     pub list_lag: Millis,
     /// What the services promise.
@@ -52,6 +54,7 @@
             engines: 2,
             engine: EngineOptions::default().faster(10.0),
             plain: 3,
+            other_plain: Vec::new(),
             list_lag: Millis(200),
             bounds: Bounds::default(),
             holds_connections: true,
@@ -109,7 +112,8 @@
         }
 
         let engine_addresses: Vec<SocketAddr> = engines.iter().map(EngineServer::address).collect();
-        let plain_addresses: Vec<SocketAddr> = plain.iter().map(PlainServer::address).collect();
+        let mut plain_addresses: Vec<SocketAddr> = plain.iter().map(PlainServer::address).collect();
+        plain_addresses.extend(&options.other_plain);
         let declared = resources(&engine_addresses, &plain_addresses, &options.bounds);
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
         declare(platform.clone(), declared, &mut rng).await?;
@@ -125,10 +129,12 @@
     pub fn settings_text(&self, index: usize) -> String {
         let platform = self.platform_address();
         let zone = zone(index);
+        let digest = token_digest(OPERATOR_TOKEN);
         format!(
             "instance: {{name_prefix: entry-{index}, zone: {zone}}}\n\
              listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}\n\
              platform: {{address: '{platform}'}}\n\
+             operators: [{{subject: operator, token_sha256: {digest}, rights: operator}}]\n\
              logging: {{level: error}}\n\
              polling: {{configuration_ms: 100, reports_ms: 100, instance_list_ms: 100}}\n\
              peers: {{key: key-of-the-demonstration-on-loopback}}\n"
--- a/crates/anvilhook-bench/src/sites/resources.rs
+++ b/crates/anvilhook-bench/src/sites/resources.rs
@@ -21,12 +21,17 @@
 pub const ALERT_SERVICE: &str = "alerts";
 /// The plain service that keeps records.
 pub const LEDGER_SERVICE: &str = "ledger";
-/// The path of the one call of each plain service, below the service.
+/// The path of each plain service's call that may not be repeated, below the service.
 pub const CALL_PATH: &str = "/records";
+/// The path of the call that may be repeated.
+pub const ECHO_PATH: &str = "/echo";
 /// The account of all callers.
 pub const ACCOUNT: &str = "kitchens";
 /// The bearer token of that account.
 pub const TOKEN: &str = "example-caller-token";
+
+/// The token of the operator that the instances' settings name.
+pub const OPERATOR_TOKEN: &str = "example-operator-token";
 /// The availability zones, in the order in which upstreams and instances are spread over them.
 pub const ZONES: [&str; 3] = ["piraeus", "marousi", "glyfada"];
 
@@ -102,11 +107,15 @@
     declared
 }
 
+/// Returns a token's digest as settings and accounts hold it.
+pub fn token_digest(token: &str) -> String {
+    let digest = Sha256::digest(token.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 fn account() -> Declared {
-    let digest = Sha256::digest(TOKEN.as_bytes());
-    let hex = digest.iter().map(|byte| format!("{byte:02x}")).collect();
     let spec = AccountSpec {
-        token_sha256: vec![hex],
+        token_sha256: vec![token_digest(TOKEN)],
         requests_per_s: ACCOUNT_LIMIT,
         open_requests: ACCOUNT_LIMIT,
     };
@@ -169,13 +178,14 @@
         zone: zone(i),
     };
     let upstreams = addresses.iter().enumerate().map(upstream).collect();
-    let call = CallSpec {
+    let call = |path: &str, idempotent| CallSpec {
         method: "POST".to_owned(),
-        path_prefix: CALL_PATH.to_owned(),
-        idempotent: false,
+        path_prefix: path.to_owned(),
+        idempotent,
     };
+    let calls = vec![call(CALL_PATH, false), call(ECHO_PATH, true)];
     let spec = ServiceSpec {
-        backend: ServiceBackend::Plain { upstreams, calls: vec![call] },
+        backend: ServiceBackend::Plain { upstreams, calls },
         deadline_ms: bounds.plain_deadline,
         first_byte_ms: bounds.plain_first_byte,
         between_events_ms: bounds.between_events,
--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -1,11 +1,15 @@
 //! One instance: its parts, wired together, from start to graceful stop.
 
+mod archives;
+mod authorities;
+mod caches;
 mod clients;
 mod errors;
 mod handles;
 mod listeners;
 mod marks;
 mod peers;
+mod plans;
 mod pollers;
 mod signals;
 mod starts;
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use anvilhook_authority::{AckSchedule, Follower, Keeper, KeeperOptions, POOL_PREFIX, Services};
+use anvilhook_core::leases::LeaseOptions;
 use anvilhook_core::names::InstanceName;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_engine::HttpUpstreams;
@@ -11,7 +13,7 @@
 use anvilhook_store::claims::{ClaimOptions, Claims};
 use anvilhook_store::{
     ArchiveOptions, AuditArchive, ConfigurationFollower, ConfigurationStore, InstanceDirectory,
-    StoreOptions,
+    StatusStore, StoreOptions,
 };
 use prometheus_client::registry::Registry;
 use rand::{RngExt, SeedableRng};
@@ -20,6 +22,9 @@
 use tokio::sync::watch;
 use volo_http::server::route::Router;
 
+use super::archives::keep_archiving;
+use super::authorities::{Acknowledged, DrainTask, KeeperTask};
+use super::caches::CachePoller;
 use super::clients::Clients;
 use super::errors::StartError;
 use super::handles::{Announcement, InstanceHandle};
@@ -32,10 +37,10 @@
 use crate::names::running_name;
 use crate::observability::{ProcessCollector, Readiness, probe_router};
 use crate::operators::{
-    self, Credentials, NoLeases, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
+    self, Credentials, LeaseRows, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
 };
 use crate::proxy::TableClaims;
-use crate::settings::{PollingSettings, Settings};
+use crate::settings::{LeaseSettings, PollingSettings, Settings};
 
 /// How many pauses of the instance list lie between two readings of the instances' records. Records
 /// change far less often, and each reading scans all of them.
@@ -44,6 +49,12 @@
 /// The stream of the generator that the ids of operators' changes come from.
 const OPERATOR_STREAM: u64 = 1;
 
+/// The stream of the generator that the archive's pauses come from.
+const ARCHIVE_STREAM: u64 = 2;
+
+/// How many renewals fall into the length of a lease.
+const RENEWALS_PER_LEASE: u64 = 3;
+
 /// `Parts` holds what an instance takes from its surroundings.
 #[derive(Clone, Debug)]
 pub struct Parts<C> {
@@ -70,6 +81,8 @@
 
 type HttpFollower = ConfigurationFollower<HttpPlatform>;
 
+type HttpArchive = AuditArchive<HttpPlatform, HttpPlatform>;
+
 /// `Instance` starts instances.
 #[derive(Debug)]
 pub struct Instance;
@@ -105,6 +118,8 @@
     follower: HttpFollower,
     instances: watch::Sender<usize>,
     announced: watch::Sender<bool>,
+    routable: watch::Sender<bool>,
+    marks: Marks,
 }
 
 impl<C: Clock> Wiring<C> {
@@ -147,6 +162,8 @@
             follower: ConfigurationFollower::new(store),
             instances: watch::Sender::new(1),
             announced: watch::Sender::new(false),
+            routable: watch::Sender::new(false),
+            marks: Marks::default(),
         })
     }
 
@@ -160,10 +177,14 @@
         let mut tasks = Tasks::new(self.shutdown.clone());
         self.spawn_pollers(&mut tasks);
         self.spawn_presence(&mut tasks, &presence);
+        self.spawn_authority(&mut tasks, &link)?;
         self.spawn_front(&mut tasks, "callers", listeners.callers, self.front.router());
         let probes =
             probe_router(Arc::new(std::mem::take(&mut self.registry)), self.readiness.clone());
-        let router = probes.merge(self.operator_router());
+        let archive = self.archive();
+        let keeping = keep_archiving(archive.clone(), self.stream(ARCHIVE_STREAM));
+        tasks.spawn_until("audit archive", Phase::Draining, keeping);
+        let router = probes.merge(self.operator_router(archive));
         self.spawn_front(&mut tasks, "operators", listeners.operators, router);
 
         log::info!(instance:% = self.name; "listening at {addresses:?}");
@@ -200,6 +221,7 @@
             link: link.clone(),
             instances: self.instances.clone(),
             announced: self.announced.clone(),
+            routable: self.routable.clone(),
         }
     }
 
@@ -210,10 +232,10 @@
             clock: self.clock.clone(),
             front: self.front.clone(),
             follower: self.follower.clone(),
-            marks: Marks::default(),
+            marks: self.marks.clone(),
             readiness: self.readiness.clone(),
             instances: self.instances.clone(),
-            announced: self.announced.clone(),
+            routable: self.routable.clone(),
         };
         let PollingSettings { configuration_ms, reports_ms, instance_list_ms } =
             self.settings.polling;
@@ -225,6 +247,8 @@
         tasks.spawn_until("table", until, following);
         let watching = pollers.clone().watch_list(platform, instance_list_ms);
         tasks.spawn_until("instance list", until, watching);
+        let caches = CachePoller::new(self.front.clone()).poll(control.clone(), reports_ms);
+        tasks.spawn_until("cache events", until, caches);
         let reading = pollers.read_reports(control, reports_ms);
         tasks.spawn_until("load reports", until, reading);
     }
@@ -245,22 +269,63 @@
         tasks.spawn_until("gone instances", until, forgetting);
     }
 
-    fn operator_router(&self) -> Router {
-        let store = self.follower.store();
-        let store = ConfigurationStore::new(
-            store.table().clone(),
-            StoreOptions::new(store.instance().clone()),
-        );
-        let objects = self.clients.platform.clone();
+    /// Starts what follows drains, and what keeps the pools that this instance holds.
+    fn spawn_authority(&self, tasks: &mut Tasks, link: &PeerHandle) -> Result<(), StartError> {
+        let table = self.clients.platform.clone();
+        let acknowledged = Acknowledged::new(link.clone());
+        let drains = DrainTask {
+            clock: self.clock.clone(),
+            front: self.front.clone(),
+            follower: Follower::new(self.name.clone(), table.clone(), AckSchedule::default()),
+            marks: self.marks.clone(),
+            acknowledged: acknowledged.clone(),
+            instances: self.instances.clone(),
+            announced: self.announced.clone(),
+            routable: self.routable.clone(),
+        };
+        tasks.spawn_until("drains", Phase::Closed, drains.follow());
+
+        let services = Services {
+            table: table.clone(),
+            engines: self.clients.control.clone(),
+            instances: table.clone(),
+            clock: self.clock.clone(),
+        };
+        let options = keeper_options(&self.settings.leases);
+        options.check()?;
+        let keeper = KeeperTask {
+            name: self.name.clone(),
+            keeper: Keeper::new(self.name.clone(), services, options),
+            follower: self.follower.clone(),
+            statuses: StatusStore::new(table),
+            link: link.clone(),
+            acknowledged,
+            shutdown: self.shutdown.clone(),
+        };
+        tasks.spawn("authority", keeper.keep());
+        Ok(())
+    }
+
+    fn archive(&self) -> HttpArchive {
+        let store = self.follower.store().clone();
+        AuditArchive::new(store, self.clients.platform.clone(), ArchiveOptions::default())
+    }
+
+    /// Returns a generator whose draws no other part of the instance repeats.
+    fn stream(&self, stream: u64) -> ChaCha8Rng {
         let mut rng = self.rng.clone();
-        rng.set_stream(OPERATOR_STREAM);
+        rng.set_stream(stream);
+        rng
+    }
+
+    fn operator_router(&self, archive: HttpArchive) -> Router {
         let api = OperatorApi::new(OperatorParts {
             follower: self.follower.clone(),
-            archive: AuditArchive::new(store, objects, ArchiveOptions::default()),
-            leases: NoLeases,
+            archive,
+            leases: LeaseRows::new(self.clients.platform.clone(), POOL_PREFIX),
             credentials: self.credentials.clone(),
             shutdown: self.shutdown.clone(),
-            rng,
+            rng: self.stream(OPERATOR_STREAM),
             wall_clock: system_wall_time,
             options: OperatorOptions::default(),
         });
@@ -283,6 +348,16 @@
     }
 }
 
+fn keeper_options(leases: &LeaseSettings) -> KeeperOptions {
+    let lease = LeaseOptions {
+        length_ms: leases.length_ms,
+        renew_every_ms: Millis(leases.length_ms.0 / RENEWALS_PER_LEASE),
+        guard_ms: leases.guard_ms,
+        ..LeaseOptions::default()
+    };
+    KeeperOptions { lease, ..KeeperOptions::default() }
+}
+
 fn front_options(settings: &Settings) -> FrontOptions {
     FrontOptions {
         max_header_bytes: settings.limits.header_bytes as usize,
