--- a/crates/anvilhook-http/src/servers.rs
+++ b/crates/anvilhook-http/src/servers.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 
 use anvilhook_core::units::Millis;
 use socket2::{SockRef, TcpKeepalive};
@@ -47,22 +47,31 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Shutdown {
+    /// The phase for requests, which read it without the channel's lock.
+    now: Arc<AtomicU8>,
     phase: watch::Sender<Phase>,
 }
 
 impl Shutdown {
     /// Starts in phase `Serving`.
     pub fn new() -> Self {
-        Self { phase: watch::Sender::new(Phase::Serving) }
+        let now = Arc::new(AtomicU8::new(Phase::Serving as u8));
+        Self { now, phase: watch::Sender::new(Phase::Serving) }
     }
 
     /// Returns the present phase.
     pub fn phase(&self) -> Phase {
-        *self.phase.borrow()
+        match self.now.load(Ordering::SeqCst) {
+            now if now == Phase::Serving as u8 => Phase::Serving,
+            now if now == Phase::Draining as u8 => Phase::Draining,
+            _ => Phase::Closed,
+        }
     }
 
     /// Goes on to a later phase; an earlier one changes nothing.
     pub fn advance(&self, to: Phase) {
+        // Whoever is woken by the channel must already read the new phase.
+        self.now.fetch_max(to as u8, Ordering::SeqCst);
         self.phase.send_if_modified(|phase| {
             let later = to > *phase;
             if later {
