--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -13,6 +13,7 @@
 mod pollers;
 mod signals;
 mod starts;
+mod sweeps;
 mod tasks;
 
 pub use errors::StartError;
