--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -2,6 +2,7 @@
 
 mod archives;
 mod authorities;
+mod caches;
 mod clients;
 mod errors;
 mod handles;
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -24,6 +24,7 @@
 
 use super::archives::keep_archiving;
 use super::authorities::{Acknowledged, DrainTask, KeeperTask};
+use super::caches::CachePoller;
 use super::clients::Clients;
 use super::errors::StartError;
 use super::handles::{Announcement, InstanceHandle};
@@ -247,6 +248,8 @@
         tasks.spawn_until("table", until, following);
         let watching = pollers.clone().watch_list(platform, instance_list_ms);
         tasks.spawn_until("instance list", until, watching);
+        let caches = CachePoller::new(self.front.clone()).poll(control.clone(), reports_ms);
+        tasks.spawn_until("cache events", until, caches);
         let reading = pollers.read_reports(control, reports_ms);
         tasks.spawn_until("load reports", until, reading);
     }
