Move account shares by the peers' demand, and prove a planned change under load

Cause: account limits hold over all instances, and a change of engines must cut no request. Change: each instance tells peers of the demand it met and takes its share by theirs; a test declares a new model version under load with two instances, and a short run of the demonstration is a test.

--- a/crates/anvilhook-bench/src/sites/declarations.rs
+++ b/crates/anvilhook-bench/src/sites/declarations.rs
@@ -9,10 +9,28 @@
 use anvilhook_platform::Table;
 use anvilhook_store::{ChangeRequest, ConfigurationStore, StoreOptions};
 use eyre::WrapErr;
-use rand::Rng;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use super::resources::{Declared, name};
 
+/// Declares resources at a running site, or replaces their specs, one after the other.
+///
+/// # Errors
+///
+/// The first refusal or failure.
+pub async fn redeclare<T: Table>(table: &T, resources: Vec<Declared>) -> eyre::Result<()> {
+    let options = StoreOptions::new(name::<InstanceName>("operator"));
+    let store = ConfigurationStore::new(table.clone(), options);
+    let mut cfg = Arc::new(store.load_all().await?);
+    // The revision makes the ids differ from those of the declarations before it.
+    let mut rng = ChaCha8Rng::seed_from_u64(cfg.revision().0);
+    for declared in resources {
+        cfg = declare_one(&store, &cfg, declared, &mut rng).await?;
+    }
+    Ok(())
+}
+
 /// Declares resources one after the other and returns the configuration that they make.
 ///
 /// # Errors
@@ -25,17 +43,28 @@
 ) -> eyre::Result<Arc<Configuration>> {
     let store = ConfigurationStore::new(table, StoreOptions::new(name::<InstanceName>("operator")));
     let mut cfg = Arc::new(Configuration::default());
-    for (resource, spec) in resources {
-        let key = ResourceKey { kind: spec.kind(), name: resource };
-        let req = ChangeRequest {
-            id: ChangeId::random(rng),
-            subject: name("operator"),
-            at: WallTime(0),
-            change: Change { key: key.clone(), action: Action::Put(spec) },
-            expected: Expected::Absent,
-        };
-        let accepted = store.change(&cfg, &req).await.wrap_err_with(|| format!("declare {key}"))?;
-        cfg = accepted.configuration;
+    for declared in resources {
+        cfg = declare_one(&store, &cfg, declared, rng).await?;
     }
     Ok(cfg)
 }
+
+async fn declare_one<T: Table>(
+    store: &ConfigurationStore<T>,
+    cfg: &Arc<Configuration>,
+    (resource, spec): Declared,
+    rng: &mut impl Rng,
+) -> eyre::Result<Arc<Configuration>> {
+    let key = ResourceKey { kind: spec.kind(), name: resource };
+    let expected =
+        cfg.get(&key).map_or(Expected::Absent, |standing| Expected::Version(standing.version));
+    let req = ChangeRequest {
+        id: ChangeId::random(rng),
+        subject: name("operator"),
+        at: WallTime(0),
+        change: Change { key: key.clone(), action: Action::Put(spec) },
+        expected,
+    };
+    let accepted = store.change(cfg, &req).await.wrap_err_with(|| format!("declare {key}"))?;
+    Ok(accepted.configuration)
+}
--- a/crates/anvilhook-bench/src/sites/mod.rs
+++ b/crates/anvilhook-bench/src/sites/mod.rs
@@ -17,10 +17,10 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-pub use declarations::declare;
+pub use declarations::{declare, redeclare};
 pub use resources::{
     ALERT_SERVICE, Bounds, CALL_PATH, CHAT_SERVICE, Declared, ECHO_PATH, LEDGER_SERVICE, MODEL,
-    OPERATOR_TOKEN, TOKEN, engine_name, name, plain_name, resources, token_digest, zone,
+    OPERATOR_TOKEN, TOKEN, engine_name, name, plain_name, pool, resources, token_digest, zone,
 };
 
 /// An address on loopback whose port the kernel chooses.
--- a/crates/anvilhook-bench/src/sites/resources.rs
+++ b/crates/anvilhook-bench/src/sites/resources.rs
@@ -97,7 +97,7 @@
 
 /// Returns all resources of a site, each after those that it refers to.
 pub fn resources(engines: &[SocketAddr], plain: &[SocketAddr], bounds: &Bounds) -> Vec<Declared> {
-    let mut declared = vec![account(), model_version(), pool()];
+    let mut declared = vec![account(), model_version(), pool(model_ref())];
     declared.extend(engines.iter().enumerate().map(|(i, address)| engine(i, *address)));
     declared.push(chat_service(bounds));
     if !plain.is_empty() {
@@ -136,14 +136,15 @@
     (name("standin-1"), Spec::ModelVersion(spec))
 }
 
-fn pool() -> Declared {
+/// Returns the pool of all engines, which should serve the given model.
+pub fn pool(model: ModelRef) -> Declared {
     let roles = RolePolicy {
         automatic: false,
         change_weight: 1.0,
         max_changing_share: 0.25,
         min_dwell_ms: Millis::from_secs(60),
     };
-    let spec = EnginePoolSpec { model: model_ref(), roles, min_serving: 1 };
+    let spec = EnginePoolSpec { model, roles, min_serving: 1 };
     (name(POOL), Spec::EnginePool(spec))
 }
 
--- /dev/null
+++ b/crates/anvilhook-bench/tests/local_demonstration.rs
@@ -0,0 +1,27 @@
+//! A short run of the local demonstration.
+
+use anvilhook_bench::local::{Plan, PlanOptions, Run, rows};
+use anvilhook_core::units::Millis;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_a_run_with_faults_keeps_its_promises() {
+    let options = PlanOptions {
+        seed: 3,
+        span: Millis::from_secs(4),
+        scale: 0.5,
+        engines: 6,
+        plain: 3,
+        instances: 3,
+    };
+    let plan = Plan::new(&options);
+    let run = Run::start(&options).await.expect("the site starts");
+
+    let ended = run.carry_out(&plan, |_fault| {}).await;
+
+    let rows = rows(&ended, &run.evidence());
+    assert_eq!(ended.len(), plan.requests.len());
+    let broken: u64 = rows.iter().map(|row| row.broken()).sum();
+    assert_eq!(broken, 0, "{rows:?}");
+    assert!(rows.iter().all(|row| row.answered > 0), "{rows:?}");
+    assert_eq!(run.sent_to_leaving(), 0);
+}
--- a/crates/anvilhook-daemon/src/instances/authorities.rs
+++ b/crates/anvilhook-daemon/src/instances/authorities.rs
@@ -76,7 +76,8 @@
             match self.follower.poll().await {
                 Ok(_changed) => {
                     self.mark();
-                    if was_announced {
+                    // Without the number of instances a share of an account's limit is not known.
+                    if was_announced && *self.instances.borrow() > 0 {
                         self.routable.send_replace(true);
                     }
                 }
--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod plans;
 mod pollers;
+mod shares;
 mod signals;
 mod starts;
 mod sweeps;
--- a/crates/anvilhook-daemon/src/instances/peers.rs
+++ b/crates/anvilhook-daemon/src/instances/peers.rs
@@ -30,6 +30,8 @@
     pub link: PeerHandle,
     /// The number of announced instances, this one among them.
     pub instances: watch::Sender<usize>,
+    /// All other announced instances.
+    pub peers: watch::Sender<Vec<InstanceName>>,
     /// Whether the record stands.
     pub announced: watch::Sender<bool>,
     /// Whether requests may be routed.
@@ -79,6 +81,8 @@
                 Ok(records) => {
                     has_read = true;
                     self.instances.send_replace(records.len().max(1));
+                    let names = records.iter().map(|record| record.name.clone());
+                    self.peers.send_replace(names.filter(|name| *name != self.name).collect());
                     self.announce_to_link(records.into_iter().map(peer_address));
                 }
                 Err(err) => {
--- a/crates/anvilhook-daemon/src/instances/pollers.rs
+++ b/crates/anvilhook-daemon/src/instances/pollers.rs
@@ -40,6 +40,7 @@
     pub follower: ConfigurationFollower<T>,
     pub marks: Marks,
     pub readiness: Readiness,
+    /// The number of announced instances, or 0 as long as it is not known.
     pub instances: watch::Sender<usize>,
     /// Whether requests may be routed.
     pub routable: watch::Sender<bool>,
@@ -90,7 +91,7 @@
                 return;
             }
             let (revision, count) =
-                (*revisions.borrow_and_update(), *instances.borrow_and_update());
+                (*revisions.borrow_and_update(), (*instances.borrow_and_update()).max(1));
             if revision.0 == 0 {
                 continue;
             }
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -32,6 +32,7 @@
 use super::marks::Marks;
 use super::peers::Presence;
 use super::pollers::Pollers;
+use super::shares::ShareTask;
 use super::sweeps::sweep_claims;
 use super::tasks::Tasks;
 use crate::front::{Front, FrontMetrics, FrontOptions, FrontParts};
@@ -118,6 +119,7 @@
     front: HttpFront<C>,
     follower: HttpFollower,
     instances: watch::Sender<usize>,
+    peers: watch::Sender<Vec<InstanceName>>,
     announced: watch::Sender<bool>,
     routable: watch::Sender<bool>,
     marks: Marks,
@@ -161,7 +163,8 @@
             registry,
             front,
             follower: ConfigurationFollower::new(store),
-            instances: watch::Sender::new(1),
+            instances: watch::Sender::new(0),
+            peers: watch::Sender::new(Vec::new()),
             announced: watch::Sender::new(false),
             routable: watch::Sender::new(false),
             marks: Marks::default(),
@@ -221,6 +224,7 @@
             directory: InstanceDirectory::new(self.clients.platform.clone()),
             link: link.clone(),
             instances: self.instances.clone(),
+            peers: self.peers.clone(),
             announced: self.announced.clone(),
             routable: self.routable.clone(),
         }
@@ -266,6 +270,14 @@
         tasks.spawn_until("peers", until, finding);
         let exchanging = presence.clone().exchange_configurations();
         tasks.spawn_until("peers' configurations", until, exchanging);
+        let shares = ShareTask {
+            clock: self.clock.clone(),
+            front: self.front.clone(),
+            link: presence.link.clone(),
+            peers: self.peers.clone(),
+            options: front_options(&self.settings).limits,
+        };
+        tasks.spawn_until("account shares", until, shares.move_shares());
         let forgetting = presence.clone().forget_gone(platform.clone(), pause);
         tasks.spawn_until("gone instances", until, forgetting);
         let (clock, name) = (self.clock.clone(), self.name.clone());
