Let an account's equal share follow the number of instances

Cause: the limiter of an account that had met one instance kept the whole limit when others joined. Change: AccountLimiter::set_instances, called whenever a configuration or a number of instances is put in force. A 304 needs no announced length. Conclusion: shares add up to the limit once all instances have heard of each other.

--- a/crates/anvilhook-core/src/limits/accounts.rs
+++ b/crates/anvilhook-core/src/limits/accounts.rs
@@ -1,6 +1,6 @@
 //! One account's limits at one instance.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use super::LimitOptions;
 use super::shares::{AccountDemand, AccountShare};
@@ -49,12 +49,15 @@
 #[derive(Debug)]
 pub struct AccountLimiter {
     options: LimitOptions,
-    // This instance's share while peers cannot be heard.
-    equal: AccountShare,
+    // This instance's share while peers cannot be heard: bits of the rate, and open requests.
+    equal_rate_bits: AtomicU64,
+    equal_open: AtomicU64,
     // The present share: bits of the rate as `f64`, open requests, and when it was set.
     rate_bits: AtomicU64,
     max_open: AtomicU64,
     set_at: AtomicU64,
+    // Whether the share has ever been set; if not, it is the equal one.
+    is_set: AtomicBool,
     // The next even arrival, in microseconds.
     next_arrival: AtomicU64,
     open: AtomicU64,
@@ -67,10 +70,12 @@
         let equal = AccountShare::equal(spec, instances);
         Self {
             options: *options,
-            equal,
+            equal_rate_bits: AtomicU64::new(equal.requests_per_s.to_bits()),
+            equal_open: AtomicU64::new(equal.open_requests),
             rate_bits: AtomicU64::new(equal.requests_per_s.to_bits()),
             max_open: AtomicU64::new(equal.open_requests),
             set_at: AtomicU64::new(0),
+            is_set: AtomicBool::new(false),
             next_arrival: AtomicU64::new(0),
             open: AtomicU64::new(0),
             asked: AtomicU64::new(0),
@@ -112,13 +117,25 @@
             open_requests: self.max_open.load(Ordering::Acquire),
         };
         let set_at = Millis(self.set_at.load(Ordering::Acquire));
-        if now - set_at > self.options.stale_after { share.min(self.equal) } else { share }
+        if now - set_at > self.options.stale_after { share.min(self.equal()) } else { share }
+    }
+
+    /// Takes over another number of instances, by which the limits are shared equally while peers
+    /// cannot be heard.
+    pub fn set_instances(&self, spec: &AccountSpec, instances: usize) {
+        let equal = AccountShare::equal(spec, instances);
+        self.equal_rate_bits.store(equal.requests_per_s.to_bits(), Ordering::Release);
+        self.equal_open.store(equal.open_requests, Ordering::Release);
+        // A share that nobody works out by demand follows the number of instances.
+        if !self.is_set.load(Ordering::Acquire) {
+            self.store_share(equal);
+        }
     }
 
     /// Sets the share that `ShareKeeper` has worked out.
     pub fn set_share(&self, share: AccountShare, now: Millis) {
-        self.rate_bits.store(share.requests_per_s.to_bits(), Ordering::Release);
-        self.max_open.store(share.open_requests, Ordering::Release);
+        self.is_set.store(true, Ordering::Release);
+        self.store_share(share);
         self.set_at.store(now.0, Ordering::Release);
     }
 
@@ -129,6 +146,18 @@
         AccountDemand { requests_per_s, open_requests: self.open.load(Ordering::Acquire) }
     }
 
+    fn equal(&self) -> AccountShare {
+        AccountShare {
+            requests_per_s: f64::from_bits(self.equal_rate_bits.load(Ordering::Acquire)),
+            open_requests: self.equal_open.load(Ordering::Acquire),
+        }
+    }
+
+    fn store_share(&self, share: AccountShare) {
+        self.rate_bits.store(share.requests_per_s.to_bits(), Ordering::Release);
+        self.max_open.store(share.open_requests, Ordering::Release);
+    }
+
     fn pay(&self, requests_per_s: f64, now: Millis) -> Result<(), LimitRefusal> {
         let limited_by = LimitedBy::Rate;
         if requests_per_s <= 0.0 {
--- a/crates/anvilhook-core/tests/budgets.rs
+++ b/crates/anvilhook-core/tests/budgets.rs
@@ -163,3 +163,22 @@
 
     assert_eq!((refused.item, hopeless.item), (3, 0));
 }
+
+/// Symptom: an account gets its whole limit from each of several instances.
+/// Sequence: an instance starts alone, and others join it; later they leave.
+/// Cause: the share worked out once, for the number of instances at that time.
+#[test]
+fn verify_an_equal_share_follows_the_number_of_instances() {
+    let spec = AccountSpec { token_sha256: vec![], requests_per_s: 90, open_requests: 9 };
+    let limiter = AccountLimiter::new(&spec, 1, &LimitOptions::default());
+    for (instances, open_requests) in [(3, 3), (9, 1), (1, 9)] {
+        for now in [Millis(0), Millis(60_000)] {
+            limiter.set_instances(&spec, instances);
+
+            let share = limiter.share(now);
+
+            assert_eq!(share.open_requests, open_requests, "{instances} instances at {now}");
+            assert_eq!(share.requests_per_s, 90.0 / instances as f64);
+        }
+    }
+}
--- a/crates/anvilhook-daemon/src/front/states.rs
+++ b/crates/anvilhook-daemon/src/front/states.rs
@@ -160,6 +160,9 @@
         let Spec::Account(spec) = &resource.spec else { return };
         let Ok(name) = AccountName::try_new(resource.name.as_str()) else { return };
         let kept = earlier.accounts.get(&name).filter(|account| account.spec == *spec);
+        if let Some(kept) = kept {
+            kept.limiter.set_instances(spec, options.instances);
+        }
         let account = kept.cloned().unwrap_or_else(|| {
             let limiter = AccountLimiter::new(spec, options.instances, options.limits);
             Arc::new(Account { name: name.clone(), spec: spec.clone(), limiter })
--- a/crates/anvilhook-engine/src/requests.rs
+++ b/crates/anvilhook-engine/src/requests.rs
@@ -278,7 +278,7 @@
             return Err(Error::TooLarge { max_bytes: bounds.max_answer_bytes });
         }
         Some(_) => {}
-        None if parts.status == StatusCode::NO_CONTENT => {}
+        None if matches!(parts.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) => {}
         None => return Err(Error::not_an_answer("it announces no length")),
     }
     let body = collect_body(body, bounds.max_answer_bytes, bounds.whole).await?;
