--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -8,6 +8,7 @@
 mod handles;
 mod listeners;
 mod marks;
+mod metrics;
 mod peers;
 mod plans;
 mod pollers;
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -30,6 +30,7 @@
 use super::handles::{Announcement, InstanceHandle};
 use super::listeners::Listeners;
 use super::marks::Marks;
+use super::metrics::InstanceCollector;
 use super::peers::Presence;
 use super::pollers::Pollers;
 use super::shares::ShareTask;
@@ -178,6 +179,13 @@
         let link = self.start_link(listeners.peers)?;
         let presence = self.presence(&announcement, &link);
 
+        self.registry.register_collector(Box::new(InstanceCollector {
+            front: self.front.clone(),
+            follower: self.follower.clone(),
+            instances: self.instances.clone(),
+            link: link.clone(),
+        }));
+
         let mut tasks = Tasks::new(self.shutdown.clone());
         self.spawn_pollers(&mut tasks);
         self.spawn_presence(&mut tasks, &presence);
