--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -2,14 +2,17 @@
 
 mod archives;
 mod authorities;
+mod caches;
 mod clients;
 mod errors;
 mod handles;
 mod listeners;
 mod marks;
+mod metrics;
 mod peers;
 mod plans;
 mod pollers;
+mod shares;
 mod signals;
 mod starts;
 mod sweeps;
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -24,13 +24,16 @@
 
 use super::archives::keep_archiving;
 use super::authorities::{Acknowledged, DrainTask, KeeperTask};
+use super::caches::CachePoller;
 use super::clients::Clients;
 use super::errors::StartError;
 use super::handles::{Announcement, InstanceHandle};
 use super::listeners::Listeners;
 use super::marks::Marks;
+use super::metrics::InstanceCollector;
 use super::peers::Presence;
 use super::pollers::Pollers;
+use super::shares::ShareTask;
 use super::sweeps::sweep_claims;
 use super::tasks::Tasks;
 use crate::front::{Front, FrontMetrics, FrontOptions, FrontParts};
@@ -117,6 +120,7 @@
     front: HttpFront<C>,
     follower: HttpFollower,
     instances: watch::Sender<usize>,
+    peers: watch::Sender<Vec<InstanceName>>,
     announced: watch::Sender<bool>,
     routable: watch::Sender<bool>,
     marks: Marks,
@@ -160,7 +164,8 @@
             registry,
             front,
             follower: ConfigurationFollower::new(store),
-            instances: watch::Sender::new(1),
+            instances: watch::Sender::new(0),
+            peers: watch::Sender::new(Vec::new()),
             announced: watch::Sender::new(false),
             routable: watch::Sender::new(false),
             marks: Marks::default(),
@@ -174,6 +179,13 @@
         let link = self.start_link(listeners.peers)?;
         let presence = self.presence(&announcement, &link);
 
+        self.registry.register_collector(Box::new(InstanceCollector {
+            front: self.front.clone(),
+            follower: self.follower.clone(),
+            instances: self.instances.clone(),
+            link: link.clone(),
+        }));
+
         let mut tasks = Tasks::new(self.shutdown.clone());
         self.spawn_pollers(&mut tasks);
         self.spawn_presence(&mut tasks, &presence);
@@ -220,6 +232,7 @@
             directory: InstanceDirectory::new(self.clients.platform.clone()),
             link: link.clone(),
             instances: self.instances.clone(),
+            peers: self.peers.clone(),
             announced: self.announced.clone(),
             routable: self.routable.clone(),
         }
@@ -247,6 +260,8 @@
         tasks.spawn_until("table", until, following);
         let watching = pollers.clone().watch_list(platform, instance_list_ms);
         tasks.spawn_until("instance list", until, watching);
+        let caches = CachePoller::new(self.front.clone()).poll(control.clone(), reports_ms);
+        tasks.spawn_until("cache events", until, caches);
         let reading = pollers.read_reports(control, reports_ms);
         tasks.spawn_until("load reports", until, reading);
     }
@@ -263,6 +278,14 @@
         tasks.spawn_until("peers", until, finding);
         let exchanging = presence.clone().exchange_configurations();
         tasks.spawn_until("peers' configurations", until, exchanging);
+        let shares = ShareTask {
+            clock: self.clock.clone(),
+            front: self.front.clone(),
+            link: presence.link.clone(),
+            peers: self.peers.clone(),
+            options: front_options(&self.settings).limits,
+        };
+        tasks.spawn_until("account shares", until, shares.move_shares());
         let forgetting = presence.clone().forget_gone(platform.clone(), pause);
         tasks.spawn_until("gone instances", until, forgetting);
         let (clock, name) = (self.clock.clone(), self.name.clone());
