--- a/crates/anvilhook-core/src/routing/costs.rs
+++ b/crates/anvilhook-core/src/routing/costs.rs
@@ -35,8 +35,6 @@
     pub prefill_chunk: f64,
     /// The weight of the engine time that a request uses up, against the time that it takes.
     pub work_weight: f64,
-    /// The weight of the delay that a request causes to tight ones on the engine.
-    pub others_weight: f64,
     /// The cost of ending late, in milliseconds.
     pub late_ms: f64,
     /// The most engines whose cost is worked out for one choice, besides the believed holders of
@@ -59,7 +57,6 @@
         Self {
             prefill_chunk: 512.0,
             work_weight: 5.0,
-            others_weight: 0.0,
             late_ms: 10_000.0,
             sampled: 6,
             homes: 2,
@@ -81,8 +78,6 @@
     pub decode_ms: f64,
     /// The engine time that it uses up.
     pub work_ms: f64,
-    /// The delay that it causes to the tight requests there, all together.
-    pub others_ms: f64,
 }
 
 impl Estimate {
@@ -103,7 +98,6 @@
             prefill_ms: self.prefill_ms + next.prefill_ms,
             decode_ms: self.decode_ms + next.decode_ms,
             work_ms: self.work_ms + next.work_ms,
-            others_ms: self.others_ms + next.others_ms,
         }
     }
 
@@ -116,7 +110,7 @@
         let takes_ms = self.wait_ms + self.prefill_ms + self.decode_ms;
         let used = takes_ms / (time_left.0 as f64).max(1.0);
         let time_cost = if used <= 1.0 { takes_ms * used } else { takes_ms + options.late_ms };
-        time_cost + options.work_weight * self.work_ms + options.others_weight * self.others_ms
+        time_cost + options.work_weight * self.work_ms
     }
 }
 
@@ -157,6 +151,5 @@
         prefill_ms: reads * read_ms,
         decode_ms,
         work_ms,
-        others_ms: reads / speeds.prefill_tokens_per_ms * load.tight_requests,
     }
 }
--- a/crates/anvilhook-core/src/routing/loads.rs
+++ b/crates/anvilhook-core/src/routing/loads.rs
@@ -56,8 +56,6 @@
     pub output_each: f64,
     /// Output tokens of a whole request, on average of those sent lately.
     pub whole_output_each: f64,
-    /// Of the requests, those whose deadlines are tight.
-    pub tight_requests: f64,
     /// The share of the engine's time, from 0 to 1, that went into reading prompts lately.
     pub prefill_share: f64,
 }
@@ -67,23 +65,12 @@
 #[derive(Debug, Default)]
 struct Slot {
     turn: AtomicU64,
-    // Prompt tokens in the upper half, output tokens of tight requests in the lower.
-    tokens: AtomicU64,
-    // 16 bits of requests, 16 of tight ones, 32 of output tokens.
+    prompt: AtomicU64,
+    // Requests in the upper half, output tokens in the lower.
     requests: AtomicU64,
 }
 
-/// `Sums` are the sums of one slot.
-#[derive(Clone, Copy, Debug)]
-struct Sums {
-    prompt: f64,
-    output: f64,
-    requests: f64,
-    tight_output: f64,
-    tight_requests: f64,
-}
-
-/// `Sent` sums up the record.
+/// `Sent` sums up work that was sent.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sent {
     prompt: f64,
@@ -92,7 +79,7 @@
 }
 
 impl Sent {
-    fn add(&mut self, sums: &Sums) {
+    fn add(&mut self, sums: &Sent) {
         self.prompt += sums.prompt;
         self.output += sums.output;
         self.requests += sums.requests;
@@ -106,28 +93,24 @@
     /// then short of one request until the next report; nothing else depends on it.
     fn turn_to(&self, turn: u64) {
         if self.turn.swap(turn, Ordering::AcqRel) != turn {
-            self.tokens.store(0, Ordering::Release);
+            self.prompt.store(0, Ordering::Release);
             self.requests.store(0, Ordering::Release);
         }
     }
 
     fn add(&self, work: Work) {
-        let half = |tokens: Tokens| tokens.0.min(u64::from(u32::MAX) >> 8);
-        let (prompt, output) = (half(work.prompt), half(work.output));
-        let tight = u64::from(work.tight);
-        self.tokens.fetch_add(prompt << 32 | (output * tight), Ordering::AcqRel);
-        self.requests.fetch_add(1 << 48 | tight << 32 | output, Ordering::AcqRel);
+        // No one output can run over into the upper half.
+        let output = work.output.0.min(u64::from(u32::MAX >> 8));
+        self.prompt.fetch_add(work.prompt.0, Ordering::AcqRel);
+        self.requests.fetch_add(1 << 32 | output, Ordering::AcqRel);
     }
 
-    fn sums(&self) -> Sums {
-        let tokens = self.tokens.load(Ordering::Acquire);
+    fn sums(&self) -> Sent {
         let requests = self.requests.load(Ordering::Acquire);
-        Sums {
-            prompt: (tokens >> 32) as f64,
+        Sent {
+            prompt: self.prompt.load(Ordering::Acquire) as f64,
             output: f64::from(requests as u32),
-            requests: (requests >> 48) as f64,
-            tight_output: f64::from(tokens as u32),
-            tight_requests: f64::from((requests >> 32) as u16),
+            requests: (requests >> 32) as f64,
         }
     }
 }
@@ -235,7 +218,6 @@
         let step_ms = speeds.step_ms(running + queued);
         let drained_in_slot = SLOT.0 as f64 * speeds.prefill_tokens_per_ms;
         let mut since_report = 0.0;
-        let mut tight_requests = 0.0;
         let mut read = Sent::default();
         let mut later = Sent::default();
         for turn in first_turn..=last_turn {
@@ -244,11 +226,6 @@
             if slot.turn.load(Ordering::Acquire) == turn {
                 let sums = slot.sums();
                 read.add(&sums);
-                // Tight requests are counted here only, since reports don't tell them apart.
-                let age_ms = ((last_turn - turn) * SLOT.0) as f64;
-                if sums.tight_output * step_ms > age_ms * sums.tight_requests {
-                    tight_requests += sums.tight_requests;
-                }
                 if is_later {
                     later.add(&sums);
                     since_report += sums.prompt;
@@ -291,7 +268,6 @@
             requests,
             output_each: output / requests.max(1.0),
             whole_output_each,
-            tight_requests,
             prefill_share,
         }
     }
