Keep an instance's own sections as long as it runs

Cause: the daemon announces all instances but its own to the link. Change: an instance always counts as announced to itself. Conclusion: the new test is red without the change.

--- a/crates/anvilhook-peer/src/gossip/knowledge.rs
+++ b/crates/anvilhook-peer/src/gossip/knowledge.rs
@@ -39,8 +39,8 @@
 }
 
 impl Knowledge {
-    /// Makes empty boards.
-    pub(super) fn new(options: &GossipOptions) -> Self {
+    /// Makes the empty boards of an instance.
+    pub(super) fn new(me: &InstanceName, options: &GossipOptions) -> Self {
         let rules = |max_age| BoardRules {
             max_age,
             max_hops: MAX_HOPS,
@@ -48,7 +48,7 @@
             retention: options.retention,
         };
         Self {
-            announced: BTreeSet::new(),
+            announced: BTreeSet::from([me.clone()]),
             // Acknowledgements stand until they are replaced or their writer is long gone.
             acks: Board::new(rules(Millis::MAX)),
             load: Board::new(rules(options.load_max_age)),
--- a/crates/anvilhook-peer/src/gossip/nodes.rs
+++ b/crates/anvilhook-peer/src/gossip/nodes.rs
@@ -40,9 +40,9 @@
     /// Makes a node that knows nothing.
     pub fn new(me: InstanceName, options: GossipOptions) -> Self {
         Self {
+            knowledge: Knowledge::new(&me, &options),
             me,
             options,
-            knowledge: Knowledge::new(&options),
             shelf: ConfigurationShelf::default(),
             partners: BTreeMap::new(),
             next_load: None,
@@ -55,9 +55,13 @@
         }
     }
 
-    /// Sets the announced instances.
+    /// Sets the announced instances, this one among them or not.
     pub fn set_announced(&mut self, announced: BTreeSet<InstanceName>) {
         self.knowledge.announced = announced;
+        // What this instance writes is kept as long as it runs. If its own sections were forgotten
+        // with those of instances long gone, its numbers would begin anew and all others would take
+        // its next sections for old ones.
+        self.knowledge.announced.insert(self.me.clone());
     }
 
     /// Takes a configuration of the instance's own, if it is newer.
--- a/crates/anvilhook-peer/tests/gossip.rs
+++ b/crates/anvilhook-peer/tests/gossip.rs
@@ -371,3 +371,41 @@
     node.tick(later, &mut Outbox::default());
     assert!(node.acks().is_empty());
 }
+
+#[test]
+fn verify_own_sections_outlive_everything() {
+    // Symptom: a drain that takes long waits for ever for one instance's acknowledgement.
+    // Sequence: the instance is not among those that it was told are announced; more than the
+    // retention later it acknowledges again.
+    // Cause: it forgot its own section, began its numbers anew, and its partners took the next for
+    // an old one.
+
+    // Arrange.
+    let options = GossipOptions::default();
+    let mut node = GossipNode::new(name(0), options);
+    let mut other = GossipNode::new(name(1), options);
+    node.set_announced([name(1)].into());
+    other.set_announced([name(0)].into());
+    let link = LinkId(1);
+    node.connect(link);
+    other.connect(link);
+    let mut tell = |node: &mut GossipNode, generation: u64, now: Millis| {
+        let drain = DrainAck { pool: "pool-a".parse().unwrap(), engine: engine(), generation };
+        node.write_acks(AckSection { drains: vec![drain], terms: Vec::new() }, now);
+        let mut outbox = Outbox::default();
+        node.tick(now, &mut outbox);
+        for (_, message) in outbox.0 {
+            other.receive(link, message, now, &mut Outbox::default()).unwrap();
+        }
+        other.acks()[&name(0)].body.has_drained(&engine(), generation)
+    };
+    assert!(tell(&mut node, 1, Millis(1)));
+    let later = options.retention + options.retention;
+
+    // Act.
+    node.tick(later, &mut Outbox::default());
+    let is_told = tell(&mut node, 2, later + options.answer_timeout + Millis(1));
+
+    // Assert.
+    assert!(is_told);
+}
