Hand on the configuration that came into force before the exchange began

Cause: a subscription takes the revision that is there for seen, so a configuration adopted between an instance's start and the start of this task was not handed to peers until the next change. Change: the first look counts as a change. Conclusion: one line in the daemon's exchange with its peers.

--- a/crates/anvilhook-daemon/src/instances/peers.rs
+++ b/crates/anvilhook-daemon/src/instances/peers.rs
@@ -103,6 +103,8 @@
     /// Takes configurations from peers, and gives them the one in force.
     pub async fn exchange_configurations(self) {
         let mut own = self.follower.subscribe();
+        // What came into force before this task began has not been handed on yet.
+        own.mark_changed();
         let mut theirs = self.link.configurations();
         loop {
             tokio::select! {
