Count a configuration received early as a change

A subscription made after the configuration had come took it for seen, in the bench's own wiring as in the daemon's. Change: PeerHandle::configurations marks what is there as changed; the bench's watcher likewise, and its instances read the platform's list, the records and the marks as often as the daemon does.

--- a/crates/anvilhook-bench/src/control/instances.rs
+++ b/crates/anvilhook-bench/src/control/instances.rs
@@ -9,7 +9,7 @@
 use anvilhook_core::units::{Clock, Millis, Revision, SystemClock, Tokens, WallTime};
 use anvilhook_peer::gossip::{AccountDigest, AckSection, DemandSection, EngineDigest, LoadSection};
 use anvilhook_peer::{PeerAddress, PeerHandle, PeerKey, PeerLink, PeerOptions};
-use anvilhook_platform::{HttpPlatform, HttpPlatformOptions};
+use anvilhook_platform::{HttpPlatform, HttpPlatformOptions, InstanceList};
 use anvilhook_store::instances::poll_interval;
 use anvilhook_store::{
     ConfigurationFollower, ConfigurationStore, InstanceDirectory, InstanceRecord, ReportSchedule,
@@ -25,12 +25,16 @@
 
 /// The fleet's reads of the head in a second, and the bounds of one instance's interval.
 const FLEET_READS_PER_S: u64 = 200;
-const MIN_POLL: Millis = Millis(1_000);
+const MIN_POLL: Millis = Millis(500);
 const MAX_POLL: Millis = Millis(2_500);
 
 /// The least time between two reports of the revision in force.
 const REPORT_INTERVAL: Millis = Millis(5_000);
 
+/// The time between two readings of the platform's list, and of the instances' records.
+const LIST_PAUSE: Duration = Duration::from_secs(1);
+const DIRECTORY_PAUSE: Duration = Duration::from_secs(5);
+
 /// The engines that one instance uses and the accounts that it meets, for its digests.
 const ENGINES: usize = 24;
 const ACCOUNTS: usize = 16;
@@ -102,6 +106,8 @@
         tasks.spawn(watch(follower.clone(), peers.clone(), Arc::clone(&arrivals)));
         tasks.spawn(report(follower.clone(), InstanceDirectory::new(table), address.clone()));
         tasks.spawn(tell_digests(peers.clone()));
+        tasks.spawn(watch_list(keeper_table.clone()));
+        tasks.spawn(read_records(keeper_table.clone()));
         let acks = Arc::new(AckBoard::new(peers.clone()));
         let stopping = watch::Sender::new(false);
         let keeper = KeeperTask {
@@ -111,6 +117,7 @@
             peers: peers.clone(),
             acks: Arc::clone(&acks),
             plans,
+            instances: count,
             stopping: stopping.subscribe(),
         };
         tasks.spawn(async move {
@@ -187,6 +194,8 @@
     arrivals: Arrivals,
 ) {
     let mut revisions = follower.subscribe();
+    // What came into force before this task began counts too.
+    revisions.mark_changed();
     while revisions.changed().await.is_ok() {
         let revision = *revisions.borrow_and_update();
         let now = Instant::now();
@@ -223,6 +232,27 @@
     }
 }
 
+/// Reads the platform's list for upstreams that leave.
+async fn watch_list(platform: HttpPlatform) {
+    loop {
+        // Only the cost of reading is of interest here.
+        let _ = platform.list().await;
+        tokio::time::sleep(LIST_PAUSE).await;
+    }
+}
+
+/// Reads the instances' records twice in each pause, once to find peers and once, with the list, to
+/// forget those that are gone.
+async fn read_records(platform: HttpPlatform) {
+    let directory = InstanceDirectory::new(platform.clone());
+    loop {
+        let _ = directory.list().await;
+        let _ = platform.list().await;
+        let _ = directory.list().await;
+        tokio::time::sleep(DIRECTORY_PAUSE).await;
+    }
+}
+
 /// Tells the peers digests of a usual size.
 async fn tell_digests(peers: PeerHandle) {
     let mut beat = tokio::time::interval(BEAT);
--- a/crates/anvilhook-bench/src/control/keepers.rs
+++ b/crates/anvilhook-bench/src/control/keepers.rs
@@ -9,22 +9,24 @@
     TermHint,
 };
 use anvilhook_core::names::InstanceName;
-use anvilhook_core::units::{Clock, SystemClock, WallTime};
+use anvilhook_core::units::{Clock, Millis, SystemClock, WallTime};
 use anvilhook_engine::{ControlOptions, HttpEngineControl};
 use anvilhook_http::{ClientOptions, HttpClient};
 use anvilhook_peer::PeerHandle;
 use anvilhook_peer::gossip::{AckSection, DrainAck, TermAck};
 use anvilhook_platform::HttpPlatform;
+use anvilhook_store::instances::poll_interval;
 use rand::SeedableRng;
 use rand::rngs::SysRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::watch;
 
 /// The time between two steps of a keeper.
-const STEP: Duration = Duration::from_millis(200);
+const STEP: Duration = Duration::from_millis(250);
 
-/// The steps between two looks at the marks of drains.
-const STEPS_PER_POLL: u64 = 5;
+/// The fleet's reads of the marks of drains in a second, and the bounds of one instance's pause.
+const FLEET_READS_PER_S: u64 = 200;
+const MARK_PAUSES: std::ops::RangeInclusive<Millis> = Millis(500)..=Millis(5_000);
 
 type HttpKeeper = Keeper<HttpPlatform, HttpEngineControl, HttpPlatform, SystemClock>;
 
@@ -74,6 +76,7 @@
     pub(super) peers: PeerHandle,
     pub(super) acks: Arc<AckBoard>,
     pub(super) plans: watch::Receiver<Arc<Vec<PoolPlan>>>,
+    pub(super) instances: usize,
     pub(super) stopping: watch::Receiver<bool>,
 }
 
@@ -92,15 +95,19 @@
         let mut follower =
             Follower::new(self.me.clone(), self.platform.clone(), AckSchedule::default());
         let mut beat = tokio::time::interval(STEP);
-        for step in 0_u64.. {
+        let pause = poll_interval(self.instances, FLEET_READS_PER_S, MARK_PAUSES);
+        let mut polled_at: Option<Millis> = None;
+        loop {
             tokio::select! {
                 _ = beat.tick() => {}
                 _ = self.stopping.wait_for(|stopping| *stopping) => break,
             }
-            if step % STEPS_PER_POLL == 0 {
+            let now = self.clock.now();
+            if polled_at.is_none_or(|at| now - at >= pause) {
+                polled_at = Some(now);
                 // What is known of the marks holds on when the table cannot be read.
                 let _ = follower.poll().await;
-                let _ = follower.acknowledge(self.clock.now(), |_| 0).await;
+                let _ = follower.acknowledge(now, |_| 0).await;
             }
             let plans = Arc::clone(&self.plans.borrow());
             let hints = self.hints();
--- a/crates/anvilhook-bench/src/control/rows.rs
+++ b/crates/anvilhook-bench/src/control/rows.rs
@@ -26,6 +26,8 @@
     pub(super) table_reads_per_s: f64,
     /// Rows written by all instances.
     pub(super) table_writes_per_s: f64,
+    /// Readings of the platform's list by all instances.
+    pub(super) list_calls_per_s: f64,
     /// Bytes received and sent on the peer links, of one instance.
     pub(super) peer_bytes_per_s: f64,
     /// The share of one core that one instance uses.
@@ -145,9 +147,10 @@
 
 fn slopes(scenario: &'static str, rows: &[&Row]) -> Vec<Slope> {
     type Value = fn(&Row) -> f64;
-    let values: [(&'static str, Value); 5] = [
+    let values: [(&'static str, Value); 6] = [
         ("table_reads_per_s", |row| row.table_reads_per_s),
         ("table_writes_per_s", |row| row.table_writes_per_s),
+        ("list_calls_per_s", |row| row.list_calls_per_s),
         ("peer_bytes_per_s", |row| row.peer_bytes_per_s),
         ("cpu_core_share", |row| row.cpu_core_share),
         ("rss_bytes", |row| row.rss_bytes as f64),
--- a/crates/anvilhook-bench/src/control/scenarios.rs
+++ b/crates/anvilhook-bench/src/control/scenarios.rs
@@ -131,6 +131,7 @@
         take_over_ms: findings.take_over.as_ref().map(to_ms),
         table_reads_per_s: (reads(&after.counts) - reads(&before.counts)) as f64 / secs,
         table_writes_per_s: (after.counts.rows_written - before.counts.rows_written) as f64 / secs,
+        list_calls_per_s: (after.counts.list_calls - before.counts.list_calls) as f64 / secs,
         peer_bytes_per_s: (after.peer_bytes - before.peer_bytes) as f64 / each,
         cpu_core_share: (after.cpu_secs - before.cpu_secs) / each,
         rss_bytes: resident_bytes()?.saturating_sub(memory_before) / instances as u64,
--- a/crates/anvilhook-peer/src/handles.rs
+++ b/crates/anvilhook-peer/src/handles.rs
@@ -113,8 +113,14 @@
     }
 
     /// Returns the newest configuration received, and the changes of it. Its revision only grows.
+    ///
+    /// What has been received before counts as a change. Otherwise a configuration that comes in
+    /// between the link's start and this call would be passed over, and an instance that starts
+    /// while the table is down would wait for the next change, perhaps for hours.
     pub fn configurations(&self) -> watch::Receiver<Option<Arc<Configuration>>> {
-        self.received.configuration.subscribe()
+        let mut newest = self.received.configuration.subscribe();
+        newest.mark_changed();
+        newest
     }
 
     /// Returns what has been heard of the other instances.
--- a/crates/anvilhook-peer/tests/links.rs
+++ b/crates/anvilhook-peer/tests/links.rs
@@ -364,3 +364,36 @@
     }
     ring
 }
+
+#[tokio::test]
+async fn verify_a_large_configuration_arrives() {
+    let fixture = start(3, |_, _| ());
+    for accounts in [1_300, 4_000] {
+        let whole = configuration(accounts, accounts as usize);
+        fixture.handles[0].publish_configuration(Arc::clone(&whole));
+        for handle in &fixture.handles[1..] {
+            assert_eq!(*wait_for_revision(handle, accounts).await, *whole);
+        }
+    }
+}
+
+#[tokio::test]
+async fn verify_a_configuration_received_early_counts_as_a_change() {
+    // Symptom: an instance that starts while the table is down serves nothing, though its peers
+    // have handed it the configuration.
+    // Sequence: the configuration comes before the instance asks for changes.
+    // Cause: a subscription that takes what is there for seen.
+
+    // Arrange.
+    let fixture = start(2, |_, _| ());
+    fixture.handles[0].publish_configuration(configuration(1, 1));
+    wait_for_revision(&fixture.handles[1], 1).await;
+
+    // Act.
+    let mut late = fixture.handles[1].configurations();
+
+    // Assert.
+    assert!(late.has_changed().unwrap());
+    assert_eq!(late.borrow_and_update().as_ref().unwrap().revision(), Revision(1));
+    assert!(!late.has_changed().unwrap());
+}
