Print the control bench's rows as they are measured

Cause: a failure in a late scenario lost all earlier rows. Change: rows are printed after each size. Conclusion: nothing is lost.

--- a/crates/anvilhook-bench/src/control/mod.rs
+++ b/crates/anvilhook-bench/src/control/mod.rs
@@ -66,14 +66,16 @@
     let mut sizes_of = Vec::new();
     for size in sizes {
         let (found, sizes) = run_size(size, &plan, memory_before)?;
+        print_rows(&found, args.json)?;
         rows.extend(found);
         // Those of the largest fleet are printed.
         sizes_of = sizes;
     }
     if !args.no_takeovers {
-        rows.extend(run_takeovers(memory_before)?);
+        let found = run_takeovers(memory_before)?;
+        print_rows(&found, args.json)?;
+        rows.extend(found);
     }
-    print_rows(&rows, args.json)?;
     print_slopes(&rows, args.json)?;
     print_sizes(&sizes_of, args.json)?;
     check_bounds(&rows)
