--- a/crates/anvilhook-engine/src/http_control.rs
+++ b/crates/anvilhook-engine/src/http_control.rs
@@ -8,20 +8,19 @@
 use anvilhook_core::orders::{EngineState, OrderReply, StampedOrder};
 use anvilhook_core::reports::{CacheEventPage, LoadReport};
 use anvilhook_core::units::Millis;
+use anvilhook_http::HttpClient;
 use anvilhook_http::clients::{Connection, collect_body};
-use anvilhook_http::{CallError, HttpClient, Stage};
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE};
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use rand::Rng;
 use serde::de::DeserializeOwned;
 use volo_http::body::Body;
 
 use crate::control::EngineControl;
 use crate::errors::{Error, Result};
-use crate::wire::{
-    CACHE_EVENTS_PATH, ORDERS_PATH, REFUSED_HEADER, REPORT_PATH, STATE_PATH, STREAMS_PATH,
-};
+use crate::requests::{build_error, check_echo, is_refusal, refusal};
+use crate::wire::{CACHE_EVENTS_PATH, ORDERS_PATH, REPORT_PATH, STATE_PATH, STREAMS_PATH};
 
 /// `ControlOptions` bounds control calls.
 #[derive(Clone, Copy, Debug)]
@@ -111,19 +110,15 @@
 
         // The echo comes first: whatever else an answer to another call says, it is not about
         // this one.
-        check_echo(answer.headers(), id)?;
-        let (parts, body) = answer.into_parts();
-        let body = collect_body(body, self.opts.max_answer_bytes, self.opts.timeout).await;
-        if is_refusal(parts.status, &parts.headers) {
-            // The head alone says that nothing ran; the reason is for logs.
-            let reason = body.unwrap_or_default();
-            let message = String::from_utf8_lossy(&reason).into_owned();
-            return Err(Error::Refused { status: parts.status.as_u16(), message });
+        check_echo(&answer, id)?;
+        if is_refusal(&answer) {
+            return Err(refusal(answer).await);
         }
-        if parts.status != expected {
-            return Err(unexpected(format!("status {}", parts.status)));
+        if answer.status() != expected {
+            return Err(Error::not_an_answer(format!("status {}", answer.status())));
         }
-        Ok(body?)
+        let body = answer.into_body();
+        Ok(collect_body(body, self.opts.max_answer_bytes, self.opts.timeout).await?)
     }
 }
 
@@ -141,7 +136,7 @@
     }
 
     async fn order(&self, engine: SocketAddr, order: &StampedOrder) -> Result<OrderReply> {
-        let body = serde_json::to_vec(order).map_err(not_built)?;
+        let body = serde_json::to_vec(order).map_err(build_error)?;
         let call = ControlCall::changing(
             self.ids.next(),
             Method::POST,
@@ -175,32 +170,10 @@
         // Without this the library hands the connection to the next call that wants a new one.
         req = req.header(CONNECTION, "close");
     }
-    req.body(Body::from(call.body)).map_err(not_built)
-}
-
-fn check_echo(headers: &HeaderMap, id: AttemptId) -> Result<()> {
-    let echo = headers.get(ATTEMPT_HEADER).and_then(|echo| echo.to_str().ok());
-    match echo {
-        Some(echo) if echo.parse() == Ok(id) => Ok(()),
-        Some(_) => Err(unexpected("it echoes another call")),
-        None => Err(unexpected("it echoes no call")),
-    }
-}
-
-fn is_refusal(status: StatusCode, headers: &HeaderMap) -> bool {
-    let refuses =
-        status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE;
-    refuses && headers.get(REFUSED_HEADER).is_some_and(|value| value == "true")
+    req.body(Body::from(call.body)).map_err(build_error)
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|err| unexpected(format!("it cannot be read: {err}")))
-}
-
-fn not_built(err: impl std::fmt::Display) -> Error {
-    Error::Call(CallError::broken(Stage::Build, err))
-}
-
-fn unexpected(message: impl Into<String>) -> Error {
-    Error::NotAnAnswer { message: message.into() }
+    serde_json::from_slice(body)
+        .map_err(|err| Error::not_an_answer(format!("it cannot be read: {err}")))
 }
--- a/crates/anvilhook-engine/src/requests.rs
+++ b/crates/anvilhook-engine/src/requests.rs
@@ -237,11 +237,11 @@
     HeaderValue::from_str(&attempt.to_string()).map_err(build_error)
 }
 
-fn build_error(err: impl std::fmt::Display) -> Error {
+pub(crate) fn build_error(err: impl std::fmt::Display) -> Error {
     Error::Call(anvilhook_http::CallError::broken(anvilhook_http::Stage::Build, err))
 }
 
-fn check_echo(answer: &Response, attempt: AttemptId) -> Result<()> {
+pub(crate) fn check_echo(answer: &Response, attempt: AttemptId) -> Result<()> {
     let Some(echo) = answer.headers().get(ATTEMPT_HEADER) else {
         return Err(Error::not_an_answer("it echoes no attempt"));
     };
@@ -254,13 +254,13 @@
 }
 
 /// Returns whether the upstream says that it refused before running.
-fn is_refusal(answer: &Response) -> bool {
+pub(crate) fn is_refusal(answer: &Response) -> bool {
     let refusing =
         matches!(answer.status(), StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE);
     refusing && answer.headers().get(REFUSED_HEADER).is_some_and(|value| value == "true")
 }
 
-async fn refusal(answer: Response) -> Error {
+pub(crate) async fn refusal(answer: Response) -> Error {
     let status = answer.status().as_u16();
     let reason = collect_body(answer.into_body(), MAX_REASON_BYTES, REASON_TIMEOUT).await;
     let message = reason.map(|buf| String::from_utf8_lossy(&buf).into_owned()).unwrap_or_default();
