End the platform's stand-in on a termination signal, too

Cause: a stand-in that runs as a process of its own is ended by SIGTERM as often as by SIGINT. Change: serve_at stops on either. Figures: cargo test over standin, store, platform and daemon: all passed; the signal itself was not tried. Conclusion: the binary's subcommand can call it as it is.

--- a/crates/anvilhook-standin/src/platform/servers.rs
+++ b/crates/anvilhook-standin/src/platform/servers.rs
@@ -13,6 +13,7 @@
 use http::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
 use volo_http::body::Body;
 use volo_http::server::extract::Query;
@@ -62,7 +63,7 @@
 }
 
 /// Serves a platform under the machine's clock and the usual rate limits until the process is
-/// interrupted.
+/// interrupted or asked to end.
 ///
 /// # Errors
 ///
@@ -73,7 +74,11 @@
     platform.faults().set_rate_limits(Some(RateLimits::default()));
     let server = PlatformServer::start(address, platform).await?;
     log::info!("the platform's stand-in listens on {}", server.address());
-    tokio::signal::ctrl_c().await?;
+    let mut terminated = signal(SignalKind::terminate())?;
+    tokio::select! {
+        interrupted = tokio::signal::ctrl_c() => interrupted?,
+        _ = terminated.recv() => {}
+    }
     server.stop().await;
     Ok(())
 }
