--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -4,6 +4,8 @@
 #![forbid(unsafe_code)]
 
 pub mod callers;
+pub mod control;
 pub mod local;
+pub mod policy;
 pub mod proxy;
 pub mod sites;
--- a/crates/anvilhook-daemon/src/front/mod.rs
+++ b/crates/anvilhook-daemon/src/front/mod.rs
@@ -9,12 +9,15 @@
 mod routes;
 mod states;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{Ordering, fence};
 
+use anvilhook_core::caches::PrefixIndex;
 use anvilhook_core::limits::LimitOptions;
 use anvilhook_core::names::UpstreamName;
 use anvilhook_core::resources::Configuration;
+use anvilhook_core::routing::UpstreamState;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_engine::Upstreams;
 use anvilhook_http::Shutdown;
@@ -26,7 +29,7 @@
     DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, PRIORITY_HEADER, REQUEST_HEADER, VERDICT_HEADER,
 };
 pub use metrics::{FrontMetrics, Latencies, ServiceMetrics};
-pub use states::{Account, FrontState, Service};
+pub use states::{Account, BuildOptions, FrontState, Service};
 
 use crate::proxy::{Claims, Proxy, ProxyOptions, RequestRngs};
 
@@ -97,6 +100,7 @@
     rngs: RequestRngs,
     state: ArcSwap<FrontState>,
     flights: Arc<limits::Flights>,
+    prefixes: Arc<PrefixIndex>,
 }
 
 impl<C, U, K> Clone for Front<C, U, K> {
@@ -120,6 +124,7 @@
                 rngs: RequestRngs::new(parts.seed),
                 state: ArcSwap::default(),
                 flights: Arc::default(),
+                prefixes: states::new_prefix_index(),
             }),
         }
     }
@@ -141,9 +146,26 @@
     /// Puts a configuration in force for the requests that arrive from now on. `instances` is the
     /// number of running instances, for the shares of account limits until peers are heard.
     pub fn apply(&self, cfg: &Configuration, instances: usize) {
+        self.apply_with(cfg, instances, |_upstreams| {});
+    }
+
+    /// As `apply`, but has `prepare` mark the upstreams before any request can meet them. Marked
+    /// afterwards, one that is new to this instance could get a request amid a change of it.
+    pub fn apply_with(
+        &self,
+        cfg: &Configuration,
+        instances: usize,
+        prepare: impl FnOnce(&BTreeMap<UpstreamName, Arc<UpstreamState>>),
+    ) {
         let earlier = self.inner.state.load();
-        let limits = &self.inner.options.limits;
-        let state = FrontState::build(cfg, &earlier, instances, limits, &self.inner.metrics);
+        let options = BuildOptions {
+            instances,
+            limits: &self.inner.options.limits,
+            metrics: &self.inner.metrics,
+            prefixes: &self.inner.prefixes,
+        };
+        let state = FrontState::build(cfg, &earlier, &options);
+        prepare(state.upstreams());
         self.inner.state.store(Arc::new(state));
     }
 
@@ -152,6 +174,11 @@
         self.inner.state.load_full()
     }
 
+    /// Returns what is believed of the engines' prefix caches, to be kept up with their events.
+    pub fn prefixes(&self) -> &Arc<PrefixIndex> {
+        &self.inner.prefixes
+    }
+
     /// Returns how many requests are in flight, up to the last byte of their answers handed over.
     pub fn in_flight(&self) -> u64 {
         self.inner.flights.open()
