--- a/crates/anvilhook-standin/src/engines/serving/hubs.rs
+++ b/crates/anvilhook-standin/src/engines/serving/hubs.rs
@@ -17,8 +17,8 @@
 /// The output's length if the request names none.
 const DEFAULT_OUTPUT: Tokens = Tokens(64);
 
-/// How often what nobody reads any more is looked for.
-const SWEEP_INTERVAL: Millis = Millis::from_secs(1);
+/// What nobody reads any more is looked for this many times while a stream can be resumed.
+const SWEEPS_PER_WINDOW: u64 = 10;
 
 /// `Prompt` is what the server keeps of a request.
 #[derive(Clone, Debug)]
@@ -217,9 +217,9 @@
             let next = {
                 let mut state = self.state();
                 state.turn(now);
-                state.sweep(now, self.resume_window);
+                state.sweep(now, self.sweep_interval(), self.resume_window);
                 let due = state.model.next_event_at().unwrap_or(Millis::MAX);
-                due.min(now + SWEEP_INTERVAL)
+                due.min(now + self.sweep_interval())
             };
             let wait = (next - now).as_duration();
             tokio::select! {
@@ -229,6 +229,10 @@
         }
     }
 
+    fn sweep_interval(&self) -> Millis {
+        Millis((self.resume_window.0 / SWEEPS_PER_WINDOW).max(1))
+    }
+
     fn reader(
         self: &Arc<Self>,
         prompt: &Arc<Prompt>,
@@ -325,8 +329,8 @@
     }
 
     /// Forgets what nobody has read for as long as a stream can be resumed.
-    fn sweep(&mut self, now: Millis, resume_window: Millis) {
-        if now - self.swept_at < SWEEP_INTERVAL {
+    fn sweep(&mut self, now: Millis, interval: Millis, resume_window: Millis) {
+        if now - self.swept_at < interval {
             return;
         }
         self.swept_at = now;
--- a/crates/anvilhook-standin/src/engines/serving/servers.rs
+++ b/crates/anvilhook-standin/src/engines/serving/servers.rs
@@ -78,7 +78,9 @@
     pub async fn start(opts: EngineServerOptions) -> io::Result<Self> {
         let binding = Front::bind(&opts.front).await?;
         let front = binding.front().clone();
-        let model = EngineModel::new(opts.engine, opts.clock.now());
+        // A stream has an event for each token.
+        let options = EngineOptions { token_events: true, ..opts.engine };
+        let model = EngineModel::new(options, opts.clock.now());
         let engine = Arc::new(Engine {
             hub: Arc::new(Hub::new(model, opts.clock, opts.resume_window)),
             front: front.clone(),
--- a/crates/anvilhook-standin/tests/engine_servers.rs
+++ b/crates/anvilhook-standin/tests/engine_servers.rs
@@ -3,10 +3,15 @@
 mod fixtures;
 
 use anvilhook_core::attempts::{ATTEMPT_HEADER, AttemptId};
-use anvilhook_core::orders::Role;
+use anvilhook_core::orders::{Order, Role, Stamp, StampedOrder, Term};
 use anvilhook_core::units::{Millis, Tokens};
-use anvilhook_engine::wire::{ChatAnswer, ChatChunk, KV_PATH, REFUSED_HEADER, STREAMS_PATH};
-use anvilhook_standin::engines::{AttemptEnd, EngineOptions, expected_output};
+use anvilhook_engine::wire::{
+    ChatAnswer, ChatChunk, KV_PATH, ORDERS_PATH, REFUSED_HEADER, STREAMS_PATH,
+};
+use anvilhook_http::Stage;
+use anvilhook_standin::engines::{
+    AttemptEnd, EngineOptions, EngineServer, EngineServerOptions, expected_output,
+};
 use anvilhook_standin::faults::{Fault, FaultPlan};
 use fixtures::{PATIENCE, call, chat, completion, fast_engine, fetch, open, read_events, start};
 use http::{Method, StatusCode};
@@ -131,3 +136,44 @@
     assert!(left.unwrap_err().timed_out);
     assert_eq!(end, AttemptEnd::Abandoned);
 }
+
+#[tokio::test]
+async fn verify_stream_that_nobody_reads_is_abandoned_after_its_window() {
+    let resume_window = Millis(20);
+    let opts = EngineServerOptions { resume_window, ..EngineServerOptions::default() };
+    let engine = EngineServer::start(opts).await.unwrap();
+
+    drop(open(engine.address(), completion(A, &chat("Go on.", true, 100_000))).await);
+    let end = engine.ended(A).await;
+    let path = format!("{STREAMS_PATH}/{A}");
+    let late = fetch(engine.address(), call(Method::GET, &path, A, Vec::new()), PATIENCE).await;
+
+    assert_eq!(end, AttemptEnd::Abandoned);
+    assert_eq!(late.unwrap().status, StatusCode::NOT_FOUND);
+}
+
+#[tokio::test]
+async fn verify_role_order_cuts_open_answers() {
+    // Symptom: callers' answers break off at a planned change. Sequence: a stream and a whole
+    // answer are open, the engine is ordered to change its role. Cause: an order given before the
+    // drain was complete.
+    let engine = start(EngineOptions::default()).await;
+    let stream = open(engine.address(), completion(A, &chat("Go on.", true, 100_000))).await;
+    let whole = completion(AttemptId(0xb), &chat("Go on.", false, 100_000));
+    let whole = tokio::spawn(fetch(engine.address(), whole, PATIENCE));
+    while engine.open_attempts().len() < 2 {
+        tokio::task::yield_now().await;
+    }
+
+    let stamp = Stamp { term: Term(1), seq: 1 };
+    let order = StampedOrder { stamp, order: Order::SetRole { role: Role::Decode } };
+    let order = call(Method::POST, ORDERS_PATH, A, serde_json::to_vec(&order).unwrap());
+    fetch(engine.address(), order, PATIENCE).await.unwrap();
+    let events = read_events(stream, PATIENCE).await;
+    let whole = whole.await.unwrap();
+
+    assert!(events.failed && !events.closed);
+    assert_eq!(whole.unwrap_err().stage, Stage::FirstByte);
+    assert_eq!(engine.orders()[0].cut, [A, AttemptId(0xb)]);
+    assert_eq!(engine.ended(A).await, AttemptEnd::Cut);
+}
