Give the engine's setup and its running order a module of their own

Change: Setup holds role, model, adapters, last stamp and running order. Conclusion: behaviour unchanged.

--- a/crates/anvilhook-standin/src/engines/mod.rs
+++ b/crates/anvilhook-standin/src/engines/mod.rs
@@ -10,6 +10,7 @@
 mod options;
 mod orders;
 mod serving;
+mod setups;
 mod snapshots;
 
 pub use events::{CutCause, EngineEvent, ModelRequest, Refused, WorkKind};
--- a/crates/anvilhook-standin/src/engines/models.rs
+++ b/crates/anvilhook-standin/src/engines/models.rs
@@ -1,8 +1,7 @@
 //! The engine as a state machine.
 
 use anvilhook_core::attempts::AttemptId;
-use anvilhook_core::names::ModelName;
-use anvilhook_core::orders::{EngineState, ModelRef, Order, OrderReply, Role, Stamp, StampedOrder};
+use anvilhook_core::orders::{EngineState, OrderReply, StampedOrder};
 use anvilhook_core::reports::{CacheEventPage, LoadReport};
 use anvilhook_core::units::{Millis, Tokens};
 use rand::SeedableRng;
@@ -13,17 +12,9 @@
 use super::events::{CutCause, EngineEvent, ModelRequest, Refused, WorkKind};
 use super::options::{EngineOptions, OrderOutcome};
 use super::orders::{OrderEnd, OrderRecord};
+use super::setups::{RunningOrder, Setup, takes_engine, time_of};
 use super::snapshots::Snapshots;
 
-/// `RunningOrder` is an order that is being carried out.
-#[derive(Clone, Debug)]
-struct RunningOrder {
-    order: StampedOrder,
-    done_at: Millis,
-    /// Its place in the log.
-    record: usize,
-}
-
 /// `EngineModel` is a model engine that only moves when it is told the time.
 ///
 /// Every method that takes `now` first does what was due until then; what came of it is returned
@@ -61,12 +52,8 @@
     now: Micros,
     up: bool,
     boot: u64,
-    role: Role,
-    model: Option<ModelRef>,
-    adapters: Vec<ModelName>,
+    setup: Setup,
     leaving: bool,
-    last_stamp: Stamp,
-    running_order: Option<RunningOrder>,
     orders: Vec<OrderRecord>,
     batch: Batch,
     cache: PrefixCache,
@@ -80,17 +67,14 @@
     /// Starts an engine.
     pub fn new(opts: EngineOptions, now: Millis) -> Self {
         let batch = Batch::default();
-        let first = describe(&opts, opts.first_boot, opts.role, &opts.model, false, &batch);
+        let setup = Setup::new(&opts);
+        let first = describe(&opts, opts.first_boot, &setup, false, &batch);
         Self {
             now: now.0 * MICROS_PER_MILLI,
             up: true,
             boot: opts.first_boot,
-            role: opts.role,
-            model: opts.model.clone(),
-            adapters: Vec::new(),
+            setup,
             leaving: false,
-            last_stamp: Stamp::default(),
-            running_order: None,
             orders: Vec::new(),
             batch,
             cache: PrefixCache::new(opts.cache_blocks),
@@ -124,7 +108,7 @@
     /// Returns when the engine next has something to do, if it has.
     pub fn next_event_at(&self) -> Option<Millis> {
         let step = self.batch.step_ends_at().map(millis_after);
-        let order = self.running_order.as_ref().map(|running| running.done_at);
+        let order = self.setup.running.as_ref().map(|running| running.done_at);
         step.into_iter().chain(order).min()
     }
 
@@ -168,10 +152,10 @@
         }
         self.up = false;
         self.cut_all(now, CutCause::Crash);
-        if let Some(running) = self.running_order.take() {
+        if let Some(running) = self.setup.running.take() {
             self.orders[running.record].end = Some(OrderEnd::Interrupted { at: now });
             if self.opts.interrupted_order == OrderOutcome::After {
-                self.apply(&running.order.order);
+                self.setup.apply(&running.order.order);
             }
         }
     }
@@ -185,8 +169,7 @@
         }
         self.up = true;
         self.boot += 1;
-        self.adapters.clear();
-        self.last_stamp = Stamp::default();
+        self.setup.forget();
         self.cache = PrefixCache::new(self.opts.cache_blocks);
         self.cache_log = CacheLog::new(self.opts.cache_event_lag, self.opts.cache_event_loss);
         let (interval, lag) = (self.opts.report_interval, self.opts.report_lag);
@@ -222,11 +205,11 @@
         self.up.then(|| EngineState {
             checks_fencing: self.opts.checks_fencing,
             boot: self.boot,
-            role: self.role,
-            model: self.served_model(),
-            adapters: self.adapters.clone(),
-            last_stamp: self.last_stamp,
-            running_order: self.running_order.as_ref().map(|running| running.order.clone()),
+            role: self.setup.role,
+            model: self.setup.served_model(),
+            adapters: self.setup.adapters.clone(),
+            last_stamp: self.setup.last_stamp,
+            running_order: self.setup.running.as_ref().map(|running| running.order.clone()),
             open_requests: self.batch.len() as u64,
         })
     }
@@ -247,24 +230,10 @@
     }
 
     fn check(&self, req: &ModelRequest) -> Result<(), Refused> {
-        let in_role = matches!(
-            (self.role, req.kind),
-            (Role::Mixed, _)
-                | (Role::Prefill, WorkKind::Prefill)
-                | (Role::Decode, WorkKind::Decode)
-        );
         if !self.up {
             return Err(Refused::Down);
         }
-        if self.running_order.as_ref().is_some_and(|running| takes_engine(&running.order.order)) {
-            return Err(Refused::Changing);
-        }
-        if self.model.is_none() {
-            return Err(Refused::NoModel);
-        }
-        if !in_role {
-            return Err(Refused::WrongRole);
-        }
+        self.setup.check(req.kind)?;
         if self.batch.contains(req.attempt) {
             return Err(Refused::Duplicate);
         }
@@ -280,7 +249,8 @@
         loop {
             let step_ends_at = self.batch.step_ends_at().unwrap_or(Micros::MAX);
             let order_done_at = self
-                .running_order
+                .setup
+                .running
                 .as_ref()
                 .map_or(Micros::MAX, |running| running.done_at.0 * MICROS_PER_MILLI);
             let next = step_ends_at.min(order_done_at);
@@ -314,19 +284,13 @@
         if !self.up {
             return OrderReply::Refused { reason: Refused::Down.to_string() };
         }
-        if self.opts.checks_fencing && order.stamp <= self.last_stamp {
-            return OrderReply::Fenced { last: self.last_stamp };
-        }
-        if self.running_order.is_some() {
-            return OrderReply::Refused { reason: Refused::Changing.to_string() };
-        }
-        OrderReply::Accepted
+        self.setup.reply_to(order, self.opts.checks_fencing)
     }
 
     fn begin_order(&mut self, now: Millis, order: &StampedOrder, record: &mut OrderRecord) {
-        self.last_stamp = self.last_stamp.max(order.stamp);
+        self.setup.last_stamp = self.setup.last_stamp.max(order.stamp);
         let stamp = order.stamp;
-        if self.is_as_asked(&order.order) {
+        if self.setup.is_as_asked(&order.order) {
             record.end = Some(OrderEnd::Done { at: now });
             self.events.push(EngineEvent::OrderDone { stamp, at: now });
             return;
@@ -334,43 +298,19 @@
         if takes_engine(&order.order) {
             record.cut = self.cut_all(now, CutCause::Order);
         }
-        let takes = match &order.order {
-            Order::SetRole { .. } => self.opts.role_change,
-            Order::LoadModel { .. } => self.opts.model_load,
-            Order::LoadAdapter { .. } => self.opts.adapter_load,
-        };
-        let record = self.orders.len();
-        self.running_order =
-            Some(RunningOrder { order: order.clone(), done_at: now + takes, record });
+        let done_at = now + time_of(&order.order, &self.opts);
+        let (order, record) = (order.clone(), self.orders.len());
+        self.setup.running = Some(RunningOrder { order, done_at, record });
     }
 
     fn finish_order(&mut self) {
-        let Some(running) = self.running_order.take() else { return };
+        let Some(running) = self.setup.running.take() else { return };
         let at = running.done_at;
-        self.apply(&running.order.order);
+        self.setup.apply(&running.order.order);
         self.orders[running.record].end = Some(OrderEnd::Done { at });
         self.events.push(EngineEvent::OrderDone { stamp: running.order.stamp, at });
     }
 
-    fn is_as_asked(&self, order: &Order) -> bool {
-        match order {
-            Order::SetRole { role } => self.role == *role,
-            Order::LoadModel { model } => self.model.as_ref() == Some(model),
-            Order::LoadAdapter { adapter } => self.adapters.contains(adapter),
-        }
-    }
-
-    fn apply(&mut self, order: &Order) {
-        match order {
-            Order::SetRole { role } => self.role = *role,
-            Order::LoadModel { model } => {
-                self.model = Some(model.clone());
-                self.adapters.clear();
-            }
-            Order::LoadAdapter { adapter } => self.adapters.push(adapter.clone()),
-        }
-    }
-
     fn cut_all(&mut self, at: Millis, cause: CutCause) -> Vec<AttemptId> {
         let cut = self.batch.attempts();
         let events = cut.iter().map(|attempt| EngineEvent::Cut { attempt: *attempt, at, cause });
@@ -379,15 +319,6 @@
         cut
     }
 
-    /// Returns the model, which is not served while another is being loaded in its place.
-    fn served_model(&self) -> Option<ModelRef> {
-        let running = self.running_order.as_ref().map(|running| &running.order.order);
-        match running {
-            Some(Order::LoadModel { .. }) => None,
-            _ => self.model.clone(),
-        }
-    }
-
     fn record_until(&mut self, until: Micros) {
         let until = Millis(until / MICROS_PER_MILLI);
         if !self.up || self.snapshots.next_at() > until {
@@ -398,24 +329,14 @@
     }
 
     fn describe(&self) -> LoadReport {
-        let model = self.served_model();
-        describe(&self.opts, self.boot, self.role, &model, self.leaving, &self.batch)
-    }
-}
-
-/// Returns whether the engine serves nothing while it carries the order out.
-fn takes_engine(order: &Order) -> bool {
-    match order {
-        Order::SetRole { .. } | Order::LoadModel { .. } => true,
-        Order::LoadAdapter { .. } => false,
+        describe(&self.opts, self.boot, &self.setup, self.leaving, &self.batch)
     }
 }
 
 fn describe(
     opts: &EngineOptions,
     boot: u64,
-    role: Role,
-    model: &Option<ModelRef>,
+    setup: &Setup,
     leaving: bool,
     batch: &Batch,
 ) -> LoadReport {
@@ -424,8 +345,8 @@
         boot,
         seq: 0,
         age: Millis::ZERO,
-        role,
-        model: model.clone(),
+        role: setup.role,
+        model: setup.served_model(),
         leaving,
         queued_requests: load.queued_requests,
         queued_prefill: Tokens(load.queued_prefill),
