--- a/crates/anvilhook-authority/tests/tables.rs
+++ b/crates/anvilhook-authority/tests/tables.rs
@@ -100,3 +100,34 @@
         check_logs(&fleet, &case);
     }
 }
+
+/// Symptom: the table is overrun as the fleet grows.
+/// Sequence: more instances run, with the same pools and nothing wanted.
+/// Cause: renewals or reads of leases by instances that hold nothing.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_the_table_is_used_by_holders_only() {
+    for instances in [3, 9, 27, 81] {
+        let mut fleet = Fleet::new(FleetOptions { instances, pools: 2, ..FleetOptions::default() });
+        fleet.run_for(Millis::from_secs(30)).await;
+        let before = used(&fleet);
+        fleet.run_for(Millis::from_secs(120)).await;
+        let after = used(&fleet);
+
+        let reads_per_s = (after.0 - before.0) as f64 / 120.0;
+        let writes_per_s = (after.1 - before.1) as f64 / 120.0;
+        println!("{instances} instances: {reads_per_s:.2} reads/s, {writes_per_s:.2} writes/s");
+        assert!(writes_per_s <= 0.7, "{instances}: {writes_per_s}: one renewal in 3 s per holder");
+        // Two pools, each with at most two reads of the row and of the session a second, and for
+        // each instance the instances' rows now and then.
+        let bound = 2.0 * 2.0 * 2.0 + 0.2 * instances as f64;
+        assert!(reads_per_s <= bound, "{instances}: {reads_per_s}");
+    }
+}
+
+/// Returns the reads and the commits of all keepers.
+fn used(fleet: &Fleet) -> (u64, u64) {
+    let counts = fleet.instances.iter().map(|instance| instance.keeper_view.counts());
+    counts.fold((0, 0), |(reads, writes), counts| {
+        (reads + counts.reads + counts.scans, writes + counts.commits)
+    })
+}
