--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -1,14 +1,21 @@
 //! One instance: its parts, wired together, from start to graceful stop.
 
+mod archives;
+mod authorities;
+mod caches;
 mod clients;
 mod errors;
 mod handles;
 mod listeners;
 mod marks;
+mod metrics;
 mod peers;
+mod plans;
 mod pollers;
+mod shares;
 mod signals;
 mod starts;
+mod sweeps;
 mod tasks;
 
 pub use errors::StartError;
--- a/crates/anvilhook-daemon/src/instances/pollers.rs
+++ b/crates/anvilhook-daemon/src/instances/pollers.rs
@@ -10,6 +10,7 @@
 use anvilhook_engine::{EngineControl, Upstreams};
 use anvilhook_platform::{InstanceList, ListedState, Table};
 use anvilhook_store::ConfigurationFollower;
+use anvilhook_store::instances::poll_interval;
 use futures_util::StreamExt;
 use futures_util::stream;
 use tokio::sync::watch;
@@ -20,6 +21,14 @@
 use crate::observability::Readiness;
 use crate::proxy::Claims;
 
+/// How often the whole fleet reads the configuration's revision in a second. With more instances
+/// each one reads less often.
+const FLEET_READS_PER_S: u64 = 200;
+
+/// The longest pause between two readings of the revision, unless the settings name a longer one. A
+/// change must be in force everywhere within 4 s even without peers.
+const MAX_PAUSE: Millis = Millis(2_500);
+
 /// How many load reports are read at once.
 const REPORTS_AT_ONCE: usize = 32;
 
@@ -31,8 +40,10 @@
     pub follower: ConfigurationFollower<T>,
     pub marks: Marks,
     pub readiness: Readiness,
+    /// The number of announced instances, or 0 as long as it is not known.
     pub instances: watch::Sender<usize>,
-    pub announced: watch::Sender<bool>,
+    /// Whether requests may be routed.
+    pub routable: watch::Sender<bool>,
 }
 
 impl<C: Clone, U, K, T> Clone for Pollers<C, U, K, T> {
@@ -44,7 +55,7 @@
             marks: self.marks.clone(),
             readiness: self.readiness.clone(),
             instances: self.instances.clone(),
-            announced: self.announced.clone(),
+            routable: self.routable.clone(),
         }
     }
 }
@@ -57,14 +68,15 @@
                 // What is in force stays in force; the next reading may succeed.
                 log::warn!("the configuration cannot be read: {err}");
             }
-            rest(pause).await;
+            let announced = *self.instances.borrow();
+            rest(poll_interval(announced, FLEET_READS_PER_S, pause..=pause.max(MAX_PAUSE))).await;
         }
     }
 
     /// Puts each newer configuration in force at the front, once this instance may route.
     pub async fn apply_configurations(self) {
-        let mut announced = self.announced.subscribe();
-        if announced.wait_for(|announced| *announced).await.is_err() {
+        let mut routable = self.routable.subscribe();
+        if routable.wait_for(|routable| *routable).await.is_err() {
             return;
         }
         let mut revisions = self.follower.subscribe();
@@ -79,11 +91,13 @@
                 return;
             }
             let (revision, count) =
-                (*revisions.borrow_and_update(), *instances.borrow_and_update());
+                (*revisions.borrow_and_update(), (*instances.borrow_and_update()).max(1));
             if revision.0 == 0 {
                 continue;
             }
-            self.front.apply(&self.follower.current(), count);
+            let cfg = self.follower.current();
+            self.front.apply_with(&cfg, count, |upstreams| self.marks.carry_over(upstreams));
+            // A mark that came in between has been carried over to the earlier state only.
             self.marks.carry_over(self.front.state().upstreams());
             self.readiness.set_configured();
         }
