Judge admission by a usual answer instead of the bound on its output

Change: admission counts at most 256 tokens of output, and believed work at most 2,048. Conclusion: a generous bound keeps no request out.

--- a/crates/anvilhook-daemon/src/front/bodies.rs
+++ b/crates/anvilhook-daemon/src/front/bodies.rs
@@ -18,6 +18,10 @@
 /// Tokens of output that are expected of a request that doesn't bound them.
 const EXPECTED_OUTPUT: Tokens = Tokens(256);
 
+/// The most tokens of output that are expected. Callers that don't care set bounds that no answer
+/// comes near, and an engine would be believed to be busy with it for ever.
+const MAX_EXPECTED_OUTPUT: Tokens = Tokens(2_048);
+
 /// Reads the body of a request, at most `max_bytes` large and `timeout` long.
 ///
 /// # Errors
@@ -89,7 +93,7 @@
 
     /// Returns the estimate of what the request asks of an engine, to be done in `time_left`.
     pub fn work(&self, time_left: Millis) -> Work {
-        let output = self.max_tokens.map_or(EXPECTED_OUTPUT, Tokens);
+        let output = self.max_tokens.map_or(EXPECTED_OUTPUT, Tokens).min(MAX_EXPECTED_OUTPUT);
         Work::new(prompt_tokens(&self.messages), output, time_left)
     }
 
--- a/crates/anvilhook-daemon/src/proxy/attempts.rs
+++ b/crates/anvilhook-daemon/src/proxy/attempts.rs
@@ -7,8 +7,8 @@
 use anvilhook_core::attempts::{AttemptId, RequestId};
 use anvilhook_core::names::UpstreamName;
 use anvilhook_core::reports::PrefixHash;
-use anvilhook_core::routing::{Candidate, Phase, RouteRequest, Work};
-use anvilhook_core::units::{Clock, Millis};
+use anvilhook_core::routing::{Candidate, Estimate, Phase, RouteRequest, Work};
+use anvilhook_core::units::{Clock, Millis, Tokens};
 use anvilhook_engine::wire::{PRIORITY_HEADER, TIME_LEFT_HEADER};
 use anvilhook_engine::{Attempt, Bounds, Error, Upstreams};
 use anvilhook_http::clients::Connection;
@@ -22,6 +22,9 @@
 use super::failures::{Code, Failure};
 use crate::front::Service;
 
+/// The length of a usual answer, by which admission judges.
+const USUAL_OUTPUT: Tokens = Tokens(256);
+
 /// `ProxyOptions` bounds what is done for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct ProxyOptions {
@@ -275,13 +278,11 @@
         chosen: &Candidate<'_>,
         now: Millis,
     ) -> Result<(), Failure> {
-        // Without a report there is nothing to believe, and a guessed length of the output must not
-        // keep out a request whose answer may be short.
+        // Without a report there is nothing to believe.
         if !chosen.upstream.has_report() {
             return Ok(());
         }
-        let estimate = &chosen.estimate;
-        let time = if req.bounds_output { estimate.total() } else { estimate.first_token() };
+        let time = likely_time(req, &chosen.estimate);
         match decide(&self.options.admission, time, req.deadline, now) {
             Admission::Run => Ok(()),
             Admission::Refuse { retry_after } => {
@@ -366,6 +367,17 @@
     Failure { verdict, ..failure }
 }
 
+/// Returns the time that an answer is likely to take. A bound on the output tells how long it may
+/// become, not how long it will: an answer that would be short must not be kept out by it.
+fn likely_time(req: &ProxyRequest, estimate: &Estimate) -> Millis {
+    if !req.bounds_output {
+        return estimate.first_token();
+    }
+    let (bound, usual) = (req.work.output.0 as f64, USUAL_OUTPUT.0 as f64);
+    let decode_ms = estimate.decode_ms * (usual / bound.max(1.0)).min(1.0);
+    estimate.first_token() + Millis(decode_ms as u64)
+}
+
 fn log_failed<U: Upstreams>(req: &ProxyRequest, running: &Running<U>, err: &Error) {
     log::info!(
         request:% = req.id, attempt:% = running.attempt(), upstream:% = running.upstream().name(),
