Split the request path's two large modules by their jobs

Cause: routes.rs and attempts.rs had grown past one job each. Change: front/{routes,chats,plains}.rs and proxy/{attempts,choices,requests}.rs. A passed deadline tells the caller when to come back, as the other failures do.

--- a/crates/anvilhook-daemon/src/front/mod.rs
+++ b/crates/anvilhook-daemon/src/front/mod.rs
@@ -2,10 +2,12 @@
 
 mod answers;
 mod bodies;
+mod chats;
 mod credentials;
 mod headers;
 mod limits;
 mod metrics;
+mod plains;
 mod routes;
 mod states;
 
--- a/crates/anvilhook-daemon/src/proxy/attempts.rs
+++ b/crates/anvilhook-daemon/src/proxy/attempts.rs
@@ -1,29 +1,21 @@
 //! The attempt loop.
 
-use std::sync::Arc;
-
 use anvilhook_core::Verdict;
-use anvilhook_core::admission::{Admission, AdmissionOptions, decide};
-use anvilhook_core::attempts::{AttemptId, RequestId};
-use anvilhook_core::names::UpstreamName;
-use anvilhook_core::reports::PrefixHash;
-use anvilhook_core::routing::{Candidate, Estimate, Phase, RouteRequest, Work};
-use anvilhook_core::units::{Clock, Millis, Tokens};
+use anvilhook_core::admission::AdmissionOptions;
+use anvilhook_core::attempts::AttemptId;
+use anvilhook_core::units::{Clock, Millis};
 use anvilhook_engine::wire::{PRIORITY_HEADER, TIME_LEFT_HEADER};
 use anvilhook_engine::{Attempt, Bounds, Error, Upstreams};
 use anvilhook_http::clients::Connection;
-use bytes::Bytes;
-use http::header::{HeaderMap, HeaderValue};
-use http::{Method, StatusCode};
+use http::StatusCode;
+use http::header::HeaderValue;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
 use super::cancels::{Held, Running};
+use super::choices::Progress;
 use super::failures::{Code, Failure};
-use crate::front::Service;
-
-/// The length of a usual answer, by which admission judges.
-const USUAL_OUTPUT: Tokens = Tokens(256);
+use super::requests::{ProxyRequest, RequestKind};
 
 /// `ProxyOptions` bounds what is done for one request.
 #[derive(Clone, Copy, Debug)]
@@ -52,57 +44,6 @@
     }
 }
 
-/// `RequestKind` tells requests apart by what an answer to them looks like.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RequestKind {
-    /// A chat completion that is answered whole.
-    ChatWhole,
-    /// A chat completion that is answered by a stream of events.
-    ChatStreamed,
-    /// A call of a plain service.
-    Plain,
-}
-
-/// `ProxyRequest` is a caller's request, checked and ready to be sent.
-#[derive(Clone, Debug)]
-pub struct ProxyRequest {
-    /// Its id.
-    pub id: RequestId,
-    /// The service that answers it.
-    pub service: Arc<Service>,
-    /// What kind of answer it asks for.
-    pub kind: RequestKind,
-    /// Whether it may be repeated without harm.
-    pub idempotent: bool,
-    /// The method at the upstream.
-    pub method: Method,
-    /// The path and query at the upstream.
-    pub path: String,
-    /// The headers for the upstream.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-    /// When it arrived.
-    pub arrived_at: Millis,
-    /// When its answer must be whole.
-    pub deadline: Millis,
-    /// Its priority; the smaller goes first.
-    pub priority: u8,
-    /// What it asks of an engine.
-    pub work: Work,
-    /// Whether `work` tells how long the output will be at most, or only guesses.
-    pub bounds_output: bool,
-    /// The blocks of its prompt.
-    pub prefix: Vec<PrefixHash>,
-}
-
-impl ProxyRequest {
-    /// Returns whether a model engine answers, which can cancel and resume.
-    pub fn is_chat(&self) -> bool {
-        self.kind != RequestKind::Plain
-    }
-}
-
 /// `Sending` is one way to send an attempt and to receive its answer.
 pub(super) trait Sending {
     /// What an upstream answers.
@@ -131,13 +72,6 @@
     pub(super) options: ProxyOptions,
 }
 
-/// `Progress` is what the attempts so far have come to.
-struct Progress {
-    tried: Vec<UpstreamName>,
-    attempts: usize,
-    verdict: Verdict,
-}
-
 impl<C: Clock, U: Upstreams> Proxy<C, U> {
     /// Makes a proxy over the given upstreams.
     pub fn new(clock: C, upstreams: U, options: ProxyOptions) -> Self {
@@ -160,7 +94,7 @@
         let mut progress = Progress { tried: Vec::new(), attempts: 0, verdict: Verdict::NotRun };
         loop {
             if self.time_left(req) == Millis::ZERO {
-                return Err(deadline_exceeded(progress.verdict));
+                return Err(self.deadline_exceeded(progress.verdict));
             }
             let Some(held) = self.hold(req, &mut progress, rng).await? else {
                 return Err(self.no_upstream(progress.verdict));
@@ -219,80 +153,6 @@
         if is_well { ejection.record_success(now) } else { ejection.record_failure(now) }
     }
 
-    /// Chooses an upstream and counts the request in there: one that has not been tried if there is
-    /// one, else any, after a pause.
-    async fn hold(
-        &self,
-        req: &ProxyRequest,
-        progress: &mut Progress,
-        rng: &mut ChaCha8Rng,
-    ) -> Result<Option<Held>, Failure> {
-        let held = self.hold_untried(req, progress, rng)?;
-        if held.is_some() || progress.tried.is_empty() {
-            return Ok(held);
-        }
-        progress.tried.clear();
-        let pause = self.options.backoff.min(self.time_left(req));
-        tokio::time::sleep(pause.as_duration()).await;
-        self.hold_untried(req, progress, rng)
-    }
-
-    fn hold_untried(
-        &self,
-        req: &ProxyRequest,
-        progress: &Progress,
-        rng: &mut ChaCha8Rng,
-    ) -> Result<Option<Held>, Failure> {
-        let route = RouteRequest {
-            work: req.work,
-            prefix: &req.prefix,
-            deadline: req.deadline,
-            priority: req.priority,
-        };
-        let mut closed = Vec::new();
-        loop {
-            let shut_out = if closed.is_empty() { &progress.tried } else { &closed };
-            let now = self.clock.now();
-            let chosen = req.service.table.choose_for(Phase::Whole, &route, shut_out, now, rng);
-            let Some(chosen) = chosen else { return Ok(None) };
-            if progress.attempts == 0 {
-                self.admit(req, &chosen, now)?;
-            }
-            let work = chosen.work(Phase::Whole, req.work);
-            if let Some(held) = Held::try_new(chosen.upstream, work, now) {
-                return Ok(Some(held));
-            }
-            // The upstream began to drain between the choice and the count.
-            if closed.is_empty() {
-                closed.extend_from_slice(&progress.tried);
-            }
-            closed.push(chosen.upstream.name().clone());
-        }
-    }
-
-    /// Refuses a request that its best upstream is not believed to answer in time: it would only
-    /// take the time of those that can be.
-    fn admit(
-        &self,
-        req: &ProxyRequest,
-        chosen: &Candidate<'_>,
-        now: Millis,
-    ) -> Result<(), Failure> {
-        // Without a report there is nothing to believe.
-        if !chosen.upstream.has_report() {
-            return Ok(());
-        }
-        let time = likely_time(req, &chosen.estimate);
-        match decide(&self.options.admission, time, req.deadline, now) {
-            Admission::Run => Ok(()),
-            Admission::Refuse { retry_after } => {
-                let message = format!("the answer would take about {time}");
-                let failure = Failure::not_run(Code::DeadlineUnreachable, message);
-                Err(failure.retry_after(retry_after))
-            }
-        }
-    }
-
     fn attempt(
         &self,
         req: &ProxyRequest,
@@ -350,32 +210,21 @@
 
     fn give_up(&self, req: &ProxyRequest, err: &Error, verdict: Verdict) -> Failure {
         if self.time_left(req) == Millis::ZERO {
-            return deadline_exceeded(verdict);
+            return self.deadline_exceeded(verdict);
         }
         Failure::of_attempt(err, verdict).retry_after(self.options.retry_after)
     }
 
-    fn no_upstream(&self, verdict: Verdict) -> Failure {
-        let failure = Failure::not_run(Code::NoUpstream, "no upstream of the service takes work");
+    /// Returns the failure of a request whose deadline has passed.
+    pub(super) fn deadline_exceeded(&self, verdict: Verdict) -> Failure {
+        let failure = Failure::not_run(Code::DeadlineExceeded, "the deadline has passed");
         Failure { verdict, ..failure }.retry_after(self.options.retry_after)
     }
-}
 
-/// Returns the failure of a request whose deadline has passed.
-pub(super) fn deadline_exceeded(verdict: Verdict) -> Failure {
-    let failure = Failure::not_run(Code::DeadlineExceeded, "the deadline has passed");
-    Failure { verdict, ..failure }
-}
-
-/// Returns the time that an answer is likely to take. A bound on the output tells how long it may
-/// become, not how long it will: an answer that would be short must not be kept out by it.
-fn likely_time(req: &ProxyRequest, estimate: &Estimate) -> Millis {
-    if !req.bounds_output {
-        return estimate.first_token();
+    fn no_upstream(&self, verdict: Verdict) -> Failure {
+        let failure = Failure::not_run(Code::NoUpstream, "no upstream of the service takes work");
+        Failure { verdict, ..failure }.retry_after(self.options.retry_after)
     }
-    let (bound, usual) = (req.work.output.0 as f64, USUAL_OUTPUT.0 as f64);
-    let decode_ms = estimate.decode_ms * (usual / bound.max(1.0)).min(1.0);
-    estimate.first_token() + Millis(decode_ms as u64)
 }
 
 fn log_failed<U: Upstreams>(req: &ProxyRequest, running: &Running<U>, err: &Error) {
--- a/crates/anvilhook-daemon/src/proxy/claims.rs
+++ b/crates/anvilhook-daemon/src/proxy/claims.rs
@@ -9,8 +9,9 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinHandle;
 
-use super::attempts::{Proxy, ProxyRequest};
+use super::attempts::Proxy;
 use super::failures::{Code, Failure};
+use super::requests::ProxyRequest;
 
 /// How long an answer waits for its outcome to be recorded. A repeat that comes sooner hears that
 /// the request may have run, which is true.
--- a/crates/anvilhook-daemon/src/proxy/mod.rs
+++ b/crates/anvilhook-daemon/src/proxy/mod.rs
@@ -5,16 +5,19 @@
 
 mod attempts;
 mod cancels;
+mod choices;
 mod claims;
 mod failures;
+mod requests;
 mod rngs;
 mod streams;
 mod table_claims;
 mod whole;
 
-pub use attempts::{Proxy, ProxyOptions, ProxyRequest, RequestKind};
+pub use attempts::{Proxy, ProxyOptions};
 pub use claims::{ClaimRequest, Claimed, Claims, NoClaims};
 pub use failures::{Code, Failure};
+pub use requests::{ProxyRequest, RequestKind};
 pub use rngs::RequestRngs;
 pub use streams::{CallerStream, StreamEnd, StreamStart};
 pub use table_claims::TableClaims;
--- a/crates/anvilhook-daemon/src/proxy/streams.rs
+++ b/crates/anvilhook-daemon/src/proxy/streams.rs
@@ -11,9 +11,10 @@
 use tokio::sync::mpsc;
 use volo_http::server::response::sse::Event;
 
-use super::attempts::{Answered, Proxy, ProxyRequest, Sending, deadline_exceeded};
+use super::attempts::{Answered, Proxy, Sending};
 use super::cancels::Running;
 use super::failures::Failure;
+use super::requests::ProxyRequest;
 
 /// How many events may wait for a slow caller. Beyond it the engine's connection is not read, so
 /// that a slow caller can't fill the instance's memory.
@@ -178,7 +179,7 @@
         loop {
             let time_left = self.proxy.time_left(&self.req);
             if time_left == Millis::ZERO {
-                return Err(deadline_exceeded(Verdict::MayHaveRun));
+                return Err(self.proxy.deadline_exceeded(Verdict::MayHaveRun));
             }
             let between = self.req.service.spec.between_events_ms.min(time_left);
             let err = match &mut self.events {
--- a/crates/anvilhook-daemon/src/proxy/whole.rs
+++ b/crates/anvilhook-daemon/src/proxy/whole.rs
@@ -5,8 +5,9 @@
 use http::StatusCode;
 use rand_chacha::ChaCha8Rng;
 
-use super::attempts::{Proxy, ProxyRequest, Sending};
+use super::attempts::{Proxy, Sending};
 use super::failures::Failure;
+use super::requests::ProxyRequest;
 
 /// `SendWhole` sends attempts whose answers come whole.
 struct SendWhole<'a, U> {
