--- a/crates/anvilhook-bench/src/lib.rs
+++ b/crates/anvilhook-bench/src/lib.rs
@@ -3,5 +3,9 @@
 //! Each subcommand of `anvilhook-bench` is one module with an `Args` struct and a `run` function.
 #![forbid(unsafe_code)]
 
+pub mod callers;
+pub mod control;
+pub mod local;
 pub mod policy;
 pub mod proxy;
+pub mod sites;
--- a/crates/anvilhook-http/src/servers.rs
+++ b/crates/anvilhook-http/src/servers.rs
@@ -2,6 +2,9 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 
 use anvilhook_core::units::Millis;
 use socket2::{SockRef, TcpKeepalive};
@@ -18,6 +21,9 @@
 /// How long a connection lies idle before the kernel probes it.
 const KEEPALIVE_AFTER: Millis = Millis::from_secs(15);
 
+/// How long the end is put off when nothing is in flight, for what still has to be written.
+const FLUSH_TIME: Millis = Millis(200);
+
 /// `Phase` is where a server is between its start and its end.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -41,22 +47,31 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Shutdown {
+    /// The phase for requests, which read it without the channel's lock.
+    now: Arc<AtomicU8>,
     phase: watch::Sender<Phase>,
 }
 
 impl Shutdown {
     /// Starts in phase `Serving`.
     pub fn new() -> Self {
-        Self { phase: watch::Sender::new(Phase::Serving) }
+        let now = Arc::new(AtomicU8::new(Phase::Serving as u8));
+        Self { now, phase: watch::Sender::new(Phase::Serving) }
     }
 
     /// Returns the present phase.
     pub fn phase(&self) -> Phase {
-        *self.phase.borrow()
+        match self.now.load(Ordering::SeqCst) {
+            now if now == Phase::Serving as u8 => Phase::Serving,
+            now if now == Phase::Draining as u8 => Phase::Draining,
+            _ => Phase::Closed,
+        }
     }
 
     /// Goes on to a later phase; an earlier one changes nothing.
     pub fn advance(&self, to: Phase) {
+        // Whoever is woken by the channel must already read the new phase.
+        self.now.fetch_max(to as u8, Ordering::SeqCst);
         self.phase.send_if_modified(|phase| {
             let later = to > *phase;
             if later {
@@ -108,12 +123,42 @@
 {
     let incoming = StoppableIncoming { listener: Some(listener), shutdown: shutdown.clone() };
     let hook_shutdown = shutdown.clone();
+    let signalled = Arc::new(AtomicBool::new(false));
+    let hook_signalled = Arc::clone(&signalled);
     let server = Server::new(router).register_shutdown_hook(move || {
+        hook_signalled.store(true, Ordering::Release);
         Box::pin(async move { hook_shutdown.reached(Phase::Closed).await })
     });
+    let running = pin!(server.run(incoming));
+    run_until_closed(running, &shutdown, &signalled).await
+}
+
+/// Drives the library's server until the phase is `Closed`, and on to its own end after a signal.
+///
+/// The last bytes of an answer may still lie in the process when nothing is in flight any more. The
+/// process ends after a signal, and a slow caller's answer would be cut. The library then waits
+/// until its connections have been flushed, at most some 30 s. Without a signal it would wait for
+/// ever, and the connections' own tasks flush them.
+async fn run_until_closed<R, E>(
+    mut running: Pin<&mut R>,
+    shutdown: &Shutdown,
+    signalled: &AtomicBool,
+) -> io::Result<()>
+where
+    R: Future<Output = Result<(), E>>,
+    E: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     tokio::select! {
-        ended = server.run(incoming) => ended.map_err(io::Error::other),
-        () = shutdown.reached(Phase::Closed) => Ok(()),
+        ended = running.as_mut() => return ended.map_err(io::Error::other),
+        () = shutdown.reached(Phase::Closed) => {}
+    }
+    let flushed = tokio::time::timeout(FLUSH_TIME.as_duration(), running.as_mut()).await;
+    match flushed {
+        Ok(ended) => ended.map_err(io::Error::other),
+        Err(_elapsed) if signalled.load(Ordering::Acquire) => {
+            running.await.map_err(io::Error::other)
+        }
+        Err(_elapsed) => Ok(()),
     }
 }
 
