--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -276,8 +276,24 @@
                 log::warn!("pool {}: the drain plans cannot go on: {err}", pool.name);
             }
         }
+        let now = self.services.clock.now();
+        let is_unreached = pool.unreached_for(plan, now) >= self.options.release_unreached_ms;
         self.held.insert(pool.name.clone(), pool);
         self.drop_lost();
+        if is_unreached {
+            self.release_unreached(plan).await;
+        }
+    }
+
+    /// Gives a pool up of whose engines this instance reaches none. Cut off from the engines and not
+    /// from the table, it would renew for ever, and nobody could change the engines.
+    async fn release_unreached(&mut self, plan: &PoolPlan) {
+        log::warn!("pool {}: given up, because no engine of it can be reached", plan.pool);
+        if let Err(err) = self.release(&plan.pool).await {
+            log::warn!("pool {} cannot be released: {err}", plan.pool);
+        }
+        let until = self.services.clock.now() + self.options.candidates.last_interval_ms;
+        self.candidate.leave_until(&plan.pool, until);
     }
 
     /// Brings the pool's row up to date before its engines are decided on.
--- a/crates/anvilhook-authority/src/options.rs
+++ b/crates/anvilhook-authority/src/options.rs
@@ -33,6 +33,9 @@
     pub fleet_read_ms: Millis,
     /// The least time between two reads of the instances, and of a row, where something is awaited.
     pub awaited_read_ms: Millis,
+    /// How long a holder goes on that reaches none of a pool's engines. It then gives the pool up for
+    /// another instance to try, and leaves it alone for the longest interval of a candidate.
+    pub release_unreached_ms: Millis,
     /// How long an engine that refused an order is left alone.
     pub refusal_pause_ms: Millis,
 }
@@ -63,6 +66,7 @@
             row_read_ms: Millis(10_000),
             fleet_read_ms: Millis(30_000),
             awaited_read_ms: Millis(500),
+            release_unreached_ms: Millis(10_000),
             refusal_pause_ms: Millis(10_000),
         }
     }
--- a/crates/anvilhook-authority/src/pools.rs
+++ b/crates/anvilhook-authority/src/pools.rs
@@ -31,6 +31,8 @@
     pub uncleared_since: Millis,
     pub engines: BTreeMap<UpstreamName, EngineMemory>,
     planners: BTreeMap<ResourceName, DrainPlanner>,
+    /// Since when no engine answers.
+    unreached_since: Option<Millis>,
     /// The engines with an open order that are not declared, and since when this has been seen.
     undeclared: BTreeMap<UpstreamName, Millis>,
 }
@@ -49,6 +51,7 @@
             uncleared_since: now,
             engines: BTreeMap::new(),
             planners: BTreeMap::new(),
+            unreached_since: None,
             undeclared: BTreeMap::new(),
         }
     }
@@ -146,6 +149,16 @@
         next
     }
 
+    /// Notes whether any engine answers, and returns for how long none has.
+    pub fn unreached_for(&mut self, plan: &PoolPlan, now: Millis) -> Millis {
+        let answers = plan.engines.iter().any(|engine| self.serves(&engine.name));
+        if answers || plan.engines.is_empty() {
+            self.unreached_since = None;
+            return Millis::ZERO;
+        }
+        now - *self.unreached_since.get_or_insert(now)
+    }
+
     /// Returns whether one more engine may be taken out of service for a change.
     pub fn may_drain(&self, plan: &PoolPlan) -> bool {
         let marks = &self.row.drains;
--- a/crates/anvilhook-authority/src/takeovers.rs
+++ b/crates/anvilhook-authority/src/takeovers.rs
@@ -48,6 +48,11 @@
         self.next_look.insert(pool.clone(), Millis::ZERO);
     }
 
+    /// Leaves a pool to the other candidates until a time.
+    pub fn leave_until(&mut self, pool: &PoolName, until: Millis) {
+        self.next_look.insert(pool.clone(), until);
+    }
+
     /// Returns the terms below which this instance gives no order.
     pub fn lowest_terms(&self) -> &BTreeMap<PoolName, Term> {
         &self.lowest
