Close the orders of withdrawn engines and pools, and test lost fences and raised terms

Cause: a pool that was undeclared amid a load would have been released with its slot still taken. Change: the holder keeps an undeclared pool until no order is open there; tests for withdrawn engines and pools, for an engine that forgot its fence, and for terms that count from lower than an engine saw. Conclusion: a slot of the weight store outlives no order.

--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -207,12 +207,19 @@
         }
     }
 
-    /// Gives up the pools that are not declared any more.
+    /// Gives up the pools that are not declared any more, once no order is open there: nobody would
+    /// close it, and a load would keep its slot for ever.
     async fn release_undeclared(&mut self, plans: &[PoolPlan]) {
         let declared = |name: &PoolName| plans.iter().any(|plan| plan.pool == *name);
         let gone: Vec<PoolName> =
             self.held.keys().filter(|name| !declared(name)).cloned().collect();
         for name in gone {
+            let Some(pool) = self.held.remove(&name) else { continue };
+            self.work(pool, &PoolPlan::undeclared(name.clone())).await;
+            let is_idle = self.held.get(&name).is_some_and(|pool| pool.row.open.is_empty());
+            if !is_idle {
+                continue;
+            }
             if let Err(err) = self.release(&name).await {
                 log::warn!("pool {name} cannot be released: {err}");
             }
--- a/crates/anvilhook-authority/src/plans.rs
+++ b/crates/anvilhook-authority/src/plans.rs
@@ -48,6 +48,12 @@
 }
 
 impl PoolPlan {
+    /// Returns the plan of a pool that is not declared any more.
+    pub(crate) fn undeclared(pool: PoolName) -> Self {
+        let (engines, drains) = (Vec::new(), Vec::new());
+        Self { pool, engines, min_serving: 0, max_changing: 0, drains }
+    }
+
     /// Returns what is wanted of an engine, if it is declared.
     pub(crate) fn engine(&self, name: &UpstreamName) -> Option<&EnginePlan> {
         self.engines.iter().find(|engine| engine.name == *name)
--- a/crates/anvilhook-authority/tests/orders.rs
+++ b/crates/anvilhook-authority/tests/orders.rs
@@ -2,6 +2,7 @@
 
 mod fixtures;
 
+use anvilhook_core::orders::{Stamp, StampedOrder, Term};
 use anvilhook_core::resources::Fencing;
 use anvilhook_core::units::Millis;
 use anvilhook_engine::EngineControl;
@@ -100,10 +101,7 @@
 async fn verify_a_foreign_order_is_waited_for() {
     let mut fleet = Fleet::new(FleetOptions::default());
     fleet.run_for(Millis(3_000)).await;
-    let foreign = anvilhook_core::orders::StampedOrder {
-        stamp: anvilhook_core::orders::Stamp::default(),
-        order: adapter("foreign"),
-    };
+    let foreign = StampedOrder { stamp: Stamp::default(), order: adapter("foreign") };
     fleet.engines.for_caller("operator").order(address(1), &foreign).await.unwrap();
 
     fleet.want(1, adapter("first"));
@@ -114,3 +112,79 @@
     fleet.run_until(LIMIT, "after it", |fleet| fleet.meets(1, &adapter("first"))).await;
     check_logs(&fleet, "foreign order");
 }
+
+/// Symptom: an engine that lost its fence in a restart obeys two authorities in turn.
+/// Sequence: a holder is paused before it sends an order; its successor's fence holds; the engine
+/// is restarted and forgets the fence; a further order is wanted.
+/// Cause: an engine that is taken to check what it has forgotten.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_an_engine_that_lost_its_fence_needs_evidence() {
+    let mut fleet = Fleet::new(FleetOptions::default());
+    fleet.run_for(Millis(3_000)).await;
+    let first = fleet.instances[fleet.holder().unwrap()].name.to_string();
+    fleet.engines.fail_next_order(&first, EngineFault::PauseBeforeSending);
+    fleet.want(0, adapter("first"));
+    fleet.run_until(LIMIT, "paused", |fleet| fleet.engines.is_paused(&first)).await;
+    fleet.want(0, adapter("second"));
+    fleet.run_until(LIMIT, "successor", |fleet| fleet.meets(0, &adapter("second"))).await;
+    let now = fleet.now();
+    fleet.engines.with(address(0), |model| model.crash(now));
+    fleet.run_for(Millis(1_000)).await;
+    let now = fleet.now();
+    fleet.engines.with(address(0), |model| model.restart(now));
+
+    fleet.want(0, adapter("third"));
+    fleet.run_for(Millis::from_secs(20)).await;
+
+    assert_eq!(fleet.reason(0).as_deref(), Some("AwaitingPredecessor"));
+    fleet.engines.resume(&first);
+    fleet.run_until(LIMIT, "after it", |fleet| fleet.meets(0, &adapter("third"))).await;
+}
+
+/// Symptom: an engine is never ordered anything again.
+/// Sequence: the table was restored from an older copy, so terms count from lower than the engine
+/// has seen.
+/// Cause: a term that nothing raises.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_a_term_is_raised_above_what_the_engine_has_seen() {
+    let mut fleet = Fleet::new(FleetOptions::default());
+    let seen = Stamp { term: Term(9), seq: 4 };
+    let order = StampedOrder { stamp: seen, order: adapter("before") };
+    fleet.engines.for_caller("before").order(address(0), &order).await.unwrap();
+    fleet.run_for(Millis(3_000)).await;
+
+    fleet.want(0, adapter("first"));
+    fleet.run_until(LIMIT, "order", |fleet| fleet.meets(0, &adapter("first"))).await;
+
+    assert!(fleet.row().unwrap().term > Term(9));
+    check_logs(&fleet, "raised term");
+}
+
+/// Symptom: the weight store stays busy after an engine was withdrawn.
+/// Sequence: an engine, or its whole pool, is undeclared while it loads a model.
+/// Cause: an open order that nobody closes, with its slot.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_a_withdrawn_engine_leaves_nothing_behind() {
+    for whole_pool in [false, true] {
+        let mut fleet = Fleet::new(FleetOptions::default());
+        fleet.run_for(Millis(3_000)).await;
+        fleet.want(0, load(2));
+        let opened = |fleet: &Fleet| !fleet.rows()[0].open.is_empty();
+        fleet.run_until(LIMIT, "order", opened).await;
+
+        let plans = fleet.plans.clone();
+        if whole_pool {
+            fleet.plans.clear();
+        } else {
+            fleet.plans[0].engines.remove(0);
+        }
+        fleet.run_for(Millis(5_000)).await;
+
+        let slots = fleet.platform.rows("authority/load-slots").pop().unwrap().value;
+        assert_eq!(slots, r#"{"taken":[]}"#);
+        fleet.plans = plans;
+        let row = fleet.row().unwrap();
+        assert!(row.open.is_empty());
+        assert_eq!(row.holder.is_none(), whole_pool);
+    }
+}
