Report a condition whose message alone changes every two seconds at most

Cause: the message of a drain changes with every request that ends, and each report is a table write. Change: a change of state or reason is reported at once, one of the message alone is paced. Conclusion: status costs no write for each request.

--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -85,7 +85,7 @@
     /// Failures of the platform and of engines are observed, not returned: the next step tries
     /// again.
     pub async fn step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
-        self.book.set_wall(wall);
+        self.book.begin_step(wall, self.services.clock.now());
         self.fleet.begin_step(hints);
         let engines = plans.iter().flat_map(|plan| &plan.engines);
         self.upstreams.extend(engines.map(|engine| engine.name.clone()));
@@ -136,7 +136,8 @@
         self.book.all()
     }
 
-    /// Returns what has changed of that since the last call.
+    /// Returns what has changed of that since the last call. Where only a message has changed, it is
+    /// returned once in two seconds at most.
     pub fn take_changes(&mut self) -> Vec<Observation> {
         self.book.take_changes()
     }
--- a/crates/anvilhook-authority/src/observations.rs
+++ b/crates/anvilhook-authority/src/observations.rs
@@ -6,7 +6,7 @@
 use anvilhook_core::authority::Wait;
 use anvilhook_core::names::{PoolName, ResourceName, UpstreamName};
 use anvilhook_core::resources::{Condition, ConditionState, Kind, ResourceKey};
-use anvilhook_core::units::WallTime;
+use anvilhook_core::units::{Millis, WallTime};
 
 /// The reasons of the conditions that keepers report. docs/CONDITIONS.md says what to do about each.
 pub mod reasons {
@@ -65,12 +65,32 @@
     pub condition: Condition,
 }
 
+/// The least time between two reports of a condition of which only the message has changed. While
+/// a drain goes on, its message changes with every acknowledgement, and each report is a write.
+const MESSAGE_INTERVAL: Millis = Millis::from_secs(2);
+
 /// `ObservationBook` keeps the newest observations, and which of them have changed.
 #[derive(Debug, Default)]
 pub(crate) struct ObservationBook {
-    entries: BTreeMap<(ResourceKey, &'static str), Condition>,
-    changed: BTreeSet<(ResourceKey, &'static str)>,
+    entries: BTreeMap<(ResourceKey, &'static str), Entry>,
     wall: WallTime,
+    now: Millis,
+}
+
+#[derive(Debug)]
+struct Entry {
+    condition: Condition,
+    reported: Option<(Condition, Millis)>,
+}
+
+impl Entry {
+    /// Returns whether the condition should be reported now.
+    fn is_due(&self, now: Millis) -> bool {
+        let Some((reported, at)) = &self.reported else { return true };
+        let same =
+            reported.state == self.condition.state && reported.reason == self.condition.reason;
+        *reported != self.condition && (!same || now >= *at + MESSAGE_INTERVAL)
+    }
 }
 
 /// What is found of one aspect.
@@ -141,9 +161,10 @@
 }
 
 impl ObservationBook {
-    /// Sets the time that new observations are dated with.
-    pub fn set_wall(&mut self, wall: WallTime) {
+    /// Begins a step: `wall` dates new observations, and `now` paces the reports of them.
+    pub fn begin_step(&mut self, wall: WallTime, now: Millis) {
         self.wall = wall;
+        self.now = now;
     }
 
     pub fn engine(&mut self, name: &UpstreamName, kind: &'static str, finding: Finding) {
@@ -162,34 +183,36 @@
         let Ok(name) = ResourceName::try_new(name) else { return };
         let key = (ResourceKey { kind, name }, aspect);
         let Finding { state, reason, message } = finding;
-        let before = self.entries.get(&key);
+        let before = self.entries.remove(&key);
         // A condition whose state is the same has been so since then.
-        let since = before.filter(|old| old.state == state).map_or(self.wall, |old| old.since);
-        let next =
-            Condition { kind: aspect.to_owned(), state, reason: reason.to_owned(), message, since };
-        if before != Some(&next) {
-            self.entries.insert(key.clone(), next);
-            self.changed.insert(key);
-        }
+        let same = before.as_ref().filter(|old| old.condition.state == state);
+        let since = same.map_or(self.wall, |old| old.condition.since);
+        let reason = reason.to_owned();
+        let condition = Condition { kind: aspect.to_owned(), state, reason, message, since };
+        let reported = before.and_then(|old| old.reported);
+        self.entries.insert(key, Entry { condition, reported });
     }
 
     /// Returns all observations.
     pub fn all(&self) -> Vec<Observation> {
-        let observation = |((key, _), condition): (&(ResourceKey, _), &Condition)| Observation {
-            key: key.clone(),
-            condition: condition.clone(),
-        };
-        self.entries.iter().map(observation).collect()
+        let entries = self.entries.iter();
+        entries
+            .map(|((key, _), entry)| Observation {
+                key: key.clone(),
+                condition: entry.condition.clone(),
+            })
+            .collect()
     }
 
-    /// Returns the observations that have changed since the last call.
+    /// Returns the observations that have changed since they were returned here last.
     pub fn take_changes(&mut self) -> Vec<Observation> {
-        let changed = std::mem::take(&mut self.changed);
-        let found = changed.into_iter().filter_map(|key| {
-            let condition = self.entries.get(&key)?.clone();
-            Some(Observation { key: key.0, condition })
-        });
-        found.collect()
+        let now = self.now;
+        let due = self.entries.iter_mut().filter(|(_, entry)| entry.is_due(now));
+        due.map(|((key, _), entry)| {
+            entry.reported = Some((entry.condition.clone(), now));
+            Observation { key: key.clone(), condition: entry.condition.clone() }
+        })
+        .collect()
     }
 
     /// Forgets what was observed of a pool and its engines.
@@ -201,6 +224,5 @@
             _ => true,
         };
         self.entries.retain(|(key, _), _| keeps(key));
-        self.changed.retain(|(key, _)| keeps(key));
     }
 }
--- a/crates/anvilhook-authority/tests/drains.rs
+++ b/crates/anvilhook-authority/tests/drains.rs
@@ -127,7 +127,7 @@
         let mut fleet = Fleet::new(options);
         fleet.run_for(Millis(4_000)).await;
         // A drain that awaits a long request makes the holder read the instances now and then.
-        fleet.submit_long(1);
+        fleet.submit_long(1, 400);
         fleet.want(1, load(2));
         fleet.run_for(Millis(1_000)).await;
         let new = fleet.start_instance();
@@ -167,7 +167,7 @@
         min_serving: 3,
     };
     // A long request keeps one engine of the first zone from being drained for a while.
-    let long_until = fleet.submit_long(4);
+    let long_until = fleet.submit_long(4, 400);
 
     fleet.plans[0].drains = vec![DeclaredDrain { name: name.clone(), spec: spec.clone() }];
     let mut marked = BTreeSet::new();
@@ -221,12 +221,17 @@
 async fn verify_the_engine_itself_must_agree() {
     let mut fleet = Fleet::new(FleetOptions::default());
     fleet.run_for(Millis(4_000)).await;
-    fleet.submit_long(0);
+    // They end one after the other, so that the number of open requests changes often.
+    for halves in 1..=20 {
+        fleet.submit_long(0, 20 * halves);
+    }
 
     fleet.want(0, load(2));
-    fleet.run_for(Millis(4_000)).await;
+    fleet.run_for(Millis(8_000)).await;
 
     assert_eq!(fleet.reason(0).as_deref(), Some("RequestsOpen"));
+    let reports: usize = fleet.instances.iter().map(|instance| instance.reports).sum();
+    assert!(reports < 15, "{reports} reports, each a write, in 48 steps");
     fleet.run_until(LIMIT, "change", |fleet| fleet.meets(0, &load(2))).await;
     check_logs(&fleet, "long request");
 }
