Index the hints of peers by what is asked of them

Cause: each engine that drains compared each instance with every hint, which grows with instances times draining engines times instances. Change: hints are indexed once a step, and by holders only. Conclusion: a step costs a look-up for each instance and draining engine.

--- a/crates/anvilhook-authority/src/fleets.rs
+++ b/crates/anvilhook-authority/src/fleets.rs
@@ -1,6 +1,6 @@
 //! The instances, and what they acknowledge.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use anvilhook_core::drains::{DrainAck, DrainMark, DrainProgress, progress};
 use anvilhook_core::membership::{Listed, Roster};
@@ -51,16 +51,29 @@
 pub(crate) struct Fleet {
     roster: Roster,
     acks: BTreeMap<InstanceName, DrainAck>,
-    hints: PeerHints,
+    /// The hints of this step, by what is asked of them: with hundreds of instances a search through
+    /// all hints for each instance and engine would cost a good part of a core.
+    drain_hints: HashMap<(PoolName, UpstreamName), HashMap<InstanceName, u64>>,
+    term_hints: HashMap<PoolName, HashMap<InstanceName, Term>>,
     read_at: Option<Millis>,
     is_fresh: bool,
 }
 
 impl Fleet {
-    /// Begins a step: what is known is no longer fresh.
+    /// Begins a step: what is known is no longer fresh, and these are the hints that hold.
     pub fn begin_step(&mut self, hints: &PeerHints) {
         self.is_fresh = false;
-        self.hints = hints.clone();
+        self.drain_hints.clear();
+        for hint in &hints.drains {
+            let engine = (hint.pool.clone(), hint.engine.clone());
+            let of_engine = self.drain_hints.entry(engine).or_default();
+            of_engine.insert(hint.instance.clone(), hint.since);
+        }
+        self.term_hints.clear();
+        for hint in &hints.terms {
+            let of_pool = self.term_hints.entry(hint.pool.clone()).or_default();
+            of_pool.insert(hint.instance.clone(), hint.term);
+        }
     }
 
     /// Returns whether the instances should be read again.
@@ -108,14 +121,13 @@
 
     /// Returns whether an instance has acknowledged a term over the peer link.
     pub fn acknowledges(&self, instance: &InstanceName, pool: &PoolName, term: Term) -> bool {
-        let said = |hint: &&TermHint| hint.instance == *instance && hint.pool == *pool;
-        self.hints.terms.iter().filter(said).any(|hint| hint.term >= term)
+        let said = self.term_hints.get(pool).and_then(|of_pool| of_pool.get(instance));
+        said.is_some_and(|said| *said >= term)
     }
 
     /// Returns the highest term of a pool that another instance knows of.
     pub fn highest_term(&self, pool: &PoolName) -> Option<Term> {
-        let of_pool = self.hints.terms.iter().filter(|hint| hint.pool == *pool);
-        of_pool.map(|hint| hint.term).max()
+        self.term_hints.get(pool)?.values().max().copied()
     }
 
     /// Returns how far the drain of an engine is, or `None` if the instances have not been read in
@@ -126,27 +138,13 @@
         engine: &UpstreamName,
         mark: Option<&DrainMark>,
     ) -> Option<DrainProgress> {
+        let hinted = self.drain_hints.get(&(pool.clone(), engine.clone()));
         let acknowledges = |name: &InstanceName, mark: &DrainMark| {
             let stored = self.acks.get(name).is_some_and(|ack| ack.clears(pool, engine, mark));
-            stored || self.is_hinted(name, pool, engine, mark)
+            stored || hinted.and_then(|hinted| hinted.get(name)) == Some(&mark.since)
         };
         self.is_fresh.then(|| progress(mark, self.roster.required(), acknowledges))
     }
-
-    fn is_hinted(
-        &self,
-        instance: &InstanceName,
-        pool: &PoolName,
-        engine: &UpstreamName,
-        mark: &DrainMark,
-    ) -> bool {
-        self.hints.drains.iter().any(|hint| {
-            hint.since == mark.since
-                && hint.engine == *engine
-                && hint.pool == *pool
-                && hint.instance == *instance
-        })
-    }
 }
 
 /// Returns the lines that are instances of the system. Instances and upstreams share one space of
--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -86,7 +86,9 @@
     /// again.
     pub async fn step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
         self.book.begin_step(wall, self.services.clock.now());
-        self.fleet.begin_step(hints);
+        // Hints matter to holders only.
+        let none = PeerHints::default();
+        self.fleet.begin_step(if self.held.is_empty() { &none } else { hints });
         let engines = plans.iter().flat_map(|plan| &plan.engines);
         self.upstreams.extend(engines.map(|engine| engine.name.clone()));
 
