Let a caller that does not read hold nothing up past its deadline

Cause: a caller that stays connected and reads nothing kept its stream's task waiting for room in the channel, and its request counted in, without an end; a graceful stop would have waited for it. Change: events are handed over within the deadline, and a request is counted out when its answer's body ends or its deadline passes. A test ends endless streams at their deadline. Conclusion: a graceful stop ends with the longest deadline at the latest.

--- a/crates/anvilhook-daemon/src/front/chats.rs
+++ b/crates/anvilhook-daemon/src/front/chats.rs
@@ -19,7 +19,7 @@
 use volo_http::server::response::sse::{Event, Sse};
 
 use super::bodies::{self, ChatHead};
-use super::limits::{Flight, FlightBody};
+use super::limits::BodyEnd;
 use super::routes::{Arrival, Refused};
 use super::states::Service;
 use super::{Front, answers};
@@ -86,7 +86,7 @@
             StreamStart::Whole(answer) => {
                 self.count_answered(&req, true);
                 let answer = answers::answered(answer, req.id);
-                return Ok(answer.map(|body| FlightBody::cover(body, arrival.flight)));
+                return Ok(self.cover(answer, arrival.flight, req.deadline));
             }
         };
         let now = self.inner.clock.now();
@@ -95,13 +95,14 @@
         let (tx, rx) = CallerStream::<C, U>::channel();
         let id = req.id;
         let front = self.clone();
-        let flight = Arc::clone(&arrival.flight);
+        let flight = arrival.flight;
+        let (end, ended) = BodyEnd::new();
         tokio::spawn(async move {
             let end = stream.pump(tx).await;
             front.count_ended(&req, &end);
-            drop(flight);
+            flight.until_end(ended, req.deadline - front.inner.clock.now()).await;
         });
-        let mut answer = Sse::new(Events { rx, _flight: arrival.flight }).into_response();
+        let mut answer = Sse::new(Events { rx, _end: end }).into_response();
         answers::name_request(answer.headers_mut(), id);
         Ok(answer)
     }
@@ -127,7 +128,7 @@
 /// `Events` hands a stream's events to the server, and keeps the request counted in meanwhile.
 struct Events {
     rx: mpsc::Receiver<Event>,
-    _flight: Arc<Flight>,
+    _end: BodyEnd,
 }
 
 impl Stream for Events {
--- a/crates/anvilhook-daemon/src/front/plains.rs
+++ b/crates/anvilhook-daemon/src/front/plains.rs
@@ -12,7 +12,6 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::limits::FlightBody;
 use super::routes::{Arrival, Refused};
 use super::states::{Account, Service};
 use super::{Front, answers, bodies, headers};
@@ -78,6 +77,7 @@
         req: ProxyRequest,
     ) -> Result<Response, Failure> {
         let Arrival { id, caller, account, flight, mut rng, .. } = arrival;
+        let deadline = req.deadline;
         let front = self.clone();
         let carrying = tokio::spawn(async move {
             let inner = &front.inner;
@@ -99,7 +99,7 @@
             Err(Failure { verdict: Verdict::MayHaveRun, ..failure })
         })?;
         let answer = answers::answered(answer, id);
-        Ok(answer.map(|body| FlightBody::cover(body, flight)))
+        Ok(self.cover(answer, flight, deadline))
     }
 }
 
--- a/crates/anvilhook-daemon/src/front/routes.rs
+++ b/crates/anvilhook-daemon/src/front/routes.rs
@@ -32,7 +32,7 @@
     /// Its account.
     pub account: Arc<Account>,
     /// Counts it in.
-    pub flight: Arc<Flight>,
+    pub flight: Flight,
     /// Its random generator.
     pub rng: ChaCha8Rng,
 }
@@ -130,7 +130,7 @@
             return Err(failure.retry_after(refusal.retry_after));
         }
         flight.admitted_by(Arc::clone(&account));
-        Ok(Arrival { id, arrived_at, caller, account, flight: Arc::new(flight), rng })
+        Ok(Arrival { id, arrived_at, caller, account, flight, rng })
     }
 
     fn account(&self, headers: &HeaderMap) -> Result<Arc<Account>, Failure> {
@@ -194,9 +194,16 @@
         let answer = self.inner.proxy.answer_whole(&req, &mut arrival.rng).await?;
         self.count_answered(&req, true);
         let answer = answers::answered(answer, req.id);
-        Ok(answer.map(|body| FlightBody::cover(body, arrival.flight)))
+        Ok(self.cover(answer, arrival.flight, req.deadline))
     }
 
+    /// Keeps a request counted in until its answer has been read, at most until its deadline.
+    pub(super) fn cover(&self, answer: Response, flight: Flight, deadline: Millis) -> Response {
+        let time_left = deadline - self.inner.clock.now();
+        answer.map(|body| FlightBody::cover(body, flight, time_left))
+    }
+
+    /// Counts a request that was answered.
     pub(super) fn count_answered(&self, req: &ProxyRequest, is_whole: bool) {
         let metrics = &req.service.metrics;
         let time = self.inner.clock.now() - req.arrived_at;
--- a/crates/anvilhook-daemon/src/proxy/streams.rs
+++ b/crates/anvilhook-daemon/src/proxy/streams.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use volo_http::server::response::sse::Event;
 
 use super::attempts::{Answered, Proxy, Sending};
@@ -20,6 +21,9 @@
 /// that a slow caller can't fill the instance's memory.
 const EVENTS_AHEAD: usize = 16;
 
+/// How long a stream's last word is offered to a caller that has stopped reading.
+const LAST_WORD: Millis = Millis(1_000);
+
 /// `Started` is a streamed answer whose first step has come.
 pub(super) enum Started<S> {
     /// Events follow.
@@ -150,12 +154,13 @@
                 Err(failure) => {
                     // Without the closing event the caller can tell that the answer isn't whole.
                     let body = crate::front::failure_body(&failure, self.req.id);
-                    let _ = tx.send(Event::new().event("error").data(body)).await;
+                    let event = Event::new().event("error").data(body);
+                    let _ = hand_over(&tx, event, LAST_WORD).await;
                     return StreamEnd::Failed(failure);
                 }
             };
-            if tx.send(event).await.is_err() {
-                return StreamEnd::CallerGone;
+            if let Err(stalled) = hand_over(&tx, event, self.proxy.time_left(&self.req)).await {
+                return self.stalled(stalled);
             }
         }
     }
@@ -163,11 +168,24 @@
     async fn close(mut self, tx: &mpsc::Sender<Event>) -> StreamEnd {
         self.running.ended();
         self.proxy.record(&self.running, true);
-        let sent = tx.send(Event::new().data(DONE)).await;
+        let event = Event::new().data(DONE);
+        let sent = hand_over(tx, event, self.proxy.time_left(&self.req)).await;
         if let Some(events) = self.events.take() {
             tokio::spawn(events.finish());
         }
-        if sent.is_ok() { StreamEnd::Whole } else { StreamEnd::CallerGone }
+        match sent {
+            Ok(()) => StreamEnd::Whole,
+            Err(stalled) => self.stalled(stalled),
+        }
+    }
+
+    fn stalled(&self, stalled: Stalled) -> StreamEnd {
+        match stalled {
+            Stalled::Gone => StreamEnd::CallerGone,
+            Stalled::NotReading => {
+                StreamEnd::Failed(self.proxy.deadline_exceeded(Verdict::MayHaveRun))
+            }
+        }
     }
 
     /// Returns the next step, over a new connection if the present one fails.
@@ -235,3 +253,26 @@
         Ok(())
     }
 }
+
+/// `Stalled` says why an event could not be handed over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stalled {
+    /// The caller went away.
+    Gone,
+    /// The caller stays connected and has not read in time.
+    NotReading,
+}
+
+/// Hands an event over, at most `timeout` long: a caller that stays connected and doesn't read must
+/// not hold an engine's place past its deadline.
+async fn hand_over(tx: &mpsc::Sender<Event>, event: Event, timeout: Millis) -> Result<(), Stalled> {
+    let event = match tx.try_send(event) {
+        Ok(()) => return Ok(()),
+        Err(TrySendError::Closed(_event)) => return Err(Stalled::Gone),
+        Err(TrySendError::Full(event)) => event,
+    };
+    match tokio::time::timeout(timeout.as_duration(), tx.send(event)).await {
+        Ok(sent) => sent.map_err(|_closed| Stalled::Gone),
+        Err(_elapsed) => Err(Stalled::NotReading),
+    }
+}
--- a/crates/anvilhook-daemon/tests/proxy_faults.rs
+++ b/crates/anvilhook-daemon/tests/proxy_faults.rs
@@ -7,7 +7,8 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 
-use anvilhook_core::resources::Configuration;
+use anvilhook_core::resources::{Configuration, ServiceSpec};
+use anvilhook_core::units::Millis;
 use anvilhook_daemon::front::FrontOptions;
 use anvilhook_daemon::proxy::{NoClaims, ProxyOptions};
 use support::fakes::{self, EVENTS, Fault, Ledger, SharedLedger};
@@ -226,3 +227,35 @@
 
     assert_eq!(outcome, "answered");
 }
+
+/// Symptom: a stream holds its engine's place long after its caller needs it.
+/// Sequence: an engine goes on without an end, within the time between events, or the caller stays
+/// connected and reads nothing.
+/// Cause: a stream bounded by the time between events alone.
+#[tokio::test]
+async fn verify_a_stream_ends_at_its_deadline() {
+    for reads in [true, false] {
+        let ledger = ledger(&[], false);
+        ledger.lock().expect("a ledger").endless = true;
+        let address = fakes::start(&ledger).await;
+        let edit = |spec: &mut ServiceSpec| {
+            spec.between_events_ms = PATIENCE;
+            spec.deadline_ms = Millis(700);
+        };
+        let cfg = configuration(&[address], edit, UNBOUNDED);
+        let front = fronts::start(&cfg, FrontOptions::default(), NoClaims).await;
+        let body = chat_body("x", true);
+
+        let unread = if reads {
+            let (numbers, outcome) = front.ask_streamed(&body).await;
+            assert_eq!((numbers, outcome.as_str()), (vec![1], "may-have-run"));
+            None
+        } else {
+            Some(front.send("POST", "/v1/chat/completions", &[], &body).await)
+        };
+
+        let idle = tokio::time::timeout(PATIENCE.as_duration(), front.front.idle()).await;
+        assert!(idle.is_ok(), "the stream stays counted in; reads: {reads}");
+        drop(unread);
+    }
+}
