--- a/crates/anvilhook-daemon/src/front/mod.rs
+++ b/crates/anvilhook-daemon/src/front/mod.rs
@@ -13,7 +13,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{Ordering, fence};
 
 use anvilhook_core::caches::PrefixIndex;
 use anvilhook_core::limits::LimitOptions;
@@ -33,7 +32,7 @@
 pub use metrics::{FrontMetrics, Latencies, ServiceMetrics};
 pub use states::{Account, BuildOptions, FrontState, Service};
 
-use crate::proxy::{Claims, Proxy, ProxyOptions, RequestRngs};
+use crate::proxy::{Claims, Proxy, ProxyOptions, RequestRngs, in_flight_at};
 
 /// `FrontOptions` bounds what the front takes from callers.
 #[derive(Clone, Copy, Debug)]
@@ -193,11 +192,9 @@
 
     /// Returns how many requests of this instance are in flight at an upstream.
     ///
-    /// A drain marks the upstream first and asks then: a request that is counted in later sees the
-    /// mark and goes elsewhere. The fence is the other half of the one in `Held`.
+    /// A drain marks the upstream first and asks then; see `proxy::in_flight_at`.
     pub fn in_flight_at(&self, upstream: &UpstreamName) -> u64 {
-        fence(Ordering::SeqCst);
         let state = self.inner.state.load();
-        state.upstreams().get(upstream).map_or(0, |upstream| upstream.open_requests())
+        state.upstreams().get(upstream).map_or(0, |upstream| in_flight_at(upstream))
     }
 }
--- a/crates/anvilhook-daemon/src/proxy/cancels.rs
+++ b/crates/anvilhook-daemon/src/proxy/cancels.rs
@@ -21,7 +21,7 @@
     /// A drain marks the upstream first and then reads the count. If a request looked for the mark
     /// before it was counted, both could miss each other: the drain would see nothing in flight and
     /// the request would go to an engine that is being changed. So the count comes first here, and
-    /// the fence keeps the two from being reordered; `Front::in_flight_at` has the other one.
+    /// the fence keeps the two from being reordered; `in_flight_at` has the other one.
     pub fn try_new(upstream: &Arc<UpstreamState>, work: Work, now: Millis) -> Option<Self> {
         upstream.begin_at(work, now);
         let held = Self { upstream: Arc::clone(upstream), work };
@@ -41,6 +41,15 @@
     }
 }
 
+/// Returns how many requests of this instance are in flight at an upstream.
+///
+/// Asked after the upstream was marked as leaving, zero means that none will begin: a request that
+/// is counted in later sees the mark and goes elsewhere.
+pub fn in_flight_at(upstream: &UpstreamState) -> u64 {
+    fence(Ordering::SeqCst);
+    upstream.open_requests()
+}
+
 /// `Running` is an attempt that may be running at an engine. Dropping it cancels the attempt there.
 ///
 /// A caller that goes away drops the task that serves it, at any await. Without the cancel the
--- a/crates/anvilhook-daemon/src/proxy/mod.rs
+++ b/crates/anvilhook-daemon/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 mod whole;
 
 pub use attempts::{Proxy, ProxyOptions};
+pub use cancels::{Held, in_flight_at};
 pub use claims::{ClaimRequest, Claimed, Claims, NoClaims};
 pub use failures::{Code, Failure};
 pub use requests::{ProxyRequest, RequestKind};
--- /dev/null
+++ b/crates/anvilhook-daemon/tests/front_drains.rs
@@ -0,0 +1,111 @@
+//! A drain that finds nothing in flight at an upstream can rely on it.
+
+#[allow(dead_code, reason = "each test file uses a part of the fixtures")]
+mod support;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Barrier, Mutex};
+
+use anvilhook_core::names::UpstreamName;
+use anvilhook_core::routing::{UpstreamState, Work};
+use anvilhook_core::units::Millis;
+use anvilhook_daemon::front::FrontOptions;
+use anvilhook_daemon::proxy::{Held, NoClaims, in_flight_at};
+use support::fakes::{self, Ledger, SharedLedger};
+use support::fronts::{self, PATIENCE, configuration};
+
+const CALLERS: usize = 8;
+const ROUNDS: usize = 60;
+
+/// How many requests the other upstream must answer before a round counts as quiet.
+const QUIET_AFTER: u32 = 24;
+
+fn runs(ledger: &SharedLedger) -> u32 {
+    ledger.lock().expect("a ledger").runs.values().sum()
+}
+
+/// Symptom: a request is cut by a role change, or reaches an engine amid one.
+/// Sequence: a drain marks the upstream and then finds nothing in flight there, while a request
+/// that chose the upstream before the mark has not been counted in yet.
+/// Cause: the mark looked at before the request is counted in, and not after.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn verify_nothing_reaches_a_drained_upstream() {
+    let ledgers: [SharedLedger; 2] =
+        std::array::from_fn(|_| Arc::new(Mutex::new(Ledger::default())));
+    let addresses = [fakes::start(&ledgers[0]).await, fakes::start(&ledgers[1]).await];
+    let cfg = configuration(&addresses, |_| {}, (10_000_000, 100_000));
+    let front = fronts::start(&cfg, FrontOptions::default(), NoClaims).await;
+    let front = Arc::new(front);
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = (0..CALLERS).map(|_| {
+        let (front, stop) = (Arc::clone(&front), Arc::clone(&stop));
+        tokio::spawn(async move {
+            while !stop.load(Ordering::Relaxed) {
+                let told = front.ask("PUT", "/services/ledger/records", &[], "{}").await;
+                assert_eq!(told.outcome(), "answered", "{told:?}");
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let name: UpstreamName = "p0".parse().expect("a name");
+    let upstream = Arc::clone(&front.front.state().upstreams()[&name]);
+
+    let rounds = async {
+        for round in 0..ROUNDS {
+            upstream.set_leaving(true);
+            while front.front.in_flight_at(&name) > 0 {
+                tokio::task::yield_now().await;
+            }
+            let (drained, other) = (runs(&ledgers[0]), runs(&ledgers[1]));
+            while runs(&ledgers[1]) < other + QUIET_AFTER {
+                tokio::task::yield_now().await;
+            }
+            assert_eq!(runs(&ledgers[0]), drained, "round {round}");
+
+            upstream.set_leaving(false);
+            while runs(&ledgers[0]) == drained {
+                tokio::task::yield_now().await;
+            }
+        }
+    };
+    let ended = tokio::time::timeout(PATIENCE.as_duration(), rounds).await;
+
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.await.expect("a caller whose requests were all answered");
+    }
+    assert!(ended.is_ok(), "the rounds did not end");
+}
+
+/// Symptom, sequence and cause as above, without the rest of the path in between: the choice has
+/// been made, and the mark and the count meet at the same moment.
+#[test]
+fn verify_the_mark_and_the_count_never_miss_each_other() {
+    let mut refused = 0;
+    for round in 0..4_000 {
+        let name: UpstreamName = "p0".parse().expect("a name");
+        let address = "127.0.0.1:1".parse().expect("an address");
+        let zone = "za".parse().expect("a zone");
+        let upstream = Arc::new(UpstreamState::new(name, address, zone));
+        let start = Barrier::new(2);
+
+        let (held, in_flight) = std::thread::scope(|scope| {
+            let request = scope.spawn(|| {
+                start.wait();
+                Held::try_new(&upstream, Work::default(), Millis(0))
+            });
+            let drain = scope.spawn(|| {
+                start.wait();
+                upstream.set_leaving(true);
+                in_flight_at(&upstream)
+            });
+            (request.join().expect("a request"), drain.join().expect("a drain"))
+        });
+
+        assert!(held.is_none() || in_flight == 1, "round {round}");
+        refused += u32::from(held.is_none());
+        drop(held);
+        assert_eq!(in_flight_at(&upstream), 0, "round {round}");
+    }
+    assert!(refused > 0, "the mark never came first");
+}
