Tell no demand that would be too old to count

Cause: from 33 instances with 16 accounts each, the budget puts more than 10 s between two demand sections. Most of the time they did not count, and cost up to 8 KB a second. Change: such sections are not written; shares of limits are then equal, as they were before. Conclusion: the new test is red without the rule.

--- a/crates/anvilhook-peer/src/gossip/nodes.rs
+++ b/crates/anvilhook-peer/src/gossip/nodes.rs
@@ -308,6 +308,12 @@
         let count = self.knowledge.announced.len().max(1);
         let sections = traffic(count, options.partners.degree(), MAX_HOPS);
         let gap = spacing(sections, section.wire_bytes(), options.demand_bytes_per_s);
+        if gap > options.demand_max_age {
+            // Each section would be too old to count before the next one came, so the traffic would
+            // be for nothing: shares by demand need all of it fresh.
+            self.next_demand = None;
+            return;
+        }
         if !is_due(self.demand_written_at, gap.max(options.demand_interval), now) {
             return;
         }
--- a/crates/anvilhook-peer/tests/gossip.rs
+++ b/crates/anvilhook-peer/tests/gossip.rs
@@ -8,8 +8,8 @@
 use anvilhook_core::resources::{AccountSpec, Configuration, Resource, Spec};
 use anvilhook_core::units::{Millis, Revision, Tokens};
 use anvilhook_peer::gossip::{
-    AckSection, DrainAck, EngineDigest, GossipNode, GossipOptions, LinkId, LoadSection, Message,
-    TermAck, Transport,
+    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, GossipNode, GossipOptions,
+    LinkId, LoadSection, Message, TermAck, Transport,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -409,3 +409,30 @@
     // Assert.
     assert!(is_told);
 }
+
+#[test]
+fn verify_demand_is_told_only_where_it_stays_fresh() {
+    // Announced instances, accounts in a section, whether it is told.
+    let cases = [(9, 16, true), (32, 16, true), (33, 16, false), (88, 4, true), (390, 4, false)];
+    for (instances, accounts, is_told) in cases {
+        // Arrange.
+        let mut node = GossipNode::new(name(0), GossipOptions::default());
+        node.set_announced((0..instances).map(name).collect());
+        node.connect(LinkId(1));
+        let account = |at: usize| AccountDigest {
+            account: format!("account-{at}").parse().unwrap(),
+            requests_per_s: 1.0,
+            open_requests: 1,
+        };
+        let accounts = (0..accounts).map(account).collect();
+
+        // Act.
+        node.write_demand(DemandSection { hears_all: true, accounts });
+        let mut outbox = Outbox::default();
+        node.tick(Millis(1), &mut outbox);
+
+        // Assert.
+        let Message::Update { update, .. } = &outbox.0[0].1 else { panic!("no update") };
+        assert_eq!(!update.demand.is_empty(), is_told, "{instances} instances");
+    }
+}
