--- a/crates/anvilhook-daemon/src/instances/clients.rs
+++ b/crates/anvilhook-daemon/src/instances/clients.rs
@@ -8,6 +8,10 @@
 
 use crate::settings::Settings;
 
+/// The most idle connections kept to one upstream. With fewer than requests are open there at once,
+/// connections are closed after one request and opened for the next.
+const MAX_IDLE: usize = 1_024;
+
 /// `Clients` holds the bindings.
 #[derive(Clone)]
 pub(super) struct Clients {
@@ -23,7 +27,9 @@
             timeout: settings.platform.timeout_ms,
             ..HttpPlatformOptions::default()
         };
-        let client = HttpClient::try_new(&ClientOptions::default())?;
+        let client_options =
+            ClientOptions { max_idle_per_address: MAX_IDLE, ..ClientOptions::default() };
+        let client = HttpClient::try_new(&client_options)?;
         Ok(Self {
             platform: HttpPlatform::try_new(settings.platform.address, &options)?,
             upstreams: HttpUpstreams::new(client.clone()),
