Answer a wrong method on the completions path with a verdict

Cause: the library's own 405 has neither body nor verdict. Change: other methods go to the same answer as unknown paths. Figures: the case added to the table of refusals fails without the change.

--- a/crates/anvilhook-daemon/src/front/mod.rs
+++ b/crates/anvilhook-daemon/src/front/mod.rs
@@ -135,10 +135,13 @@
         let chat = self.clone();
         let plain = self.clone();
         let other = self.clone();
+        // The library's own answer to another method would carry no verdict.
+        let other_method = self.clone();
         Router::new()
             .route(
                 anvilhook_engine::wire::COMPLETIONS_PATH,
-                post(move |req| async move { chat.chat(req).await }),
+                post(move |req| async move { chat.chat(req).await })
+                    .fallback(move |req| async move { other_method.unknown(req).await }),
             )
             .route("/services/{*path}", any(move |req| async move { plain.plain(req).await }))
             .fallback(move |req| async move { other.unknown(req).await })
--- a/crates/anvilhook-daemon/tests/front_limits.rs
+++ b/crates/anvilhook-daemon/tests/front_limits.rs
@@ -62,6 +62,7 @@
         ("POST", CHAT, &[], &large_chat, 413, "body-too-large"),
         ("POST", CHAT, &[], &other_model, 404, "unknown-service"),
         ("POST", CHAT, &[], "{}", 400, "bad-request"),
+        ("GET", CHAT, &[], "", 404, "unknown-call"),
     ];
     for (method, path, headers, body, status, code) in cases {
         let told = front.ask(method, path, headers, body).await;
