Sharpen three tests that a broken rule did not turn red

Cause: with the rule broken, three tests stayed green: the settling of shares, the work sent since a report, the flapping mix. Change: digests that arrive unevenly, twenty seeds for the choice, two mixes that want opposite roles.

--- a/crates/anvilhook-core/tests/budgets.rs
+++ b/crates/anvilhook-core/tests/budgets.rs
@@ -99,8 +99,10 @@
 
         for tick in 0..120 {
             let now = Millis(tick * step.0);
-            let moved = now.0 >= moves_at;
-            let demands = if moved { [5.0, 290.0, 5.0] } else { [290.0, 5.0, 5.0] };
+            let demands_at = |at: u64| {
+                if at >= moves_at { [5.0, 290.0, 5.0] } else { [290.0, 5.0, 5.0] }
+            };
+            let demands = demands_at(now.0);
             let cut = |to: usize| lost_to == Some(to) && now.0 >= moves_at - 1_000;
             let mut hears_all = [true; 3];
             for to in 0..3 {
@@ -115,8 +117,12 @@
                 last[to] = keepers[to].update(&own, &peers, now);
             }
             for to in (0..3).filter(|to| !cut(*to)) {
-                (0..3)
-                    .for_each(|from| heard[to][from] = (demands[from], Some(now), hears_all[from]));
+                for from in 0..3 {
+                    // What grows is heard last by the one that has to give way.
+                    let late = if (from, to) == (1, 0) { 1_500 } else { 0 };
+                    let demand = demands_at(now.0.saturating_sub(late))[from];
+                    heard[to][from] = (demand, Some(now), hears_all[from]);
+                }
             }
 
             let sum: f64 = last.iter().map(|share| share.requests_per_s).sum();
@@ -125,6 +131,8 @@
                 over_since = None;
             } else {
                 assert!(now - *since <= options.max_overshoot(), "{sum} for long at {now}");
+                // While nothing is lost, a share only grows when the others have shrunk.
+                assert!(lost_to.is_some(), "{sum} at {now} although all digests arrive");
             }
         }
 
--- a/crates/anvilhook-core/tests/roles.rs
+++ b/crates/anvilhook-core/tests/roles.rs
@@ -35,8 +35,9 @@
     WorkSeen { tight, patient: Flow::default() }
 }
 
+/// Short prompts with long output: a pool split for long prompts has too few engines that generate.
 fn short() -> WorkSeen {
-    let tight = Flow { requests: 30.0, prefill: 6_000.0, prompt: 12_000.0, output: 5_700.0 };
+    let tight = Flow { requests: 30.0, prefill: 6_000.0, prompt: 6_000.0, output: 10_000.0 };
     WorkSeen { tight, patient: Flow::default() }
 }
 
--- a/crates/anvilhook-core/tests/routing.rs
+++ b/crates/anvilhook-core/tests/routing.rs
@@ -63,19 +63,25 @@
     // Symptom: all requests of some seconds go to one engine.
     // Sequence: two engines report empty queues; work is sent to one; no newer report comes.
     // Cause: an estimate that rests on the report alone.
-    let engines = engines(2);
     let now = Millis(5_000);
-    engines.iter().for_each(|engine| engine.apply_report(&report(1, 1, 0), now));
-    let table = RouteTable::new(engines.clone());
-    let mut rng = ChaCha8Rng::seed_from_u64(1);
-
-    engines[0].begin_at(document(&[]).work, now);
-    let own = table.choose(&document(&[]), &[], now, &mut rng).expect("an engine").name().clone();
-    engines[1].record_peer_work(document(&[]).work, now);
-    engines[1].record_peer_work(document(&[]).work, now);
-    let peers = table.choose(&document(&[]), &[], now, &mut rng).expect("an engine").name().clone();
-
-    assert_eq!((own.as_str(), peers.as_str()), ("engine-1", "engine-0"));
+    for seed in 0..20 {
+        let engines = engines(2);
+        engines.iter().for_each(|engine| engine.apply_report(&report(1, 1, 0), now));
+        let table = RouteTable::new(engines.clone());
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut choose = || {
+            let chosen = table.choose(&document(&[]), &[], now, &mut rng).expect("an engine");
+            chosen.name().as_str().to_owned()
+        };
+
+        engines[0].begin_at(document(&[]).work, now);
+        let after_own = choose();
+        engines[1].record_peer_work(document(&[]).work, now);
+        engines[1].record_peer_work(document(&[]).work, now);
+        let after_peers = choose();
+
+        assert_eq!((after_own.as_str(), after_peers.as_str()), ("engine-1", "engine-0"));
+    }
 }
 
 #[test]
