--- a/crates/anvilhook-daemon/tests/end_to_end.rs
+++ b/crates/anvilhook-daemon/tests/end_to_end.rs
@@ -1,5 +1,6 @@
 //! The whole path with a real daemon process: callers, one instance, stand-ins, on real sockets.
 
+#[allow(dead_code, reason = "each test file uses a part of the fixtures")]
 mod processes;
 
 use anvilhook_bench::callers::{Caller, ChatCall, Outcome, PlainCall};
--- a/crates/anvilhook-daemon/tests/processes/mod.rs
+++ b/crates/anvilhook-daemon/tests/processes/mod.rs
@@ -7,7 +7,7 @@
 
 use anvilhook_bench::sites::Site;
 use anvilhook_core::units::Millis;
-use anvilhook_daemon::instances::{Addresses, Announcement};
+use anvilhook_daemon::instances::Announcement;
 use anvilhook_http::clients::{Connection, collect_body};
 use anvilhook_http::{ClientOptions, HttpClient};
 use http::{Request, StatusCode};
@@ -19,41 +19,64 @@
 /// The pause between two looks at something that is being waited for.
 pub const LOOK_AGAIN: Millis = Millis(5);
 
+/// `KilledOnDrop` is a child process that does not outlive its handle, whatever panics.
+struct KilledOnDrop(Child);
+
+impl Drop for KilledOnDrop {
+    fn drop(&mut self) {
+        // A process that has ended by itself cannot be killed, which is well.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// `DaemonProcess` is a running `anvilhookd`. Dropping it kills the process.
 pub struct DaemonProcess {
-    child: Child,
-    addresses: Addresses,
+    child: KilledOnDrop,
+    announcement: Announcement,
 }
 
 impl DaemonProcess {
     /// Starts the daemon before a site and waits until it is ready.
     pub async fn start(site: &Site, test: &str) -> Self {
-        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}.yaml"));
-        std::fs::write(&file, site.settings_text(0)).expect("the settings can be written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_anvilhookd"))
+        let daemon = Self::spawn(&site.settings_text(0), test);
+        daemon.wait_for_readiness(StatusCode::OK).await;
+        daemon
+    }
+
+    /// Starts the daemon with a settings file of the given text and waits until it listens.
+    pub fn spawn(settings: &str, file: &str) -> Self {
+        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{file}.yaml"));
+        std::fs::write(&file, settings).expect("the settings can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_anvilhookd"))
             .args(["--config".as_ref(), file.as_os_str()])
             .stdout(Stdio::piped())
             .spawn()
             .expect("the daemon can be started");
+        let mut child = KilledOnDrop(child);
         let mut line = String::new();
-        let stdout = child.stdout.take().expect("the standard output is piped");
+        let stdout = child.0.stdout.take().expect("the standard output is piped");
         BufReader::new(stdout).read_line(&mut line).expect("a line is announced");
-        let announced: Announcement = serde_json::from_str(&line).expect("the line is JSON");
-        let daemon = Self { child, addresses: announced.addresses };
-        daemon.wait_for_readiness(StatusCode::OK).await;
-        daemon
+        let announcement = serde_json::from_str(&line).expect("the line is JSON");
+        Self { child, announcement }
+    }
+
+    /// Returns what the process announced when it listened.
+    pub fn announcement(&self) -> &Announcement {
+        &self.announcement
     }
 
     /// Returns where callers are served.
     pub fn callers(&self) -> SocketAddr {
-        self.addresses.callers
+        self.announcement.addresses.callers
     }
 
     /// Asks a path of the operators' front.
     pub async fn probe(&self, path: &'static str) -> (StatusCode, String) {
         let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
         let req = Request::get(path).body(Body::empty()).expect("a request");
-        let sending = client.send(self.addresses.operators, req, Connection::New, PROBE_TIMEOUT);
+        let sending =
+            client.send(self.announcement.addresses.operators, req, Connection::New, PROBE_TIMEOUT);
         let answer = sending.await.expect("the probe is answered");
         let status = answer.status();
         let body = collect_body(answer.into_body(), 1_048_576, PROBE_TIMEOUT).await;
@@ -70,26 +93,23 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status().expect("kill can be run");
+        self.signal("TERM");
+    }
+
+    /// Sends a signal by its name, such as `STOP`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.0.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status().expect("kill can be run");
         assert!(sent.success());
     }
 
     /// Waits for the process to end by itself.
     pub async fn ended(&mut self) -> ExitStatus {
         loop {
-            if let Some(status) = self.child.try_wait().expect("the process can be asked") {
+            if let Some(status) = self.child.0.try_wait().expect("the process can be asked") {
                 return status;
             }
             tokio::time::sleep(LOOK_AGAIN.as_duration()).await;
         }
     }
 }
-
-impl Drop for DaemonProcess {
-    fn drop(&mut self) {
-        // A process that has ended by itself cannot be killed, which is well.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
