--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -85,8 +85,10 @@
     /// Failures of the platform and of engines are observed, not returned: the next step tries
     /// again.
     pub async fn step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
-        self.book.set_wall(wall);
-        self.fleet.begin_step(hints);
+        self.book.begin_step(wall, self.services.clock.now());
+        // Hints matter to holders only.
+        let none = PeerHints::default();
+        self.fleet.begin_step(if self.held.is_empty() { &none } else { hints });
         let engines = plans.iter().flat_map(|plan| &plan.engines);
         self.upstreams.extend(engines.map(|engine| engine.name.clone()));
 
@@ -136,7 +138,8 @@
         self.book.all()
     }
 
-    /// Returns what has changed of that since the last call.
+    /// Returns what has changed of that since the last call. Where only a message has changed, it is
+    /// returned once in two seconds at most.
     pub fn take_changes(&mut self) -> Vec<Observation> {
         self.book.take_changes()
     }
@@ -207,12 +210,19 @@
         }
     }
 
-    /// Gives up the pools that are not declared any more.
+    /// Gives up the pools that are not declared any more, once no order is open there: nobody would
+    /// close it, and a load would keep its slot for ever.
     async fn release_undeclared(&mut self, plans: &[PoolPlan]) {
         let declared = |name: &PoolName| plans.iter().any(|plan| plan.pool == *name);
         let gone: Vec<PoolName> =
             self.held.keys().filter(|name| !declared(name)).cloned().collect();
         for name in gone {
+            let Some(pool) = self.held.remove(&name) else { continue };
+            self.work(pool, &PoolPlan::undeclared(name.clone())).await;
+            let is_idle = self.held.get(&name).is_some_and(|pool| pool.row.open.is_empty());
+            if !is_idle {
+                continue;
+            }
             if let Err(err) = self.release(&name).await {
                 log::warn!("pool {name} cannot be released: {err}");
             }
@@ -276,8 +286,24 @@
                 log::warn!("pool {}: the drain plans cannot go on: {err}", pool.name);
             }
         }
+        let now = self.services.clock.now();
+        let is_unreached = pool.unreached_for(plan, now) >= self.options.release_unreached_ms;
         self.held.insert(pool.name.clone(), pool);
         self.drop_lost();
+        if is_unreached {
+            self.release_unreached(plan).await;
+        }
+    }
+
+    /// Gives a pool up of whose engines this instance reaches none. Cut off from the engines and not
+    /// from the table, it would renew for ever, and nobody could change the engines.
+    async fn release_unreached(&mut self, plan: &PoolPlan) {
+        log::warn!("pool {}: given up, because no engine of it can be reached", plan.pool);
+        if let Err(err) = self.release(&plan.pool).await {
+            log::warn!("pool {} cannot be released: {err}", plan.pool);
+        }
+        let until = self.services.clock.now() + self.options.candidates.last_interval_ms;
+        self.candidate.leave_until(&plan.pool, until);
     }
 
     /// Brings the pool's row up to date before its engines are decided on.
