--- a/crates/anvilhook-daemon/tests/process_faults.rs
+++ b/crates/anvilhook-daemon/tests/process_faults.rs
@@ -1,6 +1,9 @@
 //! The promises of the system attacked on real daemon processes: kills, freezes, outages and races.
 //! The decisions are covered under a manual clock elsewhere; these tests cover how they are wired.
 
+#[path = "processes/calls.rs"]
+mod calls;
+#[allow(dead_code, reason = "each test file uses a part of the fixtures")]
 #[path = "processes/fleets.rs"]
 mod fleets;
 #[allow(dead_code, reason = "each test file uses a part of the fixtures")]
@@ -10,8 +13,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use anvilhook_api::{ChangeStateAnswer, Code};
-use anvilhook_bench::callers::{Caller, Outcome, PlainCall};
-use anvilhook_bench::sites::{ALERT_SERVICE, LEDGER_SERVICE, SiteOptions, name};
+use anvilhook_bench::callers::{Caller, Outcome};
+use anvilhook_bench::sites::{SiteOptions, name};
 use anvilhook_core::Verdict;
 use anvilhook_core::attempts::ChangeId;
 use anvilhook_core::names::InstanceName;
@@ -20,10 +23,9 @@
 use anvilhook_core::units::{Clock, Millis, Revision};
 use anvilhook_platform::ListedState;
 use anvilhook_standin::engines::EngineOptions;
-use anvilhook_standin::plain::{PlainAnswer, RunLedger, body_digest};
 use anvilhook_standin::platform::{Loss, Reach, Service};
+use calls::{Sent, check_sent, plain_call};
 use fleets::{Fleet, LEASE, Member, check_orders, replacing, until};
-use http::StatusCode;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -137,21 +139,6 @@
     attack_by_a_frozen_holder("frozen-gone", false, Fate::ListedAsGone).await;
 }
 
-/// `Sent` is a call with what its caller heard, try by try.
-struct Sent {
-    call: PlainCall,
-    heard: Vec<Outcome>,
-}
-
-fn plain_call(number: usize, turn: usize, is_keyed: bool) -> PlainCall {
-    PlainCall {
-        service: if is_keyed { LEDGER_SERVICE } else { ALERT_SERVICE },
-        key: is_keyed.then(|| format!("lot-{number}-{turn}")),
-        body: format!(r#"{{"caller":{number},"lot":{turn},"keyed":{is_keyed}}}"#),
-        deadline: Millis::from_secs(5),
-    }
-}
-
 /// Calls the first instance until a call fails, and then has the second settle a keyed one.
 async fn call_until_the_kill(
     caller: Caller,
@@ -176,20 +163,6 @@
     all
 }
 
-fn check_sent(sent: &Sent, ledger: &RunLedger) {
-    let Sent { call, heard } = sent;
-    let runs = ledger.runs_of_body(call.body.as_bytes());
-    assert!(runs <= 1, "{call:?} ran {runs} times: {heard:?}");
-    if heard.iter().all(Outcome::is_not_run) {
-        assert_eq!(runs, 0, "{call:?} ran though it was refused as not run: {heard:?}");
-    }
-    for answer in heard.iter().filter_map(Outcome::answer) {
-        assert_eq!(runs, 1, "{call:?} was answered and did not run");
-        let answer: PlainAnswer = serde_json::from_str(&answer.text).expect("the service's answer");
-        assert_eq!(answer.body, body_digest(call.body.as_bytes()), "{call:?}: another's answer");
-    }
-}
-
 /// Symptom: a lot is sold twice after a machine failed.
 /// Sequence: an instance is killed amid records and alerts; callers repeat at the other instance
 /// under their keys.
@@ -312,7 +285,7 @@
 
     fleet.members[1].daemon.signal("KILL");
     let restarted = fleet.spawn(1).await;
-    restarted.daemon.wait_for_readiness(StatusCode::OK).await;
+    restarted.ready().await;
     assert_eq!(restarted.in_force().await, Some(accepted), "a peer hands the configuration on");
     until("the restarted instance answers", async || {
         fleet.answers_chat(&restarted, "Are you back?").await.is_ok()
--- a/crates/anvilhook-daemon/tests/processes/fleets.rs
+++ b/crates/anvilhook-daemon/tests/processes/fleets.rs
@@ -55,6 +55,14 @@
         &self.daemon.announcement().instance
     }
 
+    /// Waits until the instance says that it is ready.
+    pub async fn ready(&self) {
+        until("the instance is ready", async || {
+            self.daemon.probe("/readyz").await.0 == StatusCode::OK
+        })
+        .await;
+    }
+
     /// Returns the authority over the one pool, as this instance reads it from the table.
     pub async fn lease(&self) -> Option<LeaseAnswer> {
         self.api.status().await.ok()?.leases.into_iter().next()
@@ -99,7 +107,7 @@
             fleet.members.push(member);
         }
         for member in &fleet.members {
-            member.daemon.wait_for_readiness(StatusCode::OK).await;
+            member.ready().await;
             until("both instances are announced and the pool is held", async || {
                 let Ok(status) = member.api.status().await else { return false };
                 let is_held = status.leases.iter().any(|lease| lease.holder.is_some());
