Derive the time-out of calls to engines from the guard interval

Cause: the daemon and the bench each set the time-out of control calls for themselves; the bench's default of 2 s, which counts once for the head and once for the end of an answer, is longer than the guard interval of 2.5 s. A guard of 2 ms was accepted and left calls no time at all.

Change: LeaseOptions::call_timeout gives the time-out, two fifths of the guard interval, to both. A guard below 250 ms is refused at start with an error that names the field and its line.

--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -26,7 +26,7 @@
     /// The platform's table.
     pub table: T,
     /// Control of the engines. A call must end, one way or the other, within the guard interval of
-    /// the lease.
+    /// the lease, which one that goes by `LeaseOptions::call_timeout` does.
     pub engines: E,
     /// The platform's list of instances.
     pub instances: L,
--- a/crates/anvilhook-bench/src/control/keepers.rs
+++ b/crates/anvilhook-bench/src/control/keepers.rs
@@ -85,13 +85,16 @@
     pub(super) async fn run(mut self) -> eyre::Result<()> {
         let client = HttpClient::try_new(&ClientOptions::default())?;
         let mut rng = ChaCha8Rng::try_from_rng(&mut SysRng)?;
+        let options = KeeperOptions::default();
+        let timeout = options.lease.call_timeout();
+        let bounds = ControlOptions { timeout, ..ControlOptions::default() };
         let services = Services {
             table: self.platform.clone(),
-            engines: HttpEngineControl::new(client, ControlOptions::default(), &mut rng),
+            engines: HttpEngineControl::new(client, bounds, &mut rng),
             instances: self.platform.clone(),
             clock: self.clock,
         };
-        let mut keeper = Keeper::new(self.me.clone(), services, KeeperOptions::default());
+        let mut keeper = Keeper::new(self.me.clone(), services, options);
         let mut follower =
             Follower::new(self.me.clone(), self.platform.clone(), AckSchedule::default());
         let mut beat = tokio::time::interval(STEP);
--- a/crates/anvilhook-core/src/leases/options.rs
+++ b/crates/anvilhook-core/src/leases/options.rs
@@ -9,6 +9,9 @@
 /// clock in whole milliseconds: up to one at either of them.
 const ROUNDING: Millis = Millis(2);
 
+/// The shortest time-out that a call to an engine can do with.
+const MIN_CALL_TIMEOUT: Millis = Millis(100);
+
 /// Parts in a million, the unit of clock rate differences.
 const MILLION: u64 = 1_000_000;
 
@@ -29,8 +32,8 @@
     pub length_ms: Millis,
     /// The time between two renewals.
     pub renew_every_ms: Millis,
-    /// How long before the end of its lease a holder stops giving orders. It must be longer than
-    /// the time-out of a call to an engine, so that an order arrives while the lease holds.
+    /// How long before the end of its lease a holder stops giving orders. An order given just
+    /// before must arrive while the lease holds, so calls to engines go by `call_timeout`.
     pub guard_ms: Millis,
     /// By how many parts in a million the rates of any two instances' clocks may differ.
     pub clock_rate_bound_ppm: u64,
@@ -51,6 +54,10 @@
         if self.guard_ms >= self.length_ms {
             return Err(Error::bad_field("lease.guard_ms", "less than length_ms"));
         }
+        if self.call_timeout() < MIN_CALL_TIMEOUT {
+            let expected = "at least 250, so that a call to an engine fits into it";
+            return Err(Error::bad_field("lease.guard_ms", expected));
+        }
         if self.renew_every_ms + self.guard_ms >= self.length_ms {
             let expected = "less than length_ms - guard_ms, so that renewals come in time";
             return Err(Error::bad_field("lease.renew_every_ms", expected));
@@ -61,6 +68,24 @@
         Ok(())
     }
 
+    /// Returns the time-out of calls to engines, which counts once for the head of an answer and
+    /// once for its end.
+    ///
+    /// If it were set by itself, a longer one could let an order that was given just before the
+    /// guard interval arrive after a successor began: one would see an engine change against its
+    /// holder's will. Taken from the guard interval, a whole call always ends within it, with a
+    /// fifth to spare for clocks and scheduling.
+    ///
+    /// ```
+    /// use anvilhook_core::leases::LeaseOptions;
+    ///
+    /// let options = LeaseOptions::default();
+    /// assert!(options.call_timeout() + options.call_timeout() < options.guard_ms);
+    /// ```
+    pub fn call_timeout(&self) -> Millis {
+        Millis(self.guard_ms.0.saturating_mul(2) / 5)
+    }
+
     /// Returns how long a challenger must see a row of the given length unchanged before it may
     /// end it.
     pub fn challenge_after(&self, length: Millis) -> Millis {
--- a/crates/anvilhook-core/tests/leases.rs
+++ b/crates/anvilhook-core/tests/leases.rs
@@ -65,6 +65,29 @@
     }
 }
 
+/// Symptom: an engine carries out an order of a holder whose successor gives orders already.
+/// Sequence: an order is given just before the guard interval, and the engine answers slowly.
+/// Cause: a call that may take longer than the guard interval.
+#[test]
+fn verify_a_call_ends_within_any_accepted_guard() {
+    for (guard_ms, accepted) in [
+        (0, false),
+        (2, false),
+        (249, false),
+        (250, true),
+        (2_500, true),
+        (4_000, true),
+        (u64::MAX, false),
+    ] {
+        let options = LeaseOptions { guard_ms: Millis(guard_ms), ..LeaseOptions::default() };
+
+        let (call, checked) = (options.call_timeout(), options.check());
+
+        assert!(call + call <= options.guard_ms, "guard {guard_ms}");
+        assert_eq!(checked.is_ok(), accepted, "guard {guard_ms}: {checked:?}");
+    }
+}
+
 /// Symptom: a holder trusts a renewal that never took effect, or drops a session that goes on.
 /// Sequence: the answer to a renewal is lost, and the row is read back.
 /// Cause: a renewal judged by anything but the row.
--- a/crates/anvilhook-daemon/src/instances/clients.rs
+++ b/crates/anvilhook-daemon/src/instances/clients.rs
@@ -1,6 +1,5 @@
 //! The bindings to everything that an instance calls.
 
-use anvilhook_core::units::Millis;
 use anvilhook_engine::{ControlOptions, HttpEngineControl, HttpUpstreams};
 use anvilhook_http::{CallError, ClientOptions, HttpClient};
 use anvilhook_platform::{HttpPlatform, HttpPlatformOptions};
@@ -32,10 +31,8 @@
     }
 }
 
-/// Returns bounds under which a call ends within the guard interval of a lease: the timeout counts
-/// once for the head of an answer and once for its body. An order under way when the lease ends
-/// would be one by a process without authority.
+/// Returns bounds under which a call ends within the guard interval of a lease.
 fn control_options(settings: &Settings) -> ControlOptions {
-    let timeout = Millis(settings.leases.guard_ms.0 * 2 / 5);
+    let timeout = settings.leases.options().call_timeout();
     ControlOptions { timeout, ..ControlOptions::default() }
 }
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use anvilhook_authority::{AckSchedule, Follower, Keeper, KeeperOptions, POOL_PREFIX, Services};
-use anvilhook_core::leases::LeaseOptions;
 use anvilhook_core::names::InstanceName;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_engine::HttpUpstreams;
@@ -55,9 +54,6 @@
 /// The stream of the generator that the archive's pauses come from.
 const ARCHIVE_STREAM: u64 = 2;
 
-/// How many renewals fall into the length of a lease.
-const RENEWALS_PER_LEASE: u64 = 3;
-
 /// `Parts` holds what an instance takes from its surroundings.
 #[derive(Clone, Debug)]
 pub struct Parts<C> {
@@ -374,13 +370,7 @@
 }
 
 fn keeper_options(leases: &LeaseSettings) -> KeeperOptions {
-    let lease = LeaseOptions {
-        length_ms: leases.length_ms,
-        renew_every_ms: Millis(leases.length_ms.0 / RENEWALS_PER_LEASE),
-        guard_ms: leases.guard_ms,
-        ..LeaseOptions::default()
-    };
-    KeeperOptions { lease, ..KeeperOptions::default() }
+    KeeperOptions { lease: leases.options(), ..KeeperOptions::default() }
 }
 
 fn front_options(settings: &Settings) -> FrontOptions {
--- a/crates/anvilhook-daemon/src/settings/checks.rs
+++ b/crates/anvilhook-daemon/src/settings/checks.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use anvilhook_core::Error as CoreError;
 use anvilhook_core::names::{InstanceName, MAX_NAME_LEN};
 use anvilhook_core::units::Millis;
 use serde::de::{Deserialize, Deserializer, Error};
@@ -75,7 +76,16 @@
         if guard_ms.0.saturating_mul(2) > length_ms.0 {
             return Err("expected guard_ms to be at most half of length_ms".to_owned());
         }
-        Ok(Self { length_ms, guard_ms })
+        // The rest is for the rules of leases to say, which name their fields by themselves.
+        let leases = Self { length_ms, guard_ms };
+        match leases.options().check() {
+            Ok(()) => Ok(leases),
+            Err(CoreError::BadField { field, expected }) => {
+                let field = field.rsplit('.').next().unwrap_or_default();
+                Err(format!("expected {field} to be {expected}"))
+            }
+            Err(err) => Err(err.to_string()),
+        }
     }
 }
 
--- a/crates/anvilhook-daemon/src/settings/mod.rs
+++ b/crates/anvilhook-daemon/src/settings/mod.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use anvilhook_core::leases::LeaseOptions;
 use anvilhook_core::names::{SubjectName, ZoneName};
 use anvilhook_core::units::Millis;
 use serde::Deserialize;
@@ -16,6 +17,9 @@
 pub use checks::MAX_NAME_PREFIX_LEN;
 pub use files::{SettingsError, load, parse};
 
+/// How many renewals fall into the length of a lease.
+const RENEWALS_PER_LEASE: u64 = 3;
+
 /// `Settings` is what an instance is told at its start.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -199,6 +203,18 @@
     pub guard_ms: Millis,
 }
 
+impl LeaseSettings {
+    /// Returns all lengths that leases rest on.
+    pub fn options(&self) -> LeaseOptions {
+        LeaseOptions {
+            length_ms: self.length_ms,
+            renew_every_ms: Millis(self.length_ms.0 / RENEWALS_PER_LEASE),
+            guard_ms: self.guard_ms,
+            ..LeaseOptions::default()
+        }
+    }
+}
+
 impl Default for LeaseSettings {
     fn default() -> Self {
         Self { length_ms: Millis(9_000), guard_ms: Millis(2_500) }
--- a/crates/anvilhook-engine/src/http_control.rs
+++ b/crates/anvilhook-engine/src/http_control.rs
@@ -25,7 +25,8 @@
 /// `ControlOptions` bounds control calls.
 #[derive(Clone, Copy, Debug)]
 pub struct ControlOptions {
-    /// The longest time to the head of an answer, and again to its end.
+    /// The longest time to the head of an answer, and again to its end. Whoever gives orders takes
+    /// it from the guard interval of its lease.
     pub timeout: Millis,
     /// The largest answer, in bytes.
     pub max_answer_bytes: usize,
