Count open requests over an undeclaration of their engine

Cause: Front::in_flight_at looked at the declared upstreams only. A request open while its engine was undeclared was lost to the count, and a drain of the engine declared again was acknowledged as having nothing in flight.

Change: upstreams that are not declared any more as they were are retired and kept until their last request has ended, and count by their name and by their address. A retired upstream takes no work, so that a request with an earlier state cannot begin there after the count. The mark is one of its own, because a carry-over of marks may still lift the other.

Conclusion: verify_an_open_request_outlives_its_declaration counted 0 instead of 1 before the change (seen red).

--- a/crates/anvilhook-core/src/routing/upstreams.rs
+++ b/crates/anvilhook-core/src/routing/upstreams.rs
@@ -53,6 +53,7 @@
     address: SocketAddr,
     zone: ZoneName,
     leaving: AtomicBool,
+    retired: AtomicBool,
     open_requests: AtomicU64,
     load: LoadView,
     ejection: Ejection,
@@ -69,6 +70,7 @@
             address,
             zone,
             leaving: AtomicBool::new(false),
+            retired: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
             load: LoadView::new(),
             ejection: Ejection::new(&EjectionOptions::default()),
@@ -97,9 +99,15 @@
         self.leaving.store(leaving, Ordering::Release);
     }
 
+    /// Says that the upstream is no longer declared as this state describes it. It is given no new
+    /// work ever again, whatever `set_leaving` says later.
+    pub fn retire(&self) {
+        self.retired.store(true, Ordering::Release);
+    }
+
     /// Returns whether the upstream may be given new work.
     pub fn takes_work(&self) -> bool {
-        !self.leaving.load(Ordering::Acquire)
+        !self.leaving.load(Ordering::Acquire) && !self.retired.load(Ordering::Acquire)
     }
 
     /// Counts a request of this instance in, before it is sent. It counts as sent when the upstream
--- a/crates/anvilhook-daemon/src/front/mod.rs
+++ b/crates/anvilhook-daemon/src/front/mod.rs
@@ -32,7 +32,7 @@
 pub use metrics::{FrontMetrics, Latencies, ServiceMetrics};
 pub use states::{Account, BuildOptions, FrontState, Service};
 
-use crate::proxy::{Claims, Proxy, ProxyOptions, RequestRngs, in_flight_at};
+use crate::proxy::{Claims, Proxy, ProxyOptions, RequestRngs};
 
 /// `FrontOptions` bounds what the front takes from callers.
 #[derive(Clone, Copy, Debug)]
@@ -190,11 +190,11 @@
         self.inner.flights.idle().await;
     }
 
-    /// Returns how many requests of this instance are in flight at an upstream.
+    /// Returns how many requests of this instance are in flight at an upstream, also those that
+    /// began before it was undeclared and declared again.
     ///
     /// A drain marks the upstream first and asks then; see `proxy::in_flight_at`.
     pub fn in_flight_at(&self, upstream: &UpstreamName) -> u64 {
-        let state = self.inner.state.load();
-        state.upstreams().get(upstream).map_or(0, |upstream| in_flight_at(upstream))
+        self.inner.state.load().in_flight_at(upstream)
     }
 }
--- a/crates/anvilhook-daemon/src/front/states.rs
+++ b/crates/anvilhook-daemon/src/front/states.rs
@@ -14,6 +14,7 @@
 
 use super::credentials::{Credentials, TokenDigest};
 use super::metrics::{FrontMetrics, ServiceMetrics};
+use crate::proxy::in_flight_at;
 
 /// `Account` is a caller's account.
 #[derive(Debug)]
@@ -92,6 +93,7 @@
     credentials: Credentials,
     accounts: BTreeMap<AccountName, Arc<Account>>,
     upstreams: BTreeMap<UpstreamName, Arc<UpstreamState>>,
+    retired: Vec<Arc<UpstreamState>>,
 }
 
 impl FrontState {
@@ -114,9 +116,28 @@
         for resource in cfg.of_kind(Kind::Service) {
             state.add_service(resource, earlier, &pools, options);
         }
+        state.retire_undeclared(earlier);
         state
     }
 
+    /// Keeps the earlier upstreams that are not declared any more for as long as they have open
+    /// requests. Without them an engine that is declared again would count as idle while it still
+    /// answers an earlier request, and a drain of it would cut that.
+    ///
+    /// Each is retired before it is counted: a request that chose it from an earlier state is either
+    /// counted here or sees that it takes no work, so none begins at one that is not kept.
+    fn retire_undeclared(&mut self, earlier: &FrontState) {
+        let is_kept = |state: &Arc<UpstreamState>| {
+            self.upstreams.get(state.name()).is_some_and(|kept| Arc::ptr_eq(kept, state))
+        };
+        let undeclared = earlier.upstreams.values().filter(|state| !is_kept(state));
+        let open = undeclared.chain(&earlier.retired).filter(|state| {
+            state.retire();
+            in_flight_at(state) > 0
+        });
+        self.retired = open.cloned().collect();
+    }
+
     /// Returns the service of a name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(&ServiceName::try_new(name).ok()?)
@@ -151,6 +172,17 @@
         &self.upstreams
     }
 
+    /// Returns how many requests are in flight at an upstream, those included that began when it
+    /// was declared otherwise: under this name, or by another name at this address.
+    pub fn in_flight_at(&self, name: &UpstreamName) -> u64 {
+        let declared = self.upstreams.get(name);
+        let address = declared.map(|state| state.address());
+        let same =
+            |state: &&Arc<UpstreamState>| state.name() == name || Some(state.address()) == address;
+        let retired = self.retired.iter().filter(same);
+        declared.into_iter().chain(retired).map(|state| in_flight_at(state)).sum()
+    }
+
     fn add_account(
         &mut self,
         resource: &Resource,
--- a/crates/anvilhook-daemon/tests/front_drains.rs
+++ b/crates/anvilhook-daemon/tests/front_drains.rs
@@ -3,12 +3,14 @@
 #[allow(dead_code, reason = "each test file uses a part of the fixtures")]
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use anvilhook_core::names::UpstreamName;
+use anvilhook_core::resources::{Configuration, Kind, Resource, Spec};
 use anvilhook_core::routing::{UpstreamState, Work};
-use anvilhook_core::units::Millis;
+use anvilhook_core::units::{Millis, Revision};
 use anvilhook_daemon::front::FrontOptions;
 use anvilhook_daemon::proxy::{Held, NoClaims, in_flight_at};
 use support::fakes::{self, Ledger, SharedLedger};
@@ -134,6 +136,52 @@
     assert_eq!(in_flight_at(&upstream), 0);
 }
 
+/// Symptom: a drain is acknowledged as having nothing in flight, and its request is cut.
+/// Sequence: a request is open at an engine that is undeclared and declared again, as it was, at
+/// another address, in another zone, or under another name.
+/// Cause: a count that goes with the declaration and not with the request.
+#[tokio::test]
+async fn verify_an_open_request_outlives_its_declaration() {
+    let at = |ports: [u16; 2]| ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let declared = |ports| configuration(&at(ports), |_| {}, (1_000, 1_000));
+    let none = Configuration::default();
+    for (case, again, name) in [
+        ("as it was", declared([1, 2]), "e0"),
+        ("at another address", declared([9, 2]), "e0"),
+        ("in another zone", rezoned(&declared([1, 2])), "e0"),
+        ("under another name", declared([9, 1]), "e1"),
+    ] {
+        let front = fronts::start(&declared([1, 2]), FrontOptions::default(), NoClaims).await.front;
+        let (before, after): (UpstreamName, UpstreamName) =
+            ("e0".parse().expect("a name"), name.parse().expect("a name"));
+        let upstream = Arc::clone(&front.state().upstreams()[&before]);
+        let held = Held::try_new(&upstream, Work::default(), Millis(0)).expect("it takes work");
+
+        for (cfg, name) in [(&none, &before), (&again, &after), (&none, &before), (&again, &after)]
+        {
+            front.apply(cfg, 1);
+            // A carry-over of marks that was under way may still lift what it knows of.
+            upstream.set_leaving(false);
+            assert_eq!(front.in_flight_at(name), 1, "{case}");
+            assert!(Held::try_new(&upstream, Work::default(), Millis(0)).is_none(), "{case}");
+        }
+
+        drop(held);
+        assert_eq!((front.in_flight_at(&before), front.in_flight_at(&after)), (0, 0), "{case}");
+    }
+}
+
+fn rezoned(cfg: &Configuration) -> Configuration {
+    let engines = cfg.of_kind(Kind::Engine).map(|resource| {
+        let mut resource = Resource::clone(resource);
+        if let Spec::Engine(engine) = &mut resource.spec {
+            engine.zone = "zb".parse().expect("a zone");
+        }
+        resource
+    });
+    Configuration::new(Revision(2), engines)
+}
+
 fn upstream() -> Arc<UpstreamState> {
     let name = "p0".parse().expect("a name");
     let address = "127.0.0.1:1".parse().expect("an address");
