Take undeclared pools that keep load slots from dead holders

Cause: only declared pools had candidates. If a pool was undeclared amid a load and its holder died before it closed the order, nobody closed it, and its slot of the weight store was taken for ever.

The order is closed by the existing rule, with its slot in one transaction: not while a former holder may still give it.

Conclusion: verify_a_dead_holder_of_an_undeclared_pool_keeps_no_slot found the slot taken before the change (seen red), and with the rule on former holders removed finds it freed too early (seen red).

--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -13,6 +13,7 @@
 use crate::fleets::{Fleet, PeerHints};
 use crate::observations::{Finding, Observation, ObservationBook, kinds, list, reasons};
 use crate::options::KeeperOptions;
+use crate::orphans::{OrphanWatch, orphans};
 use crate::plans::PoolPlan;
 use crate::pools::HeldPool;
 use crate::rows;
@@ -41,12 +42,14 @@
 /// only together with the whole keeper.
 #[derive(Debug)]
 pub struct Keeper<T, E, L, C> {
+    me: InstanceName,
     services: Services<T, E, L, C>,
     options: KeeperOptions,
     session: SessionHolder,
     candidate: Candidate,
     fleet: Fleet,
     slots: SlotView,
+    orphans: OrphanWatch,
     held: BTreeMap<PoolName, HeldPool>,
     /// All names that have been declared as upstreams. They are remembered after their removal,
     /// because the platform lists an engine for a while after it was taken from the configuration.
@@ -63,9 +66,11 @@
             services,
             options,
             session: SessionHolder::new(me.clone()),
-            candidate: Candidate::new(me),
+            candidate: Candidate::new(me.clone()),
+            me,
             fleet: Fleet::default(),
             slots: SlotView::default(),
+            orphans: OrphanWatch::new(),
             held: BTreeMap::new(),
             upstreams: BTreeSet::new(),
             swept: BTreeSet::new(),
@@ -104,6 +109,7 @@
                 None => self.look(plan).await,
             }
         }
+        self.look_for_orphans(plans).await;
     }
 
     /// Gives up everything at a planned stop, so that successors need not wait.
@@ -229,6 +235,24 @@
         }
     }
 
+    /// Takes the pools that are not declared any more and keep slots of the weight store, if their
+    /// holders have ended. The next step closes their orders and gives them up.
+    async fn look_for_orphans(&mut self, plans: &[PoolPlan]) {
+        let now = self.services.clock.now();
+        if !self.orphans.is_due(&self.me, &self.fleet, &self.options.candidates, now) {
+            return;
+        }
+        if let Err(err) = self.slots.refresh(&self.services.table).await {
+            log::warn!("the load slots cannot be read: {err}");
+            return;
+        }
+        for pool in orphans(&self.slots, plans) {
+            if !self.held.contains_key(&pool) {
+                self.look(&PoolPlan::undeclared(pool)).await;
+            }
+        }
+    }
+
     /// Drops a pool and what was observed of it; its next holder observes it anew.
     fn forget(&mut self, name: &PoolName) -> Option<HeldPool> {
         let pool = self.held.remove(name)?;
--- a/crates/anvilhook-authority/src/lib.rs
+++ b/crates/anvilhook-authority/src/lib.rs
@@ -12,6 +12,7 @@
 mod keepers;
 mod observations;
 mod options;
+mod orphans;
 mod plans;
 mod pools;
 mod rows;
--- a/crates/anvilhook-authority/src/slots.rs
+++ b/crates/anvilhook-authority/src/slots.rs
@@ -1,6 +1,7 @@
 //! The weight store's slots, as one keeper sees them.
 
 use anvilhook_core::authority::{LoadSlot, LoadSlots};
+use anvilhook_core::names::PoolName;
 use anvilhook_core::orders::Order;
 use anvilhook_platform::{Condition, Result, Row, Table, Write};
 
@@ -32,6 +33,11 @@
         self.seen.as_ref().is_none_or(|seen| seen.value.has_room(max_loads))
     }
 
+    /// Returns the pools of the loads under way.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.seen.iter().flat_map(|seen| seen.value.taken.iter().map(|slot| &slot.pool))
+    }
+
     /// Returns the change that goes with recording an order, or `None` if there is no room for it.
     pub fn take(&self, order: &Order, slot: LoadSlot, max_loads: usize) -> Option<SlotChange> {
         if !matches!(order, Order::LoadModel { .. }) {
--- a/crates/anvilhook-authority/tests/orders.rs
+++ b/crates/anvilhook-authority/tests/orders.rs
@@ -10,6 +10,13 @@
 
 const LIMIT: Millis = Millis::from_secs(90);
 
+/// The row of load slots when no load is under way.
+const NO_SLOTS: &str = r#"{"taken":[]}"#;
+
+fn load_slots(fleet: &Fleet) -> String {
+    fleet.platform.rows("authority/load-slots").pop().unwrap().value
+}
+
 /// Symptom: an engine is given an order while another one is on its way.
 /// Sequence: the answer to an order is lost, after the engine took it or before; another order is
 /// wanted by then.
@@ -180,11 +187,49 @@
         }
         fleet.run_for(Millis(5_000)).await;
 
-        let slots = fleet.platform.rows("authority/load-slots").pop().unwrap().value;
-        assert_eq!(slots, r#"{"taken":[]}"#);
+        assert_eq!(load_slots(&fleet), NO_SLOTS);
         fleet.plans = plans;
         let row = fleet.row().unwrap();
         assert!(row.open.is_empty());
         assert_eq!(row.holder.is_none(), whole_pool);
     }
 }
+
+/// Symptom: the weight store stays busy for ever, or a load begins beside one that may still come.
+/// Sequence: a pool is undeclared while an engine of it loads a model, and its holder ends before it
+/// closes the order; the platform says that it is gone at once, or a minute later.
+/// Cause: nobody takes a pool that is not declared.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_a_dead_holder_of_an_undeclared_pool_keeps_no_slot() {
+    for engine in 0..2 {
+        for gone_at_once in [true, false] {
+            let case = format!("engine {engine}, gone at once: {gone_at_once}");
+            let mut fleet = Fleet::new(FleetOptions::default());
+            fleet.run_for(Millis(3_000)).await;
+            fleet.want(engine, load(2));
+            let opened = |fleet: &Fleet| !fleet.rows()[0].open.is_empty();
+            fleet.run_until(LIMIT, "order", opened).await;
+            let holder = fleet.holder().unwrap();
+            fleet.kill(holder);
+            let plans = std::mem::take(&mut fleet.plans);
+
+            if !gone_at_once {
+                // Paused and not dead, it could still give the order.
+                fleet.run_for(Millis::from_secs(60)).await;
+                assert_ne!(load_slots(&fleet), NO_SLOTS, "{case}: freed too early");
+            }
+            fleet.declare_gone(holder);
+            fleet.run_for(Millis::from_secs(60)).await;
+
+            assert_eq!(load_slots(&fleet), NO_SLOTS, "{case}");
+            fleet.plans = plans;
+            let row = fleet.row().unwrap();
+            assert!(row.open.is_empty() && row.holder.is_none(), "{case}: {row:?}");
+            // Nobody takes the pool again when nothing is left to do there.
+            fleet.plans.clear();
+            let before = fleet.platform.rows("authority/pools/");
+            fleet.run_for(Millis::from_secs(60)).await;
+            assert_eq!(fleet.platform.rows("authority/pools/"), before, "{case}");
+        }
+    }
+}
