Mix an instance's name into its random seed

Cause: instances that were given one seed drew the same name, where their prefixes were the same, and the same ids of attempts. Each then took the other's claim for its own.

Change: the running name is always drawn from the system, and is mixed into the seed from which all other generators of the instance are made.

--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -36,7 +36,7 @@
 use super::sweeps::sweep_claims;
 use super::tasks::Tasks;
 use crate::front::{Front, FrontMetrics, FrontOptions, FrontParts};
-use crate::names::running_name;
+use crate::names::{own_generator, running_name};
 use crate::observability::{ProcessCollector, Readiness, probe_router};
 use crate::operators::{
     self, Credentials, LeaseRows, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
@@ -59,7 +59,7 @@
 pub struct Parts<C> {
     /// The clock that its decisions read.
     pub clock: C,
-    /// The generator that its random choices come from.
+    /// The generator that its random choices come from, after its name was mixed in.
     pub rng: ChaCha8Rng,
 }
 
@@ -69,7 +69,8 @@
         Self { clock: SystemClock::new(), rng: rand::make_rng() }
     }
 
-    /// Returns the machine's clock and a generator that can be repeated.
+    /// Returns the machine's clock and a generator with a seed. Instances that share one still draw
+    /// different ids, because each mixes its own name in.
     pub fn seeded(seed: u64) -> Self {
         Self { clock: SystemClock::new(), rng: ChaCha8Rng::seed_from_u64(seed) }
     }
@@ -125,7 +126,11 @@
 impl<C: Clock> Wiring<C> {
     fn try_new(settings: Settings, parts: Parts<C>) -> Result<Self, StartError> {
         let Parts { clock, mut rng } = parts;
-        let name = running_name(&settings.instance.name_prefix, &mut rng)?;
+        // Drawn from a seed, a name could be another instance's too, and each would take the other's
+        // rows for its own.
+        let mut system_rng: ChaCha8Rng = rand::make_rng();
+        let name = running_name(&settings.instance.name_prefix, &mut system_rng)?;
+        let mut rng = own_generator(&name, &mut rng);
         let clients = Clients::try_new(&settings, &mut rng)?;
         let credentials = Credentials::try_new(&settings.operators)?;
         let shutdown = Shutdown::new();
--- a/crates/anvilhook-daemon/src/names.rs
+++ b/crates/anvilhook-daemon/src/names.rs
@@ -1,7 +1,9 @@
-//! The running name of an instance.
+//! The running name of an instance, and the generator that goes with it.
 
 use anvilhook_core::names::InstanceName;
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sha2::{Digest, Sha256};
 
 /// The number of characters of the random part.
 pub const SUFFIX_LEN: usize = 8;
@@ -36,3 +38,28 @@
     }
     InstanceName::try_new(&name)
 }
+
+/// Returns the generator that all random choices of an instance come from: `rng`, with the
+/// instance's running name mixed in.
+///
+/// Attempts are told apart by ids drawn from it. Two instances that were given one seed would draw
+/// the same ids, and each would take the other's claim for its own: a request that must run once
+/// would run twice. With the name mixed in, they draw different ones.
+///
+/// ```
+/// use anvilhook_core::names::InstanceName;
+/// use anvilhook_daemon::names::own_generator;
+/// use rand::{Rng, SeedableRng};
+///
+/// let draw = |name| {
+///     let mut seeded = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+///     own_generator(&InstanceName::try_new(name).unwrap(), &mut seeded).next_u64()
+/// };
+/// assert_ne!(draw("entry-a"), draw("entry-b"));
+/// assert_eq!(draw("entry-a"), draw("entry-a"));
+/// ```
+pub fn own_generator(name: &InstanceName, rng: &mut impl Rng) -> ChaCha8Rng {
+    let drawn: [u8; 32] = rng.random();
+    let mixed = Sha256::new().chain_update(drawn).chain_update(name.as_str());
+    ChaCha8Rng::from_seed(mixed.finalize().into())
+}
