Share a request between an engine that reads and one that generates

Cause: with engines of the roles prefill and decode in a pool, the request path knew only whole requests, so that a pool without mixed engines could answer none.

Change: the attempt loop places a chat request on one mixed engine or on two. The engine that reads gets the request with max_tokens 0; the one that generates is chosen afterwards, fetches the KV cache from the first by a new pull call of the wire form, and gets the whole request under the same attempt id. The request is counted in at both while the cache goes over, and cancelled at both when its caller goes. From the moment the prompt has been read the verdict is at least "may have run". The stand-in pulls, and can lose caches and fail pulls. Choosing and admission moved to a module of their own.

Conclusion: a split costs an attempt two more calls; no bytes of a KV cache pass an instance.

--- a/crates/anvilhook-daemon/src/proxy/attempts.rs
+++ b/crates/anvilhook-daemon/src/proxy/attempts.rs
@@ -3,22 +3,21 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
-use anvilhook_core::admission::{Admission, AdmissionOptions, decide};
+use anvilhook_core::admission::AdmissionOptions;
 use anvilhook_core::attempts::{AttemptId, RequestId};
 use anvilhook_core::names::UpstreamName;
 use anvilhook_core::reports::PrefixHash;
-use anvilhook_core::routing::{Candidate, Phase, RouteRequest, Work};
+use anvilhook_core::routing::{Phase, UpstreamState, Work};
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_engine::wire::{PRIORITY_HEADER, TIME_LEFT_HEADER};
-use anvilhook_engine::{Attempt, Bounds, Error, Upstreams};
+use anvilhook_engine::{Attempt, Bounds, Error, Upstreams, WholeAnswer};
 use anvilhook_http::clients::Connection;
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode};
-use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::cancels::{Held, Running};
+use super::cancels::Running;
 use super::failures::{Code, Failure};
 use crate::front::Service;
 
@@ -110,6 +109,10 @@
 
     /// Returns the status of an answer.
     fn status(answer: &Self::Answer) -> StatusCode;
+
+    /// Returns an answer that came whole before the attempt was sent, from the engine that was to
+    /// read its prompt.
+    fn whole(answer: WholeAnswer) -> Self::Answer;
 }
 
 /// `Answered` is an upstream's answer with the attempt that got it.
@@ -129,10 +132,13 @@
 }
 
 /// `Progress` is what the attempts so far have come to.
-struct Progress {
-    tried: Vec<UpstreamName>,
-    attempts: usize,
-    verdict: Verdict,
+pub(super) struct Progress {
+    /// The upstreams that failed.
+    pub tried: Vec<UpstreamName>,
+    /// The number of attempts.
+    pub attempts: usize,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
 }
 
 impl<C: Clock, U: Upstreams> Proxy<C, U> {
@@ -159,17 +165,26 @@
             if self.time_left(req) == Millis::ZERO {
                 return Err(deadline_exceeded(progress.verdict));
             }
-            let Some(held) = self.hold(req, &mut progress, rng).await? else {
+            let Some(placed) = self.hold(req, &mut progress, rng).await? else {
                 return Err(self.no_upstream(progress.verdict));
             };
 
             // Every attempt has an id of its own, so that answers can't be mixed up.
-            let attempt = self.attempt(req, &held, progress.attempts, rng);
-            let mut running = Running::new(self.upstreams.clone(), attempt.id, held, req.is_chat());
+            let id = AttemptId::random(rng);
+            let running = Running::new(self.upstreams.clone(), id, placed.held, req.is_chat());
             progress.attempts += 1;
+            let (mut running, sent) = match placed.phase {
+                Phase::Whole => {
+                    let attempt = self.attempt(req, running.upstream(), progress.attempts, id);
+                    (running, sending.send(&attempt).await)
+                }
+                Phase::Prefill | Phase::Decode => {
+                    self.send_split(req, sending, running, &mut progress, rng).await
+                }
+            };
             progress.tried.push(running.upstream().name().clone());
 
-            let failure = match sending.send(&attempt).await {
+            let failure = match sent {
                 Ok(answer) => {
                     let is_failure = S::status(&answer).is_server_error();
                     self.record(&running, !is_failure);
@@ -216,88 +231,13 @@
         if is_well { ejection.record_success(now) } else { ejection.record_failure(now) }
     }
 
-    /// Chooses an upstream and counts the request in there: one that has not been tried if there is
-    /// one, else any, after a pause.
-    async fn hold(
-        &self,
-        req: &ProxyRequest,
-        progress: &mut Progress,
-        rng: &mut ChaCha8Rng,
-    ) -> Result<Option<Held>, Failure> {
-        let held = self.hold_untried(req, progress, rng)?;
-        if held.is_some() || progress.tried.is_empty() {
-            return Ok(held);
-        }
-        progress.tried.clear();
-        let pause = self.options.backoff.min(self.time_left(req));
-        tokio::time::sleep(pause.as_duration()).await;
-        self.hold_untried(req, progress, rng)
-    }
-
-    fn hold_untried(
-        &self,
-        req: &ProxyRequest,
-        progress: &Progress,
-        rng: &mut ChaCha8Rng,
-    ) -> Result<Option<Held>, Failure> {
-        let route = RouteRequest {
-            work: req.work,
-            prefix: &req.prefix,
-            deadline: req.deadline,
-            priority: req.priority,
-        };
-        let mut closed = Vec::new();
-        loop {
-            let shut_out = if closed.is_empty() { &progress.tried } else { &closed };
-            let now = self.clock.now();
-            let chosen = req.service.table.choose_for(Phase::Whole, &route, shut_out, now, rng);
-            let Some(chosen) = chosen else { return Ok(None) };
-            if progress.attempts == 0 {
-                self.admit(req, &chosen, now)?;
-            }
-            let work = chosen.work(Phase::Whole, req.work);
-            if let Some(held) = Held::try_new(chosen.upstream, work, now) {
-                return Ok(Some(held));
-            }
-            // The upstream began to drain between the choice and the count.
-            if closed.is_empty() {
-                closed.extend_from_slice(&progress.tried);
-            }
-            closed.push(chosen.upstream.name().clone());
-        }
-    }
-
-    /// Refuses a request that its best upstream is not believed to answer in time: it would only
-    /// take the time of those that can be.
-    fn admit(
-        &self,
-        req: &ProxyRequest,
-        chosen: &Candidate<'_>,
-        now: Millis,
-    ) -> Result<(), Failure> {
-        // Without a report there is nothing to believe, and a guessed length of the output must not
-        // keep out a request whose answer may be short.
-        if !chosen.upstream.has_report() {
-            return Ok(());
-        }
-        let estimate = &chosen.estimate;
-        let time = if req.bounds_output { estimate.total() } else { estimate.first_token() };
-        match decide(&self.options.admission, time, req.deadline, now) {
-            Admission::Run => Ok(()),
-            Admission::Refuse { retry_after } => {
-                let message = format!("the answer would take about {time}");
-                let failure = Failure::not_run(Code::DeadlineUnreachable, message);
-                Err(failure.retry_after(retry_after))
-            }
-        }
-    }
-
-    fn attempt(
+    /// Makes what is sent to an upstream in the attempt of the given number, the first being 1.
+    pub(super) fn attempt(
         &self,
         req: &ProxyRequest,
-        held: &Held,
-        earlier: usize,
-        rng: &mut impl Rng,
+        upstream: &UpstreamState,
+        number: usize,
+        id: AttemptId,
     ) -> Attempt {
         let time_left = self.time_left(req);
         let mut headers = req.headers.clone();
@@ -306,10 +246,10 @@
 
         // A first attempt may find an idle connection that has gone silent. A retry must not: it
         // would wait as long again and be as lost.
-        let connection = if earlier == 0 { Connection::Pooled } else { Connection::New };
+        let connection = if number <= 1 { Connection::Pooled } else { Connection::New };
         Attempt {
-            id: AttemptId::random(rng),
-            address: held.upstream().address(),
+            id,
+            address: upstream.address(),
             method: req.method.clone(),
             path: req.path.clone(),
             headers,
--- a/crates/anvilhook-daemon/src/proxy/streams.rs
+++ b/crates/anvilhook-daemon/src/proxy/streams.rs
@@ -60,6 +60,10 @@
             Started::Whole(answer) => answer.status,
         }
     }
+
+    fn whole(answer: WholeAnswer) -> Self::Answer {
+        Started::Whole(answer)
+    }
 }
 
 /// `StreamStart` is how a streamed answer begins for the caller.
--- a/crates/anvilhook-daemon/src/proxy/whole.rs
+++ b/crates/anvilhook-daemon/src/proxy/whole.rs
@@ -28,6 +28,10 @@
     fn status(answer: &WholeAnswer) -> StatusCode {
         answer.status
     }
+
+    fn whole(answer: WholeAnswer) -> WholeAnswer {
+        answer
+    }
 }
 
 impl<C: Clock, U: Upstreams> Proxy<C, U> {
@@ -50,7 +54,7 @@
 
 /// Checks that a completion names its attempt, as its head did: a body behind another's head would
 /// give a caller what belongs to another.
-fn check_completion(answer: &WholeAnswer, attempt: &Attempt) -> Result<(), Error> {
+pub(super) fn check_completion(answer: &WholeAnswer, attempt: &Attempt) -> Result<(), Error> {
     let id = attempt.id.to_string();
     let names_attempt = answer.body.windows(id.len()).any(|window| window == id.as_bytes());
     if names_attempt {
--- a/crates/anvilhook-engine/src/lib.rs
+++ b/crates/anvilhook-engine/src/lib.rs
@@ -14,5 +14,5 @@
 pub use control::EngineControl;
 pub use errors::{Error, Result};
 pub use http_control::{ControlOptions, HttpEngineControl};
-pub use requests::{Attempt, Bounds, HttpUpstreams, Opened, Upstreams, WholeAnswer};
+pub use requests::{Attempt, Bounds, HttpUpstreams, KvPull, Opened, Upstreams, WholeAnswer};
 pub use streams::{EventSource, EventStream, StreamItem};
--- a/crates/anvilhook-engine/src/requests.rs
+++ b/crates/anvilhook-engine/src/requests.rs
@@ -19,7 +19,7 @@
 
 use crate::errors::{Error, Result};
 use crate::streams::{EventSource, EventStream};
-use crate::wire::{ATTEMPT_HEADER, REFUSED_HEADER, STREAMS_PATH};
+use crate::wire::{ATTEMPT_HEADER, KV_PATH, REFUSED_HEADER, STREAMS_PATH};
 
 /// The most bytes of a refusal's reason that are kept for logs.
 const MAX_REASON_BYTES: usize = 4_096;
@@ -117,6 +117,13 @@
         bounds: Bounds,
     ) -> impl Future<Output = Result<Self::Events>> + Send;
 
+    /// Has one engine fetch an attempt's KV cache from another. Nothing of the request is run by it.
+    ///
+    /// # Errors
+    ///
+    /// Any error of this crate. Whether the cache has come over is not known then.
+    fn pull_kv(&self, pull: &KvPull) -> impl Future<Output = Result<()>> + Send;
+
     /// Cancels an attempt's work at an engine. Cancelling what has ended changes nothing.
     ///
     /// # Errors
@@ -129,6 +136,21 @@
     ) -> impl Future<Output = Result<()>> + Send;
 }
 
+/// `KvPull` asks an engine to fetch the KV cache of an attempt from the engine that read its prompt.
+#[derive(Clone, Copy, Debug)]
+pub struct KvPull {
+    /// The attempt whose prompt was read.
+    pub attempt: AttemptId,
+    /// The engine that read it.
+    pub from: SocketAddr,
+    /// The engine that will generate.
+    pub to: SocketAddr,
+    /// Which connection may be used.
+    pub connection: Connection,
+    /// The longest time that it may take.
+    pub timeout: Millis,
+}
+
 /// `HttpUpstreams` sends attempts over HTTP.
 #[derive(Clone)]
 pub struct HttpUpstreams {
@@ -219,6 +241,19 @@
         EventStream::try_new(answer, attempt, after, bounds.max_answer_bytes)
     }
 
+    async fn pull_kv(&self, pull: &KvPull) -> Result<()> {
+        let KvPull { attempt, from, .. } = pull;
+        let req = stream_call(Method::POST, &format!("{KV_PATH}/{attempt}?from={from}"))?;
+        let answer = self.send(pull.to, *attempt, req, pull.connection, pull.timeout).await?;
+        match answer.status() {
+            StatusCode::NO_CONTENT => Ok(()),
+            StatusCode::NOT_FOUND => {
+                Err(Error::not_an_answer("the other engine has no KV cache of it"))
+            }
+            status => Err(Error::not_an_answer(format!("status {status} to a pull"))),
+        }
+    }
+
     async fn cancel(&self, engine: SocketAddr, attempt: AttemptId) -> Result<()> {
         let req = stream_call(Method::DELETE, &format!("{STREAMS_PATH}/{attempt}"))?;
         self.send(engine, attempt, req, Connection::New, CANCEL_TIMEOUT).await?;
--- a/crates/anvilhook-engine/src/wire.rs
+++ b/crates/anvilhook-engine/src/wire.rs
@@ -21,6 +21,7 @@
 //! | order | `POST /control/orders` | `StampedOrder` | `OrderReply` |
 //! | export KV cache | `GET /control/kv/{attempt}` | | bytes |
 //! | import KV cache | `POST /control/kv/{attempt}` | bytes | 204 |
+//! | pull KV cache | `POST /control/kv/{attempt}?from=ADDR` | | 204, 404 if it is not there |
 //!
 //! A stream's events carry an `id`, numbered from 1 without gaps, and a `ChatChunk` as `data`. The
 //! stream ends with an event whose data is `[DONE]`; a stream without it is cut short. A stream can
@@ -29,7 +30,10 @@
 //!
 //! Control calls belong to no attempt; each carries an id of its own in the attempt's header, which
 //! its answer echoes. With `max_tokens` 0 an engine only reads the prompt and keeps its KV cache
-//! for export; a completion under an id whose KV cache it holds only generates.
+//! for export; a completion under an id whose KV cache it holds only generates. To pull, an engine
+//! asks the engine at `from` for its export: a KV cache never passes through whoever asks for the
+//! pull. An engine keeps a KV cache that nobody uses for `RESUME_WINDOW`, or until its attempt is
+//! cancelled.
 
 use anvilhook_core::units::Millis;
 use serde::{Deserialize, Serialize};
--- a/crates/anvilhook-standin/src/engines/serving/controls.rs
+++ b/crates/anvilhook-standin/src/engines/serving/controls.rs
@@ -1,11 +1,13 @@
 //! The engine's control calls: state, load, cache events, orders and KV caches.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anvilhook_core::attempts::AttemptId;
 use anvilhook_core::orders::{OrderReply, StampedOrder};
 use anvilhook_http::answers;
 use http::{HeaderMap, Response, StatusCode};
+use serde::Deserialize;
 use volo::net::Address;
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -15,9 +17,18 @@
 
 use super::handlers::{After, no_content, not_found, read_json};
 use super::hubs::KvCache;
+use super::pulls::PullError;
 use super::servers::{Engine, OrderFault};
 use crate::faults::{echo, peer_of};
 
+/// `KvSource` is the query of a call that brings a KV cache.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub(super) struct KvSource {
+    /// The engine to fetch it from, unless it is in the body.
+    #[serde(default)]
+    from: Option<SocketAddr>,
+}
+
 pub(super) async fn state(
     Extension(engine): Extension<Arc<Engine>>,
     req: Request,
@@ -93,8 +104,8 @@
 ) -> Response<Body> {
     let Ok(attempt) = attempt.parse::<AttemptId>() else { return not_found() };
     let answer = match engine.hub.export_kv(attempt) {
-        Some(cache) => answers::json(StatusCode::OK, &cache),
-        None => not_found(),
+        Some(cache) if !engine.loses_kv() => answers::json(StatusCode::OK, &cache),
+        _ => not_found(),
     };
     echo(req.headers(), answer)
 }
@@ -102,10 +113,20 @@
 pub(super) async fn import_kv(
     Extension(engine): Extension<Arc<Engine>>,
     PathParams(attempt): PathParams<String>,
+    Query(source): Query<KvSource>,
+    peer: Address,
     req: Request,
 ) -> Response<Body> {
     let Ok(attempt) = attempt.parse::<AttemptId>() else { return not_found() };
     let (parts, body) = req.into_parts();
+    if let Some(from) = source.from {
+        engine.count_pull();
+        let faulty = engine.faulty(attempt, &peer, engine.pulls.take());
+        if let Some(answer) = faulty.before_run().await {
+            return answer;
+        }
+        return faulty.echo(pull_kv(&engine, attempt, from).await);
+    }
     let answer = match read_json::<KvCache>(body).await {
         Ok(cache) => {
             engine.hub.import_kv(attempt, cache);
@@ -116,6 +137,17 @@
     echo(&parts.headers, answer)
 }
 
+async fn pull_kv(engine: &Engine, attempt: AttemptId, from: SocketAddr) -> Response<Body> {
+    match engine.puller.pull(attempt, from).await {
+        Ok(cache) => {
+            engine.hub.import_kv(attempt, cache);
+            no_content()
+        }
+        Err(PullError::NotThere) => not_found(),
+        Err(PullError::Failed(message)) => answers::text(StatusCode::BAD_GATEWAY, message),
+    }
+}
+
 /// Answers a control call. An engine that is down never answers.
 async fn control_answer<T: serde::Serialize>(
     headers: &HeaderMap,
--- a/crates/anvilhook-standin/src/engines/serving/handlers.rs
+++ b/crates/anvilhook-standin/src/engines/serving/handlers.rs
@@ -157,7 +157,12 @@
 }
 
 impl Engine {
-    fn faulty(&self, attempt: AttemptId, peer: &Address, plan: Option<FaultPlan>) -> FaultyAnswers {
+    pub(super) fn faulty(
+        &self,
+        attempt: AttemptId,
+        peer: &Address,
+        plan: Option<FaultPlan>,
+    ) -> FaultyAnswers {
         let connection = self.front.connections().get(peer_of(peer));
         FaultyAnswers { attempt, plan, connection }
     }
--- a/crates/anvilhook-standin/src/engines/serving/hubs.rs
+++ b/crates/anvilhook-standin/src/engines/serving/hubs.rs
@@ -157,10 +157,11 @@
         Some(self.reader(&stream.prompt, &stream.progress, true))
     }
 
-    /// Drops an attempt's work.
+    /// Drops an attempt's work and its KV cache.
     pub(super) fn cancel(&self, attempt: AttemptId, end: AttemptEnd) {
         let now = self.now();
         let mut state = self.state();
+        state.kv.remove(&attempt);
         if state.model.cancel(now, attempt) {
             state.end(attempt, end, now);
         }
--- a/crates/anvilhook-standin/src/engines/serving/mod.rs
+++ b/crates/anvilhook-standin/src/engines/serving/mod.rs
@@ -5,6 +5,7 @@
 mod handlers;
 mod hubs;
 mod ledgers;
+mod pulls;
 mod servers;
 mod texts;
 
--- a/crates/anvilhook-standin/src/engines/serving/servers.rs
+++ b/crates/anvilhook-standin/src/engines/serving/servers.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use anvilhook_core::attempts::AttemptId;
@@ -13,6 +14,7 @@
 use super::handlers::router;
 use super::hubs::Hub;
 use super::ledgers::{AttemptEnd, AttemptRecord};
+use super::pulls::KvPuller;
 use crate::engines::{EngineModel, EngineOptions, OrderRecord};
 use crate::faults::{Front, FrontOptions, Switches};
 
@@ -58,6 +60,10 @@
     pub(super) hub: Arc<Hub>,
     pub(super) front: Front,
     pub(super) resumes: Switches,
+    pub(super) pulls: Switches,
+    pub(super) puller: KvPuller,
+    loses_kv: AtomicBool,
+    pull_count: AtomicU64,
     order_faults: Mutex<VecDeque<OrderFault>>,
     /// Changes when orders that are held back are let go.
     releases: watch::Sender<()>,
@@ -83,6 +89,10 @@
             hub: Arc::new(Hub::new(model, opts.clock, opts.resume_window)),
             front: front.clone(),
             resumes: Switches::default(),
+            pulls: Switches::default(),
+            loses_kv: AtomicBool::new(false),
+            pull_count: AtomicU64::new(0),
+            puller: KvPuller::try_new().map_err(io::Error::other)?,
             order_faults: Mutex::default(),
             releases: watch::Sender::new(()),
         });
@@ -113,6 +123,21 @@
         &self.engine.resumes
     }
 
+    /// Returns the faults of calls that have this engine pull a KV cache.
+    pub fn pulls(&self) -> &Switches {
+        &self.engine.pulls
+    }
+
+    /// Returns how many calls to pull a KV cache have reached the engine.
+    pub fn pull_count(&self) -> u64 {
+        self.engine.pull_count.load(Ordering::Acquire)
+    }
+
+    /// Sets whether KV caches are gone before another engine can fetch them.
+    pub fn set_loses_kv(&self, loses: bool) {
+        self.engine.loses_kv.store(loses, Ordering::Release);
+    }
+
     /// Has the fault meet the next order that no other is planned for.
     pub fn next_order(&self, fault: OrderFault) {
         let mut faults = self.engine.order_faults.lock().unwrap_or_else(PoisonError::into_inner);
@@ -179,6 +204,14 @@
         let _ = self.releases.subscribe().changed().await;
     }
 
+    pub(super) fn count_pull(&self) {
+        self.pull_count.fetch_add(1, Ordering::AcqRel);
+    }
+
+    pub(super) fn loses_kv(&self) -> bool {
+        self.loses_kv.load(Ordering::Acquire)
+    }
+
     pub(super) fn take_order_fault(&self) -> Option<OrderFault> {
         self.order_faults.lock().unwrap_or_else(PoisonError::into_inner).pop_front()
     }
--- a/crates/anvilhook-standin/tests/engine_servers.rs
+++ b/crates/anvilhook-standin/tests/engine_servers.rs
@@ -100,6 +100,7 @@
 async fn verify_kv_cache_moves_from_prefill_to_decode() {
     let reader = start(EngineOptions { role: Role::Prefill, ..fast_engine() }).await;
     let writer = start(EngineOptions { role: Role::Decode, ..fast_engine() }).await;
+    let other = start(EngineOptions { role: Role::Decode, ..fast_engine() }).await;
     let kv_path = format!("{KV_PATH}/{A}");
     let dossier = "Lot 7, a walnut bureau. ".repeat(200);
 
@@ -108,6 +109,12 @@
     let kv = fetch(reader.address(), call(Method::GET, &kv_path, A, Vec::new()), PATIENCE).await;
     let kv = kv.unwrap().body.to_vec();
     let put = fetch(writer.address(), call(Method::POST, &kv_path, A, kv), PATIENCE).await;
+    let pull_path = format!("{kv_path}?from={}", reader.address());
+    let pull = || call(Method::POST, &pull_path, A, Vec::new());
+    let pulled = fetch(other.address(), pull(), PATIENCE).await;
+    let taken = fetch(other.address(), completion(A, &chat(&dossier, false, 4)), PATIENCE).await;
+    reader.set_loses_kv(true);
+    let gone = fetch(other.address(), pull(), PATIENCE).await;
     let written = fetch(writer.address(), completion(A, &chat(&dossier, false, 4)), PATIENCE).await;
 
     let early = early.unwrap();
@@ -115,6 +122,9 @@
     assert_eq!(early.headers[REFUSED_HEADER], "true");
     assert_eq!(read.unwrap().status, StatusCode::OK);
     assert_eq!(put.unwrap().status, StatusCode::NO_CONTENT);
+    assert_eq!(pulled.unwrap().status, StatusCode::NO_CONTENT);
+    assert_eq!(taken.unwrap().status, StatusCode::OK);
+    assert_eq!(gone.unwrap().status, StatusCode::NOT_FOUND);
     let answer: ChatAnswer = serde_json::from_slice(&written.unwrap().body).unwrap();
     let expected = expected_output(&chat(&dossier, false, 4).messages, Tokens(4));
     assert_eq!(answer.choices[0].message.content, expected);
