--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -7,7 +7,7 @@
 use anvilhook_core::orders::Term;
 use anvilhook_core::units::{Clock, WallTime};
 use anvilhook_engine::EngineControl;
-use anvilhook_platform::{InstanceList, Result, Table};
+use anvilhook_platform::{InstanceList, Result, Table, Transaction, Write};
 
 use crate::engines::Desk;
 use crate::fleets::{Fleet, PeerHints};
@@ -15,6 +15,7 @@
 use crate::options::KeeperOptions;
 use crate::plans::PoolPlan;
 use crate::pools::HeldPool;
+use crate::rows;
 use crate::sessions::SessionHolder;
 use crate::slots::{SlotChange, SlotView};
 use crate::takeovers::Candidate;
@@ -50,6 +51,8 @@
     /// All names that have been declared as upstreams. They are remembered after their removal,
     /// because the platform lists an engine for a while after it was taken from the configuration.
     upstreams: BTreeSet<UpstreamName>,
+    /// The gone instances whose rows this keeper has removed.
+    swept: BTreeSet<InstanceName>,
     book: ObservationBook,
 }
 
@@ -65,6 +68,7 @@
             slots: SlotView::default(),
             held: BTreeMap::new(),
             upstreams: BTreeSet::new(),
+            swept: BTreeSet::new(),
             book: ObservationBook::default(),
         }
     }
@@ -81,8 +85,10 @@
     /// Failures of the platform and of engines are observed, not returned: the next step tries
     /// again.
     pub async fn step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
-        self.book.set_wall(wall);
-        self.fleet.begin_step(hints);
+        self.book.begin_step(wall, self.services.clock.now());
+        // Hints matter to holders only.
+        let none = PeerHints::default();
+        self.fleet.begin_step(if self.held.is_empty() { &none } else { hints });
         let engines = plans.iter().flat_map(|plan| &plan.engines);
         self.upstreams.extend(engines.map(|engine| engine.name.clone()));
 
@@ -132,7 +138,8 @@
         self.book.all()
     }
 
-    /// Returns what has changed of that since the last call.
+    /// Returns what has changed of that since the last call. Where only a message has changed, it is
+    /// returned once in two seconds at most.
     pub fn take_changes(&mut self) -> Vec<Observation> {
         self.book.take_changes()
     }
@@ -177,15 +184,45 @@
         }
         if let Err(err) = self.fleet.refresh(table, instances, &self.upstreams, now).await {
             log::warn!("the instances cannot be read: {err}");
+        } else if !self.held.is_empty() {
+            self.sweep_gone().await;
         }
     }
 
-    /// Gives up the pools that are not declared any more.
+    /// Removes the rows of instances that are gone, once for each: their names never come again.
+    /// Without this every replaced instance would make the scans of acknowledgements longer.
+    async fn sweep_gone(&mut self) {
+        let mut gone = self.fleet.gone_with_acks();
+        let uncleared = self.held.values().flat_map(|pool| &pool.row.uncleared);
+        gone.extend(uncleared.filter(|name| self.fleet.is_gone(name)).cloned());
+        gone.retain(|name| !self.swept.contains(name));
+        if gone.is_empty() {
+            return;
+        }
+        let delete = |name: &InstanceName| {
+            let keys = [rows::drain_ack_key(name), rows::session_key(name)];
+            keys.map(|key| Write::Delete { key })
+        };
+        let writes = gone.iter().flat_map(delete).collect();
+        match self.services.table.commit(&Transaction { conditions: Vec::new(), writes }).await {
+            Ok(_) => self.swept.extend(gone),
+            Err(err) => log::warn!("the rows of gone instances cannot be removed: {err}"),
+        }
+    }
+
+    /// Gives up the pools that are not declared any more, once no order is open there: nobody would
+    /// close it, and a load would keep its slot for ever.
     async fn release_undeclared(&mut self, plans: &[PoolPlan]) {
         let declared = |name: &PoolName| plans.iter().any(|plan| plan.pool == *name);
         let gone: Vec<PoolName> =
             self.held.keys().filter(|name| !declared(name)).cloned().collect();
         for name in gone {
+            let Some(pool) = self.held.remove(&name) else { continue };
+            self.work(pool, &PoolPlan::undeclared(name.clone())).await;
+            let is_idle = self.held.get(&name).is_some_and(|pool| pool.row.open.is_empty());
+            if !is_idle {
+                continue;
+            }
             if let Err(err) = self.release(&name).await {
                 log::warn!("pool {name} cannot be released: {err}");
             }
@@ -249,8 +286,24 @@
                 log::warn!("pool {}: the drain plans cannot go on: {err}", pool.name);
             }
         }
+        let now = self.services.clock.now();
+        let is_unreached = pool.unreached_for(plan, now) >= self.options.release_unreached_ms;
         self.held.insert(pool.name.clone(), pool);
         self.drop_lost();
+        if is_unreached {
+            self.release_unreached(plan).await;
+        }
+    }
+
+    /// Gives a pool up of whose engines this instance reaches none. Cut off from the engines and not
+    /// from the table, it would renew for ever, and nobody could change the engines.
+    async fn release_unreached(&mut self, plan: &PoolPlan) {
+        log::warn!("pool {}: given up, because no engine of it can be reached", plan.pool);
+        if let Err(err) = self.release(&plan.pool).await {
+            log::warn!("pool {} cannot be released: {err}", plan.pool);
+        }
+        let until = self.services.clock.now() + self.options.candidates.last_interval_ms;
+        self.candidate.leave_until(&plan.pool, until);
     }
 
     /// Brings the pool's row up to date before its engines are decided on.
--- a/crates/anvilhook-daemon/src/proxy/placements.rs
+++ b/crates/anvilhook-daemon/src/proxy/choices.rs
@@ -1,14 +1,30 @@
-//! Choosing where a request runs, and counting it in there.
+//! Choosing where a request runs, counting it in there, and refusing what can't be answered in time.
 
+use anvilhook_core::Verdict;
 use anvilhook_core::admission::{Admission, decide};
+use anvilhook_core::names::UpstreamName;
 use anvilhook_core::routing::{Candidate, Estimate, Phase, Placement, RouteRequest};
-use anvilhook_core::units::{Clock, Millis};
+use anvilhook_core::units::{Clock, Millis, Tokens};
 use anvilhook_engine::Upstreams;
 use rand_chacha::ChaCha8Rng;
 
-use super::attempts::{Progress, Proxy, ProxyRequest};
+use super::attempts::Proxy;
 use super::cancels::Held;
 use super::failures::{Code, Failure};
+use super::requests::ProxyRequest;
+
+/// The length of a usual answer, by which admission judges.
+const USUAL_OUTPUT: Tokens = Tokens(256);
+
+/// `Progress` is what the attempts so far have come to.
+pub(super) struct Progress {
+    /// The upstreams that have been tried.
+    pub tried: Vec<UpstreamName>,
+    /// The number of attempts.
+    pub attempts: usize,
+    /// The greatest of their verdicts.
+    pub verdict: Verdict,
+}
 
 /// `Placed` is a request that is counted in where its first part runs.
 pub(super) struct Placed {
@@ -97,6 +113,9 @@
             };
             let Some(choice) = placement.map(Choice::from) else { return Ok(None) };
             if progress.attempts == 0 {
+                if shut_out.is_empty() {
+                    req.service.meter.record(req.work, choice.first.uncached);
+                }
                 self.admit(req, &choice, now)?;
             }
             let Choice { first, phase, .. } = choice;
@@ -112,13 +131,11 @@
     /// Refuses a request that its best upstream is not believed to answer in time: it would only
     /// take the time of those that can be.
     fn admit(&self, req: &ProxyRequest, choice: &Choice<'_>, now: Millis) -> Result<(), Failure> {
-        // Without a report there is nothing to believe, and a guessed length of the output must not
-        // keep out a request whose answer may be short.
+        // Without a report there is nothing to believe.
         if !choice.first.upstream.has_report() {
             return Ok(());
         }
-        let estimate = &choice.estimate;
-        let time = if req.bounds_output { estimate.total() } else { estimate.first_token() };
+        let time = likely_time(req, &choice.estimate);
         match decide(&self.options.admission, time, req.deadline, now) {
             Admission::Run => Ok(()),
             Admission::Refuse { retry_after } => {
@@ -129,3 +146,14 @@
         }
     }
 }
+
+/// Returns the time that an answer is likely to take. A bound on the output tells how long it may
+/// become, not how long it will: an answer that would be short must not be kept out by it.
+fn likely_time(req: &ProxyRequest, estimate: &Estimate) -> Millis {
+    if !req.bounds_output {
+        return estimate.first_token();
+    }
+    let (bound, usual) = (req.work.output.0 as f64, USUAL_OUTPUT.0 as f64);
+    let decode_ms = estimate.decode_ms * (usual / bound.max(1.0)).min(1.0);
+    estimate.first_token() + Millis(decode_ms as u64)
+}
--- a/crates/anvilhook-daemon/src/proxy/mod.rs
+++ b/crates/anvilhook-daemon/src/proxy/mod.rs
@@ -5,18 +5,21 @@
 
 mod attempts;
 mod cancels;
+mod choices;
 mod claims;
 mod failures;
-mod placements;
+mod requests;
 mod rngs;
 mod splits;
 mod streams;
 mod table_claims;
 mod whole;
 
-pub use attempts::{Proxy, ProxyOptions, ProxyRequest, RequestKind};
+pub use attempts::{Proxy, ProxyOptions};
+pub use cancels::{Held, in_flight_at};
 pub use claims::{ClaimRequest, Claimed, Claims, NoClaims};
 pub use failures::{Code, Failure};
+pub use requests::{ProxyRequest, RequestKind};
 pub use rngs::RequestRngs;
 pub use streams::{CallerStream, StreamEnd, StreamStart};
 pub use table_claims::TableClaims;
--- a/crates/anvilhook-daemon/src/proxy/splits.rs
+++ b/crates/anvilhook-daemon/src/proxy/splits.rs
@@ -15,8 +15,10 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Map, Value};
 
-use super::attempts::{Progress, Proxy, ProxyRequest, Sending};
+use super::attempts::{Proxy, Sending};
 use super::cancels::{Held, Running};
+use super::choices::Progress;
+use super::requests::ProxyRequest;
 use super::whole::check_completion;
 
 /// `Sent` is what came of an attempt, with the engine that it came from.
