Plan roles where a pool is held, and want them of its engines

Cause: nothing in the daemon planned roles; a pool whose policy is automatic kept the roles that its engines had.

Change: each instance counts the chat work that was asked of it. The holder of a pool plans every few seconds from its own counts times the number of instances, starting with the engines' actual roles and waiting out the least dwell time after it took the pool over. What is planned becomes an order that the keeper wants, so drains, min_serving and fencing hold as for any other. The pool's condition Roles says what is wanted and why. Settings name the timing of plans.

--- a/crates/anvilhook-core/src/roles/capacities.rs
+++ b/crates/anvilhook-core/src/roles/capacities.rs
@@ -36,6 +36,15 @@
         }
     }
 
+    /// Sets the engines of a role.
+    pub fn set(&mut self, role: Role, engines: usize) {
+        match role {
+            Role::Prefill => self.prefill = engines,
+            Role::Decode => self.decode = engines,
+            Role::Mixed => self.mixed = engines,
+        }
+    }
+
     /// Counts one more engine of a role.
     pub fn add(&mut self, role: Role) {
         match role {
--- a/crates/anvilhook-daemon/src/instances/authorities.rs
+++ b/crates/anvilhook-daemon/src/instances/authorities.rs
@@ -1,9 +1,14 @@
 //! Authority over engines: every instance follows the drains, and keeps the pools that it holds.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use anvilhook_authority::{DrainHint, Follower, Keeper, Observation, PeerHints, TermHint};
-use anvilhook_core::names::{InstanceName, UpstreamName};
+use anvilhook_core::names::{InstanceName, PoolName, ResourceName, UpstreamName};
+use anvilhook_core::resources::{
+    Condition, ConditionState, Configuration, Kind, ResourceKey, ServiceBackend,
+};
+use anvilhook_core::roles::WorkSeen;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_engine::{EngineControl, Upstreams};
 use anvilhook_http::{Phase, Shutdown};
@@ -15,7 +20,8 @@
 use tokio::sync::watch;
 
 use super::marks::{MarkSource, Marks};
-use super::plans::{plain_upstreams, pool_plans};
+use super::plans::{engines_of, plain_upstreams, planned_pools, pool_plans};
+use super::roles::{PoolDeclaration, RoleDesk, SeenEngine};
 use super::tasks::rest;
 use crate::front::Front;
 use crate::operators::system_wall_time;
@@ -24,6 +30,10 @@
 /// The pause between two steps of the keeper. It must be well below the guard interval of leases.
 const STEP_PAUSE: Millis = Millis(250);
 
+/// The condition of a pool that says which roles are planned and why, and its reason.
+const ROLES_CONDITION: &str = "Roles";
+const ROLES_PLANNED: &str = "Planned";
+
 /// How often the whole fleet reads the marks of drains in a second, and the bounds of one
 /// instance's pause.
 const FLEET_READS_PER_S: u64 = 200;
@@ -124,8 +134,12 @@
 
 /// `KeeperTask` keeps the pools that this instance holds.
 #[derive(Debug)]
-pub(super) struct KeeperTask<T, E, L, C> {
+pub(super) struct KeeperTask<T, E, L, C, U, K> {
     pub name: InstanceName,
+    pub clock: C,
+    pub front: Front<C, U, K>,
+    pub instances: watch::Sender<usize>,
+    pub desk: RoleDesk,
     pub keeper: Keeper<T, E, L, C>,
     pub follower: ConfigurationFollower<T>,
     pub statuses: StatusStore<T>,
@@ -134,13 +148,22 @@
     pub shutdown: Shutdown,
 }
 
-impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> KeeperTask<T, E, L, C> {
+impl<T, E, L, C, U, K> KeeperTask<T, E, L, C, U, K>
+where
+    T: Table,
+    E: EngineControl,
+    L: InstanceList,
+    C: Clock,
+    U: Upstreams,
+    K: Claims,
+{
     /// Steps the keeper until the instance stops, and then gives its pools up. A step is never cut:
     /// its order could be on the way.
     pub async fn keep(mut self) {
         while self.shutdown.phase() == Phase::Serving {
             let configuration = self.follower.current();
-            let plans = pool_plans(&configuration);
+            self.plan_roles(&configuration).await;
+            let plans = pool_plans(&configuration, &self.desk);
             self.keeper.note_upstreams(plain_upstreams(&configuration));
             self.keeper.step(&plans, &self.hints(), system_wall_time()).await;
             self.publish_terms();
@@ -158,6 +181,66 @@
         self.publish_terms();
     }
 
+    /// Plans the roles of the pools that are held, where that is declared and due.
+    async fn plan_roles(&mut self, cfg: &Configuration) {
+        let held: BTreeSet<PoolName> = self.keeper.held().map(|(pool, _)| pool.clone()).collect();
+        let planned = planned_pools(cfg).into_iter().filter(|(pool, _)| held.contains(pool));
+        let planned: Vec<(PoolName, PoolDeclaration)> = planned.collect();
+        self.desk.keep_only(&planned.iter().map(|(pool, _)| pool.clone()).collect());
+        let now = self.clock.now();
+        for (pool, declared) in planned {
+            if !self.desk.is_due(&pool, now) {
+                continue;
+            }
+            let engines = self.seen_engines(cfg, &pool, now);
+            let seen = self.seen_work(&pool, now);
+            if let Some(message) = self.desk.plan(&pool, &declared, &engines, &seen, now) {
+                self.report_roles(&pool, message).await;
+            }
+        }
+    }
+
+    fn seen_engines(&self, cfg: &Configuration, pool: &PoolName, now: Millis) -> Vec<SeenEngine> {
+        let state = self.front.state();
+        let names = engines_of(cfg, pool).into_iter();
+        let engines = names.filter_map(|name| {
+            let upstream = state.upstreams().get(&name)?;
+            Some(SeenEngine {
+                name,
+                role: upstream.has_report().then(|| upstream.role()),
+                takes_work: upstream.takes_work() && upstream.ejection().share(now) > 0.0,
+                speeds: upstream.load(now).speeds,
+            })
+        });
+        engines.collect()
+    }
+
+    /// Returns the work of a pool since its last plan. The balancer spreads callers evenly over the
+    /// instances, so this one's own share stands for all.
+    fn seen_work(&self, pool: &PoolName, now: Millis) -> WorkSeen {
+        let span = self.desk.span(pool, now).unwrap_or_default();
+        let state = self.front.state();
+        let of_pool = state.services().values().filter(|service| match &service.spec.backend {
+            ServiceBackend::Model { pool: other, .. } => other == pool,
+            ServiceBackend::Plain { .. } => false,
+        });
+        let own = of_pool.fold(WorkSeen::default(), |sum, it| sum.plus(it.meter.take(span)));
+        own.times((*self.instances.borrow()).max(1) as f64)
+    }
+
+    async fn report_roles(&self, pool: &PoolName, message: String) {
+        let Ok(name) = ResourceName::try_new(pool.as_str()) else { return };
+        let condition = Condition {
+            kind: ROLES_CONDITION.to_owned(),
+            state: ConditionState::True,
+            reason: ROLES_PLANNED.to_owned(),
+            message,
+            since: system_wall_time(),
+        };
+        let key = ResourceKey { kind: Kind::EnginePool, name };
+        self.report(Observation { key, condition }).await;
+    }
+
     fn hints(&self) -> PeerHints {
         let news = self.link.news();
         let mut hints = PeerHints::default();
--- a/crates/anvilhook-daemon/src/instances/plans.rs
+++ b/crates/anvilhook-daemon/src/instances/plans.rs
@@ -2,14 +2,17 @@
 
 use anvilhook_authority::{DeclaredDrain, EnginePlan, PoolPlan};
 use anvilhook_core::names::{PoolName, UpstreamName};
-use anvilhook_core::orders::Order;
+use anvilhook_core::orders::{Order, Role};
 use anvilhook_core::resources::{
-    Configuration, EnginePoolSpec, EngineSpec, Kind, Resource, ServiceBackend, Spec,
+    Configuration, EnginePoolSpec, Kind, Resource, ServiceBackend, Spec,
 };
+use anvilhook_core::roles::RoleBounds;
+
+use super::roles::{PoolDeclaration, RoleDesk};
 
 /// Returns what is wanted of each declared pool.
-pub(super) fn pool_plans(cfg: &Configuration) -> Vec<PoolPlan> {
-    cfg.of_kind(Kind::EnginePool).filter_map(|resource| pool_plan(cfg, resource)).collect()
+pub(super) fn pool_plans(cfg: &Configuration, desk: &RoleDesk) -> Vec<PoolPlan> {
+    cfg.of_kind(Kind::EnginePool).filter_map(|resource| pool_plan(cfg, desk, resource)).collect()
 }
 
 /// Returns the names of all upstreams of plain services, which the platform lists beside instances.
@@ -24,12 +27,12 @@
     names
 }
 
-fn pool_plan(cfg: &Configuration, resource: &Resource) -> Option<PoolPlan> {
+fn pool_plan(cfg: &Configuration, desk: &RoleDesk, resource: &Resource) -> Option<PoolPlan> {
     let Spec::EnginePool(spec) = &resource.spec else { return None };
     let pool = PoolName::try_new(resource.name.as_str()).ok()?;
     let engines = cfg.of_kind(Kind::Engine);
     let engines: Vec<EnginePlan> =
-        engines.filter_map(|engine| engine_plan(&pool, spec, engine)).collect();
+        engines.filter_map(|engine| engine_plan(&pool, spec, desk, engine)).collect();
     let drains = cfg.of_kind(Kind::DrainPlan).filter_map(|plan| declared_drain(&pool, plan));
     Some(PoolPlan {
         min_serving: spec.min_serving,
@@ -47,29 +50,71 @@
     (share as usize).max(1)
 }
 
-fn engine_plan(pool: &PoolName, spec: &EnginePoolSpec, resource: &Resource) -> Option<EnginePlan> {
+fn engine_plan(
+    pool: &PoolName,
+    spec: &EnginePoolSpec,
+    desk: &RoleDesk,
+    resource: &Resource,
+) -> Option<EnginePlan> {
     let Spec::Engine(engine) = &resource.spec else { return None };
     if engine.pool != *pool {
         return None;
     }
+    let name = UpstreamName::try_new(resource.name.as_str()).ok()?;
+    // Where the planner decides, the declared role is only the one to start with.
+    let role = match spec.roles.automatic {
+        true => desk.wanted(pool, &name),
+        false => Some(engine.role),
+    };
     Some(EnginePlan {
-        name: UpstreamName::try_new(resource.name.as_str()).ok()?,
+        name,
         address: engine.address,
         zone: engine.zone.clone(),
         fencing: engine.fencing,
-        desired: desired(spec, engine),
+        desired: desired(spec, role),
     })
 }
 
-fn desired(spec: &EnginePoolSpec, engine: &EngineSpec) -> Vec<Order> {
+fn desired(spec: &EnginePoolSpec, role: Option<Role>) -> Vec<Order> {
     let mut orders = vec![Order::LoadModel { model: spec.model.clone() }];
-    // Where the planner decides, the declared role is only the one to start with.
-    if !spec.roles.automatic {
-        orders.push(Order::SetRole { role: engine.role });
-    }
+    orders.extend(role.map(|role| Order::SetRole { role }));
     orders
 }
 
+/// Returns what is declared of the roles of each pool whose roles are planned.
+pub(super) fn planned_pools(cfg: &Configuration) -> Vec<(PoolName, PoolDeclaration)> {
+    let planned = cfg.of_kind(Kind::EnginePool).filter_map(|resource| {
+        let Spec::EnginePool(spec) = &resource.spec else { return None };
+        let pool = PoolName::try_new(resource.name.as_str()).ok()?;
+        let bounds = role_bounds(cfg, &pool);
+        let policy = spec.roles.clone();
+        policy.automatic.then_some((pool, PoolDeclaration { policy, bounds }))
+    });
+    planned.collect()
+}
+
+fn role_bounds(cfg: &Configuration, pool: &PoolName) -> RoleBounds {
+    let mut bounds = RoleBounds::default();
+    for resource in cfg.of_kind(Kind::Role) {
+        let Spec::Role(spec) = &resource.spec else { continue };
+        if spec.pool == *pool {
+            bounds.min.set(spec.role, spec.min_engines as usize);
+            bounds.max.set(spec.role, spec.max_engines as usize);
+        }
+    }
+    bounds
+}
+
+/// Returns the names of a pool's declared engines.
+pub(super) fn engines_of(cfg: &Configuration, pool: &PoolName) -> Vec<UpstreamName> {
+    let engines = cfg.of_kind(Kind::Engine).filter_map(|resource| {
+        let Spec::Engine(engine) = &resource.spec else { return None };
+        let name = UpstreamName::try_new(resource.name.as_str()).ok()?;
+        (engine.pool == *pool).then_some(name)
+    });
+    engines.collect()
+}
+
 fn declared_drain(pool: &PoolName, resource: &Resource) -> Option<DeclaredDrain> {
     let Spec::DrainPlan(spec) = &resource.spec else { return None };
     let is_of_pool = spec.pool == *pool;
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -33,6 +33,7 @@
 use super::metrics::InstanceCollector;
 use super::peers::Presence;
 use super::pollers::Pollers;
+use super::roles::RoleDesk;
 use super::shares::ShareTask;
 use super::sweeps::sweep_claims;
 use super::tasks::Tasks;
@@ -320,6 +321,10 @@
         options.check()?;
         let keeper = KeeperTask {
             name: self.name.clone(),
+            clock: self.clock.clone(),
+            front: self.front.clone(),
+            instances: self.instances.clone(),
+            desk: RoleDesk::new(self.settings.roles),
             keeper: Keeper::new(self.name.clone(), services, options),
             follower: self.follower.clone(),
             statuses: StatusStore::new(table),
--- a/crates/anvilhook-daemon/src/settings/mod.rs
+++ b/crates/anvilhook-daemon/src/settings/mod.rs
@@ -10,6 +10,8 @@
 use std::net::SocketAddr;
 
 use anvilhook_core::names::{SubjectName, ZoneName};
+use anvilhook_core::resources::RolePolicy;
+use anvilhook_core::roles::PlanOptions;
 use anvilhook_core::units::Millis;
 use serde::Deserialize;
 
@@ -43,6 +45,9 @@
     pub leases: LeaseSettings,
     /// The link to the other instances.
     pub peers: PeerSettings,
+    /// How it plans roles.
+    #[serde(default)]
+    pub roles: RoleSettings,
     /// What this deployment values.
     #[serde(default)]
     pub weights: WeightSettings,
@@ -231,6 +236,36 @@
     }
 }
 
+/// `RoleSettings` says how often the roles of a pool are planned, and how far ahead.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RoleSettings {
+    /// The time between two plans.
+    #[serde(deserialize_with = "checks::positive_millis")]
+    pub plan_every_ms: Millis,
+    /// How long a change takes an engine out of service, its drain included.
+    #[serde(deserialize_with = "checks::positive_millis")]
+    pub change_ms: Millis,
+    /// The time for which a plan is made.
+    #[serde(deserialize_with = "checks::positive_millis")]
+    pub horizon_ms: Millis,
+    /// The time over which what was seen loses its weight.
+    #[serde(deserialize_with = "checks::positive_millis")]
+    pub memory_ms: Millis,
+}
+
+impl Default for RoleSettings {
+    fn default() -> Self {
+        let usual = PlanOptions::new(RolePolicy::default());
+        Self {
+            plan_every_ms: Millis::from_secs(5),
+            change_ms: usual.change,
+            horizon_ms: usual.horizon,
+            memory_ms: usual.memory,
+        }
+    }
+}
+
 /// `WeightSettings` says what this deployment values.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
