--- a/crates/anvilhook-bench/src/local/mod.rs
+++ b/crates/anvilhook-bench/src/local/mod.rs
@@ -5,6 +5,7 @@
 mod plans;
 mod rows;
 mod runs;
+mod swings;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,9 @@
     /// keep the site up after the run and print its addresses
     #[argh(switch)]
     pub serve: bool,
+    /// show roles following a mix that swings, instead of faults
+    #[argh(switch)]
+    pub swing: bool,
     /// print the table as one JSON object
     #[argh(switch)]
     pub json: bool,
@@ -61,6 +65,9 @@
 ///
 /// Any failure to start the site or to print.
 pub async fn run(args: &Args) -> eyre::Result<bool> {
+    if args.swing {
+        return swings::run(args).await;
+    }
     let options = PlanOptions {
         seed: args.seed,
         span: SPAN,
--- a/crates/anvilhook-bench/src/local/plans.rs
+++ b/crates/anvilhook-bench/src/local/plans.rs
@@ -133,7 +133,7 @@
 }
 
 /// Draws the times of an open-loop load: callers do not wait for each other.
-fn arrivals(rate_per_s: f64, span: Millis, rng: &mut impl Rng) -> Vec<Millis> {
+pub(super) fn arrivals(rate_per_s: f64, span: Millis, rng: &mut impl Rng) -> Vec<Millis> {
     let mut times = Vec::new();
     let mut at_s = 0.0;
     loop {
@@ -171,7 +171,7 @@
     }
 }
 
-fn text(bytes: usize, rng: &mut impl Rng) -> String {
+pub(super) fn text(bytes: usize, rng: &mut impl Rng) -> String {
     let mut text = String::with_capacity(bytes + 16);
     while text.len() < bytes {
         text.push_str(WORDS[rng.random_range(0..WORDS.len())]);
--- a/crates/anvilhook-bench/src/local/runs.rs
+++ b/crates/anvilhook-bench/src/local/runs.rs
@@ -53,9 +53,18 @@
             seed: options.seed,
             ..SiteOptions::default()
         };
-        let site = Site::start(&site_options).await?;
+        Self::start_site(&site_options, options.instances).await
+    }
+
+    /// Starts the stand-ins of a site and a number of instances.
+    ///
+    /// # Errors
+    ///
+    /// Any failure to start.
+    pub async fn start_site(options: &SiteOptions, instances: usize) -> eyre::Result<Arc<Self>> {
+        let site = Site::start(options).await?;
         let mut members = Vec::new();
-        for index in 0..options.instances {
+        for index in 0..instances {
             let seed = options.seed.wrapping_mul(1_000).wrapping_add(index as u64);
             let handle = site.start_instance(index, seed).await?;
             let addresses = handle.addresses();
--- a/crates/anvilhook-bench/src/sites/mod.rs
+++ b/crates/anvilhook-bench/src/sites/mod.rs
@@ -9,7 +9,7 @@
 
 use anvilhook_core::units::{Millis, SystemClock};
 use anvilhook_daemon::instances::{Instance, InstanceHandle, Parts};
-use anvilhook_daemon::settings::{self, Settings};
+use anvilhook_daemon::settings::{self, RoleSettings, Settings};
 use anvilhook_standin::engines::{EngineOptions, EngineServer, EngineServerOptions};
 use anvilhook_standin::faults::FrontOptions;
 use anvilhook_standin::plain::{PlainServer, PlainServerOptions, RunLedger};
@@ -20,7 +20,8 @@
 pub use declarations::{declare, redeclare};
 pub use resources::{
     ALERT_SERVICE, Bounds, CALL_PATH, CHAT_SERVICE, Declared, ECHO_PATH, LEDGER_SERVICE, MODEL,
-    OPERATOR_TOKEN, TOKEN, engine_name, name, plain_name, pool, resources, token_digest, zone,
+    OPERATOR_TOKEN, TOKEN, engine_name, model_ref, name, plain_name, pool, pool_with, resources,
+    token_digest, zone,
 };
 
 /// An address on loopback whose port the kernel chooses.
@@ -44,6 +45,8 @@
     pub bounds: Bounds,
     /// Whether the stand-ins hold their connections, so that those can be made to fail.
     pub holds_connections: bool,
+    /// How the instances plan roles, where a pool asks for it.
+    pub roles: RoleSettings,
     /// The seed of all that is left to chance.
     pub seed: u64,
 }
@@ -58,6 +61,7 @@
             list_lag: Millis(200),
             bounds: Bounds::default(),
             holds_connections: true,
+            roles: RoleSettings::default(),
             seed: 1,
         }
     }
@@ -76,6 +80,7 @@
     pub ledger: RunLedger,
     /// The clock of all stand-ins.
     pub clock: SystemClock,
+    roles: RoleSettings,
     platform_server: PlatformServer,
 }
 
@@ -117,7 +122,7 @@
         let declared = resources(&engine_addresses, &plain_addresses, &options.bounds);
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
         declare(platform.clone(), declared, &mut rng).await?;
-        Ok(Self { platform, engines, plain, ledger, clock, platform_server })
+        Ok(Self { platform, engines, plain, ledger, clock, roles: options.roles, platform_server })
     }
 
     /// Returns where the platform listens.
@@ -147,7 +152,9 @@
     ///
     /// A `SettingsError` if the text above breaks a rule.
     pub fn settings(&self, index: usize) -> Result<Settings, settings::SettingsError> {
-        settings::parse(Path::new("site.yaml"), &self.settings_text(index))
+        let text = self.settings_text(index);
+        let settings = settings::parse(Path::new("site.yaml"), &text)?;
+        Ok(Settings { roles: self.roles, ..settings })
     }
 
     /// Starts an instance within the process and waits until it is ready.
--- a/crates/anvilhook-bench/src/sites/resources.rs
+++ b/crates/anvilhook-bench/src/sites/resources.rs
@@ -122,7 +122,8 @@
     (name(ACCOUNT), Spec::Account(spec))
 }
 
-fn model_ref() -> ModelRef {
+/// Returns the model that all engines serve.
+pub fn model_ref() -> ModelRef {
     ModelRef { model: name::<ModelName>(MODEL), version: 1 }
 }
 
@@ -144,6 +145,11 @@
         max_changing_share: 0.25,
         min_dwell_ms: Millis::from_secs(60),
     };
+    pool_with(model, roles)
+}
+
+/// Returns the pool of all engines with a policy on its roles.
+pub fn pool_with(model: ModelRef, roles: RolePolicy) -> Declared {
     let spec = EnginePoolSpec { model, roles, min_serving: 1 };
     (name(POOL), Spec::EnginePool(spec))
 }
