--- a/crates/anvilhook-bench/src/local/swings.rs
+++ b/crates/anvilhook-bench/src/local/swings.rs
@@ -7,18 +7,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilhook_core::Verdict;
 use anvilhook_core::orders::{Order, OrderReply, Role};
 use anvilhook_core::resources::RolePolicy;
 use anvilhook_core::roles::RoleCounts;
 use anvilhook_core::units::Millis;
+use anvilhook_daemon::proxy::Code;
 use anvilhook_daemon::settings::RoleSettings;
 use anvilhook_standin::engines::{AttemptEnd, EngineOptions, EngineServer, OrderRecord};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use super::plans::{arrivals, text};
-use super::{Args, Body, Kind, Plan, Planned, Report, Row, Run, rows, table};
-use crate::callers::ChatCall;
+use super::{Args, Body, Ended, Kind, Plan, Planned, Report, Row, Run, rows, table};
+use crate::callers::{ChatCall, Outcome};
 use crate::sites::{SiteOptions, model_ref, pool_with, redeclare};
 
 /// How long each part of the load lasts.
@@ -73,7 +75,8 @@
     let shared = engines.iter().flat_map(EngineServer::attempts);
     let shared = shared.filter(|it| it.end.is_some_and(|(end, _)| end == AttemptEnd::Prefilled));
     let followed = roles.prefill > 0 && roles.decode > 0;
-    let kept = rows.iter().all(|row| row.broken() == 0) && cut == 0;
+    let (late, broken_off) = failures(&ended);
+    let kept = rows.iter().all(|row| row.broken() == 0) && cut == 0 && broken_off == 0;
     if args.json {
         let rows = rows.iter().map(Row::report).collect();
         let report = Report { seed: args.seed, rows, sent_to_leaving: 0, kept: kept && followed };
@@ -88,6 +91,7 @@
             changes(engines).count()
         );
         println!("prompts read for another engine: {}; cut by orders: {cut}", shared.count());
+        println!("given up: {late} for their time; {broken_off} for other reasons");
         if !followed {
             println!("no role followed the mix");
         }
@@ -128,6 +132,18 @@
     Plan { requests, faults: Vec::new() }
 }
 
+/// Counts the requests that failed after they may have run: those that took too long, which an
+/// overload explains, and all others, which it does not.
+fn failures(ended: &[Ended]) -> (usize, usize) {
+    let of_time = [Code::DeadlineExceeded.as_str(), Code::UpstreamTimeout.as_str()];
+    let codes = ended.iter().filter_map(|one| match &one.outcome {
+        Outcome::Failed { verdict, code } if *verdict != Verdict::NotRun => Some(code.as_str()),
+        _ => None,
+    });
+    let (late, others): (Vec<&str>, Vec<&str>) = codes.partition(|code| of_time.contains(code));
+    (late.len(), others.len())
+}
+
 /// Prints each role change when its order has been accepted.
 async fn show_changes(run: Arc<Run>) {
     let mut shown = vec![0; run.site.engines.len()];
