--- a/crates/anvilhook-daemon/src/front/states.rs
+++ b/crates/anvilhook-daemon/src/front/states.rs
@@ -10,6 +10,7 @@
     AccountSpec, CallSpec, Configuration, Kind, Resource, ServiceBackend, ServiceSpec, Spec,
 };
 use anvilhook_core::retries::{RetryBudget, RetryBudgetOptions};
+use anvilhook_core::roles::WorkMeter;
 use anvilhook_core::routing::{RouteTable, UpstreamState};
 
 use super::credentials::{Credentials, TokenDigest};
@@ -38,6 +39,8 @@
     pub table: RouteTable,
     /// Its retry budget.
     pub budget: Arc<RetryBudget>,
+    /// The work that was asked of it, for the planning of roles.
+    pub meter: Arc<WorkMeter>,
     /// Its metrics.
     pub metrics: Arc<ServiceMetrics>,
 }
@@ -244,13 +247,16 @@
                 .map(|plain| self.upstream(earlier, plain.name.clone(), plain.address, &plain.zone))
                 .collect(),
         };
-        let budget = earlier.services.get(&name).map(|service| Arc::clone(&service.budget));
+        let kept = earlier.services.get(&name);
+        let budget = kept.map(|service| Arc::clone(&service.budget));
+        let meter = kept.map(|service| Arc::clone(&service.meter));
         let new_budget = || Arc::new(RetryBudget::new(&RetryBudgetOptions::default()));
         let service = Arc::new(Service {
             name: name.clone(),
             spec: spec.clone(),
             table: RouteTable::new(upstreams).with_prefixes(Arc::clone(options.prefixes)),
             budget: budget.unwrap_or_else(new_budget),
+            meter: meter.unwrap_or_default(),
             metrics: options.metrics.service(&name),
         });
         if let ServiceBackend::Model { model, .. } = &spec.backend {
