Decide which pool may order an engine

Cause: authority is a lease for each pool. An engine that an operator declares anew in another pool belongs to both for as long as instances go by different configurations.

Change: an owner for each engine's address, with the decision when a pool may claim it from another; an open order may say where it goes and at which kind of engine. Fencing can be hashed.

--- a/crates/anvilhook-core/src/authority/mod.rs
+++ b/crates/anvilhook-core/src/authority/mod.rs
@@ -8,11 +8,13 @@
 mod decisions;
 mod evidence;
 mod load_slots;
+mod owners;
 mod rows;
 mod settling;
 
 pub use decisions::{Decision, EngineFacts, Wait, decide, is_met};
 pub use evidence::effective_fencing;
 pub use load_slots::{LoadSlot, LoadSlots};
+pub use owners::{Claim, ClaimRefusal, EngineOwner, OrderTarget};
 pub use rows::{OpenOrder, PoolRow, SessionView, TakeRefusal};
 pub use settling::{Fate, GivenOrder, OrderCall, SettleOptions, settle};
--- a/crates/anvilhook-core/src/authority/rows.rs
+++ b/crates/anvilhook-core/src/authority/rows.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::owners::OrderTarget;
 use crate::drains::DrainMarks;
 use crate::leases::SessionRef;
 use crate::names::{InstanceName, UpstreamName};
@@ -18,6 +19,9 @@
     pub order: Order,
     /// All instances that may have this order, under this stamp or an earlier one, on its way.
     pub senders: BTreeSet<InstanceName>,
+    /// Where it goes, if that was recorded.
+    #[serde(default)]
+    pub target: Option<OrderTarget>,
 }
 
 impl OpenOrder {
@@ -122,7 +126,7 @@
         let before = row.open.remove(engine).map(|open| open.senders);
         let mut senders = before.unwrap_or_default();
         senders.extend(row.holder.iter().map(|session| session.instance.clone()));
-        row.open.insert(engine.clone(), OpenOrder { stamp, order, senders });
+        row.open.insert(engine.clone(), OpenOrder { stamp, order, senders, target: None });
         row
     }
 
--- a/crates/anvilhook-core/src/resources/engines.rs
+++ b/crates/anvilhook-core/src/resources/engines.rs
@@ -55,7 +55,7 @@
 }
 
 /// `Fencing` says what an engine does with an order whose fencing number is old.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Fencing {
     /// It refuses the order.
