Let only the pool that owns an engine record orders for it

Cause: the holders of two pools could order the same engine at the same moment if one of them goes by an older configuration, and an order left behind in one pool's row was not seen from another pool, nor under another name of the engine.

Change: the transaction that records an order names the engine's owner; another pool takes the engine in the transaction that records its first order, if the former pool's row shows nothing open. An undeclared pool that is waited for is wound down, and an order that a paused holder of it may still send to an engine that checks is fenced off. Status says AwaitingFormerPool. The plan of an engine carries the revision of its declaration.

One write of the owner's row for three orders and 40 s of renewals, and one more for a hand-over.

Conclusion: an engine that moves between pools gets orders of one of them at a time.

--- a/crates/anvilhook-authority/src/engines.rs
+++ b/crates/anvilhook-authority/src/engines.rs
@@ -1,31 +1,38 @@
 //! One engine of a held pool: read, decided on, given its orders.
 
+mod claims;
+
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use anvilhook_core::Verdict;
 use anvilhook_core::authority::{
-    Decision, EngineFacts, GivenOrder, LoadSlot, OrderCall, PoolRow, Wait, decide,
+    Claim, Decision, EngineFacts, GivenOrder, LoadSlot, OrderCall, PoolRow, Wait, decide,
     effective_fencing, is_met,
 };
 use anvilhook_core::drains::{DrainCause, DrainProgress};
+use anvilhook_core::names::PoolName;
 use anvilhook_core::orders::{EngineState, OrderReply, Stamp, StampedOrder};
 use anvilhook_core::resources::Fencing;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_engine::EngineControl;
 use anvilhook_platform::{InstanceList, Table};
 
+use self::claims::Claimed;
 use crate::fleets::Fleet;
 use crate::keepers::Services;
 use crate::observations::{Finding, ObservationBook, kinds, list, reasons};
 use crate::options::KeeperOptions;
+use crate::owners::OwnerView;
 use crate::plans::{EnginePlan, PoolPlan};
-use crate::pools::HeldPool;
+use crate::pools::{HeldPool, RowChange};
 use crate::sessions::SessionHolder;
-use crate::slots::{SlotChange, SlotView};
+use crate::slots::SlotView;
 
 /// The most decisions on one engine in one step: an order closed, the next one recorded and given,
-/// and one to spare.
-const MAX_DECISIONS: usize = 4;
+/// and one to spare,
+/// after its owner was read.
+const MAX_DECISIONS: usize = 5;
 
 /// `EngineMemory` is what this holder remembers of an engine.
 #[derive(Debug, Default)]
@@ -39,6 +46,8 @@
     highest: Stamp,
     lost_fence: bool,
     refused_until: Option<Millis>,
+    /// Who may order it, as long as nothing speaks against that.
+    owner: Option<OwnerView>,
 }
 
 /// A state as it was read, and when the reading was sent.
@@ -76,6 +85,8 @@
     pub fleet: &'a Fleet,
     pub slots: &'a mut SlotView,
     pub book: &'a mut ObservationBook,
+    /// The pools that an engine here waits for.
+    pub awaited: &'a mut BTreeSet<PoolName>,
 }
 
 impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Desk<'_, T, E, L, C> {
@@ -87,12 +98,13 @@
                 log::warn!("the load slots cannot be read: {err}");
             }
         }
-        self.read_states(pool, plan).await;
-        for engine in &plan.engines {
+        let left = pool.left_behind(plan);
+        self.read_states(pool, plan.engines.iter().chain(&left)).await;
+        for engine in plan.engines.iter().chain(&left) {
             // Renewals come first: a few slow engines must not cost the lease of all others.
             self.keep_session().await;
             let found = self.work_engine(pool, plan, engine).await;
-            if let Some(found) = found {
+            if let Some(found) = found.filter(|_| plan.engine(&engine.name).is_some()) {
                 self.book.engine(&engine.name, kinds::SETTLED, found);
             }
             if pool.is_lost() || pool.is_stale() {
@@ -109,14 +121,18 @@
     }
 
     /// Reads the states that are due, all at once.
-    async fn read_states(&mut self, pool: &mut HeldPool, plan: &PoolPlan) {
+    async fn read_states<'p>(
+        &mut self,
+        pool: &mut HeldPool,
+        engines: impl Iterator<Item = &'p EnginePlan>,
+    ) {
         let now = self.services.clock.now();
         let idle = self.options.idle_read_ms;
         let is_due = |engine: &&EnginePlan| {
             let memory = pool.engines.get(&engine.name);
             memory.is_none_or(|memory| memory.is_due(&pool.row, engine, now, idle))
         };
-        let due: Vec<&EnginePlan> = plan.engines.iter().filter(is_due).collect();
+        let due: Vec<&EnginePlan> = engines.filter(is_due).collect();
         let reads = due.iter().map(|engine| self.services.engines.state(engine.address));
         let states = futures_util::future::join_all(reads).await;
         for (engine, state) in due.into_iter().zip(states) {
@@ -146,6 +162,23 @@
                 let unreachable = memory_is_unreachable(memory);
                 return unreachable.then(|| unreachable_finding(engine));
             };
+            let claim = match self.claim(pool, plan, engine, &read).await {
+                Ok(Claimed::Anew) => {
+                    self.read_again(pool, engine).await?;
+                    continue;
+                }
+                Ok(Claimed::NotNeeded) => None,
+                Ok(Claimed::As(claim)) => Some(claim),
+                Ok(Claimed::Refused(finding)) => {
+                    // Meanwhile the engine may serve.
+                    self.unmark(pool, engine).await;
+                    return Some(finding);
+                }
+                Err(err) => {
+                    let message = format!("the engine's owner cannot be read: {err}");
+                    return Some(Finding::new(false, reasons::TABLE_UNAVAILABLE, message));
+                }
+            };
             let decision = self.decide(pool, plan, engine, &read);
             log::debug!("engine {}: {decision:?}", engine.name);
             let (next, change) = match decision {
@@ -158,32 +191,41 @@
                     self.read_again(pool, engine).await?;
                     continue;
                 }
-                Decision::RaiseTerm(seen) => (pool.row.raise(seen), SlotChange::default()),
+                Decision::RaiseTerm(seen) => (pool.row.raise(seen), RowChange::default()),
                 Decision::Mark => {
                     let mut row = pool.row.clone();
                     row.drains.mark(&engine.name, DrainCause::Change);
-                    (row, SlotChange::default())
+                    (row, RowChange::default())
                 }
                 Decision::Unmark => {
                     let mut row = pool.row.clone();
                     row.drains.unmark(&engine.name, &DrainCause::Change);
-                    (row, SlotChange::default())
+                    (row, RowChange::default())
                 }
                 Decision::Record(order) => {
                     let slot = load_slot(pool, engine);
                     let Some(change) = self.slots.take(&order, slot, self.options.max_loads) else {
                         return Some(Finding::of_wait(&Wait::WeightStore));
                     };
-                    (pool.row.record(&engine.name, order), change)
+                    let recorded = self.record(pool, engine, &read, claim, order);
+                    let Some((row, owner)) = recorded else {
+                        return Some(changing_finding("the engine's owner must be read"));
+                    };
+                    (row, RowChange { slot: change, owner: Some(owner) })
                 }
                 Decision::Close => {
                     let slot = load_slot(pool, engine);
-                    (pool.row.close(&engine.name), self.slots.free(&slot))
+                    (pool.row.close(&engine.name), self.slots.free(&slot).into())
                 }
             };
+            let changes_owner = change.owner.is_some();
             let is_mark = next.drains.generation > pool.row.drains.generation;
             let now = self.services.clock.now();
             let written = pool.write(&self.services.table, next, self.slots, change, now).await;
+            if changes_owner && (claim != Some(Claim::Held) || !matches!(written, Ok(true))) {
+                // Who owns the engine has changed, or is not known.
+                pool.engines.entry(engine.name.clone()).or_default().owner = None;
+            }
             match written {
                 Ok(true) => {}
                 Ok(false) => return Some(changing_finding("another write came between")),
@@ -251,8 +293,10 @@
             refused_lately: memory.refused_until.is_some_and(|until| now < until),
         };
         let decision = decide(&pool.row, &facts, &self.options.settle);
-        let fencing = fencing_finding(engine.fencing, &read.state, memory.lost_fence);
-        self.book.engine(&engine.name, kinds::FENCING, fencing);
+        if plan.engine(&engine.name).is_some() {
+            let fencing = fencing_finding(engine.fencing, &read.state, memory.lost_fence);
+            self.book.engine(&engine.name, kinds::FENCING, fencing);
+        }
         decision
     }
 
--- /dev/null
+++ b/crates/anvilhook-authority/src/engines/claims.rs
@@ -0,0 +1,115 @@
+//! Whether a pool may order one of its engines, and the record of an order.
+
+use anvilhook_core::authority::{
+    Claim, ClaimRefusal, EngineOwner, OrderTarget, PoolRow, effective_fencing, is_met,
+};
+use anvilhook_core::drains::DrainCause;
+use anvilhook_core::names::PoolName;
+use anvilhook_core::orders::Order;
+use anvilhook_core::units::Clock;
+use anvilhook_engine::EngineControl;
+use anvilhook_platform::{InstanceList, Result, Table};
+
+use super::{Desk, StateRead};
+use crate::observations::{Finding, reasons};
+use crate::owners::{OwnerChange, OwnerView};
+use crate::plans::{EnginePlan, PoolPlan};
+use crate::pools::{HeldPool, is_declared};
+use crate::slots::SlotChange;
+
+/// Whether a pool may order an engine.
+pub(super) enum Claimed {
+    /// It wants nothing of it.
+    NotNeeded,
+    /// The owner has just been read, and the engine must be read after it.
+    Anew,
+    /// It may, by this claim.
+    As(Claim),
+    /// It may not.
+    Refused(Finding),
+}
+
+impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Desk<'_, T, E, L, C> {
+    /// Finds out whether the pool may order an engine, if it wants to.
+    pub(super) async fn claim(
+        &mut self,
+        pool: &mut HeldPool,
+        plan: &PoolPlan,
+        engine: &EnginePlan,
+        read: &StateRead,
+    ) -> Result<Claimed> {
+        let open = pool.row.open.get(&engine.name);
+        let is_left = plan.engine(&engine.name).is_none();
+        if open.is_some_and(|open| !is_left && !is_declared(plan, &engine.name, open)) {
+            let message = "an order may still arrive at the engine's former address";
+            return Ok(Claimed::Refused(Finding::new(false, reasons::ORDER_IN_DOUBT, message)));
+        }
+        let is_unmet = engine.desired.iter().any(|order| !is_met(order, &read.state));
+        if open.is_none() && !is_unmet {
+            return Ok(Claimed::NotNeeded);
+        }
+
+        let memory = pool.engines.entry(engine.name.clone()).or_default();
+        let fencing = effective_fencing(engine.fencing, &read.state, memory.lost_fence);
+        let wanted = owner_of(&pool.name, engine);
+        let claim = memory.owner.as_ref().map(|view| view.claim(&pool.row, &wanted, fencing));
+        let (now, awaited) = (self.services.clock.now(), self.options.awaited_read_ms);
+        let is_refused = matches!(claim, Some(Err(_)));
+        let view = memory.owner.as_ref();
+        let (Some(view), Some(claim)) = (
+            view.filter(|view| !view.is_outdated(engine.address, is_refused, now, awaited)),
+            claim,
+        ) else {
+            let table = &self.services.table;
+            memory.owner = None;
+            memory.owner = Some(OwnerView::read(table, engine.address, &pool.name, now).await?);
+            return Ok(Claimed::Anew);
+        };
+        match claim {
+            Ok(claim) => Ok(Claimed::As(claim)),
+            Err(refusal) => {
+                if refusal != ClaimRefusal::DeclaredLater {
+                    self.awaited.extend(view.owner().cloned());
+                }
+                Ok(Claimed::Refused(view.finding(&refusal, engine)))
+            }
+        }
+    }
+
+    /// Lets an engine serve that waits to be ordered.
+    pub(super) async fn unmark(&mut self, pool: &mut HeldPool, engine: &EnginePlan) {
+        let is_marked = pool.row.drains.is_marked_for(&engine.name, &DrainCause::Change);
+        if !is_marked || pool.row.open.contains_key(&engine.name) {
+            return;
+        }
+        let mut row = pool.row.clone();
+        row.drains.unmark(&engine.name, &DrainCause::Change);
+        let (table, now) = (&self.services.table, self.services.clock.now());
+        if let Err(err) = pool.write(table, row, self.slots, SlotChange::default(), now).await {
+            log::warn!("the drain of {} cannot be lifted: {err}", engine.name);
+        }
+    }
+
+    /// Returns the row that records an order, and what the engine's owner has to do with it.
+    pub(super) fn record(
+        &self,
+        pool: &HeldPool,
+        engine: &EnginePlan,
+        read: &StateRead,
+        claim: Option<Claim>,
+        order: Order,
+    ) -> Option<(PoolRow, OwnerChange)> {
+        let view = pool.engines.get(&engine.name)?.owner.as_ref()?;
+        let claim = claim?;
+        let owner = view.change(claim, &owner_of(&pool.name, engine)).ok()?;
+        let EnginePlan { address, zone, fencing, .. } = engine.clone();
+        let former = view.former_row(&pool.row);
+        let row = pool.row.claim_engine(claim, former, read.state.last_stamp);
+        Some((row.record_for(&engine.name, order, OrderTarget { address, zone, fencing }), owner))
+    }
+}
+
+fn owner_of(pool: &PoolName, engine: &EnginePlan) -> EngineOwner {
+    let EnginePlan { name, declared_at, .. } = engine.clone();
+    EngineOwner { pool: pool.clone(), engine: name, declared_at }
+}
--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -51,6 +51,8 @@
     /// because the platform lists an engine for a while after it was taken from the configuration.
     upstreams: BTreeSet<UpstreamName>,
     book: ObservationBook,
+    /// The pools that engines of this instance's pools wait for.
+    awaited: BTreeSet<PoolName>,
 }
 
 impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Keeper<T, E, L, C> {
@@ -66,6 +68,7 @@
             held: BTreeMap::new(),
             upstreams: BTreeSet::new(),
             book: ObservationBook::default(),
+            awaited: BTreeSet::new(),
         }
     }
 
@@ -81,6 +84,7 @@
     /// Failures of the platform and of engines are observed, not returned: the next step tries
     /// again.
     pub async fn step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
+        let plans = &self.with_awaited(plans);
         self.book.set_wall(wall);
         self.fleet.begin_step(hints);
         let engines = plans.iter().flat_map(|plan| &plan.engines);
@@ -100,6 +104,16 @@
         }
     }
 
+    /// Returns the plans with an empty one for each undeclared pool that one of the engines waits
+    /// for. Nobody else takes such a pool, and an order that it left behind would stay open for
+    /// good; one would see the engine wait for a pool that does not exist.
+    fn with_awaited(&mut self, plans: &[PoolPlan]) -> Vec<PoolPlan> {
+        let awaited = std::mem::take(&mut self.awaited);
+        let undeclared =
+            awaited.into_iter().filter(|name| plans.iter().all(|plan| plan.pool != *name));
+        plans.iter().cloned().chain(undeclared.map(PoolPlan::empty)).collect()
+    }
+
     /// Gives up everything at a planned stop, so that successors need not wait.
     ///
     /// # Errors
@@ -243,6 +257,7 @@
                 fleet: &self.fleet,
                 slots: &mut self.slots,
                 book: &mut self.book,
+                awaited: &mut self.awaited,
             };
             desk.work(&mut pool, plan).await;
             if let Err(err) = self.work_plans(&mut pool, plan).await {
--- a/crates/anvilhook-authority/src/observations.rs
+++ b/crates/anvilhook-authority/src/observations.rs
@@ -18,6 +18,8 @@
     pub const ORDER_IN_DOUBT: &str = "OrderInDoubt";
     /// A former holder may still give orders that the engine would take.
     pub const AWAITING_PREDECESSOR: &str = "AwaitingPredecessor";
+    /// The pool that ordered the engine before may still give it an order.
+    pub const AWAITING_FORMER_POOL: &str = "AwaitingFormerPool";
     /// Instances have not acknowledged the drain.
     pub const AWAITING_INSTANCES: &str = "AwaitingInstances";
     /// The engine still has requests.
--- a/crates/anvilhook-authority/src/plans.rs
+++ b/crates/anvilhook-authority/src/plans.rs
@@ -5,6 +5,7 @@
 use anvilhook_core::names::{PoolName, ResourceName, UpstreamName, ZoneName};
 use anvilhook_core::orders::Order;
 use anvilhook_core::resources::{DrainPlanSpec, Fencing};
+use anvilhook_core::units::Revision;
 
 /// `EnginePlan` is what is wanted of one engine.
 #[derive(Clone, Debug, PartialEq)]
@@ -20,6 +21,9 @@
     /// What it should be, as orders in the sequence in which they may be given. Those that its
     /// state meets are not given.
     pub desired: Vec<Order>,
+    /// The revision of the change that declared it as it is. Of two pools that claim the engine at
+    /// an address, the one with the later declaration may have it.
+    pub declared_at: Revision,
 }
 
 /// `DeclaredDrain` is a drain plan that stands.
@@ -48,6 +52,12 @@
 }
 
 impl PoolPlan {
+    /// Returns the plan by which a pool that is not declared is wound down.
+    pub(crate) fn empty(pool: PoolName) -> Self {
+        let (engines, drains) = (Vec::new(), Vec::new());
+        Self { pool, engines, min_serving: 0, max_changing: 0, drains }
+    }
+
     /// Returns what is wanted of an engine, if it is declared.
     pub(crate) fn engine(&self, name: &UpstreamName) -> Option<&EnginePlan> {
         self.engines.iter().find(|engine| engine.name == *name)
--- a/crates/anvilhook-authority/src/pools.rs
+++ b/crates/anvilhook-authority/src/pools.rs
@@ -2,20 +2,34 @@
 
 use std::collections::BTreeMap;
 
-use anvilhook_core::authority::PoolRow;
+use anvilhook_core::authority::{OpenOrder, OrderTarget, PoolRow};
 use anvilhook_core::drains::{DrainCause, DrainPlanner, EngineView, PlanRefusal};
 use anvilhook_core::leases::SessionRef;
 use anvilhook_core::names::{InstanceName, PoolName, ResourceName, UpstreamName};
-use anvilhook_core::units::Millis;
+use anvilhook_core::units::{Millis, Revision};
 use anvilhook_platform::{Commit, Result, Table, Transaction};
 
 use crate::engines::EngineMemory;
 use crate::fleets::Fleet;
 use crate::observations::{Finding, ObservationBook, kinds, reasons};
-use crate::plans::{DeclaredDrain, PoolPlan};
+use crate::owners::OwnerChange;
+use crate::plans::{DeclaredDrain, EnginePlan, PoolPlan};
 use crate::rows::{self, Stored};
 use crate::slots::{SlotChange, SlotView};
 
+/// `RowChange` is what changes together with a pool's row.
+#[derive(Debug, Default)]
+pub(crate) struct RowChange {
+    pub slot: SlotChange,
+    pub owner: Option<OwnerChange>,
+}
+
+impl From<SlotChange> for RowChange {
+    fn from(slot: SlotChange) -> Self {
+        Self { slot, owner: None }
+    }
+}
+
 /// `HeldPool` is a pool that this instance holds, with the row as it was last known to stand.
 #[derive(Debug)]
 pub(crate) struct HeldPool {
@@ -104,13 +118,17 @@
         table: &impl Table,
         next: PoolRow,
         slots: &mut SlotView,
-        change: SlotChange,
+        change: impl Into<RowChange>,
         now: Millis,
     ) -> Result<bool> {
+        let RowChange { slot: change, owner } = change.into();
         let key = rows::pool_key(&self.name);
         let mut conditions = vec![rows::stands_at(key.clone(), Some(self.version))];
         let mut writes = vec![rows::put(key.clone(), &next)?];
         change.add_to(&mut conditions, &mut writes)?;
+        if let Some(owner) = owner {
+            owner.add_to(&mut conditions, &mut writes);
+        }
         match table.commit(&Transaction { conditions, writes }).await {
             Ok(Commit::Done) => {
                 slots.applied(change);
@@ -170,8 +188,11 @@
         now: Millis,
     ) -> Option<UpstreamName> {
         let open = &self.row.open;
-        self.undeclared.retain(|name, _| open.contains_key(name) && plan.engine(name).is_none());
-        for name in open.keys().filter(|name| plan.engine(name).is_none()) {
+        let is_withdrawn = |name: &UpstreamName| {
+            open.get(name).is_some_and(|order| !is_declared(plan, name, order))
+        };
+        self.undeclared.retain(|name, _| is_withdrawn(name));
+        for name in open.keys().filter(|name| is_withdrawn(name)) {
             self.undeclared.entry(name.clone()).or_insert(now);
         }
         let is_dead = |(name, since): &(&UpstreamName, &Millis)| {
@@ -181,6 +202,21 @@
         self.undeclared.iter().find(is_dead).map(|(name, _)| name.clone())
     }
 
+    /// Returns the undeclared engines whose open orders a former holder may still give. What can be
+    /// fenced off there is, so that an engine that has moved to another pool can be ordered there.
+    pub fn left_behind(&self, plan: &PoolPlan) -> Vec<EnginePlan> {
+        let open = self.row.open.iter();
+        let left = open.filter(|(name, order)| {
+            plan.engine(name).is_none() && !order.senders.is_disjoint(&self.row.uncleared)
+        });
+        let engine = |(name, order): (&UpstreamName, &OpenOrder)| {
+            let OrderTarget { address, zone, fencing } = order.target.clone()?;
+            let (desired, declared_at) = (Vec::new(), Revision::default());
+            Some(EnginePlan { name: name.clone(), address, zone, fencing, desired, declared_at })
+        };
+        left.filter_map(engine).collect()
+    }
+
     /// Marks the next engines of the drain plans, and takes back marks that no plan explains.
     pub async fn follow_plans(
         &mut self,
@@ -245,7 +281,7 @@
 
     fn views(&self, row: &PoolRow, plan: &PoolPlan, drain: &DeclaredDrain) -> Vec<EngineView> {
         let cause = DrainCause::Plan(drain.name.clone());
-        let view = |engine: &crate::plans::EnginePlan| EngineView {
+        let view = |engine: &EnginePlan| EngineView {
             name: engine.name.clone(),
             zone: engine.zone.clone(),
             // One that does not answer serves nobody, so it counts like a marked one.
@@ -257,6 +293,13 @@
     }
 }
 
+/// Returns whether an engine is declared where its open order goes. One that was moved to another
+/// address under its name says nothing of the order at the old one.
+pub(crate) fn is_declared(plan: &PoolPlan, name: &UpstreamName, open: &OpenOrder) -> bool {
+    let goes_to = |address| open.target.as_ref().is_none_or(|target| target.address == address);
+    plan.engine(name).is_some_and(|engine| goes_to(engine.address))
+}
+
 fn plan_finding(refusal: &PlanRefusal, views: &[EngineView]) -> Finding {
     let draining = views.iter().filter(|view| view.planned && !view.drained);
     let draining: Vec<&str> = draining.map(|view| view.name.as_str()).collect();
--- a/crates/anvilhook-authority/src/rows.rs
+++ b/crates/anvilhook-authority/src/rows.rs
@@ -5,8 +5,11 @@
 //! | `authority/pools/<pool>` | a `PoolRow`; never deleted, so that no term is used twice |
 //! | `authority/sessions/<instance>` | a `SessionRow` |
 //! | `authority/drain-acks/<instance>` | a `DrainAck` |
+//! | `authority/engines/<address>` | an `EngineOwner`, from the first order on; never deleted |
 //! | `authority/load-slots` | the `LoadSlots` |
 
+use std::net::SocketAddr;
+
 use anvilhook_core::names::{InstanceName, PoolName};
 use anvilhook_platform::{Condition, Error, Result, Row, RowKey, Table, Write};
 use serde::Serialize;
@@ -16,6 +19,8 @@
 pub const POOL_PREFIX: &str = "authority/pools/";
 /// The prefix of sessions.
 pub const SESSION_PREFIX: &str = "authority/sessions/";
+/// The prefix of engines' owners.
+pub const OWNER_PREFIX: &str = "authority/engines/";
 /// The prefix of acknowledgements of drains.
 pub const DRAIN_ACK_PREFIX: &str = "authority/drain-acks/";
 
@@ -41,6 +46,10 @@
     RowKey::new(format!("{DRAIN_ACK_PREFIX}{instance}"))
 }
 
+pub(crate) fn owner_key(engine: SocketAddr) -> RowKey {
+    RowKey::new(format!("{OWNER_PREFIX}{engine}"))
+}
+
 pub(crate) fn load_slots_key() -> RowKey {
     RowKey::new("authority/load-slots")
 }
--- /dev/null
+++ b/crates/anvilhook-authority/tests/ownership.rs
@@ -0,0 +1,347 @@
+//! Engines that are declared anew in another pool, while the old pool's holder lags, stands still
+//! or is gone.
+
+mod fixtures;
+
+use anvilhook_authority::PoolPlan;
+use anvilhook_core::authority::PoolRow;
+use anvilhook_core::names::UpstreamName;
+use anvilhook_core::orders::{Order, OrderReply};
+use anvilhook_core::resources::Fencing;
+use anvilhook_core::units::{Millis, Revision};
+use anvilhook_standin::platform::{Loss, Reach};
+use fixtures::{EngineFault, Fleet, FleetOptions, adapter, address, check_logs};
+
+/// The engine that is moved, and the pools between which it is.
+const MOVED: usize = 0;
+const OLD: usize = 0;
+const NEW: usize = 1;
+
+const KINDS: [Fencing; 2] = [Fencing::Checks, Fencing::Ignores];
+
+/// Long enough for a lease to lapse, a candidate to notice and an order to be carried out.
+const TAKE_OVER: Millis = Millis::from_secs(40);
+
+/// Makes a fleet of two pools with different holders.
+async fn fleet(fencing: Fencing) -> Fleet {
+    let options = FleetOptions { engines: vec![fencing; 2], pools: 2, ..FleetOptions::default() };
+    let mut fleet = Fleet::new(options);
+    let held = |fleet: &Fleet| {
+        let rows = fleet.rows();
+        rows.len() == 2 && rows.iter().all(|row| row.holder.is_some())
+    };
+    fleet.run_until(TAKE_OVER, "first holders", held).await;
+    fleet.run_for(Millis(1_000)).await;
+    assert_ne!(holder(&fleet, OLD), holder(&fleet, NEW), "the pools need different holders");
+    fleet
+}
+
+fn holder(fleet: &Fleet, pool: usize) -> usize {
+    let holder = fleet.rows()[pool].holder.clone().unwrap().instance;
+    fleet.instances.iter().position(|instance| instance.name == holder).unwrap()
+}
+
+/// Declares the engine in the new pool, perhaps by another name, and wants an adapter there.
+fn move_engine(fleet: &mut Fleet, name: Option<&str>) {
+    let mut engine = fleet.plans[OLD].engines.remove(0);
+    engine.declared_at = Revision(2);
+    engine.desired = vec![adapter("new")];
+    if let Some(name) = name {
+        engine.name = UpstreamName::try_new(name).unwrap();
+    }
+    fleet.plans[NEW].engines.push(engine);
+}
+
+/// Leaves an instance behind with the plans as they are now.
+fn lag(fleet: &mut Fleet, index: usize) {
+    let plans: Vec<PoolPlan> = fleet.plans.clone();
+    fleet.instances[index].plans = Some(plans);
+}
+
+/// Brings the fleet to where the old holder has recorded an order and stands still before sending.
+async fn pause_sending(fleet: &mut Fleet) -> usize {
+    let old = holder(fleet, OLD);
+    let name = fleet.instances[old].name.to_string();
+    fleet.engines.fail_next_order(&name, EngineFault::PauseBeforeSending);
+    fleet.want(MOVED, adapter("old"));
+    let paused = |fleet: &Fleet| fleet.engines.is_paused(&name);
+    fleet.run_until(TAKE_OVER, "sending", paused).await;
+    old
+}
+
+fn is_new(fleet: &Fleet) -> bool {
+    fleet.meets(MOVED, &adapter("new"))
+}
+
+fn taken(fleet: &Fleet) -> Vec<Order> {
+    let records = fleet.engines.with(address(MOVED), |model| model.orders().to_vec());
+    let taken = records.into_iter().filter(|record| record.reply == OrderReply::Accepted);
+    taken.map(|record| record.order.order).collect()
+}
+
+/// Checks the engines' logs, and that no order of the old pool followed one of the new.
+fn check(fleet: &Fleet, case: &str) {
+    check_logs(fleet, case);
+    let orders = taken(fleet);
+    let first_new = orders.iter().position(|order| *order == adapter("new")).unwrap();
+    let old_after = orders[first_new..].contains(&adapter("old"));
+    assert!(!old_after, "{case}: the old pool gave an order after the new one: {orders:?}");
+}
+
+fn waits_for_owner(fleet: &Fleet) -> bool {
+    let observed = fleet.instances.iter().flat_map(|instance| &instance.observed);
+    let reasons = observed.map(|seen| seen.condition.reason.as_str());
+    reasons.into_iter().any(|reason| reason == "AwaitingFormerPool")
+}
+
+/// Symptom: an engine gets orders of two pools at the same moment.
+/// Sequence: the engine is declared anew in another pool; the old pool's holder still goes by the
+/// older configuration, and wants something else of the engine, for ever.
+/// Cause: authority over a pool taken for authority over an engine.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_a_lagging_holder_gives_no_conflicting_order() {
+    for fencing in KINDS {
+        for (name, wanted_before) in
+            [(None, 0), (Some("other"), 0), (None, 1), (None, 3), (Some("other"), 3), (None, 40)]
+        {
+            let case = format!("{fencing:?}, renamed {name:?}, {wanted_before} steps before");
+            let mut fleet = fleet(fencing).await;
+            let old = holder(&fleet, OLD);
+            fleet.want(MOVED, adapter("old"));
+            for _ in 0..wanted_before {
+                fleet.step().await;
+            }
+            lag(&mut fleet, old);
+            move_engine(&mut fleet, name);
+
+            fleet.run_until(TAKE_OVER, &case, is_new).await;
+            // The old holder would want another order, if it could give one.
+            let plans = fleet.instances[old].plans.as_mut().unwrap();
+            plans[OLD].engines[0].desired = vec![adapter("older")];
+            fleet.run_for(TAKE_OVER).await;
+
+            assert!(!taken(&fleet).contains(&adapter("older")), "{case}");
+            check(&fleet, &case);
+        }
+    }
+}
+
+/// Symptom: an engine obeys the new pool, and then an order of the old one that was left behind.
+/// Sequence: the old holder is paused before it sends a recorded order; the engine is moved; the
+/// old pool may be deleted with it; the old holder wakes up, or is killed and gone in the end.
+/// Cause: an order that is recorded in one pool's row and not seen from another pool.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_an_order_left_behind_is_settled_before_the_new_pool_orders() {
+    for fencing in KINDS {
+        for (is_killed, is_deleted, name) in [
+            (false, false, None),
+            (false, false, Some("other")),
+            (true, false, None),
+            (false, true, None),
+            (true, true, Some("other")),
+        ] {
+            let case = format!("{fencing:?}, killed {is_killed}, deleted {is_deleted}, {name:?}");
+            let mut fleet = fleet(fencing).await;
+            let old = pause_sending(&mut fleet).await;
+            let paused = fleet.instances[old].name.to_string();
+            if is_killed {
+                fleet.kill(old);
+            }
+            move_engine(&mut fleet, name);
+            if is_deleted {
+                fleet.plans.remove(OLD);
+            }
+
+            fleet.run_for(Millis(3_000)).await;
+            assert!(taken(&fleet).is_empty(), "{case}: nothing while the lease may hold");
+            assert!(waits_for_owner(&fleet), "{case}: status names what is waited for");
+            if fencing == Fencing::Checks {
+                fleet.run_until(TAKE_OVER + TAKE_OVER, &case, is_new).await;
+            } else {
+                fleet.run_for(TAKE_OVER + TAKE_OVER).await;
+                assert!(taken(&fleet).is_empty(), "{case}: no evidence that it gives none");
+                assert!(waits_for_owner(&fleet), "{case}");
+            }
+            if is_killed {
+                fleet.declare_gone(old);
+            } else {
+                fleet.engines.resume(&paused);
+            }
+            fleet.run_until(TAKE_OVER + TAKE_OVER, &case, is_new).await;
+            fleet.run_for(Millis(10_000)).await;
+            check(&fleet, &case);
+        }
+    }
+}
+
+/// Symptom: both pools believe that they may order the engine, or none does.
+/// Sequence: the engine has been ordered by the old pool and is moved; any write of the new holder
+/// around the hand-over loses its answer: before its effect, after it, or with a late effect.
+/// Cause: a hand-over that is taken for done or for not done before it was read back.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_a_hand_over_may_lose_its_answer() {
+    for fencing in KINDS {
+        for loss in [Loss::BeforeEffect, Loss::AfterEffect, Loss::LateEffect] {
+            for passed in 0..4 {
+                let case = format!("{fencing:?}, {loss:?} after {passed} writes");
+                let mut fleet = fleet(fencing).await;
+                fleet.want(MOVED, adapter("old"));
+                let is_old = |fleet: &Fleet| fleet.meets(MOVED, &adapter("old"));
+                fleet.run_until(TAKE_OVER, &case, is_old).await;
+                fleet.run_for(Millis(1_000)).await;
+                let (old, new) = (holder(&fleet, OLD), holder(&fleet, NEW));
+                lag(&mut fleet, old);
+                move_engine(&mut fleet, None);
+                let faults = fleet.instances[new].keeper_view.faults();
+                faults.pass_next_writes(passed);
+                faults.lose_next_writes(1, loss);
+
+                for _ in 0..40 {
+                    fleet.step().await;
+                    fleet.platform.land_late_writes();
+                }
+
+                fleet.run_until(TAKE_OVER, &case, is_new).await;
+                check(&fleet, &case);
+            }
+        }
+    }
+}
+
+/// Symptom: two orders reach an engine that was given another name.
+/// Sequence: the answer to an order is lost, and the engine reads it late; meanwhile the engine is
+/// declared anew in the same pool by another name, and wanted to be something else.
+/// Cause: an order in doubt that is looked for under the new name only.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_an_order_in_doubt_outlives_the_engines_name() {
+    for fencing in KINDS {
+        let case = format!("{fencing:?}");
+        let mut fleet = fleet(fencing).await;
+        let name = fleet.instances[holder(&fleet, OLD)].name.to_string();
+        fleet.engines.fail_next_order(&name, EngineFault::DeliverLate);
+        fleet.want(MOVED, adapter("old"));
+        let recorded = |fleet: &Fleet| !fleet.rows()[OLD].open.is_empty();
+        fleet.run_until(TAKE_OVER, &case, recorded).await;
+
+        let engine = &mut fleet.plans[OLD].engines[0];
+        engine.name = UpstreamName::try_new("other").unwrap();
+        engine.declared_at = Revision(2);
+        engine.desired = vec![adapter("new")];
+
+        fleet.run_until(TAKE_OVER, &case, is_new).await;
+        check(&fleet, &case);
+    }
+}
+
+/// Symptom: the table is written to for each engine again and again.
+/// Sequence: an engine gets one order after another from the pool that owns it.
+/// Cause: ownership that is renewed, where it needs to be written only when it changes hands.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_ownership_is_written_once_and_per_hand_over() {
+    let mut fleet = fleet(Fencing::Checks).await;
+    let version = |fleet: &Fleet| {
+        let rows = fleet.platform.rows("authority/engines/");
+        rows.iter().map(|row| row.version).collect::<Vec<_>>()
+    };
+    assert_eq!(version(&fleet), Vec::<u64>::new(), "no order, no row");
+    for order in ["first", "second", "third"] {
+        fleet.want(MOVED, adapter(order));
+        fleet.run_until(TAKE_OVER, order, |fleet| fleet.meets(MOVED, &adapter(order))).await;
+        assert_eq!(version(&fleet), [1], "{order}");
+    }
+
+    fleet.run_for(TAKE_OVER).await;
+    assert_eq!(version(&fleet), [1], "renewals");
+    move_engine(&mut fleet, None);
+    fleet.run_until(TAKE_OVER, "moved", is_new).await;
+
+    assert_eq!(version(&fleet), [2], "one hand-over");
+    let rows: Vec<PoolRow> = fleet.rows();
+    // The old pool has given three orders. A first one of the new pool that the engine takes for
+    // an older one would have no effect, and have to be repeated.
+    assert_eq!(rows[NEW].last_seq, 1);
+    assert!(rows[NEW].term > rows[OLD].term);
+}
+
+/// Symptom: an engine gets orders of two pools at the same moment.
+/// Sequence: the new holder has seen that the old pool has no open order, and its hand-over takes
+/// effect late; meanwhile the old holder, which lags, records another order and is paused.
+/// Cause: a hand-over that rests on a row of the old pool that has changed since.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_a_late_hand_over_fails_if_the_old_pool_ordered_again() {
+    let mut landed = 0;
+    for (fencing, steps) in KINDS.into_iter().flat_map(|kind| (1..5).map(move |n| (kind, n))) {
+        let case = format!("{fencing:?}, {steps} steps");
+        let mut fleet = fleet(fencing).await;
+        let (old, new) = (holder(&fleet, OLD), holder(&fleet, NEW));
+        fleet.want(MOVED, adapter("old"));
+        fleet.run_until(TAKE_OVER, &case, |fleet| fleet.meets(MOVED, &adapter("old"))).await;
+        fleet.run_for(Millis(1_000)).await;
+        lag(&mut fleet, old);
+        move_engine(&mut fleet, None);
+        fleet.instances[new].keeper_view.faults().lose_next_writes(1, Loss::LateEffect);
+        for _ in 0..steps {
+            fleet.step().await;
+        }
+        fleet.reach(new, Reach::Cut, false);
+
+        let name = fleet.instances[old].name.to_string();
+        fleet.engines.fail_next_order(&name, EngineFault::PauseBeforeSending);
+        fleet.instances[old].plans.as_mut().unwrap()[OLD].engines[0].desired =
+            vec![adapter("older")];
+        for _ in 0..3 {
+            fleet.step().await;
+        }
+        if fleet.engines.is_paused(&name) {
+            landed += fleet.platform.land_late_writes();
+        }
+        fleet.reach(new, Reach::Up, false);
+        fleet.run_for(Millis(2_000)).await;
+        fleet.engines.resume(&name);
+
+        fleet.run_until(TAKE_OVER, &case, is_new).await;
+        fleet.run_for(Millis(5_000)).await;
+        check_logs(&fleet, &case);
+    }
+    assert!(landed > 0, "no hand-over came late, so nothing was at stake");
+}
+
+/// Symptom: after a restart an engine obeys the new pool while a holder of the old one, two
+/// take-overs ago, still has an order on its way.
+/// Sequence: the old pool's first holder is paused before it sends, and its successor fences it off;
+/// the engine is moved, and crashes before or after the hand-over, by which it forgets its fence.
+/// Cause: former holders that are forgotten because the engine changed pools.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_former_holders_of_the_old_pool_are_waited_for_after_a_lost_fence() {
+    for (ordered_before, reason) in [(false, "AwaitingFormerPool"), (true, "AwaitingPredecessor")] {
+        let mut fleet = fleet(Fencing::Checks).await;
+        let old = pause_sending(&mut fleet).await;
+        let is_old = |fleet: &Fleet| fleet.meets(MOVED, &adapter("old"));
+        fleet.run_until(TAKE_OVER, "fenced off", is_old).await;
+        move_engine(&mut fleet, None);
+        if ordered_before {
+            fleet.run_until(TAKE_OVER, "moved", is_new).await;
+        } else {
+            fleet.want(MOVED, adapter("old"));
+        }
+        fleet.run_for(Millis(12_000)).await;
+        let now = fleet.now();
+        fleet.engines.with(address(MOVED), |model| {
+            model.crash(now);
+            model.restart(now);
+        });
+        fleet.run_for(Millis(500)).await;
+        fleet.want(MOVED, adapter("newest"));
+
+        fleet.run_for(TAKE_OVER).await;
+
+        assert!(!taken(&fleet).contains(&adapter("newest")), "{reason}");
+        let observed = &fleet.instances[holder(&fleet, NEW)].observed;
+        let seen = observed.iter().any(|seen| seen.condition.reason == reason);
+        assert!(seen, "{reason}: {observed:?}");
+        fleet.kill(old);
+        fleet.declare_gone(old);
+        let is_newest = |fleet: &Fleet| fleet.meets(MOVED, &adapter("newest"));
+        fleet.run_until(TAKE_OVER, reason, is_newest).await;
+    }
+}
--- a/crates/anvilhook-bench/src/control/engines.rs
+++ b/crates/anvilhook-bench/src/control/engines.rs
@@ -5,6 +5,7 @@
 use anvilhook_authority::{EnginePlan, PoolPlan};
 use anvilhook_core::orders::{Order, OrderReply, Term};
 use anvilhook_core::resources::Fencing;
+use anvilhook_core::units::Revision;
 use anvilhook_standin::engines::{EngineOptions, EngineServer, EngineServerOptions};
 use tokio::sync::watch;
 
@@ -73,6 +74,7 @@
                 zone: "zone-0".parse()?,
                 fencing: self.fencing,
                 desired: desired.clone(),
+                declared_at: Revision(1),
             });
         }
         Ok(PoolPlan {
--- a/crates/anvilhook-daemon/src/instances/plans.rs
+++ b/crates/anvilhook-daemon/src/instances/plans.rs
@@ -58,6 +58,7 @@
         zone: engine.zone.clone(),
         fencing: engine.fencing,
         desired: desired(spec, engine),
+        declared_at: resource.version,
     })
 }
 
