--- a/crates/anvilhook-authority/src/plans.rs
+++ b/crates/anvilhook-authority/src/plans.rs
@@ -52,8 +52,8 @@
 }
 
 impl PoolPlan {
-    /// Returns the plan by which a pool that is not declared is wound down.
-    pub(crate) fn empty(pool: PoolName) -> Self {
+    /// Returns the plan of a pool that is not declared any more.
+    pub(crate) fn undeclared(pool: PoolName) -> Self {
         let (engines, drains) = (Vec::new(), Vec::new());
         Self { pool, engines, min_serving: 0, max_changing: 0, drains }
     }
