Show on an engine whether it serves, drains or is drained

Cause: only a drain plan said how far the drain of an engine is. A drain was looked at only together with an order, so an engine that waits for its former pool could not be seen to be drained; and in each step in which the instances were not read it counted as not drained, so that conditions changed back and forth.

Change: the condition Serving with the reasons Serving, Draining and Drained; a drain stays as complete as it was between two readings of the instances. The findings of engines have a module.

On scratch edits the new test went red with a drain that is forgotten between readings (Drained, Draining, Drained, ...) and with one looked at only with an order (never Drained).

Conclusion: one more status row for each engine, written when it changes.

--- a/crates/anvilhook-authority/src/engines.rs
+++ b/crates/anvilhook-authority/src/engines.rs
@@ -1,9 +1,9 @@
 //! One engine of a held pool: read, decided on, given its orders.
 
 mod claims;
+mod findings;
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use anvilhook_core::Verdict;
 use anvilhook_core::authority::{
@@ -13,15 +13,18 @@
 use anvilhook_core::drains::{DrainCause, DrainProgress};
 use anvilhook_core::names::PoolName;
 use anvilhook_core::orders::{EngineState, OrderReply, Stamp, StampedOrder};
-use anvilhook_core::resources::Fencing;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_engine::EngineControl;
 use anvilhook_platform::{InstanceList, Table};
 
 use self::claims::Claimed;
+use self::findings::{
+    changing_finding, fencing_finding, finding_of, memory_is_unreachable, serving_finding,
+    unreachable_finding,
+};
 use crate::fleets::Fleet;
 use crate::keepers::Services;
-use crate::observations::{Finding, ObservationBook, kinds, list, reasons};
+use crate::observations::{Finding, ObservationBook, kinds, reasons};
 use crate::options::KeeperOptions;
 use crate::owners::OwnerView;
 use crate::plans::{EnginePlan, PoolPlan};
@@ -104,8 +107,11 @@
             // Renewals come first: a few slow engines must not cost the lease of all others.
             self.keep_session().await;
             let found = self.work_engine(pool, plan, engine).await;
-            if let Some(found) = found.filter(|_| plan.engine(&engine.name).is_some()) {
-                self.book.engine(&engine.name, kinds::SETTLED, found);
+            if plan.engine(&engine.name).is_some() {
+                if let Some(found) = found {
+                    self.book.engine(&engine.name, kinds::SETTLED, found);
+                }
+                self.book.engine(&engine.name, kinds::SERVING, serving_finding(pool, engine));
             }
             if pool.is_lost() || pool.is_stale() {
                 return;
@@ -162,6 +168,9 @@
                 let unreachable = memory_is_unreachable(memory);
                 return unreachable.then(|| unreachable_finding(engine));
             };
+            // This notes how far the drain is, too, whether or not the pool may order the engine.
+            let decision = self.decide(pool, plan, engine, &read);
+            log::debug!("engine {}: {decision:?}", engine.name);
             let claim = match self.claim(pool, plan, engine, &read).await {
                 Ok(Claimed::Anew) => {
                     self.read_again(pool, engine).await?;
@@ -179,8 +188,6 @@
                     return Some(Finding::new(false, reasons::TABLE_UNAVAILABLE, message));
                 }
             };
-            let decision = self.decide(pool, plan, engine, &read);
-            log::debug!("engine {}: {decision:?}", engine.name);
             let (next, change) = match decision {
                 Decision::Idle => {
                     return Some(Finding::new(true, reasons::AS_DESIRED, "as desired"));
@@ -273,11 +280,18 @@
         let mark = pool.row.drains.engines.get(&engine.name);
         // Where the instances were not read in this step, all that is known is that it is unknown.
         let unknown = DrainProgress::AwaitingInstances(Default::default());
-        let drain = self.fleet.progress(&pool.name, &engine.name, mark).unwrap_or(unknown);
+        let progress = self.fleet.progress(&pool.name, &engine.name, mark);
+        let is_marked = mark.is_some();
         let may_drain = pool.may_drain(plan);
         let may_order = self.session.may_order(pool.holder(), now, &self.options.lease);
         let memory = pool.engines.entry(engine.name.clone()).or_default();
-        memory.drained = drain == DrainProgress::Acknowledged && read.state.open_requests == 0;
+        // Between two readings of the instances the drain stays as complete as it was: a new instance
+        // reads the mark before it routes. Without this the conditions would change back and forth.
+        let is_acknowledged = progress
+            .as_ref()
+            .map_or(memory.drained, |progress| *progress == DrainProgress::Acknowledged);
+        memory.drained = is_marked && is_acknowledged && read.state.open_requests == 0;
+        let drain = progress.unwrap_or(unknown);
         let facts = EngineFacts {
             engine: &engine.name,
             fencing: effective_fencing(engine.fencing, &read.state, memory.lost_fence),
@@ -333,56 +347,6 @@
     }
 }
 
-/// Returns the finding for an engine whose change waits. Where the instances were not read in this
-/// step there is nothing new to say, and what was found before stands.
-fn finding_of(wait: &Wait, pool: &HeldPool, engine: &EnginePlan) -> Option<Finding> {
-    match wait {
-        Wait::Instances(names) if names.is_empty() => None,
-        Wait::Instances(names) => {
-            let mark = pool.row.drains.engines.get(&engine.name);
-            let since = mark.map_or(0, |mark| mark.since);
-            let message = format!("drain of generation {since} awaits {}", list(names));
-            Some(Finding::new(false, reasons::AWAITING_INSTANCES, message))
-        }
-        _ => Some(Finding::of_wait(wait)),
-    }
-}
-
-fn memory_is_unreachable(memory: &EngineMemory) -> bool {
-    memory.read.is_none() && !memory.answers
-}
-
-fn unreachable_finding(engine: &EnginePlan) -> Finding {
-    let address: SocketAddr = engine.address;
-    let message = format!("the engine's state cannot be read at {address}");
-    Finding::new(false, reasons::ENGINE_UNREACHABLE, message)
-}
-
-fn changing_finding(message: &str) -> Finding {
-    Finding::new(false, reasons::CHANGING, message)
-}
-
 fn load_slot(pool: &HeldPool, engine: &EnginePlan) -> LoadSlot {
     LoadSlot { pool: pool.name.clone(), engine: engine.name.clone() }
 }
-
-fn fencing_finding(declared: Fencing, state: &EngineState, lost_fence: bool) -> Finding {
-    match (declared, state.checks_fencing) {
-        (Fencing::Checks, false) => Finding::new(
-            false,
-            reasons::DECLARED_CHECKS,
-            "declared to check fencing numbers, but says that it does not; taken as ignoring them",
-        ),
-        (Fencing::Ignores, true) => Finding::new(
-            false,
-            reasons::DECLARED_IGNORES,
-            "declared to ignore fencing numbers, but says that it checks; taken as ignoring them",
-        ),
-        (Fencing::Checks, true) if lost_fence => Finding::new(
-            false,
-            reasons::FENCE_LOST,
-            "forgot the highest stamp when it restarted; taken as ignoring fencing numbers",
-        ),
-        _ => Finding::new(true, reasons::FENCING_AGREES, "the engine says what is declared"),
-    }
-}
--- /dev/null
+++ b/crates/anvilhook-authority/src/engines/findings.rs
@@ -0,0 +1,83 @@
+//! What is found of an engine, for people to read.
+
+use std::net::SocketAddr;
+
+use anvilhook_core::authority::Wait;
+use anvilhook_core::drains::DrainCause;
+use anvilhook_core::orders::EngineState;
+use anvilhook_core::resources::Fencing;
+
+use super::EngineMemory;
+use crate::observations::{Finding, list, reasons};
+use crate::plans::EnginePlan;
+use crate::pools::HeldPool;
+
+/// Returns the finding for an engine whose change waits. Where the instances were not read in this
+/// step there is nothing new to say, and what was found before stands.
+pub(super) fn finding_of(wait: &Wait, pool: &HeldPool, engine: &EnginePlan) -> Option<Finding> {
+    match wait {
+        Wait::Instances(names) if names.is_empty() => None,
+        Wait::Instances(names) => {
+            let mark = pool.row.drains.engines.get(&engine.name);
+            let since = mark.map_or(0, |mark| mark.since);
+            let message = format!("drain of generation {since} awaits {}", list(names));
+            Some(Finding::new(false, reasons::AWAITING_INSTANCES, message))
+        }
+        _ => Some(Finding::of_wait(wait)),
+    }
+}
+
+/// Returns whether requests go to an engine, and if not, for what causes and how far its drain is.
+pub(super) fn serving_finding(pool: &HeldPool, engine: &EnginePlan) -> Finding {
+    let Some(mark) = pool.row.drains.engines.get(&engine.name) else {
+        return Finding::new(true, reasons::SERVING, "requests may go to the engine");
+    };
+    let causes = mark.causes.iter().map(|cause| match cause {
+        DrainCause::Change => "a change".to_owned(),
+        DrainCause::Plan(name) => format!("drain plan {name}"),
+    });
+    let causes = causes.collect::<Vec<_>>().join(", ");
+    if pool.engines.get(&engine.name).is_some_and(|memory| memory.drained) {
+        return Finding::new(
+            false,
+            reasons::DRAINED,
+            format!("has no work and gets none: {causes}"),
+        );
+    }
+    Finding::new(false, reasons::DRAINING, format!("gets no new work: {causes}"))
+}
+
+pub(super) fn memory_is_unreachable(memory: &EngineMemory) -> bool {
+    memory.read.is_none() && !memory.answers
+}
+
+pub(super) fn unreachable_finding(engine: &EnginePlan) -> Finding {
+    let address: SocketAddr = engine.address;
+    let message = format!("the engine's state cannot be read at {address}");
+    Finding::new(false, reasons::ENGINE_UNREACHABLE, message)
+}
+
+pub(super) fn changing_finding(message: &str) -> Finding {
+    Finding::new(false, reasons::CHANGING, message)
+}
+
+pub(super) fn fencing_finding(declared: Fencing, state: &EngineState, lost_fence: bool) -> Finding {
+    match (declared, state.checks_fencing) {
+        (Fencing::Checks, false) => Finding::new(
+            false,
+            reasons::DECLARED_CHECKS,
+            "declared to check fencing numbers, but says that it does not; taken as ignoring them",
+        ),
+        (Fencing::Ignores, true) => Finding::new(
+            false,
+            reasons::DECLARED_IGNORES,
+            "declared to ignore fencing numbers, but says that it checks; taken as ignoring them",
+        ),
+        (Fencing::Checks, true) if lost_fence => Finding::new(
+            false,
+            reasons::FENCE_LOST,
+            "forgot the highest stamp when it restarted; taken as ignoring fencing numbers",
+        ),
+        _ => Finding::new(true, reasons::FENCING_AGREES, "the engine says what is declared"),
+    }
+}
--- a/crates/anvilhook-authority/src/observations.rs
+++ b/crates/anvilhook-authority/src/observations.rs
@@ -48,9 +48,11 @@
     pub const FENCE_LOST: &str = "FenceLost";
     /// The pool has a holder.
     pub const HELD: &str = "Held";
-    /// All engines of a drain plan are drained.
+    /// Requests may go to the engine.
+    pub const SERVING: &str = "Serving";
+    /// The engine, or all engines of a drain plan, are drained.
     pub const DRAINED: &str = "Drained";
-    /// Engines of a drain plan are draining.
+    /// The engine, or engines of a drain plan, are draining.
     pub const DRAINING: &str = "Draining";
     /// The pace of a drain plan does not allow the next engine yet.
     pub const PACE: &str = "Pace";
@@ -160,6 +162,7 @@
     pub const FENCING: &str = "FencingAgrees";
     pub const AUTHORITY: &str = "Authority";
     pub const DRAINED: &str = "Drained";
+    pub const SERVING: &str = "Serving";
 }
 
 impl ObservationBook {
--- a/crates/anvilhook-authority/tests/ownership.rs
+++ b/crates/anvilhook-authority/tests/ownership.rs
@@ -3,14 +3,14 @@
 
 mod fixtures;
 
-use anvilhook_authority::PoolPlan;
+use anvilhook_authority::{DeclaredDrain, PoolPlan};
 use anvilhook_core::authority::PoolRow;
-use anvilhook_core::names::UpstreamName;
+use anvilhook_core::names::{ResourceName, UpstreamName};
 use anvilhook_core::orders::{Order, OrderReply};
-use anvilhook_core::resources::Fencing;
+use anvilhook_core::resources::{DrainPlanSpec, DrainTarget, Fencing};
 use anvilhook_core::units::{Millis, Revision};
 use anvilhook_standin::platform::{Loss, Reach};
-use fixtures::{EngineFault, Fleet, FleetOptions, adapter, address, check_logs};
+use fixtures::{EngineFault, Fleet, FleetOptions, adapter, address, check_logs, zone};
 
 /// The engine that is moved, and the pools between which it is.
 const MOVED: usize = 0;
@@ -345,3 +345,46 @@
         fleet.run_until(TAKE_OVER, reason, is_newest).await;
     }
 }
+
+/// Symptom: a drain plan never completes, or the engine's status changes all the time.
+/// Sequence: an engine that waits for its former pool is drained by a plan of the new pool.
+/// Cause: a drain that is looked at only together with an order.
+#[tokio::test(flavor = "current_thread")]
+async fn verify_an_engine_that_waits_can_be_drained() {
+    let mut fleet = fleet(Fencing::Ignores).await;
+    pause_sending(&mut fleet).await;
+    move_engine(&mut fleet, None);
+    fleet.run_for(Millis(3_000)).await;
+    let new = holder(&fleet, NEW);
+    let serving = |fleet: &Fleet| {
+        let mut observed = fleet.instances[new].observed.iter();
+        let name = fleet.plans[NEW].engines.last().unwrap().name.to_string();
+        let found = observed
+            .find(|seen| seen.key.name.as_str() == name && seen.condition.kind == "Serving");
+        found.map(|seen| seen.condition.reason.clone()).unwrap()
+    };
+    assert_eq!(serving(&fleet), "Serving");
+
+    let spec = DrainPlanSpec {
+        pool: fleet.plans[NEW].pool.clone(),
+        target: DrainTarget::Zones(vec![zone(MOVED)]),
+        max_at_once: 1,
+        pace_ms: Millis::ZERO,
+        min_serving: 0,
+    };
+    let name = ResourceName::try_new("take-away").unwrap();
+    fleet.plans[NEW].drains = vec![DeclaredDrain { name, spec }];
+    let mut reasons = Vec::new();
+    for _ in 0..80 {
+        fleet.step().await;
+        let reason = serving(&fleet);
+        if reasons.last() != Some(&reason) {
+            reasons.push(reason);
+        }
+    }
+
+    assert_eq!(reasons, ["Serving", "Draining", "Drained"]);
+    assert!(waits_for_owner(&fleet));
+    fleet.plans[NEW].drains.clear();
+    fleet.run_until(TAKE_OVER, "undrained", |fleet| serving(fleet) == "Serving").await;
+}
