--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -57,6 +57,8 @@
     /// The gone instances whose rows this keeper has removed.
     swept: BTreeSet<InstanceName>,
     book: ObservationBook,
+    /// The pools that engines of this instance's pools wait for.
+    awaited: BTreeSet<PoolName>,
 }
 
 impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Keeper<T, E, L, C> {
@@ -75,6 +77,7 @@
             upstreams: BTreeSet::new(),
             swept: BTreeSet::new(),
             book: ObservationBook::default(),
+            awaited: BTreeSet::new(),
         }
     }
 
@@ -84,12 +87,19 @@
         self.upstreams.extend(names);
     }
 
+    /// Notes the other instances, as far as they are known without reading every record. They say
+    /// which of the candidates for a pool this one is; a drain reads the records.
+    pub fn note_instances(&mut self, names: impl IntoIterator<Item = InstanceName>) {
+        self.fleet.note(names);
+    }
+
     /// Does what can be done now. It should be called a few times a second, and more often than the
     /// guard interval. `wall` dates what is observed.
     ///
     /// Failures of the platform and of engines are observed, not returned: the next step tries
     /// again.
     pub async fn step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
+        let plans = &self.with_awaited(plans);
         self.book.begin_step(wall, self.services.clock.now());
         // Hints matter to holders only.
         let none = PeerHints::default();
@@ -112,6 +122,16 @@
         self.look_for_orphans(plans).await;
     }
 
+    /// Returns the plans with an empty one for each undeclared pool that one of the engines waits
+    /// for. Nobody else takes such a pool, and an order that it left behind would stay open for
+    /// good; one would see the engine wait for a pool that does not exist.
+    fn with_awaited(&mut self, plans: &[PoolPlan]) -> Vec<PoolPlan> {
+        let awaited = std::mem::take(&mut self.awaited);
+        let undeclared =
+            awaited.into_iter().filter(|name| plans.iter().all(|plan| plan.pool != *name));
+        plans.iter().cloned().chain(undeclared.map(PoolPlan::undeclared)).collect()
+    }
+
     /// Gives up everything at a planned stop, so that successors need not wait.
     ///
     /// # Errors
@@ -181,6 +201,10 @@
         let awaits =
             |pool: &HeldPool| !pool.row.drains.engines.is_empty() || !pool.row.uncleared.is_empty();
         let awaited = self.held.values().any(awaits);
+        if !awaited && self.fleet.is_noted() {
+            // Every instance would else read every other's record.
+            return;
+        }
         let interval =
             if awaited { self.options.awaited_read_ms } else { self.options.fleet_read_ms };
         let Services { table, instances, clock, .. } = &self.services;
@@ -304,6 +328,7 @@
                 fleet: &self.fleet,
                 slots: &mut self.slots,
                 book: &mut self.book,
+                awaited: &mut self.awaited,
             };
             desk.work(&mut pool, plan).await;
             if let Err(err) = self.work_plans(&mut pool, plan).await {
--- a/crates/anvilhook-daemon/src/instances/authorities.rs
+++ b/crates/anvilhook-daemon/src/instances/authorities.rs
@@ -144,6 +144,8 @@
     pub follower: ConfigurationFollower<T>,
     pub statuses: StatusStore<T>,
     pub link: PeerHandle,
+    /// All other announced instances.
+    pub peers: watch::Receiver<Vec<InstanceName>>,
     pub acknowledged: Acknowledged,
     pub shutdown: Shutdown,
 }
@@ -165,6 +167,7 @@
             self.plan_roles(&configuration).await;
             let plans = pool_plans(&configuration, &self.desk);
             self.keeper.note_upstreams(plain_upstreams(&configuration));
+            self.keeper.note_instances(self.peers.borrow_and_update().iter().cloned());
             self.keeper.step(&plans, &self.hints(), system_wall_time()).await;
             self.publish_terms();
             for observation in self.keeper.take_changes() {
--- a/crates/anvilhook-daemon/src/instances/plans.rs
+++ b/crates/anvilhook-daemon/src/instances/plans.rs
@@ -72,6 +72,7 @@
         zone: engine.zone.clone(),
         fencing: engine.fencing,
         desired: desired(spec, role),
+        declared_at: resource.version,
     })
 }
 
