--- a/crates/anvilhook-daemon/src/instances/clients.rs
+++ b/crates/anvilhook-daemon/src/instances/clients.rs
@@ -1,6 +1,5 @@
 //! The bindings to everything that an instance calls.
 
-use anvilhook_core::units::Millis;
 use anvilhook_engine::{ControlOptions, HttpEngineControl, HttpUpstreams};
 use anvilhook_http::{CallError, ClientOptions, HttpClient};
 use anvilhook_platform::{HttpPlatform, HttpPlatformOptions};
@@ -8,6 +7,10 @@
 
 use crate::settings::Settings;
 
+/// The most idle connections kept to one upstream. With fewer than requests are open there at once,
+/// connections are closed after one request and opened for the next.
+const MAX_IDLE: usize = 1_024;
+
 /// `Clients` holds the bindings.
 #[derive(Clone)]
 pub(super) struct Clients {
@@ -23,7 +26,9 @@
             timeout: settings.platform.timeout_ms,
             ..HttpPlatformOptions::default()
         };
-        let client = HttpClient::try_new(&ClientOptions::default())?;
+        let client_options =
+            ClientOptions { max_idle_per_address: MAX_IDLE, ..ClientOptions::default() };
+        let client = HttpClient::try_new(&client_options)?;
         Ok(Self {
             platform: HttpPlatform::try_new(settings.platform.address, &options)?,
             upstreams: HttpUpstreams::new(client.clone()),
@@ -32,10 +37,8 @@
     }
 }
 
-/// Returns bounds under which a call ends within the guard interval of a lease: the timeout counts
-/// once for the head of an answer and once for its body. An order under way when the lease ends
-/// would be one by a process without authority.
+/// Returns bounds under which a call ends within the guard interval of a lease.
 fn control_options(settings: &Settings) -> ControlOptions {
-    let timeout = Millis(settings.leases.guard_ms.0 * 2 / 5);
+    let timeout = settings.leases.options().call_timeout();
     ControlOptions { timeout, ..ControlOptions::default() }
 }
