Silence connections after their calls have run

Cause: the test of silent connections stayed green with the retry rule broken. Its upstreams answered at once, so the silence nearly always met calls that had not run.

Change: the test's upstreams run a call at once and answer it 100 ms later, and the connections go silent while calls are run and not answered. The test also fails if no call met the silence.

--- a/crates/anvilhook-daemon/tests/process_upstreams.rs
+++ b/crates/anvilhook-daemon/tests/process_upstreams.rs
@@ -21,6 +21,8 @@
 use anvilhook_core::units::{Millis, Tokens};
 use anvilhook_platform::{ListedInstance, ListedState};
 use anvilhook_standin::engines::{AttemptEnd, EngineOptions, EngineServer, expected_output};
+use anvilhook_standin::faults::FrontOptions;
+use anvilhook_standin::plain::{PlainServer, PlainServerOptions, RunLedger};
 use calls::{Sent, check_sent, plain_call};
 use fleets::{Fleet, Member, check_orders, until};
 use tokio::task::JoinHandle;
@@ -46,6 +48,18 @@
     tokio::spawn(async move { caller.chat(instance, &call).await })
 }
 
+/// Starts upstreams that run a call at once and take a while to answer it.
+async fn slow_plain_servers(ledger: &RunLedger) -> Vec<PlainServer> {
+    let front = FrontOptions { holds_connections: true, ..FrontOptions::default() };
+    let mut servers = Vec::new();
+    for _ in 0..2 {
+        let (ledger, run_time) = (ledger.clone(), Millis(100));
+        let opts = PlainServerOptions { front, ledger, run_time, ..Default::default() };
+        servers.push(PlainServer::start(opts).await.expect("an upstream starts"));
+    }
+    servers
+}
+
 fn is_whole(call: &ChatCall, outcome: &Outcome) -> bool {
     let expected = expected_output(&call.messages(), Tokens(call.max_tokens));
     outcome.answer().is_some_and(|answer| answer.text == expected)
@@ -162,7 +176,11 @@
 /// one though it may have run.
 #[tokio::test(flavor = "multi_thread")]
 async fn verify_silent_connections_lose_no_stream_and_double_no_call() {
-    let options = SiteOptions { engine: slow_engine(), ..SiteOptions::default() };
+    let ledger = RunLedger::default();
+    let plain = slow_plain_servers(&ledger).await;
+    let other_plain = plain.iter().map(PlainServer::address).collect();
+    let options =
+        SiteOptions { engine: slow_engine(), plain: 0, other_plain, ..SiteOptions::default() };
     let fleet = Fleet::start("silence", &options).await;
     let streams: Vec<_> = (0..8)
         .map(|number| {
@@ -171,17 +189,17 @@
             (call, open)
         })
         .collect();
-    let (failed, done) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    let (ended, done) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
     let calling: Vec<_> = (0..12)
         .map(|number| {
-            let (caller, failed, done) = (fleet.caller.clone(), failed.clone(), done.clone());
+            let (caller, ended, done) = (fleet.caller.clone(), ended.clone(), done.clone());
             let instance = fleet.members[number % 2].daemon.callers();
             tokio::spawn(async move {
                 let mut all = Vec::new();
                 while !done.load(Ordering::Acquire) {
                     let call = plain_call(number, all.len(), number.is_multiple_of(3));
                     let outcome = caller.plain(instance, &call).await;
-                    failed.fetch_add(usize::from(outcome.answer().is_none()), Ordering::AcqRel);
+                    ended.fetch_add(1, Ordering::AcqRel);
                     all.push(Sent { call, heard: vec![outcome] });
                 }
                 all
@@ -190,18 +208,14 @@
         .collect();
     until("all streams run", async || open_attempts(&fleet.site.engines) == streams.len()).await;
 
-    for engine in &fleet.site.engines {
-        engine.front().connections().silence_all();
-    }
-    until("a call has met the silence", async || {
-        for plain in &fleet.site.plain {
-            plain.front().connections().silence_all();
-        }
-        failed.load(Ordering::Acquire) > 0
+    until("calls have run and are not answered", async || {
+        ledger.all().len() >= ended.load(Ordering::Acquire) + calling.len() / 2
     })
     .await;
-    let runs = fleet.site.ledger.all().len();
-    until("calls run on new connections", async || fleet.site.ledger.all().len() > runs + 50).await;
+    fleet.site.engines.iter().for_each(|engine| engine.front().connections().silence_all());
+    plain.iter().for_each(|plain| plain.front().connections().silence_all());
+    let runs = ledger.all().len();
+    until("calls run on new connections", async || ledger.all().len() > runs + 50).await;
     done.store(true, Ordering::Release);
 
     for (call, open) in streams {
@@ -210,13 +224,16 @@
             matches!(outcome, Outcome::Failed { verdict, .. } if verdict != Verdict::NotRun);
         assert!(is_whole(&call, &outcome) || is_true, "{call:?}: {outcome:?}");
     }
+    let mut in_doubt = 0;
     for task in calling {
         for sent in task.await.expect("the caller's task ends") {
+            in_doubt += usize::from(sent.heard[0].answer().is_none());
             let is_lost = matches!(sent.heard[0], Outcome::Lost { .. } | Outcome::Unreachable);
             assert!(!is_lost, "the instance says what it knows: {:?}", sent.heard);
-            check_sent(&sent, &fleet.site.ledger);
+            check_sent(&sent, &ledger);
         }
     }
+    assert!(in_doubt > 0, "no call met the silence, so nothing was at stake");
 }
 
 /// Symptom: requests are cut when a machine is taken away that was announced long before.
