--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -13,6 +13,7 @@
 use crate::fleets::{Fleet, PeerHints};
 use crate::observations::{Finding, Observation, ObservationBook, kinds, list, reasons};
 use crate::options::KeeperOptions;
+use crate::orphans::{OrphanWatch, orphans};
 use crate::plans::PoolPlan;
 use crate::pools::HeldPool;
 use crate::rows;
@@ -26,7 +27,7 @@
     /// The platform's table.
     pub table: T,
     /// Control of the engines. A call must end, one way or the other, within the guard interval of
-    /// the lease.
+    /// the lease, which one that goes by `LeaseOptions::call_timeout` does.
     pub engines: E,
     /// The platform's list of instances.
     pub instances: L,
@@ -41,12 +42,14 @@
 /// only together with the whole keeper.
 #[derive(Debug)]
 pub struct Keeper<T, E, L, C> {
+    me: InstanceName,
     services: Services<T, E, L, C>,
     options: KeeperOptions,
     session: SessionHolder,
     candidate: Candidate,
     fleet: Fleet,
     slots: SlotView,
+    orphans: OrphanWatch,
     held: BTreeMap<PoolName, HeldPool>,
     /// All names that have been declared as upstreams. They are remembered after their removal,
     /// because the platform lists an engine for a while after it was taken from the configuration.
@@ -54,6 +57,8 @@
     /// The gone instances whose rows this keeper has removed.
     swept: BTreeSet<InstanceName>,
     book: ObservationBook,
+    /// The pools that engines of this instance's pools wait for.
+    awaited: BTreeSet<PoolName>,
 }
 
 impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Keeper<T, E, L, C> {
@@ -63,13 +68,16 @@
             services,
             options,
             session: SessionHolder::new(me.clone()),
-            candidate: Candidate::new(me),
+            candidate: Candidate::new(me.clone()),
+            me,
             fleet: Fleet::default(),
             slots: SlotView::default(),
+            orphans: OrphanWatch::new(),
             held: BTreeMap::new(),
             upstreams: BTreeSet::new(),
             swept: BTreeSet::new(),
             book: ObservationBook::default(),
+            awaited: BTreeSet::new(),
         }
     }
 
@@ -79,12 +87,19 @@
         self.upstreams.extend(names);
     }
 
+    /// Notes the other instances, as far as they are known without reading every record. They say
+    /// which of the candidates for a pool this one is; a drain reads the records.
+    pub fn note_instances(&mut self, names: impl IntoIterator<Item = InstanceName>) {
+        self.fleet.note(names);
+    }
+
     /// Does what can be done now. It should be called a few times a second, and more often than the
     /// guard interval. `wall` dates what is observed.
     ///
     /// Failures of the platform and of engines are observed, not returned: the next step tries
     /// again.
     pub async fn step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
+        let plans = &self.with_awaited(plans);
         self.book.begin_step(wall, self.services.clock.now());
         // Hints matter to holders only.
         let none = PeerHints::default();
@@ -104,6 +119,17 @@
                 None => self.look(plan).await,
             }
         }
+        self.look_for_orphans(plans).await;
+    }
+
+    /// Returns the plans with an empty one for each undeclared pool that one of the engines waits
+    /// for. Nobody else takes such a pool, and an order that it left behind would stay open for
+    /// good; one would see the engine wait for a pool that does not exist.
+    fn with_awaited(&mut self, plans: &[PoolPlan]) -> Vec<PoolPlan> {
+        let awaited = std::mem::take(&mut self.awaited);
+        let undeclared =
+            awaited.into_iter().filter(|name| plans.iter().all(|plan| plan.pool != *name));
+        plans.iter().cloned().chain(undeclared.map(PoolPlan::undeclared)).collect()
     }
 
     /// Gives up everything at a planned stop, so that successors need not wait.
@@ -175,6 +201,10 @@
         let awaits =
             |pool: &HeldPool| !pool.row.drains.engines.is_empty() || !pool.row.uncleared.is_empty();
         let awaited = self.held.values().any(awaits);
+        if !awaited && self.fleet.is_noted() {
+            // Every instance would else read every other's record.
+            return;
+        }
         let interval =
             if awaited { self.options.awaited_read_ms } else { self.options.fleet_read_ms };
         let Services { table, instances, clock, .. } = &self.services;
@@ -229,6 +259,24 @@
         }
     }
 
+    /// Takes the pools that are not declared any more and keep slots of the weight store, if their
+    /// holders have ended. The next step closes their orders and gives them up.
+    async fn look_for_orphans(&mut self, plans: &[PoolPlan]) {
+        let now = self.services.clock.now();
+        if !self.orphans.is_due(&self.me, &self.fleet, &self.options.candidates, now) {
+            return;
+        }
+        if let Err(err) = self.slots.refresh(&self.services.table).await {
+            log::warn!("the load slots cannot be read: {err}");
+            return;
+        }
+        for pool in orphans(&self.slots, plans) {
+            if !self.held.contains_key(&pool) {
+                self.look(&PoolPlan::undeclared(pool)).await;
+            }
+        }
+    }
+
     /// Drops a pool and what was observed of it; its next holder observes it anew.
     fn forget(&mut self, name: &PoolName) -> Option<HeldPool> {
         let pool = self.held.remove(name)?;
@@ -280,6 +328,7 @@
                 fleet: &self.fleet,
                 slots: &mut self.slots,
                 book: &mut self.book,
+                awaited: &mut self.awaited,
             };
             desk.work(&mut pool, plan).await;
             if let Err(err) = self.work_plans(&mut pool, plan).await {
--- a/crates/anvilhook-authority/src/observations.rs
+++ b/crates/anvilhook-authority/src/observations.rs
@@ -18,6 +18,8 @@
     pub const ORDER_IN_DOUBT: &str = "OrderInDoubt";
     /// A former holder may still give orders that the engine would take.
     pub const AWAITING_PREDECESSOR: &str = "AwaitingPredecessor";
+    /// The pool that ordered the engine before may still give it an order.
+    pub const AWAITING_FORMER_POOL: &str = "AwaitingFormerPool";
     /// Instances have not acknowledged the drain.
     pub const AWAITING_INSTANCES: &str = "AwaitingInstances";
     /// The engine still has requests.
@@ -46,9 +48,11 @@
     pub const FENCE_LOST: &str = "FenceLost";
     /// The pool has a holder.
     pub const HELD: &str = "Held";
-    /// All engines of a drain plan are drained.
+    /// Requests may go to the engine.
+    pub const SERVING: &str = "Serving";
+    /// The engine, or all engines of a drain plan, are drained.
     pub const DRAINED: &str = "Drained";
-    /// Engines of a drain plan are draining.
+    /// The engine, or engines of a drain plan, are draining.
     pub const DRAINING: &str = "Draining";
     /// The pace of a drain plan does not allow the next engine yet.
     pub const PACE: &str = "Pace";
@@ -158,6 +162,7 @@
     pub const FENCING: &str = "FencingAgrees";
     pub const AUTHORITY: &str = "Authority";
     pub const DRAINED: &str = "Drained";
+    pub const SERVING: &str = "Serving";
 }
 
 impl ObservationBook {
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 
 use anvilhook_authority::{AckSchedule, Follower, Keeper, KeeperOptions, POOL_PREFIX, Services};
-use anvilhook_core::leases::LeaseOptions;
 use anvilhook_core::names::InstanceName;
-use anvilhook_core::units::{Clock, Millis, SystemClock};
+use anvilhook_core::units::{Clock, SystemClock};
 use anvilhook_engine::HttpUpstreams;
 use anvilhook_http::{Phase, Shutdown, serve};
 use anvilhook_peer::{PeerHandle, PeerKey, PeerLink, PeerOptions};
@@ -13,7 +12,7 @@
 use anvilhook_store::claims::{ClaimOptions, Claims};
 use anvilhook_store::{
     ArchiveOptions, AuditArchive, ConfigurationFollower, ConfigurationStore, InstanceDirectory,
-    StatusStore, StoreOptions,
+    MembershipFollower, StatusStore, StoreOptions,
 };
 use prometheus_client::registry::Registry;
 use rand::{RngExt, SeedableRng};
@@ -31,13 +30,14 @@
 use super::listeners::Listeners;
 use super::marks::Marks;
 use super::metrics::InstanceCollector;
-use super::peers::Presence;
+use super::peers::{Presence, membership_options};
 use super::pollers::Pollers;
+use super::roles::RoleDesk;
 use super::shares::ShareTask;
 use super::sweeps::sweep_claims;
 use super::tasks::Tasks;
 use crate::front::{Front, FrontMetrics, FrontOptions, FrontParts};
-use crate::names::running_name;
+use crate::names::{own_generator, running_name};
 use crate::observability::{ProcessCollector, Readiness, probe_router};
 use crate::operators::{
     self, Credentials, LeaseRows, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
@@ -45,25 +45,21 @@
 use crate::proxy::TableClaims;
 use crate::settings::{LeaseSettings, PollingSettings, Settings};
 
-/// How many pauses of the instance list lie between two readings of the instances' records. Records
-/// change far less often, and each reading scans all of them.
-const DIRECTORY_PAUSES: u64 = 5;
-
 /// The stream of the generator that the ids of operators' changes come from.
 const OPERATOR_STREAM: u64 = 1;
 
 /// The stream of the generator that the archive's pauses come from.
 const ARCHIVE_STREAM: u64 = 2;
 
-/// How many renewals fall into the length of a lease.
-const RENEWALS_PER_LEASE: u64 = 3;
+/// The stream of the generator that the pauses between polls of the members come from.
+const MEMBERSHIP_STREAM: u64 = 3;
 
 /// `Parts` holds what an instance takes from its surroundings.
 #[derive(Clone, Debug)]
 pub struct Parts<C> {
     /// The clock that its decisions read.
     pub clock: C,
-    /// The generator that its random choices come from.
+    /// The generator that its random choices come from, after its name was mixed in.
     pub rng: ChaCha8Rng,
 }
 
@@ -73,7 +69,8 @@
         Self { clock: SystemClock::new(), rng: rand::make_rng() }
     }
 
-    /// Returns the machine's clock and a generator that can be repeated.
+    /// Returns the machine's clock and a generator with a seed. Instances that share one still draw
+    /// different ids, because each mixes its own name in.
     pub fn seeded(seed: u64) -> Self {
         Self { clock: SystemClock::new(), rng: ChaCha8Rng::seed_from_u64(seed) }
     }
@@ -129,7 +126,11 @@
 impl<C: Clock> Wiring<C> {
     fn try_new(settings: Settings, parts: Parts<C>) -> Result<Self, StartError> {
         let Parts { clock, mut rng } = parts;
-        let name = running_name(&settings.instance.name_prefix, &mut rng)?;
+        // Drawn from a seed, a name could be another instance's too, and each would take the other's
+        // rows for its own.
+        let mut system_rng: ChaCha8Rng = rand::make_rng();
+        let name = running_name(&settings.instance.name_prefix, &mut system_rng)?;
+        let mut rng = own_generator(&name, &mut rng);
         let clients = Clients::try_new(&settings, &mut rng)?;
         let credentials = Credentials::try_new(&settings.operators)?;
         let shutdown = Shutdown::new();
@@ -269,12 +270,18 @@
     /// Starts what keeps this instance and its peers known to each other.
     fn spawn_presence(&self, tasks: &mut Tasks, presence: &Presence<C, HttpPlatform>) {
         let platform = self.clients.platform.clone();
-        let pause = Millis(self.settings.polling.instance_list_ms.0 * DIRECTORY_PAUSES);
         let leases = self.settings.leases;
         let patience = leases.length_ms + leases.guard_ms;
         let until = Phase::Closed;
         tasks.spawn_until("announcement", until, presence.clone().keep_announced(patience));
-        let finding = presence.clone().find_peers(platform.clone(), pause);
+        let members = MembershipFollower::new(
+            platform.clone(),
+            self.clock.clone(),
+            self.name.clone(),
+            membership_options(self.settings.polling.instance_list_ms),
+        );
+        let finding =
+            presence.clone().find_peers(members, platform.clone(), self.stream(MEMBERSHIP_STREAM));
         tasks.spawn_until("peers", until, finding);
         let exchanging = presence.clone().exchange_configurations();
         tasks.spawn_until("peers' configurations", until, exchanging);
@@ -286,8 +293,6 @@
             options: front_options(&self.settings).limits,
         };
         tasks.spawn_until("account shares", until, shares.move_shares());
-        let forgetting = presence.clone().forget_gone(platform.clone(), pause);
-        tasks.spawn_until("gone instances", until, forgetting);
         let (clock, name) = (self.clock.clone(), self.name.clone());
         let claims = Claims::new(platform.clone(), clock, name, ClaimOptions::default());
         let sweeping = sweep_claims(claims, platform, self.instances.subscribe());
@@ -320,10 +325,15 @@
         options.check()?;
         let keeper = KeeperTask {
             name: self.name.clone(),
+            clock: self.clock.clone(),
+            front: self.front.clone(),
+            instances: self.instances.clone(),
+            desk: RoleDesk::new(self.settings.roles),
             keeper: Keeper::new(self.name.clone(), services, options),
             follower: self.follower.clone(),
             statuses: StatusStore::new(table),
             link: link.clone(),
+            peers: self.peers.subscribe(),
             acknowledged,
             shutdown: self.shutdown.clone(),
         };
@@ -374,13 +384,7 @@
 }
 
 fn keeper_options(leases: &LeaseSettings) -> KeeperOptions {
-    let lease = LeaseOptions {
-        length_ms: leases.length_ms,
-        renew_every_ms: Millis(leases.length_ms.0 / RENEWALS_PER_LEASE),
-        guard_ms: leases.guard_ms,
-        ..LeaseOptions::default()
-    };
-    KeeperOptions { lease, ..KeeperOptions::default() }
+    KeeperOptions { lease: leases.options(), ..KeeperOptions::default() }
 }
 
 fn front_options(settings: &Settings) -> FrontOptions {
