Remove the admission queue, which nothing used

Cause: AdmissionQueue was called by its two tests only. The request path refuses or sends at once.

Change: the queue goes, with its option max_waiting and its tests verify_queue_order and verify_full_queue_refuses_the_flood, which tested nothing that runs. Order by priority is held by the engines' queues (verify_smaller_priority_goes_first_and_equals_keep_their_order covers the stand-in's); a flooding account is held by the account limits. Refusal by priority in admission::decide was weighed and is not taken.

--- a/crates/anvilhook-core/src/admission/mod.rs
+++ b/crates/anvilhook-core/src/admission.rs
@@ -1,12 +1,7 @@
-//! Admission: what is started, what waits, and what is refused at once as not run.
+//! Admission: what is started, and what is refused at once as not run.
 //!
 //! A request that cannot be answered in time is refused when it arrives, not after it has taken an
-//! engine's time from those that could. What waits is ordered by priority, then by deadline, with
-//! accounts above their fair part behind the others.
-
-mod queues;
-
-pub use queues::{AdmissionQueue, Waiting};
+//! engine's time from those that could. Nothing waits here: engines order what waits by priority.
 
 use crate::units::Millis;
 
@@ -18,13 +13,11 @@
     /// The error of the estimate, as a share of it. Work that ends late takes engine time from work
     /// that would not, so doubt is better resolved against it.
     pub estimate_error: f64,
-    /// The most requests that wait at this instance. Beyond it the last in order are refused.
-    pub max_waiting: usize,
 }
 
 impl Default for AdmissionOptions {
     fn default() -> Self {
-        Self { margin: Millis(20), estimate_error: 0.2, max_waiting: 512 }
+        Self { margin: Millis(20), estimate_error: 0.2 }
     }
 }
 
@@ -47,8 +40,7 @@
 /// use anvilhook_core::admission::{Admission, AdmissionOptions, decide};
 /// use anvilhook_core::units::Millis;
 ///
-/// let options =
-///     AdmissionOptions { margin: Millis(20), estimate_error: 0.0, ..Default::default() };
+/// let options = AdmissionOptions { margin: Millis(20), estimate_error: 0.0 };
 /// let deadline = Millis(1_000);
 /// assert_eq!(decide(&options, Millis(980), deadline, Millis(0)), Admission::Run);
 /// let late = decide(&options, Millis(1_500), deadline, Millis(0));
