Let a holder that is cut from the table acknowledge at once

Cause: a holder that is cut off from the table waited, in each step, for the time-out of every call: two to renew its session, one to read the instances, and two more before each of its engines. With six engines at two seconds a call that is half a minute, in which a hint of its successor's term was not heeded, and a step that had heeded it went on calling before its caller could publish the acknowledgement. At engines that ignore fencing the successor waits for just that.

Change: a breaker before the table lets a step wait for one call without an answer, and refuses the rest of the step at once. A step looks at the hints before its first call, and ends there if a pool was lost. Nothing is under way at that point, because a step makes its calls one after another and the one before has returned, so what is acknowledged stays true. Nothing is acknowledged from within a step. The instances are not read while the table is silent.

Shown to fail: with the former keeper and with a breaker that never opens, five calls without an answer in one step at one engine; without the early return, a call before the acknowledgement; with former holders cleared without evidence, the successor's order before the paused holder has ended.

--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -9,6 +9,7 @@
 use anvilhook_engine::EngineControl;
 use anvilhook_platform::{InstanceList, Result, Table, Transaction, Write};
 
+use crate::breakers::Breaker;
 use crate::engines::Desk;
 use crate::fleets::{Fleet, PeerHints};
 use crate::observations::{Finding, Observation, ObservationBook, kinds, list, reasons};
@@ -43,7 +44,7 @@
 #[derive(Debug)]
 pub struct Keeper<T, E, L, C> {
     me: InstanceName,
-    services: Services<T, E, L, C>,
+    services: Services<Breaker<T>, E, L, C>,
     options: KeeperOptions,
     session: SessionHolder,
     candidate: Candidate,
@@ -62,8 +63,9 @@
 impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Keeper<T, E, L, C> {
     /// Makes the keeper of an instance. The name must be that of no earlier process.
     pub fn new(me: InstanceName, services: Services<T, E, L, C>, options: KeeperOptions) -> Self {
+        let Services { table, engines, instances, clock } = services;
         Self {
-            services,
+            services: Services { table: Breaker::new(table), engines, instances, clock },
             options,
             session: SessionHolder::new(me.clone()),
             candidate: Candidate::new(me.clone()),
@@ -88,15 +90,23 @@
     /// guard interval. `wall` dates what is observed.
     ///
     /// Failures of the platform and of engines are observed, not returned: the next step tries
-    /// again.
+    /// again. What `terms` returns should be published after each step: one that finds a pool lost
+    /// before its first call ends there, so that the successor does not wait for the rest.
     pub async fn step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
         self.book.begin_step(wall, self.services.clock.now());
         // Hints matter to holders only.
         let none = PeerHints::default();
         self.fleet.begin_step(if self.held.is_empty() { &none } else { hints });
+        self.services.table.close();
         let engines = plans.iter().flat_map(|plan| &plan.engines);
         self.upstreams.extend(engines.map(|engine| engine.name.clone()));
 
+        // Nothing is under way here, so a pool that is dropped is given up for good, and the caller
+        // publishes that as soon as this returns. After a call of a table that is out of reach, the
+        // successor at an engine that ignores fencing would wait for its time-out too.
+        if self.drop_lost() {
+            return;
+        }
         if !self.held.is_empty() {
             self.keep_session().await;
         }
@@ -118,6 +128,7 @@
     ///
     /// The platform's error if the table cannot be asked; the leases then lapse.
     pub async fn stop(&mut self) -> Result<()> {
+        self.services.table.close();
         let pools: Vec<PoolName> = self.held.keys().cloned().collect();
         for name in pools {
             self.release(&name).await?;
@@ -159,7 +170,8 @@
 
     /// Drops the pools that are not this instance's any more: its session has ended, the row names
     /// another, or a peer knows of a later term. The last is a hint, and following it is safe.
-    fn drop_lost(&mut self) {
+    /// Returns whether there were any.
+    fn drop_lost(&mut self) -> bool {
         let session = self.session.session();
         let is_lost = |pool: &HeldPool, fleet: &Fleet| {
             let later = fleet.highest_term(&pool.name).is_some_and(|term| term > pool.row.term);
@@ -168,12 +180,14 @@
         let lost = self.held.values().filter(|pool| is_lost(pool, &self.fleet));
         let lost: Vec<(PoolName, Term)> =
             lost.map(|pool| (pool.name.clone(), pool.row.term)).collect();
+        let any = !lost.is_empty();
         for (name, term) in lost {
             log::warn!("pool {name}: authority of {term} has ended");
             self.forget(&name);
             let later = self.fleet.highest_term(&name).unwrap_or_default();
             self.candidate.bar_below(&name, later.max(Term(term.0 + 1)));
         }
+        any
     }
 
     /// Reads the instances where a drain or a former holder is awaited, and now and then otherwise.
@@ -185,7 +199,8 @@
             if awaited { self.options.awaited_read_ms } else { self.options.fleet_read_ms };
         let Services { table, instances, clock, .. } = &self.services;
         let now = clock.now();
-        if !self.fleet.is_due(now, interval) {
+        // Without the table the reading fails, and would be due again at every step.
+        if table.is_open() || !self.fleet.is_due(now, interval) {
             return;
         }
         if let Err(err) = self.fleet.refresh(table, instances, &self.upstreams, now).await {
