--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -58,6 +58,8 @@
     /// The gone instances whose rows this keeper has removed.
     swept: BTreeSet<InstanceName>,
     book: ObservationBook,
+    /// The pools that engines of this instance's pools wait for.
+    awaited: BTreeSet<PoolName>,
 }
 
 impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Keeper<T, E, L, C> {
@@ -77,6 +79,7 @@
             upstreams: BTreeSet::new(),
             swept: BTreeSet::new(),
             book: ObservationBook::default(),
+            awaited: BTreeSet::new(),
         }
     }
 
@@ -86,6 +89,12 @@
         self.upstreams.extend(names);
     }
 
+    /// Notes the other instances, as far as they are known without reading every record. They say
+    /// which of the candidates for a pool this one is; a drain reads the records.
+    pub fn note_instances(&mut self, names: impl IntoIterator<Item = InstanceName>) {
+        self.fleet.note(names);
+    }
+
     /// Does what can be done now. It should be called a few times a second, and more often than the
     /// guard interval. `wall` dates what is observed.
     ///
@@ -93,6 +102,7 @@
     /// again. What `terms` returns should be published after each step: one that finds a pool lost
     /// before its first call ends there, so that the successor does not wait for the rest.
     pub async fn step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
+        let plans = &self.with_awaited(plans);
         self.book.begin_step(wall, self.services.clock.now());
         // Hints matter to holders only.
         let none = PeerHints::default();
@@ -122,6 +132,16 @@
         self.look_for_orphans(plans).await;
     }
 
+    /// Returns the plans with an empty one for each undeclared pool that one of the engines waits
+    /// for. Nobody else takes such a pool, and an order that it left behind would stay open for
+    /// good; one would see the engine wait for a pool that does not exist.
+    fn with_awaited(&mut self, plans: &[PoolPlan]) -> Vec<PoolPlan> {
+        let awaited = std::mem::take(&mut self.awaited);
+        let undeclared =
+            awaited.into_iter().filter(|name| plans.iter().all(|plan| plan.pool != *name));
+        plans.iter().cloned().chain(undeclared.map(PoolPlan::undeclared)).collect()
+    }
+
     /// Gives up everything at a planned stop, so that successors need not wait.
     ///
     /// # Errors
@@ -195,6 +215,10 @@
         let awaits =
             |pool: &HeldPool| !pool.row.drains.engines.is_empty() || !pool.row.uncleared.is_empty();
         let awaited = self.held.values().any(awaits);
+        if !awaited && self.fleet.is_noted() {
+            // Every instance would else read every other's record.
+            return;
+        }
         let interval =
             if awaited { self.options.awaited_read_ms } else { self.options.fleet_read_ms };
         let Services { table, instances, clock, .. } = &self.services;
@@ -319,6 +343,7 @@
                 fleet: &self.fleet,
                 slots: &mut self.slots,
                 book: &mut self.book,
+                awaited: &mut self.awaited,
             };
             desk.work(&mut pool, plan).await;
             if let Err(err) = self.work_plans(&mut pool, plan).await {
