--- a/crates/anvilhook-authority/src/engines.rs
+++ b/crates/anvilhook-authority/src/engines.rs
@@ -4,6 +4,7 @@
 mod findings;
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use anvilhook_core::Verdict;
 use anvilhook_core::authority::{
@@ -88,6 +89,8 @@
     pub fleet: &'a Fleet,
     pub slots: &'a mut SlotView,
     pub book: &'a mut ObservationBook,
+    /// The addresses of all declared engines.
+    pub declared: &'a BTreeSet<SocketAddr>,
     /// The pools that an engine here waits for.
     pub awaited: &'a mut BTreeSet<PoolName>,
 }
@@ -101,7 +104,7 @@
                 log::warn!("the load slots cannot be read: {err}");
             }
         }
-        let left = pool.left_behind(plan);
+        let left = pool.left_behind(plan, self.declared);
         self.read_states(pool, plan.engines.iter().chain(&left)).await;
         for engine in plan.engines.iter().chain(&left) {
             // Renewals come first: a few slow engines must not cost the lease of all others.
--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -1,6 +1,7 @@
 //! The keeper: takes pools, and carries out what is wanted of their engines.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use anvilhook_core::authority::LoadSlot;
 use anvilhook_core::names::{InstanceName, PoolName, UpstreamName};
@@ -13,6 +14,7 @@
 use crate::fleets::{Fleet, PeerHints};
 use crate::observations::{Finding, Observation, ObservationBook, kinds, list, reasons};
 use crate::options::KeeperOptions;
+use crate::orphans::{OrphanWatch, orphans};
 use crate::plans::PoolPlan;
 use crate::pools::HeldPool;
 use crate::rows;
@@ -26,7 +28,7 @@
     /// The platform's table.
     pub table: T,
     /// Control of the engines. A call must end, one way or the other, within the guard interval of
-    /// the lease.
+    /// the lease, which one that goes by `LeaseOptions::call_timeout` does.
     pub engines: E,
     /// The platform's list of instances.
     pub instances: L,
@@ -41,12 +43,14 @@
 /// only together with the whole keeper.
 #[derive(Debug)]
 pub struct Keeper<T, E, L, C> {
+    me: InstanceName,
     services: Services<T, E, L, C>,
     options: KeeperOptions,
     session: SessionHolder,
     candidate: Candidate,
     fleet: Fleet,
     slots: SlotView,
+    orphans: OrphanWatch,
     held: BTreeMap<PoolName, HeldPool>,
     /// All names that have been declared as upstreams. They are remembered after their removal,
     /// because the platform lists an engine for a while after it was taken from the configuration.
@@ -56,6 +60,8 @@
     book: ObservationBook,
     /// The pools that engines of this instance's pools wait for.
     awaited: BTreeSet<PoolName>,
+    /// The addresses of all declared engines.
+    declared: BTreeSet<SocketAddr>,
 }
 
 impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Keeper<T, E, L, C> {
@@ -65,14 +71,17 @@
             services,
             options,
             session: SessionHolder::new(me.clone()),
-            candidate: Candidate::new(me),
+            candidate: Candidate::new(me.clone()),
+            me,
             fleet: Fleet::default(),
             slots: SlotView::default(),
+            orphans: OrphanWatch::new(),
             held: BTreeMap::new(),
             upstreams: BTreeSet::new(),
             swept: BTreeSet::new(),
             book: ObservationBook::default(),
             awaited: BTreeSet::new(),
+            declared: BTreeSet::new(),
         }
     }
 
@@ -100,6 +109,7 @@
         let none = PeerHints::default();
         self.fleet.begin_step(if self.held.is_empty() { &none } else { hints });
         let engines = plans.iter().flat_map(|plan| &plan.engines);
+        self.declared = engines.clone().map(|engine| engine.address).collect();
         self.upstreams.extend(engines.map(|engine| engine.name.clone()));
 
         if !self.held.is_empty() {
@@ -114,6 +124,7 @@
                 None => self.look(plan).await,
             }
         }
+        self.look_for_orphans(plans).await;
     }
 
     /// Returns the plans with an empty one for each undeclared pool that one of the engines waits
@@ -253,6 +264,24 @@
         }
     }
 
+    /// Takes the pools that are not declared any more and keep slots of the weight store, if their
+    /// holders have ended. The next step closes their orders and gives them up.
+    async fn look_for_orphans(&mut self, plans: &[PoolPlan]) {
+        let now = self.services.clock.now();
+        if !self.orphans.is_due(&self.me, &self.fleet, &self.options.candidates, now) {
+            return;
+        }
+        if let Err(err) = self.slots.refresh(&self.services.table).await {
+            log::warn!("the load slots cannot be read: {err}");
+            return;
+        }
+        for pool in orphans(&self.slots, plans) {
+            if !self.held.contains_key(&pool) {
+                self.look(&PoolPlan::undeclared(pool)).await;
+            }
+        }
+    }
+
     /// Drops a pool and what was observed of it; its next holder observes it anew.
     fn forget(&mut self, name: &PoolName) -> Option<HeldPool> {
         let pool = self.held.remove(name)?;
@@ -304,6 +333,7 @@
                 fleet: &self.fleet,
                 slots: &mut self.slots,
                 book: &mut self.book,
+                declared: &self.declared,
                 awaited: &mut self.awaited,
             };
             desk.work(&mut pool, plan).await;
--- a/crates/anvilhook-authority/src/lib.rs
+++ b/crates/anvilhook-authority/src/lib.rs
@@ -12,6 +12,7 @@
 mod keepers;
 mod observations;
 mod options;
+mod orphans;
 mod owners;
 mod plans;
 mod pools;
--- a/crates/anvilhook-daemon/src/proxy/attempts.rs
+++ b/crates/anvilhook-daemon/src/proxy/attempts.rs
@@ -3,16 +3,16 @@
 use anvilhook_core::Verdict;
 use anvilhook_core::admission::AdmissionOptions;
 use anvilhook_core::attempts::AttemptId;
+use anvilhook_core::routing::{Phase, UpstreamState};
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_engine::wire::{PRIORITY_HEADER, TIME_LEFT_HEADER};
-use anvilhook_engine::{Attempt, Bounds, Error, Upstreams};
+use anvilhook_engine::{Attempt, Bounds, Error, Upstreams, WholeAnswer};
 use anvilhook_http::clients::Connection;
 use http::StatusCode;
 use http::header::HeaderValue;
-use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::cancels::{Held, Running};
+use super::cancels::Running;
 use super::choices::Progress;
 use super::failures::{Code, Failure};
 use super::requests::{ProxyRequest, RequestKind};
@@ -54,6 +54,10 @@
 
     /// Returns the status of an answer.
     fn status(answer: &Self::Answer) -> StatusCode;
+
+    /// Returns an answer that came whole before the attempt was sent, from the engine that was to
+    /// read its prompt.
+    fn whole(answer: WholeAnswer) -> Self::Answer;
 }
 
 /// `Answered` is an upstream's answer with the attempt that got it.
@@ -96,17 +100,26 @@
             if self.time_left(req) == Millis::ZERO {
                 return Err(self.deadline_exceeded(progress.verdict));
             }
-            let Some(held) = self.hold(req, &mut progress, rng).await? else {
+            let Some(placed) = self.hold(req, &mut progress, rng).await? else {
                 return Err(self.no_upstream(progress.verdict));
             };
 
             // Every attempt has an id of its own, so that answers can't be mixed up.
-            let attempt = self.attempt(req, &held, progress.attempts, rng);
-            let mut running = Running::new(self.upstreams.clone(), attempt.id, held, req.is_chat());
+            let id = AttemptId::random(rng);
+            let running = Running::new(self.upstreams.clone(), id, placed.held, req.is_chat());
             progress.attempts += 1;
+            let (mut running, sent) = match placed.phase {
+                Phase::Whole => {
+                    let attempt = self.attempt(req, running.upstream(), progress.attempts, id);
+                    (running, sending.send(&attempt).await)
+                }
+                Phase::Prefill | Phase::Decode => {
+                    self.send_split(req, sending, running, &mut progress, rng).await
+                }
+            };
             progress.tried.push(running.upstream().name().clone());
 
-            let failure = match sending.send(&attempt).await {
+            let failure = match sent {
                 Ok(answer) => {
                     let is_failure = S::status(&answer).is_server_error();
                     self.record(&running, !is_failure);
@@ -153,12 +166,13 @@
         if is_well { ejection.record_success(now) } else { ejection.record_failure(now) }
     }
 
-    fn attempt(
+    /// Makes what is sent to an upstream in the attempt of the given number, the first being 1.
+    pub(super) fn attempt(
         &self,
         req: &ProxyRequest,
-        held: &Held,
-        earlier: usize,
-        rng: &mut impl Rng,
+        upstream: &UpstreamState,
+        number: usize,
+        id: AttemptId,
     ) -> Attempt {
         let time_left = self.time_left(req);
         let mut headers = req.headers.clone();
@@ -167,10 +181,10 @@
 
         // A first attempt may find an idle connection that has gone silent. A retry must not: it
         // would wait as long again and be as lost.
-        let connection = if earlier == 0 { Connection::Pooled } else { Connection::New };
+        let connection = if number <= 1 { Connection::Pooled } else { Connection::New };
         Attempt {
-            id: AttemptId::random(rng),
-            address: held.upstream().address(),
+            id,
+            address: upstream.address(),
             method: req.method.clone(),
             path: req.path.clone(),
             headers,
--- a/crates/anvilhook-daemon/src/proxy/choices.rs
+++ b/crates/anvilhook-daemon/src/proxy/choices.rs
@@ -1,9 +1,9 @@
-//! Choosing the upstream of an attempt, and refusing what can't be answered in time.
+//! Choosing where a request runs, counting it in there, and refusing what can't be answered in time.
 
 use anvilhook_core::Verdict;
 use anvilhook_core::admission::{Admission, decide};
 use anvilhook_core::names::UpstreamName;
-use anvilhook_core::routing::{Candidate, Estimate, Phase, RouteRequest};
+use anvilhook_core::routing::{Candidate, Estimate, Phase, Placement, RouteRequest};
 use anvilhook_core::units::{Clock, Millis, Tokens};
 use anvilhook_engine::Upstreams;
 use rand_chacha::ChaCha8Rng;
@@ -26,18 +26,66 @@
     pub verdict: Verdict,
 }
 
+/// `Placed` is a request that is counted in where its first part runs.
+pub(super) struct Placed {
+    /// What counts it in.
+    pub held: Held,
+    /// The part: the whole request, or the prompt if another engine is to generate.
+    pub phase: Phase,
+}
+
+/// `Choice` is where a request could run.
+struct Choice<'a> {
+    first: Candidate<'a>,
+    phase: Phase,
+    /// What all of its parts are believed to take.
+    estimate: Estimate,
+}
+
+impl<'a> From<Placement<'a>> for Choice<'a> {
+    fn from(placement: Placement<'a>) -> Self {
+        match placement {
+            Placement::Whole(first) => {
+                Self { first, phase: Phase::Whole, estimate: first.estimate }
+            }
+            Placement::Split { prefill, decode } => {
+                let estimate = prefill.estimate.then(&decode);
+                Self { first: prefill, phase: Phase::Prefill, estimate }
+            }
+        }
+    }
+}
+
+impl ProxyRequest {
+    /// Returns what the choice of an upstream needs to know.
+    pub(super) fn route(&self) -> RouteRequest<'_> {
+        RouteRequest {
+            work: self.work,
+            prefix: &self.prefix,
+            deadline: self.deadline,
+            priority: self.priority,
+        }
+    }
+
+    /// Returns whether one engine can read the prompt and another generate. Without output to
+    /// generate there is nothing to split.
+    fn can_split(&self) -> bool {
+        self.is_chat() && self.work.output.0 > 0
+    }
+}
+
 impl<C: Clock, U: Upstreams> Proxy<C, U> {
-    /// Chooses an upstream and counts the request in there: one that has not been tried if there is
-    /// one, else any, after a pause.
+    /// Chooses where the request runs and counts it in there: at an upstream that has not been
+    /// tried if there is one, else at any, after a pause.
     pub(super) async fn hold(
         &self,
         req: &ProxyRequest,
         progress: &mut Progress,
         rng: &mut ChaCha8Rng,
-    ) -> Result<Option<Held>, Failure> {
-        let held = self.hold_untried(req, progress, rng)?;
-        if held.is_some() || progress.tried.is_empty() {
-            return Ok(held);
+    ) -> Result<Option<Placed>, Failure> {
+        let placed = self.hold_untried(req, progress, rng)?;
+        if placed.is_some() || progress.tried.is_empty() {
+            return Ok(placed);
         }
         progress.tried.clear();
         let pause = self.options.backoff.min(self.time_left(req));
@@ -50,47 +98,44 @@
         req: &ProxyRequest,
         progress: &Progress,
         rng: &mut ChaCha8Rng,
-    ) -> Result<Option<Held>, Failure> {
-        let route = RouteRequest {
-            work: req.work,
-            prefix: &req.prefix,
-            deadline: req.deadline,
-            priority: req.priority,
-        };
-        let mut closed = Vec::new();
+    ) -> Result<Option<Placed>, Failure> {
+        let route = req.route();
+        let table = &req.service.table;
+        let mut shut_out = progress.tried.clone();
         loop {
-            let shut_out = if closed.is_empty() { &progress.tried } else { &closed };
             let now = self.clock.now();
-            let chosen = req.service.table.choose_for(Phase::Whole, &route, shut_out, now, rng);
-            let Some(chosen) = chosen else { return Ok(None) };
+            let placement = match req.can_split() {
+                true => table.place(&route, &shut_out, now, rng),
+                false => {
+                    let whole = table.choose_for(Phase::Whole, &route, &shut_out, now, rng);
+                    whole.map(Placement::Whole)
+                }
+            };
+            let Some(choice) = placement.map(Choice::from) else { return Ok(None) };
             if progress.attempts == 0 {
-                self.admit(req, &chosen, now)?;
+                if shut_out.is_empty() {
+                    req.service.meter.record(req.work, choice.first.uncached);
+                }
+                self.admit(req, &choice, now)?;
             }
-            let work = chosen.work(Phase::Whole, req.work);
-            if let Some(held) = Held::try_new(chosen.upstream, work, now) {
-                return Ok(Some(held));
+            let Choice { first, phase, .. } = choice;
+            let work = first.work(phase, req.work);
+            if let Some(held) = Held::try_new(first.upstream, work, now) {
+                return Ok(Some(Placed { held, phase }));
             }
             // The upstream began to drain between the choice and the count.
-            if closed.is_empty() {
-                closed.extend_from_slice(&progress.tried);
-            }
-            closed.push(chosen.upstream.name().clone());
+            shut_out.push(first.upstream.name().clone());
         }
     }
 
     /// Refuses a request that its best upstream is not believed to answer in time: it would only
     /// take the time of those that can be.
-    fn admit(
-        &self,
-        req: &ProxyRequest,
-        chosen: &Candidate<'_>,
-        now: Millis,
-    ) -> Result<(), Failure> {
+    fn admit(&self, req: &ProxyRequest, choice: &Choice<'_>, now: Millis) -> Result<(), Failure> {
         // Without a report there is nothing to believe.
-        if !chosen.upstream.has_report() {
+        if !choice.first.upstream.has_report() {
             return Ok(());
         }
-        let time = likely_time(req, &chosen.estimate);
+        let time = likely_time(req, &choice.estimate);
         match decide(&self.options.admission, time, req.deadline, now) {
             Admission::Run => Ok(()),
             Admission::Refuse { retry_after } => {
--- a/crates/anvilhook-daemon/src/proxy/mod.rs
+++ b/crates/anvilhook-daemon/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 mod failures;
 mod requests;
 mod rngs;
+mod splits;
 mod streams;
 mod table_claims;
 mod whole;
