--- a/crates/anvilhook-authority/src/engines.rs
+++ b/crates/anvilhook-authority/src/engines.rs
@@ -4,6 +4,7 @@
 mod findings;
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use anvilhook_core::Verdict;
 use anvilhook_core::authority::{
@@ -19,8 +20,8 @@
 
 use self::claims::Claimed;
 use self::findings::{
-    changing_finding, fencing_finding, finding_of, memory_is_unreachable, serving_finding,
-    unreachable_finding,
+    changing_finding, fencing_finding, finding_of, lagging_finding, memory_is_unreachable,
+    serving_finding, unreachable_finding,
 };
 use crate::fleets::Fleet;
 use crate::keepers::Services;
@@ -88,6 +89,8 @@
     pub fleet: &'a Fleet,
     pub slots: &'a mut SlotView,
     pub book: &'a mut ObservationBook,
+    /// The addresses of all declared engines.
+    pub declared: &'a BTreeSet<SocketAddr>,
     /// The pools that an engine here waits for.
     pub awaited: &'a mut BTreeSet<PoolName>,
 }
@@ -101,7 +104,7 @@
                 log::warn!("the load slots cannot be read: {err}");
             }
         }
-        let left = pool.left_behind(plan);
+        let left = pool.left_behind(plan, self.declared);
         self.read_states(pool, plan.engines.iter().chain(&left)).await;
         for engine in plan.engines.iter().chain(&left) {
             // Renewals come first: a few slow engines must not cost the lease of all others.
@@ -210,6 +213,14 @@
                     (row, RowChange::default())
                 }
                 Decision::Record(order) => {
+                    if claim == Some(Claim::HandOver) && is_drained_for_change(pool, engine) {
+                        // An instance that lags may route there by the engine's former name, for
+                        // which the drain is not marked; the order would cut its requests.
+                        let lagging = self.fleet.lagging(engine.declared_at)?;
+                        if !lagging.is_empty() {
+                            return Some(lagging_finding(engine, &lagging));
+                        }
+                    }
                     let slot = load_slot(pool, engine);
                     let Some(change) = self.slots.take(&order, slot, self.options.max_loads) else {
                         return Some(Finding::of_wait(&Wait::WeightStore));
@@ -347,6 +358,10 @@
     }
 }
 
+fn is_drained_for_change(pool: &HeldPool, engine: &EnginePlan) -> bool {
+    pool.row.drains.is_marked_for(&engine.name, &DrainCause::Change)
+}
+
 fn load_slot(pool: &HeldPool, engine: &EnginePlan) -> LoadSlot {
     LoadSlot { pool: pool.name.clone(), engine: engine.name.clone() }
 }
--- a/crates/anvilhook-authority/src/pools.rs
+++ b/crates/anvilhook-authority/src/pools.rs
@@ -1,6 +1,7 @@
 //! A pool that this instance holds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use anvilhook_core::authority::{OpenOrder, OrderTarget, PoolRow};
 use anvilhook_core::drains::{DrainCause, DrainPlanner, EngineView, PlanRefusal};
@@ -215,15 +216,17 @@
         self.undeclared.iter().find(is_dead).map(|(name, _)| name.clone())
     }
 
-    /// Returns the undeclared engines whose open orders a former holder may still give. What can be
-    /// fenced off there is, so that an engine that has moved to another pool can be ordered there.
-    pub fn left_behind(&self, plan: &PoolPlan) -> Vec<EnginePlan> {
+    /// Returns the engines that are declared elsewhere now and have an open order here that a former
+    /// holder may still give. What can be fenced off there is, so that their new pools can order
+    /// them. An engine that is not declared at all is given no order any more.
+    pub fn left_behind(&self, plan: &PoolPlan, declared: &BTreeSet<SocketAddr>) -> Vec<EnginePlan> {
         let open = self.row.open.iter();
         let left = open.filter(|(name, order)| {
             plan.engine(name).is_none() && !order.senders.is_disjoint(&self.row.uncleared)
         });
         let engine = |(name, order): (&UpstreamName, &OpenOrder)| {
-            let OrderTarget { address, zone, fencing } = order.target.clone()?;
+            let target = order.target.as_ref().filter(|to| declared.contains(&to.address));
+            let OrderTarget { address, zone, fencing } = target.cloned()?;
             let (desired, declared_at) = (Vec::new(), Revision::default());
             Some(EnginePlan { name: name.clone(), address, zone, fencing, desired, declared_at })
         };
