Test load slots of dead holders over orders sent and not sent

Cause: the test knew only an order that had been sent, and saw the slot before and after, not while the engine loaded.

Change: the table covers holders that end before and after they send the order, and each step checks that an engine that loads holds a slot.

--- a/crates/anvilhook-authority/tests/orders.rs
+++ b/crates/anvilhook-authority/tests/orders.rs
@@ -195,41 +195,71 @@
     }
 }
 
-/// Symptom: the weight store stays busy for ever, or a load begins beside one that may still come.
+/// Symptom: the weight store stays busy for ever, or a load begins beside one that runs or may come.
 /// Sequence: a pool is undeclared while an engine of it loads a model, and its holder ends before it
-/// closes the order; the platform says that it is gone at once, or a minute later.
-/// Cause: nobody takes a pool that is not declared.
+/// closes the order, or before it sends it; the platform says that it is gone at once, or later.
+/// Cause: nobody takes a pool that is not declared, or a slot freed by its holder's end alone.
 #[tokio::test(flavor = "current_thread")]
 async fn verify_a_dead_holder_of_an_undeclared_pool_keeps_no_slot() {
-    for engine in 0..2 {
-        for gone_at_once in [true, false] {
-            let case = format!("engine {engine}, gone at once: {gone_at_once}");
-            let mut fleet = Fleet::new(FleetOptions::default());
-            fleet.run_for(Millis(3_000)).await;
-            fleet.want(engine, load(2));
-            let opened = |fleet: &Fleet| !fleet.rows()[0].open.is_empty();
-            fleet.run_until(LIMIT, "order", opened).await;
-            let holder = fleet.holder().unwrap();
-            fleet.kill(holder);
-            let plans = std::mem::take(&mut fleet.plans);
-
-            if !gone_at_once {
-                // Paused and not dead, it could still give the order.
-                fleet.run_for(Millis::from_secs(60)).await;
-                assert_ne!(load_slots(&fleet), NO_SLOTS, "{case}: freed too early");
-            }
-            fleet.declare_gone(holder);
-            fleet.run_for(Millis::from_secs(60)).await;
-
-            assert_eq!(load_slots(&fleet), NO_SLOTS, "{case}");
-            fleet.plans = plans;
-            let row = fleet.row().unwrap();
-            assert!(row.open.is_empty() && row.holder.is_none(), "{case}: {row:?}");
-            // Nobody takes the pool again when nothing is left to do there.
-            fleet.plans.clear();
-            let before = fleet.platform.rows("authority/pools/");
-            fleet.run_for(Millis::from_secs(60)).await;
-            assert_eq!(fleet.platform.rows("authority/pools/"), before, "{case}");
+    for (engine, sent, gone_at_once) in [
+        (0, true, true),
+        (0, true, false),
+        (0, false, true),
+        (0, false, false),
+        (1, true, true),
+        (1, true, false),
+        (1, false, true),
+        (1, false, false),
+    ] {
+        let case = format!("engine {engine}, sent: {sent}, gone at once: {gone_at_once}");
+        let mut fleet = Fleet::new(FleetOptions::default());
+        fleet.run_for(Millis(3_000)).await;
+        let holder = fleet.holder().unwrap();
+        if !sent {
+            let name = fleet.instances[holder].name.to_string();
+            fleet.engines.fail_next_order(&name, EngineFault::PauseBeforeSending);
         }
+        fleet.want(engine, load(2));
+        let opened = |fleet: &Fleet| !fleet.rows()[0].open.is_empty();
+        fleet.run_until(LIMIT, "order", opened).await;
+        assert_eq!(loads(&fleet, engine), sent, "{case}");
+        fleet.kill(holder);
+        let plans = std::mem::take(&mut fleet.plans);
+
+        if !gone_at_once {
+            run_holding_slots(&mut fleet, engine, &case).await;
+            // Paused and not dead, the holder could still send it, and nobody reads an engine that
+            // is not declared.
+            assert_ne!(load_slots(&fleet), NO_SLOTS, "{case}: before it is gone");
+        }
+        fleet.declare_gone(holder);
+        run_holding_slots(&mut fleet, engine, &case).await;
+
+        assert_eq!(load_slots(&fleet), NO_SLOTS, "{case}");
+        fleet.plans = plans;
+        let row = fleet.row().unwrap();
+        assert!(row.open.is_empty() && row.holder.is_none(), "{case}: {row:?}");
+        // Nobody takes the pool again when nothing is left to do there.
+        fleet.plans.clear();
+        let before = fleet.platform.rows("authority/pools/");
+        fleet.run_for(Millis::from_secs(60)).await;
+        assert_eq!(fleet.platform.rows("authority/pools/"), before, "{case}");
     }
 }
+
+/// Runs for a minute, in which a load that an engine carries out must hold a slot.
+async fn run_holding_slots(fleet: &mut Fleet, engine: usize, case: &str) {
+    let end = fleet.now() + Millis::from_secs(60);
+    while fleet.now() < end {
+        fleet.step().await;
+        let is_counted = load_slots(fleet) != NO_SLOTS;
+        assert!(is_counted || !loads(fleet, engine), "{case}: a slot in use was freed");
+    }
+}
+
+/// Returns whether an engine carries out an order.
+fn loads(fleet: &Fleet, engine: usize) -> bool {
+    let now = fleet.now();
+    let state = fleet.engines.with(address(engine), |model| model.state(now));
+    state.is_some_and(|state| state.running_order.is_some())
+}
