Spread the reports of the revision in force over a span

Cause: every instance wrote its record as soon as it saw a change, or as soon as the table was back: at 390 instances 390 rows in a second, where the table takes several hundred for everything.

Change: the reports of a change are spread over a span of one second for every 50 instances, each at a place that the instance's name decides; nobody writes more often than once in the span or in 5 s. A failed report is tried again a span later, the first announcement at once as before. The record's `since` is now the time at which the revision came into force, not that of the report. Coming into force does not depend on any of this. What the API and the tool show as lag is said to be what was reported; the tool's line "on which this version is not in force yet" claimed more than the record tells, so it and the line that its test expects say "has not reported".

--- a/crates/anvilhook-api/src/messages.rs
+++ b/crates/anvilhook-api/src/messages.rs
@@ -109,9 +109,11 @@
     pub peer_address: SocketAddr,
     /// The revision that it last reported to be in force.
     pub revision: Revision,
-    /// Since when that is so.
+    /// Since when it has been in force there, which is before it was reported.
     pub since: WallTime,
-    /// How many revisions it lags behind the head.
+    /// How many revisions the reported one lags behind the head. A report follows the change by up
+    /// to five seconds, or by a second for every 50 instances where that is longer, so a lag that
+    /// goes by itself within that time says nothing.
     pub lag: u64,
 }
 
@@ -153,7 +155,7 @@
     pub waiting: Vec<Observation>,
     /// The change that declared it so.
     pub last_change: Option<AuditEntry>,
-    /// Announced instances on which that change is not in force yet.
+    /// Announced instances that have not reported that change to be in force yet.
     pub lagging: Vec<InstanceName>,
     /// Why something is missing here, if the table cannot be read.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/anvilhook-ctl/src/whys.rs
+++ b/crates/anvilhook-ctl/src/whys.rs
@@ -69,7 +69,8 @@
         shell.line(format!("    since {since}, seen by {}", seen.observer))?;
     }
     for name in &why.lagging {
-        shell.line(format!("  instance {name}, on which this version is not in force yet"))?;
+        shell
+            .line(format!("  instance {name}, which has not reported this version in force yet"))?;
     }
     Ok(())
 }
--- a/crates/anvilhook-daemon/src/instances/peers.rs
+++ b/crates/anvilhook-daemon/src/instances/peers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use anvilhook_core::names::{InstanceName, ZoneName};
-use anvilhook_core::units::{Clock, Millis};
+use anvilhook_core::units::{Clock, Millis, Revision, WallTime};
 use anvilhook_peer::{PeerAddress, PeerHandle};
 use anvilhook_platform::{InstanceList, ListedInstance, ListedState, Table};
 use anvilhook_store::{
@@ -57,12 +57,18 @@
     /// takes authority later asks every instance that the platform lists too.
     pub async fn keep_announced(self, patience: Millis) {
         let started_at = self.clock.now();
-        let mut schedule = ReportSchedule::new(REPORT_INTERVAL);
+        let mut schedule = ReportSchedule::new(&self.name, REPORT_INTERVAL);
         loop {
             let (now, revision) = (self.clock.now(), self.follower.revision());
-            if schedule.is_due(now, revision) && self.announce().await {
-                schedule.reported(now, revision);
-                self.announced.send_replace(true);
+            let instances = *self.instances.borrow();
+            if schedule.is_due(now, revision, instances) {
+                let since = system_wall_time().0.saturating_sub(schedule.in_force_for(now).0);
+                if self.announce(revision, WallTime(since)).await {
+                    schedule.reported(now, revision, instances);
+                    self.announced.send_replace(true);
+                } else {
+                    schedule.failed(now, instances);
+                }
             }
             if !*self.routable.borrow() && now - started_at > patience {
                 log::warn!("routing begins without an announcement; the table has been down");
@@ -73,8 +79,8 @@
     }
 
     /// Writes the record and returns whether it stands.
-    async fn announce(&self) -> bool {
-        let announced = self.directory.announce(&self.record()).await;
+    async fn announce(&self, revision: Revision, since: WallTime) -> bool {
+        let announced = self.directory.announce(&self.record(revision, since)).await;
         if let Err(err) = &announced {
             log::warn!("this instance cannot be announced: {err}");
         }
@@ -174,13 +180,13 @@
         }
     }
 
-    fn record(&self) -> InstanceRecord {
+    fn record(&self, revision: Revision, since: WallTime) -> InstanceRecord {
         InstanceRecord {
             name: self.name.clone(),
             peer_address: self.peer_address,
             zone: self.zone.clone(),
-            revision: self.follower.revision(),
-            since: system_wall_time(),
+            revision,
+            since,
         }
     }
 }
