Follow drains in a task of its own in the control bench

Cause: the bench polled the marks of drains before each step of the keeper, where the daemon has a task of its own for it. With the table out of reach each poll took a time-out, which the bench counted as part of the take-over.

Change: the bench wires the two as the daemon does.

--- a/crates/anvilhook-bench/src/control/instances.rs
+++ b/crates/anvilhook-bench/src/control/instances.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use super::keepers::{AckBoard, KeeperTask};
+use super::keepers::{AckBoard, DrainTask, KeeperTask};
 
 /// The key of the measured links.
 const KEY: &[u8] = b"the key of the control bench, 32+";
@@ -115,6 +115,14 @@
         tasks.spawn(read_records(keeper_table.clone()));
         let acks = Arc::new(AckBoard::new(peers.clone()));
         let stopping = watch::Sender::new(false);
+        let drains = DrainTask {
+            me: address.name.clone(),
+            platform: keeper_table.clone(),
+            clock,
+            acks: Arc::clone(&acks),
+            instances: count,
+        };
+        tasks.spawn(drains.run());
         let keeper = KeeperTask {
             me: address.name.clone(),
             platform: keeper_table,
@@ -122,7 +130,6 @@
             peers: peers.clone(),
             acks: Arc::clone(&acks),
             plans,
-            instances: count,
             stopping: stopping.subscribe(),
         };
         tasks.spawn(async move {
--- a/crates/anvilhook-bench/src/control/keepers.rs
+++ b/crates/anvilhook-bench/src/control/keepers.rs
@@ -44,9 +44,9 @@
         Self { peers, section: Mutex::default(), drill: AtomicU64::new(0) }
     }
 
-    /// Replaces what the keeper and the follower acknowledge.
-    fn set(&self, section: AckSection) {
-        *self.section.lock().unwrap_or_else(PoisonError::into_inner) = section;
+    /// Changes what the keeper or the follower acknowledges.
+    fn change(&self, change: impl FnOnce(&mut AckSection)) {
+        change(&mut self.section.lock().unwrap_or_else(PoisonError::into_inner));
         self.publish();
     }
 
@@ -68,7 +68,40 @@
     }
 }
 
-/// `KeeperTask` runs an instance's keeper and its follower of drains.
+/// `DrainTask` runs an instance's follower of drains. It is a task of its own, as in the daemon: with
+/// the table out of reach each of its polls takes a time-out, which the keeper must not wait for.
+pub(super) struct DrainTask {
+    pub(super) me: InstanceName,
+    pub(super) platform: HttpPlatform,
+    pub(super) clock: SystemClock,
+    pub(super) acks: Arc<AckBoard>,
+    pub(super) instances: usize,
+}
+
+impl DrainTask {
+    /// Runs until it is dropped.
+    pub(super) async fn run(self) {
+        let mut follower = Follower::new(self.me, self.platform, AckSchedule::default());
+        let pause = poll_interval(self.instances, FLEET_READS_PER_S, MARK_PAUSES);
+        loop {
+            // What is known of the marks holds on when the table cannot be read.
+            let _ = follower.poll().await;
+            let _ = follower.acknowledge(self.clock.now(), |_| 0).await;
+            let mut drains = Vec::new();
+            for (pool, engines) in follower.current(|_| 0).pools {
+                drains.extend(engines.into_iter().map(|(engine, generation)| DrainAck {
+                    pool: pool.clone(),
+                    engine,
+                    generation,
+                }));
+            }
+            self.acks.change(|section| section.drains = drains);
+            tokio::time::sleep(pause.as_duration()).await;
+        }
+    }
+}
+
+/// `KeeperTask` runs an instance's keeper.
 pub(super) struct KeeperTask {
     pub(super) me: InstanceName,
     pub(super) platform: HttpPlatform,
@@ -76,7 +109,6 @@
     pub(super) peers: PeerHandle,
     pub(super) acks: Arc<AckBoard>,
     pub(super) plans: watch::Receiver<Arc<Vec<PoolPlan>>>,
-    pub(super) instances: usize,
     pub(super) stopping: watch::Receiver<bool>,
 }
 
@@ -95,27 +127,18 @@
             clock: self.clock,
         };
         let mut keeper = Keeper::new(self.me.clone(), services, options);
-        let mut follower =
-            Follower::new(self.me.clone(), self.platform.clone(), AckSchedule::default());
         let mut beat = tokio::time::interval(STEP);
-        let pause = poll_interval(self.instances, FLEET_READS_PER_S, MARK_PAUSES);
-        let mut polled_at: Option<Millis> = None;
         loop {
             tokio::select! {
                 _ = beat.tick() => {}
                 _ = self.stopping.wait_for(|stopping| *stopping) => break,
             }
-            let now = self.clock.now();
-            if polled_at.is_none_or(|at| now - at >= pause) {
-                polled_at = Some(now);
-                // What is known of the marks holds on when the table cannot be read.
-                let _ = follower.poll().await;
-                let _ = follower.acknowledge(now, |_| 0).await;
-            }
             let plans = Arc::clone(&self.plans.borrow());
             let hints = self.hints();
             keeper.step(&plans, &hints, WallTime::default()).await;
-            self.acks.set(self.section(&keeper, &follower));
+            let term = |(pool, term)| TermAck { pool, term, holder: self.me.clone() };
+            let terms = keeper.terms().into_iter().map(term).collect();
+            self.acks.change(|section| section.terms = terms);
         }
         keeper.stop().await?;
         Ok(())
@@ -140,19 +163,4 @@
         }
         hints
     }
-
-    /// Returns what this instance acknowledges now.
-    fn section(&self, keeper: &HttpKeeper, follower: &Follower<HttpPlatform>) -> AckSection {
-        let mut section = AckSection::default();
-        for (pool, engines) in follower.current(|_| 0).pools {
-            section.drains.extend(engines.into_iter().map(|(engine, generation)| DrainAck {
-                pool: pool.clone(),
-                engine,
-                generation,
-            }));
-        }
-        let term = |(pool, term)| TermAck { pool, term, holder: self.me.clone() };
-        section.terms = keeper.terms().into_iter().map(term).collect();
-        section
-    }
 }
