--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -1,6 +1,7 @@
 //! The keeper: takes pools, and carries out what is wanted of their engines.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use anvilhook_core::authority::LoadSlot;
 use anvilhook_core::names::{InstanceName, PoolName, UpstreamName};
@@ -60,6 +61,8 @@
     book: ObservationBook,
     /// The pools that engines of this instance's pools wait for.
     awaited: BTreeSet<PoolName>,
+    /// The addresses of all declared engines.
+    declared: BTreeSet<SocketAddr>,
 }
 
 impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Keeper<T, E, L, C> {
@@ -80,6 +83,7 @@
             swept: BTreeSet::new(),
             book: ObservationBook::default(),
             awaited: BTreeSet::new(),
+            declared: BTreeSet::new(),
         }
     }
 
@@ -109,6 +113,7 @@
         self.fleet.begin_step(if self.held.is_empty() { &none } else { hints });
         self.services.table.close();
         let engines = plans.iter().flat_map(|plan| &plan.engines);
+        self.declared = engines.clone().map(|engine| engine.address).collect();
         self.upstreams.extend(engines.map(|engine| engine.name.clone()));
 
         // Nothing is under way here, so a pool that is dropped is given up for good, and the caller
@@ -343,6 +348,7 @@
                 fleet: &self.fleet,
                 slots: &mut self.slots,
                 book: &mut self.book,
+                declared: &self.declared,
                 awaited: &mut self.awaited,
             };
             desk.work(&mut pool, plan).await;
