--- a/crates/anvilhook-bench/src/control/keepers.rs
+++ b/crates/anvilhook-bench/src/control/keepers.rs
@@ -28,8 +28,6 @@
 const FLEET_READS_PER_S: u64 = 200;
 const MARK_PAUSES: std::ops::RangeInclusive<Millis> = Millis(500)..=Millis(5_000);
 
-type HttpKeeper = Keeper<HttpPlatform, HttpEngineControl, HttpPlatform, SystemClock>;
-
 /// `AckBoard` holds what one instance acknowledges.
 #[derive(Debug)]
 pub(super) struct AckBoard {
