Let two instances read each engine and tell the others

Cause: every instance read the load report of every engine: 390 x 600 pairs, four times a second each.

Change: choose_readers picks two instances of different availability zones for each engine by rendezvous hashing over the announced ones. They tell its report in their load section, with what they sent since; the others apply both. Cache events are asked of at most 64 engines a second.

--- a/crates/anvilhook-bench/src/control/instances.rs
+++ b/crates/anvilhook-bench/src/control/instances.rs
@@ -271,7 +271,8 @@
             requests_per_s: 0.5,
             open_requests: 2,
         };
-        peers.publish_load(LoadSection { engines: (0..ENGINES).map(engine).collect() });
+        let engines = (0..ENGINES).map(engine).collect();
+        peers.publish_load(LoadSection { engines, reports: Vec::new() });
         let accounts = (0..ACCOUNTS).map(account).collect();
         peers.publish_demand(DemandSection { hears_all: true, accounts });
     }
--- a/crates/anvilhook-core/src/membership/mod.rs
+++ b/crates/anvilhook-core/src/membership/mod.rs
@@ -3,6 +3,8 @@
 
 mod candidates;
 mod members;
+mod readers;
 
 pub use candidates::{CandidateOptions, rank, watch_interval};
 pub use members::{Listed, Roster};
+pub use readers::{READERS, choose_readers};
--- /dev/null
+++ b/crates/anvilhook-core/src/membership/readers.rs
@@ -0,0 +1,56 @@
+//! Which instances read an engine's load report for all others.
+
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+
+use crate::names::{InstanceName, UpstreamName, ZoneName};
+
+/// The number of instances that read one engine.
+pub const READERS: usize = 2;
+
+/// Chooses the instances that read an engine, at most two, among the announced ones with their
+/// availability zones.
+///
+/// Each engine has an order of its own of all instances. The first reads it, and the first of
+/// another zone, so that one reader is left when a zone is lost; if all are in one zone, the second.
+/// An instance that leaves is replaced by the next of each order in which it stood first, so that
+/// only its own readings move.
+///
+/// Instances that believe in different members choose different readers for a while. An engine is
+/// then read by some more of them, or by nobody until others miss its digests and read it themselves.
+///
+/// ```
+/// use anvilhook_core::membership::choose_readers;
+/// use anvilhook_core::names::{InstanceName, UpstreamName, ZoneName};
+///
+/// let engine = UpstreamName::try_new("engine-1")?;
+/// let (za, zb) = (ZoneName::try_new("za")?, ZoneName::try_new("zb")?);
+/// let names: Vec<_> = ["a", "b", "c"].into_iter().flat_map(InstanceName::try_new).collect();
+/// let members = [(&names[0], &za), (&names[1], &za), (&names[2], &zb)];
+/// let readers = choose_readers(&engine, members);
+/// assert_eq!(readers.len(), 2);
+/// assert!(readers.contains(&&names[2]), "the only one of its zone");
+/// # Ok::<(), anvilhook_core::Error>(())
+/// ```
+pub fn choose_readers<'a>(
+    engine: &UpstreamName,
+    members: impl IntoIterator<Item = (&'a InstanceName, &'a ZoneName)>,
+) -> Vec<&'a InstanceName> {
+    let weighed = members.into_iter().map(|(name, zone)| ((weight(engine, name), name), zone));
+    let mut order: Vec<_> = weighed.collect();
+    order.sort_unstable_by_key(|(rank, _)| *rank);
+    order.dedup_by_key(|((_, name), _)| *name);
+
+    let Some(&((_, first), first_zone)) = order.first() else { return Vec::new() };
+    let elsewhere = order.iter().find(|(_, zone)| *zone != first_zone);
+    let second = elsewhere.or_else(|| order.get(1)).map(|((_, name), _)| *name);
+    [Some(first), second].into_iter().flatten().collect()
+}
+
+fn weight(engine: &UpstreamName, instance: &InstanceName) -> u64 {
+    // The hasher's keys are fixed, so all instances agree while they run one version; where they
+    // don't, an engine is read more often or its digests are missed.
+    let mut hasher = DefaultHasher::new();
+    (engine, instance).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/anvilhook-core/src/routing/loads.rs
+++ b/crates/anvilhook-core/src/routing/loads.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
 
-use super::upstreams::Work;
+use super::upstreams::{SentTotals, Work};
 use crate::orders::Role;
 use crate::reports::LoadReport;
 use crate::units::{Millis, Tokens};
@@ -98,11 +98,12 @@
         }
     }
 
-    fn add(&self, work: Work) {
-        // No one output can run over into the upper half.
-        let output = work.output.0.min(u64::from(u32::MAX >> 8));
-        self.prompt.fetch_add(work.prompt.0, Ordering::AcqRel);
-        self.requests.fetch_add(1 << 32 | output, Ordering::AcqRel);
+    fn add(&self, sums: &SentTotals) {
+        // No one output can run over into the upper half, and no one count beyond it.
+        let output = sums.output.0.min(u64::from(u32::MAX >> 8));
+        let requests = sums.requests.min(u64::from(u32::MAX >> 8));
+        self.prompt.fetch_add(sums.prompt.0, Ordering::AcqRel);
+        self.requests.fetch_add(requests << 32 | output, Ordering::AcqRel);
     }
 
     fn sums(&self) -> Sent {
@@ -192,6 +193,12 @@
 
     /// Records work sent at `at`.
     pub(super) fn record(&self, work: Work, at: Millis) {
+        let sums = SentTotals { requests: 1, prompt: work.prompt, output: work.output };
+        self.record_sums(&sums, at);
+    }
+
+    /// Records the sums of work sent at `at`.
+    pub(super) fn record_sums(&self, sums: &SentTotals, at: Millis) {
         let turn = at.0 / SLOT.0 + 1;
         let slot = &self.slots[turn as usize % SLOTS];
         // A digest about a turn that has been overwritten is too old to matter.
@@ -199,7 +206,7 @@
             return;
         }
         slot.turn_to(turn);
-        slot.add(work);
+        slot.add(sums);
     }
 
     /// Estimates the load now.
--- a/crates/anvilhook-core/src/routing/mod.rs
+++ b/crates/anvilhook-core/src/routing/mod.rs
@@ -7,11 +7,13 @@
 mod costs;
 mod lanes;
 mod loads;
+mod readings;
 mod tables;
 mod upstreams;
 
 pub use costs::{CostOptions, Estimate, Phase, estimate};
 pub use lanes::{LaneKeeper, Lanes};
 pub use loads::{Load, Speeds};
+pub use readings::{ReadingOptions, ReadingSchedule};
 pub use tables::{Candidate, Placement, RouteRequest, RouteTable};
-pub use upstreams::{UpstreamState, Work};
+pub use upstreams::{SentTotals, UpstreamState, Work};
--- a/crates/anvilhook-core/src/routing/upstreams.rs
+++ b/crates/anvilhook-core/src/routing/upstreams.rs
@@ -45,6 +45,28 @@
     }
 }
 
+/// `SentTotals` sums up all work that this instance has ever sent to an upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SentTotals {
+    /// Requests.
+    pub requests: u64,
+    /// Their prompts, without what caches were believed to hold.
+    pub prompt: Tokens,
+    /// Their expected outputs.
+    pub output: Tokens,
+}
+
+impl SentTotals {
+    /// Returns what has been sent since earlier sums; nothing where the sums began anew.
+    pub fn since(&self, earlier: &SentTotals) -> SentTotals {
+        SentTotals {
+            requests: self.requests.saturating_sub(earlier.requests),
+            prompt: Tokens(self.prompt.0.saturating_sub(earlier.prompt.0)),
+            output: Tokens(self.output.0.saturating_sub(earlier.output.0)),
+        }
+    }
+}
+
 /// `UpstreamState` is what this instance knows of an upstream. It is shared by all route tables that
 /// name the upstream, so that replacing a table loses no count.
 #[derive(Debug)]
@@ -55,6 +77,8 @@
     leaving: AtomicBool,
     open_requests: AtomicU64,
     load: LoadView,
+    // Requests, prompt tokens and output tokens ever sent.
+    sent: [AtomicU64; 3],
     ejection: Ejection,
     cache_slot: AtomicU32,
     // The time of the last choice, for callers that count work in without saying when.
@@ -71,6 +95,7 @@
             leaving: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
             load: LoadView::new(),
+            sent: Default::default(),
             ejection: Ejection::new(&EjectionOptions::default()),
             cache_slot: AtomicU32::new(NO_SLOT),
             chosen_at: AtomicU64::new(0),
@@ -113,6 +138,18 @@
     pub fn begin_at(&self, work: Work, now: Millis) {
         self.open_requests.fetch_add(1, Ordering::AcqRel);
         self.load.record(work, now);
+        let [requests, prompt, output] = &self.sent;
+        requests.fetch_add(1, Ordering::Relaxed);
+        prompt.fetch_add(work.prompt.0, Ordering::Relaxed);
+        output.fetch_add(work.output.0, Ordering::Relaxed);
+    }
+
+    /// Returns the sums of all work that this instance has sent. A reader may see a request without
+    /// its tokens; the next reading has them.
+    pub fn sent(&self) -> SentTotals {
+        let [requests, prompt, output] =
+            self.sent.each_ref().map(|sum| sum.load(Ordering::Relaxed));
+        SentTotals { requests, prompt: Tokens(prompt), output: Tokens(output) }
     }
 
     /// Counts a request of this instance out, when it has ended one way or the other.
@@ -146,6 +183,11 @@
         self.load.record(work, at);
     }
 
+    /// Records all the work that a peer says it sent at about `at`.
+    pub fn record_peer_sent(&self, sent: &SentTotals, at: Millis) {
+        self.load.record_sums(sent, at);
+    }
+
     /// Returns the load that the upstream is believed to have now.
     pub fn load(&self, now: Millis) -> Load {
         self.load.estimate(now)
--- a/crates/anvilhook-daemon/src/instances/caches.rs
+++ b/crates/anvilhook-daemon/src/instances/caches.rs
@@ -17,6 +17,10 @@
 /// How many engines are asked at once.
 const ASKED_AT_ONCE: usize = 32;
 
+/// How many engines are asked in a second. With more engines each is asked less often; an older
+/// belief of a cache costs time, never a wrong answer.
+const ASKED_PER_S: u64 = 64;
+
 /// `CachePoller` keeps up what is believed of the engines' prefix caches.
 #[derive(Debug)]
 pub(super) struct CachePoller<C, U, K> {
@@ -34,7 +38,8 @@
     pub async fn poll<E: EngineControl>(mut self, control: E, pause: Millis) {
         loop {
             self.poll_once(&control).await;
-            rest(pause).await;
+            let engines = self.followers.len() as u64;
+            rest(pause.max(Millis(engines * 1_000 / ASKED_PER_S))).await;
         }
     }
 
--- a/crates/anvilhook-daemon/src/instances/handles.rs
+++ b/crates/anvilhook-daemon/src/instances/handles.rs
@@ -1,8 +1,9 @@
 //! A running instance, and its graceful stop.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use anvilhook_core::names::{InstanceName, ZoneName};
+use anvilhook_core::names::{InstanceName, UpstreamName, ZoneName};
 use anvilhook_core::units::Clock;
 use anvilhook_http::{Phase, Shutdown};
 use anvilhook_peer::PeerHandle;
@@ -10,6 +11,7 @@
 use anvilhook_store::InstanceDirectory;
 use serde::{Deserialize, Serialize};
 
+use super::load_counts::{LoadCounts, LoadSources};
 use super::starts::HttpFront;
 use super::tasks::Tasks;
 use crate::observability::Readiness;
@@ -47,6 +49,7 @@
     pub(super) readiness: Readiness,
     pub(super) directory: InstanceDirectory<HttpPlatform>,
     pub(super) link: PeerHandle,
+    pub(super) load_counts: LoadCounts,
     pub(super) tasks: Tasks,
 }
 
@@ -71,6 +74,22 @@
         self.front.in_flight()
     }
 
+    /// Returns where the knowledge of each engine's load has come from.
+    pub fn load_sources(&self) -> BTreeMap<UpstreamName, LoadSources> {
+        self.load_counts.by_engine()
+    }
+
+    /// Returns whether an upstream may be given new work, as far as this instance knows.
+    pub fn takes_work(&self, upstream: &UpstreamName) -> bool {
+        let state = self.front.state();
+        state.upstreams().get(upstream).is_some_and(|upstream| upstream.takes_work())
+    }
+
+    /// Ends the link to the peers for good, as a partition would. Everything else goes on.
+    pub fn cut_link(&self) {
+        self.link.stop();
+    }
+
     /// Turns readiness off and refuses new requests as not run, and returns at once. What is in
     /// flight goes on.
     pub fn begin_stop(&self) {
--- a/crates/anvilhook-daemon/src/instances/metrics.rs
+++ b/crates/anvilhook-daemon/src/instances/metrics.rs
@@ -14,6 +14,7 @@
 use prometheus_client::metrics::gauge::ConstGauge;
 use tokio::sync::watch;
 
+use super::load_counts::LoadCounts;
 use crate::front::Front;
 use crate::proxy::Claims;
 
@@ -23,6 +24,7 @@
     pub follower: ConfigurationFollower<T>,
     pub instances: watch::Sender<usize>,
     pub link: PeerHandle,
+    pub load_counts: LoadCounts,
 }
 
 impl<C, U, K, T> fmt::Debug for InstanceCollector<C, U, K, T> {
@@ -54,7 +56,15 @@
         }
 
         let counts = self.link.counts();
+        let loads = self.load_counts.sums();
         let counters = [
+            ("load_reports_read", "Engines' load reports read for all instances", loads.read),
+            (
+                "load_reports_read_missed",
+                "Engines' load reports read because no digest arrived",
+                loads.read_missed,
+            ),
+            ("load_digests_applied", "Digests of newer load reports from peers", loads.told),
             ("peer_received_bytes", "Bytes received from peers", counts.bytes_in),
             ("peer_sent_bytes", "Bytes sent to peers", counts.bytes_out),
             ("peer_links_opened", "Links that came to stand", counts.links_opened),
--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -7,6 +7,8 @@
 mod errors;
 mod handles;
 mod listeners;
+mod load_counts;
+mod loads;
 mod marks;
 mod metrics;
 mod peers;
@@ -20,6 +22,7 @@
 
 pub use errors::StartError;
 pub use handles::{Addresses, Announcement, InstanceHandle};
+pub use load_counts::LoadSources;
 pub use marks::{MarkSource, Marks};
 pub use signals::StopSignals;
 pub use starts::{Instance, Parts};
--- a/crates/anvilhook-daemon/src/instances/pollers.rs
+++ b/crates/anvilhook-daemon/src/instances/pollers.rs
@@ -1,18 +1,13 @@
-//! What an instance asks for again and again: the configuration, the platform's list, load reports.
+//! What an instance asks for again and again: the configuration, the platform's list.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use anvilhook_core::names::UpstreamName;
-use anvilhook_core::resources::Kind;
-use anvilhook_core::routing::UpstreamState;
 use anvilhook_core::units::{Clock, Millis};
-use anvilhook_engine::{EngineControl, Upstreams};
+use anvilhook_engine::Upstreams;
 use anvilhook_platform::{InstanceList, ListedState, Table};
 use anvilhook_store::ConfigurationFollower;
 use anvilhook_store::instances::poll_interval;
-use futures_util::StreamExt;
-use futures_util::stream;
 use tokio::sync::watch;
 
 use super::marks::{MarkSource, Marks};
@@ -29,9 +24,6 @@
 /// change must be in force everywhere within 4 s even without peers.
 const MAX_PAUSE: Millis = Millis(2_500);
 
-/// How many load reports are read at once.
-const REPORTS_AT_ONCE: usize = 32;
-
 /// `Pollers` holds what the pollers share.
 #[derive(Debug)]
 pub(super) struct Pollers<C, U, K, T> {
@@ -118,40 +110,4 @@
             rest(pause).await;
         }
     }
-
-    /// Reads the engines' load reports again and again.
-    pub async fn read_reports<E: EngineControl>(self, control: E, pause: Millis) {
-        loop {
-            let reading =
-                stream::iter(self.engines()).for_each_concurrent(REPORTS_AT_ONCE, |engine| {
-                    let (pollers, control) = (&self, &control);
-                    async move { pollers.read_report(control, &engine).await }
-                });
-            reading.await;
-            self.marks.carry_over(self.front.state().upstreams());
-            rest(pause).await;
-        }
-    }
-
-    async fn read_report<E: EngineControl>(&self, control: &E, engine: &UpstreamState) {
-        match control.report(engine.address()).await {
-            Ok(report) => {
-                self.marks.set(MarkSource::Reported, engine.name(), report.leaving);
-                engine.apply_report(&report, self.clock.now());
-            }
-            // An engine that does not answer is found out by the requests sent to it.
-            Err(err) => log::debug!(upstream:% = engine.name(); "no load report: {err}"),
-        }
-    }
-
-    fn engines(&self) -> Vec<Arc<UpstreamState>> {
-        let cfg = self.follower.current();
-        let state = self.front.state();
-        let names = cfg.of_kind(Kind::Engine);
-        let known = names.filter_map(|engine| {
-            let name = UpstreamName::try_new(engine.name.as_str()).ok()?;
-            state.upstreams().get(&name).cloned()
-        });
-        known.collect()
-    }
 }
--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -29,6 +29,8 @@
 use super::errors::StartError;
 use super::handles::{Announcement, InstanceHandle};
 use super::listeners::Listeners;
+use super::load_counts::LoadCounts;
+use super::loads::LoadTask;
 use super::marks::Marks;
 use super::metrics::InstanceCollector;
 use super::peers::Presence;
@@ -124,6 +126,7 @@
     announced: watch::Sender<bool>,
     routable: watch::Sender<bool>,
     marks: Marks,
+    load_counts: LoadCounts,
 }
 
 impl<C: Clock> Wiring<C> {
@@ -169,6 +172,7 @@
             announced: watch::Sender::new(false),
             routable: watch::Sender::new(false),
             marks: Marks::default(),
+            load_counts: LoadCounts::default(),
         })
     }
 
@@ -184,10 +188,11 @@
             follower: self.follower.clone(),
             instances: self.instances.clone(),
             link: link.clone(),
+            load_counts: self.load_counts.clone(),
         }));
 
         let mut tasks = Tasks::new(self.shutdown.clone());
-        self.spawn_pollers(&mut tasks);
+        self.spawn_pollers(&mut tasks, &link);
         self.spawn_presence(&mut tasks, &presence);
         self.spawn_authority(&mut tasks, &link)?;
         self.spawn_front(&mut tasks, "callers", listeners.callers, self.front.router());
@@ -207,6 +212,7 @@
             readiness: self.readiness,
             directory: presence.directory,
             link,
+            load_counts: self.load_counts,
             tasks,
         })
     }
@@ -240,7 +246,7 @@
 
     /// Starts what asks for news. Requests in flight during a graceful stop still need it, so it
     /// runs until the end.
-    fn spawn_pollers(&self, tasks: &mut Tasks) {
+    fn spawn_pollers(&self, tasks: &mut Tasks, link: &PeerHandle) {
         let pollers = Pollers {
             clock: self.clock.clone(),
             front: self.front.clone(),
@@ -258,12 +264,21 @@
         tasks.spawn_until("configuration", until, applying);
         let following = pollers.clone().follow_table(configuration_ms);
         tasks.spawn_until("table", until, following);
-        let watching = pollers.clone().watch_list(platform, instance_list_ms);
+        let watching = pollers.watch_list(platform, instance_list_ms);
         tasks.spawn_until("instance list", until, watching);
         let caches = CachePoller::new(self.front.clone()).poll(control.clone(), reports_ms);
         tasks.spawn_until("cache events", until, caches);
-        let reading = pollers.read_reports(control, reports_ms);
-        tasks.spawn_until("load reports", until, reading);
+        let loads = LoadTask {
+            clock: self.clock.clone(),
+            name: self.name.clone(),
+            zone: self.settings.instance.zone.clone(),
+            front: self.front.clone(),
+            follower: self.follower.clone(),
+            link: link.clone(),
+            marks: self.marks.clone(),
+            counts: self.load_counts.clone(),
+        };
+        tasks.spawn_until("load reports", until, loads.keep(control, reports_ms));
     }
 
     /// Starts what keeps this instance and its peers known to each other.
--- a/crates/anvilhook-peer/schema/peer.capnp
+++ b/crates/anvilhook-peer/schema/peer.capnp
@@ -66,6 +66,7 @@
 struct LoadSection {
   header @0 :Header;
   engines @1 :List(EngineSent);
+  reports @2 :List(EngineReport);
 }
 
 struct EngineSent {
@@ -77,6 +78,28 @@
   decodeTokens @5 :UInt32;
 }
 
+struct EngineReport {
+  engine @0 :Text;
+  boot @1 :UInt64;
+  seq @2 :UInt64;
+
+  ageMs @3 :UInt32;
+  # How old the report was when the section was written.
+
+  role @4 :UInt8;
+  # 0 prefill, 1 decode, 2 mixed.
+
+  leaving @5 :Bool;
+  queuedRequests @6 :UInt32;
+  queuedPrefillTokens @7 :UInt32;
+  runningRequests @8 :UInt32;
+  runningDecodeTokens @9 :UInt32;
+  prefillTokensPerS @10 :UInt32;
+  decodeStepMs @11 :Float32;
+  decodeStepPerRequestMs @12 :Float32;
+  maxBatch @13 :UInt32;
+}
+
 struct DemandSection {
   header @0 :Header;
   accounts @1 :List(AccountDemand);
--- a/crates/anvilhook-peer/src/codecs.rs
+++ b/crates/anvilhook-peer/src/codecs.rs
@@ -2,17 +2,18 @@
 
 use std::sync::Arc;
 
-use anvilhook_core::orders::Term;
+use anvilhook_core::orders::{Role, Term};
+use anvilhook_core::reports::LoadReport;
 use anvilhook_core::units::{Millis, Revision, Tokens};
 
 use crate::errors::{Error, Result};
 use crate::gossip::{
-    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, Item, LoadSection, TermAck,
-    Transfer, Update,
+    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, Item, LoadSection,
+    ReportDigest, TermAck, Transfer, Update,
 };
 use crate::peer_capnp::{
-    account_demand, ack_section, demand_section, drain_ack, engine_sent, header, load_section,
-    term_ack, transfer, update,
+    account_demand, ack_section, demand_section, drain_ack, engine_report, engine_sent, header,
+    load_section, term_ack, transfer, update,
 };
 
 /// Writes an update.
@@ -131,6 +132,10 @@
 
 fn write_load(item: &Item<LoadSection>, mut to: load_section::Builder<'_>) {
     write_header(item, to.reborrow().init_header());
+    let mut reports = to.reborrow().init_reports(item.body.reports.len() as u32);
+    for (at, digest) in (0..).zip(&item.body.reports) {
+        write_report(digest, reports.reborrow().get(at));
+    }
     let mut engines = to.init_engines(item.body.engines.len() as u32);
     for (at, digest) in (0..).zip(&item.body.engines) {
         let mut engine: engine_sent::Builder<'_> = engines.reborrow().get(at);
@@ -155,7 +160,56 @@
         })
     };
     let engines = from.get_engines()?.iter().map(read_engine).collect::<Result<_>>()?;
-    read_item(from.get_header(), LoadSection { engines })
+    let reports = from.get_reports()?.iter().map(read_report).collect::<Result<_>>()?;
+    read_item(from.get_header(), LoadSection { engines, reports })
+}
+
+fn write_report(from: &ReportDigest, mut to: engine_report::Builder<'_>) {
+    let report = &from.report;
+    to.set_engine(from.engine.as_str());
+    to.set_boot(report.boot);
+    to.set_seq(report.seq);
+    to.set_age_ms(clamp(report.age.0));
+    to.set_role(match report.role {
+        Role::Prefill => 0,
+        Role::Decode => 1,
+        Role::Mixed => 2,
+    });
+    to.set_leaving(report.leaving);
+    to.set_queued_requests(report.queued_requests);
+    to.set_queued_prefill_tokens(clamp(report.queued_prefill.0));
+    to.set_running_requests(report.running_requests);
+    to.set_running_decode_tokens(clamp(report.running_decode.0));
+    to.set_prefill_tokens_per_s(report.prefill_tokens_per_s);
+    to.set_decode_step_ms(report.decode_step_ms as f32);
+    to.set_decode_step_per_request_ms(report.decode_step_per_request_ms as f32);
+    to.set_max_batch(report.max_batch);
+}
+
+fn read_report(from: engine_report::Reader<'_>) -> Result<ReportDigest> {
+    let role = match from.get_role() {
+        0 => Role::Prefill,
+        1 => Role::Decode,
+        2 => Role::Mixed,
+        other => return Err(Error::codec(format!("no role has the number {other}"))),
+    };
+    let report = LoadReport {
+        boot: from.get_boot(),
+        seq: from.get_seq(),
+        age: Millis(u64::from(from.get_age_ms())),
+        role,
+        model: None,
+        leaving: from.get_leaving(),
+        queued_requests: from.get_queued_requests(),
+        queued_prefill: Tokens(u64::from(from.get_queued_prefill_tokens())),
+        running_requests: from.get_running_requests(),
+        running_decode: Tokens(u64::from(from.get_running_decode_tokens())),
+        prefill_tokens_per_s: from.get_prefill_tokens_per_s(),
+        decode_step_ms: f64::from(from.get_decode_step_ms()),
+        decode_step_per_request_ms: f64::from(from.get_decode_step_per_request_ms()),
+        max_batch: from.get_max_batch(),
+    };
+    Ok(ReportDigest { engine: read_name(from.get_engine())?, report })
 }
 
 fn write_demand(item: &Item<DemandSection>, mut to: demand_section::Builder<'_>) {
--- a/crates/anvilhook-peer/src/gossip/mod.rs
+++ b/crates/anvilhook-peer/src/gossip/mod.rs
@@ -25,5 +25,6 @@
 pub use options::GossipOptions;
 pub use partners::{PartnerOptions, choose_partners};
 pub use sections::{
-    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, LoadSection, Section, TermAck,
+    AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, LoadSection, ReportDigest,
+    Section, TermAck,
 };
--- a/crates/anvilhook-peer/src/gossip/sections.rs
+++ b/crates/anvilhook-peer/src/gossip/sections.rs
@@ -2,14 +2,17 @@
 
 use anvilhook_core::names::{AccountName, InstanceName, PoolName, UpstreamName};
 use anvilhook_core::orders::Term;
+use anvilhook_core::reports::LoadReport;
 use anvilhook_core::units::Tokens;
 
 /// The bytes of a section's header and list on the wire, about.
 const SECTION_BYTES: usize = 96;
 
-/// The bytes of an acknowledgement, an engine's digest and an account's on the wire, about.
+/// The bytes of an acknowledgement, an engine's digest, its report and an account's digest on the
+/// wire, about.
 const ACK_BYTES: usize = 64;
 const ENGINE_BYTES: usize = 56;
+const REPORT_BYTES: usize = 88;
 const ACCOUNT_BYTES: usize = 32;
 
 /// `Section` is one kind of news that an instance writes about itself.
@@ -94,20 +97,35 @@
     pub decode: Tokens,
 }
 
-/// `LoadSection` holds what one instance has sent to the engines it uses.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+/// `ReportDigest` is an engine's load report as the writer of the section read it. The report's age
+/// is that when the section was published. Its model is not told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportDigest {
+    /// The engine.
+    pub engine: UpstreamName,
+    /// The report.
+    pub report: LoadReport,
+}
+
+/// `LoadSection` holds what one instance has sent to the engines it uses, and the load reports that
+/// it read for all.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct LoadSection {
     /// One entry for each engine, the busiest first.
     pub engines: Vec<EngineDigest>,
+    /// One entry for each engine that the instance reads.
+    pub reports: Vec<ReportDigest>,
 }
 
 impl Section for LoadSection {
     fn wire_bytes(&self) -> usize {
-        SECTION_BYTES + self.engines.len() * ENGINE_BYTES
+        let reports = self.reports.len() * REPORT_BYTES;
+        SECTION_BYTES + self.engines.len() * ENGINE_BYTES + reports
     }
 
     fn truncate(&mut self, max: usize) {
         self.engines.truncate(max);
+        self.reports.truncate(max);
     }
 }
 
--- a/crates/anvilhook-peer/src/handles.rs
+++ b/crates/anvilhook-peer/src/handles.rs
@@ -112,6 +112,11 @@
         });
     }
 
+    /// Returns the announced instances as they were set last.
+    pub fn announced(&self) -> Vec<PeerAddress> {
+        self.published.announced.borrow().clone()
+    }
+
     /// Returns the newest configuration received, and the changes of it. Its revision only grows.
     ///
     /// What has been received before counts as a change. Otherwise a configuration that comes in
--- a/crates/anvilhook-peer/tests/gossip.rs
+++ b/crates/anvilhook-peer/tests/gossip.rs
@@ -255,6 +255,7 @@
             prefill: Tokens(0),
             decode: Tokens(0),
         }],
+        reports: Vec::new(),
     }
 }
 
--- a/crates/anvilhook-peer/tests/links.rs
+++ b/crates/anvilhook-peer/tests/links.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use anvilhook_core::names::{InstanceName, ZoneName};
+use anvilhook_core::orders::Role;
+use anvilhook_core::reports::LoadReport;
 use anvilhook_core::resources::{AccountSpec, Configuration, Resource, Spec};
 use anvilhook_core::units::{Millis, Revision, SystemClock, Tokens};
 use anvilhook_peer::gossip::{
     AccountDigest, AckSection, DemandSection, DrainAck, EngineDigest, LoadSection, PartnerOptions,
-    choose_partners,
+    ReportDigest, choose_partners,
 };
 use anvilhook_peer::{PeerAddress, PeerHandle, PeerKey, PeerLink, PeerNews, PeerOptions};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -22,6 +24,27 @@
 /// A guard against a test that hangs; no test's outcome depends on it.
 const GUARD: Duration = Duration::from_secs(30);
 
+/// Returns a report whose fields all differ from those of an empty message.
+fn report_digest() -> ReportDigest {
+    let report = LoadReport {
+        boot: 3,
+        seq: 4,
+        age: Millis(250),
+        role: Role::Decode,
+        model: None,
+        leaving: true,
+        queued_requests: 5,
+        queued_prefill: Tokens(6_000),
+        running_requests: 7,
+        running_decode: Tokens(800),
+        prefill_tokens_per_s: 9_000,
+        decode_step_ms: 12.5,
+        decode_step_per_request_ms: 0.25,
+        max_batch: 32,
+    };
+    ReportDigest { engine: "engine-1".parse().unwrap(), report }
+}
+
 struct Fixture {
     peers: Vec<PeerAddress>,
     handles: Vec<PeerHandle>,
@@ -124,6 +147,7 @@
             prefill: Tokens(4_000),
             decode: Tokens(500),
         }],
+        reports: vec![report_digest()],
     });
     handles[1].publish_demand(DemandSection {
         hears_all: true,
@@ -148,7 +172,9 @@
             let acks = news.acks.get(writer);
             let demand = news.demand.get(writer);
             acks.is_some_and(|acks| acks.body.has_drained(&engine, 5))
-                && news.load.get(writer).is_some_and(|load| load.body.engines[0].requests == 3)
+                && news.load.get(writer).is_some_and(|load| {
+                    load.body.engines[0].requests == 3 && load.body.reports == [report_digest()]
+                })
                 && demand.is_some_and(|demand| demand.body.accounts[0].requests_per_s == 2.5)
         })
         .await;
