--- a/crates/anvilhook-daemon/src/instances/starts.rs
+++ b/crates/anvilhook-daemon/src/instances/starts.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use anvilhook_authority::{AckSchedule, Follower, Keeper, KeeperOptions, POOL_PREFIX, Services};
-use anvilhook_core::leases::LeaseOptions;
 use anvilhook_core::names::InstanceName;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_engine::HttpUpstreams;
@@ -35,11 +34,12 @@
 use super::metrics::InstanceCollector;
 use super::peers::Presence;
 use super::pollers::Pollers;
+use super::roles::RoleDesk;
 use super::shares::ShareTask;
 use super::sweeps::sweep_claims;
 use super::tasks::Tasks;
 use crate::front::{Front, FrontMetrics, FrontOptions, FrontParts};
-use crate::names::running_name;
+use crate::names::{own_generator, running_name};
 use crate::observability::{ProcessCollector, Readiness, probe_router};
 use crate::operators::{
     self, Credentials, LeaseRows, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
@@ -57,15 +57,12 @@
 /// The stream of the generator that the archive's pauses come from.
 const ARCHIVE_STREAM: u64 = 2;
 
-/// How many renewals fall into the length of a lease.
-const RENEWALS_PER_LEASE: u64 = 3;
-
 /// `Parts` holds what an instance takes from its surroundings.
 #[derive(Clone, Debug)]
 pub struct Parts<C> {
     /// The clock that its decisions read.
     pub clock: C,
-    /// The generator that its random choices come from.
+    /// The generator that its random choices come from, after its name was mixed in.
     pub rng: ChaCha8Rng,
 }
 
@@ -75,7 +72,8 @@
         Self { clock: SystemClock::new(), rng: rand::make_rng() }
     }
 
-    /// Returns the machine's clock and a generator that can be repeated.
+    /// Returns the machine's clock and a generator with a seed. Instances that share one still draw
+    /// different ids, because each mixes its own name in.
     pub fn seeded(seed: u64) -> Self {
         Self { clock: SystemClock::new(), rng: ChaCha8Rng::seed_from_u64(seed) }
     }
@@ -132,7 +130,11 @@
 impl<C: Clock> Wiring<C> {
     fn try_new(settings: Settings, parts: Parts<C>) -> Result<Self, StartError> {
         let Parts { clock, mut rng } = parts;
-        let name = running_name(&settings.instance.name_prefix, &mut rng)?;
+        // Drawn from a seed, a name could be another instance's too, and each would take the other's
+        // rows for its own.
+        let mut system_rng: ChaCha8Rng = rand::make_rng();
+        let name = running_name(&settings.instance.name_prefix, &mut system_rng)?;
+        let mut rng = own_generator(&name, &mut rng);
         let clients = Clients::try_new(&settings, &mut rng)?;
         let credentials = Credentials::try_new(&settings.operators)?;
         let shutdown = Shutdown::new();
@@ -335,6 +337,10 @@
         options.check()?;
         let keeper = KeeperTask {
             name: self.name.clone(),
+            clock: self.clock.clone(),
+            front: self.front.clone(),
+            instances: self.instances.clone(),
+            desk: RoleDesk::new(self.settings.roles),
             keeper: Keeper::new(self.name.clone(), services, options),
             follower: self.follower.clone(),
             statuses: StatusStore::new(table),
@@ -389,13 +395,7 @@
 }
 
 fn keeper_options(leases: &LeaseSettings) -> KeeperOptions {
-    let lease = LeaseOptions {
-        length_ms: leases.length_ms,
-        renew_every_ms: Millis(leases.length_ms.0 / RENEWALS_PER_LEASE),
-        guard_ms: leases.guard_ms,
-        ..LeaseOptions::default()
-    };
-    KeeperOptions { lease, ..KeeperOptions::default() }
+    KeeperOptions { lease: leases.options(), ..KeeperOptions::default() }
 }
 
 fn front_options(settings: &Settings) -> FrontOptions {
