--- a/crates/anvilhook-peer/tests/digests.rs
+++ b/crates/anvilhook-peer/tests/digests.rs
@@ -1,8 +1,10 @@
 //! What reading engines and telling the others costs as the fleet grows, worked out from the
 //! functions that decide it.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use anvilhook_core::membership::{READERS, choose_readers};
-use anvilhook_core::names::{InstanceName, UpstreamName, ZoneName};
+use anvilhook_core::names::UpstreamName;
 use anvilhook_core::orders::Role;
 use anvilhook_core::reports::LoadReport;
 use anvilhook_core::routing::ReadingOptions;
