Let late reports and repeated sums of peers change nothing

Cause: a report of an engine's earlier start that is passed on late counted as the newest, and could lift the mark of an engine that is leaving. It could not happen while each instance read for itself.

Change: reports of two starts are told apart by their times. What a peer tells again of the same report counts once.

--- a/crates/anvilhook-core/src/routing/loads.rs
+++ b/crates/anvilhook-core/src/routing/loads.rs
@@ -152,11 +152,21 @@
     }
 
     /// Applies a report unless it is older than the last one. Returns whether it was applied.
+    ///
+    /// Numbers begin anew with each start of the engine, so reports of two starts are told apart by
+    /// their times. By their numbers alone a report of the earlier start that a peer passes on late
+    /// would count as the newest until the next one, and lift the mark of an engine that is leaving.
     pub(super) fn apply(&self, report: &LoadReport, now: Millis) -> bool {
-        let same_boot = self.boot.swap(report.boot, Ordering::AcqRel) == report.boot;
-        if same_boot && report.seq < self.seq.load(Ordering::Acquire) {
+        let taken_at = now - report.age;
+        let is_older = if self.boot.load(Ordering::Acquire) == report.boot {
+            report.seq < self.seq.load(Ordering::Acquire)
+        } else {
+            self.has_report() && taken_at < Millis(self.taken_at.load(Ordering::Acquire))
+        };
+        if is_older {
             return false;
         }
+        self.boot.store(report.boot, Ordering::Release);
         let speeds = Speeds {
             prefill_tokens_per_ms: f64::from(report.prefill_tokens_per_s.max(1)) / 1_000.0,
             decode_step_ms: report.decode_step_ms,
@@ -172,7 +182,7 @@
         self.queued.store(report.queued_requests, Ordering::Release);
         self.running.store(report.running_requests, Ordering::Release);
         self.running_decode.store(report.running_decode.0, Ordering::Release);
-        self.taken_at.store((now - report.age).0, Ordering::Release);
+        self.taken_at.store(taken_at.0, Ordering::Release);
         true
     }
 
--- a/crates/anvilhook-core/src/routing/mod.rs
+++ b/crates/anvilhook-core/src/routing/mod.rs
@@ -16,4 +16,4 @@
 pub use loads::{Load, Speeds};
 pub use readings::{ReadingOptions, ReadingSchedule};
 pub use tables::{Candidate, Placement, RouteRequest, RouteTable};
-pub use upstreams::{SentTotals, UpstreamState, Work};
+pub use upstreams::{SentSince, SentTotals, UpstreamState, Work};
--- a/crates/anvilhook-core/src/routing/upstreams.rs
+++ b/crates/anvilhook-core/src/routing/upstreams.rs
@@ -67,6 +67,26 @@
     }
 }
 
+/// `SentSince` is what an instance says it has sent to an engine since a report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SentSince {
+    /// The engine's start that the report belongs to.
+    pub boot: u64,
+    /// The report's number.
+    pub seq: u64,
+    /// What was sent since.
+    pub sent: SentTotals,
+}
+
+impl SentSince {
+    /// Returns what this tells beyond what the same instance told before. Of the same report, sums
+    /// that come again would otherwise count again, and the engine would look ever busier.
+    pub fn beyond(&self, earlier: Option<&SentSince>) -> SentTotals {
+        let same = earlier.filter(|old| (old.boot, old.seq) == (self.boot, self.seq));
+        self.sent.since(&same.map(|old| old.sent).unwrap_or_default())
+    }
+}
+
 /// `UpstreamState` is what this instance knows of an upstream. It is shared by all route tables that
 /// name the upstream, so that replacing a table loses no count.
 #[derive(Debug)]
@@ -170,15 +190,17 @@
         self.open_requests.load(Ordering::Acquire)
     }
 
-    /// Applies a load report, which is `report.age` old. A report older than the last one changes
-    /// nothing.
+    /// Applies a load report, which is `report.age` old, and returns whether it was. A report older
+    /// than the last one changes nothing.
     ///
     /// A report that says that the engine is leaving is obeyed; that it is no longer leaving is for
     /// whoever called `set_leaving` to say.
-    pub fn apply_report(&self, report: &LoadReport, now: Millis) {
-        if self.load.apply(report, now) && report.leaving {
+    pub fn apply_report(&self, report: &LoadReport, now: Millis) -> bool {
+        let is_applied = self.load.apply(report, now);
+        if is_applied && report.leaving {
             self.set_leaving(true);
         }
+        is_applied
     }
 
     /// Returns whether any load report has been applied.
--- a/crates/anvilhook-core/tests/routing.rs
+++ b/crates/anvilhook-core/tests/routing.rs
@@ -8,7 +8,8 @@
 use anvilhook_core::reports::{CacheChange, CacheEvent, CacheEventPage, LoadReport, PrefixHash};
 use anvilhook_core::roles::{Flow, PoolShape, WorkSeen};
 use anvilhook_core::routing::{
-    LaneKeeper, Lanes, Phase, Placement, RouteRequest, RouteTable, UpstreamState, Work,
+    LaneKeeper, Lanes, Phase, Placement, RouteRequest, RouteTable, SentSince, SentTotals,
+    UpstreamState, Work,
 };
 use anvilhook_core::units::{Millis, Tokens};
 use rand_chacha::ChaCha8Rng;
@@ -66,7 +67,9 @@
     let now = Millis(5_000);
     for seed in 0..20 {
         let engines = engines(2);
-        engines.iter().for_each(|engine| engine.apply_report(&report(1, 1, 0), now));
+        for engine in &engines {
+            engine.apply_report(&report(1, 1, 0), now);
+        }
         let table = RouteTable::new(engines.clone());
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut choose = || {
@@ -88,15 +91,55 @@
 fn verify_older_report_is_ignored_and_new_boot_is_not() {
     let engine = &engines(1)[0];
     let now = Millis(5_000);
-    // Each: the boot, the number, the queue in the report, the queue believed after it.
-    let steps = [(1, 5, 9_000, 9_000.0), (1, 4, 1_000, 9_000.0), (2, 1, 2_000, 2_000.0)];
+    // Each: the boot, the number, the age, the queue in the report, the queue believed after it. The
+    // last is of the earlier boot, and a peer passed it on late.
+    let steps = [
+        (1, 5, 0, 9_000, 9_000.0),
+        (1, 4, 0, 1_000, 9_000.0),
+        (2, 1, 0, 2_000, 2_000.0),
+        (1, 6, 800, 9_000, 2_000.0),
+    ];
 
-    for (boot, seq, queue, believed) in steps {
-        engine.apply_report(&LoadReport { age: Millis(0), ..report(boot, seq, queue) }, now);
+    for (boot, seq, age, queue, believed) in steps {
+        let report = LoadReport { age: Millis(age), ..report(boot, seq, queue) };
+        let is_applied = engine.apply_report(&report, now);
         assert_eq!(engine.load(now).prefill, believed, "boot {boot}, report {seq}");
+        assert_eq!(is_applied, believed == queue as f64, "boot {boot}, report {seq}");
     }
 }
 
+#[test]
+fn verify_what_a_peer_tells_again_counts_once() {
+    let sums = |requests, prompt| SentTotals {
+        requests,
+        prompt: Tokens(prompt),
+        output: Tokens(prompt / 10),
+    };
+    // Each: the report that a peer's sums are since, the sums, what is new in them.
+    let steps = [
+        ((1, 5), sums(2, 800), sums(2, 800)),
+        ((1, 5), sums(2, 800), sums(0, 0)),
+        ((1, 5), sums(3, 900), sums(1, 100)),
+        ((1, 6), sums(1, 100), sums(1, 100)),
+        ((2, 6), sums(1, 100), sums(1, 100)),
+    ];
+    let mut earlier = None;
+    let engine = &engines(1)[0];
+    let now = Millis(5_000);
+    engine.apply_report(&LoadReport { age: Millis(0), ..report(1, 5, 0) }, now);
+
+    for ((boot, seq), sent, expected) in steps {
+        let told = SentSince { boot, seq, sent };
+        let beyond = told.beyond(earlier.as_ref());
+        assert_eq!(beyond, expected, "{told:?}");
+        engine.record_peer_sent(&beyond, now);
+        earlier = Some(told);
+    }
+
+    assert_eq!((engine.load(now).prefill, engine.load(now).requests), (1_100.0, 5.0));
+    assert_eq!(engine.sent(), SentTotals::default(), "a peer's work is not told as own");
+}
+
 #[test]
 fn verify_leaving_failing_and_tried_engines_get_no_work() {
     let engines = engines(3);
--- a/crates/anvilhook-daemon/src/instances/loads.rs
+++ b/crates/anvilhook-daemon/src/instances/loads.rs
@@ -7,7 +7,9 @@
 use anvilhook_core::names::{InstanceName, UpstreamName, ZoneName};
 use anvilhook_core::reports::LoadReport;
 use anvilhook_core::resources::Kind;
-use anvilhook_core::routing::{ReadingOptions, ReadingSchedule, SentTotals, UpstreamState};
+use anvilhook_core::routing::{
+    ReadingOptions, ReadingSchedule, SentSince, SentTotals, UpstreamState,
+};
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_engine::{EngineControl, Upstreams};
 use anvilhook_peer::gossip::{EngineDigest, Heard, LoadSection, ReportDigest};
@@ -63,7 +65,7 @@
 #[derive(Debug, Default)]
 struct Peer {
     version: u64,
-    sent: BTreeMap<UpstreamName, EngineDigest>,
+    sent: BTreeMap<UpstreamName, SentSince>,
 }
 
 /// `LoadTask` keeps up what is believed of the engines' load.
@@ -204,17 +206,14 @@
         self.adopt(entry, engine, known, now);
     }
 
-    /// Applies a report if it is newer than what is known. One that was under way for longer must not
-    /// lift the mark that a newer one has set: requests would go to an engine that is leaving.
+    /// Applies a report unless a newer one is known. One that was under way for longer must not lift
+    /// the mark that a newer one has set: requests would go to an engine that is leaving.
     fn adopt(&self, entry: &mut Engine, engine: &UpstreamState, known: Known, now: Millis) {
-        // The state of an engine that was declared anew knows nothing yet.
-        if !known.is_newer(entry.newest.as_ref()) && engine.has_report() {
-            return;
-        }
         let report = LoadReport { age: now - known.taken_at, ..known.report.clone() };
-        self.marks.set(MarkSource::Reported, engine.name(), report.leaving);
-        engine.apply_report(&report, now);
-        entry.newest = Some(known);
+        if engine.apply_report(&report, now) {
+            self.marks.set(MarkSource::Reported, engine.name(), report.leaving);
+            entry.newest = Some(known);
+        }
     }
 
     /// Tells what this instance read for all, and what it sent since the newest reports.
@@ -260,13 +259,12 @@
     let before = std::mem::take(&mut peer.sent);
     for digest in &heard.body.engines {
         let Some(engine) = states.get(&digest.engine) else { continue };
-        let earlier = before.get(&digest.engine);
-        let same = earlier.filter(|old| old.boot == digest.boot && old.seq == digest.seq);
-        let sent = totals(digest).since(&same.map(totals).unwrap_or_default());
+        let since = sent_since(digest);
+        let sent = since.beyond(before.get(&digest.engine));
         if sent != SentTotals::default() {
             engine.record_peer_sent(&sent, written_at);
         }
-        peer.sent.insert(digest.engine.clone(), digest.clone());
+        peer.sent.insert(digest.engine.clone(), since);
     }
 }
 
@@ -291,10 +289,8 @@
     (sent.requests > 0).then_some(digest)
 }
 
-fn totals(digest: &EngineDigest) -> SentTotals {
-    SentTotals {
-        requests: u64::from(digest.requests),
-        prompt: digest.prefill,
-        output: digest.decode,
-    }
+fn sent_since(digest: &EngineDigest) -> SentSince {
+    let EngineDigest { boot, seq, requests, prefill, decode, .. } = *digest;
+    let sent = SentTotals { requests: u64::from(requests), prompt: prefill, output: decode };
+    SentSince { boot, seq, sent }
 }
--- a/crates/anvilhook-daemon/tests/front_drains.rs
+++ b/crates/anvilhook-daemon/tests/front_drains.rs
@@ -171,6 +171,29 @@
     }
 }
 
+/// Symptom: a drain is acknowledged as having nothing in flight, and its request is cut.
+/// Sequence: a request is open at an engine whose zone or address is changed in one step.
+/// Cause: the front makes a new state for it and counts in that one only.
+#[tokio::test]
+async fn verify_an_open_request_outlives_a_change_of_its_engine() {
+    let at = |ports: [u16; 2]| ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let declared = |ports| configuration(&at(ports), |_| {}, (1_000, 1_000));
+    for (case, changed) in
+        [("its zone", rezoned(&declared([1, 2]))), ("its address", declared([9, 2]))]
+    {
+        let front = fronts::start(&declared([1, 2]), FrontOptions::default(), NoClaims).await.front;
+        let name: UpstreamName = "e0".parse().expect("a name");
+        let upstream = Arc::clone(&front.state().upstreams()[&name]);
+        let held = Held::try_new(&upstream, Work::default(), Millis(0)).expect("it takes work");
+
+        front.apply(&changed, 1);
+
+        assert_eq!(front.in_flight_at(&name), 1, "{case}");
+        drop(held);
+        assert_eq!(front.in_flight_at(&name), 0, "{case}");
+    }
+}
+
 fn rezoned(cfg: &Configuration) -> Configuration {
     let engines = cfg.of_kind(Kind::Engine).map(|resource| {
         let mut resource = Resource::clone(resource);
