--- a/crates/anvilhook-core/src/routing/loads.rs
+++ b/crates/anvilhook-core/src/routing/loads.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
 
-use super::upstreams::Work;
+use super::upstreams::{SentTotals, Work};
 use crate::orders::Role;
 use crate::reports::LoadReport;
 use crate::units::{Millis, Tokens};
@@ -98,11 +98,12 @@
         }
     }
 
-    fn add(&self, work: Work) {
-        // No one output can run over into the upper half.
-        let output = work.output.0.min(u64::from(u32::MAX >> 8));
-        self.prompt.fetch_add(work.prompt.0, Ordering::AcqRel);
-        self.requests.fetch_add(1 << 32 | output, Ordering::AcqRel);
+    fn add(&self, sums: &SentTotals) {
+        // No one output can run over into the upper half, and no one count beyond it.
+        let output = sums.output.0.min(u64::from(u32::MAX >> 8));
+        let requests = sums.requests.min(u64::from(u32::MAX >> 8));
+        self.prompt.fetch_add(sums.prompt.0, Ordering::AcqRel);
+        self.requests.fetch_add(requests << 32 | output, Ordering::AcqRel);
     }
 
     fn sums(&self) -> Sent {
@@ -151,11 +152,21 @@
     }
 
     /// Applies a report unless it is older than the last one. Returns whether it was applied.
+    ///
+    /// Numbers begin anew with each start of the engine, so reports of two starts are told apart by
+    /// their times. By their numbers alone a report of the earlier start that a peer passes on late
+    /// would count as the newest until the next one, and lift the mark of an engine that is leaving.
     pub(super) fn apply(&self, report: &LoadReport, now: Millis) -> bool {
-        let same_boot = self.boot.swap(report.boot, Ordering::AcqRel) == report.boot;
-        if same_boot && report.seq < self.seq.load(Ordering::Acquire) {
+        let taken_at = now - report.age;
+        let is_older = if self.boot.load(Ordering::Acquire) == report.boot {
+            report.seq < self.seq.load(Ordering::Acquire)
+        } else {
+            self.has_report() && taken_at < Millis(self.taken_at.load(Ordering::Acquire))
+        };
+        if is_older {
             return false;
         }
+        self.boot.store(report.boot, Ordering::Release);
         let speeds = Speeds {
             prefill_tokens_per_ms: f64::from(report.prefill_tokens_per_s.max(1)) / 1_000.0,
             decode_step_ms: report.decode_step_ms,
@@ -171,7 +182,7 @@
         self.queued.store(report.queued_requests, Ordering::Release);
         self.running.store(report.running_requests, Ordering::Release);
         self.running_decode.store(report.running_decode.0, Ordering::Release);
-        self.taken_at.store((now - report.age).0, Ordering::Release);
+        self.taken_at.store(taken_at.0, Ordering::Release);
         true
     }
 
@@ -192,6 +203,12 @@
 
     /// Records work sent at `at`.
     pub(super) fn record(&self, work: Work, at: Millis) {
+        let sums = SentTotals { requests: 1, prompt: work.prompt, output: work.output };
+        self.record_sums(&sums, at);
+    }
+
+    /// Records the sums of work sent at `at`.
+    pub(super) fn record_sums(&self, sums: &SentTotals, at: Millis) {
         let turn = at.0 / SLOT.0 + 1;
         let slot = &self.slots[turn as usize % SLOTS];
         // A digest about a turn that has been overwritten is too old to matter.
@@ -199,7 +216,7 @@
             return;
         }
         slot.turn_to(turn);
-        slot.add(work);
+        slot.add(sums);
     }
 
     /// Estimates the load now.
--- a/crates/anvilhook-core/src/routing/upstreams.rs
+++ b/crates/anvilhook-core/src/routing/upstreams.rs
@@ -45,6 +45,48 @@
     }
 }
 
+/// `SentTotals` sums up all work that this instance has ever sent to an upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SentTotals {
+    /// Requests.
+    pub requests: u64,
+    /// Their prompts, without what caches were believed to hold.
+    pub prompt: Tokens,
+    /// Their expected outputs.
+    pub output: Tokens,
+}
+
+impl SentTotals {
+    /// Returns what has been sent since earlier sums; nothing where the sums began anew.
+    pub fn since(&self, earlier: &SentTotals) -> SentTotals {
+        SentTotals {
+            requests: self.requests.saturating_sub(earlier.requests),
+            prompt: Tokens(self.prompt.0.saturating_sub(earlier.prompt.0)),
+            output: Tokens(self.output.0.saturating_sub(earlier.output.0)),
+        }
+    }
+}
+
+/// `SentSince` is what an instance says it has sent to an engine since a report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SentSince {
+    /// The engine's start that the report belongs to.
+    pub boot: u64,
+    /// The report's number.
+    pub seq: u64,
+    /// What was sent since.
+    pub sent: SentTotals,
+}
+
+impl SentSince {
+    /// Returns what this tells beyond what the same instance told before. Of the same report, sums
+    /// that come again would otherwise count again, and the engine would look ever busier.
+    pub fn beyond(&self, earlier: Option<&SentSince>) -> SentTotals {
+        let same = earlier.filter(|old| (old.boot, old.seq) == (self.boot, self.seq));
+        self.sent.since(&same.map(|old| old.sent).unwrap_or_default())
+    }
+}
+
 /// `UpstreamState` is what this instance knows of an upstream. It is shared by all route tables that
 /// name the upstream, so that replacing a table loses no count.
 #[derive(Debug)]
@@ -56,6 +98,8 @@
     retired: AtomicBool,
     open_requests: AtomicU64,
     load: LoadView,
+    // Requests, prompt tokens and output tokens ever sent.
+    sent: [AtomicU64; 3],
     ejection: Ejection,
     cache_slot: AtomicU32,
     // The time of the last choice, for callers that count work in without saying when.
@@ -73,6 +117,7 @@
             retired: AtomicBool::new(false),
             open_requests: AtomicU64::new(0),
             load: LoadView::new(),
+            sent: Default::default(),
             ejection: Ejection::new(&EjectionOptions::default()),
             cache_slot: AtomicU32::new(NO_SLOT),
             chosen_at: AtomicU64::new(0),
@@ -121,6 +166,18 @@
     pub fn begin_at(&self, work: Work, now: Millis) {
         self.open_requests.fetch_add(1, Ordering::AcqRel);
         self.load.record(work, now);
+        let [requests, prompt, output] = &self.sent;
+        requests.fetch_add(1, Ordering::Relaxed);
+        prompt.fetch_add(work.prompt.0, Ordering::Relaxed);
+        output.fetch_add(work.output.0, Ordering::Relaxed);
+    }
+
+    /// Returns the sums of all work that this instance has sent. A reader may see a request without
+    /// its tokens; the next reading has them.
+    pub fn sent(&self) -> SentTotals {
+        let [requests, prompt, output] =
+            self.sent.each_ref().map(|sum| sum.load(Ordering::Relaxed));
+        SentTotals { requests, prompt: Tokens(prompt), output: Tokens(output) }
     }
 
     /// Counts a request of this instance out, when it has ended one way or the other.
@@ -133,15 +190,17 @@
         self.open_requests.load(Ordering::Acquire)
     }
 
-    /// Applies a load report, which is `report.age` old. A report older than the last one changes
-    /// nothing.
+    /// Applies a load report, which is `report.age` old, and returns whether it was. A report older
+    /// than the last one changes nothing.
     ///
     /// A report that says that the engine is leaving is obeyed; that it is no longer leaving is for
     /// whoever called `set_leaving` to say.
-    pub fn apply_report(&self, report: &LoadReport, now: Millis) {
-        if self.load.apply(report, now) && report.leaving {
+    pub fn apply_report(&self, report: &LoadReport, now: Millis) -> bool {
+        let is_applied = self.load.apply(report, now);
+        if is_applied && report.leaving {
             self.set_leaving(true);
         }
+        is_applied
     }
 
     /// Returns whether any load report has been applied.
@@ -154,6 +213,11 @@
         self.load.record(work, at);
     }
 
+    /// Records all the work that a peer says it sent at about `at`.
+    pub fn record_peer_sent(&self, sent: &SentTotals, at: Millis) {
+        self.load.record_sums(sent, at);
+    }
+
     /// Returns the load that the upstream is believed to have now.
     pub fn load(&self, now: Millis) -> Load {
         self.load.estimate(now)
