Serve HTTP/1 only

Cause: the server looked at the first bytes of each connection for HTTP/2, which nobody speaks. Change: one setting of the library.

--- a/crates/anvilhook-http/src/servers.rs
+++ b/crates/anvilhook-http/src/servers.rs
@@ -125,7 +125,8 @@
     let hook_shutdown = shutdown.clone();
     let signalled = Arc::new(AtomicBool::new(false));
     let hook_signalled = Arc::clone(&signalled);
-    let server = Server::new(router).register_shutdown_hook(move || {
+    // All clients speak HTTP/1; looking for another version would cost every connection a buffer.
+    let server = Server::new(router).http1_only().register_shutdown_hook(move || {
         hook_signalled.store(true, Ordering::Release);
         Box::pin(async move { hook_shutdown.reached(Phase::Closed).await })
     });
