Let the control bench call the daemon's hints and pause of marks

Cause: the bench is to measure the daemon's control parts, yet held its own copies of how the peer link's news become hints, and of the pause between readings of drain marks; the two could drift apart unnoticed. The policy bench made the list of tried names in two places. Change: instances::peer_hints and instances::mark_pause in the daemon, called by both; names_of in the policy bench. Behaviour, bounds and tests are as before. Conclusion: what remains alike by duplicates are clones of fields (pollers), a three-line check of the stand-ins' two handlers, and signatures in routing; none is worth a shared piece.

--- a/crates/anvilhook-bench/src/control/keepers.rs
+++ b/crates/anvilhook-bench/src/control/keepers.rs
@@ -4,18 +4,15 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use anvilhook_authority::{
-    AckSchedule, DrainHint, Follower, Keeper, KeeperOptions, PeerHints, PoolPlan, Services,
-    TermHint,
-};
+use anvilhook_authority::{AckSchedule, Follower, Keeper, KeeperOptions, PoolPlan, Services};
 use anvilhook_core::names::InstanceName;
-use anvilhook_core::units::{Clock, Millis, SystemClock, WallTime};
+use anvilhook_core::units::{Clock, SystemClock, WallTime};
+use anvilhook_daemon::instances::{mark_pause, peer_hints};
 use anvilhook_engine::{ControlOptions, HttpEngineControl};
 use anvilhook_http::{ClientOptions, HttpClient};
 use anvilhook_peer::PeerHandle;
 use anvilhook_peer::gossip::{AckSection, DrainAck, TermAck};
 use anvilhook_platform::HttpPlatform;
-use anvilhook_store::instances::poll_interval;
 use rand::SeedableRng;
 use rand::rngs::SysRng;
 use rand_chacha::ChaCha8Rng;
@@ -24,10 +21,6 @@
 /// The time between two steps of a keeper.
 const STEP: Duration = Duration::from_millis(250);
 
-/// The fleet's reads of the marks of drains in a second, and the bounds of one instance's pause.
-const FLEET_READS_PER_S: u64 = 200;
-const MARK_PAUSES: std::ops::RangeInclusive<Millis> = Millis(500)..=Millis(5_000);
-
 /// `AckBoard` holds what one instance acknowledges.
 #[derive(Debug)]
 pub(super) struct AckBoard {
@@ -80,7 +73,7 @@
     /// Runs until it is dropped.
     pub(super) async fn run(self) {
         let mut follower = Follower::new(self.me, self.platform, AckSchedule::default());
-        let pause = poll_interval(self.instances, FLEET_READS_PER_S, MARK_PAUSES);
+        let pause = mark_pause(self.instances);
         loop {
             // What is known of the marks holds on when the table cannot be read.
             let _ = follower.poll().await;
@@ -132,7 +125,7 @@
                 _ = self.stopping.wait_for(|stopping| *stopping) => break,
             }
             let plans = Arc::clone(&self.plans.borrow());
-            let hints = self.hints();
+            let hints = peer_hints(&self.peers);
             keeper.step(&plans, &hints, WallTime::default()).await;
             let term = |(pool, term)| TermAck { pool, term, holder: self.me.clone() };
             let terms = keeper.terms().into_iter().map(term).collect();
@@ -141,24 +134,4 @@
         keeper.stop().await?;
         Ok(())
     }
-
-    /// Returns what has come over the peer link.
-    fn hints(&self) -> PeerHints {
-        let news = self.peers.news();
-        let mut hints = PeerHints::default();
-        for (instance, heard) in news.acks.iter() {
-            hints.drains.extend(heard.body.drains.iter().map(|ack| DrainHint {
-                instance: instance.clone(),
-                pool: ack.pool.clone(),
-                engine: ack.engine.clone(),
-                since: ack.generation,
-            }));
-            hints.terms.extend(heard.body.terms.iter().map(|ack| TermHint {
-                instance: instance.clone(),
-                pool: ack.pool.clone(),
-                term: ack.term,
-            }));
-        }
-        hints
-    }
 }
--- a/crates/anvilhook-bench/src/policy/instances.rs
+++ b/crates/anvilhook-bench/src/policy/instances.rs
@@ -162,6 +162,10 @@
         admitted
     }
 
+    fn names_of(&self, places: &[usize]) -> Vec<UpstreamName> {
+        places.iter().map(|place| self.engines[*place].name().clone()).collect()
+    }
+
     /// Decides where a request starts.
     pub fn start(
         &mut self,
@@ -170,8 +174,7 @@
         tried: &[usize],
         now: Millis,
     ) -> Decision {
-        let names: Vec<UpstreamName> =
-            tried.iter().map(|place| self.engines[*place].name().clone()).collect();
+        let names = self.names_of(tried);
         let req = route_request(request);
         let holders = self.prefixes.holders(&request.blocks);
         let uncached = self.least_uncached(request, &holders);
@@ -197,8 +200,7 @@
         tried: &[usize],
         now: Millis,
     ) -> Decision {
-        let names: Vec<UpstreamName> =
-            tried.iter().map(|place| self.engines[*place].name().clone()).collect();
+        let names = self.names_of(tried);
         if let Router::Cost(_) | Router::Holder(_) = policy.router {
             let req = route_request(request);
             let (table, rng) = (&self.table, &mut self.rng);
--- a/crates/anvilhook-daemon/src/instances/authorities.rs
+++ b/crates/anvilhook-daemon/src/instances/authorities.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use anvilhook_authority::{DrainHint, Follower, Keeper, Observation, PeerHints, TermHint};
+use anvilhook_authority::{Follower, Keeper, Observation};
 use anvilhook_core::names::{InstanceName, PoolName, ResourceName, UpstreamName};
 use anvilhook_core::resources::{
     Condition, ConditionState, Configuration, Kind, ResourceKey, ServiceBackend,
@@ -15,11 +15,11 @@
 use anvilhook_peer::PeerHandle;
 use anvilhook_peer::gossip::{AckSection, DrainAck, TermAck};
 use anvilhook_platform::{InstanceList, Table};
-use anvilhook_store::instances::poll_interval;
 use anvilhook_store::{ConfigurationFollower, StatusRecord, StatusStore};
 use tokio::sync::watch;
 
-use super::marks::{MarkSource, Marks};
+use super::hints::peer_hints;
+use super::marks::{MarkSource, Marks, mark_pause};
 use super::plans::{engines_of, plain_upstreams, planned_pools, pool_plans};
 use super::roles::{PoolDeclaration, RoleDesk, SeenEngine};
 use super::tasks::rest;
@@ -34,11 +34,6 @@
 const ROLES_CONDITION: &str = "Roles";
 const ROLES_PLANNED: &str = "Planned";
 
-/// How often the whole fleet reads the marks of drains in a second, and the bounds of one
-/// instance's pause.
-const FLEET_READS_PER_S: u64 = 200;
-const MARK_PAUSES: std::ops::RangeInclusive<Millis> = Millis(500)..=Millis(5_000);
-
 /// The pause before the first reading that opens the way for requests.
 const START_PAUSE: Millis = Millis(50);
 
@@ -102,7 +97,7 @@
         if !*self.routable.borrow() {
             return START_PAUSE;
         }
-        poll_interval(*self.instances.borrow(), FLEET_READS_PER_S, MARK_PAUSES)
+        mark_pause(*self.instances.borrow())
     }
 
     /// Has requests go by the marks. Only after this may a drain be acknowledged.
@@ -168,7 +163,7 @@
             let plans = pool_plans(&configuration, &self.desk);
             self.keeper.note_upstreams(plain_upstreams(&configuration));
             self.keeper.note_instances(self.peers.borrow_and_update().iter().cloned());
-            self.keeper.step(&plans, &self.hints(), system_wall_time()).await;
+            self.keeper.step(&plans, &peer_hints(&self.link), system_wall_time()).await;
             self.publish_terms();
             for observation in self.keeper.take_changes() {
                 self.report(observation).await;
@@ -244,25 +239,6 @@
         self.report(Observation { key, condition }).await;
     }
 
-    fn hints(&self) -> PeerHints {
-        let news = self.link.news();
-        let mut hints = PeerHints::default();
-        for (instance, heard) in news.acks.iter() {
-            hints.drains.extend(heard.body.drains.iter().map(|ack| DrainHint {
-                instance: instance.clone(),
-                pool: ack.pool.clone(),
-                engine: ack.engine.clone(),
-                since: ack.generation,
-            }));
-            hints.terms.extend(heard.body.terms.iter().map(|ack| TermHint {
-                instance: instance.clone(),
-                pool: ack.pool.clone(),
-                term: ack.term,
-            }));
-        }
-        hints
-    }
-
     fn publish_terms(&self) {
         let terms = self.keeper.terms().into_iter();
         let terms: Vec<TermAck> =
--- a/crates/anvilhook-daemon/src/instances/marks.rs
+++ b/crates/anvilhook-daemon/src/instances/marks.rs
@@ -1,10 +1,24 @@
 //! Which upstreams take no new work, and who says so.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use anvilhook_core::names::UpstreamName;
 use anvilhook_core::routing::UpstreamState;
+use anvilhook_core::units::Millis;
+use anvilhook_store::instances::poll_interval;
+
+/// How often the whole fleet reads the marks of drains in a second, and the bounds of one
+/// instance's pause.
+const FLEET_READS_PER_S: u64 = 200;
+const MARK_PAUSES: RangeInclusive<Millis> = Millis(500)..=Millis(5_000);
+
+/// Returns the pause between two readings of the marks of drains where `announced` instances share
+/// the fleet's readings.
+pub fn mark_pause(announced: usize) -> Millis {
+    poll_interval(announced, FLEET_READS_PER_S, MARK_PAUSES)
+}
 
 /// `MarkSource` is who says that an upstream takes no new work.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod errors;
 mod handles;
+mod hints;
 mod listeners;
 mod load_counts;
 mod loads;
@@ -23,8 +24,9 @@
 
 pub use errors::StartError;
 pub use handles::{Addresses, Announcement, InstanceHandle};
+pub use hints::peer_hints;
 pub use load_counts::LoadSources;
-pub use marks::{MarkSource, Marks};
+pub use marks::{MarkSource, Marks, mark_pause};
 pub use roles::{PoolDeclaration, RoleDesk, SeenEngine};
 pub use signals::StopSignals;
 pub use starts::{Instance, Parts};
