--- /dev/null
+++ b/crates/anvilhook-gateway/src/budgets.rs
@@ -0,0 +1,78 @@
+//! The budget for arrivals beyond the first of each request.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+
+use anvilhook_core::units::Millis;
+
+/// `BudgetOptions` bounds extra arrivals in any window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetOptions {
+    /// Extra arrivals for each request in the window.
+    pub share: f64,
+    /// Extra arrivals in the window beside.
+    pub spare: f64,
+    /// The window's length.
+    pub window: Millis,
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    requests: VecDeque<Millis>,
+    extras: VecDeque<Millis>,
+}
+
+/// `Budget` counts, for each service, the requests and the extra arrivals of a sliding window.
+///
+/// The bound holds for all instances together. Each one keeps it for its own requests alone, so
+/// that the sum keeps it whatever the instances know of one another: a share of one's own requests
+/// adds up to the share of all, and the spare part is divided beforehand.
+#[derive(Debug)]
+pub struct Budget {
+    options: BudgetOptions,
+    tallies: Mutex<HashMap<Arc<str>, Tally>>,
+}
+
+impl Budget {
+    /// Makes a budget with nothing counted.
+    pub fn new(options: BudgetOptions) -> Self {
+        Self { options, tallies: Mutex::default() }
+    }
+
+    /// Counts a request for a service.
+    pub fn record_request(&self, service: &Arc<str>, now: Millis) {
+        self.with(service, now, |tally| tally.requests.push_back(now));
+    }
+
+    /// Takes one extra arrival out of the budget. Returns false if there is none.
+    pub fn try_take(&self, service: &Arc<str>, now: Millis) -> bool {
+        self.with(service, now, |tally| {
+            let earned = tally.requests.len() as f64 * self.options.share + self.options.spare;
+            let fits = (tally.extras.len() + 1) as f64 <= earned;
+            if fits {
+                tally.extras.push_back(now);
+            }
+            fits
+        })
+    }
+
+    /// Returns how many extra arrivals are left now.
+    pub fn left(&self, service: &Arc<str>, now: Millis) -> f64 {
+        self.with(service, now, |tally| {
+            let earned = tally.requests.len() as f64 * self.options.share + self.options.spare;
+            earned - tally.extras.len() as f64
+        })
+    }
+
+    fn with<T>(&self, service: &Arc<str>, now: Millis, f: impl FnOnce(&mut Tally) -> T) -> T {
+        let mut tallies = self.tallies.lock().expect("no panic under this lock");
+        let tally = tallies.entry(Arc::clone(service)).or_default();
+        let from = now - self.options.window;
+        for times in [&mut tally.requests, &mut tally.extras] {
+            while times.front().is_some_and(|at| *at < from) {
+                times.pop_front();
+            }
+        }
+        f(tally)
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -0,0 +1,172 @@
+//! The configuration in force: routes, services and limits.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use anvilhook_core::units::{Millis, Tokens};
+
+/// `Repeats` says what may be repeated of a route's requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeats {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request runs at most once.
+    AtMostOnce,
+    /// The answer is a stream of numbered events. It may be resumed after an event, or not at all.
+    Stream {
+        /// Whether a stream may be resumed after its last event.
+        resumable: bool,
+    },
+}
+
+impl Repeats {
+    /// Returns whether a request that may have run can be sent again.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Repeats::Idempotent | Repeats::Stream { resumable: true })
+    }
+}
+
+/// `Target` is a service with its share of a route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its weight among the route's targets.
+    pub weight: u32,
+}
+
+/// `Route` says where requests of a host and path prefix go, and what they may cost.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// The route's name.
+    pub name: Arc<str>,
+    /// The host that it is for.
+    pub host: Arc<str>,
+    /// What the path begins with, from a slash to a slash.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub repeats: Repeats,
+    /// The longest time that a caller is kept waiting, if there is one.
+    pub timeout: Option<Millis>,
+    /// The time within which an answer is on time.
+    pub objective: Millis,
+    /// The rank; 0 is the highest.
+    pub priority: u8,
+    /// The services, with their weights.
+    pub targets: Vec<Target>,
+    /// The most upstreams on which one request may run.
+    pub max_attempts: u32,
+    /// The longest pause between two events that is on time.
+    pub pause_objective: Option<Millis>,
+}
+
+impl Route {
+    /// Returns the service for a request. The same request always gets the same one.
+    pub fn target(&self, request_hash: u64) -> Option<&Arc<str>> {
+        let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut point = request_hash % total;
+        for target in &self.targets {
+            let weight = u64::from(target.weight);
+            if point < weight {
+                return Some(&target.service);
+            }
+            point -= weight;
+        }
+        None
+    }
+}
+
+/// `EngineSpec` is what is declared of a service's model engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSpec {
+    /// How many requests an engine batches.
+    pub slots: u32,
+    /// How many tokens its KV cache holds.
+    pub kv_tokens: Tokens,
+    /// The size of a token's KV cache, in bytes.
+    pub kv_token_bytes: u64,
+    /// The speed of an engine's link to others, in Mbit/s.
+    pub link_mbps: f64,
+    /// How long a KV handle is kept.
+    pub handle_ttl: Millis,
+    /// How long an engine is away for a change of role.
+    pub role_change: Millis,
+}
+
+/// `ServiceSpec` is a declared service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceSpec {
+    /// The service's name.
+    pub name: Arc<str>,
+    /// The path of its health check.
+    pub health_path: Arc<str>,
+    /// The most connections that an upstream takes from all instances together.
+    pub max_connections: u32,
+    /// What its upstreams are, if they are model engines.
+    pub engine: Option<EngineSpec>,
+}
+
+/// `Limits` bounds what a caller may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// The size of a request's head, in bytes.
+    pub max_header_bytes: usize,
+    /// The size of a request's body, in bytes.
+    pub max_body_bytes: usize,
+    /// How long the head may take.
+    pub header_timeout: Millis,
+    /// How long a connection may lie idle.
+    pub idle_timeout: Millis,
+}
+
+/// `Config` is one version of the whole configuration, ready for lookups.
+#[derive(Debug)]
+pub struct Config {
+    /// The version; it only grows.
+    pub version: u64,
+    /// The limits for callers.
+    pub limits: Limits,
+    services: HashMap<Arc<str>, ServiceSpec>,
+    routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
+}
+
+impl Config {
+    /// Indexes a configuration.
+    pub fn new(
+        version: u64,
+        limits: Limits,
+        services: Vec<ServiceSpec>,
+        routes: Vec<Route>,
+    ) -> Self {
+        let services =
+            services.into_iter().map(|service| (Arc::clone(&service.name), service)).collect();
+        let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
+        for route in routes {
+            let prefixes = by_host.entry(Arc::clone(&route.host)).or_default();
+            prefixes.insert(Arc::clone(&route.prefix), Arc::new(route));
+        }
+        Self { version, limits, services, routes: by_host }
+    }
+
+    /// Returns the route of the host with the longest prefix that begins the path.
+    ///
+    /// The work is bounded by the path's slashes, however many routes there are.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let prefixes = self.routes.get(host)?;
+        let ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+        ends.filter_map(|end| prefixes.get(&path[..end])).next()
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        self.services.get(name)
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -0,0 +1,222 @@
+//! One sending of a request to one upstream, and the check of what comes back.
+
+use std::time::Duration;
+
+use anvilhook_core::Verdict;
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_http::CallError;
+use anvilhook_http::clients::Connection;
+use http::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::Gateway;
+use super::answers::WholeAnswer;
+use super::requests::{Exchange, end_to_end};
+use crate::events;
+use crate::fleets::Upstream;
+use crate::wires::Wire;
+
+/// The most bytes of an answer that is collected before it is passed on.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// How long an engine that answered with the wrong stage is left alone.
+const WRONG_STAGE_PAUSE: Millis = Millis(300);
+
+/// `Failed` is an attempt that brought no answer to pass on.
+#[derive(Clone, Debug)]
+pub(super) struct Failed {
+    pub verdict: Verdict,
+    pub cause: &'static str,
+    /// Whether the upstream itself refused, which shows that it is alive.
+    pub is_refusal: bool,
+}
+
+impl Failed {
+    fn refusal(cause: &'static str) -> Self {
+        Self { verdict: Verdict::NotRun, cause, is_refusal: true }
+    }
+
+    pub fn may_have_run(cause: &'static str) -> Self {
+        Self { verdict: Verdict::MayHaveRun, cause, is_refusal: false }
+    }
+}
+
+impl From<CallError> for Failed {
+    fn from(err: CallError) -> Self {
+        let cause = match (err.timed_out, err.verdict()) {
+            (true, _) => "no_answer_in_time",
+            (false, Verdict::NotRun) => "no_connection",
+            (false, _) => "connection_broken",
+        };
+        Self { verdict: err.verdict(), cause, is_refusal: false }
+    }
+}
+
+/// `Sending` is how an attempt is sent.
+pub(super) struct Sending<'a> {
+    pub upstream: &'a Upstream,
+    /// Headers that the gateway sets, beside those of every attempt.
+    pub extra: Vec<(HeaderName, HeaderValue)>,
+    pub connection: Connection,
+    /// How long the head of the answer may take.
+    pub head_timeout: Millis,
+    /// What the attempt is for, for logs.
+    pub stage: &'static str,
+}
+
+impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Sends a request and returns the head of its answer with the body still to come.
+    ///
+    /// An answer that does not echo the request's id belongs to another request: a second answer
+    /// that comes late on a kept connection stands where this one's is expected.
+    pub(super) async fn send(
+        &self,
+        exchange: &Exchange,
+        sending: Sending<'_>,
+    ) -> Result<Response, Failed> {
+        let result = self.send_unlogged(exchange, &sending).await;
+        let (state, now) = (&sending.upstream.state, self.now());
+        match &result {
+            Ok(_) => state.ejection().record_success(now),
+            Err(failed) => {
+                if failed.is_refusal {
+                    state.ejection().record_success(now);
+                } else {
+                    state.ejection().record_failure(now);
+                }
+                self.log_failed(exchange, sending.upstream, sending.stage, failed);
+            }
+        }
+        result
+    }
+
+    pub(super) fn log_failed(
+        &self,
+        exchange: &Exchange,
+        upstream: &Upstream,
+        stage: &str,
+        failed: &Failed,
+    ) {
+        let verdict = failed.verdict.as_str();
+        events::attempt_failed(&exchange.id, &upstream.entry.id, stage, verdict, failed.cause);
+    }
+
+    async fn send_unlogged(
+        &self,
+        exchange: &Exchange,
+        sending: &Sending<'_>,
+    ) -> Result<Response, Failed> {
+        let entry = &sending.upstream.entry;
+        let req = self.request_for(exchange, sending);
+        let sent = self.inner.client.send(
+            entry.address,
+            req,
+            sending.connection,
+            sending.head_timeout.min(exchange.time_left(self.now())),
+        );
+        let answer = sent.await?;
+        self.check(exchange, sending.upstream, answer)
+    }
+
+    fn request_for(&self, exchange: &Exchange, sending: &Sending<'_>) -> Request<Body> {
+        let names = self.wire().headers();
+        let mut headers = exchange.headers.clone();
+        let expected = HeaderValue::try_from(&*sending.upstream.entry.id);
+        headers.insert(&names.expect_instance, expected.expect("ids are visible text"));
+        let time_left = exchange.time_left(self.now());
+        headers.insert(&names.deadline, HeaderValue::from(time_left.0));
+        let id = HeaderValue::try_from(&*exchange.id).expect("the id came in a header");
+        headers.insert(&names.request_id, id);
+        for (name, value) in &sending.extra {
+            headers.insert(name, value.clone());
+        }
+        let target = exchange.uri.path_and_query().map_or("/", |target| target.as_str());
+        let mut req = Request::new(Body::from(exchange.body.clone()));
+        *req.method_mut() = exchange.method.clone();
+        *req.uri_mut() = target.parse().expect("the target came in a request");
+        *req.headers_mut() = headers;
+        req
+    }
+
+    fn check(
+        &self,
+        exchange: &Exchange,
+        upstream: &Upstream,
+        answer: Response,
+    ) -> Result<Response, Failed> {
+        let names = self.wire().headers();
+        let headers = answer.headers();
+        let is_own = headers.get(&names.request_id).is_none_or(|id| id.as_bytes() == exchange.id.as_bytes());
+        if !is_own {
+            return Err(Failed::may_have_run("answer_of_another_request"));
+        }
+        if let Some(load) = headers.get(&names.load).and_then(|value| self.wire().load(value)) {
+            upstream.state.record_load(load, self.now());
+        }
+        if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+            let answered_by = headers.get(&names.instance).map(HeaderValue::as_bytes);
+            if answered_by.is_some_and(|id| id != upstream.entry.id.as_bytes()) {
+                upstream.state.mark_gone();
+                events::upstream_gone(&upstream.entry.id, &exchange.id);
+            } else {
+                upstream.state.mark_away(self.now() + WRONG_STAGE_PAUSE);
+            }
+            return Err(Failed::refusal("misdirected"));
+        }
+        if headers.contains_key(&names.not_run) {
+            return Err(Failed::refusal("refused_by_upstream"));
+        }
+        if headers.contains_key(CONTENT_ENCODING) {
+            return Err(Failed::may_have_run("encoded_answer"));
+        }
+        Ok(answer)
+    }
+
+    /// Collects an answer whole. Only a signed one, or a signed failure, is passed on.
+    pub(super) async fn collect(
+        &self,
+        exchange: &Exchange,
+        answer: Response,
+    ) -> Result<WholeAnswer, Failed> {
+        let names = self.wire().headers();
+        let (parts, body) = answer.into_parts();
+        if !parts.headers.contains_key(&names.signature) {
+            return Err(Failed::may_have_run("unsigned_answer"));
+        }
+        let body = self.collect_body(exchange, body).await?;
+        let headers = passed_on(&parts.headers);
+        Ok(WholeAnswer { status: parts.status, headers, body })
+    }
+
+    /// Collects a body whole within the time that the caller has.
+    pub(super) async fn collect_body(
+        &self,
+        exchange: &Exchange,
+        body: Body,
+    ) -> Result<bytes::Bytes, Failed> {
+        let time_left: Duration = exchange.time_left(self.now()).as_duration();
+        let collecting = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        match tokio::time::timeout(time_left, collecting).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(_)) => Err(Failed::may_have_run("answer_cut")),
+            Err(_elapsed) => Err(Failed::may_have_run("answer_late")),
+        }
+    }
+
+    /// Counts an attempt in. Returns false if the budget forbids it.
+    ///
+    /// Every arrival after the first counts against the budget, also one that the upstream refuses;
+    /// otherwise retries would multiply an overload.
+    pub(super) fn may_send(&self, exchange: &mut Exchange) -> bool {
+        let is_first = !std::mem::replace(&mut exchange.was_sent, true);
+        is_first || self.inner.budget.try_take(&exchange.service, self.now())
+    }
+}
+
+/// Returns the headers of an upstream's answer that are passed on.
+pub(super) fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    end_to_end(headers, &[])
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -0,0 +1,216 @@
+//! The path of a request.
+
+mod answers;
+mod attempts;
+mod handles;
+mod plain;
+mod prompts;
+mod requests;
+mod resumption;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_http::HttpClient;
+use arc_swap::ArcSwapOption;
+use http::StatusCode;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use crate::budgets::{Budget, BudgetOptions};
+use crate::caches::CacheBeliefs;
+use crate::configs::{Config, Repeats};
+use crate::events::{self, Conclusion};
+use crate::fleets::Fleet;
+use crate::prompts::EngineSpeed;
+use crate::wires::Wire;
+
+use answers::Outcome;
+use requests::Exchange;
+
+/// `GatewayOptions` are the figures by which requests are served.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    /// The availability zone of this instance.
+    pub zone: Arc<str>,
+    /// The budget for extra arrivals.
+    pub budget: BudgetOptions,
+    /// How fast engines read prompts.
+    pub speed: EngineSpeed,
+    /// How long a request's way to the caller takes.
+    pub transit: Millis,
+}
+
+/// `Gateway` serves requests. Clones share all state.
+pub struct Gateway<W: Wire, C: Clock> {
+    inner: Arc<Inner<W, C>>,
+}
+
+impl<W: Wire, C: Clock> Clone for Gateway<W, C> {
+    fn clone(&self) -> Self {
+        Self { inner: Arc::clone(&self.inner) }
+    }
+}
+
+struct Inner<W, C> {
+    wire: W,
+    clock: C,
+    client: HttpClient,
+    options: GatewayOptions,
+    config: ArcSwapOption<Config>,
+    fleet: Fleet,
+    caches: CacheBeliefs,
+    budget: Budget,
+    in_flight: AtomicU64,
+    is_stopping: AtomicBool,
+    has_fleet: AtomicBool,
+}
+
+/// Counts a request in until its answer's last byte is handed over.
+struct Flight<W: Wire, C: Clock>(Gateway<W, C>);
+
+impl<W: Wire, C: Clock> Drop for Flight<W, C> {
+    fn drop(&mut self) {
+        self.0.inner.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Makes a gateway that knows no configuration and no upstreams.
+    pub fn new(wire: W, clock: C, client: HttpClient, options: GatewayOptions) -> Self {
+        let inner = Inner {
+            wire,
+            clock,
+            client,
+            budget: Budget::new(options.budget),
+            options,
+            config: ArcSwapOption::empty(),
+            fleet: Fleet::new(),
+            caches: CacheBeliefs::new(),
+            in_flight: AtomicU64::new(0),
+            is_stopping: AtomicBool::new(false),
+            has_fleet: AtomicBool::new(false),
+        };
+        Self { inner: Arc::new(inner) }
+    }
+
+    /// Returns how the deployment spells its messages.
+    pub fn wire(&self) -> &W {
+        &self.inner.wire
+    }
+
+    /// Returns the upstreams.
+    pub fn fleet(&self) -> &Fleet {
+        &self.inner.fleet
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.inner.config.load_full()
+    }
+
+    /// Returns how many requests are in flight.
+    pub fn in_flight(&self) -> u64 {
+        self.inner.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Returns whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        let knows = self.inner.config.load().is_some() && self.has_fleet();
+        knows && !self.is_stopping()
+    }
+
+    /// Notes that the instance is about to stop. Requests are still served.
+    pub fn begin_stop(&self) {
+        self.inner.is_stopping.store(true, Ordering::Release);
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.inner.is_stopping.load(Ordering::Acquire)
+    }
+
+    fn has_fleet(&self) -> bool {
+        self.inner.has_fleet.load(Ordering::Acquire)
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn adopt_config(&self, config: Config) {
+        let before = self.inner.config.load().as_ref().map(|config| config.version);
+        if before.is_some_and(|before| before >= config.version) {
+            return;
+        }
+        let version = config.version;
+        self.inner.config.store(Some(Arc::new(config)));
+        events::config_adopted(version, before);
+    }
+
+    /// Notes that the fleet has been read.
+    pub fn record_fleet(&self) {
+        self.inner.has_fleet.store(true, Ordering::Release);
+        let view = self.inner.fleet.view();
+        let draining = view.all().filter(|upstream| upstream.entry.draining).count();
+        events::fleet_changed(view.all().count(), draining);
+        self.inner.caches.retain(|engine| view.get(engine).is_some());
+    }
+
+    fn now(&self) -> Millis {
+        self.inner.clock.now()
+    }
+
+    /// Serves a request.
+    pub async fn handle(&self, req: Request) -> Response {
+        self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
+        let flight = Flight(self.clone());
+        let arrived_at = self.now();
+        let (mut exchange, outcome) = match Exchange::receive(self, req, arrived_at).await {
+            Ok(mut exchange) => {
+                let outcome = self.serve(&mut exchange).await;
+                (Some(exchange), outcome)
+            }
+            Err(outcome) => (None, outcome),
+        };
+        self.conclude(exchange.as_ref(), &outcome, arrived_at);
+        let carries_stream = matches!(outcome, Outcome::Stream(_));
+        let guard = carries_stream.then_some(flight);
+        let exchange = exchange.take();
+        let mut answer = outcome.into_response(self, exchange, guard);
+        if self.is_stopping() {
+            answers::close_after(&mut answer);
+        }
+        answer
+    }
+
+    async fn serve(&self, exchange: &mut Exchange) -> Outcome {
+        let limit = exchange.give_up_at - self.now();
+        let serving = async {
+            match exchange.route.repeats {
+                Repeats::Idempotent | Repeats::AtMostOnce => self.serve_plain(exchange).await,
+                Repeats::Stream { .. } => self.serve_prompt(exchange).await,
+            }
+        };
+        match tokio::time::timeout(limit.as_duration(), serving).await {
+            Ok(outcome) => outcome,
+            // The attempt in progress was dropped, and its connection with it.
+            Err(_elapsed) if exchange.may_have_run => {
+                Outcome::failed(StatusCode::GATEWAY_TIMEOUT, "timeout")
+            }
+            Err(_elapsed) => Outcome::refused("timeout_before_run", Millis(100)),
+        }
+    }
+
+    fn conclude(&self, exchange: Option<&Exchange>, outcome: &Outcome, arrived_at: Millis) {
+        let route = exchange.map_or("", |exchange| &exchange.route.name);
+        let request = exchange.map_or("", |exchange| &exchange.id);
+        let upstreams = exchange.map_or_else(String::new, |exchange| exchange.tried.join(" "));
+        events::concluded(&Conclusion {
+            request,
+            route,
+            status: outcome.status().as_u16(),
+            reason: outcome.reason(),
+            upstreams,
+            took_ms: (self.now() - arrived_at).0,
+            config: self.inner.config.load().as_ref().map_or(0, |config| config.version),
+        });
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -0,0 +1,140 @@
+//! Requests to plain services.
+
+use std::sync::Arc;
+
+use anvilhook_core::Verdict;
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_http::clients::Connection;
+
+use super::Gateway;
+use super::answers::{Outcome, WholeAnswer};
+use super::attempts::{Failed, Sending};
+use super::requests::Exchange;
+use crate::configs::Repeats;
+use crate::fleets::{Held, Upstream};
+use crate::wires::Wire;
+
+/// What another availability zone costs against requests in flight.
+const FAR_COST: f64 = 4.0;
+
+/// What a request that would have to wait costs against one that runs at once.
+const QUEUED_COST: f64 = 3.0;
+
+/// The most sendings of one request, refusals included.
+const MAX_SENDINGS: usize = 3;
+
+/// When a caller is to come back if no upstream took its request.
+const REFUSED_PAUSE: Millis = Millis(150);
+
+/// How many times its objective an upstream is given before another one is tried.
+const PATIENCE: u64 = 4;
+
+impl<W: Wire, C: Clock> Gateway<W, C> {
+    pub(super) async fn serve_plain(&self, exchange: &mut Exchange) -> Outcome {
+        self.inner.budget.record_request(&exchange.service, self.now());
+        let mut avoid: Vec<Arc<str>> = Vec::new();
+        let mut last_answer: Option<WholeAnswer> = None;
+        let mut last_cause = "no_upstream";
+        while avoid.len() < MAX_SENDINGS {
+            if let Some(config) = self.config() {
+                exchange.refresh(&config);
+            }
+            if exchange.runs >= exchange.route.max_attempts {
+                break;
+            }
+            let Some(upstream) = self.choose_plain(&exchange.service, &avoid) else { break };
+            if !self.may_send(exchange) {
+                last_cause = "retry_budget";
+                break;
+            }
+            avoid.push(Arc::clone(&upstream.entry.id));
+            match self.attempt_plain(exchange, &upstream).await {
+                Ok(answer) if answer.status.is_server_error() && self.may_repeat(exchange) => {
+                    last_answer = Some(answer);
+                }
+                Ok(answer) => return Outcome::Whole(answer),
+                Err(failed) => {
+                    last_cause = failed.cause;
+                    if failed.verdict != Verdict::NotRun && !self.may_repeat(exchange) {
+                        break;
+                    }
+                }
+            }
+        }
+        match last_answer {
+            Some(answer) => Outcome::Whole(answer),
+            None if exchange.may_have_run => Outcome::may_have_run(last_cause),
+            None => Outcome::refused(last_cause, REFUSED_PAUSE),
+        }
+    }
+
+    fn may_repeat(&self, exchange: &Exchange) -> bool {
+        exchange.route.repeats == Repeats::Idempotent
+            && exchange.runs < exchange.route.max_attempts
+    }
+
+    async fn attempt_plain(
+        &self,
+        exchange: &mut Exchange,
+        upstream: &Arc<Upstream>,
+    ) -> Result<WholeAnswer, Failed> {
+        let held = Held::new(Arc::clone(upstream), 0.0);
+        let is_last = !self.may_repeat(exchange) || exchange.runs + 1 >= exchange.route.max_attempts;
+        let time_left = exchange.time_left(self.now());
+        // Only what may be repeated is given up early, so that another upstream has time for it.
+        let patient = Millis(exchange.route.objective.0 * PATIENCE).min(Millis(time_left.0 / 2));
+        let head_timeout = if is_last { time_left } else { patient };
+        // A kept connection may have been closed by the upstream, which shows only after the
+        // request was written; what runs at most once would be lost with it.
+        let connection = if exchange.route.repeats == Repeats::AtMostOnce || exchange.runs > 0 {
+            Connection::New
+        } else {
+            Connection::Pooled
+        };
+        exchange.tried.push(upstream.entry.id.to_string());
+        let could_have_run = std::mem::replace(&mut exchange.may_have_run, true);
+        let sending =
+            Sending { upstream, extra: Vec::new(), connection, head_timeout, stage: "plain" };
+        let sent = self.send(exchange, sending).await;
+        let result = match sent {
+            Ok(answer) => {
+                let collected = self.collect(exchange, answer).await;
+                if let Err(failed) = &collected {
+                    upstream.state.ejection().record_failure(self.now());
+                    self.log_failed(exchange, upstream, "plain", failed);
+                }
+                collected
+            }
+            Err(failed) => Err(failed),
+        };
+        match &result {
+            Err(failed) if failed.verdict == Verdict::NotRun => {
+                exchange.may_have_run = could_have_run;
+            }
+            _ => exchange.runs += 1,
+        }
+        drop(held);
+        result
+    }
+
+    /// Chooses by what is believed right now, so that an upstream that has begun to leave during
+    /// an earlier attempt gets nothing.
+    pub(super) fn choose_plain(&self, service: &str, avoid: &[Arc<str>]) -> Option<Arc<Upstream>> {
+        let now = self.now();
+        let view = self.fleet().view();
+        let able = view.of_service(service).iter().filter(|upstream| {
+            upstream.takes_work(now) && !avoid.contains(&upstream.entry.id)
+        });
+        let able: Vec<_> = able.collect();
+        let well = able.iter().filter(|upstream| !upstream.state.ejection().is_ejected(now));
+        let well: Vec<_> = well.copied().collect();
+        let candidates = if well.is_empty() { able } else { well };
+        let cost = |upstream: &Upstream| {
+            let (in_flight, _) = upstream.state.load(now);
+            let queued = in_flight.saturating_sub(upstream.entry.slots.saturating_sub(1));
+            let far = if *upstream.entry.zone == *self.inner.options.zone { 0.0 } else { FAR_COST };
+            f64::from(in_flight) + f64::from(queued) * QUEUED_COST + far
+        };
+        candidates.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -0,0 +1,223 @@
+//! Requests as they arrive, and what is passed on of them.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+use anvilhook_core::units::{Clock, Millis};
+use bytes::Bytes;
+use http::header::{self, HeaderMap, HeaderName};
+use http::{Method, StatusCode, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use volo_http::request::Request;
+
+use super::Gateway;
+use super::answers::Outcome;
+use crate::configs::{Config, Route};
+use crate::prompts::Prompt;
+use crate::wires::Wire;
+
+/// The time that a caller without a word about it is taken to wait.
+const DEFAULT_DEADLINE: Millis = Millis::from_secs(30);
+
+/// How long a caller may take over its body.
+const BODY_TIMEOUT: Millis = Millis::from_secs(10);
+
+/// When a caller is to come back to an instance that knows no configuration.
+const NO_CONFIG_PAUSE: Millis = Millis(300);
+
+/// `Exchange` is a request that is being served.
+pub(super) struct Exchange {
+    pub id: Arc<str>,
+    pub method: Method,
+    pub uri: Uri,
+    /// The caller's end-to-end headers.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub route: Arc<Route>,
+    pub service: Arc<str>,
+    pub prompt: Option<Prompt>,
+    pub arrived_at: Millis,
+    /// When the caller no longer waits.
+    pub deadline: Millis,
+    /// When the caller must have its final answer.
+    pub give_up_at: Millis,
+    /// The upstreams that it was sent to, in order.
+    pub tried: Vec<String>,
+    /// How many attempts may have run.
+    pub runs: u32,
+    /// Whether an attempt is or was under way that may run.
+    pub may_have_run: bool,
+    /// Whether a prompt was sent to be read before.
+    pub has_read: bool,
+    /// Whether an attempt was sent before.
+    pub was_sent: bool,
+}
+
+impl Exchange {
+    /// Reads a request whole and finds its route.
+    pub async fn receive<W: Wire, C: Clock>(
+        gateway: &Gateway<W, C>,
+        req: Request,
+        arrived_at: Millis,
+    ) -> Result<Exchange, Outcome> {
+        let (parts, body) = req.into_parts();
+        let names = gateway.wire().headers();
+        let config = gateway.config().ok_or_else(no_config)?;
+        let id = text(&parts.headers, &names.request_id).ok_or_else(no_id)?;
+        find_route(&config, &parts.headers, &parts.uri)?;
+        check_head(&config, &parts.headers, &parts.uri)?;
+
+        let limited = Limited::new(body, config.limits.max_body_bytes);
+        let collecting = tokio::time::timeout(BODY_TIMEOUT.as_duration(), limited.collect());
+        let body = match collecting.await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(err)) if err.is::<LengthLimitError>() => {
+                return Err(Outcome::failed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+            }
+            Ok(Err(_)) => return Err(Outcome::failed(StatusCode::BAD_REQUEST, "body_broken")),
+            Err(_elapsed) => {
+                return Err(Outcome::failed(StatusCode::REQUEST_TIMEOUT, "body_late"));
+            }
+        };
+
+        // A newer configuration may have come while the body did.
+        let config = gateway.config().ok_or_else(no_config)?;
+        let route = find_route(&config, &parts.headers, &parts.uri)?;
+        let service = route.target(hash_of(&id)).ok_or_else(no_target)?;
+        let time_left = parts.headers.get(&names.deadline);
+        let time_left = time_left.and_then(|value| gateway.wire().time_left(value));
+        let deadline = arrived_at + time_left.unwrap_or(DEFAULT_DEADLINE);
+        let timeout = route.timeout.map_or(deadline, |timeout| arrived_at + timeout);
+        Ok(Exchange {
+            id: Arc::from(id),
+            service: Arc::clone(service),
+            prompt: gateway.wire().prompt(&parts.headers),
+            headers: end_to_end(&parts.headers, &names.reserved),
+            method: parts.method,
+            uri: parts.uri,
+            body,
+            route: Arc::clone(route),
+            arrived_at,
+            deadline,
+            give_up_at: deadline.min(timeout),
+            tried: Vec::new(),
+            runs: 0,
+            may_have_run: false,
+            has_read: false,
+            was_sent: false,
+        })
+    }
+
+    /// Looks the service up anew, by the configuration in force now.
+    ///
+    /// A request that waits while a newer configuration comes would otherwise go where that one no
+    /// longer allows.
+    pub fn refresh(&mut self, config: &Config) {
+        let host = text(&self.headers, &header::HOST);
+        let Some(route) = host.and_then(|host| config.route(&host, self.uri.path())) else {
+            return;
+        };
+        if let Some(service) = route.target(hash_of(&self.id)) {
+            self.service = Arc::clone(service);
+            self.route = Arc::clone(route);
+        }
+    }
+
+    /// Returns the time that is left to the caller.
+    pub fn time_left(&self, now: Millis) -> Millis {
+        self.give_up_at - now
+    }
+}
+
+fn no_config() -> Outcome {
+    Outcome::refused("no_configuration", NO_CONFIG_PAUSE)
+}
+
+fn no_id() -> Outcome {
+    Outcome::failed(StatusCode::BAD_REQUEST, "no_request_id")
+}
+
+fn no_target() -> Outcome {
+    Outcome::refused("route_without_service", NO_CONFIG_PAUSE)
+}
+
+fn find_route<'c>(
+    config: &'c Config,
+    headers: &HeaderMap,
+    uri: &Uri,
+) -> Result<&'c Arc<Route>, Outcome> {
+    let host = text(headers, &header::HOST).unwrap_or_default();
+    let route = config.route(&host, uri.path());
+    route.ok_or_else(|| Outcome::failed(StatusCode::NOT_FOUND, "no_route"))
+}
+
+fn check_head(config: &Config, headers: &HeaderMap, uri: &Uri) -> Result<(), Outcome> {
+    const LINE_EXTRA: usize = 4;
+    let fields: usize =
+        headers.iter().map(|(name, value)| name.as_str().len() + value.len() + LINE_EXTRA).sum();
+    if fields + uri.path().len() > config.limits.max_header_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(Outcome::failed(status, "head_too_large"));
+    }
+    // Where two lengths are given, another reader may take the other one, and what is the body to
+    // one is a request of its own to the other.
+    let has_both = headers.contains_key(header::CONTENT_LENGTH)
+        && headers.contains_key(header::TRANSFER_ENCODING);
+    if has_both {
+        return Err(Outcome::failed(StatusCode::BAD_REQUEST, "two_lengths"));
+    }
+    let announced = text(headers, &header::CONTENT_LENGTH).and_then(|text| text.parse().ok());
+    if announced.is_some_and(|length: usize| length > config.limits.max_body_bytes) {
+        return Err(Outcome::failed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+    }
+    Ok(())
+}
+
+/// Returns a header's text.
+pub(super) fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+}
+
+fn hash_of(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns the headers without those that concern one connection only, and without `reserved`.
+pub(super) fn end_to_end(headers: &HeaderMap, reserved: &[HeaderName]) -> HeaderMap {
+    const HOP_BY_HOP: [HeaderName; 7] = [
+        header::CONNECTION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+    ];
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    let mut kept = headers.clone();
+    for name in &HOP_BY_HOP {
+        kept.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection"] {
+        kept.remove(name);
+    }
+    for name in named {
+        // A caller must not have the headers taken off that say whose request it is.
+        if name != header::HOST.as_str() && name != header::CONTENT_LENGTH.as_str() {
+            kept.remove(name.as_str());
+        }
+    }
+    for name in reserved {
+        kept.remove(name);
+    }
+    kept.remove(header::CONTENT_LENGTH);
+    kept.remove(header::EXPECT);
+    kept
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -0,0 +1,199 @@
+//! A stream on its way from an engine to the caller, and its resumption.
+
+use std::io;
+
+use anvilhook_core::units::{Clock, Millis};
+use bytes::Bytes;
+use futures_util::stream;
+use http::header::HeaderMap;
+use http::{Response as HttpResponse, StatusCode};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use sync_wrapper::SyncStream;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::attempts::{Failed, passed_on};
+use super::prompts::Opened;
+use super::requests::Exchange;
+use super::{Flight, Gateway};
+use crate::events;
+use crate::fleets::Held;
+use crate::streams::{EventSplitter, StreamEvent};
+use crate::wires::Wire;
+
+/// How long a stream that can be resumed may be silent.
+const SILENCE: Millis = Millis(1_500);
+
+/// `Relay` is an upstream's stream of which at least one event has come.
+pub(super) struct Relay {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Body,
+    splitter: EventSplitter,
+    next: Option<StreamEvent>,
+    last_id: Option<u64>,
+    held: Held,
+}
+
+/// `Piece` is what came next of a stream.
+enum Piece {
+    Event(StreamEvent),
+    End,
+}
+
+impl Relay {
+    /// Waits for the first event of an answer.
+    pub async fn open<W: Wire, C: Clock>(
+        gateway: &Gateway<W, C>,
+        exchange: &Exchange,
+        answer: Response,
+        mut held: Held,
+        resume_after: Option<u64>,
+    ) -> Result<Relay, Failed> {
+        let (parts, body) = answer.into_parts();
+        if !parts.headers.contains_key(&gateway.wire().headers().signature) {
+            return Err(Failed::may_have_run("unsigned_answer"));
+        }
+        held.reading_done();
+        let mut relay = Relay {
+            status: parts.status,
+            headers: passed_on(&parts.headers),
+            body,
+            splitter: EventSplitter::new(),
+            next: None,
+            last_id: resume_after,
+            held,
+        };
+        match relay.read(gateway, exchange).await {
+            Ok(Piece::Event(event)) => {
+                relay.next = Some(event);
+                Ok(relay)
+            }
+            // A stream that goes on after its last event has nothing more to say.
+            Ok(Piece::End) if resume_after.is_some() => Ok(relay),
+            Ok(Piece::End) => Err(Failed::may_have_run("empty_stream")),
+            Err(failed) => {
+                let upstream = relay.held.upstream();
+                upstream.state.ejection().record_failure(gateway.now());
+                gateway.log_failed(exchange, upstream, "first_event", &failed);
+                Err(failed)
+            }
+        }
+    }
+
+    /// Returns the status of the answer.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Makes the caller's answer, which follows the stream to its end.
+    pub fn into_response<W: Wire, C: Clock>(
+        mut self,
+        gateway: Gateway<W, C>,
+        exchange: Exchange,
+        flight: Option<Flight<W, C>>,
+    ) -> Response {
+        let headers = std::mem::take(&mut self.headers);
+        let status = self.status;
+        let passage = Passage { relay: self, gateway, exchange, _flight: flight };
+        let frames = stream::unfold(Some(passage), |passage| async move {
+            let mut passage = passage?;
+            match passage.next().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(passage))),
+                Ok(None) => None,
+                Err(err) => Some((Err(err.into()), None)),
+            }
+        });
+        let mut answer = HttpResponse::new(Body::from_stream(SyncStream::new(frames)));
+        *answer.status_mut() = status;
+        *answer.headers_mut() = headers;
+        answer
+    }
+
+    /// Reads the next event that the caller does not have yet.
+    async fn read<W: Wire, C: Clock>(
+        &mut self,
+        gateway: &Gateway<W, C>,
+        exchange: &Exchange,
+    ) -> Result<Piece, Failed> {
+        loop {
+            while let Some(event) = self.splitter.next_event() {
+                let is_known = event.id.is_some() && event.id <= self.last_id;
+                if !is_known {
+                    self.last_id = event.id.or(self.last_id);
+                    return Ok(Piece::Event(event));
+                }
+            }
+            if self.splitter.is_too_large() {
+                return Err(Failed::may_have_run("event_too_large"));
+            }
+            let time_left = exchange.time_left(gateway.now());
+            let can_resume = exchange.route.repeats.is_repeatable();
+            let wait = if can_resume { SILENCE.min(time_left) } else { time_left };
+            match tokio::time::timeout(wait.as_duration(), self.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.splitter.push(data);
+                    }
+                }
+                Ok(None) if self.splitter.is_empty() => return Ok(Piece::End),
+                Ok(None) => return Err(Failed::may_have_run("event_cut")),
+                Ok(Some(Err(_))) => return Err(Failed::may_have_run("stream_cut")),
+                Err(_elapsed) => return Err(Failed::may_have_run("stream_silent")),
+            }
+        }
+    }
+}
+
+/// `Passage` is a relay with the request that it is for.
+struct Passage<W: Wire, C: Clock> {
+    relay: Relay,
+    gateway: Gateway<W, C>,
+    exchange: Exchange,
+    _flight: Option<Flight<W, C>>,
+}
+
+impl<W: Wire, C: Clock> Passage<W, C> {
+    /// Returns the next bytes for the caller, `None` at the stream's end. An error has the
+    /// caller's connection closed, so that the answer does not look complete.
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        if let Some(event) = self.relay.next.take() {
+            return Ok(Some(event.bytes));
+        }
+        match self.relay.read(&self.gateway, &self.exchange).await {
+            Ok(Piece::Event(event)) => Ok(Some(event.bytes)),
+            Ok(Piece::End) => Ok(None),
+            Err(failed) => self.resume(&failed).await,
+        }
+    }
+
+    async fn resume(&mut self, failed: &Failed) -> io::Result<Option<Bytes>> {
+        let gateway = self.gateway.clone();
+        let upstream = self.relay.held.upstream();
+        upstream.state.ejection().record_failure(gateway.now());
+        let upstream = upstream.entry.id.to_string();
+        let last_id = self.relay.last_id;
+        let route = &self.exchange.route;
+        let is_allowed = route.repeats.is_repeatable()
+            && self.exchange.runs < route.max_attempts
+            && self.exchange.time_left(gateway.now()) > Millis::ZERO
+            && last_id.is_some();
+        if !is_allowed {
+            events::stream_broken(&self.exchange.id, &upstream, last_id, failed.cause);
+            return Err(io::Error::other(failed.cause));
+        }
+        // The run before is ended before another one begins.
+        self.relay.body = Body::empty();
+        let time_left = self.exchange.time_left(gateway.now());
+        let opening = gateway.open_stream(&mut self.exchange, last_id);
+        let opened = tokio::time::timeout(time_left.as_duration(), opening).await;
+        let Ok(Ok(Opened::Stream(relay))) = opened else {
+            events::stream_broken(&self.exchange.id, &upstream, last_id, "not_resumed");
+            return Err(io::Error::other(failed.cause));
+        };
+        events::stream_broken(&self.exchange.id, &upstream, last_id, "resumed");
+        self.relay = *relay;
+        Ok(self.relay.next.take().map(|event| event.bytes))
+    }
+}
