Tell peers of loads and caches, keep a split of engines by orders under a lease

Change: digests by datagram every 50 ms, a keeper that gives role orders under a lease of the table, and short polls while the table is away.

--- a/crates/anvilhook-core/src/units.rs
+++ b/crates/anvilhook-core/src/units.rs
@@ -1,7 +1,7 @@
 //! Units of time and amounts, and the clock that the decisions read.
 
 use std::fmt;
-use std::ops::{Add, AddAssign, Sub};
+use std::ops::{Add, AddAssign, Mul, Sub};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -69,6 +69,14 @@
     }
 }
 
+impl Mul<u64> for Millis {
+    type Output = Millis;
+
+    fn mul(self, rhs: u64) -> Millis {
+        Millis(self.0.saturating_mul(rhs))
+    }
+}
+
 impl fmt::Display for Millis {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} ms", self.0)
--- a/crates/anvilhook-gateway/src/caches.rs
+++ b/crates/anvilhook-gateway/src/caches.rs
@@ -49,12 +49,12 @@
         Self::default()
     }
 
-    /// Notes that an engine has read a prompt. `capacity` is its cache in tokens.
-    pub fn record(&self, engine: &Arc<str>, prompt: &Prompt, capacity: u64) {
+    /// Notes that an engine has read a prompt's parts. `capacity` is its cache in tokens.
+    pub fn record(&self, engine: &Arc<str>, parts: &[Part], capacity: u64) {
         let usable = (capacity as f64 * USABLE_SHARE) as u64;
         let mut engines = self.engines.lock().expect("no panic under this lock");
         let memory = engines.entry(Arc::clone(engine)).or_default();
-        for part in &prompt.parts {
+        for part in parts {
             memory.touch(*part, usable);
         }
     }
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -1,6 +1,7 @@
 //! The upstreams: what their entries say, and what this instance has learnt of each.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -100,6 +101,11 @@
         self.away_until.fetch_max(until.0, Ordering::AcqRel);
     }
 
+    /// Returns until when the upstream is away for a change of its role.
+    pub fn away_until(&self) -> Millis {
+        Millis(self.away_until.load(Ordering::Acquire))
+    }
+
     /// Returns whether the upstream is away for a change of its role.
     pub fn is_away(&self, now: Millis) -> bool {
         now.0 < self.away_until.load(Ordering::Acquire)
@@ -177,9 +183,22 @@
 pub struct FleetView {
     by_id: HashMap<Arc<str>, Arc<Upstream>>,
     by_service: HashMap<Arc<str>, Vec<Arc<Upstream>>>,
+    by_digest: HashMap<u32, Arc<Upstream>>,
+}
+
+/// Returns the short form of an upstream's id that instances use among themselves.
+pub fn digest_of(id: &str) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish() as u32
 }
 
 impl FleetView {
+    /// Returns an upstream by the short form of its id.
+    pub fn by_digest(&self, digest: u32) -> Option<&Arc<Upstream>> {
+        self.by_digest.get(&digest)
+    }
+
     /// Returns the upstreams of a service.
     pub fn of_service(&self, service: &str) -> &[Arc<Upstream>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -232,6 +251,7 @@
             let upstream = Arc::new(Upstream { entry, state });
             let service = Arc::clone(&upstream.entry.service);
             view.by_service.entry(service).or_default().push(Arc::clone(&upstream));
+            view.by_digest.insert(digest_of(&id), Arc::clone(&upstream));
             view.by_id.insert(id, upstream);
         }
         for upstreams in view.by_service.values_mut() {
--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -15,6 +15,10 @@
 /// hides them.
 const WAIT: Millis = Millis(2_500);
 
+/// How long a call waits while the table is away. A call that was sent into the outage hears nothing
+/// even after its end, and what changed meanwhile would be in force late by the whole of its wait.
+const WAIT_WHILE_LOST: Millis = Millis::ZERO;
+
 /// The pause after a failed call; it grows to the second figure.
 const FIRST_PAUSE: Millis = Millis(50);
 const LONGEST_PAUSE: Millis = Millis(400);
@@ -53,6 +57,7 @@
         let started_at = clock.now();
         let read = match version {
             None => table.scan(name).await,
+            Some(version) if is_lost => table.changes(name, version, WAIT_WHILE_LOST).await,
             Some(version) => table.changes(name, version, WAIT).await,
         };
         match read {
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -6,7 +6,10 @@
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::{HttpClient, Phase, Shutdown};
 use http::StatusCode;
-use tokio::net::TcpListener;
+use rand::rngs::SysRng;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -15,7 +18,9 @@
 
 use crate::events;
 use crate::followers::{ConfigFollower, EntryFollower, follow};
+use crate::peers::{self, Peers};
 use crate::relay::{Gateway, GatewayOptions};
+use crate::roles::{RoleKeeper, RoleOptions};
 use crate::tables::Table;
 use crate::wires::Wire;
 
@@ -43,8 +48,14 @@
     pub readiness: SocketAddr,
     /// The time from the signal to stop to the end of the process.
     pub grace: Millis,
+    /// Where other instances send their datagrams.
+    pub peer: SocketAddr,
+    /// Where other instances may be heard, before the table has been read.
+    pub seeds: Vec<SocketAddr>,
     /// The figures by which requests are served.
     pub gateway: GatewayOptions,
+    /// How engines are to be split.
+    pub roles: RoleOptions,
 }
 
 /// Runs an instance until it is told to stop.
@@ -73,6 +84,7 @@
     tokio::spawn(follow(table.clone(), clock.clone(), config_follower));
     let entry_follower = EntryFollower::new(gateway.clone(), clock.clone());
     tokio::spawn(follow(table.clone(), clock.clone(), entry_follower));
+    start_peers(&options, &gateway, &table, &clock).await?;
     events::started(&options.name, &options.gateway.zone, env!("CARGO_PKG_VERSION"));
 
     loop {
@@ -88,6 +100,37 @@
     Ok(())
 }
 
+async fn start_peers<W: Wire, T: Table, C: Clock>(
+    options: &InstanceOptions,
+    gateway: &Gateway<W, C>,
+    table: &T,
+    clock: &C,
+) -> std::io::Result<()> {
+    let socket = UdpSocket::bind(options.peer).await?;
+    let peers = Arc::new(Peers::default());
+    for seed in options.seeds.iter().filter(|seed| **seed != options.peer) {
+        peers.add(*seed);
+    }
+    let mut rng = ChaCha8Rng::try_from_rng(&mut SysRng).map_err(std::io::Error::other)?;
+    let number = rng.next_u64();
+    let exchange =
+        peers::exchange(socket, Arc::clone(&peers), number, rng, gateway.clone(), clock.clone());
+    tokio::spawn(exchange);
+    let name = options.name.to_string();
+    tokio::spawn(peers::register(table.clone(), name.clone(), options.peer, Arc::clone(&peers)));
+    let keeper = RoleKeeper::new(
+        gateway.clone(),
+        table.clone(),
+        clock.clone(),
+        peers,
+        name,
+        number,
+        options.roles.clone(),
+    );
+    tokio::spawn(keeper.run());
+    Ok(())
+}
+
 /// Lets what is in flight come to its end, in the time there is.
 async fn stop<W: Wire, C: Clock>(gateway: &Gateway<W, C>, clock: &C, grace: Millis) {
     events::signalled("SIGTERM", gateway.in_flight());
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -8,7 +8,7 @@
 mod requests;
 mod resumption;
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use anvilhook_core::units::{Clock, Millis};
@@ -23,7 +23,7 @@
 use crate::configs::{Config, Repeats};
 use crate::events::{self, Conclusion};
 use crate::fleets::Fleet;
-use crate::prompts::EngineSpeed;
+use crate::prompts::{EngineSpeed, Part};
 use crate::wires::Wire;
 
 use answers::Outcome;
@@ -65,6 +65,8 @@
     in_flight: AtomicU64,
     is_stopping: AtomicBool,
     has_fleet: AtomicBool,
+    /// Engines that have read a prompt since the peers were told last.
+    cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
 }
 
 /// Counts a request in until its answer's last byte is handed over.
@@ -91,6 +93,7 @@
             in_flight: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
             has_fleet: AtomicBool::new(false),
+            cached: Mutex::default(),
         };
         Self { inner: Arc::new(inner) }
     }
@@ -105,6 +108,16 @@
         &self.inner.fleet
     }
 
+    /// Returns what the engines' caches are believed to hold.
+    pub fn caches(&self) -> &CacheBeliefs {
+        &self.inner.caches
+    }
+
+    /// Takes what the peers have not been told of the engines' caches.
+    pub fn take_cached(&self) -> Vec<(Arc<str>, Vec<Part>)> {
+        std::mem::take(&mut *self.inner.cached.lock().expect("no panic under this lock"))
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.inner.config.load_full()
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -36,6 +36,9 @@
 /// The longest backlog at which the time taken says how fast an engine is, in milliseconds.
 const IDLE_BACKLOG_MS: f64 = 5.0;
 
+/// The least size of a prompt of whose caching the peers are told.
+const TOLD_TOKENS: u32 = 1_000;
+
 /// `Opened` is what the attempts to open a stream came to.
 pub(super) enum Opened {
     /// The first event has come.
@@ -209,7 +212,7 @@
                     let expected_ms = reader.reading_ms / upstream.state.slowness();
                     upstream.state.record_reading(expected_ms, took_ms);
                 }
-                self.inner.caches.record(&upstream.entry.id, prompt, engine.kv_tokens.0);
+                self.record_cached(&upstream.entry.id, prompt, engine);
                 Ok(Ok(KvHandle::new(self.clone(), upstream, handle)))
             }
             Err(failed) => {
@@ -220,6 +223,15 @@
         }
     }
 
+    /// Notes what an engine now keeps, and has the peers told of it.
+    fn record_cached(&self, upstream: &Arc<str>, prompt: &Prompt, engine: &EngineSpec) {
+        self.inner.caches.record(upstream, &prompt.parts, engine.kv_tokens.0);
+        if prompt.tokens >= TOLD_TOKENS {
+            let mut cached = self.inner.cached.lock().expect("no panic under this lock");
+            cached.push((Arc::clone(upstream), prompt.parts.clone()));
+        }
+    }
+
     async fn finish_reading(
         &self,
         exchange: &Exchange,
@@ -259,7 +271,7 @@
             handle.mark_used();
         }
         match &opened {
-            Ok(_) => self.inner.caches.record(&upstream.entry.id, prompt, engine.kv_tokens.0),
+            Ok(_) => self.record_cached(&upstream.entry.id, prompt, engine),
             Err(_) => avoid.push(Arc::clone(&upstream.entry.id)),
         }
         Ok(opened)
--- /dev/null
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -0,0 +1,254 @@
+//! Keeping the split of a service's engines between reading prompts and generating output.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Clock, Millis};
+use bytes::Bytes;
+
+use crate::configs::{Config, ServiceSpec};
+use crate::events;
+use crate::fleets::{FleetView, Upstream};
+use crate::peers::Peers;
+use crate::relay::Gateway;
+use crate::tables::{Table, TableError, Write, Written};
+use crate::wires::{OrderAnswer, RoleOrder, Wire};
+
+/// The pause between two looks at the split.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// How long after the start the first look is taken, so that the engines have been listed.
+const FIRST_LOOK: Duration = Duration::from_millis(5_000);
+
+/// The table and row of the lease.
+const LEASE_TABLE: &str = "anvilhook_leases";
+const LEASE_ROW: &str = "roles";
+
+/// What is taken off a lease's length by its holder, and added to it by everybody else.
+const GUARD: Millis = Millis(600);
+
+/// How long an engine is left alone after an order, whatever came of it.
+const SETTLING: Millis = Millis::from_secs(6);
+
+/// `RoleOptions` says how the engines are to be split.
+#[derive(Clone, Debug)]
+pub struct RoleOptions {
+    /// The share of a service's engines that read prompts.
+    pub prefill_share: f64,
+    /// How long a lease is good for.
+    pub lease: Millis,
+}
+
+/// `Lease` is this instance's right to give orders.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    /// The fencing token.
+    token: u64,
+    /// The end, counted from before the write was sent.
+    until: Millis,
+}
+
+/// `RoleKeeper` has engines change their roles.
+///
+/// Orders of two instances must never mix. One row of the table is the lease; each taking of it
+/// has a higher version, which is the fencing token. The holder counts from before it sent the
+/// write, everybody else from when it first saw the row, and both keep a guard.
+pub struct RoleKeeper<W: Wire, T: Table, C: Clock> {
+    gateway: Gateway<W, C>,
+    table: T,
+    clock: C,
+    peers: Arc<Peers>,
+    holder: String,
+    number: u64,
+    options: RoleOptions,
+    seen: Option<(u64, Millis)>,
+    lease: Option<Lease>,
+    not_before: Millis,
+    settling: std::collections::HashMap<Arc<str>, Millis>,
+}
+
+impl<W: Wire, T: Table, C: Clock> RoleKeeper<W, T, C> {
+    /// Makes a keeper that holds no lease.
+    pub fn new(
+        gateway: Gateway<W, C>,
+        table: T,
+        clock: C,
+        peers: Arc<Peers>,
+        holder: String,
+        number: u64,
+        options: RoleOptions,
+    ) -> Self {
+        Self {
+            gateway,
+            table,
+            clock,
+            peers,
+            holder,
+            number,
+            options,
+            seen: None,
+            lease: None,
+            not_before: Millis::ZERO,
+            settling: Default::default(),
+        }
+    }
+
+    /// Keeps the split for as long as the process runs.
+    pub async fn run(mut self) {
+        tokio::time::sleep(FIRST_LOOK).await;
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            // One instance acts, so that the others need not even read the lease.
+            if self.gateway.is_ready() && self.peers.is_first(self.number, self.clock.now()) {
+                self.look().await;
+            }
+        }
+    }
+
+    async fn look(&mut self) {
+        let Some(config) = self.gateway.config() else { return };
+        let due = self.due_changes(&config);
+        if due.is_empty() || self.clock.now() < self.not_before {
+            return;
+        }
+        let Some(lease) = self.hold_lease().await else { return };
+        for (upstream, role, away) in due {
+            if self.clock.now() >= lease.until {
+                return;
+            }
+            self.change(&upstream, role, away, lease).await;
+        }
+    }
+
+    fn due_changes(&mut self, config: &Config) -> Vec<(Arc<Upstream>, Role, Millis)> {
+        let now = self.clock.now();
+        self.settling.retain(|_, until| *until > now);
+        let view = self.gateway.fleet().view();
+        let mut due = Vec::new();
+        for service in config.services() {
+            let Some(engine) = &service.engine else { continue };
+            for (upstream, role) in self.changes_of(&view, service) {
+                if !self.settling.contains_key(&upstream.entry.id) {
+                    due.push((upstream, role, engine.role_change));
+                }
+            }
+        }
+        due
+    }
+
+    fn changes_of(&self, view: &FleetView, service: &ServiceSpec) -> Vec<(Arc<Upstream>, Role)> {
+        let listed = view.of_service(&service.name);
+        let staying: Vec<_> = listed
+            .iter()
+            .filter(|upstream| !upstream.entry.draining && !upstream.state.is_gone())
+            .filter(|upstream| upstream.entry.role.is_some_and(|role| role != Role::Mixed))
+            .collect();
+        if staying.len() < 2 {
+            return Vec::new();
+        }
+        let wanted = (staying.len() as f64 * self.options.prefill_share).round() as usize;
+        let wanted = wanted.clamp(1, staying.len() - 1);
+        let has_role = |upstream: &Upstream, role| upstream.entry.role == Some(role);
+        let readers = staying.iter().filter(|upstream| has_role(upstream, Role::Prefill)).count();
+        if readers >= wanted {
+            return Vec::new();
+        }
+        let mut able: Vec<_> =
+            staying.iter().filter(|upstream| has_role(upstream, Role::Decode)).collect();
+        // The zone with the most engines that generate gives one first.
+        let mut chosen = Vec::new();
+        while chosen.len() < wanted - readers {
+            let in_zone = |zone: &str| able.iter().filter(|one| &*one.entry.zone == zone).count();
+            let best = able.iter().enumerate().max_by_key(|(_, one)| in_zone(&one.entry.zone));
+            let Some((at, _)) = best else { break };
+            chosen.push((Arc::clone(able.remove(at)), Role::Prefill));
+        }
+        chosen
+    }
+
+    async fn hold_lease(&mut self) -> Option<Lease> {
+        let now = self.clock.now();
+        if let Some(lease) = self.lease
+            && now + GUARD < lease.until
+        {
+            return Some(lease);
+        }
+        match self.take_lease().await {
+            Ok(lease) => {
+                self.lease = lease;
+                lease
+            }
+            Err(err) => {
+                events::lease(&err.to_string(), 0);
+                self.lease = None;
+                None
+            }
+        }
+    }
+
+    async fn take_lease(&mut self) -> Result<Option<Lease>, TableError> {
+        let rows = self.table.scan(LEASE_TABLE).await?;
+        let row = rows.rows.iter().find(|row| row.key == LEASE_ROW);
+        let version = row.map_or(0, |row| row.version);
+        let now = self.clock.now();
+        let seen_at = match self.seen {
+            Some((seen, at)) if seen == version => at,
+            _ => {
+                self.seen = Some((version, now));
+                now
+            }
+        };
+        let is_own = self.lease.is_some_and(|lease| lease.token == version);
+        let is_lapsed = version == 0 || now >= seen_at + self.options.lease + GUARD;
+        if !is_own && !is_lapsed {
+            return Ok(None);
+        }
+        let sent_at = self.clock.now();
+        let value = Bytes::from(self.holder.clone());
+        let write = Write { key: LEASE_ROW.to_owned(), expected: version, value };
+        match self.table.write(LEASE_TABLE, write).await? {
+            Written::At(token) => {
+                events::lease("taken", token);
+                let until = sent_at + (self.options.lease - GUARD);
+                self.seen = Some((token, sent_at));
+                Ok(Some(Lease { token, until }))
+            }
+            Written::Conflict => Ok(None),
+        }
+    }
+
+    async fn change(&mut self, upstream: &Arc<Upstream>, role: Role, away: Millis, lease: Lease) {
+        let wire = self.gateway.wire().clone();
+        let report = self.gateway.own_call(upstream, &wire.report()).await;
+        let report = report.and_then(|report| wire.engine_report(&report.body).ok());
+        let Some(report) = report else { return };
+        if report.busy || report.role == role || self.clock.now() >= lease.until {
+            return;
+        }
+        let order = RoleOrder {
+            role,
+            holder: self.holder.clone(),
+            fencing_token: lease.token,
+            expected: Some(report.orders),
+        };
+        let id = &upstream.entry.id;
+        self.settling.insert(Arc::clone(id), self.clock.now() + SETTLING);
+        let answer = self.gateway.own_call(upstream, &wire.order(&order)).await;
+        let outcome = match answer.map(|answer| wire.order_answer(answer.status)) {
+            Some(OrderAnswer::Taken) => {
+                upstream.state.mark_away(self.clock.now() + away);
+                "taken"
+            }
+            Some(OrderAnswer::Busy) => "busy",
+            Some(OrderAnswer::Refused) => "refused",
+            Some(OrderAnswer::Fenced) => {
+                self.lease = None;
+                self.not_before = self.clock.now() + self.options.lease * 2;
+                "fenced"
+            }
+            None => "no_answer",
+        };
+        events::order_given(id, &format!("{role:?}").to_lowercase(), lease.token, outcome);
+    }
+}
