Refuse what comes in a process's last moment when it stops

Change: the listener closes first, requests on kept connections are served on, and before the end new ones are refused as not run.

--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -29,13 +29,16 @@
 const NOTICE_TIME: Millis = Millis(2_300);
 
 /// How long nothing must be in flight before an instance that stops ends.
-const QUIET_TIME: Millis = Millis(250);
+const QUIET_TIME: Millis = Millis(150);
 
 /// What is left of the time for a stop when the process ends in any case.
-const STOP_MARGIN: Millis = Millis(700);
+const STOP_MARGIN: Millis = Millis(1_200);
 
 /// The pause between two looks at what is in flight.
-const LOOK_PAUSE: Millis = Millis(50);
+const LOOK_PAUSE: Millis = Millis(20);
+
+/// The time for the last bytes of answers.
+const FLUSH_TIME: Millis = Millis(300);
 
 /// `InstanceOptions` says where an instance listens and how it stops.
 #[derive(Clone, Debug)]
@@ -93,9 +96,10 @@
             _ = hangup.recv() => events::signalled("SIGHUP", gateway.in_flight()),
         }
     }
-    stop(&gateway, &clock, options.grace).await;
-    shutdown.advance(Phase::Closed);
-    let _ = tokio::time::timeout(STOP_MARGIN.as_duration() / 2, serving).await;
+    events::signalled("SIGTERM", gateway.in_flight());
+    let latest = clock.now() + (options.grace - STOP_MARGIN);
+    stop(&gateway, &shutdown, &clock, latest).await;
+    let _ = tokio::time::timeout(FLUSH_TIME.as_duration(), serving).await;
     events::stopped(gateway.in_flight());
     Ok(())
 }
@@ -131,24 +135,45 @@
     Ok(())
 }
 
-/// Lets what is in flight come to its end, in the time there is.
-async fn stop<W: Wire, C: Clock>(gateway: &Gateway<W, C>, clock: &C, grace: Millis) {
-    events::signalled("SIGTERM", gateway.in_flight());
-    let started_at = clock.now();
+/// Brings all requests to their end, in the time there is.
+///
+/// New connections are taken until they come no more; then the listener is closed, and requests on
+/// kept connections are still served. Last, what still comes is refused as not run: a request that
+/// began in the process's last moment would be cut.
+async fn stop<W: Wire, C: Clock>(
+    gateway: &Gateway<W, C>,
+    shutdown: &Shutdown,
+    clock: &C,
+    latest: Millis,
+) {
+    let noticed_at = clock.now() + NOTICE_TIME;
     gateway.begin_stop();
-    let latest = started_at + (grace - STOP_MARGIN);
+    quiet(gateway, clock, noticed_at, latest).await;
+    shutdown.advance(Phase::Closed);
+    quiet(gateway, clock, Millis::ZERO, latest).await;
+    gateway.refuse_new();
+    quiet(gateway, clock, Millis::ZERO, latest + FLUSH_TIME).await;
+}
+
+/// Waits until nothing has been in flight for a while, not before `earliest` and at most until
+/// `latest`.
+async fn quiet<W: Wire, C: Clock>(
+    gateway: &Gateway<W, C>,
+    clock: &C,
+    earliest: Millis,
+    latest: Millis,
+) {
     let mut quiet_since = None;
     loop {
-        tokio::time::sleep(LOOK_PAUSE.as_duration()).await;
         let now = clock.now();
         if gateway.in_flight() > 0 {
             quiet_since = None;
         }
         let quiet = now - *quiet_since.get_or_insert(now);
-        let is_noticed = now >= started_at + NOTICE_TIME;
-        if now >= latest || (is_noticed && quiet >= QUIET_TIME) {
+        if now >= latest || (now >= earliest && quiet >= QUIET_TIME) {
             return;
         }
+        tokio::time::sleep(LOOK_PAUSE.as_duration()).await;
     }
 }
 
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -64,6 +64,7 @@
     budget: Budget,
     in_flight: AtomicU64,
     is_stopping: AtomicBool,
+    refuses: AtomicBool,
     has_fleet: AtomicBool,
     /// Engines that have read a prompt since the peers were told last.
     cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
@@ -92,6 +93,7 @@
             caches: CacheBeliefs::new(),
             in_flight: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
+            refuses: AtomicBool::new(false),
             has_fleet: AtomicBool::new(false),
             cached: Mutex::default(),
         };
@@ -139,6 +141,11 @@
         self.inner.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Has every request that comes from now on refused.
+    pub fn refuse_new(&self) {
+        self.inner.refuses.store(true, Ordering::Release);
+    }
+
     fn is_stopping(&self) -> bool {
         self.inner.is_stopping.load(Ordering::Acquire)
     }
@@ -176,7 +183,12 @@
         self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
         let flight = Flight(self.clone());
         let arrived_at = self.now();
-        let (mut exchange, outcome) = match Exchange::receive(self, req, arrived_at).await {
+        let received = if self.inner.refuses.load(Ordering::Acquire) {
+            Err(Outcome::refused("stopping", Millis::ZERO))
+        } else {
+            Exchange::receive(self, req, arrived_at).await
+        };
+        let (mut exchange, outcome) = match received {
             Ok(mut exchange) => {
                 let outcome = self.serve(&mut exchange).await;
                 (Some(exchange), outcome)
