Learn an engine's slowness slowly, and count its backlog by urgency

Two reasons: short prompts and unheard peers made engines seem up to 8 times slow, and a short prompt was charged with the verdicts before it, which engines read after it.

--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -42,31 +42,47 @@
 pub struct PeerLoad {
     /// Requests in flight.
     pub in_flight: u32,
-    /// Prompts being read, in milliseconds of work.
-    pub reading_ms: f64,
+    /// Prompts being read, in milliseconds of work, by lane.
+    pub reading_ms: [f64; LANES],
     /// KV caches being fetched, in milliseconds of the engine's link.
     pub fetching_ms: f64,
     /// When it was heard.
     pub at: Millis,
 }
 
+/// The lanes by which an engine takes prompts: the most urgent rank, the next, and the rest.
+pub const LANES: usize = 3;
+
+/// Returns the lane of a rank.
+pub fn lane_of(rank: u8) -> usize {
+    usize::from(rank).min(LANES - 1)
+}
+
 /// `Work` is what requests in flight ask of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
     /// Requests in flight.
     pub in_flight: u32,
-    /// Prompts being read, in milliseconds of work.
-    pub reading_ms: f64,
+    /// Prompts being read, in milliseconds of work, by lane.
+    pub reading_ms: [f64; LANES],
     /// KV caches being fetched, in milliseconds of the engine's link.
     pub fetching_ms: f64,
 }
 
+impl Work {
+    /// Returns what an engine reads before a prompt of the lane, in milliseconds. It takes more
+    /// urgent prompts first.
+    pub fn reading_before(&self, lane: usize) -> f64 {
+        self.reading_ms[..=lane].iter().sum()
+    }
+}
+
 /// `UpstreamState` is what this instance has learnt of an upstream. It outlives changes of the
 /// upstream's entry.
 #[derive(Debug)]
 pub struct UpstreamState {
     in_flight: AtomicU32,
-    reading_us: AtomicU64,
+    reading_us: [AtomicU64; LANES],
     fetching_us: AtomicU64,
     ejection: Ejection,
     is_gone: AtomicBool,
@@ -85,7 +101,7 @@
         };
         Self {
             in_flight: AtomicU32::new(0),
-            reading_us: AtomicU64::new(0),
+            reading_us: Default::default(),
             fetching_us: AtomicU64::new(0),
             ejection: Ejection::new(&options),
             is_gone: AtomicBool::new(false),
@@ -133,11 +149,16 @@
 
     /// Learns from a prompt that took `took_ms` where `expected_ms` were predicted.
     ///
-    /// An engine that has turned slow would keep its share of the work and make all of it late.
+    /// An engine that has turned slow would keep its share of the work and make all of it late. A
+    /// prompt may also take long because of others that this instance has not heard of, so the
+    /// belief grows slowly and falls fast.
     pub fn record_reading(&self, expected_ms: f64, took_ms: f64) {
-        const WEIGHT: f64 = 0.2;
-        let seen = (took_ms / expected_ms.max(1.0)).clamp(0.5, 8.0);
-        let next = self.slowness() * (1.0 - WEIGHT) + seen * WEIGHT;
+        const GROWTH: f64 = 0.1;
+        const FALL: f64 = 0.5;
+        let seen = (took_ms / expected_ms.max(1.0)).clamp(1.0, 6.0);
+        let before = self.slowness();
+        let weight = if seen > before { GROWTH } else { FALL };
+        let next = before * (1.0 - weight) + seen * weight;
         self.slowness.store(next.to_bits(), Ordering::Release);
     }
 
@@ -155,7 +176,9 @@
     pub fn own_work(&self) -> Work {
         Work {
             in_flight: self.in_flight.load(Ordering::Acquire),
-            reading_ms: self.reading_us.load(Ordering::Acquire) as f64 / 1e3,
+            reading_ms: std::array::from_fn(|lane| {
+                self.reading_us[lane].load(Ordering::Acquire) as f64 / 1e3
+            }),
             fetching_ms: self.fetching_us.load(Ordering::Acquire) as f64 / 1e3,
         }
     }
@@ -167,7 +190,9 @@
         for peer in self.peers.lock().expect("no panic under this lock").values() {
             if peer.at >= since {
                 work.in_flight += peer.in_flight;
-                work.reading_ms += peer.reading_ms;
+                for (own, told) in work.reading_ms.iter_mut().zip(peer.reading_ms) {
+                    *own += told;
+                }
                 work.fetching_ms += peer.fetching_ms;
             }
         }
@@ -284,6 +309,7 @@
 #[derive(Debug)]
 pub struct Held {
     upstream: Arc<Upstream>,
+    lane: usize,
     reading_us: u64,
     fetching_us: u64,
 }
@@ -291,16 +317,21 @@
 impl Held {
     /// Counts a request in that asks for nothing beyond its place.
     pub fn new(upstream: Arc<Upstream>) -> Self {
-        Self::with_work(upstream, 0.0, 0.0)
+        Self::with_work(upstream, 0, 0.0, 0.0)
     }
 
     /// Counts a request in, with what is to be read and fetched for it, in milliseconds.
-    pub fn with_work(upstream: Arc<Upstream>, reading_ms: f64, fetching_ms: f64) -> Self {
+    pub fn with_work(
+        upstream: Arc<Upstream>,
+        lane: usize,
+        reading_ms: f64,
+        fetching_ms: f64,
+    ) -> Self {
         let (reading_us, fetching_us) = ((reading_ms * 1e3) as u64, (fetching_ms * 1e3) as u64);
         upstream.state.in_flight.fetch_add(1, Ordering::AcqRel);
-        upstream.state.reading_us.fetch_add(reading_us, Ordering::AcqRel);
+        upstream.state.reading_us[lane].fetch_add(reading_us, Ordering::AcqRel);
         upstream.state.fetching_us.fetch_add(fetching_us, Ordering::AcqRel);
-        Self { upstream, reading_us, fetching_us }
+        Self { upstream, lane, reading_us, fetching_us }
     }
 
     /// Returns the upstream.
@@ -312,7 +343,7 @@
     pub fn reading_done(&mut self) {
         let reading_us = std::mem::take(&mut self.reading_us);
         let fetching_us = std::mem::take(&mut self.fetching_us);
-        self.upstream.state.reading_us.fetch_sub(reading_us, Ordering::AcqRel);
+        self.upstream.state.reading_us[self.lane].fetch_sub(reading_us, Ordering::AcqRel);
         self.upstream.state.fetching_us.fetch_sub(fetching_us, Ordering::AcqRel);
     }
 }
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -15,7 +15,7 @@
 use super::requests::Exchange;
 use super::resumption::Relay;
 use crate::configs::EngineSpec;
-use crate::fleets::{Held, Upstream};
+use crate::fleets::{Held, Upstream, lane_of};
 use crate::placements::{Generator, Placer, Plan, Reader, Request};
 use crate::prompts::Prompt;
 use crate::wires::Wire;
@@ -36,6 +36,9 @@
 /// The longest backlog at which the time taken says how fast an engine is, in milliseconds.
 const IDLE_BACKLOG_MS: f64 = 5.0;
 
+/// The least work that says how fast an engine is; the rest is mostly the way there and back.
+const TELLING_MS: f64 = 40.0;
+
 /// The least size of a prompt of whose caching the peers are told.
 const TOLD_TOKENS: u32 = 1_000;
 
@@ -148,7 +151,8 @@
         avoid: &'a [Arc<str>],
     ) -> Request<'a> {
         let body_bytes = exchange.body.len();
-        Request { service: &exchange.service, engine, prompt, body_bytes, avoid }
+        let lane = lane_of(exchange.route.priority);
+        Request { service: &exchange.service, engine, prompt, lane, body_bytes, avoid }
     }
 
     fn with_placer<T>(&self, f: impl FnOnce(&Placer<'_>) -> T) -> T {
@@ -191,8 +195,12 @@
             extra.push((names.kv_fetch.clone(), value));
         }
         let upstream = reader.upstream;
-        let held = Held::with_work(Arc::clone(&upstream), reader.reading_ms, reader.fetching_ms);
-        exchange.tried.push(format!("{}(read)", upstream.entry.id));
+        let held = Held::with_work(
+            Arc::clone(&upstream),
+            lane_of(exchange.route.priority),
+            reader.reading_ms,
+            reader.fetching_ms,
+        );
         let backlog_ms = reader.backlog_ms;
         let slack = Millis((reader.total_ms * READING_PATIENCE) as u64);
         let started_at = self.now();
@@ -205,6 +213,11 @@
         };
         let read = self.finish_reading(exchange, sending).await;
         drop(held);
+        let took = self.now() - started_at;
+        exchange.tried.push(format!(
+            "{}(read {}ms of {:.0})",
+            upstream.entry.id, took.0, reader.total_ms
+        ));
         match read {
             Ok(handle) => {
                 if backlog_ms < IDLE_BACKLOG_MS {
@@ -317,9 +330,14 @@
         let can_repeat = exchange.route.repeats.is_repeatable()
             && exchange.runs + 1 < exchange.route.max_attempts;
         let head_timeout = if can_repeat { FIRST_EVENT_TIMEOUT } else { time_left };
-        exchange.tried.push(upstream.entry.id.to_string());
+        let started_at = self.now();
         let could_have_run = std::mem::replace(&mut exchange.may_have_run, true);
-        let held = Held::with_work(Arc::clone(upstream), reading_ms, fetching_ms);
+        let held = Held::with_work(
+            Arc::clone(upstream),
+            lane_of(exchange.route.priority),
+            reading_ms,
+            fetching_ms,
+        );
         let connection = if exchange.runs > 0 { Connection::New } else { Connection::Pooled };
         let sending = Sending { upstream, extra, connection, head_timeout, stage: "generate" };
         let result = match self.send(exchange, sending).await {
@@ -330,6 +348,8 @@
             Ok(answer) => self.collect(exchange, answer).await.map(Opened::Answer),
             Err(failed) => Err(failed),
         };
+        let took = self.now() - started_at;
+        exchange.tried.push(format!("{}({}ms)", upstream.entry.id, took.0));
         match &result {
             Err(failed) if failed.verdict == Verdict::NotRun => {
                 exchange.may_have_run = could_have_run;
