--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -94,11 +94,8 @@
 
 impl UpstreamState {
     fn new() -> Self {
-        let options = EjectionOptions {
-            failures: 3,
-            ejection: Millis(1_000),
-            slow_return: Millis(2_000),
-        };
+        let options =
+            EjectionOptions { failures: 3, ejection: Millis(1_000), slow_return: Millis(2_000) };
         Self {
             in_flight: AtomicU32::new(0),
             reading_us: Default::default(),
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -182,11 +182,15 @@
     gateway: Gateway<W, C>,
     shutdown: Shutdown,
 ) -> std::io::Result<()> {
-    let router: Router = Router::new().fallback(move |req: Request| {
+    anvilhook_http::serve(listener, front_router(gateway), shutdown).await
+}
+
+/// Returns the router that hands every request to a gateway.
+pub fn front_router<W: Wire, C: Clock>(gateway: Gateway<W, C>) -> Router {
+    Router::new().fallback(move |req: Request| {
         let gateway = gateway.clone();
         async move { gateway.handle(req).await }
-    });
-    anvilhook_http::serve(listener, router, shutdown).await
+    })
 }
 
 async fn serve_readiness<W: Wire, C: Clock>(
--- a/crates/anvilhook-gateway/src/peers.rs
+++ b/crates/anvilhook-gateway/src/peers.rs
@@ -271,8 +271,7 @@
         if row.key != name {
             peers.add(listed);
         } else if written == Written::Conflict && listed != address {
-            let write =
-                Write { key: name.to_owned(), expected: row.version, value: value.clone() };
+            let write = Write { key: name.to_owned(), expected: row.version, value: value.clone() };
             table.write(PEER_TABLE, write).await?;
         }
     }
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -192,9 +192,7 @@
             has_role && upstream.takes_work(self.now) && !is_avoided
         };
         // Ejection must not empty a stage: with every engine ejected, all are tried again.
-        let well = move |upstream: &&Arc<Upstream>| {
-            !upstream.state.ejection().is_ejected(self.now)
-        };
+        let well = move |upstream: &&Arc<Upstream>| !upstream.state.ejection().is_ejected(self.now);
         let any_well = all.iter().filter(able).any(|upstream| well(&upstream));
         all.iter().filter(able).filter(move |upstream| !any_well || well(upstream))
     }
@@ -211,9 +209,8 @@
         let backlog_ms = work.reading_before(req.lane);
         let read_ms = self.speed.read_ms(req.prompt.tokens, held) * state.slowness();
 
-        let fetched = holder.filter(|(other, more)| {
-            other.entry.id != upstream.entry.id && *more > held
-        });
+        let fetched =
+            holder.filter(|(other, more)| other.entry.id != upstream.entry.id && *more > held);
         if let Some((other, more)) = fetched {
             let is_far = other.entry.zone != upstream.entry.zone;
             let fetch_ms = self.transfer_ms(req.engine, more - held, is_far);
@@ -254,12 +251,15 @@
         let reading_ms =
             self.speed.read_ms(req.prompt.tokens, held) * DECODE_READING_FACTOR * slowness;
         let is_far = reader.is_some_and(|reader| reader.entry.zone != upstream.entry.zone);
-        let fetching_ms = self.transfer_ms(req.engine, req.prompt.tokens - held.min(req.prompt.tokens), is_far);
+        let fetching_ms =
+            self.transfer_ms(req.engine, req.prompt.tokens - held.min(req.prompt.tokens), is_far);
         Generator {
             upstream: Arc::clone(upstream),
             fetched_ms: wait_ms + work.fetching_ms + fetching_ms,
             fetching_ms,
-            direct_ms: wait_ms + (work.reading_before(req.lane) + reading_ms) * DIRECT_FACTOR + DIRECT_MS,
+            direct_ms: wait_ms
+                + (work.reading_before(req.lane) + reading_ms) * DIRECT_FACTOR
+                + DIRECT_MS,
             reading_ms,
         }
     }
--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -41,13 +41,12 @@
 impl Outcome {
     /// Says that the request has not run and never will, and when to come back.
     pub fn refused(reason: &'static str, retry_after: Millis) -> Self {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        Outcome::Own(OwnAnswer { status, reason, retry_after: Some(retry_after) })
+        Outcome::Own(OwnAnswer::refused(reason, retry_after))
     }
 
     /// Says that the request failed, without a promise unless the status is one.
     pub fn failed(status: StatusCode, reason: &'static str) -> Self {
-        Outcome::Own(OwnAnswer { status, reason, retry_after: None })
+        Outcome::Own(OwnAnswer::failed(status, reason))
     }
 
     /// Says that the request failed and may have run.
@@ -102,6 +101,17 @@
 }
 
 impl OwnAnswer {
+    /// Says that the request has not run and never will, and when to come back.
+    pub fn refused(reason: &'static str, retry_after: Millis) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Self { status, reason, retry_after: Some(retry_after) }
+    }
+
+    /// Says that the request failed, without a promise unless the status is one.
+    pub fn failed(status: StatusCode, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None }
+    }
+
     fn into_response(self) -> Response {
         let mut answer = HttpResponse::new(Body::from(Bytes::from_static(self.reason.as_bytes())));
         *answer.status_mut() = self.status;
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -149,7 +149,8 @@
     ) -> Result<Response, Failed> {
         let names = self.wire().headers();
         let headers = answer.headers();
-        let is_own = headers.get(&names.request_id).is_none_or(|id| id.as_bytes() == exchange.id.as_bytes());
+        let is_own =
+            headers.get(&names.request_id).is_none_or(|id| id.as_bytes() == exchange.id.as_bytes());
         if !is_own {
             return Err(Failed::may_have_run("answer_of_another_request"));
         }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -8,8 +8,8 @@
 mod requests;
 mod resumption;
 
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::HttpClient;
@@ -26,9 +26,12 @@
 use crate::prompts::{EngineSpeed, Part};
 use crate::wires::Wire;
 
-use answers::Outcome;
+use answers::{Outcome, OwnAnswer};
 use requests::Exchange;
 
+/// When a caller is to come back whose request found no time to run.
+const TIMEOUT_PAUSE: Millis = Millis(100);
+
 /// `GatewayOptions` are the figures by which requests are served.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -183,8 +186,9 @@
         self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
         let flight = Flight(self.clone());
         let arrived_at = self.now();
+        let closes_after = requests::may_hide_another(req.headers());
         let received = if self.inner.refuses.load(Ordering::Acquire) {
-            Err(Outcome::refused("stopping", Millis::ZERO))
+            Err(OwnAnswer::refused("stopping", Millis::ZERO))
         } else {
             Exchange::receive(self, req, arrived_at).await
         };
@@ -193,14 +197,14 @@
                 let outcome = self.serve(&mut exchange).await;
                 (Some(exchange), outcome)
             }
-            Err(outcome) => (None, outcome),
+            Err(answer) => (None, Outcome::Own(answer)),
         };
         self.conclude(exchange.as_ref(), &outcome, arrived_at);
         let carries_stream = matches!(outcome, Outcome::Stream(_));
         let guard = carries_stream.then_some(flight);
         let exchange = exchange.take();
         let mut answer = outcome.into_response(self, exchange, guard);
-        if self.is_stopping() {
+        if self.is_stopping() || closes_after {
             answers::close_after(&mut answer);
         }
         answer
@@ -217,10 +221,18 @@
         match tokio::time::timeout(limit.as_duration(), serving).await {
             Ok(outcome) => outcome,
             // The attempt in progress was dropped, and its connection with it.
-            Err(_elapsed) if exchange.may_have_run => {
-                Outcome::failed(StatusCode::GATEWAY_TIMEOUT, "timeout")
-            }
-            Err(_elapsed) => Outcome::refused("timeout_before_run", Millis(100)),
+            Err(_elapsed) => self.given_up(exchange, "timeout", TIMEOUT_PAUSE),
+        }
+    }
+
+    /// Returns the answer for a request that is given up: a refusal only if it has not run.
+    fn given_up(&self, exchange: &Exchange, cause: &'static str, pause: Millis) -> Outcome {
+        if !exchange.may_have_run {
+            Outcome::refused(cause, pause)
+        } else if exchange.time_left(self.now()) == Millis::ZERO {
+            Outcome::failed(StatusCode::GATEWAY_TIMEOUT, cause)
+        } else {
+            Outcome::may_have_run(cause)
         }
     }
 
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -63,14 +63,12 @@
         }
         match last_answer {
             Some(answer) => Outcome::Whole(answer),
-            None if exchange.may_have_run => Outcome::may_have_run(last_cause),
-            None => Outcome::refused(last_cause, REFUSED_PAUSE),
+            None => self.given_up(exchange, last_cause, REFUSED_PAUSE),
         }
     }
 
     fn may_repeat(&self, exchange: &Exchange) -> bool {
-        exchange.route.repeats == Repeats::Idempotent
-            && exchange.runs < exchange.route.max_attempts
+        exchange.route.repeats == Repeats::Idempotent && exchange.runs < exchange.route.max_attempts
     }
 
     async fn attempt_plain(
@@ -79,7 +77,8 @@
         upstream: &Arc<Upstream>,
     ) -> Result<WholeAnswer, Failed> {
         let held = Held::new(Arc::clone(upstream));
-        let is_last = !self.may_repeat(exchange) || exchange.runs + 1 >= exchange.route.max_attempts;
+        let is_last =
+            !self.may_repeat(exchange) || exchange.runs + 1 >= exchange.route.max_attempts;
         let time_left = exchange.time_left(self.now());
         // Only what may be repeated is given up early, so that another upstream has time for it.
         let patient = Millis(exchange.route.objective.0 * PATIENCE).min(Millis(time_left.0 / 2));
@@ -122,9 +121,10 @@
     pub(super) fn choose_plain(&self, service: &str, avoid: &[Arc<str>]) -> Option<Arc<Upstream>> {
         let now = self.now();
         let view = self.fleet().view();
-        let able = view.of_service(service).iter().filter(|upstream| {
-            upstream.takes_work(now) && !avoid.contains(&upstream.entry.id)
-        });
+        let able = view
+            .of_service(service)
+            .iter()
+            .filter(|upstream| upstream.takes_work(now) && !avoid.contains(&upstream.entry.id));
         let able: Vec<_> = able.collect();
         let well = able.iter().filter(|upstream| !upstream.state.ejection().is_ejected(now));
         let well: Vec<_> = well.copied().collect();
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -53,20 +53,21 @@
 impl<W: Wire, C: Clock> Gateway<W, C> {
     pub(super) async fn serve_prompt(&self, exchange: &mut Exchange) -> Outcome {
         self.inner.budget.record_request(&exchange.service, self.now());
-        match self.open_stream(exchange, None).await {
+        match self.open_stream(exchange, None, Vec::new()).await {
             Ok(Opened::Stream(relay)) => Outcome::Stream(relay),
             Ok(Opened::Answer(answer)) => Outcome::Whole(answer),
             Err(outcome) => outcome,
         }
     }
 
-    /// Opens a stream, after the event `resume_after` if one is given.
+    /// Opens a stream, after the event `resume_after` if one is given. The engines in `avoid` are
+    /// asked only where no other can go on.
     pub(super) async fn open_stream(
         &self,
         exchange: &mut Exchange,
         resume_after: Option<u64>,
+        mut avoid: Vec<Arc<str>>,
     ) -> Result<Opened, Outcome> {
-        let mut avoid: Vec<Arc<str>> = Vec::new();
         let mut repeats = 0;
         loop {
             let failed = match self.try_stream(exchange, resume_after, &mut avoid).await? {
@@ -78,19 +79,11 @@
                 && (!exchange.route.repeats.is_repeatable() || is_spent);
             repeats += 1;
             if is_final || repeats > MAX_REPEATS {
-                return Err(self.given_up(exchange, failed.cause));
+                return Err(self.given_up(exchange, failed.cause, REFUSED_PAUSE));
             }
         }
     }
 
-    fn given_up(&self, exchange: &Exchange, cause: &'static str) -> Outcome {
-        if exchange.may_have_run {
-            Outcome::may_have_run(cause)
-        } else {
-            Outcome::refused(cause, REFUSED_PAUSE)
-        }
-    }
-
     /// Makes one try at opening a stream. The outer error is final.
     async fn try_stream(
         &self,
@@ -99,7 +92,7 @@
         avoid: &mut Vec<Arc<str>>,
     ) -> Result<Result<Opened, Failed>, Outcome> {
         let Some(config) = self.config() else {
-            return Err(self.given_up(exchange, "no_configuration"));
+            return Err(self.given_up(exchange, "no_configuration", REFUSED_PAUSE));
         };
         exchange.refresh(&config);
         let engine = config.service(&exchange.service).and_then(|spec| spec.engine.clone());
@@ -107,15 +100,17 @@
         let (Some(engine), Some(prompt)) = (engine, prompt) else {
             return Ok(self.stream_plainly(exchange, resume_after, avoid).await);
         };
-        let plan = self.with_placer(|placer| {
-            placer.plan(&self.placed(exchange, &engine, &prompt, avoid))
-        });
+        let mut plan = self.plan(exchange, &engine, &prompt, avoid);
+        if plan.is_none() && resume_after.is_some() {
+            avoid.clear();
+            plan = self.plan(exchange, &engine, &prompt, avoid);
+        }
         let Some(plan) = plan else {
-            return Err(self.given_up(exchange, "no_engine"));
+            return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE));
         };
         let time_left = exchange.time_left(self.now());
         if plan.first_token_ms() > time_left.0 as f64 {
-            return Err(self.given_up(exchange, "overload"));
+            return Err(self.given_up(exchange, "overload", REFUSED_PAUSE));
         }
         let handle = match plan {
             Plan::Direct(generator) => {
@@ -137,12 +132,22 @@
             placer.generator(&placed, handle.upstream())
         });
         let Some(generator) = generator else {
-            return Err(self.given_up(exchange, "no_engine"));
+            return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE));
         };
         self.generate(exchange, &engine, &prompt, generator, Some(handle), resume_after, avoid)
             .await
     }
 
+    fn plan(
+        &self,
+        exchange: &Exchange,
+        engine: &EngineSpec,
+        prompt: &Prompt,
+        avoid: &[Arc<str>],
+    ) -> Option<Plan> {
+        self.with_placer(|placer| placer.plan(&self.placed(exchange, engine, prompt, avoid)))
+    }
+
     fn placed<'a>(
         &self,
         exchange: &'a Exchange,
@@ -184,7 +189,7 @@
         // The first such call of a request is no extra arrival.
         let is_first = !std::mem::replace(&mut exchange.has_read, true);
         if !is_first && !self.inner.budget.try_take(&exchange.service, self.now()) {
-            return Err(self.given_up(exchange, "retry_budget"));
+            return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
         }
         let names = self.wire().headers();
         let mut extra =
@@ -214,13 +219,12 @@
         let read = self.finish_reading(exchange, sending).await;
         drop(held);
         let took = self.now() - started_at;
-        exchange.tried.push(format!(
-            "{}(read {}ms of {:.0})",
-            upstream.entry.id, took.0, reader.total_ms
-        ));
+        exchange
+            .tried
+            .push(format!("{}(read {}ms of {:.0})", upstream.entry.id, took.0, reader.total_ms));
         match read {
             Ok(handle) => {
-                if backlog_ms < IDLE_BACKLOG_MS {
+                if backlog_ms < IDLE_BACKLOG_MS && reader.reading_ms > TELLING_MS {
                     let took_ms = (self.now() - started_at).0 as f64;
                     let expected_ms = reader.reading_ms / upstream.state.slowness();
                     upstream.state.record_reading(expected_ms, took_ms);
@@ -321,7 +325,7 @@
         resume_after: Option<u64>,
     ) -> Result<Result<Opened, Failed>, Outcome> {
         if !self.may_send(exchange) {
-            return Err(self.given_up(exchange, "retry_budget"));
+            return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
         }
         if let Some(event) = resume_after {
             extra.push((self.wire().headers().last_event_id.clone(), HeaderValue::from(event)));
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -11,7 +11,7 @@
 use volo_http::request::Request;
 
 use super::Gateway;
-use super::answers::Outcome;
+use super::answers::OwnAnswer;
 use crate::configs::{Config, Route};
 use crate::prompts::Prompt;
 use crate::wires::Wire;
@@ -36,9 +36,6 @@
     pub route: Arc<Route>,
     pub service: Arc<str>,
     pub prompt: Option<Prompt>,
-    pub arrived_at: Millis,
-    /// When the caller no longer waits.
-    pub deadline: Millis,
     /// When the caller must have its final answer.
     pub give_up_at: Millis,
     /// The upstreams that it was sent to, in order.
@@ -59,7 +56,7 @@
         gateway: &Gateway<W, C>,
         req: Request,
         arrived_at: Millis,
-    ) -> Result<Exchange, Outcome> {
+    ) -> Result<Exchange, OwnAnswer> {
         let (parts, body) = req.into_parts();
         let names = gateway.wire().headers();
         let config = gateway.config().ok_or_else(no_config)?;
@@ -72,11 +69,11 @@
         let body = match collecting.await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(err)) if err.is::<LengthLimitError>() => {
-                return Err(Outcome::failed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+                return Err(OwnAnswer::failed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
             }
-            Ok(Err(_)) => return Err(Outcome::failed(StatusCode::BAD_REQUEST, "body_broken")),
+            Ok(Err(_)) => return Err(OwnAnswer::failed(StatusCode::BAD_REQUEST, "body_broken")),
             Err(_elapsed) => {
-                return Err(Outcome::failed(StatusCode::REQUEST_TIMEOUT, "body_late"));
+                return Err(OwnAnswer::failed(StatusCode::REQUEST_TIMEOUT, "body_late"));
             }
         };
 
@@ -97,8 +94,6 @@
             uri: parts.uri,
             body,
             route: Arc::clone(route),
-            arrived_at,
-            deadline,
             give_up_at: deadline.min(timeout),
             tried: Vec::new(),
             runs: 0,
@@ -129,50 +124,53 @@
     }
 }
 
-fn no_config() -> Outcome {
-    Outcome::refused("no_configuration", NO_CONFIG_PAUSE)
+fn no_config() -> OwnAnswer {
+    OwnAnswer::refused("no_configuration", NO_CONFIG_PAUSE)
 }
 
-fn no_id() -> Outcome {
-    Outcome::failed(StatusCode::BAD_REQUEST, "no_request_id")
+fn no_id() -> OwnAnswer {
+    OwnAnswer::failed(StatusCode::BAD_REQUEST, "no_request_id")
 }
 
-fn no_target() -> Outcome {
-    Outcome::refused("route_without_service", NO_CONFIG_PAUSE)
+fn no_target() -> OwnAnswer {
+    OwnAnswer::refused("route_without_service", NO_CONFIG_PAUSE)
 }
 
 fn find_route<'c>(
     config: &'c Config,
     headers: &HeaderMap,
     uri: &Uri,
-) -> Result<&'c Arc<Route>, Outcome> {
+) -> Result<&'c Arc<Route>, OwnAnswer> {
     let host = text(headers, &header::HOST).unwrap_or_default();
     let route = config.route(&host, uri.path());
-    route.ok_or_else(|| Outcome::failed(StatusCode::NOT_FOUND, "no_route"))
+    route.ok_or_else(|| OwnAnswer::failed(StatusCode::NOT_FOUND, "no_route"))
 }
 
-fn check_head(config: &Config, headers: &HeaderMap, uri: &Uri) -> Result<(), Outcome> {
+fn check_head(config: &Config, headers: &HeaderMap, uri: &Uri) -> Result<(), OwnAnswer> {
     const LINE_EXTRA: usize = 4;
     let fields: usize =
         headers.iter().map(|(name, value)| name.as_str().len() + value.len() + LINE_EXTRA).sum();
     if fields + uri.path().len() > config.limits.max_header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return Err(Outcome::failed(status, "head_too_large"));
-    }
-    // Where two lengths are given, another reader may take the other one, and what is the body to
-    // one is a request of its own to the other.
-    let has_both = headers.contains_key(header::CONTENT_LENGTH)
-        && headers.contains_key(header::TRANSFER_ENCODING);
-    if has_both {
-        return Err(Outcome::failed(StatusCode::BAD_REQUEST, "two_lengths"));
+        return Err(OwnAnswer::failed(status, "head_too_large"));
     }
     let announced = text(headers, &header::CONTENT_LENGTH).and_then(|text| text.parse().ok());
     if announced.is_some_and(|length: usize| length > config.limits.max_body_bytes) {
-        return Err(Outcome::failed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+        return Err(OwnAnswer::failed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
     }
     Ok(())
 }
 
+/// Returns whether the bytes after a request's body may be something else than its caller's next
+/// request.
+///
+/// Where a request has both a length and chunks, another reader may take the other one, and what is
+/// the body to one is a request of its own to the other. The HTTP library goes by the chunks and
+/// hides the length, so the connection of every request in chunks ends with its answer.
+pub(super) fn may_hide_another(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns a header's text.
 pub(super) fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -1,6 +1,7 @@
 //! A stream on its way from an engine to the caller, and its resumption.
 
 use std::io;
+use std::sync::Arc;
 
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
@@ -172,7 +173,7 @@
         let gateway = self.gateway.clone();
         let upstream = self.relay.held.upstream();
         upstream.state.ejection().record_failure(gateway.now());
-        let upstream = upstream.entry.id.to_string();
+        let upstream = Arc::clone(&upstream.entry.id);
         let last_id = self.relay.last_id;
         let route = &self.exchange.route;
         let is_allowed = route.repeats.is_repeatable()
@@ -186,7 +187,7 @@
         // The run before is ended before another one begins.
         self.relay.body = Body::empty();
         let time_left = self.exchange.time_left(gateway.now());
-        let opening = gateway.open_stream(&mut self.exchange, last_id);
+        let opening = gateway.open_stream(&mut self.exchange, last_id, vec![Arc::clone(&upstream)]);
         let opened = tokio::time::timeout(time_left.as_duration(), opening).await;
         let Ok(Ok(Opened::Stream(relay))) = opened else {
             events::stream_broken(&self.exchange.id, &upstream, last_id, "not_resumed");
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -106,7 +106,8 @@
         }
     }
 
-    async fn look(&mut self) {
+    /// Looks at the split once, and gives the orders that are due.
+    pub async fn look(&mut self) {
         let Some(config) = self.gateway.config() else { return };
         let due = self.due_changes(&config);
         if due.is_empty() || self.clock.now() < self.not_before {
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -0,0 +1,256 @@
+//! The decisions without I/O: routes, budgets, caches, placement, events, digests.
+
+mod support;
+
+use std::sync::Arc;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Millis, Tokens};
+use anvilhook_gateway::budgets::{Budget, BudgetOptions};
+use anvilhook_gateway::caches::CacheBeliefs;
+use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, Target};
+use anvilhook_gateway::fleets::{Entry, Fleet, Held, PeerLoad};
+use anvilhook_gateway::peers::{CachedPrompt, Digest, EngineLoad};
+use anvilhook_gateway::placements::{Placer, Plan, Request};
+use anvilhook_gateway::prompts::{EngineSpeed, Part, Prompt};
+use anvilhook_gateway::streams::EventSplitter;
+use support::fronts::route;
+use support::wires::{entry, limits};
+
+#[test]
+fn verify_the_longest_prefix_wins() {
+    let with = |prefix: &str| Route { prefix: Arc::from(prefix), ..route(Repeats::Idempotent, 1) };
+    let routes = vec![with("/"), with("/a/"), with("/a/b/")];
+    let config = Config::new(1, limits(), Vec::new(), routes);
+    let cases = [
+        ("host.example", "/a/b/c", Some("/a/b/")),
+        ("host.example", "/a/b", Some("/a/")),
+        ("host.example", "/a/bc/", Some("/a/")),
+        ("host.example", "/ab", Some("/")),
+        ("host.example", "/a", Some("/")),
+        ("other.example", "/a/", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = config.route(host, path).map(|route| &*route.prefix);
+        assert_eq!(found, expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn verify_a_split_gives_each_target_its_share_and_a_request_one_target() {
+    let target = |service: &str, weight| Target { service: Arc::from(service), weight };
+    let mut split = route(Repeats::Idempotent, 1);
+    split.targets = vec![target("most", 90), target("none", 0), target("few", 10)];
+
+    let count = |service: &str| {
+        (0..1_000).filter(|hash| split.target(*hash).is_some_and(|one| &**one == service)).count()
+    };
+
+    assert_eq!((count("most"), count("none"), count("few")), (900, 0, 100));
+    split.targets = vec![target("none", 0)];
+    assert_eq!(split.target(5), None);
+}
+
+/// Symptom: retries of all instances together exceed their bound in some span.
+/// Sequence: requests come in a burst, and retries long after.
+/// Cause: what the requests earned must leave the window with them.
+#[test]
+fn verify_the_budget_slides() {
+    let service: Arc<str> = Arc::from("service");
+    let budget = Budget::new(BudgetOptions { share: 0.2, spare: 1.0, window: Millis(1_000) });
+    for _ in 0..10 {
+        budget.record_request(&service, Millis(0));
+    }
+
+    let taken = |now| (0..9).filter(|_| budget.try_take(&service, Millis(now))).count();
+
+    assert_eq!(taken(500), 3);
+    assert_eq!(taken(900), 0);
+    assert_eq!(taken(1_400), 0, "the requests have left the window, the retries have not");
+    assert_eq!(taken(1_600), 1);
+}
+
+fn prompt(shared: u32, own_id: u64) -> Prompt {
+    let parts = vec![Part { id: 1, tokens: shared }, Part { id: own_id, tokens: 3_000 }];
+    Prompt { parts, tokens: shared + 3_000, max_output: 10 }
+}
+
+#[test]
+fn verify_caches_forget_what_was_used_longest_ago() {
+    let caches = CacheBeliefs::new();
+    let engine: Arc<str> = Arc::from("e");
+    caches.record(&engine, &prompt(10_000, 2).parts, 20_000);
+    assert_eq!(caches.held_tokens("e", &prompt(10_000, 3)), 10_000);
+    assert_eq!(caches.held_tokens("e", &prompt(10_000, 2)), 13_000);
+
+    caches.record(&engine, &[Part { id: 9, tokens: 4_000 }], 20_000);
+
+    assert_eq!(caches.held_tokens("e", &prompt(10_000, 2)), 0, "the first part has gone");
+    caches.forget("e");
+    assert_eq!(caches.held_tokens("e", &prompt(10_000, 2)), 0);
+}
+
+fn engine_spec() -> EngineSpec {
+    EngineSpec {
+        slots: 24,
+        kv_tokens: Tokens(385_000),
+        kv_token_bytes: 163_840,
+        link_mbps: 1_300_000.0,
+        handle_ttl: Millis(5_000),
+        role_change: Millis(3_000),
+    }
+}
+
+fn fleet(engines: &[Listed]) -> Fleet {
+    let fleet = Fleet::new();
+    fleet.replace(engines.iter().map(|(id, role, zone)| Entry {
+        role: Some(*role),
+        zone: Arc::from(*zone),
+        slots: 24,
+        ..entry(id, 1)
+    }));
+    fleet
+}
+
+fn plan(fleet: &Fleet, caches: &CacheBeliefs, prompt: &Prompt, avoid: &[Arc<str>]) -> Option<Plan> {
+    let (view, speed) = (fleet.view(), EngineSpeed::default());
+    let placer = Placer { view: &view, caches, speed: &speed, zone: "zone-a", now: Millis(1_000) };
+    let engine = engine_spec();
+    let request =
+        Request { service: "service", engine: &engine, prompt, lane: 1, body_bytes: 30_000, avoid };
+    placer.plan(&request)
+}
+
+fn reader_of(plan: Option<Plan>) -> String {
+    match plan {
+        Some(Plan::Split(reader)) => reader.upstream.entry.id.to_string(),
+        Some(Plan::Direct(generator)) => format!("direct {}", generator.upstream.entry.id),
+        None => "none".to_owned(),
+    }
+}
+
+/// An engine's id, role and zone.
+type Listed = (&'static str, Role, &'static str);
+
+const SITE: [Listed; 4] = [
+    ("p1", Role::Prefill, "zone-a"),
+    ("p2", Role::Prefill, "zone-a"),
+    ("p3", Role::Prefill, "zone-b"),
+    ("d1", Role::Decode, "zone-a"),
+];
+
+#[test]
+fn verify_a_prompt_goes_where_it_is_cached_unless_that_engine_is_busy() {
+    let (fleet, caches) = (fleet(&SITE), CacheBeliefs::new());
+    let long = prompt(13_300, 2);
+    caches.record(&Arc::from("p2"), &long.parts[..1], 385_000);
+    assert_eq!(reader_of(plan(&fleet, &caches, &long, &[])), "p2");
+
+    let busy = Arc::clone(fleet.view().get("p2").unwrap());
+    let _held = Held::with_work(busy, 1, 2_000.0, 0.0);
+
+    let Some(Plan::Split(reader)) = plan(&fleet, &caches, &long, &[]) else { panic!("no split") };
+    assert_eq!(&*reader.upstream.entry.id, "p1");
+    let source = reader.fetch_from.expect("the part is fetched, not read again");
+    assert_eq!(&*source.entry.id, "p2");
+}
+
+#[test]
+fn verify_a_prompt_that_nobody_holds_has_one_home() {
+    let (fleet, caches) = (fleet(&SITE[..2]), CacheBeliefs::new());
+    let homes: Vec<_> = (0..5)
+        .map(|own| reader_of(plan(&fleet, &caches, &prompt(13_300, own + 10), &[])))
+        .collect();
+
+    assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
+}
+
+/// Symptom: requests are refused though an engine could serve them.
+/// Sequence: engines of one stage are gone, avoided, or all ejected.
+/// Cause: a generator can read, too; and ejection must not empty a stage.
+#[test]
+fn verify_placement_with_engines_missing() {
+    let caches = CacheBeliefs::new();
+    let long = prompt(13_300, 2);
+    let cases: [(&[Listed], &[&str], &str); 4] = [
+        (&SITE[3..], &[], "direct d1"),
+        (&SITE[..3], &[], "none"),
+        (&SITE[1..], &["p2"], "p3"),
+        (&[], &[], "none"),
+    ];
+    for (engines, avoid, expected) in cases {
+        let avoid: Vec<Arc<str>> = avoid.iter().map(|id| Arc::from(*id)).collect();
+        assert_eq!(reader_of(plan(&fleet(engines), &caches, &long, &avoid)), expected);
+    }
+
+    let ejected = fleet(&SITE[2..]);
+    for _ in 0..9 {
+        ejected.view().get("p3").unwrap().state.ejection().record_failure(Millis(1_000));
+    }
+    assert_eq!(reader_of(plan(&ejected, &caches, &long, &[])), "p3");
+}
+
+#[test]
+fn verify_peers_load_counts_until_it_is_old() {
+    let fleet = fleet(&SITE);
+    let state = Arc::clone(&fleet.view().get("p1").unwrap().state);
+    let told =
+        PeerLoad { in_flight: 3, reading_ms: [0.0, 50.0, 9.0], fetching_ms: 4.0, at: Millis(100) };
+    state.record_peer(7, told);
+
+    let work = state.work(Millis(200));
+    assert_eq!((work.in_flight, work.reading_before(1), work.fetching_ms), (3, 50.0, 4.0));
+    assert_eq!(work.reading_before(0), 0.0, "more urgent prompts go first");
+    assert_eq!(state.work(Millis(2_000)).in_flight, 0);
+}
+
+#[test]
+fn verify_slowness_grows_slowly_and_falls_fast() {
+    let fleet = fleet(&SITE);
+    let state = Arc::clone(&fleet.view().get("p1").unwrap().state);
+    state.record_reading(100.0, 500.0);
+    assert!(state.slowness() < 1.5);
+    for _ in 0..40 {
+        state.record_reading(100.0, 500.0);
+    }
+    assert!(state.slowness() > 4.0);
+    for _ in 0..6 {
+        state.record_reading(100.0, 100.0);
+    }
+    assert!(state.slowness() < 1.2);
+}
+
+#[test]
+fn verify_events_are_cut_out_of_any_pieces() {
+    let bytes = b"id: 1\ndata: a\n\nevent: x\r\nid: 22\r\ndata: b\r\n\r\ndata: no id\n\nid: 3\nda";
+    for size in 1..bytes.len() {
+        let mut splitter = EventSplitter::new();
+        let mut events = Vec::new();
+        for piece in bytes.chunks(size) {
+            splitter.push(piece);
+            while let Some(event) = splitter.next_event() {
+                events.push((event.id, event.bytes.len()));
+            }
+        }
+        assert_eq!(events, [(Some(1), 15), (Some(22), 29), (None, 13)], "pieces of {size}");
+        assert!(!splitter.is_empty());
+    }
+}
+
+#[test]
+fn verify_a_digest_is_small_and_comes_back_as_it_was() {
+    let load =
+        EngineLoad { engine: u32::MAX, in_flight: 7, reading_ms: [9, 120, 0], fetching_ms: 20 };
+    let cached = CachedPrompt { engine: 5, parts: vec![(u64::MAX, 13_300), (3, 3_720)] };
+    let digest = Digest {
+        from: u64::MAX,
+        loads: vec![load; 12],
+        cached: vec![cached],
+        away: vec![(9, 2_500)],
+    };
+
+    let bytes = postcard::to_stdvec(&digest).expect("it can be written");
+
+    assert_eq!(postcard::from_bytes::<Digest>(&bytes), Ok(digest));
+    assert!(bytes.len() < 200, "{} bytes", bytes.len());
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -0,0 +1,180 @@
+//! Following the tables: lapses, old reports, outages, and configurations that never go back.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_core::units::{Millis, SystemClock};
+use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::followers::{ConfigFollower, EntryBook, EntryFollower, follow};
+use support::fronts::{TestGateway, ample_budget, start, versioned};
+use support::tables::{Fault, MemoryTable};
+use support::wires::entry;
+
+fn report(id: &str, draining: bool, sequence: u64) -> Entry {
+    Entry { draining, sequence, ..entry(id, 1) }
+}
+
+fn ids(book: &EntryBook) -> Vec<String> {
+    let mut ids: Vec<_> = book.entries().map(|entry| entry.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+/// Symptom: requests go to an upstream that is leaving or gone.
+/// Sequence: a report that was held up arrives after a newer one.
+/// Cause: the reports' numbers, not their arrival, give their order.
+#[test]
+fn verify_an_old_report_changes_nothing() {
+    let draining = |book: &EntryBook| book.entries().any(|entry| entry.draining);
+    let mut book = EntryBook::new();
+    book.put(report("a", false, 1));
+    book.put(report("a", true, 3));
+
+    assert!(!book.put(report("a", false, 2)), "an older report");
+    assert!(draining(&book));
+    book.put(report("a", false, 4));
+    assert!(draining(&book), "leaving is never taken back");
+
+    assert!(book.remove("a", Millis(10)));
+    assert!(!book.put(report("a", false, 4)), "a report from before the removal");
+    assert!(ids(&book).is_empty());
+    assert!(book.put(report("a", false, 5)), "one from after it");
+}
+
+/// Symptom: all upstreams vanish after an outage of the table, though they run.
+/// Sequence: the table is away; entries lapse, for the upstreams can't report; it returns.
+/// Cause: entries are given time to be back. One that is leaving, or still missing then, is gone.
+#[test]
+fn verify_lapsed_entries_have_time_to_be_back() {
+    let mut book = EntryBook::new();
+    for id in ["back", "late", "gone"] {
+        book.put(report(id, false, 1));
+    }
+    book.put(report("leaving", true, 1));
+    book.lost();
+    book.regained(Millis(10_000));
+
+    book.reset(Vec::new(), Millis(10_000));
+    assert_eq!(ids(&book), ["back", "gone", "late"]);
+    book.put(report("back", false, 2));
+    assert!(!book.expire(Millis(11_900)));
+    book.put(report("late", false, 2));
+    assert!(book.expire(Millis(12_200)));
+
+    assert_eq!(ids(&book), ["back", "late"]);
+    assert!(book.remove("back", Millis(12_201)), "no grace beyond the return");
+}
+
+async fn gateway() -> TestGateway {
+    start(None, Vec::new(), ample_budget()).await.gateway
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Symptom: an instance goes back to an older configuration.
+/// Sequence: an older version is read after a newer one, or the changes' history is gone.
+/// Cause: a version is put in force only above the one in force.
+#[tokio::test]
+async fn verify_the_configuration_only_moves_on() {
+    let gateway = gateway().await;
+    let table = MemoryTable::default();
+    let clock = SystemClock::new();
+    let version = || gateway.config().map_or(0, |config| config.version);
+    table.put("configs", "current", Some("7"));
+    tokio::spawn(follow(table.clone(), clock, ConfigFollower::new(gateway.clone())));
+    until(|| version() == 7).await;
+
+    table.put("configs", "current", Some("5"));
+    table.put("configs", "other", Some("99"));
+    table.put("configs", "current", Some("rubbish"));
+    table.set_fault(Fault::HistoryGone);
+    table.put("configs", "current", Some("8"));
+
+    until(|| version() == 8).await;
+    assert!(table.calls().1 >= 2, "the table was read anew");
+    gateway.adopt_config(versioned(6, Repeats::Idempotent, 1, false));
+    assert_eq!(version(), 8);
+}
+
+/// Symptom: a change is in force seconds late after the table's return.
+/// Sequence: a call that waits for changes is sent while the table is away and hears nothing.
+/// Cause: while the table is away, calls must not wait for changes.
+#[tokio::test]
+async fn verify_calls_do_not_wait_while_the_table_is_away() {
+    let gateway = gateway().await;
+    let table = MemoryTable::default();
+    table.put("configs", "current", Some("1"));
+    let follower = ConfigFollower::new(gateway.clone());
+    tokio::spawn(follow(table.clone(), SystemClock::new(), follower));
+    until(|| gateway.config().is_some()).await;
+    let first_waits = || table.calls().0;
+    until(|| !first_waits().is_empty()).await;
+
+    table.set_fault(Fault::Away);
+    until(|| first_waits().len() >= 4).await;
+    table.set_fault(Fault::None);
+    table.put("configs", "current", Some("2"));
+    until(|| gateway.config().is_some_and(|config| config.version == 2)).await;
+
+    let waits = first_waits();
+    assert!(waits[0] > Millis::ZERO);
+    assert_eq!(waits[2..4], [Millis::ZERO, Millis::ZERO]);
+}
+
+/// Symptom: an upstream that has left gets work, or one that runs gets none.
+/// Sequence: entries appear, begin to leave, vanish, and lapse in an outage.
+/// Cause: the fleet is the listed entries, kept through the outage.
+#[tokio::test]
+async fn verify_the_fleet_follows_the_entries() {
+    let gateway = gateway().await;
+    let table = MemoryTable::default();
+    table.put("upstreams", "a", Some("ready 1"));
+    table.put("upstreams", "b", Some("ready 1"));
+    let clock = SystemClock::new();
+    let follower = EntryFollower::new(gateway.clone(), clock);
+    tokio::spawn(follow(table.clone(), clock, follower));
+    let takes_work = |id: &str| gateway.fleet().takes_work(id, Millis::ZERO);
+    until(|| takes_work("a") && takes_work("b")).await;
+
+    table.put("upstreams", "a", Some("leaving 2"));
+    until(|| !takes_work("a")).await;
+    table.put("upstreams", "a", Some("ready 1"));
+    table.set_fault(Fault::Away);
+    until(|| table.calls().0.ends_with(&[Millis::ZERO])).await;
+    table.put("upstreams", "b", None);
+    table.put("upstreams", "c", Some("ready 1"));
+    table.set_fault(Fault::None);
+    until(|| takes_work("c")).await;
+
+    assert!(takes_work("b"), "it lapsed in the outage and has time to be back");
+    assert!(!takes_work("a"));
+    until(|| !takes_work("b")).await;
+}
+
+/// Symptom: a new instance refuses all requests as if there were no upstreams.
+/// Sequence: the first reading finds a row that can't be read.
+/// Cause: one bad row must not hide the others.
+#[tokio::test]
+async fn verify_one_bad_row_hides_no_other() {
+    let gateway = gateway().await;
+    let table = MemoryTable::default();
+    table.put("upstreams", "bad", Some("rubbish"));
+    table.put("upstreams", "good", Some("ready 1"));
+    let clock = SystemClock::new();
+    let follower = EntryFollower::new(gateway.clone(), clock);
+
+    tokio::spawn(follow(table, clock, follower));
+
+    let fleet = gateway.clone();
+    until(move || fleet.fleet().takes_work("good", Millis::ZERO)).await;
+    let listed: Vec<Arc<str>> =
+        gateway.fleet().view().all().map(|upstream| upstream.entry.id.clone()).collect();
+    assert_eq!(listed, [Arc::from("good")]);
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -0,0 +1,244 @@
+//! Streams of model engines: reading and generating apart, resumption, and the end.
+
+mod support;
+
+use anvilhook_core::orders::Role;
+use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::fleets::Entry;
+use support::fronts::{Front, ample_budget, config, start};
+use support::upstreams::{
+    Received, Step, Upstream, chunk, event, refusal, signed, stream_end, stream_head,
+};
+use support::wires::entry;
+
+const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
+const ONCE: Repeats = Repeats::Stream { resumable: false };
+const PROMPT: &str = "T-Tokens: 400\r\n";
+
+fn engine(id: &str, upstream: &Upstream, role: Role) -> Entry {
+    Entry { role: Some(role), ..entry(id, upstream.address.port()) }
+}
+
+/// Returns a whole stream with the events from `first` to `last`.
+fn stream(first: u64, last: u64) -> Vec<Step> {
+    let mut steps = vec![stream_head()];
+    steps.extend((first..=last).map(event));
+    steps.push(stream_end());
+    steps
+}
+
+/// Returns a stream that breaks after `last`, in the middle of the next event.
+fn broken(last: u64, end: Step) -> Vec<Step> {
+    let mut steps = vec![stream_head()];
+    steps.extend((1..=last).map(event));
+    steps.extend([chunk("id: 99\nda"), end]);
+    steps
+}
+
+async fn front_of(repeats: Repeats, engines: Vec<Entry>) -> Front {
+    start(Some(config(repeats, 2, true)), engines, ample_budget()).await
+}
+
+/// Symptom: an event is missing, comes twice, or is cut; or a cut stream looks complete.
+/// Sequence: the first engine breaks off in one of the ways below.
+/// Cause: only whole events are passed on, and another run goes on after the last one.
+#[tokio::test]
+async fn verify_a_broken_stream_goes_on_or_is_seen_to_be_cut() {
+    let repeat = |received: &Received| match received.header("last-event-id") {
+        // Engines may send what the caller has already.
+        Some("2") => stream(2, 4),
+        Some(_) => stream(1, 4),
+        None => stream(1, 4),
+    };
+    let cases = [
+        ("resumable, closed", RESUMABLE, broken(2, Step::Close), true),
+        ("resumable, reset", RESUMABLE, broken(2, Step::Reset), true),
+        ("resumable, silent", RESUMABLE, broken(2, Step::Hang), true),
+        ("once, closed", ONCE, broken(2, Step::Close), false),
+        ("once, reset", ONCE, broken(2, Step::Reset), false),
+    ];
+    for (name, repeats, first, is_whole) in cases {
+        let first = Upstream::always(first).await;
+        let second = Upstream::start(repeat).await;
+        let mut far = engine("second", &second, Role::Decode);
+        far.zone = "zone-b".into();
+        let engines = vec![engine("first", &first, Role::Decode), far];
+        let front = front_of(repeats, engines).await;
+
+        let answer = front.post("r1", PROMPT, "").await;
+
+        assert_eq!(answer.status, 200, "{name}");
+        assert_eq!(answer.is_complete(), is_whole, "{name}: {answer:?}");
+        let expected: &[u64] = if is_whole { &[1, 2, 3, 4] } else { &[1, 2] };
+        assert_eq!(answer.events(), expected, "{name}");
+        assert!(!answer.body.contains("99"), "{name}");
+        assert_eq!(second.received().len(), usize::from(is_whole), "{name}");
+    }
+}
+
+/// Symptom: a stream that runs at most once runs again.
+/// Sequence: its engine closes the connection before the first event.
+/// Cause: a request that was sent may have run, unless the engine says that it has not.
+#[tokio::test]
+async fn verify_a_stream_without_events_is_sent_again_only_where_allowed() {
+    let cases = [
+        ("resumable, closed", RESUMABLE, vec![Step::Close], 200, 1),
+        ("once, closed", ONCE, vec![Step::Close], 502, 0),
+        ("once, head only", ONCE, vec![stream_head(), Step::Close], 502, 0),
+        ("once, refused", ONCE, vec![refusal()], 200, 1),
+        ("once, unsigned", ONCE, vec![unsigned(), event(1), stream_end()], 502, 0),
+    ];
+    for (name, repeats, first, status, sent_again) in cases {
+        let first = Upstream::always(first).await;
+        let second = Upstream::always(stream(1, 2)).await;
+        let mut far = engine("second", &second, Role::Decode);
+        far.zone = "zone-b".into();
+        let front = front_of(repeats, vec![engine("first", &first, Role::Decode), far]).await;
+
+        let answer = front.post("r1", PROMPT, "").await;
+
+        assert_eq!(answer.status, status, "{name}: {answer:?}");
+        assert_eq!(second.received().len(), sent_again, "{name}");
+    }
+}
+
+fn unsigned() -> Step {
+    let head = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n";
+    Step::Write(head.to_owned())
+}
+
+fn reader_script(received: &Received) -> Vec<Step> {
+    if received.line.starts_with("DELETE") {
+        return vec![signed("200 OK", "")];
+    }
+    vec![signed("200 OK", "handle h1")]
+}
+
+/// Symptom: a prompt is read where others' output is generated, or a caller gets a handle.
+/// Sequence: a plain request to a service whose engines take one stage each.
+/// Cause: the reader is asked for its stage only, and the generator fetches from it.
+#[tokio::test]
+async fn verify_a_prompt_is_read_by_one_engine_and_generated_by_another() {
+    let reader = Upstream::start(reader_script).await;
+    let generator = Upstream::always(stream(1, 3)).await;
+    let engines = vec![
+        engine("reader", &reader, Role::Prefill),
+        engine("generator", &generator, Role::Decode),
+    ];
+    let front = front_of(ONCE, engines).await;
+
+    let answer = front.post("r1", PROMPT, "prompt").await;
+
+    assert_eq!((answer.status, answer.events()), (200, vec![1, 2, 3]));
+    assert!(answer.is_complete());
+    let (read, generated) = (&reader.received()[0], &generator.received()[0]);
+    assert_eq!(read.header("t-stage"), Some("read"));
+    assert_eq!(read.header("t-kv-source"), None);
+    let source = format!("{}/h1", reader.address);
+    assert_eq!(generated.header("t-kv-source"), Some(source.as_str()));
+    assert_eq!(generated.header("t-stage"), None);
+    assert_eq!((read.body.as_str(), generated.body.as_str()), ("prompt", "prompt"));
+    assert_eq!(reader.received().len(), 1, "a used handle is not freed");
+}
+
+/// Symptom: an engine's memory fills with handles that nobody takes.
+/// Sequence: the prompt is read, and then no engine generates.
+/// Cause: a handle that is not used is freed by whoever has it.
+#[tokio::test]
+async fn verify_an_unused_handle_is_freed() {
+    let reader = Upstream::start(reader_script).await;
+    let generator = Upstream::always(vec![refusal()]).await;
+    let engines = vec![
+        engine("reader", &reader, Role::Prefill),
+        engine("generator", &generator, Role::Decode),
+    ];
+    let front = front_of(ONCE, engines).await;
+
+    let answer = front.post("r1", PROMPT, "").await;
+
+    assert_eq!(answer.status, 503);
+    assert!(answer.head.contains("retry-after"));
+    let freed = || {
+        let received = reader.received();
+        received.iter().any(|one| one.line.starts_with("DELETE /handles/h1 "))
+    };
+    while !freed() {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
+/// Symptom: a request fails although another reader could have served it.
+/// Sequence: the first reader fails in one of the ways below.
+/// Cause: reading a prompt is not running the request, so it may be asked of another.
+#[tokio::test]
+async fn verify_reading_is_asked_of_another_engine() {
+    let cases = [
+        ("closed", vec![Step::Close]),
+        ("refused", vec![refusal()]),
+        ("no handle", vec![signed("200 OK", "rubbish")]),
+        ("failed", vec![signed("500 Error", "")]),
+    ];
+    for (name, steps) in cases {
+        let bad = Upstream::always(steps).await;
+        let good = Upstream::start(reader_script).await;
+        let generator = Upstream::always(stream(1, 2)).await;
+        let mut far = engine("good", &good, Role::Prefill);
+        far.zone = "zone-b".into();
+        let engines = vec![
+            engine("bad", &bad, Role::Prefill),
+            far,
+            engine("generator", &generator, Role::Decode),
+        ];
+        let front = front_of(ONCE, engines).await;
+
+        // A part's home may be either reader; among several requests some meet the bad one.
+        for round in 0..3 {
+            let answer = front.post(&format!("r{round}"), PROMPT, "").await;
+            assert_eq!((answer.status, answer.events()), (200, vec![1, 2]), "{name}");
+        }
+        assert_eq!(generator.received().len(), 3, "{name}");
+    }
+}
+
+/// Symptom: output comes from an engine that had begun to leave.
+/// Sequence: the generator's entry says draining while the prompt is being read.
+/// Cause: the generator is chosen after the reading, by what is believed then.
+#[tokio::test]
+async fn verify_the_generator_is_chosen_after_the_reading() {
+    let near = Upstream::always(stream(1, 2)).await;
+    let far = Upstream::always(stream(1, 2)).await;
+    let reader =
+        Upstream::start(|_| vec![Step::Write(String::new()), signed("200 OK", "handle h1")]).await;
+    let mut far_entry = engine("far", &far, Role::Decode);
+    far_entry.zone = "zone-b".into();
+    let engines = vec![
+        engine("reader", &reader, Role::Prefill),
+        engine("near", &near, Role::Decode),
+        far_entry,
+    ];
+    let front = front_of(ONCE, engines.clone()).await;
+    let mut leaving = engines;
+    leaving[1].draining = true;
+    front.gateway.fleet().replace(leaving);
+
+    let answer = front.post("r1", PROMPT, "").await;
+
+    assert_eq!(answer.status, 200);
+    assert!(near.received().is_empty());
+    assert_eq!(far.received().len(), 1);
+}
+
+/// Symptom: a caller waits beyond the route's timeout for a stream that does not end.
+/// Sequence: the engine sends one event and falls silent; the stream can't be resumed.
+/// Cause: the timeout covers the whole answer, not only its head.
+#[tokio::test]
+async fn verify_a_silent_stream_ends_at_the_timeout() {
+    let silent = Upstream::always(vec![stream_head(), event(1), Step::Hang]).await;
+    let front = front_of(ONCE, vec![engine("silent", &silent, Role::Decode)]).await;
+
+    let answer = front.post("r1", PROMPT, "").await;
+
+    assert_eq!((answer.status, answer.events()), (200, vec![1]));
+    assert!(!answer.is_complete());
+    silent.left().await;
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -0,0 +1,147 @@
+//! A gateway on a real socket, and a caller.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anvilhook_core::units::{Millis, SystemClock, Tokens};
+use anvilhook_gateway::budgets::BudgetOptions;
+use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, ServiceSpec, Target};
+use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::instances::front_router;
+use anvilhook_gateway::prompts::EngineSpeed;
+use anvilhook_gateway::relay::{Gateway, GatewayOptions};
+use anvilhook_http::{ClientOptions, HttpClient, Shutdown};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::wires::{TestWire, limits};
+
+/// The gateway that is tested.
+pub type TestGateway = Gateway<TestWire, SystemClock>;
+
+/// `Front` is a running gateway.
+pub struct Front {
+    pub gateway: TestGateway,
+    pub address: SocketAddr,
+}
+
+/// `Answer` is what a caller got.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status, 0 if there was no answer.
+    pub status: u16,
+    /// The head, in lower case.
+    pub head: String,
+    /// The body as it came, chunks included.
+    pub body: String,
+}
+
+impl Answer {
+    /// Returns whether the answer looks complete to a caller.
+    pub fn is_complete(&self) -> bool {
+        if self.head.contains("transfer-encoding: chunked") {
+            return self.body.ends_with("0\r\n\r\n");
+        }
+        let length = self.head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        length.and_then(|length| length.parse().ok()) == Some(self.body.len())
+    }
+
+    /// Returns the numbers of the events in the body.
+    pub fn events(&self) -> Vec<u64> {
+        let ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.map(|id| id.parse().expect("a number")).collect()
+    }
+}
+
+/// Returns a budget that never ends.
+pub fn ample_budget() -> BudgetOptions {
+    BudgetOptions { share: 1.0, spare: 100.0, window: Millis(10_000) }
+}
+
+/// Starts a gateway with a configuration and upstreams.
+pub async fn start(config: Option<Config>, entries: Vec<Entry>, budget: BudgetOptions) -> Front {
+    let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
+    let options = GatewayOptions {
+        zone: Arc::from("zone-a"),
+        budget,
+        speed: EngineSpeed::default(),
+        transit: Millis(100),
+    };
+    let gateway = Gateway::new(TestWire::new(), SystemClock::new(), client, options);
+    if let Some(config) = config {
+        gateway.adopt_config(config);
+    }
+    gateway.fleet().replace(entries);
+    gateway.record_fleet();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(anvilhook_http::serve(listener, front_router(gateway.clone()), Shutdown::new()));
+    Front { gateway, address }
+}
+
+/// Returns a configuration with one route, to `service`.
+pub fn config(repeats: Repeats, max_attempts: u32, engine: bool) -> Config {
+    versioned(1, repeats, max_attempts, engine)
+}
+
+/// Returns the same of another version.
+pub fn versioned(version: u64, repeats: Repeats, max_attempts: u32, engine: bool) -> Config {
+    let service = ServiceSpec {
+        name: Arc::from("service"),
+        health_path: Arc::from("/health"),
+        max_connections: 100,
+        engine: engine.then_some(EngineSpec {
+            slots: 8,
+            kv_tokens: Tokens(100_000),
+            kv_token_bytes: 1_000,
+            link_mbps: 100_000.0,
+            handle_ttl: Millis(5_000),
+            role_change: Millis(3_000),
+        }),
+    };
+    Config::new(version, limits(), vec![service], vec![route(repeats, max_attempts)])
+}
+
+/// Returns the route of the tests.
+pub fn route(repeats: Repeats, max_attempts: u32) -> Route {
+    Route {
+        name: Arc::from("route"),
+        host: Arc::from("host.example"),
+        prefix: Arc::from("/a/"),
+        repeats,
+        timeout: Some(Millis(3_000)),
+        objective: Millis(200),
+        priority: 1,
+        targets: vec![Target { service: Arc::from("service"), weight: 1 }],
+        max_attempts,
+        pause_objective: None,
+    }
+}
+
+impl Front {
+    /// Sends bytes and reads to the end of the connection.
+    pub async fn raw(&self, bytes: &str) -> Answer {
+        let mut stream = TcpStream::connect(self.address).await.expect("the front listens");
+        stream.write_all(bytes.as_bytes()).await.expect("the front reads");
+        let mut buf = Vec::new();
+        let _ = stream.read_to_end(&mut buf).await;
+        let text = String::from_utf8_lossy(&buf).into_owned();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((text.as_str(), ""));
+        let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+        Answer { status, head: head.to_lowercase(), body: body.to_owned() }
+    }
+
+    /// Sends a request with a body.
+    pub async fn post(&self, id: &str, headers: &str, body: &str) -> Answer {
+        self.raw(&request(id, headers, body)).await
+    }
+}
+
+/// Returns a request after which the connection is closed.
+pub fn request(id: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /a/b?c=d HTTP/1.1\r\nHost: host.example\r\nT-Id: {id}\r\nT-Deadline: 2000\r\n\
+         Connection: close\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/support/tables.rs
@@ -0,0 +1,130 @@
+//! A table in memory, with faults.
+
+use std::sync::{Arc, Mutex};
+
+use anvilhook_core::units::Millis;
+use anvilhook_gateway::tables::{Row, Rows, Table, TableError, Write, Written};
+use bytes::Bytes;
+use tokio::sync::Notify;
+
+/// `Fault` is what is wrong with a table.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls are refused.
+    Away,
+    /// The next changes are no longer kept.
+    HistoryGone,
+    /// Writes take effect, and their answers are lost.
+    AnswersLost,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: Vec<(String, Row)>,
+    version: u64,
+    fault: Fault,
+    waits: Vec<Millis>,
+    scans: usize,
+}
+
+/// `MemoryTable` is a table of one test. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryTable {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+impl MemoryTable {
+    /// Puts a row, whatever stood there.
+    pub fn put(&self, table: &str, key: &str, value: Option<&str>) {
+        let mut state = self.state.lock().expect("no panic");
+        state.version += 1;
+        let version = state.version;
+        let value = value.map(|value| Bytes::from(value.to_owned()));
+        let row = Row { key: key.to_owned(), value, version };
+        state.rows.retain(|(name, row)| name != table || row.key != key);
+        state.rows.push((table.to_owned(), row));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Sets what is wrong.
+    pub fn set_fault(&self, fault: Fault) {
+        self.state.lock().expect("no panic").fault = fault;
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the waits that were asked for, and the number of scans.
+    pub fn calls(&self) -> (Vec<Millis>, usize) {
+        let state = self.state.lock().expect("no panic");
+        (state.waits.clone(), state.scans)
+    }
+
+    /// Returns a row's value.
+    pub fn value(&self, table: &str, key: &str) -> Option<String> {
+        let state = self.state.lock().expect("no panic");
+        let found = state.rows.iter().find(|(name, row)| name == table && row.key == key);
+        let value = found.and_then(|(_, row)| row.value.clone());
+        value.map(|value| String::from_utf8_lossy(&value).into_owned())
+    }
+
+    fn since(&self, table: &str, version: u64) -> Rows {
+        let state = self.state.lock().expect("no panic");
+        let rows = state.rows.iter().filter(|(name, row)| name == table && row.version > version);
+        let rows = rows.map(|(_, row)| row.clone()).collect();
+        Rows { rows, version: state.version }
+    }
+
+    fn check(&self) -> Result<(), TableError> {
+        let mut state = self.state.lock().expect("no panic");
+        match state.fault {
+            Fault::Away => Err(TableError::Refused("away".to_owned())),
+            Fault::HistoryGone => {
+                state.fault = Fault::None;
+                Err(TableError::HistoryGone)
+            }
+            Fault::None | Fault::AnswersLost => Ok(()),
+        }
+    }
+}
+
+impl Table for MemoryTable {
+    async fn scan(&self, table: &str) -> Result<Rows, TableError> {
+        self.state.lock().expect("no panic").scans += 1;
+        self.check()?;
+        let mut rows = self.since(table, 0);
+        rows.rows.retain(|row| row.value.is_some());
+        Ok(rows)
+    }
+
+    async fn changes(&self, table: &str, version: u64, wait: Millis) -> Result<Rows, TableError> {
+        self.state.lock().expect("no panic").waits.push(wait);
+        self.check()?;
+        let mut rows = self.since(table, version);
+        if rows.rows.is_empty() {
+            let changed = self.changed.notified();
+            let _ = tokio::time::timeout(wait.as_duration(), changed).await;
+            self.check()?;
+            rows = self.since(table, version);
+        }
+        Ok(rows)
+    }
+
+    async fn write(&self, table: &str, write: Write) -> Result<Written, TableError> {
+        self.check()?;
+        let stored = self.since(table, 0).rows.into_iter().find(|row| row.key == write.key);
+        if stored.map_or(0, |row| row.version) != write.expected {
+            return Ok(Written::Conflict);
+        }
+        let text = String::from_utf8_lossy(&write.value).into_owned();
+        self.put(table, &write.key, Some(&text));
+        let state = self.state.lock().expect("no panic");
+        match state.fault {
+            Fault::AnswersLost => Err(TableError::NoAnswer("lost".to_owned())),
+            _ => Ok(Written::At(state.version)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/support/upstreams.rs
@@ -0,0 +1,191 @@
+//! Upstreams that answer by a script, byte for byte.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// `Received` is a request as it came.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// The request line.
+    pub line: String,
+    /// The header lines, in lower case.
+    pub headers: Vec<String>,
+    /// The body.
+    pub body: String,
+}
+
+impl Received {
+    /// Returns a header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let prefix = format!("{name}: ");
+        self.headers.iter().find_map(|line| line.strip_prefix(prefix.as_str()))
+    }
+}
+
+/// `Step` is a part of what an upstream does with a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Writes bytes. `{id}` stands for the request's id.
+    Write(String),
+    /// Closes the connection in order.
+    Close,
+    /// Closes the connection with a reset.
+    Reset,
+    /// Does nothing until the other end closes the connection.
+    Hang,
+}
+
+/// `Upstream` is a running scripted upstream.
+pub struct Upstream {
+    pub address: SocketAddr,
+    received: Arc<Mutex<Vec<Received>>>,
+    left: Arc<Notify>,
+}
+
+impl Upstream {
+    /// Starts an upstream that does for each request what `script` says.
+    pub async fn start<F>(script: F) -> Upstream
+    where
+        F: Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let received = Arc::new(Mutex::new(Vec::new()));
+        let left = Arc::new(Notify::new());
+        let (script, log, gone) = (Arc::new(script), Arc::clone(&received), Arc::clone(&left));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (script, log) = (Arc::clone(&script), Arc::clone(&log));
+                tokio::spawn(serve(stream, script, log, Arc::clone(&gone)));
+            }
+        });
+        Upstream { address, received, left }
+    }
+
+    /// Starts an upstream that does the same for each request.
+    pub async fn always(steps: Vec<Step>) -> Upstream {
+        Self::start(move |_| steps.clone()).await
+    }
+
+    /// Returns the requests that came.
+    pub fn received(&self) -> Vec<Received> {
+        self.received.lock().expect("no panic").clone()
+    }
+
+    /// Waits until the other end has left a connection that hangs.
+    pub async fn left(&self) {
+        self.left.notified().await;
+    }
+}
+
+async fn serve<F>(
+    mut stream: TcpStream,
+    script: Arc<F>,
+    log: Arc<Mutex<Vec<Received>>>,
+    left: Arc<Notify>,
+) where
+    F: Fn(&Received) -> Vec<Step>,
+{
+    while let Some(received) = receive(&mut stream).await {
+        let id = received.header("t-id").unwrap_or("none").to_owned();
+        let steps = script(&received);
+        log.lock().expect("no panic").push(received);
+        for step in steps {
+            match step {
+                Step::Write(text) => {
+                    let text = text.replace("{id}", &id);
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                Step::Close => return,
+                Step::Reset => {
+                    reset_on_close(&stream);
+                    return;
+                }
+                Step::Hang => {
+                    let mut buf = [0; 64];
+                    while matches!(stream.read(&mut buf).await, Ok(len) if len > 0) {}
+                    left.notify_one();
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn reset_on_close(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    socket.set_linger(Some(std::time::Duration::ZERO)).expect("linger can be set");
+}
+
+async fn receive(stream: &mut TcpStream) -> Option<Received> {
+    let mut buf = Vec::new();
+    let head_end = loop {
+        if let Some(at) = buf.windows(4).position(|window| window == b"\r\n\r\n") {
+            break at;
+        }
+        if stream.read_buf(&mut buf).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&buf[..head_end]).into_owned();
+    let mut lines = head.lines();
+    let line = lines.next()?.to_owned();
+    let headers: Vec<String> = lines
+        .map(|line| {
+            let (name, value) = line.split_once(": ").unwrap_or((line, ""));
+            format!("{}: {value}", name.to_lowercase())
+        })
+        .collect();
+    let length = headers.iter().find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+    let mut body = buf.split_off(head_end + 4);
+    while body.len() < length {
+        if stream.read_buf(&mut body).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(Received { line, headers, body: String::from_utf8_lossy(&body).into_owned() })
+}
+
+/// Returns a signed answer with a length.
+pub fn signed(status: &str, body: &str) -> Step {
+    Step::Write(format!(
+        "HTTP/1.1 {status}\r\nT-Id: {{id}}\r\nT-Signature: s\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+/// Returns a refusal that says that the request has not run.
+pub fn refusal() -> Step {
+    let head = "HTTP/1.1 503 Service Unavailable\r\nT-Id: {id}\r\nT-Not-Run: 1\r\n";
+    Step::Write(format!("{head}Content-Length: 0\r\n\r\n"))
+}
+
+/// Returns the head of a signed stream without a length.
+pub fn stream_head() -> Step {
+    let head = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\n";
+    Step::Write(format!(
+        "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ))
+}
+
+/// Returns a chunk of a stream.
+pub fn chunk(text: &str) -> Step {
+    Step::Write(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+/// Returns a chunk with one event.
+pub fn event(id: u64) -> Step {
+    chunk(&format!("id: {id}\ndata: token-{id}\n\n"))
+}
+
+/// Returns the end of a stream.
+pub fn stream_end() -> Step {
+    Step::Write("0\r\n\r\n".to_owned())
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -0,0 +1,154 @@
+//! A wire with names that no deployment has.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::Millis;
+use anvilhook_gateway::configs::{Config, Limits};
+use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::prompts::{Part, Prompt};
+use anvilhook_gateway::wires::{
+    Call, DecodeError, EngineReport, HeaderNames, Load, OrderAnswer, RoleOrder, Wire,
+};
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{Method, StatusCode};
+
+/// `TestWire` is the tests' wire. Its configuration is a bare version, its entries are text.
+#[derive(Clone)]
+pub struct TestWire {
+    names: Arc<HeaderNames>,
+}
+
+impl TestWire {
+    pub fn new() -> Self {
+        let name = HeaderName::from_static;
+        Self {
+            names: Arc::new(HeaderNames {
+                request_id: name("t-id"),
+                deadline: name("t-deadline"),
+                signature: name("t-signature"),
+                expect_instance: name("t-expect"),
+                instance: name("t-instance"),
+                not_run: name("t-not-run"),
+                load: name("t-load"),
+                last_event_id: name("last-event-id"),
+                stage: name("t-stage"),
+                kv_source: name("t-kv-source"),
+                kv_fetch: name("t-kv-fetch"),
+                priority: name("t-priority"),
+                reserved: vec![name("t-expect"), name("t-stage"), name("t-kv-source")],
+            }),
+        }
+    }
+}
+
+fn bad(field: &str) -> DecodeError {
+    DecodeError { field: field.to_owned(), message: "not a number".to_owned() }
+}
+
+impl Wire for TestWire {
+    fn headers(&self) -> &HeaderNames {
+        &self.names
+    }
+
+    fn config_row(&self) -> (&'static str, &'static str) {
+        ("configs", "current")
+    }
+
+    fn upstream_table(&self) -> &'static str {
+        "upstreams"
+    }
+
+    fn config(&self, value: &[u8]) -> Result<Config, DecodeError> {
+        let text = std::str::from_utf8(value).map_err(|_| bad("version"))?;
+        let version = text.parse().map_err(|_| bad("version"))?;
+        Ok(Config::new(version, limits(), Vec::new(), Vec::new()))
+    }
+
+    fn entry(&self, key: &str, value: &[u8]) -> Result<Entry, DecodeError> {
+        let text = std::str::from_utf8(value).map_err(|_| bad("sequence"))?;
+        let (state, sequence) = text.split_once(' ').ok_or_else(|| bad("sequence"))?;
+        let sequence = sequence.parse().map_err(|_| bad("sequence"))?;
+        Ok(Entry { draining: state == "leaving", sequence, ..entry(key, 1) })
+    }
+
+    fn prompt(&self, headers: &HeaderMap) -> Option<Prompt> {
+        let tokens = headers.get("t-tokens")?.to_str().ok()?.parse().ok()?;
+        let parts = vec![Part { id: 1, tokens: tokens / 2 }, Part { id: 2, tokens: tokens / 2 }];
+        Some(Prompt { parts, tokens, max_output: 8 })
+    }
+
+    fn load(&self, _value: &HeaderValue) -> Option<Load> {
+        None
+    }
+
+    fn prefill_stage(&self) -> HeaderValue {
+        HeaderValue::from_static("read")
+    }
+
+    fn prefill_handle(&self, body: &[u8]) -> Result<String, DecodeError> {
+        let text = std::str::from_utf8(body).map_err(|_| bad("handle"))?;
+        text.strip_prefix("handle ").map(str::to_owned).ok_or_else(|| bad("handle"))
+    }
+
+    fn kv_source(&self, address: SocketAddr, handle: &str) -> HeaderValue {
+        HeaderValue::try_from(format!("{address}/{handle}")).expect("visible text")
+    }
+
+    fn drop_handle(&self, handle: &str) -> Call {
+        Call { method: Method::DELETE, path: format!("/handles/{handle}"), body: None }
+    }
+
+    fn order(&self, order: &RoleOrder) -> Call {
+        let text = format!("{:?} {} {:?}", order.role, order.fencing_token, order.expected);
+        Call { method: Method::POST, path: "/order".to_owned(), body: Some(text.into_bytes()) }
+    }
+
+    fn order_answer(&self, status: StatusCode) -> OrderAnswer {
+        match status.as_u16() {
+            200 => OrderAnswer::Taken,
+            409 => OrderAnswer::Busy,
+            412 => OrderAnswer::Fenced,
+            _ => OrderAnswer::Refused,
+        }
+    }
+
+    fn report(&self) -> Call {
+        Call { method: Method::GET, path: "/report".to_owned(), body: None }
+    }
+
+    fn engine_report(&self, body: &[u8]) -> Result<EngineReport, DecodeError> {
+        let text = std::str::from_utf8(body).map_err(|_| bad("role"))?;
+        let role = if text.starts_with("prefill") { Role::Prefill } else { Role::Decode };
+        Ok(EngineReport { role, busy: text.ends_with("busy"), orders: 4 })
+    }
+
+    fn time_left(&self, value: &HeaderValue) -> Option<Millis> {
+        value.to_str().ok()?.parse().ok().map(Millis)
+    }
+}
+
+/// Returns the limits of the tests.
+pub fn limits() -> Limits {
+    Limits {
+        max_header_bytes: 2_000,
+        max_body_bytes: 5_000,
+        header_timeout: Millis(1_000),
+        idle_timeout: Millis(1_000),
+    }
+}
+
+/// Returns an entry of the service `service` in the gateway's own zone.
+pub fn entry(id: &str, port: u16) -> Entry {
+    Entry {
+        id: Arc::from(id),
+        service: Arc::from("service"),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        zone: Arc::from("zone-a"),
+        role: None,
+        slots: 4,
+        draining: false,
+        sequence: 1,
+    }
+}
