--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -186,7 +186,6 @@
         self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
         let flight = Flight(self.clone());
         let arrived_at = self.now();
-        let closes_after = requests::may_hide_another(req.headers());
         let received = if self.inner.refuses.load(Ordering::Acquire) {
             Err(OwnAnswer::refused("stopping", Millis::ZERO))
         } else {
@@ -204,7 +203,7 @@
         let guard = carries_stream.then_some(flight);
         let exchange = exchange.take();
         let mut answer = outcome.into_response(self, exchange, guard);
-        if self.is_stopping() || closes_after {
+        if self.is_stopping() {
             answers::close_after(&mut answer);
         }
         answer
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -161,16 +161,6 @@
     Ok(())
 }
 
-/// Returns whether the bytes after a request's body may be something else than its caller's next
-/// request.
-///
-/// Where a request has both a length and chunks, another reader may take the other one, and what is
-/// the body to one is a request of its own to the other. The HTTP library goes by the chunks and
-/// hides the length, so the connection of every request in chunks ends with its answer.
-pub(super) fn may_hide_another(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Returns a header's text.
 pub(super) fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
