Take nothing in the last 2.5 s of a stop, and bound a silent feed to 2.5 s

Change: the last 2.5 s of the time for a stop only finish what has begun; a feed waits 1.8 s and 0.7 s for its answer.

--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -13,7 +13,7 @@
 
 /// How long one call waits for changes. It bounds how long a connection that has gone silent
 /// hides them.
-const WAIT: Millis = Millis(2_500);
+const WAIT: Millis = Millis(1_800);
 
 /// How long a call waits while the table is away. A call that was sent into the outage hears nothing
 /// even after its end, and what changed meanwhile would be in force late by the whole of its wait.
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -28,11 +28,14 @@
 /// that long to notice that it is not ready.
 const NOTICE_TIME: Millis = Millis(2_300);
 
+/// How long before its end an instance that stops takes no request any more.
+const FINISH_TIME: Millis = Millis(2_500);
+
 /// How long nothing must be in flight before an instance that stops ends.
 const QUIET_TIME: Millis = Millis(150);
 
 /// What is left of the time for a stop when the process ends in any case.
-const STOP_MARGIN: Millis = Millis(1_200);
+const STOP_MARGIN: Millis = Millis(900);
 
 /// The pause between two looks at what is in flight.
 const LOOK_PAUSE: Millis = Millis(20);
@@ -147,12 +150,15 @@
     latest: Millis,
 ) {
     let noticed_at = clock.now() + NOTICE_TIME;
+    // With too few others, connections keep coming. What is taken too late would be cut by the
+    // process's end, so the last part of the time only finishes what has begun.
+    let last_taken_at = latest - FINISH_TIME;
     gateway.begin_stop();
-    quiet(gateway, clock, noticed_at, latest).await;
+    quiet(gateway, clock, noticed_at, last_taken_at).await;
     shutdown.advance(Phase::Closed);
-    quiet(gateway, clock, Millis::ZERO, latest).await;
+    quiet(gateway, clock, Millis::ZERO, last_taken_at).await;
     gateway.refuse_new();
-    quiet(gateway, clock, Millis::ZERO, latest + FLUSH_TIME).await;
+    quiet(gateway, clock, Millis::ZERO, latest).await;
 }
 
 /// Waits until nothing has been in flight for a while, not before `earliest` and at most until
