Log each decision as a typed event, and serve metrics on the control address

A line for each placement carries the predicted time and the ages of the list and of the peers' word.

--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -20,6 +20,16 @@
 }
 
 impl Repeats {
+    /// Returns the text used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Repeats::Idempotent => "idempotent",
+            Repeats::AtMostOnce => "at-most-once",
+            Repeats::Stream { resumable: true } => "resumable-stream",
+            Repeats::Stream { resumable: false } => "stream",
+        }
+    }
+
     /// Returns whether a request that may have run can be sent again.
     pub fn is_repeatable(self) -> bool {
         matches!(self, Repeats::Idempotent | Repeats::Stream { resumable: true })
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -1,12 +1,12 @@
-//! The events that an instance logs, each with its fields, in one place.
+//! The events that an instance logs, each a type with its fields, in one place.
 //!
 //! A line is logged for each decision that touches a request or changes what the instance believes.
+//! Each event says by its level how long it is kept when the lines come faster than they can be
+//! written: what is above `Info`, and what is about beliefs, goes before plain successes.
 
-use std::fmt::Display;
-
-use anvilhook_core::units::Millis;
-
-use crate::tables::TableError;
+use log::Level;
+use log::kv::{Error, Key, Source, Value, VisitSource};
+use serde::Serialize;
 
 /// The target of lines about requests.
 pub const REQUESTS: &str = "anvilhook::requests";
@@ -14,111 +14,242 @@
 /// The target of lines about what is believed.
 pub const BELIEFS: &str = "anvilhook::beliefs";
 
-/// Logs that a table can't be reached.
-pub fn dependency_lost(name: &str, err: &TableError) {
-    log::warn!(target: BELIEFS, event = "dependency_lost", dependency = name, cause:% = err; "");
-}
-
-/// Logs that a table is reached again.
-pub fn dependency_regained(name: &str, took: Millis) {
-    let took_ms = took.0;
-    log::info!(target: BELIEFS, event = "dependency_regained", dependency = name, took_ms; "");
-}
-
-/// Logs that a table's changes are no longer kept.
-pub fn history_gone(name: &str, version: u64) {
-    log::info!(target: BELIEFS, event = "history_gone", dependency = name, version; "");
-}
-
-/// Logs a row that can't be read.
-pub fn unreadable(table: &str, key: &str, err: &dyn Display) {
-    log::error!(target: BELIEFS, event = "unreadable_row", table, key, cause:% = err; "");
-}
-
-/// Logs a configuration that is now in force.
-pub fn config_adopted(version: u64, before: Option<u64>) {
-    log::info!(target: BELIEFS, event = "config_adopted", version, before:? = before; "");
-}
-
-/// Logs the upstreams that are now listed.
-pub fn fleet_changed(listed: usize, draining: usize) {
-    log::info!(target: BELIEFS, event = "fleet_changed", listed, draining; "");
-}
-
-/// Logs that an upstream turned out to be gone.
-pub fn upstream_gone(upstream: &str, request: &str) {
-    log::info!(target: BELIEFS, event = "upstream_gone", upstream, request; "");
-}
-
-/// Logs an attempt that did not bring an answer.
-pub fn attempt_failed(request: &str, upstream: &str, stage: &str, verdict: &str, cause: &str) {
-    log::warn!(
-        target: REQUESTS,
-        event = "attempt_failed", request, upstream, stage, verdict, cause; ""
-    );
-}
-
-/// `Conclusion` is how a request ended.
-#[derive(Debug)]
-pub struct Conclusion<'a> {
-    /// The request's id.
-    pub request: &'a str,
-    /// Its route, if one was found.
-    pub route: &'a str,
-    /// The status that the caller got.
-    pub status: u16,
-    /// Why, in a word.
-    pub reason: &'a str,
-    /// The upstreams that it was sent to, in order.
-    pub upstreams: String,
-    /// The time from its arrival, in milliseconds.
-    pub took_ms: u64,
-    /// The configuration's version by which it was decided.
-    pub config: u64,
-}
-
-/// Logs how a request ended, or when a stream began.
-pub fn concluded(conclusion: &Conclusion<'_>) {
-    let Conclusion { request, route, status, reason, upstreams, took_ms, config } = conclusion;
-    let level = if *status < 400 { log::Level::Info } else { log::Level::Warn };
-    log::log!(
-        target: REQUESTS, level,
-        event = "concluded", request, route, status, reason, upstreams = upstreams.as_str(),
-        took_ms, config; ""
-    );
-}
-
-/// Logs a stream that broke and what was done.
-pub fn stream_broken(request: &str, upstream: &str, last_event: Option<u64>, outcome: &str) {
-    log::warn!(
-        target: REQUESTS,
-        event = "stream_broken", request, upstream, last_event:? = last_event, outcome; ""
-    );
-}
-
-/// Logs an order to an engine.
-pub fn order_given(upstream: &str, role: &str, token: u64, outcome: &str) {
-    log::info!(
-        target: BELIEFS, event = "order_given", upstream, role, token, outcome; ""
-    );
-}
-
-/// Logs a lease that was taken or not.
-pub fn lease(outcome: &str, token: u64) {
-    log::info!(target: BELIEFS, event = "lease", outcome, token; "");
-}
-
-/// Logs the start of an instance.
-pub fn started(name: &str, zone: &str, version: &str) {
-    log::info!(target: BELIEFS, event = "started", instance = name, zone, version; "");
-}
-
-/// Logs a signal and what it leads to.
-pub fn signalled(signal: &str, in_flight: u64) {
-    log::info!(target: BELIEFS, event = "signalled", signal, in_flight; "");
-}
-
-/// Logs the end of an instance.
-pub fn stopped(in_flight: u64) {
-    log::info!(target: BELIEFS, event = "stopped", in_flight; "");
+/// `Event` is one line of the log.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event<'a> {
+    /// The instance has started.
+    Started {
+        /// Its availability zone.
+        zone: &'a str,
+        /// The program's version.
+        version: &'a str,
+    },
+    /// A signal came.
+    Signalled {
+        /// The signal's name.
+        signal: &'a str,
+        /// Requests in flight at that moment.
+        in_flight: u64,
+    },
+    /// The instance ends.
+    Stopped {
+        /// Requests that are cut by the end.
+        in_flight: u64,
+    },
+    /// A table can't be reached; what was read of it goes on being believed.
+    DependencyLost {
+        /// The table.
+        dependency: &'a str,
+        /// What came of the call.
+        cause: String,
+    },
+    /// A table is reached again.
+    DependencyRegained {
+        /// The table.
+        dependency: &'a str,
+        /// How long it was away, in milliseconds.
+        away_ms: u64,
+    },
+    /// A table's changes are no longer kept; it is read anew.
+    HistoryGone {
+        /// The table.
+        dependency: &'a str,
+        /// The version up to which it had been followed.
+        version: u64,
+    },
+    /// A row can't be read; what was believed before stays.
+    UnreadableRow {
+        /// The table.
+        table: &'a str,
+        /// The row's key.
+        key: &'a str,
+        /// The field and what is wrong with it.
+        cause: String,
+    },
+    /// A configuration is in force.
+    ConfigAdopted {
+        /// Its version.
+        version: u64,
+        /// The version before, if there was one.
+        before: Option<u64>,
+    },
+    /// The listed upstreams have changed.
+    FleetChanged {
+        /// How many are listed.
+        listed: usize,
+        /// Those that are leaving.
+        draining: Vec<&'a str>,
+        /// Those that were not listed before.
+        added: Vec<&'a str>,
+        /// Those that are no longer listed.
+        removed: Vec<&'a str>,
+    },
+    /// An upstream turned out to be gone, before the list said so.
+    UpstreamGone {
+        /// The upstream.
+        upstream: &'a str,
+        /// The request by which it was learnt.
+        request: &'a str,
+    },
+    /// The lease for orders was taken, or was not.
+    Lease {
+        /// What came of it.
+        outcome: &'a str,
+        /// The fencing token, 0 if there is none.
+        token: u64,
+    },
+    /// An order was given to an engine.
+    OrderGiven {
+        /// The engine.
+        upstream: &'a str,
+        /// The role that it is to take.
+        role: &'a str,
+        /// The fencing token.
+        token: u64,
+        /// What the engine said.
+        outcome: &'a str,
+    },
+    /// An upstream was chosen and the request is sent there.
+    Placed {
+        /// The request.
+        request: &'a str,
+        /// The upstream.
+        upstream: &'a str,
+        /// What it is to do: `plain`, `read` or `generate`.
+        stage: &'a str,
+        /// The predicted time until it is done or has begun to answer, in milliseconds.
+        predicted_ms: u64,
+        /// What all instances are believed to have in flight there.
+        in_flight: u32,
+        /// The engine from which the prompt is fetched, if any.
+        source: Option<&'a str>,
+        /// The age of the list of upstreams, in milliseconds.
+        list_age_ms: Option<u64>,
+        /// The age of the newest word of a peer, in milliseconds.
+        peers_age_ms: Option<u64>,
+    },
+    /// An attempt brought no answer to pass on.
+    AttemptFailed {
+        /// The request.
+        request: &'a str,
+        /// The upstream.
+        upstream: &'a str,
+        /// What it was to do.
+        stage: &'a str,
+        /// Whether the request may have run.
+        verdict: &'a str,
+        /// Why.
+        cause: &'a str,
+    },
+    /// A stream broke after its first event.
+    StreamBroken {
+        /// The request.
+        request: &'a str,
+        /// The upstream.
+        upstream: &'a str,
+        /// The last event that the caller got.
+        last_event: Option<u64>,
+        /// Why it broke.
+        cause: &'a str,
+        /// `resumed`, or why it was not.
+        outcome: &'a str,
+    },
+    /// A stream has come to its end.
+    StreamEnded {
+        /// The request.
+        request: &'a str,
+        /// `whole`, `cut`, or `left` if the caller went first.
+        outcome: &'a str,
+        /// The time from the request's arrival, in milliseconds.
+        took_ms: u64,
+    },
+    /// A request has been answered, or its stream has begun.
+    Concluded {
+        /// The request, empty if it bore no id.
+        request: &'a str,
+        /// Its route, empty if none was found.
+        route: &'a str,
+        /// The status that the caller got.
+        status: u16,
+        /// Why, in a word.
+        reason: &'a str,
+        /// When the caller is to come back, in milliseconds.
+        retry_after_ms: Option<u64>,
+        /// The upstreams that it was sent to, with what each took.
+        upstreams: &'a str,
+        /// The time from its arrival, in milliseconds.
+        took_ms: u64,
+        /// The time that the caller had, in milliseconds.
+        had_ms: u64,
+        /// The version of the configuration by which it was decided.
+        config: u64,
+    },
+}
+
+impl Event<'_> {
+    /// Returns the level of the line.
+    pub fn level(&self) -> Level {
+        match self {
+            Event::DependencyLost { .. }
+            | Event::AttemptFailed { .. }
+            | Event::StreamBroken { .. } => Level::Warn,
+            Event::UnreadableRow { .. } => Level::Error,
+            Event::StreamEnded { outcome, .. } if *outcome == "cut" => Level::Warn,
+            Event::Concluded { status, .. } if *status >= 400 => Level::Warn,
+            _ => Level::Info,
+        }
+    }
+
+    /// Returns whether the line is about a request.
+    pub fn is_of_request(&self) -> bool {
+        matches!(
+            self,
+            Event::Placed { .. }
+                | Event::AttemptFailed { .. }
+                | Event::StreamBroken { .. }
+                | Event::StreamEnded { .. }
+                | Event::Concluded { .. }
+        )
+    }
+}
+
+/// The key under which a line carries its event.
+const EVENT_KEY: &str = "json";
+
+/// Logs an event. The line carries it as one JSON object.
+pub fn emit(event: &Event<'_>) {
+    let target = if event.is_of_request() { REQUESTS } else { BELIEFS };
+    let level = event.level();
+    if !log::log_enabled!(target: target, level) {
+        return;
+    }
+    let Ok(json) = serde_json::to_string(event) else { return };
+    let pairs = [(EVENT_KEY, json.as_str())];
+    let record = log::Record::builder()
+        .args(format_args!(""))
+        .level(level)
+        .target(target)
+        .key_values(&pairs)
+        .build();
+    log::logger().log(&record);
+}
+
+/// Returns the JSON object of a line that `emit` logged, `None` for any other line.
+pub fn json_of(record: &log::Record<'_>) -> Option<String> {
+    struct Find(Option<String>);
+
+    impl<'kvs> VisitSource<'kvs> for Find {
+        fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+            if key.as_str() == EVENT_KEY {
+                self.0 = value.to_borrowed_str().map(str::to_owned);
+            }
+            Ok(())
+        }
+    }
+
+    let mut find = Find(None);
+    let source: &dyn Source = record.key_values();
+    source.visit(&mut find).ok()?;
+    find.0
 }
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -279,9 +279,10 @@
         self.view.load().get(id).is_some_and(|upstream| upstream.takes_work(now))
     }
 
-    /// Puts the listed entries in place of the earlier ones. Upstreams that stay keep their state.
-    pub fn replace(&self, entries: impl IntoIterator<Item = Entry>) {
-        let earlier = self.view.load();
+    /// Puts the listed entries in place of the earlier ones, and returns those. Upstreams that stay
+    /// keep their state.
+    pub fn replace(&self, entries: impl IntoIterator<Item = Entry>) -> Arc<FleetView> {
+        let earlier = self.view.load_full();
         let mut view = FleetView::default();
         for entry in entries {
             let id = Arc::clone(&entry.id);
@@ -299,6 +300,7 @@
             upstreams.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
         }
         self.view.store(Arc::new(view));
+        earlier
     }
 }
 
--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -5,11 +5,11 @@
 
 use anvilhook_core::units::{Clock, Millis};
 
-use crate::events;
+use crate::events::{Event, emit};
 use crate::fleets::Entry;
 use crate::relay::Gateway;
 use crate::tables::{Row, Rows, Table, TableError};
-use crate::wires::Wire;
+use crate::wires::{DecodeError, Wire};
 
 /// How long one call waits for changes. It bounds how long a connection that has gone silent
 /// hides them.
@@ -26,6 +26,10 @@
 /// How long after the table's return an entry that lapsed may take to be back.
 const LAPSE_GRACE: Millis = Millis(2_200);
 
+/// The beliefs that are read from tables, as metrics name them.
+const CONFIG_BELIEF: &str = "config";
+pub(crate) const LIST_BELIEF: &str = "list";
+
 /// `Follow` takes in what stands in a table and what changes there.
 pub trait Follow: Send {
     /// Returns the table's name.
@@ -37,6 +41,9 @@
     /// Takes in changed rows, in order.
     fn change(&mut self, rows: &[Row]);
 
+    /// Notes that the table has answered.
+    fn heard(&mut self) {}
+
     /// Notes that the table can't be reached.
     fn lost(&mut self) {}
 
@@ -53,8 +60,8 @@
     let mut version = None;
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
+    let mut lost_at = Millis::ZERO;
     loop {
-        let started_at = clock.now();
         let read = match version {
             None => table.scan(name).await,
             Some(version) if is_lost => table.changes(name, version, WAIT_WHILE_LOST).await,
@@ -63,20 +70,24 @@
         match read {
             Ok(rows) => {
                 if std::mem::take(&mut is_lost) {
-                    events::dependency_regained(name, clock.now() - started_at);
+                    let away_ms = (clock.now() - lost_at).0;
+                    emit(&Event::DependencyRegained { dependency: name, away_ms });
                     follower.regained();
                 }
                 pause = FIRST_PAUSE;
+                follower.heard();
                 take_in(&mut follower, &rows, version.is_none());
                 version = Some(rows.version);
             }
             Err(TableError::HistoryGone) => {
-                events::history_gone(name, version.unwrap_or_default());
+                let version_before = version.unwrap_or_default();
+                emit(&Event::HistoryGone { dependency: name, version: version_before });
                 version = None;
             }
             Err(err) => {
                 if !std::mem::replace(&mut is_lost, true) {
-                    events::dependency_lost(name, &err);
+                    lost_at = clock.now();
+                    emit(&Event::DependencyLost { dependency: name, cause: err.to_string() });
                     follower.lost();
                 }
                 tokio::time::sleep(pause.as_duration()).await;
@@ -87,6 +98,10 @@
     }
 }
 
+fn unreadable(table: &str, key: &str, err: &DecodeError) {
+    emit(&Event::UnreadableRow { table, key, cause: err.to_string() });
+}
+
 fn take_in<F: Follow>(follower: &mut F, rows: &Rows, is_whole: bool) {
     if is_whole {
         follower.reset(&rows.rows);
@@ -116,13 +131,17 @@
         self.change(rows);
     }
 
+    fn heard(&mut self) {
+        self.gateway.record_contact(CONFIG_BELIEF);
+    }
+
     fn change(&mut self, rows: &[Row]) {
         let (_, key) = self.gateway.wire().config_row();
         for row in rows.iter().filter(|row| row.key == key) {
             let Some(value) = &row.value else { continue };
             match self.gateway.wire().config(value) {
                 Ok(config) => self.gateway.adopt_config(config),
-                Err(err) => events::unreadable(self.table(), &row.key, &err),
+                Err(err) => unreadable(self.table(), &row.key, &err),
             }
         }
     }
@@ -257,8 +276,7 @@
     }
 
     fn publish(&self, book: &EntryBook) {
-        self.gateway.fleet().replace(book.entries().cloned());
-        self.gateway.record_fleet();
+        self.gateway.adopt_entries(book.entries().cloned());
     }
 
     fn decode(&self, row: &Row) -> Option<Entry> {
@@ -266,7 +284,7 @@
         match self.gateway.wire().entry(&row.key, value) {
             Ok(entry) => Some(entry),
             Err(err) => {
-                events::unreadable(self.table(), &row.key, &err);
+                unreadable(self.table(), &row.key, &err);
                 None
             }
         }
@@ -282,8 +300,7 @@
             tokio::time::sleep((due - clock.now() + Millis(1)).as_duration()).await;
             let mut book = book.lock().expect("no panic under this lock");
             if book.expire(clock.now()) {
-                gateway.fleet().replace(book.entries().cloned());
-                gateway.record_fleet();
+                gateway.adopt_entries(book.entries().cloned());
             }
         });
     }
@@ -321,6 +338,10 @@
         self.expire_later();
     }
 
+    fn heard(&mut self) {
+        self.gateway.record_contact(LIST_BELIEF);
+    }
+
     fn lost(&mut self) {
         self.book.lock().expect("no panic under this lock").lost();
     }
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -16,7 +16,7 @@
 use volo_http::response::Response;
 use volo_http::server::route::Router;
 
-use crate::events;
+use crate::events::{Event, emit};
 use crate::followers::{ConfigFollower, EntryFollower, follow};
 use crate::peers::{self, Peers};
 use crate::relay::{Gateway, GatewayOptions};
@@ -52,6 +52,8 @@
     pub front: SocketAddr,
     /// Where readiness is asked for.
     pub readiness: SocketAddr,
+    /// Where metrics are asked for, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// The time from the signal to stop to the end of the process.
     pub grace: Millis,
     /// Where other instances send their datagrams.
@@ -86,27 +88,36 @@
     let readiness = TcpListener::bind(options.readiness).await?;
     let serving = tokio::spawn(serve_front(front, gateway.clone(), shutdown.clone()));
     tokio::spawn(serve_readiness(readiness, gateway.clone(), shutdown.clone()));
+    if let Some(address) = options.metrics {
+        let listener = TcpListener::bind(address).await?;
+        tokio::spawn(serve_metrics(listener, gateway.clone(), shutdown.clone()));
+    }
     let config_follower = ConfigFollower::new(gateway.clone());
     tokio::spawn(follow(table.clone(), clock.clone(), config_follower));
     let entry_follower = EntryFollower::new(gateway.clone(), clock.clone());
     tokio::spawn(follow(table.clone(), clock.clone(), entry_follower));
     start_peers(&options, &gateway, &table, &clock).await?;
-    events::started(&options.name, &options.gateway.zone, env!("CARGO_PKG_VERSION"));
+    let (zone, version) = (&*options.gateway.zone, env!("CARGO_PKG_VERSION"));
+    emit(&Event::Started { zone, version });
 
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => events::signalled("SIGHUP", gateway.in_flight()),
+            _ = hangup.recv() => signalled("SIGHUP", gateway.in_flight()),
         }
     }
-    events::signalled("SIGTERM", gateway.in_flight());
+    signalled("SIGTERM", gateway.in_flight());
     let latest = clock.now() + (options.grace - STOP_MARGIN);
     stop(&gateway, &shutdown, &clock, latest).await;
     let _ = tokio::time::timeout(FLUSH_TIME.as_duration(), serving).await;
-    events::stopped(gateway.in_flight());
+    emit(&Event::Stopped { in_flight: gateway.in_flight() });
     Ok(())
 }
 
+fn signalled(signal: &str, in_flight: u64) {
+    emit(&Event::Signalled { signal, in_flight });
+}
+
 async fn start_peers<W: Wire, T: Table, C: Clock>(
     options: &InstanceOptions,
     gateway: &Gateway<W, C>,
@@ -211,6 +222,18 @@
     anvilhook_http::serve(listener, router, shutdown).await
 }
 
+async fn serve_metrics<W: Wire, C: Clock>(
+    listener: TcpListener,
+    gateway: Gateway<W, C>,
+    shutdown: Shutdown,
+) -> std::io::Result<()> {
+    let router: Router = Router::new().fallback(move |_req: Request| {
+        let gateway = gateway.clone();
+        async move { gateway.metrics_text() }
+    });
+    anvilhook_http::serve(listener, router, shutdown).await
+}
+
 fn readiness(is_ready: bool) -> Response {
     let mut answer = Response::new(Body::empty());
     if !is_ready {
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleets;
 pub mod followers;
 pub mod instances;
+pub mod metrics;
 pub mod peers;
 pub mod placements;
 pub mod prompts;
--- /dev/null
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -0,0 +1,240 @@
+//! Counters, histograms and gauges of an instance, as text for Prometheus.
+//!
+//! Label sets are bounded: services and upstreams are those that are declared and listed, and what
+//! the gateway itself names is a fixed set of words.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use anvilhook_core::units::{Clock, Millis};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::relay::Gateway;
+use crate::wires::Wire;
+
+/// The upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
+
+/// The most services that have series of their own; the rest share one.
+const MAX_SERVICES: usize = 64;
+
+/// `RequestLabels` tell how requests ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RequestLabels {
+    /// The service, empty where no route was found.
+    pub service: String,
+    /// What may be repeated.
+    pub kind: &'static str,
+    /// The status that the caller got.
+    pub status: u16,
+    /// Why.
+    pub reason: &'static str,
+}
+
+/// `AttemptLabels` tell how attempts failed.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct AttemptLabels {
+    /// What the attempt was for.
+    pub stage: &'static str,
+    /// The verdict on it.
+    pub verdict: &'static str,
+    /// Why it failed.
+    pub cause: &'static str,
+}
+
+/// `KindLabel` is a kind of requests.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct KindLabel {
+    /// What may be repeated.
+    pub kind: &'static str,
+}
+
+/// `NameLabel` names a service, an upstream, a belief or an outcome.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct NameLabel {
+    /// The name.
+    pub name: String,
+}
+
+/// `GatewayMetrics` is all that an instance counts.
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Attempts that brought no answer to pass on.
+    pub failed_attempts: Family<AttemptLabels, Counter>,
+    /// Streams that broke after their first event, by what was done.
+    pub broken_streams: Family<NameLabel, Counter>,
+    /// Orders given to engines, by outcome.
+    pub orders: Family<NameLabel, Counter>,
+    /// The time to the head of the answer.
+    pub latency: Family<KindLabel, Histogram>,
+    in_flight: Gauge,
+    config_version: Gauge,
+    lease_token: Gauge,
+    peers: Gauge,
+    belief_age_ms: Family<NameLabel, Gauge>,
+    budget_left: Family<NameLabel, Gauge>,
+    upstream_in_flight: Family<NameLabel, Gauge>,
+    upstream_reading_ms: Family<NameLabel, Gauge>,
+    upstream_ejected: Family<NameLabel, Gauge>,
+    contacts: Mutex<HashMap<&'static str, Millis>>,
+}
+
+impl GatewayMetrics {
+    /// Makes metrics that have counted nothing.
+    pub fn new() -> Self {
+        let latency = || Histogram::new(LATENCY_BOUNDS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("anvilhook_gateway"),
+            requests: Family::default(),
+            failed_attempts: Family::default(),
+            broken_streams: Family::default(),
+            orders: Family::default(),
+            latency: Family::new_with_constructor(latency),
+            in_flight: Gauge::default(),
+            config_version: Gauge::default(),
+            lease_token: Gauge::default(),
+            peers: Gauge::default(),
+            belief_age_ms: Family::default(),
+            budget_left: Family::default(),
+            upstream_in_flight: Family::default(),
+            upstream_reading_ms: Family::default(),
+            upstream_ejected: Family::default(),
+            contacts: Mutex::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by how they ended", self.requests.clone());
+        registry.register(
+            "failed_attempts",
+            "Attempts that brought no answer to pass on",
+            self.failed_attempts.clone(),
+        );
+        registry.register(
+            "broken_streams",
+            "Streams that broke after their first event",
+            self.broken_streams.clone(),
+        );
+        registry.register("orders", "Orders given to engines", self.orders.clone());
+        registry.register(
+            "latency_seconds",
+            "Time to the head of the answer",
+            self.latency.clone(),
+        );
+        registry.register("in_flight", "Requests in flight", self.in_flight.clone());
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+        registry.register(
+            "lease_token",
+            "Fencing token of the last lease held, 0 if none",
+            self.lease_token.clone(),
+        );
+        registry.register("peers", "Other instances heard of late", self.peers.clone());
+        registry.register(
+            "belief_age_ms",
+            "Time since the source of a belief was last heard",
+            self.belief_age_ms.clone(),
+        );
+        registry.register(
+            "retry_budget_left",
+            "Extra arrivals left in the window",
+            self.budget_left.clone(),
+        );
+        registry.register(
+            "upstream_in_flight",
+            "Requests in flight at an upstream, estimated over all instances",
+            self.upstream_in_flight.clone(),
+        );
+        registry.register(
+            "upstream_reading_ms",
+            "Prompt work waiting at an engine, estimated over all instances",
+            self.upstream_reading_ms.clone(),
+        );
+        registry.register(
+            "upstream_ejected",
+            "Whether an upstream is ejected",
+            self.upstream_ejected.clone(),
+        );
+    }
+
+    /// Notes that the source of a belief has been heard.
+    pub fn record_contact(&self, belief: &'static str, now: Millis) {
+        self.contacts.lock().expect("no panic under this lock").insert(belief, now);
+    }
+
+    /// Returns how long ago the source of a belief was heard, `None` if it never was.
+    pub fn belief_age(&self, belief: &str, now: Millis) -> Option<Millis> {
+        let contacts = self.contacts.lock().expect("no panic under this lock");
+        contacts.get(belief).map(|at| now - *at)
+    }
+
+    /// Notes a lease that was taken.
+    pub fn record_lease(&self, token: u64) {
+        self.lease_token.set(i64::try_from(token).unwrap_or(i64::MAX));
+    }
+
+    /// Returns the label of a service. Beyond a number of services, all share one.
+    pub fn service_label(&self, service: &str, declared: usize) -> String {
+        if declared > MAX_SERVICES { "other".to_owned() } else { service.to_owned() }
+    }
+
+    /// Returns all metrics as text.
+    pub fn text<W: Wire, C: Clock>(&self, gateway: &Gateway<W, C>, now: Millis) -> String {
+        self.refresh(gateway, now);
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(err) => format!("# {err}\n"),
+        }
+    }
+
+    fn refresh<W: Wire, C: Clock>(&self, gateway: &Gateway<W, C>, now: Millis) {
+        let label = |name: &str| NameLabel { name: name.to_owned() };
+        self.in_flight.set(gateway.in_flight() as i64);
+        self.peers.set(gateway.peers_heard(now) as i64);
+        for (belief, at) in self.contacts.lock().expect("no panic under this lock").iter() {
+            self.belief_age_ms.get_or_create(&label(belief)).set((now - *at).0 as i64);
+        }
+        self.budget_left.clear();
+        if let Some(config) = gateway.config() {
+            self.config_version.set(config.version as i64);
+            for service in config.services().take(MAX_SERVICES) {
+                let left = gateway.budget_left(&service.name, now) as i64;
+                self.budget_left.get_or_create(&label(&service.name)).set(left);
+            }
+        }
+        // Upstreams come and go; what is not listed any more leaves no series behind.
+        let families =
+            [&self.upstream_in_flight, &self.upstream_reading_ms, &self.upstream_ejected];
+        families.iter().for_each(|family| family.clear());
+        for upstream in gateway.fleet().view().all() {
+            let label = label(&upstream.entry.id);
+            let work = upstream.state.work(now);
+            let reading_ms: f64 = work.reading_ms.iter().sum();
+            let is_ejected = upstream.state.ejection().is_ejected(now);
+            self.upstream_in_flight.get_or_create(&label).set(i64::from(work.in_flight));
+            self.upstream_reading_ms.get_or_create(&label).set(reading_ms as i64);
+            self.upstream_ejected.get_or_create(&label).set(i64::from(is_ejected));
+        }
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/anvilhook-gateway/src/peers.rs
+++ b/crates/anvilhook-gateway/src/peers.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::events;
+use crate::events::{Event, emit};
 use crate::fleets::{LANES, PeerLoad, digest_of};
 use crate::prompts::Part;
 use crate::relay::Gateway;
@@ -140,6 +140,7 @@
                 if let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) {
                     let now = clock.now();
                     peers.hear(from, digest.from, now);
+                    gateway.record_peer(digest.from);
                     take_in(&digest, &gateway, now);
                 }
             }
@@ -247,7 +248,7 @@
         match try_register(&table, &name, address, &peers).await {
             Ok(()) => return,
             Err(err) => {
-                events::dependency_lost(PEER_TABLE, &err);
+                emit(&Event::DependencyLost { dependency: PEER_TABLE, cause: err.to_string() });
                 tokio::time::sleep(TABLE_PAUSE).await;
             }
         }
--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Returns when the caller is to come back, if it is.
+    pub fn retry_after(&self) -> Option<Millis> {
+        match self {
+            Outcome::Own(answer) => answer.retry_after,
+            Outcome::Whole(_) | Outcome::Stream(_) => None,
+        }
+    }
+
     /// Makes the answer for the caller.
     pub fn into_response<W: Wire, C: Clock>(
         self,
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -1,5 +1,6 @@
 //! One sending of a request to one upstream, and the check of what comes back.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvilhook_core::Verdict;
@@ -12,11 +13,13 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::Gateway;
 use super::answers::WholeAnswer;
 use super::requests::{Exchange, end_to_end};
-use crate::events;
+use super::{Gateway, PEER_BELIEF};
+use crate::events::{Event, emit};
 use crate::fleets::Upstream;
+use crate::followers::LIST_BELIEF;
+use crate::metrics::AttemptLabels;
 use crate::wires::Wire;
 
 /// The most bytes of an answer that is collected before it is passed on.
@@ -65,6 +68,10 @@
     pub head_timeout: Millis,
     /// What the attempt is for, for logs.
     pub stage: &'static str,
+    /// The predicted time until it is done, in milliseconds, for logs.
+    pub predicted_ms: f64,
+    /// The engine from which the prompt is fetched, for logs.
+    pub source: Option<Arc<str>>,
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
@@ -77,6 +84,7 @@
         exchange: &Exchange,
         sending: Sending<'_>,
     ) -> Result<Response, Failed> {
+        self.log_placed(exchange, &sending);
         let result = self.send_unlogged(exchange, &sending).await;
         let (state, now) = (&sending.upstream.state, self.now());
         match &result {
@@ -93,15 +101,33 @@
         result
     }
 
+    fn log_placed(&self, exchange: &Exchange, sending: &Sending<'_>) {
+        let now = self.now();
+        let age = |belief| self.inner.metrics.belief_age(belief, now).map(|age| age.0);
+        emit(&Event::Placed {
+            request: &exchange.id,
+            upstream: &sending.upstream.entry.id,
+            stage: sending.stage,
+            predicted_ms: sending.predicted_ms as u64,
+            in_flight: sending.upstream.state.work(now).in_flight,
+            source: sending.source.as_deref(),
+            list_age_ms: age(LIST_BELIEF),
+            peers_age_ms: age(PEER_BELIEF),
+        });
+    }
+
     pub(super) fn log_failed(
         &self,
         exchange: &Exchange,
         upstream: &Upstream,
-        stage: &str,
+        stage: &'static str,
         failed: &Failed,
     ) {
-        let verdict = failed.verdict.as_str();
-        events::attempt_failed(&exchange.id, &upstream.entry.id, stage, verdict, failed.cause);
+        let (verdict, cause) = (failed.verdict.as_str(), failed.cause);
+        let (request, upstream) = (&*exchange.id, &*upstream.entry.id);
+        emit(&Event::AttemptFailed { request, upstream, stage, verdict, cause });
+        let labels = AttemptLabels { stage, verdict, cause };
+        self.inner.metrics.failed_attempts.get_or_create(&labels).inc();
     }
 
     async fn send_unlogged(
@@ -161,7 +187,8 @@
             let answered_by = headers.get(&names.instance).map(HeaderValue::as_bytes);
             if answered_by.is_some_and(|id| id != upstream.entry.id.as_bytes()) {
                 upstream.state.mark_gone();
-                events::upstream_gone(&upstream.entry.id, &exchange.id);
+                let (upstream, request) = (&*upstream.entry.id, &*exchange.id);
+                emit(&Event::UpstreamGone { upstream, request });
             } else {
                 upstream.state.mark_away(self.now() + WRONG_STAGE_PAUSE);
             }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod requests;
 mod resumption;
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -21,8 +22,9 @@
 use crate::budgets::{Budget, BudgetOptions};
 use crate::caches::CacheBeliefs;
 use crate::configs::{Config, Repeats};
-use crate::events::{self, Conclusion};
-use crate::fleets::Fleet;
+use crate::events::{Event, emit};
+use crate::fleets::{Entry, Fleet, FleetView};
+use crate::metrics::{GatewayMetrics, KindLabel, RequestLabels};
 use crate::prompts::{EngineSpeed, Part};
 use crate::wires::Wire;
 
@@ -32,6 +34,15 @@
 /// When a caller is to come back whose request found no time to run.
 const TIMEOUT_PAUSE: Millis = Millis(100);
 
+/// The belief that peers are the source of, as metrics name it.
+pub(crate) const PEER_BELIEF: &str = "peers";
+
+/// How long a peer that is not heard counts as heard of late.
+const PEER_AGE: Millis = Millis(2_000);
+
+/// The most upstreams that one line of the log names.
+const MAX_LOGGED: usize = 16;
+
 /// `GatewayOptions` are the figures by which requests are served.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -69,6 +80,8 @@
     is_stopping: AtomicBool,
     refuses: AtomicBool,
     has_fleet: AtomicBool,
+    metrics: GatewayMetrics,
+    peers_heard: Mutex<HashMap<u64, Millis>>,
     /// Engines that have read a prompt since the peers were told last.
     cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
 }
@@ -98,6 +111,8 @@
             is_stopping: AtomicBool::new(false),
             refuses: AtomicBool::new(false),
             has_fleet: AtomicBool::new(false),
+            metrics: GatewayMetrics::new(),
+            peers_heard: Mutex::default(),
             cached: Mutex::default(),
         };
         Self { inner: Arc::new(inner) }
@@ -165,16 +180,57 @@
         }
         let version = config.version;
         self.inner.config.store(Some(Arc::new(config)));
-        events::config_adopted(version, before);
+        emit(&Event::ConfigAdopted { version, before });
     }
 
-    /// Notes that the fleet has been read.
-    pub fn record_fleet(&self) {
-        self.inner.has_fleet.store(true, Ordering::Release);
+    /// Puts the listed upstreams in place of the earlier ones.
+    pub fn adopt_entries(&self, entries: impl IntoIterator<Item = Entry>) {
+        let earlier = self.inner.fleet.replace(entries);
         let view = self.inner.fleet.view();
-        let draining = view.all().filter(|upstream| upstream.entry.draining).count();
-        events::fleet_changed(view.all().count(), draining);
+        self.inner.has_fleet.store(true, Ordering::Release);
         self.inner.caches.retain(|engine| view.get(engine).is_some());
+        let draining = view.all().filter(|upstream| upstream.entry.draining);
+        emit(&Event::FleetChanged {
+            listed: view.all().count(),
+            draining: draining.map(|upstream| &*upstream.entry.id).take(MAX_LOGGED).collect(),
+            added: missing_in(&earlier, &view),
+            removed: missing_in(&view, &earlier),
+        });
+    }
+
+    /// Returns what is counted.
+    pub fn metrics(&self) -> &GatewayMetrics {
+        &self.inner.metrics
+    }
+
+    /// Returns all metrics as text.
+    pub fn metrics_text(&self) -> String {
+        self.inner.metrics.text(self, self.now())
+    }
+
+    /// Notes that the source of a belief has been heard.
+    pub fn record_contact(&self, belief: &'static str) {
+        self.inner.metrics.record_contact(belief, self.now());
+    }
+
+    /// Notes that a peer has been heard.
+    pub fn record_peer(&self, number: u64) {
+        self.record_contact(PEER_BELIEF);
+        let now = self.now();
+        let mut heard = self.inner.peers_heard.lock().expect("no panic under this lock");
+        heard.retain(|_, at| *at + PEER_AGE > now);
+        heard.insert(number, now);
+    }
+
+    /// Returns how many peers were heard of late.
+    pub fn peers_heard(&self, now: Millis) -> usize {
+        let heard = self.inner.peers_heard.lock().expect("no panic under this lock");
+        heard.values().filter(|at| **at + PEER_AGE > now).count()
+    }
+
+    /// Returns how many extra arrivals a service's budget has left.
+    pub fn budget_left(&self, service: &Arc<str>, now: Millis) -> f64 {
+        self.inner.budget.left(service, now)
     }
 
     fn now(&self) -> Millis {
@@ -236,17 +292,34 @@
     }
 
     fn conclude(&self, exchange: Option<&Exchange>, outcome: &Outcome, arrived_at: Millis) {
-        let route = exchange.map_or("", |exchange| &exchange.route.name);
-        let request = exchange.map_or("", |exchange| &exchange.id);
+        let took = self.now() - arrived_at;
+        let config = self.inner.config.load();
         let upstreams = exchange.map_or_else(String::new, |exchange| exchange.tried.join(" "));
-        events::concluded(&Conclusion {
-            request,
-            route,
-            status: outcome.status().as_u16(),
+        let status = outcome.status().as_u16();
+        emit(&Event::Concluded {
+            request: exchange.map_or("", |exchange| &exchange.id),
+            route: exchange.map_or("", |exchange| &exchange.route.name),
+            status,
             reason: outcome.reason(),
-            upstreams,
-            took_ms: (self.now() - arrived_at).0,
-            config: self.inner.config.load().as_ref().map_or(0, |config| config.version),
+            retry_after_ms: outcome.retry_after().map(|pause| pause.0),
+            upstreams: &upstreams,
+            took_ms: took.0,
+            had_ms: exchange.map_or(0, |exchange| (exchange.give_up_at - arrived_at).0),
+            config: config.as_ref().map_or(0, |config| config.version),
         });
+        let kind = exchange.map_or("unknown", |exchange| exchange.route.repeats.as_str());
+        let declared = config.as_ref().map_or(0, |config| config.services().count());
+        let service = exchange.map_or("", |exchange| &exchange.service);
+        let service = self.inner.metrics.service_label(service, declared);
+        let labels = RequestLabels { service, kind, status, reason: outcome.reason() };
+        self.inner.metrics.requests.get_or_create(&labels).inc();
+        let latency = self.inner.metrics.latency.get_or_create(&KindLabel { kind });
+        latency.observe(took.as_secs_f64());
     }
 }
+
+/// Returns the upstreams of `view` that `other` lacks, for logs.
+fn missing_in<'v>(other: &FleetView, view: &'v FleetView) -> Vec<&'v str> {
+    let ids = view.all().map(|upstream| &*upstream.entry.id);
+    ids.filter(|id| other.get(id).is_none()).take(MAX_LOGGED).collect()
+}
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -92,8 +92,15 @@
         };
         exchange.tried.push(upstream.entry.id.to_string());
         let could_have_run = std::mem::replace(&mut exchange.may_have_run, true);
-        let sending =
-            Sending { upstream, extra: Vec::new(), connection, head_timeout, stage: "plain" };
+        let sending = Sending {
+            upstream,
+            extra: Vec::new(),
+            connection,
+            head_timeout,
+            stage: "plain",
+            predicted_ms: 0.0,
+            source: None,
+        };
         let sent = self.send(exchange, sending).await;
         let result = match sent {
             Ok(answer) => {
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -50,6 +50,15 @@
     Answer(WholeAnswer),
 }
 
+/// `GenerateWork` is what generating asks of an engine before the first event.
+#[derive(Clone, Debug, Default)]
+struct GenerateWork {
+    reading_ms: f64,
+    fetching_ms: f64,
+    first_event_ms: f64,
+    source: Option<Arc<str>>,
+}
+
 impl<W: Wire, C: Clock> Gateway<W, C> {
     pub(super) async fn serve_prompt(&self, exchange: &mut Exchange) -> Outcome {
         self.inner.budget.record_request(&exchange.service, self.now());
@@ -215,6 +224,8 @@
             connection: if is_first { Connection::Pooled } else { Connection::New },
             head_timeout: MIN_READING_TIMEOUT + slack,
             stage: "read",
+            predicted_ms: reader.total_ms,
+            source: reader.fetch_from.as_ref().map(|other| Arc::clone(&other.entry.id)),
         };
         let read = self.finish_reading(exchange, sending).await;
         drop(held);
@@ -276,8 +287,18 @@
         avoid: &mut Vec<Arc<str>>,
     ) -> Result<Result<Opened, Failed>, Outcome> {
         let work = match &handle {
-            Some(_) => (0.0, generator.fetching_ms),
-            None => (generator.reading_ms, 0.0),
+            Some(handle) => GenerateWork {
+                reading_ms: 0.0,
+                fetching_ms: generator.fetching_ms,
+                first_event_ms: generator.fetched_ms,
+                source: Some(Arc::clone(&handle.upstream().entry.id)),
+            },
+            None => GenerateWork {
+                reading_ms: generator.reading_ms,
+                fetching_ms: 0.0,
+                first_event_ms: generator.direct_ms,
+                source: None,
+            },
         };
         let mut extra = vec![self.urgency(exchange)];
         if let Some(handle) = &handle {
@@ -309,7 +330,10 @@
             return Err(nobody);
         };
         avoid.push(Arc::clone(&upstream.entry.id));
-        match self.open_at(exchange, &upstream, (0.0, 0.0), Vec::new(), resume_after).await {
+        match self
+            .open_at(exchange, &upstream, GenerateWork::default(), Vec::new(), resume_after)
+            .await
+        {
             Ok(opened) => opened,
             Err(_) => Err(nobody),
         }
@@ -320,7 +344,7 @@
         &self,
         exchange: &mut Exchange,
         upstream: &Arc<Upstream>,
-        (reading_ms, fetching_ms): (f64, f64),
+        work: GenerateWork,
         mut extra: Vec<(HeaderName, HeaderValue)>,
         resume_after: Option<u64>,
     ) -> Result<Result<Opened, Failed>, Outcome> {
@@ -339,11 +363,19 @@
         let held = Held::with_work(
             Arc::clone(upstream),
             lane_of(exchange.route.priority),
-            reading_ms,
-            fetching_ms,
+            work.reading_ms,
+            work.fetching_ms,
         );
         let connection = if exchange.runs > 0 { Connection::New } else { Connection::Pooled };
-        let sending = Sending { upstream, extra, connection, head_timeout, stage: "generate" };
+        let sending = Sending {
+            upstream,
+            extra,
+            connection,
+            head_timeout,
+            stage: "generate",
+            predicted_ms: work.first_event_ms,
+            source: work.source,
+        };
         let result = match self.send(exchange, sending).await {
             Ok(answer) if answer.status().is_success() => {
                 let relay = Relay::open(self, exchange, answer, held, resume_after).await;
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -36,6 +36,8 @@
     pub route: Arc<Route>,
     pub service: Arc<str>,
     pub prompt: Option<Prompt>,
+    /// When it arrived.
+    pub arrived_at: Millis,
     /// When the caller must have its final answer.
     pub give_up_at: Millis,
     /// The upstreams that it was sent to, in order.
@@ -94,6 +96,7 @@
             uri: parts.uri,
             body,
             route: Arc::clone(route),
+            arrived_at,
             give_up_at: deadline.min(timeout),
             tried: Vec::new(),
             runs: 0,
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -18,8 +18,9 @@
 use super::prompts::Opened;
 use super::requests::Exchange;
 use super::{Flight, Gateway};
-use crate::events;
+use crate::events::{Event, emit};
 use crate::fleets::Held;
+use crate::metrics::NameLabel;
 use crate::streams::{EventSplitter, StreamEvent};
 use crate::wires::Wire;
 
@@ -97,13 +98,19 @@
     ) -> Response {
         let headers = std::mem::take(&mut self.headers);
         let status = self.status;
-        let passage = Passage { relay: self, gateway, exchange, _flight: flight };
+        let passage = Passage { relay: self, gateway, exchange, outcome: "left", _flight: flight };
         let frames = stream::unfold(Some(passage), |passage| async move {
             let mut passage = passage?;
             match passage.next().await {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(passage))),
-                Ok(None) => None,
-                Err(err) => Some((Err(err.into()), None)),
+                Ok(None) => {
+                    passage.outcome = "whole";
+                    None
+                }
+                Err(err) => {
+                    passage.outcome = "cut";
+                    Some((Err(err.into()), None))
+                }
             }
         });
         let mut answer = HttpResponse::new(Body::from_stream(SyncStream::new(frames)));
@@ -152,9 +159,18 @@
     relay: Relay,
     gateway: Gateway<W, C>,
     exchange: Exchange,
+    outcome: &'static str,
     _flight: Option<Flight<W, C>>,
 }
 
+impl<W: Wire, C: Clock> Drop for Passage<W, C> {
+    fn drop(&mut self) {
+        let took_ms = (self.gateway.now() - self.exchange.arrived_at).0;
+        let (request, outcome) = (&*self.exchange.id, self.outcome);
+        emit(&Event::StreamEnded { request, outcome, took_ms });
+    }
+}
+
 impl<W: Wire, C: Clock> Passage<W, C> {
     /// Returns the next bytes for the caller, `None` at the stream's end. An error has the
     /// caller's connection closed, so that the answer does not look complete.
@@ -169,6 +185,18 @@
         }
     }
 
+    fn log_broken(&self, upstream: &str, failed: &Failed, outcome: &'static str) {
+        emit(&Event::StreamBroken {
+            request: &self.exchange.id,
+            upstream,
+            last_event: self.relay.last_id,
+            cause: failed.cause,
+            outcome,
+        });
+        let label = NameLabel { name: outcome.to_owned() };
+        self.gateway.metrics().broken_streams.get_or_create(&label).inc();
+    }
+
     async fn resume(&mut self, failed: &Failed) -> io::Result<Option<Bytes>> {
         let gateway = self.gateway.clone();
         let upstream = self.relay.held.upstream();
@@ -181,7 +209,7 @@
             && self.exchange.time_left(gateway.now()) > Millis::ZERO
             && last_id.is_some();
         if !is_allowed {
-            events::stream_broken(&self.exchange.id, &upstream, last_id, failed.cause);
+            self.log_broken(&upstream, failed, "not_allowed");
             return Err(io::Error::other(failed.cause));
         }
         // The run before is ended before another one begins.
@@ -190,10 +218,10 @@
         let opening = gateway.open_stream(&mut self.exchange, last_id, vec![Arc::clone(&upstream)]);
         let opened = tokio::time::timeout(time_left.as_duration(), opening).await;
         let Ok(Ok(Opened::Stream(relay))) = opened else {
-            events::stream_broken(&self.exchange.id, &upstream, last_id, "not_resumed");
+            self.log_broken(&upstream, failed, "not_resumed");
             return Err(io::Error::other(failed.cause));
         };
-        events::stream_broken(&self.exchange.id, &upstream, last_id, "resumed");
+        self.log_broken(&upstream, failed, "resumed");
         self.relay = *relay;
         Ok(self.relay.next.take().map(|event| event.bytes))
     }
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 
 use crate::configs::{Config, ServiceSpec};
-use crate::events;
+use crate::events::{Event, emit};
 use crate::fleets::{FleetView, Upstream};
+use crate::metrics::NameLabel;
 use crate::peers::Peers;
 use crate::relay::Gateway;
 use crate::tables::{Table, TableError, Write, Written};
@@ -181,7 +182,7 @@
                 lease
             }
             Err(err) => {
-                events::lease(&err.to_string(), 0);
+                emit(&Event::Lease { outcome: &err.to_string(), token: 0 });
                 self.lease = None;
                 None
             }
@@ -210,7 +211,8 @@
         let write = Write { key: LEASE_ROW.to_owned(), expected: version, value };
         match self.table.write(LEASE_TABLE, write).await? {
             Written::At(token) => {
-                events::lease("taken", token);
+                emit(&Event::Lease { outcome: "taken", token });
+                self.gateway.metrics().record_lease(token);
                 let until = sent_at + (self.options.lease - GUARD);
                 self.seen = Some((token, sent_at));
                 Ok(Some(Lease { token, until }))
@@ -250,6 +252,9 @@
             }
             None => "no_answer",
         };
-        events::order_given(id, &format!("{role:?}").to_lowercase(), lease.token, outcome);
+        let role = format!("{role:?}").to_lowercase();
+        emit(&Event::OrderGiven { upstream: id, role: &role, token: lease.token, outcome });
+        let label = NameLabel { name: outcome.to_owned() };
+        self.gateway.metrics().orders.get_or_create(&label).inc();
     }
 }
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -71,8 +71,7 @@
     if let Some(config) = config {
         gateway.adopt_config(config);
     }
-    gateway.fleet().replace(entries);
-    gateway.record_fleet();
+    gateway.adopt_entries(entries);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(anvilhook_http::serve(listener, front_router(gateway.clone()), Shutdown::new()));
