--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -42,47 +42,31 @@
 pub struct PeerLoad {
     /// Requests in flight.
     pub in_flight: u32,
-    /// Prompts being read, in milliseconds of work, by lane.
-    pub reading_ms: [f64; LANES],
+    /// Prompts being read, in milliseconds of work.
+    pub reading_ms: f64,
     /// KV caches being fetched, in milliseconds of the engine's link.
     pub fetching_ms: f64,
     /// When it was heard.
     pub at: Millis,
 }
 
-/// The lanes by which an engine takes prompts: the most urgent rank, the next, and the rest.
-pub const LANES: usize = 3;
-
-/// Returns the lane of a rank.
-pub fn lane_of(rank: u8) -> usize {
-    usize::from(rank).min(LANES - 1)
-}
-
 /// `Work` is what requests in flight ask of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
     /// Requests in flight.
     pub in_flight: u32,
-    /// Prompts being read, in milliseconds of work, by lane.
-    pub reading_ms: [f64; LANES],
+    /// Prompts being read, in milliseconds of work.
+    pub reading_ms: f64,
     /// KV caches being fetched, in milliseconds of the engine's link.
     pub fetching_ms: f64,
 }
 
-impl Work {
-    /// Returns what an engine reads before a prompt of the lane, in milliseconds. It takes more
-    /// urgent prompts first.
-    pub fn reading_before(&self, lane: usize) -> f64 {
-        self.reading_ms[..=lane].iter().sum()
-    }
-}
-
 /// `UpstreamState` is what this instance has learnt of an upstream. It outlives changes of the
 /// upstream's entry.
 #[derive(Debug)]
 pub struct UpstreamState {
     in_flight: AtomicU32,
-    reading_us: [AtomicU64; LANES],
+    reading_us: AtomicU64,
     fetching_us: AtomicU64,
     ejection: Ejection,
     is_gone: AtomicBool,
@@ -98,7 +82,7 @@
             EjectionOptions { failures: 3, ejection: Millis(1_000), slow_return: Millis(2_000) };
         Self {
             in_flight: AtomicU32::new(0),
-            reading_us: Default::default(),
+            reading_us: AtomicU64::new(0),
             fetching_us: AtomicU64::new(0),
             ejection: Ejection::new(&options),
             is_gone: AtomicBool::new(false),
@@ -173,9 +157,7 @@
     pub fn own_work(&self) -> Work {
         Work {
             in_flight: self.in_flight.load(Ordering::Acquire),
-            reading_ms: std::array::from_fn(|lane| {
-                self.reading_us[lane].load(Ordering::Acquire) as f64 / 1e3
-            }),
+            reading_ms: self.reading_us.load(Ordering::Acquire) as f64 / 1e3,
             fetching_ms: self.fetching_us.load(Ordering::Acquire) as f64 / 1e3,
         }
     }
@@ -187,9 +169,7 @@
         for peer in self.peers.lock().expect("no panic under this lock").values() {
             if peer.at >= since {
                 work.in_flight += peer.in_flight;
-                for (own, told) in work.reading_ms.iter_mut().zip(peer.reading_ms) {
-                    *own += told;
-                }
+                work.reading_ms += peer.reading_ms;
                 work.fetching_ms += peer.fetching_ms;
             }
         }
@@ -308,7 +288,6 @@
 #[derive(Debug)]
 pub struct Held {
     upstream: Arc<Upstream>,
-    lane: usize,
     reading_us: u64,
     fetching_us: u64,
 }
@@ -316,21 +295,16 @@
 impl Held {
     /// Counts a request in that asks for nothing beyond its place.
     pub fn new(upstream: Arc<Upstream>) -> Self {
-        Self::with_work(upstream, 0, 0.0, 0.0)
+        Self::with_work(upstream, 0.0, 0.0)
     }
 
     /// Counts a request in, with what is to be read and fetched for it, in milliseconds.
-    pub fn with_work(
-        upstream: Arc<Upstream>,
-        lane: usize,
-        reading_ms: f64,
-        fetching_ms: f64,
-    ) -> Self {
+    pub fn with_work(upstream: Arc<Upstream>, reading_ms: f64, fetching_ms: f64) -> Self {
         let (reading_us, fetching_us) = ((reading_ms * 1e3) as u64, (fetching_ms * 1e3) as u64);
         upstream.state.in_flight.fetch_add(1, Ordering::AcqRel);
-        upstream.state.reading_us[lane].fetch_add(reading_us, Ordering::AcqRel);
+        upstream.state.reading_us.fetch_add(reading_us, Ordering::AcqRel);
         upstream.state.fetching_us.fetch_add(fetching_us, Ordering::AcqRel);
-        Self { upstream, lane, reading_us, fetching_us }
+        Self { upstream, reading_us, fetching_us }
     }
 
     /// Returns the upstream.
@@ -342,7 +316,7 @@
     pub fn reading_done(&mut self) {
         let reading_us = std::mem::take(&mut self.reading_us);
         let fetching_us = std::mem::take(&mut self.fetching_us);
-        self.upstream.state.reading_us[self.lane].fetch_sub(reading_us, Ordering::AcqRel);
+        self.upstream.state.reading_us.fetch_sub(reading_us, Ordering::AcqRel);
         self.upstream.state.fetching_us.fetch_sub(fetching_us, Ordering::AcqRel);
     }
 }
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -224,10 +224,9 @@
         for upstream in gateway.fleet().view().all() {
             let label = label(&upstream.entry.id);
             let work = upstream.state.work(now);
-            let reading_ms: f64 = work.reading_ms.iter().sum();
             let is_ejected = upstream.state.ejection().is_ejected(now);
             self.upstream_in_flight.get_or_create(&label).set(i64::from(work.in_flight));
-            self.upstream_reading_ms.get_or_create(&label).set(reading_ms as i64);
+            self.upstream_reading_ms.get_or_create(&label).set(work.reading_ms as i64);
             self.upstream_ejected.get_or_create(&label).set(i64::from(is_ejected));
         }
     }
--- a/crates/anvilhook-gateway/src/peers.rs
+++ b/crates/anvilhook-gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use tokio::net::UdpSocket;
 
 use crate::events::{Event, emit};
-use crate::fleets::{LANES, PeerLoad, digest_of};
+use crate::fleets::{PeerLoad, digest_of};
 use crate::prompts::Part;
 use crate::relay::Gateway;
 use crate::tables::{Table, Write, Written};
@@ -49,8 +49,8 @@
     pub engine: u32,
     /// Requests in flight.
     pub in_flight: u32,
-    /// Prompts being read, in milliseconds of work, by lane.
-    pub reading_ms: [u32; LANES],
+    /// Prompts being read, in milliseconds of work.
+    pub reading_ms: u32,
     /// KV caches being fetched, in milliseconds of the engine's link.
     pub fetching_ms: u32,
 }
@@ -190,7 +190,7 @@
         let engine = digest_of(&upstream.entry.id);
         let work = upstream.state.own_work();
         if work.in_flight > 0 {
-            let reading_ms = work.reading_ms.map(|lane| lane as u32);
+            let reading_ms = work.reading_ms as u32;
             let fetching_ms = work.fetching_ms as u32;
             let in_flight = work.in_flight;
             digest.loads.push(EngineLoad { engine, in_flight, reading_ms, fetching_ms });
@@ -214,7 +214,7 @@
         let told = digest.loads.iter().find(|load| load.engine == engine);
         let load = told.map_or(PeerLoad { at: now, ..PeerLoad::default() }, |load| PeerLoad {
             in_flight: load.in_flight,
-            reading_ms: load.reading_ms.map(f64::from),
+            reading_ms: f64::from(load.reading_ms),
             fetching_ms: f64::from(load.fetching_ms),
             at: now,
         });
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -33,7 +33,7 @@
 /// its streams stand still meanwhile: four engines that also read prompts of 380 tokens served 300
 /// of them a second at half the goodput, where eight readers beside them served 600 in full.
 const DIRECT_FACTOR: f64 = 3.0;
-const DIRECT_MS: f64 = 150.0;
+const DIRECT_MS: f64 = 600.0;
 
 /// What a request in flight adds to the time of the next one at a decode engine, in milliseconds.
 const IN_FLIGHT_MS: f64 = 0.2;
@@ -64,8 +64,6 @@
     pub engine: &'a EngineSpec,
     /// The prompt.
     pub prompt: &'a Prompt,
-    /// The lane by which engines take it.
-    pub lane: usize,
     /// The size of the body, in bytes.
     pub body_bytes: usize,
     /// Engines that have failed or refused the request.
@@ -206,7 +204,7 @@
         let state = &upstream.state;
         let held = self.caches.held_tokens(&upstream.entry.id, req.prompt);
         let work = state.work(self.now);
-        let backlog_ms = work.reading_before(req.lane);
+        let backlog_ms = work.reading_ms;
         let read_ms = self.speed.read_ms(req.prompt.tokens, held) * state.slowness();
 
         let fetched =
@@ -257,9 +255,7 @@
             upstream: Arc::clone(upstream),
             fetched_ms: wait_ms + work.fetching_ms + fetching_ms,
             fetching_ms,
-            direct_ms: wait_ms
-                + (work.reading_before(req.lane) + reading_ms) * DIRECT_FACTOR
-                + DIRECT_MS,
+            direct_ms: wait_ms + (work.reading_ms + reading_ms) * DIRECT_FACTOR + DIRECT_MS,
             reading_ms,
         }
     }
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -15,7 +15,7 @@
 use super::requests::Exchange;
 use super::resumption::Relay;
 use crate::configs::EngineSpec;
-use crate::fleets::{Held, Upstream, lane_of};
+use crate::fleets::{Held, Upstream};
 use crate::placements::{Generator, Placer, Plan, Reader, Request};
 use crate::prompts::Prompt;
 use crate::wires::Wire;
@@ -165,8 +165,7 @@
         avoid: &'a [Arc<str>],
     ) -> Request<'a> {
         let body_bytes = exchange.body.len();
-        let lane = lane_of(exchange.route.priority);
-        Request { service: &exchange.service, engine, prompt, lane, body_bytes, avoid }
+        Request { service: &exchange.service, engine, prompt, body_bytes, avoid }
     }
 
     fn with_placer<T>(&self, f: impl FnOnce(&Placer<'_>) -> T) -> T {
@@ -209,12 +208,7 @@
             extra.push((names.kv_fetch.clone(), value));
         }
         let upstream = reader.upstream;
-        let held = Held::with_work(
-            Arc::clone(&upstream),
-            lane_of(exchange.route.priority),
-            reader.reading_ms,
-            reader.fetching_ms,
-        );
+        let held = Held::with_work(Arc::clone(&upstream), reader.reading_ms, reader.fetching_ms);
         let backlog_ms = reader.backlog_ms;
         let slack = Millis((reader.total_ms * READING_PATIENCE) as u64);
         let started_at = self.now();
@@ -360,12 +354,7 @@
         let head_timeout = if can_repeat { FIRST_EVENT_TIMEOUT } else { time_left };
         let started_at = self.now();
         let could_have_run = std::mem::replace(&mut exchange.may_have_run, true);
-        let held = Held::with_work(
-            Arc::clone(upstream),
-            lane_of(exchange.route.priority),
-            work.reading_ms,
-            work.fetching_ms,
-        );
+        let held = Held::with_work(Arc::clone(upstream), work.reading_ms, work.fetching_ms);
         let connection = if exchange.runs > 0 { Connection::New } else { Connection::Pooled };
         let sending = Sending {
             upstream,
