--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -117,7 +117,7 @@
     let placer = Placer { view: &view, caches, speed: &speed, zone: "zone-a", now: Millis(1_000) };
     let engine = engine_spec();
     let request =
-        Request { service: "service", engine: &engine, prompt, lane: 1, body_bytes: 30_000, avoid };
+        Request { service: "service", engine: &engine, prompt, body_bytes: 30_000, avoid };
     placer.plan(&request)
 }
 
