Admit by the predicted time, not by what direct reading costs others

Cause: the test of a silent stream failed: with 500 ms left, its resumption was refused as overload, because the charge for direct reading counted as time.

--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -98,6 +98,8 @@
     pub fetching_ms: f64,
     /// The predicted time to the first token if it also reads the prompt, in milliseconds.
     pub direct_ms: f64,
+    /// What that costs, in milliseconds, with what it holds up.
+    pub direct_cost_ms: f64,
     /// What reading the prompt there would be, in milliseconds of its work.
     pub reading_ms: f64,
 }
@@ -124,12 +126,12 @@
 impl Placer<'_> {
     /// Chooses how to serve a request; `None` if no engine can take it.
     pub fn plan(&self, req: &Request<'_>) -> Option<Plan> {
-        let direct = self.generator_by(req, None, |generator| generator.direct_ms)?;
+        let direct = self.generator_by(req, None, |generator| generator.direct_cost_ms)?;
         let fetched = self.generator_by(req, None, |generator| generator.fetched_ms)?;
         match self.reader(req) {
             Some(mut reader) => {
                 reader.total_ms += HOP_MS + fetched.fetched_ms;
-                if reader.total_ms <= direct.direct_ms {
+                if reader.total_ms <= direct.direct_cost_ms {
                     Some(Plan::Split(reader))
                 } else {
                     Some(Plan::Direct(direct))
@@ -251,11 +253,13 @@
         let is_far = reader.is_some_and(|reader| reader.entry.zone != upstream.entry.zone);
         let fetching_ms =
             self.transfer_ms(req.engine, req.prompt.tokens - held.min(req.prompt.tokens), is_far);
+        let direct_ms = wait_ms + work.reading_ms + reading_ms;
         Generator {
             upstream: Arc::clone(upstream),
             fetched_ms: wait_ms + work.fetching_ms + fetching_ms,
             fetching_ms,
-            direct_ms: wait_ms + (work.reading_ms + reading_ms) * DIRECT_FACTOR + DIRECT_MS,
+            direct_ms,
+            direct_cost_ms: direct_ms * DIRECT_FACTOR + DIRECT_MS,
             reading_ms,
         }
     }
