--- a/crates/anvilhook-ctl/src/arguments.rs
+++ b/crates/anvilhook-ctl/src/arguments.rs
@@ -73,6 +73,8 @@
     Audit(AuditArgs),
     /// Show instances, revisions and lease holders.
     Status(StatusArgs),
+    /// Tell the story of a request from logs.
+    Explain(ExplainArgs),
 }
 
 /// Show resources: all, those of a kind, or one.
@@ -189,6 +191,22 @@
 #[argh(subcommand, name = "status")]
 pub struct StatusArgs {}
 
+/// Tell the story of one request over all instances, in order of time, with the beliefs behind its
+/// decisions and how old they were. Needs no server: it reads the instances' logs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// the request's id
+    #[argh(positional)]
+    pub request: String,
+    /// log files, or - for standard input, which is read where none is given
+    #[argh(positional)]
+    pub files: Vec<String>,
+    /// the same as --output json
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// `Target` is a kind or one resource.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Target {
--- a/crates/anvilhook-ctl/src/lib.rs
+++ b/crates/anvilhook-ctl/src/lib.rs
@@ -14,6 +14,7 @@
 mod documents;
 mod drains;
 mod exits;
+mod explains;
 mod gets;
 mod statuses;
 mod tables;
@@ -73,6 +74,10 @@
     rng: &mut ChaCha8Rng,
     out: &mut (impl Write + Send),
 ) -> Result<()> {
+    if let Command::Explain(args) = &options.command {
+        let output = if args.json { Output::Json } else { options.output };
+        return explains::run(args, output, out);
+    }
     let client: ApiClient = connections::connect(&options, environment)?;
     let mut shell = Shell { client, output: options.output, rng, out };
     match options.command {
@@ -85,6 +90,8 @@
         Command::Why(args) => whys::run(&mut shell, &args).await,
         Command::Audit(args) => audits::run(&mut shell, &args).await,
         Command::Status(_) => statuses::run(&mut shell).await,
+        // It was run before a server was looked for.
+        Command::Explain(_) => Ok(()),
     }
 }
 
