--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -52,8 +52,6 @@
     pub budget: BudgetOptions,
     /// How fast engines read prompts.
     pub speed: EngineSpeed,
-    /// How long a request's way to the caller takes.
-    pub transit: Millis,
 }
 
 /// `Gateway` serves requests. Clones share all state.
--- a/crates/anvilhook-gateway/tests/roles.rs
+++ b/crates/anvilhook-gateway/tests/roles.rs
@@ -3,18 +3,18 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::{Millis, SystemClock};
+use anvilhook_core::units::{ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::peers::Peers;
+use anvilhook_gateway::relay::Gateway;
 use anvilhook_gateway::roles::{RoleKeeper, RoleOptions};
-use support::fronts::{Front, ample_budget, config, start};
+use support::fronts::{ample_budget, config, gateway};
 use support::tables::{Fault, MemoryTable};
 use support::upstreams::{Received, Step, Upstream, signed};
-use support::wires::entry;
+use support::wires::{TestWire, entry};
 
 const STREAM: Repeats = Repeats::Stream { resumable: true };
 
@@ -51,19 +51,28 @@
     }
 }
 
-fn keeper(
-    front: &Front,
-    table: &MemoryTable,
-    holder: &str,
-) -> RoleKeeper<support::wires::TestWire, MemoryTable, SystemClock> {
-    let options = RoleOptions { prefill_share: 0.5, lease: Millis(1_500) };
-    let peers = Arc::new(Peers::default());
-    let (gateway, table) = (front.gateway.clone(), table.clone());
-    RoleKeeper::new(gateway, table, SystemClock::new(), peers, holder.to_owned(), 1, options)
+/// `Site` is a gateway before the engines and the table, on one clock.
+struct Site {
+    gateway: Gateway<TestWire, ManualClock>,
+    table: MemoryTable,
+    clock: ManualClock,
 }
 
-async fn front_of(engines: &Engines) -> Front {
-    start(Some(config(STREAM, 2, true)), engines.entries.clone(), ample_budget()).await
+fn site(engines: &Engines) -> Site {
+    let clock = ManualClock::new();
+    let config = Some(config(STREAM, 2, true));
+    let gateway = gateway(clock.clone(), config, engines.entries.clone(), ample_budget());
+    Site { gateway, table: MemoryTable::default(), clock }
+}
+
+impl Site {
+    fn keeper(&self, holder: &str) -> RoleKeeper<TestWire, MemoryTable, ManualClock> {
+        let options = RoleOptions { prefill_share: 0.5, lease: Millis(3_000) };
+        let peers = Arc::new(Peers::default());
+        let (gateway, table) = (self.gateway.clone(), self.table.clone());
+        let holder = holder.to_owned();
+        RoleKeeper::new(gateway, table, self.clock.clone(), peers, holder, 1, options)
+    }
 }
 
 /// Symptom: engines that generate are idle while prompts wait.
@@ -72,14 +81,14 @@
 #[tokio::test]
 async fn verify_the_split_is_ordered_once() {
     let engines = engines(4, "200 OK").await;
-    let (front, table) = (front_of(&engines).await, MemoryTable::default());
-    let mut keeper = keeper(&front, &table, "one");
+    let site = site(&engines);
+    let mut keeper = site.keeper("one");
 
     keeper.look().await;
     keeper.look().await;
 
     assert_eq!(engines.orders(), ["Prefill 1 Some(4)", "Prefill 1 Some(4)"]);
-    assert_eq!(table.value("anvilhook_leases", "roles").as_deref(), Some("one"));
+    assert_eq!(site.table.value("anvilhook_leases", "roles").as_deref(), Some("one"));
 }
 
 /// Symptom: an engine gets orders of two holders.
@@ -88,8 +97,8 @@
 #[tokio::test]
 async fn verify_a_second_holder_waits_for_the_lapse() {
     let engines = engines(4, "409 Busy").await;
-    let (front, table) = (front_of(&engines).await, MemoryTable::default());
-    let (mut one, mut two) = (keeper(&front, &table, "one"), keeper(&front, &table, "two"));
+    let site = site(&engines);
+    let (mut one, mut two) = (site.keeper("one"), site.keeper("two"));
 
     one.look().await;
     let by_first = engines.orders().len();
@@ -97,7 +106,10 @@
     assert_eq!((by_first, engines.orders().len()), (2, 2));
 
     // Lease and guard have passed since the second saw the row.
-    tokio::time::sleep(Duration::from_millis(2_200)).await;
+    site.clock.advance(Millis(3_500));
+    two.look().await;
+    assert_eq!(engines.orders().len(), 2, "the guard has not passed");
+    site.clock.advance(Millis(200));
     two.look().await;
 
     let orders = engines.orders();
@@ -113,12 +125,12 @@
 async fn verify_no_order_goes_out_without_an_answered_lease() {
     for fault in [Fault::Away, Fault::AnswersLost] {
         let engines = engines(4, "200 OK").await;
-        let (front, table) = (front_of(&engines).await, MemoryTable::default());
-        let mut keeper = keeper(&front, &table, "one");
-        table.set_fault(fault);
+        let site = site(&engines);
+        let mut keeper = site.keeper("one");
+        site.table.set_fault(fault);
 
         keeper.look().await;
-        table.set_fault(Fault::None);
+        site.table.set_fault(Fault::None);
         if fault == Fault::AnswersLost {
             keeper.look().await;
         }
@@ -135,8 +147,8 @@
 async fn verify_orders_are_not_repeated_at_once() {
     for status in ["412 Fenced", "409 Busy", "421 Misdirected", ""] {
         let engines = engines(2, status).await;
-        let (front, table) = (front_of(&engines).await, MemoryTable::default());
-        let mut keeper = keeper(&front, &table, "one");
+        let site = site(&engines);
+        let mut keeper = site.keeper("one");
 
         for _ in 0..3 {
             keeper.look().await;
@@ -145,3 +157,31 @@
         assert_eq!(engines.orders().len(), 1, "{status}");
     }
 }
+
+/// Symptom: an order of a holder that had lost its lease takes effect.
+/// Sequence: the holder is suspended between taking the lease and giving its orders.
+/// Cause: the lease is counted from before its write was sent, and looked at before each order.
+#[tokio::test]
+async fn verify_a_suspended_holder_gives_no_order() {
+    let clock = ManualClock::new();
+    let suspended = clock.clone();
+    let script = move |received: &Received| {
+        // Time passes while the engine is asked for its state.
+        suspended.advance(Millis(2_500));
+        match received.line.starts_with("GET /report") {
+            true => vec![signed("200 OK", "decode")],
+            false => vec![signed("200 OK", "")],
+        }
+    };
+    let upstream = Upstream::start(script).await;
+    let port = upstream.address.port();
+    let entries = ["e0", "e1"].map(|id| Entry { role: Some(Role::Decode), ..entry(id, port) });
+    let config = Some(config(STREAM, 2, true));
+    let gateway = gateway(clock.clone(), config, entries.to_vec(), ample_budget());
+    let site = Site { gateway, table: MemoryTable::default(), clock };
+
+    site.keeper("one").look().await;
+
+    let lines: Vec<_> = upstream.received().into_iter().map(|one| one.line).collect();
+    assert_eq!(lines, ["GET /report HTTP/1.1"]);
+}
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use anvilhook_core::units::{Millis, SystemClock, Tokens};
+use anvilhook_core::units::{Clock, Millis, SystemClock, Tokens};
 use anvilhook_gateway::budgets::BudgetOptions;
 use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, ServiceSpec, Target};
 use anvilhook_gateway::fleets::Entry;
@@ -58,20 +58,27 @@
     BudgetOptions { share: 1.0, spare: 100.0, window: Millis(10_000) }
 }
 
-/// Starts a gateway with a configuration and upstreams.
-pub async fn start(config: Option<Config>, entries: Vec<Entry>, budget: BudgetOptions) -> Front {
+/// Returns a gateway with a configuration and upstreams, on a clock of the test's own.
+pub fn gateway<C: Clock>(
+    clock: C,
+    config: Option<Config>,
+    entries: Vec<Entry>,
+    budget: BudgetOptions,
+) -> Gateway<TestWire, C> {
     let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
-    let options = GatewayOptions {
-        zone: Arc::from("zone-a"),
-        budget,
-        speed: EngineSpeed::default(),
-        transit: Millis(100),
-    };
-    let gateway = Gateway::new(TestWire::new(), SystemClock::new(), client, options);
+    let options =
+        GatewayOptions { zone: Arc::from("zone-a"), budget, speed: EngineSpeed::default() };
+    let gateway = Gateway::new(TestWire::new(), clock, client, options);
     if let Some(config) = config {
         gateway.adopt_config(config);
     }
     gateway.adopt_entries(entries);
+    gateway
+}
+
+/// Starts a gateway with a configuration and upstreams.
+pub async fn start(config: Option<Config>, entries: Vec<Entry>, budget: BudgetOptions) -> Front {
+    let gateway = gateway(SystemClock::new(), config, entries, budget);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(anvilhook_http::serve(listener, front_router(gateway.clone()), Shutdown::new()));
