Tell new instances what the caches hold; the first of all asks the engines

Ruled out: the engines' roles (kept through the outage) and the list (read at 35 s). Change: whoever acts first among the instances tells a newcomer; if all are new, it asks each reader for its list once and tells the others. A first try, on condition that nothing was believed yet, never asked: requests had been served in the 150 ms before.

--- a/crates/anvilhook-gateway/src/caches.rs
+++ b/crates/anvilhook-gateway/src/caches.rs
@@ -8,27 +8,37 @@
 /// The share of an engine's cache that is counted on. The rest serves requests that run.
 const USABLE_SHARE: f64 = 0.8;
 
+/// A part that an engine should hold.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    use_number: u64,
+    tokens: u32,
+    /// Whether no other request is expected to share it.
+    is_own: bool,
+}
+
 #[derive(Debug, Default)]
 struct Memory {
-    used_at: HashMap<u64, (u64, u32)>,
+    held: HashMap<u64, Held>,
     by_use: BTreeMap<u64, u64>,
     tokens: u64,
     uses: u64,
 }
 
 impl Memory {
-    fn touch(&mut self, part: Part, capacity: u64) {
+    fn touch(&mut self, part: Part, is_own: bool, capacity: u64) {
         self.uses += 1;
-        if let Some((use_before, tokens)) = self.used_at.insert(part.id, (self.uses, part.tokens)) {
-            self.by_use.remove(&use_before);
-            self.tokens -= u64::from(tokens);
+        let held = Held { use_number: self.uses, tokens: part.tokens, is_own };
+        if let Some(before) = self.held.insert(part.id, held) {
+            self.by_use.remove(&before.use_number);
+            self.tokens -= u64::from(before.tokens);
         }
         self.by_use.insert(self.uses, part.id);
         self.tokens += u64::from(part.tokens);
         while self.tokens > capacity {
             let Some((_, oldest)) = self.by_use.pop_first() else { return };
-            if let Some((_, tokens)) = self.used_at.remove(&oldest) {
-                self.tokens -= u64::from(tokens);
+            if let Some(dropped) = self.held.remove(&oldest) {
+                self.tokens -= u64::from(dropped.tokens);
             }
         }
     }
@@ -54,8 +64,9 @@
         let usable = (capacity as f64 * USABLE_SHARE) as u64;
         let mut engines = self.engines.lock().expect("no panic under this lock");
         let memory = engines.entry(Arc::clone(engine)).or_default();
-        for part in parts {
-            memory.touch(*part, usable);
+        for (at, part) in parts.iter().enumerate() {
+            let is_own = parts.len() > 1 && at + 1 == parts.len();
+            memory.touch(*part, is_own, usable);
         }
     }
 
@@ -63,10 +74,25 @@
     pub fn held_tokens(&self, engine: &str, prompt: &Prompt) -> u32 {
         let engines = self.engines.lock().expect("no panic under this lock");
         let Some(memory) = engines.get(engine) else { return 0 };
-        let held = prompt.parts.iter().take_while(|part| memory.used_at.contains_key(&part.id));
+        let held = prompt.parts.iter().take_while(|part| memory.held.contains_key(&part.id));
         held.map(|part| part.tokens).sum()
     }
 
+    /// Returns the parts of at least `min_tokens` that requests share, by engine, each engine's in
+    /// order of use.
+    pub fn shared_parts(&self, min_tokens: u32) -> Vec<(Arc<str>, Vec<Part>)> {
+        let engines = self.engines.lock().expect("no panic under this lock");
+        let parts_of = |memory: &Memory| {
+            let in_order = memory.by_use.values().filter_map(|id| {
+                let held = memory.held.get(id)?;
+                let is_told = !held.is_own && held.tokens >= min_tokens;
+                is_told.then_some(Part { id: *id, tokens: held.tokens })
+            });
+            in_order.collect()
+        };
+        engines.iter().map(|(engine, memory)| (Arc::clone(engine), parts_of(memory))).collect()
+    }
+
     /// Forgets what an engine held.
     pub fn forget(&self, engine: &str) {
         self.engines.lock().expect("no panic under this lock").remove(engine);
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -92,6 +92,11 @@
         /// The request by which it was learnt.
         request: &'a str,
     },
+    /// The engines were asked what their caches hold.
+    CachesRead {
+        /// The parts that they hold.
+        parts: usize,
+    },
     /// The lease for orders was taken, or was not.
     Lease {
         /// What came of it.
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -134,6 +134,8 @@
     let exchange =
         peers::exchange(socket, Arc::clone(&peers), number, rng, gateway.clone(), clock.clone());
     tokio::spawn(exchange);
+    let seeding = peers::seed_caches(Arc::clone(&peers), number, gateway.clone(), clock.clone());
+    tokio::spawn(seeding);
     let name = options.name.to_string();
     tokio::spawn(peers::register(table.clone(), name.clone(), options.peer, Arc::clone(&peers)));
     let keeper = RoleKeeper::new(
--- a/crates/anvilhook-gateway/src/peers.rs
+++ b/crates/anvilhook-gateway/src/peers.rs
@@ -6,8 +6,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
@@ -36,6 +38,15 @@
 /// The most bytes of a digest, below what a link takes in one piece.
 const MAX_DIGEST_BYTES: usize = 1_400;
 
+/// The least size of a part that a new instance is told of, in tokens.
+const TOLD_TOKENS: u32 = 1_000;
+
+/// The parts in one digest for a new instance.
+const PARTS_A_DIGEST: usize = 80;
+
+/// How long a new instance listens before it asks the engines what they hold.
+const SEED_DELAY: Duration = Duration::from_millis(150);
+
 /// The table of the instances' addresses.
 const PEER_TABLE: &str = "anvilhook_instances";
 
@@ -73,6 +84,8 @@
     pub loads: Vec<EngineLoad>,
     /// What engines have read since the last digest.
     pub cached: Vec<CachedPrompt>,
+    /// Whether it tells of caches only, and nothing of loads.
+    pub is_partial: bool,
     /// Engines that change their role, with the time that it still takes in milliseconds.
     pub away: Vec<(u32, u32)>,
 }
@@ -88,21 +101,30 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     known: Mutex<HashMap<SocketAddr, Option<Peer>>>,
+    was_told: AtomicBool,
 }
 
 impl Peers {
+    /// Returns whether a peer has told what the caches hold.
+    fn was_told(&self) -> bool {
+        self.was_told.load(Ordering::Acquire)
+    }
+
     /// Adds an address at which an instance may run.
     pub fn add(&self, address: SocketAddr) {
         self.known.lock().expect("no panic under this lock").entry(address).or_insert(None);
     }
 
-    fn hear(&self, address: SocketAddr, number: u64, now: Millis) {
+    /// Notes that an instance was heard. Returns whether it is a new one.
+    fn hear(&self, address: SocketAddr, number: u64, now: Millis) -> bool {
         let peer = Peer { number, heard_at: now };
-        self.known.lock().expect("no panic under this lock").insert(address, Some(peer));
+        let mut known = self.known.lock().expect("no panic under this lock");
+        let before = known.insert(address, Some(peer)).flatten();
+        before.is_none_or(|before| before.number != number)
     }
 
     /// Returns the addresses to tell.
-    fn addresses(&self, now: Millis) -> Vec<SocketAddr> {
+    pub fn addresses(&self, now: Millis) -> Vec<SocketAddr> {
         let known = self.known.lock().expect("no panic under this lock");
         let current = known.iter().filter(|(_, peer)| {
             // Whoever was heard once and fell silent is gone; a restart is heard by itself.
@@ -139,7 +161,14 @@
                 let Ok((len, from)) = received else { continue };
                 if let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) {
                     let now = clock.now();
-                    peers.hear(from, digest.from, now);
+                    if digest.is_partial {
+                        peers.was_told.store(true, Ordering::Release);
+                    }
+                    // The new one may be the first by now; whoever was before it tells it.
+                    let was_first = peers.is_first(number, now);
+                    if peers.hear(from, digest.from, now) && was_first {
+                        tell_caches(&socket, from, number, &gateway);
+                    }
                     gateway.record_peer(digest.from);
                     take_in(&digest, &gateway, now);
                 }
@@ -200,16 +229,60 @@
             digest.away.push((engine, away.0 as u32));
         }
     }
-    for (engine, parts) in gateway.take_cached().into_iter().take(MAX_CACHED) {
+    for (engine, parts) in gateway.take_cached(MAX_CACHED) {
         let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
         digest.cached.push(CachedPrompt { engine: digest_of(&engine), parts });
     }
     digest
 }
 
+/// Tells a new instance what the caches are believed to hold. It would otherwise have each shared
+/// part read again that it meets.
+fn tell_caches<W: Wire, C: Clock>(
+    socket: &UdpSocket,
+    to: SocketAddr,
+    number: u64,
+    gateway: &Gateway<W, C>,
+) {
+    for (engine, parts) in gateway.caches().shared_parts(TOLD_TOKENS) {
+        for parts in parts.chunks(PARTS_A_DIGEST) {
+            let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
+            let cached = vec![CachedPrompt { engine: digest_of(&engine), parts }];
+            let digest = Digest { from: number, cached, is_partial: true, ..Digest::default() };
+            let Ok(buf) = postcard::to_stdvec(&digest) else { return };
+            let _ = socket.try_send_to(&buf, to);
+        }
+    }
+}
+
+/// Reads once what the engines' caches hold, if no instance can tell.
+///
+/// After the loss of all instances the engines still hold what they have read. One instance asks
+/// them and tells the others; a call to each engine by each instance would hold the engines up.
+pub async fn seed_caches<W: Wire, C: Clock>(
+    peers: std::sync::Arc<Peers>,
+    number: u64,
+    gateway: Gateway<W, C>,
+    clock: C,
+) {
+    while !gateway.is_ready() {
+        tokio::time::sleep(TELL_EVERY).await;
+    }
+    tokio::time::sleep(SEED_DELAY).await;
+    if peers.was_told() || !peers.is_first(number, clock.now()) {
+        return;
+    }
+    let view = gateway.fleet().view();
+    let engines = view.all().filter(|upstream| upstream.entry.role == Some(Role::Prefill));
+    let readings = engines.map(|upstream| gateway.read_cache(upstream));
+    let count = futures_util::future::join_all(readings).await.into_iter().sum();
+    emit(&Event::CachesRead { parts: count });
+}
+
 fn take_in<W: Wire, C: Clock>(digest: &Digest, gateway: &Gateway<W, C>, now: Millis) {
     let view = gateway.fleet().view();
-    for upstream in view.all().filter(|upstream| upstream.entry.role.is_some()) {
+    let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
+    for upstream in engines.filter(|_| !digest.is_partial) {
         let engine = digest_of(&upstream.entry.id);
         let told = digest.loads.iter().find(|load| load.engine == engine);
         let load = told.map_or(PeerLoad { at: now, ..PeerLoad::default() }, |load| PeerLoad {
@@ -261,17 +334,19 @@
     address: SocketAddr,
     peers: &Peers,
 ) -> Result<(), crate::tables::TableError> {
-    let value = bytes::Bytes::from(address.to_string());
+    let own = address.to_string();
+    let value = bytes::Bytes::from(own.clone());
     // Most instances are new to the table; the row of an earlier start is found by the conflict.
     let write = Write { key: name.to_owned(), expected: 0, value: value.clone() };
     let written = table.write(PEER_TABLE, write).await?;
     let rows = table.scan(PEER_TABLE).await?;
     for row in &rows.rows {
         let text = row.value.as_ref().and_then(|value| std::str::from_utf8(value).ok());
-        let Some(listed) = text.and_then(|text| text.parse().ok()) else { continue };
+        let listed: Option<SocketAddr> = text.and_then(|text| text.parse().ok());
+        let listed = listed.filter(|listed| *listed != address);
         if row.key != name {
-            peers.add(listed);
-        } else if written == Written::Conflict && listed != address {
+            listed.into_iter().for_each(|listed| peers.add(listed));
+        } else if written == Written::Conflict && text != Some(own.as_str()) {
             let write = Write { key: name.to_owned(), expected: row.version, value: value.clone() };
             table.write(PEER_TABLE, write).await?;
         }
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -10,6 +10,7 @@
 
 use super::Gateway;
 use crate::fleets::Upstream;
+use crate::relay::prompts::TOLD_TOKENS;
 use crate::wires::{Call, Wire};
 
 /// How long a call of the gateway's own may take.
@@ -66,6 +67,21 @@
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Asks an engine what its cache holds, and has the peers told of it. Returns how many parts.
+    pub(crate) async fn read_cache(&self, upstream: &Upstream) -> usize {
+        let answer = self.own_call(upstream, &self.wire().cache_list()).await;
+        let parts = answer.and_then(|answer| self.wire().cached_parts(&answer.body).ok());
+        let Some(mut parts) = parts else { return 0 };
+        parts.retain(|part| part.tokens >= TOLD_TOKENS);
+        let config = self.config();
+        let spec = config.as_ref().and_then(|config| config.service(&upstream.entry.service));
+        let Some(engine) = spec.and_then(|spec| spec.engine.as_ref()) else { return 0 };
+        for part in &parts {
+            self.record_cached(&upstream.entry.id, std::slice::from_ref(part), engine);
+        }
+        parts.len()
+    }
+
     /// Makes a call of the gateway's own to an upstream. `None` if no whole answer came.
     pub(crate) async fn own_call(&self, upstream: &Upstream, call: &Call) -> Option<OwnCallAnswer> {
         let mut headers = HeaderMap::new();
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -131,9 +131,11 @@
         &self.inner.caches
     }
 
-    /// Takes what the peers have not been told of the engines' caches.
-    pub fn take_cached(&self) -> Vec<(Arc<str>, Vec<Part>)> {
-        std::mem::take(&mut *self.inner.cached.lock().expect("no panic under this lock"))
+    /// Takes the first of what the peers have not been told of the engines' caches.
+    pub fn take_cached(&self, most: usize) -> Vec<(Arc<str>, Vec<Part>)> {
+        let mut cached = self.inner.cached.lock().expect("no panic under this lock");
+        let count = most.min(cached.len());
+        cached.drain(..count).collect()
     }
 
     /// Returns the configuration in force.
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -17,7 +17,7 @@
 use crate::configs::EngineSpec;
 use crate::fleets::{Held, Upstream};
 use crate::placements::{Generator, Placer, Plan, Reader, Request};
-use crate::prompts::Prompt;
+use crate::prompts::{Part, Prompt};
 use crate::wires::Wire;
 
 /// The most sendings of one request after the first, refusals included.
@@ -40,7 +40,7 @@
 const TELLING_MS: f64 = 40.0;
 
 /// The least size of a prompt of whose caching the peers are told.
-const TOLD_TOKENS: u32 = 1_000;
+pub(super) const TOLD_TOKENS: u32 = 1_000;
 
 /// `Opened` is what the attempts to open a stream came to.
 pub(super) enum Opened {
@@ -234,7 +234,7 @@
                     let expected_ms = reader.reading_ms / upstream.state.slowness();
                     upstream.state.record_reading(expected_ms, took_ms);
                 }
-                self.record_cached(&upstream.entry.id, prompt, engine);
+                self.record_cached(&upstream.entry.id, &prompt.parts, engine);
                 Ok(Ok(KvHandle::new(self.clone(), upstream, handle)))
             }
             Err(failed) => {
@@ -246,11 +246,12 @@
     }
 
     /// Notes what an engine now keeps, and has the peers told of it.
-    fn record_cached(&self, upstream: &Arc<str>, prompt: &Prompt, engine: &EngineSpec) {
-        self.inner.caches.record(upstream, &prompt.parts, engine.kv_tokens.0);
-        if prompt.tokens >= TOLD_TOKENS {
+    pub(super) fn record_cached(&self, upstream: &Arc<str>, parts: &[Part], engine: &EngineSpec) {
+        self.inner.caches.record(upstream, parts, engine.kv_tokens.0);
+        let tokens: u32 = parts.iter().map(|part| part.tokens).sum();
+        if tokens >= TOLD_TOKENS {
             let mut cached = self.inner.cached.lock().expect("no panic under this lock");
-            cached.push((Arc::clone(upstream), prompt.parts.clone()));
+            cached.push((Arc::clone(upstream), parts.to_vec()));
         }
     }
 
@@ -306,7 +307,7 @@
             handle.mark_used();
         }
         match &opened {
-            Ok(_) => self.record_cached(&upstream.entry.id, prompt, engine),
+            Ok(_) => self.record_cached(&upstream.entry.id, &prompt.parts, engine),
             Err(_) => avoid.push(Arc::clone(&upstream.entry.id)),
         }
         Ok(opened)
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -10,7 +10,7 @@
 
 use crate::configs::Config;
 use crate::fleets::Entry;
-use crate::prompts::Prompt;
+use crate::prompts::{Part, Prompt};
 
 /// `HeaderNames` are the headers that the gateway reads or sets.
 #[derive(Clone, Debug)]
@@ -160,6 +160,12 @@
     /// Reads the status of an answer to an order.
     fn order_answer(&self, status: http::StatusCode) -> OrderAnswer;
 
+    /// Returns the call for what an engine's cache holds.
+    fn cache_list(&self) -> Call;
+
+    /// Reads what an engine's cache holds.
+    fn cached_parts(&self, body: &[u8]) -> Result<Vec<Part>, DecodeError>;
+
     /// Returns the call for an engine's report.
     fn report(&self) -> Call;
 
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -243,6 +243,7 @@
         from: u64::MAX,
         loads: vec![load; 12],
         cached: vec![cached],
+        is_partial: false,
         away: vec![(9, 2_500)],
     };
 
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -0,0 +1,143 @@
+//! What instances tell each other, over real datagrams.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Millis, SystemClock};
+use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::fleets::{Entry, Held};
+use anvilhook_gateway::peers::{Peers, exchange, register, seed_caches};
+use anvilhook_gateway::prompts::{Part, Prompt};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use support::fronts::{TestGateway, ample_budget, config, gateway};
+use support::tables::{Fault, MemoryTable};
+use support::upstreams::{Upstream, signed};
+use support::wires::entry;
+use tokio::net::UdpSocket;
+
+const SHARED: Part = Part { id: 77, tokens: 5_000 };
+
+/// `Instance` is a gateway with its link to others.
+struct Instance {
+    gateway: TestGateway,
+    peers: Arc<Peers>,
+    address: SocketAddr,
+    number: u64,
+    clock: SystemClock,
+}
+
+/// Starts an instance that knows the engine `e0` and the given others.
+async fn instance(number: u64, engine_port: u16, others: &[SocketAddr]) -> Instance {
+    let clock = SystemClock::new();
+    let engine = Entry { role: Some(Role::Prefill), ..entry("e0", engine_port) };
+    let config = Some(config(Repeats::Stream { resumable: true }, 2, true));
+    let gateway = gateway(clock, config, vec![engine], ample_budget());
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let address = socket.local_addr().expect("an address");
+    let peers = Arc::new(Peers::default());
+    others.iter().for_each(|other| peers.add(*other));
+    let rng = ChaCha8Rng::seed_from_u64(number);
+    tokio::spawn(exchange(socket, Arc::clone(&peers), number, rng, gateway.clone(), clock));
+    Instance { gateway, peers, address, number, clock }
+}
+
+impl Instance {
+    fn knows_shared(&self) -> bool {
+        let prompt = Prompt { parts: vec![SHARED], tokens: SHARED.tokens, max_output: 1 };
+        self.gateway.caches().held_tokens("e0", &prompt) == SHARED.tokens
+    }
+
+    async fn seed(&self) {
+        let (peers, gateway) = (Arc::clone(&self.peers), self.gateway.clone());
+        seed_caches(peers, self.number, gateway, self.clock).await;
+    }
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Symptom: instances send their prompts to the same engine, which each takes for idle.
+/// Sequence: one instance has work in flight; then it has none.
+/// Cause: each knows its own work; the digests tell the others', and rubbish changes nothing.
+#[tokio::test]
+async fn verify_loads_are_heard_and_end() {
+    let one = instance(1, 1, &[]).await;
+    let two = instance(2, 1, &[one.address]).await;
+    let rubbish = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    rubbish.send_to(b"\xff\xff\xff", two.address).await.expect("loopback");
+    let upstream = Arc::clone(one.gateway.fleet().view().get("e0").expect("listed"));
+    let seen_by_two = || {
+        let view = two.gateway.fleet().view();
+        view.get("e0").expect("listed").state.work(anvilhook_core::units::Clock::now(&two.clock))
+    };
+
+    let held = Held::with_work(upstream, 250.0, 0.0);
+    until(|| seen_by_two().in_flight == 1).await;
+    assert!((seen_by_two().reading_ms - 250.0).abs() < 1.0);
+    drop(held);
+
+    until(|| seen_by_two().in_flight == 0).await;
+    assert_eq!(two.gateway.peers_heard(Millis::ZERO), 1);
+}
+
+/// Symptom: a new instance has every shared part read again that it meets.
+/// Sequence: it starts beside one that has long served, whichever of them acts for all.
+/// Cause: it is told what the caches hold as soon as it is heard.
+#[tokio::test]
+async fn verify_a_new_instance_is_told_of_the_caches() {
+    for (old_number, new_number) in [(1, 2), (2, 1)] {
+        let old = instance(old_number, 1, &[]).await;
+        old.gateway.caches().record(&Arc::from("e0"), &[SHARED], 100_000);
+
+        let new = instance(new_number, 1, &[old.address]).await;
+
+        until(|| new.knows_shared()).await;
+    }
+}
+
+/// Symptom: after the loss of all instances, prompts are taken for cold and refused as overload.
+/// Sequence: all start anew; the engines still hold what they had read.
+/// Cause: one instance asks the engines once, and tells the others.
+#[tokio::test]
+async fn verify_after_the_loss_of_all_one_instance_asks_the_engines() {
+    let engine = Upstream::always(vec![signed("200 OK", "77")]).await;
+    let one = instance(1, engine.address.port(), &[]).await;
+    let two = instance(2, engine.address.port(), &[one.address]).await;
+    until(|| one.gateway.peers_heard(Millis::ZERO) == 1).await;
+    until(|| two.gateway.peers_heard(Millis::ZERO) == 1).await;
+
+    tokio::join!(one.seed(), two.seed());
+
+    until(|| one.knows_shared() && two.knows_shared()).await;
+    assert_eq!(engine.received().len(), 1);
+}
+
+/// Symptom: instances do not find each other.
+/// Sequence: they register while the table is away, and again at another address.
+/// Cause: each goes on until its row is written and the others' rows are read.
+#[tokio::test]
+async fn verify_instances_find_each_other_by_the_table() {
+    let table = MemoryTable::default();
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    table.put("anvilhook_instances", "a", Some("127.0.0.1:1"));
+    table.put("anvilhook_instances", "b", Some("rubbish"));
+    table.set_fault(Fault::Away);
+    let peers = Arc::new(Peers::default());
+    let registering =
+        tokio::spawn(register(table.clone(), "b".to_owned(), address(2), Arc::clone(&peers)));
+    until(|| table.refused() > 0).await;
+
+    table.set_fault(Fault::None);
+    registering.await.expect("no panic");
+
+    assert_eq!(table.value("anvilhook_instances", "b").as_deref(), Some("127.0.0.1:2"));
+    assert_eq!(peers.addresses(Millis::ZERO), [address(1)]);
+}
--- a/crates/anvilhook-gateway/tests/support/tables.rs
+++ b/crates/anvilhook-gateway/tests/support/tables.rs
@@ -28,6 +28,7 @@
     fault: Fault,
     waits: Vec<Millis>,
     scans: usize,
+    refused: usize,
 }
 
 /// `MemoryTable` is a table of one test. Clones share it.
@@ -63,6 +64,11 @@
         (state.waits.clone(), state.scans)
     }
 
+    /// Returns how many calls were refused.
+    pub fn refused(&self) -> usize {
+        self.state.lock().expect("no panic").refused
+    }
+
     /// Returns a row's value.
     pub fn value(&self, table: &str, key: &str) -> Option<String> {
         let state = self.state.lock().expect("no panic");
@@ -81,7 +87,10 @@
     fn check(&self) -> Result<(), TableError> {
         let mut state = self.state.lock().expect("no panic");
         match state.fault {
-            Fault::Away => Err(TableError::Refused("away".to_owned())),
+            Fault::Away => {
+                state.refused += 1;
+                Err(TableError::Refused("away".to_owned()))
+            }
             Fault::HistoryGone => {
                 state.fault = Fault::None;
                 Err(TableError::HistoryGone)
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -114,6 +114,19 @@
         }
     }
 
+    fn cache_list(&self) -> Call {
+        Call { method: Method::GET, path: "/cache".to_owned(), body: None }
+    }
+
+    fn cached_parts(&self, body: &[u8]) -> Result<Vec<Part>, DecodeError> {
+        let text = std::str::from_utf8(body).map_err(|_| bad("parts"))?;
+        let parts = text.split_whitespace().map(|id| {
+            let id = id.parse().map_err(|_| bad("parts"))?;
+            Ok(Part { id, tokens: 5_000 })
+        });
+        parts.collect()
+    }
+
     fn report(&self) -> Call {
         Call { method: Method::GET, path: "/report".to_owned(), body: None }
     }
