Give a silent stream up only if its engine does not answer a call

After 1.5 s of silence the stream was dropped to be resumed elsewhere, and no resumption was left, so it was cut. Ruled out: the change of the configuration beside it (the route's target and timeout stayed). Change: after each 1.5 s of silence the engine is asked for its report; the stream is given up only without an answer.

--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -27,6 +27,9 @@
 /// How long a stream that can be resumed may be silent.
 const SILENCE: Millis = Millis(1_500);
 
+/// The cause of a failure that is only silence.
+const SILENT: &str = "stream_silent";
+
 /// `Relay` is an upstream's stream of which at least one event has come.
 pub(super) struct Relay {
     status: StatusCode,
@@ -148,7 +151,7 @@
                 Ok(None) if self.splitter.is_empty() => return Ok(Piece::End),
                 Ok(None) => return Err(Failed::may_have_run("event_cut")),
                 Ok(Some(Err(_))) => return Err(Failed::may_have_run("stream_cut")),
-                Err(_elapsed) => return Err(Failed::may_have_run("stream_silent")),
+                Err(_elapsed) => return Err(Failed::may_have_run(SILENT)),
             }
         }
     }
@@ -178,13 +181,27 @@
         if let Some(event) = self.relay.next.take() {
             return Ok(Some(event.bytes));
         }
-        match self.relay.read(&self.gateway, &self.exchange).await {
-            Ok(Piece::Event(event)) => Ok(Some(event.bytes)),
-            Ok(Piece::End) => Ok(None),
-            Err(failed) => self.resume(&failed).await,
+        loop {
+            match self.relay.read(&self.gateway, &self.exchange).await {
+                Ok(Piece::Event(event)) => return Ok(Some(event.bytes)),
+                Ok(Piece::End) => return Ok(None),
+                Err(failed) if failed.cause == SILENT && self.is_worked_on().await => {}
+                Err(failed) => return self.resume(&failed).await,
+            }
         }
     }
 
+    /// Returns whether a silent stream's upstream is alive, so that the run may still go on.
+    ///
+    /// An engine may put a run off for seconds when its memory is short. To give up on it then
+    /// would cut an answer that was going to be whole, or have it run twice at once.
+    async fn is_worked_on(&self) -> bool {
+        let has_time = self.exchange.time_left(self.gateway.now()) > Millis::ZERO;
+        let report = self.gateway.wire().report();
+        let upstream = self.relay.held.upstream();
+        has_time && self.gateway.own_call(upstream, &report).await.is_some()
+    }
+
     fn log_broken(&self, upstream: &str, failed: &Failed, outcome: &'static str) {
         emit(&Event::StreamBroken {
             request: &self.exchange.id,
--- a/crates/anvilhook-gateway/tests/support/upstreams.rs
+++ b/crates/anvilhook-gateway/tests/support/upstreams.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -35,6 +36,8 @@
     Close,
     /// Closes the connection with a reset.
     Reset,
+    /// Does nothing for so many milliseconds.
+    Pause(u64),
     /// Does nothing until the other end closes the connection.
     Hang,
 }
@@ -102,6 +105,7 @@
                         return;
                     }
                 }
+                Step::Pause(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
                 Step::Close => return,
                 Step::Reset => {
                     reset_on_close(&stream);
