Keep the split in both directions, and leave engines alone whose handles are refused

An engine whose handles lapse at once is asked again and again, as its readings succeed. Change: readers are made generators, too, after 1 s of unevenness; an engine that refuses with free places is left alone 300 ms; two refused handles in a row end an engine's reading for 0.8 s, and the next try goes to two other engines.

--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -13,6 +13,10 @@
 
 use crate::wires::Load;
 
+/// The handles refused in a row after which an engine reads nothing for a while, and that while.
+const REFUSED_HANDLES: u32 = 2;
+const NO_HANDLES_TIME: Millis = Millis(800);
+
 /// How long an upstream's or a peer's word about load is worth anything.
 const LOAD_AGE: Millis = Millis(400);
 
@@ -70,6 +74,8 @@
     fetching_us: AtomicU64,
     ejection: Ejection,
     is_gone: AtomicBool,
+    refused_handles: AtomicU32,
+    no_handles_until: AtomicU64,
     away_until: AtomicU64,
     slowness: AtomicU64,
     told: Mutex<Option<(Load, Millis)>>,
@@ -86,6 +92,8 @@
             fetching_us: AtomicU64::new(0),
             ejection: Ejection::new(&options),
             is_gone: AtomicBool::new(false),
+            refused_handles: AtomicU32::new(0),
+            no_handles_until: AtomicU64::new(0),
             away_until: AtomicU64::new(0),
             slowness: AtomicU64::new(1f64.to_bits()),
             told: Mutex::default(),
@@ -123,6 +131,24 @@
         now.0 < self.away_until.load(Ordering::Acquire)
     }
 
+    /// Notes what became of a KV handle of this engine at another one.
+    ///
+    /// An engine whose handles lapse at once answers each reading well, and every request read
+    /// there would be refused and spend the retry budget.
+    pub fn record_handle(&self, is_taken: bool, now: Millis) {
+        if is_taken {
+            self.refused_handles.store(0, Ordering::Release);
+        } else if self.refused_handles.fetch_add(1, Ordering::AcqRel) + 1 >= REFUSED_HANDLES {
+            let until = now + NO_HANDLES_TIME;
+            self.no_handles_until.fetch_max(until.0, Ordering::AcqRel);
+        }
+    }
+
+    /// Returns whether the engine's handles were refused of late.
+    pub fn has_bad_handles(&self, now: Millis) -> bool {
+        now.0 < self.no_handles_until.load(Ordering::Acquire)
+    }
+
     /// Returns how many times slower than predicted the upstream reads prompts.
     pub fn slowness(&self) -> f64 {
         f64::from_bits(self.slowness.load(Ordering::Acquire))
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -192,7 +192,10 @@
             has_role && upstream.takes_work(self.now) && !is_avoided
         };
         // Ejection must not empty a stage: with every engine ejected, all are tried again.
-        let well = move |upstream: &&Arc<Upstream>| !upstream.state.ejection().is_ejected(self.now);
+        let well = move |upstream: &&Arc<Upstream>| {
+            let has_bad_handles = role == Role::Prefill && upstream.state.has_bad_handles(self.now);
+            !upstream.state.ejection().is_ejected(self.now) && !has_bad_handles
+        };
         let any_well = all.iter().filter(able).any(|upstream| well(&upstream));
         all.iter().filter(able).filter(move |upstream| !any_well || well(upstream))
     }
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -144,7 +144,7 @@
             sending.head_timeout.min(exchange.time_left(self.now())),
         );
         let answer = sent.await?;
-        self.check(exchange, sending.upstream, answer)
+        self.check(exchange, sending, answer)
     }
 
     fn request_for(&self, exchange: &Exchange, sending: &Sending<'_>) -> Request<Body> {
@@ -170,9 +170,10 @@
     fn check(
         &self,
         exchange: &Exchange,
-        upstream: &Upstream,
+        sending: &Sending<'_>,
         answer: Response,
     ) -> Result<Response, Failed> {
+        let upstream = sending.upstream;
         let names = self.wire().headers();
         let headers = answer.headers();
         let is_own =
@@ -195,6 +196,16 @@
             return Err(Failed::refusal("misdirected"));
         }
         if headers.contains_key(&names.not_run) {
+            // An engine with free places refuses because it changes its role, which the list does
+            // not show yet. More requests would spend the retry budget there.
+            let now = self.now();
+            let has_source = sending.source.is_some();
+            if upstream.entry.role.is_some()
+                && !has_source
+                && upstream.state.work(now).in_flight < upstream.entry.slots / 2
+            {
+                upstream.state.mark_away(now + WRONG_STAGE_PAUSE);
+            }
             return Err(Failed::refusal("refused_by_upstream"));
         }
         if headers.contains_key(CONTENT_ENCODING) {
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -301,10 +301,17 @@
         }
         let upstream = generator.upstream;
         let opened = self.open_at(exchange, &upstream, work, extra, resume_after).await?;
-        if opened.is_ok()
-            && let Some(mut handle) = handle
-        {
-            handle.mark_used();
+        if let Some(mut handle) = handle {
+            let is_refused = matches!(&opened, Err(failed) if failed.is_refusal);
+            let reader = handle.upstream();
+            reader.state.record_handle(!is_refused, self.now());
+            if is_refused {
+                // Either engine may be the cause, so the next try goes to two others.
+                avoid.push(Arc::clone(&reader.entry.id));
+            }
+            if opened.is_ok() {
+                handle.mark_used();
+            }
         }
         match &opened {
             Ok(_) => self.record_cached(&upstream.entry.id, &prompt.parts, engine),
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -37,6 +37,8 @@
 pub struct RoleOptions {
     /// The share of a service's engines that read prompts.
     pub prefill_share: f64,
+    /// How long the split must be uneven before an order is given.
+    pub patience: Millis,
     /// How long a lease is good for.
     pub lease: Millis,
 }
@@ -66,6 +68,7 @@
     seen: Option<(u64, Millis)>,
     lease: Option<Lease>,
     not_before: Millis,
+    uneven_since: Option<Millis>,
     settling: std::collections::HashMap<Arc<str>, Millis>,
 }
 
@@ -91,10 +94,16 @@
             seen: None,
             lease: None,
             not_before: Millis::ZERO,
+            uneven_since: None,
             settling: Default::default(),
         }
     }
 
+    /// Sets how long the split must be uneven before an order is given.
+    pub fn set_patience(&mut self, patience: Millis) {
+        self.options.patience = patience;
+    }
+
     /// Keeps the split for as long as the process runs.
     pub async fn run(mut self) {
         tokio::time::sleep(FIRST_LOOK).await;
@@ -111,7 +120,14 @@
     pub async fn look(&mut self) {
         let Some(config) = self.gateway.config() else { return };
         let due = self.due_changes(&config);
-        if due.is_empty() || self.clock.now() < self.not_before {
+        if due.is_empty() {
+            self.uneven_since = None;
+            return;
+        }
+        // An engine that restarts is missing for a moment only; a change takes another one away.
+        let now = self.clock.now();
+        let uneven_since = *self.uneven_since.get_or_insert(now);
+        if now < uneven_since + self.options.patience || now < self.not_before {
             return;
         }
         let Some(lease) = self.hold_lease().await else { return };
@@ -151,22 +167,24 @@
         }
         let wanted = (staying.len() as f64 * self.options.prefill_share).round() as usize;
         let wanted = wanted.clamp(1, staying.len() - 1);
-        let has_role = |upstream: &Upstream, role| upstream.entry.role == Some(role);
-        let readers = staying.iter().filter(|upstream| has_role(upstream, Role::Prefill)).count();
-        if readers >= wanted {
-            return Vec::new();
-        }
-        let mut able: Vec<_> =
-            staying.iter().filter(|upstream| has_role(upstream, Role::Decode)).collect();
-        // The zone with the most engines that generate gives one first.
-        let mut chosen = Vec::new();
-        while chosen.len() < wanted - readers {
-            let in_zone = |zone: &str| able.iter().filter(|one| &*one.entry.zone == zone).count();
-            let best = able.iter().enumerate().max_by_key(|(_, one)| in_zone(&one.entry.zone));
-            let Some((at, _)) = best else { break };
-            chosen.push((Arc::clone(able.remove(at)), Role::Prefill));
+        let of_role = |role| {
+            let have = staying.iter().filter(move |upstream| upstream.entry.role == Some(role));
+            have.copied().collect::<Vec<_>>()
+        };
+        let (readers, generators) = (of_role(Role::Prefill), of_role(Role::Decode));
+        if readers.len() < wanted {
+            let missing = wanted - readers.len();
+            take_from_fullest_zones(generators, missing)
+                .into_iter()
+                .map(|upstream| (upstream, Role::Prefill))
+                .collect()
+        } else {
+            let spare = readers.len() - wanted;
+            take_from_fullest_zones(readers, spare)
+                .into_iter()
+                .map(|upstream| (upstream, Role::Decode))
+                .collect()
         }
-        chosen
     }
 
     async fn hold_lease(&mut self) -> Option<Lease> {
@@ -258,3 +276,15 @@
         self.gateway.metrics().orders.get_or_create(&label).inc();
     }
 }
+
+/// Takes engines, each from the availability zone that has most of them left.
+fn take_from_fullest_zones(mut from: Vec<&Arc<Upstream>>, count: usize) -> Vec<Arc<Upstream>> {
+    let mut taken = Vec::new();
+    while taken.len() < count {
+        let in_zone = |zone: &str| from.iter().filter(|one| &*one.entry.zone == zone).count();
+        let fullest = from.iter().enumerate().max_by_key(|(_, one)| in_zone(&one.entry.zone));
+        let Some((at, _)) = fullest else { break };
+        taken.push(Arc::clone(from.remove(at)));
+    }
+    taken
+}
--- a/crates/anvilhook-gateway/tests/roles.rs
+++ b/crates/anvilhook-gateway/tests/roles.rs
@@ -25,11 +25,16 @@
 
 /// Starts engines that all generate, and answer an order with `status`.
 async fn engines(count: usize, status: &'static str) -> Engines {
+    engines_of(Role::Decode, count, status).await
+}
+
+async fn engines_of(role: Role, count: usize, status: &'static str) -> Engines {
     let mut engines = Engines { upstreams: Vec::new(), entries: Vec::new() };
     for at in 0..count {
         let script = move |received: &Received| {
             if received.line.starts_with("GET /report") {
-                vec![signed("200 OK", "decode")]
+                let role = if role == Role::Prefill { "prefill" } else { "decode" };
+                vec![signed("200 OK", role)]
             } else if status.is_empty() {
                 vec![Step::Close]
             } else {
@@ -38,7 +43,7 @@
         };
         let upstream = Upstream::start(script).await;
         let port = upstream.address.port();
-        engines.entries.push(Entry { role: Some(Role::Decode), ..entry(&format!("e{at}"), port) });
+        engines.entries.push(Entry { role: Some(role), ..entry(&format!("e{at}"), port) });
         engines.upstreams.push(upstream);
     }
     engines
@@ -67,7 +72,8 @@
 
 impl Site {
     fn keeper(&self, holder: &str) -> RoleKeeper<TestWire, MemoryTable, ManualClock> {
-        let options = RoleOptions { prefill_share: 0.5, lease: Millis(3_000) };
+        let options =
+            RoleOptions { prefill_share: 0.5, patience: Millis::ZERO, lease: Millis(3_000) };
         let peers = Arc::new(Peers::default());
         let (gateway, table) = (self.gateway.clone(), self.table.clone());
         let holder = holder.to_owned();
@@ -91,6 +97,47 @@
     assert_eq!(site.table.value("anvilhook_leases", "roles").as_deref(), Some("one"));
 }
 
+/// Symptom: output waits for the few engines that generate, while readers are idle.
+/// Sequence: engines that generated have left; all that stay are readers.
+/// Cause: the split is kept in both directions.
+#[tokio::test]
+async fn verify_readers_are_made_generators() {
+    let engines = engines_of(Role::Prefill, 4, "200 OK").await;
+    let site = site(&engines);
+
+    site.keeper("one").look().await;
+
+    assert_eq!(engines.orders(), ["Decode 1 Some(4)", "Decode 1 Some(4)"]);
+}
+
+/// Symptom: engines change their roles for others that are only restarting.
+/// Sequence: the split is uneven for a moment, twice.
+/// Cause: an order is given only after the split has been uneven for long enough.
+#[tokio::test]
+async fn verify_a_moment_of_unevenness_is_no_reason() {
+    let engines = engines(2, "200 OK").await;
+    let site = site(&engines);
+    let mut keeper = site.keeper("one");
+    keeper.set_patience(Millis(1_000));
+    let mut even = engines.entries.clone();
+    even[0].role = Some(Role::Prefill);
+
+    for _ in 0..2 {
+        keeper.look().await;
+        site.clock.advance(Millis(900));
+        site.gateway.adopt_entries(even.clone());
+        keeper.look().await;
+        site.clock.advance(Millis(900));
+        site.gateway.adopt_entries(engines.entries.clone());
+    }
+    assert!(engines.orders().is_empty());
+
+    keeper.look().await;
+    site.clock.advance(Millis(1_000));
+    keeper.look().await;
+    assert_eq!(engines.orders().len(), 1);
+}
+
 /// Symptom: an engine gets orders of two holders.
 /// Sequence: two instances each think that they are to act, the second within the first's lease.
 /// Cause: only the lapse of the lease, seen by the second's own clock, lets it take it.
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -5,6 +5,7 @@
 use anvilhook_core::orders::Role;
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::prompts::Part;
 use support::fronts::{Front, ample_budget, config, start};
 use support::upstreams::{
     Received, Step, Upstream, chunk, event, refusal, signed, stream_end, stream_head,
@@ -228,6 +229,40 @@
     }
 }
 
+/// Symptom: requests are refused and the retry budget is spent, though other engines are well.
+/// Sequence: one reader's handles lapse at once, so the generator refuses each of them.
+/// Cause: reading succeeds there every time; only the refused handles tell.
+#[tokio::test]
+async fn verify_a_reader_whose_handles_are_refused_is_left_alone() {
+    let bad = Upstream::start(|received| match received.line.starts_with("DELETE") {
+        true => vec![signed("200 OK", "")],
+        false => vec![signed("200 OK", "handle bad")],
+    })
+    .await;
+    let good = Upstream::start(reader_script).await;
+    let generator = |received: &Received| match received.header("t-kv-source") {
+        Some(source) if source.ends_with("/bad") => vec![refusal()],
+        _ => stream(1, 2),
+    };
+    let generators = [Upstream::start(generator).await, Upstream::start(generator).await];
+    let mut far = engine("good", &good, Role::Prefill);
+    far.zone = "zone-b".into();
+    let mut engines = vec![engine("bad", &bad, Role::Prefill), far];
+    for (at, one) in generators.iter().enumerate() {
+        engines.push(engine(&format!("g{at}"), one, Role::Decode));
+    }
+    let front = front_of(ONCE, engines).await;
+    front.gateway.caches().record(&"bad".into(), &[Part { id: 1, tokens: 200 }], 100_000);
+
+    for round in 0..6 {
+        let answer = front.post(&format!("r{round}"), PROMPT, "").await;
+        assert_eq!((answer.status, answer.events()), (200, vec![1, 2]), "request {round}");
+    }
+
+    let reads = bad.received().iter().filter(|one| one.line.starts_with("POST")).count();
+    assert_eq!(reads, 2);
+}
+
 /// Symptom: output comes from an engine that had begun to leave.
 /// Sequence: the generator's entry says draining while the prompt is being read.
 /// Cause: the generator is chosen after the reading, by what is believed then.
