--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -1,10 +1,10 @@
 //! Following the platform's tables: the configuration and the upstreams' entries.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use anvilhook_core::units::{Clock, Millis};
 
+use crate::entries::EntryBook;
 use crate::events::{Event, emit};
 use crate::fleets::Entry;
 use crate::relay::Gateway;
@@ -23,9 +23,6 @@
 const FIRST_PAUSE: Millis = Millis(50);
 const LONGEST_PAUSE: Millis = Millis(400);
 
-/// How long after the table's return an entry that lapsed may take to be back.
-const LAPSE_GRACE: Millis = Millis(2_200);
-
 /// The beliefs that are read from tables, as metrics name them.
 const CONFIG_BELIEF: &str = "config";
 pub(crate) const LIST_BELIEF: &str = "list";
@@ -147,121 +144,6 @@
     }
 }
 
-/// `Tombstone` is what is remembered of an entry that was removed.
-#[derive(Clone, Copy, Debug)]
-struct Tombstone {
-    sequence: u64,
-    removed_at: Millis,
-}
-
-/// How long a removed entry's number is remembered.
-const TOMBSTONE_AGE: Millis = Millis::from_secs(120);
-
-/// `EntryBook` keeps the upstreams' entries through lapses and old reports.
-#[derive(Debug, Default)]
-pub struct EntryBook {
-    entries: HashMap<Arc<str>, Entry>,
-    lapsed: HashMap<Arc<str>, Millis>,
-    removed: HashMap<Arc<str>, Tombstone>,
-    is_away: bool,
-    grace_until: Millis,
-}
-
-impl EntryBook {
-    /// Makes an empty book.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Returns the entries that count now.
-    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values()
-    }
-
-    /// Notes that the table can't be reached.
-    pub fn lost(&mut self) {
-        self.is_away = true;
-    }
-
-    /// Notes that the table is reached again. Entries may have lapsed because their upstreams
-    /// could not report meanwhile; they are given time to be back.
-    pub fn regained(&mut self, now: Millis) {
-        self.is_away = false;
-        self.grace_until = now + LAPSE_GRACE;
-    }
-
-    /// Takes an entry in. Returns whether it changes what counts.
-    ///
-    /// A report that was held up on its way may arrive after a newer one, or after the entry's
-    /// end. It would bring back an upstream that is leaving or gone, and requests would be sent
-    /// there. So an older report changes nothing, and leaving is never taken back.
-    pub fn put(&mut self, mut entry: Entry) -> bool {
-        let id = Arc::clone(&entry.id);
-        if self.removed.get(&id).is_some_and(|removed| entry.sequence <= removed.sequence) {
-            return false;
-        }
-        if let Some(known) = self.entries.get(&id) {
-            if entry.sequence < known.sequence {
-                return false;
-            }
-            entry.draining |= known.draining;
-        }
-        self.removed.remove(&id);
-        self.lapsed.remove(&id);
-        self.entries.insert(id, entry.clone()) != Some(entry)
-    }
-
-    /// Takes the removal of an entry in. Returns whether it changes what counts.
-    pub fn remove(&mut self, id: &str, now: Millis) -> bool {
-        let Some((id, entry)) = self.entries.get_key_value(id) else { return false };
-        let id = Arc::clone(id);
-        if now < self.grace_until && !entry.draining {
-            self.lapsed.entry(id).or_insert(self.grace_until);
-            return false;
-        }
-        self.drop_entry(&id, now);
-        true
-    }
-
-    /// Takes in all rows as of one moment: what is missing was removed.
-    pub fn reset(&mut self, entries: Vec<Entry>, now: Millis) -> bool {
-        let missing: Vec<_> = self.entries.keys().cloned().collect();
-        let listed: Vec<_> = entries.iter().map(|entry| Arc::clone(&entry.id)).collect();
-        let mut has_changed = false;
-        for entry in entries {
-            has_changed |= self.put(entry);
-        }
-        for id in missing.iter().filter(|id| !listed.contains(id)) {
-            has_changed |= self.remove(id, now);
-        }
-        has_changed
-    }
-
-    /// Drops what has not come back in time. Returns whether it changes what counts.
-    pub fn expire(&mut self, now: Millis) -> bool {
-        self.removed.retain(|_, removed| removed.removed_at + TOMBSTONE_AGE > now);
-        let due: Vec<_> = self.lapsed.iter().filter(|(_, until)| **until <= now).collect();
-        let due: Vec<_> = due.into_iter().map(|(id, _)| Arc::clone(id)).collect();
-        for id in &due {
-            self.lapsed.remove(id);
-            self.drop_entry(id, now);
-        }
-        !due.is_empty()
-    }
-
-    /// Returns when `expire` has something to do, if ever.
-    pub fn next_expiry(&self) -> Option<Millis> {
-        self.lapsed.values().min().copied()
-    }
-
-    fn drop_entry(&mut self, id: &Arc<str>, now: Millis) {
-        if let Some(entry) = self.entries.remove(id) {
-            let tombstone = Tombstone { sequence: entry.sequence, removed_at: now };
-            self.removed.insert(Arc::clone(id), tombstone);
-        }
-    }
-}
-
 /// `EntryFollower` keeps the gateway's fleet by the listed entries.
 pub struct EntryFollower<W: Wire, C: Clock> {
     gateway: Gateway<W, C>,
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod budgets;
 pub mod caches;
 pub mod configs;
+pub mod entries;
 pub mod events;
 pub mod fleets;
 pub mod followers;
 pub mod instances;
+pub mod loads;
 pub mod metrics;
 pub mod peers;
 pub mod placements;
--- /dev/null
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -0,0 +1,231 @@
+//! What this instance has learnt of an upstream: its load, its failures, its speed.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use anvilhook_core::ejections::{Ejection, EjectionOptions};
+use anvilhook_core::units::Millis;
+
+use crate::fleets::Upstream;
+use crate::wires::Load;
+
+/// The handles refused in a row after which an engine reads nothing for a while, and that while.
+const REFUSED_HANDLES: u32 = 2;
+const NO_HANDLES_TIME: Millis = Millis(800);
+
+/// How long an upstream's or a peer's word about load is worth anything.
+const LOAD_AGE: Millis = Millis(400);
+
+/// `PeerLoad` is what another instance has in flight at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PeerLoad {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Prompts being read, in milliseconds of work.
+    pub reading_ms: f64,
+    /// KV caches being fetched, in milliseconds of the engine's link.
+    pub fetching_ms: f64,
+    /// When it was heard.
+    pub at: Millis,
+}
+
+/// `Work` is what requests in flight ask of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Prompts being read, in milliseconds of work.
+    pub reading_ms: f64,
+    /// KV caches being fetched, in milliseconds of the engine's link.
+    pub fetching_ms: f64,
+}
+
+/// `UpstreamState` is what this instance has learnt of an upstream. It outlives changes of the
+/// upstream's entry.
+#[derive(Debug)]
+pub struct UpstreamState {
+    in_flight: AtomicU32,
+    reading_us: AtomicU64,
+    fetching_us: AtomicU64,
+    ejection: Ejection,
+    is_gone: AtomicBool,
+    refused_handles: AtomicU32,
+    no_handles_until: AtomicU64,
+    away_until: AtomicU64,
+    slowness: AtomicU64,
+    told: Mutex<Option<(Load, Millis)>>,
+    peers: Mutex<HashMap<u64, PeerLoad>>,
+}
+
+impl UpstreamState {
+    /// Makes the state of an upstream of which nothing is known.
+    pub(crate) fn new() -> Self {
+        let options =
+            EjectionOptions { failures: 3, ejection: Millis(1_000), slow_return: Millis(2_000) };
+        Self {
+            in_flight: AtomicU32::new(0),
+            reading_us: AtomicU64::new(0),
+            fetching_us: AtomicU64::new(0),
+            ejection: Ejection::new(&options),
+            is_gone: AtomicBool::new(false),
+            refused_handles: AtomicU32::new(0),
+            no_handles_until: AtomicU64::new(0),
+            away_until: AtomicU64::new(0),
+            slowness: AtomicU64::new(1f64.to_bits()),
+            told: Mutex::default(),
+            peers: Mutex::default(),
+        }
+    }
+
+    /// Returns the record of failures.
+    pub fn ejection(&self) -> &Ejection {
+        &self.ejection
+    }
+
+    /// Notes that another upstream answers at the address, so that this one is gone.
+    pub fn mark_gone(&self) {
+        self.is_gone.store(true, Ordering::Release);
+    }
+
+    /// Returns whether the upstream is known to be gone though it is still listed.
+    pub fn is_gone(&self) -> bool {
+        self.is_gone.load(Ordering::Acquire)
+    }
+
+    /// Notes that the upstream takes no work until a time, because it changes its role.
+    pub fn mark_away(&self, until: Millis) {
+        self.away_until.fetch_max(until.0, Ordering::AcqRel);
+    }
+
+    /// Returns until when the upstream is away for a change of its role.
+    pub fn away_until(&self) -> Millis {
+        Millis(self.away_until.load(Ordering::Acquire))
+    }
+
+    /// Returns whether the upstream is away for a change of its role.
+    pub fn is_away(&self, now: Millis) -> bool {
+        now.0 < self.away_until.load(Ordering::Acquire)
+    }
+
+    /// Notes what became of a KV handle of this engine at another one.
+    ///
+    /// An engine whose handles lapse at once answers each reading well, and every request read
+    /// there would be refused and spend the retry budget.
+    pub fn record_handle(&self, is_taken: bool, now: Millis) {
+        if is_taken {
+            self.refused_handles.store(0, Ordering::Release);
+        } else if self.refused_handles.fetch_add(1, Ordering::AcqRel) + 1 >= REFUSED_HANDLES {
+            let until = now + NO_HANDLES_TIME;
+            self.no_handles_until.fetch_max(until.0, Ordering::AcqRel);
+        }
+    }
+
+    /// Returns whether the engine's handles were refused of late.
+    pub fn has_bad_handles(&self, now: Millis) -> bool {
+        now.0 < self.no_handles_until.load(Ordering::Acquire)
+    }
+
+    /// Returns how many times slower than predicted the upstream reads prompts.
+    pub fn slowness(&self) -> f64 {
+        f64::from_bits(self.slowness.load(Ordering::Acquire))
+    }
+
+    /// Learns from a prompt that took `took_ms` where `expected_ms` were predicted.
+    ///
+    /// An engine that has turned slow would keep its share of the work and make all of it late. A
+    /// prompt may also take long because of others that this instance has not heard of, so the
+    /// belief grows slowly and falls fast.
+    pub fn record_reading(&self, expected_ms: f64, took_ms: f64) {
+        const GROWTH: f64 = 0.1;
+        const FALL: f64 = 0.5;
+        let seen = (took_ms / expected_ms.max(1.0)).clamp(1.0, 6.0);
+        let before = self.slowness();
+        let weight = if seen > before { GROWTH } else { FALL };
+        let next = before * (1.0 - weight) + seen * weight;
+        self.slowness.store(next.to_bits(), Ordering::Release);
+    }
+
+    /// Notes what the upstream said of its load.
+    pub fn record_load(&self, load: Load, now: Millis) {
+        *self.told.lock().expect("no panic under this lock") = Some((load, now));
+    }
+
+    /// Notes what a peer has in flight here.
+    pub fn record_peer(&self, peer: u64, load: PeerLoad) {
+        self.peers.lock().expect("no panic under this lock").insert(peer, load);
+    }
+
+    /// Returns what this instance's own requests ask of the upstream.
+    pub fn own_work(&self) -> Work {
+        Work {
+            in_flight: self.in_flight.load(Ordering::Acquire),
+            reading_ms: self.reading_us.load(Ordering::Acquire) as f64 / 1e3,
+            fetching_ms: self.fetching_us.load(Ordering::Acquire) as f64 / 1e3,
+        }
+    }
+
+    /// Returns the estimate of what all instances' requests ask of the upstream.
+    pub fn work(&self, now: Millis) -> Work {
+        let mut work = self.own_work();
+        let since = now - LOAD_AGE;
+        for peer in self.peers.lock().expect("no panic under this lock").values() {
+            if peer.at >= since {
+                work.in_flight += peer.in_flight;
+                work.reading_ms += peer.reading_ms;
+                work.fetching_ms += peer.fetching_ms;
+            }
+        }
+        let told = *self.told.lock().expect("no panic under this lock");
+        if let Some((load, at)) = told
+            && at >= since
+        {
+            work.in_flight = work.in_flight.max(load.running + load.waiting);
+        }
+        work
+    }
+}
+
+/// `Held` counts a request in at an upstream, until it is dropped.
+#[derive(Debug)]
+pub struct Held {
+    upstream: Arc<Upstream>,
+    reading_us: u64,
+    fetching_us: u64,
+}
+
+impl Held {
+    /// Counts a request in that asks for nothing beyond its place.
+    pub fn new(upstream: Arc<Upstream>) -> Self {
+        Self::with_work(upstream, 0.0, 0.0)
+    }
+
+    /// Counts a request in, with what is to be read and fetched for it, in milliseconds.
+    pub fn with_work(upstream: Arc<Upstream>, reading_ms: f64, fetching_ms: f64) -> Self {
+        let (reading_us, fetching_us) = ((reading_ms * 1e3) as u64, (fetching_ms * 1e3) as u64);
+        upstream.state.in_flight.fetch_add(1, Ordering::AcqRel);
+        upstream.state.reading_us.fetch_add(reading_us, Ordering::AcqRel);
+        upstream.state.fetching_us.fetch_add(fetching_us, Ordering::AcqRel);
+        Self { upstream, reading_us, fetching_us }
+    }
+
+    /// Returns the upstream.
+    pub fn upstream(&self) -> &Arc<Upstream> {
+        &self.upstream
+    }
+
+    /// Notes that the prompt has been read and fetched.
+    pub fn reading_done(&mut self) {
+        let reading_us = std::mem::take(&mut self.reading_us);
+        let fetching_us = std::mem::take(&mut self.fetching_us);
+        self.upstream.state.reading_us.fetch_sub(reading_us, Ordering::AcqRel);
+        self.upstream.state.fetching_us.fetch_sub(fetching_us, Ordering::AcqRel);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.reading_done();
+        self.upstream.state.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -0,0 +1,109 @@
+//! Digests: what one instance tells another, and what is taken in of it.
+
+use anvilhook_core::units::{Clock, Millis};
+use serde::{Deserialize, Serialize};
+
+use crate::fleets::digest_of;
+use crate::loads::PeerLoad;
+use crate::prompts::Part;
+use crate::relay::Gateway;
+use crate::wires::Wire;
+
+/// `EngineLoad` is what an instance has in flight at an engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineLoad {
+    /// The short form of the engine's id.
+    pub engine: u32,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Prompts being read, in milliseconds of work.
+    pub reading_ms: u32,
+    /// KV caches being fetched, in milliseconds of the engine's link.
+    pub fetching_ms: u32,
+}
+
+/// `CachedPrompt` is a prompt that an engine now keeps.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CachedPrompt {
+    /// The short form of the engine's id.
+    pub engine: u32,
+    /// The prompt's parts, with their lengths in tokens.
+    pub parts: Vec<(u64, u32)>,
+}
+
+/// `Digest` is what one instance tells another.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Digest {
+    /// The sender's process, a number of its own choice.
+    pub from: u64,
+    /// The engines at which it has something in flight.
+    pub loads: Vec<EngineLoad>,
+    /// What engines have read since the last digest.
+    pub cached: Vec<CachedPrompt>,
+    /// Whether it tells of caches only, and nothing of loads.
+    pub is_partial: bool,
+    /// Engines that change their role, with the time that it still takes in milliseconds.
+    pub away: Vec<(u32, u32)>,
+}
+
+/// Makes the digest of what this instance has in flight, and of what the peers don't know yet.
+pub(super) fn digest<W: Wire, C: Clock>(
+    number: u64,
+    gateway: &Gateway<W, C>,
+    now: Millis,
+) -> Digest {
+    const MAX_CACHED: usize = 24;
+    let view = gateway.fleet().view();
+    let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
+    let mut digest = Digest { from: number, ..Digest::default() };
+    for upstream in engines {
+        let engine = digest_of(&upstream.entry.id);
+        let work = upstream.state.own_work();
+        if work.in_flight > 0 {
+            let reading_ms = work.reading_ms as u32;
+            let fetching_ms = work.fetching_ms as u32;
+            let in_flight = work.in_flight;
+            digest.loads.push(EngineLoad { engine, in_flight, reading_ms, fetching_ms });
+        }
+        let away = upstream.state.away_until() - now;
+        if away > Millis::ZERO {
+            digest.away.push((engine, away.0 as u32));
+        }
+    }
+    for (engine, parts) in gateway.take_cached(MAX_CACHED) {
+        let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
+        digest.cached.push(CachedPrompt { engine: digest_of(&engine), parts });
+    }
+    digest
+}
+
+/// Takes in what a peer tells.
+pub(super) fn take_in<W: Wire, C: Clock>(digest: &Digest, gateway: &Gateway<W, C>, now: Millis) {
+    let view = gateway.fleet().view();
+    let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
+    for upstream in engines.filter(|_| !digest.is_partial) {
+        let engine = digest_of(&upstream.entry.id);
+        let told = digest.loads.iter().find(|load| load.engine == engine);
+        let load = told.map_or(PeerLoad { at: now, ..PeerLoad::default() }, |load| PeerLoad {
+            in_flight: load.in_flight,
+            reading_ms: f64::from(load.reading_ms),
+            fetching_ms: f64::from(load.fetching_ms),
+            at: now,
+        });
+        upstream.state.record_peer(digest.from, load);
+    }
+    for (engine, left_ms) in &digest.away {
+        if let Some(upstream) = view.by_digest(*engine) {
+            upstream.state.mark_away(now + Millis(u64::from(*left_ms)));
+        }
+    }
+    let config = gateway.config();
+    for cached in &digest.cached {
+        let Some(upstream) = view.by_digest(cached.engine) else { continue };
+        let spec = config.as_ref().and_then(|config| config.service(&upstream.entry.service));
+        let Some(engine) = spec.and_then(|spec| spec.engine.as_ref()) else { continue };
+        let parts = cached.parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens });
+        let parts: Vec<Part> = parts.collect();
+        gateway.caches().record(&upstream.entry.id, &parts, engine.kv_tokens.0);
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -0,0 +1,117 @@
+//! The other instances: which run, and how they find each other.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use anvilhook_core::units::Millis;
+
+use crate::events::{Event, emit};
+use crate::tables::{Table, TableError, Write, Written};
+
+/// How long a peer that is not heard counts as running.
+const PEER_AGE: Millis = Millis(2_000);
+
+/// The table of the instances' addresses.
+const PEER_TABLE: &str = "anvilhook_instances";
+
+/// The pause after a failed call to the table.
+const TABLE_PAUSE: Duration = Duration::from_millis(700);
+
+/// `Peer` is another instance.
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    number: u64,
+    heard_at: Millis,
+}
+
+/// `Peers` is the other instances that are known.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: Mutex<HashMap<SocketAddr, Option<Peer>>>,
+    was_told: AtomicBool,
+}
+
+impl Peers {
+    /// Notes that a peer has told what the caches hold.
+    pub(super) fn record_told(&self) {
+        self.was_told.store(true, Ordering::Release);
+    }
+
+    /// Returns whether a peer has told what the caches hold.
+    pub(super) fn was_told(&self) -> bool {
+        self.was_told.load(Ordering::Acquire)
+    }
+
+    /// Adds an address at which an instance may run.
+    pub fn add(&self, address: SocketAddr) {
+        self.known.lock().expect("no panic under this lock").entry(address).or_insert(None);
+    }
+
+    /// Notes that an instance was heard. Returns whether it is a new one.
+    pub(super) fn hear(&self, address: SocketAddr, number: u64, now: Millis) -> bool {
+        let peer = Peer { number, heard_at: now };
+        let mut known = self.known.lock().expect("no panic under this lock");
+        let before = known.insert(address, Some(peer)).flatten();
+        before.is_none_or(|before| before.number != number)
+    }
+
+    /// Returns the addresses to tell.
+    pub fn addresses(&self, now: Millis) -> Vec<SocketAddr> {
+        let known = self.known.lock().expect("no panic under this lock");
+        let current = known.iter().filter(|(_, peer)| {
+            // Whoever was heard once and fell silent is gone; a restart is heard by itself.
+            peer.is_none_or(|peer| peer.heard_at + PEER_AGE * 5 > now)
+        });
+        current.map(|(address, _)| *address).collect()
+    }
+
+    /// Returns whether `number` is the least among the instances that run.
+    pub fn is_first(&self, number: u64, now: Millis) -> bool {
+        let known = self.known.lock().expect("no panic under this lock");
+        let running = known.values().flatten().filter(|peer| peer.heard_at + PEER_AGE > now);
+        running.map(|peer| peer.number).all(|other| number < other)
+    }
+}
+
+/// Lists this instance in the table, and learns who else is listed. Of two instances that start
+/// together, each lists itself before it reads, so at least one learns of the other and tells it.
+pub async fn register<T: Table>(table: T, name: String, address: SocketAddr, peers: Arc<Peers>) {
+    loop {
+        match try_register(&table, &name, address, &peers).await {
+            Ok(()) => return,
+            Err(err) => {
+                emit(&Event::DependencyLost { dependency: PEER_TABLE, cause: err.to_string() });
+                tokio::time::sleep(TABLE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn try_register<T: Table>(
+    table: &T,
+    name: &str,
+    address: SocketAddr,
+    peers: &Peers,
+) -> Result<(), TableError> {
+    let own = address.to_string();
+    let value = bytes::Bytes::from(own.clone());
+    // Most instances are new to the table; the row of an earlier start is found by the conflict.
+    let write = Write { key: name.to_owned(), expected: 0, value: value.clone() };
+    let written = table.write(PEER_TABLE, write).await?;
+    let rows = table.scan(PEER_TABLE).await?;
+    for row in &rows.rows {
+        let text = row.value.as_ref().and_then(|value| std::str::from_utf8(value).ok());
+        let listed: Option<SocketAddr> = text.and_then(|text| text.parse().ok());
+        let listed = listed.filter(|listed| *listed != address);
+        if row.key != name {
+            listed.into_iter().for_each(|listed| peers.add(listed));
+        } else if written == Written::Conflict && text != Some(own.as_str()) {
+            let write = Write { key: name.to_owned(), expected: row.version, value: value.clone() };
+            table.write(PEER_TABLE, write).await?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -0,0 +1,107 @@
+//! What instances tell each other: loads and caches of engines, in datagrams.
+//!
+//! Everything told is a hint. An instance that hears nothing goes on by what it knows itself, and
+//! serves worse, never wrongly.
+
+mod digests;
+mod members;
+mod seeding;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_core::units::{Clock, Millis};
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use tokio::net::UdpSocket;
+
+use crate::relay::Gateway;
+use crate::wires::Wire;
+
+use digests::{digest, take_in};
+use seeding::tell_caches;
+
+pub use digests::{CachedPrompt, Digest, EngineLoad};
+pub use members::{Peers, register};
+pub use seeding::seed_caches;
+
+/// The pause between two digests.
+const TELL_EVERY: Duration = Duration::from_millis(50);
+
+/// How many ticks pass until a digest is sent though nothing is in flight.
+const IDLE_TICKS: u32 = 10;
+
+/// The most peers that one digest goes to. Beyond, each tick goes to others.
+const MAX_FANOUT: usize = 12;
+
+/// The most bytes of a digest, below what a link takes in one piece.
+const MAX_DIGEST_BYTES: usize = 1_400;
+
+/// Tells peers and listens to them for as long as the process runs.
+pub async fn exchange<W: Wire, C: Clock>(
+    socket: UdpSocket,
+    peers: Arc<Peers>,
+    number: u64,
+    rng: ChaCha8Rng,
+    gateway: Gateway<W, C>,
+    clock: C,
+) {
+    let mut ticks = tokio::time::interval(TELL_EVERY);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut buf = vec![0; MAX_DIGEST_BYTES * 2];
+    let mut teller = Teller { number, rng, quiet_ticks: 0, had_loads: false };
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => teller.tell(&socket, &peers, &gateway, clock.now()),
+            received = socket.recv_from(&mut buf) => {
+                let Ok((len, from)) = received else { continue };
+                if let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) {
+                    let now = clock.now();
+                    if digest.is_partial {
+                        peers.record_told();
+                    }
+                    // The new one may be the first by now; whoever was before it tells it.
+                    let was_first = peers.is_first(number, now);
+                    if peers.hear(from, digest.from, now) && was_first {
+                        tell_caches(&socket, from, number, &gateway);
+                    }
+                    gateway.record_peer(digest.from);
+                    take_in(&digest, &gateway, now);
+                }
+            }
+        }
+    }
+}
+
+struct Teller {
+    number: u64,
+    rng: ChaCha8Rng,
+    quiet_ticks: u32,
+    had_loads: bool,
+}
+
+impl Teller {
+    fn tell<W: Wire, C: Clock>(
+        &mut self,
+        socket: &UdpSocket,
+        peers: &Peers,
+        gateway: &Gateway<W, C>,
+        now: Millis,
+    ) {
+        let digest = digest(self.number, gateway, now);
+        let has_loads = !digest.loads.is_empty() || !digest.away.is_empty();
+        let has_news = has_loads || self.had_loads || !digest.cached.is_empty();
+        self.quiet_ticks += 1;
+        if !has_news && self.quiet_ticks < IDLE_TICKS {
+            return;
+        }
+        (self.quiet_ticks, self.had_loads) = (0, has_loads);
+        let Ok(buf) = postcard::to_stdvec(&digest) else { return };
+        let mut addresses = peers.addresses(now);
+        let (chosen, _) = addresses.partial_shuffle(&mut self.rng, MAX_FANOUT);
+        for address in chosen {
+            // A datagram that finds no room is as good as lost on the way.
+            let _ = socket.try_send_to(&buf, *address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -0,0 +1,68 @@
+//! What a new instance learns of the engines' caches.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::Clock;
+use tokio::net::UdpSocket;
+
+use super::digests::{CachedPrompt, Digest};
+use super::{Peers, TELL_EVERY};
+use crate::events::{Event, emit};
+use crate::fleets::digest_of;
+use crate::relay::Gateway;
+use crate::wires::Wire;
+
+/// The least size of a part that a new instance is told of, in tokens.
+const TOLD_TOKENS: u32 = 1_000;
+
+/// The parts in one digest for a new instance.
+const PARTS_A_DIGEST: usize = 80;
+
+/// How long a new instance listens before it asks the engines what they hold.
+const SEED_DELAY: Duration = Duration::from_millis(150);
+
+/// Tells a new instance what the caches are believed to hold. It would otherwise have each shared
+/// part read again that it meets.
+pub(super) fn tell_caches<W: Wire, C: Clock>(
+    socket: &UdpSocket,
+    to: SocketAddr,
+    number: u64,
+    gateway: &Gateway<W, C>,
+) {
+    for (engine, parts) in gateway.caches().shared_parts(TOLD_TOKENS) {
+        for parts in parts.chunks(PARTS_A_DIGEST) {
+            let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
+            let cached = vec![CachedPrompt { engine: digest_of(&engine), parts }];
+            let digest = Digest { from: number, cached, is_partial: true, ..Digest::default() };
+            let Ok(buf) = postcard::to_stdvec(&digest) else { return };
+            let _ = socket.try_send_to(&buf, to);
+        }
+    }
+}
+
+/// Reads once what the engines' caches hold, if no instance can tell.
+///
+/// After the loss of all instances the engines still hold what they have read. One instance asks
+/// them and tells the others; a call to each engine by each instance would hold the engines up.
+pub async fn seed_caches<W: Wire, C: Clock>(
+    peers: Arc<Peers>,
+    number: u64,
+    gateway: Gateway<W, C>,
+    clock: C,
+) {
+    while !gateway.is_ready() {
+        tokio::time::sleep(TELL_EVERY).await;
+    }
+    tokio::time::sleep(SEED_DELAY).await;
+    if peers.was_told() || !peers.is_first(number, clock.now()) {
+        return;
+    }
+    let view = gateway.fleet().view();
+    let engines = view.all().filter(|upstream| upstream.entry.role == Some(Role::Prefill));
+    let readings = engines.map(|upstream| gateway.read_cache(upstream));
+    let count = futures_util::future::join_all(readings).await.into_iter().sum();
+    emit(&Event::CachesRead { parts: count });
+}
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -11,7 +11,8 @@
 use super::attempts::{Failed, Sending};
 use super::requests::Exchange;
 use crate::configs::Repeats;
-use crate::fleets::{Held, Upstream};
+use crate::fleets::Upstream;
+use crate::loads::Held;
 use crate::wires::Wire;
 
 /// What another availability zone costs against requests in flight.
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -19,7 +19,7 @@
 use super::requests::Exchange;
 use super::{Flight, Gateway};
 use crate::events::{Event, emit};
-use crate::fleets::Held;
+use crate::loads::Held;
 use crate::metrics::NameLabel;
 use crate::streams::{EventSplitter, StreamEvent};
 use crate::wires::Wire;
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -7,8 +7,9 @@
 
 use anvilhook_core::units::{Millis, SystemClock};
 use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::entries::EntryBook;
 use anvilhook_gateway::fleets::Entry;
-use anvilhook_gateway::followers::{ConfigFollower, EntryBook, EntryFollower, follow};
+use anvilhook_gateway::followers::{ConfigFollower, EntryFollower, follow};
 use support::fronts::{TestGateway, ample_budget, start, versioned};
 use support::tables::{Fault, MemoryTable};
 use support::wires::entry;
