--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -160,6 +160,13 @@
         /// `resumed`, or why it was not.
         outcome: &'a str,
     },
+    /// The caller left before its answer, and what was done for it was dropped.
+    CallerLeft {
+        /// The request.
+        request: &'a str,
+        /// The time from its arrival, in milliseconds.
+        took_ms: u64,
+    },
     /// A stream has come to its end.
     StreamEnded {
         /// The request.
@@ -214,6 +221,7 @@
                 | Event::AttemptFailed { .. }
                 | Event::StreamBroken { .. }
                 | Event::StreamEnded { .. }
+                | Event::CallerLeft { .. }
                 | Event::Concluded { .. }
         )
     }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -93,6 +93,31 @@
     }
 }
 
+/// Logs a request whose caller leaves before its answer. The server drops all that was done for it,
+/// and nothing else would tell what became of the request.
+struct DepartureWatch<W: Wire, C: Clock> {
+    gateway: Gateway<W, C>,
+    request: Arc<str>,
+    arrived_at: Millis,
+    is_over: bool,
+}
+
+impl<W: Wire, C: Clock> DepartureWatch<W, C> {
+    fn new(gateway: Gateway<W, C>, exchange: &Exchange) -> Self {
+        let (request, arrived_at) = (Arc::clone(&exchange.id), exchange.arrived_at);
+        Self { gateway, request, arrived_at, is_over: false }
+    }
+}
+
+impl<W: Wire, C: Clock> Drop for DepartureWatch<W, C> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            let took_ms = (self.gateway.now() - self.arrived_at).0;
+            emit(&Event::CallerLeft { request: &self.request, took_ms });
+        }
+    }
+}
+
 impl<W: Wire, C: Clock> Gateway<W, C> {
     /// Makes a gateway that knows no configuration and no upstreams.
     pub fn new(wire: W, clock: C, client: HttpClient, options: GatewayOptions) -> Self {
@@ -249,7 +274,9 @@
         };
         let (mut exchange, outcome) = match received {
             Ok(mut exchange) => {
+                let mut watch = DepartureWatch::new(self.clone(), &exchange);
                 let outcome = self.serve(&mut exchange).await;
+                watch.is_over = true;
                 (Some(exchange), outcome)
             }
             Err(answer) => (None, Outcome::Own(answer)),
