--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -0,0 +1,153 @@
+//! Having an engine generate the output of a prompt, as a stream.
+
+use std::sync::Arc;
+
+use anvilhook_core::Verdict;
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_http::clients::Connection;
+use http::HeaderValue;
+use http::header::HeaderName;
+
+use super::Gateway;
+use super::attempts::{Failed, Sending};
+use super::handles::KvHandle;
+use super::prompts::{Job, Opened, REFUSED_PAUSE, Tried};
+use super::requests::Exchange;
+use super::resumption::Relay;
+use crate::fleets::Upstream;
+use crate::loads::Held;
+use crate::placements::Generator;
+use crate::wires::Wire;
+
+/// How long the first event of a stream that can be sent again may take.
+const FIRST_EVENT_TIMEOUT: Millis = Millis(1_800);
+
+/// `GenerateWork` is what generating asks of an engine before the first event.
+#[derive(Clone, Debug, Default)]
+struct GenerateWork {
+    reading_ms: f64,
+    fetching_ms: f64,
+    first_event_ms: f64,
+    source: Option<Arc<str>>,
+}
+
+impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Has an engine generate the output, from a handle if there is one.
+    pub(super) async fn generate(
+        &self,
+        exchange: &mut Exchange,
+        job: &mut Job<'_>,
+        generator: Generator,
+        handle: Option<KvHandle<W, C>>,
+    ) -> Tried<Opened> {
+        let work = match &handle {
+            Some(handle) => GenerateWork {
+                reading_ms: 0.0,
+                fetching_ms: generator.fetching_ms,
+                first_event_ms: generator.fetched_ms,
+                source: Some(Arc::clone(&handle.upstream().entry.id)),
+            },
+            None => GenerateWork {
+                reading_ms: generator.reading_ms,
+                fetching_ms: 0.0,
+                first_event_ms: generator.direct_ms,
+                source: None,
+            },
+        };
+        let mut extra = vec![self.urgency(exchange)];
+        if let Some(handle) = &handle {
+            extra.push((self.wire().headers().kv_source.clone(), handle.source()));
+        }
+        let upstream = generator.upstream;
+        let opened = self.open_at(exchange, &upstream, work, extra, job.resume_after).await?;
+        if let Some(mut handle) = handle {
+            let is_refused = matches!(&opened, Err(failed) if failed.is_refusal);
+            let reader = handle.upstream();
+            reader.state.record_handle(!is_refused, self.now());
+            if is_refused {
+                // Either engine may be the cause, so the next try goes to two others.
+                job.avoid.push(Arc::clone(&reader.entry.id));
+            }
+            if opened.is_ok() {
+                handle.mark_used();
+            }
+        }
+        match &opened {
+            Ok(_) => self.record_cached(&upstream.entry.id, &job.prompt.parts, job.engine),
+            Err(_) => job.avoid.push(Arc::clone(&upstream.entry.id)),
+        }
+        Ok(opened)
+    }
+
+    /// Opens a stream of a service whose upstreams are no model engines.
+    pub(super) async fn stream_plainly(
+        &self,
+        exchange: &mut Exchange,
+        resume_after: Option<u64>,
+        avoid: &mut Vec<Arc<str>>,
+    ) -> Result<Opened, Failed> {
+        let nobody = Failed { verdict: Verdict::NotRun, cause: "no_upstream", is_refusal: true };
+        let Some(upstream) = self.choose_plain(&exchange.service, avoid) else {
+            return Err(nobody);
+        };
+        avoid.push(Arc::clone(&upstream.entry.id));
+        match self
+            .open_at(exchange, &upstream, GenerateWork::default(), Vec::new(), resume_after)
+            .await
+        {
+            Ok(opened) => opened,
+            Err(_) => Err(nobody),
+        }
+    }
+
+    /// Sends a request to an upstream and waits for the first event of its stream.
+    async fn open_at(
+        &self,
+        exchange: &mut Exchange,
+        upstream: &Arc<Upstream>,
+        work: GenerateWork,
+        mut extra: Vec<(HeaderName, HeaderValue)>,
+        resume_after: Option<u64>,
+    ) -> Tried<Opened> {
+        if !self.may_send(exchange) {
+            return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
+        }
+        if let Some(event) = resume_after {
+            extra.push((self.wire().headers().last_event_id.clone(), HeaderValue::from(event)));
+        }
+        let time_left = exchange.time_left(self.now());
+        let can_repeat = exchange.route.repeats.is_repeatable()
+            && exchange.runs + 1 < exchange.route.max_attempts;
+        let head_timeout = if can_repeat { FIRST_EVENT_TIMEOUT } else { time_left };
+        let started_at = self.now();
+        let could_have_run = std::mem::replace(&mut exchange.may_have_run, true);
+        let held = Held::with_work(Arc::clone(upstream), work.reading_ms, work.fetching_ms);
+        let connection = if exchange.runs > 0 { Connection::New } else { Connection::Pooled };
+        let sending = Sending {
+            upstream,
+            extra,
+            connection,
+            head_timeout,
+            stage: "generate",
+            predicted_ms: work.first_event_ms,
+            source: work.source,
+        };
+        let result = match self.send(exchange, sending).await {
+            Ok(answer) if answer.status().is_success() => {
+                let relay = Relay::open(self, exchange, answer, held, resume_after).await;
+                relay.map(|relay| Opened::Stream(Box::new(relay)))
+            }
+            Ok(answer) => self.collect(exchange, answer).await.map(Opened::Answer),
+            Err(failed) => Err(failed),
+        };
+        let took = self.now() - started_at;
+        exchange.tried.push(format!("{}({}ms)", upstream.entry.id, took.0));
+        match &result {
+            Err(failed) if failed.verdict == Verdict::NotRun => {
+                exchange.may_have_run = could_have_run;
+            }
+            _ => exchange.runs += 1,
+        }
+        Ok(result)
+    }
+}
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -2,9 +2,11 @@
 
 mod answers;
 mod attempts;
+mod generating;
 mod handles;
 mod plain;
 mod prompts;
+mod reading;
 mod requests;
 mod resumption;
 
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -0,0 +1,99 @@
+//! Having an engine read a prompt and keep its KV cache for another.
+
+use std::sync::Arc;
+
+use anvilhook_core::Verdict;
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_http::clients::Connection;
+use http::HeaderValue;
+
+use super::Gateway;
+use super::attempts::{Failed, Sending};
+use super::handles::KvHandle;
+use super::prompts::{Job, REFUSED_PAUSE, Tried};
+use super::requests::Exchange;
+use crate::loads::Held;
+use crate::placements::Reader;
+use crate::wires::Wire;
+
+/// The least time that an engine is given to read a prompt, and how much longer than predicted.
+const MIN_READING_TIMEOUT: Millis = Millis(700);
+const READING_PATIENCE: f64 = 4.0;
+
+/// The longest backlog at which the time taken says how fast an engine is, in milliseconds.
+const IDLE_BACKLOG_MS: f64 = 5.0;
+
+/// The least work that says how fast an engine is; the rest is mostly the way there and back.
+const TELLING_MS: f64 = 40.0;
+
+impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Has an engine read the prompt and keep what it has read.
+    pub(super) async fn read_prompt(
+        &self,
+        exchange: &mut Exchange,
+        job: &mut Job<'_>,
+        reader: Reader,
+    ) -> Tried<KvHandle<W, C>> {
+        // The first such call of a request is no extra arrival.
+        let is_first = !std::mem::replace(&mut exchange.has_read, true);
+        if !is_first && !self.inner.budget.try_take(&exchange.service, self.now()) {
+            return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
+        }
+        let names = self.wire().headers();
+        let mut extra =
+            vec![(names.stage.clone(), self.wire().prefill_stage()), self.urgency(exchange)];
+        if let Some(other) = &reader.fetch_from {
+            let address = other.entry.address.to_string();
+            let value = HeaderValue::try_from(address).expect("addresses are visible text");
+            extra.push((names.kv_fetch.clone(), value));
+        }
+        let upstream = reader.upstream;
+        let held = Held::with_work(Arc::clone(&upstream), reader.reading_ms, reader.fetching_ms);
+        let slack = Millis((reader.total_ms * READING_PATIENCE) as u64);
+        let started_at = self.now();
+        let sending = Sending {
+            upstream: &upstream,
+            extra,
+            connection: if is_first { Connection::Pooled } else { Connection::New },
+            head_timeout: MIN_READING_TIMEOUT + slack,
+            stage: "read",
+            predicted_ms: reader.total_ms,
+            source: reader.fetch_from.as_ref().map(|other| Arc::clone(&other.entry.id)),
+        };
+        let read = self.finish_reading(exchange, sending).await;
+        drop(held);
+        let took = self.now() - started_at;
+        exchange
+            .tried
+            .push(format!("{}(read {}ms of {:.0})", upstream.entry.id, took.0, reader.total_ms));
+        match read {
+            Ok(handle) => {
+                if reader.backlog_ms < IDLE_BACKLOG_MS && reader.reading_ms > TELLING_MS {
+                    let expected_ms = reader.reading_ms / upstream.state.slowness();
+                    upstream.state.record_reading(expected_ms, took.0 as f64);
+                }
+                self.record_cached(&upstream.entry.id, &job.prompt.parts, job.engine);
+                Ok(Ok(KvHandle::new(self.clone(), upstream, handle)))
+            }
+            Err(failed) => {
+                job.avoid.push(Arc::clone(&upstream.entry.id));
+                // Reading a prompt is not running the request.
+                Ok(Err(Failed { verdict: Verdict::NotRun, ..failed }))
+            }
+        }
+    }
+
+    async fn finish_reading(
+        &self,
+        exchange: &Exchange,
+        sending: Sending<'_>,
+    ) -> Result<String, Failed> {
+        let answer = self.send(exchange, sending).await?;
+        if !answer.status().is_success() {
+            return Err(Failed::may_have_run("reading_failed"));
+        }
+        let (_, body) = answer.into_parts();
+        let body = self.collect_body(exchange, body).await?;
+        self.wire().prefill_handle(&body).map_err(|_| Failed::may_have_run("unreadable_handle"))
+    }
+}
