--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -36,6 +36,10 @@
     Stopped {
         /// Requests that are cut by the end.
         in_flight: u64,
+        /// Datagrams sent to peers since the start.
+        digests: u64,
+        /// Their bytes, without what the network adds.
+        digest_bytes: u64,
     },
     /// A table can't be reached; what was read of it goes on being believed.
     DependencyLost {
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -110,7 +110,12 @@
     let latest = clock.now() + (options.grace - STOP_MARGIN);
     stop(&gateway, &shutdown, &clock, latest).await;
     let _ = tokio::time::timeout(FLUSH_TIME.as_duration(), serving).await;
-    emit(&Event::Stopped { in_flight: gateway.in_flight() });
+    let metrics = gateway.metrics();
+    emit(&Event::Stopped {
+        in_flight: gateway.in_flight(),
+        digests: metrics.digests.get(),
+        digest_bytes: metrics.digest_bytes.get(),
+    });
     Ok(())
 }
 
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -75,6 +75,10 @@
     pub orders: Family<NameLabel, Counter>,
     /// The time to the head of the answer.
     pub latency: Family<KindLabel, Histogram>,
+    /// Datagrams sent to peers.
+    pub digests: Counter,
+    /// Their bytes, without what the network adds.
+    pub digest_bytes: Counter,
     in_flight: Gauge,
     config_version: Gauge,
     lease_token: Gauge,
@@ -98,6 +102,8 @@
             broken_streams: Family::default(),
             orders: Family::default(),
             latency: Family::new_with_constructor(latency),
+            digests: Counter::default(),
+            digest_bytes: Counter::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
             lease_token: Gauge::default(),
@@ -132,6 +138,12 @@
             "Time to the head of the answer",
             self.latency.clone(),
         );
+        registry.register("digests", "Datagrams sent to peers", self.digests.clone());
+        registry.register(
+            "digest_bytes",
+            "Bytes of datagrams sent to peers",
+            self.digest_bytes.clone(),
+        );
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register(
             "config_version",
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -101,7 +101,10 @@
         let (chosen, _) = addresses.partial_shuffle(&mut self.rng, MAX_FANOUT);
         for address in chosen {
             // A datagram that finds no room is as good as lost on the way.
-            let _ = socket.try_send_to(&buf, *address);
+            if socket.try_send_to(&buf, *address).is_ok() {
+                gateway.metrics().digests.inc();
+                gateway.metrics().digest_bytes.inc_by(buf.len() as u64);
+            }
         }
     }
 }
