Count suspensions in the clock that leases are held by

A holder that was suspended past its lease's end would have thought it good and given orders beside its successor's; engines that check fencing numbers refuse them, others obey.

--- a/crates/anvilhook-core/src/units.rs
+++ b/crates/anvilhook-core/src/units.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// `Millis` is a point on a clock or a span of time, in milliseconds.
@@ -114,6 +115,40 @@
     }
 }
 
+/// `BootClock` is the machine's clock since its boot. It also counts the time for which the machine
+/// was suspended, which `SystemClock` does not: a lease would seem good after a suspension in which
+/// it lapsed, and orders would be given under it.
+#[derive(Clone, Copy, Debug)]
+pub struct BootClock {
+    started_at: Millis,
+}
+
+impl BootClock {
+    /// Starts a clock at zero.
+    pub fn new() -> Self {
+        Self { started_at: since_boot() }
+    }
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Millis {
+        since_boot() - self.started_at
+    }
+}
+
+fn since_boot() -> Millis {
+    // Linux has this clock on every machine; without it no time could be told at all.
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the machine has a clock since boot");
+    let nanos = u64::try_from(time.tv_nsec()).unwrap_or_default();
+    Millis::from_secs(u64::try_from(time.tv_sec()).unwrap_or_default()) + Millis(nanos / 1_000_000)
+}
+
 /// `ManualClock` stands still until it is advanced. Clones share one time.
 ///
 /// ```
