--- a/crates/anvilhook-gateway/src/caches.rs
+++ b/crates/anvilhook-gateway/src/caches.rs
@@ -93,11 +93,6 @@
         engines.iter().map(|(engine, memory)| (Arc::clone(engine), parts_of(memory))).collect()
     }
 
-    /// Forgets what an engine held.
-    pub fn forget(&self, engine: &str) {
-        self.engines.lock().expect("no panic under this lock").remove(engine);
-    }
-
     /// Forgets all engines for which `keep` is false.
     pub fn retain(&self, keep: impl Fn(&str) -> bool) {
         let mut engines = self.engines.lock().expect("no panic under this lock");
--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -66,8 +66,6 @@
     pub targets: Vec<Target>,
     /// The most upstreams on which one request may run.
     pub max_attempts: u32,
-    /// The longest pause between two events that is on time.
-    pub pause_objective: Option<Millis>,
 }
 
 impl Route {
@@ -100,8 +98,6 @@
     pub kv_token_bytes: u64,
     /// The speed of an engine's link to others, in Mbit/s.
     pub link_mbps: f64,
-    /// How long a KV handle is kept.
-    pub handle_ttl: Millis,
     /// How long an engine is away for a change of role.
     pub role_change: Millis,
 }
@@ -111,10 +107,6 @@
 pub struct ServiceSpec {
     /// The service's name.
     pub name: Arc<str>,
-    /// The path of its health check.
-    pub health_path: Arc<str>,
-    /// The most connections that an upstream takes from all instances together.
-    pub max_connections: u32,
     /// What its upstreams are, if they are model engines.
     pub engine: Option<EngineSpec>,
 }
@@ -126,10 +118,6 @@
     pub max_header_bytes: usize,
     /// The size of a request's body, in bytes.
     pub max_body_bytes: usize,
-    /// How long the head may take.
-    pub header_timeout: Millis,
-    /// How long a connection may lie idle.
-    pub idle_timeout: Millis,
 }
 
 /// `Config` is one version of the whole configuration, ready for lookups.
--- a/crates/anvilhook-gateway/src/entries.rs
+++ b/crates/anvilhook-gateway/src/entries.rs
@@ -26,7 +26,6 @@
     entries: HashMap<Arc<str>, Entry>,
     lapsed: HashMap<Arc<str>, Millis>,
     removed: HashMap<Arc<str>, Tombstone>,
-    is_away: bool,
     grace_until: Millis,
 }
 
@@ -41,15 +40,9 @@
         self.entries.values()
     }
 
-    /// Notes that the table can't be reached.
-    pub fn lost(&mut self) {
-        self.is_away = true;
-    }
-
     /// Notes that the table is reached again. Entries may have lapsed because their upstreams
     /// could not report meanwhile; they are given time to be back.
     pub fn regained(&mut self, now: Millis) {
-        self.is_away = false;
         self.grace_until = now + LAPSE_GRACE;
     }
 
--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -41,14 +41,8 @@
     /// Notes that the table has answered.
     fn heard(&mut self) {}
 
-    /// Notes that the table can't be reached.
-    fn lost(&mut self) {}
-
     /// Notes that the table is reached again.
     fn regained(&mut self) {}
-
-    /// Does what time has made due.
-    fn tick(&mut self) {}
 }
 
 /// Follows a table for as long as the process runs.
@@ -85,13 +79,11 @@
                 if !std::mem::replace(&mut is_lost, true) {
                     lost_at = clock.now();
                     emit(&Event::DependencyLost { dependency: name, cause: err.to_string() });
-                    follower.lost();
                 }
                 tokio::time::sleep(pause.as_duration()).await;
                 pause = Millis(pause.0 * 2).min(LONGEST_PAUSE);
             }
         }
-        follower.tick();
     }
 }
 
@@ -224,10 +216,6 @@
         self.gateway.record_contact(LIST_BELIEF);
     }
 
-    fn lost(&mut self) {
-        self.book.lock().expect("no panic under this lock").lost();
-    }
-
     fn regained(&mut self) {
         let now = self.clock.now();
         self.book.lock().expect("no panic under this lock").regained(now);
--- a/crates/anvilhook-gateway/src/prompts.rs
+++ b/crates/anvilhook-gateway/src/prompts.rs
@@ -1,7 +1,5 @@
 //! What a request says of its prompt.
 
-use std::time::Duration;
-
 /// `Part` is a part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Part {
@@ -27,11 +25,6 @@
     pub fn shared(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_own, shared)| shared)
     }
-
-    /// Returns how many tokens the shared parts have.
-    pub fn shared_tokens(&self) -> u32 {
-        self.shared().iter().map(|part| part.tokens).sum()
-    }
 }
 
 /// `EngineSpeed` predicts how long a prefill engine needs for a prompt.
@@ -61,9 +54,4 @@
         let pairs = fresh * (kept + all) / 2.0;
         self.fixed_ms + fresh / self.tokens_per_ms + pairs / 1e6 * self.ms_per_million_pairs
     }
-
-    /// Returns the same as a duration.
-    pub fn read_time(&self, tokens: u32, cached: u32) -> Duration {
-        Duration::from_micros((self.read_ms(tokens, cached) * 1e3) as u64)
-    }
 }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -87,7 +87,7 @@
     caches.record(&engine, &[Part { id: 9, tokens: 4_000 }], 20_000);
 
     assert_eq!(caches.held_tokens("e", &prompt(10_000, 2)), 0, "the first part has gone");
-    caches.forget("e");
+    caches.retain(|engine| engine != "e");
     assert_eq!(caches.held_tokens("e", &prompt(10_000, 2)), 0);
 }
 
@@ -97,7 +97,6 @@
         kv_tokens: Tokens(385_000),
         kv_token_bytes: 163_840,
         link_mbps: 1_300_000.0,
-        handle_ttl: Millis(5_000),
         role_change: Millis(3_000),
     }
 }
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -55,7 +55,6 @@
         book.put(report(id, false, 1));
     }
     book.put(report("leaving", true, 1));
-    book.lost();
     book.regained(Millis(10_000));
 
     book.reset(Vec::new(), Millis(10_000));
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -94,14 +94,11 @@
 pub fn versioned(version: u64, repeats: Repeats, max_attempts: u32, engine: bool) -> Config {
     let service = ServiceSpec {
         name: Arc::from("service"),
-        health_path: Arc::from("/health"),
-        max_connections: 100,
         engine: engine.then_some(EngineSpec {
             slots: 8,
             kv_tokens: Tokens(100_000),
             kv_token_bytes: 1_000,
             link_mbps: 100_000.0,
-            handle_ttl: Millis(5_000),
             role_change: Millis(3_000),
         }),
     };
@@ -120,7 +117,6 @@
         priority: 1,
         targets: vec![Target { service: Arc::from("service"), weight: 1 }],
         max_attempts,
-        pause_objective: None,
     }
 }
 
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -144,12 +144,7 @@
 
 /// Returns the limits of the tests.
 pub fn limits() -> Limits {
-    Limits {
-        max_header_bytes: 2_000,
-        max_body_bytes: 5_000,
-        header_timeout: Millis(1_000),
-        idle_timeout: Millis(1_000),
-    }
+    Limits { max_header_bytes: 2_000, max_body_bytes: 5_000 }
 }
 
 /// Returns an entry of the service `service` in the gateway's own zone.
