--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -187,7 +187,11 @@
     ) -> impl Iterator<Item = &'s Arc<Upstream>> + 's {
         let all = self.view.of_service(req.service);
         let able = move |upstream: &&Arc<Upstream>| {
-            let has_role = upstream.entry.role.is_none_or(|has| has == role || has == Role::Mixed);
+            // An engine that takes both stages serves a request whole, and refuses one stage of it.
+            let has_role = match (role, upstream.entry.role) {
+                (Role::Prefill, has) => has == Some(Role::Prefill),
+                (_, has) => has != Some(Role::Prefill),
+            };
             let is_avoided = req.avoid.contains(&upstream.entry.id);
             has_role && upstream.takes_work(self.now) && !is_avoided
         };
@@ -251,8 +255,9 @@
         let slowness = upstream.state.slowness();
         let wait_ms = f64::from(work.in_flight) * IN_FLIGHT_MS + f64::from(queued) * QUEUED_MS;
         let wait_ms = wait_ms * slowness;
-        let reading_ms =
-            self.speed.read_ms(req.prompt.tokens, held) * DECODE_READING_FACTOR * slowness;
+        let is_generator = upstream.entry.role == Some(Role::Decode);
+        let factor = if is_generator { DECODE_READING_FACTOR } else { 1.0 };
+        let reading_ms = self.speed.read_ms(req.prompt.tokens, held) * factor * slowness;
         let is_far = reader.is_some_and(|reader| reader.entry.zone != upstream.entry.zone);
         let fetching_ms =
             self.transfer_ms(req.engine, req.prompt.tokens - held.min(req.prompt.tokens), is_far);
@@ -262,7 +267,11 @@
             fetched_ms: wait_ms + work.fetching_ms + fetching_ms,
             fetching_ms,
             direct_ms,
-            direct_cost_ms: direct_ms * DIRECT_FACTOR + DIRECT_MS,
+            direct_cost_ms: if is_generator {
+                direct_ms * DIRECT_FACTOR + DIRECT_MS
+            } else {
+                direct_ms
+            },
             reading_ms,
         }
     }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -165,6 +165,19 @@
     assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
 }
 
+/// Symptom: engines that take both stages refuse every request.
+/// Sequence: a service's engines all do; the caches make one of them the best.
+/// Cause: such an engine is asked for the whole request, never for one stage.
+#[test]
+fn verify_engines_of_both_stages_serve_requests_whole() {
+    let caches = CacheBeliefs::new();
+    let long = prompt(13_300, 2);
+    caches.record(&Arc::from("m2"), &long.parts[..1], 385_000);
+    let engines = [("m1", Role::Mixed, "zone-a"), ("m2", Role::Mixed, "zone-a")];
+
+    assert_eq!(reader_of(plan(&fleet(&engines), &caches, &long, &[])), "direct m2");
+}
+
 /// Symptom: requests are refused though an engine could serve them.
 /// Sequence: engines of one stage are gone, avoided, or all ejected.
 /// Cause: a generator can read, too; and ejection must not empty a stage.
