Let one piece of the gateway's code serve where two or three did

Cause, from reading the whole change once more: the outcome of an attempt was settled by the same lines at plain requests and at streams, where a difference would break 'runs at most once'; the age of a peer and the least size told to peers stood twice each; three places hashed alike; three servers and two directions of the split were copies; the budget's sum stood twice. The page of reserved headers said that more is taken off than is. Change: Exchange::begin_run and end_run, one constant each, hashes::hash_of, one call of serve, one choice of direction, Budget::earned, and the comment. Behaviour and tests are as before.

--- a/crates/anvilhook-gateway/src/budgets.rs
+++ b/crates/anvilhook-gateway/src/budgets.rs
@@ -47,7 +47,7 @@
     /// Takes one extra arrival out of the budget. Returns false if there is none.
     pub fn try_take(&self, service: &Arc<str>, now: Millis) -> bool {
         self.with(service, now, |tally| {
-            let earned = tally.requests.len() as f64 * self.options.share + self.options.spare;
+            let earned = self.earned(tally);
             let fits = (tally.extras.len() + 1) as f64 <= earned;
             if fits {
                 tally.extras.push_back(now);
@@ -58,10 +58,11 @@
 
     /// Returns how many extra arrivals are left now.
     pub fn left(&self, service: &Arc<str>, now: Millis) -> f64 {
-        self.with(service, now, |tally| {
-            let earned = tally.requests.len() as f64 * self.options.share + self.options.spare;
-            earned - tally.extras.len() as f64
-        })
+        self.with(service, now, |tally| self.earned(tally) - tally.extras.len() as f64)
+    }
+
+    fn earned(&self, tally: &Tally) -> f64 {
+        tally.requests.len() as f64 * self.options.share + self.options.spare
     }
 
     fn with<T>(&self, service: &Arc<str>, now: Millis, f: impl FnOnce(&mut Tally) -> T) -> T {
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -1,7 +1,6 @@
 //! The upstreams: what their entries say, and what this instance has learnt of each.
 
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,6 +8,7 @@
 use anvilhook_core::units::Millis;
 use arc_swap::ArcSwap;
 
+use crate::hashes::hash_of;
 use crate::loads::UpstreamState;
 
 /// `Entry` is an upstream as it is listed.
@@ -58,9 +58,7 @@
 
 /// Returns the short form of an upstream's id that instances use among themselves.
 pub fn digest_of(id: &str) -> u32 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish() as u32
+    hash_of(id) as u32
 }
 
 impl FleetView {
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::units::{Clock, Millis};
-use anvilhook_http::{HttpClient, Phase, Shutdown};
+use anvilhook_http::{HttpClient, Phase, Shutdown, serve};
 use http::StatusCode;
 use rand::rngs::SysRng;
 use rand::{Rng, SeedableRng};
@@ -86,11 +86,11 @@
 
     let front = TcpListener::bind(options.front).await?;
     let readiness = TcpListener::bind(options.readiness).await?;
-    let serving = tokio::spawn(serve_front(front, gateway.clone(), shutdown.clone()));
-    tokio::spawn(serve_readiness(readiness, gateway.clone(), shutdown.clone()));
+    let serving = tokio::spawn(serve(front, front_router(gateway.clone()), shutdown.clone()));
+    tokio::spawn(serve(readiness, readiness_router(gateway.clone()), shutdown.clone()));
     if let Some(address) = options.metrics {
         let listener = TcpListener::bind(address).await?;
-        tokio::spawn(serve_metrics(listener, gateway.clone(), shutdown.clone()));
+        tokio::spawn(serve(listener, metrics_router(gateway.clone()), shutdown.clone()));
     }
     let config_follower = ConfigFollower::new(gateway.clone());
     tokio::spawn(follow(table.clone(), clock.clone(), config_follower));
@@ -201,14 +201,6 @@
     }
 }
 
-async fn serve_front<W: Wire, C: Clock>(
-    listener: TcpListener,
-    gateway: Gateway<W, C>,
-    shutdown: Shutdown,
-) -> std::io::Result<()> {
-    anvilhook_http::serve(listener, front_router(gateway), shutdown).await
-}
-
 /// Returns the router that hands every request to a gateway.
 pub fn front_router<W: Wire, C: Clock>(gateway: Gateway<W, C>) -> Router {
     Router::new().fallback(move |req: Request| {
@@ -217,28 +209,18 @@
     })
 }
 
-async fn serve_readiness<W: Wire, C: Clock>(
-    listener: TcpListener,
-    gateway: Gateway<W, C>,
-    shutdown: Shutdown,
-) -> std::io::Result<()> {
-    let router: Router = Router::new().fallback(move |_req: Request| {
+fn readiness_router<W: Wire, C: Clock>(gateway: Gateway<W, C>) -> Router {
+    Router::new().fallback(move |_req: Request| {
         let gateway = gateway.clone();
         async move { readiness(gateway.is_ready()) }
-    });
-    anvilhook_http::serve(listener, router, shutdown).await
+    })
 }
 
-async fn serve_metrics<W: Wire, C: Clock>(
-    listener: TcpListener,
-    gateway: Gateway<W, C>,
-    shutdown: Shutdown,
-) -> std::io::Result<()> {
-    let router: Router = Router::new().fallback(move |_req: Request| {
+fn metrics_router<W: Wire, C: Clock>(gateway: Gateway<W, C>) -> Router {
+    Router::new().fallback(move |_req: Request| {
         let gateway = gateway.clone();
         async move { gateway.metrics_text() }
-    });
-    anvilhook_http::serve(listener, router, shutdown).await
+    })
 }
 
 fn readiness(is_ready: bool) -> Response {
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 pub mod fleets;
 pub mod followers;
+mod hashes;
 pub mod instances;
 pub mod loads;
 pub mod metrics;
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -12,7 +12,7 @@
 use crate::tables::{Table, TableError, Write, Written};
 
 /// How long a peer that is not heard counts as running.
-const PEER_AGE: Millis = Millis(2_000);
+pub(crate) const PEER_AGE: Millis = Millis(2_000);
 
 /// The table of the instances' addresses.
 const PEER_TABLE: &str = "anvilhook_instances";
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -22,6 +22,7 @@
 use seeding::tell_caches;
 
 pub use digests::{CachedPrompt, Digest, EngineLoad};
+pub(crate) use members::PEER_AGE;
 pub use members::{Peers, register};
 pub use seeding::seed_caches;
 
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -12,12 +12,9 @@
 use super::{Peers, TELL_EVERY};
 use crate::events::{Event, emit};
 use crate::fleets::digest_of;
-use crate::relay::Gateway;
+use crate::relay::{Gateway, TOLD_TOKENS};
 use crate::wires::Wire;
 
-/// The least size of a part that a new instance is told of, in tokens.
-const TOLD_TOKENS: u32 = 1_000;
-
 /// The parts in one digest for a new instance.
 const PARTS_A_DIGEST: usize = 80;
 
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -1,6 +1,5 @@
 //! Where a prompt is read and where its output is generated.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use anvilhook_core::orders::Role;
@@ -9,6 +8,7 @@
 use crate::caches::CacheBeliefs;
 use crate::configs::EngineSpec;
 use crate::fleets::{FleetView, Upstream};
+use crate::hashes::hash_of;
 use crate::prompts::{EngineSpeed, Prompt};
 
 /// What it costs to start a transfer between engines, in milliseconds.
@@ -286,11 +286,15 @@
         held.filter(|(_, tokens)| *tokens > 0).max_by_key(|(_, tokens)| *tokens)
     }
 
-    /// Returns the engine at which a part that nobody holds is read first.
+    /// Returns the engine at which a part that nobody holds is read first: the same for all
+    /// instances.
     fn home(&self, req: &Request<'_>) -> Option<Arc<str>> {
         let first = req.prompt.shared().first()?;
         let readers = self.candidates(req, Role::Prefill);
-        readers.map(|upstream| &upstream.entry.id).max_by_key(|id| rank(first.id, id)).cloned()
+        readers
+            .map(|upstream| &upstream.entry.id)
+            .max_by_key(|id| hash_of(&(first.id, &***id)))
+            .cloned()
     }
 
     fn transfer_ms(&self, engine: &EngineSpec, tokens: u32, is_far: bool) -> f64 {
@@ -307,10 +311,3 @@
         }
     }
 }
-
-/// Returns an engine's rank for a part, by which all instances find the same home for it.
-fn rank(part: u64, engine: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (part, engine).hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -120,7 +120,7 @@
             && exchange.runs + 1 < exchange.route.max_attempts;
         let head_timeout = if can_repeat { FIRST_EVENT_TIMEOUT } else { time_left };
         let started_at = self.now();
-        let could_have_run = std::mem::replace(&mut exchange.may_have_run, true);
+        let could_have_run = exchange.begin_run();
         let held = Held::with_work(Arc::clone(upstream), work.reading_ms, work.fetching_ms);
         let connection = if exchange.runs > 0 { Connection::New } else { Connection::Pooled };
         let sending = Sending {
@@ -142,12 +142,7 @@
         };
         let took = self.now() - started_at;
         exchange.tried.push(format!("{}({}ms)", upstream.entry.id, took.0));
-        match &result {
-            Err(failed) if failed.verdict == Verdict::NotRun => {
-                exchange.may_have_run = could_have_run;
-            }
-            _ => exchange.runs += 1,
-        }
+        exchange.end_run(could_have_run, &result);
         Ok(result)
     }
 }
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -8,9 +8,8 @@
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use volo_http::body::Body;
 
-use super::Gateway;
+use super::{Gateway, TOLD_TOKENS};
 use crate::fleets::Upstream;
-use crate::relay::prompts::TOLD_TOKENS;
 use crate::wires::{Call, Wire};
 
 /// How long a call of the gateway's own may take.
@@ -60,7 +59,7 @@
     }
 }
 
-/// `OwnAnswer` is an upstream's answer to a call of the gateway's own.
+/// `OwnCallAnswer` is an upstream's answer to a call of the gateway's own.
 pub(crate) struct OwnCallAnswer {
     pub status: http::StatusCode,
     pub body: bytes::Bytes,
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -27,21 +27,21 @@
 use crate::events::{Event, emit};
 use crate::fleets::{Entry, Fleet, FleetView};
 use crate::metrics::{GatewayMetrics, KindLabel, RequestLabels};
+use crate::peers::PEER_AGE;
 use crate::prompts::{EngineSpeed, Part};
 use crate::wires::Wire;
 
 use answers::{Outcome, OwnAnswer};
 use requests::Exchange;
 
+pub(crate) use prompts::TOLD_TOKENS;
+
 /// When a caller is to come back whose request found no time to run.
 const TIMEOUT_PAUSE: Millis = Millis(100);
 
 /// The belief that peers are the source of, as metrics name it.
 pub(crate) const PEER_BELIEF: &str = "peers";
 
-/// How long a peer that is not heard counts as heard of late.
-const PEER_AGE: Millis = Millis(2_000);
-
 /// The most upstreams that one line of the log names.
 const MAX_LOGGED: usize = 16;
 
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -92,7 +92,7 @@
             Connection::Pooled
         };
         exchange.tried.push(upstream.entry.id.to_string());
-        let could_have_run = std::mem::replace(&mut exchange.may_have_run, true);
+        let could_have_run = exchange.begin_run();
         let sending = Sending {
             upstream,
             extra: Vec::new(),
@@ -114,12 +114,7 @@
             }
             Err(failed) => Err(failed),
         };
-        match &result {
-            Err(failed) if failed.verdict == Verdict::NotRun => {
-                exchange.may_have_run = could_have_run;
-            }
-            _ => exchange.runs += 1,
-        }
+        exchange.end_run(could_have_run, &result);
         drop(held);
         result
     }
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -24,7 +24,7 @@
 pub(super) const REFUSED_PAUSE: Millis = Millis(700);
 
 /// The least size of a prompt of whose caching the peers are told.
-pub(super) const TOLD_TOKENS: u32 = 1_000;
+pub(crate) const TOLD_TOKENS: u32 = 1_000;
 
 /// `Opened` is what the attempts to open a stream came to.
 pub(super) enum Opened {
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -1,8 +1,8 @@
 //! Requests as they arrive, and what is passed on of them.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
+use anvilhook_core::Verdict;
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
@@ -12,7 +12,9 @@
 
 use super::Gateway;
 use super::answers::OwnAnswer;
+use super::attempts::Failed;
 use crate::configs::{Config, Route};
+use crate::hashes::hash_of;
 use crate::prompts::Prompt;
 use crate::wires::Wire;
 
@@ -82,7 +84,7 @@
         // A newer configuration may have come while the body did.
         let config = gateway.config().ok_or_else(no_config)?;
         let route = find_route(&config, &parts.headers, &parts.uri)?;
-        let service = route.target(hash_of(&id)).ok_or_else(no_target)?;
+        let service = route.target(hash_of(id.as_str())).ok_or_else(no_target)?;
         let time_left = parts.headers.get(&names.deadline);
         let time_left = time_left.and_then(|value| gateway.wire().time_left(value));
         let deadline = arrived_at + time_left.unwrap_or(DEFAULT_DEADLINE);
@@ -115,12 +117,26 @@
         let Some(route) = host.and_then(|host| config.route(&host, self.uri.path())) else {
             return;
         };
-        if let Some(service) = route.target(hash_of(&self.id)) {
+        if let Some(service) = route.target(hash_of(&*self.id)) {
             self.service = Arc::clone(service);
             self.route = Arc::clone(route);
         }
     }
 
+    /// Notes that an attempt begins that may run. Returns whether one before may have run.
+    pub fn begin_run(&mut self) -> bool {
+        std::mem::replace(&mut self.may_have_run, true)
+    }
+
+    /// Notes how an attempt ended. `could_have_run` is what its beginning returned; an attempt that
+    /// has certainly not run leaves the request as it was before.
+    pub fn end_run<T>(&mut self, could_have_run: bool, result: &Result<T, Failed>) {
+        match result {
+            Err(failed) if failed.verdict == Verdict::NotRun => self.may_have_run = could_have_run,
+            _ => self.runs += 1,
+        }
+    }
+
     /// Returns the time that is left to the caller.
     pub fn time_left(&self, now: Millis) -> Millis {
         self.give_up_at - now
@@ -169,12 +185,6 @@
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
 
-fn hash_of(id: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Returns the headers without those that concern one connection only, and without `reserved`.
 pub(super) fn end_to_end(headers: &HeaderMap, reserved: &[HeaderName]) -> HeaderMap {
     const HOP_BY_HOP: [HeaderName; 7] = [
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -172,19 +172,14 @@
             have.copied().collect::<Vec<_>>()
         };
         let (readers, generators) = (of_role(Role::Prefill), of_role(Role::Decode));
-        if readers.len() < wanted {
-            let missing = wanted - readers.len();
-            take_from_fullest_zones(generators, missing)
-                .into_iter()
-                .map(|upstream| (upstream, Role::Prefill))
-                .collect()
+        let (from, count, role) = if readers.len() < wanted {
+            (generators, wanted - readers.len(), Role::Prefill)
         } else {
             let spare = readers.len() - wanted;
-            take_from_fullest_zones(readers, spare)
-                .into_iter()
-                .map(|upstream| (upstream, Role::Decode))
-                .collect()
-        }
+            (readers, spare, Role::Decode)
+        };
+        let taken = take_from_fullest_zones(from, count).into_iter();
+        taken.map(|upstream| (upstream, role)).collect()
     }
 
     async fn hold_lease(&mut self) -> Option<Lease> {
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -39,7 +39,7 @@
     pub kv_fetch: HeaderName,
     /// The urgency of a request at an engine.
     pub priority: HeaderName,
-    /// Headers that a caller may not set, beside those above that only the gateway sets.
+    /// All headers that a caller may not set; they are taken off its request.
     pub reserved: Vec<HeaderName>,
 }
 
