Divide the spare part of the retry budget by the instances there are

Cause: each instance took a fixed 1/24 of the part of the budget that no request earns. With 68 instances, as on the grown sites, that adds up to 2.8 times the bound, whether or not they hear one another.

Ruled out: dividing by the instances heard of late. Those behind a cut still send, so what is counted is all that are listed or were ever heard; 24 as long as the table has not been read.

The gateway owns its peers, so the role keeper, the exchange and the seeding need no handle of their own, and the second count of heard peers is gone.

Figures: 68 instances with a bound of 80 now take 68 together (verify_the_budget_holds_over_all_instances_with_peers_unheard); with the fixed 1/24 it was 3 each, 204.

--- a/crates/anvilhook-gateway/src/budgets.rs
+++ b/crates/anvilhook-gateway/src/budgets.rs
@@ -10,7 +10,7 @@
 pub struct BudgetOptions {
     /// Extra arrivals for each request in the window.
     pub share: f64,
-    /// Extra arrivals in the window beside.
+    /// Extra arrivals in the window beside, of all instances together.
     pub spare: f64,
     /// The window's length.
     pub window: Millis,
@@ -25,8 +25,8 @@
 /// `Budget` counts, for each service, the requests and the extra arrivals of a sliding window.
 ///
 /// The bound holds for all instances together. Each one keeps it for its own requests alone, so
-/// that the sum keeps it whatever the instances know of one another: a share of one's own requests
-/// adds up to the share of all, and the spare part is divided beforehand.
+/// that the sum keeps it whether or not they hear one another: a share of one's own requests adds up
+/// to the share of all, and the spare part is divided by the number of instances that are listed.
 #[derive(Debug)]
 pub struct Budget {
     options: BudgetOptions,
@@ -44,10 +44,11 @@
         self.with(service, now, |tally| tally.requests.push_back(now));
     }
 
-    /// Takes one extra arrival out of the budget. Returns false if there is none.
-    pub fn try_take(&self, service: &Arc<str>, now: Millis) -> bool {
+    /// Takes one extra arrival out of the budget of one among so many instances. Returns false if
+    /// there is none.
+    pub fn try_take(&self, service: &Arc<str>, instances: usize, now: Millis) -> bool {
         self.with(service, now, |tally| {
-            let earned = self.earned(tally);
+            let earned = self.earned(tally, instances);
             let fits = (tally.extras.len() + 1) as f64 <= earned;
             if fits {
                 tally.extras.push_back(now);
@@ -57,12 +58,13 @@
     }
 
     /// Returns how many extra arrivals are left now.
-    pub fn left(&self, service: &Arc<str>, now: Millis) -> f64 {
-        self.with(service, now, |tally| self.earned(tally) - tally.extras.len() as f64)
+    pub fn left(&self, service: &Arc<str>, instances: usize, now: Millis) -> f64 {
+        self.with(service, now, |tally| self.earned(tally, instances) - tally.extras.len() as f64)
     }
 
-    fn earned(&self, tally: &Tally) -> f64 {
-        tally.requests.len() as f64 * self.options.share + self.options.spare
+    fn earned(&self, tally: &Tally, instances: usize) -> f64 {
+        let spare = self.options.spare / instances.max(1) as f64;
+        tally.requests.len() as f64 * self.options.share + spare
     }
 
     fn with<T>(&self, service: &Arc<str>, now: Millis, f: impl FnOnce(&mut Tally) -> T) -> T {
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -18,7 +18,7 @@
 
 use crate::events::{Event, emit};
 use crate::followers::{ConfigFollower, EntryFollower, follow};
-use crate::peers::{self, Peers};
+use crate::peers;
 use crate::relay::{Gateway, GatewayOptions};
 use crate::roles::{RoleKeeper, RoleOptions};
 use crate::tables::Table;
@@ -130,24 +130,20 @@
     clock: &C,
 ) -> std::io::Result<()> {
     let socket = UdpSocket::bind(options.peer).await?;
-    let peers = Arc::new(Peers::default());
+    let peers = Arc::clone(gateway.peers());
     for seed in options.seeds.iter().filter(|seed| **seed != options.peer) {
         peers.add(*seed);
     }
     let mut rng = ChaCha8Rng::try_from_rng(&mut SysRng).map_err(std::io::Error::other)?;
     let number = rng.next_u64();
-    let exchange =
-        peers::exchange(socket, Arc::clone(&peers), number, rng, gateway.clone(), clock.clone());
-    tokio::spawn(exchange);
-    let seeding = peers::seed_caches(Arc::clone(&peers), number, gateway.clone(), clock.clone());
-    tokio::spawn(seeding);
+    tokio::spawn(peers::exchange(socket, number, rng, gateway.clone(), clock.clone()));
+    tokio::spawn(peers::seed_caches(number, gateway.clone(), clock.clone()));
     let name = options.name.to_string();
-    tokio::spawn(peers::register(table.clone(), name.clone(), options.peer, Arc::clone(&peers)));
+    tokio::spawn(peers::register(table.clone(), name.clone(), options.peer, peers));
     let keeper = RoleKeeper::new(
         gateway.clone(),
         table.clone(),
         clock.clone(),
-        peers,
         name,
         number,
         options.roles.clone(),
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -217,7 +217,7 @@
     fn refresh<W: Wire, C: Clock>(&self, gateway: &Gateway<W, C>, now: Millis) {
         let label = |name: &str| NameLabel { name: name.to_owned() };
         self.in_flight.set(gateway.in_flight() as i64);
-        self.peers.set(gateway.peers_heard(now) as i64);
+        self.peers.set(gateway.peers().heard(now) as i64);
         for (belief, at) in self.contacts.lock().expect("no panic under this lock").iter() {
             self.belief_age_ms.get_or_create(&label(belief)).set((now - *at).0 as i64);
         }
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -12,7 +12,7 @@
 use crate::tables::{Table, TableError, Write, Written};
 
 /// How long a peer that is not heard counts as running.
-pub(crate) const PEER_AGE: Millis = Millis(2_000);
+const PEER_AGE: Millis = Millis(2_000);
 
 /// The table of the instances' addresses.
 const PEER_TABLE: &str = "anvilhook_instances";
@@ -20,6 +20,10 @@
 /// The pause after a failed call to the table.
 const TABLE_PAUSE: Duration = Duration::from_millis(700);
 
+/// How many instances there are believed to be, at least, until the table has been read. The budget
+/// for extra arrivals is divided among them, so a guess too low would break its bound.
+const UNLISTED_INSTANCES: usize = 24;
+
 /// `Peer` is another instance.
 #[derive(Clone, Copy, Debug)]
 struct Peer {
@@ -32,6 +36,7 @@
 pub struct Peers {
     known: Mutex<HashMap<SocketAddr, Option<Peer>>>,
     was_told: AtomicBool,
+    was_listed: AtomicBool,
 }
 
 impl Peers {
@@ -68,6 +73,19 @@
         current.map(|(address, _)| *address).collect()
     }
 
+    /// Returns how many peers were heard of late.
+    pub fn heard(&self, now: Millis) -> usize {
+        let known = self.known.lock().expect("no panic under this lock");
+        known.values().flatten().filter(|peer| peer.heard_at + PEER_AGE > now).count()
+    }
+
+    /// Returns how many instances there are at most, this one among them. It counts the silent ones,
+    /// which may run behind a cut.
+    pub fn instances(&self) -> usize {
+        let known = self.known.lock().expect("no panic under this lock").len() + 1;
+        if self.was_listed.load(Ordering::Acquire) { known } else { known.max(UNLISTED_INSTANCES) }
+    }
+
     /// Returns whether `number` is the least among the instances that run.
     pub fn is_first(&self, number: u64, now: Millis) -> bool {
         let known = self.known.lock().expect("no panic under this lock");
@@ -113,5 +131,6 @@
             table.write(PEER_TABLE, write).await?;
         }
     }
+    peers.was_listed.store(true, Ordering::Release);
     Ok(())
 }
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -15,14 +15,13 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
-use crate::relay::Gateway;
+use crate::relay::{Gateway, PEER_BELIEF};
 use crate::wires::Wire;
 
 use digests::{digest, take_in};
 use seeding::tell_caches;
 
 pub use digests::{CachedPrompt, Digest, EngineLoad};
-pub(crate) use members::PEER_AGE;
 pub use members::{Peers, register};
 pub use seeding::seed_caches;
 
@@ -41,7 +40,6 @@
 /// Tells peers and listens to them for as long as the process runs.
 pub async fn exchange<W: Wire, C: Clock>(
     socket: UdpSocket,
-    peers: Arc<Peers>,
     number: u64,
     rng: ChaCha8Rng,
     gateway: Gateway<W, C>,
@@ -49,11 +47,12 @@
 ) {
     let mut ticks = tokio::time::interval(TELL_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let peers = Arc::clone(gateway.peers());
     let mut buf = vec![0; MAX_DIGEST_BYTES * 2];
     let mut teller = Teller { number, rng, quiet_ticks: 0, had_loads: false };
     loop {
         tokio::select! {
-            _ = ticks.tick() => teller.tell(&socket, &peers, &gateway, clock.now()),
+            _ = ticks.tick() => teller.tell(&socket, &gateway, clock.now()),
             received = socket.recv_from(&mut buf) => {
                 let Ok((len, from)) = received else { continue };
                 if let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) {
@@ -66,7 +65,7 @@
                     if peers.hear(from, digest.from, now) && was_first {
                         tell_caches(&socket, from, number, &gateway);
                     }
-                    gateway.record_peer(digest.from);
+                    gateway.record_contact(PEER_BELIEF);
                     take_in(&digest, &gateway, now);
                 }
             }
@@ -85,7 +84,6 @@
     fn tell<W: Wire, C: Clock>(
         &mut self,
         socket: &UdpSocket,
-        peers: &Peers,
         gateway: &Gateway<W, C>,
         now: Millis,
     ) {
@@ -98,7 +96,7 @@
         }
         (self.quiet_ticks, self.had_loads) = (0, has_loads);
         let Ok(buf) = postcard::to_stdvec(&digest) else { return };
-        let mut addresses = peers.addresses(now);
+        let mut addresses = gateway.peers().addresses(now);
         let (chosen, _) = addresses.partial_shuffle(&mut self.rng, MAX_FANOUT);
         for address in chosen {
             // A datagram that finds no room is as good as lost on the way.
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -1,15 +1,14 @@
 //! What a new instance learns of the engines' caches.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::Clock;
 use tokio::net::UdpSocket;
 
+use super::TELL_EVERY;
 use super::digests::{CachedPrompt, Digest};
-use super::{Peers, TELL_EVERY};
 use crate::events::{Event, emit};
 use crate::fleets::digest_of;
 use crate::relay::{Gateway, TOLD_TOKENS};
@@ -44,16 +43,12 @@
 ///
 /// After the loss of all instances the engines still hold what they have read. One instance asks
 /// them and tells the others; a call to each engine by each instance would hold the engines up.
-pub async fn seed_caches<W: Wire, C: Clock>(
-    peers: Arc<Peers>,
-    number: u64,
-    gateway: Gateway<W, C>,
-    clock: C,
-) {
+pub async fn seed_caches<W: Wire, C: Clock>(number: u64, gateway: Gateway<W, C>, clock: C) {
     while !gateway.is_ready() {
         tokio::time::sleep(TELL_EVERY).await;
     }
     tokio::time::sleep(SEED_DELAY).await;
+    let peers = gateway.peers();
     if peers.was_told() || !peers.is_first(number, clock.now()) {
         return;
     }
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -251,7 +251,7 @@
     /// otherwise retries would multiply an overload.
     pub(super) fn may_send(&self, exchange: &mut Exchange) -> bool {
         let is_first = !std::mem::replace(&mut exchange.was_sent, true);
-        is_first || self.inner.budget.try_take(&exchange.service, self.now())
+        is_first || self.try_take_extra(&exchange.service)
     }
 }
 
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -10,7 +10,6 @@
 mod requests;
 mod resumption;
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -27,7 +26,7 @@
 use crate::events::{Event, emit};
 use crate::fleets::{Entry, Fleet, FleetView};
 use crate::metrics::{GatewayMetrics, KindLabel, RequestLabels};
-use crate::peers::PEER_AGE;
+use crate::peers::Peers;
 use crate::prompts::{EngineSpeed, Part};
 use crate::wires::Wire;
 
@@ -81,7 +80,7 @@
     refuses: AtomicBool,
     has_fleet: AtomicBool,
     metrics: GatewayMetrics,
-    peers_heard: Mutex<HashMap<u64, Millis>>,
+    peers: Arc<Peers>,
     /// Engines that have read a prompt since the peers were told last.
     cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
 }
@@ -137,7 +136,7 @@
             refuses: AtomicBool::new(false),
             has_fleet: AtomicBool::new(false),
             metrics: GatewayMetrics::new(),
-            peers_heard: Mutex::default(),
+            peers: Arc::default(),
             cached: Mutex::default(),
         };
         Self { inner: Arc::new(inner) }
@@ -240,24 +239,19 @@
         self.inner.metrics.record_contact(belief, self.now());
     }
 
-    /// Notes that a peer has been heard.
-    pub fn record_peer(&self, number: u64) {
-        self.record_contact(PEER_BELIEF);
-        let now = self.now();
-        let mut heard = self.inner.peers_heard.lock().expect("no panic under this lock");
-        heard.retain(|_, at| *at + PEER_AGE > now);
-        heard.insert(number, now);
-    }
-
-    /// Returns how many peers were heard of late.
-    pub fn peers_heard(&self, now: Millis) -> usize {
-        let heard = self.inner.peers_heard.lock().expect("no panic under this lock");
-        heard.values().filter(|at| **at + PEER_AGE > now).count()
+    /// Returns the other instances.
+    pub fn peers(&self) -> &Arc<Peers> {
+        &self.inner.peers
     }
 
     /// Returns how many extra arrivals a service's budget has left.
     pub fn budget_left(&self, service: &Arc<str>, now: Millis) -> f64 {
-        self.inner.budget.left(service, now)
+        self.inner.budget.left(service, self.inner.peers.instances(), now)
+    }
+
+    /// Takes one extra arrival out of a service's budget. Returns false if there is none.
+    fn try_take_extra(&self, service: &Arc<str>) -> bool {
+        self.inner.budget.try_take(service, self.inner.peers.instances(), self.now())
     }
 
     fn now(&self) -> Millis {
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -36,7 +36,7 @@
     ) -> Tried<KvHandle<W, C>> {
         // The first such call of a request is no extra arrival.
         let is_first = !std::mem::replace(&mut exchange.has_read, true);
-        if !is_first && !self.inner.budget.try_take(&exchange.service, self.now()) {
+        if !is_first && !self.try_take_extra(&exchange.service) {
             return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
         }
         let names = self.wire().headers();
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -11,7 +11,6 @@
 use crate::events::{Event, emit};
 use crate::fleets::{FleetView, Upstream};
 use crate::metrics::NameLabel;
-use crate::peers::Peers;
 use crate::relay::Gateway;
 use crate::tables::{Table, TableError, Write, Written};
 use crate::wires::{OrderAnswer, RoleOrder, Wire};
@@ -61,7 +60,6 @@
     gateway: Gateway<W, C>,
     table: T,
     clock: C,
-    peers: Arc<Peers>,
     holder: String,
     number: u64,
     options: RoleOptions,
@@ -78,7 +76,6 @@
         gateway: Gateway<W, C>,
         table: T,
         clock: C,
-        peers: Arc<Peers>,
         holder: String,
         number: u64,
         options: RoleOptions,
@@ -87,7 +84,6 @@
             gateway,
             table,
             clock,
-            peers,
             holder,
             number,
             options,
@@ -110,7 +106,8 @@
         loop {
             tokio::time::sleep(LOOK_EVERY).await;
             // One instance acts, so that the others need not even read the lease.
-            if self.gateway.is_ready() && self.peers.is_first(self.number, self.clock.now()) {
+            let is_first = self.gateway.peers().is_first(self.number, self.clock.now());
+            if self.gateway.is_ready() && is_first {
                 self.look().await;
             }
         }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -63,7 +63,7 @@
         budget.record_request(&service, Millis(0));
     }
 
-    let taken = |now| (0..9).filter(|_| budget.try_take(&service, Millis(now))).count();
+    let taken = |now| (0..9).filter(|_| budget.try_take(&service, 1, Millis(now))).count();
 
     assert_eq!(taken(500), 3);
     assert_eq!(taken(900), 0);
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -8,6 +8,7 @@
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Millis, SystemClock};
+use anvilhook_gateway::budgets::{Budget, BudgetOptions};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::Held;
@@ -26,7 +27,6 @@
 /// `Instance` is a gateway with its link to others.
 struct Instance {
     gateway: TestGateway,
-    peers: Arc<Peers>,
     address: SocketAddr,
     number: u64,
     clock: SystemClock,
@@ -40,11 +40,10 @@
     let gateway = gateway(clock, config, vec![engine], ample_budget());
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
     let address = socket.local_addr().expect("an address");
-    let peers = Arc::new(Peers::default());
-    others.iter().for_each(|other| peers.add(*other));
+    others.iter().for_each(|other| gateway.peers().add(*other));
     let rng = ChaCha8Rng::seed_from_u64(number);
-    tokio::spawn(exchange(socket, Arc::clone(&peers), number, rng, gateway.clone(), clock));
-    Instance { gateway, peers, address, number, clock }
+    tokio::spawn(exchange(socket, number, rng, gateway.clone(), clock));
+    Instance { gateway, address, number, clock }
 }
 
 impl Instance {
@@ -54,8 +53,7 @@
     }
 
     async fn seed(&self) {
-        let (peers, gateway) = (Arc::clone(&self.peers), self.gateway.clone());
-        seed_caches(peers, self.number, gateway, self.clock).await;
+        seed_caches(self.number, self.gateway.clone(), self.clock).await;
     }
 }
 
@@ -86,7 +84,7 @@
     drop(held);
 
     until(|| seen_by_two().in_flight == 0).await;
-    assert_eq!(two.gateway.peers_heard(Millis::ZERO), 1);
+    assert_eq!(two.gateway.peers().heard(Millis::ZERO), 1);
 }
 
 /// Symptom: a new instance has every shared part read again that it meets.
@@ -112,8 +110,8 @@
     let engine = Upstream::always(vec![signed("200 OK", "77")]).await;
     let one = instance(1, engine.address.port(), &[]).await;
     let two = instance(2, engine.address.port(), &[one.address]).await;
-    until(|| one.gateway.peers_heard(Millis::ZERO) == 1).await;
-    until(|| two.gateway.peers_heard(Millis::ZERO) == 1).await;
+    until(|| one.gateway.peers().heard(Millis::ZERO) == 1).await;
+    until(|| two.gateway.peers().heard(Millis::ZERO) == 1).await;
 
     tokio::join!(one.seed(), two.seed());
 
@@ -141,4 +139,36 @@
 
     assert_eq!(table.value("anvilhook_instances", "b").as_deref(), Some("127.0.0.1:2"));
     assert_eq!(peers.addresses(Millis::ZERO), [address(1)]);
+    assert_eq!(peers.instances(), 2);
+}
+
+/// Symptom: the retries of all instances together exceed their bound.
+/// Sequence: 68 instances are listed, and each has as much to send again as it may; none hears
+/// another.
+/// Cause: the part of the budget that no request earns must be divided by the instances there are,
+/// and by more as long as nobody knows how many.
+#[tokio::test]
+async fn verify_the_budget_holds_over_all_instances_with_peers_unheard() {
+    const INSTANCES: u16 = 68;
+    let service: Arc<str> = Arc::from("service");
+    let options = BudgetOptions { share: 0.2, spare: 80.0, window: Millis(10_000) };
+    let table = MemoryTable::default();
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    for number in 0..INSTANCES {
+        table.put("anvilhook_instances", &format!("{number}"), Some(&address(number).to_string()));
+    }
+    let taken_by = |peers: &Peers| {
+        let budget = Budget::new(options);
+        (0..100).filter(|_| budget.try_take(&service, peers.instances(), Millis(5))).count()
+    };
+
+    let mut taken = 0;
+    for number in 0..INSTANCES {
+        let peers = Arc::new(Peers::default());
+        assert!(taken_by(&peers) <= 3, "before the table was read");
+        register(table.clone(), format!("{number}"), address(number), Arc::clone(&peers)).await;
+        taken += taken_by(&peers);
+    }
+
+    assert!((68..=80).contains(&taken), "{taken} of 80 taken");
 }
--- a/crates/anvilhook-gateway/tests/plain.rs
+++ b/crates/anvilhook-gateway/tests/plain.rs
@@ -112,7 +112,8 @@
 }
 
 /// Symptom: retries multiply an overload.
-/// Sequence: every upstream refuses, and the budget holds one extra arrival.
+/// Sequence: every upstream refuses, and the budget holds one extra arrival for each of the 24
+/// instances that there are taken to be before the table was read.
 /// Cause: a refused arrival is work too, so it counts.
 #[tokio::test]
 async fn verify_refusals_draw_on_the_budget_and_say_when_to_come_back() {
@@ -120,7 +121,7 @@
         [Upstream::always(vec![refusal()]).await, Upstream::always(vec![refusal()]).await];
     let entries =
         refusing.iter().enumerate().map(|(at, one)| entry(&format!("u{at}"), one.address.port()));
-    let budget = BudgetOptions { share: 0.0, spare: 1.0, window: Millis(60_000) };
+    let budget = BudgetOptions { share: 0.0, spare: 24.0, window: Millis(60_000) };
     let front = start(Some(config(Repeats::AtMostOnce, 2, false)), entries.collect(), budget).await;
 
     let answers = [front.post("r1", "", "").await, front.post("r2", "", "").await];
--- a/crates/anvilhook-gateway/tests/roles.rs
+++ b/crates/anvilhook-gateway/tests/roles.rs
@@ -2,13 +2,10 @@
 
 mod support;
 
-use std::sync::Arc;
-
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
-use anvilhook_gateway::peers::Peers;
 use anvilhook_gateway::relay::Gateway;
 use anvilhook_gateway::roles::{RoleKeeper, RoleOptions};
 use support::fronts::{ample_budget, config, gateway};
@@ -74,10 +71,9 @@
     fn keeper(&self, holder: &str) -> RoleKeeper<TestWire, MemoryTable, ManualClock> {
         let options =
             RoleOptions { prefill_share: 0.5, patience: Millis::ZERO, lease: Millis(3_000) };
-        let peers = Arc::new(Peers::default());
         let (gateway, table) = (self.gateway.clone(), self.table.clone());
         let holder = holder.to_owned();
-        RoleKeeper::new(gateway, table, self.clock.clone(), peers, holder, 1, options)
+        RoleKeeper::new(gateway, table, self.clock.clone(), holder, 1, options)
     }
 }
 
