--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -4,8 +4,11 @@
 //! Each event says by its level how long it is kept when the lines come faster than they can be
 //! written: what is above `Info`, and what is about beliefs, goes before plain successes.
 
+use std::sync::LazyLock;
+
 use log::Level;
 use log::kv::{Error, Key, Source, Value, VisitSource};
+use prometheus_client::metrics::counter::Counter;
 use serde::Serialize;
 
 /// The target of lines about requests.
@@ -14,6 +17,11 @@
 /// The target of lines about what is believed.
 pub const BELIEFS: &str = "anvilhook::beliefs";
 
+/// The lines that the process has dropped because nobody took them, as long as it runs.
+///
+/// Whoever writes lines counts here, so that the metrics tell it also when the log can't be read.
+pub static LINES_DROPPED: LazyLock<Counter> = LazyLock::new(Counter::default);
+
 /// `Event` is one line of the log.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -15,6 +15,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::configs::Config;
+use crate::events::LINES_DROPPED;
 use crate::relay::Gateway;
 use crate::wires::Wire;
 
@@ -88,6 +90,9 @@
     upstream_in_flight: Family<NameLabel, Gauge>,
     upstream_reading_ms: Family<NameLabel, Gauge>,
     upstream_ejected: Family<NameLabel, Gauge>,
+    service_in_flight: Family<NameLabel, Gauge>,
+    service_reading_ms: Family<NameLabel, Gauge>,
+    service_slots: Family<NameLabel, Gauge>,
     contacts: Mutex<HashMap<&'static str, Millis>>,
 }
 
@@ -113,6 +118,9 @@
             upstream_in_flight: Family::default(),
             upstream_reading_ms: Family::default(),
             upstream_ejected: Family::default(),
+            service_in_flight: Family::default(),
+            service_reading_ms: Family::default(),
+            service_slots: Family::default(),
             contacts: Mutex::default(),
         };
         metrics.register();
@@ -181,6 +189,26 @@
             "Whether an upstream is ejected",
             self.upstream_ejected.clone(),
         );
+        registry.register(
+            "service_in_flight",
+            "Requests in flight at a service's upstreams, estimated over all instances",
+            self.service_in_flight.clone(),
+        );
+        registry.register(
+            "service_reading_ms",
+            "Prompt work waiting at a service's engines, estimated over all instances",
+            self.service_reading_ms.clone(),
+        );
+        registry.register(
+            "service_slots",
+            "Requests that a service's listed upstreams run at once",
+            self.service_slots.clone(),
+        );
+        registry.register(
+            "lines_dropped",
+            "Lines of the log that were dropped because nobody took them",
+            LINES_DROPPED.clone(),
+        );
     }
 
     /// Notes that the source of a belief has been heard.
@@ -221,13 +249,9 @@
         for (belief, at) in self.contacts.lock().expect("no panic under this lock").iter() {
             self.belief_age_ms.get_or_create(&label(belief)).set((now - *at).0 as i64);
         }
-        self.budget_left.clear();
         if let Some(config) = gateway.config() {
             self.config_version.set(config.version as i64);
-            for service in config.services().take(MAX_SERVICES) {
-                let left = gateway.budget_left(&service.name, now) as i64;
-                self.budget_left.get_or_create(&label(&service.name)).set(left);
-            }
+            self.refresh_services(gateway, &config, now);
         }
         // Upstreams come and go; what is not listed any more leaves no series behind.
         let families =
@@ -242,6 +266,36 @@
             self.upstream_ejected.get_or_create(&label).set(i64::from(is_ejected));
         }
     }
+
+    fn refresh_services<W: Wire, C: Clock>(
+        &self,
+        gateway: &Gateway<W, C>,
+        config: &Config,
+        now: Millis,
+    ) {
+        let families = [
+            &self.budget_left,
+            &self.service_in_flight,
+            &self.service_reading_ms,
+            &self.service_slots,
+        ];
+        families.iter().for_each(|family| family.clear());
+        let view = gateway.fleet().view();
+        for service in config.services().take(MAX_SERVICES) {
+            let label = NameLabel { name: service.name.to_string() };
+            let left = gateway.budget_left(&service.name, now) as i64;
+            let upstreams = view.of_service(&service.name);
+            let works = upstreams.iter().map(|upstream| upstream.state.work(now));
+            let (in_flight, reading_ms) = works.fold((0, 0.0), |(count, reading_ms), work| {
+                (count + i64::from(work.in_flight), reading_ms + work.reading_ms)
+            });
+            let slots = upstreams.iter().map(|upstream| i64::from(upstream.entry.slots)).sum();
+            self.budget_left.get_or_create(&label).set(left);
+            self.service_in_flight.get_or_create(&label).set(in_flight);
+            self.service_reading_ms.get_or_create(&label).set(reading_ms as i64);
+            self.service_slots.get_or_create(&label).set(slots);
+        }
+    }
 }
 
 impl Default for GatewayMetrics {
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/metrics.rs
@@ -0,0 +1,41 @@
+//! What an instance tells of itself on its metrics address.
+
+mod support;
+
+use std::sync::Arc;
+
+use anvilhook_core::units::{Clock, Millis, SystemClock};
+use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::loads::{Held, PeerLoad};
+use support::fronts::{ample_budget, config, gateway};
+use support::wires::entry;
+
+/// Symptom: nobody can tell from outside whether a service's queue grows.
+/// Sequence: two upstreams of a service have work, of this instance and of a peer.
+/// Cause: the estimates are summed over the service's upstreams, beside the places there are.
+#[test]
+fn verify_a_services_queue_and_batch_are_told() {
+    let clock = SystemClock::new();
+    let entries = vec![entry("u1", 1), entry("u2", 2)];
+    let config = config(Repeats::Idempotent, 2, true);
+    let gateway = gateway(clock, Some(config), entries, ample_budget());
+    let upstream = |id: &str| Arc::clone(gateway.fleet().view().get(id).expect("listed"));
+    let _held = Held::with_work(upstream("u1"), 40.0, 0.0);
+    let told = PeerLoad { in_flight: 2, reading_ms: 60.0, at: clock.now(), ..PeerLoad::default() };
+    upstream("u2").state.record_peer(7, told);
+
+    let text = gateway.metrics_text();
+
+    let lines = [
+        "service_in_flight{name=\"service\"} 3",
+        "service_reading_ms{name=\"service\"} 100",
+        "service_slots{name=\"service\"} 8",
+        "upstream_in_flight{name=\"u1\"} 1",
+        "lines_dropped_total 0",
+        "peers 0",
+    ];
+    for line in lines {
+        assert!(text.contains(&format!("anvilhook_gateway_{line}\n")), "{line} in {text}");
+    }
+    assert_eq!(gateway.metrics().belief_age("config", Millis::ZERO), None);
+}
