Tell great news to all instances, not to twelve of them

Cause: beyond 13 instances a digest goes to 12 others. What an engine has read is told once, so with 64 instances four of five never learnt of it and had shared parts read again; and each saw the others' prompts 260 ms late on average, so that many sent theirs to the engine that all took for idle.

Ruled out: too few readers (38 of 56; prompts waited at some, while others were idle); slow processors (2% in use).

Change: a digest goes to all if an engine's prompt work has changed by 25 ms since all were told, if engines have read something, or if one changes its role; else to 12. With 13 instances or fewer nothing changes.

The test fails with the code before.

--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod members;
 mod seeding;
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,9 +32,13 @@
 /// How many ticks pass until a digest is sent though nothing is in flight.
 const IDLE_TICKS: u32 = 10;
 
-/// The most peers that one digest goes to. Beyond, each tick goes to others.
+/// The most peers that a digest without great news goes to. Beyond, each goes to others.
 const MAX_FANOUT: usize = 12;
 
+/// By how much an engine's work must have changed to be great news, in milliseconds of reading.
+/// Instances that do not know of it would all send their next prompts to the same engine.
+const GREAT_NEWS_MS: u32 = 25;
+
 /// The most bytes of a digest, below what a link takes in one piece.
 const MAX_DIGEST_BYTES: usize = 1_400;
 
@@ -49,7 +54,8 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let peers = Arc::clone(gateway.peers());
     let mut buf = vec![0; MAX_DIGEST_BYTES * 2];
-    let mut teller = Teller { number, rng, quiet_ticks: 0, had_loads: false };
+    let mut teller =
+        Teller { number, rng, quiet_ticks: 0, had_loads: false, told_to_all: HashMap::new() };
     loop {
         tokio::select! {
             _ = ticks.tick() => teller.tell(&socket, &gateway, clock.now()),
@@ -78,9 +84,29 @@
     rng: ChaCha8Rng,
     quiet_ticks: u32,
     had_loads: bool,
+    /// The prompt work at each engine as all peers were told it last, in milliseconds.
+    told_to_all: HashMap<u32, u32>,
 }
 
 impl Teller {
+    /// Returns whether a digest is to go to all peers.
+    ///
+    /// What engines have read is told once only, so a peer that is left out would have it read again.
+    fn has_great_news(&mut self, digest: &Digest) -> bool {
+        let reading: HashMap<u32, u32> =
+            digest.loads.iter().map(|load| (load.engine, load.reading_ms)).collect();
+        let of = |map: &HashMap<u32, u32>, engine| map.get(engine).copied().unwrap_or(0);
+        let engines = reading.keys().chain(self.told_to_all.keys());
+        let has_changed = engines
+            .map(|engine| of(&reading, engine).abs_diff(of(&self.told_to_all, engine)))
+            .any(|change| change >= GREAT_NEWS_MS);
+        let is_great = has_changed || !digest.cached.is_empty() || !digest.away.is_empty();
+        if is_great {
+            self.told_to_all = reading;
+        }
+        is_great
+    }
+
     fn tell<W: Wire, C: Clock>(
         &mut self,
         socket: &UdpSocket,
@@ -97,7 +123,8 @@
         (self.quiet_ticks, self.had_loads) = (0, has_loads);
         let Ok(buf) = postcard::to_stdvec(&digest) else { return };
         let mut addresses = gateway.peers().addresses(now);
-        let (chosen, _) = addresses.partial_shuffle(&mut self.rng, MAX_FANOUT);
+        let fanout = if self.has_great_news(&digest) { addresses.len() } else { MAX_FANOUT };
+        let (chosen, _) = addresses.partial_shuffle(&mut self.rng, fanout);
         for address in chosen {
             // A datagram that finds no room is as good as lost on the way.
             if socket.try_send_to(&buf, *address).is_ok() {
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -169,7 +169,7 @@
     }
 
     /// Notes what an engine now keeps, and has the peers told of it.
-    pub(super) fn record_cached(&self, upstream: &Arc<str>, parts: &[Part], engine: &EngineSpec) {
+    pub fn record_cached(&self, upstream: &Arc<str>, parts: &[Part], engine: &EngineSpec) {
         self.inner.caches.record(upstream, parts, engine.kv_tokens.0);
         let tokens: u32 = parts.iter().map(|part| part.tokens).sum();
         if tokens >= TOLD_TOKENS {
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -12,7 +12,7 @@
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::Held;
-use anvilhook_gateway::peers::{Peers, exchange, register, seed_caches};
+use anvilhook_gateway::peers::{Digest, Peers, exchange, register, seed_caches};
 use anvilhook_gateway::prompts::{Part, Prompt};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -102,6 +102,40 @@
     }
 }
 
+/// Symptom: shared parts are read again and again, and prompts wait at engines that are taken for idle.
+/// Sequence: more instances run than one digest goes to; an engine has read a part.
+/// Cause: what is told once must go to all, or whoever was left out never learns of it.
+#[tokio::test]
+async fn verify_great_news_reaches_every_instance() {
+    const OTHERS: usize = 30;
+    let mut others = Vec::new();
+    for _ in 0..OTHERS {
+        others.push(UdpSocket::bind("127.0.0.1:0").await.expect("a port"));
+    }
+    let addresses = others.iter().map(|other| other.local_addr().expect("an address"));
+    let one = instance(1, 1, &addresses.collect::<Vec<_>>()).await;
+    let config = one.gateway.config().expect("it has one");
+    let service = config.service("service").expect("declared");
+
+    let engine = service.engine.as_ref().expect("of engines");
+    one.gateway.record_cached(&Arc::from("e0"), &[SHARED], engine);
+
+    let mut buf = [0; 2_000];
+    for other in others {
+        let hearing = async {
+            loop {
+                let len = other.recv(&mut buf).await.expect("loopback");
+                let digest: Digest = postcard::from_bytes(&buf[..len]).expect("a digest");
+                if !digest.cached.is_empty() {
+                    return digest.cached[0].parts.clone();
+                }
+            }
+        };
+        let heard = tokio::time::timeout(Duration::from_secs(5), hearing).await;
+        assert_eq!(heard.expect("it is told"), [(SHARED.id, SHARED.tokens)]);
+    }
+}
+
 /// Symptom: after the loss of all instances, prompts are taken for cold and refused as overload.
 /// Sequence: all start anew; the engines still hold what they had read.
 /// Cause: one instance asks the engines once, and tells the others.
