Let changes of the entries gather for 250 ms

Ruled out: heartbeats as the cause; entries that only repeat are not sent.

Change: after changed entries the follower pauses for 250 ms before it asks again. The configuration is followed without a pause.

--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -19,6 +19,10 @@
 /// even after its end, and what changed meanwhile would be in force late by the whole of its wait.
 const WAIT_WHILE_LOST: Millis = Millis::ZERO;
 
+/// The pause after changed entries, in which further changes gather. Upstreams that start together
+/// would otherwise cost each instance a call each, and every call has its price.
+const GATHER_TIME: Millis = Millis(250);
+
 /// The pause after a failed call; it grows to the second figure.
 const FIRST_PAUSE: Millis = Millis(50);
 const LONGEST_PAUSE: Millis = Millis(400);
@@ -41,6 +45,11 @@
     /// Notes that the table has answered.
     fn heard(&mut self) {}
 
+    /// Returns how long further changes may gather before they are asked for.
+    fn gather_time(&self) -> Millis {
+        Millis::ZERO
+    }
+
     /// Notes that the table is reached again.
     fn regained(&mut self) {}
 }
@@ -69,6 +78,9 @@
                 follower.heard();
                 take_in(&mut follower, &rows, version.is_none());
                 version = Some(rows.version);
+                if !rows.rows.is_empty() {
+                    tokio::time::sleep(follower.gather_time().as_duration()).await;
+                }
             }
             Err(TableError::HistoryGone) => {
                 let version_before = version.unwrap_or_default();
@@ -212,6 +224,10 @@
         self.expire_later();
     }
 
+    fn gather_time(&self) -> Millis {
+        GATHER_TIME
+    }
+
     fn heard(&mut self) {
         self.gateway.record_contact(LIST_BELIEF);
     }
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -178,3 +178,24 @@
         gateway.fleet().view().all().map(|upstream| upstream.entry.id.clone()).collect();
     assert_eq!(listed, [Arc::from("good")]);
 }
+
+/// Symptom: the start of many upstreams costs each instance a call to the table for each of them.
+/// Sequence: forty upstreams register one after the other within a second.
+/// Cause: after a change, further ones gather for a moment before they are asked for.
+#[tokio::test(start_paused = true)]
+async fn verify_upstreams_that_start_together_are_read_together() {
+    const UPSTREAMS: usize = 40;
+    let gateway = gateway().await;
+    let table = MemoryTable::default();
+    let clock = SystemClock::new();
+    tokio::spawn(follow(table.clone(), clock, EntryFollower::new(gateway.clone(), clock)));
+
+    for at in 0..UPSTREAMS {
+        table.put("upstreams", &format!("u{at}"), Some("ready 1"));
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    until(|| gateway.fleet().view().all().count() == UPSTREAMS).await;
+
+    let (waits, scans) = table.calls();
+    assert!(waits.len() + scans <= 8, "{} calls", waits.len() + scans);
+}
