Read the settings again on SIGHUP and on a change without a signal

Cause: no setting was read twice, and a negative or empty bound was taken.

Ruled out: using every changed field at once. Two instances with different lengths of a lease could both take it, and listeners would cut requests; such fields are named in the log and used by the next process.

The parts of the budget that are used moved into the gateway, as the platform's folder decides nothing.

--- a/crates/anvilhook-gateway/src/budgets.rs
+++ b/crates/anvilhook-gateway/src/budgets.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use anvilhook_core::units::Millis;
+use arc_swap::ArcSwap;
 
 /// `BudgetOptions` bounds extra arrivals in any window.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -16,6 +17,27 @@
     pub window: Millis,
 }
 
+/// What is used of a bound on extra arrivals. The windows of whoever checks it and of the instances
+/// are not the same, and an instance that starts anew has forgotten what it used before.
+const USED_SHARE: f64 = 0.75;
+const USED_SPARE: f64 = 0.45;
+
+impl BudgetOptions {
+    /// Returns the budget that keeps a bound of `share` extra arrivals for each request and `spare`
+    /// beside, in any window.
+    ///
+    /// ```
+    /// use anvilhook_core::units::Millis;
+    /// use anvilhook_gateway::budgets::BudgetOptions;
+    ///
+    /// let budget = BudgetOptions::within(0.2, 60.0, Millis(10_000));
+    /// assert!(budget.share < 0.2 && budget.spare < 60.0);
+    /// ```
+    pub fn within(share: f64, spare: f64, window: Millis) -> Self {
+        Self { share: share * USED_SHARE, spare: spare * USED_SPARE, window }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Tally {
     requests: VecDeque<Millis>,
@@ -29,14 +51,19 @@
 /// to the share of all, and the spare part is divided by the number of instances that are listed.
 #[derive(Debug)]
 pub struct Budget {
-    options: BudgetOptions,
+    options: ArcSwap<BudgetOptions>,
     tallies: Mutex<HashMap<Arc<str>, Tally>>,
 }
 
 impl Budget {
     /// Makes a budget with nothing counted.
     pub fn new(options: BudgetOptions) -> Self {
-        Self { options, tallies: Mutex::default() }
+        Self { options: ArcSwap::from_pointee(options), tallies: Mutex::default() }
+    }
+
+    /// Puts other bounds in force. What was counted stays.
+    pub fn set_options(&self, options: BudgetOptions) {
+        self.options.store(Arc::new(options));
     }
 
     /// Counts a request for a service.
@@ -63,14 +90,15 @@
     }
 
     fn earned(&self, tally: &Tally, instances: usize) -> f64 {
-        let spare = self.options.spare / instances.max(1) as f64;
-        tally.requests.len() as f64 * self.options.share + spare
+        let options = self.options.load();
+        let spare = options.spare / instances.max(1) as f64;
+        tally.requests.len() as f64 * options.share + spare
     }
 
     fn with<T>(&self, service: &Arc<str>, now: Millis, f: impl FnOnce(&mut Tally) -> T) -> T {
         let mut tallies = self.tallies.lock().expect("no panic under this lock");
         let tally = tallies.entry(Arc::clone(service)).or_default();
-        let from = now - self.options.window;
+        let from = now - self.options.load().window;
         for times in [&mut tally.requests, &mut tally.extras] {
             while times.front().is_some_and(|at| *at < from) {
                 times.pop_front();
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -40,6 +40,18 @@
         /// Requests in flight at that moment.
         in_flight: u64,
     },
+    /// The settings were read anew.
+    SettingsReread {
+        /// Whether anything is used otherwise than before.
+        has_changed: bool,
+        /// What has changed and is used only after the next start.
+        at_restart: Vec<&'static str>,
+    },
+    /// The settings were read anew and can't be used; the earlier ones are in force.
+    SettingsRefused {
+        /// Why, with the field.
+        cause: String,
+    },
     /// The instance ends.
     Stopped {
         /// Requests that are cut by the end.
@@ -218,7 +230,7 @@
             Event::DependencyLost { .. }
             | Event::AttemptFailed { .. }
             | Event::StreamBroken { .. } => Level::Warn,
-            Event::UnreadableRow { .. } => Level::Error,
+            Event::UnreadableRow { .. } | Event::SettingsRefused { .. } => Level::Error,
             Event::StreamEnded { outcome, .. } if *outcome == "cut" => Level::Warn,
             Event::Concluded { status, .. } if *status >= 400 => Level::Warn,
             _ => Level::Info,
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -20,6 +20,7 @@
 use crate::followers::{ConfigFollower, EntryFollower, follow};
 use crate::peers;
 use crate::relay::{Gateway, GatewayOptions};
+use crate::reloads::{OptionSource, Reloader, Tunables};
 use crate::roles::{RoleKeeper, RoleOptions};
 use crate::tables::Table;
 use crate::wires::Wire;
@@ -40,6 +41,9 @@
 /// The pause between two looks at what is in flight.
 const LOOK_PAUSE: Millis = Millis(20);
 
+/// How often the settings are looked at for a change that no signal told.
+const RELOAD_EVERY: Millis = Millis(1_000);
+
 /// The time for the last bytes of answers.
 const FLUSH_TIME: Millis = Millis(300);
 
@@ -54,12 +58,10 @@
     pub readiness: SocketAddr,
     /// Where metrics are asked for, if anywhere.
     pub metrics: Option<SocketAddr>,
-    /// The time from the signal to stop to the end of the process.
-    pub grace: Millis,
     /// Where other instances send their datagrams.
     pub peer: SocketAddr,
-    /// Where other instances may be heard, before the table has been read.
-    pub seeds: Vec<SocketAddr>,
+    /// What may change while the instance runs.
+    pub tunables: Tunables,
     /// The figures by which requests are served.
     pub gateway: GatewayOptions,
     /// How engines are to be split.
@@ -71,8 +73,9 @@
 /// # Errors
 ///
 /// An I/O error if it cannot listen.
-pub async fn run<W: Wire, T: Table, C: Clock>(
+pub async fn run<W: Wire, T: Table, C: Clock, S: OptionSource>(
     options: InstanceOptions,
+    source: S,
     wire: W,
     table: T,
     clock: C,
@@ -100,14 +103,21 @@
     let (zone, version) = (&*options.gateway.zone, env!("CARGO_PKG_VERSION"));
     emit(&Event::Started { zone, version });
 
+    let tunables = options.tunables.clone();
+    let mut reloader = Reloader::new(source, gateway.clone(), options.peer, tunables);
+    let mut looks = tokio::time::interval(RELOAD_EVERY.as_duration());
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => signalled("SIGHUP", gateway.in_flight()),
+            _ = hangup.recv() => {
+                signalled("SIGHUP", gateway.in_flight());
+                reloader.look(true);
+            }
+            _ = looks.tick() => reloader.look(false),
         }
     }
     signalled("SIGTERM", gateway.in_flight());
-    let latest = clock.now() + (options.grace - STOP_MARGIN);
+    let latest = clock.now() + (reloader.tunables().grace - STOP_MARGIN);
     stop(&gateway, &shutdown, &clock, latest).await;
     let _ = tokio::time::timeout(FLUSH_TIME.as_duration(), serving).await;
     let metrics = gateway.metrics();
@@ -131,9 +141,6 @@
 ) -> std::io::Result<()> {
     let socket = UdpSocket::bind(options.peer).await?;
     let peers = Arc::clone(gateway.peers());
-    for seed in options.seeds.iter().filter(|seed| **seed != options.peer) {
-        peers.add(*seed);
-    }
     let mut rng = ChaCha8Rng::try_from_rng(&mut SysRng).map_err(std::io::Error::other)?;
     let number = rng.next_u64();
     tokio::spawn(peers::exchange(socket, number, rng, gateway.clone(), clock.clone()));
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod placements;
 pub mod prompts;
 pub mod relay;
+pub mod reloads;
 pub mod roles;
 pub mod streams;
 pub mod tables;
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -49,7 +49,7 @@
 pub struct GatewayOptions {
     /// The availability zone of this instance.
     pub zone: Arc<str>,
-    /// The budget for extra arrivals.
+    /// The budget for extra arrivals at the start.
     pub budget: BudgetOptions,
     /// How fast engines read prompts.
     pub speed: EngineSpeed,
@@ -239,6 +239,11 @@
         self.inner.metrics.record_contact(belief, self.now());
     }
 
+    /// Puts another budget for extra arrivals in force.
+    pub fn set_budget(&self, options: BudgetOptions) {
+        self.inner.budget.set_options(options);
+    }
+
     /// Returns the other instances.
     pub fn peers(&self) -> &Arc<Peers> {
         &self.inner.peers
--- /dev/null
+++ b/crates/anvilhook-gateway/src/reloads.rs
@@ -0,0 +1,86 @@
+//! Options that may change while an instance runs.
+
+use std::net::SocketAddr;
+
+use anvilhook_core::units::{Clock, Millis};
+
+use crate::budgets::BudgetOptions;
+use crate::events::{Event, emit};
+use crate::relay::Gateway;
+use crate::wires::Wire;
+
+/// `Tunables` are the options that may change while an instance runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tunables {
+    /// The time from the signal to stop to the end of the process.
+    pub grace: Millis,
+    /// The budget for extra arrivals.
+    pub budget: BudgetOptions,
+    /// Where other instances may be heard, before the table has been read.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// `Reread` is what reading the settings anew brought.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reread {
+    /// The options now.
+    pub tunables: Tunables,
+    /// Settings that have changed and are used only by a process that starts anew.
+    pub at_restart: Vec<&'static str>,
+}
+
+/// `OptionSource` reads an instance's options anew.
+pub trait OptionSource: Send + 'static {
+    /// Returns the options if they may have changed since the last call, or always if `is_asked`.
+    ///
+    /// # Errors
+    ///
+    /// A text that names the source and the field, if the options can't be used.
+    fn reread(&mut self, is_asked: bool) -> Result<Option<Reread>, String>;
+}
+
+/// `Reloader` has a running gateway use changed options.
+pub struct Reloader<S, W: Wire, C: Clock> {
+    source: S,
+    gateway: Gateway<W, C>,
+    own: SocketAddr,
+    tunables: Tunables,
+}
+
+impl<S: OptionSource, W: Wire, C: Clock> Reloader<S, W, C> {
+    /// Puts options in force. `own` is this instance's own address among the instances.
+    pub fn new(source: S, gateway: Gateway<W, C>, own: SocketAddr, tunables: Tunables) -> Self {
+        let reloader = Self { source, gateway, own, tunables };
+        reloader.apply();
+        reloader
+    }
+
+    /// Returns the options in force.
+    pub fn tunables(&self) -> &Tunables {
+        &self.tunables
+    }
+
+    /// Looks whether the options have changed, and has them used. What can't be used changes
+    /// nothing: an instance goes on by what it had.
+    pub fn look(&mut self, is_asked: bool) {
+        match self.source.reread(is_asked) {
+            Ok(None) => {}
+            Ok(Some(reread)) => {
+                let has_changed = self.tunables != reread.tunables;
+                self.tunables = reread.tunables;
+                self.apply();
+                if has_changed || is_asked || !reread.at_restart.is_empty() {
+                    let at_restart = reread.at_restart;
+                    emit(&Event::SettingsReread { has_changed, at_restart });
+                }
+            }
+            Err(cause) => emit(&Event::SettingsRefused { cause }),
+        }
+    }
+
+    fn apply(&self) {
+        self.gateway.set_budget(self.tunables.budget);
+        let seeds = self.tunables.seeds.iter().filter(|seed| **seed != self.own);
+        seeds.for_each(|seed| self.gateway.peers().add(*seed));
+    }
+}
