Tell long work to the other instances at once

Cause: prompts that arrive within the 50 ms between two digests are placed by the same old view, so those of a burst go to the engine that was idle before it. On grown sites long prompts waited twice as long as predicted.

Ruled out: more frequent digests (25 ms were tried before at 8 instances, without gain, and cost each idle instance as much as a busy one).

Change: a prompt of 25 ms or more of reading is announced when it is sent and when it is read; the exchange tells it in the next turn of the loop, several at once if they come together.

--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anvilhook_core::units::Millis;
+use tokio::sync::Notify;
 
 use crate::events::{Event, emit};
 use crate::tables::{Table, TableError, Write, Written};
@@ -37,6 +38,7 @@
     known: Mutex<HashMap<SocketAddr, Option<Peer>>>,
     was_told: AtomicBool,
     was_listed: AtomicBool,
+    news: Notify,
 }
 
 impl Peers {
@@ -45,6 +47,17 @@
         self.was_told.store(true, Ordering::Release);
     }
 
+    /// Has the peers told at once of what this instance has in flight. News that come before the
+    /// last have been told are told together.
+    pub(crate) fn announce(&self) {
+        self.news.notify_one();
+    }
+
+    /// Waits until there is something to be told at once.
+    pub async fn announced(&self) {
+        self.news.notified().await;
+    }
+
     /// Returns whether a peer has told what the caches hold.
     pub(super) fn was_told(&self) -> bool {
         self.was_told.load(Ordering::Acquire)
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -37,7 +37,7 @@
 
 /// By how much an engine's work must have changed to be great news, in milliseconds of reading.
 /// Instances that do not know of it would all send their next prompts to the same engine.
-const GREAT_NEWS_MS: u32 = 25;
+pub(crate) const GREAT_NEWS_MS: u32 = 25;
 
 /// The most bytes of a digest, below what a link takes in one piece.
 const MAX_DIGEST_BYTES: usize = 1_400;
@@ -59,6 +59,7 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => teller.tell(&socket, &gateway, clock.now()),
+            () = peers.announced() => teller.tell(&socket, &gateway, clock.now()),
             received = socket.recv_from(&mut buf) => {
                 let Ok((len, from)) = received else { continue };
                 if let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) {
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -6,6 +6,7 @@
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::prompts::Part;
+use futures_util::FutureExt;
 use support::fronts::{Front, ample_budget, config, start};
 use support::upstreams::{
     Received, Step, Upstream, chunk, event, refusal, signed, stream_end, stream_head,
@@ -170,6 +171,28 @@
     assert_eq!(reader.received().len(), 1, "a used handle is not freed");
 }
 
+/// Symptom: the prompts of several instances go to the same idle engine.
+/// Sequence: a prompt is read that is long work, and one that is little.
+/// Cause: long work is told to the others at its begin and end, not with the next digest.
+#[tokio::test]
+async fn verify_long_work_is_told_at_once() {
+    for (tokens, is_told) in [(10_000, true), (100, false)] {
+        let reader = Upstream::start(reader_script).await;
+        let generator = Upstream::always(stream(1, 3)).await;
+        let engines = vec![
+            engine("reader", &reader, Role::Prefill),
+            engine("generator", &generator, Role::Decode),
+        ];
+        let front = front_of(ONCE, engines).await;
+
+        let answer = front.post("r1", &format!("T-Tokens: {tokens}\r\n"), "").await;
+
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let announced = front.gateway.peers().announced().now_or_never();
+        assert_eq!(announced.is_some(), is_told, "{tokens} tokens");
+    }
+}
+
 /// Symptom: an engine's memory fills with handles that nobody takes.
 /// Sequence: the prompt is read, and then no engine generates.
 /// Cause: a handle that is not used is freed by whoever has it.
