Let calls for changes wait as long as the bound on silence allows

Cause: each call of the feeds waited 1.8 s, for the sites whose contact_ms is 3,000. The grown sites have 4,000, and there calls to the store are among the dearest prices.

Ruled out: longer waits with the peers telling of newer versions. When all connections fall silent at once no peer knows of any, so the wait alone must keep the bound.

Change: the wait is contact_ms less 1.2 s: what an answer, the gathering and the next call may take, and a margin. 1.8 s as before at 3,000.

--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -11,9 +11,27 @@
 use crate::tables::{Row, Rows, Table, TableError};
 use crate::wires::{DecodeError, Wire};
 
-/// How long one call waits for changes. It bounds how long a connection that has gone silent
-/// hides them.
-const WAIT: Millis = Millis(1_800);
+/// What passes beside a call's wait until a change is seen that a connection hid which has gone
+/// silent: the store's time for an answer, the gathering of changes, the next call, and a margin.
+const BESIDE_WAIT: Millis = Millis(1_200);
+
+/// The shortest and the longest wait of a call. A store need not hold a call for longer.
+const SHORTEST_WAIT: Millis = Millis(500);
+const LONGEST_WAIT: Millis = Millis(25_000);
+
+/// Returns how long a call may wait for changes, if one may stay unseen for `unseen` behind a
+/// connection that has gone silent. Each call has its price, so they wait as long as they may.
+///
+/// ```
+/// use anvilhook_core::units::Millis;
+/// use anvilhook_gateway::followers::wait_within;
+///
+/// assert_eq!(wait_within(Millis(3_000)), Millis(1_800));
+/// assert!(wait_within(Millis(100)) > Millis::ZERO);
+/// ```
+pub fn wait_within(unseen: Millis) -> Millis {
+    Millis(unseen.0.saturating_sub(BESIDE_WAIT.0)).clamp(SHORTEST_WAIT, LONGEST_WAIT)
+}
 
 /// How long a call waits while the table is away. A call that was sent into the outage hears nothing
 /// even after its end, and what changed meanwhile would be in force late by the whole of its wait.
@@ -54,8 +72,13 @@
     fn regained(&mut self) {}
 }
 
-/// Follows a table for as long as the process runs.
-pub async fn follow<T: Table, F: Follow, C: Clock>(table: T, clock: C, mut follower: F) {
+/// Follows a table for as long as the process runs, by calls that wait for changes up to `wait`.
+pub async fn follow<T: Table, F: Follow, C: Clock>(
+    table: T,
+    clock: C,
+    wait: Millis,
+    mut follower: F,
+) {
     let name = follower.table();
     let mut version = None;
     let mut pause = FIRST_PAUSE;
@@ -65,7 +88,7 @@
         let read = match version {
             None => table.scan(name).await,
             Some(version) if is_lost => table.changes(name, version, WAIT_WHILE_LOST).await,
-            Some(version) => table.changes(name, version, WAIT).await,
+            Some(version) => table.changes(name, version, wait).await,
         };
         match read {
             Ok(rows) => {
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -17,7 +17,7 @@
 use volo_http::server::route::Router;
 
 use crate::events::{Event, emit};
-use crate::followers::{ConfigFollower, EntryFollower, follow};
+use crate::followers::{ConfigFollower, EntryFollower, follow, wait_within};
 use crate::peers;
 use crate::relay::{Gateway, GatewayOptions};
 use crate::reloads::{OptionSource, Reloader, Tunables};
@@ -60,6 +60,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where other instances send their datagrams.
     pub peer: SocketAddr,
+    /// How long a change may stay unseen behind a connection that has gone silent.
+    pub unseen: Millis,
     /// What may change while the instance runs.
     pub tunables: Tunables,
     /// The figures by which requests are served.
@@ -96,9 +98,10 @@
         tokio::spawn(serve(listener, metrics_router(gateway.clone()), shutdown.clone()));
     }
     let config_follower = ConfigFollower::new(gateway.clone());
-    tokio::spawn(follow(table.clone(), clock.clone(), config_follower));
+    let wait = wait_within(options.unseen);
+    tokio::spawn(follow(table.clone(), clock.clone(), wait, config_follower));
     let entry_follower = EntryFollower::new(gateway.clone(), clock.clone());
-    tokio::spawn(follow(table.clone(), clock.clone(), entry_follower));
+    tokio::spawn(follow(table.clone(), clock.clone(), wait, entry_follower));
     start_peers(&options, &gateway, &table, &clock).await?;
     let (zone, version) = (&*options.gateway.zone, env!("CARGO_PKG_VERSION"));
     emit(&Event::Started { zone, version });
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -14,6 +14,9 @@
 use support::tables::{Fault, MemoryTable};
 use support::wires::entry;
 
+/// How long a call waits for changes.
+const WAIT: Millis = Millis(1_800);
+
 fn report(id: &str, draining: bool, sequence: u64) -> Entry {
     Entry { draining, sequence, ..entry(id, 1) }
 }
@@ -88,7 +91,7 @@
     let clock = SystemClock::new();
     let version = || gateway.config().map_or(0, |config| config.version);
     table.put("configs", "current", Some("7"));
-    tokio::spawn(follow(table.clone(), clock, ConfigFollower::new(gateway.clone())));
+    tokio::spawn(follow(table.clone(), clock, WAIT, ConfigFollower::new(gateway.clone())));
     until(|| version() == 7).await;
 
     table.put("configs", "current", Some("5"));
@@ -112,7 +115,7 @@
     let table = MemoryTable::default();
     table.put("configs", "current", Some("1"));
     let follower = ConfigFollower::new(gateway.clone());
-    tokio::spawn(follow(table.clone(), SystemClock::new(), follower));
+    tokio::spawn(follow(table.clone(), SystemClock::new(), WAIT, follower));
     until(|| gateway.config().is_some()).await;
     let first_waits = || table.calls().0;
     until(|| !first_waits().is_empty()).await;
@@ -124,7 +127,7 @@
     until(|| gateway.config().is_some_and(|config| config.version == 2)).await;
 
     let waits = first_waits();
-    assert!(waits[0] > Millis::ZERO);
+    assert_eq!(waits[0], WAIT);
     assert_eq!(waits[2..4], [Millis::ZERO, Millis::ZERO]);
 }
 
@@ -139,7 +142,7 @@
     table.put("upstreams", "b", Some("ready 1"));
     let clock = SystemClock::new();
     let follower = EntryFollower::new(gateway.clone(), clock);
-    tokio::spawn(follow(table.clone(), clock, follower));
+    tokio::spawn(follow(table.clone(), clock, WAIT, follower));
     let takes_work = |id: &str| gateway.fleet().takes_work(id, Millis::ZERO);
     until(|| takes_work("a") && takes_work("b")).await;
 
@@ -170,7 +173,7 @@
     let clock = SystemClock::new();
     let follower = EntryFollower::new(gateway.clone(), clock);
 
-    tokio::spawn(follow(table, clock, follower));
+    tokio::spawn(follow(table, clock, WAIT, follower));
 
     let fleet = gateway.clone();
     until(move || fleet.fleet().takes_work("good", Millis::ZERO)).await;
@@ -188,7 +191,7 @@
     let gateway = gateway().await;
     let table = MemoryTable::default();
     let clock = SystemClock::new();
-    tokio::spawn(follow(table.clone(), clock, EntryFollower::new(gateway.clone(), clock)));
+    tokio::spawn(follow(table.clone(), clock, WAIT, EntryFollower::new(gateway.clone(), clock)));
 
     for at in 0..UPSTREAMS {
         table.put("upstreams", &format!("u{at}"), Some("ready 1"));
