Touch only the engines that a digest names; forget peers that are gone

Cause: each datagram hashed every engine's id and took every engine's lock, and each engine kept an entry for every process that was ever heard, so memory grew with each restart.

Change: an upstream carries the short form of its id; a peer's last busy engines are remembered, and only those and the named ones change; a peer with nothing in flight, or not heard for 400 ms, takes no room. PeerLoad carries Work instead of repeating its fields.

A thousand peers leave at most five entries (verify_peers_that_are_gone_take_no_room; it did not compile before, the count is new).

--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -37,6 +37,8 @@
 pub struct Upstream {
     /// What its entry says.
     pub entry: Entry,
+    /// The short form of its id that instances use among themselves.
+    pub digest: u32,
     /// What this instance has learnt.
     pub state: Arc<UpstreamState>,
 }
@@ -117,10 +119,10 @@
                 Some(upstream) => Arc::clone(&upstream.state),
                 None => Arc::new(UpstreamState::new()),
             };
-            let upstream = Arc::new(Upstream { entry, state });
+            let upstream = Arc::new(Upstream { digest: digest_of(&id), entry, state });
             let service = Arc::clone(&upstream.entry.service);
             view.by_service.entry(service).or_default().push(Arc::clone(&upstream));
-            view.by_digest.insert(digest_of(&id), Arc::clone(&upstream));
+            view.by_digest.insert(upstream.digest, Arc::clone(&upstream));
             view.by_id.insert(id, upstream);
         }
         for upstreams in view.by_service.values_mut() {
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -17,28 +17,24 @@
 /// How long an upstream's or a peer's word about load is worth anything.
 const LOAD_AGE: Millis = Millis(400);
 
-/// `PeerLoad` is what another instance has in flight at an upstream.
+/// `Work` is what requests in flight ask of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct PeerLoad {
+pub struct Work {
     /// Requests in flight.
     pub in_flight: u32,
     /// Prompts being read, in milliseconds of work.
     pub reading_ms: f64,
     /// KV caches being fetched, in milliseconds of the engine's link.
     pub fetching_ms: f64,
-    /// When it was heard.
-    pub at: Millis,
 }
 
-/// `Work` is what requests in flight ask of an upstream.
+/// `PeerLoad` is what another instance has in flight at an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Work {
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Prompts being read, in milliseconds of work.
-    pub reading_ms: f64,
-    /// KV caches being fetched, in milliseconds of the engine's link.
-    pub fetching_ms: f64,
+pub struct PeerLoad {
+    /// What its requests ask of the upstream.
+    pub work: Work,
+    /// When it was heard.
+    pub at: Millis,
 }
 
 /// `UpstreamState` is what this instance has learnt of an upstream. It outlives changes of the
@@ -152,8 +148,23 @@
     }
 
     /// Notes what a peer has in flight here.
+    ///
+    /// Whoever has nothing here, or was not heard for a while, takes no room: processes come and go,
+    /// each under a number of its own.
     pub fn record_peer(&self, peer: u64, load: PeerLoad) {
-        self.peers.lock().expect("no panic under this lock").insert(peer, load);
+        let mut peers = self.peers.lock().expect("no panic under this lock");
+        let since = load.at - LOAD_AGE;
+        peers.retain(|_, other| other.at >= since);
+        if load.work.in_flight > 0 {
+            peers.insert(peer, load);
+        } else {
+            peers.remove(&peer);
+        }
+    }
+
+    /// Returns how many peers are believed to have something in flight here.
+    pub fn peer_count(&self) -> usize {
+        self.peers.lock().expect("no panic under this lock").len()
     }
 
     /// Returns what this instance's own requests ask of the upstream.
@@ -171,9 +182,9 @@
         let since = now - LOAD_AGE;
         for peer in self.peers.lock().expect("no panic under this lock").values() {
             if peer.at >= since {
-                work.in_flight += peer.in_flight;
-                work.reading_ms += peer.reading_ms;
-                work.fetching_ms += peer.fetching_ms;
+                work.in_flight += peer.work.in_flight;
+                work.reading_ms += peer.work.reading_ms;
+                work.fetching_ms += peer.work.fetching_ms;
             }
         }
         let told = *self.told.lock().expect("no panic under this lock");
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleets::digest_of;
-use crate::loads::PeerLoad;
+use crate::loads::{PeerLoad, Work};
 use crate::prompts::Part;
 use crate::relay::Gateway;
 use crate::wires::Wire;
@@ -57,7 +57,7 @@
     let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
     let mut digest = Digest { from: number, ..Digest::default() };
     for upstream in engines {
-        let engine = digest_of(&upstream.entry.id);
+        let engine = upstream.digest;
         let work = upstream.state.own_work();
         if work.in_flight > 0 {
             let reading_ms = work.reading_ms as u32;
@@ -77,20 +77,27 @@
     digest
 }
 
-/// Takes in what a peer tells.
-pub(super) fn take_in<W: Wire, C: Clock>(digest: &Digest, gateway: &Gateway<W, C>, now: Millis) {
+/// Takes in what a peer tells. `before` are the engines at which it told of work the last time.
+pub(super) fn take_in<W: Wire, C: Clock>(
+    digest: &Digest,
+    before: &[u32],
+    gateway: &Gateway<W, C>,
+    now: Millis,
+) {
     let view = gateway.fleet().view();
-    let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
-    for upstream in engines.filter(|_| !digest.is_partial) {
-        let engine = digest_of(&upstream.entry.id);
-        let told = digest.loads.iter().find(|load| load.engine == engine);
-        let load = told.map_or(PeerLoad { at: now, ..PeerLoad::default() }, |load| PeerLoad {
+    // Only the engines that are named, or were, change; there may be hundreds of others.
+    let ended = before.iter().filter(|engine| !digest.loads.iter().any(|l| l.engine == **engine));
+    for upstream in ended.filter_map(|engine| view.by_digest(*engine)) {
+        upstream.state.record_peer(digest.from, PeerLoad { at: now, ..PeerLoad::default() });
+    }
+    for load in &digest.loads {
+        let Some(upstream) = view.by_digest(load.engine) else { continue };
+        let work = Work {
             in_flight: load.in_flight,
             reading_ms: f64::from(load.reading_ms),
             fetching_ms: f64::from(load.fetching_ms),
-            at: now,
-        });
-        upstream.state.record_peer(digest.from, load);
+        };
+        upstream.state.record_peer(digest.from, PeerLoad { work, at: now });
     }
     for (engine, left_ms) in &digest.away {
         if let Some(upstream) = view.by_digest(*engine) {
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -26,10 +26,12 @@
 const UNLISTED_INSTANCES: usize = 24;
 
 /// `Peer` is another instance.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Peer {
     number: u64,
     heard_at: Millis,
+    /// The engines at which it told of work the last time.
+    busy: Vec<u32>,
 }
 
 /// `Peers` is the other instances that are known.
@@ -70,10 +72,25 @@
 
     /// Notes that an instance was heard. Returns whether it is a new one.
     pub(super) fn hear(&self, address: SocketAddr, number: u64, now: Millis) -> bool {
-        let peer = Peer { number, heard_at: now };
         let mut known = self.known.lock().expect("no panic under this lock");
-        let before = known.insert(address, Some(peer)).flatten();
-        before.is_none_or(|before| before.number != number)
+        let peer = known.entry(address).or_insert(None);
+        match peer {
+            Some(peer) if peer.number == number => {
+                peer.heard_at = now;
+                false
+            }
+            _ => {
+                *peer = Some(Peer { number, heard_at: now, busy: Vec::new() });
+                true
+            }
+        }
+    }
+
+    /// Notes the engines at which an instance tells of work, and returns those of the last time.
+    pub(super) fn replace_busy(&self, address: SocketAddr, busy: Vec<u32>) -> Vec<u32> {
+        let mut known = self.known.lock().expect("no panic under this lock");
+        let peer = known.get_mut(&address).and_then(Option::as_mut);
+        peer.map(|peer| std::mem::replace(&mut peer.busy, busy)).unwrap_or_default()
     }
 
     /// Returns the addresses to tell.
@@ -81,7 +98,7 @@
         let known = self.known.lock().expect("no panic under this lock");
         let current = known.iter().filter(|(_, peer)| {
             // Whoever was heard once and fell silent is gone; a restart is heard by itself.
-            peer.is_none_or(|peer| peer.heard_at + PEER_AGE * 5 > now)
+            peer.as_ref().is_none_or(|peer| peer.heard_at + PEER_AGE * 5 > now)
         });
         current.map(|(address, _)| *address).collect()
     }
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -73,7 +73,13 @@
                         tell_caches(&socket, from, number, &gateway);
                     }
                     gateway.record_contact(PEER_BELIEF);
-                    take_in(&digest, &gateway, now);
+                    let before = if digest.is_partial {
+                        Vec::new()
+                    } else {
+                        let busy = digest.loads.iter().map(|load| load.engine).collect();
+                        peers.replace_busy(from, busy)
+                    };
+                    take_in(&digest, &before, &gateway, now);
                 }
             }
         }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -10,7 +10,7 @@
 use anvilhook_gateway::caches::CacheBeliefs;
 use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, Target};
 use anvilhook_gateway::fleets::{Entry, Fleet};
-use anvilhook_gateway::loads::{Held, PeerLoad};
+use anvilhook_gateway::loads::{Held, PeerLoad, Work};
 use anvilhook_gateway::peers::{CachedPrompt, Digest, EngineLoad};
 use anvilhook_gateway::placements::{Placer, Plan, Request};
 use anvilhook_gateway::prompts::{EngineSpeed, Part, Prompt};
@@ -207,14 +207,33 @@
 fn verify_peers_load_counts_until_it_is_old() {
     let fleet = fleet(&SITE);
     let state = Arc::clone(&fleet.view().get("p1").unwrap().state);
-    let told = PeerLoad { in_flight: 3, reading_ms: 50.0, fetching_ms: 4.0, at: Millis(100) };
-    state.record_peer(7, told);
+    let work = Work { in_flight: 3, reading_ms: 50.0, fetching_ms: 4.0 };
+    state.record_peer(7, PeerLoad { work, at: Millis(100) });
 
     let work = state.work(Millis(200));
     assert_eq!((work.in_flight, work.reading_ms, work.fetching_ms), (3, 50.0, 4.0));
     assert_eq!(state.work(Millis(2_000)).in_flight, 0);
 }
 
+/// Symptom: an instance's memory grows for as long as it runs.
+/// Sequence: peers come and go, each under a number that no other had; one has ended its work.
+/// Cause: who was not heard for a while, or has nothing in flight, must take no room.
+#[test]
+fn verify_peers_that_are_gone_take_no_room() {
+    let fleet = fleet(&SITE);
+    let state = Arc::clone(&fleet.view().get("p1").unwrap().state);
+    let busy = Work { in_flight: 1, ..Work::default() };
+    for number in 0..1_000 {
+        state.record_peer(number, PeerLoad { work: busy, at: Millis(number * 100) });
+    }
+    assert!(state.peer_count() < 10, "{} of 1000", state.peer_count());
+
+    for number in 0..1_000 {
+        state.record_peer(number, PeerLoad { work: Work::default(), at: Millis(100_000) });
+    }
+    assert_eq!(state.peer_count(), 0);
+}
+
 #[test]
 fn verify_slowness_grows_slowly_and_falls_fast() {
     let fleet = fleet(&SITE);
--- a/crates/anvilhook-gateway/tests/metrics.rs
+++ b/crates/anvilhook-gateway/tests/metrics.rs
@@ -6,7 +6,7 @@
 
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_gateway::configs::Repeats;
-use anvilhook_gateway::loads::{Held, PeerLoad};
+use anvilhook_gateway::loads::{Held, PeerLoad, Work};
 use support::fronts::{ample_budget, config, gateway};
 use support::wires::entry;
 
@@ -21,8 +21,8 @@
     let gateway = gateway(clock, Some(config), entries, ample_budget());
     let upstream = |id: &str| Arc::clone(gateway.fleet().view().get(id).expect("listed"));
     let _held = Held::with_work(upstream("u1"), 40.0, 0.0);
-    let told = PeerLoad { in_flight: 2, reading_ms: 60.0, at: clock.now(), ..PeerLoad::default() };
-    upstream("u2").state.record_peer(7, told);
+    let work = Work { in_flight: 2, reading_ms: 60.0, fetching_ms: 0.0 };
+    upstream("u2").state.record_peer(7, PeerLoad { work, at: clock.now() });
 
     let text = gateway.metrics_text();
 
