Read large answers of the store while they come, and rows for changes

Cause: an answer's body had 0.7 s in all. After nine seconds of refusals the changes of the configuration's table were ten versions, which a machine with a link of 10 Mbit/s does not read in 0.7 s. It asked for the same changes again and again, until the history had dropped them, and served by an old configuration for 11 s.

Ruled out: the pool (new connections fared the same), the store's rates (429 ended with the outage), the shared mark of failures. A run that logged every failed call showed 'timeout at body' ten times in a row on three of 21 machines.

Change: an answer is read for as long as it goes on coming, a pause of 0.7 s ends it. Changes have 1 s; beyond, the follower reads the rows as they stand, which is one version.

--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -115,6 +115,10 @@
                     lost_at = clock.now();
                     emit(&Event::DependencyLost { dependency: name, cause: err.to_string() });
                 }
+                // The changes of an outage may be many times as large as what stands there now.
+                if err == TableError::Unfinished {
+                    version = None;
+                }
                 tokio::time::sleep(pause.as_duration()).await;
                 pause = Millis(pause.0 * 2).min(LONGEST_PAUSE);
             }
--- a/crates/anvilhook-gateway/src/tables.rs
+++ b/crates/anvilhook-gateway/src/tables.rs
@@ -52,6 +52,8 @@
     HistoryGone,
     /// The table refused the call and did nothing.
     Refused(String),
+    /// The answer began and took too long; it may be too large for the way here.
+    Unfinished,
     /// No answer came; a write may have taken effect or may do so later.
     NoAnswer(String),
 }
@@ -60,6 +62,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             TableError::HistoryGone => f.write_str("history gone"),
+            TableError::Unfinished => f.write_str("the answer took too long"),
             TableError::Refused(message) => write!(f, "refused: {message}"),
             TableError::NoAnswer(message) => write!(f, "no answer: {message}"),
         }
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -131,6 +131,27 @@
     assert_eq!(waits[2..4], [Millis::ZERO, Millis::ZERO]);
 }
 
+/// Symptom: an instance keeps an old configuration for as long as the history of changes reaches.
+/// Sequence: the table is away while several versions are written; all of them together are too
+/// large to be read in the time of a call.
+/// Cause: what stands there now is read in place of the changes.
+#[tokio::test]
+async fn verify_changes_too_large_to_be_read_are_not_asked_for_again() {
+    let gateway = gateway().await;
+    let table = MemoryTable::default();
+    table.put("configs", "current", Some("1"));
+    let follower = ConfigFollower::new(gateway.clone());
+    tokio::spawn(follow(table.clone(), SystemClock::new(), WAIT, follower));
+    until(|| gateway.config().is_some()).await;
+
+    table.set_fault(Fault::Away);
+    until(|| table.refused() > 0).await;
+    table.put("configs", "current", Some("2"));
+    table.set_fault(Fault::LargeChanges);
+
+    until(|| gateway.config().is_some_and(|config| config.version == 2)).await;
+}
+
 /// Symptom: an upstream that has left gets work, or one that runs gets none.
 /// Sequence: entries appear, begin to leave, vanish, and lapse in an outage.
 /// Cause: the fleet is the listed entries, kept through the outage.
--- a/crates/anvilhook-gateway/tests/support/tables.rs
+++ b/crates/anvilhook-gateway/tests/support/tables.rs
@@ -17,6 +17,8 @@
     Away,
     /// The next changes are no longer kept.
     HistoryGone,
+    /// Changes are too large to be read.
+    LargeChanges,
     /// Writes take effect, and their answers are lost.
     AnswersLost,
 }
@@ -95,7 +97,7 @@
                 state.fault = Fault::None;
                 Err(TableError::HistoryGone)
             }
-            Fault::None | Fault::AnswersLost => Ok(()),
+            Fault::None | Fault::AnswersLost | Fault::LargeChanges => Ok(()),
         }
     }
 }
@@ -112,6 +114,10 @@
     async fn changes(&self, table: &str, version: u64, wait: Millis) -> Result<Rows, TableError> {
         self.state.lock().expect("no panic").waits.push(wait);
         self.check()?;
+        let fault = self.state.lock().expect("no panic").fault;
+        if fault == Fault::LargeChanges {
+            return Err(TableError::Unfinished);
+        }
         let mut rows = self.since(table, version);
         if rows.rows.is_empty() {
             let changed = self.changed.notified();
--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -1,7 +1,7 @@
 //! The client that bindings send their calls by.
 
 use anvilhook_core::units::Millis;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::Request;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use volo::net::Address;
@@ -117,6 +117,36 @@
     }
 }
 
+/// Collects an answer's body as long as it goes on coming.
+///
+/// Over a slow link a large answer takes its time; only a pause tells that it is not coming.
+///
+/// # Errors
+///
+/// A `CallError` of stage `Body` if the body is cut short, too large, or pauses for longer than
+/// `pause`.
+pub async fn collect_moving_body(
+    body: Body,
+    max_bytes: usize,
+    pause: Millis,
+) -> Result<Bytes, CallError> {
+    let mut body = std::pin::pin!(body);
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = match tokio::time::timeout(pause.as_duration(), body.frame()).await {
+            Ok(None) => return Ok(whole.freeze()),
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(err))) => return Err(CallError::broken(Stage::Body, err)),
+            Err(_elapsed) => return Err(CallError::timed_out(Stage::Body)),
+        };
+        whole.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+        if whole.len() > max_bytes {
+            let message = format!("answer larger than {max_bytes} bytes");
+            return Err(CallError::broken(Stage::Body, message));
+        }
+    }
+}
+
 fn build(options: &ClientOptions, max_idle: usize) -> Result<Client, CallError> {
     let mut builder = Client::builder();
     builder
