--- a/crates/anvilhook-daemon/src/operators/mod.rs
+++ b/crates/anvilhook-daemon/src/operators/mod.rs
@@ -173,6 +173,7 @@
 }
 
 /// Reads the machine's time of day. It is only for people to read.
+#[expect(clippy::disallowed_methods, reason = "people read it, and nothing goes by it")]
 pub fn system_wall_time() -> WallTime {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     WallTime(since_epoch.as_millis() as u64)
--- a/crates/anvilhook-gateway/tests/plain.rs
+++ b/crates/anvilhook-gateway/tests/plain.rs
@@ -134,6 +134,30 @@
     }
 }
 
+/// Symptom: requests go on to an upstream that fails them all, or to none though one is left.
+/// Sequence: an upstream is listed and fails whatever is sent to it, with another one or alone.
+/// Cause: after three failures it is left alone for a while; ejection never empties a service.
+#[tokio::test]
+async fn verify_an_upstream_that_lies_about_its_health_is_left_alone() {
+    const REQUESTS: usize = 20;
+    let (front, failing, well) = front_of(Repeats::Idempotent, vec![Step::Close]).await;
+    for at in 0..REQUESTS {
+        let answer = front.post(&format!("r{at}"), "", "").await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert!((3..REQUESTS / 2).contains(&failing.received().len()));
+    assert_eq!(well.received().len(), REQUESTS);
+
+    let alone = Upstream::always(vec![Step::Close]).await;
+    let entries = vec![entry("alone", alone.address.port())];
+    let config = config(Repeats::Idempotent, 1, false);
+    let front = start(Some(config), entries, ample_budget()).await;
+    for at in 0..REQUESTS {
+        assert_eq!(front.post(&format!("r{at}"), "", "").await.status, 502);
+    }
+    assert_eq!(alone.received().len(), REQUESTS, "it may be well again");
+}
+
 /// Symptom: an upstream sees another request than the caller sent.
 /// Sequence: the caller sends headers that concern its connection, or that are the gateway's to set.
 /// Cause: the former end at the gateway; the latter would let a caller choose an engine's work.
