Count the time of lapsed entries from when the table was last away

Cause: a call to the store that is sent just before the end of a cut hangs 0.7 s, and the next comes 0.4 s later. The return is then noticed 1.1 s late, and an entry that was removed after the end was kept for 2.2 s more, as if it had lapsed: its upstream got work 2.7 s after it had left, where 2 s are allowed and the machine counted as in touch again.

Ruled out: shorter pauses while the store is away; each refused call has its price, and the hanging call alone makes 0.7 s. The gathering of changes: it ends 250 ms after a change, the wrong entry stood for 2.2 s.

Change: the grace ends 2.2 s after the return was noticed, and 2.7 s after the last call was sent that failed, whichever comes first.

--- a/crates/anvilhook-gateway/src/entries.rs
+++ b/crates/anvilhook-gateway/src/entries.rs
@@ -10,6 +10,11 @@
 /// How long after the table's return an entry that lapsed may take to be back.
 const LAPSE_GRACE: Millis = Millis(2_200);
 
+/// How long after the last moment at which the table was known to be away an entry that lapsed may
+/// take to be back. The return is noticed a second late if a call was sent just before it, and an
+/// upstream that left meanwhile would get work for as much longer.
+const LAPSE_BOUND: Millis = Millis(2_700);
+
 /// `Tombstone` is what is remembered of an entry that was removed.
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
@@ -46,6 +51,12 @@
         self.grace_until = now + LAPSE_GRACE;
     }
 
+    /// Notes when the table was last known to be away. Entries have time to be back only until a
+    /// while after that.
+    pub fn bound_grace(&mut self, last_away: Millis) {
+        self.grace_until = self.grace_until.min(last_away + LAPSE_BOUND);
+    }
+
     /// Takes an entry in. Returns whether it changes what counts.
     ///
     /// A report that was held up on its way may arrive after a newer one, or after the entry's
--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -68,8 +68,8 @@
         Millis::ZERO
     }
 
-    /// Notes that the table is reached again.
-    fn regained(&mut self) {}
+    /// Notes that the table is reached again, and that it was not at `last_away`.
+    fn regained(&mut self, _last_away: Millis) {}
 }
 
 /// Follows a table for as long as the process runs, by calls that wait for changes up to `wait`.
@@ -83,8 +83,9 @@
     let mut version = None;
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
-    let mut lost_at = Millis::ZERO;
+    let (mut lost_at, mut last_away) = (Millis::ZERO, Millis::ZERO);
     loop {
+        let began_at = clock.now();
         let read = match version {
             None => table.scan(name).await,
             Some(version) if is_lost => table.changes(name, version, WAIT_WHILE_LOST).await,
@@ -95,7 +96,7 @@
                 if std::mem::take(&mut is_lost) {
                     let away_ms = (clock.now() - lost_at).0;
                     emit(&Event::DependencyRegained { dependency: name, away_ms });
-                    follower.regained();
+                    follower.regained(last_away);
                 }
                 pause = FIRST_PAUSE;
                 follower.heard();
@@ -111,6 +112,8 @@
                 version = None;
             }
             Err(err) => {
+                // A call that got no answer says nothing of the time after it was sent.
+                last_away = began_at;
                 if !std::mem::replace(&mut is_lost, true) {
                     lost_at = clock.now();
                     emit(&Event::DependencyLost { dependency: name, cause: err.to_string() });
@@ -259,8 +262,10 @@
         self.gateway.record_contact(LIST_BELIEF);
     }
 
-    fn regained(&mut self) {
+    fn regained(&mut self, last_away: Millis) {
         let now = self.clock.now();
-        self.book.lock().expect("no panic under this lock").regained(now);
+        let mut book = self.book.lock().expect("no panic under this lock");
+        book.regained(now);
+        book.bound_grace(last_away);
     }
 }
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -71,6 +71,29 @@
     assert!(book.remove("back", Millis(12_201)), "no grace beyond the return");
 }
 
+/// Symptom: an upstream that left gets work three seconds after the end of a cut.
+/// Sequence: a call is sent just before the cut's end and hangs; the upstream's entry is removed
+/// after the end; a second later the return is noticed, and the removal is taken for a lapse.
+/// Cause: the time for entries to be back counts from when the table was last known to be away.
+#[test]
+fn verify_a_late_notice_of_the_return_gives_no_more_time() {
+    // When the last failed call was sent, when the return was noticed, and when the grace is over.
+    let cases = [(26_474, 27_598, 29_174), (9_990, 10_000, 12_200), (8_000, 10_000, 10_700)];
+    for (last_away, noticed, expected) in cases {
+        let mut book = EntryBook::new();
+        book.put(report("left", false, 1));
+        book.regained(Millis(noticed));
+        book.bound_grace(Millis(last_away));
+
+        assert!(!book.remove("left", Millis(noticed)));
+
+        assert_eq!(book.next_expiry(), Some(Millis(expected)));
+        assert!(!book.expire(Millis(expected - 1)));
+        assert!(book.expire(Millis(expected)));
+        assert!(ids(&book).is_empty());
+    }
+}
+
 async fn gateway() -> TestGateway {
     start(None, Vec::new(), ample_budget()).await.gateway
 }
