Tell once of an engine that is away, and only by who knows it

Cause: an engine that changes its role is away for three seconds, and each digest of that time counted as great news and went to all. Every instance also told on what it had heard from others; each telling adds the time on the way, so that slow instances held engines away for ever. At 100 instances and 1,000 engines, with 100 orders, an instance sent and got 1.4 to 1.6 MB a second, its processor was full and most requests failed.

Ruled out: the load digests; they are 17 to 22 KB a second without this.

Change: an instance tells what it has ordered or was told by the engine itself, to all when it is new, and to a few with the digests after it.

--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -49,6 +49,7 @@
     refused_handles: AtomicU32,
     no_handles_until: AtomicU64,
     away_until: AtomicU64,
+    own_away: AtomicU64,
     slowness: AtomicU64,
     told: Mutex<Option<(Load, Millis)>>,
     peers: Mutex<HashMap<u64, PeerLoad>>,
@@ -68,6 +69,7 @@
             refused_handles: AtomicU32::new(0),
             no_handles_until: AtomicU64::new(0),
             away_until: AtomicU64::new(0),
+            own_away: AtomicU64::new(0),
             slowness: AtomicU64::new(1f64.to_bits()),
             told: Mutex::default(),
             peers: Mutex::default(),
@@ -94,9 +96,18 @@
         self.away_until.fetch_max(until.0, Ordering::AcqRel);
     }
 
-    /// Returns until when the upstream is away for a change of its role.
-    pub fn away_until(&self) -> Millis {
-        Millis(self.away_until.load(Ordering::Acquire))
+    /// Notes the same by what this instance has ordered, or was told by the upstream itself.
+    pub fn mark_own_away(&self, until: Millis) {
+        self.mark_away(until);
+        self.own_away.fetch_max(until.0, Ordering::AcqRel);
+    }
+
+    /// Returns until when the upstream is away by what this instance knows itself.
+    ///
+    /// What it has from others is not told on: each telling adds the time on the way, and slow
+    /// instances would hold an engine away for ever.
+    pub fn own_away_until(&self) -> Millis {
+        Millis(self.own_away.load(Ordering::Acquire))
     }
 
     /// Returns whether the upstream is away for a change of its role.
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -42,7 +42,8 @@
     pub cached: Vec<CachedPrompt>,
     /// Whether it tells of caches only, and nothing of loads.
     pub is_partial: bool,
-    /// Engines that change their role, with the time that it still takes in milliseconds.
+    /// Engines that the sender itself knows to change their role, with the time that it still takes
+    /// in milliseconds.
     pub away: Vec<(u32, u32)>,
 }
 
@@ -65,7 +66,7 @@
             let in_flight = work.in_flight;
             digest.loads.push(EngineLoad { engine, in_flight, reading_ms, fetching_ms });
         }
-        let away = upstream.state.away_until() - now;
+        let away = upstream.state.own_away_until() - now;
         if away > Millis::ZERO {
             digest.away.push((engine, away.0 as u32));
         }
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -58,8 +58,14 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let peers = Arc::clone(gateway.peers());
     let mut buf = vec![0; MAX_DIGEST_BYTES * 2];
-    let mut teller =
-        Teller { number, rng, quiet_ticks: 0, had_loads: false, told_to_all: HashMap::new() };
+    let mut teller = Teller {
+        number,
+        rng,
+        quiet_ticks: 0,
+        had_loads: false,
+        told_to_all: HashMap::new(),
+        told_away: Vec::new(),
+    };
     loop {
         tokio::select! {
             _ = ticks.tick() => teller.tell(&socket, &gateway, clock.now()),
@@ -97,6 +103,8 @@
     had_loads: bool,
     /// The prompt work at each engine as all peers were told it last, in milliseconds.
     told_to_all: HashMap<u32, u32>,
+    /// The engines of which all peers were told last that they change their role.
+    told_away: Vec<u32>,
 }
 
 impl Teller {
@@ -111,9 +119,14 @@
         let has_changed = engines
             .map(|engine| of(&reading, engine).abs_diff(of(&self.told_to_all, engine)))
             .any(|change| change >= GREAT_NEWS_MS);
-        let is_great = has_changed || !digest.cached.is_empty() || !digest.away.is_empty();
+        // An engine is away for seconds; to tell all of it with each digest would choke the links.
+        let away: Vec<u32> = digest.away.iter().map(|(engine, _)| *engine).collect();
+        let goes_away = away.iter().any(|engine| !self.told_away.contains(engine));
+        let is_great = has_changed || !digest.cached.is_empty() || goes_away;
         if is_great {
-            self.told_to_all = reading;
+            (self.told_to_all, self.told_away) = (reading, away);
+        } else {
+            self.told_away.retain(|engine| away.contains(engine));
         }
         is_great
     }
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -191,7 +191,7 @@
                 let (upstream, request) = (&*upstream.entry.id, &*exchange.id);
                 emit(&Event::UpstreamGone { upstream, request });
             } else {
-                upstream.state.mark_away(self.now() + WRONG_STAGE_PAUSE);
+                upstream.state.mark_own_away(self.now() + WRONG_STAGE_PAUSE);
             }
             return Err(Failed::refusal("misdirected"));
         }
@@ -204,7 +204,7 @@
                 && !has_source
                 && upstream.state.work(now).in_flight < upstream.entry.slots / 2
             {
-                upstream.state.mark_away(now + WRONG_STAGE_PAUSE);
+                upstream.state.mark_own_away(now + WRONG_STAGE_PAUSE);
             }
             return Err(Failed::refusal("refused_by_upstream"));
         }
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -250,7 +250,7 @@
         let answer = self.gateway.own_call(upstream, &wire.order(&order)).await;
         let outcome = match answer.map(|answer| wire.order_answer(answer.status)) {
             Some(OrderAnswer::Taken) => {
-                upstream.state.mark_away(self.clock.now() + away);
+                upstream.state.mark_own_away(self.clock.now() + away);
                 "taken"
             }
             Some(OrderAnswer::Busy) => "busy",
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -136,6 +136,47 @@
     }
 }
 
+/// Symptom: a hundred instances fill their links with digests, and take engines for away for ever.
+/// Sequence: an engine is said to change its role, by another instance or by this one's own order.
+/// Cause: what others know must not be told on; what this one knows is told to all.
+#[tokio::test]
+async fn verify_an_engine_that_is_away_is_told_of_by_who_knows_it() {
+    const OTHERS: usize = 30;
+    let mut others = Vec::new();
+    for _ in 0..OTHERS {
+        others.push(UdpSocket::bind("127.0.0.1:0").await.expect("a port"));
+    }
+    let addresses = others.iter().map(|other| other.local_addr().expect("an address"));
+    let one = instance(1, 1, &addresses.collect::<Vec<_>>()).await;
+    let state = Arc::clone(&one.gateway.fleet().view().get("e0").expect("listed").state);
+    let engine = anvilhook_gateway::fleets::digest_of("e0");
+    let heard = Digest { from: 9, away: vec![(engine, 60_000)], ..Digest::default() };
+    let bytes = postcard::to_stdvec(&heard).expect("it can be written");
+    let now = || anvilhook_core::units::Clock::now(&one.clock);
+
+    others[0].send_to(&bytes, one.address).await.expect("loopback");
+    until(|| state.is_away(now())).await;
+    assert_eq!(state.own_away_until(), Millis::ZERO);
+
+    state.mark_own_away(now() + Millis(60_000));
+    let mut told = 0;
+    let mut buf = [0; 2_000];
+    for other in &others {
+        let hearing = async {
+            loop {
+                let len = other.recv(&mut buf).await.expect("loopback");
+                let digest: Digest = postcard::from_bytes(&buf[..len]).expect("a digest");
+                if !digest.away.is_empty() {
+                    return;
+                }
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(5), hearing).await.expect("it is told");
+        told += 1;
+    }
+    assert_eq!(told, OTHERS);
+}
+
 /// Symptom: after the loss of all instances, prompts are taken for cold and refused as overload.
 /// Sequence: all start anew; the engines still hold what they had read.
 /// Cause: one instance asks the engines once, and tells the others.
