--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -57,6 +57,32 @@
     }
 }
 
+/// Starts an instance that tells so many others, more than one digest without great news goes to.
+async fn instance_among(others: usize) -> (Instance, Vec<UdpSocket>) {
+    let mut sockets = Vec::new();
+    for _ in 0..others {
+        sockets.push(UdpSocket::bind("127.0.0.1:0").await.expect("a port"));
+    }
+    let addresses = sockets.iter().map(|socket| socket.local_addr().expect("an address"));
+    let one = instance(1, 1, &addresses.collect::<Vec<_>>()).await;
+    (one, sockets)
+}
+
+/// Waits for a digest of the wanted kind, and fails if none comes.
+async fn hear(socket: &UdpSocket, is_wanted: impl Fn(&Digest) -> bool) -> Digest {
+    let mut buf = [0; 2_000];
+    let hearing = async {
+        loop {
+            let len = socket.recv(&mut buf).await.expect("loopback");
+            let digest = postcard::from_bytes(&buf[..len]).expect("a digest");
+            if is_wanted(&digest) {
+                return digest;
+            }
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), hearing).await.expect("it is told")
+}
+
 async fn until(mut holds: impl FnMut() -> bool) {
     while !holds() {
         tokio::time::sleep(Duration::from_millis(2)).await;
@@ -107,32 +133,16 @@
 /// Cause: what is told once must go to all, or whoever was left out never learns of it.
 #[tokio::test]
 async fn verify_great_news_reaches_every_instance() {
-    const OTHERS: usize = 30;
-    let mut others = Vec::new();
-    for _ in 0..OTHERS {
-        others.push(UdpSocket::bind("127.0.0.1:0").await.expect("a port"));
-    }
-    let addresses = others.iter().map(|other| other.local_addr().expect("an address"));
-    let one = instance(1, 1, &addresses.collect::<Vec<_>>()).await;
+    let (one, others) = instance_among(30).await;
     let config = one.gateway.config().expect("it has one");
     let service = config.service("service").expect("declared");
 
     let engine = service.engine.as_ref().expect("of engines");
     one.gateway.record_cached(&Arc::from("e0"), &[SHARED], engine);
 
-    let mut buf = [0; 2_000];
-    for other in others {
-        let hearing = async {
-            loop {
-                let len = other.recv(&mut buf).await.expect("loopback");
-                let digest: Digest = postcard::from_bytes(&buf[..len]).expect("a digest");
-                if !digest.cached.is_empty() {
-                    return digest.cached[0].parts.clone();
-                }
-            }
-        };
-        let heard = tokio::time::timeout(Duration::from_secs(5), hearing).await;
-        assert_eq!(heard.expect("it is told"), [(SHARED.id, SHARED.tokens)]);
+    for other in &others {
+        let digest = hear(other, |digest| !digest.cached.is_empty()).await;
+        assert_eq!(digest.cached[0].parts, [(SHARED.id, SHARED.tokens)]);
     }
 }
 
@@ -141,13 +151,7 @@
 /// Cause: what others know must not be told on; what this one knows is told to all.
 #[tokio::test]
 async fn verify_an_engine_that_is_away_is_told_of_by_who_knows_it() {
-    const OTHERS: usize = 30;
-    let mut others = Vec::new();
-    for _ in 0..OTHERS {
-        others.push(UdpSocket::bind("127.0.0.1:0").await.expect("a port"));
-    }
-    let addresses = others.iter().map(|other| other.local_addr().expect("an address"));
-    let one = instance(1, 1, &addresses.collect::<Vec<_>>()).await;
+    let (one, others) = instance_among(30).await;
     let state = Arc::clone(&one.gateway.fleet().view().get("e0").expect("listed").state);
     let engine = anvilhook_gateway::fleets::digest_of("e0");
     let heard = Digest { from: 9, away: vec![(engine, 60_000)], ..Digest::default() };
@@ -159,22 +163,9 @@
     assert_eq!(state.own_away_until(), Millis::ZERO);
 
     state.mark_own_away(now() + Millis(60_000));
-    let mut told = 0;
-    let mut buf = [0; 2_000];
     for other in &others {
-        let hearing = async {
-            loop {
-                let len = other.recv(&mut buf).await.expect("loopback");
-                let digest: Digest = postcard::from_bytes(&buf[..len]).expect("a digest");
-                if !digest.away.is_empty() {
-                    return;
-                }
-            }
-        };
-        tokio::time::timeout(Duration::from_secs(5), hearing).await.expect("it is told");
-        told += 1;
+        hear(other, |digest| !digest.away.is_empty()).await;
     }
-    assert_eq!(told, OTHERS);
 }
 
 /// Symptom: after the loss of all instances, prompts are taken for cold and refused as overload.
