--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -104,6 +104,17 @@
     }
 }
 
+/// Returns a gateway that follows the configuration in a table, and has its first version.
+async fn following_config() -> (TestGateway, MemoryTable) {
+    let gateway = gateway().await;
+    let table = MemoryTable::default();
+    table.put("configs", "current", Some("1"));
+    let follower = ConfigFollower::new(gateway.clone());
+    tokio::spawn(follow(table.clone(), SystemClock::new(), WAIT, follower));
+    until(|| gateway.config().is_some()).await;
+    (gateway, table)
+}
+
 /// Symptom: an instance goes back to an older configuration.
 /// Sequence: an older version is read after a newer one, or the changes' history is gone.
 /// Cause: a version is put in force only above the one in force.
@@ -134,12 +145,7 @@
 /// Cause: while the table is away, calls must not wait for changes.
 #[tokio::test]
 async fn verify_calls_do_not_wait_while_the_table_is_away() {
-    let gateway = gateway().await;
-    let table = MemoryTable::default();
-    table.put("configs", "current", Some("1"));
-    let follower = ConfigFollower::new(gateway.clone());
-    tokio::spawn(follow(table.clone(), SystemClock::new(), WAIT, follower));
-    until(|| gateway.config().is_some()).await;
+    let (gateway, table) = following_config().await;
     let first_waits = || table.calls().0;
     until(|| !first_waits().is_empty()).await;
 
@@ -160,12 +166,7 @@
 /// Cause: what stands there now is read in place of the changes.
 #[tokio::test]
 async fn verify_changes_too_large_to_be_read_are_not_asked_for_again() {
-    let gateway = gateway().await;
-    let table = MemoryTable::default();
-    table.put("configs", "current", Some("1"));
-    let follower = ConfigFollower::new(gateway.clone());
-    tokio::spawn(follow(table.clone(), SystemClock::new(), WAIT, follower));
-    until(|| gateway.config().is_some()).await;
+    let (gateway, table) = following_config().await;
 
     table.set_fault(Fault::Away);
     until(|| table.refused() > 0).await;
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -37,6 +37,12 @@
     steps
 }
 
+/// Returns the same as `engine`, in another availability zone than the gateway's, so that it comes
+/// second.
+fn far_engine(id: &str, upstream: &Upstream, role: Role) -> Entry {
+    Entry { zone: "zone-b".into(), ..engine(id, upstream, role) }
+}
+
 async fn front_of(repeats: Repeats, engines: Vec<Entry>) -> Front {
     start(Some(config(repeats, 2, true)), engines, ample_budget()).await
 }
@@ -61,8 +67,7 @@
     for (name, repeats, first, is_whole) in cases {
         let first = Upstream::always(first).await;
         let second = Upstream::start(repeat).await;
-        let mut far = engine("second", &second, Role::Decode);
-        far.zone = "zone-b".into();
+        let far = far_engine("second", &second, Role::Decode);
         let engines = vec![engine("first", &first, Role::Decode), far];
         let front = front_of(repeats, engines).await;
 
@@ -94,8 +99,7 @@
         };
         let silent = Upstream::start(script).await;
         let other = Upstream::always(stream(1, 4)).await;
-        let mut far = engine("other", &other, Role::Decode);
-        far.zone = "zone-b".into();
+        let far = far_engine("other", &other, Role::Decode);
         let front = front_of(RESUMABLE, vec![engine("silent", &silent, Role::Decode), far]).await;
 
         let answer = front.post("r1", PROMPT, "").await;
@@ -121,8 +125,7 @@
     for (name, repeats, first, status, sent_again) in cases {
         let first = Upstream::always(first).await;
         let second = Upstream::always(stream(1, 2)).await;
-        let mut far = engine("second", &second, Role::Decode);
-        far.zone = "zone-b".into();
+        let far = far_engine("second", &second, Role::Decode);
         let front = front_of(repeats, vec![engine("first", &first, Role::Decode), far]).await;
 
         let answer = front.post("r1", PROMPT, "").await;
@@ -234,8 +237,7 @@
         let bad = Upstream::always(steps).await;
         let good = Upstream::start(reader_script).await;
         let generator = Upstream::always(stream(1, 2)).await;
-        let mut far = engine("good", &good, Role::Prefill);
-        far.zone = "zone-b".into();
+        let far = far_engine("good", &good, Role::Prefill);
         let engines = vec![
             engine("bad", &bad, Role::Prefill),
             far,
@@ -268,8 +270,7 @@
         _ => stream(1, 2),
     };
     let generators = [Upstream::start(generator).await, Upstream::start(generator).await];
-    let mut far = engine("good", &good, Role::Prefill);
-    far.zone = "zone-b".into();
+    let far = far_engine("good", &good, Role::Prefill);
     let mut engines = vec![engine("bad", &bad, Role::Prefill), far];
     for (at, one) in generators.iter().enumerate() {
         engines.push(engine(&format!("g{at}"), one, Role::Decode));
@@ -295,8 +296,7 @@
     let far = Upstream::always(stream(1, 2)).await;
     let reader =
         Upstream::start(|_| vec![Step::Write(String::new()), signed("200 OK", "handle h1")]).await;
-    let mut far_entry = engine("far", &far, Role::Decode);
-    far_entry.zone = "zone-b".into();
+    let far_entry = far_engine("far", &far, Role::Decode);
     let engines = vec![
         engine("reader", &reader, Role::Prefill),
         engine("near", &near, Role::Decode),
