--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -1,15 +1,13 @@
 //! One sending of a request to one upstream, and the check of what comes back.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use anvilhook_core::Verdict;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::CallError;
-use anvilhook_http::clients::Connection;
+use anvilhook_http::clients::{Connection, collect_body};
 use http::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use volo_http::body::Body;
 use volo_http::response::Response;
 
@@ -236,13 +234,10 @@
         exchange: &Exchange,
         body: Body,
     ) -> Result<bytes::Bytes, Failed> {
-        let time_left: Duration = exchange.time_left(self.now()).as_duration();
-        let collecting = Limited::new(body, MAX_ANSWER_BYTES).collect();
-        match tokio::time::timeout(time_left, collecting).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(_)) => Err(Failed::may_have_run("answer_cut")),
-            Err(_elapsed) => Err(Failed::may_have_run("answer_late")),
-        }
+        let collected = collect_body(body, MAX_ANSWER_BYTES, exchange.time_left(self.now()));
+        collected.await.map_err(|err| {
+            Failed::may_have_run(if err.timed_out { "answer_late" } else { "answer_cut" })
+        })
     }
 
     /// Counts an attempt in. Returns false if the budget forbids it.
--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -109,10 +109,7 @@
     let collecting = Limited::new(body, max_bytes).collect();
     match tokio::time::timeout(timeout.as_duration(), collecting).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            Err(CallError::broken(Stage::Body, format!("answer larger than {max_bytes} bytes")))
-        }
-        Ok(Err(err)) => Err(CallError::broken(Stage::Body, err)),
+        Ok(Err(err)) => Err(broken_body(err, max_bytes)),
         Err(_elapsed) => Err(CallError::timed_out(Stage::Body)),
     }
 }
@@ -130,23 +127,29 @@
     max_bytes: usize,
     pause: Millis,
 ) -> Result<Bytes, CallError> {
-    let mut body = std::pin::pin!(body);
+    let mut body = std::pin::pin!(Limited::new(body, max_bytes));
     let mut whole = BytesMut::new();
     loop {
         let frame = match tokio::time::timeout(pause.as_duration(), body.frame()).await {
             Ok(None) => return Ok(whole.freeze()),
             Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(err))) => return Err(CallError::broken(Stage::Body, err)),
+            Ok(Some(Err(err))) => return Err(broken_body(err, max_bytes)),
             Err(_elapsed) => return Err(CallError::timed_out(Stage::Body)),
         };
-        whole.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
-        if whole.len() > max_bytes {
-            let message = format!("answer larger than {max_bytes} bytes");
-            return Err(CallError::broken(Stage::Body, message));
+        if let Some(data) = frame.data_ref() {
+            whole.extend_from_slice(data);
         }
     }
 }
 
+fn broken_body(err: Box<dyn std::error::Error + Send + Sync>, max_bytes: usize) -> CallError {
+    if err.is::<LengthLimitError>() {
+        CallError::broken(Stage::Body, format!("answer larger than {max_bytes} bytes"))
+    } else {
+        CallError::broken(Stage::Body, err)
+    }
+}
+
 fn build(options: &ClientOptions, max_idle: usize) -> Result<Client, CallError> {
     let mut builder = Client::builder();
     builder
