Know upstreams that start again under their id, and entries that name none

Cause: the platform's runners may now start again under the id that they had, with their numbers beginning anew and `born` as the time of the start; and entries may come from another writer. Change: an entry's order is its start, then its number; state, caches, digests and orders belong to a start; a report of another start ends the wait for a silent stream. Lines of the log tell the work of a placement, a stream's longest pause and a request's objective.

--- a/crates/anvilhook-gateway/src/entries.rs
+++ b/crates/anvilhook-gateway/src/entries.rs
@@ -18,7 +18,8 @@
 /// `Tombstone` is what is remembered of an entry that was removed.
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
-    sequence: u64,
+    /// The reports up to this one, by start and number, are old.
+    order: (Option<u64>, u64),
     removed_at: Millis,
 }
 
@@ -61,17 +62,18 @@
     ///
     /// A report that was held up on its way may arrive after a newer one, or after the entry's
     /// end. It would bring back an upstream that is leaving or gone, and requests would be sent
-    /// there. So an older report changes nothing, and leaving is never taken back.
+    /// there. So an older report changes nothing, and leaving is never taken back, but for a later
+    /// start under the same id: its numbers begin anew, and it has not been told to leave.
     pub fn put(&mut self, mut entry: Entry) -> bool {
         let id = Arc::clone(&entry.id);
-        if self.removed.get(&id).is_some_and(|removed| entry.sequence <= removed.sequence) {
+        if self.removed.get(&id).is_some_and(|removed| entry.order() <= removed.order) {
             return false;
         }
         if let Some(known) = self.entries.get(&id) {
-            if entry.sequence < known.sequence {
+            if entry.order() < known.order() {
                 return false;
             }
-            entry.draining |= known.draining;
+            entry.draining |= known.draining && known.born == entry.born;
         }
         self.removed.remove(&id);
         self.lapsed.remove(&id);
@@ -90,6 +92,16 @@
         true
     }
 
+    /// Takes in that a row can no longer be read, so that it names no upstream. Returns whether
+    /// that changes what counts. The upstream's own next report brings it back.
+    pub fn discard(&mut self, id: &str, now: Millis) -> bool {
+        self.lapsed.remove(id);
+        let Some(entry) = self.entries.remove(id) else { return false };
+        let order = (entry.born, entry.sequence.saturating_sub(1));
+        self.removed.insert(entry.id, Tombstone { order, removed_at: now });
+        true
+    }
+
     /// Takes in all rows as of one moment: what is missing was removed.
     pub fn reset(&mut self, entries: Vec<Entry>, now: Millis) -> bool {
         let missing: Vec<_> = self.entries.keys().cloned().collect();
@@ -123,7 +135,7 @@
 
     fn drop_entry(&mut self, id: &Arc<str>, now: Millis) {
         if let Some(entry) = self.entries.remove(id) {
-            let tombstone = Tombstone { sequence: entry.sequence, removed_at: now };
+            let tombstone = Tombstone { order: entry.order(), removed_at: now };
             self.removed.insert(Arc::clone(id), tombstone);
         }
     }
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -108,6 +108,8 @@
         added: Vec<&'a str>,
         /// Those that are no longer listed.
         removed: Vec<&'a str>,
+        /// Those that have started again under their id.
+        restarted: Vec<&'a str>,
     },
     /// An upstream turned out to be gone, before the list said so.
     UpstreamGone {
@@ -149,6 +151,8 @@
         stage: &'a str,
         /// The predicted time until it is done or has begun to answer, in milliseconds.
         predicted_ms: u64,
+        /// What of that is the engine's own work, in milliseconds; the rest is waiting.
+        work_ms: u64,
         /// What all instances are believed to have in flight there.
         in_flight: u32,
         /// The engine from which the prompt is fetched, if any.
@@ -197,6 +201,8 @@
         request: &'a str,
         /// `whole`, `cut`, or `left` if the caller went first.
         outcome: &'a str,
+        /// The longest pause between two events, in milliseconds.
+        longest_pause_ms: u64,
         /// The time from the request's arrival, in milliseconds.
         took_ms: u64,
     },
@@ -218,6 +224,9 @@
         took_ms: u64,
         /// The time that the caller had, in milliseconds.
         had_ms: u64,
+        /// The time within which an answer would have been on time, in milliseconds; 0 without a
+        /// route.
+        objective_ms: u64,
         /// The version of the configuration by which it was decided.
         config: u64,
     },
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -14,8 +14,11 @@
 /// `Entry` is an upstream as it is listed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Entry {
-    /// The upstream's id, which no other start of it shares.
+    /// The upstream's id. An upstream may start again under the id that it had.
     pub id: Arc<str>,
+    /// When this start of the upstream was, in Unix milliseconds of its own clock, if it says so.
+    /// A later start of the same id holds and knows nothing of the earlier one.
+    pub born: Option<u64>,
     /// Its service.
     pub service: Arc<str>,
     /// Where it listens.
@@ -28,16 +31,31 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub draining: bool,
-    /// The number of the upstream's report; it only grows.
+    /// The number of the upstream's report; it grows from one start to the next.
     pub sequence: u64,
 }
 
+impl Entry {
+    /// Returns the entry's place among all reports of its id: by start first, then by number.
+    ///
+    /// A report without a start is older than any with one.
+    pub fn order(&self) -> (Option<u64>, u64) {
+        (self.born, self.sequence)
+    }
+
+    /// Returns the short form of the id and the start that instances use among themselves. What is
+    /// told of an earlier start is not taken for the later one's.
+    pub fn digest(&self) -> u32 {
+        hash_of(&(&*self.id, self.born)) as u32
+    }
+}
+
 /// `Upstream` is a listed upstream with what is known of it.
 #[derive(Clone, Debug)]
 pub struct Upstream {
     /// What its entry says.
     pub entry: Entry,
-    /// The short form of its id that instances use among themselves.
+    /// The short form of its id and start that instances use among themselves.
     pub digest: u32,
     /// What this instance has learnt.
     pub state: Arc<UpstreamState>,
@@ -58,13 +76,8 @@
     by_digest: HashMap<u32, Arc<Upstream>>,
 }
 
-/// Returns the short form of an upstream's id that instances use among themselves.
-pub fn digest_of(id: &str) -> u32 {
-    hash_of(id) as u32
-}
-
 impl FleetView {
-    /// Returns an upstream by the short form of its id.
+    /// Returns an upstream by the short form of its id and start.
     pub fn by_digest(&self, digest: u32) -> Option<&Arc<Upstream>> {
         self.by_digest.get(&digest)
     }
@@ -109,17 +122,17 @@
     }
 
     /// Puts the listed entries in place of the earlier ones, and returns those. Upstreams that stay
-    /// keep their state.
+    /// keep their state; one that has started again begins with none.
     pub fn replace(&self, entries: impl IntoIterator<Item = Entry>) -> Arc<FleetView> {
         let earlier = self.view.load_full();
         let mut view = FleetView::default();
         for entry in entries {
             let id = Arc::clone(&entry.id);
             let state = match earlier.get(&id) {
-                Some(upstream) => Arc::clone(&upstream.state),
-                None => Arc::new(UpstreamState::new()),
+                Some(upstream) if upstream.entry.born == entry.born => Arc::clone(&upstream.state),
+                _ => Arc::new(UpstreamState::new()),
             };
-            let upstream = Arc::new(Upstream { digest: digest_of(&id), entry, state });
+            let upstream = Arc::new(Upstream { digest: entry.digest(), entry, state });
             let service = Arc::clone(&upstream.entry.service);
             view.by_service.entry(service).or_default().push(Arc::clone(&upstream));
             view.by_digest.insert(upstream.digest, Arc::clone(&upstream));
--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -244,7 +244,7 @@
             has_changed |= match (&row.value, self.decode(row)) {
                 (None, _) => book.remove(&row.key, now),
                 (Some(_), Some(entry)) => book.put(entry),
-                (Some(_), None) => false,
+                (Some(_), None) => book.discard(&row.key, now),
             };
         }
         if has_changed {
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -3,7 +3,6 @@
 use anvilhook_core::units::{Clock, Millis};
 use serde::{Deserialize, Serialize};
 
-use crate::fleets::digest_of;
 use crate::loads::{PeerLoad, Work};
 use crate::prompts::Part;
 use crate::relay::Gateway;
@@ -72,8 +71,9 @@
         }
     }
     for (engine, parts) in gateway.take_cached(MAX_CACHED) {
+        let Some(upstream) = view.get(&engine) else { continue };
         let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
-        digest.cached.push(CachedPrompt { engine: digest_of(&engine), parts });
+        digest.cached.push(CachedPrompt { engine: upstream.digest, parts });
     }
     digest
 }
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -10,7 +10,6 @@
 use super::TELL_EVERY;
 use super::digests::{CachedPrompt, Digest};
 use crate::events::{Event, emit};
-use crate::fleets::digest_of;
 use crate::relay::{Gateway, TOLD_TOKENS};
 use crate::wires::Wire;
 
@@ -28,10 +27,12 @@
     number: u64,
     gateway: &Gateway<W, C>,
 ) {
+    let view = gateway.fleet().view();
     for (engine, parts) in gateway.caches().shared_parts(TOLD_TOKENS) {
+        let Some(upstream) = view.get(&engine) else { continue };
         for parts in parts.chunks(PARTS_A_DIGEST) {
             let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
-            let cached = vec![CachedPrompt { engine: digest_of(&engine), parts }];
+            let cached = vec![CachedPrompt { engine: upstream.digest, parts }];
             let digest = Digest { from: number, cached, is_partial: true, ..Digest::default() };
             let Ok(buf) = postcard::to_stdvec(&digest) else { return };
             let _ = socket.try_send_to(&buf, to);
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -190,7 +190,8 @@
             // An engine that takes both stages serves a request whole, and refuses one stage of it.
             let has_role = match (role, upstream.entry.role) {
                 (Role::Prefill, has) => has == Some(Role::Prefill),
-                (_, has) => has != Some(Role::Prefill),
+                // An entry that says no stage was not written by an engine.
+                (_, has) => has.is_some_and(|has| has != Role::Prefill),
             };
             let is_avoided = req.avoid.contains(&upstream.entry.id);
             has_role && upstream.takes_work(self.now) && !is_avoided
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -68,6 +68,8 @@
     pub stage: &'static str,
     /// The predicted time until it is done, in milliseconds, for logs.
     pub predicted_ms: f64,
+    /// What of that is the engine's own work, in milliseconds, for logs.
+    pub work_ms: f64,
     /// The engine from which the prompt is fetched, for logs.
     pub source: Option<Arc<str>>,
 }
@@ -107,6 +109,7 @@
             upstream: &sending.upstream.entry.id,
             stage: sending.stage,
             predicted_ms: sending.predicted_ms as u64,
+            work_ms: sending.work_ms as u64,
             in_flight: sending.upstream.state.work(now).in_flight,
             source: sending.source.as_deref(),
             list_age_ms: age(LIST_BELIEF),
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -130,6 +130,7 @@
             head_timeout,
             stage: "generate",
             predicted_ms: work.first_event_ms,
+            work_ms: work.reading_ms + work.fetching_ms,
             source: work.source,
         };
         let result = match self.send(exchange, sending).await {
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -24,7 +24,7 @@
 use crate::caches::CacheBeliefs;
 use crate::configs::{Config, Repeats};
 use crate::events::{Event, emit};
-use crate::fleets::{Entry, Fleet, FleetView};
+use crate::fleets::{Entry, Fleet, FleetView, Upstream};
 use crate::metrics::{GatewayMetrics, KindLabel, RequestLabels};
 use crate::peers::Peers;
 use crate::prompts::{EngineSpeed, Part};
@@ -214,16 +214,28 @@
         let earlier = self.inner.fleet.replace(entries);
         let view = self.inner.fleet.view();
         self.inner.has_fleet.store(true, Ordering::Release);
-        self.inner.caches.retain(|engine| view.get(engine).is_some());
+        // What has started again under its id holds nothing of before.
+        let is_same = |engine: &str| {
+            let (now, before) = (view.get(engine), earlier.get(engine));
+            now.is_some_and(|now| before.is_none_or(|before| before.entry.born == now.entry.born))
+        };
+        self.inner.caches.retain(is_same);
         let draining = view.all().filter(|upstream| upstream.entry.draining);
         emit(&Event::FleetChanged {
             listed: view.all().count(),
             draining: draining.map(|upstream| &*upstream.entry.id).take(MAX_LOGGED).collect(),
             added: missing_in(&earlier, &view),
             removed: missing_in(&view, &earlier),
+            restarted: restarted_in(&view, &earlier),
         });
     }
 
+    /// Returns whether an upstream's id is listed with another start now.
+    fn has_started_again(&self, upstream: &Upstream) -> bool {
+        let view = self.fleet().view();
+        view.get(&upstream.entry.id).is_some_and(|now| now.entry.born != upstream.entry.born)
+    }
+
     /// Returns what is counted.
     pub fn metrics(&self) -> &GatewayMetrics {
         &self.inner.metrics
@@ -333,6 +345,7 @@
             upstreams: &upstreams,
             took_ms: took.0,
             had_ms: exchange.map_or(0, |exchange| (exchange.give_up_at - arrived_at).0),
+            objective_ms: exchange.map_or(0, |exchange| exchange.route.objective.0),
             config: config.as_ref().map_or(0, |config| config.version),
         });
         let kind = exchange.map_or("unknown", |exchange| exchange.route.repeats.as_str());
@@ -346,6 +359,15 @@
     }
 }
 
+/// Returns the upstreams of `view` that have started again since `earlier`, for logs.
+fn restarted_in<'v>(view: &'v FleetView, earlier: &FleetView) -> Vec<&'v str> {
+    let again = view.all().filter(|upstream| {
+        let before = earlier.get(&upstream.entry.id);
+        before.is_some_and(|before| before.entry.born != upstream.entry.born)
+    });
+    again.map(|upstream| &*upstream.entry.id).take(MAX_LOGGED).collect()
+}
+
 /// Returns the upstreams of `view` that `other` lacks, for logs.
 fn missing_in<'v>(other: &FleetView, view: &'v FleetView) -> Vec<&'v str> {
     let ids = view.all().map(|upstream| &*upstream.entry.id);
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -100,6 +100,7 @@
             head_timeout,
             stage: "plain",
             predicted_ms: 0.0,
+            work_ms: 0.0,
             source: None,
         };
         let sent = self.send(exchange, sending).await;
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -65,6 +65,7 @@
             head_timeout: MIN_READING_TIMEOUT + slack,
             stage: "read",
             predicted_ms: reader.total_ms,
+            work_ms: reader.reading_ms + reader.fetching_ms,
             source: reader.fetch_from.as_ref().map(|other| Arc::clone(&other.entry.id)),
         };
         let read = self.finish_reading(exchange, sending).await;
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -101,11 +101,22 @@
     ) -> Response {
         let headers = std::mem::take(&mut self.headers);
         let status = self.status;
-        let passage = Passage { relay: self, gateway, exchange, outcome: "left", _flight: flight };
+        let passage = Passage {
+            last_event_at: gateway.now(),
+            longest_pause: Millis::ZERO,
+            relay: self,
+            gateway,
+            exchange,
+            outcome: "left",
+            _flight: flight,
+        };
         let frames = stream::unfold(Some(passage), |passage| async move {
             let mut passage = passage?;
             match passage.next().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(passage))),
+                Ok(Some(bytes)) => {
+                    passage.note_event();
+                    Some((Ok(Frame::data(bytes)), Some(passage)))
+                }
                 Ok(None) => {
                     passage.outcome = "whole";
                     None
@@ -163,6 +174,8 @@
     gateway: Gateway<W, C>,
     exchange: Exchange,
     outcome: &'static str,
+    last_event_at: Millis,
+    longest_pause: Millis,
     _flight: Option<Flight<W, C>>,
 }
 
@@ -170,11 +183,19 @@
     fn drop(&mut self) {
         let took_ms = (self.gateway.now() - self.exchange.arrived_at).0;
         let (request, outcome) = (&*self.exchange.id, self.outcome);
-        emit(&Event::StreamEnded { request, outcome, took_ms });
+        let longest_pause_ms = self.longest_pause.0;
+        emit(&Event::StreamEnded { request, outcome, longest_pause_ms, took_ms });
     }
 }
 
 impl<W: Wire, C: Clock> Passage<W, C> {
+    /// Notes that an event goes to the caller.
+    fn note_event(&mut self) {
+        let now = self.gateway.now();
+        self.longest_pause = self.longest_pause.max(now - self.last_event_at);
+        self.last_event_at = now;
+    }
+
     /// Returns the next bytes for the caller, `None` at the stream's end. An error has the
     /// caller's connection closed, so that the answer does not look complete.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
@@ -199,7 +220,14 @@
         let has_time = self.exchange.time_left(self.gateway.now()) > Millis::ZERO;
         let report = self.gateway.wire().report();
         let upstream = self.relay.held.upstream();
-        has_time && self.gateway.own_call(upstream, &report).await.is_some()
+        if !has_time {
+            return false;
+        }
+        let Some(answer) = self.gateway.own_call(upstream, &report).await else { return false };
+        // An engine that has started again under its id answers well, and knows nothing of the run.
+        let born = self.gateway.wire().engine_report(&answer.body).ok().and_then(|r| r.born);
+        let is_other_start = born.is_some() && born != upstream.entry.born;
+        !is_other_start && !self.gateway.has_started_again(upstream)
     }
 
     fn log_broken(&self, upstream: &str, failed: &Failed, outcome: &'static str) {
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -1,5 +1,6 @@
 //! Keeping the split of a service's engines between reading prompts and generating output.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,7 +68,7 @@
     lease: Option<Lease>,
     not_before: Millis,
     uneven_since: Option<Millis>,
-    settling: std::collections::HashMap<Arc<str>, Millis>,
+    settling: HashMap<u32, Millis>,
 }
 
 impl<W: Wire, T: Table, C: Clock> RoleKeeper<W, T, C> {
@@ -144,7 +145,7 @@
         for service in config.services() {
             let Some(engine) = &service.engine else { continue };
             for (upstream, role) in self.changes_of(&view, service) {
-                if !self.settling.contains_key(&upstream.entry.id) {
+                if !self.settling.contains_key(&upstream.digest) {
                     due.push((upstream, role, engine.role_change));
                 }
             }
@@ -239,6 +240,10 @@
         if report.busy || report.role == role || self.clock.now() >= lease.until {
             return;
         }
+        if report.born.is_some() && report.born != upstream.entry.born {
+            // It has started again, which the list does not show yet, and may have another role.
+            return;
+        }
         let order = RoleOrder {
             role,
             holder: self.holder.clone(),
@@ -246,7 +251,7 @@
             expected: Some(report.orders),
         };
         let id = &upstream.entry.id;
-        self.settling.insert(Arc::clone(id), self.clock.now() + SETTLING);
+        self.settling.insert(upstream.digest, self.clock.now() + SETTLING);
         let answer = self.gateway.own_call(upstream, &wire.order(&order)).await;
         let outcome = match answer.map(|answer| wire.order_answer(answer.status)) {
             Some(OrderAnswer::Taken) => {
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -117,6 +117,8 @@
     pub busy: bool,
     /// The number of orders that it has taken.
     pub orders: u64,
+    /// When this start of it was, if it says so.
+    pub born: Option<u64>,
 }
 
 /// `Wire` spells and reads the messages of one deployment. It decides nothing.
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::{Millis, Tokens};
+use anvilhook_core::units::{ManualClock, Millis, Tokens};
 use anvilhook_gateway::budgets::{Budget, BudgetOptions};
 use anvilhook_gateway::caches::CacheBeliefs;
 use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, Target};
@@ -15,7 +15,7 @@
 use anvilhook_gateway::placements::{Placer, Plan, Request};
 use anvilhook_gateway::prompts::{EngineSpeed, Part, Prompt};
 use anvilhook_gateway::streams::EventSplitter;
-use support::fronts::route;
+use support::fronts::{ample_budget, gateway, route};
 use support::wires::{entry, limits};
 
 #[test]
@@ -52,6 +52,36 @@
     assert_eq!(split.target(5), None);
 }
 
+/// Symptom: an engine that has started again is believed to hold prompts, to be slow, ejected or
+/// busy, as the start before it was.
+/// Sequence: an engine fails, works and caches; it starts again under the id that it had.
+/// Cause: what was learnt of an earlier start says nothing of the later one.
+#[tokio::test]
+async fn verify_nothing_is_believed_of_an_engine_that_has_started_again() {
+    let of = |born| Entry { born: Some(born), role: Some(Role::Prefill), ..entry("e", 1) };
+    let listed = vec![of(1), entry("other", 2)];
+    let gateway = gateway(ManualClock::new(), None, listed, ample_budget());
+    let (engine, other): (Arc<str>, Arc<str>) = (Arc::from("e"), Arc::from("other"));
+    for id in [&engine, &other] {
+        gateway.caches().record(id, &prompt(10_000, 2).parts, 400_000);
+    }
+    let before = Arc::clone(gateway.fleet().view().get("e").unwrap());
+    let in_flight = Held::with_work(Arc::clone(&before), 500.0, 0.0);
+    before.state.record_reading(10.0, 60.0);
+    before.state.mark_gone();
+
+    gateway.adopt_entries([of(2), entry("other", 2)]);
+
+    let after = Arc::clone(gateway.fleet().view().get("e").unwrap());
+    assert!(after.takes_work(Millis(1_000)));
+    assert_eq!((after.state.slowness(), after.state.own_work()), (1.0, Work::default()));
+    assert_eq!(gateway.caches().held_tokens("e", &prompt(10_000, 2)), 0);
+    assert_eq!(gateway.caches().held_tokens("other", &prompt(10_000, 2)), 13_000);
+    assert!(gateway.fleet().view().by_digest(before.digest).is_none(), "peers' old words");
+    drop(in_flight);
+    assert_eq!(after.state.own_work(), Work::default());
+}
+
 /// Symptom: retries of all instances together exceed their bound in some span.
 /// Sequence: requests come in a burst, and retries long after.
 /// Cause: what the requests earned must leave the window with them.
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -94,6 +94,65 @@
     }
 }
 
+/// Symptom: an upstream that runs gets no work for the rest of the day.
+/// Sequence: it starts again under the id that it had; its reports begin anew at a low number, and
+/// reports of the start before arrive among them, in any order.
+/// Cause: the start comes before the number in the order of reports, and a later start neither
+/// leaves nor is gone because the earlier one was.
+#[test]
+fn verify_a_later_start_under_the_same_id_counts_anew() {
+    let of =
+        |born: Option<u64>, draining, sequence| Entry { born, ..report("a", draining, sequence) };
+    let (before, after) = (Some(1_000), Some(2_000));
+    // The entries in order of arrival, and which start counts in the end and whether it is leaving.
+    let cases = [
+        (vec![of(before, false, 9), of(after, false, 1)], after, false),
+        (vec![of(before, true, 9), of(after, false, 1)], after, false),
+        (vec![of(after, false, 1), of(before, false, 9)], after, false),
+        (vec![of(after, false, 1), of(before, true, 9)], after, false),
+        (vec![of(before, false, 9), of(after, false, 1), of(before, true, 10)], after, false),
+        (vec![of(after, true, 1), of(after, false, 2)], after, true),
+        (vec![of(None, true, 9), of(after, false, 1)], after, false),
+        (vec![of(after, false, 1), of(None, true, 9)], after, false),
+        // The clock of an upstream's start may stand far off: it is compared only with itself.
+        (vec![of(Some(0), false, 9), of(Some(u64::MAX), false, 1)], Some(u64::MAX), false),
+    ];
+    for (entries, born, draining) in cases {
+        for is_removed_between in [false, true] {
+            let mut book = EntryBook::new();
+            for (at, entry) in entries.iter().enumerate() {
+                if is_removed_between && at > 0 && entry.born > entries[at - 1].born {
+                    assert!(book.remove("a", Millis(10)));
+                }
+                book.put(entry.clone());
+            }
+
+            let left: Vec<_> = book.entries().map(|entry| (entry.born, entry.draining)).collect();
+
+            assert_eq!(left, [(born, draining)], "{entries:?} {is_removed_between}");
+        }
+    }
+}
+
+/// Symptom: requests go to an address that a foreign writer put into the table, or an upstream whose
+/// row was overwritten stays away for good.
+/// Sequence: a row is overwritten by bytes that can't be read; the upstream reports again, with its
+/// next number.
+/// Cause: a row that can't be read names no upstream, and says nothing of the upstream's own reports.
+#[test]
+fn verify_an_overwritten_row_names_nobody_until_the_upstream_reports_again() {
+    let mut book = EntryBook::new();
+    book.put(report("a", false, 4));
+    book.put(report("b", false, 4));
+
+    assert!(book.discard("a", Millis(10)));
+    assert!(!book.discard("unheard of", Millis(10)));
+
+    assert_eq!(ids(&book), ["b"]);
+    assert!(!book.put(report("a", false, 3)), "an older report than the overwritten one");
+    assert!(book.put(report("a", false, 4)));
+}
+
 async fn gateway() -> TestGateway {
     start(None, Vec::new(), ample_budget()).await.gateway
 }
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -153,7 +153,7 @@
 async fn verify_an_engine_that_is_away_is_told_of_by_who_knows_it() {
     let (one, others) = instance_among(30).await;
     let state = Arc::clone(&one.gateway.fleet().view().get("e0").expect("listed").state);
-    let engine = anvilhook_gateway::fleets::digest_of("e0");
+    let engine = entry("e0", 1).digest();
     let heard = Digest { from: 9, away: vec![(engine, 60_000)], ..Digest::default() };
     let bytes = postcard::to_stdvec(&heard).expect("it can be written");
     let now = || anvilhook_core::units::Clock::now(&one.clock);
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -83,14 +83,16 @@
 }
 
 /// Symptom: a whole answer is cut, or a stream hangs that could go on.
-/// Sequence: a resumable stream falls silent after two events; its engine is alive, or is gone.
-/// Cause: silence alone says nothing; an engine that answers a call may still work on the stream.
+/// Sequence: a resumable stream falls silent after two events; its engine is alive, or is gone, or
+/// has started again under its id.
+/// Cause: silence alone says nothing; an engine that answers a call may still work on the stream,
+/// unless it is another start of it that answers.
 #[tokio::test]
 async fn verify_a_silent_stream_goes_on_elsewhere_only_if_its_engine_is_gone() {
-    for is_alive in [true, false] {
+    for report in [Some("decode"), Some("decode again"), None] {
+        let is_alive = report == Some("decode");
         let script = move |received: &Received| match received.line.starts_with("GET /report") {
-            true if is_alive => vec![signed("200 OK", "decode")],
-            true => vec![Step::Close],
+            true => vec![report.map_or(Step::Close, |report| signed("200 OK", report))],
             false => {
                 let mut steps = vec![stream_head(), event(1), event(2), Step::Pause(1_700)];
                 steps.extend([event(3), event(4), stream_end()]);
@@ -104,9 +106,9 @@
 
         let answer = front.post("r1", PROMPT, "").await;
 
-        assert_eq!(answer.events(), [1, 2, 3, 4], "alive: {is_alive}");
-        assert!(answer.is_complete(), "alive: {is_alive}");
-        assert_eq!(other.received().len(), usize::from(!is_alive), "alive: {is_alive}");
+        assert_eq!(answer.events(), [1, 2, 3, 4], "{report:?}");
+        assert!(answer.is_complete(), "{report:?}");
+        assert_eq!(other.received().len(), usize::from(!is_alive), "{report:?}");
     }
 }
 
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -68,9 +68,11 @@
 
     fn entry(&self, key: &str, value: &[u8]) -> Result<Entry, DecodeError> {
         let text = std::str::from_utf8(value).map_err(|_| bad("sequence"))?;
-        let (state, sequence) = text.split_once(' ').ok_or_else(|| bad("sequence"))?;
+        let (state, numbers) = text.split_once(' ').ok_or_else(|| bad("sequence"))?;
+        let (sequence, born) = numbers.split_once(' ').unwrap_or((numbers, ""));
         let sequence = sequence.parse().map_err(|_| bad("sequence"))?;
-        Ok(Entry { draining: state == "leaving", sequence, ..entry(key, 1) })
+        let born = born.parse().ok();
+        Ok(Entry { draining: state == "leaving", sequence, born, ..entry(key, 1) })
     }
 
     fn prompt(&self, headers: &HeaderMap) -> Option<Prompt> {
@@ -134,7 +136,12 @@
     fn engine_report(&self, body: &[u8]) -> Result<EngineReport, DecodeError> {
         let text = std::str::from_utf8(body).map_err(|_| bad("role"))?;
         let role = if text.starts_with("prefill") { Role::Prefill } else { Role::Decode };
-        Ok(EngineReport { role, busy: text.ends_with("busy"), orders: 4 })
+        Ok(EngineReport {
+            role,
+            busy: text.ends_with("busy"),
+            orders: 4,
+            born: text.ends_with("again").then_some(2),
+        })
     }
 
     fn time_left(&self, value: &HeaderValue) -> Option<Millis> {
@@ -151,6 +158,7 @@
 pub fn entry(id: &str, port: u16) -> Entry {
     Entry {
         id: Arc::from(id),
+        born: None,
         service: Arc::from("service"),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         zone: Arc::from("zone-a"),
