Trial: hold long prompts until a reader is nearly free; leave engines alone that change their role

Cause: a prompt of a second of reading makes all late that come after it at the same engine, and an engine ordered to another role refused requests for six seconds after the three that it was left alone for, at the cost of the retry budget. Change, still in the rough: a prompt of work w waits while the backlog of its reader is over 100 ms x 100 ms / w; the end of long work is told at once; a change of role holds until the list shows it; a stream that has not begun is given up only if its engine does not work on it.

--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -64,7 +64,9 @@
 impl Upstream {
     /// Returns whether new work may be sent there.
     pub fn takes_work(&self, now: Millis) -> bool {
-        !self.entry.draining && !self.state.is_gone() && !self.state.is_away(now)
+        let state = &self.state;
+        let is_absent = state.is_away(now) || state.role_change(now, self.entry.role).is_some();
+        !self.entry.draining && !state.is_gone() && !is_absent
     }
 }
 
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -5,12 +5,14 @@
 use std::sync::{Arc, Mutex};
 
 use anvilhook_core::ejections::{Ejection, EjectionOptions};
+use anvilhook_core::orders::Role;
 use anvilhook_core::units::Millis;
 
 use crate::fleets::Upstream;
 use crate::wires::Load;
 
-/// The handles refused in a row after which an engine reads nothing for a while, and that while.
+/// The handles refused in a row after which an engine of either stage is left alone for a while, and
+/// that while.
 const REFUSED_HANDLES: u32 = 2;
 const NO_HANDLES_TIME: Millis = Millis(800);
 
@@ -37,6 +39,19 @@
     pub at: Millis,
 }
 
+/// `RoleChange` is a change of role that an engine has been ordered to make.
+///
+/// It first ends what runs, for as long as that takes, and refuses all else until it is done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RoleChange {
+    /// The role that it takes.
+    pub role: Role,
+    /// When it is over at the latest, should the list never show it.
+    pub until: Millis,
+    /// Whether this instance has given the order.
+    pub is_own: bool,
+}
+
 /// `UpstreamState` is what this instance has learnt of an upstream. It outlives changes of the
 /// upstream's entry.
 #[derive(Debug)]
@@ -50,6 +65,7 @@
     no_handles_until: AtomicU64,
     away_until: AtomicU64,
     own_away: AtomicU64,
+    role_change: Mutex<Option<RoleChange>>,
     slowness: AtomicU64,
     told: Mutex<Option<(Load, Millis)>>,
     peers: Mutex<HashMap<u64, PeerLoad>>,
@@ -70,6 +86,7 @@
             no_handles_until: AtomicU64::new(0),
             away_until: AtomicU64::new(0),
             own_away: AtomicU64::new(0),
+            role_change: Mutex::default(),
             slowness: AtomicU64::new(1f64.to_bits()),
             told: Mutex::default(),
             peers: Mutex::default(),
@@ -115,10 +132,26 @@
         now.0 < self.away_until.load(Ordering::Acquire)
     }
 
-    /// Notes what became of a KV handle of this engine at another one.
+    /// Notes that the engine has been ordered to change its role. Of two orders the later counts.
+    pub fn record_role_change(&self, change: RoleChange) {
+        let mut known = self.role_change.lock().expect("no panic under this lock");
+        if known.is_none_or(|known| known.role != change.role || known.until < change.until) {
+            *known = Some(change);
+        }
+    }
+
+    /// Returns the change of role that is under way at an engine that is listed with a role.
+    pub fn role_change(&self, now: Millis, listed: Option<Role>) -> Option<RoleChange> {
+        let known = *self.role_change.lock().expect("no panic under this lock");
+        known.filter(|change| change.until > now && Some(change.role) != listed)
+    }
+
+    /// Notes what became of a KV handle that this engine gave, or was to fetch.
     ///
-    /// An engine whose handles lapse at once answers each reading well, and every request read
-    /// there would be refused and spend the retry budget.
+    /// An engine whose handles lapse at once answers each reading well, and an engine that has begun
+    /// to change its role refuses each handle; every request there would be refused and spend the
+    /// retry budget. Either side of a refusal may be the cause: the other one's next handle clears
+    /// it.
     pub fn record_handle(&self, is_taken: bool, now: Millis) {
         if is_taken {
             self.refused_handles.store(0, Ordering::Release);
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -1,9 +1,10 @@
 //! Digests: what one instance tells another, and what is taken in of it.
 
+use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use serde::{Deserialize, Serialize};
 
-use crate::loads::{PeerLoad, Work};
+use crate::loads::{PeerLoad, RoleChange, Work};
 use crate::prompts::Part;
 use crate::relay::Gateway;
 use crate::wires::Wire;
@@ -30,6 +31,17 @@
     pub parts: Vec<(u64, u32)>,
 }
 
+/// `ToldRoleChange` is an order to change a role that an engine has taken.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldRoleChange {
+    /// The short form of the engine's id and start.
+    pub engine: u32,
+    /// The role that it takes.
+    pub role: Role,
+    /// How long it may still take, in milliseconds.
+    pub left_ms: u32,
+}
+
 /// `Digest` is what one instance tells another.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Digest {
@@ -44,6 +56,8 @@
     /// Engines that the sender itself knows to change their role, with the time that it still takes
     /// in milliseconds.
     pub away: Vec<(u32, u32)>,
+    /// Engines that the sender has ordered to take another role.
+    pub role_changes: Vec<ToldRoleChange>,
 }
 
 /// Makes the digest of what this instance has in flight, and of what the peers don't know yet.
@@ -69,6 +83,11 @@
         if away > Millis::ZERO {
             digest.away.push((engine, away.0 as u32));
         }
+        let change = upstream.state.role_change(now, upstream.entry.role);
+        if let Some(change) = change.filter(|change| change.is_own) {
+            let left_ms = (change.until - now).0 as u32;
+            digest.role_changes.push(ToldRoleChange { engine, role: change.role, left_ms });
+        }
     }
     for (engine, parts) in gateway.take_cached(MAX_CACHED) {
         let Some(upstream) = view.get(&engine) else { continue };
@@ -105,6 +124,12 @@
             upstream.state.mark_away(now + Millis(u64::from(*left_ms)));
         }
     }
+    for told in &digest.role_changes {
+        if let Some(upstream) = view.by_digest(told.engine) {
+            let until = now + Millis(u64::from(told.left_ms));
+            upstream.state.record_role_change(RoleChange { role: told.role, until, is_own: false });
+        }
+    }
     let config = gateway.config();
     for cached in &digest.cached {
         let Some(upstream) = view.by_digest(cached.engine) else { continue };
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -22,7 +22,7 @@
 use digests::{digest, take_in};
 use seeding::tell_caches;
 
-pub use digests::{CachedPrompt, Digest, EngineLoad};
+pub use digests::{CachedPrompt, Digest, EngineLoad, ToldRoleChange};
 pub use members::{Peers, register};
 pub use seeding::seed_caches;
 
@@ -120,7 +120,9 @@
             .map(|engine| of(&reading, engine).abs_diff(of(&self.told_to_all, engine)))
             .any(|change| change >= GREAT_NEWS_MS);
         // An engine is away for seconds; to tell all of it with each digest would choke the links.
-        let away: Vec<u32> = digest.away.iter().map(|(engine, _)| *engine).collect();
+        let away = digest.away.iter().map(|(engine, _)| *engine);
+        let away: Vec<u32> =
+            away.chain(digest.role_changes.iter().map(|change| change.engine)).collect();
         let goes_away = away.iter().any(|engine| !self.told_away.contains(engine));
         let is_great = has_changed || !digest.cached.is_empty() || goes_away;
         if is_great {
@@ -138,7 +140,8 @@
         now: Millis,
     ) {
         let digest = digest(self.number, gateway, now);
-        let has_loads = !digest.loads.is_empty() || !digest.away.is_empty();
+        let is_any_away = !digest.away.is_empty() || !digest.role_changes.is_empty();
+        let has_loads = !digest.loads.is_empty() || is_any_away;
         let has_news = has_loads || self.had_loads || !digest.cached.is_empty();
         self.quiet_ticks += 1;
         if !has_news && self.quiet_ticks < IDLE_TICKS {
--- a/crates/anvilhook-gateway/src/prompts.rs
+++ b/crates/anvilhook-gateway/src/prompts.rs
@@ -40,7 +40,7 @@
 
 impl Default for EngineSpeed {
     fn default() -> Self {
-        Self { tokens_per_ms: 64.0, ms_per_million_pairs: 0.65, fixed_ms: 1.0 }
+        Self { tokens_per_ms: 68.2, ms_per_million_pairs: 0.242, fixed_ms: 1.0 }
     }
 }
 
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -19,8 +19,9 @@
 use crate::placements::Generator;
 use crate::wires::Wire;
 
-/// How long the first event of a stream that can be sent again may take.
-const FIRST_EVENT_TIMEOUT: Millis = Millis(1_800);
+/// How often an engine is asked whether it still works on a stream that has not begun and could be
+/// sent again.
+const FIRST_EVENT_PATIENCE: Millis = Millis(1_800);
 
 /// `GenerateWork` is what generating asks of an engine before the first event.
 #[derive(Clone, Debug, Default)]
@@ -63,7 +64,9 @@
         if let Some(mut handle) = handle {
             let is_refused = matches!(&opened, Err(failed) if failed.is_refusal);
             let reader = handle.upstream();
-            reader.state.record_handle(!is_refused, self.now());
+            for engine in [reader, &upstream] {
+                engine.state.record_handle(!is_refused, self.now());
+            }
             if is_refused {
                 // Either engine may be the cause, so the next try goes to two others.
                 job.avoid.push(Arc::clone(&reader.entry.id));
@@ -100,6 +103,17 @@
         }
     }
 
+    /// Waits until an engine does not work on a request any more that was sent to it, and has not
+    /// answered it.
+    async fn lost(&self, exchange: &Exchange, upstream: &Upstream) {
+        loop {
+            tokio::time::sleep(FIRST_EVENT_PATIENCE.as_duration()).await;
+            if !self.is_worked_on(exchange, upstream).await {
+                return;
+            }
+        }
+    }
+
     /// Sends a request to an upstream and waits for the first event of its stream.
     async fn open_at(
         &self,
@@ -118,7 +132,6 @@
         let time_left = exchange.time_left(self.now());
         let can_repeat = exchange.route.repeats.is_repeatable()
             && exchange.runs + 1 < exchange.route.max_attempts;
-        let head_timeout = if can_repeat { FIRST_EVENT_TIMEOUT } else { time_left };
         let started_at = self.now();
         let could_have_run = exchange.begin_run();
         let held = Held::with_work(Arc::clone(upstream), work.reading_ms, work.fetching_ms);
@@ -127,13 +140,22 @@
             upstream,
             extra,
             connection,
-            head_timeout,
+            head_timeout: time_left,
             stage: "generate",
             predicted_ms: work.first_event_ms,
             work_ms: work.reading_ms + work.fetching_ms,
             source: work.source,
         };
-        let result = match self.send(exchange, sending).await {
+        let sent = tokio::select! {
+            sent = self.send(exchange, sending) => sent,
+            () = self.lost(exchange, upstream), if can_repeat => {
+                let failed = Failed::may_have_run("no_answer_in_time");
+                upstream.state.ejection().record_failure(self.now());
+                self.log_failed(exchange, upstream, "generate", &failed);
+                Err(failed)
+            }
+        };
+        let result = match sent {
             Ok(answer) if answer.status().is_success() => {
                 let relay = Relay::open(self, exchange, answer, held, resume_after).await;
                 relay.map(|relay| Opened::Stream(Box::new(relay)))
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -19,6 +19,7 @@
 
 /// The most sendings of one request after the first, refusals included.
 const MAX_REPEATS: u32 = 2;
+const KEEP: usize = 0;
 
 /// When a caller is to come back if no engine took its request.
 pub(super) const REFUSED_PAUSE: Millis = Millis(700);
@@ -126,6 +127,46 @@
         if plan.first_token_ms() > time_left.0 as f64 {
             return Err(self.given_up(exchange, "overload", REFUSED_PAUSE));
         }
+        let tight = 250.0f64;
+        let began = self.now();
+        let plan = loop {
+            let plan = match self.plan(exchange, &job) {
+                Some(p) => p,
+                None => break plan,
+            };
+            let Plan::Split(reader) = &plan else { break plan };
+            if reader.reading_ms <= tight * 0.2 {
+                break plan;
+            }
+            if self.now() - began > Millis(900) {
+                break plan;
+            }
+            let now = self.now();
+            let view = self.fleet().view();
+            let others = view
+                .of_service(&exchange.service)
+                .iter()
+                .filter(|u| {
+                    u.entry.role == Some(anvilhook_core::orders::Role::Prefill)
+                        && u.takes_work(now)
+                        && u.entry.id != reader.upstream.entry.id
+                        && u.state.work(now).reading_ms <= 25.0
+                })
+                .count();
+            let total = view
+                .of_service(&exchange.service)
+                .iter()
+                .filter(|u| {
+                    u.entry.role == Some(anvilhook_core::orders::Role::Prefill) && u.takes_work(now)
+                })
+                .count();
+            let keep = KEEP.min(total.saturating_sub(1));
+            if reader.backlog_ms <= (12.0f64).max(10000.0 / reader.reading_ms) && others >= keep {
+                break plan;
+            }
+            drop(view);
+            tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+        };
         let reader = match plan {
             Plan::Direct(generator) => {
                 return self.generate(exchange, &mut job, generator, None).await;
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -70,6 +70,9 @@
         };
         let read = self.finish_reading(exchange, sending).await;
         drop(held);
+        if reader.reading_ms >= f64::from(GREAT_NEWS_MS) {
+            self.peers().announce();
+        }
         let took = self.now() - started_at;
         exchange
             .tried
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -19,6 +19,7 @@
 use super::requests::Exchange;
 use super::{Flight, Gateway};
 use crate::events::{Event, emit};
+use crate::fleets::Upstream;
 use crate::loads::Held;
 use crate::metrics::NameLabel;
 use crate::streams::{EventSplitter, StreamEvent};
@@ -70,7 +71,14 @@
             last_id: resume_after,
             held,
         };
-        match relay.read(gateway, exchange).await {
+        let mut first = relay.read(gateway, exchange).await;
+        while let Err(failed) = &first
+            && failed.cause == SILENT
+            && gateway.is_worked_on(exchange, relay.held.upstream()).await
+        {
+            first = relay.read(gateway, exchange).await;
+        }
+        match first {
             Ok(Piece::Event(event)) => {
                 relay.next = Some(event);
                 Ok(relay)
@@ -168,6 +176,27 @@
     }
 }
 
+impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Returns whether an upstream that is silent about a request may still work on it.
+    ///
+    /// An engine may put a run off for seconds when its places or its memory are short. To give up
+    /// on it then would cut an answer that was going to be whole, or have it run twice at once: of
+    /// the retry budget of a day at full load nearly all was spent on requests that only waited.
+    pub(super) async fn is_worked_on(&self, exchange: &Exchange, upstream: &Upstream) -> bool {
+        if exchange.time_left(self.now()) == Millis::ZERO {
+            return false;
+        }
+        let Some(answer) = self.own_call(upstream, &self.wire().report()).await else {
+            return false;
+        };
+        // An engine that has started again under its id answers well, and knows nothing of the run.
+        let Ok(report) = self.wire().engine_report(&answer.body) else { return true };
+        let is_other_start = report.born.is_some() && report.born != upstream.entry.born;
+        let is_current = !is_other_start && !self.has_started_again(upstream);
+        is_current && report.may_work_on(&exchange.id)
+    }
+}
+
 /// `Passage` is a relay with the request that it is for.
 struct Passage<W: Wire, C: Clock> {
     relay: Relay,
@@ -206,30 +235,17 @@
             match self.relay.read(&self.gateway, &self.exchange).await {
                 Ok(Piece::Event(event)) => return Ok(Some(event.bytes)),
                 Ok(Piece::End) => return Ok(None),
-                Err(failed) if failed.cause == SILENT && self.is_worked_on().await => {}
+                Err(failed) if failed.cause == SILENT => {
+                    let upstream = self.relay.held.upstream();
+                    if !self.gateway.is_worked_on(&self.exchange, upstream).await {
+                        return self.resume(&failed).await;
+                    }
+                }
                 Err(failed) => return self.resume(&failed).await,
             }
         }
     }
 
-    /// Returns whether a silent stream's upstream is alive, so that the run may still go on.
-    ///
-    /// An engine may put a run off for seconds when its memory is short. To give up on it then
-    /// would cut an answer that was going to be whole, or have it run twice at once.
-    async fn is_worked_on(&self) -> bool {
-        let has_time = self.exchange.time_left(self.gateway.now()) > Millis::ZERO;
-        let report = self.gateway.wire().report();
-        let upstream = self.relay.held.upstream();
-        if !has_time {
-            return false;
-        }
-        let Some(answer) = self.gateway.own_call(upstream, &report).await else { return false };
-        // An engine that has started again under its id answers well, and knows nothing of the run.
-        let born = self.gateway.wire().engine_report(&answer.body).ok().and_then(|r| r.born);
-        let is_other_start = born.is_some() && born != upstream.entry.born;
-        !is_other_start && !self.gateway.has_started_again(upstream)
-    }
-
     fn log_broken(&self, upstream: &str, failed: &Failed, outcome: &'static str) {
         emit(&Event::StreamBroken {
             request: &self.exchange.id,
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -11,6 +11,7 @@
 use crate::configs::{Config, ServiceSpec};
 use crate::events::{Event, emit};
 use crate::fleets::{FleetView, Upstream};
+use crate::loads::RoleChange;
 use crate::metrics::NameLabel;
 use crate::relay::Gateway;
 use crate::tables::{Table, TableError, Write, Written};
@@ -32,6 +33,11 @@
 /// How long an engine is left alone after an order, whatever came of it.
 const SETTLING: Millis = Millis::from_secs(6);
 
+/// How long an engine that is to change its role may take to end what runs. It gets no work until it
+/// is listed with the new role: requests sent to it meanwhile are refused, and a change of one of
+/// four generators spent the retry budget of 150 requests.
+const LONGEST_ENDING: Millis = Millis::from_secs(8);
+
 /// `RoleOptions` says how the engines are to be split.
 #[derive(Clone, Debug)]
 pub struct RoleOptions {
@@ -255,7 +261,9 @@
         let answer = self.gateway.own_call(upstream, &wire.order(&order)).await;
         let outcome = match answer.map(|answer| wire.order_answer(answer.status)) {
             Some(OrderAnswer::Taken) => {
-                upstream.state.mark_own_away(self.clock.now() + away);
+                let until = self.clock.now() + away + LONGEST_ENDING;
+                upstream.state.record_role_change(RoleChange { role, until, is_own: true });
+                self.gateway.peers().announce();
                 "taken"
             }
             Some(OrderAnswer::Busy) => "busy",
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -109,7 +109,7 @@
 }
 
 /// `EngineReport` is what an engine reports of itself on demand.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineReport {
     /// Its role.
     pub role: Role,
@@ -119,6 +119,29 @@
     pub orders: u64,
     /// When this start of it was, if it says so.
     pub born: Option<u64>,
+    /// Requests that wait to be run.
+    pub waiting: u32,
+    /// The ids of the requests that run, if it says them.
+    pub runs: Option<Vec<String>>,
+}
+
+impl EngineReport {
+    /// Returns whether the engine may still work on a request that was sent a while ago.
+    ///
+    /// ```
+    /// use anvilhook_core::orders::Role;
+    /// use anvilhook_gateway::wires::EngineReport;
+    ///
+    /// let runs = Some(vec!["r1".to_owned()]);
+    /// let report =
+    ///     EngineReport { role: Role::Decode, busy: false, orders: 0, born: None, waiting: 0, runs };
+    /// assert!(report.may_work_on("r1") && !report.may_work_on("r2"));
+    /// assert!(EngineReport { waiting: 1, ..report }.may_work_on("r2"));
+    /// ```
+    pub fn may_work_on(&self, request: &str) -> bool {
+        let is_listed = |runs: &Vec<String>| runs.iter().any(|run| run == request);
+        self.waiting > 0 || self.runs.as_ref().is_none_or(is_listed)
+    }
 }
 
 /// `Wire` spells and reads the messages of one deployment. It decides nothing.
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -11,7 +11,7 @@
 use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, Target};
 use anvilhook_gateway::fleets::{Entry, Fleet};
 use anvilhook_gateway::loads::{Held, PeerLoad, Work};
-use anvilhook_gateway::peers::{CachedPrompt, Digest, EngineLoad};
+use anvilhook_gateway::peers::{CachedPrompt, Digest, EngineLoad, ToldRoleChange};
 use anvilhook_gateway::placements::{Placer, Plan, Request};
 use anvilhook_gateway::prompts::{EngineSpeed, Part, Prompt};
 use anvilhook_gateway::streams::EventSplitter;
@@ -343,6 +343,7 @@
         cached: vec![cached],
         is_partial: false,
         away: vec![(9, 2_500)],
+        role_changes: vec![ToldRoleChange { engine: 8, role: Role::Decode, left_ms: 9_000 }],
     };
 
     let bytes = postcard::to_stdvec(&digest).expect("it can be written");
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -141,6 +141,8 @@
             busy: text.ends_with("busy"),
             orders: 4,
             born: text.ends_with("again").then_some(2),
+            waiting: 0,
+            runs: text.ends_with("idle").then(Vec::new),
         })
     }
 
