Let requests wait here until an engine is nearly free for them, and learn how fast engines work

Long prompts were misplaced by constants of other engines (0.65 ms a million pairs where these need 0.24). Change: core's pacing decides for each piece of work how busy an engine may be when it is sent; relay/waiting asks it anew until it says so. All streams have one rank at an engine. core's speeds learns the cost of reading and of output by least squares in which old readings fade. After a wait the service is looked up anew.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -16,11 +16,13 @@
 pub mod membership;
 pub mod names;
 pub mod orders;
+pub mod pacing;
 pub mod reports;
 pub mod resources;
 pub mod retries;
 pub mod roles;
 pub mod routing;
+pub mod speeds;
 pub mod units;
 pub mod verdict;
 
--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -60,6 +60,8 @@
     pub timeout: Option<Millis>,
     /// The time within which an answer is on time.
     pub objective: Millis,
+    /// How long a caller waits for the beginning of an answer before it leaves.
+    pub patience: Millis,
     /// The rank; 0 is the highest.
     pub priority: u8,
     /// The services, with their weights.
@@ -128,6 +130,7 @@
     /// The limits for callers.
     pub limits: Limits,
     services: HashMap<Arc<str>, ServiceSpec>,
+    tightest: HashMap<Arc<str>, Millis>,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
 }
 
@@ -141,12 +144,17 @@
     ) -> Self {
         let services =
             services.into_iter().map(|service| (Arc::clone(&service.name), service)).collect();
+        let mut tightest: HashMap<Arc<str>, Millis> = HashMap::new();
+        for (route, target) in routes.iter().flat_map(|r| r.targets.iter().map(move |t| (r, t))) {
+            let known = tightest.entry(Arc::clone(&target.service)).or_insert(route.objective);
+            *known = route.objective.min(*known);
+        }
         let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
         for route in routes {
             let prefixes = by_host.entry(Arc::clone(&route.host)).or_default();
             prefixes.insert(Arc::clone(&route.prefix), Arc::new(route));
         }
-        Self { version, limits, services, routes: by_host }
+        Self { version, limits, services, tightest, routes: by_host }
     }
 
     /// Returns the route of the host with the longest prefix that begins the path.
@@ -158,6 +166,11 @@
         ends.filter_map(|end| prefixes.get(&path[..end])).next()
     }
 
+    /// Returns the tightest objective of a service's routes, 0 if it has none.
+    pub fn tightest_objective(&self, service: &str) -> Millis {
+        self.tightest.get(service).copied().unwrap_or_default()
+    }
+
     /// Returns a service.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -153,6 +153,10 @@
         predicted_ms: u64,
         /// What of that is the engine's own work, in milliseconds; the rest is waiting.
         work_ms: u64,
+        /// How long it was held here before, in milliseconds.
+        held_ms: u64,
+        /// Why it is sent now: `free` or `due`.
+        pace: &'a str,
         /// What all instances are believed to have in flight there.
         in_flight: u32,
         /// The engine from which the prompt is fetched, if any.
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod relay;
 pub mod reloads;
 pub mod roles;
+pub mod speeds;
 pub mod streams;
 pub mod tables;
 pub mod wires;
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::Millis;
 
 use crate::caches::CacheBeliefs;
 use crate::configs::EngineSpec;
 use crate::fleets::{FleetView, Upstream};
 use crate::hashes::hash_of;
-use crate::prompts::{EngineSpeed, Prompt};
+use crate::prompts::Prompt;
 
 /// What it costs to start a transfer between engines, in milliseconds.
 const TRANSFER_SETUP_MS: f64 = 3.0;
@@ -47,8 +48,8 @@
     pub view: &'a FleetView,
     /// What the caches hold.
     pub caches: &'a CacheBeliefs,
-    /// How fast engines read.
-    pub speed: &'a EngineSpeed,
+    /// What engines of the service need to read prompts.
+    pub speed: &'a ReadingCost,
     /// The availability zone of this instance.
     pub zone: &'a str,
     /// The time now.
@@ -77,6 +78,8 @@
     pub upstream: Arc<Upstream>,
     /// An engine that holds more of the prompt, from which it should fetch first.
     pub fetch_from: Option<Arc<Upstream>>,
+    /// How many tokens of the prompt it holds already.
+    pub cached: u32,
     /// The predicted work, in milliseconds.
     pub reading_ms: f64,
     /// What has to be fetched before, in milliseconds of the engine's link.
@@ -227,6 +230,7 @@
                 return Reader {
                     upstream: Arc::clone(upstream),
                     fetch_from: Some(Arc::clone(other)),
+                    cached: *more,
                     reading_ms: rest_ms,
                     fetching_ms: fetch_ms,
                     backlog_ms,
@@ -237,6 +241,7 @@
         Reader {
             upstream: Arc::clone(upstream),
             fetch_from: None,
+            cached: held,
             reading_ms: read_ms,
             fetching_ms: 0.0,
             backlog_ms,
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -13,6 +13,7 @@
 
 use super::answers::WholeAnswer;
 use super::requests::{Exchange, end_to_end};
+use super::waiting::Wait;
 use super::{Gateway, PEER_BELIEF};
 use crate::events::{Event, emit};
 use crate::fleets::Upstream;
@@ -40,6 +41,11 @@
         Self { verdict: Verdict::NotRun, cause, is_refusal: true }
     }
 
+    /// A try that ended before anything was sent.
+    pub fn not_sent(cause: &'static str) -> Self {
+        Self { verdict: Verdict::NotRun, cause, is_refusal: false }
+    }
+
     pub fn may_have_run(cause: &'static str) -> Self {
         Self { verdict: Verdict::MayHaveRun, cause, is_refusal: false }
     }
@@ -70,6 +76,8 @@
     pub predicted_ms: f64,
     /// What of that is the engine's own work, in milliseconds, for logs.
     pub work_ms: f64,
+    /// How long the request was held before, for logs.
+    pub wait: Wait,
     /// The engine from which the prompt is fetched, for logs.
     pub source: Option<Arc<str>>,
 }
@@ -110,6 +118,8 @@
             stage: sending.stage,
             predicted_ms: sending.predicted_ms as u64,
             work_ms: sending.work_ms as u64,
+            held_ms: sending.wait.held.0,
+            pace: sending.wait.pace.as_str(),
             in_flight: sending.upstream.state.work(now).in_flight,
             source: sending.source.as_deref(),
             list_age_ms: age(LIST_BELIEF),
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -14,6 +14,7 @@
 use super::prompts::{Job, Opened, REFUSED_PAUSE, Tried};
 use super::requests::Exchange;
 use super::resumption::Relay;
+use super::waiting::Wait;
 use crate::fleets::Upstream;
 use crate::loads::Held;
 use crate::placements::Generator;
@@ -24,14 +25,26 @@
 const FIRST_EVENT_PATIENCE: Millis = Millis(1_800);
 
 /// `GenerateWork` is what generating asks of an engine before the first event.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct GenerateWork {
+    wait: Wait,
     reading_ms: f64,
     fetching_ms: f64,
     first_event_ms: f64,
     source: Option<Arc<str>>,
 }
 
+impl GenerateWork {
+    /// The work at an upstream that is no model engine.
+    const NONE: GenerateWork = GenerateWork {
+        wait: Wait::NONE,
+        reading_ms: 0.0,
+        fetching_ms: 0.0,
+        first_event_ms: 0.0,
+        source: None,
+    };
+}
+
 impl<W: Wire, C: Clock> Gateway<W, C> {
     /// Has an engine generate the output, from a handle if there is one.
     pub(super) async fn generate(
@@ -40,22 +53,28 @@
         job: &mut Job<'_>,
         generator: Generator,
         handle: Option<KvHandle<W, C>>,
+        wait: Wait,
     ) -> Tried<Opened> {
         let work = match &handle {
             Some(handle) => GenerateWork {
+                wait,
                 reading_ms: 0.0,
                 fetching_ms: generator.fetching_ms,
                 first_event_ms: generator.fetched_ms,
                 source: Some(Arc::clone(&handle.upstream().entry.id)),
             },
             None => GenerateWork {
+                wait,
                 reading_ms: generator.reading_ms,
                 fetching_ms: 0.0,
                 first_event_ms: generator.direct_ms,
                 source: None,
             },
         };
-        let mut extra = vec![self.urgency(exchange)];
+        // All streams have the same rank at an engine. A more urgent one would take the place of one
+        // that runs, whose prompt the engine would then read again at half its speed while all its
+        // other streams stand still; a loaded day had some 300 such preemptions, and has none.
+        let mut extra = Vec::new();
         if let Some(handle) = &handle {
             extra.push((self.wire().headers().kv_source.clone(), handle.source()));
         }
@@ -94,9 +113,7 @@
             return Err(nobody);
         };
         avoid.push(Arc::clone(&upstream.entry.id));
-        match self
-            .open_at(exchange, &upstream, GenerateWork::default(), Vec::new(), resume_after)
-            .await
+        match self.open_at(exchange, &upstream, GenerateWork::NONE, Vec::new(), resume_after).await
         {
             Ok(opened) => opened,
             Err(_) => Err(nobody),
@@ -144,6 +161,7 @@
             stage: "generate",
             predicted_ms: work.first_event_ms,
             work_ms: work.reading_ms + work.fetching_ms,
+            wait: work.wait,
             source: work.source,
         };
         let sent = tokio::select! {
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -9,10 +9,12 @@
 mod reading;
 mod requests;
 mod resumption;
+mod waiting;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::HttpClient;
 use arc_swap::ArcSwapOption;
@@ -27,7 +29,8 @@
 use crate::fleets::{Entry, Fleet, FleetView, Upstream};
 use crate::metrics::{GatewayMetrics, KindLabel, RequestLabels};
 use crate::peers::Peers;
-use crate::prompts::{EngineSpeed, Part};
+use crate::prompts::Part;
+use crate::speeds::Speeds;
 use crate::wires::Wire;
 
 use answers::{Outcome, OwnAnswer};
@@ -51,8 +54,8 @@
     pub zone: Arc<str>,
     /// The budget for extra arrivals at the start.
     pub budget: BudgetOptions,
-    /// How fast engines read prompts.
-    pub speed: EngineSpeed,
+    /// What engines are expected to need to read prompts, until it is learnt.
+    pub expected_reading: ReadingCost,
 }
 
 /// `Gateway` serves requests. Clones share all state.
@@ -74,6 +77,7 @@
     config: ArcSwapOption<Config>,
     fleet: Fleet,
     caches: CacheBeliefs,
+    speeds: Speeds,
     budget: Budget,
     in_flight: AtomicU64,
     is_stopping: AtomicBool,
@@ -127,6 +131,7 @@
             clock,
             client,
             budget: Budget::new(options.budget),
+            speeds: Speeds::new(options.expected_reading),
             options,
             config: ArcSwapOption::empty(),
             fleet: Fleet::new(),
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -10,6 +10,7 @@
 use super::answers::{Outcome, WholeAnswer};
 use super::attempts::{Failed, Sending};
 use super::requests::Exchange;
+use super::waiting::Wait;
 use crate::configs::Repeats;
 use crate::fleets::Upstream;
 use crate::loads::Held;
@@ -101,6 +102,7 @@
             stage: "plain",
             predicted_ms: 0.0,
             work_ms: 0.0,
+            wait: Wait::NONE,
             source: None,
         };
         let sent = self.send(exchange, sending).await;
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -12,6 +12,7 @@
 use super::attempts::Failed;
 use super::requests::Exchange;
 use super::resumption::Relay;
+use super::waiting::Held;
 use crate::configs::EngineSpec;
 use crate::placements::{Placer, Plan, Request};
 use crate::prompts::{Part, Prompt};
@@ -19,7 +20,6 @@
 
 /// The most sendings of one request after the first, refusals included.
 const MAX_REPEATS: u32 = 2;
-const KEEP: usize = 0;
 
 /// When a caller is to come back if no engine took its request.
 pub(super) const REFUSED_PAUSE: Millis = Millis(700);
@@ -45,6 +45,8 @@
     pub engine: &'a EngineSpec,
     /// The prompt.
     pub prompt: &'a Prompt,
+    /// The tightest objective of the service.
+    pub tightest: Millis,
     /// The event after which the stream is to go on, if it was broken.
     pub resume_after: Option<u64>,
     /// The engines that have failed or refused the request.
@@ -114,89 +116,56 @@
         let (Some(engine), Some(prompt)) = (engine, prompt) else {
             return Ok(self.stream_plainly(exchange, resume_after, avoid).await);
         };
-        let mut job = Job { engine: &engine, prompt: &prompt, resume_after, avoid };
-        let mut plan = self.plan(exchange, &job);
-        if plan.is_none() && resume_after.is_some() {
+        let tightest = config.tightest_objective(&exchange.service);
+        let mut job = Job { engine: &engine, prompt: &prompt, tightest, resume_after, avoid };
+        if resume_after.is_some() && self.plan(exchange, &job).is_none() {
             job.avoid.clear();
-            plan = self.plan(exchange, &job);
         }
-        let Some(plan) = plan else {
-            return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE));
+        let (plan, wait) = match self.wait_for_reader(exchange, &job).await {
+            Held::Sent(plan, wait) => (plan, wait),
+            Held::NoEngine => return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
+            Held::Moved => return Ok(Err(Failed::not_sent("moved"))),
         };
         let time_left = exchange.time_left(self.now());
         if plan.first_token_ms() > time_left.0 as f64 {
             return Err(self.given_up(exchange, "overload", REFUSED_PAUSE));
         }
-        let tight = 250.0f64;
-        let began = self.now();
-        let plan = loop {
-            let plan = match self.plan(exchange, &job) {
-                Some(p) => p,
-                None => break plan,
-            };
-            let Plan::Split(reader) = &plan else { break plan };
-            if reader.reading_ms <= tight * 0.2 {
-                break plan;
-            }
-            if self.now() - began > Millis(900) {
-                break plan;
-            }
-            let now = self.now();
-            let view = self.fleet().view();
-            let others = view
-                .of_service(&exchange.service)
-                .iter()
-                .filter(|u| {
-                    u.entry.role == Some(anvilhook_core::orders::Role::Prefill)
-                        && u.takes_work(now)
-                        && u.entry.id != reader.upstream.entry.id
-                        && u.state.work(now).reading_ms <= 25.0
-                })
-                .count();
-            let total = view
-                .of_service(&exchange.service)
-                .iter()
-                .filter(|u| {
-                    u.entry.role == Some(anvilhook_core::orders::Role::Prefill) && u.takes_work(now)
-                })
-                .count();
-            let keep = KEEP.min(total.saturating_sub(1));
-            if reader.backlog_ms <= (12.0f64).max(10000.0 / reader.reading_ms) && others >= keep {
-                break plan;
-            }
-            drop(view);
-            tokio::time::sleep(std::time::Duration::from_millis(2)).await;
-        };
         let reader = match plan {
             Plan::Direct(generator) => {
-                return self.generate(exchange, &mut job, generator, None).await;
+                return self.generate(exchange, &mut job, generator, None, wait).await;
             }
             Plan::Split(reader) => reader,
         };
-        let handle = match self.read_prompt(exchange, &mut job, reader).await? {
+        let handle = match self.read_prompt(exchange, &mut job, reader, wait).await? {
             Ok(handle) => handle,
             Err(failed) => return Ok(Err(failed)),
         };
 
         // The engine that generates is chosen by what is believed after the wait for the reading.
-        let generator =
-            self.with_placer(|placer| placer.generator(&job.request(exchange), handle.upstream()));
-        let Some(generator) = generator else {
-            return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE));
-        };
-        self.generate(exchange, &mut job, generator, Some(handle)).await
+        match self.wait_for_generator(exchange, &job, handle.upstream()).await {
+            Held::Sent(generator, wait) => {
+                self.generate(exchange, &mut job, generator, Some(handle), wait).await
+            }
+            Held::NoEngine => Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
+            Held::Moved => Ok(Err(Failed::not_sent("moved"))),
+        }
     }
 
-    fn plan(&self, exchange: &Exchange, job: &Job<'_>) -> Option<Plan> {
-        self.with_placer(|placer| placer.plan(&job.request(exchange)))
+    pub(super) fn plan(&self, exchange: &Exchange, job: &Job<'_>) -> Option<Plan> {
+        self.with_placer(exchange, |placer| placer.plan(&job.request(exchange)))
     }
 
-    fn with_placer<T>(&self, f: impl FnOnce(&Placer<'_>) -> T) -> T {
+    pub(super) fn with_placer<T>(
+        &self,
+        exchange: &Exchange,
+        f: impl FnOnce(&Placer<'_>) -> T,
+    ) -> T {
         let view = self.fleet().view();
+        let speed = self.inner.speeds.reading(&exchange.service);
         f(&Placer {
             view: &view,
             caches: &self.inner.caches,
-            speed: &self.inner.options.speed,
+            speed: &speed,
             zone: &self.inner.options.zone,
             now: self.now(),
         })
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -12,6 +12,8 @@
 use super::handles::KvHandle;
 use super::prompts::{Job, REFUSED_PAUSE, Tried};
 use super::requests::Exchange;
+use super::waiting::Wait;
+use crate::fleets::Upstream;
 use crate::loads::Held;
 use crate::peers::GREAT_NEWS_MS;
 use crate::placements::Reader;
@@ -27,6 +29,18 @@
 /// The least work that says how fast an engine is; the rest is mostly the way there and back.
 const TELLING_MS: f64 = 40.0;
 
+/// What the way to an engine and back takes, in milliseconds.
+const ROUND_TRIP_MS: f64 = 2.0;
+
+/// `ReaderWork` is what was predicted of a reading.
+struct ReaderWork {
+    /// The tokens that the engine held.
+    cached: u32,
+    reading_ms: f64,
+    /// Whether it fetched a part from another engine first.
+    is_fetched: bool,
+}
+
 impl<W: Wire, C: Clock> Gateway<W, C> {
     /// Has an engine read the prompt and keep what it has read.
     pub(super) async fn read_prompt(
@@ -34,6 +48,7 @@
         exchange: &mut Exchange,
         job: &mut Job<'_>,
         reader: Reader,
+        wait: Wait,
     ) -> Tried<KvHandle<W, C>> {
         // The first such call of a request is no extra arrival.
         let is_first = !std::mem::replace(&mut exchange.has_read, true);
@@ -49,6 +64,11 @@
             extra.push((names.kv_fetch.clone(), value));
         }
         let upstream = reader.upstream;
+        let reader_work = ReaderWork {
+            cached: reader.cached,
+            reading_ms: reader.reading_ms,
+            is_fetched: reader.fetch_from.is_some(),
+        };
         let held = Held::with_work(Arc::clone(&upstream), reader.reading_ms, reader.fetching_ms);
         if reader.reading_ms >= f64::from(GREAT_NEWS_MS) {
             // Prompts that come in the same moment at several instances would otherwise all go to
@@ -66,11 +86,14 @@
             stage: "read",
             predicted_ms: reader.total_ms,
             work_ms: reader.reading_ms + reader.fetching_ms,
+            wait,
             source: reader.fetch_from.as_ref().map(|other| Arc::clone(&other.entry.id)),
         };
         let read = self.finish_reading(exchange, sending).await;
         drop(held);
         if reader.reading_ms >= f64::from(GREAT_NEWS_MS) {
+            // What waits for this engine at other instances would learn only with the next digest
+            // that it is free, and the engine would stand idle meanwhile.
             self.peers().announce();
         }
         let took = self.now() - started_at;
@@ -79,9 +102,8 @@
             .push(format!("{}(read {}ms of {:.0})", upstream.entry.id, took.0, reader.total_ms));
         match read {
             Ok(handle) => {
-                if reader.backlog_ms < IDLE_BACKLOG_MS && reader.reading_ms > TELLING_MS {
-                    let expected_ms = reader.reading_ms / upstream.state.slowness();
-                    upstream.state.record_reading(expected_ms, took.0 as f64);
+                if reader.backlog_ms < IDLE_BACKLOG_MS {
+                    self.learn_reading(exchange, job, &upstream, &reader_work, took);
                 }
                 self.record_cached(&upstream.entry.id, &job.prompt.parts, job.engine);
                 Ok(Ok(KvHandle::new(self.clone(), upstream, handle)))
@@ -94,6 +116,27 @@
         }
     }
 
+    /// Learns from a reading that found its engine idle: how fast the service's engines read, and
+    /// whether this one is slower.
+    fn learn_reading(
+        &self,
+        exchange: &Exchange,
+        job: &Job<'_>,
+        upstream: &Upstream,
+        work: &ReaderWork,
+        took: Millis,
+    ) {
+        let (state, took_ms) = (&upstream.state, took.0 as f64);
+        if !work.is_fetched {
+            let at_speed_ms = (took_ms - ROUND_TRIP_MS) / state.slowness();
+            let speeds = &self.inner.speeds;
+            speeds.record_reading(&exchange.service, job.prompt.tokens, work.cached, at_speed_ms);
+        }
+        if work.reading_ms > TELLING_MS {
+            state.record_reading(work.reading_ms / state.slowness(), took_ms);
+        }
+    }
+
     async fn finish_reading(
         &self,
         exchange: &Exchange,
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -110,6 +110,7 @@
         let headers = std::mem::take(&mut self.headers);
         let status = self.status;
         let passage = Passage {
+            began_at: gateway.now(),
             last_event_at: gateway.now(),
             longest_pause: Millis::ZERO,
             relay: self,
@@ -203,6 +204,7 @@
     gateway: Gateway<W, C>,
     exchange: Exchange,
     outcome: &'static str,
+    began_at: Millis,
     last_event_at: Millis,
     longest_pause: Millis,
     _flight: Option<Flight<W, C>>,
@@ -213,11 +215,23 @@
         let took_ms = (self.gateway.now() - self.exchange.arrived_at).0;
         let (request, outcome) = (&*self.exchange.id, self.outcome);
         let longest_pause_ms = self.longest_pause.0;
+        self.learn_output(took_ms);
         emit(&Event::StreamEnded { request, outcome, longest_pause_ms, took_ms });
     }
 }
 
 impl<W: Wire, C: Clock> Passage<W, C> {
+    /// Learns how long output takes from a stream that was whole and not resumed.
+    fn learn_output(&self, took_ms: u64) {
+        let Some(prompt) = &self.exchange.prompt else { return };
+        if self.outcome == "whole" && self.exchange.runs == 1 {
+            let first_ms = (self.began_at - self.exchange.arrived_at).0;
+            let output_ms = took_ms.saturating_sub(first_ms) as f64;
+            let speeds = &self.gateway.inner.speeds;
+            speeds.record_output(&self.exchange.service, prompt.max_output, output_ms);
+        }
+    }
+
     /// Notes that an event goes to the caller.
     fn note_event(&mut self) {
         let now = self.gateway.now();
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -13,7 +13,8 @@
 use anvilhook_gateway::loads::{Held, PeerLoad, Work};
 use anvilhook_gateway::peers::{CachedPrompt, Digest, EngineLoad, ToldRoleChange};
 use anvilhook_gateway::placements::{Placer, Plan, Request};
-use anvilhook_gateway::prompts::{EngineSpeed, Part, Prompt};
+use anvilhook_gateway::prompts::{Part, Prompt};
+use anvilhook_gateway::speeds::EXPECTED_READING;
 use anvilhook_gateway::streams::EventSplitter;
 use support::fronts::{ample_budget, gateway, route};
 use support::wires::{entry, limits};
@@ -179,7 +180,7 @@
 }
 
 fn plan(fleet: &Fleet, caches: &CacheBeliefs, prompt: &Prompt, avoid: &[Arc<str>]) -> Option<Plan> {
-    let (view, speed) = (fleet.view(), EngineSpeed::default());
+    let (view, speed) = (fleet.view(), EXPECTED_READING);
     let placer = Placer { view: &view, caches, speed: &speed, zone: "zone-a", now: Millis(1_000) };
     let engine = engine_spec();
     let request =
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -8,8 +8,8 @@
 use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, ServiceSpec, Target};
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::instances::front_router;
-use anvilhook_gateway::prompts::EngineSpeed;
 use anvilhook_gateway::relay::{Gateway, GatewayOptions};
+use anvilhook_gateway::speeds::EXPECTED_READING;
 use anvilhook_http::{ClientOptions, HttpClient, Shutdown};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -67,7 +67,7 @@
 ) -> Gateway<TestWire, C> {
     let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
     let options =
-        GatewayOptions { zone: Arc::from("zone-a"), budget, speed: EngineSpeed::default() };
+        GatewayOptions { zone: Arc::from("zone-a"), budget, expected_reading: EXPECTED_READING };
     let gateway = Gateway::new(TestWire::new(), clock, client, options);
     if let Some(config) = config {
         gateway.adopt_config(config);
@@ -114,6 +114,7 @@
         repeats,
         timeout: Some(Millis(3_000)),
         objective: Millis(200),
+        patience: Millis(2_000),
         priority: 1,
         targets: vec![Target { service: Arc::from("service"), weight: 1 }],
         max_attempts,
