Refuse at once a prompt that can't be answered before its caller leaves

Cause: a prompt that had waited until its caller's patience was nearly over was still read, for nobody, while others waited behind it. Change: pacing says that it is hopeless, and it is refused as not run.

--- a/crates/anvilhook-core/src/pacing.rs
+++ b/crates/anvilhook-core/src/pacing.rs
@@ -34,6 +34,9 @@
 /// The part of its caller's patience after which work waits no more. The rest is for the work itself.
 const WAITING_SHARE: f64 = 0.9;
 
+/// What it takes at least from a prompt's reading to the first event, in milliseconds.
+const FIRST_EVENT_MS: f64 = 60.0;
+
 /// `Waiting` is a request that waits at an instance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Waiting {
@@ -64,6 +67,8 @@
     Due,
     /// It waits.
     Hold,
+    /// It can't be answered any more before its caller leaves.
+    Hopeless,
 }
 
 impl Pace {
@@ -73,6 +78,7 @@
             Pace::Free => "free",
             Pace::Due => "due",
             Pace::Hold => "hold",
+            Pace::Hopeless => "hopeless",
         }
     }
 }
@@ -100,6 +106,8 @@
     let is_short = work_ms <= tightest.0 as f64 * SHORT_SHARE;
     if is_short || work_ms * backlog_ms <= bound_ms * bound_ms {
         Pace::Free
+    } else if waiting.age.0 as f64 + work_ms + FIRST_EVENT_MS > waiting.patience.0 as f64 {
+        Pace::Hopeless
     } else if waiting.is_due() {
         Pace::Due
     } else {
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -124,6 +124,7 @@
         let (plan, wait) = match self.wait_for_reader(exchange, &job).await {
             Held::Sent(plan, wait) => (plan, wait),
             Held::NoEngine => return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
+            Held::Hopeless => return Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
             Held::Moved => return Ok(Err(Failed::not_sent("moved"))),
         };
         let time_left = exchange.time_left(self.now());
@@ -147,6 +148,7 @@
                 self.generate(exchange, &mut job, generator, Some(handle), wait).await
             }
             Held::NoEngine => Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
+            Held::Hopeless => Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
             Held::Moved => Ok(Err(Failed::not_sent("moved"))),
         }
     }
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -40,6 +40,8 @@
     Sent(T, Wait),
     /// No engine can take it.
     NoEngine,
+    /// It can't be answered any more before its caller leaves.
+    Hopeless,
     /// The configuration has moved the request to another service.
     Moved,
 }
@@ -60,6 +62,9 @@
             let Plan::Split(reader) = &plan else { return Held::Sent(plan, Wait::NONE) };
             let waiting = self.waiting(exchange);
             let pace = pace_reading(&waiting, reader.reading_ms, reader.backlog_ms, job.tightest);
+            if pace == Pace::Hopeless {
+                return Held::Hopeless;
+            }
             if pace != Pace::Hold {
                 return Held::Sent(plan, Wait { held: self.now() - began_at, pace });
             }
