Share the watch over the tables, refuse streams that a stop would cut, spare full links

Change: digests carry the versions of the newest changes read, whoever hears of a newer one asks again over a new connection, and calls wait longer and gather for longer the more instances are heard; streams that can't be whole before the end are refused as not run; the end of work is told only among few, and what peers said of readings fades with time; nothing is sent for a caller whose patience is over.

--- a/crates/anvilhook-core/src/pacing.rs
+++ b/crates/anvilhook-core/src/pacing.rs
@@ -37,6 +37,27 @@
 /// What it takes at least from a prompt's reading to the first event, in milliseconds.
 const FIRST_EVENT_MS: f64 = 60.0;
 
+/// How much longer than predicted an output may take, and what goes before it at most, in
+/// milliseconds, if it is to be whole before its instance ends.
+const ENDING_FACTOR: f64 = 1.5;
+const BEFORE_OUTPUT_MS: f64 = 1_500.0;
+
+/// Returns whether a stream that arrives now will be whole before an instance that stops ends.
+///
+/// A stream that is taken too late is cut by the end of the process. Its caller is better sent to
+/// another instance at once.
+///
+/// ```
+/// use anvilhook_core::pacing::ends_in_time;
+/// use anvilhook_core::units::Millis;
+///
+/// assert!(ends_in_time(Millis(4_000), 1_500.0));
+/// assert!(!ends_in_time(Millis(4_000), 3_000.0));
+/// ```
+pub fn ends_in_time(left: Millis, output_ms: f64) -> bool {
+    output_ms * ENDING_FACTOR + BEFORE_OUTPUT_MS <= left.0 as f64
+}
+
 /// `Waiting` is a request that waits at an instance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Waiting {
@@ -49,6 +70,12 @@
 }
 
 impl Waiting {
+    /// Returns whether its caller must have left. What is sent for it now runs for nobody, also
+    /// where the word of its leaving is late on a full link.
+    fn has_lost_its_caller(&self) -> bool {
+        self.age >= self.patience
+    }
+
     /// Returns whether it has waited for as long as is of use.
     ///
     /// Without an end to the waiting, what always finds something shorter before it would be given
@@ -102,6 +129,9 @@
 /// assert_eq!(pace_reading(&waiting, 400.0, 20.0, tightest), Pace::Free);
 /// ```
 pub fn pace_reading(waiting: &Waiting, work_ms: f64, backlog_ms: f64, tightest: Millis) -> Pace {
+    if waiting.has_lost_its_caller() {
+        return Pace::Hopeless;
+    }
     let bound_ms = tightest.0 as f64 * READING_SHARE;
     let is_short = work_ms <= tightest.0 as f64 * SHORT_SHARE;
     if is_short || work_ms * backlog_ms <= bound_ms * bound_ms {
@@ -146,6 +176,9 @@
     output_ms: f64,
     places: Places,
 ) -> Pace {
+    if waiting.has_lost_its_caller() {
+        return Pace::Hopeless;
+    }
     let slots = f64::from(places.slots);
     let is_brief = output_ms <= waiting.objective.0 as f64;
     let is_late = waiting.age.0 as f64 + first_event_ms > waiting.objective.0 as f64;
--- a/crates/anvilhook-gateway/src/followers.rs
+++ b/crates/anvilhook-gateway/src/followers.rs
@@ -7,6 +7,7 @@
 use crate::entries::EntryBook;
 use crate::events::{Event, emit};
 use crate::fleets::Entry;
+use crate::peers::{FollowedTable, Peers};
 use crate::relay::Gateway;
 use crate::tables::{Row, Rows, Table, TableError};
 use crate::wires::{DecodeError, Wire};
@@ -41,6 +42,31 @@
 /// would otherwise cost each instance a call each, and every call has its price.
 const GATHER_TIME: Millis = Millis(250);
 
+/// How many instances share the calls that wait for changes: with twice as many, each call waits
+/// twice as long, since whoever hears of a change tells it. Of 68 instances each call would else be
+/// one of 48 a second.
+const SHARING_INSTANCES: usize = 8;
+
+/// How many times longer changes gather at most where there are many instances.
+const MOST_GATHERING: u64 = 3;
+
+/// How long after a peer has told of a change an instance waits to hear of it by its own call.
+const TOLD_PATIENCE: Millis = Millis(400);
+
+/// How often a call that waits for long is looked after.
+const LOOK_EVERY: Millis = Millis(500);
+
+/// Returns how many times as long calls may wait among so many instances.
+///
+/// ```
+/// use anvilhook_gateway::followers::sharing;
+///
+/// assert_eq!((sharing(1), sharing(9), sharing(68)), (1, 1, 8));
+/// ```
+pub fn sharing(instances: usize) -> u64 {
+    (instances / SHARING_INSTANCES).max(1) as u64
+}
+
 /// The pause after a failed call; it grows to the second figure.
 const FIRST_PAUSE: Millis = Millis(50);
 const LONGEST_PAUSE: Millis = Millis(400);
@@ -63,6 +89,11 @@
     /// Notes that the table has answered.
     fn heard(&mut self) {}
 
+    /// Returns the instances that follow the table too, and which it is for them.
+    fn sharers(&self) -> Option<(Arc<Peers>, FollowedTable)> {
+        None
+    }
+
     /// Returns how long further changes may gather before they are asked for.
     fn gather_time(&self) -> Millis {
         Millis::ZERO
@@ -89,7 +120,7 @@
         let read = match version {
             None => table.scan(name).await,
             Some(version) if is_lost => table.changes(name, version, WAIT_WHILE_LOST).await,
-            Some(version) => table.changes(name, version, wait).await,
+            Some(version) => wait_for_changes(&table, &clock, &follower, version, wait).await,
         };
         match read {
             Ok(rows) => {
@@ -102,8 +133,11 @@
                 follower.heard();
                 take_in(&mut follower, &rows, version.is_none());
                 version = Some(rows.version);
+                note_followed(&follower, &rows);
                 if !rows.rows.is_empty() {
-                    tokio::time::sleep(follower.gather_time().as_duration()).await;
+                    let longer = instances_of(&follower, &clock).map_or(1, sharing);
+                    let gather = Millis(follower.gather_time().0 * longer.min(MOST_GATHERING));
+                    tokio::time::sleep(gather.as_duration()).await;
                 }
             }
             Err(TableError::HistoryGone) => {
@@ -129,6 +163,58 @@
     }
 }
 
+/// Returns how many instances are heard to follow the same table, this one among them.
+fn instances_of<F: Follow, C: Clock>(follower: &F, clock: &C) -> Option<usize> {
+    let (peers, _) = follower.sharers()?;
+    Some(peers.heard(clock.now()) + 1)
+}
+
+/// Notes for the others how far the table has been followed.
+fn note_followed<F: Follow>(follower: &F, rows: &Rows) {
+    let Some((peers, table)) = follower.sharers() else { return };
+    if let Some(newest) = rows.rows.iter().map(|row| row.version).max() {
+        peers.version_of(table).record_own(newest);
+    }
+}
+
+/// Waits for changes, for longer the more instances share the watch. The wait is broken off if a
+/// peer knows of a change of which this call brings no word, or if nobody is heard any more.
+///
+/// Either shows that the connection may have gone silent; the table is then asked over another one.
+async fn wait_for_changes<T: Table, F: Follow, C: Clock>(
+    table: &T,
+    clock: &C,
+    follower: &F,
+    version: u64,
+    wait: Millis,
+) -> Result<Rows, TableError> {
+    let name = follower.table();
+    let Some((peers, which)) = follower.sharers() else {
+        return table.changes(name, version, wait).await;
+    };
+    let longer = sharing(peers.heard(clock.now()) + 1);
+    let shared_wait = Millis(wait.0 * longer).min(LONGEST_WAIT);
+    let alone_at = clock.now() + wait + BESIDE_WAIT;
+    let known = peers.version_of(which);
+    let told = async {
+        known.told_newer_than(version).await;
+        tokio::time::sleep(TOLD_PATIENCE.as_duration()).await;
+    };
+    let alone = async {
+        while clock.now() < alone_at || sharing(peers.heard(clock.now()) + 1) * 2 >= longer {
+            tokio::time::sleep(LOOK_EVERY.as_duration()).await;
+        }
+    };
+    tokio::select! {
+        rows = table.changes(name, version, shared_wait) => rows,
+        () = told => {
+            known.ask(version);
+            Err(TableError::NoAnswer("peers know of a change".to_owned()))
+        }
+        () = alone => Err(TableError::NoAnswer("fewer peers are heard".to_owned())),
+    }
+}
+
 fn unreadable(table: &str, key: &str, err: &DecodeError) {
     emit(&Event::UnreadableRow { table, key, cause: err.to_string() });
 }
@@ -166,6 +252,10 @@
         self.gateway.record_contact(CONFIG_BELIEF);
     }
 
+    fn sharers(&self) -> Option<(Arc<Peers>, FollowedTable)> {
+        Some((Arc::clone(self.gateway.peers()), FollowedTable::Config))
+    }
+
     fn change(&mut self, rows: &[Row]) {
         let (_, key) = self.gateway.wire().config_row();
         for row in rows.iter().filter(|row| row.key == key) {
@@ -262,6 +352,10 @@
         self.gateway.record_contact(LIST_BELIEF);
     }
 
+    fn sharers(&self) -> Option<(Arc<Peers>, FollowedTable)> {
+        Some((Arc::clone(self.gateway.peers()), FollowedTable::Entries))
+    }
+
     fn regained(&mut self, last_away: Millis) {
         let now = self.clock.now();
         let mut book = self.book.lock().expect("no panic under this lock");
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -177,7 +177,7 @@
     // With too few others, connections keep coming. What is taken too late would be cut by the
     // process's end, so the last part of the time only finishes what has begun.
     let last_taken_at = latest - FINISH_TIME;
-    gateway.begin_stop();
+    gateway.begin_stop(latest);
     quiet(gateway, clock, noticed_at, last_taken_at).await;
     shutdown.advance(Phase::Closed);
     quiet(gateway, clock, Millis::ZERO, last_taken_at).await;
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -227,7 +227,10 @@
         for peer in self.peers.lock().expect("no panic under this lock").values() {
             if peer.at >= since {
                 work.in_flight += peer.work.in_flight;
-                work.reading_ms += peer.work.reading_ms;
+                // The engine goes on reading while nothing is heard. Without that, what waits here
+                // for a busy engine would wait until the next word of its end.
+                let since_heard_ms = (now - peer.at).0 as f64;
+                work.reading_ms += (peer.work.reading_ms - since_heard_ms).max(0.0);
                 work.fetching_ms += peer.work.fetching_ms;
             }
         }
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -4,6 +4,7 @@
 use anvilhook_core::units::{Clock, Millis};
 use serde::{Deserialize, Serialize};
 
+use super::versions::FollowedTable;
 use crate::loads::{PeerLoad, RoleChange, Work};
 use crate::prompts::Part;
 use crate::relay::Gateway;
@@ -58,6 +59,9 @@
     pub away: Vec<(u32, u32)>,
     /// Engines that the sender has ordered to take another role.
     pub role_changes: Vec<ToldRoleChange>,
+    /// The versions of the newest changes of the configuration and of the entries that the sender has
+    /// read.
+    pub versions: (u64, u64),
 }
 
 /// Makes the digest of what this instance has in flight, and of what the peers don't know yet.
@@ -69,7 +73,9 @@
     const MAX_CACHED: usize = 24;
     let view = gateway.fleet().view();
     let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
-    let mut digest = Digest { from: number, ..Digest::default() };
+    let of = |table| gateway.peers().version_of(table).own();
+    let versions = (of(FollowedTable::Config), of(FollowedTable::Entries));
+    let mut digest = Digest { from: number, versions, ..Digest::default() };
     for upstream in engines {
         let engine = upstream.digest;
         let work = upstream.state.own_work();
@@ -104,6 +110,9 @@
     gateway: &Gateway<W, C>,
     now: Millis,
 ) {
+    let (config, entries) = digest.versions;
+    gateway.peers().version_of(FollowedTable::Config).record_told(config);
+    gateway.peers().version_of(FollowedTable::Entries).record_told(entries);
     let view = gateway.fleet().view();
     // Only the engines that are named, or were, change; there may be hundreds of others.
     let ended = before.iter().filter(|engine| !digest.loads.iter().any(|l| l.engine == **engine));
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -9,9 +9,13 @@
 use anvilhook_core::units::Millis;
 use tokio::sync::Notify;
 
+use super::versions::{FollowedTable, TableVersion};
 use crate::events::{Event, emit};
 use crate::tables::{Table, TableError, Write, Written};
 
+/// The most peers that every digest goes to.
+pub(super) const FEW_PEERS: usize = 12;
+
 /// How long a peer that is not heard counts as running.
 const PEER_AGE: Millis = Millis(2_000);
 
@@ -40,6 +44,8 @@
     known: Mutex<HashMap<SocketAddr, Option<Peer>>>,
     was_told: AtomicBool,
     was_listed: AtomicBool,
+    config_version: TableVersion,
+    entries_version: TableVersion,
     news: Notify,
 }
 
@@ -49,12 +55,30 @@
         self.was_told.store(true, Ordering::Release);
     }
 
+    /// Returns how far a table has been followed.
+    pub fn version_of(&self, table: FollowedTable) -> &TableVersion {
+        match table {
+            FollowedTable::Config => &self.config_version,
+            FollowedTable::Entries => &self.entries_version,
+        }
+    }
+
     /// Has the peers told at once of what this instance has in flight. News that come before the
     /// last have been told are told together.
     pub(crate) fn announce(&self) {
         self.news.notify_one();
     }
 
+    /// Has the peers told at once if they are few. Among many, a datagram to each for the end of
+    /// each work fills the slowest links: of 68 instances those with 10 Mbit/s answered plain
+    /// requests a second late.
+    pub(crate) fn announce_to_few(&self) {
+        let known = self.known.lock().expect("no panic under this lock").len();
+        if known <= FEW_PEERS {
+            self.announce();
+        }
+    }
+
     /// Waits until there is something to be told at once.
     pub async fn announced(&self) {
         self.news.notified().await;
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -6,6 +6,7 @@
 mod digests;
 mod members;
 mod seeding;
+mod versions;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -20,11 +21,13 @@
 use crate::wires::Wire;
 
 use digests::{digest, take_in};
+use members::FEW_PEERS;
 use seeding::tell_caches;
 
 pub use digests::{CachedPrompt, Digest, EngineLoad, ToldRoleChange};
 pub use members::{Peers, register};
 pub use seeding::seed_caches;
+pub use versions::{FollowedTable, TableVersion};
 
 /// The pause between two digests.
 const TELL_EVERY: Duration = Duration::from_millis(50);
@@ -32,9 +35,6 @@
 /// How many ticks pass until a digest is sent though nothing is in flight.
 const IDLE_TICKS: u32 = 10;
 
-/// The most peers that every digest goes to.
-const FEW_PEERS: usize = 12;
-
 /// To how many of more peers a digest without great news goes, each time to others. Twelve took 6 KB
 /// a second more, headers included, and had no gain that could be measured at 64 instances.
 const FANOUT: usize = 5;
@@ -111,14 +111,17 @@
     /// Returns whether a digest is to go to all peers.
     ///
     /// What engines have read is told once only, so a peer that is left out would have it read again.
-    fn has_great_news(&mut self, digest: &Digest) -> bool {
+    fn has_great_news(&mut self, digest: &Digest, is_among_few: bool) -> bool {
         let reading: HashMap<u32, u32> =
             digest.loads.iter().map(|load| (load.engine, load.reading_ms)).collect();
         let of = |map: &HashMap<u32, u32>, engine| map.get(engine).copied().unwrap_or(0);
         let engines = reading.keys().chain(self.told_to_all.keys());
-        let has_changed = engines
-            .map(|engine| of(&reading, engine).abs_diff(of(&self.told_to_all, engine)))
-            .any(|change| change >= GREAT_NEWS_MS);
+        let mut changes = engines.map(|engine| {
+            let (now, before) = (of(&reading, engine), of(&self.told_to_all, engine));
+            // That work ends is no news where there are many: each can tell from its size.
+            if is_among_few { now.abs_diff(before) } else { now.saturating_sub(before) }
+        });
+        let has_changed = changes.any(|change| change >= GREAT_NEWS_MS);
         // An engine is away for seconds; to tell all of it with each digest would choke the links.
         let away = digest.away.iter().map(|(engine, _)| *engine);
         let away: Vec<u32> =
@@ -150,7 +153,8 @@
         (self.quiet_ticks, self.had_loads) = (0, has_loads);
         let Ok(buf) = postcard::to_stdvec(&digest) else { return };
         let mut addresses = gateway.peers().addresses(now);
-        let is_for_all = self.has_great_news(&digest) || addresses.len() <= FEW_PEERS;
+        let is_among_few = addresses.len() <= FEW_PEERS;
+        let is_for_all = self.has_great_news(&digest, is_among_few) || is_among_few;
         let fanout = if is_for_all { addresses.len() } else { FANOUT };
         let (chosen, _) = addresses.partial_shuffle(&mut self.rng, fanout);
         for address in chosen {
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+use anvilhook_core::pacing::ends_in_time;
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::HttpClient;
@@ -81,6 +82,8 @@
     budget: Budget,
     in_flight: AtomicU64,
     is_stopping: AtomicBool,
+    /// When the instance ends, if it stops.
+    ends_at: AtomicU64,
     refuses: AtomicBool,
     has_fleet: AtomicBool,
     metrics: GatewayMetrics,
@@ -138,6 +141,7 @@
             caches: CacheBeliefs::new(),
             in_flight: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
+            ends_at: AtomicU64::new(u64::MAX),
             refuses: AtomicBool::new(false),
             has_fleet: AtomicBool::new(false),
             metrics: GatewayMetrics::new(),
@@ -185,8 +189,10 @@
         knows && !self.is_stopping()
     }
 
-    /// Notes that the instance is about to stop. Requests are still served.
-    pub fn begin_stop(&self) {
+    /// Notes that the instance is about to stop, and ends at a time. Requests are still served, but
+    /// for streams that would be cut by the end.
+    pub fn begin_stop(&self, ends_at: Millis) {
+        self.inner.ends_at.store(ends_at.0, Ordering::Release);
         self.inner.is_stopping.store(true, Ordering::Release);
     }
 
@@ -195,6 +201,14 @@
         self.inner.refuses.store(true, Ordering::Release);
     }
 
+    /// Returns whether a stream that begins now would be cut by the instance's end.
+    fn would_be_cut(&self, exchange: &Exchange) -> bool {
+        let Some(prompt) = &exchange.prompt else { return false };
+        let left = Millis(self.inner.ends_at.load(Ordering::Acquire)) - self.now();
+        let output_ms = self.inner.speeds.output_ms(&exchange.service, prompt.max_output);
+        self.is_stopping() && !ends_in_time(left, output_ms)
+    }
+
     fn is_stopping(&self) -> bool {
         self.inner.is_stopping.load(Ordering::Acquire)
     }
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -69,6 +69,9 @@
 impl<W: Wire, C: Clock> Gateway<W, C> {
     pub(super) async fn serve_prompt(&self, exchange: &mut Exchange) -> Outcome {
         self.inner.budget.record_request(&exchange.service, self.now());
+        if self.would_be_cut(exchange) {
+            return Outcome::refused("stopping", Millis::ZERO);
+        }
         match self.open_stream(exchange, None, Vec::new()).await {
             Ok(Opened::Stream(relay)) => Outcome::Stream(relay),
             Ok(Opened::Answer(answer)) => Outcome::Whole(answer),
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -94,7 +94,7 @@
         if reader.reading_ms >= f64::from(GREAT_NEWS_MS) {
             // What waits for this engine at other instances would learn only with the next digest
             // that it is free, and the engine would stand idle meanwhile.
-            self.peers().announce();
+            self.peers().announce_to_few();
         }
         let took = self.now() - started_at;
         exchange
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -98,6 +98,9 @@
             let output_ms = self.inner.speeds.output_ms(&exchange.service, job.prompt.max_output);
             let waiting = self.waiting(exchange);
             let pace = pace_generating(&waiting, generator.fetched_ms, output_ms, places);
+            if pace == Pace::Hopeless {
+                return Held::Hopeless;
+            }
             if pace != Pace::Hold {
                 return Held::Sent(generator, Wait { held: self.now() - began_at, pace });
             }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -345,6 +345,7 @@
         is_partial: false,
         away: vec![(9, 2_500)],
         role_changes: vec![ToldRoleChange { engine: 8, role: Role::Decode, left_ms: 9_000 }],
+        versions: (7, 700),
     };
 
     let bytes = postcard::to_stdvec(&digest).expect("it can be written");
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -10,6 +10,8 @@
 use anvilhook_gateway::entries::EntryBook;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::followers::{ConfigFollower, EntryFollower, follow};
+use anvilhook_gateway::peers::{FollowedTable, TableVersion};
+use futures_util::FutureExt;
 use support::fronts::{TestGateway, ample_budget, start, versioned};
 use support::tables::{Fault, MemoryTable};
 use support::wires::entry;
@@ -306,3 +308,45 @@
     let (waits, scans) = table.calls();
     assert!(waits.len() + scans <= 8, "{} calls", waits.len() + scans);
 }
+
+/// Symptom: an instance sends requests to an upstream that left twenty seconds before.
+/// Sequence: there are many instances, so that each call for changes waits long; the connection of
+/// one goes silent, and then the upstream leaves. Another instance hears of it and tells.
+/// Cause: whoever hears of a change that its own call does not bring asks the table again.
+#[tokio::test]
+async fn verify_a_silent_connection_is_noticed_by_what_peers_tell() {
+    let gateway = gateway().await;
+    let table = MemoryTable::default();
+    table.put("upstreams", "a", Some("ready 1"));
+    let clock = SystemClock::new();
+    let follower = EntryFollower::new(gateway.clone(), clock.clone());
+    tokio::spawn(follow(table.clone(), clock, Millis(600_000), follower));
+    until(|| gateway.fleet().view().get("a").is_some()).await;
+    until(|| !table.calls().0.is_empty()).await;
+    table.set_fault(Fault::Silent);
+    table.put("upstreams", "a", Some("leaving 2"));
+
+    gateway.peers().version_of(FollowedTable::Entries).record_told(table.version());
+
+    until(|| !gateway.fleet().takes_work("a", Millis::ZERO)).await;
+    assert_eq!(table.calls().0.last(), Some(&Millis::ZERO), "no further call that may go silent");
+}
+
+/// Symptom: the table is asked for ever for a version that it does not have.
+/// Sequence: a peer tells of a version that no row bears.
+/// Cause: what was told of is asked for once.
+#[tokio::test]
+async fn verify_a_version_that_nobody_can_read_is_asked_for_once() {
+    let version = TableVersion::default();
+    version.record_own(5);
+    version.record_told(9);
+
+    version.told_newer_than(5).await;
+    version.ask(5);
+
+    assert!(version.told_newer_than(5).now_or_never().is_none());
+    version.record_told(8);
+    assert!(version.told_newer_than(5).now_or_never().is_none(), "an older one");
+    version.record_told(10);
+    assert!(version.told_newer_than(5).now_or_never().is_some());
+}
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -3,8 +3,10 @@
 mod support;
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::loads::{Held, RoleChange};
 use anvilhook_gateway::prompts::Part;
 use futures_util::FutureExt;
 use support::fronts::{Front, ample_budget, config, start};
@@ -330,3 +332,75 @@
     assert!(!answer.is_complete());
     silent.left().await;
 }
+
+/// Symptom: streams are cut by a planned stop.
+/// Sequence: an instance stops; a connection that is kept brings a request three seconds later, whose
+/// output takes longer than the time that is left.
+/// Cause: what can't be whole before the end is refused as not run, so that its caller goes elsewhere.
+#[tokio::test]
+async fn verify_a_stream_that_a_stop_would_cut_is_refused() {
+    for (left, status, sent) in [(1_000, 503, 0), (60_000, 200, 1)] {
+        let engine_of = Upstream::always(stream(1, 2)).await;
+        let front = front_of(RESUMABLE, vec![engine("e", &engine_of, Role::Decode)]).await;
+        front.gateway.begin_stop(SystemClock::new().now() + Millis(left));
+
+        let answer = front.post("r1", PROMPT, "").await;
+
+        assert_eq!(
+            (answer.status, engine_of.received().len()),
+            (status, sent),
+            "{left}: {answer:?}"
+        );
+        assert!(answer.head.contains("connection: close"), "{left}: {answer:?}");
+    }
+}
+
+/// Symptom: short prompts are late behind a long one that came just before.
+/// Sequence: the only reader reads; a long prompt comes, then a short one; then the reader is free.
+/// Cause: the long one waits here until the reader is nearly free, and the short one does not.
+#[tokio::test]
+async fn verify_a_long_prompt_waits_here_while_its_reader_reads() {
+    const LONG: &str = "T-Tokens: 20000\r\n";
+    let reader = Upstream::start(reader_script).await;
+    let generator = Upstream::always(stream(1, 2)).await;
+    let engines = vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
+    let front = front_of(RESUMABLE, engines).await;
+    let busy = std::sync::Arc::clone(front.gateway.fleet().view().get("r").expect("listed"));
+    let backlog = Held::with_work(busy, 500.0, 0.0);
+    let mut long = Box::pin(front.post("long", LONG, ""));
+
+    let short = tokio::select! {
+        answer = front.post("short", PROMPT, "") => answer,
+        answer = &mut long => panic!("the long one came first: {answer:?}"),
+    };
+
+    assert_eq!((short.status, reader.received().len()), (200, 1));
+    drop(backlog);
+    assert_eq!((long.await.status, reader.received().len()), (200, 2));
+}
+
+/// Symptom: the retry budget is spent at one engine, and other requests are refused for want of it.
+/// Sequence: an engine is ordered to take another role; it ends what runs, and refuses all else for
+/// longer than the change itself takes.
+/// Cause: it gets no work until it is listed with the new role, or the order is surely over.
+#[tokio::test]
+async fn verify_an_engine_that_changes_its_role_gets_no_work_until_it_is_listed() {
+    let changing = Upstream::always(vec![refusal()]).await;
+    let other = Upstream::always(stream(1, 2)).await;
+    let listed = |role| {
+        let far = far_engine("other", &other, Role::Decode);
+        vec![engine("changing", &changing, role), far]
+    };
+    let front = front_of(RESUMABLE, listed(Role::Prefill)).await;
+    let view = front.gateway.fleet().view();
+    let state = &view.get("changing").expect("listed").state;
+    let until = SystemClock::new().now() + Millis(60_000);
+    state.record_role_change(RoleChange { role: Role::Decode, until, is_own: true });
+
+    let meanwhile = front.post("r1", PROMPT, "").await;
+    assert_eq!((meanwhile.status, changing.received().len()), (200, 0));
+
+    front.gateway.adopt_entries(listed(Role::Decode));
+    let now = SystemClock::new().now();
+    assert!(front.gateway.fleet().takes_work("changing", now), "it has the new role");
+}
--- a/crates/anvilhook-gateway/tests/support/tables.rs
+++ b/crates/anvilhook-gateway/tests/support/tables.rs
@@ -21,6 +21,8 @@
     LargeChanges,
     /// Writes take effect, and their answers are lost.
     AnswersLost,
+    /// Calls that wait for changes are never answered.
+    Silent,
 }
 
 #[derive(Debug, Default)]
@@ -57,7 +59,9 @@
     /// Sets what is wrong.
     pub fn set_fault(&self, fault: Fault) {
         self.state.lock().expect("no panic").fault = fault;
-        self.changed.notify_waiters();
+        if fault != Fault::Silent {
+            self.changed.notify_waiters();
+        }
     }
 
     /// Returns the waits that were asked for, and the number of scans.
@@ -79,6 +83,11 @@
         value.map(|value| String::from_utf8_lossy(&value).into_owned())
     }
 
+    /// Returns the version of the newest change.
+    pub fn version(&self) -> u64 {
+        self.state.lock().expect("no panic").version
+    }
+
     fn since(&self, table: &str, version: u64) -> Rows {
         let state = self.state.lock().expect("no panic");
         let rows = state.rows.iter().filter(|(name, row)| name == table && row.version > version);
@@ -97,7 +106,7 @@
                 state.fault = Fault::None;
                 Err(TableError::HistoryGone)
             }
-            Fault::None | Fault::AnswersLost | Fault::LargeChanges => Ok(()),
+            Fault::None | Fault::AnswersLost | Fault::LargeChanges | Fault::Silent => Ok(()),
         }
     }
 }
@@ -123,6 +132,10 @@
             let changed = self.changed.notified();
             let _ = tokio::time::timeout(wait.as_duration(), changed).await;
             self.check()?;
+            let is_silent = self.state.lock().expect("no panic").fault == Fault::Silent;
+            if is_silent && wait > Millis::ZERO {
+                std::future::pending::<()>().await;
+            }
             rows = self.since(table, version);
         }
         Ok(rows)
