Count a caller's patience from its last event when its stream is gone on with

Cause: a resumable stream that broke later than its caller's patience after the request's arrival was taken for hopeless and cut, since the waiting counted from the arrival. Change: a request waits since its arrival, or since the last event of a stream that broke. Result: verify_a_stream_that_has_lasted_is_gone_on_with, red without the change.

--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -12,7 +12,7 @@
 use super::attempts::Failed;
 use super::requests::Exchange;
 use super::resumption::Relay;
-use super::waiting::Held;
+use super::waiting::Waited;
 use crate::configs::EngineSpec;
 use crate::placements::{Placer, Plan, Request};
 use crate::prompts::{Part, Prompt};
@@ -125,10 +125,10 @@
             job.avoid.clear();
         }
         let (plan, wait) = match self.wait_for_reader(exchange, &job).await {
-            Held::Sent(plan, wait) => (plan, wait),
-            Held::NoEngine => return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
-            Held::Hopeless => return Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
-            Held::Moved => return Ok(Err(Failed::not_sent("moved"))),
+            Waited::Sent(plan, wait) => (plan, wait),
+            Waited::NoEngine => return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
+            Waited::Hopeless => return Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
+            Waited::Moved => return Ok(Err(Failed::not_sent("moved"))),
         };
         let time_left = exchange.time_left(self.now());
         if plan.first_token_ms() > time_left.0 as f64 {
@@ -147,12 +147,12 @@
 
         // The engine that generates is chosen by what is believed after the wait for the reading.
         match self.wait_for_generator(exchange, &job, handle.upstream()).await {
-            Held::Sent(generator, wait) => {
+            Waited::Sent(generator, wait) => {
                 self.generate(exchange, &mut job, generator, Some(handle), wait).await
             }
-            Held::NoEngine => Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
-            Held::Hopeless => Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
-            Held::Moved => Ok(Err(Failed::not_sent("moved"))),
+            Waited::NoEngine => Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
+            Waited::Hopeless => Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
+            Waited::Moved => Ok(Err(Failed::not_sent("moved"))),
         }
     }
 
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -40,6 +40,9 @@
     pub prompt: Option<Prompt>,
     /// When it arrived.
     pub arrived_at: Millis,
+    /// Since when the caller waits for the next event: from the arrival, or from a break of its
+    /// stream.
+    pub waits_since: Millis,
     /// When the caller must have its final answer.
     pub give_up_at: Millis,
     /// The upstreams that it was sent to, in order.
@@ -99,6 +102,7 @@
             body,
             route: Arc::clone(route),
             arrived_at,
+            waits_since: arrived_at,
             give_up_at: deadline.min(timeout),
             tried: Vec::new(),
             runs: 0,
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -287,8 +287,10 @@
             self.log_broken(&upstream, failed, "not_allowed");
             return Err(io::Error::other(failed.cause));
         }
-        // The run before is ended before another one begins.
+        // The run before is ended before another one begins. The caller has had events, and counts
+        // its patience from the last one.
         self.relay.body = Body::empty();
+        self.exchange.waits_since = self.last_event_at;
         let time_left = self.exchange.time_left(gateway.now());
         let opening = gateway.open_stream(&mut self.exchange, last_id, vec![Arc::clone(&upstream)]);
         let opened = tokio::time::timeout(time_left.as_duration(), opening).await;
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -34,8 +34,8 @@
     pub const NONE: Wait = Wait { held: Millis::ZERO, pace: Pace::Free };
 }
 
-/// `Held` is what came of waiting.
-pub(super) enum Held<T> {
+/// `Waited` is what came of waiting.
+pub(super) enum Waited<T> {
     /// The request is to be sent as it says, at once.
     Sent(T, Wait),
     /// No engine can take it.
@@ -52,21 +52,21 @@
         &self,
         exchange: &mut Exchange,
         job: &Job<'_>,
-    ) -> Held<Plan> {
+    ) -> Waited<Plan> {
         let began_at = self.now();
         loop {
             if self.has_moved(exchange) {
-                return Held::Moved;
+                return Waited::Moved;
             }
-            let Some(plan) = self.plan(exchange, job) else { return Held::NoEngine };
-            let Plan::Split(reader) = &plan else { return Held::Sent(plan, Wait::NONE) };
+            let Some(plan) = self.plan(exchange, job) else { return Waited::NoEngine };
+            let Plan::Split(reader) = &plan else { return Waited::Sent(plan, Wait::NONE) };
             let waiting = self.waiting(exchange);
             let pace = pace_reading(&waiting, reader.reading_ms, reader.backlog_ms, job.tightest);
             if pace == Pace::Hopeless {
-                return Held::Hopeless;
+                return Waited::Hopeless;
             }
             if pace != Pace::Hold {
-                return Held::Sent(plan, Wait { held: self.now() - began_at, pace });
+                return Waited::Sent(plan, Wait { held: self.now() - began_at, pace });
             }
             let look_ms = reader.backlog_ms * LOOK_SHARE;
             pause(look_ms.clamp(SHORTEST_LOOK_MS, LONGEST_LOOK_MS)).await;
@@ -82,15 +82,15 @@
         exchange: &mut Exchange,
         job: &Job<'_>,
         reader: &Upstream,
-    ) -> Held<Generator> {
+    ) -> Waited<Generator> {
         let began_at = self.now();
         loop {
             if self.has_moved(exchange) {
-                return Held::Moved;
+                return Waited::Moved;
             }
             let chosen = self
                 .with_placer(exchange, |placer| placer.generator(&job.request(exchange), reader));
-            let Some(generator) = chosen else { return Held::NoEngine };
+            let Some(generator) = chosen else { return Waited::NoEngine };
             let places = Places {
                 slots: generator.upstream.entry.slots,
                 in_flight: generator.upstream.state.work(self.now()).in_flight,
@@ -99,10 +99,10 @@
             let waiting = self.waiting(exchange);
             let pace = pace_generating(&waiting, generator.fetched_ms, output_ms, places);
             if pace == Pace::Hopeless {
-                return Held::Hopeless;
+                return Waited::Hopeless;
             }
             if pace != Pace::Hold {
-                return Held::Sent(generator, Wait { held: self.now() - began_at, pace });
+                return Waited::Sent(generator, Wait { held: self.now() - began_at, pace });
             }
             pause(SHORTEST_LOOK_MS).await;
         }
@@ -110,9 +110,9 @@
 
     fn waiting(&self, exchange: &Exchange) -> Waiting {
         Waiting {
-            age: self.now() - exchange.arrived_at,
+            age: self.now() - exchange.waits_since,
             objective: exchange.route.objective,
-            patience: exchange.route.patience.min(exchange.give_up_at - exchange.arrived_at),
+            patience: exchange.route.patience.min(exchange.give_up_at - exchange.waits_since),
         }
     }
 
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -9,7 +9,7 @@
 use anvilhook_gateway::loads::{Held, RoleChange};
 use anvilhook_gateway::prompts::Part;
 use futures_util::FutureExt;
-use support::fronts::{Front, ample_budget, config, start};
+use support::fronts::{Front, ample_budget, config, impatient, start};
 use support::upstreams::{
     Received, Step, Upstream, chunk, event, refusal, signed, stream_end, stream_head,
 };
@@ -404,3 +404,33 @@
     let now = SystemClock::new().now();
     assert!(front.gateway.fleet().takes_work("changing", now), "it has the new role");
 }
+
+/// Symptom: a stream that breaks after some seconds is cut, though another engine could go on.
+/// Sequence: its events come for longer than its caller would wait for one; then its engine ends.
+/// Cause: a caller that has had events counts its patience from the last one.
+#[tokio::test]
+async fn verify_a_stream_that_has_lasted_is_gone_on_with() {
+    let lasting = vec![
+        stream_head(),
+        event(1),
+        Step::Pause(300),
+        event(2),
+        Step::Pause(300),
+        event(3),
+        Step::Close,
+    ];
+    let lasting = Upstream::always(lasting).await;
+    let reader = Upstream::start(reader_script).await;
+    let other = Upstream::always(stream(1, 4)).await;
+    let far = far_engine("other", &other, Role::Decode);
+    let engines =
+        vec![engine("r", &reader, Role::Prefill), engine("e", &lasting, Role::Decode), far];
+    let front = front_of(RESUMABLE, engines).await;
+    let config = front.gateway.config().expect("a configuration");
+    front.gateway.adopt_config(impatient(&config, Millis(500)));
+
+    let answer = front.post("r1", PROMPT, "").await;
+
+    assert_eq!(answer.events(), [1, 2, 3, 4]);
+    assert!(answer.is_complete(), "{answer:?}");
+}
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -105,6 +105,14 @@
     Config::new(version, limits(), vec![service], vec![route(repeats, max_attempts)])
 }
 
+/// Returns a newer configuration whose callers wait for so long for the next event.
+pub fn impatient(config: &Config, patience: Millis) -> Config {
+    let route = config.route("host.example", "/a/").expect("the route of the tests");
+    let services = config.services().cloned().collect();
+    let routes = vec![Route { patience, ..Route::clone(route) }];
+    Config::new(config.version + 1, limits(), services, routes)
+}
+
 /// Returns the route of the tests.
 pub fn route(repeats: Repeats, max_attempts: u32) -> Route {
     Route {
