Price a place in a generator's queue by how long outputs take

Cause: a request beyond an engine's places was taken to wait 1.5 ms for each before it, so with 12 places an engine in the own zone was filled five streams over its places while farther ones were free. Change: the wait is the mean time of an output, learnt, over the engine's places.

--- a/crates/anvilhook-core/src/speeds.rs
+++ b/crates/anvilhook-core/src/speeds.rs
@@ -140,16 +140,18 @@
     }
 }
 
-/// `OutputSpeed` learns how long a token of output takes, in milliseconds.
+/// `OutputSpeed` learns how long a token of output takes, and a whole output, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct OutputSpeed {
     token_ms: f64,
+    whole_ms: f64,
 }
 
 impl OutputSpeed {
-    /// Makes a speed of which only what is expected is known, in milliseconds a token.
-    pub fn new(token_ms: f64) -> Self {
-        Self { token_ms }
+    /// Makes a speed of which only what is expected is known, in milliseconds a token and a whole
+    /// output.
+    pub fn new(token_ms: f64, whole_ms: f64) -> Self {
+        Self { token_ms, whole_ms }
     }
 
     /// Learns from a whole output.
@@ -157,17 +159,24 @@
     /// ```
     /// use anvilhook_core::speeds::OutputSpeed;
     ///
-    /// let mut speed = OutputSpeed::new(5.0);
+    /// let mut speed = OutputSpeed::new(5.0, 500.0);
     /// (0..200).for_each(|_| speed.record(100, 900.0));
     /// assert!((speed.output_ms(10) - 90.0).abs() < 1.0);
+    /// assert!((speed.mean_ms() - 900.0).abs() < 10.0);
     /// ```
     pub fn record(&mut self, tokens: u32, took_ms: f64) {
         const WEIGHT: f64 = 0.05;
         if tokens > 0 && took_ms.is_finite() {
             self.token_ms += WEIGHT * (took_ms / f64::from(tokens) - self.token_ms);
+            self.whole_ms += WEIGHT * (took_ms - self.whole_ms);
         }
     }
 
+    /// Returns how long an output takes in the mean.
+    pub fn mean_ms(&self) -> f64 {
+        self.whole_ms
+    }
+
     /// Returns the predicted time of an output.
     pub fn output_ms(&self, tokens: u32) -> f64 {
         f64::from(tokens) * self.token_ms
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -39,9 +39,6 @@
 /// What a request in flight adds to the time of the next one at a decode engine, in milliseconds.
 const IN_FLIGHT_MS: f64 = 0.2;
 
-/// What a request beyond an engine's slots adds, in milliseconds.
-const QUEUED_MS: f64 = 1.5;
-
 /// `Placer` weighs the engines of a service for one request.
 pub struct Placer<'a> {
     /// The upstreams as they are listed now.
@@ -50,6 +47,10 @@
     pub caches: &'a CacheBeliefs,
     /// What engines of the service need to read prompts.
     pub speed: &'a ReadingCost,
+    /// How long an output takes in the mean, in milliseconds. Whoever finds an engine's places taken
+    /// waits for a share of it; to think that wait short would fill the near engines over their places
+    /// while farther ones are free.
+    pub output_ms: f64,
     /// The availability zone of this instance.
     pub zone: &'a str,
     /// The time now.
@@ -257,9 +258,11 @@
     ) -> Generator {
         let held = self.caches.held_tokens(&upstream.entry.id, req.prompt);
         let work = upstream.state.work(self.now);
-        let queued = work.in_flight.saturating_sub(upstream.entry.slots);
+        // This request comes on top of what is in flight.
+        let queued = (work.in_flight + 1).saturating_sub(upstream.entry.slots);
         let slowness = upstream.state.slowness();
-        let wait_ms = f64::from(work.in_flight) * IN_FLIGHT_MS + f64::from(queued) * QUEUED_MS;
+        let queued_ms = self.output_ms / f64::from(upstream.entry.slots.max(1));
+        let wait_ms = f64::from(work.in_flight) * IN_FLIGHT_MS + f64::from(queued) * queued_ms;
         let wait_ms = wait_ms * slowness;
         let is_generator = upstream.entry.role == Some(Role::Decode);
         let factor = if is_generator { DECODE_READING_FACTOR } else { 1.0 };
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -171,6 +171,7 @@
             view: &view,
             caches: &self.inner.caches,
             speed: &speed,
+            output_ms: self.inner.speeds.mean_output_ms(&exchange.service),
             zone: &self.inner.options.zone,
             now: self.now(),
         })
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -12,6 +12,9 @@
 /// The time of a token of output that is expected at first, in milliseconds.
 const EXPECTED_TOKEN_MS: f64 = 6.0;
 
+/// The time of a whole output that is expected at first, in milliseconds.
+const EXPECTED_OUTPUT_MS: f64 = 300.0;
+
 /// `Speeds` is what is learnt of each service's engines.
 #[derive(Debug)]
 pub struct Speeds {
@@ -41,6 +44,11 @@
         self.with(service, |speed| speed.output.output_ms(tokens))
     }
 
+    /// Returns how long a service's outputs take in the mean, in milliseconds.
+    pub fn mean_output_ms(&self, service: &Arc<str>) -> f64 {
+        self.with(service, |speed| speed.output.mean_ms())
+    }
+
     /// Learns from a prompt that an idle engine has read.
     pub fn record_reading(&self, service: &Arc<str>, tokens: u32, cached: u32, took_ms: f64) {
         self.with(service, |speed| speed.reading.record(tokens, cached, took_ms));
@@ -55,7 +63,7 @@
         let mut services = self.services.lock().expect("no panic under this lock");
         let speed = services.entry(Arc::clone(service)).or_insert_with(|| ServiceSpeed {
             reading: ReadingSpeed::new(self.expected),
-            output: OutputSpeed::new(EXPECTED_TOKEN_MS),
+            output: OutputSpeed::new(EXPECTED_TOKEN_MS, EXPECTED_OUTPUT_MS),
         });
         f(speed)
     }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -181,7 +181,14 @@
 
 fn plan(fleet: &Fleet, caches: &CacheBeliefs, prompt: &Prompt, avoid: &[Arc<str>]) -> Option<Plan> {
     let (view, speed) = (fleet.view(), EXPECTED_READING);
-    let placer = Placer { view: &view, caches, speed: &speed, zone: "zone-a", now: Millis(1_000) };
+    let placer = Placer {
+        view: &view,
+        caches,
+        speed: &speed,
+        output_ms: 300.0,
+        zone: "zone-a",
+        now: Millis(1_000),
+    };
     let engine = engine_spec();
     let request =
         Request { service: "service", engine: &engine, prompt, body_bytes: 30_000, avoid };
