Split engines by the work that is asked for, and tell only shared parts among many

Cause: two thirds of the engines read, which suits engines with many places; of 140 engines with 12 places each all generators were full while a third of the readers stood idle. Change: each instance notes the work of reading and of generating that its own requests ask for, with a memory of 15 s; whoever keeps the split takes the share of readers from it, two thirds at most, if that moves four engines or more. Among many peers only parts that several engines hold are told.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod roles;
 pub mod routing;
 pub mod speeds;
+pub mod splits;
 pub mod units;
 pub mod verdict;
 
--- /dev/null
+++ b/crates/anvilhook-core/src/splits.rs
@@ -0,0 +1,68 @@
+//! How a service's engines are split between reading prompts and generating output.
+//!
+//! The load that this answers: engines with few places, whose generators are all full while a third
+//! of the readers stand idle, for as long as the split is what other engines needed. What counts is
+//! the ratio of both kinds of work, and that each instance can tell from its own requests.
+
+use crate::units::Millis;
+
+/// After how long what was asked for counts less by two thirds. A change of role takes seconds, so a
+/// mix that swings back sooner must not move engines.
+const MEMORY: Millis = Millis::from_secs(15);
+
+/// The least work that says anything of the mix, in milliseconds of an engine.
+const LEAST_WORK_MS: f64 = 2_000.0;
+
+/// By how much the share of readers must be off before it is changed, and by how many engines. What
+/// is less does not pay for the engines' time away; among nine engines one more or less is noise.
+const LEAST_CHANGE: f64 = 0.06;
+const LEAST_ENGINES: f64 = 4.0;
+
+/// The least share of readers.
+const LEAST_SHARE: f64 = 0.34;
+
+/// `WorkMix` is the work of both kinds that was asked for of late.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkMix {
+    reading_ms: f64,
+    generating_ms: f64,
+    at: Millis,
+}
+
+impl WorkMix {
+    /// Notes a request: the reading of its prompt, and the time that its output takes of an engine
+    /// whose places are all taken, both in milliseconds of an engine.
+    pub fn record(&mut self, reading_ms: f64, generating_ms: f64, now: Millis) {
+        let fading = (-(now - self.at).as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        self.reading_ms = self.reading_ms * fading + reading_ms;
+        self.generating_ms = self.generating_ms * fading + generating_ms;
+        self.at = now;
+    }
+
+    /// Returns the share of engines that should read, if enough was asked for to tell.
+    pub fn reader_share(&self) -> Option<f64> {
+        let work_ms = self.reading_ms + self.generating_ms;
+        (work_ms >= LEAST_WORK_MS).then(|| self.reading_ms / work_ms)
+    }
+}
+
+/// Returns the share of readers to keep from now on, by the one that is kept so far and the mix.
+///
+/// `most` bounds it: readers beyond that were never of use, since what they read finds no place.
+///
+/// ```
+/// use anvilhook_core::splits::{WorkMix, next_share};
+/// use anvilhook_core::units::Millis;
+///
+/// let mut mix = WorkMix::default();
+/// mix.record(5_000.0, 5_000.0, Millis(1_000));
+/// assert_eq!(next_share(0.67, 0.67, &mix, 140), 0.5);
+/// assert_eq!(next_share(0.67, 0.67, &mix, 9), 0.67, "one engine more or less");
+/// ```
+pub fn next_share(kept: f64, most: f64, mix: &WorkMix, engines: usize) -> f64 {
+    let Some(wanted) = mix.reader_share() else { return kept };
+    let wanted = wanted.clamp(LEAST_SHARE.min(most), most);
+    let change = (wanted - kept).abs();
+    let is_worth_it = change >= LEAST_CHANGE && change * engines as f64 >= LEAST_ENGINES;
+    if is_worth_it { wanted } else { kept }
+}
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -118,6 +118,15 @@
         /// The request by which it was learnt.
         request: &'a str,
     },
+    /// Another share of a service's engines is to read prompts.
+    SplitPlanned {
+        /// The service.
+        service: &'a str,
+        /// The share.
+        share: f64,
+        /// The share before.
+        before: f64,
+    },
     /// The engines were asked what their caches hold.
     CachesRead {
         /// The parts that they hold.
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -73,12 +73,16 @@
     /// each work fills the slowest links: of 68 instances those with 10 Mbit/s answered plain
     /// requests a second late.
     pub(crate) fn announce_to_few(&self) {
-        let known = self.known.lock().expect("no panic under this lock").len();
-        if known <= FEW_PEERS {
+        if self.are_few() {
             self.announce();
         }
     }
 
+    /// Returns whether the peers are so few that every digest goes to each.
+    pub(super) fn are_few(&self) -> bool {
+        self.known.lock().expect("no panic under this lock").len() <= FEW_PEERS
+    }
+
     /// Waits until there is something to be told at once.
     pub async fn announced(&self) {
         self.news.notified().await;
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -1,5 +1,6 @@
 //! What a new instance learns of the engines' caches.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use super::TELL_EVERY;
 use super::digests::{CachedPrompt, Digest};
 use crate::events::{Event, emit};
+use crate::prompts::Part;
 use crate::relay::{Gateway, TOLD_TOKENS};
 use crate::wires::Wire;
 
@@ -55,7 +57,26 @@
     }
     let view = gateway.fleet().view();
     let engines = view.all().filter(|upstream| upstream.entry.role == Some(Role::Prefill));
-    let readings = engines.map(|upstream| gateway.read_cache(upstream));
-    let count = futures_util::future::join_all(readings).await.into_iter().sum();
-    emit(&Event::CachesRead { parts: count });
+    let readings = engines.map(async |engine| (engine, gateway.read_cache(engine).await));
+    let mut caches = futures_util::future::join_all(readings).await;
+    if !peers.are_few() {
+        keep_shared(&mut caches);
+    }
+    for (engine, parts) in &caches {
+        gateway.record_parts(engine, parts);
+    }
+    emit(&Event::CachesRead { parts: caches.iter().map(|(_, parts)| parts.len()).sum() });
+}
+
+/// Keeps only the parts that more than one engine holds. The rest are nearly all prompts' own parts,
+/// of no use to other requests; told to each of many peers, 5,600 of them filled a link of 10 Mbit/s
+/// for seven seconds, and requests were sent on for callers that had left long before.
+fn keep_shared<E>(caches: &mut [(E, Vec<Part>)]) {
+    let mut holders: HashMap<u64, usize> = HashMap::new();
+    for part in caches.iter().flat_map(|(_, parts)| parts) {
+        *holders.entry(part.id).or_default() += 1;
+    }
+    for (_, parts) in caches {
+        parts.retain(|part| holders[&part.id] > 1);
+    }
 }
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -10,6 +10,7 @@
 
 use super::{Gateway, TOLD_TOKENS};
 use crate::fleets::Upstream;
+use crate::prompts::Part;
 use crate::wires::{Call, Wire};
 
 /// How long a call of the gateway's own may take.
@@ -66,19 +67,23 @@
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
-    /// Asks an engine what its cache holds, and has the peers told of it. Returns how many parts.
-    pub(crate) async fn read_cache(&self, upstream: &Upstream) -> usize {
+    /// Asks an engine what its cache holds, and returns the parts of which the peers are told.
+    pub(crate) async fn read_cache(&self, upstream: &Upstream) -> Vec<Part> {
         let answer = self.own_call(upstream, &self.wire().cache_list()).await;
         let parts = answer.and_then(|answer| self.wire().cached_parts(&answer.body).ok());
-        let Some(mut parts) = parts else { return 0 };
+        let mut parts = parts.unwrap_or_default();
         parts.retain(|part| part.tokens >= TOLD_TOKENS);
+        parts
+    }
+
+    /// Notes what an engine's cache holds, and has the peers told of it.
+    pub(crate) fn record_parts(&self, upstream: &Upstream, parts: &[Part]) {
         let config = self.config();
         let spec = config.as_ref().and_then(|config| config.service(&upstream.entry.service));
-        let Some(engine) = spec.and_then(|spec| spec.engine.as_ref()) else { return 0 };
-        for part in &parts {
+        let Some(engine) = spec.and_then(|spec| spec.engine.as_ref()) else { return };
+        for part in parts {
             self.record_cached(&upstream.entry.id, std::slice::from_ref(part), engine);
         }
-        parts.len()
     }
 
     /// Makes a call of the gateway's own to an upstream. `None` if no whole answer came.
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -161,6 +161,11 @@
         &self.inner.fleet
     }
 
+    /// Returns how fast engines are believed to work, and on what.
+    pub fn speeds(&self) -> &Speeds {
+        &self.inner.speeds
+    }
+
     /// Returns what the engines' caches are believed to hold.
     pub fn caches(&self) -> &CacheBeliefs {
         &self.inner.caches
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -102,6 +102,13 @@
             .push(format!("{}(read {}ms of {:.0})", upstream.entry.id, took.0, reader.total_ms));
         match read {
             Ok(handle) => {
+                self.inner.speeds.record_work(
+                    &exchange.service,
+                    reader_work.reading_ms,
+                    job.prompt.max_output,
+                    job.engine.slots,
+                    self.now(),
+                );
                 if reader.backlog_ms < IDLE_BACKLOG_MS {
                     self.learn_reading(exchange, job, &upstream, &reader_work, took);
                 }
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::splits::next_share;
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
 
@@ -41,7 +42,7 @@
 /// `RoleOptions` says how the engines are to be split.
 #[derive(Clone, Debug)]
 pub struct RoleOptions {
-    /// The share of a service's engines that read prompts.
+    /// The share of a service's engines that read prompts, at first and at most.
     pub prefill_share: f64,
     /// How long the split must be uneven before an order is given.
     pub patience: Millis,
@@ -75,6 +76,8 @@
     not_before: Millis,
     uneven_since: Option<Millis>,
     settling: HashMap<u32, Millis>,
+    /// The share of readers that is kept, by service, where it is not the first one.
+    shares: HashMap<Arc<str>, f64>,
 }
 
 impl<W: Wire, T: Table, C: Clock> RoleKeeper<W, T, C> {
@@ -99,6 +102,7 @@
             not_before: Millis::ZERO,
             uneven_since: None,
             settling: Default::default(),
+            shares: HashMap::new(),
         }
     }
 
@@ -159,7 +163,11 @@
         due
     }
 
-    fn changes_of(&self, view: &FleetView, service: &ServiceSpec) -> Vec<(Arc<Upstream>, Role)> {
+    fn changes_of(
+        &mut self,
+        view: &FleetView,
+        service: &ServiceSpec,
+    ) -> Vec<(Arc<Upstream>, Role)> {
         let listed = view.of_service(&service.name);
         let staying: Vec<_> = listed
             .iter()
@@ -169,7 +177,8 @@
         if staying.len() < 2 {
             return Vec::new();
         }
-        let wanted = (staying.len() as f64 * self.options.prefill_share).round() as usize;
+        let share = self.share_of(&service.name, staying.len());
+        let wanted = (staying.len() as f64 * share).round() as usize;
         let wanted = wanted.clamp(1, staying.len() - 1);
         let of_role = |role| {
             let have = staying.iter().filter(move |upstream| upstream.entry.role == Some(role));
@@ -186,6 +195,18 @@
         taken.map(|upstream| (upstream, role)).collect()
     }
 
+    /// Returns the share of a service's engines that are to read, by the work of late.
+    fn share_of(&mut self, service: &Arc<str>, engines: usize) -> f64 {
+        let most = self.options.prefill_share;
+        let kept = self.shares.get(service).copied().unwrap_or(most);
+        let next = next_share(kept, most, &self.gateway.speeds().mix(service), engines);
+        if next != kept {
+            emit(&Event::SplitPlanned { service, share: next, before: kept });
+            self.shares.insert(Arc::clone(service), next);
+        }
+        next
+    }
+
     async fn hold_lease(&mut self) -> Option<Lease> {
         let now = self.clock.now();
         if let Some(lease) = self.lease
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Mutex};
 
 use anvilhook_core::speeds::{OutputSpeed, ReadingCost, ReadingSpeed};
+use anvilhook_core::splits::WorkMix;
+use anvilhook_core::units::Millis;
 
 /// What is expected of engines of which nothing is known.
 pub const EXPECTED_READING: ReadingCost =
@@ -26,6 +28,7 @@
 struct ServiceSpeed {
     reading: ReadingSpeed,
     output: OutputSpeed,
+    mix: WorkMix,
 }
 
 impl Speeds {
@@ -54,6 +57,27 @@
         self.with(service, |speed| speed.reading.record(tokens, cached, took_ms));
     }
 
+    /// Notes the work that a request asks for: reading, and an output at an engine with so many
+    /// places.
+    pub fn record_work(
+        &self,
+        service: &Arc<str>,
+        reading_ms: f64,
+        tokens: u32,
+        slots: u32,
+        now: Millis,
+    ) {
+        self.with(service, |speed| {
+            let generating_ms = speed.output.output_ms(tokens) / f64::from(slots.max(1));
+            speed.mix.record(reading_ms, generating_ms, now);
+        });
+    }
+
+    /// Returns the work of both kinds that was asked for of late.
+    pub fn mix(&self, service: &Arc<str>) -> WorkMix {
+        self.with(service, |speed| speed.mix)
+    }
+
     /// Learns from a whole output.
     pub fn record_output(&self, service: &Arc<str>, tokens: u32, took_ms: f64) {
         self.with(service, |speed| speed.output.record(tokens, took_ms));
@@ -64,6 +88,7 @@
         let speed = services.entry(Arc::clone(service)).or_insert_with(|| ServiceSpeed {
             reading: ReadingSpeed::new(self.expected),
             output: OutputSpeed::new(EXPECTED_TOKEN_MS, EXPECTED_OUTPUT_MS),
+            mix: WorkMix::default(),
         });
         f(speed)
     }
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -191,6 +191,39 @@
     assert_eq!(engine.received().len(), 1);
 }
 
+/// Symptom: after the loss of all instances requests reach engines a second and a half late, and for
+/// callers that have left.
+/// Sequence: one of many instances asks the engines what they hold, and tells each other one.
+/// Cause: most of what caches hold is prompts' own parts. They are of no use to others, and telling
+/// them filled the link.
+#[tokio::test]
+async fn verify_among_many_only_parts_that_are_shared_are_told() {
+    let caches = [
+        Upstream::always(vec![signed("200 OK", "77 88")]).await,
+        Upstream::always(vec![signed("200 OK", "77 99")]).await,
+    ];
+    let (one, others) = instance_among(30).await;
+    let ids = ["e0", "e1"];
+    one.gateway.adopt_entries(
+        ids.iter().zip(&caches).map(|(id, cache)| Entry {
+            role: Some(Role::Prefill),
+            ..entry(id, cache.address.port())
+        }),
+    );
+
+    one.seed().await;
+
+    let holds = |engine: &str, id| {
+        let parts = vec![Part { id, tokens: 5_000 }];
+        one.gateway.caches().held_tokens(engine, &Prompt { parts, tokens: 5_000, max_output: 1 })
+            > 0
+    };
+    assert!(ids.iter().all(|engine| holds(engine, 77)));
+    assert!(!holds("e0", 88) && !holds("e1", 99));
+    let told = hear(&others[0], |digest| !digest.cached.is_empty()).await;
+    assert!(told.cached.iter().all(|cached| cached.parts == [(77, 5_000)]), "{told:?}");
+}
+
 /// Symptom: instances do not find each other.
 /// Sequence: they register while the table is away, and again at another address.
 /// Cause: each goes on until its row is written and the others' rows are read.
