Ask right before each send whether the caller waits and the end would cut a stream

(3) Reports with a start were taken for another start's where the entry names none, so that no order was given and silent streams were taken for lost.

Change: the longest time of a token is learnt beside the mean and decides whether a stream ends in time; that and the caller's patience are asked anew right before each send, after every wait; starts of entries and reports are compared in one place each.

--- a/crates/anvilhook-core/src/speeds.rs
+++ b/crates/anvilhook-core/src/speeds.rs
@@ -144,14 +144,22 @@
 #[derive(Clone, Copy, Debug)]
 pub struct OutputSpeed {
     token_ms: f64,
+    longest_token_ms: f64,
     whole_ms: f64,
 }
 
+/// The least tokens over which the time of a token is told. The pauses of a shorter output are mostly
+/// single ones, and would make a long output seem to take minutes.
+const TELLING_TOKENS: u32 = 50;
+
+/// What a faster output takes off the longest time of a token, as a share of the difference.
+const LONGEST_FADING: f64 = 0.01;
+
 impl OutputSpeed {
     /// Makes a speed of which only what is expected is known, in milliseconds a token and a whole
     /// output.
     pub fn new(token_ms: f64, whole_ms: f64) -> Self {
-        Self { token_ms, whole_ms }
+        Self { token_ms, longest_token_ms: token_ms, whole_ms }
     }
 
     /// Learns from a whole output.
@@ -169,6 +177,10 @@
         if tokens > 0 && took_ms.is_finite() {
             self.token_ms += WEIGHT * (took_ms / f64::from(tokens) - self.token_ms);
             self.whole_ms += WEIGHT * (took_ms - self.whole_ms);
+            let telling_ms = took_ms / f64::from(tokens.max(TELLING_TOKENS));
+            let faster_ms = (self.longest_token_ms - telling_ms).max(0.0);
+            self.longest_token_ms =
+                telling_ms.max(self.longest_token_ms - LONGEST_FADING * faster_ms);
         }
     }
 
@@ -177,6 +189,23 @@
         self.whole_ms
     }
 
+    /// Returns how long an output of at most so many tokens may take, by the slowest of late.
+    ///
+    /// A caller names the most tokens, and most outputs end well before. By the mean over them, the
+    /// ones that do go on to the end would be taken for less than half as long as they are.
+    ///
+    /// ```
+    /// use anvilhook_core::speeds::OutputSpeed;
+    ///
+    /// let mut speed = OutputSpeed::new(5.0, 500.0);
+    /// (0..50).for_each(|at| speed.record(200, if at % 10 == 0 { 4_000.0 } else { 1_000.0 }));
+    /// assert!(speed.output_ms(200) < 2_000.0);
+    /// assert!(speed.longest_ms(200) > 3_500.0);
+    /// ```
+    pub fn longest_ms(&self, tokens: u32) -> f64 {
+        f64::from(tokens) * self.longest_token_ms
+    }
+
     /// Returns the predicted time of an output.
     pub fn output_ms(&self, tokens: u32) -> f64 {
         f64::from(tokens) * self.token_ms
--- a/crates/anvilhook-gateway/src/entries.rs
+++ b/crates/anvilhook-gateway/src/entries.rs
@@ -73,7 +73,7 @@
             if entry.order() < known.order() {
                 return false;
             }
-            entry.draining |= known.draining && known.born == entry.born;
+            entry.draining |= known.draining && known.is_same_start(&entry);
         }
         self.removed.remove(&id);
         self.lapsed.remove(&id);
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -43,6 +43,21 @@
         (self.born, self.sequence)
     }
 
+    /// Returns whether two entries of one id are of the same start. One without a start is older than
+    /// any with one, as in [`order`](Self::order).
+    pub fn is_same_start(&self, other: &Entry) -> bool {
+        self.born == other.born
+    }
+
+    /// Returns whether `born`, which the upstream itself tells, is another start than the listed one.
+    ///
+    /// Only two known starts can differ. Where a deployment's reports name the start and its entries
+    /// don't, each answer of a sound engine would else be taken for another start's: no order would
+    /// be given, and each silent stream be taken for lost.
+    pub fn has_other_start(&self, born: Option<u64>) -> bool {
+        self.born.zip(born).is_some_and(|(listed, told)| listed != told)
+    }
+
     /// Returns the short form of the id and the start that instances use among themselves. What is
     /// told of an earlier start is not taken for the later one's.
     pub fn digest(&self) -> u32 {
@@ -131,7 +146,7 @@
         for entry in entries {
             let id = Arc::clone(&entry.id);
             let state = match earlier.get(&id) {
-                Some(upstream) if upstream.entry.born == entry.born => Arc::clone(&upstream.state),
+                Some(upstream) if upstream.entry.is_same_start(&entry) => Arc::clone(&upstream.state),
                 _ => Arc::new(UpstreamState::new()),
             };
             let upstream = Arc::new(Upstream { digest: entry.digest(), entry, state });
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -92,6 +92,13 @@
         exchange: &Exchange,
         sending: Sending<'_>,
     ) -> Result<Response, Failed> {
+        // An instance that was held up, by its share of the processor or by a suspension, takes up an
+        // answer that came long ago before it sees that the caller's time is over.
+        if exchange.has_lost_its_caller(self.now()) {
+            let failed = Failed::not_sent("caller_out_of_time");
+            self.log_failed(exchange, sending.upstream, sending.stage, &failed);
+            return Err(failed);
+        }
         self.log_placed(exchange, &sending);
         let result = self.send_unlogged(exchange, &sending).await;
         let (state, now) = (&sending.upstream.state, self.now());
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -210,8 +210,9 @@
     fn would_be_cut(&self, exchange: &Exchange) -> bool {
         let Some(prompt) = &exchange.prompt else { return false };
         let left = Millis(self.inner.ends_at.load(Ordering::Acquire)) - self.now();
-        let output_ms = self.inner.speeds.output_ms(&exchange.service, prompt.max_output);
-        self.is_stopping() && !ends_in_time(left, output_ms)
+        let speeds = &self.inner.speeds;
+        let longest_ms = speeds.longest_output_ms(&exchange.service, prompt.max_output);
+        self.is_stopping() && !ends_in_time(left, longest_ms)
     }
 
     fn is_stopping(&self) -> bool {
@@ -241,7 +242,9 @@
         // What has started again under its id holds nothing of before.
         let is_same = |engine: &str| {
             let (now, before) = (view.get(engine), earlier.get(engine));
-            now.is_some_and(|now| before.is_none_or(|before| before.entry.born == now.entry.born))
+            now.is_some_and(|now| {
+                before.is_none_or(|before| before.entry.is_same_start(&now.entry))
+            })
         };
         self.inner.caches.retain(is_same);
         let draining = view.all().filter(|upstream| upstream.entry.draining);
@@ -257,7 +260,7 @@
     /// Returns whether an upstream's id is listed with another start now.
     fn has_started_again(&self, upstream: &Upstream) -> bool {
         let view = self.fleet().view();
-        view.get(&upstream.entry.id).is_some_and(|now| now.entry.born != upstream.entry.born)
+        view.get(&upstream.entry.id).is_some_and(|now| !now.entry.is_same_start(&upstream.entry))
     }
 
     /// Returns what is counted.
@@ -387,7 +390,7 @@
 fn restarted_in<'v>(view: &'v FleetView, earlier: &FleetView) -> Vec<&'v str> {
     let again = view.all().filter(|upstream| {
         let before = earlier.get(&upstream.entry.id);
-        before.is_some_and(|before| before.entry.born != upstream.entry.born)
+        before.is_some_and(|before| !before.entry.is_same_start(&upstream.entry))
     });
     again.map(|upstream| &*upstream.entry.id).take(MAX_LOGGED).collect()
 }
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -69,9 +69,6 @@
 impl<W: Wire, C: Clock> Gateway<W, C> {
     pub(super) async fn serve_prompt(&self, exchange: &mut Exchange) -> Outcome {
         self.inner.budget.record_request(&exchange.service, self.now());
-        if self.would_be_cut(exchange) {
-            return Outcome::refused("stopping", Millis::ZERO);
-        }
         match self.open_stream(exchange, None, Vec::new()).await {
             Ok(Opened::Stream(relay)) => Outcome::Stream(relay),
             Ok(Opened::Answer(answer)) => Outcome::Whole(answer),
@@ -128,6 +125,7 @@
             Waited::Sent(plan, wait) => (plan, wait),
             Waited::NoEngine => return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
             Waited::Hopeless => return Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
+            Waited::Stopping => return Err(self.given_up(exchange, "stopping", Millis::ZERO)),
             Waited::Moved => return Ok(Err(Failed::not_sent("moved"))),
         };
         let time_left = exchange.time_left(self.now());
@@ -152,6 +150,7 @@
             }
             Waited::NoEngine => Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
             Waited::Hopeless => Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
+            Waited::Stopping => Err(self.given_up(exchange, "stopping", Millis::ZERO)),
             Waited::Moved => Ok(Err(Failed::not_sent("moved"))),
         }
     }
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::pacing::Waiting;
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
@@ -13,7 +14,7 @@
 use super::Gateway;
 use super::answers::OwnAnswer;
 use super::attempts::Failed;
-use crate::configs::{Config, Route};
+use crate::configs::{Config, Repeats, Route};
 use crate::hashes::hash_of;
 use crate::prompts::Prompt;
 use crate::wires::Wire;
@@ -141,6 +142,23 @@
         }
     }
 
+    /// Returns how long the caller has waited, and how long it goes on.
+    pub fn waiting(&self, now: Millis) -> Waiting {
+        Waiting {
+            age: now - self.waits_since,
+            objective: self.route.objective,
+            patience: self.route.patience.min(self.give_up_at - self.waits_since),
+        }
+    }
+
+    /// Returns whether the caller must have left: its time is over, or it waits for a stream whose
+    /// next event has not come for as long as it goes on.
+    pub fn has_lost_its_caller(&self, now: Millis) -> bool {
+        let is_stream = matches!(self.route.repeats, Repeats::Stream { .. });
+        self.time_left(now) == Millis::ZERO
+            || (is_stream && self.waiting(now).has_lost_its_caller())
+    }
+
     /// Returns the time that is left to the caller.
     pub fn time_left(&self, now: Millis) -> Millis {
         self.give_up_at - now
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -192,7 +192,7 @@
         };
         // An engine that has started again under its id answers well, and knows nothing of the run.
         let Ok(report) = self.wire().engine_report(&answer.body) else { return true };
-        let is_other_start = report.born.is_some() && report.born != upstream.entry.born;
+        let is_other_start = upstream.entry.has_other_start(report.born);
         let is_current = !is_other_start && !self.has_started_again(upstream);
         is_current && report.may_work_on(&exchange.id)
     }
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilhook_core::pacing::{Pace, Places, Waiting, pace_generating, pace_reading};
+use anvilhook_core::pacing::{Pace, Places, pace_generating, pace_reading};
 use anvilhook_core::units::{Clock, Millis};
 
 use super::Gateway;
@@ -42,6 +42,8 @@
     NoEngine,
     /// It can't be answered any more before its caller leaves.
     Hopeless,
+    /// This instance would end in the midst of the answer.
+    Stopping,
     /// The configuration has moved the request to another service.
     Moved,
 }
@@ -58,9 +60,14 @@
             if self.has_moved(exchange) {
                 return Waited::Moved;
             }
+            // The signal to stop may have come while the request waited. A stream that goes on after a
+            // break has nothing to lose.
+            if job.resume_after.is_none() && self.would_be_cut(exchange) {
+                return Waited::Stopping;
+            }
             let Some(plan) = self.plan(exchange, job) else { return Waited::NoEngine };
             let Plan::Split(reader) = &plan else { return Waited::Sent(plan, Wait::NONE) };
-            let waiting = self.waiting(exchange);
+            let waiting = exchange.waiting(self.now());
             let pace = pace_reading(&waiting, reader.reading_ms, reader.backlog_ms, job.tightest);
             if pace == Pace::Hopeless {
                 return Waited::Hopeless;
@@ -88,6 +95,11 @@
             if self.has_moved(exchange) {
                 return Waited::Moved;
             }
+            // The signal to stop may have come while the request waited. A stream that goes on after a
+            // break has nothing to lose.
+            if job.resume_after.is_none() && self.would_be_cut(exchange) {
+                return Waited::Stopping;
+            }
             let chosen = self
                 .with_placer(exchange, |placer| placer.generator(&job.request(exchange), reader));
             let Some(generator) = chosen else { return Waited::NoEngine };
@@ -96,7 +108,7 @@
                 in_flight: generator.upstream.state.work(self.now()).in_flight,
             };
             let output_ms = self.inner.speeds.output_ms(&exchange.service, job.prompt.max_output);
-            let waiting = self.waiting(exchange);
+            let waiting = exchange.waiting(self.now());
             let pace = pace_generating(&waiting, generator.fetched_ms, output_ms, places);
             if pace == Pace::Hopeless {
                 return Waited::Hopeless;
@@ -108,14 +120,6 @@
         }
     }
 
-    fn waiting(&self, exchange: &Exchange) -> Waiting {
-        Waiting {
-            age: self.now() - exchange.waits_since,
-            objective: exchange.route.objective,
-            patience: exchange.route.patience.min(exchange.give_up_at - exchange.waits_since),
-        }
-    }
-
     /// Looks the request's service up anew. Returns whether it is another one than before.
     ///
     /// A request that waited while a newer configuration came would otherwise be sent where that
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -267,7 +267,7 @@
         if report.busy || report.role == role || self.clock.now() >= lease.until {
             return;
         }
-        if report.born.is_some() && report.born != upstream.entry.born {
+        if upstream.entry.has_other_start(report.born) {
             // It has started again, which the list does not show yet, and may have another role.
             return;
         }
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -47,6 +47,11 @@
         self.with(service, |speed| speed.output.output_ms(tokens))
     }
 
+    /// Returns how long a service's output may take at most, in milliseconds.
+    pub fn longest_output_ms(&self, service: &Arc<str>, tokens: u32) -> f64 {
+        self.with(service, |speed| speed.output.longest_ms(tokens))
+    }
+
     /// Returns how long a service's outputs take in the mean, in milliseconds.
     pub fn mean_output_ms(&self, service: &Arc<str>) -> f64 {
         self.with(service, |speed| speed.output.mean_ms())
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -3,13 +3,13 @@
 mod support;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::{Clock, Millis, SystemClock};
+use anvilhook_core::units::{Clock, ManualClock, Millis, SystemClock};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::{Held, RoleChange};
 use anvilhook_gateway::prompts::Part;
 use futures_util::FutureExt;
-use support::fronts::{Front, ample_budget, config, impatient, start};
+use support::fronts::{Front, ample_budget, config, impatient, start, start_by};
 use support::upstreams::{
     Received, Step, Upstream, chunk, event, refusal, signed, stream_end, stream_head,
 };
@@ -91,8 +91,15 @@
 /// unless it is another start of it that answers.
 #[tokio::test]
 async fn verify_a_silent_stream_goes_on_elsewhere_only_if_its_engine_is_gone() {
-    for report in [Some("decode"), Some("decode again"), None] {
-        let is_alive = report == Some("decode");
+    // The start that the engine's entry names, its report, and whether the two say that it lives on.
+    let cases = [
+        (Some(1), Some("decode"), true),
+        (Some(1), Some("decode again"), false),
+        (Some(2), Some("decode again"), true),
+        (None, Some("decode again"), true),
+        (Some(1), None, false),
+    ];
+    for (born, report, is_alive) in cases {
         let script = move |received: &Received| match received.line.starts_with("GET /report") {
             true => vec![report.map_or(Step::Close, |report| signed("200 OK", report))],
             false => {
@@ -104,13 +111,14 @@
         let silent = Upstream::start(script).await;
         let other = Upstream::always(stream(1, 4)).await;
         let far = far_engine("other", &other, Role::Decode);
-        let front = front_of(RESUMABLE, vec![engine("silent", &silent, Role::Decode), far]).await;
+        let silent = Entry { born, ..engine("silent", &silent, Role::Decode) };
+        let front = front_of(RESUMABLE, vec![silent, far]).await;
 
         let answer = front.post("r1", PROMPT, "").await;
 
-        assert_eq!(answer.events(), [1, 2, 3, 4], "{report:?}");
-        assert!(answer.is_complete(), "{report:?}");
-        assert_eq!(other.received().len(), usize::from(!is_alive), "{report:?}");
+        assert_eq!(answer.events(), [1, 2, 3, 4], "{born:?} {report:?}");
+        assert!(answer.is_complete(), "{born:?} {report:?}");
+        assert_eq!(other.received().len(), usize::from(!is_alive), "{born:?} {report:?}");
     }
 }
 
@@ -355,6 +363,64 @@
     }
 }
 
+/// Symptom: a stream is cut by a planned stop.
+/// Sequence: a prompt waits for its reader, which is busy; the signal to stop comes; the reader is
+/// free only when too little time is left for the output.
+/// Cause: whether the end would cut a stream is asked right before it is sent, not only on arrival.
+#[tokio::test]
+async fn verify_a_stream_that_waits_when_the_stop_begins_is_refused() {
+    const LONG: &str = "T-Tokens: 20000\r\n";
+    let reader = Upstream::start(reader_script).await;
+    let generator = Upstream::always(stream(1, 2)).await;
+    let engines = vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
+    let front = front_of(RESUMABLE, engines).await;
+    let busy = std::sync::Arc::clone(front.gateway.fleet().view().get("r").expect("listed"));
+    let _backlog = Held::with_work(busy, 500.0, 0.0);
+    let gateway = front.gateway.clone();
+    let stopping = async move {
+        while gateway.in_flight() == 0 {
+            tokio::task::yield_now().await;
+        }
+        gateway.begin_stop(SystemClock::new().now() + Millis(1_000));
+    };
+
+    let (answer, ()) = tokio::join!(front.post("r1", LONG, ""), stopping);
+
+    assert_eq!((answer.status, reader.received().len()), (503, 0), "{answer:?}");
+    assert!(answer.head.contains("retry-after"), "{answer:?}");
+}
+
+/// Symptom: a request reaches an engine though its caller has left long before.
+/// Sequence: an engine takes long over a prompt, or refuses it late. The instance has too little of
+/// its processor, or is suspended, and takes up that answer only after the caller's time.
+/// Cause: whether the caller still waits is asked right before each send.
+#[tokio::test]
+async fn verify_nothing_is_sent_for_a_caller_that_must_have_left() {
+    for (stage, late_ms, sent_on) in
+        [("read", 2_100, 0), ("read", 1_000, 1), ("refused", 2_100, 0), ("refused", 1_000, 1)]
+    {
+        let clock = ManualClock::new();
+        let passing = clock.clone();
+        let first = Upstream::start(move |_| {
+            passing.advance(Millis(late_ms));
+            let answer = if stage == "read" { signed("200 OK", "handle h1") } else { refusal() };
+            vec![answer]
+        })
+        .await;
+        let next = Upstream::always(stream(1, 2)).await;
+        let role = if stage == "read" { Role::Prefill } else { Role::Decode };
+        let engines = vec![engine("first", &first, role), far_engine("next", &next, Role::Decode)];
+        let front =
+            start_by(clock, Some(config(ONCE, 2, true)), engines, ample_budget()).await;
+
+        let answer = front.post("r1", PROMPT, "").await;
+
+        assert_eq!(next.received().len(), sent_on, "{stage} {late_ms}: {answer:?}");
+        let status = if sent_on == 1 { 200 } else { 503 };
+        assert_eq!(answer.status, status, "{stage} {late_ms}: {answer:?}");
+    }
+}
+
 /// Symptom: short prompts are late behind a long one that came just before.
 /// Sequence: the only reader reads; a long prompt comes, then a short one; then the reader is free.
 /// Cause: the long one waits here until the reader is nearly free, and the short one does not.
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -20,8 +20,8 @@
 pub type TestGateway = Gateway<TestWire, SystemClock>;
 
 /// `Front` is a running gateway.
-pub struct Front {
-    pub gateway: TestGateway,
+pub struct Front<C: Clock = SystemClock> {
+    pub gateway: Gateway<TestWire, C>,
     pub address: SocketAddr,
 }
 
@@ -78,7 +78,17 @@
 
 /// Starts a gateway with a configuration and upstreams.
 pub async fn start(config: Option<Config>, entries: Vec<Entry>, budget: BudgetOptions) -> Front {
-    let gateway = gateway(SystemClock::new(), config, entries, budget);
+    start_by(SystemClock::new(), config, entries, budget).await
+}
+
+/// Starts a gateway on a clock of the test's own.
+pub async fn start_by<C: Clock>(
+    clock: C,
+    config: Option<Config>,
+    entries: Vec<Entry>,
+    budget: BudgetOptions,
+) -> Front<C> {
+    let gateway = gateway(clock, config, entries, budget);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(anvilhook_http::serve(listener, front_router(gateway.clone()), Shutdown::new()));
@@ -129,7 +139,7 @@
     }
 }
 
-impl Front {
+impl<C: Clock> Front<C> {
     /// Sends bytes and reads to the end of the connection.
     pub async fn raw(&self, bytes: &str) -> Answer {
         let mut stream = TcpStream::connect(self.address).await.expect("the front listens");
