One instance of an availability zone follows the tables and tells the rest

Change: among more than 13 instances one in each availability zone, by rank among those heard, follows each table and tells changed rows in datagrams; an instance that does not reach the table is passed over, one that has missed something asks whoever told of it, then the table. After an outage all are told when the table was away. Followers have a file each; each taking of rows is logged.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod splits;
 pub mod units;
 pub mod verdict;
+pub mod watches;
 
 pub use errors::{Error, Result};
 pub use verdict::Verdict;
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -82,6 +82,20 @@
         /// The version up to which it had been followed.
         version: u64,
     },
+    /// Changed rows of a followed table were taken in.
+    RowsTaken {
+        /// The table.
+        dependency: &'a str,
+        /// `call` by a call of this instance, `whole` by reading the table whole, or `told` by another
+        /// instance.
+        source: &'static str,
+        /// The newest change before them.
+        after: u64,
+        /// The version that they lead to.
+        to: u64,
+        /// How many there are.
+        rows: usize,
+    },
     /// A row can't be read; what was believed before stays.
     UnreadableRow {
         /// The table.
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -146,7 +146,9 @@
         for entry in entries {
             let id = Arc::clone(&entry.id);
             let state = match earlier.get(&id) {
-                Some(upstream) if upstream.entry.is_same_start(&entry) => Arc::clone(&upstream.state),
+                Some(upstream) if upstream.entry.is_same_start(&entry) => {
+                    Arc::clone(&upstream.state)
+                }
                 _ => Arc::new(UpstreamState::new()),
             };
             let upstream = Arc::new(Upstream { digest: entry.digest(), entry, state });
--- /dev/null
+++ b/crates/anvilhook-gateway/src/followers/configs.rs
@@ -0,0 +1,55 @@
+//! Following the configuration.
+
+use std::sync::Arc;
+
+use anvilhook_core::units::Clock;
+
+use super::{Follow, unreadable};
+use crate::peers::{FollowedTable, Peers};
+use crate::relay::Gateway;
+use crate::tables::Row;
+use crate::wires::Wire;
+
+/// The configuration as a belief, as metrics name it.
+const CONFIG_BELIEF: &str = "config";
+
+/// `ConfigFollower` puts each newer configuration in force.
+pub struct ConfigFollower<W: Wire, C: Clock> {
+    gateway: Gateway<W, C>,
+}
+
+impl<W: Wire, C: Clock> ConfigFollower<W, C> {
+    /// Makes a follower that knows no configuration.
+    pub fn new(gateway: Gateway<W, C>) -> Self {
+        Self { gateway }
+    }
+}
+
+impl<W: Wire, C: Clock> Follow for ConfigFollower<W, C> {
+    fn table(&self) -> &'static str {
+        self.gateway.wire().config_row().0
+    }
+
+    fn reset(&mut self, rows: &[Row]) {
+        self.change(rows);
+    }
+
+    fn heard(&mut self) {
+        self.gateway.record_contact(CONFIG_BELIEF);
+    }
+
+    fn sharers(&self) -> (Arc<Peers>, FollowedTable) {
+        (Arc::clone(self.gateway.peers()), FollowedTable::Config)
+    }
+
+    fn change(&mut self, rows: &[Row]) {
+        let (_, key) = self.gateway.wire().config_row();
+        for row in rows.iter().filter(|row| row.key == key) {
+            let Some(value) = &row.value else { continue };
+            match self.gateway.wire().config(value) {
+                Ok(config) => self.gateway.adopt_config(config),
+                Err(err) => unreadable(self.table(), &row.key, &err),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-gateway/src/followers/following.rs
@@ -0,0 +1,300 @@
+//! One table as it is followed: by calls of this instance, or by what another one tells.
+
+use std::sync::Arc;
+
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_core::watches::Span;
+
+use super::Follow;
+use crate::events::{Event, emit};
+use crate::peers::{FollowedTable, Peers, TableWatch, ToldRows};
+use crate::tables::{Rows, Table, TableError};
+
+/// How long a call waits while the table is away. A call that was sent into the outage hears nothing
+/// even after its end, and what changed meanwhile would be in force late by the whole of its wait.
+const NO_WAIT: Millis = Millis::ZERO;
+
+/// How long after a peer has told of a change an instance waits to hear of it by its own call, or by
+/// the instance that follows the table for it, which may be gathering changes at that moment.
+const TOLD_PATIENCE: Millis = Millis(400);
+
+/// How often an instance that has missed a change asks whoever told of it, before it asks the table, and
+/// how long it waits for each answer.
+const PEER_ASKINGS: u32 = 3;
+const PEER_PATIENCE: Millis = Millis(150);
+
+/// How often an instance that is told of rows looks whether it is now to follow the table itself.
+const LOOK_EVERY: Millis = Millis(200);
+
+/// The pause after a failed call; it grows to the second figure.
+const FIRST_PAUSE: Millis = Millis(50);
+const LONGEST_PAUSE: Millis = Millis(400);
+
+/// How long an instance waits after its first reading until it follows the table itself. By then it has
+/// heard the others, and knows whether one of them does.
+const SETTLING: Millis = Millis(600);
+
+/// `Read` is what is new of a table.
+enum Read {
+    /// All of it, by a call of this instance.
+    Whole(Rows),
+    /// What has changed, by a call of this instance.
+    Changes(Rows),
+    /// What has changed, as another instance tells.
+    Told(ToldRows),
+}
+
+/// `Outage` is a time in which the table can't be reached.
+struct Outage {
+    began_at: Millis,
+    /// When the last call was sent that brought no answer. It says nothing of the time after.
+    last_away: Millis,
+}
+
+/// `Following` is how far a table has been followed, and how.
+pub(super) struct Following<T, F, C> {
+    table: T,
+    clock: C,
+    wait: Millis,
+    follower: F,
+    peers: Arc<Peers>,
+    shared: FollowedTable,
+    /// Whether the table must be read whole.
+    is_unread: bool,
+    outage: Option<Outage>,
+    /// When the table was last away, as the follower knows it.
+    noted_away: Millis,
+    pause: Millis,
+    /// When the last call of this instance was sent.
+    called_at: Millis,
+    /// Whether what came last came by such a call, so that its connection is known to be sound.
+    was_own: bool,
+}
+
+impl<T: Table, F: Follow, C: Clock> Following<T, F, C> {
+    pub fn new(table: T, clock: C, wait: Millis, follower: F) -> Self {
+        let (peers, shared) = follower.sharers();
+        Self {
+            table,
+            clock,
+            wait,
+            follower,
+            peers,
+            shared,
+            is_unread: true,
+            outage: None,
+            noted_away: Millis::ZERO,
+            pause: FIRST_PAUSE,
+            called_at: Millis::ZERO,
+            was_own: false,
+        }
+    }
+
+    /// Reads what is new, and takes it in.
+    pub async fn step(&mut self) {
+        let read = if self.is_unread {
+            self.called_at = self.clock.now();
+            self.table.scan(self.follower.table()).await.map(Read::Whole)
+        } else {
+            self.next().await
+        };
+        match read {
+            Ok(read) => self.take(read).await,
+            Err(TableError::HistoryGone) => {
+                let (dependency, version) = (self.follower.table(), self.known());
+                emit(&Event::HistoryGone { dependency, version });
+                self.is_unread = true;
+            }
+            Err(err) => self.lose(err).await,
+        }
+    }
+
+    fn watch(&self) -> &TableWatch {
+        self.peers.watch_of(self.shared)
+    }
+
+    fn known(&self) -> u64 {
+        self.watch().mirror().known()
+    }
+
+    fn is_chosen(&self) -> bool {
+        self.peers.follows(self.shared, self.clock.now())
+    }
+
+    /// Waits for what comes next.
+    async fn next(&mut self) -> Result<Read, TableError> {
+        while !self.is_chosen() {
+            self.was_own = false;
+            if let Some(read) = self.next_told().await {
+                return read;
+            }
+        }
+        if !self.was_own {
+            // Of many instances each would else try at once where the ones before it have failed.
+            let away_for = self.clock.now() - self.watch().away_at();
+            tokio::time::sleep((LONGEST_PAUSE - away_for).as_duration()).await;
+        }
+        // A call that waits would hide for as long that the connection to the table is broken.
+        let is_sound = self.was_own && self.outage.is_none();
+        self.was_own = true;
+        if is_sound { self.next_change().await } else { self.ask_table().await }
+    }
+
+    /// Asks the table what has changed until now.
+    async fn ask_table(&mut self) -> Result<Read, TableError> {
+        self.called_at = self.clock.now();
+        let told = self.watch().version().told();
+        let rows = self.table.changes(self.follower.table(), self.known(), NO_WAIT).await?;
+        self.watch().version().record_asked(told);
+        Ok(Read::Changes(rows))
+    }
+
+    /// Waits for what another instance tells; `None` if nothing has come for a while, and this one is to
+    /// follow the table itself. Whoever learns that it has missed something asks for it, first whoever
+    /// told of it and then the table.
+    async fn next_told(&mut self) -> Option<Result<Read, TableError>> {
+        let known = self.known();
+        let watch = self.watch();
+        let missed = async {
+            watch.version().told_newer_than(known).await;
+            tokio::time::sleep(TOLD_PATIENCE.as_duration()).await;
+            for _ in 0..PEER_ASKINGS {
+                watch.ask_teller();
+                self.peers.announce();
+                tokio::time::sleep(PEER_PATIENCE.as_duration()).await;
+            }
+        };
+        let chosen = async {
+            while !self.is_chosen() {
+                tokio::time::sleep(LOOK_EVERY.as_duration()).await;
+            }
+        };
+        tokio::select! {
+            rows = watch.next_rows(known) => return Some(Ok(Read::Told(rows))),
+            () = missed => {}
+            () = chosen => return None,
+        }
+        Some(self.ask_table().await)
+    }
+
+    /// Waits for changes by a call of this instance. The wait is broken off if a peer knows of a change
+    /// of which the call brings no word: its connection may have gone silent, and the table is then
+    /// asked over another one.
+    async fn next_change(&mut self) -> Result<Read, TableError> {
+        self.called_at = self.clock.now();
+        let known = self.known();
+        let version = self.watch().version();
+        let told = async {
+            version.told_newer_than(known).await;
+            tokio::time::sleep(TOLD_PATIENCE.as_duration()).await;
+        };
+        tokio::select! {
+            rows = self.table.changes(self.follower.table(), known, self.wait) => {
+                rows.map(Read::Changes)
+            }
+            () = told => Err(TableError::NoAnswer("peers know of a change".to_owned())),
+        }
+    }
+
+    /// Takes in what was read, and tells the others of it if it was read by a call.
+    async fn take(&mut self, read: Read) {
+        let is_own = !matches!(read, Read::Told(_));
+        let is_first = self.known() == 0;
+        self.note_reached(is_own);
+        self.pause = FIRST_PAUSE;
+        self.follower.heard();
+        let has_changes = match read {
+            Read::Whole(rows) => self.take_whole(rows),
+            Read::Changes(rows) => {
+                let told = self.watch().mirror().following(rows);
+                self.tell(&told);
+                self.take_changes(told, "call")
+            }
+            Read::Told(told) => self.take_changes(told, "told"),
+        };
+        if is_first {
+            tokio::time::sleep(SETTLING.as_duration()).await;
+        } else if is_own && has_changes {
+            tokio::time::sleep(self.follower.gather_time().as_duration()).await;
+        }
+    }
+
+    /// Notes that the table, or whoever follows it, is reached, and when it was not.
+    fn note_reached(&mut self, is_own: bool) {
+        if let Some(outage) = self.outage.take() {
+            let away_ms = (self.clock.now() - outage.began_at).0;
+            emit(&Event::DependencyRegained { dependency: self.follower.table(), away_ms });
+            self.follower.regained(outage.last_away);
+            self.noted_away = outage.last_away;
+        }
+        if is_own {
+            self.watch().record_success();
+        }
+        // Whoever is told of rows has not met the outage itself, and gives entries that lapsed in it
+        // as much time to be back.
+        let away_at = self.watch().away_at();
+        if away_at > self.noted_away && !self.peers.are_few() {
+            self.follower.regained(away_at);
+            self.noted_away = away_at;
+        }
+    }
+
+    fn take_whole(&mut self, rows: Rows) -> bool {
+        let known = self.known();
+        let span = Span { after: known, to: rows.version };
+        self.note_taken("whole", span, rows.rows.len());
+        let changes = self.watch().mirror().reset(&rows);
+        if let Some(changes) = changes {
+            self.tell(&changes);
+        }
+        self.follower.reset(&rows.rows);
+        let newest = rows.rows.iter().map(|row| row.version).max();
+        self.watch().version().record_own(newest.unwrap_or_default());
+        self.is_unread = false;
+        self.was_own = true;
+        newest.is_some()
+    }
+
+    fn take_changes(&mut self, told: ToldRows, source: &'static str) -> bool {
+        self.watch().mirror().apply(&told);
+        if told.rows.is_empty() {
+            return false;
+        }
+        self.note_taken(source, told.span, told.rows.len());
+        self.follower.change(&told.rows);
+        self.watch().version().record_own(told.newest());
+        true
+    }
+
+    fn note_taken(&self, source: &'static str, span: Span, rows: usize) {
+        let (dependency, Span { after, to }) = (self.follower.table(), span);
+        emit(&Event::RowsTaken { dependency, source, after, to, rows });
+    }
+
+    /// Tells the other instances of the availability zone of rows that a call has brought.
+    fn tell(&self, told: &ToldRows) {
+        if !told.rows.is_empty() && !self.peers.are_few() && self.is_chosen() {
+            self.watch().tell_rows(told.clone());
+            self.peers.announce();
+        }
+    }
+
+    async fn lose(&mut self, err: TableError) {
+        let (now, away_at) = (self.clock.now(), self.called_at);
+        if self.outage.is_none() {
+            let cause = err.to_string();
+            emit(&Event::DependencyLost { dependency: self.follower.table(), cause });
+        }
+        let began_at = self.outage.as_ref().map_or(now, |outage| outage.began_at);
+        self.outage = Some(Outage { began_at, last_away: away_at });
+        self.watch().record_failure(away_at, now);
+        // Another instance of the availability zone may reach the table.
+        self.peers.announce();
+        // The changes of an outage may be many times as large as what stands there now.
+        if err == TableError::Unfinished {
+            self.is_unread = true;
+        }
+        tokio::time::sleep(self.pause.as_duration()).await;
+        self.pause = Millis(self.pause.0 * 2).min(LONGEST_PAUSE);
+    }
+}
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -1,10 +1,15 @@
 //! Digests: what one instance tells another, and what is taken in of it.
 
+use std::net::SocketAddr;
+
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use serde::{Deserialize, Serialize};
 
+use super::members::Peers;
+use super::rows::RowsPiece;
 use super::versions::FollowedTable;
+use super::watches::ToldWatch;
 use crate::loads::{PeerLoad, RoleChange, Work};
 use crate::prompts::Part;
 use crate::relay::Gateway;
@@ -59,23 +64,39 @@
     pub away: Vec<(u32, u32)>,
     /// Engines that the sender has ordered to take another role.
     pub role_changes: Vec<ToldRoleChange>,
-    /// The versions of the newest changes of the configuration and of the entries that the sender has
-    /// read.
-    pub versions: (u64, u64),
+    /// The short form of the sender's availability zone.
+    pub zone: u32,
+    /// The sender's watch over each of [`FollowedTable::ALL`].
+    pub watches: [ToldWatch; 2],
+    /// A part of changed rows of such a table.
+    pub rows: Option<RowsPiece>,
+    /// A table of which the sender asks for what has changed since a version.
+    pub asks: Option<(FollowedTable, u64)>,
+}
+
+impl Digest {
+    /// Makes a digest that tells only who sends it.
+    pub(super) fn from(peers: &Peers, now: Millis) -> Self {
+        Self {
+            from: peers.number(),
+            zone: peers.zone(),
+            watches: FollowedTable::ALL.map(|table| peers.watch_of(table).told(now)),
+            ..Self::default()
+        }
+    }
+
+    /// Makes one that tells nothing of loads.
+    pub(super) fn partial(peers: &Peers, now: Millis) -> Self {
+        Self { is_partial: true, ..Self::from(peers, now) }
+    }
 }
 
 /// Makes the digest of what this instance has in flight, and of what the peers don't know yet.
-pub(super) fn digest<W: Wire, C: Clock>(
-    number: u64,
-    gateway: &Gateway<W, C>,
-    now: Millis,
-) -> Digest {
+pub(super) fn digest<W: Wire, C: Clock>(gateway: &Gateway<W, C>, now: Millis) -> Digest {
     const MAX_CACHED: usize = 24;
     let view = gateway.fleet().view();
     let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
-    let of = |table| gateway.peers().version_of(table).own();
-    let versions = (of(FollowedTable::Config), of(FollowedTable::Entries));
-    let mut digest = Digest { from: number, versions, ..Digest::default() };
+    let mut digest = Digest::from(gateway.peers(), now);
     for upstream in engines {
         let engine = upstream.digest;
         let work = upstream.state.own_work();
@@ -106,13 +127,14 @@
 /// Takes in what a peer tells. `before` are the engines at which it told of work the last time.
 pub(super) fn take_in<W: Wire, C: Clock>(
     digest: &Digest,
+    from: SocketAddr,
     before: &[u32],
     gateway: &Gateway<W, C>,
     now: Millis,
 ) {
-    let (config, entries) = digest.versions;
-    gateway.peers().version_of(FollowedTable::Config).record_told(config);
-    gateway.peers().version_of(FollowedTable::Entries).record_told(entries);
+    for (table, told) in FollowedTable::ALL.into_iter().zip(&digest.watches) {
+        gateway.peers().watch_of(table).take_in(from, told, now);
+    }
     let view = gateway.fleet().view();
     // Only the engines that are named, or were, change; there may be hundreds of others.
     let ended = before.iter().filter(|engine| !digest.loads.iter().any(|l| l.engine == **engine));
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -2,19 +2,23 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anvilhook_core::units::Millis;
+use anvilhook_core::watches::{Candidate, FOLLOWER_SILENCE, is_chosen};
 use tokio::sync::Notify;
 
+use super::digests::Digest;
 use super::versions::{FollowedTable, TableVersion};
+use super::watches::TableWatch;
 use crate::events::{Event, emit};
+use crate::hashes::hash_of;
 use crate::tables::{Table, TableError, Write, Written};
 
 /// The most peers that every digest goes to.
-pub(super) const FEW_PEERS: usize = 12;
+const FEW_PEERS: usize = 12;
 
 /// How long a peer that is not heard counts as running.
 const PEER_AGE: Millis = Millis(2_000);
@@ -33,7 +37,11 @@
 #[derive(Clone, Debug)]
 struct Peer {
     number: u64,
+    /// The short form of its availability zone.
+    zone: u32,
     heard_at: Millis,
+    /// Whether it reached each followed table when it tried last.
+    is_able: [bool; FollowedTable::ALL.len()],
     /// The engines at which it told of work the last time.
     busy: Vec<u32>,
 }
@@ -41,15 +49,37 @@
 /// `Peers` is the other instances that are known.
 #[derive(Debug, Default)]
 pub struct Peers {
+    /// This instance's own number and the short form of its availability zone.
+    number: AtomicU64,
+    zone: u32,
     known: Mutex<HashMap<SocketAddr, Option<Peer>>>,
     was_told: AtomicBool,
     was_listed: AtomicBool,
-    config_version: TableVersion,
-    entries_version: TableVersion,
+    watches: [TableWatch; FollowedTable::ALL.len()],
     news: Notify,
 }
 
 impl Peers {
+    /// Makes the others of an instance in an availability zone, of whom none is known.
+    pub fn in_zone(zone: &str) -> Self {
+        Self { zone: hash_of(zone) as u32, ..Self::default() }
+    }
+
+    /// Sets this instance's number.
+    pub(super) fn set_number(&self, number: u64) {
+        self.number.store(number, Ordering::Release);
+    }
+
+    /// Returns this instance's number.
+    pub(super) fn number(&self) -> u64 {
+        self.number.load(Ordering::Acquire)
+    }
+
+    /// Returns the short form of this instance's availability zone.
+    pub(super) fn zone(&self) -> u32 {
+        self.zone
+    }
+
     /// Notes that a peer has told what the caches hold.
     pub(super) fn record_told(&self) {
         self.was_told.store(true, Ordering::Release);
@@ -57,10 +87,33 @@
 
     /// Returns how far a table has been followed.
     pub fn version_of(&self, table: FollowedTable) -> &TableVersion {
-        match table {
-            FollowedTable::Config => &self.config_version,
-            FollowedTable::Entries => &self.entries_version,
+        self.watch_of(table).version()
+    }
+
+    /// Returns the watch over a table.
+    pub fn watch_of(&self, table: FollowedTable) -> &TableWatch {
+        &self.watches[table as usize]
+    }
+
+    /// Returns whether this instance is to follow a table by calls of its own. Among few each does, since
+    /// their calls cost little; among many one in each availability zone.
+    pub fn follows(&self, table: FollowedTable, now: Millis) -> bool {
+        let known = self.known.lock().expect("no panic under this lock");
+        if known.len() <= FEW_PEERS {
+            return true;
         }
+        let rank_of = |number: u64| hash_of(&(number, table));
+        let is_able = !self.watch_of(table).is_unable(now);
+        let own = Candidate { rank: rank_of(self.number()), is_able };
+        let mates = known
+            .values()
+            .flatten()
+            .filter(|peer| peer.zone == self.zone && peer.heard_at + FOLLOWER_SILENCE > now);
+        let others = mates.map(|peer| Candidate {
+            rank: rank_of(peer.number),
+            is_able: peer.is_able[table as usize],
+        });
+        is_chosen(&own, others)
     }
 
     /// Has the peers told at once of what this instance has in flight. News that come before the
@@ -79,7 +132,7 @@
     }
 
     /// Returns whether the peers are so few that every digest goes to each.
-    pub(super) fn are_few(&self) -> bool {
+    pub(crate) fn are_few(&self) -> bool {
         self.known.lock().expect("no panic under this lock").len() <= FEW_PEERS
     }
 
@@ -99,16 +152,18 @@
     }
 
     /// Notes that an instance was heard. Returns whether it is a new one.
-    pub(super) fn hear(&self, address: SocketAddr, number: u64, now: Millis) -> bool {
+    pub(super) fn hear(&self, address: SocketAddr, digest: &Digest, now: Millis) -> bool {
+        let is_able = digest.watches.map(|watch| !watch.is_unable);
         let mut known = self.known.lock().expect("no panic under this lock");
         let peer = known.entry(address).or_insert(None);
         match peer {
-            Some(peer) if peer.number == number => {
-                peer.heard_at = now;
+            Some(peer) if peer.number == digest.from => {
+                (peer.heard_at, peer.is_able) = (now, is_able);
                 false
             }
             _ => {
-                *peer = Some(Peer { number, heard_at: now, busy: Vec::new() });
+                let (number, zone) = (digest.from, digest.zone);
+                *peer = Some(Peer { number, zone, heard_at: now, is_able, busy: Vec::new() });
                 true
             }
         }
@@ -123,10 +178,20 @@
 
     /// Returns the addresses to tell.
     pub fn addresses(&self, now: Millis) -> Vec<SocketAddr> {
+        self.addresses_of(now, |_| true)
+    }
+
+    /// Returns the addresses in this instance's availability zone, and those whose zone is not known.
+    pub(super) fn mates(&self, now: Millis) -> Vec<SocketAddr> {
+        self.addresses_of(now, |peer| peer.zone == self.zone)
+    }
+
+    fn addresses_of(&self, now: Millis, is_wanted: impl Fn(&Peer) -> bool) -> Vec<SocketAddr> {
         let known = self.known.lock().expect("no panic under this lock");
         let current = known.iter().filter(|(_, peer)| {
             // Whoever was heard once and fell silent is gone; a restart is heard by itself.
-            peer.as_ref().is_none_or(|peer| peer.heard_at + PEER_AGE * 5 > now)
+            let is_current = |peer: &Peer| peer.heard_at + PEER_AGE * 5 > now && is_wanted(peer);
+            peer.as_ref().is_none_or(is_current)
         });
         current.map(|(address, _)| *address).collect()
     }
@@ -146,8 +211,20 @@
 
     /// Returns whether `number` is the least among the instances that run.
     pub fn is_first(&self, number: u64, now: Millis) -> bool {
+        self.is_least(number, now, |_| true)
+    }
+
+    /// Returns the same of this instance, with the one at `other` left out.
+    pub(super) fn is_first_beside(&self, other: SocketAddr, now: Millis) -> bool {
+        self.is_least(self.number(), now, |address| address != other)
+    }
+
+    fn is_least(&self, number: u64, now: Millis, counts: impl Fn(SocketAddr) -> bool) -> bool {
         let known = self.known.lock().expect("no panic under this lock");
-        let running = known.values().flatten().filter(|peer| peer.heard_at + PEER_AGE > now);
+        let others = known.iter().filter(|(address, _)| counts(**address));
+        let running = others
+            .filter_map(|(_, peer)| peer.as_ref())
+            .filter(|peer| peer.heard_at + PEER_AGE > now);
         running.map(|peer| peer.number).all(|other| number < other)
     }
 }
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -5,44 +5,40 @@
 
 mod digests;
 mod members;
+mod mirrors;
+mod rows;
 mod seeding;
+mod telling;
 mod versions;
+mod watches;
 
-use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anvilhook_core::units::{Clock, Millis};
-use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
 use crate::relay::{Gateway, PEER_BELIEF};
 use crate::wires::Wire;
 
-use digests::{digest, take_in};
-use members::FEW_PEERS;
+use digests::take_in;
 use seeding::tell_caches;
+use telling::{Teller, tell_missed};
 
 pub use digests::{CachedPrompt, Digest, EngineLoad, ToldRoleChange};
 pub use members::{Peers, register};
+pub use mirrors::Mirror;
+pub use rows::{Assembler, RowsPiece, ToldRows, pieces_of};
 pub use seeding::seed_caches;
+pub(crate) use telling::GREAT_NEWS_MS;
 pub use versions::{FollowedTable, TableVersion};
+pub use watches::{TableWatch, ToldWatch};
 
 /// The pause between two digests.
 const TELL_EVERY: Duration = Duration::from_millis(50);
 
-/// How many ticks pass until a digest is sent though nothing is in flight.
-const IDLE_TICKS: u32 = 10;
-
-/// To how many of more peers a digest without great news goes, each time to others. Twelve took 6 KB
-/// a second more, headers included, and had no gain that could be measured at 64 instances.
-const FANOUT: usize = 5;
-
-/// By how much an engine's work must have changed to be great news, in milliseconds of reading.
-/// Instances that do not know of it would all send their next prompts to the same engine.
-pub(crate) const GREAT_NEWS_MS: u32 = 25;
-
 /// The most bytes of a digest, below what a link takes in one piece.
 const MAX_DIGEST_BYTES: usize = 1_400;
 
@@ -57,15 +53,10 @@
     let mut ticks = tokio::time::interval(TELL_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let peers = Arc::clone(gateway.peers());
+    peers.set_number(number);
     let mut buf = vec![0; MAX_DIGEST_BYTES * 2];
-    let mut teller = Teller {
-        number,
-        rng,
-        quiet_ticks: 0,
-        had_loads: false,
-        told_to_all: HashMap::new(),
-        told_away: Vec::new(),
-    };
+    let mut teller = Teller::new(rng);
+    let mut listener = Listener::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => teller.tell(&socket, &gateway, clock.now()),
@@ -73,96 +64,52 @@
             received = socket.recv_from(&mut buf) => {
                 let Ok((len, from)) = received else { continue };
                 if let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) {
-                    let now = clock.now();
-                    if digest.is_partial {
-                        peers.record_told();
-                    }
-                    // The new one may be the first by now; whoever was before it tells it.
-                    let was_first = peers.is_first(number, now);
-                    if peers.hear(from, digest.from, now) && was_first {
-                        tell_caches(&socket, from, number, &gateway);
-                    }
-                    gateway.record_contact(PEER_BELIEF);
-                    let before = if digest.is_partial {
-                        Vec::new()
-                    } else {
-                        let busy = digest.loads.iter().map(|load| load.engine).collect();
-                        peers.replace_busy(from, busy)
-                    };
-                    take_in(&digest, &before, &gateway, now);
+                    listener.hear(digest, from, &socket, &gateway, clock.now());
                 }
             }
         }
     }
 }
 
-struct Teller {
-    number: u64,
-    rng: ChaCha8Rng,
-    quiet_ticks: u32,
-    had_loads: bool,
-    /// The prompt work at each engine as all peers were told it last, in milliseconds.
-    told_to_all: HashMap<u32, u32>,
-    /// The engines of which all peers were told last that they change their role.
-    told_away: Vec<u32>,
+/// `Listener` takes in what peers tell.
+#[derive(Default)]
+struct Listener {
+    assembler: Assembler,
 }
 
-impl Teller {
-    /// Returns whether a digest is to go to all peers.
-    ///
-    /// What engines have read is told once only, so a peer that is left out would have it read again.
-    fn has_great_news(&mut self, digest: &Digest, is_among_few: bool) -> bool {
-        let reading: HashMap<u32, u32> =
-            digest.loads.iter().map(|load| (load.engine, load.reading_ms)).collect();
-        let of = |map: &HashMap<u32, u32>, engine| map.get(engine).copied().unwrap_or(0);
-        let engines = reading.keys().chain(self.told_to_all.keys());
-        let mut changes = engines.map(|engine| {
-            let (now, before) = (of(&reading, engine), of(&self.told_to_all, engine));
-            // That work ends is no news where there are many: each can tell from its size.
-            if is_among_few { now.abs_diff(before) } else { now.saturating_sub(before) }
-        });
-        let has_changed = changes.any(|change| change >= GREAT_NEWS_MS);
-        // An engine is away for seconds; to tell all of it with each digest would choke the links.
-        let away = digest.away.iter().map(|(engine, _)| *engine);
-        let away: Vec<u32> =
-            away.chain(digest.role_changes.iter().map(|change| change.engine)).collect();
-        let goes_away = away.iter().any(|engine| !self.told_away.contains(engine));
-        let is_great = has_changed || !digest.cached.is_empty() || goes_away;
-        if is_great {
-            (self.told_to_all, self.told_away) = (reading, away);
-        } else {
-            self.told_away.retain(|engine| away.contains(engine));
-        }
-        is_great
-    }
-
-    fn tell<W: Wire, C: Clock>(
+impl Listener {
+    fn hear<W: Wire, C: Clock>(
         &mut self,
+        mut digest: Digest,
+        from: SocketAddr,
         socket: &UdpSocket,
         gateway: &Gateway<W, C>,
         now: Millis,
     ) {
-        let digest = digest(self.number, gateway, now);
-        let is_any_away = !digest.away.is_empty() || !digest.role_changes.is_empty();
-        let has_loads = !digest.loads.is_empty() || is_any_away;
-        let has_news = has_loads || self.had_loads || !digest.cached.is_empty();
-        self.quiet_ticks += 1;
-        if !has_news && self.quiet_ticks < IDLE_TICKS {
-            return;
+        let peers = gateway.peers();
+        if !digest.cached.is_empty() && digest.is_partial {
+            peers.record_told();
         }
-        (self.quiet_ticks, self.had_loads) = (0, has_loads);
-        let Ok(buf) = postcard::to_stdvec(&digest) else { return };
-        let mut addresses = gateway.peers().addresses(now);
-        let is_among_few = addresses.len() <= FEW_PEERS;
-        let is_for_all = self.has_great_news(&digest, is_among_few) || is_among_few;
-        let fanout = if is_for_all { addresses.len() } else { FANOUT };
-        let (chosen, _) = addresses.partial_shuffle(&mut self.rng, fanout);
-        for address in chosen {
-            // A datagram that finds no room is as good as lost on the way.
-            if socket.try_send_to(&buf, *address).is_ok() {
-                gateway.metrics().digests.inc();
-                gateway.metrics().digest_bytes.inc_by(buf.len() as u64);
+        // The new one may be the first by now; whoever was before it tells it.
+        if peers.hear(from, &digest, now) && peers.is_first_beside(from, now) {
+            tell_caches(socket, from, gateway, now);
+        }
+        gateway.record_contact(PEER_BELIEF);
+        if let Some(piece) = digest.rows.take() {
+            let table = piece.table;
+            if let Some(rows) = self.assembler.take(from, piece) {
+                peers.watch_of(table).hear_rows(rows);
             }
         }
+        if let Some((table, known)) = digest.asks {
+            tell_missed(table, known, from, socket, gateway, now);
+        }
+        let before = if digest.is_partial {
+            Vec::new()
+        } else {
+            let busy = digest.loads.iter().map(|load| load.engine).collect();
+            peers.replace_busy(from, busy)
+        };
+        take_in(&digest, from, &before, gateway, now);
     }
 }
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::Clock;
+use anvilhook_core::units::{Clock, Millis};
 use tokio::net::UdpSocket;
 
 use super::TELL_EVERY;
@@ -26,8 +26,8 @@
 pub(super) fn tell_caches<W: Wire, C: Clock>(
     socket: &UdpSocket,
     to: SocketAddr,
-    number: u64,
     gateway: &Gateway<W, C>,
+    now: Millis,
 ) {
     let view = gateway.fleet().view();
     for (engine, parts) in gateway.caches().shared_parts(TOLD_TOKENS) {
@@ -35,7 +35,7 @@
         for parts in parts.chunks(PARTS_A_DIGEST) {
             let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
             let cached = vec![CachedPrompt { engine: upstream.digest, parts }];
-            let digest = Digest { from: number, cached, is_partial: true, ..Digest::default() };
+            let digest = Digest { cached, ..Digest::partial(gateway.peers(), now) };
             let Ok(buf) = postcard::to_stdvec(&digest) else { return };
             let _ = socket.try_send_to(&buf, to);
         }
--- a/crates/anvilhook-gateway/src/peers/versions.rs
+++ b/crates/anvilhook-gateway/src/peers/versions.rs
@@ -1,16 +1,17 @@
 //! How far the instances have followed the tables.
 //!
 //! An instance whose connection to the table has gone silent would learn of a change only at the
-//! end of its call. Of many instances one hears of the change, and tells the others the version that
-//! it leads to: whoever has not followed so far asks again over a new connection. So the more
-//! instances there are, the longer each call may wait, and the fewer calls they make in all.
+//! end of its call, and one that is told of rows may lose them on the way. Another one that has heard
+//! of the change tells the version that it leads to: whoever has not followed so far asks again over a
+//! new connection.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 /// `FollowedTable` is a table that all instances follow.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum FollowedTable {
     /// The configuration's.
     Config,
@@ -18,6 +19,11 @@
     Entries,
 }
 
+impl FollowedTable {
+    /// All followed tables, in the order in which digests tell of them.
+    pub const ALL: [FollowedTable; 2] = [FollowedTable::Config, FollowedTable::Entries];
+}
+
 /// `TableVersion` is how far this instance and the others have followed a table.
 #[derive(Debug, Default)]
 pub struct TableVersion {
@@ -41,11 +47,12 @@
         self.own.fetch_max(version, Ordering::AcqRel);
     }
 
-    /// Notes that a peer tells of a change.
-    pub fn record_told(&self, version: u64) {
+    /// Notes that a peer tells of a change. Returns whether it is newer than what this instance has read.
+    pub fn record_told(&self, version: u64) -> bool {
         if self.told.fetch_max(version, Ordering::AcqRel) < version {
             self.news.notify_waiters();
         }
+        version > self.own()
     }
 
     /// Returns the newest version told of, if it is newer than `followed` and the table has not been
@@ -67,10 +74,13 @@
         }
     }
 
-    /// Notes that the table is asked again because of what peers have told.
-    pub fn ask(&self, followed: u64) {
-        if let Some(told) = self.newer_than(followed) {
-            self.asked.fetch_max(told, Ordering::AcqRel);
-        }
+    /// Returns the newest version told of.
+    pub fn told(&self) -> u64 {
+        self.told.load(Ordering::Acquire)
+    }
+
+    /// Notes that the table has answered a call that was made when `told` was the newest version told of.
+    pub fn record_asked(&self, told: u64) {
+        self.asked.fetch_max(told, Ordering::AcqRel);
     }
 }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -135,6 +135,7 @@
             client,
             budget: Budget::new(options.budget),
             speeds: Speeds::new(options.expected_reading),
+            peers: Arc::new(Peers::in_zone(&options.zone)),
             options,
             config: ArcSwapOption::empty(),
             fleet: Fleet::new(),
@@ -145,7 +146,6 @@
             refuses: AtomicBool::new(false),
             has_fleet: AtomicBool::new(false),
             metrics: GatewayMetrics::new(),
-            peers: Arc::default(),
             cached: Mutex::default(),
         };
         Self { inner: Arc::new(inner) }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -11,7 +11,9 @@
 use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, Target};
 use anvilhook_gateway::fleets::{Entry, Fleet};
 use anvilhook_gateway::loads::{Held, PeerLoad, Work};
-use anvilhook_gateway::peers::{CachedPrompt, Digest, EngineLoad, ToldRoleChange};
+use anvilhook_gateway::peers::{
+    CachedPrompt, Digest, EngineLoad, FollowedTable, ToldRoleChange, ToldWatch,
+};
 use anvilhook_gateway::placements::{Placer, Plan, Request};
 use anvilhook_gateway::prompts::{Part, Prompt};
 use anvilhook_gateway::speeds::EXPECTED_READING;
@@ -355,7 +357,10 @@
         is_partial: false,
         away: vec![(9, 2_500)],
         role_changes: vec![ToldRoleChange { engine: 8, role: Role::Decode, left_ms: 9_000 }],
-        versions: (7, 700),
+        zone: u32::MAX,
+        watches: [ToldWatch { newest: 700, is_unable: true, away_ms: Some(2_000) }; 2],
+        rows: None,
+        asks: Some((FollowedTable::Entries, 700)),
     };
 
     let bytes = postcard::to_stdvec(&digest).expect("it can be written");
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -342,7 +342,7 @@
     version.record_told(9);
 
     version.told_newer_than(5).await;
-    version.ask(5);
+    version.record_asked(version.told());
 
     assert!(version.told_newer_than(5).now_or_never().is_none());
     version.record_told(8);
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -375,13 +375,17 @@
     let engines = vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
     let front = front_of(RESUMABLE, engines).await;
     let busy = std::sync::Arc::clone(front.gateway.fleet().view().get("r").expect("listed"));
-    let _backlog = Held::with_work(busy, 500.0, 0.0);
-    let gateway = front.gateway.clone();
+    let backlog = Held::with_work(busy, 500.0, 0.0);
+    let (gateway, clock) = (front.gateway.clone(), SystemClock::new());
+    let service = std::sync::Arc::from("service");
+    let left_before = gateway.budget_left(&service, clock.now());
     let stopping = async move {
-        while gateway.in_flight() == 0 {
+        // A request earns its share of the budget when it begins to wait.
+        while gateway.budget_left(&service, clock.now()) <= left_before {
             tokio::task::yield_now().await;
         }
-        gateway.begin_stop(SystemClock::new().now() + Millis(1_000));
+        gateway.begin_stop(clock.now() + Millis(1_000));
+        drop(backlog);
     };
 
     let (answer, ()) = tokio::join!(front.post("r1", LONG, ""), stopping);
@@ -397,9 +401,10 @@
 #[tokio::test]
 async fn verify_nothing_is_sent_for_a_caller_that_must_have_left() {
     for (stage, late_ms, sent_on) in
-        [("read", 2_100, 0), ("read", 1_000, 1), ("refused", 2_100, 0), ("refused", 1_000, 1)]
+        [("read", 1_100, 0), ("read", 900, 1), ("refused", 1_100, 0), ("refused", 900, 1)]
     {
         let clock = ManualClock::new();
+        let config = impatient(&config(ONCE, 2, true), Millis(1_000));
         let passing = clock.clone();
         let first = Upstream::start(move |_| {
             passing.advance(Millis(late_ms));
@@ -410,8 +415,7 @@
         let next = Upstream::always(stream(1, 2)).await;
         let role = if stage == "read" { Role::Prefill } else { Role::Decode };
         let engines = vec![engine("first", &first, role), far_engine("next", &next, Role::Decode)];
-        let front =
-            start_by(clock, Some(config(ONCE, 2, true)), engines, ample_budget()).await;
+        let front = start_by(clock, Some(config), engines, ample_budget()).await;
 
         let answer = front.post("r1", PROMPT, "").await;
 
