--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -147,17 +147,11 @@
     let mut rng = ChaCha8Rng::try_from_rng(&mut SysRng).map_err(std::io::Error::other)?;
     let number = rng.next_u64();
     tokio::spawn(peers::exchange(socket, number, rng, gateway.clone(), clock.clone()));
-    tokio::spawn(peers::seed_caches(number, gateway.clone(), clock.clone()));
+    tokio::spawn(peers::seed_caches(gateway.clone(), clock.clone()));
     let name = options.name.to_string();
     tokio::spawn(peers::register(table.clone(), name.clone(), options.peer, peers));
-    let keeper = RoleKeeper::new(
-        gateway.clone(),
-        table.clone(),
-        clock.clone(),
-        name,
-        number,
-        options.roles.clone(),
-    );
+    let keeper =
+        RoleKeeper::new(gateway.clone(), table.clone(), clock.clone(), name, options.roles.clone());
     tokio::spawn(keeper.run());
     Ok(())
 }
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -19,6 +19,9 @@
 /// How long an upstream's or a peer's word about load is worth anything.
 const LOAD_AGE: Millis = Millis(400);
 
+/// The same for what other availability zones tell, which comes over two instances more.
+const FAR_LOAD_AGE: Millis = Millis(800);
+
 /// `Work` is what requests in flight ask of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
@@ -37,6 +40,16 @@
     pub work: Work,
     /// When it was heard.
     pub at: Millis,
+    /// Whether it is what all instances of other availability zones have in flight, as one of them tells
+    /// now and then.
+    pub is_far: bool,
+}
+
+impl PeerLoad {
+    /// Returns whether it is worth anything.
+    fn is_current(&self, now: Millis) -> bool {
+        self.at + if self.is_far { FAR_LOAD_AGE } else { LOAD_AGE } >= now
+    }
 }
 
 /// `RoleChange` is a change of role that an engine has been ordered to make.
@@ -197,8 +210,7 @@
     /// each under a number of its own.
     pub fn record_peer(&self, peer: u64, load: PeerLoad) {
         let mut peers = self.peers.lock().expect("no panic under this lock");
-        let since = load.at - LOAD_AGE;
-        peers.retain(|_, other| other.at >= since);
+        peers.retain(|_, other| other.is_current(load.at));
         if load.work.in_flight > 0 {
             peers.insert(peer, load);
         } else {
@@ -220,28 +232,36 @@
         }
     }
 
+    /// Returns the estimate of what the requests of this instance's availability zone ask of the upstream.
+    pub fn near_work(&self, now: Millis) -> Work {
+        self.work_with(now, |peer| !peer.is_far)
+    }
+
     /// Returns the estimate of what all instances' requests ask of the upstream.
     pub fn work(&self, now: Millis) -> Work {
-        let mut work = self.own_work();
-        let since = now - LOAD_AGE;
-        for peer in self.peers.lock().expect("no panic under this lock").values() {
-            if peer.at >= since {
-                work.in_flight += peer.work.in_flight;
-                // The engine goes on reading while nothing is heard. Without that, what waits here
-                // for a busy engine would wait until the next word of its end.
-                let since_heard_ms = (now - peer.at).0 as f64;
-                work.reading_ms += (peer.work.reading_ms - since_heard_ms).max(0.0);
-                work.fetching_ms += peer.work.fetching_ms;
-            }
-        }
+        let mut work = self.work_with(now, |_| true);
         let told = *self.told.lock().expect("no panic under this lock");
         if let Some((load, at)) = told
-            && at >= since
+            && at + LOAD_AGE >= now
         {
             work.in_flight = work.in_flight.max(load.running + load.waiting);
         }
         work
     }
+
+    fn work_with(&self, now: Millis, counts: impl Fn(&PeerLoad) -> bool) -> Work {
+        let mut work = self.own_work();
+        let peers = self.peers.lock().expect("no panic under this lock");
+        for peer in peers.values().filter(|peer| peer.is_current(now) && counts(peer)) {
+            work.in_flight += peer.work.in_flight;
+            // The engine goes on reading while nothing is heard. Without that, what waits here
+            // for a busy engine would wait until the next word of its end.
+            let since_heard_ms = (now - peer.at).0 as f64;
+            work.reading_ms += (peer.work.reading_ms - since_heard_ms).max(0.0);
+            work.fetching_ms += peer.work.fetching_ms;
+        }
+        work
+    }
 }
 
 /// `Held` counts a request in at an upstream, until it is dropped.
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -28,6 +28,25 @@
     pub fetching_ms: u32,
 }
 
+impl EngineLoad {
+    /// Returns the load of an engine at which nothing is in flight.
+    pub(super) fn none_at(engine: u32) -> Self {
+        Self { engine, in_flight: 0, reading_ms: 0, fetching_ms: 0 }
+    }
+
+    fn of(engine: u32, work: &Work) -> Self {
+        let (reading_ms, fetching_ms) = (work.reading_ms as u32, work.fetching_ms as u32);
+        Self { engine, in_flight: work.in_flight, reading_ms, fetching_ms }
+    }
+
+    /// Adds what others have in flight there.
+    pub(super) fn add(&mut self, other: &EngineLoad) {
+        self.in_flight += other.in_flight;
+        self.reading_ms += other.reading_ms;
+        self.fetching_ms += other.fetching_ms;
+    }
+}
+
 /// `CachedPrompt` is a prompt that an engine now keeps.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CachedPrompt {
@@ -37,15 +56,66 @@
     pub parts: Vec<(u64, u32)>,
 }
 
-/// `ToldRoleChange` is an order to change a role that an engine has taken.
+/// `Notice` is what an instance has found out of an engine, and the others should know.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ToldRoleChange {
+pub struct Notice {
     /// The short form of the engine's id and start.
     pub engine: u32,
-    /// The role that it takes.
-    pub role: Role,
-    /// How long it may still take, in milliseconds.
-    pub left_ms: u32,
+    /// What was found out.
+    pub kind: NoticeKind,
+}
+
+/// `NoticeKind` is what can be found out of an engine.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum NoticeKind {
+    /// It takes no work.
+    Away {
+        /// For how much longer, in milliseconds.
+        left_ms: u32,
+    },
+    /// It has taken an order to change its role.
+    Changing {
+        /// The role that it takes.
+        role: Role,
+        /// How much longer that may take, in milliseconds.
+        left_ms: u32,
+    },
+}
+
+impl Notice {
+    /// Returns whether another notice says the same, whenever it was made.
+    pub(super) fn is_same(&self, other: &Notice) -> bool {
+        let role = |notice: &Notice| match notice.kind {
+            NoticeKind::Away { .. } => None,
+            NoticeKind::Changing { role, .. } => Some(role),
+        };
+        self.engine == other.engine && role(self) == role(other)
+    }
+
+    /// Returns the notice as it is after a time.
+    pub(super) fn after(&self, time: Millis) -> Notice {
+        let rest = |left_ms: u32| left_ms.saturating_sub(time.0 as u32);
+        let kind = match self.kind {
+            NoticeKind::Away { left_ms } => NoticeKind::Away { left_ms: rest(left_ms) },
+            NoticeKind::Changing { role, left_ms } => {
+                NoticeKind::Changing { role, left_ms: rest(left_ms) }
+            }
+        };
+        Notice { engine: self.engine, kind }
+    }
+}
+
+/// `Scope` is whose loads a digest tells.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Scope {
+    /// The sender's.
+    #[default]
+    Instance,
+    /// Those of the sender's whole availability zone. The sender may not be who passes it on, and names
+    /// its address.
+    Zone(SocketAddr),
+    /// Those of all other availability zones, told within one.
+    Far,
 }
 
 /// `Digest` is what one instance tells another.
@@ -59,11 +129,10 @@
     pub cached: Vec<CachedPrompt>,
     /// Whether it tells of caches only, and nothing of loads.
     pub is_partial: bool,
-    /// Engines that the sender itself knows to change their role, with the time that it still takes
-    /// in milliseconds.
-    pub away: Vec<(u32, u32)>,
-    /// Engines that the sender has ordered to take another role.
-    pub role_changes: Vec<ToldRoleChange>,
+    /// Whose loads it tells.
+    pub scope: Scope,
+    /// What the sender itself has found out of engines.
+    pub notices: Vec<Notice>,
     /// The short form of the sender's availability zone.
     pub zone: u32,
     /// The sender's watch over each of [`FollowedTable::ALL`].
@@ -98,22 +167,21 @@
     let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
     let mut digest = Digest::from(gateway.peers(), now);
     for upstream in engines {
-        let engine = upstream.digest;
-        let work = upstream.state.own_work();
+        let (engine, state) = (upstream.digest, &upstream.state);
+        let work = state.own_work();
         if work.in_flight > 0 {
-            let reading_ms = work.reading_ms as u32;
-            let fetching_ms = work.fetching_ms as u32;
-            let in_flight = work.in_flight;
-            digest.loads.push(EngineLoad { engine, in_flight, reading_ms, fetching_ms });
+            digest.loads.push(EngineLoad::of(engine, &work));
         }
-        let away = upstream.state.own_away_until() - now;
+        let away = state.own_away_until() - now;
         if away > Millis::ZERO {
-            digest.away.push((engine, away.0 as u32));
+            let kind = NoticeKind::Away { left_ms: away.0 as u32 };
+            digest.notices.push(Notice { engine, kind });
         }
-        let change = upstream.state.role_change(now, upstream.entry.role);
+        let change = state.role_change(now, upstream.entry.role);
         if let Some(change) = change.filter(|change| change.is_own) {
             let left_ms = (change.until - now).0 as u32;
-            digest.role_changes.push(ToldRoleChange { engine, role: change.role, left_ms });
+            let kind = NoticeKind::Changing { role: change.role, left_ms };
+            digest.notices.push(Notice { engine, kind });
         }
     }
     for (engine, parts) in gateway.take_cached(MAX_CACHED) {
@@ -124,22 +192,66 @@
     digest
 }
 
-/// Takes in what a peer tells. `before` are the engines at which it told of work the last time.
+/// Returns what all instances of the own availability zone have in flight, by what is believed. Of more
+/// engines than fit into a digest those with the most work are told of.
+pub(super) fn near_loads<W: Wire, C: Clock>(
+    gateway: &Gateway<W, C>,
+    now: Millis,
+) -> Vec<EngineLoad> {
+    const MAX_LOADS: usize = 100;
+    let view = gateway.fleet().view();
+    let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
+    let loads = engines.map(|one| EngineLoad::of(one.digest, &one.state.near_work(now)));
+    let mut loads: Vec<_> = loads.filter(|load| load.in_flight > 0).collect();
+    loads.sort_unstable_by_key(|load| std::cmp::Reverse((load.reading_ms, load.in_flight)));
+    loads.truncate(MAX_LOADS);
+    loads
+}
+
+/// The number under which the loads of all other availability zones are noted.
+const FAR_NUMBER: u64 = u64::MAX;
+
+/// Takes in what a peer tells.
 pub(super) fn take_in<W: Wire, C: Clock>(
     digest: &Digest,
     from: SocketAddr,
-    before: &[u32],
     gateway: &Gateway<W, C>,
     now: Millis,
 ) {
-    for (table, told) in FollowedTable::ALL.into_iter().zip(&digest.watches) {
-        gateway.peers().watch_of(table).take_in(from, told, now);
+    gateway.peers().take_in_watches(digest, from, now);
+    if !digest.is_partial {
+        take_in_loads(digest, from, gateway, now);
     }
     let view = gateway.fleet().view();
+    for notice in &digest.notices {
+        let Some(upstream) = view.by_digest(notice.engine) else { continue };
+        let after = |left_ms: u32| now + Millis(u64::from(left_ms));
+        match notice.kind {
+            NoticeKind::Away { left_ms } => upstream.state.mark_away(after(left_ms)),
+            NoticeKind::Changing { role, left_ms } => {
+                let change = RoleChange { role, until: after(left_ms), is_own: false };
+                upstream.state.record_role_change(change);
+            }
+        }
+    }
+    take_in_cached(digest, gateway);
+}
+
+fn take_in_loads<W: Wire, C: Clock>(
+    digest: &Digest,
+    from: SocketAddr,
+    gateway: &Gateway<W, C>,
+    now: Millis,
+) {
+    let view = gateway.fleet().view();
+    let is_far = digest.scope == Scope::Far;
+    let number = if is_far { FAR_NUMBER } else { digest.from };
+    let busy = digest.loads.iter().map(|load| load.engine).collect();
+    let before = gateway.peers().replace_busy(from, is_far, busy);
     // Only the engines that are named, or were, change; there may be hundreds of others.
     let ended = before.iter().filter(|engine| !digest.loads.iter().any(|l| l.engine == **engine));
     for upstream in ended.filter_map(|engine| view.by_digest(*engine)) {
-        upstream.state.record_peer(digest.from, PeerLoad { at: now, ..PeerLoad::default() });
+        upstream.state.record_peer(number, PeerLoad { at: now, is_far, ..PeerLoad::default() });
     }
     for load in &digest.loads {
         let Some(upstream) = view.by_digest(load.engine) else { continue };
@@ -148,19 +260,12 @@
             reading_ms: f64::from(load.reading_ms),
             fetching_ms: f64::from(load.fetching_ms),
         };
-        upstream.state.record_peer(digest.from, PeerLoad { work, at: now });
-    }
-    for (engine, left_ms) in &digest.away {
-        if let Some(upstream) = view.by_digest(*engine) {
-            upstream.state.mark_away(now + Millis(u64::from(*left_ms)));
-        }
-    }
-    for told in &digest.role_changes {
-        if let Some(upstream) = view.by_digest(told.engine) {
-            let until = now + Millis(u64::from(told.left_ms));
-            upstream.state.record_role_change(RoleChange { role: told.role, until, is_own: false });
-        }
+        upstream.state.record_peer(number, PeerLoad { work, at: now, is_far });
     }
+}
+
+fn take_in_cached<W: Wire, C: Clock>(digest: &Digest, gateway: &Gateway<W, C>) {
+    let view = gateway.fleet().view();
     let config = gateway.config();
     for cached in &digest.cached {
         let Some(upstream) = view.by_digest(cached.engine) else { continue };
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -1,6 +1,6 @@
 //! The other instances: which run, and how they find each other.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -37,8 +37,6 @@
 #[derive(Clone, Debug)]
 struct Peer {
     number: u64,
-    /// The short form of its availability zone.
-    zone: u32,
     heard_at: Millis,
     /// Whether it reached each followed table when it tried last.
     is_able: [bool; FollowedTable::ALL.len()],
@@ -46,13 +44,35 @@
     busy: Vec<u32>,
 }
 
+/// `Known` is an address at which an instance runs or has run.
+#[derive(Clone, Debug, Default)]
+struct Known {
+    /// The short form of its availability zone, as far as it is known.
+    zone: Option<u32>,
+    /// The instance, if it was heard.
+    peer: Option<Peer>,
+}
+
+impl Known {
+    /// Returns whether it should be told of news: whoever was heard once and fell silent is gone, and a
+    /// restart is heard by itself.
+    fn may_run(&self, now: Millis) -> bool {
+        self.peer.as_ref().is_none_or(|peer| peer.heard_at + PEER_AGE * 5 > now)
+    }
+}
+
 /// `Peers` is the other instances that are known.
 #[derive(Debug, Default)]
 pub struct Peers {
     /// This instance's own number and the short form of its availability zone.
     number: AtomicU64,
     zone: u32,
-    known: Mutex<HashMap<SocketAddr, Option<Peer>>>,
+    known: Mutex<HashMap<SocketAddr, Known>>,
+    /// When the instance that tells for another availability zone was heard last, by zone.
+    zones: Mutex<HashMap<u32, Millis>>,
+    /// The engines of which the other zones told last.
+    far_busy: Mutex<Vec<u32>>,
+    is_new: AtomicBool,
     was_told: AtomicBool,
     was_listed: AtomicBool,
     watches: [TableWatch; FollowedTable::ALL.len()],
@@ -95,6 +115,13 @@
         &self.watches[table as usize]
     }
 
+    /// Takes in what the instance at an address tells of its watches over the tables.
+    pub(super) fn take_in_watches(&self, digest: &Digest, from: SocketAddr, now: Millis) {
+        for (table, told) in FollowedTable::ALL.into_iter().zip(&digest.watches) {
+            self.watch_of(table).take_in(from, told, now);
+        }
+    }
+
     /// Returns whether this instance is to follow a table by calls of its own. Among few each does, since
     /// their calls cost little; among many one in each availability zone.
     pub fn follows(&self, table: FollowedTable, now: Millis) -> bool {
@@ -102,20 +129,65 @@
         if known.len() <= FEW_PEERS {
             return true;
         }
-        let rank_of = |number: u64| hash_of(&(number, table));
         let is_able = !self.watch_of(table).is_unable(now);
-        let own = Candidate { rank: rank_of(self.number()), is_able };
-        let mates = known
-            .values()
-            .flatten()
-            .filter(|peer| peer.zone == self.zone && peer.heard_at + FOLLOWER_SILENCE > now);
-        let others = mates.map(|peer| Candidate {
-            rank: rank_of(peer.number),
+        let own = Candidate { rank: hash_of(&(self.number(), table)), is_able };
+        let others = self.mates_heard(&known, now).map(|(_, peer)| Candidate {
+            rank: hash_of(&(peer.number, table)),
             is_able: peer.is_able[table as usize],
         });
         is_chosen(&own, others)
     }
 
+    /// Returns the address of the instance that tells other availability zones of this one, and this one
+    /// of them; `None` if it is this instance.
+    pub(super) fn zone_teller(&self, now: Millis) -> Option<SocketAddr> {
+        let known = self.known.lock().expect("no panic under this lock");
+        let mates = self.mates_heard(&known, now);
+        let best = mates.map(|(address, peer)| (hash_of(&peer.number), address)).max();
+        let best = best.filter(|(rank, _)| *rank > hash_of(&self.number()));
+        best.map(|(_, address)| address)
+    }
+
+    /// Returns the other instances of the own availability zone that were heard of late.
+    fn mates_heard<'k>(
+        &'k self,
+        known: &'k HashMap<SocketAddr, Known>,
+        now: Millis,
+    ) -> impl Iterator<Item = (SocketAddr, &'k Peer)> {
+        let mates = known.iter().filter(|(_, known)| known.zone == Some(self.zone));
+        let heard = mates.filter_map(|(address, known)| Some((*address, known.peer.as_ref()?)));
+        heard.filter(move |(_, peer)| peer.heard_at + FOLLOWER_SILENCE > now)
+    }
+
+    /// Notes that the instance was heard which tells for another availability zone.
+    pub(super) fn hear_zone(&self, zone: u32, now: Millis) {
+        self.zones.lock().expect("no panic under this lock").insert(zone, now);
+    }
+
+    /// Returns the other availability zones in which instances are known.
+    pub(super) fn far_zones(&self) -> Vec<u32> {
+        let known = self.known.lock().expect("no panic under this lock");
+        let zones = known.values().filter_map(|known| known.zone);
+        let zones: HashSet<u32> = zones.filter(|zone| *zone != self.zone).collect();
+        zones.into_iter().collect()
+    }
+
+    /// Returns the addresses of the instances that are known in an availability zone.
+    pub(super) fn instances_of(&self, zone: u32) -> Vec<SocketAddr> {
+        let known = self.known.lock().expect("no panic under this lock");
+        let of_zone = known.iter().filter(|(_, known)| known.zone == Some(zone));
+        of_zone.map(|(address, _)| *address).collect()
+    }
+
+    /// Returns the addresses of the instances in other availability zones, once after this one was
+    /// listed. They don't hear of it otherwise.
+    pub(super) fn take_greeted(&self) -> Vec<SocketAddr> {
+        if !self.is_new.swap(false, Ordering::AcqRel) || self.are_few() {
+            return Vec::new();
+        }
+        self.far_zones().into_iter().flat_map(|zone| self.instances_of(zone)).collect()
+    }
+
     /// Has the peers told at once of what this instance has in flight. News that come before the
     /// last have been told are told together.
     pub(crate) fn announce(&self) {
@@ -148,50 +220,64 @@
 
     /// Adds an address at which an instance may run.
     pub fn add(&self, address: SocketAddr) {
-        self.known.lock().expect("no panic under this lock").entry(address).or_insert(None);
+        self.known.lock().expect("no panic under this lock").entry(address).or_default();
+    }
+
+    /// Adds an address at which an instance of an availability zone may run.
+    fn add_in_zone(&self, address: SocketAddr, zone: Option<u32>) {
+        let mut known = self.known.lock().expect("no panic under this lock");
+        let known = known.entry(address).or_default();
+        known.zone = known.zone.or(zone);
     }
 
     /// Notes that an instance was heard. Returns whether it is a new one.
     pub(super) fn hear(&self, address: SocketAddr, digest: &Digest, now: Millis) -> bool {
         let is_able = digest.watches.map(|watch| !watch.is_unable);
         let mut known = self.known.lock().expect("no panic under this lock");
-        let peer = known.entry(address).or_insert(None);
-        match peer {
+        let known = known.entry(address).or_default();
+        known.zone = Some(digest.zone);
+        match &mut known.peer {
             Some(peer) if peer.number == digest.from => {
                 (peer.heard_at, peer.is_able) = (now, is_able);
                 false
             }
-            _ => {
-                let (number, zone) = (digest.from, digest.zone);
-                *peer = Some(Peer { number, zone, heard_at: now, is_able, busy: Vec::new() });
+            peer => {
+                let number = digest.from;
+                *peer = Some(Peer { number, heard_at: now, is_able, busy: Vec::new() });
                 true
             }
         }
     }
 
-    /// Notes the engines at which an instance tells of work, and returns those of the last time.
-    pub(super) fn replace_busy(&self, address: SocketAddr, busy: Vec<u32>) -> Vec<u32> {
+    /// Notes the engines at which an instance tells of work, its own or that of all other zones, and
+    /// returns those of the last time.
+    pub(super) fn replace_busy(
+        &self,
+        address: SocketAddr,
+        is_far: bool,
+        busy: Vec<u32>,
+    ) -> Vec<u32> {
+        if is_far {
+            let mut far_busy = self.far_busy.lock().expect("no panic under this lock");
+            return std::mem::replace(&mut far_busy, busy);
+        }
         let mut known = self.known.lock().expect("no panic under this lock");
-        let peer = known.get_mut(&address).and_then(Option::as_mut);
+        let peer = known.get_mut(&address).and_then(|known| known.peer.as_mut());
         peer.map(|peer| std::mem::replace(&mut peer.busy, busy)).unwrap_or_default()
     }
 
     /// Returns the addresses to tell.
     pub fn addresses(&self, now: Millis) -> Vec<SocketAddr> {
-        self.addresses_of(now, |_| true)
+        let known = self.known.lock().expect("no panic under this lock");
+        let current = known.iter().filter(|(_, known)| known.may_run(now));
+        current.map(|(address, _)| *address).collect()
     }
 
     /// Returns the addresses in this instance's availability zone, and those whose zone is not known.
     pub(super) fn mates(&self, now: Millis) -> Vec<SocketAddr> {
-        self.addresses_of(now, |peer| peer.zone == self.zone)
-    }
-
-    fn addresses_of(&self, now: Millis, is_wanted: impl Fn(&Peer) -> bool) -> Vec<SocketAddr> {
         let known = self.known.lock().expect("no panic under this lock");
-        let current = known.iter().filter(|(_, peer)| {
-            // Whoever was heard once and fell silent is gone; a restart is heard by itself.
-            let is_current = |peer: &Peer| peer.heard_at + PEER_AGE * 5 > now && is_wanted(peer);
-            peer.as_ref().is_none_or(is_current)
+        let current = known.iter().filter(|(_, known)| {
+            known.zone.is_none_or(|zone| zone == self.zone) && known.may_run(now)
         });
         current.map(|(address, _)| *address).collect()
     }
@@ -199,7 +285,8 @@
     /// Returns how many peers were heard of late.
     pub fn heard(&self, now: Millis) -> usize {
         let known = self.known.lock().expect("no panic under this lock");
-        known.values().flatten().filter(|peer| peer.heard_at + PEER_AGE > now).count()
+        let heard = known.values().filter_map(|known| known.peer.as_ref());
+        heard.filter(|peer| peer.heard_at + PEER_AGE > now).count()
     }
 
     /// Returns how many instances there are at most, this one among them. It counts the silent ones,
@@ -209,23 +296,35 @@
         if self.was_listed.load(Ordering::Acquire) { known } else { known.max(UNLISTED_INSTANCES) }
     }
 
-    /// Returns whether `number` is the least among the instances that run.
-    pub fn is_first(&self, number: u64, now: Millis) -> bool {
-        self.is_least(number, now, |_| true)
+    /// Returns whether this instance is to act for all: the least among few, and among many the one that
+    /// tells for the first of the availability zones that are heard.
+    pub fn is_first(&self, now: Millis) -> bool {
+        if self.are_few() {
+            return self.is_least_beside(None, now);
+        }
+        let zones = self.zones.lock().expect("no panic under this lock");
+        let mut heard = zones.iter().filter(|(_, at)| **at + PEER_AGE > now);
+        heard.all(|(zone, _)| self.zone < *zone) && self.zone_teller(now).is_none()
     }
 
-    /// Returns the same of this instance, with the one at `other` left out.
-    pub(super) fn is_first_beside(&self, other: SocketAddr, now: Millis) -> bool {
-        self.is_least(self.number(), now, |address| address != other)
+    /// Returns whether this instance is to tell a new one what it knows: the least among few, and among
+    /// many the one that tells for its availability zone, with the new one left out.
+    pub(super) fn greets(&self, new: SocketAddr, now: Millis) -> bool {
+        if self.are_few() {
+            return self.is_least_beside(Some(new), now);
+        }
+        let known = self.known.lock().expect("no panic under this lock");
+        let is_mate = known.get(&new).is_some_and(|known| known.zone == Some(self.zone));
+        let mut mates = self.mates_heard(&known, now).filter(|(address, _)| *address != new);
+        is_mate && mates.all(|(_, peer)| hash_of(&peer.number) < hash_of(&self.number()))
     }
 
-    fn is_least(&self, number: u64, now: Millis, counts: impl Fn(SocketAddr) -> bool) -> bool {
+    fn is_least_beside(&self, other: Option<SocketAddr>, now: Millis) -> bool {
         let known = self.known.lock().expect("no panic under this lock");
-        let others = known.iter().filter(|(address, _)| counts(**address));
-        let running = others
-            .filter_map(|(_, peer)| peer.as_ref())
-            .filter(|peer| peer.heard_at + PEER_AGE > now);
-        running.map(|peer| peer.number).all(|other| number < other)
+        let others = known.iter().filter(|(address, _)| Some(**address) != other);
+        let heard = others.filter_map(|(_, known)| known.peer.as_ref());
+        let mut running = heard.filter(|peer| peer.heard_at + PEER_AGE > now);
+        running.all(|peer| self.number() < peer.number)
     }
 }
 
@@ -249,7 +348,7 @@
     address: SocketAddr,
     peers: &Peers,
 ) -> Result<(), TableError> {
-    let own = address.to_string();
+    let own = format!("{address} {:08x}", peers.zone());
     let value = bytes::Bytes::from(own.clone());
     // Most instances are new to the table; the row of an earlier start is found by the conflict.
     let write = Write { key: name.to_owned(), expected: 0, value: value.clone() };
@@ -257,15 +356,22 @@
     let rows = table.scan(PEER_TABLE).await?;
     for row in &rows.rows {
         let text = row.value.as_ref().and_then(|value| std::str::from_utf8(value).ok());
-        let listed: Option<SocketAddr> = text.and_then(|text| text.parse().ok());
-        let listed = listed.filter(|listed| *listed != address);
+        let listed = text.and_then(listed_instance).filter(|(listed, _)| *listed != address);
         if row.key != name {
-            listed.into_iter().for_each(|listed| peers.add(listed));
+            listed.into_iter().for_each(|(listed, zone)| peers.add_in_zone(listed, zone));
         } else if written == Written::Conflict && text != Some(own.as_str()) {
             let write = Write { key: name.to_owned(), expected: row.version, value: value.clone() };
             table.write(PEER_TABLE, write).await?;
         }
     }
     peers.was_listed.store(true, Ordering::Release);
+    peers.is_new.store(true, Ordering::Release);
     Ok(())
 }
+
+/// Returns the address in an instance's row, and the short form of its availability zone if it stands
+/// there.
+fn listed_instance(text: &str) -> Option<(SocketAddr, Option<u32>)> {
+    let (address, zone) = text.split_once(' ').unwrap_or((text, ""));
+    Some((address.parse().ok()?, u32::from_str_radix(zone, 16).ok()))
+}
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -11,6 +11,7 @@
 mod telling;
 mod versions;
 mod watches;
+mod zones;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,8 +27,9 @@
 use digests::take_in;
 use seeding::tell_caches;
 use telling::{Teller, tell_missed};
+use zones::ZoneLink;
 
-pub use digests::{CachedPrompt, Digest, EngineLoad, ToldRoleChange};
+pub use digests::{CachedPrompt, Digest, EngineLoad, Notice, NoticeKind, Scope};
 pub use members::{Peers, register};
 pub use mirrors::Mirror;
 pub use rows::{Assembler, RowsPiece, ToldRows, pieces_of};
@@ -52,32 +54,52 @@
 ) {
     let mut ticks = tokio::time::interval(TELL_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let Ok(own) = socket.local_addr() else { return };
     let peers = Arc::clone(gateway.peers());
     peers.set_number(number);
     let mut buf = vec![0; MAX_DIGEST_BYTES * 2];
-    let mut teller = Teller::new(rng);
-    let mut listener = Listener::default();
+    let mut link = Link {
+        teller: Teller::new(rng.clone()),
+        zones: ZoneLink::new(rng, own),
+        assembler: Assembler::default(),
+    };
     loop {
         tokio::select! {
-            _ = ticks.tick() => teller.tell(&socket, &gateway, clock.now()),
-            () = peers.announced() => teller.tell(&socket, &gateway, clock.now()),
+            _ = ticks.tick() => {
+                let now = clock.now();
+                link.tell(&socket, &gateway, now);
+                link.zones.tick(&socket, &gateway, now);
+            }
+            () = peers.announced() => link.tell(&socket, &gateway, clock.now()),
             received = socket.recv_from(&mut buf) => {
                 let Ok((len, from)) = received else { continue };
                 if let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) {
-                    listener.hear(digest, from, &socket, &gateway, clock.now());
+                    link.hear(digest, from, &socket, &gateway, clock.now());
                 }
             }
         }
     }
 }
 
-/// `Listener` takes in what peers tell.
-#[derive(Default)]
-struct Listener {
+/// `Link` is this instance's link to the others.
+struct Link {
+    teller: Teller,
+    zones: ZoneLink,
     assembler: Assembler,
 }
 
-impl Listener {
+impl Link {
+    fn tell<W: Wire, C: Clock>(
+        &mut self,
+        socket: &UdpSocket,
+        gateway: &Gateway<W, C>,
+        now: Millis,
+    ) {
+        if let Some(told) = self.teller.tell(socket, gateway, now) {
+            self.zones.collect(&told, now);
+        }
+    }
+
     fn hear<W: Wire, C: Clock>(
         &mut self,
         mut digest: Digest,
@@ -87,14 +109,20 @@
         now: Millis,
     ) {
         let peers = gateway.peers();
+        gateway.record_contact(PEER_BELIEF);
+        if let Scope::Zone(teller) = digest.scope {
+            // Another zone may have lost its way to a table that this one still reaches.
+            digest.watches.iter_mut().for_each(|watch| watch.away_ms = None);
+            peers.take_in_watches(&digest, teller, now);
+            self.zones.hear(&digest, teller, from, socket, gateway, now);
+            return;
+        }
         if !digest.cached.is_empty() && digest.is_partial {
             peers.record_told();
         }
-        // The new one may be the first by now; whoever was before it tells it.
-        if peers.hear(from, &digest, now) && peers.is_first_beside(from, now) {
+        if peers.hear(from, &digest, now) && peers.greets(from, now) {
             tell_caches(socket, from, gateway, now);
         }
-        gateway.record_contact(PEER_BELIEF);
         if let Some(piece) = digest.rows.take() {
             let table = piece.table;
             if let Some(rows) = self.assembler.take(from, piece) {
@@ -104,12 +132,9 @@
         if let Some((table, known)) = digest.asks {
             tell_missed(table, known, from, socket, gateway, now);
         }
-        let before = if digest.is_partial {
-            Vec::new()
-        } else {
-            let busy = digest.loads.iter().map(|load| load.engine).collect();
-            peers.replace_busy(from, busy)
-        };
-        take_in(&digest, from, &before, gateway, now);
+        take_in(&digest, from, gateway, now);
+        if digest.scope == Scope::Instance && !digest.is_partial {
+            self.zones.collect(&digest, now);
+        }
     }
 }
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -21,6 +21,10 @@
 /// How long a new instance listens before it asks the engines what they hold.
 const SEED_DELAY: Duration = Duration::from_millis(150);
 
+/// The same among many instances, where those that tell for their availability zones must first hear each
+/// other.
+const SEED_DELAY_OF_MANY: Duration = Duration::from_millis(900);
+
 /// Tells a new instance what the caches are believed to hold. It would otherwise have each shared
 /// part read again that it meets.
 pub(super) fn tell_caches<W: Wire, C: Clock>(
@@ -46,13 +50,13 @@
 ///
 /// After the loss of all instances the engines still hold what they have read. One instance asks
 /// them and tells the others; a call to each engine by each instance would hold the engines up.
-pub async fn seed_caches<W: Wire, C: Clock>(number: u64, gateway: Gateway<W, C>, clock: C) {
+pub async fn seed_caches<W: Wire, C: Clock>(gateway: Gateway<W, C>, clock: C) {
     while !gateway.is_ready() {
         tokio::time::sleep(TELL_EVERY).await;
     }
-    tokio::time::sleep(SEED_DELAY).await;
     let peers = gateway.peers();
-    if peers.was_told() || !peers.is_first(number, clock.now()) {
+    tokio::time::sleep(if peers.are_few() { SEED_DELAY } else { SEED_DELAY_OF_MANY }).await;
+    if peers.was_told() || !peers.is_first(clock.now()) {
         return;
     }
     let view = gateway.fleet().view();
--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
-use super::digests::{Digest, digest};
+use super::digests::{Digest, Notice, digest};
 use super::rows::{ToldRows, pieces_of};
 use super::versions::FollowedTable;
 use crate::relay::Gateway;
@@ -34,8 +34,8 @@
     had_loads: bool,
     /// The prompt work at each engine as all peers were told it last, in milliseconds.
     told_to_all: HashMap<u32, u32>,
-    /// The engines of which all peers were told last that they change their role.
-    told_away: Vec<u32>,
+    /// The notices that the others were given last.
+    told_notices: Vec<Notice>,
     /// Whether the others were told last that this instance does not reach the tables.
     told_unable: Vec<bool>,
 }
@@ -43,11 +43,11 @@
 /// `Audience` is whom a digest goes to.
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum Audience {
-    /// All instances.
+    /// All instances, where there are few.
     All,
     /// Those of the own availability zone.
     Zone,
-    /// A few.
+    /// A few of those.
     Few,
 }
 
@@ -59,7 +59,7 @@
             quiet_ticks: 0,
             had_loads: false,
             told_to_all: HashMap::new(),
-            told_away: Vec::new(),
+            told_notices: Vec::new(),
             told_unable: Vec::new(),
         }
     }
@@ -78,45 +78,43 @@
             if is_among_few { now.abs_diff(before) } else { now.saturating_sub(before) }
         });
         let has_changed = changes.any(|change| change >= GREAT_NEWS_MS);
-        // An engine is away for seconds; to tell all of it with each digest would choke the links.
-        let away = digest.away.iter().map(|(engine, _)| *engine);
-        let away: Vec<u32> =
-            away.chain(digest.role_changes.iter().map(|change| change.engine)).collect();
-        let goes_away = away.iter().any(|engine| !self.told_away.contains(engine));
-        let is_great = has_changed || !digest.cached.is_empty() || goes_away;
+        // A notice holds for seconds; to tell all of it with each digest would choke the links.
+        let is_in = |notices: &[Notice], notice: &Notice| notices.iter().any(|n| n.is_same(notice));
+        let has_notice = digest.notices.iter().any(|notice| !is_in(&self.told_notices, notice));
+        let is_great = has_changed || !digest.cached.is_empty() || has_notice;
         if is_great {
-            (self.told_to_all, self.told_away) = (reading, away);
+            (self.told_to_all, self.told_notices) = (reading, digest.notices.clone());
         } else {
-            self.told_away.retain(|engine| away.contains(engine));
+            self.told_notices.retain(|notice| is_in(&digest.notices, notice));
         }
         is_great
     }
 
-    /// Tells what there is to tell now, if anything.
+    /// Tells what there is to tell now, if anything, and returns what was told.
     pub fn tell<W: Wire, C: Clock>(
         &mut self,
         socket: &UdpSocket,
         gateway: &Gateway<W, C>,
         now: Millis,
-    ) {
+    ) -> Option<Digest> {
         self.tell_rows(socket, gateway, now);
         ask_for_missed(socket, gateway, now);
+        greet(socket, gateway, now);
         let digest = digest(gateway, now);
-        let is_any_away = !digest.away.is_empty() || !digest.role_changes.is_empty();
-        let has_loads = !digest.loads.is_empty() || is_any_away;
+        let has_loads = !digest.loads.is_empty() || !digest.notices.is_empty();
         let has_news = has_loads || self.had_loads || !digest.cached.is_empty();
         let unable: Vec<_> = digest.watches.iter().map(|watch| watch.is_unable).collect();
         let is_due = self.quiet_ticks >= HEARTBEAT_TICKS || self.told_unable != unable;
         self.quiet_ticks += 1;
         if !has_news && !is_due {
-            return;
+            return None;
         }
         self.had_loads = has_loads;
         let is_among_few = gateway.peers().are_few();
         let is_great = self.has_great_news(&digest, is_among_few);
         let audience = match () {
-            () if is_great || is_among_few => Audience::All,
-            () if is_due => Audience::Zone,
+            () if is_among_few => Audience::All,
+            () if is_great || is_due => Audience::Zone,
             () => Audience::Few,
         };
         if audience != Audience::Few {
@@ -125,6 +123,7 @@
         }
         let addresses = self.addresses(audience, gateway, now);
         send(&digest, &addresses, socket, gateway);
+        Some(digest)
     }
 
     /// Tells the instances of the availability zone which rows have changed.
@@ -153,7 +152,7 @@
             Audience::All => peers.addresses(now),
             Audience::Zone => peers.mates(now),
             Audience::Few => {
-                let mut addresses = peers.addresses(now);
+                let mut addresses = peers.mates(now);
                 let (chosen, _) = addresses.partial_shuffle(&mut self.rng, FANOUT);
                 chosen.to_vec()
             }
@@ -161,6 +160,14 @@
     }
 }
 
+/// Has the instances of other availability zones know of this one, which has just been listed.
+fn greet<W: Wire, C: Clock>(socket: &UdpSocket, gateway: &Gateway<W, C>, now: Millis) {
+    let greeted = gateway.peers().take_greeted();
+    if !greeted.is_empty() {
+        send(&Digest::partial(gateway.peers(), now), &greeted, socket, gateway);
+    }
+}
+
 /// Asks for the changes that this instance has missed.
 fn ask_for_missed<W: Wire, C: Clock>(socket: &UdpSocket, gateway: &Gateway<W, C>, now: Millis) {
     let peers = gateway.peers();
@@ -201,7 +208,7 @@
     }
 }
 
-fn send<W: Wire, C: Clock>(
+pub(super) fn send<W: Wire, C: Clock>(
     digest: &Digest,
     addresses: &[SocketAddr],
     socket: &UdpSocket,
--- /dev/null
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -0,0 +1,223 @@
+//! News between availability zones, which one instance of each tells.
+//!
+//! The load that this answers: hundreds of instances in several availability zones, where bytes between
+//! zones are dear. If each told each, nine in ten of all bytes that cross were news of loads, most of
+//! them of no use to their hearers. So one instance of each zone gathers what the zone has to tell, and
+//! tells one instance of each other zone, which tells its own.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use anvilhook_core::units::{Clock, Millis};
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use tokio::net::UdpSocket;
+
+use super::digests::{CachedPrompt, Digest, EngineLoad, Notice, Scope, near_loads, take_in};
+use super::telling::send;
+use crate::relay::Gateway;
+use crate::wires::Wire;
+
+/// After how many ticks zones are told: what is told less often is too old to place requests by, and
+/// what is told more often costs bytes for each tick.
+const ZONE_TICKS: u32 = 2;
+
+/// How many tellings are left out at most while there is nothing to tell. An instance that tells for its
+/// zone must be known to run.
+const MOST_SILENT: u32 = 4;
+
+/// How long a notice is told on, so that one lost datagram does not lose it.
+const NOTICE_AGE: Millis = Millis(300);
+
+/// How long an instance that has told for its zone is taken to do so.
+const TELLER_AGE: Millis = Millis(1_500);
+
+/// How many instances of a zone are told if none is known to tell for it.
+const GUESSES: usize = 2;
+
+/// The most prompts that one digest tells of, so that it fits into a datagram.
+const MAX_CACHED: usize = 16;
+
+/// `ZoneLink` is what this instance tells other availability zones, and its own of them, if it is the one
+/// to do so.
+pub(super) struct ZoneLink {
+    rng: ChaCha8Rng,
+    own: SocketAddr,
+    far: HashMap<u32, FarZone>,
+    /// What its own zone has to tell, and what other zones have told.
+    outgoing: News,
+    incoming: News,
+    ticks: u32,
+    silent: u32,
+    had_far_loads: bool,
+}
+
+/// `FarZone` is another availability zone.
+struct FarZone {
+    /// The instance that tells for it.
+    teller: SocketAddr,
+    heard_at: Millis,
+    loads: Vec<EngineLoad>,
+}
+
+/// `News` is what is to be told on.
+#[derive(Default)]
+struct News {
+    cached: Vec<CachedPrompt>,
+    notices: Vec<(Millis, Notice)>,
+}
+
+impl News {
+    fn collect(&mut self, digest: &Digest, now: Millis) {
+        self.cached.extend(digest.cached.iter().cloned());
+        for notice in &digest.notices {
+            if !self.notices.iter().any(|(_, known)| known.is_same(notice)) {
+                self.notices.push((now, notice.clone()));
+            }
+        }
+    }
+
+    /// Returns the notices that are still told.
+    fn notices(&mut self, now: Millis) -> Vec<Notice> {
+        self.notices.retain(|(heard_at, _)| *heard_at + NOTICE_AGE > now);
+        self.notices.iter().map(|(heard_at, notice)| notice.after(now - *heard_at)).collect()
+    }
+
+    /// Takes the prompts that fit into one digest.
+    fn take_cached(&mut self) -> Vec<CachedPrompt> {
+        let count = self.cached.len().min(MAX_CACHED);
+        self.cached.drain(..count).collect()
+    }
+}
+
+impl ZoneLink {
+    /// Makes a link that knows of no other zone. `own` is this instance's address.
+    pub fn new(rng: ChaCha8Rng, own: SocketAddr) -> Self {
+        Self {
+            rng,
+            own,
+            far: HashMap::new(),
+            outgoing: News::default(),
+            incoming: News::default(),
+            ticks: 0,
+            silent: 0,
+            had_far_loads: false,
+        }
+    }
+
+    /// Notes what an instance of the own zone tells, or this one.
+    pub fn collect(&mut self, digest: &Digest, now: Millis) {
+        self.outgoing.collect(digest, now);
+    }
+
+    /// Takes in what another zone tells, or passes it to the instance that should have been told.
+    pub fn hear<W: Wire, C: Clock>(
+        &mut self,
+        digest: &Digest,
+        teller: SocketAddr,
+        from: SocketAddr,
+        socket: &UdpSocket,
+        gateway: &Gateway<W, C>,
+        now: Millis,
+    ) {
+        let peers = gateway.peers();
+        peers.hear_zone(digest.zone, now);
+        let far = FarZone { teller, heard_at: now, loads: digest.loads.clone() };
+        self.far.insert(digest.zone, far);
+        match peers.zone_teller(now) {
+            None => self.incoming.collect(digest, now),
+            // Passed on once: what came from an instance of the own zone has been.
+            Some(own) if from == teller => send(digest, &[own], socket, gateway),
+            Some(_) => {}
+        }
+    }
+
+    /// Tells what there is to tell, if it is time and this instance's part.
+    pub fn tick<W: Wire, C: Clock>(
+        &mut self,
+        socket: &UdpSocket,
+        gateway: &Gateway<W, C>,
+        now: Millis,
+    ) {
+        let peers = gateway.peers();
+        if peers.are_few() || peers.zone_teller(now).is_some() {
+            (self.outgoing, self.incoming) = (News::default(), News::default());
+            return;
+        }
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(ZONE_TICKS) {
+            self.tell_zones(socket, gateway, now);
+            self.tell_own_zone(socket, gateway, now);
+        }
+    }
+
+    fn tell_zones<W: Wire, C: Clock>(
+        &mut self,
+        socket: &UdpSocket,
+        gateway: &Gateway<W, C>,
+        now: Millis,
+    ) {
+        let peers = gateway.peers();
+        let digest = Digest {
+            scope: Scope::Zone(self.own),
+            loads: near_loads(gateway, now),
+            cached: self.outgoing.take_cached(),
+            notices: self.outgoing.notices(now),
+            ..Digest::from(peers, now)
+        };
+        let has_news =
+            !digest.loads.is_empty() || !digest.cached.is_empty() || !digest.notices.is_empty();
+        if !has_news && self.silent < MOST_SILENT {
+            self.silent += 1;
+            return;
+        }
+        self.silent = 0;
+        for zone in peers.far_zones() {
+            let teller = self.far.get(&zone).filter(|far| far.heard_at + TELLER_AGE > now);
+            let addresses = match teller {
+                Some(far) => vec![far.teller],
+                None => {
+                    let mut guesses = peers.instances_of(zone);
+                    let (chosen, _) = guesses.partial_shuffle(&mut self.rng, GUESSES);
+                    chosen.to_vec()
+                }
+            };
+            send(&digest, &addresses, socket, gateway);
+        }
+    }
+
+    fn tell_own_zone<W: Wire, C: Clock>(
+        &mut self,
+        socket: &UdpSocket,
+        gateway: &Gateway<W, C>,
+        now: Millis,
+    ) {
+        let peers = gateway.peers();
+        let digest = Digest {
+            scope: Scope::Far,
+            loads: self.far_loads(now),
+            cached: self.incoming.take_cached(),
+            notices: self.incoming.notices(now),
+            ..Digest::from(peers, now)
+        };
+        let has_loads = !digest.loads.is_empty();
+        let has_news = has_loads || !digest.cached.is_empty() || !digest.notices.is_empty();
+        if !has_news && !self.had_far_loads {
+            return;
+        }
+        self.had_far_loads = has_loads;
+        send(&digest, &peers.mates(now), socket, gateway);
+        take_in(&digest, self.own, gateway, now);
+    }
+
+    /// Returns what all other zones together have in flight.
+    fn far_loads(&self, now: Millis) -> Vec<EngineLoad> {
+        let mut loads: HashMap<u32, EngineLoad> = HashMap::new();
+        let current = self.far.values().filter(|far| far.heard_at + TELLER_AGE > now);
+        for load in current.flat_map(|far| &far.loads) {
+            let sum = loads.entry(load.engine).or_insert_with(|| EngineLoad::none_at(load.engine));
+            sum.add(load);
+        }
+        loads.into_values().collect()
+    }
+}
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -69,7 +69,6 @@
     table: T,
     clock: C,
     holder: String,
-    number: u64,
     options: RoleOptions,
     seen: Option<(u64, Millis)>,
     lease: Option<Lease>,
@@ -87,7 +86,6 @@
         table: T,
         clock: C,
         holder: String,
-        number: u64,
         options: RoleOptions,
     ) -> Self {
         Self {
@@ -95,7 +93,6 @@
             table,
             clock,
             holder,
-            number,
             options,
             seen: None,
             lease: None,
@@ -117,7 +114,7 @@
         loop {
             tokio::time::sleep(LOOK_EVERY).await;
             // One instance acts, so that the others need not even read the lease.
-            let is_first = self.gateway.peers().is_first(self.number, self.clock.now());
+            let is_first = self.gateway.peers().is_first(self.clock.now());
             if self.gateway.is_ready() && is_first {
                 self.look().await;
             }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -12,7 +12,7 @@
 use anvilhook_gateway::fleets::{Entry, Fleet};
 use anvilhook_gateway::loads::{Held, PeerLoad, Work};
 use anvilhook_gateway::peers::{
-    CachedPrompt, Digest, EngineLoad, FollowedTable, ToldRoleChange, ToldWatch,
+    CachedPrompt, Digest, EngineLoad, FollowedTable, Notice, NoticeKind, Scope, ToldWatch,
 };
 use anvilhook_gateway::placements::{Placer, Plan, Request};
 use anvilhook_gateway::prompts::{Part, Prompt};
@@ -284,7 +284,7 @@
     let fleet = fleet(&SITE);
     let state = Arc::clone(&fleet.view().get("p1").unwrap().state);
     let work = Work { in_flight: 3, reading_ms: 50.0, fetching_ms: 4.0 };
-    state.record_peer(7, PeerLoad { work, at: Millis(100) });
+    state.record_peer(7, PeerLoad { work, at: Millis(100), is_far: false });
 
     // The engine goes on reading while nothing is heard.
     for (now, reading_ms) in [(100, 50.0), (130, 20.0), (200, 0.0)] {
@@ -303,12 +303,15 @@
     let state = Arc::clone(&fleet.view().get("p1").unwrap().state);
     let busy = Work { in_flight: 1, ..Work::default() };
     for number in 0..1_000 {
-        state.record_peer(number, PeerLoad { work: busy, at: Millis(number * 100) });
+        state.record_peer(number, PeerLoad { work: busy, at: Millis(number * 100), is_far: false });
     }
     assert!(state.peer_count() < 10, "{} of 1000", state.peer_count());
 
     for number in 0..1_000 {
-        state.record_peer(number, PeerLoad { work: Work::default(), at: Millis(100_000) });
+        state.record_peer(
+            number,
+            PeerLoad { work: Work::default(), at: Millis(100_000), is_far: false },
+        );
     }
     assert_eq!(state.peer_count(), 0);
 }
@@ -355,8 +358,11 @@
         loads: vec![load; 12],
         cached: vec![cached],
         is_partial: false,
-        away: vec![(9, 2_500)],
-        role_changes: vec![ToldRoleChange { engine: 8, role: Role::Decode, left_ms: 9_000 }],
+        scope: Scope::Zone(([10, 1, 0, 35], 7_660).into()),
+        notices: vec![
+            Notice { engine: 9, kind: NoticeKind::Away { left_ms: 2_500 } },
+            Notice { engine: 8, kind: NoticeKind::Changing { role: Role::Decode, left_ms: 9_000 } },
+        ],
         zone: u32::MAX,
         watches: [ToldWatch { newest: 700, is_unable: true, away_ms: Some(2_000) }; 2],
         rows: None,
--- a/crates/anvilhook-gateway/tests/metrics.rs
+++ b/crates/anvilhook-gateway/tests/metrics.rs
@@ -22,7 +22,7 @@
     let upstream = |id: &str| Arc::clone(gateway.fleet().view().get(id).expect("listed"));
     let _held = Held::with_work(upstream("u1"), 40.0, 0.0);
     let work = Work { in_flight: 2, reading_ms: 60.0, fetching_ms: 0.0 };
-    upstream("u2").state.record_peer(7, PeerLoad { work, at: clock.now() });
+    upstream("u2").state.record_peer(7, PeerLoad { work, at: clock.now(), is_far: false });
 
     let text = gateway.metrics_text();
 
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -12,7 +12,9 @@
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::Held;
-use anvilhook_gateway::peers::{Digest, Peers, exchange, register, seed_caches};
+use anvilhook_gateway::peers::{
+    Digest, Notice, NoticeKind, Peers, exchange, register, seed_caches,
+};
 use anvilhook_gateway::prompts::{Part, Prompt};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -28,7 +30,6 @@
 struct Instance {
     gateway: TestGateway,
     address: SocketAddr,
-    number: u64,
     clock: SystemClock,
 }
 
@@ -43,7 +44,7 @@
     others.iter().for_each(|other| gateway.peers().add(*other));
     let rng = ChaCha8Rng::seed_from_u64(number);
     tokio::spawn(exchange(socket, number, rng, gateway.clone(), clock));
-    Instance { gateway, address, number, clock }
+    Instance { gateway, address, clock }
 }
 
 impl Instance {
@@ -53,7 +54,7 @@
     }
 
     async fn seed(&self) {
-        seed_caches(self.number, self.gateway.clone(), self.clock).await;
+        seed_caches(self.gateway.clone(), self.clock).await;
     }
 }
 
@@ -160,7 +161,9 @@
     let (one, others) = instance_among(30).await;
     let state = Arc::clone(&one.gateway.fleet().view().get("e0").expect("listed").state);
     let engine = entry("e0", 1).digest();
-    let heard = Digest { from: 9, away: vec![(engine, 60_000)], ..Digest::default() };
+    let kind = NoticeKind::Away { left_ms: 60_000 };
+    let notices = vec![Notice { engine, kind }];
+    let heard = Digest { from: 9, notices, ..Digest::default() };
     let bytes = postcard::to_stdvec(&heard).expect("it can be written");
     let now = || anvilhook_core::units::Clock::now(&one.clock);
 
@@ -170,7 +173,7 @@
 
     state.mark_own_away(now() + Millis(60_000));
     for other in &others {
-        hear(other, |digest| !digest.away.is_empty()).await;
+        hear(other, |digest| !digest.notices.is_empty()).await;
     }
 }
 
@@ -242,7 +245,7 @@
     table.set_fault(Fault::None);
     registering.await.expect("no panic");
 
-    assert_eq!(table.value("anvilhook_instances", "b").as_deref(), Some("127.0.0.1:2"));
+    assert_eq!(table.value("anvilhook_instances", "b").as_deref(), Some("127.0.0.1:2 00000000"));
     assert_eq!(peers.addresses(Millis::ZERO), [address(1)]);
     assert_eq!(peers.instances(), 2);
 }
--- a/crates/anvilhook-gateway/tests/roles.rs
+++ b/crates/anvilhook-gateway/tests/roles.rs
@@ -73,7 +73,7 @@
             RoleOptions { prefill_share: 0.5, patience: Millis::ZERO, lease: Millis(3_000) };
         let (gateway, table) = (self.gateway.clone(), self.table.clone());
         let holder = holder.to_owned();
-        RoleKeeper::new(gateway, table, self.clock.clone(), holder, 1, options)
+        RoleKeeper::new(gateway, table, self.clock.clone(), holder, options)
     }
 }
 
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -64,10 +64,21 @@
     config: Option<Config>,
     entries: Vec<Entry>,
     budget: BudgetOptions,
+) -> Gateway<TestWire, C> {
+    gateway_in("zone-a", clock, config, entries, budget)
+}
+
+/// Returns the same in an availability zone.
+pub fn gateway_in<C: Clock>(
+    zone: &str,
+    clock: C,
+    config: Option<Config>,
+    entries: Vec<Entry>,
+    budget: BudgetOptions,
 ) -> Gateway<TestWire, C> {
     let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
     let options =
-        GatewayOptions { zone: Arc::from("zone-a"), budget, expected_reading: EXPECTED_READING };
+        GatewayOptions { zone: Arc::from(zone), budget, expected_reading: EXPECTED_READING };
     let gateway = Gateway::new(TestWire::new(), clock, client, options);
     if let Some(config) = config {
         gateway.adopt_config(config);
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/zones.rs
@@ -0,0 +1,141 @@
+//! What instances of several availability zones tell each other, over real datagrams.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Clock, Millis, SystemClock};
+use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::loads::Held;
+use anvilhook_gateway::peers::{exchange, register};
+use anvilhook_gateway::prompts::{Part, Prompt};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use support::fronts::{TestGateway, ample_budget, config, gateway_in};
+use support::tables::MemoryTable;
+use support::wires::entry;
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
+
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// The instances of each availability zone; more in all than each tell everybody.
+const INSTANCES: usize = 6;
+
+const SHARED: Part = Part { id: 77, tokens: 5_000 };
+
+struct Instance {
+    gateway: TestGateway,
+    zone: &'static str,
+    clock: SystemClock,
+    task: JoinHandle<()>,
+}
+
+impl Instance {
+    async fn start(number: u64, zone: &'static str, table: &MemoryTable) -> Instance {
+        let clock = SystemClock::new();
+        let config = Some(config(Repeats::Stream { resumable: true }, 2, true));
+        let engine = Entry { role: Some(Role::Prefill), ..entry("e0", 1) };
+        let gateway = gateway_in(zone, clock, config, vec![engine], ample_budget());
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let address: SocketAddr = socket.local_addr().expect("an address");
+        let rng = ChaCha8Rng::seed_from_u64(number);
+        let task = tokio::spawn(exchange(socket, number, rng, gateway.clone(), clock));
+        let peers = Arc::clone(gateway.peers());
+        register(table.clone(), number.to_string(), address, peers).await;
+        Instance { gateway, zone, clock, task }
+    }
+
+    /// Returns what is believed to be read at the engine.
+    fn reading_ms(&self) -> f64 {
+        self.engine().work(self.clock.now()).reading_ms
+    }
+
+    fn engine(&self) -> Arc<anvilhook_gateway::loads::UpstreamState> {
+        Arc::clone(&self.gateway.fleet().view().get("e0").expect("listed").state)
+    }
+
+    fn knows(&self, part: Part) -> bool {
+        let prompt = Prompt { parts: vec![part], tokens: part.tokens, max_output: 1 };
+        self.gateway.caches().held_tokens("e0", &prompt) == part.tokens
+    }
+
+    fn is_first(&self) -> bool {
+        self.gateway.peers().is_first(self.clock.now())
+    }
+
+    /// Has the others told that the engine now keeps a part.
+    fn record(&self, part: Part) {
+        let config = self.gateway.config().expect("it has one");
+        let service = config.service("service").expect("declared");
+        let engine = service.engine.as_ref().expect("of engines");
+        self.gateway.record_cached(&Arc::from("e0"), &[part], engine);
+    }
+}
+
+async fn instances() -> Vec<Instance> {
+    let table = MemoryTable::default();
+    let mut all = Vec::new();
+    for at in 0..INSTANCES * ZONES.len() {
+        all.push(Instance::start(at as u64 + 1, ZONES[at % ZONES.len()], &table).await);
+    }
+    until(|| all.iter().filter(|one| one.is_first()).count() == 1).await;
+    all
+}
+
+/// Waits until something holds, and fails if it never does.
+async fn until(mut holds: impl FnMut() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), waiting).await.expect("it comes to hold");
+}
+
+/// Symptom: most of the bytes between availability zones are news that instances tell each other.
+/// Sequence: one instance has a prompt read, and learns that the engine is away.
+/// Cause: each told each; now one of each zone tells one of each other zone. All must still learn of it.
+#[tokio::test]
+async fn verify_news_reach_all_zones_through_one_instance_of_each() {
+    let all = instances().await;
+    let told_before: u64 = all.iter().map(|one| one.gateway.metrics().digests.get()).sum();
+
+    let engine = Arc::clone(all[0].gateway.fleet().view().get("e0").expect("listed"));
+    let held = Held::with_work(engine, 60_000.0, 0.0);
+    all[0].record(SHARED);
+    all[0].engine().mark_own_away(all[0].clock.now() + Millis(60_000));
+
+    until(|| all.iter().all(|one| one.knows(SHARED))).await;
+    until(|| all.iter().all(|one| one.engine().is_away(one.clock.now()))).await;
+    until(|| all.iter().all(|one| (50_000.0..=60_000.0).contains(&one.reading_ms()))).await;
+    drop(held);
+    until(|| all.iter().all(|one| one.reading_ms() == 0.0)).await;
+    let told: u64 = all.iter().map(|one| one.gateway.metrics().digests.get()).sum();
+    assert!(told > told_before);
+}
+
+/// Symptom: an availability zone learns nothing of the others any more.
+/// Sequence: the instance that tells for a zone ends; later another zone has news.
+/// Cause: the silence of an instance hands its part to the next one.
+#[tokio::test]
+async fn verify_another_instance_tells_for_its_zone_where_the_one_before_ends() {
+    let mut all = instances().await;
+    let at = all.iter().position(Instance::is_first).expect("one acts for all");
+    let ended = all.remove(at);
+    ended.task.abort();
+
+    let teller = all.iter().find(|one| one.zone == ended.zone).expect("the zone has others");
+    teller.record(SHARED);
+
+    until(|| all.iter().filter(|one| one.zone == ended.zone).all(|one| one.knows(SHARED))).await;
+    until(|| all.iter().filter(|one| one.is_first()).count() == 1).await;
+    let again = Part { id: 88, tokens: 5_000 };
+    let teller = all.iter().find(|one| one.zone == ended.zone).expect("the zone has others");
+    teller.record(again);
+    until(|| all.iter().all(|one| one.knows(again))).await;
+}
