Learn an engine's role from its refusal, and ask for it after an order

Change: an engine that refuses a stage has the other role until a later report of its own is listed; it is told to all. Whoever gave an order asks the engine until it has its new role. Each has a test that fails before.

--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -6,6 +6,7 @@
 
 use std::sync::LazyLock;
 
+use anvilhook_core::orders::Role;
 use log::Level;
 use log::kv::{Error, Key, Source, Value, VisitSource};
 use prometheus_client::metrics::counter::Counter;
@@ -125,6 +126,15 @@
         /// Those that have started again under their id.
         restarted: Vec<&'a str>,
     },
+    /// An engine has shown by its own answer which role it has.
+    RoleShown {
+        /// The engine.
+        upstream: &'a str,
+        /// The role.
+        role: Role,
+        /// The request by which it was learnt, if it was not asked for its report.
+        request: Option<&'a str>,
+    },
     /// An upstream turned out to be gone, before the list said so.
     UpstreamGone {
         /// The upstream.
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -77,10 +77,18 @@
 }
 
 impl Upstream {
+    /// Returns the role that it has if it is a model engine: the listed one, unless it has shown another
+    /// one since.
+    pub fn role(&self) -> Option<Role> {
+        let listed = self.entry.role?;
+        let observed = self.state.observed_role(self.entry.sequence);
+        Some(observed.map_or(listed, |observed| observed.role))
+    }
+
     /// Returns whether new work may be sent there.
     pub fn takes_work(&self, now: Millis) -> bool {
         let state = &self.state;
-        let is_absent = state.is_away(now) || state.role_change(now, self.entry.role).is_some();
+        let is_absent = state.is_away(now) || state.role_change(now, self.role()).is_some();
         !self.entry.draining && !state.is_gone() && !is_absent
     }
 }
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -65,6 +65,20 @@
     pub is_own: bool,
 }
 
+/// `RoleObservation` is the role that an engine has shown by its own answers.
+///
+/// While the table is away the list goes on showing the role before a change. One in three of the
+/// generations of a loaded day would go to engines that refuse them, and spend the retry budget.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RoleObservation {
+    /// The role.
+    pub role: Role,
+    /// The number of the engine's report that was listed then. A later report says more.
+    pub sequence: u64,
+    /// Whether this instance has observed it.
+    pub is_own: bool,
+}
+
 /// `UpstreamState` is what this instance has learnt of an upstream. It outlives changes of the
 /// upstream's entry.
 #[derive(Debug)]
@@ -79,6 +93,7 @@
     away_until: AtomicU64,
     own_away: AtomicU64,
     role_change: Mutex<Option<RoleChange>>,
+    observed_role: Mutex<Option<RoleObservation>>,
     slowness: AtomicU64,
     told: Mutex<Option<(Load, Millis)>>,
     peers: Mutex<HashMap<u64, PeerLoad>>,
@@ -100,6 +115,7 @@
             away_until: AtomicU64::new(0),
             own_away: AtomicU64::new(0),
             role_change: Mutex::default(),
+            observed_role: Mutex::default(),
             slowness: AtomicU64::new(1f64.to_bits()),
             told: Mutex::default(),
             peers: Mutex::default(),
@@ -159,6 +175,20 @@
         known.filter(|change| change.until > now && Some(change.role) != listed)
     }
 
+    /// Notes the role that the engine has shown. Of two observations that of the later report counts.
+    pub fn observe_role(&self, observation: RoleObservation) {
+        let mut known = self.observed_role.lock().expect("no panic under this lock");
+        if known.is_none_or(|known| known.sequence <= observation.sequence) {
+            *known = Some(observation);
+        }
+    }
+
+    /// Returns the observation of a role that is newer than the report with a number.
+    pub fn observed_role(&self, sequence: u64) -> Option<RoleObservation> {
+        let known = *self.observed_role.lock().expect("no panic under this lock");
+        known.filter(|known| known.sequence >= sequence)
+    }
+
     /// Notes what became of a KV handle that this engine gave, or was to fetch.
     ///
     /// An engine whose handles lapse at once answers each reading well, and an engine that has begun
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -10,7 +10,7 @@
 use super::rows::RowsPiece;
 use super::versions::FollowedTable;
 use super::watches::ToldWatch;
-use crate::loads::{PeerLoad, RoleChange, Work};
+use crate::loads::{PeerLoad, RoleChange, RoleObservation, Work};
 use crate::prompts::Part;
 use crate::relay::Gateway;
 use crate::wires::Wire;
@@ -80,26 +80,30 @@
         /// How much longer that may take, in milliseconds.
         left_ms: u32,
     },
+    /// It has shown that it has a role.
+    HasRole {
+        /// The role.
+        role: Role,
+        /// The number of its report that was listed then.
+        sequence: u64,
+    },
 }
 
 impl Notice {
     /// Returns whether another notice says the same, whenever it was made.
     pub(super) fn is_same(&self, other: &Notice) -> bool {
-        let role = |notice: &Notice| match notice.kind {
-            NoticeKind::Away { .. } => None,
-            NoticeKind::Changing { role, .. } => Some(role),
-        };
-        self.engine == other.engine && role(self) == role(other)
+        self.engine == other.engine && self.after(Millis::MAX) == other.after(Millis::MAX)
     }
 
     /// Returns the notice as it is after a time.
     pub(super) fn after(&self, time: Millis) -> Notice {
-        let rest = |left_ms: u32| left_ms.saturating_sub(time.0 as u32);
+        let rest = |left_ms: u32| Millis(u64::from(left_ms)) - time;
         let kind = match self.kind {
-            NoticeKind::Away { left_ms } => NoticeKind::Away { left_ms: rest(left_ms) },
+            NoticeKind::Away { left_ms } => NoticeKind::Away { left_ms: rest(left_ms).0 as u32 },
             NoticeKind::Changing { role, left_ms } => {
-                NoticeKind::Changing { role, left_ms: rest(left_ms) }
+                NoticeKind::Changing { role, left_ms: rest(left_ms).0 as u32 }
             }
+            kind @ NoticeKind::HasRole { .. } => kind,
         };
         Notice { engine: self.engine, kind }
     }
@@ -177,7 +181,13 @@
             let kind = NoticeKind::Away { left_ms: away.0 as u32 };
             digest.notices.push(Notice { engine, kind });
         }
-        let change = state.role_change(now, upstream.entry.role);
+        let listed = upstream.entry.role;
+        let observed = state.observed_role(upstream.entry.sequence);
+        let observed = observed.filter(|one| one.is_own && Some(one.role) != listed);
+        if let Some(RoleObservation { role, sequence, .. }) = observed {
+            digest.notices.push(Notice { engine, kind: NoticeKind::HasRole { role, sequence } });
+        }
+        let change = state.role_change(now, upstream.role());
         if let Some(change) = change.filter(|change| change.is_own) {
             let left_ms = (change.until - now).0 as u32;
             let kind = NoticeKind::Changing { role: change.role, left_ms };
@@ -232,6 +242,10 @@
                 let change = RoleChange { role, until: after(left_ms), is_own: false };
                 upstream.state.record_role_change(change);
             }
+            NoticeKind::HasRole { role, sequence } => {
+                let observation = RoleObservation { role, sequence, is_own: false };
+                upstream.state.observe_role(observation);
+            }
         }
     }
     take_in_cached(digest, gateway);
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -60,7 +60,7 @@
         return;
     }
     let view = gateway.fleet().view();
-    let engines = view.all().filter(|upstream| upstream.entry.role == Some(Role::Prefill));
+    let engines = view.all().filter(|upstream| upstream.role() == Some(Role::Prefill));
     let readings = engines.map(async |engine| (engine, gateway.read_cache(engine).await));
     let mut caches = futures_util::future::join_all(readings).await;
     if !peers.are_few() {
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -192,7 +192,7 @@
         let all = self.view.of_service(req.service);
         let able = move |upstream: &&Arc<Upstream>| {
             // An engine that takes both stages serves a request whole, and refuses one stage of it.
-            let has_role = match (role, upstream.entry.role) {
+            let has_role = match (role, upstream.role()) {
                 (Role::Prefill, has) => has == Some(Role::Prefill),
                 // An entry that says no stage was not written by an engine.
                 (_, has) => has.is_some_and(|has| has != Role::Prefill),
@@ -264,7 +264,7 @@
         let queued_ms = self.output_ms / f64::from(upstream.entry.slots.max(1));
         let wait_ms = f64::from(work.in_flight) * IN_FLIGHT_MS + f64::from(queued) * queued_ms;
         let wait_ms = wait_ms * slowness;
-        let is_generator = upstream.entry.role == Some(Role::Decode);
+        let is_generator = upstream.role() == Some(Role::Decode);
         let factor = if is_generator { DECODE_READING_FACTOR } else { 1.0 };
         let reading_ms = self.speed.read_ms(req.prompt.tokens, held) * factor * slowness;
         let is_far = reader.is_some_and(|reader| reader.entry.zone != upstream.entry.zone);
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::CallError;
 use anvilhook_http::clients::{Connection, collect_body};
@@ -18,6 +19,7 @@
 use crate::events::{Event, emit};
 use crate::fleets::Upstream;
 use crate::followers::LIST_BELIEF;
+use crate::loads::RoleObservation;
 use crate::metrics::AttemptLabels;
 use crate::wires::Wire;
 
@@ -70,6 +72,8 @@
     pub connection: Connection,
     /// How long the head of the answer may take.
     pub head_timeout: Millis,
+    /// The role that the upstream must have for it, if it is a model engine.
+    pub role: Option<Role>,
     /// What the attempt is for, for logs.
     pub stage: &'static str,
     /// The predicted time until it is done, in milliseconds, for logs.
@@ -209,7 +213,7 @@
                 let (upstream, request) = (&*upstream.entry.id, &*exchange.id);
                 emit(&Event::UpstreamGone { upstream, request });
             } else {
-                upstream.state.mark_own_away(self.now() + WRONG_STAGE_PAUSE);
+                self.note_wrong_role(exchange, sending);
             }
             return Err(Failed::refusal("misdirected"));
         }
@@ -232,6 +236,24 @@
         Ok(answer)
     }
 
+    /// Notes that an engine refuses a request because of its role: it has the other one.
+    fn note_wrong_role(&self, exchange: &Exchange, sending: &Sending<'_>) {
+        let upstream = sending.upstream;
+        let role = match sending.role {
+            Some(Role::Prefill) => Role::Decode,
+            Some(_) => Role::Prefill,
+            None => {
+                upstream.state.mark_own_away(self.now() + WRONG_STAGE_PAUSE);
+                return;
+            }
+        };
+        let sequence = upstream.entry.sequence;
+        upstream.state.observe_role(RoleObservation { role, sequence, is_own: true });
+        self.peers().announce();
+        let (request, upstream) = (&*exchange.id, &*upstream.entry.id);
+        emit(&Event::RoleShown { upstream, role, request: Some(request) });
+    }
+
     /// Collects an answer whole. Only a signed one, or a signed failure, is passed on.
     pub(super) async fn collect(
         &self,
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
 use http::HeaderValue;
@@ -158,6 +159,7 @@
             extra,
             connection,
             head_timeout: time_left,
+            role: upstream.role().map(|_| Role::Decode),
             stage: "generate",
             predicted_ms: work.first_event_ms,
             work_ms: work.reading_ms + work.fetching_ms,
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -99,6 +99,7 @@
             extra: Vec::new(),
             connection,
             head_timeout,
+            role: None,
             stage: "plain",
             predicted_ms: 0.0,
             work_ms: 0.0,
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
 use http::HeaderValue;
@@ -83,6 +84,7 @@
             extra,
             connection: if is_first { Connection::Pooled } else { Connection::New },
             head_timeout: MIN_READING_TIMEOUT + slack,
+            role: Some(Role::Prefill),
             stage: "read",
             predicted_ms: reader.total_ms,
             work_ms: reader.reading_ms + reader.fetching_ms,
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -12,7 +12,7 @@
 use crate::configs::{Config, ServiceSpec};
 use crate::events::{Event, emit};
 use crate::fleets::{FleetView, Upstream};
-use crate::loads::RoleChange;
+use crate::loads::{RoleChange, RoleObservation};
 use crate::metrics::NameLabel;
 use crate::relay::Gateway;
 use crate::tables::{Table, TableError, Write, Written};
@@ -39,6 +39,10 @@
 /// four generators spent the retry budget of 150 requests.
 const LONGEST_ENDING: Millis = Millis::from_secs(8);
 
+/// The pause between two questions whether an engine has its new role. Each has the price of a health
+/// check.
+const ROLE_PAUSE: Duration = Duration::from_millis(300);
+
 /// `RoleOptions` says how the engines are to be split.
 #[derive(Clone, Debug)]
 pub struct RoleOptions {
@@ -169,7 +173,7 @@
         let staying: Vec<_> = listed
             .iter()
             .filter(|upstream| !upstream.entry.draining && !upstream.state.is_gone())
-            .filter(|upstream| upstream.entry.role.is_some_and(|role| role != Role::Mixed))
+            .filter(|upstream| upstream.role().is_some_and(|role| role != Role::Mixed))
             .collect();
         if staying.len() < 2 {
             return Vec::new();
@@ -178,7 +182,7 @@
         let wanted = (staying.len() as f64 * share).round() as usize;
         let wanted = wanted.clamp(1, staying.len() - 1);
         let of_role = |role| {
-            let have = staying.iter().filter(move |upstream| upstream.entry.role == Some(role));
+            let have = staying.iter().filter(move |upstream| upstream.role() == Some(role));
             have.copied().collect::<Vec<_>>()
         };
         let (readers, generators) = (of_role(Role::Prefill), of_role(Role::Decode));
@@ -282,6 +286,9 @@
                 let until = self.clock.now() + away + LONGEST_ENDING;
                 upstream.state.record_role_change(RoleChange { role, until, is_own: true });
                 self.gateway.peers().announce();
+                let asking = await_role(self.gateway.clone(), Arc::clone(upstream), role, away);
+                let longest = (away + LONGEST_ENDING).as_duration();
+                tokio::spawn(tokio::time::timeout(longest, asking));
                 "taken"
             }
             Some(OrderAnswer::Busy) => "busy",
@@ -300,6 +307,36 @@
     }
 }
 
+/// Asks an engine that has taken an order until it has its new role, and has the others told.
+///
+/// The list shows the change up to two seconds later, and not at all while the table is away; an engine
+/// that is back would stand idle for as long.
+async fn await_role<W: Wire, C: Clock>(
+    gateway: Gateway<W, C>,
+    upstream: Arc<Upstream>,
+    role: Role,
+    away: Millis,
+) {
+    tokio::time::sleep(away.as_duration()).await;
+    loop {
+        let view = gateway.fleet().view();
+        let Some(listed) = view.get(&upstream.entry.id) else { return };
+        if !listed.entry.is_same_start(&upstream.entry) || listed.entry.role == Some(role) {
+            return;
+        }
+        let report = gateway.own_call(&upstream, &gateway.wire().report()).await;
+        let report = report.and_then(|report| gateway.wire().engine_report(&report.body).ok());
+        if report.is_some_and(|report| report.role == role && !report.busy) {
+            let sequence = listed.entry.sequence;
+            upstream.state.observe_role(RoleObservation { role, sequence, is_own: true });
+            gateway.peers().announce();
+            emit(&Event::RoleShown { upstream: &upstream.entry.id, role, request: None });
+            return;
+        }
+        tokio::time::sleep(ROLE_PAUSE).await;
+    }
+}
+
 /// Takes engines, each from the availability zone that has most of them left.
 fn take_from_fullest_zones(mut from: Vec<&Arc<Upstream>>, count: usize) -> Vec<Arc<Upstream>> {
     let mut taken = Vec::new();
--- a/crates/anvilhook-gateway/tests/roles.rs
+++ b/crates/anvilhook-gateway/tests/roles.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::{ManualClock, Millis};
+use anvilhook_core::units::{Clock, ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::relay::Gateway;
@@ -106,6 +109,41 @@
     assert_eq!(engines.orders(), ["Decode 1 Some(4)", "Decode 1 Some(4)"]);
 }
 
+/// Symptom: an engine that has changed its role stands idle for two seconds, or until the table is back.
+/// Sequence: it takes an order, and is done before the list shows it.
+/// Cause: whoever gave the order asks the engine itself, and believes its report.
+#[tokio::test]
+async fn verify_an_engine_is_used_as_soon_as_it_has_its_new_role() {
+    let has_order = Arc::new(AtomicBool::new(false));
+    let turning = Arc::clone(&has_order);
+    let turned = Upstream::start(move |received| {
+        if received.line.starts_with("POST /order") {
+            turning.store(true, Ordering::SeqCst);
+            return vec![signed("200 OK", "")];
+        }
+        let has_turned = turning.load(Ordering::SeqCst);
+        vec![signed("200 OK", if has_turned { "prefill" } else { "decode" })]
+    })
+    .await;
+    let mut engines = engines(2, "200 OK").await;
+    engines.entries[1] = Entry { role: Some(Role::Decode), ..entry("e1", turned.address.port()) };
+    let site = site(&engines);
+    let mut keeper = site.keeper("one");
+
+    keeper.look().await;
+
+    assert!(has_order.load(Ordering::SeqCst), "it is the one that is ordered");
+    let engine = || Arc::clone(site.gateway.fleet().view().get("e1").expect("listed"));
+    assert!(!engine().takes_work(site.clock.now()), "it may still change");
+    let shown = async {
+        while engine().role() != Some(Role::Prefill) {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(std::time::Duration::from_secs(10), shown).await.expect("it is asked");
+    assert!(engine().takes_work(site.clock.now()));
+}
+
 /// Symptom: engines change their roles for others that are only restarting.
 /// Sequence: the split is uneven for a moment, twice.
 /// Cause: an order is given only after the split has been uneven for long enough.
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -299,6 +299,35 @@
     assert_eq!(reads, 2);
 }
 
+/// Symptom: one in three of the generations of a loaded day is refused, and the retry budget is spent.
+/// Sequence: engines change their roles; the table is away, and the list goes on showing the old ones.
+/// Cause: an engine that refuses a stage has the other role, until a later report of its own is listed.
+#[tokio::test]
+async fn verify_an_engine_that_refuses_a_stage_is_used_for_the_other() {
+    let turned = Upstream::start(|received| match received.header("t-stage") {
+        Some(_) => vec![signed("200 OK", "handle h1")],
+        None if received.line.starts_with("DELETE") => vec![signed("200 OK", "")],
+        None => vec![signed("421 Misdirected Request", "")],
+    })
+    .await;
+    let other = Upstream::always(stream(1, 2)).await;
+    let far = far_engine("other", &other, Role::Decode);
+    let listed = engine("turned", &turned, Role::Decode);
+    let front = front_of(ONCE, vec![listed.clone(), far]).await;
+    let role = || front.gateway.fleet().view().get("turned").expect("listed").role();
+
+    for round in 0..3 {
+        let answer = front.post(&format!("r{round}"), PROMPT, "").await;
+        assert_eq!((answer.status, answer.events()), (200, vec![1, 2]), "request {round}");
+    }
+
+    assert_eq!(role(), Some(Role::Prefill));
+    let refused = turned.received().iter().filter(|one| one.header("t-stage").is_none()).count();
+    assert_eq!(refused, 1);
+    front.gateway.adopt_entries([Entry { sequence: 2, ..listed }]);
+    assert_eq!(role(), Some(Role::Decode), "its own later report says so");
+}
+
 /// Symptom: output comes from an engine that had begun to leave.
 /// Sequence: the generator's entry says draining while the prompt is being read.
 /// Cause: the generator is chosen after the reading, by what is believed then.
