Count no arrival that never came, and tell all of engines that are closed or gone

Change: a sending that reached no upstream counts neither as the request's first arrival nor as an extra one, and is followed by up to four others; a refused connection and an engine that is gone are told to all, as notices that are not told on. Tests fail before: a budget of nothing refused the request, and peers knew nothing.

--- a/crates/anvilhook-gateway/src/budgets.rs
+++ b/crates/anvilhook-gateway/src/budgets.rs
@@ -85,6 +85,11 @@
         })
     }
 
+    /// Gives the newest extra arrival back: it did not arrive.
+    pub fn give_back(&self, service: &Arc<str>, now: Millis) {
+        self.with(service, now, |tally| tally.extras.pop_back());
+    }
+
     /// Returns how many extra arrivals are left now.
     pub fn left(&self, service: &Arc<str>, instances: usize, now: Millis) -> f64 {
         self.with(service, now, |tally| self.earned(tally, instances) - tally.extras.len() as f64)
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -135,6 +135,15 @@
         /// The request by which it was learnt, if it was not asked for its report.
         request: Option<&'a str>,
     },
+    /// An upstream's host refuses connections.
+    UpstreamClosed {
+        /// The upstream.
+        upstream: &'a str,
+        /// The request by which it was learnt.
+        request: &'a str,
+        /// For how long it is left alone, in milliseconds.
+        for_ms: u64,
+    },
     /// An upstream turned out to be gone, before the list said so.
     UpstreamGone {
         /// The upstream.
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -88,6 +88,11 @@
     fetching_us: AtomicU64,
     ejection: Ejection,
     is_gone: AtomicBool,
+    /// Whether that was learnt by this instance.
+    is_gone_by_own: AtomicBool,
+    /// Until when its host refuses connections, and the same by what this instance has met.
+    closed_until: AtomicU64,
+    own_closed: AtomicU64,
     refused_handles: AtomicU32,
     no_handles_until: AtomicU64,
     away_until: AtomicU64,
@@ -110,6 +115,9 @@
             fetching_us: AtomicU64::new(0),
             ejection: Ejection::new(&options),
             is_gone: AtomicBool::new(false),
+            is_gone_by_own: AtomicBool::new(false),
+            closed_until: AtomicU64::new(0),
+            own_closed: AtomicU64::new(0),
             refused_handles: AtomicU32::new(0),
             no_handles_until: AtomicU64::new(0),
             away_until: AtomicU64::new(0),
@@ -127,9 +135,34 @@
         &self.ejection
     }
 
+    /// Returns whether it may be tried: it has not failed of late, and takes connections.
+    pub fn is_well(&self, now: Millis) -> bool {
+        let is_closed = now.0 < self.closed_until.load(Ordering::Acquire);
+        !self.ejection.is_ejected(now) && !is_closed
+    }
+
+    /// Notes that the upstream's host refuses connections. Returns whether that is news.
+    pub fn mark_closed(&self, until: Millis, is_own: bool) -> bool {
+        if is_own {
+            self.own_closed.fetch_max(until.0, Ordering::AcqRel);
+        }
+        self.closed_until.fetch_max(until.0, Ordering::AcqRel) < until.0
+    }
+
+    /// Returns until when the host refuses connections, by what this instance itself has met.
+    pub fn own_closed_until(&self) -> Millis {
+        Millis(self.own_closed.load(Ordering::Acquire))
+    }
+
     /// Notes that another upstream answers at the address, so that this one is gone.
-    pub fn mark_gone(&self) {
+    pub fn mark_gone(&self, is_own: bool) {
         self.is_gone.store(true, Ordering::Release);
+        self.is_gone_by_own.fetch_or(is_own, Ordering::AcqRel);
+    }
+
+    /// Returns whether this instance itself has learnt that the upstream is gone.
+    pub fn is_gone_by_own(&self) -> bool {
+        self.is_gone_by_own.load(Ordering::Acquire)
     }
 
     /// Returns whether the upstream is known to be gone though it is still listed.
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -10,6 +10,7 @@
 use super::rows::RowsPiece;
 use super::versions::FollowedTable;
 use super::watches::ToldWatch;
+use crate::fleets::Upstream;
 use crate::loads::{PeerLoad, RoleChange, RoleObservation, Work};
 use crate::prompts::Part;
 use crate::relay::Gateway;
@@ -80,6 +81,13 @@
         /// How much longer that may take, in milliseconds.
         left_ms: u32,
     },
+    /// Another engine answers at its address, so that it is gone.
+    Gone,
+    /// Its host refuses connections.
+    Closed {
+        /// For how much longer it is left alone, in milliseconds.
+        left_ms: u32,
+    },
     /// It has shown that it has a role.
     HasRole {
         /// The role.
@@ -103,7 +111,10 @@
             NoticeKind::Changing { role, left_ms } => {
                 NoticeKind::Changing { role, left_ms: rest(left_ms).0 as u32 }
             }
-            kind @ NoticeKind::HasRole { .. } => kind,
+            NoticeKind::Closed { left_ms } => {
+                NoticeKind::Closed { left_ms: rest(left_ms).0 as u32 }
+            }
+            kind @ (NoticeKind::HasRole { .. } | NoticeKind::Gone) => kind,
         };
         Notice { engine: self.engine, kind }
     }
@@ -168,31 +179,15 @@
 pub(super) fn digest<W: Wire, C: Clock>(gateway: &Gateway<W, C>, now: Millis) -> Digest {
     const MAX_CACHED: usize = 24;
     let view = gateway.fleet().view();
-    let engines = view.all().filter(|upstream| upstream.entry.role.is_some());
     let mut digest = Digest::from(gateway.peers(), now);
-    for upstream in engines {
-        let (engine, state) = (upstream.digest, &upstream.state);
-        let work = state.own_work();
-        if work.in_flight > 0 {
+    for upstream in view.all() {
+        let (engine, work) = (upstream.digest, upstream.state.own_work());
+        // What a plain upstream has in flight elsewhere, its own answers tell.
+        if work.in_flight > 0 && upstream.entry.role.is_some() {
             digest.loads.push(EngineLoad::of(engine, &work));
         }
-        let away = state.own_away_until() - now;
-        if away > Millis::ZERO {
-            let kind = NoticeKind::Away { left_ms: away.0 as u32 };
-            digest.notices.push(Notice { engine, kind });
-        }
-        let listed = upstream.entry.role;
-        let observed = state.observed_role(upstream.entry.sequence);
-        let observed = observed.filter(|one| one.is_own && Some(one.role) != listed);
-        if let Some(RoleObservation { role, sequence, .. }) = observed {
-            digest.notices.push(Notice { engine, kind: NoticeKind::HasRole { role, sequence } });
-        }
-        let change = state.role_change(now, upstream.role());
-        if let Some(change) = change.filter(|change| change.is_own) {
-            let left_ms = (change.until - now).0 as u32;
-            let kind = NoticeKind::Changing { role: change.role, left_ms };
-            digest.notices.push(Notice { engine, kind });
-        }
+        let kinds = own_findings(upstream, now);
+        digest.notices.extend(kinds.into_iter().map(|kind| Notice { engine, kind }));
     }
     for (engine, parts) in gateway.take_cached(MAX_CACHED) {
         let Some(upstream) = view.get(&engine) else { continue };
@@ -202,6 +197,33 @@
     digest
 }
 
+/// Returns what this instance itself has found out of an upstream. What it has from others is not told
+/// on: each telling adds the time on the way, and slow instances would hold an engine away for ever.
+fn own_findings(upstream: &Upstream, now: Millis) -> Vec<NoticeKind> {
+    let state = &upstream.state;
+    let left_ms = |until: Millis| (until - now).0 as u32;
+    let mut kinds = Vec::new();
+    if state.own_away_until() > now {
+        kinds.push(NoticeKind::Away { left_ms: left_ms(state.own_away_until()) });
+    }
+    if state.own_closed_until() > now {
+        kinds.push(NoticeKind::Closed { left_ms: left_ms(state.own_closed_until()) });
+    }
+    if state.is_gone_by_own() {
+        kinds.push(NoticeKind::Gone);
+    }
+    let observed = state.observed_role(upstream.entry.sequence);
+    let observed = observed.filter(|one| one.is_own && Some(one.role) != upstream.entry.role);
+    if let Some(RoleObservation { role, sequence, .. }) = observed {
+        kinds.push(NoticeKind::HasRole { role, sequence });
+    }
+    let change = state.role_change(now, upstream.role()).filter(|change| change.is_own);
+    if let Some(RoleChange { role, until, .. }) = change {
+        kinds.push(NoticeKind::Changing { role, left_ms: left_ms(until) });
+    }
+    kinds
+}
+
 /// Returns what all instances of the own availability zone have in flight, by what is believed. Of more
 /// engines than fit into a digest those with the most work are told of.
 pub(super) fn near_loads<W: Wire, C: Clock>(
@@ -238,6 +260,10 @@
         let after = |left_ms: u32| now + Millis(u64::from(left_ms));
         match notice.kind {
             NoticeKind::Away { left_ms } => upstream.state.mark_away(after(left_ms)),
+            NoticeKind::Closed { left_ms } => {
+                upstream.state.mark_closed(after(left_ms), false);
+            }
+            NoticeKind::Gone => upstream.state.mark_gone(false),
             NoticeKind::Changing { role, left_ms } => {
                 let change = RoleChange { role, until: after(left_ms), is_own: false };
                 upstream.state.record_role_change(change);
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -203,7 +203,7 @@
         // Ejection must not empty a stage: with every engine ejected, all are tried again.
         let well = move |upstream: &&Arc<Upstream>| {
             let has_bad_handles = upstream.state.has_bad_handles(self.now);
-            !upstream.state.ejection().is_ejected(self.now) && !has_bad_handles
+            upstream.state.is_well(self.now) && !has_bad_handles
         };
         let any_well = all.iter().filter(able).any(|upstream| well(&upstream));
         all.iter().filter(able).filter(move |upstream| !any_well || well(upstream))
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -29,6 +29,10 @@
 /// How long an engine that answered with the wrong stage is left alone.
 const WRONG_STAGE_PAUSE: Millis = Millis(300);
 
+/// How long an upstream whose host refuses connections is left alone by all instances. One that starts
+/// again is listed about as late; one that was full has room by then.
+const CLOSED_PAUSE: Millis = Millis(800);
+
 /// `Failed` is an attempt that brought no answer to pass on.
 #[derive(Clone, Debug)]
 pub(super) struct Failed {
@@ -36,20 +40,33 @@
     pub cause: &'static str,
     /// Whether the upstream itself refused, which shows that it is alive.
     pub is_refusal: bool,
+    /// Whether the request reached the upstream.
+    pub contact: Contact,
+}
+
+/// `Contact` is how far an attempt got.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Contact {
+    /// The request was handed over, or may have been.
+    Made,
+    /// The upstream's host refused the connection: nothing listens there, or it takes no more.
+    Refused,
+    /// No connection was made.
+    None,
 }
 
 impl Failed {
     fn refusal(cause: &'static str) -> Self {
-        Self { verdict: Verdict::NotRun, cause, is_refusal: true }
+        Self { verdict: Verdict::NotRun, cause, is_refusal: true, contact: Contact::Made }
     }
 
     /// A try that ended before anything was sent.
     pub fn not_sent(cause: &'static str) -> Self {
-        Self { verdict: Verdict::NotRun, cause, is_refusal: false }
+        Self { verdict: Verdict::NotRun, cause, is_refusal: false, contact: Contact::None }
     }
 
     pub fn may_have_run(cause: &'static str) -> Self {
-        Self { verdict: Verdict::MayHaveRun, cause, is_refusal: false }
+        Self { verdict: Verdict::MayHaveRun, cause, is_refusal: false, contact: Contact::Made }
     }
 }
 
@@ -60,7 +77,12 @@
             (false, Verdict::NotRun) => "no_connection",
             (false, _) => "connection_broken",
         };
-        Self { verdict: err.verdict(), cause, is_refusal: false }
+        let contact = match (err.verdict(), err.timed_out) {
+            (Verdict::NotRun, false) => Contact::Refused,
+            (Verdict::NotRun, true) => Contact::None,
+            _ => Contact::Made,
+        };
+        Self { verdict: err.verdict(), cause, is_refusal: false, contact }
     }
 }
 
@@ -114,6 +136,9 @@
                 } else {
                     state.ejection().record_failure(now);
                 }
+                if failed.contact == Contact::Refused {
+                    self.note_closed(exchange, sending.upstream);
+                }
                 self.log_failed(exchange, sending.upstream, sending.stage, failed);
             }
         }
@@ -209,7 +234,8 @@
         if answer.status() == StatusCode::MISDIRECTED_REQUEST {
             let answered_by = headers.get(&names.instance).map(HeaderValue::as_bytes);
             if answered_by.is_some_and(|id| id != upstream.entry.id.as_bytes()) {
-                upstream.state.mark_gone();
+                upstream.state.mark_gone(true);
+                self.peers().announce();
                 let (upstream, request) = (&*upstream.entry.id, &*exchange.id);
                 emit(&Event::UpstreamGone { upstream, request });
             } else {
@@ -282,14 +308,47 @@
         })
     }
 
-    /// Counts an attempt in. Returns false if the budget forbids it.
+    /// Counts an attempt in. Returns how, `None` if the budget forbids it.
     ///
     /// Every arrival after the first counts against the budget, also one that the upstream refuses;
     /// otherwise retries would multiply an overload.
-    pub(super) fn may_send(&self, exchange: &mut Exchange) -> bool {
-        let is_first = !std::mem::replace(&mut exchange.was_sent, true);
-        is_first || self.try_take_extra(&exchange.service)
+    pub(super) fn may_send(&self, exchange: &mut Exchange) -> Option<Arrival> {
+        if !std::mem::replace(&mut exchange.was_sent, true) {
+            return Some(Arrival::First);
+        }
+        self.try_take_extra(&exchange.service).then_some(Arrival::Extra)
     }
+
+    /// Takes an attempt back that reached no upstream.
+    ///
+    /// What never arrived is no load that a retry adds to. When a quarter of the engines crashed, their
+    /// refused connections alone spent the budget, and one request in five was refused for two seconds.
+    pub(super) fn take_back(&self, exchange: &mut Exchange, arrival: Arrival, failed: &Failed) {
+        match arrival {
+            _ if failed.contact == Contact::Made => {}
+            Arrival::First => exchange.was_sent = false,
+            Arrival::Extra => self.give_back_extra(&exchange.service),
+        }
+    }
+
+    /// Notes that an upstream's host refuses connections, and has the others told.
+    fn note_closed(&self, exchange: &Exchange, upstream: &Upstream) {
+        let until = self.now() + CLOSED_PAUSE;
+        if upstream.state.mark_closed(until, true) {
+            self.peers().announce();
+            let (request, upstream) = (&*exchange.id, &*upstream.entry.id);
+            emit(&Event::UpstreamClosed { upstream, request, for_ms: CLOSED_PAUSE.0 });
+        }
+    }
+}
+
+/// `Arrival` is how an attempt counts against the budget.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Arrival {
+    /// Not at all: it is the request's first.
+    First,
+    /// As an extra one.
+    Extra,
 }
 
 /// Returns the headers of an upstream's answer that are passed on.
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use anvilhook_core::Verdict;
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
@@ -109,7 +108,7 @@
         resume_after: Option<u64>,
         avoid: &mut Vec<Arc<str>>,
     ) -> Result<Opened, Failed> {
-        let nobody = Failed { verdict: Verdict::NotRun, cause: "no_upstream", is_refusal: true };
+        let nobody = Failed::not_sent("no_upstream");
         let Some(upstream) = self.choose_plain(&exchange.service, avoid) else {
             return Err(nobody);
         };
@@ -141,9 +140,9 @@
         mut extra: Vec<(HeaderName, HeaderValue)>,
         resume_after: Option<u64>,
     ) -> Tried<Opened> {
-        if !self.may_send(exchange) {
+        let Some(arrival) = self.may_send(exchange) else {
             return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
-        }
+        };
         if let Some(event) = resume_after {
             extra.push((self.wire().headers().last_event_id.clone(), HeaderValue::from(event)));
         }
@@ -186,6 +185,9 @@
         let took = self.now() - started_at;
         exchange.tried.push(format!("{}({}ms)", upstream.entry.id, took.0));
         exchange.end_run(could_have_run, &result);
+        if let Err(failed) = &result {
+            self.take_back(exchange, arrival, failed);
+        }
         Ok(result)
     }
 }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -298,6 +298,11 @@
         self.inner.budget.try_take(service, self.inner.peers.instances(), self.now())
     }
 
+    /// Gives one extra arrival back to a service's budget.
+    fn give_back_extra(&self, service: &Arc<str>) {
+        self.inner.budget.give_back(service, self.now());
+    }
+
     fn now(&self) -> Millis {
         self.inner.clock.now()
     }
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -45,10 +45,10 @@
                 break;
             }
             let Some(upstream) = self.choose_plain(&exchange.service, &avoid) else { break };
-            if !self.may_send(exchange) {
+            let Some(arrival) = self.may_send(exchange) else {
                 last_cause = "retry_budget";
                 break;
-            }
+            };
             avoid.push(Arc::clone(&upstream.entry.id));
             match self.attempt_plain(exchange, &upstream).await {
                 Ok(answer) if answer.status.is_server_error() && self.may_repeat(exchange) => {
@@ -56,6 +56,7 @@
                 }
                 Ok(answer) => return Outcome::Whole(answer),
                 Err(failed) => {
+                    self.take_back(exchange, arrival, &failed);
                     last_cause = failed.cause;
                     if failed.verdict != Verdict::NotRun && !self.may_repeat(exchange) {
                         break;
@@ -133,7 +134,7 @@
             .iter()
             .filter(|upstream| upstream.takes_work(now) && !avoid.contains(&upstream.entry.id));
         let able: Vec<_> = able.collect();
-        let well = able.iter().filter(|upstream| !upstream.state.ejection().is_ejected(now));
+        let well = able.iter().filter(|upstream| upstream.state.is_well(now));
         let well: Vec<_> = well.copied().collect();
         let candidates = if well.is_empty() { able } else { well };
         let cost = |upstream: &Upstream| {
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -9,7 +9,7 @@
 
 use super::Gateway;
 use super::answers::{Outcome, WholeAnswer};
-use super::attempts::Failed;
+use super::attempts::{Contact, Failed};
 use super::requests::Exchange;
 use super::resumption::Relay;
 use super::waiting::Waited;
@@ -18,8 +18,10 @@
 use crate::prompts::{Part, Prompt};
 use crate::wires::Wire;
 
-/// The most sendings of one request after the first, refusals included.
+/// The most sendings of one request after the first, refusals included, and the most that reach no
+/// upstream.
 const MAX_REPEATS: u32 = 2;
+const MAX_UNREACHED: u32 = 4;
 
 /// When a caller is to come back if no engine took its request.
 pub(super) const REFUSED_PAUSE: Millis = Millis(700);
@@ -84,7 +86,7 @@
         resume_after: Option<u64>,
         mut avoid: Vec<Arc<str>>,
     ) -> Result<Opened, Outcome> {
-        let mut repeats = 0;
+        let (mut repeats, mut unreached) = (0, 0);
         loop {
             let failed = match self.try_stream(exchange, resume_after, &mut avoid).await? {
                 Ok(opened) => return Ok(opened),
@@ -93,8 +95,11 @@
             let is_spent = exchange.runs >= exchange.route.max_attempts;
             let is_final = failed.verdict != Verdict::NotRun
                 && (!exchange.route.repeats.is_repeatable() || is_spent);
-            repeats += 1;
-            if is_final || repeats > MAX_REPEATS {
+            match failed.contact {
+                Contact::Made => repeats += 1,
+                Contact::Refused | Contact::None => unreached += 1,
+            }
+            if is_final || repeats > MAX_REPEATS || unreached > MAX_UNREACHED {
                 return Err(self.given_up(exchange, failed.cause, REFUSED_PAUSE));
             }
         }
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -9,7 +9,7 @@
 use http::HeaderValue;
 
 use super::Gateway;
-use super::attempts::{Failed, Sending};
+use super::attempts::{Contact, Failed, Sending};
 use super::handles::KvHandle;
 use super::prompts::{Job, REFUSED_PAUSE, Tried};
 use super::requests::Exchange;
@@ -119,6 +119,13 @@
             }
             Err(failed) => {
                 job.avoid.push(Arc::clone(&upstream.entry.id));
+                if failed.contact != Contact::Made {
+                    // What never arrived is no extra arrival.
+                    exchange.has_read = !is_first;
+                    if !is_first {
+                        self.give_back_extra(&exchange.service);
+                    }
+                }
                 // Reading a prompt is not running the request.
                 Ok(Err(Failed { verdict: Verdict::NotRun, ..failed }))
             }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -71,7 +71,7 @@
     let before = Arc::clone(gateway.fleet().view().get("e").unwrap());
     let in_flight = Held::with_work(Arc::clone(&before), 500.0, 0.0);
     before.state.record_reading(10.0, 60.0);
-    before.state.mark_gone();
+    before.state.mark_gone(true);
 
     gateway.adopt_entries([of(2), entry("other", 2)]);
 
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -11,7 +11,7 @@
 use anvilhook_gateway::budgets::{Budget, BudgetOptions};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
-use anvilhook_gateway::loads::Held;
+use anvilhook_gateway::loads::{Held, RoleObservation};
 use anvilhook_gateway::peers::{
     Digest, Notice, NoticeKind, Peers, exchange, register, seed_caches,
 };
@@ -177,6 +177,34 @@
     }
 }
 
+/// Symptom: each instance finds out by itself, at the cost of a request, that an engine has crashed.
+/// Sequence: one instance meets a host that refuses connections, an engine of the other role, or another
+/// engine at the address.
+/// Cause: what one instance finds out for certain is told to all, who act by it and do not tell it on.
+#[tokio::test]
+async fn verify_what_one_instance_finds_out_of_an_engine_is_told_to_all() {
+    let one = instance(1, 1, &[]).await;
+    let two = instance(2, 1, &[one.address]).await;
+    let engine_of = |instance: &Instance| {
+        Arc::clone(instance.gateway.fleet().view().get("e0").expect("listed"))
+    };
+    let now = |instance: &Instance| anvilhook_core::units::Clock::now(&instance.clock);
+    let found = engine_of(&one);
+
+    found.state.mark_closed(now(&one) + Millis(60_000), true);
+    until(|| !engine_of(&two).state.is_well(now(&two))).await;
+    let shown = RoleObservation { role: Role::Decode, sequence: 1, is_own: true };
+    found.state.observe_role(shown);
+    until(|| engine_of(&two).role() == Some(Role::Decode)).await;
+    found.state.mark_gone(true);
+    until(|| engine_of(&two).state.is_gone()).await;
+
+    let told_on = engine_of(&two);
+    assert_eq!(told_on.state.own_closed_until(), Millis::ZERO);
+    assert!(!told_on.state.is_gone_by_own());
+    assert!(told_on.state.observed_role(1).is_some_and(|shown| !shown.is_own));
+}
+
 /// Symptom: after the loss of all instances, prompts are taken for cold and refused as overload.
 /// Sequence: all start anew; the engines still hold what they had read.
 /// Cause: one instance asks the engines once, and tells the others.
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -4,6 +4,7 @@
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, ManualClock, Millis, SystemClock};
+use anvilhook_gateway::budgets::BudgetOptions;
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::{Held, RoleChange};
@@ -328,6 +329,40 @@
     assert_eq!(role(), Some(Role::Decode), "its own later report says so");
 }
 
+/// Symptom: when a quarter of the engines have crashed, one request in five is refused for want of a
+/// retry budget.
+/// Sequence: the engine that is chosen is gone, and its host refuses connections; another one is well.
+/// Cause: what never arrived is no extra arrival, and is tried elsewhere. The engine is left alone then.
+#[tokio::test]
+async fn verify_a_refused_connection_costs_no_budget() {
+    for role in [Role::Prefill, Role::Decode] {
+        let closed = {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            listener.local_addr().expect("an address").port()
+        };
+        let other = Upstream::start(|received| match received.header("t-stage") {
+            Some(_) => vec![signed("200 OK", "handle h1")],
+            None => stream(1, 2),
+        })
+        .await;
+        let generator = Upstream::always(stream(1, 2)).await;
+        let crashed = Entry { role: Some(role), ..entry("crashed", closed) };
+        let mut engines = vec![crashed, far_engine("other", &other, role)];
+        if role == Role::Prefill {
+            engines.push(far_engine("generator", &generator, Role::Decode));
+        }
+        let none = BudgetOptions { share: 0.0, spare: 0.0, window: Millis(10_000) };
+        let front = start(Some(config(ONCE, 2, true)), engines, none).await;
+        let view = front.gateway.fleet().view();
+        let state = &view.get("crashed").expect("listed").state;
+
+        let answer = front.post("r1", PROMPT, "").await;
+
+        assert_eq!((answer.status, answer.events()), (200, vec![1, 2]), "{role:?}: {answer:?}");
+        assert!(!state.is_well(SystemClock::new().now()), "{role:?}: it is left alone");
+    }
+}
+
 /// Symptom: output comes from an engine that had begun to leave.
 /// Sequence: the generator's entry says draining while the prompt is being read.
 /// Cause: the generator is chosen after the reading, by what is believed then.
