Split engines by the work of a whole zone, and tell of caches within bounds

Cause 2: links between zones told of 160 prompts a second at most, and kept the rest for ever, while 520 a second were read. Change: prompts are told by their shared parts and the size of the rest, 40 to a datagram and 160 in 100 ms, older ones are dropped.

--- a/crates/anvilhook-gateway/src/caches.rs
+++ b/crates/anvilhook-gateway/src/caches.rs
@@ -70,6 +70,22 @@
         }
     }
 
+    /// Notes the same of a prompt of which another instance tells: the parts that others may share, and
+    /// how many tokens it has beside. Those displace others and are not asked for again.
+    pub fn record_told(&self, engine: &Arc<str>, shared: &[Part], own_tokens: u32, capacity: u64) {
+        let usable = (capacity as f64 * USABLE_SHARE) as u64;
+        let mut engines = self.engines.lock().expect("no panic under this lock");
+        let memory = engines.entry(Arc::clone(engine)).or_default();
+        for part in shared {
+            memory.touch(*part, false, usable);
+        }
+        if own_tokens > 0 {
+            // No prompt names a part by a number that only counts uses, but by chance.
+            let unnamed = Part { id: u64::MAX - memory.uses, tokens: own_tokens };
+            memory.touch(unnamed, true, usable);
+        }
+    }
+
     /// Returns how many tokens from the prompt's start an engine should hold.
     pub fn held_tokens(&self, engine: &str, prompt: &Prompt) -> u32 {
         let engines = self.engines.lock().expect("no panic under this lock");
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -1,6 +1,7 @@
 //! Digests: what one instance tells another, and what is taken in of it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
@@ -11,9 +12,11 @@
 use super::versions::FollowedTable;
 use super::watches::ToldWatch;
 use crate::fleets::Upstream;
+use crate::hashes::hash_of;
 use crate::loads::{PeerLoad, RoleChange, RoleObservation, Work};
 use crate::prompts::Part;
 use crate::relay::Gateway;
+use crate::speeds::EngineWork;
 use crate::wires::Wire;
 
 /// `EngineLoad` is what an instance has in flight at an engine.
@@ -48,13 +51,37 @@
     }
 }
 
+/// `ToldWork` is the work that a service's engines did for an instance since it started.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldWork {
+    /// The short form of the service's name.
+    pub service: u32,
+    /// Reading, in milliseconds of an engine.
+    pub reading_ms: u32,
+    /// Generating, in milliseconds of an engine.
+    pub generating_ms: u32,
+}
+
 /// `CachedPrompt` is a prompt that an engine now keeps.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CachedPrompt {
     /// The short form of the engine's id.
     pub engine: u32,
-    /// The prompt's parts, with their lengths in tokens.
+    /// The prompt's parts that others may share, with their lengths in tokens.
     pub parts: Vec<(u64, u32)>,
+    /// How many tokens it has beside.
+    pub own_tokens: u32,
+}
+
+impl CachedPrompt {
+    fn of(engine: u32, parts: &[Part]) -> Self {
+        let (own, shared) = match parts {
+            [shared @ .., own] if !shared.is_empty() => (own.tokens, shared),
+            _ => (0, parts),
+        };
+        let parts = shared.iter().map(|part| (part.id, part.tokens)).collect();
+        Self { engine, parts, own_tokens: own }
+    }
 }
 
 /// `Notice` is what an instance has found out of an engine, and the others should know.
@@ -148,6 +175,8 @@
     pub scope: Scope,
     /// What the sender itself has found out of engines.
     pub notices: Vec<Notice>,
+    /// The work that engines did for the sender since it started, by service.
+    pub work: Vec<ToldWork>,
     /// The short form of the sender's availability zone.
     pub zone: u32,
     /// The sender's watch over each of [`FollowedTable::ALL`].
@@ -189,10 +218,15 @@
         let kinds = own_findings(upstream, now);
         digest.notices.extend(kinds.into_iter().map(|kind| Notice { engine, kind }));
     }
+    let told = |(service, work): (Arc<str>, EngineWork)| ToldWork {
+        service: hash_of(&*service) as u32,
+        reading_ms: work.reading_ms as u32,
+        generating_ms: work.generating_ms as u32,
+    };
+    digest.work = gateway.speeds().own_work().into_iter().map(told).collect();
     for (engine, parts) in gateway.take_cached(MAX_CACHED) {
         let Some(upstream) = view.get(&engine) else { continue };
-        let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
-        digest.cached.push(CachedPrompt { engine: upstream.digest, parts });
+        digest.cached.push(CachedPrompt::of(upstream.digest, &parts));
     }
     digest
 }
@@ -274,9 +308,24 @@
             }
         }
     }
+    take_in_work(digest, gateway, now);
     take_in_cached(digest, gateway);
 }
 
+fn take_in_work<W: Wire, C: Clock>(digest: &Digest, gateway: &Gateway<W, C>, now: Millis) {
+    let Some(config) = gateway.config() else { return };
+    for told in &digest.work {
+        let mut services = config.services();
+        let known = services.find(|service| hash_of(&*service.name) as u32 == told.service);
+        let Some(service) = known else { continue };
+        let work = EngineWork {
+            reading_ms: f64::from(told.reading_ms),
+            generating_ms: f64::from(told.generating_ms),
+        };
+        gateway.speeds().take_in_work(&service.name, digest.from, work, now);
+    }
+}
+
 fn take_in_loads<W: Wire, C: Clock>(
     digest: &Digest,
     from: SocketAddr,
@@ -313,6 +362,8 @@
         let Some(engine) = spec.and_then(|spec| spec.engine.as_ref()) else { continue };
         let parts = cached.parts.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens });
         let parts: Vec<Part> = parts.collect();
-        gateway.caches().record(&upstream.entry.id, &parts, engine.kv_tokens.0);
+        let capacity = engine.kv_tokens.0;
+        let caches = gateway.caches();
+        caches.record_told(&upstream.entry.id, &parts, cached.own_tokens, capacity);
     }
 }
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -29,7 +29,7 @@
 use telling::{Teller, tell_missed};
 use zones::ZoneLink;
 
-pub use digests::{CachedPrompt, Digest, EngineLoad, Notice, NoticeKind, Scope};
+pub use digests::{CachedPrompt, Digest, EngineLoad, Notice, NoticeKind, Scope, ToldWork};
 pub use members::{Peers, register};
 pub use mirrors::Mirror;
 pub use rows::{Assembler, RowsPiece, ToldRows, pieces_of};
@@ -117,7 +117,7 @@
             self.zones.hear(&digest, teller, from, socket, gateway, now);
             return;
         }
-        if !digest.cached.is_empty() && digest.is_partial {
+        if !digest.cached.is_empty() && digest.is_partial && digest.scope == Scope::Instance {
             peers.record_told();
         }
         if peers.hear(from, &digest, now) && peers.greets(from, now) {
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -38,7 +38,7 @@
         let Some(upstream) = view.get(&engine) else { continue };
         for parts in parts.chunks(PARTS_A_DIGEST) {
             let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
-            let cached = vec![CachedPrompt { engine: upstream.digest, parts }];
+            let cached = vec![CachedPrompt { engine: upstream.digest, parts, own_tokens: 0 }];
             let digest = Digest { cached, ..Digest::partial(gateway.peers(), now) };
             let Ok(buf) = postcard::to_stdvec(&digest) else { return };
             let _ = socket.try_send_to(&buf, to);
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -35,8 +35,10 @@
 /// How many instances of a zone are told if none is known to tell for it.
 const GUESSES: usize = 2;
 
-/// The most prompts that one digest tells of, so that it fits into a datagram.
-const MAX_CACHED: usize = 16;
+/// The most prompts that one digest tells of, so that it fits into a datagram, and the most such digests
+/// at a time. Older news are dropped then: an engine may have dropped the parts as well.
+const MAX_CACHED: usize = 40;
+const MAX_CACHED_DIGESTS: usize = 4;
 
 /// `ZoneLink` is what this instance tells other availability zones, and its own of them, if it is the one
 /// to do so.
@@ -60,6 +62,12 @@
     loads: Vec<EngineLoad>,
 }
 
+impl FarZone {
+    fn told_by(teller: SocketAddr) -> Self {
+        Self { teller, heard_at: Millis::ZERO, loads: Vec::new() }
+    }
+}
+
 /// `News` is what is to be told on.
 #[derive(Default)]
 struct News {
@@ -83,10 +91,11 @@
         self.notices.iter().map(|(heard_at, notice)| notice.after(now - *heard_at)).collect()
     }
 
-    /// Takes the prompts that fit into one digest.
-    fn take_cached(&mut self) -> Vec<CachedPrompt> {
-        let count = self.cached.len().min(MAX_CACHED);
-        self.cached.drain(..count).collect()
+    /// Takes the prompts to be told of, in as many digests as they need.
+    fn take_cached(&mut self) -> Vec<Vec<CachedPrompt>> {
+        let cached = std::mem::take(&mut self.cached);
+        let dropped = cached.len().saturating_sub(MAX_CACHED * MAX_CACHED_DIGESTS);
+        cached[dropped..].chunks(MAX_CACHED).map(<[_]>::to_vec).collect()
     }
 }
 
@@ -122,8 +131,11 @@
     ) {
         let peers = gateway.peers();
         peers.hear_zone(digest.zone, now);
-        let far = FarZone { teller, heard_at: now, loads: digest.loads.clone() };
-        self.far.insert(digest.zone, far);
+        let far = self.far.entry(digest.zone).or_insert_with(|| FarZone::told_by(teller));
+        (far.teller, far.heard_at) = (teller, now);
+        if !digest.is_partial {
+            far.loads.clone_from(&digest.loads);
+        }
         match peers.zone_teller(now) {
             None => self.incoming.collect(digest, now),
             // Passed on once: what came from an instance of the own zone has been.
@@ -161,12 +173,13 @@
         let digest = Digest {
             scope: Scope::Zone(self.own),
             loads: near_loads(gateway, now),
-            cached: self.outgoing.take_cached(),
             notices: self.outgoing.notices(now),
             ..Digest::from(peers, now)
         };
-        let has_news =
-            !digest.loads.is_empty() || !digest.cached.is_empty() || !digest.notices.is_empty();
+        let scope = digest.scope;
+        let of_caches = |cached| Digest { scope, cached, ..Digest::partial(peers, now) };
+        let cached: Vec<_> = self.outgoing.take_cached().into_iter().map(of_caches).collect();
+        let has_news = !digest.loads.is_empty() || !cached.is_empty() || !digest.notices.is_empty();
         if !has_news && self.silent < MOST_SILENT {
             self.silent += 1;
             return;
@@ -182,7 +195,9 @@
                     chosen.to_vec()
                 }
             };
-            send(&digest, &addresses, socket, gateway);
+            for digest in cached.iter().chain([&digest]) {
+                send(digest, &addresses, socket, gateway);
+            }
         }
     }
 
@@ -196,17 +211,22 @@
         let digest = Digest {
             scope: Scope::Far,
             loads: self.far_loads(now),
-            cached: self.incoming.take_cached(),
             notices: self.incoming.notices(now),
             ..Digest::from(peers, now)
         };
+        let mates = peers.mates(now);
+        for cached in self.incoming.take_cached() {
+            let digest = Digest { scope: Scope::Far, cached, ..Digest::partial(peers, now) };
+            send(&digest, &mates, socket, gateway);
+            take_in(&digest, self.own, gateway, now);
+        }
         let has_loads = !digest.loads.is_empty();
-        let has_news = has_loads || !digest.cached.is_empty() || !digest.notices.is_empty();
+        let has_news = has_loads || !digest.notices.is_empty();
         if !has_news && !self.had_far_loads {
             return;
         }
         self.had_far_loads = has_loads;
-        send(&digest, &peers.mates(now), socket, gateway);
+        send(&digest, &mates, socket, gateway);
         take_in(&digest, self.own, gateway, now);
     }
 
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -18,6 +18,7 @@
 use crate::loads::Held;
 use crate::peers::GREAT_NEWS_MS;
 use crate::placements::Reader;
+use crate::speeds::EngineWork;
 use crate::wires::Wire;
 
 /// The least time that an engine is given to read a prompt, and how much longer than predicted.
@@ -104,13 +105,9 @@
             .push(format!("{}(read {}ms of {:.0})", upstream.entry.id, took.0, reader.total_ms));
         match read {
             Ok(handle) => {
-                self.inner.speeds.record_work(
-                    &exchange.service,
-                    reader_work.reading_ms,
-                    job.prompt.max_output,
-                    job.engine.slots,
-                    self.now(),
-                );
+                let work =
+                    EngineWork { reading_ms: reader_work.reading_ms, ..EngineWork::default() };
+                self.inner.speeds.record_work(&exchange.service, work, self.now());
                 if reader.backlog_ms < IDLE_BACKLOG_MS {
                     self.learn_reading(exchange, job, &upstream, &reader_work, took);
                 }
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -155,11 +155,17 @@
         let mut due = Vec::new();
         for service in config.services() {
             let Some(engine) = &service.engine else { continue };
-            for (upstream, role) in self.changes_of(&view, service) {
-                if !self.settling.contains_key(&upstream.digest) {
-                    due.push((upstream, role, engine.role_change));
-                }
-            }
+            let listed = view.of_service(&service.name);
+            let is_changing =
+                |one: &&Arc<Upstream>| one.state.role_change(now, one.role()).is_some();
+            let changing = listed.iter().filter(is_changing).count();
+            let mix = self.gateway.speeds().mix(&service.name);
+            let left = mix.changes_left(listed.len(), changing);
+            let changes = self.changes_of(&view, service, left + self.settling.len()).into_iter();
+            let unsettled =
+                changes.filter(|(upstream, _)| !self.settling.contains_key(&upstream.digest));
+            let allowed = unsettled.take(left);
+            due.extend(allowed.map(|(upstream, role)| (upstream, role, engine.role_change)));
         }
         due
     }
@@ -168,6 +174,7 @@
         &mut self,
         view: &FleetView,
         service: &ServiceSpec,
+        most: usize,
     ) -> Vec<(Arc<Upstream>, Role)> {
         let listed = view.of_service(&service.name);
         let staying: Vec<_> = listed
@@ -192,7 +199,7 @@
             let spare = readers.len() - wanted;
             (readers, spare, Role::Decode)
         };
-        let taken = take_from_fullest_zones(from, count).into_iter();
+        let taken = take_from_fullest_zones(from, count.min(most), self.clock.now()).into_iter();
         taken.map(|upstream| (upstream, role)).collect()
     }
 
@@ -337,13 +344,25 @@
     }
 }
 
-/// Takes engines, each from the availability zone that has most of them left.
-fn take_from_fullest_zones(mut from: Vec<&Arc<Upstream>>, count: usize) -> Vec<Arc<Upstream>> {
+/// Takes engines, each from the availability zone that has most of them left, and there the one with the
+/// least to do: what it has begun it ends first, and what waits there is refused.
+fn take_from_fullest_zones(
+    mut from: Vec<&Arc<Upstream>>,
+    count: usize,
+    now: Millis,
+) -> Vec<Arc<Upstream>> {
+    let work_of = |one: &Upstream| {
+        let work = one.state.work(now);
+        (work.reading_ms as u64, work.in_flight)
+    };
     let mut taken = Vec::new();
     while taken.len() < count {
         let in_zone = |zone: &str| from.iter().filter(|one| &*one.entry.zone == zone).count();
-        let fullest = from.iter().enumerate().max_by_key(|(_, one)| in_zone(&one.entry.zone));
-        let Some((at, _)) = fullest else { break };
+        let best = from
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, one)| (in_zone(&one.entry.zone), std::cmp::Reverse(work_of(one))));
+        let Some((at, _)) = best else { break };
         taken.push(Arc::clone(from.remove(at)));
     }
     taken
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -29,6 +29,29 @@
     reading: ReadingSpeed,
     output: OutputSpeed,
     mix: WorkMix,
+    own_work: EngineWork,
+    /// What other instances told last, by their numbers.
+    peer_work: HashMap<u64, EngineWork>,
+}
+
+/// The most instances of which the work is remembered. Processes come and go, each with a number of its
+/// own.
+const MOST_PEERS: usize = 2_000;
+
+/// `EngineWork` is work that engines did, in milliseconds of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineWork {
+    /// Reading prompts.
+    pub reading_ms: f64,
+    /// Generating outputs: the time that each held a place, divided by the engine's number of places.
+    pub generating_ms: f64,
+}
+
+impl EngineWork {
+    fn add(&mut self, other: EngineWork) {
+        self.reading_ms += other.reading_ms;
+        self.generating_ms += other.generating_ms;
+    }
 }
 
 impl Speeds {
@@ -62,19 +85,32 @@
         self.with(service, |speed| speed.reading.record(tokens, cached, took_ms));
     }
 
-    /// Notes the work that a request asks for: reading, and an output at an engine with so many
-    /// places.
-    pub fn record_work(
-        &self,
-        service: &Arc<str>,
-        reading_ms: f64,
-        tokens: u32,
-        slots: u32,
-        now: Millis,
-    ) {
+    /// Notes work that engines did for this instance: reading, and an output by the time that it held a
+    /// place of an engine with so many.
+    pub fn record_work(&self, service: &Arc<str>, work: EngineWork, now: Millis) {
+        self.with(service, |speed| {
+            speed.own_work.add(work);
+            speed.mix.record(work.reading_ms, work.generating_ms, now);
+        });
+    }
+
+    /// Returns the work that engines did for this instance since it started, by service.
+    pub fn own_work(&self) -> Vec<(Arc<str>, EngineWork)> {
+        let services = self.services.lock().expect("no panic under this lock");
+        services.iter().map(|(service, speed)| (Arc::clone(service), speed.own_work)).collect()
+    }
+
+    /// Takes in the work that engines did for another instance since it started.
+    pub fn take_in_work(&self, service: &Arc<str>, peer: u64, work: EngineWork, now: Millis) {
         self.with(service, |speed| {
-            let generating_ms = speed.output.output_ms(tokens) / f64::from(slots.max(1));
+            // Of one that was not heard before nothing is known of when it came by its work.
+            let before = speed.peer_work.insert(peer, work).unwrap_or(work);
+            let reading_ms = (work.reading_ms - before.reading_ms).max(0.0);
+            let generating_ms = (work.generating_ms - before.generating_ms).max(0.0);
             speed.mix.record(reading_ms, generating_ms, now);
+            if speed.peer_work.len() > MOST_PEERS {
+                speed.peer_work.clear();
+            }
         });
     }
 
@@ -94,6 +130,8 @@
             reading: ReadingSpeed::new(self.expected),
             output: OutputSpeed::new(EXPECTED_TOKEN_MS, EXPECTED_OUTPUT_MS),
             mix: WorkMix::default(),
+            own_work: EngineWork::default(),
+            peer_work: HashMap::new(),
         });
         f(speed)
     }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -12,7 +12,7 @@
 use anvilhook_gateway::fleets::{Entry, Fleet};
 use anvilhook_gateway::loads::{Held, PeerLoad, Work};
 use anvilhook_gateway::peers::{
-    CachedPrompt, Digest, EngineLoad, FollowedTable, Notice, NoticeKind, Scope, ToldWatch,
+    CachedPrompt, Digest, EngineLoad, FollowedTable, Notice, NoticeKind, Scope, ToldWatch, ToldWork,
 };
 use anvilhook_gateway::placements::{Placer, Plan, Request};
 use anvilhook_gateway::prompts::{Part, Prompt};
@@ -352,7 +352,8 @@
 #[test]
 fn verify_a_digest_is_small_and_comes_back_as_it_was() {
     let load = EngineLoad { engine: u32::MAX, in_flight: 7, reading_ms: 129, fetching_ms: 20 };
-    let cached = CachedPrompt { engine: 5, parts: vec![(u64::MAX, 13_300), (3, 3_720)] };
+    let cached =
+        CachedPrompt { engine: 5, parts: vec![(u64::MAX, 13_300), (3, 3_720)], own_tokens: 700 };
     let digest = Digest {
         from: u64::MAX,
         loads: vec![load; 12],
@@ -363,6 +364,7 @@
             Notice { engine: 9, kind: NoticeKind::Away { left_ms: 2_500 } },
             Notice { engine: 8, kind: NoticeKind::Changing { role: Role::Decode, left_ms: 9_000 } },
         ],
+        work: vec![ToldWork { service: 7, reading_ms: 70_000, generating_ms: 9_000 }],
         zone: u32::MAX,
         watches: [ToldWatch { newest: 700, is_unable: true, away_ms: Some(2_000) }; 2],
         rows: None,
