Leave engines alone that fail several instances' requests, and make up for their errors

An engine's own error counted as a success of the attempt. Change: it counts as a failure; failures are told to the zone as notices, and three instances that agree within half a second have all leave the engine alone, for 1 s at first. A stream that may run again is sent to another engine after an error.

--- a/crates/anvilhook-core/src/ejections.rs
+++ b/crates/anvilhook-core/src/ejections.rs
@@ -1,6 +1,7 @@
 //! Outlier ejection: an upstream that keeps failing gets no work for a while, and then returns
 //! slowly.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use crate::units::Millis;
@@ -104,3 +105,56 @@
         (FIRST_SHARE + (1.0 - FIRST_SHARE) * grown).min(1.0)
     }
 }
+
+/// How many instances must have met a failure within [`REPORT_AGE`] for all to leave an upstream alone.
+/// One that is itself cut off meets failures everywhere; three agree by chance only where each tenth
+/// request of a busy upstream fails.
+const REPORTERS: usize = 3;
+
+/// How long a report of a failure counts.
+const REPORT_AGE: Millis = Millis(500);
+
+/// For how long an upstream is left alone by all at first; each further time within
+/// [`RELAPSE_TIME`] twice as long.
+const ALONE_TIME: Millis = Millis(1_000);
+const RELAPSE_TIME: Millis = Millis(5_000);
+
+/// `FailureReports` is what several instances report of one upstream's failures.
+///
+/// The load that this answers: an upstream that answers each request at once with an error, while it
+/// says that it is well. It always seems idle, and draws the requests of hundreds of instances, of which
+/// each meets it too seldom to leave it alone.
+///
+/// ```
+/// use anvilhook_core::ejections::FailureReports;
+/// use anvilhook_core::units::Millis;
+///
+/// let mut reports = FailureReports::default();
+/// assert_eq!(reports.record(1, Millis(100)), None);
+/// assert_eq!(reports.record(1, Millis(110)), None, "it may be cut off");
+/// assert_eq!(reports.record(2, Millis(120)), None);
+/// assert_eq!(reports.record(3, Millis(130)), Some(Millis(1_000)));
+/// ```
+#[derive(Debug, Default)]
+pub struct FailureReports {
+    reporters: HashMap<u64, Millis>,
+    times_in_row: u32,
+    last_at: Millis,
+}
+
+impl FailureReports {
+    /// Notes that an instance has met a failure. Returns for how long all are to leave the upstream
+    /// alone, if so.
+    pub fn record(&mut self, reporter: u64, now: Millis) -> Option<Millis> {
+        self.reporters.retain(|_, at| *at + REPORT_AGE > now);
+        self.reporters.insert(reporter, now);
+        if self.reporters.len() < REPORTERS {
+            return None;
+        }
+        self.reporters.clear();
+        let is_relapse = self.times_in_row > 0 && now < self.last_at + RELAPSE_TIME;
+        self.times_in_row = if is_relapse { self.times_in_row + 1 } else { 1 };
+        self.last_at = now;
+        Some(Millis(ALONE_TIME.0 << (self.times_in_row - 1).min(MAX_DOUBLINGS)))
+    }
+}
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -115,6 +115,8 @@
         /// For how much longer it is left alone, in milliseconds.
         left_ms: u32,
     },
+    /// It failed a request of the sender.
+    Failed,
     /// It has shown that it has a role.
     HasRole {
         /// The role.
@@ -141,7 +143,7 @@
             NoticeKind::Closed { left_ms } => {
                 NoticeKind::Closed { left_ms: rest(left_ms).0 as u32 }
             }
-            kind @ (NoticeKind::HasRole { .. } | NoticeKind::Gone) => kind,
+            kind @ (NoticeKind::HasRole { .. } | NoticeKind::Gone | NoticeKind::Failed) => kind,
         };
         Notice { engine: self.engine, kind }
     }
@@ -246,6 +248,9 @@
     if state.is_gone_by_own() {
         kinds.push(NoticeKind::Gone);
     }
+    if state.has_failed_of_late(now) {
+        kinds.push(NoticeKind::Failed);
+    }
     let observed = state.observed_role(upstream.entry.sequence);
     let observed = observed.filter(|one| one.is_own && Some(one.role) != upstream.entry.role);
     if let Some(RoleObservation { role, sequence, .. }) = observed {
@@ -298,6 +303,11 @@
                 upstream.state.mark_closed(after(left_ms), false);
             }
             NoticeKind::Gone => upstream.state.mark_gone(false),
+            // What another zone tells bears the number of who tells it on, and would count as one more.
+            NoticeKind::Failed if digest.scope == Scope::Instance => {
+                gateway.note_failure_of(upstream, digest.from, false);
+            }
+            NoticeKind::Failed => {}
             NoticeKind::Changing { role, left_ms } => {
                 let change = RoleChange { role, until: after(left_ms), is_own: false };
                 upstream.state.record_role_change(change);
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -91,7 +91,7 @@
     }
 
     /// Returns this instance's number.
-    pub(super) fn number(&self) -> u64 {
+    pub(crate) fn number(&self) -> u64 {
         self.number.load(Ordering::Acquire)
     }
 
@@ -190,7 +190,7 @@
 
     /// Has the peers told at once of what this instance has in flight. News that come before the
     /// last have been told are told together.
-    pub(crate) fn announce(&self) {
+    pub fn announce(&self) {
         self.news.notify_one();
     }
 
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -129,12 +129,18 @@
         let result = self.send_unlogged(exchange, &sending).await;
         let (state, now) = (&sending.upstream.state, self.now());
         match &result {
+            // An engine that fails each request at once seems idle, and would draw ever more of them.
+            Ok(answer) if answer.status().is_server_error() && sending.role.is_some() => {
+                state.ejection().record_failure(now);
+                self.note_own_failure(sending.upstream);
+            }
             Ok(_) => state.ejection().record_success(now),
             Err(failed) => {
                 if failed.is_refusal {
                     state.ejection().record_success(now);
                 } else {
                     state.ejection().record_failure(now);
+                    self.note_own_failure(sending.upstream);
                 }
                 if failed.contact == Contact::Refused {
                     self.note_closed(exchange, sending.upstream);
@@ -331,6 +337,25 @@
         }
     }
 
+    /// Notes that an engine has failed a request of this instance, and has the others told.
+    fn note_own_failure(&self, upstream: &Upstream) {
+        if upstream.entry.role.is_some() {
+            self.note_failure_of(upstream, self.peers().number(), true);
+            self.peers().announce();
+        }
+    }
+
+    /// Notes that an engine has failed a request of an instance. Once several have met that, all leave
+    /// the engine alone for a while.
+    pub fn note_failure_of(&self, upstream: &Upstream, instance: u64, is_own: bool) {
+        let now = self.now();
+        let Some(alone) = upstream.state.record_failure_of(instance, is_own, now) else { return };
+        upstream.state.mark_closed(now + alone, true);
+        self.peers().announce();
+        let (upstream, request) = (&*upstream.entry.id, "");
+        emit(&Event::UpstreamClosed { upstream, request, for_ms: alone.0 });
+    }
+
     /// Notes that an upstream's host refuses connections, and has the others told.
     fn note_closed(&self, exchange: &Exchange, upstream: &Upstream) {
         let until = self.now() + CLOSED_PAUSE;
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -87,8 +87,18 @@
         mut avoid: Vec<Arc<str>>,
     ) -> Result<Opened, Outcome> {
         let (mut repeats, mut unreached) = (0, 0);
+        let mut last_answer = None;
         loop {
-            let failed = match self.try_stream(exchange, resume_after, &mut avoid).await? {
+            let tried = match self.try_stream(exchange, resume_after, &mut avoid).await {
+                Ok(tried) => tried,
+                Err(outcome) => return last_answer.map(Opened::Answer).ok_or(outcome),
+            };
+            let failed = match tried {
+                // An engine's own error is an answer, and better than none; another one may do better.
+                Ok(Opened::Answer(answer)) if self.may_try_again(exchange, &answer) => {
+                    last_answer = Some(answer);
+                    continue;
+                }
                 Ok(opened) => return Ok(opened),
                 Err(failed) => failed,
             };
@@ -100,11 +110,19 @@
                 Contact::Refused | Contact::None => unreached += 1,
             }
             if is_final || repeats > MAX_REPEATS || unreached > MAX_UNREACHED {
-                return Err(self.given_up(exchange, failed.cause, REFUSED_PAUSE));
+                let outcome = self.given_up(exchange, failed.cause, REFUSED_PAUSE);
+                return last_answer.map(Opened::Answer).ok_or(outcome);
             }
         }
     }
 
+    /// Returns whether a request that an engine has failed may be sent to another one.
+    fn may_try_again(&self, exchange: &Exchange, answer: &WholeAnswer) -> bool {
+        answer.status.is_server_error()
+            && exchange.route.repeats.is_repeatable()
+            && exchange.runs < exchange.route.max_attempts
+    }
+
     /// Makes one try at opening a stream. The outer error is final.
     async fn try_stream(
         &self,
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -107,7 +107,9 @@
             let before = speed.peer_work.insert(peer, work).unwrap_or(work);
             let reading_ms = (work.reading_ms - before.reading_ms).max(0.0);
             let generating_ms = (work.generating_ms - before.generating_ms).max(0.0);
-            speed.mix.record(reading_ms, generating_ms, now);
+            if reading_ms + generating_ms > 0.0 {
+                speed.mix.record(reading_ms, generating_ms, now);
+            }
             if speed.peer_work.len() > MOST_PEERS {
                 speed.peer_work.clear();
             }
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -363,6 +363,25 @@
     }
 }
 
+/// Symptom: nearly two thousand requests of a day get an engine's error though other engines are well.
+/// Sequence: an engine answers each request at once with an error, and says that it is well.
+/// Cause: what may run again is sent to another engine; what may not gets the error as it came.
+#[tokio::test]
+async fn verify_an_engines_own_error_is_made_up_for_where_allowed() {
+    for (repeats, status) in [(RESUMABLE, 200), (ONCE, 500)] {
+        let failing = Upstream::always(vec![signed("500 Internal Server Error", "no")]).await;
+        let other = Upstream::always(stream(1, 2)).await;
+        let far = far_engine("other", &other, Role::Decode);
+        let front = front_of(repeats, vec![engine("failing", &failing, Role::Decode), far]).await;
+
+        let answer = front.post("r1", PROMPT, "").await;
+
+        assert_eq!(answer.status, status, "{repeats:?}: {answer:?}");
+        assert_eq!(other.received().len(), usize::from(status == 200), "{repeats:?}");
+        assert!(answer.head.contains("t-signature"), "{repeats:?}: {answer:?}");
+    }
+}
+
 /// Symptom: output comes from an engine that had begun to leave.
 /// Sequence: the generator's entry says draining while the prompt is being read.
 /// Cause: the generator is chosen after the reading, by what is believed then.
