Leave engines alone for errors only, and few at a time

Change: only an engine's own error counts; reports while it is left alone don't; a quarter of a service's engines at most.

--- a/crates/anvilhook-core/src/ejections.rs
+++ b/crates/anvilhook-core/src/ejections.rs
@@ -106,55 +106,78 @@
     }
 }
 
-/// How many instances must have met a failure within [`REPORT_AGE`] for all to leave an upstream alone.
-/// One that is itself cut off meets failures everywhere; three agree by chance only where each tenth
-/// request of a busy upstream fails.
+/// How many instances must have got an error within [`REPORT_AGE`] for all to leave an upstream alone.
+/// Three agree by chance only where a good part of a busy upstream's requests fail.
 const REPORTERS: usize = 3;
 
-/// How long a report of a failure counts.
+/// How long a report of an error counts.
 const REPORT_AGE: Millis = Millis(500);
 
-/// For how long an upstream is left alone by all at first; each further time within
-/// [`RELAPSE_TIME`] twice as long.
+/// For how long an upstream is left alone by all at first, and at most. If it fails again within
+/// [`RELAPSE_TIME`] after that, it is left alone for twice as long as before.
 const ALONE_TIME: Millis = Millis(1_000);
-const RELAPSE_TIME: Millis = Millis(5_000);
+const LONGEST_ALONE_TIME: Millis = Millis(4_000);
+const RELAPSE_TIME: Millis = Millis(2_000);
 
-/// `FailureReports` is what several instances report of one upstream's failures.
+/// The most upstreams of a service that are left alone at a time because of errors, as a share. Where
+/// more of them fail, the rest could not take their work, and some answers are better than none.
+const MOST_ALONE: f64 = 0.25;
+
+/// Returns whether one more of so many upstreams may be left alone, beside those that are.
+///
+/// ```
+/// use anvilhook_core::ejections::may_leave_alone;
+///
+/// assert!(may_leave_alone(9, 1));
+/// assert!(!may_leave_alone(9, 2));
+/// assert!(!may_leave_alone(3, 0));
+/// ```
+pub fn may_leave_alone(upstreams: usize, alone: usize) -> bool {
+    (alone + 1) as f64 <= upstreams as f64 * MOST_ALONE
+}
+
+/// `ErrorReports` is what several instances report of one upstream's errors.
 ///
 /// The load that this answers: an upstream that answers each request at once with an error, while it
 /// says that it is well. It always seems idle, and draws the requests of hundreds of instances, of which
-/// each meets it too seldom to leave it alone.
+/// each meets it too seldom to leave it alone. Answers that are lost or late are no errors: there the
+/// upstream has done its work, and seems busy meanwhile.
 ///
 /// ```
-/// use anvilhook_core::ejections::FailureReports;
+/// use anvilhook_core::ejections::ErrorReports;
 /// use anvilhook_core::units::Millis;
 ///
-/// let mut reports = FailureReports::default();
+/// let mut reports = ErrorReports::default();
 /// assert_eq!(reports.record(1, Millis(100)), None);
-/// assert_eq!(reports.record(1, Millis(110)), None, "it may be cut off");
+/// assert_eq!(reports.record(1, Millis(110)), None, "one alone");
 /// assert_eq!(reports.record(2, Millis(120)), None);
 /// assert_eq!(reports.record(3, Millis(130)), Some(Millis(1_000)));
+/// assert_eq!(reports.record(4, Millis(140)), None, "it is left alone by then");
 /// ```
 #[derive(Debug, Default)]
-pub struct FailureReports {
+pub struct ErrorReports {
     reporters: HashMap<u64, Millis>,
-    times_in_row: u32,
-    last_at: Millis,
+    alone_until: Millis,
+    alone_time: Millis,
 }
 
-impl FailureReports {
-    /// Notes that an instance has met a failure. Returns for how long all are to leave the upstream
+impl ErrorReports {
+    /// Notes that an instance has got an error. Returns for how long all are to leave the upstream
     /// alone, if so.
     pub fn record(&mut self, reporter: u64, now: Millis) -> Option<Millis> {
+        if now < self.alone_until {
+            return None;
+        }
         self.reporters.retain(|_, at| *at + REPORT_AGE > now);
         self.reporters.insert(reporter, now);
         if self.reporters.len() < REPORTERS {
             return None;
         }
         self.reporters.clear();
-        let is_relapse = self.times_in_row > 0 && now < self.last_at + RELAPSE_TIME;
-        self.times_in_row = if is_relapse { self.times_in_row + 1 } else { 1 };
-        self.last_at = now;
-        Some(Millis(ALONE_TIME.0 << (self.times_in_row - 1).min(MAX_DOUBLINGS)))
+        let is_relapse = self.alone_until > Millis::ZERO && now < self.alone_until + RELAPSE_TIME;
+        let next = if is_relapse { self.alone_time * 2 } else { ALONE_TIME };
+        self.alone_time = next.min(LONGEST_ALONE_TIME);
+        self.alone_until = now + self.alone_time;
+        Some(self.alone_time)
     }
 }
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -135,11 +135,11 @@
         /// The request by which it was learnt, if it was not asked for its report.
         request: Option<&'a str>,
     },
-    /// An upstream is left alone: its host refuses connections, or several instances met failures.
+    /// An upstream is left alone: its host refuses connections, or several instances got its errors.
     UpstreamClosed {
         /// The upstream.
         upstream: &'a str,
-        /// The request whose connection was refused, empty after failures.
+        /// The request whose connection was refused, empty after errors.
         request: &'a str,
         /// For how long it is left alone, in milliseconds.
         for_ms: u64,
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use anvilhook_core::ejections::{Ejection, EjectionOptions, FailureReports};
+use anvilhook_core::ejections::{Ejection, EjectionOptions, ErrorReports};
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::Millis;
 
@@ -22,8 +22,8 @@
 /// The same for what other availability zones tell, which comes over two instances more.
 const FAR_LOAD_AGE: Millis = Millis(800);
 
-/// For how long the others are told of a failure.
-const FAILURE_NEWS: Millis = Millis(200);
+/// For how long the others are told of an error.
+const ERROR_NEWS: Millis = Millis(200);
 
 /// `Work` is what requests in flight ask of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -96,8 +96,8 @@
     /// Until when its host refuses connections, and the same by what this instance has met.
     closed_until: AtomicU64,
     own_closed: AtomicU64,
-    failures: Mutex<FailureReports>,
-    own_failed_at: AtomicU64,
+    errors: Mutex<ErrorReports>,
+    own_error_at: AtomicU64,
     refused_handles: AtomicU32,
     no_handles_until: AtomicU64,
     away_until: AtomicU64,
@@ -123,8 +123,8 @@
             is_gone_by_own: AtomicBool::new(false),
             closed_until: AtomicU64::new(0),
             own_closed: AtomicU64::new(0),
-            failures: Mutex::default(),
-            own_failed_at: AtomicU64::new(0),
+            errors: Mutex::default(),
+            own_error_at: AtomicU64::new(0),
             refused_handles: AtomicU32::new(0),
             no_handles_until: AtomicU64::new(0),
             away_until: AtomicU64::new(0),
@@ -156,19 +156,19 @@
         self.closed_until.fetch_max(until.0, Ordering::AcqRel) < until.0
     }
 
-    /// Notes that an instance met a failure at the upstream; this instance's own are told the others.
-    /// Returns for how long all are to leave the upstream alone, if enough instances have met one.
-    pub fn record_failure_of(&self, instance: u64, is_own: bool, now: Millis) -> Option<Millis> {
+    /// Notes that an instance has got an error of the upstream; this instance's own are told the others.
+    /// Returns for how long all are to leave the upstream alone, if enough instances have got one.
+    pub fn record_error(&self, instance: u64, is_own: bool, now: Millis) -> Option<Millis> {
         if is_own {
-            self.own_failed_at.store(now.0, Ordering::Release);
+            self.own_error_at.store(now.0, Ordering::Release);
         }
-        self.failures.lock().expect("no panic under this lock").record(instance, now)
+        self.errors.lock().expect("no panic under this lock").record(instance, now)
     }
 
-    /// Returns whether this instance met a failure so shortly ago that the others are told.
-    pub fn has_failed_of_late(&self, now: Millis) -> bool {
-        let failed_at = self.own_failed_at.load(Ordering::Acquire);
-        failed_at > 0 && now < Millis(failed_at) + FAILURE_NEWS
+    /// Returns whether this instance got an error so shortly ago that the others are told.
+    pub fn has_erred_of_late(&self, now: Millis) -> bool {
+        let error_at = self.own_error_at.load(Ordering::Acquire);
+        error_at > 0 && now < Millis(error_at) + ERROR_NEWS
     }
 
     /// Returns until when the host refuses connections, by what this instance itself has met.
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -115,8 +115,8 @@
         /// For how much longer it is left alone, in milliseconds.
         left_ms: u32,
     },
-    /// It failed a request of the sender.
-    Failed,
+    /// It answered a request of the sender with an error.
+    Error,
     /// It has shown that it has a role.
     HasRole {
         /// The role.
@@ -143,7 +143,7 @@
             NoticeKind::Closed { left_ms } => {
                 NoticeKind::Closed { left_ms: rest(left_ms).0 as u32 }
             }
-            kind @ (NoticeKind::HasRole { .. } | NoticeKind::Gone | NoticeKind::Failed) => kind,
+            kind @ (NoticeKind::HasRole { .. } | NoticeKind::Gone | NoticeKind::Error) => kind,
         };
         Notice { engine: self.engine, kind }
     }
@@ -248,8 +248,8 @@
     if state.is_gone_by_own() {
         kinds.push(NoticeKind::Gone);
     }
-    if state.has_failed_of_late(now) {
-        kinds.push(NoticeKind::Failed);
+    if state.has_erred_of_late(now) {
+        kinds.push(NoticeKind::Error);
     }
     let observed = state.observed_role(upstream.entry.sequence);
     let observed = observed.filter(|one| one.is_own && Some(one.role) != upstream.entry.role);
@@ -304,10 +304,10 @@
             }
             NoticeKind::Gone => upstream.state.mark_gone(false),
             // What another zone tells bears the number of who tells it on, and would count as one more.
-            NoticeKind::Failed if digest.scope == Scope::Instance => {
-                gateway.note_failure_of(upstream, digest.from, false);
+            NoticeKind::Error if digest.scope == Scope::Instance => {
+                gateway.note_error(upstream, digest.from, false);
             }
-            NoticeKind::Failed => {}
+            NoticeKind::Error => {}
             NoticeKind::Changing { role, left_ms } => {
                 let change = RoleChange { role, until: after(left_ms), is_own: false };
                 upstream.state.record_role_change(change);
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::ejections::may_leave_alone;
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::CallError;
@@ -132,7 +133,8 @@
             // An engine that fails each request at once seems idle, and would draw ever more of them.
             Ok(answer) if answer.status().is_server_error() && sending.role.is_some() => {
                 state.ejection().record_failure(now);
-                self.note_own_failure(sending.upstream);
+                self.note_error(sending.upstream, self.peers().number(), true);
+                self.peers().announce();
             }
             Ok(_) => state.ejection().record_success(now),
             Err(failed) => {
@@ -140,7 +142,6 @@
                     state.ejection().record_success(now);
                 } else {
                     state.ejection().record_failure(now);
-                    self.note_own_failure(sending.upstream);
                 }
                 if failed.contact == Contact::Refused {
                     self.note_closed(exchange, sending.upstream);
@@ -337,19 +338,17 @@
         }
     }
 
-    /// Notes that an engine has failed a request of this instance, and has the others told.
-    fn note_own_failure(&self, upstream: &Upstream) {
-        if upstream.entry.role.is_some() {
-            self.note_failure_of(upstream, self.peers().number(), true);
-            self.peers().announce();
-        }
-    }
-
-    /// Notes that an engine has failed a request of an instance. Once several have met that, all leave
-    /// the engine alone for a while.
-    pub fn note_failure_of(&self, upstream: &Upstream, instance: u64, is_own: bool) {
+    /// Notes that an instance has got an engine's error. Once several have, all leave the engine alone
+    /// for a while, unless too many are left alone already.
+    pub fn note_error(&self, upstream: &Upstream, instance: u64, is_own: bool) {
         let now = self.now();
-        let Some(alone) = upstream.state.record_failure_of(instance, is_own, now) else { return };
+        let Some(alone) = upstream.state.record_error(instance, is_own, now) else { return };
+        let view = self.fleet().view();
+        let all = view.of_service(&upstream.entry.service);
+        let left_alone = all.iter().filter(|one| !one.state.is_well(now)).count();
+        if !may_leave_alone(all.len(), left_alone) {
+            return;
+        }
         upstream.state.mark_closed(now + alone, true);
         self.peers().announce();
         let (upstream, request) = (&*upstream.entry.id, "");
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -206,30 +206,31 @@
 }
 
 /// Symptom: an engine that fails each request at once draws ever more of them, of every instance.
-/// Sequence: three instances meet failures at one engine; one alone meets failures at another.
-/// Cause: several that agree have all leave the engine alone. One alone may itself be cut off.
+/// Sequence: three instances get errors of one engine; one alone gets some of another.
+/// Cause: several that agree have all leave the engine alone.
 #[tokio::test]
-async fn verify_engines_at_which_several_instances_fail_are_left_alone_by_all() {
+async fn verify_engines_whose_errors_several_instances_get_are_left_alone_by_all() {
     let mut all = vec![instance(1, 1, &[]).await];
     for number in 2..=4 {
         let known: Vec<SocketAddr> = all.iter().map(|one| one.address).collect();
         all.push(instance(number, 1, &known).await);
     }
-    let two = [entry("e0", 1), entry("e1", 1)].map(|one| Entry { role: Some(Role::Decode), ..one });
-    all.iter().for_each(|one| one.gateway.adopt_entries(two.clone()));
+    let engines = ["e0", "e1", "e2", "e3"];
+    let engines = engines.map(|id| Entry { role: Some(Role::Decode), ..entry(id, 1) });
+    all.iter().for_each(|one| one.gateway.adopt_entries(engines.clone()));
     until(|| all.iter().all(|one| one.gateway.peers().heard(Millis::ZERO) == 3)).await;
     let engine =
         |one: &Instance, id: &str| Arc::clone(one.gateway.fleet().view().get(id).expect("listed"));
     let is_well = |one: &Instance, id: &str| {
         engine(one, id).state.is_well(anvilhook_core::units::Clock::now(&one.clock))
     };
-    let fail = |one: &Instance, number, id: &str| {
-        one.gateway.note_failure_of(&engine(one, id), number, true);
+    let get_error = |one: &Instance, number, id: &str| {
+        one.gateway.note_error(&engine(one, id), number, true);
         one.gateway.peers().announce();
     };
 
-    (0..3).for_each(|at| fail(&all[at], at as u64 + 1, "e0"));
-    fail(&all[0], 1, "e1");
+    (0..3).for_each(|at| get_error(&all[at], at as u64 + 1, "e0"));
+    get_error(&all[0], 1, "e1");
 
     until(|| all.iter().all(|one| !is_well(one, "e0"))).await;
     assert!(all.iter().all(|one| is_well(one, "e1")));
