Count and log calls to the tables by what they are for; doubt old news of idle engines

Calls: a counter by table, kind and end, a line of the log for each, and a part of the loss table. Placement: a reader of another availability zone that was told idle costs as much more as its news is old, times the share of the own zone's readers that are busy.

--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -83,6 +83,15 @@
         /// The version up to which it had been followed.
         version: u64,
     },
+    /// A call to a table has ended.
+    TableCalled {
+        /// The table.
+        dependency: &'a str,
+        /// `scan`, `changes` or `write`.
+        call: &'static str,
+        /// `answered`, `refused`, `history_gone` or `no_answer`.
+        outcome: &'static str,
+    },
     /// Changed rows of a followed table were taken in.
     RowsTaken {
         /// The table.
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -22,7 +22,7 @@
 use crate::relay::{Gateway, GatewayOptions};
 use crate::reloads::{OptionSource, Reloader, Tunables};
 use crate::roles::{RoleKeeper, RoleOptions};
-use crate::tables::Table;
+use crate::tables::{CountedTable, Table};
 use crate::wires::Wire;
 
 /// How long an instance that stops goes on taking connections. Whoever spreads connections needs
@@ -87,6 +87,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let gateway = Gateway::new(wire, clock.clone(), client, options.gateway.clone());
+    let table = CountedTable::new(table, gateway.metrics().table_calls.clone());
     let shutdown = Shutdown::new();
 
     let front = TcpListener::bind(options.front).await?;
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -64,6 +64,17 @@
     pub name: String,
 }
 
+/// `TableLabels` tell what calls to the platform's tables were for, and how they ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct TableLabels {
+    /// The table. The gateway names all of them.
+    pub table: String,
+    /// `scan`, `changes` or `write`.
+    pub call: &'static str,
+    /// `answered`, `refused`, `history_gone` or `no_answer`.
+    pub outcome: &'static str,
+}
+
 /// `GatewayMetrics` is all that an instance counts.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -77,6 +88,8 @@
     pub orders: Family<NameLabel, Counter>,
     /// The time to the head of the answer.
     pub latency: Family<KindLabel, Histogram>,
+    /// Calls to the platform's tables that have ended.
+    pub table_calls: Family<TableLabels, Counter>,
     /// Datagrams sent to peers.
     pub digests: Counter,
     /// Their bytes, without what the network adds.
@@ -107,6 +120,7 @@
             broken_streams: Family::default(),
             orders: Family::default(),
             latency: Family::new_with_constructor(latency),
+            table_calls: Family::default(),
             digests: Counter::default(),
             digest_bytes: Counter::default(),
             in_flight: Gauge::default(),
@@ -146,6 +160,11 @@
             "Time to the head of the answer",
             self.latency.clone(),
         );
+        registry.register(
+            "table_calls",
+            "Calls to the platform's tables that have ended",
+            self.table_calls.clone(),
+        );
         registry.register("digests", "Datagrams sent to peers", self.digests.clone());
         registry.register(
             "digest_bytes",
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -53,6 +53,8 @@
     pub output_ms: f64,
     /// The availability zone of this instance.
     pub zone: &'a str,
+    /// How old news of the loads in other availability zones are, in milliseconds.
+    pub far_news_ms: f64,
     /// The time now.
     pub now: Millis,
 }
@@ -150,13 +152,19 @@
         let holder = self.holder(req);
         let home = self.home(req);
         let readers = self.candidates(req, Role::Prefill);
-        let costs = readers.map(|upstream| {
-            let reader = self.reader_at(req, upstream, holder.as_ref());
+        let readers = readers.map(|upstream| self.reader_at(req, upstream, holder.as_ref()));
+        let readers: Vec<Reader> = readers.collect();
+        let unheard_ms = self.far_news_ms * self.busy_share(&readers);
+        let costs = readers.into_iter().map(|reader| {
+            let upstream = &reader.upstream;
             let mut cost = reader.total_ms + self.crossing_ms(req, upstream);
             let is_home = home.as_ref().is_none_or(|home| home == &upstream.entry.id);
             if reader.fetch_from.is_some() {
                 cost += COPY_MS;
             }
+            if !self.is_near(upstream) {
+                cost += unheard_ms;
+            }
             if holder.is_none() && !is_home {
                 cost += HOME_MS;
             }
@@ -165,6 +173,22 @@
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, reader)| reader)
     }
 
+    /// Returns the share of the readers in this availability zone that have something to read.
+    ///
+    /// It stands for how likely an engine of another zone, which was idle when its load was told, is idle
+    /// still. Instances of all zones that saw it idle would otherwise send their prompts there.
+    fn busy_share(&self, readers: &[Reader]) -> f64 {
+        let near = readers.iter().filter(|reader| self.is_near(&reader.upstream));
+        let (count, busy) = near.fold((0, 0), |(count, busy), reader| {
+            (count + 1, busy + u32::from(reader.backlog_ms > 0.0))
+        });
+        if count == 0 { 1.0 } else { f64::from(busy) / f64::from(count) }
+    }
+
+    fn is_near(&self, upstream: &Upstream) -> bool {
+        &*upstream.entry.zone == self.zone
+    }
+
     /// Chooses the engine that generates the output of a prompt that another one has read.
     pub fn generator(&self, req: &Request<'_>, reader: &Upstream) -> Option<Generator> {
         self.generator_by(req, Some(reader), |generator| generator.fetched_ms)
@@ -313,7 +337,7 @@
     }
 
     fn crossing_ms(&self, req: &Request<'_>, upstream: &Upstream) -> f64 {
-        if &*upstream.entry.zone == self.zone {
+        if self.is_near(upstream) {
             0.0
         } else {
             1.0 + req.body_bytes as f64 / 1e3 * CROSSING_MS_PER_KB
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -23,6 +23,10 @@
 const MAX_REPEATS: u32 = 2;
 const MAX_UNREACHED: u32 = 4;
 
+/// How old news of other availability zones' loads are where one instance of each tells them, in
+/// milliseconds: half the pause between two of its tellings, twice, and the way.
+const FAR_NEWS_MS: f64 = 120.0;
+
 /// When a caller is to come back if no engine took its request.
 pub(super) const REFUSED_PAUSE: Millis = Millis(700);
 
@@ -195,6 +199,7 @@
             speed: &speed,
             output_ms: self.inner.speeds.mean_output_ms(&exchange.service),
             zone: &self.inner.options.zone,
+            far_news_ms: if self.peers().are_few() { 0.0 } else { FAR_NEWS_MS },
             now: self.now(),
         })
     }
--- a/crates/anvilhook-gateway/src/tables.rs
+++ b/crates/anvilhook-gateway/src/tables.rs
@@ -4,6 +4,11 @@
 
 use anvilhook_core::units::Millis;
 use bytes::Bytes;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+
+use crate::events::{Event, emit};
+use crate::metrics::TableLabels;
 
 /// `Row` is a row of a table, or the news that it is gone.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -91,3 +96,50 @@
         write: Write,
     ) -> impl Future<Output = Result<Written, TableError>> + Send;
 }
+
+/// `CountedTable` counts and logs the calls to a table: each has its price, and what they are for must
+/// be seen where there are many instances.
+#[derive(Clone)]
+pub struct CountedTable<T> {
+    table: T,
+    calls: Family<TableLabels, Counter>,
+}
+
+impl<T: Table> CountedTable<T> {
+    /// Makes a table whose calls are counted.
+    pub fn new(table: T, calls: Family<TableLabels, Counter>) -> Self {
+        Self { table, calls }
+    }
+
+    fn count<R>(&self, table: &str, call: &'static str, result: &Result<R, TableError>) {
+        let outcome = match result {
+            Ok(_) => "answered",
+            Err(TableError::Refused(_)) => "refused",
+            Err(TableError::HistoryGone) => "history_gone",
+            Err(TableError::Unfinished | TableError::NoAnswer(_)) => "no_answer",
+        };
+        let labels = TableLabels { table: table.to_owned(), call, outcome };
+        self.calls.get_or_create(&labels).inc();
+        emit(&Event::TableCalled { dependency: table, call, outcome });
+    }
+}
+
+impl<T: Table> Table for CountedTable<T> {
+    async fn scan(&self, table: &str) -> Result<Rows, TableError> {
+        let result = self.table.scan(table).await;
+        self.count(table, "scan", &result);
+        result
+    }
+
+    async fn changes(&self, table: &str, version: u64, wait: Millis) -> Result<Rows, TableError> {
+        let result = self.table.changes(table, version, wait).await;
+        self.count(table, "changes", &result);
+        result
+    }
+
+    async fn write(&self, table: &str, write: Write) -> Result<Written, TableError> {
+        let result = self.table.write(table, write).await;
+        self.count(table, "write", &result);
+        result
+    }
+}
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -182,6 +182,16 @@
 }
 
 fn plan(fleet: &Fleet, caches: &CacheBeliefs, prompt: &Prompt, avoid: &[Arc<str>]) -> Option<Plan> {
+    plan_by(0.0, fleet, caches, prompt, avoid)
+}
+
+fn plan_by(
+    far_news_ms: f64,
+    fleet: &Fleet,
+    caches: &CacheBeliefs,
+    prompt: &Prompt,
+    avoid: &[Arc<str>],
+) -> Option<Plan> {
     let (view, speed) = (fleet.view(), EXPECTED_READING);
     let placer = Placer {
         view: &view,
@@ -189,6 +199,7 @@
         speed: &speed,
         output_ms: 300.0,
         zone: "zone-a",
+        far_news_ms,
         now: Millis(1_000),
     };
     let engine = engine_spec();
@@ -215,6 +226,28 @@
     ("d1", Role::Decode, "zone-a"),
 ];
 
+/// Symptom: prompts take three times as long to be read as predicted, at engines that were told idle.
+/// Sequence: all readers of a zone have something to read; one of another zone was idle when its load
+/// was told, a tenth of a second ago. Instances of all zones send their prompts there.
+/// Cause: the busier the own zone, the less an old word of idleness in another is worth.
+#[test]
+fn verify_old_news_of_an_idle_engine_are_doubted_where_all_are_busy() {
+    let (fleet, caches) = (fleet(&SITE), CacheBeliefs::new());
+    let long = prompt(3_000, 1);
+    let hold =
+        |id: &str, ms| Held::with_work(Arc::clone(fleet.view().get(id).expect("listed")), ms, 0.0);
+    let of = |far_news_ms| reader_of(plan_by(far_news_ms, &fleet, &caches, &long, &[]));
+    let _first = hold("p1", 60.0);
+    assert_ne!(of(120.0), "p3", "another one of the zone is idle");
+
+    let _second = hold("p2", 60.0);
+
+    assert_eq!(of(0.0), "p3");
+    assert_ne!(of(120.0), "p3");
+    let _more = [hold("p1", 200.0), hold("p2", 200.0)];
+    assert_eq!(of(120.0), "p3", "the own zone is full");
+}
+
 #[test]
 fn verify_a_prompt_goes_where_it_is_cached_unless_that_engine_is_busy() {
     let (fleet, caches) = (fleet(&SITE), CacheBeliefs::new());
--- a/crates/anvilhook-gateway/tests/metrics.rs
+++ b/crates/anvilhook-gateway/tests/metrics.rs
@@ -7,7 +7,9 @@
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::loads::{Held, PeerLoad, Work};
+use anvilhook_gateway::tables::{CountedTable, Table, Write};
 use support::fronts::{ample_budget, config, gateway};
+use support::tables::{Fault, MemoryTable};
 use support::wires::entry;
 
 /// Symptom: nobody can tell from outside whether a service's queue grows.
@@ -39,3 +41,31 @@
     }
     assert_eq!(gateway.metrics().belief_age("config", Millis::ZERO), None);
 }
+
+/// Symptom: the price of the calls to the table is seen, and nobody can tell what they are for.
+/// Sequence: calls of each kind, to two tables, one of them away.
+/// Cause: each call is counted by table, kind and end.
+#[tokio::test]
+async fn verify_calls_to_tables_are_counted_by_what_they_are_for() {
+    let gateway = gateway(SystemClock::new(), None, Vec::new(), ample_budget());
+    let inner = MemoryTable::default();
+    let table = CountedTable::new(inner.clone(), gateway.metrics().table_calls.clone());
+    inner.put("upstreams", "a", Some("ready 1"));
+
+    table.scan("upstreams").await.expect("it answers");
+    table.changes("upstreams", 0, Millis::ZERO).await.expect("it answers");
+    inner.set_fault(Fault::Away);
+    let write = Write { key: "roles".to_owned(), expected: 0, value: "one".into() };
+    table.write("leases", write).await.expect_err("it is away");
+
+    let text = gateway.metrics_text();
+    for (table, call, outcome) in [
+        ("upstreams", "scan", "answered"),
+        ("upstreams", "changes", "answered"),
+        ("leases", "write", "refused"),
+    ] {
+        let labels = format!("table=\"{table}\",call=\"{call}\",outcome=\"{outcome}\"");
+        let line = format!("anvilhook_gateway_table_calls_total{{{labels}}} 1\n");
+        assert!(text.contains(&line), "{line} in {text}");
+    }
+}
--- a/scripts/loss-table.py
+++ b/scripts/loss-table.py
@@ -5,7 +5,7 @@
 
 LOG holds the lines of all instances, each after the simulated time and the instance's name. Kinds
 are told apart by their objective. Each request has one cause, so a kind's causes add up to its
-requests; what can't be told is a cause of its own.
+requests; what can't be told is a cause of its own. Last come the calls to the platform's tables.
 """
 
 import collections
@@ -18,8 +18,10 @@
 
 
 def read(path):
-    """Returns the events of each request: its sendings, and the newest event of each other kind."""
+    """Returns the events of each request: its sendings, and the newest event of each other kind; and
+    how many calls to the platform's tables there were, by table, kind and end."""
     requests = collections.defaultdict(lambda: {"placed": []})
+    calls = collections.Counter()
     for line in open(path, errors="replace"):
         start = line.find('{"time_ms"')
         if start < 0:
@@ -28,6 +30,8 @@
             at, event = float(line[:start].split()[0]), json.loads(line[start:])
         except (ValueError, IndexError):
             continue
+        if event.get("event") == "table_called":
+            calls[event["dependency"], event["call"], event["outcome"]] += 1
         if "request" not in event:
             continue
         request = requests[event["request"]]
@@ -35,7 +39,7 @@
             request["placed"].append((at, event))
         else:
             request[event["event"]] = (at, event)
-    return requests
+    return requests, calls
 
 
 def cause(request):
@@ -80,7 +84,7 @@
 
 
 def main():
-    requests = read(sys.argv[1])
+    requests, calls = read(sys.argv[1])
     span = float(sys.argv[2]) if len(sys.argv) > 2 else 4.0
     kinds = collections.defaultdict(collections.Counter)
     spans = collections.defaultdict(collections.Counter)
@@ -99,6 +103,9 @@
     for start, causes in sorted(spans.items()):
         text = ", ".join(f"{why} {count}" for why, count in causes.most_common(4))
         print(f"  {start:6.0f}  {sum(causes.values()):5d}  {text}")
+    print(f"calls to tables that have ended: {sum(calls.values())}")
+    for (table, call, outcome), count in calls.most_common():
+        print(f"  {count:6d}  {table} {call} {outcome}")
 
 
 if __name__ == "__main__":
