--- a/crates/anvilhook-core/src/splits.rs
+++ b/crates/anvilhook-core/src/splits.rs
@@ -8,22 +8,23 @@
 
 use crate::units::Millis;
 
-/// After how long what was asked for counts less by two thirds. A change of role takes seconds, so a
-/// mix that swings back sooner must not move engines.
-const MEMORY: Millis = Millis::from_secs(15);
+/// After how long work counts less by two thirds. A change of role takes three seconds and pays for
+/// itself in as many more, so a mix that swings back sooner must not move engines; one that stays for
+/// ten must.
+const MEMORY: Millis = Millis::from_secs(5);
 
 /// The least work that says anything of the mix, in milliseconds of an engine, and the least time over
-/// which it must have come. The first prompts find cold caches and no outputs that have ended.
+/// which it must have come. The first prompts find cold caches, and outputs have just begun.
 const LEAST_WORK_MS: f64 = 10_000.0;
-const LEAST_TIME: Millis = Millis::from_secs(4);
+const LEAST_TIME: Millis = Millis::from_secs(2);
 
 /// The most engines that change their roles at a time while there is work, as a share: each is away for
 /// seconds, and to change a quarter of them at once costs more than any split earns.
-const MOST_CHANGING: f64 = 0.06;
+const MOST_CHANGING: f64 = 0.1;
 
 /// By how much the share of readers must be off before it is changed, and by how many engines. What
 /// is less does not pay for the engines' time away; among nine engines one more or less is noise.
-const LEAST_CHANGE: f64 = 0.06;
+const LEAST_CHANGE: f64 = 0.05;
 const LEAST_ENGINES: f64 = 4.0;
 
 /// The least share of readers.
@@ -40,7 +41,7 @@
 
 impl WorkMix {
     /// Notes work that engines did: the reading of prompts, and outputs by the time that they held places
-    /// of an engine, divided by its number of places, both in milliseconds of an engine.
+    /// of an engine or waited for one, divided by its number of places, both in milliseconds of an engine.
     pub fn record(&mut self, reading_ms: f64, generating_ms: f64, now: Millis) {
         self.since.get_or_insert(now);
         let fading = (-(now - self.at).as_secs_f64() / MEMORY.as_secs_f64()).exp();
@@ -67,8 +68,8 @@
     /// let mut mix = WorkMix::default();
     /// assert_eq!(mix.changes_left(140, 0), 140);
     /// mix.record(5_000.0, 5_000.0, Millis(1_000));
-    /// assert_eq!(mix.changes_left(140, 0), 8);
-    /// assert_eq!(mix.changes_left(140, 9), 0);
+    /// assert_eq!(mix.changes_left(140, 0), 14);
+    /// assert_eq!(mix.changes_left(140, 15), 0);
     /// assert_eq!(mix.changes_left(9, 0), 1);
     /// ```
     pub fn changes_left(&self, engines: usize, changing: usize) -> usize {
@@ -91,7 +92,8 @@
 /// let mut mix = WorkMix::default();
 /// mix.record(5_000.0, 5_000.0, Millis(1_000));
 /// assert_eq!(next_share(0.67, 0.67, &mix, 140), 0.67, "too short a time");
-/// mix.record(5_000.0, 5_000.0, Millis(5_000));
+/// mix.record(5_000.0, 5_000.0, Millis(1_000));
+/// mix.record(5_000.0, 5_000.0, Millis(3_000));
 /// assert_eq!(next_share(0.67, 0.67, &mix, 140), 0.5);
 /// assert_eq!(next_share(0.67, 0.67, &mix, 9), 0.67, "one engine more or less");
 /// ```
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -22,6 +22,7 @@
 use crate::relay::{Gateway, GatewayOptions};
 use crate::reloads::{OptionSource, Reloader, Tunables};
 use crate::roles::{RoleKeeper, RoleOptions};
+use crate::speeds::meter_places;
 use crate::tables::{CountedTable, Table};
 use crate::wires::Wire;
 
@@ -103,6 +104,7 @@
     tokio::spawn(follow(table.clone(), clock.clone(), wait, config_follower));
     let entry_follower = EntryFollower::new(gateway.clone(), clock.clone());
     tokio::spawn(follow(table.clone(), clock.clone(), wait, entry_follower));
+    tokio::spawn(meter_places(gateway.clone(), clock.clone()));
     start_peers(&options, &gateway, &table, &clock).await?;
     let (zone, version) = (&*options.gateway.zone, env!("CARGO_PKG_VERSION"));
     emit(&Event::Started { zone, version });
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -329,7 +329,7 @@
         if let Some((load, at)) = told
             && at + LOAD_AGE >= now
         {
-            work.in_flight = work.in_flight.max(load.running + load.waiting);
+            work.in_flight = work.in_flight.max(load.running.saturating_add(load.waiting));
         }
         work
     }
@@ -338,7 +338,7 @@
         let mut work = self.own_work();
         let peers = self.peers.lock().expect("no panic under this lock");
         for peer in peers.values().filter(|peer| peer.is_current(now) && counts(peer)) {
-            work.in_flight += peer.work.in_flight;
+            work.in_flight = work.in_flight.saturating_add(peer.work.in_flight);
             // The engine goes on reading while nothing is heard. Without that, what waits here
             // for a busy engine would wait until the next word of its end.
             let since_heard_ms = (now - peer.at).0 as f64;
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -45,9 +45,9 @@
 
     /// Adds what others have in flight there.
     pub(super) fn add(&mut self, other: &EngineLoad) {
-        self.in_flight += other.in_flight;
-        self.reading_ms += other.reading_ms;
-        self.fetching_ms += other.fetching_ms;
+        self.in_flight = self.in_flight.saturating_add(other.in_flight);
+        self.reading_ms = self.reading_ms.saturating_add(other.reading_ms);
+        self.fetching_ms = self.fetching_ms.saturating_add(other.fetching_ms);
     }
 }
 
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -177,8 +177,7 @@
         };
         let result = match sent {
             Ok(answer) if answer.status().is_success() => {
-                let relay =
-                    Relay::open(self, exchange, answer, held, started_at, resume_after).await;
+                let relay = Relay::open(self, exchange, answer, held, resume_after).await;
                 relay.map(|relay| Opened::Stream(Box::new(relay)))
             }
             Ok(answer) => self.collect(exchange, answer).await.map(Opened::Answer),
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -22,7 +22,6 @@
 use crate::fleets::Upstream;
 use crate::loads::Held;
 use crate::metrics::NameLabel;
-use crate::speeds::EngineWork;
 use crate::streams::{EventSplitter, StreamEvent};
 use crate::wires::Wire;
 
@@ -41,8 +40,6 @@
     next: Option<StreamEvent>,
     last_id: Option<u64>,
     held: Held,
-    /// When the request was sent to the engine.
-    sent_at: Millis,
 }
 
 /// `Piece` is what came next of a stream.
@@ -58,7 +55,6 @@
         exchange: &Exchange,
         answer: Response,
         mut held: Held,
-        sent_at: Millis,
         resume_after: Option<u64>,
     ) -> Result<Relay, Failed> {
         let (parts, body) = answer.into_parts();
@@ -74,7 +70,6 @@
             next: None,
             last_id: resume_after,
             held,
-            sent_at,
         };
         let mut first = relay.read(gateway, exchange).await;
         while let Err(failed) = &first
@@ -221,7 +216,6 @@
         let (request, outcome) = (&*self.exchange.id, self.outcome);
         let longest_pause_ms = self.longest_pause.0;
         self.learn_output(took_ms);
-        self.record_place();
         emit(&Event::StreamEnded { request, outcome, longest_pause_ms, took_ms });
     }
 }
@@ -238,18 +232,6 @@
         }
     }
 
-    /// Notes for how long the request has held a place of its engine.
-    fn record_place(&self) {
-        let gateway = &self.gateway;
-        let upstream = self.relay.held.upstream();
-        if upstream.entry.role.is_some() {
-            let held_ms = (gateway.now() - self.relay.sent_at).0 as f64;
-            let generating_ms = held_ms / f64::from(upstream.entry.slots.max(1));
-            let work = EngineWork { generating_ms, ..EngineWork::default() };
-            gateway.inner.speeds.record_work(&self.exchange.service, work, gateway.now());
-        }
-    }
-
     /// Notes that an event goes to the caller.
     fn note_event(&mut self) {
         let now = self.gateway.now();
@@ -317,7 +299,6 @@
             return Err(io::Error::other(failed.cause));
         };
         self.log_broken(&upstream, failed, "resumed");
-        self.record_place();
         self.relay = *relay;
         Ok(self.relay.next.take().map(|event| event.bytes))
     }
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -91,6 +91,7 @@
         reader: &Upstream,
     ) -> Waited<Generator> {
         let began_at = self.now();
+        let mut seeking = None;
         loop {
             if self.has_moved(exchange) {
                 return Waited::Moved;
@@ -116,6 +117,7 @@
             if pace != Pace::Hold {
                 return Waited::Sent(generator, Wait { held: self.now() - began_at, pace });
             }
+            seeking.get_or_insert_with(|| self.inner.speeds.seek_place(&exchange.service));
             pause(SHORTEST_LOOK_MS).await;
         }
     }
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -1,11 +1,17 @@
 //! How fast the engines of each service work, learnt from this instance's own requests.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
+use anvilhook_core::orders::Role;
 use anvilhook_core::speeds::{OutputSpeed, ReadingCost, ReadingSpeed};
 use anvilhook_core::splits::WorkMix;
-use anvilhook_core::units::Millis;
+use anvilhook_core::units::{Clock, Millis};
+
+use crate::relay::Gateway;
+use crate::wires::Wire;
 
 /// What is expected of engines of which nothing is known.
 pub const EXPECTED_READING: ReadingCost =
@@ -30,10 +36,56 @@
     output: OutputSpeed,
     mix: WorkMix,
     own_work: EngineWork,
+    /// Requests whose prompts were read and that wait here for a place.
+    seeking: Arc<AtomicU32>,
     /// What other instances told last, by their numbers.
     peer_work: HashMap<u64, EngineWork>,
 }
 
+/// Counts a request that waits for a place of an engine.
+#[derive(Debug)]
+pub struct Seeking(Arc<AtomicU32>);
+
+impl Drop for Seeking {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Meters, for as long as the process runs, the places that this instance's requests hold or wait for.
+///
+/// A place is counted while it is held: an output that lasts for seconds would otherwise show only at
+/// its end, when the burst that it came with is over.
+pub async fn meter_places<W: Wire, C: Clock>(gateway: Gateway<W, C>, clock: C) {
+    const METER_EVERY: Duration = Duration::from_millis(100);
+    let mut last_at = clock.now();
+    loop {
+        tokio::time::sleep(METER_EVERY).await;
+        let now = clock.now();
+        let time_ms = (now - std::mem::replace(&mut last_at, now)).0 as f64;
+        let Some(config) = gateway.config() else { continue };
+        let view = gateway.fleet().view();
+        for service in config.services().filter(|service| service.engine.is_some()) {
+            let upstreams = view.of_service(&service.name).iter();
+            let generators = upstreams.filter(|one| one.role() == Some(Role::Decode));
+            let share = |count: u32, slots: u32| f64::from(count) / f64::from(slots.max(1));
+            let mut slots = 1;
+            let held: f64 = generators
+                .map(|one| {
+                    slots = one.entry.slots;
+                    share(one.state.own_work().in_flight, one.entry.slots)
+                })
+                .sum();
+            let sought = share(gateway.speeds().seeking(&service.name), slots);
+            if held + sought > 0.0 {
+                let generating_ms = (held + sought) * time_ms;
+                let work = EngineWork { generating_ms, ..EngineWork::default() };
+                gateway.speeds().record_work(&service.name, work, now);
+            }
+        }
+    }
+}
+
 /// The most instances of which the work is remembered. Processes come and go, each with a number of its
 /// own.
 const MOST_PEERS: usize = 2_000;
@@ -94,6 +146,18 @@
         });
     }
 
+    /// Counts a request in that waits here for a place of an engine, until the guard is dropped.
+    pub fn seek_place(&self, service: &Arc<str>) -> Seeking {
+        let count = self.with(service, |speed| Arc::clone(&speed.seeking));
+        count.fetch_add(1, Ordering::AcqRel);
+        Seeking(count)
+    }
+
+    /// Returns how many requests of a service wait here for a place.
+    pub fn seeking(&self, service: &Arc<str>) -> u32 {
+        self.with(service, |speed| speed.seeking.load(Ordering::Acquire))
+    }
+
     /// Returns the work that engines did for this instance since it started, by service.
     pub fn own_work(&self) -> Vec<(Arc<str>, EngineWork)> {
         let services = self.services.lock().expect("no panic under this lock");
@@ -133,6 +197,7 @@
             output: OutputSpeed::new(EXPECTED_TOKEN_MS, EXPECTED_OUTPUT_MS),
             mix: WorkMix::default(),
             own_work: EngineWork::default(),
+            seeking: Arc::default(),
             peer_work: HashMap::new(),
         });
         f(speed)
