Give orders at the same time; refuse what is due before a full engine

Change: due orders are given together. What has waited for nine tenths of its caller's patience before a full engine is refused, so that its caller comes back, in place of being sent into the engine's queue.

--- a/crates/anvilhook-core/src/pacing.rs
+++ b/crates/anvilhook-core/src/pacing.rs
@@ -179,6 +179,10 @@
 /// let places = Places { slots: 64, in_flight: 62 };
 /// assert_eq!(pace_generating(&early, 40.0, 1_500.0, places), Pace::Free);
 /// assert_eq!(pace_generating(&late, 40.0, 1_500.0, places), Pace::Hold);
+/// let due = Waiting { age: Millis(1_800), ..early };
+/// assert_eq!(pace_generating(&due, 40.0, 1_500.0, places), Pace::Due);
+/// let full = Places { in_flight: 64, ..places };
+/// assert_eq!(pace_generating(&due, 40.0, 1_500.0, full), Pace::Hopeless);
 /// ```
 pub fn pace_generating(
     waiting: &Waiting,
@@ -198,9 +202,13 @@
     let open = (slots + extra - reserved).max(1.0);
     if f64::from(places.in_flight) < open {
         Pace::Free
-    } else if waiting.is_due() {
+    } else if !waiting.is_due() {
+        Pace::Hold
+    } else if places.in_flight < places.slots {
         Pace::Due
     } else {
-        Pace::Hold
+        // Behind a full engine its caller would leave before the first event, and not come back. A
+        // refusal has it ask again while it still waits for the answer as a whole.
+        Pace::Hopeless
     }
 }
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -349,10 +349,12 @@
         if !may_leave_alone(all.len(), left_alone) {
             return;
         }
-        upstream.state.mark_closed(now + alone, true);
-        self.peers().announce();
-        let (upstream, request) = (&*upstream.entry.id, "");
-        emit(&Event::UpstreamClosed { upstream, request, for_ms: alone.0 });
+        // Others that have heard the same reports tell it too.
+        if upstream.state.mark_closed(now + alone, true) {
+            self.peers().announce();
+            let (upstream, request) = (&*upstream.entry.id, "");
+            emit(&Event::UpstreamClosed { upstream, request, for_ms: alone.0 });
+        }
     }
 
     /// Notes that an upstream's host refuses connections, and has the others told.
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -8,6 +8,7 @@
 use anvilhook_core::splits::next_share;
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
+use futures_util::future::join_all;
 
 use crate::configs::{Config, ServiceSpec};
 use crate::events::{Event, emit};
@@ -140,15 +141,17 @@
             return;
         }
         let Some(lease) = self.hold_lease().await else { return };
-        for (upstream, role, away) in due {
-            if self.clock.now() >= lease.until {
-                return;
+        // Engines that leave their order unanswered must not hold up the others' orders.
+        let orders = due.iter().map(|change| self.give_order(change, lease));
+        let outcomes = join_all(orders).await;
+        for (change, outcome) in due.into_iter().zip(outcomes) {
+            if let Some(outcome) = outcome {
+                self.conclude(change, outcome, lease);
             }
-            self.change(&upstream, role, away, lease).await;
         }
     }
 
-    fn due_changes(&mut self, config: &Config) -> Vec<(Arc<Upstream>, Role, Millis)> {
+    fn due_changes(&mut self, config: &Config) -> Vec<Change> {
         let now = self.clock.now();
         self.settling.retain(|_, until| *until > now);
         let view = self.gateway.fleet().view();
@@ -165,7 +168,8 @@
             let unsettled =
                 changes.filter(|(upstream, _)| !self.settling.contains_key(&upstream.digest));
             let allowed = unsettled.take(left);
-            due.extend(allowed.map(|(upstream, role)| (upstream, role, engine.role_change)));
+            let away = engine.role_change;
+            due.extend(allowed.map(|(upstream, role)| Change { upstream, role, away }));
         }
         due
     }
@@ -267,46 +271,52 @@
         }
     }
 
-    async fn change(&mut self, upstream: &Arc<Upstream>, role: Role, away: Millis, lease: Lease) {
-        let wire = self.gateway.wire().clone();
-        let report = self.gateway.own_call(upstream, &wire.report()).await;
-        let report = report.and_then(|report| wire.engine_report(&report.body).ok());
-        let Some(report) = report else { return };
-        if report.busy || report.role == role || self.clock.now() >= lease.until {
-            return;
-        }
-        if upstream.entry.has_other_start(report.born) {
-            // It has started again, which the list does not show yet, and may have another role.
-            return;
+    /// Gives an engine an order, if it is to be given. Returns what the engine said, `None` if no order
+    /// was given.
+    async fn give_order(&self, change: &Change, lease: Lease) -> Option<OrderOutcome> {
+        let Change { upstream, role, .. } = change;
+        let wire = self.gateway.wire();
+        let report = self.gateway.own_call(upstream, &wire.report()).await?;
+        let report = wire.engine_report(&report.body).ok()?;
+        // One that has started again, which the list does not show yet, may have another role.
+        let is_other = upstream.entry.has_other_start(report.born);
+        if is_other || report.busy || report.role == *role || self.clock.now() >= lease.until {
+            return None;
         }
         let order = RoleOrder {
-            role,
+            role: *role,
             holder: self.holder.clone(),
             fencing_token: lease.token,
             expected: Some(report.orders),
         };
-        let id = &upstream.entry.id;
-        self.settling.insert(upstream.digest, self.clock.now() + SETTLING);
         let answer = self.gateway.own_call(upstream, &wire.order(&order)).await;
-        let outcome = match answer.map(|answer| wire.order_answer(answer.status)) {
-            Some(OrderAnswer::Taken) => {
-                let until = self.clock.now() + away + LONGEST_ENDING;
+        Some(answer.map_or(OrderOutcome::NoAnswer, |answer| {
+            OrderOutcome::Answered(wire.order_answer(answer.status))
+        }))
+    }
+
+    /// Notes what came of an order.
+    fn conclude(&mut self, change: Change, outcome: OrderOutcome, lease: Lease) {
+        let Change { upstream, role, away } = change;
+        let now = self.clock.now();
+        self.settling.insert(upstream.digest, now + SETTLING);
+        match outcome {
+            OrderOutcome::Answered(OrderAnswer::Taken) => {
+                let until = now + away + LONGEST_ENDING;
                 upstream.state.record_role_change(RoleChange { role, until, is_own: true });
                 self.gateway.peers().announce();
-                let asking = await_role(self.gateway.clone(), Arc::clone(upstream), role, away);
+                let asking = await_role(self.gateway.clone(), Arc::clone(&upstream), role, away);
                 let longest = (away + LONGEST_ENDING).as_duration();
                 tokio::spawn(tokio::time::timeout(longest, asking));
-                "taken"
             }
-            Some(OrderAnswer::Busy) => "busy",
-            Some(OrderAnswer::Refused) => "refused",
-            Some(OrderAnswer::Fenced) => {
+            OrderOutcome::Answered(OrderAnswer::Fenced) => {
                 self.lease = None;
-                self.not_before = self.clock.now() + self.options.lease * 2;
-                "fenced"
+                self.not_before = now + self.options.lease * 2;
             }
-            None => "no_answer",
-        };
+            OrderOutcome::Answered(OrderAnswer::Busy | OrderAnswer::Refused)
+            | OrderOutcome::NoAnswer => {}
+        }
+        let (id, outcome) = (&upstream.entry.id, outcome.as_str());
         let role = format!("{role:?}").to_lowercase();
         emit(&Event::OrderGiven { upstream: id, role: &role, token: lease.token, outcome });
         let label = NameLabel { name: outcome.to_owned() };
@@ -314,6 +324,34 @@
     }
 }
 
+/// `Change` is a change of role that is due.
+struct Change {
+    upstream: Arc<Upstream>,
+    role: Role,
+    /// How long the engine is away for it.
+    away: Millis,
+}
+
+/// `OrderOutcome` is what came of an order that was given.
+#[derive(Clone, Copy)]
+enum OrderOutcome {
+    Answered(OrderAnswer),
+    /// It may have been taken, or be taken later.
+    NoAnswer,
+}
+
+impl OrderOutcome {
+    fn as_str(self) -> &'static str {
+        match self {
+            OrderOutcome::Answered(OrderAnswer::Taken) => "taken",
+            OrderOutcome::Answered(OrderAnswer::Busy) => "busy",
+            OrderOutcome::Answered(OrderAnswer::Refused) => "refused",
+            OrderOutcome::Answered(OrderAnswer::Fenced) => "fenced",
+            OrderOutcome::NoAnswer => "no_answer",
+        }
+    }
+}
+
 /// Asks an engine that has taken an order until it has its new role, and has the others told.
 ///
 /// The list shows the change up to two seconds later, and not at all while the table is away; an engine
