Tell at once of a nearly full engine's places, and doubt those of other zones

Change: a stream that takes a place of an engine over half full is told the zone at once; a far engine counts with 15 in 100 of its places taken beside what was told.

--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -73,6 +73,7 @@
     /// The engines of which the other zones told last.
     far_busy: Mutex<Vec<u32>>,
     is_new: AtomicBool,
+    has_taken_place: AtomicBool,
     was_told: AtomicBool,
     was_listed: AtomicBool,
     watches: [TableWatch; FollowedTable::ALL.len()],
@@ -194,6 +195,21 @@
         self.news.notify_one();
     }
 
+    /// Has the instances of the availability zone told at once that this one has taken a place of an engine
+    /// which is nearly full.
+    ///
+    /// Several would otherwise send their next streams to the same last place, and all but one of them
+    /// would wait there while other engines have room.
+    pub(crate) fn announce_place(&self) {
+        self.has_taken_place.store(true, Ordering::Release);
+        self.announce();
+    }
+
+    /// Returns whether a place was taken that the others have not been told of.
+    pub(super) fn take_place_news(&self) -> bool {
+        self.has_taken_place.swap(false, Ordering::AcqRel)
+    }
+
     /// Has the peers told at once if they are few. Among many, a datagram to each for the end of
     /// each work fills the slowest links: of 68 instances those with 10 Mbit/s answered plain
     /// requests a second late.
--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -111,7 +111,8 @@
         }
         self.had_loads = has_loads;
         let is_among_few = gateway.peers().are_few();
-        let is_great = self.has_great_news(&digest, is_among_few);
+        let is_great =
+            self.has_great_news(&digest, is_among_few) | gateway.peers().take_place_news();
         let audience = match () {
             () if is_among_few => Audience::All,
             () if is_great || is_due => Audience::Zone,
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -36,6 +36,10 @@
 const DIRECT_FACTOR: f64 = 3.0;
 const DIRECT_MS: f64 = 600.0;
 
+/// The share of an engine's places that instances of other availability zones may have taken since its
+/// load was told here. Without it the last free places of far engines draw the streams of all zones.
+const UNHEARD_PLACES: f64 = 0.15;
+
 /// What a request in flight adds to the time of the next one at a decode engine, in milliseconds.
 const IN_FLIGHT_MS: f64 = 0.2;
 
@@ -282,8 +286,13 @@
     ) -> Generator {
         let held = self.caches.held_tokens(&upstream.entry.id, req.prompt);
         let work = upstream.state.work(self.now);
-        // This request comes on top of what is in flight.
-        let queued = (work.in_flight + 1).saturating_sub(upstream.entry.slots);
+        // This request comes on top of what is in flight, and of what is not heard of yet.
+        let unheard = if self.is_near(upstream) || self.far_news_ms == 0.0 {
+            0
+        } else {
+            (f64::from(upstream.entry.slots) * UNHEARD_PLACES).ceil() as u32
+        };
+        let queued = (work.in_flight + unheard + 1).saturating_sub(upstream.entry.slots);
         let slowness = upstream.state.slowness();
         let queued_ms = self.output_ms / f64::from(upstream.entry.slots.max(1));
         let wait_ms = f64::from(work.in_flight) * IN_FLIGHT_MS + f64::from(queued) * queued_ms;
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -153,6 +153,10 @@
         let started_at = self.now();
         let could_have_run = exchange.begin_run();
         let held = Held::with_work(Arc::clone(upstream), work.reading_ms, work.fetching_ms);
+        let in_flight = upstream.state.work(self.now()).in_flight;
+        if upstream.role().is_some() && in_flight * 2 > upstream.entry.slots {
+            self.peers().announce_place();
+        }
         let connection = if exchange.runs > 0 { Connection::New } else { Connection::Pooled };
         let sending = Sending {
             upstream,
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -248,6 +248,49 @@
     assert_eq!(of(120.0), "p3", "the own zone is full");
 }
 
+/// Symptom: streams of all zones wait at one engine whose last places were free a moment ago.
+/// Sequence: the generators of a zone are a little over their places; one of another zone was told to
+/// have two free.
+/// Cause: by the time that the word came, the places were gone.
+#[test]
+fn verify_the_last_free_places_of_another_zone_are_doubted() {
+    let fleet = fleet(&[
+        ("p1", Role::Prefill, "zone-a"),
+        ("near", Role::Decode, "zone-a"),
+        ("far", Role::Decode, "zone-b"),
+    ]);
+    let (view, caches, speed) = (fleet.view(), CacheBeliefs::new(), EXPECTED_READING);
+    let hold = |id: &str, count: usize| -> Vec<Held> {
+        let upstream = view.get(id).expect("listed");
+        (0..count).map(|_| Held::new(Arc::clone(upstream))).collect()
+    };
+    let (_near, _far) = (hold("near", 26), hold("far", 22));
+    let (engine, prompt) = (engine_spec(), prompt(300, 1));
+    let request = Request {
+        service: "service",
+        engine: &engine,
+        prompt: &prompt,
+        body_bytes: 400,
+        avoid: &[],
+    };
+    let chosen = |far_news_ms| {
+        let placer = Placer {
+            view: &view,
+            caches: &caches,
+            speed: &speed,
+            output_ms: 300.0,
+            zone: "zone-a",
+            far_news_ms,
+            now: Millis(1_000),
+        };
+        let reader = view.get("p1").expect("listed");
+        placer.generator(&request, reader).expect("there are two").upstream.entry.id.to_string()
+    };
+
+    assert_eq!(chosen(0.0), "far");
+    assert_eq!(chosen(120.0), "near");
+}
+
 #[test]
 fn verify_a_prompt_goes_where_it_is_cached_unless_that_engine_is_busy() {
     let (fleet, caches) = (fleet(&SITE), CacheBeliefs::new());
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -209,6 +209,28 @@
     }
 }
 
+/// Symptom: streams wait at engines whose places are taken, while other engines have room.
+/// Sequence: a stream takes one of the last places of an engine, or one of many.
+/// Cause: that the last places go is told to the others at once.
+#[tokio::test]
+async fn verify_a_taken_place_of_a_nearly_full_engine_is_told_at_once() {
+    for (taken, is_told) in [(2, true), (0, false)] {
+        let generator = Upstream::always(stream(1, 3)).await;
+        let engines = vec![engine("generator", &generator, Role::Decode)];
+        let front = front_of(ONCE, engines).await;
+        let view = front.gateway.fleet().view();
+        let upstream = view.get("generator").expect("listed");
+        let held: Vec<Held> =
+            (0..taken).map(|_| Held::new(std::sync::Arc::clone(upstream))).collect();
+
+        let answer = front.post("r1", PROMPT, "").await;
+
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let announced = front.gateway.peers().announced().now_or_never();
+        assert_eq!(announced.is_some(), is_told, "{} taken", held.len());
+    }
+}
+
 /// Symptom: an engine's memory fills with handles that nobody takes.
 /// Sequence: the prompt is read, and then no engine generates.
 /// Cause: a handle that is not used is freed by whoever has it.
