Make engines of a kind only where that kind has no room left

Change: a share is moved only while seven tenths of the kind that is to gain are taken, over the last looks.

--- a/crates/anvilhook-core/src/splits.rs
+++ b/crates/anvilhook-core/src/splits.rs
@@ -30,6 +30,30 @@
 /// The least share of readers.
 const LEAST_SHARE: f64 = 0.34;
 
+/// How much of a kind of engine must be taken before others are made of its kind. Engines that have room
+/// answer as soon without, and the mix may be another one when the change is done.
+const PRESSED: f64 = 0.7;
+
+/// What a look at the engines counts against the looks before.
+const LOOK_WEIGHT: f64 = 0.25;
+
+/// `Pressure` is how much of a service's engines is taken, as shares of each kind, over the last looks.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pressure {
+    /// The share of the readers that have something to read.
+    pub reading: f64,
+    /// The share of the generators' places that are taken.
+    pub generating: f64,
+}
+
+impl Pressure {
+    /// Takes in what one look shows.
+    pub fn record(&mut self, look: Pressure) {
+        self.reading += LOOK_WEIGHT * (look.reading - self.reading);
+        self.generating += LOOK_WEIGHT * (look.generating - self.generating);
+    }
+}
+
 /// `WorkMix` is the work of both kinds that was asked for of late.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkMix {
@@ -81,26 +105,31 @@
     }
 }
 
-/// Returns the share of readers to keep from now on, by the one that is kept so far and the mix.
+/// Returns the share of readers to keep from now on, by the one that is kept so far, the mix, and how
+/// much of the engines is taken.
 ///
 /// `most` bounds it: readers beyond that were never of use, since what they read finds no place.
 ///
 /// ```
-/// use anvilhook_core::splits::{WorkMix, next_share};
+/// use anvilhook_core::splits::{Pressure, WorkMix, next_share};
 /// use anvilhook_core::units::Millis;
 ///
 /// let mut mix = WorkMix::default();
+/// let full = Pressure { reading: 0.9, generating: 0.9 };
 /// mix.record(5_000.0, 5_000.0, Millis(1_000));
-/// assert_eq!(next_share(0.67, 0.67, &mix, 140), 0.67, "too short a time");
+/// assert_eq!(next_share(0.67, 0.67, &mix, &full, 140), 0.67, "too short a time");
 /// mix.record(5_000.0, 5_000.0, Millis(1_000));
 /// mix.record(5_000.0, 5_000.0, Millis(3_000));
-/// assert_eq!(next_share(0.67, 0.67, &mix, 140), 0.5);
-/// assert_eq!(next_share(0.67, 0.67, &mix, 9), 0.67, "one engine more or less");
+/// assert_eq!(next_share(0.67, 0.67, &mix, &full, 140), 0.5);
+/// assert_eq!(next_share(0.67, 0.67, &mix, &full, 9), 0.67, "one engine more or less");
+/// let half_idle = Pressure { reading: 0.5, generating: 0.5 };
+/// assert_eq!(next_share(0.67, 0.67, &mix, &half_idle, 140), 0.67, "there is room");
 /// ```
-pub fn next_share(kept: f64, most: f64, mix: &WorkMix, engines: usize) -> f64 {
+pub fn next_share(kept: f64, most: f64, mix: &WorkMix, pressure: &Pressure, engines: usize) -> f64 {
     let Some(wanted) = mix.reader_share() else { return kept };
     let wanted = wanted.clamp(LEAST_SHARE.min(most), most);
+    let pressed = if wanted < kept { pressure.generating } else { pressure.reading };
     let change = (wanted - kept).abs();
     let is_worth_it = change >= LEAST_CHANGE && change * engines as f64 >= LEAST_ENGINES;
-    if is_worth_it { wanted } else { kept }
+    if is_worth_it && pressed >= PRESSED { wanted } else { kept }
 }
--- a/crates/anvilhook-core/tests/splits.rs
+++ b/crates/anvilhook-core/tests/splits.rs
@@ -1,6 +1,6 @@
 //! The split of engines between reading and generating, under replayed loads.
 
-use anvilhook_core::splits::{WorkMix, next_share};
+use anvilhook_core::splits::{Pressure, WorkMix, next_share};
 use anvilhook_core::units::Millis;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -12,6 +12,9 @@
 const READING_MS: f64 = 100.0;
 const GENERATING_MS: f64 = 75.0;
 
+/// The engines as they are under such a load.
+const FULL: Pressure = Pressure { reading: 0.9, generating: 0.9 };
+
 /// Replays a load whose prompts have heavy tails, of which a share of the requests is seen, and returns
 /// the shares of readers that are kept, one for each half second.
 fn replay(seen: f64, seconds: u64, reading_factor: impl Fn(u64) -> f64) -> Vec<f64> {
@@ -29,7 +32,7 @@
             }
         }
         if tick % 5 == 0 {
-            kept = next_share(kept, 0.67, &mix, ENGINES);
+            kept = next_share(kept, 0.67, &mix, &FULL, ENGINES);
             shares.push(kept);
         }
     }
@@ -64,3 +67,22 @@
     let last = shares.last().expect("some");
     assert!((0.34..=0.46).contains(last), "{last}");
 }
+
+/// Symptom: on a day on which half of the engines are idle two in three change their roles, and the next
+/// burst of prompts finds too few readers.
+/// Sequence: outputs are all the work for a while, and find room; then prompts come.
+/// Cause: engines are made of a kind only where that kind has no room left.
+#[test]
+fn verify_engines_with_room_keep_their_roles() {
+    let mut mix = WorkMix::default();
+    let mut pressure = Pressure::default();
+    for second in 1..20 {
+        mix.record(1_000.0, 9_000.0, Millis(second * 1_000));
+        pressure.record(Pressure { reading: 0.2, generating: 0.6 });
+        assert_eq!(next_share(0.67, 0.67, &mix, &pressure, 63), 0.67, "second {second}");
+    }
+
+    (0..20).for_each(|_| pressure.record(Pressure { reading: 0.2, generating: 0.95 }));
+
+    assert!(next_share(0.67, 0.67, &mix, &pressure, 63) < 0.4, "the places are taken");
+}
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::splits::next_share;
+use anvilhook_core::splits::{Pressure, next_share};
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -82,6 +82,8 @@
     settling: HashMap<u32, Millis>,
     /// The share of readers that is kept, by service, where it is not the first one.
     shares: HashMap<Arc<str>, f64>,
+    /// How much of each service's engines is taken.
+    pressures: HashMap<Arc<str>, Pressure>,
 }
 
 impl<W: Wire, T: Table, C: Clock> RoleKeeper<W, T, C> {
@@ -105,6 +107,7 @@
             uneven_since: None,
             settling: Default::default(),
             shares: HashMap::new(),
+            pressures: HashMap::new(),
         }
     }
 
@@ -189,6 +192,8 @@
         if staying.len() < 2 {
             return Vec::new();
         }
+        let pressure = self.pressures.entry(Arc::clone(&service.name)).or_default();
+        pressure.record(pressure_of(&staying, self.clock.now()));
         let share = self.share_of(&service.name, staying.len());
         let wanted = (staying.len() as f64 * share).round() as usize;
         let wanted = wanted.clamp(1, staying.len() - 1);
@@ -211,7 +216,9 @@
     fn share_of(&mut self, service: &Arc<str>, engines: usize) -> f64 {
         let most = self.options.prefill_share;
         let kept = self.shares.get(service).copied().unwrap_or(most);
-        let next = next_share(kept, most, &self.gateway.speeds().mix(service), engines);
+        let mix = self.gateway.speeds().mix(service);
+        let pressure = self.pressures.get(service).copied().unwrap_or_default();
+        let next = next_share(kept, most, &mix, &pressure, engines);
         if next != kept {
             emit(&Event::SplitPlanned { service, share: next, before: kept });
             self.shares.insert(Arc::clone(service), next);
@@ -352,6 +359,23 @@
     }
 }
 
+/// Returns how much of some engines is taken now, by what is believed of all instances' requests.
+fn pressure_of(engines: &[&Arc<Upstream>], now: Millis) -> Pressure {
+    let of_role = |role| engines.iter().filter(move |one| one.role() == Some(role));
+    let share = |taken: u32, all: u32| f64::from(taken) / f64::from(all.max(1));
+    let (mut readers, mut busy, mut places, mut taken) = (0, 0, 0, 0);
+    for reader in of_role(Role::Prefill) {
+        readers += 1;
+        busy += u32::from(reader.state.work(now).reading_ms > 0.0);
+    }
+    for generator in of_role(Role::Decode) {
+        let slots = generator.entry.slots;
+        places += slots;
+        taken += generator.state.work(now).in_flight.min(slots);
+    }
+    Pressure { reading: share(busy, readers), generating: share(taken, places) }
+}
+
 /// Asks an engine that has taken an order until it has its new role, and has the others told.
 ///
 /// The list shows the change up to two seconds later, and not at all while the table is away; an engine
