Have engines left alone before they are ordered to change their role

Change: an engine that is due gets no work from 0.3 s before its order on; the notice lapses if no order is taken. The test fails before.

--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles.rs
@@ -40,6 +40,13 @@
 /// four generators spent the retry budget of 150 requests.
 const LONGEST_ENDING: Millis = Millis::from_secs(8);
 
+/// How long before its order an engine gets no new work: until instances of all availability zones have
+/// heard of it, and what most of them sent before has begun.
+const DRAIN_TIME: Duration = Duration::from_millis(300);
+
+/// For how long such a notice holds. An order that is not taken is over by then.
+const NOTICE_TIME: Millis = Millis(2_500);
+
 /// The pause between two questions whether an engine has its new role. Each has the price of a health
 /// check.
 const ROLE_PAUSE: Duration = Duration::from_millis(300);
@@ -144,6 +151,7 @@
             return;
         }
         let Some(lease) = self.hold_lease().await else { return };
+        self.give_notice(&due).await;
         // Engines that leave their order unanswered must not hold up the others' orders.
         let orders = due.iter().map(|change| self.give_order(change, lease));
         let outcomes = join_all(orders).await;
@@ -278,6 +286,19 @@
         }
     }
 
+    /// Has all instances leave engines alone that are about to get an order, and waits until they do.
+    ///
+    /// An engine that takes an order refuses all that has not begun there. Thirteen orders at once had
+    /// five hundred prompts refused, each of which spent the retry budget.
+    async fn give_notice(&self, due: &[Change]) {
+        let until = self.clock.now() + NOTICE_TIME;
+        for Change { upstream, role, .. } in due {
+            upstream.state.record_role_change(RoleChange { role: *role, until, is_own: true });
+        }
+        self.gateway.peers().announce();
+        tokio::time::sleep(DRAIN_TIME).await;
+    }
+
     /// Gives an engine an order, if it is to be given. Returns what the engine said, `None` if no order
     /// was given.
     async fn give_order(&self, change: &Change, lease: Lease) -> Option<OrderOutcome> {
--- a/crates/anvilhook-gateway/tests/roles.rs
+++ b/crates/anvilhook-gateway/tests/roles.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, ManualClock, Millis};
@@ -144,6 +144,35 @@
     assert!(engine().takes_work(site.clock.now()));
 }
 
+/// Symptom: five hundred prompts are refused and the retry budget is spent when the split is moved.
+/// Sequence: engines with prompts in their queues are ordered to generate; they refuse all that has not
+/// begun, and go on getting prompts of instances that have not heard of the order.
+/// Cause: an engine gets no work from a while before its order on.
+#[tokio::test]
+async fn verify_an_engine_gets_no_work_from_before_its_order_on() {
+    let gateway: Arc<OnceLock<Gateway<TestWire, ManualClock>>> = Arc::default();
+    let took_work = Arc::new(Mutex::new(Vec::new()));
+    let (asked, seen) = (Arc::clone(&gateway), Arc::clone(&took_work));
+    let ordered = Upstream::start(move |received| {
+        if received.line.starts_with("POST /order") {
+            let gateway = asked.get().expect("it was set");
+            let takes_work = gateway.fleet().takes_work("e1", Millis::ZERO);
+            seen.lock().expect("no panic").push(takes_work);
+        }
+        vec![signed("200 OK", "decode")]
+    })
+    .await;
+    let mut engines = engines(2, "200 OK").await;
+    engines.entries[1] = Entry { role: Some(Role::Decode), ..entry("e1", ordered.address.port()) };
+    let site = site(&engines);
+    gateway.set(site.gateway.clone()).ok().expect("it is set once");
+    assert!(site.gateway.fleet().takes_work("e1", Millis::ZERO));
+
+    site.keeper("one").look().await;
+
+    assert_eq!(*took_work.lock().expect("no panic"), [false]);
+}
+
 /// Symptom: engines change their roles for others that are only restarting.
 /// Sequence: the split is uneven for a moment, twice.
 /// Cause: an order is given only after the split has been uneven for long enough.
