--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -14,6 +14,7 @@
 use futures_util::FutureExt;
 use support::fronts::{TestGateway, ample_budget, start, versioned};
 use support::tables::{Fault, MemoryTable};
+use support::until;
 use support::wires::entry;
 
 /// How long a call waits for changes.
@@ -159,12 +160,6 @@
     start(None, Vec::new(), ample_budget()).await.gateway
 }
 
-async fn until(mut holds: impl FnMut() -> bool) {
-    while !holds() {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
-}
-
 /// Returns a gateway that follows the configuration in a table, and has its first version.
 async fn following_config() -> (TestGateway, MemoryTable) {
     let gateway = gateway().await;
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -8,18 +8,22 @@
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Millis, SystemClock};
+use anvilhook_core::watches::Span;
 use anvilhook_gateway::budgets::{Budget, BudgetOptions};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::{Held, RoleObservation};
 use anvilhook_gateway::peers::{
-    Digest, Notice, NoticeKind, Peers, exchange, register, seed_caches,
+    CachedPrompt, Digest, EngineLoad, FollowedTable, Notice, NoticeKind, Peers, Scope, ToldRows,
+    ToldWork, exchange, pieces_of, register, seed_caches,
 };
 use anvilhook_gateway::prompts::{Part, Prompt};
-use rand::SeedableRng;
+use anvilhook_gateway::tables::Row;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::fronts::{TestGateway, ample_budget, config, gateway};
 use support::tables::{Fault, MemoryTable};
+use support::until;
 use support::upstreams::{Upstream, signed};
 use support::wires::entry;
 use tokio::net::UdpSocket;
@@ -84,12 +88,6 @@
     tokio::time::timeout(Duration::from_secs(5), hearing).await.expect("it is told")
 }
 
-async fn until(mut holds: impl FnMut() -> bool) {
-    while !holds() {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
-}
-
 /// Symptom: instances send their prompts to the same engine, which each takes for idle.
 /// Sequence: one instance has work in flight; then it has none.
 /// Cause: each knows its own work; the digests tell the others', and rubbish changes nothing.
@@ -339,3 +337,64 @@
 
     assert!((68..=80).contains(&taken), "{taken} of 80 taken");
 }
+
+/// Returns digests of every kind of content, as they are sent.
+fn sound_digests(engine: u32) -> Vec<Vec<u8>> {
+    let load = EngineLoad { engine, in_flight: 3, reading_ms: 40, fetching_ms: 5 };
+    let cached = CachedPrompt { engine, parts: vec![(7, 5_000)], own_tokens: 300 };
+    let notice = Notice { engine, kind: NoticeKind::Away { left_ms: 300 } };
+    let work = ToldWork { service: 9, reading_ms: 70, generating_ms: 90 };
+    let row = Row { key: "a".to_owned(), value: Some("ready 1".into()), version: 5 };
+    let span = Span { after: 4, to: 5 };
+    let rows = pieces_of(FollowedTable::Entries, &ToldRows { span, rows: vec![row] });
+    let digests = [
+        Digest { from: 9, loads: vec![load], work: vec![work], ..Digest::default() },
+        Digest { from: 9, cached: vec![cached], is_partial: true, ..Digest::default() },
+        Digest { from: 9, notices: vec![notice], ..Digest::default() },
+        Digest { from: 9, rows: rows.into_iter().next(), is_partial: true, ..Digest::default() },
+        Digest { from: 9, asks: Some((FollowedTable::Config, 0)), ..Digest::default() },
+        Digest { scope: Scope::Zone(([127, 0, 0, 1], 9).into()), zone: 5, ..Digest::default() },
+        Digest { scope: Scope::Far, ..Digest::default() },
+    ];
+    digests.iter().map(|digest| postcard::to_stdvec(digest).expect("it can be written")).collect()
+}
+
+/// Symptom: an instance ends by itself, or believes in work without end.
+/// Sequence: datagrams come that no instance sent: cut, flipped, doubled, or of random bytes.
+/// Cause: what can't be read is dropped, and what can be read is a hint that fades.
+#[tokio::test]
+async fn verify_no_datagrams_harm_an_instance() {
+    const DATAGRAMS: usize = 3_000;
+    let one = instance(1, 1, &[]).await;
+    let engine = Arc::clone(one.gateway.fleet().view().get("e0").expect("listed"));
+    let sound = sound_digests(engine.digest);
+    let sender = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+
+    for at in 0..DATAGRAMS {
+        let mut bytes = sound[rng.random_range(0..sound.len())].clone();
+        for _ in 0..rng.random_range(0..5) {
+            let place = rng.random_range(0..bytes.len());
+            match rng.random_range(0..4) {
+                0 => bytes[place] ^= 1 << rng.random_range(0..8),
+                1 => bytes[place] = 0xff,
+                2 => bytes.insert(place, rng.random()),
+                _ => bytes.truncate(place.max(1)),
+            }
+        }
+        sender.send_to(&bytes, one.address).await.expect("loopback");
+        if at % 50 == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    let other = instance(2, 1, &[one.address]).await;
+    other.gateway.caches().record(&Arc::from("e0"), &[SHARED], 100_000);
+    until(|| other.gateway.peers().heard(Millis::ZERO) > 0).await;
+    assert_eq!(one.gateway.fleet().view().all().count(), 1);
+    let fades = || {
+        let work = engine.state.work(anvilhook_core::units::Clock::now(&one.clock));
+        work.in_flight == 0 && work.reading_ms == 0.0
+    };
+    until(fades).await;
+}
--- a/crates/anvilhook-gateway/tests/watches.rs
+++ b/crates/anvilhook-gateway/tests/watches.rs
@@ -15,6 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use support::fronts::{TestGateway, ample_budget, gateway};
 use support::tables::{Fault, MemoryTable};
+use support::until;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
@@ -161,16 +162,6 @@
     Instance { gateway, clock, number, way, tasks }
 }
 
-/// Waits until something holds, and fails if it never does.
-async fn until(mut holds: impl FnMut() -> bool) {
-    let waiting = async {
-        while !holds() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    tokio::time::timeout(Duration::from_secs(20), waiting).await.expect("it comes to hold");
-}
-
 /// Symptom: calls to the table grow with instances times changes, and cost a tenth of what is earned.
 /// Sequence: upstreams begin to leave one after the other before many instances.
 /// Cause: each instance asked for each change; now one asks and tells the others.
--- a/crates/anvilhook-gateway/tests/zones.rs
+++ b/crates/anvilhook-gateway/tests/zones.rs
@@ -5,7 +5,6 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
@@ -18,6 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 use support::fronts::{TestGateway, ample_budget, config, gateway_in};
 use support::tables::MemoryTable;
+use support::until;
 use support::wires::entry;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
@@ -101,16 +101,6 @@
     digests
 }
 
-/// Waits until something holds, and fails if it never does.
-async fn until(mut holds: impl FnMut() -> bool) {
-    let waiting = async {
-        while !holds() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    tokio::time::timeout(Duration::from_secs(20), waiting).await.expect("it comes to hold");
-}
-
 /// Symptom: most of the bytes between availability zones are news that instances tell each other.
 /// Sequence: one instance has a prompt read, and learns that the engine is away.
 /// Cause: each told each; now one of each zone tells one of each other zone. All must still learn of it.
