--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -2,9 +2,8 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use anvilhook_core::units::Millis;
 use anvilhook_core::watches::{Candidate, FOLLOWER_SILENCE, is_chosen};
@@ -13,9 +12,7 @@
 use super::digests::Digest;
 use super::versions::{FollowedTable, TableVersion};
 use super::watches::TableWatch;
-use crate::events::{Event, emit};
 use crate::hashes::hash_of;
-use crate::tables::{Table, TableError, Write, Written};
 
 /// The most peers that every digest goes to.
 const FEW_PEERS: usize = 12;
@@ -23,12 +20,6 @@
 /// How long a peer that is not heard counts as running.
 const PEER_AGE: Millis = Millis(2_000);
 
-/// The table of the instances' addresses.
-const PEER_TABLE: &str = "anvilhook_instances";
-
-/// The pause after a failed call to the table.
-const TABLE_PAUSE: Duration = Duration::from_millis(700);
-
 /// How many instances there are believed to be, at least, until the table has been read. The budget
 /// for extra arrivals is divided among them, so a guess too low would break its bound.
 const UNLISTED_INSTANCES: usize = 24;
@@ -239,8 +230,14 @@
         self.known.lock().expect("no panic under this lock").entry(address).or_default();
     }
 
+    /// Notes that this instance is listed and has read who else is.
+    pub(super) fn record_listed(&self) {
+        self.was_listed.store(true, Ordering::Release);
+        self.is_new.store(true, Ordering::Release);
+    }
+
     /// Adds an address at which an instance of an availability zone may run.
-    fn add_in_zone(&self, address: SocketAddr, zone: Option<u32>) {
+    pub(super) fn add_in_zone(&self, address: SocketAddr, zone: Option<u32>) {
         let mut known = self.known.lock().expect("no panic under this lock");
         let known = known.entry(address).or_default();
         known.zone = known.zone.or(zone);
@@ -343,51 +340,3 @@
         running.all(|peer| self.number() < peer.number)
     }
 }
-
-/// Lists this instance in the table, and learns who else is listed. Of two instances that start
-/// together, each lists itself before it reads, so at least one learns of the other and tells it.
-pub async fn register<T: Table>(table: T, name: String, address: SocketAddr, peers: Arc<Peers>) {
-    loop {
-        match try_register(&table, &name, address, &peers).await {
-            Ok(()) => return,
-            Err(err) => {
-                emit(&Event::DependencyLost { dependency: PEER_TABLE, cause: err.to_string() });
-                tokio::time::sleep(TABLE_PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn try_register<T: Table>(
-    table: &T,
-    name: &str,
-    address: SocketAddr,
-    peers: &Peers,
-) -> Result<(), TableError> {
-    let own = format!("{address} {:08x}", peers.zone());
-    let value = bytes::Bytes::from(own.clone());
-    // Most instances are new to the table; the row of an earlier start is found by the conflict.
-    let write = Write { key: name.to_owned(), expected: 0, value: value.clone() };
-    let written = table.write(PEER_TABLE, write).await?;
-    let rows = table.scan(PEER_TABLE).await?;
-    for row in &rows.rows {
-        let text = row.value.as_ref().and_then(|value| std::str::from_utf8(value).ok());
-        let listed = text.and_then(listed_instance).filter(|(listed, _)| *listed != address);
-        if row.key != name {
-            listed.into_iter().for_each(|(listed, zone)| peers.add_in_zone(listed, zone));
-        } else if written == Written::Conflict && text != Some(own.as_str()) {
-            let write = Write { key: name.to_owned(), expected: row.version, value: value.clone() };
-            table.write(PEER_TABLE, write).await?;
-        }
-    }
-    peers.was_listed.store(true, Ordering::Release);
-    peers.is_new.store(true, Ordering::Release);
-    Ok(())
-}
-
-/// Returns the address in an instance's row, and the short form of its availability zone if it stands
-/// there.
-fn listed_instance(text: &str) -> Option<(SocketAddr, Option<u32>)> {
-    let (address, zone) = text.split_once(' ').unwrap_or((text, ""));
-    Some((address.parse().ok()?, u32::from_str_radix(zone, 16).ok()))
-}
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -6,6 +6,8 @@
 mod digests;
 mod members;
 mod mirrors;
+mod notices;
+mod registration;
 mod rows;
 mod seeding;
 mod telling;
@@ -29,9 +31,11 @@
 use telling::{Teller, tell_missed};
 use zones::ZoneLink;
 
-pub use digests::{CachedPrompt, Digest, EngineLoad, Notice, NoticeKind, Scope, ToldWork};
-pub use members::{Peers, register};
+pub use digests::{CachedPrompt, Digest, EngineLoad, Scope, ToldWork};
+pub use members::Peers;
 pub use mirrors::Mirror;
+pub use notices::{Notice, NoticeKind};
+pub use registration::register;
 pub use rows::{Assembler, RowsPiece, ToldRows, pieces_of};
 pub use seeding::seed_caches;
 pub(crate) use telling::GREAT_NEWS_MS;
--- /dev/null
+++ b/crates/anvilhook-gateway/src/peers/registration.rs
@@ -0,0 +1,62 @@
+//! How instances find each other: by rows of a table.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::members::Peers;
+use crate::events::{Event, emit};
+use crate::tables::{Table, TableError, Write, Written};
+
+/// The table of the instances' addresses.
+const PEER_TABLE: &str = "anvilhook_instances";
+
+/// The pause after a failed call to the table.
+const TABLE_PAUSE: Duration = Duration::from_millis(700);
+
+/// Lists this instance in the table, and learns who else is listed. Of two instances that start
+/// together, each lists itself before it reads, so at least one learns of the other and tells it.
+pub async fn register<T: Table>(table: T, name: String, address: SocketAddr, peers: Arc<Peers>) {
+    loop {
+        match try_register(&table, &name, address, &peers).await {
+            Ok(()) => return,
+            Err(err) => {
+                emit(&Event::DependencyLost { dependency: PEER_TABLE, cause: err.to_string() });
+                tokio::time::sleep(TABLE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn try_register<T: Table>(
+    table: &T,
+    name: &str,
+    address: SocketAddr,
+    peers: &Peers,
+) -> Result<(), TableError> {
+    let own = format!("{address} {:08x}", peers.zone());
+    let value = bytes::Bytes::from(own.clone());
+    // Most instances are new to the table; the row of an earlier start is found by the conflict.
+    let write = Write { key: name.to_owned(), expected: 0, value: value.clone() };
+    let written = table.write(PEER_TABLE, write).await?;
+    let rows = table.scan(PEER_TABLE).await?;
+    for row in &rows.rows {
+        let text = row.value.as_ref().and_then(|value| std::str::from_utf8(value).ok());
+        let listed = text.and_then(listed_instance).filter(|(listed, _)| *listed != address);
+        if row.key != name {
+            listed.into_iter().for_each(|(listed, zone)| peers.add_in_zone(listed, zone));
+        } else if written == Written::Conflict && text != Some(own.as_str()) {
+            let write = Write { key: name.to_owned(), expected: row.version, value: value.clone() };
+            table.write(PEER_TABLE, write).await?;
+        }
+    }
+    peers.record_listed();
+    Ok(())
+}
+
+/// Returns the address in an instance's row, and the short form of its availability zone if it stands
+/// there.
+fn listed_instance(text: &str) -> Option<(SocketAddr, Option<u32>)> {
+    let (address, zone) = text.split_once(' ').unwrap_or((text, ""));
+    Some((address.parse().ok()?, u32::from_str_radix(zone, 16).ok()))
+}
--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -8,7 +8,8 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
-use super::digests::{Digest, Notice, digest};
+use super::digests::{Digest, digest};
+use super::notices::Notice;
 use super::rows::{ToldRows, pieces_of};
 use super::versions::FollowedTable;
 use crate::relay::Gateway;
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -13,7 +13,8 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
-use super::digests::{CachedPrompt, Digest, EngineLoad, Notice, Scope, near_loads, take_in};
+use super::digests::{CachedPrompt, Digest, EngineLoad, Scope, near_loads, take_in};
+use super::notices::Notice;
 use super::telling::send;
 use crate::relay::Gateway;
 use crate::wires::Wire;
--- a/crates/anvilhook-gateway/src/roles.rs
+++ b/crates/anvilhook-gateway/src/roles/mod.rs
@@ -1,5 +1,8 @@
 //! Keeping the split of a service's engines between reading prompts and generating output.
 
+mod leases;
+mod orders;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,17 +10,19 @@
 use anvilhook_core::orders::Role;
 use anvilhook_core::splits::{Pressure, next_share};
 use anvilhook_core::units::{Clock, Millis};
-use bytes::Bytes;
 use futures_util::future::join_all;
 
 use crate::configs::{Config, ServiceSpec};
 use crate::events::{Event, emit};
 use crate::fleets::{FleetView, Upstream};
-use crate::loads::{RoleChange, RoleObservation};
+use crate::loads::RoleChange;
 use crate::metrics::NameLabel;
 use crate::relay::Gateway;
-use crate::tables::{Table, TableError, Write, Written};
-use crate::wires::{OrderAnswer, RoleOrder, Wire};
+use crate::tables::Table;
+use crate::wires::{OrderAnswer, Wire};
+
+use leases::{Lease, LeaseKeeper};
+use orders::{Change, OrderOutcome, await_role, give_order};
 
 /// The pause between two looks at the split.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
@@ -25,13 +30,6 @@
 /// How long after the start the first look is taken, so that the engines have been listed.
 const FIRST_LOOK: Duration = Duration::from_millis(5_000);
 
-/// The table and row of the lease.
-const LEASE_TABLE: &str = "anvilhook_leases";
-const LEASE_ROW: &str = "roles";
-
-/// What is taken off a lease's length by its holder, and added to it by everybody else.
-const GUARD: Millis = Millis(600);
-
 /// How long an engine is left alone after an order, whatever came of it.
 const SETTLING: Millis = Millis::from_secs(6);
 
@@ -47,10 +45,6 @@
 /// For how long such a notice holds. An order that is not taken is over by then.
 const NOTICE_TIME: Millis = Millis(2_500);
 
-/// The pause between two questions whether an engine has its new role. Each has the price of a health
-/// check.
-const ROLE_PAUSE: Duration = Duration::from_millis(300);
-
 /// `RoleOptions` says how the engines are to be split.
 #[derive(Clone, Debug)]
 pub struct RoleOptions {
@@ -62,29 +56,12 @@
     pub lease: Millis,
 }
 
-/// `Lease` is this instance's right to give orders.
-#[derive(Clone, Copy, Debug)]
-struct Lease {
-    /// The fencing token.
-    token: u64,
-    /// The end, counted from before the write was sent.
-    until: Millis,
-}
-
-/// `RoleKeeper` has engines change their roles.
-///
-/// Orders of two instances must never mix. One row of the table is the lease; each taking of it
-/// has a higher version, which is the fencing token. The holder counts from before it sent the
-/// write, everybody else from when it first saw the row, and both keep a guard.
+/// `RoleKeeper` has engines change their roles, under a lease.
 pub struct RoleKeeper<W: Wire, T: Table, C: Clock> {
     gateway: Gateway<W, C>,
-    table: T,
     clock: C,
-    holder: String,
     options: RoleOptions,
-    seen: Option<(u64, Millis)>,
-    lease: Option<Lease>,
-    not_before: Millis,
+    lease: LeaseKeeper<T, C>,
     uneven_since: Option<Millis>,
     settling: HashMap<u32, Millis>,
     /// The share of readers that is kept, by service, where it is not the first one.
@@ -104,13 +81,9 @@
     ) -> Self {
         Self {
             gateway,
-            table,
+            lease: LeaseKeeper::new(table, clock.clone(), holder, options.lease),
             clock,
-            holder,
             options,
-            seen: None,
-            lease: None,
-            not_before: Millis::ZERO,
             uneven_since: None,
             settling: Default::default(),
             shares: HashMap::new(),
@@ -147,13 +120,16 @@
         // An engine that restarts is missing for a moment only; a change takes another one away.
         let now = self.clock.now();
         let uneven_since = *self.uneven_since.get_or_insert(now);
-        if now < uneven_since + self.options.patience || now < self.not_before {
+        if now < uneven_since + self.options.patience {
             return;
         }
-        let Some(lease) = self.hold_lease().await else { return };
+        let Some(lease) = self.lease.hold().await else { return };
+        self.gateway.metrics().record_lease(lease.token);
         self.give_notice(&due).await;
         // Engines that leave their order unanswered must not hold up the others' orders.
-        let orders = due.iter().map(|change| self.give_order(change, lease));
+        let orders = due.iter().map(|change| {
+            give_order(&self.gateway, &self.clock, change, self.lease.holder(), lease)
+        });
         let outcomes = join_all(orders).await;
         for (change, outcome) in due.into_iter().zip(outcomes) {
             if let Some(outcome) = outcome {
@@ -234,58 +210,6 @@
         next
     }
 
-    async fn hold_lease(&mut self) -> Option<Lease> {
-        let now = self.clock.now();
-        if let Some(lease) = self.lease
-            && now + GUARD < lease.until
-        {
-            return Some(lease);
-        }
-        match self.take_lease().await {
-            Ok(lease) => {
-                self.lease = lease;
-                lease
-            }
-            Err(err) => {
-                emit(&Event::Lease { outcome: &err.to_string(), token: 0 });
-                self.lease = None;
-                None
-            }
-        }
-    }
-
-    async fn take_lease(&mut self) -> Result<Option<Lease>, TableError> {
-        let rows = self.table.scan(LEASE_TABLE).await?;
-        let row = rows.rows.iter().find(|row| row.key == LEASE_ROW);
-        let version = row.map_or(0, |row| row.version);
-        let now = self.clock.now();
-        let seen_at = match self.seen {
-            Some((seen, at)) if seen == version => at,
-            _ => {
-                self.seen = Some((version, now));
-                now
-            }
-        };
-        let is_own = self.lease.is_some_and(|lease| lease.token == version);
-        let is_lapsed = version == 0 || now >= seen_at + self.options.lease + GUARD;
-        if !is_own && !is_lapsed {
-            return Ok(None);
-        }
-        let sent_at = self.clock.now();
-        let value = Bytes::from(self.holder.clone());
-        let write = Write { key: LEASE_ROW.to_owned(), expected: version, value };
-        match self.table.write(LEASE_TABLE, write).await? {
-            Written::At(token) => {
-                emit(&Event::Lease { outcome: "taken", token });
-                self.gateway.metrics().record_lease(token);
-                let until = sent_at + (self.options.lease - GUARD);
-                self.seen = Some((token, sent_at));
-                Ok(Some(Lease { token, until }))
-            }
-            Written::Conflict => Ok(None),
-        }
-    }
-
     /// Has all instances leave engines alone that are about to get an order, and waits until they do.
     ///
     /// An engine that takes an order refuses all that has not begun there. Thirteen orders at once had
@@ -299,30 +223,6 @@
         tokio::time::sleep(DRAIN_TIME).await;
     }
 
-    /// Gives an engine an order, if it is to be given. Returns what the engine said, `None` if no order
-    /// was given.
-    async fn give_order(&self, change: &Change, lease: Lease) -> Option<OrderOutcome> {
-        let Change { upstream, role, .. } = change;
-        let wire = self.gateway.wire();
-        let report = self.gateway.own_call(upstream, &wire.report()).await?;
-        let report = wire.engine_report(&report.body).ok()?;
-        // One that has started again, which the list does not show yet, may have another role.
-        let is_other = upstream.entry.has_other_start(report.born);
-        if is_other || report.busy || report.role == *role || self.clock.now() >= lease.until {
-            return None;
-        }
-        let order = RoleOrder {
-            role: *role,
-            holder: self.holder.clone(),
-            fencing_token: lease.token,
-            expected: Some(report.orders),
-        };
-        let answer = self.gateway.own_call(upstream, &wire.order(&order)).await;
-        Some(answer.map_or(OrderOutcome::NoAnswer, |answer| {
-            OrderOutcome::Answered(wire.order_answer(answer.status))
-        }))
-    }
-
     /// Notes what came of an order.
     fn conclude(&mut self, change: Change, outcome: OrderOutcome, lease: Lease) {
         let Change { upstream, role, away } = change;
@@ -337,10 +237,7 @@
                 let longest = (away + LONGEST_ENDING).as_duration();
                 tokio::spawn(tokio::time::timeout(longest, asking));
             }
-            OrderOutcome::Answered(OrderAnswer::Fenced) => {
-                self.lease = None;
-                self.not_before = now + self.options.lease * 2;
-            }
+            OrderOutcome::Answered(OrderAnswer::Fenced) => self.lease.yield_to_newer(),
             OrderOutcome::Answered(OrderAnswer::Busy | OrderAnswer::Refused)
             | OrderOutcome::NoAnswer => {}
         }
@@ -352,34 +249,6 @@
     }
 }
 
-/// `Change` is a change of role that is due.
-struct Change {
-    upstream: Arc<Upstream>,
-    role: Role,
-    /// How long the engine is away for it.
-    away: Millis,
-}
-
-/// `OrderOutcome` is what came of an order that was given.
-#[derive(Clone, Copy)]
-enum OrderOutcome {
-    Answered(OrderAnswer),
-    /// It may have been taken, or be taken later.
-    NoAnswer,
-}
-
-impl OrderOutcome {
-    fn as_str(self) -> &'static str {
-        match self {
-            OrderOutcome::Answered(OrderAnswer::Taken) => "taken",
-            OrderOutcome::Answered(OrderAnswer::Busy) => "busy",
-            OrderOutcome::Answered(OrderAnswer::Refused) => "refused",
-            OrderOutcome::Answered(OrderAnswer::Fenced) => "fenced",
-            OrderOutcome::NoAnswer => "no_answer",
-        }
-    }
-}
-
 /// Returns how much of some engines is taken now, by what is believed of all instances' requests.
 fn pressure_of(engines: &[&Arc<Upstream>], now: Millis) -> Pressure {
     let of_role = |role| engines.iter().filter(move |one| one.role() == Some(role));
@@ -397,36 +266,6 @@
     Pressure { reading: share(busy, readers), generating: share(taken, places) }
 }
 
-/// Asks an engine that has taken an order until it has its new role, and has the others told.
-///
-/// The list shows the change up to two seconds later, and not at all while the table is away; an engine
-/// that is back would stand idle for as long.
-async fn await_role<W: Wire, C: Clock>(
-    gateway: Gateway<W, C>,
-    upstream: Arc<Upstream>,
-    role: Role,
-    away: Millis,
-) {
-    tokio::time::sleep(away.as_duration()).await;
-    loop {
-        let view = gateway.fleet().view();
-        let Some(listed) = view.get(&upstream.entry.id) else { return };
-        if !listed.entry.is_same_start(&upstream.entry) || listed.entry.role == Some(role) {
-            return;
-        }
-        let report = gateway.own_call(&upstream, &gateway.wire().report()).await;
-        let report = report.and_then(|report| gateway.wire().engine_report(&report.body).ok());
-        if report.is_some_and(|report| report.role == role && !report.busy) {
-            let sequence = listed.entry.sequence;
-            upstream.state.observe_role(RoleObservation { role, sequence, is_own: true });
-            gateway.peers().announce();
-            emit(&Event::RoleShown { upstream: &upstream.entry.id, role, request: None });
-            return;
-        }
-        tokio::time::sleep(ROLE_PAUSE).await;
-    }
-}
-
 /// Takes engines, each from the availability zone that has most of them left, and there the one with the
 /// least to do: what it has begun it ends first, and what waits there is refused.
 fn take_from_fullest_zones(
--- /dev/null
+++ b/crates/anvilhook-gateway/src/roles/orders.rs
@@ -0,0 +1,107 @@
+//! One engine's order to change its role, and what comes of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Clock, Millis};
+
+use super::leases::Lease;
+use crate::events::{Event, emit};
+use crate::fleets::Upstream;
+use crate::loads::RoleObservation;
+use crate::relay::Gateway;
+use crate::wires::{OrderAnswer, RoleOrder, Wire};
+
+/// The pause between two questions whether an engine has its new role. Each has the price of a health
+/// check.
+const ROLE_PAUSE: Duration = Duration::from_millis(300);
+
+/// `Change` is a change of role that is due.
+pub(super) struct Change {
+    pub upstream: Arc<Upstream>,
+    pub role: Role,
+    /// How long the engine is away for it.
+    pub away: Millis,
+}
+
+/// `OrderOutcome` is what came of an order that was given.
+#[derive(Clone, Copy)]
+pub(super) enum OrderOutcome {
+    Answered(OrderAnswer),
+    /// It may have been taken, or be taken later.
+    NoAnswer,
+}
+
+impl OrderOutcome {
+    /// Returns the text used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            OrderOutcome::Answered(OrderAnswer::Taken) => "taken",
+            OrderOutcome::Answered(OrderAnswer::Busy) => "busy",
+            OrderOutcome::Answered(OrderAnswer::Refused) => "refused",
+            OrderOutcome::Answered(OrderAnswer::Fenced) => "fenced",
+            OrderOutcome::NoAnswer => "no_answer",
+        }
+    }
+}
+
+/// Gives an engine an order, if it is to be given. Returns what the engine said, `None` if no order
+/// was given.
+pub(super) async fn give_order<W: Wire, C: Clock>(
+    gateway: &Gateway<W, C>,
+    clock: &C,
+    change: &Change,
+    holder: &str,
+    lease: Lease,
+) -> Option<OrderOutcome> {
+    let Change { upstream, role, .. } = change;
+    let wire = gateway.wire();
+    let report = gateway.own_call(upstream, &wire.report()).await?;
+    let report = wire.engine_report(&report.body).ok()?;
+    // One that has started again, which the list does not show yet, may have another role.
+    let is_other = upstream.entry.has_other_start(report.born);
+    if is_other || report.busy || report.role == *role || clock.now() >= lease.until {
+        return None;
+    }
+    let order = RoleOrder {
+        role: *role,
+        holder: holder.to_owned(),
+        fencing_token: lease.token,
+        expected: Some(report.orders),
+    };
+    let answer = gateway.own_call(upstream, &wire.order(&order)).await;
+    Some(answer.map_or(OrderOutcome::NoAnswer, |answer| {
+        OrderOutcome::Answered(wire.order_answer(answer.status))
+    }))
+}
+
+/// Asks an engine that has taken an order until it has its new role, and has the others told.
+///
+/// The list shows the change up to two seconds later, and not at all while the table is away; an engine
+/// that is back would stand idle for as long.
+pub(super) async fn await_role<W: Wire, C: Clock>(
+    gateway: Gateway<W, C>,
+    upstream: Arc<Upstream>,
+    role: Role,
+    away: Millis,
+) {
+    tokio::time::sleep(away.as_duration()).await;
+    loop {
+        let view = gateway.fleet().view();
+        let Some(listed) = view.get(&upstream.entry.id) else { return };
+        if !listed.entry.is_same_start(&upstream.entry) || listed.entry.role == Some(role) {
+            return;
+        }
+        let report = gateway.own_call(&upstream, &gateway.wire().report()).await;
+        let report = report.and_then(|report| gateway.wire().engine_report(&report.body).ok());
+        if report.is_some_and(|report| report.role == role && !report.busy) {
+            let sequence = listed.entry.sequence;
+            upstream.state.observe_role(RoleObservation { role, sequence, is_own: true });
+            gateway.peers().announce();
+            emit(&Event::RoleShown { upstream: &upstream.entry.id, role, request: None });
+            return;
+        }
+        tokio::time::sleep(ROLE_PAUSE).await;
+    }
+}
