--- a/crates/anvilhook-core/src/ejections.rs
+++ b/crates/anvilhook-core/src/ejections.rs
@@ -106,41 +106,41 @@
     }
 }
 
-/// How many instances must have got an error within [`REPORT_AGE`] for all to leave an upstream alone.
+/// How many instances must have got an error within [`REPORT_AGE`] for all to eject an upstream.
 /// Three agree by chance only where a good part of a busy upstream's requests fail.
 const REPORTERS: usize = 3;
 
 /// How long a report of an error counts.
 const REPORT_AGE: Millis = Millis(500);
 
-/// For how long an upstream is left alone by all at first, and at most. If it fails again within
-/// [`RELAPSE_TIME`] after that, it is left alone for twice as long as before.
-const ALONE_TIME: Millis = Millis(1_000);
-const LONGEST_ALONE_TIME: Millis = Millis(4_000);
+/// For how long all eject an upstream at first, and at most. If it fails again within [`RELAPSE_TIME`]
+/// after that, it is ejected for twice as long as before.
+const FIRST_EJECTION: Millis = Millis(1_000);
+const LONGEST_EJECTION: Millis = Millis(4_000);
 const RELAPSE_TIME: Millis = Millis(2_000);
 
-/// The most upstreams of a service that are left alone at a time because of errors, as a share. Where
+/// The most upstreams of a service that are ejected at a time because of errors, as a share. Where
 /// more of them fail, the rest could not take their work, and some answers are better than none.
-const MOST_ALONE: f64 = 0.25;
+const MOST_EJECTED: f64 = 0.25;
 
-/// Returns whether one more of so many upstreams may be left alone, beside those that are.
+/// Returns whether one more of so many upstreams may be ejected, beside those that are.
 ///
 /// ```
-/// use anvilhook_core::ejections::may_leave_alone;
+/// use anvilhook_core::ejections::may_eject;
 ///
-/// assert!(may_leave_alone(9, 1));
-/// assert!(!may_leave_alone(9, 2));
-/// assert!(!may_leave_alone(3, 0));
+/// assert!(may_eject(9, 1));
+/// assert!(!may_eject(9, 2));
+/// assert!(!may_eject(3, 0));
 /// ```
-pub fn may_leave_alone(upstreams: usize, alone: usize) -> bool {
-    (alone + 1) as f64 <= upstreams as f64 * MOST_ALONE
+pub fn may_eject(upstreams: usize, ejected: usize) -> bool {
+    (ejected + 1) as f64 <= upstreams as f64 * MOST_EJECTED
 }
 
 /// `ErrorReports` is what several instances report of one upstream's errors.
 ///
 /// The load that this answers: an upstream that answers each request at once with an error, while it
 /// says that it is well. It always seems idle, and draws the requests of hundreds of instances, of which
-/// each meets it too seldom to leave it alone. Answers that are lost or late are no errors: there the
+/// each meets it too seldom to eject it. Answers that are lost or late are no errors: there the
 /// upstream has done its work, and seems busy meanwhile.
 ///
 /// ```
@@ -152,20 +152,20 @@
 /// assert_eq!(reports.record(1, Millis(110)), None, "one alone");
 /// assert_eq!(reports.record(2, Millis(120)), None);
 /// assert_eq!(reports.record(3, Millis(130)), Some(Millis(1_000)));
-/// assert_eq!(reports.record(4, Millis(140)), None, "it is left alone by then");
+/// assert_eq!(reports.record(4, Millis(140)), None, "it is ejected by then");
 /// ```
 #[derive(Debug, Default)]
 pub struct ErrorReports {
     reporters: HashMap<u64, Millis>,
-    alone_until: Millis,
-    alone_time: Millis,
+    ejected_until: Millis,
+    ejection: Millis,
 }
 
 impl ErrorReports {
-    /// Notes that an instance has got an error. Returns for how long all are to leave the upstream
-    /// alone, if so.
+    /// Notes that an instance has got an error. Returns for how long all are to eject the upstream, if
+    /// so.
     pub fn record(&mut self, reporter: u64, now: Millis) -> Option<Millis> {
-        if now < self.alone_until {
+        if now < self.ejected_until {
             return None;
         }
         self.reporters.retain(|_, at| *at + REPORT_AGE > now);
@@ -174,10 +174,11 @@
             return None;
         }
         self.reporters.clear();
-        let is_relapse = self.alone_until > Millis::ZERO && now < self.alone_until + RELAPSE_TIME;
-        let next = if is_relapse { self.alone_time * 2 } else { ALONE_TIME };
-        self.alone_time = next.min(LONGEST_ALONE_TIME);
-        self.alone_until = now + self.alone_time;
-        Some(self.alone_time)
+        let is_relapse =
+            self.ejected_until > Millis::ZERO && now < self.ejected_until + RELAPSE_TIME;
+        let next = if is_relapse { self.ejection * 2 } else { FIRST_EJECTION };
+        self.ejection = next.min(LONGEST_EJECTION);
+        self.ejected_until = now + self.ejection;
+        Some(self.ejection)
     }
 }
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -123,7 +123,7 @@
         }
         let is_able = !self.watch_of(table).is_unable(now);
         let own = Candidate { rank: hash_of(&(self.number(), table)), is_able };
-        let others = self.mates_heard(&known, now).map(|(_, peer)| Candidate {
+        let others = self.zone_peers_heard(&known, now).map(|(_, peer)| Candidate {
             rank: hash_of(&(peer.number, table)),
             is_able: peer.is_able[table as usize],
         });
@@ -134,20 +134,21 @@
     /// of them; `None` if it is this instance.
     pub(super) fn zone_teller(&self, now: Millis) -> Option<SocketAddr> {
         let known = self.known.lock().expect("no panic under this lock");
-        let mates = self.mates_heard(&known, now);
-        let best = mates.map(|(address, peer)| (hash_of(&peer.number), address)).max();
+        let zone_peers = self.zone_peers_heard(&known, now);
+        let best = zone_peers.map(|(address, peer)| (hash_of(&peer.number), address)).max();
         let best = best.filter(|(rank, _)| *rank > hash_of(&self.number()));
         best.map(|(_, address)| address)
     }
 
     /// Returns the other instances of the own availability zone that were heard of late.
-    fn mates_heard<'k>(
+    fn zone_peers_heard<'k>(
         &'k self,
         known: &'k HashMap<SocketAddr, Known>,
         now: Millis,
     ) -> impl Iterator<Item = (SocketAddr, &'k Peer)> {
-        let mates = known.iter().filter(|(_, known)| known.zone == Some(self.zone));
-        let heard = mates.filter_map(|(address, known)| Some((*address, known.peer.as_ref()?)));
+        let zone_peers = known.iter().filter(|(_, known)| known.zone == Some(self.zone));
+        let heard =
+            zone_peers.filter_map(|(address, known)| Some((*address, known.peer.as_ref()?)));
         heard.filter(move |(_, peer)| peer.heard_at + FOLLOWER_SILENCE > now)
     }
 
@@ -173,7 +174,7 @@
 
     /// Returns the addresses of the instances in other availability zones, once after this one was
     /// listed. They don't hear of it otherwise.
-    pub(super) fn take_greeted(&self) -> Vec<SocketAddr> {
+    pub(super) fn take_introductions(&self) -> Vec<SocketAddr> {
         if !self.is_new.swap(false, Ordering::AcqRel) || self.are_few() {
             return Vec::new();
         }
@@ -287,7 +288,7 @@
     }
 
     /// Returns the addresses in this instance's availability zone, and those whose zone is not known.
-    pub(super) fn mates(&self, now: Millis) -> Vec<SocketAddr> {
+    pub(super) fn zone_peers(&self, now: Millis) -> Vec<SocketAddr> {
         let known = self.known.lock().expect("no panic under this lock");
         let current = known.iter().filter(|(_, known)| {
             known.zone.is_none_or(|zone| zone == self.zone) && known.may_run(now)
@@ -322,14 +323,15 @@
 
     /// Returns whether this instance is to tell a new one what it knows: the least among few, and among
     /// many the one that tells for its availability zone, with the new one left out.
-    pub(super) fn greets(&self, new: SocketAddr, now: Millis) -> bool {
+    pub(super) fn introduces(&self, new: SocketAddr, now: Millis) -> bool {
         if self.are_few() {
             return self.is_least_beside(Some(new), now);
         }
         let known = self.known.lock().expect("no panic under this lock");
-        let is_mate = known.get(&new).is_some_and(|known| known.zone == Some(self.zone));
-        let mut mates = self.mates_heard(&known, now).filter(|(address, _)| *address != new);
-        is_mate && mates.all(|(_, peer)| hash_of(&peer.number) < hash_of(&self.number()))
+        let is_zone_peer = known.get(&new).is_some_and(|known| known.zone == Some(self.zone));
+        let mut zone_peers =
+            self.zone_peers_heard(&known, now).filter(|(address, _)| *address != new);
+        is_zone_peer && zone_peers.all(|(_, peer)| hash_of(&peer.number) < hash_of(&self.number()))
     }
 
     fn is_least_beside(&self, other: Option<SocketAddr>, now: Millis) -> bool {
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -124,7 +124,7 @@
         if !digest.cached.is_empty() && digest.is_partial && digest.scope == Scope::Instance {
             peers.record_told();
         }
-        if peers.hear(from, &digest, now) && peers.greets(from, now) {
+        if peers.hear(from, &digest, now) && peers.introduces(from, now) {
             tell_caches(socket, from, gateway, now);
         }
         if let Some(piece) = digest.rows.take() {
--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -100,7 +100,7 @@
     ) -> Option<Digest> {
         self.tell_rows(socket, gateway, now);
         ask_for_missed(socket, gateway, now);
-        greet(socket, gateway, now);
+        introduce(socket, gateway, now);
         let digest = digest(gateway, now);
         let has_loads = !digest.loads.is_empty() || !digest.notices.is_empty();
         let has_news = has_loads || self.had_loads || !digest.cached.is_empty();
@@ -138,7 +138,7 @@
         let peers = gateway.peers();
         for table in FollowedTable::ALL {
             for rows in peers.watch_of(table).take_to_tell() {
-                send_rows(table, &rows, &peers.mates(now), socket, gateway, now);
+                send_rows(table, &rows, &peers.zone_peers(now), socket, gateway, now);
             }
         }
     }
@@ -152,9 +152,9 @@
         let peers = gateway.peers();
         match audience {
             Audience::All => peers.addresses(now),
-            Audience::Zone => peers.mates(now),
+            Audience::Zone => peers.zone_peers(now),
             Audience::Few => {
-                let mut addresses = peers.mates(now);
+                let mut addresses = peers.zone_peers(now);
                 let (chosen, _) = addresses.partial_shuffle(&mut self.rng, FANOUT);
                 chosen.to_vec()
             }
@@ -163,10 +163,10 @@
 }
 
 /// Has the instances of other availability zones know of this one, which has just been listed.
-fn greet<W: Wire, C: Clock>(socket: &UdpSocket, gateway: &Gateway<W, C>, now: Millis) {
-    let greeted = gateway.peers().take_greeted();
-    if !greeted.is_empty() {
-        send(&Digest::partial(gateway.peers(), now), &greeted, socket, gateway);
+fn introduce<W: Wire, C: Clock>(socket: &UdpSocket, gateway: &Gateway<W, C>, now: Millis) {
+    let introduced = gateway.peers().take_introductions();
+    if !introduced.is_empty() {
+        send(&Digest::partial(gateway.peers(), now), &introduced, socket, gateway);
     }
 }
 
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -215,10 +215,10 @@
             notices: self.incoming.notices(now),
             ..Digest::from(peers, now)
         };
-        let mates = peers.mates(now);
+        let zone_peers = peers.zone_peers(now);
         for cached in self.incoming.take_cached() {
             let digest = Digest { scope: Scope::Far, cached, ..Digest::partial(peers, now) };
-            send(&digest, &mates, socket, gateway);
+            send(&digest, &zone_peers, socket, gateway);
             take_in(&digest, self.own, gateway, now);
         }
         let has_loads = !digest.loads.is_empty();
@@ -227,7 +227,7 @@
             return;
         }
         self.had_far_loads = has_loads;
-        send(&digest, &mates, socket, gateway);
+        send(&digest, &zone_peers, socket, gateway);
         take_in(&digest, self.own, gateway, now);
     }
 
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
-use anvilhook_core::ejections::may_leave_alone;
+use anvilhook_core::ejections::may_eject;
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::CallError;
@@ -338,15 +338,15 @@
         }
     }
 
-    /// Notes that an instance has got an engine's error. Once several have, all leave the engine alone
-    /// for a while, unless too many are left alone already.
+    /// Notes that an instance has got an engine's error. Once several have, all eject the engine for a
+    /// while, unless too many are ejected already.
     pub fn note_error(&self, upstream: &Upstream, instance: u64, is_own: bool) {
         let now = self.now();
         let Some(alone) = upstream.state.record_error(instance, is_own, now) else { return };
         let view = self.fleet().view();
         let all = view.of_service(&upstream.entry.service);
-        let left_alone = all.iter().filter(|one| !one.state.is_well(now)).count();
-        if !may_leave_alone(all.len(), left_alone) {
+        let ejected = all.iter().filter(|one| !one.state.is_well(now)).count();
+        if !may_eject(all.len(), ejected) {
             return;
         }
         // Others that have heard the same reports tell it too.
