Count readings in and out as every other attempt

Cause: read_prompt had its own copy of may_send and take_back, with its own mark on the request. The mend that gives back what never arrived had to be made in both, and the next rule of the budget would be too.

Change: both take the mark that they count by, has_read or was_sent, and read_prompt calls them. Behaviour as before: the first call of each kind is free, later ones take from the budget, none that made no contact counts.

--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -315,26 +315,33 @@
         })
     }
 
-    /// Counts an attempt in. Returns how, `None` if the budget forbids it.
+    /// Counts an attempt in. Returns how, `None` if the budget forbids it. `has_sent` is whether the
+    /// request has made such a call before: one to read its prompt, or one to be answered.
     ///
     /// Every arrival after the first counts against the budget, also one that the upstream refuses;
     /// otherwise retries would multiply an overload.
-    pub(super) fn may_send(&self, exchange: &mut Exchange) -> Option<Arrival> {
-        if !std::mem::replace(&mut exchange.was_sent, true) {
+    pub(super) fn may_send(&self, service: &Arc<str>, has_sent: &mut bool) -> Option<Arrival> {
+        if !std::mem::replace(has_sent, true) {
             return Some(Arrival::First);
         }
-        self.try_take_extra(&exchange.service).then_some(Arrival::Extra)
+        self.try_take_extra(service).then_some(Arrival::Extra)
     }
 
     /// Takes an attempt back that reached no upstream.
     ///
     /// What never arrived is no load that a retry adds to. When a quarter of 140 engines crashed, 2,653
     /// refused connections spent the budget, and 4,156 requests were refused for want of it.
-    pub(super) fn take_back(&self, exchange: &mut Exchange, arrival: Arrival, failed: &Failed) {
+    pub(super) fn take_back(
+        &self,
+        service: &Arc<str>,
+        has_sent: &mut bool,
+        arrival: Arrival,
+        failed: &Failed,
+    ) {
         match arrival {
             _ if failed.contact == Contact::Made => {}
-            Arrival::First => exchange.was_sent = false,
-            Arrival::Extra => self.give_back_extra(&exchange.service),
+            Arrival::First => *has_sent = false,
+            Arrival::Extra => self.give_back_extra(service),
         }
     }
 
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -140,7 +140,7 @@
         mut extra: Vec<(HeaderName, HeaderValue)>,
         resume_after: Option<u64>,
     ) -> Tried<Opened> {
-        let Some(arrival) = self.may_send(exchange) else {
+        let Some(arrival) = self.may_send(&exchange.service, &mut exchange.was_sent) else {
             return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
         };
         if let Some(event) = resume_after {
@@ -190,7 +190,7 @@
         exchange.tried.push(format!("{}({}ms)", upstream.entry.id, took.0));
         exchange.end_run(could_have_run, &result);
         if let Err(failed) = &result {
-            self.take_back(exchange, arrival, failed);
+            self.take_back(&exchange.service, &mut exchange.was_sent, arrival, failed);
         }
         Ok(result)
     }
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -45,7 +45,7 @@
                 break;
             }
             let Some(upstream) = self.choose_plain(&exchange.service, &avoid) else { break };
-            let Some(arrival) = self.may_send(exchange) else {
+            let Some(arrival) = self.may_send(&exchange.service, &mut exchange.was_sent) else {
                 last_cause = "retry_budget";
                 break;
             };
@@ -56,7 +56,7 @@
                 }
                 Ok(answer) => return Outcome::Whole(answer),
                 Err(failed) => {
-                    self.take_back(exchange, arrival, &failed);
+                    self.take_back(&exchange.service, &mut exchange.was_sent, arrival, &failed);
                     last_cause = failed.cause;
                     if failed.verdict != Verdict::NotRun && !self.may_repeat(exchange) {
                         break;
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -9,7 +9,7 @@
 use http::HeaderValue;
 
 use super::Gateway;
-use super::attempts::{Contact, Failed, Sending};
+use super::attempts::{Arrival, Failed, Sending};
 use super::handles::KvHandle;
 use super::prompts::{Job, REFUSED_PAUSE, Tried};
 use super::requests::Exchange;
@@ -52,11 +52,9 @@
         reader: Reader,
         wait: Wait,
     ) -> Tried<KvHandle<W, C>> {
-        // The first such call of a request is no extra arrival.
-        let is_first = !std::mem::replace(&mut exchange.has_read, true);
-        if !is_first && !self.try_take_extra(&exchange.service) {
+        let Some(arrival) = self.may_send(&exchange.service, &mut exchange.has_read) else {
             return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
-        }
+        };
         let names = self.wire().headers();
         let mut extra =
             vec![(names.stage.clone(), self.wire().prefill_stage()), self.urgency(exchange)];
@@ -83,7 +81,11 @@
         let sending = Sending {
             upstream: &upstream,
             extra,
-            connection: if is_first { Connection::Pooled } else { Connection::New },
+            connection: if arrival == Arrival::First {
+                Connection::Pooled
+            } else {
+                Connection::New
+            },
             head_timeout: MIN_READING_TIMEOUT + slack,
             role: Some(Role::Prefill),
             stage: "read",
@@ -116,13 +118,7 @@
             }
             Err(failed) => {
                 job.avoid.push(Arc::clone(&upstream.entry.id));
-                if failed.contact != Contact::Made {
-                    // What never arrived is no extra arrival.
-                    exchange.has_read = !is_first;
-                    if !is_first {
-                        self.give_back_extra(&exchange.service);
-                    }
-                }
+                self.take_back(&exchange.service, &mut exchange.has_read, arrival, &failed);
                 // Reading a prompt is not running the request.
                 Ok(Err(Failed { verdict: Verdict::NotRun, ..failed }))
             }
