Log what an instance that stops weighs, and the streams that its end cuts

The logs could not tell whether a stream was taken on by a speed that was learnt and wrong, or by one that was only expected; and a stream that the instance's end cut was logged as left by its caller, or not at all, since the runtime was dropped after the last lines had been written. No decision is changed.

--- a/crates/anvilhook-core/src/speeds.rs
+++ b/crates/anvilhook-core/src/speeds.rs
@@ -146,6 +146,7 @@
     token_ms: f64,
     longest_token_ms: f64,
     whole_ms: f64,
+    outputs: u32,
 }
 
 /// The least tokens over which the time of a token is told. The pauses of a shorter output are mostly
@@ -159,7 +160,7 @@
     /// Makes a speed of which only what is expected is known, in milliseconds a token and a whole
     /// output.
     pub fn new(token_ms: f64, whole_ms: f64) -> Self {
-        Self { token_ms, longest_token_ms: token_ms, whole_ms }
+        Self { token_ms, longest_token_ms: token_ms, whole_ms, outputs: 0 }
     }
 
     /// Learns from a whole output.
@@ -175,6 +176,7 @@
     pub fn record(&mut self, tokens: u32, took_ms: f64) {
         const WEIGHT: f64 = 0.05;
         if tokens > 0 && took_ms.is_finite() {
+            self.outputs = self.outputs.saturating_add(1);
             self.token_ms += WEIGHT * (took_ms / f64::from(tokens) - self.token_ms);
             self.whole_ms += WEIGHT * (took_ms - self.whole_ms);
             let telling_ms = took_ms / f64::from(tokens.max(TELLING_TOKENS));
@@ -184,6 +186,11 @@
         }
     }
 
+    /// Returns how many outputs have been learnt from.
+    pub fn outputs(&self) -> u32 {
+        self.outputs
+    }
+
     /// Returns how long an output takes in the mean.
     pub fn mean_ms(&self) -> f64 {
         self.whole_ms
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -217,6 +217,21 @@
         /// The age of the newest word of a peer, in milliseconds.
         peers_age_ms: Option<u64>,
     },
+    /// An instance that stops has taken a stream on, or has refused it because its end would cut it.
+    StopWeighed {
+        /// The request.
+        request: &'a str,
+        /// The time until the instance ends, in milliseconds.
+        left_ms: u64,
+        /// The time until the caller's own limit, in milliseconds.
+        limit_ms: u64,
+        /// How long the output may take at most, in milliseconds.
+        longest_ms: u64,
+        /// The outputs of the service from which that was learnt.
+        outputs: u32,
+        /// Whether it was taken on.
+        is_taken: bool,
+    },
     /// An attempt brought no answer to pass on.
     AttemptFailed {
         /// The request.
@@ -254,7 +269,7 @@
     StreamEnded {
         /// The request.
         request: &'a str,
-        /// `whole`, `cut`, or `left` if the caller went first.
+        /// `whole`, `cut`, `left` if the caller went first, or `stopped` if the instance ended.
         outcome: &'a str,
         /// The longest pause between two events, in milliseconds.
         longest_pause_ms: u64,
@@ -295,7 +310,9 @@
             | Event::AttemptFailed { .. }
             | Event::StreamBroken { .. } => Level::Warn,
             Event::UnreadableRow { .. } | Event::SettingsRefused { .. } => Level::Error,
-            Event::StreamEnded { outcome, .. } if *outcome == "cut" => Level::Warn,
+            Event::StreamEnded { outcome, .. } if matches!(*outcome, "cut" | "stopped") => {
+                Level::Warn
+            }
             Event::Concluded { status, .. } if *status >= 400 => Level::Warn,
             _ => Level::Info,
         }
@@ -306,6 +323,7 @@
         matches!(
             self,
             Event::Placed { .. }
+                | Event::StopWeighed { .. }
                 | Event::AttemptFailed { .. }
                 | Event::StreamBroken { .. }
                 | Event::StreamEnded { .. }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -31,7 +31,7 @@
 use crate::metrics::{GatewayMetrics, KindLabel, RequestLabels};
 use crate::peers::Peers;
 use crate::prompts::Part;
-use crate::speeds::Speeds;
+use crate::speeds::{LongestOutput, Speeds};
 use crate::wires::Wire;
 
 use answers::{Outcome, OwnAnswer};
@@ -208,17 +208,45 @@
 
     /// Returns whether a stream that begins now would be cut by the instance's end.
     fn would_be_cut(&self, exchange: &Exchange) -> bool {
-        let Some(prompt) = &exchange.prompt else { return false };
-        let left = Millis(self.inner.ends_at.load(Ordering::Acquire)) - self.now();
-        let speeds = &self.inner.speeds;
-        let longest_ms = speeds.longest_output_ms(&exchange.service, prompt.max_output);
-        self.is_stopping() && !ends_in_time(left, longest_ms)
+        let Some(longest) = self.longest_output(exchange) else { return false };
+        self.is_stopping() && !ends_in_time(self.time_to_end(), longest.ms)
+    }
+
+    /// Returns how long an exchange's output may take at most, `None` if it has no prompt.
+    fn longest_output(&self, exchange: &Exchange) -> Option<LongestOutput> {
+        let prompt = exchange.prompt.as_ref()?;
+        Some(self.inner.speeds.longest_output(&exchange.service, prompt.max_output))
+    }
+
+    /// Returns the time until the instance ends, if it stops.
+    fn time_to_end(&self) -> Millis {
+        Millis(self.inner.ends_at.load(Ordering::Acquire)) - self.now()
+    }
+
+    /// Logs that a stream is taken on or refused, if the instance stops.
+    fn log_stop_weighed(&self, exchange: &Exchange, is_taken: bool) {
+        let Some(longest) = self.longest_output(exchange) else { return };
+        if self.is_stopping() {
+            emit(&Event::StopWeighed {
+                request: &exchange.id,
+                left_ms: self.time_to_end().0,
+                limit_ms: exchange.time_left(self.now()).0,
+                longest_ms: longest.ms as u64,
+                outputs: longest.outputs,
+                is_taken,
+            });
+        }
     }
 
     fn is_stopping(&self) -> bool {
         self.inner.is_stopping.load(Ordering::Acquire)
     }
 
+    /// Returns whether the instance has stopped, or should have.
+    fn has_ended(&self) -> bool {
+        self.is_stopping() && self.time_to_end() == Millis::ZERO
+    }
+
     fn has_fleet(&self) -> bool {
         self.inner.has_fleet.load(Ordering::Acquire)
     }
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -213,7 +213,9 @@
 impl<W: Wire, C: Clock> Drop for Passage<W, C> {
     fn drop(&mut self) {
         let took_ms = (self.gateway.now() - self.exchange.arrived_at).0;
-        let (request, outcome) = (&*self.exchange.id, self.outcome);
+        let is_stopped = self.outcome == "left" && self.gateway.has_ended();
+        let outcome = if is_stopped { "stopped" } else { self.outcome };
+        let request = &*self.exchange.id;
         let longest_pause_ms = self.longest_pause.0;
         self.learn_output(took_ms);
         emit(&Event::StreamEnded { request, outcome, longest_pause_ms, took_ms });
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -118,7 +118,11 @@
         // The signal to stop may have come while the request waited. A stream that goes on after a
         // break has nothing to lose.
         let is_cut = job.resume_after.is_none() && self.would_be_cut(exchange);
-        is_cut.then_some(Waited::Stopping)
+        if !is_cut {
+            return None;
+        }
+        self.log_stop_weighed(exchange, false);
+        Some(Waited::Stopping)
     }
 
     /// Looks the request's service up anew. Returns whether it is another one than before.
