Take on during a stop only what surely ends before the instance

What callers saw: a stream that an instance had taken three seconds and more after SIGTERM, on a connection that was open before, was cut by the end of the process. Streams of services without engines and plain requests likewise; those whose upstream had frozen got no answer at all. Cause: an expectation was used as a guarantee. Whether a stream ends in time was predicted from the mean, later from the slowest token of late, and in an instance that has seen no output from a constant; how long an engine takes is bounded by none of these. Streams without engines and plain requests were asked nothing, and at the end of the process connections were closed without a word. Change: core's Stop decides for every kind of request, right before each send. Once load balancers have noticed the stop, only what the caller's own limit ends before the instance does is taken on; before, what outputs that were seen say ends in time as well. The rest is refused as not run, to come back at once. At the end every request without an answer is told whether it may have run. A second signal does not put the end off. Why it holds: the caller's limit is enforced by the instance and handed to the engine, so it doesn't depend on the engine's speed; and after the notice callers have another instance to go to.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod routing;
 pub mod speeds;
 pub mod splits;
+pub mod stops;
 pub mod units;
 pub mod verdict;
 pub mod watches;
--- a/crates/anvilhook-core/src/pacing.rs
+++ b/crates/anvilhook-core/src/pacing.rs
@@ -37,27 +37,6 @@
 /// What it takes at least from a prompt's reading to the first event, in milliseconds.
 const FIRST_EVENT_MS: f64 = 60.0;
 
-/// How much longer than the slowest of late an output may take, and what goes before it at most, in
-/// milliseconds, if it is to be whole before its instance ends.
-const ENDING_FACTOR: f64 = 1.25;
-const BEFORE_OUTPUT_MS: f64 = 1_500.0;
-
-/// Returns whether a stream that is yet to be opened will be whole before an instance that stops ends.
-///
-/// `longest_ms` is what its output may take at most. A stream that is taken too late is cut by the end
-/// of the process. Its caller is better sent to another instance at once.
-///
-/// ```
-/// use anvilhook_core::pacing::ends_in_time;
-/// use anvilhook_core::units::Millis;
-///
-/// assert!(ends_in_time(Millis(4_000), 1_500.0));
-/// assert!(!ends_in_time(Millis(4_000), 3_000.0));
-/// ```
-pub fn ends_in_time(left: Millis, longest_ms: f64) -> bool {
-    longest_ms * ENDING_FACTOR + BEFORE_OUTPUT_MS <= left.0 as f64
-}
-
 /// `Waiting` is a request that waits at an instance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Waiting {
--- a/crates/anvilhook-core/src/speeds.rs
+++ b/crates/anvilhook-core/src/speeds.rs
@@ -153,6 +153,10 @@
 /// single ones, and would make a long output seem to take minutes.
 const TELLING_TOKENS: u32 = 50;
 
+/// The least number of outputs from which the longest time of a token is known. Before, it is what was
+/// expected of engines that nobody has seen.
+const TELLING_OUTPUTS: u32 = 8;
+
 /// What a faster output takes off the longest time of a token, as a share of the difference.
 const LONGEST_FADING: f64 = 0.01;
 
@@ -186,17 +190,13 @@
         }
     }
 
-    /// Returns how many outputs have been learnt from.
-    pub fn outputs(&self) -> u32 {
-        self.outputs
-    }
-
     /// Returns how long an output takes in the mean.
     pub fn mean_ms(&self) -> f64 {
         self.whole_ms
     }
 
-    /// Returns how long an output of at most so many tokens may take, by the slowest of late.
+    /// Returns how long an output of at most so many tokens may take, by the slowest of late; `None`
+    /// if too few have been seen.
     ///
     /// A caller names the most tokens, and most outputs end well before. By the mean over them, the
     /// ones that do go on to the end would be taken for less than half as long as they are.
@@ -205,12 +205,14 @@
     /// use anvilhook_core::speeds::OutputSpeed;
     ///
     /// let mut speed = OutputSpeed::new(5.0, 500.0);
+    /// assert_eq!(speed.longest_ms(200), None);
     /// (0..50).for_each(|at| speed.record(200, if at % 10 == 0 { 4_000.0 } else { 1_000.0 }));
     /// assert!(speed.output_ms(200) < 2_000.0);
-    /// assert!(speed.longest_ms(200) > 3_500.0);
+    /// assert!(speed.longest_ms(200).is_some_and(|ms| ms > 3_500.0));
     /// ```
-    pub fn longest_ms(&self, tokens: u32) -> f64 {
-        f64::from(tokens) * self.longest_token_ms
+    pub fn longest_ms(&self, tokens: u32) -> Option<f64> {
+        let is_known = self.outputs >= TELLING_OUTPUTS;
+        is_known.then_some(f64::from(tokens) * self.longest_token_ms)
     }
 
     /// Returns the predicted time of an output.
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -217,7 +217,7 @@
         /// The age of the newest word of a peer, in milliseconds.
         peers_age_ms: Option<u64>,
     },
-    /// An instance that stops has taken a stream on, or has refused it because its end would cut it.
+    /// An instance that stops has taken a request on, or has refused it because its end could cut it.
     StopWeighed {
         /// The request.
         request: &'a str,
@@ -225,12 +225,10 @@
         left_ms: u64,
         /// The time until the caller's own limit, in milliseconds.
         limit_ms: u64,
-        /// How long the output may take at most, in milliseconds.
-        longest_ms: u64,
-        /// The outputs of the service from which that was learnt.
-        outputs: u32,
-        /// Whether it was taken on.
-        is_taken: bool,
+        /// How long it is expected to take at most, in milliseconds, if anything is known of that.
+        expected_ms: Option<u64>,
+        /// `bounded` by the caller's limit, `expected` to end in time, or `refused`.
+        taking: &'a str,
     },
     /// An attempt brought no answer to pass on.
     AttemptFailed {
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use anvilhook_core::stops::Stop;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::{HttpClient, Phase, Shutdown, serve};
 use http::StatusCode;
@@ -162,8 +163,9 @@
 /// Brings all requests to their end, in the time there is.
 ///
 /// New connections are taken until they come no more; then the listener is closed, and requests on
-/// kept connections are still served. Last, what still comes is refused as not run: a request that
-/// began in the process's last moment would be cut.
+/// kept connections are still served, if they surely end in time. Last, what still comes is refused as
+/// not run: a request that began in the process's last moment would be cut. Whatever has no answer at
+/// the end gets one.
 async fn stop<W: Wire, C: Clock>(
     gateway: &Gateway<W, C>,
     shutdown: &Shutdown,
@@ -171,15 +173,18 @@
     latest: Millis,
 ) {
     let noticed_at = clock.now() + NOTICE_TIME;
+    let course = Stop { noticed_at, ends_at: latest };
     // With too few others, connections keep coming. What is taken too late would be cut by the
     // process's end, so the last part of the time only finishes what has begun.
     let last_taken_at = latest - FINISH_TIME;
-    gateway.begin_stop(latest);
+    gateway.begin_stop(course);
     quiet(gateway, clock, noticed_at, last_taken_at).await;
     shutdown.advance(Phase::Closed);
     quiet(gateway, clock, Millis::ZERO, last_taken_at).await;
     gateway.refuse_new();
     quiet(gateway, clock, Millis::ZERO, latest).await;
+    gateway.end();
+    quiet(gateway, clock, Millis::ZERO, latest + FLUSH_TIME).await;
 }
 
 /// Waits until nothing has been in flight for a while, not before `earliest` and at most until
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -127,7 +127,7 @@
             return Err(failed);
         }
         self.log_placed(exchange, &sending);
-        self.log_stop_weighed(exchange, true);
+        self.log_taken(exchange);
         let result = self.send_unlogged(exchange, &sending).await;
         let (state, now) = (&sending.upstream.state, self.now());
         match &result {
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -9,12 +9,12 @@
 mod reading;
 mod requests;
 mod resumption;
+mod stopping;
 mod waiting;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use anvilhook_core::pacing::ends_in_time;
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::HttpClient;
@@ -31,11 +31,12 @@
 use crate::metrics::{GatewayMetrics, KindLabel, RequestLabels};
 use crate::peers::Peers;
 use crate::prompts::Part;
-use crate::speeds::{LongestOutput, Speeds};
+use crate::speeds::Speeds;
 use crate::wires::Wire;
 
 use answers::{Outcome, OwnAnswer};
 use requests::Exchange;
+use stopping::{STOPPING, Stopping};
 
 pub(crate) use prompts::TOLD_TOKENS;
 
@@ -81,10 +82,7 @@
     speeds: Speeds,
     budget: Budget,
     in_flight: AtomicU64,
-    is_stopping: AtomicBool,
-    /// When the instance ends, if it stops.
-    ends_at: AtomicU64,
-    refuses: AtomicBool,
+    stopping: Stopping,
     has_fleet: AtomicBool,
     metrics: GatewayMetrics,
     peers: Arc<Peers>,
@@ -141,9 +139,7 @@
             fleet: Fleet::new(),
             caches: CacheBeliefs::new(),
             in_flight: AtomicU64::new(0),
-            is_stopping: AtomicBool::new(false),
-            ends_at: AtomicU64::new(u64::MAX),
-            refuses: AtomicBool::new(false),
+            stopping: Stopping::new(),
             has_fleet: AtomicBool::new(false),
             metrics: GatewayMetrics::new(),
             cached: Mutex::default(),
@@ -194,59 +190,6 @@
         knows && !self.is_stopping()
     }
 
-    /// Notes that the instance is about to stop, and ends at a time. Requests are still served, but
-    /// for streams that would be cut by the end.
-    pub fn begin_stop(&self, ends_at: Millis) {
-        self.inner.ends_at.store(ends_at.0, Ordering::Release);
-        self.inner.is_stopping.store(true, Ordering::Release);
-    }
-
-    /// Has every request that comes from now on refused.
-    pub fn refuse_new(&self) {
-        self.inner.refuses.store(true, Ordering::Release);
-    }
-
-    /// Returns whether a stream that begins now would be cut by the instance's end.
-    fn would_be_cut(&self, exchange: &Exchange) -> bool {
-        let Some(longest) = self.longest_output(exchange) else { return false };
-        self.is_stopping() && !ends_in_time(self.time_to_end(), longest.ms)
-    }
-
-    /// Returns how long an exchange's output may take at most, `None` if it has no prompt.
-    fn longest_output(&self, exchange: &Exchange) -> Option<LongestOutput> {
-        let prompt = exchange.prompt.as_ref()?;
-        Some(self.inner.speeds.longest_output(&exchange.service, prompt.max_output))
-    }
-
-    /// Returns the time until the instance ends, if it stops.
-    fn time_to_end(&self) -> Millis {
-        Millis(self.inner.ends_at.load(Ordering::Acquire)) - self.now()
-    }
-
-    /// Logs that a stream is taken on or refused, if the instance stops.
-    fn log_stop_weighed(&self, exchange: &Exchange, is_taken: bool) {
-        let Some(longest) = self.longest_output(exchange) else { return };
-        if self.is_stopping() {
-            emit(&Event::StopWeighed {
-                request: &exchange.id,
-                left_ms: self.time_to_end().0,
-                limit_ms: exchange.time_left(self.now()).0,
-                longest_ms: longest.ms as u64,
-                outputs: longest.outputs,
-                is_taken,
-            });
-        }
-    }
-
-    fn is_stopping(&self) -> bool {
-        self.inner.is_stopping.load(Ordering::Acquire)
-    }
-
-    /// Returns whether the instance has stopped, or should have.
-    fn has_ended(&self) -> bool {
-        self.is_stopping() && self.time_to_end() == Millis::ZERO
-    }
-
     fn has_fleet(&self) -> bool {
         self.inner.has_fleet.load(Ordering::Acquire)
     }
@@ -340,11 +283,7 @@
         self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
         let flight = Flight(self.clone());
         let arrived_at = self.now();
-        let received = if self.inner.refuses.load(Ordering::Acquire) {
-            Err(OwnAnswer::refused("stopping", Millis::ZERO))
-        } else {
-            Exchange::receive(self, req, arrived_at).await
-        };
+        let received = self.receive(req, arrived_at).await;
         let (mut exchange, outcome) = match received {
             Ok(mut exchange) => {
                 let mut watch = DepartureWatch::new(self.clone(), &exchange);
@@ -365,6 +304,17 @@
         answer
     }
 
+    async fn receive(&self, req: Request, arrived_at: Millis) -> Result<Exchange, OwnAnswer> {
+        let stopped = || OwnAnswer::refused(STOPPING, Millis::ZERO);
+        if self.refuses() {
+            return Err(stopped());
+        }
+        tokio::select! {
+            received = Exchange::receive(self, req, arrived_at) => received,
+            () = self.ended() => Err(stopped()),
+        }
+    }
+
     async fn serve(&self, exchange: &mut Exchange) -> Outcome {
         let limit = exchange.give_up_at - self.now();
         let serving = async {
@@ -373,11 +323,12 @@
                 Repeats::Stream { .. } => self.serve_prompt(exchange).await,
             }
         };
-        match tokio::time::timeout(limit.as_duration(), serving).await {
-            Ok(outcome) => outcome,
-            // The attempt in progress was dropped, and its connection with it.
-            Err(_elapsed) => self.given_up(exchange, "timeout", TIMEOUT_PAUSE),
-        }
+        let served = tokio::select! {
+            served = tokio::time::timeout(limit.as_duration(), serving) => served,
+            () = self.ended() => return self.given_up(exchange, STOPPING, Millis::ZERO),
+        };
+        // The attempt in progress was dropped, and its connection with it.
+        served.unwrap_or_else(|_elapsed| self.given_up(exchange, "timeout", TIMEOUT_PAUSE))
     }
 
     /// Returns the answer for a request that is given up: a refusal only if it has not run.
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -10,6 +10,7 @@
 use super::answers::{Outcome, WholeAnswer};
 use super::attempts::{Failed, Sending};
 use super::requests::Exchange;
+use super::stopping::STOPPING;
 use super::waiting::Wait;
 use crate::configs::Repeats;
 use crate::fleets::Upstream;
@@ -36,7 +37,7 @@
         self.inner.budget.record_request(&exchange.service, self.now());
         let mut avoid: Vec<Arc<str>> = Vec::new();
         let mut last_answer: Option<WholeAnswer> = None;
-        let mut last_cause = "no_upstream";
+        let (mut last_cause, mut pause) = ("no_upstream", REFUSED_PAUSE);
         while avoid.len() < MAX_SENDINGS {
             if let Some(config) = self.config() {
                 exchange.refresh(&config);
@@ -44,6 +45,10 @@
             if exchange.runs >= exchange.route.max_attempts {
                 break;
             }
+            if self.refuses_to_begin(exchange) {
+                (last_cause, pause) = (STOPPING, Millis::ZERO);
+                break;
+            }
             let Some(upstream) = self.choose_plain(&exchange.service, &avoid) else { break };
             let Some(arrival) = self.may_send(&exchange.service, &mut exchange.was_sent) else {
                 last_cause = "retry_budget";
@@ -66,7 +71,7 @@
         }
         match last_answer {
             Some(answer) => Outcome::Whole(answer),
-            None => self.given_up(exchange, last_cause, REFUSED_PAUSE),
+            None => self.given_up(exchange, last_cause, pause),
         }
     }
 
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -12,6 +12,7 @@
 use super::attempts::{Contact, Failed};
 use super::requests::Exchange;
 use super::resumption::Relay;
+use super::stopping::STOPPING;
 use super::waiting::Waited;
 use crate::configs::EngineSpec;
 use crate::placements::{Placer, Plan, Request};
@@ -141,6 +142,9 @@
         let engine = config.service(&exchange.service).and_then(|spec| spec.engine.clone());
         let prompt = exchange.prompt.clone();
         let (Some(engine), Some(prompt)) = (engine, prompt) else {
+            if resume_after.is_none() && self.refuses_to_begin(exchange) {
+                return Err(self.given_up(exchange, STOPPING, Millis::ZERO));
+            }
             return Ok(self.stream_plainly(exchange, resume_after, avoid).await);
         };
         let tightest = config.tightest_objective(&exchange.service);
@@ -152,7 +156,7 @@
             Waited::Sent(plan, wait) => (plan, wait),
             Waited::NoEngine => return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
             Waited::Hopeless => return Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
-            Waited::Stopping => return Err(self.given_up(exchange, "stopping", Millis::ZERO)),
+            Waited::Stopping => return Err(self.given_up(exchange, STOPPING, Millis::ZERO)),
             Waited::Moved => return Ok(Err(Failed::not_sent("moved"))),
         };
         let time_left = exchange.time_left(self.now());
@@ -177,7 +181,7 @@
             }
             Waited::NoEngine => Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
             Waited::Hopeless => Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
-            Waited::Stopping => Err(self.given_up(exchange, "stopping", Millis::ZERO)),
+            Waited::Stopping => Err(self.given_up(exchange, STOPPING, Millis::ZERO)),
             Waited::Moved => Ok(Err(Failed::not_sent("moved"))),
         }
     }
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -117,12 +117,8 @@
         }
         // The signal to stop may have come while the request waited. A stream that goes on after a
         // break has nothing to lose.
-        let is_cut = job.resume_after.is_none() && self.would_be_cut(exchange);
-        if !is_cut {
-            return None;
-        }
-        self.log_stop_weighed(exchange, false);
-        Some(Waited::Stopping)
+        let is_refused = job.resume_after.is_none() && self.refuses_to_begin(exchange);
+        is_refused.then_some(Waited::Stopping)
     }
 
     /// Looks the request's service up anew. Returns whether it is another one than before.
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -99,15 +99,6 @@
     pub generating_ms: f64,
 }
 
-/// `LongestOutput` is how long an output may take at most, by what this instance has seen.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LongestOutput {
-    /// The time, in milliseconds.
-    pub ms: f64,
-    /// The outputs that it was learnt from.
-    pub outputs: u32,
-}
-
 impl EngineWork {
     fn add(&mut self, other: EngineWork) {
         self.reading_ms += other.reading_ms;
@@ -131,12 +122,10 @@
         self.with(service, |speed| speed.output.output_ms(tokens))
     }
 
-    /// Returns how long a service's output may take at most.
-    pub fn longest_output(&self, service: &Arc<str>, tokens: u32) -> LongestOutput {
-        self.with(service, |speed| LongestOutput {
-            ms: speed.output.longest_ms(tokens),
-            outputs: speed.output.outputs(),
-        })
+    /// Returns how long a service's output may take at most, in milliseconds; `None` if this instance has
+    /// seen too few.
+    pub fn longest_output_ms(&self, service: &Arc<str>, tokens: u32) -> Option<f64> {
+        self.with(service, |speed| speed.output.longest_ms(tokens))
     }
 
     /// Returns how long a service's outputs take in the mean, in milliseconds.
--- a/crates/anvilhook-gateway/tests/plain.rs
+++ b/crates/anvilhook-gateway/tests/plain.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use anvilhook_core::stops::Stop;
 use anvilhook_core::units::Millis;
 use anvilhook_gateway::budgets::BudgetOptions;
 use anvilhook_gateway::configs::Repeats;
@@ -271,7 +272,7 @@
 #[tokio::test]
 async fn verify_the_last_moment_before_the_end_refuses() {
     let (front, first, second) = front_of(Repeats::AtMostOnce, vec![signed("200 OK", "ok")]).await;
-    front.gateway.begin_stop(Millis::MAX);
+    front.gateway.begin_stop(Stop { noticed_at: Millis::MAX, ends_at: Millis::MAX });
     let before = front.post("r1", "", "").await;
 
     front.gateway.refuse_new();
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/stops.rs
@@ -0,0 +1,235 @@
+//! What a gateway takes on while its instance stops, and how it ends.
+
+mod support;
+
+use std::sync::Arc;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::stops::Stop;
+use anvilhook_core::units::{Clock, ManualClock, Millis};
+use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::fleets::Entry;
+use support::fronts::{Front, ample_budget, config, request, start_by};
+use support::upstreams::{Step, Upstream, event, signed, stream_end, stream_head};
+use support::wires::entry;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const STREAM: Repeats = Repeats::Stream { resumable: false };
+const PROMPT: &str = "T-Tokens: 400\r\n";
+
+/// How long callers of the tests wait.
+const LIMIT: Millis = Millis(2_000);
+
+/// An end that comes before the callers' limit.
+const TOO_SOON: Millis = Millis(1_990);
+
+fn stream(first: u64, last: u64) -> Vec<Step> {
+    let mut steps = vec![stream_head()];
+    steps.extend((first..=last).map(event));
+    steps.push(stream_end());
+    steps
+}
+
+fn engine(id: &str, upstream: &Upstream, role: Role) -> Entry {
+    Entry { role: Some(role), ..entry(id, upstream.address.port()) }
+}
+
+async fn front_of(
+    clock: &ManualClock,
+    repeats: Repeats,
+    has_engine: bool,
+    entries: Vec<Entry>,
+) -> Front<ManualClock> {
+    start_by(clock.clone(), Some(config(repeats, 2, has_engine)), entries, ample_budget()).await
+}
+
+/// Has a gateway see outputs that took so long.
+fn teach(front: &Front<ManualClock>, output_ms: f64) {
+    let service = Arc::from("service");
+    (0..20).for_each(|_| front.gateway.speeds().record_output(&service, 8, output_ms));
+}
+
+/// Returns a request whose caller waits for as long as the route allows, which is 3 s.
+fn patient_request(id: &str) -> String {
+    request(id, PROMPT, "").replace("T-Deadline: 2000", "T-Deadline: 60000")
+}
+
+/// Returns the stop of an instance that ends in `time`, and of which load balancers know already or
+/// not yet.
+fn stop_in(clock: &ManualClock, time: Millis, is_noticed: bool) -> Stop {
+    let ends_at = clock.now() + time;
+    let noticed_at = if is_noticed { clock.now() } else { ends_at };
+    Stop { noticed_at, ends_at }
+}
+
+/// A stream that an instance took 3.3 s after SIGTERM was cut by its end: what it expected of the
+/// output was a third of what it took. So after the stop is noticed an expectation counts for nothing,
+/// and before only one that comes from outputs seen. What the caller's own limit bounds is taken. The
+/// same holds for streams of services without engines and for plain requests.
+#[tokio::test]
+async fn verify_only_what_surely_ends_is_taken_on() {
+    // Whether the stop is noticed, when the end comes, the outputs seen, and the status.
+    let of_engines = [
+        (false, TOO_SOON, None, 503),
+        (false, TOO_SOON, Some(100.0), 200),
+        (false, TOO_SOON, Some(9_000.0), 503),
+        (true, TOO_SOON, Some(100.0), 503),
+        (true, LIMIT, None, 200),
+    ];
+    let of_others =
+        [(false, TOO_SOON, None, 503), (true, TOO_SOON, None, 503), (true, LIMIT, None, 200)];
+    let kinds = [
+        (STREAM, Some(Role::Decode), &of_engines[..]),
+        (STREAM, None, &of_others[..]),
+        (Repeats::Idempotent, None, &of_others[..]),
+        (Repeats::AtMostOnce, None, &of_others[..]),
+    ];
+    for (repeats, role, cases) in kinds {
+        for &(is_noticed, ends_in, output_ms, status) in cases {
+            let clock = ManualClock::new();
+            let whole = if repeats == STREAM { stream(1, 2) } else { vec![signed("200 OK", "ok")] };
+            let upstream = Upstream::always(whole).await;
+            let entries = vec![Entry { role, ..entry("u", upstream.address.port()) }];
+            let front = front_of(&clock, repeats, role.is_some(), entries).await;
+            output_ms.into_iter().for_each(|output_ms| teach(&front, output_ms));
+            front.gateway.begin_stop(stop_in(&clock, ends_in, is_noticed));
+
+            let answer = front.post("r1", PROMPT, "").await;
+
+            let case = format!("{repeats:?} {role:?} {is_noticed} {ends_in:?} {output_ms:?}");
+            assert_eq!(answer.status, status, "{case}: {answer:?}");
+            assert_eq!(upstream.received().len(), usize::from(status == 200), "{case}");
+            let comes_back = answer.head.contains("retry-after: 0.000");
+            assert_eq!(comes_back, status == 503, "{case}: {answer:?}");
+        }
+    }
+}
+
+/// A prompt was read while the stop was noticed, and its output begun then: the look had come before
+/// the reading. It is repeated before the output is begun, and the caller is told that nothing has run.
+#[tokio::test]
+async fn verify_a_stream_whose_prompt_was_read_past_the_notice_is_refused() {
+    for (reading_ms, status) in [(900, 200), (1_100, 503)] {
+        let clock = ManualClock::new();
+        let passing = clock.clone();
+        let reader = Upstream::start(move |_| {
+            passing.advance(Millis(reading_ms));
+            vec![signed("200 OK", "handle h1")]
+        })
+        .await;
+        let generator = Upstream::always(stream(1, 2)).await;
+        let engines =
+            vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
+        let front = front_of(&clock, STREAM, true, engines).await;
+        teach(&front, 100.0);
+        let now = clock.now();
+        let stop = Stop { noticed_at: now + Millis(1_000), ends_at: now + Millis(2_990) };
+        front.gateway.begin_stop(stop);
+
+        let answer = front.raw(&patient_request("r1")).await;
+
+        assert_eq!(answer.status, status, "{reading_ms}: {answer:?}");
+        let outputs =
+            generator.received().iter().filter(|one| one.line.starts_with("POST")).count();
+        assert_eq!(outputs, usize::from(status == 200), "{reading_ms}");
+    }
+}
+
+/// A stream that broke during a stop was given up, though another engine could have gone on with it in
+/// time. Its caller has the beginning, and nothing to lose by the attempt.
+#[tokio::test]
+async fn verify_a_broken_stream_goes_on_during_a_stop() {
+    let clock = ManualClock::new();
+    let stopping = clock.clone();
+    let broken = vec![stream_head(), event(1), Step::Close];
+    let first = Upstream::always(broken).await;
+    let second = Upstream::always(stream(2, 3)).await;
+    let far = Entry { zone: "zone-b".into(), ..engine("second", &second, Role::Decode) };
+    let engines = vec![engine("first", &first, Role::Decode), far];
+    let front = front_of(&clock, Repeats::Stream { resumable: true }, true, engines).await;
+    teach(&front, 100.0);
+    let now = stopping.now();
+    front.gateway.begin_stop(Stop { noticed_at: now + Millis(1), ends_at: now + TOO_SOON });
+
+    let answer = front.post("r1", PROMPT, "").await;
+
+    assert_eq!((answer.status, answer.events()), (200, vec![1, 2, 3]), "{answer:?}");
+    assert!(answer.is_complete(), "{answer:?}");
+}
+
+/// Requests to an upstream that had frozen got no answer at all when their instance ended: the
+/// connection was closed, which tells a caller nothing. Now each is told whether it may have run.
+#[tokio::test]
+async fn verify_whoever_waits_at_the_end_is_told_what_became_of_the_request() {
+    let hanging = || vec![Step::Hang];
+    let cases = [
+        (Repeats::AtMostOnce, None, 502, "plain"),
+        (Repeats::Idempotent, None, 502, "plain, may run again"),
+        (STREAM, Some(Role::Decode), 502, "output that has not begun"),
+        (STREAM, Some(Role::Prefill), 503, "prompt that is being read"),
+    ];
+    for (repeats, role, status, name) in cases {
+        let clock = ManualClock::new();
+        let upstream = Upstream::always(hanging()).await;
+        let other = Upstream::always(stream(1, 2)).await;
+        let mut entries = vec![Entry { role, ..entry("u", upstream.address.port()) }];
+        if role == Some(Role::Prefill) {
+            entries.push(engine("g", &other, Role::Decode));
+        }
+        let front = front_of(&clock, repeats, role.is_some(), entries).await;
+        let ending = async {
+            while upstream.received().is_empty() {
+                tokio::task::yield_now().await;
+            }
+            front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
+            front.gateway.end();
+        };
+
+        let req = patient_request("r1");
+        let (answer, ()) = tokio::join!(front.raw(&req), ending);
+
+        assert_eq!(answer.status, status, "{name}: {answer:?}");
+        assert!(answer.is_complete(), "{name}: {answer:?}");
+        assert!(answer.head.contains("connection: close"), "{name}: {answer:?}");
+        assert_eq!(front.gateway.in_flight(), 0, "{name}");
+    }
+}
+
+/// A caller that was still sending its request when the instance ended got no answer. Nothing has run,
+/// and it is told so.
+#[tokio::test]
+async fn verify_a_request_that_is_still_coming_at_the_end_is_refused() {
+    let clock = ManualClock::new();
+    let upstream = Upstream::always(vec![signed("200 OK", "ok")]).await;
+    let entries = vec![entry("u", upstream.address.port())];
+    let front = front_of(&clock, Repeats::AtMostOnce, false, entries).await;
+    let half = request("r1", "", "whole").replace("whole", "ha");
+    let mut caller = TcpStream::connect(front.address).await.expect("it listens");
+    caller.write_all(half.as_bytes()).await.expect("it reads");
+    while front.gateway.in_flight() == 0 {
+        tokio::task::yield_now().await;
+    }
+
+    front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
+    front.gateway.end();
+
+    let mut text = String::new();
+    caller.read_to_string(&mut text).await.expect("it answers and closes");
+    assert!(text.contains(" 503 ") && text.to_lowercase().contains("retry-after"), "{text}");
+    assert!(upstream.received().is_empty());
+}
+
+/// A signal that came twice would have put the end off, and the process been killed before it.
+#[tokio::test]
+async fn verify_a_second_signal_does_not_put_the_end_off() {
+    let clock = ManualClock::new();
+    let upstream = Upstream::always(vec![signed("200 OK", "ok")]).await;
+    let entries = vec![entry("u", upstream.address.port())];
+    let front = front_of(&clock, Repeats::AtMostOnce, false, entries).await;
+
+    front.gateway.begin_stop(stop_in(&clock, TOO_SOON, true));
+    front.gateway.begin_stop(stop_in(&clock, Millis(60_000), true));
+
+    assert_eq!(front.post("r1", "", "").await.status, 503);
+}
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::stops::Stop;
 use anvilhook_core::units::{Clock, ManualClock, Millis, SystemClock};
 use anvilhook_gateway::budgets::BudgetOptions;
 use anvilhook_gateway::configs::Repeats;
@@ -477,7 +478,8 @@
     for (left, status, sent) in [(1_000, 503, 0), (60_000, 200, 1)] {
         let engine_of = Upstream::always(stream(1, 2)).await;
         let front = front_of(RESUMABLE, vec![engine("e", &engine_of, Role::Decode)]).await;
-        front.gateway.begin_stop(SystemClock::new().now() + Millis(left));
+        let ends_at = SystemClock::new().now() + Millis(left);
+        front.gateway.begin_stop(Stop { noticed_at: ends_at, ends_at });
 
         let answer = front.post("r1", PROMPT, "").await;
 
@@ -505,7 +507,8 @@
         while gateway.budget_left(&service, clock.now()) <= left_before {
             tokio::task::yield_now().await;
         }
-        gateway.begin_stop(clock.now() + Millis(1_000));
+        let ends_at = clock.now() + Millis(1_000);
+        gateway.begin_stop(Stop { noticed_at: ends_at, ends_at });
         drop(backlog);
     };
 
