--- a/crates/anvilhook-daemon/src/settings/files.rs
+++ b/crates/anvilhook-daemon/src/settings/files.rs
@@ -1,10 +1,15 @@
 //! Reading the settings file, and the one error of it.
 
 use std::fmt;
+use std::fs::File;
+use std::io::{self, Read};
 use std::path::{Path, PathBuf};
 
 use super::Settings;
 
+/// The largest settings file, in bytes.
+const MAX_FILE_BYTES: u64 = 1 << 20;
+
 /// `SettingsError` says where a settings file is wrong, and how.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SettingsError {
@@ -39,7 +44,7 @@
 ///
 /// A `SettingsError` if the file cannot be read or breaks a rule.
 pub fn load(file: &Path) -> Result<Settings, SettingsError> {
-    let text = std::fs::read_to_string(file).map_err(|err| SettingsError {
+    let text = read_bounded(file).map_err(|err| SettingsError {
         file: file.to_owned(),
         line: None,
         field: None,
@@ -48,6 +53,17 @@
     parse(file, &text)
 }
 
+/// Reads a file of a sound size. One without end would take all memory, and the process with it.
+fn read_bounded(file: &Path) -> io::Result<String> {
+    let mut text = String::new();
+    File::open(file)?.take(MAX_FILE_BYTES + 1).read_to_string(&mut text)?;
+    if text.len() as u64 > MAX_FILE_BYTES {
+        let message = format!("expected at most {MAX_FILE_BYTES} bytes");
+        return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+    }
+    Ok(text)
+}
+
 /// Checks the text of a settings file. The file's name only stands in the error.
 ///
 /// # Errors
