Refuse requests that name more than one host

Seen: a request with two Host lines was routed by the first one, and both lines were passed on to the upstream (`host: host.example`, `host: other.example`, answered with 200).

Cause: the HTTP library passes such heads on, and the gateway reads the first line and copies all.

Change: every server of the shell answers 400 and closes the connection. It holds because the check runs before any handler, on the parsed head that handlers get.

The other cases (doubtful lengths, spoilt chunks, floods of headers, requests behind one another, figures at their ends, slow bodies) found nothing on the gateway: whole answers or a closed connection, nothing sent on that was not written, the next caller served.

--- a/crates/anvilhook-http/src/lib.rs
+++ b/crates/anvilhook-http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answers;
 pub mod clients;
 pub mod errors;
+mod heads;
 pub mod servers;
 
 pub use clients::{ClientOptions, HttpClient};
--- a/crates/anvilhook-http/src/servers.rs
+++ b/crates/anvilhook-http/src/servers.rs
@@ -15,6 +15,8 @@
 use volo_http::server::route::Router;
 use volo_http::server::{IntoResponse, Server};
 
+use crate::heads::HeadChecks;
+
 /// How long the kernel keeps a connection whose peer acknowledges nothing.
 const TCP_USER_TIMEOUT: Millis = Millis::from_secs(20);
 
@@ -126,10 +128,11 @@
     let signalled = Arc::new(AtomicBool::new(false));
     let hook_signalled = Arc::clone(&signalled);
     // All clients speak HTTP/1; looking for another version would cost every connection a buffer.
-    let server = Server::new(router).http1_only().register_shutdown_hook(move || {
-        hook_signalled.store(true, Ordering::Release);
-        Box::pin(async move { hook_shutdown.reached(Phase::Closed).await })
-    });
+    let server =
+        Server::new(HeadChecks::new(router)).http1_only().register_shutdown_hook(move || {
+            hook_signalled.store(true, Ordering::Release);
+            Box::pin(async move { hook_shutdown.reached(Phase::Closed).await })
+        });
     let running = pin!(server.run(incoming));
     run_until_closed(running, &shutdown, &signalled).await
 }
