Refuse requests for tunnels

Seen: `CONNECT /a/b` reached the upstream as `CONNECT /a/b HTTP/1.1`, and the caller's connection was closed without an answer. verify_tunnels_are_refused failed so on the code before.

Cause: the method was passed on like any other. After a 2xx to it both sides take the connection for a tunnel, and neither writes an answer.

Change: the shell answers 405 before any handler and closes the connection.

--- a/crates/anvilhook-gateway/tests/request_bytes.rs
+++ b/crates/anvilhook-gateway/tests/request_bytes.rs
@@ -502,6 +502,25 @@
     }
 }
 
+/// Symptom: a caller's connection is closed without an answer, and an upstream gets a request for a
+/// tunnel.
+/// Sequence: the caller asks for a tunnel, with a target that a route takes.
+/// Cause: its method was passed on like any other, and what follows its answer is no answer.
+#[tokio::test]
+async fn verify_tunnels_are_refused() {
+    let upstream = upstream().await;
+    let front = plain_front(&upstream).await;
+    for target in ["/a/b", "host.example:80", "http://host.example/a/b"] {
+        let bytes = format!("CONNECT {target} HTTP/1.1\r\nHost: host.example\r\nT-Id: own\r\n\r\n");
+
+        let came = answers(&front, bytes.as_bytes(), 1).await;
+
+        assert_eq!(came.statuses, [405], "{target}: {:?} {:?}", came.text(), sent_on(&upstream));
+        assert!(sent_on(&upstream).is_empty(), "{target}");
+    }
+    verify_next_caller_is_served(&front).await;
+}
+
 /// Symptom: a caller that sends a byte now and then holds an instance's memory and its place.
 /// Sequence: a body comes slower than any sound caller's.
 /// Cause: the whole body has a time, not each part of it.
--- a/crates/anvilhook-http/src/heads.rs
+++ b/crates/anvilhook-http/src/heads.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 
 use http::header::{CONNECTION, HOST, HeaderValue};
-use http::{StatusCode, Uri};
+use http::{Method, StatusCode, Uri};
 use motore::service::Service;
 use volo_http::context::ServerContext;
 use volo_http::request::Request;
@@ -34,11 +34,15 @@
     type Error = Infallible;
 
     async fn call(&self, cx: &mut ServerContext, mut req: Request) -> Result<Response, Infallible> {
+        // A server that passed this on would have a tunnel where it expects answers.
+        if req.method() == Method::CONNECT {
+            return Ok(refusal(StatusCode::METHOD_NOT_ALLOWED, "no tunnels"));
+        }
         if req.headers().get_all(HOST).iter().nth(1).is_some() {
-            return Ok(refusal("more than one host"));
+            return Ok(refusal(StatusCode::BAD_REQUEST, "more than one host"));
         }
         if req.uri().scheme().is_some() && !take_host_from_target(&mut req) {
-            return Ok(refusal("bad target"));
+            return Ok(refusal(StatusCode::BAD_REQUEST, "bad target"));
         }
         self.inner.call(cx, req).await
     }
@@ -68,8 +72,8 @@
 
 /// Returns the answer to a request that can't be read for certain. Where the next one begins on its
 /// connection is as doubtful.
-fn refusal(reason: &str) -> Response {
-    let mut answer = answers::text(StatusCode::BAD_REQUEST, reason);
+fn refusal(status: StatusCode, reason: &str) -> Response {
+    let mut answer = answers::text(status, reason);
     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     answer
 }
