Count what can't be read, and tell each version once

Seen (read in the code, not played on the code before): a row that can't be read was told by a line at each reading, whole, however long its key or the text in it; nothing counted it. A row of 100 kB makes a line as long, and a table that is read whole again and again fills the log with it.

Cause: the line was written where the row was read, and the reader's error quotes what it found.

The metric unreadable counts versions of rows by table, changes of the settings, reports of engines whose role changes, and datagrams. Datagrams get no line: whoever sends them could fill the log. Cache lists, handles and the reports that are read within a stream are not counted by it (relay).

--- a/crates/anvilhook-gateway/src/followers/configs.rs
+++ b/crates/anvilhook-gateway/src/followers/configs.rs
@@ -4,7 +4,7 @@
 
 use anvilhook_core::units::Clock;
 
-use super::{Follow, unreadable};
+use super::{Follow, UnreadableRows};
 use crate::peers::{FollowedTable, Peers};
 use crate::relay::Gateway;
 use crate::tables::Row;
@@ -16,12 +16,13 @@
 /// `ConfigFollower` puts each newer configuration in force.
 pub struct ConfigFollower<W: Wire, C: Clock> {
     gateway: Gateway<W, C>,
+    unreadable: UnreadableRows,
 }
 
 impl<W: Wire, C: Clock> ConfigFollower<W, C> {
     /// Makes a follower that knows no configuration.
     pub fn new(gateway: Gateway<W, C>) -> Self {
-        Self { gateway }
+        Self { gateway, unreadable: UnreadableRows::default() }
     }
 }
 
@@ -43,12 +44,15 @@
     }
 
     fn change(&mut self, rows: &[Row]) {
-        let (_, key) = self.gateway.wire().config_row();
+        let (table, key) = self.gateway.wire().config_row();
         for row in rows.iter().filter(|row| row.key == key) {
             let Some(value) = &row.value else { continue };
             match self.gateway.wire().config(value) {
-                Ok(config) => self.gateway.adopt_config(config),
-                Err(err) => unreadable(self.table(), &row.key, &err),
+                Ok(config) => {
+                    self.unreadable.forget(key);
+                    self.gateway.adopt_config(config);
+                }
+                Err(err) => self.unreadable.tell(self.gateway.metrics(), table, row, &err),
             }
         }
     }
--- a/crates/anvilhook-gateway/src/followers/entries.rs
+++ b/crates/anvilhook-gateway/src/followers/entries.rs
@@ -4,7 +4,7 @@
 
 use anvilhook_core::units::{Clock, Millis};
 
-use super::{Follow, unreadable};
+use super::{Follow, UnreadableRows};
 use crate::entries::EntryBook;
 use crate::fleets::Entry;
 use crate::peers::{FollowedTable, Peers};
@@ -24,26 +24,30 @@
     gateway: Gateway<W, C>,
     clock: C,
     book: Arc<std::sync::Mutex<EntryBook>>,
+    unreadable: UnreadableRows,
 }
 
 impl<W: Wire, C: Clock> EntryFollower<W, C> {
     /// Makes a follower that knows no entries.
     pub fn new(gateway: Gateway<W, C>, clock: C) -> Self {
-        Self { gateway, clock, book: Arc::default() }
+        Self { gateway, clock, book: Arc::default(), unreadable: UnreadableRows::default() }
     }
 
     fn publish(&self, book: &EntryBook) {
         self.gateway.adopt_entries(book.entries().cloned());
     }
 
-    fn decode(&self, row: &Row) -> Option<Entry> {
-        let value = row.value.as_ref()?;
-        match self.gateway.wire().entry(&row.key, value) {
-            Ok(entry) => Some(entry),
-            Err(err) => {
-                unreadable(self.table(), &row.key, &err);
+    fn decode(&mut self, row: &Row) -> Option<Entry> {
+        let decoded = row.value.as_ref().map(|value| self.gateway.wire().entry(&row.key, value));
+        match decoded {
+            Some(Err(err)) => {
+                self.unreadable.tell(self.gateway.metrics(), self.table(), row, &err);
                 None
             }
+            readable => {
+                self.unreadable.forget(&row.key);
+                readable?.ok()
+            }
         }
     }
 
@@ -76,6 +80,7 @@
 
     fn reset(&mut self, rows: &[Row]) {
         let entries = rows.iter().filter_map(|row| self.decode(row)).collect();
+        self.unreadable.retain(rows);
         let mut book = self.book.lock().expect("no panic under this lock");
         book.reset(entries, self.clock.now());
         self.publish(&book);
@@ -85,7 +90,8 @@
 
     fn change(&mut self, rows: &[Row]) {
         let now = self.clock.now();
-        let mut book = self.book.lock().expect("no panic under this lock");
+        let book = Arc::clone(&self.book);
+        let mut book = book.lock().expect("no panic under this lock");
         let mut has_changed = false;
         for row in rows {
             has_changed |= match (&row.value, self.decode(row)) {
--- a/crates/anvilhook-gateway/src/followers/mod.rs
+++ b/crates/anvilhook-gateway/src/followers/mod.rs
@@ -3,17 +3,17 @@
 mod configs;
 mod entries;
 mod following;
+mod unreadable;
 
 use std::sync::Arc;
 
 use anvilhook_core::units::{Clock, Millis};
 
-use crate::events::{Event, emit};
 use crate::peers::{FollowedTable, Peers};
 use crate::tables::{Row, Table};
-use crate::wires::DecodeError;
 
 use following::Following;
+use unreadable::UnreadableRows;
 
 pub use configs::ConfigFollower;
 pub use entries::EntryFollower;
@@ -75,7 +75,3 @@
         following.step().await;
     }
 }
-
-fn unreadable(table: &str, key: &str, err: &DecodeError) {
-    emit(&Event::UnreadableRow { table, key, cause: err.to_string() });
-}
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod speeds;
 pub mod streams;
 pub mod tables;
+mod texts;
 pub mod wires;
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -90,6 +90,8 @@
     pub latency: Family<KindLabel, Histogram>,
     /// Calls to the platform's tables that have ended.
     pub table_calls: Family<TableLabels, Counter>,
+    /// What could not be read, by where it came from.
+    unreadable: Family<NameLabel, Counter>,
     /// Datagrams sent to peers.
     pub digests: Counter,
     /// Their bytes, without what the network adds.
@@ -121,6 +123,7 @@
             orders: Family::default(),
             latency: Family::new_with_constructor(latency),
             table_calls: Family::default(),
+            unreadable: Family::default(),
             digests: Counter::default(),
             digest_bytes: Counter::default(),
             in_flight: Gauge::default(),
@@ -165,6 +168,11 @@
             "Calls to the platform's tables that have ended",
             self.table_calls.clone(),
         );
+        registry.register(
+            "unreadable",
+            "Versions of rows and of the settings, datagrams and reports that can't be read",
+            self.unreadable.clone(),
+        );
         registry.register("digests", "Datagrams sent to peers", self.digests.clone());
         registry.register(
             "digest_bytes",
@@ -230,6 +238,11 @@
         );
     }
 
+    /// Counts something that can't be read. The gateway names all sources.
+    pub fn record_unreadable(&self, source: &str) {
+        self.unreadable.get_or_create(&NameLabel { name: source.to_owned() }).inc();
+    }
+
     /// Notes that the source of a belief has been heard.
     pub fn record_contact(&self, belief: &'static str, now: Millis) {
         self.contacts.lock().expect("no panic under this lock").insert(belief, now);
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -77,8 +77,10 @@
             () = peers.announced() => link.tell(&socket, &gateway, clock.now()),
             received = socket.recv_from(&mut buf) => {
                 let Ok((len, from)) = received else { continue };
-                if let Ok(digest) = postcard::from_bytes::<Digest>(&buf[..len]) {
-                    link.hear(digest, from, &socket, &gateway, clock.now());
+                match postcard::from_bytes::<Digest>(&buf[..len]) {
+                    Ok(digest) => link.hear(digest, from, &socket, &gateway, clock.now()),
+                    // No line: whoever sends datagrams could fill the log with them.
+                    Err(_) => gateway.metrics().record_unreadable(PEER_BELIEF),
                 }
             }
         }
--- a/crates/anvilhook-gateway/src/reloads.rs
+++ b/crates/anvilhook-gateway/src/reloads.rs
@@ -7,8 +7,12 @@
 use crate::budgets::BudgetOptions;
 use crate::events::{Event, emit};
 use crate::relay::Gateway;
+use crate::texts::bounded;
 use crate::wires::Wire;
 
+/// The settings as a source of what can't be read, as metrics name it.
+const SETTINGS: &str = "settings";
+
 /// `Tunables` are the options that may change while an instance runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tunables {
@@ -74,7 +78,10 @@
                     emit(&Event::SettingsReread { has_changed, at_restart });
                 }
             }
-            Err(cause) => emit(&Event::SettingsRefused { cause }),
+            Err(cause) => {
+                self.gateway.metrics().record_unreadable(SETTINGS);
+                emit(&Event::SettingsRefused { cause: bounded(&cause).to_owned() });
+            }
         }
     }
 
--- a/crates/anvilhook-gateway/src/roles/orders.rs
+++ b/crates/anvilhook-gateway/src/roles/orders.rs
@@ -5,18 +5,22 @@
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
+use http::StatusCode;
 
 use super::leases::Lease;
 use crate::events::{Event, emit};
 use crate::fleets::Upstream;
 use crate::loads::RoleObservation;
 use crate::relay::Gateway;
-use crate::wires::{OrderAnswer, RoleOrder, Wire};
+use crate::wires::{EngineReport, OrderAnswer, RoleOrder, Wire};
 
 /// The pause between two questions whether an engine has its new role. Each has the price of a health
 /// check.
 const ROLE_PAUSE: Duration = Duration::from_millis(300);
 
+/// The engines' reports as a source of what can't be read, as metrics name it.
+const REPORTS: &str = "reports";
+
 /// `Change` is a change of role that is due.
 pub(super) struct Change {
     pub upstream: Arc<Upstream>,
@@ -58,7 +62,7 @@
     let Change { upstream, role, .. } = change;
     let wire = gateway.wire();
     let report = gateway.own_call(upstream, &wire.report()).await?;
-    let report = wire.engine_report(&report.body).ok()?;
+    let report = read_report(gateway, report.status, &report.body)?;
     // One that has started again, which the list does not show yet, may have another role.
     let is_other = upstream.entry.has_other_start(report.born);
     if is_other || report.busy || report.role == *role || clock.now() >= lease.until {
@@ -76,6 +80,19 @@
     }))
 }
 
+/// Reads an engine's report; `None` if it can't be read, which is counted unless the engine refused.
+fn read_report<W: Wire, C: Clock>(
+    gateway: &Gateway<W, C>,
+    status: StatusCode,
+    body: &[u8],
+) -> Option<EngineReport> {
+    let report = gateway.wire().engine_report(body);
+    if report.is_err() && status.is_success() {
+        gateway.metrics().record_unreadable(REPORTS);
+    }
+    report.ok()
+}
+
 /// Asks an engine that has taken an order until it has its new role, and has the others told.
 ///
 /// The list shows the change up to two seconds later, and not at all while the table is away; an engine
@@ -94,7 +111,7 @@
             return;
         }
         let report = gateway.own_call(&upstream, &gateway.wire().report()).await;
-        let report = report.and_then(|report| gateway.wire().engine_report(&report.body).ok());
+        let report = report.and_then(|report| read_report(&gateway, report.status, &report.body));
         if report.is_some_and(|report| report.role == role && !report.busy) {
             let sequence = listed.entry.sequence;
             upstream.state.observe_role(RoleObservation { role, sequence, is_own: true });
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -391,6 +391,8 @@
     let other = instance(2, 1, &[one.address]).await;
     other.gateway.caches().record(&Arc::from("e0"), &[SHARED], 100_000);
     until(|| other.gateway.peers().heard(Millis::ZERO) > 0).await;
+    let told = "anvilhook_gateway_unreadable_total{name=\"peers\"}";
+    assert!(one.gateway.metrics_text().contains(told), "what can't be read is counted");
     assert_eq!(one.gateway.fleet().view().all().count(), 1);
     let fades = || {
         let work = engine.state.work(anvilhook_core::units::Clock::now(&one.clock));
