Treat an overwritten row alike, however it is read

Seen: an upstream whose row was overwritten, and was found so by reading the table whole, does not come back with its own report of the same number; and after an outage its entry stays for the time that lapsed entries have.

Cause: only a change discarded a row that can't be read. The whole table's reading left it out, so that it was missing, which is a removal: with the number of the entry as its tombstone, or as a lapse.

Change: both ways discard it. It holds because what is discarded is no longer in the book when the book compares itself with the rows that can be read.

--- a/crates/anvilhook-gateway/src/followers/entries.rs
+++ b/crates/anvilhook-gateway/src/followers/entries.rs
@@ -79,10 +79,22 @@
     }
 
     fn reset(&mut self, rows: &[Row]) {
-        let entries = rows.iter().filter_map(|row| self.decode(row)).collect();
+        let now = self.clock.now();
+        let (mut entries, mut unreadable) = (Vec::new(), Vec::new());
+        for row in rows.iter().filter(|row| row.value.is_some()) {
+            match self.decode(row) {
+                Some(entry) => entries.push(entry),
+                None => unreadable.push(&row.key),
+            }
+        }
         self.unreadable.retain(rows);
         let mut book = self.book.lock().expect("no panic under this lock");
-        book.reset(entries, self.clock.now());
+        // Such a row is not gone: the upstream's own report of the same number brings it back, and no
+        // time passes until the row names nobody.
+        for key in unreadable {
+            book.discard(key, now);
+        }
+        book.reset(entries, now);
         self.publish(&book);
         drop(book);
         self.expire_later();
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -157,6 +157,52 @@
     assert!(book.put(report("a", false, 4)));
 }
 
+/// Symptom: an upstream whose row was overwritten stays away for good, though it reports again.
+/// Sequence: the row is spoilt, and the table is read whole; the upstream reports with the number that it
+/// has.
+/// Cause: what the whole table lacked was taken for removed, also a row that stands there and can't be read.
+#[tokio::test]
+async fn verify_an_overwritten_row_is_no_removal_where_the_table_is_read_whole() {
+    let gateway = gateway().await;
+    let row = |key: &str, value: &str, version| Row {
+        key: key.to_owned(),
+        value: Some(value.to_owned().into()),
+        version,
+    };
+    let mut follower = EntryFollower::new(gateway.clone(), SystemClock::new());
+    let listed = |id: &str| gateway.fleet().view().get(id).is_some();
+    follower.reset(&[row("a", "ready 4", 1), row("b", "ready 4", 2)]);
+
+    follower.reset(&[row("a", "rubbish", 3), row("b", "ready 4", 2)]);
+    assert!(!listed("a") && listed("b"));
+    follower.change(&[row("a", "ready 3", 4)]);
+    assert!(!listed("a"), "an older report than the overwritten one");
+    follower.change(&[row("a", "ready 4", 5)]);
+
+    assert!(listed("a"));
+}
+
+/// Symptom: requests go to an address that nobody listens at, for two seconds after an outage.
+/// Sequence: the table was away; a row is spoilt, and the table is read whole.
+/// Cause: the row was taken for one that lapsed in the outage, and its entry given time to be back.
+#[tokio::test]
+async fn verify_an_overwritten_row_names_nobody_after_an_outage() {
+    let gateway = gateway().await;
+    let row = |value: &str, version| Row {
+        key: "a".to_owned(),
+        value: Some(value.to_owned().into()),
+        version,
+    };
+    let clock = SystemClock::new();
+    let mut follower = EntryFollower::new(gateway.clone(), clock);
+    follower.reset(&[row("ready 4", 1)]);
+
+    follower.regained(clock.now());
+    follower.reset(&[row("rubbish", 2)]);
+
+    assert!(gateway.fleet().view().get("a").is_none());
+}
+
 async fn gateway() -> TestGateway {
     start(None, Vec::new(), ample_budget()).await.gateway
 }
