Sum the lengths of a prompt's parts without an overflow

Seen: a prompt that names two parts which an engine holds, with tokens each, ends with "attempt to add with overflow" in held_tokens where overflow is checked, under the lock of all beliefs about caches; verify_parts_of_any_length_are_summed failed so on the code before. A release build wraps instead.

Cause: the sum is of what the caller says of the parts, not of what is held.

Change: the sum saturates.

--- a/crates/anvilhook-gateway/src/caches.rs
+++ b/crates/anvilhook-gateway/src/caches.rs
@@ -91,7 +91,8 @@
         let engines = self.engines.lock().expect("no panic under this lock");
         let Some(memory) = engines.get(engine) else { return 0 };
         let held = prompt.parts.iter().take_while(|part| memory.held.contains_key(&part.id));
-        held.map(|part| part.tokens).sum()
+        // The lengths are the caller's word, and may be any.
+        held.map(|part| part.tokens).fold(0, u32::saturating_add)
     }
 
     /// Returns the parts of at least `min_tokens` that requests share, by engine, each engine's in
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -145,6 +145,23 @@
     Prompt { parts, tokens: shared + 3_000, max_output: 10 }
 }
 
+/// Symptom: after one request, all others of an instance end with panics.
+/// Sequence: a caller names parts that an engine holds, and lengths for them at the end of what can be
+/// written.
+/// Cause: their sum overflowed under the lock of all beliefs about caches, where overflow is checked.
+#[test]
+fn verify_parts_of_any_length_are_summed() {
+    let caches = CacheBeliefs::new();
+    caches.record(&Arc::from("e"), &prompt(10_000, 2).parts, 20_000);
+    let mut wild = prompt(10_000, 2);
+    wild.parts.iter_mut().for_each(|part| part.tokens = u32::MAX);
+    assert!(wild.parts.len() > 1);
+
+    assert_eq!(caches.held_tokens("e", &wild), u32::MAX);
+
+    assert_eq!(caches.held_tokens("e", &prompt(10_000, 2)), 13_000);
+}
+
 #[test]
 fn verify_caches_forget_what_was_used_longest_ago() {
     let caches = CacheBeliefs::new();
