Take no room for parts of a prompt without a length

Seen: 1000 requests that name two new parts of no tokens each leave 1000 shared parts (and as many others) in the beliefs about one engine's cache; verify_parts_without_a_length_take_no_room failed so on the code before. Nothing ever displaces them: an instance's memory grows for as long as such requests come.

Cause: parts are displaced by the tokens that they take.

Change: a part without tokens is not remembered, and counts as held, since there is nothing to read of it.

--- a/crates/anvilhook-gateway/src/caches.rs
+++ b/crates/anvilhook-gateway/src/caches.rs
@@ -27,6 +27,10 @@
 
 impl Memory {
     fn touch(&mut self, part: Part, is_own: bool, capacity: u64) {
+        // It would never be displaced, and a caller may name any number of them.
+        if part.tokens == 0 {
+            return;
+        }
         self.uses += 1;
         let held = Held { use_number: self.uses, tokens: part.tokens, is_own };
         if let Some(before) = self.held.insert(part.id, held) {
@@ -90,7 +94,8 @@
     pub fn held_tokens(&self, engine: &str, prompt: &Prompt) -> u32 {
         let engines = self.engines.lock().expect("no panic under this lock");
         let Some(memory) = engines.get(engine) else { return 0 };
-        let held = prompt.parts.iter().take_while(|part| memory.held.contains_key(&part.id));
+        let is_held = |part: &&Part| part.tokens == 0 || memory.held.contains_key(&part.id);
+        let held = prompt.parts.iter().take_while(is_held);
         // The lengths are the caller's word, and may be any.
         held.map(|part| part.tokens).fold(0, u32::saturating_add)
     }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -162,6 +162,26 @@
     assert_eq!(caches.held_tokens("e", &prompt(10_000, 2)), 13_000);
 }
 
+/// Symptom: an instance's memory grows with each request of one caller.
+/// Sequence: the caller names ever new parts without any length.
+/// Cause: parts were forgotten by the room that they take, and these take none.
+#[test]
+fn verify_parts_without_a_length_take_no_room() {
+    let caches = CacheBeliefs::new();
+    let engine: Arc<str> = Arc::from("e");
+    let part = |id, tokens| Part { id, tokens };
+    for id in 0..1_000 {
+        caches.record(&engine, &[part(id, 0), part(7_000, 400), part(id + 2_000, 0)], 20_000);
+    }
+
+    let shared = caches.shared_parts(0);
+
+    assert_eq!(shared.iter().map(|(_, parts)| parts.len()).sum::<usize>(), 1);
+    let parts = vec![part(3, 0), part(7_000, 400), part(4, 0)];
+    let prompt = Prompt { parts, tokens: 400, max_output: 1 };
+    assert_eq!(caches.held_tokens("e", &prompt), 400, "such a part has not to be read");
+}
+
 #[test]
 fn verify_caches_forget_what_was_used_longest_ago() {
     let caches = CacheBeliefs::new();
