Count the calls to an absent table on the timers' own time

Seen: verify_few_instances_ask_a_table_that_is_away sleeps 1.5 s by the wall clock and bounds the calls counted meanwhile. On a busy machine the sleep is longer than what it stands for.

Change: the instances of that file read a clock that goes with the runtime's timers, and this test pauses them: 1.5 s are 1.5 s of the instances' own pauses, whatever the machine does. The time slept and the bound (12 calls) are as before.

--- a/crates/anvilhook-gateway/tests/support/mod.rs
+++ b/crates/anvilhook-gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+pub mod clocks;
 pub mod fronts;
 pub mod tables;
 pub mod upstreams;
--- a/crates/anvilhook-gateway/tests/watches.rs
+++ b/crates/anvilhook-gateway/tests/watches.rs
@@ -7,15 +7,18 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use anvilhook_core::units::{Clock, Millis, SystemClock};
+use anvilhook_core::units::{Clock, Millis};
 use anvilhook_gateway::followers::{ConfigFollower, EntryFollower, follow};
 use anvilhook_gateway::peers::{FollowedTable, exchange};
+use anvilhook_gateway::relay::Gateway;
 use anvilhook_gateway::tables::{Rows, Table, TableError, Write, Written};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use support::fronts::{TestGateway, ample_budget, gateway};
+use support::clocks::TimerClock;
+use support::fronts::{ample_budget, gateway};
 use support::tables::{Fault, MemoryTable};
 use support::until;
+use support::wires::TestWire;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
@@ -60,8 +63,8 @@
 }
 
 struct Instance {
-    gateway: TestGateway,
-    clock: SystemClock,
+    gateway: Gateway<TestWire, TimerClock>,
+    clock: TimerClock,
     number: u64,
     way: Way,
     tasks: Vec<JoinHandle<()>>,
@@ -149,7 +152,7 @@
     others: impl Iterator<Item = SocketAddr>,
     table: &MemoryTable,
 ) -> Instance {
-    let clock = SystemClock::new();
+    let clock = TimerClock::new();
     let gateway = gateway(clock, None, Vec::new(), ample_budget());
     others.for_each(|other| gateway.peers().add(other));
     let way = Way { table: table.clone(), is_cut: Arc::default(), calls: Arc::default() };
@@ -257,7 +260,7 @@
 /// Symptom: an outage costs as many calls as there are instances, again and again.
 /// Sequence: the table is away for a while.
 /// Cause: one instance at a time tries whether it is back, and no sooner than one alone would.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn verify_few_instances_ask_a_table_that_is_away() {
     let zone = Zone::start().await;
 
