Give reasons in comments, without measured figures

Comments beside constants and rules told what was measured and on what, which the house rules keep out of the code.

--- a/crates/anvilhook-authority/src/breakers.rs
+++ b/crates/anvilhook-authority/src/breakers.rs
@@ -8,10 +8,10 @@
 /// `Breaker` lets a step of the keeper wait for a silent table once only.
 ///
 /// A holder that is cut off from the table waits for the time-out of each of its calls. A step that
-/// made all of them, one or two for each engine, took half a minute, in which the holder heeded no
-/// hint of its successor. One would see engines that ignore fencing go without an authority for that
-/// long. After the first call without an answer, the rest of the step is refused at once. A refused
-/// call was not sent, so the verdict of `Error::Unavailable` is true of it.
+/// made all of them, one or two for each engine, would heed no hint of the holder's successor in all
+/// that time. One would see engines that ignore fencing go without an authority for that long. After
+/// the first call without an answer, the rest of the step is refused at once. A refused call was not
+/// sent, so the verdict of `Error::Unavailable` is true of it.
 ///
 /// Clones share their state.
 #[derive(Clone, Debug)]
--- a/crates/anvilhook-core/src/caches/followers.rs
+++ b/crates/anvilhook-core/src/caches/followers.rs
@@ -6,8 +6,8 @@
 /// The events that may be missed at once without voiding what is believed of the engine.
 ///
 /// Any missed event may have been an eviction. But a wrong belief costs one prompt read in full, and
-/// is put right by the next event about its block, while voiding costs the belief in all others: in
-/// the bench, to void at every gap cost two fifths of the goodput.
+/// is put right by the next event about its block, while voiding costs the belief in all others, and
+/// prompts that are cached there would be read again elsewhere.
 const MOST_MISSED: u64 = 256;
 
 /// `CacheFollower` applies the pages of one engine's cache events to a prefix index.
--- a/crates/anvilhook-core/src/splits.rs
+++ b/crates/anvilhook-core/src/splits.rs
@@ -19,11 +19,11 @@
 const LEAST_TIME: Millis = Millis::from_secs(2);
 
 /// The most engines that change their roles at a time while there is work, as a share: each is away for
-/// seconds. When 38 of 140 changed at once, the rest were late for twelve seconds.
+/// seconds, and if many are away at once the rest answer late until they are back.
 const MOST_CHANGING: f64 = 0.1;
 
 /// By how much the share of readers must be off before it is changed, and by how many engines. What
-/// is less does not pay for the engines' time away; among nine engines one more or less is noise.
+/// is less does not pay for the engines' time away; among few engines one more or less is noise.
 const LEAST_CHANGE: f64 = 0.05;
 const LEAST_ENGINES: f64 = 4.0;
 
@@ -108,7 +108,7 @@
 /// Returns the share of readers to keep from now on, by the one that is kept so far, the mix, and how
 /// much of the engines is taken.
 ///
-/// `most` bounds it: readers beyond that were never of use, since what they read finds no place.
+/// `most` bounds it: more readers are of no use, since what they read finds no place at a generator.
 ///
 /// ```
 /// use anvilhook_core::splits::{Pressure, WorkMix, next_share};
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -70,8 +70,8 @@
 
 /// `RoleObservation` is the role that an engine has shown by its own answers.
 ///
-/// While the table is away the list goes on showing the role before a change. On a loaded day 1,605
-/// generations went to engines that refused them, most within four seconds, and spent the retry budget.
+/// While the table is away the list goes on showing the role before a change. Requests that are placed
+/// by it go to engines that refuse them, and spend the retry budget.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RoleObservation {
     /// The role.
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -203,8 +203,7 @@
     }
 
     /// Has the peers told at once if they are few. Among many, a datagram to each for the end of
-    /// each work fills the slowest links: of 68 instances those with 10 Mbit/s answered plain
-    /// requests a second late.
+    /// each work fills the slowest links, and the answers that instances send over them are late.
     pub(crate) fn announce_to_few(&self) {
         if self.are_few() {
             self.announce();
--- a/crates/anvilhook-gateway/src/peers/rows.rs
+++ b/crates/anvilhook-gateway/src/peers/rows.rs
@@ -16,8 +16,8 @@
 /// The most bytes of rows in one datagram; with its head it stays below what a link takes in one piece.
 const PIECE_BYTES: usize = 1_200;
 
-/// The most pieces of one span. What is larger is not told: to send it to each of forty instances
-/// would fill a link of 10 Mbit/s for a second, and each can read it from the table.
+/// The most pieces of one span. What is larger is not told: to send it to each of many instances
+/// would hold up the requests on a slow link, and each can read it from the table.
 const MAX_PIECES: usize = 32;
 
 /// `ToldRows` is a part of a table's history.
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -73,8 +73,8 @@
 }
 
 /// Keeps only the parts that more than one engine holds. The rest are nearly all prompts' own parts,
-/// of no use to other requests; told to each of many peers, 5,600 of them filled a link of 10 Mbit/s
-/// for seven seconds, and requests were sent on for callers that had left long before.
+/// of no use to other requests; told to each of many peers, they would fill a slow link for seconds,
+/// and requests that wait behind them would be sent on for callers that have left long before.
 fn keep_shared<E>(caches: &mut [(E, Vec<Part>)]) {
     let mut holders: HashMap<u64, usize> = HashMap::new();
     for part in caches.iter().flat_map(|(_, parts)| parts) {
--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -19,8 +19,8 @@
 /// they know who is there to follow the tables for them.
 const HEARTBEAT_TICKS: u32 = 10;
 
-/// To how many of more peers a digest without great news goes, each time to others. Twelve took 6 KB
-/// a second more, headers included, and had no gain that could be measured at 64 instances.
+/// To how many of more peers a digest without great news goes, each time to others. To tell more of
+/// them costs bytes at each tick, and places requests no better: small changes may be heard late.
 const FANOUT: usize = 5;
 
 /// By how much an engine's work must have changed to be great news, in milliseconds of reading.
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -1,9 +1,9 @@
 //! News between availability zones, which one instance of each tells.
 //!
 //! The load that this answers: hundreds of instances in several availability zones, where bytes between
-//! zones are dear. Where each told each, half of all bytes that crossed were such news: 0.141 GB on a
-//! loaded day of 195 instances, and 0.072 GB without them. So one instance of each zone gathers what
-//! the zone has to tell, and tells one instance of each other zone, which tells its own.
+//! zones are dear. If each told each, such news would be a large part of what crosses. So one instance
+//! of each zone gathers what the zone has to tell, and tells one instance of each other zone, which
+//! tells its own.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -31,8 +31,7 @@
 const DECODE_READING_FACTOR: f64 = 2.0;
 
 /// What a decode engine's reading costs beyond its time, as a factor and in milliseconds. All of
-/// its streams stand still meanwhile: four engines that also read prompts of 380 tokens served 300
-/// of them a second at half the goodput, where eight readers beside them served 600 in full.
+/// its streams stand still meanwhile, so that one that reads often makes many of them late.
 const DIRECT_FACTOR: f64 = 3.0;
 const DIRECT_MS: f64 = 600.0;
 
--- a/crates/anvilhook-gateway/src/roles/mod.rs
+++ b/crates/anvilhook-gateway/src/roles/mod.rs
@@ -34,8 +34,7 @@
 const SETTLING: Millis = Millis::from_secs(6);
 
 /// How long an engine that is to change its role may take to end what runs. It gets no work until it
-/// is listed with the new role: requests sent to it meanwhile are refused, and a change of one of
-/// four generators spent the retry budget of 150 requests.
+/// is listed with the new role: requests sent to it meanwhile are refused, and spend the retry budget.
 const LONGEST_ENDING: Millis = Millis::from_secs(8);
 
 /// How long before its order an engine gets no new work: until instances of all availability zones have
@@ -212,8 +211,8 @@
 
     /// Has all instances leave engines alone that are about to get an order, and waits until they do.
     ///
-    /// An engine that takes an order refuses all that has not begun there. Thirteen orders at once had
-    /// 473 prompts refused within a second, each of which spent the retry budget.
+    /// An engine that takes an order refuses all that has not begun there. Without a notice, prompts
+    /// that are on their way to it would be refused, and each would spend the retry budget.
     async fn give_notice(&self, due: &[Change]) {
         let until = self.clock.now() + NOTICE_TIME;
         for Change { upstream, role, .. } in due {
--- a/crates/anvilhook-standin/src/engines/options.rs
+++ b/crates/anvilhook-standin/src/engines/options.rs
@@ -66,7 +66,8 @@
     pub adapter_load: Millis,
     /// Where an order ends that a crash interrupts.
     pub interrupted_order: OrderOutcome,
-    /// Whether each token after the first is an event. The bench of the policy goes without.
+    /// Whether each token after the first is an event. Who counts whole answers only goes without,
+    /// and saves the time of taking them.
     pub token_events: bool,
 }
 
--- a/crates/anvilhook-standin/src/faults/servers.rs
+++ b/crates/anvilhook-standin/src/faults/servers.rs
@@ -31,7 +31,7 @@
     /// The address; port 0 has the kernel choose one.
     pub address: SocketAddr,
     /// Whether connections are held so that they can be made to fail, at one more file descriptor
-    /// for each. A bench of many connections goes without.
+    /// for each. What opens very many connections goes without.
     pub holds_connections: bool,
 }
 
