--- a/crates/anvilhook-core/tests/splits.rs
+++ b/crates/anvilhook-core/tests/splits.rs
@@ -58,7 +58,7 @@
 }
 
 /// Symptom: generators are full for as long as the mix asks for more of them.
-/// Sequence: prompts become half as long for the rest of the day.
+/// Sequence: prompts become half as long, and stay so.
 /// Cause: the split follows the work within the time that is remembered.
 #[test]
 fn verify_the_split_follows_a_mix_that_stays() {
@@ -68,8 +68,8 @@
     assert!((0.34..=0.46).contains(last), "{last}");
 }
 
-/// Symptom: on a day on which half of the engines are idle two in three change their roles, and the next
-/// burst of prompts finds too few readers.
+/// Symptom: while half of the engines are idle two in three change their roles, and the next burst of
+/// prompts finds too few readers.
 /// Sequence: outputs are all the work for a while, and find room; then prompts come.
 /// Cause: engines are made of a kind only where that kind has no room left.
 #[test]
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -98,7 +98,7 @@
     }
 }
 
-/// Symptom: an upstream that runs gets no work for the rest of the day.
+/// Symptom: an upstream that runs never gets work again.
 /// Sequence: it starts again under the id that it had; its reports begin anew at a low number, and
 /// reports of the start before arrive among them, in any order.
 /// Cause: the start comes before the number in the order of reports, and a later start neither
