Look up a service's mix and pressure once for each look at its split

The share of readers was worked out from the mix and the pressure that the caller had just read and recorded, and looked both up again under their locks. They are now handed on.

--- a/crates/anvilhook-gateway/src/roles/mod.rs
+++ b/crates/anvilhook-gateway/src/roles/mod.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::splits::{Pressure, next_share};
+use anvilhook_core::splits::{Pressure, WorkMix, next_share};
 use anvilhook_core::units::{Clock, Millis};
 use futures_util::future::join_all;
 
-use crate::configs::{Config, ServiceSpec};
+use crate::configs::Config;
 use crate::events::{Event, emit};
-use crate::fleets::{FleetView, Upstream};
+use crate::fleets::Upstream;
 use crate::loads::RoleChange;
 use crate::metrics::NameLabel;
 use crate::relay::Gateway;
@@ -150,7 +150,8 @@
             let changing = listed.iter().filter(is_changing).count();
             let mix = self.gateway.speeds().mix(&service.name);
             let left = mix.changes_left(listed.len(), changing);
-            let changes = self.changes_of(&view, service, left + self.settling.len()).into_iter();
+            let most = left + self.settling.len();
+            let changes = self.changes_of(&service.name, listed, &mix, most).into_iter();
             let unsettled =
                 changes.filter(|(upstream, _)| !self.settling.contains_key(&upstream.digest));
             let allowed = unsettled.take(left);
@@ -160,13 +161,14 @@
         due
     }
 
+    /// Returns the changes that bring a service's listed engines to the wanted split, `most` at most.
     fn changes_of(
         &mut self,
-        view: &FleetView,
-        service: &ServiceSpec,
+        service: &Arc<str>,
+        listed: &[Arc<Upstream>],
+        mix: &WorkMix,
         most: usize,
     ) -> Vec<(Arc<Upstream>, Role)> {
-        let listed = view.of_service(&service.name);
         let staying: Vec<_> = listed
             .iter()
             .filter(|upstream| !upstream.entry.draining && !upstream.state.is_gone())
@@ -175,9 +177,10 @@
         if staying.len() < 2 {
             return Vec::new();
         }
-        let pressure = self.pressures.entry(Arc::clone(&service.name)).or_default();
+        let pressure = self.pressures.entry(Arc::clone(service)).or_default();
         pressure.record(pressure_of(&staying, self.clock.now()));
-        let share = self.share_of(&service.name, staying.len());
+        let pressure = *pressure;
+        let share = self.share_of(service, mix, &pressure, staying.len());
         let wanted = (staying.len() as f64 * share).round() as usize;
         let wanted = wanted.clamp(1, staying.len() - 1);
         let of_role = |role| {
@@ -196,12 +199,16 @@
     }
 
     /// Returns the share of a service's engines that are to read, by the work of late.
-    fn share_of(&mut self, service: &Arc<str>, engines: usize) -> f64 {
+    fn share_of(
+        &mut self,
+        service: &Arc<str>,
+        mix: &WorkMix,
+        pressure: &Pressure,
+        engines: usize,
+    ) -> f64 {
         let most = self.options.prefill_share;
         let kept = self.shares.get(service).copied().unwrap_or(most);
-        let mix = self.gateway.speeds().mix(service);
-        let pressure = self.pressures.get(service).copied().unwrap_or_default();
-        let next = next_share(kept, most, &mix, &pressure, engines);
+        let next = next_share(kept, most, mix, pressure, engines);
         if next != kept {
             emit(&Event::SplitPlanned { service, share: next, before: kept });
             self.shares.insert(Arc::clone(service), next);
