Gather an engine's findings for a digest without a list

What this instance has found out of each upstream is gathered at every digest. An empty list took no memory; one with findings did, for each engine in a change, and its items were then copied to the digest's. They now go straight into the digest.

--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -151,8 +151,8 @@
         if work.in_flight > 0 && upstream.entry.role.is_some() {
             digest.loads.push(EngineLoad::of(engine, &work));
         }
-        let kinds = own_findings(upstream, now);
-        digest.notices.extend(kinds.into_iter().map(|kind| Notice { engine, kind }));
+        let findings = own_findings(upstream, now);
+        digest.notices.extend(findings.map(|kind| Notice { engine, kind }));
     }
     let told = |(service, work): (Arc<str>, EngineWork)| ToldWork {
         service: hash_of(&*service) as u32,
--- a/crates/anvilhook-gateway/src/peers/notices.rs
+++ b/crates/anvilhook-gateway/src/peers/notices.rs
@@ -75,32 +75,37 @@
 
 /// Returns what this instance itself has found out of an upstream. What it has from others is not told
 /// on: each telling adds the time on the way, and slow instances would hold an engine away for ever.
-pub(super) fn own_findings(upstream: &Upstream, now: Millis) -> Vec<NoticeKind> {
+pub(super) fn own_findings(upstream: &Upstream, now: Millis) -> impl Iterator<Item = NoticeKind> {
     let state = &upstream.state;
-    let left_ms = |until: Millis| (until - now).0 as u32;
-    let mut kinds = Vec::new();
-    if state.own_away_until() > now {
-        kinds.push(NoticeKind::Away { left_ms: left_ms(state.own_away_until()) });
-    }
-    if state.own_closed_until() > now {
-        kinds.push(NoticeKind::Closed { left_ms: left_ms(state.own_closed_until()) });
-    }
-    if state.is_gone_by_own() {
-        kinds.push(NoticeKind::Gone);
-    }
-    if state.has_erred_of_late(now) {
-        kinds.push(NoticeKind::Error);
-    }
-    let observed = state.observed_role(upstream.entry.sequence);
-    let observed = observed.filter(|one| one.is_own && Some(one.role) != upstream.entry.role);
-    if let Some(RoleObservation { role, sequence, .. }) = observed {
-        kinds.push(NoticeKind::HasRole { role, sequence });
-    }
-    let change = state.role_change(now, upstream.role()).filter(|change| change.is_own);
-    if let Some(RoleChange { role, until, .. }) = change {
-        kinds.push(NoticeKind::Changing { role, left_ms: left_ms(until) });
-    }
-    kinds
+    let left_ms = |until: Millis| (until > now).then(|| ms_until(until, now));
+    let findings = [
+        left_ms(state.own_away_until()).map(|left_ms| NoticeKind::Away { left_ms }),
+        left_ms(state.own_closed_until()).map(|left_ms| NoticeKind::Closed { left_ms }),
+        state.is_gone_by_own().then_some(NoticeKind::Gone),
+        state.has_erred_of_late(now).then_some(NoticeKind::Error),
+        own_observed_role(upstream),
+        own_role_change(upstream, now),
+    ];
+    findings.into_iter().flatten()
+}
+
+/// Returns the role that an upstream has shown to this instance, if the list shows another one.
+fn own_observed_role(upstream: &Upstream) -> Option<NoticeKind> {
+    let observed = upstream.state.observed_role(upstream.entry.sequence)?;
+    let is_news = observed.is_own && Some(observed.role) != upstream.entry.role;
+    let RoleObservation { role, sequence, .. } = observed;
+    is_news.then_some(NoticeKind::HasRole { role, sequence })
+}
+
+/// Returns the change of role that this instance has ordered and that is not over.
+fn own_role_change(upstream: &Upstream, now: Millis) -> Option<NoticeKind> {
+    let change = upstream.state.role_change(now, upstream.role())?;
+    let RoleChange { role, until, is_own } = change;
+    is_own.then(|| NoticeKind::Changing { role, left_ms: ms_until(until, now) })
+}
+
+fn ms_until(until: Millis, now: Millis) -> u32 {
+    (until - now).0 as u32
 }
 
 /// Takes in what a peer has found out.
