Say what a partial digest tells, and take the number of watches from the tables

The doc of is_partial spoke of caches only; rows, asks and introductions are partial too, and it now says what goes wrong without the mark. The length of watches follows FollowedTable::ALL. Tests of peers, zones and decisions passed.

--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -105,7 +105,8 @@
     pub loads: Vec<EngineLoad>,
     /// What engines have read since the last digest.
     pub cached: Vec<CachedPrompt>,
-    /// Whether it tells of caches only, and nothing of loads.
+    /// Whether it tells nothing of loads, but only of caches, rows, what is asked for, or who the sender
+    /// is. Taken for a whole one, it would clear the loads that the sender told before.
     pub is_partial: bool,
     /// Whose loads it tells.
     pub scope: Scope,
@@ -116,7 +117,7 @@
     /// The short form of the sender's availability zone.
     pub zone: u32,
     /// The sender's watch over each of [`FollowedTable::ALL`].
-    pub watches: [ToldWatch; 2],
+    pub watches: [ToldWatch; FollowedTable::ALL.len()],
     /// A part of changed rows of such a table.
     pub rows: Option<RowsPiece>,
     /// A table of which the sender asks for what has changed since a version.
