Give the search for an upstream a module of its own

tables.rs held the route table and the search that looks at its places for one request. The search is searches.rs now, and knows the prefix's holders itself instead of having them handed through six functions.

--- a/crates/anvilhook-core/src/routing/mod.rs
+++ b/crates/anvilhook-core/src/routing/mod.rs
@@ -8,6 +8,7 @@
 mod lanes;
 mod loads;
 mod readings;
+mod searches;
 mod tables;
 mod upstreams;
 
--- a/crates/anvilhook-core/src/routing/tables.rs
+++ b/crates/anvilhook-core/src/routing/tables.rs
@@ -1,29 +1,18 @@
-//! The route table: which upstreams may answer, and which of them should.
+//! The route table: which upstreams may answer, and on how many of them a request should run.
 
-use std::ops::Range;
 use std::sync::Arc;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
-use super::costs::{CostOptions, Estimate, Phase, estimate};
-use super::lanes::{Lanes, home};
+use super::costs::{CostOptions, Estimate, Phase};
+use super::lanes::Lanes;
+use super::searches::Search;
 use super::upstreams::{UpstreamState, Work};
-use crate::caches::{CacheSlot, Holders, PrefixIndex};
+use crate::caches::{Holders, PrefixIndex};
 use crate::names::UpstreamName;
-use crate::reports::{PREFIX_BLOCK_TOKENS, PrefixHash};
+use crate::reports::PrefixHash;
 use crate::units::{Millis, Tokens};
 
-/// How many upstreams are looked at for each one that is to be sampled. An upstream that takes no
-/// work, or not this phase, uses up a look.
-const LOOKS_PER_SAMPLE: usize = 4;
-
-/// The time that one open request takes at an upstream that publishes no load.
-const ASSUMED_REQUEST_MS: f64 = 5.0;
-
-/// The block that stands for the prefix which a prompt shares with others. The first ones are often
-/// the same for all requests of a service; a prompt that ends before it has little to save.
-const HOME_BLOCK: usize = 4;
-
 /// No place in the table.
 const NOWHERE: u32 = u32::MAX;
 
@@ -89,12 +78,12 @@
 /// `RouteTable` is the immutable set of upstreams that can answer a service.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
-    upstreams: Arc<[Arc<UpstreamState>]>,
-    options: CostOptions,
+    pub(super) upstreams: Arc<[Arc<UpstreamState>]>,
+    pub(super) options: CostOptions,
     prefixes: Option<Arc<PrefixIndex>>,
     // The place of each upstream by its slot of the prefix index.
-    by_slot: Arc<[u32]>,
-    lanes: Arc<Lanes>,
+    pub(super) by_slot: Arc<[u32]>,
+    pub(super) lanes: Arc<Lanes>,
 }
 
 impl RouteTable {
@@ -182,9 +171,9 @@
         now: Millis,
         rng: &mut impl Rng,
     ) -> Option<Candidate<'_>> {
-        let search = Search { table: self, phase, req, tried, now };
         let holders = self.holders(phase, req);
-        let best = search.run(&holders, rng);
+        let search = Search { table: self, phase, req, tried, now, holders };
+        let best = search.run(rng);
         if let Some(best) = &best {
             best.upstream.note_chosen(now);
         }
@@ -239,166 +228,3 @@
         Some(prefixes.holders(req.prefix))
     }
 }
-
-/// `Search` is one choice under way.
-struct Search<'a, 'r> {
-    table: &'a RouteTable,
-    phase: Phase,
-    req: &'r RouteRequest<'r>,
-    tried: &'r [UpstreamName],
-    now: Millis,
-}
-
-/// The cheapest candidate so far, with its cost.
-type Best<'a> = Option<(f64, Candidate<'a>)>;
-
-impl<'a> Search<'a, '_> {
-    fn run(&self, holders: &Option<Holders>, rng: &mut impl Rng) -> Option<Candidate<'a>> {
-        let count = self.table.upstreams.len();
-        let lane = match self.phase {
-            Phase::Whole => self.table.lanes.range(self.req.work.tight, count),
-            Phase::Prefill | Phase::Decode => 0..count,
-        };
-        let mut best = None;
-        let at_home = self.add_homes(&mut best, &lane, holders, rng);
-        self.add_holders(&mut best, &lane, holders, rng);
-        if !at_home {
-            self.add_sample(&mut best, lane, holders, rng);
-        }
-        // Where hardly any upstream fits, a sample may miss them all; and if all are ejected, one
-        // that may fail is better than none.
-        best.or_else(|| self.first_that_fits(holders, rng)).map(|(_, candidate)| candidate)
-    }
-
-    fn add_sample(
-        &self,
-        best: &mut Best<'a>,
-        lane: Range<usize>,
-        holders: &Option<Holders>,
-        rng: &mut impl Rng,
-    ) {
-        let count = lane.len();
-        if count == 0 {
-            return;
-        }
-        let sampled = self.table.options.sampled.max(1);
-        let mut left = sampled;
-        // A run through the lane from a random place, in strides of a random length, looks at
-        // different upstreams each time, so that instances with the same reports don't herd.
-        let mut place = rng.random_range(0..count);
-        let stride = if sampled < count { rng.random_range(1..count) } else { 1 };
-        for _ in 0..(sampled * LOOKS_PER_SAMPLE).min(count) {
-            if self.try_place(best, lane.start + place, 0.0, holders, rng) {
-                left -= 1;
-                if left == 0 {
-                    return;
-                }
-            }
-            place = (place + stride) % count;
-        }
-    }
-
-    /// Considers the places at which the prompt's prefix is at home. Returns whether there are any.
-    ///
-    /// All instances send one prefix to the same few engines, before any of them is known to hold
-    /// it. Spread over more, each prefix would push others out of the caches, and every engine
-    /// would read all of them again and again.
-    fn add_homes(
-        &self,
-        best: &mut Best<'a>,
-        lane: &Range<usize>,
-        holders: &Option<Holders>,
-        rng: &mut impl Rng,
-    ) -> bool {
-        let Some(block) = self.req.prefix.get(HOME_BLOCK).filter(|_| holders.is_some()) else {
-            return false;
-        };
-        let mut any = false;
-        for turn in 0..self.table.options.homes {
-            let place = lane.start + home(*block, turn, lane.len());
-            // A further home is for when the first has too much to do.
-            let extra = if any { self.table.options.further_home_ms } else { 0.0 };
-            any |= self.try_place(best, place, extra, holders, rng);
-        }
-        any
-    }
-
-    fn add_holders(
-        &self,
-        best: &mut Best<'a>,
-        lane: &Range<usize>,
-        holders: &Option<Holders>,
-        rng: &mut impl Rng,
-    ) {
-        let Some(known) = holders else { return };
-        for holder in known.as_slice() {
-            let place = self.table.by_slot.get(usize::from(holder.slot.0));
-            let place = place.map(|place| *place as usize);
-            if let Some(place) = place.filter(|place| lane.contains(place)) {
-                self.try_place(best, place, 0.0, holders, rng);
-            }
-        }
-    }
-
-    /// Considers a place if its upstream fits. Returns whether it does.
-    fn try_place(
-        &self,
-        best: &mut Best<'a>,
-        place: usize,
-        extra_ms: f64,
-        holders: &Option<Holders>,
-        rng: &mut impl Rng,
-    ) -> bool {
-        let Some(upstream) = self.table.upstreams.get(place) else { return false };
-        let fits = self.fits(upstream) && self.is_well(upstream, rng);
-        if fits {
-            self.consider(best, upstream, extra_ms, holders);
-        }
-        fits
-    }
-
-    fn first_that_fits(&self, holders: &Option<Holders>, rng: &mut impl Rng) -> Best<'a> {
-        let upstreams = &self.table.upstreams;
-        let start = rng.random_range(0..upstreams.len().max(1));
-        let (later, earlier) = (upstreams.get(start..)?.iter(), upstreams[..start].iter());
-        let upstream = later.chain(earlier).find(|upstream| self.fits(upstream))?;
-        let mut best = None;
-        self.consider(&mut best, upstream, 0.0, holders);
-        best
-    }
-
-    fn consider(
-        &self,
-        best: &mut Best<'a>,
-        upstream: &'a Arc<UpstreamState>,
-        extra_ms: f64,
-        holders: &Option<Holders>,
-    ) {
-        let slot = upstream.cache_slot();
-        let held = |slot: CacheSlot| holders.as_ref().map_or(0, |holders| holders.blocks_of(slot));
-        let cached = u64::from(slot.map_or(0, held)) * PREFIX_BLOCK_TOKENS;
-        let uncached = self.req.work.prompt - Tokens(cached);
-        let load = upstream.load(self.now);
-        let options = &self.table.options;
-        let mut estimate = estimate(options, &load, self.phase, self.req.work, uncached.0 as f64);
-        // Of an upstream that publishes no report only this instance's own requests are known.
-        if !upstream.has_report() {
-            estimate.wait_ms += upstream.open_requests() as f64 * ASSUMED_REQUEST_MS;
-        }
-        let cost = estimate.cost(options, self.req.deadline - self.now) + extra_ms;
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            *best = Some((cost, Candidate { upstream, estimate, uncached }));
-        }
-    }
-
-    fn fits(&self, upstream: &UpstreamState) -> bool {
-        upstream.takes_work()
-            && self.phase.fits(upstream.role())
-            && !self.tried.contains(upstream.name())
-    }
-
-    fn is_well(&self, upstream: &UpstreamState, rng: &mut impl Rng) -> bool {
-        let share = upstream.ejection().share(self.now);
-        share >= 1.0 || (share > 0.0 && rng.random_bool(share))
-    }
-}
