Start an instance's fronts and tasks in modules of their own

Tasks and fronts have a module each, and each task's parts a short function. The streams of the generator stay together, so that no two parts draw from one. The order of starting is the same; tests of anvilhook-daemon, anvilhook-bench and anvilhook-ctl passed.

--- /dev/null
+++ b/crates/anvilhook-daemon/src/instances/starts/fronts.rs
@@ -0,0 +1,68 @@
+//! Starting the fronts of an instance, for callers and for operators.
+
+use std::sync::Arc;
+
+use anvilhook_authority::POOL_PREFIX;
+use anvilhook_core::units::Clock;
+use anvilhook_http::{Phase, serve};
+use anvilhook_platform::HttpPlatform;
+use anvilhook_store::{ArchiveOptions, AuditArchive};
+use tokio::net::TcpListener;
+use volo_http::server::route::Router;
+
+use super::{ARCHIVE_STREAM, OPERATOR_STREAM, Wiring};
+use crate::instances::archives::keep_archiving;
+use crate::instances::tasks::Tasks;
+use crate::observability::probe_router;
+use crate::operators::{
+    self, LeaseRows, OperatorApi, OperatorOptions, OperatorParts, system_wall_time,
+};
+
+type HttpArchive = AuditArchive<HttpPlatform, HttpPlatform>;
+
+impl<C: Clock> Wiring<C> {
+    pub(super) fn spawn_front(
+        &self,
+        tasks: &mut Tasks,
+        name: &'static str,
+        listener: TcpListener,
+        router: Router,
+    ) {
+        let shutdown = self.shutdown.clone();
+        tasks.spawn(name, async move {
+            if let Err(err) = serve(listener, router, shutdown).await {
+                log::error!("the front for {name} failed: {err}");
+            }
+        });
+    }
+
+    /// Starts the operators' front, with the archive of the audit trail that it reads.
+    pub(super) fn spawn_operators(&mut self, tasks: &mut Tasks, listener: TcpListener) {
+        let registry = Arc::new(std::mem::take(&mut self.registry));
+        let probes = probe_router(registry, self.readiness.clone());
+        let archive = self.archive();
+        let keeping = keep_archiving(archive.clone(), self.stream(ARCHIVE_STREAM));
+        tasks.spawn_until("audit archive", Phase::Draining, keeping);
+        let router = probes.merge(self.operator_router(archive));
+        self.spawn_front(tasks, "operators", listener, router);
+    }
+
+    fn archive(&self) -> HttpArchive {
+        let store = self.follower.store().clone();
+        AuditArchive::new(store, self.clients.platform.clone(), ArchiveOptions::default())
+    }
+
+    fn operator_router(&self, archive: HttpArchive) -> Router {
+        let api = OperatorApi::new(OperatorParts {
+            follower: self.follower.clone(),
+            archive,
+            leases: LeaseRows::new(self.clients.platform.clone(), POOL_PREFIX),
+            credentials: self.credentials.clone(),
+            shutdown: self.shutdown.clone(),
+            rng: self.stream(OPERATOR_STREAM),
+            wall_clock: system_wall_time,
+            options: OperatorOptions::default(),
+        });
+        operators::router(api)
+    }
+}
