Call what brings a pool's engines to the declared state a reconciler

Desk was a metaphor; reconcile is the field's term for bringing the actual state towards the declared one.

--- a/crates/anvilhook-authority/src/engines.rs
+++ b/crates/anvilhook-authority/src/engines.rs
@@ -81,8 +81,8 @@
     }
 }
 
-/// `Desk` is what one step over the engines of a pool works with.
-pub(crate) struct Desk<'a, T, E, L, C> {
+/// `Reconciler` brings the engines of a pool towards what is declared of them, in one step.
+pub(crate) struct Reconciler<'a, T, E, L, C> {
     pub services: &'a Services<T, E, L, C>,
     pub options: &'a KeeperOptions,
     pub session: &'a mut SessionHolder,
@@ -95,9 +95,9 @@
     pub awaited: &'a mut BTreeSet<PoolName>,
 }
 
-impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Desk<'_, T, E, L, C> {
+impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Reconciler<'_, T, E, L, C> {
     /// Takes all engines of a pool as far as they go now.
-    pub async fn work(&mut self, pool: &mut HeldPool, plan: &PoolPlan) {
+    pub async fn reconcile(&mut self, pool: &mut HeldPool, plan: &PoolPlan) {
         if !self.slots.has_room(self.options.max_loads) {
             // Whatever comes of it, a load is recorded only if the row stands as it was seen.
             if let Err(err) = self.slots.refresh(&self.services.table).await {
@@ -109,7 +109,7 @@
         for engine in plan.engines.iter().chain(&left) {
             // Renewals come first: a few slow engines must not cost the lease of all others.
             self.keep_session().await;
-            let found = self.work_engine(pool, plan, engine).await;
+            let found = self.reconcile_engine(pool, plan, engine).await;
             if plan.engine(&engine.name).is_some() {
                 if let Some(found) = found {
                     self.book.engine(&engine.name, kinds::SETTLED, found);
@@ -159,7 +159,7 @@
 
     /// Takes one engine as far as it goes now, and returns what it waits for, if there is anything
     /// new to say.
-    async fn work_engine(
+    async fn reconcile_engine(
         &mut self,
         pool: &mut HeldPool,
         plan: &PoolPlan,
--- a/crates/anvilhook-authority/src/engines/claims.rs
+++ b/crates/anvilhook-authority/src/engines/claims.rs
@@ -10,7 +10,7 @@
 use anvilhook_engine::EngineControl;
 use anvilhook_platform::{InstanceList, Result, Table};
 
-use super::{Desk, StateRead};
+use super::{Reconciler, StateRead};
 use crate::observations::{Finding, reasons};
 use crate::owners::{OwnerChange, OwnerView};
 use crate::plans::{EnginePlan, PoolPlan};
@@ -29,7 +29,7 @@
     Refused(Finding),
 }
 
-impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Desk<'_, T, E, L, C> {
+impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Reconciler<'_, T, E, L, C> {
     /// Finds out whether the pool may order an engine, if it wants to.
     pub(super) async fn claim(
         &mut self,
--- a/crates/anvilhook-authority/src/keepers/pools.rs
+++ b/crates/anvilhook-authority/src/keepers/pools.rs
@@ -6,7 +6,7 @@
 use anvilhook_platform::{InstanceList, Result, Table};
 
 use super::Keeper;
-use crate::engines::Desk;
+use crate::engines::Reconciler;
 use crate::observations::{Finding, kinds, list, reasons};
 use crate::orphans::orphans;
 use crate::plans::PoolPlan;
@@ -55,7 +55,7 @@
             let found = Finding::new(false, reasons::TABLE_UNAVAILABLE, message);
             self.book.pool(&pool.name, kinds::AUTHORITY, found);
         } else if !pool.is_lost() && !pool.is_stale() {
-            let mut desk = Desk {
+            let mut reconciler = Reconciler {
                 services: &self.services,
                 options: &self.options,
                 session: &mut self.session,
@@ -65,7 +65,7 @@
                 declared: &self.declared,
                 awaited: &mut self.awaited,
             };
-            desk.work(&mut pool, plan).await;
+            reconciler.reconcile(&mut pool, plan).await;
             if let Err(err) = self.work_plans(&mut pool, plan).await {
                 log::warn!("pool {}: the drain plans cannot go on: {err}", pool.name);
             }
