Renew the session amid other work in one place

The keeper and the reconciler each logged a failed renewal by themselves. SessionHolder::renew does it for both, and says why a failure is only logged. Tests of anvilhook-authority and anvilhook-daemon passed.

--- a/crates/anvilhook-authority/src/engines.rs
+++ b/crates/anvilhook-authority/src/engines.rs
@@ -124,9 +124,7 @@
 
     async fn keep_session(&mut self) {
         let Services { table, clock, .. } = self.services;
-        if let Err(err) = self.session.keep(table, clock, &self.options.lease).await {
-            log::warn!("the session cannot be renewed: {err}");
-        }
+        self.session.renew(table, clock, &self.options.lease).await;
     }
 
     /// Reads the states that are due, all at once.
--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -193,8 +193,6 @@
 
     async fn keep_session(&mut self) {
         let Services { table, clock, .. } = &self.services;
-        if let Err(err) = self.session.keep(table, clock, &self.options.lease).await {
-            log::warn!("the session cannot be renewed: {err}");
-        }
+        self.session.renew(table, clock, &self.options.lease).await;
     }
 }
--- a/crates/anvilhook-authority/src/sessions.rs
+++ b/crates/anvilhook-authority/src/sessions.rs
@@ -31,6 +31,14 @@
         own.is_some_and(|own| own.may_order(now, options))
     }
 
+    /// Renews the session if that is due, amid other work. A failure is logged only: the next renewal
+    /// tries again, and once the session has run out `may_order` allows no order.
+    pub async fn renew(&mut self, table: &impl Table, clock: &impl Clock, options: &LeaseOptions) {
+        if let Err(err) = self.keep(table, clock, options).await {
+            log::warn!("the session cannot be renewed: {err}");
+        }
+    }
+
     /// Opens or renews the session if that is due. If it turns out to have ended, it is dropped,
     /// and with it whatever was held by it.
     pub async fn keep(
