Call the planners of all held pools RolePlanners

Desk was a metaphor; each pool has a RolePlanner, and RolePlanners holds those of all. The test file follows the name; its tests are the same.

--- a/crates/anvilhook-daemon/src/instances/authorities.rs
+++ b/crates/anvilhook-daemon/src/instances/authorities.rs
@@ -21,7 +21,7 @@
 use super::hints::peer_hints;
 use super::marks::{MarkSource, Marks, mark_pause};
 use super::plans::{engines_of, plain_upstreams, planned_pools, pool_plans};
-use super::roles::{PoolDeclaration, RoleDesk, SeenEngine};
+use super::roles::{PoolDeclaration, RolePlanners, SeenEngine};
 use super::tasks::rest;
 use crate::front::Front;
 use crate::operators::system_wall_time;
@@ -134,7 +134,7 @@
     pub clock: C,
     pub front: Front<C, U, K>,
     pub instances: watch::Sender<usize>,
-    pub desk: RoleDesk,
+    pub planners: RolePlanners,
     pub keeper: Keeper<T, E, L, C>,
     pub follower: ConfigurationFollower<T>,
     pub statuses: StatusStore<T>,
@@ -160,7 +160,7 @@
         while self.shutdown.phase() == Phase::Serving {
             let configuration = self.follower.current();
             self.plan_roles(&configuration).await;
-            let plans = pool_plans(&configuration, &self.desk);
+            let plans = pool_plans(&configuration, &self.planners);
             self.keeper.note_upstreams(plain_upstreams(&configuration));
             self.keeper.note_instances(self.peers.borrow_and_update().iter().cloned());
             self.keeper.step(&plans, &peer_hints(&self.link), system_wall_time()).await;
@@ -184,15 +184,15 @@
         let held: BTreeSet<PoolName> = self.keeper.held().map(|(pool, _)| pool.clone()).collect();
         let planned = planned_pools(cfg).into_iter().filter(|(pool, _)| held.contains(pool));
         let planned: Vec<(PoolName, PoolDeclaration)> = planned.collect();
-        self.desk.keep_only(&planned.iter().map(|(pool, _)| pool.clone()).collect());
+        self.planners.keep_only(&planned.iter().map(|(pool, _)| pool.clone()).collect());
         let now = self.clock.now();
         for (pool, declared) in planned {
-            if !self.desk.is_due(&pool, now) {
+            if !self.planners.is_due(&pool, now) {
                 continue;
             }
             let engines = self.seen_engines(cfg, &pool, now);
             let seen = self.seen_work(&pool, now);
-            if let Some(message) = self.desk.plan(&pool, &declared, &engines, &seen, now) {
+            if let Some(message) = self.planners.plan(&pool, &declared, &engines, &seen, now) {
                 self.report_roles(&pool, message).await;
             }
         }
@@ -216,7 +216,7 @@
     /// Returns the work of a pool since its last plan. The balancer spreads callers evenly over the
     /// instances, so this one's own share stands for all.
     fn seen_work(&self, pool: &PoolName, now: Millis) -> WorkSeen {
-        let span = self.desk.span(pool, now).unwrap_or_default();
+        let span = self.planners.span(pool, now).unwrap_or_default();
         let state = self.front.state();
         let of_pool = state.services().values().filter(|service| match &service.spec.backend {
             ServiceBackend::Model { pool: other, .. } => other == pool,
--- a/crates/anvilhook-daemon/src/instances/mod.rs
+++ b/crates/anvilhook-daemon/src/instances/mod.rs
@@ -27,7 +27,7 @@
 pub use hints::peer_hints;
 pub use load_counts::LoadSources;
 pub use marks::{MarkSource, Marks, mark_pause};
-pub use roles::{PoolDeclaration, RoleDesk, SeenEngine};
+pub use roles::{PoolDeclaration, RolePlanners, SeenEngine};
 pub use signals::StopSignals;
 pub use starts::{Instance, Parts};
 pub use tasks::Tasks;
--- a/crates/anvilhook-daemon/src/instances/plans.rs
+++ b/crates/anvilhook-daemon/src/instances/plans.rs
@@ -8,11 +8,13 @@
 };
 use anvilhook_core::roles::RoleBounds;
 
-use super::roles::{PoolDeclaration, RoleDesk};
+use super::roles::{PoolDeclaration, RolePlanners};
 
 /// Returns what is wanted of each declared pool.
-pub(super) fn pool_plans(cfg: &Configuration, desk: &RoleDesk) -> Vec<PoolPlan> {
-    cfg.of_kind(Kind::EnginePool).filter_map(|resource| pool_plan(cfg, desk, resource)).collect()
+pub(super) fn pool_plans(cfg: &Configuration, planners: &RolePlanners) -> Vec<PoolPlan> {
+    cfg.of_kind(Kind::EnginePool)
+        .filter_map(|resource| pool_plan(cfg, planners, resource))
+        .collect()
 }
 
 /// Returns the names of all upstreams of plain services, which the platform lists beside instances.
@@ -27,12 +29,16 @@
     names
 }
 
-fn pool_plan(cfg: &Configuration, desk: &RoleDesk, resource: &Resource) -> Option<PoolPlan> {
+fn pool_plan(
+    cfg: &Configuration,
+    planners: &RolePlanners,
+    resource: &Resource,
+) -> Option<PoolPlan> {
     let Spec::EnginePool(spec) = &resource.spec else { return None };
     let pool = PoolName::try_new(resource.name.as_str()).ok()?;
     let engines = cfg.of_kind(Kind::Engine);
     let engines: Vec<EnginePlan> =
-        engines.filter_map(|engine| engine_plan(&pool, spec, desk, engine)).collect();
+        engines.filter_map(|engine| engine_plan(&pool, spec, planners, engine)).collect();
     let drains = cfg.of_kind(Kind::DrainPlan).filter_map(|plan| declared_drain(&pool, plan));
     Some(PoolPlan {
         min_serving: spec.min_serving,
@@ -53,7 +59,7 @@
 fn engine_plan(
     pool: &PoolName,
     spec: &EnginePoolSpec,
-    desk: &RoleDesk,
+    planners: &RolePlanners,
     resource: &Resource,
 ) -> Option<EnginePlan> {
     let Spec::Engine(engine) = &resource.spec else { return None };
@@ -63,7 +69,7 @@
     let name = UpstreamName::try_new(resource.name.as_str()).ok()?;
     // Where the planner decides, the declared role is only the one to start with.
     let role = match spec.roles.automatic {
-        true => desk.wanted(pool, &name),
+        true => planners.wanted(pool, &name),
         false => Some(engine.role),
     };
     Some(EnginePlan {
--- a/crates/anvilhook-daemon/src/instances/roles.rs
+++ b/crates/anvilhook-daemon/src/instances/roles.rs
@@ -54,15 +54,15 @@
     told: Option<(Millis, RoleCounts, RoleCounts)>,
 }
 
-/// `RoleDesk` plans the roles of all pools that this instance holds.
+/// `RolePlanners` plan the roles of all pools that this instance holds.
 #[derive(Debug, Default)]
-pub struct RoleDesk {
+pub struct RolePlanners {
     settings: RoleSettings,
     pools: BTreeMap<PoolName, PoolRoles>,
 }
 
-impl RoleDesk {
-    /// Makes a desk without a plan.
+impl RolePlanners {
+    /// Makes planners without a plan.
     pub fn new(settings: RoleSettings) -> Self {
         Self { settings, pools: BTreeMap::new() }
     }
--- a/crates/anvilhook-daemon/src/instances/starts/spawns.rs
+++ b/crates/anvilhook-daemon/src/instances/starts/spawns.rs
@@ -16,7 +16,7 @@
 use crate::instances::loads::LoadTask;
 use crate::instances::peers::{Presence, membership_options};
 use crate::instances::pollers::Pollers;
-use crate::instances::roles::RoleDesk;
+use crate::instances::roles::RolePlanners;
 use crate::instances::shares::ShareTask;
 use crate::instances::sweeps::sweep_claims;
 use crate::instances::tasks::Tasks;
@@ -151,7 +151,7 @@
             clock: self.clock.clone(),
             front: self.front.clone(),
             instances: self.instances.clone(),
-            desk: RoleDesk::new(self.settings.roles),
+            planners: RolePlanners::new(self.settings.roles),
             keeper: Keeper::new(self.name.clone(), services, options),
             follower: self.follower.clone(),
             statuses: StatusStore::new(table),
--- a/crates/anvilhook-daemon/tests/role_planners.rs
+++ b/crates/anvilhook-daemon/tests/role_planners.rs
@@ -1,5 +1,5 @@
 //! Roles follow a mix that lasts, within what is declared, and a new holder starts from the roles
-//! that the engines have. Planner, desk and the stand-in's state machines run on a manual clock.
+//! that the engines have. Planners and the stand-in's state machines run on a manual clock.
 
 use std::collections::BTreeSet;
 
@@ -9,7 +9,7 @@
 use anvilhook_core::roles::{Flow, RoleBounds, RoleCounts, WorkSeen};
 use anvilhook_core::routing::Speeds;
 use anvilhook_core::units::Millis;
-use anvilhook_daemon::instances::{PoolDeclaration, RoleDesk, SeenEngine};
+use anvilhook_daemon::instances::{PoolDeclaration, RolePlanners, SeenEngine};
 use anvilhook_daemon::settings::RoleSettings;
 use anvilhook_standin::engines::{EngineModel, EngineOptions};
 
@@ -40,8 +40,8 @@
     PoolDeclaration { policy, bounds }
 }
 
-fn new_desk() -> RoleDesk {
-    RoleDesk::new(RoleSettings {
+fn new_planners() -> RolePlanners {
+    RolePlanners::new(RoleSettings {
         plan_every_ms: STEP,
         change_ms: Millis::from_secs(4),
         horizon_ms: Millis::from_secs(60),
@@ -52,7 +52,7 @@
 /// `World` is a pool with its holder.
 struct World {
     pool: PoolName,
-    desk: RoleDesk,
+    planners: RolePlanners,
     engines: Vec<(UpstreamName, EngineModel)>,
     /// Since when an engine drains for its change.
     draining: Vec<Option<Millis>>,
@@ -70,7 +70,7 @@
         };
         Self {
             pool: "runners".parse().expect("a name"),
-            desk: new_desk(),
+            planners: new_planners(),
             engines: (0..ENGINES).map(engine).collect(),
             draining: vec![None; ENGINES],
             now: Millis::ZERO,
@@ -85,7 +85,7 @@
         while self.now < until {
             self.now += STEP;
             let engines = self.seen();
-            self.desk.plan(&self.pool, declared, &engines, seen, self.now);
+            self.planners.plan(&self.pool, declared, &engines, seen, self.now);
             let changing = (0..ENGINES).filter(|index| self.work(*index)).count();
             self.most_changing = self.most_changing.max(changing);
         }
@@ -95,7 +95,7 @@
     fn work(&mut self, index: usize) -> bool {
         let (name, engine) = &mut self.engines[index];
         let state = engine.state(self.now).expect("an engine that is up");
-        let Some(role) = self.desk.wanted(&self.pool, name).filter(|role| *role != state.role)
+        let Some(role) = self.planners.wanted(&self.pool, name).filter(|role| *role != state.role)
         else {
             self.draining[index] = None;
             return false;
@@ -176,9 +176,9 @@
     let (roles, orders) = (world.roles(), world.orders());
 
     for _ in 0..4 {
-        world.desk.keep_only(&BTreeSet::new());
+        world.planners.keep_only(&BTreeSet::new());
         world.run(&declared, &quick(), DWELL - STEP);
-        world.desk.keep_only(&BTreeSet::new());
+        world.planners.keep_only(&BTreeSet::new());
         world.run(&declared, &tight(), DWELL - STEP);
     }
 
