--- a/crates/anvilhook-authority/src/breakers.rs
+++ b/crates/anvilhook-authority/src/circuit_breakers.rs
@@ -5,7 +5,7 @@
 
 use anvilhook_platform::{Commit, Error, Result, Row, RowKey, Table, Transaction};
 
-/// `Breaker` lets a step of the keeper wait for a silent table once only.
+/// `CircuitBreaker` lets a step of the keeper wait for a silent table once only.
 ///
 /// A holder that is cut off from the table waits for the time-out of each of its calls. A step that
 /// made all of them, one or two for each engine, would heed no hint of the holder's successor in all
@@ -15,12 +15,12 @@
 ///
 /// Clones share their state.
 #[derive(Clone, Debug)]
-pub(crate) struct Breaker<T> {
+pub(crate) struct CircuitBreaker<T> {
     table: T,
     is_open: Arc<AtomicBool>,
 }
 
-impl<T: Table> Breaker<T> {
+impl<T: Table> CircuitBreaker<T> {
     /// Makes a closed breaker before a table.
     pub fn new(table: T) -> Self {
         Self { table, is_open: Arc::default() }
@@ -53,7 +53,7 @@
     }
 }
 
-impl<T: Table> Table for Breaker<T> {
+impl<T: Table> Table for CircuitBreaker<T> {
     async fn read(&self, key: &RowKey) -> Result<Option<Row>> {
         self.check()?;
         self.note(self.table.read(key).await)
--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -13,7 +13,7 @@
 use anvilhook_engine::EngineControl;
 use anvilhook_platform::{InstanceList, Result, Table};
 
-use crate::breakers::Breaker;
+use crate::circuit_breakers::CircuitBreaker;
 use crate::fleets::{Fleet, PeerHints};
 use crate::observations::{Observation, ObservationBook};
 use crate::options::KeeperOptions;
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub struct Keeper<T, E, L, C> {
     me: InstanceName,
-    services: Services<Breaker<T>, E, L, C>,
+    services: Services<CircuitBreaker<T>, E, L, C>,
     options: KeeperOptions,
     session: SessionHolder,
     candidate: Candidate,
@@ -71,7 +71,7 @@
     pub fn new(me: InstanceName, services: Services<T, E, L, C>, options: KeeperOptions) -> Self {
         let Services { table, engines, instances, clock } = services;
         Self {
-            services: Services { table: Breaker::new(table), engines, instances, clock },
+            services: Services { table: CircuitBreaker::new(table), engines, instances, clock },
             options,
             session: SessionHolder::new(me.clone()),
             candidate: Candidate::new(me.clone()),
--- a/crates/anvilhook-authority/src/lib.rs
+++ b/crates/anvilhook-authority/src/lib.rs
@@ -6,7 +6,7 @@
 //! `anvilhook_core::{leases, authority, drains, membership}`; this crate adds the reads and writes.
 #![forbid(unsafe_code)]
 
-mod breakers;
+mod circuit_breakers;
 mod engines;
 mod fleets;
 mod followers;
