--- a/crates/anvilhook-authority/src/engines.rs
+++ b/crates/anvilhook-authority/src/engines.rs
@@ -25,7 +25,7 @@
 };
 use crate::fleets::Fleet;
 use crate::keepers::Services;
-use crate::observations::{Finding, ObservationBook, kinds, reasons};
+use crate::observations::{Finding, Observations, kinds, reasons};
 use crate::options::KeeperOptions;
 use crate::owners::OwnerView;
 use crate::plans::{EnginePlan, PoolPlan};
@@ -88,7 +88,7 @@
     pub session: &'a mut SessionHolder,
     pub fleet: &'a Fleet,
     pub slots: &'a mut SlotView,
-    pub book: &'a mut ObservationBook,
+    pub observations: &'a mut Observations,
     /// The addresses of all declared engines.
     pub declared: &'a BTreeSet<SocketAddr>,
     /// The pools that an engine here waits for.
@@ -112,9 +112,13 @@
             let found = self.reconcile_engine(pool, plan, engine).await;
             if plan.engine(&engine.name).is_some() {
                 if let Some(found) = found {
-                    self.book.engine(&engine.name, kinds::SETTLED, found);
+                    self.observations.engine(&engine.name, kinds::SETTLED, found);
                 }
-                self.book.engine(&engine.name, kinds::SERVING, serving_finding(pool, engine));
+                self.observations.engine(
+                    &engine.name,
+                    kinds::SERVING,
+                    serving_finding(pool, engine),
+                );
             }
             if pool.is_lost() || pool.is_stale() {
                 return;
@@ -318,7 +322,7 @@
         let decision = decide(&pool.row, &facts, &self.options.settle);
         if plan.engine(&engine.name).is_some() {
             let fencing = fencing_finding(engine.fencing, &read.state, memory.lost_fence);
-            self.book.engine(&engine.name, kinds::FENCING, fencing);
+            self.observations.engine(&engine.name, kinds::FENCING, fencing);
         }
         decision
     }
--- a/crates/anvilhook-authority/src/keepers.rs
+++ b/crates/anvilhook-authority/src/keepers.rs
@@ -15,7 +15,7 @@
 
 use crate::circuit_breakers::CircuitBreaker;
 use crate::fleets::{Fleet, PeerHints};
-use crate::observations::{Observation, ObservationBook};
+use crate::observations::{Observation, Observations};
 use crate::options::KeeperOptions;
 use crate::orphans::OrphanWatch;
 use crate::plans::PoolPlan;
@@ -59,7 +59,7 @@
     upstreams: BTreeSet<UpstreamName>,
     /// The gone instances whose rows this keeper has removed.
     swept: BTreeSet<InstanceName>,
-    book: ObservationBook,
+    observations: Observations,
     /// The pools that engines of this instance's pools wait for.
     awaited: BTreeSet<PoolName>,
     /// The addresses of all declared engines.
@@ -82,7 +82,7 @@
             held: BTreeMap::new(),
             upstreams: BTreeSet::new(),
             swept: BTreeSet::new(),
-            book: ObservationBook::default(),
+            observations: Observations::default(),
             awaited: BTreeSet::new(),
             declared: BTreeSet::new(),
         }
@@ -132,7 +132,7 @@
 
     /// Takes in what a step goes by, before its first call.
     fn begin_step(&mut self, plans: &[PoolPlan], hints: &PeerHints, wall: WallTime) {
-        self.book.begin_step(wall, self.services.clock.now());
+        self.observations.begin_step(wall, self.services.clock.now());
         // Hints matter to holders only.
         let none = PeerHints::default();
         self.fleet.begin_step(if self.held.is_empty() { &none } else { hints });
@@ -182,13 +182,13 @@
 
     /// Returns all that is observed of the pools that this instance holds.
     pub fn observations(&self) -> Vec<Observation> {
-        self.book.all()
+        self.observations.all()
     }
 
     /// Returns what has changed of that since the last call. Where only a message has changed, it is
     /// returned once in two seconds at most.
     pub fn take_changes(&mut self) -> Vec<Observation> {
-        self.book.take_changes()
+        self.observations.take_changes()
     }
 
     async fn keep_session(&mut self) {
--- a/crates/anvilhook-authority/src/keepers/pools.rs
+++ b/crates/anvilhook-authority/src/keepers/pools.rs
@@ -53,7 +53,7 @@
         if let Err(err) = self.work_row(&mut pool).await {
             let message = format!("the table does not answer: {err}");
             let found = Finding::new(false, reasons::TABLE_UNAVAILABLE, message);
-            self.book.pool(&pool.name, kinds::AUTHORITY, found);
+            self.observations.pool(&pool.name, kinds::AUTHORITY, found);
         } else if !pool.is_lost() && !pool.is_stale() {
             let mut reconciler = Reconciler {
                 services: &self.services,
@@ -61,7 +61,7 @@
                 session: &mut self.session,
                 fleet: &self.fleet,
                 slots: &mut self.slots,
-                book: &mut self.book,
+                observations: &mut self.observations,
                 declared: &self.declared,
                 awaited: &mut self.awaited,
             };
@@ -97,7 +97,11 @@
                 format!("held at {}, after {}", pool.row.term, list(&pool.row.uncleared))
             }
         };
-        self.book.pool(&pool.name, kinds::AUTHORITY, Finding::new(true, reasons::HELD, message));
+        self.observations.pool(
+            &pool.name,
+            kinds::AUTHORITY,
+            Finding::new(true, reasons::HELD, message),
+        );
         Ok(())
     }
 
@@ -118,6 +122,6 @@
         if pool.is_lost() {
             return Ok(());
         }
-        pool.follow_plans(table, plan, &mut self.slots, &mut self.book, now).await
+        pool.follow_plans(table, plan, &mut self.slots, &mut self.observations, now).await
     }
 }
--- a/crates/anvilhook-authority/src/keepers/releases.rs
+++ b/crates/anvilhook-authority/src/keepers/releases.rs
@@ -82,7 +82,7 @@
     fn forget(&mut self, name: &PoolName) -> Option<HeldPool> {
         let pool = self.held.remove(name)?;
         let names = pool.engines.keys().map(UpstreamName::as_str);
-        self.book.forget(name, names);
+        self.observations.forget(name, names);
         Some(pool)
     }
 }
--- a/crates/anvilhook-authority/src/observations.rs
+++ b/crates/anvilhook-authority/src/observations.rs
@@ -73,9 +73,9 @@
 /// a drain goes on, its message changes with every acknowledgement, and each report is a write.
 const MESSAGE_INTERVAL: Millis = Millis::from_secs(2);
 
-/// `ObservationBook` keeps the newest observations, and which of them have changed.
+/// `Observations` keeps the newest observations, and which of them have changed.
 #[derive(Debug, Default)]
-pub(crate) struct ObservationBook {
+pub(crate) struct Observations {
     entries: BTreeMap<(ResourceKey, &'static str), Entry>,
     wall: WallTime,
     now: Millis,
@@ -165,7 +165,7 @@
     pub const SERVING: &str = "Serving";
 }
 
-impl ObservationBook {
+impl Observations {
     /// Begins a step: `wall` dates new observations, and `now` paces the reports of them.
     pub fn begin_step(&mut self, wall: WallTime, now: Millis) {
         self.wall = wall;
--- a/crates/anvilhook-authority/src/pools.rs
+++ b/crates/anvilhook-authority/src/pools.rs
@@ -12,7 +12,7 @@
 
 use crate::engines::EngineMemory;
 use crate::fleets::Fleet;
-use crate::observations::{Finding, ObservationBook, kinds, reasons};
+use crate::observations::{Finding, Observations, kinds, reasons};
 use crate::owners::OwnerChange;
 use crate::plans::{DeclaredDrain, EnginePlan, PoolPlan};
 use crate::rows::{self, Stored};
@@ -239,7 +239,7 @@
         table: &impl Table,
         plan: &PoolPlan,
         slots: &mut SlotView,
-        book: &mut ObservationBook,
+        observations: &mut Observations,
         now: Millis,
     ) -> Result<()> {
         let mut next = self.row.clone();
@@ -254,7 +254,7 @@
             match planner.next(&drain.spec, &views, plan.min_serving, now) {
                 Ok(engine) => {
                     next.drains.mark(&engine, DrainCause::Plan(drain.name.clone()));
-                    book.plan(
+                    observations.plan(
                         &drain.name,
                         kinds::DRAINED,
                         Finding::new(false, reasons::DRAINING, format!("{engine} is next")),
@@ -262,7 +262,7 @@
                     marked.push(drain.name.clone());
                 }
                 Err(refusal) => {
-                    book.plan(&drain.name, kinds::DRAINED, plan_finding(&refusal, &views));
+                    observations.plan(&drain.name, kinds::DRAINED, plan_finding(&refusal, &views));
                 }
             }
         }
