Use the customary names for a subcommand's context and operation

Shell and Wish were metaphors: what a subcommand works with is its Context, cx for short, and what a change does is an Operation.

--- a/crates/anvilhook-ctl/src/applies.rs
+++ b/crates/anvilhook-ctl/src/applies.rs
@@ -7,10 +7,10 @@
 use serde::Serialize;
 
 use crate::arguments::{ApplyArgs, Output};
-use crate::changes::{Wish, send};
+use crate::changes::{Operation, send};
 use crate::documents::{Declared, read_all};
 use crate::exits::{Failure, Result};
-use crate::{Shell, diffs};
+use crate::{Context, diffs};
 
 /// `Outcome` is what became of one resource.
 #[derive(Serialize)]
@@ -31,20 +31,20 @@
 ///
 /// Everything is checked against the whole configuration before anything is sent, so that a mistake
 /// in the last document does not leave the first ones changed.
-pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>, args: &ApplyArgs) -> Result<()> {
+pub(crate) async fn run<W: Write>(cx: &mut Context<'_, W>, args: &ApplyArgs) -> Result<()> {
     let declared = read_all(&args.file)?;
-    let listed = shell.client.configuration().await?;
+    let listed = cx.client.configuration().await?;
     let base = Configuration::new(listed.revision, listed.items);
     let steps = check_all(&declared, base)?;
     for step in &steps {
         if args.dry_run {
-            show_difference(shell, step)?;
+            show_difference(cx, step)?;
         } else {
-            carry_out(shell, step).await?;
+            carry_out(cx, step).await?;
         }
     }
-    if args.dry_run && shell.output == Output::Table {
-        shell.line("nothing was changed: dry run")?;
+    if args.dry_run && cx.output == Output::Table {
+        cx.line("nothing was changed: dry run")?;
     }
     Ok(())
 }
@@ -83,41 +83,41 @@
     }
 }
 
-fn show_difference<W: Write>(shell: &mut Shell<'_, W>, step: &Step<'_>) -> Result<()> {
+fn show_difference<W: Write>(cx: &mut Context<'_, W>, step: &Step<'_>) -> Result<()> {
     let outcome = match (&step.standing, step.is_unchanged()) {
         (_, true) => "unchanged",
         (None, false) => "would be created",
         (Some(_), false) => "would be replaced",
     };
-    report(shell, step, outcome, None)?;
-    if shell.output == Output::Table && !step.is_unchanged() {
+    report(cx, step, outcome, None)?;
+    if cx.output == Output::Table && !step.is_unchanged() {
         let key = &step.declared.key;
         let diff = diffs::show(key, step.standing_spec(), Some(&step.declared.spec))?;
-        shell.line(diff.trim_end())?;
+        cx.line(diff.trim_end())?;
     }
     Ok(())
 }
 
-async fn carry_out<W: Write>(shell: &mut Shell<'_, W>, step: &Step<'_>) -> Result<()> {
+async fn carry_out<W: Write>(cx: &mut Context<'_, W>, step: &Step<'_>) -> Result<()> {
     if step.is_unchanged() {
-        return report(shell, step, "unchanged", None);
+        return report(cx, step, "unchanged", None);
     }
     let declared = step.declared;
-    let answer = send(shell, &declared.key, Wish::Put(&declared.spec), step.version()).await?;
+    let answer = send(cx, &declared.key, Operation::Put(&declared.spec), step.version()).await?;
     let outcome = if step.standing.is_some() { "replaced" } else { "created" };
-    report(shell, step, outcome, Some(answer.revision))
+    report(cx, step, outcome, Some(answer.revision))
 }
 
 fn report<W: Write>(
-    shell: &mut Shell<'_, W>,
+    cx: &mut Context<'_, W>,
     step: &Step<'_>,
     outcome: &'static str,
     revision: Option<Revision>,
 ) -> Result<()> {
     let key = step.declared.key.to_string();
-    if shell.output == Output::Json {
-        return shell.json_line(&Outcome { key, outcome, revision });
+    if cx.output == Output::Json {
+        return cx.json_line(&Outcome { key, outcome, revision });
     }
     let at = revision.map(|revision| format!(" at {revision}")).unwrap_or_default();
-    shell.line(format!("{key} {outcome}{at}"))
+    cx.line(format!("{key} {outcome}{at}"))
 }
--- a/crates/anvilhook-ctl/src/audits.rs
+++ b/crates/anvilhook-ctl/src/audits.rs
@@ -8,20 +8,20 @@
 use crate::arguments::{AuditArgs, Output};
 use crate::exits::Result;
 use crate::tables::{render, row};
-use crate::{Shell, times};
+use crate::{Context, times};
 
 /// Shows a part of the audit trail, oldest first.
-pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>, args: &AuditArgs) -> Result<()> {
-    let page = shell.client.audit(args.from.map(Revision), args.limit).await?;
-    if shell.output == Output::Json {
-        return shell.json(&page);
+pub(crate) async fn run<W: Write>(cx: &mut Context<'_, W>, args: &AuditArgs) -> Result<()> {
+    let page = cx.client.audit(args.from.map(Revision), args.limit).await?;
+    if cx.output == Output::Json {
+        return cx.json(&page);
     }
     if page.entries.is_empty() {
-        return shell.line("there are no changes");
+        return cx.line("there are no changes");
     }
     let mut rows = vec![row(["REVISION", "TIME", "SUBJECT", "ACTION", "RESOURCE", "INSTANCE"])];
     rows.extend(page.entries.iter().map(to_row));
-    shell.line(render(&rows))
+    cx.line(render(&rows))
 }
 
 fn to_row(entry: &AuditEntry) -> [String; 6] {
--- a/crates/anvilhook-ctl/src/changes.rs
+++ b/crates/anvilhook-ctl/src/changes.rs
@@ -9,18 +9,18 @@
 use anvilhook_core::resources::{ResourceKey, Spec};
 use anvilhook_core::units::Revision;
 
-use crate::Shell;
+use crate::Context;
 use crate::arguments::{ChangeArgs, Output};
 use crate::exits::{Exit, Failure, Result};
 
-/// How often a change is sent whose fate is unknown.
-const SENDINGS: usize = 3;
+/// The most times that a change is sent while it is not known whether it was accepted.
+const MAX_SENDINGS: usize = 3;
 
 /// The pause between two sendings.
-const PAUSE: Duration = Duration::from_millis(500);
+const SENDING_PAUSE: Duration = Duration::from_millis(500);
 
-/// `Wish` is what a change should do.
-pub(crate) enum Wish<'a> {
+/// `Operation` is what a change does to a resource.
+pub(crate) enum Operation<'a> {
     /// Declare or replace.
     Put(&'a Spec),
     /// Delete.
@@ -32,18 +32,18 @@
 /// A change whose answer is lost is sent again with the same id, which settles it without making it
 /// twice.
 pub(crate) async fn send<W: Write>(
-    shell: &mut Shell<'_, W>,
+    cx: &mut Context<'_, W>,
     key: &ResourceKey,
-    wish: Wish<'_>,
+    op: Operation<'_>,
     version: Revision,
 ) -> Result<ChangeAnswer> {
-    let id = ChangeId::random(shell.rng);
+    let id = ChangeId::random(cx.rng);
     let mut doubt: Option<Doubt> = None;
-    for sending in 1..=SENDINGS {
+    for sending in 1..=MAX_SENDINGS {
         if sending > 1 {
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(SENDING_PAUSE).await;
         }
-        let err = match send_once(&shell.client, key, &wish, version, id).await {
+        let err = match send_once(&cx.client, key, &op, version, id).await {
             Ok(answer) => return Ok(answer),
             Err(err) => err,
         };
@@ -101,13 +101,13 @@
 async fn send_once(
     client: &ApiClient,
     key: &ResourceKey,
-    wish: &Wish<'_>,
+    op: &Operation<'_>,
     version: Revision,
     id: ChangeId,
 ) -> anvilhook_api::Result<ChangeAnswer> {
-    match wish {
-        Wish::Put(spec) => client.put(key, &body(spec, version)?, id).await,
-        Wish::Delete => client.delete(key, version, id).await,
+    match op {
+        Operation::Put(spec) => client.put(key, &body(spec, version)?, id).await,
+        Operation::Delete => client.delete(key, version, id).await,
     }
 }
 
@@ -118,14 +118,14 @@
 }
 
 /// Shows what became of a change.
-pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>, args: &ChangeArgs) -> Result<()> {
+pub(crate) async fn run<W: Write>(cx: &mut Context<'_, W>, args: &ChangeArgs) -> Result<()> {
     let id: ChangeId = args
         .id
         .parse()
         .map_err(|err: anvilhook_core::Error| Failure::bad_input(err.to_string()))?;
-    let state = shell.client.change_state(id, args.base.map(Revision)).await?;
-    if shell.output == Output::Json {
-        shell.json(&state)?;
+    let state = cx.client.change_state(id, args.base.map(Revision)).await?;
+    if cx.output == Output::Json {
+        cx.json(&state)?;
     }
     let text = match state {
         ChangeStateAnswer::Accepted { revision } => format!("accepted as {revision}"),
@@ -136,8 +136,8 @@
             return Err(Failure::new(Exit::Unknown, message));
         }
     };
-    match shell.output {
+    match cx.output {
         Output::Json => Ok(()),
-        Output::Table => shell.line(text),
+        Output::Table => cx.line(text),
     }
 }
--- a/crates/anvilhook-ctl/src/deletes.rs
+++ b/crates/anvilhook-ctl/src/deletes.rs
@@ -4,20 +4,20 @@
 
 use anvilhook_core::units::Revision;
 
-use crate::Shell;
+use crate::Context;
 use crate::arguments::{DeleteArgs, Output};
-use crate::changes::{Wish, send};
+use crate::changes::{Operation, send};
 use crate::exits::Result;
 
 /// Deletes a resource at the version given, or at the one that stands now.
-pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>, args: &DeleteArgs) -> Result<()> {
+pub(crate) async fn run<W: Write>(cx: &mut Context<'_, W>, args: &DeleteArgs) -> Result<()> {
     let version = match args.version {
         Some(version) => Revision(version),
-        None => shell.client.get(&args.key).await?.version,
+        None => cx.client.get(&args.key).await?.version,
     };
-    let answer = send(shell, &args.key, Wish::Delete, version).await?;
-    match shell.output {
-        Output::Json => shell.json(&answer),
-        Output::Table => shell.line(format!("{} deleted at {}", args.key, answer.revision)),
+    let answer = send(cx, &args.key, Operation::Delete, version).await?;
+    match cx.output {
+        Output::Json => cx.json(&answer),
+        Output::Table => cx.line(format!("{} deleted at {}", args.key, answer.revision)),
     }
 }
--- a/crates/anvilhook-ctl/src/drains.rs
+++ b/crates/anvilhook-ctl/src/drains.rs
@@ -7,13 +7,13 @@
 use anvilhook_core::units::{Millis, Revision};
 use rand::Rng;
 
-use crate::Shell;
+use crate::Context;
 use crate::arguments::{DrainArgs, Output};
-use crate::changes::{Wish, send};
+use crate::changes::{Operation, send};
 use crate::exits::{Failure, Result};
 
 /// Declares a drain plan.
-pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>, args: &DrainArgs) -> Result<()> {
+pub(crate) async fn run<W: Write>(cx: &mut Context<'_, W>, args: &DrainArgs) -> Result<()> {
     let target = match (&args.engine[..], &args.zone[..]) {
         ([], []) => return Err(Failure::bad_input("give --engine or --zone at least once")),
         (engines, []) => DrainTarget::Engines(engines.to_vec()),
@@ -29,21 +29,21 @@
     });
     let name = match &args.name {
         Some(name) => name.clone(),
-        None => made_up_name(shell)?,
+        None => made_up_name(cx)?,
     };
     let key = ResourceKey { kind: Kind::DrainPlan, name };
-    let answer = send(shell, &key, Wish::Put(&spec), Revision::default()).await?;
-    match shell.output {
-        Output::Json => shell.json(&answer),
+    let answer = send(cx, &key, Operation::Put(&spec), Revision::default()).await?;
+    match cx.output {
+        Output::Json => cx.json(&answer),
         Output::Table => {
-            shell.line(format!("{key} created at {}", answer.revision))?;
-            shell.line(format!("see how it goes with: anvilhook why {key}"))?;
-            shell.line(format!("put the engines back with: anvilhook delete {key}"))
+            cx.line(format!("{key} created at {}", answer.revision))?;
+            cx.line(format!("see how it goes with: anvilhook why {key}"))?;
+            cx.line(format!("put the engines back with: anvilhook delete {key}"))
         }
     }
 }
 
-fn made_up_name<W: Write>(shell: &mut Shell<'_, W>) -> Result<ResourceName> {
-    let name = ResourceName::try_new(&format!("drain-{:08x}", shell.rng.next_u32()));
+fn made_up_name<W: Write>(cx: &mut Context<'_, W>) -> Result<ResourceName> {
+    let name = ResourceName::try_new(&format!("drain-{:08x}", cx.rng.next_u32()));
     name.map_err(|err| Failure::bad_input(err.to_string()))
 }
--- a/crates/anvilhook-ctl/src/gets.rs
+++ b/crates/anvilhook-ctl/src/gets.rs
@@ -4,46 +4,46 @@
 
 use anvilhook_core::resources::{ConditionState, Resource, ResourceKey};
 
-use crate::Shell;
+use crate::Context;
 use crate::arguments::{GetArgs, Output, Target};
 use crate::exits::{Failure, Result};
 use crate::tables::{render, row};
 
 /// Shows all resources, those of a kind, or one.
-pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>, args: &GetArgs) -> Result<()> {
+pub(crate) async fn run<W: Write>(cx: &mut Context<'_, W>, args: &GetArgs) -> Result<()> {
     match &args.target {
         None => {
-            let all = shell.client.configuration().await?;
-            if shell.output == Output::Json {
-                return shell.json(&all);
+            let all = cx.client.configuration().await?;
+            if cx.output == Output::Json {
+                return cx.json(&all);
             }
-            list(shell, &all.items)
+            list(cx, &all.items)
         }
         Some(Target::Kind(kind)) => {
-            let listed = shell.client.list(*kind).await?;
-            if shell.output == Output::Json {
-                return shell.json(&listed);
+            let listed = cx.client.list(*kind).await?;
+            if cx.output == Output::Json {
+                return cx.json(&listed);
             }
-            list(shell, &listed.items)?;
+            list(cx, &listed.items)?;
             match listed.status_missing {
-                Some(reason) => shell.line(format!("status is missing: {reason}")),
+                Some(reason) => cx.line(format!("status is missing: {reason}")),
                 None => Ok(()),
             }
         }
-        Some(Target::Key(key)) => one(shell, key).await,
+        Some(Target::Key(key)) => one(cx, key).await,
     }
 }
 
-fn list<W: Write>(shell: &mut Shell<'_, W>, resources: &[Resource]) -> Result<()> {
+fn list<W: Write>(cx: &mut Context<'_, W>, resources: &[Resource]) -> Result<()> {
     if resources.is_empty() {
-        return shell.line("there are none");
+        return cx.line("there are none");
     }
     let mut rows = vec![row(["RESOURCE", "VERSION", "CONDITIONS"])];
     for resource in resources {
         let key = resource.key().to_string();
         rows.push([key, resource.version.0.to_string(), conditions(resource)]);
     }
-    shell.line(render(&rows))
+    cx.line(render(&rows))
 }
 
 /// Shows the conditions that hold, and the reasons of those that do not.
@@ -57,11 +57,11 @@
 }
 
 /// Shows one resource in the form in which it can be applied again.
-async fn one<W: Write>(shell: &mut Shell<'_, W>, key: &ResourceKey) -> Result<()> {
-    let resource = shell.client.get(key).await?;
-    if shell.output == Output::Json {
-        return shell.json(&resource);
+async fn one<W: Write>(cx: &mut Context<'_, W>, key: &ResourceKey) -> Result<()> {
+    let resource = cx.client.get(key).await?;
+    if cx.output == Output::Json {
+        return cx.json(&resource);
     }
     let text = serde_saphyr::to_string(&resource).map_err(Failure::output)?;
-    shell.line(text.trim_end())
+    cx.line(text.trim_end())
 }
--- a/crates/anvilhook-ctl/src/lib.rs
+++ b/crates/anvilhook-ctl/src/lib.rs
@@ -79,31 +79,31 @@
         return explains::run(args, output, out);
     }
     let client: ApiClient = connections::connect(&options, environment)?;
-    let mut shell = Shell { client, output: options.output, rng, out };
+    let mut cx = Context { client, output: options.output, rng, out };
     match options.command {
-        Command::Get(args) => gets::run(&mut shell, &args).await,
-        Command::Apply(args) => applies::run(&mut shell, &args).await,
-        Command::Delete(args) => deletes::run(&mut shell, &args).await,
-        Command::Drain(args) => drains::run(&mut shell, &args).await,
-        Command::Change(args) => changes::run(&mut shell, &args).await,
-        Command::Watch(args) => watches::run(&mut shell, &args).await,
-        Command::Why(args) => whys::run(&mut shell, &args).await,
-        Command::Audit(args) => audits::run(&mut shell, &args).await,
-        Command::Status(_) => statuses::run(&mut shell).await,
+        Command::Get(args) => gets::run(&mut cx, &args).await,
+        Command::Apply(args) => applies::run(&mut cx, &args).await,
+        Command::Delete(args) => deletes::run(&mut cx, &args).await,
+        Command::Drain(args) => drains::run(&mut cx, &args).await,
+        Command::Change(args) => changes::run(&mut cx, &args).await,
+        Command::Watch(args) => watches::run(&mut cx, &args).await,
+        Command::Why(args) => whys::run(&mut cx, &args).await,
+        Command::Audit(args) => audits::run(&mut cx, &args).await,
+        Command::Status(_) => statuses::run(&mut cx).await,
         // It was run before a server was looked for.
         Command::Explain(_) => Ok(()),
     }
 }
 
-/// `Shell` is what every subcommand works with.
-struct Shell<'a, W> {
+/// `Context` is what every subcommand works with.
+struct Context<'a, W> {
     client: ApiClient,
     output: Output,
     rng: &'a mut ChaCha8Rng,
     out: &'a mut W,
 }
 
-impl<W: Write> Shell<'_, W> {
+impl<W: Write> Context<'_, W> {
     /// Writes a line.
     fn line(&mut self, text: impl std::fmt::Display) -> Result<()> {
         writeln!(self.out, "{text}").map_err(Failure::output)
--- a/crates/anvilhook-ctl/src/statuses.rs
+++ b/crates/anvilhook-ctl/src/statuses.rs
@@ -7,31 +7,31 @@
 use crate::arguments::Output;
 use crate::exits::Result;
 use crate::tables::{render, row};
-use crate::{Shell, times};
+use crate::{Context, times};
 
 /// Shows the state of the system as the instance sees it.
-pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>) -> Result<()> {
-    let status = shell.client.status().await?;
-    if shell.output == Output::Json {
-        return shell.json(&status);
+pub(crate) async fn run<W: Write>(cx: &mut Context<'_, W>) -> Result<()> {
+    let status = cx.client.status().await?;
+    if cx.output == Output::Json {
+        return cx.json(&status);
     }
     let head = status.head.map_or_else(|| "unknown".to_owned(), |head| head.to_string());
-    shell.line(format!(
+    cx.line(format!(
         "asked {}, where {} is in force; last accepted: {head}",
         status.instance, status.in_force
     ))?;
     if let Some(missing) = &status.missing {
-        return shell.line(format!("the rest cannot be read now: {missing}"));
+        return cx.line(format!("the rest cannot be read now: {missing}"));
     }
     let mut rows = vec![row(["INSTANCE", "ZONE", "PEER ADDRESS", "REVISION", "SINCE", "LAG"])];
     rows.extend(status.instances.iter().map(instance_row));
-    shell.line(render(&rows))?;
+    cx.line(render(&rows))?;
     if status.leases.is_empty() {
         return Ok(());
     }
     let mut rows = vec![row(["POOL", "HOLDER", "TERM", "OPEN ORDERS", "UNCLEARED"])];
     rows.extend(status.leases.iter().map(lease_row));
-    shell.line(format!("\n{}", render(&rows)))
+    cx.line(format!("\n{}", render(&rows)))
 }
 
 fn instance_row(instance: &InstanceAnswer) -> [String; 6] {
--- a/crates/anvilhook-ctl/src/watches.rs
+++ b/crates/anvilhook-ctl/src/watches.rs
@@ -7,7 +7,7 @@
 use anvilhook_core::resources::Kind;
 use anvilhook_core::units::Revision;
 
-use crate::Shell;
+use crate::Context;
 use crate::arguments::{Output, WatchArgs};
 use crate::exits::{Failure, Result};
 
@@ -16,27 +16,25 @@
 
 /// Shows changes until it has shown as many as asked for, beginning again where the last watch
 /// ended.
-pub(crate) async fn run<W: Write>(shell: &mut Shell<'_, W>, args: &WatchArgs) -> Result<()> {
+pub(crate) async fn run<W: Write>(cx: &mut Context<'_, W>, args: &WatchArgs) -> Result<()> {
     let from = match args.from {
         Some(from) => Revision(from),
-        None => shell.client.configuration().await?.revision,
+        None => cx.client.configuration().await?.revision,
     };
     let mut progress = Progress { kind: args.kind, from, left: args.count };
     let mut has_watched = false;
     while progress.left != Some(0) {
-        match shell.client.watch(progress.from).await {
+        match cx.client.watch(progress.from).await {
             Ok(watch) => {
                 has_watched = true;
-                follow(shell, watch, &mut progress).await?;
-            }
-            Err(err) if err.code() == Some(Code::TooOld) => {
-                start_anew(shell, &mut progress).await?
+                follow(cx, watch, &mut progress).await?;
             }
+            Err(err) if err.code() == Some(Code::TooOld) => start_anew(cx, &mut progress).await?,
             // The first try shows whether the arguments are right; later ones outlast a restart.
             Err(err) if !has_watched || err.code() == Some(Code::Unauthenticated) => {
                 return Err(Failure::from(err));
             }
-            Err(err) => shell.line(format!("# {err}; trying again from {}", progress.from))?,
+            Err(err) => cx.line(format!("# {err}; trying again from {}", progress.from))?,
         }
         if progress.left != Some(0) {
             tokio::time::sleep(PAUSE).await;
@@ -53,16 +51,16 @@
 }
 
 async fn follow<W: Write>(
-    shell: &mut Shell<'_, W>,
+    cx: &mut Context<'_, W>,
     mut watch: WatchReader,
     progress: &mut Progress,
 ) -> Result<()> {
     while progress.left != Some(0) {
         match watch.next().await {
-            Ok(Some(WatchEvent::TooOld { .. })) => return start_anew(shell, progress).await,
+            Ok(Some(WatchEvent::TooOld { .. })) => return start_anew(cx, progress).await,
             Ok(Some(event)) => {
                 progress.from = progress.from.max(event.revision());
-                show(shell, &event, progress)?;
+                show(cx, &event, progress)?;
             }
             // The instance stopped or the connection broke; the next watch goes on from here.
             Ok(None) | Err(_) => return Ok(()),
@@ -72,19 +70,19 @@
 }
 
 /// Skips the changes that are archived, and says so.
-async fn start_anew<W: Write>(shell: &mut Shell<'_, W>, progress: &mut Progress) -> Result<()> {
-    let now = shell.client.configuration().await?.revision;
+async fn start_anew<W: Write>(cx: &mut Context<'_, W>, progress: &mut Progress) -> Result<()> {
+    let now = cx.client.configuration().await?.revision;
     let from = progress.from;
     progress.from = now;
     let text = format!("# changes after {from} are archived (see: anvilhook audit); on from {now}");
-    match shell.output {
+    match cx.output {
         Output::Json => Ok(()),
-        Output::Table => shell.line(text),
+        Output::Table => cx.line(text),
     }
 }
 
 fn show<W: Write>(
-    shell: &mut Shell<'_, W>,
+    cx: &mut Context<'_, W>,
     event: &WatchEvent,
     progress: &mut Progress,
 ) -> Result<()> {
@@ -97,8 +95,8 @@
         return Ok(());
     }
     progress.left = progress.left.map(|left| left - 1);
-    match shell.output {
-        Output::Json => shell.json_line(event),
-        Output::Table => shell.line(format!("{} {} {key}", event.revision(), event.name())),
+    match cx.output {
+        Output::Json => cx.json_line(event),
+        Output::Table => cx.line(format!("{} {} {key}", event.revision(), event.name())),
     }
 }
