--- a/crates/anvilhook-peer/src/gossip/configurations.rs
+++ b/crates/anvilhook-peer/src/gossip/configurations.rs
@@ -11,12 +11,12 @@
 use crate::errors::{Error, Result};
 
 /// How many earlier configurations are kept to answer with a change. They share their resources.
-const KEPT: usize = 16;
+const KEPT_REVISIONS: usize = 16;
 
-/// `ConfigurationShelf` holds the newest configuration known. It never goes back to a lower
-/// revision.
+/// `ConfigurationCache` holds the newest configuration known, and some earlier ones. It never goes back
+/// to a lower revision.
 #[derive(Debug, Default)]
-pub struct ConfigurationShelf {
+pub struct ConfigurationCache {
     // The newest last.
     kept: VecDeque<Arc<Configuration>>,
     whole: Option<Transfer>,
@@ -29,7 +29,7 @@
     deleted: Vec<ResourceKey>,
 }
 
-impl ConfigurationShelf {
+impl ConfigurationCache {
     /// Returns the newest revision, or zero.
     pub fn revision(&self) -> Revision {
         self.newest().map_or(Revision(0), |newest| newest.revision())
@@ -46,7 +46,7 @@
             return false;
         }
         self.kept.push_back(offered);
-        if self.kept.len() > KEPT {
+        if self.kept.len() > KEPT_REVISIONS {
             self.kept.pop_front();
         }
         self.whole = None;
--- a/crates/anvilhook-peer/src/gossip/mod.rs
+++ b/crates/anvilhook-peer/src/gossip/mod.rs
@@ -18,7 +18,7 @@
 
 pub use boards::{Board, BoardRules, Heard};
 pub use budgets::{hops_within, reach, spacing, traffic};
-pub use configurations::ConfigurationShelf;
+pub use configurations::ConfigurationCache;
 pub use knowledge::News;
 pub use messages::{Item, LinkId, Message, Transfer, Transport, Update};
 pub use nodes::GossipNode;
--- a/crates/anvilhook-peer/src/gossip/nodes.rs
+++ b/crates/anvilhook-peer/src/gossip/nodes.rs
@@ -9,7 +9,7 @@
 
 use super::boards::Heard;
 use super::budgets::{hops_within, spacing, traffic};
-use super::configurations::ConfigurationShelf;
+use super::configurations::ConfigurationCache;
 use super::knowledge::{Knowledge, MAX_HOPS, News};
 use super::messages::{LinkId, Message, Transfer, Transport, Update};
 use super::options::GossipOptions;
@@ -23,7 +23,7 @@
     me: InstanceName,
     options: GossipOptions,
     knowledge: Knowledge,
-    shelf: ConfigurationShelf,
+    cache: ConfigurationCache,
     partners: BTreeMap<LinkId, Partner>,
     // Own sections that wait for their time, and when the last ones were written.
     next_load: Option<LoadSection>,
@@ -43,7 +43,7 @@
             knowledge: Knowledge::new(&me, &options),
             me,
             options,
-            shelf: ConfigurationShelf::default(),
+            cache: ConfigurationCache::default(),
             partners: BTreeMap::new(),
             next_load: None,
             load_written_at: None,
@@ -66,7 +66,7 @@
 
     /// Takes a configuration of the instance's own, if it is newer.
     pub fn offer_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
-        let newer = self.shelf.offer(configuration);
+        let newer = self.cache.offer(configuration);
         if newer {
             self.mark_urgent();
         }
@@ -111,7 +111,7 @@
     ///
     /// `Error::Codec` if the configuration cannot be encoded.
     pub fn answer_pull(&mut self, have: Revision) -> Result<Option<Transfer>> {
-        self.shelf.answer(have)
+        self.cache.answer(have)
     }
 
     /// Takes a message from a partner.
@@ -162,7 +162,7 @@
 
     /// Returns the newest configuration known.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
-        self.shelf.newest()
+        self.cache.newest()
     }
 
     /// Returns the others' acknowledgements.
@@ -213,7 +213,7 @@
         transport: &mut impl Transport,
     ) -> Result<()> {
         self.pull = None;
-        match self.shelf.take(transfer) {
+        match self.cache.take(transfer) {
             Ok(true) => {
                 self.news.configuration = true;
                 self.mark_urgent();
@@ -235,7 +235,7 @@
             return;
         }
         let failed = self.pull.take().map(|(link, _)| link);
-        let have = self.shelf.revision();
+        let have = self.cache.revision();
         let ahead = self.partners.iter().filter(|(_, partner)| partner.revision > have);
         // A partner that has just failed to answer is asked again only if no other is ahead.
         let best = ahead.max_by_key(|(link, partner)| (Some(**link) != failed, partner.revision));
@@ -268,7 +268,7 @@
         if !is_urgent && silent_for < options.round {
             return;
         }
-        let revision = self.shelf.revision();
+        let revision = self.cache.revision();
         let update = self.knowledge.update_for(&partner.known, revision, now);
         let is_empty = !update.has_sections() && !partner.lacks(revision);
         if is_empty && silent_for < options.heartbeat {
