--- a/crates/anvilhook-peer/src/gossip/knowledge.rs
+++ b/crates/anvilhook-peer/src/gossip/knowledge.rs
@@ -5,7 +5,7 @@
 use anvilhook_core::names::InstanceName;
 use anvilhook_core::units::{Millis, Revision};
 
-use super::boards::{Board, BoardRules};
+use super::latest_sections::{LatestSections, SectionBounds};
 use super::messages::{Item, Update};
 use super::options::GossipOptions;
 use super::partner_states::Known;
@@ -28,20 +28,20 @@
     pub demand: bool,
 }
 
-/// `Knowledge` holds the boards of all kinds.
+/// `Knowledge` holds the newest sections of all kinds.
 #[derive(Debug)]
 pub(super) struct Knowledge {
     pub(super) announced: BTreeSet<InstanceName>,
-    pub(super) acks: Board<AckSection>,
-    pub(super) load: Board<LoadSection>,
-    pub(super) demand: Board<DemandSection>,
+    pub(super) acks: LatestSections<AckSection>,
+    pub(super) load: LatestSections<LoadSection>,
+    pub(super) demand: LatestSections<DemandSection>,
     max_update_bytes: usize,
 }
 
 impl Knowledge {
-    /// Makes the empty boards of an instance.
+    /// Makes that of an instance, without a section.
     pub(super) fn new(me: &InstanceName, options: &GossipOptions) -> Self {
-        let rules = |max_age| BoardRules {
+        let bounds = |max_age| SectionBounds {
             max_age,
             max_hops: MAX_HOPS,
             max_origins: options.max_origins,
@@ -50,9 +50,9 @@
         Self {
             announced: BTreeSet::from([me.clone()]),
             // Acknowledgements stand until they are replaced or their writer is long gone.
-            acks: Board::new(rules(Millis::MAX)),
-            load: Board::new(rules(options.load_max_age)),
-            demand: Board::new(rules(options.demand_max_age)),
+            acks: LatestSections::new(bounds(Millis::MAX)),
+            load: LatestSections::new(bounds(options.load_max_age)),
+            demand: LatestSections::new(bounds(options.demand_max_age)),
             max_update_bytes: options.max_update_bytes,
         }
     }
--- a/crates/anvilhook-peer/src/gossip/boards.rs
+++ b/crates/anvilhook-peer/src/gossip/latest_sections.rs
@@ -9,9 +9,9 @@
 use super::messages::Item;
 use super::sections::Section;
 
-/// `BoardRules` bounds what a board takes and keeps.
+/// `SectionBounds` bounds which sections of a kind are taken and kept.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct BoardRules {
+pub struct SectionBounds {
     /// The age from which a section no longer counts.
     pub max_age: Millis,
     /// The most links that a section crosses.
@@ -51,22 +51,22 @@
     aged: bool,
 }
 
-/// `Board` holds the newest section of one kind by each instance.
+/// `LatestSections` holds the newest section of one kind by each instance.
 #[derive(Debug)]
-pub struct Board<T> {
-    rules: BoardRules,
+pub struct LatestSections<T> {
+    bounds: SectionBounds,
     entries: BTreeMap<InstanceName, Entry<T>>,
 }
 
-impl<T: Section> Board<T> {
-    /// Makes an empty board.
-    pub fn new(rules: BoardRules) -> Self {
-        Self { rules, entries: BTreeMap::new() }
+impl<T: Section> LatestSections<T> {
+    /// Makes one without a section.
+    pub fn new(bounds: SectionBounds) -> Self {
+        Self { bounds, entries: BTreeMap::new() }
     }
 
     /// Changes the most links that a section crosses.
     pub fn set_max_hops(&mut self, max_hops: u8) {
-        self.rules.max_hops = max_hops;
+        self.bounds.max_hops = max_hops;
     }
 
     /// Writes an instance's own section under the next number.
@@ -88,8 +88,8 @@
         announced: &BTreeSet<InstanceName>,
         now: Millis,
     ) -> bool {
-        let is_stray = !announced.contains(&item.origin) && item.age > self.rules.retention;
-        if item.age > self.rules.max_age || item.hops > self.rules.max_hops || is_stray {
+        let is_stray = !announced.contains(&item.origin) && item.age > self.bounds.retention;
+        if item.age > self.bounds.max_age || item.hops > self.bounds.max_hops || is_stray {
             return false;
         }
         if let Some(entry) = self.entries.get_mut(&item.origin) {
@@ -100,7 +100,7 @@
             if entry.heard.version >= item.version {
                 return false;
             }
-        } else if self.entries.len() >= self.rules.max_origins {
+        } else if self.entries.len() >= self.bounds.max_origins {
             return false;
         }
         let heard = Heard {
@@ -116,16 +116,16 @@
     /// Ages sections out, forgets origins long gone, and returns whether that changed anything that
     /// counts.
     pub fn expire(&mut self, announced: &BTreeSet<InstanceName>, now: Millis) -> bool {
-        let rules = self.rules;
+        let bounds = self.bounds;
         let mut changed = false;
         for entry in self.entries.values_mut() {
-            if !entry.aged && entry.heard.age_at(now) > rules.max_age {
+            if !entry.aged && entry.heard.age_at(now) > bounds.max_age {
                 entry.aged = true;
                 changed = true;
             }
         }
         self.entries.retain(|origin, entry| {
-            let keep = announced.contains(origin) || entry.heard.age_at(now) <= rules.retention;
+            let keep = announced.contains(origin) || entry.heard.age_at(now) <= bounds.retention;
             changed |= !keep && !entry.aged;
             keep
         });
@@ -138,7 +138,7 @@
         known: &'a BTreeMap<InstanceName, u64>,
         now: Millis,
     ) -> impl Iterator<Item = Item<T>> + 'a {
-        let max_hops = self.rules.max_hops;
+        let max_hops = self.bounds.max_hops;
         let fresh = self.entries.iter().filter(move |(origin, entry)| {
             let is_known = known.get(*origin).is_some_and(|v| *v >= entry.heard.version);
             !entry.aged && entry.hops < max_hops && !is_known
--- a/crates/anvilhook-peer/src/gossip/mod.rs
+++ b/crates/anvilhook-peer/src/gossip/mod.rs
@@ -5,10 +5,10 @@
 //! and can be repeated, reordered or left out without harm. The configuration's revision travels
 //! with every update; the bytes are pulled by the one that lacks them.
 
-mod boards;
 mod budgets;
 mod configurations;
 mod knowledge;
+mod latest_sections;
 mod messages;
 mod nodes;
 mod options;
@@ -16,10 +16,10 @@
 mod partners;
 mod sections;
 
-pub use boards::{Board, BoardRules, Heard};
 pub use budgets::{hops_within, reach, spacing, traffic};
 pub use configurations::ConfigurationCache;
 pub use knowledge::News;
+pub use latest_sections::{Heard, LatestSections, SectionBounds};
 pub use messages::{Item, LinkId, Message, Transfer, Transport, Update};
 pub use nodes::GossipNode;
 pub use options::GossipOptions;
--- a/crates/anvilhook-peer/src/gossip/nodes.rs
+++ b/crates/anvilhook-peer/src/gossip/nodes.rs
@@ -7,10 +7,10 @@
 use anvilhook_core::resources::Configuration;
 use anvilhook_core::units::{Millis, Revision};
 
-use super::boards::Heard;
 use super::budgets::{hops_within, spacing, traffic};
 use super::configurations::ConfigurationCache;
 use super::knowledge::{Knowledge, MAX_HOPS, News};
+use super::latest_sections::Heard;
 use super::messages::{LinkId, Message, Transfer, Transport, Update};
 use super::options::GossipOptions;
 use super::partner_states::Partner;
--- a/crates/anvilhook-peer/src/gossip/partner_states.rs
+++ b/crates/anvilhook-peer/src/gossip/partner_states.rs
@@ -24,7 +24,7 @@
         learn(&mut self.demand, &update.demand);
     }
 
-    /// Forgets origins that no board knows any more, so that this does not grow for ever.
+    /// Forgets origins of whom no section is known any more, so that this does not grow for ever.
     fn retain(&mut self, knowledge: &Knowledge) {
         self.acks.retain(|origin, _| knowledge.acks.version(origin) > 0);
         self.load.retain(|origin, _| knowledge.load.version(origin) > 0);
