--- a/crates/anvilhook-authority/src/engines.rs
+++ b/crates/anvilhook-authority/src/engines.rs
@@ -25,7 +25,7 @@
 };
 use crate::fleets::Fleet;
 use crate::keepers::Services;
-use crate::observations::{Finding, ObservationBook, kinds, reasons};
+use crate::observations::{Finding, Observations, kinds, reasons};
 use crate::options::KeeperOptions;
 use crate::owners::OwnerView;
 use crate::plans::{EnginePlan, PoolPlan};
@@ -81,23 +81,23 @@
     }
 }
 
-/// `Desk` is what one step over the engines of a pool works with.
-pub(crate) struct Desk<'a, T, E, L, C> {
+/// `Reconciler` brings the engines of a pool towards what is declared of them, in one step.
+pub(crate) struct Reconciler<'a, T, E, L, C> {
     pub services: &'a Services<T, E, L, C>,
     pub options: &'a KeeperOptions,
     pub session: &'a mut SessionHolder,
     pub fleet: &'a Fleet,
     pub slots: &'a mut SlotView,
-    pub book: &'a mut ObservationBook,
+    pub observations: &'a mut Observations,
     /// The addresses of all declared engines.
     pub declared: &'a BTreeSet<SocketAddr>,
     /// The pools that an engine here waits for.
     pub awaited: &'a mut BTreeSet<PoolName>,
 }
 
-impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Desk<'_, T, E, L, C> {
+impl<T: Table, E: EngineControl, L: InstanceList, C: Clock> Reconciler<'_, T, E, L, C> {
     /// Takes all engines of a pool as far as they go now.
-    pub async fn work(&mut self, pool: &mut HeldPool, plan: &PoolPlan) {
+    pub async fn reconcile(&mut self, pool: &mut HeldPool, plan: &PoolPlan) {
         if !self.slots.has_room(self.options.max_loads) {
             // Whatever comes of it, a load is recorded only if the row stands as it was seen.
             if let Err(err) = self.slots.refresh(&self.services.table).await {
@@ -109,12 +109,16 @@
         for engine in plan.engines.iter().chain(&left) {
             // Renewals come first: a few slow engines must not cost the lease of all others.
             self.keep_session().await;
-            let found = self.work_engine(pool, plan, engine).await;
+            let found = self.reconcile_engine(pool, plan, engine).await;
             if plan.engine(&engine.name).is_some() {
                 if let Some(found) = found {
-                    self.book.engine(&engine.name, kinds::SETTLED, found);
+                    self.observations.engine(&engine.name, kinds::SETTLED, found);
                 }
-                self.book.engine(&engine.name, kinds::SERVING, serving_finding(pool, engine));
+                self.observations.engine(
+                    &engine.name,
+                    kinds::SERVING,
+                    serving_finding(pool, engine),
+                );
             }
             if pool.is_lost() || pool.is_stale() {
                 return;
@@ -124,9 +128,7 @@
 
     async fn keep_session(&mut self) {
         let Services { table, clock, .. } = self.services;
-        if let Err(err) = self.session.keep(table, clock, &self.options.lease).await {
-            log::warn!("the session cannot be renewed: {err}");
-        }
+        self.session.renew(table, clock, &self.options.lease).await;
     }
 
     /// Reads the states that are due, all at once.
@@ -159,7 +161,7 @@
 
     /// Takes one engine as far as it goes now, and returns what it waits for, if there is anything
     /// new to say.
-    async fn work_engine(
+    async fn reconcile_engine(
         &mut self,
         pool: &mut HeldPool,
         plan: &PoolPlan,
@@ -320,7 +322,7 @@
         let decision = decide(&pool.row, &facts, &self.options.settle);
         if plan.engine(&engine.name).is_some() {
             let fencing = fencing_finding(engine.fencing, &read.state, memory.lost_fence);
-            self.book.engine(&engine.name, kinds::FENCING, fencing);
+            self.observations.engine(&engine.name, kinds::FENCING, fencing);
         }
         decision
     }
