Count a request in flight until its whole answer is handed over

What callers saw: one that read slowly while its instance stopped got 3,919,738 of 12,000,000 bytes; the process ended 3 s after the signal with 4 s left, and said that nothing was in flight. Cause: a whole answer counted as over once the server's library had it, and the library's buffer ends with the process. Change: an answer of more than 64 KiB is handed over in pieces, as fast as its caller reads, and its request is in flight until the last one. Why it holds: the library asks for the next piece only when its buffer has room, which is bounded; what is then left goes out in the time for the last bytes, unless its caller doesn't read at all.

--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -7,6 +7,7 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
+use super::bodies::{Pieces, is_large};
 use super::requests::Exchange;
 use super::resumption::Relay;
 use super::{Flight, Gateway};
@@ -80,15 +81,15 @@
         }
     }
 
-    /// Makes the answer for the caller.
+    /// Makes the answer for the caller. Its request counts as in flight until the answer is handed over.
     pub fn into_response<W: Wire, C: Clock>(
         self,
         gateway: &Gateway<W, C>,
         exchange: Option<Exchange>,
-        flight: Option<Flight<W, C>>,
+        flight: Flight<W, C>,
     ) -> Response {
         match self {
-            Outcome::Whole(answer) => answer.into_response(),
+            Outcome::Whole(answer) => answer.into_response(flight),
             Outcome::Own(answer) => answer.into_response(),
             Outcome::Stream(relay) => {
                 let exchange = exchange.expect("a stream belongs to a request");
@@ -99,11 +100,16 @@
 }
 
 impl WholeAnswer {
-    fn into_response(self) -> Response {
-        let mut answer = HttpResponse::new(Body::from(self.body.clone()));
+    fn into_response<W: Wire, C: Clock>(self, flight: Flight<W, C>) -> Response {
+        let len = self.body.len();
+        let body = match is_large(&self.body) {
+            true => Body::from_body(Pieces::new(self.body, flight)),
+            false => Body::from(self.body),
+        };
+        let mut answer = HttpResponse::new(body);
         *answer.status_mut() = self.status;
         *answer.headers_mut() = self.headers;
-        answer.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        answer.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(len));
         answer
     }
 }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempts;
+mod bodies;
 mod generating;
 mod handles;
 mod plain;
@@ -284,7 +285,7 @@
         let flight = Flight(self.clone());
         let arrived_at = self.now();
         let received = self.receive(req, arrived_at).await;
-        let (mut exchange, outcome) = match received {
+        let (exchange, outcome) = match received {
             Ok(mut exchange) => {
                 let mut watch = DepartureWatch::new(self.clone(), &exchange);
                 let outcome = self.serve(&mut exchange).await;
@@ -294,10 +295,7 @@
             Err(answer) => (None, Outcome::Own(answer)),
         };
         self.conclude(exchange.as_ref(), &outcome, arrived_at);
-        let carries_stream = matches!(outcome, Outcome::Stream(_));
-        let guard = carries_stream.then_some(flight);
-        let exchange = exchange.take();
-        let mut answer = outcome.into_response(self, exchange, guard);
+        let mut answer = outcome.into_response(self, exchange, flight);
         if self.is_stopping() {
             answers::close_after(&mut answer);
         }
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -105,7 +105,7 @@
         mut self,
         gateway: Gateway<W, C>,
         exchange: Exchange,
-        flight: Option<Flight<W, C>>,
+        flight: Flight<W, C>,
     ) -> Response {
         let headers = std::mem::take(&mut self.headers);
         let status = self.status;
@@ -181,8 +181,8 @@
     /// Returns whether an upstream that is silent about a request may still work on it.
     ///
     /// An engine may put a run off for seconds when its places or its memory are short. To give up
-    /// on it then would cut an answer that was going to be whole, or have it run twice at once: of
-    /// the retry budget of a day at full load nearly all was spent on requests that only waited.
+    /// on it then would cut an answer that was going to be whole, or have it run twice at once, and
+    /// at full load would spend the retry budget on requests that only wait.
     pub(super) async fn is_worked_on(&self, exchange: &Exchange, upstream: &Upstream) -> bool {
         if exchange.time_left(self.now()) == Millis::ZERO {
             return false;
@@ -207,7 +207,7 @@
     began_at: Millis,
     last_event_at: Millis,
     longest_pause: Millis,
-    _flight: Option<Flight<W, C>>,
+    _flight: Flight<W, C>,
 }
 
 impl<W: Wire, C: Clock> Drop for Passage<W, C> {
