--- a/crates/anvilhook-core/src/pacing.rs
+++ b/crates/anvilhook-core/src/pacing.rs
@@ -15,8 +15,8 @@
 /// The backlog that a prompt may find at its reader, as a share of the tightest objective, if its own
 /// reading takes the same share. Twice the work may find half the backlog.
 ///
-/// At two fifths and at twice of the square of it, nine engines with a tightest objective of 250 ms
-/// earned 0.010 and 0.005 less of 0.697, in the mean of fifteen plays of loaded days.
+/// With less, readers stand idle between prompts; with more, short prompts wait behind others that they
+/// could have passed.
 const READING_SHARE: f64 = 0.4;
 
 /// A prompt that takes less than this share of the tightest objective goes to its reader at once.
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -330,8 +330,9 @@
 
     /// Takes an attempt back that reached no upstream.
     ///
-    /// What never arrived is no load that a retry adds to. When a quarter of 140 engines crashed, 2,653
-    /// refused connections spent the budget, and 4,156 requests were refused for want of it.
+    /// What never arrived is no load that a retry adds to. Counted, the refused connections of engines
+    /// that crash together would spend the budget, and requests that other engines could serve would be
+    /// refused for want of it.
     pub(super) fn take_back(
         &self,
         service: &Arc<str>,
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -73,7 +73,7 @@
         };
         // All streams have the same rank at an engine. A more urgent one would take the place of one
         // that runs, whose prompt the engine would then read again at half its speed while all its
-        // other streams stand still; a loaded day had some 300 such preemptions, and has none.
+        // other streams stand still.
         let mut extra = Vec::new();
         if let Some(handle) = &handle {
             extra.push((self.wire().headers().kv_source.clone(), handle.source()));
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -71,9 +71,8 @@
         };
         let held = Held::with_work(Arc::clone(&upstream), reader.reading_ms, reader.fetching_ms);
         if reader.reading_ms >= f64::from(GREAT_NEWS_MS) {
-            // Prompts that come in the same moment at several instances would otherwise all go to
-            // the engine that was idle before: a site of 64 instances answered 238 instead of 282
-            // of 2,203 long prompts late.
+            // Prompts that come in the same moment at several instances would otherwise all go to the
+            // engine that was idle before, and wait for each other there.
             self.peers().announce();
         }
         let slack = Millis((reader.total_ms * READING_PATIENCE) as u64);
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -345,7 +345,7 @@
     assert_eq!(reads, 2);
 }
 
-/// Symptom: 1,605 generations of a loaded day are refused, and the retry budget is spent.
+/// Symptom: under a full load 1,605 generations are refused, and the retry budget is spent.
 /// Sequence: engines change their roles; the table is away, and the list goes on showing the old ones.
 /// Cause: an engine that refuses a stage has the other role, until a later report of its own is listed.
 #[tokio::test]
@@ -408,7 +408,7 @@
     }
 }
 
-/// Symptom: nearly two thousand requests of a day get an engine's error though other engines are well.
+/// Symptom: nearly two thousand requests get one engine's error though other engines are well.
 /// Sequence: an engine answers each request at once with an error, and says that it is well.
 /// Cause: what may run again is sent to another engine; what may not gets the error as it came.
 #[tokio::test]
