--- a/crates/anvilhook-core/src/speeds.rs
+++ b/crates/anvilhook-core/src/speeds.rs
@@ -146,12 +146,17 @@
     token_ms: f64,
     longest_token_ms: f64,
     whole_ms: f64,
+    outputs: u32,
 }
 
 /// The least tokens over which the time of a token is told. The pauses of a shorter output are mostly
 /// single ones, and would make a long output seem to take minutes.
 const TELLING_TOKENS: u32 = 50;
 
+/// The least number of outputs from which the longest time of a token is known. Before, it is what was
+/// expected of engines that nobody has seen.
+const TELLING_OUTPUTS: u32 = 8;
+
 /// What a faster output takes off the longest time of a token, as a share of the difference.
 const LONGEST_FADING: f64 = 0.01;
 
@@ -159,7 +164,7 @@
     /// Makes a speed of which only what is expected is known, in milliseconds a token and a whole
     /// output.
     pub fn new(token_ms: f64, whole_ms: f64) -> Self {
-        Self { token_ms, longest_token_ms: token_ms, whole_ms }
+        Self { token_ms, longest_token_ms: token_ms, whole_ms, outputs: 0 }
     }
 
     /// Learns from a whole output.
@@ -175,6 +180,7 @@
     pub fn record(&mut self, tokens: u32, took_ms: f64) {
         const WEIGHT: f64 = 0.05;
         if tokens > 0 && took_ms.is_finite() {
+            self.outputs = self.outputs.saturating_add(1);
             self.token_ms += WEIGHT * (took_ms / f64::from(tokens) - self.token_ms);
             self.whole_ms += WEIGHT * (took_ms - self.whole_ms);
             let telling_ms = took_ms / f64::from(tokens.max(TELLING_TOKENS));
@@ -189,7 +195,8 @@
         self.whole_ms
     }
 
-    /// Returns how long an output of at most so many tokens may take, by the slowest of late.
+    /// Returns how long an output of at most so many tokens may take, by the slowest of late; `None`
+    /// if too few have been seen.
     ///
     /// A caller names the most tokens, and most outputs end well before. By the mean over them, the
     /// ones that do go on to the end would be taken for less than half as long as they are.
@@ -198,12 +205,14 @@
     /// use anvilhook_core::speeds::OutputSpeed;
     ///
     /// let mut speed = OutputSpeed::new(5.0, 500.0);
+    /// assert_eq!(speed.longest_ms(200), None);
     /// (0..50).for_each(|at| speed.record(200, if at % 10 == 0 { 4_000.0 } else { 1_000.0 }));
     /// assert!(speed.output_ms(200) < 2_000.0);
-    /// assert!(speed.longest_ms(200) > 3_500.0);
+    /// assert!(speed.longest_ms(200).is_some_and(|ms| ms > 3_500.0));
     /// ```
-    pub fn longest_ms(&self, tokens: u32) -> f64 {
-        f64::from(tokens) * self.longest_token_ms
+    pub fn longest_ms(&self, tokens: u32) -> Option<f64> {
+        let is_known = self.outputs >= TELLING_OUTPUTS;
+        is_known.then_some(f64::from(tokens) * self.longest_token_ms)
     }
 
     /// Returns the predicted time of an output.
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -122,8 +122,9 @@
         self.with(service, |speed| speed.output.output_ms(tokens))
     }
 
-    /// Returns how long a service's output may take at most, in milliseconds.
-    pub fn longest_output_ms(&self, service: &Arc<str>, tokens: u32) -> f64 {
+    /// Returns how long a service's output may take at most, in milliseconds; `None` if this instance has
+    /// seen too few.
+    pub fn longest_output_ms(&self, service: &Arc<str>, tokens: u32) -> Option<f64> {
         self.with(service, |speed| speed.output.longest_ms(tokens))
     }
 
