Say the unit or the matter in the names of constants

WHOLE, NEWEST, STARTED, FULL, MIXES, PRESSED, MEMORY, ROUND, LAST_WORD, GUESSES, JOIN_HASTE, SHARED_AS and others told a reader neither. They now name the share, count or time that they are.

--- a/crates/anvilhook-authority/src/orphans.rs
+++ b/crates/anvilhook-authority/src/orphans.rs
@@ -12,7 +12,7 @@
 
 /// The name by which the instances share the reading of the slots among them, as they share that
 /// of a pool.
-const SHARED_AS: &str = "load-slots";
+const SLOT_READING_NAME: &str = "load-slots";
 
 /// `OrphanWatch` says when this instance looks for pools without a declaration.
 ///
@@ -30,7 +30,8 @@
 impl OrphanWatch {
     /// Makes the watch of an instance that has not looked yet.
     pub fn new() -> Self {
-        let shared_as = PoolName::try_new(SHARED_AS).expect("a fixed name that obeys the rule");
+        let shared_as =
+            PoolName::try_new(SLOT_READING_NAME).expect("a fixed name that obeys the rule");
         Self { shared_as, next_look: None }
     }
 
--- a/crates/anvilhook-core/src/caches/indices.rs
+++ b/crates/anvilhook-core/src/caches/indices.rs
@@ -15,7 +15,7 @@
 
 /// The blocks in a row that the index may not know although the engine holds them, because their
 /// bucket was full.
-const MISSED: u32 = 1;
+const MAX_MISSED_BLOCKS: u32 = 1;
 
 /// `CacheSlot` is an engine's number in a prefix index.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -130,7 +130,7 @@
             }
             // Later blocks are of no use without this one, if it is really not there.
             missed = if reached { 0 } else { missed + 1 };
-            if missed > MISSED {
+            if missed > MAX_MISSED_BLOCKS {
                 break;
             }
         }
@@ -167,7 +167,7 @@
     fn extend(&mut self, slot: CacheSlot, visit: u32, stride: u32) -> bool {
         let known = self.list[..self.len].iter_mut().find(|holder| holder.slot == slot);
         match known {
-            Some(holder) if holder.blocks + MISSED * stride >= visit => {
+            Some(holder) if holder.blocks + MAX_MISSED_BLOCKS * stride >= visit => {
                 holder.blocks = visit + stride;
                 true
             }
--- a/crates/anvilhook-core/src/ejections.rs
+++ b/crates/anvilhook-core/src/ejections.rs
@@ -121,7 +121,7 @@
 
 /// The most upstreams of a service that are ejected at a time because of errors, as a share. Where
 /// more of them fail, the rest could not take their work, and some answers are better than none.
-const MOST_EJECTED: f64 = 0.25;
+const MOST_EJECTED_SHARE: f64 = 0.25;
 
 /// Returns whether one more of so many upstreams may be ejected, beside those that are.
 ///
@@ -133,7 +133,7 @@
 /// assert!(!may_eject(3, 0));
 /// ```
 pub fn may_eject(upstreams: usize, ejected: usize) -> bool {
-    (ejected + 1) as f64 <= upstreams as f64 * MOST_EJECTED
+    (ejected + 1) as f64 <= upstreams as f64 * MOST_EJECTED_SHARE
 }
 
 /// `ErrorReports` is what several instances report of one upstream's errors.
--- a/crates/anvilhook-core/src/limits/shares.rs
+++ b/crates/anvilhook-core/src/limits/shares.rs
@@ -11,7 +11,7 @@
 
 /// The part of a limit that is shared equally whatever the demand, so that an instance which meets
 /// an account for the first time need not refuse it.
-const EQUAL_PART: f64 = 0.2;
+const EQUAL_SHARE: f64 = 0.2;
 
 /// `AccountDemand` is what an account asks of one instance.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -121,7 +121,7 @@
         let open_sum = own.open_requests as f64 + opens.sum::<f64>();
         let part = |own: f64, sum: f64| {
             let by_demand = if sum > 0.0 { own / sum } else { 1.0 / instances };
-            EQUAL_PART / instances + (1.0 - EQUAL_PART) * by_demand
+            EQUAL_SHARE / instances + (1.0 - EQUAL_SHARE) * by_demand
         };
         let open_part = part(own.open_requests as f64, open_sum);
         AccountShare {
--- a/crates/anvilhook-core/src/roles/capacities.rs
+++ b/crates/anvilhook-core/src/roles/capacities.rs
@@ -8,7 +8,7 @@
 const SPLIT_STEPS: u32 = 4;
 
 /// The utilization above which some requests end late, since arrivals are uneven.
-const FULL: f64 = 0.92;
+const FULL_UTILIZATION: f64 = 0.92;
 
 /// `RoleCounts` is how many engines of a pool hold each role.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -120,7 +120,7 @@
     /// ```
     pub fn served_share(&self, counts: &RoleCounts, seen: &WorkSeen) -> f64 {
         let utilization = self.utilization(counts, seen);
-        if utilization <= FULL { 1.0 } else { FULL / utilization }
+        if utilization <= FULL_UTILIZATION { 1.0 } else { FULL_UTILIZATION / utilization }
     }
 
     /// Returns the greatest utilization if the given shares of the patient and the tight requests
--- a/crates/anvilhook-core/src/roles/planners.rs
+++ b/crates/anvilhook-core/src/roles/planners.rs
@@ -8,7 +8,7 @@
 use crate::units::Millis;
 
 /// The number of mixes that are told apart in what was seen, by the share of reading in the work.
-const MIXES: usize = 12;
+const MIX_BINS: usize = 12;
 
 /// The number of counts per role that are weighed at most. A greater pool is planned in steps.
 const STEPS_PER_ROLE: usize = 12;
@@ -112,7 +112,7 @@
 #[derive(Clone, Debug)]
 pub struct RolePlanner {
     options: PlanOptions,
-    remembered: [Remembered; MIXES],
+    remembered: [Remembered; MIX_BINS],
     present: WorkSeen,
     present_mix: usize,
     since: Millis,
@@ -124,7 +124,7 @@
     pub fn new(options: PlanOptions) -> Self {
         Self {
             options,
-            remembered: [Remembered::default(); MIXES],
+            remembered: [Remembered::default(); MIX_BINS],
             present: WorkSeen::default(),
             present_mix: 0,
             since: Millis::ZERO,
@@ -255,7 +255,7 @@
         let reading = all.prefill / speeds.prefill_tokens_per_ms;
         let generating = all.output / speeds.decode_tokens_per_ms();
         let share = reading / (reading + generating).max(1e-9);
-        ((share * MIXES as f64) as usize).min(MIXES - 1)
+        ((share * MIX_BINS as f64) as usize).min(MIX_BINS - 1)
     }
 }
 
--- a/crates/anvilhook-core/src/routing/lanes.rs
+++ b/crates/anvilhook-core/src/routing/lanes.rs
@@ -11,15 +11,15 @@
 use crate::reports::PrefixHash;
 use crate::roles::{PoolShape, WorkSeen};
 
-/// The border's resolution.
-const WHOLE: f64 = 65_536.0;
+/// The steps in which the share of the patient lane is stored.
+const BORDER_STEPS: f64 = 65_536.0;
 
 /// How far, in engines, the wanted border must be from the present one to move it. Without it the
 /// border would move with every uneven arrival, and prefixes with it.
-const HYSTERESIS: f64 = 0.75;
+const HYSTERESIS_ENGINES: f64 = 0.75;
 
 /// The weight of the newest work seen against what was seen before.
-const NEWEST: f64 = 0.15;
+const NEWEST_WEIGHT: f64 = 0.15;
 
 /// `Lanes` holds the border between the lanes, for the tables of one pool.
 ///
@@ -34,7 +34,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Lanes {
-    // The patient share in parts of `WHOLE`; all ones means that there is only one lane.
+    // The patient share in parts of `BORDER_STEPS`; all ones means that there is only one lane.
     share: AtomicU64,
 }
 
@@ -52,7 +52,7 @@
 
     /// Sets the share of the table, from 0 to 1, that is the patient lane.
     pub fn set_patient_share(&self, share: f64) {
-        self.share.store((share.clamp(0.0, 1.0) * WHOLE) as u64, Ordering::Release);
+        self.share.store((share.clamp(0.0, 1.0) * BORDER_STEPS) as u64, Ordering::Release);
     }
 
     /// Returns the places of the lane for tight or for patient requests.
@@ -61,7 +61,7 @@
         if share == u64::MAX {
             return 0..places;
         }
-        let border = (share as f64 / WHOLE * places as f64).round() as usize;
+        let border = (share as f64 / BORDER_STEPS * places as f64).round() as usize;
         let border = border.min(places);
         match (tight, border) {
             // A lane without places would refuse what comes before the border has moved.
@@ -90,7 +90,7 @@
     /// Moves the border of `engines` places by the work of the pool, summed over all instances.
     pub fn update(&mut self, seen: &WorkSeen, engines: usize, lanes: &Lanes) {
         let seen = match self.seen {
-            Some(before) => before.times(1.0 - NEWEST).plus(seen.times(NEWEST)),
+            Some(before) => before.times(1.0 - NEWEST_WEIGHT).plus(seen.times(NEWEST_WEIGHT)),
             None => *seen,
         };
         self.seen = Some(seen);
@@ -100,7 +100,7 @@
             return;
         }
         let wanted = patient / (patient + tight) * engines as f64;
-        if self.border.is_some_and(|border| (border - wanted).abs() < HYSTERESIS) {
+        if self.border.is_some_and(|border| (border - wanted).abs() < HYSTERESIS_ENGINES) {
             return;
         }
         // Each kind of work keeps one engine at least, as soon as there is any of it.
--- a/crates/anvilhook-core/src/routing/loads.rs
+++ b/crates/anvilhook-core/src/routing/loads.rs
@@ -17,7 +17,7 @@
 const RECORD_MS: f64 = (SLOTS as u64 * SLOT.0) as f64;
 
 /// The requests whose prompts an engine reads at once, beside those that it reports as queued.
-const STARTED: f64 = 2.0;
+const PROMPTS_READ_AT_ONCE: f64 = 2.0;
 
 /// The least share of an engine's time that is left for generating, however much it reads.
 pub(super) const LEAST_FREE_SHARE: f64 = 0.1;
@@ -260,7 +260,7 @@
         // only when they start. Those sent lately tell how much there was to read of each.
         if read.requests > 0.0 {
             let each = read.prompt / read.requests;
-            reported = reported.min((queued + STARTED) * each);
+            reported = reported.min((queued + PROMPTS_READ_AT_ONCE) * each);
         }
         let prefill = reported + since_report;
         let prefill_ms = read.prompt.max(prefill) / speeds.prefill_tokens_per_ms;
--- a/crates/anvilhook-core/src/splits.rs
+++ b/crates/anvilhook-core/src/splits.rs
@@ -11,7 +11,7 @@
 /// After how long work counts less by two thirds. A change of role takes three seconds and pays for
 /// itself in as many more, so a mix that swings back sooner must not move engines; one that stays for
 /// ten must.
-const MEMORY: Millis = Millis::from_secs(5);
+const MIX_DECAY_TIME: Millis = Millis::from_secs(5);
 
 /// The least work that says anything of the mix, in milliseconds of an engine, and the least time over
 /// which it must have come. The first prompts find cold caches, and outputs have just begun.
@@ -20,19 +20,19 @@
 
 /// The most engines that change their roles at a time while there is work, as a share: each is away for
 /// seconds, and if many are away at once the rest answer late until they are back.
-const MOST_CHANGING: f64 = 0.1;
+const MOST_CHANGING_SHARE: f64 = 0.1;
 
 /// By how much the share of readers must be off before it is changed, and by how many engines. What
 /// is less does not pay for the engines' time away; among few engines one more or less is noise.
-const LEAST_CHANGE: f64 = 0.05;
-const LEAST_ENGINES: f64 = 4.0;
+const LEAST_CHANGE_SHARE: f64 = 0.05;
+const LEAST_CHANGED_ENGINES: f64 = 4.0;
 
 /// The least share of readers.
-const LEAST_SHARE: f64 = 0.34;
+const LEAST_READER_SHARE: f64 = 0.34;
 
 /// How much of a kind of engine must be taken before others are made of its kind. Engines that have room
 /// answer as soon without, and the mix may be another one when the change is done.
-const PRESSED: f64 = 0.7;
+const PRESSED_SHARE: f64 = 0.7;
 
 /// What a look at the engines counts against the looks before.
 const LOOK_WEIGHT: f64 = 0.25;
@@ -68,7 +68,7 @@
     /// of an engine or waited for one, divided by its number of places, both in milliseconds of an engine.
     pub fn record(&mut self, reading_ms: f64, generating_ms: f64, now: Millis) {
         self.since.get_or_insert(now);
-        let fading = (-(now - self.at).as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        let fading = (-(now - self.at).as_secs_f64() / MIX_DECAY_TIME.as_secs_f64()).exp();
         self.reading_ms = self.reading_ms * fading + reading_ms;
         self.generating_ms = self.generating_ms * fading + generating_ms;
         self.at = now;
@@ -100,7 +100,7 @@
         if self.since.is_none() {
             return engines;
         }
-        let most = (engines as f64 * MOST_CHANGING).max(1.0) as usize;
+        let most = (engines as f64 * MOST_CHANGING_SHARE).max(1.0) as usize;
         most.saturating_sub(changing)
     }
 }
@@ -127,9 +127,10 @@
 /// ```
 pub fn next_share(kept: f64, most: f64, mix: &WorkMix, pressure: &Pressure, engines: usize) -> f64 {
     let Some(wanted) = mix.reader_share() else { return kept };
-    let wanted = wanted.clamp(LEAST_SHARE.min(most), most);
+    let wanted = wanted.clamp(LEAST_READER_SHARE.min(most), most);
     let pressed = if wanted < kept { pressure.generating } else { pressure.reading };
     let change = (wanted - kept).abs();
-    let is_worth_it = change >= LEAST_CHANGE && change * engines as f64 >= LEAST_ENGINES;
-    if is_worth_it && pressed >= PRESSED { wanted } else { kept }
+    let is_worth_it =
+        change >= LEAST_CHANGE_SHARE && change * engines as f64 >= LEAST_CHANGED_ENGINES;
+    if is_worth_it && pressed >= PRESSED_SHARE { wanted } else { kept }
 }
--- a/crates/anvilhook-daemon/src/instances/shares.rs
+++ b/crates/anvilhook-daemon/src/instances/shares.rs
@@ -17,7 +17,7 @@
 use crate::proxy::Claims;
 
 /// The pause between two rounds.
-const ROUND: Millis = Millis::from_secs(1);
+const ROUND_PAUSE: Millis = Millis::from_secs(1);
 
 /// `ShareTask` tells peers of the demand met here and takes shares by theirs.
 #[derive(Debug)]
@@ -42,7 +42,7 @@
         let mut kept: BTreeMap<AccountName, Kept> = BTreeMap::new();
         let mut last_at = self.clock.now();
         loop {
-            rest(ROUND).await;
+            rest(ROUND_PAUSE).await;
             let now = self.clock.now();
             self.round(&mut kept, now, now - last_at);
             last_at = now;
--- a/crates/anvilhook-daemon/src/proxy/streams.rs
+++ b/crates/anvilhook-daemon/src/proxy/streams.rs
@@ -22,7 +22,7 @@
 const EVENTS_AHEAD: usize = 16;
 
 /// How long a stream's last word is offered to a caller that has stopped reading.
-const LAST_WORD: Millis = Millis(1_000);
+const LAST_EVENT_PATIENCE: Millis = Millis(1_000);
 
 /// `Started` is a streamed answer whose first step has come.
 pub(super) enum Started<S> {
@@ -159,7 +159,7 @@
                     // Without the closing event the caller can tell that the answer isn't whole.
                     let body = crate::front::failure_body(&failure, self.req.id);
                     let event = Event::new().event("error").data(body);
-                    let _ = hand_over(&tx, event, LAST_WORD).await;
+                    let _ = hand_over(&tx, event, LAST_EVENT_PATIENCE).await;
                     return StreamEnd::Failed(failure);
                 }
             };
--- a/crates/anvilhook-gateway/src/followers/following.rs
+++ b/crates/anvilhook-gateway/src/followers/following.rs
@@ -20,7 +20,7 @@
 
 /// How often an instance that has missed a change asks whoever told of it, before it asks the table, and
 /// how long it waits for each answer.
-const PEER_ASKINGS: u32 = 3;
+const MAX_PEER_ASKS: u32 = 3;
 const PEER_PATIENCE: Millis = Millis(150);
 
 /// How often an instance that is told of rows looks whether it is now to follow the table itself.
@@ -158,7 +158,7 @@
         let missed = async {
             watch.version().told_newer_than(known).await;
             tokio::time::sleep(TOLD_PATIENCE.as_duration()).await;
-            for _ in 0..PEER_ASKINGS {
+            for _ in 0..MAX_PEER_ASKS {
                 watch.ask_teller();
                 self.peers.announce();
                 tokio::time::sleep(PEER_PATIENCE.as_duration()).await;
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -25,7 +25,7 @@
 
 /// How many tellings are left out at most while there is nothing to tell. An instance that tells for its
 /// zone must be known to run.
-const MOST_SILENT: u32 = 4;
+const MAX_SILENT_TELLINGS: u32 = 4;
 
 /// How long a notice is told on, so that one lost datagram does not lose it.
 const NOTICE_AGE: Millis = Millis(300);
@@ -34,7 +34,7 @@
 const TELLER_AGE: Millis = Millis(1_500);
 
 /// How many instances of a zone are told if none is known to tell for it.
-const GUESSES: usize = 2;
+const GUESSED_TELLERS: usize = 2;
 
 /// The most prompts that one digest tells of, so that it fits into a datagram, and the most such digests
 /// at a time. Older news are dropped then: an engine may have dropped the parts as well.
@@ -191,7 +191,7 @@
         let (scope, loads) = (Scope::Zone(self.own), near_loads(gateway, now));
         let (cached, digest) = self.outgoing.digests(scope, loads, peers, now);
         let has_news = !digest.loads.is_empty() || !cached.is_empty() || !digest.notices.is_empty();
-        if !has_news && self.silent < MOST_SILENT {
+        if !has_news && self.silent < MAX_SILENT_TELLINGS {
             self.silent += 1;
             return;
         }
@@ -200,7 +200,7 @@
             let teller = self.far.get(&zone).filter(|far| far.heard_at + TELLER_AGE > now);
             let addresses = match teller {
                 Some(far) => vec![far.teller],
-                None => some_of(peers.instances_of(zone), GUESSES, &mut self.rng),
+                None => some_of(peers.instances_of(zone), GUESSED_TELLERS, &mut self.rng),
             };
             for digest in cached.iter().chain([&digest]) {
                 send(digest, &addresses, socket, gateway);
--- a/crates/anvilhook-store/src/memberships.rs
+++ b/crates/anvilhook-store/src/memberships.rs
@@ -21,7 +21,7 @@
 use crate::rows;
 
 /// By how much sooner than others an instance scans that is missing among the members.
-const JOIN_HASTE: u64 = 5;
+const JOIN_SPEEDUP: u64 = 5;
 
 /// `Member` is an announced instance, as far as others need to know it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -190,7 +190,7 @@
         let period = self.options.scan_every;
         let wait = if self.is_missing() && is_announced {
             // The others should learn of a new instance soon; and one scan finds all new ones.
-            Millis(period.0 / JOIN_HASTE)
+            Millis(period.0 / JOIN_SPEEDUP)
         } else {
             period
         };
