--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -20,7 +20,7 @@
 const HEARTBEAT_TICKS: u32 = 10;
 
 /// To how many of more peers a digest without great news goes, each time to others. To tell more of
-/// them costs bytes at each tick, and places requests no better: small changes may be heard late.
+/// them costs bytes at each tick and gains nothing: a small change may be heard some ticks late.
 const FANOUT: usize = 5;
 
 /// By how much an engine's work must have changed to be great news, in milliseconds of reading.
