Have instances with wide links tell and follow for their availability zone

What callers saw: GONE. Cause: that link was full. Plain answers there took 30 to 90 ms until second 26 and 1.2 s in seconds 29 to 31; a request was sent at 27.98 s, its caller left at 29.14 s, and it reached its engine at 29.68 s. The instances that tell for their zones sent up to 494 kB of datagrams a second in the mean of their lives, and were chosen by chance among links of 10 and of 200 Mbit/s. Change: an instance's number begins with the width of its link, and ranks go by that first. Why it holds: where a zone has wide links, what is told for the zone goes over them; ranks are still derived by each from the numbers heard, and the next one acts where the first falls silent. Where all links are narrow nothing changes: open.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod names;
 pub mod orders;
 pub mod pacing;
+pub mod ranks;
 pub mod reports;
 pub mod resources;
 pub mod retries;
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use anvilhook_core::ranks::number_of;
 use anvilhook_core::stops::Stop;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::{HttpClient, Phase, Shutdown, serve};
@@ -62,6 +63,9 @@
     pub metrics: Option<SocketAddr>,
     /// Where other instances send their datagrams.
     pub peer: SocketAddr,
+    /// How wide the instance's link is, in megabits a second, if that is known. Those with wide links
+    /// tell and follow for the others.
+    pub link_mbps: Option<f64>,
     /// How long a change may stay unseen behind a connection that has gone silent.
     pub unseen: Millis,
     /// What may change while the instance runs.
@@ -149,7 +153,7 @@
     let socket = UdpSocket::bind(options.peer).await?;
     let peers = Arc::clone(gateway.peers());
     let mut rng = ChaCha8Rng::try_from_rng(&mut SysRng).map_err(std::io::Error::other)?;
-    let number = rng.next_u64();
+    let number = number_of(options.link_mbps, rng.next_u64());
     tokio::spawn(peers::exchange(socket, number, rng, gateway.clone(), clock.clone()));
     tokio::spawn(peers::seed_caches(gateway.clone(), clock.clone()));
     let name = options.name.to_string();
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use anvilhook_core::ranks::rank_of;
 use anvilhook_core::units::Millis;
 use anvilhook_core::watches::{Candidate, FOLLOWER_SILENCE, is_chosen};
 use tokio::sync::Notify;
@@ -122,9 +123,9 @@
             return true;
         }
         let is_able = !self.watch_of(table).is_unable(now);
-        let own = Candidate { rank: hash_of(&(self.number(), table)), is_able };
+        let own = Candidate { rank: rank_in(self.number(), table), is_able };
         let others = self.zone_peers_heard(&known, now).map(|(_, peer)| Candidate {
-            rank: hash_of(&(peer.number, table)),
+            rank: rank_in(peer.number, table),
             is_able: peer.is_able[table as usize],
         });
         is_chosen(&own, others)
@@ -143,8 +144,9 @@
         &self,
         zone_peers: impl Iterator<Item = (SocketAddr, &'k Peer)>,
     ) -> Option<SocketAddr> {
-        let best = zone_peers.map(|(address, peer)| (hash_of(&peer.number), address)).max();
-        let best = best.filter(|(rank, _)| *rank > hash_of(&self.number()));
+        let rank = |number: u64| rank_of(number, hash_of(&number));
+        let best = zone_peers.map(|(address, peer)| (rank(peer.number), address)).max();
+        let best = best.filter(|(best, _)| *best > rank(self.number()));
         best.map(|(_, address)| address)
     }
 
@@ -348,3 +350,8 @@
         running.all(|peer| self.number() < peer.number)
     }
 }
+
+/// Returns the rank of the instance with a number among those that could follow a table.
+fn rank_in(number: u64, table: FollowedTable) -> u64 {
+    rank_of(number, hash_of(&(number, table)))
+}
--- a/crates/anvilhook-gateway/tests/watches.rs
+++ b/crates/anvilhook-gateway/tests/watches.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use anvilhook_core::ranks::number_of;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_gateway::followers::{ConfigFollower, EntryFollower, follow};
 use anvilhook_gateway::peers::{FollowedTable, exchange};
@@ -109,6 +110,11 @@
 impl Zone {
     /// Starts a zone, and waits until one instance follows the entries for all.
     async fn start() -> Zone {
+        Self::start_with(|at| at as u64 + 1).await
+    }
+
+    /// Starts the same with the numbers that instances choose.
+    async fn start_with(number: impl Fn(usize) -> u64) -> Zone {
         let table = MemoryTable::default();
         table.put("upstreams", "a", Some("ready 1"));
         table.put("configs", "current", Some("1"));
@@ -121,7 +127,7 @@
         let instances = sockets.into_iter().enumerate().map(|(at, socket)| {
             let others = addresses.iter().enumerate().filter(|(other, _)| *other != at);
             let others = others.map(|(_, address)| *address);
-            let mut one = instance(at as u64 + 1, others, &table);
+            let mut one = instance(number(at), others, &table);
             one.hear(socket);
             one
         });
@@ -192,6 +198,23 @@
     assert!(calls <= (CHANGES + 3) * 2 + INSTANCES, "{calls} calls");
 }
 
+/// Requests were sent on to engines up to half a second after their callers had left: they lay before a
+/// link of 10 Mbit/s that their instance filled with what it told for its availability zone, up to 490 kB
+/// a second in the mean of its life, while others of the zone had links of 200. Those with the widest
+/// links act for the others.
+#[tokio::test]
+async fn verify_an_instance_with_a_wide_link_follows_for_the_others() {
+    const WIDE: [usize; 2] = [3, 11];
+    let link_mbps = |at: usize| if WIDE.contains(&at) { 200.0 } else { 10.0 };
+    let random = |at: usize| (at as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+
+    let zone = Zone::start_with(|at| number_of(Some(link_mbps(at)), random(at))).await;
+
+    for table in FollowedTable::ALL {
+        assert!(WIDE.contains(&zone.follower_of(table)), "{table:?}");
+    }
+}
+
 /// Symptom: no instance of an availability zone learns of changes any more.
 /// Sequence: the one that follows the tables for all is killed, or is cut off from the table alone, or
 /// from all; then an upstream begins to leave.
