Keep the secret out of errors about its section

Cause: the error names and quotes an unknown field, which here is the secret itself.

Change: an unknown field in that section is told as one of the section, without its name.

--- a/crates/anvilhook-daemon/src/settings/files.rs
+++ b/crates/anvilhook-daemon/src/settings/files.rs
@@ -10,6 +10,11 @@
 /// The largest settings file, in bytes.
 const MAX_FILE_BYTES: u64 = 1 << 20;
 
+/// The section that holds a secret, its one field, and what is told of any other there.
+const SECRET_SECTION: &str = "peers";
+const SECRET_FIELD: &str = "key";
+const UNKNOWN_BESIDE_SECRET: &str = "unknown field, expected one of key";
+
 /// `SettingsError` says where a settings file is wrong, and how.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SettingsError {
@@ -98,14 +103,27 @@
     let place = err.location().map(|at| format!(" at line {}, column {}", at.line(), at.column()));
     let message = place.and_then(|place| first_line.strip_suffix(&place)).unwrap_or(first_line);
 
+    let (field, message) = match field.and_then(|path| known_part(&path)) {
+        Some(path) if is_beside_secret(&path) => {
+            (Some(SECRET_SECTION.to_owned()), UNKNOWN_BESIDE_SECRET.to_owned())
+        }
+        path => (path, explain(message)),
+    };
     SettingsError {
         file: file.to_owned(),
         line: err.location().map(|at| at.line()),
-        field: field.and_then(|path| known_part(&path)),
-        message: explain(message),
+        field,
+        message,
     }
 }
 
+/// Returns whether a path names an unknown field of the section with the secret. Where a colon is lost,
+/// the secret is a part of that name, and an error that tells it puts it into logs.
+fn is_beside_secret(path: &str) -> bool {
+    let name = path.strip_prefix(SECRET_SECTION).and_then(|rest| rest.strip_prefix('.'));
+    name.is_some_and(|name| name != SECRET_FIELD)
+}
+
 /// Returns the part of a field's path that is known; `?` stands for a part that is not, and `.` for
 /// the whole file.
 fn known_part(path: &str) -> Option<String> {
--- a/crates/anvilhook-daemon/tests/settings_bytes.rs
+++ b/crates/anvilhook-daemon/tests/settings_bytes.rs
@@ -167,3 +167,41 @@
     let err = load(Path::new("/dev/zero")).expect_err("endless");
     assert!(err.to_string().starts_with("/dev/zero: "), "{err}");
 }
+
+/// Symptom: the secret of a deployment stands in an error message, and so in logs.
+/// Sequence: an operator writes the section of the key with a fault: a colon lost, no section, a list.
+/// Cause: the message quotes what is found in the place of a field or a value.
+#[test]
+fn verify_no_error_tells_the_secret() {
+    let digits = "12345678901234567890123456789012";
+    let cases = [
+        ("peers: {key 0123456789abcdef0123456789abcdef}", "peers"),
+        ("peers: {key0123456789abcdef0123456789abcdef: }", "peers"),
+        ("peers: {key: a, 0123456789abcdef0123456789abcdef: a}", "peers.key"),
+        ("peers: 0123456789abcdef0123456789abcdef", "peers"),
+        ("peers: [0123456789abcdef0123456789abcdef]", "peers"),
+        ("peers: {key: [0123456789abcdef0123456789abcdef]}", "peers.key"),
+        ("peers: {key: {0123456789abcdef0123456789abcdef: 1}}", "peers.key"),
+        ("peers: {key: 12345678901234567890123456789012, key: a}", "peers"),
+        (
+            "peers: {0123456789abcdef0123456789abcdef: a, 0123456789abcdef0123456789abcdef: b}",
+            "peers",
+        ),
+        ("peers: {key: a, key: 0123456789abcdef0123456789abcdef}", "peers.key"),
+        ("peers: {key: !!int 0123456789abcdef0123456789abcdef}", "peers.key"),
+        ("peers: {key: !!binary 0123456789abcdef0123456789abcdef}", "peers.key"),
+    ];
+    for (peers, field) in cases {
+        let text = GOOD.replace("peers: {key: 0123456789abcdef0123456789abcdef}", peers);
+        assert_ne!(text, GOOD);
+
+        match parse(Path::new("a.yaml"), &text) {
+            Ok(settings) => verify_usable(&settings),
+            Err(err) => {
+                verify_told_in_one_line(&err);
+                assert!(!err.to_string().contains(digits), "{err}");
+                assert_eq!(err.field.as_deref(), Some(field), "{peers}: {err}");
+            }
+        }
+    }
+}
