--- a/crates/anvilhook-core/src/stops.rs
+++ b/crates/anvilhook-core/src/stops.rs
@@ -44,7 +44,7 @@
 
 impl Stop {
     /// Decides about a request whose caller's limit is at `limit_at`, and that is expected to take
-    /// `expected_ms` at most, `None` if nothing is known of that.
+    /// `expected_ms`, `None` if nothing is known of that.
     ///
     /// How long an engine takes is never certain: it may be slow, stand still, or be one of which this
     /// instance has seen nothing yet. Only the caller's own limit bounds a request. An expectation counts
@@ -70,7 +70,7 @@
         if now < self.noticed_at && is_expected { Taking::Expected } else { Taking::Refused }
     }
 
-    /// Returns whether a request that begins now and takes `expected_ms` at most is whole before the end.
+    /// Returns whether a request that begins now and is expected to take `expected_ms` is whole before the end.
     fn ends_in_time(&self, now: Millis, expected_ms: f64) -> bool {
         expected_ms * ENDING_FACTOR + BEFORE_OUTPUT_MS <= self.time_left(now).0 as f64
     }
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -225,9 +225,10 @@
         left_ms: u64,
         /// The time until the caller's own limit, in milliseconds.
         limit_ms: u64,
-        /// How long it is expected to take at most, in milliseconds, if anything is known of that.
+        /// How long it is expected to take, in milliseconds, if anything is known of that.
         expected_ms: Option<u64>,
-        /// `bounded` by the caller's limit, `expected` to end in time, or `refused`.
+        /// `bounded` by the caller's limit, `expected` to end in time, `refused`, or `resumed` after a
+        /// break.
         taking: &'a str,
     },
     /// An attempt brought no answer to pass on.
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -304,7 +304,7 @@
 
     async fn receive(&self, req: Request, arrived_at: Millis) -> Result<Exchange, OwnAnswer> {
         let stopped = || OwnAnswer::refused(STOPPING, Millis::ZERO);
-        if self.refuses() {
+        if self.takes_none() {
             return Err(stopped());
         }
         tokio::select! {
@@ -321,9 +321,11 @@
                 Repeats::Stream { .. } => self.serve_prompt(exchange).await,
             }
         };
+        // Nothing is begun any more in the moment of the end.
         let served = tokio::select! {
-            served = tokio::time::timeout(limit.as_duration(), serving) => served,
+            biased;
             () = self.ended() => return self.given_up(exchange, STOPPING, Millis::ZERO),
+            served = tokio::time::timeout(limit.as_duration(), serving) => served,
         };
         // The attempt in progress was dropped, and its connection with it.
         served.unwrap_or_else(|_elapsed| self.given_up(exchange, "timeout", TIMEOUT_PAUSE))
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -45,7 +45,7 @@
             if exchange.runs >= exchange.route.max_attempts {
                 break;
             }
-            if self.refuses_to_begin(exchange) {
+            if self.may_be_cut(exchange) {
                 (last_cause, pause) = (STOPPING, Millis::ZERO);
                 break;
             }
@@ -89,7 +89,7 @@
             !self.may_repeat(exchange) || exchange.runs + 1 >= exchange.route.max_attempts;
         let time_left = exchange.time_left(self.now());
         // Only what may be repeated is given up early, so that another upstream has time for it.
-        let patient = Millis(exchange.route.objective.0 * PATIENCE).min(Millis(time_left.0 / 2));
+        let patient = (exchange.route.objective * PATIENCE).min(Millis(time_left.0 / 2));
         let head_timeout = if is_last { time_left } else { patient };
         // A kept connection may have been closed by the upstream, which shows only after the
         // request was written; what runs at most once would be lost with it.
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -142,7 +142,7 @@
         let engine = config.service(&exchange.service).and_then(|spec| spec.engine.clone());
         let prompt = exchange.prompt.clone();
         let (Some(engine), Some(prompt)) = (engine, prompt) else {
-            if resume_after.is_none() && self.refuses_to_begin(exchange) {
+            if resume_after.is_none() && self.may_be_cut(exchange) {
                 return Err(self.given_up(exchange, STOPPING, Millis::ZERO));
             }
             return Ok(self.stream_plainly(exchange, resume_after, avoid).await);
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -282,6 +282,7 @@
         let last_id = self.relay.last_id;
         let route = &self.exchange.route;
         let is_allowed = route.repeats.is_repeatable()
+            && !gateway.has_ended()
             && self.exchange.runs < route.max_attempts
             && self.exchange.time_left(gateway.now()) > Millis::ZERO
             && last_id.is_some();
--- a/crates/anvilhook-gateway/src/relay/stopping.rs
+++ b/crates/anvilhook-gateway/src/relay/stopping.rs
@@ -16,21 +16,22 @@
 /// The reason of refusals by an instance that stops.
 pub(super) const STOPPING: &str = "stopping";
 
-/// How many times its objective a plain request is expected to take at most.
-const PLAIN_PATIENCE: u64 = 2;
+/// How many times its objective a plain request is expected to take. One that takes longer gets a whole
+/// answer at the end, unlike a stream.
+const PLAIN_FACTOR: u64 = 2;
 
 /// `Stopping` is how far an instance has come in its stop.
 pub(super) struct Stopping {
     stop: OnceLock<Stop>,
-    refuses: AtomicBool,
-    has_ended: watch::Sender<bool>,
+    takes_none: AtomicBool,
+    end: watch::Sender<bool>,
 }
 
 impl Stopping {
     /// Makes the state of an instance that runs.
     pub fn new() -> Self {
-        let (stop, refuses) = (OnceLock::new(), AtomicBool::new(false));
-        Self { stop, refuses, has_ended: watch::Sender::new(false) }
+        let (stop, takes_none) = (OnceLock::new(), AtomicBool::new(false));
+        Self { stop, takes_none, end: watch::Sender::new(false) }
     }
 }
 
@@ -43,13 +44,13 @@
 }
 
 impl Weighed {
-    fn log(&self, exchange: &Exchange) {
+    fn log(&self, exchange: &Exchange, taking: &str) {
         emit(&Event::StopWeighed {
             request: &exchange.id,
             left_ms: self.left.0,
             limit_ms: self.limit.0,
             expected_ms: self.expected_ms.map(|ms| ms as u64),
-            taking: self.taking.as_str(),
+            taking,
         });
     }
 }
@@ -57,24 +58,24 @@
 impl<W: Wire, C: Clock> Gateway<W, C> {
     /// Notes that the instance stops. Requests are still served, but for those that its end could cut.
     pub fn begin_stop(&self, stop: Stop) {
-        // A second signal doesn't put the end off.
+        // Who begins it again doesn't put the end off.
         self.inner.stopping.stop.get_or_init(|| stop);
     }
 
     /// Has every request that comes from now on refused.
     pub fn refuse_new(&self) {
-        self.inner.stopping.refuses.store(true, Ordering::Release);
+        self.inner.stopping.takes_none.store(true, Ordering::Release);
     }
 
     /// Ends the instance's work: whoever has no answer yet is told at once whether the request may have
     /// run. Otherwise callers would have to find out by a closed connection, which promises nothing.
     pub fn end(&self) {
         self.refuse_new();
-        self.inner.stopping.has_ended.send_replace(true);
+        self.inner.stopping.end.send_replace(true);
     }
 
-    pub(super) fn refuses(&self) -> bool {
-        self.inner.stopping.refuses.load(Ordering::Acquire)
+    pub(super) fn takes_none(&self) -> bool {
+        self.inner.stopping.takes_none.load(Ordering::Acquire)
     }
 
     pub(super) fn is_stopping(&self) -> bool {
@@ -82,30 +83,34 @@
     }
 
     pub(super) fn has_ended(&self) -> bool {
-        *self.inner.stopping.has_ended.borrow()
+        *self.inner.stopping.end.borrow()
     }
 
     /// Waits until the instance's work ends.
     pub(super) async fn ended(&self) {
-        let mut rx = self.inner.stopping.has_ended.subscribe();
+        let mut rx = self.inner.stopping.end.subscribe();
         // The sender lives in the gateway, so the channel can't close during the wait.
         let _ = rx.wait_for(|has_ended| *has_ended).await;
     }
 
-    /// Returns whether a request is refused because the instance's end could cut it. To be asked right
-    /// before each send: the signal to stop may have come while the request waited, or its prompt was
-    /// read.
-    pub(super) fn refuses_to_begin(&self, exchange: &Exchange) -> bool {
+    /// Returns whether the instance's end could cut a request that is sent now, which is then refused. To
+    /// be asked right before each send: the signal to stop may have come while the request waited, or its
+    /// prompt was read.
+    pub(super) fn may_be_cut(&self, exchange: &Exchange) -> bool {
         let weighed = self.weigh(exchange);
         let refused = weighed.filter(|weighed| weighed.taking == Taking::Refused);
-        refused.inspect(|weighed| weighed.log(exchange)).is_some()
+        refused.inspect(|weighed| weighed.log(exchange, weighed.taking.as_str())).is_some()
     }
 
     /// Logs why a request is sent, if the instance stops.
     pub(super) fn log_taken(&self, exchange: &Exchange) {
-        if let Some(weighed) = self.weigh(exchange) {
-            weighed.log(exchange);
-        }
+        let Some(weighed) = self.weigh(exchange) else { return };
+        let taking = match weighed.taking {
+            // Only a stream that goes on after a break is sent all the same.
+            Taking::Refused => "resumed",
+            taking => taking.as_str(),
+        };
+        weighed.log(exchange, taking);
     }
 
     /// Weighs a request against the end of the instance, `None` if it doesn't stop.
@@ -121,7 +126,8 @@
         })
     }
 
-    /// Returns how long a request may take at most by what this instance has seen, in milliseconds.
+    /// Returns how long a request is expected to take, in milliseconds: an output by the slowest seen of
+    /// late, anything else by its objective. `None` if nothing is known.
     fn expected_ms(&self, exchange: &Exchange) -> Option<f64> {
         match exchange.route.repeats {
             Repeats::Stream { .. } => {
@@ -129,7 +135,7 @@
                 self.inner.speeds.longest_output_ms(&exchange.service, prompt.max_output)
             }
             Repeats::Idempotent | Repeats::AtMostOnce => {
-                Some((exchange.route.objective * PLAIN_PATIENCE).0 as f64)
+                Some((exchange.route.objective * PLAIN_FACTOR).0 as f64)
             }
         }
     }
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -117,7 +117,7 @@
         }
         // The signal to stop may have come while the request waited. A stream that goes on after a
         // break has nothing to lose.
-        let is_refused = job.resume_after.is_none() && self.refuses_to_begin(exchange);
+        let is_refused = job.resume_after.is_none() && self.may_be_cut(exchange);
         is_refused.then_some(Waited::Stopping)
     }
 
