--- a/crates/anvilhook-gateway/tests/stops.rs
+++ b/crates/anvilhook-gateway/tests/stops.rs
@@ -136,26 +136,75 @@
     }
 }
 
-/// A stream that broke during a stop was given up, though another engine could have gone on with it in
-/// time. Its caller has the beginning, and nothing to lose by the attempt.
-#[tokio::test]
-async fn verify_a_broken_stream_goes_on_during_a_stop() {
+/// Starts a gateway that stops: the stop is noticed while the first upstream has the request, and the end
+/// comes just before the caller's limit.
+async fn stopping(
+    first: Vec<Step>,
+    role: Option<Role>,
+) -> (Front<ManualClock>, Upstream, Upstream) {
     let clock = ManualClock::new();
-    let stopping = clock.clone();
-    let broken = vec![stream_head(), event(1), Step::Close];
-    let first = Upstream::always(broken).await;
+    let passing = clock.clone();
+    let first = Upstream::start(move |_| {
+        passing.advance(Millis(1_100));
+        first.clone()
+    })
+    .await;
     let second = Upstream::always(stream(2, 3)).await;
-    let far = Entry { zone: "zone-b".into(), ..engine("second", &second, Role::Decode) };
-    let engines = vec![engine("first", &first, Role::Decode), far];
-    let front = front_of(&clock, Repeats::Stream { resumable: true }, true, engines).await;
+    let near = Entry { role, ..entry("first", first.address.port()) };
+    let far = Entry { role, zone: "zone-b".into(), ..entry("second", second.address.port()) };
+    let repeats = Repeats::Stream { resumable: true };
+    let front = front_of(&clock, repeats, role.is_some(), vec![near, far]).await;
     teach(&front, 100.0);
-    let now = stopping.now();
-    front.gateway.begin_stop(Stop { noticed_at: now + Millis(1), ends_at: now + TOO_SOON });
+    let now = clock.now();
+    let (noticed_at, ends_at) = (now + Millis(1_000), now + Millis(2_990));
+    let ends_at = if role.is_some() { ends_at } else { now + Millis(3_000) };
+    front.gateway.begin_stop(Stop { noticed_at, ends_at });
+    (front, first, second)
+}
+
+/// A stream that broke during a stop was given up, though another engine could have gone on with it in
+/// time. Its caller has the beginning, and nothing to lose by the attempt.
+#[tokio::test]
+async fn verify_a_broken_stream_goes_on_past_the_notice() {
+    for role in [Some(Role::Decode), None] {
+        let broken = vec![stream_head(), event(1), Step::Close];
+        let (front, _first, _second) = stopping(broken, role).await;
+
+        let answer = front.raw(&patient_request("r1")).await;
+
+        assert_eq!((answer.status, answer.events()), (200, vec![1, 2, 3]), "{role:?}: {answer:?}");
+        assert!(answer.is_complete(), "{role:?}: {answer:?}");
+    }
+}
+
+/// A request that an engine had taken and not answered would have been refused as not run, when the stop
+/// was noticed before it could be sent again.
+#[tokio::test]
+async fn verify_a_request_that_may_have_run_is_not_called_refused() {
+    let (front, _first, second) = stopping(vec![Step::Close], Some(Role::Decode)).await;
+
+    let answer = front.raw(&patient_request("r1")).await;
 
-    let answer = front.post("r1", PROMPT, "").await;
+    let runs = second.received().iter().filter(|one| one.line.starts_with("POST")).count();
+    assert_eq!((answer.status, runs), (502, 0), "{answer:?}");
+}
 
-    assert_eq!((answer.status, answer.events()), (200, vec![1, 2, 3]), "{answer:?}");
-    assert!(answer.is_complete(), "{answer:?}");
+/// A caller went on using a connection to an instance that was about to end.
+#[tokio::test]
+async fn verify_answers_of_a_stopping_instance_close_their_connections() {
+    for (ends_in, status) in [(LIMIT, 200), (TOO_SOON, 503)] {
+        let clock = ManualClock::new();
+        let upstream = Upstream::always(vec![signed("200 OK", "ok")]).await;
+        let entries = vec![entry("u", upstream.address.port())];
+        let front = front_of(&clock, Repeats::AtMostOnce, false, entries).await;
+        front.gateway.begin_stop(stop_in(&clock, ends_in, true));
+        let keeps = request("r1", "", "").replace("Connection: close\r\n", "");
+
+        let answer = front.raw(&keeps).await;
+
+        assert_eq!(answer.status, status, "{answer:?}");
+        assert!(answer.head.contains("connection: close"), "{answer:?}");
+    }
 }
 
 /// Requests to an upstream that had frozen got no answer at all when their instance ended: the
@@ -220,9 +269,9 @@
     assert!(upstream.received().is_empty());
 }
 
-/// A signal that came twice would have put the end off, and the process been killed before it.
+/// A stop that was begun twice would have put the end off, and the process been killed before it.
 #[tokio::test]
-async fn verify_a_second_signal_does_not_put_the_end_off() {
+async fn verify_a_stop_that_is_begun_again_does_not_put_the_end_off() {
     let clock = ManualClock::new();
     let upstream = Upstream::always(vec![signed("200 OK", "ok")]).await;
     let entries = vec![entry("u", upstream.address.port())];
