--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -134,7 +134,15 @@
     /// of them; `None` if it is this instance.
     pub(super) fn zone_teller(&self, now: Millis) -> Option<SocketAddr> {
         let known = self.known.lock().expect("no panic under this lock");
-        let zone_peers = self.zone_peers_heard(&known, now);
+        self.teller_among(self.zone_peers_heard(&known, now))
+    }
+
+    /// Returns the address of the one of `zone_peers` that tells for the availability zone; `None` if this
+    /// instance ranks before all of them.
+    fn teller_among<'k>(
+        &self,
+        zone_peers: impl Iterator<Item = (SocketAddr, &'k Peer)>,
+    ) -> Option<SocketAddr> {
         let best = zone_peers.map(|(address, peer)| (hash_of(&peer.number), address)).max();
         let best = best.filter(|(rank, _)| *rank > hash_of(&self.number()));
         best.map(|(_, address)| address)
@@ -203,8 +211,7 @@
     }
 
     /// Has the peers told at once if they are few. Among many, a datagram to each for the end of
-    /// each work fills the slowest links: of 68 instances those with 10 Mbit/s answered plain
-    /// requests a second late.
+    /// each work fills the slowest links, and the answers that instances send over them are late.
     pub(crate) fn announce_to_few(&self) {
         if self.are_few() {
             self.announce();
@@ -329,9 +336,8 @@
         }
         let known = self.known.lock().expect("no panic under this lock");
         let is_zone_peer = known.get(&new).is_some_and(|known| known.zone == Some(self.zone));
-        let mut zone_peers =
-            self.zone_peers_heard(&known, now).filter(|(address, _)| *address != new);
-        is_zone_peer && zone_peers.all(|(_, peer)| hash_of(&peer.number) < hash_of(&self.number()))
+        let others = self.zone_peers_heard(&known, now).filter(|(address, _)| *address != new);
+        is_zone_peer && self.teller_among(others).is_none()
     }
 
     fn is_least_beside(&self, other: Option<SocketAddr>, now: Millis) -> bool {
