Count the datagrams that tell a new instance of the caches

Their bytes were missing in the metrics and in the line 'stopped', so that the share of an instance's link that they take could not be told. Found while a full link was traced.

--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -10,6 +10,7 @@
 
 use super::TELL_EVERY;
 use super::digests::{CachedPrompt, Digest};
+use super::telling::send;
 use crate::events::{Event, emit};
 use crate::prompts::Part;
 use crate::relay::{Gateway, TOLD_TOKENS};
@@ -40,8 +41,7 @@
             let parts = parts.iter().map(|part| (part.id, part.tokens)).collect();
             let cached = vec![CachedPrompt { engine: upstream.digest, parts, own_tokens: 0 }];
             let digest = Digest { cached, ..Digest::partial(gateway.peers(), now) };
-            let Ok(buf) = postcard::to_stdvec(&digest) else { return };
-            let _ = socket.try_send_to(&buf, to);
+            send(&digest, &[to], socket, gateway);
         }
     }
 }
