--- a/crates/anvilhook-core/src/stops.rs
+++ b/crates/anvilhook-core/src/stops.rs
@@ -70,7 +70,8 @@
         if now < self.noticed_at && is_expected { Taking::Expected } else { Taking::Refused }
     }
 
-    /// Returns whether a request that begins now and is expected to take `expected_ms` is whole before the end.
+    /// Returns whether a request that begins now and is expected to take `expected_ms` is whole before
+    /// the end.
     fn ends_in_time(&self, now: Millis, expected_ms: f64) -> bool {
         expected_ms * ENDING_FACTOR + BEFORE_OUTPUT_MS <= self.time_left(now).0 as f64
     }
