Give the long prompt of a test parts of its own, and let its time stand still

Cause, in the test: its two prompts named the same parts. As soon as the short one had been read, the reader was believed to hold all of the long one, whose reading shrank from 443 ms to 1 ms and was let go at once. The test passed only if it ended before the long one's next look, at most 16 ms later. A print in a scratch copy showed it: 'long Hold reading 443 backlog 500', then 'long Free reading 1 backlog 500'.

The gateway believes a caller's own length of a part that an engine holds; a caller that names a known part at another length misplaces only its own prompt, and may pass others. Not changed here.

--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -11,7 +11,7 @@
 use anvilhook_gateway::loads::{Held, RoleChange};
 use anvilhook_gateway::prompts::Part;
 use futures_util::FutureExt;
-use support::fronts::{Front, ample_budget, config, impatient, start, start_by};
+use support::fronts::{Front, ample_budget, config, impatient, patient, start, start_by};
 use support::upstreams::{
     Received, Step, Upstream, chunk, engine, event, refusal, signed, stream, stream_end,
     stream_head,
@@ -21,7 +21,9 @@
 const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
 const ONCE: Repeats = Repeats::Stream { resumable: false };
 const PROMPT: &str = "T-Tokens: 400\r\n";
-const LONG: &str = "T-Tokens: 20000\r\n";
+/// A prompt that shares nothing with [`PROMPT`], so that an engine that has read that one has still to read
+/// all of it.
+const LONG: &str = "T-Tokens: 20000\r\nT-First-Part: 11\r\n";
 
 /// Returns a stream that breaks after `last`, in the middle of the next event.
 fn broken(last: u64, end: Step) -> Vec<Step> {
@@ -41,9 +43,11 @@
     start(Some(config(repeats, 2, true)), engines, ample_budget()).await
 }
 
-/// `BusyReader` is a gateway whose only reader reads for as long as `backlog` is held.
+/// `BusyReader` is a gateway whose only reader reads for as long as `backlog` is held, and whose time
+/// stands still, so that no stall of the machine makes what waits there late.
 struct BusyReader {
-    front: Front,
+    clock: ManualClock,
+    front: Front<ManualClock>,
     reader: Upstream,
     generator: Upstream,
     backlog: Held,
@@ -55,10 +59,11 @@
         let generator = Upstream::always(stream(1, 2)).await;
         let engines =
             vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
-        let front = front_of(RESUMABLE, engines).await;
+        let (clock, config) = (ManualClock::new(), patient(&config(RESUMABLE, 2, true)));
+        let front = start_by(clock.clone(), Some(config), engines, ample_budget()).await;
         let busy = std::sync::Arc::clone(front.gateway.fleet().view().get("r").expect("listed"));
         let backlog = Held::with_work(busy, 500.0, 0.0);
-        Self { front, reader, generator, backlog }
+        Self { clock, front, reader, generator, backlog }
     }
 }
 
@@ -487,8 +492,9 @@
 /// Cause: whether the end would cut a stream is asked right before it is sent, not only on arrival.
 #[tokio::test]
 async fn verify_a_stream_that_waits_when_the_stop_begins_is_refused() {
-    let BusyReader { front, reader, generator: _generator, backlog } = BusyReader::start().await;
-    let (gateway, clock) = (front.gateway.clone(), SystemClock::new());
+    let BusyReader { clock, front, reader, generator: _generator, backlog } =
+        BusyReader::start().await;
+    let gateway = front.gateway.clone();
     let service = std::sync::Arc::from("service");
     let left_before = gateway.budget_left(&service, clock.now());
     let stopping = async move {
@@ -501,7 +507,7 @@
         drop(backlog);
     };
 
-    let (answer, ()) = tokio::join!(front.post("r1", LONG, ""), stopping);
+    let (answer, ()) = tokio::join!(front.post_patiently("r1", LONG), stopping);
 
     assert_eq!((answer.status, reader.received().len()), (503, 0), "{answer:?}");
     assert!(answer.head.contains("retry-after"), "{answer:?}");
@@ -543,11 +549,12 @@
 /// Cause: the long one waits here until the reader is nearly free, and the short one does not.
 #[tokio::test]
 async fn verify_a_long_prompt_waits_here_while_its_reader_reads() {
-    let BusyReader { front, reader, generator: _generator, backlog } = BusyReader::start().await;
-    let mut long = Box::pin(front.post("long", LONG, ""));
+    let BusyReader { front, reader, generator: _generator, backlog, .. } =
+        BusyReader::start().await;
+    let mut long = Box::pin(front.post_patiently("long", LONG));
 
     let short = tokio::select! {
-        answer = front.post("short", PROMPT, "") => answer,
+        answer = front.post_patiently("short", PROMPT) => answer,
         answer = &mut long => panic!("the long one came first: {answer:?}"),
     };
 
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -134,6 +134,14 @@
     Config::new(config.version + 1, limits(), services, routes)
 }
 
+/// Returns a newer configuration whose route has no timeout, for callers that wait patiently.
+pub fn patient(config: &Config) -> Config {
+    let route = config.route("host.example", "/a/").expect("the route of the tests");
+    let services = config.services().cloned().collect();
+    let routes = vec![Route { timeout: None, ..Route::clone(route) }];
+    Config::new(config.version + 1, limits(), services, routes)
+}
+
 /// Returns the route of the tests.
 pub fn route(repeats: Repeats, max_attempts: u32) -> Route {
     Route {
@@ -167,6 +175,12 @@
     pub async fn post(&self, id: &str, headers: &str, body: &str) -> Answer {
         self.raw(&request(id, headers, body)).await
     }
+
+    /// Sends a request whose caller waits for so long that no stall of the machine makes it late.
+    pub async fn post_patiently(&self, id: &str, headers: &str) -> Answer {
+        let req = request(id, headers, "").replace("T-Deadline: 2000", "T-Deadline: 60000");
+        self.raw(&req).await
+    }
 }
 
 /// Returns a request after which the connection is closed.
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -77,7 +77,11 @@
 
     fn prompt(&self, headers: &HeaderMap) -> Option<Prompt> {
         let tokens = headers.get("t-tokens")?.to_str().ok()?.parse().ok()?;
-        let parts = vec![Part { id: 1, tokens: tokens / 2 }, Part { id: 2, tokens: tokens / 2 }];
+        // Prompts share their parts, unless they name the first one of their own.
+        let first = headers.get("t-first-part").and_then(|id| id.to_str().ok()?.parse().ok());
+        let part = |id| Part { id, tokens: tokens / 2 };
+        let first = first.unwrap_or(1);
+        let parts = vec![part(first), part(first + 1)];
         Some(Prompt { parts, tokens, max_output: 8 })
     }
 
