--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -4,6 +4,7 @@
 //! Each event says by its level how long it is kept when the lines come faster than they can be
 //! written: what is above `Info`, and what is about beliefs, goes before plain successes.
 
+use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
 use anvilhook_core::orders::Role;
@@ -61,6 +62,8 @@
         digests: u64,
         /// Their bytes, without what the network adds.
         digest_bytes: u64,
+        /// The same by whose news they are, and by section.
+        digest_sections: BTreeMap<&'static str, BTreeMap<&'static str, u64>>,
     },
     /// A table can't be reached; what was read of it goes on being believed.
     DependencyLost {
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -136,6 +136,7 @@
         in_flight: gateway.in_flight(),
         digests: metrics.digests.get(),
         digest_bytes: metrics.digest_bytes.get(),
+        digest_sections: metrics.digest_sections.totals(),
     });
     Ok(())
 }
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 
 use crate::configs::Config;
 use crate::events::LINES_DROPPED;
+use crate::peers::SectionBytes;
 use crate::relay::Gateway;
 use crate::wires::Wire;
 
@@ -96,6 +97,8 @@
     pub digests: Counter,
     /// Their bytes, without what the network adds.
     pub digest_bytes: Counter,
+    /// The same by section and by whose news they are.
+    pub digest_sections: SectionBytes,
     in_flight: Gauge,
     config_version: Gauge,
     lease_token: Gauge,
@@ -126,6 +129,7 @@
             unreadable: Family::default(),
             digests: Counter::default(),
             digest_bytes: Counter::default(),
+            digest_sections: SectionBytes::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
             lease_token: Gauge::default(),
@@ -179,6 +183,11 @@
             "Bytes of datagrams sent to peers",
             self.digest_bytes.clone(),
         );
+        registry.register(
+            "digest_section_bytes",
+            "Bytes of datagrams sent to peers, by section",
+            self.digest_sections.family(),
+        );
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register(
             "config_version",
--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -222,11 +222,11 @@
     gateway: &Gateway<W, C>,
 ) {
     let Ok(buf) = postcard::to_stdvec(digest) else { return };
-    for address in addresses {
-        // A datagram that finds no room is as good as lost on the way.
-        if socket.try_send_to(&buf, *address).is_ok() {
-            gateway.metrics().digests.inc();
-            gateway.metrics().digest_bytes.inc_by(buf.len() as u64);
-        }
-    }
+    // A datagram that finds no room is as good as lost on the way.
+    let is_sent = |address: &&SocketAddr| socket.try_send_to(&buf, **address).is_ok();
+    let sent = addresses.iter().filter(is_sent).count();
+    let metrics = gateway.metrics();
+    metrics.digests.inc_by(sent as u64);
+    metrics.digest_bytes.inc_by((buf.len() * sent) as u64);
+    metrics.digest_sections.record(digest, buf.len(), sent);
 }
--- a/crates/anvilhook-gateway/tests/metrics.rs
+++ b/crates/anvilhook-gateway/tests/metrics.rs
@@ -7,6 +7,7 @@
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::loads::{Held, PeerLoad, Work};
+use anvilhook_gateway::peers::{CachedPrompt, Digest, Notice, NoticeKind, Scope};
 use anvilhook_gateway::tables::{CountedTable, Table, Write};
 use support::fronts::{ample_budget, config, gateway};
 use support::tables::{Fault, MemoryTable};
@@ -69,3 +70,29 @@
         assert!(text.contains(&line), "{line} in {text}");
     }
 }
+
+/// Symptom: digests fill a narrow link, and nobody can tell which of their news do.
+/// Sequence: digests of two scopes are sent, one of them to three peers.
+/// Cause: bytes are counted by scope and section, and add up to the whole.
+#[test]
+fn verify_bytes_of_digests_are_counted_by_what_they_tell() {
+    let gateway = gateway(SystemClock::new(), None, Vec::new(), ample_budget());
+    let cached = vec![CachedPrompt { engine: 1, parts: vec![(2, 3)], own_tokens: 4 }];
+    let notices = vec![Notice { engine: 1, kind: NoticeKind::Gone }];
+    let bytes = &gateway.metrics().digest_sections;
+
+    bytes.record(&Digest { cached, ..Digest::default() }, 50, 3);
+    bytes.record(&Digest { notices, scope: Scope::Far, ..Digest::default() }, 40, 1);
+
+    let text = gateway.metrics_text();
+    for (scope, section, count) in
+        [("instance", "cached", 18), ("far", "notices", 3), ("far", "cached", 1)]
+    {
+        let labels = format!("scope=\"{scope}\",section=\"{section}\"");
+        let line = format!("anvilhook_gateway_digest_section_bytes_total{{{labels}}} {count}\n");
+        assert!(text.contains(&line), "{line} in {text}");
+    }
+    let totals = bytes.totals();
+    let sum = |scope: &str| totals[scope].values().sum::<u64>();
+    assert_eq!((sum("instance"), sum("zone"), sum("far")), (150, 0, 40));
+}
