Count a request in until its connection has written its answer

What callers saw: one that read a large answer slowly while its instance stopped got all but the end of it, or of a stream. Cause: large answers were handed to the connection in pieces, and their request was over with the last one. The connection keeps up to some 400 kB in the process; what is smaller than 64 kB, and streams, were over at once. An instance that stops found nothing in flight and ended 0.45 s later. Change: the bytes themselves hold the count, and the connection drops them once they are written. Why it holds: the HTTP library queues a body's bytes without a copy where the socket takes vectored writes, as these do, and drops each when all of it is written. So pieces are not needed any more.

--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -7,7 +7,7 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::bodies::{Pieces, is_large};
+use super::bodies::counted;
 use super::requests::Exchange;
 use super::resumption::Relay;
 use super::{Flight, Gateway};
@@ -81,7 +81,8 @@
         }
     }
 
-    /// Makes the answer for the caller. Its request counts as in flight until the answer is handed over.
+    /// Makes the answer for the caller. Its request counts as in flight until the answer has left the
+    /// process.
     pub fn into_response<W: Wire, C: Clock>(
         self,
         gateway: &Gateway<W, C>,
@@ -102,11 +103,7 @@
 impl WholeAnswer {
     fn into_response<W: Wire, C: Clock>(self, flight: Flight<W, C>) -> Response {
         let len = self.body.len();
-        let body = match is_large(&self.body) {
-            true => Body::from_body(Pieces::new(self.body, flight)),
-            false => Body::from(self.body),
-        };
-        let mut answer = HttpResponse::new(body);
+        let mut answer = HttpResponse::new(Body::from(counted(self.body, flight)));
         *answer.status_mut() = self.status;
         *answer.headers_mut() = self.headers;
         answer.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(len));
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -91,7 +91,7 @@
     cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
 }
 
-/// Counts a request in until its answer's last byte is handed over.
+/// Counts a request in until its answer's last byte has left the process.
 struct Flight<W: Wire, C: Clock>(Gateway<W, C>);
 
 impl<W: Wire, C: Clock> Drop for Flight<W, C> {
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -15,6 +15,7 @@
 use volo_http::response::Response;
 
 use super::attempts::{Failed, passed_on};
+use super::bodies::counted;
 use super::prompts::Opened;
 use super::requests::Exchange;
 use super::{Flight, Gateway};
@@ -117,13 +118,14 @@
             gateway,
             exchange,
             outcome: "left",
-            _flight: flight,
+            flight: Arc::new(flight),
         };
         let frames = stream::unfold(Some(passage), |passage| async move {
             let mut passage = passage?;
             match passage.next().await {
                 Ok(Some(bytes)) => {
                     passage.note_event();
+                    let bytes = counted(bytes, Arc::clone(&passage.flight));
                     Some((Ok(Frame::data(bytes)), Some(passage)))
                 }
                 Ok(None) => {
@@ -207,7 +209,7 @@
     began_at: Millis,
     last_event_at: Millis,
     longest_pause: Millis,
-    _flight: Flight<W, C>,
+    flight: Arc<Flight<W, C>>,
 }
 
 impl<W: Wire, C: Clock> Drop for Passage<W, C> {
--- a/crates/anvilhook-gateway/tests/stops.rs
+++ b/crates/anvilhook-gateway/tests/stops.rs
@@ -9,11 +9,14 @@
 use anvilhook_core::units::{Clock, ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
+use http_body_util::BodyExt;
 use support::fronts::{Front, ample_budget, config, request, start_by};
 use support::upstreams::{Step, Upstream, engine, event, signed, stream, stream_head};
 use support::wires::entry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use volo_http::body::Body;
+use volo_http::request::Request;
 
 const STREAM: Repeats = Repeats::Stream { resumable: false };
 const PROMPT: &str = "T-Tokens: 400\r\n";
@@ -272,3 +275,39 @@
 
     assert_eq!(front.post("r1", "", "").await.status, 503);
 }
+
+/// Returns a request as the gateway is given it by its server.
+fn received(id: &str, body: Body) -> Request {
+    let req = http::Request::post("/a/b").header("Host", "host.example");
+    req.header("T-Id", id).header("T-Deadline", "2000").body(body).expect("a request")
+}
+
+/// A caller read a large answer slowly while its instance stopped, and got all but its end: of 9,250,000
+/// bytes 9,103,747. The request counted as over with the last piece that was handed to its connection, of
+/// which up to 400 kB lay in the process still; nothing seemed to be in flight, and the process ended.
+/// Here the test has the pieces for as long as a connection would.
+#[tokio::test]
+async fn verify_a_request_is_in_flight_until_its_answer_has_left_the_process() {
+    const LARGE: usize = 200_000;
+    let cases = [
+        ("small", Repeats::AtMostOnce, vec![signed("200 OK", "ok")]),
+        ("large", Repeats::AtMostOnce, vec![signed("200 OK", &"x".repeat(LARGE))]),
+        ("stream", STREAM, stream(1, 3)),
+    ];
+    for (name, repeats, steps) in cases {
+        let upstream = Upstream::always(steps).await;
+        let entries = vec![entry("u", upstream.address.port())];
+        let front = front_of(&ManualClock::new(), repeats, false, entries).await;
+        let mut body = front.gateway.handle(received("r1", Body::empty())).await.into_body();
+        let mut written = Vec::new();
+        while let Some(frame) = body.frame().await {
+            written.push(frame.expect("it is whole").into_data());
+        }
+
+        drop(body);
+        let before = front.gateway.in_flight();
+        drop(written);
+
+        assert_eq!((before, front.gateway.in_flight()), (1, 0), "{name}");
+    }
+}
