Test that nothing is looked into after the end of an instance

Mutant: end() does not refuse new requests. It survived: whether a request was looked into then was left to chance, and most are refused as stopping either way. 64 requests without a route must all be refused now.

--- a/crates/anvilhook-gateway/tests/stops.rs
+++ b/crates/anvilhook-gateway/tests/stops.rs
@@ -262,6 +262,25 @@
     assert!(upstream.received().is_empty());
 }
 
+/// A request that was read after the end of its instance was looked into as any other, or refused as
+/// stopping, as chance would have it. Here no route would be found for it.
+#[tokio::test]
+async fn verify_nothing_is_looked_into_after_the_end() {
+    const REQUESTS: usize = 64;
+    let clock = ManualClock::new();
+    let front = front_of(&clock, Repeats::AtMostOnce, false, Vec::new()).await;
+    front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
+    front.gateway.end();
+
+    for _ in 0..REQUESTS {
+        let mut req = received("r1", Body::empty());
+        *req.uri_mut() = "/none/b".parse().expect("a path");
+        let answer = front.gateway.handle(req).await;
+
+        assert_eq!(answer.status(), 503);
+    }
+}
+
 /// A stop that was begun twice would have put the end off, and the process been killed before it.
 #[tokio::test]
 async fn verify_a_stop_that_is_begun_again_does_not_put_the_end_off() {
