--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -169,8 +169,9 @@
 /// New connections are taken until they come no more; then the listener is closed, and requests on
 /// kept connections are still served, if they surely end in time. Last, what still comes is refused as
 /// not run: a request that began in the process's last moment would be cut. Whatever has no answer at
-/// the end gets one.
-async fn stop<W: Wire, C: Clock>(
+/// the end gets one. `latest` is when the instance ends, whatever is in flight; answers have a moment more
+/// to leave the process.
+pub async fn stop<W: Wire, C: Clock>(
     gateway: &Gateway<W, C>,
     shutdown: &Shutdown,
     clock: &C,
