End a stream at its caller's limit though more events are there

What callers saw: a stream that a stopping instance had taken on because its caller's limit would end it in time went on past the limit, and what goes on so is cut by the end of the instance. Cause: the limit was only the time for which the next event is waited for. Events that were there already, of an engine that writes faster than the caller reads, never had to be waited for. Change: the limit is looked at before each event. The engine isn't blamed for it. Why it holds: no event is passed on after the limit, so 'bounded' is true of streams whatever their engine does. A caller that reads nothing at all still keeps its stream to the end of the instance.

--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -32,6 +32,9 @@
 /// The cause of a failure that is only silence.
 const SILENT: &str = "stream_silent";
 
+/// The cause of the end of a stream that goes on past its caller's limit.
+const OUT_OF_TIME: &str = "out_of_time";
+
 /// `Relay` is an upstream's stream of which at least one event has come.
 pub(super) struct Relay {
     status: StatusCode,
@@ -250,6 +253,11 @@
             return Ok(Some(event.bytes));
         }
         loop {
+            // Events that are there already would otherwise go on past the limit, by which an instance
+            // that stops has taken the stream on.
+            if self.exchange.time_left(self.gateway.now()) == Millis::ZERO {
+                return Err(self.out_of_time());
+            }
             match self.relay.read(&self.gateway, &self.exchange).await {
                 Ok(Piece::Event(event)) => return Ok(Some(event.bytes)),
                 Ok(Piece::End) => return Ok(None),
@@ -276,6 +284,12 @@
         self.gateway.metrics().broken_streams.get_or_create(&label).inc();
     }
 
+    fn out_of_time(&self) -> io::Error {
+        let upstream = self.relay.held.upstream();
+        self.log_broken(&upstream.entry.id, &Failed::may_have_run(OUT_OF_TIME), "not_allowed");
+        io::Error::other(OUT_OF_TIME)
+    }
+
     async fn resume(&mut self, failed: &Failed) -> io::Result<Option<Bytes>> {
         let gateway = self.gateway.clone();
         let upstream = self.relay.held.upstream();
--- a/crates/anvilhook-gateway/tests/stops.rs
+++ b/crates/anvilhook-gateway/tests/stops.rs
@@ -369,3 +369,30 @@
         assert_eq!((before, front.gateway.in_flight()), (1, 0), "{name}");
     }
 }
+
+/// A stream was taken on because its caller's limit would end it before the instance. Its engine wrote
+/// faster than the caller read, so that the next event was always there, and the limit ended nothing: 199
+/// of 200 events were passed on after it. What goes on so is cut by the end of the instance.
+#[tokio::test]
+async fn verify_a_stream_ends_at_its_callers_limit_though_events_are_there() {
+    const EVENTS: u64 = 200;
+    let clock = ManualClock::new();
+    let upstream = Upstream::always(stream(1, EVENTS)).await;
+    let entries = vec![entry("u", upstream.address.port())];
+    let front = front_of(&clock, Repeats::Stream { resumable: true }, false, entries).await;
+    front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
+    let mut body = front.gateway.handle(received("r1", Body::empty())).await.into_body();
+    let first = body.frame().await.expect("it begins").expect("an event");
+
+    clock.advance(LIMIT);
+    let mut passed_on = 0;
+    let is_cut = loop {
+        match body.frame().await {
+            Some(Ok(_)) => passed_on += 1,
+            end => break end.is_some(),
+        }
+    };
+
+    assert!(first.is_data());
+    assert_eq!((passed_on, is_cut), (0, true), "it ends, and doesn't look whole");
+}
