Go by the settings as they are when the signal to stop comes

What callers saw: nothing yet; found by reading. The time to stop is looked at once a second and on SIGHUP. Where it was shortened just before SIGTERM, or SIGHUP and SIGTERM came together and the latter was taken first, the instance went by the longer time, took on what would end in it, and would have been killed in the midst of its answers. Change: the settings are looked at once more when the signal comes; the time counts from before the look. Why it holds: a change after the signal alone isn't heeded, and that could only be one that ends the process sooner than its signal promised. Before: the new test fails, 3 of 3 runs, left_ms 7097 to 7098 with 6 s of grace in the file. After: 3 of 3 runs pass (at most 5100).

--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -127,8 +127,12 @@
             _ = looks.tick() => reloader.look(false),
         }
     }
+    let signalled_at = clock.now();
     signalled("SIGTERM", gateway.in_flight());
-    let latest = clock.now() + (reloader.tunables().grace - STOP_MARGIN);
+    // The time to stop may have been shortened since the last look, with or without a signal that still
+    // waits. An instance that takes more than it has is killed in the midst of its answers.
+    reloader.look(false);
+    let latest = signalled_at + (reloader.tunables().grace - STOP_MARGIN);
     stop(&gateway, &shutdown, &clock, latest).await;
     let _ = tokio::time::timeout(FLUSH_TIME.as_duration(), serving).await;
     let metrics = gateway.metrics();
