Bound the question about a silent stream by its caller's limit

What callers saw: a stream that can be resumed and whose engine froze ended up to 2 s past its limit, and in a stop by the end of the instance, though it was taken on because its limit came before. Cause: after 1.5 s of silence the engine is asked whether it still works on the stream; that question had its own second for the head and one for the body, whatever was left to the caller. Change: the question is given up at the limit, and the stream is over then. Before: the new test (paused clock) fails, 502 to 505 ms after the limit in 4 of 4 runs. After: it passes 3 of 3 runs, at most 100 ms; cargo test -p anvilhook-gateway: none failed.

--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -189,10 +189,14 @@
     /// on it then would cut an answer that was going to be whole, or have it run twice at once, and
     /// at full load would spend the retry budget on requests that only wait.
     pub(super) async fn is_worked_on(&self, exchange: &Exchange, upstream: &Upstream) -> bool {
-        if exchange.time_left(self.now()) == Millis::ZERO {
+        let time_left = exchange.time_left(self.now());
+        if time_left == Millis::ZERO {
             return false;
         }
-        let Some(answer) = self.own_call(upstream, &self.wire().report()).await else {
+        // An engine that has frozen leaves the question open too, past the time that the caller has.
+        let report = self.wire().report();
+        let asked = self.own_call(upstream, &report);
+        let Ok(Some(answer)) = tokio::time::timeout(time_left.as_duration(), asked).await else {
             return false;
         };
         // An engine that has started again under its id answers well, and knows nothing of the run.
--- a/crates/anvilhook-gateway/tests/stops.rs
+++ b/crates/anvilhook-gateway/tests/stops.rs
@@ -9,8 +9,10 @@
 use anvilhook_core::units::{Clock, ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
+use http::header::HeaderValue;
 use http_body_util::BodyExt;
-use support::fronts::{Front, ample_budget, config, request, start_by};
+use support::clocks::TimerClock;
+use support::fronts::{Front, ample_budget, config, gateway, request, start_by};
 use support::upstreams::{Step, Upstream, engine, event, signed, stream, stream_head};
 use support::wires::entry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -396,3 +398,32 @@
     assert!(first.is_data());
     assert_eq!((passed_on, is_cut), (0, true), "it ends, and doesn't look whole");
 }
+
+/// A stream was taken on because its caller's limit would end it in time. Its engine froze, and was asked
+/// shortly before the limit whether it still works on the stream. The question had a time of its own, and
+/// the stream ended half a second after its limit.
+#[tokio::test]
+async fn verify_a_stream_whose_engine_freezes_ends_at_its_callers_limit() {
+    let clock = TimerClock::new();
+    let frozen = Upstream::start(|received| match received.line.starts_with("POST") {
+        true => vec![stream_head(), event(1), Step::Hang],
+        false => vec![Step::Hang],
+    })
+    .await;
+    let config = Some(config(Repeats::Stream { resumable: true }, 2, true));
+    let entries = vec![engine("u", &frozen, Role::Decode)];
+    let gateway = gateway(clock, config, entries, ample_budget());
+    let req = received("r1", Body::empty());
+    let (mut head, body) = req.into_parts();
+    head.headers.insert("t-tokens", HeaderValue::from_static("400"));
+    let mut body = gateway.handle(Request::from_parts(head, body)).await.into_body();
+    let first = body.frame().await.expect("it begins").expect("an event");
+    let ends_at = clock.now() + LIMIT;
+    tokio::time::pause();
+
+    let next = body.frame().await;
+
+    let late = clock.now() - ends_at;
+    assert!(first.is_data() && next.is_some_and(|next| next.is_err()));
+    assert!(late <= Millis(100), "{late:?} after the limit");
+}
