Test that nothing is begun in the moment of an instance's end, nor after it

A request whose body ends in the moment of the end must be refused and never sent, 32 times; a stream that breaks after it is not sent again.

--- a/crates/anvilhook-gateway/tests/stops.rs
+++ b/crates/anvilhook-gateway/tests/stops.rs
@@ -3,13 +3,16 @@
 mod support;
 
 use std::sync::{Arc, OnceLock};
+use std::task::Poll;
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::stops::Stop;
 use anvilhook_core::units::{Clock, ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
+use bytes::Bytes;
 use http::header::HeaderValue;
+use http_body::Frame;
 use http_body_util::BodyExt;
 use support::clocks::TimerClock;
 use support::fronts::{Front, ample_budget, config, gateway, request, start_by};
@@ -427,3 +430,45 @@
     assert!(first.is_data() && next.is_some_and(|next| next.is_err()));
     assert!(late <= Millis(100), "{late:?} after the limit");
 }
+
+/// A stream broke after its instance had ended, and was sent to another engine, which ran it for nobody.
+#[tokio::test]
+async fn verify_a_stream_that_breaks_after_the_end_is_not_sent_again() {
+    let clock = ManualClock::new();
+    let first = Upstream::always(vec![stream_head(), event(1), Step::Close]).await;
+    let second = Upstream::always(stream(2, 3)).await;
+    let far = Entry { zone: "zone-b".into(), ..entry("second", second.address.port()) };
+    let entries = vec![entry("first", first.address.port()), far];
+    let front = front_of(&clock, Repeats::Stream { resumable: true }, false, entries).await;
+    let mut body = front.gateway.handle(received("r1", Body::empty())).await.into_body();
+    let begun = body.frame().await.expect("it begins").expect("an event");
+
+    front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
+    front.gateway.end();
+    let next = body.frame().await;
+
+    assert!(begun.is_data() && next.is_some_and(|next| next.is_err()));
+    assert!(second.received().is_empty());
+}
+
+/// A request had come whole in the very moment in which its instance ended, and by chance was sent to an
+/// upstream in that moment. Its caller was told that it may have run; it has not, and is refused.
+#[tokio::test]
+async fn verify_nothing_is_begun_in_the_moment_of_the_end() {
+    const ROUNDS: usize = 32;
+    for round in 0..ROUNDS {
+        let clock = ManualClock::new();
+        let upstream = Upstream::always(vec![signed("200 OK", "ok")]).await;
+        let entries = vec![entry("u", upstream.address.port())];
+        let front = front_of(&clock, Repeats::AtMostOnce, false, entries).await;
+        let ending = front.gateway.clone();
+        let last = futures_util::stream::poll_fn(move |_| {
+            ending.end();
+            Poll::Ready(None::<Result<Frame<Bytes>, _>>)
+        });
+
+        let answer = front.gateway.handle(received("r1", Body::from_stream(last))).await;
+
+        assert_eq!((answer.status().as_u16(), upstream.received().len()), (503, 0), "{round}");
+    }
+}
