--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -127,8 +127,12 @@
             _ = looks.tick() => reloader.look(false),
         }
     }
+    let signalled_at = clock.now();
     signalled("SIGTERM", gateway.in_flight());
-    let latest = clock.now() + (reloader.tunables().grace - STOP_MARGIN);
+    // The time to stop may have been shortened since the last look, with or without a signal that still
+    // waits. An instance that takes more than it has is killed in the midst of its answers.
+    reloader.look(false);
+    let latest = signalled_at + (reloader.tunables().grace - STOP_MARGIN);
     stop(&gateway, &shutdown, &clock, latest).await;
     let _ = tokio::time::timeout(FLUSH_TIME.as_duration(), serving).await;
     let metrics = gateway.metrics();
@@ -170,8 +174,9 @@
 /// New connections are taken until they come no more; then the listener is closed, and requests on
 /// kept connections are still served, if they surely end in time. Last, what still comes is refused as
 /// not run: a request that began in the process's last moment would be cut. Whatever has no answer at
-/// the end gets one.
-async fn stop<W: Wire, C: Clock>(
+/// the end gets one. `latest` is when the instance ends, whatever is in flight; answers have a moment more
+/// to leave the process.
+pub async fn stop<W: Wire, C: Clock>(
     gateway: &Gateway<W, C>,
     shutdown: &Shutdown,
     clock: &C,
--- a/crates/anvilhook-gateway/tests/stops.rs
+++ b/crates/anvilhook-gateway/tests/stops.rs
@@ -2,15 +2,20 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
+use std::task::Poll;
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::stops::Stop;
 use anvilhook_core::units::{Clock, ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
+use bytes::Bytes;
+use http::header::HeaderValue;
+use http_body::Frame;
 use http_body_util::BodyExt;
-use support::fronts::{Front, ample_budget, config, request, start_by};
+use support::clocks::TimerClock;
+use support::fronts::{Front, ample_budget, config, gateway, request, start_by};
 use support::upstreams::{Step, Upstream, engine, event, signed, stream, stream_head};
 use support::wires::entry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -170,6 +175,34 @@
     }
 }
 
+/// A stream that had begun before the signal broke past the notice, and was given up for the instance's
+/// end, though its caller had nothing to lose by another attempt.
+#[tokio::test]
+async fn verify_a_stream_from_before_the_signal_goes_on_past_the_notice() {
+    for role in [Some(Role::Decode), None] {
+        let clock = ManualClock::new();
+        let stop = stop_in(&clock, TOO_SOON, true);
+        let started: Arc<OnceLock<Front<ManualClock>>> = Arc::default();
+        let stopping = Arc::clone(&started);
+        let first = Upstream::start(move |_| {
+            stopping.get().expect("it was started").gateway.begin_stop(stop);
+            vec![stream_head(), event(1), Step::Close]
+        })
+        .await;
+        let second = Upstream::always(stream(2, 3)).await;
+        let near = Entry { role, ..entry("first", first.address.port()) };
+        let far = Entry { role, zone: "zone-b".into(), ..entry("second", second.address.port()) };
+        let repeats = Repeats::Stream { resumable: true };
+        let front = front_of(&clock, repeats, role.is_some(), vec![near, far]).await;
+        let front = started.get_or_init(|| front);
+
+        let answer = front.raw(&patient_request("r1")).await;
+
+        assert_eq!((answer.status, answer.events()), (200, vec![1, 2, 3]), "{role:?}: {answer:?}");
+        assert!(answer.is_complete(), "{role:?}: {answer:?}");
+    }
+}
+
 /// A request that an engine had taken and not answered would have been refused as not run, when the stop
 /// was noticed before it could be sent again.
 #[tokio::test]
@@ -182,6 +215,17 @@
     assert_eq!((answer.status, runs), (502, 0), "{answer:?}");
 }
 
+/// Sends bytes and reads to the end of the answer's head, after which the connection may stay open.
+async fn head_of(front: &Front<ManualClock>, bytes: &str) -> String {
+    let mut caller = TcpStream::connect(front.address).await.expect("it listens");
+    caller.write_all(bytes.as_bytes()).await.expect("it reads");
+    let mut buf = Vec::new();
+    while !buf.windows(4).any(|window| window == b"\r\n\r\n") {
+        assert_ne!(caller.read_buf(&mut buf).await.expect("it answers"), 0, "a head comes");
+    }
+    String::from_utf8_lossy(&buf).into_owned()
+}
+
 /// A caller went on using a connection to an instance that was about to end.
 #[tokio::test]
 async fn verify_answers_of_a_stopping_instance_close_their_connections() {
@@ -193,10 +237,10 @@
         front.gateway.begin_stop(stop_in(&clock, ends_in, true));
         let keeps = request("r1", "", "").replace("Connection: close\r\n", "");
 
-        let answer = front.raw(&keeps).await;
+        let head = head_of(&front, &keeps).await;
 
-        assert_eq!(answer.status, status, "{answer:?}");
-        assert!(answer.head.contains("connection: close"), "{answer:?}");
+        assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+        assert!(head.to_lowercase().contains("connection: close"), "{head}");
     }
 }
 
@@ -262,6 +306,25 @@
     assert!(upstream.received().is_empty());
 }
 
+/// A request that was read after the end of its instance was looked into as any other, or refused as
+/// stopping, as chance would have it. Here no route would be found for it.
+#[tokio::test]
+async fn verify_nothing_is_looked_into_after_the_end() {
+    const REQUESTS: usize = 64;
+    let clock = ManualClock::new();
+    let front = front_of(&clock, Repeats::AtMostOnce, false, Vec::new()).await;
+    front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
+    front.gateway.end();
+
+    for _ in 0..REQUESTS {
+        let mut req = received("r1", Body::empty());
+        *req.uri_mut() = "/none/b".parse().expect("a path");
+        let answer = front.gateway.handle(req).await;
+
+        assert_eq!(answer.status(), 503);
+    }
+}
+
 /// A stop that was begun twice would have put the end off, and the process been killed before it.
 #[tokio::test]
 async fn verify_a_stop_that_is_begun_again_does_not_put_the_end_off() {
@@ -311,3 +374,101 @@
         assert_eq!((before, front.gateway.in_flight()), (1, 0), "{name}");
     }
 }
+
+/// A stream was taken on because its caller's limit would end it before the instance. Its engine wrote
+/// faster than the caller read, so that the next event was always there, and the limit ended nothing: 199
+/// of 200 events were passed on after it. What goes on so is cut by the end of the instance.
+#[tokio::test]
+async fn verify_a_stream_ends_at_its_callers_limit_though_events_are_there() {
+    const EVENTS: u64 = 200;
+    let clock = ManualClock::new();
+    let upstream = Upstream::always(stream(1, EVENTS)).await;
+    let entries = vec![entry("u", upstream.address.port())];
+    let front = front_of(&clock, Repeats::Stream { resumable: true }, false, entries).await;
+    front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
+    let mut body = front.gateway.handle(received("r1", Body::empty())).await.into_body();
+    let first = body.frame().await.expect("it begins").expect("an event");
+
+    clock.advance(LIMIT);
+    let mut passed_on = 0;
+    let is_cut = loop {
+        match body.frame().await {
+            Some(Ok(_)) => passed_on += 1,
+            end => break end.is_some(),
+        }
+    };
+
+    assert!(first.is_data());
+    assert_eq!((passed_on, is_cut), (0, true), "it ends, and doesn't look whole");
+}
+
+/// A stream was taken on because its caller's limit would end it in time. Its engine froze, and was asked
+/// shortly before the limit whether it still works on the stream. The question had a time of its own, and
+/// the stream ended half a second after its limit.
+#[tokio::test]
+async fn verify_a_stream_whose_engine_freezes_ends_at_its_callers_limit() {
+    let clock = TimerClock::new();
+    let frozen = Upstream::start(|received| match received.line.starts_with("POST") {
+        true => vec![stream_head(), event(1), Step::Hang],
+        false => vec![Step::Hang],
+    })
+    .await;
+    let config = Some(config(Repeats::Stream { resumable: true }, 2, true));
+    let entries = vec![engine("u", &frozen, Role::Decode)];
+    let gateway = gateway(clock, config, entries, ample_budget());
+    let req = received("r1", Body::empty());
+    let (mut head, body) = req.into_parts();
+    head.headers.insert("t-tokens", HeaderValue::from_static("400"));
+    let mut body = gateway.handle(Request::from_parts(head, body)).await.into_body();
+    let first = body.frame().await.expect("it begins").expect("an event");
+    let ends_at = clock.now() + LIMIT;
+    tokio::time::pause();
+
+    let next = body.frame().await;
+
+    let late = clock.now() - ends_at;
+    assert!(first.is_data() && next.is_some_and(|next| next.is_err()));
+    assert!(late <= Millis(100), "{late:?} after the limit");
+}
+
+/// A stream broke after its instance had ended, and was sent to another engine, which ran it for nobody.
+#[tokio::test]
+async fn verify_a_stream_that_breaks_after_the_end_is_not_sent_again() {
+    let clock = ManualClock::new();
+    let first = Upstream::always(vec![stream_head(), event(1), Step::Close]).await;
+    let second = Upstream::always(stream(2, 3)).await;
+    let far = Entry { zone: "zone-b".into(), ..entry("second", second.address.port()) };
+    let entries = vec![entry("first", first.address.port()), far];
+    let front = front_of(&clock, Repeats::Stream { resumable: true }, false, entries).await;
+    let mut body = front.gateway.handle(received("r1", Body::empty())).await.into_body();
+    let begun = body.frame().await.expect("it begins").expect("an event");
+
+    front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
+    front.gateway.end();
+    let next = body.frame().await;
+
+    assert!(begun.is_data() && next.is_some_and(|next| next.is_err()));
+    assert!(second.received().is_empty());
+}
+
+/// A request had come whole in the very moment in which its instance ended, and by chance was sent to an
+/// upstream in that moment. Its caller was told that it may have run; it has not, and is refused.
+#[tokio::test]
+async fn verify_nothing_is_begun_in_the_moment_of_the_end() {
+    const ROUNDS: usize = 32;
+    for round in 0..ROUNDS {
+        let clock = ManualClock::new();
+        let upstream = Upstream::always(vec![signed("200 OK", "ok")]).await;
+        let entries = vec![entry("u", upstream.address.port())];
+        let front = front_of(&clock, Repeats::AtMostOnce, false, entries).await;
+        let ending = front.gateway.clone();
+        let last = futures_util::stream::poll_fn(move |_| {
+            ending.end();
+            Poll::Ready(None::<Result<Frame<Bytes>, _>>)
+        });
+
+        let answer = front.gateway.handle(received("r1", Body::from_stream(last))).await;
+
+        assert_eq!((answer.status().as_u16(), upstream.received().len()), (503, 0), "{round}");
+    }
+}
