Wait for events, not for times, in two tests of streams

Cause, in the test: the silent engine went on after 1.7 s, and the caller left after 2 s; a stall of 0.3 s cut the stream. Now the engine that lives goes on once it has been asked for its report, the one that is gone is silent until it is left, and callers wait for as long as the route allows, which is a minute. Mutant: an engine that answers is always taken to work on the stream; the test fails (another start under the id, [1, 2]).

Cause, in the test: the reader is left alone for 800 ms by the machine's clock, and the test must end within them. Now the clock is the test's; that the reader is used again after the 800 ms is asserted too. Mutant: the time is 0; the test fails.

Still by the machine's time: the report that tells that an engine lives must come within 1 s.

--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use anvilhook_core::orders::Role;
 use anvilhook_core::stops::Stop;
 use anvilhook_core::units::{Clock, ManualClock, Millis, SystemClock};
@@ -11,12 +13,13 @@
 use anvilhook_gateway::loads::{Held, RoleChange};
 use anvilhook_gateway::prompts::Part;
 use futures_util::FutureExt;
-use support::fronts::{Front, ample_budget, config, impatient, start, start_by};
+use support::fronts::{Front, ample_budget, config, impatient, start, start_by, unhurried};
 use support::upstreams::{
     Received, Step, Upstream, chunk, engine, event, refusal, signed, stream, stream_end,
     stream_head,
 };
 use support::wires::entry;
+use tokio::sync::Notify;
 
 const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
 const ONCE: Repeats = Repeats::Stream { resumable: false };
@@ -98,8 +101,8 @@
 }
 
 /// Symptom: a whole answer is cut, or a stream hangs that could go on.
-/// Sequence: a resumable stream falls silent after two events; its engine is alive, or is gone, or
-/// has started again under its id.
+/// Sequence: a resumable stream falls silent after two events; its engine is alive and goes on once it has
+/// been asked, or is gone, or has started again under its id.
 /// Cause: silence alone says nothing; an engine that answers a call may still work on the stream,
 /// unless it is another start of it that answers.
 #[tokio::test]
@@ -113,21 +116,28 @@
         (Some(1), None, false),
     ];
     for (born, report, is_alive) in cases {
-        let script = move |received: &Received| match received.line.starts_with("GET /report") {
-            true => vec![report.map_or(Step::Close, |report| signed("200 OK", report))],
-            false => {
-                let mut steps = vec![stream_head(), event(1), event(2), Step::Pause(1_700)];
-                steps.extend([event(3), event(4), stream_end()]);
-                steps
+        let asked = Arc::new(Notify::new());
+        let script = move |received: &Received| {
+            let began = vec![stream_head(), event(1), event(2)];
+            if received.line.starts_with("GET /report") {
+                asked.notify_one();
+                vec![report.map_or(Step::Close, |report| signed("200 OK", report))]
+            } else if is_alive {
+                let goes_on =
+                    vec![Step::Await(Arc::clone(&asked)), event(3), event(4), stream_end()];
+                [began, goes_on].concat()
+            } else {
+                [began, vec![Step::Hang]].concat()
             }
         };
         let silent = Upstream::start(script).await;
         let other = Upstream::always(stream(1, 4)).await;
         let far = far_engine("other", &other, Role::Decode);
         let silent = Entry { born, ..engine("silent", &silent, Role::Decode) };
-        let front = front_of(RESUMABLE, vec![silent, far]).await;
+        let config = unhurried(&config(RESUMABLE, 2, true));
+        let front = start(Some(config), vec![silent, far], ample_budget()).await;
 
-        let answer = front.post("r1", PROMPT, "").await;
+        let answer = front.post_unhurried("r1", PROMPT, "").await;
 
         assert_eq!(answer.events(), [1, 2, 3, 4], "{born:?} {report:?}");
         assert!(answer.is_complete(), "{born:?} {report:?}");
@@ -322,16 +332,24 @@
     for (at, one) in generators.iter().enumerate() {
         engines.push(engine(&format!("g{at}"), one, Role::Decode));
     }
-    let front = front_of(ONCE, engines).await;
+    let clock = ManualClock::new();
+    let config = Some(config(ONCE, 2, true));
+    let front = start_by(clock.clone(), config, engines, ample_budget()).await;
     front.gateway.caches().record(&"bad".into(), &[Part { id: 1, tokens: 200 }], 100_000);
-
-    for round in 0..6 {
+    let bad_reads = || bad.received().iter().filter(|one| one.line.starts_with("POST")).count();
+    let ask = async |round| {
         let answer = front.post(&format!("r{round}"), PROMPT, "").await;
         assert_eq!((answer.status, answer.events()), (200, vec![1, 2]), "request {round}");
+    };
+
+    for round in 0..6 {
+        ask(round).await;
     }
+    assert_eq!(bad_reads(), 2);
 
-    let reads = bad.received().iter().filter(|one| one.line.starts_with("POST")).count();
-    assert_eq!(reads, 2);
+    clock.advance(Millis(800));
+    ask(6).await;
+    assert_eq!(bad_reads(), 3, "it may be well again");
 }
 
 /// Symptom: under a full load 1,605 generations are refused, and the retry budget is spent.
