Give answers of tested upstreams seconds, where no timeout is tested

Seen in runs of single tests whose process was stopped for 1 s at a random moment (SIGSTOP): verify_verdicts_under_every_fault 5 of 11 (may-have-run in place of answered or not-run, after 0 or 1 runs), verify_repeats_at_another_instance 1 of 11 (upstream-timeout), verify_two_instances_race_one_key 1 of 11 (0 runs, upstream-timeout), verify_a_caller_that_goes_away_cancels_its_engine 1 of 11 (2 cancels in place of 1: the first attempt was late and so there were two).

Cause, in the fixture: all services of these tests gave an upstream 600 ms to its first byte and 400 ms between events. Now these limits are 10 s; only silent upstreams, which are waited for, have 4 s, so that all attempts fit into the caller's 20 s. The stream that ends at its deadline has 3 s in place of 0.7.

Mutants, each of which has the named tests fail: any verdict may be retried (verify_repeats_at_another_instance: 3 runs), a claim of another attempt taken for one's own (the race: 2 runs), cancels not sent, retries over pooled connections (verify_a_retry_uses_a_new_connection), a stream not bounded by its deadline (verify_a_stream_ends_at_its_deadline). For verify_verdicts_under_every_fault no run with a mutant has ended in time; its table of outcomes is unchanged.

--- a/crates/anvilhook-daemon/tests/proxy_faults.rs
+++ b/crates/anvilhook-daemon/tests/proxy_faults.rs
@@ -44,7 +44,18 @@
         let address = if is_dead { fakes::dead_address() } else { fakes::start(ledger).await };
         addresses.push(address);
     }
-    configuration(&addresses, |_| {}, UNBOUNDED)
+    configuration(&addresses, |spec| shorten(spec, fault), UNBOUNDED)
+}
+
+/// Shortens the limits that a silent upstream is waited for, so that all attempts fit into the caller's
+/// patience. What is well has several seconds for its answer all the same.
+fn shorten(spec: &mut ServiceSpec, fault: Fault) {
+    const SHORT: Millis = Millis(4_000);
+    if matches!(fault, Fault::SilentBeforeHead | Fault::SilentWithinBody | Fault::SilentConnection)
+    {
+        spec.first_byte_ms = SHORT;
+        spec.between_events_ms = SHORT;
+    }
 }
 
 /// Asks once, and returns what the caller was told and how often the request ran.
@@ -240,7 +251,7 @@
         let address = fakes::start(&ledger).await;
         let edit = |spec: &mut ServiceSpec| {
             spec.between_events_ms = PATIENCE;
-            spec.deadline_ms = Millis(700);
+            spec.deadline_ms = Millis(3_000);
         };
         let cfg = configuration(&[address], edit, UNBOUNDED);
         let front = fronts::start(&cfg, FrontOptions::default(), NoClaims).await;
--- a/crates/anvilhook-daemon/tests/support/fronts.rs
+++ b/crates/anvilhook-daemon/tests/support/fronts.rs
@@ -58,13 +58,14 @@
     }
 }
 
-/// Returns the limits of services in tests: short, since only outcomes are asserted.
+/// Returns the limits of services in tests. They are generous, so that no answer that comes is late,
+/// however busy the machine is.
 pub fn service(backend: ServiceBackend) -> ServiceSpec {
     ServiceSpec {
         backend,
-        deadline_ms: Millis(4_000),
-        first_byte_ms: Millis(600),
-        between_events_ms: Millis(400),
+        deadline_ms: PATIENCE,
+        first_byte_ms: Millis(PATIENCE.0 / 2),
+        between_events_ms: Millis(PATIENCE.0 / 2),
         priority: 1,
         max_body_bytes: 10_000,
         max_answer_bytes: 10_000,
