--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use anvilhook_core::orders::Role;
 use anvilhook_core::stops::Stop;
 use anvilhook_core::units::{Clock, ManualClock, Millis, SystemClock};
@@ -11,12 +13,15 @@
 use anvilhook_gateway::loads::{Held, RoleChange};
 use anvilhook_gateway::prompts::Part;
 use futures_util::FutureExt;
-use support::fronts::{Front, ample_budget, config, impatient, patient, start, start_by};
+use support::fronts::{
+    Front, ample_budget, config, impatient, start, start_by, unhurried, without_timeout,
+};
 use support::upstreams::{
     Received, Step, Upstream, chunk, engine, event, refusal, signed, stream, stream_end,
     stream_head,
 };
 use support::wires::entry;
+use tokio::sync::Notify;
 
 const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
 const ONCE: Repeats = Repeats::Stream { resumable: false };
@@ -59,7 +64,7 @@
         let generator = Upstream::always(stream(1, 2)).await;
         let engines =
             vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
-        let (clock, config) = (ManualClock::new(), patient(&config(RESUMABLE, 2, true)));
+        let (clock, config) = (ManualClock::new(), without_timeout(&config(RESUMABLE, 2, true)));
         let front = start_by(clock.clone(), Some(config), engines, ample_budget()).await;
         let busy = std::sync::Arc::clone(front.gateway.fleet().view().get("r").expect("listed"));
         let backlog = Held::with_work(busy, 500.0, 0.0);
@@ -103,8 +108,8 @@
 }
 
 /// Symptom: a whole answer is cut, or a stream hangs that could go on.
-/// Sequence: a resumable stream falls silent after two events; its engine is alive, or is gone, or
-/// has started again under its id.
+/// Sequence: a resumable stream falls silent after two events; its engine is alive and goes on once it has
+/// been asked, or is gone, or has started again under its id.
 /// Cause: silence alone says nothing; an engine that answers a call may still work on the stream,
 /// unless it is another start of it that answers.
 #[tokio::test]
@@ -118,21 +123,28 @@
         (Some(1), None, false),
     ];
     for (born, report, is_alive) in cases {
-        let script = move |received: &Received| match received.line.starts_with("GET /report") {
-            true => vec![report.map_or(Step::Close, |report| signed("200 OK", report))],
-            false => {
-                let mut steps = vec![stream_head(), event(1), event(2), Step::Pause(1_700)];
-                steps.extend([event(3), event(4), stream_end()]);
-                steps
+        let asked = Arc::new(Notify::new());
+        let script = move |received: &Received| {
+            let began = vec![stream_head(), event(1), event(2)];
+            if received.line.starts_with("GET /report") {
+                asked.notify_one();
+                vec![report.map_or(Step::Close, |report| signed("200 OK", report))]
+            } else if is_alive {
+                let goes_on =
+                    vec![Step::Await(Arc::clone(&asked)), event(3), event(4), stream_end()];
+                [began, goes_on].concat()
+            } else {
+                [began, vec![Step::Hang]].concat()
             }
         };
         let silent = Upstream::start(script).await;
         let other = Upstream::always(stream(1, 4)).await;
         let far = far_engine("other", &other, Role::Decode);
         let silent = Entry { born, ..engine("silent", &silent, Role::Decode) };
-        let front = front_of(RESUMABLE, vec![silent, far]).await;
+        let config = unhurried(&config(RESUMABLE, 2, true));
+        let front = start(Some(config), vec![silent, far], ample_budget()).await;
 
-        let answer = front.post("r1", PROMPT, "").await;
+        let answer = front.post_unhurried("r1", PROMPT, "").await;
 
         assert_eq!(answer.events(), [1, 2, 3, 4], "{born:?} {report:?}");
         assert!(answer.is_complete(), "{born:?} {report:?}");
@@ -327,16 +339,24 @@
     for (at, one) in generators.iter().enumerate() {
         engines.push(engine(&format!("g{at}"), one, Role::Decode));
     }
-    let front = front_of(ONCE, engines).await;
+    let clock = ManualClock::new();
+    let config = Some(config(ONCE, 2, true));
+    let front = start_by(clock.clone(), config, engines, ample_budget()).await;
     front.gateway.caches().record(&"bad".into(), &[Part { id: 1, tokens: 200 }], 100_000);
-
-    for round in 0..6 {
+    let bad_reads = || bad.received().iter().filter(|one| one.line.starts_with("POST")).count();
+    let ask = async |round| {
         let answer = front.post(&format!("r{round}"), PROMPT, "").await;
         assert_eq!((answer.status, answer.events()), (200, vec![1, 2]), "request {round}");
+    };
+
+    for round in 0..6 {
+        ask(round).await;
     }
+    assert_eq!(bad_reads(), 2);
 
-    let reads = bad.received().iter().filter(|one| one.line.starts_with("POST")).count();
-    assert_eq!(reads, 2);
+    clock.advance(Millis(800));
+    ask(6).await;
+    assert_eq!(bad_reads(), 3, "it may be well again");
 }
 
 /// Symptom: under a full load 1,605 generations are refused, and the retry budget is spent.
@@ -507,7 +527,7 @@
         drop(backlog);
     };
 
-    let (answer, ()) = tokio::join!(front.post_patiently("r1", LONG), stopping);
+    let (answer, ()) = tokio::join!(front.post_unhurried("r1", LONG, ""), stopping);
 
     assert_eq!((answer.status, reader.received().len()), (503, 0), "{answer:?}");
     assert!(answer.head.contains("retry-after"), "{answer:?}");
@@ -551,10 +571,10 @@
 async fn verify_a_long_prompt_waits_here_while_its_reader_reads() {
     let BusyReader { front, reader, generator: _generator, backlog, .. } =
         BusyReader::start().await;
-    let mut long = Box::pin(front.post_patiently("long", LONG));
+    let mut long = Box::pin(front.post_unhurried("long", LONG, ""));
 
     let short = tokio::select! {
-        answer = front.post_patiently("short", PROMPT) => answer,
+        answer = front.post_unhurried("short", PROMPT, "") => answer,
         answer = &mut long => panic!("the long one came first: {answer:?}"),
     };
 
