--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -4,6 +4,7 @@
 //! serves worse, never wrongly.
 
 mod digests;
+mod gathering;
 mod members;
 mod mirrors;
 mod notices;
@@ -33,6 +34,7 @@
 use zones::ZoneLink;
 
 pub use digests::{CachedPrompt, Digest, EngineLoad, Scope, ToldWork};
+pub use gathering::CacheNews;
 pub use members::Peers;
 pub use mirrors::Mirror;
 pub use notices::{Notice, NoticeKind};
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -13,7 +13,8 @@
 use tokio::net::UdpSocket;
 
 use super::Peers;
-use super::digests::{CachedPrompt, Digest, EngineLoad, Scope, near_loads, take_in};
+use super::digests::{Digest, EngineLoad, Scope, near_loads, take_in};
+use super::gathering::CacheNews;
 use super::notices::Notice;
 use super::telling::{send, some_of};
 use crate::relay::Gateway;
@@ -36,9 +37,7 @@
 /// How many instances of a zone are told if none is known to tell for it.
 const GUESSED_TELLERS: usize = 2;
 
-/// The most prompts that one digest tells of, so that it fits into a datagram, and the most such digests
-/// at a time. Older news are dropped then: an engine may have dropped the parts as well.
-const MAX_CACHED: usize = 40;
+/// The most digests at a time that tell what engines have read.
 const MAX_CACHED_DIGESTS: usize = 4;
 
 /// `ZoneLink` is what this instance tells other availability zones, and its own of them, if it is the one
@@ -72,13 +71,13 @@
 /// `News` is what is to be told on.
 #[derive(Default)]
 struct News {
-    cached: Vec<CachedPrompt>,
+    cached: CacheNews,
     notices: Vec<(Millis, Notice)>,
 }
 
 impl News {
     fn collect(&mut self, digest: &Digest, now: Millis) {
-        self.cached.extend(digest.cached.iter().cloned());
+        digest.cached.iter().for_each(|cached| self.cached.add(cached));
         for notice in &digest.notices {
             if !self.notices.iter().any(|(_, known)| known.is_same(notice)) {
                 self.notices.push((now, notice.clone()));
@@ -101,14 +100,8 @@
         peers: &Peers,
         now: Millis,
     ) -> (Vec<Digest>, Digest) {
-        let cached = std::mem::take(&mut self.cached);
-        let dropped = cached.len().saturating_sub(MAX_CACHED * MAX_CACHED_DIGESTS);
-        let pieces = cached[dropped..].chunks(MAX_CACHED);
-        let of_piece = |piece: &[CachedPrompt]| Digest {
-            scope,
-            cached: piece.to_vec(),
-            ..Digest::partial(peers, now)
-        };
+        let pieces = self.cached.take(MAX_CACHED_DIGESTS, now).into_iter();
+        let of_piece = |cached| Digest { scope, cached, ..Digest::partial(peers, now) };
         let notices = self.notices(now);
         (
             pieces.map(of_piece).collect(),
--- a/crates/anvilhook-gateway/tests/zones.rs
+++ b/crates/anvilhook-gateway/tests/zones.rs
@@ -5,6 +5,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
@@ -153,3 +154,29 @@
     teller.record(again);
     until(|| all.iter().all(|one| one.knows(again))).await;
 }
+
+/// Symptom: the instance that tells for its availability zone fills its link with what engines elsewhere
+/// have read, and the requests that it serves are late.
+/// Sequence: an engine reads many prompts that begin with the same part, within a second.
+/// Cause: each reading was told on to each instance of each other zone, though they believed it already.
+#[tokio::test]
+async fn verify_a_part_that_is_read_often_is_told_on_once_in_a_while() {
+    const READINGS: usize = 40;
+    const MIN_BYTES: usize = 10;
+    let all = instances(&MemoryTable::default()).await;
+
+    for _ in 0..READINGS {
+        all[0].record(SHARED);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    until(|| all.iter().all(|one| one.knows(SHARED))).await;
+    // The last of them may be on their way to other zones.
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let far_bytes =
+        |one: &Instance| one.gateway.metrics().digest_sections.totals()["far"]["cached"];
+    let told_on: u64 = all.iter().map(far_bytes).sum();
+    let tellings = (INSTANCES - 1) * (ZONES.len() - 1);
+    let of_each = (READINGS * tellings * MIN_BYTES) as u64;
+    assert!(told_on < of_each / 4, "{told_on} bytes, {of_each} for all readings");
+}
