--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -103,6 +103,8 @@
     pub from: u64,
     /// The engines at which it has something in flight.
     pub loads: Vec<EngineLoad>,
+    /// Whether these are only those of which the load has changed since the digest before.
+    pub is_delta: bool,
     /// What engines have read since the last digest.
     pub cached: Vec<CachedPrompt>,
     /// Whether it tells nothing of loads, but only of caches, rows, what is asked for, or who the sender
@@ -234,11 +236,16 @@
     let is_far = digest.scope == Scope::Far;
     let number = if is_far { FAR_NUMBER } else { digest.from };
     let busy = digest.loads.iter().map(|load| load.engine).collect();
-    let before = gateway.peers().replace_busy(from, is_far, busy);
-    // Only the engines that are named, or were, change; there may be hundreds of others.
-    let ended = before.iter().filter(|engine| !digest.loads.iter().any(|l| l.engine == **engine));
-    for upstream in ended.filter_map(|engine| view.by_digest(*engine)) {
-        upstream.state.record_peer(number, PeerLoad { at: now, is_far, ..PeerLoad::default() });
+    if digest.is_delta {
+        gateway.peers().add_busy(from, busy);
+    } else {
+        let before = gateway.peers().replace_busy(from, is_far, busy);
+        // Only the engines that are named, or were, change; there may be hundreds of others.
+        let is_named = |engine| digest.loads.iter().any(|load| load.engine == engine);
+        let ended = before.into_iter().filter(|engine| !is_named(*engine));
+        for upstream in ended.filter_map(|engine| view.by_digest(engine)) {
+            upstream.state.record_peer(number, PeerLoad { at: now, is_far, ..PeerLoad::default() });
+        }
     }
     for load in &digest.loads {
         let Some(upstream) = view.by_digest(load.engine) else { continue };
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -289,6 +289,17 @@
         peer.map(|peer| std::mem::replace(&mut peer.busy, busy)).unwrap_or_default()
     }
 
+    /// Notes further engines at which an instance tells of work.
+    pub(super) fn add_busy(&self, address: SocketAddr, busy: Vec<u32>) {
+        let mut known = self.known.lock().expect("no panic under this lock");
+        let peer = known.get_mut(&address).and_then(|known| known.peer.as_mut());
+        if let Some(peer) = peer {
+            let new = busy.into_iter().filter(|engine| !peer.busy.contains(engine));
+            let new: Vec<u32> = new.collect();
+            peer.busy.extend(new);
+        }
+    }
+
     /// Returns the addresses to tell.
     pub fn addresses(&self, now: Millis) -> Vec<SocketAddr> {
         let known = self.known.lock().expect("no panic under this lock");
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -3,6 +3,7 @@
 //! Everything told is a hint. An instance that hears nothing goes on by what it knows itself, and
 //! serves worse, never wrongly.
 
+mod changes;
 mod digests;
 mod gathering;
 mod members;
@@ -33,6 +34,7 @@
 use telling::{Teller, tell_missed};
 use zones::ZoneLink;
 
+pub use changes::ToldLoads;
 pub use digests::{CachedPrompt, Digest, EngineLoad, Scope, ToldWork};
 pub use gathering::CacheNews;
 pub use members::Peers;
--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
+use super::changes::ToldLoads;
 use super::digests::{Digest, digest, take_cached};
 use super::notices::Notice;
 use super::rows::{ToldRows, pieces_of};
@@ -35,6 +36,8 @@
     had_loads: bool,
     /// The prompt work at each engine as all peers were told it last, in milliseconds.
     told_to_all: HashMap<u32, u32>,
+    /// The loads as the availability zone was told them last.
+    told_loads: ToldLoads,
     /// The notices that the others were given last.
     told_notices: Vec<Notice>,
     /// Whether the others were told last that this instance does not reach the tables.
@@ -60,6 +63,7 @@
             quiet_ticks: 0,
             had_loads: false,
             told_to_all: HashMap::new(),
+            told_loads: ToldLoads::default(),
             told_notices: Vec::new(),
             told_unable: Vec::new(),
         }
@@ -129,6 +133,9 @@
             self.told_unable = unable;
             // It is told once only, so whoever is left out would never learn of it.
             digest.cached = take_cached(gateway);
+            (digest.loads, digest.is_delta) = self.told_loads.next(&digest.loads, now);
+        } else {
+            self.told_loads.note_told_to_some(&digest.loads);
         }
         let addresses = self.addresses(audience, gateway, now);
         send(&digest, &addresses, socket, gateway);
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -471,6 +471,7 @@
         from: u64::MAX,
         loads: vec![load; 12],
         cached: vec![cached],
+        is_delta: false,
         is_partial: false,
         scope: Scope::Zone(([10, 1, 0, 35], 7_660).into()),
         notices: vec![
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -180,6 +180,51 @@
     assert!(digests <= READINGS / 5, "{digests} digests tell of {READINGS} readings");
 }
 
+/// Symptom: half of what instances send each other are loads that have not changed.
+/// Sequence: an instance has work at twelve engines, and more and more of it at one of them.
+/// Cause: each digest named all of them. Those that stay must be believed all the same.
+#[tokio::test]
+async fn verify_loads_that_stay_are_told_once_in_a_while_and_believed() {
+    const ENGINES: usize = 12;
+    let (one, others) = instance_among(30).await;
+    let two = instance(2, 1, &[one.address]).await;
+    let entries = || {
+        let ids = (0..ENGINES).map(|at| format!("e{at}"));
+        ids.map(|id| Entry { role: Some(Role::Prefill), ..entry(&id, 1) })
+    };
+    [&one, &two].iter().for_each(|instance| instance.gateway.adopt_entries(entries()));
+    let work_at = |at: usize, reading_ms: f64| {
+        let view = one.gateway.fleet().view();
+        let upstream = Arc::clone(view.get(&format!("e{at}")).expect("listed"));
+        Held::with_work(upstream, reading_ms, 0.0)
+    };
+    let _held: Vec<_> = (1..ENGINES).map(|at| work_at(at, 60_000.0)).collect();
+    let seen_by_two = |at: usize| {
+        let view = two.gateway.fleet().view();
+        let now = anvilhook_core::units::Clock::now(&two.clock);
+        view.get(&format!("e{at}")).expect("listed").state.work(now).in_flight
+    };
+    until(|| (1..ENGINES).all(|at| seen_by_two(at) == 1)).await;
+    let mut buf = [0; 2_000];
+    while others[0].try_recv(&mut buf).is_ok() {}
+
+    let mut more = Vec::new();
+    for turn in 1..30 {
+        more.push(work_at(0, 1_000.0));
+        one.gateway.peers().announce();
+        until(|| seen_by_two(0) == turn).await;
+        assert!((1..ENGINES).all(|at| seen_by_two(at) == 1), "loads that stay are believed");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    let (mut digests, mut loads) = (0, 0);
+    while let Ok(len) = others[0].try_recv(&mut buf) {
+        let digest: Digest = postcard::from_bytes(&buf[..len]).expect("a digest");
+        (digests, loads) = (digests + 1, loads + digest.loads.len());
+    }
+    assert!(loads < digests * ENGINES / 2, "{loads} loads in {digests} digests");
+}
+
 /// Symptom: a hundred instances fill their links with digests, and take engines for away for ever.
 /// Sequence: an engine is said to change its role, by another instance or by this one's own order.
 /// Cause: what others know must not be told on; what this one knows is told to all.
