--- a/crates/anvilhook-gateway/src/caches.rs
+++ b/crates/anvilhook-gateway/src/caches.rs
@@ -26,28 +26,25 @@
 }
 
 impl Memory {
-    /// Notes a use of a part, and returns whether it was held before.
-    fn touch(&mut self, part: Part, is_own: bool, capacity: u64) -> bool {
+    fn touch(&mut self, part: Part, is_own: bool, capacity: u64) {
         // It would never be displaced, and a caller may name any number of them.
         if part.tokens == 0 {
-            return true;
+            return;
         }
         self.uses += 1;
         let held = Held { use_number: self.uses, tokens: part.tokens, is_own };
-        let before = self.held.insert(part.id, held);
-        if let Some(before) = before {
+        if let Some(before) = self.held.insert(part.id, held) {
             self.by_use.remove(&before.use_number);
             self.tokens -= u64::from(before.tokens);
         }
         self.by_use.insert(self.uses, part.id);
         self.tokens += u64::from(part.tokens);
         while self.tokens > capacity {
-            let Some((_, oldest)) = self.by_use.pop_first() else { break };
+            let Some((_, oldest)) = self.by_use.pop_first() else { return };
             if let Some(dropped) = self.held.remove(&oldest) {
                 self.tokens -= u64::from(dropped.tokens);
             }
         }
-        before.is_some()
     }
 }
 
@@ -66,31 +63,15 @@
         Self::default()
     }
 
-    /// Notes that an engine has read a prompt's parts, and returns whether one that others may share was
-    /// not held there before. `capacity` is its cache in tokens.
-    ///
-    /// ```
-    /// use std::sync::Arc;
-    ///
-    /// use anvilhook_gateway::caches::CacheBeliefs;
-    /// use anvilhook_gateway::prompts::Part;
-    ///
-    /// let (caches, engine) = (CacheBeliefs::new(), Arc::from("e0"));
-    /// let shared = [Part { id: 1, tokens: 5_000 }];
-    /// assert!(caches.record(&engine, &shared, 100_000));
-    /// assert!(!caches.record(&engine, &shared, 100_000));
-    /// ```
-    pub fn record(&self, engine: &Arc<str>, parts: &[Part], capacity: u64) -> bool {
+    /// Notes that an engine has read a prompt's parts. `capacity` is its cache in tokens.
+    pub fn record(&self, engine: &Arc<str>, parts: &[Part], capacity: u64) {
         let usable = (capacity as f64 * USABLE_SHARE) as u64;
         let mut engines = self.engines.lock().expect("no panic under this lock");
         let memory = engines.entry(Arc::clone(engine)).or_default();
-        let mut is_news = false;
         for (at, part) in parts.iter().enumerate() {
             let is_own = parts.len() > 1 && at + 1 == parts.len();
-            let was_held = memory.touch(*part, is_own, usable);
-            is_news |= !is_own && !was_held;
+            memory.touch(*part, is_own, usable);
         }
-        is_news
     }
 
     /// Notes the same of a prompt of which another instance tells: the parts that others may share, and
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -28,5 +28,4 @@
 pub mod streams;
 pub mod tables;
 mod texts;
-mod untold;
 pub mod wires;
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -143,8 +143,9 @@
     }
 }
 
-/// Makes the digest of what this instance has in flight and has found out.
+/// Makes the digest of what this instance has in flight, and of what the peers don't know yet.
 pub(super) fn digest<W: Wire, C: Clock>(gateway: &Gateway<W, C>, now: Millis) -> Digest {
+    const MAX_CACHED: usize = 24;
     let view = gateway.fleet().view();
     let mut digest = Digest::from(gateway.peers(), now);
     for upstream in view.all() {
@@ -162,21 +163,13 @@
         generating_ms: work.generating_ms as u32,
     };
     digest.work = gateway.speeds().own_work().into_iter().map(told).collect();
+    for (engine, parts) in gateway.take_cached(MAX_CACHED) {
+        let Some(upstream) = view.get(&engine) else { continue };
+        digest.cached.push(CachedPrompt::of(upstream.digest, &parts));
+    }
     digest
 }
 
-/// Takes what the peers don't know yet of the caches, as much as fits beside the rest of a digest.
-pub(super) fn take_cached<W: Wire, C: Clock>(gateway: &Gateway<W, C>) -> Vec<CachedPrompt> {
-    const MAX_CACHED: usize = 24;
-    let view = gateway.fleet().view();
-    let cached = gateway.take_cached(MAX_CACHED).into_iter();
-    let told = |(engine, parts): (Arc<str>, Vec<Part>)| {
-        let upstream = view.get(&engine)?;
-        Some(CachedPrompt::of(upstream.digest, &parts))
-    };
-    cached.filter_map(told).collect()
-}
-
 /// Returns what all instances of the own availability zone have in flight, by what is believed. Of more
 /// engines than fit into a digest those with the most work are told of.
 pub(super) fn near_loads<W: Wire, C: Clock>(
--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 use super::changes::ToldLoads;
-use super::digests::{Digest, digest, take_cached};
+use super::digests::{Digest, digest};
 use super::notices::Notice;
 use super::rows::{ToldRows, pieces_of};
 use super::versions::FollowedTable;
@@ -69,14 +69,10 @@
         }
     }
 
-    /// Returns whether a digest is to go to all peers. `is_cached_anew` is whether an engine has read what
-    /// it was not believed to hold; a peer that is not told would have it read again elsewhere.
-    fn has_great_news(
-        &mut self,
-        digest: &Digest,
-        is_cached_anew: bool,
-        is_among_few: bool,
-    ) -> bool {
+    /// Returns whether a digest is to go to all peers.
+    ///
+    /// What engines have read is told once only, so a peer that is left out would have it read again.
+    fn has_great_news(&mut self, digest: &Digest, is_among_few: bool) -> bool {
         let reading: HashMap<u32, u32> =
             digest.loads.iter().map(|load| (load.engine, load.reading_ms)).collect();
         let of = |map: &HashMap<u32, u32>, engine| map.get(engine).copied().unwrap_or(0);
@@ -90,7 +86,7 @@
         // A notice holds for seconds; to tell all of it with each digest would choke the links.
         let is_in = |notices: &[Notice], notice: &Notice| notices.iter().any(|n| n.is_same(notice));
         let has_notice = digest.notices.iter().any(|notice| !is_in(&self.told_notices, notice));
-        let is_great = has_changed || is_cached_anew || has_notice;
+        let is_great = has_changed || !digest.cached.is_empty() || has_notice;
         if is_great {
             (self.told_to_all, self.told_notices) = (reading, digest.notices.clone());
         } else {
@@ -110,9 +106,8 @@
         ask_for_missed(socket, gateway, now);
         introduce(socket, gateway, now);
         let mut digest = digest(gateway, now);
-        let is_cached_anew = gateway.untold().has_news();
         let has_loads = !digest.loads.is_empty() || !digest.notices.is_empty();
-        let has_news = has_loads || self.had_loads || is_cached_anew;
+        let has_news = has_loads || self.had_loads || !digest.cached.is_empty();
         let unable: Vec<_> = digest.watches.iter().map(|watch| watch.is_unable).collect();
         let is_due = self.quiet_ticks >= HEARTBEAT_TICKS || self.told_unable != unable;
         self.quiet_ticks += 1;
@@ -121,8 +116,8 @@
         }
         self.had_loads = has_loads;
         let is_among_few = gateway.peers().are_few();
-        let is_great = self.has_great_news(&digest, is_cached_anew, is_among_few)
-            | gateway.peers().take_place_news();
+        let is_great =
+            self.has_great_news(&digest, is_among_few) | gateway.peers().take_place_news();
         let audience = match () {
             () if is_among_few => Audience::All,
             () if is_great || is_due => Audience::Zone,
@@ -131,11 +126,14 @@
         if audience != Audience::Few {
             self.quiet_ticks = 0;
             self.told_unable = unable;
-            // It is told once only, so whoever is left out would never learn of it.
-            digest.cached = take_cached(gateway);
-            (digest.loads, digest.is_delta) = self.told_loads.next(&digest.loads, now);
-        } else {
-            self.told_loads.note_told_to_some(&digest.loads);
+        }
+        match audience {
+            // Few cost few bytes, and need no care for a digest that is lost.
+            Audience::All => {}
+            Audience::Zone => {
+                (digest.loads, digest.is_delta) = self.told_loads.next(&digest.loads, now);
+            }
+            Audience::Few => self.told_loads.note_told_to_some(&digest.loads),
         }
         let addresses = self.addresses(audience, gateway, now);
         send(&digest, &addresses, socket, gateway);
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -217,10 +217,11 @@
 
     /// Notes what an engine now keeps, and has the peers told of it.
     pub fn record_cached(&self, upstream: &Arc<str>, parts: &[Part], engine: &EngineSpec) {
-        let is_news = self.inner.caches.record(upstream, parts, engine.kv_tokens.0);
+        self.inner.caches.record(upstream, parts, engine.kv_tokens.0);
         let tokens: u32 = parts.iter().map(|part| part.tokens).sum();
         if tokens >= TOLD_TOKENS {
-            self.untold().push(upstream, parts, is_news);
+            let mut cached = self.inner.cached.lock().expect("no panic under this lock");
+            cached.push((Arc::clone(upstream), parts.to_vec()));
         }
     }
 }
