--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -132,6 +132,10 @@
             Audience::All => {}
             Audience::Zone => {
                 (digest.loads, digest.is_delta) = self.told_loads.next(&digest.loads, now);
+                if digest.is_delta {
+                    // The next whole digest has the sum, soon enough for the split of the engines.
+                    digest.work.clear();
+                }
             }
             Audience::Few => self.told_loads.note_told_to_some(&digest.loads),
         }
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -18,6 +18,7 @@
     ToldWork, exchange, pieces_of, register, seed_caches,
 };
 use anvilhook_gateway::prompts::{Part, Prompt};
+use anvilhook_gateway::speeds::EngineWork;
 use anvilhook_gateway::tables::Row;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -151,7 +152,7 @@
     }
 }
 
-/// Symptom: half of what instances send each other are loads that have not changed.
+/// Symptom: half of what instances send each other are loads that have not changed, and sums of work.
 /// Sequence: an instance has work at twelve engines, and more and more of it at one of them.
 /// Cause: each digest named all of them. Those that stay must be believed all the same.
 #[tokio::test]
@@ -169,6 +170,8 @@
         let upstream = Arc::clone(view.get(&format!("e{at}")).expect("listed"));
         Held::with_work(upstream, reading_ms, 0.0)
     };
+    let work = EngineWork { reading_ms: 500.0, generating_ms: 700.0 };
+    one.gateway.speeds().record_work(&Arc::from("service"), work, Millis::ZERO);
     let _held: Vec<_> = (1..ENGINES).map(|at| work_at(at, 60_000.0)).collect();
     let seen_by_two = |at: usize| {
         let view = two.gateway.fleet().view();
@@ -188,12 +191,15 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 
-    let (mut digests, mut loads) = (0, 0);
+    let (mut digests, mut loads, mut with_work) = (0, 0, 0);
     while let Ok(len) = others[0].try_recv(&mut buf) {
         let digest: Digest = postcard::from_bytes(&buf[..len]).expect("a digest");
         (digests, loads) = (digests + 1, loads + digest.loads.len());
+        with_work += usize::from(!digest.work.is_empty());
     }
     assert!(loads < digests * ENGINES / 2, "{loads} loads in {digests} digests");
+    // It is a sum since the start, so that nothing is lost with those that don't tell it.
+    assert!((1..digests / 2).contains(&with_work), "{with_work} of {digests} tell of work");
 }
 
 /// Symptom: a hundred instances fill their links with digests, and take engines for away for ever.
