--- a/crates/anvilhook-gateway/src/peers/changes.rs
+++ b/crates/anvilhook-gateway/src/peers/changes.rs
@@ -12,7 +12,7 @@
 /// `ToldLoads` is an instance's loads as its availability zone was told them last.
 ///
 /// An instance with work at a dozen engines tells all peers many times a second that one of those loads
-/// has changed. To name the others each time takes half of all that it sends, and fills a narrow link.
+/// has changed. To name the others each time is most of what it sends, and fills a narrow link.
 ///
 /// ```
 /// use anvilhook_core::units::Millis;
