--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
+use super::changes::ToldLoads;
 use super::digests::{Digest, digest};
 use super::notices::Notice;
 use super::rows::{ToldRows, pieces_of};
@@ -35,6 +36,8 @@
     had_loads: bool,
     /// The prompt work at each engine as all peers were told it last, in milliseconds.
     told_to_all: HashMap<u32, u32>,
+    /// The loads as the availability zone was told them last.
+    told_loads: ToldLoads,
     /// The notices that the others were given last.
     told_notices: Vec<Notice>,
     /// Whether the others were told last that this instance does not reach the tables.
@@ -60,6 +63,7 @@
             quiet_ticks: 0,
             had_loads: false,
             told_to_all: HashMap::new(),
+            told_loads: ToldLoads::default(),
             told_notices: Vec::new(),
             told_unable: Vec::new(),
         }
@@ -101,7 +105,7 @@
         self.tell_rows(socket, gateway, now);
         ask_for_missed(socket, gateway, now);
         introduce(socket, gateway, now);
-        let digest = digest(gateway, now);
+        let mut digest = digest(gateway, now);
         let has_loads = !digest.loads.is_empty() || !digest.notices.is_empty();
         let has_news = has_loads || self.had_loads || !digest.cached.is_empty();
         let unable: Vec<_> = digest.watches.iter().map(|watch| watch.is_unable).collect();
@@ -123,6 +127,18 @@
             self.quiet_ticks = 0;
             self.told_unable = unable;
         }
+        match audience {
+            // Few cost few bytes, and need no care for a digest that is lost.
+            Audience::All => {}
+            Audience::Zone => {
+                (digest.loads, digest.is_delta) = self.told_loads.next(&digest.loads, now);
+                if digest.is_delta {
+                    // The next whole digest has the sum, soon enough for the split of the engines.
+                    digest.work.clear();
+                }
+            }
+            Audience::Few => self.told_loads.note_told_to_some(&digest.loads),
+        }
         let addresses = self.addresses(audience, gateway, now);
         send(&digest, &addresses, socket, gateway);
         Some(digest)
