--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -30,6 +30,11 @@
 /// How much longer a decode engine takes to read a prompt.
 const DECODE_READING_FACTOR: f64 = 2.0;
 
+/// What a decode engine's reading costs beyond its time, as a factor and in milliseconds. All of
+/// its streams stand still meanwhile, so that one that reads often makes many of them late.
+const DIRECT_FACTOR: f64 = 3.0;
+const DIRECT_MS: f64 = 600.0;
+
 /// The share of an engine's places that instances of other availability zones may have taken since its
 /// load was told here. Without it the last free places of far engines draw the streams of all zones.
 const UNHEARD_PLACES: f64 = 0.15;
@@ -102,21 +107,12 @@
     pub fetching_ms: f64,
     /// The predicted time to the first token if it also reads the prompt, in milliseconds.
     pub direct_ms: f64,
+    /// What that costs, in milliseconds, with what it holds up.
+    pub direct_cost_ms: f64,
     /// What reading the prompt there would be, in milliseconds of its work.
     pub reading_ms: f64,
 }
 
-impl Generator {
-    /// Returns what it counts as, in milliseconds, that the engine reads the prompt although prefill
-    /// engines could.
-    ///
-    /// All streams of a decode engine stand still while it reads, so that one that reads makes many of
-    /// them late.
-    fn whole_ms(&self) -> f64 {
-        if self.upstream.role() == Some(Role::Decode) { f64::INFINITY } else { self.direct_ms }
-    }
-}
-
 /// `Plan` says how a request is to be served.
 #[derive(Clone, Debug)]
 pub enum Plan {
@@ -138,20 +134,19 @@
 
 impl Placer<'_> {
     /// Chooses how to serve a request; `None` if no engine can take it.
-    ///
-    /// A decode engine reads only where no prefill engine can. An engine that takes both stages serves a
-    /// request whole where that is sooner.
     pub fn plan(&self, req: &Request<'_>) -> Option<Plan> {
-        let Some(mut reader) = self.reader(req) else {
-            return self.generator_by(req, None, |generator| generator.direct_ms).map(Plan::Direct);
-        };
+        let direct = self.generator_by(req, None, |generator| generator.direct_cost_ms)?;
         let fetched = self.generator_by(req, None, |generator| generator.fetched_ms)?;
-        reader.total_ms += HOP_MS + fetched.fetched_ms;
-        let whole = self.generator_by(req, None, Generator::whole_ms)?;
-        if whole.whole_ms() < reader.total_ms {
-            Some(Plan::Direct(whole))
-        } else {
-            Some(Plan::Split(reader))
+        match self.reader(req) {
+            Some(mut reader) => {
+                reader.total_ms += HOP_MS + fetched.fetched_ms;
+                if reader.total_ms <= direct.direct_cost_ms {
+                    Some(Plan::Split(reader))
+                } else {
+                    Some(Plan::Direct(direct))
+                }
+            }
+            None => Some(Plan::Direct(direct)),
         }
     }
 
@@ -307,11 +302,17 @@
         let is_far = reader.is_some_and(|reader| reader.entry.zone != upstream.entry.zone);
         let fetching_ms =
             self.transfer_ms(req.engine, req.prompt.tokens - held.min(req.prompt.tokens), is_far);
+        let direct_ms = wait_ms + work.reading_ms + reading_ms;
         Generator {
             upstream: Arc::clone(upstream),
             fetched_ms: wait_ms + work.fetching_ms + fetching_ms,
             fetching_ms,
-            direct_ms: wait_ms + work.reading_ms + reading_ms,
+            direct_ms,
+            direct_cost_ms: if is_generator {
+                direct_ms * DIRECT_FACTOR + DIRECT_MS
+            } else {
+                direct_ms
+            },
             reading_ms,
         }
     }
