--- a/crates/anvilhook-ctl/src/explains.rs
+++ b/crates/anvilhook-ctl/src/explains.rs
@@ -1,4 +1,4 @@
-//! `explain`: the story of one request, from the logs of the instances.
+//! `explain`: the history of one request, from the logs of the instances.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
@@ -10,7 +10,7 @@
 use crate::arguments::{ExplainArgs, Output};
 use crate::exits::{Exit, Failure, Result};
 
-/// The fields that stand at the front of a line of the story.
+/// The fields that stand at the front of a line of the history.
 const HEAD_FIELDS: [&str; 5] = ["time_ms", "instance", "level", "event", "request"];
 
 /// The events that tell what an instance believes, by the name under which the newest is kept.
@@ -43,9 +43,9 @@
     fields: Map<String, Value>,
 }
 
-/// `Story` is all that the logs tell of a request.
+/// `RequestHistory` is all that the logs tell of a request.
 #[derive(Clone, Debug, Serialize)]
-struct Story {
+struct RequestHistory {
     request: String,
     lines: Vec<LogLine>,
     beliefs: Vec<Belief>,
@@ -54,14 +54,14 @@
 /// Runs the subcommand.
 pub(crate) fn run(args: &ExplainArgs, output: Output, out: &mut impl Write) -> Result<()> {
     let lines = read_all(&args.files)?;
-    let story = tell(&args.request, &lines);
-    if story.lines.is_empty() {
+    let history = tell(&args.request, &lines);
+    if history.lines.is_empty() {
         let message = format!("{}: no line of the logs names this request", args.request);
         return Err(Failure::new(Exit::NotFound, message));
     }
     let text = match output {
-        Output::Json => serde_json::to_string_pretty(&story).map_err(Failure::output)?,
-        Output::Table => in_words(&story),
+        Output::Json => serde_json::to_string_pretty(&history).map_err(Failure::output)?,
+        Output::Table => in_words(&history),
     };
     writeln!(out, "{text}").map_err(Failure::output)
 }
@@ -106,7 +106,7 @@
     })
 }
 
-fn tell(request: &str, lines: &[LogLine]) -> Story {
+fn tell(request: &str, lines: &[LogLine]) -> RequestHistory {
     let own: Vec<LogLine> =
         lines.iter().filter(|line| names(line, "request", request)).cloned().collect();
     let upstreams: BTreeSet<&str> =
@@ -116,7 +116,7 @@
         .filter(|line| line.event == "concluded")
         .flat_map(|end| beliefs_at(lines, end, &upstreams))
         .collect();
-    Story { request: request.to_owned(), lines: own, beliefs }
+    RequestHistory { request: request.to_owned(), lines: own, beliefs }
 }
 
 fn names(line: &LogLine, field: &str, value: &str) -> bool {
@@ -151,18 +151,18 @@
     newest.into_iter().map(belief).collect()
 }
 
-fn in_words(story: &Story) -> String {
-    let mut text = format!("request {}\n", story.request);
-    let start = story.lines.first().map_or(0, |line| line.time_ms);
-    for line in &story.lines {
+fn in_words(history: &RequestHistory) -> String {
+    let mut text = format!("request {}\n", history.request);
+    let start = history.lines.first().map_or(0, |line| line.time_ms);
+    for line in &history.lines {
         let after = line.time_ms - start;
         let rest = details(&line.fields);
         let _ = writeln!(text, "{after:>7} ms  {}  {}  {rest}", line.instance, line.event);
     }
-    if !story.beliefs.is_empty() {
+    if !history.beliefs.is_empty() {
         text.push_str("believed at its end:\n");
     }
-    for belief in &story.beliefs {
+    for belief in &history.beliefs {
         let rest = details(&belief.fields);
         let age = belief.age_ms;
         let (name, event) = (belief.belief, &belief.event);
