Let the time of tests of zones and of a lasting stream go with paused timers

Seen, each test's process stopped at a random moment (SIGSTOP): verify_a_stream_that_has_lasted_is_gone_on_with failed in 1 of 20 plays at 0.5 s and 1 of 20 at 1 s (events [1, 2, 3]); of zones, verify_another_instance_tells_for_its_zone_where_the_one_before_ends in 1 of 10 at 1 s (waited 20 s in vain). Causes, in the tests: a caller's patience of 500 ms, and the silence by which instances take each other for gone, went by the machine's clock.

As strict: without the patience counted from the last event the first fails.

--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -13,6 +13,7 @@
 use anvilhook_gateway::loads::{Held, RoleChange};
 use anvilhook_gateway::prompts::Part;
 use futures_util::FutureExt;
+use support::clocks::TimerClock;
 use support::fronts::{
     Front, ample_budget, config, impatient, start, start_by, unhurried, without_timeout,
 };
@@ -612,7 +613,7 @@
 /// Symptom: a stream that breaks after some seconds is cut, though another engine could go on.
 /// Sequence: its events come for longer than its caller would wait for one; then its engine ends.
 /// Cause: a caller that has had events counts its patience from the last one.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn verify_a_stream_that_has_lasted_is_gone_on_with() {
     let lasting = vec![
         stream_head(),
@@ -629,9 +630,8 @@
     let far = far_engine("other", &other, Role::Decode);
     let engines =
         vec![engine("r", &reader, Role::Prefill), engine("e", &lasting, Role::Decode), far];
-    let front = front_of(RESUMABLE, engines).await;
-    let config = front.gateway.config().expect("a configuration");
-    front.gateway.adopt_config(impatient(&config, Millis(500)));
+    let config = impatient(&config(RESUMABLE, 2, true), Millis(500));
+    let front = start_by(TimerClock::new(), Some(config), engines, ample_budget()).await;
 
     let answer = front.post("r1", PROMPT, "").await;
 
--- a/crates/anvilhook-gateway/tests/zones.rs
+++ b/crates/anvilhook-gateway/tests/zones.rs
@@ -8,18 +8,20 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::{Clock, Millis, SystemClock};
+use anvilhook_core::units::{Clock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::Held;
 use anvilhook_gateway::peers::{Digest, Peers, Scope, exchange, register};
 use anvilhook_gateway::prompts::{Part, Prompt};
+use anvilhook_gateway::relay::Gateway;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use support::fronts::{TestGateway, ample_budget, config, gateway_in};
+use support::clocks::TimerClock;
+use support::fronts::{ample_budget, config, gateway_in};
 use support::tables::MemoryTable;
 use support::until;
-use support::wires::entry;
+use support::wires::{TestWire, entry};
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
@@ -31,15 +33,15 @@
 const SHARED: Part = Part { id: 77, tokens: 5_000 };
 
 struct Instance {
-    gateway: TestGateway,
+    gateway: Gateway<TestWire, TimerClock>,
     zone: &'static str,
-    clock: SystemClock,
+    clock: TimerClock,
     task: JoinHandle<()>,
 }
 
 impl Instance {
     async fn start(number: u64, zone: &'static str, table: &MemoryTable) -> Instance {
-        let clock = SystemClock::new();
+        let clock = TimerClock::new();
         let config = Some(config(Repeats::Stream { resumable: true }, 2, true));
         let engine = Entry { role: Some(Role::Prefill), ..entry("e0", 1) };
         let gateway = gateway_in(zone, clock, config, vec![engine], ample_budget());
@@ -105,7 +107,7 @@
 /// Symptom: most of the bytes between availability zones are news that instances tell each other.
 /// Sequence: one instance has a prompt read, and learns that the engine is away.
 /// Cause: each told each; now one of each zone tells one of each other zone. All must still learn of it.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn verify_news_reach_all_zones_through_one_instance_of_each() {
     // An instance that hears and never answers, whose zone is one of the others'.
     let table = MemoryTable::default();
@@ -137,7 +139,7 @@
 /// Symptom: an availability zone learns nothing of the others any more.
 /// Sequence: the instance that tells for a zone ends; later another zone has news.
 /// Cause: the silence of an instance hands its part to the next one.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn verify_another_instance_tells_for_its_zone_where_the_one_before_ends() {
     let mut all = instances(&MemoryTable::default()).await;
     let at = all.iter().position(Instance::is_first).expect("one acts for all");
@@ -159,7 +161,7 @@
 /// have read, and the requests that it serves are late.
 /// Sequence: an engine reads many prompts that begin with the same part, within a second.
 /// Cause: each reading was told on to each instance of each other zone, though they believed it already.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn verify_a_part_that_is_read_often_is_told_on_once_in_a_while() {
     const READINGS: usize = 40;
     const MIN_BYTES: usize = 10;
@@ -178,5 +180,5 @@
     let told_on: u64 = all.iter().map(far_bytes).sum();
     let tellings = (INSTANCES - 1) * (ZONES.len() - 1);
     let of_each = (READINGS * tellings * MIN_BYTES) as u64;
-    assert!(told_on < of_each / 4, "{told_on} bytes, {of_each} for all readings");
+    assert!(told_on < of_each / 10, "{told_on} bytes, {of_each} for all readings");
 }
