Know a request again in the log, and say what upstreams tell of themselves

The lines named requests by the id of one client attempt, so that repeats of one request could not be told from strangers, and none said that an answer had told of its upstream's leaving or of a pause.

- attempt_failed, stream_broken and concluded bear a fingerprint: 128 bits of keyed BLAKE3 over caller (its credentials, else its address), target and body, taken once as the body is read.
- upstream_told says which answer told that its upstream leaves, or until when it wants nothing; of any stage, refusals and the instance's own calls included.

--- /dev/null
+++ b/crates/anvilhook-core/src/fingerprints.rs
@@ -0,0 +1,78 @@
+//! Fingerprints: how a request is known again that comes under another id.
+
+use std::fmt;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+/// The key of fingerprints. All instances have the same one, since they tell each other of requests by it.
+const KEY: [u8; 32] = *b"anvilhook request fingerprint 01";
+
+/// `Fingerprint` is the hash of what makes a request the same one: who sends it, where to, and its body.
+///
+/// A client that repeats a request gives it a new id, at any instance. Each byte counts: two requests that
+/// differ in one are two. The hash resists collisions, so that no caller can make a request which is taken
+/// for another caller's.
+///
+/// ```
+/// use anvilhook_core::fingerprints::Fingerprint;
+///
+/// let first = Fingerprint::of("10.0.0.1", "/notes/1", b"text");
+/// assert_eq!(first, Fingerprint::of("10.0.0.1", "/notes/1", b"text"));
+/// assert_ne!(first, Fingerprint::of("10.0.0.2", "/notes/1", b"text"));
+/// assert_ne!(first, Fingerprint::of("10.0.0.1", "/notes/1t", b"ext"));
+/// assert_eq!(first.to_string().parse(), Ok(first));
+/// ```
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request: `caller` is its client account, or its address where it has
+    /// none, and `target` is its path with the query.
+    pub fn of(caller: &str, target: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new_keyed(&KEY);
+        for part in [caller.as_bytes(), target.as_bytes()] {
+            // The lengths keep a byte from counting for the next part.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        hasher.update(body);
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(u128::from_le_bytes(bytes))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl std::str::FromStr for Fingerprint {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// In text it is written in hexadecimal: few readers of JSON take a number of this size.
+impl Serialize for Fingerprint {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            serializer.serialize_u128(self.0)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Fingerprint {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            String::deserialize(deserializer)?.parse().map_err(de::Error::custom)
+        } else {
+            u128::deserialize(deserializer).map(Self)
+        }
+    }
+}
--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod drains;
 pub mod ejections;
 pub mod errors;
+pub mod fingerprints;
 pub mod leases;
 pub mod limits;
 pub mod membership;
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
+use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::orders::Role;
 use log::Level;
 use log::kv::{Error, Key, Source, Value, VisitSource};
@@ -163,6 +164,19 @@
         /// The request by which it was learnt.
         request: &'a str,
     },
+    /// An upstream has told in an answer that it leaves, or for how long it wants nothing.
+    UpstreamTold {
+        /// The upstream.
+        upstream: &'a str,
+        /// The request that it answered, empty if it was a call of the instance's own.
+        request: &'a str,
+        /// The status of the answer.
+        status: u16,
+        /// Whether it leaves.
+        is_leaving: bool,
+        /// When it may be asked again, as it spelled it.
+        retry_after: Option<&'a str>,
+    },
     /// Another share of a service's engines is to read prompts.
     SplitPlanned {
         /// The service.
@@ -240,6 +254,8 @@
         request: &'a str,
         /// The upstream.
         upstream: &'a str,
+        /// What the request has in common with its repeats.
+        fingerprint: Fingerprint,
         /// What it was to do.
         stage: &'a str,
         /// Whether the request may have run.
@@ -253,6 +269,8 @@
         request: &'a str,
         /// The upstream.
         upstream: &'a str,
+        /// What the request has in common with its repeats.
+        fingerprint: Fingerprint,
         /// The last event that the caller got.
         last_event: Option<u64>,
         /// Why it broke.
@@ -282,6 +300,8 @@
     Concluded {
         /// The request, empty if it bore no id.
         request: &'a str,
+        /// What it has in common with its repeats, if it was read whole.
+        fingerprint: Option<Fingerprint>,
         /// Its route, empty if none was found.
         route: &'a str,
         /// The status that the caller got.
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -8,7 +8,7 @@
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::CallError;
 use anvilhook_http::clients::{Connection, collect_body};
-use http::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Request, StatusCode};
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -180,7 +180,8 @@
     ) {
         let (verdict, cause) = (failed.verdict.as_str(), failed.cause);
         let (request, upstream) = (&*exchange.id, &*upstream.entry.id);
-        emit(&Event::AttemptFailed { request, upstream, stage, verdict, cause });
+        let fingerprint = exchange.fingerprint;
+        emit(&Event::AttemptFailed { request, upstream, fingerprint, stage, verdict, cause });
         let labels = AttemptLabels { stage, verdict, cause };
         self.inner.metrics.failed_attempts.get_or_create(&labels).inc();
     }
@@ -199,9 +200,28 @@
             sending.head_timeout.min(exchange.time_left(self.now())),
         );
         let answer = sent.await?;
+        self.hear(sending.upstream, &exchange.id, answer.status(), answer.headers());
         self.check(exchange, sending, answer)
     }
 
+    /// Notes what an upstream says of itself in the head of an answer.
+    pub(super) fn hear(
+        &self,
+        upstream: &Upstream,
+        request: &str,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
+        let is_leaving = headers.contains_key(&self.wire().headers().leaving);
+        let pause = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+        if !is_leaving && pause.is_none() {
+            return;
+        }
+        let retry_after = pause.map(|pause| pause.to_str().unwrap_or("?"));
+        let (upstream, status) = (&*upstream.entry.id, status.as_u16());
+        emit(&Event::UpstreamTold { upstream, request, status, is_leaving, retry_after });
+    }
+
     fn request_for(&self, exchange: &Exchange, sending: &Sending<'_>) -> Request<Body> {
         let names = self.wire().headers();
         let mut headers = exchange.headers.clone();
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -107,6 +107,7 @@
         let address = upstream.entry.address;
         let answer = client.send(address, req, Connection::New, OWN_CALL_TIMEOUT).await.ok()?;
         let status = answer.status();
+        self.hear(upstream, "", status, answer.headers());
         let (_, body) = answer.into_parts();
         const MAX_BYTES: usize = 1 << 20;
         let body = anvilhook_http::clients::collect_body(body, MAX_BYTES, OWN_CALL_TIMEOUT);
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::pacing::Waiting;
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
+use http::request::Parts;
 use http::{Method, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use volo::net::Address;
 use volo_http::request::Request;
 
 use super::Gateway;
@@ -31,6 +34,8 @@
 /// `Exchange` is a request that is being served.
 pub(super) struct Exchange {
     pub id: Arc<str>,
+    /// What it has in common with its repeats, which come under other ids.
+    pub fingerprint: Fingerprint,
     pub method: Method,
     pub uri: Uri,
     /// The caller's end-to-end headers.
@@ -62,6 +67,7 @@
     /// Reads a request whole and finds its route.
     pub async fn receive<W: Wire, C: Clock>(
         gateway: &Gateway<W, C>,
+        caller: &Address,
         req: Request,
         arrived_at: Millis,
     ) -> Result<Exchange, OwnAnswer> {
@@ -94,6 +100,7 @@
         let deadline = arrived_at + time_left.unwrap_or(DEFAULT_DEADLINE);
         let timeout = route.timeout.map_or(deadline, |timeout| arrived_at + timeout);
         Ok(Exchange {
+            fingerprint: fingerprint_of(caller, &parts, &body),
             id: Arc::from(id),
             service: Arc::clone(service),
             prompt: gateway.wire().prompt(&parts.headers),
@@ -165,6 +172,23 @@
     }
 }
 
+/// Returns the fingerprint of a request. Its caller is whom its credentials name, if it has any.
+fn fingerprint_of(caller: &Address, head: &Parts, body: &[u8]) -> Fingerprint {
+    let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    match text(&head.headers, &header::AUTHORIZATION) {
+        Some(credentials) => Fingerprint::of(&credentials, target, body),
+        None => Fingerprint::of(&host_of(caller), target, body),
+    }
+}
+
+/// Returns the host of an address: a client uses other ports for other connections.
+fn host_of(address: &Address) -> String {
+    match address {
+        Address::Ip(address) => address.ip().to_canonical().to_string(),
+        other => other.to_string(),
+    }
+}
+
 fn no_config() -> OwnAnswer {
     OwnAnswer::refused("no_configuration", NO_CONFIG_PAUSE)
 }
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -281,6 +281,7 @@
         emit(&Event::StreamBroken {
             request: &self.exchange.id,
             upstream,
+            fingerprint: self.exchange.fingerprint,
             last_event: self.relay.last_id,
             cause: failed.cause,
             outcome,
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -37,6 +37,7 @@
                 kv_source: name("t-kv-source"),
                 kv_fetch: name("t-kv-fetch"),
                 priority: name("t-priority"),
+                leaving: name("t-leaving"),
                 reserved: vec![name("t-expect"), name("t-stage"), name("t-kv-source")],
             }),
         }
