Send a request on no more once three engines have ended under it

What callers saw: one request, repeated under new ids at any instance, ended 16 engines one after the other; a tenth to nine tenths of a route's requests were not served for seconds each time. Cause: an instance knew a request only by the id of one client attempt, and forgot what it had met with the attempt. The class: evidence that spans attempts and instances was kept nowhere.

core::quarantine holds the decision: three distinct starts of engines that ended while they ran a request (by its fingerprint) quarantine it; a run that ends well clears it, and ends heard of 10 s before and after don't count. Evidence is an engine's end only: its connection broke, and then it refuses two connections in a row, another start or another engine answers at its address, or its entry goes. A suspect is tried at one engine at a time, where the least runs beside it, and no more often than would quarantine it, also within one attempt (resumption, second tries, prompts read apart). A quarantined request gets its final answer at once: 400 if this attempt has not run, 502 if it may have. Instances tell each other of ends, of runs that ended well, and of what an operator lifts, three times in 0.8 s; what stands every 2 s by one instance (of each zone among many); a new instance is told all.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod names;
 pub mod orders;
 pub mod pacing;
+pub mod quarantine;
 pub mod ranks;
 pub mod reports;
 pub mod resources;
--- /dev/null
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -0,0 +1,222 @@
+//! Poison requests: those under which engines end, and which are to be sent to no more of them.
+//!
+//! A poison request comes again under a new id, at any instance, and takes an engine away each time with
+//! all that runs beside it. It is known by its [`Fingerprint`]. All that ran at an engine as it ended are
+//! suspects alike; the innocent ones are told apart by a run that ends well.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::fingerprints::Fingerprint;
+use crate::units::Millis;
+
+/// `QuarantineOptions` says when a request is quarantined, and for how long.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QuarantineOptions {
+    /// How many starts of engines must have ended under a request.
+    pub ends: usize,
+    /// How long a suspicion or a quarantine lasts after the last end or arrival.
+    pub memory: Millis,
+    /// For how long a run that ended well clears a request of ends that are heard of meanwhile.
+    pub clearance: Millis,
+    /// The most requests that are suspected at a time, and the most whose runs are known to have ended well.
+    pub most: usize,
+}
+
+impl Default for QuarantineOptions {
+    fn default() -> Self {
+        Self {
+            ends: 3,
+            memory: Millis::from_secs(600),
+            clearance: Millis::from_secs(10),
+            most: 1_024,
+        }
+    }
+}
+
+/// `Standing` is what is held of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Clear,
+    /// So many engines ended while they ran it, too few to tell.
+    Suspected(usize),
+    /// It is to be sent to no engine.
+    Quarantined,
+}
+
+/// `End` is the end of an engine under a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct End {
+    /// The short form of the engine's id and start.
+    pub engine: u32,
+    /// When it was noted.
+    pub at: Millis,
+}
+
+/// `QuarantineBook` is what one instance holds of requests, by what it has seen itself and was told.
+///
+/// ```
+/// use anvilhook_core::fingerprints::Fingerprint;
+/// use anvilhook_core::quarantine::{End, QuarantineBook, QuarantineOptions, Standing};
+/// use anvilhook_core::units::Millis;
+///
+/// let request = Fingerprint(7);
+/// let mut book = QuarantineBook::new(QuarantineOptions::default());
+/// for engine in 1..=3 {
+///     book.record_end(request, End { engine, at: Millis(0) }, Millis(0));
+/// }
+/// assert_eq!(book.standing(request, Millis(1)), Standing::Quarantined);
+/// book.record_well(request, Millis(2));
+/// assert_eq!(book.standing(request, Millis(3)), Standing::Clear);
+/// ```
+#[derive(Debug)]
+pub struct QuarantineBook {
+    options: QuarantineOptions,
+    suspects: HashMap<Fingerprint, Suspect>,
+    /// When runs ended well of late, by request and in order.
+    well: HashMap<Fingerprint, Millis>,
+    well_order: VecDeque<(Fingerprint, Millis)>,
+    /// When suspects were cleared. Ends of before are still told on by those who have not heard it.
+    cleared: HashMap<Fingerprint, Millis>,
+}
+
+/// `Suspect` is what speaks against a request.
+#[derive(Debug, Default)]
+struct Suspect {
+    ends: Vec<End>,
+    /// When an engine last ended under it, or it last came while quarantined.
+    seen_at: Millis,
+}
+
+/// `Weighed` is what became of an end that was noted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Weighed {
+    /// It was known, or the request's runs end well.
+    Ignored,
+    /// It counts; the request is suspected.
+    Counted,
+    /// It is the one by which the request is quarantined.
+    Quarantined,
+}
+
+impl QuarantineBook {
+    /// Makes a book that suspects nothing.
+    pub fn new(options: QuarantineOptions) -> Self {
+        Self {
+            options,
+            suspects: HashMap::new(),
+            well: HashMap::new(),
+            well_order: VecDeque::new(),
+            cleared: HashMap::new(),
+        }
+    }
+
+    /// Returns what is held of a request.
+    pub fn standing(&self, request: Fingerprint, now: Millis) -> Standing {
+        match self.ends(request, now).len() {
+            0 => Standing::Clear,
+            ends if ends >= self.options.ends => Standing::Quarantined,
+            ends => Standing::Suspected(ends),
+        }
+    }
+
+    /// Returns the ends that speak against a request.
+    pub fn ends(&self, request: Fingerprint, now: Millis) -> &[End] {
+        let suspect = self.suspects.get(&request).filter(|suspect| self.is_current(suspect, now));
+        suspect.map_or(&[], |suspect| &suspect.ends)
+    }
+
+    /// Notes that an engine has ended while it ran a request. Engines that end several times do so under
+    /// other short forms.
+    pub fn record_end(&mut self, request: Fingerprint, end: End, now: Millis) -> Weighed {
+        self.expire(now);
+        let is_cleared = self.cleared.get(&request).is_some_and(|at| end.at <= *at);
+        if is_cleared || self.ran_well_of_late(request, now) {
+            return Weighed::Ignored;
+        }
+        if !self.suspects.contains_key(&request) {
+            self.make_room();
+        }
+        let suspect = self.suspects.entry(request).or_default();
+        if suspect.ends.len() >= self.options.ends
+            || suspect.ends.iter().any(|known| known.engine == end.engine)
+        {
+            return Weighed::Ignored;
+        }
+        suspect.ends.push(end);
+        suspect.seen_at = now;
+        match suspect.ends.len() == self.options.ends {
+            true => Weighed::Quarantined,
+            false => Weighed::Counted,
+        }
+    }
+
+    /// Notes that a request's run has ended well, which clears it. Returns whether it was suspected.
+    pub fn record_well(&mut self, request: Fingerprint, now: Millis) -> bool {
+        while let Some((oldest, at)) = self.well_order.front().copied()
+            && (at + self.options.clearance <= now || self.well_order.len() >= self.options.most)
+        {
+            self.well_order.pop_front();
+            if self.well.get(&oldest) == Some(&at) {
+                self.well.remove(&oldest);
+            }
+        }
+        self.well.insert(request, now);
+        self.well_order.push_back((request, now));
+        self.lift(request, now)
+    }
+
+    /// Returns whether a run of the request has ended well so shortly ago that it is beyond suspicion.
+    pub fn ran_well_of_late(&self, request: Fingerprint, now: Millis) -> bool {
+        self.well.get(&request).is_some_and(|at| *at + self.options.clearance > now)
+    }
+
+    /// Notes that a quarantined request has come again, which makes its quarantine last.
+    pub fn record_arrival(&mut self, request: Fingerprint, now: Millis) {
+        if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.seen_at = now;
+        }
+    }
+
+    /// Forgets what speaks against a request, as an operator wishes. Returns whether anything did.
+    pub fn lift(&mut self, request: Fingerprint, now: Millis) -> bool {
+        let is_known = self.suspects.remove(&request).is_some();
+        if is_known && self.cleared.len() < self.options.most {
+            self.cleared.insert(request, now);
+        }
+        is_known
+    }
+
+    /// Returns the suspected requests with the ends that speak against them.
+    pub fn suspects(&self, now: Millis) -> impl Iterator<Item = (Fingerprint, &[End])> {
+        let current = self.suspects.iter().filter(move |(_, one)| self.is_current(one, now));
+        current.map(|(request, suspect)| (*request, suspect.ends.as_slice()))
+    }
+
+    /// Returns whether nothing is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    fn is_current(&self, suspect: &Suspect, now: Millis) -> bool {
+        suspect.seen_at + self.options.memory > now
+    }
+
+    fn expire(&mut self, now: Millis) {
+        let memory = self.options.memory;
+        self.suspects.retain(|_, suspect| suspect.seen_at + memory > now);
+        self.cleared.retain(|_, at| *at + memory > now);
+    }
+
+    /// Forgets the suspect with the least against it if there is no room for another one.
+    fn make_room(&mut self) {
+        if self.suspects.len() < self.options.most {
+            return;
+        }
+        let weight = |suspect: &Suspect| (suspect.ends.len(), suspect.seen_at);
+        let least = self.suspects.iter().min_by_key(|(_, suspect)| weight(suspect));
+        if let Some(request) = least.map(|(request, _)| *request) {
+            self.suspects.remove(&request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhook-core/tests/quarantine.rs
@@ -0,0 +1,137 @@
+//! Which requests are quarantined.
+
+use anvilhook_core::fingerprints::Fingerprint;
+use anvilhook_core::quarantine::{End, QuarantineBook, QuarantineOptions, Standing, Weighed};
+use anvilhook_core::units::Millis;
+
+const REQUEST: Fingerprint = Fingerprint(7);
+
+fn book() -> QuarantineBook {
+    QuarantineBook::new(QuarantineOptions::default())
+}
+
+/// Has an engine end under the request.
+fn record(book: &mut QuarantineBook, engine: u32, at: Millis) -> Weighed {
+    book.record_end(REQUEST, End { engine, at }, at)
+}
+
+/// Has so many engines end under it.
+fn end_under(book: &mut QuarantineBook, engines: u32, at: Millis) {
+    for engine in 1..=engines {
+        record(book, engine, at);
+    }
+}
+
+/// A request that ends each engine is never told from those that ran beside it.
+#[test]
+fn verify_three_ends_quarantine_a_request() {
+    let mut book = book();
+
+    let weighed = [1, 2, 3, 4].map(|engine| record(&mut book, engine, Millis(5)));
+
+    let expected = [Weighed::Counted, Weighed::Counted, Weighed::Quarantined, Weighed::Ignored];
+    assert_eq!(weighed, expected);
+    assert_eq!(book.standing(REQUEST, Millis(6)), Standing::Quarantined);
+    assert_eq!(book.standing(Fingerprint(8), Millis(6)), Standing::Clear);
+}
+
+/// One engine's end is counted once for each instance that tells of it.
+#[test]
+fn verify_an_engine_that_ended_counts_once() {
+    let mut book = book();
+
+    let weighed = [1, 1, 1].map(|engine| record(&mut book, engine, Millis(5)));
+
+    assert_eq!(weighed, [Weighed::Counted, Weighed::Ignored, Weighed::Ignored]);
+    assert_eq!(book.standing(REQUEST, Millis(6)), Standing::Suspected(1));
+}
+
+/// Many callers' equal requests ran well all the time, and are refused once three engines of a rack end.
+#[test]
+fn verify_what_runs_well_is_not_suspected() {
+    let mut book = book();
+    book.record_well(REQUEST, Millis(1_000));
+
+    let of_rack = [1, 2, 3].map(|engine| record(&mut book, engine, Millis(2_000)));
+
+    assert_eq!(of_rack, [Weighed::Ignored; 3]);
+    assert_eq!(book.standing(REQUEST, Millis(2_000)), Standing::Clear);
+}
+
+/// A request that once ran well may end engines for ever after.
+#[test]
+fn verify_a_run_that_ended_well_does_not_clear_for_ever() {
+    let mut book = book();
+    book.record_well(REQUEST, Millis(1_000));
+
+    end_under(&mut book, 3, Millis(11_001));
+
+    assert_eq!(book.standing(REQUEST, Millis(11_001)), Standing::Quarantined);
+}
+
+/// A request stays suspected though it runs well.
+#[test]
+fn verify_a_run_that_ends_well_clears_a_suspect() {
+    let mut book = book();
+    end_under(&mut book, 2, Millis(5));
+
+    assert!(book.record_well(REQUEST, Millis(6)));
+    assert!(!book.record_well(REQUEST, Millis(7)));
+
+    assert_eq!(book.standing(REQUEST, Millis(8)), Standing::Clear);
+}
+
+/// A quarantine lapses while its request goes on coming, and each lapse ends another engine.
+#[test]
+fn verify_a_quarantine_lasts_while_its_request_comes() {
+    let mut book = book();
+    let memory = QuarantineOptions::default().memory;
+    end_under(&mut book, 3, Millis::ZERO);
+
+    book.record_arrival(REQUEST, memory - Millis(1));
+
+    assert_eq!(book.standing(REQUEST, memory + Millis(1)), Standing::Quarantined);
+    assert_eq!(book.standing(REQUEST, memory * 2), Standing::Clear);
+}
+
+/// An operator's word does not bring a request back, or spares it what it does afterwards.
+#[test]
+fn verify_a_lifted_request_is_counted_anew() {
+    let mut book = book();
+    end_under(&mut book, 3, Millis(1));
+
+    assert!(book.lift(REQUEST, Millis(2)));
+
+    assert_eq!(book.standing(REQUEST, Millis(2)), Standing::Clear);
+    assert_eq!(record(&mut book, 4, Millis(3)), Weighed::Counted);
+}
+
+/// Suspects without end fill the memory, or those with the most against them are forgotten first.
+#[test]
+fn verify_the_book_is_bounded_and_keeps_the_worst() {
+    let options = QuarantineOptions { most: 4, ..QuarantineOptions::default() };
+    let mut book = QuarantineBook::new(options);
+    end_under(&mut book, 3, Millis::ZERO);
+
+    for other in 100..200 {
+        let at = Millis(other as u64);
+        book.record_end(Fingerprint(other), End { engine: 1, at }, at);
+        book.record_well(Fingerprint(other + 1_000), Millis(other as u64));
+    }
+
+    assert_eq!(book.suspects(Millis(200)).count(), 4);
+    assert_eq!(book.standing(REQUEST, Millis(200)), Standing::Quarantined);
+}
+
+/// An instance that has not heard of a clearance tells old ends on, and the request is suspected anew.
+#[test]
+fn verify_ends_of_before_a_clearance_are_not_believed_after_it() {
+    let mut book = book();
+    end_under(&mut book, 2, Millis(1_000));
+    book.lift(REQUEST, Millis(2_000));
+
+    let old = book.record_end(REQUEST, End { engine: 2, at: Millis(1_000) }, Millis(60_000));
+    let new = book.record_end(REQUEST, End { engine: 3, at: Millis(59_000) }, Millis(60_000));
+
+    assert_eq!((old, new), (Weighed::Ignored, Weighed::Counted));
+}
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -25,6 +25,29 @@
 /// Whoever writes lines counts here, so that the metrics tell it also when the log can't be read.
 pub static LINES_DROPPED: LazyLock<Counter> = LazyLock::new(Counter::default);
 
+/// `Evidence` is what shows that an engine has ended.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Evidence {
+    /// Its host refuses connections.
+    Refused,
+    /// Another start of it is there, or another engine at its address.
+    Restarted,
+    /// Its entry went after its connections had broken.
+    Removed,
+}
+
+impl Evidence {
+    /// Returns the text used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Evidence::Refused => "refused",
+            Evidence::Restarted => "restarted",
+            Evidence::Removed => "removed",
+        }
+    }
+}
+
 /// `Event` is one line of the log.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -177,6 +200,34 @@
         /// When it may be asked again, as it spelled it.
         retry_after: Option<&'a str>,
     },
+    /// An engine has ended while it ran requests.
+    EngineEnded {
+        /// The engine.
+        upstream: &'a str,
+        /// The short form of its id and start.
+        incarnation: u32,
+        /// What shows it.
+        evidence: Evidence,
+        /// How many requests of this instance it ran.
+        runs: usize,
+        /// Those of them that are suspected by it.
+        suspects: Vec<Fingerprint>,
+    },
+    /// A request is sent to no engine any more.
+    RequestQuarantined {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// The engines that ended under it, by the short forms of their ids and starts, with the time since
+        /// in milliseconds.
+        ends: Vec<(u32, u64)>,
+        /// `own` by what this instance has seen, or `told` by another one.
+        source: &'static str,
+    },
+    /// An operator has lifted a quarantine.
+    QuarantineLifted {
+        /// The request.
+        fingerprint: Fingerprint,
+    },
     /// Another share of a service's engines is to read prompts.
     SplitPlanned {
         /// The service.
@@ -330,7 +381,9 @@
         match self {
             Event::DependencyLost { .. }
             | Event::AttemptFailed { .. }
-            | Event::StreamBroken { .. } => Level::Warn,
+            | Event::StreamBroken { .. }
+            | Event::EngineEnded { .. }
+            | Event::RequestQuarantined { .. } => Level::Warn,
             Event::UnreadableRow { .. } | Event::SettingsRefused { .. } => Level::Error,
             Event::StreamEnded { outcome, .. } if matches!(*outcome, "cut" | "stopped") => {
                 Level::Warn
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -85,11 +85,16 @@
         Some(observed.map_or(listed, |observed| observed.role))
     }
 
+    /// Returns whether it is leaving or gone, by whatever has told so.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.draining || self.state.is_gone()
+    }
+
     /// Returns whether new work may be sent there.
     pub fn takes_work(&self, now: Millis) -> bool {
         let state = &self.state;
         let is_absent = state.is_away(now) || state.role_change(now, self.role()).is_some();
-        !self.entry.draining && !state.is_gone() && !is_absent
+        !self.is_leaving() && !is_absent
     }
 }
 
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod roles;
 pub mod speeds;
 pub mod streams;
+pub mod suspects;
 pub mod tables;
 mod texts;
 pub mod wires;
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -16,7 +16,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::configs::Config;
-use crate::events::LINES_DROPPED;
+use crate::events::{Evidence, LINES_DROPPED};
 use crate::peers::SectionBytes;
 use crate::relay::Gateway;
 use crate::wires::Wire;
@@ -99,6 +99,9 @@
     pub digest_bytes: Counter,
     /// The same by section and by whose news they are.
     pub digest_sections: SectionBytes,
+    engines_ended: Family<NameLabel, Counter>,
+    suspected_requests: Gauge,
+    quarantined_requests: Gauge,
     in_flight: Gauge,
     config_version: Gauge,
     lease_token: Gauge,
@@ -130,6 +133,9 @@
             digests: Counter::default(),
             digest_bytes: Counter::default(),
             digest_sections: SectionBytes::default(),
+            engines_ended: Family::default(),
+            suspected_requests: Gauge::default(),
+            quarantined_requests: Gauge::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
             lease_token: Gauge::default(),
@@ -188,6 +194,21 @@
             "Bytes of datagrams sent to peers, by section",
             self.digest_sections.family(),
         );
+        registry.register(
+            "engines_ended",
+            "Engines that ended while they ran requests of this instance, by what showed it",
+            self.engines_ended.clone(),
+        );
+        registry.register(
+            "suspected_requests",
+            "Requests under which engines have ended, quarantined ones included",
+            self.suspected_requests.clone(),
+        );
+        registry.register(
+            "quarantined_requests",
+            "Requests that are sent to no engine because three have ended under them",
+            self.quarantined_requests.clone(),
+        );
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register(
             "config_version",
@@ -252,6 +273,12 @@
         self.unreadable.get_or_create(&NameLabel { name: source.to_owned() }).inc();
     }
 
+    /// Counts an engine that has ended.
+    pub fn record_end(&self, evidence: Evidence) {
+        let label = NameLabel { name: evidence.as_str().to_owned() };
+        self.engines_ended.get_or_create(&label).inc();
+    }
+
     /// Notes that the source of a belief has been heard.
     pub fn record_contact(&self, belief: &'static str, now: Millis) {
         self.contacts.lock().expect("no panic under this lock").insert(belief, now);
@@ -287,6 +314,9 @@
         let label = |name: &str| NameLabel { name: name.to_owned() };
         self.in_flight.set(gateway.in_flight() as i64);
         self.peers.set(gateway.peers().heard(now) as i64);
+        let (suspected, quarantined) = gateway.suspects().counts(now);
+        self.suspected_requests.set(suspected as i64);
+        self.quarantined_requests.set(quarantined as i64);
         for (belief, at) in self.contacts.lock().expect("no panic under this lock").iter() {
             self.belief_age_ms.get_or_create(&label(belief)).set((now - *at).0 as i64);
         }
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -9,6 +9,7 @@
 use super::members::Peers;
 use super::notices::{Notice, own_findings, take_in_notices};
 use super::rows::RowsPiece;
+use super::suspects::{MAX_SUSPECTS, take_in_suspects};
 use super::versions::FollowedTable;
 use super::watches::ToldWatch;
 use crate::hashes::hash_of;
@@ -16,6 +17,7 @@
 use crate::prompts::Part;
 use crate::relay::Gateway;
 use crate::speeds::EngineWork;
+use crate::suspects::SuspectNews;
 use crate::wires::Wire;
 
 /// `EngineLoad` is what an instance has in flight at an engine.
@@ -114,6 +116,8 @@
     pub scope: Scope,
     /// What the sender itself has found out of engines.
     pub notices: Vec<Notice>,
+    /// What has become of requests under which engines may end.
+    pub suspects: Vec<SuspectNews>,
     /// The work that engines did for the sender since it started, by service.
     pub work: Vec<ToldWork>,
     /// The short form of the sender's availability zone.
@@ -157,6 +161,7 @@
         let findings = own_findings(upstream, now);
         digest.notices.extend(findings.map(|kind| Notice { engine, kind }));
     }
+    digest.suspects = gateway.suspects().take_due(MAX_SUSPECTS, now);
     let told = |(service, work): (Arc<str>, EngineWork)| ToldWork {
         service: hash_of(&*service) as u32,
         reading_ms: work.reading_ms as u32,
@@ -201,6 +206,7 @@
         take_in_loads(digest, from, gateway, now);
     }
     take_in_notices(digest, gateway, now);
+    take_in_suspects(digest, gateway, now);
     take_in_work(digest, gateway, now);
     take_in_cached(digest, gateway);
 }
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -13,6 +13,7 @@
 mod rows;
 mod sections;
 mod seeding;
+mod suspects;
 mod telling;
 mod versions;
 mod watches;
@@ -31,6 +32,7 @@
 
 use digests::take_in;
 use seeding::tell_caches;
+use suspects::{StandingTeller, tell_suspects};
 use telling::{Teller, tell_missed};
 use zones::ZoneLink;
 
@@ -71,12 +73,14 @@
     let mut link = Link {
         teller: Teller::new(rng.clone()),
         zones: ZoneLink::new(rng, own),
+        standing: StandingTeller::default(),
         assembler: Assembler::default(),
     };
     loop {
         tokio::select! {
             _ = ticks.tick() => {
                 let now = clock.now();
+                link.standing.tick(&socket, &gateway, now);
                 link.tell(&socket, &gateway, now);
                 link.zones.tick(&socket, &gateway, now);
             }
@@ -97,6 +101,7 @@
 struct Link {
     teller: Teller,
     zones: ZoneLink,
+    standing: StandingTeller,
     assembler: Assembler,
 }
 
@@ -134,6 +139,7 @@
         }
         if peers.hear(from, &digest, now) && peers.introduces(from, now) {
             tell_caches(socket, from, gateway, now);
+            tell_suspects(socket, from, gateway, now);
         }
         if let Some(piece) = digest.rows.take() {
             let table = piece.table;
--- a/crates/anvilhook-gateway/src/peers/sections.rs
+++ b/crates/anvilhook-gateway/src/peers/sections.rs
@@ -16,7 +16,7 @@
 pub struct SectionLabels {
     /// Whose news it is: `instance`, `zone` or `far`.
     pub scope: &'static str,
-    /// `loads`, `cached`, `notices`, `work` or `rows`; `rest` is who sends, and the watches.
+    /// `loads`, `cached`, `notices`, `suspects`, `work` or `rows`; `rest` is who sends, and the watches.
     pub section: &'static str,
 }
 
@@ -53,6 +53,7 @@
             ("loads", encoded_len(&digest.loads)),
             ("cached", encoded_len(&digest.cached)),
             ("notices", encoded_len(&digest.notices)),
+            ("suspects", encoded_len(&digest.suspects)),
             ("work", encoded_len(&digest.work)),
             ("rows", encoded_len(&digest.rows)),
         ];
@@ -66,7 +67,8 @@
     /// Returns the bytes so far, by scope and section.
     pub fn totals(&self) -> BTreeMap<&'static str, BTreeMap<&'static str, u64>> {
         const SCOPES: [&str; 3] = ["instance", "zone", "far"];
-        const SECTIONS: [&str; 6] = ["loads", "cached", "notices", "work", "rows", "rest"];
+        const SECTIONS: [&str; 7] =
+            ["loads", "cached", "notices", "suspects", "work", "rows", "rest"];
         let total = |scope, section| {
             self.bytes.get(&SectionLabels { scope, section }).map_or(0, |count| count.get())
         };
--- a/crates/anvilhook-gateway/src/peers/telling.rs
+++ b/crates/anvilhook-gateway/src/peers/telling.rs
@@ -107,7 +107,8 @@
         introduce(socket, gateway, now);
         let mut digest = digest(gateway, now);
         let has_loads = !digest.loads.is_empty() || !digest.notices.is_empty();
-        let has_news = has_loads || self.had_loads || !digest.cached.is_empty();
+        let has_suspects = !digest.suspects.is_empty();
+        let has_news = has_loads || has_suspects || self.had_loads || !digest.cached.is_empty();
         let unable: Vec<_> = digest.watches.iter().map(|watch| watch.is_unable).collect();
         let is_due = self.quiet_ticks >= HEARTBEAT_TICKS || self.told_unable != unable;
         self.quiet_ticks += 1;
@@ -118,6 +119,8 @@
         let is_among_few = gateway.peers().are_few();
         let is_great =
             self.has_great_news(&digest, is_among_few) | gateway.peers().take_place_news();
+        // Each may be sent the next repeat of what has just ended an engine.
+        let is_great = is_great | has_suspects;
         let audience = match () {
             () if is_among_few => Audience::All,
             () if is_great || is_due => Audience::Zone,
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -16,8 +16,10 @@
 use super::digests::{Digest, EngineLoad, Scope, near_loads, take_in};
 use super::gathering::CacheNews;
 use super::notices::Notice;
+use super::suspects::MAX_SUSPECTS;
 use super::telling::{send, some_of};
 use crate::relay::Gateway;
+use crate::suspects::SuspectNews;
 use crate::wires::Wire;
 
 /// After how many ticks zones are told: what is told less often is too old to place requests by, and
@@ -73,6 +75,7 @@
 struct News {
     cached: CacheNews,
     notices: Vec<(Millis, Notice)>,
+    suspects: Vec<(Millis, SuspectNews)>,
 }
 
 impl News {
@@ -83,6 +86,18 @@
                 self.notices.push((now, notice.clone()));
             }
         }
+        for news in &digest.suspects {
+            let is_new = !self.suspects.iter().any(|(_, known)| known.is_same(news));
+            if is_new && self.suspects.len() < MAX_SUSPECTS {
+                self.suspects.push((now, news.clone()));
+            }
+        }
+    }
+
+    /// Returns the suspects that are still told of.
+    fn suspects(&mut self, now: Millis) -> Vec<SuspectNews> {
+        self.suspects.retain(|(heard_at, _)| *heard_at + NOTICE_AGE > now);
+        self.suspects.iter().map(|(heard_at, news)| news.after(now - *heard_at)).collect()
     }
 
     /// Returns the notices that are still told.
@@ -102,10 +117,10 @@
     ) -> (Vec<Digest>, Digest) {
         let pieces = self.cached.take(MAX_CACHED_DIGESTS, now).into_iter();
         let of_piece = |cached| Digest { scope, cached, ..Digest::partial(peers, now) };
-        let notices = self.notices(now);
+        let (notices, suspects) = (self.notices(now), self.suspects(now));
         (
             pieces.map(of_piece).collect(),
-            Digest { scope, loads, notices, ..Digest::from(peers, now) },
+            Digest { scope, loads, notices, suspects, ..Digest::from(peers, now) },
         )
     }
 }
@@ -183,7 +198,8 @@
         let peers = gateway.peers();
         let (scope, loads) = (Scope::Zone(self.own), near_loads(gateway, now));
         let (cached, digest) = self.outgoing.digests(scope, loads, peers, now);
-        let has_news = !digest.loads.is_empty() || !cached.is_empty() || !digest.notices.is_empty();
+        let has_findings = !digest.notices.is_empty() || !digest.suspects.is_empty();
+        let has_news = !digest.loads.is_empty() || !cached.is_empty() || has_findings;
         if !has_news && self.silent < MAX_SILENT_TELLINGS {
             self.silent += 1;
             return;
@@ -216,7 +232,7 @@
             take_in(&digest, self.own, gateway, now);
         }
         let has_loads = !digest.loads.is_empty();
-        let has_news = has_loads || !digest.notices.is_empty();
+        let has_news = has_loads || !digest.notices.is_empty() || !digest.suspects.is_empty();
         if !has_news && !self.had_far_loads {
             return;
         }
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -39,6 +39,9 @@
 /// load was told here. Without it the last free places of far engines draw the streams of all zones.
 const UNHEARD_PLACES: f64 = 0.15;
 
+/// What each request beside one that may end its engine is worth, in milliseconds: it would be lost too.
+const NEIGHBOR_MS: f64 = 1_000.0;
+
 /// What a request in flight adds to the time of the next one at a decode engine, in milliseconds.
 const IN_FLIGHT_MS: f64 = 0.2;
 
@@ -75,6 +78,8 @@
     pub body_bytes: usize,
     /// Engines that have failed or refused the request.
     pub avoid: &'a [Arc<str>],
+    /// Whether it goes where the least is lost if the engine ends under it.
+    pub spares_neighbors: bool,
 }
 
 /// `Reader` is the engine that is to read a prompt.
@@ -206,7 +211,11 @@
         let engines = self.candidates(req, Role::Decode);
         let costs = engines.map(|upstream| {
             let generator = self.generator_at(req, upstream, reader);
-            (time_of(&generator) + self.crossing_ms(req, upstream), generator)
+            let risk_ms = match req.spares_neighbors {
+                true => f64::from(upstream.state.work(self.now).in_flight) * NEIGHBOR_MS,
+                false => 0.0,
+            };
+            (time_of(&generator) + self.crossing_ms(req, upstream) + risk_ms, generator)
         });
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, generator)| generator)
     }
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -43,6 +43,19 @@
     pub is_refusal: bool,
     /// Whether the request reached the upstream.
     pub contact: Contact,
+    /// What it says of the upstream itself.
+    pub ending: Ending,
+}
+
+/// `Ending` is what a failed attempt says of its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Ending {
+    /// The connection broke amid the attempt.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+    /// Nothing: it answered, or was not reached.
+    Unharmed,
 }
 
 /// `Contact` is how far an attempt got.
@@ -58,16 +71,32 @@
 
 impl Failed {
     fn refusal(cause: &'static str) -> Self {
-        Self { verdict: Verdict::NotRun, cause, is_refusal: true, contact: Contact::Made }
+        Self { is_refusal: true, contact: Contact::Made, ..Self::not_sent(cause) }
     }
 
     /// A try that ended before anything was sent.
     pub fn not_sent(cause: &'static str) -> Self {
-        Self { verdict: Verdict::NotRun, cause, is_refusal: false, contact: Contact::None }
+        Self {
+            verdict: Verdict::NotRun,
+            cause,
+            is_refusal: false,
+            contact: Contact::None,
+            ending: Ending::Unharmed,
+        }
     }
 
     pub fn may_have_run(cause: &'static str) -> Self {
-        Self { verdict: Verdict::MayHaveRun, cause, is_refusal: false, contact: Contact::Made }
+        Self { verdict: Verdict::MayHaveRun, contact: Contact::Made, ..Self::not_sent(cause) }
+    }
+
+    /// A try whose connection broke.
+    pub fn broken(cause: &'static str) -> Self {
+        Self { ending: Ending::Broken, ..Self::may_have_run(cause) }
+    }
+
+    /// A try of which nothing came in time.
+    pub fn silent(cause: &'static str) -> Self {
+        Self { ending: Ending::Silent, ..Self::may_have_run(cause) }
     }
 }
 
@@ -83,7 +112,12 @@
             (Verdict::NotRun, true) => Contact::None,
             _ => Contact::Made,
         };
-        Self { verdict: err.verdict(), cause, is_refusal: false, contact }
+        let ending = match (err.verdict(), err.timed_out) {
+            (Verdict::NotRun, _) => Ending::Unharmed,
+            (_, true) => Ending::Silent,
+            (_, false) => Ending::Broken,
+        };
+        Self { verdict: err.verdict(), cause, is_refusal: false, contact, ending }
     }
 }
 
@@ -331,8 +365,9 @@
         body: Body,
     ) -> Result<bytes::Bytes, Failed> {
         let collected = collect_body(body, MAX_ANSWER_BYTES, exchange.time_left(self.now()));
-        collected.await.map_err(|err| {
-            Failed::may_have_run(if err.timed_out { "answer_late" } else { "answer_cut" })
+        collected.await.map_err(|err| match err.timed_out {
+            true => Failed::silent("answer_late"),
+            false => Failed::broken("answer_cut"),
         })
     }
 
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -107,17 +107,12 @@
         exchange: &mut Exchange,
         resume_after: Option<u64>,
         avoid: &mut Vec<Arc<str>>,
-    ) -> Result<Opened, Failed> {
-        let nobody = Failed::not_sent("no_upstream");
+    ) -> Tried<Opened> {
         let Some(upstream) = self.choose_plain(&exchange.service, avoid) else {
-            return Err(nobody);
+            return Ok(Err(Failed::not_sent("no_upstream")));
         };
         avoid.push(Arc::clone(&upstream.entry.id));
-        match self.open_at(exchange, &upstream, GenerateWork::NONE, Vec::new(), resume_after).await
-        {
-            Ok(opened) => opened,
-            Err(_) => Err(nobody),
-        }
+        self.open_at(exchange, &upstream, GenerateWork::NONE, Vec::new(), resume_after).await
     }
 
     /// Waits until an engine does not work on a request any more that was sent to it, and has not
@@ -140,6 +135,9 @@
         mut extra: Vec<(HeaderName, HeaderValue)>,
         resume_after: Option<u64>,
     ) -> Tried<Opened> {
+        if let Some(withheld) = self.withheld(exchange) {
+            return Err(withheld);
+        }
         let Some(arrival) = self.may_send(&exchange.service, &mut exchange.was_sent) else {
             return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
         };
@@ -172,7 +170,7 @@
         let sent = tokio::select! {
             sent = self.send(exchange, sending) => sent,
             () = self.lost(exchange, upstream), if can_repeat => {
-                let failed = Failed::may_have_run("no_answer_in_time");
+                let failed = Failed::silent("no_answer_in_time");
                 upstream.state.ejection().record_failure(self.now());
                 self.log_failed(exchange, upstream, "generate", &failed);
                 Err(failed)
@@ -189,7 +187,11 @@
         let took = self.now() - started_at;
         exchange.tried.push(format!("{}({}ms)", upstream.entry.id, took.0));
         exchange.end_run(could_have_run, &result);
+        if matches!(result, Ok(Opened::Answer(_))) {
+            self.note_well(exchange);
+        }
         if let Err(failed) = &result {
+            self.note_ending(exchange, upstream, failed);
             self.take_back(&exchange.service, &mut exchange.was_sent, arrival, failed);
         }
         Ok(result)
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod attempts;
 mod bodies;
+mod examining;
 mod generating;
 mod handles;
 mod plain;
@@ -16,6 +17,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::HttpClient;
@@ -34,6 +36,7 @@
 use crate::peers::Peers;
 use crate::prompts::Part;
 use crate::speeds::Speeds;
+use crate::suspects::Suspects;
 use crate::wires::Wire;
 
 use answers::{Outcome, OwnAnswer};
@@ -88,6 +91,7 @@
     has_fleet: AtomicBool,
     metrics: GatewayMetrics,
     peers: Arc<Peers>,
+    suspects: Arc<Suspects>,
     /// Engines that have read a prompt since the peers were told last.
     cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
 }
@@ -140,6 +144,7 @@
             config: ArcSwapOption::empty(),
             fleet: Fleet::new(),
             caches: CacheBeliefs::new(),
+            suspects: Arc::default(),
             in_flight: AtomicU64::new(0),
             stopping: Stopping::new(),
             has_fleet: AtomicBool::new(false),
@@ -261,6 +266,20 @@
         &self.inner.peers
     }
 
+    /// Returns the requests under which engines have ended.
+    pub fn suspects(&self) -> &Arc<Suspects> {
+        &self.inner.suspects
+    }
+
+    /// Lifts a quarantine, here and at the other instances. Returns whether anything spoke against the
+    /// request.
+    pub fn lift(&self, request: Fingerprint) -> bool {
+        let is_known = self.suspects().lift(request, self.now());
+        self.peers().announce();
+        emit(&Event::QuarantineLifted { fingerprint: request });
+        is_known
+    }
+
     /// Returns how many extra arrivals a service's budget has left.
     pub fn budget_left(&self, service: &Arc<str>, now: Millis) -> f64 {
         self.inner.budget.left(service, self.inner.peers.instances(), now)
@@ -320,6 +339,9 @@
     }
 
     async fn serve(&self, exchange: &mut Exchange) -> Outcome {
+        if let Some(withheld) = self.withheld(exchange) {
+            return withheld;
+        }
         let limit = exchange.give_up_at - self.now();
         let serving = async {
             match exchange.route.repeats {
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -49,6 +49,9 @@
                 (last_cause, pause) = (STOPPING, Millis::ZERO);
                 break;
             }
+            if let Some(withheld) = self.withheld(exchange) {
+                return last_answer.map_or(withheld, Outcome::Whole);
+            }
             let Some(upstream) = self.choose_plain(&exchange.service, &avoid) else { break };
             let Some(arrival) = self.may_send(&exchange.service, &mut exchange.was_sent) else {
                 last_cause = "retry_budget";
@@ -126,6 +129,10 @@
         };
         exchange.end_run(could_have_run, &result);
         drop(held);
+        match &result {
+            Ok(_) => self.note_well(exchange),
+            Err(failed) => self.note_ending(exchange, upstream, failed),
+        }
         result
     }
 
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -69,6 +69,7 @@
             prompt: self.prompt,
             body_bytes: exchange.body.len(),
             avoid: self.avoid,
+            spares_neighbors: exchange.trial.is_some(),
         }
     }
 }
@@ -145,7 +146,7 @@
             if resume_after.is_none() && self.may_be_cut(exchange) {
                 return Err(self.given_up(exchange, STOPPING, Millis::ZERO));
             }
-            return Ok(self.stream_plainly(exchange, resume_after, avoid).await);
+            return self.stream_plainly(exchange, resume_after, avoid).await;
         };
         let tightest = config.tightest_objective(&exchange.service);
         let mut job = Job { engine: &engine, prompt: &prompt, tightest, resume_after, avoid };
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -52,6 +52,9 @@
         reader: Reader,
         wait: Wait,
     ) -> Tried<KvHandle<W, C>> {
+        if let Some(withheld) = self.withheld(exchange) {
+            return Err(withheld);
+        }
         let Some(arrival) = self.may_send(&exchange.service, &mut exchange.has_read) else {
             return Err(self.given_up(exchange, "retry_budget", REFUSED_PAUSE));
         };
@@ -117,6 +120,7 @@
             }
             Err(failed) => {
                 job.avoid.push(Arc::clone(&upstream.entry.id));
+                self.note_ending(exchange, &upstream, &failed);
                 self.take_back(&exchange.service, &mut exchange.has_read, arrival, &failed);
                 // Reading a prompt is not running the request.
                 Ok(Err(Failed { verdict: Verdict::NotRun, ..failed }))
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -20,6 +20,7 @@
 use crate::configs::{Config, Repeats, Route};
 use crate::hashes::hash_of;
 use crate::prompts::Prompt;
+use crate::suspects::Trial;
 use crate::wires::Wire;
 
 /// The time that a caller without a word about it is taken to wait.
@@ -61,6 +62,8 @@
     pub has_read: bool,
     /// Whether an attempt was sent before.
     pub was_sent: bool,
+    /// Its trial, if it is suspected of ending engines.
+    pub trial: Option<Trial>,
 }
 
 impl Exchange {
@@ -117,6 +120,7 @@
             may_have_run: false,
             has_read: false,
             was_sent: false,
+            trial: None,
         })
     }
 
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -92,7 +92,7 @@
             }
             // A stream that goes on after its last event has nothing more to say.
             Ok(Piece::End) if resume_after.is_some() => Ok(relay),
-            Ok(Piece::End) => Err(Failed::may_have_run("empty_stream")),
+            Ok(Piece::End) => Err(Failed::broken("empty_stream")),
             Err(failed) => {
                 let upstream = relay.held.upstream();
                 upstream.state.ejection().record_failure(gateway.now());
@@ -137,6 +137,7 @@
                 }
                 Ok(None) => {
                     passage.outcome = "whole";
+                    passage.gateway.note_well(&passage.exchange);
                     None
                 }
                 Err(err) => {
@@ -178,9 +179,9 @@
                     }
                 }
                 Ok(None) if self.splitter.is_empty() => return Ok(Piece::End),
-                Ok(None) => return Err(Failed::may_have_run("event_cut")),
-                Ok(Some(Err(_))) => return Err(Failed::may_have_run("stream_cut")),
-                Err(_elapsed) => return Err(Failed::may_have_run(SILENT)),
+                Ok(None) => return Err(Failed::broken("event_cut")),
+                Ok(Some(Err(_))) => return Err(Failed::broken("stream_cut")),
+                Err(_elapsed) => return Err(Failed::silent(SILENT)),
             }
         }
     }
@@ -310,6 +311,7 @@
         let gateway = self.gateway.clone();
         let upstream = self.relay.held.upstream();
         upstream.state.ejection().record_failure(gateway.now());
+        gateway.note_ending(&self.exchange, upstream, failed);
         let upstream = Arc::clone(&upstream.entry.id);
         let last_id = self.relay.last_id;
         let route = &self.exchange.route;
--- a/crates/anvilhook-gateway/src/roles/mod.rs
+++ b/crates/anvilhook-gateway/src/roles/mod.rs
@@ -171,7 +171,7 @@
     ) -> Vec<(Arc<Upstream>, Role)> {
         let staying: Vec<_> = listed
             .iter()
-            .filter(|upstream| !upstream.entry.draining && !upstream.state.is_gone())
+            .filter(|upstream| !upstream.is_leaving())
             .filter(|upstream| upstream.role().is_some_and(|role| role != Role::Mixed))
             .collect();
         if staying.len() < 2 {
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -240,8 +240,14 @@
         now: Millis(1_000),
     };
     let engine = engine_spec();
-    let request =
-        Request { service: "service", engine: &engine, prompt, body_bytes: 30_000, avoid };
+    let request = Request {
+        service: "service",
+        engine: &engine,
+        prompt,
+        body_bytes: 30_000,
+        avoid,
+        spares_neighbors: false,
+    };
     placer.plan(&request)
 }
 
@@ -309,6 +315,7 @@
         prompt: &prompt,
         body_bytes: 400,
         avoid: &[],
+        spares_neighbors: false,
     };
     let chosen = |far_news_ms| {
         let placer = Placer {
@@ -478,6 +485,7 @@
             Notice { engine: 9, kind: NoticeKind::Away { left_ms: 2_500 } },
             Notice { engine: 8, kind: NoticeKind::Changing { role: Role::Decode, left_ms: 9_000 } },
         ],
+        suspects: Vec::new(),
         work: vec![ToldWork { service: 7, reading_ms: 70_000, generating_ms: 9_000 }],
         zone: u32::MAX,
         watches: [ToldWatch { newest: 700, is_unable: true, away_ms: Some(2_000) }; 2],
--- a/crates/anvilhook-gateway/tests/support/upstreams.rs
+++ b/crates/anvilhook-gateway/tests/support/upstreams.rs
@@ -8,7 +8,7 @@
 use anvilhook_gateway::fleets::Entry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::wires::entry;
 
@@ -44,6 +44,8 @@
     Pause(u64),
     /// Does nothing until it is notified.
     Await(Arc<Notify>),
+    /// Ends the upstream: nothing listens any more, and all its connections are reset.
+    End,
     /// Does nothing until the other end closes the connection.
     Hang,
 }
@@ -53,6 +55,7 @@
     pub address: SocketAddr,
     received: Arc<Mutex<Vec<Received>>>,
     left: Arc<Notify>,
+    ends: Arc<watch::Sender<bool>>,
 }
 
 impl Upstream {
@@ -66,13 +69,25 @@
         let received = Arc::new(Mutex::new(Vec::new()));
         let left = Arc::new(Notify::new());
         let (script, log, gone) = (Arc::new(script), Arc::clone(&received), Arc::clone(&left));
+        let ends = Arc::new(watch::Sender::new(false));
+        let ended = Arc::clone(&ends);
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let mut is_over = ended.subscribe();
+            loop {
+                let stream = tokio::select! {
+                    Ok((stream, _)) = listener.accept() => stream,
+                    _ = is_over.changed() => return,
+                };
                 let (script, log) = (Arc::clone(&script), Arc::clone(&log));
-                tokio::spawn(serve(stream, script, log, Arc::clone(&gone)));
+                tokio::spawn(serve(stream, script, log, Arc::clone(&gone), Arc::clone(&ended)));
             }
         });
-        Upstream { address, received, left }
+        Upstream { address, received, left, ends }
+    }
+
+    /// Ends it: nothing listens any more, and all its connections are reset.
+    pub fn end(&self) {
+        self.ends.send_replace(true);
     }
 
     /// Starts an upstream that does the same for each request.
@@ -96,10 +111,30 @@
     script: Arc<F>,
     log: Arc<Mutex<Vec<Received>>>,
     left: Arc<Notify>,
+    ends: Arc<watch::Sender<bool>>,
 ) where
     F: Fn(&Received) -> Vec<Step>,
 {
-    while let Some(received) = receive(&mut stream).await {
+    let mut is_over = ends.subscribe();
+    let is_ended = tokio::select! {
+        () = play(&mut stream, script, log, left, &ends) => false,
+        _ = is_over.wait_for(|is_over| *is_over) => true,
+    };
+    if is_ended {
+        reset_on_close(&stream);
+    }
+}
+
+async fn play<F>(
+    stream: &mut TcpStream,
+    script: Arc<F>,
+    log: Arc<Mutex<Vec<Received>>>,
+    left: Arc<Notify>,
+    ends: &watch::Sender<bool>,
+) where
+    F: Fn(&Received) -> Vec<Step>,
+{
+    while let Some(received) = receive(stream).await {
         let id = received.header("t-id").unwrap_or("none").to_owned();
         let steps = script(&received);
         log.lock().expect("no panic").push(received);
@@ -115,9 +150,13 @@
                 Step::Await(event) => event.notified().await,
                 Step::Close => return,
                 Step::Reset => {
-                    reset_on_close(&stream);
+                    reset_on_close(stream);
                     return;
                 }
+                Step::End => {
+                    ends.send_replace(true);
+                    std::future::pending::<()>().await;
+                }
                 Step::Hang => {
                     let mut buf = [0; 64];
                     while matches!(stream.read(&mut buf).await, Ok(len) if len > 0) {}
