Know a request again from whatever address its caller comes

Cause: the fingerprint counted the caller's address. Load balancers hand connections to machines of the client's availability zone, so that a request which comes at machines of all zones comes from at least three addresses, and each made another request of it. A caller is whom its credentials name, else nobody.

Also: an engine's error is no run that ended well; a test of its own.

--- a/crates/anvilhook-core/src/fingerprints.rs
+++ b/crates/anvilhook-core/src/fingerprints.rs
@@ -16,18 +16,18 @@
 /// ```
 /// use anvilhook_core::fingerprints::Fingerprint;
 ///
-/// let first = Fingerprint::of("10.0.0.1", "/notes/1", b"text");
-/// assert_eq!(first, Fingerprint::of("10.0.0.1", "/notes/1", b"text"));
-/// assert_ne!(first, Fingerprint::of("10.0.0.2", "/notes/1", b"text"));
-/// assert_ne!(first, Fingerprint::of("10.0.0.1", "/notes/1t", b"ext"));
+/// let first = Fingerprint::of("account-1", "/notes/1", b"text");
+/// assert_eq!(first, Fingerprint::of("account-1", "/notes/1", b"text"));
+/// assert_ne!(first, Fingerprint::of("account-2", "/notes/1", b"text"));
+/// assert_ne!(first, Fingerprint::of("account-1", "/notes/1t", b"ext"));
 /// assert_eq!(first.to_string().parse(), Ok(first));
 /// ```
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Fingerprint(pub u128);
 
 impl Fingerprint {
-    /// Returns the fingerprint of a request: `caller` is its client account, or its address where it has
-    /// none, and `target` is its path with the query.
+    /// Returns the fingerprint of a request: `caller` is its client account, empty where callers have none,
+    /// and `target` is its path with the query.
     pub fn of(caller: &str, target: &str, body: &[u8]) -> Self {
         let mut hasher = blake3::Hasher::new_keyed(&KEY);
         for part in [caller.as_bytes(), target.as_bytes()] {
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -13,7 +13,6 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use volo::net::Address;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -222,9 +221,9 @@
 
 /// Returns the router that hands every request to a gateway.
 pub fn front_router<W: Wire, C: Clock>(gateway: Gateway<W, C>) -> Router {
-    Router::new().fallback(move |caller: Address, req: Request| {
+    Router::new().fallback(move |req: Request| {
         let gateway = gateway.clone();
-        async move { gateway.handle(&caller, req).await }
+        async move { gateway.handle(req).await }
     })
 }
 
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -23,7 +23,6 @@
 use anvilhook_http::HttpClient;
 use arc_swap::ArcSwapOption;
 use http::StatusCode;
-use volo::net::Address;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -299,12 +298,12 @@
         self.inner.clock.now()
     }
 
-    /// Serves a request that came from an address.
-    pub async fn handle(&self, caller: &Address, req: Request) -> Response {
+    /// Serves a request.
+    pub async fn handle(&self, req: Request) -> Response {
         self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
         let flight = Flight(self.clone());
         let arrived_at = self.now();
-        let received = self.receive(caller, req, arrived_at).await;
+        let received = self.receive(req, arrived_at).await;
         let (exchange, outcome) = match received {
             Ok(mut exchange) => {
                 let mut watch = DepartureWatch::new(self.clone(), &exchange);
@@ -322,18 +321,13 @@
         answer
     }
 
-    async fn receive(
-        &self,
-        caller: &Address,
-        req: Request,
-        arrived_at: Millis,
-    ) -> Result<Exchange, OwnAnswer> {
+    async fn receive(&self, req: Request, arrived_at: Millis) -> Result<Exchange, OwnAnswer> {
         let stopped = || OwnAnswer::refused(STOPPING, Millis::ZERO);
         if self.takes_none() {
             return Err(stopped());
         }
         tokio::select! {
-            received = Exchange::receive(self, caller, req, arrived_at) => received,
+            received = Exchange::receive(self, req, arrived_at) => received,
             () = self.ended() => Err(stopped()),
         }
     }
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -130,7 +130,8 @@
         exchange.end_run(could_have_run, &result);
         drop(held);
         match &result {
-            Ok(_) => self.note_well(exchange),
+            Ok(answer) if answer.status.is_success() => self.note_well(exchange),
+            Ok(_) => {}
             Err(failed) => self.note_ending(exchange, upstream, failed),
         }
         result
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -11,7 +11,6 @@
 use http::request::Parts;
 use http::{Method, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use volo::net::Address;
 use volo_http::request::Request;
 
 use super::Gateway;
@@ -70,7 +69,6 @@
     /// Reads a request whole and finds its route.
     pub async fn receive<W: Wire, C: Clock>(
         gateway: &Gateway<W, C>,
-        caller: &Address,
         req: Request,
         arrived_at: Millis,
     ) -> Result<Exchange, OwnAnswer> {
@@ -103,7 +101,7 @@
         let deadline = arrived_at + time_left.unwrap_or(DEFAULT_DEADLINE);
         let timeout = route.timeout.map_or(deadline, |timeout| arrived_at + timeout);
         Ok(Exchange {
-            fingerprint: fingerprint_of(caller, &parts, &body),
+            fingerprint: fingerprint_of(&parts, &body),
             id: Arc::from(id),
             service: Arc::clone(service),
             prompt: gateway.wire().prompt(&parts.headers),
@@ -176,21 +174,12 @@
     }
 }
 
-/// Returns the fingerprint of a request. Its caller is whom its credentials name, if it has any.
-fn fingerprint_of(caller: &Address, head: &Parts, body: &[u8]) -> Fingerprint {
+/// Returns the fingerprint of a request. Its caller is whom its credentials name, if it has any: a client's
+/// repeats may come from other addresses.
+fn fingerprint_of(head: &Parts, body: &[u8]) -> Fingerprint {
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
-    match text(&head.headers, &header::AUTHORIZATION) {
-        Some(credentials) => Fingerprint::of(&credentials, target, body),
-        None => Fingerprint::of(&host_of(caller), target, body),
-    }
-}
-
-/// Returns the host of an address: a client uses other ports for other connections.
-fn host_of(address: &Address) -> String {
-    match address {
-        Address::Ip(address) => address.ip().to_canonical().to_string(),
-        other => other.to_string(),
-    }
+    let credentials = text(&head.headers, &header::AUTHORIZATION).unwrap_or_default();
+    Fingerprint::of(&credentials, target, body)
 }
 
 fn no_config() -> OwnAnswer {
--- a/crates/anvilhook-gateway/tests/instance_stops.rs
+++ b/crates/anvilhook-gateway/tests/instance_stops.rs
@@ -14,7 +14,7 @@
 use http_body::Frame;
 use http_body_util::BodyExt;
 use support::clocks::TimerClock;
-use support::fronts::{ample_budget, caller, config, gateway, route};
+use support::fronts::{ample_budget, config, gateway, route};
 use support::upstreams::{Upstream, signed};
 use support::wires::{TestWire, entry, limits};
 use tokio::task::JoinHandle;
@@ -60,7 +60,7 @@
 
 /// Hands a gateway a request. Returns the status and the text of the answer.
 async fn ask(gateway: &StopGateway, req: Request) -> (StatusCode, Bytes) {
-    let answer = gateway.handle(&caller(), req).await;
+    let answer = gateway.handle(req).await;
     let status = answer.status();
     let body = answer.into_body().collect().await.expect("it is whole");
     (status, body.to_bytes())
--- a/crates/anvilhook-gateway/tests/stops.rs
+++ b/crates/anvilhook-gateway/tests/stops.rs
@@ -15,7 +15,7 @@
 use http_body::Frame;
 use http_body_util::BodyExt;
 use support::clocks::TimerClock;
-use support::fronts::{Front, ample_budget, caller, config, gateway, request, start_by};
+use support::fronts::{Front, ample_budget, config, gateway, request, start_by};
 use support::upstreams::{
     Step, Upstream, chunk, engine, event, signed, stream, stream_end, stream_head,
 };
@@ -321,7 +321,7 @@
     for _ in 0..REQUESTS {
         let mut req = received("r1", Body::empty());
         *req.uri_mut() = "/none/b".parse().expect("a path");
-        let answer = front.gateway.handle(&caller(), req).await;
+        let answer = front.gateway.handle(req).await;
 
         assert_eq!(answer.status(), 503);
     }
@@ -363,8 +363,7 @@
         let upstream = Upstream::always(steps).await;
         let entries = vec![entry("u", upstream.address.port())];
         let front = front_of(&ManualClock::new(), repeats, false, entries).await;
-        let mut body =
-            front.gateway.handle(&caller(), received("r1", Body::empty())).await.into_body();
+        let mut body = front.gateway.handle(received("r1", Body::empty())).await.into_body();
         let mut written = Vec::new();
         while let Some(frame) = body.frame().await {
             written.push(frame.expect("it is whole").into_data());
@@ -404,8 +403,7 @@
         let entries = vec![entry("u", upstream.address.port())];
         let front = front_of(&clock, Repeats::Stream { resumable: true }, false, entries).await;
         front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
-        let mut body =
-            front.gateway.handle(&caller(), received("r1", Body::empty())).await.into_body();
+        let mut body = front.gateway.handle(received("r1", Body::empty())).await.into_body();
         let first = body.frame().await.expect("it begins").expect("an event");
 
         clock.advance(LIMIT);
@@ -439,7 +437,7 @@
     let req = received("r1", Body::empty());
     let (mut head, body) = req.into_parts();
     head.headers.insert("t-tokens", HeaderValue::from_static("400"));
-    let mut body = gateway.handle(&caller(), Request::from_parts(head, body)).await.into_body();
+    let mut body = gateway.handle(Request::from_parts(head, body)).await.into_body();
     let first = body.frame().await.expect("it begins").expect("an event");
     let ends_at = clock.now() + LIMIT;
     tokio::time::pause();
@@ -460,7 +458,7 @@
     let far = Entry { zone: "zone-b".into(), ..entry("second", second.address.port()) };
     let entries = vec![entry("first", first.address.port()), far];
     let front = front_of(&clock, Repeats::Stream { resumable: true }, false, entries).await;
-    let mut body = front.gateway.handle(&caller(), received("r1", Body::empty())).await.into_body();
+    let mut body = front.gateway.handle(received("r1", Body::empty())).await.into_body();
     let begun = body.frame().await.expect("it begins").expect("an event");
 
     front.gateway.begin_stop(stop_in(&clock, LIMIT, true));
@@ -487,7 +485,7 @@
             Poll::Ready(None::<Result<Frame<Bytes>, _>>)
         });
 
-        let answer = front.gateway.handle(&caller(), received("r1", Body::from_stream(last))).await;
+        let answer = front.gateway.handle(received("r1", Body::from_stream(last))).await;
 
         assert_eq!((answer.status().as_u16(), upstream.received().len()), (503, 0), "{round}");
     }
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -13,7 +13,6 @@
 use anvilhook_http::{ClientOptions, HttpClient, Shutdown};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use volo::net::Address;
 
 use super::wires::{TestWire, limits};
 
@@ -54,11 +53,6 @@
     }
 }
 
-/// Returns the address from which the tests' own calls of a gateway come.
-pub fn caller() -> Address {
-    Address::from(SocketAddr::from(([127, 0, 0, 1], 1)))
-}
-
 /// Returns a budget that never ends.
 pub fn ample_budget() -> BudgetOptions {
     BudgetOptions { share: 1.0, spare: 100.0, window: Millis(10_000) }
--- a/crates/anvilhook-gateway/tests/suspects.rs
+++ b/crates/anvilhook-gateway/tests/suspects.rs
@@ -64,7 +64,7 @@
 }
 
 fn fingerprint(body: &str) -> Fingerprint {
-    Fingerprint::of("127.0.0.1", "/a/b?c=d", body.as_bytes())
+    Fingerprint::of("", "/a/b?c=d", body.as_bytes())
 }
 
 /// Returns how many engines have ended under a request, by what an instance holds.
@@ -314,3 +314,24 @@
     until(|| ends().iter().any(|end| end.engine == 3)).await;
     assert_eq!(ends().len(), 1);
 }
+
+/// An engine that fails a request at once clears it of the engines that it has ended.
+#[tokio::test]
+async fn verify_an_error_is_no_run_that_ended_well() {
+    let upstreams = [
+        Upstream::start(|_| vec![Step::End]).await,
+        Upstream::always(vec![signed("500 Error", "")]).await,
+    ];
+    let ports = upstreams.iter().enumerate();
+    let entries = ports.map(|(number, one)| entry(&format!("p{number}"), one.address.port()));
+    let config = unhurried(&config(Repeats::AtMostOnce, 1, false));
+    let front = start(Some(config), entries.collect(), ample_budget()).await;
+    front.gateway.fleet().view().get("p1").expect("listed").state.mark_closed(Millis::MAX, false);
+    front.post("r1", "", POISON).await;
+    until(|| standing(&front, POISON) == Some(1)).await;
+
+    let answer = front.post("r2", "", POISON).await;
+
+    assert_eq!(answer.status, 500);
+    assert_eq!(standing(&front, POISON), Some(1));
+}
