Send nothing more to an upstream that says in an answer that it leaves

With the store away for 12 s an engine that had said so in every answer got 72 requests. Cause: its word was read nowhere. Leaving was believed only of the list, which stands still while the store is away. The class: what an upstream says of itself in its answers was not taken for a belief.

The head of any answer is heard in one place: of any stage, refusals, the gateway's own calls, orders. It marks the upstream's start; its list entry, a Notice of another instance and 421 by another upstream end in the same question, Upstream::is_leaving, asked right before each send, also of what waited or was read apart, and before an order. Nothing but a later start takes the mark back: what is known of an upstream now outlives a lapse of its entry (it was dropped with it, is_gone too). The others are told for 1 s.

Gateway tests/leaving.rs: six kinds of answers, stages, later beliefs.

--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -87,7 +87,7 @@
 
     /// Returns whether it is leaving or gone, by whatever has told so.
     pub fn is_leaving(&self) -> bool {
-        self.entry.draining || self.state.is_gone()
+        self.entry.draining || self.state.is_gone() || self.state.says_leaving()
     }
 
     /// Returns whether new work may be sent there.
@@ -104,8 +104,14 @@
     by_id: HashMap<Arc<str>, Arc<Upstream>>,
     by_service: HashMap<Arc<str>, Vec<Arc<Upstream>>>,
     by_digest: HashMap<u32, Arc<Upstream>>,
+    /// Upstreams that are listed no more and of which something is known that outlives a lapse of their
+    /// entries, the latest last.
+    former: Vec<Arc<Upstream>>,
 }
 
+/// The most upstreams that are remembered after their entries have gone.
+const MAX_FORMER: usize = 1_024;
+
 impl FleetView {
     /// Returns an upstream by the short form of its id and start.
     pub fn by_digest(&self, digest: u32) -> Option<&Arc<Upstream>> {
@@ -122,6 +128,25 @@
         self.by_id.get(id)
     }
 
+    /// Returns what is known of an entry's start, if it was listed before.
+    fn state_of(&self, entry: &Entry) -> Option<Arc<UpstreamState>> {
+        let is_same =
+            |one: &&Arc<Upstream>| one.entry.id == entry.id && one.entry.is_same_start(entry);
+        let listed = self.by_id.get(&entry.id).filter(is_same);
+        let known = listed.or_else(|| self.former.iter().rfind(is_same));
+        known.map(|one| Arc::clone(&one.state))
+    }
+
+    /// Returns the upstreams that are to be remembered once `next` is listed in this view's place.
+    fn former_beside(&self, next: &FleetView) -> Vec<Arc<Upstream>> {
+        let gone = self.by_id.values().filter(|one| one.state.is_lasting());
+        let all = self.former.iter().chain(gone);
+        let unlisted = all.filter(|one| !next.by_digest.contains_key(&one.digest));
+        let former: Vec<_> = unlisted.cloned().collect();
+        let dropped = former.len().saturating_sub(MAX_FORMER);
+        former.into_iter().skip(dropped).collect()
+    }
+
     /// Returns all upstreams.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.by_id.values()
@@ -152,24 +177,21 @@
     }
 
     /// Puts the listed entries in place of the earlier ones, and returns those. Upstreams that stay
-    /// keep their state; one that has started again begins with none.
+    /// keep their state; one that has started again begins with none. What an upstream has told of itself
+    /// is kept beyond its entry, which may lapse and come back while the upstream goes on.
     pub fn replace(&self, entries: impl IntoIterator<Item = Entry>) -> Arc<FleetView> {
         let earlier = self.view.load_full();
         let mut view = FleetView::default();
         for entry in entries {
             let id = Arc::clone(&entry.id);
-            let state = match earlier.get(&id) {
-                Some(upstream) if upstream.entry.is_same_start(&entry) => {
-                    Arc::clone(&upstream.state)
-                }
-                _ => Arc::new(UpstreamState::new()),
-            };
+            let state = earlier.state_of(&entry).unwrap_or_else(|| Arc::new(UpstreamState::new()));
             let upstream = Arc::new(Upstream { digest: entry.digest(), entry, state });
             let service = Arc::clone(&upstream.entry.service);
             view.by_service.entry(service).or_default().push(Arc::clone(&upstream));
             view.by_digest.insert(upstream.digest, Arc::clone(&upstream));
             view.by_id.insert(id, upstream);
         }
+        view.former = earlier.former_beside(&view);
         for upstreams in view.by_service.values_mut() {
             upstreams.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
         }
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -22,6 +22,9 @@
 /// The same for what other availability zones tell, which comes over two instances more.
 const FAR_LOAD_AGE: Millis = Millis(800);
 
+/// For how long the others are told that an upstream leaves, so that a lost datagram does not lose it.
+const LEAVING_NEWS: Millis = Millis(1_000);
+
 /// For how long the others are told of an error.
 const ERROR_NEWS: Millis = Millis(200);
 
@@ -96,6 +99,11 @@
     /// Until when its host refuses connections, and the same by what this instance has met.
     closed_until: AtomicU64,
     own_closed: AtomicU64,
+    /// When this instance learnt first that it leaves, by its own word or by another instance's; zero if it
+    /// has not.
+    leaving_at: AtomicU64,
+    /// The same by an answer to this instance itself.
+    own_leaving_at: AtomicU64,
     errors: Mutex<ErrorReports>,
     own_error_at: AtomicU64,
     refused_handles: AtomicU32,
@@ -123,6 +131,8 @@
             is_gone_by_own: AtomicBool::new(false),
             closed_until: AtomicU64::new(0),
             own_closed: AtomicU64::new(0),
+            leaving_at: AtomicU64::new(0),
+            own_leaving_at: AtomicU64::new(0),
             errors: Mutex::default(),
             own_error_at: AtomicU64::new(0),
             refused_handles: AtomicU32::new(0),
@@ -192,6 +202,33 @@
         self.is_gone.load(Ordering::Acquire)
     }
 
+    /// Notes that the upstream says that it leaves; `is_own` if it has told this instance itself. Returns
+    /// whether that is news. Nothing takes it back but a later start of the upstream.
+    pub fn mark_leaving(&self, is_own: bool, now: Millis) -> bool {
+        let at = now.0.max(1);
+        if is_own {
+            let _ =
+                self.own_leaving_at.compare_exchange(0, at, Ordering::AcqRel, Ordering::Acquire);
+        }
+        self.leaving_at.compare_exchange(0, at, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+
+    /// Returns whether the upstream is known to be leaving, whatever the list says.
+    pub fn says_leaving(&self) -> bool {
+        self.leaving_at.load(Ordering::Acquire) > 0
+    }
+
+    /// Returns whether the upstream told this instance so shortly ago that the others are told.
+    pub fn has_told_leaving_of_late(&self, now: Millis) -> bool {
+        let at = self.own_leaving_at.load(Ordering::Acquire);
+        at > 0 && now < Millis(at) + LEAVING_NEWS
+    }
+
+    /// Returns whether anything is known that must outlive a lapse of the upstream's entry.
+    pub(crate) fn is_lasting(&self) -> bool {
+        self.says_leaving() || self.is_gone()
+    }
+
     /// Notes that the upstream takes no work until a time, because it changes its role.
     pub fn mark_away(&self, until: Millis) {
         self.away_until.fetch_max(until.0, Ordering::AcqRel);
--- a/crates/anvilhook-gateway/src/peers/notices.rs
+++ b/crates/anvilhook-gateway/src/peers/notices.rs
@@ -36,6 +36,8 @@
     },
     /// Another engine answers at its address, so that it is gone.
     Gone,
+    /// It has said that it leaves.
+    Leaving,
     /// Its host refuses connections.
     Closed {
         /// For how much longer it is left alone, in milliseconds.
@@ -67,7 +69,10 @@
                 NoticeKind::Changing { role, left_ms: rest(left_ms) }
             }
             NoticeKind::Closed { left_ms } => NoticeKind::Closed { left_ms: rest(left_ms) },
-            kind @ (NoticeKind::HasRole { .. } | NoticeKind::Gone | NoticeKind::Error) => kind,
+            kind @ (NoticeKind::HasRole { .. }
+            | NoticeKind::Gone
+            | NoticeKind::Leaving
+            | NoticeKind::Error) => kind,
         };
         Notice { engine: self.engine, kind }
     }
@@ -82,6 +87,7 @@
         left_ms(state.own_away_until()).map(|left_ms| NoticeKind::Away { left_ms }),
         left_ms(state.own_closed_until()).map(|left_ms| NoticeKind::Closed { left_ms }),
         state.is_gone_by_own().then_some(NoticeKind::Gone),
+        state.has_told_leaving_of_late(now).then_some(NoticeKind::Leaving),
         state.has_erred_of_late(now).then_some(NoticeKind::Error),
         own_observed_role(upstream),
         own_role_change(upstream, now),
@@ -124,6 +130,9 @@
                 upstream.state.mark_closed(after(left_ms), false);
             }
             NoticeKind::Gone => upstream.state.mark_gone(false),
+            NoticeKind::Leaving => {
+                upstream.state.mark_leaving(false, now);
+            }
             // What another zone tells bears the number of who tells it on, and would count as one more.
             NoticeKind::Error if digest.scope == Scope::Instance => {
                 gateway.note_error(upstream, digest.from, false);
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -160,6 +160,13 @@
             self.log_failed(exchange, sending.upstream, sending.stage, &failed);
             return Err(failed);
         }
+        // By what is believed now: an answer to another request may have told of the upstream since it was
+        // chosen.
+        if !self.fleet().takes_work(&sending.upstream.entry.id, self.now()) {
+            let failed = Failed::not_sent("takes_no_work");
+            self.log_failed(exchange, sending.upstream, sending.stage, &failed);
+            return Err(failed);
+        }
         self.log_placed(exchange, &sending);
         self.log_taken(exchange);
         let result = self.send_unlogged(exchange, &sending).await;
@@ -246,9 +253,19 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) {
-        let is_leaving = headers.contains_key(&self.wire().headers().leaving);
+        // Another one may have got the address since. What it says is of itself.
+        let named = headers.get(&self.wire().headers().instance);
+        let named = named.and_then(|id| id.to_str().ok()).filter(|id| **id != *upstream.entry.id);
+        let view = self.fleet().view();
+        let upstream = match named.map(|id| view.get(id)) {
+            None => upstream,
+            Some(Some(other)) => other,
+            Some(None) => return,
+        };
+        let is_leaving = self.wire().says_leaving(headers);
+        let is_news = is_leaving && self.mark_leaving(upstream);
         let pause = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
-        if !is_leaving && pause.is_none() {
+        if !is_news && pause.is_none() {
             return;
         }
         let retry_after = pause.map(|pause| pause.to_str().unwrap_or("?"));
@@ -256,6 +273,16 @@
         emit(&Event::UpstreamTold { upstream, request, status, is_leaving, retry_after });
     }
 
+    /// Notes that an upstream has told this instance that it leaves, and has the others told. Returns whether
+    /// that is news.
+    fn mark_leaving(&self, upstream: &Upstream) -> bool {
+        let is_news = upstream.state.mark_leaving(true, self.now());
+        if is_news {
+            self.peers().announce();
+        }
+        is_news
+    }
+
     fn request_for(&self, exchange: &Exchange, sending: &Sending<'_>) -> Request<Body> {
         let names = self.wire().headers();
         let mut headers = exchange.headers.clone();
--- a/crates/anvilhook-gateway/src/roles/orders.rs
+++ b/crates/anvilhook-gateway/src/roles/orders.rs
@@ -65,7 +65,13 @@
     let report = read_report(gateway, report.status, &report.body)?;
     // One that has started again, which the list does not show yet, may have another role.
     let is_other = upstream.entry.has_other_start(report.born);
-    if is_other || report.busy || report.role == *role || clock.now() >= lease.until {
+    // Its report, or another answer since it was chosen, may have told that it leaves.
+    if is_other
+        || upstream.is_leaving()
+        || report.busy
+        || report.role == *role
+        || clock.now() >= lease.until
+    {
         return None;
     }
     let order = RoleOrder {
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -166,6 +166,9 @@
     /// Reads what a request says of its prompt.
     fn prompt(&self, headers: &HeaderMap) -> Option<Prompt>;
 
+    /// Returns whether an answer with these headers says that its upstream leaves.
+    fn says_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Reads an upstream's load.
     fn load(&self, value: &HeaderValue) -> Option<Load>;
 
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/leaving.rs
@@ -0,0 +1,202 @@
+//! Upstreams that say in their answers that they leave.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Millis, SystemClock};
+use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::peers::{Digest, Notice, NoticeKind, exchange};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use support::fronts::{Front, ample_budget, config, start, start_by, unhurried};
+use support::until;
+use support::upstreams::{Step, Upstream, engine, event, signed, stream, stream_end};
+use support::wires::entry;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+const ONCE: Repeats = Repeats::Stream { resumable: false };
+const PROMPT: &str = "T-Tokens: 100\r\n";
+
+/// Returns an answer that says that its upstream leaves, with other header lines.
+fn leaving(status: &str, headers: &str, body: &str) -> Step {
+    Step::Write(format!(
+        "HTTP/1.1 {status}\r\nT-Id: {{id}}\r\nT-Leaving: 1\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+async fn front_before(repeats: Repeats, has_engine: bool, entries: Vec<Entry>) -> Front {
+    start(Some(unhurried(&config(repeats, 2, has_engine))), entries, ample_budget()).await
+}
+
+fn takes_work(front: &Front, id: &str) -> bool {
+    front.gateway.fleet().takes_work(id, Millis::ZERO)
+}
+
+/// An answer tells that its upstream leaves, the list can't show it, and the upstream gets work for as long.
+#[tokio::test]
+async fn verify_whatever_answer_tells_of_leaving_is_heard() {
+    let cases = [
+        ("whole", leaving("200 OK", "T-Signature: s\r\n", "fine")),
+        ("failed", leaving("500 Error", "T-Signature: s\r\n", "")),
+        ("refused", leaving("503 Full", "T-Not-Run: 1\r\n", "")),
+        ("misdirected", leaving("421 Other", "", "")),
+        ("another request's", leaving("200 OK", "T-Signature: s\r\nT-Id: other\r\n", "")),
+        ("unsigned", leaving("200 OK", "", "")),
+    ];
+    for (name, step) in cases {
+        let first = Upstream::always(vec![step]).await;
+        let second = Upstream::always(vec![signed("200 OK", "second")]).await;
+        let far = Entry { zone: "zone-b".into(), ..entry("far", second.address.port()) };
+        let near = entry("near", first.address.port());
+        let front = front_before(Repeats::AtMostOnce, false, vec![near, far]).await;
+        front.post("r1", "", "one").await;
+
+        let answer = front.post("r2", "", "two").await;
+
+        assert_eq!((answer.status, answer.body.as_str()), (200, "second"), "{name}");
+        assert_eq!(first.received().len(), 1, "{name}");
+    }
+}
+
+/// The head of a stream, an answer to a read prompt or to an instance's own call tells it too.
+#[tokio::test]
+async fn verify_engines_tell_of_leaving_at_any_stage() {
+    let head = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\nT-Leaving: 1\r\n\
+                Transfer-Encoding: chunked\r\n\r\n";
+    let steps = vec![Step::Write(head.to_owned()), event(1), stream_end()];
+    let streaming = Upstream::always(steps).await;
+    let reading = Upstream::always(vec![leaving("200 OK", "", "handle h")]).await;
+    let reporting = Upstream::start(|received| match received.line.contains("/report") {
+        true => vec![leaving("200 OK", "", "decode")],
+        false => vec![Step::Reset],
+    })
+    .await;
+    let cases = [
+        ("stream", vec![engine("e", &streaming, Role::Decode)]),
+        (
+            "reading",
+            vec![
+                engine("e", &reading, Role::Prefill),
+                engine("g", &Upstream::always(stream(1, 1)).await, Role::Decode),
+            ],
+        ),
+        ("own call", vec![engine("e", &reporting, Role::Decode)]),
+    ];
+    for (name, entries) in cases {
+        let front = front_before(ONCE, true, entries).await;
+
+        front.post("r1", PROMPT, "").await;
+
+        let waiting = until(|| !takes_work(&front, "e"));
+        assert!(
+            tokio::time::timeout(std::time::Duration::from_secs(5), waiting).await.is_ok(),
+            "{name}"
+        );
+    }
+}
+
+/// A list, a lapse of the entry, or a late word brings a leaving upstream back.
+#[tokio::test]
+async fn verify_only_a_later_start_takes_leaving_back() {
+    let upstream = Upstream::always(vec![leaving("200 OK", "T-Signature: s\r\n", "")]).await;
+    let listed = Entry { born: Some(5), ..entry("a", upstream.address.port()) };
+    let front = front_before(Repeats::AtMostOnce, false, vec![listed.clone()]).await;
+    front.post("r1", "", "").await;
+    let later = Entry { sequence: 9, ..listed.clone() };
+    let adopt = |entries: Vec<Entry>| {
+        front.gateway.adopt_entries(entries);
+        takes_work(&front, "a")
+    };
+
+    assert!(!adopt(vec![listed.clone()]), "listed again");
+    assert!(!adopt(vec![later.clone()]), "a later report");
+    assert!(!adopt(vec![]), "lapsed");
+    assert!(!adopt(vec![entry("b", 1)]), "another one is listed");
+    assert!(!adopt(vec![later.clone()]), "back after its lapse");
+
+    assert!(adopt(vec![Entry { born: Some(6), ..later }]), "started again");
+}
+
+/// One instance knows that an upstream leaves, and the others send on.
+#[tokio::test]
+async fn verify_the_others_are_told_of_leaving() {
+    let upstream = Upstream::always(vec![leaving("200 OK", "T-Signature: s\r\n", "")]).await;
+    let clock = SystemClock::new();
+    let config = config(Repeats::AtMostOnce, 1, false);
+    let entries = vec![entry("a", upstream.address.port())];
+    let front = start_by(clock, Some(config), entries, ample_budget()).await;
+    let own = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let other = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    front.gateway.peers().add(other.local_addr().expect("an address"));
+    let rng = ChaCha8Rng::seed_from_u64(1);
+    tokio::spawn(exchange(own, 1, rng, front.gateway.clone(), clock));
+
+    front.post("r1", "", "").await;
+
+    let mut buf = [0; 2_000];
+    let is_leaving = |notice: &Notice| notice.kind == NoticeKind::Leaving;
+    let mut told = None;
+    while told.is_none() {
+        let len = other.recv(&mut buf).await.expect("loopback");
+        let digest: Digest = postcard::from_bytes(&buf[..len]).expect("a digest");
+        told = digest.notices.into_iter().find(is_leaving).map(|notice| notice.engine);
+    }
+    assert_eq!(told, Some(engine_of(&front, "a")));
+}
+
+/// An instance hears of an upstream's leaving and sends on, as its own list doesn't show it.
+#[tokio::test]
+async fn verify_leaving_is_believed_of_another_instance() {
+    let clock = SystemClock::new();
+    let config = config(Repeats::AtMostOnce, 1, false);
+    let front = start_by(clock, Some(config), vec![entry("b", 1)], ample_budget()).await;
+    let own = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let other = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let address: SocketAddr = own.local_addr().expect("an address");
+    let rng = ChaCha8Rng::seed_from_u64(1);
+    tokio::spawn(exchange(own, 1, rng, front.gateway.clone(), clock));
+
+    let engine = engine_of(&front, "b");
+    let notices = vec![Notice { engine, kind: NoticeKind::Leaving }];
+    let digest = Digest { from: 7, is_partial: true, notices, ..Digest::default() };
+    let bytes = postcard::to_stdvec(&digest).expect("it can be written");
+    other.send_to(&bytes, address).await.expect("loopback");
+    until(|| !takes_work(&front, "b")).await;
+}
+
+fn engine_of(front: &Front, id: &str) -> u32 {
+    front.gateway.fleet().view().get(id).expect("listed").digest
+}
+
+/// A prompt is read elsewhere meanwhile, and its output is generated at an engine that has begun to leave.
+#[tokio::test]
+async fn verify_what_was_read_apart_goes_to_no_leaving_engine() {
+    let told = Arc::new(Notify::new());
+    let steps = vec![Step::Await(Arc::clone(&told)), signed("200 OK", "handle h")];
+    let reader = Upstream::always(steps).await;
+    let near = Upstream::always(stream(1, 2)).await;
+    let far = Upstream::always(stream(1, 3)).await;
+    let entries = vec![
+        engine("r", &reader, Role::Prefill),
+        engine("near", &near, Role::Decode),
+        Entry { zone: "zone-b".into(), ..engine("far", &far, Role::Decode) },
+    ];
+    let front = front_before(ONCE, true, entries).await;
+    let telling = async {
+        until(|| !reader.received().is_empty()).await;
+        let view = front.gateway.fleet().view();
+        view.get("near").expect("listed").state.mark_leaving(true, Millis(1));
+        told.notify_one();
+    };
+
+    let (answer, ()) = tokio::join!(front.post("r1", PROMPT, ""), telling);
+
+    assert_eq!(answer.events(), [1, 2, 3]);
+    assert!(near.received().is_empty());
+}
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -86,6 +86,10 @@
         Some(Prompt { parts, tokens, max_output: 8 })
     }
 
+    fn says_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key(&self.names.leaving)
+    }
+
     fn load(&self, _value: &HeaderValue) -> Option<Load> {
         None
     }
