Leave an upstream alone for as long as its 503 asks by Retry-After

Cause: Retry-After of an upstream's 503 was read nowhere; it was a refusal like any other.

The one place that hears the heads of answers takes the pause in: seconds, also with fractions, or an HTTP date against the answer's own Date; ten minutes at the most; what can't be read is ignored with a line. It holds at this instance, for that start of the upstream, through lapses of its entry, ejections and younger reports; nothing shortens it but a later start. It is asked with the rest right before each send, and the instance's own calls keep it too; a silent stream of an upstream that can't be asked goes on. Where no upstream takes a request and some wish for a pause, the caller is refused at once with the soonest of their ends.

--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -197,8 +197,15 @@
         status: u16,
         /// Whether it leaves.
         is_leaving: bool,
-        /// When it may be asked again, as it spelled it.
-        retry_after: Option<&'a str>,
+        /// For how long it wants nothing, in milliseconds.
+        pause_ms: Option<u64>,
+    },
+    /// An upstream's wish for a pause can't be read.
+    PauseIgnored {
+        /// The upstream.
+        upstream: &'a str,
+        /// What is wrong with it.
+        cause: String,
     },
     /// An engine has ended while it ran requests.
     EngineEnded {
@@ -382,6 +389,7 @@
             Event::DependencyLost { .. }
             | Event::AttemptFailed { .. }
             | Event::StreamBroken { .. }
+            | Event::PauseIgnored { .. }
             | Event::EngineEnded { .. }
             | Event::RequestQuarantined { .. } => Level::Warn,
             Event::UnreadableRow { .. } | Event::SettingsRefused { .. } => Level::Error,
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -94,7 +94,7 @@
     pub fn takes_work(&self, now: Millis) -> bool {
         let state = &self.state;
         let is_absent = state.is_away(now) || state.role_change(now, self.role()).is_some();
-        !self.is_leaving() && !is_absent
+        !self.is_leaving() && !is_absent && state.paused_until(now).is_none()
     }
 }
 
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -104,6 +104,8 @@
     leaving_at: AtomicU64,
     /// The same by an answer to this instance itself.
     own_leaving_at: AtomicU64,
+    /// Until when it wants nothing of this instance.
+    paused_until: AtomicU64,
     errors: Mutex<ErrorReports>,
     own_error_at: AtomicU64,
     refused_handles: AtomicU32,
@@ -133,6 +135,7 @@
             own_closed: AtomicU64::new(0),
             leaving_at: AtomicU64::new(0),
             own_leaving_at: AtomicU64::new(0),
+            paused_until: AtomicU64::new(0),
             errors: Mutex::default(),
             own_error_at: AtomicU64::new(0),
             refused_handles: AtomicU32::new(0),
@@ -224,9 +227,21 @@
         at > 0 && now < Millis(at) + LEAVING_NEWS
     }
 
+    /// Notes that the upstream wants nothing of this instance until a time. Returns whether that is news; no
+    /// later word shortens it.
+    pub fn pause(&self, until: Millis) -> bool {
+        self.paused_until.fetch_max(until.0, Ordering::AcqRel) < until.0
+    }
+
+    /// Returns until when the upstream wants nothing of this instance, if that is not over.
+    pub fn paused_until(&self, now: Millis) -> Option<Millis> {
+        let until = Millis(self.paused_until.load(Ordering::Acquire));
+        (until > now).then_some(until)
+    }
+
     /// Returns whether anything is known that must outlive a lapse of the upstream's entry.
     pub(crate) fn is_lasting(&self) -> bool {
-        self.says_leaving() || self.is_gone()
+        self.says_leaving() || self.is_gone() || self.paused_until.load(Ordering::Acquire) > 0
     }
 
     /// Notes that the upstream takes no work until a time, because it changes its role.
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -1,6 +1,7 @@
 //! One sending of a request to one upstream, and the check of what comes back.
 
 use std::sync::Arc;
+use std::time::SystemTime;
 
 use anvilhook_core::Verdict;
 use anvilhook_core::ejections::may_eject;
@@ -8,7 +9,8 @@
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::CallError;
 use anvilhook_http::clients::{Connection, collect_body};
-use http::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use anvilhook_http::pauses::retry_after;
+use http::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, StatusCode};
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -264,13 +266,31 @@
         };
         let is_leaving = self.wire().says_leaving(headers);
         let is_news = is_leaving && self.mark_leaving(upstream);
-        let pause = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
-        if !is_news && pause.is_none() {
-            return;
+        let pause = self.hear_pause(upstream, status, headers);
+        if is_news || pause.is_some() {
+            let (upstream, status) = (&*upstream.entry.id, status.as_u16());
+            let pause_ms = pause.map(|pause| pause.0);
+            emit(&Event::UpstreamTold { upstream, request, status, is_leaving, pause_ms });
+        }
+    }
+
+    /// Takes in for how long an upstream wants nothing of this instance, and returns it if it is news.
+    fn hear_pause(
+        &self,
+        upstream: &Upstream,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Option<Millis> {
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return None;
+        }
+        match retry_after(headers, SystemTime::now()) {
+            Ok(pause) => pause.filter(|pause| upstream.state.pause(self.now() + *pause)),
+            Err(err) => {
+                emit(&Event::PauseIgnored { upstream: &upstream.entry.id, cause: err.to_string() });
+                None
+            }
         }
-        let retry_after = pause.map(|pause| pause.to_str().unwrap_or("?"));
-        let (upstream, status) = (&*upstream.entry.id, status.as_u16());
-        emit(&Event::UpstreamTold { upstream, request, status, is_leaving, retry_after });
     }
 
     /// Notes that an upstream has told this instance that it leaves, and has the others told. Returns whether
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -86,8 +86,10 @@
         }
     }
 
-    /// Makes a call of the gateway's own to an upstream. `None` if no whole answer came.
+    /// Makes a call of the gateway's own to an upstream. `None` if no whole answer came, or the upstream
+    /// wants nothing.
     pub(crate) async fn own_call(&self, upstream: &Upstream, call: &Call) -> Option<OwnCallAnswer> {
+        upstream.state.paused_until(self.now()).is_none().then_some(())?;
         let mut headers = HeaderMap::new();
         let names = self.wire().headers();
         let expected = HeaderValue::try_from(&*upstream.entry.id).ok()?;
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -18,6 +18,7 @@
 use std::sync::{Arc, Mutex};
 
 use anvilhook_core::fingerprints::Fingerprint;
+use anvilhook_core::orders::Role;
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::HttpClient;
@@ -364,6 +365,29 @@
         }
     }
 
+    /// Returns the answer for a request that no upstream takes. If all that could wish for a pause, it says
+    /// when the first of them takes requests again.
+    fn no_upstream(&self, exchange: &Exchange, cause: &'static str, pause: Millis) -> Outcome {
+        match self.soonest_pause(&exchange.service) {
+            Some(soonest) => self.given_up(exchange, "upstreams_paused", soonest),
+            None => self.given_up(exchange, cause, pause),
+        }
+    }
+
+    /// Returns how long the first of a service's upstreams wishes for a pause, if any does and none that
+    /// answers requests takes work.
+    fn soonest_pause(&self, service: &str) -> Option<Millis> {
+        let (now, view) = (self.now(), self.fleet().view());
+        let answering =
+            || view.of_service(service).iter().filter(|one| one.role() != Some(Role::Prefill));
+        if answering().any(|one| one.takes_work(now)) {
+            return None;
+        }
+        let staying = answering().filter(|one| !one.is_leaving());
+        let pauses = staying.filter_map(|one| one.state.paused_until(now));
+        pauses.min().map(|until| until - now)
+    }
+
     fn conclude(&self, exchange: Option<&Exchange>, outcome: &Outcome, arrived_at: Millis) {
         let took = self.now() - arrived_at;
         let config = self.inner.config.load();
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -74,7 +74,8 @@
         }
         match last_answer {
             Some(answer) => Outcome::Whole(answer),
-            None => self.given_up(exchange, last_cause, pause),
+            None if last_cause == STOPPING => self.given_up(exchange, last_cause, pause),
+            None => self.no_upstream(exchange, last_cause, pause),
         }
     }
 
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -116,7 +116,7 @@
                 Contact::Refused | Contact::None => unreached += 1,
             }
             if is_final || repeats > MAX_REPEATS || unreached > MAX_UNREACHED {
-                let outcome = self.given_up(exchange, failed.cause, REFUSED_PAUSE);
+                let outcome = self.no_upstream(exchange, failed.cause, REFUSED_PAUSE);
                 return last_answer.map(Opened::Answer).ok_or(outcome);
             }
         }
@@ -155,7 +155,7 @@
         }
         let (plan, wait) = match self.wait_for_reader(exchange, &job).await {
             Waited::Sent(plan, wait) => (plan, wait),
-            Waited::NoEngine => return Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
+            Waited::NoEngine => return Err(self.no_upstream(exchange, "no_engine", REFUSED_PAUSE)),
             Waited::Hopeless => return Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
             Waited::Stopping => return Err(self.given_up(exchange, STOPPING, Millis::ZERO)),
             Waited::Moved => return Ok(Err(Failed::not_sent("moved"))),
@@ -180,7 +180,7 @@
             Waited::Sent(generator, wait) => {
                 self.generate(exchange, &mut job, generator, Some(handle), wait).await
             }
-            Waited::NoEngine => Err(self.given_up(exchange, "no_engine", REFUSED_PAUSE)),
+            Waited::NoEngine => Err(self.no_upstream(exchange, "no_engine", REFUSED_PAUSE)),
             Waited::Hopeless => Err(self.given_up(exchange, "overload", REFUSED_PAUSE)),
             Waited::Stopping => Err(self.given_up(exchange, STOPPING, Millis::ZERO)),
             Waited::Moved => Ok(Err(Failed::not_sent("moved"))),
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -198,6 +198,10 @@
         if time_left == Millis::ZERO {
             return false;
         }
+        // One that wants nothing can't be asked, and lives.
+        if upstream.state.paused_until(self.now()).is_some() {
+            return true;
+        }
         // An engine that has frozen leaves the question open too, past the time that the caller has.
         let report = self.wire().report();
         let asked = self.own_call(upstream, &report);
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/pauses.rs
@@ -0,0 +1,144 @@
+//! Upstreams that refuse requests and say when they want the next one.
+
+mod support;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Clock, ManualClock, Millis};
+use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::fleets::Entry;
+use support::fronts::{Front, ample_budget, config, start_by, unhurried};
+use support::upstreams::{Step, Upstream, engine, refusal, signed, stream};
+use support::wires::entry;
+
+const ONCE: Repeats = Repeats::Stream { resumable: false };
+const PROMPT: &str = "T-Tokens: 100\r\n";
+
+/// Returns a refusal that asks for a pause.
+fn pause(text: &str) -> Step {
+    let Step::Write(refusal) = refusal() else { unreachable!("a refusal is written") };
+    Step::Write(
+        refusal.replace("T-Not-Run: 1\r\n", &format!("T-Not-Run: 1\r\nRetry-After: {text}\r\n")),
+    )
+}
+
+async fn front_before(
+    clock: &ManualClock,
+    repeats: Repeats,
+    has_engine: bool,
+    entries: Vec<Entry>,
+) -> Front<ManualClock> {
+    let config = unhurried(&config(repeats, 2, has_engine));
+    start_by(clock.clone(), Some(config), entries, ample_budget()).await
+}
+
+/// An upstream that sheds load asks for a pause, and gets each next request all the same.
+#[tokio::test]
+async fn verify_a_pause_is_kept_to_its_end() {
+    let clock = ManualClock::new();
+    clock.advance(Millis(1_000));
+    let shedding = Upstream::always(vec![pause("2")]).await;
+    let other = Upstream::always(vec![signed("200 OK", "other")]).await;
+    let far = Entry { zone: "zone-b".into(), ..entry("far", other.address.port()) };
+    let near = entry("near", shedding.address.port());
+    let front = front_before(&clock, Repeats::AtMostOnce, false, vec![near, far]).await;
+    let ask = async |id: &str| {
+        let answer = front.post(id, "", id).await;
+        assert_eq!(answer.body, "other");
+        shedding.received().len()
+    };
+
+    assert_eq!(ask("r1").await, 1, "the one by which it is learnt");
+    // Neither a lapse of its ejection nor a younger report of its load shortens the pause.
+    let view = front.gateway.fleet().view();
+    view.get("near").expect("listed").state.ejection().record_success(clock.now());
+    clock.advance(Millis(1_999));
+    assert_eq!(ask("r2").await, 1, "in the pause");
+    clock.advance(Millis(2));
+    assert_eq!(ask("r3").await, 2, "after it");
+}
+
+/// A later start of an upstream is left alone for a pause that the earlier one has asked for, or the list
+/// ends a pause.
+#[tokio::test]
+async fn verify_only_a_later_start_ends_a_pause() {
+    let clock = ManualClock::new();
+    let shedding = Upstream::always(vec![pause("60")]).await;
+    let listed = Entry { born: Some(5), ..entry("a", shedding.address.port()) };
+    let front = front_before(&clock, Repeats::AtMostOnce, false, vec![listed.clone()]).await;
+    front.post("r1", "", "").await;
+    let adopt = |entry: Entry| {
+        front.gateway.adopt_entries([]);
+        front.gateway.adopt_entries([entry]);
+        front.gateway.fleet().takes_work("a", clock.now())
+    };
+
+    assert!(!adopt(Entry { sequence: 9, ..listed.clone() }));
+    assert!(adopt(Entry { born: Some(6), ..listed }));
+}
+
+/// All upstreams wish for a pause, and callers come back before the first of them is over.
+#[tokio::test]
+async fn verify_callers_are_told_the_soonest_end_of_all_pauses() {
+    let clock = ManualClock::new();
+    let first = Upstream::always(vec![pause("9")]).await;
+    let second = Upstream::always(vec![pause("4")]).await;
+    let plain = vec![entry("a", first.address.port()), entry("b", second.address.port())];
+    let engines = vec![engine("a", &first, Role::Decode), engine("b", &second, Role::Decode)];
+    for (repeats, entries, headers) in [(Repeats::Idempotent, plain, ""), (ONCE, engines, PROMPT)] {
+        let has_engine = !headers.is_empty();
+        let front = front_before(&clock, repeats, has_engine, entries).await;
+        front.post("r1", headers, "").await;
+        let asked = first.received().len() + second.received().len();
+
+        let answer = front.post("r2", headers, "").await;
+
+        assert_eq!((answer.status, answer.body.as_str()), (503, "upstreams_paused"));
+        assert!(answer.head.contains("retry-after: 4.000"), "{}", answer.head);
+        assert_eq!(first.received().len() + second.received().len(), asked);
+    }
+}
+
+/// A pause that can't be read stops an upstream's work for ever, or one without a refusal for a while.
+#[tokio::test]
+async fn verify_what_asks_for_no_pause_is_none() {
+    let unasked = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\nRetry-After: 60\r\n\
+                   Content-Length: 0\r\n\r\n";
+    let cases = [pause("soon"), pause("-5"), pause(""), Step::Write(unasked.to_owned())];
+    for step in cases {
+        let upstream = Upstream::always(vec![step]).await;
+        let entries = vec![entry("a", upstream.address.port())];
+        let clock = ManualClock::new();
+        let front = front_before(&clock, Repeats::AtMostOnce, false, entries).await;
+
+        front.post("r1", "", "").await;
+        front.post("r2", "", "").await;
+
+        assert_eq!(upstream.received().len(), 2);
+    }
+}
+
+/// A call of the instance's own reaches an engine in its pause, or its stream is given up for want of one.
+#[tokio::test]
+async fn verify_own_calls_keep_a_pause_and_streams_outlast_it() {
+    let clock = ManualClock::new();
+    let mut steps = stream(1, 2);
+    steps.insert(2, Step::Pause(2_500));
+    let engines = [Upstream::start(move |received| match received.line.contains("/report") {
+        true => vec![signed("200 OK", "decode idle")],
+        false => steps.clone(),
+    })
+    .await];
+    let entries = vec![engine("e", &engines[0], Role::Decode)];
+    let repeats = Repeats::Stream { resumable: true };
+    let front = front_before(&clock, repeats, true, entries).await;
+    let pausing = async {
+        support::until(|| !engines[0].received().is_empty()).await;
+        let view = front.gateway.fleet().view();
+        view.get("e").expect("listed").state.pause(Millis(60_000));
+    };
+
+    let (answer, ()) = tokio::join!(front.post_unhurried("r1", PROMPT, ""), pausing);
+
+    assert_eq!(answer.events(), [1, 2]);
+    assert_eq!(engines[0].received().len(), 1);
+}
--- a/crates/anvilhook-http/src/lib.rs
+++ b/crates/anvilhook-http/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clients;
 pub mod errors;
 mod heads;
+pub mod pauses;
 pub mod servers;
 
 pub use clients::{ClientOptions, HttpClient};
--- /dev/null
+++ b/crates/anvilhook-http/tests/pauses.rs
@@ -0,0 +1,59 @@
+//! What is read of `Retry-After`.
+
+use std::time::{Duration, SystemTime};
+
+use anvilhook_core::units::Millis;
+use anvilhook_http::pauses::{LONGEST_PAUSE, retry_after};
+use http::HeaderMap;
+use http::header::{DATE, HeaderValue, RETRY_AFTER};
+
+/// The time that [`NOON`] names, in seconds since 1970.
+const NOON_SECS: u64 = 1_796_299_200;
+const NOON: &str = "Thu, 03 Dec 2026 12:00:00 GMT";
+const LATER: &str = "Thu, 03 Dec 2026 12:00:07 GMT";
+
+fn headers(fields: &[(http::HeaderName, &str)]) -> HeaderMap {
+    let value = |text: &str| HeaderValue::from_bytes(text.as_bytes()).expect("a value");
+    fields.iter().map(|(name, text)| (name.clone(), value(text))).collect()
+}
+
+/// A pause that is spelled otherwise is overheard, or one without sense lasts for ever.
+#[test]
+fn verify_each_spelling_of_a_pause_is_read_and_bounded() {
+    let at_noon = SystemTime::UNIX_EPOCH + Duration::from_secs(NOON_SECS);
+    let cases = [
+        ("3", Some(Millis(3_000))),
+        (" 3 ", Some(Millis(3_000))),
+        ("0", Some(Millis::ZERO)),
+        ("0.25", Some(Millis(250))),
+        ("999999999", Some(LONGEST_PAUSE)),
+        ("1e300", Some(LONGEST_PAUSE)),
+        (LATER, Some(Millis(7_000))),
+        ("Thu, 03 Dec 2026 11:00:00 GMT", Some(Millis::ZERO)),
+        ("Thu, 03 Dec 2099 12:00:00 GMT", Some(LONGEST_PAUSE)),
+        ("-1", None),
+        ("NaN", None),
+        ("inf", None),
+        ("soon", None),
+        ("", None),
+        ("3 s", None),
+        ("\u{e9}", None),
+    ];
+    for (text, expected) in cases {
+        let read = retry_after(&headers(&[(RETRY_AFTER, text)]), at_noon);
+
+        assert_eq!(read.clone().ok().flatten(), expected, "{text}");
+        assert_eq!(read.is_err(), expected.is_none(), "{text}");
+    }
+    assert_eq!(retry_after(&HeaderMap::new(), at_noon), Ok(None));
+}
+
+/// The clocks of the two ends differ, and a pause lasts for as much more or is none.
+#[test]
+fn verify_a_date_is_taken_against_the_answers_own() {
+    let fields = headers(&[(RETRY_AFTER, LATER), (DATE, NOON)]);
+
+    let read = retry_after(&fields, SystemTime::UNIX_EPOCH + Duration::from_secs(5));
+
+    assert_eq!(read, Ok(Some(Millis(7_000))));
+}
