Read a pause's date against the answer's own only

The time of day jumps, and the linter forbids to read it: a date without the answer's own Date is a value that can't be read, and is ignored with a line.

--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -1,7 +1,6 @@
 //! One sending of a request to one upstream, and the check of what comes back.
 
 use std::sync::Arc;
-use std::time::SystemTime;
 
 use anvilhook_core::Verdict;
 use anvilhook_core::ejections::may_eject;
@@ -284,7 +283,7 @@
         if status != StatusCode::SERVICE_UNAVAILABLE {
             return None;
         }
-        match retry_after(headers, SystemTime::now()) {
+        match retry_after(headers) {
             Ok(pause) => pause.filter(|pause| upstream.state.pause(self.now() + *pause)),
             Err(err) => {
                 emit(&Event::PauseIgnored { upstream: &upstream.entry.id, cause: err.to_string() });
