Spread the word that a suspected request runs well; let its like begin beside a stream that lasts

Looking for the same cause at hundreds of instances and in long streams: - each of hundreds of instances that knows better would answer the news of an end at once, to each other one of its zone; now the answers are spread over 2 s and the first spares the rest; - a suspect's stream kept all equal requests of the instance waiting to its end; now for 2 s.

--- a/crates/anvilhook-gateway/src/peers/suspects.rs
+++ b/crates/anvilhook-gateway/src/peers/suspects.rs
@@ -87,7 +87,7 @@
     now: Millis,
 ) {
     for news in &digest.suspects {
-        if gateway.suspects().take_in(news, now) {
+        if gateway.suspects().take_in(news, gateway.peers().number(), now) {
             gateway.log_quarantine(news.request, "told");
         }
     }
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -29,6 +29,9 @@
 /// How long a stream that can be resumed may be silent.
 const SILENCE: Millis = Millis(1_500);
 
+/// How long a suspect's stream goes on until another run of the same request may begin beside it.
+const TRIAL_TIME: Millis = Millis(2_000);
+
 /// The cause of a failure that is only silence.
 const SILENT: &str = "stream_silent";
 
@@ -259,6 +262,10 @@
         let now = self.gateway.now();
         self.longest_pause = self.longest_pause.max(now - self.last_event_at);
         self.last_event_at = now;
+        // What has run for a while ends no engine as it begins, and others like it need not wait for its end.
+        if now - self.began_at >= TRIAL_TIME {
+            self.exchange.trial = None;
+        }
     }
 
     /// Returns the next bytes for the caller, `None` at the stream's end. An error has the
--- a/crates/anvilhook-gateway/src/suspects.rs
+++ b/crates/anvilhook-gateway/src/suspects.rs
@@ -9,9 +9,14 @@
 use anvilhook_core::units::Millis;
 use serde::{Deserialize, Serialize};
 
+use crate::hashes::hash_of;
+
 /// How long after it was first told news is told again, so that a lost datagram does not lose it.
 const TOLD_AGAIN_AFTER: [Millis; 2] = [Millis(200), Millis(800)];
 
+/// The span over which instances spread their word that a request runs well.
+const CLEARANCE_SPREAD: Millis = Millis(2_000);
+
 /// The most news that waits to be told. Older news is dropped for it.
 const MAX_WAITING: usize = 512;
 
@@ -77,7 +82,7 @@
 
 /// `Break` is how a run at an engine broke off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Break {
+pub enum Break {
     /// The connection broke.
     Broken,
     /// Nothing came any more.
@@ -106,6 +111,13 @@
     times_told: usize,
 }
 
+impl Waiting {
+    /// Returns whether it says the same as another one's news, and nobody was told yet.
+    fn is_untold(&self, news: &SuspectNews) -> bool {
+        self.times_told == 0 && self.news.is_same(news)
+    }
+}
+
 /// `Trial` is a suspect's run. Until it is dropped no other run of the same request begins here.
 #[derive(Debug)]
 pub(crate) struct Trial {
@@ -172,7 +184,7 @@
     }
 
     /// Notes that a run broke off at an engine. Returns whether the engine is not looked at yet.
-    pub(crate) fn note_break(&self, engine: u32, request: Fingerprint, how: Break) -> bool {
+    pub fn note_break(&self, engine: u32, request: Fingerprint, how: Break) -> bool {
         self.has_any.store(true, Ordering::Release);
         let mut examined = lock(&self.examined);
         let is_first = !examined.contains_key(&engine);
@@ -194,7 +206,7 @@
 
     /// Ends the look at an engine that has ended, and returns those that ran there with what became of
     /// each. The others are told.
-    pub(crate) fn convict(&self, engine: u32, now: Millis) -> Vec<(Fingerprint, Weighed)> {
+    pub fn convict(&self, engine: u32, now: Millis) -> Vec<(Fingerprint, Weighed)> {
         let mut runs = lock(&self.examined).remove(&engine).unwrap_or_default();
         runs.sort_unstable_by_key(|(request, _)| *request);
         runs.dedup_by_key(|(request, _)| *request);
@@ -229,13 +241,16 @@
         is_known
     }
 
-    /// Takes in what another instance tells. Returns whether the request is quarantined by it.
-    pub(crate) fn take_in(&self, news: &SuspectNews, now: Millis) -> bool {
+    /// Takes in what another instance tells; `own` is this instance's number. Returns whether the request
+    /// is quarantined by it.
+    pub(crate) fn take_in(&self, news: &SuspectNews, own: u64, now: Millis) -> bool {
         let request = news.request;
         let mut book = lock(&self.book);
         match news.fate {
             Fate::RanWell => {
                 book.record_well(request, now);
+                drop(book);
+                lock(&self.news).retain(|waiting| !waiting.is_untold(news));
                 false
             }
             Fate::Lifted => {
@@ -244,8 +259,10 @@
             }
             Fate::Ended { .. } if book.ran_well_of_late(request, now) => {
                 drop(book);
-                // Whoever suspects it has not heard that it runs well.
-                self.tell(SuspectNews { request, fate: Fate::RanWell }, now);
+                // Whoever suspects it has not heard that it runs well. Hundreds may know that it does; the
+                // first to say so spares the others.
+                let delay = Millis(hash_of(&(own, request)) % CLEARANCE_SPREAD.0);
+                self.tell_at(SuspectNews { request, fate: Fate::RanWell }, now, now + delay);
                 false
             }
             Fate::Ended { engine, age_ms } => {
@@ -257,6 +274,10 @@
     }
 
     fn tell(&self, news: SuspectNews, now: Millis) {
+        self.tell_at(news, now, now);
+    }
+
+    fn tell_at(&self, news: SuspectNews, noted_at: Millis, due_at: Millis) {
         let mut waiting = lock(&self.news);
         if waiting.iter().any(|waiting| waiting.news.is_same(&news)) {
             return;
@@ -264,7 +285,7 @@
         if waiting.len() >= MAX_WAITING {
             waiting.pop_front();
         }
-        waiting.push_back(Waiting { news, noted_at: now, due_at: now, times_told: 0 });
+        waiting.push_back(Waiting { news, noted_at, due_at, times_told: 0 });
     }
 
     /// Takes the news that is to be told now, `most` at the most.
--- a/crates/anvilhook-gateway/tests/suspects.rs
+++ b/crates/anvilhook-gateway/tests/suspects.rs
@@ -335,3 +335,35 @@
     assert_eq!(answer.status, 500);
     assert_eq!(standing(&front, POISON), Some(1));
 }
+
+/// Hundreds of instances know that a request runs well, and each says so to each that suspects it.
+#[tokio::test]
+async fn verify_one_instance_that_knows_better_spares_the_others() {
+    let engines = [Upstream::always(stream(1, 3)).await];
+    let one = linked(1, &engines).await.0.remove(0);
+    let other = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let address =
+        link(&one, SystemClock::new(), 5, &[other.local_addr().expect("an address")]).await;
+    one.post("r1", PROMPT, "popular").await;
+    let request = fingerprint("popular");
+    let tell = async |fate| {
+        let suspects = vec![SuspectNews { request, fate }];
+        let digest = Digest { from: 7, is_partial: true, suspects, ..Digest::default() };
+        let buf = postcard::to_stdvec(&digest).expect("it can be written");
+        other.send_to(&buf, address).await.expect("loopback");
+    };
+    let says_well = async || {
+        let mut buf = [0; 2_000];
+        loop {
+            let len = other.recv(&mut buf).await.expect("loopback");
+            let digest: Digest = postcard::from_bytes(&buf[..len]).expect("a digest");
+            if digest.suspects.iter().any(|news| news.fate == Fate::RanWell) {
+                return;
+            }
+        }
+    };
+
+    tell(Fate::Ended { engine: 1, age_ms: 0 }).await;
+    says_well().await;
+    assert_eq!(standing(&one, "popular"), None);
+}
--- a/crates/anvilhook-gateway/tests/zones.rs
+++ b/crates/anvilhook-gateway/tests/zones.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_gateway::configs::Repeats;
@@ -15,6 +16,7 @@
 use anvilhook_gateway::peers::{Digest, Peers, Scope, exchange, register};
 use anvilhook_gateway::prompts::{Part, Prompt};
 use anvilhook_gateway::relay::Gateway;
+use anvilhook_gateway::suspects::Break;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use support::clocks::TimerClock;
@@ -136,6 +138,30 @@
     assert!(zones.len() <= 1, "instances of other zones tell zone-c of their own loads: {zones:?}");
 }
 
+/// The end of an engine is heard in one availability zone only, or each of hundreds of instances tells each.
+#[tokio::test(start_paused = true)]
+async fn verify_ends_of_engines_and_their_clearance_reach_all_zones() {
+    const REQUEST: Fingerprint = Fingerprint(7);
+    let all = instances(&MemoryTable::default()).await;
+    let suspects = |one: &Instance| one.gateway.suspects().list(one.clock.now()).len();
+
+    all[0].gateway.suspects().note_break(5, REQUEST, Break::Broken);
+    all[0].gateway.suspects().convict(5, all[0].clock.now());
+
+    until(|| all.iter().all(|one| suspects(one) == 1)).await;
+    let told: u64 = all
+        .iter()
+        .map(|one| one.gateway.metrics().digest_sections.totals())
+        .fold(0, |sum, totals| {
+            sum + totals.values().map(|of_scope| of_scope["suspects"]).sum::<u64>()
+        });
+    assert!(told < 40 * (INSTANCES * ZONES.len()) as u64 * 6, "{told} bytes");
+
+    all[7].gateway.lift(REQUEST);
+
+    until(|| all.iter().all(|one| suspects(one) == 0)).await;
+}
+
 /// Symptom: an availability zone learns nothing of the others any more.
 /// Sequence: the instance that tells for a zone ends; later another zone has news.
 /// Cause: the silence of an instance hands its part to the next one.
