--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -18,6 +18,7 @@
 use volo_http::response::Response;
 use volo_http::server::route::Router;
 
+use crate::controls;
 use crate::events::{Event, emit};
 use crate::followers::{ConfigFollower, EntryFollower, follow, wait_within};
 use crate::peers;
@@ -59,8 +60,8 @@
     pub front: SocketAddr,
     /// Where readiness is asked for.
     pub readiness: SocketAddr,
-    /// Where metrics are asked for, if anywhere.
-    pub metrics: Option<SocketAddr>,
+    /// Where operators ask for metrics and suspected requests, if anywhere.
+    pub control: Option<SocketAddr>,
     /// Where other instances send their datagrams.
     pub peer: SocketAddr,
     /// How wide the instance's link is, in megabits a second, if that is known. Those with wide links
@@ -100,9 +101,9 @@
     let readiness = TcpListener::bind(options.readiness).await?;
     let serving = tokio::spawn(serve(front, front_router(gateway.clone()), shutdown.clone()));
     tokio::spawn(serve(readiness, readiness_router(gateway.clone()), shutdown.clone()));
-    if let Some(address) = options.metrics {
+    if let Some(address) = options.control {
         let listener = TcpListener::bind(address).await?;
-        tokio::spawn(serve(listener, metrics_router(gateway.clone()), shutdown.clone()));
+        tokio::spawn(serve(listener, control_router(gateway.clone()), shutdown.clone()));
     }
     let config_follower = ConfigFollower::new(gateway.clone());
     let wait = wait_within(options.unseen);
@@ -234,10 +235,10 @@
     })
 }
 
-fn metrics_router<W: Wire, C: Clock>(gateway: Gateway<W, C>) -> Router {
-    Router::new().fallback(move |_req: Request| {
+fn control_router<W: Wire, C: Clock>(gateway: Gateway<W, C>) -> Router {
+    Router::new().fallback(move |req: Request| {
         let gateway = gateway.clone();
-        async move { gateway.metrics_text() }
+        async move { controls::answer(&gateway, &req) }
     })
 }
 
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budgets;
 pub mod caches;
 pub mod configs;
+pub mod controls;
 pub mod entries;
 pub mod events;
 pub mod fleets;
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -295,7 +295,7 @@
         self.inner.budget.give_back(service, self.now());
     }
 
-    fn now(&self) -> Millis {
+    pub(crate) fn now(&self) -> Millis {
         self.inner.clock.now()
     }
 
--- a/crates/anvilhook-gateway/tests/suspects.rs
+++ b/crates/anvilhook-gateway/tests/suspects.rs
@@ -10,9 +10,12 @@
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Millis, SystemClock};
 use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::controls;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::peers::{Digest, exchange};
 use anvilhook_gateway::suspects::{Fate, SuspectNews};
+use http::Method;
+use http_body_util::BodyExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use support::fronts::{Front, ample_budget, config, start, start_by, unhurried};
@@ -21,6 +24,8 @@
 use support::wires::entry;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use volo_http::body::Body;
+use volo_http::request::Request;
 
 const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
 const ONCE: Repeats = Repeats::Stream { resumable: false };
@@ -367,3 +372,38 @@
     says_well().await;
     assert_eq!(standing(&one, "popular"), None);
 }
+
+/// An operator can't see what is quarantined, or lifts another request by a slip.
+#[tokio::test]
+async fn verify_an_operator_sees_and_lifts_a_quarantine() {
+    let engines = mortals(4).await;
+    let front = front(ONCE, listed(&engines)).await;
+    for ends in 1..=3 {
+        front.post(&format!("r{ends}"), PROMPT, POISON).await;
+        until(|| standing(&front, POISON) == Some(ends)).await;
+    }
+    let ask = async |method: Method, path: &str| {
+        let mut req = Request::new(Body::empty());
+        (*req.method_mut(), *req.uri_mut()) = (method, path.parse().expect("a path"));
+        let answer = controls::answer(&front.gateway, &req);
+        let (status, body) = (answer.status().as_u16(), answer.into_body().collect().await);
+        (status, String::from_utf8(body.expect("it is there").to_bytes().into()).expect("text"))
+    };
+    let own = fingerprint(POISON);
+
+    let (_, seen) = ask(Method::GET, "/quarantine").await;
+    assert!(seen.contains(&own.to_string()) && seen.contains("\"is_quarantined\":true"), "{seen}");
+    let refused = [
+        (Method::DELETE, "/quarantine/xyz".to_owned(), 400),
+        (Method::DELETE, "/quarantine/".to_owned(), 400),
+        (Method::DELETE, format!("/quarantine/{}", fingerprint("other")), 404),
+        (Method::POST, format!("/quarantine/{own}"), 405),
+    ];
+    for (method, path, status) in refused {
+        assert_eq!(ask(method, &path).await.0, status, "{path}");
+        assert_eq!(standing(&front, POISON), Some(3), "{path}");
+    }
+    assert_eq!(ask(Method::DELETE, &format!("/quarantine/{own}")).await.0, 200);
+    assert_eq!(standing(&front, POISON), None);
+    assert!(ask(Method::GET, "/metrics").await.1.contains("quarantined_requests 0"));
+}
