Try suspects apart; hold a stream that has lasted for innocent

Innocents are refused by mistake. Cause: suspects were all placed where the least runs, so that the innocent met the guilty there again, three times in 0.3 s; and a popular request whose streams are long had none that ended well. - each suspect has an order of engines of its own, beside how little runs there; - a stream that has gone on for 2 s clears its request, as what ends engines does so as it begins; - a run that ended well clears for 60 s. Tests: decisions, suspects.

--- a/crates/anvilhook-core/src/quarantine.rs
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -27,8 +27,8 @@
         Self {
             ends: 3,
             memory: Millis::from_secs(600),
-            clearance: Millis::from_secs(10),
-            most: 1_024,
+            clearance: Millis::from_secs(60),
+            most: 4_096,
         }
     }
 }
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::orders::Role;
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::Millis;
@@ -42,6 +43,15 @@
 /// What each request beside one that may end its engine is worth, in milliseconds: it would be lost too.
 const NEIGHBOR_MS: f64 = 1_000.0;
 
+/// The neighbors that a suspect takes into account for an engine of its own.
+const SUSPECT_RANKS: u64 = 8;
+
+/// Returns an engine's rank for a suspect, in neighbors. Each has an order of its own: suspects that were
+/// all tried where the least runs would meet there, and innocent ones would end engines with the guilty.
+pub(crate) fn suspect_rank(suspect: Fingerprint, upstream: &Upstream) -> u32 {
+    (hash_of(&(suspect, &*upstream.entry.id)) % SUSPECT_RANKS) as u32
+}
+
 /// What a request in flight adds to the time of the next one at a decode engine, in milliseconds.
 const IN_FLIGHT_MS: f64 = 0.2;
 
@@ -78,8 +88,9 @@
     pub body_bytes: usize,
     /// Engines that have failed or refused the request.
     pub avoid: &'a [Arc<str>],
-    /// Whether it goes where the least is lost if the engine ends under it.
-    pub spares_neighbors: bool,
+    /// What it is known by if engines may end under it: it goes where little is lost, and apart from others
+    /// of its kind.
+    pub suspect: Option<Fingerprint>,
 }
 
 /// `Reader` is the engine that is to read a prompt.
@@ -211,15 +222,18 @@
         let engines = self.candidates(req, Role::Decode);
         let costs = engines.map(|upstream| {
             let generator = self.generator_at(req, upstream, reader);
-            let risk_ms = match req.spares_neighbors {
-                true => f64::from(upstream.state.work(self.now).in_flight) * NEIGHBOR_MS,
-                false => 0.0,
-            };
+            let risk_ms = req.suspect.map_or(0.0, |suspect| self.risk_ms(suspect, upstream));
             (time_of(&generator) + self.crossing_ms(req, upstream) + risk_ms, generator)
         });
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, generator)| generator)
     }
 
+    /// Returns what it costs to try a suspect at an engine.
+    fn risk_ms(&self, suspect: Fingerprint, upstream: &Upstream) -> f64 {
+        let neighbors = upstream.state.work(self.now).in_flight;
+        f64::from(neighbors + suspect_rank(suspect, upstream)) * NEIGHBOR_MS
+    }
+
     fn candidates<'s>(
         &'s self,
         req: &'s Request<'_>,
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -108,7 +108,7 @@
         resume_after: Option<u64>,
         avoid: &mut Vec<Arc<str>>,
     ) -> Tried<Opened> {
-        let Some(upstream) = self.choose_plain(&exchange.service, avoid) else {
+        let Some(upstream) = self.choose_plain(exchange, avoid) else {
             return Ok(Err(Failed::not_sent("no_upstream")));
         };
         avoid.push(Arc::clone(&upstream.entry.id));
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -15,6 +15,7 @@
 use crate::configs::Repeats;
 use crate::fleets::Upstream;
 use crate::loads::Held;
+use crate::placements::suspect_rank;
 use crate::wires::Wire;
 
 /// What another availability zone costs against requests in flight.
@@ -52,7 +53,7 @@
             if let Some(withheld) = self.withheld(exchange) {
                 return last_answer.map_or(withheld, Outcome::Whole);
             }
-            let Some(upstream) = self.choose_plain(&exchange.service, &avoid) else { break };
+            let Some(upstream) = self.choose_plain(exchange, &avoid) else { break };
             let Some(arrival) = self.may_send(&exchange.service, &mut exchange.was_sent) else {
                 last_cause = "retry_budget";
                 break;
@@ -140,11 +141,15 @@
 
     /// Chooses by what is believed right now, so that an upstream that has begun to leave during
     /// an earlier attempt gets nothing.
-    pub(super) fn choose_plain(&self, service: &str, avoid: &[Arc<str>]) -> Option<Arc<Upstream>> {
+    pub(super) fn choose_plain(
+        &self,
+        exchange: &Exchange,
+        avoid: &[Arc<str>],
+    ) -> Option<Arc<Upstream>> {
         let now = self.now();
         let view = self.fleet().view();
         let able = view
-            .of_service(service)
+            .of_service(&exchange.service)
             .iter()
             .filter(|upstream| upstream.takes_work(now) && !avoid.contains(&upstream.entry.id));
         let able: Vec<_> = able.collect();
@@ -155,7 +160,8 @@
             let in_flight = upstream.state.work(now).in_flight;
             let queued = in_flight.saturating_sub(upstream.entry.slots.saturating_sub(1));
             let far = if *upstream.entry.zone == *self.inner.options.zone { 0.0 } else { FAR_COST };
-            f64::from(in_flight) + f64::from(queued) * QUEUED_COST + far
+            let risk = exchange.suspect().map_or(0, |suspect| suspect_rank(suspect, upstream));
+            f64::from(in_flight + risk) + f64::from(queued) * QUEUED_COST + far
         };
         candidates.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
     }
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -69,7 +69,7 @@
             prompt: self.prompt,
             body_bytes: exchange.body.len(),
             avoid: self.avoid,
-            spares_neighbors: exchange.trial.is_some(),
+            suspect: exchange.suspect(),
         }
     }
 }
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Returns what it is known by if it is on trial.
+    pub fn suspect(&self) -> Option<Fingerprint> {
+        self.trial.as_ref().map(|_| self.fingerprint)
+    }
+
     /// Notes that an attempt begins that may run. Returns whether one before may have run.
     pub fn begin_run(&mut self) -> bool {
         std::mem::replace(&mut self.may_have_run, true)
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -29,7 +29,7 @@
 /// How long a stream that can be resumed may be silent.
 const SILENCE: Millis = Millis(1_500);
 
-/// How long a suspect's stream goes on until another run of the same request may begin beside it.
+/// How long a stream goes on until it is held to have run well, whatever comes after.
 const TRIAL_TIME: Millis = Millis(2_000);
 
 /// The cause of a failure that is only silence.
@@ -127,6 +127,7 @@
             gateway,
             exchange,
             outcome: "left",
+            has_lasted: false,
             past_limit: 0,
             flight: Arc::new(flight),
         };
@@ -230,6 +231,8 @@
     began_at: Millis,
     last_event_at: Millis,
     longest_pause: Millis,
+    /// Whether it has gone on for long enough to be beyond suspicion.
+    has_lasted: bool,
     flight: Arc<Flight<W, C>>,
 }
 
@@ -262,9 +265,12 @@
         let now = self.gateway.now();
         self.longest_pause = self.longest_pause.max(now - self.last_event_at);
         self.last_event_at = now;
-        // What has run for a while ends no engine as it begins, and others like it need not wait for its end.
-        if now - self.began_at >= TRIAL_TIME {
+        // What ends engines does so as it begins. A stream that has lasted for a while is none of that, and
+        // others like it need not wait for its end.
+        if !self.has_lasted && now - self.began_at >= TRIAL_TIME {
+            self.has_lasted = true;
             self.exchange.trial = None;
+            self.gateway.note_well(&self.exchange);
         }
     }
 
--- a/crates/anvilhook-gateway/tests/suspects.rs
+++ b/crates/anvilhook-gateway/tests/suspects.rs
@@ -407,3 +407,17 @@
     assert_eq!(standing(&front, POISON), None);
     assert!(ask(Method::GET, "/metrics").await.1.contains("quarantined_requests 0"));
 }
+
+/// A long stream that many callers ask for is refused, as engines end under it whatever ends them.
+#[tokio::test]
+async fn verify_a_stream_that_has_lasted_is_beyond_suspicion() {
+    let steps = [stream_head(), event(1), Step::Pause(2_100), event(2), event(3), Step::End];
+    let engines = [Upstream::always(steps.to_vec()).await];
+    let front = front(ONCE, listed(&engines)).await;
+
+    let answer = front.post("r1", PROMPT, "long").await;
+    tokio::time::sleep(LOOK).await;
+
+    assert!(!answer.is_complete());
+    assert_eq!(standing(&front, "long"), None);
+}
