Need more ends where engines end of themselves

Cause: three ends met by chance within one request's tries. Tests: core quarantine, a storm of ends and single ends of others.

--- a/crates/anvilhook-core/src/quarantine.rs
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -9,11 +9,16 @@
 use crate::fingerprints::Fingerprint;
 use crate::units::Millis;
 
+/// The most engines that are remembered to have ended.
+const MAX_ENDED: usize = 256;
+
 /// `QuarantineOptions` says when a request is quarantined, and for how long.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QuarantineOptions {
-    /// How many starts of engines must have ended under a request.
+    /// How many starts of engines must have ended under a request if most that end do so under it.
     pub ends: usize,
+    /// How many must have otherwise: where engines end of themselves, some requests meet several of them.
+    pub ends_among_others: usize,
     /// How long a suspicion or a quarantine lasts after the last end or arrival.
     pub memory: Millis,
     /// For how long a run that ended well clears a request of ends that are heard of meanwhile.
@@ -26,6 +31,7 @@
     fn default() -> Self {
         Self {
             ends: 3,
+            ends_among_others: 5,
             memory: Millis::from_secs(600),
             clearance: Millis::from_secs(60),
             most: 4_096,
@@ -76,6 +82,8 @@
     /// When runs ended well of late, by request and in order.
     well: HashMap<Fingerprint, Millis>,
     well_order: VecDeque<(Fingerprint, Millis)>,
+    /// The engines that ended of late, whatever ran there.
+    ended: VecDeque<End>,
     /// When suspects were cleared. Ends of before are still told on by those who have not heard it.
     cleared: HashMap<Fingerprint, Millis>,
 }
@@ -86,6 +94,7 @@
     ends: Vec<End>,
     /// When an engine last ended under it, or it last came while quarantined.
     seen_at: Millis,
+    is_quarantined: bool,
 }
 
 /// `Weighed` is what became of an end that was noted.
@@ -107,16 +116,39 @@
             suspects: HashMap::new(),
             well: HashMap::new(),
             well_order: VecDeque::new(),
+            ended: VecDeque::new(),
             cleared: HashMap::new(),
         }
     }
 
     /// Returns what is held of a request.
     pub fn standing(&self, request: Fingerprint, now: Millis) -> Standing {
-        match self.ends(request, now).len() {
-            0 => Standing::Clear,
-            ends if ends >= self.options.ends => Standing::Quarantined,
-            ends => Standing::Suspected(ends),
+        match self.suspects.get(&request).filter(|suspect| self.is_current(suspect, now)) {
+            None => Standing::Clear,
+            Some(suspect) if suspect.is_quarantined => Standing::Quarantined,
+            Some(suspect) => Standing::Suspected(suspect.ends.len()),
+        }
+    }
+
+    /// Returns how many engines must have ended under a request to quarantine it.
+    ///
+    /// Where as many engines end without a request as under it, it may only have been near. All that end
+    /// since the first one under it are weighed.
+    pub fn needed_ends(&self, request: Fingerprint, now: Millis) -> usize {
+        let own = self.ends(request, now);
+        let since = own.iter().map(|end| end.at).min().unwrap_or(now);
+        let is_own = |end: &End| own.iter().any(|one| one.engine == end.engine);
+        let others = self.ended.iter().filter(|end| end.at >= since && !is_own(end)).count();
+        if others > own.len() { self.options.ends_among_others } else { self.options.ends }
+    }
+
+    fn note_ended(&mut self, end: End, now: Millis) {
+        let is_old = |one: &End| one.at + self.options.clearance <= now;
+        while self.ended.front().is_some_and(is_old) || self.ended.len() >= MAX_ENDED {
+            self.ended.pop_front();
+        }
+        if !self.ended.iter().any(|one| one.engine == end.engine) {
+            self.ended.push_back(end);
         }
     }
 
@@ -130,6 +162,7 @@
     /// other short forms.
     pub fn record_end(&mut self, request: Fingerprint, end: End, now: Millis) -> Weighed {
         self.expire(now);
+        self.note_ended(end, now);
         let is_cleared = self.cleared.get(&request).is_some_and(|at| end.at <= *at);
         if is_cleared || self.ran_well_of_late(request, now) {
             return Weighed::Ignored;
@@ -138,16 +171,19 @@
             self.make_room();
         }
         let suspect = self.suspects.entry(request).or_default();
-        if suspect.ends.len() >= self.options.ends
-            || suspect.ends.iter().any(|known| known.engine == end.engine)
-        {
+        let is_known = suspect.ends.iter().any(|known| known.engine == end.engine);
+        if suspect.is_quarantined || is_known {
             return Weighed::Ignored;
         }
         suspect.ends.push(end);
         suspect.seen_at = now;
-        match suspect.ends.len() == self.options.ends {
-            true => Weighed::Quarantined,
-            false => Weighed::Counted,
+        let needed = self.needed_ends(request, now);
+        match self.suspects.get_mut(&request) {
+            Some(suspect) if suspect.ends.len() >= needed => {
+                suspect.is_quarantined = true;
+                Weighed::Quarantined
+            }
+            _ => Weighed::Counted,
         }
     }
 
--- a/crates/anvilhook-core/tests/quarantine.rs
+++ b/crates/anvilhook-core/tests/quarantine.rs
@@ -94,6 +94,39 @@
     assert_eq!(book.standing(REQUEST, memory * 2), Standing::Clear);
 }
 
+/// In a storm of ends, requests that met three of them by chance are refused.
+#[test]
+fn verify_more_ends_are_needed_where_engines_end_of_themselves() {
+    const OTHER: Fingerprint = Fingerprint(8);
+    let mut book = book();
+    // Of each four engines that end at a time, one ran the request.
+    let storm = (1..=5_u32).map(|burst| {
+        let at = Millis(u64::from(burst) * 1_000);
+        for engine in 1..=3 {
+            book.record_end(OTHER, End { engine: burst * 10 + engine, at }, at);
+            book.lift(OTHER, at);
+        }
+        record(&mut book, burst * 10, at)
+    });
+
+    let weighed: Vec<Weighed> = storm.collect();
+
+    let expected = [[Weighed::Counted; 4].as_slice(), &[Weighed::Quarantined]].concat();
+    assert_eq!(weighed, expected);
+}
+
+/// An engine or two that end of themselves meanwhile hide a request that ends one after the other.
+#[test]
+fn verify_single_ends_of_others_hide_nothing() {
+    let mut book = book();
+    record(&mut book, 1, Millis(1_000));
+    book.record_end(Fingerprint(8), End { engine: 9, at: Millis(1_500) }, Millis(1_500));
+    record(&mut book, 2, Millis(2_000));
+    book.record_end(Fingerprint(8), End { engine: 10, at: Millis(2_500) }, Millis(2_500));
+
+    assert_eq!(record(&mut book, 3, Millis(3_000)), Weighed::Quarantined);
+}
+
 /// An operator's word does not bring a request back, or spares it what it does afterwards.
 #[test]
 fn verify_a_lifted_request_is_counted_anew() {
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anvilhook_core::fingerprints::Fingerprint;
-use anvilhook_core::quarantine::{QuarantineOptions, Standing, Weighed};
+use anvilhook_core::quarantine::{Standing, Weighed};
 use anvilhook_core::units::{Clock, Millis};
 use http::StatusCode;
 use tokio::net::TcpStream;
@@ -59,8 +59,8 @@
     pub(super) fn withheld(&self, exchange: &mut Exchange) -> Option<Outcome> {
         let (request, now) = (exchange.fingerprint, self.now());
         match self.suspects().standing(request, now) {
-            Standing::Clear => None,
-            Standing::Quarantined => {
+            (Standing::Clear, _) => None,
+            (Standing::Quarantined, _) => {
                 self.suspects().record_arrival(request, now);
                 // A refusal would invite the same request back.
                 Some(match exchange.may_have_run {
@@ -68,11 +68,11 @@
                     false => Outcome::failed(StatusCode::BAD_REQUEST, QUARANTINED),
                 })
             }
-            Standing::Suspected(ends) => {
+            (Standing::Suspected(_), left) => {
                 if exchange.trial.is_none() {
                     exchange.trial = self.suspects().begin_trial(request);
                 }
-                let may_try = exchange.trial.is_some() && ends < QuarantineOptions::default().ends;
+                let may_try = exchange.trial.is_some() && left > 0;
                 (!may_try).then(|| self.given_up(exchange, "on_trial", TRIAL_PAUSE))
             }
         }
--- a/crates/anvilhook-gateway/src/suspects.rs
+++ b/crates/anvilhook-gateway/src/suspects.rs
@@ -143,15 +143,16 @@
         }
     }
 
-    /// Returns what is held of a request. Engines that are still being looked at count as ended.
-    pub(crate) fn standing(&self, request: Fingerprint, now: Millis) -> Standing {
+    /// Returns what is held of a request, and how many more engines may end under it until it is
+    /// quarantined. Engines that are still being looked at count as ended.
+    pub(crate) fn standing(&self, request: Fingerprint, now: Millis) -> (Standing, usize) {
         if !self.has_any.load(Ordering::Acquire) {
-            return Standing::Clear;
+            return (Standing::Clear, usize::MAX);
         }
         let book = lock(&self.book);
         let known = book.standing(request, now);
         if known == Standing::Quarantined || book.ran_well_of_late(request, now) {
-            return known;
+            return (known, usize::MAX);
         }
         let ends = book.ends(request, now);
         let is_new = |engine: &u32| !ends.iter().any(|end| end.engine == *engine);
@@ -160,8 +161,11 @@
             .iter()
             .filter(|(engine, runs)| is_new(engine) && runs.contains(&(request, Break::Broken)));
         match ends.len() + broken.count() {
-            0 => Standing::Clear,
-            ends => Standing::Suspected(ends),
+            0 => (Standing::Clear, usize::MAX),
+            ends => {
+                let left = book.needed_ends(request, now).saturating_sub(ends);
+                (Standing::Suspected(ends), left)
+            }
         }
     }
 
