--- a/crates/anvilhook-core/src/quarantine.rs
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -132,14 +132,14 @@
 
     /// Returns how many engines must have ended under a request to quarantine it.
     ///
-    /// Where as many engines end without a request as under it, it may only have been near. All that end
-    /// since the first one under it are weighed.
+    /// Where engines end without a request about as they do under it, it may only have been near. All that
+    /// end since the first one under it are weighed.
     pub fn needed_ends(&self, request: Fingerprint, now: Millis) -> usize {
         let own = self.ends(request, now);
         let since = own.iter().map(|end| end.at).min().unwrap_or(now);
         let is_own = |end: &End| own.iter().any(|one| one.engine == end.engine);
         let others = self.ended.iter().filter(|end| end.at >= since && !is_own(end)).count();
-        if others > own.len() { self.options.ends_among_others } else { self.options.ends }
+        if others * 2 > own.len() { self.options.ends_among_others } else { self.options.ends }
     }
 
     fn note_ended(&mut self, end: End, now: Millis) {
