--- a/crates/anvilhook-gateway/src/suspects.rs
+++ b/crates/anvilhook-gateway/src/suspects.rs
@@ -20,6 +20,9 @@
 /// The most news that waits to be told. Older news is dropped for it.
 const MAX_WAITING: usize = 512;
 
+/// The most runs of one engine that are held until it is known whether it has ended.
+const MAX_RUNS: usize = 256;
+
 /// The most requests of which the instances are told again and again while they are suspected, and the least
 /// ends that speak against each.
 const MAX_STANDING: usize = 4;
@@ -192,7 +195,10 @@
         self.has_any.store(true, Ordering::Release);
         let mut examined = lock(&self.examined);
         let is_first = !examined.contains_key(&engine);
-        examined.entry(engine).or_default().push((request, how));
+        let runs = examined.entry(engine).or_default();
+        if runs.len() < MAX_RUNS && !runs.contains(&(request, how)) {
+            runs.push((request, how));
+        }
         is_first
     }
 
