Hold ends that a quarantined request explains against no other

Cause: a request was quarantined after three ends; what ran beside it at two of them and at a fourth, which its last try on the way ended, had three as well and was quarantined 0.4 s after it. Ends under a quarantined request are taken from all others, but the one by which it was quarantined: of two that ran at the same three engines either may be the cause, and both are.

--- a/crates/anvilhook-core/src/quarantine.rs
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -9,6 +9,9 @@
 use crate::fingerprints::Fingerprint;
 use crate::units::Millis;
 
+/// The most ends that are held of one request.
+const MAX_ENDS: usize = 8;
+
 /// The most engines that are remembered to have ended.
 const MAX_ENDED: usize = 256;
 
@@ -89,12 +92,22 @@
 }
 
 /// `Suspect` is what speaks against a request.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Suspect {
     ends: Vec<End>,
     /// When an engine last ended under it, or it last came while quarantined.
     seen_at: Millis,
-    is_quarantined: bool,
+    /// The engine by whose end it was quarantined, if it was.
+    quarantined_by: Option<u32>,
+}
+
+impl Suspect {
+    /// Returns whether its run explains the end of an engine, so that it speaks against no other request.
+    /// Whatever also ran at the engine by which it was quarantined may be the cause as well.
+    fn explains(&self, end: &End, newest: u32) -> bool {
+        self.quarantined_by.is_some_and(|engine| engine != newest)
+            && self.ends.iter().any(|own| own.engine == end.engine)
+    }
 }
 
 /// `Weighed` is what became of an end that was noted.
@@ -106,6 +119,8 @@
     Counted,
     /// It is the one by which the request is quarantined.
     Quarantined,
+    /// The request was quarantined before, and explains the end.
+    Explained,
 }
 
 impl QuarantineBook {
@@ -125,7 +140,7 @@
     pub fn standing(&self, request: Fingerprint, now: Millis) -> Standing {
         match self.suspects.get(&request).filter(|suspect| self.is_current(suspect, now)) {
             None => Standing::Clear,
-            Some(suspect) if suspect.is_quarantined => Standing::Quarantined,
+            Some(suspect) if suspect.quarantined_by.is_some() => Standing::Quarantined,
             Some(suspect) => Standing::Suspected(suspect.ends.len()),
         }
     }
@@ -172,21 +187,47 @@
         }
         let suspect = self.suspects.entry(request).or_default();
         let is_known = suspect.ends.iter().any(|known| known.engine == end.engine);
-        if suspect.is_quarantined || is_known {
+        if is_known || suspect.ends.len() >= MAX_ENDS {
             return Weighed::Ignored;
         }
         suspect.ends.push(end);
         suspect.seen_at = now;
+        if suspect.quarantined_by.is_some() {
+            self.explain_away(end.engine);
+            return Weighed::Explained;
+        }
+        self.explain_away(end.engine);
         let needed = self.needed_ends(request, now);
         match self.suspects.get_mut(&request) {
             Some(suspect) if suspect.ends.len() >= needed => {
-                suspect.is_quarantined = true;
+                suspect.quarantined_by = Some(end.engine);
                 Weighed::Quarantined
             }
-            _ => Weighed::Counted,
+            Some(_) => Weighed::Counted,
+            None => Weighed::Ignored,
         }
     }
 
+    /// Takes the ends that quarantined requests explain from all others. `newest` is the engine that has
+    /// just ended.
+    ///
+    /// What runs beside such a request at several engines is innocent, and would follow it.
+    fn explain_away(&mut self, newest: u32) {
+        let quarantined: Vec<_> =
+            self.suspects.values().filter(|one| one.quarantined_by.is_some()).cloned().collect();
+        if quarantined.is_empty() {
+            return;
+        }
+        let is_explained =
+            |end: &End| quarantined.iter().any(|guilty| guilty.explains(end, newest));
+        self.suspects.retain(|_, suspect| {
+            if suspect.quarantined_by.is_none() {
+                suspect.ends.retain(|end| !is_explained(end));
+            }
+            !suspect.ends.is_empty()
+        });
+    }
+
     /// Notes that a request's run has ended well, which clears it. Returns whether it was suspected.
     pub fn record_well(&mut self, request: Fingerprint, now: Millis) -> bool {
         while let Some((oldest, at)) = self.well_order.front().copied()
