--- a/crates/anvilhook-gateway/tests/pauses.rs
+++ b/crates/anvilhook-gateway/tests/pauses.rs
@@ -6,6 +6,7 @@
 use anvilhook_core::units::{Clock, ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::peers::seed_caches;
 use support::fronts::{Front, ample_budget, config, start_by, unhurried};
 use support::upstreams::{Step, Upstream, engine, refusal, signed, stream};
 use support::wires::entry;
@@ -142,3 +143,19 @@
     assert_eq!(answer.events(), [1, 2]);
     assert_eq!(engines[0].received().len(), 1);
 }
+
+/// An instance asks an engine what its cache holds, though the engine wants nothing of it.
+#[tokio::test]
+async fn verify_a_call_of_the_instances_own_keeps_a_pause() {
+    let clock = ManualClock::new();
+    let paused = Upstream::always(vec![signed("200 OK", "")]).await;
+    let other = Upstream::always(vec![signed("200 OK", "")]).await;
+    let entries = vec![engine("p", &paused, Role::Prefill), engine("o", &other, Role::Prefill)];
+    let front = front_before(&clock, ONCE, true, entries).await;
+    let view = front.gateway.fleet().view();
+    view.get("p").expect("listed").state.pause(Millis(60_000));
+
+    seed_caches(front.gateway.clone(), clock).await;
+
+    assert_eq!((paused.received().len(), other.received().len()), (0, 1));
+}
