--- a/crates/anvilhook-core/src/quarantine.rs
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! A poison request comes again under a new id, at any instance, and takes an engine away each time with
 //! all that runs beside it. It is known by its [`Fingerprint`]. All that ran at an engine as it ended are
-//! suspects alike; the innocent ones are told apart by a run that ends well.
+//! suspects alike; a run that ends well tells those apart that only ran beside it.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -192,11 +192,11 @@
         }
         suspect.ends.push(end);
         suspect.seen_at = now;
-        if suspect.quarantined_by.is_some() {
-            self.explain_away(end.engine);
+        let was_quarantined = suspect.quarantined_by.is_some();
+        self.explain_away(end.engine);
+        if was_quarantined {
             return Weighed::Explained;
         }
-        self.explain_away(end.engine);
         let needed = self.needed_ends(request, now);
         match self.suspects.get_mut(&request) {
             Some(suspect) if suspect.ends.len() >= needed => {
@@ -211,15 +211,14 @@
     /// Takes the ends that quarantined requests explain from all others. `newest` is the engine that has
     /// just ended.
     ///
-    /// What runs beside such a request at several engines is innocent, and would follow it.
+    /// What only ran beside such a request at several engines would be quarantined after it.
     fn explain_away(&mut self, newest: u32) {
         let quarantined: Vec<_> =
             self.suspects.values().filter(|one| one.quarantined_by.is_some()).cloned().collect();
         if quarantined.is_empty() {
             return;
         }
-        let is_explained =
-            |end: &End| quarantined.iter().any(|guilty| guilty.explains(end, newest));
+        let is_explained = |end: &End| quarantined.iter().any(|cause| cause.explains(end, newest));
         self.suspects.retain(|_, suspect| {
             if suspect.quarantined_by.is_none() {
                 suspect.ends.retain(|end| !is_explained(end));
--- a/crates/anvilhook-core/tests/quarantine.rs
+++ b/crates/anvilhook-core/tests/quarantine.rs
@@ -190,8 +190,7 @@
     assert_eq!(book.standing(other, Millis(500)), Standing::Clear);
 }
 
-/// Of two requests that ran at the same three engines the innocent is believed guilty alone, and the guilty
-/// one is sent on.
+/// Two requests ran at the same three engines, and the one that ends them is cleared by the other.
 #[test]
 fn verify_neither_of_two_alike_suspects_hides_the_other() {
     let other = Fingerprint(8);
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -47,7 +47,7 @@
 const SUSPECT_RANKS: u64 = 8;
 
 /// Returns an engine's rank for a suspect, in neighbors. Each has an order of its own: suspects that were
-/// all tried where the least runs would meet there, and innocent ones would end engines with the guilty.
+/// all tried where the least runs would meet there, and end together with the one that ends engines.
 pub(crate) fn suspect_rank(suspect: Fingerprint, upstream: &Upstream) -> u32 {
     (hash_of(&(suspect, &*upstream.entry.id)) % SUSPECT_RANKS) as u32
 }
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -111,13 +111,13 @@
         let mut refusals = 0;
         loop {
             match self.sign_of(upstream).await {
-                Sign::Ended(evidence) => return self.convict(upstream, evidence),
+                Sign::Ended(evidence) => return self.confirm_end(upstream, evidence),
                 Sign::Refused if refusals + 1 >= REFUSALS => {
-                    return self.convict(upstream, Evidence::Refused);
+                    return self.confirm_end(upstream, Evidence::Refused);
                 }
                 Sign::Refused => refusals += 1,
                 Sign::Unknown if self.now() < until => refusals = 0,
-                Sign::Alive | Sign::Unknown => return self.suspects().acquit(upstream.digest),
+                Sign::Alive | Sign::Unknown => return self.suspects().dismiss(upstream.digest),
             }
             tokio::time::sleep(LOOK_PAUSE).await;
         }
@@ -166,12 +166,12 @@
     }
 
     /// Notes that an engine has ended under all that ran there, and has the others told.
-    fn convict(&self, upstream: &Upstream, evidence: Evidence) {
+    fn confirm_end(&self, upstream: &Upstream, evidence: Evidence) {
         let (suspects, now) = (self.suspects(), self.now());
         if upstream.is_leaving() {
-            return suspects.acquit(upstream.digest);
+            return suspects.dismiss(upstream.digest);
         }
-        let weighed = suspects.convict(upstream.digest, now);
+        let weighed = suspects.confirm_end(upstream.digest, now);
         self.peers().announce();
         let counted = weighed.iter().filter(|(_, weighed)| *weighed != Weighed::Ignored);
         emit(&Event::EngineEnded {
--- a/crates/anvilhook-gateway/src/suspects.rs
+++ b/crates/anvilhook-gateway/src/suspects.rs
@@ -210,13 +210,13 @@
     }
 
     /// Ends the look at an engine that has not ended.
-    pub(crate) fn acquit(&self, engine: u32) {
+    pub(crate) fn dismiss(&self, engine: u32) {
         lock(&self.examined).remove(&engine);
     }
 
     /// Ends the look at an engine that has ended, and returns those that ran there with what became of
     /// each. The others are told.
-    pub fn convict(&self, engine: u32, now: Millis) -> Vec<(Fingerprint, Weighed)> {
+    pub fn confirm_end(&self, engine: u32, now: Millis) -> Vec<(Fingerprint, Weighed)> {
         let mut runs = lock(&self.examined).remove(&engine).unwrap_or_default();
         runs.sort_unstable_by_key(|(request, _)| *request);
         runs.dedup_by_key(|(request, _)| *request);
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -336,7 +336,7 @@
     assert_eq!(chosen(120.0), "near");
 }
 
-/// Suspects are all tried at the engine with the least to lose, and innocent ones end with the guilty.
+/// Suspects are all tried at the same engine, and end together with the one that ends engines.
 #[test]
 fn verify_suspects_are_tried_apart_and_beside_few_others() {
     let fleet = fleet(&[
--- a/crates/anvilhook-gateway/tests/zones.rs
+++ b/crates/anvilhook-gateway/tests/zones.rs
@@ -146,7 +146,7 @@
     let suspects = |one: &Instance| one.gateway.suspects().list(one.clock.now()).len();
 
     all[0].gateway.suspects().note_break(5, REQUEST, Break::Broken);
-    all[0].gateway.suspects().convict(5, all[0].clock.now());
+    all[0].gateway.suspects().confirm_end(5, all[0].clock.now());
 
     until(|| all.iter().all(|one| suspects(one) == 1)).await;
     let told: u64 = all
