Let two tests of suspects see what they are for

Mutants stayed green: every look at an engine ending as a refusal (the test looked before the second one), and a lasting stream that clears nothing (its caller's limit came before its engine's end). Both are red now.

--- a/crates/anvilhook-gateway/tests/suspects.rs
+++ b/crates/anvilhook-gateway/tests/suspects.rs
@@ -186,6 +186,7 @@
         let looked = || engine[0].received().iter().any(|one| one.line.contains("/report"));
         if name != "failed" {
             until(looked).await;
+            tokio::time::sleep(LOOK).await;
         }
         assert_eq!(standing(&front, "harmless"), None, "{name}");
         assert_eq!(runs(&engine, "harmless"), 4, "{name}");
@@ -415,7 +416,7 @@
     let engines = [Upstream::always(steps.to_vec()).await];
     let front = front(ONCE, listed(&engines)).await;
 
-    let answer = front.post("r1", PROMPT, "long").await;
+    let answer = front.post_unhurried("r1", PROMPT, "long").await;
     tokio::time::sleep(LOOK).await;
 
     assert!(!answer.is_complete());
