Simplify the book of quarantines and the hearing of answers

Read once more: standing() and ends() looked a suspect up by the same filter twice; is_empty() had no caller; counts() went through two lists of units; the view of upstreams was loaded for each answer, and is only needed where another upstream names itself. No behaviour changed.

--- a/crates/anvilhook-core/src/quarantine.rs
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -138,7 +138,7 @@
 
     /// Returns what is held of a request.
     pub fn standing(&self, request: Fingerprint, now: Millis) -> Standing {
-        match self.suspects.get(&request).filter(|suspect| self.is_current(suspect, now)) {
+        match self.suspect(request, now) {
             None => Standing::Clear,
             Some(suspect) if suspect.quarantined_by.is_some() => Standing::Quarantined,
             Some(suspect) => Standing::Suspected(suspect.ends.len()),
@@ -169,8 +169,11 @@
 
     /// Returns the ends that speak against a request.
     pub fn ends(&self, request: Fingerprint, now: Millis) -> &[End] {
-        let suspect = self.suspects.get(&request).filter(|suspect| self.is_current(suspect, now));
-        suspect.map_or(&[], |suspect| &suspect.ends)
+        self.suspect(request, now).map_or(&[], |suspect| &suspect.ends)
+    }
+
+    fn suspect(&self, request: Fingerprint, now: Millis) -> Option<&Suspect> {
+        self.suspects.get(&request).filter(|suspect| self.is_current(suspect, now))
     }
 
     /// Notes that an engine has ended while it ran a request. Engines that end several times do so under
@@ -269,11 +272,6 @@
         current.map(|(request, suspect)| (*request, suspect.ends.as_slice()))
     }
 
-    /// Returns whether nothing is suspected.
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
-    }
-
     fn is_current(&self, suspect: &Suspect, now: Millis) -> bool {
         suspect.seen_at + self.options.memory > now
     }
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -257,11 +257,14 @@
         // Another one may have got the address since. What it says is of itself.
         let named = headers.get(&self.wire().headers().instance);
         let named = named.and_then(|id| id.to_str().ok()).filter(|id| **id != *upstream.entry.id);
-        let view = self.fleet().view();
-        let upstream = match named.map(|id| view.get(id)) {
+        let view;
+        let upstream = match named {
             None => upstream,
-            Some(Some(other)) => other,
-            Some(None) => return,
+            Some(id) => {
+                view = self.fleet().view();
+                let Some(other) = view.get(id) else { return };
+                other
+            }
         };
         let is_leaving = self.wire().says_leaving(headers);
         let is_news = is_leaving && self.mark_leaving(upstream);
--- a/crates/anvilhook-gateway/src/suspects.rs
+++ b/crates/anvilhook-gateway/src/suspects.rs
@@ -330,11 +330,10 @@
 
     /// Returns how many requests are suspected and how many quarantined.
     pub fn counts(&self, now: Millis) -> (usize, usize) {
-        let book = lock(&self.book);
-        let standings = book.suspects(now).map(|(request, _)| book.standing(request, now));
-        let (all, quarantined): (Vec<_>, Vec<_>) =
-            standings.map(|standing| ((), standing == Standing::Quarantined)).unzip();
-        (all.len(), quarantined.into_iter().filter(|is| *is).count())
+        let suspected = self.list(now);
+        let is_quarantined = |standing: &Standing| *standing == Standing::Quarantined;
+        let quarantined = suspected.iter().filter(|(_, standing, _)| is_quarantined(standing));
+        (suspected.len(), quarantined.count())
     }
 }
 
