Serve only callers whose API key a client account has, and tell upstreams the account

What callers saw: where the configuration names client accounts, a caller with any key or none was served, its key went on to the upstreams, and a withdrawn key was served for ever.

Cause: nothing read the accounts of a configuration or a request's Authorization.

A request without the key of an account gets 401 as soon as its head is read, unless its route is public; the key is looked up anew, by the configuration in force, in the one place that is asked before each send, so that what waits, is read apart, resumed or tried again goes by a withdrawal too. Credentials that are keys are taken off, the account's name is set. An account's rank goes before its route's.

An empty list is taken: the last key of an account may be withdrawn.

--- /dev/null
+++ b/crates/anvilhook-core/src/api_keys.rs
@@ -0,0 +1,197 @@
+//! API keys: which client account a caller's key belongs to, without the keys themselves.
+
+use std::collections::{HashMap, HashSet};
+use std::fmt;
+use std::sync::Arc;
+
+use subtle::ConstantTimeEq;
+use zeroize::Zeroizing;
+
+/// The length of a digest and of the secret behind it, in bytes.
+pub const DIGEST_BYTES: usize = 32;
+
+/// `KeyDigest` stands for an API key. It is compared in a time that doesn't depend on where it differs.
+#[derive(Clone, Copy, Eq)]
+pub struct KeyDigest([u8; DIGEST_BYTES]);
+
+impl PartialEq for KeyDigest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl std::hash::Hash for KeyDigest {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest")
+    }
+}
+
+/// `KeyHasher` makes digests of API keys, by a secret that never leaves the process.
+///
+/// Whoever can read a digest, or time a comparison, learns nothing about a key without the secret.
+#[derive(Clone)]
+pub struct KeyHasher {
+    secret: Arc<Zeroizing<[u8; DIGEST_BYTES]>>,
+}
+
+impl KeyHasher {
+    /// Makes a hasher with a secret, which should be random.
+    pub fn new(secret: [u8; DIGEST_BYTES]) -> Self {
+        Self { secret: Arc::new(Zeroizing::new(secret)) }
+    }
+
+    /// Returns the digest of a key.
+    pub fn digest(&self, key: &[u8]) -> KeyDigest {
+        KeyDigest(*blake3::keyed_hash(&self.secret, key).as_bytes())
+    }
+}
+
+impl fmt::Debug for KeyHasher {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyHasher")
+    }
+}
+
+/// `ClientAccount` is on whose behalf requests are made.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClientAccount {
+    /// Its name, which upstreams are told.
+    pub name: Arc<str>,
+    /// Its rank, which goes before the routes' own; 0 is the highest.
+    pub priority: Option<u8>,
+}
+
+/// `AccountError` is an account that can't be taken in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AccountError {
+    /// Another account has the same name.
+    NameTaken,
+    /// Another account has the key at this place of the list.
+    KeyTaken(usize),
+    /// The key at this place of the list is empty.
+    KeyEmpty(usize),
+}
+
+impl fmt::Display for AccountError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            AccountError::NameTaken => "another account has this name",
+            AccountError::KeyTaken(_) => "another account has this key",
+            AccountError::KeyEmpty(_) => "the key is empty",
+        })
+    }
+}
+
+impl std::error::Error for AccountError {}
+
+/// `AccountBook` is the client accounts of one configuration, found by their keys.
+///
+/// ```
+/// use anvilhook_core::api_keys::{AccountBook, ClientAccount, KeyHasher};
+///
+/// let mut book = AccountBook::new(KeyHasher::new([7; 32]));
+/// let account = ClientAccount { name: "kitchen".into(), priority: None };
+/// book.try_add(account.clone(), ["first", "second"]).unwrap();
+/// assert_eq!(book.account(&book.digest(b"second")).map(|one| &**one), Some(&account));
+/// assert_eq!(book.account(&book.digest(b"third")), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct AccountBook {
+    hasher: KeyHasher,
+    by_key: HashMap<KeyDigest, Arc<ClientAccount>>,
+    names: HashSet<Arc<str>>,
+}
+
+impl AccountBook {
+    /// Makes a book without accounts.
+    pub fn new(hasher: KeyHasher) -> Self {
+        Self { hasher, by_key: HashMap::new(), names: HashSet::new() }
+    }
+
+    /// Takes an account with its keys in. One whose last key was withdrawn has none.
+    ///
+    /// # Errors
+    ///
+    /// Any [`AccountError`]; the account is then known by some of its keys only, and the book is not to
+    /// be used.
+    pub fn try_add<'k>(
+        &mut self,
+        account: ClientAccount,
+        keys: impl IntoIterator<Item = &'k str>,
+    ) -> Result<(), AccountError> {
+        if !self.names.insert(Arc::clone(&account.name)) {
+            return Err(AccountError::NameTaken);
+        }
+        let account = Arc::new(account);
+        for (at, key) in keys.into_iter().enumerate() {
+            if key.is_empty() {
+                return Err(AccountError::KeyEmpty(at));
+            }
+            let digest = self.hasher.digest(key.as_bytes());
+            let earlier = self.by_key.insert(digest, Arc::clone(&account));
+            if earlier.is_some_and(|earlier| earlier.name != account.name) {
+                return Err(AccountError::KeyTaken(at));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the digest by which a key is looked up, in this book and any other with the same secret.
+    pub fn digest(&self, key: &[u8]) -> KeyDigest {
+        self.hasher.digest(key)
+    }
+
+    /// Returns the account that a key belongs to.
+    pub fn account(&self, key: &KeyDigest) -> Option<&Arc<ClientAccount>> {
+        self.by_key.get(key)
+    }
+
+    /// Returns the names of all accounts.
+    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.names.iter()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{AccountBook, AccountError, ClientAccount, KeyHasher};
+
+    fn account(name: &str) -> ClientAccount {
+        ClientAccount { name: name.into(), priority: None }
+    }
+
+    /// Whoever has the key of two accounts would be billed to either.
+    #[test]
+    fn verify_a_key_belongs_to_one_account() {
+        let mut book = AccountBook::new(KeyHasher::new([1; 32]));
+        book.try_add(account("a"), ["one", "one"]).expect("a key may stand twice");
+
+        assert_eq!(book.try_add(account("b"), ["two", "one"]), Err(AccountError::KeyTaken(1)));
+        assert_eq!(book.try_add(account("a"), ["three"]), Err(AccountError::NameTaken));
+        assert_eq!(book.try_add(account("c"), [""]), Err(AccountError::KeyEmpty(0)));
+    }
+
+    /// An account without keys must not be reached by no key.
+    #[test]
+    fn verify_an_account_without_keys_lets_nobody_in() {
+        let mut book = AccountBook::new(KeyHasher::new([1; 32]));
+        book.try_add(account("a"), []).expect("its last key was withdrawn");
+
+        assert_eq!(book.account(&book.digest(b"")), None);
+    }
+
+    /// A digest that is seen in one process must not let anybody in at another.
+    #[test]
+    fn verify_digests_depend_on_the_secret() {
+        let (one, other) = (KeyHasher::new([1; 32]), KeyHasher::new([2; 32]));
+
+        assert_ne!(one.digest(b"key"), other.digest(b"key"));
+        assert_eq!(format!("{:?} {one:?}", one.digest(b"key")), "KeyDigest KeyHasher");
+    }
+}
--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use anvilhook_core::api_keys::{AccountBook, ClientAccount, KeyDigest};
 use anvilhook_core::units::{Millis, Tokens};
 
 /// `Repeats` says what may be repeated of a route's requests.
@@ -68,6 +69,8 @@
     pub targets: Vec<Target>,
     /// The most upstreams on which one request may run.
     pub max_attempts: u32,
+    /// Whether a request needs no API key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -132,6 +135,16 @@
     services: HashMap<Arc<str>, ServiceSpec>,
     tightest: HashMap<Arc<str>, Millis>,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
+    accounts: Option<AccountBook>,
+}
+
+/// `Access` is on whose behalf a request is made, by one configuration.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Access {
+    /// The client account, if its key was given.
+    pub account: Option<Arc<ClientAccount>>,
+    /// Whether the caller's credentials are a key to client accounts. No upstream may get it.
+    pub is_by_key: bool,
 }
 
 impl Config {
@@ -154,7 +167,25 @@
             let prefixes = by_host.entry(Arc::clone(&route.host)).or_default();
             prefixes.insert(Arc::clone(&route.prefix), Arc::new(route));
         }
-        Self { version, limits, services, tightest, routes: by_host }
+        Self { version, limits, services, tightest, routes: by_host, accounts: None }
+    }
+
+    /// Has callers show a key of one of these client accounts, but for public routes.
+    pub fn with_accounts(self, accounts: AccountBook) -> Self {
+        Self { accounts: Some(accounts), ..self }
+    }
+
+    /// Returns the client accounts, if there are any.
+    pub fn accounts(&self) -> Option<&AccountBook> {
+        self.accounts.as_ref()
+    }
+
+    /// Returns on whose behalf a request on a route is made that shows a key; `None` if it is not allowed.
+    pub fn access(&self, route: &Route, key: Option<&KeyDigest>) -> Option<Access> {
+        let Some(accounts) = &self.accounts else { return Some(Access::default()) };
+        let account = key.and_then(|key| accounts.account(key)).cloned();
+        let is_allowed = account.is_some() || route.is_public;
+        is_allowed.then_some(Access { account, is_by_key: true })
     }
 
     /// Returns the route of the host with the longest prefix that begins the path.
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -362,6 +362,8 @@
         fingerprint: Option<Fingerprint>,
         /// Its route, empty if none was found.
         route: &'a str,
+        /// Its client account, if it showed a key of one.
+        account: Option<&'a str>,
         /// The status that the caller got.
         status: u16,
         /// Why, in a word.
--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -2,7 +2,9 @@
 
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+};
 use http::{Response as HttpResponse, StatusCode};
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -126,6 +128,10 @@
     fn into_response(self) -> Response {
         let mut answer = HttpResponse::new(Body::from(Bytes::from_static(self.reason.as_bytes())));
         *answer.status_mut() = self.status;
+        if self.status == StatusCode::UNAUTHORIZED {
+            let scheme = HeaderValue::from_static("Bearer");
+            answer.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+        }
         if let Some(retry_after) = self.retry_after {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             if let Ok(value) = HeaderValue::try_from(seconds) {
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -9,7 +9,7 @@
 use anvilhook_http::CallError;
 use anvilhook_http::clients::{Connection, collect_body};
 use anvilhook_http::pauses::retry_after;
-use http::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use http::header::{AUTHORIZATION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, StatusCode};
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -314,6 +314,13 @@
         headers.insert(&names.deadline, HeaderValue::from(time_left.0));
         let id = HeaderValue::try_from(&*exchange.id).expect("the id came in a header");
         headers.insert(&names.request_id, id);
+        if exchange.access.is_by_key {
+            headers.remove(AUTHORIZATION);
+        }
+        if let Some(account) = &exchange.access.account {
+            let name = HeaderValue::try_from(&*account.name).expect("names are visible text");
+            headers.insert(&names.account, name);
+        }
         for (name, value) in &sending.extra {
             headers.insert(name, value.clone());
         }
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -52,11 +52,14 @@
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
-    /// Returns the answer of a request that is not to be sent now: it is under quarantine, or suspected
-    /// and on trial already.
+    /// Returns the answer of a request that is not to be sent now: its key was withdrawn, or it is under
+    /// quarantine, or suspected and on trial already.
     ///
     /// A suspect is tried at one engine at a time, and no more often than would quarantine it.
     pub(super) fn withheld(&self, exchange: &mut Exchange) -> Option<Outcome> {
+        if let Some(denied) = self.denied(exchange) {
+            return Some(denied);
+        }
         let (request, now) = (exchange.fingerprint, self.now());
         match self.suspects().standing(request, now) {
             (Standing::Clear, _) => None,
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! The path of a request.
 
+mod access;
 mod answers;
 mod attempts;
 mod bodies;
@@ -397,6 +398,9 @@
             request: exchange.map_or("", |exchange| &exchange.id),
             fingerprint: exchange.map(|exchange| exchange.fingerprint),
             route: exchange.map_or("", |exchange| &exchange.route.name),
+            account: exchange
+                .and_then(|exchange| exchange.access.account.as_ref())
+                .map(|one| &*one.name),
             status,
             reason: outcome.reason(),
             retry_after_ms: outcome.retry_after().map(|pause| pause.0),
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -212,7 +212,7 @@
     /// Returns the header that tells engines how urgent a request is.
     pub(super) fn urgency(&self, exchange: &Exchange) -> (HeaderName, HeaderValue) {
         const LEAST_URGENT: u8 = 9;
-        let rank = exchange.route.priority.min(LEAST_URGENT);
+        let rank = exchange.priority().min(LEAST_URGENT);
         (self.wire().headers().priority.clone(), HeaderValue::from(u16::from(rank)))
     }
 
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::api_keys::KeyDigest;
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::pacing::Waiting;
 use anvilhook_core::units::{Clock, Millis};
@@ -14,9 +15,10 @@
 use volo_http::request::Request;
 
 use super::Gateway;
+use super::access::{key_of, no_access};
 use super::answers::OwnAnswer;
 use super::attempts::Failed;
-use crate::configs::{Config, Repeats, Route};
+use crate::configs::{Access, Config, Repeats, Route};
 use crate::hashes::hash_of;
 use crate::prompts::Prompt;
 use crate::suspects::Trial;
@@ -43,6 +45,10 @@
     pub body: Bytes,
     pub route: Arc<Route>,
     pub service: Arc<str>,
+    /// The caller's API key, if it has shown one.
+    pub key: Option<KeyDigest>,
+    /// On whose behalf it is made, by the configuration that was asked last.
+    pub access: Access,
     pub prompt: Option<Prompt>,
     /// When it arrived.
     pub arrived_at: Millis,
@@ -76,7 +82,9 @@
         let names = gateway.wire().headers();
         let config = gateway.config().ok_or_else(no_config)?;
         let id = text(&parts.headers, &names.request_id).ok_or_else(no_id)?;
-        find_route(&config, &parts.headers, &parts.uri)?;
+        let route = find_route(&config, &parts.headers, &parts.uri)?;
+        let key = key_of(&config, &parts.headers);
+        config.access(route, key.as_ref()).ok_or_else(no_access)?;
         check_head(&config, &parts.headers, &parts.uri)?;
 
         let limited = Limited::new(body, config.limits.max_body_bytes);
@@ -95,15 +103,19 @@
         // A newer configuration may have come while the body did.
         let config = gateway.config().ok_or_else(no_config)?;
         let route = find_route(&config, &parts.headers, &parts.uri)?;
+        let key = key.or_else(|| key_of(&config, &parts.headers));
+        let access = config.access(route, key.as_ref()).ok_or_else(no_access)?;
         let service = route.target(hash_of(id.as_str())).ok_or_else(no_target)?;
         let time_left = parts.headers.get(&names.deadline);
         let time_left = time_left.and_then(|value| gateway.wire().time_left(value));
         let deadline = arrived_at + time_left.unwrap_or(DEFAULT_DEADLINE);
         let timeout = route.timeout.map_or(deadline, |timeout| arrived_at + timeout);
         Ok(Exchange {
-            fingerprint: fingerprint_of(&parts, &body),
+            fingerprint: fingerprint_of(&access, &parts, &body),
             id: Arc::from(id),
             service: Arc::clone(service),
+            key,
+            access,
             prompt: gateway.wire().prompt(&parts.headers),
             headers: end_to_end(&parts.headers, &names.reserved),
             method: parts.method,
@@ -137,6 +149,12 @@
         }
     }
 
+    /// Returns its rank; 0 is the highest.
+    pub fn priority(&self) -> u8 {
+        let account = self.access.account.as_ref();
+        account.and_then(|account| account.priority).unwrap_or(self.route.priority)
+    }
+
     /// Returns what it is known by if it is on trial.
     pub fn suspect(&self) -> Option<Fingerprint> {
         self.trial.as_ref().map(|_| self.fingerprint)
@@ -179,12 +197,17 @@
     }
 }
 
-/// Returns the fingerprint of a request. Its caller is whom its credentials name, if it has any: a client's
-/// repeats may come from other addresses.
-fn fingerprint_of(head: &Parts, body: &[u8]) -> Fingerprint {
+/// Returns the fingerprint of a request. Its caller is its client account, or whom its credentials name, if
+/// it has any: a client's repeats may come from other addresses.
+fn fingerprint_of(access: &Access, head: &Parts, body: &[u8]) -> Fingerprint {
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
-    let credentials = text(&head.headers, &header::AUTHORIZATION).unwrap_or_default();
-    Fingerprint::of(&credentials, target, body)
+    match &access.account {
+        Some(account) => Fingerprint::of(&account.name, target, body),
+        None => {
+            let credentials = text(&head.headers, &header::AUTHORIZATION).unwrap_or_default();
+            Fingerprint::of(&credentials, target, body)
+        }
+    }
 }
 
 fn no_config() -> OwnAnswer {
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -39,6 +39,8 @@
     pub kv_fetch: HeaderName,
     /// The urgency of a request at an engine.
     pub priority: HeaderName,
+    /// The name of the caller's client account.
+    pub account: HeaderName,
     /// Says in an upstream's answer that it is leaving.
     pub leaving: HeaderName,
     /// All headers that a caller may not set; they are taken off its request.
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -165,6 +165,7 @@
         priority: 1,
         targets: vec![Target { service: Arc::from("service"), weight: 1 }],
         max_attempts,
+        is_public: false,
     }
 }
 
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -37,8 +37,14 @@
                 kv_source: name("t-kv-source"),
                 kv_fetch: name("t-kv-fetch"),
                 priority: name("t-priority"),
+                account: name("t-account"),
                 leaving: name("t-leaving"),
-                reserved: vec![name("t-expect"), name("t-stage"), name("t-kv-source")],
+                reserved: vec![
+                    name("t-expect"),
+                    name("t-stage"),
+                    name("t-kv-source"),
+                    name("t-account"),
+                ],
             }),
         }
     }
