Report the usage of client accounts, by one holder at a time and as it was written

Now each instance counts what begins to run (the first event of a stream; a plain request as it is sent, if it may have run) by account and window of true time, the median of the instances' clocks. Sums only grow and are named by the instance's start; they go to the three instances that would tell for the availability zone next, so that they outlive whoever counted them, and the one that does tells other zones the zone's sum.

The first in rank holds a lease; of each other zone the one that tells for it acts 1.6 s later if nothing was reported. A report is written to the table under a condition before it is sent, and whoever comes later sends what stands there: an answer may have been lost, and the call be carried out seconds later. A holder keeps its fencing token while it renews, and looks at its lease before each call with room for the call's time. Where nobody checks tokens a successor waits out late calls.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempts;
 pub mod authority;
 pub mod caches;
+pub mod clock_offsets;
 pub mod drains;
 pub mod ejections;
 pub mod errors;
@@ -30,6 +31,7 @@
 pub mod splits;
 pub mod stops;
 pub mod units;
+pub mod usage;
 pub mod verdict;
 pub mod watches;
 
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -249,13 +249,40 @@
         /// The parts that they hold.
         parts: usize,
     },
-    /// The lease for orders was taken, or was not.
+    /// A lease was taken or renewed, or was not.
     Lease {
+        /// What it is for.
+        lease: &'a str,
         /// What came of it.
         outcome: &'a str,
         /// The fencing token, 0 if there is none.
         token: u64,
     },
+    /// The usage of a window was reported, or was not.
+    UsageReported {
+        /// The window.
+        window: u64,
+        /// How many client accounts it names.
+        accounts: usize,
+        /// How many requests of all of them.
+        requests: u64,
+        /// The fencing token.
+        token: u64,
+        /// What came of it.
+        outcome: &'a str,
+    },
+    /// The usage of a window is not reported: its time is over.
+    UsageMissed {
+        /// The window.
+        window: u64,
+    },
+    /// A duty is put off.
+    DutyDelayed {
+        /// The duty.
+        duty: &'a str,
+        /// Why.
+        cause: String,
+    },
     /// An order was given to an engine.
     OrderGiven {
         /// The engine.
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -18,7 +18,9 @@
 use volo_http::response::Response;
 use volo_http::server::route::Router;
 
+use crate::clouds::Cloud;
 use crate::controls;
+use crate::duties::{DutyKeeper, DutyOptions};
 use crate::events::{Event, emit};
 use crate::followers::{ConfigFollower, EntryFollower, follow, wait_within};
 use crate::peers;
@@ -75,6 +77,17 @@
     pub gateway: GatewayOptions,
     /// How engines are to be split.
     pub roles: RoleOptions,
+    /// Which duties one instance at a time has.
+    pub duties: DutyOptions,
+}
+
+/// `Backends` is what an instance calls beside its upstreams.
+#[derive(Clone, Debug)]
+pub struct Backends<T, P> {
+    /// The platform's tables.
+    pub table: T,
+    /// The platform's API, if there are duties.
+    pub cloud: Option<P>,
 }
 
 /// Runs an instance until it is told to stop.
@@ -82,11 +95,11 @@
 /// # Errors
 ///
 /// An I/O error if it cannot listen.
-pub async fn run<W: Wire, T: Table, C: Clock, S: OptionSource>(
+pub async fn run<W: Wire, T: Table, C: Clock, S: OptionSource, P: Cloud>(
     options: InstanceOptions,
     source: S,
     wire: W,
-    table: T,
+    backends: Backends<T, P>,
     clock: C,
     client: HttpClient,
 ) -> std::io::Result<()> {
@@ -94,7 +107,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let gateway = Gateway::new(wire, clock.clone(), client, options.gateway.clone());
-    let table = CountedTable::new(table, gateway.metrics().table_calls.clone());
+    let table = CountedTable::new(backends.table, gateway.metrics().table_calls.clone());
     let shutdown = Shutdown::new();
 
     let front = TcpListener::bind(options.front).await?;
@@ -112,6 +125,11 @@
     tokio::spawn(follow(table.clone(), clock.clone(), wait, entry_follower));
     tokio::spawn(meter_places(gateway.clone(), clock.clone()));
     start_peers(&options, &gateway, &table, &clock).await?;
+    if let Some(cloud) = backends.cloud {
+        let (name, duties) = (options.name.to_string(), options.duties.clone());
+        let (gateway, table, clock) = (gateway.clone(), table.clone(), clock.clone());
+        tokio::spawn(DutyKeeper::new(gateway, table, clock, cloud, name, duties).run());
+    }
     let (zone, version) = (&*options.gateway.zone, env!("CARGO_PKG_VERSION"));
     emit(&Event::Started { zone, version });
 
--- a/crates/anvilhook-gateway/src/roles/leases.rs
+++ b/crates/anvilhook-gateway/src/leases.rs
@@ -1,4 +1,4 @@
-//! The right to give orders to engines, as one row of a table.
+//! The right to act for all instances in one matter, as one row of a table.
 
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
@@ -6,18 +6,19 @@
 use crate::events::{Event, emit};
 use crate::tables::{Table, TableError, Write, Written};
 
-/// The table and row of the lease.
+/// The table of the leases.
 const LEASE_TABLE: &str = "anvilhook_leases";
-const LEASE_ROW: &str = "roles";
 
 /// What is taken off a lease's length by its holder, and added to it by everybody else.
 const GUARD: Millis = Millis(600);
 
-/// `Lease` is this instance's right to give orders.
+/// `Lease` is this instance's right to act.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Lease {
-    /// The fencing token.
+pub(crate) struct Lease {
+    /// The fencing token: the version at which the lease was taken from another holder.
     pub token: u64,
+    /// The version of the row as it was renewed last.
+    version: u64,
     /// The end, counted from before the write was sent.
     pub until: Millis,
 }
@@ -25,14 +26,17 @@
 /// `LeaseKeeper` takes the lease and renews it.
 ///
 /// Orders of two instances must never mix. One row of the table is the lease; each taking of it
-/// has a higher version, which is the fencing token. The holder counts from before it sent the
+/// has a higher version, which is the fencing token for as long as nobody else takes it. The holder counts from before it sent the
 /// write, everybody else from when it first saw the row, and both keep a guard.
-pub(super) struct LeaseKeeper<T, C> {
+pub(crate) struct LeaseKeeper<T, C> {
     table: T,
     clock: C,
+    row: &'static str,
     holder: String,
     /// How long a lease is good for.
     length: Millis,
+    /// How much longer a lapsed lease is left alone.
+    late_calls: Millis,
     /// The version of the row that was seen last, and since when.
     seen: Option<(u64, Millis)>,
     lease: Option<Lease>,
@@ -40,9 +44,25 @@
 }
 
 impl<T: Table, C: Clock> LeaseKeeper<T, C> {
-    /// Makes a keeper that holds no lease.
-    pub fn new(table: T, clock: C, holder: String, length: Millis) -> Self {
-        Self { table, clock, holder, length, seen: None, lease: None, not_before: Millis::ZERO }
+    /// Makes a keeper of the lease in a row, which it doesn't hold.
+    pub fn new(table: T, clock: C, row: &'static str, holder: String, length: Millis) -> Self {
+        Self {
+            table,
+            clock,
+            row,
+            holder,
+            length,
+            late_calls: Millis::ZERO,
+            seen: None,
+            lease: None,
+            not_before: Millis::ZERO,
+        }
+    }
+
+    /// Leaves a lapsed lease alone for so much longer: for as long as a call of the earlier holder may
+    /// still be carried out, where its fencing token is not checked.
+    pub fn with_late_calls(self, late_calls: Millis) -> Self {
+        Self { late_calls, ..self }
     }
 
     /// Returns the name under which the lease is held.
@@ -58,19 +78,24 @@
 
     /// Returns the lease if it is held, or can be taken now.
     pub async fn hold(&mut self) -> Option<Lease> {
+        self.hold_for(GUARD).await
+    }
+
+    /// Returns the lease if it is held for so long from now, or can be taken.
+    pub async fn hold_for(&mut self, time: Millis) -> Option<Lease> {
         let now = self.clock.now();
         if now < self.not_before {
             return None;
         }
         if let Some(lease) = self.lease
-            && now + GUARD < lease.until
+            && now + time < lease.until
         {
             return Some(lease);
         }
         match self.take().await {
             Ok(lease) => self.lease = lease,
             Err(err) => {
-                emit(&Event::Lease { outcome: &err.to_string(), token: 0 });
+                emit(&Event::Lease { lease: self.row, outcome: &err.to_string(), token: 0 });
                 self.lease = None;
             }
         }
@@ -79,7 +104,7 @@
 
     async fn take(&mut self) -> Result<Option<Lease>, TableError> {
         let rows = self.table.scan(LEASE_TABLE).await?;
-        let row = rows.rows.iter().find(|row| row.key == LEASE_ROW);
+        let row = rows.rows.iter().find(|row| row.key == self.row);
         let version = row.map_or(0, |row| row.version);
         let now = self.clock.now();
         let seen_at = match self.seen {
@@ -89,20 +114,23 @@
                 now
             }
         };
-        let is_own = self.lease.is_some_and(|lease| lease.token == version);
-        let is_lapsed = version == 0 || now >= seen_at + self.length + GUARD;
-        if !is_own && !is_lapsed {
+        let own = self.lease.filter(|lease| lease.version == version);
+        let lapses_at = seen_at + self.length + GUARD + self.late_calls;
+        let is_lapsed = version == 0 || now >= lapses_at;
+        if own.is_none() && !is_lapsed {
             return Ok(None);
         }
         let sent_at = self.clock.now();
         let value = Bytes::from(self.holder.clone());
-        let write = Write { key: LEASE_ROW.to_owned(), expected: version, value };
+        let write = Write { key: self.row.to_owned(), expected: version, value };
         match self.table.write(LEASE_TABLE, write).await? {
-            Written::At(token) => {
-                emit(&Event::Lease { outcome: "taken", token });
+            Written::At(version) => {
+                let token = own.map_or(version, |lease| lease.token);
+                let outcome = if own.is_some() { "renewed" } else { "taken" };
+                emit(&Event::Lease { lease: self.row, outcome, token });
                 let until = sent_at + (self.length - GUARD);
-                self.seen = Some((token, sent_at));
-                Ok(Some(Lease { token, until }))
+                self.seen = Some((version, sent_at));
+                Ok(Some(Lease { token, version, until }))
             }
             Written::Conflict => Ok(None),
         }
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -9,14 +9,17 @@
 
 pub mod budgets;
 pub mod caches;
+pub mod clouds;
 pub mod configs;
 pub mod controls;
+pub mod duties;
 pub mod entries;
 pub mod events;
 pub mod fleets;
 pub mod followers;
 mod hashes;
 pub mod instances;
+mod leases;
 pub mod loads;
 pub mod metrics;
 pub mod peers;
@@ -30,4 +33,5 @@
 pub mod suspects;
 pub mod tables;
 mod texts;
+pub mod usage;
 pub mod wires;
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -10,6 +10,7 @@
 use super::notices::{Notice, own_findings, take_in_notices};
 use super::rows::RowsPiece;
 use super::suspects::{MAX_SUSPECTS, take_in_suspects};
+use super::usages::take_in_usage;
 use super::versions::FollowedTable;
 use super::watches::ToldWatch;
 use crate::hashes::hash_of;
@@ -18,6 +19,7 @@
 use crate::relay::Gateway;
 use crate::speeds::EngineWork;
 use crate::suspects::SuspectNews;
+use crate::usage::UsageNews;
 use crate::wires::Wire;
 
 /// `EngineLoad` is what an instance has in flight at an engine.
@@ -126,6 +128,8 @@
     pub watches: [ToldWatch; FollowedTable::ALL.len()],
     /// A part of changed rows of such a table.
     pub rows: Option<RowsPiece>,
+    /// The usage of client accounts.
+    pub usage: Option<UsageNews>,
     /// A table of which the sender asks for what has changed since a version.
     pub asks: Option<(FollowedTable, u64)>,
 }
@@ -208,6 +212,7 @@
     take_in_notices(digest, gateway, now);
     take_in_suspects(digest, gateway, now);
     take_in_work(digest, gateway, now);
+    take_in_usage(digest, gateway, now);
     take_in_cached(digest, gateway);
 }
 
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -89,7 +89,7 @@
     }
 
     /// Returns the short form of this instance's availability zone.
-    pub(super) fn zone(&self) -> u32 {
+    pub(crate) fn zone(&self) -> u32 {
         self.zone
     }
 
@@ -144,9 +144,8 @@
         &self,
         zone_peers: impl Iterator<Item = (SocketAddr, &'k Peer)>,
     ) -> Option<SocketAddr> {
-        let rank = |number: u64| rank_of(number, hash_of(&number));
-        let best = zone_peers.map(|(address, peer)| (rank(peer.number), address)).max();
-        let best = best.filter(|(best, _)| *best > rank(self.number()));
+        let best = zone_peers.map(|(address, peer)| (teller_rank(peer.number), address)).max();
+        let best = best.filter(|(best, _)| *best > teller_rank(self.number()));
         best.map(|(_, address)| address)
     }
 
@@ -341,6 +340,34 @@
         heard.all(|(zone, _)| self.zone < *zone) && self.zone_teller(now).is_none()
     }
 
+    /// Returns the addresses of the `count` instances of the availability zone that tell for it, or would
+    /// next, without this one.
+    pub(super) fn tellers(&self, count: usize, now: Millis) -> Vec<SocketAddr> {
+        let known = self.known.lock().expect("no panic under this lock");
+        let heard = self.zone_peers_heard(&known, now);
+        let mut ranked: Vec<_> =
+            heard.map(|(address, peer)| (teller_rank(peer.number), address)).collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
+    /// Returns this instance's rank among those that act for all, from 0; `None` if it is none of them.
+    /// Among few it is the place of its number, and among many each availability zone has one.
+    pub fn duty_rank(&self, now: Millis) -> Option<usize> {
+        if self.are_few() {
+            let known = self.known.lock().expect("no panic under this lock");
+            let heard = known.values().filter_map(|known| known.peer.as_ref());
+            let running = heard.filter(|peer| peer.heard_at + PEER_AGE > now);
+            return Some(running.filter(|peer| peer.number < self.number()).count());
+        }
+        if self.zone_teller(now).is_some() {
+            return None;
+        }
+        let zones = self.zones.lock().expect("no panic under this lock");
+        let heard = zones.iter().filter(|(_, at)| **at + PEER_AGE > now);
+        Some(heard.filter(|(zone, _)| **zone < self.zone).count())
+    }
+
     /// Returns whether this instance is to tell a new one what it knows: the least among few, and among
     /// many the one that tells for its availability zone, with the new one left out.
     pub(super) fn introduces(&self, new: SocketAddr, now: Millis) -> bool {
@@ -362,6 +389,11 @@
     }
 }
 
+/// Returns the rank of the instance with a number among those that could tell for their zone.
+fn teller_rank(number: u64) -> u64 {
+    rank_of(number, hash_of(&number))
+}
+
 /// Returns the rank of the instance with a number among those that could follow a table.
 fn rank_in(number: u64, table: FollowedTable) -> u64 {
     rank_of(number, hash_of(&(number, table)))
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -15,6 +15,7 @@
 mod seeding;
 mod suspects;
 mod telling;
+mod usages;
 mod versions;
 mod watches;
 mod zones;
@@ -34,6 +35,7 @@
 use seeding::tell_caches;
 use suspects::{StandingTeller, tell_suspects};
 use telling::{Teller, tell_missed};
+use usages::{UsageTeller, take_in_usage};
 use zones::ZoneLink;
 
 pub use changes::ToldLoads;
@@ -74,6 +76,7 @@
         teller: Teller::new(rng.clone()),
         zones: ZoneLink::new(rng, own),
         standing: StandingTeller::default(),
+        usage: UsageTeller::default(),
         assembler: Assembler::default(),
     };
     loop {
@@ -83,6 +86,7 @@
                 link.standing.tick(&socket, &gateway, now);
                 link.tell(&socket, &gateway, now);
                 link.zones.tick(&socket, &gateway, now);
+                link.usage.tick(&socket, &gateway, now);
             }
             () = peers.announced() => link.tell(&socket, &gateway, clock.now()),
             received = socket.recv_from(&mut buf) => {
@@ -102,6 +106,7 @@
     teller: Teller,
     zones: ZoneLink,
     standing: StandingTeller,
+    usage: UsageTeller,
     assembler: Assembler,
 }
 
@@ -131,6 +136,7 @@
             // Another zone may have lost its way to a table that this one still reaches.
             digest.watches.iter_mut().for_each(|watch| watch.away_ms = None);
             peers.take_in_watches(&digest, teller, now);
+            take_in_usage(&digest, gateway, now);
             self.zones.hear(&digest, teller, from, socket, gateway, now);
             return;
         }
--- a/crates/anvilhook-gateway/src/peers/sections.rs
+++ b/crates/anvilhook-gateway/src/peers/sections.rs
@@ -16,7 +16,7 @@
 pub struct SectionLabels {
     /// Whose news it is: `instance`, `zone` or `far`.
     pub scope: &'static str,
-    /// `loads`, `cached`, `notices`, `suspects`, `work` or `rows`; `rest` is who sends, and the watches.
+    /// `loads`, `cached`, `notices`, `suspects`, `work`, `rows` or `usage`; `rest` is who sends, and the watches.
     pub section: &'static str,
 }
 
@@ -56,6 +56,7 @@
             ("suspects", encoded_len(&digest.suspects)),
             ("work", encoded_len(&digest.work)),
             ("rows", encoded_len(&digest.rows)),
+            ("usage", encoded_len(&digest.usage)),
         ];
         let named: usize = sections.iter().map(|(_, len)| len).sum();
         for (section, len) in sections.into_iter().chain([("rest", len.saturating_sub(named))]) {
@@ -67,8 +68,8 @@
     /// Returns the bytes so far, by scope and section.
     pub fn totals(&self) -> BTreeMap<&'static str, BTreeMap<&'static str, u64>> {
         const SCOPES: [&str; 3] = ["instance", "zone", "far"];
-        const SECTIONS: [&str; 7] =
-            ["loads", "cached", "notices", "suspects", "work", "rows", "rest"];
+        const SECTIONS: [&str; 8] =
+            ["loads", "cached", "notices", "suspects", "work", "rows", "usage", "rest"];
         let total = |scope, section| {
             self.bytes.get(&SectionLabels { scope, section }).map_or(0, |count| count.get())
         };
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -18,6 +18,7 @@
 use super::notices::Notice;
 use super::suspects::MAX_SUSPECTS;
 use super::telling::{send, some_of};
+use super::usages::zone_usage;
 use crate::relay::Gateway;
 use crate::suspects::SuspectNews;
 use crate::wires::Wire;
@@ -30,6 +31,9 @@
 /// zone must be known to run.
 const MAX_SILENT_TELLINGS: u32 = 4;
 
+/// After how many tellings zones are told of usage.
+const USAGE_TELLINGS: u32 = 5;
+
 /// How long a notice is told on, so that one lost datagram does not lose it.
 const NOTICE_AGE: Millis = Millis(300);
 
@@ -185,6 +189,9 @@
         self.ticks += 1;
         if self.ticks.is_multiple_of(ZONE_TICKS) {
             self.tell_zones(socket, gateway, now);
+            if self.ticks.is_multiple_of(ZONE_TICKS * USAGE_TELLINGS) {
+                self.tell_usage(socket, gateway, now);
+            }
             self.tell_own_zone(socket, gateway, now);
         }
     }
@@ -206,17 +213,38 @@
         }
         self.silent = 0;
         for zone in peers.far_zones() {
-            let teller = self.far.get(&zone).filter(|far| far.heard_at + TELLER_AGE > now);
-            let addresses = match teller {
-                Some(far) => vec![far.teller],
-                None => some_of(peers.instances_of(zone), GUESSED_TELLERS, &mut self.rng),
-            };
+            let addresses = self.tellers_of(zone, peers, now);
             for digest in cached.iter().chain([&digest]) {
                 send(digest, &addresses, socket, gateway);
             }
         }
     }
 
+    /// Tells other zones how many requests of client accounts this one has counted.
+    fn tell_usage<W: Wire, C: Clock>(
+        &mut self,
+        socket: &UdpSocket,
+        gateway: &Gateway<W, C>,
+        now: Millis,
+    ) {
+        let peers = gateway.peers();
+        let digests = zone_usage(gateway, Scope::Zone(self.own), now);
+        for zone in peers.far_zones() {
+            let addresses = self.tellers_of(zone, peers, now);
+            for digest in &digests {
+                send(digest, &addresses, socket, gateway);
+            }
+        }
+    }
+
+    /// Returns the address of the instance that tells for a zone, or of some that may.
+    fn tellers_of(&mut self, zone: u32, peers: &Peers, now: Millis) -> Vec<SocketAddr> {
+        match self.far.get(&zone).filter(|far| far.heard_at + TELLER_AGE > now) {
+            Some(far) => vec![far.teller],
+            None => some_of(peers.instances_of(zone), GUESSED_TELLERS, &mut self.rng),
+        }
+    }
+
     fn tell_own_zone<W: Wire, C: Clock>(
         &mut self,
         socket: &UdpSocket,
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -187,6 +187,9 @@
         let took = self.now() - started_at;
         exchange.tried.push(format!("{}({}ms)", upstream.entry.id, took.0));
         exchange.end_run(could_have_run, &result);
+        if result.is_ok() {
+            self.count_usage(exchange, self.now());
+        }
         if let Err(failed) = &result {
             self.note_ending(exchange, upstream, failed);
             self.take_back(&exchange.service, &mut exchange.was_sent, arrival, failed);
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -22,6 +22,7 @@
 use anvilhook_core::orders::Role;
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis};
+use anvilhook_core::usage::Source;
 use anvilhook_http::HttpClient;
 use arc_swap::ArcSwapOption;
 use http::StatusCode;
@@ -38,6 +39,7 @@
 use crate::prompts::Part;
 use crate::speeds::Speeds;
 use crate::suspects::Suspects;
+use crate::usage::Usage;
 use crate::wires::Wire;
 
 use answers::{Outcome, OwnAnswer};
@@ -64,6 +66,8 @@
     pub budget: BudgetOptions,
     /// What engines are expected to need to read prompts, until it is learnt.
     pub expected_reading: ReadingCost,
+    /// The length of the windows by which the usage of client accounts is reported, if it is.
+    pub usage_window: Option<Millis>,
 }
 
 /// `Gateway` serves requests. Clones share all state.
@@ -93,6 +97,7 @@
     metrics: GatewayMetrics,
     peers: Arc<Peers>,
     suspects: Arc<Suspects>,
+    usage: Usage,
     /// Engines that have read a prompt since the peers were told last.
     cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
 }
@@ -134,6 +139,7 @@
 impl<W: Wire, C: Clock> Gateway<W, C> {
     /// Makes a gateway that knows no configuration and no upstreams.
     pub fn new(wire: W, clock: C, client: HttpClient, options: GatewayOptions) -> Self {
+        let usage = Usage::new(options.usage_window, clock.now());
         let inner = Inner {
             wire,
             clock,
@@ -146,6 +152,7 @@
             fleet: Fleet::new(),
             caches: CacheBeliefs::new(),
             suspects: Arc::default(),
+            usage,
             in_flight: AtomicU64::new(0),
             stopping: Stopping::new(),
             has_fleet: AtomicBool::new(false),
@@ -209,6 +216,9 @@
             return;
         }
         let version = config.version;
+        if let Some(accounts) = config.accounts() {
+            self.usage().learn_names(accounts.names());
+        }
         self.inner.config.store(Some(Arc::new(config)));
         emit(&Event::ConfigAdopted { version, before });
     }
@@ -272,6 +282,20 @@
         &self.inner.suspects
     }
 
+    /// Returns the usage of client accounts.
+    pub fn usage(&self) -> &Usage {
+        &self.inner.usage
+    }
+
+    /// Counts a request that has begun to run, once.
+    fn count_usage(&self, exchange: &mut Exchange, began_at: Millis) {
+        let Some(account) = &exchange.access.account else { return };
+        if !std::mem::replace(&mut exchange.is_counted, true) {
+            let (zone, number) = (self.peers().zone(), self.peers().number());
+            self.usage().count(Source::Instance { zone, number }, account, began_at);
+        }
+    }
+
     /// Lifts a quarantine, here and at the other instances. Returns whether anything spoke against the
     /// request.
     pub fn lift(&self, request: Fingerprint) -> bool {
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -104,6 +104,7 @@
             Connection::Pooled
         };
         exchange.tried.push(upstream.entry.id.to_string());
+        let started_at = self.now();
         let could_have_run = exchange.begin_run();
         let sending = Sending {
             upstream,
@@ -130,6 +131,9 @@
             Err(failed) => Err(failed),
         };
         exchange.end_run(could_have_run, &result);
+        if exchange.may_have_run {
+            self.count_usage(exchange, started_at);
+        }
         drop(held);
         match &result {
             Ok(answer) if answer.status.is_success() => self.note_well(exchange),
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -67,6 +67,8 @@
     pub has_read: bool,
     /// Whether an attempt was sent before.
     pub was_sent: bool,
+    /// Whether it was counted as one that has begun to run.
+    pub is_counted: bool,
     /// Its trial, if it is suspected of ending engines.
     pub trial: Option<Trial>,
 }
@@ -130,6 +132,7 @@
             may_have_run: false,
             has_read: false,
             was_sent: false,
+            is_counted: false,
             trial: None,
         })
     }
--- a/crates/anvilhook-gateway/src/roles/mod.rs
+++ b/crates/anvilhook-gateway/src/roles/mod.rs
@@ -1,6 +1,5 @@
 //! Keeping the split of a service's engines between reading prompts and generating output.
 
-mod leases;
 mod orders;
 
 use std::collections::HashMap;
@@ -15,15 +14,18 @@
 use crate::configs::Config;
 use crate::events::{Event, emit};
 use crate::fleets::Upstream;
+use crate::leases::{Lease, LeaseKeeper};
 use crate::loads::RoleChange;
 use crate::metrics::NameLabel;
 use crate::relay::Gateway;
 use crate::tables::Table;
 use crate::wires::{OrderAnswer, Wire};
 
-use leases::{Lease, LeaseKeeper};
 use orders::{Change, OrderOutcome, await_role, give_order};
 
+/// The row of the lease.
+const LEASE_ROW: &str = "roles";
+
 /// The pause between two looks at the split.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
@@ -80,7 +82,7 @@
     ) -> Self {
         Self {
             gateway,
-            lease: LeaseKeeper::new(table, clock.clone(), holder, options.lease),
+            lease: LeaseKeeper::new(table, clock.clone(), LEASE_ROW, holder, options.lease),
             clock,
             options,
             uneven_since: None,
--- a/crates/anvilhook-gateway/src/roles/orders.rs
+++ b/crates/anvilhook-gateway/src/roles/orders.rs
@@ -7,9 +7,9 @@
 use anvilhook_core::units::{Clock, Millis};
 use http::StatusCode;
 
-use super::leases::Lease;
 use crate::events::{Event, emit};
 use crate::fleets::Upstream;
+use crate::leases::Lease;
 use crate::loads::RoleObservation;
 use crate::relay::Gateway;
 use crate::wires::{EngineReport, OrderAnswer, RoleOrder, Wire};
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -527,6 +527,7 @@
         suspects: Vec::new(),
         work: vec![ToldWork { service: 7, reading_ms: 70_000, generating_ms: 9_000 }],
         zone: u32::MAX,
+        usage: None,
         watches: [ToldWatch { newest: 700, is_unable: true, away_ms: Some(2_000) }; 2],
         rows: None,
         asks: Some((FollowedTable::Entries, 700)),
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -77,8 +77,12 @@
     budget: BudgetOptions,
 ) -> Gateway<TestWire, C> {
     let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
-    let options =
-        GatewayOptions { zone: Arc::from(zone), budget, expected_reading: EXPECTED_READING };
+    let options = GatewayOptions {
+        zone: Arc::from(zone),
+        budget,
+        expected_reading: EXPECTED_READING,
+        usage_window: Some(Millis(5_000)),
+    };
     let gateway = Gateway::new(TestWire::new(), clock, client, options);
     if let Some(config) = config {
         gateway.adopt_config(config);
--- a/crates/anvilhook-gateway/tests/support/mod.rs
+++ b/crates/anvilhook-gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 pub mod clocks;
+pub mod clouds;
 pub mod fronts;
 pub mod tables;
 pub mod upstreams;
