Try suspects in turns that ran at all the same ends of a service's upstreams

Both had run at the same three ends of a service's only two upstreams, so both were quarantined.

Cause: suspects are tried where the least runs, each by a rank of its own; with two upstreams, or with the one that is left while the other starts again, they meet there at each end.

Now suspects that share all ends, two at least, have turns at each upstream: 4 s each by the time that the instances agree on, of which the first half may begin a run, and none begins beside another one at the same instance. Whoever is not in turn is refused as not run.

--- a/crates/anvilhook-core/src/quarantine.rs
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -7,11 +7,17 @@
 use std::collections::{HashMap, VecDeque};
 
 use crate::fingerprints::Fingerprint;
-use crate::units::Millis;
+use crate::units::{Millis, WallTime};
 
 /// The most ends that are held of one request.
 const MAX_ENDS: usize = 8;
 
+/// The ends from which on suspects that share them are tried apart.
+const TRIED_APART_ENDS: usize = 2;
+
+/// How long a suspect's turn at an upstream is.
+const TRIAL_TURN: Millis = Millis(4_000);
+
 /// The most engines that are remembered to have ended.
 const MAX_ENDED: usize = 256;
 
@@ -110,6 +116,42 @@
     }
 }
 
+/// `TrialPlace` is where a suspect is tried among others that ran at the same engines as they ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TrialPlace {
+    index: usize,
+    count: usize,
+}
+
+impl TrialPlace {
+    /// Returns whether it may be tried at an upstream now. `upstream` is a number that all instances have for
+    /// the upstream, and `time` one that they agree on.
+    ///
+    /// ```
+    /// use anvilhook_core::fingerprints::Fingerprint;
+    /// use anvilhook_core::quarantine::{End, QuarantineBook, QuarantineOptions};
+    /// use anvilhook_core::units::{Millis, WallTime};
+    ///
+    /// let mut book = QuarantineBook::new(QuarantineOptions::default());
+    /// for (engine, request) in [(1, 7), (1, 8), (2, 7), (2, 8)] {
+    ///     book.record_end(Fingerprint(request), End { engine, at: Millis(0) }, Millis(0));
+    /// }
+    /// let allowed = |request, time| {
+    ///     let place = book.trial_place(Fingerprint(request), Millis(0)).unwrap();
+    ///     [0, 1].map(|upstream| place.allows(upstream, WallTime(time)))
+    /// };
+    /// assert_eq!((allowed(7, 0), allowed(8, 0)), ([true, false], [false, true]));
+    /// assert_eq!(allowed(7, 3_000), [false, false]);
+    /// assert_eq!((allowed(7, 4_000), allowed(8, 4_000)), ([false, true], [true, false]));
+    /// ```
+    pub fn allows(&self, upstream: u64, time: WallTime) -> bool {
+        let turn = upstream.wrapping_add(time.0 / TRIAL_TURN.0);
+        // What begins late in its turn would still run in the next one's.
+        let is_early = time.0 % TRIAL_TURN.0 < TRIAL_TURN.0 / 2;
+        is_early && turn % self.count as u64 == self.index as u64
+    }
+}
+
 /// `Weighed` is what became of an end that was noted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Weighed {
@@ -145,6 +187,35 @@
         }
     }
 
+    /// Returns where a suspect is to be tried that the next ends would quarantine beside others: those that
+    /// ran at all the engines which ended under it. `None` if it may be tried anywhere.
+    ///
+    /// Of a service with two upstreams both go each time, and whatever was tried beside the cause meets as
+    /// many ends. All instances that know the same ends keep such suspects apart alike: each has its turn at
+    /// each upstream, also if only one is left.
+    pub fn trial_place(&self, request: Fingerprint, now: Millis) -> Option<TrialPlace> {
+        let rivals = self.rivals(request, now);
+        let index = rivals.iter().position(|rival| *rival == request)?;
+        (rivals.len() > 1).then_some(TrialPlace { index, count: rivals.len() })
+    }
+
+    /// Returns the suspects that ran at all the engines which ended under one of them, itself included, in
+    /// an order that all instances have; none if few have.
+    pub fn rivals(&self, request: Fingerprint, now: Millis) -> Vec<Fingerprint> {
+        let own = self.ends(request, now);
+        if own.len() < TRIED_APART_ENDS {
+            return Vec::new();
+        }
+        let ran_there =
+            |ends: &[End]| own.iter().all(|own| ends.iter().any(|end| end.engine == own.engine));
+        let is_open = |rival| self.standing(rival, now) != Standing::Quarantined;
+        let rivals = self.suspects(now).filter(|(_, ends)| ran_there(ends));
+        let mut rivals: Vec<_> =
+            rivals.map(|(rival, _)| rival).filter(|one| is_open(*one)).collect();
+        rivals.sort_unstable();
+        rivals
+    }
+
     /// Returns how many engines must have ended under a request to quarantine it.
     ///
     /// Where engines end without a request about as they do under it, it may only have been near. All that
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -73,7 +73,7 @@
             }
             (Standing::Suspected(_), left) => {
                 if exchange.trial.is_none() {
-                    exchange.trial = self.suspects().begin_trial(request);
+                    exchange.trial = self.suspects().begin_trial(request, now);
                 }
                 let may_try = exchange.trial.is_some() && left > 0;
                 (!may_try).then(|| self.given_up(exchange, "on_trial", TRIAL_PAUSE))
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -14,6 +14,7 @@
 use super::waiting::Wait;
 use crate::configs::Repeats;
 use crate::fleets::Upstream;
+use crate::hashes::hash_of;
 use crate::loads::Held;
 use crate::placements::suspect_rank;
 use crate::wires::Wire;
@@ -152,10 +153,15 @@
     ) -> Option<Arc<Upstream>> {
         let now = self.now();
         let view = self.fleet().view();
-        let able = view
-            .of_service(&exchange.service)
-            .iter()
-            .filter(|upstream| upstream.takes_work(now) && !avoid.contains(&upstream.entry.id));
+        let place =
+            exchange.suspect().and_then(|suspect| self.suspects().trial_place(suspect, now));
+        let time = self.usage().time(now);
+        let is_allowed = |upstream: &Upstream| {
+            place.is_none_or(|place| place.allows(hash_of(&*upstream.entry.id), time))
+        };
+        let able = view.of_service(&exchange.service).iter().filter(|upstream| {
+            upstream.takes_work(now) && !avoid.contains(&upstream.entry.id) && is_allowed(upstream)
+        });
         let able: Vec<_> = able.collect();
         let well = able.iter().filter(|upstream| upstream.state.is_well(now));
         let well: Vec<_> = well.copied().collect();
--- a/crates/anvilhook-gateway/src/suspects.rs
+++ b/crates/anvilhook-gateway/src/suspects.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use anvilhook_core::fingerprints::Fingerprint;
-use anvilhook_core::quarantine::{End, QuarantineBook, QuarantineOptions, Standing, Weighed};
+use anvilhook_core::quarantine::{
+    End, QuarantineBook, QuarantineOptions, Standing, TrialPlace, Weighed,
+};
 use anvilhook_core::units::Millis;
 use serde::{Deserialize, Serialize};
 
@@ -172,6 +174,11 @@
         }
     }
 
+    /// Returns where a suspect is to be tried, if it is to be tried apart from others.
+    pub(crate) fn trial_place(&self, request: Fingerprint, now: Millis) -> Option<TrialPlace> {
+        lock(&self.book).trial_place(request, now)
+    }
+
     /// Returns the ends that speak against a request.
     pub fn ends(&self, request: Fingerprint, now: Millis) -> Vec<End> {
         lock(&self.book).ends(request, now).to_vec()
@@ -184,10 +191,18 @@
         suspects.map(|(one, ends)| (one, book.standing(one, now), ends.to_vec())).collect()
     }
 
-    /// Begins a suspect's run; `None` if one is under way.
-    pub(crate) fn begin_trial(self: &Arc<Self>, request: Fingerprint) -> Option<Trial> {
-        let is_first = lock(&self.trials).insert(request);
-        is_first.then(|| Trial { suspects: Arc::clone(self), request })
+    /// Begins a suspect's run; `None` if one is under way, of it or of one that shared all its ends.
+    pub(crate) fn begin_trial(
+        self: &Arc<Self>,
+        request: Fingerprint,
+        now: Millis,
+    ) -> Option<Trial> {
+        let rivals = lock(&self.book).rivals(request, now);
+        let mut trials = lock(&self.trials);
+        if rivals.iter().any(|rival| trials.contains(rival)) || !trials.insert(request) {
+            return None;
+        }
+        Some(Trial { suspects: Arc::clone(self), request })
     }
 
     /// Notes that a run broke off at an engine. Returns whether the engine is not looked at yet.
--- a/crates/anvilhook-gateway/tests/suspects.rs
+++ b/crates/anvilhook-gateway/tests/suspects.rs
@@ -8,12 +8,12 @@
 
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::{Millis, SystemClock};
+use anvilhook_core::units::{ManualClock, Millis, SystemClock};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::controls;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::peers::{Digest, exchange};
-use anvilhook_gateway::suspects::{Fate, SuspectNews};
+use anvilhook_gateway::suspects::{Break, Fate, SuspectNews};
 use http::Method;
 use http_body_util::BodyExt;
 use rand::SeedableRng;
@@ -137,6 +137,41 @@
     assert_eq!(front.post("r9", "", "harmless").await.status, 200);
 }
 
+/// Upstreams of a service end twice under two requests that were tried there together, and the harmless one
+/// meets a third end beside the other, at the only upstream that is left.
+#[tokio::test]
+async fn verify_suspects_that_shared_all_ends_are_tried_in_turns() {
+    let upstream = Upstream::always(vec![signed("500 Error", "why")]).await;
+    let config = unhurried(&config(Repeats::AtMostOnce, 2, false));
+    let entries = vec![entry("u0", upstream.address.port())];
+    let clock = ManualClock::new();
+    let front = start_by(clock.clone(), Some(config), entries, ample_budget()).await;
+    let (suspects, bodies) = (front.gateway.suspects(), ["one", "other"]);
+    for engine in [901, 902] {
+        for body in bodies {
+            suspects.note_break(engine, fingerprint(body), Break::Broken);
+        }
+        suspects.confirm_end(engine, Millis::ZERO);
+    }
+
+    let mut turns = Vec::new();
+    for turn in 0..4 {
+        let asked = bodies.map(|body| (body, format!("{body}{turn}")));
+        let mut sent_on = Vec::new();
+        for (body, id) in &asked {
+            if front.post(id, "", body).await.status == 500 {
+                sent_on.push(*body);
+            }
+        }
+        turns.push(sent_on);
+        clock.advance(Millis(2_000));
+    }
+
+    turns.sort();
+    let nobody: Vec<&str> = Vec::new();
+    assert_eq!(turns, [nobody.clone(), nobody, vec!["one"], vec!["other"]]);
+}
+
 /// A request that ran beside is refused for ever, though it does no harm.
 #[tokio::test]
 async fn verify_a_run_that_ends_well_clears_what_ran_beside() {
