Read all pages of a table's changes, and tell of hundreds of changed rows

An instance that does not follow the table itself asked once for what it had heard of, noted the version told as asked for, and waited until another change was told. edge-marousi-10 had versions 802, 1302, 1802, 2302 at -11.6, -10.4, -9.2, -8.0 s, one page each 1.2 s, then stood 700 rows behind until 0.5 s, and had version 3302 only at 2.3 s; the leaving of 1.2 s came to it at 7.7 s. Of 300 instances 25 knew of it before 6.5 s. What was ruled out: the way from the reader (its row stood at the readers of two zones 0.03 s after) and rows that are too large by themselves.

Now the store's client reads on while an answer is a page, what is asked for counts up to the version that came, and changed rows of up to 120 kB are told in spans that follow on each other (38 kB in one before; more than that had each instance of the zone ask the store).

--- a/crates/anvilhook-gateway/src/followers/following.rs
+++ b/crates/anvilhook-gateway/src/followers/following.rs
@@ -145,7 +145,8 @@
         self.called_at = self.clock.now();
         let told = self.watch().version().told();
         let rows = self.table.changes(self.follower.table(), self.known(), NO_WAIT).await?;
-        self.watch().version().record_asked(told);
+        // What lies behind the rows that came is still to be asked for.
+        self.watch().version().record_asked(told.min(rows.version));
         Ok(Read::Changes(rows))
     }
 
--- a/crates/anvilhook-gateway/src/peers/rows.rs
+++ b/crates/anvilhook-gateway/src/peers/rows.rs
@@ -16,9 +16,16 @@
 /// The most bytes of rows in one datagram; with its head it stays below what a link takes in one piece.
 const PIECE_BYTES: usize = 1_200;
 
-/// The most pieces of one span. What is larger is not told: to send it to each of many instances
-/// would hold up the requests on a slow link, and each can read it from the table.
+/// The most pieces of one span, and the bytes of rows that surely fit into them.
 const MAX_PIECES: usize = 32;
+const SPAN_BYTES: usize = 30_000;
+
+/// The most spans that some rows are told in. What is larger is not told: to send it to each of many
+/// instances would hold up the requests on a slow link, and each can read it from the table.
+const MAX_SPANS: usize = 4;
+
+/// The bytes that a row takes beside its key and its value, at most.
+const ROW_BYTES: usize = 16;
 
 /// `ToldRows` is a part of a table's history.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,6 +41,30 @@
     pub fn newest(&self) -> u64 {
         self.rows.iter().map(|row| row.version).max().unwrap_or_default()
     }
+
+    /// Returns the rows in spans that follow on each other, each small enough to be told by itself.
+    ///
+    /// Hundreds of engines that change at once are more than one span takes. Told of none of them, all
+    /// instances of an availability zone would ask the table, and hear late of an upstream that leaves.
+    fn spans(&self) -> Vec<ToldRows> {
+        let mut spans = Vec::new();
+        let (mut after, mut rows, mut bytes) = (self.span.after, Vec::new(), 0);
+        for row in &self.rows {
+            let size =
+                row.key.len() + row.value.as_ref().map_or(0, |value| value.len()) + ROW_BYTES;
+            let last = rows.last().map_or(after, |last: &Row| last.version);
+            // Rows of one transaction stay together: whoever knows one of them counts as knowing all.
+            if bytes + size > SPAN_BYTES && last > after && row.version > last {
+                let span = Span { after, to: last };
+                spans.push(ToldRows { span, rows: std::mem::take(&mut rows) });
+                (after, bytes) = (last, 0);
+            }
+            rows.push(row.clone());
+            bytes += size;
+        }
+        spans.push(ToldRows { span: Span { after, to: self.span.to }, rows });
+        spans
+    }
 }
 
 /// `RowsPiece` is a part of the bytes of some [`ToldRows`].
@@ -58,12 +89,22 @@
 
 /// Returns the pieces that tell of rows; none if they are too large to be told.
 pub fn pieces_of(table: FollowedTable, told: &ToldRows) -> Vec<RowsPiece> {
+    let spans = told.spans();
+    if spans.len() > MAX_SPANS {
+        return Vec::new();
+    }
+    let pieces: Option<Vec<_>> = spans.iter().map(|span| span_pieces(table, span)).collect();
+    pieces.unwrap_or_default().into_iter().flatten().collect()
+}
+
+/// Returns the pieces of one span; `None` if they are too many.
+fn span_pieces(table: FollowedTable, told: &ToldRows) -> Option<Vec<RowsPiece>> {
     let rows = told.rows.iter().map(|row| (row.key.as_str(), row.value.as_deref(), row.version));
     let rows: Vec<EncodedRow<'_>> = rows.collect();
-    let Ok(bytes) = postcard::to_stdvec(&rows) else { return Vec::new() };
+    let bytes = postcard::to_stdvec(&rows).ok()?;
     let chunks: Vec<_> = bytes.chunks(PIECE_BYTES).collect();
     if chunks.len() > MAX_PIECES {
-        return Vec::new();
+        return None;
     }
     let Span { after, to } = told.span;
     let count = chunks.len() as u16;
@@ -75,7 +116,7 @@
         count,
         bytes: bytes.to_vec(),
     };
-    chunks.iter().enumerate().map(piece).collect()
+    Some(chunks.iter().enumerate().map(piece).collect())
 }
 
 /// `Assembler` puts pieces together. Of each sender only the newest span of a table is kept, so that
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -7,20 +7,22 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::Millis;
+use anvilhook_core::units::{Millis, WallTime};
+use anvilhook_core::usage::{AccountCode, WindowCounts};
 use anvilhook_core::watches::Span;
 use anvilhook_gateway::budgets::{Budget, BudgetOptions};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::{Held, RoleObservation};
 use anvilhook_gateway::peers::{
-    CachedPrompt, Digest, EngineLoad, FollowedTable, Notice, NoticeKind, Peers, Scope, ToldRows,
-    ToldWork, exchange, pieces_of, register, seed_caches,
+    Assembler, CachedPrompt, Digest, EngineLoad, FollowedTable, Notice, NoticeKind, Peers, Scope,
+    ToldRows, ToldWork, exchange, pieces_of, register, seed_caches,
 };
 use anvilhook_gateway::prompts::{Part, Prompt};
 use anvilhook_gateway::relay::Gateway;
 use anvilhook_gateway::speeds::EngineWork;
 use anvilhook_gateway::tables::Row;
+use anvilhook_gateway::usage::UsageNews;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::clocks::TimerClock;
@@ -398,6 +400,9 @@
     let notice = Notice { engine, kind: NoticeKind::Away { left_ms: 300 } };
     let work = ToldWork { service: 9, reading_ms: 70, generating_ms: 90 };
     let row = Row { key: "a".to_owned(), value: Some("ready 1".into()), version: 5 };
+    let counts = vec![(AccountCode(7), 40)];
+    let windows = vec![WindowCounts { window: 350_000_000, counts }];
+    let usage = UsageNews { time: WallTime(1_790_000_000_000), reported: 349_999_999, windows };
     let span = Span { after: 4, to: 5 };
     let rows = pieces_of(FollowedTable::Entries, &ToldRows { span, rows: vec![row] });
     let digests = [
@@ -408,6 +413,7 @@
         Digest { from: 9, asks: Some((FollowedTable::Config, 0)), ..Digest::default() },
         Digest { scope: Scope::Zone(([127, 0, 0, 1], 9).into()), zone: 5, ..Digest::default() },
         Digest { scope: Scope::Far, ..Digest::default() },
+        Digest { usage: Some(usage), is_partial: true, ..Digest::default() },
     ];
     digests.iter().map(|digest| postcard::to_stdvec(digest).expect("it can be written")).collect()
 }
@@ -453,3 +459,34 @@
     };
     until(fades).await;
 }
+
+/// Hundreds of engines change at once, and no instance of the zone is told: each asks the table, and hears late
+/// of an upstream that leaves.
+#[test]
+fn verify_rows_of_hundreds_of_engines_are_told_in_spans_that_follow() {
+    let row = |at: u64| Row {
+        key: format!("engine-{at}"),
+        value: Some("x".repeat(330).into()),
+        // Two rows of each transaction.
+        version: 100 + at / 2,
+    };
+    let told = ToldRows { span: Span { after: 99, to: 400 }, rows: (0..300).map(row).collect() };
+
+    let pieces = pieces_of(FollowedTable::Entries, &told);
+
+    let (mut assembler, from) = (Assembler::default(), ([127, 0, 0, 1], 1).into());
+    let spans: Vec<_> = pieces.into_iter().filter_map(|one| assembler.take(from, one)).collect();
+    assert!(spans.len() > 1);
+    let mut known = 99;
+    let mut heard = Vec::new();
+    for span in &spans {
+        assert_eq!(span.span.after, known, "a gap would have the table asked");
+        assert!(span.rows.iter().all(|row| row.version > known));
+        known = span.span.to;
+        heard.extend(span.rows.clone());
+    }
+    assert_eq!((known, &heard), (400, &told.rows));
+
+    let many = ToldRows { rows: (0..5_000).map(row).collect(), ..told };
+    assert!(pieces_of(FollowedTable::Entries, &many).is_empty(), "as many would fill the links");
+}
