Tell on that there is a change in a table, also before it is read

Cause: only the instance that links a zone with others heard from there that there was a newer change. What it told its own zone was the newest that it had read itself.

Now it tells the newest that it knows of. What nobody can read is asked for once, as before.

Ruled out: the spans of rows (they are small there), the engines' own word (no answer of that engine lay between).

--- a/crates/anvilhook-gateway/src/followers/following.rs
+++ b/crates/anvilhook-gateway/src/followers/following.rs
@@ -145,8 +145,9 @@
         self.called_at = self.clock.now();
         let told = self.watch().version().told();
         let rows = self.table.changes(self.follower.table(), self.known(), NO_WAIT).await?;
-        // What lies behind the rows that came is still to be asked for.
-        self.watch().version().record_asked(told.min(rows.version));
+        // What lies behind the rows that came is still to be asked for, but not what nobody can read.
+        let asked = if rows.rows.is_empty() { told } else { told.min(rows.version) };
+        self.watch().version().record_asked(asked);
         Ok(Read::Changes(rows))
     }
 
--- a/crates/anvilhook-gateway/src/peers/watches.rs
+++ b/crates/anvilhook-gateway/src/peers/watches.rs
@@ -25,7 +25,7 @@
 /// `ToldWatch` is what an instance tells of its watch over a table.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ToldWatch {
-    /// The version of the newest change that it has read.
+    /// The version of the newest change that it has read, or was told of.
     pub newest: u64,
     /// Whether it did not reach the table when it tried last.
     pub is_unable: bool,
@@ -78,12 +78,17 @@
         Millis(self.away_at.load(Ordering::Acquire))
     }
 
-    /// Returns what the others are told.
+    /// Returns what the others are told: the newest change that this instance knows of, whether it has read
+    /// it or not.
+    ///
+    /// Where the table turns away the instances of a zone one after the other that would read it for the
+    /// rest, only the one that links the zone with others hears that there is a change. Each that hears of
+    /// it from that one asks the table itself.
     pub fn told(&self, now: Millis) -> ToldWatch {
         let away_at = self.away_at();
         let is_news = away_at > Millis::ZERO && now < away_at + AWAY_NEWS;
         ToldWatch {
-            newest: self.version.own(),
+            newest: self.version.own().max(self.version.told()),
             is_unable: self.is_unable(now),
             away_ms: is_news.then(|| (now - away_at).0 as u32),
         }
--- a/crates/anvilhook-gateway/tests/watches.rs
+++ b/crates/anvilhook-gateway/tests/watches.rs
@@ -10,7 +10,7 @@
 use anvilhook_core::ranks::number_of;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_gateway::followers::{ConfigFollower, EntryFollower, follow};
-use anvilhook_gateway::peers::{FollowedTable, exchange};
+use anvilhook_gateway::peers::{FollowedTable, TableWatch, ToldWatch, exchange};
 use anvilhook_gateway::relay::Gateway;
 use anvilhook_gateway::tables::{Rows, Table, TableError, Write, Written};
 use rand::SeedableRng;
@@ -298,3 +298,16 @@
     // Two tables, each tried at once and then each 0.4 s.
     assert!(refused <= 12, "{refused} calls");
 }
+
+/// The table turns away one after the other of those that would read it for their zone, and only the instance that
+/// links the zone with others hears that an upstream leaves.
+#[test]
+fn verify_a_change_that_was_only_heard_of_is_told_on() {
+    let watch = TableWatch::default();
+    let told = ToldWatch { newest: 9, ..ToldWatch::default() };
+
+    watch.take_in(([127, 0, 0, 1], 9).into(), &told, Millis(100));
+
+    assert_eq!(watch.told(Millis(100)).newest, 9);
+    assert_eq!(watch.version().own(), 0);
+}
