Order engines: reclaimable ones, twice as many as the first fleet, from the other zones where one loses its own

Now the holder of the duties orders engines by core's fleet_size, a decision on typed counts without clocks or sockets: reclaimable ones take the place of regular ones as soon as they are listed, up to twice the first fleet while that costs at most half of it; a zone that has lost its own leaves the others more, at once; only under six tenths of the first fleet regular ones are ordered. How many there were at first stands in a row of the table, since a successor sees what was ordered. None are ordered by a list older than 6 s.

No other site orders engines.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ejections;
 pub mod errors;
 pub mod fingerprints;
+pub mod fleet_size;
 pub mod leases;
 pub mod limits;
 pub mod membership;
--- a/crates/anvilhook-core/src/units.rs
+++ b/crates/anvilhook-core/src/units.rs
@@ -182,7 +182,7 @@
 }
 
 /// `WallTime` is a time of day in milliseconds since the Unix epoch. It is for people to read in
-/// audit entries and status; no decision compares two of them.
+/// audit entries and status, and for what is reported by the time of day; one machine's may be off.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
 pub struct WallTime(pub u64);
--- /dev/null
+++ b/crates/anvilhook-core/tests/fleet_sizes.rs
@@ -0,0 +1,223 @@
+//! The number of engines, on loads replayed against a fleet that starts, leaves and is reclaimed.
+
+use std::sync::Arc;
+
+use anvilhook_core::fleet_size::{
+    EngineKind, FleetPlanner, ScalingSpec, SizeAnswer, SizeOptions, ZoneEngines,
+};
+use anvilhook_core::units::Millis;
+
+const STEP: Millis = Millis(250);
+const BOOT: Millis = Millis(4_000);
+const RECLAIMABLE_PRICE: f64 = 0.22;
+
+fn spec() -> ScalingSpec {
+    ScalingSpec { min: 1, max: 38, boot: BOOT, reclaimable_price: Some(RECLAIMABLE_PRICE) }
+}
+
+/// Returns options by which there are as many engines as at first.
+fn options() -> SizeOptions {
+    SizeOptions { most: 1.0, most_cost: 1.0, regular: 0.0 }
+}
+
+/// `Starting` is engines that were ordered and don't serve yet.
+struct Starting {
+    zone: usize,
+    kind: EngineKind,
+    count: u32,
+    at: Millis,
+}
+
+/// `Fleet` is a platform's engines in three availability zones, on a virtual clock.
+struct Fleet {
+    planner: FleetPlanner,
+    zones: Vec<ZoneEngines>,
+    starting: Vec<Starting>,
+    /// Until when no reclaimable engines are to be had, by zone.
+    dry_until: [Millis; 3],
+    now: Millis,
+    orders: usize,
+    /// What the engines have cost, in seconds of a regular one.
+    cost: f64,
+    /// The least engines that served at any moment.
+    least: u32,
+}
+
+impl Fleet {
+    fn of_regular(each: u32, options: SizeOptions) -> Self {
+        let zones = ["a", "b", "c"].map(|zone| ZoneEngines {
+            zone: Arc::from(zone),
+            regular: each,
+            reclaimable: 0,
+        });
+        Self {
+            planner: FleetPlanner::new(options),
+            zones: zones.into(),
+            starting: Vec::new(),
+            dry_until: [Millis::ZERO; 3],
+            now: Millis::ZERO,
+            orders: 0,
+            cost: 0.0,
+            least: each * 3,
+        }
+    }
+
+    fn count(&mut self, zone: usize, kind: EngineKind) -> &mut u32 {
+        match kind {
+            EngineKind::Regular => &mut self.zones[zone].regular,
+            EngineKind::Reclaimable => &mut self.zones[zone].reclaimable,
+        }
+    }
+
+    fn total(&self) -> u32 {
+        self.zones.iter().map(|zone| zone.regular + zone.reclaimable).sum()
+    }
+
+    /// Takes all reclaimable engines of a zone away, and gives none for a while.
+    fn reclaim(&mut self, zone: usize, dry_for: Millis) {
+        self.zones[zone].reclaimable = 0;
+        self.dry_until[zone] = self.now + dry_for;
+    }
+
+    /// Goes on for a time.
+    fn run(&mut self, time: Millis) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            let (started, starting): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.starting).into_iter().partition(|one| one.at <= self.now);
+            self.starting = starting;
+            for one in started {
+                *self.count(one.zone, one.kind) += one.count;
+            }
+            let prices = |zone: &ZoneEngines| {
+                f64::from(zone.regular) + f64::from(zone.reclaimable) * RECLAIMABLE_PRICE
+            };
+            self.cost += self.zones.iter().map(prices).sum::<f64>() * STEP.as_secs_f64();
+            self.least = self.least.min(self.total());
+            self.order();
+        }
+    }
+
+    fn order(&mut self) {
+        let (zones, spec) = (self.zones.clone(), spec());
+        for order in self.planner.orders(&spec, &zones, self.now) {
+            self.orders += 1;
+            let zone = zones.iter().position(|zone| zone.zone == order.zone).expect("a zone");
+            let has = *self.count(zone, order.kind);
+            let is_dry = order.kind == EngineKind::Reclaimable && self.now < self.dry_until[zone];
+            let answer = if is_dry { SizeAnswer::Unavailable } else { SizeAnswer::Taken };
+            self.planner.record_answer(&spec, &order, has, answer, self.now);
+            if is_dry {
+                continue;
+            }
+            self.starting.retain(|one| (one.zone, one.kind) != (zone, order.kind));
+            if order.desired <= has {
+                *self.count(zone, order.kind) = order.desired;
+            } else {
+                let (count, at) = (order.desired - has, self.now + BOOT);
+                self.starting.push(Starting { zone, kind: order.kind, count, at });
+            }
+        }
+    }
+}
+
+/// A fleet of regular engines is paid for all day where reclaimable ones cost a fifth.
+#[test]
+fn verify_reclaimable_engines_take_the_place_of_regular_ones() {
+    let mut fleet = Fleet::of_regular(19, options());
+    fleet.run(Millis(60_000));
+
+    let kinds: Vec<_> = fleet.zones.iter().map(|zone| (zone.regular, zone.reclaimable)).collect();
+    assert_eq!(kinds, [(0, 19); 3]);
+    assert_eq!(fleet.least, 57, "none is given up before its replacement serves");
+    assert_eq!(fleet.orders, 6);
+    assert!(fleet.cost < 57.0 * 60.0 * 0.4, "{}", fleet.cost);
+}
+
+/// A zone that loses its reclaimable engines leaves the others with its load for as long as it has none, or
+/// is left without when it gives some again.
+#[test]
+fn verify_other_zones_take_over_from_one_that_loses_its_engines() {
+    let mut fleet = Fleet::of_regular(19, options());
+    fleet.run(Millis(30_000));
+    fleet.reclaim(1, Millis(10_000));
+    fleet.run(Millis(6_000));
+    let reclaimable: Vec<_> = fleet.zones.iter().map(|zone| zone.reclaimable).collect();
+    assert_eq!(reclaimable, [29, 0, 29]);
+
+    fleet.run(Millis(30_000));
+
+    let kinds: Vec<_> = fleet.zones.iter().map(|zone| (zone.regular, zone.reclaimable)).collect();
+    assert_eq!(kinds, [(0, 19); 3]);
+    assert_eq!(fleet.least, 38);
+}
+
+/// Two zones lose their engines within seconds, nowhere are others to be had, and a third of the fleet is left.
+#[test]
+fn verify_regular_engines_are_ordered_where_reclaimable_ones_run_out() {
+    let mut fleet = Fleet::of_regular(19, options());
+    fleet.run(Millis(30_000));
+    let before = fleet.cost;
+    fleet.dry_until = [fleet.now + Millis(20_000); 3];
+    fleet.reclaim(0, Millis(20_000));
+    fleet.run(Millis(5_000));
+    fleet.reclaim(1, Millis(20_000));
+    fleet.run(Millis(6_000));
+    assert_eq!(fleet.total(), 19 + 18);
+
+    fleet.run(Millis(30_000));
+
+    let kinds: Vec<_> = fleet.zones.iter().map(|zone| (zone.regular, zone.reclaimable)).collect();
+    assert_eq!(kinds, [(0, 19); 3]);
+    assert!(fleet.cost - before < 57.0 * 41.0 * 0.5, "{}", fleet.cost - before);
+}
+
+/// Those that start one after the other are taken for a fleet of the first few.
+#[test]
+fn verify_nothing_is_ordered_while_engines_are_still_being_listed() {
+    let mut fleet = Fleet::of_regular(1, options());
+    for each in 2..=19 {
+        fleet.run(STEP);
+        fleet.zones.iter_mut().for_each(|zone| zone.regular = each);
+    }
+    assert_eq!(fleet.orders, 0);
+
+    fleet.run(Millis(20_000));
+
+    assert_eq!(fleet.total(), 57);
+}
+
+/// A burst comes on as two zones lose their engines one after the other, and too few are left until others
+/// have started.
+#[test]
+fn verify_spare_engines_carry_the_load_while_two_zones_lose_theirs() {
+    let spare = SizeOptions { most: 2.0, most_cost: 0.5, ..options() };
+    let mut fleet = Fleet::of_regular(19, spare);
+    fleet.run(Millis(40_000));
+    assert_eq!((fleet.total(), fleet.least), (114, 57));
+
+    fleet.least = 114;
+    fleet.reclaim(0, Millis(12_000));
+    fleet.run(Millis(6_000));
+    assert_eq!(fleet.least, 76, "one loss leaves more than there were at first");
+    fleet.reclaim(1, Millis(12_000));
+    fleet.run(Millis(30_000));
+
+    assert_eq!((fleet.total(), fleet.least), (114, 38));
+}
+
+/// Engines that nobody can reclaim are given up, or ones that have gone are not replaced.
+#[test]
+fn verify_a_fleet_without_reclaimable_engines_stays_as_it_is() {
+    let spec = ScalingSpec { reclaimable_price: None, ..spec() };
+    let mut planner = FleetPlanner::new(SizeOptions { most: 2.0, ..options() });
+    let zone = |regular| [ZoneEngines { zone: Arc::from("a"), regular, reclaimable: 0 }];
+    for at in 0..40 {
+        assert_eq!(planner.orders(&spec, &zone(19), Millis(at * 250)), []);
+    }
+
+    let orders = planner.orders(&spec, &zone(17), Millis(10_000));
+
+    assert_eq!((orders[0].kind, orders[0].desired), (EngineKind::Regular, 19));
+}
--- a/crates/anvilhook-gateway/src/clouds.rs
+++ b/crates/anvilhook-gateway/src/clouds.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use anvilhook_core::fleet_size::SizeOrder;
+
 /// `Authority` is by what right a call is made.
 #[derive(Clone, Copy, Debug)]
 pub struct Authority<'a> {
@@ -20,6 +22,15 @@
     pub counts: Vec<(Arc<str>, u32)>,
 }
 
+/// `FleetOrder` is a number of a service's upstreams to run in an availability zone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FleetOrder {
+    /// The service.
+    pub service: Arc<str>,
+    /// The availability zone, the kind and the number.
+    pub size: SizeOrder,
+}
+
 /// `CloudAnswer` is what came of a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CloudAnswer {
@@ -56,4 +67,11 @@
         authority: Authority<'_>,
         report: &UsageReport,
     ) -> impl Future<Output = CloudAnswer> + Send;
+
+    /// Orders a number of upstreams.
+    fn size_fleet(
+        &self,
+        authority: Authority<'_>,
+        order: &FleetOrder,
+    ) -> impl Future<Output = CloudAnswer> + Send;
 }
--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::api_keys::{AccountBook, ClientAccount, KeyDigest};
+use anvilhook_core::fleet_size::ScalingSpec;
 use anvilhook_core::units::{Millis, Tokens};
 
 /// `Repeats` says what may be repeated of a route's requests.
@@ -114,6 +115,8 @@
     pub name: Arc<str>,
     /// What its upstreams are, if they are model engines.
     pub engine: Option<EngineSpec>,
+    /// How many upstreams may be ordered, if any may.
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// `Limits` bounds what a caller may send.
--- a/crates/anvilhook-gateway/src/duties/mod.rs
+++ b/crates/anvilhook-gateway/src/duties/mod.rs
@@ -1,9 +1,14 @@
 //! Duties that one instance at a time has at the platform's API, under a lease.
 
+mod records;
 mod reports;
+mod sizes;
 
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use anvilhook_core::fleet_size::{FleetPlanner, SizeOptions};
 use anvilhook_core::units::{Clock, Millis, WallTime};
 
 use crate::clouds::{Authority, Cloud, CloudAnswer, UsageReport};
@@ -13,7 +18,8 @@
 use crate::tables::Table;
 use crate::wires::Wire;
 
-use reports::{ReportBook, Written};
+use reports::{ReportBook, Standing};
+use sizes::UsualSizes;
 
 /// The row of the lease.
 const LEASE_ROW: &str = "duties";
@@ -38,6 +44,8 @@
     pub lease: Millis,
     /// How long after a window's end its usage is to be reported; `None` if it is not to be.
     pub usage_due: Option<Millis>,
+    /// How much room upstreams are to have whose number is ordered; `None` if it is not.
+    pub sizes: Option<SizeOptions>,
     /// How long an earlier holder's call may be carried out late where nobody checks its fencing token.
     pub late_calls: Millis,
 }
@@ -53,6 +61,10 @@
     options: DutyOptions,
     lease: LeaseKeeper<T, C>,
     reports: ReportBook<T>,
+    planners: HashMap<Arc<str>, FleetPlanner>,
+    usual_sizes: UsualSizes<T>,
+    /// When the number of upstreams was logged last.
+    weighed_at: Option<Millis>,
 }
 
 /// `Step` is what came of one step.
@@ -77,7 +89,17 @@
         let lease =
             LeaseKeeper::new(table.clone(), clock.clone(), LEASE_ROW, holder, options.lease)
                 .with_late_calls(options.late_calls);
-        Self { gateway, clock, cloud, options, lease, reports: ReportBook::new(table) }
+        Self {
+            gateway,
+            clock,
+            cloud,
+            options,
+            lease,
+            reports: ReportBook::new(table.clone()),
+            planners: HashMap::new(),
+            usual_sizes: UsualSizes::new(table),
+            weighed_at: None,
+        }
     }
 
     /// Does what is due for as long as the process runs.
@@ -96,6 +118,9 @@
         if let Some(due) = self.options.usage_due {
             self.report_due(rank, due).await;
         }
+        if let Some(sizes) = self.options.sizes {
+            self.size_fleets(rank, sizes).await;
+        }
     }
 
     /// Reports the usage of each window that has ended and is not reported yet.
@@ -128,9 +153,9 @@
             return Step::Later;
         }
         let counted = UsageReport { window, counts: self.gateway.usage().totals(window) };
-        let report = match self.reports.write(counted).await {
-            Ok(Written::Stands(report)) => report,
-            Ok(Written::TooOld) => {
+        let report = match self.reports.write(&counted).await {
+            Ok(Standing::Written(report)) => report,
+            Ok(Standing::TooOld) => {
                 self.gateway.usage().record_reported(window);
                 return Step::Done;
             }
--- /dev/null
+++ b/crates/anvilhook-gateway/src/duties/sizes.rs
@@ -0,0 +1,215 @@
+//! Ordering engines: what is decided by [`anvilhook_core::fleet_size`], carried out.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+
+use anvilhook_core::fleet_size::{
+    EngineKind, FleetPlanner, ScalingSpec, SizeAnswer, SizeOptions, SizeOrder, ZoneEngines,
+};
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Clock, Millis};
+
+use super::DutyKeeper;
+use super::records::Record;
+use crate::clouds::{Authority, Cloud, CloudAnswer, FleetOrder};
+use crate::events::{Event, emit};
+use crate::fleets::Upstream;
+use crate::followers::LIST_BELIEF;
+use crate::relay::Gateway;
+use crate::tables::{Table, TableError};
+use crate::wires::Wire;
+
+/// How old the list of upstreams may be when some are ordered by it.
+const OLDEST_LIST: Millis = Millis(6_000);
+
+/// How often it is logged how many there are and how many are used.
+const LOG_EVERY: Millis = Millis(2_000);
+
+/// The row of how many engines each service had before any were ordered.
+const SIZE_ROW: &str = "sizes";
+
+/// `UsualSizes` keeps how many engines each service had before any were ordered.
+///
+/// Whoever comes later sees the engines that were ordered, and would take them for what is usual.
+pub(super) struct UsualSizes<T> {
+    record: Record<T, BTreeMap<Arc<str>, u32>>,
+    known: HashSet<Arc<str>>,
+}
+
+impl<T: Table> UsualSizes<T> {
+    /// Makes sizes of which none was read.
+    pub fn new(table: T) -> Self {
+        Self { record: Record::new(table, SIZE_ROW), known: HashSet::new() }
+    }
+
+    fn is_known(&self, service: &str) -> bool {
+        self.known.contains(service)
+    }
+
+    /// Returns a service's size; `own` is written if none was before.
+    async fn find_or_write(&mut self, service: &Arc<str>, own: u32) -> Result<u32, TableError> {
+        let write = |sizes: &BTreeMap<Arc<str>, u32>| match sizes.get(service) {
+            Some(size) => (None, *size),
+            None => {
+                let mut next = sizes.clone();
+                next.insert(Arc::clone(service), own);
+                (Some(next), own)
+            }
+        };
+        let size = self.record.change(write).await?;
+        self.known.insert(Arc::clone(service));
+        Ok(size)
+    }
+}
+
+/// `Due` is an order with what it was decided by.
+struct Due {
+    service: Arc<str>,
+    spec: ScalingSpec,
+    size: SizeOrder,
+    has: u32,
+}
+
+impl<W: Wire, T: Table, C: Clock, P: Cloud> DutyKeeper<W, T, C, P> {
+    /// Orders engines where there are too few or too many, if this instance is the one to do so.
+    pub(super) async fn size_fleets(&mut self, rank: usize, options: SizeOptions) {
+        let due = self.due_sizes(options);
+        // Whoever is next in rank looks on, and acts while the first does not hold the lease.
+        if rank > 0 && !self.lease.is_held() {
+            return;
+        }
+        for due in due {
+            if !self.knows_usual_size(&due.service).await {
+                return;
+            }
+            self.order_engines(due).await;
+        }
+    }
+
+    /// Returns whether the planner goes by the number of engines that the first holder has found. If not, it
+    /// does from the next look on.
+    async fn knows_usual_size(&mut self, service: &Arc<str>) -> bool {
+        if self.usual_sizes.is_known(service) {
+            return true;
+        }
+        let Some(planner) = self.planners.get_mut(service) else { return false };
+        let Some(own) = planner.usual() else { return false };
+        match self.usual_sizes.find_or_write(service, own).await {
+            Ok(usual) => planner.set_usual(usual),
+            Err(err) => emit(&Event::DutyDelayed { duty: "sizes", cause: err.to_string() }),
+        }
+        false
+    }
+
+    fn due_sizes(&mut self, options: SizeOptions) -> Vec<Due> {
+        let Some(config) = self.gateway.config() else { return Vec::new() };
+        let now = self.clock.now();
+        let is_logged = self.weighed_at.is_none_or(|at| at + LOG_EVERY <= now);
+        if is_logged {
+            self.weighed_at = Some(now);
+        }
+        let is_stale = list_age(&self.gateway, now).is_none_or(|age| age > OLDEST_LIST);
+        let view = self.gateway.fleet().view();
+        let mut due = Vec::new();
+        for service in config.services() {
+            let Some(spec) = &service.scaling else { continue };
+            let listed = view.of_service(&service.name);
+            let planner = self.planners.entry(Arc::clone(&service.name));
+            let planner = planner.or_insert_with(|| FleetPlanner::new(options));
+            if is_stale {
+                continue;
+            }
+            let zones = engines_by_zone(listed);
+            if is_logged {
+                emit(&Event::FleetSeen {
+                    service: &service.name,
+                    regular: zones.iter().map(|zone| zone.regular).sum(),
+                    reclaimable: zones.iter().map(|zone| zone.reclaimable).sum(),
+                    used: (engines_in_use(listed, now) * 100.0) as u32,
+                    usual: planner.usual(),
+                });
+            }
+            for size in planner.orders(spec, &zones, now) {
+                let zone = zones.iter().find(|zone| zone.zone == size.zone);
+                let has = zone.map_or(0, |zone| match size.kind {
+                    EngineKind::Regular => zone.regular,
+                    EngineKind::Reclaimable => zone.reclaimable,
+                });
+                let (service, spec) = (Arc::clone(&service.name), spec.clone());
+                due.push(Due { service, spec, size, has });
+            }
+        }
+        due
+    }
+
+    async fn order_engines(&mut self, due: Due) {
+        let Some(lease) = self.hold().await else { return };
+        let authority = Authority { holder: self.lease.holder(), token: lease.token };
+        let order = FleetOrder { service: due.service, size: due.size };
+        let answer = self.cloud.size_fleet(authority, &order).await;
+        let FleetOrder { service, size } = order;
+        let now = self.clock.now();
+        let Some(planner) = self.planners.get_mut(&service) else { return };
+        let outcome = match answer {
+            CloudAnswer::Accepted => SizeAnswer::Taken,
+            // Either there are none, or another one holds the lease, which its next reading shows.
+            CloudAnswer::Conflict => SizeAnswer::Unavailable,
+            CloudAnswer::Busy | CloudAnswer::Wrong | CloudAnswer::NoAnswer => SizeAnswer::Unknown,
+        };
+        planner.record_answer(&due.spec, &size, due.has, outcome, now);
+        emit(&Event::FleetOrdered {
+            service: &service,
+            zone: &size.zone,
+            reclaimable: size.kind == EngineKind::Reclaimable,
+            has: due.has,
+            desired: size.desired,
+            reason: size.reason,
+            list_age_ms: list_age(&self.gateway, now).map(|age| age.0),
+            token: lease.token,
+            outcome: answer.as_str(),
+        });
+        if answer == CloudAnswer::Conflict {
+            self.lease.read_anew();
+        }
+    }
+}
+
+fn list_age<W: Wire, C: Clock>(gateway: &Gateway<W, C>, now: Millis) -> Option<Millis> {
+    gateway.metrics().belief_age(LIST_BELIEF, now)
+}
+
+/// Returns how many engines' worth of work there is, by what is believed of all instances' requests.
+fn engines_in_use(listed: &[Arc<Upstream>], now: Millis) -> f64 {
+    let staying = listed.iter().filter(|one| !one.is_leaving());
+    let uses = staying.map(|one| {
+        let work = one.state.work(now);
+        let taken = f64::from(work.in_flight) / f64::from(one.entry.slots.max(1));
+        match one.role() {
+            Some(Role::Prefill) => f64::from(u32::from(work.reading_ms > 0.0)),
+            Some(Role::Decode | Role::Mixed) => taken,
+            None => 0.0,
+        }
+    });
+    uses.sum()
+}
+
+/// Returns the engines that don't leave, by availability zone; zones in which all leave are among them.
+fn engines_by_zone(listed: &[Arc<Upstream>]) -> Vec<ZoneEngines> {
+    let mut zones: BTreeMap<Arc<str>, ZoneEngines> = BTreeMap::new();
+    for upstream in listed {
+        let zone = &upstream.entry.zone;
+        let engines = zones.entry(Arc::clone(zone)).or_insert_with(|| ZoneEngines {
+            zone: Arc::clone(zone),
+            regular: 0,
+            reclaimable: 0,
+        });
+        if upstream.is_leaving() {
+            continue;
+        }
+        match upstream.entry.reclaimable {
+            true => engines.reclaimable += 1,
+            false => engines.regular += 1,
+        }
+    }
+    zones.into_values().collect()
+}
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -271,6 +271,40 @@
         /// What came of it.
         outcome: &'a str,
     },
+    /// How many upstreams there are, and how many are used.
+    FleetSeen {
+        /// The service.
+        service: &'a str,
+        /// How many there are that don't leave, regular and reclaimable ones.
+        regular: u32,
+        /// See `regular`.
+        reclaimable: u32,
+        /// How many engines' worth of work there is, in hundredths.
+        used: u32,
+        /// How many there were before any were ordered, if that is known.
+        usual: Option<u32>,
+    },
+    /// A number of upstreams was ordered, or was not.
+    FleetOrdered {
+        /// The service.
+        service: &'a str,
+        /// The availability zone.
+        zone: &'a str,
+        /// Whether they may be reclaimed.
+        reclaimable: bool,
+        /// How many there are.
+        has: u32,
+        /// How many are ordered.
+        desired: u32,
+        /// Why.
+        reason: &'a str,
+        /// How old the list of upstreams is, in milliseconds.
+        list_age_ms: Option<u64>,
+        /// The fencing token.
+        token: u64,
+        /// What came of it.
+        outcome: &'a str,
+    },
     /// The usage of a window is not reported: its time is over.
     UsageMissed {
         /// The window.
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -29,6 +29,8 @@
     pub role: Option<Role>,
     /// How many requests it runs at once.
     pub slots: u32,
+    /// Whether it may be reclaimed at any time.
+    pub reclaimable: bool,
     /// Whether it is leaving.
     pub draining: bool,
     /// The number of the upstream's report; it grows from one start to the next.
--- a/crates/anvilhook-gateway/src/leases.rs
+++ b/crates/anvilhook-gateway/src/leases.rs
@@ -70,6 +70,18 @@
         &self.holder
     }
 
+    /// Returns whether the lease is held now.
+    pub fn is_held(&self) -> bool {
+        self.lease.is_some_and(|lease| self.clock.now() < lease.until)
+    }
+
+    /// Has the row read before the lease is used again.
+    pub fn read_anew(&mut self) {
+        if let Some(lease) = &mut self.lease {
+            lease.until = Millis::ZERO;
+        }
+    }
+
     /// Gives the lease up because an engine has seen a newer one, and leaves the newer holder its time.
     pub fn yield_to_newer(&mut self) {
         self.lease = None;
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -21,7 +21,7 @@
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::orders::Role;
 use anvilhook_core::speeds::ReadingCost;
-use anvilhook_core::units::{Clock, Millis};
+use anvilhook_core::units::{Clock, Millis, WallTime};
 use anvilhook_core::usage::Source;
 use anvilhook_http::HttpClient;
 use arc_swap::ArcSwapOption;
@@ -66,6 +66,8 @@
     pub budget: BudgetOptions,
     /// What engines are expected to need to read prompts, until it is learnt.
     pub expected_reading: ReadingCost,
+    /// The time of day by the machine's clock, as the gateway is made.
+    pub started_at: WallTime,
     /// The length of the windows by which the usage of client accounts is reported, if it is.
     pub usage_window: Option<Millis>,
 }
@@ -139,7 +141,7 @@
 impl<W: Wire, C: Clock> Gateway<W, C> {
     /// Makes a gateway that knows no configuration and no upstreams.
     pub fn new(wire: W, clock: C, client: HttpClient, options: GatewayOptions) -> Self {
-        let usage = Usage::new(options.usage_window, clock.now());
+        let usage = Usage::new(options.usage_window, options.started_at, clock.now());
         let inner = Inner {
             wire,
             clock,
--- a/crates/anvilhook-gateway/src/usage.rs
+++ b/crates/anvilhook-gateway/src/usage.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use anvilhook_core::api_keys::ClientAccount;
 use anvilhook_core::clock_offsets::ClockOffsets;
@@ -49,10 +48,8 @@
 }
 
 impl Usage {
-    /// Makes a count by windows of a length; nothing is counted without one.
-    pub fn new(window: Option<Millis>, now: Millis) -> Self {
-        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let time = WallTime(since_1970.as_millis() as u64);
+    /// Makes a count by windows of a length, at the time of day `time`; nothing is counted without windows.
+    pub fn new(window: Option<Millis>, time: WallTime, now: Millis) -> Self {
         let state = State {
             book: UsageBook::new(),
             names: HashMap::new(),
--- a/crates/anvilhook-gateway/tests/duties.rs
+++ b/crates/anvilhook-gateway/tests/duties.rs
@@ -1,21 +1,24 @@
-//! Usage reports: one holder at a time, one report a window, and what is counted.
+//! Duties at the platform's API: one holder at a time, one report a window, and engines by a fresh list.
 
 mod support;
 
 use std::sync::Arc;
 
 use anvilhook_core::api_keys::{AccountBook, ClientAccount, KeyHasher};
+use anvilhook_core::fleet_size::{EngineKind, ScalingSpec, SizeOptions};
+use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, ManualClock, Millis, WallTime};
 use anvilhook_core::usage::{Source, Windows};
-use anvilhook_gateway::clouds::CloudAnswer;
-use anvilhook_gateway::configs::{Config, Repeats};
+use anvilhook_gateway::clouds::{CloudAnswer, FleetOrder};
+use anvilhook_gateway::configs::{Config, Repeats, ServiceSpec};
 use anvilhook_gateway::duties::{DutyKeeper, DutyOptions};
+use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::relay::Gateway;
 use support::clouds::MemoryCloud;
-use support::fronts::{ample_budget, gateway, start_by, unhurried, versioned};
+use support::fronts::{ample_budget, gateway, route, start_by, unhurried, versioned};
 use support::tables::{Fault, MemoryTable};
 use support::upstreams::{Step, Upstream, refusal, signed};
-use support::wires::{TestWire, entry};
+use support::wires::{TestWire, entry, limits};
 
 const WINDOW: Millis = Millis(5_000);
 const DUE: Millis = Millis(10_000);
@@ -56,7 +59,12 @@
     fn instance(&self, name: &str) -> TestInstance {
         let config = Some(keyed(Repeats::Idempotent));
         let gateway = gateway(self.clock.clone(), config, Vec::new(), ample_budget());
-        let options = DutyOptions { lease: LEASE, usage_due: Some(DUE), late_calls: Millis::ZERO };
+        let options = DutyOptions {
+            lease: LEASE,
+            usage_due: Some(DUE),
+            sizes: None,
+            late_calls: Millis::ZERO,
+        };
         let (table, clock, cloud) = (self.table.clone(), self.clock.clone(), self.cloud.clone());
         let keeper =
             DutyKeeper::new(gateway.clone(), table, clock, cloud, name.to_owned(), options);
@@ -287,3 +295,86 @@
         assert_eq!(totals, expected, "{name}");
     }
 }
+
+const SIZES: SizeOptions = SizeOptions { most: 1.0, most_cost: 1.0, regular: 0.0 };
+
+/// Returns listed engines of a zone.
+fn engines(zone: &str, count: usize, reclaimable: bool) -> Vec<Entry> {
+    let one = |at: usize| Entry {
+        zone: zone.into(),
+        role: Some(Role::Decode),
+        reclaimable,
+        ..entry(&format!("{zone}-{reclaimable}-{at}"), 1)
+    };
+    (0..count).map(one).collect()
+}
+
+impl Site {
+    /// Returns an instance that knows engines in two zones and may order others.
+    fn sizing(&self, name: &str, entries: Vec<Entry>) -> TestInstance {
+        let config = versioned(1, Repeats::Idempotent, 2, true);
+        let service = config.services().next().expect("the service of the tests").clone();
+        let boot = Millis(4_000);
+        let scaling = ScalingSpec { min: 1, max: 9, boot, reclaimable_price: Some(0.2) };
+        let service = ServiceSpec { scaling: Some(scaling), ..service };
+        let routes = vec![route(Repeats::Idempotent, 2)];
+        let config = Config::new(2, limits(), vec![service], routes);
+        let gateway = gateway(self.clock.clone(), Some(config), entries, ample_budget());
+        let options = DutyOptions {
+            lease: LEASE,
+            usage_due: None,
+            sizes: Some(SIZES),
+            late_calls: Millis::ZERO,
+        };
+        let (table, clock, cloud) = (self.table.clone(), self.clock.clone(), self.cloud.clone());
+        let keeper =
+            DutyKeeper::new(gateway.clone(), table, clock, cloud, name.to_owned(), options);
+        TestInstance { gateway, keeper }
+    }
+}
+
+/// Engines are ordered by a list that nobody has read for a while.
+#[tokio::test]
+async fn verify_no_engines_are_ordered_by_an_old_list() {
+    let site = site();
+    let mut one = site.sizing("one", engines("a", 4, false));
+    one.gateway.record_contact("list");
+    site.clock.advance(Millis(8_000));
+
+    one.look_on(&site.clock).await;
+    assert_eq!(site.cloud.orders(), []);
+
+    one.gateway.record_contact("list");
+    one.look_on(&site.clock).await;
+    assert!(!site.cloud.orders().is_empty());
+}
+
+/// A holder that comes later takes those that the one before has ordered for what is usual, and orders as
+/// many again.
+#[tokio::test]
+async fn verify_a_successor_knows_how_many_engines_are_usual() {
+    let site = site();
+    let listed = [engines("a", 4, false), engines("b", 4, false)].concat();
+    let mut one = site.sizing("one", listed.clone());
+    one.gateway.record_contact("list");
+    one.look_on(&site.clock).await;
+    let desired = |orders: Vec<FleetOrder>| -> Vec<_> {
+        let orders = orders.into_iter().map(|order| order.size);
+        orders.map(|size| (size.zone.to_string(), size.kind, size.desired)).collect()
+    };
+    let cheap = EngineKind::Reclaimable;
+    assert_eq!(desired(site.cloud.orders()), [("a".into(), cheap, 4), ("b".into(), cheap, 4)]);
+
+    let doubled = [listed, engines("a", 4, true), engines("b", 4, true)].concat();
+    let mut two = site.sizing("two", doubled);
+    for _ in 0..4 {
+        two.gateway.record_contact("list");
+        two.look_on(&site.clock).await;
+    }
+
+    let orders = desired(site.cloud.orders());
+    assert!(orders.len() > 2, "{orders:?}");
+    let given_up = [EngineKind::Regular; 2].map(|kind| (kind, 0));
+    let rest: Vec<_> = orders[2..4].iter().map(|(_, kind, desired)| (*kind, *desired)).collect();
+    assert_eq!(rest, given_up, "{orders:?}");
+}
--- a/crates/anvilhook-gateway/tests/support/clouds.rs
+++ b/crates/anvilhook-gateway/tests/support/clouds.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use anvilhook_gateway::clouds::{Authority, Cloud, CloudAnswer, UsageReport};
+use anvilhook_gateway::clouds::{Authority, Cloud, CloudAnswer, FleetOrder, UsageReport};
 
 /// `CalledWith` is a usage report as it came.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -16,6 +16,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct MemoryCloud {
     reports: Arc<Mutex<Vec<CalledWith>>>,
+    orders: Arc<Mutex<Vec<FleetOrder>>>,
     answers: Arc<Mutex<Vec<CloudAnswer>>>,
 }
 
@@ -30,6 +31,11 @@
         self.reports.lock().expect("no panic").clone()
     }
 
+    /// Returns the orders that came.
+    pub fn orders(&self) -> Vec<FleetOrder> {
+        self.orders.lock().expect("no panic").clone()
+    }
+
     fn next_answer(&self) -> CloudAnswer {
         self.answers.lock().expect("no panic").pop().unwrap_or(CloudAnswer::Accepted)
     }
@@ -42,4 +48,9 @@
         self.reports.lock().expect("no panic").push(called);
         self.next_answer()
     }
+
+    async fn size_fleet(&self, _authority: Authority<'_>, order: &FleetOrder) -> CloudAnswer {
+        self.orders.lock().expect("no panic").push(order.clone());
+        self.next_answer()
+    }
 }
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use anvilhook_core::units::{Clock, Millis, SystemClock, Tokens};
+use anvilhook_core::units::{Clock, Millis, SystemClock, Tokens, WallTime};
 use anvilhook_gateway::budgets::BudgetOptions;
 use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, ServiceSpec, Target};
 use anvilhook_gateway::fleets::Entry;
@@ -81,6 +81,7 @@
         zone: Arc::from(zone),
         budget,
         expected_reading: EXPECTED_READING,
+        started_at: WallTime(1_790_000_000_000),
         usage_window: Some(Millis(5_000)),
     };
     let gateway = Gateway::new(TestWire::new(), clock, client, options);
@@ -126,6 +127,7 @@
             link_mbps: 100_000.0,
             role_change: Millis(3_000),
         }),
+        scaling: None,
     };
     Config::new(version, limits(), vec![service], vec![route(repeats, max_attempts)])
 }
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -180,6 +180,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         zone: Arc::from("zone-a"),
         role: None,
+        reclaimable: false,
         slots: 4,
         draining: false,
         sequence: 1,
