--- a/crates/anvilhook-core/src/fleet_size.rs
+++ b/crates/anvilhook-core/src/fleet_size.rs
@@ -16,7 +16,7 @@
 const LISTING_TIME: Millis = Millis(2_500);
 
 /// How long a zone is left alone that has no reclaimable engines to give.
-const DRY_PAUSE: Millis = Millis(1_500);
+const EXHAUSTED_PAUSE: Millis = Millis(1_500);
 
 /// The share of the engines that must be there, or about to start, after several zones have lost theirs.
 /// Regular ones are ordered for what lacks.
@@ -136,14 +136,14 @@
     /// Since when there are more of a kind than needed.
     spare_since: HashMap<EngineKind, Millis>,
     /// Whether there were no reclaimable ones to be had when they were ordered last.
-    is_dry: bool,
+    is_exhausted: bool,
 }
 
 /// `ZoneShare` is what each zone is to have.
 #[derive(Clone, Copy, Debug)]
 struct ZoneShare {
     /// Engines of both kinds.
-    share: u32,
+    each: u32,
     /// The same while other zones have none to give.
     spread: u32,
     /// Engines that there were at first.
@@ -220,9 +220,9 @@
         let Some(usual) = self.usual else { return Vec::new() };
         let zone_count = zones.len() as u32;
         let wanted = self.wanted(spec, usual);
-        let giving = zones.iter().filter(|zone| !self.is_dry(zone)).count().max(1) as u32;
+        let giving = zones.iter().filter(|zone| !self.is_exhausted(zone)).count().max(1) as u32;
         let share = ZoneShare {
-            share: wanted.div_ceil(zone_count).clamp(spec.min, spec.max),
+            each: wanted.div_ceil(zone_count).clamp(spec.min, spec.max),
             spread: wanted.div_ceil(giving).clamp(spec.min, spec.max),
             first: usual.div_ceil(zone_count),
             base: part_of(usual, self.options.regular).div_ceil(zone_count),
@@ -251,9 +251,9 @@
     }
 
     /// Returns whether a zone has lost its reclaimable engines, and has no others to give.
-    fn is_dry(&self, zone: &ZoneEngines) -> bool {
+    fn is_exhausted(&self, zone: &ZoneEngines) -> bool {
         let state = self.zones.get(&zone.zone);
-        zone.reclaimable == 0 && state.is_some_and(|state| state.is_dry)
+        zone.reclaimable == 0 && state.is_some_and(|state| state.is_exhausted)
     }
 
     fn zone_orders(
@@ -264,7 +264,7 @@
         now: Millis,
     ) -> Vec<SizeOrder> {
         let ZoneEngines { regular, reclaimable, .. } = *zone;
-        let engines = if self.is_dry(zone) { share.share } else { share.spread };
+        let engines = if self.is_exhausted(zone) { share.each } else { share.spread };
         let state = self.zones.entry(Arc::clone(&zone.zone)).or_default();
         let (reclaimable_target, regular_target) = if spec.has_cheap_engines() {
             // Those of the first fleet make room for others as soon as there are as many, and those that
@@ -299,11 +299,11 @@
         let state = self.zones.entry(Arc::clone(&order.zone)).or_default();
         let pause = match answer {
             SizeAnswer::Taken => spec.boot + LISTING_TIME,
-            SizeAnswer::Unavailable | SizeAnswer::Unknown => DRY_PAUSE,
+            SizeAnswer::Unavailable | SizeAnswer::Unknown => EXHAUSTED_PAUSE,
         };
         let is_taken = answer == SizeAnswer::Taken;
         if order.kind == EngineKind::Reclaimable && answer != SizeAnswer::Unknown {
-            state.is_dry = !is_taken;
+            state.is_exhausted = !is_taken;
         }
         let again_at = now + pause;
         let ordered = Ordered { desired: order.desired, had: has, is_taken, again_at };
--- a/crates/anvilhook-core/tests/fleet_sizes.rs
+++ b/crates/anvilhook-core/tests/fleet_sizes.rs
@@ -34,7 +34,7 @@
     zones: Vec<ZoneEngines>,
     starting: Vec<Starting>,
     /// Until when no reclaimable engines are to be had, by zone.
-    dry_until: [Millis; 3],
+    none_until: [Millis; 3],
     now: Millis,
     orders: usize,
     /// What the engines have cost, in seconds of a regular one.
@@ -54,7 +54,7 @@
             planner: FleetPlanner::new(options),
             zones: zones.into(),
             starting: Vec::new(),
-            dry_until: [Millis::ZERO; 3],
+            none_until: [Millis::ZERO; 3],
             now: Millis::ZERO,
             orders: 0,
             cost: 0.0,
@@ -74,9 +74,9 @@
     }
 
     /// Takes all reclaimable engines of a zone away, and gives none for a while.
-    fn reclaim(&mut self, zone: usize, dry_for: Millis) {
+    fn reclaim(&mut self, zone: usize, none_for: Millis) {
         self.zones[zone].reclaimable = 0;
-        self.dry_until[zone] = self.now + dry_for;
+        self.none_until[zone] = self.now + none_for;
     }
 
     /// Goes on for a time.
@@ -105,10 +105,11 @@
             self.orders += 1;
             let zone = zones.iter().position(|zone| zone.zone == order.zone).expect("a zone");
             let has = *self.count(zone, order.kind);
-            let is_dry = order.kind == EngineKind::Reclaimable && self.now < self.dry_until[zone];
-            let answer = if is_dry { SizeAnswer::Unavailable } else { SizeAnswer::Taken };
+            let is_exhausted =
+                order.kind == EngineKind::Reclaimable && self.now < self.none_until[zone];
+            let answer = if is_exhausted { SizeAnswer::Unavailable } else { SizeAnswer::Taken };
             self.planner.record_answer(&spec, &order, has, answer, self.now);
-            if is_dry {
+            if is_exhausted {
                 continue;
             }
             self.starting.retain(|one| (one.zone, one.kind) != (zone, order.kind));
@@ -159,7 +160,7 @@
     let mut fleet = Fleet::of_regular(19, options());
     fleet.run(Millis(30_000));
     let before = fleet.cost;
-    fleet.dry_until = [fleet.now + Millis(20_000); 3];
+    fleet.none_until = [fleet.now + Millis(20_000); 3];
     fleet.reclaim(0, Millis(20_000));
     fleet.run(Millis(5_000));
     fleet.reclaim(1, Millis(20_000));
