Ask for the time only where a suspect needs it

Each plain request took the median of all instances' clocks, under a lock and with an allocation, though only suspects that shared all ends go by it. Now it is taken for those alone; same choice. Beside it a comment's lines are wrapped, and the field for the last log line of the fleet has a name that fits.

--- a/crates/anvilhook-gateway/src/duties/mod.rs
+++ b/crates/anvilhook-gateway/src/duties/mod.rs
@@ -64,7 +64,7 @@
     planners: HashMap<Arc<str>, FleetPlanner>,
     usual_sizes: UsualSizes<T>,
     /// When the number of upstreams was logged last.
-    weighed_at: Option<Millis>,
+    logged_at: Option<Millis>,
 }
 
 /// `Step` is what came of one step.
@@ -98,7 +98,7 @@
             reports: ReportBook::new(table.clone()),
             planners: HashMap::new(),
             usual_sizes: UsualSizes::new(table),
-            weighed_at: None,
+            logged_at: None,
         }
     }
 
--- a/crates/anvilhook-gateway/src/duties/sizes.rs
+++ b/crates/anvilhook-gateway/src/duties/sizes.rs
@@ -104,9 +104,9 @@
     fn due_sizes(&mut self, options: SizeOptions) -> Vec<Due> {
         let Some(config) = self.gateway.config() else { return Vec::new() };
         let now = self.clock.now();
-        let is_logged = self.weighed_at.is_none_or(|at| at + LOG_EVERY <= now);
+        let is_logged = self.logged_at.is_none_or(|at| at + LOG_EVERY <= now);
         if is_logged {
-            self.weighed_at = Some(now);
+            self.logged_at = Some(now);
         }
         let is_stale = list_age(&self.gateway, now).is_none_or(|age| age > OLDEST_LIST);
         let view = self.gateway.fleet().view();
--- a/crates/anvilhook-gateway/src/leases.rs
+++ b/crates/anvilhook-gateway/src/leases.rs
@@ -26,8 +26,9 @@
 /// `LeaseKeeper` takes the lease and renews it.
 ///
 /// Orders of two instances must never mix. One row of the table is the lease; each taking of it
-/// has a higher version, which is the fencing token for as long as nobody else takes it. The holder counts from before it sent the
-/// write, everybody else from when it first saw the row, and both keep a guard.
+/// has a higher version, which is the fencing token for as long as nobody else takes it. The holder
+/// counts from before it sent the write, everybody else from when it first saw the row, and both keep
+/// a guard.
 pub(crate) struct LeaseKeeper<T, C> {
     table: T,
     clock: C,
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -155,9 +155,10 @@
         let view = self.fleet().view();
         let place =
             exchange.suspect().and_then(|suspect| self.suspects().trial_place(suspect, now));
-        let time = self.usage().time(now);
+        // The time is the median of all instances' clocks, and needed by suspects only.
+        let turn = place.map(|place| (place, self.usage().time(now)));
         let is_allowed = |upstream: &Upstream| {
-            place.is_none_or(|place| place.allows(hash_of(&*upstream.entry.id), time))
+            turn.is_none_or(|(place, time)| place.allows(hash_of(&*upstream.entry.id), time))
         };
         let able = view.of_service(&exchange.service).iter().filter(|upstream| {
             upstream.takes_work(now) && !avoid.contains(&upstream.entry.id) && is_allowed(upstream)
