Log the request limits that upstreams name and what each instance sends them

What callers saw: nothing. Cause of the change: three hypotheses on an exceeded request limit can't be told apart, as no line shows which instance received a limit, or how much it sent afterwards. Change: the header is decoded at the platform's boundary; request_limit and request_limit_ignored in the log, limit_per_s and limit_sent on each placed line, the gauge upstream_request_limit. No decision uses it yet.

--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -210,6 +210,24 @@
         /// What is wrong with it.
         cause: String,
     },
+    /// An upstream has named a new request limit in an answer, or no longer names one.
+    RequestLimit {
+        /// The upstream.
+        upstream: &'a str,
+        /// The request that it answered, empty for a call that the gateway itself made.
+        request: &'a str,
+        /// The requests a second that it accepts from all instances together; absent if the limit has ended.
+        per_s: Option<f64>,
+        /// The previous limit, if there was one.
+        before: Option<f64>,
+    },
+    /// A request limit that an upstream names can't be decoded.
+    RequestLimitIgnored {
+        /// The upstream.
+        upstream: &'a str,
+        /// What is wrong with it.
+        cause: String,
+    },
     /// An engine has terminated while it ran requests.
     EngineEnded {
         /// The engine.
@@ -349,6 +367,10 @@
         pace: &'a str,
         /// The estimated number of requests that all instances have in flight there.
         in_flight: u32,
+        /// The upstream's request limit in requests a second, if it has named one.
+        limit_per_s: Option<f64>,
+        /// The requests that this instance has sent to a limited upstream in the last four seconds.
+        limit_sent: Option<usize>,
         /// The engine from which the prompt is fetched, if any.
         source: Option<&'a str>,
         /// The age of the upstream table, in milliseconds.
@@ -457,6 +479,7 @@
             | Event::AttemptFailed { .. }
             | Event::StreamBroken { .. }
             | Event::PauseIgnored { .. }
+            | Event::RequestLimitIgnored { .. }
             | Event::EngineEnded { .. }
             | Event::RequestQuarantined { .. } => Level::Warn,
             Event::UnreadableRow { .. } | Event::SettingsRefused { .. } => Level::Error,
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod prompts;
 pub mod relay;
 pub mod reloads;
+pub mod request_limits;
 pub mod roles;
 pub mod speeds;
 pub mod streams;
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -9,6 +9,7 @@
 use anvilhook_core::units::Millis;
 
 use crate::fleets::Upstream;
+use crate::request_limits::RequestLimit;
 use crate::wires::Load;
 
 /// The number of consecutive refused handles after which an engine of either stage is skipped, and for
@@ -109,6 +110,7 @@
     own_leaving_at: AtomicU64,
     /// Until when the upstream accepts no requests from this instance.
     paused_until: AtomicU64,
+    request_limit: RequestLimit,
     errors: Mutex<ErrorReports>,
     own_error_at: AtomicU64,
     refused_handles: AtomicU32,
@@ -139,6 +141,7 @@
             leaving_at: AtomicU64::new(0),
             own_leaving_at: AtomicU64::new(0),
             paused_until: AtomicU64::new(0),
+            request_limit: RequestLimit::default(),
             errors: Mutex::default(),
             own_error_at: AtomicU64::new(0),
             refused_handles: AtomicU32::new(0),
@@ -247,6 +250,11 @@
         (until > now).then_some(until)
     }
 
+    /// Returns the request limit that the upstream names.
+    pub fn request_limit(&self) -> &RequestLimit {
+        &self.request_limit
+    }
+
     /// Returns whether the state must be retained while the upstream's entry is temporarily missing.
     pub(crate) fn is_lasting(&self) -> bool {
         self.says_leaving() || self.is_gone() || self.paused_until.load(Ordering::Acquire) > 0
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 
 use anvilhook_core::units::{Clock, Millis};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -111,6 +112,7 @@
     upstream_in_flight: Family<NameLabel, Gauge>,
     upstream_reading_ms: Family<NameLabel, Gauge>,
     upstream_ejected: Family<NameLabel, Gauge>,
+    upstream_request_limit: Family<NameLabel, Gauge<f64, AtomicU64>>,
     service_in_flight: Family<NameLabel, Gauge>,
     service_reading_ms: Family<NameLabel, Gauge>,
     service_slots: Family<NameLabel, Gauge>,
@@ -145,6 +147,7 @@
             upstream_in_flight: Family::default(),
             upstream_reading_ms: Family::default(),
             upstream_ejected: Family::default(),
+            upstream_request_limit: Family::default(),
             service_in_flight: Family::default(),
             service_reading_ms: Family::default(),
             service_slots: Family::default(),
@@ -246,6 +249,11 @@
             "Whether an upstream is ejected",
             self.upstream_ejected.clone(),
         );
+        registry.register(
+            "upstream_request_limit",
+            "Requests a second that an upstream accepts from all instances, if it names a limit",
+            self.upstream_request_limit.clone(),
+        );
         registry.register(
             "service_in_flight",
             "Requests in flight at a service's upstreams, estimated over all instances",
@@ -328,6 +336,7 @@
         let families =
             [&self.upstream_in_flight, &self.upstream_reading_ms, &self.upstream_ejected];
         families.iter().for_each(|family| family.clear());
+        self.upstream_request_limit.clear();
         for upstream in gateway.fleet().view().all() {
             let label = label(&upstream.entry.id);
             let work = upstream.state.work(now);
@@ -335,6 +344,9 @@
             self.upstream_in_flight.get_or_create(&label).set(i64::from(work.in_flight));
             self.upstream_reading_ms.get_or_create(&label).set(work.reading_ms as i64);
             self.upstream_ejected.get_or_create(&label).set(i64::from(is_ejected));
+            if let Some(limit) = upstream.state.request_limit().current_use(now) {
+                self.upstream_request_limit.get_or_create(&label).set(limit.per_s);
+            }
         }
     }
 
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -23,6 +23,7 @@
 use crate::followers::LIST_SOURCE;
 use crate::loads::RoleObservation;
 use crate::metrics::AttemptLabels;
+use crate::request_limits::LimitChange;
 use crate::wires::Wire;
 
 /// The maximum size of an answer that is collected before it is forwarded, in bytes.
@@ -123,6 +124,30 @@
     }
 }
 
+/// `AnswerSource` is what an upstream answered.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum AnswerSource<'a> {
+    /// A forwarded request.
+    Request {
+        /// Its id.
+        id: &'a str,
+        /// When it was sent.
+        sent_at: Millis,
+    },
+    /// A call that the gateway itself made.
+    OwnCall,
+}
+
+impl<'a> AnswerSource<'a> {
+    /// Returns the id of the request, empty for the gateway's own call.
+    fn request(self) -> &'a str {
+        match self {
+            AnswerSource::Request { id, .. } => id,
+            AnswerSource::OwnCall => "",
+        }
+    }
+}
+
 /// `Sending` describes how an attempt is sent.
 pub(super) struct Sending<'a> {
     pub upstream: &'a Upstream,
@@ -199,6 +224,7 @@
     fn log_placed(&self, exchange: &Exchange, sending: &Sending<'_>) {
         let now = self.now();
         let age = |source| self.inner.metrics.source_age(source, now).map(|age| age.0);
+        let limit = sending.upstream.state.request_limit().current_use(now);
         emit(&Event::Placed {
             request: &exchange.id,
             upstream: &sending.upstream.entry.id,
@@ -208,6 +234,8 @@
             held_ms: sending.wait.held.0,
             pace: sending.wait.pace.as_str(),
             in_flight: sending.upstream.state.work(now).in_flight,
+            limit_per_s: limit.map(|limit| limit.per_s),
+            limit_sent: limit.map(|limit| limit.sent),
             source: sending.source.as_deref(),
             list_age_ms: age(LIST_SOURCE),
             peers_age_ms: age(PEER_SOURCE),
@@ -236,6 +264,8 @@
     ) -> Result<Response, Failed> {
         let entry = &sending.upstream.entry;
         let req = self.request_for(exchange, sending);
+        let sent_at = self.now();
+        sending.upstream.state.request_limit().record_send(sent_at);
         let sent = self.inner.client.send(
             entry.address,
             req,
@@ -243,7 +273,8 @@
             sending.head_timeout.min(exchange.time_left(self.now())),
         );
         let answer = sent.await?;
-        self.record_response(sending.upstream, &exchange.id, answer.status(), answer.headers());
+        let source = AnswerSource::Request { id: &exchange.id, sent_at };
+        self.record_response(sending.upstream, source, answer.status(), answer.headers());
         self.check(exchange, sending, answer)
     }
 
@@ -251,7 +282,7 @@
     pub(super) fn record_response(
         &self,
         upstream: &Upstream,
-        request: &str,
+        source: AnswerSource<'_>,
         status: StatusCode,
         headers: &HeaderMap,
     ) {
@@ -270,8 +301,10 @@
         let is_leaving = self.wire().says_leaving(headers);
         let is_new = is_leaving && self.mark_leaving(upstream);
         let pause = self.record_pause(upstream, status, headers);
+        self.record_request_limit(upstream, source, headers);
         if is_new || pause.is_some() {
             let (upstream, status) = (&*upstream.entry.id, status.as_u16());
+            let request = source.request();
             let pause_ms = pause.map(|pause| pause.0);
             emit(&Event::UpstreamTold { upstream, request, status, is_leaving, pause_ms });
         }
@@ -297,6 +330,38 @@
         }
     }
 
+    /// Records the request limit that an upstream names in an answer, or that it names none.
+    fn record_request_limit(
+        &self,
+        upstream: &Upstream,
+        source: AnswerSource<'_>,
+        headers: &HeaderMap,
+    ) {
+        let limit = upstream.state.request_limit();
+        let now = self.now();
+        let change = match (self.wire().request_limit(headers), source) {
+            (Ok(Some(per_s)), _) => limit.record(Some(per_s), now, now),
+            // Only a forwarded request's own answer is known to name a limit that is in force.
+            (Ok(None), AnswerSource::Request { id, sent_at }) => {
+                let echoed = headers.get(&self.wire().headers().request_id);
+                let is_own = echoed.is_some_and(|echoed| echoed.as_bytes() == id.as_bytes());
+                if is_own { limit.record(None, sent_at, now) } else { None }
+            }
+            (Ok(None), AnswerSource::OwnCall) => None,
+            (Err(err), _) => {
+                let (upstream, cause) = (&*upstream.entry.id, err.to_string());
+                return emit(&Event::RequestLimitIgnored { upstream, cause });
+            }
+        };
+        let (per_s, before) = match change {
+            Some(LimitChange::Named { per_s, before }) => (Some(per_s), before),
+            Some(LimitChange::Ended { before }) => (None, Some(before)),
+            None => return,
+        };
+        let (upstream, request) = (&*upstream.entry.id, source.request());
+        emit(&Event::RequestLimit { upstream, request, per_s, before });
+    }
+
     /// Records that an upstream has announced to this instance that it leaves, and publishes it to peers.
     /// Returns whether that is new.
     fn mark_leaving(&self, upstream: &Upstream) -> bool {
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -9,6 +9,7 @@
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use volo_http::body::Body;
 
+use super::attempts::AnswerSource;
 use super::{Gateway, MIN_PUBLISHED_TOKENS};
 use crate::fleets::Upstream;
 use crate::prompts::Part;
@@ -108,9 +109,10 @@
         *req.headers_mut() = headers;
         let client = &self.inner.client;
         let address = upstream.entry.address;
+        upstream.state.request_limit().record_send(self.now());
         let answer = client.send(address, req, Connection::New, OWN_CALL_TIMEOUT).await.ok()?;
         let status = answer.status();
-        self.record_response(upstream, "", status, answer.headers());
+        self.record_response(upstream, AnswerSource::OwnCall, status, answer.headers());
         let (_, body) = answer.into_parts();
         const MAX_BYTES: usize = 1 << 20;
         let body = anvilhook_http::clients::collect_body(body, MAX_BYTES, OWN_CALL_TIMEOUT);
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -43,6 +43,8 @@
     pub account: HeaderName,
     /// Indicates in an upstream's answer that the upstream is leaving.
     pub leaving: HeaderName,
+    /// The requests a second that the upstream accepts from all instances together.
+    pub request_limit: HeaderName,
     /// All headers that a caller may not set; they are removed from its request.
     pub reserved: Vec<HeaderName>,
 }
@@ -171,6 +173,10 @@
     /// Returns whether an answer with these headers indicates that its upstream is leaving.
     fn says_leaving(&self, headers: &HeaderMap) -> bool;
 
+    /// Decodes the requests a second that an upstream accepts from all instances together, if an answer
+    /// with these headers names that limit.
+    fn request_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, DecodeError>;
+
     /// Decodes an upstream's load.
     fn load(&self, value: &HeaderValue) -> Option<Load>;
 
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -40,6 +40,7 @@
                 priority: name("t-priority"),
                 account: name("t-account"),
                 leaving: name("t-leaving"),
+                request_limit: name("t-limit"),
                 reserved: vec![
                     name("t-expect"),
                     name("t-stage"),
@@ -97,6 +98,12 @@
         headers.contains_key(&self.names.leaving)
     }
 
+    fn request_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, DecodeError> {
+        let Some(value) = headers.get("t-limit") else { return Ok(None) };
+        let limit = value.to_str().ok().and_then(|text| text.parse().ok());
+        limit.map(Some).ok_or_else(|| bad("limit"))
+    }
+
     fn load(&self, _value: &HeaderValue) -> Option<Load> {
         None
     }
