Queue requests for exhausted request limits in order, and read no prompt in vain

Change: requests that only limited upstreams could serve get this instance's shares in the order of their arrival; a prompt is sent to be read only if a share to generate is left for it; a request behind others waits only if it can be on time, as a longer queue would make all late and serve no more; a refusal names the time after which the queue is served; a long prompt waits for a limited engine that only reads rather than being read at a generating one.

--- a/crates/anvilhook-core/src/rate_shares.rs
+++ b/crates/anvilhook-core/src/rate_shares.rs
@@ -25,7 +25,8 @@
 /// The maximum number of turns that are searched for the next one with a quota.
 const MAX_TURNS: u64 = 2_000;
 
-/// The share of the time left to a request for which it may wait. The rest is for the work.
+/// The share of the time left to a request, and to its objective, for which it may wait. The rest is for the
+/// work.
 const WAITING_SHARE: f64 = 0.5;
 
 /// The fraction of the positions by which they are exchanged; its multiples are spread evenly.
@@ -106,8 +107,13 @@
 impl QuotaMeter {
     /// Returns whether a request may be sent.
     pub fn has_quota(&self, share: RateShare, per_s: f64, time: WallTime) -> bool {
+        self.left(share, per_s, time) > 0
+    }
+
+    /// Returns how many requests may be sent in the current turn.
+    pub fn left(&self, share: RateShare, per_s: f64, time: WallTime) -> u32 {
         let turn = share.turn_at(time);
-        self.used_in(turn) < share.quota(per_s, turn)
+        share.quota(per_s, turn).saturating_sub(self.used_in(turn))
     }
 
     /// Takes one request from the quota. Returns false if none is left.
@@ -148,8 +154,8 @@
 pub struct QuotaQueue {
     /// The time until the instance may send the next request.
     pub next_in: Millis,
-    /// The requests that wait for the same quotas already.
-    pub waiting: u32,
+    /// The requests that wait for the same quotas and come first.
+    pub ahead: u32,
     /// The requests a second that the instance may send within these quotas.
     pub per_s: f64,
 }
@@ -164,22 +170,28 @@
 }
 
 impl QuotaQueue {
-    /// Decides whether a request that has `time_left` waits.
+    /// Decides whether a request waits whose caller waits for `time_left`, and whose answer should begin within
+    /// `objective_left`.
+    ///
+    /// A request behind others waits only if it can be on time. If more requests arrive than the quotas allow,
+    /// a longer queue would make all of them late, and no more of them would be served.
     ///
     /// ```
     /// use anvilhook_core::rate_shares::{QueueDecision, QuotaQueue};
     /// use anvilhook_core::units::Millis;
     ///
-    /// let queue = QuotaQueue { next_in: Millis(200), waiting: 0, per_s: 2.0 };
-    /// assert_eq!(queue.decide(Millis(1_000)), QueueDecision::Wait);
-    /// assert_eq!(queue.decide(Millis(300)), QueueDecision::Refuse(Millis(200)));
-    /// let long = QuotaQueue { waiting: 3, ..queue };
-    /// assert_eq!(long.decide(Millis(1_000)), QueueDecision::Refuse(Millis(1_700)));
+    /// let first = QuotaQueue { next_in: Millis(200), ahead: 0, per_s: 2.0 };
+    /// assert_eq!(first.decide(Millis(1_000), Millis(100)), QueueDecision::Wait);
+    /// assert_eq!(first.decide(Millis(300), Millis(100)), QueueDecision::Refuse(Millis(200)));
+    /// let behind = QuotaQueue { ahead: 1, ..first };
+    /// assert_eq!(behind.decide(Millis(9_000), Millis(1_500)), QueueDecision::Wait);
+    /// assert_eq!(behind.decide(Millis(9_000), Millis(1_000)), QueueDecision::Refuse(Millis(700)));
     /// ```
-    pub fn decide(&self, time_left: Millis) -> QueueDecision {
-        let behind_ms = f64::from(self.waiting) / self.per_s.max(MIN_PER_S) * 1e3;
+    pub fn decide(&self, time_left: Millis, objective_left: Millis) -> QueueDecision {
+        let behind_ms = f64::from(self.ahead) / self.per_s.max(MIN_PER_S) * 1e3;
         let wait = self.next_in + Millis(behind_ms as u64);
-        let is_in_time = wait.0 as f64 <= time_left.0 as f64 * WAITING_SHARE;
+        let limit = if self.ahead == 0 { time_left } else { objective_left.min(time_left) };
+        let is_in_time = wait.0 as f64 <= limit.0 as f64 * WAITING_SHARE;
         if is_in_time { QueueDecision::Wait } else { QueueDecision::Refuse(wait) }
     }
 }
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -111,7 +111,8 @@
     ) -> TryResult<Opened> {
         let mut ticket = None;
         let upstream = loop {
-            if let Some(upstream) = self.choose_plain(exchange, avoid) {
+            let avoided = self.avoided(exchange, avoid, ticket.as_ref());
+            if let Some(upstream) = self.choose_plain(exchange, &avoided) {
                 break upstream;
             }
             match self.wait_for_share(exchange, avoid, &mut ticket).await {
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -56,7 +56,8 @@
             if let Some(refusal) = self.check_quarantine(exchange) {
                 return last_answer.map_or(refusal, Outcome::Whole);
             }
-            let Some(upstream) = self.choose_plain(exchange, &avoid) else {
+            let avoided = self.avoided(exchange, &avoid, ticket.as_ref());
+            let Some(upstream) = self.choose_plain(exchange, &avoided) else {
                 match self.wait_for_share(exchange, &avoid, &mut ticket).await {
                     LimitWait::TryAgain => continue,
                     LimitWait::Refuse(soonest) => (last_cause, pause) = (LIMITED, soonest),
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -182,13 +182,14 @@
             }
             Plan::Split(reader) => reader,
         };
+        let ticket = self.inner.limit_queues.begin_reading(&exchange.service);
         let handle = match self.read_prompt(exchange, &mut job, reader, wait).await? {
             Ok(handle) => handle,
             Err(failed) => return Ok(Err(failed)),
         };
 
         // The generating engine is chosen by the state that is current once the prompt has been read.
-        match self.wait_for_generator(exchange, &job, handle.upstream()).await {
+        match self.wait_for_generator(exchange, &job, handle.upstream(), ticket).await {
             WaitOutcome::Send(generator, wait) => {
                 self.generate(exchange, &mut job, generator, Some(handle), wait).await
             }
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -10,7 +10,7 @@
 use anvilhook_core::units::{Clock, Millis};
 
 use super::Gateway;
-use super::limits::LimitWait;
+use super::limits::{LimitTicket, LimitWait, pause_for};
 use super::prompts::Job;
 use super::requests::Exchange;
 use crate::fleets::Upstream;
@@ -65,14 +65,24 @@
             if let Some(stopped) = self.reason_not_to_wait(exchange, job) {
                 return stopped;
             }
-            let Some(plan) = self.plan(exchange, job) else {
+            let Some(plan) = self.plan_in_turn(exchange, job, ticket.as_ref()) else {
                 match self.wait_for_share(exchange, job.avoid, &mut ticket).await {
                     LimitWait::TryAgain => continue,
                     LimitWait::Refuse(soonest) => return WaitOutcome::Limited(soonest),
                     LimitWait::NotLimited => return WaitOutcome::NoEngine,
                 }
             };
-            let Plan::Split(reader) = &plan else { return WaitOutcome::Send(plan, Wait::NONE) };
+            let reader = match &plan {
+                Plan::Split(reader) => reader,
+                Plan::Direct(generator) => {
+                    let Some(next_in) = self.reader_worth_waiting_for(exchange, generator) else {
+                        let wait = Wait { held: self.now() - began_at, pace: Pace::Free };
+                        return WaitOutcome::Send(plan, wait);
+                    };
+                    pause_for(next_in).await;
+                    continue;
+                }
+            };
             let waiting = exchange.waiting(self.now());
             let pace = pace_reading(&waiting, reader.reading_ms, reader.backlog_ms, job.tightest);
             match pace {
@@ -88,15 +98,17 @@
     /// Chooses the engine that generates and waits until the request may be sent to it.
     ///
     /// The prompt has already been read. The engine is chosen again by the current state at each check.
+    /// `ticket` gives the request its turn at engines with request limits.
     pub(super) async fn wait_for_generator(
         &self,
         exchange: &mut Exchange,
         job: &Job<'_>,
         reader: &Upstream,
+        ticket: LimitTicket,
     ) -> WaitOutcome<Generator> {
         let began_at = self.now();
         let mut slot_request = None;
-        let mut ticket = None;
+        let mut ticket = Some(ticket);
         loop {
             if let Some(stopped) = self.reason_not_to_wait(exchange, job) {
                 return stopped;
--- a/crates/anvilhook-gateway/src/request_limits.rs
+++ b/crates/anvilhook-gateway/src/request_limits.rs
@@ -137,10 +137,15 @@
 
     /// Returns whether this instance may send a request now.
     pub fn has_share(&self, now: Millis) -> bool {
+        self.left(now).is_none_or(|left| left > 0)
+    }
+
+    /// Returns how many requests this instance may send in the current turn; `None` without a limit.
+    pub fn left(&self, now: Millis) -> Option<u32> {
         if !self.is_limited() {
-            return true;
+            return None;
         }
-        self.known().as_ref().is_none_or(|known| known.has_share(now))
+        self.known().as_ref().map(|known| known.left(now))
     }
 
     /// Returns when this instance may send the next request, `now` if it may at once.
@@ -192,8 +197,8 @@
         is_taken
     }
 
-    fn has_share(&self, now: Millis) -> bool {
-        self.meter.has_quota(self.basis.share, self.per_s, self.basis.time_at(now))
+    fn left(&self, now: Millis) -> u32 {
+        self.meter.left(self.basis.share, self.per_s, self.basis.time_at(now))
     }
 
     fn next_at(&self, now: Millis) -> Millis {
--- a/crates/anvilhook-gateway/tests/request_limits.rs
+++ b/crates/anvilhook-gateway/tests/request_limits.rs
@@ -259,3 +259,35 @@
     assert_eq!(other.received().len(), 4);
     assert!(limited_one.received().len() <= 2, "{}", limited_one.received().len());
 }
+
+/// Guards against prompts that are read for nothing (prefill), because no generating engine accepts the request
+/// afterwards.
+#[tokio::test]
+async fn verify_no_prompt_is_read_without_a_share_to_generate() {
+    let mut limited_stream = stream(1, 1);
+    limited_stream[0] = Step::Write(
+        "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\nT-Limit: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            .to_owned(),
+    );
+    let reader = Upstream::always(vec![signed("200 OK", "handle h")]).await;
+    let generator = Upstream::always(limited_stream).await;
+    let entries = vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
+    let clock = ManualClock::new();
+    clock.advance(Millis(1_000));
+    let front = single_instance(clock, ONCE, entries).await;
+    front.post("first", PROMPT, "").await;
+
+    let ids: Vec<String> = (0..8).map(|number| format!("r{number}")).collect();
+    let answers = futures_util::future::join_all(ids.iter().map(|id| {
+        let bytes =
+            support::fronts::request(id, PROMPT, "").replace("T-Deadline: 2000", "T-Deadline: 900");
+        let front = &front;
+        async move { front.raw(&bytes).await }
+    }))
+    .await;
+
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    assert_eq!(served, 1, "one share a turn: {answers:?}");
+    assert_eq!(reader.received().iter().filter(|one| one.line.starts_with("POST")).count(), 2);
+    assert_eq!(generator.received().len(), 2);
+}
