Log from which epoch of the store each row and answer comes

What callers saw: nothing. Cause of the change: after a restore the store gives versions out again, and the logs can't tell two rows of one version apart. No decision uses it yet.

--- a/crates/anvilhook-gateway/src/duties/records.rs
+++ b/crates/anvilhook-gateway/src/duties/records.rs
@@ -45,8 +45,8 @@
             let value = serde_json::to_vec(&next).expect("records can be written");
             let (key, value) = (self.row.to_owned(), Bytes::from(value));
             let write = Write { key, expected: version, value };
-            if let Written::At(version) = self.table.write(RECORD_TABLE, write).await? {
-                self.known = Some((version, next));
+            if let Written::At(revision) = self.table.write(RECORD_TABLE, write).await? {
+                self.known = Some((revision.version, next));
                 return Ok(result);
             }
         }
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -120,6 +120,8 @@
         call: &'static str,
         /// `answered`, `refused`, `history_gone` or `no_answer`.
         outcome: &'static str,
+        /// The epoch of the store, if it returned rows or a revision.
+        epoch: Option<u64>,
     },
     /// Changed rows of a followed table were applied.
     RowsTaken {
@@ -132,6 +134,10 @@
         after: u64,
         /// The version after these changes.
         to: u64,
+        /// The epoch of the store from which the rows come.
+        epoch: u64,
+        /// The epoch of the store from which the previous rows came.
+        epoch_before: u64,
         /// The number of rows.
         rows: usize,
     },
--- a/crates/anvilhook-gateway/src/followers/following.rs
+++ b/crates/anvilhook-gateway/src/followers/following.rs
@@ -74,6 +74,8 @@
     /// Whether the last content came from such a call, so that its connection is known to be
     /// healthy.
     was_own: bool,
+    /// The epoch of the rows that were applied last, for logs.
+    logged_epoch: u64,
 }
 
 impl<T: Table, F: Follow, C: Clock> Following<T, F, C> {
@@ -92,6 +94,7 @@
             pause: FIRST_PAUSE,
             called_at: Millis::ZERO,
             was_own: false,
+            logged_epoch: 0,
         }
     }
 
@@ -252,7 +255,7 @@
     fn apply_all(&mut self, rows: Rows) -> bool {
         let known = self.known();
         let span = Span { after: known, to: rows.version };
-        self.record_rows_applied("whole", span, rows.rows.len());
+        self.record_rows_applied("whole", span, rows.epoch, rows.rows.len());
         let changes = self.watch().mirror().reset(&rows);
         if let Some(changes) = changes {
             self.publish(&changes);
@@ -270,15 +273,16 @@
         if changes.rows.is_empty() {
             return false;
         }
-        self.record_rows_applied(source, changes.span, changes.rows.len());
+        self.record_rows_applied(source, changes.span, changes.epoch, changes.rows.len());
         self.follower.change(&changes.rows);
         self.watch().version().record_own(changes.newest());
         true
     }
 
-    fn record_rows_applied(&self, source: &'static str, span: Span, rows: usize) {
+    fn record_rows_applied(&mut self, source: &'static str, span: Span, epoch: u64, rows: usize) {
+        let epoch_before = std::mem::replace(&mut self.logged_epoch, epoch);
         let (dependency, Span { after, to }) = (self.follower.table(), span);
-        emit(&Event::RowsTaken { dependency, source, after, to, rows });
+        emit(&Event::RowsTaken { dependency, source, after, to, epoch, epoch_before, rows });
     }
 
     /// Publishes, to the other instances of the availability zone, the rows that a call has
--- a/crates/anvilhook-gateway/src/leases.rs
+++ b/crates/anvilhook-gateway/src/leases.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 
 use crate::events::{Event, emit};
-use crate::tables::{Table, TableError, Write, Written};
+use crate::tables::{Table, TableError, TableRevision, Write, Written};
 
 /// The table of the leases.
 const LEASE_TABLE: &str = "anvilhook_leases";
@@ -138,7 +138,7 @@
         let value = Bytes::from(self.holder.clone());
         let write = Write { key: self.row.to_owned(), expected: version, value };
         match self.table.write(LEASE_TABLE, write).await? {
-            Written::At(version) => {
+            Written::At(TableRevision { version, .. }) => {
                 let token = own.map_or(version, |lease| lease.token);
                 let outcome = if own.is_some() { "renewed" } else { "taken" };
                 emit(&Event::Lease { lease: self.row, outcome, token });
--- a/crates/anvilhook-gateway/src/peers/mirrors.rs
+++ b/crates/anvilhook-gateway/src/peers/mirrors.rs
@@ -54,12 +54,13 @@
         let changed = rows.rows.iter().filter(|row| row.version > self.known).cloned();
         let mut changes: Vec<Row> = changed.chain(removed).collect();
         changes.sort_by_key(|row| row.version);
-        self.following(Rows { version: rows.version, rows: changes })
+        self.following(Rows { rows: changes, ..Rows { rows: Vec::new(), ..*rows } })
     }
 
     /// Returns rows as the changes that follow the newest known change.
     pub fn following(&self, rows: Rows) -> RowChanges {
-        RowChanges { span: Span { after: self.newest, to: rows.version }, rows: rows.rows }
+        let span = Span { after: self.newest, to: rows.version };
+        RowChanges { epoch: rows.epoch, span, rows: rows.rows }
     }
 
     /// Applies changed rows.
@@ -94,6 +95,6 @@
             self.rows.values().filter(|row| row.version > version).cloned().collect();
         rows.sort_by_key(|row| row.version);
         let span = Span { after: version, to: self.known };
-        (!rows.is_empty()).then_some(RowChanges { span, rows })
+        (!rows.is_empty()).then_some(RowChanges { epoch: 0, span, rows })
     }
 }
--- a/crates/anvilhook-gateway/src/peers/rows.rs
+++ b/crates/anvilhook-gateway/src/peers/rows.rs
@@ -32,6 +32,8 @@
 /// `RowChanges` is a section of a table's history.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RowChanges {
+    /// The epoch of the store to which it belongs.
+    pub epoch: u64,
     /// The versions that it covers.
     pub span: Span,
     /// The rows that changed in it, in order.
@@ -60,13 +62,13 @@
             // having all.
             if bytes + size > SPAN_BYTES && last > after && row.version > last {
                 let span = Span { after, to: last };
-                spans.push(RowChanges { span, rows: std::mem::take(&mut rows) });
+                spans.push(RowChanges { epoch: self.epoch, span, rows: std::mem::take(&mut rows) });
                 (after, bytes) = (last, 0);
             }
             rows.push(row.clone());
             bytes += size;
         }
-        spans.push(RowChanges { span: Span { after, to: self.span.to }, rows });
+        spans.push(RowChanges { epoch: self.epoch, span: Span { after, to: self.span.to }, rows });
         spans
     }
 }
@@ -146,7 +148,8 @@
     /// use anvilhook_gateway::tables::Row;
     ///
     /// let row = Row { key: "a".to_owned(), value: Some("b".repeat(2_000).into()), version: 7 };
-    /// let changes = RowChanges { span: Span { after: 5, to: 9 }, rows: vec![row] };
+    /// let span = Span { after: 5, to: 9 };
+    /// let changes = RowChanges { epoch: 0, span, rows: vec![row] };
     /// let pieces = pieces_of(FollowedTable::Config, &changes);
     /// let (mut assembler, from) = (Assembler::default(), ([127, 0, 0, 1], 1).into());
     /// assert_eq!(assembler.take(from, pieces[1].clone()), None);
@@ -170,7 +173,7 @@
         }
         let partial = self.partial.remove(&(from, table))?;
         let bytes: Vec<u8> = partial.pieces.into_iter().flatten().flatten().collect();
-        Some(RowChanges { span, rows: decode(&bytes)? })
+        Some(RowChanges { epoch: 0, span, rows: decode(&bytes)? })
     }
 }
 
--- a/crates/anvilhook-gateway/src/tables.rs
+++ b/crates/anvilhook-gateway/src/tables.rs
@@ -21,6 +21,31 @@
     pub version: u64,
 }
 
+/// `TableRevision` is a point in the history of the platform's tables.
+///
+/// A store that is restored from a copy loses its newest versions and assigns them again. Its epoch, which rises
+/// with each restore, tells the two histories apart, so a version alone must not be compared.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct TableRevision {
+    /// The epoch of the store; 0 if it does not report one.
+    pub epoch: u64,
+    /// The version within the epoch.
+    pub version: u64,
+}
+
+impl TableRevision {
+    /// Creates a revision.
+    ///
+    /// ```
+    /// use anvilhook_gateway::tables::TableRevision;
+    ///
+    /// assert!(TableRevision::new(2, 7) > TableRevision::new(1, 9));
+    /// ```
+    pub const fn new(epoch: u64, version: u64) -> Self {
+        Self { epoch, version }
+    }
+}
+
 /// `Rows` are the rows of a table, or its changed rows, up to a version.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Rows {
@@ -28,6 +53,15 @@
     pub rows: Vec<Row>,
     /// The version of the table after these rows.
     pub version: u64,
+    /// The epoch of the store that returned them.
+    pub epoch: u64,
+}
+
+impl Rows {
+    /// Returns the revision of the table after these rows.
+    pub fn revision(&self) -> TableRevision {
+        TableRevision::new(self.epoch, self.version)
+    }
 }
 
 /// `Write` writes one row if it still has the expected version.
@@ -44,12 +78,22 @@
 /// `Written` is the outcome of a conditional write.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Written {
-    /// It took effect, at this version.
-    At(u64),
+    /// It took effect, at this revision.
+    At(TableRevision),
     /// The row had another version, and nothing was done.
     Conflict,
 }
 
+impl Written {
+    /// Returns the epoch of the store, if the write took effect.
+    fn epoch(&self) -> Option<u64> {
+        match self {
+            Written::At(revision) => Some(revision.epoch),
+            Written::Conflict => None,
+        }
+    }
+}
+
 /// `TableError` is a failed call to the table.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TableError {
@@ -111,7 +155,13 @@
         Self { table, calls }
     }
 
-    fn count<R>(&self, table: &str, call: &'static str, result: &Result<R, TableError>) {
+    fn count<R>(
+        &self,
+        table: &str,
+        call: &'static str,
+        result: &Result<R, TableError>,
+        epoch: impl Fn(&R) -> Option<u64>,
+    ) {
         let outcome = match result {
             Ok(_) => "answered",
             Err(TableError::Refused(_)) => "refused",
@@ -120,26 +170,27 @@
         };
         let labels = TableLabels { table: table.to_owned(), call, outcome };
         self.calls.get_or_create(&labels).inc();
-        emit(&Event::TableCalled { dependency: table, call, outcome });
+        let epoch = result.as_ref().ok().and_then(epoch);
+        emit(&Event::TableCalled { dependency: table, call, outcome, epoch });
     }
 }
 
 impl<T: Table> Table for CountedTable<T> {
     async fn scan(&self, table: &str) -> Result<Rows, TableError> {
         let result = self.table.scan(table).await;
-        self.count(table, "scan", &result);
+        self.count(table, "scan", &result, |rows| Some(rows.epoch));
         result
     }
 
     async fn changes(&self, table: &str, version: u64, wait: Millis) -> Result<Rows, TableError> {
         let result = self.table.changes(table, version, wait).await;
-        self.count(table, "changes", &result);
+        self.count(table, "changes", &result, |rows| Some(rows.epoch));
         result
     }
 
     async fn write(&self, table: &str, write: Write) -> Result<Written, TableError> {
         let result = self.table.write(table, write).await;
-        self.count(table, "write", &result);
+        self.count(table, "write", &result, Written::epoch);
         result
     }
 }
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -406,7 +406,7 @@
     let windows = vec![WindowCounts { window: 350_000_000, counts }];
     let usage = UsageUpdate { time: WallTime(1_790_000_000_000), reported: 349_999_999, windows };
     let span = Span { after: 4, to: 5 };
-    let rows = pieces_of(FollowedTable::Entries, &RowChanges { span, rows: vec![row] });
+    let rows = pieces_of(FollowedTable::Entries, &RowChanges { epoch: 0, span, rows: vec![row] });
     let digests = [
         Digest { from: 9, loads: vec![load], work: vec![work], ..Digest::default() },
         Digest { from: 9, cached: vec![cached], is_partial: true, ..Digest::default() },
@@ -472,8 +472,11 @@
         // Two rows of each transaction.
         version: 100 + at / 2,
     };
-    let changes =
-        RowChanges { span: Span { after: 99, to: 400 }, rows: (0..300).map(row).collect() };
+    let changes = RowChanges {
+        epoch: 0,
+        span: Span { after: 99, to: 400 },
+        rows: (0..300).map(row).collect(),
+    };
 
     let pieces = pieces_of(FollowedTable::Entries, &changes);
 
--- a/crates/anvilhook-gateway/tests/support/tables.rs
+++ b/crates/anvilhook-gateway/tests/support/tables.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 
 use anvilhook_core::units::Millis;
-use anvilhook_gateway::tables::{Row, Rows, Table, TableError, Write, Written};
+use anvilhook_gateway::tables::{Row, Rows, Table, TableError, TableRevision, Write, Written};
 use bytes::Bytes;
 use tokio::sync::Notify;
 
@@ -92,7 +92,7 @@
         let state = self.state.lock().expect("no panic");
         let rows = state.rows.iter().filter(|(name, row)| name == table && row.version > version);
         let rows = rows.map(|(_, row)| row.clone()).collect();
-        Rows { rows, version: state.version }
+        Rows { rows, version: state.version, epoch: 0 }
     }
 
     fn check(&self) -> Result<(), TableError> {
@@ -152,7 +152,7 @@
         let state = self.state.lock().expect("no panic");
         match state.fault {
             Fault::AnswersLost => Err(TableError::NoAnswer("lost".to_owned())),
-            _ => Ok(Written::At(state.version)),
+            _ => Ok(Written::At(TableRevision::new(0, state.version))),
         }
     }
 }
