--- a/crates/anvilhook-gateway/tests/support/tables.rs
+++ b/crates/anvilhook-gateway/tests/support/tables.rs
@@ -25,10 +25,19 @@
     NoResponse,
 }
 
+/// `TableCopy` is a copy of all tables, from which they can be restored.
+#[derive(Clone, Debug)]
+pub struct TableCopy {
+    rows: Vec<(String, Row)>,
+    version: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     rows: Vec<(String, Row)>,
     version: u64,
+    epoch: u64,
+    latency: Millis,
     fault: Fault,
     waits: Vec<Millis>,
     scans: usize,
@@ -56,6 +65,33 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns a copy of all tables.
+    pub fn copy(&self) -> TableCopy {
+        let state = self.state.lock().expect("no panic");
+        TableCopy { rows: state.rows.clone(), version: state.version }
+    }
+
+    /// Restores all tables from a copy. Later versions are lost, and are assigned again.
+    pub fn restore(&self, copy: &TableCopy) {
+        let mut state = self.state.lock().expect("no panic");
+        (state.rows, state.version) = (copy.rows.clone(), copy.version);
+        state.epoch += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Sets how long each read takes.
+    pub fn set_latency(&self, latency: Millis) {
+        self.state.lock().expect("no panic").latency = latency;
+    }
+
+    async fn delay(&self) {
+        let latency = self.state.lock().expect("no panic").latency;
+        if latency > Millis::ZERO {
+            tokio::time::sleep(latency.as_duration()).await;
+        }
+    }
+
     /// Sets the fault to simulate.
     pub fn set_fault(&self, fault: Fault) {
         self.state.lock().expect("no panic").fault = fault;
@@ -92,7 +128,7 @@
         let state = self.state.lock().expect("no panic");
         let rows = state.rows.iter().filter(|(name, row)| name == table && row.version > version);
         let rows = rows.map(|(_, row)| row.clone()).collect();
-        Rows { rows, version: state.version, epoch: 0 }
+        Rows { rows, version: state.version, epoch: state.epoch }
     }
 
     fn check(&self) -> Result<(), TableError> {
@@ -113,6 +149,7 @@
 
 impl Table for MemoryTable {
     async fn scan(&self, table: &str) -> Result<Rows, TableError> {
+        self.delay().await;
         self.state.lock().expect("no panic").scans += 1;
         self.check()?;
         let mut rows = self.since(table, 0);
@@ -122,7 +159,11 @@
 
     async fn changes(&self, table: &str, version: u64, wait: Millis) -> Result<Rows, TableError> {
         self.state.lock().expect("no panic").waits.push(wait);
+        self.delay().await;
         self.check()?;
+        if version > self.version() {
+            return Err(TableError::HistoryGone);
+        }
         let fault = self.state.lock().expect("no panic").fault;
         if fault == Fault::LargeChanges {
             return Err(TableError::Unfinished);
@@ -152,7 +193,7 @@
         let state = self.state.lock().expect("no panic");
         match state.fault {
             Fault::AnswersLost => Err(TableError::NoAnswer("lost".to_owned())),
-            _ => Ok(Written::At(TableRevision::new(0, state.version))),
+            _ => Ok(Written::At(TableRevision::new(state.epoch, state.version))),
         }
     }
 }
