Wait out a lease that a restore of the store may have lost

Cause: the version of the lease's row was the fencing token and the only sign of a holder. A store restored from a copy loses the row of a live holder and assigns its version again: another instance took the lease at once, under a token that had been used (1 after 6 in the test), and two instances could give orders within one lease. Change: the row's revision includes the epoch; after a restore a missing row counts as seen for the first time, so it is waited out like any other; a write that is executed in another epoch than the row was read in is no lease; the token is derived from epoch and version, and is the version alone in epoch 0.

--- a/crates/anvilhook-gateway/src/leases.rs
+++ b/crates/anvilhook-gateway/src/leases.rs
@@ -12,13 +12,16 @@
 /// The margin by which the holder shortens a lease, and every other instance extends it.
 const GUARD: Millis = Millis(600);
 
+/// The lowest epoch that shows that the store has been restored, whatever its first epoch is.
+const RESTORED_EPOCH: u64 = 2;
+
 /// `Lease` is this instance's right to act.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Lease {
-    /// The fencing token: the version at which the lease was taken from another holder.
+    /// The fencing token, from the revision at which the lease was taken from another holder.
     pub token: u64,
-    /// The version of the row at its last renewal.
-    version: u64,
+    /// The revision of the row at its last renewal.
+    revision: TableRevision,
     /// The end of the lease, counted from before the write was sent.
     pub until: Millis,
 }
@@ -26,9 +29,12 @@
 /// `LeaseManager` acquires the lease and renews it.
 ///
 /// Orders of two instances must never mix. One row of the table is the lease. Each acquisition
-/// writes a higher version, which is the fencing token until another instance acquires the lease.
-/// The holder counts from before it sent the write, every other instance from when it first saw the
-/// row, and both add a guard time.
+/// writes a higher revision, from which the fencing token is derived until another instance acquires
+/// the lease. The holder counts from before it sent the write, every other instance from when it
+/// first saw the row, and both add a guard time.
+///
+/// A store that is restored from a copy loses the newest leases, while their holders still act. So
+/// after a restore, the row counts as seen for the first time even if it is missing.
 pub(crate) struct LeaseManager<T, C> {
     table: T,
     clock: C,
@@ -38,8 +44,10 @@
     length: Millis,
     /// The additional time before a lapsed lease is acquired.
     late_calls: Millis,
-    /// The last seen version of the row, and when it was first seen.
-    seen: Option<(u64, Millis)>,
+    /// The last seen revision of the row, and when it was first seen; version 0 if it is missing.
+    seen: Option<(TableRevision, Millis)>,
+    /// The epoch of the store in which the row was first looked for.
+    first_epoch: Option<u64>,
     lease: Option<Lease>,
     not_before: Millis,
 }
@@ -55,6 +63,7 @@
             length,
             late_calls: Millis::ZERO,
             seen: None,
+            first_epoch: None,
             lease: None,
             not_before: Millis::ZERO,
         }
@@ -119,32 +128,40 @@
     async fn acquire(&mut self) -> Result<Option<Lease>, TableError> {
         let rows = self.table.scan(LEASE_TABLE).await?;
         let row = rows.rows.iter().find(|row| row.key == self.row);
-        let version = row.map_or(0, |row| row.version);
+        let revision = TableRevision::new(rows.epoch, row.map_or(0, |row| row.version));
         let now = self.clock.now();
         let seen_at = match self.seen {
-            Some((seen, at)) if seen == version => at,
+            Some((seen, at)) if seen == revision => at,
             _ => {
-                self.seen = Some((version, now));
+                self.seen = Some((revision, now));
                 now
             }
         };
-        let own = self.lease.filter(|lease| lease.version == version);
+        let own = self.lease.filter(|lease| lease.revision == revision);
         let lapses_at = seen_at + self.length + GUARD + self.late_calls;
-        let is_lapsed = version == 0 || now >= lapses_at;
+        let first_epoch = *self.first_epoch.get_or_insert(rows.epoch);
+        let was_restored = rows.epoch > first_epoch || rows.epoch >= RESTORED_EPOCH;
+        let was_never_held = revision.version == 0 && !was_restored;
+        let is_lapsed = was_never_held || now >= lapses_at;
         if own.is_none() && !is_lapsed {
             return Ok(None);
         }
         let sent_at = self.clock.now();
         let value = Bytes::from(self.holder.clone());
-        let write = Write { key: self.row.to_owned(), expected: version, value };
+        let write = Write { key: self.row.to_owned(), expected: revision.version, value };
         match self.table.write(LEASE_TABLE, write).await? {
-            Written::At(TableRevision { version, .. }) => {
-                let token = own.map_or(version, |lease| lease.token);
+            // The store was restored since the row was read, and another instance may hold the lease.
+            Written::At(written) if written.epoch != revision.epoch => {
+                self.seen = Some((written, sent_at));
+                Ok(None)
+            }
+            Written::At(written) => {
+                let token = own.map_or(written.fencing_token(), |lease| lease.token);
                 let outcome = if own.is_some() { "renewed" } else { "taken" };
                 emit(&Event::Lease { lease: self.row, outcome, token });
                 let until = sent_at + (self.length - GUARD);
-                self.seen = Some((version, sent_at));
-                Ok(Some(Lease { token, version, until }))
+                self.seen = Some((written, sent_at));
+                Ok(Some(Lease { token, revision: written, until }))
             }
             Written::Conflict => Ok(None),
         }
--- a/crates/anvilhook-gateway/src/tables.rs
+++ b/crates/anvilhook-gateway/src/tables.rs
@@ -44,8 +44,24 @@
     pub const fn new(epoch: u64, version: u64) -> Self {
         Self { epoch, version }
     }
+
+    /// Returns a fencing token that is higher than those of all earlier revisions. In epoch 0 it is the version.
+    ///
+    /// ```
+    /// use anvilhook_gateway::tables::TableRevision;
+    ///
+    /// assert_eq!(TableRevision::new(0, 7).fencing_token(), 7);
+    /// let restored = TableRevision::new(1, 3).fencing_token();
+    /// assert!(restored > TableRevision::new(0, 1 << 39).fencing_token());
+    /// ```
+    pub const fn fencing_token(self) -> u64 {
+        (self.epoch << TOKEN_VERSION_BITS) | self.version
+    }
 }
 
+/// The number of bits of a fencing token that hold the version.
+const TOKEN_VERSION_BITS: u32 = 40;
+
 /// `Rows` are the rows of a table, or its changed rows, up to a version.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Rows {
--- a/crates/anvilhook-gateway/tests/duties.rs
+++ b/crates/anvilhook-gateway/tests/duties.rs
@@ -387,3 +387,30 @@
     let rest: Vec<_> = orders[2..4].iter().map(|(_, kind, desired)| (*kind, *desired)).collect();
     assert_eq!(rest, released, "{orders:?}");
 }
+
+/// Guards against two holders at a time, and against a token that is not higher than an earlier one, after the table
+/// was restored from a copy in which the lease is missing.
+#[tokio::test]
+async fn verify_a_lease_that_a_restore_loses_is_waited_out() {
+    let site = site();
+    let copy = site.table.copy();
+    (0..5).for_each(|_| site.table.put("other", "x", Some("1")));
+    let (mut one, mut two) = (site.instance("one"), site.instance("two"));
+    site.enter_next_window(&one, Millis(2_500));
+    one.runner.run_once().await;
+    two.runner.run_once().await;
+    let held = site.cloud.reports();
+    assert_eq!(held.iter().map(|called| &*called.holder).collect::<Vec<_>>(), ["one"]);
+
+    site.table.restore(&copy);
+    two.runner.run_once().await;
+    site.clock.advance(Millis(1_000));
+    two.runner.run_once().await;
+    assert_eq!(site.cloud.reports(), held, "while the first may still hold its lease");
+    two.run_for_a_while(&site.clock).await;
+
+    let reports = site.cloud.reports();
+    let taken = reports.last().expect("a report");
+    assert_eq!(taken.holder, "two");
+    assert!(taken.token > held[0].token, "{} after {}", taken.token, held[0].token);
+}
