List an instance again when a restore of the store has lost its row

Cause: an instance lists itself once, at its start. A store that is restored from an older copy no longer has that row, so instances that start later don't find it, share limits and budgets with fewer than there are, and send it no updates. Result: verify_an_instance_is_listed_again_after_a_restore passes; with the single registration of before in its place it times out at the missing row.

--- a/crates/anvilhook-gateway/src/followers/following.rs
+++ b/crates/anvilhook-gateway/src/followers/following.rs
@@ -327,6 +327,7 @@
         let newest = rows.rows.iter().map(|row| row.version).max();
         let newest_revision = TableRevision::new(rows.epoch, newest.unwrap_or_default());
         self.watch().version().record_own(newest_revision);
+        self.peers.record_epoch(rows.epoch);
         self.needs_full_read = false;
         self.was_own = true;
         newest.is_some()
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -182,7 +182,7 @@
     tokio::spawn(peers::exchange(socket, number, rng, gateway.clone(), clock.clone()));
     tokio::spawn(peers::seed_caches(gateway.clone(), clock.clone()));
     let name = options.name.to_string();
-    tokio::spawn(peers::register(table.clone(), name.clone(), options.peer, peers));
+    tokio::spawn(peers::keep_registered(table.clone(), name.clone(), options.peer, peers));
     let controller = RoleController::new(
         gateway.clone(),
         table.clone(),
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -9,7 +9,7 @@
 use anvilhook_core::rate_shares::RateShare;
 use anvilhook_core::units::Millis;
 use anvilhook_core::watches::{Candidate, FOLLOWER_TIMEOUT, is_chosen};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::digests::Digest;
 use super::versions::{FollowedTable, TableVersion};
@@ -74,6 +74,8 @@
     /// The address of this instance, once it is listed.
     own_address: OnceLock<SocketAddr>,
     watches: [TableWatch; FollowedTable::ALL.len()],
+    /// The newest epoch of the store in which this instance has read a table.
+    epoch: watch::Sender<u64>,
     changed: Notify,
 }
 
@@ -250,8 +252,9 @@
     /// Records that this instance is listed at an address and has read which others are.
     pub(super) fn record_listed(&self, address: SocketAddr) {
         let _ = self.own_address.set(address);
-        self.was_listed.store(true, Ordering::Release);
-        self.is_new.store(true, Ordering::Release);
+        if !self.was_listed.swap(true, Ordering::AcqRel) {
+            self.is_new.store(true, Ordering::Release);
+        }
     }
 
     /// Adds an address at which an instance of an availability zone may run.
@@ -341,6 +344,22 @@
         if self.was_listed.load(Ordering::Acquire) { known } else { known.max(UNLISTED_INSTANCES) }
     }
 
+    /// Records that this instance has read a table in an epoch of the store.
+    pub(crate) fn record_epoch(&self, epoch: u64) {
+        self.epoch.send_if_modified(|known| {
+            let is_newer = epoch > *known;
+            *known = epoch.max(*known);
+            is_newer
+        });
+    }
+
+    /// Waits until this instance has read a table in a later epoch of the store.
+    pub(super) async fn restored_after(&self, epoch: u64) {
+        let mut epochs = self.epoch.subscribe();
+        // The sender is a part of `self`, so it exists as long as this call.
+        let _ = epochs.wait_for(|known| *known > epoch).await;
+    }
+
     /// Returns this instance's share of what is divided among all instances.
     ///
     /// Its position is that of its address, so that instances which know the same others have different
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -46,7 +46,7 @@
 pub use mirrors::Mirror;
 pub use notices::{Notice, NoticeKind};
 pub(crate) use publishing::SIGNIFICANT_CHANGE_MS;
-pub use registration::register;
+pub use registration::{keep_registered, register};
 pub use rows::{Assembler, RowChanges, RowsPiece, pieces_of};
 pub use sections::{SectionBytes, SectionLabels};
 pub use seeding::seed_caches;
--- a/crates/anvilhook-gateway/tests/restores.rs
+++ b/crates/anvilhook-gateway/tests/restores.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_gateway::followers::{ConfigFollower, EntryFollower, follow};
+use anvilhook_gateway::peers::{keep_registered, register};
 use anvilhook_gateway::relay::Gateway;
 use support::clocks::TimerClock;
 use support::fronts::{ample_budget, gateway};
@@ -134,3 +137,24 @@
     assert!(instance.takes_work("back"));
     assert!(!instance.takes_work("gone"));
 }
+
+/// Guards against instances that a later one does not find, because a restore of the table has lost their rows.
+#[tokio::test(start_paused = true)]
+async fn verify_an_instance_is_listed_again_after_a_restore() {
+    let (table, copy) = table_with_copy();
+    let instance = instance_before_an_outage(&table).await;
+    table.set_fault(Fault::None);
+    let address: SocketAddr = ([127, 0, 0, 1], 7_000).into();
+    let peers = Arc::clone(instance.gateway.peers());
+    tokio::spawn(keep_registered(table.clone(), "one".to_owned(), address, peers));
+    until(|| table.value("anvilhook_instances", "one").is_some()).await;
+
+    table.restore(&copy);
+    assert_eq!(table.value("anvilhook_instances", "one"), None);
+    until(|| table.value("anvilhook_instances", "one").is_some()).await;
+
+    let later = gateway(TimerClock::new(), None, Vec::new(), ample_budget());
+    let other: SocketAddr = ([127, 0, 0, 1], 7_001).into();
+    register(table.clone(), "two".to_owned(), other, Arc::clone(later.peers())).await;
+    assert_eq!(later.peers().addresses(Millis::ZERO), [address]);
+}
