Look again at what else is in the way of a request that waits for a limit

What callers saw: nothing yet; found by reading the change. Cause: a request for which no upstream was chosen waited for a share of a limit even if one was left and something else stood in its way, until its deadline; and a stream of a service without engines did not look its service up again while it waited. Change: such a request is answered at once as before; each turn of the wait looks up the service and the stop again, as other waits do. Result: a test moves a request to another service while it waits, and cargo test -p anvilhook-gateway passes.

--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -15,6 +15,7 @@
 use super::prompts::{Job, Opened, REFUSED_PAUSE, TryResult};
 use super::requests::Exchange;
 use super::resumption::Relay;
+use super::stopping::STOPPING;
 use super::waiting::Wait;
 use crate::fleets::Upstream;
 use crate::loads::Held;
@@ -111,6 +112,12 @@
     ) -> TryResult<Opened> {
         let mut ticket = None;
         let upstream = loop {
+            if self.has_moved(exchange) {
+                return Ok(Err(Failed::not_sent("moved")));
+            }
+            if resume_after.is_none() && self.may_be_interrupted(exchange) {
+                return Err(self.abandoned_outcome(exchange, STOPPING, Millis::ZERO));
+            }
             let avoided = self.avoided(exchange, avoid, ticket.as_ref());
             if let Some(upstream) = self.choose_plain(exchange, &avoided) {
                 break upstream;
--- a/crates/anvilhook-gateway/src/relay/limits.rs
+++ b/crates/anvilhook-gateway/src/relay/limits.rs
@@ -128,8 +128,7 @@
         if limited.is_empty() {
             return avoided;
         }
-        let now = self.now();
-        let left = limited.iter().filter_map(|one| one.state.request_limit().left(now)).sum();
+        let left = shares_left(&limited, self.now());
         if self.inner.limit_queues.ahead(&exchange.service, ticket) >= left {
             avoided.extend(limited.iter().map(|one| Arc::clone(&one.entry.id)));
         }
@@ -186,10 +185,15 @@
         avoid: &[Arc<str>],
         ticket: &mut Option<LimitTicket>,
     ) -> LimitWait {
-        let Some(queue) = self.quota_queue(exchange, avoid, ticket.as_ref()) else {
+        let limited = self.limited_upstreams(exchange, avoid);
+        let Some(queue) = self.quota_queue(exchange, &limited, ticket.as_ref()) else {
             return LimitWait::NotLimited;
         };
         let now = self.now();
+        // A share is left for the request, so something else is in its way.
+        if queue.ahead < shares_left(&limited, now) {
+            return LimitWait::NotLimited;
+        }
         let waiting = exchange.waiting(now);
         match queue.decide(exchange.wait_left(now), waiting.objective - waiting.age) {
             QueueDecision::Refuse(pause) => LimitWait::Refuse(pause),
@@ -204,11 +208,10 @@
     fn quota_queue(
         &self,
         exchange: &Exchange,
-        avoid: &[Arc<str>],
+        limited: &[Arc<Upstream>],
         ticket: Option<&LimitTicket>,
     ) -> Option<QuotaQueue> {
         let now = self.now();
-        let limited = self.limited_upstreams(exchange, avoid);
         let limits = || limited.iter().map(|one| one.state.request_limit());
         let next_at = limits().map(|limit| limit.next_at(now)).min()?;
         Some(QuotaQueue {
@@ -234,6 +237,11 @@
     }
 }
 
+/// Returns how many requests this instance may send to limited upstreams in the current turn.
+fn shares_left(limited: &[Arc<Upstream>], now: Millis) -> u32 {
+    limited.iter().filter_map(|one| one.state.request_limit().left(now)).sum()
+}
+
 /// Waits for a time, but not so long that a change is noticed late.
 pub(super) async fn pause_for(time: Millis) {
     tokio::time::sleep(time.clamp(MIN_PAUSE, MAX_PAUSE).as_duration()).await;
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -146,9 +146,6 @@
         let engine = config.service(&exchange.service).and_then(|spec| spec.engine.clone());
         let prompt = exchange.prompt.clone();
         let (Some(engine), Some(prompt)) = (engine, prompt) else {
-            if resume_after.is_none() && self.may_be_interrupted(exchange) {
-                return Err(self.abandoned_outcome(exchange, STOPPING, Millis::ZERO));
-            }
             return self.stream_plainly(exchange, resume_after, avoid).await;
         };
         let tightest = config.tightest_objective(&exchange.service);
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -163,7 +163,7 @@
     ///
     /// Otherwise a request that waited while a newer configuration became active could be sent to a service
     /// that the newer one no longer allows.
-    fn has_moved(&self, exchange: &mut Exchange) -> bool {
+    pub(super) fn has_moved(&self, exchange: &mut Exchange) -> bool {
         let before = Arc::clone(&exchange.service);
         if let Some(config) = self.config() {
             exchange.refresh(&config);
--- a/crates/anvilhook-gateway/src/tables.rs
+++ b/crates/anvilhook-gateway/src/tables.rs
@@ -24,7 +24,7 @@
 /// `TableRevision` is a point in the history of the platform's tables.
 ///
 /// A store that is restored from a copy loses its newest versions and assigns them again. Its epoch, which rises
-/// with each restore, tells the two histories apart, so a version alone must not be compared.
+/// with each restore, distinguishes the two histories, so a version alone must not be compared.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct TableRevision {
     /// The epoch of the store; 0 if it does not report one.
--- a/crates/anvilhook-gateway/tests/request_limits.rs
+++ b/crates/anvilhook-gateway/tests/request_limits.rs
@@ -7,13 +7,14 @@
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, ManualClock, Millis, SystemClock};
-use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::configs::{Config, Repeats, Route, Target};
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::peers::{register, seed_caches};
 use support::fronts::{Front, ample_budget, config, start_with_clock, with_long_timeouts};
 use support::tables::MemoryTable;
+use support::until;
 use support::upstreams::{Step, Upstream, engine, signed, stream};
-use support::wires::entry;
+use support::wires::{entry, limits};
 
 const ONCE: Repeats = Repeats::Stream { resumable: false };
 const PROMPT: &str = "T-Tokens: 100\r\n";
@@ -291,3 +292,30 @@
     assert_eq!(reader.received().iter().filter(|one| one.line.starts_with("POST")).count(), 2);
     assert_eq!(generator.received().len(), 2);
 }
+
+/// Guards against a request that moves to another service while it waits for a limit, and is sent to the earlier one.
+#[tokio::test]
+async fn verify_a_request_that_moves_while_it_waits_is_not_sent_there() {
+    let upstream = Upstream::always(vec![limited("0.3")]).await;
+    let entries = vec![entry("a", upstream.address.port())];
+    let clock = SystemClock::new();
+    let front = single_instance(clock, Repeats::AtMostOnce, entries).await;
+    while front.post_with_long_deadline("first", "", "").await.status == 200
+        && upstream.received().len() < 2
+    {}
+    let received = upstream.received().len();
+    let moving = async {
+        until(|| front.gateway.in_flight() > 0).await;
+        let config = front.gateway.config().expect("it has one");
+        let route = config.route("host.example", "/a/").expect("the route of the tests");
+        let targets = vec![Target { service: Arc::from("other"), weight: 1 }];
+        let routes = vec![Route { targets, ..Route::clone(route) }];
+        let services = config.services().cloned().collect();
+        front.gateway.adopt_config(Config::new(9, limits(), services, routes));
+    };
+
+    let (answer, ()) = tokio::join!(front.post_with_long_deadline("moved", "", ""), moving);
+
+    assert_eq!((answer.status, answer.body.as_str()), (503, "no_upstream"));
+    assert_eq!(upstream.received().len(), received);
+}
