Wait out a lost lease also where an instance first looks for it after the restore

What callers saw: nothing yet; found by reading the change. Cause: whether the store had been restored was judged by the epoch in which a lease was first looked for. Most instances look only when an order is due, which may be after the restore, and took the missing lease of a live holder at once. Also, a duty record whose write got no answer after a restore was taken for written. Change: the first epoch is the one in which the process first read any table; a record's value is added to what is read until a write of it has succeeded.

--- a/crates/anvilhook-gateway/src/duties/mod.rs
+++ b/crates/anvilhook-gateway/src/duties/mod.rs
@@ -90,8 +90,9 @@
         holder: String,
         options: DutyOptions,
     ) -> Self {
+        let (length, peers) = (options.lease, Arc::clone(gateway.peers()));
         let lease =
-            LeaseManager::new(table.clone(), clock.clone(), LEASE_ROW, holder, options.lease)
+            LeaseManager::new(table.clone(), clock.clone(), LEASE_ROW, holder, length, peers)
                 .with_late_calls(options.late_calls);
         Self {
             gateway,
--- a/crates/anvilhook-gateway/src/duties/records.rs
+++ b/crates/anvilhook-gateway/src/duties/records.rs
@@ -58,19 +58,18 @@
             let value = serde_json::to_vec(&next).expect("records can be written");
             let (key, value) = (self.row.to_owned(), Bytes::from(value));
             let write = Write { key, expected: revision.version, value };
-            // Retained until the write succeeds, in case only this instance still knows it.
-            self.known = Some((revision, current));
-            match self.table.write(RECORD_TABLE, write).await? {
-                Written::At(written) if written.epoch == revision.epoch => {
-                    self.known = Some((written, next));
-                    return Ok(result);
-                }
-                Written::At(_) | Written::Conflict => self.outdate(),
+            // Retained until a write succeeds, in case only this instance still knows it.
+            self.known = Some((TableRevision { version: UNREAD, ..revision }, current));
+            if let Written::At(written) = self.table.write(RECORD_TABLE, write).await?
+                && written.epoch == revision.epoch
+            {
+                self.known = Some((written, next));
+                return Ok(result);
             }
         }
     }
 
-    /// Returns the row's revision, its stored value, and that value with what a restore has lost.
+    /// Returns the row's revision, its stored value, and that value with what it lacks after a restore.
     async fn current(&mut self, epoch: u64) -> Result<(TableRevision, V, V), TableError> {
         if let Some((revision, stored)) = &self.known
             && revision.epoch >= epoch
@@ -80,21 +79,12 @@
         }
         let (revision, stored) = self.read().await?;
         let mut current = stored.clone();
-        if let Some((earlier, value)) = &self.known
-            && earlier.epoch < revision.epoch
-        {
-            current.recover(value.clone());
+        if let Some((_, known)) = &self.known {
+            current.recover(known.clone());
         }
         Ok((revision, stored, current))
     }
 
-    /// Has the row read again by the next call. Its value is retained for a restored row.
-    fn outdate(&mut self) {
-        if let Some((revision, _)) = &mut self.known {
-            revision.version = UNREAD;
-        }
-    }
-
     async fn read(&self) -> Result<(TableRevision, V), TableError> {
         let rows = self.table.scan(RECORD_TABLE).await?;
         let epoch = rows.epoch;
--- a/crates/anvilhook-gateway/src/leases.rs
+++ b/crates/anvilhook-gateway/src/leases.rs
@@ -1,9 +1,12 @@
 //! Leases: the right to act for all instances in one matter, stored as one row of a table.
 
+use std::sync::Arc;
+
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
 
 use crate::events::{Event, emit};
+use crate::peers::Peers;
 use crate::tables::{Table, TableError, TableRevision, Write, Written};
 
 /// The table of the leases.
@@ -46,15 +49,21 @@
     late_calls: Millis,
     /// The last seen revision of the row, and when it was first seen; version 0 if it is missing.
     seen: Option<(TableRevision, Millis)>,
-    /// The epoch of the store in which the row was first looked for.
-    first_epoch: Option<u64>,
+    peers: Arc<Peers>,
     lease: Option<Lease>,
     not_before: Millis,
 }
 
 impl<T: Table, C: Clock> LeaseManager<T, C> {
     /// Creates a manager of the lease in a row; it does not hold the lease yet.
-    pub fn new(table: T, clock: C, row: &'static str, holder: String, length: Millis) -> Self {
+    pub fn new(
+        table: T,
+        clock: C,
+        row: &'static str,
+        holder: String,
+        length: Millis,
+        peers: Arc<Peers>,
+    ) -> Self {
         Self {
             table,
             clock,
@@ -63,7 +72,7 @@
             length,
             late_calls: Millis::ZERO,
             seen: None,
-            first_epoch: None,
+            peers,
             lease: None,
             not_before: Millis::ZERO,
         }
@@ -144,7 +153,8 @@
         };
         let own = self.lease.filter(|lease| lease.revision == revision);
         let lapses_at = seen_at + self.length + GUARD + self.late_calls;
-        let first_epoch = *self.first_epoch.get_or_insert(rows.epoch);
+        self.peers.record_epoch(rows.epoch);
+        let first_epoch = self.peers.first_epoch().unwrap_or(rows.epoch);
         let was_restored = rows.epoch > first_epoch || rows.epoch >= RESTORED_EPOCH;
         let was_never_held = revision.version == 0 && !was_restored;
         let is_lapsed = was_never_held || now >= lapses_at;
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -76,6 +76,8 @@
     watches: [TableWatch; FollowedTable::ALL.len()],
     /// The newest epoch of the store in which this instance has read a table.
     epoch: watch::Sender<u64>,
+    /// The epoch in which it read one first.
+    first_epoch: OnceLock<u64>,
     changed: Notify,
 }
 
@@ -346,6 +348,7 @@
 
     /// Records that this instance has read a table in an epoch of the store.
     pub(crate) fn record_epoch(&self, epoch: u64) {
+        self.first_epoch.get_or_init(|| epoch);
         self.epoch.send_if_modified(|known| {
             let is_newer = epoch > *known;
             *known = epoch.max(*known);
@@ -353,6 +356,11 @@
         });
     }
 
+    /// Returns the epoch of the store in which this instance first read a table, if it has read one.
+    pub(crate) fn first_epoch(&self) -> Option<u64> {
+        self.first_epoch.get().copied()
+    }
+
     /// Waits until this instance has read a table in a later epoch of the store.
     pub(super) async fn restored_after(&self, epoch: u64) {
         let mut epochs = self.epoch.subscribe();
--- a/crates/anvilhook-gateway/src/roles/mod.rs
+++ b/crates/anvilhook-gateway/src/roles/mod.rs
@@ -83,9 +83,10 @@
         holder: String,
         options: RoleOptions,
     ) -> Self {
+        let (length, peers) = (options.lease, Arc::clone(gateway.peers()));
         Self {
             gateway,
-            lease: LeaseManager::new(table, clock.clone(), LEASE_ROW, holder, options.lease),
+            lease: LeaseManager::new(table, clock.clone(), LEASE_ROW, holder, length, peers),
             clock,
             options,
             uneven_since: None,
--- a/crates/anvilhook-gateway/tests/duties.rs
+++ b/crates/anvilhook-gateway/tests/duties.rs
@@ -8,18 +8,21 @@
 use anvilhook_core::api_keys::{AccountRegistry, ClientAccount, KeyHasher};
 use anvilhook_core::fleet_size::{EngineKind, ScalingSpec, SizeOptions};
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::{Clock, ManualClock, Millis, WallTime};
+use anvilhook_core::units::{Clock, ManualClock, Millis, SystemClock, WallTime};
 use anvilhook_core::usage::{Source, Windows};
 use anvilhook_gateway::clouds::{CloudAnswer, FleetOrder};
 use anvilhook_gateway::configs::{Config, Repeats, ServiceSpec};
 use anvilhook_gateway::duties::{DutyOptions, DutyRunner};
 use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::followers::{ConfigFollower, follow};
+use anvilhook_gateway::peers::FollowedTable;
 use anvilhook_gateway::relay::Gateway;
 use support::clouds::MemoryCloud;
 use support::fronts::{
     ample_budget, config_of_version, gateway, route, start_with_clock, with_long_timeouts,
 };
 use support::tables::{Fault, MemoryTable};
+use support::until;
 use support::upstreams::{Step, Upstream, refusal, signed};
 use support::wires::{TestWire, entry, limits};
 
@@ -415,6 +418,29 @@
     assert!(taken.token > held[0].token, "{} after {}", taken.token, held[0].token);
 }
 
+/// Guards against the same by an instance that looks for the lease for the first time after the restore.
+#[tokio::test]
+async fn verify_a_lost_lease_is_waited_out_by_an_instance_that_never_read_it() {
+    let site = site();
+    let copy = site.table.copy();
+    site.table.put("configs", "current", Some("1"));
+    let (mut one, mut two) = (site.instance("one"), site.instance("two"));
+    let follower = ConfigFollower::new(two.gateway.clone());
+    tokio::spawn(follow(site.table.clone(), SystemClock::new(), Millis(1_000), follower));
+    let watch = two.gateway.peers().watch_of(FollowedTable::Config);
+    until(|| watch.mirror().known().version > 0).await;
+    site.enter_next_window(&one, Millis(2_500));
+    one.runner.run_once().await;
+    let held = site.cloud.reports();
+
+    site.table.restore(&copy);
+    two.runner.run_once().await;
+
+    assert_eq!(site.cloud.reports(), held);
+    two.run_for_a_while(&site.clock).await;
+    assert_eq!(site.cloud.reports().last().map(|called| &*called.holder), Some("two"));
+}
+
 /// Guards against a second, different report of a window: a restore of the table has lost the first one, and further
 /// requests were counted since.
 #[tokio::test]
