Bound the rate that is divided, and move what upstreams report into a module

Change: rates are clamped to 0.25 to 1,000,000 a second; the records of what an upstream reports about itself move unchanged to relay/signals.rs.

--- a/crates/anvilhook-core/src/rate_shares.rs
+++ b/crates/anvilhook-core/src/rate_shares.rs
@@ -18,9 +18,10 @@
 /// first turn only, so that instances which know slightly different rates still get different turns.
 const EXCHANGE_TURNS: u64 = 64;
 
-/// The lowest rate that is divided, in requests a second. Without it, no answer of an upstream that named a
-/// lower one could ever end its limit.
+/// The lowest and the highest rate that is divided, in requests a second. No answer of an upstream that named a
+/// lower one could ever end its limit, and quotas of a higher one can't be computed exactly.
 const MIN_PER_S: f64 = 0.25;
+const MAX_PER_S: f64 = 1e6;
 
 /// The maximum number of turns that are searched for the next one with a quota.
 const MAX_TURNS: u64 = 2_000;
@@ -77,7 +78,7 @@
 
     /// Returns how many requests the instance may send in a turn, at a rate of `per_s` for all instances.
     pub fn quota(self, per_s: f64, turn: u64) -> u32 {
-        let rate = per_s.max(MIN_PER_S) * TURN.as_secs_f64();
+        let rate = per_s.clamp(MIN_PER_S, MAX_PER_S) * TURN.as_secs_f64();
         let (exchange, turn) = (turn / EXCHANGE_TURNS, turn % EXCHANGE_TURNS);
         let position = self.position_after(exchange) as f64;
         // For all positions p of n, the sum of floor((x + p) / n) is floor(x).
--- a/crates/anvilhook-core/tests/rate_shares.rs
+++ b/crates/anvilhook-core/tests/rate_shares.rs
@@ -120,3 +120,15 @@
         }
     }
 }
+
+/// Guards against an upstream that gets no requests because it names a limit that is too high to compute with, or
+/// one that never allows another request.
+#[test]
+fn verify_extreme_rates_allow_requests() {
+    for (per_s, instances) in [(f64::MAX, 9), (1e12, 390), (0.0, 1), (0.0, 9)] {
+        let share = RateShare::new(0, instances);
+        let turns = 64 * instances as u64;
+        let total: u64 = (0..turns).map(|turn| u64::from(share.quota(per_s, turn))).sum();
+        assert!(total > 0, "{per_s} a second, {instances}");
+    }
+}
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -9,7 +9,7 @@
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use volo_http::body::Body;
 
-use super::attempts::AnswerSource;
+use super::signals::AnswerSource;
 use super::{Gateway, MIN_PUBLISHED_TOKENS};
 use crate::fleets::Upstream;
 use crate::prompts::Part;
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod reading;
 mod requests;
 mod resumption;
+mod signals;
 mod stopping;
 mod waiting;
 
