--- a/crates/anvilhook-core/tests/rate_shares.rs
+++ b/crates/anvilhook-core/tests/rate_shares.rs
@@ -128,7 +128,9 @@
     for (per_s, instances) in [(f64::MAX, 9), (1e12, 390), (0.0, 1), (0.0, 9)] {
         let share = RateShare::new(0, instances);
         let turns = 64 * instances as u64;
-        let total: u64 = (0..turns).map(|turn| u64::from(share.quota(per_s, turn))).sum();
-        assert!(total > 0, "{per_s} a second, {instances}");
+        let quotas: Vec<u32> = (0..turns).map(|turn| share.quota(per_s, turn)).collect();
+        assert!(quotas.iter().any(|quota| *quota > 0), "{per_s} a second, {instances}");
+        let is_high = per_s > 1.0;
+        assert!(!is_high || quotas.iter().all(|quota| *quota > 0), "{per_s} a second, {instances}");
     }
 }
