--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod placements;
+pub mod policies;
 pub mod prompts;
 pub mod relay;
 pub mod reloads;
--- /dev/null
+++ b/crates/anvilhook-gateway/src/policies.rs
@@ -0,0 +1,39 @@
+//! Switches for the parts that decide about waiting, rejection and placement under overload.
+
+use serde::Deserialize;
+
+/// `Policy` selects the parts that are active. With a part switched off, requests are served as if it did
+/// not exist, so that an operator can rule it out as a cause.
+///
+/// ```
+/// use anvilhook_gateway::policies::Policy;
+///
+/// let policy = Policy { slow_start: false, ..Policy::default() };
+/// assert!(policy.reading_lanes && !policy.slow_start);
+/// ```
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// Whether the fixed latency of readings and the speed of each upstream are learnt.
+    pub learnt_speeds: bool,
+    /// Whether part of the reading engines is reserved for short prompts.
+    pub reading_lanes: bool,
+    /// Whether a new or reopened upstream is open to a growing share of the instances.
+    pub slow_start: bool,
+    /// Whether client accounts share a service fairly while it has too little capacity.
+    pub fair_shares: bool,
+    /// Whether waiting requests are queued in one order, and rejected by the predicted wait.
+    pub waiting_queue: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            learnt_speeds: true,
+            reading_lanes: true,
+            slow_start: true,
+            fair_shares: true,
+            waiting_queue: true,
+        }
+    }
+}
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -27,7 +27,7 @@
 use anvilhook_core::units::{Clock, Millis, WallTime};
 use anvilhook_core::usage::Source;
 use anvilhook_http::HttpClient;
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use http::StatusCode;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -39,6 +39,7 @@
 use crate::fleets::{Entry, Fleet, FleetView, Upstream};
 use crate::metrics::{GatewayMetrics, KindLabel, RequestLabels};
 use crate::peers::Peers;
+use crate::policies::Policy;
 use crate::prompts::Part;
 use crate::speeds::Speeds;
 use crate::suspects::Suspects;
@@ -101,6 +102,7 @@
     caches: CacheIndex,
     speeds: Speeds,
     budget: Budget,
+    policy: ArcSwap<Policy>,
     in_flight: AtomicU64,
     stopping: Stopping,
     has_fleet: AtomicBool,
@@ -156,6 +158,7 @@
             clock,
             client,
             budget: Budget::new(options.budget),
+            policy: ArcSwap::default(),
             speeds: Speeds::new(options.expected_reading),
             peers: Arc::new(Peers::in_zone(&options.zone)),
             options,
@@ -284,6 +287,16 @@
         self.inner.budget.set_options(options);
     }
 
+    /// Replaces the selection of active parts.
+    pub fn set_policy(&self, policy: Policy) {
+        self.inner.policy.store(Arc::new(policy));
+    }
+
+    /// Returns the selection of active parts.
+    pub fn policy(&self) -> Policy {
+        **self.inner.policy.load()
+    }
+
     /// Returns the other instances.
     pub fn peers(&self) -> &Arc<Peers> {
         &self.inner.peers
--- a/crates/anvilhook-gateway/src/reloads.rs
+++ b/crates/anvilhook-gateway/src/reloads.rs
@@ -6,6 +6,7 @@
 
 use crate::budgets::BudgetOptions;
 use crate::events::{Event, emit};
+use crate::policies::Policy;
 use crate::relay::Gateway;
 use crate::texts::bounded;
 use crate::wires::Wire;
@@ -22,6 +23,8 @@
     pub budget: BudgetOptions,
     /// The addresses at which other instances may run, used until the table has been read.
     pub seeds: Vec<SocketAddr>,
+    /// The parts that are active under overload.
+    pub policy: Policy,
 }
 
 /// `Reread` is the result of rereading the settings.
@@ -87,6 +90,7 @@
 
     fn apply(&self) {
         self.gateway.set_budget(self.tunables.budget);
+        self.gateway.set_policy(self.tunables.policy);
         let seeds = self.tunables.seeds.iter().filter(|seed| **seed != self.own);
         seeds.for_each(|seed| self.gateway.peers().add(*seed));
     }
--- a/crates/anvilhook-gateway/tests/unreadable.rs
+++ b/crates/anvilhook-gateway/tests/unreadable.rs
@@ -12,6 +12,7 @@
 use anvilhook_gateway::budgets::BudgetOptions;
 use anvilhook_gateway::events::json_of;
 use anvilhook_gateway::followers::{ConfigFollower, EntryFollower, Follow};
+use anvilhook_gateway::policies::Policy;
 use anvilhook_gateway::reloads::{OptionSource, Reloader, Reread, Tunables};
 use anvilhook_gateway::tables::Row;
 use log::{LevelFilter, Log, Metadata, Record};
@@ -141,7 +142,8 @@
     let gateway = new_gateway();
     let own = SocketAddr::from(([127, 0, 0, 1], 1));
     let budget = BudgetOptions { share: 0.1, spare: 1.0, window: Millis(1_000) };
-    let tunables = Tunables { grace: Millis(8_000), budget, seeds: Vec::new() };
+    let tunables =
+        Tunables { grace: Millis(8_000), budget, seeds: Vec::new(), policy: Policy::default() };
     let mut reloader = Reloader::new(Refused, gateway.clone(), own, tunables.clone());
 
     reloader.check(true);
