Count the time to return of a removed upstream from the first publication of its removal

Cause: each instance that the store refuses publishes that the table is away, so all instances keep a grace period in which a removed row counts as lapsed. The row was removed at 8.96 s and read by one instance of the zone at 9.19 s; others got the rows at 9.83 s and counted 2.2 s from then (dropped at 12.03 s, sent at 11.97 s). The suspicion of the issue that a restore was the cause is ruled out: no restore takes part.

Change: a watch remembers when another instance published a revision. The grace of a removed row ends 2.2 s after the first publication of a revision that contains it. An outage seen by all still gives the whole time, since nobody can publish a later revision during it.

--- a/crates/anvilhook-gateway/src/entries.rs
+++ b/crates/anvilhook-gateway/src/entries.rs
@@ -85,12 +85,25 @@
     /// Removes an entry. In the grace period, an entry that is not leaving counts as lapsed
     /// instead. Returns whether the current entries change.
     pub fn remove(&mut self, id: &str, now: Millis) -> bool {
+        self.remove_published(id, now, now)
+    }
+
+    /// Removes an entry like `remove`, if another instance has published at `published_at` that it has read
+    /// the removal.
+    ///
+    /// The table was reachable then, so a lapsed entry returns within the grace period after that time. If
+    /// the period began when this instance receives the row, a removed upstream would get work for as long
+    /// as the row was delayed.
+    pub fn remove_published(&mut self, id: &str, published_at: Millis, now: Millis) -> bool {
         let Some((id, entry)) = self.entries.get_key_value(id) else { return false };
         let id = Arc::clone(id);
-        if now < self.grace_until && !entry.draining {
-            self.lapsed.entry(id).or_insert(self.grace_until);
+        let until = self.grace_until.min(published_at + LAPSE_GRACE);
+        if now < until && !entry.draining {
+            let lapsed = self.lapsed.entry(id).or_insert(until);
+            *lapsed = until.min(*lapsed);
             return false;
         }
+        self.lapsed.remove(&id);
         self.drop_entry(&id, now);
         true
     }
--- a/crates/anvilhook-gateway/src/followers/entries.rs
+++ b/crates/anvilhook-gateway/src/followers/entries.rs
@@ -9,7 +9,7 @@
 use crate::fleets::Entry;
 use crate::peers::{FollowedTable, Peers};
 use crate::relay::Gateway;
-use crate::tables::Row;
+use crate::tables::{Row, TableRevision};
 use crate::wires::Wire;
 
 /// The pause after changed entries, in which further changes gather. Upstreams that start together
@@ -104,10 +104,16 @@
         let now = self.clock.now();
         let registry = Arc::clone(&self.registry);
         let mut registry = registry.lock().expect("no panic under this lock");
+        let peers = Arc::clone(self.gateway.peers());
+        let watch = peers.watch_of(FollowedTable::Entries);
+        let epoch = watch.mirror().known().epoch;
         let mut has_changed = false;
         for row in rows {
             has_changed |= match (&row.value, self.decode(row)) {
-                (None, _) => registry.remove(&row.key, now),
+                (None, _) => {
+                    let published_at = watch.published_at(TableRevision::new(epoch, row.version));
+                    registry.remove_published(&row.key, published_at.unwrap_or(now), now)
+                }
                 (Some(_), Some(entry)) => registry.put(entry),
                 (Some(_), None) => registry.discard(&row.key, now),
             };
--- a/crates/anvilhook-gateway/src/peers/watches.rs
+++ b/crates/anvilhook-gateway/src/peers/watches.rs
@@ -24,6 +24,9 @@
 /// Entries that lapsed during the outage have a good two seconds to return.
 const AWAY_PUBLISH_TIME: Millis = Millis(3_000);
 
+/// The maximum number of published changes whose times are retained. There are at most a few per second.
+const MAX_PUBLISHED: usize = 64;
+
 /// `WatchState` is the state of a watch over a table, as published to peers.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WatchState {
@@ -49,6 +52,8 @@
     received: Mutex<VecDeque<RowChanges>>,
     queued_rows: Mutex<Vec<RowChanges>>,
     mirror: Mutex<Mirror>,
+    /// The newest published changes, and when this instance learnt of each.
+    published: Mutex<VecDeque<(TableRevision, Millis)>>,
     /// The instance that has published the newest change, while this one does not have it.
     newest_sender: Mutex<Option<SocketAddr>>,
     /// The instance to request missed changes from.
@@ -109,6 +114,9 @@
     /// Applies the watch state of the instance at an address.
     pub fn merge(&self, from: SocketAddr, reported: &WatchState, now: Millis) {
         let newest = TableRevision::new(reported.epoch, reported.newest);
+        if newest > self.version.announced() {
+            self.record_published(newest, now);
+        }
         if self.version.record_announced(newest) {
             *self.newest_sender.lock().expect("no panic under this lock") = Some(from);
         }
@@ -117,6 +125,25 @@
         }
     }
 
+    fn record_published(&self, revision: TableRevision, now: Millis) {
+        let mut published = self.published();
+        if published.len() >= MAX_PUBLISHED {
+            published.pop_front();
+        }
+        published.push_back((revision, now));
+    }
+
+    fn published(&self) -> MutexGuard<'_, VecDeque<(TableRevision, Millis)>> {
+        self.published.lock().expect("no panic under this lock")
+    }
+
+    /// Returns when this instance learnt that another one had read the table up to `revision`, or `None` if
+    /// none has published so recently.
+    pub fn published_at(&self, revision: TableRevision) -> Option<Millis> {
+        let published = self.published();
+        published.iter().find(|(newest, _)| *newest >= revision).map(|(_, at)| *at)
+    }
+
     /// Requests the missed changes from the instance that published the newest one.
     pub fn request_resync(&self) {
         let sender = *self.newest_sender.lock().expect("no panic under this lock");
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -10,7 +10,7 @@
 use anvilhook_gateway::entries::EntryRegistry;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::followers::{ConfigFollower, EntryFollower, Follow, follow};
-use anvilhook_gateway::peers::{FollowedTable, TableVersion};
+use anvilhook_gateway::peers::{FollowedTable, TableVersion, TableWatch, WatchState};
 use anvilhook_gateway::tables::{Row, TableRevision};
 use futures_util::FutureExt;
 use support::fronts::{TestGateway, ample_budget, config_of_version, start};
@@ -103,6 +103,41 @@
     }
 }
 
+/// Guards against an upstream that gets work three seconds after it was removed: its removal reached an
+/// instance late, while the table refused some instances, and the time to return began on its arrival.
+#[test]
+fn verify_a_removal_that_arrives_late_extends_no_grace_time() {
+    // When another instance published that it had read the removal, when it arrived here, and when the
+    // entry is dropped.
+    let cases = [(9_200, 9_830, 11_400), (9_830, 9_830, 12_030), (7_000, 9_830, 9_830)];
+    for (published, arrived, dropped) in cases {
+        let mut registry = EntryRegistry::new();
+        registry.put(report("left", false, 1));
+        registry.regained(Millis(9_830));
+        registry.bound_grace(Millis(9_790));
+
+        let is_dropped = registry.remove_published("left", Millis(published), Millis(arrived));
+
+        assert_eq!(is_dropped, dropped == arrived, "published at {published}");
+        assert_eq!(registry.next_expiry(), (!is_dropped).then_some(Millis(dropped)));
+    }
+}
+
+/// Guards against a late removal that counts from its arrival although another instance has published it.
+#[test]
+fn verify_the_first_publication_of_a_change_is_known() {
+    let watch = TableWatch::default();
+    let published = |newest| WatchState { newest, ..WatchState::default() };
+    for (newest, at) in [(369, 8_930), (429, 9_200), (429, 9_500), (369, 9_600), (435, 10_100)] {
+        watch.merge(([127, 0, 0, 1], 9).into(), &published(newest), Millis(at));
+    }
+
+    let at = |version| watch.published_at(TableRevision::new(0, version));
+
+    assert_eq!([at(360), at(400), at(429)], [8_930, 9_200, 9_200].map(|at| Some(Millis(at))));
+    assert_eq!([at(435), at(436)], [Some(Millis(10_100)), None]);
+}
+
 /// Symptom: an upstream that runs never gets work again.
 /// Sequence: it restarts under the same id. Its reports begin again at a low number, and reports from
 /// before the restart arrive between them, in any order.
