Open new and reopening upstreams to a growing share of the instances

Cause: when engines crash, each instance closes them for 800 ms, all closed marks expire together, and all instances try each dead engine again at the same moment. An engine that has just been listed looks idle to all instances, which fill it beyond its queue before they learn of each other's requests.

Change: core::slow_starts decides by a hash of instance and upstream which instances use an upstream first. Their share grows from two instances to all within 800 ms after it is listed or its closed time ends. A refused connection closes it for all for 800 ms, and again for 1.6 s. Information about a closed time that has just ended is ignored. An upstream that refuses a request and reports no free slots is passed over until it reports some, for at most 400 ms. Nothing is passed over if more upstreams are starting than settled, or if no settled one has room. The switch slow_start selects the part; without it, the closed time stays 800 ms and all upstreams are open at once.

upstream_closed gets the fields count and previous_ms; the gauge service_slow_starts counts a service's upstreams that are starting.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod retries;
 pub mod roles;
 pub mod routing;
+pub mod slow_starts;
 pub mod speeds;
 pub mod splits;
 pub mod stops;
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -201,6 +201,10 @@
         request: &'a str,
         /// For how long it is not used, in milliseconds.
         for_ms: u64,
+        /// How many closed times have followed each other, this one included.
+        count: u32,
+        /// The length of the closed time before this one, in milliseconds, if they follow each other.
+        previous_ms: Option<u64>,
     },
     /// An upstream was found to have terminated before the upstream table showed it.
     UpstreamGone {
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -187,11 +187,22 @@
     /// state; one that has restarted begins with none. What an upstream has reported of itself is
     /// retained beyond its entry, which may lapse and return while the upstream continues to run.
     pub fn replace(&self, entries: impl IntoIterator<Item = Entry>) -> Arc<FleetView> {
+        self.replace_at(None, entries)
+    }
+
+    /// Replaces the listed entries as [`replace`](Self::replace) does, where upstreams without state are new
+    /// since `now`. With `None` they are not new: they were listed before this instance started.
+    pub fn replace_at(
+        &self,
+        now: Option<Millis>,
+        entries: impl IntoIterator<Item = Entry>,
+    ) -> Arc<FleetView> {
         let earlier = self.view.load_full();
         let mut view = FleetView::default();
         for entry in entries {
             let id = Arc::clone(&entry.id);
-            let state = earlier.state_of(&entry).unwrap_or_else(|| Arc::new(UpstreamState::new()));
+            let new_state = || Arc::new(now.map_or_else(UpstreamState::new, UpstreamState::listed));
+            let state = earlier.state_of(&entry).unwrap_or_else(new_state);
             let upstream = Arc::new(Upstream { hash: entry.hash(), entry, state });
             let service = Arc::clone(&upstream.entry.service);
             view.by_service.entry(service).or_default().push(Arc::clone(&upstream));
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod reloads;
 pub mod request_limits;
 pub mod roles;
+pub mod slow_starts;
 pub mod speeds;
 pub mod streams;
 pub mod suspects;
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -6,6 +6,7 @@
 
 use anvilhook_core::ejections::{Ejection, EjectionOptions, ErrorReports};
 use anvilhook_core::orders::Role;
+use anvilhook_core::slow_starts::{Closing, SlowStart};
 use anvilhook_core::units::Millis;
 
 use crate::fleets::Upstream;
@@ -99,9 +100,9 @@
     is_gone: AtomicBool,
     /// Whether this instance itself observed that the upstream is gone.
     is_observed_gone: AtomicBool,
-    /// Until when the host is assumed to refuse connections, and the same by this instance's own
-    /// observation only.
-    closed_until: AtomicU64,
+    /// When the host is assumed to refuse connections, and to how many instances it is open afterwards.
+    slow_start: SlowStart,
+    /// Until when the host is assumed to refuse connections, by this instance's own observation only.
     own_closed_until: AtomicU64,
     /// When this instance first learnt that the upstream leaves, from the upstream or from another
     /// instance. Zero if it has not.
@@ -121,6 +122,8 @@
     observed_role: Mutex<Option<RoleObservation>>,
     slowness: AtomicU64,
     reported: Mutex<Option<(Load, Millis)>>,
+    /// When the upstream last refused a request while it reported that it was full. Zero if it has not.
+    full_at: AtomicU64,
     peers: Mutex<HashMap<u64, PeerLoad>>,
 }
 
@@ -136,7 +139,7 @@
             ejection: Ejection::new(&options),
             is_gone: AtomicBool::new(false),
             is_observed_gone: AtomicBool::new(false),
-            closed_until: AtomicU64::new(0),
+            slow_start: SlowStart::default(),
             own_closed_until: AtomicU64::new(0),
             leaving_at: AtomicU64::new(0),
             own_leaving_at: AtomicU64::new(0),
@@ -152,10 +155,16 @@
             observed_role: Mutex::default(),
             slowness: AtomicU64::new(1f64.to_bits()),
             reported: Mutex::default(),
+            full_at: AtomicU64::new(0),
             peers: Mutex::default(),
         }
     }
 
+    /// Creates the state of an upstream that is listed as new.
+    pub(crate) fn listed(now: Millis) -> Self {
+        Self { slow_start: SlowStart::listed(now), ..Self::new() }
+    }
+
     /// Returns the record of failures.
     pub fn ejection(&self) -> &Ejection {
         &self.ejection
@@ -164,8 +173,23 @@
     /// Returns whether the upstream may be tried: it is not ejected for recent failures, and its host is not
     /// known to refuse connections.
     pub fn is_healthy(&self, now: Millis) -> bool {
-        let is_closed = now.0 < self.closed_until.load(Ordering::Acquire);
-        !self.ejection.is_ejected(now) && !is_closed
+        !self.ejection.is_ejected(now) && self.slow_start.closed_until(now).is_none()
+    }
+
+    /// Returns when the upstream is closed, and to how many instances it is open afterwards.
+    pub fn slow_start(&self) -> &SlowStart {
+        &self.slow_start
+    }
+
+    /// Records that the upstream's host refused this instance, or that several instances received its errors
+    /// (with the length of the closed time). Returns the closed time that begins, if any.
+    pub fn close(&self, length: Option<Millis>, now: Millis) -> Option<Closing> {
+        let closing = self.slow_start.close(length, now);
+        // Published also if another instance was first, whose own datagrams may be lost.
+        if let Some(until) = self.slow_start.closed_until(now) {
+            self.own_closed_until.fetch_max(until.0, Ordering::AcqRel);
+        }
+        closing
     }
 
     /// Records until when the upstream's host is assumed to refuse connections. Returns whether that is
@@ -174,7 +198,7 @@
         if is_own {
             self.own_closed_until.fetch_max(until.0, Ordering::AcqRel);
         }
-        self.closed_until.fetch_max(until.0, Ordering::AcqRel) < until.0
+        self.slow_start.extend(until)
     }
 
     /// Records that an instance received an error from the upstream. This instance's own errors are
@@ -359,6 +383,21 @@
         *self.reported.lock().expect("no panic under this lock") = Some((load, now));
     }
 
+    /// Records that the upstream refused a request while it reported that it was full.
+    pub fn mark_full(&self, now: Millis) {
+        self.full_at.store(now.0.max(1), Ordering::Release);
+    }
+
+    /// Returns whether the upstream is full: it refused a request, and no later report shows free slots.
+    pub fn is_full(&self, now: Millis) -> bool {
+        let full_at = self.full_at.load(Ordering::Acquire);
+        if full_at == 0 || Millis(full_at) + MAX_LOAD_AGE < now {
+            return false;
+        }
+        let reported = *self.reported.lock().expect("no panic under this lock");
+        reported.is_none_or(|(load, _)| load.is_full())
+    }
+
     /// Records the work that a peer has in flight at the upstream.
     ///
     /// Peers without requests there, and peers whose load is out of date, are removed. Each process has a
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -116,6 +116,7 @@
     service_in_flight: Family<NameLabel, Gauge>,
     service_reading_ms: Family<NameLabel, Gauge>,
     service_slots: Family<NameLabel, Gauge>,
+    service_slow_starts: Family<NameLabel, Gauge>,
     contacts: Mutex<HashMap<&'static str, Millis>>,
 }
 
@@ -151,6 +152,7 @@
             service_in_flight: Family::default(),
             service_reading_ms: Family::default(),
             service_slots: Family::default(),
+            service_slow_starts: Family::default(),
             contacts: Mutex::default(),
         };
         metrics.register();
@@ -269,6 +271,11 @@
             "Requests that a service's listed upstreams can run at once",
             self.service_slots.clone(),
         );
+        registry.register(
+            "service_slow_starts",
+            "A service's upstreams that are new or reopened and not yet open to all instances",
+            self.service_slow_starts.clone(),
+        );
         registry.register(
             "lines_dropped",
             "Log lines that were dropped because they could not be written fast enough",
@@ -361,6 +368,7 @@
             &self.service_in_flight,
             &self.service_reading_ms,
             &self.service_slots,
+            &self.service_slow_starts,
         ];
         families.iter().for_each(|family| family.clear());
         let view = gateway.fleet().view();
@@ -377,6 +385,10 @@
             self.service_in_flight.get_or_create(&label).set(in_flight);
             self.service_reading_ms.get_or_create(&label).set(reading_ms as i64);
             self.service_slots.get_or_create(&label).set(slots);
+            let is_active = gateway.policy().slow_start;
+            let starting = upstreams.iter().filter(|one| one.state.slow_start().is_starting(now));
+            let starting = if is_active { starting.count() as i64 } else { 0 };
+            self.service_slow_starts.get_or_create(&label).set(starting);
         }
     }
 }
--- a/crates/anvilhook-gateway/src/peers/notices.rs
+++ b/crates/anvilhook-gateway/src/peers/notices.rs
@@ -128,7 +128,11 @@
         match notice.kind {
             NoticeKind::Away { left_ms } => upstream.state.mark_away(after(left_ms)),
             NoticeKind::Closed { left_ms } => {
-                upstream.state.mark_closed(after(left_ms), false);
+                if gateway.policy().slow_start {
+                    upstream.state.slow_start().close_by_peer(after(left_ms), now);
+                } else {
+                    upstream.state.mark_closed(after(left_ms), false);
+                }
             }
             NoticeKind::Gone => upstream.state.mark_gone(false),
             NoticeKind::Leaving => {
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -14,6 +14,7 @@
 use crate::fleets::{FleetView, Upstream};
 use crate::hashes::hash_of;
 use crate::prompts::Prompt;
+use crate::slow_starts::Openings;
 
 /// The cost of starting a transfer between engines, in milliseconds.
 const TRANSFER_SETUP_MS: f64 = 3.0;
@@ -78,6 +79,8 @@
     pub zone: &'a str,
     /// The typical age of load updates from other availability zones, in milliseconds.
     pub far_update_delay_ms: f64,
+    /// This instance among those to which upstreams are opened, if the part is active.
+    pub openings: Option<Openings>,
     /// The current time.
     pub now: Millis,
 }
@@ -265,7 +268,14 @@
             upstream.state.is_healthy(self.now) && !has_bad_handles
         };
         let any_healthy = all.iter().filter(able).any(|upstream| healthy(&upstream));
-        all.iter().filter(able).filter(move |upstream| !any_healthy || healthy(upstream))
+        let usable = move |upstream: &&Arc<Upstream>| !any_healthy || healthy(upstream);
+        let openings = self
+            .openings
+            .filter(|_| Openings::may_pass_over(all.iter().filter(able).filter(usable), self.now));
+        let is_open = move |upstream: &&Arc<Upstream>| {
+            openings.is_none_or(|openings| openings.is_open(upstream, self.now))
+        };
+        all.iter().filter(able).filter(usable).filter(is_open)
     }
 
     fn reader_at(
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -5,6 +5,7 @@
 use anvilhook_core::Verdict;
 use anvilhook_core::ejections::may_eject;
 use anvilhook_core::orders::Role;
+use anvilhook_core::slow_starts::Closing;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::CallError;
 use anvilhook_http::clients::{Connection, collect_body};
@@ -23,6 +24,7 @@
 use crate::followers::LIST_SOURCE;
 use crate::loads::RoleObservation;
 use crate::metrics::AttemptLabels;
+use crate::slow_starts::Openings;
 use crate::wires::Wire;
 
 /// The maximum size of an answer that is collected before it is forwarded, in bytes.
@@ -32,7 +34,7 @@
 /// taken, or refused a plain request as misdirected.
 const WRONG_STAGE_PAUSE: Millis = Millis(300);
 
-/// How long no instance uses an upstream whose host refuses connections. An upstream that restarts is
+/// How long no instance uses an upstream whose host refuses connections, without slow start. An upstream that restarts is
 /// listed after about this time, and one that was full accepts connections again by then.
 const CLOSED_PAUSE: Millis = Millis(800);
 
@@ -298,7 +300,8 @@
         if !is_own {
             return Err(Failed::may_have_run("answer_of_another_request"));
         }
-        if let Some(load) = headers.get(&names.load).and_then(|value| self.wire().load(value)) {
+        let load = headers.get(&names.load).and_then(|value| self.wire().load(value));
+        if let Some(load) = load {
             upstream.state.record_load(load, self.now());
         }
         if answer.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -318,6 +321,9 @@
             // does not show yet. Further requests to it would only use up the retry budget.
             let now = self.now();
             let has_source = sending.source.is_some();
+            if load.is_some_and(|load| load.is_full()) {
+                upstream.state.mark_full(now);
+            }
             if upstream.entry.role.is_some()
                 && !has_source
                 && upstream.state.work(now).in_flight < upstream.entry.slots / 2
@@ -422,23 +428,43 @@
             return;
         }
         // Peers that have received the same reports publish the ejection too.
-        self.close_upstream(upstream, pause, "");
+        self.close_upstream(upstream, Some(pause), "");
     }
 
     /// Records that an upstream's host refuses connections, and publishes it to peers.
     fn record_refused_connection(&self, exchange: &Exchange, upstream: &Upstream) {
-        self.close_upstream(upstream, CLOSED_PAUSE, &exchange.id);
+        self.close_upstream(upstream, None, &exchange.id);
     }
 
-    /// Marks an upstream as unused for a while, and publishes it to peers. `request` is the id of the request
-    /// that caused it, empty if it was not a single request.
-    fn close_upstream(&self, upstream: &Upstream, pause: Millis, request: &str) {
-        if upstream.state.mark_closed(self.now() + pause, true) {
+    /// Marks an upstream as unused for a while, and publishes it to peers. `length` is for how long, if it does
+    /// not follow from its earlier refusals. `request` is the id of the request that caused it, empty if it
+    /// was not a single request.
+    fn close_upstream(&self, upstream: &Upstream, length: Option<Millis>, request: &str) {
+        let now = self.now();
+        let closing = if self.policy().slow_start {
+            upstream.state.close(length, now)
+        } else {
+            let length = length.unwrap_or(CLOSED_PAUSE);
+            let is_later = upstream.state.mark_closed(now + length, true);
+            is_later.then_some(Closing { length, count: 1, previous: None })
+        };
+        if let Some(Closing { length, count, previous }) = closing {
             self.peers().announce();
-            let upstream = &*upstream.entry.id;
-            emit(&Event::UpstreamClosed { upstream, request, for_ms: pause.0 });
+            emit(&Event::UpstreamClosed {
+                upstream: &upstream.entry.id,
+                request,
+                for_ms: length.0,
+                count,
+                previous_ms: previous.map(|previous| previous.0),
+            });
         }
     }
+
+    /// Returns this instance among those to which upstreams are opened, if slow start is active.
+    pub(super) fn openings(&self) -> Option<Openings> {
+        let (instance, instances) = (self.peers().number(), self.peers().instances());
+        self.policy().slow_start.then_some(Openings { instance, instances })
+    }
 }
 
 /// `Arrival` is the way in which an attempt counts against the budget.
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -240,7 +240,8 @@
 
     /// Replaces the upstreams by those of the upstream table.
     pub fn adopt_entries(&self, entries: impl IntoIterator<Item = Entry>) {
-        let earlier = self.inner.fleet.replace(entries);
+        let now = self.has_fleet().then(|| self.now());
+        let earlier = self.inner.fleet.replace_at(now, entries);
         let view = self.inner.fleet.view();
         self.inner.has_fleet.store(true, Ordering::Release);
         // An upstream that has restarted under its id has lost the content of its cache.
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -18,6 +18,7 @@
 use crate::hashes::hash_of;
 use crate::loads::Held;
 use crate::placements::suspect_rank;
+use crate::slow_starts::Openings;
 use crate::wires::Wire;
 
 /// The cost of an upstream in another availability zone, in requests in flight.
@@ -183,7 +184,12 @@
         let available: Vec<_> = available.collect();
         let healthy = available.iter().filter(|upstream| upstream.state.is_healthy(now));
         let healthy: Vec<_> = healthy.copied().collect();
-        let candidates = if healthy.is_empty() { available } else { healthy };
+        let mut candidates = if healthy.is_empty() { available } else { healthy };
+        if let Some(openings) = self.openings()
+            && Openings::may_pass_over(candidates.iter().copied(), now)
+        {
+            candidates.retain(|upstream| openings.is_open(upstream, now));
+        }
         let cost = |upstream: &Upstream| {
             let in_flight = upstream.state.work(now).in_flight;
             let queued = in_flight.saturating_sub(upstream.entry.slots.saturating_sub(1));
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -226,6 +226,7 @@
             } else {
                 FAR_UPDATE_DELAY_MS
             },
+            openings: self.openings(),
             now: self.now(),
         })
     }
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -77,6 +77,13 @@
     pub slots: u32,
 }
 
+impl Load {
+    /// Returns whether all slots are taken. A report without slots shows nothing.
+    pub fn is_full(&self) -> bool {
+        self.slots > 0 && self.running.saturating_add(self.waiting) >= self.slots
+    }
+}
+
 /// `RoleOrder` orders an engine to change its role.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RoleOrder {
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -241,6 +241,7 @@
         output_ms: 300.0,
         zone: "zone-a",
         far_update_delay_ms,
+        openings: None,
         now: Millis(1_000),
     };
     let engine = engine_spec();
@@ -330,6 +331,7 @@
             output_ms: 300.0,
             zone: "zone-a",
             far_update_delay_ms,
+            openings: None,
             now: Millis(1_000),
         };
         let reader = view.get("p1").expect("listed");
@@ -361,6 +363,7 @@
         output_ms: 300.0,
         zone: "zone-a",
         far_update_delay_ms: 0.0,
+        openings: None,
         now: Millis(1_000),
     };
     let of = |suspect| {
