--- a/crates/anvilhook-core/src/slow_starts.rs
+++ b/crates/anvilhook-core/src/slow_starts.rs
@@ -70,10 +70,12 @@
     }
 
     /// Closes the upstream after its own refusal, for a given time or for one that doubles up to a bound.
-    /// Returns `None` if it is closed already: attempts that were under way then show nothing new.
+    /// Returns `None` if it is closed already: attempts that were under way then show nothing new, and only
+    /// a given time extends that.
     pub fn close(&self, length: Option<Millis>, now: Millis) -> Option<Closing> {
         let opens_at = self.opens_at.load(Ordering::Acquire);
         if now.0 < opens_at {
+            length.map(|length| self.extend(now + length));
             return None;
         }
         let (before, previous) = self.closings_before(opens_at, now);
--- a/crates/anvilhook-core/tests/slow_starts.rs
+++ b/crates/anvilhook-core/tests/slow_starts.rs
@@ -228,6 +228,8 @@
     assert_eq!((next.length, next.count, next.previous), (Millis(1_600), 3, Some(Millis(750))));
     let later = state.close(None, Millis(9_000)).expect("it has reopened");
     assert_eq!((later.length, later.count, later.previous), (Millis(800), 1, None));
+    assert_eq!(state.close(Some(Millis(4_000)), Millis(9_100)), None, "it is closed");
+    assert_eq!(state.closed_until(Millis(9_100)), Some(Millis(13_100)));
 }
 
 /// Guards against an instance that loses an upstream which was open to it, and against closed times and
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -462,8 +462,10 @@
 
     /// Returns this instance among those to which upstreams are opened, if slow start is active.
     pub(super) fn openings(&self) -> Option<Openings> {
-        let (instance, instances) = (self.peers().number(), self.peers().instances());
-        self.policy().slow_start.then_some(Openings { instance, instances })
+        self.policy().slow_start.then(|| Openings {
+            instance: self.peers().number(),
+            instances: self.peers().instances(),
+        })
     }
 }
 
