Replay slow start with notices that are 2 s late

Digests don't carry the time of a refusal, so a late notice can close an upstream that has reopened. The test bounds the delay by the notice's age.

--- a/crates/anvilhook-core/tests/slow_starts.rs
+++ b/crates/anvilhook-core/tests/slow_starts.rs
@@ -29,6 +29,7 @@
 
 const LATE: Network = Network { delay: 150, loss: 0.0 };
 const LOSSY: Network = Network { delay: 150, loss: 0.3 };
+const STALE: Network = Network { delay: 2_000, loss: 0.0 };
 const CUT: Network = Network { delay: 150, loss: 1.0 };
 
 /// `Crash` replays an upstream that refuses connections until a time.
@@ -156,6 +157,23 @@
     }
 }
 
+/// Guards against closed times that grow with each late notice: notices 2 s late delay the opening by these 2 s
+/// at most, and the upstream still costs fewer attempts than without the part.
+#[test]
+fn verify_stale_notices_delay_the_opening_by_their_age_at_most() {
+    let run = |has_part| {
+        let crash = Crash { rate: 50.0, ..Crash::new(has_part, STALE, 2_000) };
+        let outcome = crash.run(3, 8_000);
+        let served = outcome.served_at.iter().map(|at| at.expect("served"));
+        (outcome.refused_at.len(), served.max().expect("there are instances"))
+    };
+
+    let (with, without) = (run(true), run(false));
+
+    println!("notices 2 s late: with {with:?}, without {without:?}");
+    assert!(with.0 < without.0 && with.1 < 2_000 + 1_600 + 800 + 2_000 + 400, "{with:?}");
+}
+
 /// Returns how many requests a new engine with 16 slots and a queue of 48 refuses in its first 600 ms, and
 /// in its first second.
 /// Instances know the requests of the others as they were 150 ms before, and choose the engine while they
