Learn the latency of readings and the speed of each upstream

Each reading takes a fixed time (90 ms at one customer) that does not occupy the engine. It was learnt as slowness of the engine, so long prompts were predicted far too slow, and engines faster than the mean were never known. Plain upstreams were chosen by requests in flight alone.

The latency is now learnt from small readings that found no backlog, the mean cost from work divided by the engine's relative slowness, and the slowness of each upstream in both directions. The fourth figure of the load header changes it for 600 ms. Plain upstreams are chosen by the predicted completion in milliseconds. With the policy `learnt_speeds` off, the former estimates are used, which are kept apart.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod names;
 pub mod orders;
 pub mod pacing;
+pub mod plain_costs;
 pub mod quarantine;
 pub mod ranks;
 pub mod rate_shares;
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -396,6 +396,8 @@
         list_age_ms: Option<u64>,
         /// The age of the newest update from a peer, in milliseconds.
         peers_age_ms: Option<u64>,
+        /// How many times longer than the mean of its service the upstream's work takes.
+        slowness: f64,
     },
     /// A stopping instance has accepted a request, or refused it because the instance's end could interrupt
     /// the request.
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -6,6 +6,7 @@
 
 use anvilhook_core::ejections::{Ejection, EjectionOptions, ErrorReports};
 use anvilhook_core::orders::Role;
+use anvilhook_core::speeds::{Learning, UpstreamSpeed};
 use anvilhook_core::units::Millis;
 
 use crate::fleets::Upstream;
@@ -120,6 +121,7 @@
     role_change: Mutex<Option<RoleChange>>,
     observed_role: Mutex<Option<RoleObservation>>,
     slowness: AtomicU64,
+    speed: Mutex<UpstreamSpeed>,
     reported: Mutex<Option<(Load, Millis)>>,
     peers: Mutex<HashMap<u64, PeerLoad>>,
 }
@@ -151,6 +153,7 @@
             role_change: Mutex::default(),
             observed_role: Mutex::default(),
             slowness: AtomicU64::new(1f64.to_bits()),
+            speed: Mutex::default(),
             reported: Mutex::default(),
             peers: Mutex::default(),
         }
@@ -334,7 +337,8 @@
         now.0 < self.no_handles_until.load(Ordering::Acquire)
     }
 
-    /// Returns how many times longer than predicted the upstream takes to read prompts.
+    /// Returns how many times longer than predicted the upstream takes to read prompts. Used while the policy
+    /// `learnt_speeds` is off.
     pub fn slowness(&self) -> f64 {
         f64::from_bits(self.slowness.load(Ordering::Acquire))
     }
@@ -354,8 +358,22 @@
         self.slowness.store(next.to_bits(), Ordering::Release);
     }
 
+    /// Returns how many times longer than the mean of its service the upstream's work currently takes, by
+    /// the times that its work took and by its own recent report.
+    pub fn slowness_at(&self, now: Millis) -> f64 {
+        self.speed.lock().expect("no panic under this lock").slowness(now)
+    }
+
+    /// Updates the speed with work that took `slowness` times longer than the mean.
+    pub fn record_speed(&self, slowness: f64, learning: Learning, now: Millis) {
+        self.speed.lock().expect("no panic under this lock").record(slowness, learning, now);
+    }
+
     /// Records the load that the upstream reported.
     pub fn record_load(&self, load: Load, now: Millis) {
+        if let Some(percent) = load.work_percent {
+            self.speed.lock().expect("no panic under this lock").record_report(percent, now);
+        }
         *self.reported.lock().expect("no panic under this lock") = Some((load, now));
     }
 
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -113,6 +113,7 @@
     upstream_reading_ms: Family<NameLabel, Gauge>,
     upstream_ejected: Family<NameLabel, Gauge>,
     upstream_request_limit: Family<NameLabel, Gauge<f64, AtomicU64>>,
+    upstream_slowness: Family<NameLabel, Gauge<f64, AtomicU64>>,
     service_in_flight: Family<NameLabel, Gauge>,
     service_reading_ms: Family<NameLabel, Gauge>,
     service_slots: Family<NameLabel, Gauge>,
@@ -148,6 +149,7 @@
             upstream_reading_ms: Family::default(),
             upstream_ejected: Family::default(),
             upstream_request_limit: Family::default(),
+            upstream_slowness: Family::default(),
             service_in_flight: Family::default(),
             service_reading_ms: Family::default(),
             service_slots: Family::default(),
@@ -254,6 +256,11 @@
             "Requests a second that an upstream accepts from all instances, if it names a limit",
             self.upstream_request_limit.clone(),
         );
+        registry.register(
+            "upstream_slowness",
+            "How many times longer than the mean of its service an upstream's work takes",
+            self.upstream_slowness.clone(),
+        );
         registry.register(
             "service_in_flight",
             "Requests in flight at a service's upstreams, estimated over all instances",
@@ -337,6 +344,7 @@
             [&self.upstream_in_flight, &self.upstream_reading_ms, &self.upstream_ejected];
         families.iter().for_each(|family| family.clear());
         self.upstream_request_limit.clear();
+        self.upstream_slowness.clear();
         for upstream in gateway.fleet().view().all() {
             let label = label(&upstream.entry.id);
             let work = upstream.state.work(now);
@@ -344,6 +352,8 @@
             self.upstream_in_flight.get_or_create(&label).set(i64::from(work.in_flight));
             self.upstream_reading_ms.get_or_create(&label).set(work.reading_ms as i64);
             self.upstream_ejected.get_or_create(&label).set(i64::from(is_ejected));
+            let slowness = gateway.slowness_of(upstream, now);
+            self.upstream_slowness.get_or_create(&label).set(slowness);
             if let Some(limit) = upstream.state.request_limit().current_use(now) {
                 self.upstream_request_limit.get_or_create(&label).set(limit.per_s);
             }
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -70,6 +70,9 @@
     pub caches: &'a CacheIndex,
     /// The time that engines of the service need to read prompts.
     pub speed: &'a ReadingCost,
+    /// Whether the speed of each upstream and the latency of readings are learnt. Otherwise the latency counts
+    /// as work.
+    pub learnt_speeds: bool,
     /// The mean time of an output, in milliseconds. A request that finds all slots of an engine taken waits
     /// for a share of it. If that wait were underestimated, near engines would be filled beyond their slots
     /// while far ones are free.
@@ -109,7 +112,7 @@
     pub fetch_from: Option<Arc<Upstream>>,
     /// How many tokens of the prompt need not be read, because they are cached or fetched first.
     pub cached: u32,
-    /// The predicted reading time of the prompt, in milliseconds.
+    /// The predicted reading time of the prompt, in milliseconds of the engine's work.
     pub reading_ms: f64,
     /// The predicted time of the fetch that precedes the reading, in milliseconds of the engine's link.
     pub fetching_ms: f64,
@@ -278,14 +281,16 @@
         let held = self.caches.held_tokens(&upstream.entry.id, req.prompt);
         let work = state.work(self.now);
         let backlog_ms = work.reading_ms;
-        let read_ms = self.speed.read_ms(req.prompt.tokens, held) * state.slowness();
+        let slowness = self.slowness(upstream);
+        let latency_ms = self.latency_ms();
+        let read_ms = self.work_ms(req.prompt.tokens, held) * slowness;
 
         let fetched =
             holder.filter(|(other, more)| other.entry.id != upstream.entry.id && *more > held);
         if let Some((other, more)) = fetched {
             let is_far = other.entry.zone != upstream.entry.zone;
             let fetch_ms = self.transfer_ms(req.engine, more - held, is_far);
-            let rest_ms = self.speed.read_ms(req.prompt.tokens, *more) * state.slowness();
+            let rest_ms = self.work_ms(req.prompt.tokens, *more) * slowness;
             if fetch_ms + rest_ms < read_ms {
                 return Reader {
                     upstream: Arc::clone(upstream),
@@ -294,7 +299,7 @@
                     reading_ms: rest_ms,
                     fetching_ms: fetch_ms,
                     backlog_ms,
-                    total_ms: backlog_ms.max(work.fetching_ms + fetch_ms) + rest_ms,
+                    total_ms: backlog_ms.max(work.fetching_ms + fetch_ms) + rest_ms + latency_ms,
                 };
             }
         }
@@ -305,10 +310,33 @@
             reading_ms: read_ms,
             fetching_ms: 0.0,
             backlog_ms,
-            total_ms: backlog_ms + read_ms,
+            total_ms: backlog_ms + read_ms + latency_ms,
         }
     }
 
+    /// Returns how many times longer than the mean an engine's work takes.
+    fn slowness(&self, upstream: &Upstream) -> f64 {
+        if self.learnt_speeds {
+            upstream.state.slowness_at(self.now)
+        } else {
+            upstream.state.slowness()
+        }
+    }
+
+    /// Returns the work of reading a prompt at an engine of mean speed, in milliseconds.
+    fn work_ms(&self, tokens: u32, cached: u32) -> f64 {
+        if self.learnt_speeds {
+            self.speed.work_ms(tokens, cached)
+        } else {
+            self.speed.read_ms(tokens, cached)
+        }
+    }
+
+    /// Returns the time of a reading that does not occupy the engine, in milliseconds.
+    fn latency_ms(&self) -> f64 {
+        if self.learnt_speeds { self.speed.fixed_ms } else { 0.0 }
+    }
+
     fn generator_at(
         &self,
         req: &Request<'_>,
@@ -324,17 +352,17 @@
             (f64::from(upstream.entry.slots) * UNREPORTED_SLOT_SHARE).ceil() as u32
         };
         let queued = (work.in_flight + unreported + 1).saturating_sub(upstream.entry.slots);
-        let slowness = upstream.state.slowness();
+        let slowness = self.slowness(upstream);
         let queued_ms = self.output_ms / f64::from(upstream.entry.slots.max(1));
         let wait_ms = f64::from(work.in_flight) * IN_FLIGHT_MS + f64::from(queued) * queued_ms;
         let wait_ms = wait_ms * slowness;
         let is_generator = upstream.role() == Some(Role::Decode);
         let factor = if is_generator { DECODE_READING_FACTOR } else { 1.0 };
-        let reading_ms = self.speed.read_ms(req.prompt.tokens, held) * factor * slowness;
+        let reading_ms = self.work_ms(req.prompt.tokens, held) * factor * slowness;
         let is_far = reader.is_some_and(|reader| reader.entry.zone != upstream.entry.zone);
         let fetching_ms =
             self.transfer_ms(req.engine, req.prompt.tokens - held.min(req.prompt.tokens), is_far);
-        let direct_ms = wait_ms + work.reading_ms + reading_ms;
+        let direct_ms = wait_ms + work.reading_ms + reading_ms + self.latency_ms();
         Generator {
             upstream: Arc::clone(upstream),
             fetched_ms: wait_ms + work.fetching_ms + fetching_ms,
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -297,6 +297,16 @@
         **self.inner.policy.load()
     }
 
+    /// Returns how many times longer than the mean of its service an upstream's work takes, as predictions
+    /// use it.
+    pub(crate) fn slowness_of(&self, upstream: &Upstream, now: Millis) -> f64 {
+        if self.policy().learnt_speeds {
+            upstream.state.slowness_at(now)
+        } else {
+            upstream.state.slowness()
+        }
+    }
+
     /// Returns the other instances.
     pub fn peers(&self) -> &Arc<Peers> {
         &self.inner.peers
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::plain_costs::{PlainLoad, PlainTime};
+use anvilhook_core::speeds::Learning;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
 
@@ -26,6 +28,9 @@
 /// The additional cost of a request that would be queued, in requests in flight.
 const QUEUED_COST: f64 = 3.0;
 
+/// The precision of the hash that spreads the choices of instances.
+const SPREAD_STEPS: u64 = 1_000;
+
 /// The maximum number of times that one request is sent, refusals included.
 const MAX_SENDS: usize = 3;
 
@@ -108,6 +113,9 @@
         exchange: &mut Exchange,
         upstream: &Arc<Upstream>,
     ) -> Result<WholeAnswer, Failed> {
+        let time = self.policy().learnt_speeds.then(|| self.inner.speeds.plain(&exchange.service));
+        let in_flight = upstream.state.work(self.now()).in_flight;
+        let predicted_ms = time.as_ref().map_or(0.0, |time| self.plain_ms(upstream, time));
         let held = Held::new(Arc::clone(upstream));
         let is_last =
             !self.may_repeat(exchange) || exchange.runs + 1 >= exchange.route.max_attempts;
@@ -132,7 +140,7 @@
             head_timeout,
             role: None,
             stage: "plain",
-            predicted_ms: 0.0,
+            predicted_ms,
             work_ms: 0.0,
             wait: Wait::NONE,
             source: None,
@@ -155,13 +163,48 @@
         }
         drop(held);
         match &result {
-            Ok(answer) if answer.status.is_success() => self.record_completed_run(exchange),
+            Ok(answer) if answer.status.is_success() => {
+                // The time of a request that was queued does not show the upstream's speed.
+                if time.is_some() && in_flight < upstream.entry.slots {
+                    self.record_plain_time(exchange, upstream, started_at);
+                }
+                self.record_completed_run(exchange);
+            }
             Ok(_) => {}
             Err(failed) => self.record_failure_signal(exchange, upstream, failed),
         }
         result
     }
 
+    /// Updates the time of the service's requests and the upstream's speed from a request that found a free
+    /// slot.
+    fn record_plain_time(&self, exchange: &Exchange, upstream: &Upstream, started_at: Millis) {
+        let now = self.now();
+        let took_ms = (now - started_at).0 as f64;
+        let (slowness, is_far) = (upstream.state.slowness_at(now), self.is_far(upstream));
+        let speeds = &self.inner.speeds;
+        let seen = speeds.record_plain(&exchange.service, took_ms, slowness, is_far);
+        upstream.state.record_speed(seen, Learning::PLAIN, now);
+    }
+
+    fn is_far(&self, upstream: &Upstream) -> bool {
+        *upstream.entry.zone != *self.inner.options.zone
+    }
+
+    /// Returns the predicted time until an upstream would complete one more request, in milliseconds.
+    fn plain_ms(&self, upstream: &Upstream, time: &PlainTime) -> f64 {
+        let now = self.now();
+        let hash = hash_of(&(self.peers().number(), &*upstream.entry.id));
+        let load = PlainLoad {
+            in_flight: upstream.state.work(now).in_flight,
+            slots: upstream.entry.slots,
+            slowness: upstream.state.slowness_at(now),
+            is_far: self.is_far(upstream),
+            spread: (hash % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64,
+        };
+        load.completion_ms(time)
+    }
+
     /// Chooses an upstream by the current state, so that one that began to leave during an earlier attempt
     /// is not chosen.
     pub(super) fn choose_plain(
@@ -184,13 +227,19 @@
         let healthy = available.iter().filter(|upstream| upstream.state.is_healthy(now));
         let healthy: Vec<_> = healthy.copied().collect();
         let candidates = if healthy.is_empty() { available } else { healthy };
+        let time = self.policy().learnt_speeds.then(|| self.inner.speeds.plain(&exchange.service));
         let cost = |upstream: &Upstream| {
+            if let Some(time) = &time {
+                let risk = exchange.suspect().map_or(0, |one| suspect_rank(one, upstream));
+                return self.plain_ms(upstream, time) + f64::from(risk) * time.mean_ms();
+            }
             let in_flight = upstream.state.work(now).in_flight;
             let queued = in_flight.saturating_sub(upstream.entry.slots.saturating_sub(1));
-            let far = if *upstream.entry.zone == *self.inner.options.zone { 0.0 } else { FAR_COST };
+            let far = if self.is_far(upstream) { FAR_COST } else { 0.0 };
             let risk = exchange.suspect().map_or(0, |suspect| suspect_rank(suspect, upstream));
             f64::from(in_flight + risk) + f64::from(queued) * QUEUED_COST + far
         };
-        candidates.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+        let costs = candidates.into_iter().map(|upstream| (cost(upstream), upstream));
+        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, upstream)| Arc::clone(upstream))
     }
 }
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -214,11 +214,17 @@
         f: impl FnOnce(&Placer<'_>) -> T,
     ) -> T {
         let view = self.fleet().view();
-        let speed = self.inner.speeds.reading(&exchange.service);
+        let learnt_speeds = self.policy().learnt_speeds;
+        let speed = if learnt_speeds {
+            self.inner.speeds.split_reading(&exchange.service)
+        } else {
+            self.inner.speeds.reading(&exchange.service)
+        };
         f(&Placer {
             view: &view,
             caches: &self.inner.caches,
             speed: &speed,
+            learnt_speeds,
             output_ms: self.inner.speeds.mean_output_ms(&exchange.service),
             zone: &self.inner.options.zone,
             far_update_delay_ms: if self.peers().is_full_mesh() {
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -4,6 +4,7 @@
 
 use anvilhook_core::Verdict;
 use anvilhook_core::orders::Role;
+use anvilhook_core::speeds::{Learning, Reading};
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
 use http::HeaderValue;
@@ -37,6 +38,8 @@
 
 /// `ReaderWork` is the predicted work of reading a prompt.
 struct ReaderWork {
+    /// The time of the prompts queued before this one, in milliseconds.
+    backlog_ms: f64,
     /// The tokens that the engine's cache already held.
     cached: u32,
     reading_ms: f64,
@@ -69,6 +72,7 @@
         }
         let upstream = reader.upstream;
         let reader_work = ReaderWork {
+            backlog_ms: reader.backlog_ms,
             cached: reader.cached,
             reading_ms: reader.reading_ms,
             is_fetched: reader.fetch_from.is_some(),
@@ -113,7 +117,9 @@
                 let work =
                     EngineWork { reading_ms: reader_work.reading_ms, ..EngineWork::default() };
                 self.inner.speeds.record_work(&exchange.service, work, self.now());
-                if reader.backlog_ms < IDLE_BACKLOG_MS {
+                if self.policy().learnt_speeds {
+                    self.observe_reading(exchange, job, &upstream, &reader_work, took);
+                } else if reader.backlog_ms < IDLE_BACKLOG_MS {
                     self.learn_reading(exchange, job, &upstream, &reader_work, took);
                 }
                 self.record_cached(&upstream.entry.id, &job.prompt.parts, job.engine);
@@ -129,8 +135,35 @@
         }
     }
 
+    /// Updates the estimates from a prompt that an engine has read: the latency of readings, how fast the
+    /// service's engines read, and how this engine compares with them. The time of a prompt of which a part
+    /// was fetched shows none of these.
+    fn observe_reading(
+        &self,
+        exchange: &Exchange,
+        job: &Job<'_>,
+        upstream: &Upstream,
+        work: &ReaderWork,
+        took: Millis,
+    ) {
+        if work.is_fetched {
+            return;
+        }
+        let now = self.now();
+        let reading = Reading {
+            tokens: job.prompt.tokens,
+            cached: work.cached,
+            took_ms: took.0 as f64,
+            backlog_ms: work.backlog_ms,
+            slowness: upstream.state.slowness_at(now),
+        };
+        if let Some(slowness) = self.inner.speeds.observe_reading(&exchange.service, &reading) {
+            upstream.state.record_speed(slowness, Learning::ENGINE, now);
+        }
+    }
+
     /// Updates the estimates from a prompt that an idle engine has read: how fast the service's engines read,
-    /// and whether this engine is slower.
+    /// and whether this engine is slower. The latency counts as work.
     fn learn_reading(
         &self,
         exchange: &Exchange,
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::speeds::{OutputSpeed, ReadingCost, ReadingSpeed};
+use anvilhook_core::plain_costs::PlainTime;
+use anvilhook_core::speeds::{OutputSpeed, Reading, ReadingCost, ReadingSpeed};
 use anvilhook_core::splits::WorkMix;
 use anvilhook_core::units::{Clock, Millis};
 
@@ -33,7 +34,12 @@
 
 #[derive(Debug)]
 struct ServiceSpeed {
+    /// The cost of readings in which the expected latency counts as work. Used while the policy
+    /// `learnt_speeds` is off.
     reading: ReadingSpeed,
+    /// The cost of readings with the learnt latency.
+    split_reading: ReadingSpeed,
+    plain: PlainTime,
     output: OutputSpeed,
     mix: WorkMix,
     own_work: EngineWork,
@@ -119,6 +125,33 @@
         self.with(service, |speed| speed.reading.cost())
     }
 
+    /// Returns the reading cost of a service's engines of mean speed, with the learnt latency.
+    pub fn split_reading(&self, service: &Arc<str>) -> ReadingCost {
+        self.with(service, |speed| speed.split_reading.cost())
+    }
+
+    /// Records a reading. Returns how many times longer than the mean its work took, if that shows.
+    pub fn observe_reading(&self, service: &Arc<str>, reading: &Reading) -> Option<f64> {
+        self.with(service, |speed| speed.split_reading.observe(reading))
+    }
+
+    /// Returns the time of the requests of a plain service.
+    pub fn plain(&self, service: &Arc<str>) -> PlainTime {
+        self.with(service, |speed| speed.plain.clone())
+    }
+
+    /// Records how long a request to a plain upstream took, whose work takes `slowness` times longer than the
+    /// mean as far as it is known. Returns how many times longer than the mean the request took.
+    pub fn record_plain(
+        &self,
+        service: &Arc<str>,
+        took_ms: f64,
+        slowness: f64,
+        is_far: bool,
+    ) -> f64 {
+        self.with(service, |speed| speed.plain.record(took_ms, slowness, is_far))
+    }
+
     /// Returns the predicted time of a service's output, in milliseconds.
     pub fn output_ms(&self, service: &Arc<str>, tokens: u32) -> f64 {
         self.with(service, |speed| speed.output.output_ms(tokens))
@@ -196,6 +229,8 @@
         let mut services = self.services.lock().expect("no panic under this lock");
         let speed = services.entry(Arc::clone(service)).or_insert_with(|| ServiceSpeed {
             reading: ReadingSpeed::new(self.expected),
+            split_reading: ReadingSpeed::new(self.expected),
+            plain: PlainTime::default(),
             output: OutputSpeed::new(EXPECTED_TOKEN_MS, EXPECTED_OUTPUT_MS),
             mix: WorkMix::default(),
             own_work: EngineWork::default(),
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -75,6 +75,8 @@
     pub waiting: u32,
     /// The number of requests that can run at once.
     pub slots: u32,
+    /// The time that work currently takes there in percent of the usual, if it is reported.
+    pub work_percent: Option<u32>,
 }
 
 /// `RoleOrder` orders an engine to change its role.
