--- a/crates/anvilhook-gateway/tests/slow_starts.rs
+++ b/crates/anvilhook-gateway/tests/slow_starts.rs
@@ -59,6 +59,7 @@
             output_ms: 300.0,
             zone: "zone-a",
             far_update_delay_ms: 0.0,
+            learnt_speeds: true,
             openings: has_part.then_some(openings),
             now,
         };
@@ -88,7 +89,7 @@
     assert_eq!(later, INSTANCES);
     assert_eq!(placed_at(&fleet, "new", false, LISTED_AT), INSTANCES);
     assert_eq!(placed_at(&all_new, "new", true, LISTED_AT), INSTANCES);
-    let full = Load { running: 4, waiting: 0, slots: 4 };
+    let full = Load { running: 4, waiting: 0, slots: 4, work_percent: None };
     for id in ["far-1", "far-2", "far-3"] {
         let view = fleet.view();
         let state = &view.get(id).expect("listed").state;
@@ -109,10 +110,10 @@
     let state = &view.get("full").expect("listed").state;
     let placed = |now| placed_at(&fleet, "full", true, now);
 
-    state.record_load(Load { running: 4, waiting: 0, slots: 4 }, LISTED_AT);
+    state.record_load(Load { running: 4, waiting: 0, slots: 4, work_percent: None }, LISTED_AT);
     state.mark_full(LISTED_AT);
     let (full, expired) = (placed(LISTED_AT + Millis(1)), placed(LISTED_AT + Millis(401)));
-    state.record_load(Load { running: 3, waiting: 0, slots: 4 }, LISTED_AT);
+    state.record_load(Load { running: 3, waiting: 0, slots: 4, work_percent: None }, LISTED_AT);
 
     assert_eq!((full, expired, placed(LISTED_AT + Millis(1))), (0, INSTANCES, INSTANCES));
     assert!(state.is_healthy(LISTED_AT), "it is not dead");
