Reserve reading engines for short prompts and spread choices

Instances learn of each other's prompts 50 to 150 ms late. They chose the same idle engines, and short prompts were read behind long ones. In each zone with at least four reading engines, reading_lanes now reserves some of them for short prompts, by a hash of the engines and by the recent work of both kinds. Either kind may use the other lane at a bounded cost; a long prompt that has waited as long as its work takes uses the border of the short lane at no cost. Engines with nearly equal costs are ranked by a hash of the instance, the prompt and the engine. Another zone's engines are charged the whole spread, and a factor that differs by instance, so that instances do not turn to another zone at once. In a full mesh choices are not spread. With the policy switch reading_lanes off, placement is as before.

The event placed has the lane, and the gauge service_short_lane_engines the number of reserved engines.

Tests of anvilhook-core and anvilhook-gateway and the linter passed; no deployment was run.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ranks;
 pub mod rate_shares;
 pub mod reading_backlogs;
+pub mod reading_lanes;
 pub mod reports;
 pub mod resources;
 pub mod retries;
--- a/crates/anvilhook-core/src/pacing.rs
+++ b/crates/anvilhook-core/src/pacing.rs
@@ -99,6 +99,20 @@
     }
 }
 
+/// Returns whether a prompt whose prefill takes `work_ms` is short by the tightest objective of the
+/// service.
+///
+/// ```
+/// use anvilhook_core::pacing::is_short;
+/// use anvilhook_core::units::Millis;
+///
+/// assert!(is_short(50.0, Millis(250)));
+/// assert!(!is_short(51.0, Millis(250)));
+/// ```
+pub fn is_short(work_ms: f64, tightest: Millis) -> bool {
+    work_ms <= tightest.0 as f64 * SHORT_SHARE
+}
+
 /// Decides whether a prompt is sent to the prefill engine that was chosen for it.
 ///
 /// `work_ms` is the time that its prefill takes there, `backlog_ms` the time that the prompts before it
@@ -122,8 +136,7 @@
         return Pace::Hopeless;
     }
     let bound_ms = tightest.0 as f64 * READING_SHARE;
-    let is_short = work_ms <= tightest.0 as f64 * SHORT_SHARE;
-    if is_short || work_ms * backlog_ms <= bound_ms * bound_ms {
+    if is_short(work_ms, tightest) || work_ms * backlog_ms <= bound_ms * bound_ms {
         Pace::Free
     } else if waiting.age.0 as f64 + work_ms + FIRST_EVENT_MS > waiting.wait_limit.0 as f64 {
         Pace::Hopeless
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -396,6 +396,8 @@
         list_age_ms: Option<u64>,
         /// The age of the newest update from a peer, in milliseconds.
         peers_age_ms: Option<u64>,
+        /// The reading lane of the engine that reads: `short`, `border` or `long`, if its zone has lanes.
+        lane: Option<&'a str>,
     },
     /// A stopping instance has accepted a request, or refused it because the instance's end could interrupt
     /// the request.
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 
+use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -19,6 +20,7 @@
 use crate::configs::Config;
 use crate::events::{Evidence, LINES_DROPPED};
 use crate::peers::SectionBytes;
+use crate::placements::lanes_of;
 use crate::relay::Gateway;
 use crate::wires::Wire;
 
@@ -116,6 +118,7 @@
     service_in_flight: Family<NameLabel, Gauge>,
     service_reading_ms: Family<NameLabel, Gauge>,
     service_slots: Family<NameLabel, Gauge>,
+    service_short_lane_engines: Family<NameLabel, Gauge>,
     contacts: Mutex<HashMap<&'static str, Millis>>,
 }
 
@@ -151,6 +154,7 @@
             service_in_flight: Family::default(),
             service_reading_ms: Family::default(),
             service_slots: Family::default(),
+            service_short_lane_engines: Family::default(),
             contacts: Mutex::default(),
         };
         metrics.register();
@@ -269,6 +273,11 @@
             "Requests that a service's listed upstreams can run at once",
             self.service_slots.clone(),
         );
+        registry.register(
+            "service_short_lane_engines",
+            "Prefill engines of a service that are reserved for short prompts, 0 without lanes",
+            self.service_short_lane_engines.clone(),
+        );
         registry.register(
             "lines_dropped",
             "Log lines that were dropped because they could not be written fast enough",
@@ -361,6 +370,7 @@
             &self.service_in_flight,
             &self.service_reading_ms,
             &self.service_slots,
+            &self.service_short_lane_engines,
         ];
         families.iter().for_each(|family| family.clear());
         let view = gateway.fleet().view();
@@ -377,6 +387,13 @@
             self.service_in_flight.get_or_create(&label).set(in_flight);
             self.service_reading_ms.get_or_create(&label).set(reading_ms as i64);
             self.service_slots.get_or_create(&label).set(slots);
+            let readers = upstreams.iter().filter(|upstream| {
+                upstream.role() == Some(Role::Prefill) && upstream.takes_work(now)
+            });
+            let lanes =
+                gateway.short_share(&service.name, None).map(|share| lanes_of(readers, share));
+            let short_engines = lanes.map_or(0, |lanes| lanes.short_engines());
+            self.service_short_lane_engines.get_or_create(&label).set(short_engines as i64);
         }
     }
 }
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -6,6 +6,9 @@
 
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::orders::Role;
+use anvilhook_core::reading_lanes::{
+    Lane, Lanes, PromptSize, far_factor, max_spread_ms, spread_ms,
+};
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::Millis;
 
@@ -78,6 +81,12 @@
     pub zone: &'a str,
     /// The typical age of load updates from other availability zones, in milliseconds.
     pub far_update_delay_ms: f64,
+    /// The share of the reading engines of each zone that is reserved for short prompts, if any.
+    pub short_share: Option<f64>,
+    /// The tightest objective of the service, which tells short prompts from long ones.
+    pub tightest: Millis,
+    /// The number of this instance, if instances must make different choices by the same stale information.
+    pub instance: Option<u64>,
     /// The current time.
     pub now: Millis,
 }
@@ -98,6 +107,8 @@
     /// The request's fingerprint if it is suspected of terminating engines. A suspect is placed where few
     /// other requests would be lost, and away from other suspects.
     pub suspect: Option<Fingerprint>,
+    /// When the wait of its caller began.
+    pub waits_since: Millis,
 }
 
 /// `Reader` is the engine that is to read a prompt.
@@ -105,6 +116,8 @@
 pub struct Reader {
     /// The engine.
     pub upstream: Arc<Upstream>,
+    /// The engine's lane, if its zone has lanes.
+    pub lane: Option<Lane>,
     /// An engine that holds more of the prompt, from which it should fetch first.
     pub fetch_from: Option<Arc<Upstream>>,
     /// How many tokens of the prompt need not be read, because they are cached or fetched first.
@@ -176,43 +189,74 @@
 
     /// Chooses the engine that reads the prompt.
     pub fn reader(&self, req: &Request<'_>) -> Option<Reader> {
+        let engines: Vec<&Arc<Upstream>> = self.candidates(req, Role::Prefill).collect();
+        let size = PromptSize::of(self.speed.read_ms(req.prompt.tokens, 0), self.tightest);
+        let lanes = self.short_share.map(|share| lanes_of(engines.iter().copied(), share));
+        let lane_at = |upstream: &Upstream| {
+            lanes.as_ref()?.lane(&*upstream.entry.zone, u64::from(upstream.hash))
+        };
+        let suits = |lane: Option<Lane>| lane.is_none_or(|lane| lane.suits(size));
+
         let holder = self.holder(req);
-        let preferred = self.preferred(req);
-        let readers = self.candidates(req, Role::Prefill);
-        let readers = readers.map(|upstream| self.reader_at(req, upstream, holder.as_ref()));
+        let suitable = engines.iter().copied().filter(|upstream| suits(lane_at(upstream)));
+        let preferred = preferred(req, suitable);
+        let readers = engines.iter().map(|upstream| Reader {
+            lane: lane_at(upstream),
+            ..self.reader_at(req, upstream, holder.as_ref())
+        });
         let readers: Vec<Reader> = readers.collect();
-        let unreported_ms = self.far_update_delay_ms * self.busy_share(&readers);
+        let own_lane = readers.iter().filter(|reader| suits(reader.lane));
+        let unreported_ms = self.far_update_delay_ms * self.busy_share(own_lane);
+        // Prompts that one instance releases at the same moment are spread as well.
+        let own_part = req.prompt.parts.last().map(|part| part.id);
+        let seed = self.instance.map(|number| hash_of(&(number, own_part)));
+        let waited = self.now - req.waits_since;
         let costs = readers.into_iter().map(|reader| {
             let upstream = &reader.upstream;
             let mut cost = reader.total_ms + self.crossing_ms(req, upstream);
-            let is_preferred =
-                preferred.as_ref().is_none_or(|preferred| preferred == &upstream.entry.id);
+            let is_preferred = preferred.is_none_or(|preferred| preferred == &upstream.entry.id);
             if reader.fetch_from.is_some() {
                 cost += COPY_MS;
             }
-            if !self.is_near(upstream) {
-                cost += unreported_ms;
+            if self.is_near(upstream) {
+                let engine = u64::from(upstream.hash);
+                cost += seed.map_or(0.0, |seed| spread_ms(seed, engine, reader.reading_ms));
+            } else {
+                cost += self.far_cost_ms(unreported_ms, &reader);
             }
             if holder.is_none() && !is_preferred {
                 cost += NON_PREFERRED_COST_MS;
             }
+            if let Some(lane) = reader.lane {
+                cost += lane.cost_ms(size, reader.reading_ms, waited, self.tightest);
+            }
             (cost, reader)
         });
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, reader)| reader)
     }
 
-    /// Returns the share of the readers in this availability zone that have prompts to read.
+    /// Returns the share of the readers in this availability zone that have prompts to read. `readers` are
+    /// those of the prompt's own lane.
     ///
     /// It estimates how likely an engine of another zone that was last reported idle has become busy since.
     /// Without it, instances of all zones that saw the engine idle would send their prompts there.
-    fn busy_share(&self, readers: &[Reader]) -> f64 {
-        let near = readers.iter().filter(|reader| self.is_near(&reader.upstream));
+    fn busy_share<'r>(&self, readers: impl Iterator<Item = &'r Reader>) -> f64 {
+        let near = readers.filter(|reader| self.is_near(&reader.upstream));
         let (count, busy) = near.fold((0, 0), |(count, busy), reader| {
             (count + 1, busy + u32::from(reader.backlog_ms > 0.0))
         });
         if count == 0 { 1.0 } else { f64::from(busy) / f64::from(count) }
     }
 
+    /// Returns the cost of what may be unreported at a reader in another zone. `unreported_ms` is the
+    /// expectation.
+    fn far_cost_ms(&self, unreported_ms: f64, reader: &Reader) -> f64 {
+        self.instance.map_or(unreported_ms, |instance| {
+            let zone = hash_of(&*reader.upstream.entry.zone);
+            unreported_ms * far_factor(instance, zone) + max_spread_ms(reader.reading_ms)
+        })
+    }
+
     fn is_near(&self, upstream: &Upstream) -> bool {
         &*upstream.entry.zone == self.zone
     }
@@ -289,6 +333,7 @@
             if fetch_ms + rest_ms < read_ms {
                 return Reader {
                     upstream: Arc::clone(upstream),
+                    lane: None,
                     fetch_from: Some(Arc::clone(other)),
                     cached: *more,
                     reading_ms: rest_ms,
@@ -300,6 +345,7 @@
         }
         Reader {
             upstream: Arc::clone(upstream),
+            lane: None,
             fetch_from: None,
             cached: held,
             reading_ms: read_ms,
@@ -359,17 +405,6 @@
         held.filter(|(_, tokens)| *tokens > 0).max_by_key(|(_, tokens)| *tokens)
     }
 
-    /// Returns the preferred engine, which reads a shared part that no engine holds yet. Rendezvous hashing
-    /// lets all instances choose the same one.
-    fn preferred(&self, req: &Request<'_>) -> Option<Arc<str>> {
-        let first = req.prompt.shared().first()?;
-        let readers = self.candidates(req, Role::Prefill);
-        readers
-            .map(|upstream| &upstream.entry.id)
-            .max_by_key(|id| hash_of(&(first.id, &***id)))
-            .cloned()
-    }
-
     fn transfer_ms(&self, engine: &EngineSpec, tokens: u32, is_far: bool) -> f64 {
         let bits = f64::from(tokens) * engine.kv_token_bytes as f64 * 8.0;
         let wire_ms = bits / (engine.link_mbps * 1e3);
@@ -384,3 +419,22 @@
         }
     }
 }
+
+/// Assigns the reading engines of each zone to lanes by the share that is reserved for short prompts.
+pub(crate) fn lanes_of<'u>(
+    engines: impl Iterator<Item = &'u Arc<Upstream>>,
+    short_share: f64,
+) -> Lanes<&'u str> {
+    Lanes::new(engines.map(|one| (&*one.entry.zone, u64::from(one.hash))), short_share)
+}
+
+/// Returns the preferred engine among `readers`, which reads a shared part that no engine holds yet.
+/// Rendezvous hashing lets all instances choose the same one.
+fn preferred<'u>(
+    req: &Request<'_>,
+    readers: impl Iterator<Item = &'u Arc<Upstream>>,
+) -> Option<&'u Arc<str>> {
+    let first = req.prompt.shared().first()?;
+    let ids = readers.map(|upstream| &upstream.entry.id);
+    ids.max_by_key(|id| hash_of(&(first.id, &***id)))
+}
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -5,6 +5,7 @@
 use anvilhook_core::Verdict;
 use anvilhook_core::ejections::may_eject;
 use anvilhook_core::orders::Role;
+use anvilhook_core::reading_lanes::Lane;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::CallError;
 use anvilhook_http::clients::{Connection, collect_body};
@@ -143,6 +144,8 @@
     pub wait: Wait,
     /// The engine from which the prompt is fetched, for logs.
     pub source: Option<Arc<str>>,
+    /// The reading lane of the upstream, for logs.
+    pub lane: Option<Lane>,
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
@@ -219,6 +222,7 @@
             source: sending.source.as_deref(),
             list_age_ms: age(LIST_SOURCE),
             peers_age_ms: age(PEER_SOURCE),
+            lane: sending.lane.map(Lane::as_str),
         });
     }
 
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -184,6 +184,7 @@
             work_ms: work.reading_ms + work.fetching_ms,
             wait: work.wait,
             source: work.source,
+            lane: None,
         };
         let sent = tokio::select! {
             sent = self.send(exchange, sending) => sent,
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -136,6 +136,7 @@
             work_ms: 0.0,
             wait: Wait::NONE,
             source: None,
+            lane: None,
         };
         let sent = self.send(exchange, sending).await;
         let result = match sent {
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::reading_lanes::PromptSize;
 use anvilhook_core::units::{Clock, Millis};
 use http::HeaderValue;
 use http::header::HeaderName;
@@ -73,6 +74,7 @@
             body_bytes: exchange.body.len(),
             avoid: self.avoid,
             suspect: exchange.suspect(),
+            waits_since: exchange.waits_since,
         }
     }
 }
@@ -215,21 +217,48 @@
     ) -> T {
         let view = self.fleet().view();
         let speed = self.inner.speeds.reading(&exchange.service);
+        let tightest = self.tightest_objective(&exchange.service);
+        let prompt = exchange.prompt.as_ref();
+        let size = prompt.map(|prompt| PromptSize::of(speed.read_ms(prompt.tokens, 0), tightest));
+        let has_lanes = self.policy().reading_lanes;
+        let is_full_mesh = self.peers().is_full_mesh();
         f(&Placer {
             view: &view,
             caches: &self.inner.caches,
             speed: &speed,
             output_ms: self.inner.speeds.mean_output_ms(&exchange.service),
             zone: &self.inner.options.zone,
-            far_update_delay_ms: if self.peers().is_full_mesh() {
-                0.0
-            } else {
-                FAR_UPDATE_DELAY_MS
-            },
+            far_update_delay_ms: if is_full_mesh { 0.0 } else { FAR_UPDATE_DELAY_MS },
+            short_share: self.short_share(&exchange.service, size),
+            tightest,
+            instance: (has_lanes && !is_full_mesh).then(|| self.peers().number()),
             now: self.now(),
         })
     }
 
+    /// Returns the share of a service's reading engines that is reserved for short prompts, if any.
+    /// `arriving` is the size of the prompt that is to be placed.
+    pub(crate) fn short_share(
+        &self,
+        service: &Arc<str>,
+        arriving: Option<PromptSize>,
+    ) -> Option<f64> {
+        let share = || self.inner.speeds.short_share(service, arriving, self.now());
+        self.policy().reading_lanes.then(share).flatten()
+    }
+
+    /// Records the reading work of a prompt that is sent to an engine, by the prompt's size.
+    pub(super) fn record_prompt(&self, exchange: &Exchange, prompt: &Prompt, work_ms: f64) {
+        let (speeds, service) = (&self.inner.speeds, &exchange.service);
+        let whole_ms = speeds.reading(service).read_ms(prompt.tokens, 0);
+        let size = PromptSize::of(whole_ms, self.tightest_objective(service));
+        speeds.record_prompt(service, size, work_ms, self.now());
+    }
+
+    fn tightest_objective(&self, service: &str) -> Millis {
+        self.config().map_or(Millis::ZERO, |config| config.tightest_objective(service))
+    }
+
     /// Returns the header that indicates to engines how urgent a request is.
     pub(super) fn urgency(&self, exchange: &Exchange) -> (HeaderName, HeaderValue) {
         const LEAST_URGENT: u8 = 9;
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -68,6 +68,7 @@
             extra.push((names.kv_fetch.clone(), value));
         }
         let upstream = reader.upstream;
+        self.record_prompt(exchange, job.prompt, reader.reading_ms);
         let reader_work = ReaderWork {
             cached: reader.cached,
             reading_ms: reader.reading_ms,
@@ -96,6 +97,7 @@
             work_ms: reader.reading_ms + reader.fetching_ms,
             wait,
             source: reader.fetch_from.as_ref().map(|other| Arc::clone(&other.entry.id)),
+            lane: reader.lane,
         };
         let read = self.finish_reading(exchange, sending).await;
         drop(held);
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::reading_lanes::{LaneMix, PromptSize};
 use anvilhook_core::speeds::{OutputSpeed, ReadingCost, ReadingSpeed};
 use anvilhook_core::splits::WorkMix;
 use anvilhook_core::units::{Clock, Millis};
@@ -36,6 +37,7 @@
     reading: ReadingSpeed,
     output: OutputSpeed,
     mix: WorkMix,
+    lane_mix: LaneMix,
     own_work: EngineWork,
     /// The number of requests whose prompts have been read and that wait here for a slot.
     waiting: Arc<AtomicU32>,
@@ -187,6 +189,25 @@
         self.with(service, |speed| speed.mix)
     }
 
+    /// Records a prompt that is sent to an engine, by its size, with the engine's work in milliseconds.
+    ///
+    /// Only this instance's own prompts count: digests state the work of other instances without the size
+    /// of the prompts. Clients are spread over the instances, so the mix is about the same at each.
+    pub fn record_prompt(&self, service: &Arc<str>, size: PromptSize, work_ms: f64, now: Millis) {
+        self.with(service, |speed| speed.lane_mix.record(size, work_ms, now));
+    }
+
+    /// Returns the share of the reading engines that is reserved for short prompts, if any. `arriving` is
+    /// the size of the prompt that is to be placed.
+    pub fn short_share(
+        &self,
+        service: &Arc<str>,
+        arriving: Option<PromptSize>,
+        now: Millis,
+    ) -> Option<f64> {
+        self.with(service, |speed| speed.lane_mix.short_share(arriving, now))
+    }
+
     /// Records how long a whole output took.
     pub fn record_output(&self, service: &Arc<str>, tokens: u32, took_ms: f64) {
         self.with(service, |speed| speed.output.record(tokens, took_ms));
@@ -198,6 +219,7 @@
             reading: ReadingSpeed::new(self.expected),
             output: OutputSpeed::new(EXPECTED_TOKEN_MS, EXPECTED_OUTPUT_MS),
             mix: WorkMix::default(),
+            lane_mix: LaneMix::default(),
             own_work: EngineWork::default(),
             waiting: Arc::default(),
             peer_work: HashMap::new(),
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -6,6 +6,7 @@
 
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::orders::Role;
+use anvilhook_core::reading_lanes::Lane;
 use anvilhook_core::units::{ManualClock, Millis, Tokens};
 use anvilhook_gateway::budgets::{Budget, BudgetOptions};
 use anvilhook_gateway::caches::CacheIndex;
@@ -16,7 +17,7 @@
     CachedPrompt, Digest, EngineLoad, FollowedTable, Notice, NoticeKind, Scope, ServiceWork,
     WatchState,
 };
-use anvilhook_gateway::placements::{Placer, Plan, Request};
+use anvilhook_gateway::placements::{Placer, Plan, Reader, Request};
 use anvilhook_gateway::policies::Policy;
 use anvilhook_gateway::prompts::{Part, Prompt};
 use anvilhook_gateway::speeds::EXPECTED_READING;
@@ -242,6 +243,9 @@
         output_ms: 300.0,
         zone: "zone-a",
         far_update_delay_ms,
+        short_share: None,
+        tightest: Millis::ZERO,
+        instance: None,
         now: Millis(1_000),
     };
     let engine = engine_spec();
@@ -252,6 +256,7 @@
         body_bytes: 30_000,
         avoid,
         suspect: None,
+        waits_since: Millis(1_000),
     };
     placer.plan(&request)
 }
@@ -297,6 +302,86 @@
     assert_eq!(of(120.0), "p3", "the own zone is full");
 }
 
+/// Returns the reader of a prompt at an instance of a service of which a quarter of the readers is reserved
+/// for short prompts.
+fn reader_in_lanes(fleet: &Fleet, caches: &CacheIndex, prompt: &Prompt, instance: u64) -> Reader {
+    let (view, speed, engine) = (fleet.view(), EXPECTED_READING, engine_spec());
+    let placer = Placer {
+        view: &view,
+        caches,
+        speed: &speed,
+        output_ms: 300.0,
+        zone: "zone-a",
+        far_update_delay_ms: 120.0,
+        short_share: Some(0.25),
+        tightest: Millis(250),
+        instance: Some(instance),
+        now: Millis(1_000),
+    };
+    let request = Request {
+        service: "service",
+        engine: &engine,
+        prompt,
+        body_bytes: 1_000,
+        avoid: &[],
+        suspect: None,
+        waits_since: Millis(1_000),
+    };
+    placer.reader(&request).expect("there are readers")
+}
+
+/// Symptom: short prompts are read behind long ones although engines are idle.
+/// Sequence: several instances place a short and a long prompt in a zone of eight idle readers; then the
+/// shared part of the long one is cached in the lane of short prompts.
+/// Cause: all saw the same idle engine. A long prompt whose shared part is cached stays in the lane of short
+/// ones only if the rest of its work is small.
+#[test]
+fn verify_short_and_long_prompts_use_different_readers() {
+    const IDS: [&str; 8] = ["p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"];
+    let fleet = fleet(&IDS.map(|id| (id, Role::Prefill, "zone-a")));
+    let caches = CacheIndex::new();
+    let short = Prompt { parts: vec![Part { id: 7, tokens: 300 }], tokens: 300, max_output: 10 };
+    let long = prompt(13_300, 8);
+    let chosen = |prompt: &Prompt| -> Vec<Reader> {
+        (0..40).map(|instance| reader_in_lanes(&fleet, &caches, prompt, instance)).collect()
+    };
+
+    let (short_readers, long_readers) = (chosen(&short), chosen(&long));
+
+    assert!(short_readers.iter().all(|reader| reader.lane != Some(Lane::Long)));
+    assert!(long_readers.iter().all(|reader| reader.lane == Some(Lane::Long)));
+    let holder = Arc::clone(&short_readers[0].upstream.entry.id);
+    caches.record(&holder, &long.parts[..1], 385_000);
+    assert_eq!(reader_in_lanes(&fleet, &caches, &long, 1).lane, Some(Lane::Long));
+    let mostly_cached = Prompt { tokens: 13_500, ..long };
+    assert_eq!(reader_in_lanes(&fleet, &caches, &mostly_cached, 1).upstream.entry.id, holder);
+}
+
+/// Symptom: several instances send prompts to the same idle reader at the same moment.
+/// Sequence: forty instances place a long prompt without a shared part; a reader of another zone is idle
+/// as well.
+/// Cause: the first idle engine of the list was chosen by all of them.
+#[test]
+fn verify_instances_choose_different_idle_readers_of_their_zone() {
+    let fleet = fleet(&[
+        ("far", Role::Prefill, "zone-b"),
+        ("p1", Role::Prefill, "zone-a"),
+        ("p2", Role::Prefill, "zone-a"),
+        ("p3", Role::Prefill, "zone-a"),
+    ]);
+    let mut own = prompt(10_000, 7);
+    own.parts.remove(0);
+
+    let chosen: Vec<Reader> = (0..40)
+        .map(|instance| reader_in_lanes(&fleet, &CacheIndex::new(), &own, instance))
+        .collect();
+
+    for (id, least) in [("far", 0), ("p1", 5), ("p2", 5), ("p3", 5)] {
+        let count = chosen.iter().filter(|reader| &*reader.upstream.entry.id == id).count();
+        assert!(count >= least && (id != "far" || count == 0), "{id}: {count} of 40");
+    }
+}
+
 /// Symptom: streams of all zones wait at one engine whose last slots were free a moment ago.
 /// Sequence: the generator of a zone is slightly over its slots; one of another zone was reported to
 /// have two free slots.
@@ -322,6 +407,7 @@
         body_bytes: 400,
         avoid: &[],
         suspect: None,
+        waits_since: Millis(1_000),
     };
     let chosen = |far_update_delay_ms| {
         let placer = Placer {
@@ -331,6 +417,9 @@
             output_ms: 300.0,
             zone: "zone-a",
             far_update_delay_ms,
+            short_share: None,
+            tightest: Millis::ZERO,
+            instance: None,
             now: Millis(1_000),
         };
         let reader = view.get("p1").expect("listed");
@@ -362,13 +451,23 @@
         output_ms: 300.0,
         zone: "zone-a",
         far_update_delay_ms: 0.0,
+        short_share: None,
+        tightest: Millis::ZERO,
+        instance: None,
         now: Millis(1_000),
     };
     let of = |suspect| {
         let suspect = Some(Fingerprint(suspect));
         let (service, prompt) = ("service", &prompt);
-        let request =
-            Request { service, engine: &engine, prompt, body_bytes: 400, avoid: &[], suspect };
+        let request = Request {
+            service,
+            engine: &engine,
+            prompt,
+            body_bytes: 400,
+            avoid: &[],
+            suspect,
+            waits_since: Millis(1_000),
+        };
         placer.generator(&request, full).expect("there are four").upstream.entry.id.to_string()
     };
 
--- a/crates/anvilhook-gateway/tests/metrics.rs
+++ b/crates/anvilhook-gateway/tests/metrics.rs
@@ -4,10 +4,14 @@
 
 use std::sync::Arc;
 
+use anvilhook_core::orders::Role;
+use anvilhook_core::reading_lanes::PromptSize;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
 use anvilhook_gateway::configs::Repeats;
+use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::{Held, PeerLoad, Work};
 use anvilhook_gateway::peers::{CachedPrompt, Digest, Notice, NoticeKind, Scope};
+use anvilhook_gateway::policies::Policy;
 use anvilhook_gateway::tables::{CountedTable, Table, Write};
 use support::fronts::{ample_budget, config, gateway};
 use support::tables::{Fault, MemoryTable};
@@ -43,6 +47,33 @@
     assert_eq!(gateway.metrics().source_age("config", Millis::ZERO), None);
 }
 
+/// Symptom: an operator can't tell which reading engines short prompts may use.
+/// Sequence: an instance sends short and long prompts to a service with eight readers; then the policy is
+/// switched off.
+/// Cause: the lanes must be exported, and must end with the policy.
+#[test]
+fn verify_the_engines_reserved_for_short_prompts_are_exported() {
+    let clock = SystemClock::new();
+    let reader = |port| Entry { role: Some(Role::Prefill), ..entry(&format!("e{port}"), port) };
+    let entries = (1..=8).map(reader).collect();
+    let config = config(Repeats::Idempotent, 2, true);
+    let gateway = gateway(clock, Some(config), entries, ample_budget());
+    let service = Arc::from("service");
+    for (size, work_ms) in [(PromptSize::Short, 10.0), (PromptSize::Long, 30.0)] {
+        (0..20).for_each(|_| {
+            gateway.speeds().record_prompt(&service, size, work_ms, clock.now());
+        });
+    }
+
+    let with_lanes = gateway.metrics_text();
+    gateway.set_policy(Policy { reading_lanes: false, ..Policy::default() });
+    let without = gateway.metrics_text();
+
+    let name = "anvilhook_gateway_service_short_lane_engines{name=\"service\"}";
+    assert!(with_lanes.contains(&format!("{name} 3\n")), "{with_lanes}");
+    assert!(without.contains(&format!("{name} 0\n")), "{without}");
+}
+
 /// Symptom: the metrics show the cost of calls to the tables, but not their purpose.
 /// Sequence: calls of each kind go to two tables, one of which is unavailable.
 /// Cause: each call must be counted by table, kind and outcome.
