--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -12,6 +12,7 @@
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::{Held, RoleChange};
+use anvilhook_gateway::policies::Policy;
 use anvilhook_gateway::prompts::Part;
 use futures_util::FutureExt;
 use support::clocks::TimerClock;
@@ -239,6 +240,46 @@
     }
 }
 
+/// Guards against short prompts that are read behind long ones. Once both kinds have been sent to a
+/// service with four readers, one of these is reserved for short prompts, unless the policy is off.
+#[tokio::test]
+async fn verify_short_prompts_have_a_reader_of_their_own() {
+    for has_lanes in [true, false] {
+        let mut readers = Vec::new();
+        for _ in 0..4 {
+            readers.push(Upstream::start(reader_script).await);
+        }
+        let generator = Upstream::always(stream(1, 2)).await;
+        let mut engines = vec![engine("generator", &generator, Role::Decode)];
+        let listed = readers.iter().enumerate();
+        engines.extend(listed.map(|(at, one)| engine(&format!("r{at}"), one, Role::Prefill)));
+        let front = front_of(ONCE, engines).await;
+        front.gateway.set_policy(Policy { reading_lanes: has_lanes, ..Policy::default() });
+        let received = || readers.iter().map(|one| one.received().len()).collect::<Vec<_>>();
+        let post = async |part: u32, tokens: u32| {
+            let headers = format!("T-Tokens: {tokens}\r\nT-First-Part: {part}\r\n");
+            assert_eq!(front.post(&format!("r{part}"), &headers, "").await.status, 200);
+        };
+        post(100, 100).await;
+
+        for part in 0..6 {
+            post(200 + 10 * part, 20_000).await;
+        }
+        let after_long = received();
+        for part in 0..6 {
+            post(300 + 10 * part, 100).await;
+        }
+
+        let after_short = received();
+        let got_short = (0..4).filter(|at| after_short[*at] > after_long[*at]);
+        let count = got_short.count();
+        assert_eq!(count == 1, has_lanes, "{after_long:?}, then {after_short:?}");
+        let gauge = "service_short_lane_engines{name=\"service\"}";
+        let line = format!("anvilhook_gateway_{gauge} {}\n", u32::from(has_lanes));
+        assert!(front.gateway.metrics_text().contains(&line));
+    }
+}
+
 /// Guards against streams that wait at full engines while others have free slots. A stream that
 /// takes one of an engine's last slots is published to the peers at once; one that takes one of
 /// many is not.
