--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -402,6 +402,8 @@
         peers_age_ms: Option<u64>,
         /// How many times longer than the mean of its service the upstream's work takes.
         slowness: f64,
+        /// The reading lane of the engine that reads: `short`, `border` or `long`, if its zone has lanes.
+        lane: Option<&'a str>,
     },
     /// A stopping instance has accepted a request, or refused it because the instance's end could interrupt
     /// the request.
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 
+use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -19,6 +20,7 @@
 use crate::configs::Config;
 use crate::events::{Evidence, LINES_DROPPED};
 use crate::peers::SectionBytes;
+use crate::placements::lanes_of;
 use crate::relay::Gateway;
 use crate::wires::Wire;
 
@@ -118,6 +120,7 @@
     service_reading_ms: Family<NameLabel, Gauge>,
     service_slots: Family<NameLabel, Gauge>,
     service_slow_starts: Family<NameLabel, Gauge>,
+    service_short_lane_engines: Family<NameLabel, Gauge>,
     contacts: Mutex<HashMap<&'static str, Millis>>,
 }
 
@@ -155,6 +158,7 @@
             service_reading_ms: Family::default(),
             service_slots: Family::default(),
             service_slow_starts: Family::default(),
+            service_short_lane_engines: Family::default(),
             contacts: Mutex::default(),
         };
         metrics.register();
@@ -283,6 +287,11 @@
             "A service's upstreams that are new or reopened and not yet open to all instances",
             self.service_slow_starts.clone(),
         );
+        registry.register(
+            "service_short_lane_engines",
+            "Prefill engines of a service that are reserved for short prompts, 0 without lanes",
+            self.service_short_lane_engines.clone(),
+        );
         registry.register(
             "lines_dropped",
             "Log lines that were dropped because they could not be written fast enough",
@@ -379,6 +388,7 @@
             &self.service_reading_ms,
             &self.service_slots,
             &self.service_slow_starts,
+            &self.service_short_lane_engines,
         ];
         families.iter().for_each(|family| family.clear());
         let view = gateway.fleet().view();
@@ -399,6 +409,13 @@
             let starting = upstreams.iter().filter(|one| one.state.slow_start().is_starting(now));
             let starting = if is_active { starting.count() as i64 } else { 0 };
             self.service_slow_starts.get_or_create(&label).set(starting);
+            let readers = upstreams.iter().filter(|upstream| {
+                upstream.role() == Some(Role::Prefill) && upstream.takes_work(now)
+            });
+            let lanes =
+                gateway.short_share(&service.name, None).map(|share| lanes_of(readers, share));
+            let short_engines = lanes.map_or(0, |lanes| lanes.short_engines());
+            self.service_short_lane_engines.get_or_create(&label).set(short_engines as i64);
         }
     }
 }
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
+use anvilhook_core::reading_lanes::PromptSize;
+use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis};
 use http::HeaderValue;
 use http::header::HeaderName;
@@ -73,6 +75,7 @@
             body_bytes: exchange.body.len(),
             avoid: self.avoid,
             suspect: exchange.suspect(),
+            waits_since: exchange.waits_since,
         }
     }
 }
@@ -215,11 +218,11 @@
     ) -> T {
         let view = self.fleet().view();
         let learnt_speeds = self.policy().learnt_speeds;
-        let speed = if learnt_speeds {
-            self.inner.speeds.split_reading(&exchange.service)
-        } else {
-            self.inner.speeds.reading(&exchange.service)
-        };
+        let speed = self.reading_cost(&exchange.service);
+        let tightest = self.tightest_objective(&exchange.service);
+        let size = exchange.prompt.as_ref().map(|prompt| self.size_of(prompt, &exchange.service));
+        let has_lanes = self.policy().reading_lanes;
+        let is_full_mesh = self.peers().is_full_mesh();
         f(&Placer {
             view: &view,
             caches: &self.inner.caches,
@@ -227,16 +230,52 @@
             learnt_speeds,
             output_ms: self.inner.speeds.mean_output_ms(&exchange.service),
             zone: &self.inner.options.zone,
-            far_update_delay_ms: if self.peers().is_full_mesh() {
-                0.0
-            } else {
-                FAR_UPDATE_DELAY_MS
-            },
             openings: self.openings(),
+            far_update_delay_ms: if is_full_mesh { 0.0 } else { FAR_UPDATE_DELAY_MS },
+            short_share: self.short_share(&exchange.service, size),
+            tightest,
+            instance: (has_lanes && !is_full_mesh).then(|| self.peers().number()),
             now: self.now(),
         })
     }
 
+    /// Returns the cost of reading prompts of a service.
+    fn reading_cost(&self, service: &Arc<str>) -> ReadingCost {
+        if self.policy().learnt_speeds {
+            self.inner.speeds.split_reading(service)
+        } else {
+            self.inner.speeds.reading(service)
+        }
+    }
+
+    /// Returns the size of a prompt, by the work of reading all of it.
+    fn size_of(&self, prompt: &Prompt, service: &Arc<str>) -> PromptSize {
+        let whole_ms = self.reading_cost(service).work_ms(prompt.tokens, 0);
+        PromptSize::of(whole_ms, self.tightest_objective(service))
+    }
+
+    /// Returns the share of a service's reading engines that is reserved for short prompts, if any.
+    /// `arriving` is the size of the prompt that is to be placed.
+    pub(crate) fn short_share(
+        &self,
+        service: &Arc<str>,
+        arriving: Option<PromptSize>,
+    ) -> Option<f64> {
+        let share = || self.inner.speeds.short_share(service, arriving, self.now());
+        self.policy().reading_lanes.then(share).flatten()
+    }
+
+    /// Records the reading work of a prompt that is sent to an engine, by the prompt's size.
+    pub(super) fn record_prompt(&self, exchange: &Exchange, prompt: &Prompt, work_ms: f64) {
+        let (speeds, service) = (&self.inner.speeds, &exchange.service);
+        let size = self.size_of(prompt, service);
+        speeds.record_prompt(service, size, work_ms, self.now());
+    }
+
+    fn tightest_objective(&self, service: &str) -> Millis {
+        self.config().map_or(Millis::ZERO, |config| config.tightest_objective(service))
+    }
+
     /// Returns the header that indicates to engines how urgent a request is.
     pub(super) fn urgency(&self, exchange: &Exchange) -> (HeaderName, HeaderValue) {
         const LEAST_URGENT: u8 = 9;
--- a/crates/anvilhook-gateway/tests/slow_starts.rs
+++ b/crates/anvilhook-gateway/tests/slow_starts.rs
@@ -49,6 +49,7 @@
         body_bytes: 4_000,
         avoid: &[],
         suspect: None,
+        waits_since: Millis::ZERO,
     };
     let is_placed = |instance: &usize| {
         let openings = Openings { instance: *instance as u64, instances: INSTANCES };
@@ -60,6 +61,9 @@
             zone: "zone-a",
             far_update_delay_ms: 0.0,
             learnt_speeds: true,
+            short_share: None,
+            tightest: Millis::ZERO,
+            instance: None,
             openings: has_part.then_some(openings),
             now,
         };
