Add max-min fair shares of client accounts

An account with half of the demand makes the requests of all others late while a service has too little capacity, since engines serve prompts in the order of arrival.

`fair_shares` divides the capacity of a service by max-min fairness from decaying sums of requested and sent work, and computes which accounts are above their shares. Sums of other instances replace older ones of the same sender, expire after 2 s, and are not added to those of their zone. Accounts of about the same size have no excess, since noise would otherwise hold back some of them for the others.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod drains;
 pub mod ejections;
 pub mod errors;
+pub mod fair_shares;
 pub mod fingerprints;
 pub mod fleet_size;
 pub mod leases;
--- a/crates/anvilhook-core/src/usage.rs
+++ b/crates/anvilhook-core/src/usage.rs
@@ -64,7 +64,7 @@
 }
 
 /// `Source` identifies whose requests were counted.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Source {
     /// One instance of an availability zone, identified by the number of its process.
     Instance {
