Let requests of accounts above their fair shares wait for others

The instance that serves a large account often serves no other one, so it can't see by itself that the account takes the capacity of the others.

Instances count the engine work that accounts request and send, and send the sums to the leader of their zone and the next two candidates; leaders exchange zone sums and tell their zones which accounts are above their shares. The sums are appended to the digest after the epochs, so the previous build ignores them. While engines are too busy, a request of such an account lets others pass as long as it can meet its objective. `concluded` lines carry the excess, and metrics show the accounts above their shares, the work during contention, and the requests held back and rejected. With `fair_shares` off nothing is counted, sent or delayed.

--- a/crates/anvilhook-core/src/fair_shares.rs
+++ b/crates/anvilhook-core/src/fair_shares.rs
@@ -410,13 +410,19 @@
     pub fn excesses(&self, zone: u32, before: &Excesses, now: Millis) -> Excesses {
         match &self.told {
             Some((origin, told)) if origin.is_valid(now) => told.clone(),
-            _ => {
-                let is_local = !self.others.values().any(|(origin, _)| origin.is_valid(now));
-                Excesses::of(&self.totals(zone, now), is_local, before)
-            }
+            _ => self.computed_excesses(zone, before, now),
         }
     }
 
+    /// Returns the excesses that follow from the sums known here, whatever a leader sent.
+    ///
+    /// A leader must send these: two instances that both act as leaders for a moment would otherwise send each
+    /// other's excesses back and forth without end.
+    pub fn computed_excesses(&self, zone: u32, before: &Excesses, now: Millis) -> Excesses {
+        let is_local = !self.others.values().any(|(origin, _)| origin.is_valid(now));
+        Excesses::of(&self.totals(zone, now), is_local, before)
+    }
+
     /// Drops the values that have expired.
     pub fn drop_expired(&mut self, now: Millis) {
         self.others.retain(|_, (origin, _)| origin.is_valid(now));
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -487,6 +487,10 @@
         objective_ms: u64,
         /// The version of the active configuration.
         config: u64,
+        /// What its account requested above its fair share of the service, as a factor of the share; absent
+        /// within the share.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        excess: Option<f64>,
     },
 }
 
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -16,6 +16,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::account_shares::service_code;
 use crate::configs::Config;
 use crate::events::{Evidence, LINES_DROPPED};
 use crate::peers::SectionBytes;
@@ -116,6 +117,13 @@
     service_in_flight: Family<NameLabel, Gauge>,
     service_reading_ms: Family<NameLabel, Gauge>,
     service_slots: Family<NameLabel, Gauge>,
+    accounts_above_share: Family<NameLabel, Gauge>,
+    /// The work sent to engines while a service had less capacity than was requested, in milliseconds.
+    pub contended_work_ms: Family<NameLabel, Counter>,
+    /// Requests that were held back because their accounts were above their shares.
+    pub account_held: Family<NameLabel, Counter>,
+    /// Requests of such accounts that were rejected because engines were too busy.
+    pub account_rejected: Family<NameLabel, Counter>,
     contacts: Mutex<HashMap<&'static str, Millis>>,
 }
 
@@ -151,6 +159,10 @@
             service_in_flight: Family::default(),
             service_reading_ms: Family::default(),
             service_slots: Family::default(),
+            accounts_above_share: Family::default(),
+            contended_work_ms: Family::default(),
+            account_held: Family::default(),
+            account_rejected: Family::default(),
             contacts: Mutex::default(),
         };
         metrics.register();
@@ -269,6 +281,26 @@
             "Requests that a service's listed upstreams can run at once",
             self.service_slots.clone(),
         );
+        registry.register(
+            "accounts_above_share",
+            "Client accounts above their fair shares of a service",
+            self.accounts_above_share.clone(),
+        );
+        registry.register(
+            "contended_work_ms",
+            "Work of client accounts sent to engines while a service had too little capacity",
+            self.contended_work_ms.clone(),
+        );
+        registry.register(
+            "account_held",
+            "Requests held back because their client accounts were above their fair shares",
+            self.account_held.clone(),
+        );
+        registry.register(
+            "account_rejected",
+            "Requests of client accounts above their fair shares that were rejected for overload",
+            self.account_rejected.clone(),
+        );
         registry.register(
             "lines_dropped",
             "Log lines that were dropped because they could not be written fast enough",
@@ -361,8 +393,10 @@
             &self.service_in_flight,
             &self.service_reading_ms,
             &self.service_slots,
+            &self.accounts_above_share,
         ];
         families.iter().for_each(|family| family.clear());
+        let excesses = gateway.account_shares().excesses(now);
         let view = gateway.fleet().view();
         for service in config.services().take(MAX_SERVICES) {
             let label = NameLabel { name: service.name.to_string() };
@@ -377,6 +411,11 @@
             self.service_in_flight.get_or_create(&label).set(in_flight);
             self.service_reading_ms.get_or_create(&label).set(reading_ms as i64);
             self.service_slots.get_or_create(&label).set(slots);
+            if config.accounts().is_some() {
+                let code = service_code(&service.name);
+                let above = excesses.by_account.keys().filter(|key| key.service == code).count();
+                self.accounts_above_share.get_or_create(&label).set(above as i64);
+            }
         }
     }
 }
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -6,6 +6,7 @@
 use anvilhook_core::units::{Clock, Millis};
 use serde::{Deserialize, Serialize};
 
+use super::account_work::{AccountWork, apply_account_work};
 use super::members::Peers;
 use super::notices::{Notice, apply_notices, own_findings};
 use super::rows::RowsPiece;
@@ -136,6 +137,9 @@
     /// The epoch of the store in which that version was assigned. It is encoded after the digest.
     #[serde(skip)]
     pub asks_epoch: u64,
+    /// The work of client accounts. It is encoded after the epochs.
+    #[serde(skip)]
+    pub account_work: Option<AccountWork>,
 }
 
 /// `Epochs` are the epochs of the store to which the versions in a digest belong.
@@ -171,10 +175,11 @@
             rows: self.rows.as_ref().map_or(0, |rows| rows.epoch),
             asks: self.asks_epoch,
         };
-        if epochs == Epochs::default() {
-            return Ok(bytes);
-        }
-        postcard::to_extend(&epochs, bytes)
+        let Some(account_work) = &self.account_work else {
+            let has_epochs = epochs != Epochs::default();
+            return if has_epochs { postcard::to_extend(&epochs, bytes) } else { Ok(bytes) };
+        };
+        postcard::to_extend(account_work, postcard::to_extend(&epochs, bytes)?)
     }
 
     /// Decodes a datagram.
@@ -184,7 +189,14 @@
     /// An error of the decoder if the datagram is not a digest.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (mut digest, rest) = postcard::take_from_bytes::<Self>(bytes)?;
-        let epochs = if rest.is_empty() { Epochs::default() } else { postcard::from_bytes(rest)? };
+        let (epochs, rest) = if rest.is_empty() {
+            (Epochs::default(), rest)
+        } else {
+            postcard::take_from_bytes(rest)?
+        };
+        if !rest.is_empty() {
+            digest.account_work = Some(postcard::from_bytes(rest)?);
+        }
         for (watch, epoch) in digest.watches.iter_mut().zip(epochs.watches) {
             watch.epoch = epoch;
         }
@@ -273,6 +285,7 @@
     apply_suspects(digest, gateway, now);
     apply_work(digest, gateway, now);
     apply_usage(digest, gateway, now);
+    apply_account_work(digest, gateway, now);
     apply_cached(digest, gateway);
 }
 
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -3,6 +3,7 @@
 //! All received data is a hint. An instance that receives nothing uses its own observations; its
 //! placements get worse, but its answers stay correct.
 
+mod account_work;
 mod cache_updates;
 mod changes;
 mod digests;
@@ -32,6 +33,7 @@
 use crate::tables::TableRevision;
 use crate::wires::Wire;
 
+use account_work::{AccountWorkPublisher, apply_account_work};
 use digests::apply;
 use publishing::{Publisher, send_missed_rows};
 use seeding::send_caches;
@@ -39,6 +41,7 @@
 use usages::{UsagePublisher, apply_usage};
 use zones::ZoneLink;
 
+pub use account_work::AccountWork;
 pub use cache_updates::CacheUpdates;
 pub use changes::PublishedLoads;
 pub use digests::{CachedPrompt, Digest, EngineLoad, Scope, ServiceWork};
@@ -78,6 +81,7 @@
         zones: ZoneLink::new(rng, own),
         suspects: SuspectPublisher::default(),
         usage: UsagePublisher::default(),
+        account_work: AccountWorkPublisher::default(),
         assembler: Assembler::default(),
     };
     loop {
@@ -88,6 +92,7 @@
                 link.publish(&socket, &gateway, now);
                 link.zones.tick(&socket, &gateway, now);
                 link.usage.tick(&socket, &gateway, now);
+                link.account_work.tick(&socket, &gateway, now);
             }
             () = peers.announced() => link.publish(&socket, &gateway, clock.now()),
             received = socket.recv_from(&mut buf) => {
@@ -108,6 +113,7 @@
     zones: ZoneLink,
     suspects: SuspectPublisher,
     usage: UsagePublisher,
+    account_work: AccountWorkPublisher,
     assembler: Assembler,
 }
 
@@ -138,6 +144,7 @@
             digest.watches.iter_mut().for_each(|watch| watch.away_ms = None);
             peers.apply_watches(&digest, sender, now);
             apply_usage(&digest, gateway, now);
+            apply_account_work(&digest, gateway, now);
             self.zones.receive(&digest, sender, from, socket, gateway, now);
             return;
         }
--- a/crates/anvilhook-gateway/src/peers/sections.rs
+++ b/crates/anvilhook-gateway/src/peers/sections.rs
@@ -16,8 +16,8 @@
 pub struct SectionLabels {
     /// The scope of the digest: `instance`, `zone` or `far`.
     pub scope: &'static str,
-    /// `loads`, `cached`, `notices`, `suspects`, `work`, `rows` or `usage`; `rest` is the sender's
-    /// identity and the watches.
+    /// `loads`, `cached`, `notices`, `suspects`, `work`, `rows`, `usage` or `account_work`; `rest` is
+    /// the sender's identity and the watches.
     pub section: &'static str,
 }
 
@@ -58,6 +58,7 @@
             ("work", encoded_len(&digest.work)),
             ("rows", encoded_len(&digest.rows)),
             ("usage", encoded_len(&digest.usage)),
+            ("account_work", digest.account_work.as_ref().map_or(0, encoded_len)),
         ];
         let named: usize = sections.iter().map(|(_, len)| len).sum();
         for (section, len) in sections.into_iter().chain([("rest", len.saturating_sub(named))]) {
@@ -69,8 +70,17 @@
     /// Returns the bytes sent so far, by scope and section.
     pub fn totals(&self) -> BTreeMap<&'static str, BTreeMap<&'static str, u64>> {
         const SCOPES: [&str; 3] = ["instance", "zone", "far"];
-        const SECTIONS: [&str; 8] =
-            ["loads", "cached", "notices", "suspects", "work", "rows", "usage", "rest"];
+        const SECTIONS: [&str; 9] = [
+            "loads",
+            "cached",
+            "notices",
+            "suspects",
+            "work",
+            "rows",
+            "usage",
+            "account_work",
+            "rest",
+        ];
         let total = |scope, section| {
             self.bytes.get(&SectionLabels { scope, section }).map_or(0, |count| count.get())
         };
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 
 use super::Peers;
+use super::account_work::{send_excesses, zone_account_work};
 use super::cache_updates::CacheUpdates;
 use super::digests::{Digest, EngineLoad, Scope, apply, near_loads};
 use super::notices::Notice;
@@ -34,6 +35,9 @@
 /// The number of rounds between publications of usage.
 const USAGE_ROUNDS: u32 = 5;
 
+/// The number of rounds between publications of the work of client accounts.
+const ACCOUNT_WORK_ROUNDS: u32 = 2;
+
 /// How long a notice is repeated, so that it survives the loss of a datagram.
 const NOTICE_AGE: Millis = Millis(300);
 
@@ -194,6 +198,9 @@
             if self.ticks.is_multiple_of(ZONE_TICKS * USAGE_ROUNDS) {
                 self.publish_usage(socket, gateway, now);
             }
+            if self.ticks.is_multiple_of(ZONE_TICKS * ACCOUNT_WORK_ROUNDS) {
+                self.publish_account_work(socket, gateway, now);
+            }
             self.publish_to_own_zone(socket, gateway, now);
         }
     }
@@ -239,6 +246,25 @@
         }
     }
 
+    /// Sends the work of this zone's client accounts to other zones, and the accounts above their shares to the
+    /// instances of this one.
+    fn publish_account_work<W: Wire, C: Clock>(
+        &mut self,
+        socket: &UdpSocket,
+        gateway: &Gateway<W, C>,
+        now: Millis,
+    ) {
+        let peers = gateway.peers();
+        let digests = zone_account_work(gateway, Scope::Zone(self.own), now);
+        for zone in peers.far_zones() {
+            let addresses = self.leaders_of(zone, peers, now);
+            for digest in &digests {
+                send(digest, &addresses, socket, gateway);
+            }
+        }
+        send_excesses(&peers.zone_peers(now), socket, gateway, now);
+    }
+
     /// Returns the address of a zone's leader, or of a few instances of the zone if it is unknown.
     fn leaders_of(&mut self, zone: u32, peers: &Peers, now: Millis) -> Vec<SocketAddr> {
         match self.far.get(&zone).filter(|far| far.received_at + LEADER_MAX_AGE > now) {
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -159,6 +159,7 @@
         let Some(arrival) = self.admit_attempt(&exchange.service, &mut exchange.was_sent) else {
             return Err(self.abandoned_outcome(exchange, "retry_budget", REFUSED_PAUSE));
         };
+        self.record_sent_work(exchange);
         if let Some(event) = resume_after {
             extra.push((self.wire().headers().last_event_id.clone(), HeaderValue::from(event)));
         }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod reading;
 mod requests;
 mod resumption;
+mod shares;
 mod signals;
 mod stopping;
 mod waiting;
@@ -32,6 +33,7 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use crate::account_shares::AccountShares;
 use crate::budgets::{Budget, BudgetOptions};
 use crate::caches::CacheIndex;
 use crate::configs::{Config, Repeats};
@@ -59,6 +61,9 @@
 /// The reason in the answer to a request whose upstreams have all asked for a pause.
 const PAUSED: &str = "upstreams_paused";
 
+/// The reason in the answer to a request that engines are too busy to answer in time.
+const OVERLOAD: &str = "overload";
+
 /// The label of the peers as a source of cached state in metrics.
 pub(crate) const PEER_SOURCE: &str = "peers";
 
@@ -110,6 +115,7 @@
     peers: Arc<Peers>,
     suspects: Arc<Suspects>,
     usage: Usage,
+    account_shares: AccountShares,
     limit_queues: LimitQueues,
     /// Engines that have read a prompt, with the parts not yet published to peers.
     cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
@@ -153,6 +159,7 @@
     /// Creates a gateway that has no configuration and no upstreams yet.
     pub fn new(wire: W, clock: C, client: HttpClient, options: GatewayOptions) -> Self {
         let usage = Usage::new(options.usage_window, options.started_at, clock.now());
+        let peers = Arc::new(Peers::in_zone(&options.zone));
         let inner = Inner {
             wire,
             clock,
@@ -160,7 +167,8 @@
             budget: Budget::new(options.budget),
             policy: ArcSwap::default(),
             speeds: Speeds::new(options.expected_reading),
-            peers: Arc::new(Peers::in_zone(&options.zone)),
+            account_shares: AccountShares::in_zone(peers.zone()),
+            peers,
             options,
             config: ArcSwapOption::empty(),
             fleet: Fleet::new(),
@@ -461,6 +469,7 @@
         let config = self.inner.config.load();
         let upstreams = exchange.map_or_else(String::new, |exchange| exchange.tried.join(" "));
         let status = outcome.status().as_u16();
+        let excess = exchange.map_or(0.0, |exchange| self.account_excess(exchange));
         emit(&Event::Concluded {
             request: exchange.map_or("", |exchange| &exchange.id),
             fingerprint: exchange.map(|exchange| exchange.fingerprint),
@@ -476,7 +485,11 @@
             had_ms: exchange.map_or(0, |exchange| (exchange.give_up_at - arrived_at).0),
             objective_ms: exchange.map_or(0, |exchange| exchange.route.objective.0),
             config: config.as_ref().map_or(0, |config| config.version),
+            excess: (excess > 0.0).then(|| (excess * 100.0).round() / 100.0),
         });
+        if let Some(exchange) = exchange.filter(|_| excess > 0.0 && outcome.reason() == OVERLOAD) {
+            self.metrics().account_rejected.get_or_create(&self.share_label(exchange)).inc();
+        }
         let kind = exchange.map_or("unknown", |exchange| exchange.route.repeats.as_str());
         let declared = config.as_ref().map_or(0, |config| config.services().count());
         let service = exchange.map_or("", |exchange| &exchange.service);
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -59,6 +59,7 @@
         let Some(arrival) = self.admit_attempt(&exchange.service, &mut exchange.has_read) else {
             return Err(self.abandoned_outcome(exchange, "retry_budget", REFUSED_PAUSE));
         };
+        self.record_sent_work(exchange);
         let names = self.wire().headers();
         let mut extra =
             vec![(names.stage.clone(), self.wire().prefill_stage()), self.urgency(exchange)];
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -4,6 +4,7 @@
 
 use anvilhook_core::Verdict;
 use anvilhook_core::api_keys::KeyDigest;
+use anvilhook_core::fair_shares::AccountKey;
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::pacing::Waiting;
 use anvilhook_core::units::{Clock, Millis};
@@ -69,6 +70,9 @@
     pub was_sent: bool,
     /// Whether the request has been counted in its account's usage.
     pub is_counted: bool,
+    /// The work that it needs from engines and that has not been sent to one yet, in milliseconds, and the
+    /// account that requests it.
+    pub asked_work: Option<(AccountKey, f64)>,
     /// Its trial, if it is suspected of terminating engines.
     pub trial: Option<Trial>,
 }
@@ -133,6 +137,7 @@
             has_read: false,
             was_sent: false,
             is_counted: false,
+            asked_work: None,
             trial: None,
         })
     }
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -13,6 +13,8 @@
 use super::limits::{LimitTicket, LimitWait, pause_for};
 use super::prompts::Job;
 use super::requests::Exchange;
+use super::shares::ShareTurn;
+use crate::account_shares::Stage;
 use crate::fleets::Upstream;
 use crate::placements::{Generator, Plan};
 use crate::wires::Wire;
@@ -61,6 +63,7 @@
     ) -> WaitOutcome<Plan> {
         let began_at = self.now();
         let mut ticket = None;
+        let mut turn = ShareTurn::new(Stage::Read);
         loop {
             if let Some(stopped) = self.reason_not_to_wait(exchange, job) {
                 return stopped;
@@ -76,6 +79,8 @@
                 Plan::Split(reader) => reader,
                 Plan::Direct(generator) => {
                     let Some(next_in) = self.reader_worth_waiting_for(exchange, generator) else {
+                        let output_ms = self.output_work_ms(exchange, job, generator);
+                        self.record_asked_work(exchange, generator.reading_ms + output_ms);
                         let wait = Wait { held: self.now() - began_at, pace: Pace::Free };
                         return WaitOutcome::Send(plan, wait);
                     };
@@ -84,13 +89,18 @@
                 }
             };
             let waiting = exchange.waiting(self.now());
-            let pace = pace_reading(&waiting, reader.reading_ms, reader.backlog_ms, job.tightest);
+            let (work_ms, backlog_ms) = (reader.reading_ms, reader.backlog_ms);
+            self.record_asked_work(exchange, work_ms);
+            let pace = pace_reading(&waiting, work_ms, backlog_ms, job.tightest);
+            let pace = self.pace_by_share(exchange, &mut turn, pace, |contender| {
+                contender.yields_reading(work_ms, backlog_ms, job.tightest)
+            });
             match pace {
                 Pace::Hold => {}
                 Pace::Hopeless => return WaitOutcome::Hopeless,
                 pace => return WaitOutcome::Send(plan, Wait { held: self.now() - began_at, pace }),
             }
-            let pause_ms = reader.backlog_ms * PAUSE_BACKLOG_SHARE;
+            let pause_ms = backlog_ms * PAUSE_BACKLOG_SHARE;
             pause(pause_ms.clamp(MIN_PAUSE_MS, MAX_PAUSE_MS)).await;
         }
     }
@@ -108,6 +118,7 @@
     ) -> WaitOutcome<Generator> {
         let began_at = self.now();
         let mut slot_request = None;
+        let mut turn = ShareTurn::new(Stage::Generate);
         let mut ticket = Some(ticket);
         loop {
             if let Some(stopped) = self.reason_not_to_wait(exchange, job) {
@@ -128,7 +139,11 @@
             };
             let output_ms = self.inner.speeds.output_ms(&exchange.service, job.prompt.max_output);
             let waiting = exchange.waiting(self.now());
+            self.record_asked_work(exchange, self.output_work_ms(exchange, job, &generator));
             let pace = pace_generating(&waiting, generator.fetched_ms, output_ms, slots);
+            let pace = self.pace_by_share(exchange, &mut turn, pace, |contender| {
+                contender.yields_generating(generator.fetched_ms, slots)
+            });
             match pace {
                 Pace::Hold => {}
                 Pace::Hopeless => return WaitOutcome::Hopeless,
@@ -144,6 +159,12 @@
         }
     }
 
+    /// Returns the predicted work of generating a request's output, in milliseconds of a whole engine.
+    fn output_work_ms(&self, exchange: &Exchange, job: &Job<'_>, generator: &Generator) -> f64 {
+        let output_ms = self.inner.speeds.output_ms(&exchange.service, job.prompt.max_output);
+        output_ms / f64::from(generator.upstream.entry.slots.max(1))
+    }
+
     /// Returns why a request must neither wait longer nor be sent, or `None` if it still may.
     fn reason_not_to_wait<T>(
         &self,
--- a/crates/anvilhook-gateway/src/usage.rs
+++ b/crates/anvilhook-gateway/src/usage.rs
@@ -173,6 +173,7 @@
     }
 }
 
-fn code_of(name: &Arc<str>) -> AccountCode {
+/// Returns the code of an account's name.
+pub(crate) fn code_of(name: &Arc<str>) -> AccountCode {
     AccountCode(hash_of(&**name) as u32)
 }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -537,6 +537,7 @@
         rows: None,
         asks: Some((FollowedTable::Entries, 700)),
         asks_epoch: 3,
+        account_work: None,
     };
 
     let bytes = digest.encode().expect("it can be written");
--- a/crates/anvilhook-gateway/tests/zones.rs
+++ b/crates/anvilhook-gateway/tests/zones.rs
@@ -10,6 +10,7 @@
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
+use anvilhook_gateway::account_shares::key_of;
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::Held;
@@ -164,6 +165,35 @@
     until(|| all.iter().all(|one| suspects(one) == 0)).await;
 }
 
+/// Guards against an instance that serves only the large account of another zone's demand, and does not learn
+/// that the account is above its share; and against the loss of the sums with the leader of a zone.
+#[tokio::test(start_paused = true)]
+async fn verify_an_account_above_its_share_is_known_in_all_zones() {
+    let [large, small] = ["large", "small"].map(|name| key_of("service", &Arc::from(name)));
+    let mut all = instances(&MemoryTable::default()).await;
+    let demand = |one: &Instance, key, asked_ms, sent_ms| {
+        one.gateway.account_shares().record_asked(key, asked_ms, one.clock.now());
+        one.gateway.account_shares().record_sent(key, sent_ms, one.clock.now());
+    };
+    let is_known = |all: &[Instance]| {
+        let serving = all.iter().filter(|one| !one.is_first()).collect::<Vec<_>>();
+        let of_zone = |zone| serving.iter().find(|one| one.zone == zone).expect("it has others");
+        demand(of_zone(ZONES[0]), large, 9.0, 4.0);
+        demand(of_zone(ZONES[1]), small, 1.0, 1.0);
+        all.iter().all(|one| {
+            let excess = |key| one.gateway.account_shares().excess(key, one.clock.now());
+            excess(large) > 0.5 && excess(small) == 0.0
+        })
+    };
+
+    until(|| is_known(&all)).await;
+
+    let at = all.iter().position(Instance::is_first).expect("one instance acts for all");
+    all.remove(at).task.abort();
+    tokio::time::sleep(Duration::from_millis(4_000)).await;
+    until(|| is_known(&all)).await;
+}
+
 /// Guards against an availability zone that receives nothing from the others any more. The zone
 /// leader terminates, and later another zone has an update. When an instance stops sending, the
 /// next one must take over its part.
