Test that large accounts leave the last slots of generators to others

The tests covered the wait for readers only. The new test fails if a request of an account above its share takes the last slot of a generator.

--- a/crates/anvilhook-gateway/tests/account_shares.rs
+++ b/crates/anvilhook-gateway/tests/account_shares.rs
@@ -60,7 +60,7 @@
     clock: ManualClock,
     front: Front<ManualClock>,
     reader: Upstream,
-    _generator: Upstream,
+    generator: Upstream,
     backlog: Held,
 }
 
@@ -77,7 +77,7 @@
         let front = start_with_clock(clock.clone(), config, engines, ample_budget()).await;
         let busy = Arc::clone(front.gateway.fleet().view().get("r").expect("listed"));
         let backlog = Held::with_work(busy, backlog_ms, 0.0);
-        Self { clock, front, reader, _generator: generator, backlog }
+        Self { clock, front, reader, generator, backlog }
     }
 
     fn metric(&self, name: &str) -> bool {
@@ -123,6 +123,28 @@
     }
 }
 
+/// Guards against a large account that takes the last slots of the generators, for which the requests of others
+/// then wait.
+#[tokio::test]
+async fn verify_the_last_slots_are_left_to_other_accounts() {
+    let scene = Scene::start(0.0).await;
+    let gateway = &scene.front.gateway;
+    contend(gateway, scene.clock.now());
+    let engine = Arc::clone(gateway.fleet().view().get("g").expect("listed"));
+    let held: Vec<_> = (1..engine.entry.slots).map(|_| Held::new(Arc::clone(&engine))).collect();
+    let mut large = Box::pin(scene.front.post_with_long_deadline("large", LARGE, ""));
+
+    tokio::select! {
+        answer = &mut large => panic!("it is not held back: {answer:?}"),
+        () = until(|| scene.metric("account_held_total{name=\"service\"} 1")) => {}
+    }
+    let small = scene.front.post_with_long_deadline("small", SMALL, "").await;
+
+    assert_eq!((small.status, scene.generator.received().len()), (200, 1));
+    drop(held);
+    assert_eq!((large.await.status, scene.generator.received().len()), (200, 2));
+}
+
 /// Guards against requests that are delayed for their account while the engines have enough capacity, while no
 /// other account is active, or with the part switched off.
 #[tokio::test]
