--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::account_shares::service_code;
 use crate::configs::Config;
 use crate::events::{Evidence, LINES_DROPPED};
 use crate::peers::SectionBytes;
@@ -121,6 +122,13 @@
     service_slots: Family<NameLabel, Gauge>,
     service_slow_starts: Family<NameLabel, Gauge>,
     service_short_lane_engines: Family<NameLabel, Gauge>,
+    accounts_above_share: Family<NameLabel, Gauge>,
+    /// The work sent to engines while a service had less capacity than was requested, in milliseconds.
+    pub contended_work_ms: Family<NameLabel, Counter>,
+    /// Requests that were held back because their accounts were above their shares.
+    pub account_held: Family<NameLabel, Counter>,
+    /// Requests of such accounts that were rejected because engines were too busy.
+    pub account_rejected: Family<NameLabel, Counter>,
     contacts: Mutex<HashMap<&'static str, Millis>>,
 }
 
@@ -159,6 +167,10 @@
             service_slots: Family::default(),
             service_slow_starts: Family::default(),
             service_short_lane_engines: Family::default(),
+            accounts_above_share: Family::default(),
+            contended_work_ms: Family::default(),
+            account_held: Family::default(),
+            account_rejected: Family::default(),
             contacts: Mutex::default(),
         };
         metrics.register();
@@ -292,6 +304,26 @@
             "Prefill engines of a service that are reserved for short prompts, 0 without lanes",
             self.service_short_lane_engines.clone(),
         );
+        registry.register(
+            "accounts_above_share",
+            "Client accounts above their fair shares of a service",
+            self.accounts_above_share.clone(),
+        );
+        registry.register(
+            "contended_work_ms",
+            "Work of client accounts sent to engines while a service had too little capacity",
+            self.contended_work_ms.clone(),
+        );
+        registry.register(
+            "account_held",
+            "Requests held back because their client accounts were above their fair shares",
+            self.account_held.clone(),
+        );
+        registry.register(
+            "account_rejected",
+            "Requests of client accounts above their fair shares that were rejected for overload",
+            self.account_rejected.clone(),
+        );
         registry.register(
             "lines_dropped",
             "Log lines that were dropped because they could not be written fast enough",
@@ -389,8 +421,10 @@
             &self.service_slots,
             &self.service_slow_starts,
             &self.service_short_lane_engines,
+            &self.accounts_above_share,
         ];
         families.iter().for_each(|family| family.clear());
+        let excesses = gateway.account_shares().excesses(now);
         let view = gateway.fleet().view();
         for service in config.services().take(MAX_SERVICES) {
             let label = NameLabel { name: service.name.to_string() };
@@ -416,6 +450,11 @@
                 gateway.short_share(&service.name, None).map(|share| lanes_of(readers, share));
             let short_engines = lanes.map_or(0, |lanes| lanes.short_engines());
             self.service_short_lane_engines.get_or_create(&label).set(short_engines as i64);
+            if config.accounts().is_some() {
+                let code = service_code(&service.name);
+                let above = excesses.by_account.keys().filter(|key| key.service == code).count();
+                self.accounts_above_share.get_or_create(&label).set(above as i64);
+            }
         }
     }
 }
