Queue waiting requests in one order and reject by the predicted wait

Each waiting request decided for itself by polling, so requests that were late already took engines from others that could be on time, and none was rejected before it had waited. All rejected callers got the same retry time.

The pure module core::waiting_queues orders the waiting requests of a service and stage, predicts their wait from the work ahead and the observed drain rate, and derives the retry time. The gateway wakes them in that order when a request of the instance leaves an engine, or loads or upstreams change; polling remains as a bound. A request is rejected at once if even half of the predicted time is too late for its caller. The lines placed and concluded and two new metrics show it. With the switch waiting_queue off, requests wait as before.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod units;
 pub mod usage;
 pub mod verdict;
+pub mod waiting_queues;
 pub mod watches;
 
 pub use errors::{Error, Result};
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -396,6 +396,8 @@
         list_age_ms: Option<u64>,
         /// The age of the newest update from a peer, in milliseconds.
         peers_age_ms: Option<u64>,
+        /// How many waiting requests came first when the request was queued here; absent if it was not.
+        position: Option<u32>,
     },
     /// A stopping instance has accepted a request, or refused it because the instance's end could interrupt
     /// the request.
@@ -487,6 +489,11 @@
         objective_ms: u64,
         /// The version of the active configuration.
         config: u64,
+        /// Why it was rejected for lack of capacity: `predicted`, `waited`, `no_time` or `retry_budget`; absent
+        /// if it was not.
+        rejected_by: Option<&'static str>,
+        /// The time to the first event as last predicted before it was rejected, in milliseconds.
+        predicted_wait_ms: Option<u64>,
     },
 }
 
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! depends on the names that one deployment uses.
 #![forbid(unsafe_code)]
 
+mod account_shares;
 pub mod budgets;
 pub mod caches;
 pub mod clouds;
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -9,6 +9,7 @@
 use anvilhook_core::units::Millis;
 
 use crate::fleets::Upstream;
+use crate::relay::FreedSignal;
 use crate::request_limits::RequestLimit;
 use crate::wires::Load;
 
@@ -425,6 +426,7 @@
     upstream: Arc<Upstream>,
     reading_us: u64,
     fetching_us: u64,
+    freed: Option<FreedSignal>,
 }
 
 impl Held {
@@ -439,7 +441,13 @@
         upstream.state.in_flight.fetch_add(1, Ordering::AcqRel);
         upstream.state.reading_us.fetch_add(reading_us, Ordering::AcqRel);
         upstream.state.fetching_us.fetch_add(fetching_us, Ordering::AcqRel);
-        Self { upstream, reading_us, fetching_us }
+        Self { upstream, reading_us, fetching_us, freed: None }
+    }
+
+    /// Wakes waiting requests by `freed` once this request no longer counts as in flight.
+    pub(crate) fn waking(mut self, freed: FreedSignal) -> Self {
+        self.freed = Some(freed);
+        self
     }
 
     /// Returns the upstream.
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -77,6 +77,24 @@
     pub outcome: &'static str,
 }
 
+/// `RejectionLabels` are the labels of requests that were rejected for lack of capacity.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RejectionLabels {
+    /// The service.
+    pub service: String,
+    /// `predicted`, `waited`, `no_time` or `retry_budget`.
+    pub reason: &'static str,
+}
+
+/// `StageLabels` are the labels of waiting requests.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct StageLabels {
+    /// The service.
+    pub service: String,
+    /// `read` or `generate`.
+    pub stage: &'static str,
+}
+
 /// `GatewayMetrics` holds all metrics of an instance.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -86,6 +104,8 @@
     pub failed_attempts: Family<AttemptLabels, Counter>,
     /// Streams that broke after their first event, by whether they were resumed.
     pub broken_streams: Family<NameLabel, Counter>,
+    /// Requests that were rejected for lack of capacity, by reason.
+    pub rejections: Family<RejectionLabels, Counter>,
     /// Orders given to engines, by outcome.
     pub orders: Family<NameLabel, Counter>,
     /// The time to the head of the answer.
@@ -116,6 +136,7 @@
     service_in_flight: Family<NameLabel, Gauge>,
     service_reading_ms: Family<NameLabel, Gauge>,
     service_slots: Family<NameLabel, Gauge>,
+    waiting_requests: Family<StageLabels, Gauge>,
     contacts: Mutex<HashMap<&'static str, Millis>>,
 }
 
@@ -128,6 +149,7 @@
             requests: Family::default(),
             failed_attempts: Family::default(),
             broken_streams: Family::default(),
+            rejections: Family::default(),
             orders: Family::default(),
             latency: Family::new_with_constructor(latency),
             table_calls: Family::default(),
@@ -151,6 +173,7 @@
             service_in_flight: Family::default(),
             service_reading_ms: Family::default(),
             service_slots: Family::default(),
+            waiting_requests: Family::default(),
             contacts: Mutex::default(),
         };
         metrics.register();
@@ -170,6 +193,16 @@
             "Streams that broke after their first event",
             self.broken_streams.clone(),
         );
+        registry.register(
+            "rejections",
+            "Requests that were rejected for lack of capacity, by reason",
+            self.rejections.clone(),
+        );
+        registry.register(
+            "waiting_requests",
+            "Requests that wait at this instance for an engine, by stage",
+            self.waiting_requests.clone(),
+        );
         registry.register("orders", "Orders given to engines", self.orders.clone());
         registry.register(
             "latency_seconds",
@@ -363,6 +396,7 @@
             &self.service_slots,
         ];
         families.iter().for_each(|family| family.clear());
+        self.waiting_requests.clear();
         let view = gateway.fleet().view();
         for service in config.services().take(MAX_SERVICES) {
             let label = NameLabel { name: service.name.to_string() };
@@ -377,6 +411,10 @@
             self.service_in_flight.get_or_create(&label).set(in_flight);
             self.service_reading_ms.get_or_create(&label).set(reading_ms as i64);
             self.service_slots.get_or_create(&label).set(slots);
+            for (stage, count) in gateway.waiting_requests(&service.name) {
+                let labels = StageLabels { service: service.name.to_string(), stage };
+                self.waiting_requests.get_or_create(&labels).set(count as i64);
+            }
         }
     }
 }
--- a/crates/anvilhook-gateway/src/peers/digests.rs
+++ b/crates/anvilhook-gateway/src/peers/digests.rs
@@ -320,6 +320,7 @@
         };
         upstream.state.record_peer(number, PeerLoad { work, at: now, is_far });
     }
+    gateway.wake_waiting();
 }
 
 fn apply_cached<W: Wire, C: Clock>(digest: &Digest, gateway: &Gateway<W, C>) {
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -219,6 +219,7 @@
             source: sending.source.as_deref(),
             list_age_ms: age(LIST_SOURCE),
             peers_age_ms: age(PEER_SOURCE),
+            position: sending.wait.position,
         });
     }
 
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -12,6 +12,7 @@
 use super::attempts::{Failed, Sending};
 use super::handles::KvHandle;
 use super::limits::{LIMITED, LimitWait};
+use super::places::Stage;
 use super::prompts::{Job, Opened, REFUSED_PAUSE, TryResult};
 use super::requests::Exchange;
 use super::resumption::Relay;
@@ -168,6 +169,8 @@
         let started_at = self.now();
         let could_have_run = exchange.begin_run();
         let held = Held::with_work(Arc::clone(upstream), work.reading_ms, work.fetching_ms);
+        let held = held.waking(self.freed_signal(exchange, Stage::Generating));
+        exchange.place = None;
         let in_flight = upstream.state.work(self.now()).in_flight;
         if upstream.role().is_some() && in_flight * 2 > upstream.entry.slots {
             self.peers().announce_slot();
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod generating;
 mod handles;
 mod limits;
+mod places;
 mod plain;
 mod prompts;
 mod reading;
@@ -37,7 +38,7 @@
 use crate::configs::{Config, Repeats};
 use crate::events::{Event, emit};
 use crate::fleets::{Entry, Fleet, FleetView, Upstream};
-use crate::metrics::{GatewayMetrics, KindLabel, RequestLabels};
+use crate::metrics::{GatewayMetrics, KindLabel, RejectionLabels, RequestLabels};
 use crate::peers::Peers;
 use crate::policies::Policy;
 use crate::prompts::Part;
@@ -48,10 +49,12 @@
 
 use answers::{Outcome, OwnAnswer};
 use limits::{LIMITED, LimitQueues};
-use requests::Exchange;
+use places::{WaitingQueues, rejection_of};
 use stopping::{STOPPING, Stopping};
 
+pub(crate) use places::FreedSignal;
 pub(crate) use prompts::MIN_PUBLISHED_TOKENS;
+pub(crate) use requests::Exchange;
 
 /// The retry time for a caller whose request timed out before it ran.
 const TIMEOUT_PAUSE: Millis = Millis(100);
@@ -111,6 +114,7 @@
     suspects: Arc<Suspects>,
     usage: Usage,
     limit_queues: LimitQueues,
+    waiting_queues: WaitingQueues,
     /// Engines that have read a prompt, with the parts not yet published to peers.
     cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
 }
@@ -168,6 +172,7 @@
             suspects: Arc::default(),
             usage,
             limit_queues: LimitQueues::default(),
+            waiting_queues: WaitingQueues::default(),
             in_flight: AtomicU64::new(0),
             stopping: Stopping::new(),
             has_fleet: AtomicBool::new(false),
@@ -242,6 +247,7 @@
     pub fn adopt_entries(&self, entries: impl IntoIterator<Item = Entry>) {
         let earlier = self.inner.fleet.replace(entries);
         let view = self.inner.fleet.view();
+        self.wake_waiting();
         self.inner.has_fleet.store(true, Ordering::Release);
         // An upstream that has restarted under its id has lost the content of its cache.
         let is_same = |engine: &str| {
@@ -412,7 +418,7 @@
         pause: Millis,
     ) -> Outcome {
         if !exchange.may_have_run {
-            Outcome::refused(cause, pause)
+            Outcome::refused(cause, self.retry_time(exchange, cause).unwrap_or(pause))
         } else if exchange.time_left(self.now()) == Millis::ZERO {
             Outcome::failed(StatusCode::GATEWAY_TIMEOUT, cause)
         } else {
@@ -461,6 +467,7 @@
         let config = self.inner.config.load();
         let upstreams = exchange.map_or_else(String::new, |exchange| exchange.tried.join(" "));
         let status = outcome.status().as_u16();
+        let rejection = exchange.and_then(|exchange| rejection_of(exchange, outcome));
         emit(&Event::Concluded {
             request: exchange.map_or("", |exchange| &exchange.id),
             fingerprint: exchange.map(|exchange| exchange.fingerprint),
@@ -476,11 +483,17 @@
             had_ms: exchange.map_or(0, |exchange| (exchange.give_up_at - arrived_at).0),
             objective_ms: exchange.map_or(0, |exchange| exchange.route.objective.0),
             config: config.as_ref().map_or(0, |config| config.version),
+            rejected_by: rejection.map(|(reason, _)| reason),
+            predicted_wait_ms: rejection.and_then(|(_, predicted_ms)| predicted_ms),
         });
         let kind = exchange.map_or("unknown", |exchange| exchange.route.repeats.as_str());
         let declared = config.as_ref().map_or(0, |config| config.services().count());
         let service = exchange.map_or("", |exchange| &exchange.service);
         let service = self.inner.metrics.service_label(service, declared);
+        if let Some((reason, _)) = rejection {
+            let labels = RejectionLabels { service: service.clone(), reason };
+            self.inner.metrics.rejections.get_or_create(&labels).inc();
+        }
         let labels = RequestLabels { service, kind, status, reason: outcome.reason() };
         self.inner.metrics.requests.get_or_create(&labels).inc();
         let latency = self.inner.metrics.latency.get_or_create(&KindLabel { kind });
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -12,6 +12,7 @@
 use super::answers::{Outcome, WholeAnswer};
 use super::attempts::{Contact, Failed};
 use super::limits::LIMITED;
+use super::places::Rejection;
 use super::requests::Exchange;
 use super::resumption::Relay;
 use super::stopping::STOPPING;
@@ -171,6 +172,8 @@
         };
         let time_left = exchange.time_left(self.now());
         if plan.first_token_ms() > time_left.0 as f64 {
+            exchange.rejection = Some(Rejection::NoTime);
+            exchange.predicted_ms = Some(plan.first_token_ms());
             return Err(self.abandoned_outcome(exchange, "overload", REFUSED_PAUSE));
         }
         let reader = match plan {
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -11,6 +11,7 @@
 use super::Gateway;
 use super::attempts::{Arrival, Failed, Sending};
 use super::handles::KvHandle;
+use super::places::Stage;
 use super::prompts::{Job, REFUSED_PAUSE, TryResult};
 use super::requests::Exchange;
 use super::waiting::Wait;
@@ -74,6 +75,8 @@
             is_fetched: reader.fetch_from.is_some(),
         };
         let held = Held::with_work(Arc::clone(&upstream), reader.reading_ms, reader.fetching_ms);
+        let held = held.waking(self.freed_signal(exchange, Stage::Reading));
+        exchange.place = None;
         if reader.reading_ms >= f64::from(SIGNIFICANT_CHANGE_MS) {
             // Otherwise, prompts that arrive at several instances at the same moment would all go to the
             // engine that was idle before, and queue up there.
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -18,6 +18,7 @@
 use super::access::{key_of, no_access};
 use super::answers::OwnAnswer;
 use super::attempts::Failed;
+use super::places::{Place, Rejection};
 use crate::configs::{Access, Config, Repeats, Route};
 use crate::hashes::hash_of;
 use crate::prompts::Prompt;
@@ -34,7 +35,7 @@
 const NO_CONFIG_PAUSE: Millis = Millis(300);
 
 /// `Exchange` is a request that is being served.
-pub(super) struct Exchange {
+pub(crate) struct Exchange {
     pub id: Arc<str>,
     /// The fingerprint, which a caller's repeats of the request share although their ids differ.
     pub fingerprint: Fingerprint,
@@ -71,11 +72,17 @@
     pub is_counted: bool,
     /// Its trial, if it is suspected of terminating engines.
     pub trial: Option<Trial>,
+    /// Its place among the waiting requests, until it counts as in flight at an engine.
+    pub place: Option<Place>,
+    /// The time to the first event as last predicted, in milliseconds.
+    pub predicted_ms: Option<f64>,
+    /// Why it was rejected for lack of capacity.
+    pub rejection: Option<Rejection>,
 }
 
 impl Exchange {
     /// Receives a whole request and finds its route.
-    pub async fn receive<W: Wire, C: Clock>(
+    pub(super) async fn receive<W: Wire, C: Clock>(
         gateway: &Gateway<W, C>,
         req: Request,
         arrived_at: Millis,
@@ -134,6 +141,9 @@
             was_sent: false,
             is_counted: false,
             trial: None,
+            place: None,
+            predicted_ms: None,
+            rejection: None,
         })
     }
 
@@ -170,7 +180,7 @@
 
     /// Records how an attempt ended. `could_have_run` is the value that `begin_run` returned for it; it is
     /// restored if the attempt has certainly not run.
-    pub fn end_run<T>(&mut self, could_have_run: bool, result: &Result<T, Failed>) {
+    pub(super) fn end_run<T>(&mut self, could_have_run: bool, result: &Result<T, Failed>) {
         match result {
             Err(failed) if failed.verdict == Verdict::NotRun => self.may_have_run = could_have_run,
             _ => self.runs += 1,
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -1,16 +1,19 @@
 //! Queues requests in the gateway until an engine is nearly free for them.
 //!
-//! [`anvilhook_core::pacing`] decides whether a request waits; this module repeats the decision with the
-//! current state until the request is sent or abandoned.
+//! [`anvilhook_core::pacing`] decides whether a request waits, and [`anvilhook_core::waiting_queues`] which of
+//! the waiting ones is sent first; this module repeats the decisions with the current state until the request
+//! is sent or abandoned.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilhook_core::pacing::{Pace, Slots, pace_generating, pace_reading};
+use anvilhook_core::pacing::{Pace, Slots, Waiting, pace_generating, pace_reading};
 use anvilhook_core::units::{Clock, Millis};
+use anvilhook_core::waiting_queues::{Demand, is_too_late};
 
 use super::Gateway;
 use super::limits::{LimitTicket, LimitWait, pause_for};
+use super::places::{Place, Rejection, Stage};
 use super::prompts::Job;
 use super::requests::Exchange;
 use crate::fleets::Upstream;
@@ -23,16 +26,35 @@
 const MAX_PAUSE_MS: f64 = 16.0;
 const PAUSE_BACKLOG_SHARE: f64 = 0.2;
 
+/// How many requests of a queue are checked at their own intervals; the others at the maximum pause.
+const EAGER_PLACES: u32 = 3;
+
 /// `Wait` is how long a request was queued here before it is sent, and why it is sent now.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Wait {
     pub held: Millis,
     pub pace: Pace,
+    /// How many waiting requests came first when the request was queued; `None` if it was not.
+    pub position: Option<u32>,
 }
 
 impl Wait {
     /// The wait of a request that is sent without having been queued.
-    pub const NONE: Wait = Wait { held: Millis::ZERO, pace: Pace::Free };
+    pub const NONE: Wait = Wait { held: Millis::ZERO, pace: Pace::Free, position: None };
+}
+
+/// `Check` is what one check of a request is based on.
+struct Check<F> {
+    stage: Stage,
+    demand: Demand,
+    /// The decision of `pacing`.
+    pace: Pace,
+    /// The predicted time from being sent to the first event, with the wait at the engines, in milliseconds.
+    first_event_ms: f64,
+    /// Whether the request is sent regardless of others.
+    is_exempt: bool,
+    /// Whether another request could use the chosen engine now.
+    could_use: F,
 }
 
 /// `WaitOutcome` is the outcome of waiting.
@@ -61,11 +83,13 @@
     ) -> WaitOutcome<Plan> {
         let began_at = self.now();
         let mut ticket = None;
+        exchange.place = None;
         loop {
             if let Some(stopped) = self.reason_not_to_wait(exchange, job) {
                 return stopped;
             }
             let Some(plan) = self.plan_in_turn(exchange, job, ticket.as_ref()) else {
+                exchange.place = None;
                 match self.wait_for_share(exchange, job.avoid, &mut ticket).await {
                     LimitWait::TryAgain => continue,
                     LimitWait::Refuse(soonest) => return WaitOutcome::Limited(soonest),
@@ -76,22 +100,43 @@
                 Plan::Split(reader) => reader,
                 Plan::Direct(generator) => {
                     let Some(next_in) = self.reader_worth_waiting_for(exchange, generator) else {
-                        let wait = Wait { held: self.now() - began_at, pace: Pace::Free };
-                        return WaitOutcome::Send(plan, wait);
+                        return WaitOutcome::Send(
+                            plan,
+                            self.end_wait(exchange, began_at, Pace::Free),
+                        );
                     };
+                    exchange.place = None;
                     pause_for(next_in).await;
                     continue;
                 }
             };
             let waiting = exchange.waiting(self.now());
-            let pace = pace_reading(&waiting, reader.reading_ms, reader.backlog_ms, job.tightest);
-            match pace {
-                Pace::Hold => {}
-                Pace::Hopeless => return WaitOutcome::Hopeless,
-                pace => return WaitOutcome::Send(plan, Wait { held: self.now() - began_at, pace }),
+            let (work_ms, backlog_ms) = (reader.reading_ms, reader.backlog_ms);
+            let pace_at = |waiting: &Waiting, work_ms, backlog_ms| {
+                pace_reading(waiting, work_ms, backlog_ms, job.tightest)
+            };
+            let demand = self.demand(exchange, reader.total_ms - backlog_ms, work_ms);
+            let now = self.now();
+            let check = Check {
+                stage: Stage::Reading,
+                demand,
+                pace: pace_at(&waiting, work_ms, backlog_ms),
+                first_event_ms: reader.total_ms,
+                // A prompt so short that it is sent at any backlog would gain nothing by waiting for others.
+                is_exempt: demand.excess <= 0.0
+                    && pace_at(&waiting, work_ms, f64::INFINITY) == Pace::Free,
+                could_use: |other: &Demand| {
+                    is_sent(pace_at(&other.waiting(now), other.load_ms, backlog_ms))
+                },
+            };
+            let pause_ms = (backlog_ms * PAUSE_BACKLOG_SHARE).clamp(MIN_PAUSE_MS, MAX_PAUSE_MS);
+            match self.check_turn(exchange, job, check) {
+                (Pace::Hold, position) => self.pause(exchange, position, pause_ms).await,
+                (Pace::Hopeless, _) => return WaitOutcome::Hopeless,
+                (pace, _) => {
+                    return WaitOutcome::Send(plan, self.end_wait(exchange, began_at, pace));
+                }
             }
-            let pause_ms = reader.backlog_ms * PAUSE_BACKLOG_SHARE;
-            pause(pause_ms.clamp(MIN_PAUSE_MS, MAX_PAUSE_MS)).await;
         }
     }
 
@@ -109,6 +154,7 @@
         let began_at = self.now();
         let mut slot_request = None;
         let mut ticket = Some(ticket);
+        exchange.place = None;
         loop {
             if let Some(stopped) = self.reason_not_to_wait(exchange, job) {
                 return stopped;
@@ -116,6 +162,7 @@
             let chosen = self
                 .with_placer(exchange, |placer| placer.generator(&job.request(exchange), reader));
             let Some(generator) = chosen else {
+                exchange.place = None;
                 match self.wait_for_share(exchange, job.avoid, &mut ticket).await {
                     LimitWait::TryAgain => continue,
                     LimitWait::Refuse(soonest) => return WaitOutcome::Limited(soonest),
@@ -128,19 +175,100 @@
             };
             let output_ms = self.inner.speeds.output_ms(&exchange.service, job.prompt.max_output);
             let waiting = exchange.waiting(self.now());
-            let pace = pace_generating(&waiting, generator.fetched_ms, output_ms, slots);
-            match pace {
-                Pace::Hold => {}
-                Pace::Hopeless => return WaitOutcome::Hopeless,
-                pace => {
-                    return WaitOutcome::Send(
-                        generator,
-                        Wait { held: self.now() - began_at, pace },
-                    );
+            let now = self.now();
+            let load_ms = output_ms / f64::from(slots.slots.max(1));
+            let check = Check {
+                stage: Stage::Generating,
+                demand: self.demand(exchange, generator.fetched_ms, load_ms),
+                pace: pace_generating(&waiting, generator.fetched_ms, output_ms, slots),
+                first_event_ms: generator.fetched_ms,
+                is_exempt: false,
+                could_use: |other: &Demand| {
+                    let output_ms = other.load_ms * f64::from(slots.slots);
+                    is_sent(pace_generating(&other.waiting(now), other.work_ms, output_ms, slots))
+                },
+            };
+            match self.check_turn(exchange, job, check) {
+                (Pace::Hold, position) => {
+                    slot_request
+                        .get_or_insert_with(|| self.inner.speeds.request_slot(&exchange.service));
+                    self.pause(exchange, position, MIN_PAUSE_MS).await;
                 }
+                (Pace::Hopeless, _) => return WaitOutcome::Hopeless,
+                (pace, _) => {
+                    return WaitOutcome::Send(generator, self.end_wait(exchange, began_at, pace));
+                }
+            }
+        }
+    }
+
+    fn demand(&self, exchange: &Exchange, work_ms: f64, load_ms: f64) -> Demand {
+        let waiting = exchange.waiting(self.now());
+        Demand {
+            excess: self.account_excess(exchange),
+            since: exchange.waits_since,
+            objective: waiting.objective,
+            wait_limit: waiting.wait_limit,
+            work_ms,
+            load_ms,
+        }
+    }
+
+    /// Decides whether a request is sent, waits or is rejected, in view of the other waiting requests. Returns
+    /// how many of them come first too.
+    fn check_turn(
+        &self,
+        exchange: &mut Exchange,
+        job: &Job<'_>,
+        check: Check<impl Fn(&Demand) -> bool>,
+    ) -> (Pace, u32) {
+        let Check { stage, demand, pace, .. } = check;
+        if !self.policy().waiting_queue {
+            exchange.rejection = (pace == Pace::Hopeless).then_some(Rejection::Waited);
+            return (pace, 0);
+        }
+        let is_next = is_sent(pace)
+            && (check.is_exempt || !self.is_preceded(exchange, stage, &demand, check.could_use));
+        let prediction = self.predict_wait(exchange, stage, &demand);
+        let wait_ms = if is_next { 0.0 } else { prediction.wait_ms };
+        let predicted_ms = wait_ms + check.first_event_ms;
+        exchange.predicted_ms = Some(predicted_ms);
+        // A rejection would truncate a stream that broke, and could not state that the request has not run.
+        let may_reject = job.resume_after.is_none() && !exchange.may_have_run;
+        if may_reject && is_too_late(predicted_ms, demand.time_left(self.now())) {
+            exchange.rejection = Some(Rejection::Predicted);
+            return (Pace::Hopeless, prediction.position);
+        }
+        match pace {
+            Pace::Hopeless => {
+                exchange.rejection = Some(Rejection::Waited);
+                (pace, prediction.position)
             }
-            slot_request.get_or_insert_with(|| self.inner.speeds.request_slot(&exchange.service));
-            pause(MIN_PAUSE_MS).await;
+            _ if is_next => (pace, prediction.position),
+            _ => {
+                self.hold(exchange, stage, demand, prediction.position);
+                (Pace::Hold, prediction.position)
+            }
+        }
+    }
+
+    /// Ends the wait of a request that is sent now. It leaves its place once it counts as in flight, so that
+    /// the next request is not checked before.
+    fn end_wait(&self, exchange: &mut Exchange, began_at: Millis, pace: Pace) -> Wait {
+        let position = exchange.place.as_mut().map(|place| {
+            place.is_sent = true;
+            place.position
+        });
+        Wait { held: self.now() - began_at, pace, position }
+    }
+
+    /// Waits until a request is to be checked again, for `eager_ms` milliseconds at most if it is among the
+    /// first of its queue.
+    async fn pause(&self, exchange: &Exchange, position: u32, eager_ms: f64) {
+        let max_ms = if position < EAGER_PLACES { eager_ms } else { MAX_PAUSE_MS };
+        match exchange.place.as_ref().map(Place::waker) {
+            Some(waker) => Place::wait(waker, max_ms).await,
+            None => tokio::time::sleep(Duration::from_secs_f64(max_ms / 1e3)).await,
         }
     }
 
@@ -172,6 +300,6 @@
     }
 }
 
-async fn pause(ms: f64) {
-    tokio::time::sleep(Duration::from_secs_f64(ms / 1e3)).await;
+fn is_sent(pace: Pace) -> bool {
+    matches!(pace, Pace::Free | Pace::Due)
 }
