Reject by the predicted wait at engines that serve whole requests too

Plans that send a request directly to the generating engine returned before the prediction was compared with the caller's wait limit, so such requests were sent although even half of the predicted time was too late.

--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -100,10 +100,11 @@
                 Plan::Split(reader) => reader,
                 Plan::Direct(generator) => {
                     let Some(next_in) = self.reader_worth_waiting_for(exchange, generator) else {
-                        return WaitOutcome::Send(
-                            plan,
-                            self.end_wait(exchange, began_at, Pace::Free),
-                        );
+                        if self.is_rejected(exchange, job, generator.direct_ms) {
+                            return WaitOutcome::Hopeless;
+                        }
+                        let wait = self.end_wait(exchange, began_at, Pace::Free);
+                        return WaitOutcome::Send(plan, wait);
                     };
                     exchange.place = None;
                     pause_for(next_in).await;
@@ -231,12 +232,7 @@
             && (check.is_exempt || !self.is_preceded(exchange, stage, &demand, check.could_use));
         let prediction = self.predict_wait(exchange, stage, &demand);
         let wait_ms = if is_next { 0.0 } else { prediction.wait_ms };
-        let predicted_ms = wait_ms + check.first_event_ms;
-        exchange.predicted_ms = Some(predicted_ms);
-        // A rejection would truncate a stream that broke, and could not state that the request has not run.
-        let may_reject = job.resume_after.is_none() && !exchange.may_have_run;
-        if may_reject && is_too_late(predicted_ms, demand.time_left(self.now())) {
-            exchange.rejection = Some(Rejection::Predicted);
+        if self.is_rejected(exchange, job, wait_ms + check.first_event_ms) {
             return (Pace::Hopeless, prediction.position);
         }
         match pace {
@@ -252,6 +248,21 @@
         }
     }
 
+    /// Returns whether a request is rejected because of the predicted time to its first event.
+    fn is_rejected(&self, exchange: &mut Exchange, job: &Job<'_>, predicted_ms: f64) -> bool {
+        if !self.policy().waiting_queue {
+            return false;
+        }
+        exchange.predicted_ms = Some(predicted_ms);
+        // A rejection would truncate a stream that broke, and could not state that the request has not run.
+        let may_reject = job.resume_after.is_none() && !exchange.may_have_run;
+        let is_rejected = may_reject && is_too_late(predicted_ms, exchange.wait_left(self.now()));
+        if is_rejected {
+            exchange.rejection = Some(Rejection::Predicted);
+        }
+        is_rejected
+    }
+
     /// Ends the wait of a request that is sent now. It leaves its place once it counts as in flight, so that
     /// the next request is not checked before.
     fn end_wait(&self, exchange: &mut Exchange, began_at: Millis, pace: Pace) -> Wait {
--- a/crates/anvilhook-gateway/tests/waiting.rs
+++ b/crates/anvilhook-gateway/tests/waiting.rs
@@ -55,6 +55,11 @@
 
 impl BusyEngines {
     async fn start(reading_ms: f64) -> Self {
+        Self::start_with(reading_ms, |_| true).await
+    }
+
+    /// Starts the gateway with those engines that `is_listed` selects.
+    async fn start_with(reading_ms: f64, is_listed: fn(&str) -> bool) -> Self {
         // Another test may have set the logger already.
         if log::set_logger(&LINES).is_ok() {
             log::set_max_level(LevelFilter::Info);
@@ -67,14 +72,17 @@
         let generator = Upstream::always(stream(1, 2)).await;
         let engines =
             vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
+        let listed = engines.into_iter().filter(|one| is_listed(&one.id)).collect();
         let config = without_timeout(&config(Repeats::Stream { resumable: true }, 2, true));
         let front =
-            start_with_clock(ManualClock::new(), Some(config), engines, ample_budget()).await;
+            start_with_clock(ManualClock::new(), Some(config), listed, ample_budget()).await;
         let view = front.gateway.fleet().view();
         // The generator is so busy that reading the prompt there is never cheaper.
         let backlogs = [("r", reading_ms), ("g", 20_000.0)]
-            .map(|(id, ms)| Held::with_work(Arc::clone(view.get(id).expect("listed")), ms, 0.0));
-        Self { front, reader, _generator: generator, backlogs: backlogs.into() }
+            .into_iter()
+            .filter_map(|(id, ms)| Some(Held::with_work(Arc::clone(view.get(id)?), ms, 0.0)));
+        let backlogs = backlogs.collect();
+        Self { front, reader, _generator: generator, backlogs }
     }
 
     /// Returns whether a line is among the metrics.
@@ -160,6 +168,17 @@
     assert!(line.contains("\"rejected_by\":\"predicted\",\"predicted_wait_ms\":49"), "{line}");
 }
 
+/// Guards against the same in a service without engines that only read prompts.
+#[tokio::test]
+async fn verify_requests_without_a_chance_at_a_mixed_engine_are_rejected() {
+    let busy = BusyEngines::start_with(0.0, |id| id == "g").await;
+
+    let answer = busy.post("m1").await;
+
+    assert_eq!((answer.status, &*answer.body), (503, "overload"));
+    assert!(line_of("concluded", "m1").contains("\"rejected_by\":\"predicted\""));
+}
+
 /// Guards against rejecting a request that would be answered late but before its caller leaves, and against a
 /// switch that has no effect.
 #[tokio::test]
