--- a/crates/anvilhook-gateway/src/account_shares.rs
+++ b/crates/anvilhook-gateway/src/account_shares.rs
@@ -13,6 +13,7 @@
 use anvilhook_core::usage::Source;
 
 use crate::hashes::hash_of;
+use crate::relay::Stage;
 use crate::usage::code_of;
 
 /// The interval at which the excesses are computed again. It is shorter than that of the messages.
@@ -25,15 +26,6 @@
 /// message and not from its expiry.
 const SEND_TIME: Millis = Millis(2_000);
 
-/// `Stage` is the stage of a request for which it waits.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Stage {
-    /// Reading (prefill) of the prompt.
-    Read,
-    /// Generation of the output.
-    Generate,
-}
-
 /// `HeldCounts` are numbers of held requests by service and stage.
 type HeldCounts = HashMap<(Arc<str>, Stage), Arc<AtomicU32>>;
 
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -404,6 +404,8 @@
         slowness: f64,
         /// The reading lane of the engine that reads: `short`, `border` or `long`, if its zone has lanes.
         lane: Option<&'a str>,
+        /// How many waiting requests came first when the request was queued here; absent if it was not.
+        position: Option<u32>,
     },
     /// A stopping instance has accepted a request, or refused it because the instance's end could interrupt
     /// the request.
@@ -499,6 +501,11 @@
         /// within the share.
         #[serde(skip_serializing_if = "Option::is_none")]
         excess: Option<f64>,
+        /// Why it was rejected for lack of capacity: `predicted`, `waited`, `no_time` or `retry_budget`; absent
+        /// if it was not.
+        rejected_by: Option<&'static str>,
+        /// The time to the first event as last predicted before it was rejected, in milliseconds.
+        predicted_wait_ms: Option<u64>,
     },
 }
 
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -226,6 +226,7 @@
             peers_age_ms: age(PEER_SOURCE),
             slowness: (self.slowness_of(sending.upstream, now) * 100.0).round() / 100.0,
             lane: sending.lane.map(Lane::as_str),
+            position: sending.wait.position,
         });
     }
 
--- a/crates/anvilhook-gateway/src/relay/shares.rs
+++ b/crates/anvilhook-gateway/src/relay/shares.rs
@@ -5,8 +5,9 @@
 use anvilhook_core::units::Clock;
 
 use super::Gateway;
+use super::places::Stage;
 use super::requests::Exchange;
-use crate::account_shares::{AccountShares, HeldRequest, Stage, key_of};
+use crate::account_shares::{AccountShares, HeldRequest, key_of};
 use crate::metrics::NameLabel;
 use crate::wires::Wire;
 
