Learn a reading cost far above the expected one

With a true cost of five times the expected one, each reading took longer than 2.5 times the prediction for the engine's relative speed and was ignored: the mean cost stayed at the expected one, and all engines seemed slow. The limit now refers to the prediction for this engine.

--- a/crates/anvilhook-core/src/speeds.rs
+++ b/crates/anvilhook-core/src/speeds.rs
@@ -235,9 +235,11 @@
         let work_ms = (took_ms - self.learnt.fixed_ms - backlog_ms).max(0.0);
         let relative = slowness / self.mean_log_slowness.exp();
         self.mean_log_slowness += MEAN_WEIGHT * (slowness.ln() - self.mean_log_slowness);
-        if work_ms <= mean_ms * relative * OUTLIER_FACTOR {
+        // Not by the relative slowness: if the mean cost is far too low, all engines are learnt to be slow, and
+        // only that tells their readings from those that have queued.
+        if work_ms <= mean_ms * slowness.max(relative) * OUTLIER_FACTOR {
             let weight = if work_ms > mean_ms * relative { ABOVE_WEIGHT } else { 1.0 };
-            self.renew_expectation();
+            self.renew_expectation(mean_ms / expected_ms);
             self.add(&ReadingWork::new(tokens, cached), work_ms / relative, weight);
         }
         Some(bounded_slowness(work_ms / mean_ms.max(1.0)))
@@ -256,16 +258,17 @@
         self.solve();
     }
 
-    /// Restores the weight that the expectation loses by the next reading.
+    /// Restores the weight that the expectation loses by the next reading. The expected costs are multiplied by
+    /// `factor`, so that they determine only the proportion of both.
     ///
     /// The two quantities are nearly proportional if all prompts share a part. The sum of their costs is then
     /// learnt, but not each of them, and a prompt without that part would be predicted by chance.
-    fn renew_expectation(&mut self) {
+    fn renew_expectation(&mut self, factor: f64) {
         let weight = PRIOR_WEIGHT * (1.0 - DECAY);
         self.squares[0] += weight;
         self.squares[2] += weight;
-        self.products[0] += weight * self.expected.ms_per_thousand;
-        self.products[1] += weight * self.expected.ms_per_million_pairs;
+        self.products[0] += weight * self.expected.ms_per_thousand * factor;
+        self.products[1] += weight * self.expected.ms_per_million_pairs * factor;
     }
 
     fn solve(&mut self) {
--- a/crates/anvilhook-core/tests/upstream_speeds.rs
+++ b/crates/anvilhook-core/tests/upstream_speeds.rs
@@ -108,6 +108,26 @@
     }
 }
 
+/// Guards against a cost that stays at the expected one for ever, because all readings take so much longer
+/// that each of them is ignored as one that has queued. All engines would seem slow, and new ones fast.
+#[test]
+fn verify_a_cost_far_above_the_expected_is_learnt() {
+    let mut model = Model::new(true, 90);
+    for at in 0..9_000 {
+        let long = (LONG.1 + 1_000 + at as u32 % 7_000, LONG.1);
+        for (size, now) in [(SHORT, Millis(at * 20)), (long, Millis(at * 20 + 10))] {
+            let took_ms = 90.0 + 5.0 * EXPECTED.work_ms(size.0, size.1);
+            model.learn(at as usize % 90, size, took_ms, now);
+        }
+    }
+
+    let (work_ms, now) = (model.service.cost().work_ms(LONG.0, LONG.1), Millis(180_000));
+    let share = work_ms / (5.0 * EXPECTED.work_ms(LONG.0, LONG.1));
+    assert!((share - 1.0).abs() < 0.15, "{share}");
+    let slowness = model.engines[0].0.slowness(now);
+    assert!((slowness - 1.0).abs() < 0.15, "{slowness}");
+}
+
 /// Guards against a latency that is learnt from readings that waited behind unknown work: all predictions
 /// would then be too long, and requests would be rejected that can be served.
 #[test]
