--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -497,15 +497,15 @@
         objective_ms: u64,
         /// The version of the active configuration.
         config: u64,
-        /// What its account requested above its fair share of the service, as a factor of the share; absent
-        /// within the share.
-        #[serde(skip_serializing_if = "Option::is_none")]
-        excess: Option<f64>,
         /// Why it was rejected for lack of capacity: `predicted`, `waited`, `no_time` or `retry_budget`; absent
         /// if it was not.
         rejected_by: Option<&'static str>,
         /// The time to the first event as last predicted before it was rejected, in milliseconds.
         predicted_wait_ms: Option<u64>,
+        /// What its account requested above its fair share of the service, as a factor of the share; absent
+        /// within the share.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        excess: Option<f64>,
     },
 }
 
