Give the lane of short prompts more headroom, and shrink it slowly

An instance that sends many prompts follows each flip of the mix. Its short lane shrank while there were few short prompts, and the engines that it returned to the lane were still busy with long prompts when the mix flipped back. The 10 s average of short work is now a lower bound, the headroom is 1.5 times as large, and the share follows changes of a tenth instead of a fifth.

--- a/crates/anvilhook-core/src/reading_lanes.rs
+++ b/crates/anvilhook-core/src/reading_lanes.rs
@@ -29,10 +29,15 @@
 /// prompt counts for 23 s.
 const MIN_PRESENT_PROMPTS: f64 = 0.1;
 
+/// The share of engines that short prompts get in addition to their part of the work, as a multiple of
+/// that part where it is small. Instances do not see each other's short prompts in time to spread them
+/// evenly, so a lane without headroom has queues.
+const SHORT_HEADROOM: f64 = 1.5;
+
 /// The minimum change of the share of engines, in absolute terms and relative to the share. Smaller
 /// changes would move engines to and fro between the lanes, with the shared parts that they cache.
 const MIN_CHANGE: f64 = 0.03;
-const MIN_RELATIVE_CHANGE: f64 = 0.2;
+const MIN_RELATIVE_CHANGE: f64 = 0.1;
 
 /// The minimum number of engines of a zone that are divided into lanes.
 const MIN_ENGINES: usize = 4;
@@ -121,11 +126,16 @@
         self.slow.at(now, SLOW_DECAY_TIME).prompts
     }
 
+    /// Returns the work of a second by the slow estimate, in milliseconds.
+    fn slow_rate(&self, now: Millis) -> f64 {
+        self.slow.at(now, SLOW_DECAY_TIME).work_ms / SLOW_DECAY_TIME.as_secs_f64()
+    }
+
     /// Returns the work of a second, in milliseconds.
     fn rate(&self, now: Millis) -> f64 {
         let fast = self.fast.at(now, FAST_DECAY_TIME);
         let slow = self.slow.at(now, SLOW_DECAY_TIME);
-        let slow_rate = slow.work_ms / SLOW_DECAY_TIME.as_secs_f64();
+        let slow_rate = self.slow_rate(now);
         // The number of prompts that the fast estimate is expected to contain: its precision is known
         // even if it contains none, because the kind has ended.
         let expected = slow.prompts * FAST_DECAY_TIME.as_secs_f64() / SLOW_DECAY_TIME.as_secs_f64();
@@ -175,13 +185,16 @@
             self.share = None;
             return None;
         }
-        let (short_rate, long_rate) = (self.short.rate(now), self.long.rate(now));
+        // The lane of short prompts grows fast and shrinks slowly: an engine that is returned to it is still
+        // busy with long prompts when the mix flips back.
+        let short_rate = self.short.rate(now).max(self.short.slow_rate(now));
+        let long_rate = self.long.rate(now);
         let weight = ((short + long) / MIN_MIX_PROMPTS).min(1.0);
         // One of the rates is positive, as at least one kind has been recorded.
         let observed = short_rate / (short_rate + long_rate).max(f64::MIN_POSITIVE);
         let part = observed * weight + EXPECTED_SHORT_PART * (1.0 - weight);
         // The headroom is greatest, in relation to the work, where short prompts are few.
-        let wanted = part + part * (1.0 - part).powi(2);
+        let wanted = part + SHORT_HEADROOM * part * (1.0 - part).powi(2);
         let is_near = |share: f64| {
             (wanted - share).abs() < MIN_CHANGE.max(MIN_RELATIVE_CHANGE * share.min(1.0 - share))
         };
