--- a/crates/anvilhook-core/src/reading_lanes.rs
+++ b/crates/anvilhook-core/src/reading_lanes.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// `Recent` is work and a number of prompts with decaying weight, as rates for each second.
+/// `Recent` is recent work and the number of recent prompts, with decaying weight.
 #[derive(Clone, Copy, Debug, Default)]
 struct Recent {
     work_ms: f64,
