Assign lanes over all open engines of a service

Lanes were assigned over the engines that one request may use. A retry, an exhausted request limit or a slow start would have shifted the lanes of one instance against those of the others. Now every listed engine counts that reads prompts, is open and is not known to fail.

Tests of anvilhook-core and anvilhook-gateway and the linter passed; no deployment was run.

--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -7,7 +7,6 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 
-use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -387,11 +386,8 @@
             self.service_in_flight.get_or_create(&label).set(in_flight);
             self.service_reading_ms.get_or_create(&label).set(reading_ms as i64);
             self.service_slots.get_or_create(&label).set(slots);
-            let readers = upstreams.iter().filter(|upstream| {
-                upstream.role() == Some(Role::Prefill) && upstream.takes_work(now)
-            });
-            let lanes =
-                gateway.short_share(&service.name, None).map(|share| lanes_of(readers, share));
+            let share = gateway.short_share(&service.name, None);
+            let lanes = share.map(|share| lanes_of(upstreams, share, now));
             let short_engines = lanes.map_or(0, |lanes| lanes.short_engines());
             self.service_short_lane_engines.get_or_create(&label).set(short_engines as i64);
         }
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -191,7 +191,8 @@
     pub fn reader(&self, req: &Request<'_>) -> Option<Reader> {
         let engines: Vec<&Arc<Upstream>> = self.candidates(req, Role::Prefill).collect();
         let size = PromptSize::of(self.speed.read_ms(req.prompt.tokens, 0), self.tightest);
-        let lanes = self.short_share.map(|share| lanes_of(engines.iter().copied(), share));
+        let listed = self.view.of_service(req.service);
+        let lanes = self.short_share.map(|share| lanes_of(listed, share, self.now));
         let lane_at = |upstream: &Upstream| {
             lanes.as_ref()?.lane(&*upstream.entry.zone, u64::from(upstream.hash))
         };
@@ -420,12 +421,16 @@
     }
 }
 
-/// Assigns the reading engines of each zone to lanes by the share that is reserved for short prompts.
-pub(crate) fn lanes_of<'u>(
-    engines: impl Iterator<Item = &'u Arc<Upstream>>,
-    short_share: f64,
-) -> Lanes<&'u str> {
-    Lanes::new(engines.map(|one| (&*one.entry.zone, u64::from(one.hash))), short_share)
+/// Assigns the reading engines among a service's upstreams to lanes by the share that is reserved for short
+/// prompts.
+///
+/// Only what all instances know of an engine counts, not whether this instance or this request may use it.
+/// Instances would otherwise assign engines to different lanes.
+pub(crate) fn lanes_of(upstreams: &[Arc<Upstream>], short_share: f64, now: Millis) -> Lanes<&str> {
+    let readers = upstreams.iter().filter(|one| {
+        one.role() == Some(Role::Prefill) && one.is_open(now) && one.state.is_healthy(now)
+    });
+    Lanes::new(readers.map(|one| (&*one.entry.zone, u64::from(one.hash))), short_share)
 }
 
 /// Returns the preferred engine among `readers`, which reads a shared part that no engine holds yet.
