--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -7,7 +7,6 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 
-use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, Millis};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -477,11 +476,8 @@
             let starting = upstreams.iter().filter(|one| one.state.slow_start().is_starting(now));
             let starting = if is_active { starting.count() as i64 } else { 0 };
             self.service_slow_starts.get_or_create(&label).set(starting);
-            let readers = upstreams.iter().filter(|upstream| {
-                upstream.role() == Some(Role::Prefill) && upstream.takes_work(now)
-            });
-            let lanes =
-                gateway.short_share(&service.name, None).map(|share| lanes_of(readers, share));
+            let share = gateway.short_share(&service.name, None);
+            let lanes = share.map(|share| lanes_of(upstreams, share, now));
             let short_engines = lanes.map_or(0, |lanes| lanes.short_engines());
             self.service_short_lane_engines.get_or_create(&label).set(short_engines as i64);
             if config.accounts().is_some() {
