Stop waiting for others while a request above its share can still be answered

A request of an account above its share waited until its work alone would have fitted, and the prediction then rejected it because of the backlog before it: it waited for nothing. Half of the predicted backlog now counts, by the factor of two by which predictions may be wrong.

--- a/crates/anvilhook-core/src/fair_shares.rs
+++ b/crates/anvilhook-core/src/fair_shares.rs
@@ -69,6 +69,10 @@
 /// slot.
 const SLOT_RESERVE: f64 = 0.125;
 
+/// The share of a predicted backlog that must leave a request no time before it stops waiting for others.
+/// Predictions are wrong by up to a factor of two.
+const CERTAIN_SHARE: f64 = 0.5;
+
 /// The minimum time from the end of prefill to the first event, in milliseconds.
 const FIRST_EVENT_MS: f64 = 60.0;
 
@@ -456,7 +460,8 @@
 }
 
 impl Contender {
-    /// Returns whether the request could be answered within its limit if it found no queue.
+    /// Returns whether the request could be answered within its limit if its work, with what is queued before
+    /// it at the engine, takes `work_ms` from now on.
     fn has_time(&self, work_ms: f64) -> bool {
         self.age.0 as f64 + work_ms + FIRST_EVENT_MS < self.limit.0 as f64
     }
@@ -476,7 +481,7 @@
     /// ```
     pub fn yields_reading(&self, work_ms: f64, backlog_ms: f64, tightest: Millis) -> bool {
         let is_busy = self.others_held > 0 || backlog_ms > tightest.0 as f64 * BACKLOG_SHARE;
-        self.excess > 0.0 && is_busy && self.has_time(work_ms)
+        self.excess > 0.0 && is_busy && self.has_time(backlog_ms * CERTAIN_SHARE + work_ms)
     }
 
     /// Returns whether a prompt that has been read and could be sent to its decode engine lets others pass.
