Let all engines that are not needed change their role at once

Change: if the rest of a kind suffices for twice its present work, all engines beyond that may change at once, up to the wanted split. The policy switch surplus_role_changes restores the tenth.

--- a/crates/anvilhook-core/src/splits.rs
+++ b/crates/anvilhook-core/src/splits.rs
@@ -22,6 +22,10 @@
 /// accepts no work for seconds, and if many change at once, the rest answer late until they are back.
 const MAX_CHANGING_SHARE: f64 = 0.1;
 
+/// How many times the work of a kind of engines must fit into those that keep their role. Work may double
+/// within seconds, and a change back takes as long as the change.
+const KEPT_CAPACITY: f64 = 2.0;
+
 /// The minimum change of the share of readers, and the minimum number of engines that it moves. A
 /// smaller change does not pay for the time without these engines; among few engines, one more or
 /// less is noise.
@@ -109,6 +113,24 @@
     }
 }
 
+/// Returns how many of the `engines` engines of one kind may change their roles at once because the others
+/// suffice, if the share `used` of the capacity of this kind is in use.
+///
+/// Designed for: two thirds of the engines lost at one moment, most of them readers. The remaining generators
+/// are almost idle, and if only a tenth of the engines changed at a time, all prompts would be read late for
+/// ten seconds.
+///
+/// ```
+/// use anvilhook_core::splits::surplus_engines;
+///
+/// assert_eq!(surplus_engines(40, 0.1), 32);
+/// assert_eq!(surplus_engines(40, 0.5), 0);
+/// assert_eq!(surplus_engines(40, 0.9), 0);
+/// ```
+pub fn surplus_engines(engines: usize, used: f64) -> usize {
+    (engines as f64 * (1.0 - used * KEPT_CAPACITY)).max(0.0) as usize
+}
+
 /// Returns the share of readers to use from now on, by the current share, the mix and the pressure on
 /// the engines.
 ///
--- a/crates/anvilhook-gateway/src/policies.rs
+++ b/crates/anvilhook-gateway/src/policies.rs
@@ -20,6 +20,8 @@
     pub reading_lanes: bool,
     /// Whether a new or reopened upstream is open to a growing share of the instances.
     pub slow_start: bool,
+    /// Whether all engines that are not needed in their role may change it at once.
+    pub surplus_role_changes: bool,
     /// Whether client accounts share a service fairly while it has too little capacity.
     pub fair_shares: bool,
     /// Whether waiting requests are queued in one order, and rejected by the predicted wait.
@@ -32,6 +34,7 @@
             learnt_speeds: true,
             reading_lanes: true,
             slow_start: true,
+            surplus_role_changes: true,
             fair_shares: true,
             waiting_queue: true,
         }
--- a/crates/anvilhook-gateway/src/roles/mod.rs
+++ b/crates/anvilhook-gateway/src/roles/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
-use anvilhook_core::splits::{Pressure, WorkMix, next_share};
+use anvilhook_core::splits::{Pressure, WorkMix, next_share, surplus_engines};
 use anvilhook_core::units::{Clock, Millis};
 use futures_util::future::join_all;
 
@@ -156,24 +156,21 @@
             let changing = listed.iter().filter(is_changing).count();
             let mix = self.gateway.speeds().mix(&service.name);
             let left = mix.changes_left(listed.len(), changing);
-            let max = left + self.settling.len();
-            let changes = self.changes_of(&service.name, listed, &mix, max).into_iter();
-            let unsettled =
-                changes.filter(|(upstream, _)| !self.settling.contains_key(&upstream.hash));
-            let allowed = unsettled.take(left);
+            let changes = self.changes_of(&service.name, listed, &mix, left).into_iter();
             let duration = engine.role_change;
-            due.extend(allowed.map(|(upstream, role)| Change { upstream, role, duration }));
+            due.extend(changes.map(|(upstream, role)| Change { upstream, role, duration }));
         }
         due
     }
 
-    /// Returns at most `max` changes that bring a service's listed engines closer to the wanted split.
+    /// Returns the changes that bring a service's listed engines closer to the wanted split: at most `left`, or
+    /// as many as there are engines that are not needed in their role.
     fn changes_of(
         &mut self,
         service: &Arc<str>,
         listed: &[Arc<Upstream>],
         mix: &WorkMix,
-        max: usize,
+        left: usize,
     ) -> Vec<(Arc<Upstream>, Role)> {
         let staying: Vec<_> = listed
             .iter()
@@ -184,7 +181,8 @@
             return Vec::new();
         }
         let pressure = self.pressures.entry(Arc::clone(service)).or_default();
-        pressure.record(pressure_of(&staying, self.clock.now()));
+        let current = pressure_of(&staying, self.clock.now());
+        pressure.record(current);
         let pressure = *pressure;
         let share = self.share_of(service, mix, &pressure, staying.len());
         let wanted = (staying.len() as f64 * share).round() as usize;
@@ -200,8 +198,40 @@
             let spare = readers.len() - wanted;
             (readers, spare, Role::Decode)
         };
-        let taken = take_from_fullest_zones(from, count.min(max), self.clock.now()).into_iter();
-        taken.map(|upstream| (upstream, role)).collect()
+        let now = self.clock.now();
+        // The average lags behind a burst that has just begun.
+        let used = match role {
+            Role::Prefill => pressure.generating.max(current.generating),
+            _ => pressure.reading.max(current.reading),
+        };
+        let surplus = self.surplus_of(&from, count, used, now);
+        let usual = take_from_fullest_zones(from, count.min(left + self.settling.len()), now);
+        let unsettled = usual.into_iter().filter(|one| !self.settling.contains_key(&one.hash));
+        let usual: Vec<_> = unsettled.take(left).collect();
+        let taken = if surplus.len() > usual.len() { surplus } else { usual };
+        taken.into_iter().map(|upstream| (upstream, role)).collect()
+    }
+
+    /// Returns at most `count` engines of `from`, all of one role, that are not needed in it if the share
+    /// `used` of their capacity is in use.
+    fn surplus_of(
+        &self,
+        from: &[&Arc<Upstream>],
+        count: usize,
+        used: f64,
+        now: Millis,
+    ) -> Vec<Arc<Upstream>> {
+        if !self.gateway.policy().surplus_role_changes {
+            return Vec::new();
+        }
+        // Engines that have just been ordered to change still show their earlier role.
+        let is_pending = |one: &&Arc<Upstream>| {
+            let is_changing = one.state.role_change(now, one.role()).is_some();
+            is_changing || self.settling.contains_key(&one.hash)
+        };
+        let (pending, idle): (Vec<_>, Vec<_>) = from.iter().copied().partition(is_pending);
+        let count = count.saturating_sub(pending.len()).min(surplus_engines(idle.len(), used));
+        take_from_fullest_zones(idle, count, now)
     }
 
     /// Returns the share of a service's engines that should read prompts, according to the recent work.
--- a/crates/anvilhook-gateway/tests/roles.rs
+++ b/crates/anvilhook-gateway/tests/roles.rs
@@ -10,8 +10,11 @@
 use anvilhook_core::units::{Clock, ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::loads::Held;
+use anvilhook_gateway::policies::Policy;
 use anvilhook_gateway::relay::Gateway;
 use anvilhook_gateway::roles::{RoleController, RoleOptions};
+use anvilhook_gateway::speeds::EngineWork;
 use support::fronts::{ample_budget, config, gateway};
 use support::tables::{Fault, MemoryTable};
 use support::upstreams::{Received, Step, Upstream, signed};
@@ -203,6 +206,31 @@
     assert_eq!(engines.orders().len(), 1);
 }
 
+/// Guards against prompts that are read late for ten seconds after most readers were lost: only a tenth of the
+/// engines changed at a time, although the generators were idle. Generators that are needed keep their role.
+#[tokio::test]
+async fn verify_engines_that_are_not_needed_change_at_once() {
+    // Whether the part is active, the share of the slots in use, and the number of orders.
+    for (is_active, used_slots, expected) in [(false, 0, 1), (true, 0, 6), (true, 3, 1)] {
+        let engines = engines(12, "200 OK").await;
+        let site = site(&engines);
+        site.gateway.set_policy(Policy { surplus_role_changes: is_active, ..Policy::default() });
+        let work = EngineWork { reading_ms: 1_000.0, ..EngineWork::default() };
+        site.gateway.speeds().record_work(&Arc::from("service"), work, site.clock.now());
+        let view = site.gateway.fleet().view();
+        let busy = view.of_service("service").iter().flat_map(|one| {
+            let slots = one.entry.slots * used_slots / 4;
+            (0..slots).map(|_| Held::new(Arc::clone(one)))
+        });
+        let _busy: Vec<Held> = busy.collect();
+        let mut controller = site.controller("one");
+
+        controller.reconcile().await;
+
+        assert_eq!(engines.orders().len(), expected, "{is_active} {used_slots}");
+    }
+}
+
 /// Guards against orders from two holders. Two instances both try to act, the second within the
 /// first's lease; it may take the lease only once the lease has expired by its own clock.
 #[tokio::test]
