--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -138,6 +138,8 @@
     pub limits: Limits,
     services: HashMap<Arc<str>, ServiceSpec>,
     tightest: HashMap<Arc<str>, Millis>,
+    /// The loosest objective of the streams of each service.
+    loosest: HashMap<Arc<str>, Millis>,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
     accounts: Option<AccountRegistry>,
 }
@@ -166,12 +168,18 @@
             let known = tightest.entry(Arc::clone(&target.service)).or_insert(route.objective);
             *known = route.objective.min(*known);
         }
+        let mut loosest: HashMap<Arc<str>, Millis> = HashMap::new();
+        let streams = routes.iter().filter(|route| matches!(route.repeats, Repeats::Stream { .. }));
+        for (route, target) in streams.flat_map(|r| r.targets.iter().map(move |t| (r, t))) {
+            let known = loosest.entry(Arc::clone(&target.service)).or_default();
+            *known = route.objective.max(*known);
+        }
         let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
         for route in routes {
             let prefixes = by_host.entry(Arc::clone(&route.host)).or_default();
             prefixes.insert(Arc::clone(&route.prefix), Arc::new(route));
         }
-        Self { version, limits, services, tightest, routes: by_host, accounts: None }
+        Self { version, limits, services, tightest, loosest, routes: by_host, accounts: None }
     }
 
     /// Requires callers to present a key of one of these client accounts, except on public routes.
@@ -201,6 +209,14 @@
         ends.filter_map(|end| prefixes.get(&path[..end])).next()
     }
 
+    /// Returns whether some streams of a service have a much tighter objective than others, so that they must
+    /// not be read behind them.
+    pub fn has_mixed_objectives(&self, service: &str) -> bool {
+        const MIN_FACTOR: u64 = 2;
+        let loosest = self.loosest.get(service).copied().unwrap_or_default();
+        self.tightest_objective(service).0 * MIN_FACTOR <= loosest.0
+    }
+
     /// Returns the tightest objective of a service's routes, or 0 if it has no routes.
     pub fn tightest_objective(&self, service: &str) -> Millis {
         self.tightest.get(service).copied().unwrap_or_default()
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -265,7 +265,9 @@
         arriving: Option<PromptSize>,
     ) -> Option<f64> {
         let share = || self.inner.speeds.short_share(service, arriving, self.now());
-        self.policy().reading_lanes.then(share).flatten()
+        let has_lanes = self.policy().reading_lanes
+            && self.config().is_some_and(|config| config.has_mixed_objectives(service));
+        has_lanes.then(share).flatten()
     }
 
     /// Records the reading work of a prompt that is sent to an engine, by the prompt's size.
