Use learnt speeds only where upstreams report how long their work takes

Where upstreams are alike, differences between the few measured times are noise. The fourth figure of the load header now calls for the part.

--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -309,6 +309,9 @@
         let load = headers.get(&names.load).and_then(|value| self.wire().load(value));
         if let Some(load) = load {
             upstream.state.record_load(load, self.now());
+            if load.work_percent.is_some() {
+                self.inner.speeds.record_report(&upstream.entry.service);
+            }
         }
         if answer.status() == StatusCode::MISDIRECTED_REQUEST {
             let answered_by = headers.get(&names.instance).map(HeaderValue::as_bytes);
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -314,10 +314,16 @@
         **self.inner.policy.load()
     }
 
+    /// Returns whether predictions for a service use the learnt latency and speeds: the policy is on, and the
+    /// service's upstreams report that their speeds differ from moment to moment.
+    pub(crate) fn uses_learnt_speeds(&self, service: &Arc<str>) -> bool {
+        self.policy().learnt_speeds && self.inner.speeds.has_reports(service)
+    }
+
     /// Returns how many times longer than the mean of its service an upstream's work takes, as predictions
     /// use it.
     pub(crate) fn slowness_of(&self, upstream: &Upstream, now: Millis) -> f64 {
-        if self.policy().learnt_speeds {
+        if self.uses_learnt_speeds(&upstream.entry.service) {
             upstream.state.slowness_at(now)
         } else {
             upstream.state.slowness()
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -234,7 +234,8 @@
         {
             candidates.retain(|upstream| openings.is_open(upstream, now));
         }
-        let time = self.policy().learnt_speeds.then(|| self.inner.speeds.plain(&exchange.service));
+        let is_learnt = self.uses_learnt_speeds(&exchange.service);
+        let time = is_learnt.then(|| self.inner.speeds.plain(&exchange.service));
         let cost = |upstream: &Upstream| {
             if let Some(time) = &time {
                 let risk = exchange.suspect().map_or(0, |one| suspect_rank(one, upstream));
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -220,7 +220,7 @@
         f: impl FnOnce(&Placer<'_>) -> T,
     ) -> T {
         let view = self.fleet().view();
-        let learnt_speeds = self.policy().learnt_speeds;
+        let learnt_speeds = self.uses_learnt_speeds(&exchange.service);
         let speed = self.reading_cost(&exchange.service);
         let tightest = self.tightest_objective(&exchange.service);
         let size = exchange.prompt.as_ref().map(|prompt| self.size_of(prompt, &exchange.service));
@@ -244,7 +244,7 @@
 
     /// Returns the cost of reading prompts of a service.
     fn reading_cost(&self, service: &Arc<str>) -> ReadingCost {
-        if self.policy().learnt_speeds {
+        if self.uses_learnt_speeds(service) {
             self.inner.speeds.split_reading(service)
         } else {
             self.inner.speeds.reading(service)
--- a/crates/anvilhook-gateway/src/speeds.rs
+++ b/crates/anvilhook-gateway/src/speeds.rs
@@ -41,6 +41,8 @@
     /// The cost of readings with the learnt latency.
     split_reading: ReadingSpeed,
     plain: PlainTime,
+    /// Whether an upstream of the service has reported how long its work takes.
+    has_reports: bool,
     output: OutputSpeed,
     mix: WorkMix,
     lane_mix: LaneMix,
@@ -154,6 +156,17 @@
         self.with(service, |speed| speed.plain.record(took_ms, slowness, is_far))
     }
 
+    /// Records that an upstream of a service has reported how long its work takes.
+    pub fn record_report(&self, service: &Arc<str>) {
+        self.with(service, |speed| speed.has_reports = true);
+    }
+
+    /// Returns whether an upstream of a service has reported how long its work takes. Where none does, the
+    /// upstreams count as alike: differences between the few measured times would be noise.
+    pub fn has_reports(&self, service: &Arc<str>) -> bool {
+        self.with(service, |speed| speed.has_reports)
+    }
+
     /// Returns the predicted time of a service's output, in milliseconds.
     pub fn output_ms(&self, service: &Arc<str>, tokens: u32) -> f64 {
         self.with(service, |speed| speed.output.output_ms(tokens))
@@ -252,6 +265,7 @@
             reading: ReadingSpeed::new(self.expected),
             split_reading: ReadingSpeed::new(self.expected),
             plain: PlainTime::default(),
+            has_reports: false,
             output: OutputSpeed::new(EXPECTED_TOKEN_MS, EXPECTED_OUTPUT_MS),
             mix: WorkMix::default(),
             lane_mix: LaneMix::default(),
--- a/crates/anvilhook-gateway/tests/metrics.rs
+++ b/crates/anvilhook-gateway/tests/metrics.rs
@@ -13,7 +13,7 @@
 use anvilhook_gateway::peers::{CachedPrompt, Digest, Notice, NoticeKind, Scope};
 use anvilhook_gateway::policies::Policy;
 use anvilhook_gateway::tables::{CountedTable, Table, Write};
-use support::fronts::{ample_budget, config, gateway};
+use support::fronts::{ample_budget, config, gateway, with_second_objective};
 use support::tables::{Fault, MemoryTable};
 use support::wires::entry;
 
@@ -56,7 +56,8 @@
     let clock = SystemClock::new();
     let reader = |port| Entry { role: Some(Role::Prefill), ..entry(&format!("e{port}"), port) };
     let entries = (1..=8).map(reader).collect();
-    let config = config(Repeats::Idempotent, 2, true);
+    let config =
+        with_second_objective(&config(Repeats::Stream { resumable: true }, 2, true), Millis(400));
     let gateway = gateway(clock, Some(config), entries, ample_budget());
     let service = Arc::from("service");
     for (size, work_ms) in [(PromptSize::Short, 10.0), (PromptSize::Long, 30.0)] {
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -18,7 +18,7 @@
 use support::clocks::TimerClock;
 use support::fronts::{
     Front, ample_budget, config, start, start_with_clock, with_long_timeouts, with_patience,
-    without_timeout,
+    with_second_objective, without_timeout,
 };
 use support::upstreams::{
     Received, Step, Upstream, chunk, engine, event, refusal, signed, stream, stream_end,
@@ -254,6 +254,8 @@
         let listed = readers.iter().enumerate();
         engines.extend(listed.map(|(at, one)| engine(&format!("r{at}"), one, Role::Prefill)));
         let front = front_of(ONCE, engines).await;
+        let config = front.gateway.config().expect("it has one");
+        front.gateway.adopt_config(with_second_objective(&config, Millis(400)));
         front.gateway.set_policy(Policy { reading_lanes: has_lanes, ..Policy::default() });
         let received = || readers.iter().map(|one| one.received().len()).collect::<Vec<_>>();
         let post = async |part: u32, tokens: u32| {
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -145,6 +145,14 @@
     Config::new(config.version + 1, limits(), services, routes)
 }
 
+/// Returns a newer configuration with a second route to the same service, which has another objective.
+pub fn with_second_objective(config: &Config, objective: Millis) -> Config {
+    let route = config.route("host.example", "/a/").expect("the route of the tests");
+    let services = config.services().cloned().collect();
+    let second = Route { prefix: Arc::from("/b/"), objective, ..Route::clone(route) };
+    Config::new(config.version + 1, limits(), services, vec![Route::clone(route), second])
+}
+
 /// Returns a newer configuration whose route has no timeout.
 pub fn without_timeout(config: &Config) -> Config {
     let route = config.route("host.example", "/a/").expect("the route of the tests");
--- a/crates/anvilhook-gateway/tests/upstream_speeds.rs
+++ b/crates/anvilhook-gateway/tests/upstream_speeds.rs
@@ -61,6 +61,7 @@
         let entries = vec![entry("near", near.address.port()), far_entry];
         let front = front_of(learnt_speeds, Repeats::Idempotent, entries).await;
         let speeds = front.gateway.speeds();
+        speeds.record_report(&Arc::from("service"));
         (0..20).for_each(|_| _ = speeds.record_plain(&Arc::from("service"), 40.0, 1.0, false));
 
         for id in 0..REQUESTS {
@@ -79,6 +80,7 @@
     let front = front_of(true, Repeats::Idempotent, vec![entry("u1", 1)]).await;
     let state = Arc::clone(&front.gateway.fleet().view().get("u1").expect("listed").state);
     let load = Load { work_percent: Some(250), ..Load::default() };
+    front.gateway.speeds().record_report(&Arc::from("service"));
 
     state.record_load(load, Millis(1_000));
 
