--- a/crates/anvilhook-core/src/fair_shares.rs
+++ b/crates/anvilhook-core/src/fair_shares.rs
@@ -10,9 +10,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::pacing::Slots;
+use crate::pacing::{FIRST_EVENT_MS, Slots};
 use crate::units::Millis;
 use crate::usage::{AccountCode, Source};
+use crate::waiting_queues::CERTAIN_SHARE;
 
 /// The time in which a sum decays to 1/e, in milliseconds. A shorter time would follow single long prompts
 /// instead of the demand; a longer one would count demand that ended before the burst.
@@ -69,13 +70,6 @@
 /// slot.
 const SLOT_RESERVE: f64 = 0.125;
 
-/// The share of a predicted backlog that must leave a request no time before it stops waiting for others.
-/// Predictions are wrong by up to a factor of two.
-const CERTAIN_SHARE: f64 = 0.5;
-
-/// The minimum time from the end of prefill to the first event, in milliseconds.
-const FIRST_EVENT_MS: f64 = 60.0;
-
 /// `Demand` is the work that an account requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Demand {
@@ -315,7 +309,8 @@
 pub struct AccountSums {
     own: HashMap<AccountKey, (Millis, WorkSum)>,
     others: HashMap<(Source, AccountKey), (Origin, WorkSum)>,
-    told: Option<(Origin, Excesses)>,
+    /// The excesses that the leader of the zone sent last.
+    received: Option<(Origin, Excesses)>,
 }
 
 impl AccountSums {
@@ -400,20 +395,20 @@
 
     /// Merges the excesses that the leader of this instance's zone has computed, in percent.
     pub fn merge_excesses(&mut self, origin: Origin, excesses: &[(AccountKey, u32)]) {
-        if self.told.as_ref().is_some_and(|(before, _)| !origin.replaces(before)) {
+        if self.received.as_ref().is_some_and(|(before, _)| !origin.replaces(before)) {
             return;
         }
         let by_account: HashMap<AccountKey, f64> =
             excesses.iter().map(|(key, percent)| (*key, f64::from(*percent) / 100.0)).collect();
         let contended = by_account.keys().map(|key| key.service).collect();
-        self.told = Some((origin, Excesses { by_account, contended }));
+        self.received = Some((origin, Excesses { by_account, contended }));
     }
 
     /// Returns the excesses that are in force: those that the leader sent, or else those that follow from the
     /// sums known here. `before` are those returned last.
     pub fn excesses(&self, zone: u32, before: &Excesses, now: Millis) -> Excesses {
-        match &self.told {
-            Some((origin, told)) if origin.is_valid(now) => told.clone(),
+        match &self.received {
+            Some((origin, received)) if origin.is_valid(now) => received.clone(),
             _ => self.computed_excesses(zone, before, now),
         }
     }
@@ -431,7 +426,7 @@
     pub fn drop_expired(&mut self, now: Millis) {
         self.others.retain(|_, (origin, _)| origin.is_valid(now));
         self.own.retain(|_, (at, sum)| sum.after(now - *at).asked_ms >= MIN_ACTIVE_MS / 2.0);
-        self.told.take_if(|(origin, _)| !origin.is_valid(now));
+        self.received.take_if(|(origin, _)| !origin.is_valid(now));
     }
 }
 
--- a/crates/anvilhook-core/src/pacing.rs
+++ b/crates/anvilhook-core/src/pacing.rs
@@ -35,7 +35,7 @@
 const WAITING_SHARE: f64 = 0.9;
 
 /// The minimum time from the end of prefill to the first event, in milliseconds.
-const FIRST_EVENT_MS: f64 = 60.0;
+pub(crate) const FIRST_EVENT_MS: f64 = 60.0;
 
 /// `Waiting` is a request that waits at an instance.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/anvilhook-core/src/plain_costs.rs
+++ b/crates/anvilhook-core/src/plain_costs.rs
@@ -33,13 +33,13 @@
 /// request may find no slot.
 const BUSY_SHARE: f64 = 1.0;
 
-/// The weight of the requests queued beyond the slots. With 1, a few more requests are late in bursts of 1.9
-/// times.
+/// The weight of the requests queued beyond the slots. It is more than 1, since requests of other instances
+/// that are not reported yet join the queue as well.
 const QUEUED_WEIGHT: f64 = 2.0;
 
 /// The share of a far upstream's slots that instances of other zones are assumed to have taken since its
-/// load was last reported here. With 0.15, requests take a tenth longer in bursts, since all zones choose the
-/// upstream that was idle 120 ms ago; with 0.8, a quarter more are late, since they queue in their own zone.
+/// load was last reported here. With a lower value, all zones choose the upstream that was idle a moment ago;
+/// with a higher one, requests queue in their own zone while others have free slots.
 const UNREPORTED_SLOT_SHARE: f64 = 0.5;
 
 /// The maximum difference between instances in the predicted time at an idle upstream, as a share of the
--- a/crates/anvilhook-core/src/reading_lanes.rs
+++ b/crates/anvilhook-core/src/reading_lanes.rs
@@ -4,8 +4,8 @@
 //! Designed for: dozens of instances that learn of each other's prompts 50 to 150 ms late, and a mix of
 //! prompts of 10 ms and of 300 to 1,000 ms that changes by a factor of three within seconds. An engine
 //! that was idle when its load was reported has a long prompt by now, and short prompts of other
-//! instances wait behind it until they are late. Lanes depend on the list of engines alone, so they
-//! protect short prompts even if no report arrives at all.
+//! instances wait behind it until they are late. Lanes follow from the listed engines and the instance's own
+//! prompts, not from load reports, so they protect short prompts even if no report arrives.
 
 use crate::pacing::is_short;
 use crate::units::Millis;
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Returns the share of engines that is reserved for short prompts, or `None` if there is only one
+    /// Updates and returns the share of engines that is reserved for short prompts, or `None` if there is only one
     /// kind of work. `arriving` is the size of the prompt that is to be placed, if any.
     pub fn short_share(&mut self, arriving: Option<PromptSize>, now: Millis) -> Option<f64> {
         let (short, long) = (self.short.prompts(now), self.long.prompts(now));
--- a/crates/anvilhook-core/src/slow_starts.rs
+++ b/crates/anvilhook-core/src/slow_starts.rs
@@ -9,8 +9,8 @@
 /// may have no request to send in that time.
 const FIRST_INSTANCES: f64 = 2.0;
 
-/// The time over which the share of the instances grows to the whole. With 63 instances the share doubles
-/// every 160 ms, which is the age of information from another availability zone.
+/// The time over which the share of the instances grows to the whole. With dozens of instances the share doubles in about the age of information
+/// from another availability zone.
 const GROWTH_TIME: Millis = Millis(800);
 
 /// The maximum age of information from other instances.
--- a/crates/anvilhook-core/src/splits.rs
+++ b/crates/anvilhook-core/src/splits.rs
@@ -18,11 +18,12 @@
 const MIN_WORK_MS: f64 = 10_000.0;
 const MIN_TIME: Millis = Millis::from_secs(2);
 
-/// The maximum share of engines that change their roles at the same time while there is work. Each
+/// The maximum share of engines that change their roles at the same time while there is work, except for
+/// those that are not needed in their role ([`surplus_engines`]). Each
 /// accepts no work for seconds, and if many change at once, the rest answer late until they are back.
 const MAX_CHANGING_SHARE: f64 = 0.1;
 
-/// How many times the work of a kind of engines must fit into those that keep their role. Work may double
+/// The engines that keep their role must have capacity for this multiple of the present work of that role. Work may double
 /// within seconds, and a change back takes as long as the change.
 const KEPT_CAPACITY: f64 = 2.0;
 
@@ -113,8 +114,8 @@
     }
 }
 
-/// Returns how many of the `engines` engines of one kind may change their roles at once because the others
-/// suffice, if the share `used` of the capacity of this kind is in use.
+/// Returns how many of the `engines` engines of one role may change it at once because the others suffice, if
+/// the share `used` of the capacity of this role is in use.
 ///
 /// Designed for: two thirds of the engines lost at one moment, most of them readers. The remaining generators
 /// are almost idle, and if only a tenth of the engines changed at a time, all prompts would be read late for
--- a/crates/anvilhook-core/src/waiting_queues.rs
+++ b/crates/anvilhook-core/src/waiting_queues.rs
@@ -22,8 +22,8 @@
 const OVERDUE_TURN: u32 = 8;
 
 /// The weight of a request's work in the order, added to its slack. By slack alone, long requests go first, and
-/// under lasting overload each is sent when it is almost late. In five replays at 1.5 times the capacity with
-/// callers that return at once, 1,679 instead of 2,554 requests were then on time.
+/// under
+/// lasting overload each is sent when it is almost late, so that a third fewer are on time.
 const WORK_WEIGHT: f64 = 2.0;
 
 /// The step of the order in milliseconds. Within a step, the earlier request comes first: predictions of the
@@ -33,17 +33,19 @@
 /// The share of the caller's wait limit after which a request no longer waits for others.
 const LAST_CALL_SHARE: f64 = 0.9;
 
-/// The share of the predicted time that must be too late for a request to be rejected. Predictions from
-/// estimates of other instances' work are wrong by up to a factor of two, and a late answer still has value.
-const CERTAIN_SHARE: f64 = 0.5;
+/// The share of a predicted time that is taken as certain: predictions from other instances' reports are wrong by
+/// up to a factor of two. A request is rejected, or stops waiting for others, only if this share alone leaves it
+/// no time: a late answer still has value.
+pub(crate) const CERTAIN_SHARE: f64 = 0.5;
 
-/// The time in which observations of the drain rate lose most of their weight, in milliseconds.
+/// The time in which observations of the drain rate decay to 1/e, in milliseconds. Bursts last for seconds.
 const DRAIN_MEMORY_MS: f64 = 2_000.0;
 
 /// The weight of the expected drain rate, as a time of observation in milliseconds.
 const EXPECTED_WEIGHT_MS: f64 = 400.0;
 
-/// The minimum drain rate that a prediction assumes.
+/// The minimum drain rate that a prediction assumes, in milliseconds of engine work each millisecond. It keeps
+/// predictions finite while nothing is sent.
 const MIN_DRAIN_RATE: f64 = 0.01;
 
 /// The shortest retry time, if the caller has time for it. Shorter ones would let callers return before
@@ -56,7 +58,7 @@
 /// `Demand` is what the order of waiting requests depends on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Demand {
-    /// What the request's client account had above its share, as a factor; 0 within its share.
+    /// What the request's client account requested above its share, as a factor of the share; 0 within it.
     pub excess: f64,
     /// Since when the caller waits.
     pub since: Millis,
@@ -408,6 +410,8 @@
 /// assert_eq!(retry_after(9_000.0, Millis(1_200), Millis(1_500), u64::MAX), Millis(500));
 /// ```
 pub fn retry_after(predicted_ms: f64, objective: Millis, time_left: Millis, spread: u64) -> Millis {
+    /// The latest retry time as a multiple of the time after which a similar request would be on time. Callers
+    /// are spread from half of the latest time on.
     const LATEST_FACTOR: f64 = 1.5;
     let needed_ms = (predicted_ms - objective.0 as f64).max(MIN_RETRY.0 as f64 * 2.0);
     let longest = Millis(time_left.0 / RETRY_DIVISOR);
--- a/crates/anvilhook-core/tests/waiting_queues.rs
+++ b/crates/anvilhook-core/tests/waiting_queues.rs
@@ -81,7 +81,7 @@
 }
 
 impl Outcome {
-    /// Returns the worth of the answers to long prompts, with the prices of the check-in desks.
+    /// Returns the worth of the answers to long prompts, if an answer on time is worth 3.4 and a late one 1.5.
     fn worth(&self) -> f64 {
         3.4 * f64::from(self.on_time) + 1.5 * f64::from(self.late)
     }
--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -209,9 +209,11 @@
         ends.filter_map(|end| prefixes.get(&path[..end])).next()
     }
 
-    /// Returns whether some streams of a service have a much tighter objective than others, so that they must
-    /// not be read behind them.
+    /// Returns whether the objectives of a service's streams differ by a factor of two or more. Only then do
+    /// prompts with the tighter objective need reading lanes: with similar objectives, a short prompt has time to
+    /// be read behind a long one.
     pub fn has_mixed_objectives(&self, service: &str) -> bool {
+        /// The minimum factor between the loosest and the tightest objective.
         const MIN_FACTOR: u64 = 2;
         let loosest = self.loosest.get(service).copied().unwrap_or_default();
         self.tightest_objective(service).0 * MIN_FACTOR <= loosest.0
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -425,7 +425,7 @@
     /// Records the work that a peer has in flight at the upstream.
     ///
     /// Peers without requests there, and peers whose load is out of date, are removed. Each process has a
-    /// new number, so the map would otherwise grow with every restart.
+    /// new number, so the list would otherwise grow with every restart.
     pub fn record_peer(&self, peer: u64, load: PeerLoad) {
         let mut peers = self.peers.lock().expect("no panic under this lock");
         peers.retain(|(number, other)| *number != peer && other.is_current(load.at));
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -85,13 +85,14 @@
     pub zone: &'a str,
     /// The typical age of load updates from other availability zones, in milliseconds.
     pub far_update_delay_ms: f64,
-    /// This instance among those to which upstreams are opened, if the part is active.
+    /// This instance among those to which upstreams are opened; `None` with the policy `slow_start` off.
     pub openings: Option<Openings>,
     /// The share of the reading engines of each zone that is reserved for short prompts, if any.
     pub short_share: Option<f64>,
     /// The tightest objective of the service, which tells short prompts from long ones.
     pub tightest: Millis,
-    /// The number of this instance, if instances must make different choices by the same stale information.
+    /// The number of this instance, by which instances with the same stale information make different
+    /// choices; `None` in a full mesh or with the policy `reading_lanes` off.
     pub instance: Option<u64>,
     /// The current time.
     pub now: Millis,
--- a/crates/anvilhook-gateway/src/policies.rs
+++ b/crates/anvilhook-gateway/src/policies.rs
@@ -1,8 +1,8 @@
-//! Switches for the parts that decide about waiting, rejection and placement under overload.
+//! Switches for the rules that apply under overload: waiting, rejection, placement and role changes.
 
 use serde::Deserialize;
 
-/// `Policy` selects the parts that are active. With a part switched off, requests are served as if it did
+/// `Policy` selects the rules that are active. With a rule switched off, requests are served as if it did
 /// not exist, so that an operator can rule it out as a cause.
 ///
 /// ```
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -35,8 +35,9 @@
 /// taken, or refused a plain request as misdirected.
 const WRONG_STAGE_PAUSE: Millis = Millis(300);
 
-/// How long no instance uses an upstream whose host refuses connections, without slow start. An upstream that restarts is
-/// listed after about this time, and one that was full accepts connections again by then.
+/// How long no instance uses an upstream whose host refuses connections, with the policy `slow_start` off;
+/// otherwise [`SlowStart::close`](anvilhook_core::slow_starts::SlowStart::close) sets the time. An upstream
+/// that restarts is listed after about this time, and one that was full accepts connections again by then.
 const CLOSED_PAUSE: Millis = Millis(800);
 
 /// `Failed` describes an attempt that produced no answer to forward.
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -27,8 +27,9 @@
 const MAX_PAUSE_MS: f64 = 16.0;
 const PAUSE_BACKLOG_SHARE: f64 = 0.2;
 
-/// How many requests of a queue are checked at their own intervals; the others at the maximum pause.
-const EAGER_PLACES: u32 = 3;
+/// The number of requests at the head of a queue that are checked at their own intervals. The others are checked
+/// at the maximum pause, since each check evaluates all engines of the service.
+const FIRST_PLACES: u32 = 3;
 
 /// `Wait` is how long a request was queued here before it is sent, and why it is sent now.
 #[derive(Clone, Copy, Debug)]
@@ -288,10 +289,10 @@
         Wait { held: self.now() - began_at, pace, position }
     }
 
-    /// Waits until a request is to be checked again, for `eager_ms` milliseconds at most if it is among the
+    /// Waits until a request is to be checked again, for `first_ms` milliseconds at most if it is among the
     /// first of its queue.
-    async fn pause(&self, exchange: &Exchange, position: u32, eager_ms: f64) {
-        let max_ms = if position < EAGER_PLACES { eager_ms } else { MAX_PAUSE_MS };
+    async fn pause(&self, exchange: &Exchange, position: u32, first_ms: f64) {
+        let max_ms = if position < FIRST_PLACES { first_ms } else { MAX_PAUSE_MS };
         match exchange.place.as_ref().map(Place::waker) {
             Some(waker) => Place::wait(waker, max_ms).await,
             None => tokio::time::sleep(Duration::from_secs_f64(max_ms / 1e3)).await,
--- a/crates/anvilhook-gateway/tests/account_shares.rs
+++ b/crates/anvilhook-gateway/tests/account_shares.rs
@@ -154,7 +154,7 @@
 }
 
 /// Guards against requests that are delayed for their account while the engines have enough capacity, while no
-/// other account is active, or with the part switched off.
+/// other account is active, or with the policy `fair_shares` off.
 #[tokio::test]
 async fn verify_nothing_is_held_back_without_contention() {
     for case in ["no contention", "one account", "switched off"] {
--- a/crates/anvilhook-gateway/tests/roles.rs
+++ b/crates/anvilhook-gateway/tests/roles.rs
@@ -210,7 +210,7 @@
 /// engines changed at a time, although the generators were idle. Generators that are needed keep their role.
 #[tokio::test]
 async fn verify_engines_that_are_not_needed_change_at_once() {
-    // Whether the part is active, the share of the slots in use, and the number of orders.
+    // Whether `surplus_role_changes` is on, the share of the slots in use, and the number of orders.
     for (is_active, used_slots, expected) in [(false, 0, 1), (true, 0, 6), (true, 3, 1)] {
         let engines = engines(12, "200 OK").await;
         let site = site(&engines);
--- a/crates/anvilhook-gateway/tests/waiting.rs
+++ b/crates/anvilhook-gateway/tests/waiting.rs
@@ -168,7 +168,7 @@
     assert!(line.contains("\"rejected_by\":\"predicted\",\"predicted_wait_ms\":49"), "{line}");
 }
 
-/// Guards against the same in a service without engines that only read prompts.
+/// Guards against a caller that waits in vain where the only engine both reads prompts and generates.
 #[tokio::test]
 async fn verify_requests_without_a_chance_at_a_mixed_engine_are_rejected() {
     let busy = BusyEngines::start_with(0.0, |id| id == "g").await;
