--- a/crates/anvilhook-gateway/src/policies.rs
+++ b/crates/anvilhook-gateway/src/policies.rs
@@ -14,6 +14,10 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
+    /// The number of instances from which slow start, the waiting queue and changes of surplus engines apply.
+    /// Among fewer, each instance learns of the others' requests at once, and these rules gain nothing.
+    #[serde(default = "default_min_instances")]
+    pub min_instances: usize,
     /// Whether the fixed latency of readings and the speed of each upstream are learnt.
     pub learnt_speeds: bool,
     /// Whether part of the reading engines is reserved for short prompts.
@@ -31,6 +35,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
+            min_instances: 0,
             learnt_speeds: true,
             reading_lanes: true,
             slow_start: true,
@@ -40,3 +45,29 @@
         }
     }
 }
+
+fn default_min_instances() -> usize {
+    Policy::deployed().min_instances
+}
+
+impl Policy {
+    /// Returns the policy of a deployment whose settings select nothing.
+    pub fn deployed() -> Self {
+        Self { min_instances: 14, ..Self::default() }
+    }
+
+    /// Returns the policy that is in force among `instances` instances.
+    ///
+    /// ```
+    /// use anvilhook_gateway::policies::Policy;
+    ///
+    /// assert!(!Policy::deployed().among(9).slow_start);
+    /// assert!(Policy::deployed().among(63).slow_start);
+    /// ```
+    pub fn among(self, instances: usize) -> Self {
+        if instances >= self.min_instances {
+            return self;
+        }
+        Self { slow_start: false, waiting_queue: false, surplus_role_changes: false, ..self }
+    }
+}
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -309,9 +309,9 @@
         self.inner.policy.store(Arc::new(policy));
     }
 
-    /// Returns the selection of active parts.
+    /// Returns the selection of rules that are active among the present number of instances.
     pub fn policy(&self) -> Policy {
-        **self.inner.policy.load()
+        self.inner.policy.load().among(self.peers().instances())
     }
 
     /// Returns whether predictions for a service use the learnt latency and speeds: the policy is on, and the
