Reword seven comments in plain terms

Comments only: they described code with words that are not terms of the field (tell, serve nobody, stand still). Formatter and linter pass; the tests were not run again, as no code changed.

--- a/crates/anvilhook-core/src/reading_lanes.rs
+++ b/crates/anvilhook-core/src/reading_lanes.rs
@@ -69,7 +69,7 @@
 const MAX_SPREAD_MS: f64 = 30.0;
 const SPREAD_FACTOR: f64 = 2.0;
 
-/// `PromptSize` tells short prompts from long ones.
+/// `PromptSize` distinguishes short prompts from long ones.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PromptSize {
     /// The work is at most the share of the tightest objective up to which a prompt is sent at once.
--- a/crates/anvilhook-core/src/speeds.rs
+++ b/crates/anvilhook-core/src/speeds.rs
@@ -236,7 +236,7 @@
         let relative = slowness / self.mean_log_slowness.exp();
         self.mean_log_slowness += MEAN_WEIGHT * (slowness.ln() - self.mean_log_slowness);
         // Not by the relative slowness: if the mean cost is far too low, all engines are learnt to be slow, and
-        // only that tells their readings from those that have queued.
+        // only that distinguishes their readings from those that have queued.
         if work_ms <= mean_ms * slowness.max(relative) * OUTLIER_FACTOR {
             let weight = if work_ms > mean_ms * relative { ABOVE_WEIGHT } else { 1.0 };
             self.renew_expectation(mean_ms / expected_ms);
--- a/crates/anvilhook-core/tests/waiting_queues.rs
+++ b/crates/anvilhook-core/tests/waiting_queues.rs
@@ -331,7 +331,7 @@
     assert!(with.returned_together < 10, "{with:?}");
 }
 
-/// Guards against rejections that serve nobody if callers return at once.
+/// Guards against rejections that gain no answers if callers return at once.
 #[test]
 fn verify_callers_that_return_at_once_take_no_engine_time() {
     let [without, with] = outcomes(1.5, 1.9, |_| true, Callers::ReturningAtOnce);
--- a/crates/anvilhook-gateway/src/placements.rs
+++ b/crates/anvilhook-gateway/src/placements.rs
@@ -89,7 +89,7 @@
     pub openings: Option<Openings>,
     /// The share of the reading engines of each zone that is reserved for short prompts, if any.
     pub short_share: Option<f64>,
-    /// The tightest objective of the service, which tells short prompts from long ones.
+    /// The tightest objective of the service, by which prompts count as short or long.
     pub tightest: Millis,
     /// The number of this instance, by which instances with the same stale information make different
     /// choices; `None` in a full mesh or with the policy `reading_lanes` off.
--- a/crates/anvilhook-gateway/tests/account_shares.rs
+++ b/crates/anvilhook-gateway/tests/account_shares.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// `Scene` is a gateway with a busy reader, on a clock that stands still.
+/// `Scene` is a gateway with a busy reader, on a clock that only the test advances.
 struct Scene {
     clock: ManualClock,
     front: Front<ManualClock>,
--- a/crates/anvilhook-gateway/tests/metrics.rs
+++ b/crates/anvilhook-gateway/tests/metrics.rs
@@ -47,7 +47,7 @@
     assert_eq!(gateway.metrics().source_age("config", Millis::ZERO), None);
 }
 
-/// Symptom: an operator can't tell which reading engines short prompts may use.
+/// Symptom: an operator can't see which reading engines short prompts may use.
 /// Sequence: an instance sends short and long prompts to a service with eight readers; then the policy is
 /// switched off.
 /// Cause: the lanes must be exported, and must end with the policy.
--- a/crates/anvilhook-gateway/tests/waiting.rs
+++ b/crates/anvilhook-gateway/tests/waiting.rs
@@ -45,7 +45,7 @@
 }
 
 /// `BusyEngines` is a gateway with one reader and one generator, which are busy for as long as `backlogs` are
-/// held. Its clock stands still, so that no stall of the machine makes the waiting requests late.
+/// held. Only the test advances its clock, so that no stall of the machine makes the waiting requests late.
 struct BusyEngines {
     front: Front<ManualClock>,
     reader: Upstream,
