Log the step of the call at which an attempt fails, and the age of the last contact

Cause: attempt_failed said no_answer_in_time for a connection that was never opened and for an upstream that took the request and was silent, so the log could not tell whether a request had left the process. Change: the HTTP client knows whether a connection has taken the request (the body records its first use); attempt_failed and the counter of failed attempts carry the step, and attempt_failed and a gauge the time since the upstream last answered over this instance's own path. No decision reads either.

--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -436,6 +436,12 @@
         verdict: &'a str,
         /// The cause.
         cause: &'a str,
+        /// The step of the call at which it failed: `connect`, `first-byte` or `body`; empty if the upstream
+        /// answered or was not called.
+        step: &'a str,
+        /// The time since the upstream last answered this instance over its own path, in milliseconds, whatever
+        /// it answered.
+        contact_age_ms: Option<u64>,
     },
     /// A stream broke after its first event.
     StreamBroken {
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod leases;
 pub mod loads;
 pub mod metrics;
+pub mod paths;
 pub mod peers;
 pub mod placements;
 pub mod policies;
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -11,6 +11,7 @@
 use anvilhook_core::units::Millis;
 
 use crate::fleets::Upstream;
+use crate::paths::UpstreamPath;
 use crate::relay::FreedSignal;
 use crate::request_limits::RequestLimit;
 use crate::wires::Load;
@@ -99,6 +100,7 @@
     reading_us: AtomicU64,
     fetching_us: AtomicU64,
     ejection: Ejection,
+    path: UpstreamPath,
     is_gone: AtomicBool,
     /// Whether this instance itself observed that the upstream is gone.
     is_observed_gone: AtomicBool,
@@ -144,6 +146,7 @@
             reading_us: AtomicU64::new(0),
             fetching_us: AtomicU64::new(0),
             ejection: Ejection::new(&options),
+            path: UpstreamPath::default(),
             is_gone: AtomicBool::new(false),
             is_observed_gone: AtomicBool::new(false),
             slow_start: SlowStart::default(),
@@ -179,6 +182,11 @@
         &self.ejection
     }
 
+    /// Returns this instance's own path to the upstream.
+    pub fn path(&self) -> &UpstreamPath {
+        &self.path
+    }
+
     /// Returns whether the upstream may be tried: it is not ejected for recent failures, and its host is not
     /// known to refuse connections.
     pub fn is_healthy(&self, now: Millis) -> bool {
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -52,6 +52,9 @@
     pub verdict: &'static str,
     /// The cause of the failure.
     pub cause: &'static str,
+    /// The step of the call at which it failed: `connect`, `first-byte` or `body`; empty if the upstream
+    /// answered or was not called.
+    pub step: &'static str,
 }
 
 /// `KindLabel` is a kind of requests.
@@ -136,6 +139,7 @@
     upstream_ejected: Family<NameLabel, Gauge>,
     upstream_request_limit: Family<NameLabel, Gauge<f64, AtomicU64>>,
     upstream_slowness: Family<NameLabel, Gauge<f64, AtomicU64>>,
+    upstream_contact_age_ms: Family<NameLabel, Gauge>,
     service_in_flight: Family<NameLabel, Gauge>,
     service_reading_ms: Family<NameLabel, Gauge>,
     service_slots: Family<NameLabel, Gauge>,
@@ -183,6 +187,7 @@
             upstream_ejected: Family::default(),
             upstream_request_limit: Family::default(),
             upstream_slowness: Family::default(),
+            upstream_contact_age_ms: Family::default(),
             service_in_flight: Family::default(),
             service_reading_ms: Family::default(),
             service_slots: Family::default(),
@@ -311,6 +316,11 @@
             "How many times longer than the mean of its service an upstream's work takes",
             self.upstream_slowness.clone(),
         );
+        registry.register(
+            "upstream_contact_age_ms",
+            "Time since an upstream last answered this instance over its own path",
+            self.upstream_contact_age_ms.clone(),
+        );
         registry.register(
             "service_in_flight",
             "Requests in flight at a service's upstreams, estimated over all instances",
@@ -425,6 +435,7 @@
         families.iter().for_each(|family| family.clear());
         self.upstream_request_limit.clear();
         self.upstream_slowness.clear();
+        self.upstream_contact_age_ms.clear();
         for upstream in gateway.fleet().view().all() {
             let label = label(&upstream.entry.id);
             let work = upstream.state.work(now);
@@ -434,6 +445,9 @@
             self.upstream_ejected.get_or_create(&label).set(i64::from(is_ejected));
             let slowness = gateway.slowness_of(upstream, now);
             self.upstream_slowness.get_or_create(&label).set(slowness);
+            if let Some(age) = upstream.state.path().contact_age(now) {
+                self.upstream_contact_age_ms.get_or_create(&label).set(age.0 as i64);
+            }
             if let Some(limit) = upstream.state.request_limit().current_use(now) {
                 self.upstream_request_limit.get_or_create(&label).set(limit.per_s);
             }
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -51,6 +51,8 @@
     pub contact: Contact,
     /// What the failure indicates about the upstream itself.
     pub signal: FailureSignal,
+    /// The step of the call at which it failed, for logs; empty if the upstream answered or was not called.
+    pub step: &'static str,
 }
 
 /// `FailureSignal` is what a failed attempt indicates about its upstream.
@@ -88,6 +90,7 @@
             is_refusal: false,
             contact: Contact::None,
             signal: FailureSignal::None,
+            step: "",
         }
     }
 
@@ -123,7 +126,8 @@
             (_, true) => FailureSignal::TimedOut,
             (_, false) => FailureSignal::Broken,
         };
-        Self { verdict: err.verdict(), cause, is_refusal: false, contact, signal }
+        let (verdict, step) = (err.verdict(), err.step());
+        Self { verdict, cause, is_refusal: false, contact, signal, step }
     }
 }
 
@@ -239,10 +243,19 @@
         failed: &Failed,
     ) {
         let (verdict, cause) = (failed.verdict.as_str(), failed.cause);
+        let contact_age = upstream.state.path().contact_age(self.now());
         let (request, upstream) = (&*exchange.id, &*upstream.entry.id);
-        let fingerprint = exchange.fingerprint;
-        emit(&Event::AttemptFailed { request, upstream, fingerprint, stage, verdict, cause });
-        let labels = AttemptLabels { stage, verdict, cause };
+        emit(&Event::AttemptFailed {
+            request,
+            upstream,
+            fingerprint: exchange.fingerprint,
+            stage,
+            verdict,
+            cause,
+            step: failed.step,
+            contact_age_ms: contact_age.map(|age| age.0),
+        });
+        let labels = AttemptLabels { stage, verdict, cause, step: failed.step };
         self.inner.metrics.failed_attempts.get_or_create(&labels).inc();
     }
 
@@ -261,6 +274,7 @@
             sending.head_timeout.min(exchange.time_left(self.now())),
         );
         let answer = sent.await?;
+        sending.upstream.state.path().record_contact(self.now());
         let source = AnswerSource::Request { id: &exchange.id, sent_at };
         self.record_response(sending.upstream, source, answer.status(), answer.headers());
         self.check(exchange, sending, answer)
@@ -390,8 +404,8 @@
     ) -> Result<bytes::Bytes, Failed> {
         let collected = collect_body(body, MAX_ANSWER_BYTES, exchange.time_left(self.now()));
         collected.await.map_err(|err| match err.timed_out {
-            true => Failed::timed_out("answer_late"),
-            false => Failed::broken("answer_cut"),
+            true => Failed { step: err.step(), ..Failed::timed_out("answer_late") },
+            false => Failed { step: err.step(), ..Failed::broken("answer_cut") },
         })
     }
 
--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -9,6 +9,7 @@
 use volo_http::client::Client;
 use volo_http::response::Response;
 
+use crate::bodies::SendProgress;
 use crate::errors::{CallError, Stage};
 
 /// `ClientOptions` bounds the connections of a client.
@@ -88,10 +89,14 @@
             .uri(parts.uri)
             .address(Address::from(address));
         *builder.headers_mut() = parts.headers;
-        let sending = builder.body(body).send();
+        let progress = SendProgress::default();
+        let sending = builder.body(progress.track(body)).send();
         match tokio::time::timeout(timeout.as_duration(), sending).await {
             Ok(answer) => Ok(answer?),
-            Err(_elapsed) => Err(CallError::timed_out(Stage::FirstByte)),
+            Err(_elapsed) => Err(CallError {
+                was_sent: progress.has_begun(),
+                ..CallError::timed_out(Stage::FirstByte)
+            }),
         }
     }
 }
--- a/crates/anvilhook-http/src/errors.rs
+++ b/crates/anvilhook-http/src/errors.rs
@@ -30,6 +30,11 @@
             Stage::Body => "body",
         }
     }
+
+    /// Returns whether a call that fails at this step may have sent a part of its request.
+    fn is_after_sending(self) -> bool {
+        matches!(self, Stage::FirstByte | Stage::Body)
+    }
 }
 
 /// `CallError` is a failed call.
@@ -39,6 +44,8 @@
     pub stage: Stage,
     /// Whether the call timed out.
     pub timed_out: bool,
+    /// Whether any byte of the request may have been written to a connection.
+    pub was_sent: bool,
     /// What went wrong, for logs.
     pub message: String,
 }
@@ -46,12 +53,20 @@
 impl CallError {
     /// Returns an error for a call that failed for a reason other than a timeout.
     pub fn broken(stage: Stage, message: impl fmt::Display) -> Self {
-        Self { stage, timed_out: false, message: message.to_string() }
+        let was_sent = stage.is_after_sending();
+        Self { stage, timed_out: false, was_sent, message: message.to_string() }
     }
 
     /// Returns an error for a call that timed out.
     pub fn timed_out(stage: Stage) -> Self {
-        Self { stage, timed_out: true, message: format!("timeout at {}", stage.as_str()) }
+        let was_sent = stage.is_after_sending();
+        Self { stage, timed_out: true, was_sent, message: format!("timeout at {}", stage.as_str()) }
+    }
+
+    /// Returns the step that the call was at, for logs: `connect` as long as no connection has
+    /// taken the request.
+    pub fn step(&self) -> &'static str {
+        if self.was_sent { self.stage.as_str() } else { Stage::Connect.as_str() }
     }
 
     /// Returns whether the server may have run the request.
@@ -59,10 +74,7 @@
     /// A call is known not to have run only if no byte of it was passed to a connection. A pooled
     /// connection that turns out to be closed afterwards may already have carried the request.
     pub fn verdict(&self) -> Verdict {
-        match self.stage {
-            Stage::Build | Stage::Connect => Verdict::NotRun,
-            Stage::FirstByte | Stage::Body => Verdict::MayHaveRun,
-        }
+        if self.stage.is_after_sending() { Verdict::MayHaveRun } else { Verdict::NotRun }
     }
 }
 
--- a/crates/anvilhook-http/src/lib.rs
+++ b/crates/anvilhook-http/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod answers;
+mod bodies;
 pub mod clients;
 pub mod errors;
 mod heads;
