--- a/crates/anvilhook-http/tests/clients.rs
+++ b/crates/anvilhook-http/tests/clients.rs
@@ -8,7 +8,7 @@
 use anvilhook_http::{ClientOptions, HttpClient, Stage};
 use http::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use volo_http::body::Body;
 
 /// `Fault` is the server's misbehavior on a call.
@@ -61,6 +61,17 @@
     }
 }
 
+/// Listens with a queue that one connection fills, so that further connections hang while they are
+/// opened. Returns the address and what keeps the queue full.
+async fn full_server() -> (SocketAddr, TcpListener, TcpStream) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+    let listener = socket.listen(0).expect("a listener");
+    let address = listener.local_addr().expect("a bound address");
+    let first = TcpStream::connect(address).await.expect("a connection");
+    (address, listener, first)
+}
+
 fn request() -> Request<Body> {
     let builder = Request::builder().method("POST").uri("/call");
     builder.body(Body::from("request")).expect("a request")
@@ -96,6 +107,27 @@
     }
 }
 
+/// Guards against reporting "may have run" for a request whose connection was never opened: behind a network
+/// partition it would be neither tried elsewhere nor refused truthfully.
+#[tokio::test]
+async fn verify_a_connection_that_is_never_opened_is_not_run() {
+    let options = ClientOptions { connect_timeout: Millis(100), ..ClientOptions::default() };
+    let client = HttpClient::try_new(&options).expect("a client");
+    let (address, _listener, _first) = full_server().await;
+    let empty = || Request::builder().uri("/call").body(Body::empty()).expect("a request");
+    for connection in [Connection::Pooled, Connection::New] {
+        for req in [request(), empty()] {
+            let sent = client.send(address, req, connection, Millis(60_000));
+
+            let err = sent.await.expect_err("no connection can be opened");
+
+            assert_eq!(err.stage, Stage::Connect, "{connection:?}: {err}");
+            assert!(err.timed_out, "{connection:?}: {err}");
+            assert_eq!(err.verdict(), Verdict::NotRun, "{connection:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn verify_an_answer_larger_than_allowed_is_an_error() {
     let body = Body::from("0123456789");
