Bound the time until a connection takes a request, with the verdict not run

Callers of instances behind a partition got 502 and 504 (may have run) for requests of which no byte was sent, after all the time they had; repeats were refused with 503 retry_budget. A call was bounded by its own timeout only, and a call that timed out counted as sent whatever it waited for. Change: HttpClient bounds the time until a connection takes the request, which the request's body shows, and reports stage connect and not run. Such attempts are refunded to the retry budget and tried elsewhere, as a refused connection is. Why it works: a connection looks at the body when it takes the request and before it writes, so an untouched body proves that nothing was sent.

--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -112,6 +112,7 @@
 impl From<CallError> for Failed {
     fn from(err: CallError) -> Self {
         let cause = match (err.timed_out, err.verdict()) {
+            (true, Verdict::NotRun) => "connect_timeout",
             (true, _) => "no_answer_in_time",
             (false, Verdict::NotRun) => "no_connection",
             (false, _) => "connection_broken",
@@ -126,7 +127,7 @@
             (_, true) => FailureSignal::TimedOut,
             (_, false) => FailureSignal::Broken,
         };
-        let (verdict, step) = (err.verdict(), err.step());
+        let (verdict, step) = (err.verdict(), err.stage.as_str());
         Self { verdict, cause, is_refusal: false, contact, signal, step }
     }
 }
@@ -404,8 +405,8 @@
     ) -> Result<bytes::Bytes, Failed> {
         let collected = collect_body(body, MAX_ANSWER_BYTES, exchange.time_left(self.now()));
         collected.await.map_err(|err| match err.timed_out {
-            true => Failed { step: err.step(), ..Failed::timed_out("answer_late") },
-            false => Failed { step: err.step(), ..Failed::broken("answer_cut") },
+            true => Failed { step: err.stage.as_str(), ..Failed::timed_out("answer_late") },
+            false => Failed { step: err.stage.as_str(), ..Failed::broken("answer_cut") },
         })
     }
 
--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -1,5 +1,7 @@
 //! The HTTP client through which all bindings send their calls.
 
+use std::pin::pin;
+
 use anvilhook_core::units::Millis;
 use bytes::{Bytes, BytesMut};
 use http::Request;
@@ -48,6 +50,7 @@
 pub struct HttpClient {
     pooled: Client,
     unpooled: Client,
+    connect_timeout: Millis,
 }
 
 impl HttpClient {
@@ -60,10 +63,12 @@
         Ok(Self {
             pooled: build(options, options.max_idle_per_address)?,
             unpooled: build(options, 0)?,
+            connect_timeout: options.connect_timeout,
         })
     }
 
-    /// Sends a call and waits at most `timeout` for the head of its answer.
+    /// Sends a call and waits at most `timeout` for the head of its answer, and at most the
+    /// connect timeout until a connection takes the request.
     ///
     /// The request's URI must contain only the path and query. Dropping the answer's body before its
     /// end closes the connection.
@@ -90,13 +95,20 @@
             .address(Address::from(address));
         *builder.headers_mut() = parts.headers;
         let progress = SendProgress::default();
-        let sending = builder.body(progress.track(body)).send();
-        match tokio::time::timeout(timeout.as_duration(), sending).await {
+        let mut sending = pin!(builder.body(progress.track(body)).send());
+        let connect_timeout = self.connect_timeout.min(timeout);
+        // The library does not apply its own connect timeout.
+        let begun = tokio::time::timeout(connect_timeout.as_duration(), sending.as_mut()).await;
+        if let Ok(answer) = begun {
+            return Ok(answer?);
+        }
+        if !progress.has_begun() {
+            return Err(CallError::timed_out(Stage::Connect));
+        }
+        let rest = timeout - connect_timeout;
+        match tokio::time::timeout(rest.as_duration(), sending).await {
             Ok(answer) => Ok(answer?),
-            Err(_elapsed) => Err(CallError {
-                was_sent: progress.has_begun(),
-                ..CallError::timed_out(Stage::FirstByte)
-            }),
+            Err(_elapsed) => Err(CallError::timed_out(Stage::FirstByte)),
         }
     }
 }
@@ -160,7 +172,6 @@
 fn build(options: &ClientOptions, max_idle: usize) -> Result<Client, CallError> {
     let mut builder = Client::builder();
     builder
-        .set_connect_timeout(options.connect_timeout.as_duration())
         .set_pool_idle_timeout(options.idle_timeout.as_duration())
         .set_max_idle_per_host(max_idle);
     Ok(builder.build()?)
--- a/crates/anvilhook-http/src/errors.rs
+++ b/crates/anvilhook-http/src/errors.rs
@@ -44,8 +44,6 @@
     pub stage: Stage,
     /// Whether the call timed out.
     pub timed_out: bool,
-    /// Whether any byte of the request may have been written to a connection.
-    pub was_sent: bool,
     /// What went wrong, for logs.
     pub message: String,
 }
@@ -53,20 +51,12 @@
 impl CallError {
     /// Returns an error for a call that failed for a reason other than a timeout.
     pub fn broken(stage: Stage, message: impl fmt::Display) -> Self {
-        let was_sent = stage.is_after_sending();
-        Self { stage, timed_out: false, was_sent, message: message.to_string() }
+        Self { stage, timed_out: false, message: message.to_string() }
     }
 
     /// Returns an error for a call that timed out.
     pub fn timed_out(stage: Stage) -> Self {
-        let was_sent = stage.is_after_sending();
-        Self { stage, timed_out: true, was_sent, message: format!("timeout at {}", stage.as_str()) }
-    }
-
-    /// Returns the step that the call was at, for logs: `connect` as long as no connection has
-    /// taken the request.
-    pub fn step(&self) -> &'static str {
-        if self.was_sent { self.stage.as_str() } else { Stage::Connect.as_str() }
+        Self { stage, timed_out: true, message: format!("timeout at {}", stage.as_str()) }
     }
 
     /// Returns whether the server may have run the request.
