--- a/crates/anvilhook-core/src/ejections.rs
+++ b/crates/anvilhook-core/src/ejections.rs
@@ -88,6 +88,13 @@
         self.consecutive_failures.store(0, Ordering::Release);
     }
 
+    /// Ends the ejection and forgets the failures, which turned out not to be the upstream's.
+    pub fn clear(&self) {
+        self.consecutive_failures.store(0, Ordering::Release);
+        self.consecutive_ejections.store(0, Ordering::Release);
+        self.until.store(0, Ordering::Release);
+    }
+
     /// Returns whether the upstream is ejected.
     pub fn is_ejected(&self, now: Millis) -> bool {
         now.0 < self.until.load(Ordering::Acquire)
--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod names;
 pub mod orders;
 pub mod pacing;
+pub mod paths;
 pub mod plain_costs;
 pub mod quarantine;
 pub mod ranks;
--- a/crates/anvilhook-gateway/src/events.rs
+++ b/crates/anvilhook-gateway/src/events.rs
@@ -206,6 +206,43 @@
         /// The length of the closed time before this one, in milliseconds, if they follow each other.
         previous_ms: Option<u64>,
     },
+    /// The path by which this instance reaches an upstream has changed.
+    PathChanged {
+        /// The upstream.
+        upstream: &'a str,
+        /// `direct`, `indirect` (through another instance), `indirect_only` (own open connections transfer nothing
+        /// either) or `unreachable`.
+        path: &'a str,
+        /// The path before.
+        before: &'a str,
+        /// The time since the upstream last answered over this instance's own path, in milliseconds.
+        contact_age_ms: Option<u64>,
+        /// The number of upstreams that this instance does not reach over its own path.
+        broken_paths: usize,
+    },
+    /// A call was sent to an upstream, or its path was checked, through another instance.
+    CallForwarded {
+        /// The request, empty for a check or a call that the gateway itself made.
+        request: &'a str,
+        /// The upstream.
+        upstream: &'a str,
+        /// The address of the other instance.
+        forwarder: &'a str,
+        /// `reached`, `no_forwarder`, `not_taken`, `no_path` (the other instance does not reach this upstream either), `refused`,
+        /// `no_response`, `broken` or `timed_out`; with `_unsound` if the other instance is cut from most upstreams.
+        outcome: &'a str,
+        /// The time to the head of the answer, in milliseconds.
+        took_ms: u64,
+    },
+    /// A call of another instance was sent to its upstream.
+    CallServed {
+        /// The request, empty for a check or a call that the other gateway itself made.
+        request: &'a str,
+        /// The hash of the upstream's id and start time.
+        upstream: u32,
+        /// The outcome, as in `call_forwarded`.
+        outcome: &'a str,
+    },
     /// An upstream was found to have terminated before the upstream table showed it.
     UpstreamGone {
         /// The upstream.
@@ -546,6 +583,8 @@
                 | Event::StreamBroken { .. }
                 | Event::StreamEnded { .. }
                 | Event::CallerLeft { .. }
+                | Event::CallForwarded { .. }
+                | Event::CallServed { .. }
                 | Event::Concluded { .. }
         )
     }
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -23,6 +23,7 @@
 use crate::duties::{DutyOptions, DutyRunner};
 use crate::events::{Event, emit};
 use crate::followers::{ConfigFollower, EntryFollower, follow, wait_within};
+use crate::forwarding::forwarding_router;
 use crate::peers;
 use crate::relay::{Gateway, GatewayOptions};
 use crate::reloads::{OptionSource, Reloader, Tunables};
@@ -64,7 +65,7 @@
     pub readiness: SocketAddr,
     /// The address for operators' requests for metrics and suspected requests, if any.
     pub control: Option<SocketAddr>,
-    /// The address for the datagrams of other instances.
+    /// The address for the datagrams of other instances, and for the calls that they forward.
     pub peer: SocketAddr,
     /// The bandwidth of the instance's link in megabits a second, if known. Instances with wide
     /// links are preferred as zone leaders and followers.
@@ -124,6 +125,9 @@
     let entry_follower = EntryFollower::new(gateway.clone(), clock.clone());
     tokio::spawn(follow(table.clone(), clock.clone(), wait, entry_follower));
     tokio::spawn(meter_slots(gateway.clone(), clock.clone()));
+    let forwarding = TcpListener::bind(options.peer).await?;
+    let forwarding_router = forwarding_router(gateway.clone());
+    tokio::spawn(serve(forwarding, forwarding_router, shutdown.clone()));
     start_peers(&options, &gateway, &table, &clock).await?;
     if let Some(cloud) = backends.cloud {
         let (name, duties) = (options.name.to_string(), options.duties.clone());
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod events;
 pub mod fleets;
 pub mod followers;
+pub mod forwarding;
 mod hashes;
 pub mod instances;
 mod leases;
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads.rs
@@ -5,6 +5,7 @@
 
 use anvilhook_core::ejections::{Ejection, EjectionOptions, ErrorReports};
 use anvilhook_core::orders::Role;
+use anvilhook_core::paths::Path;
 use anvilhook_core::reading_backlogs::ReadingBacklog;
 use anvilhook_core::slow_starts::{Closing, SlowStart};
 use anvilhook_core::speeds::{Learning, UpstreamSpeed};
@@ -187,10 +188,12 @@
         &self.path
     }
 
-    /// Returns whether the upstream may be tried: it is not ejected for recent failures, and its host is not
-    /// known to refuse connections.
+    /// Returns whether the upstream may be tried: it is not ejected for recent failures, its host is not known to
+    /// refuse connections, and this or another instance reaches it.
     pub fn is_healthy(&self, now: Millis) -> bool {
-        !self.ejection.is_ejected(now) && self.slow_start.closed_until(now).is_none()
+        !self.ejection.is_ejected(now)
+            && self.slow_start.closed_until(now).is_none()
+            && self.path.current() != Path::Unreachable
     }
 
     /// Returns when the upstream is closed, and to how many instances it is open afterwards.
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -107,6 +107,10 @@
     pub requests: Family<RequestLabels, Counter>,
     /// Attempts that produced no answer to forward.
     pub failed_attempts: Family<AttemptLabels, Counter>,
+    /// Calls sent to upstreams through other instances, by outcome.
+    pub forwarded_calls: Family<NameLabel, Counter>,
+    /// Calls received from other instances for upstreams, by outcome.
+    pub served_calls: Family<NameLabel, Counter>,
     /// Streams that broke after their first event, by whether they were resumed.
     pub broken_streams: Family<NameLabel, Counter>,
     /// Requests that were rejected for lack of capacity, by reason.
@@ -129,6 +133,7 @@
     suspected_requests: Gauge,
     quarantined_requests: Gauge,
     in_flight: Gauge,
+    broken_paths: Gauge,
     config_version: Gauge,
     lease_token: Gauge,
     peers: Gauge,
@@ -164,6 +169,8 @@
             registry: Registry::with_prefix("anvilhook_gateway"),
             requests: Family::default(),
             failed_attempts: Family::default(),
+            forwarded_calls: Family::default(),
+            served_calls: Family::default(),
             broken_streams: Family::default(),
             rejections: Family::default(),
             orders: Family::default(),
@@ -177,6 +184,7 @@
             suspected_requests: Gauge::default(),
             quarantined_requests: Gauge::default(),
             in_flight: Gauge::default(),
+            broken_paths: Gauge::default(),
             config_version: Gauge::default(),
             lease_token: Gauge::default(),
             peers: Gauge::default(),
@@ -212,6 +220,21 @@
             "Attempts that produced no answer to forward",
             self.failed_attempts.clone(),
         );
+        registry.register(
+            "forwarded_calls",
+            "Calls sent to upstreams through other instances, by outcome",
+            self.forwarded_calls.clone(),
+        );
+        registry.register(
+            "served_calls",
+            "Calls received from other instances for upstreams, by outcome",
+            self.served_calls.clone(),
+        );
+        registry.register(
+            "broken_paths",
+            "Upstreams that this instance does not reach over its own path",
+            self.broken_paths.clone(),
+        );
         registry.register(
             "broken_streams",
             "Streams that broke after their first event",
@@ -418,6 +441,7 @@
     fn refresh<W: Wire, C: Clock>(&self, gateway: &Gateway<W, C>, now: Millis) {
         let label = |name: &str| NameLabel { name: name.to_owned() };
         self.in_flight.set(gateway.in_flight() as i64);
+        self.broken_paths.set(gateway.broken_paths() as i64);
         self.peers.set(gateway.peers().live_peers(now) as i64);
         let (suspected, quarantined) = gateway.suspects().counts(now);
         self.suspected_requests.set(suspected as i64);
--- a/crates/anvilhook-gateway/src/paths.rs
+++ b/crates/anvilhook-gateway/src/paths.rs
@@ -1,25 +1,67 @@
-//! This instance's own network path to an upstream.
+//! This instance's paths to an upstream: its own network path, and the one through other instances.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use anvilhook_core::paths::Path;
 use anvilhook_core::units::Millis;
+use tokio::sync::watch;
 
-/// `UpstreamPath` is what this instance knows about its own path to an upstream.
+/// `UpstreamPath` is what this instance knows about how it reaches an upstream.
 #[derive(Debug, Default)]
 pub struct UpstreamPath {
-    /// When the upstream last answered over this path. Zero if it has not.
+    /// When the upstream last answered over this instance's own path. Zero if it has not.
     contact_at: AtomicU64,
+    path: watch::Sender<Path>,
+    is_checked: AtomicBool,
 }
 
 impl UpstreamPath {
-    /// Records that the upstream has answered over this path.
+    /// Records that the upstream has answered over this instance's own path.
     pub fn record_contact(&self, now: Millis) {
         self.contact_at.fetch_max(now.0.max(1), Ordering::AcqRel);
     }
 
-    /// Returns the time since the upstream last answered over this path, `None` if it has not.
+    /// Returns the time since the upstream last answered over this instance's own path, `None` if it has not.
     pub fn contact_age(&self, now: Millis) -> Option<Millis> {
         let at = self.contact_at.load(Ordering::Acquire);
         (at > 0).then(|| now - Millis(at))
     }
+
+    /// Returns whether the upstream has answered over this instance's own path within a time.
+    pub(crate) fn has_contact_within(&self, time: Millis, now: Millis) -> bool {
+        self.contact_age(now).is_some_and(|age| age < time)
+    }
+
+    /// Returns how this instance reaches the upstream.
+    pub fn current(&self) -> Path {
+        *self.path.borrow()
+    }
+
+    /// Records how this instance reaches the upstream. Returns the path before, if that is a change.
+    pub fn replace(&self, path: Path) -> Option<Path> {
+        let mut before = None;
+        self.path.send_if_modified(|known| {
+            before = (*known != path).then(|| std::mem::replace(known, path));
+            before.is_some()
+        });
+        before
+    }
+
+    /// Records that a check of this path begins. Returns false if one is in progress.
+    pub(crate) fn begin_check(&self) -> bool {
+        !self.is_checked.swap(true, Ordering::AcqRel)
+    }
+
+    /// Records that the check of this path has ended.
+    pub(crate) fn end_check(&self) {
+        self.is_checked.store(false, Ordering::Release);
+    }
+
+    /// Waits until this instance's open connections to the upstream transfer nothing any more, while other
+    /// instances reach it.
+    pub(crate) async fn is_silent(&self) {
+        let mut path = self.path.subscribe();
+        // The sender is a part of `self`, so it exists as long as this call.
+        let _ = path.wait_for(|path| *path == Path::IndirectOnly).await;
+    }
 }
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -332,6 +332,26 @@
         current.map(|(address, _)| *address).collect()
     }
 
+    /// Returns the instances to which calls may be forwarded, with whether each is in this availability zone. Those
+    /// of other zones are not heard of directly in zoned mode, so all of them are included then.
+    pub(crate) fn forwarders(&self, now: Millis) -> Vec<(SocketAddr, bool)> {
+        let known = self.known.lock().expect("no panic under this lock");
+        let is_full_mesh = known.len() <= MAX_FULL_MESH_PEERS;
+        let may_forward = |one: &Known, is_near: bool| match &one.peer {
+            Some(peer) => peer.last_seen_at + FOLLOWER_TIMEOUT > now,
+            None => !is_near && !is_full_mesh,
+        };
+        let all = known.iter().map(|(address, one)| (address, one, one.zone == Some(self.zone)));
+        let usable = all.filter(|(_, one, is_near)| may_forward(one, *is_near));
+        usable.map(|(address, _, is_near)| (*address, is_near)).collect()
+    }
+
+    /// Returns whether an instance is in this availability zone, as far as known.
+    pub(crate) fn is_near(&self, address: SocketAddr) -> bool {
+        let known = self.known.lock().expect("no panic under this lock");
+        known.get(&address).is_some_and(|one| one.zone == Some(self.zone))
+    }
+
     /// Returns the number of peers that were recently seen.
     pub fn live_peers(&self, now: Millis) -> usize {
         let known = self.known.lock().expect("no panic under this lock");
--- a/crates/anvilhook-gateway/src/peers/notices.rs
+++ b/crates/anvilhook-gateway/src/peers/notices.rs
@@ -10,6 +10,9 @@
 use crate::relay::Gateway;
 use crate::wires::Wire;
 
+/// How recently an upstream must have answered this instance for a peer's refused connection to be ignored.
+const ANSWER_TIME: Millis = Millis(100);
+
 /// `Notice` is a fact that an instance has observed about an engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Notice {
@@ -115,6 +118,12 @@
     (until - now).0 as u32
 }
 
+/// Returns whether an upstream has answered this instance so recently that a peer's refused connection says nothing
+/// about it.
+fn has_just_answered(upstream: &Upstream, now: Millis) -> bool {
+    upstream.state.path().has_contact_within(ANSWER_TIME, now)
+}
+
 /// Applies the findings of a peer.
 pub(super) fn apply_notices<W: Wire, C: Clock>(
     digest: &Digest,
@@ -127,6 +136,8 @@
         let after = |left_ms: u32| now + Millis(u64::from(left_ms));
         match notice.kind {
             NoticeKind::Away { left_ms } => upstream.state.mark_away(after(left_ms)),
+            // The sender may be cut from an upstream that this instance still reaches.
+            NoticeKind::Closed { .. } if has_just_answered(upstream, now) => {}
             NoticeKind::Closed { left_ms } => {
                 if gateway.policy().slow_start {
                     upstream.state.slow_start().close_by_peer(after(left_ms), now);
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -8,14 +8,15 @@
 use anvilhook_core::reading_lanes::Lane;
 use anvilhook_core::slow_starts::Closing;
 use anvilhook_core::units::{Clock, Millis};
-use anvilhook_http::CallError;
 use anvilhook_http::clients::{Connection, collect_body};
+use anvilhook_http::{CallError, Stage};
 use http::header::{AUTHORIZATION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, StatusCode};
 use volo_http::body::Body;
 use volo_http::response::Response;
 
 use super::answers::WholeAnswer;
+use super::calls::{CallFailure, UpstreamCall};
 use super::requests::{Exchange, end_to_end};
 use super::signals::AnswerSource;
 use super::waiting::Wait;
@@ -38,7 +39,7 @@
 /// How long no instance uses an upstream whose host refuses connections, with the policy `slow_start` off;
 /// otherwise [`SlowStart::close`](anvilhook_core::slow_starts::SlowStart::close) sets the time. An upstream
 /// that restarts is listed after about this time, and one that was full accepts connections again by then.
-const CLOSED_PAUSE: Millis = Millis(800);
+pub(super) const CLOSED_PAUSE: Millis = Millis(800);
 
 /// `Failed` describes an attempt that produced no answer to forward.
 #[derive(Clone, Debug)]
@@ -47,8 +48,8 @@
     pub cause: &'static str,
     /// Whether the upstream itself refused the request, which shows that it is alive.
     pub is_refusal: bool,
-    /// How far the attempt got.
-    pub contact: Contact,
+    /// Whether the request was sent, or may have been.
+    pub was_sent: bool,
     /// What the failure indicates about the upstream itself.
     pub signal: FailureSignal,
     /// The step of the call at which it failed, for logs; empty if the upstream answered or was not called.
@@ -62,24 +63,15 @@
     Broken,
     /// The upstream sent nothing in time.
     TimedOut,
+    /// None, as this instance's own path is broken.
+    PathBroken,
     /// No sign of a fault: the upstream answered or was not reached.
     None,
 }
 
-/// `Contact` is how far an attempt got.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Contact {
-    /// The request was sent, or may have been.
-    Made,
-    /// The upstream's host refused the connection: nothing listens there, or its queue is full.
-    Refused,
-    /// No connection was established.
-    None,
-}
-
 impl Failed {
     fn refusal(cause: &'static str) -> Self {
-        Self { is_refusal: true, contact: Contact::Made, ..Self::not_sent(cause) }
+        Self { is_refusal: true, was_sent: true, ..Self::not_sent(cause) }
     }
 
     /// Creates a failure that occurred before anything was sent.
@@ -88,14 +80,14 @@
             verdict: Verdict::NotRun,
             cause,
             is_refusal: false,
-            contact: Contact::None,
+            was_sent: false,
             signal: FailureSignal::None,
             step: "",
         }
     }
 
     pub fn may_have_run(cause: &'static str) -> Self {
-        Self { verdict: Verdict::MayHaveRun, contact: Contact::Made, ..Self::not_sent(cause) }
+        Self { verdict: Verdict::MayHaveRun, was_sent: true, ..Self::not_sent(cause) }
     }
 
     /// Creates a failure by a broken connection.
@@ -107,6 +99,25 @@
     pub fn timed_out(cause: &'static str) -> Self {
         Self { signal: FailureSignal::TimedOut, ..Self::may_have_run(cause) }
     }
+
+    /// Creates a failure of an attempt whose connection transfers nothing any more, as this instance's own path is
+    /// broken.
+    pub fn path_broken() -> Self {
+        let step = Stage::FirstByte.as_str();
+        Self { signal: FailureSignal::PathBroken, step, ..Self::may_have_run("path_broken") }
+    }
+}
+
+impl From<CallFailure> for Failed {
+    fn from(failure: CallFailure) -> Self {
+        match failure {
+            CallFailure::Call(err) => err.into(),
+            CallFailure::PathBroken { .. } => Self::path_broken(),
+            CallFailure::Unreachable => {
+                Self { signal: FailureSignal::PathBroken, ..Self::not_sent("unreachable") }
+            }
+        }
+    }
 }
 
 impl From<CallError> for Failed {
@@ -117,18 +128,14 @@
             (false, Verdict::NotRun) => "no_connection",
             (false, _) => "connection_broken",
         };
-        let contact = match (err.verdict(), err.timed_out) {
-            (Verdict::NotRun, false) => Contact::Refused,
-            (Verdict::NotRun, true) => Contact::None,
-            _ => Contact::Made,
-        };
         let signal = match (err.verdict(), err.timed_out) {
             (Verdict::NotRun, _) => FailureSignal::None,
             (_, true) => FailureSignal::TimedOut,
             (_, false) => FailureSignal::Broken,
         };
         let (verdict, step) = (err.verdict(), err.stage.as_str());
-        Self { verdict, cause, is_refusal: false, contact, signal, step }
+        let was_sent = verdict != Verdict::NotRun;
+        Self { verdict, cause, is_refusal: false, was_sent, signal, step }
     }
 }
 
@@ -140,6 +147,8 @@
     pub connection: Connection,
     /// The timeout for the head of the answer.
     pub head_timeout: Millis,
+    /// Whether the attempt may be abandoned and made again once its connection transfers nothing any more.
+    pub may_repeat: bool,
     /// The role that the upstream must have, if it is a model engine.
     pub role: Option<Role>,
     /// What the attempt is for, for logs.
@@ -200,12 +209,9 @@
             Err(failed) => {
                 if failed.is_refusal {
                     state.ejection().record_success(now);
-                } else {
+                } else if failed.signal != FailureSignal::PathBroken {
                     state.ejection().record_failure(now);
                 }
-                if failed.contact == Contact::Refused {
-                    self.record_refused_connection(exchange, sending.upstream);
-                }
                 self.log_failed(exchange, sending.upstream, sending.stage, failed);
             }
         }
@@ -265,17 +271,16 @@
         exchange: &Exchange,
         sending: &Sending<'_>,
     ) -> Result<Response, Failed> {
-        let entry = &sending.upstream.entry;
-        let req = self.request_for(exchange, sending);
         let sent_at = self.now();
-        let sent = self.inner.client.send(
-            entry.address,
-            req,
-            sending.connection,
-            sending.head_timeout.min(exchange.time_left(self.now())),
-        );
-        let answer = sent.await?;
-        sending.upstream.state.path().record_contact(self.now());
+        let call = UpstreamCall {
+            request: &exchange.id,
+            message: || self.request_for(exchange, sending),
+            connection: sending.connection,
+            timeout: sending.head_timeout.min(exchange.time_left(sent_at)),
+            predicted_ms: sending.predicted_ms,
+            may_repeat: sending.may_repeat,
+        };
+        let answer = self.call(sending.upstream, &call).await?;
         let source = AnswerSource::Request { id: &exchange.id, sent_at };
         self.record_response(sending.upstream, source, answer.status(), answer.headers());
         self.check(exchange, sending, answer)
@@ -435,7 +440,7 @@
         failed: &Failed,
     ) {
         match arrival {
-            _ if failed.contact == Contact::Made => {}
+            _ if failed.was_sent => {}
             Arrival::First => *has_sent = false,
             Arrival::Extra => self.refund_extra(service),
         }
@@ -456,15 +461,15 @@
         self.close_upstream(upstream, Some(pause), "");
     }
 
-    /// Records that an upstream's host refuses connections, and publishes it to peers.
-    fn record_refused_connection(&self, exchange: &Exchange, upstream: &Upstream) {
-        self.close_upstream(upstream, None, &exchange.id);
-    }
-
     /// Marks an upstream as unused for a while, and publishes it to peers. `length` is for how long, if it does
     /// not follow from its earlier refusals. `request` is the id of the request that caused it, empty if it
     /// was not a single request.
-    fn close_upstream(&self, upstream: &Upstream, length: Option<Millis>, request: &str) {
+    pub(super) fn close_upstream(
+        &self,
+        upstream: &Upstream,
+        length: Option<Millis>,
+        request: &str,
+    ) {
         let now = self.now();
         let closing = if self.policy().slow_start {
             upstream.state.close(length, now)
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/calls.rs
@@ -0,0 +1,370 @@
+//! Calls an upstream over this instance's own path, or through another instance if only that one reaches it.
+
+use std::net::SocketAddr;
+
+use anvilhook_core::paths::{Conclusion, Contact, Path, conclude};
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_http::clients::Connection;
+use anvilhook_http::{CallError, SendProgress, Stage};
+use http::Request;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::Gateway;
+use crate::events::{Event, emit};
+use crate::fleets::Upstream;
+use crate::forwarding::{ForwardOutcome, ForwardedCall, Purpose, Scope, outcome_of};
+use crate::hashes::hash_of;
+use crate::metrics::NameLabel;
+use crate::wires::Wire;
+
+/// The minimum time without a sign of life after which the path of a call in progress is checked.
+const MIN_SILENCE: Millis = Millis(300);
+
+/// The time without a sign of life after which the path is checked, as a multiple of the predicted time.
+const SILENCE_FACTOR: f64 = 2.0;
+
+/// How much longer this instance waits for a forwarder than the forwarder waits for the upstream.
+const FORWARD_MARGIN: Millis = Millis(100);
+
+/// `UpstreamCall` is a call to an upstream.
+pub(super) struct UpstreamCall<'a, F> {
+    /// The id of the request, empty for a call that the gateway itself makes.
+    pub request: &'a str,
+    /// Creates the message. It is called once for each path that is tried.
+    pub message: F,
+    pub connection: Connection,
+    /// The timeout for the head of the answer.
+    pub timeout: Millis,
+    /// The predicted time until the answer, in milliseconds.
+    pub predicted_ms: f64,
+    /// Whether the call may be abandoned and sent again once its connection is found to transfer nothing.
+    pub may_repeat: bool,
+}
+
+/// `CallFailure` is why a call has no answer.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum CallFailure {
+    /// The call failed at the upstream, or its connection did.
+    Call(CallError),
+    /// The connection transfers nothing any more because this instance's path is broken.
+    PathBroken {
+        /// Whether any of the call may have been sent.
+        was_sent: bool,
+    },
+    /// Neither this instance nor another one reaches the upstream. Nothing was sent.
+    Unreachable,
+}
+
+/// `Forwarded` marks an answer that arrived through another instance.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Forwarded;
+
+/// `OtherContacts` is what other instances report of an upstream.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OtherContacts {
+    /// The contacts of those whose paths are sound.
+    pub contacts: Vec<Contact>,
+    /// Whether any instance has answered. One of a build that does not forward does not.
+    has_answer: bool,
+}
+
+impl OtherContacts {
+    /// Adds the outcome of a call to one instance.
+    fn add(&mut self, outcome: ForwardOutcome) {
+        self.has_answer |= outcome != ForwardOutcome::NoForwarder;
+        match outcome {
+            ForwardOutcome::Reached => self.contacts.push(Contact::Connected),
+            ForwardOutcome::NotReached { contact, is_sound: true } => self.contacts.push(contact),
+            _ => {}
+        }
+    }
+
+    /// Returns whether any instance has answered.
+    pub fn has_answer(&self) -> bool {
+        self.has_answer
+    }
+
+    /// Returns whether any instance has been refused or has had no response.
+    pub fn has_failed(&self) -> bool {
+        self.contacts.iter().any(|contact| *contact != Contact::Connected)
+    }
+}
+
+/// `Through` is the result of a call through other instances.
+enum Through {
+    Answered(Response),
+    /// The call was not sent.
+    NotSent(OtherContacts),
+    /// The call may have been sent.
+    Failed(CallError),
+}
+
+impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Calls an upstream and returns the head of its answer. A call whose connection can't be opened is sent
+    /// through another instance: nothing of it has been sent, so it still runs at most once.
+    pub(super) async fn call(
+        &self,
+        upstream: &Upstream,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+    ) -> Result<Response, CallFailure> {
+        let path = upstream.state.path().current();
+        if path == Path::Unreachable {
+            return Err(CallFailure::Unreachable);
+        }
+        if path.is_indirect() {
+            return self.call_indirectly(upstream, call).await;
+        }
+        let failure = match self.call_directly(upstream, call).await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        match &failure {
+            CallFailure::Call(err) if err.stage == Stage::Connect => {
+                self.check_path_later(upstream);
+                self.call_after_failed_connect(upstream, call, err).await.unwrap_or(Err(failure))
+            }
+            CallFailure::PathBroken { was_sent: false } => {
+                self.call_indirectly(upstream, call).await
+            }
+            // A reset of all connections looks the same from here whether the path or the upstream has failed.
+            CallFailure::Call(err) if !err.timed_out => {
+                self.check_path_later(upstream);
+                Err(failure)
+            }
+            _ => Err(failure),
+        }
+    }
+
+    /// Calls an upstream over this instance's own path.
+    pub(super) async fn call_directly(
+        &self,
+        upstream: &Upstream,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+    ) -> Result<Response, CallFailure> {
+        let progress = SendProgress::default();
+        let sending = self.inner.client.send_tracked(
+            upstream.entry.address,
+            (call.message)(),
+            call.connection,
+            call.timeout,
+            &progress,
+        );
+        let sent = tokio::select! {
+            biased;
+            sent = sending => sent,
+            () = self.path_breaks(upstream, call.predicted_ms, call.may_repeat) => {
+                return Err(CallFailure::PathBroken { was_sent: progress.has_begun() });
+            }
+        };
+        let answer = sent.map_err(CallFailure::Call)?;
+        upstream.state.path().record_contact(self.now());
+        Ok(answer)
+    }
+
+    /// Waits until connections to an upstream are found to transfer nothing while other instances reach it. With
+    /// `may_repeat` false it never returns. An upstream that gives no sign of life for longer than predicted has
+    /// its path checked.
+    pub(super) async fn path_breaks(
+        &self,
+        upstream: &Upstream,
+        predicted_ms: f64,
+        may_repeat: bool,
+    ) {
+        let silence = MIN_SILENCE.max(Millis((predicted_ms * SILENCE_FACTOR) as u64));
+        let path = upstream.state.path();
+        let watching = async {
+            tokio::time::sleep(silence.as_duration()).await;
+            if !path.has_contact_within(MIN_SILENCE, self.now()) {
+                self.check_path_later(upstream);
+            }
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = watching => {}
+            () = path.is_silent(), if may_repeat => {}
+        }
+    }
+
+    /// Sends a call through other instances because its connection could not be opened. Returns `None` if none of
+    /// them has sent it.
+    async fn call_after_failed_connect(
+        &self,
+        upstream: &Upstream,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+        err: &CallError,
+    ) -> Option<Result<Response, CallFailure>> {
+        let own = if err.timed_out { Contact::NoResponse } else { Contact::Refused };
+        match self.call_through_others(upstream, call).await {
+            Through::Answered(answer) => {
+                if let Conclusion::Path(path) = conclude(own, &[Contact::Connected]) {
+                    self.record_path(upstream, path);
+                }
+                Some(Ok(answer))
+            }
+            Through::Failed(err) => Some(Err(CallFailure::Call(err))),
+            Through::NotSent(others) => {
+                if self.conclude_contacts(own, &others) == Conclusion::Closed {
+                    self.close_upstream(upstream, None, call.request);
+                }
+                None
+            }
+        }
+    }
+
+    /// Calls an upstream that this instance itself does not reach.
+    async fn call_indirectly(
+        &self,
+        upstream: &Upstream,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+    ) -> Result<Response, CallFailure> {
+        match self.call_through_others(upstream, call).await {
+            Through::Answered(answer) => Ok(answer),
+            Through::Failed(err) => Err(CallFailure::Call(err)),
+            Through::NotSent(others) => {
+                if others.contacts.contains(&Contact::Refused) {
+                    self.pass_over(upstream);
+                }
+                Err(CallFailure::Unreachable)
+            }
+        }
+    }
+
+    async fn call_through_others(
+        &self,
+        upstream: &Upstream,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+    ) -> Through {
+        let key = hash_of(&(call.request, upstream.hash));
+        let mut others = OtherContacts::default();
+        let forwarders = &self.inner.forwarders;
+        for forwarder in forwarders.choose(self.peers(), upstream.hash, key, self.now()) {
+            let sent_at = self.now();
+            let (outcome, through) = self.call_through(forwarder, upstream, call).await;
+            self.record_forwarded(forwarder, upstream, call.request, outcome, sent_at);
+            if let Some(through) = through {
+                return through;
+            }
+            others.add(outcome);
+            // One witness is enough here; the check of the path asks more of them.
+            if others.has_failed() {
+                break;
+            }
+        }
+        Through::NotSent(others)
+    }
+
+    /// Sends a call through one instance. The result is `None` if that one did not send it to the upstream.
+    async fn call_through(
+        &self,
+        forwarder: SocketAddr,
+        upstream: &Upstream,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+    ) -> (ForwardOutcome, Option<Through>) {
+        let forwarded = ForwardedCall {
+            upstream: upstream.hash,
+            purpose: Purpose::Call,
+            timeout: call.timeout,
+            connection: call.connection,
+        };
+        let mut req = (call.message)();
+        forwarded.write(req.headers_mut());
+        let timeout = call.timeout + FORWARD_MARGIN;
+        let sent = self.inner.client.send(forwarder, req, call.connection, timeout).await;
+        let mut answer = match sent {
+            Ok(answer) => answer,
+            Err(err) if err.stage == Stage::Connect => return (ForwardOutcome::NoForwarder, None),
+            Err(err) => return (ForwardOutcome::Broken, Some(Through::Failed(err))),
+        };
+        let outcome = outcome_of(answer.headers_mut()).unwrap_or(ForwardOutcome::Broken);
+        let through = match outcome {
+            ForwardOutcome::Reached => {
+                answer.extensions_mut().insert(Forwarded);
+                Some(Through::Answered(answer))
+            }
+            ForwardOutcome::NoForwarder
+            | ForwardOutcome::NotTaken
+            | ForwardOutcome::NoPath
+            | ForwardOutcome::NotReached { .. } => None,
+            ForwardOutcome::Broken => {
+                let err = CallError::broken(Stage::FirstByte, "broken behind the forwarder");
+                Some(Through::Failed(err))
+            }
+            ForwardOutcome::TimedOut => {
+                Some(Through::Failed(CallError::timed_out(Stage::FirstByte)))
+            }
+        };
+        (outcome, through)
+    }
+
+    /// Asks other instances whether they reach an upstream.
+    pub(super) async fn contacts_of_others(&self, upstream: &Upstream) -> OtherContacts {
+        let forwarded = ForwardedCall {
+            upstream: upstream.hash,
+            purpose: Purpose::Check,
+            timeout: MIN_SILENCE,
+            connection: Connection::New,
+        };
+        let mut others = OtherContacts::default();
+        let (forwarders, key) = (&self.inner.forwarders, u64::from(upstream.hash));
+        for forwarder in forwarders.choose(self.peers(), upstream.hash, key, self.now()) {
+            let mut req = Request::new(Body::empty());
+            forwarded.write(req.headers_mut());
+            let timeout = forwarded.timeout + FORWARD_MARGIN;
+            let sent_at = self.now();
+            let sent = self.inner.client.send(forwarder, req, Connection::Pooled, timeout).await;
+            let outcome = sent.ok().and_then(|mut answer| outcome_of(answer.headers_mut()));
+            let outcome = outcome.unwrap_or(ForwardOutcome::NoForwarder);
+            self.record_forwarded(forwarder, upstream, "", outcome, sent_at);
+            others.add(outcome);
+            if outcome == ForwardOutcome::Reached {
+                break;
+            }
+        }
+        others
+    }
+
+    /// Returns what this instance's own contact and those of other instances show. If no other instance can tell,
+    /// a refusal is the upstream's as long as this instance reaches upstreams in general.
+    pub(super) fn conclude_contacts(&self, own: Contact, others: &OtherContacts) -> Conclusion {
+        let is_alone = !others.has_answer;
+        if is_alone && own == Contact::Refused && self.is_sound() {
+            return Conclusion::Closed;
+        }
+        conclude(own, &others.contacts)
+    }
+
+    fn record_forwarded(
+        &self,
+        forwarder: SocketAddr,
+        upstream: &Upstream,
+        request: &str,
+        outcome: ForwardOutcome,
+        sent_at: Millis,
+    ) {
+        let (forwarders, now) = (&self.inner.forwarders, self.now());
+        let failed = match outcome {
+            ForwardOutcome::NoForwarder
+            | ForwardOutcome::NotTaken
+            | ForwardOutcome::NotReached { is_sound: false, .. } => Some(Scope::All),
+            ForwardOutcome::NoPath => Some(Scope::Upstream(upstream.hash)),
+            _ => None,
+        };
+        match failed {
+            Some(scope) => {
+                let is_near = self.peers().is_near(forwarder);
+                forwarders.record_failure(forwarder, scope, is_near, now);
+            }
+            None => forwarders.record_success(forwarder, upstream.hash),
+        }
+        let label = NameLabel { name: outcome.as_str().to_owned() };
+        self.metrics().forwarded_calls.get_or_create(&label).inc();
+        emit(&Event::CallForwarded {
+            request,
+            upstream: &upstream.entry.id,
+            forwarder: &forwarder.to_string(),
+            outcome: outcome.as_str(),
+            took_ms: (now - sent_at).0,
+        });
+    }
+}
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anvilhook_core::fingerprints::Fingerprint;
+use anvilhook_core::paths::Contact;
 use anvilhook_core::quarantine::{EndOutcome, SuspectStatus};
 use anvilhook_core::units::{Clock, Millis};
 use http::StatusCode;
@@ -92,7 +93,7 @@
         let how = match failed.signal {
             FailureSignal::Broken => Interruption::Broken,
             FailureSignal::TimedOut => Interruption::Silent,
-            FailureSignal::None => return,
+            FailureSignal::PathBroken | FailureSignal::None => return,
         };
         // An engine that leaves terminates anyway, not because of a request.
         if upstream.is_leaving() {
@@ -136,7 +137,7 @@
             Ok(Ok(_)) => {}
             Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => {
                 return match self.liveness_by_entry(upstream) {
-                    Liveness::Alive => Liveness::Refused,
+                    Liveness::Alive => self.liveness_by_others(upstream).await,
                     other => other,
                 };
             }
@@ -155,6 +156,18 @@
         }
     }
 
+    /// Returns what other instances show of an engine whose host refuses this instance. The refusal may be that of
+    /// a broken path, behind which all engines that were running requests would seem to have terminated.
+    async fn liveness_by_others(&self, upstream: &Upstream) -> Liveness {
+        let others = self.contacts_of_others(upstream).await;
+        if others.contacts.contains(&Contact::Connected) {
+            self.check_path_later(upstream);
+            return Liveness::Alive;
+        }
+        let is_known = others.has_failed() || (!others.has_answer() && self.is_sound());
+        if is_known { Liveness::Refused } else { Liveness::Unknown }
+    }
+
     /// Returns what the upstream table shows of an engine that accepts connections.
     fn liveness_by_entry(&self, upstream: &Upstream) -> Liveness {
         match self.has_started_again(upstream) {
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -182,6 +182,7 @@
             extra,
             connection,
             head_timeout: time_left,
+            may_repeat: can_repeat,
             role: upstream.role().map(|_| Role::Decode),
             stage: "generate",
             predicted_ms: work.first_event_ms,
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -3,12 +3,15 @@
 
 use std::sync::Arc;
 
+use anvilhook_core::paths::Path;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
 use http::Request;
-use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use http::header::{CONTENT_TYPE, HeaderValue};
 use volo_http::body::Body;
+use volo_http::response::Response;
 
+use super::calls::UpstreamCall;
 use super::signals::AnswerSource;
 use super::{Gateway, MIN_PUBLISHED_TOKENS};
 use crate::fleets::Upstream;
@@ -111,24 +114,60 @@
     /// Calls an upstream like [`own_call`](Self::own_call), for a call whose share of the request limit has
     /// been taken.
     async fn send_own_call(&self, upstream: &Upstream, call: &Call) -> Option<OwnCallAnswer> {
-        let mut headers = HeaderMap::new();
-        let names = self.wire().headers();
-        let expected = HeaderValue::try_from(&*upstream.entry.id).ok()?;
-        headers.insert(&names.expect_instance, expected);
-        let body = match &call.body {
-            Some(body) => {
-                headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-                Body::from(body.clone())
+        let answer = self.call(upstream, &self.own_message(upstream, call)).await.ok()?;
+        self.receive_own_answer(upstream, answer).await
+    }
+
+    /// Calls an upstream like [`own_call`](Self::own_call), but never through another instance: the upstream
+    /// takes the calls of two instances for those of two holders of authority.
+    pub(crate) async fn own_call_directly(
+        &self,
+        upstream: &Upstream,
+        call: &Call,
+    ) -> Option<OwnCallAnswer> {
+        if upstream.state.path().current() != Path::Direct
+            || !self.may_call(upstream)
+            || !upstream.state.request_limit().try_take(self.share_basis())
+        {
+            return None;
+        }
+        let answer = self.call_directly(upstream, &self.own_message(upstream, call)).await.ok()?;
+        self.receive_own_answer(upstream, answer).await
+    }
+
+    fn own_message<'a>(
+        &'a self,
+        upstream: &'a Upstream,
+        call: &'a Call,
+    ) -> UpstreamCall<'a, impl Fn() -> Request<Body> + 'a> {
+        let message = move || {
+            let mut req = Request::new(call.body.clone().map_or_else(Body::empty, Body::from));
+            *req.method_mut() = call.method.clone();
+            *req.uri_mut() = call.path.parse().expect("a wire's paths are valid");
+            let expected =
+                HeaderValue::try_from(&*upstream.entry.id).expect("ids are visible text");
+            req.headers_mut().insert(&self.wire().headers().expect_instance, expected);
+            if call.body.is_some() {
+                let json = HeaderValue::from_static("application/json");
+                req.headers_mut().insert(CONTENT_TYPE, json);
             }
-            None => Body::empty(),
+            req
         };
-        let mut req = Request::new(body);
-        *req.method_mut() = call.method.clone();
-        *req.uri_mut() = call.path.parse().ok()?;
-        *req.headers_mut() = headers;
-        let client = &self.inner.client;
-        let address = upstream.entry.address;
-        let answer = client.send(address, req, Connection::New, OWN_CALL_TIMEOUT).await.ok()?;
+        UpstreamCall {
+            request: "",
+            message,
+            connection: Connection::New,
+            timeout: OWN_CALL_TIMEOUT,
+            predicted_ms: 0.0,
+            may_repeat: true,
+        }
+    }
+
+    async fn receive_own_answer(
+        &self,
+        upstream: &Upstream,
+        answer: Response,
+    ) -> Option<OwnCallAnswer> {
         let status = answer.status();
         self.record_response(upstream, AnswerSource::OwnCall, status, answer.headers());
         let (_, body) = answer.into_parts();
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -5,10 +5,13 @@
 mod answers;
 mod attempts;
 mod bodies;
+mod calls;
 mod examining;
+mod forwarded;
 mod generating;
 mod handles;
 mod limits;
+mod path_checks;
 mod places;
 mod plain;
 mod prompts;
@@ -31,6 +34,7 @@
 use anvilhook_http::HttpClient;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use http::StatusCode;
+use tokio::sync::Semaphore;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -40,6 +44,7 @@
 use crate::configs::{Config, Repeats};
 use crate::events::{Event, emit};
 use crate::fleets::{Entry, Fleet, FleetView, Upstream};
+use crate::forwarding::{Forwarders, ServedCalls};
 use crate::metrics::{GatewayMetrics, KindLabel, RejectionLabels, RequestLabels};
 use crate::peers::Peers;
 use crate::policies::Policy;
@@ -51,6 +56,7 @@
 
 use answers::{Outcome, OwnAnswer};
 use limits::{LIMITED, LimitQueues};
+use path_checks::{LastCheck, MAX_CONCURRENT_CHECKS};
 use places::{WaitingQueues, rejection_of};
 use stopping::{STOPPING, Stopping};
 
@@ -122,6 +128,10 @@
     account_shares: AccountShares,
     limit_queues: LimitQueues,
     waiting_queues: WaitingQueues,
+    forwarders: Forwarders,
+    served_calls: ServedCalls,
+    check_slots: Semaphore,
+    last_check: LastCheck,
     /// Engines that have read a prompt, with the parts not yet published to peers.
     cached: Mutex<Vec<(Arc<str>, Vec<Part>)>>,
 }
@@ -182,6 +192,10 @@
             usage,
             limit_queues: LimitQueues::default(),
             waiting_queues: WaitingQueues::default(),
+            forwarders: Forwarders::default(),
+            served_calls: ServedCalls::default(),
+            check_slots: Semaphore::new(MAX_CONCURRENT_CHECKS),
+            last_check: LastCheck::default(),
             in_flight: AtomicU64::new(0),
             stopping: Stopping::new(),
             has_fleet: AtomicBool::new(false),
@@ -382,10 +396,20 @@
         self.inner.clock.now()
     }
 
+    /// Counts a request as in flight.
+    fn begin_flight(&self) -> Flight<W, C> {
+        self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
+        Flight(self.clone())
+    }
+
+    /// Returns how many calls are being forwarded for other instances.
+    pub fn served_calls(&self) -> usize {
+        self.inner.served_calls.count()
+    }
+
     /// Serves a request.
     pub async fn handle(&self, req: Request) -> Response {
-        self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
-        let flight = Flight(self.clone());
+        let flight = self.begin_flight();
         let arrived_at = self.now();
         let received = self.receive(req, arrived_at).await;
         let (exchange, outcome) = match received {
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -139,6 +139,7 @@
             extra: Vec::new(),
             connection,
             head_timeout,
+            may_repeat: !is_last,
             role: None,
             stage: "plain",
             predicted_ms,
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -12,7 +12,7 @@
 
 use super::Gateway;
 use super::answers::{Outcome, WholeAnswer};
-use super::attempts::{Contact, Failed};
+use super::attempts::Failed;
 use super::limits::LIMITED;
 use super::places::Rejection;
 use super::requests::Exchange;
@@ -118,9 +118,10 @@
             let is_spent = exchange.runs >= exchange.route.max_attempts;
             let is_final = failed.verdict != Verdict::NotRun
                 && (!exchange.route.repeats.is_repeatable() || is_spent);
-            match failed.contact {
-                Contact::Made => repeats += 1,
-                Contact::Refused | Contact::None => unreached += 1,
+            if failed.was_sent {
+                repeats += 1;
+            } else {
+                unreached += 1;
             }
             if is_final || repeats > MAX_REPEATS || unreached > MAX_UNREACHED {
                 let outcome = self.no_upstream_outcome(exchange, failed.cause, REFUSED_PAUSE);
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -99,6 +99,7 @@
                 Connection::New
             },
             head_timeout: MIN_READING_TIMEOUT + slack,
+            may_repeat: true,
             role: Some(Role::Prefill),
             stage: "read",
             predicted_ms: reader.total_ms,
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -14,8 +14,9 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::attempts::{Failed, passed_on};
+use super::attempts::{Failed, FailureSignal, passed_on};
 use super::bodies::counted;
+use super::calls::Forwarded;
 use super::prompts::Opened;
 use super::requests::Exchange;
 use super::{Flight, Gateway};
@@ -50,6 +51,8 @@
     next: Option<StreamEvent>,
     last_id: Option<u64>,
     held: Held,
+    /// Whether the stream arrives over this instance's own path.
+    is_direct: bool,
 }
 
 /// `Piece` is the next element of a stream.
@@ -72,6 +75,7 @@
             return Err(Failed::may_have_run("unsigned_answer"));
         }
         held.reading_done();
+        let is_direct = parts.extensions.get::<Forwarded>().is_none();
         let mut relay = Relay {
             status: parts.status,
             headers: passed_on(&parts.headers),
@@ -80,6 +84,7 @@
             next: None,
             last_id: resume_after,
             held,
+            is_direct,
         };
         let mut first = relay.read(gateway, exchange).await;
         while let Err(failed) = &first
@@ -98,7 +103,9 @@
             Ok(Piece::End) => Err(Failed::broken("empty_stream")),
             Err(failed) => {
                 let upstream = relay.held.upstream();
-                upstream.state.ejection().record_failure(gateway.now());
+                if failed.signal != FailureSignal::PathBroken {
+                    upstream.state.ejection().record_failure(gateway.now());
+                }
                 gateway.log_failed(exchange, upstream, "first_event", &failed);
                 Err(failed)
             }
@@ -176,7 +183,15 @@
             let time_left = exchange.time_left(gateway.now());
             let can_resume = exchange.route.repeats.is_repeatable();
             let wait = if can_resume { EVENT_TIMEOUT.min(time_left) } else { time_left };
-            match tokio::time::timeout(wait.as_duration(), self.body.frame()).await {
+            let upstream = Arc::clone(self.held.upstream());
+            let frame = tokio::select! {
+                biased;
+                frame = tokio::time::timeout(wait.as_duration(), self.body.frame()) => frame,
+                () = gateway.path_breaks(&upstream, 0.0, can_resume), if self.is_direct => {
+                    return Err(Failed::path_broken());
+                }
+            };
+            match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
@@ -329,7 +344,9 @@
     async fn resume(&mut self, failed: &Failed) -> io::Result<Option<Bytes>> {
         let gateway = self.gateway.clone();
         let upstream = self.relay.held.upstream();
-        upstream.state.ejection().record_failure(gateway.now());
+        if failed.signal != FailureSignal::PathBroken {
+            upstream.state.ejection().record_failure(gateway.now());
+        }
         gateway.record_failure_signal(&self.exchange, upstream, failed);
         let upstream = Arc::clone(&upstream.entry.id);
         let last_id = self.relay.last_id;
--- a/crates/anvilhook-gateway/src/roles/orders.rs
+++ b/crates/anvilhook-gateway/src/roles/orders.rs
@@ -60,7 +60,7 @@
 ) -> Option<OrderOutcome> {
     let Change { upstream, role, .. } = change;
     let wire = gateway.wire();
-    let report = gateway.own_call(upstream, &wire.report()).await?;
+    let report = gateway.own_call_directly(upstream, &wire.report()).await?;
     let report = read_report(gateway, report.status, &report.body)?;
     // An engine that has restarted, which its entry does not show yet, may have another role.
     let is_other = upstream.entry.has_other_start(report.born);
@@ -79,7 +79,7 @@
         fencing_token: lease.token,
         expected: Some(report.orders),
     };
-    let answer = gateway.own_call(upstream, &wire.order(&order)).await;
+    let answer = gateway.own_call_directly(upstream, &wire.order(&order)).await;
     Some(answer.map_or(OrderOutcome::NoAnswer, |answer| {
         OrderOutcome::Answered(wire.order_answer(answer.status))
     }))
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -0,0 +1,431 @@
+//! Tests of instances that are cut from upstreams which other instances reach.
+//!
+//! An instance is cut by its upstream table: it lists an upstream at an address where connections are refused or hang,
+//! and the other instances list it at its real one.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::paths::Path;
+use anvilhook_core::stops::Stop;
+use anvilhook_core::units::{Millis, SystemClock};
+use anvilhook_gateway::configs::{Config, Repeats};
+use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::forwarding::forwarding_router;
+use anvilhook_gateway::peers::exchange;
+use anvilhook_http::Shutdown;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use support::fronts::{Front, ample_budget, config, request, start, with_long_timeouts};
+use support::until;
+use support::upstreams::{Step, Upstream, engine, event, signed, stream, stream_end, stream_head};
+use support::wires::entry;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::sync::Notify;
+
+const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
+const PROMPT: &str = "T-Tokens: 100\r\n";
+
+/// `Cut` is an address at which connections fail, and what makes them fail.
+struct Cut {
+    address: SocketAddr,
+    _full: Option<(TcpListener, Option<TcpStream>)>,
+}
+
+/// `How` is how connections fail.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum How {
+    /// They are refused.
+    Refused,
+    /// They hang while they are opened.
+    Silent,
+    /// The first one is opened and transfers nothing; further ones hang.
+    SilentAfterFirst,
+}
+
+const BOTH: [How; 2] = [How::Refused, How::Silent];
+
+async fn cut(how: How) -> Cut {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+    let listener = socket.listen(0).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let first = match how {
+        How::Refused => return Cut { address, _full: None },
+        How::Silent => Some(TcpStream::connect(address).await.expect("a connection")),
+        How::SilentAfterFirst => None,
+    };
+    Cut { address, _full: Some((listener, first)) }
+}
+
+fn at(entry: Entry, cut: &Cut) -> Entry {
+    Entry { address: cut.address, ..entry }
+}
+
+/// `Instance` is a gateway that exchanges digests with others.
+struct Instance {
+    front: Front,
+    peer: SocketAddr,
+}
+
+/// Starts an instance. With `forwards` false it does not serve the calls of others, like an earlier build.
+async fn instance(
+    number: u64,
+    config: &impl Fn() -> Config,
+    entries: Vec<Entry>,
+    forwards: bool,
+) -> Instance {
+    let front = start(Some(config()), entries, ample_budget()).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let peer = socket.local_addr().expect("an address");
+    let gateway = front.gateway.clone();
+    if forwards {
+        let listener = TcpListener::bind(peer).await.expect("the same port is free");
+        let router = forwarding_router(gateway.clone());
+        tokio::spawn(anvilhook_http::serve(listener, router, Shutdown::new()));
+    }
+    let rng = ChaCha8Rng::seed_from_u64(number);
+    tokio::spawn(exchange(socket, number, rng, gateway, SystemClock::new()));
+    Instance { front, peer }
+}
+
+/// Makes instances know each other, and waits until each has heard of all others.
+async fn connect(instances: &[&Instance]) {
+    for one in instances {
+        for other in instances.iter().filter(|other| other.peer != one.peer) {
+            one.front.gateway.peers().add(other.peer);
+        }
+    }
+    let others = instances.len() - 1;
+    let has_all = |one: &&Instance| one.front.gateway.peers().live_peers(Millis::ZERO) >= others;
+    until(|| instances.iter().all(has_all)).await;
+}
+
+/// Starts two instances, of which only the second reaches the upstream.
+async fn cut_and_sound(
+    config: &impl Fn() -> Config,
+    listed: Entry,
+    how: How,
+) -> (Instance, Instance, Cut) {
+    let cut = cut(how).await;
+    let first = instance(1, config, vec![at(listed.clone(), &cut)], true).await;
+    let second = instance(2, config, vec![listed], true).await;
+    connect(&[&first, &second]).await;
+    (first, second, cut)
+}
+
+fn path(instance: &Instance, id: &str) -> Path {
+    let view = instance.front.gateway.fleet().view();
+    view.get(id).expect("it is listed").state.path().current()
+}
+
+/// Guards against an instance that fails its callers because its own path to an upstream is broken, while another
+/// instance reaches the upstream. A request that may run at most once must reach it once.
+#[tokio::test]
+async fn verify_requests_reach_upstreams_through_another_instance() {
+    for how in BOTH {
+        for repeats in [Repeats::Idempotent, Repeats::AtMostOnce] {
+            let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+            let make_config = || config(repeats, 2, false);
+            let listed = entry("u", upstream.address.port());
+            let (first, second, _cut) = cut_and_sound(&make_config, listed, how).await;
+
+            let answers = [
+                first.front.post("r1", "T-Own: kept\r\n", "body").await,
+                first.front.post("r2", "", "body").await,
+            ];
+
+            for answer in &answers {
+                assert_eq!((answer.status, &*answer.body), (200, "answer"), "{how:?} {repeats:?}");
+                assert!(!answer.head.contains("peer-"), "{}", answer.head);
+            }
+            let received = upstream.received();
+            assert_eq!(received.len(), 2, "{how:?} {repeats:?}");
+            assert_eq!(received[0].line, "POST /a/b?c=d HTTP/1.1");
+            assert_eq!(received[0].header("t-own"), Some("kept"));
+            assert_eq!(received[0].body, "body");
+            assert!(received[0].headers.iter().all(|line| !line.starts_with("peer-")));
+            assert!(path(&first, "u").is_indirect(), "{how:?} {repeats:?}");
+            assert_eq!(path(&second, "u"), Path::Direct);
+        }
+    }
+}
+
+/// Guards against prompts that can't be read, and streams that can't be generated, behind a broken path. The events
+/// arrive as the engine makes them.
+#[tokio::test]
+async fn verify_streams_arrive_through_another_instance() {
+    for how in BOTH {
+        let goes_on = Arc::new(Notify::new());
+        let mut steps = vec![stream_head(), event(1), Step::Await(Arc::clone(&goes_on))];
+        steps.extend([event(2), event(3), stream_end()]);
+        let upstream = Upstream::always(steps).await;
+        let make_config = || with_long_timeouts(&config(RESUMABLE, 2, true));
+        let listed = engine("e", &upstream, Role::Decode);
+        let (first, second, _cut) = cut_and_sound(&make_config, listed, how).await;
+        let answering = tokio::spawn(async move {
+            (first.front.post_with_long_deadline("r1", PROMPT, "body").await, first)
+        });
+
+        until(|| second.front.gateway.served_calls() == 1).await;
+        until(|| !upstream.received().is_empty()).await;
+        goes_on.notify_one();
+        let (answer, _first) = answering.await.expect("no panic");
+
+        assert!(answer.is_complete(), "{how:?}: {answer:?}");
+        assert_eq!(answer.events(), [1, 2, 3], "{how:?}");
+        assert_eq!(upstream.received().len(), 1, "{how:?}");
+        until(|| second.front.gateway.served_calls() == 0).await;
+    }
+}
+
+/// Guards against taking a broken path for a failure of the upstream. The other instances must not be told that the
+/// upstream refuses connections.
+#[tokio::test]
+async fn verify_a_broken_path_closes_no_upstream_for_others() {
+    let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+    let make_config = || config(Repeats::Idempotent, 2, false);
+    let listed = entry("u", upstream.address.port());
+    let (first, second, _cut) = cut_and_sound(&make_config, listed, How::Refused).await;
+
+    for number in 0..5 {
+        first.front.post(&format!("r{number}"), "", "body").await;
+    }
+
+    for instance in [&first, &second] {
+        let view = instance.front.gateway.fleet().view();
+        let state = &view.get("u").expect("it is listed").state;
+        assert_eq!(state.own_closed_until(), Millis::ZERO);
+        assert_eq!(state.slow_start().closings(), 0);
+        assert!(state.is_healthy(Millis::ZERO), "it was never ejected");
+    }
+}
+
+/// Guards against an upstream that has failed and is tried by every instance, because a refused connection alone no
+/// longer counts. Two instances that are refused close it for all.
+#[tokio::test]
+async fn verify_an_upstream_that_refuses_two_instances_is_closed_for_all() {
+    let gone = cut(How::Refused).await;
+    let make_config = || config(Repeats::Idempotent, 2, false);
+    let mut instances = Vec::new();
+    for number in 1..=3 {
+        instances.push(instance(number, &make_config, vec![at(entry("u", 1), &gone)], true).await);
+    }
+    connect(&instances.iter().collect::<Vec<_>>()).await;
+
+    let answer = instances[0].front.post("r1", "", "body").await;
+
+    assert_eq!(answer.status, 503, "{answer:?}");
+    let closings = |one: &Instance| {
+        let view = one.front.gateway.fleet().view();
+        view.get("u").expect("it is listed").state.slow_start().closings()
+    };
+    until(|| instances.iter().all(|one| closings(one) == 1)).await;
+}
+
+/// Guards against the same among instances of an earlier build, which can't be asked.
+#[tokio::test]
+async fn verify_a_refusal_counts_if_no_other_instance_forwards() {
+    let gone = cut(How::Refused).await;
+    let make_config = || config(Repeats::Idempotent, 2, false);
+    let first = instance(1, &make_config, vec![at(entry("u", 1), &gone)], true).await;
+    let earlier = instance(2, &make_config, vec![at(entry("u", 1), &gone)], false).await;
+    connect(&[&first, &earlier]).await;
+
+    let answer = first.front.post("r1", "", "body").await;
+
+    assert_eq!(answer.status, 503, "{answer:?}");
+    let view = earlier.front.gateway.fleet().view();
+    let state = &view.get("u").expect("it is listed").state;
+    until(|| state.slow_start().closings() == 1).await;
+}
+
+/// Guards against a request that waits for its deadline although it is known that no instance reaches its upstream.
+#[tokio::test]
+async fn verify_a_request_that_no_instance_can_send_is_rejected_at_once() {
+    for repeats in [Repeats::Idempotent, Repeats::AtMostOnce] {
+        let gone = cut(How::Silent).await;
+        let make_config = || with_long_timeouts(&config(repeats, 2, false));
+        let listed = || vec![at(entry("u", 1), &gone)];
+        let first = instance(1, &make_config, listed(), true).await;
+        let second = instance(2, &make_config, listed(), true).await;
+        connect(&[&first, &second]).await;
+
+        let attempted = first.front.post_with_long_deadline("r1", "", "body").await;
+        until(|| path(&first, "u") == Path::Unreachable).await;
+        let rejected = first.front.post_with_long_deadline("r2", "", "body").await;
+
+        assert_eq!(attempted.status, 503, "{repeats:?}");
+        assert_eq!((rejected.status, &*rejected.body), (503, "unreachable"), "{repeats:?}");
+        assert!(rejected.head.contains("retry-after"), "{repeats:?}");
+    }
+}
+
+/// Guards against reporting "not run" for a request that another instance may have sent before the connection to that
+/// instance broke, and against sending it again.
+#[tokio::test]
+async fn verify_a_call_that_breaks_at_another_instance_may_have_run() {
+    let cut = cut(How::Refused).await;
+    let make_config = || config(Repeats::AtMostOnce, 2, false);
+    let first = instance(1, &make_config, vec![at(entry("u", 1), &cut)], true).await;
+    let second = instance(2, &make_config, vec![], false).await;
+    let listener = TcpListener::bind(second.peer).await.expect("the same port is free");
+    let breaking = tokio::spawn(async move {
+        let mut calls = 0;
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut buf = [0; 1_024];
+            let len = stream.read(&mut buf).await.expect("a call");
+            calls += usize::from(buf[..len].starts_with(b"POST"));
+            drop(stream);
+            if calls == 1 {
+                return listener;
+            }
+        }
+    });
+    connect(&[&first, &second]).await;
+
+    let answer = first.front.post("r1", "", "body").await;
+
+    assert_eq!((answer.status, &*answer.body), (502, "connection_broken"));
+    breaking.await.expect("one call was received");
+}
+
+/// Guards against an upstream that continues to work for a caller that has left the instance behind the broken path.
+#[tokio::test]
+async fn verify_a_caller_that_leaves_ends_the_call_at_the_upstream() {
+    let upstream = Upstream::always(vec![Step::Hang]).await;
+    let make_config = || config(Repeats::Idempotent, 2, false);
+    let listed = entry("u", upstream.address.port());
+    let (first, second, _cut) = cut_and_sound(&make_config, listed, How::Refused).await;
+    let mut caller = TcpStream::connect(first.front.address).await.expect("the front listens");
+    caller.write_all(request("r1", "", "body").as_bytes()).await.expect("the front reads");
+    until(|| second.front.gateway.served_calls() == 1).await;
+    until(|| upstream.received().len() == 1).await;
+
+    drop(caller);
+
+    upstream.client_closed().await;
+    until(|| second.front.gateway.served_calls() == 0).await;
+}
+
+/// Guards against work for an upstream that leaves, and against calls that a stopping instance would interrupt: the
+/// instance that forwards a call checks its own state right before it sends.
+#[tokio::test]
+async fn verify_a_forwarder_checks_whether_the_call_may_be_sent() {
+    for is_leaving in [true, false] {
+        let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+        let make_config = || config(Repeats::AtMostOnce, 2, false);
+        let cut = cut(How::Refused).await;
+        let listed = entry("u", upstream.address.port());
+        let first = instance(1, &make_config, vec![at(listed.clone(), &cut)], true).await;
+        let listed = Entry { draining: is_leaving, ..listed };
+        let second = instance(2, &make_config, vec![listed], true).await;
+        connect(&[&first, &second]).await;
+        if !is_leaving {
+            let (noticed_at, ends_at) = (Millis(60_000), Millis(60_000));
+            second.front.gateway.begin_stop(Stop { noticed_at, ends_at });
+        }
+
+        let answer = first.front.post("r1", "", "body").await;
+
+        assert_eq!(answer.status, 503, "leaving {is_leaving}: {answer:?}");
+        assert!(upstream.received().is_empty(), "leaving {is_leaving}");
+    }
+}
+
+/// Guards against a request that waits on an open connection which transfers nothing any more, until its caller gives
+/// up. It may be repeated, so it is sent through another instance.
+#[tokio::test]
+async fn verify_a_call_on_a_silent_connection_is_repeated_through_another_instance() {
+    let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+    let make_config = || with_long_timeouts(&config(Repeats::Idempotent, 3, false));
+    let listed = entry("u", upstream.address.port());
+    let (first, _second, _cut) = cut_and_sound(&make_config, listed, How::SilentAfterFirst).await;
+
+    let answers = [
+        first.front.post_with_long_deadline("r1", "", "body").await,
+        first.front.post_with_long_deadline("r2", "", "body").await,
+    ];
+
+    assert_eq!(path(&first, "u"), Path::IndirectOnly);
+    assert!(answers.iter().any(|answer| answer.status == 200), "{answers:?}");
+    assert_eq!(answers[1].status, 200, "{answers:?}");
+}
+
+/// Guards against quarantining requests because connections to their engines break and further ones are refused at
+/// one instance only. The stream is resumed through the other instance.
+#[tokio::test]
+async fn verify_a_broken_path_makes_no_request_a_suspect() {
+    let behind_cut = Upstream::always(vec![stream_head(), event(1), Step::Terminate]).await;
+    let upstream = Upstream::always(stream(1, 3)).await;
+    let make_config = || with_long_timeouts(&config(RESUMABLE, 3, true));
+    let listed = |one: &Upstream| vec![engine("e", one, Role::Decode)];
+    let first = instance(1, &make_config, listed(&behind_cut), true).await;
+    let second = instance(2, &make_config, listed(&upstream), true).await;
+    connect(&[&first, &second]).await;
+
+    let answer = first.front.post_with_long_deadline("r1", PROMPT, "body").await;
+
+    assert_eq!(answer.events(), [1, 2, 3], "{answer:?}");
+    until(|| path(&first, "e").is_indirect()).await;
+    // Longer than the check of an engine takes.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let suspects = first.front.gateway.suspects().list(Millis::ZERO);
+    assert!(suspects.is_empty(), "{suspects:?}");
+}
+
+/// Guards against an instance that uses another one for ever after its own path has healed.
+#[tokio::test]
+async fn verify_a_healed_path_is_used_again() {
+    let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+    let make_config = || config(Repeats::Idempotent, 2, false);
+    let listed = entry("u", upstream.address.port());
+    let (first, _second, cut) = cut_and_sound(&make_config, listed, How::Refused).await;
+    first.front.post("r1", "", "body").await;
+    assert_eq!(path(&first, "u"), Path::Indirect);
+
+    let listener = TcpListener::bind(cut.address).await.expect("the port is still free");
+    let accepting = tokio::spawn(async move { while listener.accept().await.is_ok() {} });
+
+    until(|| path(&first, "u") == Path::Direct).await;
+    accepting.abort();
+}
+
+/// Guards against an instance that is cut from an upstream and takes another one that is cut as well for a witness that
+/// the upstream has failed.
+#[tokio::test]
+async fn verify_a_forwarder_that_is_cut_as_well_is_passed_over() {
+    let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+    let make_config = || config(Repeats::AtMostOnce, 2, false);
+    let listed = entry("u", upstream.address.port());
+    let (mut cuts, mut instances) = (Vec::new(), Vec::new());
+    for number in 1..=3 {
+        let cut = cut(How::Refused).await;
+        let listed = vec![at(listed.clone(), &cut)];
+        instances.push(instance(number, &make_config, listed, true).await);
+        cuts.push(cut);
+    }
+    instances.push(instance(4, &make_config, vec![listed], true).await);
+    connect(&instances.iter().collect::<Vec<_>>()).await;
+    // Each of the three finds out by itself that its path is broken.
+    for (number, instance) in instances.iter().enumerate().take(3) {
+        for repeat in 0..4 {
+            instance.front.post(&format!("a{number}{repeat}"), "", "body").await;
+        }
+    }
+    until(|| instances[..3].iter().all(|one| path(one, "u").is_indirect())).await;
+
+    let mut served = 0;
+    for number in 0..20 {
+        let answer = instances[0].front.post(&format!("r{number}"), "", "body").await;
+        served += usize::from(answer.status == 200);
+    }
+
+    assert_eq!(served, 20);
+}
--- a/crates/anvilhook-http/src/bodies.rs
+++ b/crates/anvilhook-http/src/bodies.rs
@@ -10,8 +10,14 @@
 use volo_http::body::Body;
 
 /// `SendProgress` tells whether a request has been passed to a connection. Clones share the state.
+///
+/// ```
+/// use anvilhook_http::SendProgress;
+///
+/// assert!(!SendProgress::default().has_begun());
+/// ```
 #[derive(Clone, Debug, Default)]
-pub(crate) struct SendProgress(Arc<AtomicBool>);
+pub struct SendProgress(Arc<AtomicBool>);
 
 impl SendProgress {
     /// Returns whether any byte of the request may have been written to a connection.
@@ -20,7 +26,7 @@
     }
 
     /// Wraps a request's body so that its use by a connection is recorded here.
-    pub fn track(&self, body: Body) -> Body {
+    pub(crate) fn track(&self, body: Body) -> Body {
         Body::from_body(TrackedBody { body, progress: self.clone() })
     }
 }
--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -82,6 +82,23 @@
         req: Request<Body>,
         connection: Connection,
         timeout: Millis,
+    ) -> Result<Response, CallError> {
+        self.send_tracked(address, req, connection, timeout, &SendProgress::default()).await
+    }
+
+    /// Sends a call like [`send`](Self::send). `progress` tells a caller that drops the call whether any
+    /// of it may have been sent.
+    ///
+    /// # Errors
+    ///
+    /// A `CallError` of any stage except `Body`.
+    pub async fn send_tracked(
+        &self,
+        address: std::net::SocketAddr,
+        req: Request<Body>,
+        connection: Connection,
+        timeout: Millis,
+        progress: &SendProgress,
     ) -> Result<Response, CallError> {
         let client = match connection {
             Connection::Pooled => &self.pooled,
@@ -94,7 +111,6 @@
             .uri(parts.uri)
             .address(Address::from(address));
         *builder.headers_mut() = parts.headers;
-        let progress = SendProgress::default();
         let mut sending = pin!(builder.body(progress.track(body)).send());
         let connect_timeout = self.connect_timeout.min(timeout);
         // The library does not apply its own connect timeout.
