Bound a call by one deadline from its start

A call's timeout ran in two parts, and each was rounded up to a millisecond, so that the limit of the whole request passed first: a plain upstream that hung was not counted as failed.

--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http::Request;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use tokio::time::{Instant, timeout_at};
 use volo::net::Address;
 use volo_http::body::Body;
 use volo_http::client::Client;
@@ -112,17 +113,17 @@
             .address(Address::from(address));
         *builder.headers_mut() = parts.headers;
         let mut sending = pin!(builder.body(progress.track(body)).send());
+        let now = Instant::now();
         let connect_timeout = self.connect_timeout.min(timeout);
         // The library does not apply its own connect timeout.
-        let begun = tokio::time::timeout(connect_timeout.as_duration(), sending.as_mut()).await;
+        let begun = timeout_at(now + connect_timeout.as_duration(), sending.as_mut()).await;
         if let Ok(answer) = begun {
             return Ok(answer?);
         }
         if !progress.has_begun() {
             return Err(CallError::timed_out(Stage::Connect));
         }
-        let rest = timeout - connect_timeout;
-        match tokio::time::timeout(rest.as_duration(), sending).await {
+        match timeout_at(now + timeout.as_duration(), sending).await {
             Ok(answer) => Ok(answer?),
             Err(_elapsed) => Err(CallError::timed_out(Stage::FirstByte)),
         }
