--- a/crates/anvilhook-gateway/src/paths.rs
+++ b/crates/anvilhook-gateway/src/paths.rs
@@ -6,6 +6,9 @@
 use anvilhook_core::units::Millis;
 use tokio::sync::watch;
 
+/// The minimum time between two checks of one path. Each failed request asks for one.
+const MIN_CHECK_INTERVAL: Millis = Millis(250);
+
 /// `UpstreamPath` is what this instance knows about how it reaches an upstream.
 #[derive(Debug, Default)]
 pub struct UpstreamPath {
@@ -13,6 +16,8 @@
     contact_at: AtomicU64,
     path: watch::Sender<Path>,
     is_checked: AtomicBool,
+    /// When the last check of the path ended. Zero if there was none.
+    checked_at: AtomicU64,
 }
 
 impl UpstreamPath {
@@ -47,13 +52,16 @@
         before
     }
 
-    /// Records that a check of this path begins. Returns false if one is in progress.
-    pub(crate) fn begin_check(&self) -> bool {
-        !self.is_checked.swap(true, Ordering::AcqRel)
+    /// Records that a check of this path begins. Returns false if one is in progress or has just ended.
+    pub(crate) fn begin_check(&self, now: Millis) -> bool {
+        let checked_at = self.checked_at.load(Ordering::Acquire);
+        let is_due = checked_at == 0 || now >= Millis(checked_at) + MIN_CHECK_INTERVAL;
+        is_due && !self.is_checked.swap(true, Ordering::AcqRel)
     }
 
     /// Records that the check of this path has ended.
-    pub(crate) fn end_check(&self) {
+    pub(crate) fn end_check(&self, now: Millis) {
+        self.checked_at.store(now.0.max(1), Ordering::Release);
         self.is_checked.store(false, Ordering::Release);
     }
 
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -130,10 +130,8 @@
                 upstream.state.path().record_contact(self.now());
                 ForwardOutcome::Reached
             }
-            failed => {
-                self.check_path_later(upstream);
-                self.not_reached(failed)
-            }
+            // Checking the own path as well would make that check ask further instances, and so on without end.
+            failed => self.not_reached(failed),
         }
     }
 }
--- a/crates/anvilhook-gateway/src/relay/path_checks.rs
+++ b/crates/anvilhook-gateway/src/relay/path_checks.rs
@@ -1,6 +1,5 @@
 //! Checks by which path this instance reaches an upstream.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -12,7 +11,6 @@
 use super::attempts::CLOSED_PAUSE;
 use crate::events::{Event, emit};
 use crate::fleets::Upstream;
-use crate::loads::UpstreamState;
 use crate::wires::Wire;
 
 /// The timeout for opening a connection.
@@ -30,22 +28,6 @@
 /// The minimum time between two checks of all paths.
 const CHECK_ALL_INTERVAL: Millis = Millis(2_000);
 
-/// `PathCheck` marks the path to an upstream as being checked until it is dropped.
-struct PathCheck(Arc<UpstreamState>);
-
-impl PathCheck {
-    /// Begins a check. Returns `None` if one is in progress.
-    fn begin(state: &Arc<UpstreamState>) -> Option<Self> {
-        state.path().begin_check().then(|| Self(Arc::clone(state)))
-    }
-}
-
-impl Drop for PathCheck {
-    fn drop(&mut self) {
-        self.0.path().end_check();
-    }
-}
-
 /// `LastCheck` is when all paths were last checked.
 #[derive(Debug, Default)]
 pub(super) struct LastCheck(AtomicU64);
@@ -64,11 +46,13 @@
     /// Checks the path to an upstream in the background, and repeatedly until it is direct, unless that is in
     /// progress.
     pub(super) fn check_path_later(&self, upstream: &Upstream) {
-        let Some(check) = PathCheck::begin(&upstream.state) else { return };
+        if !upstream.state.path().begin_check(self.now()) {
+            return;
+        }
         let (gateway, upstream) = (self.clone(), upstream.clone());
         tokio::spawn(async move {
             gateway.check_path(&upstream).await;
-            drop(check);
+            upstream.state.path().end_check(gateway.now());
         });
     }
 
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -16,6 +16,7 @@
 use anvilhook_gateway::configs::{Config, Repeats};
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::forwarding::forwarding_router;
+use anvilhook_gateway::metrics::NameLabel;
 use anvilhook_gateway::peers::exchange;
 use anvilhook_http::Shutdown;
 use rand::SeedableRng;
@@ -31,10 +32,18 @@
 const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
 const PROMPT: &str = "T-Tokens: 100\r\n";
 
-/// `Cut` is an address at which connections fail, and what makes them fail.
+/// `Cut` is an address at which connections fail.
 struct Cut {
     address: SocketAddr,
-    _full: Option<(TcpListener, Option<TcpStream>)>,
+    cause: Cause,
+}
+
+/// `Cause` is what makes connections fail. It keeps the port from being used by another test.
+enum Cause {
+    /// Nothing listens.
+    Refuses(TcpSocket),
+    /// The queue of new connections is full, or is after the next one.
+    Full { _listener: TcpListener, _first: Option<TcpStream> },
 }
 
 /// `How` is how connections fail.
@@ -53,14 +62,16 @@
 async fn cut(how: How) -> Cut {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+    let address = socket.local_addr().expect("an address");
+    if how == How::Refused {
+        return Cut { address, cause: Cause::Refuses(socket) };
+    }
     let listener = socket.listen(0).expect("a listener");
-    let address = listener.local_addr().expect("an address");
     let first = match how {
-        How::Refused => return Cut { address, _full: None },
         How::Silent => Some(TcpStream::connect(address).await.expect("a connection")),
-        How::SilentAfterFirst => None,
+        How::SilentAfterFirst | How::Refused => None,
     };
-    Cut { address, _full: Some((listener, first)) }
+    Cut { address, cause: Cause::Full { _listener: listener, _first: first } }
 }
 
 fn at(entry: Entry, cut: &Cut) -> Entry {
@@ -71,6 +82,8 @@
 struct Instance {
     front: Front,
     peer: SocketAddr,
+    /// What listens for the calls of others, if nothing serves them.
+    port: Option<TcpListener>,
 }
 
 /// Starts an instance. With `forwards` false it does not serve the calls of others, like an earlier build.
@@ -81,17 +94,30 @@
     forwards: bool,
 ) -> Instance {
     let front = start(Some(config()), entries, ample_budget()).await;
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let (socket, listener) = sockets().await;
     let peer = socket.local_addr().expect("an address");
     let gateway = front.gateway.clone();
-    if forwards {
-        let listener = TcpListener::bind(peer).await.expect("the same port is free");
+    let mut port = None;
+    if !forwards {
+        port = Some(listener);
+    } else {
         let router = forwarding_router(gateway.clone());
         tokio::spawn(anvilhook_http::serve(listener, router, Shutdown::new()));
     }
     let rng = ChaCha8Rng::seed_from_u64(number);
     tokio::spawn(exchange(socket, number, rng, gateway, SystemClock::new()));
-    Instance { front, peer }
+    Instance { front, peer, port }
+}
+
+/// Returns a socket for datagrams and a listener at the same port.
+async fn sockets() -> (UdpSocket, TcpListener) {
+    loop {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let peer = socket.local_addr().expect("an address");
+        if let Ok(listener) = TcpListener::bind(peer).await {
+            return (socket, listener);
+        }
+    }
 }
 
 /// Makes instances know each other, and waits until each has heard of all others.
@@ -234,7 +260,8 @@
     let gone = cut(How::Refused).await;
     let make_config = || config(Repeats::Idempotent, 2, false);
     let first = instance(1, &make_config, vec![at(entry("u", 1), &gone)], true).await;
-    let earlier = instance(2, &make_config, vec![at(entry("u", 1), &gone)], false).await;
+    let mut earlier = instance(2, &make_config, vec![at(entry("u", 1), &gone)], false).await;
+    earlier.port = None;
     connect(&[&first, &earlier]).await;
 
     let answer = first.front.post("r1", "", "body").await;
@@ -273,8 +300,8 @@
     let cut = cut(How::Refused).await;
     let make_config = || config(Repeats::AtMostOnce, 2, false);
     let first = instance(1, &make_config, vec![at(entry("u", 1), &cut)], true).await;
-    let second = instance(2, &make_config, vec![], false).await;
-    let listener = TcpListener::bind(second.peer).await.expect("the same port is free");
+    let mut second = instance(2, &make_config, vec![], false).await;
+    let listener = second.port.take().expect("nothing serves calls");
     let breaking = tokio::spawn(async move {
         let mut calls = 0;
         loop {
@@ -390,7 +417,8 @@
     first.front.post("r1", "", "body").await;
     assert_eq!(path(&first, "u"), Path::Indirect);
 
-    let listener = TcpListener::bind(cut.address).await.expect("the port is still free");
+    let Cause::Refuses(socket) = cut.cause else { unreachable!("connections are refused") };
+    let listener = socket.listen(16).expect("the port is bound");
     let accepting = tokio::spawn(async move { while listener.accept().await.is_ok() {} });
 
     until(|| path(&first, "u") == Path::Direct).await;
@@ -429,3 +457,28 @@
 
     assert_eq!(served, 20);
 }
+
+/// Guards against checks that make other instances check and ask further ones, without end: an upstream that has failed
+/// must cost each instance a few calls.
+#[tokio::test]
+async fn verify_checks_of_a_failed_upstream_do_not_multiply() {
+    const MAX_CALLS: u64 = 20;
+    let gone = cut(How::Refused).await;
+    let make_config = || config(Repeats::Idempotent, 2, false);
+    let mut instances = Vec::new();
+    for number in 1..=4 {
+        instances.push(instance(number, &make_config, vec![at(entry("u", 1), &gone)], true).await);
+    }
+    connect(&instances.iter().collect::<Vec<_>>()).await;
+
+    instances[0].front.post("r1", "", "body").await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+
+    let refused = NameLabel { name: "refused".to_owned() };
+    let served = |one: &Instance| {
+        let calls = &one.front.gateway.metrics().served_calls;
+        calls.get_or_create(&refused).get()
+    };
+    let served: u64 = instances.iter().map(served).sum();
+    assert!((1..=MAX_CALLS).contains(&served), "{served} calls");
+}
