--- a/crates/anvilhook-core/src/paths.rs
+++ b/crates/anvilhook-core/src/paths.rs
@@ -14,8 +14,12 @@
 const CHECK_SPACING: Millis = Millis(10);
 
 /// How many consecutive checks must connect until a path counts as direct again. A single one would send all
-/// requests to a path that fails again and again for parts of a second.
+/// requests to a path that fails again and again for parts of a second. The number doubles with each relapse.
 const CONNECTS_TO_RETURN: u32 = 2;
+const MAX_DOUBLINGS: u32 = 3;
+
+/// A path that breaks again within this time after it was restored has relapsed.
+const RELAPSE_TIME: Millis = Millis(5_000);
 
 /// The number of forwarders in the own availability zone that must have failed lately for those of other zones to
 /// be tried first, as the whole zone may be cut.
@@ -120,8 +124,25 @@
 }
 
 /// Returns whether a path that was not direct counts as direct again after consecutive checks that connected.
-pub fn is_restored(connects: u32) -> bool {
-    connects >= CONNECTS_TO_RETURN
+/// `relapses` is how many times in a row it has broken again soon after it was restored.
+///
+/// ```
+/// use anvilhook_core::paths::is_restored;
+///
+/// assert!(!is_restored(1, 0) && is_restored(2, 0));
+/// assert!(!is_restored(3, 1) && is_restored(4, 1));
+/// ```
+pub fn is_restored(connects: u32, relapses: u32) -> bool {
+    connects >= CONNECTS_TO_RETURN << relapses.min(MAX_DOUBLINGS)
+}
+
+/// Returns how many relapses in a row a path has had that breaks now and was last restored at `restored_at`, if it
+/// ever was. `before` is the number until then.
+pub fn relapses_after(before: u32, restored_at: Option<Millis>, now: Millis) -> u32 {
+    match restored_at {
+        Some(at) if now < at + RELAPSE_TIME => before.saturating_add(1),
+        _ => 0,
+    }
 }
 
 /// `Forwarder` is another instance through which upstreams may be reached.
--- a/crates/anvilhook-core/tests/paths.rs
+++ b/crates/anvilhook-core/tests/paths.rs
@@ -3,7 +3,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use anvilhook_core::paths::{
-    Conclusion, Contact, Forwarder, Path, check_interval, conclude, forwarders_in_order, is_sound,
+    Conclusion, Contact, Forwarder, Path, check_interval, conclude, forwarders_in_order,
+    is_restored, is_sound, relapses_after,
 };
 use anvilhook_core::units::Millis;
 
@@ -54,6 +55,25 @@
     assert!(check_interval(15) <= Millis(500));
 }
 
+/// Guards against sending requests again and again to a path that works for parts of a second only.
+#[test]
+fn verify_a_path_that_relapses_is_trusted_later_each_time() {
+    const SHORT: Millis = Millis(600);
+    let (mut now, mut relapses, mut needed) = (Millis(1_000), 0, Vec::new());
+    let mut restored_at = None;
+
+    for _ in 0..6 {
+        relapses = relapses_after(relapses, restored_at, now);
+        needed.push((1..100).find(|connects| is_restored(*connects, relapses)));
+        restored_at = Some(now + SHORT);
+        now += SHORT * 2;
+    }
+    let after_calm = relapses_after(relapses, restored_at, now + Millis::from_secs(60));
+
+    assert_eq!(needed, [2, 4, 8, 16, 16, 16].map(Some));
+    assert_eq!(after_calm, 0);
+}
+
 /// Guards against one forwarder that gets the requests of all, and against a zone that tries only its own instances
 /// while the whole zone is cut.
 #[test]
--- a/crates/anvilhook-gateway/src/paths.rs
+++ b/crates/anvilhook-gateway/src/paths.rs
@@ -1,8 +1,8 @@
 //! This instance's paths to an upstream: its own network path, and the one through other instances.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
-use anvilhook_core::paths::Path;
+use anvilhook_core::paths::{Path, relapses_after};
 use anvilhook_core::units::Millis;
 use tokio::sync::watch;
 
@@ -15,6 +15,10 @@
     /// When the upstream last answered over this instance's own path. Zero if it has not.
     contact_at: AtomicU64,
     path: watch::Sender<Path>,
+    /// When the path was last restored. Zero if it never was.
+    restored_at: AtomicU64,
+    /// How many times in a row the path has broken again soon after that.
+    relapses: AtomicU32,
     is_checked: AtomicBool,
     /// When the last check of the path ended. Zero if there was none.
     checked_at: AtomicU64,
@@ -43,15 +47,28 @@
     }
 
     /// Records how this instance reaches the upstream. Returns the path before, if that is a change.
-    pub fn replace(&self, path: Path) -> Option<Path> {
+    pub fn replace(&self, path: Path, now: Millis) -> Option<Path> {
         let mut before = None;
         self.path.send_if_modified(|known| {
             before = (*known != path).then(|| std::mem::replace(known, path));
             before.is_some()
         });
+        if before.is_some() && path == Path::Direct {
+            self.restored_at.store(now.0.max(1), Ordering::Release);
+        } else if before == Some(Path::Direct) {
+            let restored_at = self.restored_at.load(Ordering::Acquire);
+            let restored_at = (restored_at > 0).then_some(Millis(restored_at));
+            let relapses = relapses_after(self.relapses(), restored_at, now);
+            self.relapses.store(relapses, Ordering::Release);
+        }
         before
     }
 
+    /// Returns how many times in a row the path has broken again soon after it was restored.
+    pub fn relapses(&self) -> u32 {
+        self.relapses.load(Ordering::Acquire)
+    }
+
     /// Records that a check of this path begins. Returns false if one is in progress or has just ended.
     pub(crate) fn begin_check(&self, now: Millis) -> bool {
         let checked_at = self.checked_at.load(Ordering::Acquire);
--- a/crates/anvilhook-gateway/src/relay/path_checks.rs
+++ b/crates/anvilhook-gateway/src/relay/path_checks.rs
@@ -64,7 +64,7 @@
             if own == Contact::Connected {
                 connects += 1;
                 path.record_contact(self.now());
-                if !path.current().is_indirect() || is_restored(connects) {
+                if !path.current().is_indirect() || is_restored(connects, path.relapses()) {
                     break;
                 }
             } else {
@@ -110,7 +110,7 @@
     /// are checked as well.
     pub(super) fn record_path(&self, upstream: &Upstream, path: Path) {
         let state = &upstream.state;
-        let Some(before) = state.path().replace(path) else { return };
+        let Some(before) = state.path().replace(path, self.now()) else { return };
         let contact_age_ms = state.path().contact_age(self.now()).map(|age| age.0);
         emit(&Event::PathChanged {
             upstream: &upstream.entry.id,
