Split events, loads and the gateway's own file by topic; one body that holds a guard

The log's lines are the same. The daemon's FlightBody and the forwarder's body were twins; both use anvilhook_http::GuardedBody. Tests of the gateway, the http crate and the daemon pass.

--- a/crates/anvilhook-daemon/src/front/limits.rs
+++ b/crates/anvilhook-daemon/src/front/limits.rs
@@ -1,14 +1,11 @@
 //! Counts open requests, until the last byte of their answers has been handed to the server.
 
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
 
 use anvilhook_core::units::Millis;
-use bytes::Bytes;
-use http_body::{Frame, SizeHint};
+use anvilhook_http::GuardedBody;
 use tokio::sync::{Notify, oneshot};
 use volo_http::body::Body;
 
@@ -108,43 +105,16 @@
     Task { _end: BodyEnd },
 }
 
-/// `FlightBody` is an answer's body whose request counts as in flight until the body has been read.
-pub struct FlightBody {
-    body: Body,
-    _retained: Retained,
-}
-
-impl FlightBody {
-    /// Wraps a body whose caller has `time_left` to read it.
-    pub fn wrap(body: Body, flight: Flight, time_left: Millis) -> Body {
-        let size = http_body::Body::size_hint(&body).upper();
-        let retained = if size.is_some_and(|size| size <= SMALL_ANSWER_BYTES) {
-            Retained::Body { _flight: flight }
-        } else {
-            let (end, ended) = BodyEnd::new();
-            tokio::spawn(flight.until_end(ended, time_left));
-            Retained::Task { _end: end }
-        };
-        Body::from_body(Self { body, _retained: retained })
-    }
-}
-
-impl http_body::Body for FlightBody {
-    type Data = Bytes;
-    type Error = volo_http::error::BoxError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
+/// Returns an answer's body whose request counts as in flight until the body has been read. Its caller has
+/// `time_left` to read it.
+pub fn counted_body(body: Body, flight: Flight, time_left: Millis) -> Body {
+    let size = http_body::Body::size_hint(&body).upper();
+    let retained = if size.is_some_and(|size| size <= SMALL_ANSWER_BYTES) {
+        Retained::Body { _flight: flight }
+    } else {
+        let (end, ended) = BodyEnd::new();
+        tokio::spawn(flight.until_end(ended, time_left));
+        Retained::Task { _end: end }
+    };
+    GuardedBody::wrap(body, retained)
 }
--- a/crates/anvilhook-daemon/src/front/routes.rs
+++ b/crates/anvilhook-daemon/src/front/routes.rs
@@ -15,7 +15,7 @@
 use volo_http::response::Response;
 
 use super::headers::{self, CallerHeaders};
-use super::limits::{Flight, FlightBody};
+use super::limits::{Flight, counted_body};
 use super::metrics::ServiceMetrics;
 use super::states::{Account, Service};
 use super::{Front, answers};
@@ -205,7 +205,7 @@
         deadline: Millis,
     ) -> Response {
         let time_left = deadline - self.inner.clock.now();
-        answer.map(|body| FlightBody::wrap(body, flight, time_left))
+        answer.map(|body| counted_body(body, flight, time_left))
     }
 
     /// Counts a request that was answered.
--- a/crates/anvilhook-gateway/src/duties/mod.rs
+++ b/crates/anvilhook-gateway/src/duties/mod.rs
@@ -14,7 +14,7 @@
 use anvilhook_core::units::{Clock, Millis, WallTime};
 
 use crate::clouds::{Authority, Cloud, CloudAnswer, UsageReport};
-use crate::events::{Event, emit};
+use crate::events::{DutyEvent, emit};
 use crate::leases::{Lease, LeaseManager};
 use crate::relay::Gateway;
 use crate::tables::Table;
@@ -142,7 +142,7 @@
             let first = if reported == 0 { last } else { reported + 1 };
             let is_late = windows.end(first).0 + due.0 < time.0;
             if is_late {
-                emit(&Event::UsageMissed { window: first });
+                emit(&DutyEvent::UsageMissed { window: first });
                 self.gateway.usage().record_reported(first);
                 continue;
             }
@@ -165,7 +165,7 @@
                 return Step::Done;
             }
             Err(err) => {
-                emit(&Event::DutyDelayed { duty: "usage", cause: err.to_string() });
+                emit(&DutyEvent::DutyDelayed { duty: "usage", cause: err.to_string() });
                 return Step::Later;
             }
         };
@@ -173,7 +173,7 @@
         let Some(lease) = self.hold().await else { return Step::Later };
         let authority = Authority { holder: self.lease.holder(), token: lease.token };
         let answer = self.cloud.report_usage(authority, &report).await;
-        emit(&Event::UsageReported {
+        emit(&DutyEvent::UsageReported {
             window,
             accounts: report.counts.len(),
             requests: report.counts.iter().map(|(_, count)| u64::from(*count)).sum(),
--- a/crates/anvilhook-gateway/src/duties/sizes.rs
+++ b/crates/anvilhook-gateway/src/duties/sizes.rs
@@ -13,7 +13,7 @@
 use super::DutyRunner;
 use super::records::{Record, RecordValue};
 use crate::clouds::{Authority, Cloud, CloudAnswer, FleetOrder};
-use crate::events::{Event, emit};
+use crate::events::{DutyEvent, emit};
 use crate::fleets::Upstream;
 use crate::followers::LIST_SOURCE;
 use crate::relay::Gateway;
@@ -122,7 +122,7 @@
         let Some(own) = planner.usual() else { return false };
         match self.usual_sizes.find_or_write(service, own).await {
             Ok(usual) => planner.set_usual(usual),
-            Err(err) => emit(&Event::DutyDelayed { duty: "sizes", cause: err.to_string() }),
+            Err(err) => emit(&DutyEvent::DutyDelayed { duty: "sizes", cause: err.to_string() }),
         }
         false
     }
@@ -147,7 +147,7 @@
             }
             let zones = engines_by_zone(listed);
             if is_logged {
-                emit(&Event::FleetSeen {
+                emit(&DutyEvent::FleetSeen {
                     service: &service.name,
                     regular: zones.iter().map(|zone| zone.regular).sum(),
                     reclaimable: zones.iter().map(|zone| zone.reclaimable).sum(),
@@ -183,7 +183,7 @@
             CloudAnswer::Busy | CloudAnswer::Wrong | CloudAnswer::NoAnswer => SizeAnswer::Unknown,
         };
         planner.record_answer(&pending.spec, &size, pending.has, outcome, now);
-        emit(&Event::FleetOrdered {
+        emit(&DutyEvent::FleetOrdered {
             service: &service,
             zone: &size.zone,
             reclaimable: size.kind == EngineKind::Reclaimable,
--- a/crates/anvilhook-gateway/src/followers/following.rs
+++ b/crates/anvilhook-gateway/src/followers/following.rs
@@ -7,7 +7,7 @@
 use anvilhook_core::watches::Span;
 
 use super::Follow;
-use crate::events::{Event, emit};
+use crate::events::{InstanceEvent, emit};
 use crate::peers::{FollowedTable, Peers, RowChanges, TableWatch};
 use crate::tables::{Rows, Table, TableError, TableRevision};
 
@@ -124,7 +124,7 @@
             Ok(read) => self.apply(read).await,
             Err(TableError::HistoryGone) => {
                 let (dependency, version) = (self.follower.table(), self.known().version);
-                emit(&Event::HistoryGone { dependency, version });
+                emit(&InstanceEvent::HistoryGone { dependency, version });
                 self.needs_full_read = true;
                 self.pause_between_gaps().await;
             }
@@ -292,7 +292,7 @@
     fn record_reached(&mut self, is_own: bool) {
         if let Some(outage) = self.outage.take() {
             let away_ms = (self.clock.now() - outage.began_at).0;
-            emit(&Event::DependencyRegained { dependency: self.follower.table(), away_ms });
+            emit(&InstanceEvent::DependencyRegained { dependency: self.follower.table(), away_ms });
             self.follower.regained(outage.last_unreachable_at);
             self.reported_away_at = outage.last_unreachable_at;
         }
@@ -314,7 +314,7 @@
         if known.version > 0 && rows.epoch > known.epoch {
             let (dependency, epoch, version) = (self.follower.table(), rows.epoch, rows.version);
             let (epoch_before, known) = (known.epoch, known.version);
-            emit(&Event::TableRestored { dependency, epoch, epoch_before, version, known });
+            emit(&InstanceEvent::TableRestored { dependency, epoch, epoch_before, version, known });
             self.follower.restored(unreachable_at);
         }
         let span = Span { after: known.version, to: rows.version };
@@ -347,7 +347,15 @@
     fn record_rows_applied(&mut self, source: &'static str, span: Span, epoch: u64, rows: usize) {
         let epoch_before = std::mem::replace(&mut self.logged_epoch, epoch);
         let (dependency, Span { after, to }) = (self.follower.table(), span);
-        emit(&Event::RowsTaken { dependency, source, after, to, epoch, epoch_before, rows });
+        emit(&InstanceEvent::RowsTaken {
+            dependency,
+            source,
+            after,
+            to,
+            epoch,
+            epoch_before,
+            rows,
+        });
     }
 
     /// Publishes, to the other instances of the availability zone, the rows that a call has
@@ -363,7 +371,7 @@
         let (now, away_at) = (self.clock.now(), self.called_at);
         if self.outage.is_none() {
             let cause = err.to_string();
-            emit(&Event::DependencyLost { dependency: self.follower.table(), cause });
+            emit(&InstanceEvent::DependencyLost { dependency: self.follower.table(), cause });
         }
         let began_at = self.outage.as_ref().map_or(now, |outage| outage.began_at);
         self.outage = Some(Outage { began_at, last_unreachable_at: away_at });
--- a/crates/anvilhook-gateway/src/followers/unreadable.rs
+++ b/crates/anvilhook-gateway/src/followers/unreadable.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use crate::events::{Event, emit};
+use crate::events::{InstanceEvent, emit};
 use crate::metrics::GatewayMetrics;
 use crate::tables::Row;
 use crate::texts::bounded;
@@ -28,7 +28,11 @@
         self.reported.insert(row.key.clone(), row.version);
         metrics.record_unreadable(table);
         let key = bounded(&row.key);
-        emit(&Event::UnreadableRow { table, key, cause: bounded(&err.to_string()).to_owned() });
+        emit(&InstanceEvent::UnreadableRow {
+            table,
+            key,
+            cause: bounded(&err.to_string()).to_owned(),
+        });
     }
 
     /// Records that a row is removed or readable.
--- a/crates/anvilhook-gateway/src/forwarding/mod.rs
+++ b/crates/anvilhook-gateway/src/forwarding/mod.rs
@@ -12,4 +12,4 @@
 pub(crate) use forwarders::{Forwarders, Scope};
 pub(crate) use messages::{CALL_HEADERS, ForwardOutcome, ForwardedCall, Purpose, outcome_of};
 pub use serving::forwarding_router;
-pub(crate) use serving::{GuardedBody, ServedCalls, unanswered};
+pub(crate) use serving::{ServedCalls, unanswered};
--- a/crates/anvilhook-gateway/src/forwarding/serving.rs
+++ b/crates/anvilhook-gateway/src/forwarding/serving.rs
@@ -1,14 +1,10 @@
 //! Serves the calls that other instances can't send to upstreams themselves.
 
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
 
 use anvilhook_core::units::Clock;
-use bytes::Bytes;
 use http::{Response as HttpResponse, StatusCode};
-use http_body::{Frame, SizeHint};
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -68,29 +64,3 @@
     outcome.write(answer.headers_mut());
     answer
 }
-
-/// `GuardedBody` is a body that holds a guard until it has been sent or dropped.
-pub(crate) struct GuardedBody<G> {
-    pub body: Body,
-    pub _guard: G,
-}
-
-impl<G: Unpin> http_body::Body for GuardedBody<G> {
-    type Data = Bytes;
-    type Error = <Body as http_body::Body>::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -21,7 +21,7 @@
 use crate::clouds::Cloud;
 use crate::controls;
 use crate::duties::{DutyOptions, DutyRunner};
-use crate::events::{Event, emit};
+use crate::events::{InstanceEvent, emit};
 use crate::followers::{ConfigFollower, EntryFollower, follow, wait_within};
 use crate::forwarding::forwarding_router;
 use crate::peers;
@@ -135,7 +135,7 @@
         tokio::spawn(DutyRunner::new(gateway, table, clock, cloud, name, duties).run());
     }
     let (zone, version) = (&*options.gateway.zone, env!("CARGO_PKG_VERSION"));
-    emit(&Event::Started { zone, version });
+    emit(&InstanceEvent::Started { zone, version });
 
     let tunables = options.tunables.clone();
     let mut reloader = Reloader::new(source, gateway.clone(), options.peer, tunables);
@@ -160,7 +160,7 @@
     stop(&gateway, &shutdown, &clock, latest).await;
     let _ = tokio::time::timeout(FLUSH_TIME.as_duration(), serving).await;
     let metrics = gateway.metrics();
-    emit(&Event::Stopped {
+    emit(&InstanceEvent::Stopped {
         in_flight: gateway.in_flight(),
         digests: metrics.digests.get(),
         digest_bytes: metrics.digest_bytes.get(),
@@ -170,7 +170,7 @@
 }
 
 fn signalled(signal: &str, in_flight: u64) {
-    emit(&Event::Signalled { signal, in_flight });
+    emit(&InstanceEvent::Signalled { signal, in_flight });
 }
 
 async fn start_peers<W: Wire, T: Table, C: Clock>(
--- a/crates/anvilhook-gateway/src/leases.rs
+++ b/crates/anvilhook-gateway/src/leases.rs
@@ -5,7 +5,7 @@
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
 
-use crate::events::{Event, emit};
+use crate::events::{DutyEvent, emit};
 use crate::peers::Peers;
 use crate::tables::{Table, TableError, TableRevision, Write, Written};
 
@@ -132,7 +132,7 @@
         match self.acquire().await {
             Ok(lease) => self.lease = lease,
             Err(err) => {
-                emit(&Event::Lease { lease: self.row, outcome: &err.to_string(), token: 0 });
+                emit(&DutyEvent::Lease { lease: self.row, outcome: &err.to_string(), token: 0 });
                 self.lease = None;
             }
         }
@@ -173,7 +173,7 @@
             Written::At(written) => {
                 let token = own.map_or(written.fencing_token(), |lease| lease.token);
                 let outcome = if own.is_some() { "renewed" } else { "taken" };
-                emit(&Event::Lease { lease: self.row, outcome, token });
+                emit(&DutyEvent::Lease { lease: self.row, outcome, token });
                 let until = sent_at + (self.length - GUARD);
                 self.seen = Some((written, sent_at));
                 Ok(Some(Lease { token, revision: written, until }))
--- a/crates/anvilhook-gateway/src/loads.rs
+++ b/crates/anvilhook-gateway/src/loads/mod.rs
@@ -1,5 +1,9 @@
 //! The state of an upstream as this instance knows it: its load, its failures and its speed.
 
+mod held;
+mod roles;
+mod work;
+
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -11,88 +15,27 @@
 use anvilhook_core::speeds::{Learning, UpstreamSpeed};
 use anvilhook_core::units::Millis;
 
-use crate::fleets::Upstream;
 use crate::paths::UpstreamPath;
-use crate::relay::FreedSignal;
 use crate::request_limits::RequestLimit;
 use crate::wires::Load;
 
+use work::MAX_LOAD_AGE;
+
+pub use held::Held;
+pub use roles::{RoleChange, RoleObservation};
+pub use work::{PeerLoad, Work};
+
 /// The number of consecutive refused handles after which an engine of either stage is skipped, and for
 /// how long.
 const REFUSED_HANDLES: u32 = 2;
 const NO_HANDLES_TIME: Millis = Millis(800);
 
-/// How long a load report from an upstream or a peer is valid.
-const MAX_LOAD_AGE: Millis = Millis(400);
-
-/// How long a load update from another availability zone is valid. It passes through two more instances.
-const MAX_FAR_LOAD_AGE: Millis = Millis(800);
-
 /// For how long it is published that an upstream leaves, so that the loss of a datagram does no harm.
 const LEAVING_PUBLISH_TIME: Millis = Millis(1_000);
 
 /// For how long an error is published to the other instances.
 const ERROR_PUBLISH_TIME: Millis = Millis(200);
 
-/// `Work` is the work of an upstream for requests in flight.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Work {
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// The time to read (prefill) the prompts that are not read yet, in milliseconds of the engine's work.
-    pub reading_ms: f64,
-    /// The time to fetch the KV caches that have not been fetched yet, in milliseconds of the engine's link.
-    pub fetching_ms: f64,
-}
-
-/// `PeerLoad` is the work that another instance, or all of another zone's, have in flight at an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct PeerLoad {
-    /// The work of the upstream for these requests.
-    pub work: Work,
-    /// When this load was received.
-    pub at: Millis,
-    /// Whether this is the sum over the instances of other availability zones, which one instance
-    /// publishes periodically.
-    pub is_far: bool,
-}
-
-impl PeerLoad {
-    /// Returns whether this load is recent enough to be used.
-    fn is_current(&self, now: Millis) -> bool {
-        self.at + if self.is_far { MAX_FAR_LOAD_AGE } else { MAX_LOAD_AGE } >= now
-    }
-}
-
-/// `RoleChange` is a change of role that an engine has been ordered to make.
-///
-/// The engine first completes its running requests, however long that takes, and refuses all others until
-/// the change is complete.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RoleChange {
-    /// The role that the engine switches to.
-    pub role: Role,
-    /// When the change is assumed to be over if the upstream table never shows it.
-    pub until: Millis,
-    /// Whether this instance has given the order.
-    pub is_own: bool,
-}
-
-/// `RoleObservation` is the role that an engine's own answers have shown.
-///
-/// While the table is unreachable, its rows still show the role before a change. Requests placed by that role
-/// go to engines that refuse them, and use up the retry budget.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RoleObservation {
-    /// The role.
-    pub role: Role,
-    /// The number of the engine's report that was listed at that time. A later report is more recent than
-    /// this observation.
-    pub sequence: u64,
-    /// Whether this instance has observed it.
-    pub is_own: bool,
-}
-
 /// `UpstreamState` is what this instance knows about an upstream in addition to its entry. It is retained
 /// when the entry changes.
 #[derive(Debug)]
@@ -496,54 +439,3 @@
         work
     }
 }
-
-/// `Held` counts a request as in flight at an upstream until it is dropped.
-#[derive(Debug)]
-pub struct Held {
-    upstream: Arc<Upstream>,
-    reading_us: u64,
-    fetching_us: u64,
-    freed: Option<FreedSignal>,
-}
-
-impl Held {
-    /// Counts a request that needs a slot but neither reading nor fetching.
-    pub fn new(upstream: Arc<Upstream>) -> Self {
-        Self::with_work(upstream, 0.0, 0.0)
-    }
-
-    /// Counts a request with the time to read and to fetch its prompt, in milliseconds.
-    pub fn with_work(upstream: Arc<Upstream>, reading_ms: f64, fetching_ms: f64) -> Self {
-        let (reading_us, fetching_us) = ((reading_ms * 1e3) as u64, (fetching_ms * 1e3) as u64);
-        upstream.state.in_flight.fetch_add(1, Ordering::AcqRel);
-        upstream.state.reading_us.fetch_add(reading_us, Ordering::AcqRel);
-        upstream.state.fetching_us.fetch_add(fetching_us, Ordering::AcqRel);
-        Self { upstream, reading_us, fetching_us, freed: None }
-    }
-
-    /// Wakes waiting requests by `freed` once this request no longer counts as in flight.
-    pub(crate) fn waking(mut self, freed: FreedSignal) -> Self {
-        self.freed = Some(freed);
-        self
-    }
-
-    /// Returns the upstream.
-    pub fn upstream(&self) -> &Arc<Upstream> {
-        &self.upstream
-    }
-
-    /// Records that the prompt has been read and fetched.
-    pub fn reading_done(&mut self) {
-        let reading_us = std::mem::take(&mut self.reading_us);
-        let fetching_us = std::mem::take(&mut self.fetching_us);
-        self.upstream.state.reading_us.fetch_sub(reading_us, Ordering::AcqRel);
-        self.upstream.state.fetching_us.fetch_sub(fetching_us, Ordering::AcqRel);
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.reading_done();
-        self.upstream.state.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
--- a/crates/anvilhook-gateway/src/peers/registration.rs
+++ b/crates/anvilhook-gateway/src/peers/registration.rs
@@ -7,7 +7,7 @@
 use anvilhook_core::units::Millis;
 
 use super::members::Peers;
-use crate::events::{Event, emit};
+use crate::events::{InstanceEvent, emit};
 use crate::tables::{Table, TableError, Write, Written};
 
 /// The table of the instances' addresses.
@@ -49,7 +49,10 @@
         match try_register(&table, &name, address, &peers).await {
             Ok(epoch) => return epoch,
             Err(err) => {
-                emit(&Event::DependencyLost { dependency: PEER_TABLE, cause: err.to_string() });
+                emit(&InstanceEvent::DependencyLost {
+                    dependency: PEER_TABLE,
+                    cause: err.to_string(),
+                });
                 tokio::time::sleep(TABLE_PAUSE).await;
             }
         }
--- a/crates/anvilhook-gateway/src/peers/seeding.rs
+++ b/crates/anvilhook-gateway/src/peers/seeding.rs
@@ -11,7 +11,7 @@
 use super::PUBLISH_INTERVAL;
 use super::digests::{CachedPrompt, Digest};
 use super::publishing::send;
-use crate::events::{Event, emit};
+use crate::events::{UpstreamEvent, emit};
 use crate::prompts::Part;
 use crate::relay::{Gateway, MIN_PUBLISHED_TOKENS};
 use crate::wires::Wire;
@@ -68,7 +68,7 @@
     for (engine, parts) in &caches {
         gateway.record_parts(engine, parts);
     }
-    emit(&Event::CachesRead { parts: caches.iter().map(|(_, parts)| parts.len()).sum() });
+    emit(&UpstreamEvent::CachesRead { parts: caches.iter().map(|(_, parts)| parts.len()).sum() });
 }
 
 /// Retains only the parts that more than one engine has. The rest are nearly all prompts' own
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -21,7 +21,7 @@
 use super::signals::AnswerSource;
 use super::waiting::Wait;
 use super::{Gateway, PEER_SOURCE};
-use crate::events::{Event, emit};
+use crate::events::{RequestEvent, UpstreamEvent, emit};
 use crate::fleets::Upstream;
 use crate::followers::LIST_SOURCE;
 use crate::loads::RoleObservation;
@@ -222,7 +222,7 @@
         let now = self.now();
         let age = |source| self.inner.metrics.source_age(source, now).map(|age| age.0);
         let limit = sending.upstream.state.request_limit().current_use(now);
-        emit(&Event::Placed {
+        emit(&RequestEvent::Placed {
             request: &exchange.id,
             upstream: &sending.upstream.entry.id,
             stage: sending.stage,
@@ -252,7 +252,7 @@
         let (verdict, cause) = (failed.verdict.as_str(), failed.cause);
         let contact_age = upstream.state.path().contact_age(self.now());
         let (request, upstream) = (&*exchange.id, &*upstream.entry.id);
-        emit(&Event::AttemptFailed {
+        emit(&RequestEvent::AttemptFailed {
             request,
             upstream,
             fingerprint: exchange.fingerprint,
@@ -340,7 +340,7 @@
                 upstream.state.mark_gone(true);
                 self.peers().announce();
                 let (upstream, request) = (&*upstream.entry.id, &*exchange.id);
-                emit(&Event::UpstreamGone { upstream, request });
+                emit(&UpstreamEvent::UpstreamGone { upstream, request });
             } else {
                 self.record_wrong_role(exchange, sending);
             }
@@ -383,7 +383,7 @@
         upstream.state.observe_role(RoleObservation { role, sequence, is_own: true });
         self.peers().announce();
         let (request, upstream) = (&*exchange.id, &*upstream.entry.id);
-        emit(&Event::RoleShown { upstream, role, request: Some(request) });
+        emit(&UpstreamEvent::RoleShown { upstream, role, request: Some(request) });
     }
 
     /// Collects a whole answer. Only signed answers are forwarded, failures included.
@@ -480,7 +480,7 @@
         };
         if let Some(Closing { length, count, previous }) = closing {
             self.peers().announce();
-            emit(&Event::UpstreamClosed {
+            emit(&UpstreamEvent::UpstreamClosed {
                 upstream: &upstream.entry.id,
                 request,
                 for_ms: length.0,
--- a/crates/anvilhook-gateway/src/relay/calls.rs
+++ b/crates/anvilhook-gateway/src/relay/calls.rs
@@ -11,7 +11,7 @@
 use volo_http::response::Response;
 
 use super::Gateway;
-use crate::events::{Event, emit};
+use crate::events::{RequestEvent, emit};
 use crate::fleets::Upstream;
 use crate::forwarding::{ForwardOutcome, ForwardedCall, Purpose, Scope, outcome_of};
 use crate::hashes::hash_of;
@@ -359,7 +359,7 @@
         }
         let label = NameLabel { name: outcome.as_str().to_owned() };
         self.metrics().forwarded_calls.get_or_create(&label).inc();
-        emit(&Event::CallForwarded {
+        emit(&RequestEvent::CallForwarded {
             request,
             upstream: &upstream.entry.id,
             forwarder: &forwarder.to_string(),
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -14,7 +14,7 @@
 use super::answers::Outcome;
 use super::attempts::{Failed, FailureSignal};
 use super::requests::Exchange;
-use crate::events::{Event, Evidence, emit};
+use crate::events::{Evidence, UpstreamEvent, emit};
 use crate::fleets::Upstream;
 use crate::suspects::Interruption;
 use crate::wires::Wire;
@@ -197,7 +197,7 @@
         let outcomes = suspects.confirm_end(upstream.hash, now);
         self.peers().announce();
         let counted = outcomes.iter().filter(|(_, outcome)| *outcome != EndOutcome::Ignored);
-        emit(&Event::EngineEnded {
+        emit(&UpstreamEvent::EngineEnded {
             upstream: &upstream.entry.id,
             incarnation: upstream.hash,
             evidence,
@@ -215,6 +215,6 @@
         let now = self.now();
         let ends = self.suspects().ends(request, now);
         let ends = ends.iter().map(|end| (end.engine, (now - end.at).0)).collect();
-        emit(&Event::RequestQuarantined { fingerprint: request, ends, source });
+        emit(&UpstreamEvent::RequestQuarantined { fingerprint: request, ends, source });
     }
 }
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -2,7 +2,7 @@
 
 use anvilhook_core::paths::{Contact, Path};
 use anvilhook_core::units::Clock;
-use anvilhook_http::Stage;
+use anvilhook_http::{GuardedBody, Stage};
 use http::Request as HttpRequest;
 use http_body_util::{BodyExt, Limited};
 use volo_http::body::Body;
@@ -14,11 +14,9 @@
 use super::calls::{CallFailure, UpstreamCall};
 use super::requests::{end_to_end, text};
 use super::signals::AnswerSource;
-use crate::events::{Event, emit};
+use crate::events::{RequestEvent, emit};
 use crate::fleets::Upstream;
-use crate::forwarding::{
-    CALL_HEADERS, ForwardOutcome, ForwardedCall, GuardedBody, Purpose, unanswered,
-};
+use crate::forwarding::{CALL_HEADERS, ForwardOutcome, ForwardedCall, Purpose, unanswered};
 use crate::metrics::NameLabel;
 use crate::wires::Wire;
 
@@ -36,7 +34,7 @@
         let label = NameLabel { name: outcome.as_str().to_owned() };
         self.metrics().served_calls.get_or_create(&label).inc();
         let (request, upstream) = (&*request, call.upstream);
-        emit(&Event::CallServed { request, upstream, outcome: outcome.as_str() });
+        emit(&RequestEvent::CallServed { request, upstream, outcome: outcome.as_str() });
         let Some(mut answer) = answer else { return unanswered(outcome) };
         outcome.write(answer.headers_mut());
         answer
@@ -140,5 +138,5 @@
 fn guarded<G: Unpin + Send + Sync + 'static>(answer: Response, guard: G) -> Response {
     let (mut parts, body) = answer.into_parts();
     parts.headers = passed_on(&parts.headers);
-    Response::from_parts(parts, Body::from_body(GuardedBody { body, _guard: guard }))
+    Response::from_parts(parts, GuardedBody::wrap(body, guard))
 }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -2,10 +2,13 @@
 //! and resuming streams.
 
 mod access;
+mod adoption;
 mod answers;
 mod attempts;
 mod bodies;
 mod calls;
+mod conclusions;
+mod departures;
 mod examining;
 mod forwarded;
 mod generating;
@@ -27,13 +30,11 @@
 use std::sync::{Arc, Mutex};
 
 use anvilhook_core::fingerprints::Fingerprint;
-use anvilhook_core::orders::Role;
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis, WallTime};
 use anvilhook_core::usage::Source;
 use anvilhook_http::HttpClient;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use http::StatusCode;
 use tokio::sync::Semaphore;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -42,10 +43,10 @@
 use crate::budgets::{Budget, BudgetOptions};
 use crate::caches::CacheIndex;
 use crate::configs::{Config, Repeats};
-use crate::events::{Event, emit};
-use crate::fleets::{Entry, Fleet, FleetView, Upstream};
+use crate::events::{UpstreamEvent, emit};
+use crate::fleets::{Fleet, Upstream};
 use crate::forwarding::{Forwarders, ServedCalls};
-use crate::metrics::{GatewayMetrics, KindLabel, RejectionLabels, RequestLabels};
+use crate::metrics::GatewayMetrics;
 use crate::peers::Peers;
 use crate::policies::Policy;
 use crate::prompts::Part;
@@ -55,9 +56,10 @@
 use crate::wires::Wire;
 
 use answers::{Outcome, OwnAnswer};
-use limits::{LIMITED, LimitQueues};
+use departures::DepartureWatch;
+use limits::LimitQueues;
 use path_checks::{LastCheck, MAX_CONCURRENT_CHECKS};
-use places::{WaitingQueues, rejection_of};
+use places::WaitingQueues;
 use stopping::{STOPPING, Stopping};
 
 pub(crate) use places::FreedSignal;
@@ -68,18 +70,9 @@
 /// The retry time for a caller whose request timed out before it ran.
 const TIMEOUT_PAUSE: Millis = Millis(100);
 
-/// The reason in the answer to a request whose upstreams have all asked for a pause.
-const PAUSED: &str = "upstreams_paused";
-
-/// The reason in the answer to a request that engines are too busy to answer in time.
-const OVERLOAD: &str = "overload";
-
 /// The label of the peers as a source of cached state in metrics.
 pub(crate) const PEER_SOURCE: &str = "peers";
 
-/// The maximum number of upstreams that one log line names.
-const MAX_LOGGED: usize = 16;
-
 /// `GatewayOptions` configures how requests are served.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -145,31 +138,6 @@
     }
 }
 
-/// `DepartureWatch` logs a request whose caller leaves before it is answered. The server then drops the
-/// request's future, so nothing else would log its outcome.
-struct DepartureWatch<W: Wire, C: Clock> {
-    gateway: Gateway<W, C>,
-    request: Arc<str>,
-    arrived_at: Millis,
-    is_over: bool,
-}
-
-impl<W: Wire, C: Clock> DepartureWatch<W, C> {
-    fn new(gateway: Gateway<W, C>, exchange: &Exchange) -> Self {
-        let (request, arrived_at) = (Arc::clone(&exchange.id), exchange.arrived_at);
-        Self { gateway, request, arrived_at, is_over: false }
-    }
-}
-
-impl<W: Wire, C: Clock> Drop for DepartureWatch<W, C> {
-    fn drop(&mut self) {
-        if !self.is_over {
-            let took_ms = (self.gateway.now() - self.arrived_at).0;
-            emit(&Event::CallerLeft { request: &self.request, took_ms });
-        }
-    }
-}
-
 impl<W: Wire, C: Clock> Gateway<W, C> {
     /// Creates a gateway that has no configuration and no upstreams yet.
     pub fn new(wire: W, clock: C, client: HttpClient, options: GatewayOptions) -> Self {
@@ -252,51 +220,6 @@
         self.inner.has_fleet.load(Ordering::Acquire)
     }
 
-    /// Activates a configuration, unless one of the same or a newer version is active.
-    pub fn adopt_config(&self, config: Config) {
-        let before = self.inner.config.load().as_ref().map(|config| config.version);
-        if before.is_some_and(|before| before >= config.version) {
-            return;
-        }
-        let version = config.version;
-        if let Some(accounts) = config.accounts() {
-            self.usage().learn_names(accounts.names());
-        }
-        self.inner.config.store(Some(Arc::new(config)));
-        emit(&Event::ConfigAdopted { version, before });
-    }
-
-    /// Replaces the upstreams by those of the upstream table.
-    pub fn adopt_entries(&self, entries: impl IntoIterator<Item = Entry>) {
-        let now = self.has_fleet().then(|| self.now());
-        let earlier = self.inner.fleet.replace_at(now, entries);
-        let view = self.inner.fleet.view();
-        self.wake_waiting();
-        self.inner.has_fleet.store(true, Ordering::Release);
-        // An upstream that has restarted under its id has lost the content of its cache.
-        let is_same = |engine: &str| {
-            let (now, before) = (view.get(engine), earlier.get(engine));
-            now.is_some_and(|now| {
-                before.is_none_or(|before| before.entry.is_same_start(&now.entry))
-            })
-        };
-        self.inner.caches.retain(is_same);
-        let draining = view.all().filter(|upstream| upstream.entry.draining);
-        emit(&Event::FleetChanged {
-            listed: view.all().count(),
-            draining: draining.map(|upstream| &*upstream.entry.id).take(MAX_LOGGED).collect(),
-            added: missing_in(&earlier, &view),
-            removed: missing_in(&view, &earlier),
-            restarted: restarted_in(&view, &earlier),
-        });
-    }
-
-    /// Returns whether an upstream has restarted, according to its current entry.
-    fn has_started_again(&self, upstream: &Upstream) -> bool {
-        let view = self.fleet().view();
-        view.get(&upstream.entry.id).is_some_and(|now| !now.entry.is_same_start(&upstream.entry))
-    }
-
     /// Returns the metrics.
     pub fn metrics(&self) -> &GatewayMetrics {
         &self.inner.metrics
@@ -373,7 +296,7 @@
     pub fn lift(&self, request: Fingerprint) -> bool {
         let is_known = self.suspects().lift(request, self.now());
         self.peers().announce();
-        emit(&Event::QuarantineLifted { fingerprint: request });
+        emit(&UpstreamEvent::QuarantineLifted { fingerprint: request });
         is_known
     }
 
@@ -460,114 +383,4 @@
         // The timeout has dropped the attempt in progress, together with its connection.
         served.unwrap_or_else(|_elapsed| self.abandoned_outcome(exchange, "timeout", TIMEOUT_PAUSE))
     }
-
-    /// Returns the answer for a request that is abandoned: a refusal only if it has not run.
-    fn abandoned_outcome(
-        &self,
-        exchange: &Exchange,
-        cause: &'static str,
-        pause: Millis,
-    ) -> Outcome {
-        if !exchange.may_have_run {
-            Outcome::refused(cause, self.retry_time(exchange, cause).unwrap_or(pause))
-        } else if exchange.time_left(self.now()) == Millis::ZERO {
-            Outcome::failed(StatusCode::GATEWAY_TIMEOUT, cause)
-        } else {
-            Outcome::may_have_run(cause)
-        }
-    }
-
-    /// Returns the answer for a request that no upstream accepts. If all upstreams that could serve it have
-    /// asked for a pause or have exhausted request limits, the answer names the time at which the first of
-    /// them accepts requests again.
-    fn no_upstream_outcome(
-        &self,
-        exchange: &Exchange,
-        cause: &'static str,
-        pause: Millis,
-    ) -> Outcome {
-        match self.soonest_opening(&exchange.service) {
-            Some((soonest, cause)) => self.abandoned_outcome(exchange, cause, soonest),
-            None => self.abandoned_outcome(exchange, cause, pause),
-        }
-    }
-
-    /// Returns the time until the first of a service's upstreams that are paused, or whose request limits are
-    /// exhausted, accepts requests again, and which of the two it is. Returns `None` if there are none or if
-    /// any upstream that answers requests accepts work.
-    fn soonest_opening(&self, service: &str) -> Option<(Millis, &'static str)> {
-        let (now, view) = (self.now(), self.fleet().view());
-        let answering =
-            || view.of_service(service).iter().filter(|one| one.role() != Some(Role::Prefill));
-        if answering().any(|one| one.takes_work(now)) {
-            return None;
-        }
-        let staying = answering().filter(|one| !one.is_leaving());
-        let openings = staying.filter_map(|one| {
-            let limited_until = one.state.request_limit().next_at(now);
-            match one.state.paused_until(now) {
-                Some(until) => Some((until.max(limited_until) - now, PAUSED)),
-                None => (limited_until > now).then_some((limited_until - now, LIMITED)),
-            }
-        });
-        openings.min()
-    }
-
-    fn conclude(&self, exchange: Option<&Exchange>, outcome: &Outcome, arrived_at: Millis) {
-        let took = self.now() - arrived_at;
-        let config = self.inner.config.load();
-        let upstreams = exchange.map_or_else(String::new, |exchange| exchange.tried.join(" "));
-        let status = outcome.status().as_u16();
-        let excess = exchange.map_or(0.0, |exchange| self.account_excess(exchange));
-        let rejection = exchange.and_then(|exchange| rejection_of(exchange, outcome));
-        emit(&Event::Concluded {
-            request: exchange.map_or("", |exchange| &exchange.id),
-            fingerprint: exchange.map(|exchange| exchange.fingerprint),
-            route: exchange.map_or("", |exchange| &exchange.route.name),
-            account: exchange
-                .and_then(|exchange| exchange.access.account.as_ref())
-                .map(|one| &*one.name),
-            status,
-            reason: outcome.reason(),
-            retry_after_ms: outcome.retry_after().map(|pause| pause.0),
-            upstreams: &upstreams,
-            took_ms: took.0,
-            had_ms: exchange.map_or(0, |exchange| (exchange.give_up_at - arrived_at).0),
-            objective_ms: exchange.map_or(0, |exchange| exchange.route.objective.0),
-            config: config.as_ref().map_or(0, |config| config.version),
-            excess: (excess > 0.0).then(|| (excess * 100.0).round() / 100.0),
-            rejected_by: rejection.map(|(reason, _)| reason),
-            predicted_wait_ms: rejection.and_then(|(_, predicted_ms)| predicted_ms),
-        });
-        if let Some(exchange) = exchange.filter(|_| excess > 0.0 && outcome.reason() == OVERLOAD) {
-            self.metrics().account_rejected.get_or_create(&self.share_label(exchange)).inc();
-        }
-        let kind = exchange.map_or("unknown", |exchange| exchange.route.repeats.as_str());
-        let declared = config.as_ref().map_or(0, |config| config.services().count());
-        let service = exchange.map_or("", |exchange| &exchange.service);
-        let service = self.inner.metrics.service_label(service, declared);
-        if let Some((reason, _)) = rejection {
-            let labels = RejectionLabels { service: service.clone(), reason };
-            self.inner.metrics.rejections.get_or_create(&labels).inc();
-        }
-        let labels = RequestLabels { service, kind, status, reason: outcome.reason() };
-        self.inner.metrics.requests.get_or_create(&labels).inc();
-        let latency = self.inner.metrics.latency.get_or_create(&KindLabel { kind });
-        latency.observe(took.as_secs_f64());
-    }
-}
-
-/// Returns the upstreams of `view` that have restarted since `earlier`, for logs.
-fn restarted_in<'v>(view: &'v FleetView, earlier: &FleetView) -> Vec<&'v str> {
-    let again = view.all().filter(|upstream| {
-        let before = earlier.get(&upstream.entry.id);
-        before.is_some_and(|before| !before.entry.is_same_start(&upstream.entry))
-    });
-    again.map(|upstream| &*upstream.entry.id).take(MAX_LOGGED).collect()
-}
-
-/// Returns the upstreams of `view` that are missing in `other`, for logs.
-fn missing_in<'v>(other: &FleetView, view: &'v FleetView) -> Vec<&'v str> {
-    let ids = view.all().map(|upstream| &*upstream.entry.id);
-    ids.filter(|id| other.get(id).is_none()).take(MAX_LOGGED).collect()
 }
--- a/crates/anvilhook-gateway/src/relay/path_checks.rs
+++ b/crates/anvilhook-gateway/src/relay/path_checks.rs
@@ -9,7 +9,7 @@
 
 use super::Gateway;
 use super::attempts::CLOSED_PAUSE;
-use crate::events::{Event, emit};
+use crate::events::{UpstreamEvent, emit};
 use crate::fleets::Upstream;
 use crate::wires::Wire;
 
@@ -112,7 +112,7 @@
         let state = &upstream.state;
         let Some(before) = state.path().replace(path, self.now()) else { return };
         let contact_age_ms = state.path().contact_age(self.now()).map(|age| age.0);
-        emit(&Event::PathChanged {
+        emit(&UpstreamEvent::PathChanged {
             upstream: &upstream.entry.id,
             path: path.as_str(),
             before: before.as_str(),
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -20,7 +20,7 @@
 use super::prompts::Opened;
 use super::requests::Exchange;
 use super::{Flight, Gateway};
-use crate::events::{Event, emit};
+use crate::events::{RequestEvent, emit};
 use crate::fleets::Upstream;
 use crate::loads::Held;
 use crate::metrics::NameLabel;
@@ -260,7 +260,7 @@
         let request = &*self.exchange.id;
         let longest_pause_ms = self.longest_pause.0;
         self.learn_output(took_ms);
-        emit(&Event::StreamEnded { request, outcome, longest_pause_ms, took_ms });
+        emit(&RequestEvent::StreamEnded { request, outcome, longest_pause_ms, took_ms });
     }
 }
 
@@ -312,7 +312,7 @@
     }
 
     fn log_broken(&self, upstream: &str, failed: &Failed, outcome: &'static str) {
-        emit(&Event::StreamBroken {
+        emit(&RequestEvent::StreamBroken {
             request: &self.exchange.id,
             upstream,
             fingerprint: self.exchange.fingerprint,
--- a/crates/anvilhook-gateway/src/relay/signals.rs
+++ b/crates/anvilhook-gateway/src/relay/signals.rs
@@ -7,7 +7,7 @@
 use http::header::HeaderMap;
 
 use super::Gateway;
-use crate::events::{Event, emit};
+use crate::events::{UpstreamEvent, emit};
 use crate::fleets::Upstream;
 use crate::request_limits::LimitChange;
 use crate::wires::Wire;
@@ -65,7 +65,7 @@
             let (upstream, status) = (&*upstream.entry.id, status.as_u16());
             let request = source.request();
             let pause_ms = pause.map(|pause| pause.0);
-            emit(&Event::UpstreamTold { upstream, request, status, is_leaving, pause_ms });
+            emit(&UpstreamEvent::UpstreamTold { upstream, request, status, is_leaving, pause_ms });
         }
     }
 
@@ -83,7 +83,10 @@
         match retry_after(headers) {
             Ok(pause) => pause.filter(|pause| upstream.state.pause(self.now() + *pause)),
             Err(err) => {
-                emit(&Event::PauseIgnored { upstream: &upstream.entry.id, cause: err.to_string() });
+                emit(&UpstreamEvent::PauseIgnored {
+                    upstream: &upstream.entry.id,
+                    cause: err.to_string(),
+                });
                 None
             }
         }
@@ -108,7 +111,7 @@
             (Ok(None), AnswerSource::OwnCall) => None,
             (Err(err), _) => {
                 let (upstream, cause) = (&*upstream.entry.id, err.to_string());
-                return emit(&Event::RequestLimitIgnored { upstream, cause });
+                return emit(&UpstreamEvent::RequestLimitIgnored { upstream, cause });
             }
         };
         let (per_s, before) = match change {
@@ -117,7 +120,7 @@
             None => return,
         };
         let (upstream, request) = (&*upstream.entry.id, source.request());
-        emit(&Event::RequestLimit { upstream, request, per_s, before });
+        emit(&UpstreamEvent::RequestLimit { upstream, request, per_s, before });
     }
 
     /// Records that an upstream has announced to this instance that it leaves, and publishes it to peers.
--- a/crates/anvilhook-gateway/src/relay/stopping.rs
+++ b/crates/anvilhook-gateway/src/relay/stopping.rs
@@ -10,7 +10,7 @@
 use super::Gateway;
 use super::requests::Exchange;
 use crate::configs::Repeats;
-use crate::events::{Event, emit};
+use crate::events::{RequestEvent, emit};
 use crate::wires::Wire;
 
 /// The reason that a stopping instance sends with refusals.
@@ -45,7 +45,7 @@
 
 impl StopDecision {
     fn log(&self, exchange: &Exchange, taking: &str) {
-        emit(&Event::StopWeighed {
+        emit(&RequestEvent::StopWeighed {
             request: &exchange.id,
             left_ms: self.left.0,
             limit_ms: self.limit.0,
--- a/crates/anvilhook-gateway/src/reloads.rs
+++ b/crates/anvilhook-gateway/src/reloads.rs
@@ -5,7 +5,7 @@
 use anvilhook_core::units::{Clock, Millis};
 
 use crate::budgets::BudgetOptions;
-use crate::events::{Event, emit};
+use crate::events::{InstanceEvent, emit};
 use crate::policies::Policy;
 use crate::relay::Gateway;
 use crate::texts::bounded;
@@ -78,12 +78,12 @@
                 self.apply();
                 if has_changed || is_asked || !reread.at_restart.is_empty() {
                     let at_restart = reread.at_restart;
-                    emit(&Event::SettingsReread { has_changed, at_restart });
+                    emit(&InstanceEvent::SettingsReread { has_changed, at_restart });
                 }
             }
             Err(cause) => {
                 self.gateway.metrics().record_unreadable(SETTINGS);
-                emit(&Event::SettingsRefused { cause: bounded(&cause).to_owned() });
+                emit(&InstanceEvent::SettingsRefused { cause: bounded(&cause).to_owned() });
             }
         }
     }
--- a/crates/anvilhook-gateway/src/roles/mod.rs
+++ b/crates/anvilhook-gateway/src/roles/mod.rs
@@ -14,7 +14,7 @@
 use futures_util::future::join_all;
 
 use crate::configs::Config;
-use crate::events::{Event, emit};
+use crate::events::{DutyEvent, UpstreamEvent, emit};
 use crate::fleets::Upstream;
 use crate::leases::{Lease, LeaseManager};
 use crate::loads::RoleChange;
@@ -246,7 +246,7 @@
         let current = self.shares.get(service).copied().unwrap_or(max);
         let next = next_share(current, max, mix, pressure, engines);
         if next != current {
-            emit(&Event::SplitPlanned { service, share: next, before: current });
+            emit(&UpstreamEvent::SplitPlanned { service, share: next, before: current });
             self.shares.insert(Arc::clone(service), next);
         }
         next
@@ -286,7 +286,7 @@
         }
         let (id, outcome) = (&upstream.entry.id, outcome.as_str());
         let role = format!("{role:?}").to_lowercase();
-        emit(&Event::OrderGiven { upstream: id, role: &role, token: lease.token, outcome });
+        emit(&DutyEvent::OrderGiven { upstream: id, role: &role, token: lease.token, outcome });
         let label = NameLabel { name: outcome.to_owned() };
         self.gateway.metrics().orders.get_or_create(&label).inc();
     }
--- a/crates/anvilhook-gateway/src/roles/orders.rs
+++ b/crates/anvilhook-gateway/src/roles/orders.rs
@@ -7,7 +7,7 @@
 use anvilhook_core::units::{Clock, Millis};
 use http::StatusCode;
 
-use crate::events::{Event, emit};
+use crate::events::{UpstreamEvent, emit};
 use crate::fleets::Upstream;
 use crate::leases::Lease;
 use crate::loads::RoleObservation;
@@ -121,7 +121,7 @@
             let sequence = listed.entry.sequence;
             upstream.state.observe_role(RoleObservation { role, sequence, is_own: true });
             gateway.peers().announce();
-            emit(&Event::RoleShown { upstream: &upstream.entry.id, role, request: None });
+            emit(&UpstreamEvent::RoleShown { upstream: &upstream.entry.id, role, request: None });
             return;
         }
         tokio::time::sleep(ROLE_PAUSE).await;
--- a/crates/anvilhook-gateway/src/tables.rs
+++ b/crates/anvilhook-gateway/src/tables.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 
-use crate::events::{Event, emit};
+use crate::events::{InstanceEvent, emit};
 use crate::metrics::TableLabels;
 
 /// `Row` is a row of a table, or its removal.
@@ -187,7 +187,7 @@
         let labels = TableLabels { table: table.to_owned(), call, outcome };
         self.calls.get_or_create(&labels).inc();
         let epoch = result.as_ref().ok().and_then(epoch);
-        emit(&Event::TableCalled { dependency: table, call, outcome, epoch });
+        emit(&InstanceEvent::TableCalled { dependency: table, call, outcome, epoch });
     }
 }
 
--- a/crates/anvilhook-gateway/tests/account_shares.rs
+++ b/crates/anvilhook-gateway/tests/account_shares.rs
@@ -13,7 +13,7 @@
 use anvilhook_core::usage::AccountCode;
 use anvilhook_gateway::account_shares::key_of;
 use anvilhook_gateway::configs::Repeats;
-use anvilhook_gateway::events::Event;
+use anvilhook_gateway::events::RequestEvent;
 use anvilhook_gateway::loads::Held;
 use anvilhook_gateway::peers::{AccountWork, Digest, FollowedTable, exchange};
 use anvilhook_gateway::policies::Policy;
@@ -230,7 +230,7 @@
 /// Guards against a log in which every concluded request has an excess, and against one that hides it.
 #[test]
 fn verify_an_excess_is_logged_only_where_there_is_one() {
-    let concluded = |excess| Event::Concluded {
+    let concluded = |excess| RequestEvent::Concluded {
         request: "r1",
         fingerprint: None,
         route: "route",
--- a/crates/anvilhook-http/src/bodies.rs
+++ b/crates/anvilhook-http/src/bodies.rs
@@ -1,4 +1,4 @@
-//! Request bodies that tell whether the library has begun to send them.
+//! Bodies that tell whether the library has begun to send them, or that hold something until they are sent.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -61,3 +61,37 @@
         self.body.size_hint()
     }
 }
+
+/// `GuardedBody` is a body that holds a guard until it has been sent or dropped.
+#[derive(Debug)]
+pub struct GuardedBody<G> {
+    body: Body,
+    _guard: G,
+}
+
+impl<G: Unpin + Send + Sync + 'static> GuardedBody<G> {
+    /// Returns a body that holds `guard` until it has been sent or dropped.
+    pub fn wrap(body: Body, guard: G) -> Body {
+        Body::from_body(Self { body, _guard: guard })
+    }
+}
+
+impl<G: Unpin> http_body::Body for GuardedBody<G> {
+    type Data = Bytes;
+    type Error = <Body as http_body::Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/anvilhook-http/src/lib.rs
+++ b/crates/anvilhook-http/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod pauses;
 pub mod servers;
 
-pub use bodies::SendProgress;
+pub use bodies::{GuardedBody, SendProgress};
 pub use clients::{ClientOptions, HttpClient};
 pub use errors::{CallError, Stage};
 pub use servers::{Phase, Shutdown, serve};
