Keep the ports of terminated upstreams in tests

tests/suspects.rs failed now and then, another test each time, with a timeout of support::until. The port of an upstream that had terminated was taken by a test beside it, so the upstream seemed to run on. A bound socket that does not listen now keeps the port.

--- a/crates/anvilhook-gateway/tests/support/upstreams.rs
+++ b/crates/anvilhook-gateway/tests/support/upstreams.rs
@@ -7,7 +7,7 @@
 use anvilhook_core::orders::Role;
 use anvilhook_gateway::fleets::Entry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
 
 use super::wires::entry;
@@ -56,6 +56,7 @@
     received: Arc<Mutex<Vec<Received>>>,
     closed: Arc<Notify>,
     ends: Arc<watch::Sender<bool>>,
+    _port: TcpSocket,
 }
 
 impl Upstream {
@@ -64,7 +65,7 @@
     where
         F: Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (port, listener) = listener_with_port();
         let address = listener.local_addr().expect("an address");
         let received = Arc::new(Mutex::new(Vec::new()));
         let closed = Arc::new(Notify::new());
@@ -89,7 +90,7 @@
                 ));
             }
         });
-        Upstream { address, received, closed, ends }
+        Upstream { address, received, closed, ends, _port: port }
     }
 
     /// Terminates the upstream: its listener is closed, and all its connections are reset.
@@ -113,6 +114,20 @@
     }
 }
 
+/// Returns a listener, and a socket that keeps its port from being used by another test once the listener is closed:
+/// a terminated upstream would seem to run on.
+fn listener_with_port() -> (TcpSocket, TcpListener) {
+    let [port, listening] = [(), ()].map(|()| {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("the option can be set");
+        socket
+    });
+    port.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let address = port.local_addr().expect("an address");
+    listening.bind(address).expect("the port can be shared");
+    (port, listening.listen(1_024).expect("a listener"))
+}
+
 async fn serve<F>(
     mut stream: TcpStream,
     script: Arc<F>,
