--- a/crates/anvilhook-core/src/paths.rs
+++ b/crates/anvilhook-core/src/paths.rs
@@ -8,7 +8,7 @@
 use crate::units::Millis;
 
 /// The interval between two checks of a path that is not direct.
-const CHECK_INTERVAL: Millis = Millis(500);
+pub const CHECK_INTERVAL: Millis = Millis(500);
 
 /// The minimum time between two checks of an instance, over all its paths: each check opens a connection.
 const CHECK_SPACING: Millis = Millis(10);
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -16,7 +16,7 @@
 use volo_http::response::Response;
 
 use super::answers::WholeAnswer;
-use super::calls::{CallFailure, UpstreamCall};
+use super::calls::{CallFailure, UNREACHABLE, UpstreamCall};
 use super::requests::{Exchange, end_to_end};
 use super::signals::AnswerSource;
 use super::waiting::Wait;
@@ -114,7 +114,7 @@
             CallFailure::Call(err) => err.into(),
             CallFailure::PathBroken { .. } => Self::path_broken(),
             CallFailure::Unreachable => {
-                Self { signal: FailureSignal::PathBroken, ..Self::not_sent("unreachable") }
+                Self { signal: FailureSignal::PathBroken, ..Self::not_sent(UNREACHABLE) }
             }
         }
     }
--- a/crates/anvilhook-gateway/src/relay/calls.rs
+++ b/crates/anvilhook-gateway/src/relay/calls.rs
@@ -27,6 +27,9 @@
 /// How much longer this instance waits for a forwarder than the forwarder waits for the upstream.
 const FORWARD_MARGIN: Millis = Millis(100);
 
+/// The reason in the answer to a request whose upstreams no instance reaches.
+pub(super) const UNREACHABLE: &str = "unreachable";
+
 /// `UpstreamCall` is a call to an upstream.
 pub(super) struct UpstreamCall<'a, F> {
     /// The id of the request, empty for a call that the gateway itself makes.
--- a/crates/anvilhook-gateway/src/relay/conclusions.rs
+++ b/crates/anvilhook-gateway/src/relay/conclusions.rs
@@ -1,11 +1,13 @@
 //! Decides the gateway's own answer to a request that no upstream answers, and logs how each request ended.
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::paths::CHECK_INTERVAL;
 use anvilhook_core::units::{Clock, Millis};
 use http::StatusCode;
 
 use super::Gateway;
 use super::answers::Outcome;
+use super::calls::UNREACHABLE;
 use super::limits::LIMITED;
 use super::places::{OVERLOAD, rejection_of};
 use super::requests::Exchange;
@@ -44,6 +46,10 @@
     ) -> Outcome {
         match self.soonest_opening(&exchange.service) {
             Some((soonest, cause)) => self.abandoned_outcome(exchange, cause, soonest),
+            // Another path may be found by the next check.
+            None if cause == UNREACHABLE => {
+                self.abandoned_outcome(exchange, cause, pause.max(CHECK_INTERVAL))
+            }
             None => self.abandoned_outcome(exchange, cause, pause),
         }
     }
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -289,7 +289,7 @@
 
         assert_eq!(attempted.status, 503, "{repeats:?}");
         assert_eq!((rejected.status, &*rejected.body), (503, "unreachable"), "{repeats:?}");
-        assert!(rejected.head.contains("retry-after"), "{repeats:?}");
+        assert!(rejected.head.contains("retry-after: 0.500"), "{repeats:?}: {}", rejected.head);
     }
 }
 
