Look at an upstream's state again before a call goes another way; check all paths after two failures

A call whose connection hung for 300 ms was sent through another instance although its upstream had begun to leave meanwhile: that one may not have heard of it. The new test received a request before, and none now. Where packets are lost, each lost opening packet had all paths checked every 2 s, a connection to each upstream. Now two failures in a row are needed, and 5 s lie between two such checks.

--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -186,6 +186,12 @@
         self.view.load().get(id).is_some_and(|upstream| upstream.takes_work(now))
     }
 
+    /// Returns whether the upstream with a hash accepts new work by the current view, unless its request limit is
+    /// exhausted.
+    pub(crate) fn is_open(&self, hash: u32, now: Millis) -> bool {
+        self.view.load().by_hash(hash).is_some_and(|upstream| upstream.is_open(now))
+    }
+
     /// Sets whether the reading work that peers report at one engine counts as one queue, or is reduced
     /// separately for each peer.
     pub(crate) fn set_joint_backlogs(&self, is_joint: bool) {
--- a/crates/anvilhook-gateway/src/relay/calls.rs
+++ b/crates/anvilhook-gateway/src/relay/calls.rs
@@ -242,6 +242,10 @@
         let mut others = OtherContacts::default();
         let forwarders = &self.inner.forwarders;
         for forwarder in forwarders.choose(self.peers(), upstream.hash, key, self.now()) {
+            // The upstream may have begun to leave while another way was tried.
+            if !self.fleet().is_open(upstream.hash, self.now()) {
+                break;
+            }
             let sent_at = self.now();
             let (outcome, through) = self.call_through(forwarder, upstream, call).await;
             self.record_forwarded(forwarder, upstream, call.request, outcome, sent_at);
--- a/crates/anvilhook-gateway/src/relay/path_checks.rs
+++ b/crates/anvilhook-gateway/src/relay/path_checks.rs
@@ -26,7 +26,7 @@
 const RECENT_TIME: Millis = Millis(50);
 
 /// The minimum time between two checks of all paths.
-const CHECK_ALL_INTERVAL: Millis = Millis(2_000);
+const CHECK_ALL_INTERVAL: Millis = Millis(5_000);
 
 /// `LastCheck` is when all paths were last checked.
 #[derive(Debug, Default)]
@@ -84,13 +84,19 @@
         let known = upstream.state.path().current();
         // Calls through others show by themselves whether those still reach the upstream.
         if known.is_indirect() {
+            self.check_all_paths();
             return Conclusion::Path(known);
         }
         let others = self.contacts_of_others(upstream).await;
         let conclusion = self.conclude_contacts(own, &others);
         match conclusion {
             Conclusion::Closed => self.close_upstream(upstream, None, ""),
-            Conclusion::Path(path) => self.record_path(upstream, path),
+            Conclusion::Path(path) => {
+                self.record_path(upstream, path);
+                if path.is_indirect() {
+                    self.check_all_paths();
+                }
+            }
         }
         conclusion
     }
@@ -106,8 +112,7 @@
         }
     }
 
-    /// Records how this instance reaches an upstream. If another instance is found to reach it, all other paths
-    /// are checked as well.
+    /// Records how this instance reaches an upstream.
     pub(super) fn record_path(&self, upstream: &Upstream, path: Path) {
         let state = &upstream.state;
         let Some(before) = state.path().replace(path, self.now()) else { return };
@@ -123,11 +128,11 @@
         if path.is_indirect() && !before.is_indirect() {
             // The failures before were those of the path.
             state.ejection().clear();
-            self.check_all_paths();
         }
     }
 
-    /// Checks the paths to all upstreams that have not answered lately, in the background.
+    /// Checks the paths to all upstreams that have not answered lately, in the background, as a path was found broken
+    /// twice in a row. After a single failure this would cost too many connections where packets are lost.
     fn check_all_paths(&self) {
         let now = self.now();
         if !self.inner.last_check.begin(CHECK_ALL_INTERVAL, now) {
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -482,3 +482,22 @@
     let served: u64 = instances.iter().map(served).sum();
     assert!((1..=MAX_CALLS).contains(&served), "{served} calls");
 }
+
+/// Guards against sending work to an upstream that began to leave while its connection was being opened. The other
+/// instance has not heard of it yet.
+#[tokio::test]
+async fn verify_an_upstream_that_leaves_meanwhile_gets_no_forwarded_call() {
+    let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+    let make_config = || config(Repeats::AtMostOnce, 2, false);
+    let listed = entry("u", upstream.address.port());
+    let (first, _second, cut) = cut_and_sound(&make_config, listed.clone(), How::Silent).await;
+    let gateway = first.front.gateway.clone();
+    let answering = tokio::spawn(async move { first.front.post("r1", "", "body").await });
+    until(|| gateway.in_flight() == 1).await;
+
+    gateway.adopt_entries([at(Entry { draining: true, ..listed }, &cut)]);
+
+    let answer = answering.await.expect("no panic");
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(upstream.received().is_empty());
+}
