Open a new connection for a forwarded call unless the upstream has just answered

A connection that is still being opened carries nothing. A forwarder now uses an open one only if the upstream has answered in the last 100 ms.

--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -1,7 +1,8 @@
 //! Forwards calls for instances that can't reach an upstream themselves.
 
 use anvilhook_core::paths::{Contact, Path};
-use anvilhook_core::units::Clock;
+use anvilhook_core::units::{Clock, Millis};
+use anvilhook_http::clients::Connection;
 use anvilhook_http::{GuardedBody, Stage};
 use http::Request as HttpRequest;
 use http_body_util::{BodyExt, Limited};
@@ -20,6 +21,9 @@
 use crate::metrics::NameLabel;
 use crate::wires::Wire;
 
+/// How recently an upstream must have answered for a forwarded call to use an open connection to it.
+const ALIVE_TIME: Millis = Millis(100);
+
 impl<W: Wire, C: Clock> Gateway<W, C> {
     /// Serves a call of another instance.
     pub(crate) async fn serve_forwarded(&self, req: Request) -> Response {
@@ -76,10 +80,14 @@
         };
         let request = text(&parts.headers, &self.wire().headers().request_id).unwrap_or_default();
         let sent_at = self.now();
+        // What is written to an open connection that has begun to transfer nothing reaches the upstream once the path
+        // heals, long after the caller has left.
+        let is_alive = upstream.state.path().has_contact_within(ALIVE_TIME, sent_at);
+        let connection = if is_alive { call.connection } else { Connection::New };
         let upstream_call = UpstreamCall {
             request: &request,
             message,
-            connection: call.connection,
+            connection,
             timeout: call.timeout,
             predicted_ms: 0.0,
             may_repeat: false,
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -7,6 +7,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
@@ -501,3 +502,44 @@
     assert_eq!(answer.status, 503, "{answer:?}");
     assert!(upstream.received().is_empty());
 }
+
+/// Starts an upstream that answers each request and keeps its connections open. Returns its port, and the number of
+/// connections that have carried a request.
+async fn counting_upstream() -> (u16, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let port = listener.local_addr().expect("an address").port();
+    let used = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&used);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = Arc::clone(&count);
+            tokio::spawn(async move {
+                let (mut buf, mut requests) = ([0; 4_096], 0);
+                while matches!(stream.read(&mut buf).await, Ok(len) if len > 0) {
+                    requests += 1;
+                    count.fetch_add(usize::from(requests == 1), Ordering::SeqCst);
+                    let answer = "HTTP/1.1 200 OK\r\nT-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+                    stream.write_all(answer.as_bytes()).await.expect("the caller reads");
+                }
+            });
+        }
+    });
+    (port, used)
+}
+
+/// Guards against a call that a forwarder writes to an open connection which has begun to transfer nothing: the kernel
+/// delivers it once the path heals, long after the caller has left.
+#[tokio::test]
+async fn verify_a_forwarder_uses_no_connection_that_has_been_quiet() {
+    let (port, used) = counting_upstream().await;
+    let make_config = || config(Repeats::Idempotent, 2, false);
+    let (first, _second, _cut) = cut_and_sound(&make_config, entry("u", port), How::Refused).await;
+
+    for number in 1..=3 {
+        let answer = first.front.post(&format!("r{number}"), "", "body").await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+
+    assert_eq!(used.load(Ordering::SeqCst), 3);
+}
