--- a/crates/anvilhook-gateway/src/relay/calls.rs
+++ b/crates/anvilhook-gateway/src/relay/calls.rs
@@ -207,7 +207,9 @@
             }
             Through::Failed(err) => Some(Err(CallFailure::Call(err))),
             Through::NotSent(others) => {
-                if self.conclude_contacts(own, &others) == Conclusion::Closed {
+                // Calls of the gateway's own go to upstreams that are closed, too, and must not keep them closed.
+                let is_own_call = call.request.is_empty();
+                if !is_own_call && self.conclude_contacts(own, &others) == Conclusion::Closed {
                     self.close_upstream(upstream, None, call.request);
                 }
                 None
--- a/crates/anvilhook-gateway/src/relay/path_checks.rs
+++ b/crates/anvilhook-gateway/src/relay/path_checks.rs
@@ -46,7 +46,9 @@
     /// Checks the path to an upstream in the background, and repeatedly until it is direct, unless that is in
     /// progress.
     pub(super) fn check_path_later(&self, upstream: &Upstream) {
-        if !upstream.state.path().begin_check(self.now()) {
+        // A closed upstream is known to have failed, whatever the path to it.
+        let is_closed = upstream.state.slow_start().closed_until(self.now()).is_some();
+        if is_closed || !upstream.state.path().begin_check(self.now()) {
             return;
         }
         let (gateway, upstream) = (self.clone(), upstream.clone());
@@ -90,7 +92,7 @@
         let others = self.contacts_of_others(upstream).await;
         let conclusion = self.conclude_contacts(own, &others);
         match conclusion {
-            Conclusion::Closed => self.close_upstream(upstream, None, ""),
+            Conclusion::Closed => self.close_if_open(upstream),
             Conclusion::Path(path) => {
                 self.record_path(upstream, path);
                 if path.is_indirect() {
@@ -159,6 +161,14 @@
         is_sound(reached.count(), self.broken_paths())
     }
 
+    /// Closes an upstream for all instances, unless it is closed already. A check must not extend the closed time: an
+    /// upstream that restarts meanwhile would get no work.
+    fn close_if_open(&self, upstream: &Upstream) {
+        if upstream.state.slow_start().closed_until(self.now()).is_none() {
+            self.close_upstream(upstream, None, "");
+        }
+    }
+
     /// Stops using an upstream for a while because another instance was refused. That instance publishes it.
     pub(super) fn pass_over(&self, upstream: &Upstream) {
         upstream.state.mark_closed(self.now() + CLOSED_PAUSE, false);
