Pass over a forwarder for one upstream only if its refusal concerns that upstream

Found by reading: an instance that is cut asked another one to call an upstream which that one lists as leaving, or does not list yet; the refusal had the forwarder passed over for all upstreams for 1 to 8 s. One leaving upstream could so take all forwarders of a small deployment from a cut instance, whose callers were rejected as unreachable. Change: the outcome not_open, apart from not_taken, concerns the named upstream. The new test gets 503 with the old scope.

--- a/crates/anvilhook-core/src/paths.rs
+++ b/crates/anvilhook-core/src/paths.rs
@@ -3,7 +3,7 @@
 //! Designed for: some, most or all instances of an availability zone that are cut from all or some upstreams for
 //! seconds, while callers and the other instances still reach them. Connections hang, are reset, or continue to
 //! work while new ones are refused. An instance that takes this for the state of the upstreams fails requests that
-//! the others could serve, and tells the others to avoid upstreams that they reach.
+//! the others could serve, and makes the others avoid upstreams that they reach.
 
 use crate::units::Millis;
 
--- a/crates/anvilhook-gateway/src/events/mod.rs
+++ b/crates/anvilhook-gateway/src/events/mod.rs
@@ -26,7 +26,7 @@
 pub const REQUESTS: &str = "anvilhook::requests";
 
 /// The target of lines about cached state.
-pub const BELIEFS: &str = "anvilhook::beliefs";
+pub const STATE: &str = "anvilhook::beliefs";
 
 /// The number of lines that the process has dropped since its start because they could not be written fast
 /// enough.
@@ -60,7 +60,7 @@
 /// `Event` is one line of the log, of any of the kinds.
 pub trait Event: Serialize {
     /// The target of the line.
-    const TARGET: &'static str = BELIEFS;
+    const TARGET: &'static str = STATE;
 
     /// Returns the level of the line.
     fn level(&self) -> Level;
--- a/crates/anvilhook-gateway/src/events/requests.rs
+++ b/crates/anvilhook-gateway/src/events/requests.rs
@@ -18,7 +18,7 @@
         upstream: &'a str,
         /// The address of the other instance.
         forwarder: &'a str,
-        /// `reached`, `no_forwarder`, `not_taken`, `no_path` (the other instance does not reach this upstream either), `refused`,
+        /// `reached`, `no_forwarder`, `not_taken`, `not_open`, `no_path` (the other instance does not reach this upstream either), `refused`,
         /// `no_response`, `broken` or `timed_out`; with `_unsound` if the other instance is cut from most upstreams.
         outcome: &'a str,
         /// The time to the head of the answer, in milliseconds.
--- a/crates/anvilhook-gateway/src/forwarding/messages.rs
+++ b/crates/anvilhook-gateway/src/forwarding/messages.rs
@@ -93,8 +93,10 @@
     Reached,
     /// The other instance does not answer, or does not forward calls. Nothing was sent to the upstream.
     NoForwarder,
-    /// The forwarder did not send the call: it stops, has too many calls, or knows that the upstream takes no work.
+    /// The forwarder did not send the call: it stops, or serves too many calls.
     NotTaken,
+    /// The forwarder does not list the upstream, or knows that it accepts no work.
+    NotOpen,
     /// The forwarder does not reach this upstream over its own path either. Others may.
     NoPath,
     /// No connection to the upstream could be opened. `is_sound` is whether the forwarder reaches upstreams in
@@ -107,9 +109,10 @@
 }
 
 impl ForwardOutcome {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 10] = [
         Self::Reached,
         Self::NotTaken,
+        Self::NotOpen,
         Self::NoPath,
         Self::NotReached { contact: Contact::Refused, is_sound: true },
         Self::NotReached { contact: Contact::Refused, is_sound: false },
@@ -125,6 +128,7 @@
             Self::Reached => "reached",
             Self::NoForwarder => "no_forwarder",
             Self::NotTaken => "not_taken",
+            Self::NotOpen => "not_open",
             Self::NoPath => "no_path",
             Self::NotReached { contact: Contact::Refused, is_sound: true } => "refused",
             Self::NotReached { contact: Contact::Refused, is_sound: false } => "refused_unsound",
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -332,8 +332,8 @@
         current.map(|(address, _)| *address).collect()
     }
 
-    /// Returns the instances to which calls may be forwarded, with whether each is in this availability zone. Those
-    /// of other zones are not heard of directly in zoned mode, so all of them are included then.
+    /// Returns the instances to which calls may be forwarded, with whether each is in this availability zone. In zoned
+    /// mode those of other zones send this instance no digests, so all of them are included.
     pub(crate) fn forwarders(&self, now: Millis) -> Vec<(SocketAddr, bool)> {
         let known = self.known.lock().expect("no panic under this lock");
         let is_full_mesh = known.len() <= MAX_FULL_MESH_PEERS;
--- a/crates/anvilhook-gateway/src/relay/calls.rs
+++ b/crates/anvilhook-gateway/src/relay/calls.rs
@@ -293,6 +293,7 @@
             }
             ForwardOutcome::NoForwarder
             | ForwardOutcome::NotTaken
+            | ForwardOutcome::NotOpen
             | ForwardOutcome::NoPath
             | ForwardOutcome::NotReached { .. } => None,
             ForwardOutcome::Broken => {
@@ -333,8 +334,8 @@
         others
     }
 
-    /// Returns what this instance's own contact and those of other instances show. If no other instance can tell,
-    /// a refusal is the upstream's as long as this instance reaches upstreams in general.
+    /// Returns what this instance's own contact and those of other instances show. If no other instance has
+    /// answered, a refusal is the upstream's as long as this instance reaches upstreams in general.
     pub(super) fn conclude_contacts(&self, own: Contact, others: &OtherContacts) -> Conclusion {
         let is_alone = !others.has_answer;
         if is_alone && own == Contact::Refused && self.is_sound() {
@@ -356,7 +357,9 @@
             ForwardOutcome::NoForwarder
             | ForwardOutcome::NotTaken
             | ForwardOutcome::NotReached { is_sound: false, .. } => Some(Scope::All),
-            ForwardOutcome::NoPath => Some(Scope::Upstream(upstream.hash)),
+            ForwardOutcome::NoPath | ForwardOutcome::NotOpen => {
+                Some(Scope::Upstream(upstream.hash))
+            }
             _ => None,
         };
         match failed {
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -65,7 +65,9 @@
         // Looked up only now: the upstream may have begun to leave while the body was received.
         let view = self.fleet().view();
         let listed = view.by_hash(call.upstream);
-        let Some(upstream) = listed.filter(|one| one.is_open(self.now())) else { return NOT_TAKEN };
+        let Some(upstream) = listed.filter(|one| one.is_open(self.now())) else {
+            return (ForwardOutcome::NotOpen, None);
+        };
         if upstream.state.path().current() != Path::Direct {
             return (self.outcome_without_path(), None);
         }
@@ -127,7 +129,7 @@
     /// Opens a connection to an upstream and returns whether that succeeds.
     async fn check_for_other(&self, call: &ForwardedCall) -> ForwardOutcome {
         let view = self.fleet().view();
-        let Some(upstream) = view.by_hash(call.upstream) else { return ForwardOutcome::NotTaken };
+        let Some(upstream) = view.by_hash(call.upstream) else { return ForwardOutcome::NotOpen };
         if upstream.state.path().current() != Path::Direct {
             return self.outcome_without_path();
         }
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -121,7 +121,7 @@
     }
 }
 
-/// Makes instances know each other, and waits until each has heard of all others.
+/// Adds instances to each other's peers, and waits until each has received a digest of all others.
 async fn connect(instances: &[&Instance]) {
     for one in instances {
         for other in instances.iter().filter(|other| other.peer != one.peer) {
@@ -211,8 +211,8 @@
     }
 }
 
-/// Guards against taking a broken path for a failure of the upstream. The other instances must not be told that the
-/// upstream refuses connections.
+/// Guards against taking a broken path for a failure of the upstream. The other instances must not be
+/// notified that the upstream refuses connections.
 #[tokio::test]
 async fn verify_a_broken_path_closes_no_upstream_for_others() {
     let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
@@ -485,7 +485,7 @@
 }
 
 /// Guards against sending work to an upstream that began to leave while its connection was being opened. The other
-/// instance has not heard of it yet.
+/// instance does not list it as leaving yet.
 #[tokio::test]
 async fn verify_an_upstream_that_leaves_meanwhile_gets_no_forwarded_call() {
     let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
@@ -543,3 +543,24 @@
 
     assert_eq!(used.load(Ordering::SeqCst), 3);
 }
+
+/// Guards against passing over another instance for all upstreams because it refuses a call to one that leaves: an
+/// instance that is cut from all of them would serve nothing.
+#[tokio::test]
+async fn verify_a_refusal_for_one_upstream_does_not_concern_the_others() {
+    let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+    let make_config = || config(Repeats::AtMostOnce, 2, false);
+    let cut = cut(How::Refused).await;
+    let leaving = entry("a", upstream.address.port());
+    let open = entry("b", upstream.address.port());
+    let listed = [leaving.clone(), open.clone()].map(|one| at(one, &cut)).into();
+    let first = instance(1, &make_config, listed, true).await;
+    let listed = vec![Entry { draining: true, ..leaving }, open];
+    let second = instance(2, &make_config, listed, true).await;
+    connect(&[&first, &second]).await;
+
+    for number in 0..4 {
+        let answer = first.front.post(&format!("r{number}"), "", "body").await;
+        assert_eq!(answer.status, 200, "{number}: {answer:?}");
+    }
+}
--- a/crates/anvilhook-http/src/bodies.rs
+++ b/crates/anvilhook-http/src/bodies.rs
@@ -1,4 +1,4 @@
-//! Bodies that tell whether the library has begun to send them, or that hold something until they are sent.
+//! Bodies that record whether the library has begun to send them, or that hold a guard until they are sent.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 use http_body::{Frame, SizeHint};
 use volo_http::body::Body;
 
-/// `SendProgress` tells whether a request has been passed to a connection. Clones share the state.
+/// `SendProgress` records whether a request has been passed to a connection. Clones share the state.
 ///
 /// ```
 /// use anvilhook_http::SendProgress;
