Check a request's key and caller again before a call goes another way

Found by reading: a request whose connection hung for 300 ms was sent through another instance although its key had been withdrawn meanwhile, and although its caller might have left. Change: a call asks before each further path whether it may still be sent. The new test saw the request at the upstream before, and sees none now.

--- a/crates/anvilhook-gateway/src/relay/access.rs
+++ b/crates/anvilhook-gateway/src/relay/access.rs
@@ -38,6 +38,15 @@
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Returns whether a request may still be sent: its caller is waiting, and its key is valid in the configuration
+    /// that is active now.
+    pub(super) fn may_still_send(&self, exchange: &Exchange) -> bool {
+        let is_allowed = self
+            .config()
+            .is_none_or(|config| config.access(&exchange.route, exchange.key.as_ref()).is_some());
+        is_allowed && !exchange.has_lost_its_caller(self.now())
+    }
+
     /// Checks a request's key again, by the configuration that is active now. Returns the final answer if
     /// the request is no longer allowed.
     ///
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -275,6 +275,7 @@
         let call = UpstreamCall {
             request: &exchange.id,
             message: || self.request_for(exchange, sending),
+            may_send: || self.may_still_send(exchange),
             connection: sending.connection,
             timeout: sending.head_timeout.min(exchange.time_left(sent_at)),
             predicted_ms: sending.predicted_ms,
--- a/crates/anvilhook-gateway/src/relay/calls.rs
+++ b/crates/anvilhook-gateway/src/relay/calls.rs
@@ -31,11 +31,13 @@
 pub(super) const UNREACHABLE: &str = "unreachable";
 
 /// `UpstreamCall` is a call to an upstream.
-pub(super) struct UpstreamCall<'a, F> {
+pub(super) struct UpstreamCall<'a, F, P> {
     /// The id of the request, empty for a call that the gateway itself makes.
     pub request: &'a str,
     /// Creates the message. It is called once for each path that is tried.
     pub message: F,
+    /// Returns whether the call may still be sent. It is asked again before each further path.
+    pub may_send: P,
     pub connection: Connection,
     /// The timeout for the head of the answer.
     pub timeout: Millis,
@@ -109,7 +111,7 @@
     pub(super) async fn call(
         &self,
         upstream: &Upstream,
-        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>, impl Fn() -> bool>,
     ) -> Result<Response, CallFailure> {
         let path = upstream.state.path().current();
         if path == Path::Unreachable {
@@ -143,7 +145,7 @@
     pub(super) async fn call_directly(
         &self,
         upstream: &Upstream,
-        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>, impl Fn() -> bool>,
     ) -> Result<Response, CallFailure> {
         let progress = SendProgress::default();
         let sending = self.inner.client.send_tracked(
@@ -194,7 +196,7 @@
     async fn call_after_failed_connect(
         &self,
         upstream: &Upstream,
-        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>, impl Fn() -> bool>,
         err: &CallError,
     ) -> Option<Result<Response, CallFailure>> {
         let own = if err.timed_out { Contact::NoResponse } else { Contact::Refused };
@@ -221,7 +223,7 @@
     async fn call_indirectly(
         &self,
         upstream: &Upstream,
-        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>, impl Fn() -> bool>,
     ) -> Result<Response, CallFailure> {
         match self.call_through_others(upstream, call).await {
             Through::Answered(answer) => Ok(answer),
@@ -238,14 +240,15 @@
     async fn call_through_others(
         &self,
         upstream: &Upstream,
-        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>, impl Fn() -> bool>,
     ) -> Through {
         let key = hash_of(&(call.request, upstream.hash));
         let mut others = OtherContacts::default();
         let forwarders = &self.inner.forwarders;
         for forwarder in forwarders.choose(self.peers(), upstream.hash, key, self.now()) {
-            // The upstream may have begun to leave while another way was tried.
-            if !self.fleet().is_open(upstream.hash, self.now()) {
+            // The upstream may have begun to leave, or the caller's key may have been withdrawn, while another way was
+            // tried.
+            if !self.fleet().is_open(upstream.hash, self.now()) || !(call.may_send)() {
                 break;
             }
             let sent_at = self.now();
@@ -268,7 +271,7 @@
         &self,
         forwarder: SocketAddr,
         upstream: &Upstream,
-        call: &UpstreamCall<'_, impl Fn() -> Request<Body>>,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>, impl Fn() -> bool>,
     ) -> (ForwardOutcome, Option<Through>) {
         let forwarded = ForwardedCall {
             upstream: upstream.hash,
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -89,6 +89,7 @@
         let upstream_call = UpstreamCall {
             request: &request,
             message,
+            may_send: || true,
             connection,
             timeout: call.timeout,
             predicted_ms: 0.0,
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -139,7 +139,7 @@
         &'a self,
         upstream: &'a Upstream,
         call: &'a Call,
-    ) -> UpstreamCall<'a, impl Fn() -> Request<Body> + 'a> {
+    ) -> UpstreamCall<'a, impl Fn() -> Request<Body> + 'a, impl Fn() -> bool + 'a> {
         let message = move || {
             let mut req = Request::new(call.body.clone().map_or_else(Body::empty, Body::from));
             *req.method_mut() = call.method.clone();
@@ -156,6 +156,7 @@
         UpstreamCall {
             request: "",
             message,
+            may_send: || true,
             connection: Connection::New,
             timeout: OWN_CALL_TIMEOUT,
             predicted_ms: 0.0,
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use anvilhook_core::api_keys::{AccountRegistry, ClientAccount, KeyHasher};
 use anvilhook_core::orders::Role;
 use anvilhook_core::paths::Path;
 use anvilhook_core::stops::Stop;
@@ -22,7 +23,9 @@
 use anvilhook_http::Shutdown;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use support::fronts::{Front, ample_budget, config, request, start, with_long_timeouts};
+use support::fronts::{
+    Front, ample_budget, config, config_of_version, request, start, with_long_timeouts,
+};
 use support::until;
 use support::upstreams::{Step, Upstream, engine, event, signed, stream, stream_end, stream_head};
 use support::wires::entry;
@@ -564,3 +567,30 @@
         assert_eq!(answer.status, 200, "{number}: {answer:?}");
     }
 }
+
+/// Returns a configuration in which `keys` belong to a client account.
+fn config_with_keys(version: u64, keys: &[&str]) -> Config {
+    let mut accounts = AccountRegistry::new(KeyHasher::new([3; 32]));
+    let account = ClientAccount { name: Arc::from("kitchen"), priority: None };
+    accounts.try_add(account, keys.iter().copied()).expect("valid keys");
+    config_of_version(version, Repeats::AtMostOnce, 2, false).with_accounts(accounts)
+}
+
+/// Guards against sending a request whose key was withdrawn while its connection was being opened.
+#[tokio::test]
+async fn verify_a_request_whose_key_is_withdrawn_meanwhile_is_not_forwarded() {
+    let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+    let make_config = || config_with_keys(1, &["good-key"]);
+    let listed = entry("u", upstream.address.port());
+    let (first, _second, _cut) = cut_and_sound(&make_config, listed, How::Silent).await;
+    let gateway = first.front.gateway.clone();
+    let key = "Authorization: Bearer good-key\r\n";
+    let answering = tokio::spawn(async move { first.front.post("r1", key, "body").await });
+    until(|| gateway.in_flight() == 1).await;
+
+    gateway.adopt_config(config_with_keys(2, &["other-key"]));
+
+    let answer = answering.await.expect("no panic");
+    assert!(matches!(answer.status, 401 | 503), "{answer:?}");
+    assert!(upstream.received().is_empty());
+}
