--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -19,7 +19,8 @@
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::forwarding::forwarding_router;
 use anvilhook_gateway::metrics::NameLabel;
-use anvilhook_gateway::peers::exchange;
+use anvilhook_gateway::peers::{exchange, seed_caches};
+use anvilhook_gateway::policies::Policy;
 use anvilhook_http::Shutdown;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -594,3 +595,35 @@
     assert!(matches!(answer.status, 401 | 503), "{answer:?}");
     assert!(upstream.received().is_empty());
 }
+
+/// Guards against an engine that has restarted and gets no work, because the gateway's own calls to it were refused
+/// while it was down and closed it again each time.
+#[tokio::test]
+async fn verify_own_calls_extend_no_closed_time() {
+    const SLACK: Millis = Millis(150);
+    let gone = cut(How::Refused).await;
+    let make_config = || with_long_timeouts(&config(RESUMABLE, 2, true));
+    let listed = Entry { role: Some(Role::Prefill), ..at(entry("e", 1), &gone) };
+    let generator = Upstream::always(stream(1, 3)).await;
+    let entries = || vec![listed.clone(), engine("g", &generator, Role::Decode)];
+    let first = instance(1, &make_config, entries(), true).await;
+    let second = instance(2, &make_config, entries(), true).await;
+    for one in [&first, &second] {
+        // With slow start each refusal within a closed time is ignored anyway.
+        one.front.gateway.set_policy(Policy { slow_start: false, ..Policy::default() });
+    }
+    connect(&[&first, &second]).await;
+    let closed_until = || {
+        let view = first.front.gateway.fleet().view();
+        view.get("e").expect("it is listed").state.slow_start().closed_until(Millis::ZERO)
+    };
+    first.front.post("r1", PROMPT, "body").await;
+    until(|| closed_until().is_some()).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = closed_until().expect("it was closed");
+
+    seed_caches(first.front.gateway.clone(), SystemClock::new()).await;
+
+    let after = closed_until().expect("it was closed");
+    assert!(after <= before + SLACK, "closed until {before:?}, then {after:?}");
+}
