Log software versions of upstreams and the streams that callers continue

Cause of the change: the logs of the incident can't tell streams that an instance resumed within one answer from streams that their callers continued, since no line names an upstream's software version or says that a request continues a stream.

Change: entries keep the version of the upstream's software; `placed` and `stream_broken` show it, `fleet_changed` counts upstreams by version, `stream_continued` shows the stream that a caller continues; metrics `service_versions` and `continued_streams`. No decision changes.

--- a/crates/anvilhook-gateway/src/events/instances.rs
+++ b/crates/anvilhook-gateway/src/events/instances.rs
@@ -139,6 +139,8 @@
         removed: Vec<&'a str>,
         /// The upstreams that have restarted under their id.
         restarted: Vec<&'a str>,
+        /// The number of upstreams by service and software version.
+        versions: BTreeMap<String, usize>,
     },
 }
 
--- a/crates/anvilhook-gateway/src/events/requests.rs
+++ b/crates/anvilhook-gateway/src/events/requests.rs
@@ -39,6 +39,8 @@
         request: &'a str,
         /// The upstream.
         upstream: &'a str,
+        /// The version of the upstream's software, if it reports one.
+        version: Option<&'a str>,
         /// The stage: `plain`, `read` or `generate`.
         stage: &'a str,
         /// The predicted time until the upstream is done or begins to answer, in milliseconds.
@@ -104,12 +106,25 @@
         /// it answered.
         contact_age_ms: Option<u64>,
     },
+    /// A caller continues a stream that another request began.
+    StreamContinued {
+        /// The request.
+        request: &'a str,
+        /// The request that began the stream, empty if the caller does not name it.
+        stream: &'a str,
+        /// The last event that the caller has received.
+        last_event: Option<u64>,
+    },
     /// A stream broke after its first event.
     StreamBroken {
         /// The request.
         request: &'a str,
         /// The upstream.
         upstream: &'a str,
+        /// The version of the upstream's software, if it reports one.
+        version: Option<&'a str>,
+        /// The version of the software that continues the stream, if it is resumed.
+        resumed_at: Option<&'a str>,
         /// The request's fingerprint, which its repeats share.
         fingerprint: Fingerprint,
         /// The last event that the caller received.
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -26,6 +26,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: Arc<str>,
+    /// The version of its software, if it reports one.
+    pub version: Option<Arc<str>>,
     /// The role that it has, if it is a model engine.
     pub role: Option<Role>,
     /// The number of requests that it runs concurrently.
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -100,6 +100,15 @@
     pub stage: &'static str,
 }
 
+/// `VersionLabels` are the labels of upstreams by software version.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct VersionLabels {
+    /// The service.
+    pub service: String,
+    /// The version, `unknown` if the upstream reports none.
+    pub version: String,
+}
+
 /// `GatewayMetrics` holds all metrics of an instance.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -113,6 +122,8 @@
     pub served_calls: Family<NameLabel, Counter>,
     /// Streams that broke after their first event, by whether they were resumed.
     pub broken_streams: Family<NameLabel, Counter>,
+    /// Requests of callers that continue a stream, by what became of them.
+    pub continued_streams: Family<NameLabel, Counter>,
     /// Requests that were rejected for lack of capacity, by reason.
     pub rejections: Family<RejectionLabels, Counter>,
     /// Orders given to engines, by outcome.
@@ -149,6 +160,7 @@
     service_reading_ms: Family<NameLabel, Gauge>,
     service_slots: Family<NameLabel, Gauge>,
     service_slow_starts: Family<NameLabel, Gauge>,
+    service_versions: Family<VersionLabels, Gauge>,
     service_short_lane_engines: Family<NameLabel, Gauge>,
     accounts_above_share: Family<NameLabel, Gauge>,
     /// The work sent to engines while a service had less capacity than was requested, in milliseconds.
@@ -172,6 +184,7 @@
             forwarded_calls: Family::default(),
             served_calls: Family::default(),
             broken_streams: Family::default(),
+            continued_streams: Family::default(),
             rejections: Family::default(),
             orders: Family::default(),
             latency: Family::new_with_constructor(latency),
@@ -200,6 +213,7 @@
             service_reading_ms: Family::default(),
             service_slots: Family::default(),
             service_slow_starts: Family::default(),
+            service_versions: Family::default(),
             service_short_lane_engines: Family::default(),
             accounts_above_share: Family::default(),
             contended_work_ms: Family::default(),
@@ -240,6 +254,16 @@
             "Streams that broke after their first event",
             self.broken_streams.clone(),
         );
+        registry.register(
+            "continued_streams",
+            "Requests of callers that continue a stream, by the reason of the answer",
+            self.continued_streams.clone(),
+        );
+        registry.register(
+            "service_versions",
+            "Listed upstreams of a service, by software version",
+            self.service_versions.clone(),
+        );
         registry.register(
             "rejections",
             "Requests that were rejected for lack of capacity, by reason",
@@ -496,6 +520,7 @@
         families.iter().for_each(|family| family.clear());
         let excesses = gateway.account_shares().excesses(now);
         self.waiting_requests.clear();
+        self.service_versions.clear();
         let view = gateway.fleet().view();
         for service in config.services().take(MAX_SERVICES) {
             let label = NameLabel { name: service.name.to_string() };
@@ -510,6 +535,11 @@
             self.service_in_flight.get_or_create(&label).set(in_flight);
             self.service_reading_ms.get_or_create(&label).set(reading_ms as i64);
             self.service_slots.get_or_create(&label).set(slots);
+            for upstream in upstreams {
+                let version = upstream.entry.version.as_deref().unwrap_or("unknown").to_owned();
+                let labels = VersionLabels { service: service.name.to_string(), version };
+                self.service_versions.get_or_create(&labels).inc();
+            }
             let is_active = gateway.policy().slow_start;
             let starting = upstreams.iter().filter(|one| one.state.slow_start().is_starting(now));
             let starting = if is_active { starting.count() as i64 } else { 0 };
--- a/crates/anvilhook-gateway/src/relay/adoption.rs
+++ b/crates/anvilhook-gateway/src/relay/adoption.rs
@@ -1,5 +1,6 @@
 //! Activates new configurations and new lists of upstreams.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -51,6 +52,7 @@
             added: missing_in(&earlier, &view),
             removed: missing_in(&view, &earlier),
             restarted: restarted_in(&view, &earlier),
+            versions: versions_of(&view),
         });
     }
 
@@ -61,6 +63,18 @@
     }
 }
 
+/// Returns the number of upstreams by service and software version, for logs.
+fn versions_of(view: &FleetView) -> BTreeMap<String, usize> {
+    let mut versions = BTreeMap::new();
+    for Upstream { entry, .. } in view.all().map(|upstream| &**upstream) {
+        let name = format!("{} {}", entry.service, entry.version.as_deref().unwrap_or("unknown"));
+        if versions.len() < MAX_LOGGED || versions.contains_key(&name) {
+            *versions.entry(name).or_default() += 1;
+        }
+    }
+    versions
+}
+
 /// Returns the upstreams of `view` that have restarted since `earlier`, for logs.
 fn restarted_in<'v>(view: &'v FleetView, earlier: &FleetView) -> Vec<&'v str> {
     let again = view.all().filter(|upstream| {
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -225,6 +225,7 @@
         emit(&RequestEvent::Placed {
             request: &exchange.id,
             upstream: &sending.upstream.entry.id,
+            version: sending.upstream.entry.version.as_deref(),
             stage: sending.stage,
             predicted_ms: sending.predicted_ms as u64,
             work_ms: sending.work_ms as u64,
--- a/crates/anvilhook-gateway/src/relay/conclusions.rs
+++ b/crates/anvilhook-gateway/src/relay/conclusions.rs
@@ -12,7 +12,7 @@
 use super::places::{OVERLOAD, rejection_of};
 use super::requests::Exchange;
 use crate::events::{RequestEvent, emit};
-use crate::metrics::{KindLabel, RejectionLabels, RequestLabels};
+use crate::metrics::{KindLabel, NameLabel, RejectionLabels, RequestLabels};
 use crate::wires::Wire;
 
 /// The reason in the answer to a request whose upstreams have all asked for a pause.
@@ -109,6 +109,10 @@
         if let Some(exchange) = exchange.filter(|_| excess > 0.0 && outcome.reason() == OVERLOAD) {
             self.metrics().account_rejected.get_or_create(&self.share_label(exchange)).inc();
         }
+        if exchange.is_some_and(|exchange| exchange.continued.is_some()) {
+            let label = NameLabel { name: outcome.reason().to_owned() };
+            self.metrics().continued_streams.get_or_create(&label).inc();
+        }
         let kind = exchange.map_or("unknown", |exchange| exchange.route.repeats.as_str());
         let declared = config.as_ref().map_or(0, |config| config.services().count());
         let service = exchange.map_or("", |exchange| &exchange.service);
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -20,6 +20,7 @@
 use super::stopping::STOPPING;
 use super::waiting::WaitOutcome;
 use crate::configs::EngineSpec;
+use crate::events::{RequestEvent, emit};
 use crate::placements::{Placer, Plan, Request};
 use crate::prompts::{Part, Prompt};
 use crate::wires::Wire;
@@ -84,6 +85,10 @@
 impl<W: Wire, C: Clock> Gateway<W, C> {
     pub(super) async fn serve_prompt(&self, exchange: &mut Exchange) -> Outcome {
         self.inner.budget.record_request(&exchange.service, self.now());
+        if let Some(stream) = &exchange.continued {
+            let (request, last_event) = (&*exchange.id, stream.last_event);
+            emit(&RequestEvent::StreamContinued { request, stream: &stream.id, last_event });
+        }
         match self.open_stream(exchange, None, Vec::new()).await {
             Ok(Opened::Stream(relay)) => Outcome::Stream(relay),
             Ok(Opened::Answer(answer)) => Outcome::Whole(answer),
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -24,7 +24,7 @@
 use crate::hashes::hash_of;
 use crate::prompts::Prompt;
 use crate::suspects::Trial;
-use crate::wires::Wire;
+use crate::wires::{HeaderNames, Wire};
 
 /// The deadline of a request without a deadline header.
 const DEFAULT_DEADLINE: Millis = Millis::from_secs(30);
@@ -35,6 +35,27 @@
 /// The retry time for a caller of an instance that has no usable configuration.
 const NO_CONFIG_PAUSE: Millis = Millis(300);
 
+/// `ContinuedStream` is a stream of which the caller has received a part by an earlier request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct ContinuedStream {
+    /// The id of the request that brought the first event, empty if the caller does not name it.
+    pub id: String,
+    /// The last event that the caller has received, if that is a number.
+    pub last_event: Option<u64>,
+}
+
+impl ContinuedStream {
+    /// Returns the stream that a request's headers name.
+    fn of(headers: &HeaderMap, names: &HeaderNames) -> Option<Self> {
+        let last_event = text(headers, &names.last_event_id);
+        let id = text(headers, &names.resumes);
+        (last_event.is_some() || id.is_some()).then(|| Self {
+            id: id.unwrap_or_default(),
+            last_event: last_event.and_then(|event| event.trim().parse().ok()),
+        })
+    }
+}
+
 /// `Exchange` is a request that is being served.
 pub(crate) struct Exchange {
     pub id: Arc<str>,
@@ -52,6 +73,8 @@
     /// On whose behalf the request is made, by the configuration that was checked last.
     pub access: Access,
     pub prompt: Option<Prompt>,
+    /// The stream that the caller continues, if it has received a part of it.
+    pub continued: Option<ContinuedStream>,
     /// When the request arrived.
     pub arrived_at: Millis,
     /// Since when the caller waits for the next event: since the arrival, or since the last event before its
@@ -130,6 +153,7 @@
             key,
             access,
             prompt: gateway.wire().prompt(&parts.headers),
+            continued: ContinuedStream::of(&parts.headers, names),
             headers: end_to_end(&parts.headers, &names.reserved),
             method: parts.method,
             uri: parts.uri,
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -21,7 +21,7 @@
 use super::requests::Exchange;
 use super::{Flight, Gateway};
 use crate::events::{RequestEvent, emit};
-use crate::fleets::Upstream;
+use crate::fleets::{Entry, Upstream};
 use crate::loads::Held;
 use crate::metrics::NameLabel;
 use crate::streams::{EventSplitter, StreamEvent};
@@ -42,6 +42,9 @@
 /// The cause logged for a stream that is ended because it runs past its caller's deadline.
 const OUT_OF_TIME: &str = "out_of_time";
 
+/// The outcome logged for a stream that another run continues.
+const RESUMED: &str = "resumed";
+
 /// `Relay` is an upstream's stream whose first event has been received.
 pub(super) struct Relay {
     status: StatusCode,
@@ -311,10 +314,13 @@
         }
     }
 
-    fn log_broken(&self, upstream: &str, failed: &Failed, outcome: &'static str) {
+    fn log_broken(&self, upstream: &Entry, failed: &Failed, outcome: &'static str) {
+        let now_at = &self.relay.held.upstream().entry;
         emit(&RequestEvent::StreamBroken {
             request: &self.exchange.id,
-            upstream,
+            upstream: &upstream.id,
+            version: upstream.version.as_deref(),
+            resumed_at: (outcome == RESUMED).then_some(now_at.version.as_deref()).flatten(),
             fingerprint: self.exchange.fingerprint,
             last_event: self.relay.last_id,
             cause: failed.cause,
@@ -337,7 +343,7 @@
             return Ok(bytes);
         }
         let upstream = self.relay.held.upstream();
-        self.log_broken(&upstream.entry.id, &Failed::may_have_run(OUT_OF_TIME), "not_allowed");
+        self.log_broken(&upstream.entry, &Failed::may_have_run(OUT_OF_TIME), "not_allowed");
         Err(io::Error::other(OUT_OF_TIME))
     }
 
@@ -348,7 +354,7 @@
             upstream.state.ejection().record_failure(gateway.now());
         }
         gateway.record_failure_signal(&self.exchange, upstream, failed);
-        let upstream = Arc::clone(&upstream.entry.id);
+        let upstream = upstream.entry.clone();
         let last_id = self.relay.last_id;
         let route = &self.exchange.route;
         let is_allowed = route.repeats.is_repeatable()
@@ -365,14 +371,15 @@
         self.relay.body = Body::empty();
         self.exchange.waits_since = self.last_event_at;
         let time_left = self.exchange.time_left(gateway.now());
-        let opening = gateway.open_stream(&mut self.exchange, last_id, vec![Arc::clone(&upstream)]);
+        let opening =
+            gateway.open_stream(&mut self.exchange, last_id, vec![Arc::clone(&upstream.id)]);
         let opened = tokio::time::timeout(time_left.as_duration(), opening).await;
         let Ok(Ok(Opened::Stream(relay))) = opened else {
             self.log_broken(&upstream, failed, "not_resumed");
             return Err(io::Error::other(failed.cause));
         };
-        self.log_broken(&upstream, failed, "resumed");
         self.relay = *relay;
+        self.log_broken(&upstream, failed, RESUMED);
         Ok(self.relay.next.take().map(|event| event.bytes))
     }
 }
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -31,6 +31,8 @@
     pub load: HeaderName,
     /// The last event that the caller of a stream has received.
     pub last_event_id: HeaderName,
+    /// The id of the request that brought the first event of the stream that the caller continues.
+    pub resumes: HeaderName,
     /// Requests only one stage of the work from an engine.
     pub stage: HeaderName,
     /// The handle from which an engine fetches a prompt's KV cache.
