--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -17,21 +17,16 @@
 use anvilhook_core::units::{Millis, SystemClock};
 use anvilhook_gateway::configs::{Config, Repeats};
 use anvilhook_gateway::fleets::Entry;
-use anvilhook_gateway::forwarding::forwarding_router;
 use anvilhook_gateway::metrics::NameLabel;
-use anvilhook_gateway::peers::{exchange, seed_caches};
+use anvilhook_gateway::peers::seed_caches;
 use anvilhook_gateway::policies::Policy;
-use anvilhook_http::Shutdown;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-use support::fronts::{
-    Front, ample_budget, config, config_of_version, request, start, with_long_timeouts,
-};
+use support::fronts::{config, config_of_version, request, with_long_timeouts};
+use support::instances::{Instance, connect, instance};
 use support::until;
 use support::upstreams::{Step, Upstream, engine, event, signed, stream, stream_end, stream_head};
 use support::wires::entry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
 const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
@@ -83,60 +78,6 @@
     Entry { address: cut.address, ..entry }
 }
 
-/// `Instance` is a gateway that exchanges digests with others.
-struct Instance {
-    front: Front,
-    peer: SocketAddr,
-    /// What listens for the calls of others, if nothing serves them.
-    port: Option<TcpListener>,
-}
-
-/// Starts an instance. With `forwards` false it does not serve the calls of others, like an earlier build.
-async fn instance(
-    number: u64,
-    config: &impl Fn() -> Config,
-    entries: Vec<Entry>,
-    forwards: bool,
-) -> Instance {
-    let front = start(Some(config()), entries, ample_budget()).await;
-    let (socket, listener) = sockets().await;
-    let peer = socket.local_addr().expect("an address");
-    let gateway = front.gateway.clone();
-    let mut port = None;
-    if !forwards {
-        port = Some(listener);
-    } else {
-        let router = forwarding_router(gateway.clone());
-        tokio::spawn(anvilhook_http::serve(listener, router, Shutdown::new()));
-    }
-    let rng = ChaCha8Rng::seed_from_u64(number);
-    tokio::spawn(exchange(socket, number, rng, gateway, SystemClock::new()));
-    Instance { front, peer, port }
-}
-
-/// Returns a socket for datagrams and a listener at the same port.
-async fn sockets() -> (UdpSocket, TcpListener) {
-    loop {
-        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
-        let peer = socket.local_addr().expect("an address");
-        if let Ok(listener) = TcpListener::bind(peer).await {
-            return (socket, listener);
-        }
-    }
-}
-
-/// Adds instances to each other's peers, and waits until each has received a digest of all others.
-async fn connect(instances: &[&Instance]) {
-    for one in instances {
-        for other in instances.iter().filter(|other| other.peer != one.peer) {
-            one.front.gateway.peers().add(other.peer);
-        }
-    }
-    let others = instances.len() - 1;
-    let has_all = |one: &&Instance| one.front.gateway.peers().live_peers(Millis::ZERO) >= others;
-    until(|| instances.iter().all(has_all)).await;
-}
-
 /// Starts two instances, of which only the second reaches the upstream.
 async fn cut_and_sound(
     config: &impl Fn() -> Config,
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -206,13 +206,42 @@
         self.raw(&request(id, headers, body)).await
     }
 
+    /// Sends a request with a body, with a deadline of 60 s, and returns the open connection.
+    pub async fn open(&self, id: &str, headers: &str, body: &str) -> OpenAnswer {
+        let mut stream = TcpStream::connect(self.address).await.expect("the front listens");
+        let bytes = with_long_deadline(&request(id, headers, body));
+        stream.write_all(bytes.as_bytes()).await.expect("the front reads");
+        OpenAnswer { stream, received: String::new() }
+    }
+
     /// Sends a request with a body, with a deadline of 60 s.
     pub async fn post_with_long_deadline(&self, id: &str, headers: &str, body: &str) -> Answer {
-        let bytes = request(id, headers, body);
-        self.raw(&bytes.replace("T-Deadline: 2000", "T-Deadline: 60000")).await
+        self.raw(&with_long_deadline(&request(id, headers, body))).await
+    }
+}
+
+/// `OpenAnswer` is an answer that is still being received.
+pub struct OpenAnswer {
+    stream: TcpStream,
+    received: String,
+}
+
+impl OpenAnswer {
+    /// Receives until the answer contains `text`.
+    pub async fn receive_until(&mut self, text: &str) {
+        let mut buf = [0; 1_024];
+        while !self.received.contains(text) {
+            let len = self.stream.read(&mut buf).await.expect("the connection is open");
+            assert!(len > 0, "ended before {text:?}: {}", self.received);
+            self.received.push_str(&String::from_utf8_lossy(&buf[..len]));
+        }
     }
 }
 
+fn with_long_deadline(request: &str) -> String {
+    request.replace("T-Deadline: 2000", "T-Deadline: 60000")
+}
+
 /// Returns the bytes of a request that closes the connection.
 pub fn request(id: &str, headers: &str, body: &str) -> String {
     let length = body.len();
--- a/crates/anvilhook-gateway/tests/support/mod.rs
+++ b/crates/anvilhook-gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod clocks;
 pub mod clouds;
 pub mod fronts;
+pub mod instances;
 pub mod tables;
 pub mod upstreams;
 pub mod wires;
