Continue streams only at the software version that began them

Cause: a stream that goes on was placed like a new request, at any upstream of its service. What must stay the same over a stream's runs, the software that writes its events, was read from the upstream's entry and dropped; and the instance that a caller comes back to could not know where the stream began.

Change: each upstream has a software identity, its service and version; one without a version fits only its own start. A request takes the identity of the upstream that begins its stream. Every choice of an upstream respects it from then on, in this answer and in those to later requests: placement, limits, retry times, the queue of waiting requests, the check right before each send, and the instance that forwards a call. Before the first event is forwarded, the origin (fingerprint of the request, hash of its id, identity) goes to four other instances in one datagram each; they are chosen by a hash of the fingerprint and lie in as many availability zones as there are. A request with the header that names the continued stream, or with Last-Event-Id alone, looks its origin up here, or asks six instances. If the origin is unknown, or no upstream of that software can answer, the request is rejected at once as not run. An engine that reports its start is asked for it before it continues a stream, as it may have restarted with other software.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod speeds;
 pub mod splits;
 pub mod stops;
+pub mod stream_origins;
 pub mod units;
 pub mod usage;
 pub mod verdict;
--- a/crates/anvilhook-gateway/src/events/requests.rs
+++ b/crates/anvilhook-gateway/src/events/requests.rs
@@ -110,10 +110,17 @@
     StreamContinued {
         /// The request.
         request: &'a str,
-        /// The request that began the stream, empty if the caller does not name it.
-        stream: &'a str,
+        /// The request that began the stream, if the caller names it.
+        stream: Option<&'a str>,
         /// The last event that the caller has received.
         last_event: Option<u64>,
+        /// Whether it is known which software began the stream: `kept` here, `answered` by another instance,
+        /// `unknown`, or `unanswered` if an instance that may know it has not answered.
+        origin: &'a str,
+        /// The version of that software, if upstreams with it are listed.
+        version: Option<&'a str>,
+        /// The time that the lookup took, in milliseconds.
+        took_ms: u64,
     },
     /// A stream broke after its first event.
     StreamBroken {
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::stream_origins::Software;
 use anvilhook_core::units::Millis;
 use arc_swap::ArcSwap;
 
@@ -63,6 +64,16 @@
         self.born.zip(born).is_some_and(|(listed, reported)| listed != reported)
     }
 
+    /// Returns the software that writes the upstream's events. Upstreams of one service with the same version have the
+    /// same one. That of an upstream which reports no version is known to fit no other start.
+    pub fn software(&self) -> Software {
+        let hash = match &self.version {
+            Some(version) => hash_of(&(&*self.service, &**version)),
+            None => hash_of(&(&*self.service, &*self.id, self.born)),
+        };
+        Software((hash as u32).max(1))
+    }
+
     /// Returns the hash of the id and the start, by which instances identify the upstream among
     /// themselves. Updates about an earlier start are not applied to a later one.
     pub fn hash(&self) -> u32 {
@@ -77,6 +88,8 @@
     pub entry: Entry,
     /// The hash of its id and start, by which instances identify it among themselves.
     pub hash: u32,
+    /// The software that writes its events.
+    pub software: Software,
     /// What this instance has observed.
     pub state: Arc<UpstreamState>,
 }
@@ -90,6 +103,11 @@
         Some(observed.map_or(listed, |observed| observed.role))
     }
 
+    /// Returns whether a listed upstream is the same start of the same software.
+    pub fn is_same(&self, other: &Upstream) -> bool {
+        self.hash == other.hash && self.software == other.software
+    }
+
     /// Returns whether it is leaving or gone, according to any source.
     pub fn is_leaving(&self) -> bool {
         self.entry.draining || self.state.is_gone() || self.state.says_leaving()
@@ -133,6 +151,14 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether upstreams of several software versions serve a service.
+    pub fn has_versions(&self, service: &str) -> bool {
+        let staying = self.of_service(service).iter().filter(|one| !one.entry.draining);
+        let mut software = staying.map(|upstream| upstream.software);
+        let first = software.next();
+        software.any(|other| Some(other) != first)
+    }
+
     /// Returns an upstream by its id.
     pub fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
         self.by_id.get(id)
@@ -183,11 +209,25 @@
         self.view.load_full()
     }
 
-    /// Returns whether an upstream accepts new work, by the current view.
+    /// Returns whether the upstream with an id accepts new work, by the current view.
     pub fn takes_work(&self, id: &str, now: Millis) -> bool {
         self.view.load().get(id).is_some_and(|upstream| upstream.takes_work(now))
     }
 
+    /// Returns whether an upstream that was looked up earlier accepts new work, by the current view. Another start or
+    /// software under the same id is not this upstream.
+    pub(crate) fn still_takes_work(&self, upstream: &Upstream, now: Millis) -> bool {
+        let view = self.view.load();
+        let current = view.get(&upstream.entry.id).filter(|current| current.is_same(upstream));
+        current.is_some_and(|current| current.takes_work(now))
+    }
+
+    /// Returns whether the current view lists another start or software under an upstream's id.
+    pub(crate) fn has_replaced(&self, upstream: &Upstream) -> bool {
+        let view = self.view.load();
+        view.get(&upstream.entry.id).is_some_and(|current| !current.is_same(upstream))
+    }
+
     /// Returns whether the upstream with a hash accepts new work by the current view, unless its request limit is
     /// exhausted.
     pub(crate) fn is_open(&self, hash: u32, now: Millis) -> bool {
@@ -226,7 +266,8 @@
                 })
             };
             let state = earlier.state_of(&entry).unwrap_or_else(new_state);
-            let upstream = Arc::new(Upstream { hash: entry.hash(), entry, state });
+            let (hash, software) = (entry.hash(), entry.software());
+            let upstream = Arc::new(Upstream { hash, software, entry, state });
             let service = Arc::clone(&upstream.entry.service);
             view.by_service.entry(service).or_default().push(Arc::clone(&upstream));
             view.by_hash.insert(upstream.hash, Arc::clone(&upstream));
--- a/crates/anvilhook-gateway/src/forwarding/messages.rs
+++ b/crates/anvilhook-gateway/src/forwarding/messages.rs
@@ -1,6 +1,7 @@
 //! The headers by which instances pass calls to each other.
 
 use anvilhook_core::paths::Contact;
+use anvilhook_core::stream_origins::Software;
 use anvilhook_core::units::Millis;
 use anvilhook_http::clients::Connection;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -20,8 +21,12 @@
 /// The outcome of a forwarded call, in the forwarder's answer.
 const OUTCOME: HeaderName = HeaderName::from_static("peer-outcome");
 
+/// The software that the upstream must have, if the call is restricted to one.
+const SOFTWARE: HeaderName = HeaderName::from_static("peer-software");
+
 /// The headers of a forwarded call, which upstreams do not receive.
-pub(crate) const CALL_HEADERS: [HeaderName; 4] = [UPSTREAM, PURPOSE, TIMEOUT_MS, CONNECTION];
+pub(crate) const CALL_HEADERS: [HeaderName; 5] =
+    [UPSTREAM, PURPOSE, TIMEOUT_MS, CONNECTION, SOFTWARE];
 
 /// `Purpose` is what a forwarder is to do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,6 +55,8 @@
     /// The timeout for the head of the upstream's answer.
     pub timeout: Millis,
     pub connection: Connection,
+    /// The software that the upstream must have, if the call is restricted to one.
+    pub software: Option<Software>,
 }
 
 impl ForwardedCall {
@@ -63,6 +70,9 @@
         headers.insert(PURPOSE, HeaderValue::from_static(self.purpose.as_str()));
         headers.insert(TIMEOUT_MS, HeaderValue::from(self.timeout.0));
         headers.insert(CONNECTION, HeaderValue::from_static(connection));
+        if let Some(Software(software)) = self.software {
+            headers.insert(SOFTWARE, HeaderValue::from(software));
+        }
     }
 
     /// Returns the call that a request's headers describe, `None` if they are missing or invalid.
@@ -81,6 +91,10 @@
                 "new" => Connection::New,
                 _ => return None,
             },
+            software: match headers.get(SOFTWARE) {
+                Some(value) => Some(Software(value.to_str().ok()?.parse().ok()?)),
+                None => None,
+            },
         })
     }
 }
--- a/crates/anvilhook-gateway/src/lib.rs
+++ b/crates/anvilhook-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod leases;
 pub mod loads;
 pub mod metrics;
+pub mod origins;
 pub mod paths;
 pub mod peers;
 pub mod placements;
--- a/crates/anvilhook-gateway/src/metrics.rs
+++ b/crates/anvilhook-gateway/src/metrics.rs
@@ -124,6 +124,13 @@
     pub broken_streams: Family<NameLabel, Counter>,
     /// Requests of callers that continue a stream, by what became of them.
     pub continued_streams: Family<NameLabel, Counter>,
+    /// Lookups of where a stream began, by result.
+    pub origin_lookups: Family<NameLabel, Counter>,
+    /// Datagrams about origins sent to peers.
+    pub origin_datagrams: Counter,
+    /// The size of these datagrams in bytes, without network overhead.
+    pub origin_bytes: Counter,
+    origins: Gauge,
     /// Requests that were rejected for lack of capacity, by reason.
     pub rejections: Family<RejectionLabels, Counter>,
     /// Orders given to engines, by outcome.
@@ -185,6 +192,10 @@
             served_calls: Family::default(),
             broken_streams: Family::default(),
             continued_streams: Family::default(),
+            origin_lookups: Family::default(),
+            origin_datagrams: Counter::default(),
+            origin_bytes: Counter::default(),
+            origins: Gauge::default(),
             rejections: Family::default(),
             orders: Family::default(),
             latency: Family::new_with_constructor(latency),
@@ -259,6 +270,22 @@
             "Requests of callers that continue a stream, by the reason of the answer",
             self.continued_streams.clone(),
         );
+        registry.register(
+            "origin_lookups",
+            "Lookups of where a continued stream began, by result",
+            self.origin_lookups.clone(),
+        );
+        registry.register(
+            "origin_datagrams",
+            "Datagrams about the origins of streams sent to peers",
+            self.origin_datagrams.clone(),
+        );
+        registry.register(
+            "origin_bytes",
+            "Bytes of datagrams about the origins of streams",
+            self.origin_bytes.clone(),
+        );
+        registry.register("origins", "Origins of streams kept", self.origins.clone());
         registry.register(
             "service_versions",
             "Listed upstreams of a service, by software version",
@@ -465,6 +492,7 @@
     fn refresh<W: Wire, C: Clock>(&self, gateway: &Gateway<W, C>, now: Millis) {
         let label = |name: &str| NameLabel { name: name.to_owned() };
         self.in_flight.set(gateway.in_flight() as i64);
+        self.origins.set(gateway.origins().len() as i64);
         self.broken_paths.set(gateway.broken_paths() as i64);
         self.peers.set(gateway.peers().live_peers(now) as i64);
         let (suspected, quarantined) = gateway.suspects().counts(now);
--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members.rs
@@ -346,6 +346,21 @@
         usable.map(|(address, _, is_near)| (*address, is_near)).collect()
     }
 
+    /// Returns the instances that may run and could keep a copy of what this one publishes, with their availability
+    /// zones. In zoned mode those of other zones send this instance no digests, so all of them are included.
+    pub(crate) fn possible_replicas(&self, now: Millis) -> Vec<(SocketAddr, Option<u32>)> {
+        let known = self.known.lock().expect("no panic under this lock");
+        let is_full_mesh = known.len() <= MAX_FULL_MESH_PEERS;
+        let sends_digests = |one: &Known| is_full_mesh || one.zone == Some(self.zone);
+        let usable = known.iter().filter(|(_, one)| !sends_digests(one) || one.may_run(now));
+        usable.map(|(address, one)| (*address, one.zone)).collect()
+    }
+
+    /// Returns whether this instance is listed and has read which others are.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.was_listed.load(Ordering::Acquire)
+    }
+
     /// Returns whether an instance is in this availability zone, as far as known.
     pub(crate) fn is_near(&self, address: SocketAddr) -> bool {
         let known = self.known.lock().expect("no panic under this lock");
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -29,6 +29,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
 
+use crate::origins::OriginMessage;
 use crate::relay::{Gateway, PEER_SOURCE};
 use crate::tables::TableRevision;
 use crate::wires::Wire;
@@ -73,6 +74,8 @@
     let mut ticks = tokio::time::interval(PUBLISH_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let Ok(own) = socket.local_addr() else { return };
+    let socket = Arc::new(socket);
+    gateway.origins().attach(Arc::clone(&socket));
     let peers = Arc::clone(gateway.peers());
     peers.set_number(number);
     let mut buf = vec![0; MAX_DIGEST_BYTES * 2];
@@ -97,10 +100,10 @@
             () = peers.announced() => link.publish(&socket, &gateway, clock.now()),
             received = socket.recv_from(&mut buf) => {
                 let Ok((len, from)) = received else { continue };
-                match Digest::decode(&buf[..len]) {
-                    Ok(digest) => link.receive(digest, from, &socket, &gateway, clock.now()),
+                let is_read = link.receive_datagram(&buf[..len], from, &socket, &gateway, &clock);
+                if is_read.is_err() {
                     // Not logged: a sender of bad datagrams could fill the log.
-                    Err(_) => gateway.metrics().record_unreadable(PEER_SOURCE),
+                    gateway.metrics().record_unreadable(PEER_SOURCE);
                 }
             }
         }
@@ -129,6 +132,22 @@
         }
     }
 
+    fn receive_datagram<W: Wire, C: Clock>(
+        &mut self,
+        bytes: &[u8],
+        from: SocketAddr,
+        socket: &UdpSocket,
+        gateway: &Gateway<W, C>,
+        clock: &C,
+    ) -> Result<(), postcard::Error> {
+        if OriginMessage::is_in(bytes) {
+            gateway.receive_origin_message(OriginMessage::decode(bytes)?, from);
+        } else {
+            self.receive(Digest::decode(bytes)?, from, socket, gateway, clock.now());
+        }
+        Ok(())
+    }
+
     fn receive<W: Wire, C: Clock>(
         &mut self,
         mut digest: Digest,
--- a/crates/anvilhook-gateway/src/policies.rs
+++ b/crates/anvilhook-gateway/src/policies.rs
@@ -29,6 +29,8 @@
     pub fair_shares: bool,
     /// Whether waiting requests are queued in one order, and rejected by the predicted wait.
     pub waiting_queue: bool,
+    /// Whether engines of different software versions may use each other's KV caches.
+    pub caches_across_versions: bool,
 }
 
 impl Default for Policy {
@@ -41,6 +43,7 @@
             surplus_role_changes: true,
             fair_shares: true,
             waiting_queue: true,
+            caches_across_versions: true,
         }
     }
 }
--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -47,6 +47,12 @@
         Outcome::Own(OwnAnswer::refused(reason, retry_after))
     }
 
+    /// Creates an answer that reports that the request has not run and never will, and that the same request would not
+    /// be served later either.
+    pub fn refused_for_good(reason: &'static str) -> Self {
+        Self::failed(StatusCode::SERVICE_UNAVAILABLE, reason)
+    }
+
     /// Creates an answer that reports a failed request. Only the status may indicate whether it has run.
     pub fn failed(status: StatusCode, reason: &'static str) -> Self {
         Outcome::Own(OwnAnswer::failed(status, reason))
@@ -125,6 +131,11 @@
         Self { status, reason, retry_after: None }
     }
 
+    /// Creates the answer to a request with an invalid header or body.
+    pub fn invalid(reason: &'static str) -> Self {
+        Self::failed(StatusCode::BAD_REQUEST, reason)
+    }
+
     fn into_response(self) -> Response {
         let mut answer = HttpResponse::new(Body::from(Bytes::from_static(self.reason.as_bytes())));
         *answer.status_mut() = self.status;
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -184,7 +184,7 @@
         }
         // Checks the current state again: an answer to another request may have changed what is known of
         // the upstream since it was chosen.
-        if !self.fleet().takes_work(&sending.upstream.entry.id, self.now()) {
+        if !self.fleet().still_takes_work(sending.upstream, self.now()) {
             let failed = Failed::not_sent("takes_no_work");
             self.log_failed(exchange, sending.upstream, sending.stage, &failed);
             return Err(failed);
@@ -276,8 +276,11 @@
         let call = UpstreamCall {
             request: &exchange.id,
             message: || self.request_for(exchange, sending),
-            may_send: || self.may_still_send(exchange),
+            may_send: || {
+                self.may_still_send(exchange) && !self.fleet().has_replaced(sending.upstream)
+            },
             connection: sending.connection,
+            software: exchange.software.filter(|_| sending.role != Some(Role::Prefill)),
             timeout: sending.head_timeout.min(exchange.time_left(sent_at)),
             predicted_ms: sending.predicted_ms,
             may_repeat: sending.may_repeat,
--- a/crates/anvilhook-gateway/src/relay/calls.rs
+++ b/crates/anvilhook-gateway/src/relay/calls.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use anvilhook_core::paths::{Conclusion, Contact, Path, conclude};
+use anvilhook_core::stream_origins::Software;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
 use anvilhook_http::{CallError, SendProgress, Stage};
@@ -39,6 +40,8 @@
     /// Returns whether the call may still be sent. It is asked again before each further path.
     pub may_send: P,
     pub connection: Connection,
+    /// The software that the upstream must have, if the call continues a stream.
+    pub software: Option<Software>,
     /// The timeout for the head of the answer.
     pub timeout: Millis,
     /// The predicted time until the answer, in milliseconds.
@@ -278,6 +281,7 @@
             purpose: Purpose::Call,
             timeout: call.timeout,
             connection: call.connection,
+            software: call.software,
         };
         let mut req = (call.message)();
         forwarded.write(req.headers_mut());
@@ -317,6 +321,7 @@
             purpose: Purpose::Check,
             timeout: MIN_SILENCE,
             connection: Connection::New,
+            software: None,
         };
         let mut others = OtherContacts::default();
         let (forwarders, key) = (&self.inner.forwarders, u64::from(upstream.hash));
--- a/crates/anvilhook-gateway/src/relay/conclusions.rs
+++ b/crates/anvilhook-gateway/src/relay/conclusions.rs
@@ -1,5 +1,7 @@
 //! Decides the gateway's own answer to a request that no upstream answers, and logs how each request ended.
 
+use std::sync::Arc;
+
 use anvilhook_core::orders::Role;
 use anvilhook_core::paths::CHECK_INTERVAL;
 use anvilhook_core::units::{Clock, Millis};
@@ -12,6 +14,7 @@
 use super::places::{OVERLOAD, rejection_of};
 use super::requests::Exchange;
 use crate::events::{RequestEvent, emit};
+use crate::fleets::Upstream;
 use crate::metrics::{KindLabel, NameLabel, RejectionLabels, RequestLabels};
 use crate::wires::Wire;
 
@@ -35,6 +38,14 @@
         }
     }
 
+    /// Returns the answer for a request that is abandoned and would not be served later either.
+    pub(super) fn abandoned_for_good(&self, exchange: &Exchange, cause: &'static str) -> Outcome {
+        match exchange.may_have_run {
+            false => Outcome::refused_for_good(cause),
+            true => Outcome::may_have_run(cause),
+        }
+    }
+
     /// Returns the answer for a request that no upstream accepts. If all upstreams that could serve it have
     /// asked for a pause or have exhausted request limits, the answer names the time at which the first of
     /// them accepts requests again.
@@ -44,7 +55,7 @@
         cause: &'static str,
         pause: Millis,
     ) -> Outcome {
-        match self.soonest_opening(&exchange.service) {
+        match self.soonest_opening(exchange) {
             Some((soonest, cause)) => self.abandoned_outcome(exchange, cause, soonest),
             // Another path may be found by the next check.
             None if cause == UNREACHABLE => {
@@ -54,13 +65,14 @@
         }
     }
 
-    /// Returns the time until the first of a service's upstreams that are paused, or whose request limits are
-    /// exhausted, accepts requests again, and which of the two it is. Returns `None` if there are none or if
-    /// any upstream that answers requests accepts work.
-    fn soonest_opening(&self, service: &str) -> Option<(Millis, &'static str)> {
+    /// Returns the time until the first of the upstreams that could answer a request and are paused, or whose request
+    /// limits are exhausted, accepts requests again, and which of the two it is. Returns `None` if there are none or
+    /// if any upstream that could answer it accepts work.
+    fn soonest_opening(&self, exchange: &Exchange) -> Option<(Millis, &'static str)> {
         let (now, view) = (self.now(), self.fleet().view());
-        let answering =
-            || view.of_service(service).iter().filter(|one| one.role() != Some(Role::Prefill));
+        let is_answering =
+            |one: &&Arc<Upstream>| one.role() != Some(Role::Prefill) && exchange.may_use(one);
+        let answering = || view.of_service(&exchange.service).iter().filter(is_answering);
         if answering().any(|one| one.takes_work(now)) {
             return None;
         }
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -0,0 +1,178 @@
+//! Streams that callers continue after a break: which software began them, and what no other software may continue.
+
+use std::sync::Arc;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::stream_origins::{Software, StreamOrigin};
+use anvilhook_core::units::Clock;
+use http::header::{HeaderMap, HeaderName};
+
+use super::Gateway;
+use super::answers::{Outcome, OwnAnswer};
+use super::attempts::Failed;
+use super::prompts::REFUSED_PAUSE;
+use super::requests::Exchange;
+use crate::configs::{Repeats, Route};
+use crate::events::{RequestEvent, emit};
+use crate::fleets::Upstream;
+use crate::origins::{OriginKey, OriginLookup, request_hash};
+use crate::wires::{HeaderNames, Wire};
+
+/// The maximum length of the id of a continued stream, in bytes.
+const MAX_ID_BYTES: usize = 200;
+
+/// The reasons in the answers to requests that continue a stream: it is not known which software began it, not yet known,
+/// none of that software is left, or the route's streams can't be continued.
+const ORIGIN_UNKNOWN: &str = "stream_origin_unknown";
+const ORIGIN_UNANSWERED: &str = "stream_origin_unanswered";
+const SOFTWARE_GONE: &str = "software_version_gone";
+const NOT_RESUMABLE: &str = "stream_not_resumable";
+
+/// `ContinuedStream` is a stream of which the caller has received a part by an earlier request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct ContinuedStream {
+    /// The id of the request that brought the first event, if the caller names it.
+    pub id: Option<String>,
+    /// The last event that the caller has received, if it names one.
+    pub last_event: Option<u64>,
+}
+
+impl ContinuedStream {
+    /// Returns the stream that the headers of a request on `route` name, if it continues one.
+    ///
+    /// # Errors
+    ///
+    /// The answer to a request with an invalid header.
+    pub(super) fn of(
+        route: &Route,
+        headers: &HeaderMap,
+        names: &HeaderNames,
+    ) -> Result<Option<Self>, OwnAnswer> {
+        if !matches!(route.repeats, Repeats::Stream { .. }) {
+            return Ok(None);
+        }
+        let last_event = value(headers, &names.last_event_id, "invalid_last_event_id")?;
+        let id = value(headers, &names.resumes, "invalid_continued_stream")?;
+        if id.is_some_and(|id| id.len() > MAX_ID_BYTES) {
+            return Err(OwnAnswer::invalid("invalid_continued_stream"));
+        }
+        let last_event = last_event.map(|text| text.parse());
+        let last_event =
+            last_event.transpose().map_err(|_| OwnAnswer::invalid("invalid_last_event_id"))?;
+        let is_continued = id.is_some() || last_event.is_some();
+        Ok(is_continued.then(|| Self { id: id.map(str::to_owned), last_event }))
+    }
+}
+
+/// Returns a header's value, `None` if it is missing or empty.
+fn value<'h>(
+    headers: &'h HeaderMap,
+    name: &HeaderName,
+    reason: &'static str,
+) -> Result<Option<&'h str>, OwnAnswer> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| OwnAnswer::invalid(reason))?.trim();
+    Ok((!text.is_empty()).then_some(text))
+}
+
+impl Exchange {
+    /// Returns whether the request may be sent to an upstream, by the software that began its stream.
+    pub fn may_use(&self, upstream: &Upstream) -> bool {
+        self.software.is_none_or(|software| software == upstream.software)
+    }
+}
+
+impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Restricts a request that continues a stream to the software that began the stream. Returns the answer if that
+    /// is not known.
+    ///
+    /// Events of two software versions don't fit together, and upstreams don't check that. The caller can only start
+    /// anew if the origin is lost.
+    pub(super) async fn restrict_to_origin(&self, exchange: &mut Exchange) -> Option<Outcome> {
+        let stream = exchange.continued.clone()?;
+        if !exchange.route.repeats.is_repeatable() {
+            return Some(Outcome::refused_for_good(NOT_RESUMABLE));
+        }
+        let looked_up_at = self.now();
+        let request = stream.id.as_deref().map(request_hash);
+        let key = OriginKey { fingerprint: exchange.fingerprint, request };
+        let origin = self.look_up_origin(key).await;
+        let upstream = origin.software().and_then(|software| self.any_of(software));
+        emit(&RequestEvent::StreamContinued {
+            request: &exchange.id,
+            stream: stream.id.as_deref(),
+            last_event: stream.last_event,
+            origin: origin.as_str(),
+            version: upstream.as_ref().and_then(|one| one.entry.version.as_deref()),
+            took_ms: (self.now() - looked_up_at).0,
+        });
+        match origin {
+            OriginLookup::Kept(software) | OriginLookup::Answered(software) => {
+                exchange.software = Some(software);
+                exchange.keep_service(upstream.as_deref());
+                self.refuse_without_software(exchange)
+            }
+            OriginLookup::Unknown => Some(Outcome::refused_for_good(ORIGIN_UNKNOWN)),
+            OriginLookup::Unanswered => Some(Outcome::refused(ORIGIN_UNANSWERED, REFUSED_PAUSE)),
+        }
+    }
+
+    /// Returns a listed upstream of some software.
+    fn any_of(&self, software: Software) -> Option<Arc<Upstream>> {
+        let view = self.fleet().view();
+        view.all().find(|upstream| upstream.software == software).cloned()
+    }
+
+    /// Returns the answer to a request that no listed upstream may answer, by the software that began its stream. It
+    /// would be no use to wait: neither a version that has gone nor an engine that changes its role comes back
+    /// within the time of most callers.
+    pub(super) fn refuse_without_software(&self, exchange: &Exchange) -> Option<Outcome> {
+        exchange.software?;
+        let view = self.fleet().view();
+        let mut upstreams = view.of_service(&exchange.service).iter();
+        let may_answer = |one: &Upstream| !one.is_leaving() && one.role() != Some(Role::Prefill);
+        let is_left = upstreams.any(|one| exchange.may_use(one) && may_answer(one));
+        let refusal = || self.abandoned_for_good(exchange, SOFTWARE_GONE);
+        (!is_left).then(refusal)
+    }
+
+    /// Returns the failure of an attempt to continue a stream at an engine that is not the listed start of its software.
+    ///
+    /// An engine may have restarted under its id with other software, and its entry shows that only later.
+    pub(super) async fn check_start(
+        &self,
+        exchange: &Exchange,
+        upstream: &Upstream,
+    ) -> Option<Failed> {
+        let is_checkable = upstream.role().is_some() && upstream.entry.born.is_some();
+        if exchange.software.is_none() || !is_checkable {
+            return None;
+        }
+        let Some(answer) = self.own_call(upstream, &self.wire().report()).await else {
+            return Some(Failed::not_sent("start_unknown"));
+        };
+        let report = self.wire().engine_report(&answer.body);
+        let is_same = report.is_ok_and(|report| !upstream.entry.has_other_start(report.born));
+        (!is_same).then(|| Failed::not_sent("started_again"))
+    }
+
+    /// Returns whether the software of an upstream that continues a stream may have been replaced meanwhile.
+    pub(super) fn is_other_software(&self, exchange: &Exchange, upstream: &Upstream) -> bool {
+        exchange.software.is_some() && self.fleet().has_replaced(upstream)
+    }
+
+    /// Records that an upstream has begun the stream of a request, so that only its software continues it, in this
+    /// answer or in an answer to a later request.
+    pub(super) fn record_origin(&self, exchange: &mut Exchange, upstream: &Upstream) {
+        if exchange.software.is_none() && self.fleet().has_replaced(upstream) {
+            // The stream may come from either start of the upstream, so no upstream is known to fit.
+            exchange.software = Some(Software::NONE);
+            return;
+        }
+        let software = *exchange.software.get_or_insert(upstream.software);
+        if exchange.route.repeats.is_repeatable() {
+            let origin = StreamOrigin { request: request_hash(&exchange.id), software };
+            self.publish_origin(exchange.fingerprint, origin);
+        }
+    }
+}
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -65,7 +65,8 @@
         // Looked up only now: the upstream may have begun to leave while the body was received.
         let view = self.fleet().view();
         let listed = view.by_hash(call.upstream);
-        let Some(upstream) = listed.filter(|one| one.is_open(self.now())) else {
+        let fits = |one: &Upstream| call.software.is_none_or(|software| software == one.software);
+        let Some(upstream) = listed.filter(|one| one.is_open(self.now()) && fits(one)) else {
             return (ForwardOutcome::NotOpen, None);
         };
         if upstream.state.path().current() != Path::Direct {
@@ -91,6 +92,7 @@
             message,
             may_send: || true,
             connection,
+            software: call.software,
             timeout: call.timeout,
             predicted_ms: 0.0,
             may_repeat: false,
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -128,7 +128,12 @@
                 LimitWait::Refuse(soonest) => {
                     return Err(self.abandoned_outcome(exchange, LIMITED, soonest));
                 }
-                LimitWait::NotLimited => return Ok(Err(Failed::not_sent("no_upstream"))),
+                LimitWait::NotLimited => {
+                    return match self.refuse_without_software(exchange) {
+                        Some(refusal) => Err(refusal),
+                        None => Ok(Err(Failed::not_sent("no_upstream"))),
+                    };
+                }
             }
         };
         avoid.push(Arc::clone(&upstream.entry.id));
@@ -157,11 +162,18 @@
         if let Some(refusal) = self.check_quarantine(exchange) {
             return Err(refusal);
         }
+        if let Some(failed) = self.check_start(exchange, upstream).await {
+            self.log_failed(exchange, upstream, "generate", &failed);
+            return Ok(Err(failed));
+        }
         let Some(arrival) = self.admit_attempt(&exchange.service, &mut exchange.was_sent) else {
             return Err(self.abandoned_outcome(exchange, "retry_budget", REFUSED_PAUSE));
         };
         self.record_sent_work(exchange);
-        if let Some(event) = resume_after {
+        // The caller may have received events by an earlier request.
+        let continued = exchange.continued.as_ref();
+        let received = resume_after.or(continued.and_then(|stream| stream.last_event));
+        if let Some(event) = received {
             extra.push((self.wire().headers().last_event_id.clone(), HeaderValue::from(event)));
         }
         let time_left = exchange.time_left(self.now());
@@ -202,7 +214,12 @@
         };
         let result = match sent {
             Ok(answer) if answer.status().is_success() => {
-                let relay = Relay::open(self, exchange, answer, held, resume_after).await;
+                let relay = Relay::open(self, exchange, answer, held, received).await;
+                let relay =
+                    relay.and_then(|relay| match self.is_other_software(exchange, upstream) {
+                        true => Err(Failed::may_have_run("software_replaced")),
+                        false => Ok(relay),
+                    });
                 relay.map(|relay| Opened::Stream(Box::new(relay)))
             }
             Ok(answer) => self.collect(exchange, answer).await.map(Opened::Answer),
@@ -211,6 +228,9 @@
         let took = self.now() - started_at;
         exchange.tried.push(format!("{}({}ms)", upstream.entry.id, took.0));
         exchange.end_run(could_have_run, &result);
+        if matches!(&result, Ok(Opened::Stream(_))) {
+            self.record_origin(exchange, upstream);
+        }
         if result.is_ok() {
             self.count_usage(exchange, self.now());
         }
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -158,6 +158,7 @@
             message,
             may_send: || true,
             connection: Connection::New,
+            software: None,
             timeout: OWN_CALL_TIMEOUT,
             predicted_ms: 0.0,
             may_repeat: true,
--- a/crates/anvilhook-gateway/src/relay/limits.rs
+++ b/crates/anvilhook-gateway/src/relay/limits.rs
@@ -142,6 +142,7 @@
             one.state.request_limit().is_limited()
                 && one.role() != Some(Role::Prefill)
                 && one.is_open(now)
+                && exchange.may_use(one)
                 && !avoid.contains(&one.entry.id)
         });
         limited.cloned().collect()
@@ -168,7 +169,9 @@
     ) -> Option<Millis> {
         let (now, view) = (self.now(), self.fleet().view());
         let readers = view.of_service(&exchange.service).iter();
-        let readers = readers.filter(|one| one.role() == Some(Role::Prefill) && one.is_open(now));
+        let readers = readers.filter(|one| {
+            one.role() == Some(Role::Prefill) && one.is_open(now) && exchange.may_use(one)
+        });
         let next_at = readers.map(|one| one.state.request_limit().next_at(now)).min()?;
         let next_in = next_at - now;
         let waiting = exchange.waiting(now);
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod bodies;
 mod calls;
 mod conclusions;
+mod continuation;
 mod departures;
 mod examining;
 mod forwarded;
@@ -47,6 +48,7 @@
 use crate::fleets::{Fleet, Upstream};
 use crate::forwarding::{Forwarders, ServedCalls};
 use crate::metrics::GatewayMetrics;
+use crate::origins::Origins;
 use crate::peers::Peers;
 use crate::policies::Policy;
 use crate::prompts::Part;
@@ -117,6 +119,7 @@
     metrics: GatewayMetrics,
     peers: Arc<Peers>,
     suspects: Arc<Suspects>,
+    origins: Origins,
     usage: Usage,
     account_shares: AccountShares,
     limit_queues: LimitQueues,
@@ -157,6 +160,7 @@
             fleet: Fleet::new(),
             caches: CacheIndex::new(),
             suspects: Arc::default(),
+            origins: Origins::default(),
             usage,
             limit_queues: LimitQueues::default(),
             waiting_queues: WaitingQueues::default(),
@@ -277,6 +281,11 @@
         &self.inner.suspects
     }
 
+    /// Returns the origins of streams.
+    pub(crate) fn origins(&self) -> &Origins {
+        &self.inner.origins
+    }
+
     /// Returns the usage of client accounts.
     pub fn usage(&self) -> &Usage {
         &self.inner.usage
--- a/crates/anvilhook-gateway/src/relay/places.rs
+++ b/crates/anvilhook-gateway/src/relay/places.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::stream_origins::Software;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_core::waiting_queues::{Demand, Prediction, Ticket, WaitingQueue, retry_after};
 use tokio::sync::Notify;
@@ -96,7 +97,28 @@
     Some((reason, exchange.predicted_ms.map(|predicted_ms| predicted_ms as u64)))
 }
 
-type PlaceQueues = HashMap<(Arc<str>, Stage), PlaceQueue>;
+/// `QueueKey` identifies the queue of the requests that wait for the same engines.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct QueueKey {
+    service: Arc<str>,
+    stage: Stage,
+    /// The only software that may serve the requests, if they are restricted to one. Requests that wait for engines of
+    /// another software must not hold them back.
+    software: Option<Software>,
+}
+
+impl QueueKey {
+    fn of(exchange: &Exchange, stage: Stage) -> Self {
+        let software = exchange.software.or(exchange.read_by);
+        Self { service: Arc::clone(&exchange.service), stage, software }
+    }
+
+    fn is_for(&self, service: &str, stage: Stage) -> bool {
+        &*self.service == service && self.stage == stage
+    }
+}
+
+type PlaceQueues = HashMap<QueueKey, PlaceQueue>;
 
 /// `WaitingQueues` holds the waiting requests of each service.
 #[derive(Clone, Debug, Default)]
@@ -134,15 +156,9 @@
         self.0.lock().expect("no panic under this lock")
     }
 
-    fn with<T>(
-        &self,
-        service: &Arc<str>,
-        stage: Stage,
-        now: Millis,
-        f: impl FnOnce(&mut PlaceQueue) -> T,
-    ) -> T {
+    fn with<T>(&self, key: QueueKey, now: Millis, f: impl FnOnce(&mut PlaceQueue) -> T) -> T {
         let mut queues = self.lock();
-        let queue = queues.entry((Arc::clone(service), stage)).or_default();
+        let queue = queues.entry(key).or_default();
         queue.now = queue.now.max(now);
         f(queue)
     }
@@ -152,8 +168,7 @@
 #[derive(Debug)]
 pub(crate) struct Place {
     queues: WaitingQueues,
-    service: Arc<str>,
-    stage: Stage,
+    key: QueueKey,
     ticket: Ticket,
     /// Notified when the request is to be checked.
     waker: Arc<Notify>,
@@ -180,7 +195,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         let mut queues = self.queues.lock();
-        let Some(place) = queues.get_mut(&(Arc::clone(&self.service), self.stage)) else { return };
+        let Some(place) = queues.get_mut(&self.key) else { return };
         if self.is_sent {
             place.queue.send(self.ticket, place.now);
         } else {
@@ -188,6 +203,10 @@
         }
         place.wakers.remove(&self.ticket);
         place.wake_next();
+        // Software versions come and go, so queues of single ones are not kept.
+        if self.key.software.is_some() && place.queue.is_empty() {
+            queues.remove(&self.key);
+        }
     }
 }
 
@@ -202,9 +221,8 @@
 impl Drop for FreedSignal {
     fn drop(&mut self) {
         let mut queues = self.queues.lock();
-        if let Some(place) = queues.get_mut(&(Arc::clone(&self.service), self.stage)) {
-            place.record_change();
-        }
+        let freed = queues.iter_mut().filter(|(key, _)| key.is_for(&self.service, self.stage));
+        freed.for_each(|(_, place)| place.record_change());
     }
 }
 
@@ -231,8 +249,8 @@
     pub(crate) fn waiting_requests(&self, service: &Arc<str>) -> [(&'static str, usize); 2] {
         let queues = self.inner.waiting_queues.lock();
         Stage::ALL.map(|stage| {
-            let place = queues.get(&(Arc::clone(service), stage));
-            (stage.as_str(), place.map_or(0, |place| place.queue.len()))
+            let of_stage = queues.iter().filter(|(key, _)| key.is_for(service, stage));
+            (stage.as_str(), of_stage.map(|(_, place)| place.queue.len()).sum())
         })
     }
 
@@ -245,7 +263,7 @@
         could_use: impl Fn(&Demand) -> bool,
     ) -> bool {
         let (ticket, now) = (exchange.place.as_ref().map(|place| place.ticket), self.now());
-        self.inner.waiting_queues.with(&exchange.service, stage, now, |place| {
+        self.inner.waiting_queues.with(QueueKey::of(exchange, stage), now, |place| {
             if place.queue.is_outdated(ticket) {
                 place.queue.record_change();
             }
@@ -267,10 +285,14 @@
         let (ticket, now) = (exchange.place.as_ref().map(|place| place.ticket), self.now());
         let view = self.fleet().view();
         let engines = view.of_service(&exchange.service).iter();
-        let engines = engines.filter(|one| stage.is_served_by(one.role()) && one.takes_work(now));
+        let software = exchange.software.or(exchange.read_by);
+        let engines = engines.filter(|one| {
+            let is_usable = software.is_none_or(|software| software == one.software);
+            stage.is_served_by(one.role()) && one.takes_work(now) && is_usable
+        });
         let instances = self.peers().live_peers(now) + 1;
         let expected_rate = engines.count() as f64 / instances as f64;
-        self.inner.waiting_queues.with(&exchange.service, stage, now, |place| {
+        self.inner.waiting_queues.with(QueueKey::of(exchange, stage), now, |place| {
             place.queue.predict(ticket, demand, expected_rate, now)
         })
     }
@@ -286,12 +308,12 @@
         is_checked: bool,
     ) {
         let (queues, now) = (&self.inner.waiting_queues, self.now());
-        queues.with(&exchange.service, stage, now, |queue| {
+        let key = QueueKey::of(exchange, stage);
+        queues.with(key.clone(), now, |queue| {
             let place = exchange.place.get_or_insert_with(|| {
                 let (ticket, waker) = (queue.queue.join(demand, now), Arc::<Notify>::default());
                 queue.wakers.insert(ticket, Arc::clone(&waker));
-                let (queues, service) = (queues.clone(), Arc::clone(&exchange.service));
-                Place { queues, service, stage, ticket, waker, position, is_sent: false }
+                Place { queues: queues.clone(), key, ticket, waker, position, is_sent: false }
             });
             queue.queue.update(place.ticket, demand);
             if is_checked && queue.queue.record_held(place.ticket) < MAX_HELD_CHECKS {
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -224,7 +224,8 @@
             turn.is_none_or(|(slot, time)| slot.allows(hash_of(&*upstream.entry.id), time))
         };
         let available = view.of_service(&exchange.service).iter().filter(|upstream| {
-            upstream.takes_work(now) && !avoid.contains(&upstream.entry.id) && is_allowed(upstream)
+            let is_usable = exchange.may_use(upstream) && is_allowed(upstream);
+            upstream.takes_work(now) && !avoid.contains(&upstream.entry.id) && is_usable
         });
         let available: Vec<_> = available.collect();
         let healthy = available.iter().filter(|upstream| upstream.state.is_healthy(now));
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -20,7 +20,6 @@
 use super::stopping::STOPPING;
 use super::waiting::WaitOutcome;
 use crate::configs::EngineSpec;
-use crate::events::{RequestEvent, emit};
 use crate::placements::{Placer, Plan, Request};
 use crate::prompts::{Part, Prompt};
 use crate::wires::Wire;
@@ -76,6 +75,7 @@
             prompt: self.prompt,
             body_bytes: exchange.body.len(),
             avoid: self.avoid,
+            software: exchange.software,
             suspect: exchange.suspect(),
             waits_since: exchange.waits_since,
         }
@@ -85,9 +85,8 @@
 impl<W: Wire, C: Clock> Gateway<W, C> {
     pub(super) async fn serve_prompt(&self, exchange: &mut Exchange) -> Outcome {
         self.inner.budget.record_request(&exchange.service, self.now());
-        if let Some(stream) = &exchange.continued {
-            let (request, last_event) = (&*exchange.id, stream.last_event);
-            emit(&RequestEvent::StreamContinued { request, stream: &stream.id, last_event });
+        if let Some(refusal) = self.restrict_to_origin(exchange).await {
+            return refusal;
         }
         match self.open_stream(exchange, None, Vec::new()).await {
             Ok(Opened::Stream(relay)) => Outcome::Stream(relay),
@@ -153,6 +152,7 @@
             return Err(self.abandoned_outcome(exchange, "no_configuration", REFUSED_PAUSE));
         };
         exchange.refresh(&config);
+        exchange.read_by = None;
         let engine = config.service(&exchange.service).and_then(|spec| spec.engine.clone());
         let prompt = exchange.prompt.clone();
         let (Some(engine), Some(prompt)) = (engine, prompt) else {
@@ -165,9 +165,7 @@
         }
         let (plan, wait) = match self.wait_for_reader(exchange, &job).await {
             WaitOutcome::Send(plan, wait) => (plan, wait),
-            WaitOutcome::NoEngine => {
-                return Err(self.no_upstream_outcome(exchange, "no_engine", REFUSED_PAUSE));
-            }
+            WaitOutcome::NoEngine => return Err(self.no_engine_outcome(exchange)),
             WaitOutcome::Limited(soonest) => {
                 return Err(self.abandoned_outcome(exchange, LIMITED, soonest));
             }
@@ -198,13 +196,14 @@
         };
 
         // The generating engine is chosen by the state that is current once the prompt has been read.
+        if !self.policy().caches_across_versions {
+            exchange.read_by = Some(handle.upstream().software);
+        }
         match self.wait_for_generator(exchange, &job, handle.upstream(), ticket).await {
             WaitOutcome::Send(generator, wait) => {
                 self.generate(exchange, &mut job, generator, Some(handle), wait).await
             }
-            WaitOutcome::NoEngine => {
-                Err(self.no_upstream_outcome(exchange, "no_engine", REFUSED_PAUSE))
-            }
+            WaitOutcome::NoEngine => Err(self.no_engine_outcome(exchange)),
             WaitOutcome::Limited(soonest) => {
                 Err(self.abandoned_outcome(exchange, LIMITED, soonest))
             }
@@ -216,6 +215,12 @@
         }
     }
 
+    /// Returns the answer to a request that no engine can serve.
+    fn no_engine_outcome(&self, exchange: &Exchange) -> Outcome {
+        let gone = self.refuse_without_software(exchange);
+        gone.unwrap_or_else(|| self.no_upstream_outcome(exchange, "no_engine", REFUSED_PAUSE))
+    }
+
     pub(super) fn plan(&self, exchange: &Exchange, job: &Job<'_>) -> Option<Plan> {
         self.with_placer(exchange, |placer| placer.plan(&job.request(exchange)))
     }
@@ -244,6 +249,7 @@
             short_share: self.short_share(&exchange.service, size),
             tightest,
             instance: (has_lanes && !is_full_mesh).then(|| self.peers().number()),
+            caches_across_versions: self.policy().caches_across_versions,
             now: self.now(),
         })
     }
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -7,6 +7,7 @@
 use anvilhook_core::fair_shares::AccountKey;
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::pacing::Waiting;
+use anvilhook_core::stream_origins::Software;
 use anvilhook_core::units::{Clock, Millis};
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
@@ -19,12 +20,14 @@
 use super::access::{key_of, no_access};
 use super::answers::OwnAnswer;
 use super::attempts::Failed;
+use super::continuation::ContinuedStream;
 use super::places::{Place, Rejection};
 use crate::configs::{Access, Config, Repeats, Route};
+use crate::fleets::Upstream;
 use crate::hashes::hash_of;
 use crate::prompts::Prompt;
 use crate::suspects::Trial;
-use crate::wires::{HeaderNames, Wire};
+use crate::wires::Wire;
 
 /// The deadline of a request without a deadline header.
 const DEFAULT_DEADLINE: Millis = Millis::from_secs(30);
@@ -35,27 +38,6 @@
 /// The retry time for a caller of an instance that has no usable configuration.
 const NO_CONFIG_PAUSE: Millis = Millis(300);
 
-/// `ContinuedStream` is a stream of which the caller has received a part by an earlier request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct ContinuedStream {
-    /// The id of the request that brought the first event, empty if the caller does not name it.
-    pub id: String,
-    /// The last event that the caller has received, if that is a number.
-    pub last_event: Option<u64>,
-}
-
-impl ContinuedStream {
-    /// Returns the stream that a request's headers name.
-    fn of(headers: &HeaderMap, names: &HeaderNames) -> Option<Self> {
-        let last_event = text(headers, &names.last_event_id);
-        let id = text(headers, &names.resumes);
-        (last_event.is_some() || id.is_some()).then(|| Self {
-            id: id.unwrap_or_default(),
-            last_event: last_event.and_then(|event| event.trim().parse().ok()),
-        })
-    }
-}
-
 /// `Exchange` is a request that is being served.
 pub(crate) struct Exchange {
     pub id: Arc<str>,
@@ -75,6 +57,10 @@
     pub prompt: Option<Prompt>,
     /// The stream that the caller continues, if it has received a part of it.
     pub continued: Option<ContinuedStream>,
+    /// The only software that may send the next event of the stream, once one has begun it.
+    pub software: Option<Software>,
+    /// The software of the engine that has read the prompt, if only engines of the same software may generate.
+    pub read_by: Option<Software>,
     /// When the request arrived.
     pub arrived_at: Millis,
     /// Since when the caller waits for the next event: since the arrival, or since the last event before its
@@ -153,7 +139,9 @@
             key,
             access,
             prompt: gateway.wire().prompt(&parts.headers),
-            continued: ContinuedStream::of(&parts.headers, names),
+            continued: ContinuedStream::of(route, &parts.headers, names)?,
+            software: None,
+            read_by: None,
             headers: end_to_end(&parts.headers, &names.reserved),
             method: parts.method,
             uri: parts.uri,
@@ -185,12 +173,24 @@
         let Some(route) = host.and_then(|host| config.route(&host, self.uri.path())) else {
             return;
         };
-        if let Some(service) = route.target(hash_of(&*self.id)) {
+        let has_begun = self.software.is_some();
+        let kept = has_begun.then(|| route.targets.iter().find(|one| one.service == self.service));
+        let kept = kept.flatten().map(|target| &target.service);
+        if let Some(service) = kept.or_else(|| route.target(hash_of(&*self.id))) {
             self.service = Arc::clone(service);
             self.route = Arc::clone(route);
         }
     }
 
+    /// Takes the service of an upstream that may continue the stream, if the route allows it. Where a route is split,
+    /// another id would lead to another service.
+    pub fn keep_service(&mut self, upstream: Option<&Upstream>) {
+        let Some(service) = upstream.map(|upstream| &upstream.entry.service) else { return };
+        if self.route.targets.iter().any(|target| target.service == *service) {
+            self.service = Arc::clone(service);
+        }
+    }
+
     /// Returns the request's priority; 0 is the highest.
     pub fn priority(&self) -> u8 {
         let account = self.access.account.as_ref();
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -182,7 +182,7 @@
                 }
             };
             let slots = Slots {
-                slots: generator.upstream.entry.slots,
+                slots: generator.slots,
                 in_flight: generator.upstream.state.work(self.now()).in_flight,
             };
             let output_ms = self.inner.speeds.output_ms(&exchange.service, job.prompt.max_output);
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -249,6 +249,7 @@
         short_share: None,
         tightest: Millis::ZERO,
         instance: None,
+        caches_across_versions: false,
         now: Millis(1_000),
     };
     let engine = engine_spec();
@@ -258,6 +259,7 @@
         prompt,
         body_bytes: 30_000,
         avoid,
+        software: None,
         suspect: None,
         waits_since: Millis(1_000),
     };
@@ -321,6 +323,7 @@
         short_share: Some(0.25),
         tightest: Millis(250),
         instance: Some(instance),
+        caches_across_versions: false,
         now: Millis(1_000),
     };
     let request = Request {
@@ -329,6 +332,7 @@
         prompt,
         body_bytes: 1_000,
         avoid: &[],
+        software: None,
         suspect: None,
         waits_since: Millis(1_000),
     };
@@ -411,6 +415,7 @@
         prompt: &prompt,
         body_bytes: 400,
         avoid: &[],
+        software: None,
         suspect: None,
         waits_since: Millis(1_000),
     };
@@ -427,6 +432,7 @@
             short_share: None,
             tightest: Millis::ZERO,
             instance: None,
+            caches_across_versions: false,
             now: Millis(1_000),
         };
         let reader = view.get("p1").expect("listed");
@@ -463,6 +469,7 @@
         short_share: None,
         tightest: Millis::ZERO,
         instance: None,
+        caches_across_versions: false,
         now: Millis(1_000),
     };
     let of = |suspect| {
@@ -474,6 +481,7 @@
             prompt,
             body_bytes: 400,
             avoid: &[],
+            software: None,
             suspect,
             waits_since: Millis(1_000),
         };
--- a/crates/anvilhook-gateway/tests/slow_starts.rs
+++ b/crates/anvilhook-gateway/tests/slow_starts.rs
@@ -48,6 +48,7 @@
         prompt: &prompt,
         body_bytes: 4_000,
         avoid: &[],
+        software: None,
         suspect: None,
         waits_since: Millis::ZERO,
     };
@@ -62,6 +63,7 @@
             far_update_delay_ms: 0.0,
             learnt_speeds: true,
             short_share: None,
+            caches_across_versions: false,
             tightest: Millis::ZERO,
             instance: None,
             openings: has_part.then_some(openings),
