Keep engines of both roles in each software version

What callers would see: streams that can't go on although engines of their version serve, since all of them read prompts.

Cause: the split between reading and generating counts the engines of a service, not of a version.

Change: while several versions serve a service, each keeps at least a quarter of its engines in each role, and two generators from three engines on; a version that has too few gets them before the split as a whole is corrected, and no change takes the last ones. With one version nothing changes.

Evidence: verify_each_software_version_keeps_engines_of_both_roles gets no order without the change.

--- a/crates/anvilhook-core/src/splits.rs
+++ b/crates/anvilhook-core/src/splits.rs
@@ -4,7 +4,11 @@
 //! full while a third of the readers are idle. The split follows the ratio of both kinds of work that
 //! the engines did for all requests of an availability zone. The few heavy-tailed requests that a
 //! single instance sees would suggest half as many readers in one second and twice as many in the next.
+//!
+//! While several software versions serve, a stream goes on only at the version that began it, so each version keeps
+//! engines of both kinds.
 
+use crate::orders::Role;
 use crate::units::Millis;
 
 /// The time after which recorded work has lost two thirds of its weight. A role change takes three
@@ -132,6 +136,76 @@
     (engines as f64 * (1.0 - used * KEPT_CAPACITY)).max(0.0) as usize
 }
 
+/// Each software version keeps at least one in so many of its engines in each role, while several versions serve.
+const KEPT_DIVISOR: usize = 4;
+
+/// `VersionSplit` is how the engines of one software version are split, while several versions serve.
+///
+/// ```
+/// use anvilhook_core::orders::Role;
+/// use anvilhook_core::splits::VersionSplit;
+///
+/// let one_generator = VersionSplit { readers: 5, generators: 1 };
+/// assert_eq!(one_generator.missing(), Some(Role::Decode));
+/// let two = VersionSplit { readers: 4, generators: 2 };
+/// assert_eq!(two.missing(), None);
+/// assert!(two.can_spare(Role::Prefill) && !two.can_spare(Role::Decode));
+/// assert_eq!(VersionSplit { readers: 1, generators: 0 }.missing(), Some(Role::Decode));
+/// assert_eq!(VersionSplit { readers: 0, generators: 1 }.missing(), None);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct VersionSplit {
+    /// The number of engines that read prompts.
+    pub readers: usize,
+    /// The number of engines that generate output.
+    pub generators: usize,
+}
+
+impl VersionSplit {
+    /// Counts an engine.
+    pub fn add(&mut self, role: Role) {
+        match role {
+            Role::Prefill => self.readers += 1,
+            Role::Decode | Role::Mixed => self.generators += 1,
+        }
+    }
+
+    /// Returns the role in which the version has too few engines, if there is one. Generators come first: without one,
+    /// none of the version's streams goes on.
+    pub fn missing(&self) -> Option<Role> {
+        if self.generators < self.min_generators() {
+            Some(Role::Decode)
+        } else if self.readers < self.min_readers() {
+            Some(Role::Prefill)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether one engine may leave a role.
+    pub fn can_spare(&self, role: Role) -> bool {
+        match role {
+            Role::Prefill => self.readers > self.min_readers(),
+            Role::Decode | Role::Mixed => self.generators > self.min_generators(),
+        }
+    }
+
+    fn engines(&self) -> usize {
+        self.readers + self.generators
+    }
+
+    /// Returns the minimum number of generators. With three engines or more these are two, so that streams go on after
+    /// the crash of one.
+    fn min_generators(&self) -> usize {
+        let kept = self.engines().div_ceil(KEPT_DIVISOR);
+        if self.engines() > 2 { kept.max(2) } else { kept }
+    }
+
+    fn min_readers(&self) -> usize {
+        if self.engines() > 1 { (self.engines() / KEPT_DIVISOR).max(1) } else { 0 }
+    }
+}
+
 /// Returns the share of readers to use from now on, by the current share, the mix and the pressure on
 /// the engines.
 ///
--- a/crates/anvilhook-gateway/src/roles/mod.rs
+++ b/crates/anvilhook-gateway/src/roles/mod.rs
@@ -3,6 +3,7 @@
 //! One instance at a time orders engines to change their roles, under a lease.
 
 mod orders;
+mod versions;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use crate::wires::{OrderAnswer, Wire};
 
 use orders::{Change, OrderOutcome, await_role, give_order};
+use versions::{spared_by_versions, version_splits};
 
 /// The row of the lease.
 const LEASE_ROW: &str = "roles";
@@ -199,6 +201,12 @@
             (readers, spare, Role::Decode)
         };
         let now = self.clock.now();
+        let versions = version_splits(&staying, now);
+        let missing = self.missing_by_version(&staying, &versions, left, now);
+        if !missing.is_empty() {
+            return missing;
+        }
+        let from = spared_by_versions(from, role, versions);
         // The average lags behind a burst that has just begun.
         let used = match role {
             Role::Prefill => pressure.generating.max(current.generating),
--- a/crates/anvilhook-gateway/tests/roles.rs
+++ b/crates/anvilhook-gateway/tests/roles.rs
@@ -100,6 +100,31 @@
     assert_eq!(site.table.value("anvilhook_leases", "roles").as_deref(), Some("one"));
 }
 
+/// Guards against streams that can't go on because all engines of their software version read prompts, while the split
+/// over all versions is the wanted one.
+#[tokio::test]
+async fn verify_each_software_version_keeps_engines_of_both_roles() {
+    for has_versions in [true, false] {
+        let mut readers = engines_of(Role::Prefill, 4, "200 OK").await;
+        let mut generators = engines(4, "200 OK").await;
+        for (at, entry) in generators.entries.iter_mut().enumerate() {
+            entry.id = Arc::from(format!("g{at}"));
+            entry.version = Some(Arc::from(if has_versions { "v2" } else { "v1" }));
+        }
+        let listed = [readers.entries.clone(), generators.entries.clone()].concat();
+        readers.entries = listed;
+        let site = site(&readers);
+
+        site.controller("one").reconcile().await;
+
+        let (to_generate, to_read) = (readers.orders(), generators.orders());
+        let expected = usize::from(has_versions);
+        assert_eq!((to_generate.len(), to_read.len()), (expected, expected), "{has_versions}");
+        assert!(to_generate.iter().all(|order| order.starts_with("Decode")), "{to_generate:?}");
+        assert!(to_read.iter().all(|order| order.starts_with("Prefill")), "{to_read:?}");
+    }
+}
+
 /// Guards against output that waits for a few decode engines while prefill engines are idle. The
 /// decode engines have left and only prefill engines remain; the controller keeps the split in both
 /// directions.
