--- a/crates/anvilhook-gateway/src/policies.rs
+++ b/crates/anvilhook-gateway/src/policies.rs
@@ -43,7 +43,7 @@
             surplus_role_changes: true,
             fair_shares: true,
             waiting_queue: true,
-            caches_across_versions: true,
+            caches_across_versions: false,
         }
     }
 }
--- a/crates/anvilhook-gateway/tests/support/instances.rs
+++ b/crates/anvilhook-gateway/tests/support/instances.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::JoinHandle;
 
 use super::fronts::{Front, ample_budget, start};
 use super::until;
@@ -22,6 +23,14 @@
     pub peer: SocketAddr,
     /// What listens for the calls of others, if nothing serves them.
     pub port: Option<TcpListener>,
+    exchanging: JoinHandle<()>,
+}
+
+impl Instance {
+    /// Stops the exchange of datagrams, as the end of the process would.
+    pub fn end_exchange(&self) {
+        self.exchanging.abort();
+    }
 }
 
 /// Starts an instance. With `forwards` false it does not serve the calls of others, like an earlier build.
@@ -43,8 +52,8 @@
         tokio::spawn(anvilhook_http::serve(listener, router, Shutdown::new()));
     }
     let rng = ChaCha8Rng::seed_from_u64(number);
-    tokio::spawn(exchange(socket, number, rng, gateway, SystemClock::new()));
-    Instance { front, peer, port }
+    let exchanging = tokio::spawn(exchange(socket, number, rng, gateway, SystemClock::new()));
+    Instance { front, peer, port, exchanging }
 }
 
 /// Returns a socket for datagrams and a listener at the same port.
