Forget where streams began at an upstream whose software was replaced under its id

What callers could see: a stream continued at another software version than the one that began it. An engine restarts under its id with other software; until the table shows that, instances record streams of the new software as streams of the old one.

A restart with the same software changes nothing.

Evidence: verify_a_stream_that_began_around_a_replacement_goes_on_nowhere, which continues the stream at an engine of the old version without the change.

--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -228,6 +228,13 @@
         view.get(&upstream.entry.id).is_some_and(|current| !current.is_same(upstream))
     }
 
+    /// Returns whether the current view lists other software under an upstream's id, so that a stream from there may
+    /// have come from either.
+    pub(crate) fn has_other_software(&self, upstream: &Upstream) -> bool {
+        let view = self.view.load();
+        view.get(&upstream.entry.id).is_some_and(|current| current.software != upstream.software)
+    }
+
     /// Returns whether the upstream with a hash accepts new work by the current view, unless its request limit is
     /// exhausted.
     pub(crate) fn is_open(&self, hash: u32, now: Millis) -> bool {
--- a/crates/anvilhook-gateway/src/origins/mod.rs
+++ b/crates/anvilhook-gateway/src/origins/mod.rs
@@ -6,6 +6,7 @@
 
 mod lookups;
 mod messages;
+mod recent;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -18,6 +19,7 @@
 use anvilhook_core::units::{Clock, Millis};
 use tokio::net::UdpSocket;
 
+use crate::fleets::Upstream;
 use crate::hashes::hash_of;
 use crate::metrics::NameLabel;
 use crate::peers::Peers;
@@ -26,6 +28,7 @@
 
 use lookups::Lookups;
 pub use messages::OriginMessage;
+use recent::RecentStreams;
 
 /// How long an instance waits for answers to a query. Answers take milliseconds, but those of an instance whose CPU is
 /// throttled may take a tenth of a second.
@@ -91,6 +94,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Origins {
     table: Mutex<OriginTable>,
+    /// The streams that this instance has begun lately.
+    recent: RecentStreams,
     lookups: Lookups,
     link: OnceLock<Link>,
 }
@@ -143,8 +148,26 @@
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
-    /// Records the origin of a stream that begins, here and at its replicas.
-    pub(crate) fn publish_origin(&self, fingerprint: Fingerprint, origin: StreamOrigin) {
+    /// Records the origin of a stream that begins at an upstream, here and at its replicas.
+    pub(crate) fn record_began(
+        &self,
+        fingerprint: Fingerprint,
+        origin: StreamOrigin,
+        upstream: &Upstream,
+    ) {
+        self.origins().recent.add(upstream.hash, fingerprint, origin, self.now());
+        self.publish_origin(fingerprint, origin);
+    }
+
+    /// Makes the origins of the streams that have lately begun at an upstream unusable: its software has been replaced
+    /// under its id, and either could have begun them.
+    pub(crate) fn retract_origins(&self, upstream: &Upstream) {
+        for (fingerprint, origin) in self.origins().recent.take(upstream.hash, self.now()) {
+            self.publish_origin(fingerprint, StreamOrigin { software: Software::NONE, ..origin });
+        }
+    }
+
+    fn publish_origin(&self, fingerprint: Fingerprint, origin: StreamOrigin) {
         let now = self.now();
         self.origins().table().record(fingerprint, origin, now);
         let replicas = self.origins().replicas(self.peers(), fingerprint, REPLICAS, now);
--- a/crates/anvilhook-gateway/src/relay/adoption.rs
+++ b/crates/anvilhook-gateway/src/relay/adoption.rs
@@ -45,6 +45,12 @@
             })
         };
         self.inner.caches.retain(is_same);
+        for before in earlier.all() {
+            let now = view.get(&before.entry.id);
+            if now.is_some_and(|now| now.software != before.software) {
+                self.retract_origins(before);
+            }
+        }
         let draining = view.all().filter(|upstream| upstream.entry.draining);
         emit(&InstanceEvent::FleetChanged {
             listed: view.all().count(),
--- a/crates/anvilhook-gateway/src/relay/continuation.rs
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -158,13 +158,13 @@
 
     /// Returns whether the software of an upstream that continues a stream may have been replaced meanwhile.
     pub(super) fn is_other_software(&self, exchange: &Exchange, upstream: &Upstream) -> bool {
-        exchange.software.is_some() && self.fleet().has_replaced(upstream)
+        exchange.software.is_some() && self.fleet().has_other_software(upstream)
     }
 
     /// Records that an upstream has begun the stream of a request, so that only its software continues it, in this
     /// answer or in an answer to a later request.
     pub(super) fn record_origin(&self, exchange: &mut Exchange, upstream: &Upstream) {
-        if exchange.software.is_none() && self.fleet().has_replaced(upstream) {
+        if exchange.software.is_none() && self.fleet().has_other_software(upstream) {
             // The stream may come from either start of the upstream, so no upstream is known to fit.
             exchange.software = Some(Software::NONE);
             return;
@@ -172,7 +172,7 @@
         let software = *exchange.software.get_or_insert(upstream.software);
         if exchange.route.repeats.is_repeatable() {
             let origin = StreamOrigin { request: request_hash(&exchange.id), software };
-            self.publish_origin(exchange.fingerprint, origin);
+            self.record_began(exchange.fingerprint, origin, upstream);
         }
     }
 }
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -354,14 +354,15 @@
             upstream.state.ejection().record_failure(gateway.now());
         }
         gateway.record_failure_signal(&self.exchange, upstream, failed);
-        let upstream = upstream.entry.clone();
         let last_id = self.relay.last_id;
         let route = &self.exchange.route;
         let is_allowed = route.repeats.is_repeatable()
             && !gateway.has_ended()
+            && !gateway.fleet().has_other_software(upstream)
             && self.exchange.runs < route.max_attempts
             && self.exchange.time_left(gateway.now()) > Millis::ZERO
             && last_id.is_some();
+        let upstream = upstream.entry.clone();
         if !is_allowed {
             self.log_broken(&upstream, failed, "not_allowed");
             return Err(io::Error::other(failed.cause));
--- a/crates/anvilhook-gateway/tests/software_versions.rs
+++ b/crates/anvilhook-gateway/tests/software_versions.rs
@@ -334,6 +334,28 @@
     assert_eq!(generator.received().len(), 1, "only the first run");
 }
 
+/// Guards against a wrong origin: an engine was replaced under its id, and a stream began there before the table showed
+/// it. The engine that is listed for the stream is not the one that began it.
+#[tokio::test]
+async fn verify_a_stream_that_began_around_a_replacement_goes_on_nowhere() {
+    for (version, status) in [("v1", 200), ("v2", 503)] {
+        let replaced = Upstream::always(unfinished_stream()).await;
+        let same = Upstream::start(rest_of_stream).await;
+        let at_start =
+            |born, version| Entry { born: Some(born), ..engine_at(version, "replaced", &replaced) };
+        let front = start(Some(resumable()), vec![at_start(1, "v1")], ample_budget()).await;
+        begin_stream(&front, "r1").await;
+        let listed = vec![at_start(2, version), far(engine_at("v1", "same", &same))];
+        front.gateway.adopt_entries(listed);
+        front.gateway.fleet().view().get("replaced").expect("listed").state.mark_gone(true);
+
+        let answer = continue_stream(&front, "r2", Some("r1")).await;
+
+        assert_eq!(answer.status, status, "{version}: {answer:?}");
+        assert_eq!(runs(&same), usize::from(status == 200), "{version}");
+    }
+}
+
 /// Guards against another version that the table does not show yet: an engine has restarted under its id, and its own
 /// report shows another start than its entry.
 #[tokio::test]
