Read a prompt again if the engines that could use its KV cache have gone

What callers would see: a refusal after their prompt was read, when the generators of the reader's software version have gone meanwhile and those of another version are free. Change: the request is placed again, without that reader.

--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -203,6 +203,11 @@
             WaitOutcome::Send(generator, wait) => {
                 self.generate(exchange, &mut job, generator, Some(handle), wait).await
             }
+            // The engines that could use the reader's KV cache may have gone while others are left.
+            WaitOutcome::NoEngine if exchange.software.is_none() && exchange.read_by.is_some() => {
+                job.avoid.push(Arc::clone(&handle.upstream().entry.id));
+                Ok(Err(Failed::not_sent("no_engine")))
+            }
             WaitOutcome::NoEngine => Err(self.no_engine_outcome(exchange)),
             WaitOutcome::Limited(soonest) => {
                 Err(self.abandoned_outcome(exchange, LIMITED, soonest))
