--- a/crates/anvilhook-gateway/src/placements/generators.rs
+++ b/crates/anvilhook-gateway/src/placements/generators.rs
@@ -24,7 +24,7 @@
 const UNREPORTED_SLOT_SHARE: f64 = 0.15;
 
 /// The share of an engine's slots that is reserved for streams that go on, while several software versions serve.
-const CONTINUATION_SLOT_SHARE: f64 = 0.08;
+const CONTINUATION_SLOT_SHARE: f64 = 0.04;
 
 /// The cost of each request that runs at an engine together with a suspect, in milliseconds. If the
 /// suspect terminates the engine, these requests are lost too.
