Split the known instances by what is asked of them

peers/members.rs had 490 lines and answered three questions: which instances are known, which of them acts for others, and to which of them this one sends. The last two are now members/leaders.rs and members/recipients.rs. No code changes.

--- a/crates/anvilhook-gateway/src/peers/members.rs
+++ b/crates/anvilhook-gateway/src/peers/members/mod.rs
@@ -1,14 +1,15 @@
-//! The known instances: which of them run, and which of them acts for the others.
+//! The known instances.
 
-use std::collections::{HashMap, HashSet};
+mod leaders;
+mod recipients;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, OnceLock};
 
-use anvilhook_core::ranks::rank_of;
 use anvilhook_core::rate_shares::RateShare;
 use anvilhook_core::units::Millis;
-use anvilhook_core::watches::{Candidate, FOLLOWER_TIMEOUT, is_chosen};
 use tokio::sync::{Notify, watch};
 
 use super::digests::Digest;
@@ -124,84 +125,11 @@
         }
     }
 
-    /// Returns whether this instance should follow a table by its own calls. In a full mesh every
-    /// instance does, since the calls of few instances cost little; in zoned mode one instance of
-    /// each availability zone does.
-    pub fn follows(&self, table: FollowedTable, now: Millis) -> bool {
-        let known = self.known.lock().expect("no panic under this lock");
-        if known.len() <= MAX_FULL_MESH_PEERS {
-            return true;
-        }
-        let is_able = !self.watch_of(table).is_unable(now);
-        let own = Candidate { rank: rank_in(self.number(), table), is_able };
-        // A peer that has not read the restored table can't follow it for this instance.
-        let epoch = self.watch_of(table).version().own().epoch;
-        let others = self.live_zone_peers(&known, now).map(|(_, peer)| Candidate {
-            rank: rank_in(peer.number, table),
-            is_able: peer.is_able[table as usize] && peer.epochs[table as usize] >= epoch,
-        });
-        is_chosen(&own, others)
-    }
-
-    /// Returns the address of this zone's leader, which exchanges updates with other availability
-    /// zones; `None` if it is this instance.
-    pub(super) fn zone_leader(&self, now: Millis) -> Option<SocketAddr> {
-        let known = self.known.lock().expect("no panic under this lock");
-        self.leader_among(self.live_zone_peers(&known, now))
-    }
-
-    /// Returns the address of the leader among `zone_peers`; `None` if this instance ranks above
-    /// all of them.
-    fn leader_among<'k>(
-        &self,
-        zone_peers: impl Iterator<Item = (SocketAddr, &'k Peer)>,
-    ) -> Option<SocketAddr> {
-        let best = zone_peers.map(|(address, peer)| (leader_rank(peer.number), address)).max();
-        let best = best.filter(|(best, _)| *best > leader_rank(self.number()));
-        best.map(|(_, address)| address)
-    }
-
-    /// Returns the other instances of this availability zone that were recently seen.
-    fn live_zone_peers<'k>(
-        &'k self,
-        known: &'k HashMap<SocketAddr, Known>,
-        now: Millis,
-    ) -> impl Iterator<Item = (SocketAddr, &'k Peer)> {
-        let zone_peers = known.iter().filter(|(_, known)| known.zone == Some(self.zone));
-        let peers =
-            zone_peers.filter_map(|(address, known)| Some((*address, known.peer.as_ref()?)));
-        peers.filter(move |(_, peer)| peer.last_seen_at + FOLLOWER_TIMEOUT > now)
-    }
-
     /// Records that a digest of another availability zone's leader was received.
     pub(super) fn record_zone_leader(&self, zone: u32, now: Millis) {
         self.zones.lock().expect("no panic under this lock").insert(zone, now);
     }
 
-    /// Returns the other availability zones that have known instances.
-    pub(super) fn far_zones(&self) -> Vec<u32> {
-        let known = self.known.lock().expect("no panic under this lock");
-        let zones = known.values().filter_map(|known| known.zone);
-        let zones: HashSet<u32> = zones.filter(|zone| *zone != self.zone).collect();
-        zones.into_iter().collect()
-    }
-
-    /// Returns the addresses of the known instances of an availability zone.
-    pub(super) fn instances_of(&self, zone: u32) -> Vec<SocketAddr> {
-        let known = self.known.lock().expect("no panic under this lock");
-        let of_zone = known.iter().filter(|(_, known)| known.zone == Some(zone));
-        of_zone.map(|(address, _)| *address).collect()
-    }
-
-    /// Returns, once after this instance was listed, the addresses of the instances in other
-    /// availability zones. They don't learn of it otherwise.
-    pub(super) fn take_introductions(&self) -> Vec<SocketAddr> {
-        if !self.is_new.swap(false, Ordering::AcqRel) || self.is_full_mesh() {
-            return Vec::new();
-        }
-        self.far_zones().into_iter().flat_map(|zone| self.instances_of(zone)).collect()
-    }
-
     /// Requests an immediate digest of this instance's work in flight. Several requests before the
     /// next digest are combined.
     pub fn announce(&self) {
@@ -315,58 +243,11 @@
         }
     }
 
-    /// Returns the addresses of all peers that may run.
-    pub fn addresses(&self, now: Millis) -> Vec<SocketAddr> {
-        let known = self.known.lock().expect("no panic under this lock");
-        let current = known.iter().filter(|(_, known)| known.may_run(now));
-        current.map(|(address, _)| *address).collect()
-    }
-
-    /// Returns the addresses of the peers that may run in this availability zone or in an unknown
-    /// one.
-    pub(super) fn zone_peers(&self, now: Millis) -> Vec<SocketAddr> {
-        let known = self.known.lock().expect("no panic under this lock");
-        let current = known.iter().filter(|(_, known)| {
-            known.zone.is_none_or(|zone| zone == self.zone) && known.may_run(now)
-        });
-        current.map(|(address, _)| *address).collect()
-    }
-
-    /// Returns the instances to which calls may be forwarded, with whether each is in this availability zone. In zoned
-    /// mode those of other zones send this instance no digests, so all of them are included.
-    pub(crate) fn forwarders(&self, now: Millis) -> Vec<(SocketAddr, bool)> {
-        let known = self.known.lock().expect("no panic under this lock");
-        let is_full_mesh = known.len() <= MAX_FULL_MESH_PEERS;
-        let may_forward = |one: &Known, is_near: bool| match &one.peer {
-            Some(peer) => peer.last_seen_at + FOLLOWER_TIMEOUT > now,
-            None => !is_near && !is_full_mesh,
-        };
-        let all = known.iter().map(|(address, one)| (address, one, one.zone == Some(self.zone)));
-        let usable = all.filter(|(_, one, is_near)| may_forward(one, *is_near));
-        usable.map(|(address, _, is_near)| (*address, is_near)).collect()
-    }
-
-    /// Returns the instances that may run and could keep a copy of what this one publishes, with their availability
-    /// zones. In zoned mode those of other zones send this instance no digests, so all of them are included.
-    pub(crate) fn possible_replicas(&self, now: Millis) -> Vec<(SocketAddr, Option<u32>)> {
-        let known = self.known.lock().expect("no panic under this lock");
-        let is_full_mesh = known.len() <= MAX_FULL_MESH_PEERS;
-        let sends_digests = |one: &Known| is_full_mesh || one.zone == Some(self.zone);
-        let usable = known.iter().filter(|(_, one)| !sends_digests(one) || one.may_run(now));
-        usable.map(|(address, one)| (*address, one.zone)).collect()
-    }
-
     /// Returns whether this instance is listed and has read which others are.
     pub(crate) fn is_listed(&self) -> bool {
         self.was_listed.load(Ordering::Acquire)
     }
 
-    /// Returns whether an instance is in this availability zone, as far as known.
-    pub(crate) fn is_near(&self, address: SocketAddr) -> bool {
-        let known = self.known.lock().expect("no panic under this lock");
-        known.get(&address).is_some_and(|one| one.zone == Some(self.zone))
-    }
-
     /// Returns the number of peers that were recently seen.
     pub fn live_peers(&self, now: Millis) -> usize {
         let known = self.known.lock().expect("no panic under this lock");
@@ -418,76 +299,4 @@
         };
         RateShare::new(position, instances)
     }
-
-    /// Returns whether this instance acts for all instances. In a full mesh that is the one with
-    /// the lowest number, in zoned mode the leader of the zone with the lowest hash among those
-    /// recently seen.
-    pub fn is_first(&self, now: Millis) -> bool {
-        if self.is_full_mesh() {
-            return self.is_lowest_except(None, now);
-        }
-        let zones = self.zones.lock().expect("no panic under this lock");
-        let mut live_zones = zones.iter().filter(|(_, at)| **at + PEER_AGE > now);
-        live_zones.all(|(zone, _)| self.zone < *zone) && self.zone_leader(now).is_none()
-    }
-
-    /// Returns the addresses of the `count` highest-ranked other instances of this availability
-    /// zone: its leader and those that would replace it.
-    pub(super) fn zone_leaders(&self, count: usize, now: Millis) -> Vec<SocketAddr> {
-        let known = self.known.lock().expect("no panic under this lock");
-        let live = self.live_zone_peers(&known, now);
-        let mut ranked: Vec<_> =
-            live.map(|(address, peer)| (leader_rank(peer.number), address)).collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.into_iter().take(count).map(|(_, address)| address).collect()
-    }
-
-    /// Returns this instance's rank among those that act for all instances, from 0; `None` if it is
-    /// not among them. In a full mesh it is the position of its number; in zoned mode each
-    /// availability zone has one rank, held by its leader.
-    pub fn duty_rank(&self, now: Millis) -> Option<usize> {
-        if self.is_full_mesh() {
-            let known = self.known.lock().expect("no panic under this lock");
-            let peers = known.values().filter_map(|known| known.peer.as_ref());
-            let running = peers.filter(|peer| peer.last_seen_at + PEER_AGE > now);
-            return Some(running.filter(|peer| peer.number < self.number()).count());
-        }
-        if self.zone_leader(now).is_some() {
-            return None;
-        }
-        let zones = self.zones.lock().expect("no panic under this lock");
-        let live_zones = zones.iter().filter(|(_, at)| **at + PEER_AGE > now);
-        Some(live_zones.filter(|(zone, _)| **zone < self.zone).count())
-    }
-
-    /// Returns whether this instance should send a new one what it knows. Apart from the new
-    /// instance, that is the one with the lowest number in a full mesh, and the zone leader in
-    /// zoned mode.
-    pub(super) fn is_seeder_for(&self, new: SocketAddr, now: Millis) -> bool {
-        if self.is_full_mesh() {
-            return self.is_lowest_except(Some(new), now);
-        }
-        let known = self.known.lock().expect("no panic under this lock");
-        let is_zone_peer = known.get(&new).is_some_and(|known| known.zone == Some(self.zone));
-        let others = self.live_zone_peers(&known, now).filter(|(address, _)| *address != new);
-        is_zone_peer && self.leader_among(others).is_none()
-    }
-
-    fn is_lowest_except(&self, other: Option<SocketAddr>, now: Millis) -> bool {
-        let known = self.known.lock().expect("no panic under this lock");
-        let others = known.iter().filter(|(address, _)| Some(**address) != other);
-        let peers = others.filter_map(|(_, known)| known.peer.as_ref());
-        let mut running = peers.filter(|peer| peer.last_seen_at + PEER_AGE > now);
-        running.all(|peer| self.number() < peer.number)
-    }
-}
-
-/// Returns the rank of the instance with a number as a candidate for zone leader.
-fn leader_rank(number: u64) -> u64 {
-    rank_of(number, hash_of(&number))
-}
-
-/// Returns the rank of the instance with a number as a candidate for following a table.
-fn rank_in(number: u64, table: FollowedTable) -> u64 {
-    rank_of(number, hash_of(&(number, table)))
 }
