Keep instances of other availability zones usable as forwarders

What callers could see, in deployments with more than 12 instances: an instance that is cut from upstreams together with its zone finds no instance that reaches them, and rejects requests that others could serve.

Cause: an instance introduces itself to those of other zones by one digest when it starts. Only the instances that had started before were used.

Change: in zoned mode an instance of another zone counts as silent never; the check that decides who sends digests stands once.

--- a/crates/anvilhook-gateway/src/peers/members/recipients.rs
+++ b/crates/anvilhook-gateway/src/peers/members/recipients.rs
@@ -53,16 +53,17 @@
 
     /// Returns the instances to which calls may be forwarded, with whether each is in this availability zone. In zoned
     /// mode those of other zones send this instance no digests, so all of them are included.
-    pub(crate) fn forwarders(&self, now: Millis) -> Vec<(SocketAddr, bool)> {
+    pub fn forwarders(&self, now: Millis) -> Vec<(SocketAddr, bool)> {
         let known = self.known.lock().expect("no panic under this lock");
-        let is_full_mesh = known.len() <= MAX_FULL_MESH_PEERS;
-        let may_forward = |one: &Known, is_near: bool| match &one.peer {
-            Some(peer) => peer.last_seen_at + FOLLOWER_TIMEOUT > now,
-            None => !is_near && !is_full_mesh,
+        let is_recent = |one: &Known| {
+            let last_seen_at = one.peer.as_ref().map(|peer| peer.last_seen_at);
+            last_seen_at.is_some_and(|at| at + FOLLOWER_TIMEOUT > now)
         };
-        let all = known.iter().map(|(address, one)| (address, one, one.zone == Some(self.zone)));
-        let usable = all.filter(|(_, one, is_near)| may_forward(one, *is_near));
-        usable.map(|(address, _, is_near)| (*address, is_near)).collect()
+        let is_full_mesh = known.len() <= MAX_FULL_MESH_PEERS;
+        let usable = known.iter().filter(|(_, one)| {
+            if self.sends_digests(one, is_full_mesh) { is_recent(one) } else { true }
+        });
+        usable.map(|(address, one)| (*address, one.zone == Some(self.zone))).collect()
     }
 
     /// Returns the instances that may run and could keep a copy of what this one publishes, with their availability
@@ -70,11 +71,18 @@
     pub(crate) fn possible_replicas(&self, now: Millis) -> Vec<(SocketAddr, Option<u32>)> {
         let known = self.known.lock().expect("no panic under this lock");
         let is_full_mesh = known.len() <= MAX_FULL_MESH_PEERS;
-        let sends_digests = |one: &Known| is_full_mesh || one.zone == Some(self.zone);
-        let usable = known.iter().filter(|(_, one)| !sends_digests(one) || one.may_run(now));
+        let usable = known.iter().filter(|(_, one)| {
+            if self.sends_digests(one, is_full_mesh) { one.may_run(now) } else { true }
+        });
         usable.map(|(address, one)| (*address, one.zone)).collect()
     }
 
+    /// Returns whether an instance sends this one digests all the time. In zoned mode one of another zone sends a
+    /// single one when it starts.
+    fn sends_digests(&self, one: &Known, is_full_mesh: bool) -> bool {
+        is_full_mesh || one.zone.is_none_or(|zone| zone == self.zone)
+    }
+
     /// Returns whether an instance is in this availability zone, as far as known.
     pub(crate) fn is_near(&self, address: SocketAddr) -> bool {
         let known = self.known.lock().expect("no panic under this lock");
--- a/crates/anvilhook-gateway/tests/zones.rs
+++ b/crates/anvilhook-gateway/tests/zones.rs
@@ -107,6 +107,25 @@
     digests
 }
 
+/// Guards against passing over the instances of other zones as forwarders: each of them has introduced itself by one
+/// digest when it started, and sends no more to instances of other zones.
+#[tokio::test]
+async fn verify_instances_of_other_zones_stay_usable_as_forwarders() {
+    let all = instances(&MemoryTable::default()).await;
+    let far_count = INSTANCES * (ZONES.len() - 1);
+    let far_forwarders = |one: &Instance, at: Millis| {
+        let forwarders = one.gateway.peers().forwarders(at).into_iter();
+        forwarders.filter(|(_, is_near)| !is_near).count()
+    };
+    until(|| all.iter().all(|one| one.gateway.peers().instances() == all.len())).await;
+
+    for one in &all {
+        let later = one.clock.now() + Millis(60_000);
+
+        assert_eq!(far_forwarders(one, later), far_count);
+    }
+}
+
 /// Guards against updates between instances that make up most of the bytes between availability
 /// zones. One instance has a prompt read (prefill) and observes that the engine is unavailable.
 /// Each instance used to send to each; now one of each zone sends to one of each other zone, and
