--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -2,21 +2,18 @@
 
 use std::sync::Arc;
 
-use anvilhook_core::Verdict;
-use anvilhook_core::ejections::may_eject;
 use anvilhook_core::orders::Role;
 use anvilhook_core::reading_lanes::Lane;
-use anvilhook_core::slow_starts::Closing;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::{Connection, collect_body};
-use anvilhook_http::{CallError, Stage};
 use http::header::{AUTHORIZATION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, StatusCode};
 use volo_http::body::Body;
 use volo_http::response::Response;
 
 use super::answers::WholeAnswer;
-use super::calls::{CallFailure, UNREACHABLE, UpstreamCall};
+use super::calls::UpstreamCall;
+use super::failures::{Failed, FailureSignal};
 use super::requests::{Exchange, end_to_end};
 use super::signals::AnswerSource;
 use super::waiting::Wait;
@@ -26,7 +23,6 @@
 use crate::followers::LIST_SOURCE;
 use crate::loads::RoleObservation;
 use crate::metrics::AttemptLabels;
-use crate::slow_starts::Openings;
 use crate::wires::Wire;
 
 /// The maximum size of an answer that is collected before it is forwarded, in bytes.
@@ -36,109 +32,6 @@
 /// taken, or refused a plain request as misdirected.
 const WRONG_STAGE_PAUSE: Millis = Millis(300);
 
-/// How long no instance uses an upstream whose host refuses connections, with the policy `slow_start` off;
-/// otherwise [`SlowStart::close`](anvilhook_core::slow_starts::SlowStart::close) sets the time. An upstream
-/// that restarts is listed after about this time, and one that was full accepts connections again by then.
-pub(super) const CLOSED_PAUSE: Millis = Millis(800);
-
-/// `Failed` describes an attempt that produced no answer to forward.
-#[derive(Clone, Debug)]
-pub(super) struct Failed {
-    pub verdict: Verdict,
-    pub cause: &'static str,
-    /// Whether the upstream itself refused the request, which shows that it is alive.
-    pub is_refusal: bool,
-    /// Whether the request was sent, or may have been.
-    pub was_sent: bool,
-    /// What the failure indicates about the upstream itself.
-    pub signal: FailureSignal,
-    /// The step of the call at which it failed, for logs; empty if the upstream answered or was not called.
-    pub step: &'static str,
-}
-
-/// `FailureSignal` is what a failed attempt indicates about its upstream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum FailureSignal {
-    /// The connection broke during the attempt.
-    Broken,
-    /// The upstream sent nothing in time.
-    TimedOut,
-    /// None, as this instance's own path is broken.
-    PathBroken,
-    /// No sign of a fault: the upstream answered or was not reached.
-    None,
-}
-
-impl Failed {
-    fn refusal(cause: &'static str) -> Self {
-        Self { is_refusal: true, was_sent: true, ..Self::not_sent(cause) }
-    }
-
-    /// Creates a failure that occurred before anything was sent.
-    pub fn not_sent(cause: &'static str) -> Self {
-        Self {
-            verdict: Verdict::NotRun,
-            cause,
-            is_refusal: false,
-            was_sent: false,
-            signal: FailureSignal::None,
-            step: "",
-        }
-    }
-
-    pub fn may_have_run(cause: &'static str) -> Self {
-        Self { verdict: Verdict::MayHaveRun, was_sent: true, ..Self::not_sent(cause) }
-    }
-
-    /// Creates a failure by a broken connection.
-    pub fn broken(cause: &'static str) -> Self {
-        Self { signal: FailureSignal::Broken, ..Self::may_have_run(cause) }
-    }
-
-    /// Creates a failure of an upstream that sent nothing in time.
-    pub fn timed_out(cause: &'static str) -> Self {
-        Self { signal: FailureSignal::TimedOut, ..Self::may_have_run(cause) }
-    }
-
-    /// Creates a failure of an attempt whose connection transfers nothing any more, as this instance's own path is
-    /// broken.
-    pub fn path_broken() -> Self {
-        let step = Stage::FirstByte.as_str();
-        Self { signal: FailureSignal::PathBroken, step, ..Self::may_have_run("path_broken") }
-    }
-}
-
-impl From<CallFailure> for Failed {
-    fn from(failure: CallFailure) -> Self {
-        match failure {
-            CallFailure::Call(err) => err.into(),
-            CallFailure::PathBroken { .. } => Self::path_broken(),
-            CallFailure::Unreachable => {
-                Self { signal: FailureSignal::PathBroken, ..Self::not_sent(UNREACHABLE) }
-            }
-        }
-    }
-}
-
-impl From<CallError> for Failed {
-    fn from(err: CallError) -> Self {
-        let cause = match (err.timed_out, err.verdict()) {
-            (true, Verdict::NotRun) => "connect_timeout",
-            (true, _) => "no_answer_in_time",
-            (false, Verdict::NotRun) => "no_connection",
-            (false, _) => "connection_broken",
-        };
-        let signal = match (err.verdict(), err.timed_out) {
-            (Verdict::NotRun, _) => FailureSignal::None,
-            (_, true) => FailureSignal::TimedOut,
-            (_, false) => FailureSignal::Broken,
-        };
-        let (verdict, step) = (err.verdict(), err.stage.as_str());
-        let was_sent = verdict != Verdict::NotRun;
-        Self { verdict, cause, is_refusal: false, was_sent, signal, step }
-    }
-}
-
 /// `Sending` describes how an attempt is sent.
 pub(super) struct Sending<'a> {
     pub upstream: &'a Upstream,
@@ -419,98 +312,6 @@
             false => Failed { step: err.stage.as_str(), ..Failed::broken("answer_cut") },
         })
     }
-
-    /// Admits an attempt. Returns how it counts against the budget, or `None` if the budget is used up.
-    /// `has_sent` is whether the request has made a call of this kind before (one that reads its prompt, or
-    /// one that answers it), and is set.
-    ///
-    /// Every arrival after the first counts against the budget, even if the upstream refuses it; otherwise
-    /// retries would multiply an overload.
-    pub(super) fn admit_attempt(&self, service: &Arc<str>, has_sent: &mut bool) -> Option<Arrival> {
-        if !std::mem::replace(has_sent, true) {
-            return Some(Arrival::First);
-        }
-        self.try_take_extra(service).then_some(Arrival::Extra)
-    }
-
-    /// Refunds an attempt that reached no upstream.
-    ///
-    /// Such an attempt adds no load. If it counted, the refused connections of engines that crash together
-    /// would use up the budget, and requests that other engines could serve would be refused.
-    pub(super) fn refund_attempt(
-        &self,
-        service: &Arc<str>,
-        has_sent: &mut bool,
-        arrival: Arrival,
-        failed: &Failed,
-    ) {
-        match arrival {
-            _ if failed.was_sent => {}
-            Arrival::First => *has_sent = false,
-            Arrival::Extra => self.refund_extra(service),
-        }
-    }
-
-    /// Records that an instance has received an error from an engine. Once several instances have, all of
-    /// them eject the engine for a while, unless too many engines are ejected already.
-    pub fn record_engine_error(&self, upstream: &Upstream, instance: u64, is_own: bool) {
-        let now = self.now();
-        let Some(pause) = upstream.state.record_error(instance, is_own, now) else { return };
-        let view = self.fleet().view();
-        let all = view.of_service(&upstream.entry.service);
-        let ejected = all.iter().filter(|one| !one.state.is_healthy(now)).count();
-        if !may_eject(all.len(), ejected) {
-            return;
-        }
-        // Peers that have received the same reports publish the ejection too.
-        self.close_upstream(upstream, Some(pause), "");
-    }
-
-    /// Marks an upstream as unused for a while, and publishes it to peers. `length` is for how long, if it does
-    /// not follow from its earlier refusals. `request` is the id of the request that caused it, empty if it
-    /// was not a single request.
-    pub(super) fn close_upstream(
-        &self,
-        upstream: &Upstream,
-        length: Option<Millis>,
-        request: &str,
-    ) {
-        let now = self.now();
-        let closing = if self.policy().slow_start {
-            upstream.state.close(length, now)
-        } else {
-            let length = length.unwrap_or(CLOSED_PAUSE);
-            let is_later = upstream.state.mark_closed(now + length, true);
-            is_later.then_some(Closing { length, count: 1, previous: None })
-        };
-        if let Some(Closing { length, count, previous }) = closing {
-            self.peers().announce();
-            emit(&UpstreamEvent::UpstreamClosed {
-                upstream: &upstream.entry.id,
-                request,
-                for_ms: length.0,
-                count,
-                previous_ms: previous.map(|previous| previous.0),
-            });
-        }
-    }
-
-    /// Returns this instance among those to which upstreams are opened, if slow start is active.
-    pub(super) fn openings(&self) -> Option<Openings> {
-        self.policy().slow_start.then(|| Openings {
-            instance: self.peers().number(),
-            instances: self.peers().instances(),
-        })
-    }
-}
-
-/// `Arrival` is the way in which an attempt counts against the budget.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Arrival {
-    /// It is the request's first attempt and does not count.
-    First,
-    /// It counts as an extra arrival.
-    Extra,
 }
 
 /// Returns the headers of an upstream's answer that are forwarded.
--- a/crates/anvilhook-gateway/src/relay/continuation.rs
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -9,7 +9,7 @@
 
 use super::Gateway;
 use super::answers::{Outcome, OwnAnswer};
-use super::attempts::Failed;
+use super::failures::Failed;
 use super::prompts::REFUSED_PAUSE;
 use super::requests::Exchange;
 use crate::configs::{Repeats, Route};
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -12,7 +12,7 @@
 
 use super::Gateway;
 use super::answers::Outcome;
-use super::attempts::{Failed, FailureSignal};
+use super::failures::{Failed, FailureSignal};
 use super::requests::Exchange;
 use crate::events::{Evidence, UpstreamEvent, emit};
 use crate::fleets::Upstream;
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/failures.rs
@@ -0,0 +1,104 @@
+//! Failed attempts: whether the request may have run, and what the failure indicates about the upstream.
+
+use anvilhook_core::Verdict;
+use anvilhook_http::{CallError, Stage};
+
+use super::calls::{CallFailure, UNREACHABLE};
+
+/// `Failed` describes an attempt that produced no answer to forward.
+#[derive(Clone, Debug)]
+pub(super) struct Failed {
+    pub verdict: Verdict,
+    pub cause: &'static str,
+    /// Whether the upstream itself refused the request, which shows that it is alive.
+    pub is_refusal: bool,
+    /// Whether the request was sent, or may have been.
+    pub was_sent: bool,
+    /// What the failure indicates about the upstream itself.
+    pub signal: FailureSignal,
+    /// The step of the call at which it failed, for logs; empty if the upstream answered or was not called.
+    pub step: &'static str,
+}
+
+/// `FailureSignal` is what a failed attempt indicates about its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum FailureSignal {
+    /// The connection broke during the attempt.
+    Broken,
+    /// The upstream sent nothing in time.
+    TimedOut,
+    /// None, as this instance's own path is broken.
+    PathBroken,
+    /// No sign of a fault: the upstream answered or was not reached.
+    None,
+}
+
+impl Failed {
+    pub fn refusal(cause: &'static str) -> Self {
+        Self { is_refusal: true, was_sent: true, ..Self::not_sent(cause) }
+    }
+
+    /// Creates a failure that occurred before anything was sent.
+    pub fn not_sent(cause: &'static str) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            cause,
+            is_refusal: false,
+            was_sent: false,
+            signal: FailureSignal::None,
+            step: "",
+        }
+    }
+
+    pub fn may_have_run(cause: &'static str) -> Self {
+        Self { verdict: Verdict::MayHaveRun, was_sent: true, ..Self::not_sent(cause) }
+    }
+
+    /// Creates a failure by a broken connection.
+    pub fn broken(cause: &'static str) -> Self {
+        Self { signal: FailureSignal::Broken, ..Self::may_have_run(cause) }
+    }
+
+    /// Creates a failure of an upstream that sent nothing in time.
+    pub fn timed_out(cause: &'static str) -> Self {
+        Self { signal: FailureSignal::TimedOut, ..Self::may_have_run(cause) }
+    }
+
+    /// Creates a failure of an attempt whose connection transfers nothing any more, as this instance's own path is
+    /// broken.
+    pub fn path_broken() -> Self {
+        let step = Stage::FirstByte.as_str();
+        Self { signal: FailureSignal::PathBroken, step, ..Self::may_have_run("path_broken") }
+    }
+}
+
+impl From<CallFailure> for Failed {
+    fn from(failure: CallFailure) -> Self {
+        match failure {
+            CallFailure::Call(err) => err.into(),
+            CallFailure::PathBroken { .. } => Self::path_broken(),
+            CallFailure::Unreachable => {
+                Self { signal: FailureSignal::PathBroken, ..Self::not_sent(UNREACHABLE) }
+            }
+        }
+    }
+}
+
+impl From<CallError> for Failed {
+    fn from(err: CallError) -> Self {
+        let cause = match (err.timed_out, err.verdict()) {
+            (true, Verdict::NotRun) => "connect_timeout",
+            (true, _) => "no_answer_in_time",
+            (false, Verdict::NotRun) => "no_connection",
+            (false, _) => "connection_broken",
+        };
+        let signal = match (err.verdict(), err.timed_out) {
+            (Verdict::NotRun, _) => FailureSignal::None,
+            (_, true) => FailureSignal::TimedOut,
+            (_, false) => FailureSignal::Broken,
+        };
+        let (verdict, step) = (err.verdict(), err.stage.as_str());
+        let was_sent = verdict != Verdict::NotRun;
+        Self { verdict, cause, is_refusal: false, was_sent, signal, step }
+    }
+}
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -9,7 +9,8 @@
 use http::header::HeaderName;
 
 use super::Gateway;
-use super::attempts::{Failed, Sending};
+use super::attempts::Sending;
+use super::failures::Failed;
 use super::handles::KvHandle;
 use super::limits::{LIMITED, LimitWait};
 use super::places::Stage;
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -4,13 +4,16 @@
 mod access;
 mod adoption;
 mod answers;
+mod arrivals;
 mod attempts;
 mod bodies;
 mod calls;
+mod closings;
 mod conclusions;
 mod continuation;
 mod departures;
 mod examining;
+mod failures;
 mod forwarded;
 mod generating;
 mod handles;
--- a/crates/anvilhook-gateway/src/relay/path_checks.rs
+++ b/crates/anvilhook-gateway/src/relay/path_checks.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 
 use super::Gateway;
-use super::attempts::CLOSED_PAUSE;
+use super::closings::CLOSED_PAUSE;
 use crate::events::{UpstreamEvent, emit};
 use crate::fleets::Upstream;
 use crate::wires::Wire;
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -10,7 +10,8 @@
 
 use super::Gateway;
 use super::answers::{Outcome, WholeAnswer};
-use super::attempts::{Failed, Sending};
+use super::attempts::Sending;
+use super::failures::Failed;
 use super::limits::{LIMITED, LimitWait};
 use super::requests::Exchange;
 use super::stopping::STOPPING;
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -12,7 +12,7 @@
 
 use super::Gateway;
 use super::answers::{Outcome, WholeAnswer};
-use super::attempts::Failed;
+use super::failures::Failed;
 use super::limits::LIMITED;
 use super::places::Rejection;
 use super::requests::Exchange;
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -10,7 +10,9 @@
 use http::HeaderValue;
 
 use super::Gateway;
-use super::attempts::{Arrival, Failed, Sending};
+use super::arrivals::Arrival;
+use super::attempts::Sending;
+use super::failures::Failed;
 use super::handles::KvHandle;
 use super::places::Stage;
 use super::prompts::{Job, REFUSED_PAUSE, TryResult};
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -14,9 +14,10 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::attempts::{Failed, FailureSignal, passed_on};
+use super::attempts::passed_on;
 use super::bodies::counted;
 use super::calls::Forwarded;
+use super::failures::{Failed, FailureSignal};
 use super::prompts::Opened;
 use super::requests::Exchange;
 use super::{Flight, Gateway};
