Look up once per fleet change whether a service has several versions

Small types take the place of tuples in the placer. A caller whose stream other instances may know is told to return after 0.1 s, as it comes to another one.

--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -1,6 +1,6 @@
 //! The fleet of upstreams: their listed entries, and what this instance has observed of each.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -132,6 +132,8 @@
     by_id: HashMap<Arc<str>, Arc<Upstream>>,
     by_service: HashMap<Arc<str>, Vec<Arc<Upstream>>>,
     by_hash: HashMap<u32, Arc<Upstream>>,
+    /// The services that upstreams of several software versions serve.
+    with_versions: HashSet<Arc<str>>,
     /// Upstreams that are no longer listed, but whose state outlives a lapse of their entries; the
     /// latest is last.
     former: Vec<Arc<Upstream>>,
@@ -153,10 +155,7 @@
 
     /// Returns whether upstreams of several software versions serve a service.
     pub fn has_versions(&self, service: &str) -> bool {
-        let staying = self.of_service(service).iter().filter(|one| !one.entry.draining);
-        let mut software = staying.map(|upstream| upstream.software);
-        let first = software.next();
-        software.any(|other| Some(other) != first)
+        self.with_versions.contains(service)
     }
 
     /// Returns an upstream by its id.
@@ -284,7 +283,17 @@
         for upstreams in view.by_service.values_mut() {
             upstreams.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
         }
+        let with_versions = view.by_service.iter().filter(|(_, all)| have_versions(all));
+        view.with_versions = with_versions.map(|(service, _)| Arc::clone(service)).collect();
         self.view.store(Arc::new(view));
         earlier
     }
 }
+
+/// Returns whether upstreams that stay have several software versions.
+fn have_versions(upstreams: &[Arc<Upstream>]) -> bool {
+    let staying = upstreams.iter().filter(|one| !one.entry.draining);
+    let mut software = staying.map(|upstream| upstream.software);
+    let first = software.next();
+    software.any(|other| Some(other) != first)
+}
--- a/crates/anvilhook-gateway/src/placements/generators.rs
+++ b/crates/anvilhook-gateway/src/placements/generators.rs
@@ -44,6 +44,16 @@
     (hash_of(&(suspect, &*upstream.entry.id)) % SUSPECT_RANKS) as u32
 }
 
+/// `GroupTime` is the predicted time of the best generator in a group of engines that can use each other's KV caches.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct GroupTime {
+    pub group: Software,
+    /// The time from a prompt being read to the first token, in milliseconds.
+    pub fetched_ms: f64,
+    /// That time with the other costs of the engine, in milliseconds.
+    cost_ms: f64,
+}
+
 impl Placer<'_> {
     /// Chooses the engine that generates the output of a prompt that `reader` has read.
     pub fn generator(&self, req: &Request<'_>, reader: &Upstream) -> Option<Generator> {
@@ -67,21 +77,21 @@
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, generator)| generator)
     }
 
-    /// Returns the predicted time from a prompt being read to the first token, in milliseconds, for each group of
-    /// engines that can use each other's KV caches.
-    pub(super) fn generating_ms(&self, req: &Request<'_>) -> Vec<(Software, f64)> {
-        let mut best: Vec<(Software, f64, f64)> = Vec::new();
+    /// Returns the predicted time for each group of engines that can use each other's KV caches.
+    pub(super) fn group_times(&self, req: &Request<'_>) -> Vec<GroupTime> {
+        let mut best: Vec<GroupTime> = Vec::new();
         for upstream in self.candidates(req, Role::Decode) {
             let group = self.cache_group(upstream);
             let fetched_ms = self.generator_at(req, upstream, None).fetched_ms;
             let cost_ms = fetched_ms + self.other_cost_ms(req, upstream);
-            match best.iter_mut().find(|(one, _, _)| *one == group) {
-                None => best.push((group, cost_ms, fetched_ms)),
-                Some(known) if cost_ms < known.1 => *known = (group, cost_ms, fetched_ms),
+            let time = GroupTime { group, fetched_ms, cost_ms };
+            match best.iter_mut().find(|one| one.group == group) {
+                None => best.push(time),
+                Some(known) if cost_ms < known.cost_ms => *known = time,
                 Some(_) => {}
             }
         }
-        best.into_iter().map(|(group, _, fetched_ms)| (group, fetched_ms)).collect()
+        best
     }
 
     /// Returns the cost of an engine for a request beyond its time, in milliseconds.
--- a/crates/anvilhook-gateway/src/placements/mod.rs
+++ b/crates/anvilhook-gateway/src/placements/mod.rs
@@ -153,10 +153,10 @@
     /// Chooses how to serve a request. Returns `None` if no engine can accept it.
     pub fn plan(&self, req: &Request<'_>) -> Option<Plan> {
         let direct = self.generator_by(req, None, |generator| generator.direct_cost_ms)?;
-        let generating_ms = self.generating_ms(req);
+        let times = self.group_times(req);
         let rest_ms = |reader: &Upstream| {
             let group = self.cache_group(reader);
-            generating_ms.iter().find(|(one, _)| *one == group).map(|(_, rest_ms)| *rest_ms)
+            times.iter().find(|time| time.group == group).map(|time| time.fetched_ms)
         };
         match self.reader_by(req, rest_ms) {
             Some((mut reader, rest_ms)) => {
--- a/crates/anvilhook-gateway/src/placements/readers.rs
+++ b/crates/anvilhook-gateway/src/placements/readers.rs
@@ -6,7 +6,6 @@
 use anvilhook_core::reading_lanes::{
     Lane, Lanes, PromptSize, far_factor, max_spread_ms, spread_ms,
 };
-use anvilhook_core::stream_origins::Software;
 use anvilhook_core::units::Millis;
 
 use super::{Placer, Reader, Request};
@@ -20,8 +19,12 @@
 /// milliseconds. All instances expect to find the part at the preferred engine.
 const NON_PREFERRED_COST_MS: f64 = 40.0;
 
-/// An engine that caches the start of a prompt, and the length of that start in tokens.
-type Holder = (Arc<Upstream>, u32);
+/// `Holder` is an engine that caches the start of a prompt.
+struct Holder {
+    upstream: Arc<Upstream>,
+    /// The length of that start, in tokens.
+    tokens: u32,
+}
 
 impl Placer<'_> {
     /// Chooses the engine that reads the prompt.
@@ -48,7 +51,7 @@
         let holders = self.holders(req);
         let holder_for = |upstream: &Upstream| {
             let group = self.cache_group(upstream);
-            holders.iter().find(|(one, _)| *one == group).map(|(_, holder)| holder)
+            holders.iter().find(|holder| self.cache_group(&holder.upstream) == group)
         };
         let suitable = engines.iter().copied().filter(|upstream| suits(lane_at(upstream)));
         let preferred = preferred(req, suitable);
@@ -124,9 +127,9 @@
         let latency_ms = self.latency_ms();
         let read_ms = self.work_ms(req.prompt.tokens, held) * slowness;
 
-        let fetched =
-            holder.filter(|(other, more)| other.entry.id != upstream.entry.id && *more > held);
-        if let Some((other, more)) = fetched {
+        let fetched = holder
+            .filter(|other| other.upstream.entry.id != upstream.entry.id && other.tokens > held);
+        if let Some(Holder { upstream: other, tokens: more }) = fetched {
             let is_far = other.entry.zone != upstream.entry.zone;
             let fetch_ms = self.transfer_ms(req.engine, more - held, is_far);
             let rest_ms = self.work_ms(req.prompt.tokens, *more) * slowness;
@@ -157,16 +160,17 @@
 
     /// Returns the engine that caches the longest start of the prompt, and its length in tokens, for each group of
     /// engines that can use each other's KV caches.
-    fn holders(&self, req: &Request<'_>) -> Vec<(Software, Holder)> {
-        let mut holders: Vec<(Software, Holder)> = Vec::new();
+    fn holders(&self, req: &Request<'_>) -> Vec<Holder> {
+        let mut holders: Vec<Holder> = Vec::new();
         let upstreams = self.view.of_service(req.service).iter();
         for upstream in upstreams.filter(|upstream| upstream.is_open(self.now)) {
             let tokens = self.caches.held_tokens(&upstream.entry.id, req.prompt);
             let group = self.cache_group(upstream);
-            match holders.iter_mut().find(|(one, _)| *one == group) {
+            let holder = || Holder { upstream: Arc::clone(upstream), tokens };
+            match holders.iter_mut().find(|one| self.cache_group(&one.upstream) == group) {
                 _ if tokens == 0 => {}
-                None => holders.push((group, (Arc::clone(upstream), tokens))),
-                Some((_, known)) if tokens >= known.1 => *known = (Arc::clone(upstream), tokens),
+                None => holders.push(holder()),
+                Some(known) if tokens >= known.tokens => *known = holder(),
                 Some(_) => {}
             }
         }
--- a/crates/anvilhook-gateway/src/relay/continuation.rs
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -4,13 +4,12 @@
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::stream_origins::{Software, StreamOrigin};
-use anvilhook_core::units::Clock;
+use anvilhook_core::units::{Clock, Millis};
 use http::header::{HeaderMap, HeaderName};
 
 use super::Gateway;
 use super::answers::{Outcome, OwnAnswer};
 use super::failures::Failed;
-use super::prompts::REFUSED_PAUSE;
 use super::requests::Exchange;
 use crate::configs::{Repeats, Route};
 use crate::events::{RequestEvent, emit};
@@ -18,6 +17,10 @@
 use crate::origins::{OriginKey, OriginLookup, request_hash};
 use crate::wires::{HeaderNames, Wire};
 
+/// The retry time for a caller whose stream other instances may know. This one may be cut off from them, and the caller
+/// returns to another one.
+const UNANSWERED_PAUSE: Millis = Millis(100);
+
 /// The maximum length of the id of a continued stream, in bytes.
 const MAX_ID_BYTES: usize = 200;
 
@@ -113,7 +116,7 @@
                 self.refuse_without_software(exchange)
             }
             OriginLookup::Unknown => Some(Outcome::refused_for_good(ORIGIN_UNKNOWN)),
-            OriginLookup::Unanswered => Some(Outcome::refused(ORIGIN_UNANSWERED, REFUSED_PAUSE)),
+            OriginLookup::Unanswered => Some(Outcome::refused(ORIGIN_UNANSWERED, UNANSWERED_PAUSE)),
         }
     }
 
