--- a/crates/anvilhook-gateway/tests/request_bytes.rs
+++ b/crates/anvilhook-gateway/tests/request_bytes.rs
@@ -431,7 +431,7 @@
             let is_invalid = header.contains("Last-Event-Id")
                 && !number.is_empty()
                 && number.parse::<u64>().is_err();
-            // A prompt that no engine could prefill in time is refused, and so is a stream that nobody has begun.
+            // A prompt that no engine could prefill in time is refused, and so is a stream of unknown origin.
             let is_expected = match is_invalid {
                 true => answer.status == 400 && answer.body == "invalid_last_event_id",
                 false => matches!(answer.status, 200 | 503),
