Give the origins of running streams to instances that start

Cause: a long stream loses the copies of its origin while its replicas restart one after the other, and the last one with the instance that relays it.

Change: an instance sends the origins of the streams that it relays to each instance that starts, if that one is a replica.

Evidence: verify_an_instance_that_starts_learns_the_running_streams never sees the origin without it.

--- a/crates/anvilhook-gateway/src/origins/mod.rs
+++ b/crates/anvilhook-gateway/src/origins/mod.rs
@@ -7,6 +7,7 @@
 mod lookups;
 mod messages;
 mod recent;
+mod running;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -29,6 +30,8 @@
 use lookups::Lookups;
 pub use messages::OriginMessage;
 use recent::RecentStreams;
+pub(crate) use running::RunningStream;
+use running::RunningStreams;
 
 /// How long an instance waits for answers to a query. Answers take milliseconds, but those of an instance whose CPU is
 /// throttled may take a tenth of a second.
@@ -96,6 +99,8 @@
     table: Mutex<OriginTable>,
     /// The streams that this instance has begun lately.
     recent: RecentStreams,
+    /// The streams that this instance relays now.
+    running: RunningStreams,
     lookups: Lookups,
     link: OnceLock<Link>,
 }
@@ -148,15 +153,31 @@
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
-    /// Records the origin of a stream that begins at an upstream, here and at its replicas.
+    /// Records the origin of a stream that begins at an upstream, here and at its replicas. The stream counts as running
+    /// until the result is dropped.
     pub(crate) fn record_began(
         &self,
         fingerprint: Fingerprint,
         origin: StreamOrigin,
         upstream: &Upstream,
-    ) {
+    ) -> RunningStream {
         self.origins().recent.add(upstream.hash, fingerprint, origin, self.now());
         self.publish_origin(fingerprint, origin);
+        self.origins().running.begin(fingerprint, origin)
+    }
+
+    /// Sends an instance that has started the origins of the running streams of which it is a replica. Long streams would
+    /// otherwise lose all copies while their replicas restart one after the other.
+    pub(crate) fn send_running_origins(&self, started: SocketAddr) {
+        let now = self.now();
+        for (fingerprint, origin) in self.origins().running.all() {
+            let replicas = self.origins().replicas(self.peers(), fingerprint, REPLICAS, now);
+            let Some((link, replicas)) = replicas else { return };
+            if replicas.contains(&started) {
+                let message = OriginMessage::Began { fingerprint, origin };
+                self.send_origin_message(link, &message, &[started]);
+            }
+        }
     }
 
     /// Makes the origins of the streams that have lately begun at an upstream unusable: its software has been replaced
--- a/crates/anvilhook-gateway/src/peers/mod.rs
+++ b/crates/anvilhook-gateway/src/peers/mod.rs
@@ -170,9 +170,12 @@
         if !digest.cached.is_empty() && digest.is_partial && digest.scope == Scope::Instance {
             peers.record_cache_seed();
         }
-        if peers.record_digest(from, &digest, now) && peers.is_seeder_for(from, now) {
-            send_caches(socket, from, gateway, now);
-            send_suspects(socket, from, gateway, now);
+        if peers.record_digest(from, &digest, now) {
+            gateway.send_running_origins(from);
+            if peers.is_seeder_for(from, now) {
+                send_caches(socket, from, gateway, now);
+                send_suspects(socket, from, gateway, now);
+            }
         }
         if let Some(piece) = digest.rows.take() {
             let table = piece.table;
--- a/crates/anvilhook-gateway/src/relay/continuation.rs
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -175,7 +175,8 @@
         let software = *exchange.software.get_or_insert(upstream.software);
         if exchange.route.repeats.is_repeatable() {
             let origin = StreamOrigin { request: request_hash(&exchange.id), software };
-            self.record_began(exchange.fingerprint, origin, upstream);
+            let running = self.record_began(exchange.fingerprint, origin, upstream);
+            exchange.running = Some(running);
         }
     }
 }
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -25,6 +25,7 @@
 use crate::configs::{Access, Config, Repeats, Route};
 use crate::fleets::Upstream;
 use crate::hashes::hash_of;
+use crate::origins::RunningStream;
 use crate::prompts::Prompt;
 use crate::suspects::Trial;
 use crate::wires::Wire;
@@ -59,6 +60,8 @@
     pub continued: Option<ContinuedStream>,
     /// The only software that may send the next event of the stream, once one has begun it.
     pub software: Option<Software>,
+    /// The stream, once it has begun, if another request may continue it.
+    pub running: Option<RunningStream>,
     /// The software of the engine that has read the prompt, if only engines of the same software may generate.
     pub read_by: Option<Software>,
     /// When the request arrived.
@@ -141,6 +144,7 @@
             prompt: gateway.wire().prompt(&parts.headers),
             continued: ContinuedStream::of(route, &parts.headers, names)?,
             software: None,
+            running: None,
             read_by: None,
             headers: end_to_end(&parts.headers, &names.reserved),
             method: parts.method,
--- a/crates/anvilhook-gateway/tests/software_versions.rs
+++ b/crates/anvilhook-gateway/tests/software_versions.rs
@@ -182,6 +182,26 @@
     }
 }
 
+/// Guards against streams that lose all copies of their origins while the other instances restart one after the other:
+/// the instance that relays a stream gives it to each that starts.
+#[tokio::test]
+async fn verify_an_instance_that_starts_learns_the_running_streams() {
+    let (began, _first) = instance_with_stream(1, &resumable).await;
+    let mut caller = began.front.open("r1", PROMPT, "").await;
+    caller.receive_until("id: 2\n").await;
+    let same = Upstream::start(rest_of_stream).await;
+    let late = instance(2, &resumable, vec![engine_at("v1", "same", &same)], true).await;
+    connect(&[&began, &late]).await;
+    let knows_it = || late.front.gateway.metrics_text().contains("anvilhook_gateway_origins 1\n");
+    until(knows_it).await;
+    began.end_exchange();
+    drop(caller);
+
+    let answer = continue_stream(&late.front, "r2", Some("r1")).await;
+
+    assert_eq!(answer.events(), [3, 4], "{answer:?}");
+}
+
 /// Guards against a second version in later tries: the caller continues the stream again and again, and names the
 /// first request or the one before.
 #[tokio::test]
