Retract the origins of running streams too

What callers could see: a stream with events of two software versions. It began at an engine whose software had been replaced under its id and still ran when the table showed that. Its origin was made unusable at the instances that kept it, but an instance that started later was given the old one, and continued the stream at the old version.

Cause: the list of running streams, whose origins starting instances get, did not learn of the retraction; and streams that had begun more than 10 s before were not retracted at all although they still ran.

Change: a retraction covers the running streams of the upstream's start, whatever their age, and marks them.

Evidence: verify_a_retracted_origin_is_not_given_to_instances_that_start is answered 200 before (events 3 and 4 from the other version), 503 after.

--- a/crates/anvilhook-gateway/src/origins/mod.rs
+++ b/crates/anvilhook-gateway/src/origins/mod.rs
@@ -163,7 +163,7 @@
     ) -> RunningStream {
         self.origins().recent.add(upstream.hash, fingerprint, origin, self.now());
         self.publish_origin(fingerprint, origin);
-        self.origins().running.begin(fingerprint, origin)
+        self.origins().running.begin(upstream.hash, fingerprint, origin)
     }
 
     /// Sends an instance that has started the origins of the running streams of which it is a replica. Long streams would
@@ -180,10 +180,12 @@
         }
     }
 
-    /// Makes the origins of the streams that have lately begun at an upstream unusable: its software has been replaced
-    /// under its id, and either could have begun them.
+    /// Makes the origins of the streams that run at an upstream, or have lately begun there, unusable: its software has
+    /// been replaced under its id, and either could have begun them.
     pub(crate) fn retract_origins(&self, upstream: &Upstream) {
-        for (fingerprint, origin) in self.origins().recent.take(upstream.hash, self.now()) {
+        let mut retracted = self.origins().running.retract(upstream.hash);
+        retracted.extend(self.origins().recent.take(upstream.hash, self.now()));
+        for (fingerprint, origin) in retracted {
             self.publish_origin(fingerprint, StreamOrigin { software: Software::NONE, ..origin });
         }
     }
--- a/crates/anvilhook-gateway/tests/software_versions.rs
+++ b/crates/anvilhook-gateway/tests/software_versions.rs
@@ -400,6 +400,26 @@
     }
 }
 
+/// Guards against a retracted origin that comes back: the stream still runs when the table shows other software under
+/// the id of its engine, and an instance that starts afterwards is given the origins of running streams.
+#[tokio::test]
+async fn verify_a_retracted_origin_is_not_given_to_instances_that_start() {
+    let (began, first) = instance_with_stream(1, &resumable).await;
+    let mut caller = began.front.open("r1", PROMPT, "").await;
+    caller.receive_until("id: 2\n").await;
+    began.front.gateway.adopt_entries(vec![engine_at("v2", "first", &first)]);
+    let same = Upstream::start(rest_of_stream).await;
+    let late = instance(2, &resumable, vec![engine_at("v1", "same", &same)], true).await;
+    connect(&[&began, &late]).await;
+    began.end_exchange();
+    drop(caller);
+
+    let answer = continue_stream(&late.front, "r2", Some("r1")).await;
+
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(runs(&same), 0, "either version may have begun the stream");
+}
+
 /// Guards against two versions through another instance: the one that forwards the call lists the upstream with
 /// another version than the one that sends it.
 #[tokio::test]
