Ask an engine that limits its requests for no report before a stream goes on there

What callers saw: a stream that never goes on at an engine which names a request limit: 503 `request_limit`, each time. Cause: the report by which the engine's start is checked took the instance's share of the limit, and the stream found none. Change: an engine with a limit is not asked; its entry is all that is known of its start. Evidence: verify_a_stream_goes_on_at_an_engine_that_limits_its_requests, answered 503 before.

--- a/crates/anvilhook-gateway/src/relay/continuation.rs
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -141,13 +141,16 @@
 
     /// Returns the failure of an attempt to continue a stream at an engine that is not the listed start of its software.
     ///
-    /// An engine may have restarted under its id with other software, and its entry shows that only later.
+    /// An engine may have restarted under its id with other software, and its entry shows that only later. One that limits
+    /// its requests is not asked: the call would take the share of the limit that the stream needs.
     pub(super) async fn check_start(
         &self,
         exchange: &Exchange,
         upstream: &Upstream,
     ) -> Option<Failed> {
-        let is_checkable = upstream.role().is_some() && upstream.entry.born.is_some();
+        let is_checkable = upstream.role().is_some()
+            && upstream.entry.born.is_some()
+            && !upstream.state.request_limit().is_limited();
         if exchange.software.is_none() || !is_checkable {
             return None;
         }
--- a/crates/anvilhook-gateway/tests/software_versions.rs
+++ b/crates/anvilhook-gateway/tests/software_versions.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::units::{Millis, WallTime};
 use anvilhook_gateway::configs::{Config, Repeats};
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::policies::Policy;
+use anvilhook_gateway::request_limits::ShareBasis;
 use support::fronts::{Answer, Front, ample_budget, config, start, with_long_timeouts};
 use support::instances::{Instance, connect, instance};
 use support::until;
@@ -400,6 +402,32 @@
     }
 }
 
+/// Guards against streams that never go on at an engine which limits its requests: asking the engine for its start
+/// would take the share of the limit that the stream needs.
+#[tokio::test]
+async fn verify_a_stream_goes_on_at_an_engine_that_limits_its_requests() {
+    let (began, _first) = instance_with_stream(1, &resumable).await;
+    let script = |received: &Received| match received.line.starts_with("GET /report") {
+        true => vec![signed("200 OK", "decode")],
+        false => rest_of_stream(received),
+    };
+    let same = Upstream::start(script).await;
+    let listed = Entry { born: Some(1), ..engine_at("v1", "same", &same) };
+    let other = instance(2, &resumable, vec![listed], true).await;
+    connect(&[&began, &other]).await;
+    begin_stream(&began.front, "r1").await;
+    let view = other.front.gateway.fleet().view();
+    let limit = view.get("same").expect("listed").state.request_limit();
+    let share = other.front.gateway.peers().rate_share();
+    let basis = ShareBasis { share, now: Millis::ZERO, time: WallTime(1_790_000_000_000) };
+    let one_each_second = share.instances() as f64;
+    limit.record_named(one_each_second, basis);
+
+    let answer = continue_stream(&other.front, "r2", Some("r1")).await;
+
+    assert_eq!(answer.events(), [3, 4], "{answer:?}");
+}
+
 /// Guards against a retracted origin that comes back: the stream still runs when the table shows other software under
 /// the id of its engine, and an instance that starts afterwards is given the origins of running streams.
 #[tokio::test]
