Split the suspects into runs, updates and what is recorded

Interrupted runs of engines that are being checked and the queue of updates are modules of their own; nothing changes in what they do.

--- a/crates/anvilhook-gateway/src/suspects.rs
+++ b/crates/anvilhook-gateway/src/suspects/mod.rs
@@ -3,7 +3,10 @@
 //! This instance records its own observations, queues them as updates for the other instances, and applies
 //! updates from them.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+mod runs;
+mod updates;
+
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -12,122 +15,35 @@
     EndOutcome, EngineEnd, QuarantineOptions, QuarantineTracker, SuspectStatus, TrialSlot,
 };
 use anvilhook_core::units::Millis;
-use serde::{Deserialize, Serialize};
 
 use crate::hashes::hash_of;
 
-/// The delays after which an update is sent again, each from the previous sending, so that the loss of a
-/// datagram does not lose the update.
-const RESEND_AFTER: [Millis; 2] = [Millis(200), Millis(800)];
+use runs::InterruptedRuns;
+use updates::UpdateQueue;
+
+pub use runs::Interruption;
+pub use updates::{SuspectEvent, SuspectUpdate};
 
 /// The span over which instances spread their updates that a request has completed successfully.
 const CLEARANCE_SPREAD: Millis = Millis(2_000);
 
-/// The maximum number of updates that wait to be sent. Beyond it, the oldest one is dropped.
-const MAX_WAITING: usize = 512;
-
-/// The maximum number of runs of one engine that are stored until it is known whether it has terminated.
-const MAX_RUNS: usize = 256;
-
 /// The maximum number of requests whose recorded ends are published repeatedly while they are suspected, and
 /// the minimum number of ends of each.
 const MAX_ACTIVE: usize = 4;
 const MIN_ACTIVE_ENDS: usize = 2;
 
-/// `SuspectUpdate` is an update on a request that one instance sends to another.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SuspectUpdate {
-    /// The request.
-    pub request: Fingerprint,
-    /// What happened to the request.
-    pub fate: SuspectEvent,
-}
-
-/// `SuspectEvent` is what happened to a request.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum SuspectEvent {
-    /// An engine terminated while it ran the request.
-    Ended {
-        /// The hash of the engine's id and start.
-        engine: u32,
-        /// How long ago that was recorded, in milliseconds.
-        age_ms: u32,
-    },
-    /// A run of the request completed successfully.
-    RanWell,
-    /// An operator has lifted the quarantine.
-    Lifted,
-}
-
-impl SuspectUpdate {
-    fn ended(request: Fingerprint, end: &EngineEnd, now: Millis) -> Self {
-        let age_ms = u32::try_from((now - end.at).0).unwrap_or(u32::MAX);
-        Self { request, fate: SuspectEvent::Ended { engine: end.engine, age_ms } }
-    }
-
-    /// Returns whether another update has the same content, regardless of its age.
-    pub(crate) fn is_same(&self, other: &SuspectUpdate) -> bool {
-        self.request == other.request
-            && self.fate.after(Millis::MAX) == other.fate.after(Millis::MAX)
-    }
-
-    /// Returns the update as it is after a time, with its age increased.
-    pub(crate) fn after(&self, time: Millis) -> Self {
-        Self { request: self.request, fate: self.fate.after(time) }
-    }
-}
-
-impl SuspectEvent {
-    fn after(self, time: Millis) -> Self {
-        match self {
-            SuspectEvent::Ended { engine, age_ms } => {
-                let time_ms = u32::try_from(time.0).unwrap_or(u32::MAX);
-                SuspectEvent::Ended { engine, age_ms: age_ms.saturating_add(time_ms) }
-            }
-            fate @ (SuspectEvent::RanWell | SuspectEvent::Lifted) => fate,
-        }
-    }
-}
-
-/// `Interruption` is how a run at an engine was interrupted.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Interruption {
-    /// The connection broke.
-    Broken,
-    /// The engine stopped sending.
-    Silent,
-}
-
 /// `Suspects` holds the suspected requests, and the engines with interrupted runs that are being checked.
 #[derive(Debug)]
 pub struct Suspects {
     tracker: Mutex<QuarantineTracker>,
-    /// The interrupted runs of engines that are being checked, because it is unknown whether they have
-    /// terminated.
-    examined: Mutex<HashMap<u32, Vec<(Fingerprint, Interruption)>>>,
+    examined: Mutex<InterruptedRuns>,
     /// The suspects that run now, each at one engine.
     trials: Mutex<HashSet<Fingerprint>>,
-    updates: Mutex<VecDeque<Waiting>>,
+    updates: Mutex<UpdateQueue>,
     /// Whether anything may be recorded. Usually nothing is, and the locks need not be taken.
     has_any: AtomicBool,
 }
 
-/// `Waiting` is an update that waits to be sent, for the first time or again.
-#[derive(Debug)]
-struct Waiting {
-    update: SuspectUpdate,
-    recorded_at: Millis,
-    due_at: Millis,
-    times_sent: usize,
-}
-
-impl Waiting {
-    /// Returns whether this update has the same content as another one and has not been sent yet.
-    fn is_unsent_copy(&self, update: &SuspectUpdate) -> bool {
-        self.times_sent == 0 && self.update.is_same(update)
-    }
-}
-
 /// `Trial` is a suspect's run. Until it is dropped, no other run of the same request begins at this instance.
 #[derive(Debug)]
 pub(crate) struct Trial {
@@ -167,9 +83,7 @@
         let ends = tracker.ends(request, now);
         let is_new = |engine: &u32| !ends.iter().any(|end| end.engine == *engine);
         let examined = lock(&self.examined);
-        let broken = examined.iter().filter(|(engine, runs)| {
-            is_new(engine) && runs.contains(&(request, Interruption::Broken))
-        });
+        let broken = examined.broken_under(request).filter(is_new);
         match ends.len() + broken.count() {
             0 => (SuspectStatus::Clear, usize::MAX),
             ends => {
@@ -220,31 +134,23 @@
         how: Interruption,
     ) -> bool {
         self.has_any.store(true, Ordering::Release);
-        let mut examined = lock(&self.examined);
-        let is_first = !examined.contains_key(&engine);
-        let runs = examined.entry(engine).or_default();
-        if runs.len() < MAX_RUNS && !runs.contains(&(request, how)) {
-            runs.push((request, how));
-        }
-        is_first
+        lock(&self.examined).record(engine, request, how)
     }
 
     /// Returns whether the connection of at least one of an engine's runs broke.
     pub(crate) fn has_broken(&self, engine: u32) -> bool {
-        let examined = lock(&self.examined);
-        let runs = examined.get(&engine);
-        runs.is_some_and(|runs| runs.iter().any(|(_, how)| *how == Interruption::Broken))
+        lock(&self.examined).has_broken(engine)
     }
 
     /// Ends the check of an engine that has not terminated.
     pub(crate) fn dismiss(&self, engine: u32) {
-        lock(&self.examined).remove(&engine);
+        lock(&self.examined).take(engine);
     }
 
     /// Ends the check of an engine that has terminated. Returns the requests that ran there with the outcome
     /// of recording the end against each, and queues updates for the other instances.
     pub fn confirm_end(&self, engine: u32, now: Millis) -> Vec<(Fingerprint, EndOutcome)> {
-        let mut runs = lock(&self.examined).remove(&engine).unwrap_or_default();
+        let mut runs = lock(&self.examined).take(engine);
         runs.sort_unstable_by_key(|(request, _)| *request);
         runs.dedup_by_key(|(request, _)| *request);
         let mut tracker = lock(&self.tracker);
@@ -289,7 +195,7 @@
             SuspectEvent::RanWell => {
                 tracker.record_success(request, now);
                 drop(tracker);
-                lock(&self.updates).retain(|waiting| !waiting.is_unsent_copy(update));
+                lock(&self.updates).remove_unsent(update);
                 false
             }
             SuspectEvent::Lifted => {
@@ -322,28 +228,12 @@
     }
 
     fn queue_at(&self, update: SuspectUpdate, recorded_at: Millis, due_at: Millis) {
-        let mut waiting = lock(&self.updates);
-        if waiting.iter().any(|waiting| waiting.update.is_same(&update)) {
-            return;
-        }
-        if waiting.len() >= MAX_WAITING {
-            waiting.pop_front();
-        }
-        waiting.push_back(Waiting { update, recorded_at, due_at, times_sent: 0 });
+        lock(&self.updates).add(update, recorded_at, due_at);
     }
 
     /// Takes the updates that are to be sent now, at most `max`.
     pub(crate) fn take_due(&self, max: usize, now: Millis) -> Vec<SuspectUpdate> {
-        let mut waiting = lock(&self.updates);
-        let mut due = Vec::new();
-        for one in waiting.iter_mut().filter(|one| one.due_at <= now).take(max) {
-            due.push(one.update.after(now - one.recorded_at));
-            let next = RESEND_AFTER.get(one.times_sent);
-            one.due_at = next.map_or(Millis::MAX, |after| now + *after);
-            one.times_sent += 1;
-        }
-        waiting.retain(|one| one.due_at < Millis::MAX);
-        due
+        lock(&self.updates).take_due(max, now)
     }
 
     /// Returns updates with the recorded ends of the requests that have the most of them.
