Log which prompt parts ran at an engine that ended, and how far the runs had come

engine_ended named fingerprints of whole requests only, so that the logs could not distinguish a part that the requests of several ends have in common from causes in each request. It now names the shared parts of the interrupted runs, with how many runs had each and how many of them had sent no event. A prompt knows its model, and a part has a fingerprint of its service, its model and its id. No decision depends on it yet.

--- a/crates/anvilhook-core/src/fingerprints.rs
+++ b/crates/anvilhook-core/src/fingerprints.rs
@@ -1,4 +1,4 @@
-//! Fingerprints: recognize a repeated request that has another id.
+//! Fingerprints: recognize a repeated request that has another id, and a prompt part that requests share.
 
 use std::fmt;
 
@@ -7,7 +7,10 @@
 /// The hash key of fingerprints. All instances use the same one, since they exchange fingerprints.
 const KEY: [u8; 32] = *b"anvilhook request fingerprint 01";
 
-/// `Fingerprint` is the hash of what identifies a request: its sender, its target and its body.
+/// The hash key of the fingerprints of prompt parts.
+const PART_KEY: [u8; 32] = *b"anvilhook prompt part fingerpr01";
+
+/// `Fingerprint` is the hash of what identifies a request (its sender, its target and its body) or a shared prompt part.
 ///
 /// A client that repeats a request gives it a new id, at any instance. Every byte counts: two requests that
 /// differ in one byte are different requests. The hash is collision-resistant, so that no caller can create
@@ -29,17 +32,35 @@
     /// Returns the fingerprint of a request: `caller` is its client account, empty where callers have none,
     /// and `target` is its path with the query.
     pub fn of(caller: &str, target: &str, body: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new_keyed(&KEY);
-        for part in [caller.as_bytes(), target.as_bytes()] {
-            // The lengths mark where each part ends, so that no byte can count as part of the next one.
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        hasher.update(body);
-        let mut bytes = [0; 16];
-        hasher.finalize_xof().fill(&mut bytes);
-        Self(u128::from_le_bytes(bytes))
+        hash(&KEY, [caller, target], body)
+    }
+
+    /// Returns the fingerprint of a prompt part that requests share: `id` identifies it among the parts of one model of
+    /// one service.
+    ///
+    /// ```
+    /// use anvilhook_core::fingerprints::Fingerprint;
+    ///
+    /// let part = Fingerprint::of_part("assistant", "small", 7);
+    /// assert_ne!(part, Fingerprint::of_part("assistant", "large", 7));
+    /// assert_ne!(part, Fingerprint::of_part("search", "small", 7));
+    /// ```
+    pub fn of_part(service: &str, model: &str, id: u64) -> Self {
+        hash(&PART_KEY, [service, model], &id.to_le_bytes())
+    }
+}
+
+fn hash(key: &[u8; 32], texts: [&str; 2], rest: &[u8]) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    for text in texts {
+        // The lengths mark where each text ends, so that no byte can count as part of the next one.
+        hasher.update(&(text.len() as u64).to_le_bytes());
+        hasher.update(text.as_bytes());
     }
+    hasher.update(rest);
+    let mut bytes = [0; 16];
+    hasher.finalize_xof().fill(&mut bytes);
+    Fingerprint(u128::from_le_bytes(bytes))
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/anvilhook-gateway/src/events/mod.rs
+++ b/crates/anvilhook-gateway/src/events/mod.rs
@@ -20,7 +20,7 @@
 pub use duties::DutyEvent;
 pub use instances::InstanceEvent;
 pub use requests::RequestEvent;
-pub use upstreams::UpstreamEvent;
+pub use upstreams::{PartRuns, UpstreamEvent};
 
 /// The target of lines about requests.
 pub const REQUESTS: &str = "anvilhook::requests";
--- a/crates/anvilhook-gateway/src/events/upstreams.rs
+++ b/crates/anvilhook-gateway/src/events/upstreams.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::{Event, Evidence};
+use crate::prompts::SharedPart;
 
 /// `UpstreamEvent` is a line about what this instance knows of upstreams.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -103,6 +104,8 @@
         evidence: Evidence,
         /// The number of requests of this instance that it ran.
         runs: usize,
+        /// The prompt parts of these requests that other requests may share.
+        parts: Vec<PartRuns>,
         /// The requests among them that are now suspected.
         suspects: Vec<Fingerprint>,
     },
@@ -137,6 +140,27 @@
     },
 }
 
+/// `PartRuns` is a prompt part with the runs that an engine's end has interrupted.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PartRuns {
+    /// The part's id, in hexadecimal.
+    pub part: String,
+    /// The fingerprint of its service, its model and its id.
+    pub fingerprint: Fingerprint,
+    /// The number of runs with the part.
+    pub runs: usize,
+    /// How many of them were to generate and had sent no event.
+    pub starting: usize,
+}
+
+impl PartRuns {
+    /// Creates an entry without runs.
+    pub fn new(part: &SharedPart) -> Self {
+        let SharedPart { id, fingerprint } = *part;
+        Self { part: format!("{id:x}"), fingerprint, runs: 0, starting: 0 }
+    }
+}
+
 impl Event for UpstreamEvent<'_> {
     fn level(&self) -> Level {
         match self {
--- a/crates/anvilhook-gateway/src/prompts.rs
+++ b/crates/anvilhook-gateway/src/prompts.rs
@@ -1,5 +1,9 @@
 //! Describes the prompt of a request: its parts and its length.
 
+use std::sync::Arc;
+
+use anvilhook_core::fingerprints::Fingerprint;
+
 /// `Part` is a part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Part {
@@ -9,9 +13,20 @@
     pub tokens: u32,
 }
 
+/// `SharedPart` identifies a part that requests to a model of a service share.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct SharedPart {
+    /// The part's id.
+    pub id: u64,
+    /// The fingerprint of its service, its model and its id.
+    pub fingerprint: Fingerprint,
+}
+
 /// `Prompt` is the work that a request requires of a model engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Prompt {
+    /// The model, as the caller names it.
+    pub model: Arc<str>,
     /// The parts in order. The last one is the request's own.
     pub parts: Vec<Part>,
     /// The prompt's whole length in tokens.
@@ -25,4 +40,12 @@
     pub fn shared(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_own, shared)| shared)
     }
+
+    /// Returns the parts that other requests to `service` may share, in a form that all instances recognize.
+    pub fn shared_parts(&self, service: &str) -> impl Iterator<Item = SharedPart> {
+        let fingerprint = move |id| Fingerprint::of_part(service, &self.model, id);
+        self.shared()
+            .iter()
+            .map(move |part| SharedPart { id: part.id, fingerprint: fingerprint(part.id) })
+    }
 }
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -14,9 +14,9 @@
 use super::answers::Outcome;
 use super::failures::{Failed, FailureSignal};
 use super::requests::Exchange;
-use crate::events::{Evidence, UpstreamEvent, emit};
+use crate::events::{Evidence, PartRuns, UpstreamEvent, emit};
 use crate::fleets::Upstream;
-use crate::suspects::Interruption;
+use crate::suspects::{InterruptedRun, Interruption, Progress};
 use crate::wires::Wire;
 
 /// The pause between two checks of an engine, and the time limit for all of them. Its entry lapses well
@@ -89,6 +89,7 @@
         exchange: &Exchange,
         upstream: &Arc<Upstream>,
         failed: &Failed,
+        progress: Progress,
     ) {
         let how = match failed.signal {
             FailureSignal::Broken => Interruption::Broken,
@@ -99,7 +100,13 @@
         if upstream.is_leaving() {
             return;
         }
-        if self.suspects().record_interruption(upstream.hash, exchange.fingerprint, how) {
+        let run = InterruptedRun {
+            request: exchange.fingerprint,
+            parts: exchange.shared_parts().collect(),
+            how,
+            progress,
+        };
+        if self.suspects().record_interruption(upstream.hash, run) {
             let (gateway, upstream) = (self.clone(), Arc::clone(upstream));
             tokio::spawn(async move { gateway.examine(&upstream).await });
         }
@@ -194,18 +201,19 @@
         if upstream.is_leaving() {
             return suspects.dismiss(upstream.hash);
         }
-        let outcomes = suspects.confirm_end(upstream.hash, now);
+        let end = suspects.confirm_end(upstream.hash, now);
         self.peers().announce();
-        let counted = outcomes.iter().filter(|(_, outcome)| *outcome != EndOutcome::Ignored);
+        let counted = end.outcomes.iter().filter(|(_, outcome)| *outcome != EndOutcome::Ignored);
         emit(&UpstreamEvent::EngineEnded {
             upstream: &upstream.entry.id,
             incarnation: upstream.hash,
             evidence,
-            runs: outcomes.len(),
+            runs: end.runs.len(),
+            parts: part_runs(&end.runs),
             suspects: counted.map(|(request, _)| *request).take(MAX_LOGGED).collect(),
         });
         self.metrics().record_end(evidence);
-        for (request, _) in outcomes.iter().filter(|(_, one)| *one == EndOutcome::Quarantined) {
+        for (request, _) in end.outcomes.iter().filter(|(_, one)| *one == EndOutcome::Quarantined) {
             self.log_quarantine(*request, "own");
         }
     }
@@ -218,3 +226,22 @@
         emit(&UpstreamEvent::RequestQuarantined { fingerprint: request, ends, source });
     }
 }
+
+/// Returns the prompt parts of interrupted runs, with how many of the runs each was in.
+fn part_runs(runs: &[InterruptedRun]) -> Vec<PartRuns> {
+    let mut parts: Vec<PartRuns> = Vec::new();
+    for run in runs {
+        for part in &run.parts {
+            let at = parts.iter().position(|known| known.fingerprint == part.fingerprint);
+            let at = at.unwrap_or_else(|| {
+                parts.push(PartRuns::new(part));
+                parts.len() - 1
+            });
+            parts[at].runs += 1;
+            parts[at].starting += usize::from(run.progress == Progress::Starting);
+        }
+    }
+    parts.sort_by_key(|part| std::cmp::Reverse(part.starting));
+    parts.truncate(MAX_LOGGED);
+    parts
+}
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -22,6 +22,7 @@
 use crate::fleets::Upstream;
 use crate::loads::Held;
 use crate::placements::Generator;
+use crate::suspects::Progress;
 use crate::wires::Wire;
 
 /// The interval at which an engine is asked whether it still works on a request whose stream has not begun
@@ -236,7 +237,7 @@
             self.count_usage(exchange, self.now());
         }
         if let Err(failed) = &result {
-            self.record_failure_signal(exchange, upstream, failed);
+            self.record_failure_signal(exchange, upstream, failed, Progress::Starting);
             self.refund_attempt(&exchange.service, &mut exchange.was_sent, arrival, failed);
         }
         Ok(result)
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -22,6 +22,7 @@
 use crate::loads::Held;
 use crate::placements::suspect_rank;
 use crate::slow_starts::Openings;
+use crate::suspects::Progress;
 use crate::wires::Wire;
 
 /// The cost of an upstream in another availability zone, in requests in flight.
@@ -175,7 +176,9 @@
                 self.record_completed_run(exchange);
             }
             Ok(_) => {}
-            Err(failed) => self.record_failure_signal(exchange, upstream, failed),
+            Err(failed) => {
+                self.record_failure_signal(exchange, upstream, failed, Progress::Starting);
+            }
         }
         result
     }
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -23,6 +23,7 @@
 use crate::peers::SIGNIFICANT_CHANGE_MS;
 use crate::placements::Reader;
 use crate::speeds::EngineWork;
+use crate::suspects::Progress;
 use crate::wires::Wire;
 
 /// The timeout for reading a prompt: a minimum, to which a multiple of the predicted time is added.
@@ -136,7 +137,7 @@
             }
             Err(failed) => {
                 job.avoid.push(Arc::clone(&upstream.entry.id));
-                self.record_failure_signal(exchange, &upstream, &failed);
+                self.record_failure_signal(exchange, &upstream, &failed, Progress::Reading);
                 self.refund_attempt(&exchange.service, &mut exchange.has_read, arrival, &failed);
                 // Reading a prompt does not count as running the request.
                 Ok(Err(Failed { verdict: Verdict::NotRun, ..failed }))
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -26,7 +26,7 @@
 use crate::fleets::Upstream;
 use crate::hashes::hash_of;
 use crate::origins::RunningStream;
-use crate::prompts::Prompt;
+use crate::prompts::{Prompt, SharedPart};
 use crate::suspects::Trial;
 use crate::wires::Wire;
 
@@ -195,6 +195,12 @@
         }
     }
 
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> impl Iterator<Item = SharedPart> {
+        let prompt = self.prompt.iter();
+        prompt.flat_map(|prompt| prompt.shared_parts(&self.service))
+    }
+
     /// Returns the request's priority; 0 is the highest.
     pub fn priority(&self) -> u8 {
         let account = self.access.account.as_ref();
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -26,6 +26,7 @@
 use crate::loads::Held;
 use crate::metrics::NameLabel;
 use crate::streams::{EventSplitter, StreamEvent};
+use crate::suspects::Progress;
 use crate::wires::Wire;
 
 /// How long a stream that can be resumed may send nothing before its engine is checked.
@@ -354,7 +355,7 @@
         if failed.signal != FailureSignal::PathBroken {
             upstream.state.ejection().record_failure(gateway.now());
         }
-        gateway.record_failure_signal(&self.exchange, upstream, failed);
+        gateway.record_failure_signal(&self.exchange, upstream, failed, Progress::Writing);
         let last_id = self.relay.last_id;
         let route = &self.exchange.route;
         let is_allowed = route.repeats.is_repeatable()
--- a/crates/anvilhook-gateway/src/suspects/mod.rs
+++ b/crates/anvilhook-gateway/src/suspects/mod.rs
@@ -21,7 +21,7 @@
 use runs::InterruptedRuns;
 use updates::UpdateQueue;
 
-pub use runs::Interruption;
+pub use runs::{InterruptedRun, Interruption, Progress};
 pub use updates::{SuspectEvent, SuspectUpdate};
 
 /// The span over which instances spread their updates that a request has completed successfully.
@@ -44,6 +44,15 @@
     has_any: AtomicBool,
 }
 
+/// `ConfirmedEnd` is the recorded end of an engine.
+#[derive(Debug)]
+pub struct ConfirmedEnd {
+    /// The runs of this instance that it interrupted.
+    pub runs: Vec<InterruptedRun>,
+    /// The requests that ran there, each with the outcome of recording the end against it.
+    pub outcomes: Vec<(Fingerprint, EndOutcome)>,
+}
+
 /// `Trial` is a suspect's run. Until it is dropped, no other run of the same request begins at this instance.
 #[derive(Debug)]
 pub(crate) struct Trial {
@@ -127,14 +136,9 @@
 
     /// Records that a run was interrupted at an engine. Returns whether the engine was not being checked
     /// before.
-    pub fn record_interruption(
-        &self,
-        engine: u32,
-        request: Fingerprint,
-        how: Interruption,
-    ) -> bool {
+    pub fn record_interruption(&self, engine: u32, run: InterruptedRun) -> bool {
         self.has_any.store(true, Ordering::Release);
-        lock(&self.examined).record(engine, request, how)
+        lock(&self.examined).record(engine, run)
     }
 
     /// Returns whether the connection of at least one of an engine's runs broke.
@@ -147,16 +151,17 @@
         lock(&self.examined).take(engine);
     }
 
-    /// Ends the check of an engine that has terminated. Returns the requests that ran there with the outcome
-    /// of recording the end against each, and queues updates for the other instances.
-    pub fn confirm_end(&self, engine: u32, now: Millis) -> Vec<(Fingerprint, EndOutcome)> {
-        let mut runs = lock(&self.examined).take(engine);
-        runs.sort_unstable_by_key(|(request, _)| *request);
-        runs.dedup_by_key(|(request, _)| *request);
+    /// Ends the check of an engine that has terminated, records the end against the requests that ran there,
+    /// and queues updates for the other instances.
+    pub fn confirm_end(&self, engine: u32, now: Millis) -> ConfirmedEnd {
+        let runs = lock(&self.examined).take(engine);
+        let mut requests: Vec<_> = runs.iter().map(|run| run.request).collect();
+        requests.sort_unstable();
+        requests.dedup();
         let mut tracker = lock(&self.tracker);
-        let outcomes: Vec<_> = runs
+        let outcomes: Vec<_> = requests
             .into_iter()
-            .map(|(request, _)| {
+            .map(|request| {
                 (request, tracker.record_end(request, EngineEnd { engine, at: now }, now))
             })
             .collect();
@@ -164,7 +169,7 @@
         for (request, _) in outcomes.iter().filter(|(_, outcome)| *outcome != EndOutcome::Ignored) {
             self.queue(SuspectUpdate::ended(*request, &EngineEnd { engine, at: now }, now), now);
         }
-        outcomes
+        ConfirmedEnd { runs, outcomes }
     }
 
     /// Records that a run of a request has completed successfully.
--- a/crates/anvilhook-gateway/src/suspects/runs.rs
+++ b/crates/anvilhook-gateway/src/suspects/runs.rs
@@ -4,6 +4,8 @@
 
 use anvilhook_core::fingerprints::Fingerprint;
 
+use crate::prompts::SharedPart;
+
 /// The maximum number of runs of one engine that are stored until it is known whether it has terminated.
 const MAX_RUNS: usize = 256;
 
@@ -16,37 +18,62 @@
     Silent,
 }
 
+/// `Progress` is how far a run had come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// The engine was only to read the prompt (prefill).
+    Reading,
+    /// The engine was to generate, and no event had been received.
+    Starting,
+    /// Events had been received.
+    Writing,
+}
+
+/// `InterruptedRun` is a run that was interrupted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct InterruptedRun {
+    /// The request.
+    pub request: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Vec<SharedPart>,
+    /// How it was interrupted.
+    pub how: Interruption,
+    /// How far it had come.
+    pub progress: Progress,
+}
+
 /// `InterruptedRuns` holds the interrupted runs of engines that are being checked, by engine, because it is
 /// unknown whether they have terminated.
 #[derive(Debug, Default)]
-pub(super) struct InterruptedRuns(HashMap<u32, Vec<(Fingerprint, Interruption)>>);
+pub(super) struct InterruptedRuns(HashMap<u32, Vec<InterruptedRun>>);
 
 impl InterruptedRuns {
     /// Records an interrupted run. Returns whether it is the first one of its engine.
-    pub fn record(&mut self, engine: u32, request: Fingerprint, how: Interruption) -> bool {
+    pub fn record(&mut self, engine: u32, run: InterruptedRun) -> bool {
         let is_first = !self.0.contains_key(&engine);
         let runs = self.0.entry(engine).or_default();
-        if runs.len() < MAX_RUNS && !runs.contains(&(request, how)) {
-            runs.push((request, how));
+        if runs.len() < MAX_RUNS && !runs.contains(&run) {
+            runs.push(run);
         }
         is_first
     }
 
     /// Returns the engines at which the connection of a request's run broke.
     pub fn broken_under(&self, request: Fingerprint) -> impl Iterator<Item = u32> {
-        let is_broken =
-            move |runs: &[(Fingerprint, _)]| runs.contains(&(request, Interruption::Broken));
+        let is_broken = move |runs: &[InterruptedRun]| {
+            runs.iter().any(|run| run.request == request && run.how == Interruption::Broken)
+        };
         self.0.iter().filter(move |(_, runs)| is_broken(runs)).map(|(engine, _)| *engine)
     }
 
     /// Returns whether the connection of at least one of an engine's runs broke.
     pub fn has_broken(&self, engine: u32) -> bool {
         let runs = self.0.get(&engine);
-        runs.is_some_and(|runs| runs.iter().any(|(_, how)| *how == Interruption::Broken))
+        runs.is_some_and(|runs| runs.iter().any(|run| run.how == Interruption::Broken))
     }
 
     /// Removes and returns the runs of an engine, as its check has ended.
-    pub fn take(&mut self, engine: u32) -> Vec<(Fingerprint, Interruption)> {
+    pub fn take(&mut self, engine: u32) -> Vec<InterruptedRun> {
         self.0.remove(&engine).unwrap_or_default()
     }
 }
--- a/crates/anvilhook-gateway/tests/decisions.rs
+++ b/crates/anvilhook-gateway/tests/decisions.rs
@@ -150,7 +150,7 @@
 
 fn prompt(shared: u32, own_id: u64) -> Prompt {
     let parts = vec![Part { id: 1, tokens: shared }, Part { id: own_id, tokens: 3_000 }];
-    Prompt { parts, tokens: shared + 3_000, max_output: 10 }
+    Prompt { model: Arc::from("m"), parts, tokens: shared + 3_000, max_output: 10 }
 }
 
 /// Symptom: after one request, all later requests of an instance panic.
@@ -185,7 +185,7 @@
 
     assert_eq!(shared.iter().map(|(_, parts)| parts.len()).sum::<usize>(), 1);
     let parts = vec![part(3, 0), part(7_000, 400), part(4, 0)];
-    let prompt = Prompt { parts, tokens: 400, max_output: 1 };
+    let prompt = Prompt { model: Arc::from("m"), parts, tokens: 400, max_output: 1 };
     assert_eq!(caches.held_tokens("e", &prompt), 400, "a part without a length needs no prefill");
 }
 
@@ -349,7 +349,12 @@
     const IDS: [&str; 8] = ["p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"];
     let fleet = fleet(&IDS.map(|id| (id, Role::Prefill, "zone-a")));
     let caches = CacheIndex::new();
-    let short = Prompt { parts: vec![Part { id: 7, tokens: 300 }], tokens: 300, max_output: 10 };
+    let short = Prompt {
+        model: Arc::from("m"),
+        parts: vec![Part { id: 7, tokens: 300 }],
+        tokens: 300,
+        max_output: 10,
+    };
     let long = prompt(13_300, 8);
     let chosen = |prompt: &Prompt| -> Vec<Reader> {
         (0..40).map(|instance| reader_in_lanes(&fleet, &caches, prompt, instance)).collect()
--- a/crates/anvilhook-gateway/tests/peers.rs
+++ b/crates/anvilhook-gateway/tests/peers.rs
@@ -58,7 +58,12 @@
 
 impl Instance {
     fn knows_shared(&self) -> bool {
-        let prompt = Prompt { parts: vec![SHARED], tokens: SHARED.tokens, max_output: 1 };
+        let prompt = Prompt {
+            model: Arc::from("m"),
+            parts: vec![SHARED],
+            tokens: SHARED.tokens,
+            max_output: 1,
+        };
         self.gateway.caches().held_tokens("e0", &prompt) == SHARED.tokens
     }
 
@@ -332,8 +337,10 @@
 
     let holds = |engine: &str, id| {
         let parts = vec![Part { id, tokens: 5_000 }];
-        one.gateway.caches().held_tokens(engine, &Prompt { parts, tokens: 5_000, max_output: 1 })
-            > 0
+        one.gateway.caches().held_tokens(
+            engine,
+            &Prompt { model: Arc::from("m"), parts, tokens: 5_000, max_output: 1 },
+        ) > 0
     };
     assert!(ids.iter().all(|engine| holds(engine, 77)));
     assert!(!holds("e0", 88) && !holds("e1", 99));
--- a/crates/anvilhook-gateway/tests/slow_starts.rs
+++ b/crates/anvilhook-gateway/tests/slow_starts.rs
@@ -41,7 +41,7 @@
         link_mbps: 100_000.0,
         role_change: Millis(3_000),
     };
-    let prompt = Prompt { parts: Vec::new(), tokens: 300, max_output: 8 };
+    let prompt = Prompt { model: Arc::from("m"), parts: Vec::new(), tokens: 300, max_output: 8 };
     let request = Request {
         service: "service",
         engine: &engine,
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -87,12 +87,16 @@
 
     fn prompt(&self, headers: &HeaderMap) -> Option<Prompt> {
         let tokens = headers.get("t-tokens")?.to_str().ok()?.parse().ok()?;
-        // All prompts have the same parts, unless the header names another first part.
-        let first = headers.get("t-first-part").and_then(|id| id.to_str().ok()?.parse().ok());
-        let part = |id| Part { id, tokens: tokens / 2 };
-        let first = first.unwrap_or(1);
-        let parts = vec![part(first), part(first + 1)];
-        Some(Prompt { parts, tokens, max_output: 8 })
+        // All prompts have the same parts, unless a header names another first part or all parts.
+        let number = |name| headers.get(name).and_then(|id| id.to_str().ok()?.parse().ok());
+        let first = number("t-first-part").unwrap_or(1);
+        let listed = headers.get("t-parts").and_then(|ids| ids.to_str().ok());
+        let listed = listed.map(|ids| ids.split(',').filter_map(|id| id.parse().ok()).collect());
+        let ids: Vec<u64> = listed.unwrap_or_else(|| vec![first, first + 1]);
+        let count = ids.len().max(1) as u32;
+        let parts = ids.into_iter().map(|id| Part { id, tokens: tokens / count }).collect();
+        let model = headers.get("t-model").and_then(|model| model.to_str().ok()).unwrap_or("m");
+        Some(Prompt { model: Arc::from(model), parts, tokens, max_output: 8 })
     }
 
     fn says_leaving(&self, headers: &HeaderMap) -> bool {
--- a/crates/anvilhook-gateway/tests/suspects.rs
+++ b/crates/anvilhook-gateway/tests/suspects.rs
@@ -13,7 +13,9 @@
 use anvilhook_gateway::controls;
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::peers::{Digest, exchange};
-use anvilhook_gateway::suspects::{Interruption, SuspectEvent, SuspectUpdate};
+use anvilhook_gateway::suspects::{
+    InterruptedRun, Interruption, Progress, SuspectEvent, SuspectUpdate,
+};
 use http::Method;
 use http_body_util::BodyExt;
 use rand::SeedableRng;
@@ -73,6 +75,12 @@
     Fingerprint::of("", "/a/b?c=d", body.as_bytes())
 }
 
+/// Returns a run whose connection broke before any output.
+fn broken_run(request: Fingerprint) -> InterruptedRun {
+    let (how, progress) = (Interruption::Broken, Progress::Starting);
+    InterruptedRun { request, parts: Vec::new(), how, progress }
+}
+
 /// Returns how many engines have terminated under a request, by an instance's local view.
 fn recorded_ends(front: &Front, body: &str) -> Option<usize> {
     let request = fingerprint(body);
@@ -154,7 +162,7 @@
     let (suspects, bodies) = (front.gateway.suspects(), ["one", "other"]);
     for engine in [901, 902] {
         for body in bodies {
-            suspects.record_interruption(engine, fingerprint(body), Interruption::Broken);
+            suspects.record_interruption(engine, broken_run(fingerprint(body)));
         }
         suspects.confirm_end(engine, Millis::ZERO);
     }
--- a/crates/anvilhook-gateway/tests/zones.rs
+++ b/crates/anvilhook-gateway/tests/zones.rs
@@ -17,7 +17,7 @@
 use anvilhook_gateway::peers::{Digest, Peers, Scope, exchange, register};
 use anvilhook_gateway::prompts::{Part, Prompt};
 use anvilhook_gateway::relay::Gateway;
-use anvilhook_gateway::suspects::Interruption;
+use anvilhook_gateway::suspects::{InterruptedRun, Interruption, Progress};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use support::clocks::TimerClock;
@@ -67,7 +67,8 @@
     }
 
     fn knows(&self, part: Part) -> bool {
-        let prompt = Prompt { parts: vec![part], tokens: part.tokens, max_output: 1 };
+        let prompt =
+            Prompt { model: Arc::from("m"), parts: vec![part], tokens: part.tokens, max_output: 1 };
         self.gateway.caches().held_tokens("e0", &prompt) == part.tokens
     }
 
@@ -167,7 +168,13 @@
     let all = instances(&MemoryTable::default()).await;
     let suspects = |one: &Instance| one.gateway.suspects().list(one.clock.now()).len();
 
-    all[0].gateway.suspects().record_interruption(5, REQUEST, Interruption::Broken);
+    let run = InterruptedRun {
+        request: REQUEST,
+        parts: Vec::new(),
+        how: Interruption::Broken,
+        progress: Progress::Starting,
+    };
+    all[0].gateway.suspects().record_interruption(5, run);
     all[0].gateway.suspects().confirm_end(5, all[0].clock.now());
 
     until(|| all.iter().all(|one| suspects(one) == 1)).await;
