Failing tests: requests that share a prompt part which ends engines reach engine after engine

Callers saw the service fail for half a minute while an engine a second crashed. The tests bring it about with engines that terminate when they begin to write on one part; no two requests with it are equal.

--- /dev/null
+++ b/crates/anvilhook-gateway/tests/part_quarantine.rs
@@ -0,0 +1,167 @@
+//! Tests of prompt parts under which engines terminate, at gateways on real sockets.
+//!
+//! No two requests with such a part are equal: they share the part, and each has a body and a last part of its own.
+
+mod support;
+
+use std::time::Duration;
+
+use anvilhook_core::orders::Role;
+use anvilhook_core::units::SystemClock;
+use anvilhook_gateway::configs::{Config, Repeats};
+use anvilhook_gateway::fleets::Entry;
+use anvilhook_gateway::relay::Gateway;
+use support::fronts::{Answer, Front, ample_budget, config, start, with_long_timeouts};
+use support::instances::{Instance, connect, instance};
+use support::until;
+use support::upstreams::{Received, Step, Upstream, engine, signed, stream, stream_head};
+use support::wires::TestWire;
+
+const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
+const ONCE: Repeats = Repeats::Stream { resumable: false };
+
+/// The first part of all prompts of the tests, sound ones included.
+const FIRST: u64 = 1;
+
+/// The part under which engines terminate.
+const POISON: u64 = 66;
+
+/// The number of engine ends after which a part must reach no further engine.
+const MAX_ENDS: usize = 5;
+
+fn has_poison(received: &Received) -> bool {
+    let parts = received.header("t-parts").unwrap_or_default();
+    parts.split(',').any(|part| part.parse() == Ok(POISON))
+}
+
+/// Starts engines that read any prompt, stream the answer to sound ones, and run `crash` for prompts with the part.
+async fn engines(count: usize, crash: Vec<Step>) -> Vec<Upstream> {
+    let mut engines = Vec::new();
+    for _ in 0..count {
+        let crash = crash.clone();
+        let script = move |received: &Received| match received.header("t-stage") {
+            Some(_) => vec![signed("200 OK", "handle h")],
+            None if has_poison(received) => crash.clone(),
+            None => stream(1, 3),
+        };
+        engines.push(Upstream::start(script).await);
+    }
+    engines
+}
+
+/// The steps of an engine that terminates when it begins to write.
+fn ends_at_once() -> Vec<Step> {
+    vec![stream_head(), Step::Terminate]
+}
+
+fn listed(engines: &[Upstream], role: Role) -> Vec<Entry> {
+    let name = if role == Role::Prefill { "r" } else { "e" };
+    let ids = (0..engines.len()).map(|number| format!("{name}{number}"));
+    ids.zip(engines).map(|(id, one)| engine(&id, one, role)).collect()
+}
+
+async fn front(config: Config, entries: Vec<Entry>) -> Front {
+    start(Some(with_long_timeouts(&config)), entries, ample_budget()).await
+}
+
+/// Sends a request with these parts and a last part and a body of its own.
+async fn post(front: &Front, number: u64, shared: &[u64]) -> Answer {
+    let last = 1_000 + number;
+    let parts: Vec<String> = shared.iter().chain([&last]).map(u64::to_string).collect();
+    let headers = format!("T-Tokens: 100\r\nT-Parts: {}\r\n", parts.join(","));
+    front.post_with_long_deadline(&format!("q{number}"), &headers, &format!("body {number}")).await
+}
+
+/// Returns how many calls with the part the engines have received.
+fn poisoned_calls(engines: &[Upstream]) -> usize {
+    let is_call = |received: &&Received| received.line.starts_with("POST") && has_poison(received);
+    engines.iter().map(|one| one.received().iter().filter(is_call).count()).sum()
+}
+
+/// Returns how many ends of engines an instance has recorded by its own runs.
+fn recorded_ends(gateway: &Gateway<TestWire, SystemClock>) -> u64 {
+    let text = gateway.metrics_text();
+    let counts = text.lines().filter(|line| line.contains("engines_ended_total"));
+    counts.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+/// Sends requests with the part one after the other, each with a sound one that shares the account and the first part.
+/// Returns the answers to both kinds.
+async fn send_pairs(front: &Front, count: u64) -> (Vec<Answer>, Vec<Answer>) {
+    let (mut poisoned, mut sound) = (Vec::new(), Vec::new());
+    for number in 0..count {
+        let ends = recorded_ends(&front.gateway);
+        let answer = post(front, 2 * number, &[FIRST, POISON]).await;
+        if answer.status != 400 {
+            until(|| recorded_ends(&front.gateway) > ends).await;
+        }
+        poisoned.push(answer);
+        sound.push(post(front, 2 * number + 1, &[FIRST]).await);
+    }
+    (poisoned, sound)
+}
+
+/// Guards against forwarding request after request that share a part under which each engine terminates, because no
+/// two of them are equal, and against refusing the requests that share their first part.
+#[tokio::test]
+async fn verify_a_part_under_which_engines_ended_reaches_no_more_engines() {
+    let engines = engines(12, ends_at_once()).await;
+    let front = front(config(ONCE, 2, true), listed(&engines, Role::Decode)).await;
+
+    let (poisoned, sound) = send_pairs(&front, 8).await;
+
+    assert!(poisoned_calls(&engines) <= MAX_ENDS, "{} calls", poisoned_calls(&engines));
+    let last = poisoned.last().expect("an answer");
+    assert_eq!((last.status, last.body.as_str()), (400, "part_quarantined"));
+    assert!(!last.head.contains("retry-after"), "{}", last.head);
+    assert!(sound.iter().all(|answer| answer.status == 200), "{sound:?}");
+}
+
+/// Guards against counting the ends under a part at each instance alone, and against an instance that has just
+/// started and forwards requests with a part that the others have quarantined.
+#[tokio::test]
+async fn verify_ends_under_a_part_count_over_all_instances() {
+    let engines = engines(12, ends_at_once()).await;
+    let make_config = || with_long_timeouts(&config(ONCE, 2, true));
+    let start = |number| instance(number, &make_config, listed(&engines, Role::Decode), true);
+    let all = [start(1).await, start(2).await, start(3).await];
+    connect(&all.iter().collect::<Vec<&Instance>>()).await;
+
+    for number in 0..8 {
+        let front = &all[number as usize % 3].front;
+        let ends = recorded_ends(&front.gateway);
+        if post(front, number, &[FIRST, POISON]).await.status != 400 {
+            until(|| recorded_ends(&front.gateway) > ends).await;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let new = start(9).await;
+    connect(&[&all[0], &new]).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let answer = post(&new.front, 20, &[FIRST, POISON]).await;
+    let sound = post(&new.front, 21, &[FIRST]).await;
+
+    assert!(poisoned_calls(&engines) <= MAX_ENDS, "{} calls", poisoned_calls(&engines));
+    assert_eq!((answer.status, sound.status), (400, 200));
+}
+
+/// Guards against a part that terminates engine after engine within one attempt of a caller, because its stream is
+/// opened again elsewhere, and against prompts with it that are still read.
+#[tokio::test]
+async fn verify_a_part_is_held_on_each_way_to_an_engine() {
+    let (readers, generators) =
+        (engines(2, ends_at_once()).await, engines(12, ends_at_once()).await);
+    let mut entries = listed(&readers, Role::Prefill);
+    entries.extend(listed(&generators, Role::Decode));
+    let front = front(config(RESUMABLE, 3, true), entries).await;
+
+    for number in 0..8 {
+        post(&front, number, &[FIRST, POISON]).await;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    let read = poisoned_calls(&readers);
+    let answer = post(&front, 9, &[FIRST, POISON]).await;
+
+    assert!(poisoned_calls(&generators) <= MAX_ENDS, "{} calls", poisoned_calls(&generators));
+    assert_eq!((answer.status, poisoned_calls(&readers)), (400, read));
+}
