Quarantine prompt parts under which engines end

Cause: the evidence of an engine's end was kept by whole requests. Requests that share one prompt part and nothing else were strangers to each other, so that each of them was sent to the next engine.

Change: an end accuses the shared parts of all runs whose output the engine was about to write, unless a run with the part has written output within the last minute. Writing means a marked end, or half a second of events: an engine may send a head and first events before it ends. Each way to an engine asks: at arrival, in the queues, before reading, generating, resuming, right before each send, and where a call is forwarded for another instance. What is kept is bounded: 4,096 suspects and as many clearances, 64 parts an end, 256 names.

Why it works: the fault is deterministic. A part of common traffic clears itself with each answer; what no run clears is the cause and the rare parts that came with it.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempts;
 pub mod authority;
 pub mod caches;
+pub mod clearances;
 pub mod clock_offsets;
 pub mod drains;
 pub mod ejections;
--- a/crates/anvilhook-core/src/quarantine.rs
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -1,16 +1,22 @@
-//! Quarantine of poison requests: requests that make engines terminate, and that must not be sent to more.
+//! Quarantine of what makes engines terminate, so that it is sent to no more of them: poison requests, and prompt
+//! parts under which every request is one.
 //!
 //! A poison request arrives again under a new id at any instance. Each time it terminates an engine together
 //! with everything that runs there. It is recognized by its [`Fingerprint`]. All requests that ran at an
 //! engine when it terminated are equally suspect; a run that completes successfully clears a request that
 //! only ran alongside the cause.
+//!
+//! A part is suspect if an engine terminated that was about to write the output of a request with it, and any run
+//! with the part that has written output clears it. Parts of common traffic are therefore always clear, and what
+//! remains is the cause and rare parts that arrived with it.
 
 use std::collections::{HashMap, VecDeque};
 
+use crate::clearances::Clearances;
 use crate::fingerprints::Fingerprint;
 use crate::units::{Millis, WallTime};
 
-/// The maximum number of ends stored for one request.
+/// The maximum number of ends stored for one suspect.
 const MAX_ENDS: usize = 8;
 
 /// The number of ends from which suspects that share them are tried separately.
@@ -35,8 +41,8 @@
     pub memory: Millis,
     /// How long a successful run clears a request of ends that are reported meanwhile.
     pub clearance: Millis,
-    /// The maximum number of suspected requests, and of requests with a recorded successful run.
-    pub max_requests: usize,
+    /// The maximum number of suspects, of requests with a recorded successful run, and of parts with one.
+    pub max_suspects: usize,
 }
 
 impl Default for QuarantineOptions {
@@ -46,12 +52,12 @@
             ends_among_others: 5,
             memory: Millis::from_secs(600),
             clearance: Millis::from_secs(60),
-            max_requests: 4_096,
+            max_suspects: 4_096,
         }
     }
 }
 
-/// `SuspectStatus` is the status of a request in the quarantine.
+/// `SuspectStatus` is the status of a request or a part in the quarantine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SuspectStatus {
     /// There is no evidence against it.
@@ -71,7 +77,7 @@
     pub at: Millis,
 }
 
-/// `QuarantineTracker` tracks suspected requests from the observations of this instance and its peers.
+/// `QuarantineTracker` tracks suspected requests and parts from the observations of this instance and its peers.
 ///
 /// ```
 /// use anvilhook_core::fingerprints::Fingerprint;
@@ -91,16 +97,18 @@
 pub struct QuarantineTracker {
     options: QuarantineOptions,
     suspects: HashMap<Fingerprint, Suspect>,
-    /// The last recent successful run of each request.
-    successes: HashMap<Fingerprint, Millis>,
-    success_order: VecDeque<(Fingerprint, Millis)>,
+    /// The requests that have recently run successfully.
+    successes: Clearances,
+    /// The parts with which requests have recently written output. They are stored apart, so that many different
+    /// requests can't displace them.
+    part_successes: Clearances,
     /// The engines that ended recently, whatever ran there.
     ended: VecDeque<EngineEnd>,
     /// When suspects were cleared. Peers that have not received the clearance still forward earlier ends.
     cleared: HashMap<Fingerprint, Millis>,
 }
 
-/// `Suspect` is the evidence against a request.
+/// `Suspect` is the evidence against a request or a part.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     ends: Vec<EngineEnd>,
@@ -172,11 +180,12 @@
 impl QuarantineTracker {
     /// Creates a tracker without suspects.
     pub fn new(options: QuarantineOptions) -> Self {
+        let clearances = || Clearances::new(options.clearance, options.max_suspects);
         Self {
             options,
             suspects: HashMap::new(),
-            successes: HashMap::new(),
-            success_order: VecDeque::new(),
+            successes: clearances(),
+            part_successes: clearances(),
             ended: VecDeque::new(),
             cleared: HashMap::new(),
         }
@@ -266,13 +275,18 @@
             self.make_room();
         }
         let suspect = self.suspects.entry(request).or_default();
+        let was_quarantined = suspect.quarantined_by.is_some();
         let is_known = suspect.ends.iter().any(|known| known.engine == end.engine);
-        if is_known || suspect.ends.len() >= MAX_ENDS {
+        let is_full = suspect.ends.len() >= MAX_ENDS;
+        if is_known || (is_full && !was_quarantined) {
             return EndOutcome::Ignored;
         }
+        if is_full {
+            // The newest ends must stay known: otherwise they would count against what ran alongside.
+            suspect.ends.remove(0);
+        }
         suspect.ends.push(end);
         suspect.seen_at = now;
-        let was_quarantined = suspect.quarantined_by.is_some();
         self.explain_away(end.engine);
         if was_quarantined {
             return EndOutcome::Explained;
@@ -311,23 +325,32 @@
 
     /// Records a successful run of a request, which clears it. Returns whether it was suspected.
     pub fn record_success(&mut self, request: Fingerprint, now: Millis) -> bool {
-        while let Some((oldest, at)) = self.success_order.front().copied()
-            && (at + self.options.clearance <= now
-                || self.success_order.len() >= self.options.max_requests)
-        {
-            self.success_order.pop_front();
-            if self.successes.get(&oldest) == Some(&at) {
-                self.successes.remove(&oldest);
-            }
-        }
-        self.successes.insert(request, now);
-        self.success_order.push_back((request, now));
+        self.successes.record(request, now);
         self.lift(request, now)
     }
 
-    /// Returns whether a run of the request succeeded so recently that new ends are ignored.
-    pub fn has_recent_success(&self, request: Fingerprint, now: Millis) -> bool {
-        self.successes.get(&request).is_some_and(|at| *at + self.options.clearance > now)
+    /// Records that a run of a request with this part has written output, which clears the part. Returns whether it
+    /// was suspected.
+    ///
+    /// ```
+    /// use anvilhook_core::fingerprints::Fingerprint;
+    /// use anvilhook_core::quarantine::{EndOutcome, EngineEnd, QuarantineOptions, QuarantineTracker};
+    /// use anvilhook_core::units::Millis;
+    ///
+    /// let part = Fingerprint::of_part("assistant", "small", 7);
+    /// let mut tracker = QuarantineTracker::new(QuarantineOptions::default());
+    /// assert!(!tracker.record_part_success(part, Millis(0)));
+    /// let end = EngineEnd { engine: 1, at: Millis(10) };
+    /// assert_eq!(tracker.record_end(part, end, Millis(10)), EndOutcome::Ignored);
+    /// ```
+    pub fn record_part_success(&mut self, part: Fingerprint, now: Millis) -> bool {
+        self.part_successes.record(part, now);
+        self.lift(part, now)
+    }
+
+    /// Returns whether a run of the request, or with the part, succeeded so recently that new ends are ignored.
+    pub fn has_recent_success(&self, suspect: Fingerprint, now: Millis) -> bool {
+        self.successes.is_clear(suspect, now) || self.part_successes.is_clear(suspect, now)
     }
 
     /// Records that a quarantined request has arrived again, which prolongs its quarantine.
@@ -341,7 +364,7 @@
     /// whether there was any.
     pub fn lift(&mut self, request: Fingerprint, now: Millis) -> bool {
         let is_known = self.suspects.remove(&request).is_some();
-        if is_known && self.cleared.len() < self.options.max_requests {
+        if is_known && self.cleared.len() < self.options.max_suspects {
             self.cleared.insert(request, now);
         }
         is_known
@@ -365,7 +388,7 @@
 
     /// Removes the suspect with the least evidence if there is no room for another one.
     fn make_room(&mut self) {
-        if self.suspects.len() < self.options.max_requests {
+        if self.suspects.len() < self.options.max_suspects {
             return;
         }
         let weight = |suspect: &Suspect| (suspect.ends.len(), suspect.seen_at);
--- a/crates/anvilhook-core/tests/quarantine.rs
+++ b/crates/anvilhook-core/tests/quarantine.rs
@@ -150,7 +150,7 @@
 /// evidence first.
 #[test]
 fn verify_the_tracker_is_bounded_and_retains_the_worst_suspects() {
-    let options = QuarantineOptions { max_requests: 4, ..QuarantineOptions::default() };
+    let options = QuarantineOptions { max_suspects: 4, ..QuarantineOptions::default() };
     let mut tracker = QuarantineTracker::new(options);
     end_under(&mut tracker, 3, Millis::ZERO);
 
--- a/crates/anvilhook-gateway/src/controls.rs
+++ b/crates/anvilhook-gateway/src/controls.rs
@@ -1,4 +1,7 @@
-//! Answers the requests of operators: the metrics, and the requests during which engines have terminated.
+//! Answers the requests of operators: the metrics, and the requests and prompt parts during which engines have
+//! terminated.
+
+use std::sync::Arc;
 
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::quarantine::{EngineEnd, SuspectStatus};
@@ -9,21 +12,39 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use crate::prompts::SharedPart;
 use crate::relay::Gateway;
 use crate::wires::Wire;
 
-/// The path of the suspected requests. A fingerprint is appended to it to lift that request's quarantine.
+/// The path of the suspects. A fingerprint is appended to it to lift that quarantine.
 const QUARANTINE_PATH: &str = "/quarantine";
 
-/// `Suspected` is a request during which engines have terminated, in the form shown to operators.
+/// `Suspected` is a request or a prompt part during which engines have terminated, in the form shown to operators.
 #[derive(Serialize)]
 struct Suspected {
     fingerprint: Fingerprint,
-    /// Whether the request is quarantined, that is, no longer sent to any engine.
+    /// The part, if it is known to be one.
+    part: Option<SuspectedPart>,
+    /// Whether it is quarantined, that is, the request or all requests with the part are sent to no engine.
     is_quarantined: bool,
     ends: Vec<Ended>,
 }
 
+/// `SuspectedPart` is a prompt part.
+#[derive(Serialize)]
+struct SuspectedPart {
+    service: Arc<str>,
+    model: Arc<str>,
+    /// Its id, in hexadecimal.
+    id: String,
+}
+
+impl From<SharedPart> for SuspectedPart {
+    fn from(part: SharedPart) -> Self {
+        Self { service: part.service, model: part.model, id: format!("{:x}", part.id) }
+    }
+}
+
 /// `Ended` is an engine that terminated while it ran a request.
 #[derive(Serialize)]
 struct Ended {
@@ -44,8 +65,8 @@
     }
 }
 
-/// Answers an operator's request: `GET /quarantine` lists the suspected requests, `DELETE
-/// /quarantine/FINGERPRINT` lifts a request's quarantine at all instances, and any other path returns the
+/// Answers an operator's request: `GET /quarantine` lists the suspected requests and parts, `DELETE
+/// /quarantine/FINGERPRINT` lifts a quarantine at all instances, and any other path returns the
 /// metrics.
 pub fn answer<W: Wire, C: Clock>(gateway: &Gateway<W, C>, req: &Request) -> Response {
     match req.uri().path().strip_prefix(QUARANTINE_PATH) {
@@ -61,6 +82,7 @@
     let suspects = gateway.suspects().list(now).into_iter();
     let suspected = suspects.map(|(fingerprint, status, ends)| Suspected {
         fingerprint,
+        part: gateway.suspects().part(fingerprint).map(SuspectedPart::from),
         is_quarantined: status == SuspectStatus::Quarantined,
         ends: ends.iter().map(|end| Ended::new(end, now)).collect(),
     });
--- a/crates/anvilhook-gateway/src/events/upstreams.rs
+++ b/crates/anvilhook-gateway/src/events/upstreams.rs
@@ -106,12 +106,13 @@
         runs: usize,
         /// The prompt parts of these requests that other requests may share.
         parts: Vec<PartRuns>,
-        /// The requests among them that are now suspected.
+        /// The requests among them, and the parts of their prompts, that are now suspected.
         suspects: Vec<Fingerprint>,
     },
-    /// A request was quarantined and is no longer sent to any engine.
+    /// A request or a prompt part was quarantined. The request, or any request with the part, is no longer sent to
+    /// any engine.
     RequestQuarantined {
-        /// The request.
+        /// The request or the part.
         fingerprint: Fingerprint,
         /// The engines that terminated while they ran it, by the hashes of their ids and start times, with
         /// the time since then in milliseconds.
@@ -119,6 +120,19 @@
         /// `own` if this instance observed the ends itself, or `told` if another instance reported them.
         source: &'static str,
     },
+    /// The first request with a quarantined prompt part has arrived at this instance, which names the part.
+    PartQuarantined {
+        /// The request.
+        request: &'a str,
+        /// The service of the part.
+        service: &'a str,
+        /// The model, as the caller names it.
+        model: &'a str,
+        /// The part's id, in hexadecimal.
+        part: String,
+        /// The fingerprint of service, model and id.
+        fingerprint: Fingerprint,
+    },
     /// An operator has lifted a quarantine.
     QuarantineLifted {
         /// The request.
@@ -156,8 +170,8 @@
 impl PartRuns {
     /// Creates an entry without runs.
     pub fn new(part: &SharedPart) -> Self {
-        let SharedPart { id, fingerprint } = *part;
-        Self { part: format!("{id:x}"), fingerprint, runs: 0, starting: 0 }
+        let SharedPart { id, fingerprint, .. } = part;
+        Self { part: format!("{id:x}"), fingerprint: *fingerprint, runs: 0, starting: 0 }
     }
 }
 
@@ -167,6 +181,7 @@
             UpstreamEvent::PauseIgnored { .. }
             | UpstreamEvent::RequestLimitIgnored { .. }
             | UpstreamEvent::EngineEnded { .. }
+            | UpstreamEvent::PartQuarantined { .. }
             | UpstreamEvent::RequestQuarantined { .. } => Level::Warn,
             _ => Level::Info,
         }
--- a/crates/anvilhook-gateway/src/metrics/gauges.rs
+++ b/crates/anvilhook-gateway/src/metrics/gauges.rs
@@ -17,9 +17,10 @@
         self.origins.set(gateway.origins().len() as i64);
         self.broken_paths.set(gateway.broken_paths() as i64);
         self.peers.set(gateway.peers().live_peers(now) as i64);
-        let (suspected, quarantined) = gateway.suspects().counts(now);
-        self.suspected_requests.set(suspected as i64);
-        self.quarantined_requests.set(quarantined as i64);
+        let suspects = gateway.suspects().counts(now);
+        self.suspected_requests.set(suspects.suspected as i64);
+        self.quarantined_requests.set(suspects.quarantined_requests as i64);
+        self.quarantined_parts.set(suspects.quarantined_parts as i64);
         for (source, at) in self.contacts.lock().expect("no panic under this lock").iter() {
             self.belief_age_ms.get_or_create(&label(source)).set((now - *at).0 as i64);
         }
--- a/crates/anvilhook-gateway/src/metrics/registration.rs
+++ b/crates/anvilhook-gateway/src/metrics/registration.rs
@@ -102,7 +102,7 @@
         );
         registry.register(
             "suspected_requests",
-            "Requests during which engines have terminated, quarantined ones included",
+            "Requests and prompt parts during which engines have terminated, quarantined ones included",
             self.suspected_requests.clone(),
         );
         registry.register(
@@ -110,6 +110,11 @@
             "Requests that are sent to no engine because three engines have terminated during them",
             self.quarantined_requests.clone(),
         );
+        registry.register(
+            "quarantined_parts",
+            "Prompt parts whose requests are sent to no engine because engines have terminated during them",
+            self.quarantined_parts.clone(),
+        );
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         registry.register(
             "config_version",
--- a/crates/anvilhook-gateway/src/peers/zones.rs
+++ b/crates/anvilhook-gateway/src/peers/zones.rs
@@ -95,10 +95,14 @@
             }
         }
         for update in &digest.suspects {
-            let is_new = !self.suspects.iter().any(|(_, known)| known.is_same(update));
-            if is_new && self.suspects.len() < MAX_SUSPECTS {
-                self.suspects.push((now, update.clone()));
+            if self.suspects.iter().any(|(_, known)| known.is_same(update)) {
+                continue;
             }
+            // The oldest one has been forwarded most often.
+            if self.suspects.len() >= MAX_SUSPECTS {
+                self.suspects.remove(0);
+            }
+            self.suspects.push((now, update.clone()));
         }
     }
 
--- a/crates/anvilhook-gateway/src/prompts.rs
+++ b/crates/anvilhook-gateway/src/prompts.rs
@@ -14,8 +14,12 @@
 }
 
 /// `SharedPart` identifies a part that requests to a model of a service share.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct SharedPart {
+    /// The service.
+    pub service: Arc<str>,
+    /// The model, as callers name it.
+    pub model: Arc<str>,
     /// The part's id.
     pub id: u64,
     /// The fingerprint of its service, its model and its id.
@@ -42,10 +46,12 @@
     }
 
     /// Returns the parts that other requests to `service` may share, in a form that all instances recognize.
-    pub fn shared_parts(&self, service: &str) -> impl Iterator<Item = SharedPart> {
-        let fingerprint = move |id| Fingerprint::of_part(service, &self.model, id);
-        self.shared()
-            .iter()
-            .map(move |part| SharedPart { id: part.id, fingerprint: fingerprint(part.id) })
+    pub fn shared_parts(&self, service: &Arc<str>) -> impl Iterator<Item = SharedPart> {
+        self.shared().iter().map(move |part| SharedPart {
+            service: Arc::clone(service),
+            model: Arc::clone(&self.model),
+            id: part.id,
+            fingerprint: Fingerprint::of_part(service, &self.model, part.id),
+        })
     }
 }
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -6,13 +6,17 @@
 use anvilhook_core::reading_lanes::Lane;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::{Connection, collect_body};
-use http::header::{AUTHORIZATION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use http::header::{
+    AUTHORIZATION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue,
+    TRANSFER_ENCODING,
+};
 use http::{Request, StatusCode};
 use volo_http::body::Body;
 use volo_http::response::Response;
 
 use super::answers::WholeAnswer;
 use super::calls::UpstreamCall;
+use super::examining::PART_QUARANTINED;
 use super::failures::{Failed, FailureSignal};
 use super::requests::{Exchange, end_to_end};
 use super::signals::AnswerSource;
@@ -75,6 +79,12 @@
             self.log_failed(exchange, sending.upstream, sending.stage, &failed);
             return Err(failed);
         }
+        // A part may have been quarantined while the request waited for its connection or a report.
+        if self.quarantined_part(exchange).is_some() {
+            let failed = Failed::not_sent(PART_QUARANTINED);
+            self.log_failed(exchange, sending.upstream, sending.stage, &failed);
+            return Err(failed);
+        }
         // Checks the current state again: an answer to another request may have changed what is known of
         // the upstream since it was chosen.
         if !self.fleet().still_takes_work(sending.upstream, self.now()) {
@@ -314,6 +324,11 @@
     }
 }
 
+/// Returns whether the end of an answer is marked, by a length or a last chunk. Otherwise it ends with its connection.
+pub(super) fn has_marked_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns the headers of an upstream's answer that are forwarded.
 pub(super) fn passed_on(headers: &HeaderMap) -> HeaderMap {
     end_to_end(headers, &[])
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -16,7 +16,8 @@
 use super::requests::Exchange;
 use crate::events::{Evidence, PartRuns, UpstreamEvent, emit};
 use crate::fleets::Upstream;
-use crate::suspects::{InterruptedRun, Interruption, Progress};
+use crate::prompts::SharedPart;
+use crate::suspects::{InterruptedRun, Interruption, MIN_WRITING_TIME, Progress};
 use crate::wires::Wire;
 
 /// The pause between two checks of an engine, and the time limit for all of them. Its entry lapses well
@@ -31,11 +32,15 @@
 /// connection queue is full refuses some connections, but accepts others as soon as it has room.
 const REFUSALS: u32 = 2;
 
+/// The last part of [`MIN_WRITING_TIME`], in which an answer shows that an engine has not terminated at its beginning.
+const LATE_CONTACT_TIME: Millis = Millis(400);
+
 /// The retry time for a caller whose request is already on trial.
 const TRIAL_PAUSE: Millis = Millis(400);
 
-/// The reason in the final answer to a quarantined request.
+/// The reasons in the final answer to a quarantined request, and to a request with a quarantined prompt part.
 const QUARANTINED: &str = "quarantined";
+pub(super) const PART_QUARANTINED: &str = "part_quarantined";
 
 /// The maximum number of requests that one log line names.
 const MAX_LOGGED: usize = 16;
@@ -53,8 +58,8 @@
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
-    /// Returns the answer for a request that must not be sent now: its key was withdrawn, it is quarantined,
-    /// or it is suspected and already on trial.
+    /// Returns the answer for a request that must not be sent now: its key was withdrawn, it or a part of its prompt
+    /// is quarantined, or it is suspected and already on trial.
     ///
     /// A suspected request runs on one engine at a time, and at most as many times as it takes to quarantine
     /// it.
@@ -62,16 +67,15 @@
         if let Some(denied) = self.check_access(exchange) {
             return Some(denied);
         }
+        if let Some(denied) = self.check_parts(exchange) {
+            return Some(denied);
+        }
         let (request, now) = (exchange.fingerprint, self.now());
         match self.suspects().status(request, now) {
             (SuspectStatus::Clear, _) => None,
             (SuspectStatus::Quarantined, _) => {
                 self.suspects().record_arrival(request, now);
-                // A refusal would invite the caller to send the same request again.
-                Some(match exchange.may_have_run {
-                    true => Outcome::may_have_run(QUARANTINED),
-                    false => Outcome::failed(StatusCode::BAD_REQUEST, QUARANTINED),
-                })
+                Some(quarantined_outcome(exchange, QUARANTINED))
             }
             (SuspectStatus::Suspected(_), left) => {
                 if exchange.trial.is_none() {
@@ -83,6 +87,26 @@
         }
     }
 
+    /// Returns the answer for a request with a quarantined part in its prompt.
+    pub(super) fn check_parts(&self, exchange: &Exchange) -> Option<Outcome> {
+        let part = self.quarantined_part(exchange)?;
+        if self.suspects().record_part_arrival(&part, self.now()) {
+            emit(&UpstreamEvent::PartQuarantined {
+                request: &exchange.id,
+                service: &part.service,
+                model: &part.model,
+                part: format!("{:x}", part.id),
+                fingerprint: part.fingerprint,
+            });
+        }
+        Some(quarantined_outcome(exchange, PART_QUARANTINED))
+    }
+
+    /// Returns the first part of a request's prompt that is quarantined, if any is.
+    pub(super) fn quarantined_part(&self, exchange: &Exchange) -> Option<SharedPart> {
+        self.suspects().quarantined_part(exchange.shared_parts(), self.now())
+    }
+
     /// Records how an attempt at an engine failed, and examines the engine if it may have terminated.
     pub(super) fn record_failure_signal(
         &self,
@@ -117,6 +141,28 @@
         self.suspects().record_success(exchange.fingerprint, self.now());
     }
 
+    /// Records that a run has written output, which shows that no part of its prompt makes engines terminate.
+    pub(super) fn record_output(&self, exchange: &Exchange) {
+        self.suspects().record_output(exchange.shared_parts(), self.now());
+    }
+
+    /// Records that a run has written output if its engine answers anything later on. The end of an answer that ends with
+    /// its connection does not show whether the engine has terminated.
+    pub(super) fn record_output_if_alive(&self, exchange: &Exchange, upstream: &Arc<Upstream>) {
+        let (gateway, upstream) = (self.clone(), Arc::clone(upstream));
+        let parts: Vec<SharedPart> = exchange.shared_parts().collect();
+        if parts.is_empty() {
+            return;
+        }
+        tokio::spawn(async move {
+            tokio::time::sleep(MIN_WRITING_TIME.as_duration()).await;
+            let now = gateway.now();
+            if upstream.state.path().has_contact_within(LATE_CONTACT_TIME, now) {
+                gateway.suspects().record_output(parts.into_iter(), now);
+            }
+        });
+    }
+
     /// Checks an engine repeatedly until it is known whether it has terminated.
     async fn examine(&self, upstream: &Arc<Upstream>) {
         let until = self.now() + MAX_EXAMINE_TIME;
@@ -227,6 +273,15 @@
     }
 }
 
+/// Returns the final answer to a request that is not sent to any engine. A refusal would invite the caller to send the
+/// same request again.
+pub(super) fn quarantined_outcome(exchange: &Exchange, reason: &'static str) -> Outcome {
+    match exchange.may_have_run {
+        true => Outcome::may_have_run(reason),
+        false => Outcome::failed(StatusCode::BAD_REQUEST, reason),
+    }
+}
+
 /// Returns the prompt parts of interrupted runs, with how many of the runs each was in.
 fn part_runs(runs: &[InterruptedRun]) -> Vec<PartRuns> {
     let mut parts: Vec<PartRuns> = Vec::new();
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -1,10 +1,12 @@
 //! Forwards calls for instances that can't reach an upstream themselves.
 
+use std::sync::Arc;
+
 use anvilhook_core::paths::{Contact, Path};
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
 use anvilhook_http::{GuardedBody, Stage};
-use http::Request as HttpRequest;
+use http::{HeaderMap, Request as HttpRequest};
 use http_body_util::{BodyExt, Limited};
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -72,6 +74,10 @@
         if upstream.state.path().current() != Path::Direct {
             return (self.outcome_without_path(), None);
         }
+        // The instance that sends the call may not know of the quarantine yet.
+        if self.has_quarantined_part(&parts.headers, &upstream.entry.service) {
+            return (ForwardOutcome::NotOpen, None);
+        }
         let headers = end_to_end(&parts.headers, &CALL_HEADERS);
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let message = || {
@@ -107,6 +113,12 @@
         }
     }
 
+    /// Returns whether the prompt of a call to a service has a quarantined part.
+    fn has_quarantined_part(&self, headers: &HeaderMap, service: &Arc<str>) -> bool {
+        let Some(prompt) = self.wire().prompt(headers) else { return false };
+        self.suspects().quarantined_part(prompt.shared_parts(service), self.now()).is_some()
+    }
+
     fn outcome_of_failure(&self, upstream: &Upstream, failure: &CallFailure) -> ForwardOutcome {
         let CallFailure::Call(err) = failure else { return ForwardOutcome::Broken };
         if err.stage == Stage::Connect {
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -12,6 +12,7 @@
 
 use super::Gateway;
 use super::answers::{Outcome, WholeAnswer};
+use super::examining::{PART_QUARANTINED, quarantined_outcome};
 use super::failures::Failed;
 use super::limits::LIMITED;
 use super::places::Rejection;
@@ -176,6 +177,9 @@
                 return Err(self.abandoned_outcome(exchange, STOPPING, Millis::ZERO));
             }
             WaitOutcome::Moved => return Ok(Err(Failed::not_sent("moved"))),
+            WaitOutcome::Quarantined => {
+                return Err(quarantined_outcome(exchange, PART_QUARANTINED));
+            }
         };
         let time_left = exchange.time_left(self.now());
         if plan.first_token_ms() > time_left.0 as f64 {
@@ -217,6 +221,7 @@
             }
             WaitOutcome::Stopping => Err(self.abandoned_outcome(exchange, STOPPING, Millis::ZERO)),
             WaitOutcome::Moved => Ok(Err(Failed::not_sent("moved"))),
+            WaitOutcome::Quarantined => Err(quarantined_outcome(exchange, PART_QUARANTINED)),
         }
     }
 
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -14,7 +14,7 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::attempts::passed_on;
+use super::attempts::{has_marked_end, passed_on};
 use super::bodies::counted;
 use super::calls::Forwarded;
 use super::failures::{Failed, FailureSignal};
@@ -26,7 +26,7 @@
 use crate::loads::Held;
 use crate::metrics::NameLabel;
 use crate::streams::{EventSplitter, StreamEvent};
-use crate::suspects::Progress;
+use crate::suspects::{MIN_WRITING_TIME, Progress};
 use crate::wires::Wire;
 
 /// How long a stream that can be resumed may send nothing before its engine is checked.
@@ -58,6 +58,13 @@
     held: Held,
     /// Whether the stream arrives over this instance's own path.
     is_direct: bool,
+    /// Whether the answer's end is marked, by a length or a last chunk. Otherwise it ends with its connection, as it
+    /// does when the engine terminates.
+    has_marked_end: bool,
+    /// When the run's first event was received.
+    first_event_at: Option<Millis>,
+    /// Whether the run has written output for long enough to clear the parts of its prompt.
+    has_written: bool,
 }
 
 /// `Piece` is the next element of a stream.
@@ -81,6 +88,7 @@
         }
         held.reading_done();
         let is_direct = parts.extensions.get::<Forwarded>().is_none();
+        let has_marked_end = is_direct && has_marked_end(&parts.headers);
         let mut relay = Relay {
             status: parts.status,
             headers: passed_on(&parts.headers),
@@ -90,6 +98,9 @@
             last_id: resume_after,
             held,
             is_direct,
+            has_marked_end,
+            first_event_at: None,
+            has_written: false,
         };
         let mut first = relay.read(gateway, exchange).await;
         while let Err(failed) = &first
@@ -153,6 +164,7 @@
                 }
                 Ok(None) => {
                     relayed.outcome = "whole";
+                    relayed.relay.record_end(&relayed.gateway, &relayed.exchange);
                     relayed.gateway.record_completed_run(&relayed.exchange);
                     None
                 }
@@ -168,6 +180,28 @@
         answer
     }
 
+    /// Records that an event has been received.
+    fn record_output<W: Wire, C: Clock>(&mut self, gateway: &Gateway<W, C>, exchange: &Exchange) {
+        let now = gateway.now();
+        let first_at = *self.first_event_at.get_or_insert(now);
+        if !self.has_written && now - first_at >= MIN_WRITING_TIME {
+            self.has_written = true;
+            gateway.record_output(exchange);
+        }
+    }
+
+    /// Records that the stream has ended as it does when it is complete.
+    fn record_end<W: Wire, C: Clock>(&self, gateway: &Gateway<W, C>, exchange: &Exchange) {
+        if self.has_written || self.first_event_at.is_none() {
+            return;
+        }
+        if self.has_marked_end {
+            gateway.record_output(exchange);
+        } else if self.is_direct {
+            gateway.record_output_if_alive(exchange, self.held.upstream());
+        }
+    }
+
     /// Reads the next event that the caller has not received yet.
     async fn read<W: Wire, C: Clock>(
         &mut self,
@@ -179,6 +213,7 @@
                 let is_known = event.id.is_some() && event.id <= self.last_id;
                 if !is_known {
                     self.last_id = event.id.or(self.last_id);
+                    self.record_output(gateway, exchange);
                     return Ok(Piece::Event(event));
                 }
             }
@@ -355,7 +390,8 @@
         if failed.signal != FailureSignal::PathBroken {
             upstream.state.ejection().record_failure(gateway.now());
         }
-        gateway.record_failure_signal(&self.exchange, upstream, failed, Progress::Writing);
+        let progress = if self.relay.has_written { Progress::Writing } else { Progress::Starting };
+        gateway.record_failure_signal(&self.exchange, upstream, failed, progress);
         let last_id = self.relay.last_id;
         let route = &self.exchange.route;
         let is_allowed = route.repeats.is_repeatable()
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -74,6 +74,8 @@
     Stopping,
     /// The configuration has moved the request to another service.
     Moved,
+    /// A part of the prompt has been quarantined.
+    Quarantined,
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
@@ -314,6 +316,9 @@
         if self.has_moved(exchange) {
             return Some(WaitOutcome::Moved);
         }
+        if self.quarantined_part(exchange).is_some() {
+            return Some(WaitOutcome::Quarantined);
+        }
         // The signal to stop may have arrived while the request waited. A broken stream is resumed all the
         // same, as it would otherwise remain truncated.
         let is_refused = job.resume_after.is_none() && self.may_be_interrupted(exchange);
--- a/crates/anvilhook-gateway/src/suspects/mod.rs
+++ b/crates/anvilhook-gateway/src/suspects/mod.rs
@@ -1,8 +1,10 @@
-//! Tracks suspects: requests that engines were running when they terminated.
+//! Tracks suspects: requests that engines were running when they terminated, and the prompt parts of those whose
+//! output was about to be written.
 //!
 //! This instance records its own observations, queues them as updates for the other instances, and applies
 //! updates from them.
 
+mod parts;
 mod runs;
 mod updates;
 
@@ -17,10 +19,13 @@
 use anvilhook_core::units::Millis;
 
 use crate::hashes::hash_of;
+use crate::prompts::SharedPart;
 
+use parts::PartNames;
 use runs::InterruptedRuns;
 use updates::UpdateQueue;
 
+pub(crate) use runs::MIN_WRITING_TIME;
 pub use runs::{InterruptedRun, Interruption, Progress};
 pub use updates::{SuspectEvent, SuspectUpdate};
 
@@ -29,9 +34,15 @@
 
 /// The maximum number of requests whose recorded ends are published repeatedly while they are suspected, and
 /// the minimum number of ends of each.
-const MAX_ACTIVE: usize = 4;
+const MAX_ACTIVE: usize = 6;
 const MIN_ACTIVE_ENDS: usize = 2;
 
+/// The maximum number of ends of each that are published repeatedly: as many as it takes to quarantine it.
+const MAX_ACTIVE_ENDS: usize = 5;
+
+/// The maximum number of parts that are accused of one engine's end.
+const MAX_ACCUSED_PARTS: usize = 64;
+
 /// `Suspects` holds the suspected requests, and the engines with interrupted runs that are being checked.
 #[derive(Debug)]
 pub struct Suspects {
@@ -40,6 +51,7 @@
     /// The suspects that run now, each at one engine.
     trials: Mutex<HashSet<Fingerprint>>,
     updates: Mutex<UpdateQueue>,
+    part_names: Mutex<PartNames>,
     /// Whether anything may be recorded. Usually nothing is, and the locks need not be taken.
     has_any: AtomicBool,
 }
@@ -49,7 +61,7 @@
 pub struct ConfirmedEnd {
     /// The runs of this instance that it interrupted.
     pub runs: Vec<InterruptedRun>,
-    /// The requests that ran there, each with the outcome of recording the end against it.
+    /// The requests that ran there and the accused parts, each with the outcome of recording the end against it.
     pub outcomes: Vec<(Fingerprint, EndOutcome)>,
 }
 
@@ -74,6 +86,7 @@
             examined: Mutex::default(),
             trials: Mutex::default(),
             updates: Mutex::default(),
+            part_names: Mutex::default(),
             has_any: AtomicBool::new(false),
         }
     }
@@ -158,11 +171,14 @@
         let mut requests: Vec<_> = runs.iter().map(|run| run.request).collect();
         requests.sort_unstable();
         requests.dedup();
+        // The parts come first: if not all updates can be sent, those on parts matter to more requests.
+        let mut suspects = self.accused_parts(&runs, now);
+        suspects.extend(requests);
         let mut tracker = lock(&self.tracker);
-        let outcomes: Vec<_> = requests
+        let outcomes: Vec<_> = suspects
             .into_iter()
-            .map(|request| {
-                (request, tracker.record_end(request, EngineEnd { engine, at: now }, now))
+            .map(|suspect| {
+                (suspect, tracker.record_end(suspect, EngineEnd { engine, at: now }, now))
             })
             .collect();
         drop(tracker);
@@ -172,6 +188,57 @@
         ConfirmedEnd { runs, outcomes }
     }
 
+    /// Returns the parts that may have made an engine terminate: those of the runs whose output it was about to
+    /// write, except the parts with which others have recently written output.
+    fn accused_parts(&self, runs: &[InterruptedRun], now: Millis) -> Vec<Fingerprint> {
+        let tracker = lock(&self.tracker);
+        let mut names = lock(&self.part_names);
+        let starting = runs.iter().filter(|run| run.progress == Progress::Starting);
+        let parts = starting.flat_map(|run| &run.parts);
+        let mut accused = Vec::new();
+        for part in parts.filter(|part| !tracker.has_recent_success(part.fingerprint, now)) {
+            if accused.len() < MAX_ACCUSED_PARTS && !accused.contains(&part.fingerprint) {
+                names.record(part);
+                accused.push(part.fingerprint);
+            }
+        }
+        accused
+    }
+
+    /// Records that a run has written output, which clears the parts of its prompt.
+    pub(crate) fn record_output(&self, parts: impl Iterator<Item = SharedPart>, now: Millis) {
+        for part in parts {
+            let request = part.fingerprint;
+            if lock(&self.tracker).record_part_success(request, now) {
+                self.queue(SuspectUpdate { request, fate: SuspectEvent::RanWell }, now);
+            }
+        }
+    }
+
+    /// Returns the first of a prompt's parts that is quarantined, if any is.
+    pub(crate) fn quarantined_part(
+        &self,
+        mut parts: impl Iterator<Item = SharedPart>,
+        now: Millis,
+    ) -> Option<SharedPart> {
+        if !self.has_any.load(Ordering::Acquire) {
+            return None;
+        }
+        let tracker = lock(&self.tracker);
+        parts.find(|part| tracker.status(part.fingerprint, now) == SuspectStatus::Quarantined)
+    }
+
+    /// Records that a request with a quarantined part has arrived. Returns whether the part's name was unknown.
+    pub(crate) fn record_part_arrival(&self, part: &SharedPart, now: Millis) -> bool {
+        self.record_arrival(part.fingerprint, now);
+        lock(&self.part_names).record(part)
+    }
+
+    /// Returns the part with this fingerprint, if the fingerprint is known to be a part's.
+    pub(crate) fn part(&self, suspect: Fingerprint) -> Option<SharedPart> {
+        lock(&self.part_names).get(suspect).cloned()
+    }
+
     /// Records that a run of a request has completed successfully.
     pub(crate) fn record_success(&self, request: Fingerprint, now: Millis) {
         if lock(&self.tracker).record_success(request, now) {
@@ -248,7 +315,10 @@
             tracker.suspects(now).filter(|(_, ends)| ends.len() >= MIN_ACTIVE_ENDS).collect();
         worst.sort_by_key(|(request, ends)| (std::cmp::Reverse(ends.len()), *request));
         worst.truncate(MAX_ACTIVE);
-        worst.into_iter().flat_map(|(request, ends)| ended_updates(request, ends, now)).collect()
+        let newest = |ends: &[EngineEnd]| ends.len().saturating_sub(MAX_ACTIVE_ENDS);
+        let updates =
+            |(request, ends): (_, &[EngineEnd])| ended_updates(request, &ends[newest(ends)..], now);
+        worst.into_iter().flat_map(updates).collect()
     }
 
     /// Returns updates with the recorded ends of all suspected requests, for an instance that has just
@@ -261,15 +331,33 @@
             .collect()
     }
 
-    /// Returns how many requests are suspected, including quarantined ones, and how many are quarantined.
-    pub fn counts(&self, now: Millis) -> (usize, usize) {
+    /// Returns how many requests and parts are suspected and quarantined.
+    pub fn counts(&self, now: Millis) -> SuspectCounts {
         let suspected = self.list(now);
-        let is_quarantined = |status: &SuspectStatus| *status == SuspectStatus::Quarantined;
-        let quarantined = suspected.iter().filter(|(_, status, _)| is_quarantined(status));
-        (suspected.len(), quarantined.count())
+        let names = lock(&self.part_names);
+        let mut counts = SuspectCounts { suspected: suspected.len(), ..SuspectCounts::default() };
+        for (suspect, status, _) in suspected {
+            match (status == SuspectStatus::Quarantined, names.get(suspect).is_some()) {
+                (true, true) => counts.quarantined_parts += 1,
+                (true, false) => counts.quarantined_requests += 1,
+                (false, _) => {}
+            }
+        }
+        counts
     }
 }
 
+/// `SuspectCounts` is how many requests and parts are suspected and quarantined.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SuspectCounts {
+    /// All suspects, including quarantined ones.
+    pub suspected: usize,
+    /// The quarantined requests, and parts that this instance cannot name yet.
+    pub quarantined_requests: usize,
+    /// The quarantined parts.
+    pub quarantined_parts: usize,
+}
+
 impl Default for Suspects {
     fn default() -> Self {
         Self::new()
--- a/crates/anvilhook-gateway/src/suspects/runs.rs
+++ b/crates/anvilhook-gateway/src/suspects/runs.rs
@@ -3,12 +3,17 @@
 use std::collections::HashMap;
 
 use anvilhook_core::fingerprints::Fingerprint;
+use anvilhook_core::units::Millis;
 
 use crate::prompts::SharedPart;
 
 /// The maximum number of runs of one engine that are stored until it is known whether it has terminated.
 const MAX_RUNS: usize = 256;
 
+/// How long a run must have written output to show that its prompt does not make engines terminate. An engine may send
+/// the first events before it terminates.
+pub(crate) const MIN_WRITING_TIME: Millis = Millis(500);
+
 /// `Interruption` is how a run at an engine was interrupted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Interruption {
@@ -23,9 +28,9 @@
 pub enum Progress {
     /// The engine was only to read the prompt (prefill).
     Reading,
-    /// The engine was to generate, and no event had been received.
+    /// The engine was to generate, and had not yet written output for [`MIN_WRITING_TIME`].
     Starting,
-    /// Events had been received.
+    /// The engine had written output for that long.
     Writing,
 }
 
