Count the end of an engine whose address another one has taken

An engine that ends under a part and is back at once under another id answers 421, which marked it as gone. Its end was then dismissed as that of an engine that leaves, and no evidence was recorded.

Change: only an announcement (its entry, an answer) counts as leaving when an end is confirmed.

--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -110,7 +110,12 @@
 
     /// Returns whether it is leaving or gone, according to any source.
     pub fn is_leaving(&self) -> bool {
-        self.entry.draining || self.state.is_gone() || self.state.says_leaving()
+        self.has_announced_leaving() || self.state.is_gone()
+    }
+
+    /// Returns whether it has announced that it leaves, in its entry or in an answer.
+    pub fn has_announced_leaving(&self) -> bool {
+        self.entry.draining || self.state.says_leaving()
     }
 
     /// Returns whether it accepts new work from this instance.
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -244,7 +244,8 @@
     /// Records that an engine has terminated while it ran requests, and publishes it to peers.
     fn confirm_end(&self, upstream: &Upstream, evidence: Evidence) {
         let (suspects, now) = (self.suspects(), self.now());
-        if upstream.is_leaving() {
+        // An engine is also gone if another one has its address, which is how some ends become known.
+        if upstream.has_announced_leaving() {
             return suspects.dismiss(upstream.hash);
         }
         let end = suspects.confirm_end(upstream.hash, now);
--- a/crates/anvilhook-gateway/tests/part_quarantine.rs
+++ b/crates/anvilhook-gateway/tests/part_quarantine.rs
@@ -165,3 +165,25 @@
     assert!(poisoned_calls(&generators) <= MAX_ENDS, "{} calls", poisoned_calls(&generators));
     assert_eq!((answer.status, poisoned_calls(&readers)), (400, read));
 }
+
+/// Guards against an engine that is back at once under another id: its end would count as that of an engine that left.
+#[tokio::test]
+async fn verify_the_end_of_an_engine_whose_address_another_has_taken_counts() {
+    let misdirected =
+        "HTTP/1.1 421 Misdirected\r\nT-Id: {id}\r\nT-Instance: other\r\nContent-Length: 0\r\n\r\n";
+    let script = move |received: &Received| match has_poison(received) {
+        true => vec![stream_head(), Step::Pause(100), Step::Reset],
+        // Another request meets the successor before the check of the engine has ended.
+        false if received.line.contains("/report") => {
+            vec![Step::Pause(400), Step::Write(misdirected.to_owned())]
+        }
+        false => vec![Step::Write(misdirected.to_owned())],
+    };
+    let engines = [Upstream::start(script).await];
+    let front = front(config(ONCE, 1, true), listed(&engines, Role::Decode)).await;
+
+    post(&front, 1, &[FIRST, POISON]).await;
+    post(&front, 2, &[FIRST]).await;
+
+    until(|| recorded_ends(&front.gateway) == 1).await;
+}
