Examine an engine whose answer ended with its connection and that answers nothing afterwards

An answer without a length or chunks that ends between two events looks complete.

Change: such an end clears the parts of its prompt only if the engine answers anything in the time after it; otherwise the engine is examined like one whose connection broke.

Evidence: verify_an_engine_that_ends_an_unmarked_answer_counts failed before (no end recorded) and passes with it.

--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -120,16 +120,21 @@
             FailureSignal::TimedOut => Interruption::Silent,
             FailureSignal::PathBroken | FailureSignal::None => return,
         };
-        // An engine that leaves terminates anyway, not because of a request.
-        if upstream.is_leaving() {
-            return;
-        }
         let run = InterruptedRun {
             request: exchange.fingerprint,
             parts: exchange.shared_parts().collect(),
             how,
             progress,
         };
+        self.record_interruption(upstream, run);
+    }
+
+    /// Records an interrupted run, and examines its engine unless that is being done already.
+    fn record_interruption(&self, upstream: &Arc<Upstream>, run: InterruptedRun) {
+        // An engine that leaves terminates anyway, not because of a request.
+        if upstream.is_leaving() {
+            return;
+        }
         if self.suspects().record_interruption(upstream.hash, run) {
             let (gateway, upstream) = (self.clone(), Arc::clone(upstream));
             tokio::spawn(async move { gateway.examine(&upstream).await });
@@ -146,19 +151,26 @@
         self.suspects().record_output(exchange.shared_parts(), self.now());
     }
 
-    /// Records that a run has written output if its engine answers anything later on. The end of an answer that ends with
-    /// its connection does not show whether the engine has terminated.
-    pub(super) fn record_output_if_alive(&self, exchange: &Exchange, upstream: &Arc<Upstream>) {
-        let (gateway, upstream) = (self.clone(), Arc::clone(upstream));
-        let parts: Vec<SharedPart> = exchange.shared_parts().collect();
-        if parts.is_empty() {
+    /// Records that a run has written output if its engine answers anything later on, and examines the engine otherwise.
+    /// The end of an answer that ends with its connection does not show whether the engine has terminated.
+    pub(super) fn record_unmarked_end(&self, exchange: &Exchange, upstream: &Arc<Upstream>) {
+        let run = InterruptedRun {
+            request: exchange.fingerprint,
+            parts: exchange.shared_parts().collect(),
+            how: Interruption::Silent,
+            progress: Progress::Starting,
+        };
+        if run.parts.is_empty() {
             return;
         }
+        let (gateway, upstream) = (self.clone(), Arc::clone(upstream));
         tokio::spawn(async move {
             tokio::time::sleep(MIN_WRITING_TIME.as_duration()).await;
             let now = gateway.now();
             if upstream.state.path().has_contact_within(LATE_CONTACT_TIME, now) {
-                gateway.suspects().record_output(parts.into_iter(), now);
+                gateway.suspects().record_output(run.parts.into_iter(), now);
+            } else {
+                gateway.record_interruption(&upstream, run);
             }
         });
     }
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -198,7 +198,7 @@
         if self.has_marked_end {
             gateway.record_output(exchange);
         } else if self.is_direct {
-            gateway.record_output_if_alive(exchange, self.held.upstream());
+            gateway.record_unmarked_end(exchange, self.held.upstream());
         }
     }
 
--- a/crates/anvilhook-gateway/tests/part_quarantine.rs
+++ b/crates/anvilhook-gateway/tests/part_quarantine.rs
@@ -14,7 +14,10 @@
 use support::fronts::{Answer, Front, ample_budget, config, start, with_long_timeouts};
 use support::instances::{Instance, connect, instance};
 use support::until;
-use support::upstreams::{Received, Step, Upstream, engine, signed, stream, stream_head};
+use support::upstreams::{
+    Received, Step, Upstream, engine, event, raw_event, signed, stream, stream_head,
+    unmarked_stream_head,
+};
 use support::wires::TestWire;
 
 const RESUMABLE: Repeats = Repeats::Stream { resumable: true };
@@ -187,3 +190,60 @@
 
     until(|| recorded_ends(&front.gateway) == 1).await;
 }
+
+/// Guards against clearing a part because its runs send events before their engines terminate.
+#[tokio::test]
+async fn verify_events_sent_before_the_end_clear_no_part() {
+    let crash = vec![stream_head(), event(1), event(2), Step::Terminate];
+    let engines = engines(12, crash).await;
+    let front = front(config(ONCE, 2, true), listed(&engines, Role::Decode)).await;
+
+    let (poisoned, sound) = send_pairs(&front, 8).await;
+
+    assert!(poisoned_calls(&engines) <= MAX_ENDS, "{} calls", poisoned_calls(&engines));
+    assert_eq!(poisoned.last().map(|answer| answer.status), Some(400));
+    assert!(sound.iter().all(|answer| answer.status == 200), "{sound:?}");
+}
+
+/// Guards against an answer that ends with its connection between two events, as a complete one does, because its
+/// engine terminates.
+#[tokio::test]
+async fn verify_an_engine_that_ends_an_unmarked_answer_counts() {
+    let engines = engines(12, vec![unmarked_stream_head(), raw_event(1), Step::End]).await;
+    let front = front(config(ONCE, 2, true), listed(&engines, Role::Decode)).await;
+
+    let (poisoned, sound) = send_pairs(&front, 8).await;
+
+    assert!(poisoned_calls(&engines) <= MAX_ENDS, "{} calls", poisoned_calls(&engines));
+    assert_eq!(poisoned.last().map(|answer| answer.status), Some(400));
+    assert!(sound.iter().all(|answer| answer.status == 200), "{sound:?}");
+}
+
+/// Guards against refusing a route because engines terminate for other reasons, under requests of which each has been
+/// sent only once, and which share all their other parts with sound ones.
+#[tokio::test]
+async fn verify_parts_that_others_write_output_on_are_not_held() {
+    let mut engines = Vec::new();
+    for _ in 0..12 {
+        let script = |received: &Received| match received.body.starts_with("body 9") {
+            true => ends_at_once(),
+            false => stream(1, 3),
+        };
+        engines.push(Upstream::start(script).await);
+    }
+    let front = front(config(ONCE, 2, true), listed(&engines, Role::Decode)).await;
+    let shared = [FIRST, 2, 3];
+
+    let mut answers = vec![post(&front, 0, &shared).await.status];
+    for number in 1..=6 {
+        let ends = recorded_ends(&front.gateway);
+        answers.push(post(&front, 900 + number, &shared).await.status);
+        until(|| recorded_ends(&front.gateway) > ends).await;
+        answers.push(post(&front, number, &shared).await.status);
+    }
+
+    let crashed = answers.iter().skip(1).step_by(2);
+    assert!(crashed.clone().all(|status| *status == 502), "{answers:?}");
+    let sound = answers.iter().step_by(2);
+    assert!(sound.clone().all(|status| *status == 200), "{answers:?}");
+}
--- a/crates/anvilhook-gateway/tests/support/upstreams.rs
+++ b/crates/anvilhook-gateway/tests/support/upstreams.rs
@@ -46,6 +46,8 @@
     Await(Arc<Notify>),
     /// Terminates the upstream: its listener is closed, and all its connections are reset.
     Terminate,
+    /// Terminates the upstream like [`Step::Terminate`], but closes this connection normally.
+    End,
     /// Waits until the client closes the connection.
     Hang,
 }
@@ -179,6 +181,11 @@
                     ends.send_replace(true);
                     std::future::pending::<()>().await;
                 }
+                Step::End => {
+                    stream.shutdown().await.expect("the client reads");
+                    ends.send_replace(true);
+                    std::future::pending::<()>().await;
+                }
                 Step::Hang => {
                     let mut buf = [0; 64];
                     while matches!(stream.read(&mut buf).await, Ok(len) if len > 0) {}
@@ -247,6 +254,17 @@
     ))
 }
 
+/// Returns the head of a signed stream that has neither a length nor chunks, and ends with its connection.
+pub fn unmarked_stream_head() -> Step {
+    let head = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\n";
+    Step::Write(format!("{head}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"))
+}
+
+/// Returns an event outside any chunk.
+pub fn raw_event(id: u64) -> Step {
+    Step::Write(format!("id: {id}\ndata: token-{id}\n\n"))
+}
+
 /// Returns a chunk of a stream.
 pub fn chunk(text: &str) -> Step {
     Step::Write(format!("{:x}\r\n{text}\r\n", text.len()))
