--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -113,7 +113,7 @@
 
     let front = TcpListener::bind(options.front).await?;
     let readiness = TcpListener::bind(options.readiness).await?;
-    let serving = tokio::spawn(serve(front, front_router(gateway.clone()), shutdown.clone()));
+    let serving = tokio::spawn(serve_front(front, gateway.clone(), shutdown.clone()));
     tokio::spawn(serve(readiness, readiness_router(gateway.clone()), shutdown.clone()));
     if let Some(address) = options.control {
         let listener = TcpListener::bind(address).await?;
@@ -249,6 +249,19 @@
     }
 }
 
+/// Serves callers on a listener until the phase is `Closed`.
+///
+/// # Errors
+///
+/// The library's error if the server fails.
+pub async fn serve_front<W: Wire, C: Clock>(
+    listener: TcpListener,
+    gateway: Gateway<W, C>,
+    shutdown: Shutdown,
+) -> std::io::Result<()> {
+    serve(listener, front_router(gateway), shutdown).await
+}
+
 /// Returns the router that passes every request to a gateway.
 pub fn front_router<W: Wire, C: Clock>(gateway: Gateway<W, C>) -> Router {
     Router::new().fallback(move |req: Request| {
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -7,7 +7,7 @@
 use anvilhook_gateway::budgets::BudgetOptions;
 use anvilhook_gateway::configs::{Config, EngineSpec, Repeats, Route, ServiceSpec, Target};
 use anvilhook_gateway::fleets::Entry;
-use anvilhook_gateway::instances::front_router;
+use anvilhook_gateway::instances::serve_front;
 use anvilhook_gateway::relay::{Gateway, GatewayOptions};
 use anvilhook_gateway::speeds::EXPECTED_READING;
 use anvilhook_http::{ClientOptions, HttpClient, Shutdown};
@@ -107,7 +107,7 @@
     let gateway = gateway(clock, config, entries, budget);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    tokio::spawn(anvilhook_http::serve(listener, front_router(gateway.clone()), Shutdown::new()));
+    tokio::spawn(serve_front(listener, gateway.clone(), Shutdown::new()));
     Front { gateway, address }
 }
 
