Close connections unread that an instance can't serve in time

What callers would see: a load balancer that hands most new connections to one instance makes them wait there, unread, until they leave, while the other instances are idle.

Cause: the front accepted without bound, and nothing measured whether it could still read what it accepted.

A caller then tries another instance at once, and may do so with any request. Open connections and readiness are untouched, so that two instances never leave the rotation together. A failed accept is followed by a pause, as without file descriptors it would fail again at once.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod caches;
 pub mod clearances;
 pub mod clock_offsets;
+pub mod connection_admission;
 pub mod drains;
 pub mod ejections;
 pub mod errors;
--- a/crates/anvilhook-gateway/src/events/instances.rs
+++ b/crates/anvilhook-gateway/src/events/instances.rs
@@ -25,6 +25,16 @@
         /// The number of requests in flight at that time.
         in_flight: u64,
     },
+    /// The decision on the connections of callers has changed.
+    ConnectionsAdmitted {
+        /// `accepted`, or why connections are closed unread: `lagging` if events are handled late, `link_full` if the
+        /// link is nearly full.
+        decision: &'a str,
+        /// The number of connections closed since one was last accepted.
+        closed: u64,
+        /// The number of requests in flight.
+        in_flight: u64,
+    },
     /// The settings were reread.
     SettingsReread {
         /// Whether any change was applied.
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -6,7 +6,7 @@
 use anvilhook_core::ranks::number_of;
 use anvilhook_core::stops::Stop;
 use anvilhook_core::units::{Clock, Millis};
-use anvilhook_http::{HttpClient, Phase, Shutdown, serve};
+use anvilhook_http::{HttpClient, Phase, Shutdown, serve, serve_checked};
 use http::StatusCode;
 use rand::rngs::SysRng;
 use rand::{Rng, SeedableRng};
@@ -25,7 +25,7 @@
 use crate::followers::{ConfigFollower, EntryFollower, follow, wait_within};
 use crate::forwarding::forwarding_router;
 use crate::peers;
-use crate::relay::{Gateway, GatewayOptions};
+use crate::relay::{FrontCheck, Gateway, GatewayOptions};
 use crate::reloads::{OptionSource, Reloader, Tunables};
 use crate::roles::{RoleController, RoleOptions};
 use crate::speeds::meter_slots;
@@ -67,9 +67,6 @@
     pub control: Option<SocketAddr>,
     /// The address for the datagrams of other instances, and for the calls that they forward.
     pub peer: SocketAddr,
-    /// The bandwidth of the instance's link in megabits a second, if known. Instances with wide
-    /// links are preferred as zone leaders and followers.
-    pub link_mbps: Option<f64>,
     /// How long a change may stay unseen behind a connection that has stopped responding.
     pub unseen: Millis,
     /// The options that may change while the instance runs.
@@ -182,7 +179,7 @@
     let socket = UdpSocket::bind(options.peer).await?;
     let peers = Arc::clone(gateway.peers());
     let mut rng = ChaCha8Rng::try_from_rng(&mut SysRng).map_err(std::io::Error::other)?;
-    let number = number_of(options.link_mbps, rng.next_u64());
+    let number = number_of(options.gateway.link_mbps, rng.next_u64());
     tokio::spawn(peers::exchange(socket, number, rng, gateway.clone(), clock.clone()));
     tokio::spawn(peers::seed_caches(gateway.clone(), clock.clone()));
     let name = options.name.to_string();
@@ -259,7 +256,12 @@
     gateway: Gateway<W, C>,
     shutdown: Shutdown,
 ) -> std::io::Result<()> {
-    serve(listener, front_router(gateway), shutdown).await
+    let check = FrontCheck(gateway.clone());
+    let router = front_router(gateway.clone());
+    tokio::select! {
+        served = serve_checked(listener, router, shutdown, check) => served,
+        () = gateway.measure_lag() => Ok(()),
+    }
 }
 
 /// Returns the router that passes every request to a gateway.
--- a/crates/anvilhook-gateway/src/metrics/mod.rs
+++ b/crates/anvilhook-gateway/src/metrics/mod.rs
@@ -74,6 +74,8 @@
     /// The bytes of datagrams by section and by scope.
     pub digest_sections: SectionBytes,
     engines_ended: Family<NameLabel, Counter>,
+    /// Connections of callers that were closed unread, by reason.
+    pub closed_connections: Family<NameLabel, Counter>,
     suspected_requests: Gauge,
     quarantined_requests: Gauge,
     quarantined_parts: Gauge,
@@ -132,6 +134,7 @@
             digest_bytes: Counter::default(),
             digest_sections: SectionBytes::default(),
             engines_ended: Family::default(),
+            closed_connections: Family::default(),
             suspected_requests: Gauge::default(),
             quarantined_requests: Gauge::default(),
             quarantined_parts: Gauge::default(),
--- a/crates/anvilhook-gateway/src/metrics/registration.rs
+++ b/crates/anvilhook-gateway/src/metrics/registration.rs
@@ -100,6 +100,11 @@
             "Engines that terminated while they ran requests of this instance, by evidence",
             self.engines_ended.clone(),
         );
+        registry.register(
+            "closed_connections",
+            "Connections of callers that were closed unread because this instance was busy, by reason",
+            self.closed_connections.clone(),
+        );
         registry.register(
             "suspected_requests",
             "Requests and prompt parts during which engines have terminated, quarantined ones included",
--- /dev/null
+++ b/crates/anvilhook-gateway/src/relay/admission.rs
@@ -0,0 +1,93 @@
+//! Admits or closes the connections of callers, by what the instance measures about itself.
+
+use std::fmt;
+use std::sync::Mutex;
+
+use anvilhook_core::connection_admission::{
+    Admission, ConnectionAdmission, Direction, SAMPLE_INTERVAL,
+};
+use anvilhook_core::units::Clock;
+use anvilhook_http::ConnectionCheck;
+
+use super::Gateway;
+use crate::events::{InstanceEvent, emit};
+use crate::metrics::NameLabel;
+use crate::wires::Wire;
+
+/// `FrontAdmission` is the state of the decision on new connections.
+#[derive(Debug)]
+pub(super) struct FrontAdmission(Mutex<State>);
+
+#[derive(Debug)]
+struct State {
+    admission: ConnectionAdmission,
+    last: Admission,
+    /// The connections closed since one was last accepted.
+    closed: u64,
+}
+
+impl FrontAdmission {
+    /// Creates the state of an instance whose link has the given bandwidth, if it is known.
+    pub fn new(link_mbps: Option<f64>) -> Self {
+        let admission = ConnectionAdmission::new(link_mbps);
+        Self(Mutex::new(State { admission, last: Admission::Accepted, closed: 0 }))
+    }
+}
+
+/// `FrontCheck` decides on the connections of a gateway's callers.
+pub(crate) struct FrontCheck<W: Wire, C: Clock>(pub Gateway<W, C>);
+
+impl<W: Wire, C: Clock> fmt::Debug for FrontCheck<W, C> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FrontCheck")
+    }
+}
+
+impl<W: Wire, C: Clock> ConnectionCheck for FrontCheck<W, C> {
+    fn admits(&self) -> bool {
+        self.0.admit_connection() == Admission::Accepted
+    }
+}
+
+impl<W: Wire, C: Clock> Gateway<W, C> {
+    /// Measures repeatedly how late events are handled. It never returns.
+    pub(crate) async fn measure_lag(&self) {
+        loop {
+            let due_at = self.now() + SAMPLE_INTERVAL;
+            tokio::time::sleep(SAMPLE_INTERVAL.as_duration()).await;
+            let now = self.now();
+            self.with_admission(|state| state.admission.record_lag(now - due_at, now));
+        }
+    }
+
+    /// Records bytes that this instance has transferred.
+    pub(super) fn record_bytes(&self, direction: Direction, bytes: usize) {
+        let now = self.now();
+        self.with_admission(|state| state.admission.record_bytes(direction, bytes, now));
+    }
+
+    /// Decides on a new connection.
+    fn admit_connection(&self) -> Admission {
+        let now = self.now();
+        let (decision, before, closed) = self.with_admission(|state| {
+            let decision = state.admission.decide(now);
+            let before = std::mem::replace(&mut state.last, decision);
+            let closed = std::mem::take(&mut state.closed);
+            state.closed = if decision == Admission::Accepted { 0 } else { closed + 1 };
+            (decision, before, closed)
+        });
+        if decision != Admission::Accepted {
+            let label = NameLabel { name: decision.as_str().to_owned() };
+            self.metrics().closed_connections.get_or_create(&label).inc();
+        }
+        if decision != before {
+            let (decision, in_flight) = (decision.as_str(), self.in_flight());
+            emit(&InstanceEvent::ConnectionsAdmitted { decision, closed, in_flight });
+        }
+        decision
+    }
+
+    fn with_admission<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
+        f(&mut self.inner.admission.0.lock().expect("no panic under this lock"))
+    }
+}
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use anvilhook_core::connection_admission::Direction;
 use anvilhook_core::orders::Role;
 use anvilhook_core::reading_lanes::Lane;
 use anvilhook_core::units::{Clock, Millis};
@@ -97,6 +98,7 @@
             self.log_failed(exchange, sending.upstream, sending.stage, &failed);
             return Err(failed);
         }
+        self.record_bytes(Direction::Outbound, exchange.body.len());
         self.log_placed(exchange, &sending);
         self.log_acceptance(exchange);
         let result = self.send_unlogged(exchange, &sending).await;
@@ -306,10 +308,17 @@
             return Err(Failed::may_have_run("unsigned_answer"));
         }
         let body = self.collect_body(exchange, body).await?;
+        self.record_relayed(body.len());
         let headers = passed_on(&parts.headers);
         Ok(WholeAnswer { status: parts.status, headers, body })
     }
 
+    /// Records bytes that arrive from an upstream and are forwarded to a caller.
+    pub(super) fn record_relayed(&self, bytes: usize) {
+        self.record_bytes(Direction::Inbound, bytes);
+        self.record_bytes(Direction::Outbound, bytes);
+    }
+
     /// Collects a whole body within the time that is left to the caller.
     pub(super) async fn collect_body(
         &self,
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -64,6 +64,7 @@
             return NOT_TAKEN;
         };
         let body = body.to_bytes();
+        self.record_relayed(body.len());
         // Looked up only now: the upstream may have begun to leave while the body was received.
         let view = self.fleet().view();
         let listed = view.by_hash(call.upstream);
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -2,6 +2,7 @@
 //! and resuming streams.
 
 mod access;
+mod admission;
 mod adoption;
 mod answers;
 mod arrivals;
@@ -61,6 +62,8 @@
 use crate::usage::Usage;
 use crate::wires::Wire;
 
+use admission::FrontAdmission;
+pub(crate) use admission::FrontCheck;
 use answers::{Outcome, OwnAnswer};
 use departures::DepartureWatch;
 use limits::LimitQueues;
@@ -84,6 +87,9 @@
 pub struct GatewayOptions {
     /// The availability zone of this instance.
     pub zone: Arc<str>,
+    /// The bandwidth of the instance's link in megabits a second, if known. Instances with wide
+    /// links are preferred as zone leaders and followers.
+    pub link_mbps: Option<f64>,
     /// The initial budget for extra arrivals.
     pub budget: BudgetOptions,
     /// The expected cost of reading prompts (prefill), until it has been measured.
@@ -130,6 +136,7 @@
     waiting_queues: WaitingQueues,
     forwarders: Forwarders,
     served_calls: ServedCalls,
+    admission: FrontAdmission,
     check_slots: Semaphore,
     last_check: LastCheck,
     /// Engines that have read a prompt, with the parts not yet published to peers.
@@ -159,7 +166,6 @@
             speeds: Speeds::new(options.expected_reading),
             account_shares: AccountShares::in_zone(peers.zone()),
             peers,
-            options,
             config: ArcSwapOption::empty(),
             fleet: Fleet::new(),
             caches: CacheIndex::new(),
@@ -170,6 +176,7 @@
             waiting_queues: WaitingQueues::default(),
             forwarders: Forwarders::default(),
             served_calls: ServedCalls::default(),
+            admission: FrontAdmission::new(options.link_mbps),
             check_slots: Semaphore::new(MAX_CONCURRENT_CHECKS),
             last_check: LastCheck::default(),
             in_flight: AtomicU64::new(0),
@@ -177,6 +184,7 @@
             has_fleet: AtomicBool::new(false),
             metrics: GatewayMetrics::new(),
             cached: Mutex::default(),
+            options,
         };
         Self { inner: Arc::new(inner) }
     }
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -4,6 +4,7 @@
 
 use anvilhook_core::Verdict;
 use anvilhook_core::api_keys::KeyDigest;
+use anvilhook_core::connection_admission::Direction;
 use anvilhook_core::fair_shares::AccountKey;
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::pacing::Waiting;
@@ -125,6 +126,8 @@
             }
         };
 
+        gateway.record_bytes(Direction::Inbound, body.len());
+
         // A newer configuration may have become active while the body was received.
         let config = gateway.config().ok_or_else(no_config)?;
         let route = find_route(&config, &parts.headers, &parts.uri)?;
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -235,6 +235,7 @@
             match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Some(data) = frame.data_ref() {
+                        gateway.record_relayed(data.len());
                         self.splitter.push(data);
                     }
                 }
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -79,6 +79,7 @@
     let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
     let options = GatewayOptions {
         zone: Arc::from(zone),
+        link_mbps: None,
         budget,
         expected_reading: EXPECTED_READING,
         started_at: WallTime(1_790_000_000_000),
--- a/crates/anvilhook-http/src/lib.rs
+++ b/crates/anvilhook-http/src/lib.rs
@@ -15,4 +15,4 @@
 pub use bodies::{GuardedBody, SendProgress};
 pub use clients::{ClientOptions, HttpClient};
 pub use errors::{CallError, Stage};
-pub use servers::{Phase, Shutdown, serve};
+pub use servers::{AdmitAll, ConnectionCheck, Phase, Shutdown, serve, serve_checked};
--- a/crates/anvilhook-http/src/servers.rs
+++ b/crates/anvilhook-http/src/servers.rs
@@ -1,6 +1,7 @@
 //! The HTTP server: serves on a given listener and shuts down without aborting requests.
 
 use std::convert::Infallible;
+use std::fmt;
 use std::io;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -23,6 +24,9 @@
 /// How long a connection is idle before the kernel sends keepalive probes.
 const KEEPALIVE_AFTER: Millis = Millis::from_secs(15);
 
+/// The pause after a failed accept. Without file descriptors each further one fails as well, at once.
+const ACCEPT_PAUSE: Millis = Millis(10);
+
 /// How long the server's end is delayed after the last request, so that pending data is written.
 const FLUSH_TIME: Millis = Millis(200);
 
@@ -98,7 +102,47 @@
     }
 }
 
-/// Serves `router` on `listener` until the phase is `Closed`.
+/// `ConnectionCheck` decides, when a connection arrives, whether it is served.
+pub trait ConnectionCheck: fmt::Debug + Send + Sync + 'static {
+    /// Returns whether the connection is served. Otherwise it is closed unread.
+    fn admits(&self) -> bool;
+}
+
+/// `AdmitAll` admits every connection.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmitAll;
+
+impl ConnectionCheck for AdmitAll {
+    fn admits(&self) -> bool {
+        true
+    }
+}
+
+/// Serves `router` on `listener` until the phase is `Closed`, like [`serve_checked`], and admits every connection.
+///
+/// # Errors
+///
+/// The library's error if the server fails.
+pub async fn serve<E>(
+    listener: TcpListener,
+    router: Router<volo_http::body::Body, E>,
+    shutdown: Shutdown,
+) -> io::Result<()>
+where
+    E: IntoResponse + Send + 'static,
+    Router<volo_http::body::Body, E>: motore::service::Service<
+            volo_http::context::ServerContext,
+            volo_http::request::Request,
+            Response = volo_http::response::Response,
+            Error = Infallible,
+        > + Send
+        + Sync
+        + 'static,
+{
+    serve_checked(listener, router, shutdown, AdmitAll).await
+}
+
+/// Serves `router` on `listener` until the phase is `Closed`. Connections that `check` does not admit are closed unread.
 ///
 /// On a signal, the library shuts down by itself and closes open connections after about 30 s, which
 /// would truncate a long answer. It waits for its shutdown hooks before it starts this timeout, so a
@@ -108,12 +152,14 @@
 /// # Errors
 ///
 /// The library's error if the server fails.
-pub async fn serve<E>(
+pub async fn serve_checked<E, A>(
     listener: TcpListener,
     router: Router<volo_http::body::Body, E>,
     shutdown: Shutdown,
+    check: A,
 ) -> io::Result<()>
 where
+    A: ConnectionCheck,
     E: IntoResponse + Send + 'static,
     Router<volo_http::body::Body, E>: motore::service::Service<
             volo_http::context::ServerContext,
@@ -124,7 +170,8 @@
         + Sync
         + 'static,
 {
-    let incoming = StoppableIncoming { listener: Some(listener), shutdown: shutdown.clone() };
+    let incoming =
+        StoppableIncoming { listener: Some(listener), shutdown: shutdown.clone(), check };
     let hook_shutdown = shutdown.clone();
     let signalled = Arc::new(AtomicBool::new(false));
     let hook_signalled = Arc::clone(&signalled);
@@ -170,12 +217,13 @@
 /// `StoppableIncoming` accepts connections until the phase is `Closed` and then closes the listener,
 /// which frees its address.
 #[derive(Debug)]
-struct StoppableIncoming {
+struct StoppableIncoming<A> {
     listener: Option<TcpListener>,
     shutdown: Shutdown,
+    check: A,
 }
 
-impl MakeIncoming for StoppableIncoming {
+impl<A: ConnectionCheck> MakeIncoming for StoppableIncoming<A> {
     type Incoming = Self;
 
     async fn make_incoming(self) -> io::Result<Self> {
@@ -183,7 +231,7 @@
     }
 }
 
-impl Incoming for StoppableIncoming {
+impl<A: ConnectionCheck> Incoming for StoppableIncoming<A> {
     async fn accept(&mut self) -> io::Result<Option<Conn>> {
         let Some(listener) = &self.listener else {
             // The library's loop calls `accept` again immediately; never returning keeps it from
@@ -191,11 +239,17 @@
             return std::future::pending().await;
         };
         tokio::select! {
-            accepted = listener.accept() => {
-                let (stream, _peer) = accepted?;
-                set_peer_timeouts(&stream);
-                Ok(Some(Conn::from(stream)))
-            }
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _peer)) if self.check.admits() => {
+                    set_peer_timeouts(&stream);
+                    Ok(Some(Conn::from(stream)))
+                }
+                Ok(_closed) => Ok(None),
+                Err(err) => {
+                    tokio::time::sleep(ACCEPT_PAUSE.as_duration()).await;
+                    Err(err)
+                }
+            },
             () = self.shutdown.reached(Phase::Closed) => {
                 self.listener = None;
                 Ok(None)
