Let a quarantined part explain the ends of requests that ran alongside it

Cause: suspects explained ends only within their kind, since a part that happened to be recorded first must not hide a request that ends engines by itself.

Change: the evidence against a request is counted when it is needed, without the ends that a quarantined part explains, unless the request ran at all of them; so it doesn't depend on the order in which updates arrive. A request that was quarantined before the part is let go.

--- a/crates/anvilhook-core/src/quarantine.rs
+++ b/crates/anvilhook-core/src/quarantine.rs
@@ -305,10 +305,13 @@
             return EndOutcome::Explained;
         }
         let needed = self.needed_ends(request, now);
-        let weight = self.weight(request, end.engine);
+        let weight = self.weight(request, Some(end.engine));
         match self.suspects.get_mut(&request) {
             Some(suspect) if weight >= needed => {
                 suspect.quarantined_by = Some(end.engine);
+                if request.is_part() {
+                    self.reconsider_requests();
+                }
                 EndOutcome::Quarantined
             }
             Some(_) => EndOutcome::Counted,
@@ -316,24 +319,44 @@
         }
     }
 
-    /// Returns how much evidence there is against a suspect, in engine ends. `newest` is the engine that has just
-    /// ended.
+    /// Returns how much evidence there is against a suspect, in engine ends that nothing else explains.
+    pub fn evidence(&self, suspect: Fingerprint, now: Millis) -> usize {
+        self.suspect(suspect, now).map_or(0, |_| self.weight(suspect, None))
+    }
+
+    /// Returns the evidence against a suspect. `newest` is the engine that has just ended, whose end may not be
+    /// recorded against all that ran there yet.
+    fn weight(&self, suspect: Fingerprint, newest: Option<u32>) -> usize {
+        match self.suspects.get(&suspect) {
+            None => 0,
+            Some(own) if suspect.is_part() => self.weight_of_part(own, newest),
+            Some(own) => self.weight_of_request(own, newest),
+        }
+    }
+
+    /// Returns the evidence against a request. A quarantined part explains the ends at which the request only ran
+    /// alongside it, unless the request ran at all of them.
+    fn weight_of_request(&self, own: &Suspect, newest: Option<u32>) -> usize {
+        let parts = self.quarantined().filter(|(suspect, _)| suspect.is_part());
+        let parts = parts.map(|(_, part)| part);
+        let causes: Vec<_> = parts.filter(|part| !own.is_as_suspect_as(part, newest)).collect();
+        let is_explained =
+            |end: &&EngineEnd| causes.iter().any(|cause| cause.ended_under(end.engine));
+        own.ends.iter().filter(|end| !is_explained(end)).count()
+    }
+
+    /// Returns the evidence against a part.
     ///
     /// A single request that ended engines accuses its parts as well, which other requests share. So all ends under
-    /// one quarantined request count once against a part, and a part is not quarantined if one request ran at all the
-    /// engines that ended under it.
-    fn weight(&self, suspect: Fingerprint, newest: u32) -> usize {
-        let Some(own) = self.suspects.get(&suspect) else { return 0 };
-        if !suspect.is_part() {
-            return own.ends.len();
-        }
-        let requests = self.suspects.iter().filter(|(one, _)| !one.is_part());
-        let requests: Vec<&Suspect> = requests.map(|(_, request)| request).collect();
-        if requests.iter().any(|request| request.is_as_suspect_as(own, Some(newest))) {
+    /// one quarantined request count once, and there is no evidence if one request ran at all the engines that ended
+    /// under the part.
+    fn weight_of_part(&self, own: &Suspect, newest: Option<u32>) -> usize {
+        let mut requests = self.suspects.iter().filter(|(suspect, _)| !suspect.is_part());
+        if requests.any(|(_, request)| request.is_as_suspect_as(own, newest)) {
             return 0;
         }
-        let is_quarantined = |request: &&&Suspect| request.quarantined_by.is_some();
-        let causes: Vec<_> = requests.iter().filter(is_quarantined).collect();
+        let causes = self.quarantined().filter(|(suspect, _)| !suspect.is_part());
+        let causes: Vec<_> = causes.map(|(_, request)| request).collect();
         let is_explained =
             |end: &&EngineEnd| causes.iter().any(|cause| cause.ended_under(end.engine));
         let explained = own.ends.iter().filter(is_explained).count();
@@ -342,6 +365,11 @@
         own.ends.len() - explained + explaining.count().min(explained)
     }
 
+    fn quarantined(&self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
+        let quarantined = self.suspects.iter().filter(|(_, one)| one.quarantined_by.is_some());
+        quarantined.map(|(suspect, one)| (*suspect, one))
+    }
+
     /// Removes the ends that a quarantined suspect explains from all other suspects of its kind. `newest` is the engine
     /// that has just ended.
     ///
@@ -349,9 +377,8 @@
     /// next. A part that ran at all of these engines is as likely to be the cause as a quarantined part. A request
     /// explains no ends for parts: several requests may end engines because of the part that they share.
     fn explain_away(&mut self, newest: u32) {
-        let quarantined = self.suspects.iter().filter(|(_, one)| one.quarantined_by.is_some());
         let quarantined: Vec<_> =
-            quarantined.map(|(cause, suspect)| (*cause, suspect.clone())).collect();
+            self.quarantined().map(|(cause, suspect)| (cause, suspect.clone())).collect();
         if quarantined.is_empty() {
             return;
         }
@@ -369,6 +396,18 @@
         });
     }
 
+    /// Ends the quarantine of requests that only ran alongside a part that is quarantined now.
+    fn reconsider_requests(&mut self) {
+        let requests = self.quarantined().filter(|(suspect, _)| !suspect.is_part());
+        let is_explained = |(_, request): &(Fingerprint, &Suspect)| {
+            self.weight_of_request(request, None) < self.options.ends
+        };
+        let explained: Vec<_> = requests.filter(is_explained).map(|(request, _)| request).collect();
+        for request in explained {
+            self.suspects.entry(request).and_modify(|request| request.quarantined_by = None);
+        }
+    }
+
     /// Ends the quarantine of parts whose ends a request alone explains. Updates arrive in any order, so the part may
     /// have been quarantined before the ends of the request were known.
     fn reconsider_parts(&mut self, request: Fingerprint) {
--- a/crates/anvilhook-gateway/src/suspects/mod.rs
+++ b/crates/anvilhook-gateway/src/suspects/mod.rs
@@ -106,7 +106,7 @@
         let is_new = |engine: &u32| !ends.iter().any(|end| end.engine == *engine);
         let examined = lock(&self.examined);
         let broken = examined.broken_under(request).filter(is_new);
-        match ends.len() + broken.count() {
+        match tracker.evidence(request, now) + broken.count() {
             0 => (SuspectStatus::Clear, usize::MAX),
             ends => {
                 let left = tracker.needed_ends(request, now).saturating_sub(ends);
