Measure how long events are late, not how often

Traced: at least five late measurements a second were required, but an instance that is later makes fewer measurements; one whose events are a second late makes one. The worse it was, the less it was noticed.

Change: the lag of late measurements counts over two seconds, half of which must have passed in them, and a single one (a suspended process) does not count.

--- a/crates/anvilhook-core/src/connection_admission.rs
+++ b/crates/anvilhook-core/src/connection_admission.rs
@@ -15,11 +15,15 @@
 /// The lag from which a measurement counts as late.
 const LATE: Millis = Millis(100);
 
-/// How many measurements must have been late within [`SPAN`], which is more than half of the time. A process that was
-/// suspended once has a single one.
-const MIN_LATE: usize = 5;
+/// The span over which lag counts, and the share of it that must have passed in late measurements.
+const LAG_SPAN: Millis = Millis(2_000);
+const LAG_SHARE: f64 = 0.5;
 
-/// The span over which measurements and bytes count.
+/// How many measurements must have been late within [`LATE_MEMORY`]. A process that was suspended once has a single one.
+const MIN_LATE: usize = 2;
+const LATE_MEMORY: Millis = Millis(10_000);
+
+/// The span over which bytes count.
 const SPAN: Millis = Millis(1_000);
 
 /// The share of the link that may be used over [`SPAN`]. Beyond it, packets queue up.
@@ -63,16 +67,17 @@
 /// use anvilhook_core::units::Millis;
 ///
 /// let mut admission = ConnectionAdmission::new(None);
-/// for at in [150, 300, 450, 600, 750] {
-///     admission.record_lag(Millis(125), Millis(at));
+/// for at in [400, 800, 1_200] {
+///     admission.record_lag(Millis(375), Millis(at));
 /// }
-/// assert_eq!(admission.decide(Millis(800)), Admission::Lagging);
-/// assert_eq!(admission.decide(Millis(1_200)), Admission::Accepted);
+/// assert_eq!(admission.decide(Millis(1_250)), Admission::Lagging);
+/// assert_eq!(admission.decide(Millis(2_500)), Admission::Accepted);
 /// ```
 #[derive(Debug)]
 pub struct ConnectionAdmission {
     link_bytes: Option<f64>,
-    late: VecDeque<Millis>,
+    /// The late measurements: when each was made, and its lag.
+    late: VecDeque<(Millis, Millis)>,
     inbound: ByteWindow,
     outbound: ByteWindow,
 }
@@ -93,7 +98,7 @@
     /// Records how much later than scheduled an event was handled.
     pub fn record_lag(&mut self, lag: Millis, now: Millis) {
         if lag >= LATE {
-            self.late.push_back(now);
+            self.late.push_back((now, lag));
         }
         self.expire(now);
     }
@@ -109,7 +114,7 @@
     /// Decides on a new connection.
     pub fn decide(&mut self, now: Millis) -> Admission {
         self.expire(now);
-        if self.late.len() >= MIN_LATE {
+        if self.late.len() >= MIN_LATE && self.late_share(now) >= LAG_SHARE {
             return Admission::Lagging;
         }
         let used = self.inbound.sum(now).max(self.outbound.sum(now)) as f64;
@@ -119,8 +124,16 @@
         }
     }
 
+    /// Returns the share of [`LAG_SPAN`] that has passed in late measurements.
+    fn late_share(&self, now: Millis) -> f64 {
+        let from = now - LAG_SPAN;
+        let overlap = |(at, lag): &(Millis, Millis)| *at - (*at - *lag).max(from);
+        let late: u64 = self.late.iter().map(|one| overlap(one).0).sum();
+        late as f64 / LAG_SPAN.0 as f64
+    }
+
     fn expire(&mut self, now: Millis) {
-        while self.late.front().is_some_and(|at| *at + SPAN <= now) {
+        while self.late.front().is_some_and(|(at, _)| *at + LATE_MEMORY <= now) {
             self.late.pop_front();
         }
     }
--- a/crates/anvilhook-core/tests/connection_admission.rs
+++ b/crates/anvilhook-core/tests/connection_admission.rs
@@ -3,6 +3,9 @@
 use anvilhook_core::connection_admission::{Admission, ConnectionAdmission, Direction};
 use anvilhook_core::units::Millis;
 
+/// When the decisions of a table are made.
+const NOW: u64 = 5_100;
+
 /// A link of one megabit a second transfers this many bytes in a second.
 const LINK_BYTES: usize = 125_000;
 
@@ -18,27 +21,33 @@
 /// accepting them while it is late most of the time.
 #[test]
 fn verify_connections_are_closed_only_while_events_are_late_most_of_the_time() {
-    let steady = |lag: u64| (1..=8).map(|n| (lag, 120 * n)).collect::<Vec<_>>();
+    let steady = |lag: u64, pause: u64| {
+        let times = (1..).map(|n| n * (lag + pause)).take_while(|at| *at <= NOW);
+        times.map(|at| (lag, at)).collect::<Vec<_>>()
+    };
     let cases = [
         ("idle", vec![], Admission::Accepted),
-        ("suspended for three seconds", vec![(3_000, 900)], Admission::Accepted),
-        ("a little late all the time", steady(90), Admission::Accepted),
-        ("late all the time", steady(120), Admission::Lagging),
-        ("late before", vec![(150, 10), (150, 20), (150, 30), (150, 40)], Admission::Accepted),
+        ("suspended for three seconds", vec![(3_000, NOW)], Admission::Accepted),
+        ("a little late all the time", steady(90, 25), Admission::Accepted),
+        ("late for a third of the time", steady(150, 300), Admission::Accepted),
+        ("late all the time", steady(120, 25), Admission::Lagging),
+        ("very late all the time", steady(900, 25), Admission::Lagging),
+        ("seconds late all the time", steady(2_500, 25), Admission::Lagging),
+        ("late before", vec![(400, NOW - 1_800), (900, NOW - 1_400)], Admission::Accepted),
     ];
     for (name, lags, expected) in cases {
-        assert_eq!(after_lags(&lags).decide(Millis(1_000)), expected, "{name}");
+        assert_eq!(after_lags(&lags).decide(Millis(NOW)), expected, "{name}");
     }
 }
 
 /// Guards against an instance that goes on closing connections after it has become idle.
 #[test]
 fn verify_connections_are_accepted_again_within_a_second() {
-    let lags: Vec<_> = (1..=8).map(|n| (300, 120 * n)).collect();
+    let lags: Vec<_> = (1..=20).map(|n| (225, 250 * n)).collect();
     let mut admission = after_lags(&lags);
-    admission.record_bytes(Direction::Inbound, 10 * LINK_BYTES, Millis(960));
+    admission.record_bytes(Direction::Inbound, 10 * LINK_BYTES, Millis(5_500));
 
-    let decisions = [1_000, 1_500, 1_959, 1_960].map(|at| admission.decide(Millis(at)));
+    let decisions = [5_000, 6_000, 6_499, 6_500].map(|at| admission.decide(Millis(at)));
 
     let expected =
         [Admission::Lagging, Admission::LinkFull, Admission::LinkFull, Admission::Accepted];
