Keep a prompt's KV cache when the engine that was to generate is not reached

Cause: after an engine refused the connection, or could not be asked for its start, the handle was dropped and the prompt read again elsewhere, which counts as an extra arrival, though nothing had been sent and the reader still held the KV cache.

Change: the handle stays with the request until something is sent with it; the next engine is chosen by the state that is current then.

Evidence: without any budget a request whose first choices refuse connections got 503 retry_budget before; now its prompt is read once and it is served, whichever of four engines is alive.

--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -51,16 +51,17 @@
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
-    /// Sends a request to the engine that generates the output, with a KV handle if there is one.
+    /// Sends a request to the engine that generates the output, with a KV handle if there is one. The handle is left
+    /// for another engine if nothing was sent.
     pub(super) async fn generate(
         &self,
         exchange: &mut Exchange,
         job: &mut Job<'_>,
         generator: Generator,
-        handle: Option<KvHandle<W, C>>,
+        handle: &mut Option<KvHandle<W, C>>,
         wait: Wait,
     ) -> TryResult<Opened> {
-        let work = match &handle {
+        let work = match &*handle {
             Some(handle) => GenerateWork {
                 wait,
                 reading_ms: 0.0,
@@ -80,12 +81,13 @@
         // stream, whose prompt the engine would then read again (prefill) at half its speed while all its
         // other streams stall.
         let mut extra = Vec::new();
-        if let Some(handle) = &handle {
+        if let Some(handle) = &*handle {
             extra.push((self.wire().headers().kv_source.clone(), handle.source()));
         }
         let upstream = generator.upstream;
         let opened = self.open_at(exchange, &upstream, work, extra, job.resume_after).await?;
-        if let Some(mut handle) = handle {
+        let is_unsent = matches!(&opened, Err(failed) if !failed.was_sent);
+        if let Some(mut handle) = handle.take_if(|_| !is_unsent) {
             let is_refused = matches!(&opened, Err(failed) if failed.is_refusal);
             let reader = handle.upstream();
             for engine in [reader, &upstream] {
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -14,7 +14,8 @@
 use super::answers::{Outcome, WholeAnswer};
 use super::examining::{PART_QUARANTINED, quarantined_outcome};
 use super::failures::Failed;
-use super::limits::LIMITED;
+use super::handles::KvHandle;
+use super::limits::{LIMITED, LimitTicket};
 use super::places::Rejection;
 use super::requests::Exchange;
 use super::resumption::Relay;
@@ -166,19 +167,9 @@
         }
         let (plan, wait) = match self.wait_for_reader(exchange, &job).await {
             WaitOutcome::Send(plan, wait) => (plan, wait),
-            WaitOutcome::NoEngine => return Err(self.no_engine_outcome(exchange)),
-            WaitOutcome::Limited(soonest) => {
-                return Err(self.abandoned_outcome(exchange, LIMITED, soonest));
-            }
-            WaitOutcome::Hopeless => {
-                return Err(self.abandoned_outcome(exchange, "overload", REFUSED_PAUSE));
-            }
-            WaitOutcome::Stopping => {
-                return Err(self.abandoned_outcome(exchange, STOPPING, Millis::ZERO));
-            }
-            WaitOutcome::Moved => return Ok(Err(Failed::not_sent("moved"))),
-            WaitOutcome::Quarantined => {
-                return Err(quarantined_outcome(exchange, PART_QUARANTINED));
+            other => {
+                let outcome = self.outcome_of_wait(exchange, &other);
+                return outcome.map_or(Ok(Err(Failed::not_sent("moved"))), Err);
             }
         };
         let time_left = exchange.time_left(self.now());
@@ -189,7 +180,7 @@
         }
         let reader = match plan {
             Plan::Direct(generator) => {
-                return self.generate(exchange, &mut job, generator, None, wait).await;
+                return self.generate(exchange, &mut job, generator, &mut None, wait).await;
             }
             Plan::Split(reader) => reader,
         };
@@ -199,29 +190,59 @@
             Err(failed) => return Ok(Err(failed)),
         };
 
-        // The generating engine is chosen by the state that is current once the prompt has been read.
         if !self.policy().caches_across_versions {
             exchange.read_by = Some(handle.upstream().software);
         }
-        match self.wait_for_generator(exchange, &job, handle.upstream(), ticket).await {
-            WaitOutcome::Send(generator, wait) => {
-                self.generate(exchange, &mut job, generator, Some(handle), wait).await
-            }
-            // The engines that could use the reader's KV cache may have gone while others are left.
-            WaitOutcome::NoEngine if exchange.software.is_none() && exchange.read_by.is_some() => {
-                job.avoid.push(Arc::clone(&handle.upstream().entry.id));
-                Ok(Err(Failed::not_sent("no_engine")))
-            }
-            WaitOutcome::NoEngine => Err(self.no_engine_outcome(exchange)),
-            WaitOutcome::Limited(soonest) => {
-                Err(self.abandoned_outcome(exchange, LIMITED, soonest))
-            }
-            WaitOutcome::Hopeless => {
-                Err(self.abandoned_outcome(exchange, "overload", REFUSED_PAUSE))
+        self.generate_from(exchange, &mut job, handle, ticket).await
+    }
+
+    /// Generates the output of a prompt that has been read. The engine is chosen by the state that is current now. If it
+    /// is not reached, another one is, and the prompt need not be read again.
+    async fn generate_from(
+        &self,
+        exchange: &mut Exchange,
+        job: &mut Job<'_>,
+        handle: KvHandle<W, C>,
+        mut ticket: LimitTicket,
+    ) -> TryResult<Opened> {
+        let (reader, mut handle) = (Arc::clone(handle.upstream()), Some(handle));
+        let mut unreached = 0;
+        loop {
+            let waited = self.wait_for_generator(exchange, job, &reader, ticket).await;
+            let (generator, wait) = match waited {
+                WaitOutcome::Send(generator, wait) => (generator, wait),
+                // The engines that could use the reader's KV cache may have gone while others are left.
+                WaitOutcome::NoEngine
+                    if exchange.software.is_none() && exchange.read_by.is_some() =>
+                {
+                    job.avoid.push(Arc::clone(&reader.entry.id));
+                    return Ok(Err(Failed::not_sent("no_engine")));
+                }
+                other => {
+                    let outcome = self.outcome_of_wait(exchange, &other);
+                    return outcome.map_or(Ok(Err(Failed::not_sent("moved"))), Err);
+                }
+            };
+            let opened = self.generate(exchange, job, generator, &mut handle, wait).await?;
+            unreached += 1;
+            if handle.is_none() || unreached > MAX_UNREACHED {
+                return Ok(opened);
             }
-            WaitOutcome::Stopping => Err(self.abandoned_outcome(exchange, STOPPING, Millis::ZERO)),
-            WaitOutcome::Moved => Ok(Err(Failed::not_sent("moved"))),
-            WaitOutcome::Quarantined => Err(quarantined_outcome(exchange, PART_QUARANTINED)),
+            ticket = self.inner.limit_queues.begin_reading(&exchange.service);
+        }
+    }
+
+    /// Returns the final answer to a request whose wait found no engine, or `None` if the request has moved to another
+    /// service and is tried there.
+    fn outcome_of_wait<P>(&self, exchange: &Exchange, waited: &WaitOutcome<P>) -> Option<Outcome> {
+        let refuse = |cause, pause| Some(self.abandoned_outcome(exchange, cause, pause));
+        match waited {
+            WaitOutcome::Send(..) | WaitOutcome::NoEngine => Some(self.no_engine_outcome(exchange)),
+            WaitOutcome::Limited(soonest) => refuse(LIMITED, *soonest),
+            WaitOutcome::Hopeless => refuse("overload", REFUSED_PAUSE),
+            WaitOutcome::Stopping => refuse(STOPPING, Millis::ZERO),
+            WaitOutcome::Moved => None,
+            WaitOutcome::Quarantined => Some(quarantined_outcome(exchange, PART_QUARANTINED)),
         }
     }
 
--- a/crates/anvilhook-gateway/tests/streams.rs
+++ b/crates/anvilhook-gateway/tests/streams.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anvilhook_core::orders::Role;
@@ -684,3 +685,39 @@
     assert_eq!(answer.events(), [1, 2, 3, 4]);
     assert!(answer.is_complete(), "{answer:?}");
 }
+
+/// Guards against reading a prompt again, at the cost of the retry budget, because engines that were to generate refuse
+/// connections: the engine that has read it still holds its KV cache.
+#[tokio::test]
+async fn verify_a_prompt_is_read_once_while_generating_engines_are_unreachable() {
+    let reader = Upstream::always(vec![signed("200 OK", "handle h")]).await;
+    let mut generators = Vec::new();
+    for _ in 0..4 {
+        generators.push(Upstream::always(stream(1, 2)).await);
+    }
+    let mut entries = vec![engine("r", &reader, Role::Prefill)];
+    let ids = ["e0", "e1", "e2", "e3"].iter().zip(&generators);
+    entries.extend(ids.map(|(id, one)| engine(id, one, Role::Decode)));
+    let budget = BudgetOptions { share: 0.0, spare: 0.0, window: Millis(10_000) };
+    for alive in 0..4 {
+        let config = with_long_timeouts(&config(Repeats::Stream { resumable: false }, 2, true));
+        let entries = entries.iter().cloned().map(|entry| {
+            let is_generator = entry.role == Some(Role::Decode);
+            let is_dead = is_generator && *entry.id != *format!("e{alive}");
+            let port = if is_dead { 1 } else { entry.address.port() };
+            Entry { address: SocketAddr::new(entry.address.ip(), port), ..entry }
+        });
+        let front = start(Some(config), entries.collect(), budget).await;
+        let read_before = reads(&reader);
+
+        let answer = front.post("r1", PROMPT, "body").await;
+
+        assert_eq!((answer.status, answer.events()), (200, vec![1, 2]), "{alive}: {answer:?}");
+        assert_eq!(reads(&reader) - read_before, 1, "{alive}");
+    }
+}
+
+/// Returns how many prompts an engine was to read.
+fn reads(reader: &Upstream) -> usize {
+    reader.received().iter().filter(|one| one.header("t-stage").is_some()).count()
+}
