Measure lag by the clock of the timer

What was seen: verify_instances_share_an_upstreams_request_limit failed each time, its connections closed unread. Its clock is set by hand and runs ahead of the timer, so that the timer seemed late.

Change: lag is the difference between a timer's due time and the same clock when it fires.

--- a/crates/anvilhook-gateway/src/relay/admission.rs
+++ b/crates/anvilhook-gateway/src/relay/admission.rs
@@ -6,8 +6,9 @@
 use anvilhook_core::connection_admission::{
     Admission, ConnectionAdmission, Direction, SAMPLE_INTERVAL,
 };
-use anvilhook_core::units::Clock;
+use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::ConnectionCheck;
+use tokio::time::Instant;
 
 use super::Gateway;
 use crate::events::{InstanceEvent, emit};
@@ -53,10 +54,12 @@
     /// Measures repeatedly how late events are handled. It never returns.
     pub(crate) async fn measure_lag(&self) {
         loop {
-            let due_at = self.now() + SAMPLE_INTERVAL;
-            tokio::time::sleep(SAMPLE_INTERVAL.as_duration()).await;
+            // The timer's own clock: the gateway's may be another one.
+            let due_at = Instant::now() + SAMPLE_INTERVAL.as_duration();
+            tokio::time::sleep_until(due_at).await;
+            let lag = Millis(due_at.elapsed().as_millis() as u64);
             let now = self.now();
-            self.with_admission(|state| state.admission.record_lag(now - due_at, now));
+            self.with_admission(|state| state.admission.record_lag(lag, now));
         }
     }
 
