Count what others have taken of the budget only within its window

What was seen: nothing; found by reading the change. The reports of instances that are gone were removed only when another one arrived, so that a single survivor would have left their takings alone for good.

Change: a report counts until the window has passed. Two test comments reworded.

--- a/crates/anvilhook-core/tests/demand_shares.rs
+++ b/crates/anvilhook-core/tests/demand_shares.rs
@@ -17,12 +17,12 @@
     (0..requests.len()).map(share).sum()
 }
 
-/// Guards against shares that add up to more than the budget, whoever knows of whose requests as long as that is mutual.
+/// Guards against shares that add up to more than the budget, for any pairs of instances that know each other's requests.
 #[test]
 fn verify_shares_add_up_to_the_budget() {
     let cases: [(&str, Vec<u64>); 4] = [
         ("one alone", vec![7]),
-        ("nobody gets any", vec![0; 9]),
+        ("none gets any", vec![0; 9]),
         ("one gets all", vec![900, 0, 0, 0, 0]),
         ("hundreds", (0..390).collect()),
     ];
@@ -38,7 +38,7 @@
     }
 }
 
-/// Guards against a share that is lost with a message: an instance that nobody hears divides with nobody.
+/// Guards against a large sum when the requests of one instance reach no other instance, while it receives theirs.
 #[test]
 fn verify_an_instance_that_is_not_known_costs_at_most_its_equal_part() {
     let requests = [100, 0, 0, 0];
--- a/crates/anvilhook-gateway/src/budgets.rs
+++ b/crates/anvilhook-gateway/src/budgets.rs
@@ -164,7 +164,8 @@
         let own = since(2) - since(1);
         let mut demand = Demand { own: own as u64, others: 0, known_others: 0, instances };
         let (service, mut taken_by_others) = (service_bits(service), 0.0);
-        for report in self.reports.lock().expect("no panic under this lock").values() {
+        let reports = self.reports.lock().expect("no panic under this lock");
+        for report in reports.values().filter(|one| one.received_at + options.window > now) {
             let of_service = report.of(service);
             taken_by_others += of_service.map_or(0.0, |one| f64::from(one.spare_taken));
             if report.received_at + REPORT_SPAN > now {
