--- a/review/standins/site_parts.py
+++ b/review/standins/site_parts.py
@@ -258,21 +258,24 @@
             await asyncio.sleep(0.5)
             await self.start()
 
-    async def ready(self, limit=20):
+    async def is_ready(self):
+        """Returns whether the process answers the platform's question with 200."""
         host, port = self.values["listen"]["ready"].split(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /api/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            head = await read_head(reader)
+            writer.close()
+        except OSError:
+            return False
+        return head is not None and head[0].split()[1] == "200"
+
+    async def ready(self, limit=20):
         until = time.monotonic() + limit
-        while time.monotonic() < until:
-            try:
-                reader, writer = await asyncio.open_connection(host, int(port))
-                writer.write(b"GET /api/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                head = await read_head(reader)
-                writer.close()
-                if head and " 200 " in head[0] + " ":
-                    return
-            except OSError:
-                pass
+        while not await self.is_ready():
+            if time.monotonic() > until:
+                raise CannotRun(f"{self.values['node_name']} is not ready after {limit} s")
             await asyncio.sleep(0.05)
-        raise CannotRun(f"{self.values['node_name']} is not ready after {limit} s")
 
     def rss_mb(self):
         """Returns the resident memory of the process in MB, 0 if it has ended."""
