--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,7 +2,7 @@
 
 Three instances, three runners with `born` in their entries. One runner starts, ends 1.2 s later and starts again
 under its id. Between the two starts the time of day of its machine steps back by 2 s, for 6 s. Later it reports
-`draining` and goes on serving for 8 s. Without the disruption the clock doesn't step.
+`draining`, goes on serving for 8 s, and exits. Without the disruption the clock doesn't step.
 """
 
 import asyncio
@@ -17,8 +17,10 @@
 from site_parts import TROUBLE, Instance, Store, loopback_ip, manifest, now, play, post, read_head, settings  # noqa: E402
 
 SERVICE = "wuno96b"
+WORK_S = 0.4
+LINGER_S = 8.0
 ZONES = ["piraeus", "marousi", "glyfada"]
-CLIENTS = 9
+CLIENTS = 15
 PAUSE_S = 0.05
 DEADLINE_MS = 1_000
 STEP_MS = -2_000
@@ -37,7 +39,7 @@
         return int(time.time() * 1000) + self.offset_ms
 
 
-async def client(nodes, number, counts, until):
+async def client(record, nodes, number, counts, until):
     attempt = 0
     while now() < until[0]:
         attempt += 1
@@ -46,10 +48,12 @@
             writer.write(post(f"c{number}-{attempt}", DEADLINE_MS, close=True))
             head = await read_head(reader)
             status = head[0].split()[1] if head else "closed"
-            counts[status] = counts.get(status, 0) + 1
             writer.close()
         except OSError:
-            counts["no connection"] = counts.get("no connection", 0) + 1
+            status = "no connection"
+        counts[status] = counts.get(status, 0) + 1
+        if status != "200":
+            record.line(f"client c{number}-{attempt}: {status}")
         await asyncio.sleep(PAUSE_S)
 
 
@@ -58,7 +62,8 @@
     store = Store(ip)
     await store.start()
     await store.put("op", "config", manifest(SERVICE, "non_idempotent", DEADLINE_MS, 100))
-    runners = [Runner(record, store, ip, f"i-{number}", SERVICE, zone=zone) for number, zone in enumerate(ZONES)]
+    runners = [Runner(record, store, ip, f"i-{number}", SERVICE, work_s=WORK_S, zone=zone)
+               for number, zone in enumerate(ZONES)]
     leaving, clock = runners[0], Clock()
     for runner in runners[1:]:
         runner.extra = {"born": clock.born()}
@@ -71,7 +76,7 @@
         await node.ready()
     await asyncio.sleep(CONTACT_S)
     counts, until = {}, [float("inf")]
-    clients = [asyncio.create_task(client(instances, number, counts, until)) for number in range(CLIENTS)]
+    clients = [asyncio.create_task(client(record, instances, number, counts, until)) for number in range(CLIENTS)]
 
     leaving.extra = {"born": clock.born()}
     await leaving.start()
@@ -95,12 +100,19 @@
     await leaving.register()
     acked_at = now()
     record.line("the store has acknowledged that i-0 is draining")
-    await asyncio.sleep(8)
+    await asyncio.sleep(LINGER_S)
+    before = sum(counts.values()) - counts.get("200", 0)
+    await leaving.crash()
+    await store.remove("servers", "i-0")
+    record.line("i-0 has exited")
+    await asyncio.sleep(2)
     until[0] = now()
     await asyncio.gather(*clients, return_exceptions=True)
     late = [at - acked_at for at, _ in leaving.arrived if at > acked_at + DRAIN_S]
+    lost = sum(counts.values()) - counts.get("200", 0) - before
     text = (f"answers {dict(sorted(counts.items()))}; requests that reached i-0 later than {DRAIN_S} s after the ack: "
-            f"{len(late)}" + (f", the last one {max(late):.2f} s after it" if late else ""))
+            f"{len(late)}" + (f", the last one {max(late):.2f} s after it" if late else "")
+            + f"; requests that failed as it exited: {lost}")
     record.line(text)
     print(text)
     return 1 if late else 0
