--- a/review/2/case.py
+++ b/review/2/case.py
@@ -61,6 +61,7 @@
     sent_at = now()
     try:
         reader, writer = await asyncio.open_connection(*node.front)
+        record.line(f"client sends {name}")
         writer.write(message("POST /lohu930/2f HTTP/1.1", headers, b"{}"))
         head = await read_head(reader)
         status = head[0].split()[1] if head else "closed"
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -45,6 +45,7 @@
         attempt += 1
         try:
             reader, writer = await asyncio.open_connection(*nodes[number % len(nodes)].front)
+            record.line(f"client sends c{number}-{attempt}")
             writer.write(post(f"c{number}-{attempt}", DEADLINE_MS, close=True))
             head = await read_head(reader)
             status = head[0].split()[1] if head else "closed"
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -68,7 +68,7 @@
                           "Anvilhook-Server-Load": f"1,0,{self.slots}"}
                 writer.write(message("HTTP/1.1 200 OK", answer, f"done {request}".encode()))
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
--- a/review/standins/site_parts.py
+++ b/review/standins/site_parts.py
@@ -8,12 +8,12 @@
 import json
 import os
 import pathlib
+import re
 import shutil
 import signal
 import socket
 import tempfile
 import time
-import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -235,7 +235,10 @@
         self.front = (host, int(port))
 
     async def start(self):
-        words = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]["run"].split()
+        run = re.search(r'^run = "(.*)"$', (ROOT / "deploy/system.toml").read_text(), re.MULTILINE)
+        if run is None:
+            raise CannotRun("the deploy file names no program")
+        words = run.group(1).split()
         program = ROOT / words[0]
         if not program.exists():
             raise CannotRun(f"{words[0]} is not built")
@@ -309,6 +312,9 @@
     instances = []
 
     async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(case(record, temporary, instances), limit)
         finally:
@@ -317,8 +323,9 @@
 
     try:
         status = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as err:
+    except (Exception, asyncio.CancelledError) as err:  # An error of the case itself shows nothing about the rule.
         record.line(f"could not run: {err!r}")
+        print(f"could not run: {err!r}")
         status = 2
     if os.environ.get("KEEP"):
         record.line(f"settings and logs: {temporary}")
