--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,86 +1,91 @@
-"""A manifest brings in tenants, whose keys all clients already present, while requests wait for a runner.
+"""A machine stands still as it is told to stop, and accepts work that its end then cuts.
 
-Three instances, two runners of stage prefill and one of stage decode. Clients ask for streams, a little more than the
-runners can serve, so that some wait at the instances. All of them carry a key from the start. The new version has the
-tenants that hold these keys. Without the disruption it has the same routes and no tenants.
+Two instances. Clients keep connections to one of them, idle for some seconds, and each sends one request that takes
+2.4 s, at times from 0.5 s before the SIGTERM to 6.5 s after it. The machine is frozen from 0.2 s before the SIGTERM
+to 2 s after it. The platform sends SIGKILL `grace_s` after the SIGTERM. Without the disruption it isn't frozen.
 """
 
 import asyncio
 import pathlib
+import random
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 
-from engines import Engine  # noqa: E402
+from runners import Runner  # noqa: E402
 from site_parts import (  # noqa: E402
-    TROUBLE, Instance, Store, loopback_ip, message, now, play, read_body, read_head, settings)
+    TROUBLE, Instance, Store, loopback_ip, manifest, now, play, post, read_body, read_head, settings)
 
-SERVICE = "huvo11a"
-ZONES = ["piraeus", "marousi", "glyfada"]
+SERVICE = "wuno96b"
+ZONES = ["piraeus", "marousi"]
+DEADLINE_MS = 3_000
+WORK_S = 2.4
 SLOTS = 24
-GAP_S = 0.05
-EVENTS = 13
-PROMPT_TOKENS = 3_720
-RATE = 45.0
-LENGTH_S = 16.0
-CHANGE_AT_S = 8.0
-DEADLINE_MS = 6_000
+GRACE_S = 8.0
 CONTACT_S = 3.0
-KEYS = [f"key-{number:02}-4f1d" for number in range(6)]
-# DENIED allows this many, and one in 500 of all requests.
-ALLOWED = 5
-
-
-def manifest(version, with_tenants):
-    value = {
-        "version": version,
-        "routes": [{"name": "r-x73d3zj", "host": "ficu95.example", "prefix": "/lohu930/", "kind": "streaming",
-                    "timeout_ms": DEADLINE_MS, "latency_target_ms": 600, "priority": 1, "service": SERVICE,
-                    "max_attempts": 2, "sticky": True, "can_resume": True, "gap_aim_ms": 150}],
-        "services": [{"name": SERVICE, "health_path": "/health", "max_connections": 210, "protocol": "h1",
-                      "tls": False,
-                      "engine": {"slots": SLOTS, "kv_tokens": 385388, "kv_token_bytes": 163840,
-                                 "link_mbps": 1300000.0, "moves": True, "backups": True, "stride": 9, "most": 12,
-                                 "handle_ttl_s": 5.0, "stage_switch_s": 3.0, "pin_ms": 4000.0, "hold_ms": 2000.0,
-                                 "models": [{"name": "m"}]}}],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
-                   "idle_timeout_ms": 15000},
-    }
-    if with_tenants:
-        value["tenants"] = [{"name": f"tenant{number}", "api_keys": [key]} for number, key in enumerate(KEYS)]
-    return value
-
-
-async def client(record, node, number, outcomes):
-    name = f"r-{number}"
-    headers = {"Host": "ficu95.example", "Anvilhook-Request-Id": name, "Anvilhook-Deadline-Ms": DEADLINE_MS,
-               "Anvilhook-Model": "m", "Anvilhook-Token-Counts": f"{PROMPT_TOKENS},{EVENTS}",
-               "Anvilhook-Prompt-Prefix": f"{number + 4096:x}:{PROMPT_TOKENS}",
-               "Authorization": f"Bearer {KEYS[number % len(KEYS)]}", "Connection": "close"}
-    sent_at = now()
+FROZEN_BEFORE_S = 0.2
+FROZEN_AFTER_S = 2.0
+# The end of the grace may cut what was sent up to this long after the SIGTERM.
+EARLY_S = 3.0
+CLIENTS = 60
+SENT_FROM_S, SENT_TO_S = -0.5, 6.5
+
+
+class Stop:
+    """The times of the stop."""
+
+    def __init__(self, at):
+        self.at = at
+        self.thawed_at = at + FROZEN_AFTER_S if TROUBLE else at
+
+
+async def client(record, node, number, at, stop, outcomes):
+    """Sends a short request, and one on the same connection `at` seconds after the SIGTERM."""
+    name = f"kept-{number}"
+    reader, writer = await asyncio.open_connection(*node.front)
+    writer.write(post(f"first-{number}", DEADLINE_MS))
+    head = await read_head(reader)
+    await read_body(reader, head[1])
+    await asyncio.sleep(max(0.0, stop.at + at - now()))
+    if reader.at_eof():
+        record.line(f"{name}: the idle connection has been closed")
+        return
+    sent_at, status = now(), "closed"
     try:
-        reader, writer = await asyncio.open_connection(*node.front)
-        record.line(f"client sends {name}")
-        writer.write(message("POST /lohu930/2f HTTP/1.1", headers, b"{}"))
+        writer.write(post(name, DEADLINE_MS))
+        await writer.drain()
+        record.line(f"client has sent {name}, {sent_at - stop.at:.2f} s after the SIGTERM")
         head = await read_head(reader)
-        status = head[0].split()[1] if head else "closed"
-        if status == "200":
+        if head is not None:
             await read_body(reader, head[1])
-        writer.close()
-    except (OSError, asyncio.IncompleteReadError, ValueError):
-        status = "cut"
-    outcomes.append((sent_at, status))
-    record.line(f"client {name}, sent at {sent_at:.3f} s: {status}")
+            status = head[0].split()[1]
+    except (ConnectionError, asyncio.IncompleteReadError):
+        pass
+    record.line(f"{name}: {status} after {now() - sent_at:.2f} s")
+    outcomes.append((name, sent_at, status, now()))
+    writer.close()
+
+
+def is_lost(outcome, stop, arrived):
+    """Returns whether LOST counts a request: passed on, closed without an answer, and not excused."""
+    name, sent_at, status, ended_at = outcome
+    is_cut = status == "closed" and name in arrived
+    is_late = sent_at > stop.at + EARLY_S
+    is_calm = not TROUBLE or sent_at > stop.thawed_at + CONTACT_S
+    has_time = ended_at < sent_at + DEADLINE_MS / 1000
+    return is_cut and is_late and is_calm and has_time
 
 
 async def case(record, temporary, instances):
     ip = loopback_ip(1)
     store = Store(ip)
     await store.start()
-    await store.put("op", "config", manifest(7, False))
-    for number, stage in enumerate(["prefill", "prefill", "decode"]):
-        await Engine(record, store, ip, f"i-{number}", SERVICE, stage, SLOTS, GAP_S, zone=ZONES[number]).start()
+    await store.put("op", "config", manifest(SERVICE, "non_idempotent", DEADLINE_MS, 300))
+    runners = [Runner(record, store, ip, f"i-{number}", SERVICE, slots=SLOTS) for number in range(3)]
+    for runner in runners:
+        await runner.start()
     for number, zone in enumerate(ZONES):
         values = settings(f"edge-{zone}-1", loopback_ip(number + 1), store.address, zone=zone)
         instances.append(Instance(record, temporary, values))
@@ -88,26 +93,42 @@
     for node in instances:
         await node.ready()
     await asyncio.sleep(CONTACT_S)
-    outcomes, clients, began_at, changed_at = [], [], now(), None
-    while now() < began_at + LENGTH_S:
-        number = len(clients)
-        clients.append(asyncio.create_task(client(record, instances[number % len(instances)], number, outcomes)))
-        if changed_at is None and now() >= began_at + CHANGE_AT_S:
-            changed_at = now()
-            await store.put("op", "config", manifest(8, TROUBLE))
-            record.line("the store has acknowledged version 8, " + ("with" if TROUBLE else "without") + " tenants")
-        await asyncio.sleep(max(0.0, began_at + number / RATE - now()))
+    node, stop, draw, outcomes = instances[0], Stop(now() + 3.0), random.Random(5), []
+    times = [draw.uniform(SENT_FROM_S, SENT_TO_S) for _ in range(CLIENTS)]
+    clients = [asyncio.create_task(client(record, node, number, at, stop, outcomes))
+               for number, at in enumerate(times)]
+    await asyncio.sleep(1.5)
+    for runner in runners:
+        runner.work_s = WORK_S
+    await asyncio.sleep(max(0.0, stop.at - FROZEN_BEFORE_S - now()))
+    if TROUBLE:
+        node.signal(signal.SIGSTOP)
+        record.line(f"{node.values['node_name']} stands still")
+    await asyncio.sleep(max(0.0, stop.at - now()))
+    stopped = node.process
+    node.signal(signal.SIGTERM)
+    record.line(f"SIGTERM to {node.values['node_name']}")
+    if TROUBLE:
+        await asyncio.sleep(max(0.0, stop.thawed_at - now()))
+        node.signal(signal.SIGCONT)
+        record.line(f"{node.values['node_name']} goes on")
+    await asyncio.sleep(max(0.0, stop.at + GRACE_S - now()))
+    if stopped.returncode is None:
+        stopped.send_signal(signal.SIGKILL)
+        record.line(f"SIGKILL to {node.values['node_name']}, {GRACE_S} s after the SIGTERM")
     await asyncio.gather(*clients)
-    statuses = {status: [one for _, one in outcomes].count(status) for status in sorted({one[1] for one in outcomes})}
-    denied = [at for at, status in outcomes if status == "401"]
-    allowed = ALLOWED + len(outcomes) / 500
-    text = (f"{len(outcomes)} requests, outcomes {statuses}; denied with 401: {len(denied)} "
-            f"(DENIED allows {allowed:.1f})")
-    if denied:
-        text += f", sent {changed_at - max(denied):.2f} to {changed_at - min(denied):.2f} s before the change"
+    arrived = {request for runner in runners for _, request in runner.arrived}
+    lost = [outcome for outcome in outcomes if is_lost(outcome, stop, arrived)]
+    statuses = [status for _, _, status, _ in outcomes]
+    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
+    text = (f"outcomes {counts}; sent later than {EARLY_S} s after the SIGTERM, in calm, passed on and closed without "
+            f"an answer: {len(lost)}")
+    if lost:
+        sent = [sent_at - stop.at for _, sent_at, _, _ in lost]
+        text += f" (sent {min(sent):.2f} to {max(sent):.2f} s after it)"
     record.line(text)
     print(text)
-    return 1 if len(denied) > allowed else 0
+    return 1 if lost else 0
 
 
 play(HERE, case)
