Log in which time a signal may have been sent

The log had one line when the signal was handled and no sign of when it was sent, so that a late signal, a late handler and a wrong schedule looked alike.

The task that handles the signals now also records, every 50 ms, that there was none, and the line says how long before it the last certain check was. The check before the last one counts: after a suspension the timer may fire before the signal's handler has run.

In an ordinary stop unchecked_ms is at most 100 by the interval.

--- a/crates/anvilhook-core/src/stops.rs
+++ b/crates/anvilhook-core/src/stops.rs
@@ -1,4 +1,4 @@
-//! Decides which requests an instance that is stopping still accepts.
+//! Decides which requests an instance that is stopping still accepts, and when it ends.
 //!
 //! Load balancers notice a stop only after some time, and callers go on using their open connections,
 //! so requests arrive until the process has terminated. If an accepted request is still running at that
@@ -87,3 +87,43 @@
         self.ends_at - now
     }
 }
+
+/// `SignalWatch` bounds when a signal was sent: the system does not report it, and a process that was suspended, or
+/// that has little CPU time, handles a signal long after that. The process checks repeatedly, in the task that
+/// handles the signal.
+///
+/// ```
+/// use anvilhook_core::stops::SignalWatch;
+/// use anvilhook_core::units::Millis;
+///
+/// let mut watch = SignalWatch::new(Millis::ZERO);
+/// watch.record_check(Millis(50));
+/// watch.record_check(Millis(100));
+/// assert_eq!(watch.unchecked(Millis(2_100)), Millis(2_050));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct SignalWatch {
+    last_check: Millis,
+    check_before: Millis,
+}
+
+impl SignalWatch {
+    /// Starts when the signal's handler is installed.
+    pub fn new(now: Millis) -> Self {
+        Self { last_check: now, check_before: now }
+    }
+
+    /// Records that there was no signal at a check.
+    pub fn record_check(&mut self, now: Millis) {
+        self.check_before = self.last_check;
+        self.last_check = now;
+    }
+
+    /// Returns the time before `now` in which the signal may have been sent.
+    ///
+    /// The last check does not exclude an earlier signal: right after a suspension it can run before the signal is
+    /// delivered. The check before it does.
+    pub fn unchecked(&self, now: Millis) -> Millis {
+        now - self.check_before
+    }
+}
--- a/crates/anvilhook-gateway/src/events/instances.rs
+++ b/crates/anvilhook-gateway/src/events/instances.rs
@@ -24,6 +24,8 @@
         signal: &'a str,
         /// The number of requests in flight at that time.
         in_flight: u64,
+        /// The time in which the signal may have been sent, in milliseconds.
+        unchecked_ms: u64,
     },
     /// The decision on the connections of callers has changed.
     ConnectionsAdmitted {
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::ranks::number_of;
-use anvilhook_core::stops::Stop;
+use anvilhook_core::stops::{SignalWatch, Stop};
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::{HttpClient, Phase, Shutdown, serve, serve_checked};
 use http::StatusCode;
@@ -13,6 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::MissedTickBehavior;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -51,6 +52,9 @@
 /// The interval at which the settings are checked for changes without a signal.
 const RELOAD_INTERVAL: Millis = Millis(1_000);
 
+/// The interval at which the absence of a signal to stop is recorded.
+const SIGNAL_CHECK_INTERVAL: Millis = Millis(50);
+
 /// The time to send the last bytes of answers.
 const FLUSH_TIME: Millis = Millis(300);
 
@@ -136,19 +140,25 @@
 
     let tunables = options.tunables.clone();
     let mut reloader = Reloader::new(source, gateway.clone(), options.peer, tunables);
-    let mut checks = tokio::time::interval(RELOAD_INTERVAL.as_duration());
+    let mut reloads = tokio::time::interval(RELOAD_INTERVAL.as_duration());
+    let mut watch = SignalWatch::new(clock.now());
+    let mut checks = tokio::time::interval(SIGNAL_CHECK_INTERVAL.as_duration());
+    // A check that is due must not run several times at once after a suspension.
+    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
+            biased;
             _ = terminate.recv() => break,
             _ = hangup.recv() => {
-                signalled("SIGHUP", gateway.in_flight());
+                signalled("SIGHUP", gateway.in_flight(), watch.unchecked(clock.now()));
                 reloader.check(true);
             }
-            _ = checks.tick() => reloader.check(false),
+            _ = checks.tick() => watch.record_check(clock.now()),
+            _ = reloads.tick() => reloader.check(false),
         }
     }
     let signalled_at = clock.now();
-    signalled("SIGTERM", gateway.in_flight());
+    signalled("SIGTERM", gateway.in_flight(), watch.unchecked(signalled_at));
     // The time to stop may have been shortened since the last check, with or without a signal that
     // is still pending. An instance that takes longer than it has is killed while sending its
     // answers.
@@ -166,8 +176,8 @@
     Ok(())
 }
 
-fn signalled(signal: &str, in_flight: u64) {
-    emit(&InstanceEvent::Signalled { signal, in_flight });
+fn signalled(signal: &str, in_flight: u64, unchecked: Millis) {
+    emit(&InstanceEvent::Signalled { signal, in_flight, unchecked_ms: unchecked.0 });
 }
 
 async fn start_peers<W: Wire, T: Table, C: Clock>(
