Count the grace period of a stop from the signal, not from its handling

Cause: the stop took the time of the signal from the clock when the signal was handled. After a suspension that is late by its length, so the schedule ended after the process was killed. Evidence: the line signalled had unchecked_ms 2203, and the next decisions had 7100 ms left of a grace period of which 6.0 s were left.

Change: the system does not say when a signal was sent, but the task that handles it knows when it last found none. A signal is dated at most two check intervals (100 ms, within the 900 ms reserve of the schedule) after the last certain check. The check that runs first after a suspension is not certain, as a timer may fire before the signal's handler has run, so the one before it counts, and missed checks are not made up for. If the checks are on time, the signal is as old as its handling, so an ordinary stop keeps all of its time. The schedule (core, stops) is computed from that moment and the grace period: both the time in which an expected duration counts and the end. The listener stays open as long as before, because load balancers notice the stop only from when readiness is answered again.

The signals and the stop are now modules of their own (instances/signals.rs, instances/stops.rs).

--- a/crates/anvilhook-core/src/stops.rs
+++ b/crates/anvilhook-core/src/stops.rs
@@ -12,6 +12,16 @@
 const EXPECTED_TIME_FACTOR: f64 = 1.25;
 const MAX_BEFORE_OUTPUT_MS: f64 = 1_500.0;
 
+/// How long a stopping instance accepts requests by expectation. Load balancers need that long to notice that it is
+/// not ready.
+pub const NOTICE_TIME: Millis = Millis(2_300);
+
+/// How long before its end a stopping instance stops accepting requests.
+const FINISH_TIME: Millis = Millis(2_500);
+
+/// How long before the end of the grace period the process ends in any case.
+const STOP_MARGIN: Millis = Millis(900);
+
 /// `Stop` is the schedule of an instance's stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Stop {
@@ -45,6 +55,30 @@
 }
 
 impl Stop {
+    /// Plans the stop of an instance that is killed `grace` after `signalled_at`, when the signal to stop was sent.
+    ///
+    /// ```
+    /// use anvilhook_core::stops::Stop;
+    /// use anvilhook_core::units::Millis;
+    ///
+    /// let stop = Stop::plan(Millis(1_000), Millis(8_000));
+    /// assert_eq!(stop.ends_at, Millis(8_100));
+    /// ```
+    pub fn plan(signalled_at: Millis, grace: Millis) -> Self {
+        Self {
+            noticed_at: signalled_at + NOTICE_TIME,
+            ends_at: signalled_at + (grace - STOP_MARGIN),
+        }
+    }
+
+    /// Returns until when requests are accepted.
+    ///
+    /// With too few other instances, connections keep arriving. A request accepted too late would be truncated by
+    /// the end of the process, so the last part of the time only completes running requests.
+    pub fn accepts_until(&self) -> Millis {
+        self.ends_at - FINISH_TIME
+    }
+
     /// Decides whether to accept a request whose caller's limit ends at `limit_at`. `expected_ms` is the
     /// expected duration of the request, or `None` if it is unknown.
     ///
@@ -88,9 +122,12 @@
     }
 }
 
-/// `SignalWatch` bounds when a signal was sent: the system does not report it, and a process that was suspended, or
-/// that has little CPU time, handles a signal long after that. The process checks repeatedly, in the task that
-/// handles the signal.
+/// The interval at which an instance checks that there is no signal to stop.
+pub const SIGNAL_CHECK_INTERVAL: Millis = Millis(50);
+
+/// `SignalWatch` estimates when a signal was sent. The system does not report it, and a process that was suspended, or
+/// that has little CPU time, handles a signal long after that. So the task that handles the signal also checks
+/// repeatedly that there is none, every [`SIGNAL_CHECK_INTERVAL`].
 ///
 /// ```
 /// use anvilhook_core::stops::SignalWatch;
@@ -99,7 +136,8 @@
 /// let mut watch = SignalWatch::new(Millis::ZERO);
 /// watch.record_check(Millis(50));
 /// watch.record_check(Millis(100));
-/// assert_eq!(watch.unchecked(Millis(2_100)), Millis(2_050));
+/// assert_eq!(watch.sent_at(Millis(120)), Millis(120));
+/// assert_eq!(watch.sent_at(Millis(2_100)), Millis(150));
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct SignalWatch {
@@ -119,6 +157,13 @@
         self.last_check = now;
     }
 
+    /// Returns when a signal was sent that is handled at `now`, at most two check intervals too late.
+    ///
+    /// If the checks are on time, that is `now`: an ordinary stop uses its whole grace period.
+    pub fn sent_at(&self, now: Millis) -> Millis {
+        now.min(self.check_before + SIGNAL_CHECK_INTERVAL * 2)
+    }
+
     /// Returns the time before `now` in which the signal may have been sent.
     ///
     /// The last check does not exclude an earlier signal: right after a suspension it can run before the signal is
--- a/crates/anvilhook-gateway/src/instances.rs
+++ b/crates/anvilhook-gateway/src/instances/mod.rs
@@ -1,19 +1,19 @@
 //! Runs an instance of the gateway: its listeners and followers, its start and its stop.
 
+mod signals;
+mod stops;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anvilhook_core::ranks::number_of;
-use anvilhook_core::stops::{SignalWatch, Stop};
 use anvilhook_core::units::{Clock, Millis};
-use anvilhook_http::{HttpClient, Phase, Shutdown, serve, serve_checked};
+use anvilhook_http::{HttpClient, Shutdown, serve, serve_checked};
 use http::StatusCode;
 use rand::rngs::SysRng;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::MissedTickBehavior;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -33,30 +33,9 @@
 use crate::tables::{CountedTable, Table};
 use crate::wires::Wire;
 
-/// How long a stopping instance accepts new connections. Load balancers need that long to notice
-/// that it is not ready.
-const NOTICE_TIME: Millis = Millis(2_300);
-
-/// How long before its end a stopping instance stops accepting requests.
-const FINISH_TIME: Millis = Millis(2_500);
-
-/// How long a stopping instance must have nothing in flight before it ends.
-const QUIET_TIME: Millis = Millis(150);
-
-/// How long before the end of the stop time the process ends in any case.
-const STOP_MARGIN: Millis = Millis(900);
-
-/// The interval between two checks of what is in flight.
-const CHECK_INTERVAL: Millis = Millis(20);
-
-/// The interval at which the settings are checked for changes without a signal.
-const RELOAD_INTERVAL: Millis = Millis(1_000);
-
-/// The interval at which the absence of a signal to stop is recorded.
-const SIGNAL_CHECK_INTERVAL: Millis = Millis(50);
-
-/// The time to send the last bytes of answers.
-const FLUSH_TIME: Millis = Millis(300);
+use signals::InstanceSignals;
+use stops::FLUSH_TIME;
+pub use stops::stop;
 
 /// `InstanceOptions` states where an instance listens and how it runs.
 #[derive(Clone, Debug)]
@@ -106,8 +85,7 @@
     client: HttpClient,
 ) -> std::io::Result<()> {
     // The signals are caught before anything is open, so that none terminates the process at once.
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    let signals = InstanceSignals::try_new(clock.now())?;
     let gateway = Gateway::new(wire, clock.clone(), client, options.gateway.clone());
     let table = CountedTable::new(backends.table, gateway.metrics().table_calls.clone());
     let shutdown = Shutdown::new();
@@ -140,31 +118,8 @@
 
     let tunables = options.tunables.clone();
     let mut reloader = Reloader::new(source, gateway.clone(), options.peer, tunables);
-    let mut reloads = tokio::time::interval(RELOAD_INTERVAL.as_duration());
-    let mut watch = SignalWatch::new(clock.now());
-    let mut checks = tokio::time::interval(SIGNAL_CHECK_INTERVAL.as_duration());
-    // A check that is due must not run several times at once after a suspension.
-    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            biased;
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => {
-                signalled("SIGHUP", gateway.in_flight(), watch.unchecked(clock.now()));
-                reloader.check(true);
-            }
-            _ = checks.tick() => watch.record_check(clock.now()),
-            _ = reloads.tick() => reloader.check(false),
-        }
-    }
-    let signalled_at = clock.now();
-    signalled("SIGTERM", gateway.in_flight(), watch.unchecked(signalled_at));
-    // The time to stop may have been shortened since the last check, with or without a signal that
-    // is still pending. An instance that takes longer than it has is killed while sending its
-    // answers.
-    reloader.check(false);
-    let latest = signalled_at + (reloader.tunables().grace - STOP_MARGIN);
-    stop(&gateway, &shutdown, &clock, latest).await;
+    let schedule = signals.planned_stop(&clock, &gateway, &mut reloader).await;
+    stop(&gateway, &shutdown, &clock, schedule).await;
     let _ = tokio::time::timeout(FLUSH_TIME.as_duration(), serving).await;
     let metrics = gateway.metrics();
     emit(&InstanceEvent::Stopped {
@@ -176,10 +131,6 @@
     Ok(())
 }
 
-fn signalled(signal: &str, in_flight: u64, unchecked: Millis) {
-    emit(&InstanceEvent::Signalled { signal, in_flight, unchecked_ms: unchecked.0 });
-}
-
 async fn start_peers<W: Wire, T: Table, C: Clock>(
     options: &InstanceOptions,
     gateway: &Gateway<W, C>,
@@ -205,57 +156,6 @@
     Ok(())
 }
 
-/// Completes all requests within the time available.
-///
-/// New connections are accepted until no more arrive. Then the listener is closed, and requests on
-/// open connections are still served if they are certain to complete in time. At last, further
-/// requests are refused as not run: a request that began in the last moment of the process would be
-/// truncated. A request without an answer at the end gets one. `latest` is when the instance ends,
-/// whatever is in flight; answers have a moment more to leave the process.
-pub async fn stop<W: Wire, C: Clock>(
-    gateway: &Gateway<W, C>,
-    shutdown: &Shutdown,
-    clock: &C,
-    latest: Millis,
-) {
-    let noticed_at = clock.now() + NOTICE_TIME;
-    let schedule = Stop { noticed_at, ends_at: latest };
-    // With too few other instances, connections keep arriving. A request accepted too late would be
-    // truncated by the end of the process, so the last part of the time only completes running
-    // requests.
-    let accept_until = latest - FINISH_TIME;
-    gateway.begin_stop(schedule);
-    quiet(gateway, clock, noticed_at, accept_until).await;
-    shutdown.advance(Phase::Closed);
-    quiet(gateway, clock, Millis::ZERO, accept_until).await;
-    gateway.refuse_new();
-    quiet(gateway, clock, Millis::ZERO, latest).await;
-    gateway.end();
-    quiet(gateway, clock, Millis::ZERO, latest + FLUSH_TIME).await;
-}
-
-/// Waits until nothing has been in flight for [`QUIET_TIME`], not before `earliest` and at most
-/// until `latest`.
-async fn quiet<W: Wire, C: Clock>(
-    gateway: &Gateway<W, C>,
-    clock: &C,
-    earliest: Millis,
-    latest: Millis,
-) {
-    let mut quiet_since = None;
-    loop {
-        let now = clock.now();
-        if gateway.in_flight() > 0 {
-            quiet_since = None;
-        }
-        let quiet = now - *quiet_since.get_or_insert(now);
-        if now >= latest || (now >= earliest && quiet >= QUIET_TIME) {
-            return;
-        }
-        tokio::time::sleep(CHECK_INTERVAL.as_duration()).await;
-    }
-}
-
 /// Serves callers on a listener until the phase is `Closed`.
 ///
 /// # Errors
--- a/crates/anvilhook-gateway/tests/instance_stops.rs
+++ b/crates/anvilhook-gateway/tests/instance_stops.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use anvilhook_core::stops::Stop;
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_gateway::configs::{Config, Repeats, Route};
 use anvilhook_gateway::fleets::Entry;
@@ -21,6 +22,9 @@
 use volo_http::body::Body;
 use volo_http::request::Request;
 
+/// The time from the signal until the process is killed in the tests.
+const GRACE: Millis = Millis(8_000);
+
 /// The time that a stopping instance has for its requests in the tests.
 const STOP_TIME: Millis = Millis(7_100);
 
@@ -43,9 +47,12 @@
 
 /// Begins a stop that leaves `STOP_TIME` for requests.
 fn begin(gateway: &StopGateway, clock: TimerClock) -> JoinHandle<()> {
+    begin_planned(gateway, clock, Stop::plan(clock.now(), GRACE))
+}
+
+fn begin_planned(gateway: &StopGateway, clock: TimerClock, schedule: Stop) -> JoinHandle<()> {
     let gateway = gateway.clone();
-    let latest = clock.now() + STOP_TIME;
-    tokio::spawn(async move { stop(&gateway, &Shutdown::new(), &clock, latest).await })
+    tokio::spawn(async move { stop(&gateway, &Shutdown::new(), &clock, schedule).await })
 }
 
 fn received(limit: Millis, body: Body) -> Request {
@@ -99,6 +106,38 @@
     assert_eq!(waiting.await.expect("no panic"), refused("stopping"));
 }
 
+/// Guards against an instance that accepts requests past its end because it was suspended when the signal to stop was
+/// sent. All decisions count from the signal.
+#[tokio::test(start_paused = true)]
+async fn verify_a_late_stop_accepts_what_completes_before_its_true_end() {
+    const LATE: Millis = Millis(2_000);
+    let moments = [
+        (Millis(2_200), LONG, "no_upstream"),
+        (Millis(2_400), LONG, "stopping"),
+        (Millis(2_400), LIMIT, "no_upstream"),
+        (Millis(4_500), LIMIT, "no_upstream"),
+        (Millis(4_700), LIMIT, "stopping"),
+    ];
+    let clock = TimerClock::new();
+    let gateway = gateway_of(clock, Vec::new());
+    let schedule = Stop::plan(clock.now(), GRACE);
+    let waiting = gateway.clone();
+    let waiting = tokio::spawn(async move { ask(&waiting, request_without_end()).await });
+    tokio::time::advance(LATE.as_duration()).await;
+    let stopping = begin_planned(&gateway, clock, schedule);
+    let refused = |cause: &'static str| (StatusCode::SERVICE_UNAVAILABLE, Bytes::from(cause));
+
+    for (at, limit, cause) in moments {
+        tokio::time::sleep((at - clock.now()).as_duration()).await;
+        let answer = ask(&gateway, received(limit, Body::empty())).await;
+
+        assert_eq!(answer, refused(cause), "{at:?} {limit:?}");
+    }
+    stopping.await.expect("no panic");
+    assert_eq!(waiting.await.expect("no panic"), refused("stopping"));
+    assert!(clock.now() < GRACE, "it ends before it is killed: {:?}", clock.now());
+}
+
 /// An instance with nothing in flight refused requests on open connections between the close of its
 /// listener and its end. It must serve them, and end once no request has arrived for a while.
 #[tokio::test(start_paused = true)]
