Pass on answers that arrived while a stopping instance was suspended

Callers got 502 'stopping' for requests that had run and whose answer lay in the process's socket: an instance that is suspended during its stop until after its planned end ended its work in the first moment of running, before it had read anything.

Cause: the loop that waits for the end compares the clock with the end first, and both it and the connections become ready at the same moment.

The time before which nothing must have been in flight also starts anew after a suspension, as requests may lie unread.

--- a/crates/anvilhook-core/src/stops.rs
+++ b/crates/anvilhook-core/src/stops.rs
@@ -22,6 +22,9 @@
 /// How long before the end of the grace period the process ends in any case.
 const STOP_MARGIN: Millis = Millis(900);
 
+/// How long requests in flight still get the answers that arrived while the instance was suspended.
+const LATE_ANSWER_TIME: Millis = Millis(50);
+
 /// `Stop` is the schedule of an instance's stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Stop {
@@ -31,6 +34,17 @@
     pub ends_at: Millis,
 }
 
+/// `StopEnd` is when the work of a stopping instance ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopEnd {
+    /// Not yet.
+    Later,
+    /// After this time, in which answers that have arrived are passed on.
+    After(Millis),
+    /// At once.
+    Now,
+}
+
 /// `Acceptance` indicates whether a stopping instance accepts a request, and why.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Acceptance {
@@ -79,6 +93,18 @@
         self.ends_at - FINISH_TIME
     }
 
+    /// Decides whether the instance's work ends at `now`. `checked_at` is when this was decided before, if it was.
+    ///
+    /// An instance that was suspended until after its end has not read the answers that arrived meanwhile.
+    pub fn end(&self, checked_at: Option<Millis>, now: Millis) -> StopEnd {
+        if now < self.ends_at {
+            return StopEnd::Later;
+        }
+        let was_suspended =
+            checked_at.is_none_or(|checked_at| now - checked_at >= LATE_ANSWER_TIME);
+        if was_suspended { StopEnd::After(LATE_ANSWER_TIME) } else { StopEnd::Now }
+    }
+
     /// Decides whether to accept a request whose caller's limit ends at `limit_at`. `expected_ms` is the
     /// expected duration of the request, or `None` if it is unknown.
     ///
--- a/crates/anvilhook-core/tests/stops.rs
+++ b/crates/anvilhook-core/tests/stops.rs
@@ -1,6 +1,6 @@
 //! Tests which requests an instance that is stopping accepts.
 
-use anvilhook_core::stops::{Acceptance, SIGNAL_CHECK_INTERVAL, SignalWatch, Stop};
+use anvilhook_core::stops::{Acceptance, SIGNAL_CHECK_INTERVAL, SignalWatch, Stop, StopEnd};
 use anvilhook_core::units::Millis;
 
 const STOP: Stop = Stop { noticed_at: Millis(2_300), ends_at: Millis(7_100) };
@@ -95,3 +95,18 @@
         assert_eq!(estimate, handled_at, "{sent_at}");
     }
 }
+
+/// Guards against an instance that wakes up after its end and discards the answers that arrived meanwhile.
+#[test]
+fn verify_answers_that_arrived_during_a_suspension_are_passed_on() {
+    let (before, end) = (STOP.ends_at - Millis(20), STOP.ends_at);
+    let cases = [
+        (Some(before - Millis(20)), before, StopEnd::Later),
+        (Some(before), end, StopEnd::Now),
+        (Some(before), end + Millis(1_500), StopEnd::After(Millis(50))),
+        (None, end + Millis(1_500), StopEnd::After(Millis(50))),
+    ];
+    for (checked_at, now, expected) in cases {
+        assert_eq!(STOP.end(checked_at, now), expected, "{checked_at:?} {now:?}");
+    }
+}
--- a/crates/anvilhook-gateway/src/instances/stops.rs
+++ b/crates/anvilhook-gateway/src/instances/stops.rs
@@ -1,6 +1,6 @@
 //! Stops an instance: completes its requests within the time that is left.
 
-use anvilhook_core::stops::{NOTICE_TIME, Stop};
+use anvilhook_core::stops::{NOTICE_TIME, Stop, StopEnd};
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::{Phase, Shutdown};
 use tokio::time::sleep;
@@ -35,12 +35,12 @@
     let noticed_at = now + NOTICE_TIME;
     let accepts_until = schedule.accepts_until();
     gateway.begin_stop(schedule);
-    let waiting = Waiting { gateway, clock };
+    let mut waiting = Waiting { gateway, clock, checked_at: None };
     waiting.quiet(noticed_at, accepts_until).await;
     shutdown.advance(Phase::Closed);
     waiting.quiet(Millis::ZERO, accepts_until).await;
     gateway.refuse_new();
-    waiting.quiet(Millis::ZERO, schedule.ends_at).await;
+    waiting.ended(schedule).await;
     gateway.end();
     let flushed_at = clock.now() + FLUSH_TIME;
     waiting.quiet(Millis::ZERO, flushed_at).await;
@@ -50,24 +50,45 @@
 struct Waiting<'a, W: Wire, C: Clock> {
     gateway: &'a Gateway<W, C>,
     clock: &'a C,
+    /// When it checked last.
+    checked_at: Option<Millis>,
 }
 
 impl<W: Wire, C: Clock> Waiting<'_, W, C> {
     /// Waits until nothing has been in flight for [`QUIET_TIME`], not before `earliest` and at most until `latest`.
-    async fn quiet(&self, earliest: Millis, latest: Millis) {
+    async fn quiet(&mut self, earliest: Millis, latest: Millis) {
         let mut quiet_since = None;
         loop {
             let now = self.clock.now();
             if now >= latest || (self.is_quiet(&mut quiet_since, now) && now >= earliest) {
                 return;
             }
+            self.checked_at = Some(now);
+            sleep(CHECK_INTERVAL.as_duration()).await;
+        }
+    }
+
+    /// Waits until nothing has been in flight for [`QUIET_TIME`], at most until the end of the instance's work.
+    async fn ended(&mut self, schedule: Stop) {
+        let mut quiet_since = None;
+        loop {
+            let now = self.clock.now();
+            match schedule.end(self.checked_at, now) {
+                StopEnd::Later if self.is_quiet(&mut quiet_since, now) => return,
+                StopEnd::Later => {}
+                StopEnd::After(time) => return sleep(time.as_duration()).await,
+                StopEnd::Now => return,
+            }
+            self.checked_at = Some(now);
             sleep(CHECK_INTERVAL.as_duration()).await;
         }
     }
 
     /// Returns whether nothing has been in flight for [`QUIET_TIME`] at `now`.
     fn is_quiet(&self, quiet_since: &mut Option<Millis>, now: Millis) -> bool {
-        if self.gateway.in_flight() > 0 {
+        // Requests that arrived during a suspension have not been read yet.
+        let was_suspended = self.checked_at.is_some_and(|at| now - at >= QUIET_TIME);
+        if was_suspended || self.gateway.in_flight() > 0 {
             *quiet_since = None;
         }
         now - *quiet_since.get_or_insert(now) >= QUIET_TIME
