Log by which configuration a request was received, and whether it has a key

The line concluded names only the configuration at the end, so that an unknown key, a key that was never read and a configuration that had not arrived looked alike.

--- a/crates/anvilhook-gateway/src/events/requests.rs
+++ b/crates/anvilhook-gateway/src/events/requests.rs
@@ -186,6 +186,10 @@
         objective_ms: u64,
         /// The version of the active configuration.
         config: u64,
+        /// The version that was active when the request was received, if it was received completely.
+        received_config: Option<u64>,
+        /// Whether it has a readable API key, by the configurations that were asked for one.
+        has_key: bool,
         /// Why it was rejected for lack of capacity: `predicted`, `waited`, `no_time` or `retry_budget`; absent
         /// if it was not.
         rejected_by: Option<&'static str>,
--- a/crates/anvilhook-gateway/src/relay/conclusions.rs
+++ b/crates/anvilhook-gateway/src/relay/conclusions.rs
@@ -114,6 +114,8 @@
             had_ms: exchange.map_or(0, |exchange| (exchange.give_up_at - arrived_at).0),
             objective_ms: exchange.map_or(0, |exchange| exchange.route.objective.0),
             config: config.as_ref().map_or(0, |config| config.version),
+            received_config: exchange.map(|exchange| exchange.received_config),
+            has_key: exchange.is_some_and(|exchange| exchange.key.is_some()),
             excess: (excess > 0.0).then(|| (excess * 100.0).round() / 100.0),
             rejected_by: rejection.map(|(reason, _)| reason),
             predicted_wait_ms: rejection.and_then(|(_, predicted_ms)| predicted_ms),
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -52,6 +52,8 @@
     pub body: Bytes,
     pub route: Arc<Route>,
     pub service: Arc<str>,
+    /// The version of the configuration that was active when the request had been received.
+    pub received_config: u64,
     /// The digest of the caller's API key, if it presented one.
     pub key: Option<KeyDigest>,
     /// On whose behalf the request is made, by the configuration that was checked last.
@@ -142,6 +144,7 @@
             fingerprint: fingerprint_of(&access, &parts, &body),
             id: Arc::from(id),
             service: Arc::clone(service),
+            received_config: config.version,
             key,
             access,
             prompt: gateway.wire().prompt(&parts.headers),
--- a/crates/anvilhook-gateway/tests/account_shares.rs
+++ b/crates/anvilhook-gateway/tests/account_shares.rs
@@ -243,6 +243,8 @@
         had_ms: 2_000,
         objective_ms: 200,
         config: 1,
+        received_config: Some(1),
+        has_key: true,
         rejected_by: None,
         predicted_wait_ms: None,
         excess,
