Take the digest of a caller's key whether or not there are accounts yet

Cause: the digest of the key was taken when the request arrived, and only if the configuration of that moment had accounts. Each later check compares that digest, which stayed missing.

Change: the digest is taken from each request with a readable key, by the one hasher of all configurations (Wire::key_hasher). Nothing but the digest is kept beyond the headers that are there anyway, and unreadable, repeated or oversized credentials count as none, in both orders of the change.

Tests: account_changes plays twelve changes (accounts that come, go and come back, a key that moves to another account, is withdrawn, or comes back, a route that becomes public or stops being so) between two attempts and while an engine reads the prompt. Before the change both tests fail in their first case (401).

--- a/crates/anvilhook-gateway/src/events/requests.rs
+++ b/crates/anvilhook-gateway/src/events/requests.rs
@@ -188,7 +188,7 @@
         config: u64,
         /// The version that was active when the request was received, if it was received completely.
         received_config: Option<u64>,
-        /// Whether it has a readable API key, by the configurations that were asked for one.
+        /// Whether its caller presented a readable API key.
         has_key: bool,
         /// Why it was rejected for lack of capacity: `predicted`, `waited`, `no_time` or `retry_budget`; absent
         /// if it was not.
--- a/crates/anvilhook-gateway/src/relay/access.rs
+++ b/crates/anvilhook-gateway/src/relay/access.rs
@@ -1,6 +1,6 @@
 //! Checks a caller's API key against the active configuration.
 
-use anvilhook_core::api_keys::KeyDigest;
+use anvilhook_core::api_keys::{KeyDigest, KeyHasher};
 use anvilhook_core::units::Clock;
 use http::StatusCode;
 use http::header::{AUTHORIZATION, HeaderMap};
@@ -8,7 +8,6 @@
 use super::Gateway;
 use super::answers::{Outcome, OwnAnswer};
 use super::requests::Exchange;
-use crate::configs::Config;
 use crate::wires::Wire;
 
 /// The maximum length of a key, in bytes. No account has a longer one, so it is not even hashed.
@@ -19,8 +18,10 @@
 
 /// Returns the digest of the key that a caller presents. Unreadable credentials count as none. So do two
 /// `Authorization` headers, because an upstream or an intermediate cache might use either of them.
-pub(super) fn key_of(config: &Config, headers: &HeaderMap) -> Option<KeyDigest> {
-    let accounts = config.accounts()?;
+///
+/// It does not depend on whether the configuration has accounts: one that is adopted while the request waits may have
+/// them.
+pub(super) fn key_of(hasher: &KeyHasher, headers: &HeaderMap) -> Option<KeyDigest> {
     let mut credentials = headers.get_all(AUTHORIZATION).iter();
     let (first, second) = (credentials.next()?, credentials.next());
     if second.is_some() {
@@ -29,7 +30,7 @@
     let (scheme, key) = first.to_str().ok()?.split_once(' ')?;
     let key = key.trim();
     let is_key = scheme.eq_ignore_ascii_case("bearer") && (1..=MAX_KEY_BYTES).contains(&key.len());
-    is_key.then(|| accounts.digest(key.as_bytes()))
+    is_key.then(|| hasher.digest(key.as_bytes()))
 }
 
 /// Returns the answer for a caller that may not be served.
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -111,7 +111,7 @@
         let config = gateway.config().ok_or_else(no_config)?;
         let id = text(&parts.headers, &names.request_id).ok_or_else(no_id)?;
         let route = find_route(&config, &parts.headers, &parts.uri)?;
-        let key = key_of(&config, &parts.headers);
+        let key = key_of(gateway.wire().key_hasher(), &parts.headers);
         config.access(route, key.as_ref()).ok_or_else(no_access)?;
         check_head(&config, &parts.headers, &parts.uri)?;
 
@@ -133,7 +133,6 @@
         // A newer configuration may have become active while the body was received.
         let config = gateway.config().ok_or_else(no_config)?;
         let route = find_route(&config, &parts.headers, &parts.uri)?;
-        let key = key.or_else(|| key_of(&config, &parts.headers));
         let access = config.access(route, key.as_ref()).ok_or_else(no_access)?;
         let service = route.target(hash_of(id.as_str())).ok_or_else(no_target)?;
         let time_left = parts.headers.get(&names.deadline);
--- a/crates/anvilhook-gateway/src/wires.rs
+++ b/crates/anvilhook-gateway/src/wires.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use anvilhook_core::api_keys::KeyHasher;
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::Millis;
 use http::HeaderMap;
@@ -172,6 +173,9 @@
     /// Returns the table that holds the upstreams' entries.
     fn upstream_table(&self) -> &'static str;
 
+    /// Returns the hasher of all configurations' API keys.
+    fn key_hasher(&self) -> &KeyHasher;
+
     /// Decodes a configuration.
     fn config(&self, value: &[u8]) -> Result<Config, DecodeError>;
 
--- /dev/null
+++ b/crates/anvilhook-gateway/tests/account_changes.rs
@@ -0,0 +1,158 @@
+//! Configurations that bring, change or remove client accounts while requests wait.
+
+mod support;
+
+use std::sync::Arc;
+
+use anvilhook_core::api_keys::{AccountRegistry, ClientAccount};
+use anvilhook_core::orders::Role;
+use anvilhook_gateway::configs::{Config, Repeats, Route};
+use anvilhook_gateway::fleets::Entry;
+use support::fronts::{ample_budget, config_of_version, start, with_long_timeouts};
+use support::upstreams::{Received, Step, Upstream, signed, stream};
+use support::wires::{entry, key_hasher};
+use tokio::sync::Notify;
+
+const GOOD: &str = "Authorization: Bearer good-key\r\n";
+
+/// `Accounts` is what one configuration declares of client accounts.
+#[derive(Clone, Copy, Debug)]
+enum Accounts {
+    None,
+    /// One account with one key.
+    Key(&'static str, &'static str),
+    /// The same, with a public route.
+    Public(&'static str, &'static str),
+}
+
+use Accounts::{Key, None as NoAccounts, Public};
+
+/// `Change` is a request whose caller presents `headers`, during which the configuration changes.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    /// The accounts when it arrives, and those adopted while it waits.
+    before: Accounts,
+    after: &'static [Accounts],
+    headers: &'static str,
+    /// The status, and the account that the upstream receives.
+    status: u16,
+    account: Option<&'static str>,
+}
+
+const fn change(
+    before: Accounts,
+    after: &'static [Accounts],
+    headers: &'static str,
+    status: u16,
+    account: Option<&'static str>,
+) -> Change {
+    Change { before, after, headers, status, account }
+}
+
+const KITCHEN: Accounts = Key("kitchen", "good-key");
+
+const CHANGES: [Change; 12] = [
+    change(NoAccounts, &[KITCHEN], GOOD, 200, Some("kitchen")),
+    change(NoAccounts, &[KITCHEN], "", 401, None),
+    change(NoAccounts, &[Key("kitchen", "other-key")], GOOD, 401, None),
+    change(NoAccounts, &[KITCHEN], "Authorization: Basic good-key\r\n", 401, None),
+    change(
+        NoAccounts,
+        &[KITCHEN],
+        "Authorization: Bearer good-key\r\nAuthorization: Bearer good-key\r\n",
+        401,
+        None,
+    ),
+    change(NoAccounts, &[Public("kitchen", "good-key")], "", 200, None),
+    change(NoAccounts, &[Public("kitchen", "good-key")], GOOD, 200, Some("kitchen")),
+    change(KITCHEN, &[Key("cellar", "good-key")], GOOD, 200, Some("cellar")),
+    change(KITCHEN, &[Key("kitchen", "other-key"), KITCHEN], GOOD, 200, Some("kitchen")),
+    change(KITCHEN, &[NoAccounts, KITCHEN], GOOD, 200, Some("kitchen")),
+    change(Public("kitchen", "good-key"), &[KITCHEN], "", 401, None),
+    change(KITCHEN, &[Public("kitchen", "other-key")], GOOD, 200, None),
+];
+
+/// Returns a configuration with one route, which declares `accounts`.
+fn config(version: u64, repeats: Repeats, accounts: Accounts) -> Config {
+    let is_engine = matches!(repeats, Repeats::Stream { .. });
+    let config = with_long_timeouts(&config_of_version(version, repeats, 2, is_engine));
+    let (name, key, is_public) = match accounts {
+        NoAccounts => return config,
+        Key(name, key) => (name, key, false),
+        Public(name, key) => (name, key, true),
+    };
+    let mut registry = AccountRegistry::new(key_hasher());
+    let account = ClientAccount { name: Arc::from(name), priority: None };
+    registry.try_add(account, [key]).expect("valid keys");
+    let route = config.route("host.example", "/a/").expect("the route of the tests");
+    let route = Route { is_public, ..Route::clone(route) };
+    let services = config.services().cloned().collect();
+    Config::new(config.version, config.limits, services, vec![route]).with_accounts(registry)
+}
+
+/// Sends a request to the first upstream, adopts the changes while it runs there, lets it end by `steps`, and returns
+/// the status and the request that reached the second upstream.
+async fn play(
+    change: &Change,
+    repeats: Repeats,
+    roles: [Option<Role>; 2],
+    steps: [Vec<Step>; 2],
+) -> (u16, Option<Received>) {
+    let [first, second] = steps;
+    let is_changed = Arc::new(Notify::new());
+    let awaiting = Step::Await(Arc::clone(&is_changed));
+    let first = Upstream::always([awaiting].into_iter().chain(first).collect()).await;
+    let second = Upstream::always(second).await;
+    let near = Entry { role: roles[0], ..entry("first", first.address.port()) };
+    let far =
+        Entry { role: roles[1], zone: "zone-b".into(), ..entry("second", second.address.port()) };
+    let initial = config(1, repeats, change.before);
+    let front = start(Some(initial), vec![near, far], ample_budget()).await;
+
+    let headers = format!("{}T-Tokens: 400\r\n", change.headers);
+    let asking = front.post_with_long_deadline("r1", &headers, "body");
+    let changing = async {
+        support::until(|| !first.received().is_empty()).await;
+        for (at, accounts) in change.after.iter().enumerate() {
+            front.gateway.adopt_config(config(at as u64 * 10 + 11, repeats, *accounts));
+        }
+        is_changed.notify_one();
+    };
+    let (answer, ()) = tokio::join!(asking, changing);
+    (answer.status, second.received().into_iter().find(|one| one.line.starts_with("POST")))
+}
+
+/// Checks what reached an upstream after a change.
+fn check(change: &Change, status: u16, received: Option<Received>) {
+    assert_eq!(status, change.status, "{change:?}: {received:?}");
+    assert_eq!(received.is_some(), status == 200, "{change:?}");
+    let Some(received) = received else { return };
+    assert_eq!(received.header("t-account"), change.account, "{change:?}");
+    let has_key = received.headers.iter().any(|line| line.contains("good-key"));
+    assert!(!has_key, "{change:?}: {received:?}");
+}
+
+/// Guards against a valid key that is refused because the configuration had no accounts when the request arrived, and
+/// against an unknown or withdrawn key that is served. The request is between two attempts.
+#[tokio::test]
+async fn verify_keys_are_judged_by_the_accounts_of_the_next_attempt() {
+    for change in &CHANGES {
+        let steps = [vec![Step::Close], vec![signed("200 OK", "well")]];
+        let (status, received) = play(change, Repeats::Idempotent, [None, None], steps).await;
+
+        check(change, status, received);
+    }
+}
+
+/// Guards against the same while an engine reads the prompt of a request.
+#[tokio::test]
+async fn verify_keys_are_judged_by_the_accounts_when_output_begins() {
+    let roles = [Some(Role::Prefill), Some(Role::Decode)];
+    for change in &CHANGES {
+        let steps = [vec![signed("200 OK", "handle h1")], stream(1, 2)];
+        let repeats = Repeats::Stream { resumable: true };
+        let (status, received) = play(change, repeats, roles, steps).await;
+
+        check(change, status, received);
+    }
+}
--- a/crates/anvilhook-gateway/tests/account_shares.rs
+++ b/crates/anvilhook-gateway/tests/account_shares.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilhook_core::api_keys::{AccountRegistry, ClientAccount, KeyHasher};
+use anvilhook_core::api_keys::{AccountRegistry, ClientAccount};
 use anvilhook_core::fair_shares::{AccountKey, AccountSum};
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, ManualClock, Millis};
@@ -26,7 +26,7 @@
 };
 use support::until;
 use support::upstreams::{Upstream, engine, signed, stream};
-use support::wires::TestWire;
+use support::wires::{TestWire, key_hasher};
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
@@ -41,7 +41,7 @@
 }
 
 fn accounts() -> AccountRegistry {
-    let mut accounts = AccountRegistry::new(KeyHasher::new([3; 32]));
+    let mut accounts = AccountRegistry::new(key_hasher());
     for name in ["large", "small"] {
         let account = ClientAccount { name: Arc::from(name), priority: None };
         accounts.try_add(account, [format!("{name}-key").as_str()]).expect("valid keys");
--- a/crates/anvilhook-gateway/tests/duties.rs
+++ b/crates/anvilhook-gateway/tests/duties.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use anvilhook_core::api_keys::{AccountRegistry, ClientAccount, KeyHasher};
+use anvilhook_core::api_keys::{AccountRegistry, ClientAccount};
 use anvilhook_core::fleet_size::{EngineKind, ScalingSpec, SizeOptions};
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, ManualClock, Millis, SystemClock, WallTime};
@@ -24,7 +24,7 @@
 use support::tables::{Fault, MemoryTable};
 use support::until;
 use support::upstreams::{Step, Upstream, refusal, signed};
-use support::wires::{TestWire, entry, limits};
+use support::wires::{TestWire, entry, key_hasher, limits};
 
 const WINDOW: Millis = Millis(5_000);
 const USAGE_DUE: Millis = Millis(10_000);
@@ -52,7 +52,7 @@
 }
 
 fn config_with_key(repeats: Repeats) -> Config {
-    let mut accounts = AccountRegistry::new(KeyHasher::new([3; 32]));
+    let mut accounts = AccountRegistry::new(key_hasher());
     accounts.try_add(account(), ["good-key"]).expect("a valid key");
     with_long_timeouts(&config_of_version(1, repeats, 2, false)).with_accounts(accounts)
 }
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use anvilhook_core::api_keys::{AccountRegistry, ClientAccount, KeyHasher};
+use anvilhook_core::api_keys::{AccountRegistry, ClientAccount};
 use anvilhook_core::orders::Role;
 use anvilhook_core::paths::Path;
 use anvilhook_core::stops::Stop;
@@ -24,7 +24,7 @@
 use support::instances::{Instance, connect, instance};
 use support::until;
 use support::upstreams::{Step, Upstream, engine, event, signed, stream, stream_end, stream_head};
-use support::wires::entry;
+use support::wires::{entry, key_hasher};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
@@ -512,7 +512,7 @@
 
 /// Returns a configuration in which `keys` belong to a client account.
 fn config_with_keys(version: u64, keys: &[&str]) -> Config {
-    let mut accounts = AccountRegistry::new(KeyHasher::new([3; 32]));
+    let mut accounts = AccountRegistry::new(key_hasher());
     let account = ClientAccount { name: Arc::from("kitchen"), priority: None };
     accounts.try_add(account, keys.iter().copied()).expect("valid keys");
     config_of_version(version, Repeats::AtMostOnce, 2, false).with_accounts(accounts)
--- a/crates/anvilhook-gateway/tests/keys.rs
+++ b/crates/anvilhook-gateway/tests/keys.rs
@@ -4,13 +4,13 @@
 
 use std::sync::Arc;
 
-use anvilhook_core::api_keys::{AccountRegistry, ClientAccount, KeyHasher};
+use anvilhook_core::api_keys::{AccountRegistry, ClientAccount};
 use anvilhook_gateway::configs::{Config, Repeats, Route};
 use support::fronts::{
     Front, ample_budget, config_of_version, request, route, start, with_long_timeouts,
 };
 use support::upstreams::{Step, Upstream, signed};
-use support::wires::{entry, limits};
+use support::wires::{entry, key_hasher, limits};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -19,7 +19,7 @@
 
 /// Returns a configuration in which `keys` belong to the account `kitchen`.
 fn config_with_keys(version: u64, repeats: Repeats, keys: &[&str]) -> Config {
-    let mut accounts = AccountRegistry::new(KeyHasher::new([3; 32]));
+    let mut accounts = AccountRegistry::new(key_hasher());
     let account = ClientAccount { name: Arc::from("kitchen"), priority: Some(0) };
     accounts.try_add(account, keys.iter().copied()).expect("valid keys");
     with_long_timeouts(&config_of_version(version, repeats, 2, false)).with_accounts(accounts)
--- a/crates/anvilhook-gateway/tests/support/wires.rs
+++ b/crates/anvilhook-gateway/tests/support/wires.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use anvilhook_core::api_keys::KeyHasher;
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::Millis;
 use anvilhook_gateway::configs::{Config, Limits};
@@ -19,12 +20,19 @@
 #[derive(Clone)]
 pub struct TestWire {
     names: Arc<HeaderNames>,
+    key_hasher: KeyHasher,
+}
+
+/// Returns the hasher of the tests' API keys.
+pub fn key_hasher() -> KeyHasher {
+    KeyHasher::new([3; 32])
 }
 
 impl TestWire {
     pub fn new() -> Self {
         let name = HeaderName::from_static;
         Self {
+            key_hasher: key_hasher(),
             names: Arc::new(HeaderNames {
                 request_id: name("t-id"),
                 deadline: name("t-deadline"),
@@ -70,6 +78,10 @@
         "upstreams"
     }
 
+    fn key_hasher(&self) -> &KeyHasher {
+        &self.key_hasher
+    }
+
     fn config(&self, value: &[u8]) -> Result<Config, DecodeError> {
         let text = std::str::from_utf8(value).map_err(|_| bad("version"))?;
         let version = text.parse().map_err(|_| bad("version"))?;
