Forward no former API key where the configuration has no accounts any more

A key reached upstreams as soon as a configuration without accounts became active: that of a request that waited through the change, and that of each later request of a client that still presents it. If the accounts come back, it is valid again.

Cause: credentials are removed from a message only if the configuration of the moment has accounts.

Change: a configuration knows the digests of its keys and of those that were active before it in this process, at most 16,384 former ones. Credentials with such a digest are not forwarded. Others still are: without accounts they are the upstream's own. An instance that has started since the accounts went does not know their keys.

--- a/crates/anvilhook-core/src/api_keys.rs
+++ b/crates/anvilhook-core/src/api_keys.rs
@@ -158,9 +158,38 @@
     }
 }
 
+/// The maximum number of keys that [`KnownKeys`] holds, unless the current accounts have more.
+const MAX_KNOWN_KEYS: usize = 16_384;
+
+/// `KnownKeys` holds the digests of the keys of current and former accounts.
+///
+/// A former key stays a secret: the configuration may give it back to an account, so that it must reach no upstream.
+#[derive(Clone, Debug, Default)]
+pub struct KnownKeys {
+    by_key: HashMap<KeyDigest, Arc<ClientAccount>>,
+}
+
+impl KnownKeys {
+    /// Adds the keys of current accounts. Former keys are forgotten where there would be too many.
+    pub fn record(&mut self, current: &AccountRegistry) {
+        if self.by_key.len() + current.by_key.len() > MAX_KNOWN_KEYS {
+            self.by_key.clear();
+        }
+        let current = current.by_key.iter();
+        self.by_key.extend(current.map(|(key, account)| (*key, Arc::clone(account))));
+    }
+
+    /// Returns the account that a key belongs to or belonged to last.
+    pub fn account(&self, key: &KeyDigest) -> Option<&Arc<ClientAccount>> {
+        self.by_key.get(key)
+    }
+}
+
 #[cfg(test)]
 mod tests {
-    use super::{AccountError, AccountRegistry, ClientAccount, KeyHasher};
+    use super::{
+        AccountError, AccountRegistry, ClientAccount, KeyHasher, KnownKeys, MAX_KNOWN_KEYS,
+    };
 
     fn account(name: &str) -> ClientAccount {
         ClientAccount { name: name.into(), priority: None }
@@ -194,4 +223,28 @@
         assert_ne!(one.digest(b"key"), other.digest(b"key"));
         assert_eq!(format!("{:?} {one:?}", one.digest(b"key")), "KeyDigest KeyHasher");
     }
+
+    /// Guards against a former key that is passed on as if it were no key, and against a store of keys without bound.
+    #[test]
+    fn verify_former_keys_are_known_within_a_bound() {
+        let mut known = KnownKeys::default();
+        let registry = |name: &str, keys: std::ops::Range<usize>| {
+            let mut registry = AccountRegistry::new(KeyHasher::new([1; 32]));
+            let keys: Vec<_> = keys.map(|key| format!("key-{key}")).collect();
+            registry.try_add(account(name), keys.iter().map(String::as_str)).expect("new keys");
+            registry
+        };
+        let name_of = |known: &KnownKeys, registry: &AccountRegistry, key: &str| {
+            known.account(&registry.digest(key.as_bytes())).map(|account| account.name.to_string())
+        };
+
+        let first = registry("a", 0..2);
+        known.record(&first);
+        known.record(&registry("b", 1..3));
+        let names = ["key-0", "key-1", "key-2", "key-3"].map(|key| name_of(&known, &first, key));
+        known.record(&registry("c", 10..10 + MAX_KNOWN_KEYS));
+
+        assert_eq!(names.map(Option::unwrap_or_default), ["a", "b", "b", ""]);
+        assert_eq!((known.by_key.len(), name_of(&known, &first, "key-0")), (MAX_KNOWN_KEYS, None));
+    }
 }
--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use anvilhook_core::api_keys::{AccountRegistry, ClientAccount, KeyDigest};
+use anvilhook_core::api_keys::{AccountRegistry, ClientAccount, KeyDigest, KnownKeys};
 use anvilhook_core::fleet_size::ScalingSpec;
 use anvilhook_core::units::{Millis, Tokens};
 
@@ -142,6 +142,8 @@
     loosest: HashMap<Arc<str>, Millis>,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
     accounts: Option<AccountRegistry>,
+    /// The keys of this configuration and of those that were active before it.
+    known_keys: KnownKeys,
 }
 
 /// `Access` identifies on whose behalf a request is made, by one version of the configuration.
@@ -149,7 +151,8 @@
 pub struct Access {
     /// The client account, if the caller presented its key.
     pub account: Option<Arc<ClientAccount>>,
-    /// Whether callers are identified by API keys. Their credentials are then not forwarded to upstreams.
+    /// Whether callers are identified by API keys, or the caller's credentials have been an API key before. They are
+    /// then not forwarded to upstreams.
     pub is_by_key: bool,
 }
 
@@ -179,14 +182,34 @@
             let prefixes = by_host.entry(Arc::clone(&route.host)).or_default();
             prefixes.insert(Arc::clone(&route.prefix), Arc::new(route));
         }
-        Self { version, limits, services, tightest, loosest, routes: by_host, accounts: None }
+        Self {
+            version,
+            limits,
+            services,
+            tightest,
+            loosest,
+            routes: by_host,
+            accounts: None,
+            known_keys: KnownKeys::default(),
+        }
     }
 
     /// Requires callers to present a key of one of these client accounts, except on public routes.
-    pub fn with_accounts(self, accounts: AccountRegistry) -> Self {
+    pub fn with_accounts(mut self, accounts: AccountRegistry) -> Self {
+        self.known_keys.record(&accounts);
         Self { accounts: Some(accounts), ..self }
     }
 
+    /// Keeps the keys of the configuration that was active before as known.
+    pub fn after(mut self, before: &Config) -> Self {
+        let mut known_keys = before.known_keys.clone();
+        if let Some(accounts) = &self.accounts {
+            known_keys.record(accounts);
+        }
+        self.known_keys = known_keys;
+        self
+    }
+
     /// Returns the client accounts, if there are any.
     pub fn accounts(&self) -> Option<&AccountRegistry> {
         self.accounts.as_ref()
@@ -194,7 +217,10 @@
 
     /// Returns on whose behalf a request on a route with this key is made, or `None` if it is not allowed.
     pub fn access(&self, route: &Route, key: Option<&KeyDigest>) -> Option<Access> {
-        let Some(accounts) = &self.accounts else { return Some(Access::default()) };
+        let Some(accounts) = &self.accounts else {
+            let is_by_key = key.is_some_and(|key| self.known_keys.account(key).is_some());
+            return Some(Access { account: None, is_by_key });
+        };
         let account = key.and_then(|key| accounts.account(key)).cloned();
         let is_allowed = account.is_some() || route.is_public;
         is_allowed.then_some(Access { account, is_by_key: true })
--- a/crates/anvilhook-gateway/src/relay/adoption.rs
+++ b/crates/anvilhook-gateway/src/relay/adoption.rs
@@ -18,11 +18,16 @@
 impl<W: Wire, C: Clock> Gateway<W, C> {
     /// Activates a configuration, unless one of the same or a newer version is active.
     pub fn adopt_config(&self, config: Config) {
-        let before = self.inner.config.load().as_ref().map(|config| config.version);
+        let earlier = self.config();
+        let before = earlier.as_ref().map(|config| config.version);
         if before.is_some_and(|before| before >= config.version) {
             return;
         }
         let version = config.version;
+        let config = match &earlier {
+            Some(earlier) => config.after(earlier),
+            None => config,
+        };
         if let Some(accounts) = config.accounts() {
             self.usage().learn_names(accounts.names());
         }
--- a/crates/anvilhook-gateway/tests/account_changes.rs
+++ b/crates/anvilhook-gateway/tests/account_changes.rs
@@ -51,7 +51,7 @@
 
 const KITCHEN: Accounts = Key("kitchen", "good-key");
 
-const CHANGES: [Change; 12] = [
+const CHANGES: [Change; 15] = [
     change(NoAccounts, &[KITCHEN], GOOD, 200, Some("kitchen")),
     change(NoAccounts, &[KITCHEN], "", 401, None),
     change(NoAccounts, &[Key("kitchen", "other-key")], GOOD, 401, None),
@@ -68,6 +68,9 @@
     change(KITCHEN, &[Key("cellar", "good-key")], GOOD, 200, Some("cellar")),
     change(KITCHEN, &[Key("kitchen", "other-key"), KITCHEN], GOOD, 200, Some("kitchen")),
     change(KITCHEN, &[NoAccounts, KITCHEN], GOOD, 200, Some("kitchen")),
+    change(KITCHEN, &[NoAccounts], GOOD, 200, None),
+    change(NoAccounts, &[KITCHEN, NoAccounts], GOOD, 200, None),
+    change(KITCHEN, &[Key("kitchen", "other-key"), NoAccounts], GOOD, 200, None),
     change(Public("kitchen", "good-key"), &[KITCHEN], "", 401, None),
     change(KITCHEN, &[Public("kitchen", "other-key")], GOOD, 200, None),
 ];
@@ -156,3 +159,31 @@
         check(change, status, received);
     }
 }
+
+/// Guards against a key that reaches an upstream because the configuration has no accounts any more. Credentials that
+/// have never been a key are the upstream's own.
+#[tokio::test]
+async fn verify_former_keys_are_not_forwarded() {
+    let upstream = Upstream::always(vec![signed("200 OK", "well")]).await;
+    let entries = vec![entry("first", upstream.address.port())];
+    let initial = config(1, Repeats::Idempotent, KITCHEN);
+    let front = start(Some(initial), entries, ample_budget()).await;
+    let withdrawn = Key("kitchen", "other-key");
+    front.gateway.adopt_config(config(2, Repeats::Idempotent, withdrawn));
+    front.gateway.adopt_config(config(3, Repeats::Idempotent, NoAccounts));
+
+    let cases = [
+        ("Bearer good-key", None),
+        ("Bearer other-key", None),
+        ("Bearer foreign-key", Some("Bearer foreign-key")),
+        ("Basic good-key", Some("Basic good-key")),
+    ];
+    for (at, (credentials, forwarded)) in cases.into_iter().enumerate() {
+        let headers = format!("Authorization: {credentials}\r\n");
+        let answer = front.post(&format!("r{at}"), &headers, "").await;
+
+        assert_eq!(answer.status, 200, "{credentials}");
+        let received = &upstream.received()[at];
+        assert_eq!(received.header("authorization"), forwarded, "{credentials}");
+    }
+}
