Send no message that was built by earlier accounts

An upstream got a key, or no account's name, when the configuration brought in accounts or moved a key while the connection of a request was being opened: the call is then sent through another instance, with a message that was built by the request's earlier access.

Cause: the check right before each send asked whether the key is valid now, and not whether the message was built for the same account. It also judged by the route as it was when the request was last placed, so that a route that stopped being public was still one. Evidence: before this change verify_a_message_of_earlier_accounts_is_not_forwarded fails (the upstream gets the key and no account).

Change: the check compares the access by the current configuration and its route with that of the message (account's name, and whether credentials are removed), also before the first send, which can come after a call of the gateway's own. A request that is not sent for this is looked at anew.

What remains: on the instance's own path, a change within the opening of a connection (300 ms at most) does not stop the message.

--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -156,6 +156,15 @@
     pub is_by_key: bool,
 }
 
+impl Access {
+    /// Returns whether a request that is made on these terms differs in nothing that an upstream receives.
+    pub fn is_same_caller(&self, other: &Access) -> bool {
+        let name =
+            |access: &Access| access.account.as_ref().map(|account| Arc::clone(&account.name));
+        self.is_by_key == other.is_by_key && name(self) == name(other)
+    }
+}
+
 impl Config {
     /// Creates a configuration with its lookup indexes.
     pub fn new(
--- a/crates/anvilhook-gateway/src/relay/access.rs
+++ b/crates/anvilhook-gateway/src/relay/access.rs
@@ -39,13 +39,17 @@
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
-    /// Returns whether a request may still be sent: its caller is waiting, and its key is valid in the configuration
-    /// that is active now.
+    /// Returns whether a request may still be sent: its caller is waiting, and the configuration that is active now
+    /// allows it on the terms by which its message was built. The message could otherwise contain a key or lack the
+    /// account.
     pub(super) fn may_still_send(&self, exchange: &Exchange) -> bool {
-        let is_allowed = self
-            .config()
-            .is_none_or(|config| config.access(&exchange.route, exchange.key.as_ref()).is_some());
-        is_allowed && !exchange.has_lost_its_caller(self.now())
+        self.has_current_access(exchange) && !exchange.has_lost_its_caller(self.now())
+    }
+
+    /// Returns whether a request's access is that by the configuration that is active now.
+    pub(super) fn has_current_access(&self, exchange: &Exchange) -> bool {
+        let Some(config) = self.config() else { return true };
+        exchange.access_by(&config).is_some_and(|access| access.is_same_caller(&exchange.access))
     }
 
     /// Checks a request's key again, by the configuration that is active now. Returns the final answer if
@@ -54,7 +58,7 @@
     /// Otherwise a request could still be served although its key was withdrawn while it waited.
     pub(super) fn check_access(&self, exchange: &mut Exchange) -> Option<Outcome> {
         let config = self.config()?;
-        match config.access(&exchange.route, exchange.key.as_ref()) {
+        match exchange.access_by(&config) {
             Some(access) => {
                 exchange.access = access;
                 None
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -80,6 +80,12 @@
             self.log_failed(exchange, sending.upstream, sending.stage, &failed);
             return Err(failed);
         }
+        // The accounts may have changed while the request waited for a report.
+        if !self.has_current_access(exchange) {
+            let failed = Failed::not_sent("access_changed");
+            self.log_failed(exchange, sending.upstream, sending.stage, &failed);
+            return Err(failed);
+        }
         // A part may have been quarantined while the request waited for its connection or a report.
         if self.quarantined_part(exchange).is_some() {
             let failed = Failed::not_sent(PART_QUARANTINED);
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -178,10 +178,7 @@
     /// Otherwise a request that waits while a newer configuration becomes active could be sent to a service
     /// that the newer one no longer allows.
     pub fn refresh(&mut self, config: &Config) {
-        let host = text(&self.headers, &header::HOST);
-        let Some(route) = host.and_then(|host| config.route(&host, self.uri.path())) else {
-            return;
-        };
+        let Some(route) = self.route_by(config) else { return };
         let has_begun = self.software.is_some();
         let kept = has_begun.then(|| route.targets.iter().find(|one| one.service == self.service));
         let kept = kept.flatten().map(|target| &target.service);
@@ -191,6 +188,18 @@
         }
     }
 
+    /// Returns on whose behalf the request is made by a configuration, or `None` if that does not allow it. A route
+    /// that the configuration no longer has counts as it was.
+    pub fn access_by(&self, config: &Config) -> Option<Access> {
+        let route = self.route_by(config).unwrap_or(&self.route);
+        config.access(route, self.key.as_ref())
+    }
+
+    fn route_by<'c>(&self, config: &'c Config) -> Option<&'c Arc<Route>> {
+        let host = text(&self.headers, &header::HOST)?;
+        config.route(&host, self.uri.path())
+    }
+
     /// Takes the service of an upstream that may continue the stream, if the route allows it. Where a route is split,
     /// another id would lead to another service.
     pub fn keep_service(&mut self, upstream: Option<&Upstream>) {
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -537,6 +537,41 @@
     assert!(upstream.received().is_empty());
 }
 
+/// Guards against a key that reaches an upstream, or an upstream that is not told the account: the configuration brings
+/// in accounts, or moves the key to another one, while the connection of a request is being opened.
+#[tokio::test]
+async fn verify_a_message_of_earlier_accounts_is_not_forwarded() {
+    let account = |name: &str| {
+        let mut accounts = AccountRegistry::new(key_hasher());
+        let account = ClientAccount { name: Arc::from(name), priority: None };
+        accounts.try_add(account, ["good-key"]).expect("a valid key");
+        accounts
+    };
+    for has_accounts in [false, true] {
+        let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+        let make_config = || match has_accounts {
+            true => config_with_keys(1, &["good-key"]),
+            false => config_of_version(1, Repeats::AtMostOnce, 2, false),
+        };
+        let listed = entry("u", upstream.address.port());
+        let (first, _second, _cut) = cut_and_sound(&make_config, listed, How::Silent).await;
+        let gateway = first.front.gateway.clone();
+        let key = "Authorization: Bearer good-key\r\n";
+        let answering = tokio::spawn(async move { first.front.post("r1", key, "body").await });
+        until(|| gateway.in_flight() == 1).await;
+
+        let changed = config_of_version(2, Repeats::AtMostOnce, 2, false);
+        gateway.adopt_config(changed.with_accounts(account("cellar")));
+
+        let answer = answering.await.expect("no panic");
+        assert!(matches!(answer.status, 200 | 503), "{has_accounts}: {answer:?}");
+        for received in upstream.received() {
+            assert_eq!(received.header("t-account"), Some("cellar"), "{has_accounts}");
+            assert_eq!(received.header("authorization"), None, "{has_accounts}");
+        }
+    }
+}
+
 /// Guards against an engine that has restarted and gets no work, because the gateway's own calls to it were refused
 /// while it was down and closed it again each time.
 #[tokio::test]
