Know a request by its account and by its credentials over a change of accounts

A caller that began its stream before the configuration brought in accounts could not take it up after that (stream_origin_unknown, or unanswered), and a request under which engines had terminated began anew: three more engines could end.

Cause: the fingerprint, by which streams and suspected requests are found, has the account's name where the configuration has accounts and the credentials where it has none, so that the same request has another one after the change.

Change: a request keeps both fingerprints (without accounts, that of the account that its key last belonged to, if it is known). A stream that is not found by the first is looked up by the second, and a request takes the one under which engines have terminated if the other is clear. A key that moves to another account is another caller from then on: its earlier streams are not continued, which the test states, and its repeats count anew.

--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -224,6 +224,11 @@
         self.accounts.as_ref()
     }
 
+    /// Returns the account that a key belongs to or belonged to last.
+    pub fn known_account(&self, key: &KeyDigest) -> Option<&Arc<ClientAccount>> {
+        self.known_keys.account(key)
+    }
+
     /// Returns on whose behalf a request on a route with this key is made, or `None` if it is not allowed.
     pub fn access(&self, route: &Route, key: Option<&KeyDigest>) -> Option<Access> {
         let Some(accounts) = &self.accounts else {
--- a/crates/anvilhook-gateway/src/relay/continuation.rs
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -98,8 +98,14 @@
         }
         let looked_up_at = self.now();
         let request = stream.id.as_deref().map(request_hash);
-        let key = OriginKey { fingerprint: exchange.fingerprint, request };
-        let origin = self.look_up_origin(key).await;
+        let mut origin = OriginLookup::Unknown;
+        for fingerprint in [Some(exchange.fingerprint), exchange.other_fingerprint] {
+            let Some(fingerprint) = fingerprint.filter(|_| origin.software().is_none()) else {
+                continue;
+            };
+            let found = self.look_up_origin(OriginKey { fingerprint, request }).await;
+            origin = if found == OriginLookup::Unknown { origin } else { found };
+        }
         let upstream = origin.software().and_then(|software| self.any_of(software));
         emit(&RequestEvent::StreamContinued {
             request: &exchange.id,
--- a/crates/anvilhook-gateway/src/relay/examining.rs
+++ b/crates/anvilhook-gateway/src/relay/examining.rs
@@ -70,6 +70,7 @@
         if let Some(denied) = self.check_parts(exchange) {
             return Some(denied);
         }
+        self.take_known_fingerprint(exchange);
         let (request, now) = (exchange.fingerprint, self.now());
         match self.suspects().status(request, now) {
             (SuspectStatus::Clear, _) => None,
@@ -87,6 +88,19 @@
         }
     }
 
+    /// Takes the request's other fingerprint if engines have terminated under that one only: a change of the accounts
+    /// does not make it another request.
+    fn take_known_fingerprint(&self, exchange: &mut Exchange) {
+        let Some(other) = exchange.other_fingerprint.filter(|_| exchange.trial.is_none()) else {
+            return;
+        };
+        let (suspects, now) = (self.suspects(), self.now());
+        let is_clear = |request| suspects.status(request, now).0 == SuspectStatus::Clear;
+        if is_clear(exchange.fingerprint) && !is_clear(other) {
+            exchange.other_fingerprint = Some(std::mem::replace(&mut exchange.fingerprint, other));
+        }
+    }
+
     /// Returns the answer for a request with a quarantined part in its prompt.
     pub(super) fn check_parts(&self, exchange: &Exchange) -> Option<Outcome> {
         let part = self.quarantined_part(exchange)?;
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use anvilhook_core::Verdict;
-use anvilhook_core::api_keys::KeyDigest;
+use anvilhook_core::api_keys::{ClientAccount, KeyDigest};
 use anvilhook_core::connection_admission::Direction;
 use anvilhook_core::fair_shares::AccountKey;
 use anvilhook_core::fingerprints::Fingerprint;
@@ -45,6 +45,9 @@
     pub id: Arc<str>,
     /// The fingerprint, which a caller's repeats of the request share although their ids differ.
     pub fingerprint: Fingerprint,
+    /// The fingerprint that the request had or will have while the configuration has no accounts, if it has some, or
+    /// the other way round. The caller's earlier requests may be known by it.
+    pub other_fingerprint: Option<Fingerprint>,
     pub method: Method,
     pub uri: Uri,
     /// The caller's end-to-end headers.
@@ -139,8 +142,11 @@
         let time_left = time_left.and_then(|value| gateway.wire().time_left(value));
         let deadline = arrived_at + time_left.unwrap_or(DEFAULT_DEADLINE);
         let timeout = route.timeout.map_or(deadline, |timeout| arrived_at + timeout);
+        let former = key.as_ref().and_then(|key| config.known_account(key));
+        let (fingerprint, other_fingerprint) = fingerprints_of(&access, former, &parts, &body);
         Ok(Exchange {
-            fingerprint: fingerprint_of(&access, &parts, &body),
+            fingerprint,
+            other_fingerprint,
             id: Arc::from(id),
             service: Arc::clone(service),
             received_config: config.version,
@@ -274,16 +280,23 @@
     }
 }
 
-/// Returns the fingerprint of a request. The caller is identified by its client account or else by its
-/// credentials, if any, and not by its address: a client may repeat a request from another address.
-fn fingerprint_of(access: &Access, head: &Parts, body: &[u8]) -> Fingerprint {
+/// Returns the fingerprint of a request, and the one that it has before or after a change between a configuration with
+/// accounts and one without, if it differs. The caller is identified by its client account or else by its credentials,
+/// if any, and not by its address: a client may repeat a request from another address. `former` is the account that
+/// its key belongs to or belonged to last.
+fn fingerprints_of(
+    access: &Access,
+    former: Option<&Arc<ClientAccount>>,
+    head: &Parts,
+    body: &[u8],
+) -> (Fingerprint, Option<Fingerprint>) {
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    let credentials = text(&head.headers, &header::AUTHORIZATION).unwrap_or_default();
+    let by_credentials = Fingerprint::of(&credentials, target, body);
+    let by_account = |account: &ClientAccount| Fingerprint::of(&account.name, target, body);
     match &access.account {
-        Some(account) => Fingerprint::of(&account.name, target, body),
-        None => {
-            let credentials = text(&head.headers, &header::AUTHORIZATION).unwrap_or_default();
-            Fingerprint::of(&credentials, target, body)
-        }
+        Some(account) => (by_account(account), Some(by_credentials)),
+        None => (by_credentials, former.map(|account| by_account(account))),
     }
 }
 
--- a/crates/anvilhook-gateway/tests/account_changes.rs
+++ b/crates/anvilhook-gateway/tests/account_changes.rs
@@ -6,10 +6,12 @@
 
 use anvilhook_core::api_keys::{AccountRegistry, ClientAccount};
 use anvilhook_core::orders::Role;
+use anvilhook_core::units::Millis;
 use anvilhook_gateway::configs::{Config, Repeats, Route};
 use anvilhook_gateway::fleets::Entry;
 use support::fronts::{ample_budget, config_of_version, start, with_long_timeouts};
-use support::upstreams::{Received, Step, Upstream, signed, stream};
+use support::until;
+use support::upstreams::{Received, Step, Upstream, engine, event, signed, stream, stream_head};
 use support::wires::{entry, key_hasher};
 use tokio::sync::Notify;
 
@@ -187,3 +189,71 @@
         assert_eq!(received.header("authorization"), forwarded, "{credentials}");
     }
 }
+
+/// The changes over which a caller with the key `good-key` remains the same.
+const SAME_CALLER: [(Accounts, Accounts); 3] =
+    [(NoAccounts, KITCHEN), (KITCHEN, NoAccounts), (NoAccounts, Public("kitchen", "good-key"))];
+
+/// Guards against a stream that its caller can't continue because the configuration has brought in accounts, or has none
+/// any more. Another account's caller can't continue it.
+#[tokio::test]
+async fn verify_a_stream_is_continued_over_a_change_of_accounts() {
+    let others = [(KITCHEN, Key("cellar", "good-key"))];
+    let cases =
+        SAME_CALLER.iter().map(|case| (case, 200)).chain(others.iter().map(|case| (case, 503)));
+    for ((before, after), status) in cases {
+        let case = format!("{before:?}, {after:?}");
+        let repeats = Repeats::Stream { resumable: true };
+        let upstream = Upstream::start(|received| match received.header("last-event-id") {
+            Some(_) => stream(3, 4),
+            None => vec![stream_head(), event(1), event(2), Step::Hang],
+        })
+        .await;
+        let entries = vec![engine("first", &upstream, Role::Decode)];
+        let front = start(Some(config(1, repeats, *before)), entries, ample_budget()).await;
+        let prompt = format!("{GOOD}T-Tokens: 400\r\n");
+        let mut begun = front.open("r1", &prompt, "body").await;
+        begun.receive_until("id: 2\n").await;
+        front.gateway.adopt_config(config(2, repeats, *after));
+        drop(begun);
+
+        let headers = format!("{prompt}T-Resumes: r1\r\nLast-Event-Id: 2\r\n");
+        let answer = front.post_with_long_deadline("r2", &headers, "body").await;
+
+        let events = if status == 200 { vec![3, 4] } else { Vec::new() };
+        assert_eq!((answer.status, answer.events()), (status, events), "{case}: {answer:?}");
+    }
+}
+
+/// Guards against a request that terminates engine after engine, and is taken for another one once the accounts have
+/// changed.
+#[tokio::test]
+async fn verify_engine_ends_count_over_a_change_of_accounts() {
+    for (before, after) in SAME_CALLER {
+        let mut engines = Vec::new();
+        for _ in 0..6 {
+            engines.push(Upstream::always(vec![stream_head(), event(1), Step::Terminate]).await);
+        }
+        let listed = engines.iter().enumerate();
+        let listed = listed.map(|(at, one)| engine(&format!("e{at}"), one, Role::Decode)).collect();
+        let repeats = Repeats::Stream { resumable: false };
+        let front = start(Some(config(1, repeats, before)), listed, ample_budget()).await;
+        let prompt = format!("{GOOD}T-Tokens: 400\r\n");
+        let ends = || {
+            let suspects = front.gateway.suspects().list(Millis::ZERO);
+            let requests = suspects.iter().filter(|(request, ..)| !request.is_part());
+            requests.map(|(_, _, ends)| ends.len()).collect::<Vec<_>>()
+        };
+        for count in 1..=3 {
+            if count == 3 {
+                front.gateway.adopt_config(config(2, repeats, after));
+            }
+            front.post(&format!("r{count}"), &prompt, "body").await;
+            until(|| ends() == [count]).await;
+        }
+
+        let answer = front.post("r4", &prompt, "body").await;
+
+        assert_eq!((answer.status, answer.body.as_str()), (400, "quarantined"), "{before:?}");
+    }
+}
