Refuse a waiting request at once when its key is withdrawn

A request that waited for a busy engine kept its place after its key had been withdrawn, and got its 401 only when its turn came, or a refusal for its deadline. The same place was kept by the priority and the account of the earlier configuration.

Cause: a waiting request renews its route and service at each check, and its access only right before a send. Evidence: before the change the new test in account_changes is not answered within 10 s, as its engines stay busy.

Change: each check of a waiting request also checks its access, which renews its account and priority.

--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -168,7 +168,7 @@
         let (plan, wait) = match self.wait_for_reader(exchange, &job).await {
             WaitOutcome::Send(plan, wait) => (plan, wait),
             other => {
-                let outcome = self.outcome_of_wait(exchange, &other);
+                let outcome = self.outcome_of_wait(exchange, other);
                 return outcome.map_or(Ok(Err(Failed::not_sent("moved"))), Err);
             }
         };
@@ -219,7 +219,7 @@
                     return Ok(Err(Failed::not_sent("no_engine")));
                 }
                 other => {
-                    let outcome = self.outcome_of_wait(exchange, &other);
+                    let outcome = self.outcome_of_wait(exchange, other);
                     return outcome.map_or(Ok(Err(Failed::not_sent("moved"))), Err);
                 }
             };
@@ -234,15 +234,16 @@
 
     /// Returns the final answer to a request whose wait found no engine, or `None` if the request has moved to another
     /// service and is tried there.
-    fn outcome_of_wait<P>(&self, exchange: &Exchange, waited: &WaitOutcome<P>) -> Option<Outcome> {
+    fn outcome_of_wait<P>(&self, exchange: &Exchange, waited: WaitOutcome<P>) -> Option<Outcome> {
         let refuse = |cause, pause| Some(self.abandoned_outcome(exchange, cause, pause));
         match waited {
             WaitOutcome::Send(..) | WaitOutcome::NoEngine => Some(self.no_engine_outcome(exchange)),
-            WaitOutcome::Limited(soonest) => refuse(LIMITED, *soonest),
+            WaitOutcome::Limited(soonest) => refuse(LIMITED, soonest),
             WaitOutcome::Hopeless => refuse("overload", REFUSED_PAUSE),
             WaitOutcome::Stopping => refuse(STOPPING, Millis::ZERO),
             WaitOutcome::Moved => None,
             WaitOutcome::Quarantined => Some(quarantined_outcome(exchange, PART_QUARANTINED)),
+            WaitOutcome::Denied(denied) => Some(denied),
         }
     }
 
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -12,6 +12,7 @@
 use anvilhook_core::waiting_queues::{Demand, is_too_late};
 
 use super::Gateway;
+use super::answers::Outcome;
 use super::limits::{LimitTicket, LimitWait, pause_for};
 use super::places::{Place, Rejection, Stage};
 use super::prompts::Job;
@@ -76,6 +77,8 @@
     Moved,
     /// A part of the prompt has been quarantined.
     Quarantined,
+    /// The caller's key has been withdrawn.
+    Denied(Outcome),
 }
 
 impl<W: Wire, C: Clock> Gateway<W, C> {
@@ -316,6 +319,9 @@
         if self.has_moved(exchange) {
             return Some(WaitOutcome::Moved);
         }
+        if let Some(denied) = self.check_access(exchange) {
+            return Some(WaitOutcome::Denied(denied));
+        }
         if self.quarantined_part(exchange).is_some() {
             return Some(WaitOutcome::Quarantined);
         }
--- a/crates/anvilhook-gateway/tests/account_changes.rs
+++ b/crates/anvilhook-gateway/tests/account_changes.rs
@@ -3,13 +3,17 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use anvilhook_core::api_keys::{AccountRegistry, ClientAccount};
 use anvilhook_core::orders::Role;
-use anvilhook_core::units::Millis;
+use anvilhook_core::units::{ManualClock, Millis};
 use anvilhook_gateway::configs::{Config, Repeats, Route};
 use anvilhook_gateway::fleets::Entry;
-use support::fronts::{ample_budget, config_of_version, start, with_long_timeouts};
+use anvilhook_gateway::loads::Held;
+use support::fronts::{
+    ample_budget, config_of_version, start, start_with_clock, with_long_timeouts,
+};
 use support::until;
 use support::upstreams::{Received, Step, Upstream, engine, event, signed, stream, stream_head};
 use support::wires::{entry, key_hasher};
@@ -257,3 +261,44 @@
         assert_eq!((answer.status, answer.body.as_str()), (400, "quarantined"), "{before:?}");
     }
 }
+
+/// Guards against a request that waits in line for a busy engine although its key has been withdrawn.
+#[tokio::test]
+async fn verify_a_waiting_request_whose_key_is_withdrawn_is_refused_at_once() {
+    const WAITING: &str = "waiting_requests{service=\"service\",stage=\"read\"} 1\n";
+    let repeats = Repeats::Stream { resumable: false };
+    let reader = Upstream::always(vec![signed("200 OK", "handle h1")]).await;
+    let generator = Upstream::always(stream(1, 2)).await;
+    let engines = vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
+    let config = |version, accounts| {
+        let config = config(version, repeats, accounts);
+        let route = config.route("host.example", "/a/").expect("the route of the tests");
+        let route = Route {
+            objective: Millis(200),
+            patience: Millis::from_secs(60),
+            ..Route::clone(route)
+        };
+        let services = config.services().cloned().collect();
+        let accounts = config.accounts().expect("there are accounts").clone();
+        Config::new(version, config.limits, services, vec![route]).with_accounts(accounts)
+    };
+    // The clock stands, so that the engines remain as busy as they are.
+    let initial = Some(config(1, KITCHEN));
+    let front = start_with_clock(ManualClock::new(), initial, engines, ample_budget()).await;
+    let view = front.gateway.fleet().view();
+    let _busy = [("r", 500.0), ("g", 20_000.0)]
+        .map(|(id, ms)| Held::with_work(Arc::clone(view.get(id).expect("it is listed")), ms, 0.0));
+
+    let prompt = format!("{GOOD}T-Tokens: 20000\r\nT-First-Part: 11\r\n");
+    let asking = front.post_with_long_deadline("r1", &prompt, "body");
+    let withdrawing = async {
+        until(|| front.gateway.metrics_text().contains(WAITING)).await;
+        front.gateway.adopt_config(config(2, Key("kitchen", "other-key")));
+    };
+    let both = async { tokio::join!(asking, withdrawing) };
+    let answered = tokio::time::timeout(Duration::from_secs(10), both).await;
+
+    let (answer, ()) = answered.expect("it is answered while the engines are busy");
+    assert_eq!(answer.status, 401, "{answer:?}");
+    assert!(reader.received().is_empty());
+}
