Count an answer that breaks after its head against its upstream

Cause: the head of each answer was recorded as a success, which resets the failures in a row. The broken rest counted as one failure after it, so that three in a row, after which an upstream is not used for a while, never came about. Some broken answers (no signature, no event) counted as nothing.

Change: an answer counts once it is received whole, a stream with its first event, and the end of a prompt's reading with its handle; what breaks before that is a failure. A sound upstream is used again when its time is over. Answers are received in a module of their own (relay/collecting.rs), which relay/attempts.rs loses.

--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -10,8 +10,8 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::attempts::MAX_ANSWER_BYTES;
 use super::bodies::counted;
+use super::collecting::MAX_ANSWER_BYTES;
 use super::requests::Exchange;
 use super::resumption::Relay;
 use super::{Flight, Gateway};
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -6,20 +6,16 @@
 use anvilhook_core::orders::Role;
 use anvilhook_core::reading_lanes::Lane;
 use anvilhook_core::units::{Clock, Millis};
-use anvilhook_http::clients::{Connection, collect_body};
-use http::header::{
-    AUTHORIZATION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue,
-    TRANSFER_ENCODING,
-};
+use anvilhook_http::clients::Connection;
+use http::header::{AUTHORIZATION, CONTENT_ENCODING, HeaderName, HeaderValue};
 use http::{Request, StatusCode};
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::answers::WholeAnswer;
 use super::calls::UpstreamCall;
 use super::examining::PART_QUARANTINED;
 use super::failures::{Failed, FailureSignal};
-use super::requests::{Exchange, end_to_end};
+use super::requests::Exchange;
 use super::signals::AnswerSource;
 use super::waiting::Wait;
 use super::{Gateway, PEER_SOURCE};
@@ -30,9 +26,6 @@
 use crate::metrics::AttemptLabels;
 use crate::wires::Wire;
 
-/// The maximum size of an answer that is collected before it is forwarded, in bytes.
-pub(super) const MAX_ANSWER_BYTES: usize = 16 << 20;
-
 /// How long an upstream is not used after it refused a request although less than half of its slots were
 /// taken, or refused a plain request as misdirected.
 const WRONG_STAGE_PAUSE: Millis = Millis(300);
@@ -116,7 +109,8 @@
                 self.record_engine_error(sending.upstream, self.peers().number(), true);
                 self.peers().announce();
             }
-            Ok(_) => state.ejection().record_success(now),
+            // Whether the rest of the answer is sound shows only once it has been received.
+            Ok(_) => {}
             Err(failed) => {
                 if failed.is_refusal {
                     state.ejection().record_success(now);
@@ -301,50 +295,4 @@
         let (request, upstream) = (&*exchange.id, &*upstream.entry.id);
         emit(&UpstreamEvent::RoleShown { upstream, role, request: Some(request) });
     }
-
-    /// Collects a whole answer. Only signed answers are forwarded, failures included.
-    pub(super) async fn collect(
-        &self,
-        exchange: &Exchange,
-        answer: Response,
-    ) -> Result<WholeAnswer, Failed> {
-        let names = self.wire().headers();
-        let (parts, body) = answer.into_parts();
-        if !parts.headers.contains_key(&names.signature) {
-            return Err(Failed::may_have_run("unsigned_answer"));
-        }
-        let body = self.collect_body(exchange, body).await?;
-        self.record_relayed(body.len());
-        let headers = passed_on(&parts.headers);
-        Ok(WholeAnswer { status: parts.status, headers, body })
-    }
-
-    /// Records bytes that arrive from an upstream and are forwarded to a caller.
-    pub(super) fn record_relayed(&self, bytes: usize) {
-        self.record_bytes(Direction::Inbound, bytes);
-        self.record_bytes(Direction::Outbound, bytes);
-    }
-
-    /// Collects a whole body within the time that is left to the caller.
-    pub(super) async fn collect_body(
-        &self,
-        exchange: &Exchange,
-        body: Body,
-    ) -> Result<bytes::Bytes, Failed> {
-        let collected = collect_body(body, MAX_ANSWER_BYTES, exchange.time_left(self.now()));
-        collected.await.map_err(|err| match err.timed_out {
-            true => Failed { step: err.stage.as_str(), ..Failed::timed_out("answer_late") },
-            false => Failed { step: err.stage.as_str(), ..Failed::broken("answer_cut") },
-        })
-    }
-}
-
-/// Returns whether the end of an answer is marked, by a length or a last chunk. Otherwise it ends with its connection.
-pub(super) fn has_marked_end(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
-/// Returns the headers of an upstream's answer that are forwarded.
-pub(super) fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    end_to_end(headers, &[])
 }
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -13,8 +13,8 @@
 use volo_http::response::Response;
 
 use super::Gateway;
-use super::attempts::passed_on;
 use super::calls::{CallFailure, UpstreamCall};
+use super::collecting::passed_on;
 use super::requests::{end_to_end, text};
 use super::signals::AnswerSource;
 use crate::events::{RequestEvent, emit};
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -7,6 +7,7 @@
 use anvilhook_http::clients::Connection;
 use http::HeaderValue;
 use http::header::HeaderName;
+use volo_http::response::Response;
 
 use super::Gateway;
 use super::attempts::Sending;
@@ -217,16 +218,7 @@
             }
         };
         let result = match sent {
-            Ok(answer) if answer.status().is_success() => {
-                let relay = Relay::open(self, exchange, answer, held, received).await;
-                let relay =
-                    relay.and_then(|relay| match self.is_other_software(exchange, upstream) {
-                        true => Err(Failed::may_have_run("software_replaced")),
-                        false => Ok(relay),
-                    });
-                relay.map(|relay| Opened::Stream(Box::new(relay)))
-            }
-            Ok(answer) => self.collect(exchange, answer).await.map(Opened::Answer),
+            Ok(answer) => self.receive_opening(exchange, upstream, answer, held, received).await,
             Err(failed) => Err(failed),
         };
         let took = self.now() - started_at;
@@ -244,4 +236,30 @@
         }
         Ok(result)
     }
+
+    /// Receives the first event of a stream, or a whole answer that is none.
+    async fn receive_opening(
+        &self,
+        exchange: &Exchange,
+        upstream: &Arc<Upstream>,
+        answer: Response,
+        held: Held,
+        received: Option<u64>,
+    ) -> Result<Opened, Failed> {
+        let opened = if answer.status().is_success() {
+            let relay = Relay::open(self, exchange, answer, held, received).await;
+            relay.map(|relay| Opened::Stream(Box::new(relay)))
+        } else {
+            self.collect(exchange, answer).await.map(Opened::Answer)
+        };
+        match &opened {
+            Ok(opened) => self.record_sound_answer(upstream, opened.status()),
+            Err(failed) => self.record_broken_answer(exchange, upstream, "first_event", failed),
+        }
+        let is_stream = matches!(&opened, Ok(Opened::Stream(_)));
+        if is_stream && self.is_other_software(exchange, upstream) {
+            return Err(Failed::may_have_run("software_replaced"));
+        }
+        opened
+    }
 }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod bodies;
 mod calls;
 mod closings;
+mod collecting;
 mod conclusions;
 mod continuation;
 mod departures;
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -154,9 +154,9 @@
         let result = match sent {
             Ok(answer) => {
                 let collected = self.collect(exchange, answer).await;
-                if let Err(failed) = &collected {
-                    upstream.state.ejection().record_failure(self.now());
-                    self.log_failed(exchange, upstream, "plain", failed);
+                match &collected {
+                    Ok(answer) => self.record_sound_answer(upstream, answer.status),
+                    Err(failed) => self.record_broken_answer(exchange, upstream, "plain", failed),
                 }
                 collected
             }
--- a/crates/anvilhook-gateway/src/relay/prompts.rs
+++ b/crates/anvilhook-gateway/src/relay/prompts.rs
@@ -7,8 +7,8 @@
 use anvilhook_core::reading_lanes::PromptSize;
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis};
-use http::HeaderValue;
 use http::header::HeaderName;
+use http::{HeaderValue, StatusCode};
 
 use super::Gateway;
 use super::answers::{Outcome, WholeAnswer};
@@ -50,6 +50,16 @@
     Answer(WholeAnswer),
 }
 
+impl Opened {
+    /// Returns the status of the answer.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Opened::Stream(relay) => relay.status(),
+            Opened::Answer(answer) => answer.status,
+        }
+    }
+}
+
 /// `TryResult` is the result of one try. After the inner error another try may follow; the outer error is the
 /// request's final answer.
 pub(super) type TryResult<T> = Result<Result<T, Failed>, Outcome>;
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -8,6 +8,7 @@
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
 use http::HeaderValue;
+use volo_http::response::Response;
 
 use super::Gateway;
 use super::arrivals::Arrival;
@@ -198,12 +199,27 @@
         exchange: &Exchange,
         sending: Sending<'_>,
     ) -> Result<String, Failed> {
+        let upstream = sending.upstream;
         let answer = self.send(exchange, sending).await?;
-        if !answer.status().is_success() {
+        let status = answer.status();
+        if !status.is_success() {
+            self.record_sound_answer(upstream, status);
             return Err(Failed::may_have_run("reading_failed"));
         }
-        let (_, body) = answer.into_parts();
-        let body = self.collect_body(exchange, body).await?;
+        let handle = self.receive_handle(exchange, answer).await;
+        match &handle {
+            Ok(_) => self.record_sound_answer(upstream, status),
+            Err(failed) => self.record_broken_answer(exchange, upstream, "read", failed),
+        }
+        handle
+    }
+
+    async fn receive_handle(
+        &self,
+        exchange: &Exchange,
+        answer: Response,
+    ) -> Result<String, Failed> {
+        let body = self.collect_body(exchange, answer.into_body()).await?;
         self.wire().prefill_handle(&body).map_err(|_| Failed::may_have_run("unreadable_handle"))
     }
 }
--- a/crates/anvilhook-gateway/src/relay/resumption.rs
+++ b/crates/anvilhook-gateway/src/relay/resumption.rs
@@ -15,9 +15,9 @@
 use volo_http::response::Response;
 
 use super::answers::STREAM_CUT;
-use super::attempts::{has_marked_end, passed_on};
 use super::bodies::counted;
 use super::calls::Forwarded;
+use super::collecting::{has_marked_end, passed_on};
 use super::failures::{Failed, FailureSignal};
 use super::prompts::Opened;
 use super::requests::Exchange;
@@ -118,14 +118,7 @@
             // A stream that is resumed after its last event has no more events.
             Ok(Piece::End) if resume_after.is_some() => Ok(relay),
             Ok(Piece::End) => Err(Failed::broken("empty_stream")),
-            Err(failed) => {
-                let upstream = relay.held.upstream();
-                if failed.signal != FailureSignal::PathBroken {
-                    upstream.state.ejection().record_failure(gateway.now());
-                }
-                gateway.log_failed(exchange, upstream, "first_event", &failed);
-                Err(failed)
-            }
+            Err(failed) => Err(failed),
         }
     }
 
