Bound the memory and the work of bodies that are collected

Cause: a body was collected as the list of its pieces. A piece of one byte refers to the buffer in which it arrived, so that the bound of 16 MiB counts bytes of the body and not of memory. And each body had that bound for itself.

Change (anvilhook-http, collecting): pieces are copied into one buffer. A body or an event in more than 16,384 pieces of less than 64 bytes on average is broken off, as its size does not bound the work. All answers that are collected have 32 MiB together: beyond that those larger than an equal part of it are broken off, which an endless one always is; answers up to 256 KiB are always received (core, answer_memory).

Tests: 12,000 pieces of one byte may not hold more than four times their bytes; six endless answers together hold 100,579,010 bytes without the common bound, and at most 32 MiB with it; thirteen answers without end (head, body, chunks, extension, trailers, event) are cut, and the request is answered by another upstream.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod admission;
+pub mod answer_memory;
 pub mod api_keys;
 pub mod attempts;
 pub mod authority;
--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -1,12 +1,12 @@
 //! Builds the answers that are sent to callers.
 
 use anvilhook_core::units::{Clock, Millis};
+use anvilhook_http::collecting::{BodyBounds, MAX_TRANSFER_TIME, collect_body_within};
 use bytes::Bytes;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
 };
 use http::{Response as HttpResponse, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use volo_http::body::Body;
 use volo_http::response::Response;
 
@@ -122,10 +122,13 @@
         }
         let flight = self.begin_flight();
         let (parts, body) = answer.into_parts();
-        match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        let timeout = MAX_TRANSFER_TIME;
+        let bounds = BodyBounds { max_bytes: MAX_ANSWER_BYTES, timeout, idle_timeout: timeout };
+        let mut room = self.inner.answer_memory.begin();
+        match collect_body_within(body, &bounds, &mut room).await {
             Ok(body) => {
                 let (status, headers) = (parts.status, parts.headers);
-                WholeAnswer { status, headers, body: body.to_bytes() }.into_response(flight)
+                WholeAnswer { status, headers, body }.into_response(flight)
             }
             Err(_) => OwnAnswer::failed(StatusCode::BAD_GATEWAY, STREAM_CUT).into_response(),
         }
--- a/crates/anvilhook-gateway/src/relay/collecting.rs
+++ b/crates/anvilhook-gateway/src/relay/collecting.rs
@@ -2,7 +2,8 @@
 
 use anvilhook_core::connection_admission::Direction;
 use anvilhook_core::units::Clock;
-use anvilhook_http::clients::collect_body;
+use anvilhook_http::Stage;
+use anvilhook_http::collecting::{BodyBounds, CollectError, collect_body_within};
 use http::StatusCode;
 use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use volo_http::body::Body;
@@ -72,10 +73,15 @@
         exchange: &Exchange,
         body: Body,
     ) -> Result<bytes::Bytes, Failed> {
-        let collected = collect_body(body, MAX_ANSWER_BYTES, exchange.time_left(self.now()));
-        collected.await.map_err(|err| match err.timed_out {
-            true => Failed { step: err.stage.as_str(), ..Failed::timed_out("answer_late") },
-            false => Failed { step: err.stage.as_str(), ..Failed::broken("answer_cut") },
+        let timeout = exchange.time_left(self.now());
+        let bounds = BodyBounds { max_bytes: MAX_ANSWER_BYTES, timeout, idle_timeout: timeout };
+        let mut room = self.inner.answer_memory.begin();
+        let collected = collect_body_within(body, &bounds, &mut room);
+        let step = Stage::Body.as_str();
+        collected.await.map_err(|err| match err {
+            CollectError::TimedOut => Failed { step, ..Failed::timed_out("answer_late") },
+            CollectError::NoRoom => Failed { step, ..Failed::may_have_run("no_answer_memory") },
+            _ => Failed { step, ..Failed::broken("answer_cut") },
         })
     }
 }
--- a/crates/anvilhook-gateway/src/relay/handles.rs
+++ b/crates/anvilhook-gateway/src/relay/handles.rs
@@ -174,7 +174,7 @@
         self.record_response(upstream, AnswerSource::OwnCall, status, answer.headers());
         let (_, body) = answer.into_parts();
         const MAX_BYTES: usize = 1 << 20;
-        let body = anvilhook_http::clients::collect_body(body, MAX_BYTES, OWN_CALL_TIMEOUT);
+        let body = anvilhook_http::collecting::collect_body(body, MAX_BYTES, OWN_CALL_TIMEOUT);
         Some(OwnCallAnswer { status, body: body.await.ok()? })
     }
 }
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod access;
 mod admission;
 mod adoption;
+mod answer_memory;
 mod answers;
 mod arrivals;
 mod attempts;
@@ -65,6 +66,7 @@
 
 use admission::FrontAdmission;
 pub(crate) use admission::FrontCheck;
+use answer_memory::AnswerMemory;
 use answers::{Outcome, OwnAnswer};
 use departures::DepartureWatch;
 use limits::LimitQueues;
@@ -138,6 +140,7 @@
     forwarders: Forwarders,
     served_calls: ServedCalls,
     admission: FrontAdmission,
+    answer_memory: AnswerMemory,
     check_slots: Semaphore,
     last_check: LastCheck,
     /// Engines that have read a prompt, with the parts not yet published to peers.
@@ -178,6 +181,7 @@
             forwarders: Forwarders::default(),
             served_calls: ServedCalls::default(),
             admission: FrontAdmission::new(options.link_mbps),
+            answer_memory: AnswerMemory::default(),
             check_slots: Semaphore::new(MAX_CONCURRENT_CHECKS),
             last_check: LastCheck::default(),
             in_flight: AtomicU64::new(0),
@@ -357,6 +361,11 @@
         self.inner.served_calls.count()
     }
 
+    /// Returns the bytes of all answers that are being collected.
+    pub fn collected_bytes(&self) -> usize {
+        self.inner.answer_memory.bytes()
+    }
+
     /// Serves a request.
     pub async fn handle(&self, req: Request) -> Response {
         let flight = self.begin_flight();
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -10,11 +10,11 @@
 use anvilhook_core::pacing::Waiting;
 use anvilhook_core::stream_origins::Software;
 use anvilhook_core::units::{Clock, Millis};
+use anvilhook_http::collecting::{BodyBounds, CollectError, Unlimited, collect_body_within};
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
 use http::request::Parts;
 use http::{Method, StatusCode, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use volo_http::request::Request;
 
 use super::Gateway;
@@ -118,18 +118,10 @@
         config.access(route, key.as_ref()).ok_or_else(no_access)?;
         check_head(&config, &parts.headers, &parts.uri)?;
 
-        let limited = Limited::new(body, config.limits.max_body_bytes);
-        let collecting = tokio::time::timeout(BODY_TIMEOUT.as_duration(), limited.collect());
-        let body = match collecting.await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(err)) if err.is::<LengthLimitError>() => {
-                return Err(OwnAnswer::failed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
-            }
-            Ok(Err(_)) => return Err(OwnAnswer::failed(StatusCode::BAD_REQUEST, "body_broken")),
-            Err(_elapsed) => {
-                return Err(OwnAnswer::failed(StatusCode::REQUEST_TIMEOUT, "body_late"));
-            }
-        };
+        let max_bytes = config.limits.max_body_bytes;
+        let bounds = BodyBounds { max_bytes, timeout: BODY_TIMEOUT, idle_timeout: BODY_TIMEOUT };
+        let collected = collect_body_within(body, &bounds, &mut Unlimited).await;
+        let body = collected.map_err(|err| unreceived(&err))?;
 
         gateway.record_bytes(Direction::Inbound, body.len());
 
@@ -300,6 +292,20 @@
     }
 }
 
+/// Returns the answer to a request whose body was not received.
+fn unreceived(err: &CollectError) -> OwnAnswer {
+    match err {
+        CollectError::TooLarge(_) => {
+            OwnAnswer::failed(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large")
+        }
+        CollectError::TimedOut => OwnAnswer::failed(StatusCode::REQUEST_TIMEOUT, "body_late"),
+        CollectError::Fragmented => OwnAnswer::failed(StatusCode::BAD_REQUEST, "body_fragmented"),
+        CollectError::NoRoom | CollectError::Broken(_) => {
+            OwnAnswer::failed(StatusCode::BAD_REQUEST, "body_broken")
+        }
+    }
+}
+
 fn no_config() -> OwnAnswer {
     OwnAnswer::refused("no_configuration", NO_CONFIG_PAUSE)
 }
--- a/crates/anvilhook-gateway/src/streams.rs
+++ b/crates/anvilhook-gateway/src/streams.rs
@@ -1,5 +1,6 @@
 //! Splits the bytes of an answer into numbered events.
 
+use anvilhook_http::collecting::is_fragmented;
 use bytes::{Bytes, BytesMut};
 
 /// The maximum size of one event, in bytes.
@@ -32,6 +33,8 @@
 pub struct EventSplitter {
     buf: BytesMut,
     searched: usize,
+    /// The number of pieces since the last event.
+    pieces: usize,
 }
 
 impl EventSplitter {
@@ -42,6 +45,7 @@
 
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
+        self.pieces += 1;
         self.buf.extend_from_slice(bytes);
     }
 
@@ -49,6 +53,7 @@
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let end = self.event_end()?;
         self.searched = 0;
+        self.pieces = 0;
         let bytes = self.buf.split_to(end).freeze();
         Some(StreamEvent { id: event_id(&bytes), bytes })
     }
@@ -58,9 +63,9 @@
         self.buf.is_empty()
     }
 
-    /// Returns whether the remaining bytes exceed the maximum size of an event.
+    /// Returns whether the remaining bytes exceed the maximum size of an event, or arrive in too many small pieces.
     pub fn is_too_large(&self) -> bool {
-        self.buf.len() > MAX_EVENT_BYTES
+        self.buf.len() > MAX_EVENT_BYTES || is_fragmented(self.pieces, self.buf.len())
     }
 
     fn event_end(&mut self) -> Option<usize> {
--- a/crates/anvilhook-gateway/tests/support/upstreams.rs
+++ b/crates/anvilhook-gateway/tests/support/upstreams.rs
@@ -1,6 +1,7 @@
 //! Upstreams that answer with the exact bytes of a script.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,6 +13,9 @@
 
 use super::wires::entry;
 
+/// How many bytes an upstream that repeats a text writes at once.
+const REPEATED_BYTES: usize = 16 << 10;
+
 /// `Received` is a request as the upstream received it.
 #[derive(Clone, Debug)]
 pub struct Received {
@@ -36,6 +40,8 @@
 pub enum Step {
     /// Writes bytes. `{id}` is replaced by the request's id.
     Write(String),
+    /// Writes bytes again and again until the client closes the connection, and counts them.
+    Repeat(&'static str, Arc<AtomicUsize>),
     /// Closes the connection normally.
     Close,
     /// Closes the connection with a reset.
@@ -170,6 +176,14 @@
                         return;
                     }
                 }
+                Step::Repeat(text, written) => {
+                    let texts = text.repeat(REPEATED_BYTES / text.len());
+                    while stream.write_all(texts.as_bytes()).await.is_ok() {
+                        written.fetch_add(texts.len(), Ordering::SeqCst);
+                    }
+                    closed.notify_one();
+                    return;
+                }
                 Step::Pause(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
                 Step::Await(event) => event.notified().await,
                 Step::Close => return,
--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -3,9 +3,7 @@
 use std::pin::pin;
 
 use anvilhook_core::units::Millis;
-use bytes::{Bytes, BytesMut};
 use http::Request;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::{Instant, timeout_at};
 use volo::net::Address;
 use volo_http::body::Body;
@@ -130,62 +128,6 @@
     }
 }
 
-/// Collects an answer's body of at most `max_bytes`, waiting at most `timeout`.
-///
-/// # Errors
-///
-/// A `CallError` of stage `Body` if the body is truncated, larger than `max_bytes`, or not complete
-/// within `timeout`.
-pub async fn collect_body(
-    body: Body,
-    max_bytes: usize,
-    timeout: Millis,
-) -> Result<Bytes, CallError> {
-    let collecting = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(timeout.as_duration(), collecting).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(err)) => Err(broken_body(err, max_bytes)),
-        Err(_elapsed) => Err(CallError::timed_out(Stage::Body)),
-    }
-}
-
-/// Collects an answer's body of at most `max_bytes`, without a limit on the total time.
-///
-/// A large answer may take long over a slow link, so only a pause between its parts counts as a
-/// failure.
-///
-/// # Errors
-///
-/// A `CallError` of stage `Body` if the body is truncated, larger than `max_bytes`, or pauses for
-/// longer than `idle_timeout`.
-pub async fn collect_body_with_idle_timeout(
-    body: Body,
-    max_bytes: usize,
-    idle_timeout: Millis,
-) -> Result<Bytes, CallError> {
-    let mut body = std::pin::pin!(Limited::new(body, max_bytes));
-    let mut whole = BytesMut::new();
-    loop {
-        let frame = match tokio::time::timeout(idle_timeout.as_duration(), body.frame()).await {
-            Ok(None) => return Ok(whole.freeze()),
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(err))) => return Err(broken_body(err, max_bytes)),
-            Err(_elapsed) => return Err(CallError::timed_out(Stage::Body)),
-        };
-        if let Some(data) = frame.data_ref() {
-            whole.extend_from_slice(data);
-        }
-    }
-}
-
-fn broken_body(err: Box<dyn std::error::Error + Send + Sync>, max_bytes: usize) -> CallError {
-    if err.is::<LengthLimitError>() {
-        CallError::broken(Stage::Body, format!("answer larger than {max_bytes} bytes"))
-    } else {
-        CallError::broken(Stage::Body, err)
-    }
-}
-
 fn build(options: &ClientOptions, max_idle: usize) -> Result<Client, CallError> {
     let mut builder = Client::builder();
     builder
--- a/crates/anvilhook-http/src/lib.rs
+++ b/crates/anvilhook-http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answers;
 mod bodies;
 pub mod clients;
+pub mod collecting;
 pub mod errors;
 mod heads;
 pub mod pauses;
--- a/crates/anvilhook-http/tests/clients.rs
+++ b/crates/anvilhook-http/tests/clients.rs
@@ -4,7 +4,8 @@
 
 use anvilhook_core::Verdict;
 use anvilhook_core::units::Millis;
-use anvilhook_http::clients::{Connection, collect_body};
+use anvilhook_http::clients::Connection;
+use anvilhook_http::collecting::collect_body;
 use anvilhook_http::{ClientOptions, HttpClient, Stage};
 use http::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/anvilhook-platform/src/http_platform.rs
+++ b/crates/anvilhook-platform/src/http_platform.rs
@@ -6,7 +6,8 @@
 
 use anvilhook_core::Verdict;
 use anvilhook_core::units::{Clock, Millis, SystemClock};
-use anvilhook_http::clients::{Connection, collect_body};
+use anvilhook_http::clients::Connection;
+use anvilhook_http::collecting::collect_body;
 use anvilhook_http::{CallError, ClientOptions, HttpClient};
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
--- a/crates/anvilhook-standin/src/engines/serving/handlers.rs
+++ b/crates/anvilhook-standin/src/engines/serving/handlers.rs
@@ -9,7 +9,7 @@
     ChatUsage, KV_PATH, ORDERS_PATH, PRIORITY_HEADER, REPORT_PATH, STATE_PATH, STREAMS_PATH,
 };
 use anvilhook_http::answers;
-use anvilhook_http::clients::collect_body;
+use anvilhook_http::collecting::collect_body;
 use http::{HeaderMap, Response, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
--- a/crates/anvilhook-standin/src/plain/handlers.rs
+++ b/crates/anvilhook-standin/src/plain/handlers.rs
@@ -9,7 +9,7 @@
 use anvilhook_core::units::{Clock, Millis, Tokens};
 use anvilhook_engine::wire::REPORT_PATH;
 use anvilhook_http::answers;
-use anvilhook_http::clients::collect_body;
+use anvilhook_http::collecting::collect_body;
 use http::request::Parts;
 use http::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
