End a call after sixteen interim answers

Cause: the HTTP library parses interim answers in a loop for as long as bytes arrive, and does not return to the runtime before a read finds none or the task's budget of 128 reads is used up. The instance has one runtime thread. Evidence: the new case 'interim answers' reads 247,881,030 bytes before the attempt's timeout of 30 s.

Change: the library reports each interim answer. After sixteen the call fails as broken, which closes its connection, and the connection's task uses up its budget at once, so that its next read returns to the runtime.

--- a/crates/anvilhook-gateway/tests/broken_answers.rs
+++ b/crates/anvilhook-gateway/tests/broken_answers.rs
@@ -123,10 +123,12 @@
 const MAX_ANSWER: usize = 16 << 20;
 const MAX_EVENT: usize = 2 << 20;
 
-const ENDLESS: [Endless; 13] = [
+const ENDLESS: [Endless; 15] = [
     endless("header", Repeats::Idempotent, "HTTP/1.1 200 OK\r\nX-A: ", "x", MAX_HEAD),
     endless("header lines", Repeats::Idempotent, HEAD, "X-A: b\r\n", MAX_HEAD),
     endless("empty lines", Repeats::Idempotent, "", "\r\n", MAX_HEAD),
+    endless("interim answers", Repeats::Idempotent, "", "HTTP/1.1 102 Go\r\n\r\n", MAX_HEAD),
+    endless("continue", STREAM, "", "HTTP/1.1 100 Continue\r\n\r\n", MAX_HEAD),
     endless(
         "body without a length",
         Repeats::Idempotent,
--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -12,6 +12,7 @@
 
 use crate::bodies::SendProgress;
 use crate::errors::{CallError, Stage};
+use crate::interim::InterimLimit;
 
 /// `ClientOptions` bounds the connections of a client.
 #[derive(Clone, Copy, Debug)]
@@ -110,19 +111,29 @@
             .uri(parts.uri)
             .address(Address::from(address));
         *builder.headers_mut() = parts.headers;
-        let mut sending = pin!(builder.body(progress.track(body)).send());
+        let limit = InterimLimit::default();
+        let sending = builder.body(progress.track(body)).layer(limit.clone()).send();
+        let sending = async {
+            tokio::select! {
+                answer = sending => Ok(answer?),
+                () = limit.exceeded() => {
+                    Err(CallError::broken(Stage::FirstByte, "too many interim answers"))
+                }
+            }
+        };
+        let mut sending = pin!(sending);
         let now = Instant::now();
         let connect_timeout = self.connect_timeout.min(timeout);
         // The library does not apply its own connect timeout.
         let begun = timeout_at(now + connect_timeout.as_duration(), sending.as_mut()).await;
         if let Ok(answer) = begun {
-            return Ok(answer?);
+            return answer;
         }
         if !progress.has_begun() {
             return Err(CallError::timed_out(Stage::Connect));
         }
         match timeout_at(now + timeout.as_duration(), sending).await {
-            Ok(answer) => Ok(answer?),
+            Ok(answer) => answer,
             Err(_elapsed) => Err(CallError::timed_out(Stage::FirstByte)),
         }
     }
--- a/crates/anvilhook-http/src/lib.rs
+++ b/crates/anvilhook-http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod collecting;
 pub mod errors;
 mod heads;
+mod interim;
 pub mod pauses;
 pub mod servers;
 
