Collected answers: 64 MiB together; look up a stream's origin in plain steps

With 32 MiB three sound answers of 11 MiB at once would have been cut. 64 MiB bound the memory all the same: a buffer is at most twice its bytes, and the smallest instances have 160 MB. The lookup of a stream by its two fingerprints is written out as two steps; no change in what it finds. broken_answers, account_changes and software_versions pass.

--- a/crates/anvilhook-core/src/answer_memory.rs
+++ b/crates/anvilhook-core/src/answer_memory.rs
@@ -4,7 +4,7 @@
 //! collected whole before it is forwarded, so that its size adds to that of all others.
 
 /// The memory for all answers that are being collected, in bytes.
-pub const MAX_COLLECTED_BYTES: usize = 32 << 20;
+pub const MAX_COLLECTED_BYTES: usize = 64 << 20;
 
 /// The size up to which an answer may always grow, in bytes.
 pub const SMALL_ANSWER_BYTES: usize = 256 << 10;
@@ -18,9 +18,9 @@
 /// ```
 /// use anvilhook_core::answer_memory::{MAX_COLLECTED_BYTES, may_grow};
 ///
-/// assert!(may_grow(15 << 20, 30 << 20, 2));
-/// assert!(!may_grow(13 << 20, MAX_COLLECTED_BYTES + 1, 3));
-/// assert!(may_grow(9 << 20, MAX_COLLECTED_BYTES + 1, 3));
+/// assert!(may_grow(15 << 20, 60 << 20, 6));
+/// assert!(!may_grow(13 << 20, MAX_COLLECTED_BYTES + 1, 6));
+/// assert!(may_grow(9 << 20, MAX_COLLECTED_BYTES + 1, 6));
 /// ```
 pub fn may_grow(own: usize, all: usize, large: usize) -> bool {
     own <= SMALL_ANSWER_BYTES
--- a/crates/anvilhook-gateway/src/relay/continuation.rs
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -98,12 +98,13 @@
         }
         let looked_up_at = self.now();
         let request = stream.id.as_deref().map(request_hash);
-        let mut origin = OriginLookup::Unknown;
-        for fingerprint in [Some(exchange.fingerprint), exchange.other_fingerprint] {
-            let Some(fingerprint) = fingerprint.filter(|_| origin.software().is_none()) else {
-                continue;
-            };
-            let found = self.look_up_origin(OriginKey { fingerprint, request }).await;
+        let key = |fingerprint| OriginKey { fingerprint, request };
+        let mut origin = self.look_up_origin(key(exchange.fingerprint)).await;
+        if let Some(other) = exchange.other_fingerprint
+            && origin.software().is_none()
+        {
+            let found = self.look_up_origin(key(other)).await;
+            // The origin is unknown only if it is by both.
             origin = if found == OriginLookup::Unknown { origin } else { found };
         }
         let upstream = origin.software().and_then(|software| self.any_of(software));
