--- a/crates/anvilhook-gateway/tests/account_changes.rs
+++ b/crates/anvilhook-gateway/tests/account_changes.rs
@@ -153,7 +153,7 @@
     }
 }
 
-/// Guards against the same while an engine reads the prompt of a request.
+/// Guards against the same faults while an engine reads the prompt of a request.
 #[tokio::test]
 async fn verify_keys_are_judged_by_the_accounts_when_output_begins() {
     let roles = [Some(Role::Prefill), Some(Role::Decode)];
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -537,7 +537,7 @@
     assert!(upstream.received().is_empty());
 }
 
-/// Guards against a key that reaches an upstream, or an upstream that is not told the account: the configuration brings
+/// Guards against an upstream that receives a key, or no account's name: the configuration brings
 /// in accounts, or moves the key to another one, while the connection of a request is being opened.
 #[tokio::test]
 async fn verify_a_message_of_earlier_accounts_is_not_forwarded() {
