Refuse no waiting request because a turn of the limit begins during its check

Callers whose upstreams name a request limit got 503 no_upstream, with Retry-After 0.15, although the limit allowed them in time.

Cause: a waiting request looks for an upstream, finds none with a share left, and then asks whether a limit is the reason. Both look at the clock. If a turn begins between the two, the second finds a share and concludes that something else is in the way. The clock's milliseconds make it rare; little CPU time makes it likelier.

A request that finds a share is now placed once more before that is concluded; only if there is still no upstream is something else in its way.

--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -13,7 +13,7 @@
 use super::attempts::Sending;
 use super::failures::Failed;
 use super::handles::KvHandle;
-use super::limits::{LIMITED, LimitWait};
+use super::limits::{LIMITED, LimitWait, ShareWait};
 use super::places::Stage;
 use super::prompts::{Job, Opened, REFUSED_PAUSE, TryResult};
 use super::requests::Exchange;
@@ -116,7 +116,7 @@
         resume_after: Option<u64>,
         avoid: &mut Vec<Arc<str>>,
     ) -> TryResult<Opened> {
-        let mut ticket = None;
+        let mut share_wait = ShareWait::default();
         let upstream = loop {
             if self.has_moved(exchange) {
                 return Ok(Err(Failed::not_sent("moved")));
@@ -124,11 +124,11 @@
             if resume_after.is_none() && self.may_be_interrupted(exchange) {
                 return Err(self.abandoned_outcome(exchange, STOPPING, Millis::ZERO));
             }
-            let avoided = self.avoided(exchange, avoid, ticket.as_ref());
+            let avoided = self.avoided(exchange, avoid, &share_wait);
             if let Some(upstream) = self.choose_plain(exchange, &avoided) {
                 break upstream;
             }
-            match self.wait_for_share(exchange, avoid, &mut ticket).await {
+            match self.wait_for_share(exchange, avoid, &mut share_wait).await {
                 LimitWait::TryAgain => {}
                 LimitWait::Refuse(soonest) => {
                     return Err(self.abandoned_outcome(exchange, LIMITED, soonest));
--- a/crates/anvilhook-gateway/src/relay/limits.rs
+++ b/crates/anvilhook-gateway/src/relay/limits.rs
@@ -53,6 +53,22 @@
     number: Option<u64>,
 }
 
+/// `ShareWait` is what one request has done to get a share of a request limit.
+#[derive(Debug, Default)]
+pub(super) struct ShareWait {
+    /// The request's place in the queue between two waits.
+    ticket: Option<LimitTicket>,
+    /// Whether it has been placed again, as a share was left, since it last waited.
+    is_placed_again: bool,
+}
+
+impl ShareWait {
+    /// Creates the state of a request that has a place in the queue.
+    pub fn with_ticket(ticket: LimitTicket) -> Self {
+        Self { ticket: Some(ticket), is_placed_again: false }
+    }
+}
+
 impl LimitQueues {
     fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, LimitQueue>> {
         self.0.lock().expect("no panic under this lock")
@@ -100,7 +116,7 @@
 
 /// `LimitWait` is what happens to a request for which no upstream has been found.
 pub(super) enum LimitWait {
-    /// It has waited and may be placed again.
+    /// It is to be placed again.
     TryAgain,
     /// It is refused; a repeat can be sent after this time.
     Refuse(Millis),
@@ -121,7 +137,7 @@
         &self,
         exchange: &Exchange,
         avoid: &[Arc<str>],
-        ticket: Option<&LimitTicket>,
+        wait: &ShareWait,
     ) -> Vec<Arc<str>> {
         let limited = self.limited_upstreams(exchange, avoid);
         let mut avoided = avoid.to_vec();
@@ -129,7 +145,7 @@
             return avoided;
         }
         let left = shares_left(&limited, self.now());
-        if self.inner.limit_queues.ahead(&exchange.service, ticket) >= left {
+        if self.inner.limit_queues.ahead(&exchange.service, wait.ticket.as_ref()) >= left {
             avoided.extend(limited.iter().map(|one| Arc::clone(&one.entry.id)));
         }
         avoided
@@ -153,9 +169,9 @@
         &self,
         exchange: &Exchange,
         job: &Job<'_>,
-        ticket: Option<&LimitTicket>,
+        wait: &ShareWait,
     ) -> Option<Plan> {
-        let avoid = self.avoided(exchange, job.avoid, ticket);
+        let avoid = self.avoided(exchange, job.avoid, wait);
         let req = Request { avoid: &avoid, ..job.request(exchange) };
         self.with_placer(exchange, |placer| placer.plan(&req))
     }
@@ -181,27 +197,33 @@
     }
 
     /// Waits for a share of a request limit if only limited upstreams could serve a request. Upstreams in
-    /// `avoid` don't count. `ticket` holds the request's place in the queue between two waits.
+    /// `avoid` don't count. `wait` is kept from one wait of the request to the next.
     pub(super) async fn wait_for_share(
         &self,
         exchange: &Exchange,
         avoid: &[Arc<str>],
-        ticket: &mut Option<LimitTicket>,
+        wait: &mut ShareWait,
     ) -> LimitWait {
         let limited = self.limited_upstreams(exchange, avoid);
-        let Some(queue) = self.quota_queue(exchange, &limited, ticket.as_ref()) else {
+        let Some(queue) = self.quota_queue(exchange, &limited, wait.ticket.as_ref()) else {
             return LimitWait::NotLimited;
         };
         let now = self.now();
-        // A share is left for the request, so something else is in its way.
         if queue.ahead < shares_left(&limited, now) {
-            return LimitWait::NotLimited;
+            // A turn may have begun since the request was placed. If it has no upstream with a share left either,
+            // something else is in its way.
+            return match std::mem::replace(&mut wait.is_placed_again, true) {
+                true => LimitWait::NotLimited,
+                false => LimitWait::TryAgain,
+            };
         }
+        wait.is_placed_again = false;
         let waiting = exchange.waiting(now);
         match queue.decide(exchange.wait_left(now), waiting.objective - waiting.age) {
             QueueDecision::Refuse(pause) => LimitWait::Refuse(pause),
             QueueDecision::Wait => {
-                ticket.get_or_insert_with(|| self.inner.limit_queues.wait(&exchange.service));
+                let queues = &self.inner.limit_queues;
+                wait.ticket.get_or_insert_with(|| queues.wait(&exchange.service));
                 pause_for(queue.next_in).await;
                 LimitWait::TryAgain
             }
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -12,7 +12,7 @@
 use super::answers::{Outcome, WholeAnswer};
 use super::attempts::Sending;
 use super::failures::Failed;
-use super::limits::{LIMITED, LimitWait};
+use super::limits::{LIMITED, LimitWait, ShareWait};
 use super::requests::Exchange;
 use super::stopping::STOPPING;
 use super::waiting::Wait;
@@ -49,7 +49,7 @@
         let mut avoid: Vec<Arc<str>> = Vec::new();
         let mut last_answer: Option<WholeAnswer> = None;
         let (mut last_cause, mut pause) = ("no_upstream", REFUSED_PAUSE);
-        let mut ticket = None;
+        let mut share_wait = ShareWait::default();
         while avoid.len() < MAX_SENDS {
             if let Some(config) = self.config() {
                 exchange.refresh(&config);
@@ -64,9 +64,9 @@
             if let Some(refusal) = self.check_quarantine(exchange) {
                 return last_answer.map_or(refusal, Outcome::Whole);
             }
-            let avoided = self.avoided(exchange, &avoid, ticket.as_ref());
+            let avoided = self.avoided(exchange, &avoid, &share_wait);
             let Some(upstream) = self.choose_plain(exchange, &avoided) else {
-                match self.wait_for_share(exchange, &avoid, &mut ticket).await {
+                match self.wait_for_share(exchange, &avoid, &mut share_wait).await {
                     LimitWait::TryAgain => continue,
                     LimitWait::Refuse(soonest) => (last_cause, pause) = (LIMITED, soonest),
                     LimitWait::NotLimited => {}
--- a/crates/anvilhook-gateway/src/relay/waiting.rs
+++ b/crates/anvilhook-gateway/src/relay/waiting.rs
@@ -13,7 +13,7 @@
 
 use super::Gateway;
 use super::answers::Outcome;
-use super::limits::{LimitTicket, LimitWait, pause_for};
+use super::limits::{LimitTicket, LimitWait, ShareWait, pause_for};
 use super::places::{Place, Rejection, Stage};
 use super::prompts::Job;
 use super::requests::Exchange;
@@ -89,16 +89,16 @@
         job: &Job<'_>,
     ) -> WaitOutcome<Plan> {
         let began_at = self.now();
-        let mut ticket = None;
+        let mut share_wait = ShareWait::default();
         let mut turn = ShareTurn::new(Stage::Reading);
         exchange.place = None;
         loop {
             if let Some(stopped) = self.reason_not_to_wait(exchange, job) {
                 return stopped;
             }
-            let Some(plan) = self.plan_in_turn(exchange, job, ticket.as_ref()) else {
+            let Some(plan) = self.plan_in_turn(exchange, job, &share_wait) else {
                 exchange.place = None;
-                match self.wait_for_share(exchange, job.avoid, &mut ticket).await {
+                match self.wait_for_share(exchange, job.avoid, &mut share_wait).await {
                     LimitWait::TryAgain => continue,
                     LimitWait::Refuse(soonest) => return WaitOutcome::Limited(soonest),
                     LimitWait::NotLimited => return WaitOutcome::NoEngine,
@@ -170,7 +170,7 @@
         let began_at = self.now();
         let mut slot_request = None;
         let mut turn = ShareTurn::new(Stage::Generating);
-        let mut ticket = Some(ticket);
+        let mut share_wait = ShareWait::with_ticket(ticket);
         exchange.place = None;
         loop {
             if let Some(stopped) = self.reason_not_to_wait(exchange, job) {
@@ -180,7 +180,7 @@
                 .with_placer(exchange, |placer| placer.generator(&job.request(exchange), reader));
             let Some(generator) = chosen else {
                 exchange.place = None;
-                match self.wait_for_share(exchange, job.avoid, &mut ticket).await {
+                match self.wait_for_share(exchange, job.avoid, &mut share_wait).await {
                     LimitWait::TryAgain => continue,
                     LimitWait::Refuse(soonest) => return WaitOutcome::Limited(soonest),
                     LimitWait::NotLimited => return WaitOutcome::NoEngine,
--- a/crates/anvilhook-gateway/tests/request_limits.rs
+++ b/crates/anvilhook-gateway/tests/request_limits.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{Clock, ManualClock, Millis, SystemClock};
@@ -133,6 +134,46 @@
     assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
 }
 
+/// `SteppedClock` advances with each reading, as the time of a process with little CPU time does.
+#[derive(Clone, Debug, Default)]
+struct SteppedClock(Arc<AtomicU64>);
+
+impl Clock for SteppedClock {
+    fn now(&self) -> Millis {
+        const STEP_MS: u64 = 7;
+        Millis(self.0.fetch_add(STEP_MS, Ordering::SeqCst))
+    }
+}
+
+/// Guards against a waiting request that is refused because the next turn of the limit begins between the check of
+/// the upstreams and the check of the limit.
+#[tokio::test]
+async fn verify_a_turn_that_begins_during_a_check_refuses_no_request() {
+    let mut limited_stream = stream(1, 1);
+    limited_stream[0] = Step::Write(
+        "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\nT-Limit: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+            .to_owned(),
+    );
+    let plain = Upstream::always(vec![limited("4")]).await;
+    let streaming = Upstream::always(limited_stream).await;
+    let cases = [
+        (Repeats::AtMostOnce, "", entry("a", plain.address.port())),
+        (ONCE, PROMPT, engine("a", &streaming, Role::Decode)),
+    ];
+    for (repeats, headers, entry) in cases {
+        let front = single_instance(SteppedClock::default(), repeats, vec![entry]).await;
+        front.post("first", headers, "").await;
+
+        let ids: Vec<String> = (0..24).map(|number| format!("r{number}")).collect();
+        let answers = futures_util::future::join_all(
+            ids.iter().map(|id| front.post_with_long_deadline(id, headers, "")),
+        )
+        .await;
+
+        assert!(answers.iter().all(|answer| answer.status == 200), "{repeats:?}: {answers:?}");
+    }
+}
+
 /// Guards against requests that are held until their deadline although the limit does not allow them in time,
 /// and against callers that return before it does.
 #[tokio::test]
