Give up a call whose message the accounts have outdated while its connection opens

Callers' keys reached upstreams, or the account's name was missing or another's, where a configuration brought in, removed or changed accounts while the connection for a request was being opened (300 ms at most): the message is built before, and the last check ran before it too.

A call on the own path now asks again after each change of the configuration, until the connection has taken the request; then nothing of it has been sent, so it is placed again, on the terms of the newer configuration, also at the same upstream. Such an attempt counts neither against the upstream nor as sent. The task that adopts a configuration wakes the call before the connection is polled again.

--- a/crates/anvilhook-gateway/src/relay/adoption.rs
+++ b/crates/anvilhook-gateway/src/relay/adoption.rs
@@ -32,6 +32,7 @@
             self.usage().learn_names(accounts.names());
         }
         self.inner.config.store(Some(Arc::new(config)));
+        self.inner.config_changes.notify_waiters();
         emit(&InstanceEvent::ConfigAdopted { version, before });
     }
 
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -12,9 +12,9 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
-use super::calls::UpstreamCall;
+use super::calls::{CallFailure, UpstreamCall};
 use super::examining::PART_QUARANTINED;
-use super::failures::{Failed, FailureSignal};
+use super::failures::{ACCESS_CHANGED, Failed, FailureSignal};
 use super::requests::Exchange;
 use super::signals::AnswerSource;
 use super::waiting::Wait;
@@ -75,7 +75,7 @@
         }
         // The accounts may have changed while the request waited for a report.
         if !self.has_current_access(exchange) {
-            let failed = Failed::not_sent("access_changed");
+            let failed = Failed::not_sent(ACCESS_CHANGED);
             self.log_failed(exchange, sending.upstream, sending.stage, &failed);
             return Err(failed);
         }
@@ -114,7 +114,7 @@
             Err(failed) => {
                 if failed.is_refusal {
                     state.ejection().record_success(now);
-                } else if failed.signal != FailureSignal::PathBroken {
+                } else if failed.signal != FailureSignal::PathBroken && !failed.is_cancelled() {
                     state.ejection().record_failure(now);
                 }
                 self.log_failed(exchange, sending.upstream, sending.stage, failed);
@@ -190,7 +190,13 @@
             predicted_ms: sending.predicted_ms,
             may_repeat: sending.may_repeat,
         };
-        let answer = self.call(sending.upstream, &call).await?;
+        let answer = match self.call(sending.upstream, &call).await {
+            Ok(answer) => answer,
+            Err(CallFailure::Cancelled) if !self.has_current_access(exchange) => {
+                return Err(Failed::not_sent(ACCESS_CHANGED));
+            }
+            Err(failure) => return Err(failure.into()),
+        };
         let source = AnswerSource::Request { id: &exchange.id, sent_at };
         self.record_response(sending.upstream, source, answer.status(), answer.headers());
         self.check(exchange, sending, answer)
--- a/crates/anvilhook-gateway/src/relay/calls.rs
+++ b/crates/anvilhook-gateway/src/relay/calls.rs
@@ -37,7 +37,8 @@
     pub request: &'a str,
     /// Creates the message. It is called once for each path that is tried.
     pub message: F,
-    /// Returns whether the call may still be sent. It is asked again before each further path.
+    /// Returns whether the call may still be sent. It is asked again before each path, and after each change of the
+    /// configuration while a connection is opened.
     pub may_send: P,
     pub connection: Connection,
     /// The software that the upstream must have, if the call continues a stream.
@@ -60,6 +61,8 @@
         /// Whether any of the call may have been sent.
         was_sent: bool,
     },
+    /// The call may no longer be sent. Nothing was.
+    Cancelled,
     /// Neither this instance nor another one reaches the upstream. Nothing was sent.
     Unreachable,
 }
@@ -160,6 +163,7 @@
         );
         let sent = tokio::select! {
             biased;
+            () = self.is_cancelled(call, &progress) => return Err(CallFailure::Cancelled),
             sent = sending => sent,
             () = self.path_breaks(upstream, call.predicted_ms, call.may_repeat) => {
                 return Err(CallFailure::PathBroken { was_sent: progress.has_begun() });
@@ -170,6 +174,25 @@
         Ok(answer)
     }
 
+    /// Waits until a call may no longer be sent before any of it has been.
+    ///
+    /// While a connection is opened, the configuration may change by which the message was built: a key could reach
+    /// the upstream.
+    async fn is_cancelled(
+        &self,
+        call: &UpstreamCall<'_, impl Fn() -> Request<Body>, impl Fn() -> bool>,
+        progress: &SendProgress,
+    ) {
+        while !progress.has_begun() {
+            let change = self.inner.config_changes.notified();
+            if !(call.may_send)() {
+                return;
+            }
+            change.await;
+        }
+        std::future::pending().await
+    }
+
     /// Waits until connections to an upstream are found to transfer nothing while other instances reach it. With
     /// `may_repeat` false it never returns. An upstream that gives no sign of life for longer than predicted has
     /// its path checked.
--- a/crates/anvilhook-gateway/src/relay/failures.rs
+++ b/crates/anvilhook-gateway/src/relay/failures.rs
@@ -5,6 +5,12 @@
 
 use super::calls::{CallFailure, UNREACHABLE};
 
+/// The cause of a failed attempt that the configuration which is active now allows on other terms only, or not at all.
+pub(super) const ACCESS_CHANGED: &str = "access_changed";
+
+/// The cause of a failed attempt that was no longer to be sent when its connection had been opened.
+const CANCELLED: &str = "cancelled";
+
 /// `Failed` describes an attempt that produced no answer to forward.
 #[derive(Clone, Debug)]
 pub(super) struct Failed {
@@ -54,6 +60,16 @@
         Self { verdict: Verdict::MayHaveRun, was_sent: true, ..Self::not_sent(cause) }
     }
 
+    /// Returns whether the attempt was given up before anything was sent, for no reason that concerns the upstream.
+    pub fn is_cancelled(&self) -> bool {
+        [ACCESS_CHANGED, CANCELLED].contains(&self.cause)
+    }
+
+    /// Returns whether the same upstream may be tried again at once.
+    pub fn may_retry_upstream(&self) -> bool {
+        self.cause == ACCESS_CHANGED
+    }
+
     /// Creates a failure by a broken connection.
     pub fn broken(cause: &'static str) -> Self {
         Self { signal: FailureSignal::Broken, ..Self::may_have_run(cause) }
@@ -77,6 +93,7 @@
         match failure {
             CallFailure::Call(err) => err.into(),
             CallFailure::PathBroken { .. } => Self::path_broken(),
+            CallFailure::Cancelled => Self::not_sent(CANCELLED),
             CallFailure::Unreachable => {
                 Self { signal: FailureSignal::PathBroken, ..Self::not_sent(UNREACHABLE) }
             }
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -103,6 +103,7 @@
             }
         }
         match &opened {
+            Err(failed) if failed.may_retry_upstream() => {}
             Ok(Opened::Answer(_)) | Err(_) => job.avoid.push(Arc::clone(&upstream.entry.id)),
             Ok(_) => self.record_cached(&upstream.entry.id, &job.prompt.parts, job.engine),
         }
@@ -142,7 +143,13 @@
             }
         };
         avoid.push(Arc::clone(&upstream.entry.id));
-        self.open_at(exchange, &upstream, GenerateWork::NONE, Vec::new(), resume_after).await
+        let opening =
+            self.open_at(exchange, &upstream, GenerateWork::NONE, Vec::new(), resume_after);
+        let opened = opening.await;
+        if matches!(&opened, Ok(Err(failed)) if failed.may_retry_upstream()) {
+            avoid.pop();
+        }
+        opened
     }
 
     /// Waits until an engine no longer works on a request that it has not answered.
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -43,7 +43,7 @@
 use anvilhook_http::HttpClient;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use http::Version;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -121,6 +121,8 @@
     client: HttpClient,
     options: GatewayOptions,
     config: ArcSwapOption<Config>,
+    /// Notified after each change of `config`.
+    config_changes: Notify,
     fleet: Fleet,
     caches: CacheIndex,
     speeds: Speeds,
@@ -171,6 +173,7 @@
             account_shares: AccountShares::in_zone(peers.zone()),
             peers,
             config: ArcSwapOption::empty(),
+            config_changes: Notify::new(),
             fleet: Fleet::new(),
             caches: CacheIndex::new(),
             suspects: Arc::default(),
--- a/crates/anvilhook-gateway/src/relay/plain.rs
+++ b/crates/anvilhook-gateway/src/relay/plain.rs
@@ -92,6 +92,9 @@
                         &failed,
                     );
                     last_cause = failed.cause;
+                    if failed.may_retry_upstream() {
+                        avoid.pop();
+                    }
                     if failed.verdict != Verdict::NotRun && !self.may_repeat(exchange) {
                         break;
                     }
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -137,7 +137,9 @@
                 Ok(Ok(KvHandle::new(self.clone(), upstream, handle)))
             }
             Err(failed) => {
-                job.avoid.push(Arc::clone(&upstream.entry.id));
+                if !failed.may_retry_upstream() {
+                    job.avoid.push(Arc::clone(&upstream.entry.id));
+                }
                 self.record_failure_signal(exchange, &upstream, &failed, Progress::Reading);
                 self.refund_attempt(&exchange.service, &mut exchange.has_read, arrival, &failed);
                 // Reading a prompt does not count as running the request.
--- a/crates/anvilhook-gateway/tests/account_changes.rs
+++ b/crates/anvilhook-gateway/tests/account_changes.rs
@@ -11,12 +11,15 @@
 use anvilhook_gateway::configs::{Config, Repeats, Route};
 use anvilhook_gateway::fleets::Entry;
 use anvilhook_gateway::loads::Held;
+use futures_util::future::join_all;
 use support::fronts::{
-    ample_budget, config_of_version, start, start_with_clock, with_long_timeouts,
+    ample_budget, config_of_version, start, start_with_clock, start_with_connect_timeout,
+    with_long_timeouts,
 };
 use support::until;
 use support::upstreams::{Received, Step, Upstream, engine, event, signed, stream, stream_head};
 use support::wires::{entry, key_hasher};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 const GOOD: &str = "Authorization: Bearer good-key\r\n";
@@ -166,6 +169,46 @@
     }
 }
 
+/// Sends a request, adopts the changes while its connection is being opened, and returns the status and the request that
+/// reached the upstream.
+async fn play_on_new_connection(change: &Change) -> (u16, Option<Received>) {
+    const CONNECT_TIMEOUT: Millis = Millis::from_secs(20);
+    const CHANGE_DELAY: Duration = Duration::from_millis(100);
+    let accepts = Arc::new(Notify::new());
+    let steps = vec![signed("200 OK", "well")];
+    let upstream = Upstream::accepting_later(steps, Arc::clone(&accepts)).await;
+    let first = TcpStream::connect(upstream.address).await.expect("the first one is accepted");
+    let entries = vec![entry("first", upstream.address.port())];
+    let initial = config(1, Repeats::AtMostOnce, change.before);
+    let front = start_with_connect_timeout(CONNECT_TIMEOUT, Some(initial), entries).await;
+
+    let asking = front.post_with_long_deadline("r1", change.headers, "body");
+    let changing = async {
+        until(|| front.gateway.in_flight() > 0).await;
+        tokio::time::sleep(CHANGE_DELAY).await;
+        for (at, accounts) in change.after.iter().enumerate() {
+            let config = config(at as u64 * 10 + 11, Repeats::AtMostOnce, *accounts);
+            front.gateway.adopt_config(config);
+        }
+        drop(first);
+        accepts.notify_one();
+    };
+    let (answer, ()) = tokio::join!(asking, changing);
+    let received = upstream.received().into_iter().find(|one| one.line.starts_with("POST"));
+    (answer.status, received)
+}
+
+/// Guards against the same faults, and against a key that reaches an upstream, while the connection for the request is
+/// being opened.
+#[tokio::test]
+async fn verify_keys_are_judged_by_the_accounts_when_the_connection_opens() {
+    let played = join_all(CHANGES.iter().map(play_on_new_connection)).await;
+
+    for (change, (status, received)) in CHANGES.iter().zip(played) {
+        check(change, status, received);
+    }
+}
+
 /// Guards against a key that reaches an upstream because the configuration has no accounts any more. Credentials that
 /// have never been a key are the upstream's own.
 #[tokio::test]
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -76,7 +76,18 @@
     entries: Vec<Entry>,
     budget: BudgetOptions,
 ) -> Gateway<TestWire, C> {
-    let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
+    gateway_with_client(zone, clock, config, entries, budget, &ClientOptions::default())
+}
+
+fn gateway_with_client<C: Clock>(
+    zone: &str,
+    clock: C,
+    config: Option<Config>,
+    entries: Vec<Entry>,
+    budget: BudgetOptions,
+    client: &ClientOptions,
+) -> Gateway<TestWire, C> {
+    let client = HttpClient::try_new(client).expect("a client");
     let options = GatewayOptions {
         zone: Arc::from(zone),
         link_mbps: None,
@@ -105,7 +116,21 @@
     entries: Vec<Entry>,
     budget: BudgetOptions,
 ) -> Front<C> {
-    let gateway = gateway(clock, config, entries, budget);
+    listen(gateway(clock, config, entries, budget)).await
+}
+
+/// Starts a gateway on the system clock that waits for a new connection for the given time.
+pub async fn start_with_connect_timeout(
+    connect_timeout: Millis,
+    config: Option<Config>,
+    entries: Vec<Entry>,
+) -> Front {
+    let (clock, budget) = (SystemClock::new(), ample_budget());
+    let client = ClientOptions { connect_timeout, ..ClientOptions::default() };
+    listen(gateway_with_client("zone-a", clock, config, entries, budget, &client)).await
+}
+
+async fn listen<C: Clock>(gateway: Gateway<TestWire, C>) -> Front<C> {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(serve_front(listener, gateway.clone(), Shutdown::new()));
--- a/crates/anvilhook-gateway/tests/support/upstreams.rs
+++ b/crates/anvilhook-gateway/tests/support/upstreams.rs
@@ -16,6 +16,9 @@
 /// How many bytes an upstream that repeats a text writes at once.
 const REPEATED_BYTES: usize = 16 << 10;
 
+/// The number of established connections that an upstream has not accepted yet.
+const FULL_BACKLOG: u32 = 1_024;
+
 /// `Received` is a request as the upstream received it.
 #[derive(Clone, Debug)]
 pub struct Received {
@@ -73,7 +76,24 @@
     where
         F: Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
     {
-        let (port, listener) = listener_with_port();
+        Self::start_on(listener_with_port(FULL_BACKLOG), script, async {}).await
+    }
+
+    /// Starts an upstream that runs the same steps for each request, and accepts no connection until it is notified.
+    /// Its first connection is established; further ones remain unanswered until it accepts them.
+    pub async fn accepting_later(steps: Vec<Step>, accepts: Arc<Notify>) -> Upstream {
+        let accepting = async move { accepts.notified().await };
+        Self::start_on(listener_with_port(0), move |_| steps.clone(), accepting).await
+    }
+
+    async fn start_on<F>(
+        (port, listener): (TcpSocket, TcpListener),
+        script: F,
+        accepting: impl Future<Output = ()> + Send + 'static,
+    ) -> Upstream
+    where
+        F: Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+    {
         let address = listener.local_addr().expect("an address");
         let received = Arc::new(Mutex::new(Vec::new()));
         let closed = Arc::new(Notify::new());
@@ -83,6 +103,7 @@
         let ended = Arc::clone(&ends);
         tokio::spawn(async move {
             let mut is_over = ended.subscribe();
+            accepting.await;
             loop {
                 let stream = tokio::select! {
                     Ok((stream, _)) = listener.accept() => stream,
@@ -124,7 +145,7 @@
 
 /// Returns a listener, and a socket that keeps its port from being used by another test once the listener is closed:
 /// a terminated upstream would seem to run on.
-fn listener_with_port() -> (TcpSocket, TcpListener) {
+fn listener_with_port(backlog: u32) -> (TcpSocket, TcpListener) {
     let [port, listening] = [(), ()].map(|()| {
         let socket = TcpSocket::new_v4().expect("a socket");
         socket.set_reuseaddr(true).expect("the option can be set");
@@ -133,7 +154,7 @@
     port.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
     let address = port.local_addr().expect("an address");
     listening.bind(address).expect("the port can be shared");
-    (port, listening.listen(1_024).expect("a listener"))
+    (port, listening.listen(backlog).expect("a listener"))
 }
 
 async fn serve<F>(
