Forward no API key that only the forwarding instance knows

An upstream received callers' keys where an instance that did not know the accounts yet sent a call through another one that did: the first takes keys for credentials of the upstream's, and the second passed on what it got.

The forwarding instance now looks for a key of its current or former accounts in the message, also after each change of the configuration while it connects, and answers that it does not send the call; the caller is told that nothing ran. Credentials that have never been a key are still forwarded.

--- a/crates/anvilhook-gateway/src/relay/access.rs
+++ b/crates/anvilhook-gateway/src/relay/access.rs
@@ -52,6 +52,14 @@
         exchange.access_by(&config).is_some_and(|access| access.is_same_caller(&exchange.access))
     }
 
+    /// Returns whether a message of another instance contains an API key. An instance that does not know the accounts
+    /// yet takes keys for credentials of the upstream's.
+    pub(super) fn contains_key(&self, headers: &HeaderMap) -> bool {
+        let key = key_of(self.wire().key_hasher(), headers);
+        let config = self.config();
+        key.zip(config).is_some_and(|(key, config)| config.known_account(&key).is_some())
+    }
+
     /// Checks a request's key again, by the configuration that is active now. Returns the final answer if
     /// the request is no longer allowed.
     ///
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -97,7 +97,7 @@
         let upstream_call = UpstreamCall {
             request: &request,
             message,
-            may_send: || true,
+            may_send: || !self.contains_key(&headers),
             connection,
             software: call.software,
             timeout: call.timeout,
@@ -122,7 +122,11 @@
     }
 
     fn outcome_of_failure(&self, upstream: &Upstream, failure: &CallFailure) -> ForwardOutcome {
-        let CallFailure::Call(err) = failure else { return ForwardOutcome::Broken };
+        let err = match failure {
+            CallFailure::Call(err) => err,
+            CallFailure::Cancelled => return ForwardOutcome::NotOpen,
+            _ => return ForwardOutcome::Broken,
+        };
         if err.stage == Stage::Connect {
             self.check_path_later(upstream);
             let contact = if err.timed_out { Contact::NoResponse } else { Contact::Refused };
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -572,6 +572,27 @@
     }
 }
 
+/// Guards against a key that reaches an upstream because the instance that received the request does not know the
+/// accounts yet. The one that forwards the call does.
+#[tokio::test]
+async fn verify_a_forwarder_that_knows_the_accounts_sends_no_key() {
+    let upstream = Upstream::always(vec![signed("200 OK", "answer")]).await;
+    let make_config = || config_of_version(1, Repeats::AtMostOnce, 2, false);
+    let listed = entry("u", upstream.address.port());
+    let (first, second, _cut) = cut_and_sound(&make_config, listed, How::Refused).await;
+    second.front.gateway.adopt_config(config_with_keys(2, &["good-key"]));
+
+    let key = "Authorization: Bearer good-key\r\n";
+    let refused = first.front.post("r1", key, "body").await;
+    let foreign = "Authorization: Bearer foreign-key\r\n";
+    let served = first.front.post("r2", foreign, "body").await;
+
+    assert_eq!((refused.status, served.status), (503, 200), "{refused:?} {served:?}");
+    let received = upstream.received();
+    let credentials: Vec<_> = received.iter().map(|one| one.header("authorization")).collect();
+    assert_eq!(credentials, [Some("Bearer foreign-key")]);
+}
+
 /// Guards against an engine that has restarted and gets no work, because the gateway's own calls to it were refused
 /// while it was down and closed it again each time.
 #[tokio::test]
