See a restart under the same id although the machine's clock was set back

Cause: the reports of an id were ordered by the time of the start, which its machine's clock gives, and then by number. After the clock had been set back by 2 s, the second start was the earlier one, so each of its reports, the one about its leaving included, counted as a delayed report of the first.

Start times alone can't tell a later start from a delayed report, and neither can the order in the table: a write without a response may be executed seconds later. What differs is the number. It begins again with each start, so a start that was not seen before and reports one of the first two numbers is new; otherwise its second, growing report shows it, unless the current start has reported in between. Where only a number showed it, a report of the other start that was not seen before shows that the first one was delayed. A report that may be delayed never makes an upstream accept work that is leaving.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod slow_starts;
 pub mod speeds;
 pub mod splits;
+pub mod start_history;
 pub mod stops;
 pub mod stream_origins;
 pub mod units;
--- a/crates/anvilhook-gateway/src/entries.rs
+++ b/crates/anvilhook-gateway/src/entries.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use anvilhook_core::start_history::{StartHistory, StartReport};
 use anvilhook_core::units::Millis;
 
 use crate::fleets::Entry;
@@ -19,8 +20,8 @@
 /// `Tombstone` is the record of a removed entry.
 #[derive(Clone, Copy, Debug)]
 struct Tombstone {
-    /// The newest report, by start and number, that counts as old.
-    order: (Option<u64>, u64),
+    /// The newest report that counts as old.
+    last: StartReport,
     removed_at: Millis,
 }
 
@@ -34,6 +35,7 @@
     entries: HashMap<Arc<str>, Entry>,
     lapsed: HashMap<Arc<str>, Millis>,
     removed: HashMap<Arc<str>, Tombstone>,
+    starts: HashMap<Arc<str>, StartHistory>,
     grace_until: Millis,
 }
 
@@ -68,14 +70,32 @@
     /// id: its numbers begin again, and it has not been ordered to leave.
     pub fn put(&mut self, mut entry: Entry) -> bool {
         let id = Arc::clone(&entry.id);
-        if self.removed.get(&id).is_some_and(|removed| entry.order() <= removed.order) {
-            return false;
+        let history = self.starts.entry(Arc::clone(&id)).or_default();
+        if let Some(removed) = self.removed.get(&id) {
+            let is_old = match entry.born == removed.last.born {
+                true => entry.sequence <= removed.last.sequence,
+                false => !history.supersedes(&entry.report(), &removed.last),
+            };
+            if is_old {
+                return false;
+            }
         }
         if let Some(known) = self.entries.get(&id) {
-            if entry.order() < known.order() {
-                return false;
+            if known.is_same_start(&entry) {
+                if entry.sequence < known.sequence {
+                    return false;
+                }
+                entry.draining |= known.draining;
+                if entry.sequence > known.sequence {
+                    history.record_current();
+                }
+            } else {
+                let was_leaving = history.was_leaving(entry.born);
+                if !history.supersedes(&entry.report(), &known.report()) {
+                    return false;
+                }
+                entry.draining |= was_leaving;
             }
-            entry.draining |= known.draining && known.is_same_start(&entry);
         }
         self.removed.remove(&id);
         self.lapsed.remove(&id);
@@ -113,8 +133,9 @@
     pub fn discard(&mut self, id: &str, now: Millis) -> bool {
         self.lapsed.remove(id);
         let Some(entry) = self.entries.remove(id) else { return false };
-        let order = (entry.born, entry.sequence.saturating_sub(1));
-        self.removed.insert(entry.id, Tombstone { order, removed_at: now });
+        let sequence = entry.sequence.saturating_sub(1);
+        let last = StartReport { sequence, draining: false, ..entry.report() };
+        self.removed.insert(entry.id, Tombstone { last, removed_at: now });
         true
     }
 
@@ -136,6 +157,8 @@
     /// change.
     pub fn expire(&mut self, now: Millis) -> bool {
         self.removed.retain(|_, removed| removed.removed_at + TOMBSTONE_AGE > now);
+        let (entries, removed) = (&self.entries, &self.removed);
+        self.starts.retain(|id, _| entries.contains_key(id) || removed.contains_key(id));
         let due: Vec<_> = self.lapsed.iter().filter(|(_, until)| **until <= now).collect();
         let due: Vec<_> = due.into_iter().map(|(id, _)| Arc::clone(id)).collect();
         for id in &due {
@@ -152,7 +175,8 @@
 
     fn drop_entry(&mut self, id: &Arc<str>, now: Millis) {
         if let Some(entry) = self.entries.remove(id) {
-            let tombstone = Tombstone { order: entry.order(), removed_at: now };
+            let last = StartReport { draining: false, ..entry.report() };
+            let tombstone = Tombstone { last, removed_at: now };
             self.removed.insert(Arc::clone(id), tombstone);
         }
     }
--- a/crates/anvilhook-gateway/src/fleets.rs
+++ b/crates/anvilhook-gateway/src/fleets.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use anvilhook_core::orders::Role;
+use anvilhook_core::start_history::StartReport;
 use anvilhook_core::stream_origins::Software;
 use anvilhook_core::units::Millis;
 use arc_swap::ArcSwap;
@@ -42,15 +43,12 @@
 }
 
 impl Entry {
-    /// Returns the entry's position among all reports of its id: by start first, then by number.
-    ///
-    /// A report without a start is older than any with one.
-    pub fn order(&self) -> (Option<u64>, u64) {
-        (self.born, self.sequence)
+    /// Returns what the order of the reports of its id depends on.
+    pub fn report(&self) -> StartReport {
+        StartReport { born: self.born, sequence: self.sequence, draining: self.draining }
     }
 
-    /// Returns whether two entries of one id belong to the same start. An entry without a start
-    /// counts as older than any with one, as in [`order`](Self::order).
+    /// Returns whether two entries of one id belong to the same start.
     pub fn is_same_start(&self, other: &Entry) -> bool {
         self.born == other.born
     }
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -179,6 +179,55 @@
     }
 }
 
+/// Guards against an upstream that gets work long after it has reported to be leaving, or none at all: its machine's
+/// clock was set back before it restarted under the same id, so that all its reports counted as delayed ones.
+#[test]
+fn verify_a_restart_after_the_clock_was_set_back_counts() {
+    const EARLIER: Option<u64> = Some(1_000);
+    const LATER: Option<u64> = Some(2_000);
+    let of = |born, draining, sequence| Entry { born, ..report("a", draining, sequence) };
+    // The entries in order of arrival, and the start that counts in the end and whether it is leaving.
+    let cases = [
+        (vec![of(LATER, false, 2), of(EARLIER, false, 1)], EARLIER, false),
+        (vec![of(LATER, false, 2), of(EARLIER, false, 1), of(EARLIER, true, 9)], EARLIER, true),
+        (vec![of(LATER, false, 2), of(EARLIER, false, 5), of(EARLIER, true, 9)], EARLIER, true),
+        // A report of the first start arrives late.
+        (vec![of(LATER, false, 2), of(EARLIER, false, 1), of(LATER, false, 2)], EARLIER, false),
+        (vec![of(LATER, false, 2), of(EARLIER, true, 1), of(LATER, false, 2)], EARLIER, true),
+        (vec![of(LATER, false, 2), of(EARLIER, true, 1), of(LATER, false, 3)], EARLIER, true),
+        // The report with the earlier start time was the delayed one, and the upstream goes on to report.
+        (vec![of(LATER, false, 2), of(EARLIER, false, 1), of(LATER, false, 3)], LATER, false),
+        (vec![of(LATER, false, 2), of(EARLIER, false, 1), of(LATER, true, 3)], LATER, true),
+        // A delayed report does not make an upstream accept work that is leaving.
+        (vec![of(LATER, true, 2), of(EARLIER, false, 1)], LATER, true),
+        (vec![of(LATER, false, 2), of(EARLIER, false, 9), of(LATER, false, 3)], LATER, false),
+    ];
+    for (entries, born, draining) in cases {
+        let mut registry = EntryRegistry::new();
+        for entry in &entries {
+            registry.put(entry.clone());
+        }
+
+        let left: Vec<_> = registry.entries().map(|entry| (entry.born, entry.draining)).collect();
+
+        assert_eq!(left, [(born, draining)], "{entries:?}");
+    }
+}
+
+/// Guards against the same fault where the entry was removed before the upstream restarted.
+#[test]
+fn verify_a_restart_after_a_removal_and_a_clock_that_was_set_back_counts() {
+    let of = |born, sequence| Entry { born: Some(born), ..report("a", false, sequence) };
+    let mut registry = EntryRegistry::new();
+    registry.put(of(2_000, 5));
+    registry.remove("a", Millis(10));
+
+    let is_delayed_listed = registry.put(of(2_000, 5));
+    let is_restart_listed = registry.put(of(1_000, 1));
+
+    assert_eq!((is_delayed_listed, is_restart_listed), (false, true));
+}
+
 /// Symptom: requests go to an upstream whose row a foreign writer has overwritten, or the upstream
 /// remains unlisted for ever.
 /// Sequence: a row is overwritten by unreadable bytes; then the upstream reports with its next number.
