Refuse requests whose bodies don't fit into the memory of an instance

Cause: an instance holds the whole body of each request until its answer, and nothing bounded their sum; the settings' memory_mb was not read. Bodies of a size that the configuration allows thus filled the memory, some 60 of 4 MiB.

Bodies of requests may take 0.4 of the memory together, those of answers a quarter (before: 64 MiB wherever it ran). If there is no room, a body larger than an equal part is refused: 503 no_request_memory, not run, with a Retry-After. Its rest is received and discarded first, as its sender doesn't read before it has sent everything, and would see a reset. Small bodies always fit. Calls that are forwarded for other instances count too; without room another instance is asked.

--- a/crates/anvilhook-core/src/lib.rs
+++ b/crates/anvilhook-core/src/lib.rs
@@ -5,10 +5,10 @@
 #![forbid(unsafe_code)]
 
 pub mod admission;
-pub mod answer_memory;
 pub mod api_keys;
 pub mod attempts;
 pub mod authority;
+pub mod body_memory;
 pub mod caches;
 pub mod clearances;
 pub mod clock_offsets;
--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -122,8 +122,7 @@
         }
         let flight = self.begin_flight();
         let (parts, body) = answer.into_parts();
-        let timeout = MAX_TRANSFER_TIME;
-        let bounds = BodyBounds { max_bytes: MAX_ANSWER_BYTES, timeout, idle_timeout: timeout };
+        let bounds = BodyBounds::new(MAX_ANSWER_BYTES, MAX_TRANSFER_TIME);
         let mut room = self.inner.answer_memory.begin();
         match collect_body_within(body, &bounds, &mut room).await {
             Ok(body) => {
--- a/crates/anvilhook-gateway/src/relay/collecting.rs
+++ b/crates/anvilhook-gateway/src/relay/collecting.rs
@@ -74,15 +74,17 @@
         body: Body,
     ) -> Result<bytes::Bytes, Failed> {
         let timeout = exchange.time_left(self.now());
-        let bounds = BodyBounds { max_bytes: MAX_ANSWER_BYTES, timeout, idle_timeout: timeout };
+        let bounds = BodyBounds::new(MAX_ANSWER_BYTES, timeout);
         let mut room = self.inner.answer_memory.begin();
-        let collected = collect_body_within(body, &bounds, &mut room);
         let step = Stage::Body.as_str();
-        collected.await.map_err(|err| match err {
-            CollectError::TimedOut => Failed { step, ..Failed::timed_out("answer_late") },
-            CollectError::NoRoom => Failed { step, ..Failed::may_have_run("no_answer_memory") },
-            _ => Failed { step, ..Failed::broken("answer_cut") },
-        })
+        match collect_body_within(body, &bounds, &mut room).await {
+            Ok(body) => Ok(body),
+            Err(CollectError::TimedOut) => Err(Failed { step, ..Failed::timed_out("answer_late") }),
+            Err(CollectError::NoRoom) => {
+                Err(Failed { step, ..Failed::may_have_run("no_answer_memory") })
+            }
+            Err(_) => Err(Failed { step, ..Failed::broken("answer_cut") }),
+        }
     }
 }
 
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -5,14 +5,15 @@
 use anvilhook_core::paths::{Contact, Path};
 use anvilhook_core::units::{Clock, Millis};
 use anvilhook_http::clients::Connection;
+use anvilhook_http::collecting::{BodyBounds, collect_body_within};
 use anvilhook_http::{GuardedBody, Stage};
 use http::{HeaderMap, Request as HttpRequest};
-use http_body_util::{BodyExt, Limited};
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
 use super::Gateway;
+use super::bodies::counted;
 use super::calls::{CallFailure, UpstreamCall};
 use super::collecting::passed_on;
 use super::requests::{end_to_end, text};
@@ -60,10 +61,12 @@
         }
         let Some(config) = self.config() else { return NOT_TAKEN };
         let (parts, body) = req.into_parts();
-        let Ok(body) = Limited::new(body, config.limits.max_body_bytes).collect().await else {
+        let bounds = BodyBounds::new(config.limits.max_body_bytes, call.timeout);
+        let mut room = self.inner.request_memory.begin();
+        let Ok(body) = collect_body_within(body, &bounds, &mut room).await else {
             return NOT_TAKEN;
         };
-        let body = body.to_bytes();
+        let body = counted(body, room);
         self.record_relayed(body.len());
         // Looked up only now: the upstream may have begun to leave while the body was received.
         let view = self.fleet().view();
--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -4,11 +4,11 @@
 mod access;
 mod admission;
 mod adoption;
-mod answer_memory;
 mod answers;
 mod arrivals;
 mod attempts;
 mod bodies;
+mod body_memory;
 mod calls;
 mod closings;
 mod collecting;
@@ -36,6 +36,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+use anvilhook_core::body_memory::BodyMemoryBounds;
 use anvilhook_core::fingerprints::Fingerprint;
 use anvilhook_core::speeds::ReadingCost;
 use anvilhook_core::units::{Clock, Millis, WallTime};
@@ -66,8 +67,8 @@
 
 use admission::FrontAdmission;
 pub(crate) use admission::FrontCheck;
-use answer_memory::AnswerMemory;
 use answers::{Outcome, OwnAnswer};
+use body_memory::BodyMemory;
 use departures::DepartureWatch;
 use limits::LimitQueues;
 use path_checks::{LastCheck, MAX_CONCURRENT_CHECKS};
@@ -93,6 +94,8 @@
     /// The bandwidth of the instance's link in megabits a second, if known. Instances with wide
     /// links are preferred as zone leaders and followers.
     pub link_mbps: Option<f64>,
+    /// The memory that the instance may use, in bytes, if known.
+    pub memory: Option<u64>,
     /// The initial budget for extra arrivals.
     pub budget: BudgetOptions,
     /// The expected cost of reading prompts (prefill), until it has been measured.
@@ -142,7 +145,8 @@
     forwarders: Forwarders,
     served_calls: ServedCalls,
     admission: FrontAdmission,
-    answer_memory: AnswerMemory,
+    request_memory: BodyMemory,
+    answer_memory: BodyMemory,
     check_slots: Semaphore,
     last_check: LastCheck,
     /// Engines that have read a prompt, with the parts not yet published to peers.
@@ -163,6 +167,7 @@
     pub fn new(wire: W, clock: C, client: HttpClient, options: GatewayOptions) -> Self {
         let usage = Usage::new(options.usage_window, options.started_at, clock.now());
         let peers = Arc::new(Peers::in_zone(&options.zone));
+        let memory = BodyMemoryBounds::of(options.memory);
         let inner = Inner {
             wire,
             clock,
@@ -184,7 +189,8 @@
             forwarders: Forwarders::default(),
             served_calls: ServedCalls::default(),
             admission: FrontAdmission::new(options.link_mbps),
-            answer_memory: AnswerMemory::default(),
+            request_memory: BodyMemory::new(memory.requests),
+            answer_memory: BodyMemory::new(memory.answers),
             check_slots: Semaphore::new(MAX_CONCURRENT_CHECKS),
             last_check: LastCheck::default(),
             in_flight: AtomicU64::new(0),
@@ -364,11 +370,16 @@
         self.inner.served_calls.count()
     }
 
-    /// Returns the bytes of all answers that are being collected.
+    /// Returns the bytes of all answers that are held whole.
     pub fn collected_bytes(&self) -> usize {
         self.inner.answer_memory.bytes()
     }
 
+    /// Returns the bytes of the bodies of all requests that are held.
+    pub fn received_bytes(&self) -> usize {
+        self.inner.request_memory.bytes()
+    }
+
     /// Serves a request.
     pub async fn handle(&self, req: Request) -> Response {
         let flight = self.begin_flight();
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -10,7 +10,7 @@
 use anvilhook_core::pacing::Waiting;
 use anvilhook_core::stream_origins::Software;
 use anvilhook_core::units::{Clock, Millis};
-use anvilhook_http::collecting::{BodyBounds, CollectError, Unlimited, collect_body_within};
+use anvilhook_http::collecting::{BodyBounds, CollectError, collect_body_within};
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
 use http::request::Parts;
@@ -20,6 +20,7 @@
 use super::Gateway;
 use super::access::{key_of, no_access};
 use super::answers::OwnAnswer;
+use super::bodies::counted;
 use super::continuation::ContinuedStream;
 use super::failures::Failed;
 use super::places::{Place, Rejection};
@@ -40,6 +41,9 @@
 /// The retry time for a caller of an instance that has no usable configuration.
 const NO_CONFIG_PAUSE: Millis = Millis(300);
 
+/// The retry time for a caller whose body did not fit into the memory. Another instance may have room at once.
+const NO_MEMORY_PAUSE: Millis = Millis(250);
+
 /// `Exchange` is a request that is being served.
 pub(crate) struct Exchange {
     pub id: Arc<str>,
@@ -119,9 +123,11 @@
         check_head(&config, &parts.headers, &parts.uri)?;
 
         let max_bytes = config.limits.max_body_bytes;
-        let bounds = BodyBounds { max_bytes, timeout: BODY_TIMEOUT, idle_timeout: BODY_TIMEOUT };
-        let collected = collect_body_within(body, &bounds, &mut Unlimited).await;
-        let body = collected.map_err(|err| unreceived(&err))?;
+        // A caller that is still sending its body does not read the answer.
+        let bounds = BodyBounds { discards: true, ..BodyBounds::new(max_bytes, BODY_TIMEOUT) };
+        let mut room = gateway.inner.request_memory.begin();
+        let collected = collect_body_within(body, &bounds, &mut room).await;
+        let body = counted(collected.map_err(|err| unreceived(&err))?, room);
 
         gateway.record_bytes(Direction::Inbound, body.len());
 
@@ -300,9 +306,8 @@
         }
         CollectError::TimedOut => OwnAnswer::failed(StatusCode::REQUEST_TIMEOUT, "body_late"),
         CollectError::Fragmented => OwnAnswer::failed(StatusCode::BAD_REQUEST, "body_fragmented"),
-        CollectError::NoRoom | CollectError::Broken(_) => {
-            OwnAnswer::failed(StatusCode::BAD_REQUEST, "body_broken")
-        }
+        CollectError::NoRoom => OwnAnswer::refused("no_request_memory", NO_MEMORY_PAUSE),
+        CollectError::Broken(_) => OwnAnswer::failed(StatusCode::BAD_REQUEST, "body_broken"),
     }
 }
 
--- a/crates/anvilhook-gateway/tests/broken_answers.rs
+++ b/crates/anvilhook-gateway/tests/broken_answers.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use anvilhook_core::answer_memory::MAX_COLLECTED_BYTES;
+use anvilhook_core::body_memory::BodyMemoryBounds;
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::{ManualClock, Millis};
 use anvilhook_gateway::configs::Repeats;
@@ -277,6 +277,6 @@
     };
 
     assert!(answers.iter().all(|answer| answer.status == 502), "{answers:?}");
-    assert!(most <= MAX_COLLECTED_BYTES + SLACK, "{most} bytes");
+    assert!(most <= BodyMemoryBounds::of(None).answers + SLACK, "{most} bytes");
     assert_eq!(front.gateway.collected_bytes(), 0);
 }
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -76,26 +76,30 @@
     entries: Vec<Entry>,
     budget: BudgetOptions,
 ) -> Gateway<TestWire, C> {
-    gateway_with_client(zone, clock, config, entries, budget, &ClientOptions::default())
+    let options = GatewayOptions { zone: Arc::from(zone), ..options(budget) };
+    gateway_with(clock, config, entries, options, &ClientOptions::default())
 }
 
-fn gateway_with_client<C: Clock>(
-    zone: &str,
+fn options(budget: BudgetOptions) -> GatewayOptions {
+    GatewayOptions {
+        zone: Arc::from("zone-a"),
+        link_mbps: None,
+        memory: None,
+        budget,
+        expected_reading: EXPECTED_READING,
+        started_at: WallTime(1_790_000_000_000),
+        usage_window: Some(Millis(5_000)),
+    }
+}
+
+fn gateway_with<C: Clock>(
     clock: C,
     config: Option<Config>,
     entries: Vec<Entry>,
-    budget: BudgetOptions,
+    options: GatewayOptions,
     client: &ClientOptions,
 ) -> Gateway<TestWire, C> {
     let client = HttpClient::try_new(client).expect("a client");
-    let options = GatewayOptions {
-        zone: Arc::from(zone),
-        link_mbps: None,
-        budget,
-        expected_reading: EXPECTED_READING,
-        started_at: WallTime(1_790_000_000_000),
-        usage_window: Some(Millis(5_000)),
-    };
     let gateway = Gateway::new(TestWire::new(), clock, client, options);
     if let Some(config) = config {
         gateway.adopt_config(config);
@@ -125,9 +129,16 @@
     config: Option<Config>,
     entries: Vec<Entry>,
 ) -> Front {
-    let (clock, budget) = (SystemClock::new(), ample_budget());
     let client = ClientOptions { connect_timeout, ..ClientOptions::default() };
-    listen(gateway_with_client("zone-a", clock, config, entries, budget, &client)).await
+    let options = options(ample_budget());
+    listen(gateway_with(SystemClock::new(), config, entries, options, &client)).await
+}
+
+/// Starts a gateway on the system clock that may use `memory` bytes.
+pub async fn start_with_memory(memory: u64, config: Option<Config>, entries: Vec<Entry>) -> Front {
+    let options = GatewayOptions { memory: Some(memory), ..options(ample_budget()) };
+    let client = ClientOptions::default();
+    listen(gateway_with(SystemClock::new(), config, entries, options, &client)).await
 }
 
 async fn listen<C: Clock>(gateway: Gateway<TestWire, C>) -> Front<C> {
--- a/crates/anvilhook-http/src/collecting.rs
+++ b/crates/anvilhook-http/src/collecting.rs
@@ -28,6 +28,23 @@
     pub timeout: Millis,
     /// The maximum pause between two pieces.
     pub idle_timeout: Millis,
+    /// Whether the rest of a body for which there is no room is received and discarded. A sender that does not read
+    /// before it has sent the whole body gets its answer only then.
+    pub discards: bool,
+}
+
+impl BodyBounds {
+    /// Creates bounds for the size, in bytes, and for the time. A body for which there is no room is broken off.
+    ///
+    /// ```
+    /// use anvilhook_core::units::Millis;
+    /// use anvilhook_http::collecting::BodyBounds;
+    ///
+    /// assert_eq!(BodyBounds::new(1_024, Millis(500)).idle_timeout, Millis(500));
+    /// ```
+    pub fn new(max_bytes: usize, timeout: Millis) -> Self {
+        Self { max_bytes, timeout, idle_timeout: timeout, discards: false }
+    }
 }
 
 /// `CollectError` is why a body was not collected.
@@ -72,6 +89,9 @@
 pub trait Room {
     /// Takes room for `bytes` more bytes of a body. Returns false if there is none.
     fn try_take(&mut self, bytes: usize) -> bool;
+
+    /// Returns all room of a body that is discarded.
+    fn release(&mut self);
 }
 
 /// `Unlimited` has room for any number of bytes.
@@ -82,6 +102,8 @@
     fn try_take(&mut self, _bytes: usize) -> bool {
         true
     }
+
+    fn release(&mut self) {}
 }
 
 /// Returns whether bytes arrive in so many small pieces that their size does not bound the work.
@@ -108,7 +130,7 @@
     max_bytes: usize,
     timeout: Millis,
 ) -> Result<Bytes, CallError> {
-    let bounds = BodyBounds { max_bytes, timeout, idle_timeout: timeout };
+    let bounds = BodyBounds::new(max_bytes, timeout);
     Ok(collect_body_within(body, &bounds, &mut Unlimited).await?)
 }
 
@@ -123,7 +145,7 @@
     max_bytes: usize,
     idle_timeout: Millis,
 ) -> Result<Bytes, CallError> {
-    let bounds = BodyBounds { max_bytes, timeout: MAX_TRANSFER_TIME, idle_timeout };
+    let bounds = BodyBounds { idle_timeout, ..BodyBounds::new(max_bytes, MAX_TRANSFER_TIME) };
     Ok(collect_body_within(body, &bounds, &mut Unlimited).await?)
 }
 
@@ -141,23 +163,30 @@
 ) -> Result<Bytes, CollectError> {
     let mut body = pin!(body);
     let mut whole = BytesMut::new();
-    let mut pieces = 0;
+    let (mut pieces, mut length, mut has_room) = (0, 0, true);
     let ends_at = Instant::now() + bounds.timeout.as_duration();
     while let Some(piece) = next_piece(body.as_mut(), bounds, ends_at).await? {
         pieces += 1;
-        let length = whole.len() + piece.len();
+        length += piece.len();
         if length > bounds.max_bytes {
             return Err(CollectError::TooLarge(bounds.max_bytes));
         }
         if is_fragmented(pieces, length) {
             return Err(CollectError::Fragmented);
         }
-        if !room.try_take(piece.len()) {
-            return Err(CollectError::NoRoom);
+        if has_room && !room.try_take(piece.len()) {
+            if !bounds.discards {
+                return Err(CollectError::NoRoom);
+            }
+            has_room = false;
+            whole = BytesMut::new();
+            room.release();
+        }
+        if has_room {
+            whole.extend_from_slice(&piece);
         }
-        whole.extend_from_slice(&piece);
     }
-    Ok(whole.freeze())
+    if has_room { Ok(whole.freeze()) } else { Err(CollectError::NoRoom) }
 }
 
 /// Returns the next piece of a body, empty if it has no data, or `None` at the end.
