Count answers that wait to be read by their callers

An instance could exceed its memory, and lose all its requests, where callers read large answers slowly: a collected answer took no memory any more once it was complete, though it is held until its last byte has been written.

The room of an answer is now held by its bytes. The new test (an unread answer of 13 MiB, then a second one) failed before, as nothing was counted, and passes now: the second is broken off, and a third is served once the first has been read.

--- a/crates/anvilhook-gateway/src/relay/answers.rs
+++ b/crates/anvilhook-gateway/src/relay/answers.rs
@@ -127,7 +127,7 @@
         match collect_body_within(body, &bounds, &mut room).await {
             Ok(body) => {
                 let (status, headers) = (parts.status, parts.headers);
-                WholeAnswer { status, headers, body }.into_response(flight)
+                WholeAnswer { status, headers, body: counted(body, room) }.into_response(flight)
             }
             Err(_) => OwnAnswer::failed(StatusCode::BAD_GATEWAY, STREAM_CUT).into_response(),
         }
--- a/crates/anvilhook-gateway/src/relay/collecting.rs
+++ b/crates/anvilhook-gateway/src/relay/collecting.rs
@@ -11,6 +11,7 @@
 
 use super::Gateway;
 use super::answers::WholeAnswer;
+use super::bodies::counted;
 use super::failures::{Failed, FailureSignal};
 use super::requests::{Exchange, end_to_end};
 use crate::fleets::Upstream;
@@ -78,7 +79,7 @@
         let mut room = self.inner.answer_memory.begin();
         let step = Stage::Body.as_str();
         match collect_body_within(body, &bounds, &mut room).await {
-            Ok(body) => Ok(body),
+            Ok(body) => Ok(counted(body, room)),
             Err(CollectError::TimedOut) => Err(Failed { step, ..Failed::timed_out("answer_late") }),
             Err(CollectError::NoRoom) => {
                 Err(Failed { step, ..Failed::may_have_run("no_answer_memory") })
--- a/crates/anvilhook-gateway/tests/request_memory.rs
+++ b/crates/anvilhook-gateway/tests/request_memory.rs
@@ -1,4 +1,4 @@
-//! Bodies of requests that together exceed the memory of an instance.
+//! Bodies of requests and answers that together exceed the memory of an instance.
 
 mod support;
 
@@ -12,6 +12,8 @@
 use support::until;
 use support::upstreams::{Step, Upstream, signed};
 use support::wires::entry;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Starts an instance in front of one upstream, which accepts large bodies.
@@ -81,3 +83,33 @@
     assert!(most <= bounds.requests + SLACK, "{most} bytes");
     until(|| front.gateway.received_bytes() == 0).await;
 }
+
+/// Guards against an instance that is killed because callers don't read its answers: an answer took no memory once it had
+/// been collected.
+#[tokio::test]
+async fn verify_answers_that_callers_do_not_read_count() {
+    const MEMORY: u64 = 60_000_000;
+    /// More than the sockets hold, and more than half of the memory for answers.
+    const ANSWER_BYTES: usize = 13 << 20;
+    let answer = "x".repeat(ANSWER_BYTES);
+    let upstream = Upstream::always(vec![signed("200 OK", &answer)]).await;
+    let front = start(MEMORY, &upstream).await;
+    let asking = async |id: &str| {
+        let mut stream = TcpStream::connect(front.address).await.expect("the front listens");
+        let req = support::fronts::request(id, "", "");
+        stream.write_all(req.as_bytes()).await.expect("the front reads");
+        stream
+    };
+
+    let mut unread = asking("r1").await;
+    until(|| front.gateway.collected_bytes() == ANSWER_BYTES).await;
+    let refused = front.post_with_long_deadline("r2", "", "").await;
+    let mut buf = Vec::new();
+    unread.read_to_end(&mut buf).await.expect("the answer");
+    until(|| front.gateway.collected_bytes() == 0).await;
+    let served = front.post_with_long_deadline("r3", "", "").await;
+
+    assert_eq!((refused.status, refused.body.as_str()), (502, "no_answer_memory"));
+    assert!(buf.len() > ANSWER_BYTES);
+    assert_eq!(served.status, 200, "{}", served.head);
+}
