Test answers without end to prompts read ahead and behind another instance

Ten answers to an engine that is to read a prompt, and seven that pass through a forwarding instance: each is cut, the upstream's connection is closed, neither instance holds anything afterwards, and the prompt is read by the other engine. All pass without a change of the product.

--- a/crates/anvilhook-gateway/tests/broken_answers.rs
+++ b/crates/anvilhook-gateway/tests/broken_answers.rs
@@ -12,7 +12,7 @@
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
 use support::fronts::{Front, ample_budget, config, start, start_with_clock, with_long_timeouts};
-use support::upstreams::{Step, Upstream, chunk, signed, stream, stream_end, stream_head};
+use support::upstreams::{Step, Upstream, chunk, engine, signed, stream, stream_end, stream_head};
 use support::wires::entry;
 
 /// The number of failures after which an upstream is not used for a while.
@@ -219,6 +219,31 @@
     }
 }
 
+/// Guards against the same faults where an engine that reads a prompt ahead answers so: the other engine reads it itself.
+#[tokio::test]
+async fn verify_answers_without_end_to_prompts_read_ahead_are_cut() {
+    let buffers = socket_buffers();
+    for case in ENDLESS.iter().filter(|case| case.repeats == Repeats::Idempotent) {
+        let written = Arc::new(AtomicUsize::new(0));
+        let steps = vec![write(case.begin), Step::Repeat(case.repeated, Arc::clone(&written))];
+        let reader = Upstream::always(steps).await;
+        let generator = Upstream::always(stream(1, 2)).await;
+        let engines =
+            vec![engine("r", &reader, Role::Prefill), engine("g", &generator, Role::Decode)];
+        let config = Some(with_long_timeouts(&config(STREAM, 2, true)));
+        let front = start(config, engines, ample_budget()).await;
+
+        let answer = front.post_with_long_deadline("r1", "T-Tokens: 400\r\n", "").await;
+        reader.client_closed().await;
+
+        assert_eq!((answer.status, answer.events()), (200, vec![1, 2]), "{}", case.name);
+        assert!(!reader.received().is_empty(), "{}", case.name);
+        let read = written.load(Ordering::SeqCst);
+        assert!(read <= case.max_read + buffers, "{}: {read} bytes", case.name);
+        assert_eq!(front.gateway.collected_bytes(), 0, "{}", case.name);
+    }
+}
+
 /// Guards against a stream of whole events without end that goes on past its caller's deadline, and against other
 /// requests that wait for it.
 #[tokio::test]
--- a/crates/anvilhook-gateway/tests/forwarding.rs
+++ b/crates/anvilhook-gateway/tests/forwarding.rs
@@ -572,6 +572,42 @@
     }
 }
 
+/// Guards against an answer without end that fills the memory of the instance that received the request or of the one that
+/// forwards it, or that keeps either from its other requests.
+#[tokio::test]
+async fn verify_an_answer_without_end_is_cut_behind_another_instance() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nT-Signature: s\r\n";
+    let plain = Repeats::Idempotent;
+    let cases = [
+        (plain, format!("{HEAD}X-A: "), "x"),
+        (plain, String::new(), "HTTP/1.1 102 Go\r\n\r\n"),
+        (plain, format!("{HEAD}\r\n"), "x"),
+        (plain, format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n"), "1\r\nx\r\n"),
+        (plain, format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n1;"), "x"),
+        (RESUMABLE, format!("{HEAD}\r\nid: 1\ndata: "), "x"),
+        (RESUMABLE, format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n"), "1\r\nx\r\n"),
+    ];
+    for (repeats, begin, repeated) in cases {
+        let written = Arc::new(AtomicUsize::new(0));
+        let steps = vec![Step::Write(begin.clone()), Step::Repeat(repeated, Arc::clone(&written))];
+        let upstream = Upstream::always(steps).await;
+        let make_config = || with_long_timeouts(&config(repeats, 1, false));
+        let listed = entry("u", upstream.address.port());
+        let (first, second, _cut) = cut_and_sound(&make_config, listed, How::Refused).await;
+
+        let answer = first.front.post_with_long_deadline("r1", "", "body").await;
+        upstream.client_closed().await;
+
+        assert!(matches!(answer.status, 502 | 503), "{begin:?}: {answer:?}");
+        assert!(written.load(Ordering::SeqCst) > 0, "{begin:?}");
+        until(|| second.front.gateway.served_calls() == 0).await;
+        for instance in [&first, &second] {
+            assert_eq!(instance.front.gateway.collected_bytes(), 0, "{begin:?}");
+            assert_eq!(instance.front.gateway.received_bytes(), 0, "{begin:?}");
+        }
+    }
+}
+
 /// Guards against a key that reaches an upstream because the instance that received the request does not know the
 /// accounts yet. The one that forwards the call does.
 #[tokio::test]
