Split the quarantine and the learnt speeds into modules

Both files had grown past 500 lines with several jobs each. quarantine: the tracker, the evidence of a suspect, how ends are weighed, separate trials. speeds: readings, upstreams, outputs, the quantile that two of them use. Code is moved only; the tests of the core pass.

--- a/crates/anvilhook-core/src/quarantine/mod.rs
+++ b/crates/anvilhook-core/src/quarantine/mod.rs
@@ -10,22 +10,23 @@
 //! with the part that has written output clears it. Parts of common traffic are therefore always clear, and what
 //! remains is the cause and rare parts that arrived with it.
 
+mod evidence;
+mod suspects;
+mod trials;
+
 use std::collections::{HashMap, VecDeque};
 
 use crate::clearances::Clearances;
 use crate::fingerprints::Fingerprint;
-use crate::part_trials::is_part_trial;
-use crate::units::{Millis, WallTime};
+use crate::units::Millis;
+
+use suspects::Suspect;
+pub use suspects::{EndOutcome, EngineEnd, SuspectStatus};
+pub use trials::TrialSlot;
 
 /// The maximum number of ends stored for one suspect.
 const MAX_ENDS: usize = 8;
 
-/// The number of ends from which suspects that share them are tried separately.
-const SEPARATE_TRIAL_ENDS: usize = 2;
-
-/// How long each turn of a suspect at an upstream lasts.
-const TRIAL_TURN: Millis = Millis(4_000);
-
 /// The maximum number of recently terminated engines that are remembered.
 const MAX_ENDED: usize = 256;
 
@@ -58,26 +59,6 @@
     }
 }
 
-/// `SuspectStatus` is the status of a request or a part in the quarantine.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SuspectStatus {
-    /// There is no evidence against it.
-    Clear,
-    /// This many engines ended while they ran it, too few to decide.
-    Suspected(usize),
-    /// It must be sent to no engine.
-    Quarantined,
-}
-
-/// `EngineEnd` is the end of an engine that ran a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct EngineEnd {
-    /// The hash of the engine's id and start.
-    pub engine: u32,
-    /// When it was recorded.
-    pub at: Millis,
-}
-
 /// `QuarantineTracker` tracks suspected requests and parts from the observations of this instance and its peers.
 ///
 /// ```
@@ -109,84 +90,6 @@
     cleared: HashMap<Fingerprint, Millis>,
 }
 
-/// `Suspect` is the evidence against a request or a part.
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    ends: Vec<EngineEnd>,
-    /// When an engine last ended under it, or when it last arrived while quarantined.
-    seen_at: Millis,
-    /// The engine whose end caused the quarantine, if it is quarantined.
-    quarantined_by: Option<u32>,
-}
-
-impl Suspect {
-    /// Returns whether this suspect explains the end of an engine, so that the end is no evidence against
-    /// others. The end that caused the quarantine is not explained yet: anything else that ran at that engine
-    /// may be the cause as well.
-    fn explains(&self, end: &EngineEnd, newest: u32) -> bool {
-        self.quarantined_by.is_some_and(|engine| engine != newest) && self.ended_under(end.engine)
-    }
-
-    fn ended_under(&self, engine: u32) -> bool {
-        self.ends.iter().any(|end| end.engine == engine)
-    }
-
-    /// Returns whether all engines that ended under `other` also ended under this suspect, so that neither is more
-    /// likely to be the cause. The newest end may still be unrecorded here.
-    fn is_as_suspect_as(&self, other: &Suspect, newest: Option<u32>) -> bool {
-        other.ends.iter().all(|end| newest == Some(end.engine) || self.ended_under(end.engine))
-    }
-}
-
-/// `TrialSlot` is a suspect's turn among all suspects that ran at the same engines when they ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct TrialSlot {
-    index: usize,
-    count: usize,
-}
-
-impl TrialSlot {
-    /// Returns whether the suspect may be tried at an upstream now. All instances must use the same number
-    /// `upstream` for the upstream, and agree on `time`.
-    ///
-    /// ```
-    /// use anvilhook_core::fingerprints::Fingerprint;
-    /// use anvilhook_core::quarantine::{EngineEnd, QuarantineTracker, QuarantineOptions};
-    /// use anvilhook_core::units::{Millis, WallTime};
-    ///
-    /// let mut tracker = QuarantineTracker::new(QuarantineOptions::default());
-    /// for (engine, request) in [(1, 7), (1, 8), (2, 7), (2, 8)] {
-    ///     tracker.record_end(Fingerprint(request), EngineEnd { engine, at: Millis(0) }, Millis(0));
-    /// }
-    /// let allowed = |request, time| {
-    ///     let slot = tracker.trial_slot(Fingerprint(request), Millis(0)).unwrap();
-    ///     [0, 1].map(|upstream| slot.allows(upstream, WallTime(time)))
-    /// };
-    /// assert_eq!((allowed(7, 0), allowed(8, 0)), ([true, false], [false, true]));
-    /// assert_eq!(allowed(7, 3_000), [false, false]);
-    /// assert_eq!((allowed(7, 4_000), allowed(8, 4_000)), ([false, true], [true, false]));
-    /// ```
-    pub fn allows(&self, upstream: u64, time: WallTime) -> bool {
-        let turn = upstream.wrapping_add(time.0 / TRIAL_TURN.0);
-        // A run that begins late in its turn would continue into the next suspect's turn.
-        let is_early = time.0 % TRIAL_TURN.0 < TRIAL_TURN.0 / 2;
-        is_early && turn % self.count as u64 == self.index as u64
-    }
-}
-
-/// `EndOutcome` is the outcome of recording an end.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EndOutcome {
-    /// The end was already known, or the request's runs complete successfully.
-    Ignored,
-    /// The end counts; the request is suspected.
-    Counted,
-    /// This end causes the request's quarantine.
-    Quarantined,
-    /// The request was already quarantined and explains the end.
-    Explained,
-}
-
 impl QuarantineTracker {
     /// Creates a tracker without suspects.
     pub fn new(options: QuarantineOptions) -> Self {
@@ -210,49 +113,6 @@
         }
     }
 
-    /// Returns the trial slot of a suspect that has rivals: other suspects that ran at all the engines which
-    /// ended under it, so that further ends would quarantine them together. Returns `None` if it may be
-    /// tried anywhere.
-    ///
-    /// If a service has two upstreams, both end each time, and a request that was tried alongside the cause
-    /// collects as many ends. All instances that know the same ends separate such suspects in the same way:
-    /// each suspect has its turn at each upstream, even if only one upstream is left.
-    pub fn trial_slot(&self, request: Fingerprint, now: Millis) -> Option<TrialSlot> {
-        let rivals = self.rivals(request, now);
-        let index = rivals.iter().position(|rival| *rival == request)?;
-        (rivals.len() > 1).then_some(TrialSlot { index, count: rivals.len() })
-    }
-
-    /// Returns the suspects that ran at all the engines which ended under `request`, itself included, in an
-    /// order that is the same at all instances. Returns none if too few engines have ended under it.
-    pub fn rivals(&self, request: Fingerprint, now: Millis) -> Vec<Fingerprint> {
-        let own = self.ends(request, now);
-        if own.len() < SEPARATE_TRIAL_ENDS {
-            return Vec::new();
-        }
-        let ran_there = |ends: &[EngineEnd]| {
-            own.iter().all(|own| ends.iter().any(|end| end.engine == own.engine))
-        };
-        let is_open = |rival| self.status(rival, now) != SuspectStatus::Quarantined;
-        let rivals = self.suspects(now).filter(|(_, ends)| ran_there(ends));
-        let mut rivals: Vec<_> =
-            rivals.map(|(rival, _)| rival).filter(|one| is_open(*one)).collect();
-        rivals.sort_unstable();
-        rivals
-    }
-
-    /// Returns how many engines must have ended under a request to quarantine it.
-    ///
-    /// Where engines end without the request more than half as often as under it, the request may only have
-    /// run alongside the cause. All recent ends since the first one under the request are compared.
-    pub fn needed_ends(&self, request: Fingerprint, now: Millis) -> usize {
-        let own = self.ends(request, now);
-        let since = own.iter().map(|end| end.at).min().unwrap_or(now);
-        let is_own = |end: &EngineEnd| own.iter().any(|one| one.engine == end.engine);
-        let others = self.ended.iter().filter(|end| end.at >= since && !is_own(end)).count();
-        if others * 2 > own.len() { self.options.ends_among_others } else { self.options.ends }
-    }
-
     fn record_ended(&mut self, end: EngineEnd, now: Millis) {
         let is_old = |one: &EngineEnd| one.at + self.options.clearance <= now;
         while self.ended.front().is_some_and(is_old) || self.ended.len() >= MAX_ENDED {
@@ -319,128 +179,6 @@
         }
     }
 
-    /// Returns how much evidence there is against a suspect, in engine ends that nothing else explains.
-    pub fn evidence(&self, suspect: Fingerprint, now: Millis) -> usize {
-        self.suspect(suspect, now).map_or(0, |_| self.weight(suspect, None))
-    }
-
-    /// Returns the evidence against a suspect. `newest` is the engine that has just ended, whose end may not be
-    /// recorded against all that ran there yet.
-    fn weight(&self, suspect: Fingerprint, newest: Option<u32>) -> usize {
-        match self.suspects.get(&suspect) {
-            None => 0,
-            Some(own) if suspect.is_part() => self.weight_of_part(own, newest),
-            Some(own) => self.weight_of_request(own, newest),
-        }
-    }
-
-    /// Returns the evidence against a request. A quarantined part explains the ends at which the request only ran
-    /// alongside it, unless the request ran at all of them.
-    fn weight_of_request(&self, own: &Suspect, newest: Option<u32>) -> usize {
-        let parts = self.quarantined().filter(|(suspect, _)| suspect.is_part());
-        let parts = parts.map(|(_, part)| part);
-        let causes: Vec<_> = parts.filter(|part| !own.is_as_suspect_as(part, newest)).collect();
-        let is_explained =
-            |end: &&EngineEnd| causes.iter().any(|cause| cause.ended_under(end.engine));
-        own.ends.iter().filter(|end| !is_explained(end)).count()
-    }
-
-    /// Returns the evidence against a part.
-    ///
-    /// A single request that ended engines accuses its parts as well, which other requests share. So all ends under
-    /// one quarantined request count once, and there is no evidence if one request ran at all the engines that ended
-    /// under the part.
-    fn weight_of_part(&self, own: &Suspect, newest: Option<u32>) -> usize {
-        let mut requests = self.suspects.iter().filter(|(suspect, _)| !suspect.is_part());
-        if requests.any(|(_, request)| request.is_as_suspect_as(own, newest)) {
-            return 0;
-        }
-        let causes = self.quarantined().filter(|(suspect, _)| !suspect.is_part());
-        let causes: Vec<_> = causes.map(|(_, request)| request).collect();
-        let is_explained =
-            |end: &&EngineEnd| causes.iter().any(|cause| cause.ended_under(end.engine));
-        let explained = own.ends.iter().filter(is_explained).count();
-        let explaining =
-            causes.iter().filter(|cause| own.ends.iter().any(|end| cause.ended_under(end.engine)));
-        own.ends.len() - explained + explaining.count().min(explained)
-    }
-
-    fn quarantined(&self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
-        let quarantined = self.suspects.iter().filter(|(_, one)| one.quarantined_by.is_some());
-        quarantined.map(|(suspect, one)| (*suspect, one))
-    }
-
-    /// Removes the ends that a quarantined suspect explains from all other suspects of its kind. `newest` is the engine
-    /// that has just ended.
-    ///
-    /// Otherwise a request that only ran alongside a quarantined one at several engines would be quarantined
-    /// next. A part that ran at all of these engines is as likely to be the cause as a quarantined part. A request
-    /// explains no ends for parts: several requests may end engines because of the part that they share.
-    fn explain_away(&mut self, newest: u32) {
-        let quarantined: Vec<_> =
-            self.quarantined().map(|(cause, suspect)| (cause, suspect.clone())).collect();
-        if quarantined.is_empty() {
-            return;
-        }
-        self.suspects.retain(|fingerprint, suspect| {
-            if suspect.quarantined_by.is_none() {
-                let is_part = fingerprint.is_part();
-                let may_explain = |(cause, of): &&(Fingerprint, Suspect)| {
-                    cause.is_part() == is_part
-                        && !(is_part && suspect.is_as_suspect_as(of, Some(newest)))
-                };
-                let causes: Vec<_> = quarantined.iter().filter(may_explain).collect();
-                suspect.ends.retain(|end| !causes.iter().any(|(_, one)| one.explains(end, newest)));
-            }
-            !suspect.ends.is_empty()
-        });
-    }
-
-    /// Ends the quarantine of requests that only ran alongside a part that is quarantined now.
-    fn reconsider_requests(&mut self) {
-        let requests = self.quarantined().filter(|(suspect, _)| !suspect.is_part());
-        let is_explained = |(_, request): &(Fingerprint, &Suspect)| {
-            self.weight_of_request(request, None) < self.options.ends
-        };
-        let explained: Vec<_> = requests.filter(is_explained).map(|(request, _)| request).collect();
-        for request in explained {
-            self.suspects.entry(request).and_modify(|request| request.quarantined_by = None);
-        }
-    }
-
-    /// Ends the quarantine of parts whose ends a request alone explains. Updates arrive in any order, so the part may
-    /// have been quarantined before the ends of the request were known.
-    fn reconsider_parts(&mut self, request: Fingerprint) {
-        let Some(own) = self.suspects.get(&request).cloned() else { return };
-        let parts = self.suspects.iter_mut().filter(|(one, _)| one.is_part());
-        for (_, part) in parts.filter(|(_, part)| own.is_as_suspect_as(part, None)) {
-            part.quarantined_by = None;
-        }
-    }
-
-    /// Returns whether a request may be sent although it contains a quarantined part, to learn whether that part is
-    /// the cause: all engines that ended under the part also ended under something that the request does not contain.
-    ///
-    /// `parts` are the parts of the request, and `draw` is a number that is uniformly distributed over requests. See
-    /// [`is_part_trial`] for how many requests are tried.
-    pub fn may_try_part(
-        &self,
-        part: Fingerprint,
-        parts: &[Fingerprint],
-        draw: u64,
-        now: Millis,
-    ) -> bool {
-        let Some(suspect) = self.suspect(part, now) else { return true };
-        let newest = suspect.ends.iter().map(|end| end.at).max().unwrap_or(now);
-        if !is_part_trial(now - newest, draw) {
-            return false;
-        }
-        let is_other = |other: &Fingerprint| *other != part && !parts.contains(other);
-        let mut others = self.suspects.iter().filter(|(other, _)| is_other(other));
-        others
-            .any(|(_, other)| self.is_current(other, now) && other.is_as_suspect_as(suspect, None))
-    }
-
     /// Records a successful run of a request, which clears it. Returns whether it was suspected.
     pub fn record_success(&mut self, request: Fingerprint, now: Millis) -> bool {
         self.successes.record(request, now);
