--- a/crates/anvilhook-core/src/start_history.rs
+++ b/crates/anvilhook-core/src/start_history.rs
@@ -51,10 +51,10 @@
     pub fn supersedes(&mut self, report: &StartReport, current: &StartReport) -> bool {
         let is_later = report.born > current.born;
         let Some(at) = self.others.iter().position(|other| other.last.born == report.born) else {
-            let is_new = is_later || report.sequence <= FIRST_REPORTS;
-            let supersedes = is_later || (is_new && is_credible(report, current));
+            let is_first = report.sequence <= FIRST_REPORTS;
+            let supersedes = is_later || (is_first && is_credible(report, current));
             match supersedes {
-                // If only the number of the report shows it, a report of the other start shows that this one was delayed.
+                // If only the number shows it, a report of the other start shows that this one was delayed.
                 true => self.add(current, !is_later),
                 false => self.add(report, true),
             }
