Test changes of the accounts while a stream breaks and goes on

It goes on at another engine, on the terms of the newest configuration, or ends visibly truncated where its key is not allowed any more, and no key reaches the second engine. Passes without a change of the product.

--- a/crates/anvilhook-gateway/tests/account_changes.rs
+++ b/crates/anvilhook-gateway/tests/account_changes.rs
@@ -13,7 +13,7 @@
 use anvilhook_gateway::loads::Held;
 use futures_util::future::join_all;
 use support::fronts::{
-    ample_budget, config_of_version, start, start_with_clock, start_with_connect_timeout,
+    Answer, ample_budget, config_of_version, start, start_with_clock, start_with_connect_timeout,
     with_long_timeouts,
 };
 use support::until;
@@ -104,7 +104,7 @@
 
 /// `Played` is what came of a request.
 struct Played {
-    status: u16,
+    answer: Answer,
     /// The requests that reached the two upstreams.
     received: [Option<Received>; 2],
     /// The accounts for which it was counted.
@@ -118,17 +118,20 @@
     }
 }
 
-/// Sends a request to the first upstream, adopts the changes while it runs there, and lets it end by `steps`.
+/// Sends a request to the first upstream, adopts the changes while it runs there, after the steps `begun`, and lets it end
+/// by `steps`.
 async fn play(
     change: &Change,
     repeats: Repeats,
     roles: [Option<Role>; 2],
+    begun: Vec<Step>,
     steps: [Vec<Step>; 2],
 ) -> Played {
     let [first, second] = steps;
     let is_changed = Arc::new(Notify::new());
     let awaiting = Step::Await(Arc::clone(&is_changed));
-    let first = Upstream::always([awaiting].into_iter().chain(first).collect()).await;
+    let first = begun.into_iter().chain([awaiting]).chain(first);
+    let first = Upstream::always(first.collect()).await;
     let second = Upstream::always(second).await;
     let near = Entry { role: roles[0], ..entry("first", first.address.port()) };
     let far =
@@ -152,7 +155,7 @@
     let window = usage.windows().expect("usage is counted").at(usage.time(Millis::ZERO));
     let windows = [window, window + 1].into_iter().flat_map(|window| usage.totals(window));
     let counted = windows.filter(|(_, count)| *count > 0).map(|(name, _)| name).collect();
-    Played { status: answer.status, received, counted }
+    Played { answer, received, counted }
 }
 
 /// Checks what reached an upstream after a change.
@@ -172,14 +175,14 @@
 async fn verify_keys_are_judged_by_the_accounts_of_the_next_attempt() {
     for change in &CHANGES {
         let steps = [vec![Step::Close], vec![signed("200 OK", "well")]];
-        let played = play(change, Repeats::Idempotent, [None, None], steps).await;
+        let played = play(change, Repeats::Idempotent, [None, None], vec![], steps).await;
 
         // A request whose connection is closed may have run.
         let expected = played.account_at(0).or(played.account_at(1));
         let counted: Vec<_> = played.counted.iter().map(|name| &**name).collect();
         assert_eq!(counted, Vec::from_iter(expected), "{change:?}");
         let [_, second] = played.received;
-        check(change, played.status, second);
+        check(change, played.answer.status, second);
     }
 }
 
@@ -190,14 +193,33 @@
     for change in &CHANGES {
         let steps = [vec![signed("200 OK", "handle h1")], stream(1, 2)];
         let repeats = Repeats::Stream { resumable: true };
-        let played = play(change, repeats, roles, steps).await;
+        let played = play(change, repeats, roles, vec![], steps).await;
 
         // Reading a prompt is not counted.
         let expected = played.account_at(1);
         let counted: Vec<_> = played.counted.iter().map(|name| &**name).collect();
         assert_eq!(counted, Vec::from_iter(expected), "{change:?}");
         let [_, second] = played.received;
-        check(change, played.status, second);
+        check(change, played.answer.status, second);
+    }
+}
+
+/// Guards against the same faults when a stream breaks and goes on at another engine.
+#[tokio::test]
+async fn verify_keys_are_judged_by_the_accounts_when_a_stream_goes_on() {
+    let roles = [Some(Role::Decode), Some(Role::Decode)];
+    for change in &CHANGES {
+        let begun = vec![stream_head(), event(1), event(2)];
+        let steps = [vec![Step::Close], stream(3, 4)];
+        let repeats = Repeats::Stream { resumable: true };
+        let played = play(change, repeats, roles, begun, steps).await;
+
+        let goes_on = change.status == 200;
+        let events: &[u64] = if goes_on { &[1, 2, 3, 4] } else { &[1, 2] };
+        assert_eq!(played.answer.events(), events, "{change:?}");
+        assert_eq!(played.answer.is_complete(), goes_on, "{change:?}");
+        let [_, second] = played.received;
+        check(change, change.status, second);
     }
 }
 
