--- a/crates/anvilhook-core/src/speeds/upstreams.rs
+++ b/crates/anvilhook-core/src/speeds/upstreams.rs
@@ -33,7 +33,7 @@
 
 impl Learning {
     /// For readings of model engines. An instance measures each of 90 engines every 10 to 20 s, and the
-    /// engines' machines differ lastingly, so the speed is kept longer than the time between samples.
+    /// engines' hosts differ lastingly, so the speed is kept longer than the time between samples.
     pub const ENGINE: Learning = Learning { growth: 0.2, fall: 0.4, recovery: Millis(30_000) };
 
     /// For requests of plain upstreams. An instance measures each of a few upstreams about once a second,
--- a/crates/anvilhook-core/src/start_history.rs
+++ b/crates/anvilhook-core/src/start_history.rs
@@ -1,6 +1,6 @@
 //! Decides which start of an upstream is the current one, by the reports of its id.
 //!
-//! Designed for: upstreams that restart under the same id, on machines whose time of day may be set back between two
+//! Designed for: upstreams that restart under the same id, on hosts whose clocks may be set back between two
 //! starts, and whose reports may be delayed by seconds. The start time alone does not order such reports: it would take
 //! all those of the later start for delayed ones, so that the upstream gets work after it has reported to be leaving.
 
@@ -13,7 +13,7 @@
 /// `StartReport` is what the order of reports depends on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StartReport {
-    /// The time of the start, by the clock of the upstream's machine, if the upstream reports it.
+    /// The time of the start, by the clock of the upstream's host, if the upstream reports it.
     pub born: Option<u64>,
     /// The number of the report, which grows with each report of one start.
     pub sequence: u64,
--- a/crates/anvilhook-gateway/tests/followers.rs
+++ b/crates/anvilhook-gateway/tests/followers.rs
@@ -179,7 +179,7 @@
     }
 }
 
-/// Guards against an upstream that gets work long after it has reported to be leaving, or none at all: its machine's
+/// Guards against an upstream that gets work long after it has reported to be leaving, or none at all: its host's
 /// clock was set back before it restarted under the same id, so that all its reports counted as delayed ones.
 #[test]
 fn verify_a_restart_after_the_clock_was_set_back_counts() {
