Log each attempt of a request with its kind, configuration, connection and cause

What operators saw: of two requests that ran twice the logs had nothing to tell why. A second attempt was a line like the first, dropped first under load; it named neither the kind of the route nor the version of the configuration that it was read from; a refusal was logged without its status and without whose id it echoed; the second hop logged a forwarded call only once it had an answer.

placed now has attempt, again_after, kind, config and connection, and is a warning where a request that may run at most once is sent again, so it stays under load. attempt_failed has the status and the echoed id (own, other, none). call_taken is logged by the second hop before it sends. No decision changes.

The capture of log lines, which stood twice in tests, is in support/logs.rs.

--- a/crates/anvilhook-gateway/src/configs.rs
+++ b/crates/anvilhook-gateway/src/configs.rs
@@ -6,6 +6,7 @@
 use anvilhook_core::api_keys::{AccountRegistry, ClientAccount, KeyDigest, KnownKeys};
 use anvilhook_core::fleet_size::ScalingSpec;
 use anvilhook_core::units::{Millis, Tokens};
+use serde::{Serialize, Serializer};
 
 /// `Repeats` indicates whether a route's requests may be repeated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -39,6 +40,12 @@
     }
 }
 
+impl Serialize for Repeats {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.as_str())
+    }
+}
+
 /// `Target` is a service with its share of a route's requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
--- a/crates/anvilhook-gateway/src/events/requests.rs
+++ b/crates/anvilhook-gateway/src/events/requests.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use super::{Event, REQUESTS};
+use crate::configs::Repeats;
 
 /// `RequestEvent` is a line about one request.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -24,6 +25,15 @@
         /// The time to the head of the answer, in milliseconds.
         took_ms: u64,
     },
+    /// A call of another instance is sent to its upstream.
+    CallTaken {
+        /// The request, empty for a call that the other gateway itself made.
+        request: &'a str,
+        /// The upstream.
+        upstream: &'a str,
+        /// The connection that is used: `pooled` or `new`.
+        connection: &'a str,
+    },
     /// A call of another instance was sent to its upstream.
     CallServed {
         /// The request, empty for a check or a call that the other gateway itself made.
@@ -69,6 +79,16 @@
         lane: Option<&'a str>,
         /// How many waiting requests came first when the request was queued here; absent if it was not.
         position: Option<u32>,
+        /// How many times the request has been sent to upstreams, with this time.
+        attempt: u32,
+        /// Why it is sent again: how the attempt before ended; absent at the first attempt.
+        again_after: Option<&'a str>,
+        /// Whether the request may be repeated, by the route that was read for this attempt.
+        kind: Repeats,
+        /// The version of the active configuration.
+        config: u64,
+        /// The connection that is used: `pooled` or `new`.
+        connection: &'a str,
     },
     /// A stopping instance has accepted a request, or refused it because the instance's end could interrupt
     /// the request.
@@ -105,6 +125,10 @@
         /// The time since the upstream last answered this instance over its own path, in milliseconds, whatever
         /// it answered.
         contact_age_ms: Option<u64>,
+        /// The status of the answer, if there was one.
+        status: Option<u16>,
+        /// Whose id the answer echoed: `own`, `other` or `none`; absent if there was no answer.
+        echo: Option<&'a str>,
     },
     /// A caller continues a stream that another request began.
     StreamContinued {
@@ -208,6 +232,10 @@
     fn level(&self) -> Level {
         match self {
             RequestEvent::AttemptFailed { .. } | RequestEvent::StreamBroken { .. } => Level::Warn,
+            // It must stay in the log under load: only this line shows why such a request was sent again.
+            RequestEvent::Placed { again_after: Some(_), kind, .. } if !kind.is_repeatable() => {
+                Level::Warn
+            }
             RequestEvent::StreamEnded { outcome, .. } if matches!(*outcome, "cut" | "stopped") => {
                 Level::Warn
             }
--- a/crates/anvilhook-gateway/src/forwarding/messages.rs
+++ b/crates/anvilhook-gateway/src/forwarding/messages.rs
@@ -62,14 +62,10 @@
 impl ForwardedCall {
     /// Adds the call's headers to those of a request.
     pub fn write(&self, headers: &mut HeaderMap) {
-        let connection = match self.connection {
-            Connection::Pooled => "pooled",
-            Connection::New => "new",
-        };
         headers.insert(UPSTREAM, HeaderValue::from(self.upstream));
         headers.insert(PURPOSE, HeaderValue::from_static(self.purpose.as_str()));
         headers.insert(TIMEOUT_MS, HeaderValue::from(self.timeout.0));
-        headers.insert(CONNECTION, HeaderValue::from_static(connection));
+        headers.insert(CONNECTION, HeaderValue::from_static(self.connection.as_str()));
         if let Some(Software(software)) = self.software {
             headers.insert(SOFTWARE, HeaderValue::from(software));
         }
--- a/crates/anvilhook-gateway/src/relay/attempts.rs
+++ b/crates/anvilhook-gateway/src/relay/attempts.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one upstream and checks the answer.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use anvilhook_core::connection_admission::Direction;
 use anvilhook_core::orders::Role;
@@ -13,7 +14,7 @@
 use volo_http::response::Response;
 
 use super::calls::{CallFailure, UpstreamCall};
-use super::failures::{ACCESS_CHANGED, Failed, FailureSignal};
+use super::failures::{ACCESS_CHANGED, Echo, Failed, FailedAnswer, FailureSignal};
 use super::requests::Exchange;
 use super::signals::AnswerSource;
 use super::waiting::Wait;
@@ -25,11 +26,11 @@
 use crate::metrics::AttemptLabels;
 use crate::wires::Wire;
 
-/// How long an upstream is not used after it refused a request although less than half of its slots were
-/// taken, or refused a plain request as misdirected.
 /// The reason for which an attempt is not sent: a part of its prompt is on trial or quarantined.
 const PART_HELD: &str = "part_held";
 
+/// How long an upstream is not used after it refused a request although less than half of its slots were
+/// taken, or refused a plain request as misdirected.
 const WRONG_STAGE_PAUSE: Millis = Millis(300);
 
 /// `Sending` describes how an attempt is sent.
@@ -100,6 +101,7 @@
             return Err(failed);
         }
         self.record_bytes(Direction::Outbound, exchange.body.len());
+        exchange.attempts.fetch_add(1, Ordering::AcqRel);
         self.log_placed(exchange, &sending);
         self.log_acceptance(exchange);
         let result = self.send_unlogged(exchange, &sending).await;
@@ -147,6 +149,11 @@
             slowness: (self.slowness_of(sending.upstream, now) * 100.0).round() / 100.0,
             lane: sending.lane.map(Lane::as_str),
             position: sending.wait.position,
+            attempt: exchange.attempts.load(Ordering::Acquire),
+            again_after: exchange.last_cause,
+            kind: exchange.route.repeats,
+            config: self.inner.config.load().as_ref().map_or(0, |config| config.version),
+            connection: sending.connection.as_str(),
         });
     }
 
@@ -169,6 +176,8 @@
             cause,
             step: failed.step,
             contact_age_ms: contact_age.map(|age| age.0),
+            status: failed.answer.map(|answer| answer.status.as_u16()),
+            echo: failed.answer.map(|answer| answer.echo.as_str()),
         });
         let labels = AttemptLabels { stage, verdict, cause, step: failed.step };
         self.inner.metrics.failed_attempts.get_or_create(&labels).inc();
@@ -201,7 +210,12 @@
         };
         let source = AnswerSource::Request { id: &exchange.id, sent_at };
         self.record_response(sending.upstream, source, answer.status(), answer.headers());
-        self.check(exchange, sending, answer)
+        let head = FailedAnswer {
+            status: answer.status(),
+            echo: Echo::of(answer.headers().get(&self.wire().headers().request_id), &exchange.id),
+        };
+        let checked = self.check(exchange, sending, answer);
+        checked.map_err(|failed| Failed { answer: Some(head), ..failed })
     }
 
     fn request_for(&self, exchange: &Exchange, sending: &Sending<'_>) -> Request<Body> {
--- a/crates/anvilhook-gateway/src/relay/failures.rs
+++ b/crates/anvilhook-gateway/src/relay/failures.rs
@@ -2,6 +2,7 @@
 
 use anvilhook_core::Verdict;
 use anvilhook_http::{CallError, Stage};
+use http::{HeaderValue, StatusCode};
 
 use super::calls::{CallFailure, UNREACHABLE};
 
@@ -24,6 +25,46 @@
     pub signal: FailureSignal,
     /// The step of the call at which it failed, for logs; empty if the upstream answered or was not called.
     pub step: &'static str,
+    /// The answer, for logs, if there was one.
+    pub answer: Option<FailedAnswer>,
+}
+
+/// `FailedAnswer` is the head of an answer that is not forwarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct FailedAnswer {
+    pub status: StatusCode,
+    pub echo: Echo,
+}
+
+/// `Echo` is whose request id an answer repeats.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Echo {
+    /// That of the request to which it is the answer.
+    Own,
+    /// That of another request.
+    Other,
+    /// None.
+    Missing,
+}
+
+impl Echo {
+    /// Returns whose id an answer to the request `id` repeats.
+    pub fn of(echoed: Option<&HeaderValue>, id: &str) -> Self {
+        match echoed {
+            Some(echoed) if echoed.as_bytes() == id.as_bytes() => Self::Own,
+            Some(_) => Self::Other,
+            None => Self::Missing,
+        }
+    }
+
+    /// Returns the text used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Other => "other",
+            Self::Missing => "none",
+        }
+    }
 }
 
 /// `FailureSignal` is what a failed attempt indicates about its upstream.
@@ -53,6 +94,7 @@
             was_sent: false,
             signal: FailureSignal::None,
             step: "",
+            answer: None,
         }
     }
 
@@ -116,6 +158,6 @@
         };
         let (verdict, step) = (err.verdict(), err.stage.as_str());
         let was_sent = verdict != Verdict::NotRun;
-        Self { verdict, cause, is_refusal: false, was_sent, signal, step }
+        Self { verdict, cause, is_refusal: false, was_sent, signal, step, answer: None }
     }
 }
--- a/crates/anvilhook-gateway/src/relay/forwarded.rs
+++ b/crates/anvilhook-gateway/src/relay/forwarded.rs
@@ -97,6 +97,11 @@
         // heals, long after the caller has left.
         let is_alive = upstream.state.path().has_contact_within(ALIVE_TIME, sent_at);
         let connection = if is_alive { call.connection } else { Connection::New };
+        emit(&RequestEvent::CallTaken {
+            request: &request,
+            upstream: &upstream.entry.id,
+            connection: connection.as_str(),
+        });
         let upstream_call = UpstreamCall {
             request: &request,
             message,
--- a/crates/anvilhook-gateway/src/relay/reading.rs
+++ b/crates/anvilhook-gateway/src/relay/reading.rs
@@ -141,6 +141,7 @@
                 if !failed.may_retry_upstream() {
                     job.avoid.push(Arc::clone(&upstream.entry.id));
                 }
+                exchange.last_cause = Some(failed.cause);
                 self.record_failure_signal(exchange, &upstream, &failed, Progress::Reading);
                 self.refund_attempt(&exchange.service, &mut exchange.has_read, arrival, &failed);
                 // Reading a prompt does not count as running the request.
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -1,6 +1,7 @@
 //! Receives requests, checks their heads and selects the headers that are forwarded.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 
 use anvilhook_core::Verdict;
 use anvilhook_core::api_keys::{ClientAccount, KeyDigest};
@@ -38,6 +39,9 @@
 /// The timeout for receiving a request's body.
 const BODY_TIMEOUT: Millis = Millis::from_secs(10);
 
+/// How an attempt ended that brought an answer of the upstream.
+const ANSWERED: &str = "answered";
+
 /// The retry time for a caller of an instance that has no usable configuration.
 const NO_CONFIG_PAUSE: Millis = Millis(300);
 
@@ -83,6 +87,10 @@
     pub give_up_at: Millis,
     /// The upstreams to which the request was sent, in order.
     pub tried: Vec<String>,
+    /// How many times the request has been sent to upstreams, to have its prompt read or to run.
+    pub attempts: AtomicU32,
+    /// How the newest attempt ended, for logs, if there has been one.
+    pub last_cause: Option<&'static str>,
     /// How many attempts may have run.
     pub runs: u32,
     /// Whether any attempt, past or in progress, may have run.
@@ -166,6 +174,8 @@
             waits_since: arrived_at,
             give_up_at: deadline.min(timeout),
             tried: Vec::new(),
+            attempts: AtomicU32::new(0),
+            last_cause: None,
             runs: 0,
             may_have_run: false,
             attempt_began_at: Millis::ZERO,
@@ -242,6 +252,7 @@
     /// Records how an attempt ended. `could_have_run` is the value that `begin_run` returned for it; it is
     /// restored if the attempt has certainly not run.
     pub(super) fn end_run<T>(&mut self, could_have_run: bool, result: &Result<T, Failed>) {
+        self.last_cause = Some(result.as_ref().map_or_else(|failed| failed.cause, |_| ANSWERED));
         match result {
             Err(failed) if failed.verdict == Verdict::NotRun => self.may_have_run = could_have_run,
             _ => self.runs += 1,
--- a/crates/anvilhook-gateway/tests/support/mod.rs
+++ b/crates/anvilhook-gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod clouds;
 pub mod fronts;
 pub mod instances;
+pub mod logs;
 pub mod tables;
 pub mod upstreams;
 pub mod wires;
--- a/crates/anvilhook-gateway/tests/unreadable.rs
+++ b/crates/anvilhook-gateway/tests/unreadable.rs
@@ -6,49 +6,25 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
 
 use anvilhook_core::units::{Millis, SystemClock};
 use anvilhook_gateway::budgets::BudgetOptions;
-use anvilhook_gateway::events::json_of;
 use anvilhook_gateway::followers::{ConfigFollower, EntryFollower, Follow};
 use anvilhook_gateway::policies::Policy;
 use anvilhook_gateway::reloads::{OptionSource, Reloader, Reread, Tunables};
 use anvilhook_gateway::tables::Row;
-use log::{LevelFilter, Log, Metadata, Record};
 use support::fronts::{TestGateway, ample_budget, gateway};
-
-/// `Lines` stores the events that were logged.
-struct Lines(Mutex<Vec<String>>);
-
-static LINES: Lines = Lines(Mutex::new(Vec::new()));
-
-impl Log for Lines {
-    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &Record<'_>) {
-        self.0.lock().expect("no panic").extend(json_of(record));
-    }
-
-    fn flush(&self) {}
-}
+use support::logs::{lines_with, store_lines};
 
 /// Returns the lines logged so far about unreadable rows or settings that contain `text`.
-fn lines_with(text: &str) -> Vec<String> {
-    let is_report = |line: &str| {
-        ["\"unreadable_row\"", "\"settings_refused\""].iter().any(|event| line.contains(event))
-    };
-    let lines = LINES.0.lock().expect("no panic");
-    lines.iter().filter(|line| is_report(line) && line.contains(text)).cloned().collect()
+fn reports_with(text: &str) -> Vec<String> {
+    let of_event = |event: &str| lines_with(&[event, text]);
+    let reports = ["\"unreadable_row\"", "\"settings_refused\""].map(of_event).concat();
+    reports.into_iter().map(|(_, line)| line).collect()
 }
 
 fn new_gateway() -> TestGateway {
-    // Another test may have set the logger already.
-    if log::set_logger(&LINES).is_ok() {
-        log::set_max_level(LevelFilter::Info);
-    }
+    store_lines();
     gateway(SystemClock::new(), None, Vec::new(), ample_budget())
 }
 
@@ -71,7 +47,7 @@
 fn verify_each_version_of_a_row_is_reported_once() {
     let gateway = new_gateway();
     let mut follower = EntryFollower::new(gateway.clone(), SystemClock::new());
-    let reported = || (lines_with("\"corrupt-entry\"").len(), count(&gateway, "upstreams"));
+    let reported = || (reports_with("\"corrupt-entry\"").len(), count(&gateway, "upstreams"));
 
     for _ in 0..5 {
         follower
@@ -106,7 +82,7 @@
     follower.change(&[row("current", Some("-1"), 3)]);
 
     assert_eq!(count(&gateway, "configs"), 2);
-    assert_eq!(lines_with("\"current\"").len(), 2);
+    assert_eq!(reports_with("\"current\"").len(), 2);
     assert_eq!(gateway.config().map(|config| config.version), Some(7));
 }
 
@@ -120,7 +96,7 @@
 
     follower.reset(&[row(&key, Some("rubbish"), 1)]);
 
-    let lines = lines_with("long-key-");
+    let lines = reports_with("long-key-");
     assert_eq!(lines.len(), 1);
     assert!(lines[0].len() < 1_000, "{} bytes", lines[0].len());
 }
@@ -149,7 +125,7 @@
     reloader.check(true);
 
     assert_eq!(count(&gateway, "settings"), 1);
-    let lines = lines_with("refused-");
+    let lines = reports_with("refused-");
     assert_eq!(lines.len(), 1);
     assert!(lines[0].len() < 1_000, "{} bytes", lines[0].len());
     assert_eq!(reloader.tunables(), &tunables);
--- a/crates/anvilhook-gateway/tests/waiting.rs
+++ b/crates/anvilhook-gateway/tests/waiting.rs
@@ -3,47 +3,21 @@
 
 mod support;
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvilhook_core::orders::Role;
 use anvilhook_core::units::ManualClock;
 use anvilhook_gateway::configs::Repeats;
-use anvilhook_gateway::events::json_of;
 use anvilhook_gateway::loads::Held;
 use anvilhook_gateway::policies::Policy;
-use log::{LevelFilter, Log, Metadata, Record};
 use support::fronts::{Answer, Front, ample_budget, config, start_with_clock, without_timeout};
+use support::logs::{line_of, store_lines};
 use support::until;
 use support::upstreams::{Received, Upstream, engine, signed, stream};
 
 const LONG: &str = "T-Tokens: 20000\r\nT-First-Part: 11\r\n";
 
-/// `Lines` stores the events that were logged.
-struct Lines(Mutex<Vec<String>>);
-
-static LINES: Lines = Lines(Mutex::new(Vec::new()));
-
-impl Log for Lines {
-    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &Record<'_>) {
-        self.0.lock().expect("no panic").extend(json_of(record));
-    }
-
-    fn flush(&self) {}
-}
-
-/// Returns the first logged line with an event of a request.
-fn line_of(event: &str, request: &str) -> String {
-    let (event, request) = (format!("\"{event}\""), format!("\"{request}\""));
-    let lines = LINES.0.lock().expect("no panic");
-    let line = lines.iter().find(|line| line.contains(&event) && line.contains(&request));
-    line.cloned().unwrap_or_else(|| panic!("no {event} of {request}"))
-}
-
 /// `BusyEngines` is a gateway with one reader and one generator, which are busy for as long as `backlogs` are
 /// held. Only the test advances its clock, so that no stall of the machine makes the waiting requests late.
 struct BusyEngines {
@@ -60,10 +34,7 @@
 
     /// Starts the gateway with those engines that `is_listed` selects.
     async fn start_with(reading_ms: f64, is_listed: fn(&str) -> bool) -> Self {
-        // Another test may have set the logger already.
-        if log::set_logger(&LINES).is_ok() {
-            log::set_max_level(LevelFilter::Info);
-        }
+        store_lines();
         let reader = Upstream::start(|received: &Received| {
             let is_read = !received.line.starts_with("DELETE");
             vec![signed("200 OK", if is_read { "handle h1" } else { "" })]
--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -45,6 +45,16 @@
     New,
 }
 
+impl Connection {
+    /// Returns the text used in logs and between instances.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Connection::Pooled => "pooled",
+            Connection::New => "new",
+        }
+    }
+}
+
 /// `HttpClient` sends calls. It never retries by itself.
 #[derive(Clone)]
 pub struct HttpClient {
