--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -287,6 +287,16 @@
     }
 }
 
+impl OpenAnswer {
+    /// Receives until the connection ends. Returns whether the answer, in chunks, is complete.
+    pub async fn is_complete(mut self) -> bool {
+        let mut rest = Vec::new();
+        let ended = self.stream.read_to_end(&mut rest).await;
+        self.received.push_str(&String::from_utf8_lossy(&rest));
+        ended.is_ok() && self.received.ends_with("0\r\n\r\n")
+    }
+}
+
 fn with_long_deadline(request: &str) -> String {
     request.replace("T-Deadline: 2000", "T-Deadline: 60000")
 }
