Open a connection of its own for a call that asks for a new one

What callers saw: possibly an at-most-once request answered 502, or sent again, for what belonged to the request before on its connection. Connection::New used a pool that keeps no idle connections, but the pool passes a connection that has just become free to any call that waits for a new one, before it looks at that limit.

Evidence: 400 calls with Connection::New, 50 microseconds apart, to one server on loopback: 32 to 62 connections carried more than one request. The new test (clients, verify_a_new_connection_has_carried_no_other_request) failed before.

Each such call now has a pool of its own, in which there is nobody to pass a connection to and none to take over.

--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -41,7 +41,8 @@
 pub enum Connection {
     /// An idle connection if there is one, otherwise a new one.
     Pooled,
-    /// Only a new connection, because an idle one may no longer respond.
+    /// Only a connection that has carried no other request: an idle one may no longer respond, or may deliver a
+    /// late answer to an earlier request.
     New,
 }
 
@@ -59,8 +60,7 @@
 #[derive(Clone)]
 pub struct HttpClient {
     pooled: Client,
-    unpooled: Client,
-    connect_timeout: Millis,
+    options: ClientOptions,
 }
 
 impl HttpClient {
@@ -70,11 +70,7 @@
     ///
     /// A `CallError` of stage `Build` if the library does not accept the options.
     pub fn try_new(options: &ClientOptions) -> Result<Self, CallError> {
-        Ok(Self {
-            pooled: build(options, options.max_idle_per_address)?,
-            unpooled: build(options, 0)?,
-            connect_timeout: options.connect_timeout,
-        })
+        Ok(Self { pooled: build(options, options.max_idle_per_address)?, options: *options })
     }
 
     /// Sends a call and waits at most `timeout` for the head of its answer, and at most the
@@ -110,9 +106,11 @@
         timeout: Millis,
         progress: &SendProgress,
     ) -> Result<Response, CallError> {
+        // The pool passes a connection that has just become free to a call that waits for a new one, however few idle
+        // ones it may keep. Only a pool of the call's own has none.
         let client = match connection {
-            Connection::Pooled => &self.pooled,
-            Connection::New => &self.unpooled,
+            Connection::Pooled => self.pooled.clone(),
+            Connection::New => build(&self.options, 0)?,
         };
         let (parts, body) = req.into_parts();
         let mut builder = client
@@ -133,7 +131,7 @@
         };
         let mut sending = pin!(sending);
         let now = Instant::now();
-        let connect_timeout = self.connect_timeout.min(timeout);
+        let connect_timeout = self.options.connect_timeout.min(timeout);
         // The library does not apply its own connect timeout.
         let begun = timeout_at(now + connect_timeout.as_duration(), sending.as_mut()).await;
         if let Ok(answer) = begun {
--- a/crates/anvilhook-http/tests/clients.rs
+++ b/crates/anvilhook-http/tests/clients.rs
@@ -1,6 +1,8 @@
 //! Tests that the verdict on a failed call is correct for every stage at which a call can fail.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use anvilhook_core::Verdict;
 use anvilhook_core::units::Millis;
@@ -10,6 +12,7 @@
 use http::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::JoinSet;
 use volo_http::body::Body;
 
 /// `Fault` is the server's misbehavior on a call.
@@ -29,6 +32,9 @@
 
 const TIMEOUT: Millis = Millis(300);
 
+/// A timeout that no test reaches.
+const LONG: Millis = Millis(20_000);
+
 async fn faulty_server(fault: Fault) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound address");
@@ -138,3 +144,86 @@
     assert_eq!(err.stage, Stage::Body);
     assert!(err.message.contains("larger than 4 bytes"), "{err}");
 }
+
+/// `Server` answers each request at once, on connections that stay open.
+struct Server {
+    address: SocketAddr,
+    /// The ids of the requests received on each connection.
+    received: Arc<Mutex<Vec<Vec<String>>>>,
+}
+
+impl Server {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let received = Arc::new(Mutex::new(Vec::new()));
+        let log = Arc::clone(&received);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = {
+                    let mut log = log.lock().expect("no panic");
+                    log.push(Vec::new());
+                    log.len() - 1
+                };
+                tokio::spawn(answer_all(stream, number, Arc::clone(&log)));
+            }
+        });
+        Self { address, received }
+    }
+
+    fn received(&self) -> Vec<Vec<String>> {
+        self.received.lock().expect("no panic").clone()
+    }
+}
+
+/// Answers the requests of one connection. Each has an id as its target and a body of one byte.
+async fn answer_all(mut stream: TcpStream, number: usize, log: Arc<Mutex<Vec<Vec<String>>>>) {
+    let mut buf = Vec::new();
+    loop {
+        let end = buf.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 5);
+        let Some(end) = end.filter(|end| buf.len() >= *end) else {
+            match stream.read_buf(&mut buf).await {
+                Ok(len) if len > 0 => continue,
+                _ => return,
+            }
+        };
+        let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+        let id = head.split(' ').nth(1).expect("a target").to_owned();
+        log.lock().expect("no panic")[number].push(id);
+        buf.drain(..end);
+        if stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.is_err() {
+            return;
+        }
+    }
+}
+
+fn numbered(number: usize) -> Request<Body> {
+    let builder = Request::builder().method("POST").uri(format!("/{number}"));
+    builder.body(Body::from("b")).expect("a request")
+}
+
+/// Guards against a request that must not be repeated on a connection that has carried another one: the upstream may
+/// have closed it, or may send a late second answer to the request before. The library's pool passes a connection
+/// that has just become free to a call that waits for a new one.
+#[tokio::test]
+async fn verify_a_new_connection_has_carried_no_other_request() {
+    const CALLS: usize = 400;
+    let server = Server::start().await;
+    let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
+    let mut calls = JoinSet::new();
+    for number in 0..CALLS {
+        let (client, address) = (client.clone(), server.address);
+        calls.spawn(async move {
+            let sent = client.send(address, numbered(number), Connection::New, LONG);
+            let answer = sent.await.expect("an answer");
+            collect_body(answer.into_body(), 64, LONG).await.expect("a body");
+        });
+        tokio::time::sleep(Duration::from_micros(50)).await;
+    }
+
+    calls.join_all().await;
+
+    let received = server.received();
+    let reused = received.iter().filter(|ids| ids.len() > 1).count();
+    assert_eq!((received.iter().map(Vec::len).sum::<usize>(), reused), (CALLS, 0));
+}
