Withdraw a request before it counts as unsent

What callers could see: a request that runs although it was reported as not run, and is sent again. A call asked whether a connection had taken the request, and was dropped after that; on a runtime with several threads (anvilhookd) the connection can take it in between. And the library's kinds of errors decided that a call had failed before it was sent.

The progress of a request now has one atomic step: the connection takes it, or the caller withdraws it. A withdrawn request has a body of unknown length that fails, so the connection closes without its head. A failed call is of the connect stage exactly if the request could be withdrawn.

--- a/crates/anvilhook-http/src/bodies.rs
+++ b/crates/anvilhook-http/src/bodies.rs
@@ -1,28 +1,60 @@
 //! Bodies that record whether the library has begun to send them, or that hold a guard until they are sent.
 
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
 use volo_http::body::Body;
 
+/// The states of a request: not passed to a connection yet, passed to one, or withdrawn before.
+const UNSENT: u8 = 0;
+const BEGUN: u8 = 1;
+const WITHDRAWN: u8 = 2;
+
 /// `SendProgress` records whether a request has been passed to a connection. Clones share the state.
 ///
 /// ```
 /// use anvilhook_http::SendProgress;
 ///
-/// assert!(!SendProgress::default().has_begun());
+/// let progress = SendProgress::default();
+/// assert!(!progress.has_begun());
+/// assert!(progress.withdraw());
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct SendProgress(Arc<AtomicBool>);
+pub struct SendProgress(Arc<AtomicU8>);
 
 impl SendProgress {
     /// Returns whether any byte of the request may have been written to a connection.
     pub fn has_begun(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+        self.0.load(Ordering::Acquire) == BEGUN
+    }
+
+    /// Withdraws the request, unless a connection has taken it. Returns whether it is withdrawn: no connection
+    /// will send it.
+    ///
+    /// On a runtime with several threads, a connection could take the request between a question and the end of the
+    /// call. Here one of the two comes first.
+    pub fn withdraw(&self) -> bool {
+        let (order, failed) = (Ordering::AcqRel, Ordering::Acquire);
+        match self.0.compare_exchange(UNSENT, WITHDRAWN, order, failed) {
+            Ok(_) => true,
+            Err(state) => state == WITHDRAWN,
+        }
+    }
+
+    /// Records that a connection takes the request. Returns false if it is withdrawn.
+    fn take(&self) -> bool {
+        let (order, failed) = (Ordering::AcqRel, Ordering::Acquire);
+        let taken = self.0.compare_exchange(UNSENT, BEGUN, order, failed);
+        !matches!(taken, Err(WITHDRAWN))
+    }
+
+    fn is_withdrawn(&self) -> bool {
+        self.0.load(Ordering::Acquire) == WITHDRAWN
     }
 
     /// Wraps a request's body so that its use by a connection is recorded here.
@@ -34,7 +66,8 @@
 /// `TrackedBody` records the first use of a body.
 ///
 /// A connection looks at the body of a request when it takes the request, before it writes the
-/// head: it asks whether the body is empty, and else for its first frame. Nothing asks earlier.
+/// head: it asks whether the body is empty, and else for its first frame. Nothing asks earlier. The body of a
+/// withdrawn request has an unknown length and fails, so that the connection closes before it sends the head.
 struct TrackedBody {
     body: Body,
     progress: SendProgress,
@@ -48,17 +81,18 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        self.progress.0.store(true, Ordering::Release);
+        if !self.progress.take() {
+            return Poll::Ready(Some(Err(io::Error::other("the request is withdrawn").into())));
+        }
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.progress.0.store(true, Ordering::Release);
-        self.body.is_end_stream()
+        self.progress.take() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        if self.progress.is_withdrawn() { SizeHint::default() } else { self.body.size_hint() }
     }
 }
 
--- a/crates/anvilhook-http/src/clients.rs
+++ b/crates/anvilhook-http/src/clients.rs
@@ -123,7 +123,7 @@
         let sending = builder.body(progress.track(body)).layer(limit.clone()).send();
         let sending = async {
             tokio::select! {
-                answer = sending => Ok(answer?),
+                answer = sending => answer.map_err(|err| CallError::of_client(err, progress)),
                 () = limit.exceeded() => {
                     Err(CallError::broken(Stage::FirstByte, "too many interim answers"))
                 }
@@ -137,7 +137,7 @@
         if let Ok(answer) = begun {
             return answer;
         }
-        if !progress.has_begun() {
+        if progress.withdraw() {
             return Err(CallError::timed_out(Stage::Connect));
         }
         match timeout_at(now + timeout.as_duration(), sending).await {
--- a/crates/anvilhook-http/src/errors.rs
+++ b/crates/anvilhook-http/src/errors.rs
@@ -7,6 +7,8 @@
 use volo_http::error::ClientError;
 use volo_http::error::client::ErrorKind;
 
+use crate::bodies::SendProgress;
+
 /// `Stage` is the step of a call at which it failed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Stage {
@@ -76,20 +78,23 @@
 
 impl StdError for CallError {}
 
-impl From<ClientError> for CallError {
-    /// Determines the stage of the library's error.
+impl CallError {
+    /// Returns the error for a call that the library reports as failed.
     ///
-    /// The library reports a refused connection as a failed request whose source is an I/O error,
-    /// and a failure after the request was passed to a connection as a failed request whose source
-    /// is a protocol error. An error that is not clearly from before that point counts as after it.
-    fn from(err: ClientError) -> Self {
-        let from_socket = err.source().is_some_and(|source| source.is::<std::io::Error>());
-        let stage = match err.kind() {
-            ErrorKind::Builder => Stage::Build,
-            ErrorKind::Connect => Stage::Connect,
-            ErrorKind::Request if from_socket => Stage::Connect,
-            _ => Stage::FirstByte,
+    /// The library's kinds of errors don't tell whether a connection has taken the request, so its progress decides.
+    pub(crate) fn of_client(err: ClientError, progress: &SendProgress) -> Self {
+        let stage = match (progress.withdraw(), err.kind()) {
+            (false, _) => Stage::FirstByte,
+            (true, ErrorKind::Builder) => Stage::Build,
+            (true, _) => Stage::Connect,
         };
         CallError::broken(stage, err)
     }
 }
+
+impl From<ClientError> for CallError {
+    /// Returns the error for a client that can't be built.
+    fn from(err: ClientError) -> Self {
+        CallError::broken(Stage::Build, err)
+    }
+}
--- a/crates/anvilhook-http/tests/clients.rs
+++ b/crates/anvilhook-http/tests/clients.rs
@@ -1,5 +1,6 @@
 //! Tests that the verdict on a failed call is correct for every stage at which a call can fail.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use anvilhook_core::units::Millis;
 use anvilhook_http::clients::Connection;
 use anvilhook_http::collecting::collect_body;
-use anvilhook_http::{ClientOptions, HttpClient, Stage};
+use anvilhook_http::{ClientOptions, HttpClient, SendProgress, Stage};
 use http::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -227,3 +228,50 @@
     let reused = received.iter().filter(|ids| ids.len() > 1).count();
     assert_eq!((received.iter().map(Vec::len).sum::<usize>(), reused), (CALLS, 0));
 }
+
+/// Guards against taking a request for unsent that its connection takes in the same moment: where the runtime has
+/// several threads, the connection may take it between the question whether it has and the end of the call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn verify_no_request_that_counts_as_unsent_reaches_the_server() {
+    const CALLS: usize = 2_000;
+    let server = Server::start().await;
+    let client = HttpClient::try_new(&ClientOptions::default()).expect("a client");
+    let mut unsent = HashSet::new();
+    for number in 0..CALLS {
+        // Leaves an idle connection, which takes the next request at once.
+        let warm = client.send(server.address, numbered(CALLS), Connection::Pooled, LONG).await;
+        collect_body(warm.expect("an answer").into_body(), 64, LONG).await.expect("a body");
+        let progress = SendProgress::default();
+        let send = client.send_tracked(
+            server.address,
+            numbered(number),
+            Connection::Pooled,
+            LONG,
+            &progress,
+        );
+        let mut send = Box::pin(send);
+        let is_answered = futures_util::poll!(send.as_mut()).is_ready();
+        for _ in 0..number % 64 {
+            std::hint::spin_loop();
+        }
+        if !is_answered && progress.withdraw() {
+            unsent.insert(format!("/{number}"));
+            // The thread may be descheduled at any moment.
+            for _ in 0..20_000 {
+                std::hint::spin_loop();
+            }
+        } else if !is_answered {
+            send.await.expect("an answer");
+            continue;
+        }
+        drop(send);
+    }
+
+    // What a connection has taken arrives before it is closed, and the last request comes after all others.
+    let last = client.send(server.address, numbered(CALLS), Connection::New, LONG);
+    last.await.expect("an answer");
+
+    let received: HashSet<String> = server.received().into_iter().flatten().collect();
+    assert!(!unsent.is_empty());
+    assert_eq!(unsent.intersection(&received).count(), 0, "of {} unsent", unsent.len());
+}
