--- a/crates/anvilhook-gateway/src/relay/mod.rs
+++ b/crates/anvilhook-gateway/src/relay/mod.rs
@@ -33,6 +33,7 @@
 mod stopping;
 mod waiting;
 
+use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -420,11 +421,32 @@
         }
     }
 
+    /// Restricts a request to one run if any configuration that becomes active while it is served says so.
+    ///
+    /// The route is read before each attempt only. A configuration that comes and goes during one attempt would not be
+    /// noticed, although the caller may have sent the request by it.
+    fn watch_route(&self, exchange: &Exchange) -> impl Future<Output = Infallible> + use<W, C> {
+        let gateway = self.clone();
+        let (host, uri) = (exchange.host(), exchange.uri.clone());
+        let sendings = Arc::clone(&exchange.sendings);
+        async move {
+            loop {
+                gateway.inner.config_changes.notified().await;
+                let config = gateway.inner.config.load();
+                let route = config.as_ref().and_then(|config| config.route(&host, uri.path()));
+                if route.is_some_and(|route| !route.repeats.is_repeatable()) {
+                    sendings.restrict();
+                }
+            }
+        }
+    }
+
     async fn serve(&self, exchange: &mut Exchange) -> Outcome {
         if let Some(refusal) = self.check_quarantine(exchange) {
             return refusal;
         }
         let limit = exchange.give_up_at - self.now();
+        let watch = self.watch_route(exchange);
         let serving = async {
             match exchange.route.repeats {
                 Repeats::Idempotent | Repeats::AtMostOnce => self.serve_plain(exchange).await,
@@ -435,6 +457,7 @@
         let served = tokio::select! {
             biased;
             () = self.ended() => return self.abandoned_outcome(exchange, STOPPING, Millis::ZERO),
+            never = watch => match never {},
             served = tokio::time::timeout(limit.as_duration(), serving) => served,
         };
         // The timeout has dropped the attempt in progress, together with its connection.
--- a/crates/anvilhook-gateway/src/relay/requests.rs
+++ b/crates/anvilhook-gateway/src/relay/requests.rs
@@ -93,7 +93,7 @@
     /// How the newest attempt ended, for logs, if there has been one.
     pub last_cause: Option<&'static str>,
     /// The sendings that run the request, and whether it may run at most once.
-    pub sendings: Sendings,
+    pub sendings: Arc<Sendings>,
     /// How many attempts may have run.
     pub runs: u32,
     /// When the newest attempt began.
@@ -177,7 +177,7 @@
             tried: Vec::new(),
             attempts: AtomicU32::new(0),
             last_cause: None,
-            sendings: sendings_by(route),
+            sendings: Arc::new(sendings_by(route)),
             runs: 0,
             attempt_began_at: Millis::ZERO,
             has_read: false,
@@ -223,8 +223,12 @@
     }
 
     fn route_by<'c>(&self, config: &'c Config) -> Option<&'c Arc<Route>> {
-        let host = text(&self.headers, &header::HOST)?;
-        config.route(&host, self.uri.path())
+        config.route(&self.host(), self.uri.path())
+    }
+
+    /// Returns the host for which the request is meant, empty if it names none.
+    pub fn host(&self) -> String {
+        text(&self.headers, &header::HOST).unwrap_or_default()
     }
 
     /// Takes the service of an upstream that may continue the stream, if the route allows it. Where a route is split,
--- a/crates/anvilhook-gateway/tests/repeated_sends.rs
+++ b/crates/anvilhook-gateway/tests/repeated_sends.rs
@@ -208,6 +208,30 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+/// Guards against a request that runs twice because a route by which it runs at most once comes and goes during one
+/// attempt: neither the route read before the attempt nor the one read after it says so.
+#[tokio::test]
+async fn verify_a_route_that_comes_and_goes_during_an_attempt_counts() {
+    let goes_on = Arc::new(Notify::new());
+    let cut = vec![Step::Await(Arc::clone(&goes_on)), Step::Reset];
+    let outer = |version| nested(version, Repeats::Idempotent, None);
+    let upstreams = Upstreams::start(outer(1), cut.clone(), cut).await;
+    let bytes = inner_request("r1");
+    let changing = async {
+        until(|| upstreams.received()[0] > 0).await;
+        let inner = nested(2, Repeats::Idempotent, Some(Repeats::AtMostOnce));
+        upstreams.front.gateway.adopt_config(inner);
+        // The request is served by the tasks of the runtime, which have only one thread.
+        tokio::task::yield_now().await;
+        upstreams.front.gateway.adopt_config(outer(3));
+        goes_on.notify_one();
+    };
+
+    let (answer, ()) = tokio::join!(upstreams.front.raw(&bytes), changing);
+
+    assert_eq!((answer.status, upstreams.received()), (502, [1, 0, 0]));
+}
+
 /// Guards against a broken stream that another upstream goes on with although its route has become one whose streams
 /// must not be resumed.
 #[tokio::test]
