Record no origin of a stream by a list that is out of date

A report from other operators (ORDER): during a release one machine was out of step for a few seconds; streams that began on runners of the new version were taken up there and went on at runners of another version.

Shown not to happen for streams that began through other instances: the origin names the software, and an instance that lists none of it, or lists the start before, refuses; cut off, it has no origin and refuses as well (four cases, named and unnamed).

It could happen for streams that began at the instance out of step itself: a runner had restarted under its id with another version, and the old list named the version before as the origin. And a stream went on at an upstream that can't be asked for its start.

An instance that has not heard of the list for 4 s now asks the runner that began a stream for its start; if another one answers, or it can't be asked, nothing fits the stream. It continues none at an upstream that can't be asked. Instances in step ask nothing more than before; there the window until the change of the list stays.

--- a/crates/anvilhook-gateway/src/relay/continuation.rs
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -14,6 +14,7 @@
 use crate::configs::{Repeats, Route};
 use crate::events::{RequestEvent, emit};
 use crate::fleets::Upstream;
+use crate::followers::LIST_SOURCE;
 use crate::origins::{OriginKey, OriginLookup, request_hash};
 use crate::wires::{HeaderNames, Wire};
 
@@ -24,6 +25,10 @@
 /// The maximum length of the id of a continued stream, in bytes.
 const MAX_ID_BYTES: usize = 200;
 
+/// The age of the upstream table from which on it may lack the newest start of an upstream: this instance has been cut off
+/// or suspended. An instance that reads the table, or receives what others read, hears of it more often.
+const MAX_LIST_AGE: Millis = Millis(4_000);
+
 /// The reasons in the answers to requests that continue a stream: it is not known which software began it, not yet known,
 /// none of that software is left, or the route's streams can't be continued.
 const ORIGIN_UNKNOWN: &str = "stream_origin_unknown";
@@ -78,6 +83,19 @@
     Ok((!text.is_empty()).then_some(text))
 }
 
+/// `ListedStart` is whether an upstream still is the start that is listed under its id.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ListedStart {
+    /// It is, or each start has an id of its own.
+    Runs,
+    /// Another start answers.
+    Replaced,
+    /// It does not answer.
+    NoAnswer,
+    /// It can't be asked: it is no model engine, or limits its requests.
+    Unchecked,
+}
+
 impl Exchange {
     /// Returns whether the request may be sent to an upstream, by the software that began its stream.
     pub fn may_use(&self, upstream: &Upstream) -> bool {
@@ -155,18 +173,46 @@
         exchange: &Exchange,
         upstream: &Upstream,
     ) -> Option<Failed> {
-        let is_checkable = upstream.role().is_some()
-            && upstream.entry.born.is_some()
-            && !upstream.state.request_limit().is_limited();
-        if exchange.software.is_none() || !is_checkable {
-            return None;
+        exchange.software?;
+        match self.listed_start(upstream).await {
+            ListedStart::Runs => None,
+            ListedStart::Unchecked if !self.has_old_list() => None,
+            ListedStart::Unchecked | ListedStart::NoAnswer => {
+                Some(Failed::not_sent("start_unknown"))
+            }
+            ListedStart::Replaced => Some(Failed::not_sent("started_again")),
+        }
+    }
+
+    /// Asks an upstream whether it still is the start that is listed.
+    async fn listed_start(&self, upstream: &Upstream) -> ListedStart {
+        if upstream.entry.born.is_none() {
+            return ListedStart::Runs;
+        }
+        if upstream.role().is_none() || upstream.state.request_limit().is_limited() {
+            return ListedStart::Unchecked;
         }
         let Some(answer) = self.own_call(upstream, &self.wire().report()).await else {
-            return Some(Failed::not_sent("start_unknown"));
+            return ListedStart::NoAnswer;
         };
-        let report = self.wire().engine_report(&answer.body);
-        let is_same = report.is_ok_and(|report| !upstream.entry.has_other_start(report.born));
-        (!is_same).then(|| Failed::not_sent("started_again"))
+        match self.wire().engine_report(&answer.body) {
+            Ok(report) if !upstream.entry.has_other_start(report.born) => ListedStart::Runs,
+            _ => ListedStart::Replaced,
+        }
+    }
+
+    /// Returns whether the upstream table may lack the newest start of an upstream.
+    fn has_old_list(&self) -> bool {
+        let age = self.metrics().source_age(LIST_SOURCE, self.now());
+        age.is_some_and(|age| age > MAX_LIST_AGE)
+    }
+
+    /// Returns whether the software of an upstream that has begun a stream is known. An instance with an old list may
+    /// have sent the request to another start, of other software, under the same id.
+    pub(super) async fn knows_software(&self, exchange: &Exchange, upstream: &Upstream) -> bool {
+        let needs_check =
+            exchange.software.is_none() && exchange.is_repeatable() && self.has_old_list();
+        !needs_check || self.listed_start(upstream).await == ListedStart::Runs
     }
 
     /// Returns whether the software of an upstream that continues a stream may have been replaced meanwhile.
@@ -176,8 +222,14 @@
 
     /// Records that an upstream has begun the stream of a request, so that only its software continues it, in this
     /// answer or in an answer to a later request.
-    pub(super) fn record_origin(&self, exchange: &mut Exchange, upstream: &Upstream) {
-        if exchange.software.is_none() && self.fleet().has_other_software(upstream) {
+    pub(super) fn record_origin(
+        &self,
+        exchange: &mut Exchange,
+        upstream: &Upstream,
+        is_known: bool,
+    ) {
+        let is_replaced = self.fleet().has_other_software(upstream);
+        if exchange.software.is_none() && (is_replaced || !is_known) {
             // The stream may come from either start of the upstream, so no upstream is known to fit.
             exchange.software = Some(Software::NONE);
             return;
--- a/crates/anvilhook-gateway/src/relay/generating.rs
+++ b/crates/anvilhook-gateway/src/relay/generating.rs
@@ -232,7 +232,8 @@
         exchange.tried.push(format!("{}({}ms)", upstream.entry.id, took.0));
         exchange.end_run(&result);
         if matches!(&result, Ok(Opened::Stream(_))) {
-            self.record_origin(exchange, upstream);
+            let is_known = self.knows_software(exchange, upstream).await;
+            self.record_origin(exchange, upstream, is_known);
         }
         if result.is_ok() {
             self.count_usage(exchange, self.now());
