Ask limited engines for their start too if the list is old

With an old list, streams at engines with request limits would neither be recorded nor go on, for as long as the store is away. They are asked now, for a share of their limit; in step they are not asked, as before.

--- a/crates/anvilhook-engine/src/requests.rs
+++ b/crates/anvilhook-engine/src/requests.rs
@@ -13,7 +13,7 @@
 use anvilhook_http::clients::Connection;
 use anvilhook_http::collecting::collect_body;
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue};
+use http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use http::{Method, Request, StatusCode};
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -183,13 +183,7 @@
         connection: Connection,
         timeout: Millis,
     ) -> Result<Response> {
-        let headers = req.headers_mut();
-        headers.insert(ATTEMPT_HEADER, id_value(attempt)?);
-        if connection == Connection::New {
-            // The library gives a connection that has just become free to a call that waits for a
-            // new one. A connection that is closed after its answer can't be reused this way.
-            headers.insert(CONNECTION, HeaderValue::from_static("close"));
-        }
+        req.headers_mut().insert(ATTEMPT_HEADER, id_value(attempt)?);
         let answer = self.client.send(address, req, connection, timeout).await?;
 
         // The echo is checked first, because the refusal of another attempt says nothing about this
--- a/crates/anvilhook-gateway/src/relay/continuation.rs
+++ b/crates/anvilhook-gateway/src/relay/continuation.rs
@@ -25,8 +25,8 @@
 /// The maximum length of the id of a continued stream, in bytes.
 const MAX_ID_BYTES: usize = 200;
 
-/// The age of the upstream table from which on it may lack the newest start of an upstream: this instance has been cut off
-/// or suspended. An instance that reads the table, or receives what others read, hears of it more often.
+/// The age from which on the upstream table may lack the newest start of an upstream, as this instance has been cut off or
+/// suspended. An instance that reads the table, or receives what others read, does so more often.
 const MAX_LIST_AGE: Millis = Millis(4_000);
 
 /// The reasons in the answers to requests that continue a stream: it is not known which software began it, not yet known,
@@ -92,7 +92,7 @@
     Replaced,
     /// It does not answer.
     NoAnswer,
-    /// It can't be asked: it is no model engine, or limits its requests.
+    /// It is not asked: it is no model engine, or limits its requests.
     Unchecked,
 }
 
@@ -167,7 +167,7 @@
     /// Returns the failure of an attempt to continue a stream at an engine that is not the listed start of its software.
     ///
     /// An engine may have restarted under its id with other software, and its entry shows that only later. One that limits
-    /// its requests is not asked: the call would take the share of the limit that the stream needs.
+    /// its requests is asked only if the list is old: the call takes a share of the limit, which the stream needs.
     pub(super) async fn check_start(
         &self,
         exchange: &Exchange,
@@ -189,7 +189,8 @@
         if upstream.entry.born.is_none() {
             return ListedStart::Runs;
         }
-        if upstream.role().is_none() || upstream.state.request_limit().is_limited() {
+        let is_limited = upstream.state.request_limit().is_limited();
+        if upstream.role().is_none() || (is_limited && !self.has_old_list()) {
             return ListedStart::Unchecked;
         }
         let Some(answer) = self.own_call(upstream, &self.wire().report()).await else {
