Tests: one fixture for two upstreams, and wording of comments

The start of a gateway with a near and a far upstream stood in two test files. Comments of the change now use the field's terms. No behavior changes.

--- a/crates/anvilhook-gateway/tests/old_lists.rs
+++ b/crates/anvilhook-gateway/tests/old_lists.rs
@@ -96,7 +96,7 @@
     }
 }
 
-/// Starts an instance that has been away for [`AWAY_TIME`] since it last heard of the list.
+/// Starts an instance that received the list [`AWAY_TIME`] ago for the last time.
 async fn away_instance(has_engines: bool, entries: Vec<Entry>) -> Front<ManualClock> {
     let clock = ManualClock::new();
     let config = Some(resumable(has_engines));
--- a/crates/anvilhook-gateway/tests/plain.rs
+++ b/crates/anvilhook-gateway/tests/plain.rs
@@ -7,22 +7,12 @@
 use anvilhook_gateway::budgets::BudgetOptions;
 use anvilhook_gateway::configs::Repeats;
 use anvilhook_gateway::fleets::Entry;
-use support::fronts::{Front, ample_budget, config, start, start_with_clock, with_long_timeouts};
+use support::fronts::{
+    ample_budget, config, front_of_two, start, start_with_clock, with_long_timeouts,
+};
 use support::upstreams::{Step, Upstream, refusal, signed};
 use support::wires::entry;
 
-/// Starts a gateway with two upstreams: the first runs the given steps, the second is healthy. The
-/// gateway chooses the first because it is in its own zone.
-async fn front_of(repeats: Repeats, first: Vec<Step>) -> (Front, Upstream, Upstream) {
-    let first = Upstream::always(first).await;
-    let second = Upstream::always(vec![signed("200 OK", "second")]).await;
-    let near = entry("first", first.address.port());
-    let mut far = entry("second", second.address.port());
-    far.zone = "zone-b".into();
-    let front = start(Some(config(repeats, 2, false)), vec![near, far], ample_budget()).await;
-    (front, first, second)
-}
-
 /// Guards against running an at-most-once request twice, and against not retrying one that may be
 /// repeated. The verdict on the failure, not the kind of failure, must decide on another attempt.
 #[tokio::test]
@@ -52,7 +42,7 @@
         for (repeats, expected) in
             [(Repeats::Idempotent, idempotent), (Repeats::AtMostOnce, at_most_once)]
         {
-            let (front, first, second) = front_of(repeats, steps.clone()).await;
+            let (front, first, second) = front_of_two(repeats, steps.clone()).await;
 
             let answer = front.post("r1", "", "body").await;
 
@@ -71,7 +61,7 @@
 async fn verify_an_answer_without_length_is_complete() {
     let head = "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\n\r\nall of it";
     let steps = vec![Step::Write(head.to_owned()), Step::Close];
-    let (front, _first, second) = front_of(Repeats::AtMostOnce, steps).await;
+    let (front, _first, second) = front_of_two(Repeats::AtMostOnce, steps).await;
 
     let answer = front.post("r1", "", "").await;
 
@@ -86,7 +76,7 @@
 #[tokio::test]
 async fn verify_a_duplicate_answer_is_not_used_for_the_next_request() {
     let steps = vec![signed("200 OK", "own"), signed("200 OK", "again")];
-    let (front, _first, _second) = front_of(Repeats::Idempotent, steps).await;
+    let (front, _first, _second) = front_of_two(Repeats::Idempotent, steps).await;
 
     for round in 0..20 {
         let id = format!("r{round}");
@@ -104,7 +94,7 @@
     let other = "HTTP/1.1 421 Misdirected\r\nT-Id: {id}\r\nT-Instance: new\r\n\
                  Content-Length: 0\r\n\r\n";
     let (front, first, second) =
-        front_of(Repeats::AtMostOnce, vec![Step::Write(other.to_owned())]).await;
+        front_of_two(Repeats::AtMostOnce, vec![Step::Write(other.to_owned())]).await;
 
     let statuses = [front.post("r1", "", "").await.status, front.post("r2", "", "").await.status];
 
@@ -171,7 +161,8 @@
 /// caller, who could choose an engine's work by them.
 #[tokio::test]
 async fn verify_which_headers_are_forwarded() {
-    let (front, first, _second) = front_of(Repeats::AtMostOnce, vec![signed("200 OK", "ok")]).await;
+    let (front, first, _second) =
+        front_of_two(Repeats::AtMostOnce, vec![signed("200 OK", "ok")]).await;
     let headers = "T-Stage: read\r\nT-Kv-Source: 1.2.3.4:5/x\r\nKeep-Alive: timeout=9\r\n\
                    TE: trailers\r\nX-Own: kept\r\n";
 
@@ -228,7 +219,7 @@
     ];
     for (name, bytes, expected) in cases {
         let (front, first, second) =
-            front_of(Repeats::AtMostOnce, vec![signed("200 OK", "ok")]).await;
+            front_of_two(Repeats::AtMostOnce, vec![signed("200 OK", "ok")]).await;
 
         let answer = front.raw(&bytes).await;
 
@@ -257,7 +248,7 @@
 /// must close its own connection as soon as the caller closes its.
 #[tokio::test]
 async fn verify_a_caller_that_leaves_frees_its_upstream() {
-    let (front, first, _second) = front_of(Repeats::AtMostOnce, vec![Step::Hang]).await;
+    let (front, first, _second) = front_of_two(Repeats::AtMostOnce, vec![Step::Hang]).await;
     let mut caller =
         tokio::net::TcpStream::connect(front.address).await.expect("the front listens");
     let bytes = support::fronts::request("r1", "", "");
@@ -278,7 +269,8 @@
 /// flight and the end of the instance, no request may start.
 #[tokio::test]
 async fn verify_requests_are_refused_after_refuse_new() {
-    let (front, first, second) = front_of(Repeats::AtMostOnce, vec![signed("200 OK", "ok")]).await;
+    let (front, first, second) =
+        front_of_two(Repeats::AtMostOnce, vec![signed("200 OK", "ok")]).await;
     front.gateway.begin_stop(Stop { noticed_at: Millis::MAX, ends_at: Millis::MAX });
     let before = front.post("r1", "", "").await;
 
@@ -297,7 +289,7 @@
 /// after it.
 #[tokio::test]
 async fn verify_a_retry_checks_the_upstreams_again() {
-    let (front, first, second) = front_of(Repeats::Idempotent, vec![Step::Hang]).await;
+    let (front, first, second) = front_of_two(Repeats::Idempotent, vec![Step::Hang]).await;
     let mut leaving = entry("second", second.address.port());
     leaving.draining = true;
     let near = entry("first", first.address.port());
--- a/crates/anvilhook-gateway/tests/repeated_sends.rs
+++ b/crates/anvilhook-gateway/tests/repeated_sends.rs
@@ -9,7 +9,7 @@
 use anvilhook_gateway::fleets::Entry;
 use log::Level;
 use support::fronts::{
-    Answer, Front, ample_budget, config, config_of_version, start, with_long_timeouts,
+    Answer, Front, ample_budget, config, config_of_version, front_of_two, start, with_long_timeouts,
 };
 use support::instances::{connect, instance};
 use support::logs::{line_of, lines_of, store_lines};
@@ -22,22 +22,11 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Notify;
 
-/// Starts a gateway with two upstreams: the first, which is chosen first, runs the given steps.
-async fn front_of(repeats: Repeats, first: Vec<Step>) -> (Front, Upstream, Upstream) {
-    let first = Upstream::always(first).await;
-    let second = Upstream::always(vec![signed("200 OK", "second")]).await;
-    let near = entry("first", first.address.port());
-    let mut far = entry("second", second.address.port());
-    far.zone = "zone-b".into();
-    let front = start(Some(config(repeats, 2, false)), vec![near, far], ample_budget()).await;
-    (front, first, second)
-}
-
 /// Guards against a request that ran twice and of which the log does not show why it was sent again.
 #[tokio::test]
 async fn verify_the_log_shows_why_a_request_is_sent_again() {
     store_lines();
-    let (front, _first, _second) = front_of(Repeats::AtMostOnce, vec![refusal()]).await;
+    let (front, _first, _second) = front_of_two(Repeats::AtMostOnce, vec![refusal()]).await;
 
     let answer = front.post("again-1", "", "body").await;
 
--- a/crates/anvilhook-gateway/tests/support/fronts.rs
+++ b/crates/anvilhook-gateway/tests/support/fronts.rs
@@ -14,7 +14,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::wires::{TestWire, limits};
+use super::upstreams::{Step, Upstream, signed};
+use super::wires::{TestWire, entry, limits};
 
 /// The gateway under test.
 pub type TestGateway = Gateway<TestWire, SystemClock>;
@@ -160,6 +161,17 @@
     Front { gateway, address }
 }
 
+/// Starts a gateway with two upstreams: the first runs the given steps, the second is healthy. The gateway chooses the
+/// first because it is in its own zone.
+pub async fn front_of_two(repeats: Repeats, first: Vec<Step>) -> (Front, Upstream, Upstream) {
+    let first = Upstream::always(first).await;
+    let second = Upstream::always(vec![signed("200 OK", "second")]).await;
+    let near = entry("first", first.address.port());
+    let far = Entry { zone: Arc::from("zone-b"), ..entry("second", second.address.port()) };
+    let front = start(Some(config(repeats, 2, false)), vec![near, far], ample_budget()).await;
+    (front, first, second)
+}
+
 /// Returns a configuration of version 1 with one route, to `service`.
 pub fn config(repeats: Repeats, max_attempts: u32, engine: bool) -> Config {
     config_of_version(1, repeats, max_attempts, engine)
--- a/crates/anvilhook-http/src/errors.rs
+++ b/crates/anvilhook-http/src/errors.rs
@@ -81,7 +81,7 @@
 impl CallError {
     /// Returns the error for a call that the library reports as failed.
     ///
-    /// The library's kinds of errors don't tell whether a connection has taken the request, so its progress decides.
+    /// The library's kinds of errors don't show whether a connection has taken the request, so its progress decides.
     pub(crate) fn of_client(err: ClientError, progress: &SendProgress) -> Self {
         let stage = match (progress.withdraw(), err.kind()) {
             (false, _) => Stage::FirstByte,
